--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+VERSION ?= 0.1.0
+
+.PHONY: build demo test lint clean
+
+build:
+	CGO_ENABLED=1 go build -ldflags "-X main.version=$(VERSION)" -o bin/ ./cmd/kitetiller ./cmd/kitelab
+
+demo: build
+	scripts/demo
+
+test:
+	CGO_ENABLED=1 go test ./...
+
+lint:
+	test -z "$$(gofmt -l cmd internal)"
+	go vet ./...
+	go tool staticcheck ./...
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/cmd/kitelab/main.go
@@ -0,0 +1,66 @@
+// Command kitelab is the laboratory: stand-ins for the outside world, load, simulation, bench and scale runs.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/integrii/flaggy"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// command is one subcommand: its parser is filled by define, and run carries it out.
+type command struct {
+	parser *flaggy.Subcommand
+	run    func() error
+}
+
+// errViolation makes the program exit 1 without a message of its own.
+var errViolation = eris.New("")
+
+func main() {
+	parser := flaggy.NewParser("kitelab")
+	parser.Description = "stand-ins, load, simulation, bench and scale runs for kitetiller"
+	parser.DisableShowVersionWithVersion()
+	var commands []command
+	for _, define := range []func() command{
+		defineEngine, defineBackend, defineVault, defineWeights, definePlatform, defineFleetPlan, defineLoad,
+	} {
+		commands = append(commands, define())
+	}
+	for _, candidate := range commands {
+		parser.AttachSubcommand(candidate.parser, 1)
+	}
+	if err := parser.Parse(); err != nil {
+		fmt.Fprintln(os.Stderr, "kitelab:", err)
+		os.Exit(exitUsage)
+	}
+	for _, candidate := range commands {
+		if candidate.parser.Used {
+			finish(candidate.run())
+		}
+	}
+	parser.ShowHelpWithMessage("a subcommand is needed")
+	os.Exit(exitUsage)
+}
+
+func finish(err error) {
+	if err == nil {
+		os.Exit(0)
+	}
+	if !eris.Is(err, errViolation) {
+		fmt.Fprintln(os.Stderr, "kitelab:", eris.ToString(err, false))
+	}
+	os.Exit(exitFailure)
+}
+
+func newSubcommand(name, description string) *flaggy.Subcommand {
+	sub := flaggy.NewSubcommand(name)
+	sub.Description = description
+	return sub
+}
--- /dev/null
+++ b/internal/api/problem.go
@@ -0,0 +1,83 @@
+// Package api holds the typed messages that callers, operators and back ends exchange with the system.
+package api
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"kitetiller/internal/core"
+)
+
+// ProblemContentType is the media type of errors (RFC 9457).
+const ProblemContentType = "application/problem+json"
+
+// Problem is an error answer. Run says whether the request ran.
+type Problem struct {
+	Type       string   `json:"type"`
+	Title      string   `json:"title"`
+	Status     int      `json:"status"`
+	Detail     string   `json:"detail,omitempty"`
+	RequestID  string   `json:"request_id,omitempty"`
+	Run        core.Run `json:"run"`
+	RetryAfter float64  `json:"retry_after_s,omitempty"` // seconds; 0 when trying again does not help
+}
+
+// NewProblem returns a problem of a reason.
+func NewProblem(reason core.Reason, run core.Run, detail string) Problem {
+	status, title := describe(reason)
+	return Problem{Type: "urn:kitetiller:" + string(reason), Title: title, Status: status, Detail: detail, Run: run}
+}
+
+// describe maps a reason to its status and title.
+func describe(reason core.Reason) (int, string) {
+	switch reason {
+	case core.ReasonRateLimit:
+		return http.StatusTooManyRequests, "The tenant's request rate is used up"
+	case core.ReasonConcurrency:
+		return http.StatusTooManyRequests, "The tenant has too many requests in progress"
+	case core.ReasonQueueFull:
+		return http.StatusServiceUnavailable, "The service's queue is full"
+	case core.ReasonDeadline:
+		return http.StatusServiceUnavailable, "The first token would come after the deadline"
+	case core.ReasonUnknownTarget:
+		return http.StatusNotFound, "No service answers this model or name"
+	case core.ReasonKeyRequired:
+		return http.StatusBadRequest, "This service needs an Idempotency-Key header"
+	case core.ReasonKeyReused:
+		return http.StatusUnprocessableEntity, "The Idempotency-Key was used with another body"
+	case core.ReasonKeyExpired:
+		return http.StatusGone, "The Idempotency-Key is older than its retention"
+	case core.ReasonInProgress:
+		return http.StatusConflict, "An earlier send with this Idempotency-Key is still running"
+	case core.ReasonRunUnknown:
+		return http.StatusBadGateway, "The request may have run; its result is lost"
+	case core.ReasonNoBackend, core.ReasonRetries:
+		return http.StatusServiceUnavailable, "No back end could take the request"
+	case core.ReasonDraining:
+		return http.StatusServiceUnavailable, "This router is stopping; ask another one"
+	case core.ReasonNoLease, core.ReasonNoSettings:
+		return http.StatusServiceUnavailable, "This router has no current settings; ask another one"
+	case core.ReasonLedger:
+		return http.StatusServiceUnavailable, "The run ledger did not answer"
+	}
+	return http.StatusInternalServerError, string(reason)
+}
+
+// Write sends the problem as a response.
+func (p Problem) Write(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", ProblemContentType)
+	if p.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfter))))
+	}
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p) // a caller that is gone cannot be told
+}
+
+// WithRetry returns the problem with advice when to come back.
+func (p Problem) WithRetry(after time.Duration) Problem {
+	p.RetryAfter = after.Seconds()
+	return p
+}
--- /dev/null
+++ b/internal/consensus/election.go
@@ -0,0 +1,139 @@
+package consensus
+
+import "time"
+
+func (n *Node) resetElectionTimer(now time.Duration) {
+	timing := n.config.Timing
+	spread := int64(timing.ElectionMax - timing.ElectionMin)
+	n.electionDue = now + timing.ElectionMin + time.Duration(n.config.Random(spread))
+}
+
+// becomeFollower enters a term. The vote is kept when the term does not change.
+func (n *Node) becomeFollower(now time.Duration, term uint64, leader ID) {
+	if term > n.hard.Term {
+		n.hard = HardState{Term: term}
+		n.hardDirty = true
+	}
+	n.role = Follower
+	n.leader = leader
+	n.peers = nil
+	n.resetElectionTimer(now)
+}
+
+// startPreVote asks whether an election could be won, without raising the term, so that a replica cut
+// off for a long time does not depose a working leader when it comes back.
+func (n *Node) startPreVote(now time.Duration) {
+	n.role = PreCandidate
+	n.leader = ""
+	n.votes = map[ID]bool{n.config.ID: true}
+	n.resetElectionTimer(now)
+	n.askForVotes(MessagePreVote, n.hard.Term+1)
+	n.countVotes(now)
+}
+
+func (n *Node) startElection(now time.Duration) {
+	n.role = Candidate
+	n.hard = HardState{Term: n.hard.Term + 1, Vote: n.config.ID}
+	n.hardDirty = true
+	n.votes = map[ID]bool{n.config.ID: true}
+	n.resetElectionTimer(now)
+	n.askForVotes(MessageVote, n.hard.Term)
+	n.countVotes(now)
+}
+
+func (n *Node) askForVotes(kind MessageKind, term uint64) {
+	for _, member := range n.membership.Members {
+		if member.Learner || member.ID == n.config.ID {
+			continue
+		}
+		n.send(Message{Kind: kind, To: member.ID, Term: term, Index: n.log.lastIndex(), LogTerm: n.log.lastTerm()})
+	}
+}
+
+func (n *Node) countVotes(now time.Duration) {
+	granted, refused := 0, 0
+	for _, member := range n.membership.Members {
+		if member.Learner {
+			continue
+		}
+		vote, answered := n.votes[member.ID]
+		switch {
+		case answered && vote:
+			granted++
+		case answered:
+			refused++
+		}
+	}
+	quorum := n.membership.Voters()/2 + 1
+	switch {
+	case granted >= quorum && n.role == PreCandidate:
+		n.startElection(now)
+	case granted >= quorum && n.role == Candidate:
+		n.becomeLeader(now)
+	case refused >= quorum:
+		n.becomeFollower(now, n.hard.Term, "")
+	}
+}
+
+func (n *Node) becomeLeader(now time.Duration) {
+	n.role = Leader
+	n.leader = n.config.ID
+	n.peers = map[ID]*progress{}
+	n.refreshMembership()
+	for _, peer := range n.peers {
+		peer.heardAt = now
+	}
+	n.termStartIndex = n.appendLocal(EntryNoop, nil)
+	n.lastHeartbeat = now
+	n.broadcastAppend(now)
+}
+
+// handleVote answers a vote or pre-vote request. A replica that heard a leader within the shortest
+// election timeout refuses both: leases depend on it.
+func (n *Node) handleVote(now time.Duration, message Message) {
+	preVote := message.Kind == MessagePreVote
+	reply := Message{Kind: MessageVoteReply, To: message.From, Term: n.hard.Term, Reject: true}
+	if preVote {
+		reply.Kind = MessagePreVoteReply
+	}
+	leaderAlive := n.role == Leader || now < n.leaderHeardAt+n.config.Timing.ElectionMin
+	if leaderAlive || message.Term < n.hard.Term {
+		n.send(reply)
+		return
+	}
+	if !preVote && message.Term > n.hard.Term {
+		n.becomeFollower(now, message.Term, "")
+	}
+	upToDate := message.LogTerm > n.log.lastTerm() ||
+		(message.LogTerm == n.log.lastTerm() && message.Index >= n.log.lastIndex())
+	free := preVote || n.hard.Vote == "" || n.hard.Vote == message.From
+	reply.Term = message.Term
+	if upToDate && free {
+		reply.Reject = false
+		if !preVote {
+			n.hard.Vote = message.From
+			n.hardDirty = true
+			n.resetElectionTimer(now)
+		}
+	}
+	n.send(reply)
+}
+
+func (n *Node) handleVoteReply(now time.Duration, message Message) {
+	wantedRole, wantedTerm := Candidate, n.hard.Term
+	if message.Kind == MessagePreVoteReply {
+		wantedRole, wantedTerm = PreCandidate, n.hard.Term+1
+	}
+	if n.role != wantedRole {
+		return
+	}
+	if message.Reject && message.Term > n.hard.Term && message.Term != wantedTerm {
+		n.becomeFollower(now, message.Term, "")
+		return
+	}
+	if !message.Reject && message.Term != wantedTerm {
+		return
+	}
+	n.votes[message.From] = !message.Reject
+	n.countVotes(now)
+}
--- /dev/null
+++ b/internal/consensus/log.go
@@ -0,0 +1,88 @@
+package consensus
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// maxAppendEntries bounds the entries of one append message.
+const maxAppendEntries = 256
+
+// raftLog is the part of the log after the last snapshot.
+//
+// Invariant: entries[i].Index == base.Index+1+i, and terms never fall.
+type raftLog struct {
+	base    SnapshotMeta
+	entries []Entry
+}
+
+func (l *raftLog) lastIndex() uint64 {
+	return l.base.Index + uint64(len(l.entries))
+}
+
+func (l *raftLog) lastTerm() uint64 {
+	term, _ := l.term(l.lastIndex())
+	return term
+}
+
+// term returns the term of an index, or false when the log no longer or not yet holds it.
+func (l *raftLog) term(index uint64) (uint64, bool) {
+	if index == l.base.Index {
+		return l.base.Term, true
+	}
+	if index < l.base.Index || index > l.lastIndex() {
+		return 0, false
+	}
+	return l.entries[index-l.base.Index-1].Term, true
+}
+
+// slice returns the entries in (after, upTo].
+func (l *raftLog) slice(after, upTo uint64) []Entry {
+	if after < l.base.Index || after >= upTo {
+		return nil
+	}
+	return l.entries[after-l.base.Index : upTo-l.base.Index]
+}
+
+// truncateFrom drops the entry at index and all after it.
+func (l *raftLog) truncateFrom(index uint64) {
+	if index <= l.base.Index {
+		panic(fmt.Sprintf("consensus: truncation at %d reaches into the snapshot at %d", index, l.base.Index))
+	}
+	kept := l.entries[:index-l.base.Index-1]
+	l.entries = append([]Entry(nil), kept...)
+}
+
+// compact forgets the entries up to the snapshot.
+func (l *raftLog) compact(meta SnapshotMeta) {
+	kept := l.slice(meta.Index, l.lastIndex())
+	l.entries = append([]Entry(nil), kept...)
+	l.base = meta
+}
+
+// membership returns the newest membership in the log, committed or not.
+func (l *raftLog) membership() (Membership, uint64) {
+	for i := len(l.entries) - 1; i >= 0; i-- {
+		if l.entries[i].Kind == EntryMembership {
+			return decodeMembership(l.entries[i].Data), l.entries[i].Index
+		}
+	}
+	return l.base.Membership, l.base.Index
+}
+
+func decodeMembership(data []byte) Membership {
+	var membership Membership
+	if err := json.Unmarshal(data, &membership); err != nil {
+		panic(fmt.Sprintf("consensus: membership entry cannot be read: %v", err))
+	}
+	return membership
+}
+
+// EncodeMembership returns the data of a membership entry.
+func EncodeMembership(membership Membership) []byte {
+	data, err := json.Marshal(membership)
+	if err != nil {
+		panic(fmt.Sprintf("consensus: membership cannot be written: %v", err))
+	}
+	return data
+}
--- /dev/null
+++ b/internal/consensus/node.go
@@ -0,0 +1,297 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+)
+
+// progress is what a leader knows of one other replica.
+type progress struct {
+	match       uint64        // highest index known to be stored there
+	next        uint64        // next index to send
+	ackedSentAt time.Duration // leader's clock when the newest answered message was sent
+	heardAt     time.Duration // leader's clock when the last answer came
+	sentAt      time.Duration // leader's clock of the last append
+	paused      bool          // a snapshot or probe is on its way; wait for an answer or the next heartbeat
+}
+
+// Node is one replica of the log. It is not safe for concurrent use.
+type Node struct {
+	config Config
+	hard   HardState
+	log    raftLog
+	role   Role
+	leader ID
+
+	membership      Membership
+	membershipIndex uint64
+
+	commit    uint64
+	delivered uint64 // last index handed out in Ready.Committed or covered by a snapshot
+	persisted uint64 // last index known to be synced here
+
+	votes          map[ID]bool
+	peers          map[ID]*progress
+	lastHeartbeat  time.Duration
+	leaderHeardAt  time.Duration // last time a valid leader was heard; start-up counts as heard
+	electionDue    time.Duration
+	termStartIndex uint64 // index of the no-op of the current leadership
+
+	hardDirty      bool
+	unstableFrom   uint64 // first index to hand out in Ready.Entries; 0 when none
+	pendingInstall *Snapshot
+	messages       []Message
+	snapshotSource func() (Snapshot, bool)
+}
+
+// New restores a node. snapshotSource returns the newest snapshot for followers that are too far behind.
+func New(config Config, restored Restored, now time.Duration, snapshotSource func() (Snapshot, bool)) *Node {
+	node := &Node{
+		config:         config,
+		hard:           restored.HardState,
+		log:            raftLog{base: restored.Snapshot, entries: slices.Clone(restored.Entries)},
+		commit:         restored.Snapshot.Index,
+		delivered:      restored.Snapshot.Index,
+		leaderHeardAt:  now,
+		snapshotSource: snapshotSource,
+	}
+	node.persisted = node.log.lastIndex()
+	node.refreshMembership()
+	node.resetElectionTimer(now)
+	return node
+}
+
+// Role returns the current role.
+func (n *Node) Role() Role { return n.role }
+
+// Term returns the current term.
+func (n *Node) Term() uint64 { return n.hard.Term }
+
+// Leader returns the leader this replica follows, or "".
+func (n *Node) Leader() ID { return n.leader }
+
+// Commit returns the commit index.
+func (n *Node) Commit() uint64 { return n.commit }
+
+// LastIndex returns the index of the newest entry, committed or not.
+func (n *Node) LastIndex() uint64 { return n.log.lastIndex() }
+
+// SnapshotIndex returns the index of the newest snapshot.
+func (n *Node) SnapshotIndex() uint64 { return n.log.base.Index }
+
+// Membership returns the newest membership in the log.
+func (n *Node) Membership() Membership { return n.membership }
+
+// MembershipAt returns the membership in force at a committed index, for a snapshot made there.
+func (n *Node) MembershipAt(index uint64) Membership {
+	entries := n.log.slice(n.log.base.Index, index)
+	for i := len(entries) - 1; i >= 0; i-- {
+		if entries[i].Kind == EntryMembership {
+			return decodeMembership(entries[i].Data)
+		}
+	}
+	return n.log.base.Membership
+}
+
+// TermAt returns the term of an entry the log still holds.
+func (n *Node) TermAt(index uint64) (uint64, bool) { return n.log.term(index) }
+
+// Tick lets timers run.
+func (n *Node) Tick(now time.Duration) {
+	if n.role == Leader {
+		n.tickLeader(now)
+		return
+	}
+	if now >= n.electionDue && n.membership.IsVoter(n.config.ID) {
+		n.startPreVote(now)
+	}
+}
+
+// NextDue returns when Tick has something to do at the latest.
+func (n *Node) NextDue() time.Duration {
+	if n.role == Leader {
+		return n.lastHeartbeat + n.config.Timing.Heartbeat
+	}
+	return n.electionDue
+}
+
+// Propose appends a command to the log when this replica leads. The entry is accepted only once it comes
+// back in Ready.Committed with the same term; a proposal that never does may still commit later.
+func (n *Node) Propose(now time.Duration, data []byte) (index, term uint64, ok bool) {
+	if n.role != Leader {
+		return 0, 0, false
+	}
+	index = n.appendLocal(EntryCommand, data)
+	n.broadcastAppend(now)
+	return index, n.hard.Term, true
+}
+
+// ProposeMembership appends a membership that differs from the current one by one replica. It is refused
+// while an earlier change, or the first entry of this term, has not committed yet.
+func (n *Node) ProposeMembership(now time.Duration, membership Membership) (index, term uint64, ok bool) {
+	if n.role != Leader || n.membershipIndex > n.commit || n.commit < n.termStartIndex {
+		return 0, 0, false
+	}
+	if changedVoters(n.membership, membership) > 1 {
+		return 0, 0, false
+	}
+	index = n.appendLocal(EntryMembership, EncodeMembership(membership))
+	n.refreshMembership()
+	n.broadcastAppend(now)
+	return index, n.hard.Term, true
+}
+
+// changedVoters counts replicas whose vote differs between two memberships.
+func changedVoters(before, after Membership) int {
+	changed := 0
+	for _, member := range after.Members {
+		if before.IsVoter(member.ID) != !member.Learner {
+			changed++
+		}
+	}
+	for _, member := range before.Members {
+		if _, kept := after.Find(member.ID); !kept && !member.Learner {
+			changed++
+		}
+	}
+	return changed
+}
+
+// LeaseValid reports whether this replica leads and a quorum confirmed it recently enough that no other
+// replica can have been elected. Reads of committed state are current while it holds.
+func (n *Node) LeaseValid(now time.Duration) bool {
+	if n.role != Leader || n.commit < n.termStartIndex {
+		return false
+	}
+	return now < n.quorumAckedAt(now)+n.config.Timing.Lease
+}
+
+// quorumAckedAt returns the newest send time that a quorum of voters has answered.
+func (n *Node) quorumAckedAt(now time.Duration) time.Duration {
+	times := make([]time.Duration, 0, len(n.membership.Members))
+	for _, member := range n.membership.Members {
+		switch {
+		case member.Learner:
+		case member.ID == n.config.ID:
+			times = append(times, now)
+		default:
+			times = append(times, n.peers[member.ID].ackedSentAt)
+		}
+	}
+	if len(times) == 0 {
+		return 0
+	}
+	slices.SortFunc(times, func(a, b time.Duration) int { return int(b - a) })
+	return times[len(times)/2]
+}
+
+// PeerStatus is a leader's view of one other replica.
+type PeerStatus struct {
+	ID      ID
+	Match   uint64
+	HeardAt time.Duration
+}
+
+// Peers returns the leader's view of the others, ordered as in the membership.
+func (n *Node) Peers() []PeerStatus {
+	var statuses []PeerStatus
+	if n.role != Leader {
+		return nil
+	}
+	for _, member := range n.membership.Members {
+		if peer := n.peers[member.ID]; peer != nil {
+			statuses = append(statuses, PeerStatus{ID: member.ID, Match: peer.match, HeardAt: peer.heardAt})
+		}
+	}
+	return statuses
+}
+
+// Ready returns and clears the work collected since the last call.
+func (n *Node) Ready() Ready {
+	var ready Ready
+	if n.hardDirty {
+		hard := n.hard
+		ready.HardState = &hard
+		n.hardDirty = false
+	}
+	ready.Snapshot = n.pendingInstall
+	n.pendingInstall = nil
+	if n.unstableFrom != 0 {
+		ready.Entries = slices.Clone(n.log.slice(n.unstableFrom-1, n.log.lastIndex()))
+		n.unstableFrom = 0
+	}
+	ready.Messages = n.messages
+	n.messages = nil
+	if n.delivered < n.commit {
+		ready.Committed = slices.Clone(n.log.slice(n.delivered, n.commit))
+		n.delivered = n.commit
+	}
+	return ready
+}
+
+// Persisted tells the node that everything handed out by Ready up to index is synced.
+func (n *Node) Persisted(index, term uint64) {
+	held, ok := n.log.term(index)
+	if !ok || held != term || index <= n.persisted {
+		return
+	}
+	n.persisted = index
+	if n.role == Leader {
+		n.advanceCommit()
+	}
+}
+
+// Compact forgets log entries covered by a snapshot the caller has synced.
+func (n *Node) Compact(meta SnapshotMeta) {
+	if meta.Index <= n.log.base.Index || meta.Index > n.delivered {
+		return
+	}
+	n.log.compact(meta)
+}
+
+func (n *Node) appendLocal(kind EntryKind, data []byte) uint64 {
+	entry := Entry{Index: n.log.lastIndex() + 1, Term: n.hard.Term, Kind: kind, Data: data}
+	n.log.entries = append(n.log.entries, entry)
+	n.markUnstable(entry.Index)
+	return entry.Index
+}
+
+func (n *Node) markUnstable(index uint64) {
+	if n.unstableFrom == 0 || index < n.unstableFrom {
+		n.unstableFrom = index
+	}
+	if n.persisted >= index {
+		n.persisted = index - 1
+	}
+}
+
+func (n *Node) refreshMembership() {
+	n.membership, n.membershipIndex = n.log.membership()
+	if n.role != Leader {
+		return
+	}
+	for _, member := range n.membership.Members {
+		if member.ID != n.config.ID && n.peers[member.ID] == nil {
+			n.peers[member.ID] = &progress{next: n.log.lastIndex() + 1}
+		}
+	}
+}
+
+func (n *Node) send(message Message) {
+	message.From = n.config.ID
+	n.messages = append(n.messages, message)
+}
+
+// EntriesAfter returns the log entries after an index, for a checkpoint.
+func (n *Node) EntriesAfter(index uint64) []Entry {
+	return slices.Clone(n.log.slice(index, n.log.lastIndex()))
+}
+
+// HasReady reports whether Ready would return work.
+func (n *Node) HasReady() bool {
+	return n.hardDirty || n.pendingInstall != nil || n.unstableFrom != 0 || len(n.messages) > 0 || n.delivered < n.commit
+}
+
+// TermStart returns the index of the first entry of the current leadership. A leader's applied state is
+// current once it has reached this index.
+func (n *Node) TermStart() uint64 { return n.termStartIndex }
--- /dev/null
+++ b/internal/consensus/replication.go
@@ -0,0 +1,228 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+)
+
+// Step handles a message from another replica.
+func (n *Node) Step(now time.Duration, message Message) {
+	if message.To != n.config.ID {
+		return
+	}
+	switch message.Kind {
+	case MessagePreVote, MessageVote:
+		n.handleVote(now, message)
+	case MessagePreVoteReply, MessageVoteReply:
+		n.handleVoteReply(now, message)
+	case MessageAppend:
+		n.handleAppend(now, message)
+	case MessageSnapshot:
+		n.handleSnapshot(now, message)
+	case MessageAppendReply:
+		n.handleAppendReply(now, message)
+	}
+}
+
+// tickLeader sends heartbeats and steps down when a quorum has been silent too long (check-quorum).
+func (n *Node) tickLeader(now time.Duration) {
+	if now < n.lastHeartbeat+n.config.Timing.Heartbeat {
+		return
+	}
+	n.lastHeartbeat = now
+	if n.membership.Voters() > 1 && n.quorumSilent(now) {
+		n.becomeFollower(now, n.hard.Term, "")
+		return
+	}
+	if !n.membership.IsVoter(n.config.ID) && n.membershipIndex <= n.commit {
+		n.becomeFollower(now, n.hard.Term, "")
+		return
+	}
+	for _, peer := range n.peers {
+		peer.paused = false
+	}
+	n.forEachPeer(func(id ID) { n.sendAppend(now, id) })
+}
+
+func (n *Node) quorumSilent(now time.Duration) bool {
+	heard := 0
+	for _, member := range n.membership.Members {
+		if member.Learner {
+			continue
+		}
+		if member.ID == n.config.ID || now < n.peers[member.ID].heardAt+n.config.Timing.ElectionMax {
+			heard++
+		}
+	}
+	return heard < n.membership.Voters()/2+1
+}
+
+func (n *Node) forEachPeer(visit func(id ID)) {
+	for _, member := range n.membership.Members {
+		if member.ID != n.config.ID {
+			visit(member.ID)
+		}
+	}
+}
+
+func (n *Node) broadcastAppend(now time.Duration) {
+	n.forEachPeer(func(id ID) {
+		if !n.peers[id].paused {
+			n.sendAppend(now, id)
+		}
+	})
+}
+
+// sendAppend sends the entries after the peer's next index, or a snapshot when the log no longer has them.
+func (n *Node) sendAppend(now time.Duration, id ID) {
+	peer := n.peers[id]
+	previous := peer.next - 1
+	term, held := n.log.term(previous)
+	if !held {
+		n.sendSnapshot(now, id)
+		return
+	}
+	upTo := min(n.log.lastIndex(), previous+maxAppendEntries)
+	entries := slices.Clone(n.log.slice(previous, upTo))
+	n.send(Message{
+		Kind: MessageAppend, To: id, Term: n.hard.Term, Index: previous, LogTerm: term,
+		Commit: n.commit, SentAt: now, Entries: entries,
+	})
+	peer.sentAt = now
+	if peer.match == 0 && len(entries) > 0 {
+		peer.paused = true // probe until the first answer
+		return
+	}
+	peer.next = upTo + 1
+}
+
+func (n *Node) sendSnapshot(now time.Duration, id ID) {
+	peer := n.peers[id]
+	snapshot, ok := n.snapshotSource()
+	if !ok {
+		return
+	}
+	peer.paused = true
+	n.send(Message{Kind: MessageSnapshot, To: id, Term: n.hard.Term, SentAt: now, Snapshot: &snapshot})
+}
+
+// acceptLeader checks the term of a leader's message and follows it.
+func (n *Node) acceptLeader(now time.Duration, message Message) bool {
+	if message.Term < n.hard.Term {
+		n.send(Message{Kind: MessageAppendReply, To: message.From, Term: n.hard.Term, Reject: true})
+		return false
+	}
+	n.becomeFollower(now, message.Term, message.From)
+	n.leaderHeardAt = now
+	return true
+}
+
+func (n *Node) handleAppend(now time.Duration, message Message) {
+	if !n.acceptLeader(now, message) {
+		return
+	}
+	reply := Message{Kind: MessageAppendReply, To: message.From, Term: n.hard.Term, SentAt: message.SentAt}
+	if message.Index < n.log.base.Index {
+		reply.Index = n.log.base.Index // already covered by our snapshot, so committed
+		n.send(reply)
+		return
+	}
+	if term, held := n.log.term(message.Index); !held || term != message.LogTerm {
+		reply.Reject = true
+		reply.Index = message.Index
+		reply.Hint = min(n.log.lastIndex(), message.Index-1)
+		n.send(reply)
+		return
+	}
+	n.appendFromLeader(message.Entries)
+	matched := message.Index + uint64(len(message.Entries))
+	n.commit = max(n.commit, min(message.Commit, matched))
+	reply.Index = matched
+	n.send(reply)
+}
+
+// appendFromLeader keeps entries that agree with the log and replaces the tail from the first that does not.
+func (n *Node) appendFromLeader(entries []Entry) {
+	for i, entry := range entries {
+		term, held := n.log.term(entry.Index)
+		if held && term == entry.Term {
+			continue
+		}
+		if held {
+			n.log.truncateFrom(entry.Index)
+		}
+		n.log.entries = append(n.log.entries, entries[i:]...)
+		n.markUnstable(entry.Index)
+		n.refreshMembership()
+		return
+	}
+}
+
+func (n *Node) handleSnapshot(now time.Duration, message Message) {
+	if message.Snapshot == nil || !n.acceptLeader(now, message) {
+		return
+	}
+	reply := Message{Kind: MessageAppendReply, To: message.From, Term: n.hard.Term, SentAt: message.SentAt}
+	meta := message.Snapshot.Meta
+	if term, held := n.log.term(meta.Index); held && term == meta.Term {
+		// The log already agrees up to the snapshot; installing it would drop entries acknowledged after it.
+		n.commit = max(n.commit, meta.Index)
+	} else if meta.Index > n.commit {
+		n.log = raftLog{base: meta}
+		n.commit, n.delivered, n.persisted = meta.Index, meta.Index, meta.Index
+		n.unstableFrom = 0
+		n.pendingInstall = message.Snapshot
+		n.refreshMembership()
+	}
+	reply.Index = max(meta.Index, n.log.base.Index)
+	n.send(reply)
+}
+
+func (n *Node) handleAppendReply(now time.Duration, message Message) {
+	if message.Term > n.hard.Term {
+		n.becomeFollower(now, message.Term, "")
+		return
+	}
+	peer := n.peers[message.From]
+	if n.role != Leader || message.Term < n.hard.Term || peer == nil {
+		return
+	}
+	peer.heardAt = now
+	peer.ackedSentAt = max(peer.ackedSentAt, message.SentAt)
+	peer.paused = false
+	if message.Reject {
+		if message.Index > peer.match {
+			peer.next = max(peer.match, message.Hint) + 1
+		}
+		n.sendAppend(now, message.From)
+		return
+	}
+	if message.Index > peer.match {
+		peer.match = message.Index
+		n.advanceCommit()
+	}
+	peer.next = max(peer.next, peer.match+1)
+	if peer.next <= n.log.lastIndex() {
+		n.sendAppend(now, message.From)
+	}
+}
+
+// advanceCommit commits the newest entry of this term that a quorum of voters has synced.
+func (n *Node) advanceCommit() {
+	matches := make([]uint64, 0, len(n.membership.Members))
+	for _, member := range n.membership.Members {
+		switch {
+		case member.Learner:
+		case member.ID == n.config.ID:
+			matches = append(matches, n.persisted)
+		default:
+			matches = append(matches, n.peers[member.ID].match)
+		}
+	}
+	slices.Sort(matches)
+	candidate := matches[(len(matches)-1)/2]
+	term, held := n.log.term(candidate)
+	if held && term == n.hard.Term && candidate > n.commit {
+		n.commit = candidate
+	}
+}
--- /dev/null
+++ b/internal/control/admin.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+)
+
+const (
+	adminTimeout      = 5 * time.Second
+	adminMaximumBytes = 32 << 20
+	// PathAdmin takes operators' requests.
+	PathAdmin = "/v1/control"
+)
+
+// listenAdmin opens the operators' listener. Any replica answers; it passes changes and reads to the leader.
+func (s *Server) listenAdmin() (*http.Server, error) {
+	listener, err := net.Listen("tcp", s.file.Control.Admin)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", s.file.Control.Admin)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+PathAdmin, s.serveAdmin)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: adminTimeout}
+	go func() {
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			s.log.Error("admin listener failed", zap.Error(err))
+		}
+	}()
+	return server, nil
+}
+
+func (s *Server) serveAdmin(w http.ResponseWriter, r *http.Request) {
+	token := r.Header.Get("Authorization")
+	if subtle.ConstantTimeCompare([]byte(token), []byte("Bearer "+s.file.AdminToken)) != 1 {
+		http.Error(w, `{"error":"the admin token is missing or wrong"}`, http.StatusUnauthorized)
+		return
+	}
+	var request Request
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, adminMaximumBytes)).Decode(&request); err != nil {
+		http.Error(w, `{"error":"the body is not a request"}`, http.StatusBadRequest)
+		return
+	}
+	if request.Change == nil && request.Read == nil && request.Status == nil {
+		http.Error(w, `{"error":"operators may change, read and ask for status"}`, http.StatusBadRequest)
+		return
+	}
+	response, err := s.answerAdmin(r.Context(), request)
+	if err != nil {
+		response = Response{Kind: ResponseUnknown}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(response) // an operator that is gone cannot be told
+}
+
+// answerAdmin answers status from this replica and the rest through the leader.
+func (s *Server) answerAdmin(ctx context.Context, request Request) (Response, error) {
+	bounded, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
+	if request.Status != nil {
+		var response Response
+		err := s.client.Post(bounded, s.file.Control.Internal, PathRequest, request, &response)
+		return response, err
+	}
+	return s.group.Ask(bounded, request)
+}
--- /dev/null
+++ b/internal/control/client.go
@@ -0,0 +1,89 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/transport"
+)
+
+// Paths of the internal protocol.
+const (
+	PathRaft    = "/internal/v1/raft"
+	PathRequest = "/internal/v1/request"
+	PathHello   = "/internal/v1/hello"
+)
+
+const (
+	attemptTimeout = 1500 * time.Millisecond
+	askAgainAfter  = 50 * time.Millisecond
+)
+
+// ErrNoAnswer says that no leader answered in time; a change may or may not have been made.
+var ErrNoAnswer = eris.New("no control leader answered in time")
+
+// Client asks the control group, finding the leader by itself. It is safe for concurrent use.
+type Client struct {
+	transport *transport.Client
+	addresses []string
+	next      atomic.Uint32
+	leader    atomic.Pointer[string]
+}
+
+// NewClient returns a client of the replicas at the given internal addresses.
+func NewClient(client *transport.Client, addresses []string) *Client {
+	return &Client{transport: client, addresses: addresses}
+}
+
+// target returns the address to ask next.
+func (c *Client) target() string {
+	if leader := c.leader.Load(); leader != nil {
+		return *leader
+	}
+	return c.addresses[int(c.next.Add(1))%len(c.addresses)]
+}
+
+// Ask sends a request until a leader has decided it or ctx ends. Requests are safe to repeat: changes carry
+// operation ids, claims carry claim ids.
+func (c *Client) Ask(ctx context.Context, request Request) (Response, error) {
+	for {
+		response, err := c.askOnce(ctx, request)
+		if err == nil && response.Kind == ResponseOK {
+			return response, nil
+		}
+		select {
+		case <-ctx.Done():
+			return Response{}, ErrNoAnswer
+		case <-time.After(askAgainAfter):
+		}
+	}
+}
+
+// askOnce asks one replica and learns who leads.
+func (c *Client) askOnce(ctx context.Context, request Request) (Response, error) {
+	attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	address := c.target()
+	var response Response
+	if err := c.transport.Post(attempt, address, PathRequest, request, &response); err != nil {
+		c.leader.Store(nil)
+		return response, err
+	}
+	switch {
+	case response.Kind == ResponseOK:
+		c.leader.Store(&address)
+	case response.Leader != "" && response.Leader != address:
+		c.leader.Store(&response.Leader)
+	default:
+		c.leader.Store(nil)
+	}
+	return response, nil
+}
+
+// Once asks one replica once, for callers with a rhythm of their own.
+func (c *Client) Once(ctx context.Context, request Request) (Response, error) {
+	return c.askOnce(ctx, request)
+}
--- /dev/null
+++ b/internal/control/engines.go
@@ -0,0 +1,124 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	enginePoll    = 250 * time.Millisecond
+	platformPoll  = time.Second
+	engineTimeout = time.Second
+	pollersAtOnce = 16
+)
+
+// machine is the part of a platform line that control needs.
+type machine struct {
+	Name    string
+	Zone    string
+	Service string
+	Address string
+	Leaving bool
+}
+
+// watchEngines is the thread that reads the machine list and the engines' weights and fences.
+func (s *Server) watchEngines(ctx context.Context) {
+	var machines []machine
+	var listed time.Time
+	ticker := time.NewTicker(enginePoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !s.leading() {
+			continue
+		}
+		if time.Since(listed) >= platformPoll {
+			if fresh, ok := s.readMachines(ctx); ok {
+				machines, listed = fresh, time.Now()
+			}
+		}
+		s.pollEngines(ctx, machines)
+	}
+}
+
+// leading asks the decide thread whether this replica leads.
+func (s *Server) leading() bool {
+	answer := make(chan bool, 1)
+	if !s.offer(input{inspect: func(replica *Replica) { answer <- replica.lead != nil }}) {
+		return false
+	}
+	select {
+	case leads := <-answer:
+		return leads
+	case <-time.After(engineTimeout):
+		return false
+	}
+}
+
+func (s *Server) readMachines(ctx context.Context) ([]machine, bool) {
+	attempt, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	var reply struct{ Machines []machine }
+	if err := s.client.Get(attempt, s.file.Control.Platform, "/v1/machines", &reply); err != nil {
+		s.log.Warn("machine list not read", zap.Error(err))
+		return nil, false
+	}
+	return reply.Machines, true
+}
+
+// pollEngines asks every listed back end for its state, a few at a time.
+func (s *Server) pollEngines(ctx context.Context, machines []machine) {
+	var polls sync.WaitGroup
+	slots := make(chan struct{}, pollersAtOnce)
+	for _, listed := range machines {
+		slots <- struct{}{}
+		polls.Go(func() {
+			defer func() { <-slots }()
+			s.pollEngine(ctx, listed)
+		})
+	}
+	polls.Wait()
+}
+
+func (s *Server) pollEngine(ctx context.Context, listed machine) {
+	attempt, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	var reply struct {
+		Engine EngineReport `json:"engine"`
+	}
+	if err := s.client.Get(attempt, listed.Address, "/v1/state?events=none", &reply); err != nil || reply.Engine.Weights == "" {
+		return
+	}
+	report := reply.Engine
+	report.Name, report.Zone, report.Service, report.Address = listed.Name, listed.Zone, listed.Service, listed.Address
+	s.offer(input{report: &report})
+}
+
+// sendCalls is the thread that passes orders and fences to engines.
+func (s *Server) sendCalls(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case call := <-s.calls:
+			go s.sendCall(ctx, call)
+		}
+	}
+}
+
+func (s *Server) sendCall(ctx context.Context, call EngineCall) {
+	attempt, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	err := s.client.Post(attempt, call.Address, "/v1/orders", call, nil)
+	if call.Order != nil {
+		s.log.Info("order sent", zap.String("engine", call.Engine), zap.String("weights", call.Order.Weights),
+			zap.Uint64("term", call.Fence.Term), zap.Uint64("sequence", call.Fence.Sequence), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/control/machine.go
@@ -0,0 +1,202 @@
+// Package control is the durable part of the system: a replica of the settings tree, the run ledger, the
+// routers' sessions and the fences of orders to engines.
+//
+// Machine is the replicated state. Replica is a pure state machine around it and the consensus node; it
+// decides what a leader does. Server is the thin shell with sockets, disk and threads.
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"kitetiller/internal/guard"
+	"kitetiller/internal/ledger"
+	"kitetiller/internal/settings"
+)
+
+// Session is a router's registration. Its epoch is the log index that opened it, so it is never reused.
+type Session struct {
+	Router      string `json:"router"`
+	Incarnation uint64 `json:"incarnation"`
+	Zone        string `json:"zone"`
+	Address     string `json:"address"`
+	Epoch       uint64 `json:"epoch"`
+}
+
+// Fence orders the commands to an engine: the term first, then the log index that issued the order.
+type Fence struct {
+	Term     uint64 `json:"term"`
+	Sequence uint64 `json:"sequence"`
+}
+
+// Less reports whether f is older than other.
+func (f Fence) Less(other Fence) bool {
+	if f.Term != other.Term {
+		return f.Term < other.Term
+	}
+	return f.Sequence < other.Sequence
+}
+
+// Order tells one life of an engine to load weights.
+type Order struct {
+	Engine      string `json:"engine"`
+	Incarnation uint64 `json:"incarnation"`
+	Weights     string `json:"weights"`
+	Fence       Fence  `json:"fence"`
+}
+
+// Command is one entry of the replicated log. Exactly one pointer is set.
+type Command struct {
+	UnixMS       int64            `json:"ms"` // leader's wall clock; the machine never lets it go back
+	Change       *settings.Change `json:"change,omitempty"`
+	Claim        *ledger.Claim    `json:"claim,omitempty"`
+	End          *ledger.End      `json:"end,omitempty"`
+	OpenSession  *Session         `json:"open,omitempty"`
+	CloseSession *ledger.Holder   `json:"close,omitempty"`
+	Order        *Order           `json:"order,omitempty"`
+}
+
+// Result is what applying a command gave.
+type Result struct {
+	Change  *settings.Outcome
+	Claim   *ledger.Outcome
+	Session *Session
+	Order   *Order
+}
+
+// Machine is the replicated state.
+type Machine struct {
+	settings *settings.Machine
+	ledger   *ledger.Ledger
+	sessions map[string]Session // by router name
+	orders   map[string]Order   // newest order by engine
+	nowMS    int64
+}
+
+// NewMachine returns the empty state.
+func NewMachine(guards guard.Set) *Machine {
+	machine := &Machine{
+		settings: settings.NewMachine(), ledger: ledger.New(),
+		sessions: map[string]Session{}, orders: map[string]Order{},
+	}
+	machine.settings.Guards = guards
+	return machine
+}
+
+// Settings returns the settings machine; callers only read it.
+func (m *Machine) Settings() *settings.Machine { return m.settings }
+
+// Ledger returns the run ledger; callers only read it.
+func (m *Machine) Ledger() *ledger.Ledger { return m.ledger }
+
+// Sessions returns the open sessions by router.
+func (m *Machine) Sessions() map[string]Session { return m.sessions }
+
+// Orders returns the newest order by engine.
+func (m *Machine) Orders() map[string]Order { return m.orders }
+
+// sessionOpen reports whether a session is the router's current one.
+func (m *Machine) sessionOpen(holder ledger.Holder) bool {
+	session, found := m.sessions[holder.Router]
+	return found && session.Epoch == holder.Epoch
+}
+
+// Apply applies one committed command.
+func (m *Machine) Apply(index, term uint64, command Command) Result {
+	m.nowMS = max(m.nowMS, command.UnixMS)
+	switch {
+	case command.Change != nil:
+		outcome := m.settings.Apply(*command.Change, m.nowMS)
+		return Result{Change: &outcome}
+	case command.Claim != nil:
+		outcome := m.ledger.Claim(*command.Claim, m.nowMS, m.sessionOpen(command.Claim.Holder))
+		return Result{Claim: &outcome}
+	case command.End != nil:
+		m.ledger.End(*command.End, m.nowMS)
+	case command.OpenSession != nil:
+		session := m.openSession(index, *command.OpenSession)
+		return Result{Session: &session}
+	case command.CloseSession != nil:
+		m.closeSession(*command.CloseSession)
+	case command.Order != nil:
+		order := *command.Order
+		order.Fence = Fence{Term: term, Sequence: index}
+		m.orders[order.Engine] = order
+		return Result{Order: &order}
+	}
+	return Result{}
+}
+
+// openSession replaces any earlier session of the router; an older incarnation cannot replace a newer one.
+func (m *Machine) openSession(index uint64, session Session) Session {
+	previous, found := m.sessions[session.Router]
+	if found && previous.Incarnation > session.Incarnation {
+		return Session{Router: session.Router, Incarnation: session.Incarnation}
+	}
+	if found {
+		m.ledger.CloseSession(ledger.Holder{Router: previous.Router, Epoch: previous.Epoch})
+	}
+	session.Epoch = index
+	m.sessions[session.Router] = session
+	return session
+}
+
+func (m *Machine) closeSession(holder ledger.Holder) {
+	if !m.sessionOpen(holder) {
+		return
+	}
+	delete(m.sessions, holder.Router)
+	m.ledger.CloseSession(holder)
+}
+
+// machineForm is the snapshot form of a machine.
+type machineForm struct {
+	Settings *settings.Machine  `json:"settings"`
+	Ledger   *ledger.Ledger     `json:"ledger"`
+	Sessions map[string]Session `json:"sessions"`
+	Orders   map[string]Order   `json:"orders"`
+	NowMS    int64              `json:"now_ms"`
+}
+
+// Snapshot returns the whole state.
+func (m *Machine) Snapshot() []byte {
+	data, err := json.Marshal(machineForm{m.settings, m.ledger, m.sessions, m.orders, m.nowMS})
+	if err != nil {
+		panic(fmt.Sprintf("control: state cannot be written: %v", err))
+	}
+	return data
+}
+
+// Restore replaces the whole state by a snapshot.
+func (m *Machine) Restore(data []byte) error {
+	form := machineForm{Settings: settings.NewMachine(), Ledger: ledger.New()}
+	if err := json.Unmarshal(data, &form); err != nil {
+		return err
+	}
+	form.Settings.Guards = m.settings.Guards
+	m.settings, m.ledger, m.nowMS = form.Settings, form.Ledger, form.NowMS
+	m.sessions, m.orders = form.Sessions, form.Orders
+	if m.sessions == nil {
+		m.sessions = map[string]Session{}
+	}
+	if m.orders == nil {
+		m.orders = map[string]Order{}
+	}
+	return nil
+}
+
+func encodeCommand(command Command) []byte {
+	data, err := json.Marshal(command)
+	if err != nil {
+		panic(fmt.Sprintf("control: command cannot be written: %v", err))
+	}
+	return data
+}
+
+func decodeCommand(data []byte) Command {
+	var command Command
+	if err := json.Unmarshal(data, &command); err != nil {
+		panic(fmt.Sprintf("control: committed command cannot be read: %v", err))
+	}
+	return command
+}
--- /dev/null
+++ b/internal/control/peers.go
@@ -0,0 +1,130 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/consensus"
+)
+
+// outbox queues a message for a peer. A full outbox drops it: the protocol sends again.
+func (s *Server) outbox(message consensus.Message) {
+	address := s.addressOf(message.To)
+	if address == "" {
+		return
+	}
+	s.mutex.Lock()
+	queue, open := s.outboxes[message.To]
+	if !open {
+		queue = make(chan consensus.Message, outboxRing)
+		s.outboxes[message.To] = queue
+		go s.sendTo(address, queue)
+	}
+	s.mutex.Unlock()
+	select {
+	case queue <- message:
+	default:
+	}
+}
+
+// addressOf returns where a replica can be reached: from the membership, or from where it wrote to us, since
+// a replica that has just joined does not know the membership yet.
+func (s *Server) addressOf(id consensus.ID) string {
+	if member, found := s.replica.Node().Membership().Find(id); found {
+		return member.Address
+	}
+	return s.seen[id]
+}
+
+// raftBatch is one request between replicas.
+type raftBatch struct {
+	Address  string              `json:"address"` // of the sender
+	Messages []consensus.Message `json:"messages"`
+}
+
+// sendTo is the thread that sends messages to one peer, several in one request.
+func (s *Server) sendTo(address string, queue chan consensus.Message) {
+	for message := range queue {
+		batch := raftBatch{Address: s.file.Control.Internal, Messages: []consensus.Message{message}}
+		for len(batch.Messages) < drainBatch && len(queue) > 0 {
+			batch.Messages = append(batch.Messages, <-queue)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+		if err := s.client.Post(ctx, address, PathRaft, batch, nil); err != nil {
+			s.log.Debug("peer not reached", zap.String("peer", address), zap.Error(err))
+		}
+		cancel()
+	}
+}
+
+// enterGroup finds the group for a replica with an empty folder: it joins an existing one as a learner, or
+// founds one if it is the first founder and every other founder has answered that it has no state either.
+func (s *Server) enterGroup(ctx context.Context) {
+	for {
+		exists, allEmpty := s.askFounders(ctx)
+		switch {
+		case exists && s.tryJoin(ctx):
+			return
+		case !exists && allEmpty && s.file.Control.Founders[0] == s.file.Control.Internal:
+			s.inputs <- input{found: true}
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(joinPeriod):
+		}
+	}
+}
+
+func (s *Server) askFounders(ctx context.Context) (exists, allEmpty bool) {
+	allEmpty = true
+	for _, address := range s.file.Control.Founders {
+		if address == s.file.Control.Internal {
+			continue
+		}
+		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+		var reply HelloReply
+		err := s.client.Post(attempt, address, PathHello, struct{}{}, &reply)
+		cancel()
+		exists = exists || (err == nil && reply.HasState)
+		allEmpty = allEmpty && err == nil && !reply.HasState
+	}
+	return exists, allEmpty
+}
+
+// tryJoin asks the leader to add this replica as a learner.
+func (s *Server) tryJoin(ctx context.Context) bool {
+	attempt, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	self := consensus.Member{ID: s.identity.ID, Name: s.identity.Name, Address: s.file.Control.Internal}
+	_, err := s.group.Ask(attempt, Request{Join: &self})
+	if err != nil {
+		s.log.Info("waiting to join the control group", zap.Error(err))
+		return false
+	}
+	s.log.Info("joined the control group as a learner")
+	return true
+}
+
+// found makes this replica the first voter of a new group.
+func (s *Server) found() {
+	if s.replica.Node().LastIndex() > 0 {
+		return
+	}
+	self := consensus.Member{ID: s.identity.ID, Name: s.identity.Name, Address: s.file.Control.Internal}
+	state := BootstrapState(self)
+	if err := s.disk.Write(Persist{Checkpoint: &state}); err != nil {
+		s.failed <- err
+		return
+	}
+	replica, err := NewReplica(s.config, state, s.now())
+	if err != nil {
+		s.failed <- err
+		return
+	}
+	s.replica = replica
+	s.log.Info("founded a new control group")
+}
--- /dev/null
+++ b/internal/control/replica.go
@@ -0,0 +1,288 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"kitetiller/internal/consensus"
+	"kitetiller/internal/guard"
+)
+
+// Config is what a replica needs to start.
+type Config struct {
+	ID            consensus.ID
+	Name          string
+	Address       string
+	Timing        consensus.Timing
+	Replicas      int           // voters the group should have
+	SettingsLease time.Duration // lease granted to routers
+	RepairAfter   time.Duration // silence after which a voter is replaced by a learner
+	SnapshotEvery uint64        // applied entries between snapshots
+	Guards        guard.Set
+	Random        func(n int64) int64
+}
+
+// DefaultSettingsLease is how long a router may serve without hearing the leader.
+const DefaultSettingsLease = 3 * time.Second
+
+// waiter is a client that waits for a log entry.
+type waiter struct {
+	client uint64
+	term   uint64
+}
+
+// Persist is what the shell must write and sync before it calls Done.
+type Persist struct {
+	HardState  *consensus.HardState
+	Entries    []consensus.Entry
+	Checkpoint *Checkpoint // replaces everything on disk; HardState and Entries are included in it
+}
+
+// Empty reports whether nothing has to be written.
+func (p Persist) Empty() bool {
+	return p.HardState == nil && len(p.Entries) == 0 && p.Checkpoint == nil
+}
+
+// Checkpoint is the whole durable state of a replica.
+type Checkpoint struct {
+	HardState consensus.HardState
+	Snapshot  consensus.Snapshot
+	Entries   []consensus.Entry
+}
+
+// Effects are what the shell sends after the sync.
+type Effects struct {
+	Messages []consensus.Message
+	Replies  []Reply
+	Calls    []EngineCall
+}
+
+// Replica is one control replica. It is pure: the shell passes in time, messages and requests, and carries
+// out Persist and Effects. The order is: inputs, Work, write and sync, Done, send.
+type Replica struct {
+	config   Config
+	node     *consensus.Node
+	machine  *Machine
+	snapshot consensus.Snapshot
+	hard     consensus.HardState
+
+	applied     uint64
+	appliedTerm uint64
+	unixMS      int64
+	waiters     map[uint64]waiter
+	ready       consensus.Ready
+	effects     Effects
+	lead        *leadership
+	checkpoint  bool // a snapshot must be written with the next Work
+}
+
+// NewReplica restores a replica from its durable state.
+func NewReplica(config Config, restored Checkpoint, now time.Duration) (*Replica, error) {
+	replica := &Replica{
+		config: config, machine: NewMachine(config.Guards), snapshot: restored.Snapshot,
+		hard: restored.HardState, waiters: map[uint64]waiter{},
+	}
+	if len(restored.Snapshot.Data) > 0 {
+		if err := replica.machine.Restore(restored.Snapshot.Data); err != nil {
+			return nil, err
+		}
+	}
+	replica.applied = restored.Snapshot.Meta.Index
+	replica.appliedTerm = restored.Snapshot.Meta.Term
+	replica.node = consensus.New(
+		consensus.Config{ID: config.ID, Timing: config.Timing, Random: config.Random},
+		consensus.Restored{HardState: restored.HardState, Snapshot: restored.Snapshot.Meta, Entries: restored.Entries},
+		now, func() (consensus.Snapshot, bool) { return replica.snapshot, replica.snapshot.Meta.Index > 0 })
+	return replica, nil
+}
+
+// BootstrapState is the first durable state of the replica that founds a group: a log of one voter. All
+// other replicas join it as learners.
+func BootstrapState(self consensus.Member) Checkpoint {
+	meta := consensus.SnapshotMeta{Index: 1, Term: 1, Membership: consensus.Membership{Members: []consensus.Member{self}}}
+	empty := NewMachine(guard.Set{}).Snapshot()
+	return Checkpoint{HardState: consensus.HardState{Term: 1}, Snapshot: consensus.Snapshot{Meta: meta, Data: empty}}
+}
+
+// Node returns the consensus node for inspection.
+func (r *Replica) Node() *consensus.Node { return r.node }
+
+// Machine returns the replicated state for inspection.
+func (r *Replica) Machine() *Machine { return r.machine }
+
+// Applied returns the index of the last applied entry.
+func (r *Replica) Applied() uint64 { return r.applied }
+
+// Tick lets timers run. unixMS is the wall clock, used only for retention and history.
+func (r *Replica) Tick(now time.Duration, unixMS int64) {
+	r.unixMS = unixMS
+	r.node.Tick(now)
+	r.checkLeadership(now)
+	if r.lead != nil && r.current(now) {
+		r.expireSessions(now)
+		r.reconcile(now)
+		r.repair(now)
+	}
+}
+
+// Step handles a message of another replica.
+func (r *Replica) Step(now time.Duration, message consensus.Message) {
+	r.node.Step(now, message)
+	r.checkLeadership(now)
+}
+
+// NextDue returns when Tick must be called at the latest.
+func (r *Replica) NextDue() time.Duration { return r.node.NextDue() }
+
+// checkLeadership notices gained and lost leadership.
+func (r *Replica) checkLeadership(now time.Duration) {
+	leads := r.node.Role() == consensus.Leader
+	if r.lead != nil && (!leads || r.lead.term != r.node.Term()) {
+		r.lead = nil
+		r.failWaiters()
+	}
+	if r.lead == nil && leads {
+		r.lead = newLeadership(now, r.node.Term(), r.config.SettingsLease, r.machine)
+	}
+}
+
+// failWaiters answers clients whose entry may or may not commit under another leader.
+func (r *Replica) failWaiters() {
+	for index, waiting := range r.waiters {
+		r.reply(waiting.client, Response{Kind: ResponseUnknown, Leader: r.leaderAddress()})
+		delete(r.waiters, index)
+	}
+}
+
+func (r *Replica) leaderAddress() string {
+	member, found := r.node.Membership().Find(r.node.Leader())
+	if !found {
+		return ""
+	}
+	return member.Address
+}
+
+func (r *Replica) reply(client uint64, response Response) {
+	if client != 0 {
+		r.effects.Replies = append(r.effects.Replies, Reply{Client: client, Response: response})
+	}
+}
+
+// propose appends a command; client 0 waits for nothing.
+func (r *Replica) propose(now time.Duration, client uint64, command Command) {
+	command.UnixMS = r.unixMS
+	index, term, ok := r.node.Propose(now, encodeCommand(command))
+	if !ok {
+		r.reply(client, Response{Kind: ResponseNotLeader, Leader: r.leaderAddress()})
+		return
+	}
+	r.waiters[index] = waiter{client: client, term: term}
+}
+
+// Work returns what must be written and synced now.
+func (r *Replica) Work() Persist {
+	r.ready = r.node.Ready()
+	persist := Persist{HardState: r.ready.HardState, Entries: r.ready.Entries}
+	if r.ready.HardState != nil {
+		r.hard = *r.ready.HardState
+	}
+	if r.ready.Snapshot != nil {
+		r.snapshot = *r.ready.Snapshot
+		r.checkpoint = true
+	}
+	if r.checkpoint {
+		r.checkpoint = false
+		persist.Checkpoint = &Checkpoint{HardState: r.hard, Snapshot: r.snapshot, Entries: r.node.EntriesAfter(r.snapshot.Meta.Index)}
+	}
+	return persist
+}
+
+// Done continues after the sync of Work: it applies what committed and returns what to send.
+func (r *Replica) Done(now time.Duration) Effects {
+	if last := len(r.ready.Entries); last > 0 {
+		r.node.Persisted(r.ready.Entries[last-1].Index, r.ready.Entries[last-1].Term)
+	}
+	if r.ready.Snapshot != nil {
+		r.install(*r.ready.Snapshot)
+	}
+	for _, entry := range r.ready.Committed {
+		r.apply(now, entry)
+	}
+	r.effects.Messages = append(r.effects.Messages, r.ready.Messages...)
+	r.ready = consensus.Ready{}
+	r.maybeSnapshot()
+	effects := r.effects
+	r.effects = Effects{}
+	return effects
+}
+
+func (r *Replica) install(snapshot consensus.Snapshot) {
+	if err := r.machine.Restore(snapshot.Data); err != nil {
+		panic("control: snapshot of the leader cannot be read: " + err.Error())
+	}
+	r.applied, r.appliedTerm = snapshot.Meta.Index, snapshot.Meta.Term
+}
+
+func (r *Replica) apply(now time.Duration, entry consensus.Entry) {
+	if entry.Index != r.applied+1 {
+		panic("control: committed entries are not contiguous")
+	}
+	r.applied, r.appliedTerm = entry.Index, entry.Term
+	var result Result
+	if entry.Kind == consensus.EntryCommand {
+		result = r.machine.Apply(entry.Index, entry.Term, decodeCommand(entry.Data))
+	}
+	waiting, found := r.waiters[entry.Index]
+	if found {
+		delete(r.waiters, entry.Index)
+	}
+	r.afterApply(now, entry, result, waiting, found && waiting.term == entry.Term)
+}
+
+// afterApply answers the client of an entry. A waiter whose entry was replaced by another leader's gets
+// "unknown": its change did not commit here, but the client cannot tell and resends.
+func (r *Replica) afterApply(now time.Duration, entry consensus.Entry, result Result, waiting waiter, mine bool) {
+	if !mine {
+		r.reply(waiting.client, Response{Kind: ResponseUnknown, Leader: r.leaderAddress()})
+		return
+	}
+	response := Response{Kind: ResponseOK, Claim: result.Claim, Change: result.Change}
+	if result.Session != nil {
+		response = r.sessionOpened(now, waiting.client, *result.Session)
+	}
+	if result.Order != nil && r.lead != nil && entry.Term == r.node.Term() {
+		r.issueOrder(now, *result.Order)
+	}
+	r.reply(waiting.client, response)
+}
+
+// maybeSnapshot cuts the log when enough entries were applied since the last snapshot.
+func (r *Replica) maybeSnapshot() {
+	if r.applied < r.snapshot.Meta.Index+r.config.SnapshotEvery {
+		return
+	}
+	meta := consensus.SnapshotMeta{Index: r.applied, Term: r.appliedTerm, Membership: r.node.MembershipAt(r.applied)}
+	r.snapshot = consensus.Snapshot{Meta: meta, Data: r.machine.Snapshot()}
+	r.node.Compact(meta)
+	r.checkpoint = true
+}
+
+// HasWork reports whether Work and Done should be called.
+func (r *Replica) HasWork() bool {
+	return r.checkpoint || len(r.effects.Replies) > 0 || len(r.effects.Calls) > 0 || r.node.HasReady()
+}
+
+// members returns the membership sorted by name.
+func (r *Replica) members() []consensus.Member {
+	members := slices.Clone(r.node.Membership().Members)
+	slices.SortFunc(members, func(a, b consensus.Member) int {
+		if a.Name != b.Name {
+			if a.Name < b.Name {
+				return -1
+			}
+			return 1
+		}
+		return 0
+	})
+	return members
+}
--- /dev/null
+++ b/internal/control/server.go
@@ -0,0 +1,273 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"kitetiller/internal/consensus"
+	"kitetiller/internal/node"
+	"kitetiller/internal/transport"
+)
+
+const (
+	inputRing     = 8192
+	outboxRing    = 1024
+	callRing      = 1024
+	drainBatch    = 512
+	sendTimeout   = 2 * time.Second
+	joinPeriod    = 300 * time.Millisecond
+	maximumLinger = 50 * time.Millisecond // longest sleep of the decide thread
+)
+
+// input is one thing for the decide thread; exactly one field is set.
+type input struct {
+	batch   *raftBatch
+	request *Request
+	respond transport.Respond
+	report  *EngineReport
+	hello   transport.Respond
+	found   bool
+	inspect func(*Replica)
+}
+
+// HelloReply tells a replica with an empty folder whether a group exists already.
+type HelloReply struct {
+	HasState bool `json:"has_state"`
+}
+
+// Server runs a Replica: one thread decides and persists, others carry messages. Persisting shares the
+// thread that decides because nothing may be sent before the sync; proposals that wait share one sync.
+type Server struct {
+	file     *node.File
+	log      *zap.Logger
+	identity Identity
+	disk     *Disk
+	replica  *Replica
+	config   Config
+	started  time.Time
+	inputs   chan input
+	calls    chan EngineCall
+	clients  map[uint64]transport.Respond
+	nextID   uint64
+	seen     map[consensus.ID]string // addresses from which replicas wrote; owned by the decide thread
+	links    *transport.Links
+	client   *transport.Client
+	group    *Client
+
+	mutex    sync.Mutex
+	outboxes map[consensus.ID]chan consensus.Message
+	failed   chan error
+}
+
+// NewServer opens the data folder and restores the replica.
+func NewServer(ctx context.Context, file *node.File, log *zap.Logger) (*Server, error) {
+	disk, identity, restored, err := OpenDisk(file.Data, file.Name)
+	if err != nil {
+		return nil, err
+	}
+	links := transport.WatchLinks(ctx, file.Links, file.Zone)
+	server := &Server{
+		file: file, log: log.With(zap.String("replica", string(identity.ID))), identity: identity, disk: disk,
+		started: time.Now(), inputs: make(chan input, inputRing), calls: make(chan EngineCall, callRing),
+		clients: map[uint64]transport.Respond{}, seen: map[consensus.ID]string{}, links: links, outboxes: map[consensus.ID]chan consensus.Message{},
+		client: transport.NewClient(file.ClusterToken, links), failed: make(chan error, 1),
+	}
+	server.group = NewClient(server.client, file.Control.Founders)
+	server.config = server.replicaConfig()
+	server.replica, err = NewReplica(server.config, restored, 0)
+	return server, err
+}
+
+func (s *Server) replicaConfig() Config {
+	section := s.file.Control
+	timing := consensus.Timing{
+		Heartbeat: section.Heartbeat, ElectionMin: 7 * section.Heartbeat,
+		ElectionMax: 14 * section.Heartbeat, Lease: 5 * section.Heartbeat,
+	}
+	return Config{
+		ID: s.identity.ID, Name: s.identity.Name, Address: section.Internal, Timing: timing,
+		Replicas: section.Replicas, SettingsLease: section.SettingsLease, RepairAfter: section.RepairAfter,
+		SnapshotEvery: section.SnapshotEvery, Random: rand.Int64N,
+	}
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	listener, err := transport.Listen(s.file.Control.Internal, s.file.ClusterToken, s.handle, s.log)
+	if err != nil {
+		return err
+	}
+	admin, err := s.listenAdmin()
+	if err != nil {
+		return err
+	}
+	run, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var threads sync.WaitGroup
+	threads.Go(func() { s.decide(run) })
+	threads.Go(func() { s.sendCalls(run) })
+	threads.Go(func() { s.watchEngines(run) })
+	if s.replica.Node().LastIndex() == 0 {
+		threads.Go(func() { s.enterGroup(run) })
+	}
+	s.log.Info("control replica started", zap.String("internal", s.file.Control.Internal), zap.String("admin", s.file.Control.Admin))
+	select {
+	case <-ctx.Done():
+	case err = <-s.failed:
+	}
+	cancel()
+	closing, done := context.WithTimeout(context.Background(), sendTimeout)
+	defer done()
+	_ = admin.Shutdown(closing)
+	_ = listener.Close(closing)
+	threads.Wait()
+	if closeErr := s.disk.Close(); err == nil {
+		err = closeErr
+	}
+	s.log.Info("control replica stopped")
+	return err
+}
+
+// handle takes an internal request on the event loop and passes it to the decide thread.
+func (s *Server) handle(request transport.Request, respond transport.Respond) {
+	item := input{}
+	var err error
+	switch request.Path {
+	case PathRaft:
+		item.batch = &raftBatch{}
+		err = json.Unmarshal(request.Body, item.batch)
+		respond(http.StatusOK, struct{}{})
+	case PathRequest:
+		item.request, item.respond = &Request{}, respond
+		err = json.Unmarshal(request.Body, item.request)
+	case PathHello:
+		item.hello = respond
+	default:
+		respond(http.StatusNotFound, nil)
+		return
+	}
+	if err != nil {
+		s.log.Warn("malformed internal request", zap.String("path", request.Path), zap.Error(err))
+		if request.Path != PathRaft {
+			respond(http.StatusBadRequest, nil)
+		}
+		return
+	}
+	if !s.offer(item) && request.Path != PathRaft {
+		respond(http.StatusOK, Response{Kind: ResponseNoQuorum})
+	}
+}
+
+// offer puts an input into the ring, or sheds it when the ring is full.
+func (s *Server) offer(item input) bool {
+	select {
+	case s.inputs <- item:
+		return true
+	default:
+		s.log.Warn("input ring is full, input shed")
+		return false
+	}
+}
+
+// now is the replica's monotonic clock.
+func (s *Server) now() time.Duration { return time.Since(s.started) }
+
+// decide is the thread that owns the replica.
+func (s *Server) decide(ctx context.Context) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case item := <-s.inputs:
+			s.take(item)
+			s.drain()
+		case <-timer.C:
+		}
+		s.replica.Tick(s.now(), time.Now().UnixMilli())
+		if err := s.work(); err != nil {
+			s.failed <- eris.Wrap(err, "the data folder can no longer be written")
+			return
+		}
+		timer.Reset(min(max(s.replica.NextDue()-s.now(), time.Millisecond), maximumLinger))
+	}
+}
+
+// drain takes what else waits, so that many proposals share one sync.
+func (s *Server) drain() {
+	for range drainBatch {
+		select {
+		case item := <-s.inputs:
+			s.take(item)
+		default:
+			return
+		}
+	}
+}
+
+func (s *Server) take(item input) {
+	now := s.now()
+	switch {
+	case item.request != nil:
+		s.nextID++
+		s.clients[s.nextID] = item.respond
+		s.replica.Handle(now, s.nextID, *item.request)
+	case item.hello != nil:
+		item.hello(http.StatusOK, HelloReply{HasState: s.replica.Node().LastIndex() > 0})
+	case item.report != nil:
+		s.replica.Observe(now, *item.report)
+	case item.found:
+		s.found()
+	case item.inspect != nil:
+		item.inspect(s.replica)
+	case item.batch != nil:
+		for _, message := range item.batch.Messages {
+			s.seen[message.From] = item.batch.Address
+			s.replica.Step(now, message)
+		}
+	}
+}
+
+// work persists and sends until the replica has nothing more to do.
+func (s *Server) work() error {
+	for s.replica.HasWork() {
+		persist := s.replica.Work()
+		if !persist.Empty() {
+			if err := s.disk.Write(persist); err != nil {
+				return err
+			}
+		}
+		s.send(s.replica.Done(s.now()))
+	}
+	return nil
+}
+
+func (s *Server) send(effects Effects) {
+	for _, message := range effects.Messages {
+		s.outbox(message)
+	}
+	for _, reply := range effects.Replies {
+		if respond, waiting := s.clients[reply.Client]; waiting {
+			delete(s.clients, reply.Client)
+			respond(http.StatusOK, reply.Response)
+		}
+	}
+	for _, call := range effects.Calls {
+		select {
+		case s.calls <- call:
+		default:
+			s.log.Warn("call ring is full, call shed; it is issued again", zap.String("engine", call.Engine))
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/storage.go
@@ -0,0 +1,183 @@
+package control
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/consensus"
+	"kitetiller/internal/guard"
+	"kitetiller/internal/storage"
+)
+
+// Kinds of records in a replica's log.
+const (
+	recordHardState storage.Kind = 1
+	recordEntry     storage.Kind = 2
+	recordSnapshot  storage.Kind = 3
+)
+
+const (
+	identityFile = "identity.json"
+	logFolder    = "log"
+	nonceBytes   = 6
+)
+
+// Identity is what makes a data folder one replica. An empty folder gets a new identity, so that a wiped
+// replica never votes under its old one.
+type Identity struct {
+	ID   consensus.ID `json:"id"`
+	Name string       `json:"name"`
+}
+
+// NewIdentity names a replica whose folder is empty.
+func NewIdentity(name, nonce string, guards guard.Set) Identity {
+	if !guards.On(guard.LearnerBeforeVote) {
+		return Identity{ID: consensus.ID(name), Name: name}
+	}
+	return Identity{ID: consensus.ID(name + "-" + nonce), Name: name}
+}
+
+// loadIdentity reads the folder's identity, or makes one for an empty folder.
+func loadIdentity(folder, name string) (Identity, error) {
+	path := filepath.Join(folder, identityFile)
+	var identity Identity
+	found, err := storage.ReadJSON(path, &identity)
+	if err != nil {
+		return identity, err
+	}
+	if found {
+		if identity.Name != name {
+			return identity, eris.Wrapf(storage.ErrForeign, "%s belongs to %q, not to %q", folder, identity.Name, name)
+		}
+		return identity, nil
+	}
+	nonce := make([]byte, nonceBytes)
+	if _, err := rand.Read(nonce); err != nil {
+		return identity, eris.Wrap(err, "draw replica nonce")
+	}
+	identity = NewIdentity(name, hex.EncodeToString(nonce), guard.Set{})
+	return identity, storage.WriteJSON(path, identity)
+}
+
+// Disk is a replica's durable state.
+type Disk struct {
+	log *storage.Log
+}
+
+// OpenDisk opens a replica's folder and returns what it holds.
+func OpenDisk(folder, name string) (*Disk, Identity, Checkpoint, error) {
+	identity, err := loadIdentity(folder, name)
+	if err != nil {
+		return nil, identity, Checkpoint{}, err
+	}
+	log, records, err := storage.Open(filepath.Join(folder, logFolder), string(identity.ID))
+	if err != nil {
+		return nil, identity, Checkpoint{}, err
+	}
+	restored, err := replay(records)
+	if err != nil {
+		return nil, identity, Checkpoint{}, err
+	}
+	return &Disk{log: log}, identity, restored, nil
+}
+
+// replay rebuilds the durable state from log records.
+func replay(records []storage.Record) (Checkpoint, error) {
+	var state Checkpoint
+	for _, record := range records {
+		if err := replayOne(&state, record); err != nil {
+			return state, err
+		}
+	}
+	return state, nil
+}
+
+func replayOne(state *Checkpoint, record storage.Record) error {
+	switch record.Kind {
+	case recordHardState:
+		return eris.Wrap(json.Unmarshal(record.Data, &state.HardState), "read hard state")
+	case recordSnapshot:
+		state.Entries = nil
+		return eris.Wrap(json.Unmarshal(record.Data, &state.Snapshot), "read snapshot")
+	case recordEntry:
+		var entry consensus.Entry
+		if err := json.Unmarshal(record.Data, &entry); err != nil {
+			return eris.Wrap(err, "read entry")
+		}
+		return state.appendEntry(entry)
+	}
+	return eris.Wrapf(storage.ErrNewerFormat, "record kind %d is not known", record.Kind)
+}
+
+// appendEntry adds an entry; one at an index already held replaces it and all after it.
+func (c *Checkpoint) appendEntry(entry consensus.Entry) error {
+	base := c.Snapshot.Meta.Index
+	position := int64(entry.Index) - int64(base) - 1
+	if position < 0 || position > int64(len(c.Entries)) {
+		return eris.Wrapf(storage.ErrDamaged, "entry %d does not follow entry %d", entry.Index, base+uint64(len(c.Entries)))
+	}
+	c.Entries = append(c.Entries[:position:position], entry)
+	return nil
+}
+
+// Write carries out a Persist and syncs it.
+func (d *Disk) Write(persist Persist) error {
+	if persist.Checkpoint != nil {
+		records, err := checkpointRecords(*persist.Checkpoint)
+		if err != nil {
+			return err
+		}
+		return d.log.Checkpoint(records)
+	}
+	if persist.HardState != nil {
+		if err := d.append(recordHardState, persist.HardState); err != nil {
+			return err
+		}
+	}
+	for _, entry := range persist.Entries {
+		if err := d.append(recordEntry, entry); err != nil {
+			return err
+		}
+	}
+	return d.log.Sync()
+}
+
+func (d *Disk) append(kind storage.Kind, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return eris.Wrap(err, "encode record")
+	}
+	d.log.Append(storage.Record{Kind: kind, Data: data})
+	return nil
+}
+
+// checkpointRecords returns the records that stand for a whole durable state.
+func checkpointRecords(state Checkpoint) ([]storage.Record, error) {
+	values := []struct {
+		kind  storage.Kind
+		value any
+	}{{recordSnapshot, state.Snapshot}, {recordHardState, state.HardState}}
+	var records []storage.Record
+	for _, item := range values {
+		data, err := json.Marshal(item.value)
+		if err != nil {
+			return nil, eris.Wrap(err, "encode checkpoint")
+		}
+		records = append(records, storage.Record{Kind: item.kind, Data: data})
+	}
+	for _, entry := range state.Entries {
+		data, err := json.Marshal(entry)
+		if err != nil {
+			return nil, eris.Wrap(err, "encode checkpoint entry")
+		}
+		records = append(records, storage.Record{Kind: recordEntry, Data: data})
+	}
+	return records, nil
+}
+
+// Close closes the log.
+func (d *Disk) Close() error { return d.log.Close() }
--- /dev/null
+++ b/internal/core/actions.go
@@ -0,0 +1,113 @@
+package core
+
+import (
+	"time"
+
+	"kitetiller/internal/ledger"
+	"kitetiller/internal/prefix"
+)
+
+// Action is something the shell must do.
+type Action interface{ isAction() }
+
+// ActionClaim asks the ledger for the right to run a request once.
+type ActionClaim struct {
+	ID    RequestID
+	Claim ledger.Claim
+}
+
+// ActionEnd tells the ledger how a claim ended. The shell repeats it until a control replica confirmed it.
+type ActionEnd struct{ End ledger.End }
+
+// ActionDispatch sends an attempt to a back end.
+type ActionDispatch struct {
+	ID              RequestID
+	Attempt         AttemptID
+	Backend         string
+	Address         string
+	Incarnation     uint64 // life of the back end that the decision counted on
+	Weights         string
+	Blocks          []prefix.Hash
+	RelyTokens      int // prompt tokens believed to be cached there
+	ResumeFrom      int // tokens of the answer that the caller already has
+	Lane            Lane
+	MaxTokens       int
+	ImportFrom      string // address of an engine or vault to copy cached blocks from, or ""
+	ImportBlocks    int    // how many leading blocks the copy should bring
+	Keep            bool   // ask the engine to store the prefix in the vault when done
+	KeepBlocks      int
+	SettingsVersion uint64
+}
+
+// ActionCancel stops an attempt that is no longer wanted.
+type ActionCancel struct {
+	ID      RequestID
+	Attempt AttemptID
+}
+
+// ActionChunk passes a token to the caller.
+type ActionChunk struct {
+	ID    RequestID
+	Index int
+	Text  string
+}
+
+// Run says whether a request that got an error ran.
+type Run string
+
+// Values of Run.
+const (
+	RunNot     Run = "not-run" // provably
+	RunYes     Run = "ran"
+	RunUnknown Run = "unknown"
+)
+
+// Reason classifies how a request ended.
+type Reason string
+
+// Reasons of a final answer.
+const (
+	ReasonComplete      Reason = "complete"
+	ReasonReplayed      Reason = "replayed"
+	ReasonNoSettings    Reason = "no-settings"
+	ReasonNoLease       Reason = "no-lease"
+	ReasonDraining      Reason = "draining"
+	ReasonUnknownTarget Reason = "unknown-service"
+	ReasonRateLimit     Reason = "rate-limit"
+	ReasonConcurrency   Reason = "concurrency-limit"
+	ReasonQueueFull     Reason = "queue-full"
+	ReasonDeadline      Reason = "deadline"
+	ReasonNoBackend     Reason = "no-backend"
+	ReasonRetries       Reason = "retries-exhausted"
+	ReasonKeyRequired   Reason = "idempotency-key-required"
+	ReasonKeyReused     Reason = "idempotency-key-reused"
+	ReasonKeyExpired    Reason = "idempotency-key-expired"
+	ReasonInProgress    Reason = "in-progress"
+	ReasonRunUnknown    Reason = "run-unknown"
+	ReasonLedger        Reason = "ledger-unavailable"
+	ReasonCallerGone    Reason = "caller-gone"
+)
+
+// ActionFinish gives a request its final answer.
+type ActionFinish struct {
+	ID         RequestID
+	Reason     Reason
+	Run        Run            // for errors
+	RetryAfter time.Duration  // 0: trying again does not help
+	Tokens     int            // length of a complete stream
+	Answer     *ledger.Answer // small services
+}
+
+// ActionSnapshot asks an engine for its full list of blocks.
+type ActionSnapshot struct {
+	Backend string
+	Address string
+}
+
+func (ActionClaim) isAction()    {}
+func (ActionEnd) isAction()      {}
+func (ActionDispatch) isAction() {}
+func (ActionCancel) isAction()   {}
+func (ActionChunk) isAction()    {}
+func (ActionFinish) isAction()   {}
+func (ActionSnapshot) isAction() {}
--- /dev/null
+++ b/internal/core/attempt.go
@@ -0,0 +1,249 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"kitetiller/internal/guard"
+	"kitetiller/internal/ledger"
+)
+
+// observeAttempt applies what a back end answered. An answer that does not carry a current attempt of its
+// request is dropped and counted: it is late or belongs to somebody else.
+func (c *Core) observeAttempt(event EventAttempt) {
+	r, alive := c.requests[event.ID]
+	if !alive {
+		return
+	}
+	at := slices.IndexFunc(r.attempts, func(sent attempt) bool { return sent.id == event.Attempt })
+	if at < 0 || (event.Echo != event.Attempt && event.Kind <= AttemptDone) {
+		if c.config.Guards.On(guard.AttemptCheck) {
+			c.counters.ForeignAnswers++
+			c.dropForeign(r, at)
+			return
+		}
+		at = max(at, 0)
+	}
+	if at >= len(r.attempts) {
+		return
+	}
+	switch event.Kind {
+	case AttemptStarted:
+		c.attemptStarted(r, at, event)
+	case AttemptChunk:
+		c.attemptChunk(r, at, event)
+	case AttemptDone:
+		c.attemptDone(r, at, event)
+	case AttemptMismatch:
+		c.counters.Mismatches++
+		c.index.Forget(r.attempts[at].backend)
+	default:
+		c.attemptFailed(r, at, event)
+	}
+}
+
+// dropForeign gives up on an attempt whose connection carries somebody else's answer.
+func (c *Core) dropForeign(r *request, at int) {
+	if at < 0 {
+		return
+	}
+	c.attemptFailed(r, at, EventAttempt{ID: r.ID, Attempt: r.attempts[at].id, Kind: AttemptBroken})
+}
+
+func (c *Core) attemptStarted(r *request, at int, event EventAttempt) {
+	sent := &r.attempts[at]
+	if sent.started {
+		return
+	}
+	sent.started = true
+	c.counters.PromptTokens += uint64(r.PromptTokens)
+	c.counters.HitTokens += uint64(event.Cached)
+	row := &c.backends[sent.backend]
+	known := 0
+	if blocks := chainFor(r, row); len(blocks) > 0 {
+		known = min(len(blocks)*c.config.BlockTokens, r.PromptTokens-sent.uncached)
+	}
+	c.counters.RecomputedTokens += uint64(max(0, known-event.Cached))
+}
+
+// attemptChunk passes the next token on. A repeated one is dropped; a gap ends the attempt, and another one
+// resumes after the last token the caller has.
+func (c *Core) attemptChunk(r *request, at int, event EventAttempt) {
+	sent := &r.attempts[at]
+	if !sent.chunks {
+		sent.chunks = true
+		c.firstToken(r, at)
+		sent = &r.attempts[0]
+	}
+	if c.config.Guards.On(guard.StreamIndexCheck) {
+		if event.Index < r.emitted {
+			c.counters.RepeatedChunks++
+			return
+		}
+		if event.Index > r.emitted {
+			c.attemptFailed(r, 0, EventAttempt{ID: r.ID, Attempt: sent.id, Kind: AttemptBroken})
+			return
+		}
+	}
+	c.emit(ActionChunk{ID: r.ID, Index: r.emitted, Text: event.Text})
+	r.emitted++
+}
+
+// firstToken learns from the attempt and cancels any other: the first to answer wins.
+func (c *Core) firstToken(r *request, at int) {
+	winner := r.attempts[at]
+	row := &c.backends[winner.backend]
+	c.dropPending(row, winner.id)
+	c.learn(row, winner.predicted, c.now-winner.sentAt)
+	for i, other := range r.attempts {
+		if i != at {
+			c.emit(ActionCancel{ID: r.ID, Attempt: other.id})
+			c.endAttempt(other)
+		}
+	}
+	r.attempts = append(r.attempts[:0], winner)
+}
+
+// attemptDone completes a request if nothing of its stream is missing.
+func (c *Core) attemptDone(r *request, at int, event EventAttempt) {
+	if event.Answer == nil && event.Index != r.emitted && c.config.Guards.On(guard.StreamIndexCheck) {
+		c.attemptFailed(r, at, EventAttempt{ID: r.ID, Attempt: r.attempts[at].id, Kind: AttemptBroken})
+		return
+	}
+	c.dropAttempt(r, at)
+	c.finish(r, ActionFinish{Reason: ReasonComplete, Run: RunYes, Tokens: r.emitted, Answer: event.Answer})
+}
+
+// endAttempt frees what an attempt holds of its back end.
+func (c *Core) endAttempt(sent attempt) {
+	row := &c.backends[sent.backend]
+	row.running = max(0, row.running-1)
+	c.dropPending(row, sent.id)
+}
+
+func (c *Core) dropAttempt(r *request, at int) {
+	c.endAttempt(r.attempts[at])
+	r.attempts = slices.Delete(r.attempts, at, at+1)
+}
+
+func (c *Core) dropPending(row *backend, id AttemptID) {
+	row.pendingPrefill = slices.DeleteFunc(row.pendingPrefill, func(sent pendingPrefill) bool { return sent.attempt == id })
+}
+
+// attemptFailed ends an attempt and lets the retry system decide.
+func (c *Core) attemptFailed(r *request, at int, event EventAttempt) {
+	sent := r.attempts[at]
+	row := &c.backends[sent.backend]
+	if event.Kind == AttemptBroken && !c.config.Guards.On(guard.EndOfStreamCheck) && r.inStream() {
+		c.dropAttempt(r, at)
+		c.finish(r, ActionFinish{Reason: ReasonComplete, Run: RunYes, Tokens: r.emitted, Answer: &ledger.Answer{}})
+		return
+	}
+	if event.Kind == AttemptBroken {
+		c.emit(ActionCancel{ID: r.ID, Attempt: sent.id})
+	}
+	if event.Kind == AttemptRefused {
+		r.unproven--
+	}
+	row.leaving = row.leaving || event.Draining
+	if !event.Draining && event.RetryAfter == 0 {
+		c.noteUnreachable(row)
+	}
+	c.membershipDirty = c.membershipDirty || event.Draining
+	c.dropAttempt(r, at)
+	r.failedOn = append(r.failedOn, sent.backend)
+	if len(r.attempts) == 0 {
+		c.retries = append(c.retries, r)
+	}
+}
+
+// failTimedOut ends a request whose first token did not come long after its deadline.
+func (c *Core) failTimedOut(r *request) {
+	c.finish(r, ActionFinish{Reason: ReasonDeadline, Run: RunUnknown, RetryAfter: retrySoon})
+}
+
+const (
+	retryTokensAtStart = 10.0
+	retryTokensMaximum = 50.0
+	retryBase          = 20 * time.Millisecond
+	retryCap           = time.Second
+	// continuations is how many engines may fail one stream after its first token.
+	continuations = 8
+)
+
+// runRetry decides what follows a failed attempt.
+func (c *Core) runRetry() {
+	for _, r := range c.retries {
+		if c.requests[r.ID] == r && len(r.attempts) == 0 {
+			c.retry(r)
+		}
+	}
+	c.retries = c.retries[:0]
+}
+
+// retry tries again where that is allowed. A non-repeatable request is sent again only when every earlier
+// attempt provably did not run. A stream in progress goes on at once on another engine.
+func (c *Core) retry(r *request) {
+	if !r.values.Repeatable && r.unproven > 0 && c.config.Guards.On(guard.AmbiguousNotResent) {
+		c.finish(r, ActionFinish{Reason: ReasonRunUnknown, Run: RunUnknown})
+		return
+	}
+	if r.inStream() {
+		c.continueStream(r)
+		return
+	}
+	service := c.service(r.Service)
+	if r.tries >= r.values.RetryAttempts || service.retryTokens < 1 {
+		c.refuse(r, ReasonRetries, retrySoon)
+		return
+	}
+	service.retryTokens--
+	c.counters.Retries++
+	r.state = stateBackoff
+	r.retryAt = c.now + c.jitteredBackoff(r.tries)
+	c.wakeAt(r, r.retryAt)
+}
+
+func (c *Core) continueStream(r *request) {
+	if r.tries > continuations {
+		c.finish(r, ActionFinish{Reason: ReasonRetries, Run: RunYes, RetryAfter: retrySoon})
+		return
+	}
+	c.counters.Retries++
+	c.enqueue(r)
+}
+
+// jitteredBackoff is uniform between half and all of an exponentially growing delay.
+func (c *Core) jitteredBackoff(tries int) time.Duration {
+	delay := min(retryBase<<min(tries-1, 10), retryCap)
+	return delay/2 + time.Duration(c.random.Int64N(int64(delay/2)))
+}
+
+// earnRetry adds a first attempt's share to the retry budget of its service.
+func (c *Core) earnRetry(r *request) {
+	service := c.service(r.Service)
+	service.retryTokens = min(retryTokensMaximum, service.retryTokens+r.values.RetryBudgetPercent/100)
+}
+
+// hedge sends a silent request to a second engine as well.
+func (c *Core) hedge(r *request) {
+	service := c.service(r.Service)
+	r.hedged = true
+	if service.retryTokens < 1 {
+		return
+	}
+	first := r.attempts[0].backend
+	r.failedOn = append(r.failedOn, first)
+	candidates := c.score(r, service)
+	r.failedOn = r.failedOn[:len(r.failedOn)-1]
+	if len(candidates) == 0 || !c.mayDispatch(r) {
+		return
+	}
+	choice := c.config.Placer.Pick(PlaceContext{Now: c.now, Request: &r.Request, Values: &r.values, Random: c.random}, candidates)
+	if choice < 0 {
+		return
+	}
+	service.retryTokens--
+	c.counters.Hedges++
+	c.dispatch(r, candidates[choice])
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,225 @@
+// Package core is the router's decision logic: a deterministic state machine over tables, without I/O, clock
+// or randomness of its own. The same code runs in the router process, in the simulator and in the bench.
+//
+// The shell calls Tick with the current time and the events since the last call, and carries out the
+// returned actions in order. Tick runs the systems in a fixed order: observe, membership, admit, retry,
+// expire, place, move.
+package core
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"kitetiller/internal/guard"
+	"kitetiller/internal/prefix"
+	"kitetiller/internal/settings"
+)
+
+// Config is what a core needs to start.
+type Config struct {
+	Router      string
+	Zone        string
+	Seed        uint64
+	BlockTokens int
+	IndexLimit  int                      // beliefs kept
+	ZoneLatency map[string]time.Duration // one way, from this router's zone
+	Vault       string                   // address of the zone's KV store, or ""
+	ImportRate  float64                  // tokens/s that an engine can copy from another or from the vault
+	Guards      guard.Set
+	Placer      Placer // nil: the default
+	StartedAt   time.Duration
+}
+
+// Core is the router's state. It is not safe for concurrent use.
+type Core struct {
+	config Config
+	random *rand.Rand
+	now    time.Duration
+	out    []Action
+
+	tree     settings.Tree
+	version  uint64
+	hasTree  bool
+	values   map[tenantKey]settings.Values
+	epoch    uint64
+	leaseEnd time.Duration
+	hadLease bool
+	draining bool
+
+	backends []backend
+	byName   map[string]prefix.EngineID
+	services map[string]*serviceState
+	tenants  map[tenantKey]*tenantState
+	requests map[RequestID]*request
+	arrivals []*request // not admitted yet
+	retries  []*request // attempts failed, next step not decided yet
+	timers   timerHeap
+	nextID   AttemptID
+	gaps     []prefix.EngineID // engines whose cache snapshot is wanted
+
+	membershipDirty bool
+	membershipAt    time.Duration
+
+	index   *prefix.Index
+	hot     *prefix.HotTable
+	vault   map[prefix.Hash]bool
+	matches []prefix.Match // scratch
+	scores  []Candidate    // scratch
+
+	decisions decisionRing
+	counters  Counters
+}
+
+// Counters are totals since the start.
+type Counters struct {
+	Requests         uint64
+	Complete         uint64
+	Refused          map[Reason]uint64
+	Attempts         uint64
+	Retries          uint64
+	Hedges           uint64
+	PromptTokens     uint64
+	HitTokens        uint64
+	RecomputedTokens uint64
+	RepeatedChunks   uint64
+	ForeignAnswers   uint64
+	Gaps             uint64
+	Snapshots        uint64
+	Mismatches       uint64
+}
+
+// New returns a core without settings; it refuses everything until it has a tree and a lease.
+func New(config Config) *Core {
+	if config.Placer == nil {
+		config.Placer = CostPlacer{}
+	}
+	return &Core{
+		config: config, random: rand.New(rand.NewPCG(config.Seed, 1)), now: config.StartedAt,
+		values: map[tenantKey]settings.Values{}, byName: map[string]prefix.EngineID{},
+		services: map[string]*serviceState{}, tenants: map[tenantKey]*tenantState{},
+		requests: map[RequestID]*request{}, index: prefix.NewIndex(config.IndexLimit),
+		hot: prefix.NewHotTable(), vault: map[prefix.Hash]bool{},
+		counters: Counters{Refused: map[Reason]uint64{}},
+	}
+}
+
+// Tick applies events and runs every system once. The returned slice is valid until the next call.
+func (c *Core) Tick(now time.Duration, events []Event) []Action {
+	c.now = max(c.now, now)
+	c.out = c.out[:0]
+	for _, event := range events {
+		c.observe(event)
+	}
+	c.runMembership()
+	c.runAdmit()
+	c.runRetry()
+	c.runTimers()
+	c.runPlace()
+	c.runMove()
+	return c.out
+}
+
+// NextDue returns when Tick should be called at the latest, or false when only events matter.
+func (c *Core) NextDue() (time.Duration, bool) {
+	if len(c.timers) == 0 {
+		return 0, false
+	}
+	return c.timers[0].at, true
+}
+
+func (c *Core) emit(action Action) { c.out = append(c.out, action) }
+
+// Version returns the settings version in use.
+func (c *Core) Version() uint64 { return c.version }
+
+// LeaseValid reports whether the settings lease runs.
+func (c *Core) LeaseValid() bool { return c.now < c.leaseEnd }
+
+// Draining reports whether a planned stop has begun.
+func (c *Core) Draining() bool { return c.draining }
+
+// Active returns the number of requests that have no final answer yet.
+func (c *Core) Active() int { return len(c.requests) }
+
+// Counters returns the totals; the map in it is shared.
+func (c *Core) Counters() Counters { return c.counters }
+
+// Beliefs returns the number of beliefs in the index.
+func (c *Core) Beliefs() int { return c.index.Len() }
+
+// Tree returns the settings in use; callers must not change it.
+func (c *Core) Tree() settings.Tree { return c.tree }
+
+// effective returns the settings for a service and tenant in this router's zone.
+func (c *Core) effective(service, tenant string) settings.Values {
+	key := tenantKey{service, tenant}
+	values, found := c.values[key]
+	if !found {
+		values = c.tree.Resolve(c.config.Zone, service, tenant)
+		c.values[key] = values
+	}
+	return values
+}
+
+// service returns the row of a service, made when it is first named.
+func (c *Core) service(name string) *serviceState {
+	service := c.services[name]
+	if service == nil {
+		service = &serviceState{name: name, retryTokens: retryTokensAtStart, serviceTime: initialServiceTime}
+		c.services[name] = service
+	}
+	return service
+}
+
+// BackendView is a back end as status shows it.
+type BackendView struct {
+	Machine
+	State       string  `json:"state"`
+	Incarnation uint64  `json:"incarnation"`
+	Weights     string  `json:"weights"`
+	Running     int     `json:"running"`
+	Limit       int     `json:"limit"`
+	Beliefs     int     `json:"beliefs"`
+	Bias        float64 `json:"bias"`
+}
+
+// Backends returns the back end table for status.
+func (c *Core) Backends() []BackendView {
+	views := make([]BackendView, 0, len(c.backends))
+	for i := range c.backends {
+		row := &c.backends[i]
+		views = append(views, BackendView{
+			Machine: row.machine, State: row.state.String(), Incarnation: row.incarnation, Weights: row.weights,
+			Running: row.running, Limit: int(row.limit), Beliefs: c.index.EngineBeliefs(row.id), Bias: row.bias,
+		})
+	}
+	return views
+}
+
+// WeightsInUse returns the weights versions that ready engines of a service report, for chain hashing.
+func (c *Core) WeightsInUse(service string) []string {
+	var versions []string
+	state := c.services[service]
+	if state == nil {
+		return nil
+	}
+	for _, id := range state.backends {
+		row := &c.backends[id]
+		if row.state == BackendReady && !contains(versions, row.weights) {
+			versions = append(versions, row.weights)
+		}
+	}
+	return versions
+}
+
+func contains(list []string, wanted string) bool {
+	for _, item := range list {
+		if item == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+// Epoch returns the session in force, or 0.
+func (c *Core) Epoch() uint64 { return c.epoch }
--- /dev/null
+++ b/internal/core/decision.go
@@ -0,0 +1,83 @@
+package core
+
+import "time"
+
+const (
+	decisionsKept     = 4096
+	decisionShortlist = 4
+)
+
+// Decision is the record of one placement, for "kitetiller explain".
+type Decision struct {
+	Request         string        `json:"request"`
+	Tenant          string        `json:"tenant"`
+	Service         string        `json:"service"`
+	Lane            string        `json:"lane"`
+	At              time.Duration `json:"at_ns"`
+	Queued          time.Duration `json:"queued_ns"`
+	Try             int           `json:"try"`
+	PromptTokens    int           `json:"prompt_tokens"`
+	ResumeFrom      int           `json:"resume_from"`
+	SettingsVersion uint64        `json:"settings_version"`
+	Chosen          string        `json:"chosen"`
+	Considered      int           `json:"considered"`
+	Shortlist       []Candidate   `json:"shortlist"`
+	Outcome         Reason        `json:"outcome"`
+	Run             Run           `json:"run"`
+	FinishedAt      time.Duration `json:"finished_at_ns"`
+}
+
+// decisionRing keeps the newest decisions.
+type decisionRing struct {
+	records [decisionsKept]Decision
+	next    int
+}
+
+// record stores a placement with the best few candidates.
+func (d *decisionRing) record(r *request, now time.Duration, chosen Candidate, candidates []Candidate, version uint64) {
+	slot := &d.records[d.next%decisionsKept]
+	d.next++
+	shortlist := append(slot.Shortlist[:0], chosen)
+	*slot = Decision{
+		Request: r.Name, Tenant: r.Tenant, Service: r.Service, Lane: r.Lane.String(), At: now, Queued: now - r.arrived,
+		Try: r.tries + 1, PromptTokens: r.PromptTokens, ResumeFrom: r.emitted, SettingsVersion: version,
+		Chosen: chosen.Name, Considered: len(candidates),
+	}
+	for i := range candidates {
+		if len(shortlist) < decisionShortlist && candidates[i].Engine != chosen.Engine {
+			shortlist = append(shortlist, candidates[i])
+		}
+	}
+	slot.Shortlist = shortlist
+	r.decided = d.next
+}
+
+// finish notes how the request of the newest decision ended; refusals without a decision get a record of
+// their own.
+func (d *decisionRing) finish(r *request, final ActionFinish, now time.Duration) {
+	if r.decided == 0 || d.next-r.decided >= decisionsKept {
+		d.next++
+		r.decided = d.next
+		slot := &d.records[(r.decided-1)%decisionsKept]
+		*slot = Decision{
+			Request: r.Name, Tenant: r.Tenant, Service: r.Service, Lane: r.Lane.String(), At: now,
+			Queued: now - r.arrived, PromptTokens: r.PromptTokens, Shortlist: slot.Shortlist[:0],
+		}
+	}
+	slot := &d.records[(r.decided-1)%decisionsKept]
+	slot.Outcome, slot.Run, slot.FinishedAt = final.Reason, final.Run, now
+}
+
+// Explain returns the kept decisions about a request, oldest first.
+func (c *Core) Explain(name string) []Decision {
+	var found []Decision
+	first := max(0, c.decisions.next-decisionsKept)
+	for at := first; at < c.decisions.next; at++ {
+		record := c.decisions.records[at%decisionsKept]
+		if record.Request == name {
+			record.Shortlist = append([]Candidate(nil), record.Shortlist...)
+			found = append(found, record)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/core/limits.go
@@ -0,0 +1,61 @@
+package core
+
+import "time"
+
+// tenant returns the limit state of a request's tenant at its service.
+func (c *Core) tenant(r *request) *tenantState {
+	key := tenantKey{r.Service, r.Tenant}
+	state := c.tenants[key]
+	if state == nil {
+		state = &tenantState{tokens: float64(r.values.RequestBurst), refilledAt: c.now}
+		c.tenants[key] = state
+	}
+	return state
+}
+
+// overLimit applies the tenant's rate and concurrency limits and returns when to come back.
+func (c *Core) overLimit(r *request) (Reason, time.Duration) {
+	tenant := c.tenant(r)
+	if r.values.MaxConcurrent > 0 && tenant.active >= r.values.MaxConcurrent {
+		return ReasonConcurrency, retrySoon
+	}
+	rate := r.values.RequestsPerSecond
+	if rate <= 0 {
+		return "", 0
+	}
+	elapsed := (c.now - tenant.refilledAt).Seconds()
+	tenant.tokens = min(tenant.tokens+elapsed*rate, float64(r.values.RequestBurst))
+	tenant.refilledAt = c.now
+	if tenant.tokens < 1 {
+		wait := (1 - tenant.tokens) / rate
+		return ReasonRateLimit, time.Duration(wait * float64(time.Second))
+	}
+	tenant.tokens--
+	return "", 0
+}
+
+const (
+	minimumLimit    = 4   // least adaptive concurrency of an engine
+	limitIncrease   = 0.2 // added per answer in time
+	limitDecrease   = 0.9 // factor per answer that came far too late
+	lateFactor      = 3   // observed over predicted time that counts as far too late
+	lateSlack       = 300 * time.Millisecond
+	biasSmoothing   = 0.1
+	minimumBias     = 0.5
+	maximumBias     = 3.0
+	biasMinimumTime = time.Millisecond
+)
+
+// learn compares a prediction with its outcome: it corrects the engine's bias and its concurrency limit.
+func (c *Core) learn(row *backend, predicted, observed time.Duration) {
+	predicted = max(predicted, biasMinimumTime)
+	ratio := float64(observed) / float64(predicted)
+	row.bias += biasSmoothing * (row.bias*ratio - row.bias)
+	row.bias = min(max(row.bias, minimumBias), maximumBias)
+	ceiling := float64(c.effective(row.machine.Service, "").EngineConcurrency)
+	if observed > lateFactor*predicted+lateSlack {
+		row.limit = max(minimumLimit, row.limit*limitDecrease)
+		return
+	}
+	row.limit = min(ceiling, row.limit+limitIncrease)
+}
--- /dev/null
+++ b/internal/core/move.go
@@ -0,0 +1,23 @@
+package core
+
+import (
+	"slices"
+
+	"kitetiller/internal/prefix"
+)
+
+// sweepPerTick bounds the beliefs looked at in one tick, so that sweeping never delays a decision much.
+const sweepPerTick = 16
+
+// runMove asks for cache snapshots after gaps and sweeps old beliefs.
+func (c *Core) runMove() {
+	c.gaps = slices.DeleteFunc(c.gaps, func(id prefix.EngineID) bool { return !c.backends[id].wantSnapshot })
+	for _, id := range c.gaps {
+		row := &c.backends[id]
+		if c.now >= row.snapshotAsked+snapshotRetry && row.state == BackendReady {
+			row.snapshotAsked = c.now
+			c.emit(ActionSnapshot{Backend: row.machine.Name, Address: row.machine.Address})
+		}
+	}
+	c.index.Sweep(c.now, sweepPerTick)
+}
--- /dev/null
+++ b/internal/core/observe.go
@@ -0,0 +1,183 @@
+package core
+
+import (
+	"time"
+
+	"kitetiller/internal/guard"
+	"kitetiller/internal/prefix"
+	"kitetiller/internal/settings"
+)
+
+// snapshotRetry is how long an asked-for cache snapshot may take before it is asked for again.
+const snapshotRetry = 2 * time.Second
+
+// observe applies one event to the tables.
+func (c *Core) observe(event Event) {
+	switch typed := event.(type) {
+	case EventRequest:
+		c.observeRequest(typed.Request)
+	case EventCallerGone:
+		c.observeGone(typed.ID)
+	case EventClaim:
+		c.observeClaim(typed)
+	case EventAttempt:
+		c.observeAttempt(typed)
+	case EventBackend:
+		c.observeBackend(typed)
+	case EventCacheSnapshot:
+		c.observeSnapshot(typed)
+	case EventPlatform:
+		c.observePlatform(typed)
+	case EventSettings:
+		c.observeSettings(typed)
+	case EventLease:
+		c.epoch = typed.Epoch
+		c.leaseEnd = max(c.leaseEnd, typed.Until)
+		c.hadLease = c.hadLease || typed.Until > c.now
+	case EventVault:
+		c.observeVault(typed)
+	case EventDrain:
+		c.draining = true
+	}
+}
+
+func (c *Core) observeSettings(event EventSettings) {
+	if c.hasTree && event.Version < c.version && c.config.Guards.On(guard.VersionMonotonic) {
+		return
+	}
+	c.tree, c.version, c.hasTree = event.Tree, event.Version, true
+	c.values = map[tenantKey]settings.Values{}
+	for i := range c.backends {
+		c.backends[i].kind = c.effective(c.backends[i].machine.Service, "").Kind
+	}
+}
+
+func (c *Core) observeVault(event EventVault) {
+	for _, hash := range event.Blocks {
+		if event.Held {
+			c.vault[hash] = true
+		} else {
+			delete(c.vault, hash)
+		}
+	}
+}
+
+func (c *Core) observePlatform(event EventPlatform) {
+	c.membershipDirty = true
+	for i := range c.backends {
+		c.backends[i].listed = false
+	}
+	for _, machine := range event.Machines {
+		row := c.backendRow(machine)
+		if row.machine.Address != machine.Address {
+			row.state = BackendJoining
+		}
+		row.machine = machine
+		row.listed = true
+	}
+}
+
+// backendRow returns the row of a machine, made when it is first named.
+func (c *Core) backendRow(machine Machine) *backend {
+	if id, found := c.byName[machine.Name]; found {
+		return &c.backends[id]
+	}
+	id := prefix.EngineID(len(c.backends))
+	values := c.effective(machine.Service, "")
+	c.backends = append(c.backends, backend{
+		id: id, machine: machine, kind: values.Kind, heardAt: c.now,
+		limit: float64(values.EngineConcurrency), bias: 1,
+	})
+	c.byName[machine.Name] = id
+	service := c.service(machine.Service)
+	service.backends = append(service.backends, id)
+	service.ringStale = true
+	return &c.backends[id]
+}
+
+func (c *Core) observeBackend(event EventBackend) {
+	id, found := c.byName[event.Name]
+	if !found {
+		return
+	}
+	c.membershipDirty = true
+	row := &c.backends[id]
+	if event.Report == nil {
+		c.noteUnreachable(row)
+		return
+	}
+	report := event.Report
+	c.noteLife(row, report)
+	row.heardAt = c.now
+	row.failures = 0
+	row.loading = report.Loading
+	row.leaving = report.Leaving
+	row.load = report.Load
+	row.reportedAt = c.now - report.Load.Age
+	c.index.SetMaxAge(id, report.Load.EvictionAge)
+	c.applyCacheEvents(row, report)
+}
+
+// noteLife notices a new incarnation or new weights: everything believed about the earlier life is void,
+// and attempts sent to it are lost.
+func (c *Core) noteLife(row *backend, report *BackendReport) {
+	if report.Incarnation == row.incarnation && report.Weights == row.weights {
+		return
+	}
+	newLife := report.Incarnation != row.incarnation
+	row.incarnation, row.weights = report.Incarnation, report.Weights
+	if c.config.Guards.On(guard.IncarnationCheck) {
+		c.index.Forget(row.id)
+	}
+	if newLife {
+		row.pendingPrefill = row.pendingPrefill[:0]
+		row.bias = 1
+	}
+	row.nextSequence = 0
+}
+
+// applyCacheEvents applies events in order. A gap makes older beliefs doubtful and asks for a snapshot.
+func (c *Core) applyCacheEvents(row *backend, report *BackendReport) {
+	for _, event := range report.Events {
+		if event.Sequence < row.nextSequence {
+			continue
+		}
+		if event.Sequence > row.nextSequence {
+			c.noteGap(row)
+		}
+		row.nextSequence = event.Sequence + 1
+		c.index.Add(row.id, event.Stored, c.now, prefix.SourceEvent)
+		c.index.Remove(row.id, event.Evicted)
+	}
+	if report.NextSequence > row.nextSequence {
+		c.noteGap(row)
+		row.nextSequence = report.NextSequence
+	}
+}
+
+func (c *Core) noteGap(row *backend) {
+	if row.wantSnapshot {
+		return
+	}
+	c.counters.Gaps++
+	c.index.Doubt(row.id, c.now)
+	row.wantSnapshot = true
+	row.snapshotAsked = -snapshotRetry
+	c.gaps = append(c.gaps, row.id)
+}
+
+func (c *Core) observeSnapshot(event EventCacheSnapshot) {
+	id, found := c.byName[event.Name]
+	if !found {
+		return
+	}
+	row := &c.backends[id]
+	if event.Incarnation != row.incarnation {
+		return
+	}
+	c.counters.Snapshots++
+	row.wantSnapshot = false
+	row.nextSequence = max(row.nextSequence, event.Sequence)
+	c.index.Forget(id)
+	c.index.Add(id, event.Blocks, c.now, prefix.SourceSnapshot)
+}
--- /dev/null
+++ b/internal/core/place.go
@@ -0,0 +1,190 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"kitetiller/internal/guard"
+	"kitetiller/internal/prefix"
+)
+
+// affinityDiscount makes an unknown prefix prefer its owner on the ring while engines are equally free, so
+// that later requests find it without any event.
+const affinityDiscount = 0.9
+
+// runPlace serves the queues until no engine has room.
+func (c *Core) runPlace() {
+	for _, name := range c.serviceNames() {
+		service := c.services[name]
+		for c.placeNext(service) {
+		}
+	}
+}
+
+// serviceNames returns the services that have queued requests, sorted so that ticks are deterministic.
+func (c *Core) serviceNames() []string {
+	var names []string
+	for name, service := range c.services {
+		if service.queued() > 0 {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// placeNext places or refuses the next request of a service. It returns false when the request must wait.
+func (c *Core) placeNext(service *serviceState) bool {
+	l, any := service.head()
+	if !any {
+		return false
+	}
+	r := service.lanes[l][0]
+	candidates := c.score(r, service)
+	c.preferOwner(r, service, candidates)
+	choice := -1
+	if len(candidates) > 0 {
+		choice = c.config.Placer.Pick(PlaceContext{Now: c.now, Request: &r.Request, Values: &r.values, Random: c.random}, candidates)
+	}
+	if choice < 0 {
+		return c.noCandidate(r, service)
+	}
+	chosen := candidates[choice]
+	service.take(l)
+	r.state = stateRunning
+	if !r.inStream() && c.now+chosen.Predicted > r.deadline {
+		c.refuse(r, ReasonDeadline, max(retrySoon, c.now+chosen.Predicted-r.deadline))
+		return true
+	}
+	if !c.mayDispatch(r) {
+		c.refuse(r, ReasonNoLease, retrySoon)
+		return true
+	}
+	if queued := c.now - r.arrived; queued > 0 && service.queued() > 0 {
+		service.noteServed(queued / time.Duration(service.queued()+1))
+	}
+	c.decisions.record(r, c.now, chosen, candidates, c.version)
+	c.dispatch(r, chosen)
+	return true
+}
+
+// preferOwner discounts the ring's owner when nobody is believed to hold any of the prefix.
+func (c *Core) preferOwner(r *request, service *serviceState, candidates []Candidate) {
+	if len(c.matches) > 0 || len(r.Chains) == 0 {
+		return
+	}
+	if service.ringStale {
+		c.rebuildRing(service)
+	}
+	owners := c.ringOwners(r, service, 1)
+	for i := range candidates {
+		if len(owners) > 0 && candidates[i].Engine == owners[0] {
+			candidates[i].Cost *= affinityDiscount
+		}
+	}
+}
+
+// noCandidate decides what to do when no engine can take the head of the queue: wait if one is only busy,
+// otherwise give up.
+func (c *Core) noCandidate(r *request, service *serviceState) bool {
+	for _, id := range service.backends {
+		if c.ready(&c.backends[id]) && !containsID(r.failedOn, id) {
+			return false
+		}
+	}
+	if len(r.failedOn) > 0 && r.inStream() {
+		r.failedOn = nil // a stream in progress may go back to an engine that failed it
+		return c.anyReady(service)
+	}
+	if c.now < r.arrived+noBackendGrace {
+		c.wakeAt(r, r.arrived+noBackendGrace)
+		return false
+	}
+	service.remove(r)
+	r.state = stateRunning
+	c.refuse(r, ReasonNoBackend, retrySoon)
+	return true
+}
+
+// noBackendGrace is how long a request waits for a back end to appear.
+const noBackendGrace = 400 * time.Millisecond
+
+func (c *Core) anyReady(service *serviceState) bool {
+	for _, id := range service.backends {
+		if c.ready(&c.backends[id]) {
+			return true
+		}
+	}
+	return false
+}
+
+func containsID(list []prefix.EngineID, wanted prefix.EngineID) bool {
+	for _, id := range list {
+		if id == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+// mayDispatch checks lease and claim at the last moment: the router may have been frozen since it admitted
+// the request. Streams in progress are finished in any case.
+func (c *Core) mayDispatch(r *request) bool {
+	if r.inStream() || !c.config.Guards.On(guard.LeaseAtDispatch) {
+		return true
+	}
+	if r.claimed && (r.epoch != c.epoch || !c.LeaseValid()) {
+		return false
+	}
+	return c.mayServe()
+}
+
+// dispatch sends an attempt to the chosen engine and believes at once that it will hold the prefix.
+func (c *Core) dispatch(r *request, chosen Candidate) {
+	row := &c.backends[chosen.Engine]
+	c.nextID++
+	c.counters.Attempts++
+	blocks := chainFor(r, row)
+	sent := attempt{
+		id: c.nextID, backend: row.id, life: row.incarnation, sentAt: c.now,
+		predicted: chosen.raw, base: r.emitted, uncached: chosen.Uncached,
+	}
+	r.attempts = append(r.attempts, sent)
+	r.tries++
+	r.unproven++
+	if r.tries == 1 {
+		c.earnRetry(r)
+	}
+	row.running++
+	row.pendingPrefill = append(row.pendingPrefill, pendingPrefill{attempt: sent.id, sentAt: c.now, tokens: chosen.Uncached, lane: r.Lane})
+	action := ActionDispatch{
+		ID: r.ID, Attempt: sent.id, Backend: row.machine.Name, Address: row.machine.Address,
+		Incarnation: row.incarnation, Weights: row.weights, Blocks: blocks, RelyTokens: chosen.Cached,
+		ResumeFrom: r.emitted, Lane: r.Lane, MaxTokens: min(r.MaxTokens, r.values.MaxOutputTokens),
+		ImportFrom: chosen.ImportFrom, ImportBlocks: chosen.ImportBlocks, SettingsVersion: c.version,
+	}
+	c.noteHot(r, blocks, &action)
+	c.emit(action)
+	if len(blocks) > 0 {
+		c.index.Add(row.id, blocks, c.now, prefix.SourceDispatch)
+	}
+	c.wakeAt(r, c.giveUpAt(r))
+	if r.values.HedgeAfterMS > 0 && !r.hedged && r.values.Repeatable {
+		c.wakeAt(r, c.now+time.Duration(r.values.HedgeAfterMS)*time.Millisecond)
+	}
+}
+
+// noteHot counts the shared part of the prompt and asks to keep it in the vault when it is hot.
+func (c *Core) noteHot(r *request, blocks []prefix.Hash, action *ActionDispatch) {
+	if len(c.matches) == 0 || len(blocks) == 0 {
+		return
+	}
+	shared := min(c.matches[0].Blocks, len(blocks))
+	rate := c.hot.Touch(blocks[shared-1], c.now)
+	if rate < r.values.HotRequestsPerMinute || !r.values.VaultKeep || c.config.Vault == "" {
+		return
+	}
+	if !c.vault[blocks[shared-1]] {
+		action.Keep, action.KeepBlocks = true, shared
+	}
+}
--- /dev/null
+++ b/internal/core/queue.go
@@ -0,0 +1,132 @@
+package core
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+const (
+	// batchShare: after this many interactive picks in a row one batch request is picked, so that batch
+	// work cannot starve.
+	batchShare = 8
+	// initialServiceTime is the assumed time between dispatches of a queue that has not moved yet.
+	initialServiceTime = 20 * time.Millisecond
+	serviceSmoothing   = 0.1
+	decodeCost         = 4 // a generated token counts as this many prompt tokens in the fair queue
+)
+
+// lane is a heap of requests by virtual finish time (start-time fair queueing).
+type lane []*request
+
+func (l lane) Len() int { return len(l) }
+func (l lane) Less(i, j int) bool {
+	if l[i].finishTag != l[j].finishTag {
+		return l[i].finishTag < l[j].finishTag
+	}
+	return l[i].ID < l[j].ID
+}
+func (l lane) Swap(i, j int) { l[i], l[j] = l[j], l[i] }
+
+// Push adds an item; use heap.Push.
+func (l *lane) Push(item any) { *l = append(*l, item.(*request)) }
+
+// Pop removes the last item; use heap.Pop.
+func (l *lane) Pop() any {
+	old := *l
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*l = old[:len(old)-1]
+	return last
+}
+
+// enqueueNew queues a request for the first time, or refuses it when the queue is full or so long that the
+// deadline would pass.
+func (c *Core) enqueueNew(r *request) {
+	service := c.service(r.Service)
+	queued := service.queued()
+	if queued >= max(1, r.values.QueueLimit) {
+		c.refuse(r, ReasonQueueFull, c.backlog(r))
+		return
+	}
+	wait := time.Duration(service.ahead(r.Lane)) * service.serviceTime
+	if service.ahead(r.Lane) > 0 && c.now+wait > r.deadline {
+		c.refuse(r, ReasonDeadline, c.backlog(r))
+		return
+	}
+	tenant := c.tenant(r)
+	r.cost = float64(max(1, r.PromptTokens) + decodeCost*r.MaxTokens)
+	start := max(service.virtualTime, tenant.finishTag)
+	r.finishTag = start + r.cost/r.values.ShareWeight
+	tenant.finishTag = r.finishTag
+	c.enqueue(r)
+}
+
+// enqueue puts a request into its lane with the tag it has.
+func (c *Core) enqueue(r *request) {
+	r.state = stateQueued
+	service := c.service(r.Service)
+	heap.Push((*lane)(&service.lanes[r.Lane]), r)
+}
+
+// backlog estimates when the queue will have room.
+func (c *Core) backlog(r *request) time.Duration {
+	service := c.service(r.Service)
+	return max(retrySoon, time.Duration(service.queued())*service.serviceTime/2)
+}
+
+func (s *serviceState) queued() int {
+	total := 0
+	for i := range s.lanes {
+		total += len(s.lanes[i])
+	}
+	return total
+}
+
+// ahead counts the requests that a new one in the lane waits for.
+func (s *serviceState) ahead(l Lane) int {
+	if l == LaneInteractive {
+		return len(s.lanes[LaneInteractive])
+	}
+	return s.queued()
+}
+
+// head returns the lane to serve next, or false when nothing waits.
+func (s *serviceState) head() (Lane, bool) {
+	interactive, batch := len(s.lanes[LaneInteractive]) > 0, len(s.lanes[LaneBatch]) > 0
+	switch {
+	case interactive && batch && s.sinceBatch >= batchShare:
+		return LaneBatch, true
+	case interactive:
+		return LaneInteractive, true
+	case batch:
+		return LaneBatch, true
+	}
+	return 0, false
+}
+
+// take removes the head of a lane.
+func (s *serviceState) take(l Lane) *request {
+	r := heap.Pop((*lane)(&s.lanes[l])).(*request)
+	s.virtualTime = max(s.virtualTime, r.finishTag-r.cost/r.values.ShareWeight)
+	if l == LaneInteractive {
+		s.sinceBatch++
+	} else {
+		s.sinceBatch = 0
+	}
+	return r
+}
+
+// remove takes a request out of its lane wherever it stands.
+func (s *serviceState) remove(r *request) {
+	l := (*lane)(&s.lanes[r.Lane])
+	if at := slices.Index(*l, r); at >= 0 {
+		heap.Remove(l, at)
+	}
+}
+
+// noteServed updates the time between dispatches while a queue stands.
+func (s *serviceState) noteServed(interval time.Duration) {
+	delta := float64(interval - s.serviceTime)
+	s.serviceTime += time.Duration(serviceSmoothing * delta)
+}
--- /dev/null
+++ b/internal/core/ring.go
@@ -0,0 +1,32 @@
+package core
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ringHash places one point of an engine on the ring.
+func ringHash(name string, point int) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(name)
+	var suffix [2]byte
+	binary.LittleEndian.PutUint16(suffix[:], uint16(point))
+	_, _ = digest.Write(suffix[:])
+	return digest.Sum64()
+}
+
+// rootBlocks is the depth at which unrelated prompts of a tenant differ; requests that share this much go to
+// the same engine before anything is known.
+const rootBlocks = 4
+
+// chainRoot is where a request's prefix falls on the ring.
+func chainRoot(r *request) uint64 {
+	if len(r.Chains) == 0 || len(r.Chains[0].Blocks) == 0 {
+		return xxhash.Sum64String(r.Name)
+	}
+	blocks := r.Chains[0].Blocks
+	root := blocks[min(rootBlocks, len(blocks))-1]
+	return binary.LittleEndian.Uint64(root[:8])
+}
--- /dev/null
+++ b/internal/core/score.go
@@ -0,0 +1,296 @@
+package core
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"kitetiller/internal/guard"
+	"kitetiller/internal/prefix"
+	"kitetiller/internal/settings"
+)
+
+const (
+	// scoreAllUpTo is the number of ready engines up to which every one is scored; beyond it only holders
+	// of the prefix, its rendezvous engines and a random sample are.
+	scoreAllUpTo = 64
+	sampleSize   = 12
+	ringProbes   = 2
+	maxHolders   = 24
+	// defaultPrefillRate is assumed until an engine reports its own, in tokens/s.
+	defaultPrefillRate = 4000
+	// doubtfulShare is how much of a doubtful match is counted on.
+	doubtfulShare = 0.5
+	// importGain is the factor by which copying must beat recomputing.
+	importGain = 0.8
+	// importMinimumBlocks is the least run of blocks worth a copy.
+	importMinimumBlocks = 4
+)
+
+// Candidate is one engine as placement sees it for one request.
+type Candidate struct {
+	Engine       prefix.EngineID
+	Name         string
+	Zone         string
+	Cached       int // prompt tokens believed to be cached
+	Uncached     int // prompt tokens to prefill after a copy, if any
+	ImportBlocks int // leading blocks to copy from elsewhere first; 0 for none
+	ImportFrom   string
+	Running      int // own attempts, and those reported by the engine
+	Wait         time.Duration
+	Predicted    time.Duration // time to first token
+	Cost         float64       // seconds, weighted
+	raw          time.Duration // Predicted before the bias
+}
+
+// PlaceContext is what a placer may look at besides the candidates.
+type PlaceContext struct {
+	Now     time.Duration
+	Request *Request
+	Values  *settings.Values
+	Random  *rand.Rand
+}
+
+// Placer picks one of the candidates, or -1 to leave the request queued.
+type Placer interface {
+	Pick(context PlaceContext, candidates []Candidate) int
+	// Imports reports whether cached blocks may be copied between engines.
+	Imports() bool
+}
+
+// CostPlacer picks the least cost; ties go to the first.
+type CostPlacer struct{}
+
+// Pick returns the candidate of least cost.
+func (CostPlacer) Pick(_ PlaceContext, candidates []Candidate) int {
+	best := -1
+	for i := range candidates {
+		if best < 0 || candidates[i].Cost < candidates[best].Cost {
+			best = i
+		}
+	}
+	return best
+}
+
+// Imports is true: copies are part of the default policy.
+func (CostPlacer) Imports() bool { return true }
+
+// ringPoint is an engine's place on the consistent hash ring of its service.
+type ringPoint struct {
+	hash   uint64
+	engine prefix.EngineID
+}
+
+const ringPointsPerEngine = 16
+
+// rebuildRing spreads the ready engines of a service over the ring.
+func (c *Core) rebuildRing(service *serviceState) {
+	service.ring = service.ring[:0]
+	for _, id := range service.backends {
+		row := &c.backends[id]
+		if !c.ready(row) {
+			continue
+		}
+		for point := range ringPointsPerEngine {
+			service.ring = append(service.ring, ringPoint{hash: ringHash(row.machine.Name, point), engine: id})
+		}
+	}
+	slices.SortFunc(service.ring, func(a, b ringPoint) int {
+		switch {
+		case a.hash < b.hash:
+			return -1
+		case a.hash > b.hash:
+			return 1
+		}
+		return int(a.engine) - int(b.engine)
+	})
+	service.ringStale = false
+}
+
+// filter collects the engines worth scoring: ready, not failed on before, below their limit.
+func (c *Core) filter(r *request, service *serviceState) []prefix.EngineID {
+	if service.ringStale {
+		c.rebuildRing(service)
+	}
+	if len(service.backends) <= scoreAllUpTo {
+		return slices.DeleteFunc(slices.Clone(service.backends), func(id prefix.EngineID) bool { return !c.eligible(r, id) })
+	}
+	var picked []prefix.EngineID
+	add := func(id prefix.EngineID) {
+		if !slices.Contains(picked, id) && c.eligible(r, id) {
+			picked = append(picked, id)
+		}
+	}
+	for i, match := range c.matches {
+		if i >= maxHolders {
+			break
+		}
+		add(match.Engine)
+	}
+	for _, id := range c.ringOwners(r, service, ringProbes) {
+		add(id)
+	}
+	for range sampleSize {
+		add(service.backends[c.random.IntN(len(service.backends))])
+	}
+	return picked
+}
+
+// ringOwners returns the first engines on the ring after the root of the request's chain.
+func (c *Core) ringOwners(r *request, service *serviceState, count int) []prefix.EngineID {
+	if len(service.ring) == 0 {
+		return nil
+	}
+	target := chainRoot(r)
+	at, _ := slices.BinarySearchFunc(service.ring, target, func(point ringPoint, wanted uint64) int {
+		switch {
+		case point.hash < wanted:
+			return -1
+		case point.hash > wanted:
+			return 1
+		}
+		return 0
+	})
+	var owners []prefix.EngineID
+	for step := 0; step < len(service.ring) && len(owners) < count; step++ {
+		engine := service.ring[(at+step)%len(service.ring)].engine
+		if !slices.Contains(owners, engine) {
+			owners = append(owners, engine)
+		}
+	}
+	return owners
+}
+
+func (c *Core) eligible(r *request, id prefix.EngineID) bool {
+	row := &c.backends[id]
+	if !c.ready(row) && (c.config.Guards.On(guard.LeavingCheck) || row.state != BackendReady) {
+		return false
+	}
+	return !slices.Contains(r.failedOn, id) && row.running < int(row.limit)
+}
+
+// chainFor returns the request's chain under the engine's weights.
+func chainFor(r *request, row *backend) []prefix.Hash {
+	for _, chain := range r.Chains {
+		if chain.Weights == row.weights {
+			return chain.Blocks
+		}
+	}
+	return nil
+}
+
+// score fills c.scores with a candidate for each eligible engine.
+func (c *Core) score(r *request, service *serviceState) []Candidate {
+	c.matches = c.matches[:0]
+	for _, chain := range r.Chains {
+		c.matches = c.index.Lookup(chain.Blocks, c.now, c.matches)
+	}
+	c.scores = c.scores[:0]
+	for _, id := range c.filter(r, service) {
+		c.scores = append(c.scores, c.scoreOne(r, &c.backends[id]))
+	}
+	return c.scores
+}
+
+func (c *Core) matchFor(id prefix.EngineID) prefix.Match {
+	for _, match := range c.matches {
+		if match.Engine == id {
+			return match
+		}
+	}
+	return prefix.Match{}
+}
+
+// scoreOne predicts what a request would cost on one engine.
+func (c *Core) scoreOne(r *request, row *backend) Candidate {
+	match := c.matchFor(row.id)
+	cached := match.Blocks * c.config.BlockTokens
+	if match.Doubtful {
+		cached = int(float64(cached) * doubtfulShare)
+	}
+	rate := row.load.PrefillRate
+	if rate <= 0 {
+		rate = defaultPrefillRate
+	}
+	candidate := Candidate{
+		Engine: row.id, Name: row.machine.Name, Zone: row.machine.Zone, Cached: cached,
+		Uncached: max(1, r.PromptTokens+r.emitted-cached), Running: max(row.running, row.load.Running+row.load.Waiting),
+	}
+	importTime := c.planImport(r, row, rate, &candidate)
+	compute := float64(candidate.Uncached) / rate
+	candidate.Wait = seconds(float64(c.pendingTokens(row, r.Lane)) / rate)
+	candidate.raw = candidate.Wait + seconds(compute) + importTime
+	network := 2 * c.config.ZoneLatency[row.machine.Zone]
+	candidate.Predicted = network + time.Duration(float64(candidate.raw)*row.bias)
+	candidate.Cost = r.values.TimeWeight*candidate.Predicted.Seconds() + r.values.RecomputeWeight*compute
+	return candidate
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// pendingTokens is the prefill before a request of a lane: what the engine reported, and what we sent since.
+func (c *Core) pendingTokens(row *backend, l Lane) int {
+	pending := row.load.WaitingTokens
+	if l == LaneInteractive {
+		pending = row.load.InteractiveTokens
+	}
+	for _, sent := range row.pendingPrefill {
+		if sent.sentAt >= row.reportedAt && (l == LaneBatch || sent.lane == LaneInteractive) {
+			pending += sent.tokens
+		}
+	}
+	return pending
+}
+
+// planImport adds a copy from the best holder, or the vault, when that beats recomputing.
+func (c *Core) planImport(r *request, row *backend, rate float64, candidate *Candidate) time.Duration {
+	if c.config.ImportRate <= 0 || !c.config.Placer.Imports() {
+		return 0
+	}
+	blocks, source := c.bestSource(r, row)
+	missing := blocks - candidate.Cached/c.config.BlockTokens
+	if missing < importMinimumBlocks {
+		return 0
+	}
+	tokens := missing * c.config.BlockTokens
+	copyTime := seconds(float64(tokens) / c.config.ImportRate)
+	if copyTime > time.Duration(importGain*float64(seconds(float64(tokens)/rate))) {
+		return 0
+	}
+	candidate.ImportBlocks, candidate.ImportFrom = blocks, source
+	candidate.Uncached = max(1, candidate.Uncached-tokens)
+	return copyTime
+}
+
+// bestSource returns where the longest prefix of a chain can be copied from.
+func (c *Core) bestSource(r *request, row *backend) (int, string) {
+	chain := chainFor(r, row)
+	blocks, source := 0, ""
+	for _, match := range c.matches {
+		other := &c.backends[match.Engine]
+		if match.Engine != row.id && !match.Doubtful && match.Blocks > blocks && other.weights == row.weights && c.ready(other) {
+			blocks, source = match.Blocks, other.machine.Address
+		}
+	}
+	if c.config.Vault == "" || blocks == len(chain) {
+		return blocks, source
+	}
+	if held := c.vaultDepth(chain); held > blocks {
+		return held, c.config.Vault
+	}
+	return blocks, source
+}
+
+// vaultDepth returns how many leading blocks the vault holds.
+func (c *Core) vaultDepth(chain []prefix.Hash) int {
+	low, high := 0, len(chain)
+	for low < high {
+		middle := (low + high) / 2
+		if c.vault[chain[middle]] {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
--- /dev/null
+++ b/internal/guard/guard.go
@@ -0,0 +1,51 @@
+// Package guard names the protections that keep the must-hold rules. Production code runs with all of
+// them on. The simulator switches one off at a time, to show that the check made for it does fail
+// without it.
+package guard
+
+// Guard is the name of one protection.
+type Guard string
+
+// The protections, each named by what it checks.
+const (
+	FenceCheck         Guard = "fence-check"           // engines refuse orders below the highest fence seen
+	ClaimBeforeRun     Guard = "claim-before-dispatch" // a non-repeatable request is claimed before it is sent
+	TenantInHash       Guard = "tenant-in-hash"        // block chains are seeded by the tenant
+	WeightsInHash      Guard = "weights-in-hash"       // block chains are seeded by the weights version
+	IncarnationCheck   Guard = "incarnation-check"     // a new engine incarnation voids every belief about it
+	SyncBeforeAck      Guard = "synced-before-acknowledge"
+	LearnerBeforeVote  Guard = "learner-before-vote" // a replica with an empty folder joins as learner
+	LeaseAtDispatch    Guard = "lease-check-at-dispatch"
+	VersionCheck       Guard = "version-check"         // a settings change names the version it edits
+	OperationCheck     Guard = "operation-id-check"    // a resent settings change gets its first outcome
+	StreamIndexCheck   Guard = "stream-index-check"    // repeated and missing chunks are noticed
+	EndOfStreamCheck   Guard = "end-of-stream-check"   // a stream without its end marker is not complete
+	AttemptCheck       Guard = "attempt-check"         // an answer must carry the current attempt
+	NotRunProof        Guard = "not-run-proof"         // not-run is said only when it can be proved
+	LeavingCheck       Guard = "leaving-check"         // leaving back ends get no new work
+	DrainBeforeExit    Guard = "drain-before-exit"     // a planned stop waits for running streams
+	VersionMonotonic   Guard = "settings-never-revert" // a router keeps the newest version it acknowledged
+	PersistedSettings  Guard = "settings-synced-copy"  // a router restarts from its synced settings
+	AmbiguousNotResent Guard = "ambiguous-not-resent"  // a non-repeatable attempt with unknown result is not tried again
+)
+
+// All lists every guard in a fixed order.
+func All() []Guard {
+	return []Guard{
+		FenceCheck, ClaimBeforeRun, TenantInHash, WeightsInHash, IncarnationCheck, SyncBeforeAck,
+		LearnerBeforeVote, LeaseAtDispatch, VersionCheck, OperationCheck, StreamIndexCheck,
+		EndOfStreamCheck, AttemptCheck, NotRunProof, LeavingCheck, DrainBeforeExit,
+		VersionMonotonic, PersistedSettings, AmbiguousNotResent,
+	}
+}
+
+// Set tells which guards are on. The zero value has all of them on.
+type Set struct {
+	off Guard
+}
+
+// Without returns a set with every guard on but one.
+func Without(g Guard) Set { return Set{off: g} }
+
+// On reports whether a guard is in force.
+func (s Set) On(g Guard) bool { return s.off != g }
--- /dev/null
+++ b/internal/lab/engine/cache.go
@@ -0,0 +1,207 @@
+package engine
+
+import (
+	"container/list"
+	"math/rand/v2"
+	"time"
+
+	"kitetiller/internal/core"
+	"kitetiller/internal/prefix"
+)
+
+// eventsKept bounds the events that a router can still ask for; older ones show as a gap.
+const eventsKept = 4096
+
+// block is one cached block. Blocks in use by running sequences are pinned.
+type block struct {
+	hash     prefix.Hash
+	lastUsed time.Duration
+	pins     int
+	place    *list.Element
+}
+
+// timedEvent is a cache event and when it happened.
+type timedEvent struct {
+	at    time.Duration
+	lost  bool
+	event core.CacheEvent
+}
+
+// cache is a least-recently-used set of blocks.
+//
+// Invariant: of one chain, deeper blocks are never fresher than shallower ones, so chains are evicted from
+// their end.
+type cache struct {
+	rates    Rates
+	random   *rand.Rand
+	blocks   map[prefix.Hash]*block
+	order    *list.List // front is the oldest
+	sequence uint64
+	events   []timedEvent
+	lastAge  time.Duration // age of the block evicted last
+}
+
+func newCache(rates Rates, random *rand.Rand) *cache {
+	return &cache{rates: rates, random: random, blocks: map[prefix.Hash]*block{}, order: list.New()}
+}
+
+// peek returns how many leading blocks are cached.
+func (c *cache) peek(chain []prefix.Hash) int {
+	for i, hash := range chain {
+		if c.blocks[hash] == nil {
+			return i
+		}
+	}
+	return len(chain)
+}
+
+// match returns how many leading blocks are cached and marks them as used, the deepest first.
+func (c *cache) match(chain []prefix.Hash, now time.Duration) int {
+	matched := c.peek(chain)
+	c.touch(chain[:matched], now)
+	return matched
+}
+
+func (c *cache) touch(chain []prefix.Hash, now time.Duration) {
+	for i := len(chain) - 1; i >= 0; i-- {
+		if held := c.blocks[chain[i]]; held != nil {
+			held.lastUsed = now
+			c.order.MoveToBack(held.place)
+		}
+	}
+}
+
+func (c *cache) pin(chain []prefix.Hash) {
+	for _, hash := range chain {
+		if held := c.blocks[hash]; held != nil {
+			held.pins++
+		}
+	}
+}
+
+func (c *cache) unpin(chain []prefix.Hash, now time.Duration) {
+	for _, hash := range chain {
+		if held := c.blocks[hash]; held != nil && held.pins > 0 {
+			held.pins--
+		}
+	}
+	c.touch(chain, now)
+}
+
+// insert adds blocks that follow each other; it stops when no room can be made.
+func (c *cache) insert(chain []prefix.Hash, now time.Duration) {
+	var stored, evicted []prefix.Hash
+	for _, hash := range chain {
+		if c.blocks[hash] != nil {
+			continue
+		}
+		if len(c.blocks) >= c.rates.CacheBlocks {
+			victim := c.evictOldest(now)
+			if victim == nil {
+				break
+			}
+			evicted = append(evicted, victim.hash)
+		}
+		fresh := &block{hash: hash, lastUsed: now}
+		fresh.place = c.order.PushBack(fresh)
+		c.blocks[hash] = fresh
+		stored = append(stored, hash)
+	}
+	c.touch(chain, now)
+	c.publish(now, stored, evicted)
+}
+
+func (c *cache) evictOldest(now time.Duration) *block {
+	for place := c.order.Front(); place != nil; place = place.Next() {
+		held := place.Value.(*block)
+		if held.pins > 0 {
+			continue
+		}
+		c.lastAge = now - held.lastUsed
+		c.remove(held)
+		return held
+	}
+	return nil
+}
+
+func (c *cache) remove(held *block) {
+	c.order.Remove(held.place)
+	delete(c.blocks, held.hash)
+}
+
+// expire evicts blocks that were not used for long.
+func (c *cache) expire(now time.Duration) {
+	if c.rates.CacheIdle <= 0 {
+		return
+	}
+	var evicted []prefix.Hash
+	for place := c.order.Front(); place != nil; {
+		held := place.Value.(*block)
+		if now-held.lastUsed < c.rates.CacheIdle {
+			break
+		}
+		place = place.Next()
+		if held.pins == 0 {
+			c.remove(held)
+			evicted = append(evicted, held.hash)
+		}
+	}
+	c.publish(now, nil, evicted)
+}
+
+// evictionAge estimates how long an unused block stays.
+func (c *cache) evictionAge() time.Duration {
+	if c.lastAge > 0 && len(c.blocks) >= c.rates.CacheBlocks*9/10 {
+		if c.rates.CacheIdle > 0 {
+			return min(c.lastAge, c.rates.CacheIdle)
+		}
+		return c.lastAge
+	}
+	return c.rates.CacheIdle
+}
+
+// publish records a cache event; some are lost on the way.
+func (c *cache) publish(now time.Duration, stored, evicted []prefix.Hash) {
+	if len(stored) == 0 && len(evicted) == 0 {
+		return
+	}
+	lost := c.random.Float64() < c.rates.EventLoss
+	c.events = append(c.events, timedEvent{
+		at: now, lost: lost, event: core.CacheEvent{Sequence: c.sequence, Stored: stored, Evicted: evicted},
+	})
+	c.sequence++
+	if len(c.events) > eventsKept {
+		c.events = append([]timedEvent(nil), c.events[len(c.events)-eventsKept/2:]...)
+	}
+}
+
+// eventsAfter returns the events from a sequence on that happened by a time, and the sequence after them.
+func (c *cache) eventsAfter(from uint64, by time.Duration) ([]core.CacheEvent, uint64) {
+	var found []core.CacheEvent
+	next := from
+	if len(c.events) > 0 && from < c.events[0].event.Sequence {
+		next = c.events[0].event.Sequence
+	}
+	start := 0
+	if len(c.events) > 0 && next > c.events[0].event.Sequence {
+		start = int(min(next-c.events[0].event.Sequence, uint64(len(c.events))))
+	}
+	for _, held := range c.events[start:] {
+		if held.at > by {
+			break
+		}
+		next = held.event.Sequence + 1
+		if !held.lost {
+			found = append(found, held.event)
+		}
+	}
+	return found, next
+}
+
+func (c *cache) list() []prefix.Hash {
+	hashes := make([]prefix.Hash, 0, len(c.blocks))
+	for place := c.order.Front(); place != nil; place = place.Next() {
+		hashes = append(hashes, place.Value.(*block).hash)
+	}
+	return hashes
+}
--- /dev/null
+++ b/internal/lab/engine/model.go
@@ -0,0 +1,391 @@
+// Package engine is the stand-in for a model engine: continuous batching with chunked prefill, a
+// memory-bounded prefix cache, priorities, resume, cancel, KV export and import, late and lossy cache events,
+// lagging load reports, and fenced orders to load weights.
+//
+// Model is pure and runs in virtual time; the engine process and the bench both drive it.
+package engine
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"kitetiller/internal/control"
+	"kitetiller/internal/core"
+	"kitetiller/internal/guard"
+	"kitetiller/internal/prefix"
+)
+
+// Rates are an engine's speeds and sizes. The defaults are those of an 8-billion-parameter model on one
+// accelerator, rounded.
+type Rates struct {
+	PrefillTokens float64       `json:"prefill_tokens_per_s"` // prompt tokens computed a second
+	ImportTokens  float64       `json:"import_tokens_per_s"`  // cached tokens copied from elsewhere a second
+	DecodeStep    time.Duration `json:"decode_step_ns"`       // one token for each running sequence
+	DecodePerSeq  time.Duration `json:"decode_per_sequence_ns"`
+	ChunkTokens   int           `json:"chunk_tokens"` // prompt tokens computed in one step at most
+	MaxBatch      int           `json:"max_batch"`    // sequences running at once
+	CacheBlocks   int           `json:"cache_blocks"`
+	CacheIdle     time.Duration `json:"cache_idle_ns"` // an unused block is evicted after this; 0 is never
+	EventLag      time.Duration `json:"event_lag_ns"`
+	EventLoss     float64       `json:"event_loss"` // share of cache events lost
+	LoadLag       time.Duration `json:"load_lag_ns"`
+	LoadTime      time.Duration `json:"load_time_ns"` // loading weights alone
+	QueueLimit    int           `json:"queue_limit"`
+}
+
+// DefaultRates returns the rates of the stand-in's reference engine.
+func DefaultRates() Rates {
+	return Rates{
+		PrefillTokens: 8000, ImportTokens: 40000, DecodeStep: 8 * time.Millisecond, DecodePerSeq: 200 * time.Microsecond,
+		ChunkTokens: 512, MaxBatch: 24, CacheBlocks: 1500, CacheIdle: 20 * time.Second,
+		EventLag: 150 * time.Millisecond, EventLoss: 0.01, LoadLag: 200 * time.Millisecond,
+		LoadTime: 500 * time.Millisecond, QueueLimit: 256,
+	}
+}
+
+// Job is one attempt sent to the engine.
+type Job struct {
+	Attempt      core.AttemptID
+	Request      core.RequestID
+	Origin       string // router, to tell attempts of different routers apart
+	Tenant       string
+	Blocks       []prefix.Hash
+	PromptTokens int
+	MaxTokens    int
+	ResumeFrom   int
+	Lane         core.Lane
+	Incarnation  uint64 // life the router counts on
+	Weights      string
+	RelyTokens   int
+	ImportFrom   string
+	ImportBlocks int
+	UserData     any // returned with each output
+}
+
+// OutputKind tells what an Output reports.
+type OutputKind uint8
+
+// Kinds of output.
+const (
+	OutputStarted OutputKind = iota
+	OutputToken
+	OutputDone
+)
+
+// Output is one step of a job.
+type Output struct {
+	Kind     OutputKind
+	Job      *Job
+	Index    int // token position, or the length of the answer
+	Cached   int // prompt tokens reused, copied ones included
+	Imported int
+	Computed []prefix.Hash // blocks that were computed
+}
+
+// SubmitResult tells whether a job was taken.
+type SubmitResult uint8
+
+// Results of Submit.
+const (
+	Taken             SubmitResult = iota
+	TakenWithoutReuse              // the router counted on another life or other weights
+	RefusedBusy
+	RefusedLeaving
+	RefusedLoading
+)
+
+// sequence is a job being worked on.
+type sequence struct {
+	job      *Job
+	readyAt  time.Duration // end of a copy
+	copying  bool
+	toDo     int // prompt tokens left
+	cached   int
+	imported int
+	emitted  int
+	reuse    bool
+	pinned   []prefix.Hash
+	computed []prefix.Hash
+}
+
+// Model is an engine in virtual time. It is not safe for concurrent use.
+type Model struct {
+	Name        string
+	Incarnation uint64
+	Weights     string
+	rates       Rates
+	blockTokens int
+	random      *rand.Rand
+	guards      guard.Set
+
+	cache   *cache
+	waiting []*sequence
+	running []*sequence
+	stepEnd time.Duration // end of the step in progress; 0 when idle
+	step    []*sequence   // sequences of the step in progress
+	chunk   map[*sequence]int
+	now     time.Duration
+
+	leaving  bool
+	loadEnds time.Duration // 0 when not loading
+	loading  string
+	fence    control.Fence
+	loads    []loadSample
+	// Import returns how many leading blocks of a chain the source can give; nil disables copies.
+	Import func(source string, chain []prefix.Hash) int
+}
+
+// loadSample is a load report and when it was true.
+type loadSample struct {
+	at   time.Duration
+	load core.Load
+}
+
+// New returns an empty engine.
+func New(name string, incarnation uint64, weights string, rates Rates, blockTokens int, seed uint64, guards guard.Set) *Model {
+	random := rand.New(rand.NewPCG(seed, incarnation))
+	return &Model{
+		Name: name, Incarnation: incarnation, Weights: weights, rates: rates, blockTokens: blockTokens,
+		random: random, guards: guards, cache: newCache(rates, random), chunk: map[*sequence]int{},
+	}
+}
+
+// SetLeaving makes the engine refuse new work and report that it leaves.
+func (m *Model) SetLeaving(leaving bool) { m.leaving = leaving }
+
+// Submit takes or refuses a job. A refused job provably does not run.
+func (m *Model) Submit(now time.Duration, job *Job) SubmitResult {
+	m.now = max(m.now, now)
+	switch {
+	case m.leaving:
+		return RefusedLeaving
+	case m.loadEnds > 0:
+		return RefusedLoading
+	case len(m.waiting) >= m.rates.QueueLimit:
+		return RefusedBusy
+	}
+	reuse := true
+	if m.guards.On(guard.IncarnationCheck) {
+		reuse = job.Incarnation == m.Incarnation && job.Weights == m.Weights
+	}
+	m.waiting = append(m.waiting, &sequence{job: job, reuse: reuse, emitted: job.ResumeFrom})
+	if !reuse {
+		return TakenWithoutReuse
+	}
+	return Taken
+}
+
+// Cancel drops a job wherever it stands.
+func (m *Model) Cancel(origin string, attempt core.AttemptID) {
+	matches := func(held *sequence) bool { return held.job.Attempt == attempt && held.job.Origin == origin }
+	m.waiting = slices.DeleteFunc(m.waiting, matches)
+	for _, held := range m.running {
+		if matches(held) {
+			m.release(held)
+		}
+	}
+	m.running = slices.DeleteFunc(m.running, matches)
+	m.step = slices.DeleteFunc(m.step, matches)
+}
+
+// Busy returns the number of jobs not finished yet.
+func (m *Model) Busy() int { return len(m.waiting) + len(m.running) }
+
+// NextDue returns when Advance has something to do, or false when the engine is idle.
+func (m *Model) NextDue() (time.Duration, bool) {
+	due, any := time.Duration(0), false
+	consider := func(at time.Duration) {
+		if !any || at < due {
+			due, any = at, true
+		}
+	}
+	if m.stepEnd > 0 {
+		consider(m.stepEnd)
+	} else if m.hasStepWork() {
+		consider(m.now)
+	}
+	for _, held := range m.running {
+		if held.copying {
+			consider(held.readyAt)
+		}
+	}
+	if m.loadEnds > 0 {
+		consider(m.loadEnds)
+	}
+	return due, any
+}
+
+// hasStepWork reports whether a step could begin now.
+func (m *Model) hasStepWork() bool {
+	if len(m.waiting) > 0 && len(m.running) < m.rates.MaxBatch {
+		return true
+	}
+	return slices.ContainsFunc(m.running, func(held *sequence) bool { return !held.copying || held.readyAt <= m.now })
+}
+
+// Advance runs the engine up to now and returns what it produced, in order.
+func (m *Model) Advance(now time.Duration) []Output {
+	var outputs []Output
+	for {
+		due, any := m.NextDue()
+		if !any || due > now {
+			break
+		}
+		m.now = max(m.now, due)
+		m.finishLoad()
+		if m.stepEnd > 0 && m.stepEnd <= m.now {
+			outputs = m.endStep(outputs)
+		}
+		if m.stepEnd == 0 {
+			outputs = m.beginStep(outputs)
+		}
+	}
+	m.now = max(m.now, now)
+	m.cache.expire(m.now)
+	m.sampleLoad()
+	return outputs
+}
+
+// beginStep admits waiting jobs, interactive first, and starts one step of prefill and decode.
+func (m *Model) beginStep(outputs []Output) []Output {
+	outputs = m.admitWaiting(outputs)
+	budget := m.rates.ChunkTokens
+	prefill, decoding := 0, 0
+	clear(m.chunk)
+	m.step = m.step[:0]
+	for _, held := range m.byLane() {
+		if held.copying {
+			if held.readyAt > m.now {
+				continue
+			}
+			held.copying = false
+		}
+		if held.toDo == 0 {
+			decoding++
+			m.step = append(m.step, held)
+			continue
+		}
+		if take := min(budget, held.toDo); take > 0 {
+			budget -= take
+			prefill += take
+			m.chunk[held] = take
+			m.step = append(m.step, held)
+		}
+	}
+	if len(m.step) == 0 {
+		return outputs
+	}
+	length := time.Duration(float64(prefill) / m.rates.PrefillTokens * float64(time.Second))
+	if decoding > 0 {
+		length += m.rates.DecodeStep + time.Duration(decoding)*m.rates.DecodePerSeq
+	}
+	m.stepEnd = m.now + max(length, time.Microsecond)
+	return outputs
+}
+
+// byLane returns the running sequences with the interactive lane first, otherwise in order of arrival.
+func (m *Model) byLane() []*sequence {
+	ordered := slices.Clone(m.running)
+	slices.SortStableFunc(ordered, func(a, b *sequence) int { return int(a.job.Lane) - int(b.job.Lane) })
+	return ordered
+}
+
+// admitWaiting moves jobs into the batch. Only as many prefills are open as keep the chunk busy, so that a
+// job whose prefix is being computed finds it in the cache when its turn comes.
+func (m *Model) admitWaiting(outputs []Output) []Output {
+	slices.SortStableFunc(m.waiting, func(a, b *sequence) int { return int(a.job.Lane) - int(b.job.Lane) })
+	for len(m.waiting) > 0 && len(m.running) < m.rates.MaxBatch {
+		next := m.waiting[0]
+		if open := m.openPrefill(next.job.Lane); open >= m.rates.ChunkTokens {
+			break
+		}
+		m.waiting = m.waiting[1:]
+		m.running = append(m.running, next)
+		m.start(next)
+		outputs = append(outputs, Output{Kind: OutputStarted, Job: next.job, Cached: next.cached, Imported: next.imported})
+	}
+	return outputs
+}
+
+// openPrefill is the prefill of running sequences that a new one of the lane would wait for.
+func (m *Model) openPrefill(lane core.Lane) int {
+	open := 0
+	for _, held := range m.running {
+		if held.toDo > 0 && !held.copying && held.job.Lane <= lane {
+			open += held.toDo
+		}
+	}
+	return open
+}
+
+// start looks up the cache, begins a copy if one was asked for and helps, and counts what must be computed.
+func (m *Model) start(held *sequence) {
+	job := held.job
+	matched := 0
+	if held.reuse {
+		matched = m.cache.match(job.Blocks, m.now)
+	}
+	if held.reuse && job.ImportBlocks > matched && m.Import != nil {
+		available := min(m.Import(job.ImportFrom, job.Blocks[:min(job.ImportBlocks, len(job.Blocks))]), len(job.Blocks))
+		if available > matched {
+			tokens := (available - matched) * m.blockTokens
+			held.imported = tokens
+			held.copying = true
+			held.readyAt = m.now + time.Duration(float64(tokens)/m.rates.ImportTokens*float64(time.Second))
+			m.cache.insert(job.Blocks[matched:available], m.now)
+			matched = available
+		}
+	}
+	held.pinned = job.Blocks[:matched]
+	m.cache.pin(held.pinned)
+	held.cached = matched * m.blockTokens
+	held.toDo = max(1, job.PromptTokens+job.ResumeFrom-held.cached)
+	held.computed = job.Blocks[matched:]
+}
+
+// endStep hands out the tokens of the step and finishes sequences.
+func (m *Model) endStep(outputs []Output) []Output {
+	m.stepEnd = 0
+	for _, held := range m.step {
+		if take := m.chunk[held]; take > 0 {
+			held.toDo -= take
+			if held.toDo > 0 {
+				continue
+			}
+			m.prefilled(held)
+		}
+		outputs = append(outputs, Output{
+			Kind: OutputToken, Job: held.job, Index: held.emitted, Cached: held.cached,
+			Imported: held.imported, Computed: held.computed,
+		})
+		held.computed = nil
+		held.emitted++
+	}
+	for _, held := range m.step {
+		if held.toDo == 0 && held.emitted >= held.job.MaxTokens {
+			outputs = append(outputs, Output{Kind: OutputDone, Job: held.job, Index: held.emitted})
+			m.release(held)
+			m.running = slices.DeleteFunc(m.running, func(other *sequence) bool { return other == held })
+		}
+	}
+	return outputs
+}
+
+// prefilled puts the computed blocks into the cache.
+func (m *Model) prefilled(held *sequence) {
+	m.cache.insert(held.computed, m.now)
+	m.cache.pin(held.computed)
+	held.pinned = held.job.Blocks
+}
+
+func (m *Model) release(held *sequence) { m.cache.unpin(held.pinned, m.now) }
+
+// Export returns how many leading blocks of a chain the engine holds, for a copy.
+func (m *Model) Export(now time.Duration, chain []prefix.Hash) int { return m.cache.match(chain, now) }
+
+// Holds returns the same without touching the blocks.
+func (m *Model) Holds(chain []prefix.Hash) int { return m.cache.peek(chain) }
+
+// Snapshot returns every cached block and the sequence of the next event.
+func (m *Model) Snapshot() ([]prefix.Hash, uint64) { return m.cache.list(), m.cache.sequence }
--- /dev/null
+++ b/internal/lab/engine/report.go
@@ -0,0 +1,124 @@
+package engine
+
+import (
+	"time"
+
+	"kitetiller/internal/control"
+	"kitetiller/internal/core"
+	"kitetiller/internal/guard"
+)
+
+// loadSamplesKept bounds the history from which lagging reports are taken.
+const loadSamplesKept = 64
+
+// sampleLoad records the true load, at most every few milliseconds.
+func (m *Model) sampleLoad() {
+	if n := len(m.loads); n > 0 && m.now < m.loads[n-1].at+5*time.Millisecond {
+		return
+	}
+	m.loads = append(m.loads, loadSample{at: m.now, load: m.TrueLoad()})
+	if len(m.loads) > loadSamplesKept {
+		m.loads = m.loads[1:]
+	}
+}
+
+// TrueLoad returns the load without lag.
+func (m *Model) TrueLoad() core.Load {
+	load := core.Load{
+		Running: len(m.running), Waiting: len(m.waiting), PrefillRate: m.rates.PrefillTokens, EvictionAge: m.cache.evictionAge(),
+	}
+	count := func(tokens int, lane core.Lane) {
+		load.WaitingTokens += tokens
+		if lane == core.LaneInteractive {
+			load.InteractiveTokens += tokens
+		}
+	}
+	for _, held := range m.running {
+		count(held.toDo, held.job.Lane)
+	}
+	for _, held := range m.waiting {
+		known := 0
+		if held.reuse {
+			known = m.cache.peek(held.job.Blocks) * m.blockTokens
+		}
+		count(max(1, held.job.PromptTokens-known), held.job.Lane)
+	}
+	return load
+}
+
+// laggedLoad returns the newest load that is at least LoadLag old.
+func (m *Model) laggedLoad() core.Load {
+	for i := len(m.loads) - 1; i >= 0; i-- {
+		if age := m.now - m.loads[i].at; age >= m.rates.LoadLag || i == 0 {
+			load := m.loads[i].load
+			load.Age = age
+			return load
+		}
+	}
+	return m.TrueLoad()
+}
+
+// Report returns the answer to a state poll with the events after a sequence.
+func (m *Model) Report(now time.Duration, after uint64) core.BackendReport {
+	m.now = max(m.now, now)
+	m.sampleLoad()
+	events, next := m.cache.eventsAfter(after, m.now-m.rates.EventLag)
+	return core.BackendReport{
+		Incarnation: m.Incarnation, Weights: m.Weights, Loading: m.loadEnds > 0, Leaving: m.leaving,
+		Load: m.laggedLoad(), Events: events, NextSequence: next,
+	}
+}
+
+// Fence returns the highest fence seen.
+func (m *Model) Fence() control.Fence { return m.fence }
+
+// Loading reports whether weights are being loaded.
+func (m *Model) Loading() bool { return m.loadEnds > 0 }
+
+// Order takes a fenced call. It returns false when a higher fence was seen before, or the order was meant
+// for an earlier life. loadTime is how long the weights take to load now.
+func (m *Model) Order(now time.Duration, call control.EngineCall, loadTime time.Duration) bool {
+	m.now = max(m.now, now)
+	if m.guards.On(guard.FenceCheck) && call.Fence.Less(m.fence) {
+		return false
+	}
+	if call.Order != nil && call.Order.Incarnation != m.Incarnation {
+		return false
+	}
+	m.fence = call.Fence
+	if call.Order == nil || call.Order.Weights == m.Weights || m.loadEnds > 0 {
+		return true
+	}
+	m.loading = call.Order.Weights
+	m.loadEnds = m.now + loadTime
+	return true
+}
+
+func (m *Model) finishLoad() {
+	if m.loadEnds == 0 || m.now < m.loadEnds {
+		return
+	}
+	m.Weights = m.loading
+	m.loadEnds = 0
+}
+
+// FailLoad gives up a load whose weights could not be fetched; the old weights stay.
+func (m *Model) FailLoad() { m.loadEnds = 0 }
+
+// LoadTime returns the time to load weights when count engines load at once and the store serves limit at
+// full speed.
+func LoadTime(alone time.Duration, count, limit int) time.Duration {
+	if count <= limit {
+		return alone
+	}
+	return time.Duration(float64(alone) * float64(count) / float64(limit))
+}
+
+// CompleteLoad ends a load whose length was not known in advance.
+func (m *Model) CompleteLoad(now time.Duration) {
+	m.now = max(m.now, now)
+	if m.loadEnds > 0 {
+		m.loadEnds = m.now
+		m.finishLoad()
+	}
+}
--- /dev/null
+++ b/internal/lab/load/completion.go
@@ -0,0 +1,214 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"kitetiller/internal/api"
+	"kitetiller/internal/lab/standin"
+	"kitetiller/internal/lab/traffic"
+)
+
+const maximumLine = 1 << 20
+
+// completion sends one prompt, streamed or not, and checks the answer.
+func (r *runner) completion(ctx context.Context, number int, prompt traffic.Prompt, random *rand.Rand) {
+	body := api.CompletionRequest{
+		Model: r.options.Deployment.Model.Name, Prompt: prompt.Text, MaxTokens: prompt.MaxTokens,
+		Stream: random.Float64() < streamShare, Seed: uint64(number) + 1,
+	}
+	path := "/v1/completions"
+	if random.IntN(2) == 0 {
+		path = "/v1/chat/completions"
+		body.Messages, body.Prompt = []api.ChatMessage{{Role: "user", Content: prompt.Text}}, ""
+	}
+	expect := expectation{digest: xxhash.Sum64String(body.Text()), seed: body.Seed, tokens: body.MaxTokens}
+	bounded, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if r.options.HangUps && body.Stream && random.Float64() < hangUpShare {
+		expect.hangUpAfter = 1 + random.IntN(5)
+	}
+	r.count(func(result *Result) { result.Requests++ })
+	started := time.Now()
+	response, err := r.send(bounded, r.router(random), path, r.key(random), "", mustJSON(body))
+	if err != nil {
+		r.count(func(result *Result) { result.Broken++ })
+		return
+	}
+	defer response.Body.Close()
+	switch {
+	case response.StatusCode != http.StatusOK:
+		r.refusal(response)
+	case body.Stream:
+		r.checkStream(response.Body, expect, started)
+	default:
+		r.checkWhole(response.Body, expect, started)
+	}
+}
+
+// expectation is what the answer to a prompt must be.
+type expectation struct {
+	digest      uint64
+	seed        uint64
+	tokens      int
+	hangUpAfter int // tokens; 0 never
+}
+
+func (e expectation) text(index int) string { return standin.TokenText(e.digest, e.seed, index) }
+
+func mustJSON(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic("load: request cannot be encoded: " + err.Error())
+	}
+	return data
+}
+
+func (r *runner) send(ctx context.Context, router, path, key, idempotencyKey string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil // never send twice by itself
+	request.Header.Set("Authorization", "Bearer "+key)
+	if idempotencyKey != "" {
+		request.Header.Set(api.HeaderIdempotencyKey, idempotencyKey)
+	}
+	return r.client.Do(request)
+}
+
+// refusal counts an error answer.
+func (r *runner) refusal(response *http.Response) api.Problem {
+	var problem api.Problem
+	_ = json.NewDecoder(response.Body).Decode(&problem) // an unreadable one counts as a refusal without reason
+	r.count(func(result *Result) {
+		result.Refused++
+		result.Reasons[strings.TrimPrefix(problem.Type, "urn:kitetiller:")+"/"+string(problem.Run)]++
+	})
+	return problem
+}
+
+// checkStream reads server-sent events and checks each token.
+func (r *runner) checkStream(body io.Reader, expect expectation, started time.Time) {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(make([]byte, 0, 4096), maximumLine)
+	next, failed := 0, false
+	position := 0
+	for scanner.Scan() {
+		line := scanner.Text()
+		if _, err := fmt.Sscanf(line, "id: %d", &position); err == nil {
+			continue
+		}
+		failed = failed || strings.HasPrefix(line, "event: error")
+		data, found := strings.CutPrefix(line, "data: ")
+		switch {
+		case !found:
+		case data == api.StreamEnd:
+			r.streamEnded(next, expect)
+			return
+		case failed:
+			r.count(func(result *Result) { result.Errors++ })
+			return
+		default:
+			if next == 0 {
+				r.sawFirst(started)
+			}
+			next = r.checkChunk(data, position, next, expect)
+			if expect.hangUpAfter > 0 && next >= expect.hangUpAfter {
+				r.count(func(result *Result) { result.HungUp++ })
+				return
+			}
+		}
+	}
+	r.count(func(result *Result) {
+		if scanner.Err() != nil {
+			result.Broken++
+		} else {
+			result.Lost++
+		}
+	})
+}
+
+func (r *runner) sawFirst(started time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_ = r.first.RecordValue(time.Since(started).Microseconds()) // beyond the range only after the timeout
+}
+
+// checkChunk checks one token's position and text and returns the next position.
+func (r *runner) checkChunk(data string, position, next int, expect expectation) int {
+	var chunk api.CompletionResponse
+	if json.Unmarshal([]byte(data), &chunk) != nil || len(chunk.Choices) != 1 {
+		r.count(func(result *Result) { result.WrongAnswer++ })
+		return next
+	}
+	choice := chunk.Choices[0]
+	if choice.FinishReason != nil {
+		return next
+	}
+	text := choice.Text
+	if choice.Delta != nil {
+		text = choice.Delta.Content
+	}
+	r.count(func(result *Result) {
+		switch {
+		case position < next:
+			result.Duplicated++
+		case position > next:
+			result.OutOfOrder++
+		case text != expect.text(position):
+			result.WrongAnswer++
+		}
+	})
+	return max(next, position+1)
+}
+
+func (r *runner) streamEnded(tokens int, expect expectation) {
+	r.count(func(result *Result) {
+		if tokens != expect.tokens {
+			result.Lost++
+			return
+		}
+		result.Complete++
+	})
+}
+
+// checkWhole compares a whole answer.
+func (r *runner) checkWhole(body io.Reader, expect expectation, started time.Time) {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		r.count(func(result *Result) { result.Broken++ })
+		return
+	}
+	var answer api.CompletionResponse
+	var wanted strings.Builder
+	for i := range expect.tokens {
+		wanted.WriteString(expect.text(i))
+	}
+	right := json.Unmarshal(data, &answer) == nil && len(answer.Choices) == 1
+	if right {
+		text := answer.Choices[0].Text
+		if answer.Choices[0].Message != nil {
+			text = answer.Choices[0].Message.Content
+		}
+		right = text == wanted.String()
+	}
+	_ = started // whole answers have no first token of their own
+	r.count(func(result *Result) {
+		if right {
+			result.Complete++
+		} else {
+			result.WrongAnswer++
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/load/service.go
@@ -0,0 +1,163 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/api"
+	"kitetiller/internal/core"
+	"kitetiller/internal/lab/standin"
+)
+
+const (
+	resendTries = 6
+	resendPause = 300 * time.Millisecond
+	runsTimeout = 5 * time.Second
+)
+
+// smallService sends a non-repeatable request, sometimes twice at once to two routers, and sends it again
+// with the same key while its result is not known.
+func (r *runner) smallService(ctx context.Context, number int, random *rand.Rand) {
+	idempotencyKey := fmt.Sprintf("load-%d-%d", r.options.Seed, number)
+	body := fmt.Appendf(nil, serviceBodyFormat, number, random.IntN(90))
+	apiKey := r.key(random)
+	r.count(func(result *Result) { result.Requests++; r.sent[idempotencyKey] = true })
+	started := time.Now()
+	var answers sync.WaitGroup
+	outcomes := make([]serviceOutcome, 1)
+	if random.Float64() < resendShare {
+		outcomes = make([]serviceOutcome, 2)
+	}
+	for i := range outcomes {
+		local := rand.New(rand.NewPCG(random.Uint64(), 11))
+		answers.Go(func() { outcomes[i] = r.sendService(ctx, idempotencyKey, apiKey, body, local) })
+	}
+	answers.Wait()
+	r.countService(idempotencyKey, outcomes, started)
+}
+
+// serviceOutcome is what one sender finally learned.
+type serviceOutcome struct {
+	complete bool
+	wrong    bool
+	broken   bool
+	problem  *api.Problem
+}
+
+// sendService sends until it has an answer or a refusal that will not change.
+func (r *runner) sendService(ctx context.Context, idempotencyKey, apiKey string, body []byte, random *rand.Rand) serviceOutcome {
+	var last serviceOutcome
+	for try := 0; try < resendTries && ctx.Err() == nil; try++ {
+		last = r.sendServiceOnce(ctx, idempotencyKey, apiKey, body, random)
+		if !last.again() {
+			return last
+		}
+		time.Sleep(resendPause)
+	}
+	return last
+}
+
+// again reports whether sending once more can help.
+func (o serviceOutcome) again() bool {
+	return o.broken || (o.problem != nil && o.problem.RetryAfter > 0)
+}
+
+func (r *runner) sendServiceOnce(ctx context.Context, idempotencyKey, apiKey string, body []byte, random *rand.Rand) serviceOutcome {
+	response, err := r.send(ctx, r.router(random), "/v1/services/"+r.options.Deployment.Small.Name, apiKey, idempotencyKey, body)
+	if err != nil {
+		return serviceOutcome{broken: true}
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		problem := &api.Problem{}
+		if json.NewDecoder(response.Body).Decode(problem) != nil {
+			return serviceOutcome{broken: true}
+		}
+		return serviceOutcome{problem: problem}
+	}
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return serviceOutcome{broken: true}
+	}
+	return serviceOutcome{complete: true, wrong: !bytes.Equal(data, standin.ServiceAnswer(body))}
+}
+
+// countService counts one request by the best of what its senders learned.
+func (r *runner) countService(idempotencyKey string, outcomes []serviceOutcome, started time.Time) {
+	r.count(func(result *Result) {
+		_ = r.service.RecordValue(time.Since(started).Microseconds()) // beyond the range only after the timeout
+		best := outcomes[0]
+		for _, outcome := range outcomes {
+			if outcome.wrong {
+				result.WrongAnswer++
+			}
+			if outcome.complete {
+				best = outcome
+			}
+		}
+		switch {
+		case best.complete:
+			result.Complete++
+		case best.problem != nil:
+			result.Refused++
+			result.Reasons[best.problem.Type+"/"+string(best.problem.Run)]++
+			allNotRun := true
+			for _, outcome := range outcomes {
+				allNotRun = allNotRun && outcome.problem != nil && outcome.problem.Run == core.RunNot
+			}
+			r.notRun[idempotencyKey] = allNotRun
+		default:
+			result.Broken++
+		}
+	})
+}
+
+// checkRuns reads what the small services ran: no key twice, and none that was refused as not run.
+func (r *runner) checkRuns() error {
+	seen := map[string]int{}
+	for _, address := range r.options.Backends {
+		runs, err := r.readRuns(address)
+		if err != nil {
+			return err
+		}
+		for _, run := range runs {
+			if r.sent[run.Key] {
+				seen[run.Key]++
+			}
+		}
+	}
+	for key, count := range seen {
+		if count > 1 {
+			r.result.Duplicated += count - 1
+		}
+		if r.notRun[key] {
+			r.result.FalseNotRun++
+		}
+	}
+	return nil
+}
+
+func (r *runner) readRuns(address string) ([]api.RunRecord, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), runsTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+api.PathRuns, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "make request")
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return nil, eris.Wrapf(err, "read the runs of %s", address)
+	}
+	defer response.Body.Close()
+	var runs []api.RunRecord
+	return runs, eris.Wrap(json.NewDecoder(response.Body).Decode(&runs), "decode runs")
+}
--- /dev/null
+++ b/internal/lab/standin/engine.go
@@ -0,0 +1,315 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"kitetiller/internal/api"
+	"kitetiller/internal/control"
+	"kitetiller/internal/core"
+	"kitetiller/internal/guard"
+	"kitetiller/internal/lab/engine"
+	"kitetiller/internal/prefix"
+	"kitetiller/internal/transport"
+)
+
+const (
+	jobRing       = 4096 // tokens that may wait for a slow router before the job is cancelled
+	idleAdvance   = 50 * time.Millisecond
+	busyAdvice    = 200 * time.Millisecond
+	kvTimeout     = time.Second
+	fetchTimeout  = 30 * time.Second
+	unlimitedLoad = time.Hour // the weight store decides when a load ends
+)
+
+// EngineConfig is what an engine process needs to start.
+type EngineConfig struct {
+	Name        string
+	Zone        string
+	Service     string
+	Listen      string
+	Weights     string // loaded at the start
+	WeightStore string
+	BlockTokens int
+	Rates       engine.Rates
+}
+
+// Engine is a model engine process.
+type Engine struct {
+	config EngineConfig
+	log    *zap.Logger
+	start  time.Time
+	client *transport.Client
+	wake   chan struct{}
+
+	mutex sync.Mutex
+	model *engine.Model
+}
+
+// jobState joins a job of the model to the response that streams it.
+type jobState struct {
+	outputs chan engine.Output
+}
+
+// NewEngine returns an engine with a new incarnation and an empty cache.
+func NewEngine(config EngineConfig, log *zap.Logger) *Engine {
+	incarnation := uint64(time.Now().UnixNano())
+	e := &Engine{
+		config: config, log: log, start: time.Now(), wake: make(chan struct{}, 1),
+		client: transport.NewClient("", nil),
+		model:  engine.New(config.Name, incarnation, config.Weights, config.Rates, config.BlockTokens, incarnation, guard.Set{}),
+	}
+	e.model.Import = e.importFrom
+	return e
+}
+
+func (e *Engine) now() time.Duration { return time.Since(e.start) }
+
+// Run serves until ctx ends.
+func (e *Engine) Run(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+api.PathGenerate, e.serveGenerate)
+	mux.HandleFunc("GET "+api.PathState, e.serveState)
+	mux.HandleFunc("GET "+api.PathCache, e.serveCache)
+	mux.HandleFunc("POST "+api.PathOrders, e.serveOrder)
+	mux.HandleFunc("POST "+api.PathKVMatch, e.serveMatch)
+	mux.HandleFunc("POST /v1/leave", e.serveLeave)
+	go e.advance(ctx)
+	return serve(ctx, e.config.Listen, mux, e.log)
+}
+
+// advance is the thread that runs the model in real time.
+func (e *Engine) advance(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.wake:
+		case <-timer.C:
+		}
+		timer.Reset(e.step())
+	}
+}
+
+func (e *Engine) step() time.Duration {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, output := range e.model.Advance(e.now()) {
+		state := output.Job.UserData.(*jobState)
+		select {
+		case state.outputs <- output:
+		default:
+			e.model.Cancel(output.Job.Origin, output.Job.Attempt)
+		}
+	}
+	due, any := e.model.NextDue()
+	if !any {
+		return idleAdvance
+	}
+	return max(0, min(due-e.now(), idleAdvance))
+}
+
+func (e *Engine) nudge() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	var request api.GenerateRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	state := &jobState{outputs: make(chan engine.Output, jobRing)}
+	job := &engine.Job{
+		Attempt: request.Attempt, Origin: request.Router, Tenant: request.Tenant, Blocks: request.Blocks,
+		PromptTokens: request.PromptTokens, MaxTokens: request.MaxTokens, ResumeFrom: request.ResumeFrom,
+		Lane: request.Lane, Incarnation: request.Incarnation, Weights: request.Weights, RelyTokens: request.RelyTokens,
+		ImportFrom: request.ImportFrom, ImportBlocks: request.ImportBlocks, UserData: state,
+	}
+	e.mutex.Lock()
+	result := e.model.Submit(e.now(), job)
+	incarnation := e.model.Incarnation
+	e.mutex.Unlock()
+	if refusal, refused := refusalOf(result); refused {
+		writeJSON(w, http.StatusServiceUnavailable, refusal)
+		return
+	}
+	e.nudge()
+	e.stream(w, r, request, job, result == engine.TakenWithoutReuse, incarnation)
+}
+
+// refusalOf returns the answer to a job that was not taken.
+func refusalOf(result engine.SubmitResult) (api.BackendRefusal, bool) {
+	refusal := api.BackendRefusal{Run: core.RunNot, RetryAfterMS: busyAdvice.Milliseconds()}
+	switch result {
+	case engine.RefusedLeaving:
+		refusal.Leaving = true
+		return refusal, true
+	case engine.RefusedBusy, engine.RefusedLoading:
+		return refusal, true
+	}
+	return refusal, false
+}
+
+// stream writes a job's outputs as server-sent events; a closed connection cancels the job.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, request api.GenerateRequest, job *engine.Job, noReuse bool, incarnation uint64) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	controller := http.NewResponseController(w)
+	digest := xxhash.Sum64String(request.Prompt)
+	outputs := job.UserData.(*jobState).outputs
+	for {
+		select {
+		case <-r.Context().Done():
+			e.mutex.Lock()
+			e.model.Cancel(job.Origin, job.Attempt)
+			e.mutex.Unlock()
+			return
+		case output := <-outputs:
+			event := e.eventOf(output, request, digest)
+			if output.Kind == engine.OutputStarted {
+				event.Incarnation, event.NoReuse = incarnation, noReuse
+			}
+			data, _ := json.Marshal(event) // plain struct, cannot fail
+			if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
+				continue // the context ends soon
+			}
+			if len(outputs) == 0 {
+				_ = controller.Flush() // a broken connection shows in the context
+			}
+			if output.Kind == engine.OutputDone {
+				return
+			}
+		}
+	}
+}
+
+func (e *Engine) eventOf(output engine.Output, request api.GenerateRequest, digest uint64) api.GenerateEvent {
+	event := api.GenerateEvent{Attempt: request.Attempt, Index: output.Index}
+	switch output.Kind {
+	case engine.OutputStarted:
+		event.Kind, event.Cached, event.Imported = api.GenerateStarted, output.Cached, output.Imported
+	case engine.OutputToken:
+		event.Kind, event.Text = api.GenerateToken, TokenText(digest, request.Seed, output.Index)
+	case engine.OutputDone:
+		event.Kind = api.GenerateDone
+		event.Kept = e.keep(request)
+	}
+	return event
+}
+
+// keep stores the asked-for prefix in the vault.
+func (e *Engine) keep(request api.GenerateRequest) int {
+	if request.KeepBlocks == 0 || request.Vault == "" {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), kvTimeout)
+	defer cancel()
+	blocks := request.Blocks[:min(request.KeepBlocks, len(request.Blocks))]
+	var reply api.KVReply
+	if err := e.client.Post(ctx, request.Vault, api.PathKVKeep, api.KVRequest{Blocks: blocks}, &reply); err != nil {
+		return 0
+	}
+	return reply.Held
+}
+
+// importFrom asks another engine or the vault how much of a chain it can give. It is called with the mutex
+// held, so it is bounded tightly.
+func (e *Engine) importFrom(source string, chain []prefix.Hash) int {
+	ctx, cancel := context.WithTimeout(context.Background(), busyAdvice)
+	defer cancel()
+	var reply api.KVReply
+	if err := e.client.Post(ctx, source, api.PathKVMatch, api.KVRequest{Blocks: chain}, &reply); err != nil {
+		return 0
+	}
+	return reply.Held
+}
+
+func (e *Engine) serveState(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64) // missing means from the start
+	e.mutex.Lock()
+	report := e.model.Report(e.now(), after)
+	fence := e.model.Fence()
+	e.mutex.Unlock()
+	if r.URL.Query().Get("events") == "none" {
+		report.Events = nil
+	}
+	writeJSON(w, http.StatusOK, api.StateReply{Report: report, Engine: control.EngineReport{
+		Name: e.config.Name, Zone: e.config.Zone, Service: e.config.Service, Address: e.config.Listen,
+		Incarnation: report.Incarnation, Weights: report.Weights, Loading: report.Loading, Fence: fence,
+	}})
+}
+
+func (e *Engine) serveCache(w http.ResponseWriter, _ *http.Request) {
+	e.mutex.Lock()
+	blocks, sequence := e.model.Snapshot()
+	reply := api.CacheReply{Incarnation: e.model.Incarnation, Sequence: sequence, Blocks: blocks}
+	e.mutex.Unlock()
+	writeJSON(w, http.StatusOK, reply)
+}
+
+func (e *Engine) serveMatch(w http.ResponseWriter, r *http.Request) {
+	var request api.KVRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	if !e.mutex.TryLock() { // two engines that copy from each other must not wait for each other
+		writeJSON(w, http.StatusOK, api.KVReply{})
+		return
+	}
+	held := e.model.Export(e.now(), request.Blocks)
+	e.mutex.Unlock()
+	writeJSON(w, http.StatusOK, api.KVReply{Held: held})
+}
+
+func (e *Engine) serveLeave(w http.ResponseWriter, _ *http.Request) {
+	e.mutex.Lock()
+	e.model.SetLeaving(true)
+	e.mutex.Unlock()
+	w.WriteHeader(http.StatusOK)
+}
+
+// serveOrder takes a fenced order. Weights come from the rate-limited store.
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var call control.EngineCall
+	if !readJSON(w, r, &call) {
+		return
+	}
+	e.mutex.Lock()
+	loadingBefore := e.model.Loading()
+	accepted := e.model.Order(e.now(), call, unlimitedLoad)
+	begins := !loadingBefore && e.model.Loading()
+	fence := e.model.Fence()
+	e.mutex.Unlock()
+	if begins {
+		go e.load(call.Order.Weights)
+	}
+	writeJSON(w, http.StatusOK, api.OrderReply{Accepted: accepted, Fence: fence})
+}
+
+func (e *Engine) load(weights string) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	err := e.client.Post(ctx, e.config.WeightStore, api.PathFetch, api.FetchRequest{Engine: e.config.Name, Weights: weights}, nil)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if err != nil {
+		e.log.Warn("weights not fetched; the old ones stay", zap.String("weights", weights), zap.Error(err))
+		e.model.FailLoad()
+		return
+	}
+	e.model.CompleteLoad(e.now())
+	e.nudge()
+	e.log.Info("weights loaded", zap.String("weights", weights))
+}
--- /dev/null
+++ b/internal/lab/standin/serve.go
@@ -0,0 +1,39 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	closeTimeout  = time.Second
+)
+
+// serve runs an HTTP server until ctx ends.
+func serve(ctx context.Context, address string, handler http.Handler, log *zap.Logger) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	log.Info("stand-in started", zap.String("listen", address))
+	select {
+	case err := <-failed:
+		return eris.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := server.Shutdown(closing); err != nil {
+		return eris.Wrap(server.Close(), "close")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/standin/service.go
@@ -0,0 +1,119 @@
+package standin
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/api"
+	"kitetiller/internal/control"
+	"kitetiller/internal/core"
+	"kitetiller/internal/ledger"
+)
+
+// ServiceConfig is what a small service process needs to start.
+type ServiceConfig struct {
+	Name        string
+	Zone        string
+	Service     string
+	Listen      string
+	ServiceTime time.Duration
+	DropAfter   float64 // share of requests that run and then lose their connection
+	DropBefore  float64 // share of requests that are read and dropped without running
+}
+
+// Service is a small back end whose requests may not be repeated. It remembers every run.
+type Service struct {
+	config      ServiceConfig
+	log         *zap.Logger
+	incarnation uint64
+
+	mutex   sync.Mutex
+	runs    []api.RunRecord
+	running int
+	leaving bool
+}
+
+// NewService returns a service that has run nothing yet.
+func NewService(config ServiceConfig, log *zap.Logger) *Service {
+	return &Service{config: config, log: log, incarnation: uint64(time.Now().UnixNano())}
+}
+
+// Run serves until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+api.PathRun, s.serveRun)
+	mux.HandleFunc("GET "+api.PathState, s.serveState)
+	mux.HandleFunc("GET "+api.PathRuns, s.serveRuns)
+	mux.HandleFunc("POST /v1/leave", s.serveLeave)
+	return serve(ctx, s.config.Listen, mux, s.log)
+}
+
+func (s *Service) serveRun(w http.ResponseWriter, r *http.Request) {
+	var request api.RunRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	if rand.Float64() < s.config.DropBefore {
+		panic(http.ErrAbortHandler) // the connection dies after the request was read
+	}
+	if !s.begin(request) {
+		writeJSON(w, http.StatusServiceUnavailable, api.BackendRefusal{Run: core.RunNot, Leaving: true})
+		return
+	}
+	time.Sleep(s.config.ServiceTime)
+	s.end()
+	if rand.Float64() < s.config.DropAfter {
+		panic(http.ErrAbortHandler) // it ran, but the answer is lost
+	}
+	answer := ledger.Answer{Status: http.StatusOK, ContentType: "application/json", Body: ServiceAnswer(request.Body)}
+	writeJSON(w, http.StatusOK, api.RunResponse{Attempt: request.Attempt, Answer: answer})
+}
+
+// begin records a run, unless the service is leaving.
+func (s *Service) begin(request api.RunRequest) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.leaving {
+		return false
+	}
+	s.running++
+	s.runs = append(s.runs, api.RunRecord{
+		Tenant: request.Tenant, Key: request.Key, Request: request.Request,
+		Digest: ledger.Digest(request.Body), UnixMS: time.Now().UnixMilli(),
+	})
+	return true
+}
+
+func (s *Service) end() {
+	s.mutex.Lock()
+	s.running--
+	s.mutex.Unlock()
+}
+
+func (s *Service) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	s.mutex.Lock()
+	runs := append([]api.RunRecord{}, s.runs...)
+	s.mutex.Unlock()
+	writeJSON(w, http.StatusOK, runs)
+}
+
+func (s *Service) serveLeave(w http.ResponseWriter, _ *http.Request) {
+	s.mutex.Lock()
+	s.leaving = true
+	s.mutex.Unlock()
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Service) serveState(w http.ResponseWriter, _ *http.Request) {
+	s.mutex.Lock()
+	report := core.BackendReport{Incarnation: s.incarnation, Leaving: s.leaving, Load: core.Load{Running: s.running}}
+	s.mutex.Unlock()
+	writeJSON(w, http.StatusOK, api.StateReply{Report: report, Engine: control.EngineReport{
+		Name: s.config.Name, Zone: s.config.Zone, Service: s.config.Service, Address: s.config.Listen, Incarnation: s.incarnation,
+	}})
+}
--- /dev/null
+++ b/internal/lab/standin/stores.go
@@ -0,0 +1,195 @@
+package standin
+
+import (
+	"container/list"
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/api"
+	"kitetiller/internal/core"
+	"kitetiller/internal/lab/engine"
+	"kitetiller/internal/prefix"
+)
+
+// VaultConfig is what a KV store process needs to start.
+type VaultConfig struct {
+	Listen string
+	Blocks int // blocks kept; the least recently used go first
+}
+
+// Vault is a store of kept KV cache.
+type Vault struct {
+	config VaultConfig
+	log    *zap.Logger
+	mutex  sync.Mutex
+	places map[prefix.Hash]*list.Element
+	order  *list.List // front is the oldest; values are prefix.Hash
+}
+
+// NewVault returns an empty store.
+func NewVault(config VaultConfig, log *zap.Logger) *Vault {
+	return &Vault{config: config, log: log, places: map[prefix.Hash]*list.Element{}, order: list.New()}
+}
+
+// Run serves until ctx ends.
+func (v *Vault) Run(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+api.PathKVMatch, func(w http.ResponseWriter, r *http.Request) {
+		var request api.KVRequest
+		if readJSON(w, r, &request) {
+			writeJSON(w, http.StatusOK, api.KVReply{Held: v.Match(request.Blocks)})
+		}
+	})
+	mux.HandleFunc("POST "+api.PathKVKeep, func(w http.ResponseWriter, r *http.Request) {
+		var request api.KVRequest
+		if readJSON(w, r, &request) {
+			v.Keep(request.Blocks)
+			writeJSON(w, http.StatusOK, api.KVReply{Held: v.Match(request.Blocks)})
+		}
+	})
+	return serve(ctx, v.config.Listen, mux, v.log)
+}
+
+// Match returns how many leading blocks are held and marks them as used.
+func (v *Vault) Match(chain []prefix.Hash) int {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	matched := 0
+	for matched < len(chain) && v.places[chain[matched]] != nil {
+		matched++
+	}
+	for i := matched - 1; i >= 0; i-- {
+		v.order.MoveToBack(v.places[chain[i]])
+	}
+	return matched
+}
+
+// Keep stores the blocks of a chain.
+func (v *Vault) Keep(chain []prefix.Hash) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	for _, hash := range chain {
+		if v.places[hash] == nil {
+			v.places[hash] = v.order.PushBack(hash)
+		}
+	}
+	for v.order.Len() > v.config.Blocks {
+		oldest := v.order.Front()
+		delete(v.places, oldest.Value.(prefix.Hash))
+		v.order.Remove(oldest)
+	}
+}
+
+// WeightsConfig is what a weight store process needs to start.
+type WeightsConfig struct {
+	Listen     string
+	LoadTime   time.Duration // of one engine alone
+	Concurrent int           // engines served at full speed
+}
+
+// Weights is the rate-limited weight store.
+type Weights struct {
+	config WeightsConfig
+	log    *zap.Logger
+	mutex  sync.Mutex
+	active int
+}
+
+// NewWeights returns a store.
+func NewWeights(config WeightsConfig, log *zap.Logger) *Weights {
+	return &Weights{config: config, log: log}
+}
+
+// Run serves until ctx ends.
+func (s *Weights) Run(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+api.PathFetch, s.serveFetch)
+	return serve(ctx, s.config.Listen, mux, s.log)
+}
+
+func (s *Weights) serveFetch(w http.ResponseWriter, r *http.Request) {
+	var request api.FetchRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	s.mutex.Lock()
+	s.active++
+	length := engine.LoadTime(s.config.LoadTime, s.active, s.config.Concurrent)
+	s.mutex.Unlock()
+	time.Sleep(length)
+	s.mutex.Lock()
+	s.active--
+	s.mutex.Unlock()
+	w.WriteHeader(http.StatusOK)
+}
+
+// PlatformConfig is what the machine list process needs to start.
+type PlatformConfig struct {
+	Listen   string
+	Lag      time.Duration // age of the list that is shown
+	Machines []core.Machine
+}
+
+// Platform is the lagging list of live and leaving machines.
+type Platform struct {
+	config  PlatformConfig
+	log     *zap.Logger
+	mutex   sync.Mutex
+	history []listing
+}
+
+// listing is the list as of a time.
+type listing struct {
+	at       time.Time
+	machines []core.Machine
+}
+
+// NewPlatform returns a list that shows its first content without lag.
+func NewPlatform(config PlatformConfig, log *zap.Logger) *Platform {
+	return &Platform{config: config, log: log, history: []listing{{machines: config.Machines}}}
+}
+
+// Run serves until ctx ends.
+func (p *Platform) Run(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+api.PathMachines, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, api.MachinesReply{Machines: p.shown(time.Now())})
+	})
+	mux.HandleFunc("POST "+api.PathMachines, p.serveEdit)
+	return serve(ctx, p.config.Listen, mux, p.log)
+}
+
+// shown returns the newest list that is older than the lag.
+func (p *Platform) shown(now time.Time) []core.Machine {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for len(p.history) > 1 && now.Sub(p.history[1].at) >= p.config.Lag {
+		p.history = p.history[1:]
+	}
+	return p.history[0].machines
+}
+
+func (p *Platform) serveEdit(w http.ResponseWriter, r *http.Request) {
+	var edit api.MachineEdit
+	if !readJSON(w, r, &edit) {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var next []core.Machine
+	for _, machine := range p.history[len(p.history)-1].machines {
+		if machine.Name == edit.Name {
+			if edit.Removed {
+				continue
+			}
+			machine.Leaving = edit.Leaving
+		}
+		next = append(next, machine)
+	}
+	p.history = append(p.history, listing{at: time.Now(), machines: next})
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/lab/traffic/traffic.go
@@ -0,0 +1,198 @@
+// Package traffic makes the two users' requests: long prompts with deeply nested shared prefixes, quick
+// questions, a few very hot templates, and shifts of what is hot.
+package traffic
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"kitetiller/internal/lab/plan"
+	"kitetiller/internal/prefix"
+)
+
+// Prompt is one request of the model service.
+type Prompt struct {
+	At        time.Duration
+	Zone      string
+	Tenant    string
+	Short     bool
+	Text      string
+	MaxTokens int
+}
+
+// Generator makes a fixed sequence of prompts from a seed.
+type Generator struct {
+	deployment *plan.Deployment
+	random     *rand.Rand
+	now        time.Duration
+	rate       float64
+	tenants    []tenant
+	shift      int // raised at each shift: other templates become hot
+	followUps  []followUp
+	documents  int
+}
+
+// tenant is the state of one tenant's callers.
+type tenant struct {
+	name     string
+	zone     string
+	share    float64
+	preamble string
+	texts    map[int]string // template texts
+}
+
+// followUp is a later question about a document that was asked about before.
+type followUp struct {
+	at     time.Duration
+	prompt Prompt
+	prefix string
+	left   int
+}
+
+// New returns a generator. scale multiplies the deployment's request rate.
+func New(deployment *plan.Deployment, seed uint64, scale float64) *Generator {
+	g := &Generator{
+		deployment: deployment, random: rand.New(rand.NewPCG(seed, 7)),
+		rate: deployment.Traffic.RequestsPerSecond * scale,
+	}
+	for i, listed := range deployment.Tenants {
+		g.tenants = append(g.tenants, tenant{
+			name: listed.Name, share: listed.Share, zone: deployment.Zones[i%len(deployment.Zones)],
+			preamble: filler(fmt.Sprintf("preamble of %s", listed.Name), deployment.Traffic.PreambleTokens),
+			texts:    map[int]string{},
+		})
+	}
+	return g
+}
+
+// filler returns text of a length in tokens that is unlike any other text with another label.
+func filler(label string, tokens int) string {
+	size := tokens * prefix.BytesPerToken
+	var text strings.Builder
+	for line := 0; text.Len() < size; line++ {
+		fmt.Fprintf(&text, "%s, line %d. ", label, line)
+	}
+	return text.String()[:size]
+}
+
+// Shift makes other templates hot, as at the start of transcript season or a shift change.
+func (g *Generator) Shift() { g.shift++ }
+
+// SetRate changes the request rate, as demand follows the sun.
+func (g *Generator) SetRate(requestsPerSecond float64) { g.rate = requestsPerSecond }
+
+// Next returns the next prompt in order of time.
+func (g *Generator) Next() Prompt {
+	gap := time.Duration(g.random.ExpFloat64() / g.firstRate() * float64(time.Second))
+	next := g.now + gap
+	if due, found := g.dueFollowUp(next); found {
+		g.now = max(g.now, due.At)
+		return due
+	}
+	g.now = next
+	return g.fresh()
+}
+
+// firstRate is the rate of requests that are not follow-ups, so that the total is the wanted rate.
+func (g *Generator) firstRate() float64 {
+	traffic := g.deployment.Traffic
+	perFirst := 1 + (1-traffic.ShortShare)*float64(max(0, traffic.QuestionsPerDoc-1))
+	return g.rate / perFirst
+}
+
+func (g *Generator) dueFollowUp(by time.Duration) (Prompt, bool) {
+	best := -1
+	for i := range g.followUps {
+		if g.followUps[i].at <= by && (best < 0 || g.followUps[i].at < g.followUps[best].at) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Prompt{}, false
+	}
+	due := g.followUps[best]
+	g.followUps[best] = g.followUps[len(g.followUps)-1]
+	g.followUps = g.followUps[:len(g.followUps)-1]
+	prompt := due.prompt
+	prompt.At = due.at
+	prompt.Text = due.prefix + g.question(g.deployment.Traffic.QuestionTokens)
+	g.plan(due.prompt, due.prefix, due.at, due.left-1)
+	return prompt, true
+}
+
+// plan schedules the next question about a document.
+func (g *Generator) plan(prompt Prompt, documentPrefix string, after time.Duration, left int) {
+	if left <= 0 {
+		return
+	}
+	gap := time.Duration((0.5 + g.random.Float64()) * float64(g.deployment.Traffic.QuestionGap))
+	g.followUps = append(g.followUps, followUp{at: after + gap, prompt: prompt, prefix: documentPrefix, left: left})
+}
+
+func (g *Generator) question(tokens int) string {
+	return filler(fmt.Sprintf("question %x", g.random.Uint64()), tokens)
+}
+
+func (g *Generator) fresh() Prompt {
+	traffic := g.deployment.Traffic
+	owner := g.pickTenant()
+	prompt := Prompt{At: g.now, Zone: owner.zone, Tenant: owner.name, MaxTokens: g.around(traffic.LongAnswerTokens)}
+	base := owner.preamble + owner.template(g.pickTemplate(), traffic.TemplateTokens)
+	if g.random.Float64() < traffic.ShortShare {
+		prompt.Short, prompt.MaxTokens = true, g.around(traffic.ShortAnswerTokens)
+		prompt.Text = base + g.question(traffic.ShortTokens)
+		return prompt
+	}
+	g.documents++
+	document := base + filler(fmt.Sprintf("document %d of %s", g.documents, owner.name), g.around(traffic.DocumentTokens))
+	prompt.Text = document + g.question(traffic.QuestionTokens)
+	g.plan(prompt, document, g.now, g.around(traffic.QuestionsPerDoc)-1)
+	return prompt
+}
+
+// around returns a number between half and one and a half times the mean.
+func (g *Generator) around(mean int) int {
+	return max(1, mean/2+g.random.IntN(max(1, mean)))
+}
+
+func (t *tenant) template(number, tokens int) string {
+	text, made := t.texts[number]
+	if !made {
+		text = filler(fmt.Sprintf("template %d of %s", number, t.name), tokens)
+		t.texts[number] = text
+	}
+	return text
+}
+
+func (g *Generator) pickTenant() *tenant {
+	total := 0.0
+	for i := range g.tenants {
+		total += g.tenants[i].share
+	}
+	at := g.random.Float64() * total
+	for i := range g.tenants {
+		if at -= g.tenants[i].share; at < 0 {
+			return &g.tenants[i]
+		}
+	}
+	return &g.tenants[len(g.tenants)-1]
+}
+
+// pickTemplate draws by Zipf's law; a shift rotates which templates are hot.
+func (g *Generator) pickTemplate() int {
+	count := g.deployment.Traffic.Templates
+	total := 0.0
+	for rank := 1; rank <= count; rank++ {
+		total += math.Pow(float64(rank), -g.deployment.Traffic.HotExponent)
+	}
+	at := g.random.Float64() * total
+	for rank := 1; rank <= count; rank++ {
+		if at -= math.Pow(float64(rank), -g.deployment.Traffic.HotExponent); at < 0 {
+			return rank + g.shift*count
+		}
+	}
+	return count + g.shift*count
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,243 @@
+package node
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/prefix"
+)
+
+// File is a process's settings file.
+type File struct {
+	Name         string   `yaml:"name"`          // name of the process, unique in the fleet
+	Zone         string   `yaml:"zone"`          // zone it runs in
+	Data         string   `yaml:"data"`          // folder for everything it keeps
+	LogLevel     string   `yaml:"log_level"`     // debug, info, warn or error; default info
+	ClusterToken string   `yaml:"cluster_token"` // shared secret of the system's own processes
+	AdminToken   string   `yaml:"admin_token"`   // bearer token of operators
+	Links        string   `yaml:"links"`         // file that describes cut zones; tests only
+	Router       *Router  `yaml:"router"`
+	Control      *Control `yaml:"control"`
+}
+
+// Router is the part of the file that a router reads.
+type Router struct {
+	Listen         string                   `yaml:"listen"`              // address for callers
+	Control        []string                 `yaml:"control"`             // internal addresses of the control replicas
+	Platform       string                   `yaml:"platform"`            // address of the platform's machine list
+	Vault          string                   `yaml:"vault"`               // address of the KV store, or empty
+	PrefixKey      string                   `yaml:"prefix_key"`          // secret for block hashes, 64 hex digits, the same everywhere
+	BlockTokens    int                      `yaml:"block_tokens"`        // tokens of a block, the same everywhere; default 64
+	IndexBlocks    int                      `yaml:"index_blocks"`        // beliefs kept; default 2,000,000
+	ImportTokens   float64                  `yaml:"import_tokens_per_s"` // speed of copies between engines; 0 turns them off
+	ZoneLatency    map[string]time.Duration `yaml:"zone_latency"`        // one way, to each other zone
+	PollEvery      time.Duration            `yaml:"poll_every"`          // period of back end polls; default 100ms
+	HeartbeatEvery time.Duration            `yaml:"heartbeat_every"`     // period of heartbeats to control; default 500ms
+	DrainLimit     time.Duration            `yaml:"drain_limit"`         // longest planned stop; default 120s
+	MaxConnections int                      `yaml:"max_connections"`     // callers' requests at once; default 10,000
+}
+
+// Control is the part of the file that a control replica reads.
+type Control struct {
+	Internal      string        `yaml:"internal"`       // address for replicas and routers
+	Admin         string        `yaml:"admin"`          // address for operators
+	Founders      []string      `yaml:"founders"`       // internal addresses of the first replicas; the first one founds the group
+	Replicas      int           `yaml:"replicas"`       // voters wanted; default 3
+	Platform      string        `yaml:"platform"`       // address of the platform's machine list
+	Heartbeat     time.Duration `yaml:"heartbeat"`      // leader's period; default 100ms
+	SettingsLease time.Duration `yaml:"settings_lease"` // how long a router may serve unheard; default 3s
+	RepairAfter   time.Duration `yaml:"repair_after"`   // silence after which a spare replaces a replica; default 10s
+	SnapshotEvery uint64        `yaml:"snapshot_every"` // entries between snapshots; default 5,000
+}
+
+// Limits and defaults of node files.
+const (
+	defaultBlockTokens    = 64
+	minimumBlockTokens    = 8
+	maximumBlockTokens    = 4096
+	defaultIndexBlocks    = 2_000_000
+	defaultPollEvery      = 100 * time.Millisecond
+	defaultHeartbeatEvery = 500 * time.Millisecond
+	defaultDrainLimit     = 120 * time.Second
+	defaultMaxConnections = 10_000
+	defaultReplicas       = 3
+	defaultHeartbeat      = 100 * time.Millisecond
+	defaultSettingsLease  = 3 * time.Second
+	defaultRepairAfter    = 10 * time.Second
+	defaultSnapshotEvery  = 5000
+)
+
+// Load reads and checks a file. All faults come back in one error.
+func Load(path string) (*File, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrapf(err, "read settings file %s", path)
+	}
+	file, faults := Parse(data)
+	if len(faults) > 0 {
+		return nil, eris.Errorf("%s has %d faults:\n%s", path, len(faults), FormatFaults(faults))
+	}
+	return file, nil
+}
+
+// FormatFaults returns one line for each fault.
+func FormatFaults(faults []Fault) string {
+	lines := make([]string, len(faults))
+	for i, fault := range faults {
+		lines[i] = "  " + fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Parse decodes, fills defaults, and checks a file.
+func Parse(data []byte) (*File, []Fault) {
+	file := &File{}
+	faults, lines := Decode(data, file)
+	file.applyDefaults()
+	check := &checker{lines: lines, faults: faults}
+	check.file(file)
+	sort.SliceStable(check.faults, func(i, j int) bool { return check.faults[i].Line < check.faults[j].Line })
+	return file, check.faults
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (f *File) applyDefaults() {
+	setDefault(&f.LogLevel, "info")
+	if f.Router != nil {
+		setDefault(&f.Router.BlockTokens, defaultBlockTokens)
+		setDefault(&f.Router.IndexBlocks, defaultIndexBlocks)
+		setDefault(&f.Router.PollEvery, defaultPollEvery)
+		setDefault(&f.Router.HeartbeatEvery, defaultHeartbeatEvery)
+		setDefault(&f.Router.DrainLimit, defaultDrainLimit)
+		setDefault(&f.Router.MaxConnections, defaultMaxConnections)
+	}
+	if f.Control != nil {
+		setDefault(&f.Control.Replicas, defaultReplicas)
+		setDefault(&f.Control.Heartbeat, defaultHeartbeat)
+		setDefault(&f.Control.SettingsLease, defaultSettingsLease)
+		setDefault(&f.Control.RepairAfter, defaultRepairAfter)
+		setDefault(&f.Control.SnapshotEvery, defaultSnapshotEvery)
+	}
+}
+
+// checker collects faults of decoded values.
+type checker struct {
+	lines  map[string]int
+	faults []Fault
+}
+
+func (c *checker) fault(path, message string) {
+	line := c.lines[path]
+	for parent := path; line == 0 && strings.Contains(parent, "."); line = c.lines[parent] {
+		parent = parent[:strings.LastIndex(parent, ".")]
+	}
+	c.faults = append(c.faults, Fault{Line: max(1, line), Path: path, Message: message})
+}
+
+func (c *checker) required(path, value string) {
+	if value == "" {
+		c.fault(path, "is missing")
+	}
+}
+
+// address checks an IP number and port.
+func (c *checker) address(path, value string, required bool) {
+	if value == "" {
+		if required {
+			c.fault(path, "is missing; write IP:PORT")
+		}
+		return
+	}
+	host, port, err := net.SplitHostPort(value)
+	number, portErr := strconv.Atoi(port)
+	if err != nil || net.ParseIP(host) == nil || portErr != nil || number < 0 || number > 65535 {
+		c.fault(path, fmt.Sprintf("%q is not an address; write IP:PORT with an IP number", value))
+	}
+}
+
+func (c *checker) file(f *File) {
+	c.required("name", f.Name)
+	c.required("zone", f.Zone)
+	c.required("data", f.Data)
+	switch f.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		c.fault("log_level", fmt.Sprintf("%q is not allowed; use debug, info, warn or error", f.LogLevel))
+	}
+	if f.Router != nil {
+		c.router(f.Router)
+	}
+	if f.Control != nil {
+		c.control(f.Control)
+	}
+	if f.Router == nil && f.Control == nil {
+		c.fault("file", "needs a section router or control")
+	}
+}
+
+func (c *checker) router(r *Router) {
+	c.address("router.listen", r.Listen, true)
+	c.address("router.platform", r.Platform, true)
+	c.address("router.vault", r.Vault, false)
+	if len(r.Control) == 0 {
+		c.fault("router.control", "needs at least one address")
+	}
+	for i, address := range r.Control {
+		c.address(fmt.Sprintf("router.control[%d]", i), address, true)
+	}
+	if _, err := r.HashKey(); err != nil {
+		c.fault("router.prefix_key", "must be 64 hex digits, the same on all routers")
+	}
+	if r.BlockTokens < minimumBlockTokens || r.BlockTokens > maximumBlockTokens {
+		c.fault("router.block_tokens", fmt.Sprintf("%d is out of range; allowed is %d to %d tokens", r.BlockTokens, minimumBlockTokens, maximumBlockTokens))
+	}
+	if r.IndexBlocks < 1 {
+		c.fault("router.index_blocks", "must be at least 1")
+	}
+	if r.ImportTokens < 0 {
+		c.fault("router.import_tokens_per_s", "must not be negative")
+	}
+}
+
+func (c *checker) control(r *Control) {
+	c.address("control.internal", r.Internal, true)
+	c.address("control.admin", r.Admin, true)
+	c.address("control.platform", r.Platform, true)
+	if len(r.Founders) == 0 {
+		c.fault("control.founders", "needs at least one address")
+	}
+	for i, address := range r.Founders {
+		c.address(fmt.Sprintf("control.founders[%d]", i), address, true)
+	}
+	if r.Replicas < 1 || r.Replicas > 7 {
+		c.fault("control.replicas", fmt.Sprintf("%d is out of range; allowed is 1 to 7", r.Replicas))
+	}
+	if r.SettingsLease < 4*r.Heartbeat {
+		c.fault("control.settings_lease", "must be at least four heartbeats")
+	}
+}
+
+// HashKey returns the decoded prefix key.
+func (r *Router) HashKey() ([prefix.KeyBytes]byte, error) {
+	var key [prefix.KeyBytes]byte
+	decoded, err := hex.DecodeString(r.PrefixKey)
+	if err != nil || len(decoded) != prefix.KeyBytes {
+		return key, eris.New("prefix_key must be 64 hex digits")
+	}
+	copy(key[:], decoded)
+	return key, nil
+}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,100 @@
+// Package operator carries out the operators' commands of the kitetiller program against a running system.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/control"
+	"kitetiller/internal/transport"
+)
+
+const (
+	commandTimeout = 10 * time.Second
+	askAgain       = 100 * time.Millisecond
+	outputJSON     = "json"
+	outputTable    = "table"
+)
+
+// Options are what every command needs.
+type Options struct {
+	Control    string // admin addresses of control replicas, with commas
+	Routers    string // addresses of routers, with commas
+	AdminToken string
+	Output     string
+	Out        io.Writer
+}
+
+// Command runs one operator command.
+type Command struct {
+	options Options
+	client  *transport.Client
+}
+
+// New checks the options.
+func New(options Options) (*Command, error) {
+	if options.Output != outputJSON && options.Output != outputTable {
+		return nil, eris.Errorf("--output %s is not known; use %s or %s", options.Output, outputTable, outputJSON)
+	}
+	if options.AdminToken == "" {
+		return nil, eris.New("no admin token; give --admin-token or set KITETILLER_ADMIN_TOKEN")
+	}
+	return &Command{options: options, client: transport.NewClient(options.AdminToken, nil)}, nil
+}
+
+func splitAddresses(list string) []string {
+	return strings.FieldsFunc(list, func(r rune) bool { return r == ',' || r == ' ' })
+}
+
+// ask sends a request to the control replicas in turn until one has answered it.
+func (c *Command) ask(request control.Request) (control.Response, error) {
+	addresses := splitAddresses(c.options.Control)
+	if len(addresses) == 0 {
+		return control.Response{}, eris.New("no control address; give --control or set KITETILLER_CONTROL")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+	defer cancel()
+	var last error
+	for ctx.Err() == nil {
+		for _, address := range addresses {
+			response, err := c.askOne(ctx, address, request)
+			if err == nil && response.Kind == control.ResponseOK {
+				return response, nil
+			}
+			if last = err; err == nil {
+				last = eris.Errorf("%s answered %s", address, response.Kind)
+			}
+		}
+		time.Sleep(askAgain)
+	}
+	return control.Response{}, eris.Wrap(last, "no control replica could decide; the change may or may not have been made, run the command again with the same --operation-id")
+}
+
+func (c *Command) askOne(ctx context.Context, address string, request control.Request) (control.Response, error) {
+	var response control.Response
+	err := c.client.Post(ctx, address, control.PathAdmin, request, &response)
+	return response, err
+}
+
+// emit prints a value as JSON, or calls table.
+func (c *Command) emit(value any, table func(w *tabwriter.Writer)) error {
+	if c.options.Output == outputJSON {
+		encoder := json.NewEncoder(c.options.Out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	writer := tabwriter.NewWriter(c.options.Out, 2, 4, 2, ' ', 0)
+	table(writer)
+	return writer.Flush()
+}
+
+func (c *Command) print(format string, arguments ...any) {
+	_, _ = fmt.Fprintf(c.options.Out, format, arguments...)
+}
