--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,159 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/control"
+	"kitetiller/internal/core"
+	"kitetiller/internal/router"
+)
+
+// probeTimeout bounds the question to one process.
+const probeTimeout = 2 * time.Second
+
+// SystemStatus is what "status" shows.
+type SystemStatus struct {
+	Control []control.StatusReply `json:"control"`
+	Routers []router.StatusReply  `json:"routers"`
+	Silent  []string              `json:"silent"` // addresses that did not answer
+}
+
+// Status asks every control replica and router for its view.
+func (c *Command) Status() error {
+	status := c.collect()
+	return c.emit(status, func(w *tabwriter.Writer) {
+		writeControl(w, status)
+		writeRouters(w, status)
+		for _, address := range status.Silent {
+			fmt.Fprintf(w, "%s\tdoes not answer\n", address)
+		}
+	})
+}
+
+func (c *Command) collect() SystemStatus {
+	var status SystemStatus
+	for _, address := range splitAddresses(c.options.Control) {
+		response, err := c.probeControl(address)
+		if err != nil || response.Status == nil {
+			status.Silent = append(status.Silent, address)
+			continue
+		}
+		status.Control = append(status.Control, *response.Status)
+	}
+	for _, address := range splitAddresses(c.options.Routers) {
+		var reply router.StatusReply
+		if err := c.probe(address, "/admin/v1/status", &reply); err != nil {
+			status.Silent = append(status.Silent, address)
+			continue
+		}
+		status.Routers = append(status.Routers, reply)
+	}
+	return status
+}
+
+func (c *Command) probeControl(address string) (control.Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	return c.askOne(ctx, address, control.Request{Status: &control.StatusRequest{}})
+}
+
+func (c *Command) probe(address, path string, reply any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	return c.client.Get(ctx, address, path, reply)
+}
+
+func writeControl(w *tabwriter.Writer, status SystemStatus) {
+	fmt.Fprintln(w, "CONTROL\tROLE\tTERM\tLEADER\tLEASE\tAPPLIED\tVERSION\tIN FORCE\tCLAIMS")
+	for _, reply := range status.Control {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%t\t%d\t%d\t%d\t%d\n", reply.Name, reply.Role, reply.Term, orDash(reply.Leader),
+			reply.LeaseHeld, reply.Applied, reply.Version, reply.InForce, reply.Claims)
+	}
+	for _, reply := range status.Control {
+		for _, engine := range reply.Engines {
+			if engine.Weights != engine.Wanted {
+				fmt.Fprintf(w, "engine %s\tweights %s\twanted %s\tloading %t\n", engine.Name, engine.Weights, engine.Wanted, engine.Loading)
+			}
+		}
+	}
+}
+
+func writeRouters(w *tabwriter.Writer, status SystemStatus) {
+	fmt.Fprintln(w, "ROUTER\tZONE\tVERSION\tLEASE\tDRAINING\tACTIVE\tBELIEFS\tBACK ENDS READY")
+	for _, reply := range status.Routers {
+		ready := 0
+		for _, backend := range reply.Backends {
+			if backend.State == core.BackendReady.String() {
+				ready++
+			}
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%t\t%t\t%d\t%d\t%d of %d\n", reply.Name, reply.Zone, reply.Version, reply.LeaseValid,
+			reply.Draining, reply.Active, reply.Beliefs, ready, len(reply.Backends))
+	}
+	for _, reply := range status.Routers {
+		for _, backend := range reply.Backends {
+			if backend.State != core.BackendReady.String() {
+				fmt.Fprintf(w, "%s sees\t%s\t%s\n", reply.Name, backend.Name, backend.State)
+			}
+		}
+	}
+}
+
+// Members prints the control replicas as the leader sees them.
+func (c *Command) Members() error {
+	status := c.collect()
+	for _, reply := range status.Control {
+		if !reply.LeaseHeld {
+			continue
+		}
+		return c.emit(reply.Members, func(w *tabwriter.Writer) {
+			fmt.Fprintln(w, "NAME\tID\tADDRESS\tVOTER\tMATCH\tSILENT")
+			for _, member := range reply.Members {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%d\t%s\n", member.Name, member.ID, member.Address, !member.Learner,
+					member.Match, member.Silent.Round(time.Millisecond))
+			}
+		})
+	}
+	return eris.New("no control replica leads; see kitetiller status")
+}
+
+// Explain prints the kept decisions about a request, from every router.
+func (c *Command) Explain(request string) error {
+	var found []core.Decision
+	for _, address := range splitAddresses(c.options.Routers) {
+		var decisions []core.Decision
+		if err := c.probe(address, "/admin/v1/explain?request="+url.QueryEscape(request), &decisions); err != nil {
+			return eris.Wrapf(err, "ask %s", address)
+		}
+		found = append(found, decisions...)
+	}
+	if len(found) == 0 {
+		return eris.Errorf("no router remembers request %s; each keeps its newest decisions only", request)
+	}
+	return c.emit(found, func(w *tabwriter.Writer) {
+		for _, decision := range found {
+			writeDecision(w, decision)
+		}
+	})
+}
+
+func writeDecision(w *tabwriter.Writer, decision core.Decision) {
+	fmt.Fprintf(w, "request %s\ttenant %s\tservice %s\tlane %s\ttry %d\tqueued %s\tprompt %d tokens\n", decision.Request,
+		decision.Tenant, decision.Service, decision.Lane, decision.Try, decision.Queued.Round(time.Microsecond), decision.PromptTokens)
+	fmt.Fprintf(w, "outcome %s\trun %s\tchosen %s of %d\tsettings %d\n", orDash(string(decision.Outcome)),
+		orDash(string(decision.Run)), orDash(decision.Chosen), decision.Considered, decision.SettingsVersion)
+	if len(decision.Shortlist) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "  CANDIDATE\tZONE\tCACHED\tTO COMPUTE\tCOPY\tWAIT\tFIRST TOKEN\tCOST")
+	for _, candidate := range decision.Shortlist {
+		fmt.Fprintf(w, "  %s\t%s\t%d\t%d\t%d\t%s\t%s\t%.4f\n", candidate.Name, candidate.Zone, candidate.Cached, candidate.Uncached,
+			candidate.ImportBlocks, candidate.Wait.Round(time.Microsecond), candidate.Predicted.Round(time.Microsecond), candidate.Cost)
+	}
+}
--- /dev/null
+++ b/internal/prefix/hot.go
@@ -0,0 +1,70 @@
+package prefix
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	hotHalfLife = 20 * time.Second
+	hotLimit    = 4096 // prefixes whose rate is tracked
+)
+
+// rate is a decayed count of one prefix.
+type rate struct {
+	count   float64
+	updated time.Duration
+}
+
+// HotTable tracks how often each shared prefix is asked for, with exponential decay.
+type HotTable struct {
+	rates map[Hash]*rate
+}
+
+// NewHotTable returns an empty table.
+func NewHotTable() *HotTable { return &HotTable{rates: map[Hash]*rate{}} }
+
+// Touch counts a request for the prefix that ends with the given block and returns its rate per minute.
+func (t *HotTable) Touch(hash Hash, now time.Duration) float64 {
+	entry := t.rates[hash]
+	if entry == nil {
+		if len(t.rates) >= hotLimit {
+			t.shed(now)
+		}
+		entry = &rate{updated: now}
+		t.rates[hash] = entry
+	}
+	entry.count = entry.decayed(now) + 1
+	entry.updated = now
+	return entry.perMinute()
+}
+
+// Rate returns the rate per minute of a prefix.
+func (t *HotTable) Rate(hash Hash, now time.Duration) float64 {
+	entry := t.rates[hash]
+	if entry == nil {
+		return 0
+	}
+	entry.count, entry.updated = entry.decayed(now), now
+	return entry.perMinute()
+}
+
+func (r *rate) decayed(now time.Duration) float64 {
+	return r.count * math.Exp2(-float64(now-r.updated)/float64(hotHalfLife))
+}
+
+// perMinute converts a decayed count: a steady rate r leaves a count of r * halfLife / ln 2.
+func (r *rate) perMinute() float64 {
+	return r.count * math.Ln2 / hotHalfLife.Minutes()
+}
+
+// shed drops prefixes that have gone cold, and half of the rest when that is not enough.
+func (t *HotTable) shed(now time.Duration) {
+	for threshold := 0.5; len(t.rates) >= hotLimit; threshold *= 2 {
+		for hash, entry := range t.rates {
+			if entry.decayed(now) < threshold {
+				delete(t.rates, hash)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/prefix/index.go
@@ -0,0 +1,295 @@
+package prefix
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// EngineID is an engine's row in the router's table.
+type EngineID uint32
+
+// Source tells where a belief came from.
+type Source uint8
+
+// Sources of a belief.
+const (
+	SourceDispatch Source = iota // we sent a request that leaves the block there
+	SourceEvent                  // the engine said so
+	SourceSnapshot               // the engine's full list said so
+)
+
+const (
+	noNode         = 0
+	clockUnit      = 10 * time.Millisecond // grain of the times kept with beliefs
+	evictionSample = 8                     // beliefs looked at to find one to drop when the index is full
+)
+
+// node is one belief: an engine holds a block. Nodes of one block form a list. 36 bytes.
+type node struct {
+	hash   Hash
+	engine EngineID
+	life   uint32
+	heard  uint32 // in clockUnit
+	next   uint32
+	used   bool
+	source Source
+}
+
+// engineLife is what the index knows about an engine as a whole.
+type engineLife struct {
+	life        uint32
+	maxAge      uint32 // beliefs older than this are taken as evicted; in clockUnit
+	doubtBefore uint32 // beliefs older than this were heard before a gap in the engine's events
+	beliefs     int
+}
+
+// Index maps blocks to the engines believed to hold them. Its size is bounded; it is not safe for
+// concurrent use.
+//
+// Invariant: a belief counts only while its life equals the engine's, so that Forget voids all beliefs
+// about an engine in constant time.
+type Index struct {
+	heads   map[Hash]uint32
+	nodes   []node
+	free    uint32
+	engines []engineLife
+	limit   int
+	hand    uint32
+	live    int
+}
+
+// NewIndex returns an index of at most limit beliefs.
+func NewIndex(limit int) *Index {
+	return &Index{heads: map[Hash]uint32{}, nodes: make([]node, 1, 1024), limit: limit}
+}
+
+// Len returns the number of beliefs held, dead ones that were not yet swept included.
+func (x *Index) Len() int { return x.live }
+
+// EngineBeliefs returns how many live beliefs are held about an engine.
+func (x *Index) EngineBeliefs(engine EngineID) int { return x.engine(engine).beliefs }
+
+func (x *Index) engine(id EngineID) *engineLife {
+	for int(id) >= len(x.engines) {
+		x.engines = append(x.engines, engineLife{maxAge: math.MaxUint32})
+	}
+	return &x.engines[id]
+}
+
+func ticks(t time.Duration) uint32 { return uint32(t / clockUnit) }
+
+// Forget voids every belief about an engine: it restarted, died, or changed its weights.
+func (x *Index) Forget(engine EngineID) {
+	state := x.engine(engine)
+	state.life++
+	state.beliefs = 0
+	state.doubtBefore = 0
+}
+
+// Doubt marks everything heard so far about an engine as doubtful, after a gap in its events.
+func (x *Index) Doubt(engine EngineID, now time.Duration) {
+	x.engine(engine).doubtBefore = ticks(now)
+}
+
+// SetMaxAge sets how long unused blocks stay on an engine, as measured there; 0 is unknown.
+func (x *Index) SetMaxAge(engine EngineID, age time.Duration) {
+	if age <= 0 {
+		x.engine(engine).maxAge = math.MaxUint32
+		return
+	}
+	x.engine(engine).maxAge = max(1, ticks(age))
+}
+
+// Add believes that an engine holds the blocks of a chain.
+func (x *Index) Add(engine EngineID, chain []Hash, now time.Duration, source Source) {
+	state := x.engine(engine)
+	for _, hash := range chain {
+		if found := x.find(hash, engine, state.life); found != noNode {
+			x.nodes[found].heard = ticks(now)
+			x.nodes[found].source = source
+			continue
+		}
+		x.insert(hash, engine, state.life, ticks(now), source)
+		state.beliefs++
+	}
+}
+
+// Remove forgets that an engine holds the given blocks.
+func (x *Index) Remove(engine EngineID, hashes []Hash) {
+	state := x.engine(engine)
+	for _, hash := range hashes {
+		if found := x.find(hash, engine, state.life); found != noNode {
+			x.drop(found)
+		}
+	}
+}
+
+// find returns the live belief about an engine and a block.
+func (x *Index) find(hash Hash, engine EngineID, life uint32) uint32 {
+	for at := x.heads[hash]; at != noNode; at = x.nodes[at].next {
+		if x.nodes[at].engine == engine && x.nodes[at].life == life {
+			return at
+		}
+	}
+	return noNode
+}
+
+func (x *Index) insert(hash Hash, engine EngineID, life, heard uint32, source Source) {
+	if x.live >= x.limit {
+		x.evictOne()
+	}
+	at := x.free
+	if at != noNode {
+		x.free = x.nodes[at].next
+	} else {
+		at = uint32(len(x.nodes))
+		x.nodes = append(x.nodes, node{})
+	}
+	x.nodes[at] = node{hash: hash, engine: engine, life: life, heard: heard, next: x.heads[hash], used: true, source: source}
+	x.heads[hash] = at
+	x.live++
+}
+
+// drop unlinks a belief and frees its node.
+func (x *Index) drop(at uint32) {
+	dropped := &x.nodes[at]
+	x.unlink(dropped.hash, at)
+	state := x.engine(dropped.engine)
+	if dropped.life == state.life {
+		state.beliefs--
+	}
+	*dropped = node{next: x.free}
+	x.free = at
+	x.live--
+}
+
+func (x *Index) unlink(hash Hash, at uint32) {
+	head := x.heads[hash]
+	next := x.nodes[at].next
+	if head == at {
+		if next == noNode {
+			delete(x.heads, hash)
+			return
+		}
+		x.heads[hash] = next
+		return
+	}
+	for previous := head; previous != noNode; previous = x.nodes[previous].next {
+		if x.nodes[previous].next == at {
+			x.nodes[previous].next = next
+			return
+		}
+	}
+}
+
+// believed reports whether a node still counts, and whether it is doubtful.
+func (x *Index) believed(at uint32, now uint32) (believed, doubtful bool) {
+	held := &x.nodes[at]
+	state := &x.engines[held.engine]
+	if held.life != state.life || now-min(now, held.heard) > state.maxAge {
+		return false, false
+	}
+	return true, held.heard < state.doubtBefore
+}
+
+// evictOne drops a dead belief, or the oldest of a few.
+func (x *Index) evictOne() {
+	oldest := uint32(noNode)
+	for looked := 0; looked < evictionSample; {
+		x.hand++
+		if int(x.hand) >= len(x.nodes) {
+			x.hand = 1
+		}
+		if !x.nodes[x.hand].used {
+			continue
+		}
+		looked++
+		if x.nodes[x.hand].life != x.engines[x.nodes[x.hand].engine].life {
+			oldest = x.hand
+			break
+		}
+		if oldest == noNode || x.nodes[x.hand].heard < x.nodes[oldest].heard {
+			oldest = x.hand
+		}
+	}
+	x.drop(oldest)
+}
+
+// Sweep looks at up to count nodes and drops those that no longer count.
+func (x *Index) Sweep(now time.Duration, count int) {
+	for range min(count, len(x.nodes)-1) {
+		x.hand++
+		if int(x.hand) >= len(x.nodes) {
+			x.hand = 1
+		}
+		if !x.nodes[x.hand].used {
+			continue
+		}
+		if counts, _ := x.believed(x.hand, ticks(now)); !counts {
+			x.drop(x.hand)
+		}
+	}
+}
+
+// Match is an engine that is believed to hold the first Blocks blocks of a chain.
+type Match struct {
+	Engine   EngineID
+	Blocks   int
+	Doubtful bool
+}
+
+// probeShares are the depths, as shares of the deepest known block, at which shallower holders are looked
+// for. Engines evict the end of a chain first, so a holder of block i holds all blocks before it.
+var probeShares = [...]float64{1, 0.75, 0.5, 0.25, 0}
+
+// Lookup appends to matches the engines that hold a prefix of the chain, deepest first, each once.
+func (x *Index) Lookup(chain []Hash, now time.Duration, matches []Match) []Match {
+	deepest := x.deepest(chain, ticks(now))
+	if deepest == 0 {
+		return matches
+	}
+	start := len(matches)
+	last := -1
+	for _, share := range probeShares {
+		position := int(share * float64(deepest-1))
+		if position == last {
+			continue
+		}
+		last = position
+		for at := x.heads[chain[position]]; at != noNode; at = x.nodes[at].next {
+			counts, doubtful := x.believed(at, ticks(now))
+			if counts && !containsEngine(matches[start:], x.nodes[at].engine) {
+				matches = append(matches, Match{Engine: x.nodes[at].engine, Blocks: position + 1, Doubtful: doubtful})
+			}
+		}
+	}
+	return matches
+}
+
+func containsEngine(matches []Match, engine EngineID) bool {
+	return slices.ContainsFunc(matches, func(match Match) bool { return match.Engine == engine })
+}
+
+// deepest returns how many leading blocks of the chain some engine is believed to hold, by binary search.
+func (x *Index) deepest(chain []Hash, now uint32) int {
+	low, high := 0, len(chain)
+	for low < high {
+		middle := (low + high) / 2
+		if x.anyHolder(chain[middle], now) {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+func (x *Index) anyHolder(hash Hash, now uint32) bool {
+	for at := x.heads[hash]; at != noNode; at = x.nodes[at].next {
+		if counts, _ := x.believed(at, now); counts {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/router/discovery.go
@@ -0,0 +1,112 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/api"
+	"kitetiller/internal/core"
+)
+
+const (
+	platformPeriod  = 500 * time.Millisecond
+	platformTimeout = time.Second
+	stateTimeout    = 800 * time.Millisecond
+	snapshotTimeout = 5 * time.Second
+)
+
+// watchPlatform is the thread that reads the machine list and keeps one poller for each back end.
+func (s *Server) watchPlatform(ctx context.Context) {
+	ticker := time.NewTicker(platformPeriod)
+	defer ticker.Stop()
+	for {
+		s.readPlatform(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) readPlatform(ctx context.Context) {
+	attempt, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	var reply api.MachinesReply
+	if err := s.client.Get(attempt, s.file.Router.Platform, api.PathMachines, &reply); err != nil {
+		s.log.Warn("machine list not read; the last one stays", zap.Error(err))
+		return
+	}
+	s.post(core.EventPlatform{Machines: reply.Machines})
+	listed := map[string]bool{}
+	for _, machine := range reply.Machines {
+		key := machine.Name + "@" + machine.Address
+		listed[key] = true
+		if s.pollers[key] == nil {
+			poll, stop := context.WithCancel(ctx)
+			s.pollers[key] = stop
+			go s.pollBackend(poll, machine)
+		}
+	}
+	for key, stop := range s.pollers {
+		if !listed[key] {
+			stop()
+			delete(s.pollers, key)
+		}
+	}
+}
+
+// pollBackend is the thread that reads one back end's load, life and cache events.
+func (s *Server) pollBackend(ctx context.Context, machine core.Machine) {
+	var next, incarnation uint64
+	weights := ""
+	ticker := time.NewTicker(s.file.Router.PollEvery)
+	defer ticker.Stop()
+	for {
+		report, ok := s.readState(ctx, machine, next)
+		if ctx.Err() != nil {
+			return
+		}
+		if ok && (report.Incarnation != incarnation || report.Weights != weights) {
+			incarnation, weights, next = report.Incarnation, report.Weights, 0
+			report.Events, report.NextSequence = nil, 0
+		}
+		event := core.EventBackend{Name: machine.Name}
+		if ok {
+			event.Report = report
+			next = max(next, report.NextSequence)
+		}
+		s.offer(event)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) readState(ctx context.Context, machine core.Machine, after uint64) (*core.BackendReport, bool) {
+	attempt, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	var reply api.StateReply
+	path := fmt.Sprintf("%s?after=%d", api.PathState, after)
+	if err := s.client.Get(attempt, machine.Address, path, &reply); err != nil {
+		return nil, false
+	}
+	return &reply.Report, true
+}
+
+// fetchSnapshot reads an engine's full list of cached blocks.
+func (s *Server) fetchSnapshot(ctx context.Context, action core.ActionSnapshot) {
+	attempt, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	var reply api.CacheReply
+	if err := s.client.Get(attempt, action.Address, api.PathCache, &reply); err != nil {
+		s.log.Debug("cache snapshot not read", zap.String("backend", action.Backend), zap.Error(err))
+		return // the core asks again
+	}
+	s.post(core.EventCacheSnapshot{Name: action.Backend, Incarnation: reply.Incarnation, Sequence: reply.Sequence, Blocks: reply.Blocks})
+}
--- /dev/null
+++ b/internal/router/disk.go
@@ -0,0 +1,62 @@
+package router
+
+import (
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/settings"
+	"kitetiller/internal/storage"
+)
+
+const (
+	settingsFile    = "settings.json"
+	incarnationFile = "incarnation.json"
+)
+
+// savedSettings is the newest version this router acknowledged.
+type savedSettings struct {
+	Version uint64        `json:"version"`
+	Tree    settings.Tree `json:"tree"`
+}
+
+type savedIncarnation struct {
+	Name   string `json:"name"`
+	Number uint64 `json:"number"`
+}
+
+// diskState is what a router keeps on disk.
+type diskState struct {
+	folder      string
+	incarnation uint64
+	saved       savedSettings
+}
+
+// openDiskState reads the folder and raises the incarnation number.
+func openDiskState(folder, name string) (*diskState, error) {
+	state := &diskState{folder: folder}
+	if _, err := storage.ReadJSON(filepath.Join(folder, settingsFile), &state.saved); err != nil {
+		return nil, err
+	}
+	var last savedIncarnation
+	path := filepath.Join(folder, incarnationFile)
+	found, err := storage.ReadJSON(path, &last)
+	if err != nil {
+		return nil, err
+	}
+	if found && last.Name != name {
+		return nil, eris.Wrapf(storage.ErrForeign, "%s belongs to router %q, not to %q", folder, last.Name, name)
+	}
+	state.incarnation = last.Number + 1
+	return state, storage.WriteJSON(path, savedIncarnation{Name: name, Number: state.incarnation})
+}
+
+// save syncs a newer version; only then may it be acknowledged.
+func (d *diskState) save(version uint64, tree settings.Tree) error {
+	next := savedSettings{Version: version, Tree: tree}
+	if err := storage.WriteJSON(filepath.Join(d.folder, settingsFile), next); err != nil {
+		return err
+	}
+	d.saved = next
+	return nil
+}
--- /dev/null
+++ b/internal/router/exchange.go
@@ -0,0 +1,307 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"kitetiller/internal/api"
+	"kitetiller/internal/core"
+)
+
+const (
+	// outboxRing is how many tokens may wait for a slow caller before its request is given up.
+	outboxRing = 512
+	// writeTimeout is how long one write to a caller may take.
+	writeTimeout   = 10 * time.Second
+	eventStream    = "text/event-stream"
+	objectChat     = "chat.completion"
+	objectChunk    = "chat.completion.chunk"
+	objectText     = "text_completion"
+	roleAssistant  = "assistant"
+	statusSlow     = "the caller reads too slowly"
+	statusInternal = "the stream could not be completed"
+)
+
+// token is one piece of an answer on its way to the caller.
+type token struct {
+	index int
+	text  string
+}
+
+// exchange is one caller's request and the ring towards the caller.
+type exchange struct {
+	name       string
+	request    core.Request
+	completion *api.CompletionRequest // nil for small services
+	prompt     string
+	body       []byte
+	chat       bool
+	writer     http.ResponseWriter
+	received   time.Time
+
+	tokens      chan token
+	final       chan core.ActionFinish // room for one
+	attempts    int32                  // owned by the decide thread
+	lastAttempt uint64                 // owned by the decide thread
+	firstToken  bool                   // owned by the decide thread
+	slow        bool                   // owned by the decide thread
+}
+
+// serve passes a request to the core and its answer to the caller.
+func (s *Server) serve(run *exchange, r *http.Request) {
+	run.tokens = make(chan token, outboxRing)
+	run.final = make(chan core.ActionFinish, 1)
+	run.writer.Header().Set(api.HeaderRequestID, run.name)
+	run.writer.Header().Set(api.HeaderRouter, s.file.Name)
+	if !s.register(run) {
+		s.refuse(run.writer, run.name, &callerError{reasonOverload, http.StatusServiceUnavailable, "This router has too many requests", ""})
+		return
+	}
+	if !s.offer(core.EventRequest{Request: run.request}) {
+		s.unregister(run.request.ID)
+		s.refuse(run.writer, run.name, &callerError{reasonOverload, http.StatusServiceUnavailable, "This router is overloaded", ""})
+		return
+	}
+	if run.completion != nil && run.completion.Stream {
+		s.relayStream(r.Context(), run)
+		return
+	}
+	s.relayWhole(r.Context(), run)
+}
+
+func (s *Server) register(run *exchange) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.waiting) >= s.file.Router.MaxConnections {
+		return false
+	}
+	s.waiting[run.request.ID] = run
+	return true
+}
+
+func (s *Server) unregister(id core.RequestID) {
+	s.mutex.Lock()
+	delete(s.waiting, id)
+	s.mutex.Unlock()
+}
+
+func (s *Server) exchange(id core.RequestID) *exchange {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.waiting[id]
+}
+
+// deliverChunk puts a token into the caller's ring; a full ring gives the request up.
+func (s *Server) deliverChunk(action core.ActionChunk) {
+	run := s.exchange(action.ID)
+	if run == nil || run.slow {
+		return
+	}
+	if !run.firstToken {
+		run.firstToken = true
+		s.metrics.firstToken.WithLabelValues(run.request.Service).Observe(time.Since(run.received).Seconds())
+	}
+	select {
+	case run.tokens <- token{index: action.Index, text: action.Text}:
+	default:
+		run.slow = true
+		s.offer(core.EventCallerGone{ID: action.ID})
+	}
+}
+
+// deliverFinish hands the final answer to the caller's goroutine.
+func (s *Server) deliverFinish(action core.ActionFinish) {
+	run := s.exchange(action.ID)
+	if run == nil {
+		return
+	}
+	s.unregister(action.ID)
+	s.logFinish(run, action)
+	run.final <- action
+	close(run.tokens)
+}
+
+// problemFor turns a final action into a problem.
+func (s *Server) problemFor(run *exchange, final core.ActionFinish) api.Problem {
+	problem := api.NewProblem(final.Reason, final.Run, detailFor(final)).WithRetry(final.RetryAfter)
+	problem.RequestID = run.name
+	return problem
+}
+
+func detailFor(final core.ActionFinish) string {
+	switch {
+	case final.Reason == core.ReasonCallerGone:
+		return statusSlow
+	case final.Run == core.RunUnknown && final.Reason != core.ReasonRunUnknown && final.Reason != core.ReasonInProgress:
+		return "whether the request ran is not known; send it again with the same Idempotency-Key to learn it"
+	}
+	return ""
+}
+
+// relayStream writes server-sent events as tokens come. A stream that cannot be completed ends with an error
+// event and without the end marker.
+func (s *Server) relayStream(ctx context.Context, run *exchange) {
+	controller := http.NewResponseController(run.writer)
+	header := run.writer.Header()
+	started := false
+	for {
+		select {
+		case <-ctx.Done():
+			s.post(core.EventCallerGone{ID: run.request.ID})
+			return
+		case piece, open := <-run.tokens:
+			if !open {
+				s.endStream(run, controller, started)
+				return
+			}
+			if !started {
+				started = true
+				header.Set("Content-Type", eventStream)
+				header.Set("Cache-Control", "no-store")
+			}
+			if !s.writeTokens(run, controller, piece) {
+				s.post(core.EventCallerGone{ID: run.request.ID})
+				return
+			}
+		}
+	}
+}
+
+// writeTokens writes a token and whatever else waits, with one flush.
+func (s *Server) writeTokens(run *exchange, controller *http.ResponseController, piece token) bool {
+	var out bytes.Buffer
+	s.encodeChunk(&out, run, piece)
+	for range outboxRing {
+		select {
+		case next, open := <-run.tokens:
+			if !open {
+				return flush(run, controller, &out)
+			}
+			s.encodeChunk(&out, run, next)
+			continue
+		default:
+		}
+		break
+	}
+	return flush(run, controller, &out)
+}
+
+func flush(run *exchange, controller *http.ResponseController, out *bytes.Buffer) bool {
+	_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout)) // not every writer supports it
+	if _, err := run.writer.Write(out.Bytes()); err != nil {
+		return false
+	}
+	return controller.Flush() == nil
+}
+
+func (s *Server) encodeChunk(out *bytes.Buffer, run *exchange, piece token) {
+	chunk := s.response(run, objectChunk)
+	if run.chat {
+		chunk.Choices = []api.Choice{{Delta: &api.ChatMessage{Role: roleAssistant, Content: piece.text}}}
+	} else {
+		chunk.Object = objectText
+		chunk.Choices = []api.Choice{{Text: piece.text}}
+	}
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		panic("router: chunk cannot be encoded: " + err.Error())
+	}
+	fmt.Fprintf(out, "id: %d\ndata: %s\n\n", piece.index, data)
+}
+
+func (s *Server) response(run *exchange, object string) api.CompletionResponse {
+	return api.CompletionResponse{ID: run.name, Object: object, Created: run.received.Unix(), Model: run.completion.Model}
+}
+
+func (s *Server) endStream(run *exchange, controller *http.ResponseController, started bool) {
+	final := <-run.final
+	var out bytes.Buffer
+	if final.Reason != core.ReasonComplete {
+		problem := s.problemFor(run, final)
+		if !started {
+			problem.Write(run.writer)
+			return
+		}
+		if problem.Detail == "" {
+			problem.Detail = statusInternal
+		}
+		data, _ := json.Marshal(problem) // plain struct, cannot fail
+		fmt.Fprintf(&out, "event: error\ndata: %s\n\n", data)
+		flush(run, controller, &out)
+		return
+	}
+	if !started {
+		run.writer.Header().Set("Content-Type", eventStream)
+	}
+	last := s.response(run, objectChunk)
+	finish := api.FinishStop
+	last.Choices = []api.Choice{{FinishReason: &finish}}
+	last.Usage = usage(run, final.Tokens)
+	data, _ := json.Marshal(last) // plain struct, cannot fail
+	fmt.Fprintf(&out, "data: %s\n\ndata: %s\n\n", data, api.StreamEnd)
+	flush(run, controller, &out)
+}
+
+func usage(run *exchange, tokens int) *api.Usage {
+	return &api.Usage{
+		PromptTokens: run.request.PromptTokens, CompletionTokens: tokens, TotalTokens: run.request.PromptTokens + tokens,
+	}
+}
+
+// relayWhole collects the answer and writes it at once.
+func (s *Server) relayWhole(ctx context.Context, run *exchange) {
+	var text strings.Builder
+	for {
+		select {
+		case <-ctx.Done():
+			s.post(core.EventCallerGone{ID: run.request.ID})
+			return
+		case piece, open := <-run.tokens:
+			if open {
+				text.WriteString(piece.text)
+				continue
+			}
+			s.answerWhole(run, <-run.final, text.String())
+			return
+		}
+	}
+}
+
+func (s *Server) answerWhole(run *exchange, final core.ActionFinish, text string) {
+	switch {
+	case final.Reason == core.ReasonComplete && run.completion != nil:
+		s.answerCompletion(run, final, text)
+	case (final.Reason == core.ReasonComplete || final.Reason == core.ReasonReplayed) && final.Answer != nil:
+		if final.Reason == core.ReasonReplayed {
+			run.writer.Header().Set(api.HeaderRun, string(core.RunYes))
+		}
+		if final.Answer.Truncated {
+			api.NewProblem(core.ReasonRunUnknown, core.RunYes, "the request ran; its answer was too long to keep").Write(run.writer)
+			return
+		}
+		run.writer.Header().Set("Content-Type", final.Answer.ContentType)
+		run.writer.WriteHeader(final.Answer.Status)
+		_, _ = run.writer.Write(final.Answer.Body) // a caller that is gone cannot be told
+	default:
+		s.problemFor(run, final).Write(run.writer)
+	}
+}
+
+func (s *Server) answerCompletion(run *exchange, final core.ActionFinish, text string) {
+	answer := s.response(run, objectChat)
+	finish := api.FinishStop
+	choice := api.Choice{FinishReason: &finish, Text: text}
+	if run.chat {
+		choice = api.Choice{FinishReason: &finish, Message: &api.ChatMessage{Role: roleAssistant, Content: text}}
+	} else {
+		answer.Object = objectText
+	}
+	answer.Choices = []api.Choice{choice}
+	answer.Usage = usage(run, final.Tokens)
+	writeJSON(run.writer, answer)
+}
--- /dev/null
+++ b/internal/router/generate.go
@@ -0,0 +1,21 @@
+package router
+
+import (
+	"kitetiller/internal/api"
+	"kitetiller/internal/node"
+)
+
+// generateRequest is the body of an attempt to an engine.
+func (a *attemptRun) generateRequest(file *node.File) api.GenerateRequest {
+	request := api.GenerateRequest{
+		Request: a.run.name, Attempt: a.action.Attempt, Router: file.Name, Tenant: a.run.request.Tenant,
+		Prompt: a.run.prompt, Blocks: a.action.Blocks, PromptTokens: a.run.request.PromptTokens,
+		MaxTokens: a.action.MaxTokens, ResumeFrom: a.action.ResumeFrom, Lane: a.action.Lane,
+		Seed: a.run.completion.Seed, Incarnation: a.action.Incarnation, Weights: a.action.Weights,
+		RelyTokens: a.action.RelyTokens, ImportFrom: a.action.ImportFrom, ImportBlocks: a.action.ImportBlocks,
+	}
+	if a.action.Keep {
+		request.KeepBlocks, request.Vault = a.action.KeepBlocks, file.Router.Vault
+	}
+	return request
+}
--- /dev/null
+++ b/internal/router/server.go
@@ -0,0 +1,309 @@
+// Package router is the shell around the core: it takes callers' requests over net/http, carries out the
+// core's actions, and keeps the router's synced copy of the settings.
+//
+// Threads: one decides (it owns the core); one renews the session; one reads the platform's list; one for
+// each back end polls its state; net/http's goroutines serve callers; one for each attempt reads a back end's
+// stream. They are joined by bounded rings (buffered channels). A full ring refuses or sheds, it never blocks
+// the deciding thread.
+package router
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"kitetiller/internal/control"
+	"kitetiller/internal/core"
+	"kitetiller/internal/node"
+	"kitetiller/internal/prefix"
+	"kitetiller/internal/settings"
+	"kitetiller/internal/transport"
+)
+
+const (
+	eventRing     = 16384
+	maximumLinger = 20 * time.Millisecond
+	drainBatch    = 512
+	shutdownTime  = 5 * time.Second
+	headerTimeout = 10 * time.Second
+)
+
+// inspection runs a function on the decide thread.
+type inspection struct {
+	run  func(*core.Core)
+	done chan struct{}
+}
+
+// view is what callers' goroutines may read without asking the decide thread.
+type view struct {
+	tree    settings.Tree
+	keys    map[string]string   // tenant by API key digest
+	models  map[string]string   // service by model name
+	weights map[string][]string // weights in use by service
+	version uint64
+	epoch   uint64
+}
+
+// Server is a router process.
+type Server struct {
+	file        *node.File
+	log         *zap.Logger
+	started     time.Time
+	incarnation uint64
+	hasher      *prefix.Hasher
+
+	core    *core.Core
+	events  chan core.Event
+	inspect chan inspection
+	view    atomic.Pointer[view]
+	nextID  atomic.Uint64
+
+	mutex    sync.Mutex
+	waiting  map[core.RequestID]*exchange   // callers
+	attempts map[core.AttemptID]*attemptRun // running attempts
+
+	pollers  map[string]context.CancelFunc // by back end; owned by the platform thread
+	client   *transport.Client
+	backends *http.Client
+	group    *control.Client
+	metrics  *metrics
+	disk     *diskState
+	draining atomic.Bool
+	shed     atomic.Uint64
+}
+
+// NewServer opens the data folder and restores the newest settings this router acknowledged.
+func NewServer(ctx context.Context, file *node.File, log *zap.Logger) (*Server, error) {
+	disk, err := openDiskState(file.Data, file.Name)
+	if err != nil {
+		return nil, err
+	}
+	key, err := file.Router.HashKey()
+	if err != nil {
+		return nil, err
+	}
+	links := transport.WatchLinks(ctx, file.Links, file.Zone)
+	client := transport.NewClient(file.ClusterToken, links)
+	server := &Server{
+		file: file, log: log, started: time.Now(), incarnation: disk.incarnation, disk: disk,
+		hasher: prefix.NewHasher(key, file.Router.BlockTokens),
+		events: make(chan core.Event, eventRing), inspect: make(chan inspection, 64),
+		waiting: map[core.RequestID]*exchange{}, attempts: map[core.AttemptID]*attemptRun{},
+		pollers: map[string]context.CancelFunc{}, client: client,
+		backends: &http.Client{Transport: transport.NewRoundTripper(links), CheckRedirect: noRedirect},
+		group:    control.NewClient(client, file.Router.Control),
+	}
+	server.core = core.New(core.Config{
+		Router: file.Name, Zone: file.Zone, Seed: disk.incarnation, BlockTokens: file.Router.BlockTokens,
+		IndexLimit: file.Router.IndexBlocks, ZoneLatency: file.Router.ZoneLatency, Vault: file.Router.Vault,
+		ImportRate: file.Router.ImportTokens,
+	})
+	server.metrics = newMetrics(server)
+	if disk.saved.Version > 0 {
+		server.core.Tick(0, []core.Event{core.EventSettings{Version: disk.saved.Version, Tree: disk.saved.Tree}})
+	}
+	server.publishView()
+	return server, nil
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+func (s *Server) now() time.Duration { return time.Since(s.started) }
+
+// Run serves until ctx ends, then finishes what is in flight.
+func (s *Server) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", s.file.Router.Listen)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", s.file.Router.Listen)
+	}
+	run, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	public := &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 1)
+	go func() {
+		if err := public.Serve(listener); err != http.ErrServerClosed {
+			failed <- err
+		}
+	}()
+	var threads sync.WaitGroup
+	threads.Go(func() { s.decide(run) })
+	threads.Go(func() { s.renewSession(run) })
+	threads.Go(func() { s.watchPlatform(run) })
+	s.log.Info("router started", zap.String("listen", s.file.Router.Listen), zap.Uint64("incarnation", s.incarnation),
+		zap.Uint64("settings_version", s.disk.saved.Version))
+	select {
+	case <-ctx.Done():
+		s.drain(public)
+	case err = <-failed:
+	}
+	cancel()
+	threads.Wait()
+	s.log.Info("router stopped")
+	return err
+}
+
+// drain is the planned stop: no new request is taken, those in flight are finished.
+func (s *Server) drain(public *http.Server) {
+	s.log.Info("planned stop: finishing requests in flight")
+	s.draining.Store(true)
+	s.events <- core.EventDrain{}
+	deadline := time.Now().Add(s.file.Router.DrainLimit)
+	for time.Now().Before(deadline) && s.inFlight() > 0 {
+		time.Sleep(maximumLinger)
+	}
+	s.closeSession()
+	closing, done := context.WithDeadline(context.Background(), deadline.Add(shutdownTime))
+	defer done()
+	if err := public.Shutdown(closing); err != nil {
+		s.log.Warn("connections were still open at the end of the planned stop", zap.Error(err))
+	}
+}
+
+func (s *Server) inFlight() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.waiting)
+}
+
+// decide is the thread that owns the core.
+func (s *Server) decide(ctx context.Context) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	batch := make([]core.Event, 0, drainBatch)
+	for {
+		batch = batch[:0]
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-s.events:
+			batch = append(batch, event)
+		case question := <-s.inspect:
+			question.run(s.core)
+			close(question.done)
+			continue
+		case <-timer.C:
+		}
+		for len(batch) < drainBatch && len(s.events) > 0 {
+			batch = append(batch, <-s.events)
+		}
+		s.carryOut(ctx, s.core.Tick(s.now(), batch))
+		if touchesView(batch) {
+			s.publishView()
+		}
+		timer.Reset(s.untilDue())
+	}
+}
+
+func (s *Server) untilDue() time.Duration {
+	due, any := s.core.NextDue()
+	if !any {
+		return maximumLinger
+	}
+	return min(max(due-s.now(), 0), maximumLinger)
+}
+
+// touchesView reports whether a batch may have changed what callers' goroutines read.
+func touchesView(batch []core.Event) bool {
+	for _, event := range batch {
+		switch event.(type) {
+		case core.EventSettings, core.EventBackend, core.EventPlatform, core.EventLease:
+			return true
+		}
+	}
+	return false
+}
+
+// publishView stores what callers' goroutines may read. Weights are taken anew each time; the rest only
+// when the settings changed.
+func (s *Server) publishView() {
+	previous := s.view.Load()
+	next := &view{version: s.core.Version(), epoch: s.core.Epoch(), weights: map[string][]string{}}
+	if previous != nil && previous.version == next.version {
+		next.tree, next.keys, next.models = previous.tree, previous.keys, previous.models
+	} else {
+		next.tree = s.core.Tree()
+		next.keys = next.tree.APIKeys()
+		next.models = modelsOf(next.tree, s.file.Zone)
+	}
+	for _, service := range next.tree.Services() {
+		next.weights[service] = s.core.WeightsInUse(service)
+	}
+	s.view.Store(next)
+}
+
+// modelsOf maps model names to services; a service also answers to its own name.
+func modelsOf(tree settings.Tree, zone string) map[string]string {
+	models := map[string]string{}
+	for _, service := range tree.Services() {
+		values := tree.Resolve(zone, service)
+		if values.Kind != "llm" {
+			continue
+		}
+		models[service] = service
+		if values.Model != "" {
+			models[values.Model] = service
+		}
+	}
+	return models
+}
+
+// ask runs a function on the decide thread and waits for it.
+func (s *Server) ask(ctx context.Context, run func(*core.Core)) bool {
+	question := inspection{run: run, done: make(chan struct{})}
+	select {
+	case s.inspect <- question:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-question.done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// post puts an event into the ring and waits for room; only goroutines that may wait call it.
+func (s *Server) post(event core.Event) { s.events <- event }
+
+// offer puts an event into the ring unless it is full.
+func (s *Server) offer(event core.Event) bool {
+	select {
+	case s.events <- event:
+		return true
+	default:
+		s.shed.Add(1)
+		return false
+	}
+}
+
+// carryOut performs actions in order. None of them blocks.
+func (s *Server) carryOut(ctx context.Context, actions []core.Action) {
+	for _, action := range actions {
+		switch typed := action.(type) {
+		case core.ActionDispatch:
+			s.startAttempt(ctx, typed)
+		case core.ActionCancel:
+			s.cancelAttempt(typed.Attempt)
+		case core.ActionChunk:
+			s.deliverChunk(typed)
+		case core.ActionFinish:
+			s.deliverFinish(typed)
+		case core.ActionClaim:
+			go s.claim(ctx, typed)
+		case core.ActionEnd:
+			go s.endClaim(ctx, typed)
+		case core.ActionSnapshot:
+			go s.fetchSnapshot(ctx, typed)
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/tree.go
@@ -0,0 +1,236 @@
+package settings
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"sort"
+	"strings"
+)
+
+// Any is the path element that stands for every zone, service or tenant.
+const Any = "*"
+
+// Level names of the tree, from the root down.
+const (
+	LevelRoot    = "root"
+	LevelZone    = "zone"
+	LevelService = "service"
+	LevelTenant  = "tenant"
+)
+
+var levelNames = []string{LevelRoot, LevelZone, LevelService, LevelTenant}
+
+// Path names a node: "/" is the root, "/zone", "/zone/service" and "/zone/service/tenant" lie beneath.
+// An element may be Any.
+type Path string
+
+// Elements returns the names below the root.
+func (p Path) Elements() []string {
+	trimmed := strings.Trim(string(p), "/")
+	if trimmed == "" {
+		return nil
+	}
+	return strings.Split(trimmed, "/")
+}
+
+// Level returns the name of the path's level.
+func (p Path) Level() string {
+	depth := len(p.Elements())
+	if depth >= len(levelNames) {
+		return ""
+	}
+	return levelNames[depth]
+}
+
+// MakePath joins elements to a path.
+func MakePath(elements ...string) Path { return Path("/" + strings.Join(elements, "/")) }
+
+// Tree maps each path to what it sets. A node exists when it has an entry, even an empty one.
+type Tree struct {
+	Nodes map[Path]Overrides `json:"nodes"`
+}
+
+// NewTree returns a tree with an empty root.
+func NewTree() Tree { return Tree{Nodes: map[Path]Overrides{"/": {}}} }
+
+// Clone returns a copy that shares no map. Overrides are never changed in place.
+func (t Tree) Clone() Tree { return Tree{Nodes: maps.Clone(t.Nodes)} }
+
+// Paths returns all paths, sorted.
+func (t Tree) Paths() []Path { return slices.Sorted(maps.Keys(t.Nodes)) }
+
+// Origin tells which node set an effective value; the built-in default has the path "default".
+type Origin struct {
+	Setting string          `json:"setting"`
+	Value   json.RawMessage `json:"value"`
+	Path    Path            `json:"path"`
+}
+
+// OriginDefault is the Path of an Origin that no node of the tree set.
+const OriginDefault Path = "default"
+
+// layers lists the nodes that apply to a place, weakest first: by depth, and at one depth Any before a name,
+// compared zone first.
+func layers(elements []string) []Path {
+	paths := []Path{"/"}
+	current := []Path{""}
+	for _, element := range elements {
+		var next []Path
+		for _, parent := range current {
+			next = append(next, parent+"/"+Any)
+		}
+		if element != Any {
+			for _, parent := range current {
+				next = append(next, parent+"/"+Path(element))
+			}
+		}
+		sort.SliceStable(next, func(i, j int) bool { return specificity(next[i]) < specificity(next[j]) })
+		paths = append(paths, next...)
+		current = next
+	}
+	return paths
+}
+
+// specificity orders paths of one depth: a named zone counts more than a named service, that more than a tenant.
+func specificity(path Path) int {
+	score := 0
+	for _, element := range path.Elements() {
+		score <<= 1
+		if element != Any {
+			score++
+		}
+	}
+	return score
+}
+
+// Resolve returns the effective values for a zone, service and tenant; trailing ones may be left out.
+func (t Tree) Resolve(elements ...string) Values {
+	values := Defaults()
+	for _, path := range layers(elements) {
+		if node, found := t.Nodes[path]; found {
+			node.apply(&values, nil)
+		}
+	}
+	return values
+}
+
+// Explain returns each effective value and the node that set it.
+func (t Tree) Explain(elements ...string) []Origin {
+	values := Defaults()
+	origin := map[string]Path{}
+	for _, path := range layers(elements) {
+		if node, found := t.Nodes[path]; found {
+			node.apply(&values, func(name string) { origin[name] = path })
+		}
+	}
+	full, err := json.Marshal(values)
+	if err != nil {
+		panic("settings: effective values cannot be written: " + err.Error())
+	}
+	byName := map[string]json.RawMessage{}
+	if err := json.Unmarshal(full, &byName); err != nil {
+		panic("settings: effective values cannot be read: " + err.Error())
+	}
+	var list []Origin
+	for _, definition := range definitions {
+		path, set := origin[definition.Name]
+		if !set {
+			path = OriginDefault
+		}
+		list = append(list, Origin{Setting: definition.Name, Value: byName[definition.Name], Path: path})
+	}
+	return list
+}
+
+// namesAt returns the distinct names at one depth, without Any.
+func (t Tree) namesAt(depth int) []string {
+	found := map[string]bool{}
+	for path := range t.Nodes {
+		elements := path.Elements()
+		if len(elements) > depth && elements[depth] != Any {
+			found[elements[depth]] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
+// Zones returns the zones named in the tree.
+func (t Tree) Zones() []string { return t.namesAt(0) }
+
+// Services returns the services named in the tree.
+func (t Tree) Services() []string { return t.namesAt(1) }
+
+// Tenants returns the tenants named in the tree.
+func (t Tree) Tenants() []string { return t.namesAt(2) }
+
+// APIKeys maps each key digest (lower-case hex SHA-256) to its tenant.
+func (t Tree) APIKeys() map[string]string {
+	keys := map[string]string{}
+	for path, node := range t.Nodes {
+		elements := path.Elements()
+		if len(elements) != 3 || node.APIKeySHA256 == nil {
+			continue
+		}
+		for _, digest := range *node.APIKeySHA256 {
+			keys[strings.ToLower(digest)] = elements[2]
+		}
+	}
+	return keys
+}
+
+// Edit sets or removes one setting, or a whole node.
+type Edit struct {
+	Path    Path            `json:"path"`
+	Setting string          `json:"setting,omitempty"` // empty: the node itself
+	Value   json.RawMessage `json:"value,omitempty"`   // empty: inherit again, or remove the node
+	Create  bool            `json:"create,omitempty"`  // with an empty Setting: make an empty node
+}
+
+// Difference is one setting that differs between two trees.
+type Difference struct {
+	Path    Path            `json:"path"`
+	Setting string          `json:"setting"`
+	Before  json.RawMessage `json:"before,omitempty"`
+	After   json.RawMessage `json:"after,omitempty"`
+}
+
+// Diff lists the settings in which two trees differ, sorted by path and setting.
+func Diff(before, after Tree) []Difference {
+	paths := map[Path]bool{}
+	for path := range before.Nodes {
+		paths[path] = true
+	}
+	for path := range after.Nodes {
+		paths[path] = true
+	}
+	var differences []Difference
+	for _, path := range slices.Sorted(maps.Keys(paths)) {
+		differences = append(differences, diffNode(path, before, after)...)
+	}
+	return differences
+}
+
+func diffNode(path Path, before, after Tree) []Difference {
+	var differences []Difference
+	_, hadNode := before.Nodes[path]
+	_, hasNode := after.Nodes[path]
+	if hadNode != hasNode {
+		differences = append(differences, Difference{Path: path, Before: presence(hadNode), After: presence(hasNode)})
+	}
+	for _, definition := range definitions {
+		old, hadOld := before.Nodes[path].Get(definition.Name)
+		current, hasNew := after.Nodes[path].Get(definition.Name)
+		if hadOld != hasNew || string(old) != string(current) {
+			differences = append(differences, Difference{Path: path, Setting: definition.Name, Before: old, After: current})
+		}
+	}
+	return differences
+}
+
+func presence(exists bool) json.RawMessage {
+	if exists {
+		return json.RawMessage("{}")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/storage/log.go
@@ -0,0 +1,320 @@
+// Package storage keeps records on disk: an append-only log of checksummed segments that can be cut to a
+// checkpoint, and small files replaced as a whole.
+//
+// A record is durable once Sync has returned. A record torn by a crash at the very end of the newest
+// segment is cut away on the next start; any other damage stops the start and changes nothing, since it
+// means that durable data is gone.
+package storage
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// FormatVersion is the layout written by this code. A folder with a newer one is refused.
+const FormatVersion = 1
+
+// Kind tells what a record carries; its values belong to the caller, but for KindHeader.
+type Kind uint8
+
+// KindHeader marks the first record of each segment.
+const KindHeader Kind = 255
+
+const (
+	frameHeaderBytes  = 9 // length (4), checksum (4), kind (1)
+	maxRecordBytes    = 256 << 20
+	segmentSuffix     = ".log"
+	temporarySuffix   = ".tmp"
+	folderPermissions = 0o755
+	filePermissions   = 0o644
+)
+
+// Errors that a caller can tell apart with errors.Is.
+var (
+	ErrDamaged     = eris.New("data folder is damaged")
+	ErrForeign     = eris.New("data folder belongs to another program or replica")
+	ErrNewerFormat = eris.New("data folder was written by a newer version")
+)
+
+// Record is one entry of the log.
+type Record struct {
+	Kind Kind
+	Data []byte
+}
+
+// header is the content of the first record of each segment.
+type header struct {
+	Magic    string `json:"magic"`
+	Format   int    `json:"format"`
+	Owner    string `json:"owner"`
+	Sequence uint64 `json:"sequence"`
+}
+
+const magic = "kitetiller-log"
+
+// Log is an open log. It is not safe for concurrent use.
+type Log struct {
+	folder   string
+	owner    string
+	file     *os.File
+	sequence uint64
+	size     int64
+	pending  []byte
+}
+
+var checksumTable = crc32.MakeTable(crc32.Castagnoli)
+
+// Open opens or creates the log of an owner in a folder and returns the records since the last checkpoint.
+func Open(folder, owner string) (*Log, []Record, error) {
+	if err := os.MkdirAll(folder, folderPermissions); err != nil {
+		return nil, nil, eris.Wrapf(err, "create %s", folder)
+	}
+	sequences, err := listSegments(folder)
+	if err != nil {
+		return nil, nil, err
+	}
+	log := &Log{folder: folder, owner: owner}
+	if len(sequences) == 0 {
+		return log, nil, log.createFirst()
+	}
+	var records []Record
+	for i, sequence := range sequences {
+		newest := i == len(sequences)-1
+		segment, length, err := log.readSegment(sequence, newest)
+		if err != nil {
+			return nil, nil, err
+		}
+		if i > 0 && startsWithCheckpoint(segment) {
+			records = nil
+		}
+		records = append(records, segment...)
+		log.sequence, log.size = sequence, length
+	}
+	return log, records, log.reopenNewest()
+}
+
+// startsWithCheckpoint reports whether a later segment replaces the ones before it. Every segment after
+// the first is made by Checkpoint, so this holds when it has any record.
+func startsWithCheckpoint(segment []Record) bool { return len(segment) > 0 }
+
+func listSegments(folder string) ([]uint64, error) {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, eris.Wrapf(err, "read %s", folder)
+	}
+	var sequences []uint64
+	for _, entry := range entries {
+		name := entry.Name()
+		if strings.HasSuffix(name, temporarySuffix) {
+			continue
+		}
+		var sequence uint64
+		if _, err := fmt.Sscanf(name, "%016d"+segmentSuffix, &sequence); err != nil {
+			return nil, eris.Wrapf(ErrForeign, "%s holds the unknown file %s; move it away or choose another folder", folder, name)
+		}
+		sequences = append(sequences, sequence)
+	}
+	sort.Slice(sequences, func(i, j int) bool { return sequences[i] < sequences[j] })
+	return sequences, nil
+}
+
+func (l *Log) segmentPath(sequence uint64) string {
+	return filepath.Join(l.folder, fmt.Sprintf("%016d%s", sequence, segmentSuffix))
+}
+
+func (l *Log) createFirst() error {
+	l.sequence = 1
+	return l.writeSegment(nil)
+}
+
+// readSegment returns the records after the header and the length of the valid part.
+func (l *Log) readSegment(sequence uint64, newest bool) ([]Record, int64, error) {
+	path := l.segmentPath(sequence)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, 0, eris.Wrapf(err, "read %s", path)
+	}
+	records, length, torn := DecodeRecords(data)
+	if len(records) == 0 || records[0].Kind != KindHeader {
+		return nil, 0, eris.Wrapf(ErrDamaged, "%s has no readable header", path)
+	}
+	if err := l.checkHeader(path, records[0].Data); err != nil {
+		return nil, 0, err
+	}
+	if torn != TornNone && (!newest || torn == TornMiddle) {
+		return nil, 0, eris.Wrapf(ErrDamaged,
+			"%s: record at byte %d fails its checksum and is not the last one; restore the folder from a backup or wipe it to rejoin as a new replica", path, length)
+	}
+	return records[1:], length, nil
+}
+
+func (l *Log) checkHeader(path string, data []byte) error {
+	var found header
+	if err := json.Unmarshal(data, &found); err != nil || found.Magic != magic {
+		return eris.Wrapf(ErrForeign, "%s was not written by this program", path)
+	}
+	if found.Format > FormatVersion {
+		return eris.Wrapf(ErrNewerFormat, "%s has format %d, this program reads up to %d; start the newer program", path, found.Format, FormatVersion)
+	}
+	if found.Owner != l.owner {
+		return eris.Wrapf(ErrForeign, "%s belongs to %q, not to %q", path, found.Owner, l.owner)
+	}
+	return nil
+}
+
+func (l *Log) reopenNewest() error {
+	path := l.segmentPath(l.sequence)
+	file, err := os.OpenFile(path, os.O_RDWR, filePermissions)
+	if err != nil {
+		return eris.Wrapf(err, "open %s", path)
+	}
+	if err := file.Truncate(l.size); err != nil {
+		return eris.Wrapf(err, "cut the torn end of %s", path)
+	}
+	if _, err := file.Seek(l.size, 0); err != nil {
+		return eris.Wrapf(err, "seek in %s", path)
+	}
+	l.file = file
+	return eris.Wrapf(file.Sync(), "sync %s", path)
+}
+
+// Append adds a record to the buffer that the next Sync writes.
+func (l *Log) Append(record Record) {
+	l.pending = AppendRecord(l.pending, record)
+}
+
+// Sync writes and syncs the buffered records. After an error the log must not be used any more: what the
+// disk holds is not known.
+func (l *Log) Sync() error {
+	if len(l.pending) == 0 {
+		return nil
+	}
+	written, err := l.file.Write(l.pending)
+	if err != nil {
+		return eris.Wrapf(err, "append to %s", l.file.Name())
+	}
+	l.size += int64(written)
+	l.pending = l.pending[:0]
+	return eris.Wrapf(l.file.Sync(), "sync %s", l.file.Name())
+}
+
+// Checkpoint starts a new segment with the given records, which replace everything before, and deletes
+// the older segments once the new one is durable.
+func (l *Log) Checkpoint(records []Record) error {
+	if err := l.Sync(); err != nil {
+		return err
+	}
+	previous := l.sequence
+	old := l.file
+	l.sequence++
+	if err := l.writeSegment(records); err != nil {
+		return err
+	}
+	if err := old.Close(); err != nil {
+		return eris.Wrap(err, "close old segment")
+	}
+	for sequence := previous; sequence > 0; sequence-- {
+		if err := os.Remove(l.segmentPath(sequence)); err != nil {
+			break // older ones are gone already
+		}
+	}
+	return syncFolder(l.folder)
+}
+
+func (l *Log) writeSegment(records []Record) error {
+	head, err := json.Marshal(header{Magic: magic, Format: FormatVersion, Owner: l.owner, Sequence: l.sequence})
+	if err != nil {
+		return eris.Wrap(err, "encode segment header")
+	}
+	data := AppendRecord(nil, Record{Kind: KindHeader, Data: head})
+	for _, record := range records {
+		data = AppendRecord(data, record)
+	}
+	path := l.segmentPath(l.sequence)
+	if err := ReplaceFile(path, data); err != nil {
+		return err
+	}
+	l.size = int64(len(data))
+	return l.reopenNewest()
+}
+
+// Size returns the bytes of the newest segment.
+func (l *Log) Size() int64 { return l.size }
+
+// Close closes the log without syncing buffered records.
+func (l *Log) Close() error { return eris.Wrap(l.file.Close(), "close log") }
+
+// AppendRecord appends the framed record to a buffer.
+func AppendRecord(buffer []byte, record Record) []byte {
+	var frame [frameHeaderBytes]byte
+	binary.LittleEndian.PutUint32(frame[0:], uint32(len(record.Data)))
+	frame[8] = byte(record.Kind)
+	sum := crc32.Update(0, checksumTable, frame[0:4])
+	sum = crc32.Update(sum, checksumTable, frame[8:])
+	sum = crc32.Update(sum, checksumTable, record.Data)
+	binary.LittleEndian.PutUint32(frame[4:], sum)
+	buffer = append(buffer, frame[:]...)
+	return append(buffer, record.Data...)
+}
+
+// Torn tells what follows the last valid record.
+type Torn uint8
+
+// What DecodeRecords found after the valid records.
+const (
+	TornNone   Torn = iota
+	TornEnd         // an incomplete last record, as a crash leaves it
+	TornMiddle      // a bad record with valid-looking data after it
+)
+
+// DecodeRecords reads framed records until the first that is not valid and returns the bytes they span.
+func DecodeRecords(data []byte) (records []Record, length int64, torn Torn) {
+	offset := 0
+	for offset < len(data) {
+		record, size, ok := decodeOne(data[offset:])
+		if !ok {
+			return records, int64(offset), classifyTail(data[offset:])
+		}
+		records = append(records, record)
+		offset += size
+	}
+	return records, int64(offset), TornNone
+}
+
+func decodeOne(data []byte) (Record, int, bool) {
+	if len(data) < frameHeaderBytes {
+		return Record{}, 0, false
+	}
+	length := int(binary.LittleEndian.Uint32(data[0:]))
+	if length > maxRecordBytes || frameHeaderBytes+length > len(data) {
+		return Record{}, 0, false
+	}
+	body := data[frameHeaderBytes : frameHeaderBytes+length]
+	sum := crc32.Update(0, checksumTable, data[0:4])
+	sum = crc32.Update(sum, checksumTable, data[8:9])
+	sum = crc32.Update(sum, checksumTable, body)
+	if sum != binary.LittleEndian.Uint32(data[4:]) {
+		return Record{}, 0, false
+	}
+	return Record{Kind: Kind(data[8]), Data: append([]byte(nil), body...)}, frameHeaderBytes + length, true
+}
+
+// classifyTail tells a torn end from damage: if any valid, non-empty record can be found after the bad
+// place, data written later survived, so the bad place was once durable.
+func classifyTail(tail []byte) Torn {
+	for start := 1; start+frameHeaderBytes < len(tail); start++ {
+		record, _, ok := decodeOne(tail[start:])
+		if ok && len(record.Data) > 0 {
+			return TornMiddle
+		}
+	}
+	return TornEnd
+}
--- /dev/null
+++ b/internal/transport/client.go
@@ -0,0 +1,95 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	dialTimeout     = 2 * time.Second
+	idleTimeout     = 30 * time.Second
+	idlePerHost     = 64
+	maxErrorExcerpt = 200
+)
+
+// Client sends JSON requests to other processes.
+type Client struct {
+	http  *http.Client
+	token string
+}
+
+// NewClient returns a client whose connections pass through links. Compression is off: bodies are small and
+// local.
+func NewClient(token string, links *Links) *Client {
+	return &Client{http: &http.Client{Transport: NewRoundTripper(links)}, token: token}
+}
+
+// NewRoundTripper returns the transport used towards processes and back ends.
+func NewRoundTripper(links *Links) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         links.wrapDial(dialer.DialContext),
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// StatusError is an answer with another status than 200.
+type StatusError struct {
+	Status int
+	Body   []byte
+}
+
+// Error returns the status and the start of the body.
+func (e *StatusError) Error() string {
+	excerpt := e.Body[:min(len(e.Body), maxErrorExcerpt)]
+	return http.StatusText(e.Status) + ": " + string(excerpt)
+}
+
+// Post sends a value and decodes the answer into reply, unless reply is nil.
+func (c *Client) Post(ctx context.Context, address, path string, value, reply any) error {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return eris.Wrap(err, "encode request")
+	}
+	return c.do(ctx, http.MethodPost, address, path, body, reply)
+}
+
+// Get asks for a value.
+func (c *Client) Get(ctx context.Context, address, path string, reply any) error {
+	return c.do(ctx, http.MethodGet, address, path, nil, reply)
+}
+
+func (c *Client) do(ctx context.Context, method, address, path string, body []byte, reply any) error {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "make request")
+	}
+	if c.token != "" {
+		request.Header.Set("Authorization", bearerPrefix+c.token)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return eris.Wrapf(err, "%s %s", method, path)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	if err != nil {
+		return eris.Wrapf(err, "read answer of %s", path)
+	}
+	if response.StatusCode != http.StatusOK {
+		return &StatusError{Status: response.StatusCode, Body: data}
+	}
+	if reply == nil {
+		return nil
+	}
+	return eris.Wrapf(json.Unmarshal(data, reply), "decode answer of %s", path)
+}
--- /dev/null
+++ b/internal/transport/links.go
@@ -0,0 +1,165 @@
+package transport
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"time"
+)
+
+// LinkFile describes the network between zones, for tests on one machine: which addresses lie in which zone,
+// how long a message takes between zones, and which zones are cut off. It is read again when it changes.
+type LinkFile struct {
+	Zones     map[string]string `json:"zones"` // zone by address
+	LatencyMS float64           `json:"latency_ms"`
+	Cut       []string          `json:"cut"`
+}
+
+const linkFilePoll = 100 * time.Millisecond
+
+// Links filters a process's connections by a LinkFile. A nil Links passes everything.
+type Links struct {
+	zone string
+	path string
+
+	mutex    sync.RWMutex
+	file     LinkFile
+	modified time.Time
+}
+
+// WatchLinks reads the file now and then every linkFilePoll until ctx ends.
+func WatchLinks(ctx context.Context, path, zone string) *Links {
+	if path == "" {
+		return nil
+	}
+	links := &Links{zone: zone, path: path}
+	links.reload()
+	go links.watch(ctx)
+	return links
+}
+
+func (l *Links) watch(ctx context.Context) {
+	ticker := time.NewTicker(linkFilePoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.reload()
+		}
+	}
+}
+
+func (l *Links) reload() {
+	info, err := os.Stat(l.path)
+	if err != nil || info.ModTime().Equal(l.modified) {
+		return
+	}
+	data, err := os.ReadFile(l.path)
+	if err != nil {
+		return
+	}
+	var file LinkFile
+	if json.Unmarshal(data, &file) != nil {
+		return // half written; the next poll reads it whole
+	}
+	l.mutex.Lock()
+	l.file, l.modified = file, info.ModTime()
+	l.mutex.Unlock()
+}
+
+// state tells whether an address is cut off and how far it is.
+func (l *Links) state(address string) (cut bool, latency time.Duration) {
+	l.mutex.RLock()
+	defer l.mutex.RUnlock()
+	other := l.file.Zones[address]
+	if other == "" || other == l.zone {
+		return false, 0
+	}
+	cut = slices.Contains(l.file.Cut, other) || slices.Contains(l.file.Cut, l.zone)
+	return cut, time.Duration(l.file.LatencyMS * float64(time.Millisecond))
+}
+
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// wrapDial makes connections that go silent while their link is cut.
+func (l *Links) wrapDial(dial dialFunc) dialFunc {
+	if l == nil {
+		return dial
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if err := l.wait(ctx, address); err != nil {
+			return nil, err
+		}
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		life, end := context.WithCancel(context.Background())
+		return &linkConn{Conn: conn, links: l, address: address, life: life, end: end}, nil
+	}
+}
+
+// wait blocks while the link is cut, as a network that drops packets does, then for the latency.
+func (l *Links) wait(ctx context.Context, address string) error {
+	for {
+		cut, latency := l.state(address)
+		pause := latency
+		if cut {
+			pause = linkFilePoll
+		}
+		if pause > 0 {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(pause):
+			}
+		}
+		if !cut {
+			return nil
+		}
+	}
+}
+
+// linkConn is a connection over a filtered link. Latency is added to what is written.
+type linkConn struct {
+	net.Conn
+	links   *Links
+	address string
+	life    context.Context // ends with Close
+	end     context.CancelFunc
+}
+
+// Write waits for the link, then writes.
+func (c *linkConn) Write(data []byte) (int, error) {
+	if err := c.links.wait(c.life, c.address); err != nil {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(data)
+}
+
+// Read reads, and holds back what came while the link is cut.
+func (c *linkConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	for {
+		cut, _ := c.links.state(c.address)
+		if !cut {
+			return n, err
+		}
+		select {
+		case <-c.life.Done():
+			return 0, net.ErrClosed
+		case <-time.After(linkFilePoll):
+		}
+	}
+}
+
+// Close closes the connection and frees whoever waits for the link.
+func (c *linkConn) Close() error {
+	c.end()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/transport/server.go
@@ -0,0 +1,184 @@
+// Package transport carries the system's own HTTP/1.1 with JSON between its processes: a gnet listener whose
+// framing is net/http's, a net/http client, and a link filter with which tests cut zones apart.
+package transport
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+)
+
+const (
+	// maxMessageBytes bounds one request; a snapshot of the control state must fit.
+	maxMessageBytes = 256 << 20
+	maxHeaderBytes  = 64 << 10
+	eventLoops      = 2
+	bearerPrefix    = "Bearer "
+)
+
+// Request is one internal request.
+type Request struct {
+	Path string
+	Body []byte
+}
+
+// Respond sends the answer to a request, once, from any goroutine.
+type Respond func(status int, body any)
+
+// Handler takes a request. It must not block: it runs on the event loop.
+type Handler func(request Request, respond Respond)
+
+// Server is the internal listener.
+type Server struct {
+	gnet.BuiltinEventEngine
+	engine  gnet.Engine
+	started chan struct{}
+	token   string
+	handler Handler
+	log     *zap.Logger
+}
+
+// connection is the state of one accepted connection. It is touched only on its event loop.
+type connection struct {
+	busy bool // a request is being answered; the next one waits in the buffer
+	need int  // bytes that must be buffered before parsing again
+}
+
+// Listen serves on address until Close. Callers must send the cluster token.
+func Listen(address, token string, handler Handler, log *zap.Logger) (*Server, error) {
+	server := &Server{started: make(chan struct{}), token: token, handler: handler, log: log}
+	failed := make(chan error, 1)
+	go func() {
+		failed <- gnet.Run(server, "tcp://"+address, gnet.WithNumEventLoop(eventLoops), gnet.WithReusePort(false),
+			gnet.WithLogger(log.Sugar()))
+	}()
+	select {
+	case <-server.started:
+		return server, nil
+	case err := <-failed:
+		return nil, eris.Wrapf(err, "listen on %s", address)
+	}
+}
+
+// Close stops the listener.
+func (s *Server) Close(ctx context.Context) error {
+	return eris.Wrap(s.engine.Stop(ctx), "stop listener")
+}
+
+// OnBoot is called by gnet when the listener is open.
+func (s *Server) OnBoot(engine gnet.Engine) gnet.Action {
+	s.engine = engine
+	close(s.started)
+	return gnet.None
+}
+
+// OnOpen is called by gnet for each accepted connection.
+func (s *Server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	c.SetContext(&connection{})
+	return nil, gnet.None
+}
+
+// OnTraffic is called by gnet when bytes have come in.
+func (s *Server) OnTraffic(c gnet.Conn) gnet.Action {
+	state := c.Context().(*connection)
+	if state.busy || c.InboundBuffered() < state.need {
+		return gnet.None
+	}
+	data, err := c.Peek(-1)
+	if err != nil {
+		return gnet.Close
+	}
+	request, consumed, err := parse(data)
+	switch {
+	case err == errIncomplete:
+		state.need = consumed
+		return gnet.None
+	case err != nil:
+		s.log.Warn("malformed internal request", zap.Error(err))
+		return gnet.Close
+	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return gnet.Close
+	}
+	if _, err := c.Discard(consumed); err != nil {
+		return gnet.Close
+	}
+	state.need = 0
+	state.busy = true
+	s.dispatch(c, request, body)
+	return gnet.None
+}
+
+func (s *Server) dispatch(c gnet.Conn, request *http.Request, body []byte) {
+	respond := func(status int, answer any) { s.answer(c, status, answer) }
+	if s.token != "" && strings.TrimPrefix(request.Header.Get("Authorization"), bearerPrefix) != s.token {
+		respond(http.StatusUnauthorized, nil)
+		return
+	}
+	s.handler(Request{Path: request.URL.Path, Body: body}, respond)
+}
+
+// answer writes a response and lets the connection's next request be parsed.
+func (s *Server) answer(c gnet.Conn, status int, answer any) {
+	payload, err := json.Marshal(answer)
+	if err != nil {
+		status, payload = http.StatusInternalServerError, nil
+		s.log.Error("internal answer cannot be encoded", zap.Error(err))
+	}
+	response := http.Response{
+		StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(payload)),
+		Header: http.Header{"Content-Type": {"application/json"}}, Body: io.NopCloser(bytes.NewReader(payload)),
+	}
+	var wire bytes.Buffer
+	if err := response.Write(&wire); err != nil {
+		s.log.Error("internal answer cannot be framed", zap.Error(err))
+		return
+	}
+	_ = c.AsyncWrite(wire.Bytes(), func(c gnet.Conn, _ error) error {
+		if state, ok := c.Context().(*connection); ok {
+			state.busy = false
+			if c.InboundBuffered() > 0 {
+				return c.Wake(nil)
+			}
+		}
+		return nil
+	})
+}
+
+// errIncomplete says that more bytes are needed.
+var errIncomplete = eris.New("incomplete request")
+
+// parse reads one request from the start of data. With errIncomplete it returns how many bytes are needed
+// at least.
+func parse(data []byte) (*http.Request, int, error) {
+	headerEnd := bytes.Index(data, []byte("\r\n\r\n"))
+	if headerEnd < 0 {
+		if len(data) > maxHeaderBytes {
+			return nil, 0, eris.New("header is too long")
+		}
+		return nil, len(data) + 1, errIncomplete
+	}
+	reader := bytes.NewReader(data)
+	buffered := bufio.NewReader(reader)
+	request, err := http.ReadRequest(buffered)
+	if err != nil {
+		return nil, 0, eris.Wrap(err, "read request")
+	}
+	if request.ContentLength < 0 || request.ContentLength > maxMessageBytes {
+		return nil, 0, eris.Errorf("content length %d is not accepted", request.ContentLength)
+	}
+	total := headerEnd + len("\r\n\r\n") + int(request.ContentLength)
+	if len(data) < total {
+		return nil, total, errIncomplete
+	}
+	return request, total, nil
+}
