Engine stand-in: a copy that ends during a step waits for the step

Cause: Model.NextDue offered the end of a copy while a step was running; Advance could do nothing then and looped for ever with the engine locked, so every stream on that engine stood still until its deadline. Excluded: the router's queue (dispatches had left), the ring (no shed), the network (state polls of other engines answered). Change: the end of a copy counts only between steps. The core also moves streams away from an engine that is silent or came back as another life, instead of waiting for a connection that never breaks. Conclusion: the stand-in was at fault; the router lacked the protection that a frozen engine would have needed, and has it now.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -139,17 +139,23 @@
 		c.finish(r, ActionFinish{Reason: ReasonComplete, Run: RunYes, Tokens: r.emitted, Answer: &ledger.Answer{}})
 		return
 	}
+	row.leaving = row.leaving || event.Draining
+	if !event.Draining && event.RetryAfter == 0 {
+		c.noteUnreachable(row)
+	}
+	c.membershipDirty = c.membershipDirty || event.Draining
+	c.failAttempt(r, at, event)
+}
+
+// failAttempt drops an attempt and hands its request to the retry system when it was the last one.
+func (c *Core) failAttempt(r *request, at int, event EventAttempt) {
+	sent := r.attempts[at]
 	if event.Kind == AttemptBroken {
 		c.emit(ActionCancel{ID: r.ID, Attempt: sent.id})
 	}
 	if event.Kind == AttemptRefused {
 		r.unproven--
 	}
-	row.leaving = row.leaving || event.Draining
-	if !event.Draining && event.RetryAfter == 0 {
-		c.noteUnreachable(row)
-	}
-	c.membershipDirty = c.membershipDirty || event.Draining
 	c.dropAttempt(r, at)
 	r.failedOn = append(r.failedOn, sent.backend)
 	if len(r.attempts) == 0 {
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,250 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"kitetiller/internal/ledger"
+	"kitetiller/internal/prefix"
+	"kitetiller/internal/settings"
+)
+
+const (
+	testService = "llm"
+	testSmall   = "small"
+	testTenant  = "tenant"
+	testBlock   = 64
+)
+
+// harness drives a core by hand in virtual time.
+type harness struct {
+	t    *testing.T
+	core *Core
+	now  time.Duration
+}
+
+func pointer[T any](value T) *T { return &value }
+
+func testTree() settings.Tree {
+	return settings.Tree{Nodes: map[settings.Path]settings.Overrides{
+		"/":                 {},
+		"/*":                {},
+		"/*/" + testService: {Kind: pointer("llm")},
+		"/*/" + testSmall:   {Kind: pointer("service"), Repeatable: pointer(false)},
+	}}
+}
+
+// newHarness returns a core with settings, a lease and engines that have reported.
+func newHarness(t *testing.T, engines int) *harness {
+	h := &harness{t: t, core: New(Config{Router: "r1", Zone: "z", Seed: 1, BlockTokens: testBlock, IndexLimit: 1000})}
+	var machines []Machine
+	for i := range engines {
+		machines = append(machines, Machine{Name: engineName(i), Zone: "z", Service: testService, Address: engineName(i)})
+	}
+	machines = append(machines, Machine{Name: "s0", Zone: "z", Service: testSmall, Address: "s0"})
+	h.tick(EventSettings{Version: 1, Tree: testTree()}, EventLease{Epoch: 5, Until: time.Hour}, EventPlatform{Machines: machines})
+	for i := range engines {
+		h.report(engineName(i), 1)
+	}
+	h.report("s0", 1)
+	return h
+}
+
+func engineName(i int) string { return fmt.Sprintf("e%d", i) }
+
+func (h *harness) tick(events ...Event) []Action { return h.core.Tick(h.now, events) }
+
+func (h *harness) report(name string, incarnation uint64) []Action {
+	return h.tick(EventBackend{Name: name, Report: &BackendReport{Incarnation: incarnation, Weights: "w1"}})
+}
+
+func (h *harness) after(d time.Duration, events ...Event) []Action {
+	h.now += d
+	return h.tick(events...)
+}
+
+func prompt(id int, blocks int) Request {
+	chain := make([]prefix.Hash, blocks)
+	for i := range chain {
+		chain[i][0], chain[i][1] = 1, byte(i+1)
+	}
+	return Request{
+		ID: RequestID(id), Name: fmt.Sprint(id), Tenant: testTenant, Service: testService, PromptTokens: blocks * testBlock,
+		MaxTokens: 8, Chains: []Chain{{Weights: "w1", Blocks: chain}},
+	}
+}
+
+func find[T Action](actions []Action) (T, bool) {
+	for _, action := range actions {
+		if typed, ok := action.(T); ok {
+			return typed, true
+		}
+	}
+	var none T
+	return none, false
+}
+
+func need[T Action](t *testing.T, actions []Action) T {
+	t.Helper()
+	found, ok := find[T](actions)
+	if !ok {
+		t.Fatalf("no %T among %+v", found, actions)
+	}
+	return found
+}
+
+func chunk(sent ActionDispatch, index int) EventAttempt {
+	return EventAttempt{ID: sent.ID, Attempt: sent.Attempt, Echo: sent.Attempt, Kind: AttemptChunk, Index: index, Text: "x"}
+}
+
+func done(sent ActionDispatch, length int) EventAttempt {
+	return EventAttempt{ID: sent.ID, Attempt: sent.Attempt, Echo: sent.Attempt, Kind: AttemptDone, Index: length}
+}
+
+func TestStreamIsPassedOnAndCompletes(t *testing.T) {
+	h := newHarness(t, 2)
+	sent := need[ActionDispatch](t, h.tick(EventRequest{prompt(1, 4)}))
+	if got := need[ActionChunk](t, h.tick(chunk(sent, 0))); got.Index != 0 {
+		t.Fatalf("chunk %d, want 0", got.Index)
+	}
+	if repeated, found := find[ActionChunk](h.tick(chunk(sent, 0))); found {
+		t.Fatalf("repeated chunk passed on: %+v", repeated)
+	}
+	if final := need[ActionFinish](t, h.tick(done(sent, 1))); final.Reason != ReasonComplete || final.Tokens != 1 {
+		t.Fatalf("final answer %+v", final)
+	}
+}
+
+func TestStreamGapResumesElsewhere(t *testing.T) {
+	h := newHarness(t, 2)
+	sent := need[ActionDispatch](t, h.tick(EventRequest{prompt(1, 4)}))
+	h.tick(chunk(sent, 0))
+	next := need[ActionDispatch](t, h.tick(chunk(sent, 2)))
+	if next.ResumeFrom != 1 || next.Backend == sent.Backend {
+		t.Fatalf("resumed from %d on %s after a gap on %s", next.ResumeFrom, next.Backend, sent.Backend)
+	}
+}
+
+func TestEarlyEndIsNotComplete(t *testing.T) {
+	h := newHarness(t, 2)
+	sent := need[ActionDispatch](t, h.tick(EventRequest{prompt(1, 4)}))
+	h.tick(chunk(sent, 0))
+	actions := h.tick(done(sent, 3))
+	if final, ended := find[ActionFinish](actions); ended {
+		t.Fatalf("stream with missing tokens ended as %+v", final)
+	}
+	need[ActionDispatch](t, actions)
+}
+
+// TestSilentEngineLosesItsStreams: a frozen engine keeps its connections open, so only its missing reports tell.
+func TestSilentEngineLosesItsStreams(t *testing.T) {
+	h := newHarness(t, 2)
+	sent := need[ActionDispatch](t, h.tick(EventRequest{prompt(1, 4)}))
+	h.tick(chunk(sent, 0))
+	other := engineName(1)
+	if sent.Backend == other {
+		other = engineName(0)
+	}
+	for range 3 {
+		h.after(500 * time.Millisecond)
+		h.report(other, 1)
+	}
+	next := need[ActionDispatch](t, h.after(100*time.Millisecond, EventBackend{Name: sent.Backend}))
+	if next.Backend != other || next.ResumeFrom != 1 {
+		t.Fatalf("continued on %s from token %d", next.Backend, next.ResumeFrom)
+	}
+}
+
+func TestNewIncarnationVoidsBeliefsAndStreams(t *testing.T) {
+	h := newHarness(t, 1)
+	sent := need[ActionDispatch](t, h.tick(EventRequest{prompt(1, 4)}))
+	h.tick(chunk(sent, 0))
+	next := need[ActionDispatch](t, h.report(sent.Backend, 2))
+	if next.RelyTokens != 0 || next.Incarnation != 2 || next.ResumeFrom != 1 {
+		t.Fatalf("after a restart: %+v", next)
+	}
+}
+
+func small(id int, key string) Request {
+	return Request{ID: RequestID(id), Name: fmt.Sprint(id), Tenant: testTenant, Service: testSmall, Key: key, Digest: 1}
+}
+
+// grant sends a small request and grants its claim.
+func (h *harness) grant(id int, key string) ActionDispatch {
+	claim := need[ActionClaim](h.t, h.tick(EventRequest{small(id, key)}))
+	if early, found := find[ActionDispatch](h.core.out); found {
+		h.t.Fatalf("sent before the claim: %+v", early)
+	}
+	return need[ActionDispatch](h.t, h.tick(EventClaim{ID: claim.ID, ClaimID: claim.Claim.ClaimID, Outcome: ledger.Outcome{Kind: ledger.Granted}}))
+}
+
+func TestAmbiguousAttemptIsNotResent(t *testing.T) {
+	h := newHarness(t, 1)
+	sent := h.grant(1, "k")
+	actions := h.tick(EventAttempt{ID: sent.ID, Attempt: sent.Attempt, Kind: AttemptBroken})
+	if again, found := find[ActionDispatch](actions); found {
+		t.Fatalf("sent again: %+v", again)
+	}
+	if final := need[ActionFinish](t, actions); final.Run != RunUnknown {
+		t.Fatalf("final answer %+v", final)
+	}
+	if end := need[ActionEnd](t, actions); end.End.Kind != ledger.EndUnknown {
+		t.Fatalf("claim ended as %v", end.End.Kind)
+	}
+}
+
+func TestRefusedAttemptReleasesTheClaim(t *testing.T) {
+	h := newHarness(t, 1)
+	sent := h.grant(1, "k")
+	h.tick(EventAttempt{ID: sent.ID, Attempt: sent.Attempt, Kind: AttemptRefused})
+	actions := h.after(time.Second, EventBackend{Name: "s0"}, EventBackend{Name: "s0"})
+	final := need[ActionFinish](t, actions)
+	if final.Run != RunNot || final.RetryAfter == 0 {
+		t.Fatalf("final answer %+v", final)
+	}
+	if end := need[ActionEnd](t, actions); end.End.Kind != ledger.EndReleased {
+		t.Fatalf("claim ended as %v", end.End.Kind)
+	}
+}
+
+func TestClaimOfAnEarlierSessionIsNotSent(t *testing.T) {
+	h := newHarness(t, 1)
+	claim := need[ActionClaim](t, h.tick(EventRequest{small(1, "k")}))
+	actions := h.tick(EventLease{Epoch: 6, Until: time.Hour},
+		EventClaim{ID: claim.ID, ClaimID: claim.Claim.ClaimID, Outcome: ledger.Outcome{Kind: ledger.Granted}})
+	if sent, found := find[ActionDispatch](actions); found {
+		t.Fatalf("sent under a claim of an earlier session: %+v", sent)
+	}
+	if final := need[ActionFinish](t, actions); final.Run != RunNot {
+		t.Fatalf("final answer %+v", final)
+	}
+}
+
+func TestLeavingBackendGetsNothingNew(t *testing.T) {
+	h := newHarness(t, 1)
+	h.tick(EventBackend{Name: "e0", Report: &BackendReport{Incarnation: 1, Weights: "w1", Leaving: true}})
+	if sent, found := find[ActionDispatch](h.tick(EventRequest{prompt(1, 4)})); found {
+		t.Fatalf("sent to a leaving engine: %+v", sent)
+	}
+	if final := need[ActionFinish](t, h.after(time.Second)); final.Reason != ReasonNoBackend || final.Run != RunNot {
+		t.Fatalf("final answer %+v", final)
+	}
+}
+
+func TestNoLeaseNoNewWork(t *testing.T) {
+	h := newHarness(t, 1)
+	final := need[ActionFinish](t, h.after(2*time.Hour, EventRequest{prompt(1, 4)}))
+	if final.Reason != ReasonNoLease || final.Run != RunNot || final.RetryAfter == 0 {
+		t.Fatalf("final answer %+v", final)
+	}
+}
+
+func TestOlderSettingsAreNotTakenUp(t *testing.T) {
+	h := newHarness(t, 1)
+	h.tick(EventSettings{Version: 9, Tree: testTree()})
+	h.tick(EventSettings{Version: 4, Tree: testTree()})
+	if h.core.Version() != 9 {
+		t.Fatalf("version %d in use, want 9", h.core.Version())
+	}
+}
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -1,9 +1,12 @@
 package core
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"kitetiller/internal/guard"
+	"kitetiller/internal/prefix"
 )
 
 const (
@@ -65,7 +68,11 @@
 
 func (c *Core) enterState(row *backend, next BackendState) {
 	row.state = next
-	if next == BackendDead {
+	switch next {
+	case BackendSuspect:
+		c.breakAttempts(row, onlyRepeatable)
+	case BackendDead:
+		c.breakAttempts(row, everyRequest)
 		c.index.Forget(row.id)
 		row.incarnation = 0
 		row.pendingPrefill = row.pendingPrefill[:0]
@@ -73,6 +80,37 @@
 	c.service(row.machine.Service).ringStale = true
 }
 
+// everyRequest selects all requests for breakAttempts.
+func everyRequest(*request) bool { return true }
+
+// onlyRepeatable selects the requests that another back end may take over; a non-repeatable one waits for its
+// answer as long as its deadline allows.
+func onlyRepeatable(r *request) bool { return r.values.Repeatable }
+
+// breakAttempts ends the attempts that run on an earlier life of a back end, or on a silent one, as if their
+// connections had broken. Requests are taken in order of arrival, so that ticks are deterministic.
+func (c *Core) breakAttempts(row *backend, affected func(*request) bool) {
+	if row.running == 0 {
+		return
+	}
+	var broken []*request
+	for _, r := range c.requests {
+		if attemptOn(r, row.id) >= 0 && affected(r) {
+			broken = append(broken, r)
+		}
+	}
+	slices.SortFunc(broken, func(a, b *request) int { return cmp.Compare(a.ID, b.ID) })
+	for _, r := range broken {
+		at := attemptOn(r, row.id)
+		c.failAttempt(r, at, EventAttempt{ID: r.ID, Attempt: r.attempts[at].id, Kind: AttemptBroken})
+	}
+}
+
+// attemptOn returns the position of a request's attempt on a back end, or -1.
+func attemptOn(r *request, id prefix.EngineID) int {
+	return slices.IndexFunc(r.attempts, func(sent attempt) bool { return sent.backend == id })
+}
+
 // noteUnreachable counts a refused or timed-out connection.
 func (c *Core) noteUnreachable(row *backend) {
 	row.failures++
--- a/internal/core/observe.go
+++ b/internal/core/observe.go
@@ -130,6 +130,7 @@
 		c.index.Forget(row.id)
 	}
 	if newLife {
+		c.breakAttempts(row, everyRequest)
 		row.pendingPrefill = row.pendingPrefill[:0]
 		row.bias = 1
 	}
--- a/internal/lab/engine/model.go
+++ b/internal/lab/engine/model.go
@@ -202,7 +202,19 @@
 	}
 	if m.stepEnd > 0 {
 		consider(m.stepEnd)
-	} else if m.hasStepWork() {
+	} else {
+		m.considerStart(consider)
+	}
+	if m.loadEnds > 0 {
+		consider(m.loadEnds)
+	}
+	return due, any
+}
+
+// considerStart offers the times at which the next step can begin: now, or when a copy ends. A copy that ends
+// during a step waits for the step.
+func (m *Model) considerStart(consider func(time.Duration)) {
+	if m.hasStepWork() {
 		consider(m.now)
 	}
 	for _, held := range m.running {
@@ -210,10 +222,6 @@
 			consider(held.readyAt)
 		}
 	}
-	if m.loadEnds > 0 {
-		consider(m.loadEnds)
-	}
-	return due, any
 }
 
 // hasStepWork reports whether a step could begin now.
--- /dev/null
+++ b/internal/lab/engine/model_test.go
@@ -0,0 +1,121 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"kitetiller/internal/core"
+	"kitetiller/internal/guard"
+	"kitetiller/internal/prefix"
+)
+
+const testBlockTokens = 64
+
+// chainOf returns a chain of blocks that starts with the given seed.
+func chainOf(seed byte, length int) []prefix.Hash {
+	chain := make([]prefix.Hash, length)
+	for i := range chain {
+		chain[i][0], chain[i][1], chain[i][2] = seed, byte(i), 1
+	}
+	return chain
+}
+
+func jobOf(attempt int, chain []prefix.Hash, tokens int) *Job {
+	return &Job{
+		Attempt: core.AttemptID(attempt), Origin: "router", Blocks: chain, PromptTokens: len(chain) * testBlockTokens,
+		MaxTokens: tokens, Incarnation: 1, Weights: "w1",
+	}
+}
+
+func newTestModel() *Model {
+	return New("engine", 1, "w1", DefaultRates(), testBlockTokens, 1, guard.Set{})
+}
+
+// TestNextDueIsEndOfStepDuringCopy: a copy that ends while a step runs must not make the model due again and
+// again at a time when it can do nothing; Advance would never return.
+func TestNextDueIsEndOfStepDuringCopy(t *testing.T) {
+	model := newTestModel()
+	model.Import = func(string, []prefix.Hash) int { return 4 }
+	model.Submit(0, jobOf(1, chainOf(1, 100), 1))
+	model.Advance(0)
+	copying := jobOf(2, chainOf(2, 5), 1)
+	copying.ImportBlocks, copying.ImportFrom = 4, "other"
+	model.running = append(model.running, &sequence{job: copying, copying: true, readyAt: time.Millisecond, toDo: 1})
+	model.now = 2 * time.Millisecond
+	if due, _ := model.NextDue(); due != model.stepEnd {
+		t.Fatalf("due at %v while the step ends at %v", due, model.stepEnd)
+	}
+}
+
+func runUntilIdle(model *Model) []Output {
+	var all []Output
+	for {
+		due, any := model.NextDue()
+		if !any {
+			return all
+		}
+		all = append(all, model.Advance(due)...)
+	}
+}
+
+func TestSecondPromptReusesThePrefix(t *testing.T) {
+	model := newTestModel()
+	model.Submit(0, jobOf(1, chainOf(1, 20), 3))
+	runUntilIdle(model)
+	model.Submit(model.now, jobOf(2, chainOf(1, 20), 3))
+	outputs := runUntilIdle(model)
+	if outputs[0].Kind != OutputStarted || outputs[0].Cached != 20*testBlockTokens {
+		t.Fatalf("started with %d cached tokens, want %d", outputs[0].Cached, 20*testBlockTokens)
+	}
+}
+
+func TestStreamIsWholeAndInOrder(t *testing.T) {
+	model := newTestModel()
+	resumed := jobOf(1, chainOf(1, 3), 9)
+	resumed.ResumeFrom = 4
+	model.Submit(0, resumed)
+	next := 4
+	for _, output := range runUntilIdle(model) {
+		if output.Kind == OutputToken {
+			if output.Index != next {
+				t.Fatalf("token %d, want %d", output.Index, next)
+			}
+			next++
+		}
+	}
+	if next != 9 {
+		t.Fatalf("stream ended after token %d, want 9", next)
+	}
+}
+
+func TestOtherLifeIsNotReused(t *testing.T) {
+	model := newTestModel()
+	model.Submit(0, jobOf(1, chainOf(1, 20), 1))
+	runUntilIdle(model)
+	old := jobOf(2, chainOf(1, 20), 1)
+	old.Incarnation = 7
+	if result := model.Submit(model.now, old); result != TakenWithoutReuse {
+		t.Fatalf("result %v, want TakenWithoutReuse", result)
+	}
+	if outputs := runUntilIdle(model); outputs[0].Cached != 0 {
+		t.Fatalf("%d tokens reused across lives", outputs[0].Cached)
+	}
+}
+
+func TestCancelledJobGivesNothingMore(t *testing.T) {
+	model := newTestModel()
+	model.Submit(0, jobOf(1, chainOf(1, 20), 50))
+	model.Advance(200 * time.Millisecond)
+	model.Cancel("router", 1)
+	if left := runUntilIdle(model); len(left) != 0 || model.Busy() != 0 {
+		t.Fatalf("%d outputs and %d jobs after the cancel", len(left), model.Busy())
+	}
+}
+
+func TestBackendsThatLeaveOrLoadRefuse(t *testing.T) {
+	model := newTestModel()
+	model.SetLeaving(true)
+	if result := model.Submit(0, jobOf(1, chainOf(1, 2), 1)); result != RefusedLeaving {
+		t.Fatalf("result %v, want RefusedLeaving", result)
+	}
+}
