--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -124,6 +124,23 @@
 	return nil
 }
 
+// Store applies a Persist to the state it leaves on disk.
+func (c *Checkpoint) Store(persist Persist) error {
+	if persist.Checkpoint != nil {
+		*c = *persist.Checkpoint
+		return nil
+	}
+	if persist.HardState != nil {
+		c.HardState = *persist.HardState
+	}
+	for _, entry := range persist.Entries {
+		if err := c.appendEntry(entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Write carries out a Persist and syncs it.
 func (d *Disk) Write(persist Persist) error {
 	if persist.Checkpoint != nil {
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -87,11 +87,13 @@
 	}
 	c.emit(ActionChunk{ID: r.ID, Index: r.emitted, Text: event.Text})
 	r.emitted++
+	r.emittedAt = c.now
 }
 
 // firstToken learns from the attempt and cancels any other: the first to answer wins.
 func (c *Core) firstToken(r *request, at int) {
 	winner := r.attempts[at]
+	c.wakeAt(r, c.now+c.stallLimit(r))
 	row := &c.backends[winner.backend]
 	c.dropPending(row, winner.id)
 	c.learn(row, winner.predicted, c.now-winner.sentAt)
@@ -242,7 +244,7 @@
 	r.failedOn = append(r.failedOn, first)
 	candidates := c.score(r, service)
 	r.failedOn = r.failedOn[:len(r.failedOn)-1]
-	if len(candidates) == 0 || !c.mayDispatch(r) {
+	if len(candidates) == 0 || c.dispatchBar(r) != "" {
 		return
 	}
 	choice := c.config.Placer.Pick(PlaceContext{Now: c.now, Request: &r.Request, Values: &r.values, Random: c.random}, candidates)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -59,6 +59,8 @@
 
 	membershipDirty bool
 	membershipAt    time.Duration
+	listAskedAt     time.Duration // when the newest reading of the platform's list was asked for
+	resumedAt       time.Duration // when the process last went on after it had stood still
 
 	index   *prefix.Index
 	hot     *prefix.HotTable
@@ -105,6 +107,7 @@
 
 // Tick applies events and runs every system once. The returned slice is valid until the next call.
 func (c *Core) Tick(now time.Duration, events []Event) []Action {
+	c.noteStandstill(now)
 	c.now = max(c.now, now)
 	c.out = c.out[:0]
 	for _, event := range events {
@@ -220,6 +223,3 @@
 	}
 	return false
 }
-
-// Epoch returns the session in force, or 0.
-func (c *Core) Epoch() uint64 { return c.epoch }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -43,7 +43,7 @@
 		machines = append(machines, Machine{Name: engineName(i), Zone: "z", Service: testService, Address: engineName(i)})
 	}
 	machines = append(machines, Machine{Name: "s0", Zone: "z", Service: testSmall, Address: "s0"})
-	h.tick(EventSettings{Version: 1, Tree: testTree()}, EventLease{Epoch: 5, Until: time.Hour}, EventPlatform{Machines: machines})
+	h.tick(EventSettings{Version: 1, Tree: testTree()}, EventLease{Epoch: 5, Until: time.Hour}, EventPlatform{AskedAt: h.now, Machines: machines})
 	for i := range engines {
 		h.report(engineName(i), 1)
 	}
@@ -56,7 +56,7 @@
 func (h *harness) tick(events ...Event) []Action { return h.core.Tick(h.now, events) }
 
 func (h *harness) report(name string, incarnation uint64) []Action {
-	return h.tick(EventBackend{Name: name, Report: &BackendReport{Incarnation: incarnation, Weights: "w1"}})
+	return h.tick(EventBackend{Name: name, AskedAt: h.now, Report: &BackendReport{Incarnation: incarnation, Weights: "w1"}})
 }
 
 func (h *harness) after(d time.Duration, events ...Event) []Action {
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -129,10 +129,12 @@
 	NextSequence uint64 // sequence after the newest event published
 }
 
-// EventBackend reports a state poll; Report is nil when the back end could not be reached.
+// EventBackend reports a state poll; Report is nil when the back end could not be reached. AskedAt is when the
+// poll was sent: a reply says nothing about later times, however late it is read.
 type EventBackend struct {
-	Name   string
-	Report *BackendReport
+	Name    string
+	AskedAt time.Duration
+	Report  *BackendReport
 }
 
 // EventCacheSnapshot is an engine's full list of blocks as of a sequence.
@@ -152,8 +154,11 @@
 	Leaving bool
 }
 
-// EventPlatform is a reading of the platform's list; it may lag.
-type EventPlatform struct{ Machines []Machine }
+// EventPlatform is a reading of the platform's list, which was asked for at AskedAt; it may lag.
+type EventPlatform struct {
+	AskedAt  time.Duration
+	Machines []Machine
+}
 
 // EventSettings is a settings version that the shell has synced to disk.
 type EventSettings struct {
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -117,5 +117,25 @@
 	c.membershipDirty = true
 }
 
+const (
+	// standstill is a time between two ticks that a running process never lets pass: it was stopped, or its
+	// machine was.
+	standstill = time.Second
+	// listPatience is how long a process that stood still waits for a fresh list before it goes on without one.
+	listPatience = 2 * time.Second
+)
+
+// noteStandstill notices that the process stood still, so that what it knows of leaving back ends is old.
+func (c *Core) noteStandstill(now time.Duration) {
+	if now > c.now+standstill {
+		c.resumedAt = now
+	}
+}
+
+// awaitsList reports whether placing must wait for a list that is younger than a standstill.
+func (c *Core) awaitsList() bool {
+	return c.resumedAt > c.listAskedAt && c.now < c.resumedAt+listPatience && c.config.Guards.On(guard.LeavingCheck)
+}
+
 // ready reports whether new work may be sent to a back end.
 func (c *Core) ready(row *backend) bool { return row.state == BackendReady }
--- a/internal/core/observe.go
+++ b/internal/core/observe.go
@@ -64,6 +64,7 @@
 
 func (c *Core) observePlatform(event EventPlatform) {
 	c.membershipDirty = true
+	c.listAskedAt = max(c.listAskedAt, event.AskedAt)
 	for i := range c.backends {
 		c.backends[i].listed = false
 	}
@@ -108,7 +109,7 @@
 	}
 	report := event.Report
 	c.noteLife(row, report)
-	row.heardAt = c.now
+	row.heardAt = max(row.heardAt, event.AskedAt)
 	row.failures = 0
 	row.loading = report.Loading
 	row.leaving = report.Leaving
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -14,6 +14,9 @@
 
 // runPlace serves the queues until no engine has room.
 func (c *Core) runPlace() {
+	if c.awaitsList() {
+		return
+	}
 	for _, name := range c.serviceNames() {
 		service := c.services[name]
 		for c.placeNext(service) {
@@ -56,8 +59,8 @@
 		c.refuse(r, ReasonDeadline, max(retrySoon, c.now+chosen.Predicted-r.deadline))
 		return true
 	}
-	if !c.mayDispatch(r) {
-		c.refuse(r, ReasonNoLease, retrySoon)
+	if reason := c.dispatchBar(r); reason != "" {
+		c.refuse(r, reason, retrySoon)
 		return true
 	}
 	if queued := c.now - r.arrived; queued > 0 && service.queued() > 0 {
@@ -127,16 +130,18 @@
 	return false
 }
 
-// mayDispatch checks lease and claim at the last moment: the router may have been frozen since it admitted
-// the request. Streams in progress are finished in any case.
-func (c *Core) mayDispatch(r *request) bool {
-	if r.inStream() || !c.config.Guards.On(guard.LeaseAtDispatch) {
-		return true
-	}
-	if r.claimed && (r.epoch != c.epoch || !c.LeaseValid()) {
-		return false
-	}
-	return c.mayServe()
+// dispatchBar checks lease and claim at the last moment: the router may have been frozen since it admitted the
+// request. It returns why the request must not be sent, or "". Streams in progress are finished in any case.
+func (c *Core) dispatchBar(r *request) Reason {
+	switch {
+	case r.inStream() || !c.config.Guards.On(guard.LeaseAtDispatch):
+		return ""
+	case r.claimed && (r.epoch != c.epoch || !c.LeaseValid()):
+		return ReasonLedger // the claim ended with the session that made it
+	case !c.mayServe():
+		return ReasonNoLease
+	}
+	return ""
 }
 
 // dispatch sends an attempt to the chosen engine and believes at once that it will hold the prefix.
--- a/internal/core/tables.go
+++ b/internal/core/tables.go
@@ -96,7 +96,8 @@
 	attempts  []attempt
 	tries     int
 	failedOn  []prefix.EngineID
-	emitted   int // tokens passed to the caller
+	emitted   int           // tokens passed to the caller
+	emittedAt time.Duration // when the newest of them came
 	retryAt   time.Duration
 	hedged    bool
 	unproven  int     // attempts that may have run
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -74,6 +74,7 @@
 // expireRunning hedges a silent attempt, and gives up on a stream whose first token is far too late.
 func (c *Core) expireRunning(r *request) {
 	if r.inStream() {
+		c.expireStalled(r)
 		return
 	}
 	hedgeAt := r.attempts[0].sentAt + time.Duration(r.values.HedgeAfterMS)*time.Millisecond
@@ -85,6 +86,22 @@
 	}
 }
 
+// expireStalled moves a stream that has stood still for too long to another engine.
+func (c *Core) expireStalled(r *request) {
+	sent := r.attempts[0]
+	silentSince := max(r.emittedAt, sent.sentAt)
+	if due := silentSince + c.stallLimit(r); c.now < due {
+		c.wakeAt(r, due)
+		return
+	}
+	c.attemptFailed(r, 0, EventAttempt{ID: r.ID, Attempt: sent.id, Kind: AttemptBroken})
+	c.runRetry()
+}
+
+func (c *Core) stallLimit(r *request) time.Duration {
+	return time.Duration(r.values.StallAfterMS) * time.Millisecond
+}
+
 // giveUpAt is when a dispatched request without a first token is given up on.
 func (c *Core) giveUpAt(r *request) time.Duration {
 	return r.deadline + max((r.deadline-r.arrived)/2, minimumGrace)
--- a/internal/lab/engine/model.go
+++ b/internal/lab/engine/model.go
@@ -205,7 +205,7 @@
 	} else {
 		m.considerStart(consider)
 	}
-	if m.loadEnds > 0 {
+	if m.loadEnds > 0 && m.Busy() == 0 {
 		consider(m.loadEnds)
 	}
 	return due, any
@@ -349,7 +349,9 @@
 	m.cache.pin(held.pinned)
 	held.cached = matched * m.blockTokens
 	held.toDo = max(1, job.PromptTokens+job.ResumeFrom-held.cached)
-	held.computed = job.Blocks[matched:]
+	if job.Weights == m.Weights { // other weights give other contents than the chain stands for
+		held.computed = job.Blocks[matched:]
+	}
 }
 
 // endStep hands out the tokens of the step and finishes sequences.
@@ -363,6 +365,9 @@
 			}
 			m.prefilled(held)
 		}
+		if held.emitted >= held.job.MaxTokens { // resumed at the very end: only the end marker was missing
+			continue
+		}
 		outputs = append(outputs, Output{
 			Kind: OutputToken, Job: held.job, Index: held.emitted, Cached: held.cached,
 			Imported: held.imported, Computed: held.computed,
@@ -372,7 +377,7 @@
 	}
 	for _, held := range m.step {
 		if held.toDo == 0 && held.emitted >= held.job.MaxTokens {
-			outputs = append(outputs, Output{Kind: OutputDone, Job: held.job, Index: held.emitted})
+			outputs = append(outputs, Output{Kind: OutputDone, Job: held.job, Index: held.emitted, Computed: held.computed})
 			m.release(held)
 			m.running = slices.DeleteFunc(m.running, func(other *sequence) bool { return other == held })
 		}
@@ -384,7 +389,9 @@
 func (m *Model) prefilled(held *sequence) {
 	m.cache.insert(held.computed, m.now)
 	m.cache.pin(held.computed)
-	held.pinned = held.job.Blocks
+	if len(held.computed) > 0 {
+		held.pinned = held.job.Blocks
+	}
 }
 
 func (m *Model) release(held *sequence) { m.cache.unpin(held.pinned, m.now) }
--- a/internal/lab/engine/model_test.go
+++ b/internal/lab/engine/model_test.go
@@ -119,3 +119,16 @@
 		t.Fatalf("result %v, want RefusedLeaving", result)
 	}
 }
+
+// TestResumeAtTheEndGivesOnlyTheEndMarker: when the end marker was lost, a resume must not make another token.
+func TestResumeAtTheEndGivesOnlyTheEndMarker(t *testing.T) {
+	model := newTestModel()
+	resumed := jobOf(1, chainOf(1, 3), 9)
+	resumed.ResumeFrom = 9
+	model.Submit(0, resumed)
+	for _, output := range runUntilIdle(model) {
+		if output.Kind == OutputToken {
+			t.Fatalf("token %d of an answer of 9", output.Index)
+		}
+	}
+}
--- a/internal/lab/engine/report.go
+++ b/internal/lab/engine/report.go
@@ -94,8 +94,9 @@
 	return true
 }
 
+// finishLoad puts new weights to use when they have arrived and no job runs on the old ones any more.
 func (m *Model) finishLoad() {
-	if m.loadEnds == 0 || m.now < m.loadEnds {
+	if m.loadEnds == 0 || m.now < m.loadEnds || m.Busy() > 0 {
 		return
 	}
 	m.Weights = m.loading
--- /dev/null
+++ b/internal/lab/sim/asker.go
@@ -0,0 +1,76 @@
+package sim
+
+import (
+	"time"
+
+	"kitetiller/internal/control"
+)
+
+const (
+	askTimeout = 700 * time.Millisecond
+	askPause   = 50 * time.Millisecond
+)
+
+// asker is a client of the control group that finds the leader by itself, as control.Client does.
+type asker struct {
+	w      *world
+	from   *process
+	leader string
+	next   int
+}
+
+func newAsker(w *world, from *process) *asker {
+	return &asker{w: w, from: from, next: w.random.IntN(16)}
+}
+
+func (a *asker) target() *controlNode {
+	for _, n := range a.w.controls {
+		if n.name == a.leader {
+			return n
+		}
+	}
+	a.next++
+	return a.w.controls[a.next%len(a.w.controls)]
+}
+
+// once asks one replica once.
+func (a *asker) once(request control.Request, timeout time.Duration, done func(control.Response, bool)) {
+	target := a.target()
+	a.w.call(a.from, target.process, timeout, func(respond func(func())) {
+		target.handle(request, func(response control.Response) {
+			respond(func() {
+				a.learn(target, response)
+				done(response, true)
+			})
+		})
+	}, func(bool) {
+		a.leader = ""
+		done(control.Response{}, false)
+	})
+}
+
+func (a *asker) learn(target *controlNode, response control.Response) {
+	switch {
+	case response.Kind == control.ResponseOK:
+		a.leader = target.name
+	case response.Leader != target.name:
+		a.leader = response.Leader
+	default:
+		a.leader = ""
+	}
+}
+
+// ask repeats a request until a leader decided it or the time is over.
+func (a *asker) ask(request control.Request, until time.Duration, done func(control.Response, bool)) {
+	a.once(request, askTimeout, func(response control.Response, answered bool) {
+		if answered && response.Kind == control.ResponseOK {
+			done(response, true)
+			return
+		}
+		if a.w.now >= until {
+			done(control.Response{}, false)
+			return
+		}
+		a.from.after(askPause, func() { a.ask(request, until, done) })
+	})
+}
--- /dev/null
+++ b/internal/lab/sim/control.go
@@ -0,0 +1,284 @@
+package sim
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"kitetiller/internal/consensus"
+	"kitetiller/internal/control"
+	"kitetiller/internal/guard"
+)
+
+const (
+	groupSize     = 3
+	heartbeat     = 100 * time.Millisecond
+	repairAfter   = 4 * time.Second
+	settingsLease = 2 * time.Second
+	snapshotEvery = 150
+	enginePoll    = 300 * time.Millisecond
+	pollTimeout   = 500 * time.Millisecond
+	joinPeriod    = 400 * time.Millisecond
+	wallStart     = 1_700_000_000_000 // ms
+	lateSyncMin   = 20 * time.Millisecond
+	lateSyncMax   = 400 * time.Millisecond
+)
+
+var controlTiming = consensus.Timing{
+	Heartbeat: heartbeat, ElectionMin: 7 * heartbeat, ElectionMax: 14 * heartbeat, Lease: 5 * heartbeat,
+}
+
+// controlNode is a control replica with its disk.
+type controlNode struct {
+	*process
+	index     int
+	disk      control.Checkpoint
+	identity  control.Identity
+	folders   int // data folders it has had
+	replica   *control.Replica
+	startedAt time.Duration
+	wallSkew  time.Duration
+
+	syncing  *control.Persist  // being written
+	unsynced []control.Persist // acknowledged before the sync; only without the guard
+	inbox    []func()          // arrived during a sync
+	wakeAt   time.Duration
+	clients  map[uint64]func(control.Response)
+	nextID   uint64
+	joined   bool
+}
+
+func (n *controlNode) clock() time.Duration { return n.w.now - n.startedAt }
+
+func (n *controlNode) unixMS() int64 { return wallStart + (n.w.now + n.wallSkew).Milliseconds() }
+
+// newFolder makes the disk empty; the replica then has a new identity.
+func (n *controlNode) newFolder() {
+	n.folders++
+	n.disk = control.Checkpoint{}
+	n.joined = false
+	n.identity = control.NewIdentity(n.name, fmt.Sprint(n.folders), n.w.guards)
+}
+
+func (n *controlNode) member() consensus.Member {
+	return consensus.Member{ID: n.identity.ID, Name: n.name, Address: n.name}
+}
+
+// boot starts the process from its disk.
+func (n *controlNode) boot() {
+	n.start()
+	n.startedAt = n.w.now
+	n.syncing, n.unsynced, n.inbox = nil, nil, nil
+	n.clients = map[uint64]func(control.Response){}
+	n.wakeAt = 0
+	config := control.Config{
+		ID: n.identity.ID, Name: n.name, Address: n.name, Timing: controlTiming, Replicas: groupSize,
+		SettingsLease: settingsLease, RepairAfter: repairAfter, SnapshotEvery: snapshotEvery,
+		Guards: n.w.guards, Random: n.w.random.Int64N,
+	}
+	replica, err := control.NewReplica(config, cloneCheckpoint(n.disk), 0)
+	if err != nil {
+		panic("sim: disk of " + n.name + " cannot be read: " + err.Error())
+	}
+	n.replica = replica
+	n.w.logf("%s starts as %s at entry %d", n.name, n.identity.ID, replica.Node().LastIndex())
+	n.ticker(enginePoll, n.pollEngines)
+	n.ticker(joinPeriod, n.joinGroup)
+	n.pump()
+}
+
+// cloneCheckpoint copies what a replica may append to.
+func cloneCheckpoint(disk control.Checkpoint) control.Checkpoint {
+	disk.Entries = slices.Clone(disk.Entries)
+	return disk
+}
+
+// die ends the process. A write that was not synced survives in part, or not at all.
+func (n *controlNode) die(silent bool) {
+	if n.syncing != nil {
+		n.tear(*n.syncing)
+	}
+	n.syncing, n.unsynced = nil, nil
+	n.kill(silent)
+}
+
+// tear keeps a part of an interrupted write: whole records from its start.
+func (n *controlNode) tear(persist control.Persist) {
+	if persist.Checkpoint != nil || n.w.chance(0.3) {
+		return // a checkpoint replaces the folder only when it is complete
+	}
+	persist.Entries = persist.Entries[:n.w.random.IntN(len(persist.Entries)+1)]
+	n.store(persist)
+}
+
+func (n *controlNode) store(persist control.Persist) {
+	if err := n.disk.Store(persist); err != nil {
+		panic("sim: " + n.name + " wrote what cannot be stored: " + err.Error())
+	}
+}
+
+// input passes something to the replica, after the sync in progress.
+func (n *controlNode) input(do func()) {
+	if n.syncing != nil {
+		n.inbox = append(n.inbox, do)
+		return
+	}
+	do()
+	n.pump()
+}
+
+// pump lets the replica work until it waits for a sync or for time.
+func (n *controlNode) pump() {
+	n.replica.Tick(n.clock(), n.unixMS())
+	for n.replica.HasWork() {
+		persist := n.replica.Work()
+		if !persist.Empty() && n.w.guards.On(guard.SyncBeforeAck) {
+			n.beginSync(persist)
+			return
+		}
+		if !persist.Empty() {
+			n.syncLate(persist)
+		}
+		n.send(n.replica.Done(n.clock()))
+	}
+	n.setWake()
+}
+
+// beginSync writes; the replica goes on when the write is synced.
+func (n *controlNode) beginSync(persist control.Persist) {
+	n.syncing = &persist
+	n.after(n.w.between(500*time.Microsecond, 6*time.Millisecond), func() {
+		n.store(persist)
+		n.syncing = nil
+		n.send(n.replica.Done(n.clock()))
+		waiting := n.inbox
+		n.inbox = nil
+		for _, do := range waiting {
+			n.input(do)
+		}
+		if n.syncing == nil {
+			n.pump()
+		}
+	})
+}
+
+// syncLate stores after the acknowledgement has left.
+func (n *controlNode) syncLate(persist control.Persist) {
+	n.unsynced = append(n.unsynced, persist)
+	n.after(n.w.between(lateSyncMin, lateSyncMax), func() {
+		n.store(n.unsynced[0])
+		n.unsynced = n.unsynced[1:]
+	})
+}
+
+func (n *controlNode) setWake() {
+	due := n.startedAt + n.replica.NextDue()
+	if n.wakeAt > n.w.now && n.wakeAt <= due {
+		return
+	}
+	n.wakeAt = max(due, n.w.now+time.Millisecond)
+	at := n.wakeAt
+	n.after(at-n.w.now, func() {
+		if n.wakeAt == at && n.syncing == nil {
+			n.pump()
+		}
+	})
+}
+
+func (n *controlNode) send(effects control.Effects) {
+	for _, message := range effects.Messages {
+		n.sendMessage(message)
+	}
+	for _, reply := range effects.Replies {
+		if answer, waiting := n.clients[reply.Client]; waiting {
+			delete(n.clients, reply.Client)
+			n.w.oracle.controlAnswered(n, reply.Response)
+			answer(reply.Response)
+		}
+	}
+	for _, call := range effects.Calls {
+		n.sendCall(call)
+	}
+}
+
+func (n *controlNode) sendMessage(message consensus.Message) {
+	message.Entries = slices.Clone(message.Entries)
+	for _, peer := range n.w.controls {
+		if peer.identity.ID == message.To {
+			n.w.message(n.process, peer.process, func() {
+				if peer.identity.ID == message.To {
+					peer.input(func() { peer.replica.Step(peer.clock(), message) })
+				}
+			})
+		}
+	}
+}
+
+// sendCall passes an order to an engine; some take long on their way.
+func (n *controlNode) sendCall(order control.EngineCall) {
+	target := n.w.engine(order.Engine)
+	delay := time.Duration(0)
+	if n.w.chance(0.15) {
+		delay = n.w.between(0, 5*time.Second)
+	}
+	from := n.process
+	n.w.after(delay, func() { n.w.message(from, target.process, func() { target.order(order) }) })
+}
+
+// handle takes a client's request.
+func (n *controlNode) handle(request control.Request, answer func(control.Response)) {
+	n.input(func() {
+		n.nextID++
+		n.clients[n.nextID] = answer
+		n.replica.Handle(n.clock(), n.nextID, request)
+	})
+}
+
+func (n *controlNode) leads() bool { return n.replica.Node().Role() == consensus.Leader }
+
+// pollEngines reads the engines' weights and fences while this replica leads.
+func (n *controlNode) pollEngines() {
+	if !n.leads() {
+		return
+	}
+	for _, target := range n.w.engines {
+		n.w.call(n.process, target.process, pollTimeout, func(respond func(func())) {
+			report := target.controlReport()
+			respond(func() { n.input(func() { n.replica.Observe(n.clock(), report) }) })
+		}, func(bool) {})
+	}
+}
+
+// joinGroup asks to become a learner while the folder is empty.
+func (n *controlNode) joinGroup() {
+	if n.joined || n.replica.Node().LastIndex() > 0 {
+		n.joined = true
+		return
+	}
+	self := n.member()
+	asker := newAsker(n.w, n.process)
+	asker.once(control.Request{Join: &self}, pollTimeout, func(control.Response, bool) {})
+}
+
+// found makes the first replicas: one voter, which the others join, as the processes do.
+func (w *world) found() {
+	for _, n := range w.controls {
+		n.newFolder()
+	}
+	first := w.controls[0]
+	first.disk = control.BootstrapState(first.member())
+	for _, n := range w.controls {
+		n.boot()
+	}
+}
+
+// leader returns the live replica that leads in the highest term, or nil.
+func (w *world) leader() *controlNode {
+	var best *controlNode
+	for _, n := range w.controls {
+		if n.up && !n.frozen && n.leads() && (best == nil || n.replica.Node().Term() > best.replica.Node().Term()) {
+			best = n
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/lab/sim/engines.go
@@ -0,0 +1,237 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"kitetiller/internal/control"
+	"kitetiller/internal/core"
+	"kitetiller/internal/lab/engine"
+	"kitetiller/internal/prefix"
+)
+
+const (
+	modelService  = "llm"
+	weightsLoad   = 400 * time.Millisecond
+	loadsAtOnce   = 2
+	cacheBlocks   = 120
+	eventLoss     = 0.03
+	mischiefShare = 0.15
+)
+
+// simRates are small and slow, so that a run needs few events.
+func simRates() engine.Rates {
+	rates := engine.DefaultRates()
+	rates.PrefillTokens, rates.ImportTokens = 400, 4000
+	rates.DecodeStep, rates.DecodePerSeq = 40*time.Millisecond, time.Millisecond
+	rates.ChunkTokens, rates.MaxBatch = 64, 8
+	rates.CacheBlocks, rates.CacheIdle = cacheBlocks, 8*time.Second
+	rates.EventLag, rates.EventLoss, rates.LoadLag = 200*time.Millisecond, eventLoss, 200*time.Millisecond
+	return rates
+}
+
+// content is what a cached block was computed from.
+type content struct {
+	tenant, weights, text string
+}
+
+// engineNode is a model engine. cached is the oracle's record of what each block of this life really holds.
+type engineNode struct {
+	*process
+	model   *engine.Model
+	lives   uint64
+	wakeAt  time.Duration
+	cached  map[prefix.Hash]content
+	ordered control.Fence // highest order it ever began to carry out, over all lives
+	leftAt  time.Duration // when the platform said that it leaves; 0 when it does not
+}
+
+// sending joins a job of the model to the attempt that waits for it.
+type sending struct {
+	engine  *engineNode
+	request *exchange
+	attempt core.AttemptID
+	stream  *stream
+	router  *routerNode
+	weights string // of the chain
+	over    bool
+}
+
+func (s *sending) ended() bool { return s.over }
+
+// reset tells the router that the connection broke.
+func (s *sending) reset() {
+	if s.over {
+		return
+	}
+	s.over = true
+	s.router.run(s.stream.toLife, func() { s.router.attemptEvent(s, core.EventAttempt{Kind: core.AttemptBroken}) })
+}
+
+// boot starts a life with an empty cache.
+func (e *engineNode) boot() {
+	e.start()
+	e.lives++
+	e.cached = map[prefix.Hash]content{}
+	weights := "w1"
+	if e.model != nil {
+		weights = e.model.Weights // they stay on the machine
+	}
+	e.model = engine.New(e.name, e.lives, weights, simRates(), blockToken, e.w.random.Uint64(), e.w.guards)
+	e.model.Import = e.importFrom
+	e.wakeAt = 0
+	e.w.logf("%s starts as incarnation %d with weights %s", e.name, e.lives, weights)
+}
+
+// advance runs the model up to now and sends what it produced.
+func (e *engineNode) advance() {
+	for _, output := range e.model.Advance(e.w.now) {
+		e.output(output)
+	}
+	due, any := e.model.NextDue()
+	if !any || (e.wakeAt > e.w.now && e.wakeAt <= due) {
+		return
+	}
+	e.wakeAt = max(due, e.w.now+time.Microsecond)
+	at := e.wakeAt
+	e.after(at-e.w.now, func() {
+		if e.wakeAt == at {
+			e.advance()
+		}
+	})
+}
+
+// submit takes a job, or returns why not.
+func (e *engineNode) submit(action core.ActionDispatch, s *sending) engine.SubmitResult {
+	job := &engine.Job{
+		Attempt: action.Attempt, Origin: fmt.Sprintf("%s#%d", s.router.name, s.router.life), Tenant: s.request.job.tenant,
+		Blocks: action.Blocks, PromptTokens: s.request.promptTokens(), MaxTokens: action.MaxTokens, ResumeFrom: action.ResumeFrom,
+		Lane: action.Lane, Incarnation: action.Incarnation, Weights: action.Weights, RelyTokens: action.RelyTokens,
+		ImportFrom: action.ImportFrom, ImportBlocks: action.ImportBlocks, UserData: s,
+	}
+	e.advance()
+	result := e.model.Submit(e.w.now, job)
+	if result == engine.Taken || result == engine.TakenWithoutReuse {
+		e.w.oracle.engineTook(e, job, s, result)
+		e.connect(s)
+	}
+	e.advance()
+	return result
+}
+
+// output checks a job's step against the oracle's records and sends it.
+func (e *engineNode) output(output engine.Output) {
+	s := output.Job.UserData.(*sending)
+	if len(output.Computed) > 0 {
+		e.noteComputed(s, output)
+	}
+	if output.Kind == engine.OutputStarted {
+		e.w.oracle.engineReused(e, s, output)
+	}
+	event := core.EventAttempt{Echo: s.attempt, Index: output.Index, Cached: output.Cached}
+	switch output.Kind {
+	case engine.OutputStarted:
+		event.Kind, event.Incarnation = core.AttemptStarted, e.model.Incarnation
+	case engine.OutputToken:
+		event.Kind, event.Text = core.AttemptChunk, s.request.job.token(output.Index)
+	case engine.OutputDone:
+		event.Kind = core.AttemptDone
+	}
+	e.transmit(s, event)
+}
+
+// noteComputed records what the blocks hold: the prompt's text under the tenant and the weights that computed it.
+func (e *engineNode) noteComputed(s *sending, output engine.Output) {
+	first := len(output.Job.Blocks) - len(output.Computed)
+	for i, hash := range output.Computed {
+		e.cached[hash] = s.request.job.content(e.model.Weights, first+i)
+	}
+}
+
+// transmit sends an event to the router; faulty adapters repeat, drop, cross and cut short what they send.
+func (e *engineNode) transmit(s *sending, event core.EventAttempt) {
+	send := func(event core.EventAttempt) {
+		s.stream.send(func() {
+			if !s.over {
+				s.over = event.Kind == core.AttemptDone
+				s.router.attemptEvent(s, event)
+			}
+		})
+	}
+	if e.w.now < e.w.mischief.streamsUntil && event.Kind != core.AttemptStarted && e.w.chance(mischiefShare) {
+		e.misbehave(s, event, send)
+		return
+	}
+	send(event)
+}
+
+func (e *engineNode) misbehave(s *sending, event core.EventAttempt, send func(core.EventAttempt)) {
+	e.w.mischief.done++
+	switch e.w.random.IntN(4) {
+	case 0:
+		send(event)
+		send(event)
+	case 1:
+		e.w.logf("%s drops an event of attempt %d", e.name, s.attempt)
+	case 2:
+		crossed := event
+		crossed.Echo = s.attempt + 1
+		crossed.Text = "crossed:" + event.Text
+		send(crossed)
+		send(event)
+	default:
+		e.w.logf("%s cuts the stream of attempt %d", e.name, s.attempt)
+		s.stream.send(s.reset)
+	}
+}
+
+// importFrom copies leading blocks from another engine and what the oracle knows of them.
+func (e *engineNode) importFrom(source string, chain []prefix.Hash) int {
+	other := e.w.engine(source)
+	if other == nil || !other.up || other.frozen || e.w.isCut(e.process, other.process) {
+		return 0
+	}
+	held := other.model.Export(e.w.now, chain)
+	for _, hash := range chain[:held] {
+		e.cached[hash] = other.cached[hash]
+	}
+	return held
+}
+
+// order carries out a fenced call.
+func (e *engineNode) order(call control.EngineCall) {
+	e.advance()
+	before := e.model.Loading()
+	loading := 1
+	for _, other := range e.w.engines {
+		if other.up && other.model.Loading() {
+			loading++
+		}
+	}
+	accepted := e.model.Order(e.w.now, call, engine.LoadTime(weightsLoad, loading, loadsAtOnce))
+	if call.Order != nil {
+		e.w.logf("%s is ordered to load %s by %d/%d: accepted=%v", e.name, call.Order.Weights, call.Fence.Term, call.Fence.Sequence, accepted)
+	}
+	if accepted && !before && e.model.Loading() {
+		e.w.oracle.engineLoads(e, call)
+	}
+	e.advance()
+}
+
+func (e *engineNode) controlReport() control.EngineReport {
+	e.advance()
+	return control.EngineReport{
+		Name: e.name, Zone: e.zone, Service: modelService, Address: e.name, Incarnation: e.model.Incarnation,
+		Weights: e.model.Weights, Loading: e.model.Loading(), Fence: e.model.Fence(),
+	}
+}
+
+// engine returns an engine by name or address, or nil.
+func (w *world) engine(name string) *engineNode {
+	for _, e := range w.engines {
+		if e.name == name {
+			return e
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/sim/faults.go
@@ -0,0 +1,340 @@
+package sim
+
+import "time"
+
+const (
+	firstFault   = 6 * time.Second
+	lastFault    = 84 * time.Second
+	fewestFaults = 4
+	mostFaults   = 10
+	pairShare    = 0.35
+	pairWithin   = 2 * time.Second
+)
+
+// fault is one kind of failure. It heals by itself.
+type fault struct {
+	name string
+	run  func(*world)
+}
+
+// catalogue lists every fault, in the order of "What fails" and of the pairs that are hard.
+var catalogue = []fault{
+	{"kill router", (*world).faultKillRouter},
+	{"freeze router", (*world).faultFreezeRouter},
+	{"planned stop of a router", (*world).faultStopRouter},
+	{"herd restart of routers", (*world).faultHerd},
+	{"kill control replica", (*world).faultKillControl},
+	{"freeze leader", (*world).faultFreezeLeader},
+	{"power loss of all control replicas", (*world).faultPowerLoss},
+	{"lost disk", (*world).faultWipe},
+	{"lost disk, and a second one right after the repair", (*world).faultWipeTwice},
+	{"lagging replica, then lost disk and dead leader", (*world).faultLaggingElected},
+	{"cut zone", (*world).faultCutZone},
+	{"one-way cut", (*world).faultCutOneWay},
+	{"bad network", (*world).faultBadNetwork},
+	{"kill engine", (*world).faultKillEngine},
+	{"freeze engine", (*world).faultFreezeEngine},
+	{"leaving engine", (*world).faultLeaveEngine},
+	{"leaving service", (*world).faultLeaveService},
+	{"kill service", (*world).faultKillService},
+	{"misbehaving streams", (*world).faultStreams},
+	{"services that drop connections", (*world).faultServices},
+	{"wrong machine list", (*world).faultWrongList},
+	{"race of operators", (*world).faultRace},
+	{"weights changed back and forth", (*world).faultFlipWeights},
+	{"wall clock jump", (*world).faultClockJump},
+	{"hot prefix shift", (*world).faultShift},
+	{"control blackout with router restarts", (*world).faultBlackout},
+	{"router frozen in a claim, thawed into a cut", (*world).faultClaimFreeze},
+}
+
+// planFaults draws the faults of a run.
+func (w *world) planFaults() {
+	for range fewestFaults + w.random.IntN(mostFaults-fewestFaults+1) {
+		at := w.between(firstFault, lastFault)
+		w.planFault(at)
+		if w.chance(pairShare) {
+			w.planFault(at + w.between(0, pairWithin))
+		}
+	}
+}
+
+func (w *world) planFault(at time.Duration) {
+	drawn := pick(w, catalogue)
+	w.after(at, func() {
+		w.faults++
+		w.logf("FAULT %s", drawn.name)
+		drawn.run(w)
+	})
+}
+
+// controlTrouble notes that control may be unwell until a time.
+func (w *world) controlTrouble(length time.Duration) {
+	w.oracle.controlFault = max(w.oracle.controlFault, w.now+length)
+}
+
+func (w *world) restartRouter(r *routerNode, after time.Duration) {
+	w.after(after, func() {
+		if !r.up {
+			r.boot()
+		}
+	})
+}
+
+func (w *world) faultKillRouter() {
+	r := pick(w, w.routers)
+	r.die(w.chance(0.5))
+	w.restartRouter(r, w.between(100*time.Millisecond, 3*time.Second))
+}
+
+func (w *world) faultFreezeRouter() {
+	r := pick(w, w.routers)
+	w.freezeRouter(r, w.between(300*time.Millisecond, 8*time.Second))
+}
+
+func (w *world) freezeRouter(r *routerNode, length time.Duration) {
+	r.freeze()
+	r.stopping = false
+	w.after(length, func() {
+		r.thawedAt = w.now
+		r.thaw()
+	})
+}
+
+func (w *world) faultStopRouter() {
+	r := pick(w, w.routers)
+	if r.frozen {
+		return
+	}
+	r.plannedStop(func() { w.restartRouter(r, w.between(200*time.Millisecond, 2*time.Second)) })
+}
+
+func (w *world) faultHerd() {
+	for _, r := range w.routers {
+		r.die(w.chance(0.3))
+		w.restartRouter(r, w.between(100*time.Millisecond, 500*time.Millisecond))
+	}
+}
+
+func (w *world) restartControl(n *controlNode, after time.Duration) {
+	w.controlTrouble(after)
+	w.after(after, func() {
+		if !n.up {
+			n.boot()
+		}
+	})
+}
+
+func (w *world) faultKillControl() {
+	n := pick(w, w.controls)
+	n.die(w.chance(0.5))
+	w.restartControl(n, w.between(200*time.Millisecond, 7*time.Second))
+}
+
+func (w *world) faultFreezeLeader() {
+	n := w.leader()
+	if n == nil || w.chance(0.2) {
+		n = pick(w, w.controls)
+	}
+	length := w.between(300*time.Millisecond, 12*time.Second)
+	n.freeze()
+	w.controlTrouble(length)
+	w.after(length, n.thaw)
+}
+
+// faultPowerLoss ends all control replicas right after an operator was told that a change is accepted.
+func (w *world) faultPowerLoss() {
+	w.onAccept = append(w.onAccept, func() {
+		for _, n := range w.controls {
+			w.after(w.between(0, 3*time.Millisecond), func() { n.die(true) })
+			w.restartControl(n, w.between(500*time.Millisecond, 2*time.Second))
+		}
+	})
+}
+
+// mayWipe reports whether the membership is committed and every voter is up with its disk, so that losing one
+// disk must lose nothing.
+func (w *world) mayWipe() bool {
+	leader := w.leader()
+	if leader == nil || len(w.network.cut) > 0 || !leader.replica.Node().MembershipSettled() {
+		return false
+	}
+	voters := 0
+	for _, member := range leader.replica.Node().Membership().Members {
+		if member.Learner {
+			continue
+		}
+		voters++
+		held := w.control(member.Name)
+		if held.identity.ID != member.ID || !held.up || held.frozen {
+			return false
+		}
+	}
+	return voters == groupSize
+}
+
+func (w *world) control(name string) *controlNode {
+	for _, n := range w.controls {
+		if n.name == name {
+			return n
+		}
+	}
+	panic("sim: no control replica " + name)
+}
+
+// wipe loses a replica's disk; it comes back with an empty folder.
+func (w *world) wipe(n *controlNode) {
+	w.logf("%s loses its disk", n.name)
+	n.die(w.chance(0.5))
+	n.newFolder()
+	w.restartControl(n, w.between(50*time.Millisecond, time.Second))
+	w.controlTrouble(2 * repairAfter)
+}
+
+func (w *world) voter() *controlNode {
+	members := w.leader().replica.Node().Membership().Members
+	for {
+		if member := pick(w, members); !member.Learner {
+			return w.control(member.Name)
+		}
+	}
+}
+
+func (w *world) faultWipe() {
+	if w.mayWipe() {
+		w.wipe(w.voter())
+	}
+}
+
+func (w *world) faultWipeTwice() {
+	if !w.mayWipe() {
+		return
+	}
+	w.wipe(w.voter())
+	deadline := w.now + 4*repairAfter
+	var second func()
+	second = func() {
+		switch {
+		case w.now > min(deadline, activeTime):
+		case w.mayWipe():
+			w.wipe(w.voter())
+		default:
+			w.after(20*time.Millisecond, second)
+		}
+	}
+	w.after(20*time.Millisecond, second)
+}
+
+// faultLaggingElected cuts one follower off, waits for an accepted change, then takes the disk of the other
+// follower and the life of the leader, and heals the cut: only the leader's disk holds the change then.
+func (w *world) faultLaggingElected() {
+	if !w.mayWipe() {
+		return
+	}
+	leader := w.leader()
+	var followers []*controlNode
+	for _, member := range leader.replica.Node().Membership().Members {
+		if !member.Learner && member.Name != leader.name {
+			followers = append(followers, w.control(member.Name))
+		}
+	}
+	lagging, lost := followers[0], followers[1]
+	if lagging.zone == leader.zone || lagging.zone == lost.zone {
+		return
+	}
+	heal := w.cutZone(lagging.zone)
+	w.controlTrouble(4 * time.Second)
+	w.onAccept = append(w.onAccept, func() {
+		leader.die(true)
+		w.wipe(lost)
+		w.restartControl(leader, 6*time.Second)
+	})
+	w.after(3500*time.Millisecond, heal)
+}
+
+// cutZone cuts a zone from the others and returns what heals it.
+func (w *world) cutZone(zone string) (heal func()) {
+	var pairs [][2]string
+	for _, other := range zones {
+		if other != zone {
+			pairs = append(pairs, [2]string{zone, other}, [2]string{other, zone})
+		}
+	}
+	return w.cut(pairs)
+}
+
+func (w *world) cut(pairs [][2]string) (heal func()) {
+	for _, pair := range pairs {
+		w.network.cut[pair]++
+	}
+	return func() {
+		for _, pair := range pairs {
+			if w.network.cut[pair]--; w.network.cut[pair] <= 0 {
+				delete(w.network.cut, pair)
+			}
+		}
+		w.logf("cut healed")
+	}
+}
+
+func (w *world) faultCutZone() {
+	length := w.between(500*time.Millisecond, 9*time.Second)
+	w.controlTrouble(length)
+	w.after(length, w.cutZone(pick(w, zones)))
+}
+
+func (w *world) faultCutOneWay() {
+	from, to := pick(w, zones), pick(w, zones)
+	if from == to {
+		return
+	}
+	length := w.between(500*time.Millisecond, 9*time.Second)
+	w.controlTrouble(length)
+	w.after(length, w.cut([][2]string{{from, to}}))
+}
+
+func (w *world) faultBadNetwork() {
+	length := w.between(time.Second, 8*time.Second)
+	w.network.badUntil = max(w.network.badUntil, w.now+length)
+	w.network.lossShare = 0.02 + 0.2*w.random.Float64()
+	w.controlTrouble(length)
+}
+
+// faultBlackout takes the majority of control while routers restart.
+func (w *world) faultBlackout() {
+	length := w.between(3*time.Second, 8*time.Second)
+	for _, n := range w.controls[:groupSize-1] {
+		n.die(true)
+		w.restartControl(n, length)
+	}
+	for _, r := range w.routers {
+		r.die(false)
+		w.restartRouter(r, w.between(100*time.Millisecond, 2*time.Second))
+	}
+}
+
+// faultRace makes both operators edit the same version at once, several times.
+func (w *world) faultRace() {
+	for round := range 4 {
+		w.after(time.Duration(round)*700*time.Millisecond, func() {
+			base := w.oracle.acknowledged
+			for _, o := range w.operators {
+				if base > 0 {
+					o.submit(base, o.drawEdits())
+				}
+			}
+		})
+	}
+}
+
+func (w *world) faultFlipWeights() {
+	for round := range 5 {
+		w.after(time.Duration(round)*800*time.Millisecond, func() { w.operators[0].flipWeights() })
+	}
+}
+
+func (w *world) faultClockJump() {
+	pick(w, w.controls).wallSkew += w.between(-10*time.Minute, 10*time.Minute)
+}
+
+func (w *world) faultShift() { w.callers.hot += 3 }
--- /dev/null
+++ b/internal/lab/sim/mischief.go
@@ -0,0 +1,121 @@
+package sim
+
+import "time"
+
+const (
+	leaveLength = 10 * time.Second // until a leaving back end ends
+	awayLength  = 2 * time.Second  // until it comes back
+)
+
+// mischief is what back ends and the machine list do wrong on purpose, and until when.
+type mischief struct {
+	streamsUntil  time.Duration
+	servicesUntil time.Duration
+	freezeClaim   func(*routerNode) // run at the next claim of a router
+	done          int
+}
+
+// claimBegins runs a fault that waits for a claim.
+func (m *mischief) claimBegins(r *routerNode) {
+	if waiting := m.freezeClaim; waiting != nil {
+		m.freezeClaim = nil
+		waiting(r)
+	}
+}
+
+func (w *world) faultKillEngine() {
+	e := pick(w, w.engines)
+	e.kill(w.chance(0.5))
+	w.restartEngine(e, w.between(50*time.Millisecond, 3*time.Second))
+}
+
+func (w *world) restartEngine(e *engineNode, after time.Duration) {
+	w.after(after, func() {
+		if !e.up {
+			e.boot()
+			e.advance()
+		}
+	})
+}
+
+func (w *world) faultFreezeEngine() {
+	e := pick(w, w.engines)
+	e.freeze()
+	w.after(w.between(300*time.Millisecond, 6*time.Second), e.thaw)
+}
+
+// faultLeaveEngine has the machine list say that an engine leaves; the engine itself does not know.
+func (w *world) faultLeaveEngine() {
+	e := pick(w, w.engines)
+	if e.leftAt > 0 {
+		return
+	}
+	e.leftAt = w.now
+	w.logf("%s is to leave", e.name)
+	w.after(leaveLength, func() {
+		e.kill(false)
+		e.leftAt = 0
+		w.restartEngine(e, awayLength)
+	})
+}
+
+func (w *world) faultLeaveService() {
+	s := pick(w, w.services)
+	if s.leftAt > 0 {
+		return
+	}
+	s.leftAt = w.now
+	w.logf("%s is to leave", s.name)
+	w.after(leaveLength, func() {
+		s.kill(false)
+		s.leftAt = 0
+		w.restartService(s, awayLength)
+	})
+}
+
+func (w *world) restartService(s *serviceNode, after time.Duration) {
+	w.after(after, func() {
+		if !s.up {
+			s.boot()
+		}
+	})
+}
+
+func (w *world) faultKillService() {
+	s := pick(w, w.services)
+	s.kill(w.chance(0.5))
+	w.restartService(s, w.between(100*time.Millisecond, 2*time.Second))
+}
+
+func (w *world) faultStreams() {
+	w.mischief.streamsUntil = w.now + w.between(2*time.Second, 8*time.Second)
+}
+
+func (w *world) faultServices() {
+	w.mischief.servicesUntil = w.now + w.between(2*time.Second, 8*time.Second)
+}
+
+// faultWrongList makes the machine list leave out an engine that is alive.
+func (w *world) faultWrongList() {
+	e := pick(w, w.engines)
+	w.platform.omitted[e.name] = true
+	w.after(w.between(time.Second, 6*time.Second), func() { delete(w.platform.omitted, e.name) })
+}
+
+// faultClaimFreeze freezes a router that waits for a claim. Meanwhile a change comes into force and the router's
+// session ends; it thaws into a cut, so that nothing but its own clock tells it.
+func (w *world) faultClaimFreeze() {
+	w.mischief.freezeClaim = func(r *routerNode) {
+		if r.zone == serveLastZone {
+			return
+		}
+		w.operators[0].flipWeights()
+		length := 2*settingsLease + w.between(time.Second, 3*time.Second)
+		w.after(w.between(2*time.Millisecond, 12*time.Millisecond), func() { w.freezeRouter(r, length) })
+		w.after(length-100*time.Millisecond, func() {
+			heal := w.cutZone(r.zone)
+			w.controlTrouble(4 * time.Second)
+			w.after(3500*time.Millisecond, heal)
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/sim/network.go
@@ -0,0 +1,151 @@
+package sim
+
+import "time"
+
+const (
+	callerZone   = "callers"  // callers reach every zone
+	platformZone = "platform" // and so does the machine list
+	refusalDelay = 2 * time.Millisecond
+	resendPeriod = 100 * time.Millisecond
+	localLatency = 200 * time.Microsecond
+	zoneLatency  = 1500 * time.Microsecond
+	callLoss     = 0.001 // share of calls whose connection dies in a network without faults
+)
+
+// network tells how messages travel.
+type network struct {
+	cut       map[[2]string]int // directed zone pairs that are cut, and how often
+	badUntil  time.Duration     // messages are lost, delayed, repeated and reordered until then
+	lossShare float64
+}
+
+func (w *world) isCut(from, to *process) bool {
+	return w.network.cut[[2]string{from.zone, to.zone}] > 0
+}
+
+func (w *world) bad() bool { return w.now < w.network.badUntil }
+
+// latency draws the time of one way.
+func (w *world) latency(from, to *process) time.Duration {
+	base := localLatency
+	if from.zone != to.zone {
+		base = zoneLatency
+	}
+	delay := base + w.between(0, base)
+	if w.bad() && w.chance(0.3) {
+		delay += w.between(0, 150*time.Millisecond)
+	}
+	return delay
+}
+
+// lost draws whether a message is lost.
+func (w *world) lost(from, to *process) bool {
+	return w.isCut(from, to) || (w.bad() && w.chance(w.network.lossShare))
+}
+
+// message sends something that may be lost, repeated or reordered.
+func (w *world) message(from, to *process, arrive func()) {
+	copies := 1
+	if w.bad() && w.chance(0.1) {
+		copies = 2
+	}
+	for range copies {
+		if w.lost(from, to) {
+			continue
+		}
+		life := to.life
+		w.after(w.latency(from, to), func() { to.run(life, arrive) })
+	}
+}
+
+// call is a request with one answer. Exactly one of the answer's function and failed is run at the caller, unless
+// the caller dies first. failed tells whether the callee provably did not get the request.
+type call struct {
+	w        *world
+	from, to *process
+	fromLife int
+	settled  bool
+	failed   func(refused bool)
+}
+
+// call sends a request; serve runs at the callee and answers through respond.
+func (w *world) call(from, to *process, timeout time.Duration, serve func(respond func(answer func())), failed func(refused bool)) {
+	c := &call{w: w, from: from, to: to, fromLife: from.life, failed: failed}
+	if !to.up {
+		w.after(refusalDelay, func() { c.fail(true) })
+		return
+	}
+	w.after(timeout, func() { c.fail(false) })
+	if w.lost(from, to) || w.chance(callLoss) {
+		return
+	}
+	to.connect(c)
+	life := to.life
+	w.after(w.latency(from, to), func() {
+		to.run(life, func() { serve(c.respond) })
+	})
+}
+
+func (c *call) reset() { c.fail(false) }
+
+func (c *call) ended() bool { return c.settled }
+
+func (c *call) fail(refused bool) {
+	if c.settled {
+		return
+	}
+	c.settled = true
+	c.from.run(c.fromLife, func() { c.failed(refused) })
+}
+
+func (c *call) respond(answer func()) {
+	if c.w.lost(c.to, c.from) {
+		return
+	}
+	c.w.after(c.w.latency(c.to, c.from), func() {
+		if c.settled {
+			return
+		}
+		c.settled = true
+		c.from.run(c.fromLife, answer)
+	})
+}
+
+// stream is an ordered connection. Messages wait while the zones are cut from each other, as TCP would have them.
+type stream struct {
+	w        *world
+	from, to *process
+	toLife   int
+	fromLife int
+	waiting  []func()
+	arriveBy time.Duration
+	closed   bool
+}
+
+func (w *world) newStream(from, to *process) *stream {
+	return &stream{w: w, from: from, to: to, toLife: to.life, fromLife: from.life}
+}
+
+func (s *stream) send(arrive func()) {
+	s.waiting = append(s.waiting, arrive)
+	if len(s.waiting) == 1 {
+		s.flush()
+	}
+}
+
+func (s *stream) flush() {
+	if s.w.isCut(s.from, s.to) {
+		s.w.after(resendPeriod, s.flush)
+		return
+	}
+	for _, arrive := range s.waiting {
+		at := max(s.arriveBy, s.w.now+s.w.latency(s.from, s.to))
+		s.arriveBy = at
+		s.w.after(at-s.w.now, func() {
+			if !s.closed {
+				s.to.run(s.toLife, arrive)
+			}
+		})
+	}
+	s.waiting = nil
+}
--- /dev/null
+++ b/internal/lab/sim/operators.go
@@ -0,0 +1,145 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"kitetiller/internal/control"
+	"kitetiller/internal/settings"
+)
+
+const (
+	changeResends = 8
+	changePause   = 2 * time.Second
+	lostAnswer    = 0.15 // share of operators' answers that are lost on the way
+	resendAnyway  = 0.1  // share of answered changes that are sent once more
+	readPeriod    = 700 * time.Millisecond
+)
+
+// operator edits the tree and resends when an answer is lost.
+type operator struct {
+	*process
+	asker   *asker
+	changes int
+}
+
+func pointer[T any](value T) *T { return &value }
+
+// firstTree is what the operators start from.
+func firstTree() settings.Tree {
+	return settings.Tree{Nodes: map[settings.Path]settings.Overrides{
+		"/":   {SuspectAfterMS: pointer(1000), MaxConcurrentLoads: pointer(loadsAtOnce)},
+		"/*":  {},
+		"/z3": {WhenCutOff: pointer("serve_last")},
+		"/*/" + modelService: {
+			Kind: pointer("llm"), StallAfterMS: pointer(2500), RequestDeadlineMS: pointer(8000), InteractiveMaxTokens: pointer(40),
+		},
+		"/*/" + smallService: {Kind: pointer("service"), Repeatable: pointer(false)},
+	}}
+}
+
+// serveLastZone is the zone whose router keeps serving without a lease.
+const serveLastZone = "z3"
+
+func (o *operator) boot(first bool) {
+	o.start()
+	o.asker = newAsker(o.w, o.process)
+	o.ticker(readPeriod, o.read)
+	if first {
+		o.after(time.Second, o.plant)
+		return
+	}
+	o.after(4*time.Second, o.edit)
+}
+
+// plant makes the first tree as soon as the group takes it, then goes on editing.
+func (o *operator) plant() {
+	if o.w.oracle.acknowledged > 0 {
+		o.edit()
+		return
+	}
+	o.submit(0, settings.DiffEdits(settings.NewTree(), firstTree()))
+	o.after(3*time.Second, o.plant)
+}
+
+// read looks at the current version; it must never be older than what anybody was told before.
+func (o *operator) read() {
+	floor := o.w.oracle.acknowledged
+	o.asker.once(control.Request{Read: &control.Read{}}, askTimeout, func(response control.Response, answered bool) {
+		if answered && response.Read != nil {
+			o.w.oracle.operatorRead(o.name, floor, response.Read)
+		}
+	})
+}
+
+// edit reads the tree, thinks, and changes something.
+func (o *operator) edit() {
+	if o.w.now > activeTime {
+		return
+	}
+	o.after(o.w.between(changePause/2, 2*changePause), o.edit)
+	o.asker.once(control.Request{Read: &control.Read{}}, askTimeout, func(response control.Response, answered bool) {
+		if !answered || response.Read == nil || response.Read.Version == 0 {
+			return
+		}
+		base := response.Read.Version
+		o.after(o.w.between(0, 700*time.Millisecond), func() { o.submit(base, o.drawEdits()) })
+	})
+}
+
+func raw(value any) json.RawMessage {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic("sim: value cannot be written: " + err.Error())
+	}
+	return data
+}
+
+func (o *operator) drawEdits() []settings.Edit {
+	edits := []settings.Edit{{Path: "/", Setting: "share_weight", Value: raw(1 + o.w.random.IntN(50))}}
+	if o.w.chance(0.3) {
+		weights := fmt.Sprintf("w%d", 1+o.w.random.IntN(3))
+		edits = append(edits, settings.Edit{Path: "/*/" + modelService, Setting: "weights_version", Value: raw(weights)})
+	}
+	if o.w.chance(0.2) {
+		edits = append(edits, settings.Edit{Path: "/*/" + modelService, Setting: "hedge_after_ms", Value: raw(o.w.random.IntN(2) * 600)})
+	}
+	return edits
+}
+
+// submit sends a change until its outcome is known.
+func (o *operator) submit(base uint64, edits []settings.Edit) {
+	o.changes++
+	change := settings.Change{Base: base, OperationID: fmt.Sprintf("%s-%d", o.name, o.changes), Author: o.name, Edits: edits}
+	o.w.oracle.changes++
+	o.send(change, changeResends)
+}
+
+func (o *operator) send(change settings.Change, left int) {
+	again := func() {
+		if left > 0 {
+			o.after(o.w.between(50*time.Millisecond, 500*time.Millisecond), func() { o.send(change, left-1) })
+		}
+	}
+	o.asker.once(control.Request{Change: &change}, askTimeout, func(response control.Response, answered bool) {
+		if !answered || response.Change == nil || o.w.chance(lostAnswer) {
+			again()
+			return
+		}
+		o.w.oracle.operatorTold(change, *response.Change)
+		if o.w.chance(resendAnyway) {
+			again()
+		}
+	})
+}
+
+// flipWeights changes the weights of the model service and nothing else.
+func (o *operator) flipWeights() {
+	base := o.w.oracle.acknowledged
+	if base == 0 {
+		return
+	}
+	weights := fmt.Sprintf("w%d", 1+o.changes%2)
+	o.submit(base, []settings.Edit{{Path: "/*/" + modelService, Setting: "weights_version", Value: raw(weights)}})
+}
--- /dev/null
+++ b/internal/lab/sim/oracle.go
@@ -0,0 +1,274 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"kitetiller/internal/control"
+	"kitetiller/internal/core"
+	"kitetiller/internal/lab/engine"
+	"kitetiller/internal/settings"
+)
+
+// Invariant names one must-hold line of the brief.
+type Invariant string
+
+// The invariants, in the order of the brief.
+const (
+	CacheIsolation Invariant = "cache-isolation"
+	StreamWhole    Invariant = "stream-whole"
+	RestartServes  Invariant = "restart-serves"
+	OwnAnswer      Invariant = "own-answer"
+	NotRunTrue     Invariant = "not-run-true"
+	AtMostOnce     Invariant = "at-most-once"
+	LeavingNoWork  Invariant = "leaving-no-new-work"
+	PlannedStop    Invariant = "planned-stop"
+	SettingsHold   Invariant = "settings-hold"
+)
+
+// InvariantHelp describes an invariant and how it is checked.
+type InvariantHelp struct {
+	Name Invariant
+	Help string
+}
+
+// Invariants lists every invariant with the check that the oracle makes.
+func Invariants() []InvariantHelp {
+	return []InvariantHelp{
+		{CacheIsolation, "each reused block was computed by this life of the engine, or copied, for the same tenant, weights and text; no job relies on another life"},
+		{StreamWhole, "a caller gets every token once and in order, and an end only after the last"},
+		{RestartServes, "a router with synced settings never refuses for want of settings, nor for want of a lease while control is well"},
+		{OwnAnswer, "each token and answer belongs to the caller's own request, and every request gets a final answer"},
+		{NotRunTrue, "no back end took a request, before or after, that was refused as not run"},
+		{AtMostOnce, "no idempotency key runs twice"},
+		{LeavingNoWork, "a back end takes nothing more than four seconds after the machine list says that it leaves"},
+		{PlannedStop, "a planned stop ends with no request in flight"},
+		{SettingsHold, "an accepted change is in the history under its own version, is never undone, and no router decides by an older version once it is in force"},
+	}
+}
+
+// Violation is a broken invariant.
+type Violation struct {
+	Invariant Invariant
+	At        time.Duration
+	Detail    string
+}
+
+const (
+	leavingGrace = 4 * time.Second
+	calmNeeded   = 8 * time.Second // without control faults, after which a router must get its lease
+)
+
+// oracle is the simple model of what callers and operators saw, and of what back ends did.
+type oracle struct {
+	w         *world
+	violation *Violation
+	requests  int
+	complete  int
+	changes   int
+	accepted  int
+
+	runs         map[string]int // by key
+	notRunSends  map[*exchange]bool
+	outcomes     map[string]settings.Outcome // first outcome told, by operation id
+	versions     map[uint64]string           // operation id by accepted version
+	acknowledged uint64                      // highest version anybody was told of
+	inForce      uint64                      // highest version said to be in force
+	routerUsed   map[string]uint64           // newest version a router decided by
+	controlFault time.Duration               // end of the newest fault that may have stopped control
+}
+
+func newOracle(w *world) *oracle {
+	return &oracle{
+		w: w, runs: map[string]int{}, notRunSends: map[*exchange]bool{},
+		outcomes: map[string]settings.Outcome{}, versions: map[uint64]string{}, routerUsed: map[string]uint64{},
+	}
+}
+
+// fail records the first violation; the run ends there.
+func (o *oracle) fail(invariant Invariant, format string, arguments ...any) {
+	if o.violation != nil {
+		return
+	}
+	o.violation = &Violation{Invariant: invariant, At: o.w.now, Detail: fmt.Sprintf(format, arguments...)}
+	o.w.logf("VIOLATION %s: %s", invariant, o.violation.Detail)
+}
+
+// engineTook checks a job at the moment an engine takes it.
+func (o *oracle) engineTook(e *engineNode, job *engine.Job, s *sending, result engine.SubmitResult) {
+	run := s.request
+	run.ran = true
+	if o.notRunSends[run] {
+		o.fail(NotRunTrue, "%s took %s, which was refused as not run", e.name, run.job.name)
+	}
+	if job.RelyTokens > 0 && result == engine.Taken && job.Incarnation != e.model.Incarnation {
+		o.fail(CacheIsolation, "%s, incarnation %d, runs %s relying on %d tokens of incarnation %d",
+			e.name, e.model.Incarnation, run.job.name, job.RelyTokens, job.Incarnation)
+	}
+	o.checkLeaving(e.name, e.leftAt)
+}
+
+func (o *oracle) checkLeaving(name string, leftAt time.Duration) {
+	if leftAt > 0 && o.w.now > leftAt+leavingGrace {
+		o.fail(LeavingNoWork, "%s took new work %v after it was said to leave", name, o.w.now-leftAt)
+	}
+}
+
+// engineReused checks every block that a job reuses against what the block really holds.
+func (o *oracle) engineReused(e *engineNode, s *sending, output engine.Output) {
+	for block := range output.Cached / blockToken {
+		wanted := s.request.job.content(e.model.Weights, block)
+		if held, found := e.cached[output.Job.Blocks[block]]; !found || held != wanted {
+			o.fail(CacheIsolation, "%s reuses block %d for %s of %s under %s, but it holds %+v",
+				e.name, block, s.request.job.name, wanted.tenant, wanted.weights, held)
+			return
+		}
+	}
+}
+
+// engineLoads checks that an engine never carries out an older order after a newer one.
+func (o *oracle) engineLoads(e *engineNode, call control.EngineCall) {
+	if call.Fence.Less(e.ordered) {
+		o.fail(SettingsHold, "%s loads %s by order %d/%d after order %d/%d",
+			e.name, call.Order.Weights, call.Fence.Term, call.Fence.Sequence, e.ordered.Term, e.ordered.Sequence)
+	}
+	e.ordered = call.Fence
+}
+
+func (o *oracle) serviceRan(s *serviceNode, run *exchange) {
+	run.ran = true
+	key := run.job.tenant + "/" + run.job.name
+	o.runs[key]++
+	if o.runs[key] > 1 {
+		o.fail(AtMostOnce, "%s ran %d times, now on %s", key, o.runs[key], s.name)
+	}
+	if o.notRunSends[run] {
+		o.fail(NotRunTrue, "%s ran %s, which was refused as not run", s.name, key)
+	}
+	o.checkLeaving(s.name, s.leftAt)
+}
+
+// routerFinished checks a final answer at the moment the router gives it.
+func (o *oracle) routerFinished(r *routerNode, run *exchange, final core.ActionFinish) {
+	if final.Run == core.RunNot {
+		o.notRunSends[run] = true
+		if run.ran || (run.job.small && o.runs[run.job.tenant+"/"+run.job.name] > 0) {
+			o.fail(NotRunTrue, "%s refused %s as not run (%s), but it ran", r.name, run.job.name, final.Reason)
+		}
+	}
+	if final.Reason != core.ReasonNoLease && final.Reason != core.ReasonNoSettings {
+		return
+	}
+	servesLast := r.zone == serveLastZone && r.saved.Version > 0
+	if servesLast {
+		o.fail(RestartServes, "%s refused %s as %s although it holds settings %d", r.name, run.job.name, final.Reason, r.saved.Version)
+	}
+	calm := o.w.now > max(o.controlFault, r.thawedAt)+calmNeeded
+	if calm && r.saved.Version > 0 {
+		o.fail(RestartServes, "%s refused %s as %s while control was well", r.name, run.job.name, final.Reason)
+	}
+}
+
+// routerDispatched checks the settings that a new request is decided by.
+func (o *oracle) routerDispatched(r *routerNode, run *exchange, action core.ActionDispatch) {
+	if action.ResumeFrom > run.resumeFrom || r.zone == serveLastZone {
+		return
+	}
+	if action.SettingsVersion < o.inForce {
+		o.fail(SettingsHold, "%s decided on %s by version %d after version %d was in force", r.name, run.job.name, action.SettingsVersion, o.inForce)
+	}
+}
+
+// routerTicked checks that the version a router uses never goes back, restarts included.
+func (o *oracle) routerTicked(r *routerNode) {
+	version := r.core.Version()
+	if version == 0 {
+		return
+	}
+	if used := o.routerUsed[r.name]; version < used {
+		o.fail(SettingsHold, "%s went back from version %d to %d", r.name, used, version)
+	}
+	o.routerUsed[r.name] = version
+}
+
+// routerStopped checks a planned stop at its end.
+func (o *oracle) routerStopped(r *routerNode) {
+	if r.stopping && len(r.waiting) > 0 {
+		o.fail(PlannedStop, "%s ends a planned stop with %d requests in flight", r.name, len(r.waiting))
+	}
+}
+
+// callerGot checks a token.
+func (o *oracle) callerGot(run *exchange, chunk core.ActionChunk) {
+	wanted := run.job.token(run.next)
+	switch {
+	case chunk.Text == wanted && chunk.Index == run.next:
+	case len(chunk.Text) > len(run.job.name) && chunk.Text[:len(run.job.name)+1] == run.job.name+":":
+		o.fail(StreamWhole, "%s got token %d as %q, wanted %q", run.job.name, chunk.Index, chunk.Text, wanted)
+	default:
+		o.fail(OwnAnswer, "%s got %q of another request, wanted %q", run.job.name, chunk.Text, wanted)
+	}
+}
+
+// callerFinished checks a final answer.
+func (o *oracle) callerFinished(run *exchange, final core.ActionFinish) {
+	if final.Reason != core.ReasonComplete && final.Reason != core.ReasonReplayed {
+		return
+	}
+	o.complete++
+	if run.job.small {
+		if got := answerOf(final.Answer); got != run.job.answer() {
+			o.fail(OwnAnswer, "%s got the answer %q", run.job.name, got)
+		}
+		return
+	}
+	if run.next != run.job.maxTokens || final.Tokens != run.job.maxTokens {
+		o.fail(StreamWhole, "%s ended as complete after token %d of %d", run.job.name, run.next, run.job.maxTokens)
+	}
+}
+
+// controlAnswered notes what a replica says is in force.
+func (o *oracle) controlAnswered(n *controlNode, response control.Response) {
+	if response.Read != nil && response.Read.InForce > o.inForce {
+		o.inForce = response.Read.InForce
+		o.w.logf("%s says version %d is in force", n.name, o.inForce)
+	}
+}
+
+// operatorRead checks that reads are never older than what was known when they began.
+func (o *oracle) operatorRead(name string, floor uint64, read *control.ReadReply) {
+	if read.Version < floor {
+		o.fail(SettingsHold, "%s read version %d after version %d was accepted", name, read.Version, floor)
+	}
+	o.acknowledged = max(o.acknowledged, read.Version)
+}
+
+// operatorTold checks the outcome of a change against the first one and against all others.
+func (o *oracle) operatorTold(change settings.Change, outcome settings.Outcome) {
+	first, known := o.outcomes[change.OperationID]
+	if known && (first.Kind != outcome.Kind || first.Version != outcome.Version) {
+		o.fail(SettingsHold, "%s was told %s at %d, then %s at %d", change.OperationID, first.Kind, first.Version, outcome.Kind, outcome.Version)
+	}
+	if known {
+		return
+	}
+	o.outcomes[change.OperationID] = outcome
+	o.w.logf("%s on version %d: %s, version %d", change.OperationID, change.Base, outcome.Kind, outcome.Version)
+	if outcome.Kind != settings.OutcomeAccepted {
+		return
+	}
+	o.accepted++
+	if outcome.Version != change.Base+1 {
+		o.fail(SettingsHold, "%s edited version %d and became version %d: another change was overwritten", change.OperationID, change.Base, outcome.Version)
+	}
+	if other, taken := o.versions[outcome.Version]; taken {
+		o.fail(SettingsHold, "%s and %s were both accepted as version %d", other, change.OperationID, outcome.Version)
+	}
+	o.versions[outcome.Version] = change.OperationID
+	o.acknowledged = max(o.acknowledged, outcome.Version)
+	hooks := o.w.onAccept
+	o.w.onAccept = nil
+	for _, run := range hooks {
+		run()
+	}
+}
--- /dev/null
+++ b/internal/lab/sim/platform.go
@@ -0,0 +1,53 @@
+package sim
+
+import (
+	"time"
+
+	"kitetiller/internal/core"
+)
+
+const (
+	platformPeriod = 250 * time.Millisecond
+	platformLag    = 800 * time.Millisecond // how old a reading is
+	readingsKept   = 8
+)
+
+// platform is the machine list, which lags and is sometimes wrong.
+type platform struct {
+	*process
+	readings [][]core.Machine // newest last
+	omitted  map[string]bool  // live machines that the list leaves out
+}
+
+func (p *platform) boot() {
+	p.start()
+	p.omitted = map[string]bool{}
+	p.sample()
+	p.ticker(platformPeriod, p.sample)
+}
+
+// sample records the truth, apart from what the list gets wrong.
+func (p *platform) sample() {
+	var machines []core.Machine
+	add := func(held *process, service string, leaving bool) {
+		if !p.omitted[held.name] {
+			machines = append(machines, core.Machine{Name: held.name, Zone: held.zone, Service: service, Address: held.name, Leaving: leaving})
+		}
+	}
+	for _, e := range p.w.engines {
+		add(e.process, modelService, e.leftAt > 0)
+	}
+	for _, s := range p.w.services {
+		add(s.process, smallService, s.leftAt > 0)
+	}
+	p.readings = append(p.readings, machines)
+	if len(p.readings) > readingsKept {
+		p.readings = p.readings[1:]
+	}
+}
+
+// list returns the reading that is platformLag old.
+func (p *platform) list() []core.Machine {
+	at := max(0, len(p.readings)-1-int(platformLag/platformPeriod))
+	return p.readings[at]
+}
--- /dev/null
+++ b/internal/lab/sim/process.go
@@ -0,0 +1,114 @@
+package sim
+
+import (
+	"slices"
+	"time"
+)
+
+// process is one simulated process: it can be killed, started again, frozen and thawed.
+type process struct {
+	w       *world
+	name    string
+	zone    string
+	life    int // raised at each start and each end
+	up      bool
+	frozen  bool
+	backlog []func()     // what arrived while it was frozen
+	open    []connection // connections that break when it dies; they hang when it dies silently
+}
+
+func newProcess(w *world, name, zone string) *process {
+	return &process{w: w, name: name, zone: zone}
+}
+
+// start begins a new life.
+func (p *process) start() {
+	p.life++
+	p.up, p.frozen = true, false
+}
+
+// kill ends the life. A silent death breaks no connection, as when a machine loses its power.
+func (p *process) kill(silent bool) {
+	if !p.up {
+		return
+	}
+	p.life++
+	p.up, p.frozen = false, false
+	p.backlog = nil
+	broken := p.open
+	p.open = nil
+	p.w.logf("%s dies, silently=%v", p.name, silent)
+	if silent {
+		return
+	}
+	for _, held := range broken {
+		p.w.after(p.w.between(time.Millisecond, 3*time.Millisecond), held.reset)
+	}
+}
+
+// connection is something that the other side notices when a process dies.
+type connection interface {
+	reset()
+	ended() bool
+}
+
+// connectionsSwept is the number of connections from which ended ones are dropped.
+const connectionsSwept = 256
+
+// connect notes a connection to the process.
+func (p *process) connect(fresh connection) {
+	if len(p.open) >= connectionsSwept {
+		p.open = slices.DeleteFunc(p.open, connection.ended)
+	}
+	p.open = append(p.open, fresh)
+}
+
+// freeze stops the process; what arrives waits.
+func (p *process) freeze() {
+	if p.up {
+		p.frozen = true
+		p.w.logf("%s freezes", p.name)
+	}
+}
+
+// thaw lets the process go on with what has arrived, in order.
+func (p *process) thaw() {
+	if !p.up || !p.frozen {
+		return
+	}
+	p.frozen = false
+	p.w.logf("%s thaws with %d things waiting", p.name, len(p.backlog))
+	waiting := p.backlog
+	p.backlog = nil
+	life := p.life
+	for _, run := range waiting {
+		p.run(life, run)
+	}
+}
+
+// run does something within a life: now, or when the process thaws. It is dropped when the life has ended.
+func (p *process) run(life int, do func()) {
+	switch {
+	case !p.up || p.life != life:
+	case p.frozen:
+		p.backlog = append(p.backlog, func() { p.run(life, do) })
+	default:
+		do()
+	}
+}
+
+// after sets a timer of the process's current life.
+func (p *process) after(delay time.Duration, do func()) {
+	life := p.life
+	p.w.after(delay, func() { p.run(life, do) })
+}
+
+// ticker repeats something for the rest of the life.
+func (p *process) ticker(period time.Duration, do func()) {
+	var tick func()
+	tick = func() {
+		do()
+		p.after(period, tick)
+	}
+	p.after(p.w.between(0, period), tick)
+}
--- /dev/null
+++ b/internal/lab/sim/run.go
@@ -0,0 +1,126 @@
+package sim
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+
+	"kitetiller/internal/guard"
+	"kitetiller/internal/prefix"
+)
+
+const (
+	engineCount  = 4
+	serviceCount = 2
+	operatorsNum = 2
+	spareShare   = 0.4 // share of seeds with a spare control replica
+	seedStream   = 11
+)
+
+// zones are the zones of the simulated site, each with a control replica, a router and back ends.
+var zones = []string{"z1", "z2", "z3"}
+
+// Result is what one seed gave.
+type Result struct {
+	Seed      uint64
+	Violation *Violation // nil when everything held
+	Faults    int
+	Requests  int
+	Complete  int
+	Changes   int // submitted
+	Accepted  int
+}
+
+// Run runs one seed. trace may be nil.
+func Run(seed uint64, guards guard.Set, trace io.Writer) Result {
+	w := newWorld(seed, guards, trace)
+	for w.step(activeTime) {
+	}
+	w.now = activeTime
+	w.healAll()
+	for w.step(RunLength) {
+	}
+	w.now = RunLength
+	w.oracle.checkRest()
+	return Result{
+		Seed: seed, Violation: w.oracle.violation, Faults: w.faults, Requests: w.oracle.requests,
+		Complete: w.oracle.complete, Changes: w.oracle.changes, Accepted: w.oracle.accepted,
+	}
+}
+
+func newWorld(seed uint64, guards guard.Set, trace io.Writer) *world {
+	w := &world{seed: seed, random: rand.New(rand.NewPCG(seed, seedStream)), guards: guards, trace: trace}
+	w.network.cut = map[[2]string]int{}
+	w.oracle = newOracle(w)
+	w.hasher = prefix.NewHasher([prefix.KeyBytes]byte{1}, blockToken, guards)
+	w.makeNodes()
+	w.platform.boot()
+	for _, e := range w.engines {
+		e.boot()
+	}
+	for _, s := range w.services {
+		s.boot()
+	}
+	w.found()
+	for _, r := range w.routers {
+		r.boot()
+	}
+	w.callers.boot()
+	for i, o := range w.operators {
+		o.boot(i == 0)
+	}
+	w.planFaults()
+	return w
+}
+
+// makeNodes lays the processes out over the zones.
+func (w *world) makeNodes() {
+	controls := groupSize
+	if w.chance(spareShare) {
+		controls++
+	}
+	for i := range controls {
+		w.controls = append(w.controls, &controlNode{process: newProcess(w, fmt.Sprintf("control-%d", i+1), zones[i%len(zones)]), index: i})
+	}
+	for i, zone := range zones {
+		w.routers = append(w.routers, &routerNode{process: newProcess(w, fmt.Sprintf("router-%d", i+1), zone)})
+	}
+	for i := range engineCount {
+		w.engines = append(w.engines, &engineNode{process: newProcess(w, fmt.Sprintf("engine-%d", i+1), zones[i%len(zones)])})
+	}
+	for i := range serviceCount {
+		w.services = append(w.services, &serviceNode{process: newProcess(w, fmt.Sprintf("portal-%d", i+1), zones[i%len(zones)])})
+	}
+	w.platform = &platform{process: newProcess(w, "platform", platformZone)}
+	w.callers = &callers{process: newProcess(w, "callers", callerZone)}
+	for i := range operatorsNum {
+		w.operators = append(w.operators, &operator{process: newProcess(w, fmt.Sprintf("operator-%d", i+1), callerZone)})
+	}
+}
+
+// healAll ends every fault.
+func (w *world) healAll() {
+	w.logf("all faults heal")
+	w.network.cut = map[[2]string]int{}
+	w.network.badUntil = 0
+	w.onAccept = nil
+	w.mischief = mischief{}
+	w.platform.omitted = map[string]bool{}
+	for _, n := range w.controls {
+		n.thaw()
+		w.restartControl(n, 0)
+	}
+	for _, r := range w.routers {
+		r.thaw()
+		w.restartRouter(r, 0)
+	}
+	for _, e := range w.engines {
+		e.thaw()
+		e.leftAt = 0
+		w.restartEngine(e, 0)
+	}
+	for _, s := range w.services {
+		s.leftAt = 0
+		w.restartService(s, 0)
+	}
+}
--- /dev/null
+++ b/internal/lab/sim/services.go
@@ -0,0 +1,59 @@
+package sim
+
+import (
+	"time"
+
+	"kitetiller/internal/core"
+	"kitetiller/internal/ledger"
+)
+
+const smallService = "portal"
+
+// serviceNode is a small back end whose requests may not be repeated.
+type serviceNode struct {
+	*process
+	lives   uint64
+	running int
+	leftAt  time.Duration
+}
+
+func (s *serviceNode) boot() {
+	s.start()
+	s.lives++
+	s.running = 0
+}
+
+// serve runs a request. Within a fault's time it may read and close without running, or run and lose the answer.
+func (s *serviceNode) serve(run *exchange, attempt core.AttemptID, answer func(core.EventAttempt)) {
+	faulty := s.w.now < s.w.mischief.servicesUntil
+	if faulty && s.w.chance(0.25) {
+		s.w.logf("%s reads %s and closes", s.name, run.job.name)
+		answer(core.EventAttempt{Kind: core.AttemptBroken})
+		return
+	}
+	s.w.oracle.serviceRan(s, run)
+	s.running++
+	s.after(s.w.between(5*time.Millisecond, 40*time.Millisecond), func() {
+		s.running--
+		if faulty && s.w.chance(0.4) {
+			s.w.logf("%s loses the answer to %s", s.name, run.job.name)
+			answer(core.EventAttempt{Kind: core.AttemptBroken})
+			return
+		}
+		answer(core.EventAttempt{Kind: core.AttemptDone, Echo: attempt, Answer: &ledger.Answer{Status: 200, Body: []byte(run.job.answer())}})
+	})
+}
+
+func (s *serviceNode) report() *core.BackendReport {
+	return &core.BackendReport{Incarnation: s.lives, Load: core.Load{Running: s.running}}
+}
+
+// service returns a small back end by name, or nil.
+func (w *world) service(name string) *serviceNode {
+	for _, s := range w.services {
+		if s.name == name {
+			return s
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/sim/settle.go
@@ -0,0 +1,90 @@
+package sim
+
+import (
+	"slices"
+
+	"kitetiller/internal/settings"
+)
+
+// checkRest checks, after all faults have healed, that everything came to rest where it must.
+func (o *oracle) checkRest() {
+	if o.violation != nil {
+		return
+	}
+	leader := o.w.leader()
+	if leader == nil {
+		o.fail(SettingsHold, "no control replica leads %v after all faults have healed", settleTime)
+		return
+	}
+	o.checkHistory(leader)
+	o.checkRouters(leader)
+	o.checkEngines(leader)
+	o.checkAnswered()
+}
+
+// checkHistory compares the final history with what operators were told.
+func (o *oracle) checkHistory(leader *controlNode) {
+	final := leader.replica.Machine().Settings()
+	if final.Version() < o.acknowledged {
+		o.fail(SettingsHold, "the tree is at version %d after version %d was accepted", final.Version(), o.acknowledged)
+		return
+	}
+	inHistory := map[string]uint64{}
+	for _, entry := range final.History() {
+		inHistory[entry.OperationID] = entry.Version
+	}
+	for _, id := range sortedOperations(o.outcomes) {
+		outcome := o.outcomes[id]
+		version, found := inHistory[id]
+		accepted := outcome.Kind == settings.OutcomeAccepted
+		if found != accepted || (found && version != outcome.Version) {
+			o.fail(SettingsHold, "%s was told %s at version %d, the history has it at %d", id, outcome.Kind, outcome.Version, version)
+			return
+		}
+	}
+}
+
+// checkRouters checks that the newest version is in use everywhere.
+func (o *oracle) checkRouters(leader *controlNode) {
+	newest := leader.replica.Machine().Settings().Version()
+	for _, r := range o.w.routers {
+		if r.core.Version() != newest || !r.core.LeaseValid() {
+			o.fail(SettingsHold, "%s uses version %d, lease=%v, while version %d is the newest", r.name, r.core.Version(), r.core.LeaseValid(), newest)
+			return
+		}
+	}
+	if inForce := leader.replica.InForce(leader.clock()); inForce != newest {
+		o.fail(SettingsHold, "version %d is in force, version %d is the newest", inForce, newest)
+	}
+}
+
+// checkEngines checks that every engine holds the weights that the tree wants.
+func (o *oracle) checkEngines(leader *controlNode) {
+	tree := leader.replica.Machine().Settings().Tree()
+	for _, e := range o.w.engines {
+		wanted := tree.Resolve(e.zone, modelService).WeightsVersion
+		if e.model.Weights != wanted {
+			o.fail(SettingsHold, "%s holds weights %s, the tree wants %s", e.name, e.model.Weights, wanted)
+			return
+		}
+	}
+}
+
+// checkAnswered checks that no caller still waits.
+func (o *oracle) checkAnswered() {
+	for _, run := range o.w.callers.open {
+		if !run.ended {
+			o.fail(OwnAnswer, "%s, sent to %s, was never answered", run.job.name, run.router.name)
+			return
+		}
+	}
+}
+
+func sortedOperations(outcomes map[string]settings.Outcome) []string {
+	ids := make([]string, 0, len(outcomes))
+	for id := range outcomes {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/lab/sim/world.go
@@ -0,0 +1,120 @@
+// Package sim runs the whole system in virtual time: callers, routers, control replicas, back ends and operators,
+// under faults drawn from a seed, with one oracle that checks what must always hold.
+//
+// Routers, control replicas and engines are the pure state machines of the real processes; this package stands in
+// for their sockets, disks, clocks and threads. One seed always gives the same run, event for event.
+package sim
+
+import (
+	"container/heap"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"kitetiller/internal/guard"
+	"kitetiller/internal/prefix"
+)
+
+const (
+	activeTime = 100 * time.Second // callers, operators and faults are active
+	settleTime = 25 * time.Second  // faults are healed and everything must come to rest
+	blockToken = 8                 // tokens of a cache block
+)
+
+// RunLength is the virtual time of one seed.
+const RunLength = activeTime + settleTime
+
+// scheduled is something that happens at a time.
+type scheduled struct {
+	at    time.Duration
+	order uint64
+	run   func()
+}
+
+// schedule is a heap of scheduled things by time, then by order of scheduling; it implements heap.Interface.
+type schedule []scheduled
+
+func (s schedule) Len() int { return len(s) }
+func (s schedule) Less(i, j int) bool {
+	if s[i].at != s[j].at {
+		return s[i].at < s[j].at
+	}
+	return s[i].order < s[j].order
+}
+func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+
+// Push adds an item; use heap.Push.
+func (s *schedule) Push(item any) { *s = append(*s, item.(scheduled)) }
+
+// Pop removes the last item; use heap.Pop.
+func (s *schedule) Pop() any {
+	old := *s
+	last := old[len(old)-1]
+	old[len(old)-1] = scheduled{}
+	*s = old[:len(old)-1]
+	return last
+}
+
+// world is one run.
+type world struct {
+	seed   uint64
+	random *rand.Rand
+	guards guard.Set
+	now    time.Duration
+	queue  schedule
+	orders uint64
+	trace  io.Writer // nil: no trace is written
+	oracle *oracle
+	hasher *prefix.Hasher
+
+	network   network
+	controls  []*controlNode
+	routers   []*routerNode
+	engines   []*engineNode
+	services  []*serviceNode
+	platform  *platform
+	callers   *callers
+	operators []*operator
+	faults    int
+	mischief  mischief
+	onAccept  []func() // run once, at the next accepted change
+}
+
+// after schedules something that no process does.
+func (w *world) after(delay time.Duration, run func()) {
+	w.orders++
+	heap.Push(&w.queue, scheduled{at: w.now + max(0, delay), order: w.orders, run: run})
+}
+
+// step runs the next scheduled thing and reports whether there was one before the end.
+func (w *world) step(end time.Duration) bool {
+	if len(w.queue) == 0 || w.queue[0].at > end || w.oracle.violation != nil {
+		return false
+	}
+	next := heap.Pop(&w.queue).(scheduled)
+	w.now = next.at
+	next.run()
+	return true
+}
+
+// logf writes a line of the trace.
+func (w *world) logf(format string, arguments ...any) {
+	if w.trace == nil {
+		return
+	}
+	fmt.Fprintf(w.trace, "%12.6f  ", w.now.Seconds())
+	fmt.Fprintf(w.trace, format, arguments...)
+	fmt.Fprintln(w.trace)
+}
+
+// between returns a uniform duration.
+func (w *world) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.random.Int64N(int64(high-low)))
+}
+
+// chance reports true with a probability.
+func (w *world) chance(probability float64) bool { return w.random.Float64() < probability }
+
+// pick returns a random element.
+func pick[T any](w *world, list []T) T { return list[w.random.IntN(len(list))] }
--- a/internal/prefix/hash.go
+++ b/internal/prefix/hash.go
@@ -6,6 +6,8 @@
 	"encoding/hex"
 
 	"github.com/zeebo/blake3"
+
+	"kitetiller/internal/guard"
 )
 
 // HashBytes is the width of a block hash. 128 bits keep accidental collisions among 10^9 blocks below 10^-20;
@@ -38,18 +40,19 @@
 type Hasher struct {
 	base        *blake3.Hasher
 	blockTokens int
+	guards      guard.Set
 }
 
 // KeyBytes is the length of the secret key.
 const KeyBytes = 32
 
 // NewHasher returns a hasher for blocks of blockTokens tokens.
-func NewHasher(key [KeyBytes]byte, blockTokens int) *Hasher {
+func NewHasher(key [KeyBytes]byte, blockTokens int, guards guard.Set) *Hasher {
 	base, err := blake3.NewKeyed(key[:])
 	if err != nil {
 		panic("prefix: key length is wrong: " + err.Error())
 	}
-	return &Hasher{base: base, blockTokens: blockTokens}
+	return &Hasher{base: base, blockTokens: blockTokens, guards: guards}
 }
 
 // BlockTokens returns the tokens of a block.
@@ -77,9 +80,13 @@
 
 func (h *Hasher) seed(hasher *blake3.Hasher, tenant, weights string) Hash {
 	hasher.Reset()
-	_, _ = hasher.Write([]byte(tenant))
+	if h.guards.On(guard.TenantInHash) {
+		_, _ = hasher.Write([]byte(tenant))
+	}
 	_, _ = hasher.Write([]byte{0})
-	_, _ = hasher.Write([]byte(weights))
+	if h.guards.On(guard.WeightsInHash) {
+		_, _ = hasher.Write([]byte(weights))
+	}
 	return sum(hasher)
 }
 
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -9,6 +9,7 @@
 
 	"kitetiller/internal/api"
 	"kitetiller/internal/core"
+	"kitetiller/internal/membership"
 )
 
 const (
@@ -35,12 +36,13 @@
 func (s *Server) readPlatform(ctx context.Context) {
 	attempt, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
+	asked := s.now()
 	var reply api.MachinesReply
 	if err := s.client.Get(attempt, s.file.Router.Platform, api.PathMachines, &reply); err != nil {
 		s.log.Warn("machine list not read; the last one stays", zap.Error(err))
 		return
 	}
-	s.post(core.EventPlatform{Machines: reply.Machines})
+	s.post(core.EventPlatform{AskedAt: asked, Machines: reply.Machines})
 	listed := map[string]bool{}
 	for _, machine := range reply.Machines {
 		key := machine.Name + "@" + machine.Address
@@ -61,23 +63,18 @@
 
 // pollBackend is the thread that reads one back end's load, life and cache events.
 func (s *Server) pollBackend(ctx context.Context, machine core.Machine) {
-	var next, incarnation uint64
-	weights := ""
+	var cursor membership.Cursor
 	ticker := time.NewTicker(s.file.Router.PollEvery)
 	defer ticker.Stop()
 	for {
-		report, ok := s.readState(ctx, machine, next)
+		event := core.EventBackend{Name: machine.Name, AskedAt: s.now()}
+		report, ok := s.readState(ctx, machine, cursor.Next())
 		if ctx.Err() != nil {
 			return
 		}
-		if ok && (report.Incarnation != incarnation || report.Weights != weights) {
-			incarnation, weights, next = report.Incarnation, report.Weights, 0
-			report.Events, report.NextSequence = nil, 0
-		}
-		event := core.EventBackend{Name: machine.Name}
 		if ok {
+			cursor.Take(report)
 			event.Report = report
-			next = max(next, report.NextSequence)
 		}
 		s.offer(event)
 		select {
--- a/internal/router/disk.go
+++ b/internal/router/disk.go
@@ -5,7 +5,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"kitetiller/internal/settings"
+	"kitetiller/internal/session"
 	"kitetiller/internal/storage"
 )
 
@@ -14,12 +14,6 @@
 	incarnationFile = "incarnation.json"
 )
 
-// savedSettings is the newest version this router acknowledged.
-type savedSettings struct {
-	Version uint64        `json:"version"`
-	Tree    settings.Tree `json:"tree"`
-}
-
 type savedIncarnation struct {
 	Name   string `json:"name"`
 	Number uint64 `json:"number"`
@@ -29,7 +23,7 @@
 type diskState struct {
 	folder      string
 	incarnation uint64
-	saved       savedSettings
+	saved       session.Settings // as it was when the folder was opened
 }
 
 // openDiskState reads the folder and raises the incarnation number.
@@ -52,11 +46,6 @@
 }
 
 // save syncs a newer version; only then may it be acknowledged.
-func (d *diskState) save(version uint64, tree settings.Tree) error {
-	next := savedSettings{Version: version, Tree: tree}
-	if err := storage.WriteJSON(filepath.Join(d.folder, settingsFile), next); err != nil {
-		return err
-	}
-	d.saved = next
-	return nil
+func (d *diskState) save(next session.Settings) error {
+	return storage.WriteJSON(filepath.Join(d.folder, settingsFile), next)
 }
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -21,8 +21,10 @@
 
 	"kitetiller/internal/control"
 	"kitetiller/internal/core"
+	"kitetiller/internal/guard"
 	"kitetiller/internal/node"
 	"kitetiller/internal/prefix"
+	"kitetiller/internal/session"
 	"kitetiller/internal/settings"
 	"kitetiller/internal/transport"
 )
@@ -48,7 +50,6 @@
 	models  map[string]string   // service by model name
 	weights map[string][]string // weights in use by service
 	version uint64
-	epoch   uint64
 }
 
 // Server is a router process.
@@ -75,6 +76,7 @@
 	group    *control.Client
 	metrics  *metrics
 	disk     *diskState
+	session  *session.Machine // owned by the session thread
 	draining atomic.Bool
 	shed     atomic.Uint64
 }
@@ -93,7 +95,7 @@
 	client := transport.NewClient(file.ClusterToken, links)
 	server := &Server{
 		file: file, log: log, started: time.Now(), incarnation: disk.incarnation, disk: disk,
-		hasher: prefix.NewHasher(key, file.Router.BlockTokens),
+		hasher: prefix.NewHasher(key, file.Router.BlockTokens, guard.Set{}),
 		events: make(chan core.Event, eventRing), inspect: make(chan inspection, 64),
 		waiting: map[core.RequestID]*exchange{}, attempts: map[core.AttemptID]*attemptRun{},
 		pollers: map[string]context.CancelFunc{}, client: client,
@@ -105,6 +107,9 @@
 		IndexLimit: file.Router.IndexBlocks, ZoneLatency: file.Router.ZoneLatency, Vault: file.Router.Vault,
 		ImportRate: file.Router.ImportTokens,
 	})
+	server.session = session.New(session.Identity{
+		Router: file.Name, Incarnation: disk.incarnation, Zone: file.Zone, Address: file.Router.Listen,
+	}, disk.saved, file.Router.HeartbeatEvery, guard.Set{})
 	server.metrics = newMetrics(server)
 	if disk.saved.Version > 0 {
 		server.core.Tick(0, []core.Event{core.EventSettings{Version: disk.saved.Version, Tree: disk.saved.Tree}})
@@ -134,13 +139,19 @@
 	}()
 	var threads sync.WaitGroup
 	threads.Go(func() { s.decide(run) })
-	threads.Go(func() { s.renewSession(run) })
+	renewing, stopRenewing := context.WithCancel(run)
+	defer stopRenewing()
+	renewed := make(chan struct{})
+	go func() {
+		defer close(renewed)
+		s.renewSession(renewing)
+	}()
 	threads.Go(func() { s.watchPlatform(run) })
 	s.log.Info("router started", zap.String("listen", s.file.Router.Listen), zap.Uint64("incarnation", s.incarnation),
 		zap.Uint64("settings_version", s.disk.saved.Version))
 	select {
 	case <-ctx.Done():
-		s.drain(public)
+		s.drain(public, func() { stopRenewing(); <-renewed })
 	case err = <-failed:
 	}
 	cancel()
@@ -149,8 +160,9 @@
 	return err
 }
 
-// drain is the planned stop: no new request is taken, those in flight are finished.
-func (s *Server) drain(public *http.Server) {
+// drain is the planned stop: no new request is taken, those in flight are finished, and the session is closed
+// after its thread has stopped.
+func (s *Server) drain(public *http.Server, stopRenewing func()) {
 	s.log.Info("planned stop: finishing requests in flight")
 	s.draining.Store(true)
 	s.events <- core.EventDrain{}
@@ -158,6 +170,7 @@
 	for time.Now().Before(deadline) && s.inFlight() > 0 {
 		time.Sleep(maximumLinger)
 	}
+	stopRenewing()
 	s.closeSession()
 	closing, done := context.WithDeadline(context.Background(), deadline.Add(shutdownTime))
 	defer done()
@@ -226,7 +239,7 @@
 // when the settings changed.
 func (s *Server) publishView() {
 	previous := s.view.Load()
-	next := &view{version: s.core.Version(), epoch: s.core.Epoch(), weights: map[string][]string{}}
+	next := &view{version: s.core.Version(), weights: map[string][]string{}}
 	if previous != nil && previous.version == next.version {
 		next.tree, next.keys, next.models = previous.tree, previous.keys, previous.models
 	} else {
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -9,28 +9,26 @@
 	"kitetiller/internal/control"
 	"kitetiller/internal/core"
 	"kitetiller/internal/ledger"
-	"kitetiller/internal/settings"
+	"kitetiller/internal/session"
 )
 
 const (
 	heartbeatTimeout = 1200 * time.Millisecond
-	eagerPeriod      = 20 * time.Millisecond // until the first lease, and when a version waits
 	claimTimeout     = 4 * time.Second
 	endPatience      = 60 * time.Second // how long the end of a claim is repeated
 )
 
 // renewSession is the thread that renews the session and takes up new settings.
 func (s *Server) renewSession(ctx context.Context) {
-	var epoch uint64
 	for ctx.Err() == nil {
 		sent := s.now()
 		attempt, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-		response, err := s.group.Once(attempt, control.Request{Heartbeat: s.heartbeat(epoch)})
+		beat := s.session.Heartbeat()
+		response, err := s.group.Once(attempt, control.Request{Heartbeat: &beat})
 		cancel()
-		pause := eagerPeriod
+		pause := session.EagerPeriod
 		if err == nil && response.Kind == control.ResponseOK && response.Heartbeat != nil {
-			epoch = response.Heartbeat.Epoch
-			pause = s.takeReply(sent, response.Heartbeat)
+			pause = s.takeReply(sent, *response.Heartbeat)
 		}
 		select {
 		case <-ctx.Done():
@@ -39,67 +37,32 @@
 	}
 }
 
-func (s *Server) heartbeat(epoch uint64) *control.Heartbeat {
-	return &control.Heartbeat{
-		Router: s.file.Name, Incarnation: s.incarnation, Zone: s.file.Zone, Address: s.file.Router.Listen,
-		Epoch: epoch, Acked: s.disk.saved.Version, HasSettings: s.disk.saved.Version > 0,
-	}
-}
-
 // takeReply syncs new settings, passes settings and lease to the core, and returns when to call again.
-func (s *Server) takeReply(sent time.Duration, reply *control.HeartbeatReply) time.Duration {
-	tree, changed, ok := s.nextTree(reply)
-	if !ok {
-		return eagerPeriod
+func (s *Server) takeReply(sent time.Duration, reply control.HeartbeatReply) time.Duration {
+	step := s.session.Take(sent, reply)
+	if step.Problem != "" {
+		s.log.Warn("heartbeat reply not used", zap.String("problem", step.Problem))
+		return step.Pause
 	}
-	if changed {
-		if err := s.disk.save(reply.Version, tree); err != nil {
+	if step.Save != nil {
+		if err := s.disk.save(*step.Save); err != nil {
 			s.log.Error("settings could not be synced; the version is not acknowledged", zap.Error(err))
 			return s.file.Router.HeartbeatEvery
 		}
-		s.post(core.EventSettings{Version: reply.Version, Tree: tree})
-		s.log.Info("settings taken up", zap.Uint64("settings_version", reply.Version))
+		s.session.Saved(*step.Save)
+		s.post(core.EventSettings{Version: step.Save.Version, Tree: step.Save.Tree})
+		s.log.Info("settings taken up", zap.Uint64("settings_version", step.Save.Version))
 	}
-	s.post(core.EventLease{Epoch: reply.Epoch, Until: sent + reply.Lease})
-	if changed || reply.Lease == 0 {
-		return eagerPeriod
-	}
-	return s.file.Router.HeartbeatEvery
-}
-
-// nextTree returns the tree of the reply's version. It is not ok when the edits do not fit what is held, or
-// the reply is older.
-func (s *Server) nextTree(reply *control.HeartbeatReply) (tree settings.Tree, changed, ok bool) {
-	held := s.disk.saved
-	switch {
-	case reply.Version < held.Version:
-		s.log.Warn("older settings refused", zap.Uint64("offered", reply.Version), zap.Uint64("held", held.Version))
-		return tree, false, false
-	case reply.Version == held.Version && held.Version > 0:
-		return held.Tree, false, true
-	case reply.Tree != nil:
-		return *reply.Tree, true, true
-	case reply.Base != held.Version:
-		return tree, false, false
-	}
-	next, problems := held.Tree.Apply(reply.Edits)
-	if len(problems) > 0 {
-		s.log.Error("settings edits do not fit", zap.Stringer("problem", problems[0]))
-		return tree, false, false
-	}
-	return next, true, true
+	s.post(step.Lease)
+	return step.Pause
 }
 
 // closeSession ends the session at a planned stop, so that nobody waits for its lease.
 func (s *Server) closeSession() {
 	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
 	defer cancel()
-	beat := s.heartbeat(0)
-	beat.Closing = true
-	if held := s.view.Load(); held != nil {
-		beat.Epoch = held.epoch
-	}
-	_, _ = s.group.Once(ctx, control.Request{Heartbeat: beat}) // otherwise the lease runs out by itself
+	beat := s.session.Closing()
+	_, _ = s.group.Once(ctx, control.Request{Heartbeat: &beat}) // otherwise the lease runs out by itself
 }
 
 // claim asks the ledger and reports the outcome to the core.
--- /dev/null
+++ b/internal/session/session.go
@@ -0,0 +1,114 @@
+// Package session is a router's side of its session with the control group: the heartbeats it sends, the
+// settings it takes up, and the lease it may serve under. Machine is pure; the router process and the simulator
+// drive it alike.
+//
+// Invariants: a version is acknowledged only after Saved, which the caller invokes when it is synced; the
+// acknowledged version never goes back; the lease counts from before the heartbeat was sent.
+package session
+
+import (
+	"fmt"
+	"time"
+
+	"kitetiller/internal/control"
+	"kitetiller/internal/core"
+	"kitetiller/internal/guard"
+	"kitetiller/internal/settings"
+)
+
+// EagerPeriod is the pause between heartbeats until the first lease, and while a version waits to be acknowledged.
+const EagerPeriod = 20 * time.Millisecond
+
+// Settings is the newest version that a router synced.
+type Settings struct {
+	Version uint64        `json:"version"`
+	Tree    settings.Tree `json:"tree"`
+}
+
+// Identity names one life of a router.
+type Identity struct {
+	Router      string
+	Incarnation uint64
+	Zone        string
+	Address     string
+}
+
+// Machine is the state of a session. It is not safe for concurrent use.
+type Machine struct {
+	identity Identity
+	guards   guard.Set
+	period   time.Duration
+	epoch    uint64
+	held     Settings
+}
+
+// New returns a machine without a session. held is what the router's folder gave back; period is the pause
+// between heartbeats while nothing changes.
+func New(identity Identity, held Settings, period time.Duration, guards guard.Set) *Machine {
+	return &Machine{identity: identity, guards: guards, period: period, held: held}
+}
+
+// Heartbeat returns the next message to the control group.
+func (m *Machine) Heartbeat() control.Heartbeat {
+	return control.Heartbeat{
+		Router: m.identity.Router, Incarnation: m.identity.Incarnation, Zone: m.identity.Zone, Address: m.identity.Address,
+		Epoch: m.epoch, Acked: m.held.Version, HasSettings: m.held.Version > 0,
+	}
+}
+
+// Closing returns the message that ends the session at a planned stop.
+func (m *Machine) Closing() control.Heartbeat {
+	beat := m.Heartbeat()
+	beat.Closing = true
+	return beat
+}
+
+// Step is what to do with a reply.
+type Step struct {
+	Save    *Settings       // to sync, and then to pass to Saved and to the core; nil when nothing changed
+	Lease   core.EventLease // for the core, after Save
+	Pause   time.Duration   // until the next heartbeat
+	Problem string          // why the reply was not used, or ""
+}
+
+// Take decides on a reply to the heartbeat that was sent at the given time of the router's clock.
+func (m *Machine) Take(sent time.Duration, reply control.HeartbeatReply) Step {
+	next, changed, problem := m.next(reply)
+	if problem != "" {
+		return Step{Pause: EagerPeriod, Problem: problem}
+	}
+	m.epoch = reply.Epoch
+	step := Step{Lease: core.EventLease{Epoch: reply.Epoch, Until: sent + reply.Lease}, Pause: m.period}
+	if changed {
+		step.Save = &Settings{Version: reply.Version, Tree: next}
+	}
+	if changed || reply.Lease == 0 {
+		step.Pause = EagerPeriod
+	}
+	return step
+}
+
+// Saved records that a version is synced, so that the next heartbeat acknowledges it.
+func (m *Machine) Saved(saved Settings) { m.held = saved }
+
+// Held returns the newest synced version.
+func (m *Machine) Held() Settings { return m.held }
+
+// next returns the tree of the reply's version, or why the reply cannot be used.
+func (m *Machine) next(reply control.HeartbeatReply) (tree settings.Tree, changed bool, problem string) {
+	switch {
+	case reply.Version < m.held.Version && m.guards.On(guard.VersionMonotonic):
+		return tree, false, fmt.Sprintf("version %d offered, %d is held", reply.Version, m.held.Version)
+	case reply.Version == m.held.Version && m.held.Version > 0:
+		return m.held.Tree, false, ""
+	case reply.Tree != nil:
+		return *reply.Tree, true, ""
+	case reply.Base != m.held.Version:
+		return tree, false, fmt.Sprintf("edits start from version %d, %d is held", reply.Base, m.held.Version)
+	}
+	tree, problems := m.held.Tree.Apply(reply.Edits)
+	if len(problems) > 0 {
+		return tree, false, "edits do not fit: " + problems[0].String()
+	}
+	return tree, true, ""
+}
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -40,6 +40,7 @@
 	HotRequestsPerMinute float64  `json:"hot_requests_per_minute" default:"120" min:"1" max:"1000000" unit:"requests/min" levels:"root,zone,service" help:"rate of one prefix above which another copy is made"`
 	VaultKeep            bool     `json:"vault_keep" default:"true" unit:"flag" levels:"root,zone,service" help:"hot prefixes are also kept in the zone's KV store and imported from there"`
 	SuspectAfterMS       int      `json:"suspect_after_ms" default:"1500" min:"100" max:"60000" unit:"ms" levels:"root,zone,service" help:"silence after which a back end gets no new work"`
+	StallAfterMS         int      `json:"stall_after_ms" default:"10000" min:"100" max:"600000" unit:"ms" levels:"root,zone,service" help:"time between two tokens after which a stream is continued on another engine"`
 	APIKeySHA256         []string `json:"api_key_sha256" default:"" unit:"hex SHA-256" levels:"tenant" help:"digests of the tenant's API keys"`
 }
 
@@ -72,6 +73,7 @@
 	HotRequestsPerMinute *float64  `json:"hot_requests_per_minute,omitempty"`
 	VaultKeep            *bool     `json:"vault_keep,omitempty"`
 	SuspectAfterMS       *int      `json:"suspect_after_ms,omitempty"`
+	StallAfterMS         *int      `json:"stall_after_ms,omitempty"`
 	APIKeySHA256         *[]string `json:"api_key_sha256,omitempty"`
 }
 
