A router without a lease no longer says not-run for a keyed request

Excluded: the ledger (one claim, one run), the back end. Change: without a lease a key always counts. Conclusion: stale settings must never be used for a proof.

--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -191,9 +191,11 @@
 	peer.ackedSentAt = max(peer.ackedSentAt, message.SentAt)
 	peer.paused = false
 	if message.Reject {
-		if message.Index > peer.match {
-			peer.next = max(peer.match, message.Hint) + 1
+		if message.Index <= peer.match {
+			peer.paused = true // it lost entries that it had acknowledged; ask again with the next heartbeat only
+			return
 		}
+		peer.next = max(peer.match, message.Hint) + 1
 		n.sendAppend(now, message.From)
 		return
 	}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -13,6 +13,8 @@
 const (
 	// orderTimeout is how long an order may stay without effect before it is issued again.
 	orderTimeout = 5 * time.Second
+	// reconcilePeriod is how often wanted and reported weights are compared.
+	reconcilePeriod = 50 * time.Millisecond
 	// engineSilence is how long an engine's report counts.
 	engineSilence = 3 * time.Second
 	// learnerLag is how many entries a learner may lack and still be promoted.
@@ -50,6 +52,19 @@
 	routers map[string]*routerLease
 	opening map[string]bool
 	engines map[string]*engineState
+
+	wantedVersion uint64                // settings version that wanted was resolved from
+	wanted        map[place]wantedState // by zone and service
+	reconciled    time.Duration
+}
+
+// place names a service in a zone.
+type place struct{ zone, service string }
+
+// wantedState is what the tree wants of the engines at a place.
+type wantedState struct {
+	weights string
+	loads   int // at the same time, of the whole service
 }
 
 func newLeadership(now time.Duration, term uint64, lease time.Duration, machine *Machine) *leadership {
@@ -256,23 +271,43 @@
 
 // reconcile orders engines whose weights differ from the tree, a few of each service at a time.
 func (r *Replica) reconcile(now time.Duration) {
+	if now < r.lead.reconciled+reconcilePeriod {
+		return
+	}
+	r.lead.reconciled = now
 	names := sortedKeys(r.lead.engines)
 	loading := r.countLoading(now, names)
 	for _, name := range names {
 		state := r.lead.engines[name]
 		report := state.report
-		if now > state.heardAt+engineSilence || report.Fence.Term < r.lead.term {
+		fenced := report.Fence.Term >= r.lead.term || !r.config.Guards.On(guard.FenceCheck)
+		if now > state.heardAt+engineSilence || !fenced {
 			continue
 		}
-		values := r.machine.settings.Tree().Resolve(report.Zone, report.Service)
+		wanted := r.wanted(place{report.Zone, report.Service})
 		ordered := state.ordered != "" && now < state.orderedAt+orderTimeout
-		if report.Weights == values.WeightsVersion || report.Loading || ordered || loading[report.Service] >= values.MaxConcurrentLoads {
+		if report.Weights == wanted.weights || report.Loading || ordered || loading[report.Service] >= wanted.loads {
 			continue
 		}
 		loading[report.Service]++
-		state.ordered, state.orderedAt = values.WeightsVersion, now
-		r.propose(now, 0, Command{Order: &Order{Engine: name, Incarnation: report.Incarnation, Weights: values.WeightsVersion}})
+		state.ordered, state.orderedAt = wanted.weights, now
+		r.propose(now, 0, Command{Order: &Order{Engine: name, Incarnation: report.Incarnation, Weights: wanted.weights}})
+	}
+}
+
+// wanted returns what the tree wants at a place. It is resolved once for each settings version.
+func (r *Replica) wanted(at place) wantedState {
+	version := r.machine.settings.Version()
+	if r.lead.wanted == nil || r.lead.wantedVersion != version {
+		r.lead.wanted, r.lead.wantedVersion = map[place]wantedState{}, version
+	}
+	held, known := r.lead.wanted[at]
+	if !known {
+		values := r.machine.settings.Tree().Resolve(at.zone, at.service)
+		held = wantedState{weights: values.WeightsVersion, loads: values.MaxConcurrentLoads}
+		r.lead.wanted[at] = held
 	}
+	return held
 }
 
 func (r *Replica) countLoading(now time.Duration, names []string) map[string]int {
@@ -410,7 +445,7 @@
 	}
 	for _, name := range sortedKeys(r.lead.engines) {
 		report := r.lead.engines[name].report
-		wanted := r.machine.settings.Tree().Resolve(report.Zone, report.Service).WeightsVersion
+		wanted := r.wanted(place{report.Zone, report.Service}).weights
 		status.Engines = append(status.Engines, EngineStatus{EngineReport: report, Wanted: wanted})
 	}
 }
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -195,9 +195,10 @@
 	return RunNot
 }
 
-// keyMatters reports whether the request goes to a non-repeatable service, as far as the settings tell.
+// keyMatters reports whether the request may go to a non-repeatable service. Without a lease the settings may be
+// older than the ones by which another router ran it, so they prove nothing.
 func (c *Core) keyMatters(r *request) bool {
-	return !c.hasTree || !c.effective(r.Service, r.Tenant).Repeatable
+	return !c.hasTree || !c.LeaseValid() || !c.effective(r.Service, r.Tenant).Repeatable
 }
 
 // finish gives the final answer and clears every trace of the request.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -248,3 +248,15 @@
 		t.Fatalf("version %d in use, want 9", h.core.Version())
 	}
 }
+
+// TestStaleRouterDoesNotClaimNotRun: a router without a lease may hold settings from before the service became
+// non-repeatable, so it cannot prove that an earlier send of the key did not run.
+func TestStaleRouterDoesNotClaimNotRun(t *testing.T) {
+	h := newHarness(t, 1)
+	keyed := prompt(1, 4)
+	keyed.Key = "k"
+	final := need[ActionFinish](t, h.after(2*time.Hour, EventRequest{keyed}))
+	if final.Run != RunUnknown {
+		t.Fatalf("run=%s, want unknown", final.Run)
+	}
+}
--- a/internal/lab/engine/model.go
+++ b/internal/lab/engine/model.go
@@ -81,6 +81,7 @@
 	Cached   int // prompt tokens reused, copied ones included
 	Imported int
 	Computed []prefix.Hash // blocks that were computed
+	Weights  string        // in use when the step was made
 }
 
 // SubmitResult tells whether a job was taken.
@@ -311,7 +312,7 @@
 		m.waiting = m.waiting[1:]
 		m.running = append(m.running, next)
 		m.start(next)
-		outputs = append(outputs, Output{Kind: OutputStarted, Job: next.job, Cached: next.cached, Imported: next.imported})
+		outputs = append(outputs, Output{Kind: OutputStarted, Job: next.job, Cached: next.cached, Imported: next.imported, Weights: m.Weights})
 	}
 	return outputs
 }
@@ -370,14 +371,14 @@
 		}
 		outputs = append(outputs, Output{
 			Kind: OutputToken, Job: held.job, Index: held.emitted, Cached: held.cached,
-			Imported: held.imported, Computed: held.computed,
+			Imported: held.imported, Computed: held.computed, Weights: m.Weights,
 		})
 		held.computed = nil
 		held.emitted++
 	}
 	for _, held := range m.step {
 		if held.toDo == 0 && held.emitted >= held.job.MaxTokens {
-			outputs = append(outputs, Output{Kind: OutputDone, Job: held.job, Index: held.emitted, Computed: held.computed})
+			outputs = append(outputs, Output{Kind: OutputDone, Job: held.job, Index: held.emitted, Computed: held.computed, Weights: m.Weights})
 			m.release(held)
 			m.running = slices.DeleteFunc(m.running, func(other *sequence) bool { return other == held })
 		}
--- a/internal/lab/sim/engines.go
+++ b/internal/lab/sim/engines.go
@@ -144,7 +144,7 @@
 func (e *engineNode) noteComputed(s *sending, output engine.Output) {
 	first := len(output.Job.Blocks) - len(output.Computed)
 	for i, hash := range output.Computed {
-		e.cached[hash] = s.request.job.content(e.model.Weights, first+i)
+		e.cached[hash] = s.request.job.content(output.Weights, first+i)
 	}
 }
 
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -33,6 +33,7 @@
 	{"one-way cut", (*world).faultCutOneWay},
 	{"bad network", (*world).faultBadNetwork},
 	{"kill engine", (*world).faultKillEngine},
+	{"kill engines in a row", (*world).faultKillEngines},
 	{"freeze engine", (*world).faultFreezeEngine},
 	{"leaving engine", (*world).faultLeaveEngine},
 	{"leaving service", (*world).faultLeaveService},
@@ -42,10 +43,12 @@
 	{"wrong machine list", (*world).faultWrongList},
 	{"race of operators", (*world).faultRace},
 	{"weights changed back and forth", (*world).faultFlipWeights},
+	{"order under way while its leader is frozen", (*world).faultSlowOrder},
 	{"wall clock jump", (*world).faultClockJump},
 	{"hot prefix shift", (*world).faultShift},
 	{"control blackout with router restarts", (*world).faultBlackout},
 	{"router frozen in a claim, thawed into a cut", (*world).faultClaimFreeze},
+	{"routers frozen in claims, one after the other", (*world).faultClaimFreezes},
 }
 
 // planFaults draws the faults of a run.
@@ -83,7 +86,7 @@
 
 func (w *world) faultKillRouter() {
 	r := pick(w, w.routers)
-	r.die(w.chance(0.5))
+	r.kill(w.chance(0.5))
 	w.restartRouter(r, w.between(100*time.Millisecond, 3*time.Second))
 }
 
@@ -111,7 +114,7 @@
 
 func (w *world) faultHerd() {
 	for _, r := range w.routers {
-		r.die(w.chance(0.3))
+		r.kill(w.chance(0.3))
 		w.restartRouter(r, w.between(100*time.Millisecond, 500*time.Millisecond))
 	}
 }
@@ -308,7 +311,7 @@
 		w.restartControl(n, length)
 	}
 	for _, r := range w.routers {
-		r.die(false)
+		r.kill(false)
 		w.restartRouter(r, w.between(100*time.Millisecond, 2*time.Second))
 	}
 }
--- a/internal/lab/sim/platform.go
+++ b/internal/lab/sim/platform.go
@@ -51,3 +51,11 @@
 	at := max(0, len(p.readings)-1-int(platformLag/platformPeriod))
 	return p.readings[at]
 }
+
+// leftAt returns when the platform said that a back end leaves, or 0.
+func (w *world) leftAt(name string) time.Duration {
+	if e := w.engine(name); e != nil {
+		return e.leftAt
+	}
+	return w.service(name).leftAt
+}
