Compare routing policies in virtual time

Change: kitelab bench; virtual time shared with the simulator; the hash baselines place by preamble, template and 8 blocks of the document, the best of the depths tried (8, 24, 32, 36 and 44 blocks).

--- /dev/null
+++ b/cmd/kitelab/bench.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/lab/bench"
+	"kitetiller/internal/lab/plan"
+	"kitetiller/internal/settings"
+)
+
+// benchFlags are the arguments of "kitelab bench".
+type benchFlags struct {
+	deployment string
+	seeds      int
+	firstSeed  uint64
+	out        string
+	length     time.Duration
+	scale      float64
+	calm       bool
+	overload   bool
+	only       string
+	hashDepth  int
+}
+
+func defineBench() command {
+	flags := &benchFlags{deployment: "kigali", seeds: 5, firstSeed: 1, out: "bench-out", length: 60 * time.Second, scale: 1}
+	sub := newSubcommand("bench", "compare routing policies in virtual time against emulated engines")
+	sub.String(&flags.deployment, "d", "deployment", "kigali, nilewash, or a deployment file")
+	sub.Int(&flags.seeds, "n", "seeds", "number of seeds")
+	sub.UInt64(&flags.firstSeed, "s", "first-seed", "first seed")
+	sub.String(&flags.out, "o", "out", "folder for results.json, the table and the plots")
+	sub.Duration(&flags.length, "", "length", "virtual time for which requests are sent")
+	sub.Float64(&flags.scale, "", "scale", "factor on the deployment's request rate")
+	sub.Bool(&flags.calm, "", "calm", "no crash and no shift of hot prefixes")
+	sub.Bool(&flags.overload, "", "overload", "also run rising rates, up to twice the saturating one")
+	sub.String(&flags.only, "", "only", "run only this policy")
+	sub.Int(&flags.hashDepth, "", "hash-depth", "blocks that the hash policies place by; 0 chooses")
+	return command{sub, flags.run}
+}
+
+// deploymentFile returns the file of a deployment by name or path.
+func deploymentFile(name string) string {
+	if filepath.Ext(name) != "" {
+		return name
+	}
+	return filepath.Join("configs", name+".yaml")
+}
+
+func loadDeployment(name string) (*plan.Deployment, settings.Tree, error) {
+	path := deploymentFile(name)
+	deployment, err := plan.Load(path)
+	if err != nil {
+		return nil, settings.Tree{}, err
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, settings.Tree{}, eris.Wrapf(err, "read %s", path)
+	}
+	tree, problems := settings.ParseFile(data)
+	if len(problems) > 0 {
+		return nil, tree, eris.Errorf("%s: %s", path, problems[0])
+	}
+	return deployment, tree, nil
+}
+
+func (f *benchFlags) run() error {
+	deployment, tree, err := loadDeployment(f.deployment)
+	if err != nil {
+		return err
+	}
+	options := bench.Options{Deployment: deployment, Tree: tree, Length: f.length, Scale: f.scale, Disturbed: !f.calm, HashDepth: f.hashDepth}
+	policies := bench.Policies()
+	if f.only != "" {
+		policies = []bench.Policy{bench.Policy(f.only)}
+	}
+	started := time.Now()
+	rows := bench.Compare(options, policies, f.firstSeed, f.seeds)
+	text := bench.Markdown(fmt.Sprintf("%s, %d seeds, %v", deployment.Name, f.seeds, f.length), bench.Summarise(rows))
+	fmt.Print(text)
+	fmt.Fprintf(os.Stderr, "%v\n", time.Since(started).Round(time.Millisecond))
+	if err := bench.WriteJSON(f.out, "results.json", rows); err != nil {
+		return err
+	}
+	if err := bench.WriteText(f.out, "results.md", text); err != nil {
+		return err
+	}
+	return bench.Plot(f.out, deployment.Name, rows, options)
+}
--- /dev/null
+++ b/internal/lab/bench/engines.go
@@ -0,0 +1,161 @@
+package bench
+
+import (
+	"time"
+
+	"kitetiller/internal/core"
+	"kitetiller/internal/guard"
+	"kitetiller/internal/lab/engine"
+	"kitetiller/internal/prefix"
+)
+
+// engineNode is an engine model at an address of its own name.
+type engineNode struct {
+	run    *run
+	name   string
+	zone   string
+	model  *engine.Model
+	lives  uint64
+	down   bool
+	wakeAt time.Duration
+	seed   uint64
+
+	underWay      int // prompt tokens sent, not arrived yet
+	underWayQuick int // the same for the interactive lane
+}
+
+// sending joins a job to the router and the request it belongs to.
+type sending struct {
+	router  *routerNode
+	request *pending
+	attempt core.AttemptID
+	tokens  int
+	lane    core.Lane
+	over    bool
+}
+
+func (e *engineNode) boot() {
+	e.lives++
+	e.down = false
+	e.model = engine.New(e.name, e.lives, weights, e.run.rates, blockTokens, e.seed+e.lives, guard.Set{})
+	e.model.Import = e.run.importFrom
+	e.wakeAt = 0
+}
+
+// crash ends the life; whoever waits for a stream sees its connection break.
+func (e *engineNode) crash() {
+	e.down = true
+	for _, router := range e.run.routers {
+		router.breakSendings(e)
+	}
+}
+
+// pendingTokens is the true prefill before a new request of a lane, what is under way included.
+func (e *engineNode) pendingTokens(lane core.Lane) int {
+	e.advance()
+	load := e.model.TrueLoad()
+	if lane == core.LaneInteractive {
+		return load.InteractiveTokens + e.underWayQuick
+	}
+	return load.WaitingTokens + e.underWay
+}
+
+func (e *engineNode) count(s *sending, sign int) {
+	e.underWay += sign * s.tokens
+	if s.lane == core.LaneInteractive {
+		e.underWayQuick += sign * s.tokens
+	}
+}
+
+// arrive takes a job when it has come over the network.
+func (e *engineNode) arrive(action core.ActionDispatch, s *sending) {
+	e.count(s, -1)
+	if s.over {
+		return
+	}
+	if e.down {
+		s.router.reply(e, s, core.EventAttempt{Kind: core.AttemptRefused})
+		return
+	}
+	e.advance()
+	job := &engine.Job{
+		Attempt: action.Attempt, Origin: s.router.zone, Tenant: s.request.request.Tenant, Blocks: action.Blocks,
+		PromptTokens: s.request.request.PromptTokens, MaxTokens: action.MaxTokens, ResumeFrom: action.ResumeFrom, Lane: action.Lane,
+		Incarnation: action.Incarnation, Weights: action.Weights, RelyTokens: action.RelyTokens,
+		ImportFrom: action.ImportFrom, ImportBlocks: action.ImportBlocks, UserData: s,
+	}
+	switch e.model.Submit(e.run.clock.Now(), job) {
+	case engine.Taken:
+	case engine.TakenWithoutReuse:
+		s.router.reply(e, s, core.EventAttempt{Kind: core.AttemptMismatch})
+	default:
+		s.router.reply(e, s, core.EventAttempt{Kind: core.AttemptRefused, RetryAfter: 100 * time.Millisecond})
+	}
+	e.advance()
+}
+
+// advance runs the model up to now and sends what it produced.
+func (e *engineNode) advance() {
+	if e.down {
+		return
+	}
+	now := e.run.clock.Now()
+	for _, output := range e.model.Advance(now) {
+		e.output(output)
+	}
+	due, any := e.model.NextDue()
+	if !any || (e.wakeAt > now && e.wakeAt <= due) {
+		return
+	}
+	at := max(due, now+time.Microsecond)
+	e.wakeAt = at
+	life := e.lives
+	e.run.clock.After(at-now, func() {
+		if e.wakeAt == at && e.lives == life {
+			e.advance()
+		}
+	})
+}
+
+func (e *engineNode) output(output engine.Output) {
+	s := output.Job.UserData.(*sending)
+	event := core.EventAttempt{Index: output.Index, Cached: output.Cached}
+	switch output.Kind {
+	case engine.OutputStarted:
+		event.Kind, event.Incarnation = core.AttemptStarted, e.model.Incarnation
+		e.run.measure.started(e.run.clock.Now(), s, output)
+	case engine.OutputToken:
+		event.Kind = core.AttemptChunk
+	case engine.OutputDone:
+		event.Kind = core.AttemptDone
+		e.run.keep(s)
+	}
+	s.router.reply(e, s, event)
+}
+
+// deepestHolder returns who holds the longest prefix of a chain, engine or vault.
+func (r *run) deepestHolder(chain []prefix.Hash) (string, int) {
+	source, deepest := "", 0
+	for _, e := range r.engines {
+		if held := e.model.Holds(chain); !e.down && held > deepest {
+			source, deepest = e.name, held
+		}
+	}
+	if held := r.vault.holds(chain); held > deepest {
+		return vaultName, held
+	}
+	return source, deepest
+}
+
+// importFrom tells how much of a chain a source can give.
+func (r *run) importFrom(source string, chain []prefix.Hash) int {
+	if source == vaultName {
+		return r.vault.holds(chain)
+	}
+	for _, e := range r.engines {
+		if e.name == source && !e.down {
+			return e.model.Export(r.clock.Now(), chain)
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/lab/bench/policies.go
@@ -0,0 +1,198 @@
+// Package bench compares routing policies in virtual time: the router's core, with the policy under test as its
+// placer, drives engine models with a deployment's sizes and traffic. All policies get the same requests.
+package bench
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"kitetiller/internal/core"
+)
+
+// Policy names a way to choose an engine.
+type Policy string
+
+// Policies compared, the baselines first.
+const (
+	Random            Policy = "random"
+	RoundRobin        Policy = "round-robin"
+	LeastLoaded       Policy = "least-loaded"
+	PrefixHash        Policy = "prefix-hash"
+	BoundedPrefixHash Policy = "bounded-prefix-hash"
+	Kitetiller        Policy = "kitetiller"
+	Clairvoyant       Policy = "clairvoyant"
+)
+
+// Policies lists every policy in the order of reports.
+func Policies() []Policy {
+	return []Policy{Random, RoundRobin, LeastLoaded, PrefixHash, BoundedPrefixHash, Kitetiller, Clairvoyant}
+}
+
+const (
+	// loadBound is the factor over the mean load at which bounded prefix hashing goes on to the next engine.
+	loadBound = 1.25
+)
+
+// placerFor returns the placer of a policy.
+func placerFor(policy Policy, r *run) core.Placer {
+	switch policy {
+	case Random:
+		return randomPlacer{}
+	case RoundRobin:
+		return &roundRobinPlacer{}
+	case LeastLoaded:
+		return leastLoadedPlacer{}
+	case PrefixHash:
+		return prefixHashPlacer{depth: r.options.hashDepth()}
+	case BoundedPrefixHash:
+		return prefixHashPlacer{depth: r.options.hashDepth(), bounded: true}
+	case Clairvoyant:
+		return clairvoyantPlacer{run: r}
+	}
+	return core.CostPlacer{}
+}
+
+// noImports is embedded by the baselines, which move no cached blocks.
+type noImports struct{}
+
+// Imports is false: baselines move no cached blocks.
+func (noImports) Imports() bool { return false }
+
+type randomPlacer struct{ noImports }
+
+// Pick returns any candidate.
+func (randomPlacer) Pick(context core.PlaceContext, candidates []core.Candidate) int {
+	return context.Random.IntN(len(candidates))
+}
+
+type roundRobinPlacer struct {
+	noImports
+	last int
+}
+
+// Pick returns the candidate after the last one, in order of engine rows.
+func (p *roundRobinPlacer) Pick(_ core.PlaceContext, candidates []core.Candidate) int {
+	best := -1
+	for i := range candidates {
+		if int(candidates[i].Engine) > p.last && (best < 0 || candidates[i].Engine < candidates[best].Engine) {
+			best = i
+		}
+	}
+	if best < 0 {
+		best = 0
+	}
+	p.last = int(candidates[best].Engine)
+	return best
+}
+
+type leastLoadedPlacer struct{ noImports }
+
+// Pick returns the candidate with the fewest running requests.
+func (leastLoadedPlacer) Pick(_ core.PlaceContext, candidates []core.Candidate) int {
+	best := 0
+	for i := range candidates {
+		if candidates[i].Running < candidates[best].Running {
+			best = i
+		}
+	}
+	return best
+}
+
+// prefixHashPlacer places by rendezvous hashing of the prompt's root; with a bound it passes over engines that
+// have much more than the mean load.
+type prefixHashPlacer struct {
+	noImports
+	depth   int // blocks of the prompt that are hashed
+	bounded bool
+}
+
+// Pick returns the candidate with the highest hash that the bound allows.
+func (p prefixHashPlacer) Pick(context core.PlaceContext, candidates []core.Candidate) int {
+	order := make([]int, len(candidates))
+	weights := make([]uint64, len(candidates))
+	total := 0
+	for i := range candidates {
+		order[i], weights[i] = i, rendezvous(context.Request, p.depth, candidates[i].Name)
+		total += candidates[i].Running
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		if weights[a] > weights[b] {
+			return -1
+		}
+		return 1
+	})
+	if !p.bounded {
+		return order[0]
+	}
+	bound := loadBound * float64(total+1) / float64(len(candidates))
+	for _, i := range order {
+		if float64(candidates[i].Running) < max(1, bound) {
+			return i
+		}
+	}
+	return order[0]
+}
+
+func rendezvous(request *core.Request, depth int, name string) uint64 {
+	digest := xxhash.New()
+	blocks := request.Chains[0].Blocks
+	if len(blocks) > 0 {
+		root := blocks[min(depth, len(blocks))-1]
+		_, _ = digest.Write(root[:])
+	}
+	_, _ = digest.WriteString(name)
+	var sum [8]byte
+	binary.LittleEndian.PutUint64(sum[:], digest.Sum64())
+	return xxhash.Sum64(sum[:]) // mixed once more: the names differ in their last digits only
+}
+
+// clairvoyantPlacer knows every cache and every queue exactly, and chooses by the same cost as the router.
+type clairvoyantPlacer struct{ run *run }
+
+// Imports is true: the bound may move cached blocks too.
+func (clairvoyantPlacer) Imports() bool { return true }
+
+// Pick corrects every candidate by what is true and returns the cheapest.
+func (p clairvoyantPlacer) Pick(context core.PlaceContext, candidates []core.Candidate) int {
+	chain := context.Request.Chains[0].Blocks
+	best := -1
+	source, deepest := p.run.deepestHolder(chain)
+	for i := range candidates {
+		p.correct(context, &candidates[i], source, deepest)
+		if best < 0 || candidates[i].Cost < candidates[best].Cost {
+			best = i
+		}
+	}
+	return best
+}
+
+func (p clairvoyantPlacer) correct(context core.PlaceContext, candidate *core.Candidate, source string, deepest int) {
+	node := p.run.engines[candidate.Engine]
+	rates := p.run.rates
+	held := node.model.Holds(context.Request.Chains[0].Blocks)
+	compute := tokensLeft(context.Request, held)
+	copied := time.Duration(0)
+	candidate.ImportBlocks, candidate.ImportFrom = 0, ""
+	if deepest > held && source != node.name {
+		moved := (deepest - held) * blockTokens
+		whole := seconds(float64(moved)/rates.ImportTokens) + seconds(float64(tokensLeft(context.Request, deepest))/rates.PrefillTokens)
+		if whole < seconds(float64(compute)/rates.PrefillTokens) {
+			candidate.ImportBlocks, candidate.ImportFrom = deepest, source
+			compute, copied = tokensLeft(context.Request, deepest), seconds(float64(moved)/rates.ImportTokens)
+		}
+	}
+	wait := seconds(float64(node.pendingTokens(context.Request.Lane)) / rates.PrefillTokens)
+	work := seconds(float64(compute) / rates.PrefillTokens)
+	candidate.Cached, candidate.Uncached = held*blockTokens, compute
+	candidate.Predicted = wait + work + copied
+	candidate.Cost = context.Values.TimeWeight*candidate.Predicted.Seconds() + context.Values.RecomputeWeight*work.Seconds()
+}
+
+func tokensLeft(request *core.Request, blocks int) int {
+	return max(1, request.PromptTokens-blocks*blockTokens)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/lab/bench/report.go
@@ -0,0 +1,141 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+// Compare runs every policy over seeds, several at once, and returns the rows by policy, then seed.
+func Compare(options Options, policies []Policy, firstSeed uint64, seeds int) []Row {
+	rows := make([]Row, len(policies)*seeds)
+	slots := make(chan struct{}, runtime.NumCPU())
+	var runs sync.WaitGroup
+	for at := range rows {
+		slots <- struct{}{}
+		runs.Go(func() {
+			rows[at] = Run(options, policies[at/seeds], firstSeed+uint64(at%seeds))
+			<-slots
+		})
+	}
+	runs.Wait()
+	return rows
+}
+
+// Summary is a policy's mean over seeds.
+type Summary struct {
+	Policy Policy
+	Mean   Row
+	Spread map[string]float64 // standard deviation over seeds by column
+}
+
+// column is one measured figure.
+type column struct {
+	name  string
+	value func(*Row) *float64
+}
+
+var columns = []column{
+	{"hit rate", func(r *Row) *float64 { return &r.PrefixHitRate }},
+	{"p50 ms", func(r *Row) *float64 { return &r.TTFTP50 }},
+	{"p99 ms", func(r *Row) *float64 { return &r.TTFTP99 }},
+	{"interactive p99 ms", func(r *Row) *float64 { return &r.InteractiveTTFTP99 }},
+	{"recomputed", func(r *Row) *float64 { return &r.RecomputedTokenShare }},
+	{"held elsewhere", func(r *Row) *float64 { return &r.RecomputedElsewhere }},
+	{"copied", func(r *Row) *float64 { return &r.CopiedShare }},
+	{"refused", func(r *Row) *float64 { return &r.RefusedShare }},
+	{"goodput/s", func(r *Row) *float64 { return &r.Goodput }},
+	{"crash recovery s", func(r *Row) *float64 { return &r.CrashRecovery }},
+	{"shift recovery s", func(r *Row) *float64 { return &r.ShiftRecovery }},
+}
+
+// Summarise returns the mean and spread of each policy.
+func Summarise(rows []Row) []Summary {
+	var summaries []Summary
+	for _, policy := range Policies() {
+		var of []Row
+		for _, row := range rows {
+			if row.Policy == policy {
+				of = append(of, row)
+			}
+		}
+		if len(of) > 0 {
+			summaries = append(summaries, summarise(policy, of))
+		}
+	}
+	return summaries
+}
+
+func summarise(policy Policy, rows []Row) Summary {
+	summary := Summary{Policy: policy, Spread: map[string]float64{}}
+	for _, c := range columns {
+		total, squares := 0.0, 0.0
+		for i := range rows {
+			total += *c.value(&rows[i])
+		}
+		mean := total / float64(len(rows))
+		for i := range rows {
+			squares += math.Pow(*c.value(&rows[i])-mean, 2)
+		}
+		*c.value(&summary.Mean) = mean
+		summary.Spread[c.name] = math.Sqrt(squares / float64(len(rows)))
+	}
+	return summary
+}
+
+// Markdown returns a table of means and spreads.
+func Markdown(title string, summaries []Summary) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "## %s\n\n| policy |", title)
+	for _, c := range columns {
+		fmt.Fprintf(&text, " %s |", c.name)
+	}
+	fmt.Fprintf(&text, "\n|---|%s\n", strings.Repeat("---:|", len(columns)))
+	for _, summary := range summaries {
+		fmt.Fprintf(&text, "| %s |", summary.Policy)
+		for _, c := range columns {
+			fmt.Fprintf(&text, " %s ± %s |", figure(*c.value(&summary.Mean)), figure(summary.Spread[c.name]))
+		}
+		text.WriteString("\n")
+	}
+	return text.String()
+}
+
+// figure prints three significant digits.
+func figure(value float64) string {
+	switch size := math.Abs(value); {
+	case size >= 100:
+		return fmt.Sprintf("%.0f", value)
+	case size >= 10:
+		return fmt.Sprintf("%.1f", value)
+	case size >= 1:
+		return fmt.Sprintf("%.2f", value)
+	}
+	return fmt.Sprintf("%.4f", value)
+}
+
+// WriteJSON writes a value into a folder.
+func WriteJSON(folder, name string, value any) error {
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return eris.Wrapf(err, "encode %s", name)
+	}
+	return writeFile(folder, name, data)
+}
+
+// WriteText writes a text into a folder.
+func WriteText(folder, name, text string) error { return writeFile(folder, name, []byte(text)) }
+
+func writeFile(folder, name string, data []byte) error {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return eris.Wrapf(err, "make folder %s", folder)
+	}
+	return eris.Wrapf(os.WriteFile(filepath.Join(folder, name), data, 0o644), "write %s", name)
+}
--- /dev/null
+++ b/internal/lab/bench/router.go
@@ -0,0 +1,226 @@
+package bench
+
+import (
+	"slices"
+	"time"
+
+	"kitetiller/internal/core"
+	"kitetiller/internal/lab/traffic"
+	"kitetiller/internal/membership"
+)
+
+const (
+	localLatency = 200 * time.Microsecond // one way within a zone
+	pollPeriod   = 100 * time.Millisecond
+	indexLimit   = 200_000
+)
+
+// routerNode is one zone's router.
+type routerNode struct {
+	run      *run
+	zone     string
+	core     *core.Core
+	wakeAt   time.Duration
+	waiting  map[core.RequestID]*pending
+	sendings map[core.AttemptID]*sending
+	targets  map[core.AttemptID]*engineNode
+	nextID   core.RequestID
+}
+
+// pending is a request that has no final answer yet.
+type pending struct {
+	request core.Request
+	prompt  traffic.Prompt
+	sentAt  time.Duration
+	first   bool // the first token has come
+	keep    blockList
+}
+
+func (r *run) newRouter(zone string, seed uint64) *routerNode {
+	latency := map[string]time.Duration{}
+	for _, other := range r.deployment.Zones {
+		if other != zone {
+			latency[other] = r.deployment.ZoneLatency
+		}
+	}
+	node := &routerNode{run: r, zone: zone, waiting: map[core.RequestID]*pending{},
+		sendings: map[core.AttemptID]*sending{}, targets: map[core.AttemptID]*engineNode{}}
+	node.core = core.New(core.Config{
+		Router: zone, Zone: zone, Seed: seed, BlockTokens: blockTokens, IndexLimit: indexLimit,
+		ZoneLatency: latency, Vault: vaultName, ImportRate: r.rates.ImportTokens, Placer: placerFor(r.policy, r),
+	})
+	return node
+}
+
+func (n *routerNode) boot() {
+	machines := make([]core.Machine, 0, len(n.run.engines))
+	for _, e := range n.run.engines {
+		machines = append(machines, core.Machine{Name: e.name, Zone: e.zone, Service: n.run.service, Address: e.name})
+	}
+	n.post(core.EventSettings{Version: 1, Tree: n.run.tree}, core.EventLease{Epoch: 1, Until: 1 << 62}, core.EventPlatform{Machines: machines})
+	for i, e := range n.run.engines {
+		offset := time.Duration(i) * pollPeriod / time.Duration(len(n.run.engines))
+		cursor := &membership.Cursor{}
+		n.run.clock.After(offset, func() { n.poll(e, cursor) })
+	}
+}
+
+func (n *routerNode) latency(e *engineNode) time.Duration {
+	if e.zone == n.zone {
+		return localLatency
+	}
+	return n.run.deployment.ZoneLatency
+}
+
+// post passes events to the core and carries out what it decides.
+func (n *routerNode) post(events ...core.Event) {
+	now := n.run.clock.Now()
+	for _, action := range n.core.Tick(now, events) {
+		n.carryOut(action)
+	}
+	due, any := n.core.NextDue()
+	if !any || (n.wakeAt > now && n.wakeAt <= due) {
+		return
+	}
+	at := max(due, now+time.Millisecond)
+	n.wakeAt = at
+	n.run.clock.After(at-now, func() {
+		if n.wakeAt == at {
+			n.post()
+		}
+	})
+}
+
+func (n *routerNode) poll(e *engineNode, cursor *membership.Cursor) {
+	asked := n.run.clock.Now()
+	n.run.clock.After(n.latency(e), func() {
+		event := core.EventBackend{Name: e.name, AskedAt: asked}
+		if !e.down {
+			e.advance()
+			report := e.model.Report(n.run.clock.Now(), cursor.Next())
+			cursor.Take(&report)
+			event.Report = &report
+		}
+		n.run.clock.After(n.latency(e), func() { n.post(event) })
+	})
+	n.run.clock.After(pollPeriod, func() { n.poll(e, cursor) })
+}
+
+// arrive takes a caller's prompt.
+func (n *routerNode) arrive(prompt traffic.Prompt, sentAt time.Duration) {
+	n.nextID++
+	request := core.Request{
+		ID: n.nextID, Tenant: prompt.Tenant, Service: n.run.service, PromptTokens: tokensOf(prompt.Text), MaxTokens: prompt.MaxTokens,
+		Chains: []core.Chain{{Weights: weights, Blocks: n.run.hasher.Chain(prompt.Tenant, weights, []byte(prompt.Text))}},
+	}
+	n.waiting[request.ID] = &pending{request: request, prompt: prompt, sentAt: sentAt}
+	n.post(core.EventRequest{Request: request})
+}
+
+func (n *routerNode) carryOut(action core.Action) {
+	switch typed := action.(type) {
+	case core.ActionDispatch:
+		n.dispatch(typed)
+	case core.ActionCancel:
+		n.cancel(typed.Attempt)
+	case core.ActionChunk:
+		n.chunk(typed)
+	case core.ActionFinish:
+		n.finish(typed)
+	case core.ActionSnapshot:
+		n.fetchSnapshot(typed)
+	}
+}
+
+func (n *routerNode) dispatch(action core.ActionDispatch) {
+	request := n.waiting[action.ID]
+	e := n.run.byName[action.Backend]
+	s := &sending{router: n, request: request, attempt: action.Attempt, lane: action.Lane,
+		tokens: max(1, request.request.PromptTokens-action.RelyTokens)}
+	if action.Keep {
+		request.keep = action.Blocks[:action.KeepBlocks]
+	}
+	n.sendings[action.Attempt], n.targets[action.Attempt] = s, e
+	e.count(s, 1)
+	n.run.clock.After(n.latency(e), func() { e.arrive(action, s) })
+}
+
+// reply sends an event of an attempt back to the router.
+func (n *routerNode) reply(e *engineNode, s *sending, event core.EventAttempt) {
+	event.ID, event.Attempt, event.Echo = s.request.request.ID, s.attempt, s.attempt
+	n.run.clock.After(n.latency(e), func() {
+		if !s.over {
+			n.post(event)
+		}
+	})
+}
+
+func (n *routerNode) cancel(attempt core.AttemptID) {
+	s, e := n.sendings[attempt], n.targets[attempt]
+	if s == nil {
+		return
+	}
+	n.forget(attempt)
+	s.over = true
+	n.run.clock.After(n.latency(e), func() {
+		if !e.down {
+			e.model.Cancel(n.zone, attempt)
+			e.advance()
+		}
+	})
+}
+
+func (n *routerNode) forget(attempt core.AttemptID) {
+	delete(n.sendings, attempt)
+	delete(n.targets, attempt)
+}
+
+// breakSendings breaks every connection to an engine that crashed.
+func (n *routerNode) breakSendings(e *engineNode) {
+	var broken []core.AttemptID
+	for attempt, target := range n.targets {
+		if target == e {
+			broken = append(broken, attempt)
+		}
+	}
+	slices.Sort(broken)
+	for _, attempt := range broken {
+		n.reply(e, n.sendings[attempt], core.EventAttempt{Kind: core.AttemptBroken})
+	}
+}
+
+func (n *routerNode) chunk(action core.ActionChunk) {
+	request := n.waiting[action.ID]
+	if request == nil || request.first {
+		return
+	}
+	request.first = true
+	n.run.measure.firstToken(n.run.clock.Now()+n.run.deployment.ClientLatency, request)
+}
+
+func (n *routerNode) finish(action core.ActionFinish) {
+	request := n.waiting[action.ID]
+	delete(n.waiting, action.ID)
+	n.run.measure.finished(n.run.clock.Now()+n.run.deployment.ClientLatency, request, action)
+	for attempt, s := range n.sendings {
+		if s.request == request {
+			n.forget(attempt)
+		}
+	}
+}
+
+func (n *routerNode) fetchSnapshot(action core.ActionSnapshot) {
+	e := n.run.byName[action.Backend]
+	n.run.clock.After(n.latency(e), func() {
+		if e.down {
+			return
+		}
+		blocks, sequence := e.model.Snapshot()
+		event := core.EventCacheSnapshot{Name: e.name, Incarnation: e.model.Incarnation, Sequence: sequence, Blocks: blocks}
+		n.run.clock.After(n.latency(e), func() { n.post(event) })
+	})
+}
+
+func (n *routerNode) tellVault(blocks blockList) {
+	n.post(core.EventVault{Blocks: blocks, Held: true})
+}
--- /dev/null
+++ b/internal/lab/bench/run.go
@@ -0,0 +1,140 @@
+package bench
+
+import (
+	"time"
+
+	"kitetiller/internal/guard"
+	"kitetiller/internal/lab/engine"
+	"kitetiller/internal/lab/plan"
+	"kitetiller/internal/lab/traffic"
+	"kitetiller/internal/lab/vtime"
+	"kitetiller/internal/prefix"
+	"kitetiller/internal/settings"
+)
+
+const (
+	blockTokens = 64
+	weights     = "w1"
+	warmUp      = 15 * time.Second
+	drainTime   = 15 * time.Second
+	downTime    = 2 * time.Second // of a crashed engine
+)
+
+type blockList = []prefix.Hash
+
+// Options describe an experiment.
+type Options struct {
+	Deployment *plan.Deployment
+	Tree       settings.Tree
+	Length     time.Duration // requests are sent until then
+	Scale      float64       // of the deployment's request rate
+	Disturbed  bool          // an engine crashes and the hot prefixes shift
+	HashDepth  int           // blocks that the hash policies place by; 0 takes preamble, template and a part of the document
+}
+
+// documentBlocks is how far into the document the hash policies look. Of the depths tried it served them best.
+const documentBlocks = 8
+
+func (o Options) hashDepth() int {
+	if o.HashDepth > 0 {
+		return o.HashDepth
+	}
+	return (o.Deployment.Traffic.PreambleTokens+o.Deployment.Traffic.TemplateTokens)/blockTokens + documentBlocks
+}
+
+func (o Options) length() time.Duration  { return o.Length + drainTime }
+func (o Options) crashAt() time.Duration { return o.Length * 2 / 5 }
+func (o Options) shiftAt() time.Duration { return o.Length * 7 / 10 }
+
+// run is one policy over one seed.
+type run struct {
+	options    Options
+	deployment *plan.Deployment
+	policy     Policy
+	seed       uint64
+	tree       settings.Tree
+	service    string
+	rates      engine.Rates
+	clock      vtime.Clock
+	hasher     *prefix.Hasher
+	engines    []*engineNode
+	byName     map[string]*engineNode
+	routers    []*routerNode
+	byZone     map[string]*routerNode
+	vault      *vault
+	measure    *measure
+	traffic    *traffic.Generator
+}
+
+// Run runs one policy over one seed.
+func Run(options Options, policy Policy, seed uint64) Row {
+	r := &run{
+		options: options, deployment: options.Deployment, policy: policy, seed: seed, tree: options.Tree,
+		service: options.Deployment.Model.Name, rates: options.Deployment.Rates(), byName: map[string]*engineNode{},
+		byZone: map[string]*routerNode{}, hasher: prefix.NewHasher([prefix.KeyBytes]byte{1}, blockTokens, guard.Set{}),
+		vault: newVault(options.Deployment.Vault.Blocks), traffic: traffic.New(options.Deployment, seed, options.Scale),
+	}
+	r.measure = newMeasure(r)
+	r.makeNodes()
+	r.clock.After(time.Second, r.send)
+	if options.Disturbed {
+		r.clock.After(options.crashAt(), r.crash)
+		r.clock.After(options.shiftAt(), r.traffic.Shift)
+	}
+	for r.clock.Step(options.length()) {
+	}
+	return r.measure.row()
+}
+
+// makeNodes lays out engines and routers. The clairvoyant policy has one router that sees everything.
+func (r *run) makeNodes() {
+	zones := r.deployment.Zones
+	for i := range r.deployment.Model.Workers {
+		node := &engineNode{run: r, name: engineName(i), zone: zones[i%len(zones)], seed: r.seed*1000 + uint64(i)*7}
+		node.boot()
+		r.engines = append(r.engines, node)
+		r.byName[node.name] = node
+	}
+	routerZones := zones
+	if r.policy == Clairvoyant {
+		routerZones = zones[:1]
+	}
+	for i, zone := range routerZones {
+		node := r.newRouter(zone, r.seed*10+uint64(i))
+		r.routers = append(r.routers, node)
+		r.byZone[zone] = node
+		node.boot()
+	}
+}
+
+func engineName(i int) string { return "engine-" + string(rune('a'+i/10)) + string(rune('0'+i%10)) }
+
+// send passes the next prompt to the router of its zone and plans the one after it.
+func (r *run) send() {
+	start := r.clock.Now()
+	prompt := r.traffic.Next()
+	if prompt.At >= r.options.Length {
+		return
+	}
+	r.clock.After(prompt.At-start, func() {
+		router := r.byZone[prompt.Zone]
+		if router == nil {
+			router = r.routers[0]
+		}
+		sentAt := r.clock.Now()
+		r.clock.After(r.deployment.ClientLatency, func() { router.arrive(prompt, sentAt) })
+		r.send()
+	})
+}
+
+// crash ends one engine for a while; it comes back empty.
+func (r *run) crash() {
+	node := r.engines[int(r.seed)%len(r.engines)]
+	node.crash()
+	r.clock.After(downTime, func() {
+		node.boot()
+		node.advance()
+	})
+}
+
+func tokensOf(text string) int { return prefix.Tokens(len(text)) }
--- /dev/null
+++ b/internal/lab/bench/vault.go
@@ -0,0 +1,56 @@
+package bench
+
+import (
+	"container/list"
+
+	"kitetiller/internal/prefix"
+)
+
+const vaultName = "vault"
+
+// vault is the store of kept KV cache: the least recently used blocks give way.
+type vault struct {
+	limit int
+	order *list.List
+	held  map[prefix.Hash]*list.Element
+}
+
+func newVault(limit int) *vault {
+	return &vault{limit: limit, order: list.New(), held: map[prefix.Hash]*list.Element{}}
+}
+
+// holds returns how many leading blocks of a chain are kept.
+func (v *vault) holds(chain []prefix.Hash) int {
+	for i, hash := range chain {
+		place := v.held[hash]
+		if place == nil {
+			return i
+		}
+		v.order.MoveToBack(place)
+	}
+	return len(chain)
+}
+
+func (v *vault) keep(chain []prefix.Hash) {
+	for _, hash := range chain {
+		if place := v.held[hash]; place != nil {
+			v.order.MoveToBack(place)
+			continue
+		}
+		v.held[hash] = v.order.PushBack(hash)
+	}
+	for len(v.held) > v.limit {
+		oldest := v.order.Front()
+		delete(v.held, v.order.Remove(oldest).(prefix.Hash))
+	}
+}
+
+// keep stores what the router asked to keep when a job was done.
+func (r *run) keep(s *sending) {
+	blocks := s.request.keep
+	if len(blocks) == 0 {
+		return
+	}
+	r.vault.keep(blocks)
+	s.router.tellVault(blocks)
+}
--- a/internal/lab/sim/asker.go
+++ b/internal/lab/sim/asker.go
@@ -67,7 +67,7 @@
 			done(response, true)
 			return
 		}
-		if a.w.now >= until {
+		if a.w.now() >= until {
 			done(control.Response{}, false)
 			return
 		}
--- a/internal/lab/sim/callers.go
+++ b/internal/lab/sim/callers.go
@@ -75,7 +75,7 @@
 }
 
 func (c *callers) arrive() {
-	if c.w.now > activeTime {
+	if c.w.now() > activeTime {
 		return
 	}
 	c.sendAnywhere(c.newJob(), 0)
@@ -178,7 +178,7 @@
 	if j.small {
 		limit = smallSends
 	}
-	if j.done || j.sends >= limit || c.w.now > activeTime+settleTime/3 {
+	if j.done || j.sends >= limit || c.w.now() > activeTime+settleTime/3 {
 		return
 	}
 	resume := 0
--- a/internal/lab/sim/control.go
+++ b/internal/lab/sim/control.go
@@ -49,9 +49,9 @@
 	joining  *asker
 }
 
-func (n *controlNode) clock() time.Duration { return n.w.now - n.startedAt }
+func (n *controlNode) clock() time.Duration { return n.w.now() - n.startedAt }
 
-func (n *controlNode) unixMS() int64 { return wallStart + (n.w.now + n.wallSkew).Milliseconds() }
+func (n *controlNode) unixMS() int64 { return wallStart + (n.w.now() + n.wallSkew).Milliseconds() }
 
 // newFolder makes the disk empty; the replica then has a new identity.
 func (n *controlNode) newFolder() {
@@ -68,7 +68,7 @@
 // boot starts the process from its disk.
 func (n *controlNode) boot() {
 	n.start()
-	n.startedAt = n.w.now
+	n.startedAt = n.w.now()
 	n.syncing, n.unsynced, n.inbox = nil, nil, nil
 	n.clients = map[uint64]func(control.Response){}
 	n.wakeAt = 0
@@ -175,12 +175,12 @@
 
 func (n *controlNode) setWake() {
 	due := n.startedAt + n.replica.NextDue()
-	if n.wakeAt > n.w.now && n.wakeAt <= due {
+	if n.wakeAt > n.w.now() && n.wakeAt <= due {
 		return
 	}
-	n.wakeAt = max(due, n.w.now+time.Millisecond)
+	n.wakeAt = max(due, n.w.now()+time.Millisecond)
 	at := n.wakeAt
-	n.after(at-n.w.now, func() {
+	n.after(at-n.w.now(), func() {
 		if n.wakeAt == at && n.syncing == nil {
 			n.pump()
 		}
--- a/internal/lab/sim/engines.go
+++ b/internal/lab/sim/engines.go
@@ -85,16 +85,16 @@
 
 // advance runs the model up to now and sends what it produced.
 func (e *engineNode) advance() {
-	for _, output := range e.model.Advance(e.w.now) {
+	for _, output := range e.model.Advance(e.w.now()) {
 		e.output(output)
 	}
 	due, any := e.model.NextDue()
-	if !any || (e.wakeAt > e.w.now && e.wakeAt <= due) {
+	if !any || (e.wakeAt > e.w.now() && e.wakeAt <= due) {
 		return
 	}
-	e.wakeAt = max(due, e.w.now+time.Microsecond)
+	e.wakeAt = max(due, e.w.now()+time.Microsecond)
 	at := e.wakeAt
-	e.after(at-e.w.now, func() {
+	e.after(at-e.w.now(), func() {
 		if e.wakeAt == at {
 			e.advance()
 		}
@@ -110,7 +110,7 @@
 		ImportFrom: action.ImportFrom, ImportBlocks: action.ImportBlocks, UserData: s,
 	}
 	e.advance()
-	result := e.model.Submit(e.w.now, job)
+	result := e.model.Submit(e.w.now(), job)
 	if result == engine.Taken || result == engine.TakenWithoutReuse {
 		e.w.oracle.engineTook(e, job, s, result)
 		e.connect(s)
@@ -158,7 +158,7 @@
 			}
 		})
 	}
-	if e.w.now < e.w.mischief.streamsUntil && event.Kind != core.AttemptStarted && e.w.chance(mischiefShare) {
+	if e.w.now() < e.w.mischief.streamsUntil && event.Kind != core.AttemptStarted && e.w.chance(mischiefShare) {
 		e.misbehave(s, event, send)
 		return
 	}
@@ -191,7 +191,7 @@
 	if other == nil || !other.up || other.frozen || e.w.isCut(e.process, other.process) {
 		return 0
 	}
-	held := other.model.Export(e.w.now, chain)
+	held := other.model.Export(e.w.now(), chain)
 	for _, hash := range chain[:held] {
 		e.cached[hash] = other.cached[hash]
 	}
@@ -208,7 +208,7 @@
 			loading++
 		}
 	}
-	accepted := e.model.Order(e.w.now, call, engine.LoadTime(weightsLoad, loading, loadsAtOnce))
+	accepted := e.model.Order(e.w.now(), call, engine.LoadTime(weightsLoad, loading, loadsAtOnce))
 	if call.Order != nil {
 		e.w.logf("%s is ordered to load %s by %d/%d: accepted=%v", e.name, call.Order.Weights, call.Fence.Term, call.Fence.Sequence, accepted)
 	}
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -73,7 +73,7 @@
 
 // controlTrouble notes that control may be unwell until a time.
 func (w *world) controlTrouble(length time.Duration) {
-	w.oracle.controlFault = max(w.oracle.controlFault, w.now+length)
+	w.oracle.controlFault = max(w.oracle.controlFault, w.now()+length)
 }
 
 func (w *world) restartRouter(r *routerNode, after time.Duration) {
@@ -99,7 +99,7 @@
 	r.freeze()
 	r.stopping = false
 	w.after(length, func() {
-		r.thawedAt = w.now
+		r.thawedAt = w.now()
 		r.thaw()
 	})
 }
@@ -214,11 +214,11 @@
 		return
 	}
 	w.wipe(w.voter())
-	deadline := w.now + 4*repairAfter
+	deadline := w.now() + 4*repairAfter
 	var second func()
 	second = func() {
 		switch {
-		case w.now > min(deadline, activeTime):
+		case w.now() > min(deadline, activeTime):
 		case w.mayWipe():
 			w.wipe(w.voter())
 		default:
@@ -298,7 +298,7 @@
 
 func (w *world) faultBadNetwork() {
 	length := w.between(time.Second, 8*time.Second)
-	w.network.badUntil = max(w.network.badUntil, w.now+length)
+	w.network.badUntil = max(w.network.badUntil, w.now()+length)
 	w.network.lossShare = 0.02 + 0.2*w.random.Float64()
 	w.controlTrouble(length)
 }
--- a/internal/lab/sim/mischief.go
+++ b/internal/lab/sim/mischief.go
@@ -65,7 +65,7 @@
 	if e.leftAt > 0 {
 		return
 	}
-	e.leftAt = w.now
+	e.leftAt = w.now()
 	w.logf("%s is to leave", e.name)
 	w.after(leaveLength, func() {
 		e.kill(false)
@@ -79,7 +79,7 @@
 	if s.leftAt > 0 {
 		return
 	}
-	s.leftAt = w.now
+	s.leftAt = w.now()
 	w.logf("%s is to leave", s.name)
 	w.after(leaveLength, func() {
 		s.kill(false)
@@ -103,11 +103,11 @@
 }
 
 func (w *world) faultStreams() {
-	w.mischief.streamsUntil = w.now + w.between(2*time.Second, 8*time.Second)
+	w.mischief.streamsUntil = w.now() + w.between(2*time.Second, 8*time.Second)
 }
 
 func (w *world) faultServices() {
-	w.mischief.servicesUntil = w.now + w.between(2*time.Second, 8*time.Second)
+	w.mischief.servicesUntil = w.now() + w.between(2*time.Second, 8*time.Second)
 }
 
 // faultWrongList makes the machine list leave out an engine that is alive.
--- a/internal/lab/sim/network.go
+++ b/internal/lab/sim/network.go
@@ -23,7 +23,7 @@
 	return w.network.cut[[2]string{from.zone, to.zone}] > 0
 }
 
-func (w *world) bad() bool { return w.now < w.network.badUntil }
+func (w *world) bad() bool { return w.now() < w.network.badUntil }
 
 // latency draws the time of one way.
 func (w *world) latency(from, to *process) time.Duration {
@@ -139,9 +139,9 @@
 		return
 	}
 	for _, arrive := range s.waiting {
-		at := max(s.arriveBy, s.w.now+s.w.latency(s.from, s.to))
+		at := max(s.arriveBy, s.w.now()+s.w.latency(s.from, s.to))
 		s.arriveBy = at
-		s.w.after(at-s.w.now, func() {
+		s.w.after(at-s.w.now(), func() {
 			if !s.closed {
 				s.to.run(s.toLife, arrive)
 			}
--- a/internal/lab/sim/operators.go
+++ b/internal/lab/sim/operators.go
@@ -75,7 +75,7 @@
 
 // edit reads the tree, thinks, and changes something.
 func (o *operator) edit() {
-	if o.w.now > activeTime {
+	if o.w.now() > activeTime {
 		return
 	}
 	o.after(o.w.between(changePause/2, 2*changePause), o.edit)
--- a/internal/lab/sim/oracle.go
+++ b/internal/lab/sim/oracle.go
@@ -91,7 +91,7 @@
 	if o.violation != nil {
 		return
 	}
-	o.violation = &Violation{Invariant: invariant, At: o.w.now, Detail: fmt.Sprintf(format, arguments...)}
+	o.violation = &Violation{Invariant: invariant, At: o.w.now(), Detail: fmt.Sprintf(format, arguments...)}
 	o.w.logf("VIOLATION %s: %s", invariant, o.violation.Detail)
 }
 
@@ -111,8 +111,8 @@
 // checkLeaving checks a send at the moment the router makes it; what was on its way before may arrive late.
 func (o *oracle) checkLeaving(r *routerNode, backend string) {
 	leftAt := o.w.leftAt(backend)
-	if leftAt > 0 && o.w.now > leftAt+leavingGrace {
-		o.fail(LeavingNoWork, "%s sent new work to %s %v after it was said to leave", r.name, backend, o.w.now-leftAt)
+	if leftAt > 0 && o.w.now() > leftAt+leavingGrace {
+		o.fail(LeavingNoWork, "%s sent new work to %s %v after it was said to leave", r.name, backend, o.w.now()-leftAt)
 	}
 }
 
@@ -164,7 +164,7 @@
 	if servesLast {
 		o.fail(RestartServes, "%s refused %s as %s although it holds settings %d", r.name, run.job.name, final.Reason, r.saved.Version)
 	}
-	calm := o.accepted > 0 && o.w.now > max(o.controlFault, r.thawedAt, o.firstAccept)+calmNeeded
+	calm := o.accepted > 0 && o.w.now() > max(o.controlFault, r.thawedAt, o.firstAccept)+calmNeeded
 	if calm && r.saved.Version > 0 {
 		o.fail(RestartServes, "%s refused %s as %s while control was well", r.name, run.job.name, final.Reason)
 	}
@@ -260,7 +260,7 @@
 		return
 	}
 	if o.accepted == 0 {
-		o.firstAccept = o.w.now
+		o.firstAccept = o.w.now()
 	}
 	o.accepted++
 	if outcome.Version != change.Base+1 {
--- a/internal/lab/sim/router.go
+++ b/internal/lab/sim/router.go
@@ -41,13 +41,13 @@
 	thawedAt    time.Duration
 }
 
-func (r *routerNode) clock() time.Duration { return r.w.now - r.startedAt }
+func (r *routerNode) clock() time.Duration { return r.w.now() - r.startedAt }
 
 // boot starts the process from its disk.
 func (r *routerNode) boot() {
 	r.start()
 	r.incarnation++
-	r.startedAt, r.wakeAt = r.w.now, 0
+	r.startedAt, r.wakeAt = r.w.now(), 0
 	r.stopping = false
 	r.waiting = map[core.RequestID]*exchange{}
 	r.sendings = map[core.AttemptID]*sending{}
@@ -89,12 +89,12 @@
 func (r *routerNode) setWake() {
 	due, any := r.core.NextDue()
 	due += r.startedAt
-	if !any || (r.wakeAt > r.w.now && r.wakeAt <= due) {
+	if !any || (r.wakeAt > r.w.now() && r.wakeAt <= due) {
 		return
 	}
-	r.wakeAt = max(due, r.w.now+time.Millisecond)
+	r.wakeAt = max(due, r.w.now()+time.Millisecond)
 	at := r.wakeAt
-	r.after(at-r.w.now, func() {
+	r.after(at-r.w.now(), func() {
 		if r.wakeAt == at {
 			r.post()
 		}
@@ -149,7 +149,7 @@
 	again := func() { r.after(backendPoll, func() { r.pollEngine(e, cursor) }) }
 	r.w.call(r.process, e.process, pollTimeout, func(respond func(func())) {
 		e.advance()
-		report := e.model.Report(e.w.now, cursor.Next())
+		report := e.model.Report(e.w.now(), cursor.Next())
 		respond(func() {
 			cursor.Take(&report)
 			r.post(core.EventBackend{Name: e.name, AskedAt: asked, Report: &report})
@@ -186,7 +186,7 @@
 		r.claim(typed)
 	case core.ActionEnd:
 		end := typed.End
-		newAsker(r.w, r.process).ask(control.Request{End: &end}, r.w.now+endPatience, func(control.Response, bool) {})
+		newAsker(r.w, r.process).ask(control.Request{End: &end}, r.w.now()+endPatience, func(control.Response, bool) {})
 	case core.ActionSnapshot:
 		r.fetchSnapshot(typed)
 	}
@@ -205,7 +205,7 @@
 func (r *routerNode) claim(action core.ActionClaim) {
 	claim := action.Claim
 	r.w.mischief.claimBegins(r)
-	newAsker(r.w, r.process).ask(control.Request{Claim: &claim}, r.w.now+claimPatience, func(response control.Response, decided bool) {
+	newAsker(r.w, r.process).ask(control.Request{Claim: &claim}, r.w.now()+claimPatience, func(response control.Response, decided bool) {
 		event := core.EventClaim{ID: action.ID, ClaimID: claim.ClaimID, Failed: !decided || response.Claim == nil}
 		if !event.Failed {
 			event.Outcome = *response.Claim
@@ -297,10 +297,10 @@
 	r.w.logf("%s begins a planned stop with %d requests", r.name, len(r.waiting))
 	r.stopping = true
 	r.post(core.EventDrain{})
-	deadline := r.w.now + drainLimit
+	deadline := r.w.now() + drainLimit
 	var check func()
 	check = func() {
-		if len(r.waiting) > 0 && r.w.now < deadline && r.w.guards.On(guard.DrainBeforeExit) {
+		if len(r.waiting) > 0 && r.w.now() < deadline && r.w.guards.On(guard.DrainBeforeExit) {
 			r.after(drainCheck, check)
 			return
 		}
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -36,11 +36,11 @@
 	w := newWorld(seed, guards, trace)
 	for w.step(activeTime) {
 	}
-	w.now = activeTime
+	w.clock.Set(activeTime)
 	w.healAll()
 	for w.step(RunLength) {
 	}
-	w.now = RunLength
+	w.clock.Set(RunLength)
 	w.oracle.checkRest()
 	return Result{
 		Seed: seed, Violation: w.oracle.violation, Faults: w.faults, Requests: w.oracle.requests,
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -6,13 +6,13 @@
 package sim
 
 import (
-	"container/heap"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"time"
 
 	"kitetiller/internal/guard"
+	"kitetiller/internal/lab/vtime"
 	"kitetiller/internal/prefix"
 )
 
@@ -25,45 +25,12 @@
 // RunLength is the virtual time of one seed.
 const RunLength = activeTime + settleTime
 
-// scheduled is something that happens at a time.
-type scheduled struct {
-	at    time.Duration
-	order uint64
-	run   func()
-}
-
-// schedule is a heap of scheduled things by time, then by order of scheduling; it implements heap.Interface.
-type schedule []scheduled
-
-func (s schedule) Len() int { return len(s) }
-func (s schedule) Less(i, j int) bool {
-	if s[i].at != s[j].at {
-		return s[i].at < s[j].at
-	}
-	return s[i].order < s[j].order
-}
-func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
-
-// Push adds an item; use heap.Push.
-func (s *schedule) Push(item any) { *s = append(*s, item.(scheduled)) }
-
-// Pop removes the last item; use heap.Pop.
-func (s *schedule) Pop() any {
-	old := *s
-	last := old[len(old)-1]
-	old[len(old)-1] = scheduled{}
-	*s = old[:len(old)-1]
-	return last
-}
-
 // world is one run.
 type world struct {
 	seed   uint64
 	random *rand.Rand
 	guards guard.Set
-	now    time.Duration
-	queue  schedule
-	orders uint64
+	clock  vtime.Clock
 	trace  io.Writer // nil: no trace is written
 	oracle *oracle
 	hasher *prefix.Hasher
@@ -82,20 +49,14 @@
 }
 
 // after schedules something that no process does.
-func (w *world) after(delay time.Duration, run func()) {
-	w.orders++
-	heap.Push(&w.queue, scheduled{at: w.now + max(0, delay), order: w.orders, run: run})
-}
+func (w *world) after(delay time.Duration, run func()) { w.clock.After(delay, run) }
+
+// now returns the virtual time.
+func (w *world) now() time.Duration { return w.clock.Now() }
 
-// step runs the next scheduled thing and reports whether there was one before the end.
+// step runs the next thing and reports whether there was one before the end.
 func (w *world) step(end time.Duration) bool {
-	if len(w.queue) == 0 || w.queue[0].at > end || w.oracle.violation != nil {
-		return false
-	}
-	next := heap.Pop(&w.queue).(scheduled)
-	w.now = next.at
-	next.run()
-	return true
+	return w.oracle.violation == nil && w.clock.Step(end)
 }
 
 // logf writes a line of the trace.
@@ -103,7 +64,7 @@
 	if w.trace == nil {
 		return
 	}
-	fmt.Fprintf(w.trace, "%12.6f  ", w.now.Seconds())
+	fmt.Fprintf(w.trace, "%12.6f  ", w.now().Seconds())
 	fmt.Fprintf(w.trace, format, arguments...)
 	fmt.Fprintln(w.trace)
 }
--- /dev/null
+++ b/internal/lab/vtime/vtime.go
@@ -0,0 +1,68 @@
+// Package vtime is virtual time: a queue of things that happen at times, in a fixed order.
+package vtime
+
+import (
+	"container/heap"
+	"time"
+)
+
+// item is something that happens at a time.
+type item struct {
+	at    time.Duration
+	order uint64
+	run   func()
+}
+
+// items is a heap by time, then by order of scheduling; it implements heap.Interface.
+type items []item
+
+func (q items) Len() int { return len(q) }
+func (q items) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].order < q[j].order
+}
+func (q items) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push adds an item; use heap.Push.
+func (q *items) Push(added any) { *q = append(*q, added.(item)) }
+
+// Pop removes the last item; use heap.Pop.
+func (q *items) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	old[len(old)-1] = item{}
+	*q = old[:len(old)-1]
+	return last
+}
+
+// Clock is a virtual clock with its queue. The zero value stands at 0 with nothing to do.
+type Clock struct {
+	now    time.Duration
+	queue  items
+	orders uint64
+}
+
+// Now returns the virtual time.
+func (c *Clock) Now() time.Duration { return c.now }
+
+// After schedules something; a negative delay counts as none.
+func (c *Clock) After(delay time.Duration, run func()) {
+	c.orders++
+	heap.Push(&c.queue, item{at: c.now + max(0, delay), order: c.orders, run: run})
+}
+
+// Step runs the next thing that is due by the end. It returns false when there is none.
+func (c *Clock) Step(end time.Duration) bool {
+	if len(c.queue) == 0 || c.queue[0].at > end {
+		return false
+	}
+	next := heap.Pop(&c.queue).(item)
+	c.now = next.at
+	next.run()
+	return true
+}
+
+// Set moves the time forward when nothing is due.
+func (c *Clock) Set(now time.Duration) { c.now = max(c.now, now) }
