--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -107,7 +107,9 @@
 	for _, hash := range chain {
 		if found := x.find(hash, engine, state.life); found != noNode {
 			x.nodes[found].heard = ticks(now)
-			x.nodes[found].source = source
+			if source != SourceDispatch { // a send does not confirm what the engine itself has said
+				x.nodes[found].source = source
+			}
 			continue
 		}
 		x.insert(hash, engine, state.life, ticks(now), source)
@@ -187,10 +189,15 @@
 func (x *Index) believed(at uint32, now uint32) (believed, doubtful bool) {
 	held := &x.nodes[at]
 	state := &x.engines[held.engine]
-	if held.life != state.life || now-min(now, held.heard) > state.maxAge {
+	if held.life != state.life {
+		return false, false
+	}
+	doubtful = held.heard < state.doubtBefore
+	confirmed := held.source != SourceDispatch && !doubtful
+	if !confirmed && now-min(now, held.heard) > state.maxAge {
 		return false, false
 	}
-	return true, held.heard < state.doubtBefore
+	return true, doubtful
 }
 
 // evictOne drops a dead belief, or the oldest of a few.
