Placement counts what a copy drives out

Change: copied tokens cost 0.6 of their recomputation in the objective; 0.15 and 0.3 were tried too. Conclusion: kept at 0.6.

--- a/internal/core/score.go
+++ b/internal/core/score.go
@@ -23,6 +23,8 @@
 	doubtfulShare = 0.5
 	// importGain is the factor by which copying must beat recomputing.
 	importGain = 0.8
+	// displacedShare is the share of copied blocks that drive out others which are asked for again.
+	displacedShare = 0.6
 	// importMinimumBlocks is the least run of blocks worth a copy.
 	importMinimumBlocks = 4
 )
@@ -216,13 +218,14 @@
 		Engine: row.id, Name: row.machine.Name, Zone: row.machine.Zone, Cached: cached,
 		Uncached: max(1, r.PromptTokens+r.emitted-cached), Running: max(row.running, row.load.Running+row.load.Waiting),
 	}
-	importTime := c.planImport(r, row, rate, &candidate)
+	copiedTokens, importTime := c.planImport(r, row, rate, &candidate)
 	compute := float64(candidate.Uncached) / rate
 	candidate.Wait = seconds(float64(c.pendingTokens(row, r.Lane)) / rate)
 	candidate.raw = candidate.Wait + seconds(compute) + importTime
 	network := 2 * c.config.ZoneLatency[row.machine.Zone]
 	candidate.Predicted = network + time.Duration(float64(candidate.raw)*row.bias)
-	candidate.Cost = r.values.TimeWeight*candidate.Predicted.Seconds() + r.values.RecomputeWeight*compute
+	displaced := float64(copiedTokens) / rate
+	candidate.Cost = r.values.TimeWeight*candidate.Predicted.Seconds() + r.values.RecomputeWeight*(compute+displacedShare*displaced)
 	return candidate
 }
 
@@ -242,24 +245,25 @@
 	return pending
 }
 
-// planImport adds a copy from the best holder, or the vault, when that beats recomputing.
-func (c *Core) planImport(r *request, row *backend, rate float64, candidate *Candidate) time.Duration {
+// planImport adds a copy from the best holder, or the vault, when that beats recomputing. It returns the tokens to
+// copy and the time that takes.
+func (c *Core) planImport(r *request, row *backend, rate float64, candidate *Candidate) (int, time.Duration) {
 	if c.config.ImportRate <= 0 || !c.config.Placer.Imports() {
-		return 0
+		return 0, 0
 	}
 	blocks, source := c.bestSource(r, row)
 	missing := blocks - candidate.Cached/c.config.BlockTokens
 	if missing < importMinimumBlocks {
-		return 0
+		return 0, 0
 	}
 	tokens := missing * c.config.BlockTokens
 	copyTime := seconds(float64(tokens) / c.config.ImportRate)
 	if copyTime > time.Duration(importGain*float64(seconds(float64(tokens)/rate))) {
-		return 0
+		return 0, 0
 	}
 	candidate.ImportBlocks, candidate.ImportFrom = blocks, source
 	candidate.Uncached = max(1, candidate.Uncached-tokens)
-	return copyTime
+	return tokens, copyTime
 }
 
 // bestSource returns where the longest prefix of a chain can be copied from.
