Routers tell each other of sends that no load report shows yet

Excluded: the router's own queue (3 ms), wrong predictions of the cache. Change: control lists the sessions in heartbeat replies; routers send their peers the tokens under way, at most every 20 ms, over the internal listener; reports that are younger replace them.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -189,6 +189,9 @@
 		reply.Tree = &tree
 	}
 	lease.offered = version
+	if beat.PeersSeen != r.machine.peersAt {
+		reply.Peers = r.machine.Peers()
+	}
 	return reply
 }
 
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -70,6 +70,7 @@
 	ledger   *ledger.Ledger
 	sessions map[string]Session // by router name
 	orders   map[string]Order   // newest order by engine
+	peersAt  uint64             // log index of the newest opened or closed session
 	nowMS    int64
 }
 
@@ -92,6 +93,16 @@
 // Sessions returns the open sessions by router.
 func (m *Machine) Sessions() map[string]Session { return m.sessions }
 
+// Peers returns the routers with a session, sorted by name.
+func (m *Machine) Peers() *PeerList {
+	list := &PeerList{Version: m.peersAt}
+	for _, name := range sortedKeys(m.sessions) {
+		session := m.sessions[name]
+		list.Peers = append(list.Peers, Peer{Name: name, Zone: session.Zone, Address: session.Address})
+	}
+	return list
+}
+
 // Orders returns the newest order by engine.
 func (m *Machine) Orders() map[string]Order { return m.orders }
 
@@ -117,7 +128,7 @@
 		session := m.openSession(index, *command.OpenSession)
 		return Result{Session: &session}
 	case command.CloseSession != nil:
-		m.closeSession(*command.CloseSession)
+		m.closeSession(index, *command.CloseSession)
 	case command.Order != nil:
 		order := *command.Order
 		order.Fence = Fence{Term: term, Sequence: index}
@@ -138,14 +149,16 @@
 	}
 	session.Epoch = index
 	m.sessions[session.Router] = session
+	m.peersAt = index
 	return session
 }
 
-func (m *Machine) closeSession(holder ledger.Holder) {
+func (m *Machine) closeSession(index uint64, holder ledger.Holder) {
 	if !m.sessionOpen(holder) {
 		return
 	}
 	delete(m.sessions, holder.Router)
+	m.peersAt = index
 	m.ledger.CloseSession(holder)
 }
 
@@ -156,11 +169,12 @@
 	Sessions map[string]Session `json:"sessions"`
 	Orders   map[string]Order   `json:"orders"`
 	NowMS    int64              `json:"now_ms"`
+	PeersAt  uint64             `json:"peers_at"`
 }
 
 // Snapshot returns the whole state.
 func (m *Machine) Snapshot() []byte {
-	data, err := json.Marshal(machineForm{m.settings, m.ledger, m.sessions, m.orders, m.nowMS})
+	data, err := json.Marshal(machineForm{m.settings, m.ledger, m.sessions, m.orders, m.nowMS, m.peersAt})
 	if err != nil {
 		panic(fmt.Sprintf("control: state cannot be written: %v", err))
 	}
@@ -175,6 +189,7 @@
 	}
 	form.Settings.Guards = m.settings.Guards
 	m.settings, m.ledger, m.nowMS = form.Settings, form.Ledger, form.NowMS
+	m.peersAt = form.PeersAt
 	m.sessions, m.orders = form.Sessions, form.Orders
 	if m.sessions == nil {
 		m.sessions = map[string]Session{}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -29,6 +29,20 @@
 	Acked       uint64 `json:"acked"`        // settings version synced and in use
 	HasSettings bool   `json:"has_settings"` // false asks for the whole tree
 	Closing     bool   `json:"closing"`      // planned stop: end the session
+	PeersSeen   uint64 `json:"peers_seen"`   // version of the router list that the router holds
+}
+
+// PeerList names the routers with a session.
+type PeerList struct {
+	Version uint64 `json:"version"`
+	Peers   []Peer `json:"peers"`
+}
+
+// Peer is one router.
+type Peer struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"` // for other routers; empty when it listens to none
 }
 
 // HeartbeatReply grants a lease, counted by the router from the moment it sent the heartbeat.
@@ -38,7 +52,8 @@
 	Version uint64          `json:"version"`
 	Base    uint64          `json:"base"` // version the edits start from
 	Edits   []settings.Edit `json:"edits,omitempty"`
-	Tree    *settings.Tree  `json:"tree,omitempty"` // instead of edits, for a router too far behind
+	Tree    *settings.Tree  `json:"tree,omitempty"`  // instead of edits, for a router too far behind
+	Peers   *PeerList       `json:"peers,omitempty"` // when it differs from what the router holds
 }
 
 // Read asks for the current tree.
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -29,6 +29,7 @@
 	Weights         string
 	Blocks          []prefix.Hash
 	RelyTokens      int // prompt tokens believed to be cached there
+	PrefillTokens   int // prompt tokens that it will probably compute
 	ResumeFrom      int // tokens of the answer that the caller already has
 	Lane            Lane
 	MaxTokens       int
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -145,6 +145,17 @@
 	Blocks      []prefix.Hash
 }
 
+// Send tells other routers of an attempt that they cannot see in any report yet.
+type Send struct {
+	Backend string        `json:"backend"`
+	Tokens  int           `json:"tokens"` // to prefill
+	Lane    Lane          `json:"lane"`
+	Age     time.Duration `json:"age_ns"` // since it was sent
+}
+
+// EventPeerSends reports what other routers sent to back ends lately.
+type EventPeerSends struct{ Sends []Send }
+
 // Machine is a line of the platform's list.
 type Machine struct {
 	Name    string
@@ -192,3 +203,4 @@
 func (EventLease) isEvent()         {}
 func (EventVault) isEvent()         {}
 func (EventDrain) isEvent()         {}
+func (EventPeerSends) isEvent()     {}
--- a/internal/core/observe.go
+++ b/internal/core/observe.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"kitetiller/internal/guard"
@@ -36,6 +37,8 @@
 		c.hadLease = c.hadLease || typed.Until > c.now
 	case EventVault:
 		c.observeVault(typed)
+	case EventPeerSends:
+		c.observePeerSends(typed)
 	case EventDrain:
 		c.draining = true
 	}
@@ -62,6 +65,18 @@
 	}
 }
 
+// observePeerSends counts what other routers sent and no report shows yet.
+func (c *Core) observePeerSends(event EventPeerSends) {
+	for _, send := range event.Sends {
+		id, found := c.byName[send.Backend]
+		if !found {
+			continue
+		}
+		row := &c.backends[id]
+		row.peerPrefill = append(row.peerPrefill, pendingPrefill{sentAt: c.now - send.Age, tokens: send.Tokens, lane: send.Lane})
+	}
+}
+
 func (c *Core) observePlatform(event EventPlatform) {
 	c.membershipDirty = true
 	c.listAskedAt = max(c.listAskedAt, event.AskedAt)
@@ -115,6 +130,7 @@
 	row.leaving = report.Leaving
 	row.load = report.Load
 	row.reportedAt = c.now - report.Load.Age
+	row.peerPrefill = slices.DeleteFunc(row.peerPrefill, func(sent pendingPrefill) bool { return sent.sentAt < row.reportedAt })
 	c.index.SetMaxAge(id, report.Load.EvictionAge)
 	c.applyCacheEvents(row, report)
 }
--- a/internal/core/score.go
+++ b/internal/core/score.go
@@ -242,6 +242,11 @@
 			pending += sent.tokens
 		}
 	}
+	for _, sent := range row.peerPrefill {
+		if l == LaneBatch || sent.lane == LaneInteractive {
+			pending += sent.tokens
+		}
+	}
 	return pending
 }
 
--- a/internal/core/tables.go
+++ b/internal/core/tables.go
@@ -46,9 +46,10 @@
 	snapshotAsked  time.Duration
 	running        int // own attempts
 	pendingPrefill []pendingPrefill
-	limit          float64 // adaptive concurrency
-	bias           float64 // observed over predicted time to first token, smoothed
-	failures       int     // in a row
+	peerPrefill    []pendingPrefill // of other routers, as far as they told and no report shows it
+	limit          float64          // adaptive concurrency
+	bias           float64          // observed over predicted time to first token, smoothed
+	failures       int              // in a row
 }
 
 // pendingPrefill is an attempt of ours that has not given its first token yet.
--- a/internal/lab/bench/router.go
+++ b/internal/lab/bench/router.go
@@ -13,6 +13,8 @@
 	localLatency = 200 * time.Microsecond // one way within a zone
 	pollPeriod   = 100 * time.Millisecond
 	indexLimit   = 200_000
+	// announcePeriod is how long a send waits to be told to the other routers together with others.
+	announcePeriod = 20 * time.Millisecond
 )
 
 // routerNode is one zone's router.
@@ -25,6 +27,13 @@
 	sendings map[core.AttemptID]*sending
 	targets  map[core.AttemptID]*engineNode
 	nextID   core.RequestID
+	unsaid   []said
+}
+
+// said is an announcement and when it became true.
+type said struct {
+	send core.Send
+	at   time.Duration
 }
 
 // pending is a request that has no final answer yet.
@@ -141,6 +150,7 @@
 		request.keep = action.Blocks[:action.KeepBlocks]
 	}
 	n.sendings[action.Attempt], n.targets[action.Attempt] = s, e
+	n.announce(core.Send{Backend: e.name, Tokens: action.PrefillTokens, Lane: action.Lane})
 	e.count(s, 1)
 	n.run.clock.After(n.latency(e), func() { e.arrive(action, s) })
 }
@@ -224,3 +234,33 @@
 func (n *routerNode) tellVault(blocks blockList) {
 	n.post(core.EventVault{Blocks: blocks, Held: true})
 }
+
+// announce tells the other routers of a send, a few at a time.
+func (n *routerNode) announce(send core.Send) {
+	n.unsaid = append(n.unsaid, said{send: send, at: n.run.clock.Now()})
+	if len(n.unsaid) > 1 {
+		return
+	}
+	n.run.clock.After(announcePeriod, n.flushAnnouncements)
+}
+
+func (n *routerNode) flushAnnouncements() {
+	unsaid := n.unsaid
+	n.unsaid = nil
+	for _, peer := range n.run.routers {
+		if peer == n {
+			continue
+		}
+		n.run.clock.After(n.run.deployment.ZoneLatency, func() { peer.hear(unsaid) })
+	}
+}
+
+func (n *routerNode) hear(unsaid []said) {
+	event := core.EventPeerSends{}
+	for _, item := range unsaid {
+		send := item.send
+		send.Age = n.run.clock.Now() - item.at
+		event.Sends = append(event.Sends, send)
+	}
+	n.post(event)
+}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -195,8 +195,8 @@
 	for i, zone := range l.deployment.Zones {
 		name, listen := fmt.Sprintf("router-%d", i+1), l.address(zone)
 		l.Routers = append(l.Routers, listen)
-		text := l.nodeHeader(name, zone) + fmt.Sprintf("router:\n  listen: %s\n  control: [%s]\n  platform: %s\n  vault: %s\n  prefix_key: %s\n  import_tokens_per_s: %.0f\n  zone_latency:\n",
-			listen, strings.Join(l.internal[:controlCount], ", "), l.Platform, l.vault, l.prefixKey, l.deployment.Rates().ImportTokens)
+		text := l.nodeHeader(name, zone) + fmt.Sprintf("router:\n  listen: %s\n  internal: %s\n  control: [%s]\n  platform: %s\n  vault: %s\n  prefix_key: %s\n  import_tokens_per_s: %.0f\n  zone_latency:\n",
+			listen, l.address(zone), strings.Join(l.internal[:controlCount], ", "), l.Platform, l.vault, l.prefixKey, l.deployment.Rates().ImportTokens)
 		for _, other := range l.deployment.Zones {
 			if other != zone {
 				text += fmt.Sprintf("    %s: %s\n", other, l.deployment.ZoneLatency)
--- a/internal/lab/sim/router.go
+++ b/internal/lab/sim/router.go
@@ -220,6 +220,7 @@
 		return
 	}
 	r.w.oracle.routerDispatched(r, run, action)
+	r.announce(core.Send{Backend: action.Backend, Tokens: action.PrefillTokens, Lane: action.Lane})
 	if e := r.w.engine(action.Backend); e != nil {
 		r.sendToEngine(e, run, action)
 		return
@@ -314,3 +315,12 @@
 	}
 	check()
 }
+
+// announce tells the other routers of a send.
+func (r *routerNode) announce(send core.Send) {
+	for _, peer := range r.w.routers {
+		if peer != r {
+			r.w.message(r.process, peer.process, func() { peer.post(core.EventPeerSends{Sends: []core.Send{send}}) })
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 // Router is the part of the file that a router reads.
 type Router struct {
 	Listen         string                   `yaml:"listen"`              // address for callers
+	Internal       string                   `yaml:"internal"`            // address for other routers, or empty
 	Control        []string                 `yaml:"control"`             // internal addresses of the control replicas
 	Platform       string                   `yaml:"platform"`            // address of the platform's machine list
 	Vault          string                   `yaml:"vault"`               // address of the KV store, or empty
@@ -191,6 +192,7 @@
 
 func (c *checker) router(r *Router) {
 	c.address("router.listen", r.Listen, true)
+	c.address("router.internal", r.Internal, false)
 	c.address("router.platform", r.Platform, true)
 	c.address("router.vault", r.Vault, false)
 	if len(r.Control) == 0 {
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -70,15 +70,16 @@
 	waiting  map[core.RequestID]*exchange   // callers
 	attempts map[core.AttemptID]*attemptRun // running attempts
 
-	pollers  map[string]context.CancelFunc // by back end; owned by the platform thread
-	client   *transport.Client
-	backends *http.Client
-	group    *control.Client
-	metrics  *metrics
-	disk     *diskState
-	session  *session.Machine // owned by the session thread
-	draining atomic.Bool
-	shed     atomic.Uint64
+	pollers   map[string]context.CancelFunc // by back end; owned by the platform thread
+	client    *transport.Client
+	backends  *http.Client
+	group     *control.Client
+	metrics   *metrics
+	disk      *diskState
+	announcer *announcer
+	session   *session.Machine // owned by the session thread
+	draining  atomic.Bool
+	shed      atomic.Uint64
 }
 
 // NewServer opens the data folder and restores the newest settings this router acknowledged.
@@ -108,8 +109,9 @@
 		ImportRate: file.Router.ImportTokens,
 	})
 	server.session = session.New(session.Identity{
-		Router: file.Name, Incarnation: disk.incarnation, Zone: file.Zone, Address: file.Router.Listen,
+		Router: file.Name, Incarnation: disk.incarnation, Zone: file.Zone, Address: file.Router.Internal,
 	}, disk.saved, file.Router.HeartbeatEvery, guard.Set{})
+	server.announcer = newAnnouncer(client)
 	server.metrics = newMetrics(server)
 	if disk.saved.Version > 0 {
 		server.core.Tick(0, []core.Event{core.EventSettings{Version: disk.saved.Version, Tree: disk.saved.Tree}})
@@ -128,6 +130,10 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", s.file.Router.Listen)
 	}
+	internal, err := s.listenInternal()
+	if err != nil {
+		return err
+	}
 	run, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	public := &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout}
@@ -147,6 +153,7 @@
 		s.renewSession(renewing)
 	}()
 	threads.Go(func() { s.watchPlatform(run) })
+	threads.Go(func() { s.announcer.run(run) })
 	s.log.Info("router started", zap.String("listen", s.file.Router.Listen), zap.Uint64("incarnation", s.incarnation),
 		zap.Uint64("settings_version", s.disk.saved.Version))
 	select {
@@ -156,6 +163,7 @@
 	}
 	cancel()
 	threads.Wait()
+	s.closeInternal(internal)
 	s.log.Info("router stopped")
 	return err
 }
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -54,6 +54,9 @@
 		s.log.Info("settings taken up", zap.Uint64("settings_version", step.Save.Version))
 	}
 	s.post(step.Lease)
+	if step.Peers != nil {
+		s.announcer.setPeers(step.Peers)
+	}
 	return step.Pause
 }
 
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"kitetiller/internal/control"
@@ -40,6 +41,7 @@
 	period   time.Duration
 	epoch    uint64
 	held     Settings
+	peers    control.PeerList
 }
 
 // New returns a machine without a session. held is what the router's folder gave back; period is the pause
@@ -53,6 +55,7 @@
 	return control.Heartbeat{
 		Router: m.identity.Router, Incarnation: m.identity.Incarnation, Zone: m.identity.Zone, Address: m.identity.Address,
 		Epoch: m.epoch, Acked: m.held.Version, HasSettings: m.held.Version > 0,
+		PeersSeen: m.peers.Version,
 	}
 }
 
@@ -67,6 +70,7 @@
 type Step struct {
 	Save    *Settings       // to sync, and then to pass to Saved and to the core; nil when nothing changed
 	Lease   core.EventLease // for the core, after Save
+	Peers   []control.Peer  // the other routers, when they changed; never nil then
 	Pause   time.Duration   // until the next heartbeat
 	Problem string          // why the reply was not used, or ""
 }
@@ -79,6 +83,10 @@
 	}
 	m.epoch = reply.Epoch
 	step := Step{Lease: core.EventLease{Epoch: reply.Epoch, Until: sent + reply.Lease}, Pause: m.period}
+	if reply.Peers != nil {
+		m.peers = *reply.Peers
+		step.Peers = m.others()
+	}
 	if changed {
 		step.Save = &Settings{Version: reply.Version, Tree: next}
 	}
@@ -88,6 +96,25 @@
 	return step
 }
 
+// others returns the routers but this one, those of its own zone first.
+func (m *Machine) others() []control.Peer {
+	others := []control.Peer{}
+	for _, peer := range m.peers.Peers {
+		if peer.Name != m.identity.Router {
+			others = append(others, peer)
+		}
+	}
+	slices.SortStableFunc(others, func(a, b control.Peer) int { return m.distance(a) - m.distance(b) })
+	return others
+}
+
+func (m *Machine) distance(peer control.Peer) int {
+	if peer.Zone == m.identity.Zone {
+		return 0
+	}
+	return 1
+}
+
 // Saved records that a version is synced, so that the next heartbeat acknowledges it.
 func (m *Machine) Saved(saved Settings) { m.held = saved }
 
