--- a/cmd/kitelab/bench.go
+++ b/cmd/kitelab/bench.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -89,5 +90,36 @@
 	if err := bench.WriteText(f.out, "results.md", text); err != nil {
 		return err
 	}
-	return bench.Plot(f.out, deployment.Name, rows, options)
+	if err := bench.Plot(f.out, deployment.Name, rows, options); err != nil {
+		return err
+	}
+	if f.overload {
+		return f.runOverload(options)
+	}
+	return nil
+}
+
+// overloadScales are factors on the deployment's rate; the engines saturate near the deployment's own.
+var overloadScales = []float64{0.5, 1, 1.5, 2, 3}
+
+// runOverload runs the best baselines and the router at rising rates, undisturbed.
+func (f *benchFlags) runOverload(options bench.Options) error {
+	options.Disturbed = false
+	var all []bench.Row
+	var text strings.Builder
+	for _, scale := range overloadScales {
+		options.Scale = scale
+		rows := bench.Compare(options, []bench.Policy{bench.PrefixHash, bench.BoundedPrefixHash, bench.Kitetiller}, f.firstSeed, f.seeds)
+		for i := range rows {
+			rows[i].Scale = scale
+		}
+		all = append(all, rows...)
+		title := fmt.Sprintf("%s at %.1f times its rate, %d seeds", options.Deployment.Name, scale, f.seeds)
+		text.WriteString(bench.Markdown(title, bench.Summarise(rows)))
+	}
+	fmt.Print(text.String())
+	if err := bench.WriteJSON(f.out, "overload.json", all); err != nil {
+		return err
+	}
+	return bench.WriteText(f.out, "overload.md", text.String())
 }
--- a/internal/lab/bench/measure.go
+++ b/internal/lab/bench/measure.go
@@ -32,6 +32,7 @@
 	Goodput              float64 `json:"goodput_per_s"`    // answers whose first token came within their deadline
 	CrashRecovery        float64 `json:"crash_recovery_s"` // until the hit rate was back at 90% of what it was; -1: not within the run
 	ShiftRecovery        float64 `json:"shift_recovery_s"`
+	Scale                float64 `json:"scale"` // of the deployment's request rate
 
 	hitSeries  []float64 // hit rate by second
 	firstToken *hdrhistogram.Histogram
@@ -153,7 +154,7 @@
 		TTFTP50: milliseconds(m.all, 50), TTFTP99: milliseconds(m.all, 99), InteractiveTTFTP99: milliseconds(m.interactive, 99),
 		RecomputedTokenShare: share(m.recomputed, m.prompt), RefusedShare: share(m.refused, m.refused+m.completed),
 		Completed: m.completed, Goodput: float64(m.inTime) / (m.run.options.Length - warmUp).Seconds(),
-		firstToken: m.all, byCause: m.byCause,
+		firstToken: m.all, byCause: m.byCause, Scale: m.run.options.Scale,
 	}
 	if m.prompt > 0 {
 		row.RecomputedElsewhere = m.byCause[causeElsewhere] / float64(m.prompt)
--- a/internal/lab/bench/policies.go
+++ b/internal/lab/bench/policies.go
@@ -174,7 +174,7 @@
 	rates := p.run.rates
 	held := node.model.Holds(context.Request.Chains[0].Blocks)
 	compute := tokensLeft(context.Request, held)
-	copied := time.Duration(0)
+	copied, displaced := time.Duration(0), time.Duration(0)
 	candidate.ImportBlocks, candidate.ImportFrom = 0, ""
 	if deepest > held && source != node.name {
 		moved := (deepest - held) * blockTokens
@@ -182,13 +182,14 @@
 		if whole < seconds(float64(compute)/rates.PrefillTokens) {
 			candidate.ImportBlocks, candidate.ImportFrom = deepest, source
 			compute, copied = tokensLeft(context.Request, deepest), seconds(float64(moved)/rates.ImportTokens)
+			displaced = seconds(core.DisplacedShare * float64(moved) / rates.PrefillTokens)
 		}
 	}
 	wait := seconds(float64(node.pendingTokens(context.Request.Lane)) / rates.PrefillTokens)
 	work := seconds(float64(compute) / rates.PrefillTokens)
 	candidate.Cached, candidate.Uncached = held*blockTokens, compute
 	candidate.Predicted = wait + work + copied
-	candidate.Cost = context.Values.TimeWeight*candidate.Predicted.Seconds() + context.Values.RecomputeWeight*work.Seconds()
+	candidate.Cost = context.Values.TimeWeight*candidate.Predicted.Seconds() + context.Values.RecomputeWeight*(work+displaced).Seconds()
 }
 
 func tokensLeft(request *core.Request, blocks int) int {
--- a/internal/lab/bench/router.go
+++ b/internal/lab/bench/router.go
@@ -122,6 +122,9 @@
 		ID: n.nextID, Tenant: prompt.Tenant, Service: n.run.service, PromptTokens: tokensOf(prompt.Text), MaxTokens: prompt.MaxTokens,
 		Chains: []core.Chain{{Weights: weights, Blocks: n.run.hasher.Chain(prompt.Tenant, weights, []byte(prompt.Text))}},
 	}
+	if prompt.Short { // the users' quick questions ask for the interactive lane
+		request.Lane, request.LaneFixed = core.LaneInteractive, true
+	}
 	n.waiting[request.ID] = &pending{request: request, prompt: prompt, sentAt: sentAt}
 	n.post(core.EventRequest{Request: request})
 }
--- a/internal/lab/load/completion.go
+++ b/internal/lab/load/completion.go
@@ -40,7 +40,11 @@
 	}
 	r.count(func(result *Result) { result.Requests++ })
 	started := time.Now()
-	response, err := r.send(bounded, r.router(random), path, r.key(random), "", mustJSON(body))
+	headers := map[string]string{}
+	if prompt.Short {
+		headers[api.HeaderPriority] = "interactive"
+	}
+	response, err := r.send(bounded, r.router(random), path, r.key(random), headers, mustJSON(body))
 	if err != nil {
 		r.count(func(result *Result) { result.Broken++ })
 		return
@@ -74,15 +78,15 @@
 	return data
 }
 
-func (r *runner) send(ctx context.Context, router, path, key, idempotencyKey string, body []byte) (*http.Response, error) {
+func (r *runner) send(ctx context.Context, router, path, key string, headers map[string]string, body []byte) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
 	request.GetBody = nil // never send twice by itself
 	request.Header.Set("Authorization", "Bearer "+key)
-	if idempotencyKey != "" {
-		request.Header.Set(api.HeaderIdempotencyKey, idempotencyKey)
+	for name, value := range headers {
+		request.Header.Set(name, value)
 	}
 	return r.client.Do(request)
 }
