--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,53 @@
+package api
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"kitetiller/internal/core"
+)
+
+// reasons that the core can refuse with.
+var reasons = []core.Reason{
+	core.ReasonNoSettings, core.ReasonNoLease, core.ReasonDraining, core.ReasonUnknownTarget, core.ReasonRateLimit, core.ReasonConcurrency,
+	core.ReasonQueueFull, core.ReasonDeadline, core.ReasonNoBackend, core.ReasonRetries, core.ReasonKeyRequired, core.ReasonKeyReused,
+	core.ReasonKeyExpired, core.ReasonInProgress, core.ReasonRunUnknown, core.ReasonLedger,
+}
+
+func TestEveryReasonHasAStatusAndATitle(t *testing.T) {
+	for _, reason := range reasons {
+		problem := NewProblem(reason, core.RunNot, "")
+		if problem.Status < 400 || problem.Title == "" || !strings.HasSuffix(problem.Type, string(reason)) {
+			t.Errorf("%s: %+v", reason, problem)
+		}
+	}
+}
+
+func TestRetryAfterIsWholeSecondsAndNeverZero(t *testing.T) {
+	recorder := httptest.NewRecorder()
+	NewProblem(core.ReasonQueueFull, core.RunNot, "").WithRetry(1200 * time.Millisecond).Write(recorder)
+	if got := recorder.Header().Get("Retry-After"); got != "2" {
+		t.Fatalf("Retry-After %q", got)
+	}
+	if got := recorder.Header().Get("Content-Type"); got != "application/problem+json" {
+		t.Fatalf("Content-Type %q", got)
+	}
+}
+
+// FuzzCompletionRequest: no body may crash the decoder or the prompt's text.
+func FuzzCompletionRequest(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"hi"}],"stream":true}`))
+	f.Add([]byte(`{"prompt":"hi","max_tokens":-1,"seed":18446744073709551615}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var request CompletionRequest
+		if json.Unmarshal(data, &request) != nil {
+			return
+		}
+		if len(request.Messages) == 0 && request.Text() != request.Prompt {
+			t.Fatal("a plain prompt was changed")
+		}
+	})
+}
--- /dev/null
+++ b/internal/consensus/cluster_test.go
@@ -0,0 +1,310 @@
+package consensus
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var testTiming = Timing{Heartbeat: 100 * time.Millisecond, ElectionMin: 700 * time.Millisecond, ElectionMax: 1400 * time.Millisecond, Lease: 500 * time.Millisecond}
+
+// replica is a node with its disk.
+type replica struct {
+	id       ID
+	node     *Node
+	hard     HardState
+	entries  []Entry
+	snapshot Snapshot
+	applied  []Entry
+	up       bool
+}
+
+// cluster drives nodes over a network that the test controls.
+type cluster struct {
+	now      time.Duration
+	random   *rand.Rand
+	replicas []*replica
+	mail     []Message
+	cut      map[ID]bool
+	leaders  map[uint64]ID
+	chosen   map[uint64]Entry // committed entry by index, as first seen
+	fail     func(format string, arguments ...any)
+}
+
+func newCluster(size int, seed uint64, fail func(string, ...any)) *cluster {
+	c := &cluster{random: rand.New(rand.NewPCG(seed, 1)), cut: map[ID]bool{}, leaders: map[uint64]ID{}, chosen: map[uint64]Entry{}, fail: fail}
+	var members []Member
+	for i := range size {
+		members = append(members, Member{ID: ID(fmt.Sprintf("n%d", i)), Name: fmt.Sprintf("n%d", i)})
+	}
+	for _, member := range members {
+		r := &replica{id: member.ID, snapshot: Snapshot{Meta: SnapshotMeta{Index: 1, Term: 1, Membership: Membership{Members: members}}}, hard: HardState{Term: 1}}
+		c.replicas = append(c.replicas, r)
+		c.start(r)
+	}
+	return c
+}
+
+func (c *cluster) start(r *replica) {
+	r.up = true
+	r.applied = nil
+	r.node = New(Config{ID: r.id, Timing: testTiming, Random: c.random.Int64N},
+		Restored{HardState: r.hard, Snapshot: r.snapshot.Meta, Entries: slices.Clone(r.entries)}, c.now,
+		func() (Snapshot, bool) { return r.snapshot, true })
+}
+
+// settle syncs and sends what a replica has to do, in the order that the package demands.
+func (c *cluster) settle(r *replica) {
+	for r.up && r.node.HasReady() {
+		ready := r.node.Ready()
+		if ready.HardState != nil {
+			r.hard = *ready.HardState
+		}
+		if ready.Snapshot != nil {
+			r.snapshot, r.entries, r.applied = *ready.Snapshot, nil, nil
+		}
+		c.store(r, ready.Entries)
+		if count := len(ready.Entries); count > 0 {
+			r.node.Persisted(ready.Entries[count-1].Index, ready.Entries[count-1].Term)
+		}
+		c.mail = append(c.mail, ready.Messages...)
+		for _, entry := range ready.Committed {
+			c.apply(r, entry)
+		}
+	}
+	if r.up && r.node.Role() == Leader {
+		if other, taken := c.leaders[r.node.Term()]; taken && other != r.id {
+			c.fail("%s and %s both lead term %d", other, r.id, r.node.Term())
+		}
+		c.leaders[r.node.Term()] = r.id
+	}
+}
+
+func (c *cluster) store(r *replica, entries []Entry) {
+	for _, entry := range entries {
+		at := int(entry.Index - r.snapshot.Meta.Index - 1)
+		r.entries = append(r.entries[:at:at], entry)
+	}
+}
+
+func (c *cluster) apply(r *replica, entry Entry) {
+	first, known := c.chosen[entry.Index]
+	if known && (first.Term != entry.Term || !bytes.Equal(first.Data, entry.Data)) {
+		c.fail("index %d: %s committed term %d, another replica term %d", entry.Index, r.id, entry.Term, first.Term)
+	}
+	c.chosen[entry.Index] = entry
+	r.applied = append(r.applied, entry)
+}
+
+func (c *cluster) find(id ID) *replica {
+	for _, r := range c.replicas {
+		if r.id == id {
+			return r
+		}
+	}
+	return nil
+}
+
+// deliver takes the message at a position, or loses it on a cut link.
+func (c *cluster) deliver(at int) {
+	message := c.mail[at]
+	c.mail = slices.Delete(c.mail, at, at+1)
+	to := c.find(message.To)
+	if to == nil || !to.up || c.cut[message.From] || c.cut[message.To] {
+		return
+	}
+	to.node.Step(c.now, message)
+	c.settle(to)
+}
+
+func (c *cluster) advance(d time.Duration) {
+	c.now += d
+	for _, r := range c.replicas {
+		if r.up {
+			r.node.Tick(c.now)
+			c.settle(r)
+		}
+	}
+}
+
+func (c *cluster) leader() *replica {
+	var best *replica
+	for _, r := range c.replicas {
+		if r.up && !c.cut[r.id] && r.node.Role() == Leader && (best == nil || r.node.Term() > best.node.Term()) {
+			best = r
+		}
+	}
+	return best
+}
+
+func (c *cluster) propose(data string) bool {
+	leader := c.leader()
+	if leader == nil {
+		return false
+	}
+	_, _, ok := leader.node.Propose(c.now, []byte(data))
+	c.settle(leader)
+	return ok
+}
+
+// calm lets time pass with a working network.
+func (c *cluster) calm(length time.Duration) {
+	for end := c.now + length; c.now < end; {
+		c.advance(20 * time.Millisecond)
+		for len(c.mail) > 0 {
+			c.deliver(0)
+		}
+	}
+}
+
+func TestLeaderIsElectedAndCommits(t *testing.T) {
+	c := newCluster(3, 1, t.Fatalf)
+	c.calm(3 * time.Second)
+	if !c.propose("x") {
+		t.Fatal("no leader after 3 s")
+	}
+	c.calm(time.Second)
+	for _, r := range c.replicas {
+		if last := r.applied[len(r.applied)-1]; string(last.Data) != "x" {
+			t.Fatalf("%s applied %q last", r.id, last.Data)
+		}
+	}
+}
+
+// TestCutOffLeaderLosesItsLease: by the time another replica can be elected, the old leader must know that it may
+// not serve reads.
+func TestCutOffLeaderLosesItsLease(t *testing.T) {
+	c := newCluster(3, 1, t.Fatalf)
+	c.calm(3 * time.Second)
+	old := c.leader()
+	c.cut[old.id] = true
+	for range 300 {
+		c.calm(20 * time.Millisecond)
+		if next := c.leader(); next != nil && next != old {
+			if old.node.LeaseValid(c.now) {
+				t.Fatalf("%s leads term %d while %s holds a lease of term %d", next.id, next.node.Term(), old.id, old.node.Term())
+			}
+			return
+		}
+	}
+	t.Fatal("no new leader within 6 s")
+}
+
+// TestReturningReplicaDoesNotDepose: pre-vote keeps a replica that was cut off from raising the term.
+func TestReturningReplicaDoesNotDepose(t *testing.T) {
+	c := newCluster(3, 1, t.Fatalf)
+	c.calm(3 * time.Second)
+	leader := c.leader()
+	term := leader.node.Term()
+	away := c.replicas[0]
+	if away == leader {
+		away = c.replicas[1]
+	}
+	c.cut[away.id] = true
+	c.calm(20 * time.Second)
+	delete(c.cut, away.id)
+	c.calm(3 * time.Second)
+	if c.leader() != leader || leader.node.Term() != term {
+		t.Fatalf("leadership changed to term %d", c.leader().node.Term())
+	}
+}
+
+// TestLogsAgreeUnderFaults delivers, loses, repeats and reorders messages, kills and cuts replicas.
+func TestLogsAgreeUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(rapid.SampledFrom([]int{3, 5}).Draw(t, "size"), rapid.Uint64().Draw(t, "seed"), t.Fatalf)
+		c.calm(3 * time.Second)
+		proposals := 0
+		one := rapid.IntRange(0, len(c.replicas)-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"time":    func(t *rapid.T) { c.advance(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond) },
+			"propose": func(*rapid.T) { proposals++; c.propose(fmt.Sprint(proposals)) },
+			"deliver": func(t *rapid.T) {
+				for range min(len(c.mail), rapid.IntRange(1, 8).Draw(t, "count")) {
+					c.deliver(rapid.IntRange(0, len(c.mail)-1).Draw(t, "position"))
+				}
+			},
+			"lose": func(t *rapid.T) {
+				if len(c.mail) > 0 {
+					at := rapid.IntRange(0, len(c.mail)-1).Draw(t, "position")
+					c.mail = slices.Delete(c.mail, at, at+1)
+				}
+			},
+			"repeat": func(t *rapid.T) {
+				if len(c.mail) > 0 {
+					c.mail = append(c.mail, c.mail[rapid.IntRange(0, len(c.mail)-1).Draw(t, "position")])
+				}
+			},
+			"cut":  func(t *rapid.T) { c.cut[c.replicas[one.Draw(t, "replica")].id] = true },
+			"heal": func(*rapid.T) { clear(c.cut) },
+			"kill": func(t *rapid.T) { c.replicas[one.Draw(t, "replica")].up = false },
+			"start": func(t *rapid.T) {
+				if r := c.replicas[one.Draw(t, "replica")]; !r.up {
+					c.start(r)
+				}
+			},
+		})
+		c.recoverAndCheck(t)
+	})
+}
+
+// recoverAndCheck heals everything; the group must commit again and agree on all that was ever committed.
+func (c *cluster) recoverAndCheck(t *rapid.T) {
+	clear(c.cut)
+	c.mail = nil
+	for _, r := range c.replicas {
+		if !r.up {
+			c.start(r)
+		}
+	}
+	c.calm(8 * time.Second)
+	if !c.propose("last") {
+		t.Fatal("no leader after everything healed")
+	}
+	c.calm(2 * time.Second)
+	for _, r := range c.replicas {
+		if r.node.Commit() < c.leader().node.Commit() {
+			t.Fatalf("%s committed up to %d, the leader up to %d", r.id, r.node.Commit(), c.leader().node.Commit())
+		}
+	}
+}
+
+// TestMembershipChangesOneVoteAtATime refuses a change of two votes and a change on top of an uncommitted one.
+func TestMembershipChangesOneVoteAtATime(t *testing.T) {
+	c := newCluster(3, 1, t.Fatalf)
+	c.calm(3 * time.Second)
+	leader := c.leader().node
+	two := leader.Membership().With(Member{ID: "x"}).With(Member{ID: "y"})
+	if _, _, ok := leader.ProposeMembership(c.now, two); ok {
+		t.Fatal("two votes were changed at once")
+	}
+	if _, _, ok := leader.ProposeMembership(c.now, leader.Membership().With(Member{ID: "x", Learner: true})); !ok {
+		t.Fatal("a learner was refused")
+	}
+	if _, _, ok := leader.ProposeMembership(c.now, leader.Membership().With(Member{ID: "y", Learner: true})); ok {
+		t.Fatal("a second change was taken before the first had committed")
+	}
+	if leader.MembershipSettled() {
+		t.Fatal("an uncommitted membership counts as settled")
+	}
+}
+
+// TestFollowerThatLostEntriesIsNotFlooded: a follower that forgot what it had acknowledged is asked again with
+// heartbeats, not at the speed of the network.
+func TestFollowerThatLostEntriesIsNotFlooded(t *testing.T) {
+	c := newCluster(3, 1, t.Fatalf)
+	c.calm(3 * time.Second)
+	leader := c.leader()
+	peer := leader.node.Peers()[0]
+	for range 5 {
+		leader.node.Step(c.now, Message{Kind: MessageAppendReply, From: peer.ID, To: leader.id, Term: leader.node.Term(), Reject: true, Index: peer.Match})
+	}
+	if sent := len(leader.node.Ready().Messages); sent != 0 {
+		t.Fatalf("%d messages answer rejections below the match index", sent)
+	}
+}
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,222 @@
+package control
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"kitetiller/internal/consensus"
+	"kitetiller/internal/guard"
+	"kitetiller/internal/ledger"
+	"kitetiller/internal/settings"
+	"kitetiller/internal/storage"
+)
+
+// solo is a group of one replica on a real folder.
+type solo struct {
+	t       *testing.T
+	folder  string
+	disk    *Disk
+	replica *Replica
+	now     time.Duration
+	replies map[uint64]Response
+}
+
+func soloConfig(id consensus.ID) Config {
+	timing := consensus.Timing{Heartbeat: 100 * time.Millisecond, ElectionMin: 700 * time.Millisecond, ElectionMax: 1400 * time.Millisecond, Lease: 500 * time.Millisecond}
+	return Config{ID: id, Name: "c1", Address: "a", Timing: timing, Replicas: 1, SettingsLease: 2 * time.Second, RepairAfter: time.Hour,
+		SnapshotEvery: 40, Random: func(n int64) int64 { return n / 2 }}
+}
+
+func openSolo(t *testing.T, folder string) *solo {
+	t.Helper()
+	disk, identity, restored, err := OpenDisk(folder, "c1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if restored.Snapshot.Meta.Index == 0 {
+		restored = BootstrapState(consensus.Member{ID: identity.ID, Name: "c1", Address: "a"})
+		if err := disk.Write(Persist{Checkpoint: &restored}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	replica, err := NewReplica(soloConfig(identity.ID), restored, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &solo{t: t, folder: folder, disk: disk, replica: replica, replies: map[uint64]Response{}}
+	s.pass(3 * time.Second)
+	return s
+}
+
+func (s *solo) pass(length time.Duration) {
+	for end := s.now + length; s.now < end; s.now += 50 * time.Millisecond {
+		s.replica.Tick(s.now, 1_700_000_000_000+s.now.Milliseconds())
+		s.work()
+	}
+}
+
+func (s *solo) work() {
+	for s.replica.HasWork() {
+		if persist := s.replica.Work(); !persist.Empty() {
+			if err := s.disk.Write(persist); err != nil {
+				s.t.Fatal(err)
+			}
+		}
+		for _, reply := range s.replica.Done(s.now).Replies {
+			s.replies[reply.Client] = reply.Response
+		}
+	}
+}
+
+func (s *solo) ask(request Request) Response {
+	client := uint64(len(s.replies) + 1)
+	s.replica.Handle(s.now, client, request)
+	s.work()
+	return s.replies[client]
+}
+
+func (s *solo) set(base uint64, value int) settings.Outcome {
+	edit := settings.Edit{Path: "/", Setting: "queue_limit", Value: json.RawMessage(fmt.Sprint(value))}
+	response := s.ask(Request{Change: &settings.Change{Base: base, OperationID: fmt.Sprint(base, "-", value), Edits: []settings.Edit{edit}}})
+	if response.Change == nil {
+		s.t.Fatalf("response %+v", response)
+	}
+	return *response.Change
+}
+
+// TestRestartAfterHundredsOfChangesKeepsTheNewest: snapshots, compaction and replay must end at the newest version.
+func TestRestartAfterHundredsOfChangesKeepsTheNewest(t *testing.T) {
+	folder := t.TempDir()
+	s := openSolo(t, folder)
+	for i := range 300 {
+		if outcome := s.set(uint64(i), i); outcome.Kind != settings.OutcomeAccepted {
+			t.Fatalf("change %d: %+v", i, outcome)
+		}
+		if i%100 == 50 {
+			_ = s.disk.Close()
+			s = openSolo(t, folder)
+		}
+	}
+	_ = s.disk.Close()
+	s = openSolo(t, folder)
+	read := s.ask(Request{Read: &Read{History: true}}).Read
+	if read.Version != 300 || read.Tree.Resolve().QueueLimit != 299 {
+		t.Fatalf("version %d, queue_limit %d", read.Version, read.Tree.Resolve().QueueLimit)
+	}
+	if again := s.set(7, 7); again.Kind != settings.OutcomeAccepted || again.Version != 8 {
+		t.Fatalf("resend of an old change: %+v", again)
+	}
+}
+
+func TestFolderOfAnotherReplicaIsRefused(t *testing.T) {
+	folder := t.TempDir()
+	s := openSolo(t, folder)
+	_ = s.disk.Close()
+	before := listFolder(t, folder)
+	if _, _, _, err := OpenDisk(folder, "c2"); !errors.Is(err, storage.ErrForeign) {
+		t.Fatalf("error %v, want ErrForeign", err)
+	}
+	if after := listFolder(t, folder); after != before {
+		t.Fatalf("the folder changed from %s to %s", before, after)
+	}
+}
+
+func listFolder(t *testing.T, folder string) string {
+	t.Helper()
+	text := ""
+	err := filepath.Walk(folder, func(path string, info os.FileInfo, err error) error {
+		text += fmt.Sprintf("%s %d;", filepath.Base(path), info.Size())
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func TestWipedFolderIsANewReplica(t *testing.T) {
+	first := openSolo(t, t.TempDir())
+	second := openSolo(t, t.TempDir())
+	if first.replica.config.ID == second.replica.config.ID {
+		t.Fatalf("both folders are %s", first.replica.config.ID)
+	}
+}
+
+// TestLeaseOfAnEarlierVersionHoldsBackInForce: a version is in force when every session acknowledged it or ended.
+func TestLeaseOfAnEarlierVersionHoldsBackInForce(t *testing.T) {
+	s := openSolo(t, t.TempDir())
+	s.set(0, 1)
+	beat := Heartbeat{Router: "r", Incarnation: 1, HasSettings: true, Acked: 1}
+	beat.Epoch = s.ask(Request{Heartbeat: &beat}).Heartbeat.Epoch
+	if reply := s.ask(Request{Heartbeat: &beat}).Heartbeat; reply.Lease == 0 {
+		t.Fatalf("no lease: %+v", reply)
+	}
+	s.set(1, 2)
+	if read := s.ask(Request{Read: &Read{}}).Read; read.InForce != 1 {
+		t.Fatalf("version %d is in force while the router holds a lease at version 1", read.InForce)
+	}
+	s.pass(3 * time.Second)
+	if read := s.ask(Request{Read: &Read{}}).Read; read.InForce != 2 {
+		t.Fatalf("version %d is in force after the lease ended", read.InForce)
+	}
+}
+
+func TestEndedSessionLeavesItsClaimsUnknown(t *testing.T) {
+	s := openSolo(t, t.TempDir())
+	beat := Heartbeat{Router: "r", Incarnation: 1}
+	epoch := s.ask(Request{Heartbeat: &beat}).Heartbeat.Epoch
+	claim := ledger.Claim{Key: ledger.Key{Tenant: "t", Service: "s", Key: "k"}, Digest: 1, ClaimID: "c1", Holder: ledger.Holder{Router: "r", Epoch: epoch}, RetentionMS: 60_000}
+	if got := s.ask(Request{Claim: &claim}).Claim.Kind; got != ledger.Granted {
+		t.Fatalf("claim: %s", got)
+	}
+	s.pass(3 * time.Second)
+	claim.ClaimID = "c2"
+	if got := s.ask(Request{Claim: &claim}).Claim.Kind; got != ledger.RunUnknown {
+		t.Fatalf("claim after the session ended: %s", got)
+	}
+}
+
+// FuzzRaftBatch: no bytes of a peer may crash the decoder or a replica that steps through what was decoded.
+func FuzzRaftBatch(f *testing.F) {
+	f.Add([]byte(`{"address":"a","messages":[{"kind":4,"from":"x","to":"c1","term":9,"index":3,"entries":[{"i":4,"t":9}]}]}`))
+	f.Add([]byte(`{"messages":[{"kind":2,"from":"x","to":"c1","term":7}]}`))
+	f.Add([]byte(`{"messages":[{"kind":6,"from":"x","to":"c1","term":7,"snapshot":null}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var batch raftBatch
+		if json.Unmarshal(data, &batch) != nil {
+			return
+		}
+		replica, err := NewReplica(soloConfig("c1"), Checkpoint{}, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, message := range batch.Messages {
+			if message.Kind == consensus.MessageVote || message.Kind == consensus.MessagePreVote {
+				replica.Step(0, message)
+			}
+		}
+	})
+}
+
+// FuzzCommand: a command that decodes must apply without a crash, also to a machine restored from a snapshot.
+func FuzzCommand(f *testing.F) {
+	f.Add([]byte(`{"ms":1,"change":{"base":0,"operation_id":"a","edits":[{"path":"/","setting":"queue_limit","value":3}]}}`))
+	f.Add([]byte(`{"claim":{"key":{"key":"k"},"claim_id":"c"}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var command Command
+		if json.Unmarshal(data, &command) != nil {
+			return
+		}
+		machine := NewMachine(guard.Set{})
+		machine.Apply(2, 1, command)
+		restored := NewMachine(guard.Set{})
+		if err := restored.Restore(machine.Snapshot()); err != nil {
+			t.Fatalf("own snapshot cannot be read: %v", err)
+		}
+	})
+}
--- a/internal/lab/sim/asker.go
+++ b/internal/lab/sim/asker.go
@@ -36,9 +36,11 @@
 // once asks one replica once.
 func (a *asker) once(request control.Request, timeout time.Duration, done func(control.Response, bool)) {
 	target := a.target()
+	answered := a.w.note(a.from.name, request)
 	a.w.call(a.from, target.process, timeout, func(respond func(func())) {
 		target.handle(request, func(response control.Response) {
 			respond(func() {
+				answered(response)
 				a.learn(target, response)
 				done(response, true)
 			})
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -9,6 +9,9 @@
 	"kitetiller/internal/prefix"
 )
 
+// noGuardOff is the set with every protection on.
+var noGuardOff = guard.Set{}
+
 const (
 	engineCount  = 4
 	serviceCount = 2
@@ -33,7 +36,11 @@
 
 // Run runs one seed. trace may be nil.
 func Run(seed uint64, guards guard.Set, trace io.Writer) Result {
-	w := newWorld(seed, guards, trace)
+	return newWorld(seed, guards, trace).finish()
+}
+
+// finish runs a world to its end and checks that it came to rest.
+func (w *world) finish() Result {
 	for w.step(activeTime) {
 	}
 	w.clock.Set(activeTime)
@@ -43,7 +50,7 @@
 	w.clock.Set(RunLength)
 	w.oracle.checkRest()
 	return Result{
-		Seed: seed, Violation: w.oracle.violation, Faults: w.faults, Requests: w.oracle.requests,
+		Seed: w.seed, Violation: w.oracle.violation, Faults: w.faults, Requests: w.oracle.requests,
 		Complete: w.oracle.complete, Changes: w.oracle.changes, Accepted: w.oracle.accepted,
 	}
 }
--- /dev/null
+++ b/internal/lab/sim/sim_test.go
@@ -0,0 +1,78 @@
+package sim
+
+import (
+	"bytes"
+	"runtime"
+	"sync"
+	"testing"
+
+	"kitetiller/internal/guard"
+)
+
+const (
+	testSeeds  = 60
+	guardSeeds = 200
+)
+
+// firstViolation runs seeds until one breaks an invariant, and returns it, or nil.
+func firstViolation(guards guard.Set, firstSeed uint64, seeds int) *Result {
+	var mutex sync.Mutex
+	var found *Result
+	next := 0
+	var workers sync.WaitGroup
+	for range runtime.NumCPU() {
+		workers.Go(func() {
+			for {
+				mutex.Lock()
+				at := next
+				next++
+				stop := at >= seeds || found != nil
+				mutex.Unlock()
+				if stop {
+					return
+				}
+				result := Run(firstSeed+uint64(at), guards, nil)
+				mutex.Lock()
+				if result.Violation != nil && (found == nil || result.Seed < found.Seed) {
+					found = &result
+				}
+				mutex.Unlock()
+			}
+		})
+	}
+	workers.Wait()
+	return found
+}
+
+func TestInvariantsHoldUnderFaults(t *testing.T) {
+	if found := firstViolation(guard.Set{}, 1, testSeeds); found != nil {
+		t.Fatalf("seed %d breaks %s at %v: %s", found.Seed, found.Violation.Invariant, found.Violation.At, found.Violation.Detail)
+	}
+}
+
+// TestEveryGuardIsNeeded: with any one protection off, some seed must break an invariant. A check that cannot fail
+// proves nothing.
+func TestEveryGuardIsNeeded(t *testing.T) {
+	for _, off := range guard.All() {
+		t.Run(string(off), func(t *testing.T) {
+			if firstViolation(guard.Without(off), 1, guardSeeds) == nil {
+				t.Fatalf("%d seeds without %s broke nothing", guardSeeds, off)
+			}
+		})
+	}
+}
+
+func TestSameSeedSameTrace(t *testing.T) {
+	var first, second bytes.Buffer
+	Run(7, guard.Set{}, &first)
+	Run(7, guard.Set{}, &second)
+	if first.Len() == 0 || !bytes.Equal(first.Bytes(), second.Bytes()) {
+		t.Fatalf("traces of %d and %d bytes differ", first.Len(), second.Len())
+	}
+}
+
+func TestNineInvariantsAreNamed(t *testing.T) {
+	if got := len(Invariants()); got != 9 {
+		t.Fatalf("%d invariants, the brief has nine", got)
+	}
+}
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -45,6 +45,7 @@
 	operators []*operator
 	faults    int
 	mischief  mischief
+	history   *History // nil: not recorded
 	onAccept  []func() // run once, at the next accepted change
 }
 
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,148 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const testRetention = 1000
+
+func key(name string) Key { return Key{Tenant: "t", Service: "s", Key: name} }
+
+func claim(name, id string, digest uint64) Claim {
+	return Claim{Key: key(name), Digest: digest, ClaimID: id, Holder: Holder{Router: "r", Epoch: 1}, RetentionMS: testRetention}
+}
+
+func TestClaimIsGrantedOnce(t *testing.T) {
+	l := New()
+	if got := l.Claim(claim("k", "c1", 1), 0, true).Kind; got != Granted {
+		t.Fatalf("first claim: %s", got)
+	}
+	if got := l.Claim(claim("k", "c1", 1), 0, true).Kind; got != Granted {
+		t.Fatalf("resent claim: %s", got)
+	}
+	if got := l.Claim(claim("k", "c2", 1), 0, true).Kind; got != InProgress {
+		t.Fatalf("second claim: %s", got)
+	}
+	if got := l.Claim(claim("k", "c3", 2), 0, true).Kind; got != DigestMismatch {
+		t.Fatalf("other body: %s", got)
+	}
+}
+
+func TestReleasedClaimIsNeverGrantedLate(t *testing.T) {
+	l := New()
+	l.End(End{Key: key("k"), ClaimID: "c1", Kind: EndReleased}, 0)
+	if got := l.Claim(claim("k", "c1", 1), 0, true).Kind; got != Withdrawn {
+		t.Fatalf("late copy of a released claim: %s", got)
+	}
+	if got := l.Claim(claim("k", "c2", 1), 0, true).Kind; got != Granted {
+		t.Fatalf("resend after the release: %s", got)
+	}
+}
+
+func TestClosedSessionLeavesUnknown(t *testing.T) {
+	l := New()
+	l.Claim(claim("k", "c1", 1), 0, true)
+	l.CloseSession(Holder{Router: "r", Epoch: 1})
+	if got := l.Claim(claim("k", "c2", 1), 0, true).Kind; got != RunUnknown {
+		t.Fatalf("after the session ended: %s", got)
+	}
+	l.End(End{Key: key("k"), ClaimID: "c1", Kind: EndFinished, Answer: &Answer{Status: 200}}, 0)
+	if got := l.Claim(claim("k", "c3", 1), 0, true).Kind; got != Replayed {
+		t.Fatalf("after the late answer: %s", got)
+	}
+}
+
+func TestExpiredKeyIsRefusedNotRerun(t *testing.T) {
+	l := New()
+	l.Claim(claim("k", "c1", 1), 0, true)
+	l.End(End{Key: key("k"), ClaimID: "c1", Kind: EndFinished, Answer: &Answer{Status: 200}}, 1)
+	if got := l.Claim(claim("k", "c2", 1), testRetention+1, true).Kind; got != KeyExpired {
+		t.Fatalf("after the retention: %s", got)
+	}
+}
+
+// modelKey is the simple oracle's view of one key.
+type modelKey struct {
+	state    State
+	claimID  string
+	finished bool
+	runs     int
+}
+
+// TestLedgerAgainstSimpleModel drives claims, ends, lost sessions and restarts by snapshot. The oracle counts how
+// often a key may have been dispatched.
+func TestLedgerAgainstSimpleModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New()
+		model := map[string]*modelKey{}
+		claims := 0
+		name := rapid.SampledFrom([]string{"a", "b", "c"})
+		t.Repeat(map[string]func(*rapid.T){
+			"claim": func(t *rapid.T) {
+				claims++
+				checkClaim(t, l, model, name.Draw(t, "key"), fmt.Sprint(claims))
+			},
+			"end": func(t *rapid.T) {
+				endClaim(l, model, name.Draw(t, "key"), rapid.SampledFrom([]EndKind{EndFinished, EndReleased, EndUnknown}).Draw(t, "kind"))
+			},
+			"session ends": func(*rapid.T) {
+				l.CloseSession(Holder{Router: "r", Epoch: 1})
+				for _, held := range model {
+					if held.state == StateRunning {
+						held.state = StateUnknown
+					}
+				}
+			},
+			"restart": func(t *rapid.T) {
+				data, err := json.Marshal(l)
+				if err != nil {
+					t.Fatal(err)
+				}
+				l = New()
+				if err := json.Unmarshal(data, l); err != nil {
+					t.Fatal(err)
+				}
+			},
+		})
+	})
+}
+
+func checkClaim(t *rapid.T, l *Ledger, model map[string]*modelKey, name, id string) {
+	got := l.Claim(claim(name, id, 1), 0, true).Kind
+	held := model[name]
+	wanted := Granted
+	switch {
+	case held == nil:
+		model[name] = &modelKey{state: StateRunning, claimID: id, runs: 1}
+	case held.state == StateRunning:
+		wanted = InProgress
+	case held.state == StateFinished:
+		wanted = Replayed
+	default:
+		wanted = RunUnknown
+	}
+	if got != wanted {
+		t.Fatalf("claim of %s: %s, want %s", name, got, wanted)
+	}
+}
+
+func endClaim(l *Ledger, model map[string]*modelKey, name string, kind EndKind) {
+	held := model[name]
+	if held == nil {
+		return
+	}
+	l.End(End{Key: key(name), ClaimID: held.claimID, Kind: kind, Answer: &Answer{Status: 200}}, 0)
+	switch {
+	case held.state == StateFinished:
+	case kind == EndReleased:
+		delete(model, name)
+	case kind == EndFinished:
+		held.state = StateFinished
+	default:
+		held.state = StateUnknown
+	}
+}
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"strings"
+	"testing"
+)
+
+const goodRouter = `name: r1
+zone: z1
+data: /tmp/r1
+cluster_token: secret
+admin_token: secret
+router:
+  listen: 127.0.0.1:8080
+  control: [127.0.0.1:9000]
+  platform: 127.0.0.1:9100
+  prefix_key: 000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f
+`
+
+func TestGoodFileGetsDefaults(t *testing.T) {
+	file, faults := Parse([]byte(goodRouter))
+	if len(faults) > 0 {
+		t.Fatalf("faults: %s", FormatFaults(faults))
+	}
+	if file.Router.BlockTokens != defaultBlockTokens || file.Router.PollEvery != defaultPollEvery || file.LogLevel != "info" {
+		t.Fatalf("file %+v %+v", file, file.Router)
+	}
+}
+
+// TestEveryFaultIsNamedWithItsLine: all faults come at once, each with line, path and what is allowed.
+func TestEveryFaultIsNamedWithItsLine(t *testing.T) {
+	bad := strings.NewReplacer("listen: 127.0.0.1:8080", "listen: localhost:80", "platform: 127.0.0.1:9100", "plattform: 127.0.0.1:9100",
+		"prefix_key: 0001", "poll_every: soon\n  prefix_key: zz01").Replace(goodRouter) + "colour: blue\n"
+	_, faults := Parse([]byte(bad))
+	text := FormatFaults(faults)
+	for _, wanted := range []string{"line 7: router.listen", "IP number", "line 9: router.plattform", "router.platform", "line 10: router.poll_every",
+		"line 11: router.prefix_key", "line 12: colour"} {
+		if !strings.Contains(text, wanted) {
+			t.Errorf("%q is not named in:\n%s", wanted, text)
+		}
+	}
+}
+
+func TestFileWithoutSectionIsRefused(t *testing.T) {
+	if _, faults := Parse([]byte("name: a\nzone: b\ndata: c\n")); len(faults) != 1 {
+		t.Fatalf("faults %v", faults)
+	}
+}
+
+// FuzzParse: no bytes may crash the decoder.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(goodRouter))
+	f.Add([]byte("router: [1, 2]\n"))
+	f.Add([]byte("name: {a: b}\nrouter:\n  zone_latency: {z: 1ms}\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		file, faults := Parse(data)
+		if len(faults) == 0 && file.Router == nil && file.Control == nil {
+			t.Fatal("a file without a section was accepted")
+		}
+	})
+}
--- /dev/null
+++ b/internal/prefix/prefix_test.go
@@ -0,0 +1,163 @@
+package prefix
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kitetiller/internal/guard"
+)
+
+const testBlock = 8
+
+func testHasher() *Hasher { return NewHasher([KeyBytes]byte{1}, testBlock, guard.Set{}) }
+
+func TestChainsOfTenantsAndWeightsNeverMeet(t *testing.T) {
+	prompt := []byte(strings.Repeat("the same text ", 40))
+	h := testHasher()
+	seen := map[Hash]string{}
+	for _, place := range [][2]string{{"a", "w1"}, {"b", "w1"}, {"a", "w2"}, {"aw", "1"}, {"", "aw1"}} {
+		for _, hash := range h.Chain(place[0], place[1], prompt) {
+			if other, met := seen[hash]; met {
+				t.Fatalf("%v shares a block with %s", place, other)
+			}
+			seen[hash] = place[0] + "/" + place[1]
+		}
+	}
+}
+
+func TestChainSharesExactlyTheCommonPrefix(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		common := rapid.SliceOfN(rapid.Byte(), 0, 300).Draw(t, "common")
+		left := append(append([]byte{}, common...), rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "left")...)
+		right := append(append([]byte{}, common...), rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "right")...)
+		a, b := testHasher().Chain("t", "w", left), testHasher().Chain("t", "w", right)
+		const blockBytes = testBlock * BytesPerToken
+		for i := range min(len(a), len(b)) {
+			end := (i + 1) * blockBytes
+			if same := string(left[:end]) == string(right[:end]); same != (a[i] == b[i]) {
+				t.Fatalf("block %d: same text %v, same hash %v", i, same, a[i] == b[i])
+			}
+		}
+	})
+}
+
+// indexModel is the simple oracle: which engine was told to hold which block in its present life.
+type indexModel map[EngineID]map[Hash]bool
+
+func chain(first byte, length int) []Hash {
+	blocks := make([]Hash, length)
+	for i := range blocks {
+		blocks[i] = Hash{first, byte(i)}
+	}
+	return blocks
+}
+
+// TestIndexAgainstSimpleModel: with room for everything and no ageing, the index must know exactly what it was told.
+func TestIndexAgainstSimpleModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		index, model := NewIndex(100_000), indexModel{}
+		engine := rapid.Map(rapid.IntRange(0, 4), func(i int) EngineID { return EngineID(i) })
+		first := rapid.ByteRange(1, 3)
+		t.Repeat(map[string]func(*rapid.T){
+			"add": func(t *rapid.T) {
+				id, blocks := engine.Draw(t, "engine"), chain(first.Draw(t, "chain"), rapid.IntRange(1, 12).Draw(t, "length"))
+				index.Add(id, blocks, 0, SourceEvent)
+				if model[id] == nil {
+					model[id] = map[Hash]bool{}
+				}
+				for _, hash := range blocks {
+					model[id][hash] = true
+				}
+			},
+			"evict the end": func(t *rapid.T) {
+				id, blocks := engine.Draw(t, "engine"), chain(first.Draw(t, "chain"), 12)
+				from := rapid.IntRange(0, 11).Draw(t, "from")
+				index.Remove(id, blocks[from:])
+				for _, hash := range blocks[from:] {
+					delete(model[id], hash)
+				}
+			},
+			"forget": func(t *rapid.T) {
+				id := engine.Draw(t, "engine")
+				index.Forget(id)
+				delete(model, id)
+			},
+			"sweep": func(*rapid.T) { index.Sweep(0, 10) },
+			"": func(t *rapid.T) {
+				for start := byte(1); start <= 3; start++ {
+					checkLookup(t, index, model, chain(start, 12))
+				}
+			},
+		})
+	})
+}
+
+// checkLookup compares the deepest holder and every reported depth with the model.
+func checkLookup(t *rapid.T, index *Index, model indexModel, blocks []Hash) {
+	deepest := 0
+	for _, held := range model {
+		deepest = max(deepest, depth(held, blocks))
+	}
+	matches := index.Lookup(blocks, 0, nil)
+	if deepest > 0 && (len(matches) == 0 || matches[0].Blocks != deepest) {
+		t.Fatalf("deepest match of %v, want %d blocks", matches, deepest)
+	}
+	for _, match := range matches {
+		if held := depth(model[match.Engine], blocks); match.Blocks > held {
+			t.Fatalf("engine %d is said to hold %d blocks, it holds %d", match.Engine, match.Blocks, held)
+		}
+	}
+}
+
+func depth(held map[Hash]bool, blocks []Hash) int {
+	for i, hash := range blocks {
+		if !held[hash] {
+			return i
+		}
+	}
+	return len(blocks)
+}
+
+func TestIndexStaysWithinItsLimit(t *testing.T) {
+	index := NewIndex(50)
+	for i := range 40 {
+		index.Add(EngineID(i%3), chain(byte(i+1), 5), time.Duration(i)*time.Second, SourceEvent)
+		if index.Len() > 50 {
+			t.Fatalf("%d beliefs held, the limit is 50", index.Len())
+		}
+	}
+}
+
+func TestOnlyUnconfirmedBeliefsAge(t *testing.T) {
+	index := NewIndex(100)
+	index.SetMaxAge(0, time.Second)
+	index.Add(0, chain(1, 2), 0, SourceDispatch)
+	index.Add(0, chain(2, 2), 0, SourceEvent)
+	if found := index.Lookup(chain(1, 2), 2*time.Second, nil); len(found) != 0 {
+		t.Fatalf("a send of long ago still counts: %v", found)
+	}
+	if found := index.Lookup(chain(2, 2), 2*time.Second, nil); len(found) != 1 {
+		t.Fatal("what the engine said does not count any more")
+	}
+	index.Doubt(0, 3*time.Second)
+	if found := index.Lookup(chain(2, 2), 4*time.Second, nil); len(found) != 0 {
+		t.Fatalf("a doubtful old belief still counts: %v", found)
+	}
+}
+
+func TestHotRateOfSteadyRequests(t *testing.T) {
+	table := NewHotTable()
+	var rate float64
+	for i := range 600 {
+		rate = table.Touch(Hash{1}, time.Duration(i)*time.Second/2)
+	}
+	if rate < 110 || rate > 130 {
+		t.Fatalf("rate %.1f a minute, want about 120", rate)
+	}
+	if cold := table.Rate(Hash{1}, 300*time.Second+2*hotHalfLife); cold > rate/3 {
+		t.Fatalf("rate %.1f after two half-lives", cold)
+	}
+}
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -61,10 +61,16 @@
 	detail string
 }
 
-func (s *Server) refuse(w http.ResponseWriter, name string, refusal *callerError) {
+// refuse answers a request that never reached the core. When it carries an idempotency key, an earlier send of it may
+// have run, so "not run" is not said.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, name string, refusal *callerError) {
+	run := core.RunNot
+	if r.Header.Get(api.HeaderIdempotencyKey) != "" {
+		run = core.RunUnknown
+	}
 	problem := api.Problem{
 		Type: "urn:kitetiller:" + string(refusal.reason), Title: refusal.title, Status: refusal.status,
-		Detail: refusal.detail, RequestID: name, Run: core.RunNot,
+		Detail: refusal.detail, RequestID: name, Run: run,
 	}
 	if refusal.reason == reasonOverload {
 		problem = problem.WithRetry(overloadAdvice)
@@ -121,17 +127,17 @@
 	held := s.view.Load()
 	tenant, refusal := s.authenticate(r, held)
 	if refusal != nil {
-		s.refuse(w, name, refusal)
+		s.refuse(w, r, name, refusal)
 		return
 	}
 	body, refusal := readBody(w, r, held.tree.Resolve(s.file.Zone, settings.Any, tenant).MaxPromptBytes)
 	if refusal != nil {
-		s.refuse(w, name, refusal)
+		s.refuse(w, r, name, refusal)
 		return
 	}
 	completion, request, refusal := s.readCompletion(r, held, tenant, name, body)
 	if refusal != nil {
-		s.refuse(w, name, refusal)
+		s.refuse(w, r, name, refusal)
 		return
 	}
 	run := &exchange{
@@ -228,7 +234,7 @@
 	held := s.view.Load()
 	tenant, refusal := s.authenticate(r, held)
 	if refusal != nil {
-		s.refuse(w, name, refusal)
+		s.refuse(w, r, name, refusal)
 		return
 	}
 	service := r.PathValue("name")
@@ -237,12 +243,12 @@
 		refusal = &callerError{core.ReasonUnknownTarget, http.StatusNotFound, "No small service has this name", ""}
 	}
 	if refusal != nil {
-		s.refuse(w, name, refusal)
+		s.refuse(w, r, name, refusal)
 		return
 	}
 	request, refusal := s.readHeaders(r)
 	if refusal != nil {
-		s.refuse(w, name, refusal)
+		s.refuse(w, r, name, refusal)
 		return
 	}
 	request.Name, request.Tenant, request.Service = name, tenant, service
@@ -268,7 +274,7 @@
 func (s *Server) admin(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if s.file.AdminToken == "" || r.Header.Get("Authorization") != "Bearer "+s.file.AdminToken {
-			s.refuse(w, requestName(r), &callerError{reasonNoKey, http.StatusUnauthorized, "The admin token is missing or wrong", ""})
+			s.refuse(w, r, requestName(r), &callerError{reasonNoKey, http.StatusUnauthorized, "The admin token is missing or wrong", ""})
 			return
 		}
 		next(w, r)
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -59,12 +59,12 @@
 	run.writer.Header().Set(api.HeaderRequestID, run.name)
 	run.writer.Header().Set(api.HeaderRouter, s.file.Name)
 	if !s.register(run) {
-		s.refuse(run.writer, run.name, &callerError{reasonOverload, http.StatusServiceUnavailable, "This router has too many requests", ""})
+		s.refuse(run.writer, r, run.name, &callerError{reasonOverload, http.StatusServiceUnavailable, "This router has too many requests", ""})
 		return
 	}
 	if !s.offer(core.EventRequest{Request: run.request}) {
 		s.unregister(run.request.ID)
-		s.refuse(run.writer, run.name, &callerError{reasonOverload, http.StatusServiceUnavailable, "This router is overloaded", ""})
+		s.refuse(run.writer, r, run.name, &callerError{reasonOverload, http.StatusServiceUnavailable, "This router is overloaded", ""})
 		return
 	}
 	if run.completion != nil && run.completion.Stream {
--- /dev/null
+++ b/internal/router/send_test.go
@@ -0,0 +1,87 @@
+package router
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"kitetiller/internal/core"
+	"kitetiller/internal/transport"
+)
+
+func newSender() *Server {
+	return &Server{backends: &http.Client{Transport: transport.NewRoundTripper(nil), CheckRedirect: noRedirect}}
+}
+
+// TestBackendThatReadsAndClosesGetsTheRequestOnce: net/http sends a request again by itself when a reused
+// connection dies and it thinks that this is safe. The first request leaves a connection for reuse; the back end
+// reads the second one and closes.
+func TestBackendThatReadsAndClosesGetsTheRequestOnce(t *testing.T) {
+	var seen atomic.Int32
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/first" {
+			return
+		}
+		seen.Add(1)
+		connection, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_ = connection.Close()
+	}))
+	defer backend.Close()
+	address := backend.Listener.Addr().String()
+	s := newSender()
+	response, err := s.sendOnce(context.Background(), address, "/first", "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if _, err := s.sendOnce(context.Background(), address, "/second", "b"); err == nil {
+		t.Fatal("a request without an answer gave no error")
+	} else if neverSent(err) {
+		t.Fatalf("%v counts as never sent, but the back end read it", err)
+	}
+	if got := seen.Load(); got != 1 {
+		t.Fatalf("the back end read the request %d times", got)
+	}
+}
+
+func TestRefusedConnectionProvesThatNothingWasSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	_, err = newSender().sendOnce(context.Background(), address, "/", "a")
+	if err == nil || !neverSent(err) {
+		t.Fatalf("error %v does not count as never sent", err)
+	}
+	if event := (&attemptRun{}).failure(err); event.Kind != core.AttemptRefused {
+		t.Fatalf("event %+v", event)
+	}
+}
+
+func TestRedirectsAreNotFollowed(t *testing.T) {
+	var second atomic.Int32
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/again" {
+			second.Add(1)
+		}
+		http.Redirect(w, r, "/again", http.StatusTemporaryRedirect)
+	}))
+	defer backend.Close()
+	response, err := newSender().sendOnce(context.Background(), backend.Listener.Addr().String(), "/", "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if second.Load() != 0 {
+		t.Fatal("a back end's redirect sent the request a second time")
+	}
+}
--- /dev/null
+++ b/internal/session/session_test.go
@@ -0,0 +1,91 @@
+package session
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kitetiller/internal/control"
+	"kitetiller/internal/guard"
+	"kitetiller/internal/settings"
+)
+
+func newMachine(version uint64) *Machine {
+	return New(Identity{Router: "r1", Incarnation: 1, Zone: "z"}, Settings{Version: version, Tree: settings.NewTree()}, time.Second, guard.Set{})
+}
+
+func tree() *settings.Tree {
+	empty := settings.NewTree()
+	return &empty
+}
+
+func TestOlderVersionIsRefused(t *testing.T) {
+	step := newMachine(5).Take(0, control.HeartbeatReply{Version: 4, Tree: tree(), Lease: time.Second})
+	if step.Problem == "" || step.Save != nil || step.Lease.Until != 0 {
+		t.Fatalf("step %+v", step)
+	}
+}
+
+func TestVersionIsAcknowledgedOnlyAfterItIsSaved(t *testing.T) {
+	m := newMachine(5)
+	step := m.Take(0, control.HeartbeatReply{Epoch: 3, Version: 6, Tree: tree()})
+	if step.Save == nil {
+		t.Fatal("nothing to save")
+	}
+	if beat := m.Heartbeat(); beat.Acked != 5 {
+		t.Fatalf("version %d acknowledged before the sync", beat.Acked)
+	}
+	m.Saved(*step.Save)
+	if beat := m.Heartbeat(); beat.Acked != 6 || beat.Epoch != 3 {
+		t.Fatalf("heartbeat %+v", beat)
+	}
+}
+
+func TestEditsMustStartFromTheHeldVersion(t *testing.T) {
+	step := newMachine(5).Take(0, control.HeartbeatReply{Version: 7, Base: 6, Edits: []settings.Edit{{Path: "/z", Create: true}}})
+	if step.Problem == "" {
+		t.Fatal("edits of another base were taken")
+	}
+}
+
+func TestLeaseCountsFromTheSend(t *testing.T) {
+	step := newMachine(5).Take(2*time.Second, control.HeartbeatReply{Epoch: 1, Version: 5, Lease: 3 * time.Second})
+	if step.Lease.Until != 5*time.Second {
+		t.Fatalf("lease until %v", step.Lease.Until)
+	}
+}
+
+func TestPeersOfTheOwnZoneComeFirst(t *testing.T) {
+	list := &control.PeerList{Version: 9, Peers: []control.Peer{{Name: "a", Zone: "y"}, {Name: "r1", Zone: "z"}, {Name: "b", Zone: "z"}}}
+	m := newMachine(5)
+	step := m.Take(0, control.HeartbeatReply{Version: 5, Peers: list})
+	if len(step.Peers) != 2 || step.Peers[0].Name != "b" || m.Heartbeat().PeersSeen != 9 {
+		t.Fatalf("peers %+v", step.Peers)
+	}
+}
+
+// TestVersionNeverGoesBack takes replies in any order, some twice, with saves that may be lost by a restart.
+func TestVersionNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(0)
+		var newest uint64
+		t.Repeat(map[string]func(*rapid.T){
+			"reply": func(t *rapid.T) {
+				step := m.Take(0, control.HeartbeatReply{Version: rapid.Uint64Range(1, 20).Draw(t, "version"), Tree: tree()})
+				if step.Save != nil && rapid.Bool().Draw(t, "synced") {
+					m.Saved(*step.Save)
+				}
+			},
+			"restart": func(*rapid.T) {
+				m = New(Identity{Router: "r1", Incarnation: 2}, m.Held(), time.Second, guard.Set{})
+			},
+			"": func(t *rapid.T) {
+				if held := m.Held().Version; held < newest {
+					t.Fatalf("went back from %d to %d", newest, held)
+				}
+				newest = m.Held().Version
+			},
+		})
+	})
+}
--- /dev/null
+++ b/internal/settings/reference_test.go
@@ -0,0 +1,55 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const (
+	referenceFile  = "../../docs/CONFIGURATION.md"
+	referenceStart = "<!-- settings: generated from the types -->\n"
+	referenceEnd   = "<!-- end of settings -->"
+)
+
+// reference writes the table of every setting.
+func reference() string {
+	var text strings.Builder
+	text.WriteString("| setting | type | unit | default | allowed | levels | effect |\n|---|---|---|---|---|---|---|\n")
+	for _, d := range Definitions() {
+		allowed := strings.ReplaceAll(d.Range, "|", "or")
+		if allowed == "" {
+			allowed = "any"
+		}
+		standard := d.Default
+		if standard == "" {
+			standard = "(empty)"
+		}
+		fmt.Fprintf(&text, "| `%s` | %s | %s | %s | %s | %s | %s |\n", d.Name, d.Type, d.Unit, standard, allowed, strings.Join(d.Levels, ", "), d.Help)
+	}
+	return text.String()
+}
+
+// TestConfigurationPageMatchesTheTypes: run with UPDATE_DOCS=1 to write the table anew.
+func TestConfigurationPageMatchesTheTypes(t *testing.T) {
+	path := filepath.FromSlash(referenceFile)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, rest, found := strings.Cut(string(data), referenceStart)
+	_, after, closed := strings.Cut(rest, referenceEnd)
+	if !found || !closed {
+		t.Fatalf("%s has no markers around the settings", referenceFile)
+	}
+	wanted := before + referenceStart + reference() + referenceEnd + after
+	if os.Getenv("UPDATE_DOCS") != "" {
+		if err := os.WriteFile(path, []byte(wanted), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	} else if wanted != string(data) {
+		t.Fatalf("%s differs from the types; run UPDATE_DOCS=1 go test ./internal/settings", referenceFile)
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,231 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func raw(text string) json.RawMessage { return json.RawMessage(text) }
+
+func change(base uint64, id string, edits ...Edit) Change {
+	return Change{Base: base, OperationID: id, Edits: edits}
+}
+
+func set(path Path, name, value string) Edit {
+	return Edit{Path: path, Setting: name, Value: raw(value)}
+}
+
+func TestValuesInheritDownTheTree(t *testing.T) {
+	m := NewMachine()
+	outcome := m.Apply(change(0, "a", set("/", "queue_limit", "10"), set("/z1", "queue_limit", "20"), set("/*/s", "queue_limit", "30"),
+		set("/z1/s", "queue_limit", "40")), 0)
+	if outcome.Kind != OutcomeAccepted {
+		t.Fatalf("outcome %+v", outcome)
+	}
+	for _, row := range []struct {
+		elements []string
+		wanted   int
+	}{{nil, 10}, {[]string{"z2"}, 10}, {[]string{"z1"}, 20}, {[]string{"z2", "s"}, 30}, {[]string{"z1", "s"}, 40}, {[]string{"z1", "s", "t"}, 40}} {
+		if got := m.Tree().Resolve(row.elements...).QueueLimit; got != row.wanted {
+			t.Errorf("%v: queue_limit %d, want %d", row.elements, got, row.wanted)
+		}
+	}
+}
+
+func TestEqualBaseVersionsOneWins(t *testing.T) {
+	m := NewMachine()
+	m.Apply(change(0, "a", set("/", "queue_limit", "10")), 0)
+	outcome := m.Apply(change(0, "b", set("/", "queue_limit", "20")), 0)
+	if outcome.Kind != OutcomeConflict || outcome.Version != 1 || len(outcome.Differing) != 1 || outcome.Differing[0].Path != "/" {
+		t.Fatalf("outcome %+v", outcome)
+	}
+}
+
+func TestResendGetsTheFirstOutcomeAfterARestart(t *testing.T) {
+	m := NewMachine()
+	first := m.Apply(change(0, "a", set("/", "queue_limit", "10")), 0)
+	m.Apply(change(1, "b", set("/", "queue_limit", "20")), 0)
+	data, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	restarted := NewMachine()
+	if err := json.Unmarshal(data, restarted); err != nil {
+		t.Fatal(err)
+	}
+	if again := restarted.Apply(change(0, "a", set("/", "queue_limit", "10")), 0); again.Kind != first.Kind || again.Version != first.Version {
+		t.Fatalf("outcome %+v, first %+v", again, first)
+	}
+	if reused := restarted.Apply(change(2, "a", set("/", "queue_limit", "99")), 0); reused.Kind != OutcomeReused {
+		t.Fatalf("same id with other content: %+v", reused)
+	}
+}
+
+// TestAtomicChange: one wrong edit keeps all of them out.
+func TestAtomicChange(t *testing.T) {
+	m := NewMachine()
+	outcome := m.Apply(change(0, "a", set("/", "queue_limit", "10"), set("/", "time_weight", "7"), set("/", "no_such", "1")), 0)
+	if outcome.Kind != OutcomeInvalid || len(outcome.Problems) == 0 || m.Version() != 0 || !m.Tree().Nodes["/"].Empty() {
+		t.Fatalf("outcome %+v, tree %+v", outcome, m.Tree())
+	}
+}
+
+// TestMachineAgainstSimpleModel: versions, outcomes and values against a plain map.
+func TestMachineAgainstSimpleModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m, model := NewMachine(), map[Path]int{}
+		var version uint64
+		outcomes := map[string]Outcome{}
+		sent := []Change{}
+		path := rapid.SampledFrom([]Path{"/", "/z1", "/z2", "/z1/s", "/*/s"})
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(t *rapid.T) {
+				at, value := path.Draw(t, "path"), rapid.IntRange(-5, 50).Draw(t, "value")
+				base := version - min(version, uint64(rapid.IntRange(0, 2).Draw(t, "behind")))
+				c := change(base, fmt.Sprint(len(sent)), set(at, "queue_limit", fmt.Sprint(value)))
+				sent = append(sent, c)
+				outcome := m.Apply(c, 0)
+				outcomes[c.OperationID] = outcome
+				switch {
+				case base != version:
+					expect(t, outcome, OutcomeConflict, version)
+				case value < 0:
+					expect(t, outcome, OutcomeInvalid, version)
+				default:
+					version++
+					model[at] = value
+					expect(t, outcome, OutcomeAccepted, version)
+				}
+			},
+			"resend": func(t *rapid.T) {
+				if len(sent) == 0 {
+					t.Skip("nothing was sent")
+				}
+				c := rapid.SampledFrom(sent).Draw(t, "change")
+				first := outcomes[c.OperationID]
+				expect(t, m.Apply(c, 0), first.Kind, first.Version)
+			},
+			"restart": func(t *rapid.T) {
+				data, err := json.Marshal(m)
+				if err != nil {
+					t.Fatal(err)
+				}
+				m = NewMachine()
+				if err := json.Unmarshal(data, m); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"": func(t *rapid.T) {
+				held := map[Path]int{}
+				for at, node := range m.Tree().Nodes {
+					if node.QueueLimit != nil {
+						held[at] = *node.QueueLimit
+					}
+				}
+				if !maps.Equal(held, model) {
+					t.Fatalf("tree %v, want %v", held, model)
+				}
+			},
+		})
+	})
+}
+
+func expect(t *rapid.T, outcome Outcome, kind OutcomeKind, version uint64) {
+	if outcome.Kind != kind || outcome.Version != version {
+		t.Fatalf("outcome %s at %d, want %s at %d", outcome.Kind, outcome.Version, kind, version)
+	}
+}
+
+// TestEditsSinceLeadToTheSameTree: deltas and the whole tree must never differ.
+func TestEditsSinceLeadToTheSameTree(t *testing.T) {
+	m := NewMachine()
+	trees := []Tree{m.Tree()}
+	for i := range 30 {
+		m.Apply(change(uint64(i), fmt.Sprint(i), set(Path(fmt.Sprintf("/z%d", i%4)), "queue_limit", fmt.Sprint(i))), 0)
+		trees = append(trees, m.Tree())
+	}
+	for base, tree := range trees {
+		edits, ok := m.EditsSince(uint64(base))
+		if !ok {
+			t.Fatalf("no edits since version %d", base)
+		}
+		if base == len(trees)-1 {
+			continue
+		}
+		next, problems := tree.Apply(edits)
+		if len(problems) > 0 || len(Diff(next, m.Tree())) > 0 {
+			t.Fatalf("edits since %d lead elsewhere: %v, %v", base, problems, Diff(next, m.Tree()))
+		}
+	}
+}
+
+func TestDiffEditsTurnOneTreeIntoTheOther(t *testing.T) {
+	kigali, nilewash := readConfig(t, "kigali"), readConfig(t, "nilewash")
+	for _, pair := range [][2]Tree{{kigali, nilewash}, {nilewash, kigali}, {NewTree(), kigali}, {kigali, NewTree()}} {
+		next, problems := pair[0].Apply(DiffEdits(pair[0], pair[1]))
+		if len(problems) > 0 || len(Diff(next, pair[1])) > 0 {
+			t.Fatalf("problems %v, left over %v", problems, Diff(next, pair[1]))
+		}
+	}
+}
+
+func readConfig(t *testing.T, name string) Tree {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join("..", "..", "configs", name+".yaml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tree, problems := ParseFile(data)
+	if len(problems) > 0 {
+		t.Fatalf("%s: %v", name, problems)
+	}
+	return tree
+}
+
+const threeMistakes = `settings:
+  time_weight: 7
+  queue_limits: 5
+zones:
+  z1:
+    services:
+      s:
+        settings:
+          kind: modell
+`
+
+func TestFileWithThreeMistakesNamesAllThree(t *testing.T) {
+	_, problems := ParseFile([]byte(threeMistakes))
+	var text []string
+	for _, problem := range problems {
+		text = append(text, problem.String())
+	}
+	all := strings.Join(text, "\n")
+	for _, wanted := range []string{"line 2", "time_weight", "0 to 1", "line 3", "did you mean queue_limit", "line 9", "llm | service"} {
+		if !strings.Contains(all, wanted) {
+			t.Errorf("%q is not named in:\n%s", wanted, all)
+		}
+	}
+	if len(problems) != 3 {
+		t.Errorf("%d problems, want 3:\n%s", len(problems), all)
+	}
+}
+
+// FuzzParseFile: no bytes may crash the parser, and a tree without problems must pass its own check.
+func FuzzParseFile(f *testing.F) {
+	f.Add([]byte(threeMistakes))
+	f.Add([]byte("settings: {queue_limit: 3}\n"))
+	f.Add([]byte("zones: {'*': {services: {s: {tenants: {t: {}}}}}}"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		tree, problems := ParseFile(data)
+		if len(problems) == 0 && len(tree.Check()) > 0 {
+			t.Fatalf("accepted, but the check says %v", tree.Check())
+		}
+	})
+}
--- /dev/null
+++ b/internal/storage/log_test.go
@@ -0,0 +1,238 @@
+package storage
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const testOwner = "replica-1"
+
+func record(text string) Record { return Record{Kind: 2, Data: []byte(text)} }
+
+// writeLog makes a folder with one synced record for each text.
+func writeLog(t *testing.T, texts ...string) string {
+	t.Helper()
+	folder := t.TempDir()
+	log, _, err := Open(folder, testOwner)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, text := range texts {
+		log.Append(record(text))
+		if err := log.Sync(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := log.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return folder
+}
+
+func segments(t *testing.T, folder string) []string {
+	t.Helper()
+	paths, err := filepath.Glob(filepath.Join(folder, "*"+segmentSuffix))
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("segments %v, %v", paths, err)
+	}
+	return paths
+}
+
+func texts(records []Record) string {
+	var all []string
+	for _, held := range records {
+		all = append(all, string(held.Data))
+	}
+	return strings.Join(all, " ")
+}
+
+func reopen(t *testing.T, folder string) string {
+	t.Helper()
+	log, records, err := Open(folder, testOwner)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer log.Close()
+	return texts(records)
+}
+
+func TestSyncedRecordsComeBack(t *testing.T) {
+	if got := reopen(t, writeLog(t, "a", "b", "c")); got != "a b c" {
+		t.Fatalf("read back %q", got)
+	}
+}
+
+func TestUnsyncedRecordsAreNotWritten(t *testing.T) {
+	folder := t.TempDir()
+	log, _, err := Open(folder, testOwner)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log.Append(record("never synced"))
+	_ = log.Close()
+	if got := reopen(t, folder); got != "" {
+		t.Fatalf("read back %q", got)
+	}
+}
+
+// TestTornTailIsCut cuts the file at every length: what was whole before the cut must come back.
+func TestTornTailIsCut(t *testing.T) {
+	whole, err := os.ReadFile(segments(t, writeLog(t, "first", "second"))[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := bytes.Index(whole, []byte("first")) + len("first")
+	for length := first; length < len(whole); length++ {
+		folder := writeLog(t, "first", "second")
+		if err := os.Truncate(segments(t, folder)[0], int64(length)); err != nil {
+			t.Fatal(err)
+		}
+		if got := reopen(t, folder); got != "first" {
+			t.Fatalf("cut at %d of %d: read back %q", length, len(whole), got)
+		}
+	}
+}
+
+// TestDamageStopsTheStart flips a byte before the last record: the start must fail and touch nothing.
+func TestDamageStopsTheStart(t *testing.T) {
+	folder := writeLog(t, "first", "second", "third")
+	path := segments(t, folder)[0]
+	data, _ := os.ReadFile(path)
+	data[bytes.Index(data, []byte("second"))] ^= 1
+	if err := os.WriteFile(path, data, filePermissions); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := Open(folder, testOwner); !errors.Is(err, ErrDamaged) {
+		t.Fatalf("error %v, want ErrDamaged", err)
+	}
+	if after, _ := os.ReadFile(path); !bytes.Equal(after, data) {
+		t.Fatal("the damaged file was changed")
+	}
+}
+
+func TestForeignFolderIsRefused(t *testing.T) {
+	folder := writeLog(t, "a")
+	if _, _, err := Open(folder, "replica-2"); !errors.Is(err, ErrForeign) {
+		t.Fatalf("error %v, want ErrForeign", err)
+	}
+}
+
+func TestNewerFormatIsRefused(t *testing.T) {
+	folder := t.TempDir()
+	newer := AppendRecord(nil, Record{Kind: KindHeader, Data: []byte(`{"magic":"kitetiller-log","format":99,"owner":"replica-1","sequence":1}`)})
+	written := writeLog(t, "a")
+	data, _ := os.ReadFile(segments(t, written)[0])
+	newer = bytes.Replace(newer, []byte("kitetiller-log"), []byte(magicOf(t, data)), 1)
+	records, _, _ := DecodeRecords(data)
+	held := AppendRecord(nil, Record{Kind: KindHeader, Data: bytes.Replace(records[0].Data, []byte(`"format":1`), []byte(`"format":9`), 1)})
+	if err := os.WriteFile(filepath.Join(folder, filepath.Base(segments(t, written)[0])), held, filePermissions); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := Open(folder, testOwner); !errors.Is(err, ErrNewerFormat) {
+		t.Fatalf("error %v, want ErrNewerFormat", err)
+	}
+}
+
+// magicOf returns the magic word of a segment.
+func magicOf(t *testing.T, data []byte) string {
+	t.Helper()
+	records, _, _ := DecodeRecords(data)
+	if len(records) == 0 {
+		t.Fatal("no header")
+	}
+	_, rest, _ := strings.Cut(string(records[0].Data), `"magic":"`)
+	magic, _, _ := strings.Cut(rest, `"`)
+	return magic
+}
+
+func TestCheckpointReplacesEverything(t *testing.T) {
+	folder := writeLog(t, "old-1", "old-2")
+	log, _, err := Open(folder, testOwner)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := log.Checkpoint([]Record{record("state")}); err != nil {
+		t.Fatal(err)
+	}
+	log.Append(record("after"))
+	if err := log.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	_ = log.Close()
+	if got := reopen(t, folder); got != "state after" {
+		t.Fatalf("read back %q", got)
+	}
+}
+
+// TestLogAgainstSimpleModel drives appends, syncs, checkpoints and restarts against a plain list.
+func TestLogAgainstSimpleModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		folder, err := os.MkdirTemp("", "log")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer os.RemoveAll(folder)
+		log, _, err := Open(folder, testOwner)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var durable, waiting []string
+		t.Repeat(map[string]func(*rapid.T){
+			"append": func(t *rapid.T) {
+				text := rapid.StringMatching(`[a-z]{1,20}`).Draw(t, "text")
+				log.Append(record(text))
+				waiting = append(waiting, text)
+			},
+			"sync": func(t *rapid.T) {
+				if err := log.Sync(); err != nil {
+					t.Fatal(err)
+				}
+				durable, waiting = append(durable, waiting...), nil
+			},
+			"checkpoint": func(t *rapid.T) {
+				if len(waiting) > 0 {
+					t.Skip("a checkpoint follows a sync")
+				}
+				if err := log.Checkpoint([]Record{record("state")}); err != nil {
+					t.Fatal(err)
+				}
+				durable = []string{"state"}
+			},
+			"restart": func(t *rapid.T) {
+				_ = log.Close()
+				var records []Record
+				if log, records, err = Open(folder, testOwner); err != nil {
+					t.Fatal(err)
+				}
+				waiting = nil
+				if got := texts(records); got != strings.Join(durable, " ") {
+					t.Fatalf("read back %q, want %q", got, durable)
+				}
+			},
+		})
+		_ = log.Close()
+	})
+}
+
+// FuzzDecodeRecords: no bytes may crash the decoder, and what it accepts must encode to the same bytes.
+func FuzzDecodeRecords(f *testing.F) {
+	f.Add([]byte{})
+	f.Add(AppendRecord(nil, record("one")))
+	f.Add(AppendRecord(AppendRecord(nil, record("one")), record("two"))[:20])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		records, length, _ := DecodeRecords(data)
+		var again []byte
+		for _, held := range records {
+			again = AppendRecord(again, held)
+		}
+		if !bytes.Equal(again, data[:length]) {
+			t.Fatalf("%d records of %d bytes encode to %d bytes", len(records), length, len(again))
+		}
+	})
+}
