Restarted processes get their internal address back at once

Cause: a control replica that was killed and started again within the kernel's TIME_WAIT failed with 'address already in use' and stayed down; after a restart of all three the group was gone. Excluded: the data folder (intact), elections (never reached). Change: the gnet listener sets SO_REUSEADDR, as net.Listen does. Real processes now repeat the main failures in a test: planned stop and kill of a router, killed and frozen engine, frozen router, killed leader during changes, wiped replica, cut zone. A stopping router answers for 1.5 s that it stops and closes connections after that.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 demo: build
 	scripts/demo
 
-test:
+test: build
 	CGO_ENABLED=1 go test ./...
 
 lint:
--- a/internal/api/openai.go
+++ b/internal/api/openai.go
@@ -77,5 +77,6 @@
 	HeaderDeadline       = "X-Deadline-Ms" // time to first token the caller allows
 	HeaderLastEventID    = "Last-Event-ID" // index of the last token the caller has
 	HeaderRouter         = "X-Router"      // router that answered
+	HeaderDraining       = "X-Draining"    // the router is stopping; the request was not taken
 	HeaderRun            = "X-Run"         // ran, for replayed answers
 )
--- /dev/null
+++ b/internal/lab/fleet/processes_test.go
@@ -0,0 +1,259 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// root is the repository's folder; the tests run its scripts and the programs in bin/.
+const root = "../../.."
+
+// running is a fleet of real processes on loopback.
+type running struct {
+	t     *testing.T
+	data  string
+	facts map[string]string
+}
+
+// startFleet brings a small deployment up. The programs must have been built, as "make test" does.
+func startFleet(t *testing.T) *running {
+	t.Helper()
+	f := &running{t: t, data: t.TempDir(), facts: map[string]string{}}
+	t.Cleanup(func() { _, _ = f.script("stop") })
+	if output, err := f.script("start", "internal/lab/fleet/testdata/small.yaml"); err != nil {
+		t.Fatalf("fleet did not start: %v\n%s", err, output)
+	}
+	text, err := os.ReadFile(filepath.Join(f.data, "fleet.env"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range strings.Split(strings.TrimSpace(string(text)), "\n") {
+		name, value, _ := strings.Cut(line, "=")
+		f.facts[name] = strings.Trim(value, `"`)
+	}
+	return f
+}
+
+func (f *running) script(arguments ...string) (string, error) {
+	command := exec.Command("scripts/fleet", append(arguments, "--data", f.data)...)
+	command.Dir = root
+	output, err := command.CombinedOutput()
+	return string(output), err
+}
+
+func (f *running) must(arguments ...string) {
+	f.t.Helper()
+	if output, err := f.script(arguments...); err != nil {
+		f.t.Fatalf("scripts/fleet %v: %v\n%s", arguments, err, output)
+	}
+}
+
+// operator runs an operator's command.
+func (f *running) operator(arguments ...string) (string, error) {
+	command := exec.Command("bin/kitetiller", arguments...)
+	command.Dir = root
+	command.Env = append(os.Environ(), "KITETILLER_CONTROL="+f.facts["CONTROL"], "KITETILLER_ADMIN_TOKEN="+f.facts["ADMIN_TOKEN"])
+	output, err := command.CombinedOutput()
+	return string(output), err
+}
+
+// load is traffic in the background.
+type load struct {
+	t       *testing.T
+	command *exec.Cmd
+	output  strings.Builder
+}
+
+func (f *running) startLoad(label string, extra ...string) *load {
+	f.t.Helper()
+	l := &load{t: f.t}
+	arguments := append([]string{"load", "--deployment", "internal/lab/fleet/testdata/small.yaml", "--routers", f.facts["ROUTERS"],
+		"--keys", f.facts["API_KEY"] + "," + f.facts["API_KEY_2"], "--backends", f.facts["BACKENDS"], "--duration", "6s", "--rate", "25",
+		"--label", label}, extra...)
+	l.command = exec.Command("bin/kitelab", arguments...)
+	l.command.Dir = root
+	l.command.Stdout, l.command.Stderr = &l.output, &l.output
+	if err := l.command.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	return l
+}
+
+// wait demands that the load saw nothing lost, doubled, out of order or wrong.
+func (l *load) wait() {
+	l.t.Helper()
+	if err := l.command.Wait(); err != nil {
+		l.t.Fatalf("load: %v\n%s", err, l.output.String())
+	}
+}
+
+// TestProcessFailures repeats the main failures with real processes, one after the other on one fleet.
+func TestProcessFailures(t *testing.T) {
+	f := startFleet(t)
+	t.Run("planned stop of a router costs nothing", f.plannedStop)
+	t.Run("killed router breaks only its own connections", f.killedRouter)
+	t.Run("killed engine cuts no stream", f.killedEngine)
+	t.Run("frozen engine cuts no stream", f.frozenEngine)
+	t.Run("frozen router runs nothing twice", f.frozenRouter)
+	t.Run("killed leader loses no accepted change and doubles no run", f.killedLeader)
+	t.Run("wiped control replica is replaced", f.wipedControl)
+	t.Run("cut zone heals", f.cutZone)
+}
+
+func (f *running) on(t *testing.T) *running { return &running{t: t, data: f.data, facts: f.facts} }
+
+func (f *running) plannedStop(t *testing.T) {
+	f = f.on(t)
+	l := f.startLoad("planned")
+	pause()
+	f.must("stop-one", "router-2")
+	l.wait()
+	f.must("restart", "router-2")
+}
+
+func (f *running) killedRouter(t *testing.T) {
+	f = f.on(t)
+	l := f.startLoad("killed-router", "--allow-broken")
+	pause()
+	f.must("kill", "router-1")
+	f.must("restart", "router-1")
+	l.wait()
+}
+
+func (f *running) killedEngine(t *testing.T) {
+	f = f.on(t)
+	l := f.startLoad("killed-engine")
+	pause()
+	f.must("kill", "llm-1")
+	f.must("restart", "llm-1")
+	f.must("kill", "llm-2")
+	f.must("restart", "llm-2")
+	l.wait()
+}
+
+func (f *running) frozenEngine(t *testing.T) {
+	f = f.on(t)
+	l := f.startLoad("frozen-engine")
+	pause()
+	f.must("freeze", "llm-3")
+	l.wait()
+	f.must("thaw", "llm-3")
+}
+
+func (f *running) frozenRouter(t *testing.T) {
+	f = f.on(t)
+	l := f.startLoad("frozen-router")
+	pause()
+	f.must("freeze", "router-3")
+	for range 5 {
+		pause()
+	}
+	f.must("thaw", "router-3")
+	l.wait()
+}
+
+var leaderPattern = regexp.MustCompile(`(?m)"leader": "(control-\d)"`)
+
+// leader returns the name of the leading control replica.
+func (f *running) leader() string {
+	f.t.Helper()
+	for range 100 {
+		output, err := f.operator("status", "--output", "json")
+		if match := leaderPattern.FindStringSubmatch(output); err == nil && match != nil {
+			return match[1]
+		}
+		pause()
+	}
+	f.t.Fatal("no leader is known")
+	return ""
+}
+
+func (f *running) killedLeader(t *testing.T) {
+	f = f.on(t)
+	l := f.startLoad("killed-leader")
+	accepted := map[string]string{}
+	for i := range 30 {
+		if i == 5 || i == 15 {
+			leader := f.leader()
+			f.must("kill", leader)
+			defer f.must("restart", leader)
+		}
+		if i == 10 {
+			f.must("restart", "control-1")
+			f.must("restart", "control-2")
+			f.must("restart", "control-3")
+		}
+		id := fmt.Sprintf("loop-%d", i)
+		if output, err := f.operator("config", "set", "/", "queue_limit", fmt.Sprint(600+i), "--operation-id", id); err == nil {
+			accepted[id] = output
+		}
+	}
+	l.wait()
+	f.checkHistory(accepted)
+}
+
+// checkHistory demands every accepted change in the history.
+func (f *running) checkHistory(accepted map[string]string) {
+	f.t.Helper()
+	if len(accepted) == 0 {
+		f.t.Fatal("no change was accepted")
+	}
+	output, err := f.operator("config", "history", "--output", "json")
+	if err != nil {
+		f.t.Fatalf("history: %v\n%s", err, output)
+	}
+	var entries []struct {
+		OperationID string `json:"operation_id"`
+	}
+	if err := json.Unmarshal([]byte(output), &entries); err != nil {
+		f.t.Fatalf("history: %v\n%s", err, output)
+	}
+	kept := map[string]bool{}
+	for _, entry := range entries {
+		kept[entry.OperationID] = true
+	}
+	for id, output := range accepted {
+		if !kept[id] {
+			f.t.Errorf("%s was accepted (%s) and is gone", id, strings.TrimSpace(output))
+		}
+	}
+}
+
+func (f *running) wipedControl(t *testing.T) {
+	f = f.on(t)
+	l := f.startLoad("wiped")
+	leader := f.leader()
+	before, err := f.operator("members")
+	lost := regexp.MustCompile(leader + `-\w+`).FindString(before)
+	if err != nil || lost == "" {
+		t.Fatalf("members: %v\n%s", err, before)
+	}
+	f.must("wipe", leader)
+	l.wait()
+	for range 50 {
+		if output, err := f.operator("members"); err == nil && strings.Count(output, "true") == 3 && !strings.Contains(output, lost) {
+			return
+		}
+		pause()
+	}
+	output, _ := f.operator("members")
+	t.Fatalf("%s was not replaced:\n%s", leader, output)
+}
+
+func (f *running) cutZone(t *testing.T) {
+	f = f.on(t)
+	l := f.startLoad("cut", "--allow-broken")
+	pause()
+	f.must("cut", "west")
+	for range 4 {
+		pause()
+	}
+	f.must("heal", "west")
+	l.wait()
+}
--- a/internal/lab/load/completion.go
+++ b/internal/lab/load/completion.go
@@ -5,14 +5,17 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 
 	"kitetiller/internal/api"
 	"kitetiller/internal/lab/standin"
@@ -78,7 +81,27 @@
 	return data
 }
 
+// send posts a body to a router. A router that takes no connections, or says that it is stopping, is passed over for
+// another one, as callers with a list of routers do.
 func (r *runner) send(ctx context.Context, router, path, key string, headers map[string]string, body []byte) (*http.Response, error) {
+	for _, other := range append([]string{router}, r.options.Routers...) {
+		response, err := r.sendTo(ctx, other, path, key, headers, body)
+		if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, err
+		}
+		if err == nil && response.Header.Get(api.HeaderDraining) == "" {
+			return response, nil
+		}
+		if err == nil {
+			_ = response.Body.Close()
+		}
+	}
+	return nil, errNoRouter
+}
+
+var errNoRouter = eris.New("no router takes requests")
+
+func (r *runner) sendTo(ctx context.Context, router, path, key string, headers map[string]string, body []byte) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -72,7 +72,7 @@
 		Type: "urn:kitetiller:" + string(refusal.reason), Title: refusal.title, Status: refusal.status,
 		Detail: refusal.detail, RequestID: name, Run: run,
 	}
-	if refusal.reason == reasonOverload {
+	if refusal.reason == reasonOverload || refusal.reason == core.ReasonDraining {
 		problem = problem.WithRetry(overloadAdvice)
 	}
 	s.metrics.refusals.WithLabelValues(string(refusal.reason)).Inc()
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -58,6 +58,12 @@
 	run.final = make(chan core.ActionFinish, 1)
 	run.writer.Header().Set(api.HeaderRequestID, run.name)
 	run.writer.Header().Set(api.HeaderRouter, s.file.Name)
+	if s.draining.Load() {
+		run.writer.Header().Set("Connection", "close") // the caller's next request goes elsewhere
+		run.writer.Header().Set(api.HeaderDraining, "true")
+		s.refuse(run.writer, r, run.name, &callerError{core.ReasonDraining, http.StatusServiceUnavailable, "This router is stopping", ""})
+		return
+	}
 	if !s.register(run) {
 		s.refuse(run.writer, r, run.name, &callerError{reasonOverload, http.StatusServiceUnavailable, "This router has too many requests", ""})
 		return
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -34,6 +34,9 @@
 	maximumLinger = 20 * time.Millisecond
 	drainBatch    = 512
 	shutdownTime  = 5 * time.Second
+	// drainLinger is how long a stopping router keeps answering that it stops, so that no caller's request meets a
+	// connection that is just being closed.
+	drainLinger   = 1500 * time.Millisecond
 	headerTimeout = 10 * time.Second
 )
 
@@ -175,7 +178,8 @@
 	s.draining.Store(true)
 	s.events <- core.EventDrain{}
 	deadline := time.Now().Add(s.file.Router.DrainLimit)
-	for time.Now().Before(deadline) && s.inFlight() > 0 {
+	calm := time.Now().Add(drainLinger)
+	for time.Now().Before(deadline) && (s.inFlight() > 0 || time.Now().Before(calm)) {
 		time.Sleep(maximumLinger)
 	}
 	stopRenewing()
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -57,7 +57,7 @@
 	server := &Server{started: make(chan struct{}), token: token, handler: handler, log: log}
 	failed := make(chan error, 1)
 	go func() {
-		failed <- gnet.Run(server, "tcp://"+address, gnet.WithNumEventLoop(eventLoops), gnet.WithReusePort(false),
+		failed <- gnet.Run(server, "tcp://"+address, gnet.WithNumEventLoop(eventLoops), gnet.WithReuseAddr(true),
 			gnet.WithLogger(log.Sugar()))
 	}()
 	select {
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -108,3 +108,21 @@
 		}
 	})
 }
+
+// TestListenAgainAtOnce: a restarted process must get its address back although old connections linger.
+func TestListenAgainAtOnce(t *testing.T) {
+	address := freeAddress(t)
+	for round := range 3 {
+		server, err := Listen(address, "token", echo, zap.NewNop())
+		if err != nil {
+			t.Fatalf("round %d: %v", round, err)
+		}
+		var reply message
+		if err := NewClient("token", nil).Post(context.Background(), address, "/echo", message{}, &reply); err != nil {
+			t.Fatalf("round %d: %v", round, err)
+		}
+		if err := server.Close(context.Background()); err != nil {
+			t.Fatalf("round %d: %v", round, err)
+		}
+	}
+}
