--- a/cmd/kitelab/bench.go
+++ b/cmd/kitelab/bench.go
@@ -26,6 +26,7 @@
 	overload   bool
 	only       string
 	hashDepth  int
+	grain      int
 }
 
 func defineBench() command {
@@ -41,6 +42,7 @@
 	sub.Bool(&flags.overload, "", "overload", "also run rising rates, up to twice the saturating one")
 	sub.String(&flags.only, "", "only", "run only this policy")
 	sub.Int(&flags.hashDepth, "", "hash-depth", "blocks that the hash policies place by; 0 chooses")
+	sub.Int(&flags.grain, "", "grain", "tokens of a cache block; 0 is 64")
 	return command{sub, flags.run}
 }
 
@@ -74,7 +76,7 @@
 	if err != nil {
 		return err
 	}
-	options := bench.Options{Deployment: deployment, Tree: tree, Length: f.length, Scale: f.scale, Disturbed: !f.calm, HashDepth: f.hashDepth}
+	options := bench.Options{Deployment: deployment, Tree: tree, Length: f.length, Scale: f.scale, Disturbed: !f.calm, HashDepth: f.hashDepth, Grain: f.grain}
 	policies := bench.Policies()
 	if f.only != "" {
 		policies = []bench.Policy{bench.Policy(f.only)}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -65,8 +66,18 @@
 	mutex    sync.Mutex
 	outboxes map[consensus.ID]chan consensus.Message
 	failed   chan error
+	syncs    SyncStats
 }
 
+// SyncStats counts what a replica wrote. It may be read at any time.
+type SyncStats struct {
+	Count       atomic.Uint64
+	Nanoseconds atomic.Uint64 // spent writing and syncing
+}
+
+// Syncs returns the replica's counters.
+func (s *Server) Syncs() *SyncStats { return &s.syncs }
+
 // NewServer opens the data folder and restores the replica.
 func NewServer(ctx context.Context, file *node.File, log *zap.Logger) (*Server, error) {
 	disk, identity, restored, err := OpenDisk(file.Data, file.Name)
@@ -244,9 +255,12 @@
 	for s.replica.HasWork() {
 		persist := s.replica.Work()
 		if !persist.Empty() {
+			started := time.Now()
 			if err := s.disk.Write(persist); err != nil {
 				return err
 			}
+			s.syncs.Count.Add(1)
+			s.syncs.Nanoseconds.Add(uint64(time.Since(started)))
 		}
 		s.send(s.replica.Done(s.now()))
 	}
--- a/internal/lab/bench/engines.go
+++ b/internal/lab/bench/engines.go
@@ -37,7 +37,7 @@
 func (e *engineNode) boot() {
 	e.lives++
 	e.down = false
-	e.model = engine.New(e.name, e.lives, weights, e.run.rates, blockTokens, e.seed+e.lives, guard.Set{})
+	e.model = engine.New(e.name, e.lives, weights, e.run.rates, e.run.options.grain(), e.seed+e.lives, guard.Set{})
 	e.model.Import = e.run.importFrom
 	e.wakeAt = 0
 }
--- a/internal/lab/bench/measure.go
+++ b/internal/lab/bench/measure.go
@@ -79,14 +79,14 @@
 func (m *measure) started(now time.Duration, s *sending, output engine.Output) {
 	again, elsewhere := 0, 0
 	chain := output.Job.Blocks
-	first := output.Cached / blockTokens
+	first := output.Cached / m.run.options.grain()
 	if first < len(chain) {
 		_, held := m.run.deepestHolder(chain)
 		for i, hash := range chain[first:] {
 			if m.everMade[hash] {
-				again += blockTokens
+				again += m.run.options.grain()
 				if first+i < held {
-					elsewhere += blockTokens
+					elsewhere += m.run.options.grain()
 				}
 			}
 			m.everMade[hash] = true
--- a/internal/lab/bench/policies.go
+++ b/internal/lab/bench/policies.go
@@ -173,27 +173,27 @@
 	node := p.run.engines[candidate.Engine]
 	rates := p.run.rates
 	held := node.model.Holds(context.Request.Chains[0].Blocks)
-	compute := tokensLeft(context.Request, held)
+	compute := p.tokensLeft(context.Request, held)
 	copied, displaced := time.Duration(0), time.Duration(0)
 	candidate.ImportBlocks, candidate.ImportFrom = 0, ""
 	if deepest > held && source != node.name {
-		moved := (deepest - held) * blockTokens
-		whole := seconds(float64(moved)/rates.ImportTokens) + seconds(float64(tokensLeft(context.Request, deepest))/rates.PrefillTokens)
+		moved := (deepest - held) * p.run.options.grain()
+		whole := seconds(float64(moved)/rates.ImportTokens) + seconds(float64(p.tokensLeft(context.Request, deepest))/rates.PrefillTokens)
 		if whole < seconds(float64(compute)/rates.PrefillTokens) {
 			candidate.ImportBlocks, candidate.ImportFrom = deepest, source
-			compute, copied = tokensLeft(context.Request, deepest), seconds(float64(moved)/rates.ImportTokens)
+			compute, copied = p.tokensLeft(context.Request, deepest), seconds(float64(moved)/rates.ImportTokens)
 			displaced = seconds(core.DisplacedShare * float64(moved) / rates.PrefillTokens)
 		}
 	}
 	wait := seconds(float64(node.pendingTokens(context.Request.Lane)) / rates.PrefillTokens)
 	work := seconds(float64(compute) / rates.PrefillTokens)
-	candidate.Cached, candidate.Uncached = held*blockTokens, compute
+	candidate.Cached, candidate.Uncached = held*p.run.options.grain(), compute
 	candidate.Predicted = wait + work + copied
 	candidate.Cost = context.Values.TimeWeight*candidate.Predicted.Seconds() + context.Values.RecomputeWeight*(work+displaced).Seconds()
 }
 
-func tokensLeft(request *core.Request, blocks int) int {
-	return max(1, request.PromptTokens-blocks*blockTokens)
+func (p clairvoyantPlacer) tokensLeft(request *core.Request, blocks int) int {
+	return max(1, request.PromptTokens-blocks*p.run.options.grain())
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/lab/bench/router.go
+++ b/internal/lab/bench/router.go
@@ -55,7 +55,7 @@
 	node := &routerNode{run: r, zone: zone, waiting: map[core.RequestID]*pending{},
 		sendings: map[core.AttemptID]*sending{}, targets: map[core.AttemptID]*engineNode{}}
 	node.core = core.New(core.Config{
-		Router: zone, Zone: zone, Seed: seed, BlockTokens: blockTokens, IndexLimit: indexLimit,
+		Router: zone, Zone: zone, Seed: seed, BlockTokens: r.options.grain(), IndexLimit: indexLimit,
 		ZoneLatency: latency, Vault: vaultName, ImportRate: r.rates.ImportTokens, Placer: placerFor(r.policy, r),
 	})
 	return node
--- a/internal/lab/bench/run.go
+++ b/internal/lab/bench/run.go
@@ -13,11 +13,10 @@
 )
 
 const (
-	blockTokens = 64
-	weights     = "w1"
-	warmUp      = 15 * time.Second
-	drainTime   = 15 * time.Second
-	downTime    = 2 * time.Second // of a crashed engine
+	weights   = "w1"
+	warmUp    = 15 * time.Second
+	drainTime = 15 * time.Second
+	downTime  = 2 * time.Second // of a crashed engine
 )
 
 type blockList = []prefix.Hash
@@ -29,6 +28,7 @@
 	Length     time.Duration // requests are sent until then
 	Scale      float64       // of the deployment's request rate
 	Disturbed  bool          // an engine crashes and the hot prefixes shift
+	Grain      int           // tokens of a block; 0 is 64
 	HashDepth  int           // blocks that the hash policies place by; 0 takes preamble, template and a part of the document
 }
 
@@ -39,7 +39,17 @@
 	if o.HashDepth > 0 {
 		return o.HashDepth
 	}
-	return (o.Deployment.Traffic.PreambleTokens+o.Deployment.Traffic.TemplateTokens)/blockTokens + documentBlocks
+	return (o.Deployment.Traffic.PreambleTokens+o.Deployment.Traffic.TemplateTokens)/o.grain() + documentBlocks
+}
+
+// usualGrain is the block size of the deployments, in tokens.
+const usualGrain = 64
+
+func (o Options) grain() int {
+	if o.Grain > 0 {
+		return o.Grain
+	}
+	return usualGrain
 }
 
 func (o Options) length() time.Duration  { return o.Length + drainTime }
@@ -71,9 +81,11 @@
 	r := &run{
 		options: options, deployment: options.Deployment, policy: policy, seed: seed, tree: options.Tree,
 		service: options.Deployment.Model.Name, rates: options.Deployment.Rates(), byName: map[string]*engineNode{},
-		byZone: map[string]*routerNode{}, hasher: prefix.NewHasher([prefix.KeyBytes]byte{1}, blockTokens, guard.Set{}),
+		byZone: map[string]*routerNode{}, hasher: prefix.NewHasher([prefix.KeyBytes]byte{1}, options.grain(), guard.Set{}),
 		vault: newVault(options.Deployment.Vault.Blocks), traffic: traffic.New(options.Deployment, seed, options.Scale),
 	}
+	r.rates.CacheBlocks = r.rates.CacheBlocks * usualGrain / options.grain() // the same memory
+	r.vault.limit = r.vault.limit * usualGrain / options.grain()
 	r.measure = newMeasure(r)
 	r.makeNodes()
 	r.clock.After(time.Second, r.send)
--- /dev/null
+++ b/internal/lab/scale/control.go
@@ -0,0 +1,255 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"kitetiller/internal/control"
+	"kitetiller/internal/guard"
+	"kitetiller/internal/ledger"
+	"kitetiller/internal/node"
+	"kitetiller/internal/session"
+	"kitetiller/internal/settings"
+	"kitetiller/internal/transport"
+)
+
+const (
+	clusterToken   = "scale"
+	replicas       = 3
+	heartbeatEvery = 500 * time.Millisecond
+	askTimeout     = 5 * time.Second
+	formTimeout    = 20 * time.Second
+)
+
+// group is a control group of real replicas.
+type group struct {
+	ctx       context.Context
+	servers   []*control.Server
+	addresses []string
+	client    *control.Client // of operators
+}
+
+// startGroup runs three replicas until ctx ends.
+func startGroup(ctx context.Context, folder, platform string) (*group, error) {
+	g := &group{ctx: ctx}
+	var files []*node.File
+	for i := range replicas {
+		internal, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		admin, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		g.addresses = append(g.addresses, internal)
+		name := fmt.Sprintf("control-%d", i+1)
+		files = append(files, &node.File{Name: name, Zone: "z", Data: filepath.Join(folder, name), ClusterToken: clusterToken, AdminToken: clusterToken,
+			Control: &node.Control{Internal: internal, Admin: admin, Replicas: replicas, Platform: platform, Heartbeat: 100 * time.Millisecond,
+				SettingsLease: 3 * time.Second, RepairAfter: time.Minute, SnapshotEvery: 5000}})
+	}
+	for _, file := range files {
+		file.Control.Founders = g.addresses
+		server, err := control.NewServer(ctx, file, zap.NewNop())
+		if err != nil {
+			return nil, err
+		}
+		g.servers = append(g.servers, server)
+		go as(roleControl, func() { _ = server.Run(ctx) }) // ends with ctx
+	}
+	g.client = control.NewClient(transport.NewClient(clusterToken, nil), g.addresses)
+	_, err := g.ask(formTimeout, control.Request{Read: &control.Read{}})
+	return g, err
+}
+
+func (g *group) ask(limit time.Duration, request control.Request) (control.Response, error) {
+	ctx, cancel := context.WithTimeout(g.ctx, limit)
+	defer cancel()
+	return g.client.Ask(ctx, request)
+}
+
+// change makes one edit of the newest version and returns the version it became.
+func (g *group) change(edits ...settings.Edit) (uint64, error) {
+	read, err := g.ask(askTimeout, control.Request{Read: &control.Read{}})
+	if err != nil {
+		return 0, err
+	}
+	id := fmt.Sprintf("scale-%d", time.Now().UnixNano())
+	response, err := g.ask(askTimeout, control.Request{Change: &settings.Change{Base: read.Read.Version, OperationID: id, Edits: edits}})
+	if err != nil {
+		return 0, err
+	}
+	if response.Change.Kind != settings.OutcomeAccepted {
+		return 0, eris.Errorf("change not accepted: %+v", response.Change)
+	}
+	return response.Change.Version, nil
+}
+
+// inForce waits until a version is in force everywhere.
+func (g *group) inForce(version uint64) error {
+	for {
+		read, err := g.ask(askTimeout, control.Request{Read: &control.Read{}})
+		if err != nil || read.Read.InForce >= version {
+			return err
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// hollowRouters are routers that only renew their sessions.
+type hollowRouters struct {
+	group   *group
+	client  *control.Client
+	counter *counter
+	leased  sync.WaitGroup
+	count   int
+}
+
+func newHollowRouters(g *group) *hollowRouters {
+	h := &hollowRouters{group: g, counter: &counter{}}
+	h.client = control.NewClient(transport.NewClientOver(clusterToken, h.counter.dial), g.addresses)
+	return h
+}
+
+// grow adds routers until there are count, and waits until each has a lease.
+func (h *hollowRouters) grow(count int) {
+	for ; h.count < count; h.count++ {
+		machine := session.New(session.Identity{Router: fmt.Sprintf("hollow-%d", h.count), Incarnation: 1, Zone: "z"}, session.Settings{}, heartbeatEvery, guard.Set{})
+		h.leased.Add(1)
+		go as(roleHollow, func() { h.renew(machine) })
+	}
+	h.leased.Wait()
+}
+
+// renew is one hollow router. It takes settings up at once, as if its disk were instant.
+func (h *hollowRouters) renew(machine *session.Machine) {
+	started, first := time.Now(), true
+	for h.group.ctx.Err() == nil {
+		beat := machine.Heartbeat()
+		ctx, cancel := context.WithTimeout(h.group.ctx, askTimeout)
+		response, err := h.client.Once(ctx, control.Request{Heartbeat: &beat})
+		cancel()
+		pause := session.EagerPeriod
+		if err == nil && response.Heartbeat != nil {
+			step := machine.Take(time.Since(started), *response.Heartbeat)
+			pause = step.Pause
+			if step.Save != nil {
+				machine.Saved(*step.Save)
+			}
+			if response.Heartbeat.Lease > 0 && first {
+				first = false
+				h.leased.Done()
+			}
+		}
+		time.Sleep(pause)
+	}
+	if first {
+		h.leased.Done()
+	}
+}
+
+// measureNodes measures control against the number of nodes.
+func measureNodes(g *group, report *Report, sizes []int, length time.Duration) (*hollowRouters, error) {
+	hollow := newHollowRouters(g)
+	var cores, traffic []Point
+	for _, size := range sizes {
+		hollow.grow(size)
+		time.Sleep(heartbeatEvery)
+		before := hollow.counter.total()
+		usage, err := measure(length, func() {})
+		if err != nil {
+			return nil, err
+		}
+		cores = append(cores, Point{float64(size), usage.Cores[roleControl]})
+		traffic = append(traffic, Point{float64(size), (hollow.counter.total() - before) / usage.Wall.Seconds()})
+	}
+	report.add(roleControl, "processor time of all three replicas", "cores", "node", cores)
+	report.add(roleControl, "bytes between nodes and control, both ways", "bytes/s", "node", traffic)
+	return hollow, nil
+}
+
+// measureChanges measures how long a change takes to be in force on all hollow nodes, and what it sends.
+func measureChanges(g *group, hollow *hollowRouters, report *Report, changes int) error {
+	var slowest, total time.Duration
+	before, started := hollow.counter.total(), time.Now()
+	for i := range changes {
+		begun := time.Now()
+		version, err := g.change(settings.Edit{Path: "/", Setting: "queue_limit", Value: json.RawMessage(fmt.Sprint(100 + i))})
+		if err != nil {
+			return err
+		}
+		if err := g.inForce(version); err != nil {
+			return err
+		}
+		took := time.Since(begun)
+		slowest, total = max(slowest, took), total+took
+	}
+	idle := 0.0
+	for _, slope := range report.Slopes {
+		if slope.Unit == "bytes/s" && slope.Per == "node" {
+			idle = slope.Intercept + slope.Slope*float64(hollow.count)
+		}
+	}
+	sent := hollow.counter.total() - before - idle*time.Since(started).Seconds()
+	report.figure(roleControl, fmt.Sprintf("change until in force on %d nodes, mean", hollow.count), "s", total.Seconds()/float64(changes))
+	report.figure(roleControl, fmt.Sprintf("change until in force on %d nodes, slowest of %d", hollow.count, changes), "s", slowest.Seconds())
+	report.figure(roleControl, "bytes a change sends to a node beyond its heartbeats", "bytes", max(0, sent)/float64(changes)/float64(hollow.count))
+	return nil
+}
+
+// measureClaims measures the run ledger: claims a second at three replicas, and the share of the leader's sync.
+func measureClaims(g *group, report *Report, clients int, length time.Duration) error {
+	beat := control.Heartbeat{Router: "claimer", Incarnation: 1, Zone: "z"}
+	opened, err := g.ask(askTimeout, control.Request{Heartbeat: &beat})
+	if err != nil {
+		return err
+	}
+	holder := ledger.Holder{Router: "claimer", Epoch: opened.Heartbeat.Epoch}
+	var granted int
+	var mutex sync.Mutex
+	var workers sync.WaitGroup
+	syncs, synced := g.syncTotals()
+	until := time.Now().Add(length)
+	var spent time.Duration
+	for worker := range clients {
+		workers.Go(func() {
+			as(roleHollow, func() {
+				for i := 0; time.Now().Before(until); i++ {
+					begun := time.Now()
+					claim := ledger.Claim{Key: ledger.Key{Tenant: "t", Service: "s", Key: fmt.Sprintf("%d-%d", worker, i)}, Digest: 1,
+						ClaimID: fmt.Sprintf("%d-%d", worker, i), Holder: holder, RetentionMS: 86_400_000}
+					response, err := g.ask(askTimeout, control.Request{Claim: &claim})
+					mutex.Lock()
+					if err == nil && response.Claim.Kind == ledger.Granted {
+						granted++
+						spent += time.Since(begun)
+					}
+					mutex.Unlock()
+				}
+			})
+		})
+	}
+	workers.Wait()
+	after, afterTime := g.syncTotals()
+	report.figure(roleControl, fmt.Sprintf("ledger claims a second, three replicas, %d clients", clients), "1/s", float64(granted)/length.Seconds())
+	report.figure(roleControl, "mean time of a claim", "ms", spent.Seconds()*1000/float64(max(1, granted)))
+	report.figure(roleControl, "mean time of one write and sync", "ms", (afterTime-synced).Seconds()*1000/float64(max(1, after-syncs)))
+	report.figure(roleControl, "claims that share one write and sync", "claims", float64(granted)*replicas/float64(max(1, after-syncs)))
+	return nil
+}
+
+func (g *group) syncTotals() (uint64, time.Duration) {
+	var count, nanoseconds uint64
+	for _, server := range g.servers {
+		count += server.Syncs().Count.Load()
+		nanoseconds += server.Syncs().Nanoseconds.Load()
+	}
+	return count, time.Duration(nanoseconds)
+}
--- /dev/null
+++ b/internal/lab/scale/path.go
@@ -0,0 +1,133 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/api"
+)
+
+const (
+	pathEngines   = 20
+	promptTokens  = 2000
+	pairedRate    = 100
+	directAttempt = 1 << 40 // attempt ids of direct calls do not meet the router's
+)
+
+// dataPath is a real router in front of hollow engines, with callers beside it.
+type dataPath struct {
+	engines *hollowEngines
+	router  string
+	client  *http.Client
+	prompt  string
+}
+
+func startDataPath(ctx context.Context, g *group, folder string) (*dataPath, error) {
+	engines, err := startHollowEngines(ctx, pathEngines, 0)
+	if err != nil {
+		return nil, err
+	}
+	address, err := startRouter(ctx, g, folder, engines.platform, pathEngines)
+	if err != nil {
+		return nil, err
+	}
+	return &dataPath{engines: engines, router: address, prompt: strings.Repeat("text ", promptTokens*4/5),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}, nil
+}
+
+// routed sends a request through the router.
+func (p *dataPath) routed(tokens int) func(int) (time.Duration, error) {
+	headers := map[string]string{"Authorization": "Bearer " + apiKey}
+	return func(number int) (time.Duration, error) {
+		body := api.CompletionRequest{Model: serviceName, Prompt: fmt.Sprint(number%50, p.prompt), MaxTokens: tokens, Stream: true}
+		return stream(p.client, p.router, "/v1/completions", body, headers)
+	}
+}
+
+// direct sends the same prompt to an engine.
+func (p *dataPath) direct(tokens int) func(int) (time.Duration, error) {
+	return func(number int) (time.Duration, error) {
+		body := api.GenerateRequest{Attempt: directAttempt, Prompt: fmt.Sprint(number%50, p.prompt), MaxTokens: tokens, PromptTokens: promptTokens}
+		return stream(p.client, p.engines.machines[number%pathEngines].Address, api.PathGenerate, body, nil)
+	}
+}
+
+// measureLatency compares the time to first token with and without the router, in turns of one run.
+func (p *dataPath) measureLatency(report *Report, turns int, turn time.Duration) error {
+	const tokens = 5
+	drive(pairedRate, turn/2, p.routed(tokens)) // connections are made before the first figure
+	drive(pairedRate, turn/2, p.direct(tokens))
+	var medians, tails, directMedians, directTails float64
+	for range turns {
+		direct, failed := drive(pairedRate, turn, p.direct(tokens))
+		routed, refused := drive(pairedRate, turn, p.routed(tokens))
+		if failed+refused > 0 {
+			return eris.Errorf("%d direct and %d routed requests failed", failed, refused)
+		}
+		directMedians, directTails = directMedians+quantile(direct, 0.5), directTails+quantile(direct, 0.99)
+		medians, tails = medians+quantile(routed, 0.5), tails+quantile(routed, 0.99)
+	}
+	n := float64(turns)
+	report.figure(roleRouter, "first token through the router, median, 100 requests/s", "ms", medians/n)
+	report.figure(roleRouter, "first token direct, median", "ms", directMedians/n)
+	report.figure(roleRouter, "added to the first token, median", "ms", (medians-directMedians)/n)
+	report.figure(roleRouter, "added to the first token, p99", "ms", (tails-directTails)/n)
+	return nil
+}
+
+// measureWork measures the router's processor time against requests and tokens a second.
+func (p *dataPath) measureWork(report *Report, rates, tokens []int, length time.Duration) error {
+	var byRate, byTokens []Point
+	phase := func(rate, count int) (float64, error) {
+		failed := 0
+		usage, err := measure(length, func() { _, failed = drive(rate, length, p.routed(count)) })
+		if err == nil && failed > 0 {
+			err = eris.Errorf("%d requests failed at %d a second", failed, rate)
+		}
+		return usage.Cores[roleRouter], err
+	}
+	for _, rate := range rates {
+		cores, err := phase(rate, tokens[0])
+		if err != nil {
+			return err
+		}
+		byRate = append(byRate, Point{float64(rate), cores})
+	}
+	for _, count := range tokens {
+		cores, err := phase(rates[1], count)
+		if err != nil {
+			return err
+		}
+		byTokens = append(byTokens, Point{float64(rates[1] * count), cores})
+	}
+	report.add(roleRouter, fmt.Sprintf("processor time, prompts of %d tokens, answers of %d", promptTokens, tokens[0]), "cores", "request/s", byRate)
+	report.add(roleRouter, "processor time of streams", "cores", "token/s", byTokens)
+	return nil
+}
+
+// measureStreams measures the memory of open streams, callers and engines of this process included.
+func (p *dataPath) measureStreams(report *Report, sizes []int) error {
+	var points []Point
+	for _, size := range sizes {
+		p.engines.tokenEvery = 100 * time.Millisecond
+		before := heap()
+		done := make(chan int, 1)
+		go func() {
+			_, failed := drive(size, time.Second, p.routed(30))
+			done <- failed
+		}()
+		time.Sleep(1500 * time.Millisecond)
+		points = append(points, Point{float64(size), heap() - before})
+		if failed := <-done; failed > 0 {
+			return eris.Errorf("%d of %d streams failed", failed, size)
+		}
+	}
+	p.engines.tokenEvery = 0
+	report.add(roleRouter, "heap of open streams, their callers and engines included", "bytes", "stream", points)
+	return nil
+}
--- /dev/null
+++ b/internal/lab/scale/run.go
@@ -0,0 +1,86 @@
+package scale
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"runtime"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Run measures every role. A quick run takes less than a minute; a long one takes longer phases and more sizes.
+func Run(ctx context.Context, quick bool) (*Report, error) {
+	report := &Report{Quick: quick, Cores: runtime.NumCPU()}
+	length := 2 * time.Second
+	nodes, engines := []int{40, 120, 320}, []int{30, 100, 200}
+	if !quick {
+		length = 10 * time.Second
+		nodes, engines = []int{40, 80, 160, 320}, []int{30, 100, 200, 300}
+	}
+	measureIndex(report, []int{100_000, 400_000, 1_000_000})
+	if err := measureLedger(report, []int{10_000, 40_000, 100_000}); err != nil {
+		return nil, err
+	}
+	if err := measureTree(report, []int{190, 950, 1900}, 19); err != nil {
+		return nil, err
+	}
+	measureDecision(report, []int{20, 300, 3100}, 4000)
+	folder, err := os.MkdirTemp("", "scale")
+	if err != nil {
+		return nil, eris.Wrap(err, "make a data folder")
+	}
+	defer os.RemoveAll(folder)
+	run, stop := context.WithCancel(ctx)
+	defer stop()
+	return report, measureProcesses(run, report, folder, nodes, engines, length)
+}
+
+// measureProcesses runs the phases with real control replicas and routers.
+func measureProcesses(ctx context.Context, report *Report, folder string, nodes, engines []int, length time.Duration) error {
+	idle, err := startHollowEngines(ctx, 0, 0)
+	if err != nil {
+		return err
+	}
+	g, err := startGroup(ctx, folder, idle.platform)
+	if err != nil {
+		return err
+	}
+	if err := plantTree(g); err != nil {
+		return err
+	}
+	if err := measurePolls(ctx, g, report, filepath.Join(folder, "polls"), engines, 0, length); err != nil {
+		return err
+	}
+	if err := measurePolls(ctx, g, report, filepath.Join(folder, "changes"), engines, 30, length); err != nil {
+		return err
+	}
+	if err := measureDataPath(ctx, g, report, filepath.Join(folder, "path"), length); err != nil {
+		return err
+	}
+	if err := measureClaims(g, report, 64, length); err != nil {
+		return err
+	}
+	hollow, err := measureNodes(g, report, nodes, length)
+	if err != nil {
+		return err
+	}
+	return measureChanges(g, hollow, report, 10)
+}
+
+func measureDataPath(ctx context.Context, g *group, report *Report, folder string, length time.Duration) error {
+	phase, stop := context.WithCancel(ctx)
+	defer stop()
+	path, err := startDataPath(phase, g, folder)
+	if err != nil {
+		return err
+	}
+	if err := path.measureLatency(report, 3, time.Second); err != nil {
+		return err
+	}
+	if err := path.measureWork(report, []int{50, 100, 200}, []int{5, 50, 100}, length/2); err != nil {
+		return err
+	}
+	return path.measureStreams(report, []int{200, 500, 1000})
+}
--- /dev/null
+++ b/internal/lab/scale/state.go
@@ -0,0 +1,158 @@
+package scale
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"kitetiller/internal/core"
+	"kitetiller/internal/ledger"
+	"kitetiller/internal/prefix"
+	"kitetiller/internal/settings"
+)
+
+const runOfBlocks = 24 // blocks that one event stores or evicts
+
+// chainNumber returns one of many different chains.
+func chainNumber(number, length int) []prefix.Hash {
+	chain := make([]prefix.Hash, length)
+	for i := range chain {
+		binary.LittleEndian.PutUint64(chain[i][:], uint64(number)*0x9e3779b97f4a7c15+1)
+		binary.LittleEndian.PutUint64(chain[i][8:], uint64(i))
+	}
+	return chain
+}
+
+// measureIndex measures the prefix index: memory of a believed block, and processor time of a block change.
+func measureIndex(report *Report, sizes []int) {
+	var memory, change []Point
+	for _, size := range sizes {
+		before := heap()
+		index := prefix.NewIndex(2 * size)
+		for number := range size / runOfBlocks {
+			index.Add(prefix.EngineID(number%300), chainNumber(number, runOfBlocks), 0, prefix.SourceEvent)
+		}
+		memory = append(memory, Point{float64(index.Len()), heap() - before})
+		runs := size / runOfBlocks / 2
+		started := time.Now()
+		for number := range runs {
+			index.Remove(prefix.EngineID(number%300), chainNumber(number, runOfBlocks))
+			index.Add(prefix.EngineID(number%300), chainNumber(number+size, runOfBlocks), time.Second, prefix.SourceEvent)
+		}
+		change = append(change, Point{float64(index.Len()), time.Since(started).Seconds() * 1e6 / float64(2*runs*runOfBlocks)})
+	}
+	report.add("prefix index", "memory", "bytes", "believed block", memory)
+	report.add("prefix index", "processor time of one block change", "us", "believed block", change)
+	report.figure("prefix index", fmt.Sprintf("processor time of one block change at %.0f blocks", change[len(change)-1].Size), "us", change[len(change)-1].Value)
+}
+
+// measureLedger measures the memory and the snapshot of a run record.
+func measureLedger(report *Report, sizes []int) error {
+	var memory, snapshot []Point
+	for _, size := range sizes {
+		before := heap()
+		book := ledger.New()
+		for i := range size {
+			key := ledger.Key{Tenant: "rwanda-university", Service: "grad-portal", Key: fmt.Sprintf("transcript-%08d", i)}
+			id := fmt.Sprintf("router-1-%d-%d", 7, i)
+			book.Claim(ledger.Claim{Key: key, Digest: uint64(i), ClaimID: id, Holder: ledger.Holder{Router: "router-1", Epoch: 7}, RetentionMS: 86_400_000}, 0, true)
+			book.End(ledger.End{Key: key, ClaimID: id, Kind: ledger.EndFinished, Answer: &ledger.Answer{Status: 200, ContentType: "application/json", Body: []byte(`{"confirmed":"54a9b2526a9cd9a1"}`)}}, 0)
+		}
+		memory = append(memory, Point{float64(size), heap() - before})
+		data, err := json.Marshal(book)
+		if err != nil {
+			return err
+		}
+		snapshot = append(snapshot, Point{float64(size), float64(len(data))})
+	}
+	report.add("ledger", "memory", "bytes", "kept answer", memory)
+	report.add("ledger", "snapshot on disk", "bytes", "kept answer", snapshot)
+	return nil
+}
+
+// tenantTree makes a tree with tenants under services.
+func tenantTree(tenants, services int) settings.Tree {
+	tree := settings.NewTree()
+	for s := range services {
+		service := settings.Path(fmt.Sprintf("/*/model-%d", s))
+		kind := "llm"
+		tree.Nodes[service] = settings.Overrides{Kind: &kind}
+		for t := range tenants / services {
+			weight := float64(1 + t%9)
+			digest := []string{fmt.Sprintf("%064x", t*services+s)}
+			tree.Nodes[service+settings.Path(fmt.Sprintf("/tenant-%d", t))] = settings.Overrides{ShareWeight: &weight, APIKeySHA256: &digest}
+		}
+	}
+	return tree
+}
+
+// measureTree measures the tree: memory and size of a snapshot by tenant, and the time to resolve a place.
+func measureTree(report *Report, sizes []int, services int) error {
+	var memory, wire []Point
+	var tree settings.Tree
+	for _, size := range sizes {
+		before := heap()
+		tree = tenantTree(size, services)
+		memory = append(memory, Point{float64(size), heap() - before})
+		data, err := json.Marshal(tree)
+		if err != nil {
+			return err
+		}
+		wire = append(wire, Point{float64(size), float64(len(data))})
+	}
+	report.add("settings tree", "memory", "bytes", "tenant", memory)
+	report.add("settings tree", "whole tree on the wire", "bytes", "tenant", wire)
+	const rounds = 2000
+	started := time.Now()
+	for i := range rounds {
+		tree.Resolve("z", "model-1", fmt.Sprintf("tenant-%d", i%100))
+	}
+	report.figure("settings tree", "time to resolve a place, not yet cached", "us", time.Since(started).Seconds()*1e6/rounds)
+	edits := []settings.Edit{{Path: "/", Setting: "queue_limit", Value: json.RawMessage("77")}}
+	started = time.Now()
+	for range 20 {
+		if _, problems := tree.Apply(edits); len(problems) > 0 {
+			panic("scale: edit is refused: " + problems[0].String())
+		}
+	}
+	report.figure("settings tree", fmt.Sprintf("time to apply and check a change, %d tenants", sizes[len(sizes)-1]), "ms", time.Since(started).Seconds()*1000/20)
+	return nil
+}
+
+// measureDecision measures one routing decision against the number of engines of a service.
+func measureDecision(report *Report, sizes []int, rounds int) {
+	var points []Point
+	for _, size := range sizes {
+		points = append(points, Point{float64(size), decisionTime(size, rounds)})
+	}
+	report.add("router decision", "processor time", "us", "engine of the service", points)
+	report.figure("router decision", fmt.Sprintf("processor time at %d engines", sizes[len(sizes)-1]), "us", points[len(points)-1].Value)
+}
+
+// decisionTime returns microseconds from a request's arrival to its dispatch.
+func decisionTime(engines, rounds int) float64 {
+	c := core.New(core.Config{Router: "r", Zone: "z0", Seed: 1, BlockTokens: 64, IndexLimit: 1_000_000, ImportRate: 40_000})
+	kind := "llm"
+	tree := settings.NewTree()
+	tree.Nodes["/*/s"] = settings.Overrides{Kind: &kind}
+	events := []core.Event{core.EventSettings{Version: 1, Tree: tree}, core.EventLease{Epoch: 1, Until: 1 << 60}}
+	var machines []core.Machine
+	for i := range engines {
+		machines = append(machines, core.Machine{Name: fmt.Sprint(i), Zone: fmt.Sprintf("z%d", i%3), Service: "s", Address: fmt.Sprint(i)})
+	}
+	c.Tick(0, append(events, core.EventPlatform{Machines: machines}))
+	for i := range engines {
+		c.Tick(0, []core.Event{core.EventBackend{Name: fmt.Sprint(i), Report: &core.BackendReport{Incarnation: 1, Weights: "w", Load: core.Load{PrefillRate: 8000}}}})
+	}
+	var spent time.Duration
+	for i := range rounds {
+		request := core.Request{ID: core.RequestID(i + 1), Tenant: "t", Service: "s", PromptTokens: 60 * 64, MaxTokens: 8,
+			Chains: []core.Chain{{Weights: "w", Blocks: chainNumber(i%500, 60)}}}
+		started := time.Now()
+		c.Tick(time.Duration(i)*20*time.Microsecond, []core.Event{core.EventRequest{Request: request}})
+		spent += time.Since(started)
+		c.Tick(time.Duration(i)*20*time.Microsecond, []core.Event{core.EventCallerGone{ID: request.ID}})
+	}
+	return spent.Seconds() * 1e6 / float64(rounds)
+}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -31,6 +31,13 @@
 	return &Client{http: &http.Client{Transport: NewRoundTripper(links)}, token: token}
 }
 
+// NewClientOver returns a client whose connections are made by dial, for runs that count what travels.
+func NewClientOver(token string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
+	over := NewRoundTripper(nil)
+	over.DialContext = dial
+	return &Client{http: &http.Client{Transport: over}, token: token}
+}
+
 // NewRoundTripper returns the transport used towards processes and back ends.
 func NewRoundTripper(links *Links) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
