--- /dev/null
+++ b/internal/operator/golden_test.go
@@ -0,0 +1,94 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"kitetiller/internal/consensus"
+	"kitetiller/internal/control"
+	"kitetiller/internal/core"
+	"kitetiller/internal/router"
+	"kitetiller/internal/settings"
+)
+
+// standIn answers operators' requests with fixed replies.
+func standIn(t *testing.T) *httptest.Server {
+	t.Helper()
+	tree := settings.NewTree()
+	edit := settings.Edit{Path: "/z1/llm", Setting: "queue_limit", Value: json.RawMessage("64")}
+	tree, problems := tree.Apply([]settings.Edit{edit, {Path: "/", Setting: "time_weight", Value: json.RawMessage("0.2")}})
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	status := control.StatusReply{
+		ID: "control-1-aa", Name: "control-1", Role: "leader", Term: 3, Leader: "control-1", LeaseHeld: true, Applied: 91, Version: 7, InForce: 6, Claims: 12,
+		Members: []control.MemberStatus{{Member: consensus.Member{ID: "control-1-aa", Name: "control-1", Address: "10.0.0.1:9000"}, Match: 91},
+			{Member: consensus.Member{ID: "control-2-bb", Name: "control-2", Address: "10.0.0.2:9000", Learner: true}, Match: 60, Silent: 1500 * time.Millisecond}},
+		Engines: []control.EngineStatus{{EngineReport: control.EngineReport{Name: "llm-1", Weights: "w1", Loading: true}, Wanted: "w2"}},
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+control.PathAdmin, func(w http.ResponseWriter, r *http.Request) {
+		var request control.Request
+		if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+			t.Error(err)
+		}
+		response := control.Response{Kind: control.ResponseOK}
+		switch {
+		case request.Status != nil:
+			response.Status = &status
+		case request.Read != nil:
+			response.Read = &control.ReadReply{Version: 7, InForce: 6, Tree: tree, History: []settings.HistoryEntry{{Version: 7, OperationID: "op", Author: "lea", Edits: []settings.Edit{edit}}}}
+		case request.Change != nil:
+			response.Change = &settings.Outcome{Kind: settings.OutcomeConflict, Version: 7, Differing: []settings.Difference{{Path: "/z1/llm", Setting: "queue_limit", After: json.RawMessage("64")}}}
+		}
+		_ = json.NewEncoder(w).Encode(response)
+	})
+	mux.HandleFunc("GET /admin/v1/status", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(router.StatusReply{Name: "router-1", Zone: "z1", Version: 6, LeaseValid: true, Active: 3, Beliefs: 1200,
+			Backends: []core.BackendView{{Machine: core.Machine{Name: "llm-1"}, State: "ready"}, {Machine: core.Machine{Name: "llm-2"}, State: "leaving"}}})
+	})
+	mux.HandleFunc("GET /admin/v1/explain", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode([]core.Decision{{Request: "q1", Tenant: "t", Service: "llm", Lane: "batch", Try: 1, Queued: 2 * time.Millisecond, PromptTokens: 4000,
+			SettingsVersion: 6, Chosen: "llm-1", Considered: 2, Outcome: core.ReasonComplete, Run: core.RunYes,
+			Shortlist: []core.Candidate{{Name: "llm-1", Zone: "z1", Cached: 3200, Uncached: 800, Wait: 20 * time.Millisecond, Predicted: 120 * time.Millisecond, Cost: 0.1},
+				{Name: "llm-2", Zone: "z2", Uncached: 4000, ImportBlocks: 50, Predicted: 600 * time.Millisecond, Cost: 0.5}}}})
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server
+}
+
+// TestOutputOfOperatorsCommands compares each table with its golden file; go test ./internal/operator -update writes them.
+func TestOutputOfOperatorsCommands(t *testing.T) {
+	address := standIn(t).Listener.Addr().String()
+	for _, row := range []struct {
+		name string
+		run  func(*Command) error
+		fail bool
+	}{
+		{"status", (*Command).Status, false},
+		{"members", (*Command).Members, false},
+		{"explain", func(c *Command) error { return c.Explain("q1") }, false},
+		{"get", func(c *Command) error { return c.Get("/", false) }, false},
+		{"get-effective", func(c *Command) error { return c.Get("/z1/llm/t", true) }, false},
+		{"set-conflict", func(c *Command) error { return c.Set("/", "queue_limit", "5", ChangeOptions{Base: 6, OperationID: "x"}) }, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			var out bytes.Buffer
+			command, err := New(Options{Control: address, Routers: address, AdminToken: "t", Output: "table", Out: &out})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := row.run(command); (err != nil) != row.fail {
+				t.Fatalf("error %v", err)
+			}
+			goldie.New(t).Assert(t, row.name, out.Bytes())
+		})
+	}
+}
