hot_copies limits on how many engines a prefix is copied

Cause: the setting did nothing. Change: a prefix that this many engines hold is not copied to another one. Conclusion: the default is 8.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -260,3 +260,20 @@
 		t.Fatalf("run=%s, want unknown", final.Run)
 	}
 }
+
+// TestPrefixIsNotCopiedBeyondItsLimit: with enough holders a prefix is computed or waited for, not copied again.
+func TestPrefixIsNotCopiedBeyondItsLimit(t *testing.T) {
+	for _, limit := range []int{1, 2} {
+		h := newHarness(t, 3)
+		h.core.config.ImportRate = 1_000_000
+		tree := testTree()
+		tree.Nodes["/*/"+testService] = settings.Overrides{Kind: pointer("llm"), HotCopies: pointer(limit), EngineConcurrency: pointer(1)}
+		h.tick(EventSettings{Version: 2, Tree: tree})
+		holder := need[ActionDispatch](t, h.tick(EventRequest{prompt(1, 40)}))
+		h.core.backends[h.core.byName[holder.Backend]].limit = 1 // it takes nothing more
+		second := need[ActionDispatch](t, h.tick(EventRequest{prompt(2, 40)}))
+		if copied := second.ImportBlocks > 0; copied != (limit > 1) {
+			t.Fatalf("hot_copies %d, one holder: copied=%v", limit, copied)
+		}
+	}
+}
--- a/internal/core/score.go
+++ b/internal/core/score.go
@@ -257,6 +257,9 @@
 		return 0, 0
 	}
 	blocks, source := c.bestSource(r, row)
+	if c.holders(blocks) >= r.values.HotCopies {
+		return 0, 0
+	}
 	missing := blocks - candidate.Cached/c.config.BlockTokens
 	if missing < importMinimumBlocks {
 		return 0, 0
@@ -271,6 +274,17 @@
 	return tokens, copyTime
 }
 
+// holders counts the engines that are believed to hold a prefix of a length.
+func (c *Core) holders(blocks int) int {
+	count := 0
+	for _, match := range c.matches {
+		if match.Blocks >= blocks && !match.Doubtful {
+			count++
+		}
+	}
+	return count
+}
+
 // bestSource returns where the longest prefix of a chain can be copied from.
 func (c *Core) bestSource(r *request, row *backend) (int, string) {
 	chain := chainFor(r, row)
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -36,7 +36,7 @@
 	RetentionSeconds     int      `json:"idempotency_retention_s" default:"86400" min:"60" max:"2592000" unit:"s" levels:"root,service" help:"how long a stored answer of a non-repeatable request is kept; afterwards its key is refused"`
 	MaxPromptBytes       int      `json:"max_prompt_bytes" default:"1048576" min:"64" max:"16777216" unit:"bytes" levels:"root,zone,service,tenant" help:"longest request body"`
 	MaxOutputTokens      int      `json:"max_output_tokens" default:"1024" min:"1" max:"100000" unit:"tokens" levels:"root,zone,service,tenant" help:"upper bound of the answer"`
-	HotCopies            int      `json:"hot_copies" default:"4" min:"1" max:"64" unit:"engines" levels:"root,zone,service" help:"most engines on which a hot prefix is kept on purpose"`
+	HotCopies            int      `json:"hot_copies" default:"8" min:"1" max:"64" unit:"engines" levels:"root,zone,service" help:"engines that hold a prefix, above which it is not copied to another one"`
 	HotRequestsPerMinute float64  `json:"hot_requests_per_minute" default:"120" min:"1" max:"1000000" unit:"requests/min" levels:"root,zone,service" help:"rate of one prefix above which another copy is made"`
 	VaultKeep            bool     `json:"vault_keep" default:"true" unit:"flag" levels:"root,zone,service" help:"hot prefixes are also kept in the zone's KV store and imported from there"`
 	SuspectAfterMS       int      `json:"suspect_after_ms" default:"1500" min:"100" max:"60000" unit:"ms" levels:"root,zone,service" help:"silence after which a back end gets no new work"`
