--- a/internal/control/engines.go
+++ b/internal/control/engines.go
@@ -48,6 +48,9 @@
 	}
 }
 
+// Leads reports whether this replica leads, as far as it knows.
+func (s *Server) Leads(ctx context.Context) bool { return ctx.Err() == nil && s.leading() }
+
 // leading asks the decide thread whether this replica leads.
 func (s *Server) leading() bool {
 	answer := make(chan bool, 1)
--- a/internal/lab/scale/control.go
+++ b/internal/lab/scale/control.go
@@ -23,7 +23,8 @@
 const (
 	clusterToken   = "scale"
 	replicas       = 3
-	heartbeatEvery = 500 * time.Millisecond
+	heartbeat      = 100 * time.Millisecond // of the leader
+	heartbeatEvery = 500 * time.Millisecond // of routers
 	askTimeout     = 5 * time.Second
 	formTimeout    = 20 * time.Second
 )
@@ -32,6 +33,7 @@
 type group struct {
 	ctx       context.Context
 	servers   []*control.Server
+	stops     []context.CancelFunc // one for each server
 	addresses []string
 	client    *control.Client // of operators
 }
@@ -52,17 +54,19 @@
 		g.addresses = append(g.addresses, internal)
 		name := fmt.Sprintf("control-%d", i+1)
 		files = append(files, &node.File{Name: name, Zone: "z", Data: filepath.Join(folder, name), ClusterToken: clusterToken, AdminToken: clusterToken,
-			Control: &node.Control{Internal: internal, Admin: admin, Replicas: replicas, Platform: platform, Heartbeat: 100 * time.Millisecond,
+			Control: &node.Control{Internal: internal, Admin: admin, Replicas: replicas, Platform: platform, Heartbeat: heartbeat,
 				SettingsLease: 3 * time.Second, RepairAfter: time.Minute, SnapshotEvery: 5000}})
 	}
 	for _, file := range files {
 		file.Control.Founders = g.addresses
-		server, err := control.NewServer(ctx, file, zap.NewNop())
+		own, stop := context.WithCancel(ctx)
+		server, err := control.NewServer(own, file, zap.NewNop())
 		if err != nil {
+			stop()
 			return nil, err
 		}
-		g.servers = append(g.servers, server)
-		go as(roleControl, func() { _ = server.Run(ctx) }) // ends with ctx
+		g.servers, g.stops = append(g.servers, server), append(g.stops, stop)
+		go as(roleControl, func() { _ = server.Run(own) }) // ends with ctx
 	}
 	g.client = control.NewClient(transport.NewClient(clusterToken, nil), g.addresses)
 	_, err := g.ask(formTimeout, control.Request{Read: &control.Read{}})
@@ -110,10 +114,11 @@
 	counter *counter
 	leased  sync.WaitGroup
 	count   int
+	prefix  string // of the routers' names
 }
 
 func newHollowRouters(g *group) *hollowRouters {
-	h := &hollowRouters{group: g, counter: &counter{}}
+	h := &hollowRouters{group: g, counter: &counter{}, prefix: "hollow"}
 	h.client = control.NewClient(transport.NewClientOver(clusterToken, h.counter.dial), g.addresses)
 	return h
 }
@@ -121,7 +126,7 @@
 // grow adds routers until there are count, and waits until each has a lease.
 func (h *hollowRouters) grow(count int) {
 	for ; h.count < count; h.count++ {
-		machine := session.New(session.Identity{Router: fmt.Sprintf("hollow-%d", h.count), Incarnation: 1, Zone: "z"}, session.Settings{}, heartbeatEvery, guard.Set{})
+		machine := session.New(session.Identity{Router: fmt.Sprintf("%s-%d", h.prefix, h.count), Incarnation: 1, Zone: "z"}, session.Settings{}, heartbeatEvery, guard.Set{})
 		h.leased.Add(1)
 		go as(roleHollow, func() { h.renew(machine) })
 	}
@@ -253,3 +258,37 @@
 	}
 	return count, time.Duration(nanoseconds)
 }
+
+// measureHerd starts many routers at once and measures the time until each serves by the newest settings.
+func measureHerd(g *group, report *Report, count int) {
+	herd := newHollowRouters(g)
+	herd.prefix = "herd"
+	started := time.Now()
+	herd.grow(count)
+	took := time.Since(started)
+	report.figure(roleControl, fmt.Sprintf("herd of %d routers starting at once, until all have a lease at the newest settings", count), "s", took.Seconds())
+	report.figure(roleControl, "bytes of the herd, by router", "bytes", herd.counter.total()/float64(count))
+}
+
+// measureLeaderLoss ends the leading replica and measures the time until the next change is accepted.
+func measureLeaderLoss(g *group, report *Report) error {
+	response, err := g.ask(askTimeout, control.Request{Read: &control.Read{}})
+	if err != nil {
+		return err
+	}
+	version := response.Read.Version
+	started := time.Now()
+	for i, server := range g.servers {
+		if server.Leads(g.ctx) {
+			g.stops[i]()
+		}
+	}
+	change := settings.Change{Base: version, OperationID: "after-loss", Edits: []settings.Edit{{Path: "/", Setting: "queue_limit", Value: json.RawMessage("321")}}}
+	if _, err := g.ask(formTimeout, control.Request{Change: &change}); err != nil {
+		return err
+	}
+	took := time.Since(started)
+	report.figure(roleControl, "loss of the leader until the next accepted change", "s", took.Seconds())
+	report.figure(roleControl, "the same in heartbeats", "heartbeats", took.Seconds()/heartbeat.Seconds())
+	return nil
+}
--- a/internal/lab/scale/path.go
+++ b/internal/lab/scale/path.go
@@ -118,7 +118,7 @@
 		before := heap()
 		done := make(chan int, 1)
 		go func() {
-			_, failed := drive(size, time.Second, p.routed(30))
+			_, failed := drive(size, time.Second, p.routed(20))
 			done <- failed
 		}()
 		time.Sleep(1500 * time.Millisecond)
@@ -131,3 +131,19 @@
 	report.add(roleRouter, "heap of open streams, their callers and engines included", "bytes", "stream", points)
 	return nil
 }
+
+// measureSteady sends many requests and compares the heap after a tenth of them with the heap after all.
+func (p *dataPath) measureSteady(report *Report, rate, count int) error {
+	part := time.Duration(count/10) * time.Second / time.Duration(rate)
+	if _, failed := drive(rate, part, p.routed(2)); failed > 0 {
+		return eris.Errorf("%d requests failed", failed)
+	}
+	early := heap()
+	if _, failed := drive(rate, 9*part, p.routed(2)); failed > 0 {
+		return eris.Errorf("%d requests failed", failed)
+	}
+	late := heap()
+	report.figure(roleRouter, fmt.Sprintf("heap after %d requests, whole process", count/10), "bytes", early)
+	report.figure(roleRouter, fmt.Sprintf("heap after %d requests, whole process", count), "bytes", late)
+	return nil
+}
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -10,6 +10,12 @@
 	"github.com/rotisserie/eris"
 )
 
+const (
+	herdSize       = 300
+	steadyRequests = 100_000
+	steadyRate     = 900
+)
+
 // Run measures every role. A quick run takes less than a minute; a long one takes longer phases and more sizes.
 func Run(ctx context.Context, quick bool) (*Report, error) {
 	report := &Report{Quick: quick, Cores: runtime.NumCPU()}
@@ -66,7 +72,11 @@
 	if err != nil {
 		return err
 	}
-	return measureChanges(g, hollow, report, 10)
+	if err := measureChanges(g, hollow, report, 10); err != nil {
+		return err
+	}
+	measureHerd(g, report, herdSize)
+	return measureLeaderLoss(g, report)
 }
 
 func measureDataPath(ctx context.Context, g *group, report *Report, folder string, length time.Duration) error {
@@ -82,5 +92,11 @@
 	if err := path.measureWork(report, []int{50, 100, 200}, []int{5, 50, 100}, length/2); err != nil {
 		return err
 	}
-	return path.measureStreams(report, []int{200, 500, 1000})
+	if report.Quick {
+		return path.measureStreams(report, []int{200, 500, 1000})
+	}
+	if err := path.measureStreams(report, []int{500, 1000, 2000}); err != nil {
+		return err
+	}
+	return path.measureSteady(report, steadyRate, steadyRequests)
 }
--- a/internal/operator/golden_test.go
+++ b/internal/operator/golden_test.go
@@ -77,7 +77,9 @@
 		{"explain", func(c *Command) error { return c.Explain("q1") }, false},
 		{"get", func(c *Command) error { return c.Get("/", false) }, false},
 		{"get-effective", func(c *Command) error { return c.Get("/z1/llm/t", true) }, false},
-		{"set-conflict", func(c *Command) error { return c.Set("/", "queue_limit", "5", ChangeOptions{Base: 6, OperationID: "x"}) }, true},
+		{"set-conflict", func(c *Command) error {
+			return c.Set("/", "queue_limit", "5", ChangeOptions{Base: 6, OperationID: "x"})
+		}, true},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			var out bytes.Buffer
