A router that serves by its last settings says that it is ready

Cause: /readyz asked for a lease also where the tree says serve_last, so a load balancer would have taken the whole cut-off zone out. Excluded: the core (it served). Tests with a whole router: bad requests, a caller that hangs up, a planned stop, service from its folder without any control replica.

--- /dev/null
+++ b/internal/router/server_test.go
@@ -0,0 +1,273 @@
+package router
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/api"
+	"kitetiller/internal/core"
+	"kitetiller/internal/node"
+	"kitetiller/internal/prefix"
+	"kitetiller/internal/session"
+	"kitetiller/internal/settings"
+	"kitetiller/internal/storage"
+)
+
+const (
+	testKey     = "key"
+	testTenant  = "tenant"
+	testService = "llm"
+	patience    = 20 * time.Second // how long a test waits for something that must happen
+)
+
+// site is a router process in this test's process, with one engine and no control group: it serves by the settings
+// of its folder, as after a restart in a zone that is cut off.
+type site struct {
+	t         *testing.T
+	engine    *httptest.Server
+	platform  *httptest.Server
+	release   chan struct{} // closed: the engine's streams go on after their first token
+	cancelled atomic.Int32  // attempts whose connection was closed on the engine
+	address   string
+	stop      context.CancelFunc
+	stopped   chan error
+}
+
+func testSettings() settings.Tree {
+	digest := sha256.Sum256([]byte(testKey))
+	kind, keys, cutOff, bytes := settings.KindLLM, []string{hex.EncodeToString(digest[:])}, "serve_last", 4096
+	small, once := settings.KindService, false
+	tree := settings.NewTree()
+	tree.Nodes["/"] = settings.Overrides{WhenCutOff: &cutOff, MaxPromptBytes: &bytes}
+	tree.Nodes["/*"] = settings.Overrides{}
+	tree.Nodes["/*/"+testService] = settings.Overrides{Kind: &kind}
+	tree.Nodes["/*/small"] = settings.Overrides{Kind: &small, Repeatable: &once}
+	tree.Nodes["/*/"+testService+"/"+testTenant] = settings.Overrides{APIKeySHA256: &keys}
+	return tree
+}
+
+func startSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{t: t, release: make(chan struct{}), stopped: make(chan error, 1)}
+	s.engine = httptest.NewServer(s.engineRoutes())
+	t.Cleanup(s.engine.Close)
+	s.platform = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		machine := core.Machine{Name: "e1", Zone: "z", Service: testService, Address: s.engine.Listener.Addr().String()}
+		_ = json.NewEncoder(w).Encode(api.MachinesReply{Machines: []core.Machine{machine}})
+	}))
+	t.Cleanup(s.platform.Close)
+	folder := t.TempDir()
+	if err := storage.WriteJSON(filepath.Join(folder, settingsFile), session.Settings{Version: 7, Tree: testSettings()}); err != nil {
+		t.Fatal(err)
+	}
+	s.start(folder)
+	return s
+}
+
+func (s *site) engineRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+api.PathState, func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(api.StateReply{Report: core.BackendReport{Incarnation: 1, Weights: "w1", Load: core.Load{PrefillRate: 8000}}})
+	})
+	mux.HandleFunc("POST "+api.PathGenerate, s.generate)
+	return mux
+}
+
+// generate gives one token, waits for the release, and gives the rest.
+func (s *site) generate(w http.ResponseWriter, r *http.Request) {
+	var request api.GenerateRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		s.t.Error(err)
+		return
+	}
+	send := func(event api.GenerateEvent) {
+		event.Attempt = request.Attempt
+		data, _ := json.Marshal(event)
+		fmt.Fprintf(w, "data: %s\n\n", data)
+		_ = http.NewResponseController(w).Flush()
+	}
+	send(api.GenerateEvent{Kind: api.GenerateStarted, Incarnation: 1})
+	for index := range request.MaxTokens {
+		if index == 1 {
+			select {
+			case <-s.release:
+			case <-r.Context().Done():
+				s.cancelled.Add(1)
+				return
+			}
+		}
+		send(api.GenerateEvent{Kind: api.GenerateToken, Index: index, Text: fmt.Sprintf("t%d ", index)})
+	}
+	send(api.GenerateEvent{Kind: api.GenerateDone, Index: request.MaxTokens})
+}
+
+func (s *site) start(folder string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.address = listener.Addr().String()
+	_ = listener.Close()
+	file := &node.File{Name: "r1", Zone: "z", Data: folder, AdminToken: "admin", Router: &node.Router{
+		Listen: s.address, Control: []string{"127.0.0.1:1"}, Platform: s.platform.Listener.Addr().String(), PrefixKey: strings.Repeat("01", prefix.KeyBytes),
+		BlockTokens: 64, IndexBlocks: 1000, PollEvery: 20 * time.Millisecond, HeartbeatEvery: time.Second, DrainLimit: patience, MaxConnections: 100}}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	server, err := NewServer(ctx, file, zap.NewNop())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	go func() { s.stopped <- server.Run(ctx) }()
+	s.t.Cleanup(func() {
+		cancel()
+		select {
+		case <-s.release:
+		default:
+			close(s.release)
+		}
+	})
+	s.eventually("the router is ready", func() bool {
+		response, err := http.Get("http://" + s.address + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+func (s *site) eventually(what string, check func() bool) {
+	s.t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if check() {
+			return
+		}
+	}
+	s.t.Fatalf("never happened: %s", what)
+}
+
+func (s *site) post(path, key, body string, headers ...string) *http.Response {
+	s.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+s.address+path, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+const goodBody = `{"model":"llm","prompt":"hello","max_tokens":4,"stream":true}`
+
+// TestRouterServesFromItsFolder: a router that restarts without any control replica in reach serves at once where the
+// tree allows it.
+func TestRouterServesFromItsFolder(t *testing.T) {
+	s := startSite(t)
+	close(s.release)
+	text, err := io.ReadAll(s.post("/v1/completions", testKey, goodBody).Body)
+	if err != nil || !strings.Contains(string(text), "t3 ") || !strings.HasSuffix(strings.TrimSpace(string(text)), "[DONE]") {
+		t.Fatalf("%v: %s", err, text)
+	}
+}
+
+// TestBadRequestsGetAClearError: each is refused with what is wrong, and the next good one is served.
+func TestBadRequestsGetAClearError(t *testing.T) {
+	s := startSite(t)
+	close(s.release)
+	for _, row := range []struct {
+		name, path, key, body string
+		headers               []string
+		status                int
+		run                   core.Run
+	}{
+		{"no key", "/v1/completions", "", goodBody, nil, 401, core.RunNot},
+		{"unknown key", "/v1/completions", "other", goodBody, nil, 401, core.RunNot},
+		{"not JSON", "/v1/completions", testKey, "{", nil, 400, core.RunNot},
+		{"no prompt", "/v1/completions", testKey, `{"model":"llm"}`, nil, 400, core.RunNot},
+		{"negative tokens", "/v1/completions", testKey, `{"model":"llm","prompt":"x","max_tokens":-1}`, nil, 400, core.RunNot},
+		{"unknown model", "/v1/completions", testKey, `{"model":"other","prompt":"x"}`, nil, 404, core.RunNot},
+		{"too long", "/v1/completions", testKey, strings.Repeat("x", 5000), nil, 413, core.RunNot},
+		{"unknown priority", "/v1/completions", testKey, goodBody, []string{api.HeaderPriority, "now"}, 400, core.RunNot},
+		{"unknown service", "/v1/services/none", testKey, "{}", nil, 404, core.RunNot},
+		{"no idempotency key", "/v1/services/small", testKey, "{}", nil, 400, core.RunNot},
+		{"key may have run before", "/v1/services/small", "other", "{}", []string{api.HeaderIdempotencyKey, "k"}, 401, core.RunUnknown},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			response := s.post(row.path, row.key, row.body, row.headers...)
+			var problem api.Problem
+			if err := json.NewDecoder(response.Body).Decode(&problem); err != nil {
+				t.Fatal(err)
+			}
+			if response.StatusCode != row.status || problem.Run != row.run || problem.Title == "" {
+				t.Fatalf("status %d, %+v", response.StatusCode, problem)
+			}
+		})
+	}
+	if text, _ := io.ReadAll(s.post("/v1/completions", testKey, goodBody).Body); !strings.Contains(string(text), "[DONE]") {
+		t.Fatalf("after the bad requests: %s", text)
+	}
+}
+
+// TestCallerThatHangsUpCancelsTheEngine: the engine must not go on for nobody.
+func TestCallerThatHangsUpCancelsTheEngine(t *testing.T) {
+	s := startSite(t)
+	response := s.post("/v1/completions", testKey, goodBody)
+	if _, err := bufio.NewReader(response.Body).ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	s.eventually("the engine's attempt is cancelled", func() bool { return s.cancelled.Load() == 1 })
+}
+
+// TestPlannedStopFinishesTheStream: SIGTERM ends Run only after the stream in flight is whole; new requests are
+// refused meanwhile.
+func TestPlannedStopFinishesTheStream(t *testing.T) {
+	s := startSite(t)
+	response := s.post("/v1/completions", testKey, goodBody)
+	reader := bufio.NewReader(response.Body)
+	if _, err := reader.ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	s.stop()
+	s.eventually("new requests are refused", func() bool {
+		refused := s.post("/v1/completions", testKey, goodBody)
+		return refused.StatusCode == http.StatusServiceUnavailable && refused.Header.Get(api.HeaderDraining) != ""
+	})
+	close(s.release)
+	rest, err := io.ReadAll(reader)
+	if err != nil || !strings.Contains(string(rest), "t3 ") || !strings.Contains(string(rest), "[DONE]") {
+		t.Fatalf("%v: %s", err, rest)
+	}
+	select {
+	case err := <-s.stopped:
+		if err != nil {
+			t.Fatal(err)
+		}
+	case <-time.After(patience):
+		t.Fatal("the router did not end after its last stream")
+	}
+}
