A settings change is checked where it edits, and as a whole for contradictions

Cause: kitelab scale: applying one change to a tree of 1,900 tenants took 12 to 14 ms, on every replica and every router. Excluded: cloning the map, encoding. Change: only edited nodes are checked one by one. A property test holds what is accepted against the whole check.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -114,6 +114,24 @@
 	return problems
 }
 
+// checkEdited checks the nodes that edits touched, and the whole for contradictions. The other nodes were checked
+// when they were made; a change to a large tree must not check all of it again.
+func (t Tree) checkEdited(edits []Edit) []Problem {
+	if len(edits) >= len(t.Nodes) || len(t.Nodes) > maxNodes {
+		return t.Check()
+	}
+	var problems []Problem
+	seen := map[Path]bool{}
+	for _, edit := range edits {
+		node, held := t.Nodes[edit.Path]
+		if held && !seen[edit.Path] {
+			problems = append(problems, checkNode(edit.Path, node)...)
+		}
+		seen[edit.Path] = true
+	}
+	return append(problems, t.checkWhole()...)
+}
+
 // checkWhole finds contradictions between nodes.
 func (t Tree) checkWhole() []Problem {
 	var problems []Problem
@@ -157,7 +175,7 @@
 		}
 	}
 	if len(problems) == 0 {
-		problems = next.Check()
+		problems = next.checkEdited(edits)
 	}
 	if len(problems) > 0 {
 		return t, problems
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -229,3 +229,27 @@
 		}
 	})
 }
+
+// TestAcceptedTreesPassTheWholeCheck: checking only what was edited must accept nothing that the whole check refuses.
+func TestAcceptedTreesPassTheWholeCheck(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tree := NewTree()
+		path := rapid.SampledFrom([]Path{"/", "/z", "/z/s", "/*/s", "/z/s/t", "/*/s/u", "bad path", "/z/s/t/x"})
+		setting := rapid.SampledFrom([]string{"queue_limit", "time_weight", "recompute_weight", "kind", "repeatable", "api_key_sha256", "none"})
+		value := rapid.SampledFrom([]string{"0", "5", "-1", `"llm"`, `"service"`, "false", `["` + strings.Repeat("a", 64) + `"]`, "null", "{"})
+		for range rapid.IntRange(1, 25).Draw(t, "changes") {
+			var edits []Edit
+			for range rapid.IntRange(1, 3).Draw(t, "edits") {
+				edits = append(edits, Edit{Path: path.Draw(t, "path"), Setting: setting.Draw(t, "setting"), Value: raw(value.Draw(t, "value"))})
+			}
+			next, problems := tree.Apply(edits)
+			if len(problems) > 0 {
+				continue
+			}
+			if found := next.Check(); len(found) > 0 {
+				t.Fatalf("%+v was accepted, but: %v", edits, found)
+			}
+			tree = next
+		}
+	})
+}
