A stream with a dropped token never ends clean

Cause: found by reading. When a slow caller's ring was full and the event ring was full too, the news of it was shed; the stream then ended as complete with tokens missing. Change: the final answer is not complete once a token was dropped, and the core is told again with the next token. Before: the new test ends as complete. After: as caller-gone.

--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -49,7 +49,8 @@
 	attempts    int32                  // owned by the decide thread
 	lastAttempt uint64                 // owned by the decide thread
 	firstToken  bool                   // owned by the decide thread
-	slow        bool                   // owned by the decide thread
+	slow        bool                   // owned by the decide thread: a token was dropped
+	givenUp     bool                   // owned by the decide thread: the core knows
 }
 
 // serve passes a request to the core and its answer to the caller.
@@ -105,7 +106,11 @@
 // deliverChunk puts a token into the caller's ring; a full ring gives the request up.
 func (s *Server) deliverChunk(action core.ActionChunk) {
 	run := s.exchange(action.ID)
-	if run == nil || run.slow {
+	if run == nil {
+		return
+	}
+	if run.slow {
+		s.giveUp(run)
 		return
 	}
 	if !run.firstToken {
@@ -116,7 +121,14 @@
 	case run.tokens <- token{index: action.Index, text: action.Text}:
 	default:
 		run.slow = true
-		s.offer(core.EventCallerGone{ID: action.ID})
+		s.giveUp(run)
+	}
+}
+
+// giveUp tells the core that a caller reads too slowly, again with each token while the event ring is full.
+func (s *Server) giveUp(run *exchange) {
+	if !run.givenUp {
+		run.givenUp = s.offer(core.EventCallerGone{ID: run.request.ID})
 	}
 }
 
@@ -126,6 +138,9 @@
 	if run == nil {
 		return
 	}
+	if run.slow && action.Reason == core.ReasonComplete {
+		action.Reason = core.ReasonCallerGone // tokens were dropped: the caller's stream is not whole
+	}
 	s.unregister(action.ID)
 	s.logFinish(run, action)
 	run.final <- action
--- a/internal/router/send_test.go
+++ b/internal/router/send_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"testing"
 
+	"go.uber.org/zap"
+
 	"kitetiller/internal/core"
 	"kitetiller/internal/transport"
 )
@@ -85,3 +87,19 @@
 		t.Fatal("a back end's redirect sent the request a second time")
 	}
 }
+
+// TestStreamWithADroppedTokenNeverEndsClean: when a caller's ring is full and even the decision to give the caller up
+// is shed, the stream must not be told to be complete.
+func TestStreamWithADroppedTokenNeverEndsClean(t *testing.T) {
+	s := &Server{events: make(chan core.Event), waiting: map[core.RequestID]*exchange{}, log: zap.NewNop()}
+	s.metrics = newMetrics(s)
+	run := &exchange{tokens: make(chan token, 1), final: make(chan core.ActionFinish, 1)}
+	s.waiting[1] = run
+	for index := range 3 {
+		s.deliverChunk(core.ActionChunk{ID: 1, Index: index})
+	}
+	s.deliverFinish(core.ActionFinish{ID: 1, Reason: core.ReasonComplete, Run: core.RunYes, Tokens: 3})
+	if final := <-run.final; final.Reason == core.ReasonComplete {
+		t.Fatalf("2 of 3 tokens were dropped, and the stream ended as %s", final.Reason)
+	}
+}
