Control counts a settings lease one eighth longer than the router

Cause: leases assumed clocks of equal speed; the simulator had none that differ. Excluded: the leader lease (it has a margin of two heartbeats in seven). Before: not tested.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -46,13 +46,13 @@
 	loads   int // at the same time, of the whole service
 }
 
-func newLeadership(now time.Duration, term uint64, lease time.Duration, machine *Machine) *leadership {
+func newLeadership(now time.Duration, term uint64, leaseEnd time.Duration, machine *Machine) *leadership {
 	lead := &leadership{
 		since: now, term: term, routers: map[string]*routerLease{},
 		opening: map[string]bool{}, engines: map[string]*engineState{},
 	}
 	for router := range machine.sessions {
-		lead.routers[router] = &routerLease{expires: now + lease}
+		lead.routers[router] = &routerLease{expires: leaseEnd}
 	}
 	return lead
 }
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -142,7 +142,7 @@
 		r.failWaiters()
 	}
 	if r.lead == nil && leads {
-		r.lead = newLeadership(now, r.node.Term(), r.config.SettingsLease, r.machine)
+		r.lead = newLeadership(now, r.node.Term(), r.leaseEnd(now), r.machine)
 	}
 }
 
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"kitetiller/internal/guard"
 	"kitetiller/internal/ledger"
 )
 
@@ -48,13 +49,25 @@
 	if session.Epoch == 0 {
 		return Response{Kind: ResponseNoQuorum} // an older incarnation
 	}
-	lease := &routerLease{expires: now + r.config.SettingsLease}
+	lease := &routerLease{expires: r.leaseEnd(now)}
 	r.lead.routers[session.Router] = lease
 	lease.offered = r.machine.settings.Version()
 	tree := r.machine.settings.Tree()
 	return Response{Kind: ResponseOK, Heartbeat: &HeartbeatReply{Epoch: session.Epoch, Version: lease.offered, Tree: &tree}}
 }
 
+// leaseMarginShare is the part of a lease, as its inverse, by which control counts it longer than the router, so that
+// a router whose clock runs slowly has stopped when control thinks so.
+const leaseMarginShare = 8
+
+// leaseEnd returns when a lease granted now has ended at the router for certain.
+func (r *Replica) leaseEnd(now time.Duration) time.Duration {
+	if !r.config.Guards.On(guard.LeaseMargin) {
+		return now + r.config.SettingsLease
+	}
+	return now + r.config.SettingsLease + r.config.SettingsLease/leaseMarginShare
+}
+
 // renew extends a lease, unless the router has not taken up the version it was sent before.
 func (r *Replica) renew(now time.Duration, lease *routerLease, beat Heartbeat) *HeartbeatReply {
 	lease.acked = max(lease.acked, beat.Acked)
@@ -62,7 +75,7 @@
 	reply := &HeartbeatReply{Epoch: beat.Epoch, Version: version, Base: beat.Acked}
 	if beat.HasSettings && beat.Acked >= lease.offered {
 		reply.Lease = r.config.SettingsLease
-		lease.expires = now + r.config.SettingsLease
+		lease.expires = r.leaseEnd(now)
 	}
 	edits, reachable := r.machine.settings.EditsSince(beat.Acked)
 	if beat.HasSettings && reachable {
@@ -82,7 +95,7 @@
 func (r *Replica) expireSessions(now time.Duration) {
 	for router := range r.machine.sessions {
 		if r.lead.routers[router] == nil { // opened under an earlier leader, applied after the election
-			r.lead.routers[router] = &routerLease{expires: now + r.config.SettingsLease}
+			r.lead.routers[router] = &routerLease{expires: r.leaseEnd(now)}
 		}
 	}
 	for _, router := range sortedKeys(r.lead.routers) {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -26,6 +26,7 @@
 	DrainBeforeExit    Guard = "drain-before-exit"     // a planned stop waits for running streams
 	VersionMonotonic   Guard = "settings-never-revert" // a router keeps the newest version it acknowledged
 	PersistedSettings  Guard = "settings-synced-copy"  // a router restarts from its synced settings
+	LeaseMargin        Guard = "lease-margin"          // control counts a lease longer than the router does
 	AmbiguousNotResent Guard = "ambiguous-not-resent"  // a non-repeatable attempt with unknown result is not tried again
 )
 
@@ -35,7 +36,7 @@
 		FenceCheck, ClaimBeforeRun, TenantInHash, WeightsInHash, IncarnationCheck, SyncBeforeAck,
 		LearnerBeforeVote, LeaseAtDispatch, VersionCheck, OperationCheck, StreamIndexCheck,
 		EndOfStreamCheck, AttemptCheck, NotRunProof, LeavingCheck, DrainBeforeExit,
-		VersionMonotonic, PersistedSettings, AmbiguousNotResent,
+		VersionMonotonic, PersistedSettings, LeaseMargin, AmbiguousNotResent,
 	}
 }
 
--- a/internal/lab/scale/path.go
+++ b/internal/lab/scale/path.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,6 +18,7 @@
 	pathEngines   = 20
 	promptTokens  = 2000
 	pairedRate    = 100
+	tokenGap      = 20 * time.Millisecond
 	directAttempt = 1 << 40 // attempt ids of direct calls do not meet the router's
 )
 
@@ -45,7 +48,7 @@
 	headers := map[string]string{"Authorization": "Bearer " + apiKey}
 	return func(number int) (time.Duration, error) {
 		body := api.CompletionRequest{Model: serviceName, Prompt: fmt.Sprint(number%50, p.prompt), MaxTokens: tokens, Stream: true}
-		return stream(p.client, p.router, "/v1/completions", body, headers)
+		return stream(p.client, p.router, "/v1/completions", body, headers, nil)
 	}
 }
 
@@ -53,7 +56,7 @@
 func (p *dataPath) direct(tokens int) func(int) (time.Duration, error) {
 	return func(number int) (time.Duration, error) {
 		body := api.GenerateRequest{Attempt: directAttempt, Prompt: fmt.Sprint(number%50, p.prompt), MaxTokens: tokens, PromptTokens: promptTokens}
-		return stream(p.client, p.engines.machines[number%pathEngines].Address, api.PathGenerate, body, nil)
+		return stream(p.client, p.engines.machines[number%pathEngines].Address, api.PathGenerate, body, nil, nil)
 	}
 }
 
@@ -80,6 +83,35 @@
 	return nil
 }
 
+// measureGaps measures the time between tokens through the router, of engines that give one every tokenGap.
+func (p *dataPath) measureGaps(report *Report, rate int, length time.Duration) error {
+	p.engines.tokenEvery = tokenGap
+	defer func() { p.engines.tokenEvery = 0 }()
+	var mutex sync.Mutex
+	var gaps []time.Duration
+	headers := map[string]string{"Authorization": "Bearer " + apiKey}
+	_, failed := drive(rate, length, func(number int) (time.Duration, error) {
+		body := api.CompletionRequest{Model: serviceName, Prompt: fmt.Sprint(number, p.prompt), MaxTokens: 40, Stream: true}
+		var last time.Time
+		return stream(p.client, p.router, "/v1/completions", body, headers, func() {
+			now := time.Now()
+			if !last.IsZero() {
+				mutex.Lock()
+				gaps = append(gaps, now.Sub(last))
+				mutex.Unlock()
+			}
+			last = now
+		})
+	})
+	if failed > 0 {
+		return eris.Errorf("%d streams failed", failed)
+	}
+	slices.Sort(gaps)
+	report.figure(roleRouter, fmt.Sprintf("between tokens through the router, engines give one every %v, median", tokenGap), "ms", quantile(gaps, 0.5))
+	report.figure(roleRouter, "between tokens through the router, p95", "ms", quantile(gaps, 0.95))
+	return nil
+}
+
 // measureWork measures the router's processor time against requests and tokens a second.
 func (p *dataPath) measureWork(report *Report, rates, tokens []int, length time.Duration) error {
 	var byRate, byTokens []Point
@@ -111,17 +143,19 @@
 }
 
 // measureStreams measures the memory of open streams, callers and engines of this process included.
-func (p *dataPath) measureStreams(report *Report, sizes []int) error {
+func (p *dataPath) measureStreams(report *Report, sizes []int, opening time.Duration) error {
+	const every, after = 100 * time.Millisecond, 500 * time.Millisecond
+	tokens := int((opening + 2*after) / every) // the first stream is open until the last one is
 	var points []Point
 	for _, size := range sizes {
-		p.engines.tokenEvery = 100 * time.Millisecond
+		p.engines.tokenEvery = every
 		before := heap()
 		done := make(chan int, 1)
 		go func() {
-			_, failed := drive(size, time.Second, p.routed(20))
+			_, failed := drive(int(float64(size)/opening.Seconds()), opening, p.routed(tokens))
 			done <- failed
 		}()
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(opening + after)
 		points = append(points, Point{float64(size), heap() - before})
 		if failed := <-done; failed > 0 {
 			return eris.Errorf("%d of %d streams failed", failed, size)
--- a/internal/lab/scale/router.go
+++ b/internal/lab/scale/router.go
@@ -232,8 +232,8 @@
 	return usage, engines.counter.total() - before, err
 }
 
-// stream sends one request and returns the time to its first token.
-func stream(client *http.Client, address, path string, body any, headers map[string]string) (time.Duration, error) {
+// stream sends one request and returns the time to its first token. onToken, if any, is called for each token.
+func stream(client *http.Client, address, path string, body any, headers map[string]string, onToken func()) (time.Duration, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return 0, err
@@ -257,9 +257,15 @@
 	first := time.Duration(0)
 	scanner := bufio.NewScanner(response.Body)
 	for scanner.Scan() {
-		if first == 0 && strings.Contains(scanner.Text(), "word") {
+		if !strings.Contains(scanner.Text(), "word") {
+			continue
+		}
+		if first == 0 {
 			first = time.Since(started)
 		}
+		if onToken != nil {
+			onToken()
+		}
 	}
 	return first, scanner.Err()
 }
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -89,13 +89,16 @@
 	if err := path.measureLatency(report, 3, time.Second); err != nil {
 		return err
 	}
+	if err := path.measureGaps(report, 40, time.Second); err != nil {
+		return err
+	}
 	if err := path.measureWork(report, []int{50, 100, 200}, []int{5, 50, 100}, length/2); err != nil {
 		return err
 	}
 	if report.Quick {
-		return path.measureStreams(report, []int{200, 500, 1000})
+		return path.measureStreams(report, []int{200, 500, 1000}, 2*time.Second)
 	}
-	if err := path.measureStreams(report, []int{500, 1000, 2000}); err != nil {
+	if err := path.measureStreams(report, []int{500, 1000, 2000}, 10*time.Second); err != nil {
 		return err
 	}
 	return path.measureSteady(report, steadyRate, steadyRequests)
--- a/internal/lab/sim/callers.go
+++ b/internal/lab/sim/callers.go
@@ -109,8 +109,12 @@
 
 // sendAnywhere sends a job to a router that takes connections; callers reach every zone.
 func (c *callers) sendAnywhere(j *job, resumeFrom int) {
+	c.sendTo(j, pick(c.w, c.w.routers), resumeFrom)
+}
+
+// sendTo sends a job to one router.
+func (c *callers) sendTo(j *job, router *routerNode, resumeFrom int) {
 	j.sends++
-	router := pick(c.w, c.w.routers)
 	run := &exchange{job: j, router: router, next: resumeFrom, resumeFrom: resumeFrom}
 	c.w.oracle.requests++
 	if !router.up {
--- a/internal/lab/sim/control.go
+++ b/internal/lab/sim/control.go
@@ -49,7 +49,7 @@
 	joining  *asker
 }
 
-func (n *controlNode) clock() time.Duration { return n.w.now() - n.startedAt }
+func (n *controlNode) clock() time.Duration { return n.elapsed(n.startedAt, n.w.now()) }
 
 func (n *controlNode) unixMS() int64 { return wallStart + (n.w.now() + n.wallSkew).Milliseconds() }
 
@@ -174,7 +174,7 @@
 }
 
 func (n *controlNode) setWake() {
-	due := n.startedAt + n.replica.NextDue()
+	due := n.trueTime(n.startedAt, n.replica.NextDue())
 	if n.wakeAt > n.w.now() && n.wakeAt <= due {
 		return
 	}
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -44,6 +44,7 @@
 	{"race of operators", (*world).faultRace},
 	{"weights changed back and forth", (*world).faultFlipWeights},
 	{"order under way while its leader is frozen", (*world).faultSlowOrder},
+	{"change while a router is cut off, watched to the end of its lease", (*world).faultLeaseEnds},
 	{"wall clock jump", (*world).faultClockJump},
 	{"hot prefix shift", (*world).faultShift},
 	{"control blackout with router restarts", (*world).faultBlackout},
--- a/internal/lab/sim/mischief.go
+++ b/internal/lab/sim/mischief.go
@@ -166,3 +166,28 @@
 	}
 	w.operators[0].flipWeights()
 }
+
+// faultLeaseEnds watches the end of a lease several times.
+func (w *world) faultLeaseEnds() {
+	for round := range 3 {
+		w.after(time.Duration(round)*6*time.Second, w.faultLeaseEnd)
+	}
+}
+
+// faultLeaseEnd cuts a router off, changes the tree, and sends requests to that router while operators look again and
+// again whether the change is in force: the router must have stopped by then, however its clock runs.
+func (w *world) faultLeaseEnd() {
+	const length = 4 * time.Second
+	leader := w.leader()
+	r := pick(w, w.routers)
+	if leader == nil || r.zone == serveLastZone || r.zone == leader.zone {
+		return
+	}
+	w.controlTrouble(length)
+	w.after(length, w.cutZone(r.zone))
+	w.after(100*time.Millisecond, w.operators[0].flipWeights)
+	for at := settingsLease * 3 / 4; at < settingsLease*5/4; at += 10 * time.Millisecond {
+		w.after(at, w.operators[1].read)
+		w.after(at, func() { w.callers.sendTo(w.callers.newJob(), r, 0) })
+	}
+}
--- a/internal/lab/sim/process.go
+++ b/internal/lab/sim/process.go
@@ -13,12 +13,26 @@
 	life    int // raised at each start and each end
 	up      bool
 	frozen  bool
+	speed   float64      // of its monotonic clock
 	backlog []func()     // what arrived while it was frozen
 	open    []connection // connections that break when it dies
 }
 
+// clockSkew is how much faster or slower than true time a process's monotonic clock may run.
+const clockSkew = 0.05
+
+// elapsed returns what the process's clock shows between two true times.
+func (p *process) elapsed(from, to time.Duration) time.Duration {
+	return time.Duration(float64(to-from) * p.speed)
+}
+
+// trueTime returns when the process's clock, started at a true time, shows a reading.
+func (p *process) trueTime(start, reading time.Duration) time.Duration {
+	return start + time.Duration(float64(reading)/p.speed)
+}
+
 func newProcess(w *world, name, zone string) *process {
-	return &process{w: w, name: name, zone: zone}
+	return &process{w: w, name: name, zone: zone, speed: 1 + clockSkew*(2*w.random.Float64()-1)}
 }
 
 // start begins a new life.
--- a/internal/lab/sim/router.go
+++ b/internal/lab/sim/router.go
@@ -41,7 +41,7 @@
 	thawedAt    time.Duration
 }
 
-func (r *routerNode) clock() time.Duration { return r.w.now() - r.startedAt }
+func (r *routerNode) clock() time.Duration { return r.elapsed(r.startedAt, r.w.now()) }
 
 // boot starts the process from its disk.
 func (r *routerNode) boot() {
@@ -88,7 +88,7 @@
 
 func (r *routerNode) setWake() {
 	due, any := r.core.NextDue()
-	due += r.startedAt
+	due = r.trueTime(r.startedAt, due)
 	if !any || (r.wakeAt > r.w.now() && r.wakeAt <= due) {
 		return
 	}
