--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"os"
+	"reflect"
 	"strings"
 	"testing"
 )
@@ -59,3 +61,30 @@
 		}
 	})
 }
+
+// keysOf lists the keys of a node file's type.
+func keysOf(t reflect.Type, prefix string) []string {
+	var keys []string
+	for i := range t.NumField() {
+		field := t.Field(i)
+		key := prefix + field.Tag.Get("yaml")
+		if field.Type.Kind() == reflect.Pointer {
+			keys = append(keys, keysOf(field.Type.Elem(), key+".")...)
+			continue
+		}
+		keys = append(keys, key)
+	}
+	return keys
+}
+
+func TestEveryKeyIsDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/CONFIGURATION.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range keysOf(reflect.TypeFor[File](), "") {
+		if !strings.Contains(string(page), "| `"+key+"` |") {
+			t.Errorf("docs/CONFIGURATION.md does not describe %s", key)
+		}
+	}
+}
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -127,18 +127,29 @@
 	return event
 }
 
-// runGenerate sends an attempt to an engine and reads its stream.
-func (s *Server) runGenerate(ctx context.Context, a *attemptRun) {
-	response, err := s.sendOnce(ctx, a.action.Address, api.PathGenerate, a.generateRequest(s.file))
+// begin sends an attempt and returns the answer of a back end that took it; otherwise it reports why not and returns
+// nil.
+func (s *Server) begin(ctx context.Context, a *attemptRun, path string, body any) *http.Response {
+	response, err := s.sendOnce(ctx, a.action.Address, path, body)
 	if err != nil {
 		s.post(a.failure(err))
-		return
+		return nil
 	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		s.post(a.refusal(response))
+	if response.StatusCode == http.StatusOK {
+		return response
+	}
+	s.post(a.refusal(response))
+	_ = response.Body.Close()
+	return nil
+}
+
+// runGenerate sends an attempt to an engine and reads its stream.
+func (s *Server) runGenerate(ctx context.Context, a *attemptRun) {
+	response := s.begin(ctx, a, api.PathGenerate, a.generateRequest(s.file))
+	if response == nil {
 		return
 	}
+	defer response.Body.Close()
 	if !s.readStream(response.Body, a) {
 		s.post(a.event(core.AttemptBroken))
 	}
@@ -208,19 +219,14 @@
 
 // runService sends an attempt to a small service and reads its whole answer.
 func (s *Server) runService(ctx context.Context, a *attemptRun) {
-	response, err := s.sendOnce(ctx, a.action.Address, api.PathRun, api.RunRequest{
+	response := s.begin(ctx, a, api.PathRun, api.RunRequest{
 		Request: a.run.name, Attempt: a.action.Attempt, Router: s.file.Name, Tenant: a.run.request.Tenant,
 		Key: a.run.request.Key, Body: a.run.body,
 	})
-	if err != nil {
-		s.post(a.failure(err))
+	if response == nil {
 		return
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		s.post(a.refusal(response))
-		return
-	}
 	var reply api.RunResponse
 	if json.NewDecoder(io.LimitReader(response.Body, maximumAnswerBytes)).Decode(&reply) != nil {
 		s.post(a.event(core.AttemptBroken))
