--- a/cmd/kitelab/bench.go
+++ b/cmd/kitelab/bench.go
@@ -27,6 +27,7 @@
 	only       string
 	hashDepth  int
 	grain      int
+	day        time.Duration
 }
 
 func defineBench() command {
@@ -42,6 +43,7 @@
 	sub.Bool(&flags.overload, "", "overload", "also run rising rates, up to twice the saturating one")
 	sub.String(&flags.only, "", "only", "run only this policy")
 	sub.Int(&flags.hashDepth, "", "hash-depth", "blocks that the hash policies place by; 0 chooses")
+	sub.Duration(&flags.day, "", "day", "demand follows the sun from zone to zone, with days of this length")
 	sub.Int(&flags.grain, "", "grain", "tokens of a cache block; 0 is 64")
 	return command{sub, flags.run}
 }
@@ -76,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	options := bench.Options{Deployment: deployment, Tree: tree, Length: f.length, Scale: f.scale, Disturbed: !f.calm, HashDepth: f.hashDepth, Grain: f.grain}
+	options := bench.Options{Deployment: deployment, Tree: tree, Length: f.length, Scale: f.scale, Disturbed: !f.calm, HashDepth: f.hashDepth, Grain: f.grain, Day: f.day}
 	policies := bench.Policies()
 	if f.only != "" {
 		policies = []bench.Policy{bench.Policy(f.only)}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -76,9 +76,6 @@
 // LastIndex returns the index of the newest entry, committed or not.
 func (n *Node) LastIndex() uint64 { return n.log.lastIndex() }
 
-// SnapshotIndex returns the index of the newest snapshot.
-func (n *Node) SnapshotIndex() uint64 { return n.log.base.Index }
-
 // Membership returns the newest membership in the log.
 func (n *Node) Membership() Membership { return n.membership }
 
@@ -97,9 +94,6 @@
 	return n.log.base.Membership
 }
 
-// TermAt returns the term of an entry the log still holds.
-func (n *Node) TermAt(index uint64) (uint64, bool) { return n.log.term(index) }
-
 // Tick lets timers run.
 func (n *Node) Tick(now time.Duration) {
 	if n.role == Leader {
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -181,16 +181,6 @@
 	Lease       time.Duration // how long a quorum's answers let a leader serve reads; below ElectionMin
 }
 
-// DefaultTiming suits replicas a few milliseconds apart.
-func DefaultTiming() Timing {
-	return Timing{
-		Heartbeat:   100 * time.Millisecond,
-		ElectionMin: 700 * time.Millisecond,
-		ElectionMax: 1400 * time.Millisecond,
-		Lease:       500 * time.Millisecond,
-	}
-}
-
 // Config is what a node needs to start.
 type Config struct {
 	ID     ID
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -22,9 +22,6 @@
 	Random        func(n int64) int64
 }
 
-// DefaultSettingsLease is how long a router may serve without hearing the leader.
-const DefaultSettingsLease = 3 * time.Second
-
 // waiter is a client that waits for a log entry.
 type waiter struct {
 	client uint64
--- a/internal/lab/bench/run.go
+++ b/internal/lab/bench/run.go
@@ -28,6 +28,7 @@
 	Length     time.Duration // requests are sent until then
 	Scale      float64       // of the deployment's request rate
 	Disturbed  bool          // an engine crashes and the hot prefixes shift
+	Day        time.Duration // demand follows the sun with days of this length; 0 is not
 	Grain      int           // tokens of a block; 0 is 64
 	HashDepth  int           // blocks that the hash policies place by; 0 takes preamble, template and a part of the document
 }
@@ -87,6 +88,7 @@
 	r.rates.CacheBlocks = r.rates.CacheBlocks * usualGrain / options.grain() // the same memory
 	r.vault.limit = r.vault.limit * usualGrain / options.grain()
 	r.measure = newMeasure(r)
+	r.traffic.FollowSun(options.Day)
 	r.makeNodes()
 	r.clock.After(time.Second, r.send)
 	if options.Disturbed {
--- a/internal/lab/fleet/processes_test.go
+++ b/internal/lab/fleet/processes_test.go
@@ -104,6 +104,8 @@
 	t.Run("killed leader loses no accepted change and doubles no run", f.killedLeader)
 	t.Run("wiped control replica is replaced", f.wipedControl)
 	t.Run("cut zone heals", f.cutZone)
+	t.Run("new weights are rolled out under load", f.newWeights)
+	t.Run("leaving engine gets nothing new", f.leavingEngine)
 }
 
 func (f *running) on(t *testing.T) *running { return &running{t: t, data: f.data, facts: f.facts} }
@@ -257,3 +259,40 @@
 	f.must("heal", "west")
 	l.wait()
 }
+
+// newWeights changes the weights while requests run: no answer may be lost, and every engine must end with them.
+func (f *running) newWeights(t *testing.T) {
+	f = f.on(t)
+	l := f.startLoad("weights")
+	pause()
+	if output, err := f.operator("config", "set", "/*/llm", "weights_version", "w2"); err != nil {
+		t.Fatalf("%v\n%s", err, output)
+	}
+	l.wait()
+	for range 50 {
+		output, err := f.operator("status", "--output", "json")
+		if err == nil && strings.Count(output, `"weights": "w2"`) >= 6 && !strings.Contains(output, `"weights": "w1"`) {
+			return
+		}
+		pause()
+	}
+	output, _ := f.operator("status")
+	t.Fatalf("not every engine holds the new weights:\n%s", output)
+}
+
+var leavingPattern = regexp.MustCompile(`"state": "leaving"`)
+
+// leavingEngine marks an engine as leaving on the machine list; every router must see it so, and nothing is lost.
+func (f *running) leavingEngine(t *testing.T) {
+	f = f.on(t)
+	l := f.startLoad("leaving")
+	f.must("leave", "llm-4")
+	l.wait()
+	output, err := f.operator("status", "--output", "json", "--routers", strings.ReplaceAll(f.facts["ROUTERS"], " ", ","))
+	if err != nil {
+		t.Fatalf("%v\n%s", err, output)
+	}
+	if seen := len(leavingPattern.FindAllString(output, -1)); seen != 3 {
+		t.Fatalf("%d of 3 routers see the engine as leaving", seen)
+	}
+}
--- a/internal/lab/traffic/traffic.go
+++ b/internal/lab/traffic/traffic.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -33,6 +34,7 @@
 	shift      int // raised at each shift: other templates become hot
 	followUps  []followUp
 	documents  int
+	day        time.Duration // length of a day when demand follows the sun; 0 is none
 }
 
 // tenant is the state of one tenant's callers.
@@ -81,8 +83,19 @@
 // Shift makes other templates hot, as at the start of transcript season or a shift change.
 func (g *Generator) Shift() { g.shift++ }
 
-// SetRate changes the request rate, as demand follows the sun.
-func (g *Generator) SetRate(requestsPerSecond float64) { g.rate = requestsPerSecond }
+// FollowSun makes demand move from zone to zone once in a day of the given length: a zone has its whole demand at
+// noon and none at midnight.
+func (g *Generator) FollowSun(day time.Duration) { g.day = day }
+
+// daylight is the share of a zone's demand at the present time.
+func (g *Generator) daylight(zone string) float64 {
+	if g.day == 0 {
+		return 1
+	}
+	at := slices.Index(g.deployment.Zones, zone)
+	turn := g.now.Seconds()/g.day.Seconds() + float64(at)/float64(len(g.deployment.Zones))
+	return (1 - math.Cos(2*math.Pi*turn)) / 2
+}
 
 // Next returns the next prompt in order of time.
 func (g *Generator) Next() Prompt {
@@ -170,11 +183,11 @@
 func (g *Generator) pickTenant() *tenant {
 	total := 0.0
 	for i := range g.tenants {
-		total += g.tenants[i].share
+		total += g.tenants[i].share * g.daylight(g.tenants[i].zone)
 	}
 	at := g.random.Float64() * total
 	for i := range g.tenants {
-		if at -= g.tenants[i].share; at < 0 {
+		if at -= g.tenants[i].share * g.daylight(g.tenants[i].zone); at < 0 {
 			return &g.tenants[i]
 		}
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -259,15 +259,6 @@
 	heap.Push(&l.expiry, expiryItem{key: held.Key, at: held.ExpiresMS})
 }
 
-// StateOf returns the state of a key, for tests and the status command.
-func (l *Ledger) StateOf(key Key) (State, bool) {
-	held, found := l.records[key]
-	if !found {
-		return "", false
-	}
-	return held.State, true
-}
-
 // Digest identifies a request body.
 func Digest(body []byte) uint64 { return xxhash.Sum64(body) }
 
