An engine's concurrency limit follows the settings

Cause: of 1,000 streams opened over 10 s through one router 488 were refused at their deadline: a back end that was listed before the first settings came kept the built-in limit of 16, and a changed engine_concurrency reached it only by a fifth of a request for each answer. Excluded: rings (nothing shed), the hollow engines, processor time. Change: the limit keeps its share of the ceiling when the ceiling changes, and never rises above it. Before: the new test has 16 where the settings say 40.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -277,3 +277,24 @@
 		}
 	}
 }
+
+// TestEngineConcurrencyFollowsTheSettings: back ends are often known before the first settings arrive, and operators
+// change the limit while the system runs.
+func TestEngineConcurrencyFollowsTheSettings(t *testing.T) {
+	h := newHarness(t, 1)
+	for version, wanted := range map[uint64]int{2: 40, 3: 2} {
+		tree := testTree()
+		tree.Nodes["/*/"+testService] = settings.Overrides{Kind: pointer("llm"), EngineConcurrency: pointer(wanted)}
+		h.core.version = version - 1
+		h.tick(EventSettings{Version: version, Tree: tree})
+		row := &h.core.backends[0]
+		if got := int(row.limit); got != wanted {
+			t.Fatalf("limit %d, the settings say %d", got, wanted)
+		}
+		h.core.learn(row, time.Millisecond, time.Minute)
+		if int(row.limit) > wanted {
+			t.Fatalf("a late answer raised the limit to %v, the settings say %d", row.limit, wanted)
+		}
+		row.limit = float64(wanted)
+	}
+}
--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -52,10 +52,15 @@
 	ratio := float64(observed) / float64(predicted)
 	row.bias += biasSmoothing * (row.bias*ratio - row.bias)
 	row.bias = min(max(row.bias, minimumBias), maximumBias)
-	ceiling := float64(c.effective(row.machine.Service, "").EngineConcurrency)
 	if observed > lateFactor*predicted+lateSlack {
-		row.limit = max(minimumLimit, row.limit*limitDecrease)
+		row.limit = min(row.ceiling, max(minimumLimit, row.limit*limitDecrease))
 		return
 	}
-	row.limit = min(ceiling, row.limit+limitIncrease)
+	row.limit = min(row.ceiling, row.limit+limitIncrease)
+}
+
+// setCeiling takes up another highest limit; the limit keeps its share of it.
+func (row *backend) setCeiling(ceiling float64) {
+	row.limit = min(ceiling, max(minimumLimit, row.limit*ceiling/row.ceiling))
+	row.ceiling = ceiling
 }
--- a/internal/core/observe.go
+++ b/internal/core/observe.go
@@ -51,7 +51,10 @@
 	c.tree, c.version, c.hasTree = event.Tree, event.Version, true
 	c.values = map[tenantKey]settings.Values{}
 	for i := range c.backends {
-		c.backends[i].kind = c.effective(c.backends[i].machine.Service, "").Kind
+		row := &c.backends[i]
+		values := c.effective(row.machine.Service, "")
+		row.kind = values.Kind
+		row.setCeiling(float64(values.EngineConcurrency))
 	}
 }
 
@@ -102,7 +105,7 @@
 	values := c.effective(machine.Service, "")
 	c.backends = append(c.backends, backend{
 		id: id, machine: machine, kind: values.Kind, heardAt: c.now,
-		limit: float64(values.EngineConcurrency), bias: 1,
+		limit: float64(values.EngineConcurrency), ceiling: float64(values.EngineConcurrency), bias: 1,
 	})
 	c.byName[machine.Name] = id
 	service := c.service(machine.Service)
