--- a/cmd/kitelab/bench.go
+++ b/cmd/kitelab/bench.go
@@ -28,6 +28,7 @@
 	hashDepth  int
 	grain      int
 	day        time.Duration
+	crashZone  bool
 }
 
 func defineBench() command {
@@ -43,6 +44,7 @@
 	sub.Bool(&flags.overload, "", "overload", "also run rising rates, up to twice the saturating one")
 	sub.String(&flags.only, "", "only", "run only this policy")
 	sub.Int(&flags.hashDepth, "", "hash-depth", "blocks that the hash policies place by; 0 chooses")
+	sub.Bool(&flags.crashZone, "", "crash-zone", "all engines of a zone crash instead of one")
 	sub.Duration(&flags.day, "", "day", "demand follows the sun from zone to zone, with days of this length")
 	sub.Int(&flags.grain, "", "grain", "tokens of a cache block; 0 is 64")
 	return command{sub, flags.run}
@@ -78,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	options := bench.Options{Deployment: deployment, Tree: tree, Length: f.length, Scale: f.scale, Disturbed: !f.calm, HashDepth: f.hashDepth, Grain: f.grain, Day: f.day}
+	options := bench.Options{Deployment: deployment, Tree: tree, Length: f.length, Scale: f.scale, Disturbed: !f.calm, HashDepth: f.hashDepth, Grain: f.grain, Day: f.day, CrashZone: f.crashZone}
 	policies := bench.Policies()
 	if f.only != "" {
 		policies = []bench.Policy{bench.Policy(f.only)}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -8,13 +8,13 @@
 
 // The protections, each named by what it checks.
 const (
-	FenceCheck         Guard = "fence-check"           // engines refuse orders below the highest fence seen
-	ClaimBeforeRun     Guard = "claim-before-dispatch" // a non-repeatable request is claimed before it is sent
-	TenantInHash       Guard = "tenant-in-hash"        // block chains are seeded by the tenant
-	WeightsInHash      Guard = "weights-in-hash"       // block chains are seeded by the weights version
-	IncarnationCheck   Guard = "incarnation-check"     // a new engine incarnation voids every belief about it
-	SyncBeforeAck      Guard = "synced-before-acknowledge"
-	LearnerBeforeVote  Guard = "learner-before-vote" // a replica with an empty folder joins as learner
+	FenceCheck         Guard = "fence-check"               // engines refuse orders below the highest fence seen
+	ClaimBeforeRun     Guard = "claim-before-dispatch"     // a non-repeatable request is claimed before it is sent
+	TenantInHash       Guard = "tenant-in-hash"            // block chains are seeded by the tenant
+	WeightsInHash      Guard = "weights-in-hash"           // block chains are seeded by the weights version
+	IncarnationCheck   Guard = "incarnation-check"         // a new engine incarnation voids every belief about it
+	SyncBeforeAck      Guard = "synced-before-acknowledge" // nothing is sent before what it tells is synced
+	LearnerBeforeVote  Guard = "learner-before-vote"       // a replica with an empty folder joins as learner
 	LeaseAtDispatch    Guard = "lease-check-at-dispatch"
 	VersionCheck       Guard = "version-check"         // a settings change names the version it edits
 	OperationCheck     Guard = "operation-id-check"    // a resent settings change gets its first outcome
--- a/internal/lab/bench/run.go
+++ b/internal/lab/bench/run.go
@@ -28,6 +28,7 @@
 	Length     time.Duration // requests are sent until then
 	Scale      float64       // of the deployment's request rate
 	Disturbed  bool          // an engine crashes and the hot prefixes shift
+	CrashZone  bool          // all engines of a zone crash instead of one
 	Day        time.Duration // demand follows the sun with days of this length; 0 is not
 	Grain      int           // tokens of a block; 0 is 64
 	HashDepth  int           // blocks that the hash policies place by; 0 takes preamble, template and a part of the document
@@ -141,9 +142,21 @@
 	})
 }
 
-// crash ends one engine for a while; it comes back empty.
+// crash ends one engine, or all of a zone, for a while; they come back empty.
 func (r *run) crash() {
-	node := r.engines[int(r.seed)%len(r.engines)]
+	if !r.options.CrashZone {
+		r.crashOne(r.engines[int(r.seed)%len(r.engines)])
+		return
+	}
+	zone := r.deployment.Zones[int(r.seed)%len(r.deployment.Zones)]
+	for _, node := range r.engines {
+		if node.zone == zone {
+			r.crashOne(node)
+		}
+	}
+}
+
+func (r *run) crashOne(node *engineNode) {
 	node.crash()
 	r.clock.After(downTime, func() {
 		node.boot()
