--- a/cmd/kitelab/scale.go
+++ b/cmd/kitelab/scale.go
@@ -18,7 +18,7 @@
 	flags := &scaleFlags{out: "scale-out"}
 	sub := newSubcommand("scale", "measure what each role costs against nodes, engines, blocks, tenants, changes and requests")
 	sub.Bool(&flags.quick, "q", "quick", "shorter phases, less than a minute in all")
-	sub.String(&flags.out, "o", "out", "folder for scale.json and the table")
+	sub.String(&flags.out, "o", "out", "folder for scale.json, the table and the plots")
 	return command{sub, flags.run}
 }
 
@@ -34,5 +34,8 @@
 	if err := bench.WriteJSON(f.out, "scale.json", report); err != nil {
 		return err
 	}
-	return bench.WriteText(f.out, "scale.md", text)
+	if err := bench.WriteText(f.out, "scale.md", text); err != nil {
+		return err
+	}
+	return report.Plot(f.out)
 }
