One alarm, one restart and one leave for the simulated processes; dead state removed

Found by reading the whole change: the same wake-up logic stood five times in sim and bench (now vtime.Alarm), restarting a process four times and a leaving back end twice; core had its own slices.Contains twice and a test its own strings.Contains; a counter, an index, a field of a leadership and one of a sending were never read.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -1,8 +1,6 @@
 package control
 
-import (
-	"time"
-)
+import "time"
 
 // routerLease is the leader's view of one session.
 type routerLease struct {
@@ -24,9 +22,8 @@
 //
 // Invariant: a router's lease never outlives routerLease.expires, since the router counts from before it
 // sent the heartbeat and the leader from after it arrived. Leases granted by earlier leaders end within one
-// lease time of since, because this leader was elected after theirs ran out.
+// lease time of the election, because this leader was elected after theirs ran out.
 type leadership struct {
-	since   time.Duration
 	term    uint64
 	routers map[string]*routerLease
 	opening map[string]bool
@@ -46,9 +43,9 @@
 	loads   int // at the same time, of the whole service
 }
 
-func newLeadership(now time.Duration, term uint64, leaseEnd time.Duration, machine *Machine) *leadership {
+func newLeadership(term uint64, leaseEnd time.Duration, machine *Machine) *leadership {
 	lead := &leadership{
-		since: now, term: term, routers: map[string]*routerLease{},
+		term: term, routers: map[string]*routerLease{},
 		opening: map[string]bool{}, engines: map[string]*engineState{},
 	}
 	for router := range machine.sessions {
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -139,7 +139,7 @@
 		r.failWaiters()
 	}
 	if r.lead == nil && leads {
-		r.lead = newLeadership(now, r.node.Term(), r.leaseEnd(now), r.machine)
+		r.lead = newLeadership(r.node.Term(), r.leaseEnd(now), r.machine)
 	}
 }
 
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -49,7 +49,7 @@
 		c.holdOrRefuse(r)
 		return
 	}
-	if !contains(c.tree.Services(), r.Service) {
+	if !slices.Contains(c.tree.Services(), r.Service) {
 		c.refuse(r, ReasonUnknownTarget, 0)
 		return
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"kitetiller/internal/guard"
@@ -212,18 +213,9 @@
 	}
 	for _, id := range state.backends {
 		row := &c.backends[id]
-		if row.state == BackendReady && !contains(versions, row.weights) {
+		if row.state == BackendReady && !slices.Contains(versions, row.weights) {
 			versions = append(versions, row.weights)
 		}
 	}
 	return versions
 }
-
-func contains(list []string, wanted string) bool {
-	for _, item := range list {
-		if item == wanted {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -91,7 +92,7 @@
 // otherwise give up.
 func (c *Core) noCandidate(r *request, service *serviceState) bool {
 	for _, id := range service.backends {
-		if c.ready(&c.backends[id]) && !containsID(r.failedOn, id) {
+		if c.ready(&c.backends[id]) && !slices.Contains(r.failedOn, id) {
 			return false
 		}
 	}
@@ -121,15 +122,6 @@
 	return false
 }
 
-func containsID(list []prefix.EngineID, wanted prefix.EngineID) bool {
-	for _, id := range list {
-		if id == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 // dispatchBar checks lease and claim at the last moment: the router may have been frozen since it admitted the
 // request. It returns why the request must not be sent, or "". Streams in progress are finished in any case.
 func (c *Core) dispatchBar(r *request) Reason {
--- a/internal/lab/bench/engines.go
+++ b/internal/lab/bench/engines.go
@@ -6,19 +6,20 @@
 	"kitetiller/internal/core"
 	"kitetiller/internal/guard"
 	"kitetiller/internal/lab/engine"
+	"kitetiller/internal/lab/vtime"
 	"kitetiller/internal/prefix"
 )
 
 // engineNode is an engine model at an address of its own name.
 type engineNode struct {
-	run    *run
-	name   string
-	zone   string
-	model  *engine.Model
-	lives  uint64
-	down   bool
-	wakeAt time.Duration
-	seed   uint64
+	run   *run
+	name  string
+	zone  string
+	model *engine.Model
+	lives uint64
+	down  bool
+	alarm vtime.Alarm
+	seed  uint64
 
 	underWay      int // prompt tokens sent, not arrived yet
 	underWayQuick int // the same for the interactive lane
@@ -39,7 +40,7 @@
 	e.down = false
 	e.model = engine.New(e.name, e.lives, weights, e.run.rates, e.run.options.grain(), e.seed+e.lives, guard.Set{})
 	e.model.Import = e.run.importFrom
-	e.wakeAt = 0
+	e.alarm = vtime.Alarm{}
 }
 
 // crash ends the life; whoever waits for a stream sees its connection break.
@@ -104,14 +105,12 @@
 		e.output(output)
 	}
 	due, any := e.model.NextDue()
-	if !any || (e.wakeAt > now && e.wakeAt <= due) {
+	if !any {
 		return
 	}
-	at := max(due, now+time.Microsecond)
-	e.wakeAt = at
 	life := e.lives
-	e.run.clock.After(at-now, func() {
-		if e.wakeAt == at && e.lives == life {
+	e.alarm.Set(now, due, time.Microsecond, e.run.clock.After, func() {
+		if e.lives == life {
 			e.advance()
 		}
 	})
--- a/internal/lab/bench/router.go
+++ b/internal/lab/bench/router.go
@@ -6,6 +6,7 @@
 
 	"kitetiller/internal/core"
 	"kitetiller/internal/lab/traffic"
+	"kitetiller/internal/lab/vtime"
 	"kitetiller/internal/membership"
 )
 
@@ -22,7 +23,7 @@
 	run      *run
 	zone     string
 	core     *core.Core
-	wakeAt   time.Duration
+	alarm    vtime.Alarm
 	waiting  map[core.RequestID]*pending
 	sendings map[core.AttemptID]*sending
 	targets  map[core.AttemptID]*engineNode
@@ -87,17 +88,9 @@
 	for _, action := range n.core.Tick(now, events) {
 		n.carryOut(action)
 	}
-	due, any := n.core.NextDue()
-	if !any || (n.wakeAt > now && n.wakeAt <= due) {
-		return
+	if due, any := n.core.NextDue(); any {
+		n.alarm.Set(now, due, time.Millisecond, n.run.clock.After, func() { n.post() })
 	}
-	at := max(due, now+time.Millisecond)
-	n.wakeAt = at
-	n.run.clock.After(at-now, func() {
-		if n.wakeAt == at {
-			n.post()
-		}
-	})
 }
 
 func (n *routerNode) poll(e *engineNode, cursor *membership.Cursor) {
--- a/internal/lab/sim/control.go
+++ b/internal/lab/sim/control.go
@@ -8,6 +8,7 @@
 	"kitetiller/internal/consensus"
 	"kitetiller/internal/control"
 	"kitetiller/internal/guard"
+	"kitetiller/internal/lab/vtime"
 )
 
 const (
@@ -31,7 +32,6 @@
 // controlNode is a control replica with its disk.
 type controlNode struct {
 	*process
-	index     int
 	disk      control.Checkpoint
 	identity  control.Identity
 	folders   int // data folders it has had
@@ -42,7 +42,7 @@
 	syncing  *control.Persist  // being written
 	unsynced []control.Persist // acknowledged before the sync; only without the guard
 	inbox    []func()          // arrived during a sync
-	wakeAt   time.Duration
+	alarm    vtime.Alarm
 	clients  map[uint64]func(control.Response)
 	nextID   uint64
 	joined   bool
@@ -71,7 +71,7 @@
 	n.startedAt = n.w.now()
 	n.syncing, n.unsynced, n.inbox = nil, nil, nil
 	n.clients = map[uint64]func(control.Response){}
-	n.wakeAt = 0
+	n.alarm = vtime.Alarm{}
 	n.joining = newAsker(n.w, n.process)
 	config := control.Config{
 		ID: n.identity.ID, Name: n.name, Address: n.name, Timing: controlTiming, Replicas: groupSize,
@@ -175,13 +175,8 @@
 
 func (n *controlNode) setWake() {
 	due := n.trueTime(n.startedAt, n.replica.NextDue())
-	if n.wakeAt > n.w.now() && n.wakeAt <= due {
-		return
-	}
-	n.wakeAt = max(due, n.w.now()+time.Millisecond)
-	at := n.wakeAt
-	n.after(at-n.w.now(), func() {
-		if n.wakeAt == at && n.syncing == nil {
+	n.alarm.Set(n.w.now(), due, time.Millisecond, n.after, func() {
+		if n.syncing == nil {
 			n.pump()
 		}
 	})
--- a/internal/lab/sim/engines.go
+++ b/internal/lab/sim/engines.go
@@ -7,6 +7,7 @@
 	"kitetiller/internal/control"
 	"kitetiller/internal/core"
 	"kitetiller/internal/lab/engine"
+	"kitetiller/internal/lab/vtime"
 	"kitetiller/internal/prefix"
 )
 
@@ -40,10 +41,9 @@
 	*process
 	model   *engine.Model
 	lives   uint64
-	wakeAt  time.Duration
+	alarm   vtime.Alarm
 	cached  map[prefix.Hash]content
 	ordered control.Fence // highest order it ever began to carry out, over all lives
-	leftAt  time.Duration // when the platform said that it leaves; 0 when it does not
 }
 
 // sending joins a job of the model to the attempt that waits for it.
@@ -53,7 +53,6 @@
 	attempt core.AttemptID
 	stream  *stream
 	router  *routerNode
-	weights string // of the chain
 	over    bool
 }
 
@@ -79,8 +78,9 @@
 	}
 	e.model = engine.New(e.name, e.lives, weights, simRates(), blockToken, e.w.random.Uint64(), e.w.guards)
 	e.model.Import = e.importFrom
-	e.wakeAt = 0
+	e.alarm = vtime.Alarm{}
 	e.w.logf("%s starts as incarnation %d with weights %s", e.name, e.lives, weights)
+	e.advance()
 }
 
 // advance runs the model up to now and sends what it produced.
@@ -89,16 +89,9 @@
 		e.output(output)
 	}
 	due, any := e.model.NextDue()
-	if !any || (e.wakeAt > e.w.now() && e.wakeAt <= due) {
-		return
+	if any {
+		e.alarm.Set(e.w.now(), due, time.Microsecond, e.after, e.advance)
 	}
-	e.wakeAt = max(due, e.w.now()+time.Microsecond)
-	at := e.wakeAt
-	e.after(at-e.w.now(), func() {
-		if e.wakeAt == at {
-			e.advance()
-		}
-	})
 }
 
 // submit takes a job, or returns why not.
@@ -166,7 +159,6 @@
 }
 
 func (e *engineNode) misbehave(s *sending, event core.EventAttempt, send func(core.EventAttempt)) {
-	e.w.mischief.done++
 	switch e.w.random.IntN(4) {
 	case 0:
 		send(event)
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -77,18 +77,10 @@
 	w.oracle.controlFault = max(w.oracle.controlFault, w.now()+length)
 }
 
-func (w *world) restartRouter(r *routerNode, after time.Duration) {
-	w.after(after, func() {
-		if !r.up {
-			r.boot()
-		}
-	})
-}
-
 func (w *world) faultKillRouter() {
 	r := pick(w, w.routers)
 	r.kill(w.chance(0.5))
-	w.restartRouter(r, w.between(100*time.Millisecond, 3*time.Second))
+	w.restart(r, w.between(100*time.Millisecond, 3*time.Second))
 }
 
 func (w *world) faultFreezeRouter() {
@@ -110,23 +102,19 @@
 	if r.frozen {
 		return
 	}
-	r.plannedStop(func() { w.restartRouter(r, w.between(200*time.Millisecond, 2*time.Second)) })
+	r.plannedStop(func() { w.restart(r, w.between(200*time.Millisecond, 2*time.Second)) })
 }
 
 func (w *world) faultHerd() {
 	for _, r := range w.routers {
 		r.kill(w.chance(0.3))
-		w.restartRouter(r, w.between(100*time.Millisecond, 500*time.Millisecond))
+		w.restart(r, w.between(100*time.Millisecond, 500*time.Millisecond))
 	}
 }
 
 func (w *world) restartControl(n *controlNode, after time.Duration) {
 	w.controlTrouble(after)
-	w.after(after, func() {
-		if !n.up {
-			n.boot()
-		}
-	})
+	w.restart(n, after)
 }
 
 func (w *world) faultKillControl() {
@@ -313,7 +301,7 @@
 	}
 	for _, r := range w.routers {
 		r.kill(false)
-		w.restartRouter(r, w.between(100*time.Millisecond, 2*time.Second))
+		w.restart(r, w.between(100*time.Millisecond, 2*time.Second))
 	}
 }
 
--- a/internal/lab/sim/linear_test.go
+++ b/internal/lab/sim/linear_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -128,17 +129,7 @@
 }
 
 func (s keyState) isWithdrawn(id string) bool {
-	return len(id) > 0 && containsID(s.withdrawn, id)
-}
-
-func containsID(list, id string) bool {
-	wanted := "," + id + ","
-	for at := 0; at+len(wanted) <= len(list); at++ {
-		if list[at:at+len(wanted)] == wanted {
-			return true
-		}
-	}
-	return false
+	return id != "" && strings.Contains(s.withdrawn, ","+id+",")
 }
 
 func (s keyState) end(end ledger.End) keyState {
--- a/internal/lab/sim/mischief.go
+++ b/internal/lab/sim/mischief.go
@@ -13,7 +13,6 @@
 	servicesUntil time.Duration
 	freezeClaim   func(*routerNode)                // run at the next claim of a router
 	slowOrder     func(*controlNode) time.Duration // run at the next order to an engine
-	done          int
 }
 
 // orderLeaves runs a fault that waits for an order, and returns how long the order takes then.
@@ -38,19 +37,10 @@
 	e := pick(w, w.engines)
 	e.kill(w.chance(0.5))
 	if w.chance(0.5) {
-		w.restartEngine(e, w.between(10*time.Millisecond, 80*time.Millisecond)) // back before anybody noticed
+		w.restart(e, w.between(10*time.Millisecond, 80*time.Millisecond)) // back before anybody noticed
 		return
 	}
-	w.restartEngine(e, w.between(100*time.Millisecond, 3*time.Second))
-}
-
-func (w *world) restartEngine(e *engineNode, after time.Duration) {
-	w.after(after, func() {
-		if !e.up {
-			e.boot()
-			e.advance()
-		}
-	})
+	w.restart(e, w.between(100*time.Millisecond, 3*time.Second))
 }
 
 func (w *world) faultFreezeEngine() {
@@ -59,47 +49,35 @@
 	w.after(w.between(300*time.Millisecond, 6*time.Second), e.thaw)
 }
 
-// faultLeaveEngine has the machine list say that an engine leaves; the engine itself does not know.
 func (w *world) faultLeaveEngine() {
 	e := pick(w, w.engines)
-	if e.leftAt > 0 {
-		return
-	}
-	e.leftAt = w.now()
-	w.logf("%s is to leave", e.name)
-	w.after(leaveLength, func() {
-		e.kill(false)
-		e.leftAt = 0
-		w.restartEngine(e, awayLength)
-	})
+	w.leave(e.process, e)
 }
 
 func (w *world) faultLeaveService() {
 	s := pick(w, w.services)
-	if s.leftAt > 0 {
+	w.leave(s.process, s)
+}
+
+// leave has the machine list say that a back end leaves; the back end itself does not know. Later it ends, and comes
+// back as a new one.
+func (w *world) leave(p *process, n node) {
+	if p.leftAt > 0 {
 		return
 	}
-	s.leftAt = w.now()
-	w.logf("%s is to leave", s.name)
+	p.leftAt = w.now()
+	w.logf("%s is to leave", p.name)
 	w.after(leaveLength, func() {
-		s.kill(false)
-		s.leftAt = 0
-		w.restartService(s, awayLength)
-	})
-}
-
-func (w *world) restartService(s *serviceNode, after time.Duration) {
-	w.after(after, func() {
-		if !s.up {
-			s.boot()
-		}
+		p.kill(false)
+		p.leftAt = 0
+		w.restart(n, awayLength)
 	})
 }
 
 func (w *world) faultKillService() {
 	s := pick(w, w.services)
 	s.kill(w.chance(0.5))
-	w.restartService(s, w.between(100*time.Millisecond, 2*time.Second))
+	w.restart(s, w.between(100*time.Millisecond, 2*time.Second))
 }
 
 func (w *world) faultStreams() {
@@ -140,7 +118,7 @@
 	for i, e := range w.engines {
 		w.after(time.Duration(i)*900*time.Millisecond, func() {
 			e.kill(true)
-			w.restartEngine(e, 20*time.Millisecond)
+			w.restart(e, 20*time.Millisecond)
 		})
 	}
 }
--- a/internal/lab/sim/process.go
+++ b/internal/lab/sim/process.go
@@ -13,9 +13,10 @@
 	life    int // raised at each start and each end
 	up      bool
 	frozen  bool
-	speed   float64      // of its monotonic clock
-	backlog []func()     // what arrived while it was frozen
-	open    []connection // connections that break when it dies
+	speed   float64       // of its monotonic clock
+	leftAt  time.Duration // when the machine list said that it leaves; 0 when it does not
+	backlog []func()      // what arrived while it was frozen
+	open    []connection  // connections that break when it dies
 }
 
 // clockSkew is how much faster or slower than true time a process's monotonic clock may run.
@@ -67,6 +68,23 @@
 	keepAliveMax = 15 * time.Second
 )
 
+// node is a process that can be started again.
+type node interface {
+	isUp() bool
+	boot()
+}
+
+func (p *process) isUp() bool { return p.up }
+
+// restart starts a process again after a while, unless somebody else did.
+func (w *world) restart(n node, after time.Duration) {
+	w.after(after, func() {
+		if !n.isUp() {
+			n.boot()
+		}
+	})
+}
+
 // connection is something that the other side notices when a process dies.
 type connection interface {
 	reset()
--- a/internal/lab/sim/router.go
+++ b/internal/lab/sim/router.go
@@ -8,6 +8,7 @@
 	"kitetiller/internal/core"
 	"kitetiller/internal/guard"
 	"kitetiller/internal/lab/engine"
+	"kitetiller/internal/lab/vtime"
 	"kitetiller/internal/membership"
 	"kitetiller/internal/session"
 )
@@ -33,7 +34,7 @@
 	saved       session.Settings // on disk
 	incarnation uint64           // on disk
 	startedAt   time.Duration
-	wakeAt      time.Duration
+	alarm       vtime.Alarm
 	waiting     map[core.RequestID]*exchange
 	sendings    map[core.AttemptID]*sending
 	nextID      core.RequestID
@@ -47,7 +48,7 @@
 func (r *routerNode) boot() {
 	r.start()
 	r.incarnation++
-	r.startedAt, r.wakeAt = r.w.now(), 0
+	r.startedAt, r.alarm = r.w.now(), vtime.Alarm{}
 	r.stopping = false
 	r.waiting = map[core.RequestID]*exchange{}
 	r.sendings = map[core.AttemptID]*sending{}
@@ -88,17 +89,9 @@
 
 func (r *routerNode) setWake() {
 	due, any := r.core.NextDue()
-	due = r.trueTime(r.startedAt, due)
-	if !any || (r.wakeAt > r.w.now() && r.wakeAt <= due) {
-		return
+	if any {
+		r.alarm.Set(r.w.now(), r.trueTime(r.startedAt, due), time.Millisecond, r.after, func() { r.post() })
 	}
-	r.wakeAt = max(due, r.w.now()+time.Millisecond)
-	at := r.wakeAt
-	r.after(at-r.w.now(), func() {
-		if r.wakeAt == at {
-			r.post()
-		}
-	})
 }
 
 // beat renews the session again and again.
@@ -229,7 +222,7 @@
 }
 
 func (r *routerNode) sendToEngine(e *engineNode, run *exchange, action core.ActionDispatch) {
-	s := &sending{engine: e, request: run, attempt: action.Attempt, router: r, weights: action.Weights, stream: r.w.newStream(e.process, r.process)}
+	s := &sending{engine: e, request: run, attempt: action.Attempt, router: r, stream: r.w.newStream(e.process, r.process)}
 	r.sendings[action.Attempt] = s
 	r.w.call(r.process, e.process, serviceLimit, func(respond func(func())) {
 		result := e.submit(action, s)
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -87,7 +87,7 @@
 		controls++
 	}
 	for i := range controls {
-		w.controls = append(w.controls, &controlNode{process: newProcess(w, fmt.Sprintf("control-%d", i+1), zones[i%len(zones)]), index: i})
+		w.controls = append(w.controls, &controlNode{process: newProcess(w, fmt.Sprintf("control-%d", i+1), zones[i%len(zones)])})
 	}
 	for i, zone := range zones {
 		w.routers = append(w.routers, &routerNode{process: newProcess(w, fmt.Sprintf("router-%d", i+1), zone)})
@@ -119,15 +119,15 @@
 	}
 	for _, r := range w.routers {
 		r.thaw()
-		w.restartRouter(r, 0)
+		w.restart(r, 0)
 	}
 	for _, e := range w.engines {
 		e.thaw()
 		e.leftAt = 0
-		w.restartEngine(e, 0)
+		w.restart(e, 0)
 	}
 	for _, s := range w.services {
 		s.leftAt = 0
-		w.restartService(s, 0)
+		w.restart(s, 0)
 	}
 }
--- a/internal/lab/sim/services.go
+++ b/internal/lab/sim/services.go
@@ -14,7 +14,6 @@
 	*process
 	lives   uint64
 	running int
-	leftAt  time.Duration
 }
 
 func (s *serviceNode) boot() {
--- a/internal/lab/vtime/vtime.go
+++ b/internal/lab/vtime/vtime.go
@@ -66,3 +66,23 @@
 
 // Set moves the time forward when nothing is due.
 func (c *Clock) Set(now time.Duration) { c.now = max(c.now, now) }
+
+// Alarm wakes something once, at the earliest time it was set to. The zero value is not set.
+type Alarm struct {
+	at time.Duration
+}
+
+// Set asks for ring at due, but not sooner than soonest from now; it does nothing when the alarm rings by then
+// already. after schedules, as Clock.After does.
+func (a *Alarm) Set(now, due, soonest time.Duration, after func(time.Duration, func()), ring func()) {
+	if a.at > now && a.at <= due {
+		return
+	}
+	at := max(due, now+soonest)
+	a.at = at
+	after(at-now, func() {
+		if a.at == at { // otherwise it was set to an earlier time, or belongs to an earlier life
+			ring()
+		}
+	})
+}
