--- a/cmd/kitetiller/main.go
+++ b/cmd/kitetiller/main.go
@@ -13,6 +13,7 @@
 	"kitetiller/internal/node"
 	"kitetiller/internal/operator"
 	"kitetiller/internal/router"
+	"kitetiller/platform"
 )
 
 // version is set by the Makefile.
@@ -36,6 +37,7 @@
 	setting   string
 	value     string
 	request   string
+	role      string
 	effective bool
 }
 
@@ -83,13 +85,19 @@
 	controlCommand := flaggy.NewSubcommand("control")
 	controlCommand.Description = "run a control replica"
 	nodeFlags(controlCommand, args)
+	platformCommand := flaggy.NewSubcommand("platform")
+	platformCommand.Description = "run a process on the users' platform, with its settings file"
+	platformCommand.AddPositionalValue(&args.role, "ROLE", 1, true, platform.RoleGateway+" or "+platform.RoleControl)
+	platformCommand.AddPositionalValue(&args.file, "FILE", 2, true, "settings file of this process")
 	versionCommand := flaggy.NewSubcommand("version")
 	versionCommand.Description = "print the version"
 	parser.AttachSubcommand(routerCommand, 1)
 	parser.AttachSubcommand(controlCommand, 1)
+	parser.AttachSubcommand(platformCommand, 1)
 	parser.AttachSubcommand(versionCommand, 1)
 	commands := []command{
 		{routerCommand, runRouter}, {controlCommand, runControl},
+		{platformCommand, func(args *arguments) error { return platform.Run(args.role, args.file) }},
 		{versionCommand, func(*arguments) error { fmt.Println("kitetiller", version); return nil }},
 	}
 	commands = append(commands, defineViews(parser, args)...)
--- /dev/null
+++ b/internal/catalog/document.go
@@ -0,0 +1,185 @@
+// Package catalog is the replicated state of a gateway fleet: the routing document that operators replace as a
+// whole, the back ends that register themselves, the weights versions that were named, and the fence of orders.
+//
+// Machine is a pure state machine: it reads no clock, and every replica that applies the same commands in the same
+// order holds the same state.
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Document is the whole routing configuration of one revision. Documents only replace each other as a whole; the
+// highest revision is in force.
+type Document struct {
+	Revision uint64          `json:"revision"`
+	Routes   []Route         `json:"routes"`
+	Services []Service       `json:"services"`
+	Tenants  []Tenant        `json:"tenants,omitempty"`
+	Limits   Limits          `json:"limits"`
+	Source   json.RawMessage `json:"source,omitempty"` // as the operator sent it, to be read back unchanged
+}
+
+// Route sends the requests of a host and path prefix to services.
+type Route struct {
+	Name       string        `json:"name"`
+	Host       string        `json:"host"`
+	PathPrefix string        `json:"path_prefix"` // begins and ends with a slash; the longest that fits wins
+	Targets    []Target      `json:"targets"`
+	Timeout    time.Duration `json:"timeout_ns"` // longest time until the final answer
+	Objective  time.Duration `json:"objective_ns"`
+	Pause      time.Duration `json:"pause_ns"` // longest pause between events that is still in time
+	Attempts   int           `json:"attempts"` // back ends that one request may be sent to
+	Priority   int           `json:"priority"` // 0 is the most urgent
+	Repeatable bool          `json:"repeatable"`
+	Streaming  bool          `json:"streaming"`
+	Resumable  bool          `json:"resumable"` // a broken stream may go on at another back end
+	Open       bool          `json:"open"`      // needs no API key
+}
+
+// MayRepeat reports whether a request of the route may run more than once.
+func (r *Route) MayRepeat() bool { return r.Repeatable || (r.Streaming && r.Resumable) }
+
+// Target is a service and its share of a route's requests.
+type Target struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
+}
+
+// Service is a set of back ends that serve the same requests.
+type Service struct {
+	Name       string `json:"name"`
+	HealthPath string `json:"health_path"`
+	Engine     bool   `json:"engine"`         // keeps prompt caches and takes orders
+	Slots      int    `json:"slots"`          // requests at once at one back end; 0 unknown
+	CacheLimit int    `json:"cache_tokens"`   // tokens of one back end's memory; 0 unknown
+	Store      string `json:"store"`          // address, when the service is a store of kept caches
+	Zone       string `json:"zone,omitempty"` // of the store
+}
+
+// Tenant owns API keys.
+type Tenant struct {
+	Name     string   `json:"name"`
+	Keys     []string `json:"keys"`
+	Priority int      `json:"priority"` // 0 is the most urgent; compared before a route's
+	Isolated bool     `json:"isolated"` // shares no cached prompt with another tenant
+}
+
+// Limits bound what callers may send. Zero values mean the gateway's own defaults.
+type Limits struct {
+	HeaderBytes   int           `json:"header_bytes"`
+	BodyBytes     int           `json:"body_bytes"`
+	HeaderTimeout time.Duration `json:"header_timeout_ns"`
+	IdleTimeout   time.Duration `json:"idle_timeout_ns"`
+}
+
+// Problem says what is wrong with a document, and where.
+type Problem struct {
+	Where   string `json:"where"` // such as route "a"
+	Message string `json:"message"`
+}
+
+// String returns the problem in one line.
+func (p Problem) String() string { return p.Where + ": " + p.Message }
+
+// Check returns everything that is wrong with a document.
+func (d *Document) Check() []Problem {
+	check := &checker{services: map[string]bool{}, places: map[string]string{}, keys: map[string]string{}}
+	if d.Revision == 0 {
+		check.fault("document", "its revision must be 1 or more")
+	}
+	for _, service := range d.Services {
+		check.service(service)
+	}
+	for i := range d.Routes {
+		check.route(&d.Routes[i])
+	}
+	for _, tenant := range d.Tenants {
+		check.tenant(tenant)
+	}
+	return check.problems
+}
+
+// checker collects the problems of a document.
+type checker struct {
+	problems []Problem
+	services map[string]bool
+	places   map[string]string // route by host and prefix
+	keys     map[string]string // tenant by key
+}
+
+func (c *checker) fault(where, message string) {
+	c.problems = append(c.problems, Problem{Where: where, Message: message})
+}
+
+func (c *checker) service(service Service) {
+	where := fmt.Sprintf("service %q", service.Name)
+	if service.Name == "" {
+		c.fault(where, "has no name")
+	}
+	if c.services[service.Name] {
+		c.fault(where, "stands there twice")
+	}
+	c.services[service.Name] = true
+}
+
+func (c *checker) route(route *Route) {
+	where := fmt.Sprintf("route %q", route.Name)
+	place := route.Host + route.PathPrefix
+	if other, taken := c.places[place]; taken {
+		c.fault(where, fmt.Sprintf("has the host and path prefix of route %q", other))
+	}
+	c.places[place] = route.Name
+	if route.Host == "" || !slashed(route.PathPrefix) {
+		c.fault(where, "needs a host, and a path prefix that begins and ends with a slash")
+	}
+	if route.Timeout <= 0 {
+		c.fault(where, "its time limit must be above 0")
+	}
+	c.targets(where, route.Targets)
+}
+
+func slashed(prefix string) bool {
+	return len(prefix) > 0 && prefix[0] == '/' && prefix[len(prefix)-1] == '/'
+}
+
+func (c *checker) targets(where string, targets []Target) {
+	sum := 0
+	for _, target := range targets {
+		if !c.services[target.Service] {
+			c.fault(where, fmt.Sprintf("names the unknown service %q", target.Service))
+		}
+		if target.Weight < 0 {
+			c.fault(where, "has a weight below 0")
+		}
+		sum += target.Weight
+	}
+	if sum <= 0 {
+		c.fault(where, "its weights sum to 0")
+	}
+}
+
+func (c *checker) tenant(tenant Tenant) {
+	where := fmt.Sprintf("tenant %q", tenant.Name)
+	if tenant.Name == "" {
+		c.fault(where, "has no name")
+	}
+	for _, key := range tenant.Keys {
+		if owner, taken := c.keys[key]; taken && owner != tenant.Name {
+			c.fault(where, fmt.Sprintf("shares an API key with tenant %q", owner))
+		}
+		c.keys[key] = tenant.Name
+	}
+}
+
+// Service returns the service of a name.
+func (d *Document) Service(name string) (Service, bool) {
+	at := slices.IndexFunc(d.Services, func(service Service) bool { return service.Name == name })
+	if at < 0 {
+		return Service{}, false
+	}
+	return d.Services[at], true
+}
--- /dev/null
+++ b/internal/catalog/machine.go
@@ -0,0 +1,181 @@
+package catalog
+
+import (
+	"encoding/json"
+	"slices"
+)
+
+// State tells how far a back end's life has come. States only rise: a late message cannot take one back.
+type State string
+
+// States of an instance.
+const (
+	StateReady    State = "ready"
+	StateDraining State = "draining" // finishes what it has; gets nothing new
+)
+
+// Instance is one life of a back end that registered itself.
+type Instance struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Slots   int    `json:"slots"`
+	State   State  `json:"state"`
+}
+
+// tombstonesKept bounds the ended instances that are remembered, so that a late heartbeat revives none of them.
+const tombstonesKept = 2000
+
+// Command is one change of the replicated state. Exactly one field is set.
+type Command struct {
+	Replace  *Document    `json:"replace,omitempty"`
+	Register *Instance    `json:"register,omitempty"`
+	Drain    string       `json:"drain,omitempty"`   // instance
+	Remove   string       `json:"remove,omitempty"`  // instance that said that it leaves
+	Forget   string       `json:"forget,omitempty"`  // instance that fell silent; it may register again
+	Version  *NamedWeight `json:"version,omitempty"` // newest weights of a model
+	Fence    bool         `json:"fence,omitempty"`   // a new holder of the right to give orders
+}
+
+// NamedWeight is a version of a model's weights.
+type NamedWeight struct {
+	Model   string `json:"model"`
+	Version uint64 `json:"version"`
+}
+
+// Outcome is what a command did.
+type Outcome struct {
+	Revision uint64 `json:"revision"`        // of the document in force
+	Fence    uint64 `json:"fence,omitempty"` // given to a new holder
+	Gone     bool   `json:"gone,omitempty"`  // the instance had ended already
+}
+
+// Machine is the replicated state.
+type Machine struct {
+	document   Document
+	instances  map[string]Instance
+	tombstones []string
+	ended      map[string]bool
+	versions   map[string]uint64
+	fence      uint64
+}
+
+// NewMachine returns the empty state.
+func NewMachine() *Machine {
+	return &Machine{instances: map[string]Instance{}, ended: map[string]bool{}, versions: map[string]uint64{}}
+}
+
+// Document returns the document in force; callers only read it.
+func (m *Machine) Document() *Document { return &m.document }
+
+// Instances returns the registered back ends by id; callers only read it.
+func (m *Machine) Instances() map[string]Instance { return m.instances }
+
+// Ended reports whether an instance said that it left.
+func (m *Machine) Ended(id string) bool { return m.ended[id] }
+
+// Versions returns the newest weights version by model; callers only read it.
+func (m *Machine) Versions() map[string]uint64 { return m.versions }
+
+// Apply applies one committed command.
+func (m *Machine) Apply(command Command) Outcome {
+	switch {
+	case command.Replace != nil:
+		m.replace(*command.Replace)
+	case command.Register != nil:
+		return m.register(*command.Register)
+	case command.Drain != "":
+		m.drain(command.Drain)
+	case command.Remove != "":
+		m.remove(command.Remove)
+	case command.Forget != "":
+		delete(m.instances, command.Forget)
+	case command.Version != nil:
+		m.versions[command.Version.Model] = max(m.versions[command.Version.Model], command.Version.Version)
+	case command.Fence:
+		m.fence++
+		return Outcome{Revision: m.document.Revision, Fence: m.fence}
+	}
+	return Outcome{Revision: m.document.Revision}
+}
+
+// replace puts a document in force unless the one held is as new.
+func (m *Machine) replace(document Document) {
+	if document.Revision > m.document.Revision {
+		m.document = document
+	}
+}
+
+// register adds an instance. Whoever held its address before is gone: an address has one owner at a time.
+func (m *Machine) register(instance Instance) Outcome {
+	if m.ended[instance.ID] {
+		return Outcome{Revision: m.document.Revision, Gone: true}
+	}
+	if held, known := m.instances[instance.ID]; known && held.State == StateDraining {
+		instance.State = StateDraining
+	}
+	for id, other := range m.instances {
+		if other.Address == instance.Address && id != instance.ID {
+			delete(m.instances, id)
+		}
+	}
+	m.instances[instance.ID] = instance
+	return Outcome{Revision: m.document.Revision}
+}
+
+func (m *Machine) drain(id string) {
+	instance, known := m.instances[id]
+	if !known {
+		return
+	}
+	instance.State = StateDraining
+	m.instances[id] = instance
+}
+
+func (m *Machine) remove(id string) {
+	delete(m.instances, id)
+	if m.ended[id] {
+		return
+	}
+	m.ended[id] = true
+	m.tombstones = append(m.tombstones, id)
+	if len(m.tombstones) > tombstonesKept {
+		delete(m.ended, m.tombstones[0])
+		m.tombstones = slices.Delete(m.tombstones, 0, 1)
+	}
+}
+
+// machineForm is the snapshot form of a machine.
+type machineForm struct {
+	Document   Document            `json:"document"`
+	Instances  map[string]Instance `json:"instances"`
+	Tombstones []string            `json:"tombstones"`
+	Versions   map[string]uint64   `json:"versions"`
+	Fence      uint64              `json:"fence"`
+}
+
+// MarshalJSON writes the whole state.
+func (m *Machine) MarshalJSON() ([]byte, error) {
+	return json.Marshal(machineForm{m.document, m.instances, m.tombstones, m.versions, m.fence})
+}
+
+// UnmarshalJSON replaces the whole state.
+func (m *Machine) UnmarshalJSON(data []byte) error {
+	var form machineForm
+	if err := json.Unmarshal(data, &form); err != nil {
+		return err
+	}
+	*m = *NewMachine()
+	m.document, m.tombstones, m.fence = form.Document, form.Tombstones, form.Fence
+	for id, instance := range form.Instances {
+		m.instances[id] = instance
+	}
+	for model, version := range form.Versions {
+		m.versions[model] = version
+	}
+	for _, id := range form.Tombstones {
+		m.ended[id] = true
+	}
+	return nil
+}
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -21,6 +21,9 @@
 
 // listenAdmin opens the operators' listener. Any replica answers; it passes changes and reads to the leader.
 func (s *Server) listenAdmin() (*http.Server, error) {
+	if s.file.Control.Admin == "" {
+		return nil, nil
+	}
 	listener, err := net.Listen("tcp", s.file.Control.Admin)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", s.file.Control.Admin)
@@ -37,6 +40,15 @@
 	return server, nil
 }
 
+func (s *Server) closeAdmin(admin *http.Server) {
+	if admin == nil {
+		return
+	}
+	closing, done := context.WithTimeout(context.Background(), sendTimeout)
+	defer done()
+	_ = admin.Shutdown(closing)
+}
+
 func (s *Server) serveAdmin(w http.ResponseWriter, r *http.Request) {
 	token := r.Header.Get("Authorization")
 	if subtle.ConstantTimeCompare([]byte(token), []byte("Bearer "+s.file.AdminToken)) != 1 {
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	attemptTimeout = 1500 * time.Millisecond
+	attemptTimeout = 900 * time.Millisecond
 	askAgainAfter  = 50 * time.Millisecond
 )
 
@@ -28,14 +28,23 @@
 // Client asks the control group, finding the leader by itself. It is safe for concurrent use.
 type Client struct {
 	transport *transport.Client
-	addresses []string
+	addresses atomic.Pointer[[]string]
 	next      atomic.Uint32
 	leader    atomic.Pointer[string]
 }
 
 // NewClient returns a client of the replicas at the given internal addresses.
 func NewClient(client *transport.Client, addresses []string) *Client {
-	return &Client{transport: client, addresses: addresses}
+	made := &Client{transport: client}
+	made.addresses.Store(&addresses)
+	return made
+}
+
+// Use replaces the addresses that are asked when no leader is known.
+func (c *Client) Use(addresses []string) {
+	if len(addresses) > 0 {
+		c.addresses.Store(&addresses)
+	}
 }
 
 // target returns the address to ask next.
@@ -43,7 +52,8 @@
 	if leader := c.leader.Load(); leader != nil {
 		return *leader
 	}
-	return c.addresses[int(c.next.Add(1))%len(c.addresses)]
+	addresses := *c.addresses.Load()
+	return addresses[int(c.next.Add(1))%len(addresses)]
 }
 
 // Ask sends a request until a leader has decided it or ctx ends. Requests are safe to repeat: changes carry
--- /dev/null
+++ b/internal/control/driver.go
@@ -0,0 +1,76 @@
+package control
+
+import (
+	"context"
+	"time"
+)
+
+// Driver speaks to back ends that take orders for weights, in whatever protocol they have. Its methods may block.
+type Driver interface {
+	// Weights makes a call and returns how it ended; when ctx ends first, the result of an order is WeightsUnknown.
+	Weights(ctx context.Context, call WeightsCall) WeightsResult
+}
+
+const (
+	// weightsTimeout is how long a back end may take to answer a call.
+	weightsTimeout = time.Second
+	// membershipPeriod is how often the addresses of the group are read again.
+	membershipPeriod = time.Second
+)
+
+// UseDriver sets the driver of back ends; it must be called before Run.
+func (s *Server) UseDriver(driver Driver) { s.driver = driver }
+
+// callBackends is the thread that starts the calls of a leader, each on a goroutine of its own.
+func (s *Server) callBackends(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case call := <-s.orders:
+			if s.driver != nil {
+				go s.callBackend(ctx, call)
+			}
+		}
+	}
+}
+
+func (s *Server) callBackend(ctx context.Context, call WeightsCall) {
+	attempt, cancel := context.WithTimeout(ctx, weightsTimeout)
+	defer cancel()
+	result := s.driver.Weights(attempt, call)
+	result.Call = call
+	s.logWeights(result)
+	s.offer(input{weights: &result})
+}
+
+// followMembership is the thread that keeps the addresses of the group's client current.
+func (s *Server) followMembership(ctx context.Context) {
+	ticker := time.NewTicker(membershipPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.offer(input{inspect: func(replica *Replica) { s.group.Use(replica.addresses()) }})
+		}
+	}
+}
+
+// addresses returns the internal addresses of the group, or none while this replica does not know it.
+func (r *Replica) addresses() []string {
+	var found []string
+	for _, member := range r.node.Membership().Members {
+		found = append(found, member.Address)
+	}
+	return found
+}
+
+// UseSeeds replaces the addresses that are asked while the group is not known.
+func (s *Server) UseSeeds(addresses []string) { s.group.Use(addresses) }
+
+// Ask passes a request to the leader, wherever it is, until it is decided or ctx ends.
+func (s *Server) Ask(ctx context.Context, request Request) (Response, error) {
+	return s.group.Ask(ctx, request)
+}
--- a/internal/control/engines.go
+++ b/internal/control/engines.go
@@ -26,6 +26,9 @@
 
 // watchEngines is the thread that reads the machine list and the engines' weights and fences.
 func (s *Server) watchEngines(ctx context.Context) {
+	if s.file.Control.Platform == "" {
+		return
+	}
 	var machines []machine
 	var listed time.Time
 	ticker := time.NewTicker(enginePoll)
@@ -125,3 +128,11 @@
 			zap.Uint64("term", call.Fence.Term), zap.Uint64("sequence", call.Fence.Sequence), zap.Error(err))
 	}
 }
+
+// logWeights writes one line for each call about weights.
+func (s *Server) logWeights(result WeightsResult) {
+	call := result.Call
+	s.log.Info("weights call", zap.Uint8("kind", uint8(call.Kind)), zap.String("instance", call.Instance), zap.String("model", call.Model),
+		zap.Uint64("version", call.Version), zap.Uint64("fence", call.Fence), zap.Uint8("result", uint8(result.Kind)),
+		zap.Bool("busy", result.Busy), zap.Any("versions", result.Versions))
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -32,6 +32,15 @@
 	wantedVersion uint64                // settings version that wanted was resolved from
 	wanted        map[place]wantedState // by zone and service
 	reconciled    time.Duration
+
+	since        time.Duration // when this leadership began
+	fence        uint64        // of its orders for weights; 0 until the log gave one
+	fenceAskedAt time.Duration
+	fleet        map[string]*memberState // by instance
+	fleetAt      time.Duration
+	rosterCount  uint64
+	watchers     []watcher
+	usage        map[string]usageReport // by gateway
 }
 
 // place names a service in a zone.
@@ -43,10 +52,11 @@
 	loads   int // at the same time, of the whole service
 }
 
-func newLeadership(term uint64, leaseEnd time.Duration, machine *Machine) *leadership {
+func newLeadership(term uint64, now, leaseEnd time.Duration, machine *Machine) *leadership {
 	lead := &leadership{
 		term: term, routers: map[string]*routerLease{},
 		opening: map[string]bool{}, engines: map[string]*engineState{},
+		since: now, fenceAskedAt: now - callPatience, fleet: map[string]*memberState{}, usage: map[string]usageReport{},
 	}
 	for router := range machine.sessions {
 		lead.routers[router] = &routerLease{expires: leaseEnd}
@@ -87,6 +97,14 @@
 		r.propose(now, client, Command{End: request.End})
 	case request.Change != nil:
 		r.propose(now, client, Command{Change: request.Change})
+	case request.Catalog != nil:
+		r.propose(now, client, Command{Catalog: request.Catalog})
+	case request.Beat != nil:
+		r.beat(now, client, *request.Beat)
+	case request.Watch != nil:
+		r.watch(now, client, *request.Watch)
+	case request.Document != nil:
+		r.reply(client, Response{Kind: ResponseOK, Document: r.machine.catalog.Document()})
 	case request.Read != nil:
 		r.reply(client, Response{Kind: ResponseOK, Read: r.read(now, *request.Read)})
 	}
@@ -95,6 +113,6 @@
 // formed reports whether the group once reached its size; before that nothing is accepted, since the loss
 // of the founder would lose it.
 func (r *Replica) formed() bool {
-	return r.machine.settings.Version() > 0 || len(r.machine.sessions) > 0 ||
+	return r.machine.settings.Version() > 0 || r.machine.catalog.Document().Revision > 0 || len(r.machine.sessions) > 0 ||
 		r.node.Membership().Voters() >= r.config.Replicas
 }
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 
+	"kitetiller/internal/catalog"
 	"kitetiller/internal/guard"
 	"kitetiller/internal/ledger"
 	"kitetiller/internal/settings"
@@ -54,6 +55,7 @@
 	OpenSession  *Session         `json:"open,omitempty"`
 	CloseSession *ledger.Holder   `json:"close,omitempty"`
 	Order        *Order           `json:"order,omitempty"`
+	Catalog      *catalog.Command `json:"catalog,omitempty"`
 }
 
 // Result is what applying a command gave.
@@ -62,12 +64,14 @@
 	Claim   *ledger.Outcome
 	Session *Session
 	Order   *Order
+	Catalog *catalog.Outcome
 }
 
 // Machine is the replicated state.
 type Machine struct {
 	settings *settings.Machine
 	ledger   *ledger.Ledger
+	catalog  *catalog.Machine
 	sessions map[string]Session // by router name
 	orders   map[string]Order   // newest order by engine
 	peersAt  uint64             // log index of the newest opened or closed session
@@ -77,7 +81,7 @@
 // NewMachine returns the empty state.
 func NewMachine(guards guard.Set) *Machine {
 	machine := &Machine{
-		settings: settings.NewMachine(), ledger: ledger.New(),
+		settings: settings.NewMachine(), ledger: ledger.New(), catalog: catalog.NewMachine(),
 		sessions: map[string]Session{}, orders: map[string]Order{},
 	}
 	machine.settings.Guards = guards
@@ -90,6 +94,9 @@
 // Ledger returns the run ledger; callers only read it.
 func (m *Machine) Ledger() *ledger.Ledger { return m.ledger }
 
+// Catalog returns the catalog of the gateway fleet; callers only read it.
+func (m *Machine) Catalog() *catalog.Machine { return m.catalog }
+
 // Sessions returns the open sessions by router.
 func (m *Machine) Sessions() map[string]Session { return m.sessions }
 
@@ -170,11 +177,12 @@
 	Orders   map[string]Order   `json:"orders"`
 	NowMS    int64              `json:"now_ms"`
 	PeersAt  uint64             `json:"peers_at"`
+	Catalog  *catalog.Machine   `json:"catalog"`
 }
 
 // Snapshot returns the whole state.
 func (m *Machine) Snapshot() []byte {
-	data, err := json.Marshal(machineForm{m.settings, m.ledger, m.sessions, m.orders, m.nowMS, m.peersAt})
+	data, err := json.Marshal(machineForm{m.settings, m.ledger, m.sessions, m.orders, m.nowMS, m.peersAt, m.catalog})
 	if err != nil {
 		panic(fmt.Sprintf("control: state cannot be written: %v", err))
 	}
@@ -183,13 +191,13 @@
 
 // Restore replaces the whole state by a snapshot.
 func (m *Machine) Restore(data []byte) error {
-	form := machineForm{Settings: settings.NewMachine(), Ledger: ledger.New()}
+	form := machineForm{Settings: settings.NewMachine(), Ledger: ledger.New(), Catalog: catalog.NewMachine()}
 	if err := json.Unmarshal(data, &form); err != nil {
 		return err
 	}
 	form.Settings.Guards = m.settings.Guards
 	m.settings, m.ledger, m.nowMS = form.Settings, form.Ledger, form.NowMS
-	m.peersAt = form.PeersAt
+	m.peersAt, m.catalog = form.PeersAt, form.Catalog
 	m.sessions, m.orders = form.Sessions, form.Orders
 	if m.sessions == nil {
 		m.sessions = map[string]Session{}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"kitetiller/internal/catalog"
 	"kitetiller/internal/consensus"
 	"kitetiller/internal/ledger"
 	"kitetiller/internal/settings"
@@ -17,8 +18,15 @@
 	Read      *Read             `json:"read,omitempty"`
 	Status    *StatusRequest    `json:"status,omitempty"`
 	Join      *consensus.Member `json:"join,omitempty"`
+	Catalog   *catalog.Command  `json:"catalog,omitempty"` // replace the document, or name a version
+	Beat      *Beat             `json:"beat,omitempty"`
+	Watch     *Watch            `json:"watch,omitempty"`
+	Document  *DocumentRequest  `json:"document,omitempty"`
 }
 
+// DocumentRequest asks for the routing document in force.
+type DocumentRequest struct{}
+
 // Heartbeat renews a router's session and settings lease.
 type Heartbeat struct {
 	Router      string `json:"router"`
@@ -131,6 +139,9 @@
 	Change    *settings.Outcome `json:"change,omitempty"`
 	Read      *ReadReply        `json:"read,omitempty"`
 	Status    *StatusReply      `json:"status,omitempty"`
+	Catalog   *catalog.Outcome  `json:"catalog,omitempty"`
+	Watch     *WatchReply       `json:"watch,omitempty"`
+	Document  *catalog.Document `json:"document,omitempty"`
 }
 
 // Reply is a response for one waiting client.
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -44,6 +44,9 @@
 	Messages []consensus.Message `json:"messages"`
 }
 
+// peerPatience is how many heartbeats a message to a peer may take; a peer behind a cut must not hold up what follows.
+const peerPatience = 4
+
 // sendTo is the thread that sends messages to one peer, several in one request.
 func (s *Server) sendTo(address string, queue chan consensus.Message) {
 	for message := range queue {
@@ -51,7 +54,7 @@
 		for len(batch.Messages) < drainBatch && len(queue) > 0 {
 			batch.Messages = append(batch.Messages, <-queue)
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), peerPatience*s.file.Control.Heartbeat)
 		if err := s.client.Post(ctx, address, PathRaft, batch, nil); err != nil {
 			s.log.Debug("peer not reached", zap.String("peer", address), zap.Error(err))
 		}
@@ -67,7 +70,7 @@
 		switch {
 		case exists && s.tryJoin(ctx):
 			return
-		case !exists && allEmpty && s.file.Control.Founders[0] == s.file.Control.Internal:
+		case !exists && allEmpty && !s.file.Control.JoinOnly && s.file.Control.Founders[0] == s.file.Control.Internal:
 			s.inputs <- input{found: true}
 			return
 		}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -18,6 +18,7 @@
 	SettingsLease time.Duration // lease granted to routers
 	RepairAfter   time.Duration // silence after which a voter is replaced by a learner
 	SnapshotEvery uint64        // applied entries between snapshots
+	OrderWait     time.Duration // how long a new leader waits before its first order for weights
 	Guards        guard.Set
 	Random        func(n int64) int64
 }
@@ -52,6 +53,7 @@
 	Messages []consensus.Message
 	Replies  []Reply
 	Calls    []EngineCall
+	Weights  []WeightsCall
 }
 
 // Replica is one control replica. It is pure: the shell passes in time, messages and requests, and carries
@@ -70,14 +72,15 @@
 	ready       consensus.Ready
 	effects     Effects
 	lead        *leadership
-	checkpoint  bool // a snapshot must be written with the next Work
+	namedAt     map[string]time.Duration // when each model's newest weights were applied here
+	checkpoint  bool                     // a snapshot must be written with the next Work
 }
 
 // NewReplica restores a replica from its durable state.
 func NewReplica(config Config, restored Checkpoint, now time.Duration) (*Replica, error) {
 	replica := &Replica{
 		config: config, machine: NewMachine(config.Guards), snapshot: restored.Snapshot,
-		hard: restored.HardState, waiters: map[uint64]waiter{},
+		hard: restored.HardState, waiters: map[uint64]waiter{}, namedAt: map[string]time.Duration{},
 	}
 	if len(restored.Snapshot.Data) > 0 {
 		if err := replica.machine.Restore(restored.Snapshot.Data); err != nil {
@@ -119,6 +122,11 @@
 		r.expireSessions(now)
 		r.reconcile(now)
 		r.repair(now)
+		r.watchFleet(now)
+		r.rollOut(now)
+	}
+	if r.lead != nil {
+		r.answerWatchers(now)
 	}
 }
 
@@ -135,11 +143,13 @@
 func (r *Replica) checkLeadership(now time.Duration) {
 	leads := r.node.Role() == consensus.Leader
 	if r.lead != nil && (!leads || r.lead.term != r.node.Term()) {
+		ended := r.lead
 		r.lead = nil
+		r.closeWatchers(ended)
 		r.failWaiters()
 	}
 	if r.lead == nil && leads {
-		r.lead = newLeadership(r.node.Term(), r.leaseEnd(now), r.machine)
+		r.lead = newLeadership(r.node.Term(), now, r.leaseEnd(now), r.machine)
 	}
 }
 
@@ -227,7 +237,12 @@
 	r.applied, r.appliedTerm = entry.Index, entry.Term
 	var result Result
 	if entry.Kind == consensus.EntryCommand {
-		result = r.machine.Apply(entry.Index, entry.Term, decodeCommand(entry.Data))
+		command := decodeCommand(entry.Data)
+		if command.Catalog != nil {
+			result.Catalog = r.applyCatalog(now, *command.Catalog)
+		} else {
+			result = r.machine.Apply(entry.Index, entry.Term, command)
+		}
 	}
 	waiting, found := r.waiters[entry.Index]
 	if found {
@@ -243,7 +258,10 @@
 		r.reply(waiting.client, Response{Kind: ResponseUnknown, Leader: r.leaderAddress()})
 		return
 	}
-	response := Response{Kind: ResponseOK, Claim: result.Claim, Change: result.Change}
+	response := Response{Kind: ResponseOK, Claim: result.Claim, Change: result.Change, Catalog: result.Catalog}
+	if result.Catalog != nil && result.Catalog.Fence > 0 && r.lead != nil && entry.Term == r.node.Term() {
+		r.lead.fence = result.Catalog.Fence
+	}
 	if result.Session != nil {
 		response = r.sessionOpened(now, waiting.client, *result.Session)
 	}
@@ -266,7 +284,7 @@
 
 // HasWork reports whether Work and Done should be called.
 func (r *Replica) HasWork() bool {
-	return r.checkpoint || len(r.effects.Replies) > 0 || len(r.effects.Calls) > 0 || r.node.HasReady()
+	return r.checkpoint || len(r.effects.Replies) > 0 || len(r.effects.Calls) > 0 || len(r.effects.Weights) > 0 || r.node.HasReady()
 }
 
 // members returns the membership sorted by name.
--- /dev/null
+++ b/internal/control/rollout.go
@@ -0,0 +1,290 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"kitetiller/internal/catalog"
+)
+
+// phase tells where a back end stands in the replacement of its weights.
+type phase uint8
+
+const (
+	phaseIdle      phase = iota
+	phaseReporting       // its order count is being read
+	phaseAnnounced       // gateways send nothing new; the order follows
+	phaseOrdered         // the order is on its way
+	phaseLoading         // the order was taken, or may have been
+	phaseBackoff         // something failed; it is tried again later
+)
+
+const (
+	// announceLead is how long gateways have to turn away from a back end before its order is sent.
+	announceLead = 80 * time.Millisecond
+	// firstCheck is when a load is first looked for after its order was taken, and nextCheck the pause after that.
+	firstCheck = 800 * time.Millisecond
+	nextCheck  = 200 * time.Millisecond
+	// loadPatience is how long an order may show no effect before it is given again.
+	loadPatience = 2500 * time.Millisecond
+	// callPatience is how long a call of the driver may stay without a result.
+	callPatience = 3 * time.Second
+	// rolloutBackoff is the pause after a failure.
+	rolloutBackoff = 300 * time.Millisecond
+	// loadShare: one of so many back ends may load at the same time.
+	loadShare = 4
+)
+
+// rolloutState is the leader's view of one back end's weights.
+type rolloutState struct {
+	phase         phase
+	due           time.Duration // when the next step is due
+	model         string
+	version       uint64 // of the order in progress
+	orderedAt     time.Duration
+	revision      uint64 // orders that the back end has taken
+	revisionKnown bool
+}
+
+// loading reports whether gateways must send nothing new.
+func (s *rolloutState) loading() bool {
+	return s.phase == phaseAnnounced || s.phase == phaseOrdered || s.phase == phaseLoading
+}
+
+// WeightsCallKind tells what a driver shall ask of a back end.
+type WeightsCallKind uint8
+
+// Kinds of calls.
+const (
+	WeightsReport WeightsCallKind = iota // read which weights it holds and how many orders it took
+	WeightsOrder                         // replace its weights
+)
+
+// WeightsCall is a call that a driver makes to a back end on behalf of the leader.
+type WeightsCall struct {
+	Kind     WeightsCallKind
+	Instance string
+	Address  string
+	Model    string
+	Version  uint64
+	Fence    uint64 // rises with every leader; back ends refuse lower ones
+	Revision uint64 // orders that the back end is expected to have taken; another count refuses the order
+	Holder   string // name of the process that gives the order
+}
+
+// WeightsResultKind tells how a call ended.
+type WeightsResultKind uint8
+
+// Results of calls.
+const (
+	WeightsReported WeightsResultKind = iota // a report came
+	WeightsTaken                             // the order is being carried out
+	WeightsHeld                              // the back end holds the version already
+	WeightsBusy                              // another order is under way, or the count differs
+	WeightsFenced                            // a higher fence was seen
+	WeightsRefused                           // provably not taken
+	WeightsUnknown                           // no answer: it may have been taken, or may be yet
+)
+
+// WeightsResult is how a call ended.
+type WeightsResult struct {
+	Call     WeightsCall
+	Kind     WeightsResultKind
+	Versions map[string]uint64 // with WeightsReported
+	Busy     bool              // with WeightsReported: an order is under way
+	Revision uint64            // with WeightsReported
+}
+
+// mayOrder reports whether this replica may give orders: it holds the lease, has a fence of its own, and has led for
+// so long that no order of an earlier leader is still being given.
+func (r *Replica) mayOrder(now time.Duration) bool {
+	return r.current(now) && r.lead.fence > 0 && now >= r.lead.since+r.config.OrderWait
+}
+
+// rollOut takes the next steps towards the newest weights everywhere.
+func (r *Replica) rollOut(now time.Duration) {
+	if len(r.machine.catalog.Versions()) == 0 {
+		return
+	}
+	r.takeFence(now)
+	if !r.mayOrder(now) {
+		return
+	}
+	busy := 0
+	instances := r.machine.catalog.Instances()
+	for _, id := range sortedKeys(instances) {
+		state := r.member(now, id)
+		r.stepRollout(now, instances[id], state)
+		if state.rollout.loading() || state.rollout.phase == phaseReporting {
+			busy++
+		}
+	}
+	r.startRollouts(now, busy)
+}
+
+// takeFence asks for a fence of this leadership, once.
+func (r *Replica) takeFence(now time.Duration) {
+	if r.lead.fence == 0 && now >= r.lead.fenceAskedAt+callPatience {
+		r.lead.fenceAskedAt = now
+		r.propose(now, 0, Command{Catalog: &catalog.Command{Fence: true}})
+	}
+}
+
+// lagging returns the model and version that a back end should hold and does not, if any.
+func (r *Replica) lagging(instance catalog.Instance, state *memberState) (string, uint64, bool) {
+	for model, held := range state.versions {
+		if wanted := r.machine.catalog.Versions()[model]; wanted > held && instance.State == catalog.StateReady {
+			return model, wanted, true
+		}
+	}
+	return "", 0, false
+}
+
+// startRollouts begins with the least used of the back ends that lag, a few at a time.
+func (r *Replica) startRollouts(now time.Duration, busy int) {
+	var lagging []string
+	engines := 0
+	instances := r.machine.catalog.Instances()
+	for _, id := range sortedKeys(instances) {
+		state := r.member(now, id)
+		if len(state.versions) > 0 {
+			engines++
+		}
+		_, _, lags := r.lagging(instances[id], state)
+		if lags && state.rollout.phase == phaseIdle && !state.silent {
+			lagging = append(lagging, id)
+		}
+	}
+	used := r.totalUsage(now)
+	slices.SortStableFunc(lagging, func(a, b string) int { return cmp.Compare(used[a], used[b]) })
+	for _, id := range lagging {
+		if busy >= max(1, engines/loadShare) {
+			return
+		}
+		busy++
+		r.beginRollout(now, instances[id], r.member(now, id))
+	}
+}
+
+func (r *Replica) totalUsage(now time.Duration) map[string]int {
+	reply := &WatchReply{Usage: map[string]int{}}
+	r.addUsage(now, "", reply)
+	return reply.Usage
+}
+
+func (r *Replica) beginRollout(now time.Duration, instance catalog.Instance, state *memberState) {
+	state.rollout.model, state.rollout.version, _ = r.lagging(instance, state)
+	if !state.rollout.revisionKnown {
+		r.setPhase(state, phaseReporting, now+callPatience)
+		r.callWeights(instance, state, WeightsReport)
+		return
+	}
+	r.setPhase(state, phaseAnnounced, now+announceLead)
+}
+
+// setPhase moves a back end to another phase and tells watchers when that changes what they may send.
+func (r *Replica) setPhase(state *memberState, next phase, due time.Duration) {
+	before := state.rollout.loading()
+	state.rollout.phase, state.rollout.due = next, due
+	if state.rollout.loading() != before {
+		r.lead.rosterChanged()
+	}
+}
+
+// stepRollout does what is due at one back end.
+func (r *Replica) stepRollout(now time.Duration, instance catalog.Instance, state *memberState) {
+	if now < state.rollout.due {
+		return
+	}
+	switch state.rollout.phase {
+	case phaseReporting, phaseOrdered:
+		r.setPhase(state, phaseBackoff, now+rolloutBackoff) // no result came
+	case phaseAnnounced:
+		state.rollout.version = max(state.rollout.version, r.machine.catalog.Versions()[state.rollout.model])
+		state.rollout.orderedAt = now
+		r.setPhase(state, phaseOrdered, now+callPatience)
+		r.callWeights(instance, state, WeightsOrder)
+	case phaseLoading:
+		state.rollout.due = now + callPatience
+		r.callWeights(instance, state, WeightsReport)
+	case phaseBackoff:
+		r.setPhase(state, phaseIdle, now)
+	}
+}
+
+func (r *Replica) callWeights(instance catalog.Instance, state *memberState, kind WeightsCallKind) {
+	r.effects.Weights = append(r.effects.Weights, WeightsCall{
+		Kind: kind, Instance: instance.ID, Address: instance.Address, Model: state.rollout.model, Version: state.rollout.version,
+		Fence: r.lead.fence, Revision: state.rollout.revision, Holder: r.config.Name,
+	})
+}
+
+// ObserveWeights takes the result of a call.
+func (r *Replica) ObserveWeights(now time.Duration, result WeightsResult) {
+	if r.lead == nil || result.Call.Fence != r.lead.fence {
+		return
+	}
+	state := r.lead.fleet[result.Call.Instance]
+	if state == nil {
+		return
+	}
+	if result.Call.Kind == WeightsReport {
+		r.observeReport(now, state, result)
+		return
+	}
+	r.observeOrder(now, state, result)
+}
+
+func (r *Replica) observeOrder(now time.Duration, state *memberState, result WeightsResult) {
+	if state.rollout.phase != phaseOrdered {
+		return
+	}
+	switch result.Kind {
+	case WeightsTaken:
+		state.rollout.revision++
+		r.setPhase(state, phaseLoading, now+firstCheck)
+	case WeightsHeld:
+		r.finishRollout(now, state)
+	case WeightsUnknown:
+		state.rollout.revisionKnown = false
+		r.setPhase(state, phaseLoading, now+nextCheck)
+	case WeightsFenced:
+		r.lead.fence = 0
+		r.setPhase(state, phaseBackoff, now+callPatience)
+	default:
+		state.rollout.revisionKnown = false
+		r.setPhase(state, phaseBackoff, now+rolloutBackoff)
+	}
+}
+
+func (r *Replica) finishRollout(now time.Duration, state *memberState) {
+	state.versions[state.rollout.model] = max(state.versions[state.rollout.model], state.rollout.version)
+	r.lead.rosterChanged()
+	r.setPhase(state, phaseIdle, now)
+}
+
+func (r *Replica) observeReport(now time.Duration, state *memberState, result WeightsResult) {
+	loads := state.rollout.phase == phaseLoading
+	if !loads && state.rollout.phase != phaseReporting {
+		return
+	}
+	if result.Kind != WeightsReported {
+		r.setPhase(state, phaseBackoff, now+rolloutBackoff)
+		return
+	}
+	r.takeVersions(state, result.Versions)
+	done := state.versions[state.rollout.model] >= state.rollout.version
+	switch {
+	case result.Busy:
+		r.setPhase(state, phaseLoading, now+nextCheck)
+	case done:
+		state.rollout.revision, state.rollout.revisionKnown = max(state.rollout.revision, result.Revision), true
+		r.finishRollout(now, state)
+	case loads && now < state.rollout.orderedAt+loadPatience:
+		r.setPhase(state, phaseLoading, now+nextCheck)
+	default:
+		state.rollout.revision, state.rollout.revisionKnown = result.Revision, true
+		r.setPhase(state, phaseAnnounced, now+announceLead)
+	}
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -37,6 +37,7 @@
 	hello   transport.Respond
 	found   bool
 	inspect func(*Replica)
+	weights *WeightsResult
 }
 
 // HelloReply tells a replica with an empty folder whether a group exists already.
@@ -62,6 +63,8 @@
 	links    *transport.Links
 	client   *transport.Client
 	group    *Client
+	driver   Driver
+	orders   chan WeightsCall
 
 	mutex    sync.Mutex
 	outboxes map[consensus.ID]chan consensus.Message
@@ -87,7 +90,7 @@
 	links := transport.WatchLinks(ctx, file.Links, file.Zone)
 	server := &Server{
 		file: file, log: log.With(zap.String("replica", string(identity.ID))), identity: identity, disk: disk,
-		started: time.Now(), inputs: make(chan input, inputRing), calls: make(chan EngineCall, callRing),
+		started: time.Now(), inputs: make(chan input, inputRing), calls: make(chan EngineCall, callRing), orders: make(chan WeightsCall, callRing),
 		clients: map[uint64]transport.Respond{}, seen: map[consensus.ID]string{}, links: links, outboxes: map[consensus.ID]chan consensus.Message{},
 		client: transport.NewClient(file.ClusterToken, links), failed: make(chan error, 1),
 	}
@@ -106,7 +109,7 @@
 	return Config{
 		ID: s.identity.ID, Name: s.identity.Name, Address: section.Internal, Timing: timing,
 		Replicas: section.Replicas, SettingsLease: section.SettingsLease, RepairAfter: section.RepairAfter,
-		SnapshotEvery: section.SnapshotEvery, Random: rand.Int64N,
+		SnapshotEvery: section.SnapshotEvery, OrderWait: section.OrderWait, Random: rand.Int64N,
 	}
 }
 
@@ -120,12 +123,15 @@
 	if err != nil {
 		return err
 	}
+	defer s.closeAdmin(admin)
 	run, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var threads sync.WaitGroup
 	threads.Go(func() { s.decide(run) })
 	threads.Go(func() { s.sendCalls(run) })
 	threads.Go(func() { s.watchEngines(run) })
+	threads.Go(func() { s.callBackends(run) })
+	threads.Go(func() { s.followMembership(run) })
 	if s.replica.Node().LastIndex() == 0 {
 		threads.Go(func() { s.enterGroup(run) })
 	}
@@ -137,7 +143,6 @@
 	cancel()
 	closing, done := context.WithTimeout(context.Background(), sendTimeout)
 	defer done()
-	_ = admin.Shutdown(closing)
 	_ = listener.Close(closing)
 	threads.Wait()
 	if closeErr := s.disk.Close(); err == nil {
@@ -238,6 +243,8 @@
 		item.hello(http.StatusOK, HelloReply{HasState: s.replica.Node().LastIndex() > 0})
 	case item.report != nil:
 		s.replica.Observe(now, *item.report)
+	case item.weights != nil:
+		s.replica.ObserveWeights(now, *item.weights)
 	case item.found:
 		s.found()
 	case item.inspect != nil:
@@ -277,6 +284,13 @@
 			respond(http.StatusOK, reply.Response)
 		}
 	}
+	for _, call := range effects.Weights {
+		select {
+		case s.orders <- call:
+		default:
+			s.log.Warn("ring of weights calls is full, call shed; it is made again", zap.String("instance", call.Instance))
+		}
+	}
 	for _, call := range effects.Calls {
 		select {
 		case s.calls <- call:
--- /dev/null
+++ b/internal/gateway/budget.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+)
+
+// budgetShare is the part of the fleet's allowance that is used, since gateways count by themselves and their windows
+// don't meet exactly.
+const budgetShare = 0.7
+
+// budgetSlots divides the window.
+const budgetSlots = 10
+
+// budgetSlot counts one part of the window.
+type budgetSlot struct {
+	number   int64
+	requests int
+	repeats  int
+}
+
+// serviceBudget counts a service's requests and repeats in a sliding window.
+type serviceBudget struct {
+	slots [budgetSlots]budgetSlot
+}
+
+// retryBudget bounds how often requests are sent to another back end, so that a failing service is not buried under
+// repeats. Each gateway spends the ratio of its own requests and an equal part of the fleet's slack.
+type retryBudget struct {
+	mutex    sync.Mutex
+	window   time.Duration
+	ratio    float64
+	slack    float64
+	gateways int
+	services map[string]*serviceBudget
+}
+
+func newRetryBudget(settings Settings) *retryBudget {
+	return &retryBudget{
+		window: settings.RetryWindow, ratio: settings.RetryRatio, slack: settings.RetrySlack, gateways: 1,
+		services: map[string]*serviceBudget{},
+	}
+}
+
+// share sets by how many gateways the slack is divided.
+func (b *retryBudget) share(gateways int) {
+	b.mutex.Lock()
+	b.gateways = max(1, gateways)
+	b.mutex.Unlock()
+}
+
+// slot returns the current part of a service's window. The caller holds the mutex.
+func (b *retryBudget) slot(service string, now time.Duration) (*serviceBudget, *budgetSlot) {
+	held := b.services[service]
+	if held == nil {
+		held = &serviceBudget{}
+		b.services[service] = held
+	}
+	number := int64(now / (b.window / budgetSlots))
+	slot := &held.slots[number%budgetSlots]
+	if slot.number != number {
+		*slot = budgetSlot{number: number}
+	}
+	return held, slot
+}
+
+// request counts a caller's request.
+func (b *retryBudget) request(service string, now time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	_, slot := b.slot(service, now)
+	slot.requests++
+}
+
+// take spends one repeat, or returns false when there is none left.
+func (b *retryBudget) take(service string, now time.Duration) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	held, slot := b.slot(service, now)
+	requests, repeats := 0, 0
+	for _, counted := range held.slots {
+		if slot.number-counted.number < budgetSlots {
+			requests += counted.requests
+			repeats += counted.repeats
+		}
+	}
+	allowed := budgetShare * (b.ratio*float64(requests) + b.slack/float64(b.gateways))
+	if float64(repeats+1) > allowed {
+		return false
+	}
+	slot.repeats++
+	return true
+}
--- /dev/null
+++ b/internal/gateway/dialect.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"kitetiller/internal/prefix"
+)
+
+// Call is what a caller asks, apart from method, path and body, which are passed on as they came.
+type Call struct {
+	ID           string // the caller's name for this request; the answer must carry it
+	Key          string // API key
+	Model        string
+	Parts        []prefix.Part // of the prompt, in order
+	PromptTokens int
+	OutputTokens int           // at most
+	Patience     time.Duration // how long the caller waits; 0 unknown
+	LastEvent    string        // newest event of the stream that the caller already has
+}
+
+// Sending is what a back end is told beside the caller's own request.
+type Sending struct {
+	Instance  string        // life that the request is meant for; another one must refuse it
+	Left      time.Duration // until the answer is of no use
+	Tenant    string        // owner of the API key, or ""
+	Engine    bool          // the fields below apply
+	Salt      string        // name space of cached parts
+	Priority  int           // 0 is the most urgent
+	Version   uint64        // weights that the request counts on; 0 unknown
+	LastEvent string        // newest event of the stream that the caller already has
+}
+
+// Verdict is what a back end's answer says of itself.
+type Verdict struct {
+	ID     string // request that it answers
+	Signed bool   // it comes from a back end that ran the request
+	NotRun bool   // the request did not run and never will
+}
+
+// Dialect translates between a platform's headers and the gateway. It is safe for concurrent use.
+type Dialect interface {
+	// Read reads what a caller asks.
+	Read(header http.Header) Call
+	// Write sets what a back end is told and removes whatever callers may not set themselves.
+	Write(header http.Header, sending Sending)
+	// Judge reads a back end's answer.
+	Judge(status int, header http.Header) Verdict
+}
--- /dev/null
+++ b/internal/gateway/endpoints.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"kitetiller/internal/control"
+)
+
+const (
+	// suspectBase and suspectLimit bound how long a back end that failed is avoided; the time doubles with each failure.
+	suspectBase  = 200 * time.Millisecond
+	suspectLimit = 3 * time.Second
+	// muteAfter is how long a back end may leave a request without a word, while it says nothing else either, before it is
+	// avoided.
+	muteAfter = 1200 * time.Millisecond
+	// failureSmoothing weighs the newest outcome in a back end's share of failures.
+	failureSmoothing = 0.1
+)
+
+// endpoint is a row of the back end table.
+type endpoint struct {
+	entry    control.RosterEntry
+	heardAt  time.Duration // when the entry came
+	running  int           // own requests
+	others   int           // requests of other gateways, as last told
+	prefill  int           // prompt tokens of own requests that gave no first event yet
+	waiting  map[*attempt]time.Duration
+	spokeAt  time.Duration // newest bytes of any answer
+	failures int           // in a row
+	failing  float64       // share of failures, smoothed
+	avoidTo  time.Duration
+	gone     bool
+}
+
+// table holds the back ends of the newest roster.
+type table struct {
+	mutex    sync.Mutex
+	rows     map[string]*endpoint
+	services map[string][]*endpoint
+	wanted   map[string]wanted
+	changed  chan struct{} // closed and made anew with each roster
+}
+
+func newTable() *table {
+	return &table{
+		rows: map[string]*endpoint{}, services: map[string][]*endpoint{}, wanted: map[string]wanted{},
+		changed: make(chan struct{}),
+	}
+}
+
+// takeRoster replaces the roster; rows of back ends that stay keep what was learnt about them.
+func (t *table) takeRoster(now time.Duration, entries []control.RosterEntry) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	fresh := map[string]*endpoint{}
+	services := map[string][]*endpoint{}
+	for _, entry := range entries {
+		row := t.rows[entry.ID]
+		if row == nil {
+			row = &endpoint{waiting: map[*attempt]time.Duration{}, spokeAt: now}
+		}
+		row.entry, row.heardAt = entry, now
+		fresh[entry.ID] = row
+		services[entry.Service] = append(services[entry.Service], row)
+	}
+	for id, row := range t.rows {
+		row.gone = fresh[id] == nil
+	}
+	t.rows, t.services = fresh, services
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// takeNews notes what every answer of control carries.
+func (t *table) takeNews(asked time.Duration, reply *control.WatchReply) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, named := range reply.Wanted {
+		t.wanted[named.Model] = wanted{version: named.Version, namedAt: asked - named.Age}
+	}
+	for id, row := range t.rows {
+		row.others = reply.Usage[id]
+	}
+}
+
+// usage returns the own requests by instance.
+func (t *table) usage() map[string]int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	counts := map[string]int{}
+	for id, row := range t.rows {
+		if row.running > 0 {
+			counts[id] = row.running
+		}
+	}
+	return counts
+}
+
+// news returns a channel that is closed with the next roster.
+func (t *table) news() <-chan struct{} {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.changed
+}
+
+// begin notes that an attempt is sent.
+func (t *table) begin(now time.Duration, sent *attempt) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	sent.row.running++
+	sent.row.prefill += sent.uncached
+	sent.row.waiting[sent] = now
+}
+
+// spoke notes bytes of an answer; the first ones end the wait.
+func (t *table) spoke(now time.Duration, sent *attempt) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	sent.row.spokeAt = now
+	t.endWait(sent)
+}
+
+func (t *table) endWait(sent *attempt) {
+	if _, waits := sent.row.waiting[sent]; waits {
+		delete(sent.row.waiting, sent)
+		sent.row.prefill -= sent.uncached
+	}
+}
+
+// end notes that an attempt is over, and how it went.
+func (t *table) end(now time.Duration, sent *attempt, good outcomeGrade) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.endWait(sent)
+	sent.row.running--
+	t.grade(now, sent.row, good)
+}
+
+// outcomeGrade tells what an attempt says of its back end.
+type outcomeGrade uint8
+
+const (
+	gradeNone outcomeGrade = iota // says nothing
+	gradeGood
+	gradeFull // it is alive but turned the request away
+	gradeBad
+)
+
+func (t *table) grade(now time.Duration, row *endpoint, good outcomeGrade) {
+	switch good {
+	case gradeGood:
+		row.failures = 0
+		row.failing *= 1 - failureSmoothing
+		row.spokeAt = now
+	case gradeFull:
+		row.avoidTo = max(row.avoidTo, now+suspectBase/2)
+		row.spokeAt = now
+	case gradeBad:
+		row.failures++
+		row.failing += failureSmoothing * (1 - row.failing)
+		row.avoidTo = now + min(suspectBase<<min(row.failures-1, 10), suspectLimit)
+	}
+}
+
+// unreachable notes that no connection came up.
+func (t *table) unreachable(now time.Duration, row *endpoint) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.grade(now, row, gradeBad)
+}
+
+// mute reports whether a back end leaves requests without a word.
+func (e *endpoint) mute(now time.Duration) bool {
+	if len(e.waiting) == 0 || now-e.spokeAt < muteAfter {
+		return false
+	}
+	oldest := slices.Min(slices.Collect(maps.Values(e.waiting)))
+	return now-oldest > muteAfter
+}
--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,317 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/catalog"
+)
+
+// Reasons why a request got no back end's answer.
+const (
+	reasonNoDocument = "no-document"
+	reasonNoRoute    = "no-route"
+	reasonNoKey      = "key-unknown"
+	reasonUntrusted  = "view-unconfirmed"
+	reasonTooLarge   = "body-too-large"
+	reasonBadBody    = "body-broken"
+	reasonNoBackend  = "no-backend"
+	reasonTurnedAway = "turned-away"
+	reasonUnreached  = "unreached"
+	reasonRunUnknown = "run-unknown"
+	reasonDeadline   = "deadline"
+	reasonCallerGone = "caller-gone"
+	reasonBroken     = "stream-broken"
+)
+
+const (
+	// retrySoon is the advice when another try in a moment may be served.
+	retrySoon = 150 * time.Millisecond
+	// retryLater is the advice when this gateway has lost control for a while.
+	retryLater = 500 * time.Millisecond
+	// unreachedLimit is how many back ends may be found unreachable for one request.
+	unreachedLimit = 4
+	// backendGrace is how long a request may wait for a back end that can be used.
+	backendGrace = 120 * time.Millisecond
+)
+
+// exchange is one caller's request.
+type exchange struct {
+	gateway  *Gateway
+	writer   http.ResponseWriter
+	request  *http.Request
+	ctx      context.Context
+	arrived  time.Duration
+	deadline time.Duration // when the final answer is due
+	call     Call
+	view     *view
+	route    *catalog.Route
+	service  *catalog.Service
+	tenant   *catalog.Tenant
+	keyed    bool
+	body     []byte
+
+	tried     []*endpoint
+	sent      int // back ends that got the request
+	unreached int
+	mayHave   bool   // an earlier attempt may have run
+	relayed   bool   // the head of an answer has gone to the caller
+	lastEvent string // newest event passed on
+	served    string // back end of the answer
+}
+
+// serve takes a caller's request.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	x := &exchange{gateway: g, writer: w, request: r, arrived: g.now(), call: g.dialect.Read(r.Header)}
+	if !x.admit() || !x.readBody() {
+		return
+	}
+	deadline := x.route.Timeout
+	if x.call.Patience > 0 {
+		deadline = min(deadline, x.call.Patience)
+	}
+	x.deadline = x.arrived + deadline
+	ctx, cancel := context.WithDeadline(r.Context(), g.started.Add(x.deadline))
+	defer cancel()
+	x.ctx = ctx
+	x.run()
+}
+
+// admit finds route, tenant and service, or answers why not. Only a confirmed view may say that something does not
+// exist; an older one cannot know.
+func (x *exchange) admit() bool {
+	x.view = x.gateway.view.Load()
+	if x.view == nil {
+		x.refuse(http.StatusServiceUnavailable, reasonNoDocument, retryLater)
+		return false
+	}
+	trusted := x.gateway.trusted(x.arrived)
+	x.route = x.view.route(x.request.Host, x.request.URL.Path)
+	if x.route == nil {
+		x.deny(trusted, http.StatusNotFound, reasonNoRoute)
+		return false
+	}
+	x.tenant, x.keyed = x.view.tenant(x.route, x.call.Key)
+	if x.keyed && (x.tenant == nil || !trusted) {
+		x.deny(trusted, http.StatusUnauthorized, reasonNoKey)
+		return false
+	}
+	x.service = x.view.services[x.gateway.splits.next(x.route)]
+	x.gateway.budget.request(x.service.Name, x.arrived)
+	return true
+}
+
+func (x *exchange) deny(trusted bool, status int, reason string) {
+	if !trusted {
+		x.refuse(http.StatusServiceUnavailable, reasonUntrusted, retryLater)
+		return
+	}
+	x.refuse(status, reason, 0)
+}
+
+// readBody reads the whole body, since it may have to be sent twice.
+func (x *exchange) readBody() bool {
+	if x.request.ContentLength == 0 {
+		return true
+	}
+	limit := x.view.bodyLimit()
+	if x.request.ContentLength > limit {
+		x.refuse(http.StatusRequestEntityTooLarge, reasonTooLarge, 0)
+		return false
+	}
+	controller := http.NewResponseController(x.writer)
+	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := readAll(http.MaxBytesReader(x.writer, x.request.Body, limit), x.request.ContentLength)
+	_ = controller.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		x.refuse(http.StatusRequestEntityTooLarge, reasonTooLarge, 0)
+		return false
+	case err != nil:
+		x.refuse(http.StatusBadRequest, reasonBadBody, 0)
+		return false
+	}
+	x.body = body
+	return true
+}
+
+// readAll reads a body of known length into one buffer of that length.
+func readAll(from io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(from)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(from, body)
+	return body, err
+}
+
+// run sends the request until it has an answer or must be given up.
+func (x *exchange) run() {
+	for {
+		if x.over() {
+			return
+		}
+		chosen := x.place()
+		if chosen == nil {
+			x.giveUp(reasonNoBackend, retrySoon)
+			return
+		}
+		sent := x.newAttempt(chosen)
+		result := sent.perform()
+		if result.kind == resultAnswered {
+			return
+		}
+		x.logFailure(sent, result)
+		if !x.mayGoOn(result) {
+			return
+		}
+	}
+}
+
+// over answers a request whose time has passed, or whose caller has left.
+func (x *exchange) over() bool {
+	switch {
+	case x.request.Context().Err() != nil:
+		x.abandon()
+		return true
+	case x.ctx.Err() != nil:
+		x.giveUp(reasonDeadline, retrySoon)
+		return true
+	}
+	return false
+}
+
+// abandon ends a request whose caller has left.
+func (x *exchange) abandon() {
+	x.logEnd(eventRefused, reasonCallerGone, 0)
+	panic(http.ErrAbortHandler)
+}
+
+// place chooses a back end; while none can be used it waits a moment for a better roster.
+func (x *exchange) place() *candidate {
+	wish := need{service: x.service, call: &x.call, tried: x.tried}
+	patience := x.gateway.now() + backendGrace
+	for {
+		news := x.gateway.table.news()
+		chosen, _ := x.gateway.choose(x.gateway.now(), wish)
+		left := patience - x.gateway.now()
+		if chosen != nil || left <= 0 || len(x.tried) > 0 {
+			return chosen
+		}
+		select {
+		case <-news:
+		case <-time.After(left):
+		case <-x.ctx.Done():
+			return nil
+		}
+	}
+}
+
+// mayGoOn decides what follows a failed attempt; when the request is not sent again, it has been answered.
+func (x *exchange) mayGoOn(result result) bool {
+	if x.over() {
+		return false
+	}
+	switch result.kind {
+	case resultUnreached:
+		x.unreached++
+		if x.unreached >= unreachedLimit {
+			x.giveUp(reasonUnreached, retrySoon)
+			return false
+		}
+		return true
+	case resultNotRun:
+		if x.mayHave && !x.route.MayRepeat() {
+			x.giveUp(reasonRunUnknown, 0)
+			return false
+		}
+		return x.repeat(reasonTurnedAway, max(retrySoon, result.retryAfter))
+	}
+	x.mayHave = true
+	if !x.route.MayRepeat() {
+		x.giveUp(reasonRunUnknown, 0)
+		return false
+	}
+	return x.repeat(reasonRunUnknown, 0)
+}
+
+// repeat reports whether the request may be sent to another back end; otherwise it gives the request up.
+func (x *exchange) repeat(reason string, retryAfter time.Duration) bool {
+	if x.canRepeat() && x.gateway.budget.take(x.service.Name, x.gateway.now()) {
+		return true
+	}
+	x.giveUp(reason, retryAfter)
+	return false
+}
+
+// canRepeat reports whether the route allows one more back end, and the view still counts.
+func (x *exchange) canRepeat() bool {
+	if x.keyed && !x.gateway.trusted(x.gateway.now()) {
+		return false
+	}
+	return x.sent < max(1, x.route.Attempts)
+}
+
+// giveUp gives the final answer at once: 503 with the time to come back when the request has not run, else 502 or 504.
+func (x *exchange) giveUp(reason string, retryAfter time.Duration) {
+	if x.relayed {
+		x.logEnd(eventRefused, reasonBroken, 0)
+		panic(http.ErrAbortHandler) // an answer that has begun must not look complete
+	}
+	switch {
+	case !x.mayHave && x.sent == 0, !x.mayHave:
+		x.refuse(http.StatusServiceUnavailable, reason, max(retrySoon, retryAfter))
+	case reason == reasonDeadline:
+		x.refuse(http.StatusGatewayTimeout, reason, 0)
+	default:
+		x.refuse(http.StatusBadGateway, reason, 0)
+	}
+}
+
+// refuse answers a request itself.
+func (x *exchange) refuse(status int, reason string, retryAfter time.Duration) {
+	header := x.writer.Header()
+	header.Set("Content-Type", "application/problem+json")
+	if retryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	}
+	x.logEnd(eventRefused, reason, status)
+	x.writer.WriteHeader(status)
+	_, _ = io.WriteString(x.writer, `{"type":"urn:kitetiller:`+reason+`","status":`+strconv.Itoa(status)+`}`)
+}
+
+// logEnd writes the one line that each request leaves.
+func (x *exchange) logEnd(event, reason string, status int) {
+	fields := []zap.Field{
+		zap.String("request", x.call.ID), zap.Int("status", status), zap.Int("sent", x.sent),
+		zap.Duration("took", x.gateway.now()-x.arrived),
+	}
+	if reason != "" {
+		fields = append(fields, zap.String("reason", reason))
+	}
+	if x.route != nil {
+		fields = append(fields, zap.String("route", x.route.Name), zap.Uint64("revision", x.view.document.Revision))
+	}
+	if x.served != "" {
+		fields = append(fields, zap.String("instance", x.served))
+	}
+	x.gateway.log.note(event, fields...)
+}
+
+func (x *exchange) logFailure(sent *attempt, failed result) {
+	x.gateway.log.note(eventAttempt, zap.String("request", x.call.ID), zap.String("instance", sent.row.entry.ID),
+		zap.String("result", failed.kind.String()), zap.String("cause", failed.cause), zap.Int("sent", x.sent),
+		zap.Duration("took", x.gateway.now()-sent.began))
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,254 @@
+// Package gateway is a data plane node without a disk: it takes callers' requests on the routes of the document in
+// force, chooses a back end, relays request and answer byte for byte, and decides what may be sent again.
+//
+// Everything it knows comes from control: it asks for news all the time, and counts its view as current from the
+// moment when it asked. A view that is too old serves no request with an API key. What callers and back ends are
+// told beside that is a Dialect's matter.
+//
+// Threads: one follows control; one sweeps idle connections; one writes logs; net/http's goroutines serve callers.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/control"
+	"kitetiller/internal/transport"
+)
+
+// Gateway is one data plane process.
+type Gateway struct {
+	settings Settings
+	dialect  Dialect
+	log      *decisionLog
+	started  time.Time
+
+	group    *control.Client
+	view     atomic.Pointer[view]
+	confirm  atomic.Int64 // when the newest confirmed view was asked for, in ns of this process's clock; 0 never
+	table    *table
+	budget   *retryBudget
+	pool     *pool
+	splits   *splits
+	draining atomic.Bool
+	active   atomic.Int64
+}
+
+// New returns a gateway that knows nothing yet.
+func New(settings Settings, dialect Dialect, log *zap.Logger) *Gateway {
+	client := transport.NewClient(settings.Token, nil)
+	return &Gateway{
+		settings: settings, dialect: dialect, log: newDecisionLog(log), started: time.Now(),
+		group: control.NewClient(client, settings.Control), table: newTable(), budget: newRetryBudget(settings),
+		pool: newPool(), splits: newSplits(),
+	}
+}
+
+// now is the process's steady clock.
+func (g *Gateway) now() time.Duration { return time.Since(g.started) }
+
+// UseControl replaces the control replicas to start from.
+func (g *Gateway) UseControl(addresses []string) { g.group.Use(addresses) }
+
+// Run serves until ctx ends, then finishes what is in flight.
+func (g *Gateway) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", g.settings.Listen)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", g.settings.Listen)
+	}
+	ready, err := g.listenReady()
+	if err != nil {
+		return err
+	}
+	run, cancel := context.WithCancel(context.Background())
+	var threads sync.WaitGroup
+	threads.Go(func() { g.follow(run) })
+	threads.Go(func() { g.sweep(run) })
+	threads.Go(func() { g.log.run(run) })
+	public := &http.Server{
+		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: nil, DisableGeneralOptionsHandler: true,
+	}
+	failed := make(chan error, 1)
+	go func() {
+		if err := public.Serve(listener); err != http.ErrServerClosed {
+			failed <- err
+		}
+	}()
+	g.log.note(eventStarted, zap.String("listen", g.settings.Listen))
+	select {
+	case <-ctx.Done():
+		g.drain(public)
+	case err = <-failed:
+	}
+	g.log.note(eventStopped, zap.Int64("active", g.active.Load()))
+	cancel()
+	threads.Wait()
+	if ready != nil {
+		_ = ready.Close()
+	}
+	return err
+}
+
+// drain is the planned stop: the readiness check fails at once, requests are served until whoever sends them has
+// noticed, and those in flight are finished.
+func (g *Gateway) drain(public *http.Server) {
+	began := time.Now()
+	g.draining.Store(true)
+	g.log.note(eventStopping, zap.Int64("active", g.active.Load()))
+	time.Sleep(min(stopNotice, g.settings.Grace/2))
+	closing, done := context.WithDeadline(context.Background(), began.Add(g.settings.Grace-stopMargin))
+	defer done()
+	_ = public.Shutdown(closing) // what is left is cut with the process
+}
+
+// listenReady opens the listener of the readiness check.
+func (g *Gateway) listenReady() (*http.Server, error) {
+	if g.settings.Ready == "" {
+		return nil, nil
+	}
+	listener, err := net.Listen("tcp", g.settings.Ready)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", g.settings.Ready)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
+	go func() { _ = server.Serve(listener) }()
+	return server, nil
+}
+
+// Ready reports whether new connections are wanted.
+func (g *Gateway) Ready() bool {
+	return !g.draining.Load() && g.view.Load() != nil && g.trusted(g.now())
+}
+
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !g.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// trusted reports whether control confirmed the view so lately that its keys count.
+func (g *Gateway) trusted(now time.Duration) bool {
+	confirmed := time.Duration(g.confirm.Load())
+	return confirmed > 0 && now-confirmed < g.settings.Trust
+}
+
+// sweep is the thread that closes connections which rested too long.
+func (g *Gateway) sweep(ctx context.Context) {
+	ticker := time.NewTicker(idleRepeatable / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.pool.sweep()
+		}
+	}
+}
+
+// follow is the thread that asks control for news.
+func (g *Gateway) follow(ctx context.Context) {
+	var roster control.RosterVersion
+	known := 0
+	for ctx.Err() == nil {
+		asked := g.now()
+		reply := g.ask(ctx, roster)
+		if reply == nil {
+			g.log.lost(g.trusted(g.now()))
+			select {
+			case <-ctx.Done():
+			case <-time.After(watchPause):
+			}
+			continue
+		}
+		roster = reply.Version
+		g.take(asked, reply)
+		if len(reply.Replicas) != known {
+			known = len(reply.Replicas)
+			g.group.Use(reply.Replicas)
+		}
+	}
+}
+
+func (g *Gateway) ask(ctx context.Context, roster control.RosterVersion) *control.WatchReply {
+	question := control.Watch{
+		Gateway: g.settings.Name, Zone: g.settings.Zone, Roster: roster, Hold: watchHold, Usage: g.table.usage(),
+		Closing: g.draining.Load(),
+	}
+	if held := g.view.Load(); held != nil {
+		question.Revision = held.document.Revision
+	}
+	attempt, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	response, err := g.group.Once(attempt, control.Request{Watch: &question})
+	if err != nil || response.Kind != control.ResponseOK {
+		return nil
+	}
+	return response.Watch
+}
+
+// take puts news in force. A document is only ever replaced by a newer one.
+func (g *Gateway) take(asked time.Duration, reply *control.WatchReply) {
+	held := g.view.Load()
+	if reply.Document != nil && (held == nil || reply.Document.Revision > held.document.Revision) {
+		g.view.Store(newView(reply.Document))
+		g.log.note(eventDocument, zap.Uint64("revision", reply.Document.Revision), zap.Int("routes", len(reply.Document.Routes)))
+	}
+	if reply.Roster != nil {
+		g.table.takeRoster(g.now(), reply.Roster)
+		g.log.note(eventRoster, zap.Uint64("term", reply.Version.Term), zap.Uint64("count", reply.Version.Count),
+			zap.Int("instances", len(reply.Roster)))
+	}
+	g.table.takeNews(asked, reply)
+	g.budget.share(reply.Gateways)
+	if g.view.Load() != nil {
+		g.confirm.Store(int64(asked))
+		g.log.regained()
+	}
+}
+
+// splits spreads the requests of a route over its targets by weight.
+type splits struct {
+	mutex sync.Mutex
+	sent  map[string]map[string]float64 // by route and service: what it is owed
+}
+
+func newSplits() *splits { return &splits{sent: map[string]map[string]float64{}} }
+
+// next returns the target that is owed most (smooth weighted round robin), so that shares hold over short spans.
+func (s *splits) next(route *catalog.Route) string {
+	if len(route.Targets) == 1 {
+		return route.Targets[0].Service
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	owed := s.sent[route.Name]
+	if owed == nil {
+		owed = map[string]float64{}
+		s.sent[route.Name] = owed
+	}
+	total, best := 0, ""
+	for _, target := range route.Targets {
+		total += target.Weight
+		owed[target.Service] += float64(target.Weight)
+		if target.Weight > 0 && (best == "" || owed[target.Service] > owed[best]) {
+			best = target.Service
+		}
+	}
+	owed[best] -= float64(total)
+	return best
+}
+
+func formatVersion(version uint64) string { return strconv.FormatUint(version, 10) }
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,43 @@
+package gateway
+
+import "time"
+
+// Settings is what a gateway needs to start.
+type Settings struct {
+	Name    string
+	Zone    string
+	Listen  string   // address for callers
+	Ready   string   // address of the readiness check, or ""
+	Control []string // internal addresses of control replicas
+	Token   string   // shared secret of the system's own processes
+
+	Trust       time.Duration // how long keys count that no control replica has confirmed
+	VersionWait time.Duration // how long after newer weights were named older ones may still be used
+	Grace       time.Duration // longest planned stop
+	RetryRatio  float64       // repeats as a share of the requests for a service, over the whole fleet
+	RetryWindow time.Duration // that both are counted in
+	RetrySlack  float64       // repeats of the whole fleet beyond the ratio
+}
+
+const (
+	// watchHold is how long control may hold a question for news; it bounds the age of a confirmed view.
+	watchHold = 400 * time.Millisecond
+	// watchTimeout is how long a question may stay unanswered.
+	watchTimeout = 900 * time.Millisecond
+	// watchPause is the pause after a question failed.
+	watchPause = 60 * time.Millisecond
+	// idleTimeout is how long callers may keep a connection idle.
+	idleTimeout = 75 * time.Second
+	// headerTimeout is how long a caller may take for a header.
+	headerTimeout = 10 * time.Second
+	// bodyTimeout is how long a caller may take for a body.
+	bodyTimeout = 15 * time.Second
+	// defaultBodyLimit bounds bodies while no document says otherwise.
+	defaultBodyLimit = 4 << 20
+	// stopNotice is how long a stopping gateway goes on taking requests, until whoever sends them has noticed.
+	stopNotice = 3300 * time.Millisecond
+	// stopMargin is what is left of the grace for the process's own end.
+	stopMargin = 400 * time.Millisecond
+	// writeTimeout is how long one write to a caller may take.
+	writeTimeout = 5 * time.Second
+)
--- /dev/null
+++ b/internal/gateway/view.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"kitetiller/internal/catalog"
+)
+
+// view is a document prepared for look-ups. It never changes once it is published.
+type view struct {
+	document *catalog.Document
+	routes   map[string][]*catalog.Route // by host, the longest prefix first
+	keys     map[string]*catalog.Tenant
+	services map[string]*catalog.Service
+}
+
+func newView(document *catalog.Document) *view {
+	made := &view{
+		document: document, routes: map[string][]*catalog.Route{}, keys: map[string]*catalog.Tenant{},
+		services: map[string]*catalog.Service{},
+	}
+	for i := range document.Routes {
+		route := &document.Routes[i]
+		made.routes[route.Host] = append(made.routes[route.Host], route)
+	}
+	for _, routes := range made.routes {
+		slices.SortFunc(routes, func(a, b *catalog.Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+	}
+	for i := range document.Tenants {
+		for _, key := range document.Tenants[i].Keys {
+			made.keys[key] = &document.Tenants[i]
+		}
+	}
+	for i := range document.Services {
+		made.services[document.Services[i].Name] = &document.Services[i]
+	}
+	return made
+}
+
+// route returns the route of a host and path, or nil.
+func (v *view) route(host, path string) *catalog.Route {
+	for _, route := range v.routes[host] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// tenant returns the owner of a key. needed is false where no key is asked for.
+func (v *view) tenant(route *catalog.Route, key string) (owner *catalog.Tenant, needed bool) {
+	needed = len(v.document.Tenants) > 0 && !route.Open
+	if !needed {
+		return nil, false
+	}
+	return v.keys[key], true
+}
+
+func (v *view) bodyLimit() int64 {
+	if limit := v.document.Limits.BodyBytes; limit > 0 {
+		return int64(limit)
+	}
+	return defaultBodyLimit
+}
+
+// wanted is the newest version of a model's weights.
+type wanted struct {
+	version uint64
+	namedAt time.Duration // by this process's clock
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,6 +57,8 @@
 	SettingsLease time.Duration `yaml:"settings_lease"` // how long a router may serve unheard; default 3s
 	RepairAfter   time.Duration `yaml:"repair_after"`   // silence after which a spare replaces a replica; default 10s
 	SnapshotEvery uint64        `yaml:"snapshot_every"` // entries between snapshots; default 5,000
+	JoinOnly      bool          `yaml:"join_only"`      // never found a group, only join one; default false
+	OrderWait     time.Duration `yaml:"order_wait"`     // how long a new leader waits before its first order for weights; default 3s
 }
 
 // Limits and defaults of node files.
@@ -74,6 +76,7 @@
 	defaultSettingsLease  = 3 * time.Second
 	defaultRepairAfter    = 10 * time.Second
 	defaultSnapshotEvery  = 5000
+	defaultOrderWait      = 3 * time.Second
 )
 
 // Load reads and checks a file. All faults come back in one error.
@@ -132,6 +135,7 @@
 		setDefault(&f.Control.SettingsLease, defaultSettingsLease)
 		setDefault(&f.Control.RepairAfter, defaultRepairAfter)
 		setDefault(&f.Control.SnapshotEvery, defaultSnapshotEvery)
+		setDefault(&f.Control.OrderWait, defaultOrderWait)
 	}
 }
 
