--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -141,7 +142,16 @@
 	return "", 0, false
 }
 
-// startRollouts begins with the least used of the back ends that lag, a few at a time.
+// oldestVersion returns the lowest weights version that a back end holds.
+func (r *Replica) oldestVersion(id string) uint64 {
+	oldest := uint64(math.MaxUint64)
+	for _, version := range r.lead.fleet[id].versions {
+		oldest = min(oldest, version)
+	}
+	return oldest
+}
+
+// startRollouts begins with the back ends that lag most, the least used first, a few at a time.
 func (r *Replica) startRollouts(now time.Duration, busy int) {
 	var lagging []string
 	engines := 0
@@ -157,7 +167,9 @@
 		}
 	}
 	used := r.totalUsage(now)
-	slices.SortStableFunc(lagging, func(a, b string) int { return cmp.Compare(used[a], used[b]) })
+	slices.SortStableFunc(lagging, func(a, b string) int {
+		return cmp.Or(cmp.Compare(r.oldestVersion(a), r.oldestVersion(b)), cmp.Compare(used[a], used[b]))
+	})
 	for _, id := range lagging {
 		if busy >= max(1, engines/loadShare) {
 			return
