--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -46,7 +46,8 @@
 	ColdLeft time.Duration     `json:"cold_left_ns,omitempty"`
 }
 
-// WantedVersion is the newest weights version of a model.
+// WantedVersion is a weights version of a model that was named lately. The list rises by version; each one has its own
+// time, since a back end that lacks several is late by the oldest of them.
 type WantedVersion struct {
 	Model   string        `json:"model"`
 	Version uint64        `json:"version"`
@@ -155,12 +156,34 @@
 	return entries
 }
 
-// wantedVersions returns the newest weights by model with how long ago each was named.
+// namedVersion is a version and when it was applied here.
+type namedVersion struct {
+	version uint64
+	at      time.Duration
+}
+
+// namingsKept bounds the versions of a model whose times are remembered.
+const namingsKept = 32
+
+// noteNaming remembers when a version was named.
+func (r *Replica) noteNaming(now time.Duration, model string, version uint64) {
+	namings := append(r.namings[model], namedVersion{version: version, at: now})
+	r.namings[model] = namings[max(0, len(namings)-namingsKept):]
+}
+
+// wantedVersions returns the versions that were named lately, with how long ago that was. A version that came with a
+// snapshot counts from the start of this process.
 func (r *Replica) wantedVersions(now time.Duration) []WantedVersion {
 	var wanted []WantedVersion
 	versions := r.machine.catalog.Versions()
 	for _, model := range sortedKeys(versions) {
-		wanted = append(wanted, WantedVersion{Model: model, Version: versions[model], Age: now - r.namedAt[model]})
+		namings := r.namings[model]
+		if len(namings) == 0 {
+			namings = []namedVersion{{version: versions[model]}}
+		}
+		for _, naming := range namings {
+			wanted = append(wanted, WantedVersion{Model: model, Version: naming.version, Age: now - naming.at})
+		}
 	}
 	return wanted
 }
@@ -170,7 +193,7 @@
 	before := command.Version != nil && r.machine.catalog.Versions()[command.Version.Model] < command.Version.Version
 	outcome := r.machine.catalog.Apply(command)
 	if before {
-		r.namedAt[command.Version.Model] = now
+		r.noteNaming(now, command.Version.Model, command.Version.Version)
 	}
 	if r.lead != nil {
 		r.lead.rosterChanged()
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -72,15 +72,15 @@
 	ready       consensus.Ready
 	effects     Effects
 	lead        *leadership
-	namedAt     map[string]time.Duration // when each model's newest weights were applied here
-	checkpoint  bool                     // a snapshot must be written with the next Work
+	namings     map[string][]namedVersion // by model: the versions that were applied here, rising
+	checkpoint  bool                      // a snapshot must be written with the next Work
 }
 
 // NewReplica restores a replica from its durable state.
 func NewReplica(config Config, restored Checkpoint, now time.Duration) (*Replica, error) {
 	replica := &Replica{
 		config: config, machine: NewMachine(config.Guards), snapshot: restored.Snapshot,
-		hard: restored.HardState, waiters: map[uint64]waiter{}, namedAt: map[string]time.Duration{},
+		hard: restored.HardState, waiters: map[uint64]waiter{}, namings: map[string][]namedVersion{},
 	}
 	if len(restored.Snapshot.Data) > 0 {
 		if err := replica.machine.Restore(restored.Snapshot.Data); err != nil {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -70,14 +70,19 @@
 	return !g.outdated(now, row, wish.call.Model)
 }
 
-// outdated reports whether a back end's weights are older than may still be used.
+// outdated reports whether a back end's weights are older than may still be used: the time counts from when the oldest
+// version that it lacks was named, not the newest.
 func (g *Gateway) outdated(now time.Duration, row *endpoint, model string) bool {
-	newest, named := g.table.wanted[model]
-	if !named {
+	held, holds := row.entry.Versions[model]
+	if !holds {
 		return false
 	}
-	held, holds := row.entry.Versions[model]
-	return holds && held < newest.version && now-newest.namedAt > g.settings.VersionWait
+	for _, version := range g.table.named[model] {
+		if version.version > held {
+			return now-version.namedAt > g.settings.VersionWait
+		}
+	}
+	return false
 }
 
 // owner returns the back end on which requests with the same shared prompt meet: the highest random weight among those
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -40,13 +40,13 @@
 	mutex    sync.Mutex
 	rows     map[string]*endpoint
 	services map[string][]*endpoint
-	wanted   map[string]wanted
-	changed  chan struct{} // closed and made anew with each roster
+	named    map[string][]named // by model, rising
+	changed  chan struct{}      // closed and made anew with each roster
 }
 
 func newTable() *table {
 	return &table{
-		rows: map[string]*endpoint{}, services: map[string][]*endpoint{}, wanted: map[string]wanted{},
+		rows: map[string]*endpoint{}, services: map[string][]*endpoint{}, named: map[string][]named{},
 		changed: make(chan struct{}),
 	}
 }
@@ -78,8 +78,9 @@
 func (t *table) takeNews(asked time.Duration, reply *control.WatchReply) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for _, named := range reply.Wanted {
-		t.wanted[named.Model] = wanted{version: named.Version, namedAt: asked - named.Age}
+	clear(t.named)
+	for _, wanted := range reply.Wanted {
+		t.named[wanted.Model] = append(t.named[wanted.Model], named{version: wanted.Version, namedAt: asked - wanted.Age})
 	}
 	for id, row := range t.rows {
 		row.others = reply.Usage[id]
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -221,6 +221,7 @@
 
 // mayGoOn decides what follows a failed attempt; when the request is not sent again, it has been answered.
 func (x *exchange) mayGoOn(result result) bool {
+	x.mayHave = x.mayHave || result.kind == resultUnknown
 	if x.over() {
 		return false
 	}
@@ -239,7 +240,6 @@
 		}
 		return x.repeat(reasonTurnedAway, max(retrySoon, result.retryAfter))
 	}
-	x.mayHave = true
 	if !x.route.MayRepeat() {
 		x.giveUp(reasonRunUnknown, 0)
 		return false
@@ -271,7 +271,7 @@
 		panic(http.ErrAbortHandler) // an answer that has begun must not look complete
 	}
 	switch {
-	case !x.mayHave && x.sent == 0, !x.mayHave:
+	case !x.mayHave:
 		x.refuse(http.StatusServiceUnavailable, reason, max(retrySoon, retryAfter))
 	case reason == reasonDeadline:
 		x.refuse(http.StatusGatewayTimeout, reason, 0)
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -66,8 +66,8 @@
 	return defaultBodyLimit
 }
 
-// wanted is the newest version of a model's weights.
-type wanted struct {
+// named is a version of a model's weights that was named lately.
+type named struct {
 	version uint64
 	namedAt time.Duration // by this process's clock
 }
