A stopping gateway takes nothing that could outlast the stop

Now requests are refused from 2.7 s on, connections closed from 3.2 s on, and the process ends 0.15 s before its grace does.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -15,6 +15,7 @@
 
 // Reasons why a request got no back end's answer.
 const (
+	reasonStopping   = "stopping"
 	reasonNoDocument = "no-document"
 	reasonNoRoute    = "no-route"
 	reasonNoKey      = "key-unknown"
@@ -74,6 +75,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{gateway: g, writer: w, request: r, arrived: g.now(), call: g.dialect.Read(r.Header)}
+	if g.closing.Load() {
+		x.refuse(http.StatusServiceUnavailable, reasonStopping, retrySoon)
+		return
+	}
 	if !x.admit() || !x.readBody() {
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,7 @@
 	pool     *pool
 	splits   *splits
 	draining atomic.Bool
+	closing  atomic.Bool // the end of a planned stop: nothing new is taken
 	active   atomic.Int64
 }
 
@@ -106,6 +107,8 @@
 	g.draining.Store(true)
 	g.log.note(eventStopping, zap.Int64("active", g.active.Load()))
 	time.Sleep(min(stopNotice, g.settings.Grace/2))
+	g.closing.Store(true)
+	time.Sleep(min(stopRefusal, g.settings.Grace/8))
 	closing, done := context.WithDeadline(context.Background(), began.Add(g.settings.Grace-stopMargin))
 	defer done()
 	_ = public.Shutdown(closing) // what is left is cut with the process
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -35,9 +35,11 @@
 	// defaultBodyLimit bounds bodies while no document says otherwise.
 	defaultBodyLimit = 4 << 20
 	// stopNotice is how long a stopping gateway goes on taking requests, until whoever sends them has noticed.
-	stopNotice = 3300 * time.Millisecond
+	stopNotice = 2700 * time.Millisecond
+	// stopRefusal is how long it then refuses requests, before it closes the connections.
+	stopRefusal = 500 * time.Millisecond
 	// stopMargin is what is left of the grace for the process's own end.
-	stopMargin = 400 * time.Millisecond
+	stopMargin = 150 * time.Millisecond
 	// writeTimeout is how long one write to a caller may take.
 	writeTimeout = 5 * time.Second
 )
