Gateways announce sends; cached parts are fetched, and kept in the store

Reading 1,000 shared tokens again costs about 1 credit, copying them about 0.01. Ruled out: engines' memory (nothing preempted).

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -206,6 +206,7 @@
 type Watch struct {
 	Gateway  string         `json:"gateway"`
 	Zone     string         `json:"zone"`
+	Address  string         `json:"address"`  // for other gateways, or ""
 	Revision uint64         `json:"revision"` // of the document it holds
 	Roster   RosterVersion  `json:"roster"`   // it holds
 	Hold     time.Duration  `json:"hold_ns"`
@@ -229,6 +230,7 @@
 	Wanted   []WantedVersion   `json:"wanted,omitempty"`
 	Usage    map[string]int    `json:"usage,omitempty"` // running requests of the other gateways by instance
 	Gateways int               `json:"gateways"`        // that asked lately
+	Peers    []string          `json:"peers,omitempty"` // addresses of other gateways to tell of sends
 	Replicas []string          `json:"replicas"`        // addresses of the control group
 }
 
@@ -242,6 +244,7 @@
 // usageReport is a gateway's figures of its own work.
 type usageReport struct {
 	at      time.Duration
+	address string
 	running map[string]int
 }
 
@@ -249,7 +252,7 @@
 const maximumHold = time.Second
 
 func (r *Replica) watch(now time.Duration, client uint64, watch Watch) {
-	r.lead.usage[watch.Gateway] = usageReport{at: now, running: watch.Usage}
+	r.lead.usage[watch.Gateway] = usageReport{at: now, address: watch.Address, running: watch.Usage}
 	if watch.Closing {
 		delete(r.lead.usage, watch.Gateway)
 	}
@@ -292,12 +295,31 @@
 		reply.Roster = r.roster(now)
 	}
 	r.addUsage(now, watch.Gateway, reply)
+	reply.Peers = r.peersOf(now, watch.Gateway)
 	for _, member := range r.members() {
 		reply.Replicas = append(reply.Replicas, member.Address)
 	}
 	return reply
 }
 
+// maximumPeers bounds the gateways that one gateway tells of its sends.
+const maximumPeers = 16
+
+// peersOf returns the gateways that come after the asking one by name, so that each is told by as many as it tells.
+func (r *Replica) peersOf(now time.Duration, asking string) []string {
+	names := sortedKeys(r.lead.usage)
+	at, _ := slices.BinarySearch(names, asking)
+	var peers []string
+	for step := range names {
+		name := names[(at+step)%len(names)]
+		report := r.lead.usage[name]
+		if name != asking && report.address != "" && now-report.at <= usageCounts && len(peers) < maximumPeers {
+			peers = append(peers, report.address)
+		}
+	}
+	return peers
+}
+
 func (r *Replica) addUsage(now time.Duration, asking string, reply *WatchReply) {
 	for gateway, report := range r.lead.usage {
 		if now-report.at > usageCounts {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/prefix"
 )
 
 const (
@@ -56,7 +57,7 @@
 	row      *endpoint
 	began    time.Duration
 	uncached int
-	version  uint64
+	plan     candidate
 	grade    outcomeGrade
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
@@ -69,7 +70,7 @@
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	made := &attempt{
 		exchange: x, row: chosen.row, began: x.gateway.now(), uncached: chosen.uncached, ctx: ctx, cancel: cancel,
-		version: chosen.row.entry.Versions[x.call.Model], written: make(chan error, 1),
+		plan: *chosen, written: make(chan error, 1),
 	}
 	x.tried = append(x.tried, chosen.row)
 	return made
@@ -99,7 +100,7 @@
 		return result{kind: resultUnreached, cause: bar}
 	}
 	x.sent++
-	x.gateway.table.begin(x.gateway.now(), a)
+	a.begin()
 	defer func() { x.gateway.table.end(x.gateway.now(), a, a.grade) }()
 	a.watchSilence(a.patience())
 	a.send()
@@ -110,6 +111,20 @@
 	return ended
 }
 
+// begin notes the send in the table, and tells the other gateways where prompts are read and kept.
+func (a *attempt) begin() {
+	x := a.exchange
+	now := x.gateway.now()
+	shared := x.call.Parts[:prefix.Shared(x.call.Parts)]
+	x.gateway.table.begin(now, a)
+	if !x.service.Engine {
+		return
+	}
+	made := send{Instance: a.row.entry.ID, Salt: a.plan.salt, Parts: shared, Uncached: a.uncached, Saved: a.plan.save != ""}
+	x.gateway.table.noteHeld(now, made)
+	x.gateway.announcer.announce(made)
+}
+
 // barred looks again at the last moment: the process may have stood still since the decision.
 func (a *attempt) barred() string {
 	x := a.exchange
@@ -176,7 +191,8 @@
 		sending.LastEvent = x.lastEvent
 	}
 	if sending.Engine {
-		sending.Salt, sending.Version, sending.Priority = salt(a.version, x.tenant), a.version, rank(x.tenant, x.route)
+		sending.Salt, sending.Version, sending.Priority = a.plan.salt, a.plan.version, rank(x.tenant, x.route)
+		sending.FetchFrom, sending.SaveTo = a.plan.fetch, a.plan.save
 	}
 	x.gateway.dialect.Write(header, sending)
 	if len(x.body) > 0 || x.request.ContentLength != 0 || x.request.Method == http.MethodPost {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -25,27 +25,40 @@
 	failingCost = 400.0
 	// coldCost is what a back end that has just started costs, in milliseconds.
 	coldCost = 40.0
-	// templateShare is the part of the first shared part that any engine is taken to hold.
-	templateShare = 0.5
+	// rereadWeight is how much more than its time the reading of shared parts counts, and strayCost what it costs besides
+	// to read them anywhere but at their owner.
+	rereadWeight = 0.5
+	strayCost    = 0.3
+	// moveBase is the least time of a copy, in milliseconds; farFactor is how much longer one between zones takes.
+	moveBase              = 4.0
+	farFactor             = 2.0
+	bitsPerByte           = 8
+	bitsPerMegabit        = 1e6
+	millisecondsPerSecond = 1e3
 )
 
 // candidate is one back end as the decision sees it.
 type candidate struct {
 	row      *endpoint
 	cost     float64 // milliseconds
-	uncached int     // prompt tokens to read
+	salt     string
+	version  uint64 // of its weights
+	uncached int    // prompt tokens to read
+	fetch    string // address to take cached parts from, or ""
+	save     string // address of the store to keep the parts in, or ""
 }
 
 // need is what a decision depends on.
 type need struct {
 	service *catalog.Service
+	store   *catalog.Service // of kept caches, or nil
+	tenant  *catalog.Tenant
 	call    *Call
 	tried   []*endpoint
 }
 
-// choose filters, scores and picks the back end of least cost, or returns nil. avoided tells whether the best one is in
-// doubt.
-func (g *Gateway) choose(now time.Duration, wish need) (best *candidate, avoided bool) {
+// choose filters, scores and picks the back end of least cost, or returns nil.
+func (g *Gateway) choose(now time.Duration, wish need) (best *candidate) {
 	g.table.mutex.Lock()
 	defer g.table.mutex.Unlock()
 	rows := g.table.services[wish.service.Name]
@@ -59,7 +72,7 @@
 			best = &scored
 		}
 	}
-	return best, best != nil && best.cost >= avoidCost
+	return best
 }
 
 // eligible reports whether a back end may get a new request at all.
@@ -85,8 +98,8 @@
 	return false
 }
 
-// owner returns the back end on which requests with the same shared prompt meet: the highest random weight among those
-// that may be used (rendezvous hashing), so that all gateways agree without a word.
+// owner returns the back end on which requests with the same shared prompt meet while nobody is believed to hold it: the
+// highest random weight among those that may be used (rendezvous hashing), so that all gateways agree without a word.
 func (g *Gateway) owner(now time.Duration, rows []*endpoint, wish need) *endpoint {
 	if !wish.service.Engine || len(wish.call.Parts) == 0 {
 		return nil
@@ -110,8 +123,7 @@
 func (g *Gateway) score(now time.Duration, row *endpoint, wish need, owner bool) candidate {
 	scored := candidate{row: row}
 	if wish.service.Engine {
-		scored.uncached = uncachedTokens(wish.call, owner)
-		scored.cost = float64(row.prefill+scored.uncached)/prefillRate + runningCost*float64(row.running+row.others)
+		g.scoreEngine(now, &scored, wish, owner)
 	} else {
 		scored.cost = slotTime * float64(row.running+row.others) / float64(max(1, row.entry.Slots))
 	}
@@ -122,17 +134,69 @@
 	return scored
 }
 
-// uncachedTokens estimates the prompt tokens that an engine has to read.
-func uncachedTokens(call *Call, owner bool) int {
-	shared := call.Parts[:prefix.Shared(call.Parts)]
-	total := max(call.PromptTokens, prefix.PartTokens(call.Parts))
+// scoreEngine adds up the queue of prompts, what is read, and what is copied from elsewhere. Reading shared parts again
+// costs more than its time, since it is work that the fleet has done already.
+func (g *Gateway) scoreEngine(now time.Duration, scored *candidate, wish need, owner bool) {
+	row := scored.row
+	scored.version = row.entry.Versions[wish.call.Model]
+	scored.salt = salt(scored.version, wish.tenant)
+	shared := wish.call.Parts[:prefix.Shared(wish.call.Parts)]
+	total := max(wish.call.PromptTokens, prefix.PartTokens(wish.call.Parts))
+	cached := row.held.cached(scored.salt, shared)
+	sharedTokens := prefix.PartTokens(shared)
+	if cached < sharedTokens {
+		cached = g.planFetch(now, scored, wish, shared, cached)
+	}
+	scored.uncached = total - cached
+	queue := max(0, row.busyTo-now)
+	scored.cost += float64(queue)/float64(time.Millisecond) + float64(scored.uncached)/prefillRate
+	scored.cost += rereadWeight * float64(sharedTokens-cached) / prefillRate
+	scored.cost += runningCost * float64(row.running+row.others)
+	if !owner {
+		scored.cost += strayCost * float64(sharedTokens-cached) / prefillRate
+	}
+}
+
+// planFetch looks for the deepest copy of the missing shared parts and returns the tokens that need not be read. Where
+// none is known the store is asked: a miss costs next to nothing.
+func (g *Gateway) planFetch(now time.Duration, scored *candidate, wish need, shared []prefix.Part, cached int) int {
+	best, from := cached, (*endpoint)(nil)
+	for _, other := range g.table.services[wish.service.Name] {
+		if other == scored.row || now < other.avoidTo || other.entry.Versions[wish.call.Model] != scored.version {
+			continue
+		}
+		depth := other.held.cached(scored.salt, shared)
+		nearer := from != nil && depth == best && from.entry.Zone != scored.row.entry.Zone && other.entry.Zone == scored.row.entry.Zone
+		if depth > best || nearer {
+			best, from = depth, other
+		}
+	}
+	stored := wish.store != nil && g.table.stored.holds(now, scored.salt, shared)
 	switch {
-	case owner:
-		return total - prefix.PartTokens(shared)
-	case len(shared) > 1:
-		return total - int(templateShare*float64(shared[0].Tokens))
+	case from != nil && (!stored || best == prefix.PartTokens(shared)):
+		scored.fetch = from.entry.Address
+		scored.cost += moveTime(wish.service, best-cached, from.entry.Zone != scored.row.entry.Zone)
+	case stored:
+		best = prefix.PartTokens(shared)
+		scored.fetch = wish.store.Store
+		scored.cost += moveTime(wish.service, best-cached, wish.store.Zone != scored.row.entry.Zone)
+	case wish.store != nil:
+		scored.fetch, scored.save = wish.store.Store, wish.store.Store
+	}
+	return best
+}
+
+// moveTime is how long copying cached tokens takes, in milliseconds.
+func moveTime(service *catalog.Service, tokens int, far bool) float64 {
+	if service.LinkMbps <= 0 {
+		return moveBase
+	}
+	bits := float64(tokens) * service.TokenBytes * bitsPerByte
+	time := bits / (service.LinkMbps * bitsPerMegabit) * millisecondsPerSecond
+	if far {
+		time *= farFactor
 	}
-	return total
+	return moveBase + time
 }
 
 // doubt is what speaks against a back end, in milliseconds.
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -28,6 +28,8 @@
 	Salt      string        // name space of cached parts
 	Priority  int           // 0 is the most urgent
 	Version   uint64        // weights that the request counts on; 0 unknown
+	FetchFrom string        // address of an engine or store that may hold parts of the prompt, or ""
+	SaveTo    string        // address of a store that the prompt's parts shall be kept in, or ""
 	LastEvent string        // newest event of the stream that the caller already has
 }
 
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -26,7 +26,8 @@
 	heardAt  time.Duration // when the entry came
 	running  int           // own requests
 	others   int           // requests of other gateways, as last told
-	prefill  int           // prompt tokens of own requests that gave no first event yet
+	busyTo   time.Duration // when the prompts sent so far, by any gateway, are taken to be read
+	held     *holdings     // cached parts that it is believed to hold
 	waiting  map[*attempt]time.Duration
 	spokeAt  time.Duration // newest bytes of any answer
 	failures int           // in a row
@@ -41,18 +42,19 @@
 	rows     map[string]*endpoint
 	services map[string][]*endpoint
 	named    map[string][]named // by model, rising
+	stored   *stored            // parts that were sent to a store
 	changed  chan struct{}      // closed and made anew with each roster
 }
 
 func newTable() *table {
 	return &table{
 		rows: map[string]*endpoint{}, services: map[string][]*endpoint{}, named: map[string][]named{},
-		changed: make(chan struct{}),
+		stored: newStored(), changed: make(chan struct{}),
 	}
 }
 
 // takeRoster replaces the roster; rows of back ends that stay keep what was learnt about them.
-func (t *table) takeRoster(now time.Duration, entries []control.RosterEntry) {
+func (t *table) takeRoster(now time.Duration, entries []control.RosterEntry, cacheLimits map[string]int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	fresh := map[string]*endpoint{}
@@ -60,7 +62,10 @@
 	for _, entry := range entries {
 		row := t.rows[entry.ID]
 		if row == nil {
-			row = &endpoint{waiting: map[*attempt]time.Duration{}, spokeAt: now}
+			row = &endpoint{waiting: map[*attempt]time.Duration{}, spokeAt: now, held: newHoldings(cacheLimits[entry.Service])}
+		}
+		if !maps.Equal(row.entry.Versions, entry.Versions) {
+			row.held.clear()
 		}
 		row.entry, row.heardAt = entry, now
 		fresh[entry.ID] = row
@@ -112,7 +117,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	sent.row.running++
-	sent.row.prefill += sent.uncached
+	sent.row.read(now, sent.uncached)
 	sent.row.waiting[sent] = now
 }
 
@@ -127,7 +132,6 @@
 func (t *table) endWait(sent *attempt) {
 	if _, waits := sent.row.waiting[sent]; waits {
 		delete(sent.row.waiting, sent)
-		sent.row.prefill -= sent.uncached
 	}
 }
 
@@ -173,6 +177,49 @@
 	t.grade(now, row, gradeBad)
 }
 
+// read notes that an engine has so many more prompt tokens to read.
+func (e *endpoint) read(now time.Duration, tokens int) {
+	e.busyTo = max(now, e.busyTo) + time.Duration(float64(tokens)/prefillRate*float64(time.Millisecond))
+}
+
+// takeSends notes what other gateways sent.
+func (t *table) takeSends(now time.Duration, sends []send) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, made := range sends {
+		row := t.rows[made.Instance]
+		if row == nil {
+			continue
+		}
+		at := now - min(now, made.Age)
+		row.read(at, made.Uncached)
+		t.hold(at, row, made)
+	}
+}
+
+// noteHeld notes which parts an own send leaves where.
+func (t *table) noteHeld(now time.Duration, made send) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if row := t.rows[made.Instance]; row != nil {
+		t.hold(now, row, made)
+	}
+}
+
+func (t *table) hold(at time.Duration, row *endpoint, made send) {
+	row.held.use(at, made.Salt, made.Parts)
+	if made.Saved {
+		t.stored.note(at, made.Salt, made.Parts)
+	}
+}
+
+// sweep forgets what is long past.
+func (t *table) sweep(now time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.stored.sweep(now)
+}
+
 // mute reports whether a back end leaves requests without a word.
 func (e *endpoint) mute(now time.Duration) bool {
 	if len(e.waiting) == 0 || now-e.spokeAt < muteAfter {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -206,11 +206,11 @@
 
 // place chooses a back end; while none can be used it waits a moment for a better roster.
 func (x *exchange) place() *candidate {
-	wish := need{service: x.service, call: &x.call, tried: x.tried}
+	wish := need{service: x.service, store: x.view.store, tenant: x.tenant, call: &x.call, tried: x.tried}
 	patience := x.gateway.now() + backendGrace
 	for {
 		news := x.gateway.table.news()
-		chosen, _ := x.gateway.choose(x.gateway.now(), wish)
+		chosen := x.gateway.choose(x.gateway.now(), wish)
 		left := patience - x.gateway.now()
 		if chosen != nil || left <= 0 || len(x.tried) > 0 {
 			return chosen
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,16 +32,17 @@
 	log      *decisionLog
 	started  time.Time
 
-	group    *control.Client
-	view     atomic.Pointer[view]
-	confirm  atomic.Int64 // when the newest confirmed view was asked for, in ns of this process's clock; 0 never
-	table    *table
-	budget   *retryBudget
-	pool     *pool
-	splits   *splits
-	draining atomic.Bool
-	closing  atomic.Bool // the end of a planned stop: nothing new is taken
-	active   atomic.Int64
+	group     *control.Client
+	view      atomic.Pointer[view]
+	confirm   atomic.Int64 // when the newest confirmed view was asked for, in ns of this process's clock; 0 never
+	table     *table
+	budget    *retryBudget
+	pool      *pool
+	splits    *splits
+	announcer *announcer
+	draining  atomic.Bool
+	closing   atomic.Bool // the end of a planned stop: nothing new is taken
+	active    atomic.Int64
 }
 
 // New returns a gateway that knows nothing yet.
@@ -50,7 +51,7 @@
 	return &Gateway{
 		settings: settings, dialect: dialect, log: newDecisionLog(log), started: time.Now(),
 		group: control.NewClient(client, settings.Control), table: newTable(), budget: newRetryBudget(settings),
-		pool: newPool(), splits: newSplits(),
+		pool: newPool(), splits: newSplits(), announcer: newAnnouncer(client),
 	}
 }
 
@@ -70,11 +71,17 @@
 	if err != nil {
 		return err
 	}
+	peers, err := g.listenPeers()
+	if err != nil {
+		return err
+	}
+	defer closePeers(peers)
 	run, cancel := context.WithCancel(context.Background())
 	var threads sync.WaitGroup
 	threads.Go(func() { g.follow(run) })
 	threads.Go(func() { g.sweep(run) })
 	threads.Go(func() { g.log.run(run) })
+	threads.Go(func() { g.announcer.run(run) })
 	public := &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: nil, DisableGeneralOptionsHandler: true,
@@ -157,6 +164,7 @@
 			return
 		case <-ticker.C:
 			g.pool.sweep()
+			g.table.sweep(g.now())
 		}
 	}
 }
@@ -187,7 +195,7 @@
 
 func (g *Gateway) ask(ctx context.Context, roster control.RosterVersion) *control.WatchReply {
 	question := control.Watch{
-		Gateway: g.settings.Name, Zone: g.settings.Zone, Roster: roster, Hold: watchHold, Usage: g.table.usage(),
+		Gateway: g.settings.Name, Zone: g.settings.Zone, Address: g.settings.Internal, Roster: roster, Hold: watchHold, Usage: g.table.usage(),
 		Closing: g.draining.Load(),
 	}
 	if held := g.view.Load(); held != nil {
@@ -210,18 +218,30 @@
 		g.log.note(eventDocument, zap.Uint64("revision", reply.Document.Revision), zap.Int("routes", len(reply.Document.Routes)))
 	}
 	if reply.Roster != nil {
-		g.table.takeRoster(g.now(), reply.Roster)
+		g.table.takeRoster(g.now(), reply.Roster, g.cacheLimits())
 		g.log.note(eventRoster, zap.Uint64("term", reply.Version.Term), zap.Uint64("count", reply.Version.Count),
 			zap.Int("instances", len(reply.Roster)))
 	}
 	g.table.takeNews(asked, reply)
 	g.budget.share(reply.Gateways)
+	g.announcer.setPeers(reply.Peers)
 	if g.view.Load() != nil {
 		g.confirm.Store(int64(asked))
 		g.log.regained()
 	}
 }
 
+// cacheLimits returns the tokens of one engine's memory by service.
+func (g *Gateway) cacheLimits() map[string]int {
+	limits := map[string]int{}
+	if held := g.view.Load(); held != nil {
+		for name, service := range held.services {
+			limits[name] = service.CacheLimit
+		}
+	}
+	return limits
+}
+
 // splits spreads the requests of a route over its targets by weight.
 type splits struct {
 	mutex sync.Mutex
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -4,12 +4,13 @@
 
 // Settings is what a gateway needs to start.
 type Settings struct {
-	Name    string
-	Zone    string
-	Listen  string   // address for callers
-	Ready   string   // address of the readiness check, or ""
-	Control []string // internal addresses of control replicas
-	Token   string   // shared secret of the system's own processes
+	Name     string
+	Zone     string
+	Listen   string   // address for callers
+	Ready    string   // address of the readiness check, or ""
+	Internal string   // address for other gateways, or ""
+	Control  []string // internal addresses of control replicas
+	Token    string   // shared secret of the system's own processes
 
 	Trust       time.Duration // how long keys count that no control replica has confirmed
 	VersionWait time.Duration // how long after newer weights were named older ones may still be used
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -15,6 +15,7 @@
 	routes   map[string][]*catalog.Route // by host, the longest prefix first
 	keys     map[string]*catalog.Tenant
 	services map[string]*catalog.Service
+	store    *catalog.Service // of kept caches, or nil
 }
 
 func newView(document *catalog.Document) *view {
@@ -35,7 +36,11 @@
 		}
 	}
 	for i := range document.Services {
-		made.services[document.Services[i].Name] = &document.Services[i]
+		service := &document.Services[i]
+		made.services[service.Name] = service
+		if service.Store != "" {
+			made.store = service
+		}
 	}
 	return made
 }
--- a/internal/prefix/part.go
+++ b/internal/prefix/part.go
@@ -3,8 +3,8 @@
 // Part is a run of a prompt of any length that is cached as a whole. Parts are named by whoever builds prompts; a part
 // is of use only behind the same parts as before.
 type Part struct {
-	ID     string
-	Tokens int
+	ID     string `json:"id"`
+	Tokens int    `json:"tokens"`
 }
 
 // Shared returns the number of leading parts that several prompts may have in common: all but the last, which belongs
