--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -24,6 +24,7 @@
 	replica *Replica
 	now     time.Duration
 	replies map[uint64]Response
+	weights []WeightsCall
 }
 
 func soloConfig(id consensus.ID) Config {
@@ -67,9 +68,11 @@
 				s.t.Fatal(err)
 			}
 		}
-		for _, reply := range s.replica.Done(s.now).Replies {
+		effects := s.replica.Done(s.now)
+		for _, reply := range effects.Replies {
 			s.replies[reply.Client] = reply.Response
 		}
+		s.weights = append(s.weights, effects.Weights...)
 	}
 }
 
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -245,6 +245,7 @@
 type usageReport struct {
 	at      time.Duration
 	address string
+	held    RosterVersion // newest roster that it has taken up
 	running map[string]int
 }
 
@@ -252,7 +253,7 @@
 const maximumHold = time.Second
 
 func (r *Replica) watch(now time.Duration, client uint64, watch Watch) {
-	r.lead.usage[watch.Gateway] = usageReport{at: now, address: watch.Address, running: watch.Usage}
+	r.lead.usage[watch.Gateway] = usageReport{at: now, address: watch.Address, held: watch.Roster, running: watch.Usage}
 	if watch.Closing {
 		delete(r.lead.usage, watch.Gateway)
 	}
@@ -302,6 +303,18 @@
 	return reply
 }
 
+// turnedAway reports whether every gateway that may still send has taken up the roster of a count. One that is silent for
+// longer than it may trust its view sends nothing any more; those of an earlier leader's time have had to ask this one.
+func (r *Replica) turnedAway(now time.Duration, count uint64) bool {
+	for _, report := range r.lead.usage {
+		behind := report.held.Term != r.lead.term || report.held.Count < count
+		if behind && now-report.at < r.config.GatewayTrust {
+			return false
+		}
+	}
+	return true
+}
+
 // maximumPeers bounds the gateways that one gateway tells of its sends.
 const maximumPeers = 16
 
--- /dev/null
+++ b/internal/control/fleet_test.go
@@ -0,0 +1,142 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"kitetiller/internal/catalog"
+)
+
+// openFleet is a solo group with a document, two engines on version 1 of model m, and its time to order passed.
+func openFleet(t *testing.T) *solo {
+	t.Helper()
+	s := openSolo(t, t.TempDir())
+	s.config(func(config *Config) { config.OrderWait = time.Second })
+	s.ask(Request{Catalog: &catalog.Command{Replace: &catalog.Document{Revision: 1}}})
+	s.beats("i-1", "i-2")
+	return s
+}
+
+func (s *solo) config(change func(*Config)) { change(&s.replica.config) }
+
+// beats sends a heartbeat of each engine.
+func (s *solo) beats(ids ...string) {
+	for _, id := range ids {
+		s.ask(Request{Beat: &Beat{
+			Instance: catalog.Instance{ID: id, Service: "engine", Address: id, State: catalog.StateReady},
+			Sequence: uint64(s.now), Versions: map[string]uint64{"m": 1},
+		}})
+	}
+}
+
+// watchNow asks as a gateway that holds the newest news and waits for none.
+func (s *solo) watchNow(gateway string, held RosterVersion) *WatchReply {
+	return s.ask(Request{Watch: &Watch{Gateway: gateway, Revision: 1, Roster: held}}).Watch
+}
+
+// orders passes time and returns the orders that were issued.
+func (s *solo) orders(length time.Duration) []WeightsCall {
+	s.weights = nil
+	s.pass(length)
+	var orders []WeightsCall
+	for _, call := range s.weights {
+		if call.Kind == WeightsReport {
+			s.replica.ObserveWeights(s.now, WeightsResult{Call: call, Kind: WeightsReported, Versions: map[string]uint64{"m": 1}})
+			s.work()
+			continue
+		}
+		orders = append(orders, call)
+	}
+	return orders
+}
+
+// TestOrderWaitsUntilGatewaysTurnedAway: weights are replaced only once every gateway that may still send has taken up
+// that the back end is loading; one that fell silent has stopped trusting its view by then (site ralca-kigali, trouble-1:
+// STALE).
+func TestOrderWaitsUntilGatewaysTurnedAway(t *testing.T) {
+	s := openFleet(t)
+	s.config(func(config *Config) { config.GatewayTrust = 3 * time.Second })
+	held := s.watchNow("g1", RosterVersion{}).Version
+	s.ask(Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: "m", Version: 2}}})
+	s.orders(200 * time.Millisecond) // the reports
+	s.watchNow("g1", held)
+	s.beats("i-1", "i-2")
+	if early := s.orders(time.Second); len(early) > 0 {
+		t.Fatalf("ordered although g1 has not turned away: %+v", early)
+	}
+	newest := s.watchNow("g1", held).Version
+	s.watchNow("g1", newest)
+	if orders := s.orders(300 * time.Millisecond); len(orders) == 0 {
+		t.Fatal("no order after g1 had turned away")
+	}
+}
+
+// TestOrderDoesNotWaitForSilentGateways: a gateway that is gone holds up nothing for longer than it may trust its view.
+func TestOrderDoesNotWaitForSilentGateways(t *testing.T) {
+	s := openFleet(t)
+	s.config(func(config *Config) { config.GatewayTrust = 3 * time.Second })
+	s.watchNow("g1", RosterVersion{})
+	s.ask(Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: "m", Version: 2}}})
+	s.orders(200 * time.Millisecond)
+	if early := s.orders(2 * time.Second); len(early) > 0 {
+		t.Fatalf("ordered while g1 may trust its view: %+v", early)
+	}
+	s.beats("i-1", "i-2")
+	if orders := s.orders(1500 * time.Millisecond); len(orders) == 0 {
+		t.Fatal("no order after g1 was silent for long")
+	}
+}
+
+// TestDrainIsAnsweredOnceItIsHeld: the answer to draining comes after its entry committed, and a late heartbeat takes it
+// back neither then nor after the instance left.
+func TestDrainIsAnsweredOnceItIsHeld(t *testing.T) {
+	s := openFleet(t)
+	s.ask(Request{Beat: &Beat{Instance: catalog.Instance{ID: "i-1", Service: "engine", Address: "i-1", State: catalog.StateDraining}, Sequence: 9}})
+	if state := s.replica.Machine().Catalog().Instances()["i-1"].State; state != catalog.StateDraining {
+		t.Fatalf("state %q", state)
+	}
+	s.beats("i-1")
+	if state := s.replica.Machine().Catalog().Instances()["i-1"].State; state != catalog.StateDraining {
+		t.Fatalf("after a late heartbeat: state %q", state)
+	}
+	s.ask(Request{Beat: &Beat{Instance: catalog.Instance{ID: "i-1"}, Leaves: true}})
+	s.beats("i-1")
+	if _, known := s.replica.Machine().Catalog().Instances()["i-1"]; known {
+		t.Fatal("an instance that left came back with a late heartbeat")
+	}
+}
+
+// TestWatchIsHeldUntilThereIsNews: and answered with the document when that changes.
+func TestWatchIsHeldUntilThereIsNews(t *testing.T) {
+	s := openFleet(t)
+	held := s.watchNow("g1", RosterVersion{}).Version
+	client := uint64(1000)
+	s.replica.Handle(s.now, client, Request{Watch: &Watch{Gateway: "g1", Revision: 1, Roster: held, Hold: time.Second}})
+	s.pass(100 * time.Millisecond)
+	if _, answered := s.replies[client]; answered {
+		t.Fatal("answered without news")
+	}
+	s.ask(Request{Catalog: &catalog.Command{Replace: &catalog.Document{Revision: 5}}})
+	s.pass(100 * time.Millisecond)
+	reply := s.replies[client].Watch
+	if reply == nil || reply.Document == nil || reply.Document.Revision != 5 {
+		t.Fatalf("reply %+v", reply)
+	}
+}
+
+// TestFenceRisesWithEachLeadership: over a restart, from the log and not from the term.
+func TestFenceRisesWithEachLeadership(t *testing.T) {
+	folder := t.TempDir()
+	var last uint64
+	for life := range 3 {
+		s := openSolo(t, folder)
+		s.config(func(config *Config) { config.OrderWait = time.Second })
+		s.ask(Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: "m", Version: uint64(life + 2)}}})
+		s.pass(time.Second)
+		if s.replica.lead.fence <= last {
+			t.Fatalf("life %d: fence %d after %d", life, s.replica.lead.fence, last)
+		}
+		last = s.replica.lead.fence
+		_ = s.disk.Close()
+	}
+}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -19,6 +19,7 @@
 	RepairAfter   time.Duration // silence after which a voter is replaced by a learner
 	SnapshotEvery uint64        // applied entries between snapshots
 	OrderWait     time.Duration // how long a new leader waits before its first order for weights
+	GatewayTrust  time.Duration // how long a gateway may use a view that is not confirmed
 	Guards        guard.Set
 	Random        func(n int64) int64
 }
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	// announceLead is how long gateways have to turn away from a back end before its order is sent.
-	announceLead = 80 * time.Millisecond
+	// announceLead is how long requests that are on their way have to arrive, before the order is sent.
+	announceLead = 30 * time.Millisecond
 	// firstCheck is when a load is first looked for after its order was taken, and nextCheck the pause after that.
 	firstCheck = 800 * time.Millisecond
 	nextCheck  = 200 * time.Millisecond
@@ -43,6 +43,7 @@
 	due           time.Duration // when the next step is due
 	model         string
 	version       uint64 // of the order in progress
+	announced     uint64 // count of the roster that told gateways to turn away
 	orderedAt     time.Duration
 	revision      uint64 // orders that the back end has taken
 	revisionKnown bool
@@ -201,6 +202,7 @@
 	state.rollout.phase, state.rollout.due = next, due
 	if state.rollout.loading() != before {
 		r.lead.rosterChanged()
+		state.rollout.announced = r.lead.rosterCount
 	}
 }
 
@@ -213,6 +215,9 @@
 	case phaseReporting, phaseOrdered:
 		r.setPhase(state, phaseBackoff, now+rolloutBackoff) // no result came
 	case phaseAnnounced:
+		if !r.turnedAway(now, state.rollout.announced) {
+			return
+		}
 		state.rollout.version = max(state.rollout.version, r.machine.catalog.Versions()[state.rollout.model])
 		state.rollout.orderedAt = now
 		r.setPhase(state, phaseOrdered, now+callPatience)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -109,7 +109,7 @@
 	return Config{
 		ID: s.identity.ID, Name: s.identity.Name, Address: section.Internal, Timing: timing,
 		Replicas: section.Replicas, SettingsLease: section.SettingsLease, RepairAfter: section.RepairAfter,
-		SnapshotEvery: section.SnapshotEvery, OrderWait: section.OrderWait, Random: rand.Int64N,
+		SnapshotEvery: section.SnapshotEvery, OrderWait: section.OrderWait, GatewayTrust: section.GatewayTrust, Random: rand.Int64N,
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -234,6 +234,7 @@
 	case x.call.ID != "" && verdict.ID != x.call.ID && !(verdict.NotRun && verdict.ID == ""):
 		return a.broken("answer of another request")
 	case verdict.NotRun:
+		x.gateway.table.learnVersion(a.row, x.call.Model, verdict.Version)
 		return a.turnedAway(answer)
 	case x.relayed && (!verdict.Signed || answer.StatusCode >= http.StatusMultipleChoices):
 		return a.broken("stream not taken up: " + answer.Status)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,6 +57,7 @@
 	tenant  *catalog.Tenant
 	call    *Call
 	tried   []*endpoint
+	trusted bool // the view is confirmed, so what it says of weights holds
 }
 
 // choose filters, scores and picks the back end of least cost, or returns nil.
@@ -140,11 +143,14 @@
 	row := scored.row
 	scored.version = row.entry.Versions[wish.call.Model]
 	scored.salt = salt(scored.version, wish.tenant)
+	if scored.version == 0 || !wish.trusted {
+		scored.version, scored.salt = 0, uniqueSalt()
+	}
 	shared := wish.call.Parts[:prefix.Shared(wish.call.Parts)]
 	total := max(wish.call.PromptTokens, prefix.PartTokens(wish.call.Parts))
 	cached := row.held.cached(scored.salt, shared)
 	sharedTokens := prefix.PartTokens(shared)
-	if cached < sharedTokens {
+	if cached < sharedTokens && scored.version > 0 {
 		cached = g.planFetch(now, scored, wish, shared, cached)
 	}
 	scored.uncached = total - cached
@@ -162,7 +168,7 @@
 func (g *Gateway) planFetch(now time.Duration, scored *candidate, wish need, shared []prefix.Part, cached int) int {
 	best, from := cached, (*endpoint)(nil)
 	for _, other := range g.table.services[wish.service.Name] {
-		if other == scored.row || now < other.avoidTo || other.entry.Versions[wish.call.Model] != scored.version {
+		if other == scored.row || other.entry.Loading || now < other.avoidTo || other.entry.Versions[wish.call.Model] != scored.version {
 			continue
 		}
 		depth := other.held.cached(scored.salt, shared)
@@ -224,6 +230,11 @@
 	return name
 }
 
+// uniqueSalt names cached parts that nobody shares, for where it is not known which weights made them.
+func uniqueSalt() string { return "u" + strconv.FormatUint(rand.Uint64(), saltBase) }
+
+const saltBase = 36
+
 // rank is the priority of a request at an engine: the tenant's comes first.
 func rank(owner *catalog.Tenant, route *catalog.Route) int {
 	tenant := 0
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -35,9 +35,10 @@
 
 // Verdict is what a back end's answer says of itself.
 type Verdict struct {
-	ID     string // request that it answers
-	Signed bool   // it comes from a back end that ran the request
-	NotRun bool   // the request did not run and never will
+	ID      string // request that it answers
+	Signed  bool   // it comes from a back end that ran the request
+	NotRun  bool   // the request did not run and never will
+	Version uint64 // of the back end's weights; 0 unknown
 }
 
 // Dialect translates between a platform's headers and the gateway. It is safe for concurrent use.
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -64,6 +64,7 @@
 		if row == nil {
 			row = &endpoint{waiting: map[*attempt]time.Duration{}, spokeAt: now, held: newHoldings(cacheLimits[entry.Service])}
 		}
+		entry.Versions = newestVersions(row.entry.Versions, entry.Versions)
 		if !maps.Equal(row.entry.Versions, entry.Versions) {
 			row.held.clear()
 		}
@@ -79,6 +80,30 @@
 	t.changed = make(chan struct{})
 }
 
+// newestVersions merges what was known of a back end's weights with what is told: within one life versions only rise, and
+// a new leader may not have heard of them yet.
+func newestVersions(known, told map[string]uint64) map[string]uint64 {
+	merged := maps.Clone(told)
+	for model, version := range known {
+		if merged == nil {
+			merged = map[string]uint64{}
+		}
+		merged[model] = max(merged[model], version)
+	}
+	return merged
+}
+
+// learnVersion notes the weights that a back end itself told of.
+func (t *table) learnVersion(row *endpoint, model string, version uint64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if version <= row.entry.Versions[model] {
+		return
+	}
+	row.entry.Versions = newestVersions(row.entry.Versions, map[string]uint64{model: version})
+	row.held.clear()
+}
+
 // takeNews notes what every answer of control carries.
 func (t *table) takeNews(asked time.Duration, reply *control.WatchReply) {
 	t.mutex.Lock()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -209,6 +209,7 @@
 	wish := need{service: x.service, store: x.view.store, tenant: x.tenant, call: &x.call, tried: x.tried}
 	patience := x.gateway.now() + backendGrace
 	for {
+		wish.trusted = x.gateway.trusted(x.gateway.now())
 		news := x.gateway.table.news()
 		chosen := x.gateway.choose(x.gateway.now(), wish)
 		left := patience - x.gateway.now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,7 @@
 	SnapshotEvery uint64        `yaml:"snapshot_every"` // entries between snapshots; default 5,000
 	JoinOnly      bool          `yaml:"join_only"`      // never found a group, only join one; default false
 	OrderWait     time.Duration `yaml:"order_wait"`     // how long a new leader waits before its first order for weights; default 3s
+	GatewayTrust  time.Duration `yaml:"gateway_trust"`  // how long a gateway may use a view that is not confirmed; default 3s
 }
 
 // Limits and defaults of node files.
@@ -77,6 +78,7 @@
 	defaultRepairAfter    = 10 * time.Second
 	defaultSnapshotEvery  = 5000
 	defaultOrderWait      = 3 * time.Second
+	defaultGatewayTrust   = 3 * time.Second
 )
 
 // Load reads and checks a file. All faults come back in one error.
@@ -136,6 +138,7 @@
 		setDefault(&f.Control.RepairAfter, defaultRepairAfter)
 		setDefault(&f.Control.SnapshotEvery, defaultSnapshotEvery)
 		setDefault(&f.Control.OrderWait, defaultOrderWait)
+		setDefault(&f.Control.GatewayTrust, defaultGatewayTrust)
 	}
 }
 
