Nothing begins on old weights too late

The bar now counts the predicted wait, and what has not begun by the limit is taken back. Test failed first: TestNothingBeginsOnOldWeightsTooLate.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -79,6 +79,9 @@
 // errSilent ends an attempt whose back end says nothing.
 var errSilent = &net.OpError{Op: "wait", Err: context.DeadlineExceeded}
 
+// errOutdated ends an attempt that would begin on weights that are too old.
+var errOutdated = &net.OpError{Op: "begin", Err: context.DeadlineExceeded}
+
 // perform sends the request and passes the answer on.
 func (a *attempt) perform() result {
 	x := a.exchange
@@ -103,6 +106,8 @@
 	a.begin()
 	defer func() { x.gateway.table.end(x.gateway.now(), a, a.grade) }()
 	a.watchSilence(a.patience())
+	stopLimit := a.watchLimit()
+	defer stopLimit()
 	a.send()
 	ended := a.receive()
 	if a.silence != nil {
@@ -160,6 +165,20 @@
 	}
 }
 
+// watchLimit ends the attempt when it has not begun on old weights until it must have. It returns what stops the watch.
+func (a *attempt) watchLimit() func() {
+	if a.plan.beginBy == 0 {
+		return func() {}
+	}
+	x := a.exchange
+	timer := time.AfterFunc(a.plan.beginBy-x.gateway.now(), func() {
+		if x.gateway.table.waits(a) {
+			a.cancel(errOutdated)
+		}
+	})
+	return func() { timer.Stop() }
+}
+
 // send writes the request. A long body is written beside the reading of the answer.
 func (a *attempt) send() {
 	head := a.head()
@@ -265,6 +284,8 @@
 	_ = a.wire.Close()
 	cause := err.Error()
 	switch {
+	case context.Cause(a.ctx) == errOutdated:
+		cause = "weights outdated"
 	case context.Cause(a.ctx) == errSilent:
 		cause, a.grade = "silent", gradeBad
 	case a.exchange.ctx.Err() == nil:
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -44,10 +44,12 @@
 	row      *endpoint
 	cost     float64 // milliseconds
 	salt     string
-	version  uint64 // of its weights
-	uncached int    // prompt tokens to read
-	fetch    string // address to take cached parts from, or ""
-	save     string // address of the store to keep the parts in, or ""
+	version  uint64        // of its weights
+	wait     float64       // predicted time until the request begins, in milliseconds
+	beginBy  time.Duration // when it must have begun, or 0
+	uncached int           // prompt tokens to read
+	fetch    string        // address to take cached parts from, or ""
+	save     string        // address of the store to keep the parts in, or ""
 }
 
 // need is what a decision depends on.
@@ -71,6 +73,9 @@
 			continue
 		}
 		scored := g.score(now, row, wish, row == owner)
+		if g.beginsTooLate(now, &scored, wish.call.Model) {
+			continue
+		}
 		if best == nil || scored.cost < best.cost {
 			best = &scored
 		}
@@ -83,22 +88,31 @@
 	if row.entry.State != catalog.StateReady || row.entry.Loading || slices.Contains(wish.tried, row) {
 		return false
 	}
-	return !g.outdated(now, row, wish.call.Model)
+	limit, limited := g.beginLimit(row, wish.call.Model)
+	return !limited || now < limit-beginMargin
 }
 
-// outdated reports whether a back end's weights are older than may still be used: the time counts from when the oldest
-// version that it lacks was named, not the newest.
-func (g *Gateway) outdated(now time.Duration, row *endpoint, model string) bool {
+// beginLimit returns until when requests may begin on a back end's weights, if newer ones were named. The time counts
+// from when the oldest version that it lacks was named, not the newest.
+func (g *Gateway) beginLimit(row *endpoint, model string) (time.Duration, bool) {
 	held, holds := row.entry.Versions[model]
 	if !holds {
-		return false
+		return 0, false
 	}
 	for _, version := range g.table.named[model] {
 		if version.version > held {
-			return now-version.namedAt > g.settings.VersionWait
+			return version.namedAt + g.settings.VersionLimit, true
 		}
 	}
-	return false
+	return 0, false
+}
+
+// beginsTooLate reports whether a request would likely begin after the limit for the back end's weights.
+func (g *Gateway) beginsTooLate(now time.Duration, scored *candidate, model string) bool {
+	limit, limited := g.beginLimit(scored.row, model)
+	scored.beginBy = limit
+	wait := time.Duration(beginFactor * float64(scored.wait) * float64(time.Millisecond))
+	return limited && now+wait >= limit-beginMargin
 }
 
 // owner returns the back end on which requests with the same shared prompt meet while nobody is believed to hold it: the
@@ -156,6 +170,7 @@
 	scored.uncached = total - cached
 	queue := max(0, row.busyTo-now)
 	scored.cost += float64(queue)/float64(time.Millisecond) + float64(scored.uncached)/prefillRate
+	scored.wait = scored.cost
 	scored.cost += rereadWeight * float64(sharedTokens-cached) / prefillRate
 	scored.cost += runningCost * float64(row.running+row.others)
 	if !owner {
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -154,6 +154,14 @@
 	t.endWait(sent)
 }
 
+// waits reports whether an attempt has had no answer yet.
+func (t *table) waits(sent *attempt) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	_, waits := sent.row.waiting[sent]
+	return waits
+}
+
 func (t *table) endWait(sent *attempt) {
 	if _, waits := sent.row.waiting[sent]; waits {
 		delete(sent.row.waiting, sent)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -12,15 +12,19 @@
 	Control  []string // internal addresses of control replicas
 	Token    string   // shared secret of the system's own processes
 
-	Trust       time.Duration // how long keys count that no control replica has confirmed
-	VersionWait time.Duration // how long after newer weights were named older ones may still be used
-	Grace       time.Duration // longest planned stop
-	RetryRatio  float64       // repeats as a share of the requests for a service, over the whole fleet
-	RetryWindow time.Duration // that both are counted in
-	RetrySlack  float64       // repeats of the whole fleet beyond the ratio
+	Trust        time.Duration // how long keys count that no control replica has confirmed
+	VersionLimit time.Duration // how long after newer weights were named a request may still begin on older ones
+	Grace        time.Duration // longest planned stop
+	RetryRatio   float64       // repeats as a share of the requests for a service, over the whole fleet
+	RetryWindow  time.Duration // that both are counted in
+	RetrySlack   float64       // repeats of the whole fleet beyond the ratio
 }
 
 const (
+	// beginMargin is kept between the time when a request should begin on old weights and the limit for that, beside
+	// beginFactor of the time that is predicted until it begins.
+	beginMargin = 900 * time.Millisecond
+	beginFactor = 1.5
 	// watchHold is how long control may hold a question for news; it bounds the age of a confirmed view.
 	watchHold = 400 * time.Millisecond
 	// watchTimeout is how long a question may stay unanswered.
