Weights are replaced once running requests have ended; unanswered orders hold nothing up

Cause: a load stops the streams that run on its engine for 0.6 s, longer than their pauses may be. The leader now waits up to 2 s until gateways report none. An order without an answer no longer keeps requests away from its engine.

--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -18,6 +18,7 @@
 	phaseAnnounced       // gateways send nothing new; the order follows
 	phaseOrdered         // the order is on its way
 	phaseLoading         // the order was taken, or may have been
+	phaseUncertain       // the order got no answer: it may be carried out any time, or never; requests go on meanwhile
 	phaseBackoff         // something failed; it is tried again later
 )
 
@@ -33,8 +34,16 @@
 	callPatience = 3 * time.Second
 	// rolloutBackoff is the pause after a failure.
 	rolloutBackoff = 300 * time.Millisecond
-	// loadShare: one of so many back ends may load at the same time.
-	loadShare = 4
+	// loadShare and drainShare: one of so many back ends may load, or be turned away from, at the same time.
+	loadShare  = 4
+	drainShare = 3
+	// drainPatience is how long requests that run on a back end may take to end before its order is sent; a load stops
+	// them for its time.
+	drainPatience = 2000 * time.Millisecond
+	// uncertainPatience is how long an unanswered order may show no effect before it is given again, and uncertainCheck
+	// how often that is looked at.
+	uncertainPatience = 1200 * time.Millisecond
+	uncertainCheck    = 350 * time.Millisecond
 )
 
 // rolloutState is the leader's view of one back end's weights.
@@ -42,8 +51,9 @@
 	phase         phase
 	due           time.Duration // when the next step is due
 	model         string
-	version       uint64 // of the order in progress
-	announced     uint64 // count of the roster that told gateways to turn away
+	version       uint64        // of the order in progress
+	announced     uint64        // count of the roster that told gateways to turn away
+	drainUntil    time.Duration // when the order is sent although requests still run
 	orderedAt     time.Duration
 	revision      uint64 // orders that the back end has taken
 	revisionKnown bool
@@ -115,9 +125,11 @@
 	}
 	busy := 0
 	instances := r.machine.catalog.Instances()
-	for _, id := range sortedKeys(instances) {
+	ids := r.drainOrder(now)
+	loads := r.countLoads()
+	for _, id := range ids {
 		state := r.member(now, id)
-		r.stepRollout(now, instances[id], state)
+		r.stepRollout(now, instances[id], state, &loads)
 		if state.rollout.loading() || state.rollout.phase == phaseReporting {
 			busy++
 		}
@@ -125,6 +137,36 @@
 	r.startRollouts(now, busy)
 }
 
+// loadCount tells how many loads run, and how many may.
+type loadCount struct{ running, limit int }
+
+// countLoads counts the back ends whose order is on its way or being carried out.
+func (r *Replica) countLoads() loadCount {
+	count := loadCount{}
+	engines := 0
+	for id := range r.machine.catalog.Instances() {
+		state := r.lead.fleet[id]
+		if state == nil || len(state.versions) == 0 {
+			continue
+		}
+		engines++
+		if state.rollout.phase == phaseOrdered || state.rollout.phase == phaseLoading {
+			count.running++
+		}
+	}
+	count.limit = max(1, engines/loadShare)
+	return count
+}
+
+// drainOrder returns the back ends, those first that have been turned away from for longest.
+func (r *Replica) drainOrder(now time.Duration) []string {
+	ids := sortedKeys(r.machine.catalog.Instances())
+	slices.SortStableFunc(ids, func(a, b string) int {
+		return cmp.Compare(r.member(now, a).rollout.drainUntil, r.member(now, b).rollout.drainUntil)
+	})
+	return ids
+}
+
 // takeFence asks for a fence of this leadership, once.
 func (r *Replica) takeFence(now time.Duration) {
 	if r.lead.fence == 0 && now >= r.lead.fenceAskedAt+callPatience {
@@ -172,7 +214,7 @@
 		return cmp.Or(cmp.Compare(r.oldestVersion(a), r.oldestVersion(b)), cmp.Compare(used[a], used[b]))
 	})
 	for _, id := range lagging {
-		if busy >= max(1, engines/loadShare) {
+		if busy >= max(1, engines/drainShare) {
 			return
 		}
 		busy++
@@ -193,6 +235,12 @@
 		r.callWeights(instance, state, WeightsReport)
 		return
 	}
+	r.announce(now, state)
+}
+
+// announce makes gateways turn away from a back end.
+func (r *Replica) announce(now time.Duration, state *memberState) {
+	state.rollout.drainUntil = now + drainPatience
 	r.setPhase(state, phaseAnnounced, now+announceLead)
 }
 
@@ -207,7 +255,7 @@
 }
 
 // stepRollout does what is due at one back end.
-func (r *Replica) stepRollout(now time.Duration, instance catalog.Instance, state *memberState) {
+func (r *Replica) stepRollout(now time.Duration, instance catalog.Instance, state *memberState, loads *loadCount) {
 	if now < state.rollout.due {
 		return
 	}
@@ -215,14 +263,18 @@
 	case phaseReporting, phaseOrdered:
 		r.setPhase(state, phaseBackoff, now+rolloutBackoff) // no result came
 	case phaseAnnounced:
-		if !r.turnedAway(now, state.rollout.announced) {
+		if loads.running >= loads.limit || !r.turnedAway(now, state.rollout.announced) {
+			return
+		}
+		if r.totalUsage(now)[instance.ID] > 0 && now < state.rollout.drainUntil {
 			return
 		}
+		loads.running++
 		state.rollout.version = max(state.rollout.version, r.machine.catalog.Versions()[state.rollout.model])
 		state.rollout.orderedAt = now
 		r.setPhase(state, phaseOrdered, now+callPatience)
 		r.callWeights(instance, state, WeightsOrder)
-	case phaseLoading:
+	case phaseLoading, phaseUncertain:
 		state.rollout.due = now + callPatience
 		r.callWeights(instance, state, WeightsReport)
 	case phaseBackoff:
@@ -265,7 +317,7 @@
 		r.finishRollout(now, state)
 	case WeightsUnknown:
 		state.rollout.revisionKnown = false
-		r.setPhase(state, phaseLoading, now+nextCheck)
+		r.setPhase(state, phaseUncertain, now+uncertainCheck)
 	case WeightsFenced:
 		r.lead.fence = 0
 		r.setPhase(state, phaseBackoff, now+callPatience)
@@ -283,7 +335,8 @@
 
 func (r *Replica) observeReport(now time.Duration, state *memberState, result WeightsResult) {
 	loads := state.rollout.phase == phaseLoading
-	if !loads && state.rollout.phase != phaseReporting {
+	uncertain := state.rollout.phase == phaseUncertain
+	if !loads && !uncertain && state.rollout.phase != phaseReporting {
 		return
 	}
 	if result.Kind != WeightsReported {
@@ -298,10 +351,12 @@
 	case done:
 		state.rollout.revision, state.rollout.revisionKnown = max(state.rollout.revision, result.Revision), true
 		r.finishRollout(now, state)
+	case uncertain && now < state.rollout.orderedAt+uncertainPatience:
+		r.setPhase(state, phaseUncertain, now+uncertainCheck)
 	case loads && now < state.rollout.orderedAt+loadPatience:
 		r.setPhase(state, phaseLoading, now+nextCheck)
 	default:
 		state.rollout.revision, state.rollout.revisionKnown = result.Revision, true
-		r.setPhase(state, phaseAnnounced, now+announceLead)
+		r.announce(now, state)
 	}
 }
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -130,6 +130,18 @@
 	return counts
 }
 
+// drains reports whether own requests run on a back end that gets no new ones, since its weights are to be replaced.
+func (t *table) drains() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, row := range t.rows {
+		if row.entry.Loading && row.running > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // news returns a channel that is closed with the next roster.
 func (t *table) news() <-chan struct{} {
 	t.mutex.Lock()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -61,10 +61,13 @@
 	tried     []*endpoint
 	sent      int // back ends that got the request
 	unreached int
-	mayHave   bool   // an earlier attempt may have run
-	relayed   bool   // the head of an answer has gone to the caller
-	lastEvent string // newest event passed on
-	served    string // back end of the answer
+	mayHave   bool          // an earlier attempt may have run
+	relayed   bool          // the head of an answer has gone to the caller
+	lastEvent string        // newest event passed on
+	served    string        // back end of the answer
+	firstAt   time.Duration // when the first event went to the caller, or 0
+	eventAt   time.Duration // when the newest one did
+	pause     time.Duration // longest time between two
 }
 
 // serve takes a caller's request.
@@ -310,6 +313,9 @@
 	if x.route != nil {
 		fields = append(fields, zap.String("route", x.route.Name), zap.Uint64("revision", x.view.document.Revision))
 	}
+	if x.firstAt > 0 {
+		fields = append(fields, zap.Duration("first", x.firstAt-x.arrived), zap.Duration("pause", x.pause))
+	}
 	if x.served != "" {
 		fields = append(fields, zap.String("instance", x.served))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -195,7 +195,7 @@
 
 func (g *Gateway) ask(ctx context.Context, roster control.RosterVersion) *control.WatchReply {
 	question := control.Watch{
-		Gateway: g.settings.Name, Zone: g.settings.Zone, Address: g.settings.Internal, Roster: roster, Hold: watchHold, Usage: g.table.usage(),
+		Gateway: g.settings.Name, Zone: g.settings.Zone, Address: g.settings.Internal, Roster: roster, Hold: g.hold(), Usage: g.table.usage(),
 		Closing: g.draining.Load(),
 	}
 	if held := g.view.Load(); held != nil {
@@ -210,6 +210,15 @@
 	return response.Watch
 }
 
+// hold is how long a question may be held. While a back end drains for new weights, control is to see soon that its
+// requests have ended.
+func (g *Gateway) hold() time.Duration {
+	if g.table.drains() {
+		return drainHold
+	}
+	return watchHold
+}
+
 // take puts news in force. A document is only ever replaced by a newer one.
 func (g *Gateway) take(asked time.Duration, reply *control.WatchReply) {
 	held := g.view.Load()
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -27,6 +27,8 @@
 	beginFactor = 1.5
 	// watchHold is how long control may hold a question for news; it bounds the age of a confirmed view.
 	watchHold = 400 * time.Millisecond
+	// drainHold is that while requests run on a back end that is being turned away from.
+	drainHold = 80 * time.Millisecond
 	// watchTimeout is how long a question may stay unanswered.
 	watchTimeout = 900 * time.Millisecond
 	// watchPause is the pause after a question failed.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -96,9 +96,20 @@
 	if _, err := x.writer.Write(event); err != nil {
 		return false
 	}
+	x.noteEvent()
 	return controller.Flush() == nil
 }
 
+// noteEvent keeps what the log tells of a stream's pace.
+func (x *exchange) noteEvent() {
+	now := x.gateway.now()
+	if x.firstAt == 0 {
+		x.firstAt, x.eventAt = now, now
+	}
+	x.pause = max(x.pause, now-x.eventAt)
+	x.eventAt = now
+}
+
 // streamEnded ends a stream that the back end ended between two events.
 func (a *attempt) streamEnded(answer *http.Response) result {
 	x := a.exchange
