--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -62,11 +62,20 @@
 	trusted bool // the view is confirmed, so what it says of weights holds
 }
 
+// longest is how many prompt tokens have to be read where nothing but the shared parts is held.
+func (w *need) longest() int {
+	shared := w.call.Parts[:prefix.Shared(w.call.Parts)]
+	return max(w.call.PromptTokens, prefix.PartTokens(w.call.Parts)) - prefix.PartTokens(shared)
+}
+
 // choose filters, scores and picks the back end of least cost, or returns nil.
 func (g *Gateway) choose(now time.Duration, wish need) (best *candidate) {
 	g.table.mutex.Lock()
 	defer g.table.mutex.Unlock()
 	rows := g.table.services[wish.service.Name]
+	if wish.service.Engine {
+		g.table.lane(wish.service.Name).divide(rows)
+	}
 	owner := g.owner(now, rows, wish)
 	for _, row := range rows {
 		if !g.eligible(now, row, wish) {
@@ -125,7 +134,7 @@
 	var best *endpoint
 	var highest uint64
 	for _, row := range rows {
-		if !g.eligible(now, row, wish) || now < row.avoidTo {
+		if !g.eligible(now, row, wish) || now < row.avoidTo || row.astray(wish.longest()) > 0 {
 			continue
 		}
 		weight := xxhash.Sum64String(key + "@" + row.entry.Address)
@@ -171,6 +180,7 @@
 	queue := max(0, row.busyTo-now)
 	scored.cost += float64(queue)/float64(time.Millisecond) + float64(scored.uncached)/prefillRate
 	scored.wait = scored.cost
+	scored.cost += row.astray(scored.uncached)
 	scored.cost += rereadWeight * float64(sharedTokens-cached) / prefillRate
 	scored.cost += runningCost * float64(row.running+row.others)
 	if !owner {
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -28,6 +28,7 @@
 	others   int           // requests of other gateways, as last told
 	busyTo   time.Duration // when the prompts sent so far, by any gateway, are taken to be read
 	held     *holdings     // cached parts that it is believed to hold
+	long     bool          // it serves long requests rather than short ones
 	waiting  map[*attempt]time.Duration
 	spokeAt  time.Duration // newest bytes of any answer
 	failures int           // in a row
@@ -43,13 +44,14 @@
 	services map[string][]*endpoint
 	named    map[string][]named // by model, rising
 	stored   *stored            // parts that were sent to a store
+	lanes    map[string]*lanes  // by service
 	changed  chan struct{}      // closed and made anew with each roster
 }
 
 func newTable() *table {
 	return &table{
 		rows: map[string]*endpoint{}, services: map[string][]*endpoint{}, named: map[string][]named{},
-		stored: newStored(), changed: make(chan struct{}),
+		stored: newStored(), lanes: map[string]*lanes{}, changed: make(chan struct{}),
 	}
 }
 
@@ -239,6 +241,7 @@
 		at := now - min(now, made.Age)
 		row.read(at, made.Uncached)
 		t.hold(at, row, made)
+		t.lane(row.entry.Service).note(at, made.Uncached)
 	}
 }
 
@@ -247,10 +250,21 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if row := t.rows[made.Instance]; row != nil {
+		t.lane(row.entry.Service).note(now, made.Uncached)
 		t.hold(now, row, made)
 	}
 }
 
+// lane returns the lanes of a service, made when it is first named.
+func (t *table) lane(service string) *lanes {
+	held := t.lanes[service]
+	if held == nil {
+		held = &lanes{}
+		t.lanes[service] = held
+	}
+	return held
+}
+
 func (t *table) hold(at time.Duration, row *endpoint, made send) {
 	row.held.use(at, made.Salt, made.Parts)
 	if made.Saved {
--- /dev/null
+++ b/internal/gateway/lanes.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// longPrompt is how many prompt tokens an engine has to read for a request to count as long. While it reads them, the
+	// streams that run there get their tokens late.
+	longPrompt = 1500
+	// laneMemory is how fast the measured demand of long and short requests is forgotten.
+	laneMemory = 6 * time.Second
+	// laneBase is the demand, in prompt tokens, that both are taken to have from the start.
+	laneBase = 4000.0
+	// shortSurcharge: a short request also keeps a slot while it generates; this many tokens of reading stand for that.
+	shortSurcharge = 250.0
+	// longAstray and shortAstray are what a request costs on an engine of the other lane, in milliseconds.
+	longAstray  = 300.0
+	shortAstray = 60.0
+)
+
+// lanes divides the engines of a service between long and short requests, in proportion to the demand that all gateways
+// see alike, so that long prompts stay out of the short requests' way.
+type lanes struct {
+	long, short float64 // decaying sums of demand, in prompt tokens
+	at          time.Duration
+	share       float64 // of the engines that serve long requests, when they were divided last
+}
+
+// note adds a send's demand.
+func (l *lanes) note(now time.Duration, uncached int) {
+	l.decay(now)
+	if uncached >= longPrompt {
+		l.long += float64(uncached)
+		return
+	}
+	l.short += float64(uncached) + shortSurcharge
+}
+
+func (l *lanes) decay(now time.Duration) {
+	if now <= l.at {
+		return
+	}
+	kept := math.Exp(-float64(now-l.at) / float64(laneMemory))
+	l.long, l.short, l.at = l.long*kept, l.short*kept, now
+}
+
+// longShare returns the share of the engines for long requests.
+func (l *lanes) longShare() float64 {
+	return (l.long + laneBase) / (l.long + l.short + 2*laneBase)
+}
+
+// divide marks the engines of each zone for long requests: the first by hash, at least one of each kind where there are
+// two or more. An engine changes sides only when the share has moved by more than half of one.
+func (l *lanes) divide(rows []*endpoint) {
+	zones := map[string][]*endpoint{}
+	for _, row := range rows {
+		zones[row.entry.Zone] = append(zones[row.entry.Zone], row)
+	}
+	if share := l.longShare(); math.Abs(share-l.share)*float64(len(rows)) > 0.5 {
+		l.share = share
+	}
+	for _, members := range zones {
+		slices.SortFunc(members, func(a, b *endpoint) int {
+			return cmp.Compare(xxhash.Sum64String(a.entry.Address), xxhash.Sum64String(b.entry.Address))
+		})
+		count := int(math.Round(l.share * float64(len(members))))
+		count = min(max(count, 1), max(1, len(members)-1))
+		for at, member := range members {
+			member.long = at < count
+		}
+	}
+}
+
+// astray is what a request costs on an engine of the other lane, in milliseconds.
+func (e *endpoint) astray(uncached int) float64 {
+	switch {
+	case uncached >= longPrompt && !e.long:
+		return longAstray
+	case uncached < longPrompt && e.long:
+		return shortAstray
+	}
+	return 0
+}
