--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -39,6 +39,9 @@
 	fleet        map[string]*memberState // by instance
 	fleetAt      time.Duration
 	rosterCount  uint64
+	readyMost    int // engines that were ready lately
+	readyMostAt  time.Duration
+	orderLostAt  time.Duration // when an order for weights last got no answer
 	watchers     []watcher
 	usage        map[string]usageReport // by gateway
 }
@@ -56,7 +59,7 @@
 	lead := &leadership{
 		term: term, routers: map[string]*routerLease{},
 		opening: map[string]bool{}, engines: map[string]*engineState{},
-		since: now, fenceAskedAt: now - callPatience, fleet: map[string]*memberState{}, usage: map[string]usageReport{},
+		since: now, orderLostAt: now - stressMemory, fenceAskedAt: now - callPatience, fleet: map[string]*memberState{}, usage: map[string]usageReport{},
 	}
 	for router := range machine.sessions {
 		lead.routers[router] = &routerLease{expires: leaseEnd}
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -40,6 +40,9 @@
 	// drainPatience is how long requests that run on a back end may take to end before its order is sent; a load stops
 	// them for its time.
 	drainPatience = 2000 * time.Millisecond
+	// stressShare of the engines that were ready within stressMemory must still be, for any to be kept idle.
+	stressShare  = 0.9
+	stressMemory = 10 * time.Second
 	// uncertainPatience is how long an unanswered order may show no effect before it is given again, and uncertainCheck
 	// how often that is looked at.
 	uncertainPatience = 1200 * time.Millisecond
@@ -241,9 +244,31 @@
 // announce makes gateways turn away from a back end.
 func (r *Replica) announce(now time.Duration, state *memberState) {
 	state.rollout.drainUntil = now + drainPatience
+	if r.stressed(now) {
+		state.rollout.drainUntil = now
+	}
 	r.setPhase(state, phaseAnnounced, now+announceLead)
 }
 
+// stressed reports whether the engines are short of hands, or orders get lost: then none is kept idle for its requests to
+// end.
+func (r *Replica) stressed(now time.Duration) bool {
+	ready := 0
+	for id, instance := range r.machine.catalog.Instances() {
+		state := r.lead.fleet[id]
+		if state != nil && len(state.versions) > 0 && !state.silent && instance.State == catalog.StateReady {
+			ready++
+		}
+	}
+	if ready >= r.lead.readyMost {
+		r.lead.readyMost, r.lead.readyMostAt = ready, now
+	}
+	if now > r.lead.readyMostAt+stressMemory {
+		r.lead.readyMost, r.lead.readyMostAt = ready, now
+	}
+	return float64(ready) < stressShare*float64(r.lead.readyMost) || now < r.lead.orderLostAt+stressMemory
+}
+
 // setPhase moves a back end to another phase and tells watchers when that changes what they may send.
 func (r *Replica) setPhase(state *memberState, next phase, due time.Duration) {
 	before := state.rollout.loading()
@@ -316,6 +341,7 @@
 	case WeightsHeld:
 		r.finishRollout(now, state)
 	case WeightsUnknown:
+		r.lead.orderLostAt = now
 		state.rollout.revisionKnown = false
 		r.setPhase(state, phaseUncertain, now+uncertainCheck)
 	case WeightsFenced:
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -22,7 +22,7 @@
 )
 
 // send is a request that a gateway sent to an engine, as the others are told: what the engine now has to read, and which
-// shared parts it will hold.
+// parts it will hold; the last of them is of use to nobody else, but takes its memory.
 type send struct {
 	Instance string        `json:"instance"`
 	Salt     string        `json:"salt"`
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"kitetiller/internal/catalog"
-	"kitetiller/internal/prefix"
 )
 
 const (
@@ -120,12 +119,11 @@
 func (a *attempt) begin() {
 	x := a.exchange
 	now := x.gateway.now()
-	shared := x.call.Parts[:prefix.Shared(x.call.Parts)]
 	x.gateway.table.begin(now, a)
 	if !x.service.Engine {
 		return
 	}
-	made := send{Instance: a.row.entry.ID, Salt: a.plan.salt, Parts: shared, Uncached: a.uncached, Saved: a.plan.save != ""}
+	made := send{Instance: a.row.entry.ID, Salt: a.plan.salt, Parts: x.call.Parts, Uncached: a.uncached, Saved: a.plan.save != ""}
 	x.gateway.table.noteHeld(now, made)
 	x.gateway.announcer.announce(made)
 }
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"kitetiller/internal/control"
+	"kitetiller/internal/prefix"
 )
 
 const (
@@ -268,7 +269,7 @@
 func (t *table) hold(at time.Duration, row *endpoint, made send) {
 	row.held.use(at, made.Salt, made.Parts)
 	if made.Saved {
-		t.stored.note(at, made.Salt, made.Parts)
+		t.stored.note(at, made.Salt, made.Parts[:prefix.Shared(made.Parts)])
 	}
 }
 
--- a/internal/gateway/holdings.go
+++ b/internal/gateway/holdings.go
@@ -8,7 +8,7 @@
 
 const (
 	// cacheShare is the part of an engine's memory that is taken to hold cached parts; running requests need the rest.
-	cacheShare = 0.6
+	cacheShare = 0.75
 	// defaultCache is assumed where an engine's memory is not known, in tokens.
 	defaultCache = 100_000
 	// storedFor is how long a part is taken to stay in the store.
--- a/internal/gateway/lanes.go
+++ b/internal/gateway/lanes.go
@@ -20,7 +20,7 @@
 	// shortSurcharge: a short request also keeps a slot while it generates; this many tokens of reading stand for that.
 	shortSurcharge = 250.0
 	// longAstray and shortAstray are what a request costs on an engine of the other lane, in milliseconds.
-	longAstray  = 300.0
+	longAstray  = 120.0
 	shortAstray = 60.0
 )
 
