--- a/internal/api/openai.go
+++ b/internal/api/openai.go
@@ -80,3 +80,22 @@
 	HeaderDraining       = "X-Draining"    // the router is stopping; the request was not taken
 	HeaderRun            = "X-Run"         // ran, for replayed answers
 )
+
+// Values of the field object in lists of models.
+const (
+	ObjectList  = "list"
+	ObjectModel = "model"
+)
+
+// ModelList is the answer of GET /v1/models, as in the OpenAI API.
+type ModelList struct {
+	Object string  `json:"object"`
+	Data   []Model `json:"data"`
+}
+
+// Model is one model that a caller may name.
+type Model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"` // the service that serves it
+}
--- /dev/null
+++ b/internal/catalog/machine_test.go
@@ -0,0 +1,153 @@
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// oracle is what operators and back ends may rely on, kept as plainly as possible.
+type oracle struct {
+	revision uint64
+	content  string
+	left     map[string]bool // said that they leave
+	draining map[string]bool
+	versions map[string]uint64
+	fence    uint64
+}
+
+// TestMachineAgreesWithOracle drives the machine with any order of commands, old and doubled ones among them, and through
+// snapshots.
+func TestMachineAgreesWithOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		machine := NewMachine()
+		expected := &oracle{left: map[string]bool{}, draining: map[string]bool{}, versions: map[string]uint64{}}
+		instance := func() string { return fmt.Sprint("i-", rapid.IntRange(0, 5).Draw(t, "instance")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"replace": func(t *rapid.T) {
+				revision := rapid.Uint64Range(1, 9).Draw(t, "revision")
+				content := rapid.StringMatching("[a-c]").Draw(t, "content")
+				machine.Apply(Command{Replace: &Document{Revision: revision, Source: json.RawMessage(`"` + content + `"`)}})
+				if revision > expected.revision {
+					expected.revision, expected.content = revision, content
+				}
+			},
+			"register": func(t *rapid.T) {
+				id := instance()
+				machine.Apply(Command{Register: &Instance{ID: id, Address: "a" + id, State: StateReady}})
+			},
+			"take over an address": func(t *rapid.T) {
+				id, other := instance(), instance()
+				machine.Apply(Command{Register: &Instance{ID: id, Address: "a" + other, State: StateReady}})
+			},
+			"drain": func(t *rapid.T) {
+				id := instance()
+				if _, known := machine.Instances()[id]; known {
+					expected.draining[id] = true
+				}
+				machine.Apply(Command{Drain: id})
+			},
+			"remove": func(t *rapid.T) {
+				id := instance()
+				machine.Apply(Command{Remove: id})
+				expected.left[id] = true
+			},
+			"forget": func(t *rapid.T) {
+				id := instance()
+				machine.Apply(Command{Forget: id})
+				delete(expected.draining, id)
+			},
+			"version": func(t *rapid.T) {
+				version := rapid.Uint64Range(1, 9).Draw(t, "version")
+				machine.Apply(Command{Version: &NamedWeight{Model: "m", Version: version}})
+				expected.versions["m"] = max(expected.versions["m"], version)
+			},
+			"fence": func(t *rapid.T) {
+				given := machine.Apply(Command{Fence: true}).Fence
+				if given <= expected.fence {
+					t.Fatalf("fence %d after %d", given, expected.fence)
+				}
+				expected.fence = given
+			},
+			"snapshot": func(t *rapid.T) {
+				data, err := json.Marshal(machine)
+				if err != nil {
+					t.Fatal(err)
+				}
+				restored := NewMachine()
+				if err := json.Unmarshal(data, restored); err != nil {
+					t.Fatal(err)
+				}
+				if !reflect.DeepEqual(restored.instances, machine.instances) || !reflect.DeepEqual(restored.ended, machine.ended) {
+					t.Fatalf("restored %+v, was %+v", restored, machine)
+				}
+				machine = restored
+			},
+			"": func(t *rapid.T) { expected.check(t, machine) },
+		})
+	})
+}
+
+func (o *oracle) check(t *rapid.T, machine *Machine) {
+	if machine.Document().Revision != o.revision || strings.Trim(string(machine.Document().Source), `"`) != o.content {
+		t.Fatalf("document %+v, expected revision %d %q", machine.Document(), o.revision, o.content)
+	}
+	if machine.Versions()["m"] != o.versions["m"] {
+		t.Fatalf("version %d, expected %d", machine.Versions()["m"], o.versions["m"])
+	}
+	addresses := map[string]string{}
+	for id, instance := range machine.Instances() {
+		if o.left[id] {
+			t.Fatalf("%s is listed after it left", id)
+		}
+		if other, taken := addresses[instance.Address]; taken {
+			t.Fatalf("%s and %s have one address", id, other)
+		}
+		addresses[instance.Address] = id
+	}
+}
+
+// goodDocument passes every check.
+func goodDocument() Document {
+	return Document{
+		Revision: 1, Services: []Service{{Name: "s"}},
+		Routes:  []Route{{Name: "r", Host: "h", PathPrefix: "/a/", Timeout: time.Second, Targets: []Target{{Service: "s", Weight: 1}}}},
+		Tenants: []Tenant{{Name: "t", Keys: []string{"k"}}},
+	}
+}
+
+// TestCheckNamesWhatIsWrong: each fault is found and its place is named.
+func TestCheckNamesWhatIsWrong(t *testing.T) {
+	good := goodDocument()
+	if problems := good.Check(); len(problems) > 0 {
+		t.Fatalf("problems %v", problems)
+	}
+	faults := map[string]func(*Document){
+		"document: its revision":             func(d *Document) { d.Revision = 0 },
+		`route "r": names the unknown`:       func(d *Document) { d.Routes[0].Targets[0].Service = "x" },
+		`route "r2": has the host and path`:  func(d *Document) { d.Routes = append(d.Routes, d.Routes[0]); d.Routes[1].Name = "r2" },
+		`route "r": its weights sum to 0`:    func(d *Document) { d.Routes[0].Targets[0].Weight = 0 },
+		`route "r": has a weight below 0`:    func(d *Document) { d.Routes[0].Targets[0].Weight = -1 },
+		`route "r": its time limit`:          func(d *Document) { d.Routes[0].Timeout = 0 },
+		`route "r": needs a host`:            func(d *Document) { d.Routes[0].PathPrefix = "/a" },
+		`tenant "u": shares an API key with`: func(d *Document) { d.Tenants = append(d.Tenants, Tenant{Name: "u", Keys: []string{"k"}}) },
+		`service "s": stands there twice`:    func(d *Document) { d.Services = append(d.Services, d.Services[0]) },
+	}
+	for wanted, spoil := range faults {
+		document := goodDocument()
+		spoil(&document)
+		problems := document.Check()
+		found := false
+		for _, problem := range problems {
+			found = found || strings.HasPrefix(problem.String(), wanted)
+		}
+		if !found {
+			t.Errorf("%q is not among %v", wanted, problems)
+		}
+	}
+}
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -44,6 +44,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+chatPath, s.serveCompletion)
 	mux.HandleFunc("POST "+completionPath, s.serveCompletion)
+	mux.HandleFunc("GET /v1/models", s.serveModels)
 	mux.HandleFunc("POST /v1/services/{name}", s.serveService)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.serveReady)
--- /dev/null
+++ b/internal/router/models.go
@@ -0,0 +1,23 @@
+package router
+
+import (
+	"net/http"
+	"sort"
+
+	"kitetiller/internal/api"
+)
+
+// serveModels lists the models that a caller may name, in OpenAI's form. Ordinary clients ask for it first.
+func (s *Server) serveModels(w http.ResponseWriter, r *http.Request) {
+	held := s.view.Load()
+	if _, refusal := s.authenticate(r, held); refusal != nil {
+		s.refuse(w, r, requestName(r), refusal)
+		return
+	}
+	list := api.ModelList{Object: api.ObjectList, Data: []api.Model{}}
+	for name, service := range held.models {
+		list.Data = append(list.Data, api.Model{ID: name, Object: api.ObjectModel, OwnedBy: service})
+	}
+	sort.Slice(list.Data, func(i, j int) bool { return list.Data[i].ID < list.Data[j].ID })
+	writeJSON(w, list)
+}
--- a/internal/router/server_test.go
+++ b/internal/router/server_test.go
@@ -271,3 +271,34 @@
 		t.Fatal("the router did not end after its last stream")
 	}
 }
+
+// TestModelsAreListed: ordinary clients ask for the models first; they are told with a key only.
+func TestModelsAreListed(t *testing.T) {
+	s := startSite(t)
+	ask := func(key string) (*http.Response, api.ModelList) {
+		request, err := http.NewRequest(http.MethodGet, "http://"+s.address+"/v1/models", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Authorization", "Bearer "+key)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer response.Body.Close()
+		var list api.ModelList
+		if response.StatusCode == http.StatusOK {
+			if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return response, list
+	}
+	if response, _ := ask("wrong"); response.StatusCode != http.StatusUnauthorized {
+		t.Fatalf("without a known key: %s", response.Status)
+	}
+	_, list := ask(testKey)
+	if list.Object != api.ObjectList || len(list.Data) != 1 || list.Data[0].ID != testService || list.Data[0].Object != api.ObjectModel {
+		t.Fatalf("list %+v", list)
+	}
+}
