--- a/internal/control/engines.go
+++ b/internal/control/engines.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"kitetiller/internal/events"
 )
 
 const (
@@ -132,7 +134,7 @@
 // logWeights writes one line for each call about weights.
 func (s *Server) logWeights(result WeightsResult) {
 	call := result.Call
-	s.log.Info("weights call", zap.Uint8("kind", uint8(call.Kind)), zap.String("instance", call.Instance), zap.String("model", call.Model),
+	s.log.Info(events.WeightsCalled, zap.Uint8("kind", uint8(call.Kind)), zap.String(events.FieldInstance, call.Instance), zap.String("model", call.Model),
 		zap.Uint64("version", call.Version), zap.Uint64("fence", call.Fence), zap.Uint8("result", uint8(result.Kind)),
 		zap.Bool("busy", result.Busy), zap.Any("versions", result.Versions))
 }
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"kitetiller/internal/consensus"
+	"kitetiller/internal/events"
 )
 
 // outbox queues a message for a peer. A full outbox drops it: the protocol sends again.
@@ -108,7 +109,7 @@
 		s.log.Info("waiting to join the control group", zap.Error(err))
 		return false
 	}
-	s.log.Info("joined the control group as a learner")
+	s.log.Info(events.GroupJoined)
 	return true
 }
 
@@ -129,5 +130,5 @@
 		return
 	}
 	s.replica = replica
-	s.log.Info("founded a new control group")
+	s.log.Info(events.GroupFounded)
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"kitetiller/internal/consensus"
+	"kitetiller/internal/events"
 	"kitetiller/internal/node"
 	"kitetiller/internal/transport"
 )
@@ -53,6 +54,7 @@
 	identity Identity
 	disk     *Disk
 	replica  *Replica
+	led      bool // as of the newest tick; owned by the decide thread
 	config   Config
 	started  time.Time
 	inputs   chan input
@@ -135,7 +137,7 @@
 	if s.replica.Node().LastIndex() == 0 {
 		threads.Go(func() { s.enterGroup(run) })
 	}
-	s.log.Info("control replica started", zap.String("internal", s.file.Control.Internal), zap.String("admin", s.file.Control.Admin))
+	s.log.Info(events.ReplicaStarted, zap.String("internal", s.file.Control.Internal), zap.String("admin", s.file.Control.Admin))
 	select {
 	case <-ctx.Done():
 	case err = <-s.failed:
@@ -148,7 +150,7 @@
 	if closeErr := s.disk.Close(); err == nil {
 		err = closeErr
 	}
-	s.log.Info("control replica stopped")
+	s.log.Info(events.ReplicaStopped)
 	return err
 }
 
@@ -216,10 +218,25 @@
 			s.failed <- eris.Wrap(err, "the data folder can no longer be written")
 			return
 		}
+		s.noteLeadership()
 		timer.Reset(min(max(s.replica.NextDue()-s.now(), time.Millisecond), maximumLinger))
 	}
 }
 
+// noteLeadership logs that the leadership was won or lost.
+func (s *Server) noteLeadership() {
+	leads := s.replica.lead != nil
+	if leads == s.led {
+		return
+	}
+	s.led = leads
+	event := events.LeadershipLost
+	if leads {
+		event = events.LeadershipWon
+	}
+	s.log.Info(event, zap.Uint64("term", s.replica.node.Term()), zap.String("leader", s.replica.leaderAddress()))
+}
+
 // drain takes what else waits, so that many proposals share one sync.
 func (s *Server) drain() {
 	for range drainBatch {
--- /dev/null
+++ b/internal/events/events.go
@@ -0,0 +1,51 @@
+// Package events names the log lines that tell what a gateway or a control replica decided, or came to believe. Lines are
+// JSON; the name stands in the field msg. docs/LOGS.md lists every name, and a test holds the two together.
+package events
+
+// Events of a gateway.
+const (
+	GatewayStarted  = "gateway started"
+	GatewayStopping = "gateway stopping"
+	GatewayStopped  = "gateway stopped"
+	DocumentTaken   = "document taken"
+	RosterTaken     = "roster taken"
+	InstanceJoined  = "instance joined"
+	InstanceLeaving = "instance leaving"
+	InstanceGone    = "instance gone"
+	WeightsLearnt   = "weights learnt"
+	ControlLost     = "control lost"
+	ControlRegained = "control regained"
+	AttemptFailed   = "attempt failed"
+	RequestAnswered = "request answered"
+	RequestRefused  = "request refused"
+	LinesDropped    = "log lines dropped"
+)
+
+// Events of a control replica.
+const (
+	ReplicaStarted   = "control replica started"
+	ReplicaStopped   = "control replica stopped"
+	GroupFounded     = "control group founded"
+	GroupJoined      = "control group joined"
+	LeadershipWon    = "leadership won"
+	LeadershipLost   = "leadership lost"
+	DocumentAccepted = "document accepted"
+	DocumentRefused  = "document refused"
+	WeightsNamed     = "weights named"
+	WeightsCalled    = "weights call"
+	SettingsReloaded = "settings reloaded"
+	SettingsFaulty   = "settings not reloaded"
+)
+
+// Names of fields that several events share.
+const (
+	FieldRequest  = "request"  // the caller's request id
+	FieldInstance = "instance" // one life of a back end
+	FieldReason   = "reason"
+	FieldRevision = "revision" // of the routing document that decided
+	FieldRoute    = "route"
+	FieldStatus   = "status"
+	FieldSent     = "sent" // back ends that got the request so far
+	FieldTook     = "took" // seconds since the request arrived
+	FieldCause    = "cause"
+)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,7 +9,10 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/events"
 )
 
 const (
@@ -251,7 +254,9 @@
 	case x.call.ID != "" && verdict.ID != x.call.ID && !(verdict.NotRun && verdict.ID == ""):
 		return a.broken("answer of another request")
 	case verdict.NotRun:
-		x.gateway.table.learnVersion(a.row, x.call.Model, verdict.Version)
+		if x.gateway.table.learnVersion(a.row, x.call.Model, verdict.Version) {
+			x.gateway.log.note(events.WeightsLearnt, zap.String(events.FieldInstance, a.row.entry.ID), zap.Uint64("version", verdict.Version))
+		}
 		return a.turnedAway(answer)
 	case x.relayed && (!verdict.Signed || answer.StatusCode >= http.StatusMultipleChoices):
 		return a.broken("stream not taken up: " + answer.Status)
@@ -399,5 +404,5 @@
 func (x *exchange) finish(a *attempt, status int) {
 	x.served = a.row.entry.ID
 	_ = http.NewResponseController(x.writer).SetWriteDeadline(time.Time{})
-	x.logEnd(eventAnswered, "", status)
+	x.logEnd(events.RequestAnswered, "", status)
 }
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -8,7 +8,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
+	"kitetiller/internal/events"
 	"kitetiller/internal/prefix"
 )
 
@@ -60,10 +62,17 @@
 	}
 }
 
+// rosterChange is news about one back end, for the log.
+type rosterChange struct {
+	event string
+	entry control.RosterEntry
+}
+
 // takeRoster replaces the roster; rows of back ends that stay keep what was learnt about them.
-func (t *table) takeRoster(now time.Duration, entries []control.RosterEntry, cacheLimits map[string]int) {
+func (t *table) takeRoster(now time.Duration, entries []control.RosterEntry, cacheLimits map[string]int) []rosterChange {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	var changes []rosterChange
 	fresh := map[string]*endpoint{}
 	services := map[string][]*endpoint{}
 	for _, entry := range entries {
@@ -71,6 +80,10 @@
 		if row == nil {
 			row = &endpoint{waiting: map[*attempt]time.Duration{}, spokeAt: now, hash: xxhash.Sum64String(entry.Address)}
 			row.held = newHoldings(cacheLimits[entry.Service])
+			changes = append(changes, rosterChange{events.InstanceJoined, entry})
+		}
+		if entry.State == catalog.StateDraining && row.entry.State != entry.State {
+			changes = append(changes, rosterChange{events.InstanceLeaving, entry})
 		}
 		entry.Versions = newestVersions(row.entry.Versions, entry.Versions)
 		if !maps.Equal(row.entry.Versions, entry.Versions) {
@@ -82,11 +95,15 @@
 	}
 	for id, row := range t.rows {
 		row.gone = fresh[id] == nil
+		if row.gone {
+			changes = append(changes, rosterChange{events.InstanceGone, row.entry})
+		}
 	}
 	t.rows, t.services = fresh, services
 	t.forgetHolders()
 	close(t.changed)
 	t.changed = make(chan struct{})
+	return changes
 }
 
 // newestVersions merges what was known of a back end's weights with what is told: within one life versions only rise, and
@@ -102,15 +119,16 @@
 	return merged
 }
 
-// learnVersion notes the weights that a back end itself told of.
-func (t *table) learnVersion(row *endpoint, model string, version uint64) {
+// learnVersion notes the weights that a back end itself told of, and reports whether they are news.
+func (t *table) learnVersion(row *endpoint, model string, version uint64) (news bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if version <= row.entry.Versions[model] {
-		return
+		return false
 	}
 	row.entry.Versions = newestVersions(row.entry.Versions, map[string]uint64{model: version})
 	row.held.clear()
+	return true
 }
 
 // takeNews notes what every answer of control carries.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/events"
 )
 
 // Reasons why a request got no back end's answer.
@@ -203,7 +204,7 @@
 
 // abandon ends a request whose caller has left.
 func (x *exchange) abandon() {
-	x.logEnd(eventRefused, reasonCallerGone, 0)
+	x.logEnd(events.RequestRefused, reasonCallerGone, 0)
 	panic(http.ErrAbortHandler)
 }
 
@@ -276,7 +277,7 @@
 // giveUp gives the final answer at once: 503 with the time to come back when the request has not run, else 502 or 504.
 func (x *exchange) giveUp(reason string, retryAfter time.Duration) {
 	if x.relayed {
-		x.logEnd(eventRefused, reasonBroken, 0)
+		x.logEnd(events.RequestRefused, reasonBroken, 0)
 		panic(http.ErrAbortHandler) // an answer that has begun must not look complete
 	}
 	switch {
@@ -296,7 +297,7 @@
 	if retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
-	x.logEnd(eventRefused, reason, status)
+	x.logEnd(events.RequestRefused, reason, status)
 	x.writer.WriteHeader(status)
 	_, _ = io.WriteString(x.writer, `{"type":"urn:kitetiller:`+reason+`","status":`+strconv.Itoa(status)+`}`)
 }
@@ -304,26 +305,26 @@
 // logEnd writes the one line that each request leaves.
 func (x *exchange) logEnd(event, reason string, status int) {
 	fields := []zap.Field{
-		zap.String("request", x.call.ID), zap.Int("status", status), zap.Int("sent", x.sent),
-		zap.Duration("took", x.gateway.now()-x.arrived),
+		zap.String(events.FieldRequest, x.call.ID), zap.Int(events.FieldStatus, status), zap.Int(events.FieldSent, x.sent),
+		zap.Duration(events.FieldTook, x.gateway.now()-x.arrived),
 	}
 	if reason != "" {
-		fields = append(fields, zap.String("reason", reason))
+		fields = append(fields, zap.String(events.FieldReason, reason))
 	}
 	if x.route != nil {
-		fields = append(fields, zap.String("route", x.route.Name), zap.Uint64("revision", x.view.document.Revision))
+		fields = append(fields, zap.String(events.FieldRoute, x.route.Name), zap.Uint64(events.FieldRevision, x.view.document.Revision))
 	}
 	if x.firstAt > 0 {
 		fields = append(fields, zap.Duration("first", x.firstAt-x.arrived), zap.Duration("pause", x.pause))
 	}
 	if x.served != "" {
-		fields = append(fields, zap.String("instance", x.served))
+		fields = append(fields, zap.String(events.FieldInstance, x.served))
 	}
 	x.gateway.log.note(event, fields...)
 }
 
 func (x *exchange) logFailure(sent *attempt, failed result) {
-	x.gateway.log.note(eventAttempt, zap.String("request", x.call.ID), zap.String("instance", sent.row.entry.ID),
-		zap.String("result", failed.kind.String()), zap.String("cause", failed.cause), zap.Int("sent", x.sent),
-		zap.Duration("took", x.gateway.now()-sent.began))
+	x.gateway.log.note(events.AttemptFailed, zap.String(events.FieldRequest, x.call.ID), zap.String(events.FieldInstance, sent.row.entry.ID),
+		zap.String("result", failed.kind.String()), zap.String(events.FieldCause, failed.cause), zap.Int(events.FieldSent, x.sent),
+		zap.Duration(events.FieldTook, x.gateway.now()-sent.began))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
+	"kitetiller/internal/events"
 	"kitetiller/internal/transport"
 )
 
@@ -92,13 +93,13 @@
 			failed <- err
 		}
 	}()
-	g.log.note(eventStarted, zap.String("listen", g.settings.Listen))
+	g.log.note(events.GatewayStarted, zap.String("listen", g.settings.Listen))
 	select {
 	case <-ctx.Done():
 		g.drain(public)
 	case err = <-failed:
 	}
-	g.log.note(eventStopped, zap.Int64("active", g.active.Load()))
+	g.log.note(events.GatewayStopped, zap.Int64("active", g.active.Load()))
 	cancel()
 	threads.Wait()
 	if ready != nil {
@@ -112,7 +113,7 @@
 func (g *Gateway) drain(public *http.Server) {
 	began := time.Now()
 	g.draining.Store(true)
-	g.log.note(eventStopping, zap.Int64("active", g.active.Load()))
+	g.log.note(events.GatewayStopping, zap.Int64("active", g.active.Load()))
 	time.Sleep(min(stopNotice, g.settings.Grace/2))
 	g.closing.Store(true)
 	time.Sleep(min(stopRefusal, g.settings.Grace/8))
@@ -224,11 +225,14 @@
 	held := g.view.Load()
 	if reply.Document != nil && (held == nil || reply.Document.Revision > held.document.Revision) {
 		g.view.Store(newView(reply.Document))
-		g.log.note(eventDocument, zap.Uint64("revision", reply.Document.Revision), zap.Int("routes", len(reply.Document.Routes)))
+		g.log.note(events.DocumentTaken, zap.Uint64(events.FieldRevision, reply.Document.Revision), zap.Int("routes", len(reply.Document.Routes)))
 	}
 	if reply.Roster != nil {
-		g.table.takeRoster(g.now(), reply.Roster, g.cacheLimits())
-		g.log.note(eventRoster, zap.Uint64("term", reply.Version.Term), zap.Uint64("count", reply.Version.Count),
+		for _, change := range g.table.takeRoster(g.now(), reply.Roster, g.cacheLimits()) {
+			g.log.note(change.event, zap.String(events.FieldInstance, change.entry.ID), zap.String("service", change.entry.Service),
+				zap.String("address", change.entry.Address), zap.String("zone", change.entry.Zone))
+		}
+		g.log.note(events.RosterTaken, zap.Uint64("term", reply.Version.Term), zap.Uint64("count", reply.Version.Count),
 			zap.Int("instances", len(reply.Roster)))
 	}
 	g.table.takeNews(asked, reply)
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -6,21 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
-)
 
-// Names of the events that a gateway logs.
-const (
-	eventStarted  = "gateway started"
-	eventStopping = "gateway stopping"
-	eventStopped  = "gateway stopped"
-	eventDocument = "document taken"
-	eventRoster   = "roster taken"
-	eventLost     = "control lost"
-	eventRegained = "control regained"
-	eventAnswered = "request answered"
-	eventRefused  = "request refused"
-	eventAttempt  = "attempt failed"
-	eventDropped  = "log lines dropped"
+	"kitetiller/internal/events"
 )
 
 const (
@@ -63,7 +50,7 @@
 			l.log.Info(next.event, next.fields...)
 		case <-ticker.C:
 			if lost := l.dropped.Swap(0); lost > 0 {
-				l.log.Warn(eventDropped, zap.Uint64("count", lost))
+				l.log.Warn(events.LinesDropped, zap.Uint64("count", lost))
 			}
 		}
 	}
@@ -82,7 +69,7 @@
 
 // note queues a line, or drops it when the ring is full.
 func (l *decisionLog) note(event string, fields ...zap.Field) {
-	if event == eventAnswered && len(l.ring) >= logRing-logReserve {
+	if event == events.RequestAnswered && len(l.ring) >= logRing-logReserve {
 		l.dropped.Add(1)
 		return
 	}
@@ -96,13 +83,13 @@
 // lost notes once that the view is no longer confirmed.
 func (l *decisionLog) lost(trusted bool) {
 	if !trusted && l.cutOff.CompareAndSwap(false, true) {
-		l.note(eventLost)
+		l.note(events.ControlLost)
 	}
 }
 
 // regained notes once that the view is confirmed again.
 func (l *decisionLog) regained() {
 	if l.cutOff.CompareAndSwap(true, false) {
-		l.note(eventRegained)
+		l.note(events.ControlRegained)
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -62,10 +62,10 @@
 	if !strings.HasPrefix(answer.Header.Get("Content-Type"), eventStream) && !x.relayed {
 		return a.relayWhole(answer)
 	}
-	events := &eventReader{reader: bufio.NewReaderSize(answer.Body, readBuffer)}
+	stream := &eventReader{reader: bufio.NewReaderSize(answer.Body, readBuffer)}
 	controller := http.NewResponseController(x.writer)
 	for {
-		event, err := events.next()
+		event, err := stream.next()
 		if err == io.EOF {
 			return a.streamEnded(answer)
 		}
@@ -73,7 +73,7 @@
 			return a.failed(err)
 		}
 		x.gateway.table.spoke(x.gateway.now(), a)
-		if events.id != "" && !later(events.id, x.lastEvent) {
+		if stream.id != "" && !later(stream.id, x.lastEvent) {
 			return a.broken("event out of order")
 		}
 		if a.silence != nil {
@@ -83,7 +83,7 @@
 			a.cancel(nil)
 			x.abandon()
 		}
-		x.lastEvent = events.id
+		x.lastEvent = stream.id
 	}
 }
 
