--- a/cmd/kitetiller/main.go
+++ b/cmd/kitetiller/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/integrii/flaggy"
 	"github.com/rotisserie/eris"
@@ -38,6 +39,7 @@
 	value     string
 	request   string
 	role      string
+	logs      string
 	effective bool
 }
 
@@ -126,6 +128,14 @@
 	sub.Bool(&args.change.Wait, "w", "wait", "wait until the change is in force everywhere")
 }
 
+// explainRequest asks the routers, or reads log files where some are named.
+func explainRequest(args *arguments) error {
+	if args.logs != "" {
+		return operator.ExplainLogs(os.Stdout, strings.Split(args.logs, ","), args.request)
+	}
+	return withOperator(func(o *operator.Command, a *arguments) error { return o.Explain(a.request) })(args)
+}
+
 func defineViews(parser *flaggy.Parser, args *arguments) []command {
 	status := flaggy.NewSubcommand("status")
 	status.Description = "show control replicas, routers and back ends"
@@ -137,13 +147,14 @@
 	explain.Description = "show why a request was placed where it was"
 	explain.AddPositionalValue(&args.request, "REQUEST", 1, true, "the request's X-Request-Id")
 	operatorFlags(explain, args)
+	explain.String(&args.logs, "", "logs", "log files, with commas: tell the story of a request or an instance from them")
 	for _, sub := range []*flaggy.Subcommand{status, members, explain} {
 		parser.AttachSubcommand(sub, 1)
 	}
 	return []command{
 		{status, withOperator(func(o *operator.Command, _ *arguments) error { return o.Status() })},
 		{members, withOperator(func(o *operator.Command, _ *arguments) error { return o.Members() })},
-		{explain, withOperator(func(o *operator.Command, a *arguments) error { return o.Explain(a.request) })},
+		{explain, explainRequest},
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -26,8 +26,10 @@
 	// stay silent before a repeatable request goes elsewhere.
 	patienceShare   = 1.0
 	patienceMinimum = 300 * time.Millisecond
-	// resumeMinimum is how long a resumable stream may pause before it goes elsewhere.
-	resumeMinimum = 900 * time.Millisecond
+	// resumePauses and resumeMinimum are how long a resumable stream may pause, as a multiple of the pause that is still in
+	// time and at least, before it goes elsewhere. An engine whose weights are replaced stands still for up to a second.
+	resumePauses  = 4
+	resumeMinimum = 1800 * time.Millisecond
 	eventStream   = "text/event-stream"
 )
 
@@ -162,10 +164,19 @@
 // watchSilence ends the attempt when the back end says nothing for so long.
 func (a *attempt) watchSilence(limit time.Duration) {
 	if limit > 0 {
-		a.silence = time.AfterFunc(limit, func() { a.cancel(errSilent) })
+		a.silence = time.AfterFunc(limit, a.silent)
 	}
 }
 
+// silent ends the attempt, unless the back end is known to stand still for a reason.
+func (a *attempt) silent() {
+	if a.exchange.gateway.table.loads(a.row) {
+		a.silence.Reset(patienceMinimum)
+		return
+	}
+	a.cancel(errSilent)
+}
+
 // watchLimit ends the attempt when it has not begun on old weights until it must have. It returns what stops the watch.
 func (a *attempt) watchLimit() func() {
 	if a.plan.beginBy == 0 {
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -157,6 +157,13 @@
 	return counts
 }
 
+// loads reports whether a back end's weights are being replaced.
+func (t *table) loads(row *endpoint) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return row.entry.Loading && !row.gone
+}
+
 // drains reports whether own requests run on a back end that gets no new ones, since its weights are to be replaced.
 func (t *table) drains() bool {
 	t.mutex.Lock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -77,7 +77,7 @@
 			return a.broken("event out of order")
 		}
 		if a.silence != nil {
-			a.silence.Reset(max(resumeMinimum, 2*x.route.Pause))
+			a.silence.Reset(max(resumeMinimum, resumePauses*x.route.Pause))
 		}
 		if !x.passEvent(controller, answer, event) {
 			a.cancel(nil)
--- /dev/null
+++ b/internal/operator/story.go
@@ -0,0 +1,163 @@
+package operator
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/events"
+)
+
+const (
+	// storyBefore is how long before a request what its processes and back ends went through belongs to its story.
+	storyBefore = 10 * time.Second
+	// maximumLine bounds one log line.
+	maximumLine = 1 << 20
+)
+
+// logLine is a line of a process's log.
+type logLine struct {
+	Time     time.Time
+	Node     string
+	Event    string
+	Request  string
+	Instance string
+	fields   map[string]any
+}
+
+// nodeEvents tell what happened to a process as a whole.
+var nodeEvents = []string{
+	events.GatewayStarted, events.GatewayStopping, events.GatewayStopped, events.ControlLost, events.ControlRegained,
+	events.LinesDropped,
+}
+
+// commonFields stand in columns of their own.
+var commonFields = []string{"level", "time", "msg", "node", events.FieldRequest, events.FieldInstance}
+
+// ExplainLogs prints the story of a request, or of a back end's life, from the logs of several processes, in order of
+// time. Files hold a JSON line each; what stands before the first brace of a line is passed over.
+func ExplainLogs(out io.Writer, files []string, id string) error {
+	var lines []logLine
+	for _, file := range files {
+		read, err := readLog(file)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, read...)
+	}
+	story := storyOf(lines, id)
+	if len(story) == 0 {
+		return eris.Errorf("no line of %s names %q", strings.Join(files, ", "), id)
+	}
+	for _, line := range story {
+		fmt.Fprintln(out, line.text())
+	}
+	return nil
+}
+
+func readLog(path string) ([]logLine, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, eris.Wrapf(err, "open log %s", path)
+	}
+	defer file.Close()
+	var lines []logLine
+	scanner := bufio.NewScanner(file)
+	scanner.Buffer(make([]byte, 0, 64<<10), maximumLine)
+	for scanner.Scan() {
+		if line, found := parseLine(scanner.Text()); found {
+			lines = append(lines, line)
+		}
+	}
+	return lines, eris.Wrapf(scanner.Err(), "read log %s", path)
+}
+
+func parseLine(text string) (logLine, bool) {
+	start := strings.IndexByte(text, '{')
+	if start < 0 {
+		return logLine{}, false
+	}
+	line := logLine{fields: map[string]any{}}
+	if json.Unmarshal([]byte(text[start:]), &line.fields) != nil {
+		return logLine{}, false
+	}
+	at, err := time.Parse(time.RFC3339Nano, line.field("time"))
+	if err != nil {
+		return logLine{}, false
+	}
+	line.Time, line.Node, line.Event = at, line.field("node"), line.field("msg")
+	line.Request, line.Instance = line.field(events.FieldRequest), line.field(events.FieldInstance)
+	return line, true
+}
+
+func (l logLine) field(name string) string {
+	text, _ := l.fields[name].(string)
+	return text
+}
+
+// text returns the line as a reader wants it: time, process, event, what it concerns, and the rest by name.
+func (l logLine) text() string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "%s  %s  %s", l.Time.UTC().Format("15:04:05.000"), l.Node, l.Event)
+	for _, subject := range []string{l.Request, l.Instance} {
+		if subject != "" {
+			out.WriteString("  " + subject)
+		}
+	}
+	names := make([]string, 0, len(l.fields))
+	for name := range l.fields {
+		if !slices.Contains(commonFields, name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		value, _ := json.Marshal(l.fields[name]) // it came from JSON
+		fmt.Fprintf(&out, "  %s=%s", name, value)
+	}
+	return out.String()
+}
+
+// storyOf selects what belongs to a request: its own lines, and what its back ends and its processes went through from
+// shortly before. An instance's story is all that names it.
+func storyOf(lines []logLine, id string) []logLine {
+	var own []logLine
+	for _, line := range lines {
+		if line.Request == id || line.Instance == id {
+			own = append(own, line)
+		}
+	}
+	if len(own) == 0 {
+		return nil
+	}
+	story := own
+	first, last := own[0].Time, own[0].Time
+	instances, nodes := map[string]bool{}, map[string]bool{}
+	for _, line := range own {
+		instances[line.Instance], nodes[line.Node] = true, true
+		if line.Time.Before(first) {
+			first = line.Time
+		}
+		if line.Time.After(last) {
+			last = line.Time
+		}
+	}
+	for _, line := range lines {
+		outside := line.Time.Before(first.Add(-storyBefore)) || line.Time.After(last)
+		if outside || line.Request != "" || line.Instance == id {
+			continue
+		}
+		if (line.Instance != "" && instances[line.Instance]) || (nodes[line.Node] && slices.Contains(nodeEvents, line.Event)) {
+			story = append(story, line)
+		}
+	}
+	slices.SortStableFunc(story, func(a, b logLine) int { return a.Time.Compare(b.Time) })
+	return story
+}
