--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -20,6 +20,8 @@
 const (
 	attemptTimeout = 900 * time.Millisecond
 	askAgainAfter  = 50 * time.Millisecond
+	// avoidFailed is how long an address that gave no answer is left alone, also when others still name it as leader.
+	avoidFailed = 2 * time.Second
 )
 
 // ErrNoAnswer says that no leader answered in time; a change may or may not have been made.
@@ -31,6 +33,19 @@
 	addresses atomic.Pointer[[]string]
 	next      atomic.Uint32
 	leader    atomic.Pointer[string]
+	failed    atomic.Pointer[failure] // the newest one
+}
+
+// failure is an address that gave no answer, and when.
+type failure struct {
+	address string
+	at      time.Time
+}
+
+// avoids reports whether an address failed so lately that it is asked only when there is no other.
+func (c *Client) avoids(address string) bool {
+	failed := c.failed.Load()
+	return failed != nil && failed.address == address && time.Since(failed.at) < avoidFailed
 }
 
 // NewClient returns a client of the replicas at the given internal addresses.
@@ -53,7 +68,11 @@
 		return *leader
 	}
 	addresses := *c.addresses.Load()
-	return addresses[int(c.next.Add(1))%len(addresses)]
+	address := addresses[int(c.next.Add(1))%len(addresses)]
+	if c.avoids(address) {
+		address = addresses[int(c.next.Add(1))%len(addresses)]
+	}
+	return address
 }
 
 // Ask sends a request until a leader has decided it or ctx ends. Requests are safe to repeat: changes carry
@@ -80,12 +99,13 @@
 	var response Response
 	if err := c.transport.Post(attempt, address, PathRequest, request, &response); err != nil {
 		c.leader.Store(nil)
+		c.failed.Store(&failure{address: address, at: time.Now()})
 		return response, err
 	}
 	switch {
 	case response.Kind == ResponseOK:
 		c.leader.Store(&address)
-	case response.Leader != "" && response.Leader != address:
+	case response.Leader != "" && response.Leader != address && !c.avoids(response.Leader):
 		c.leader.Store(&response.Leader)
 	default:
 		c.leader.Store(nil)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -36,7 +36,7 @@
 	// retrySoon is the advice when another try in a moment may be served.
 	retrySoon = 150 * time.Millisecond
 	// retryLater is the advice when this gateway has lost control for a while.
-	retryLater = 500 * time.Millisecond
+	retryLater = 1100 * time.Millisecond
 	// unreachedLimit is how many back ends may be found unreachable for one request.
 	unreachedLimit = 4
 	// backendGrace is how long a request may wait for a back end that can be used.
@@ -123,6 +123,7 @@
 
 func (x *exchange) deny(trusted bool, status int, reason string) {
 	if !trusted {
+		x.gateway.log.lost(false)
 		x.refuse(http.StatusServiceUnavailable, reasonUntrusted, retryLater)
 		return
 	}
@@ -317,6 +318,9 @@
 	if x.firstAt > 0 {
 		fields = append(fields, zap.Duration("first", x.firstAt-x.arrived), zap.Duration("pause", x.pause))
 	}
+	if reason == reasonUntrusted {
+		fields = append(fields, zap.Duration("unconfirmed", x.gateway.now()-time.Duration(x.gateway.confirm.Load())))
+	}
 	if x.served != "" {
 		fields = append(fields, zap.String(events.FieldInstance, x.served))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -202,7 +202,7 @@
 	if held := g.view.Load(); held != nil {
 		question.Revision = held.document.Revision
 	}
-	attempt, cancel := context.WithTimeout(ctx, watchTimeout)
+	attempt, cancel := context.WithTimeout(ctx, watchTimeout-watchHold+question.Hold)
 	defer cancel()
 	response, err := g.group.Once(attempt, control.Request{Watch: &question})
 	if err != nil || response.Kind != control.ResponseOK {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -30,7 +30,7 @@
 	// drainHold is that while requests run on a back end that is being turned away from.
 	drainHold = 80 * time.Millisecond
 	// watchTimeout is how long a question may stay unanswered.
-	watchTimeout = 900 * time.Millisecond
+	watchTimeout = 650 * time.Millisecond
 	// watchPause is the pause after a question failed.
 	watchPause = 60 * time.Millisecond
 	// idleTimeout is how long callers may keep a connection idle.
--- a/internal/operator/story_test.go
+++ b/internal/operator/story_test.go
@@ -2,7 +2,8 @@
 
 import (
 	"bytes"
-	"os"
+	"errors"
+	"io/fs"
 	"path/filepath"
 	"testing"
 
@@ -18,7 +19,7 @@
 		t.Fatalf("%v: no logs", err)
 	}
 	for name, request := range map[string]string{
-		"story-cut": "1d0c5a", "story-untrusted": "77ab01", "story-loading": "c3d9e2", "story-instance": "i-47",
+		"story-cut": "af794e4eaf4f0d1b", "story-untrusted": "43df76cf59848489", "story-loading": "e8969d03acfe35a1", "story-instance": "i-6d7e051a79",
 	} {
 		t.Run(name, func(t *testing.T) {
 			var out bytes.Buffer
@@ -32,10 +33,10 @@
 
 func TestUnknownRequestIsSaid(t *testing.T) {
 	var out bytes.Buffer
-	if err := ExplainLogs(&out, []string{"testdata/logs/gateway-1.log"}, "nowhere"); err == nil || out.Len() > 0 {
+	if err := ExplainLogs(&out, []string{"testdata/logs/cut-day.log"}, "nowhere"); err == nil || out.Len() > 0 {
 		t.Fatalf("%v, %q", err, out.String())
 	}
-	if err := ExplainLogs(&out, []string{filepath.Join(t.TempDir(), "missing")}, "x"); err == nil || !os.IsNotExist(unwrap(err)) {
+	if err := ExplainLogs(&out, []string{filepath.Join(t.TempDir(), "missing")}, "x"); err == nil || !errors.Is(err, fs.ErrNotExist) {
 		t.Fatalf("missing file: %v", err)
 	}
 }
