Simulator: gateway fleet, documents, weights, stalled disks; orders decided before a long sync are dropped

Calls are now checked again after the sync. Test failed first: TestOrderDecidedBeforeALongSyncIsNotGiven.

--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"slices"
+
+	"kitetiller/internal/guard"
 )
 
 // State tells how far a back end's life has come. States only rise: a late message cannot take one back.
@@ -53,6 +55,7 @@
 
 // Machine is the replicated state.
 type Machine struct {
+	Guards     guard.Set `json:"-"`
 	document   Document
 	instances  map[string]Instance
 	tombstones []string
@@ -102,7 +105,7 @@
 
 // replace puts a document in force unless the one held is as new.
 func (m *Machine) replace(document Document) {
-	if document.Revision > m.document.Revision {
+	if document.Revision > m.document.Revision || !m.Guards.On(guard.HighestRevision) {
 		m.document = document
 	}
 }
@@ -166,7 +169,9 @@
 	if err := json.Unmarshal(data, &form); err != nil {
 		return err
 	}
+	guards := m.Guards
 	*m = *NewMachine()
+	m.Guards = guards
 	m.document, m.tombstones, m.fence = form.Document, form.Tombstones, form.Fence
 	for id, instance := range form.Instances {
 		m.instances[id] = instance
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/guard"
 )
 
 const (
@@ -58,6 +59,10 @@
 // relies on it; everything else is soft state of the leader.
 func (r *Replica) beat(now time.Duration, client uint64, beat Beat) {
 	id := beat.Instance.ID
+	if !r.config.Guards.On(guard.DrainCommitted) {
+		r.reply(client, Response{Kind: ResponseOK})
+		client = 0
+	}
 	held, known := r.machine.catalog.Instances()[id]
 	switch {
 	case beat.Leaves:
@@ -273,7 +278,7 @@
 	if !news && now < held.due {
 		return false
 	}
-	if !r.current(now) {
+	if !r.current(now) && r.config.Guards.On(guard.ConfirmedView) {
 		r.reply(held.client, Response{Kind: ResponseNoQuorum})
 		return true
 	}
@@ -303,12 +308,20 @@
 	return reply
 }
 
+// trustEnd is how long after its last question a gateway may have trusted its view, by a clock that runs slower than ours.
+func (r *Replica) trustEnd() time.Duration {
+	return r.config.GatewayTrust + r.config.GatewayTrust/leaseMarginShare
+}
+
 // turnedAway reports whether every gateway that may still send has taken up the roster of a count. One that is silent for
 // longer than it may trust its view sends nothing any more; those of an earlier leader's time have had to ask this one.
 func (r *Replica) turnedAway(now time.Duration, count uint64) bool {
+	if !r.config.Guards.On(guard.TurnAwayFirst) {
+		return true
+	}
 	for _, report := range r.lead.usage {
 		behind := report.held.Term != r.lead.term || report.held.Count < count
-		if behind && now-report.at < r.config.GatewayTrust {
+		if behind && now-report.at < r.trustEnd() {
 			return false
 		}
 	}
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -12,6 +12,7 @@
 	t.Helper()
 	s := openSolo(t, t.TempDir())
 	s.config(func(config *Config) { config.OrderWait = time.Second })
+	s.pass(2 * time.Second) // until views that an earlier leader confirmed have ended
 	s.ask(Request{Catalog: &catalog.Command{Replace: &catalog.Document{Revision: 1}}})
 	s.beats("i-1", "i-2")
 	return s
@@ -140,3 +141,28 @@
 		_ = s.disk.Close()
 	}
 }
+
+// TestOrderDecidedBeforeALongSyncIsNotGiven: the disk stalls between the decision and the send; the lease has run out by
+// then, and another replica may lead (simulator, seeds 147 and 5210 with stalled disks).
+func TestOrderDecidedBeforeALongSyncIsNotGiven(t *testing.T) {
+	s := openFleet(t)
+	s.ask(Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: "m", Version: 2}}})
+	s.orders(200 * time.Millisecond)
+	s.beats("i-1", "i-2")
+	s.replica.Tick(s.now, 0)
+	for range 20 {
+		s.now += 50 * time.Millisecond
+		s.replica.Tick(s.now, 0)
+		if len(s.replica.effects.Weights) > 0 {
+			break
+		}
+	}
+	if len(s.replica.effects.Weights) == 0 {
+		t.Fatal("nothing was decided")
+	}
+	s.replica.lead.since = s.now + time.Hour // it may order no more
+	s.replica.Work()
+	if late := s.replica.Done(s.now + 5*time.Second).Weights; len(late) > 0 {
+		t.Fatalf("given after the sync: %+v", late)
+	}
+}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -84,7 +84,7 @@
 		settings: settings.NewMachine(), ledger: ledger.New(), catalog: catalog.NewMachine(),
 		sessions: map[string]Session{}, orders: map[string]Order{},
 	}
-	machine.settings.Guards = guards
+	machine.settings.Guards, machine.catalog.Guards = guards, guards
 	return machine
 }
 
@@ -195,7 +195,7 @@
 	if err := json.Unmarshal(data, &form); err != nil {
 		return err
 	}
-	form.Settings.Guards = m.settings.Guards
+	form.Settings.Guards, form.Catalog.Guards = m.settings.Guards, m.catalog.Guards
 	m.settings, m.ledger, m.nowMS = form.Settings, form.Ledger, form.NowMS
 	m.peersAt, m.catalog = form.PeersAt, form.Catalog
 	m.sessions, m.orders = form.Sessions, form.Orders
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -221,9 +221,19 @@
 	r.maybeSnapshot()
 	effects := r.effects
 	r.effects = Effects{}
+	effects.Weights = r.dropLateCalls(now, effects.Weights)
 	return effects
 }
 
+// dropLateCalls forgets calls that were decided before a sync which took so long that this replica may lead no more; the
+// roll-out makes them again.
+func (r *Replica) dropLateCalls(now time.Duration, calls []WeightsCall) []WeightsCall {
+	if len(calls) == 0 || (r.lead != nil && r.mayOrder(now)) || !r.config.Guards.On(guard.LateCalls) {
+		return calls
+	}
+	return nil
+}
+
 func (r *Replica) install(snapshot consensus.Snapshot) {
 	if err := r.machine.Restore(snapshot.Data); err != nil {
 		panic("control: snapshot of the leader cannot be read: " + err.Error())
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/guard"
 )
 
 // phase tells where a back end stands in the replacement of its weights.
@@ -114,7 +115,11 @@
 // mayOrder reports whether this replica may give orders: it holds the lease, has a fence of its own, and has led for
 // so long that no order of an earlier leader is still being given.
 func (r *Replica) mayOrder(now time.Duration) bool {
-	return r.current(now) && r.lead.fence > 0 && now >= r.lead.since+r.config.OrderWait
+	wait := max(r.config.OrderWait, r.trustEnd())
+	if !r.config.Guards.On(guard.OrderPause) {
+		wait = 0
+	}
+	return r.current(now) && r.lead.fence > 0 && now >= r.lead.since+wait
 }
 
 // rollOut takes the next steps towards the newest weights everywhere.
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -28,6 +28,12 @@
 	PersistedSettings  Guard = "settings-synced-copy"  // a router restarts from its synced settings
 	LeaseMargin        Guard = "lease-margin"          // control counts a lease longer than the router does
 	AmbiguousNotResent Guard = "ambiguous-not-resent"  // a non-repeatable attempt with unknown result is not tried again
+	ConfirmedView      Guard = "confirmed-view"        // a gateway's question is answered only under the leader's lease
+	DrainCommitted     Guard = "drain-committed"       // draining is acknowledged once a majority holds it
+	TurnAwayFirst      Guard = "turn-away-first"       // weights are ordered once gateways send nothing more there
+	OrderPause         Guard = "order-pause"           // a new leader waits before its first order for weights
+	LateCalls          Guard = "late-calls-dropped"    // an order decided before a long sync is not given after it
+	HighestRevision    Guard = "highest-revision"      // a document replaces only an older one
 )
 
 // All lists every guard in a fixed order.
@@ -37,6 +43,7 @@
 		LearnerBeforeVote, LeaseAtDispatch, VersionCheck, OperationCheck, StreamIndexCheck,
 		EndOfStreamCheck, AttemptCheck, NotRunProof, LeavingCheck, DrainBeforeExit,
 		VersionMonotonic, PersistedSettings, LeaseMargin, AmbiguousNotResent,
+		ConfirmedView, DrainCommitted, TurnAwayFirst, OrderPause, LateCalls, HighestRevision,
 	}
 }
 
--- a/internal/lab/sim/control.go
+++ b/internal/lab/sim/control.go
@@ -39,6 +39,7 @@
 	startedAt time.Duration
 	wallSkew  time.Duration
 
+	stallsTo time.Duration     // no write ends before
 	syncing  *control.Persist  // being written
 	unsynced []control.Persist // acknowledged before the sync; only without the guard
 	inbox    []func()          // arrived during a sync
@@ -76,6 +77,7 @@
 	config := control.Config{
 		ID: n.identity.ID, Name: n.name, Address: n.name, Timing: controlTiming, Replicas: groupSize,
 		SettingsLease: settingsLease, RepairAfter: repairAfter, SnapshotEvery: snapshotEvery,
+		OrderWait: fleetOrderWait, GatewayTrust: fleetTrust,
 		Guards: n.w.guards, Random: n.w.random.Int64N,
 	}
 	replica, err := control.NewReplica(config, cloneCheckpoint(n.disk), 0)
@@ -149,7 +151,8 @@
 // beginSync writes; the replica goes on when the write is synced.
 func (n *controlNode) beginSync(persist control.Persist) {
 	n.syncing = &persist
-	n.after(n.w.between(500*time.Microsecond, 6*time.Millisecond), func() {
+	delay := max(n.w.between(500*time.Microsecond, 6*time.Millisecond), n.stallsTo-n.w.now())
+	n.after(delay, func() {
 		n.store(persist)
 		n.syncing = nil
 		n.send(n.replica.Done(n.clock()))
@@ -196,6 +199,9 @@
 	for _, call := range effects.Calls {
 		n.sendCall(call)
 	}
+	for _, call := range effects.Weights {
+		n.callBackend(call)
+	}
 }
 
 func (n *controlNode) sendMessage(message consensus.Message) {
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -50,6 +50,10 @@
 	{"control blackout with router restarts", (*world).faultBlackout},
 	{"router frozen in a claim, thawed into a cut", (*world).faultClaimFreeze},
 	{"routers frozen in claims, one after the other", (*world).faultClaimFreezes},
+	{"process of the gateway fleet killed or frozen", (*world).fleetFault},
+	{"process of the gateway fleet killed or frozen, again", (*world).fleetFault},
+	{"stalled disk", (*world).faultStallDisk},
+	{"writes while a replica is cut off, the others killed after the heal", (*world).faultCutThenKill},
 }
 
 // planFaults draws the faults of a run.
--- /dev/null
+++ b/internal/lab/sim/fleet.go
@@ -0,0 +1,359 @@
+package sim
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/control"
+)
+
+const (
+	fleetService   = "fleet"
+	fleetModel     = "m"
+	fleetBackends  = 4
+	fleetGateways  = 3
+	fleetOperators = 2
+	fleetTrust     = 2 * time.Second
+	fleetOrderWait = 2500 * time.Millisecond
+	fleetHold      = 300 * time.Millisecond
+	fleetBeat      = 500 * time.Millisecond
+	fleetSend      = 60 * time.Millisecond
+	fleetLoad      = 800 * time.Millisecond
+	fleetDrain     = 2 * time.Second
+	fleetLate      = 4 * time.Second // longest delay of an order whose answer was lost
+	// sendWindow after a back end began to load, while the leader that ordered it goes on leading, no gateway may send there.
+	sendWindow = 300 * time.Millisecond
+	// holderWindow is the least time between orders of two holders to one back end.
+	holderWindow = 1200 * time.Millisecond
+)
+
+// fleetOperator replaces the routing document and names weights; it resends when an answer is lost, and races the other.
+type fleetOperator struct {
+	*process
+	asker *asker
+}
+
+func (o *fleetOperator) boot() {
+	o.start()
+	o.asker = newAsker(o.w, o.process)
+	o.after(o.w.between(2*time.Second, 5*time.Second), o.replace)
+	o.after(o.w.between(6*time.Second, 12*time.Second), o.nameWeights)
+}
+
+// replace sends a document a few revisions above the newest one that anybody was told of, so that two operators may use
+// the same number for different contents.
+func (o *fleetOperator) replace() {
+	if o.w.now() > activeTime {
+		return
+	}
+	o.after(o.w.between(500*time.Millisecond, 4*time.Second), o.replace)
+	fleet := &o.w.oracle.fleet
+	document := catalog.Document{
+		Revision: fleet.acknowledged + 1 + uint64(o.w.random.IntN(3)),
+		Services: []catalog.Service{{Name: fmt.Sprintf("%s-%d", o.process.name, o.w.random.IntN(1000))}},
+	}
+	if o.w.chance(0.1) && document.Revision > 4 {
+		document.Revision -= 4
+	}
+	o.send(document, changeResends)
+}
+
+func (o *fleetOperator) send(document catalog.Document, left int) {
+	request := control.Request{Catalog: &catalog.Command{Replace: &document}}
+	o.asker.once(request, askTimeout, func(response control.Response, answered bool) {
+		if answered && response.Catalog != nil && !o.w.chance(lostAnswer) {
+			o.w.oracle.documentAcknowledged(document.Revision)
+			return
+		}
+		if left > 0 {
+			o.after(o.w.between(50*time.Millisecond, 400*time.Millisecond), func() { o.send(document, left-1) })
+		}
+	})
+}
+
+func (o *fleetOperator) nameWeights() {
+	if o.w.now() > activeTime {
+		return
+	}
+	o.after(o.w.between(4*time.Second, 14*time.Second), o.nameWeights)
+	version := o.w.oracle.fleet.named + 1
+	o.w.oracle.fleet.named = version
+	request := control.Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: fleetModel, Version: version}}}
+	o.asker.ask(request, o.w.now()+20*time.Second, func(_ control.Response, decided bool) {
+		if decided {
+			o.w.oracle.fleet.namedAcked = max(o.w.oracle.fleet.namedAcked, version)
+		}
+	})
+}
+
+// fleetBackend registers itself, takes orders, drains, leaves, and comes back as another life at its address.
+type fleetBackend struct {
+	*process
+	asker    *asker
+	lives    int
+	id       string
+	sequence uint64
+	draining bool
+	version  uint64
+	loadsTo  time.Duration
+	revision uint64 // orders taken in this life
+	fence    uint64
+}
+
+func (b *fleetBackend) boot() {
+	b.start()
+	b.asker = newAsker(b.w, b.process)
+	b.lives++
+	b.id = fmt.Sprintf("%s-%d", b.process.name, b.lives)
+	b.sequence, b.draining, b.loadsTo, b.revision, b.fence = 0, false, 0, 0, 0
+	b.version = max(b.version, 1)
+	b.ticker(fleetBeat, b.beat)
+	b.after(b.w.between(10*time.Second, 40*time.Second), b.drain)
+}
+
+func (b *fleetBackend) instance() catalog.Instance {
+	state := catalog.StateReady
+	if b.draining {
+		state = catalog.StateDraining
+	}
+	return catalog.Instance{ID: b.id, Service: fleetService, Address: b.process.name, Zone: b.zone, State: state}
+}
+
+// beat sends a heartbeat; some arrive seconds late.
+func (b *fleetBackend) beat() {
+	b.sequence++
+	beat := &control.Beat{Instance: b.instance(), Sequence: b.sequence, Versions: map[string]uint64{fleetModel: b.version}}
+	late := time.Duration(0)
+	if b.w.chance(0.05) {
+		late = b.w.between(0, 3*time.Second)
+	}
+	b.w.after(late, func() { b.asker.once(control.Request{Beat: beat}, askTimeout, func(control.Response, bool) {}) })
+}
+
+// drain says that the instance leaves, and ends it after the acknowledgement.
+func (b *fleetBackend) drain() {
+	if b.w.now() > activeTime {
+		return
+	}
+	b.draining = true
+	b.sequence++
+	id := b.id
+	beat := &control.Beat{Instance: b.instance(), Sequence: b.sequence}
+	b.asker.ask(control.Request{Beat: beat}, b.w.now()+10*time.Second, func(_ control.Response, decided bool) {
+		if decided {
+			b.w.oracle.fleet.leaving[id] = b.w.now()
+		}
+		b.after(fleetDrain, func() {
+			leave := &control.Beat{Instance: catalog.Instance{ID: id}, Leaves: true}
+			b.asker.ask(control.Request{Beat: leave}, b.w.now()+10*time.Second, func(control.Response, bool) {
+				b.kill(false)
+				b.w.restart(b, b.w.between(200*time.Millisecond, 2*time.Second))
+			})
+		})
+	})
+}
+
+// take carries out a call of a leader.
+func (b *fleetBackend) take(call control.WeightsCall) control.WeightsResult {
+	loading := b.w.now() < b.loadsTo
+	switch {
+	case call.Instance != b.id:
+		return control.WeightsResult{Kind: control.WeightsRefused}
+	case call.Kind == control.WeightsReport:
+		return control.WeightsResult{Kind: control.WeightsReported, Versions: map[string]uint64{fleetModel: b.version}, Busy: loading, Revision: b.revision}
+	case call.Fence < b.fence:
+		return control.WeightsResult{Kind: control.WeightsFenced}
+	case loading || call.Revision != b.revision:
+		return control.WeightsResult{Kind: control.WeightsBusy}
+	}
+	b.fence = call.Fence
+	b.revision++
+	b.loadsTo = b.w.now() + fleetLoad
+	b.after(fleetLoad, func() { b.version = call.Version })
+	return control.WeightsResult{Kind: control.WeightsTaken}
+}
+
+// callBackend passes a leader's call on and its result back. Some answers are lost, and the order is then carried out
+// late or never.
+func (n *controlNode) callBackend(call control.WeightsCall) {
+	target := n.w.fleetBackend(call.Address)
+	if target == nil {
+		return
+	}
+	if call.Kind == control.WeightsOrder {
+		n.w.oracle.ordered(n, call)
+	}
+	report := func(result control.WeightsResult) {
+		result.Call = call
+		n.input(func() { n.replica.ObserveWeights(n.clock(), result) })
+	}
+	if call.Kind == control.WeightsOrder && n.w.chance(0.15) {
+		n.after(time.Second, func() { report(control.WeightsResult{Kind: control.WeightsUnknown}) })
+		if n.w.chance(0.7) {
+			n.w.after(n.w.between(0, fleetLate), func() { target.run(target.life, func() { target.take(call) }) })
+		}
+		return
+	}
+	n.w.call(n.process, target.process, time.Second, func(respond func(func())) {
+		result := target.take(call)
+		if result.Kind == control.WeightsTaken {
+			n.w.oracle.tookOrder(call)
+		}
+		respond(func() { report(result) })
+	}, func(bool) { report(control.WeightsResult{Kind: control.WeightsUnknown}) })
+}
+
+func (w *world) fleetBackend(address string) *fleetBackend {
+	at := slices.IndexFunc(w.backends, func(b *fleetBackend) bool { return b.process.name == address })
+	if at < 0 {
+		return nil
+	}
+	return w.backends[at]
+}
+
+// fleetGateway follows control as a gateway does, and sends to back ends of its roster while its view counts.
+type fleetGateway struct {
+	*process
+	asker     *asker
+	startedAt time.Duration
+	revision  uint64
+	version   control.RosterVersion
+	roster    []control.RosterEntry
+	confirmed time.Duration // by its own clock; 0 never
+}
+
+func (g *fleetGateway) boot() {
+	g.start()
+	g.startedAt = g.w.now()
+	g.asker = newAsker(g.w, g.process)
+	g.revision, g.version, g.roster, g.confirmed = 0, control.RosterVersion{}, nil, 0
+	g.w.oracle.fleet.used[g.process.name] = 0
+	g.follow()
+	g.ticker(fleetSend, g.send)
+}
+
+func (g *fleetGateway) clock() time.Duration { return g.elapsed(g.startedAt, g.w.now()) }
+
+func (g *fleetGateway) follow() {
+	asked := g.clock()
+	told := g.w.oracle.fleetTold()
+	question := &control.Watch{Gateway: g.process.name, Zone: g.zone, Revision: g.revision, Roster: g.version, Hold: fleetHold}
+	g.asker.once(control.Request{Watch: question}, askTimeout, func(response control.Response, answered bool) {
+		pause := askPause
+		if answered && response.Kind == control.ResponseOK && response.Watch != nil {
+			g.take(asked, told, response.Watch)
+			pause = time.Millisecond
+		}
+		g.after(pause, g.follow)
+	})
+}
+
+func (g *fleetGateway) take(asked time.Duration, told fleetFloor, reply *control.WatchReply) {
+	g.w.oracle.watchAnswered(g.process.name, told, reply)
+	if reply.Document != nil && reply.Revision > g.revision {
+		g.revision = reply.Revision
+		g.w.oracle.documentSeen(g.process.name, *reply.Document)
+	}
+	if reply.Roster != nil {
+		g.roster = reply.Roster
+	}
+	g.version, g.confirmed = reply.Version, asked
+}
+
+// send picks a back end as a gateway would and tells the oracle.
+func (g *fleetGateway) send() {
+	if g.confirmed == 0 || g.clock()-g.confirmed >= fleetTrust || len(g.roster) == 0 {
+		return
+	}
+	entry := pick(g.w, g.roster)
+	if entry.State != catalog.StateReady || entry.Loading {
+		return
+	}
+	g.w.oracle.fleetSent(g.process.name, entry.ID)
+}
+
+// makeFleet lays the gateway fleet out over the zones.
+func (w *world) makeFleet() {
+	for i := range fleetBackends {
+		w.backends = append(w.backends, &fleetBackend{process: newProcess(w, fmt.Sprintf("backend-%d", i+1), zones[i%len(zones)])})
+	}
+	for i := range fleetGateways {
+		w.gateways = append(w.gateways, &fleetGateway{process: newProcess(w, fmt.Sprintf("gateway-%d", i+1), zones[i%len(zones)])})
+	}
+	for i := range fleetOperators {
+		w.fleetOperators = append(w.fleetOperators, &fleetOperator{process: newProcess(w, fmt.Sprintf("document-operator-%d", i+1), callerZone)})
+	}
+}
+
+func (w *world) bootFleet() {
+	for _, b := range w.backends {
+		b.boot()
+	}
+	for _, g := range w.gateways {
+		g.boot()
+	}
+	for _, o := range w.fleetOperators {
+		o.boot()
+	}
+}
+
+// healFleet brings every process of the fleet back.
+func (w *world) healFleet() {
+	for _, g := range w.gateways {
+		g.thaw()
+		w.restart(g, 0)
+	}
+	for _, b := range w.backends {
+		b.thaw()
+		w.restart(b, 0)
+	}
+}
+
+// fleetFault strikes one process of the fleet.
+func (w *world) fleetFault() {
+	w.faults++
+	if w.chance(0.4) {
+		struck := pick(w, w.backends)
+		struck.kill(w.chance(0.5))
+		w.restart(struck, w.between(100*time.Millisecond, 4*time.Second))
+		return
+	}
+	struck := pick(w, w.gateways)
+	if w.chance(0.5) {
+		struck.freeze()
+		w.after(w.between(500*time.Millisecond, 5*time.Second), struck.thaw)
+		return
+	}
+	struck.kill(w.chance(0.5))
+	w.restart(struck, w.between(100*time.Millisecond, 3*time.Second))
+}
+
+// faultStallDisk makes a replica's disk answer nothing for a while: it must neither acknowledge nor lead meanwhile.
+func (w *world) faultStallDisk() {
+	n := pick(w, w.controls)
+	if leader := w.leader(); leader != nil && w.chance(0.6) {
+		n = leader
+	}
+	length := w.between(time.Second, 5*time.Second)
+	n.stallsTo = w.now() + length
+	w.controlTrouble(length + calmNeeded)
+}
+
+// faultCutThenKill cuts a replica off while changes are made, heals the cut, and kills the others at once: what they
+// acknowledged must survive on their disks, and the one that was behind must not lead without it.
+func (w *world) faultCutThenKill() {
+	behind := pick(w, w.controls)
+	length := w.between(2*time.Second, 6*time.Second)
+	w.after(length, w.cutZone(behind.zone))
+	w.controlTrouble(length + calmNeeded)
+	w.after(length+w.between(0, 50*time.Millisecond), func() {
+		for _, n := range w.controls {
+			if n != behind {
+				n.die(w.chance(0.5))
+				w.restartControl(n, w.between(200*time.Millisecond, 2*time.Second))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/sim/fleet_oracle.go
@@ -0,0 +1,125 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/consensus"
+	"kitetiller/internal/control"
+)
+
+// fleetOracle is what operators and back ends of the gateway fleet were told.
+type fleetOracle struct {
+	acknowledged uint64                   // highest revision that an operator was told of
+	contents     map[uint64]string        // content seen under each revision
+	used         map[string]uint64        // newest revision by gateway, in its current life
+	leaving      map[string]time.Duration // instances whose draining was acknowledged, and when
+	named        uint64                   // highest version that was sent
+	namedAcked   uint64
+	orders       map[string]issuedOrder // newest by instance
+	loads        map[string]issuedOrder // newest that a back end took at once, by instance
+}
+
+// issuedOrder is an order that left its leader.
+type issuedOrder struct {
+	at     time.Duration
+	holder consensus.ID
+	issuer *controlNode
+	term   uint64
+}
+
+func newFleetOracle() fleetOracle {
+	return fleetOracle{
+		contents: map[uint64]string{}, used: map[string]uint64{}, leaving: map[string]time.Duration{}, orders: map[string]issuedOrder{},
+		loads: map[string]issuedOrder{},
+	}
+}
+
+// fleetFloor is what had been told when a question was asked; no answer may be older.
+type fleetFloor struct {
+	revision uint64
+	at       time.Duration
+}
+
+func (o *oracle) fleetTold() fleetFloor {
+	return fleetFloor{revision: o.fleet.acknowledged, at: o.w.now()}
+}
+
+func (o *oracle) documentAcknowledged(revision uint64) {
+	o.fleet.acknowledged = max(o.fleet.acknowledged, revision)
+}
+
+// watchAnswered checks a confirmed view: it must hold everything that was acknowledged before it was asked for.
+func (o *oracle) watchAnswered(gateway string, floor fleetFloor, reply *control.WatchReply) {
+	if reply.Revision < floor.revision {
+		o.fail(SettingsHold, "%s was confirmed revision %d after %d had been acknowledged", gateway, reply.Revision, floor.revision)
+	}
+	for _, entry := range reply.Roster {
+		at, leaves := o.fleet.leaving[entry.ID]
+		if leaves && at < floor.at && entry.State == catalog.StateReady {
+			o.fail(LeavingNoWork, "%s was told that %s is ready, %v after its draining had been acknowledged", gateway, entry.ID, floor.at-at)
+		}
+	}
+}
+
+// documentSeen checks that a revision has one content and that no life of a gateway goes back.
+func (o *oracle) documentSeen(gateway string, document catalog.Document) {
+	content := document.Services[0].Name
+	known, seen := o.fleet.contents[document.Revision]
+	if seen && known != content {
+		o.fail(SettingsHold, "revision %d is both %s and %s", document.Revision, known, content)
+	}
+	o.fleet.contents[document.Revision] = content
+	if document.Revision < o.fleet.used[gateway] {
+		o.fail(SettingsHold, "%s went back from revision %d to %d", gateway, o.fleet.used[gateway], document.Revision)
+	}
+	o.fleet.used[gateway] = document.Revision
+}
+
+// ordered checks that holders do not take turns, and remembers the order.
+func (o *oracle) ordered(issuer *controlNode, call control.WeightsCall) {
+	before, known := o.fleet.orders[call.Instance]
+	now := o.w.now()
+	if known && before.holder != issuer.identity.ID && now-before.at < holderWindow {
+		o.fail(CacheIsolation, "%s ordered weights at %s %v after %s had", issuer.name, call.Instance, now-before.at, before.issuer.name)
+	}
+	o.fleet.orders[call.Instance] = issuedOrder{at: now, holder: issuer.identity.ID, issuer: issuer, term: issuer.replica.Node().Term()}
+}
+
+// tookOrder notes that a back end begins to load.
+func (o *oracle) tookOrder(call control.WeightsCall) {
+	order := o.fleet.orders[call.Instance]
+	order.at = o.w.now()
+	o.fleet.loads[call.Instance] = order
+}
+
+// fleetSent checks a gateway's send: while the leader that ordered new weights goes on leading, no gateway whose view
+// counts sends to the back end that is about to load.
+func (o *oracle) fleetSent(gateway, instance string) {
+	order, known := o.fleet.loads[instance]
+	if !known || o.w.now()-order.at > sendWindow || o.w.now() <= order.at {
+		return
+	}
+	leads := order.issuer.up && !order.issuer.frozen && order.issuer.leads() && order.issuer.replica.Node().Term() == order.term
+	if leads {
+		o.fail(CacheIsolation, "%s sent to %s %v after it began to load", gateway, instance, o.w.now()-order.at)
+	}
+}
+
+// checkFleetRest checks that after the faults everything acknowledged is in force everywhere.
+func (o *oracle) checkFleetRest() {
+	for _, g := range o.w.gateways {
+		if g.revision < o.fleet.acknowledged {
+			o.fail(SettingsHold, "%s rests at revision %d, %d was acknowledged", g.process.name, g.revision, o.fleet.acknowledged)
+		}
+	}
+	for _, b := range o.w.backends {
+		if !b.draining && b.version < o.fleet.namedAcked {
+			o.fail(CacheIsolation, "%s rests at weights %d, %d was acknowledged", b.id, b.version, o.fleet.namedAcked)
+		}
+	}
+	if o.fleet.acknowledged == 0 {
+		o.fail(SettingsHold, "no document was ever acknowledged: %s", fmt.Sprint(o.fleet.contents))
+	}
+}
--- a/internal/lab/sim/oracle.go
+++ b/internal/lab/sim/oracle.go
@@ -77,12 +77,14 @@
 	routerUsed   map[string]uint64           // newest version a router decided by
 	firstAccept  time.Duration               // when the first change was accepted
 	controlFault time.Duration               // end of the newest fault that may have stopped control
+	fleet        fleetOracle
 }
 
 func newOracle(w *world) *oracle {
 	return &oracle{
 		w: w, runs: map[string]int{}, notRunSends: map[*exchange]bool{},
 		outcomes: map[string]settings.Outcome{}, versions: map[uint64]string{}, routerUsed: map[string]uint64{},
+		fleet: newFleetOracle(),
 	}
 }
 
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -49,6 +49,7 @@
 	}
 	w.clock.Set(RunLength)
 	w.oracle.checkRest()
+	w.oracle.checkFleetRest()
 	return Result{
 		Seed: w.seed, Violation: w.oracle.violation, Faults: w.faults, Requests: w.oracle.requests,
 		Complete: w.oracle.complete, Changes: w.oracle.changes, Accepted: w.oracle.accepted,
@@ -72,6 +73,7 @@
 	for _, r := range w.routers {
 		r.boot()
 	}
+	w.bootFleet()
 	w.callers.boot()
 	for i, o := range w.operators {
 		o.boot(i == 0)
@@ -98,6 +100,7 @@
 	for i := range serviceCount {
 		w.services = append(w.services, &serviceNode{process: newProcess(w, fmt.Sprintf("portal-%d", i+1), zones[i%len(zones)])})
 	}
+	w.makeFleet()
 	w.platform = &platform{process: newProcess(w, "platform", platformZone)}
 	w.callers = &callers{process: newProcess(w, "callers", callerZone)}
 	for i := range operatorsNum {
@@ -117,6 +120,7 @@
 		n.thaw()
 		w.restartControl(n, 0)
 	}
+	w.healFleet()
 	for _, r := range w.routers {
 		r.thaw()
 		w.restart(r, 0)
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -35,18 +35,21 @@
 	oracle *oracle
 	hasher *prefix.Hasher
 
-	network   network
-	controls  []*controlNode
-	routers   []*routerNode
-	engines   []*engineNode
-	services  []*serviceNode
-	platform  *platform
-	callers   *callers
-	operators []*operator
-	faults    int
-	mischief  mischief
-	history   *History // nil: not recorded
-	onAccept  []func() // run once, at the next accepted change
+	network        network
+	controls       []*controlNode
+	routers        []*routerNode
+	engines        []*engineNode
+	services       []*serviceNode
+	platform       *platform
+	callers        *callers
+	operators      []*operator
+	backends       []*fleetBackend // of the gateway fleet
+	gateways       []*fleetGateway
+	fleetOperators []*fleetOperator
+	faults         int
+	mischief       mischief
+	history        *History // nil: not recorded
+	onAccept       []func() // run once, at the next accepted change
 }
 
 // after schedules something that no process does.
