--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -268,6 +268,11 @@
 	}
 }
 
+// confirms reports whether this replica may confirm a gateway's view: it leads, and its lease runs.
+func (r *Replica) confirms(now time.Duration) bool {
+	return r.current(now) || !r.config.Guards.On(guard.ConfirmedView)
+}
+
 // answerWatchers answers the questions for which there is news, or whose time has come.
 func (r *Replica) answerWatchers(now time.Duration) {
 	r.lead.watchers = slices.DeleteFunc(r.lead.watchers, func(held watcher) bool { return r.answerWatch(now, held) })
@@ -278,7 +283,7 @@
 	if !news && now < held.due {
 		return false
 	}
-	if !r.current(now) && r.config.Guards.On(guard.ConfirmedView) {
+	if !r.confirms(now) {
 		r.reply(held.client, Response{Kind: ResponseNoQuorum})
 		return true
 	}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -83,7 +83,7 @@
 		r.reply(client, Response{Kind: ResponseNotLeader, Leader: r.leaderAddress()})
 		return
 	}
-	if !r.current(now) {
+	if !r.current(now) && (request.Watch == nil || !r.confirms(now)) {
 		r.reply(client, Response{Kind: ResponseNoQuorum})
 		return
 	}
