--- /dev/null
+++ b/internal/control/watch.go
@@ -0,0 +1,183 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/guard"
+)
+
+// Watch is a gateway's question for news. It is answered at once when the gateway lacks something, else when
+// something changes or Hold has passed.
+type Watch struct {
+	Gateway  string         `json:"gateway"`
+	Zone     string         `json:"zone"`
+	Address  string         `json:"address"`  // for other gateways, or ""
+	Revision uint64         `json:"revision"` // of the document it holds
+	Roster   RosterVersion  `json:"roster"`   // it holds
+	Hold     time.Duration  `json:"hold_ns"`
+	Usage    map[string]int `json:"usage,omitempty"` // its running requests by instance
+	Closing  bool           `json:"closing,omitempty"`
+}
+
+// RosterVersion tells rosters apart. It is only compared for equality: each leader counts anew.
+type RosterVersion struct {
+	Term  uint64 `json:"term"`
+	Count uint64 `json:"count"`
+}
+
+// WatchReply confirms that a leader with a valid lease held this state after the question had arrived, so a gateway may
+// count its view as current from the moment when it asked.
+type WatchReply struct {
+	Revision uint64            `json:"revision"`
+	Document *catalog.Document `json:"document,omitempty"` // when it is newer than the gateway's
+	Version  RosterVersion     `json:"version"`
+	Roster   []RosterEntry     `json:"roster,omitempty"` // when it differs from the gateway's
+	Wanted   []WantedVersion   `json:"wanted,omitempty"`
+	Usage    map[string]int    `json:"usage,omitempty"` // running requests of the other gateways by instance
+	Gateways int               `json:"gateways"`        // that asked lately
+	Peers    []string          `json:"peers,omitempty"` // addresses of other gateways to tell of sends
+	Replicas []string          `json:"replicas"`        // addresses of the control group
+}
+
+// watcher is a question that is being held.
+type watcher struct {
+	client uint64
+	watch  Watch
+	due    time.Duration
+}
+
+// usageReport is a gateway's figures of its own work.
+type usageReport struct {
+	at      time.Duration
+	address string
+	held    RosterVersion // newest roster that it has taken up
+	running map[string]int
+}
+
+// maximumHold bounds how long a question may be held.
+const maximumHold = time.Second
+
+func (r *Replica) watch(now time.Duration, client uint64, watch Watch) {
+	r.lead.usage[watch.Gateway] = usageReport{at: now, address: watch.Address, held: watch.Roster, running: watch.Usage}
+	if watch.Closing {
+		delete(r.lead.usage, watch.Gateway)
+	}
+	held := watcher{client: client, watch: watch, due: now + min(watch.Hold, maximumHold)}
+	if !r.answerWatch(now, held) {
+		r.lead.watchers = append(r.lead.watchers, held)
+	}
+}
+
+// confirms reports whether this replica may confirm a gateway's view: it leads, and its lease runs.
+func (r *Replica) confirms(now time.Duration) bool {
+	return r.current(now) || !r.config.Guards.On(guard.ConfirmedView)
+}
+
+// answerWatchers answers the questions for which there is news, or whose time has come.
+func (r *Replica) answerWatchers(now time.Duration) {
+	r.lead.watchers = slices.DeleteFunc(r.lead.watchers, func(held watcher) bool { return r.answerWatch(now, held) })
+}
+
+func (r *Replica) answerWatch(now time.Duration, held watcher) bool {
+	news := held.watch.Revision < r.machine.catalog.Document().Revision || held.watch.Roster != r.lead.rosterVersion()
+	if !news && now < held.due {
+		return false
+	}
+	if !r.confirms(now) {
+		r.reply(held.client, Response{Kind: ResponseNoQuorum})
+		return true
+	}
+	r.reply(held.client, Response{Kind: ResponseOK, Watch: r.watchReply(now, held.watch)})
+	return true
+}
+
+func (r *Replica) watchReply(now time.Duration, watch Watch) *WatchReply {
+	document := r.machine.catalog.Document()
+	reply := &WatchReply{
+		Revision: document.Revision, Version: r.lead.rosterVersion(), Wanted: r.wantedVersions(now),
+		Usage: map[string]int{},
+	}
+	if watch.Revision < document.Revision {
+		sent := *document
+		sent.Source = nil
+		reply.Document = &sent
+	}
+	if watch.Roster != reply.Version {
+		reply.Roster = r.roster(now)
+	}
+	r.addUsage(now, watch.Gateway, reply)
+	reply.Peers = r.peersOf(now, watch.Gateway)
+	for _, member := range r.members() {
+		reply.Replicas = append(reply.Replicas, member.Address)
+	}
+	return reply
+}
+
+// trustEnd is how long after its last question a gateway may have trusted its view, by a clock that runs slower than ours.
+func (r *Replica) trustEnd() time.Duration {
+	return r.config.GatewayTrust + r.config.GatewayTrust/leaseMarginShare
+}
+
+// turnedAway reports whether every gateway that may still send has taken up the roster of a count. One that is silent for
+// longer than it may trust its view sends nothing any more; those of an earlier leader's time have had to ask this one.
+func (r *Replica) turnedAway(now time.Duration, count uint64) bool {
+	if !r.config.Guards.On(guard.TurnAwayFirst) {
+		return true
+	}
+	for _, report := range r.lead.usage {
+		behind := report.held.Term != r.lead.term || report.held.Count < count
+		if behind && now-report.at < r.trustEnd() {
+			return false
+		}
+	}
+	return true
+}
+
+// maximumPeers bounds the gateways that one gateway tells of its sends.
+const maximumPeers = 16
+
+// peersOf returns the gateways that come after the asking one by name, so that each is told by as many as it tells.
+func (r *Replica) peersOf(now time.Duration, asking string) []string {
+	names := sortedKeys(r.lead.usage)
+	at, _ := slices.BinarySearch(names, asking)
+	var peers []string
+	for step := range names {
+		name := names[(at+step)%len(names)]
+		report := r.lead.usage[name]
+		if name != asking && report.address != "" && now-report.at <= usageCounts && len(peers) < maximumPeers {
+			peers = append(peers, report.address)
+		}
+	}
+	return peers
+}
+
+func (r *Replica) addUsage(now time.Duration, asking string, reply *WatchReply) {
+	for gateway, report := range r.lead.usage {
+		if now-report.at > usageCounts {
+			continue
+		}
+		reply.Gateways++
+		if gateway == asking {
+			continue
+		}
+		for id, running := range report.running {
+			reply.Usage[id] += running
+		}
+	}
+}
+
+// closeWatchers answers every held question when the leadership ends.
+func (r *Replica) closeWatchers(lead *leadership) {
+	for _, held := range lead.watchers {
+		r.reply(held.client, Response{Kind: ResponseNotLeader, Leader: r.leaderAddress()})
+	}
+	lead.watchers = nil
+}
+
+func (l *leadership) rosterChanged() { l.rosterCount++ }
+
+func (l *leadership) rosterVersion() RosterVersion {
+	return RosterVersion{Term: l.term, Count: l.rosterCount}
+}
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/events"
+)
+
+// receive reads the answer and passes it on.
+func (a *attempt) receive() result {
+	answer, err := a.readHead()
+	if err != nil {
+		return a.failed(err)
+	}
+	x := a.exchange
+	verdict := x.gateway.dialect.Judge(answer.StatusCode, answer.Header)
+	switch {
+	case x.call.ID != "" && verdict.ID != x.call.ID && !(verdict.NotRun && verdict.ID == ""):
+		return a.broken("answer of another request")
+	case verdict.NotRun:
+		if x.gateway.table.learnVersion(a.row, x.call.Model, verdict.Version) {
+			x.gateway.log.note(events.WeightsLearnt, zap.String(events.FieldInstance, a.row.entry.ID), zap.Uint64("version", verdict.Version))
+		}
+		return a.turnedAway(answer)
+	case x.relayed && (!verdict.Signed || answer.StatusCode >= http.StatusMultipleChoices):
+		return a.broken("stream not taken up: " + answer.Status)
+	case answer.StatusCode < http.StatusMultipleChoices && !verdict.Signed:
+		return a.broken("success without signature")
+	case answer.StatusCode < http.StatusMultipleChoices && x.route.Streaming:
+		return a.relayStream(answer)
+	}
+	return a.relayWhole(answer)
+}
+
+// readHead reads the head of the final answer.
+func (a *attempt) readHead() (*http.Response, error) {
+	for {
+		answer, err := http.ReadResponse(a.wire.reader, &http.Request{Method: a.exchange.request.Method})
+		if err != nil {
+			return nil, err
+		}
+		if answer.StatusCode >= http.StatusOK {
+			a.exchange.gateway.table.spoke(a.exchange.gateway.now(), a)
+			return answer, nil
+		}
+	}
+}
+
+// failed ends an attempt that broke off. It says something of the back end unless we ended it ourselves.
+func (a *attempt) failed(err error) result {
+	_ = a.wire.Close()
+	cause := err.Error()
+	switch {
+	case context.Cause(a.ctx) == errOutdated:
+		cause = "weights outdated"
+	case context.Cause(a.ctx) == errSilent:
+		cause, a.grade = "silent", gradeBad
+	case a.exchange.ctx.Err() == nil:
+		a.grade = gradeBad
+	}
+	return result{kind: resultUnknown, cause: cause}
+}
+
+// broken ends an attempt whose connection carries bytes that do not belong there.
+func (a *attempt) broken(cause string) result {
+	_ = a.wire.Close()
+	a.grade = gradeBad
+	return result{kind: resultUnknown, cause: cause}
+}
+
+// turnedAway ends an attempt that the back end did not run.
+func (a *attempt) turnedAway(answer *http.Response) result {
+	a.grade = gradeFull
+	seconds, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)
+	refused := result{kind: resultNotRun, cause: answer.Status}
+	if err == nil && seconds > 0 {
+		refused.retryAfter = time.Duration(seconds * float64(time.Second))
+	}
+	_, err = io.Copy(io.Discard, io.LimitReader(answer.Body, wholeAnswer))
+	a.release(answer, err)
+	return refused
+}
+
+// release keeps the connection for the next request if the request was written and the answer read, both whole.
+func (a *attempt) release(answer *http.Response, readErr error) {
+	whole := false
+	select {
+	case err := <-a.written:
+		whole = err == nil
+	default:
+	}
+	framed := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
+	if readErr != nil || !whole || !framed || a.ctx.Err() != nil || !a.wire.noteLimits(answer) {
+		_ = a.wire.Close()
+		return
+	}
+	a.exchange.gateway.pool.put(a.row.entry.ID, a.wire)
+}
+
+// relayWhole reads an answer whole and passes it on. A failure that the back end gave may be tried elsewhere where the
+// request may be repeated.
+func (a *attempt) relayWhole(answer *http.Response) result {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, wholeAnswer+1))
+	if err != nil {
+		return a.failed(err)
+	}
+	if len(body) > wholeAnswer {
+		return a.relayLong(answer, body)
+	}
+	a.release(answer, nil)
+	x := a.exchange
+	failure := answer.StatusCode >= http.StatusInternalServerError
+	a.grade = gradeGood
+	if failure {
+		a.grade = gradeBad
+	}
+	if failure && x.route.MayRepeat() && !x.relayed && x.canRepeat() && x.gateway.budget.take(x.service.Name, x.gateway.now()) {
+		x.mayHave = true
+		return result{kind: resultUnreached, cause: answer.Status}
+	}
+	x.passHead(answer, len(body))
+	_, _ = x.writer.Write(body) // a caller that is gone cannot be told
+	x.finish(a, answer.StatusCode)
+	return result{kind: resultAnswered}
+}
+
+// relayLong passes an answer on that is too long to be kept.
+func (a *attempt) relayLong(answer *http.Response, begun []byte) result {
+	x := a.exchange
+	x.passHead(answer, -1)
+	_, err := x.writer.Write(begun)
+	if err == nil {
+		_, err = io.Copy(x.writer, answer.Body)
+	}
+	if err != nil {
+		_ = a.wire.Close()
+		x.giveUp(reasonBroken, 0)
+	}
+	a.grade = gradeGood
+	a.release(answer, nil)
+	x.finish(a, answer.StatusCode)
+	return result{kind: resultAnswered}
+}
+
+// passHead passes the head of a back end's answer on. length is that of the whole body, or -1.
+func (x *exchange) passHead(answer *http.Response, length int) {
+	header := x.writer.Header()
+	dropConnectionHeaders(answer.Header)
+	for name, values := range answer.Header {
+		header[name] = values
+	}
+	if length >= 0 && bodyAllowed(x.request.Method, answer.StatusCode) {
+		header.Set("Content-Length", strconv.Itoa(length))
+	}
+	if x.gateway.draining.Load() {
+		header.Set("Connection", "close")
+	}
+	x.relayed = true
+	_ = http.NewResponseController(x.writer).SetWriteDeadline(time.Now().Add(writeTimeout))
+	x.writer.WriteHeader(answer.StatusCode)
+}
+
+func bodyAllowed(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// finish notes a request that got a back end's answer.
+func (x *exchange) finish(a *attempt, status int) {
+	x.served = a.row.entry.ID
+	_ = http.NewResponseController(x.writer).SetWriteDeadline(time.Time{})
+	x.logEnd(events.RequestAnswered, "", status)
+}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -209,9 +209,7 @@
 }
 
 func (t *table) endWait(sent *attempt) {
-	if _, waits := sent.row.waiting[sent]; waits {
-		delete(sent.row.waiting, sent)
-	}
+	delete(sent.row.waiting, sent)
 }
 
 // end notes that an attempt is over, and how it went.
--- /dev/null
+++ b/internal/gateway/follow.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/control"
+	"kitetiller/internal/events"
+)
+
+// follow is the thread that asks control for news.
+func (g *Gateway) follow(ctx context.Context) {
+	var roster control.RosterVersion
+	known := 0
+	for ctx.Err() == nil {
+		asked := g.now()
+		reply := g.ask(ctx, roster)
+		if reply == nil {
+			g.log.lost(g.trusted(g.now()))
+			select {
+			case <-ctx.Done():
+			case <-time.After(watchPause):
+			}
+			continue
+		}
+		roster = reply.Version
+		g.take(asked, reply)
+		if len(reply.Replicas) != known {
+			known = len(reply.Replicas)
+			g.group.Use(reply.Replicas)
+		}
+	}
+}
+
+func (g *Gateway) ask(ctx context.Context, roster control.RosterVersion) *control.WatchReply {
+	question := control.Watch{
+		Gateway: g.settings.Name, Zone: g.settings.Zone, Address: g.settings.Internal, Roster: roster, Hold: g.hold(), Usage: g.table.usage(),
+		Closing: g.draining.Load(),
+	}
+	if held := g.view.Load(); held != nil {
+		question.Revision = held.document.Revision
+	}
+	attempt, cancel := context.WithTimeout(ctx, watchTimeout-watchHold+question.Hold)
+	defer cancel()
+	response, err := g.group.Once(attempt, control.Request{Watch: &question})
+	if err != nil || response.Kind != control.ResponseOK {
+		return nil
+	}
+	return response.Watch
+}
+
+// hold is how long a question may be held. While a back end drains for new weights, control is to see soon that its
+// requests have ended.
+func (g *Gateway) hold() time.Duration {
+	if g.table.drains() {
+		return drainHold
+	}
+	return watchHold
+}
+
+// take puts news in force. A document is only ever replaced by a newer one.
+func (g *Gateway) take(asked time.Duration, reply *control.WatchReply) {
+	held := g.view.Load()
+	if reply.Document != nil && (held == nil || reply.Document.Revision > held.document.Revision) {
+		g.view.Store(newView(reply.Document))
+		g.log.note(events.DocumentTaken, zap.Uint64(events.FieldRevision, reply.Document.Revision), zap.Int("routes", len(reply.Document.Routes)))
+	}
+	if reply.Roster != nil {
+		for _, change := range g.table.takeRoster(g.now(), reply.Roster, g.cacheLimits()) {
+			g.log.note(change.event, zap.String(events.FieldInstance, change.entry.ID), zap.String("service", change.entry.Service),
+				zap.String("address", change.entry.Address), zap.String("zone", change.entry.Zone))
+		}
+		g.log.note(events.RosterTaken, zap.Uint64("term", reply.Version.Term), zap.Uint64("count", reply.Version.Count),
+			zap.Int("instances", len(reply.Roster)))
+	}
+	g.table.takeNews(asked, reply)
+	g.budget.share(reply.Gateways)
+	g.announcer.setPeers(reply.Peers)
+	if g.view.Load() != nil {
+		g.confirm.Store(int64(asked))
+		g.log.regained()
+	}
+}
+
+// cacheLimits returns the tokens of one engine's memory by service.
+func (g *Gateway) cacheLimits() map[string]int {
+	limits := map[string]int{}
+	if held := g.view.Load(); held != nil {
+		for name, service := range held.services {
+			limits[name] = service.CacheLimit
+		}
+	}
+	return limits
+}
