--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -70,6 +70,12 @@
 // Leader returns the leader this replica follows, or "".
 func (n *Node) Leader() ID { return n.leader }
 
+// LeaderSilent reports whether this replica follows a leader, or waits for one, that it has not heard for two of the
+// longest election timeouts. A replica that the group has removed hears none.
+func (n *Node) LeaderSilent(now time.Duration) bool {
+	return n.role != Leader && now > n.leaderHeardAt+2*n.config.Timing.ElectionMax
+}
+
 // Commit returns the commit index.
 func (n *Node) Commit() uint64 { return n.commit }
 
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -113,6 +113,39 @@
 	return true
 }
 
+// rejoin is the thread that asks to become a learner while no leader is known: the group may have replaced this replica
+// while it was away. For a member it changes nothing.
+func (s *Server) rejoin(ctx context.Context) {
+	ticker := time.NewTicker(rejoinPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if s.outsider() {
+			s.tryJoin(ctx)
+		}
+	}
+}
+
+// outsider asks the decide thread whether this replica has state and hears no leader.
+func (s *Server) outsider() bool {
+	answer := make(chan bool, 1)
+	if !s.offer(input{inspect: func(replica *Replica) {
+		answer <- replica.Node().LastIndex() > 0 && replica.Node().LeaderSilent(s.now())
+	}}) {
+		return false
+	}
+	select {
+	case lost := <-answer:
+		return lost
+	case <-time.After(engineTimeout):
+		return false
+	}
+}
+
 // found makes this replica the first voter of a new group.
 func (s *Server) found() {
 	if s.replica.Node().LastIndex() > 0 {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -26,6 +26,7 @@
 	drainBatch    = 512
 	sendTimeout   = 2 * time.Second
 	joinPeriod    = 300 * time.Millisecond
+	rejoinPeriod  = 2 * time.Second
 	maximumLinger = 50 * time.Millisecond // longest sleep of the decide thread
 )
 
@@ -134,6 +135,7 @@
 	threads.Go(func() { s.watchEngines(run) })
 	threads.Go(func() { s.callBackends(run) })
 	threads.Go(func() { s.followMembership(run) })
+	threads.Go(func() { s.rejoin(run) })
 	if s.replica.Node().LastIndex() == 0 {
 		threads.Go(func() { s.enterGroup(run) })
 	}
--- a/internal/lab/sim/control.go
+++ b/internal/lab/sim/control.go
@@ -46,7 +46,6 @@
 	alarm    vtime.Alarm
 	clients  map[uint64]func(control.Response)
 	nextID   uint64
-	joined   bool
 	joining  *asker
 }
 
@@ -58,7 +57,6 @@
 func (n *controlNode) newFolder() {
 	n.folders++
 	n.disk = control.Checkpoint{}
-	n.joined = false
 	n.identity = control.NewIdentity(n.name, fmt.Sprint(n.folders), n.w.guards)
 }
 
@@ -255,10 +253,10 @@
 	}
 }
 
-// joinGroup asks to become a learner while the folder is empty.
+// joinGroup asks to become a learner while no leader is known: the folder may be empty, or the group may have replaced this
+// replica while it was away. For a member it changes nothing.
 func (n *controlNode) joinGroup() {
-	if n.joined || n.replica.Node().LastIndex() > 0 {
-		n.joined = true
+	if n.replica.Node().LastIndex() > 0 && !n.replica.Node().LeaderSilent(n.clock()) {
 		return
 	}
 	self := n.member()
--- a/internal/lab/sim/settle.go
+++ b/internal/lab/sim/settle.go
@@ -16,12 +16,25 @@
 		o.fail(SettingsHold, "no control replica leads %v after all faults have healed", settleTime)
 		return
 	}
+	o.checkMembers(leader)
 	o.checkHistory(leader)
 	o.checkRouters(leader)
 	o.checkEngines(leader)
 	o.checkAnswered()
 }
 
+// checkMembers checks that every replica belongs to the group again: one that was replaced while it was away must come back
+// as a spare, or the group runs out of them.
+func (o *oracle) checkMembers(leader *controlNode) {
+	membership := leader.replica.Node().Membership()
+	for _, n := range o.w.controls {
+		if _, member := membership.Find(n.identity.ID); !member {
+			o.fail(SettingsHold, "%s (%s) is no member of the group any more", n.name, n.identity.ID)
+			return
+		}
+	}
+}
+
 // checkHistory compares the final history with what operators were told.
 func (o *oracle) checkHistory(leader *controlNode) {
 	final := leader.replica.Machine().Settings()
