--- /dev/null
+++ b/internal/control/metrics.go
@@ -0,0 +1,25 @@
+package control
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics returns a registry of this replica's figures.
+func (s *Server) Metrics() *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	gauge := func(name, help string, value func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "kitetiller_control_" + name, Help: help}, value)
+	}
+	registry.MustRegister(
+		gauge("leads", "1 while this replica leads.", func() float64 {
+			if s.leading() {
+				return 1
+			}
+			return 0
+		}),
+		gauge("syncs_total", "Writes that were synced.", func() float64 { return float64(s.syncs.Count.Load()) }),
+		gauge("sync_seconds_total", "Time spent in them.", func() float64 { return float64(s.syncs.Nanoseconds.Load()) / 1e9 }),
+		gauge("input_ring", "Inputs that wait for the deciding thread.", func() float64 { return float64(len(s.inputs)) }),
+	)
+	return registry
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -126,6 +126,8 @@
 	}
 	made := send{Instance: a.row.entry.ID, Salt: a.plan.salt, Parts: x.call.Parts, Uncached: a.uncached, Saved: a.plan.save != ""}
 	x.gateway.table.noteHeld(now, made)
+	x.gateway.metrics.read.Add(float64(a.uncached))
+	x.gateway.metrics.cached.Add(float64(max(0, x.call.PromptTokens-a.uncached)))
 	x.gateway.announcer.announce(made)
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -261,6 +261,7 @@
 // repeat reports whether the request may be sent to another back end; otherwise it gives the request up.
 func (x *exchange) repeat(reason string, retryAfter time.Duration) bool {
 	if x.canRepeat() && x.gateway.budget.take(x.service.Name, x.gateway.now()) {
+		x.gateway.metrics.repeats.Inc()
 		return true
 	}
 	x.giveUp(reason, retryAfter)
@@ -325,9 +326,11 @@
 		fields = append(fields, zap.String(events.FieldInstance, x.served))
 	}
 	x.gateway.log.note(event, fields...)
+	x.gateway.metrics.ended(event, reason)
 }
 
 func (x *exchange) logFailure(sent *attempt, failed result) {
+	x.gateway.metrics.attempts.WithLabelValues(failed.kind.String()).Inc()
 	x.gateway.log.note(events.AttemptFailed, zap.String(events.FieldRequest, x.call.ID), zap.String(events.FieldInstance, sent.row.entry.ID),
 		zap.String("result", failed.kind.String()), zap.String(events.FieldCause, failed.cause), zap.Int(events.FieldSent, x.sent),
 		zap.Duration(events.FieldTook, x.gateway.now()-sent.began))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,16 +43,19 @@
 	draining  atomic.Bool
 	closing   atomic.Bool // the end of a planned stop: nothing new is taken
 	active    atomic.Int64
+	metrics   *metrics
 }
 
 // New returns a gateway that knows nothing yet.
 func New(settings Settings, dialect Dialect, log *zap.Logger) *Gateway {
 	client := transport.NewClient(settings.Token, nil)
-	return &Gateway{
+	made := &Gateway{
 		settings: settings, dialect: dialect, log: newDecisionLog(log), started: time.Now(),
 		group: control.NewClient(client, settings.Control), table: newTable(), budget: newRetryBudget(settings),
 		pool: newPool(), splits: newSplits(), announcer: newAnnouncer(client),
 	}
+	made.metrics = newMetrics(made)
+	return made
 }
 
 // now is the process's steady clock.
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"kitetiller/internal/events"
+)
+
+// firstBuckets are the bounds of times to the first event, in seconds.
+var firstBuckets = []float64{0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8}
+
+// metrics are a gateway's figures. Labels hold reasons and kinds of results only, so their number does not grow with
+// tenants or back ends.
+type metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec // by outcome: answered, or the reason of the refusal
+	attempts *prometheus.CounterVec // that failed, by result
+	first    prometheus.Histogram
+	repeats  prometheus.Counter
+	read     prometheus.Counter // prompt tokens that engines were sent to read
+	cached   prometheus.Counter // prompt tokens that were taken to be cached or copied
+}
+
+const outcomeAnswered = "answered"
+
+func newMetrics(g *Gateway) *metrics {
+	counter := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Name: "kitetiller_gateway_" + name, Help: help})
+	}
+	made := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kitetiller_gateway_requests_total", Help: "Requests that ended, by outcome.",
+		}, []string{"outcome"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kitetiller_gateway_attempts_failed_total", Help: "Attempts that failed, by result.",
+		}, []string{"result"}),
+		first: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "kitetiller_gateway_first_event_seconds", Help: "Time to the first event of streams.", Buckets: firstBuckets,
+		}),
+		repeats: counter("repeats_total", "Requests sent to a further back end."),
+		read:    counter("prompt_tokens_read_total", "Prompt tokens that engines were sent to read."),
+		cached:  counter("prompt_tokens_cached_total", "Prompt tokens that were taken to be cached or copied."),
+	}
+	gauge := func(name, help string, value func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "kitetiller_gateway_" + name, Help: help}, value)
+	}
+	made.registry.MustRegister(made.requests, made.attempts, made.first, made.repeats, made.read, made.cached,
+		gauge("view_age_seconds", "Time since control confirmed the view; -1 never.", g.viewAge),
+		gauge("active_requests", "Requests in progress.", func() float64 { return float64(g.active.Load()) }),
+		gauge("log_lines_dropped", "Log lines dropped since the last line about it.", func() float64 { return float64(g.log.dropped.Load()) }),
+	)
+	return made
+}
+
+// ended counts a request by how it ended.
+func (m *metrics) ended(event, reason string) {
+	if event == events.RequestAnswered {
+		reason = outcomeAnswered
+	}
+	m.requests.WithLabelValues(reason).Inc()
+}
+
+// viewAge returns how long ago the view was confirmed, in seconds.
+func (g *Gateway) viewAge() float64 {
+	confirmed := time.Duration(g.confirm.Load())
+	if confirmed == 0 {
+		return -1
+	}
+	return (g.now() - confirmed).Seconds()
+}
+
+// Metrics returns the registry of the gateway's figures.
+func (g *Gateway) Metrics() *prometheus.Registry { return g.metrics.registry }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -105,6 +105,7 @@
 	now := x.gateway.now()
 	if x.firstAt == 0 {
 		x.firstAt, x.eventAt = now, now
+		x.gateway.metrics.first.Observe((now - x.arrived).Seconds())
 	}
 	x.pause = max(x.pause, now-x.eventAt)
 	x.eventAt = now
