--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -85,9 +85,6 @@
 	}
 	owner := g.owner(now, rows, wish)
 	sources := g.sources(now, rows, wish)
-	if len(sources) == 0 && g.partial.Load() {
-		sources = g.assumeOwner(owner, wish)
-	}
 	for _, row := range g.shortlist(rows, owner, sources) {
 		if !g.eligible(now, row, wish) {
 			continue
@@ -235,17 +232,6 @@
 	return scored
 }
 
-// assumeOwner takes the owner to hold the shared parts, where gateways hear of too few sends to know the holders: whoever
-// asked for them before has sent them there.
-func (g *Gateway) assumeOwner(owner *endpoint, wish need) []source {
-	shared := wish.call.Parts[:prefix.Shared(wish.call.Parts)]
-	if owner == nil || !wish.trusted || len(shared) == 0 || owner.entry.Versions[wish.call.Model] == 0 {
-		return nil
-	}
-	version := owner.entry.Versions[wish.call.Model]
-	return []source{{row: owner, salt: salt(version, wish.tenant), version: version, tokens: prefix.PartTokens(shared)}}
-}
-
 // scoreEngine adds up the queue of prompts, what is read, and what is copied from elsewhere. Reading shared parts again
 // costs more than its time, since it is work that the fleet has done already.
 func (g *Gateway) scoreEngine(now time.Duration, scored *candidate, wish need, owner bool, sources []source) {
@@ -258,9 +244,6 @@
 	shared := wish.call.Parts[:prefix.Shared(wish.call.Parts)]
 	total := max(wish.call.PromptTokens, prefix.PartTokens(wish.call.Parts))
 	cached := row.held.cached(scored.salt, shared)
-	if owner && len(sources) == 1 && sources[0].row == row {
-		cached = sources[0].tokens
-	}
 	sharedTokens := prefix.PartTokens(shared)
 	if cached < sharedTokens && scored.version > 0 {
 		cached = g.planFetch(now, scored, wish, cached, sources)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -78,7 +78,6 @@
 	g.table.takeNews(asked, reply)
 	g.budget.share(reply.Gateways)
 	g.announcer.setPeers(reply.Peers)
-	g.partial.Store(reply.Gateways > len(reply.Peers)+1)
 	if g.view.Load() != nil {
 		g.confirm.Store(int64(asked))
 		g.log.regained()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,7 +44,6 @@
 	closing   atomic.Bool // the end of a planned stop: nothing new is taken
 	active    atomic.Int64
 	metrics   *metrics
-	partial   atomic.Bool // more gateways are at work than tell each other of their sends
 }
 
 // New returns a gateway that knows nothing yet.
