--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -293,6 +293,9 @@
 	r.checkpoint = true
 }
 
+// CallsWaiting returns how many calls to back ends wait for the next sync.
+func (r *Replica) CallsWaiting() int { return len(r.effects.Weights) }
+
 // HasWork reports whether Work and Done should be called.
 func (r *Replica) HasWork() bool {
 	return r.checkpoint || len(r.effects.Replies) > 0 || len(r.effects.Calls) > 0 || len(r.effects.Weights) > 0 || r.node.HasReady()
--- a/internal/lab/sim/control.go
+++ b/internal/lab/sim/control.go
@@ -149,6 +149,10 @@
 // beginSync writes; the replica goes on when the write is synced.
 func (n *controlNode) beginSync(persist control.Persist) {
 	n.syncing = &persist
+	if n.w.mischief.stallsOrder && n.replica.CallsWaiting() > 0 {
+		n.w.mischief.stallsOrder = false
+		n.stallDisk(n.w.between(3*time.Second, 6*time.Second))
+	}
 	delay := max(n.w.between(500*time.Microsecond, 6*time.Millisecond), n.stallsTo-n.w.now())
 	n.after(delay, func() {
 		n.store(persist)
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -53,6 +53,7 @@
 	{"process of the gateway fleet killed or frozen", (*world).fleetFault},
 	{"process of the gateway fleet killed or frozen, again", (*world).fleetFault},
 	{"stalled disk", (*world).faultStallDisk},
+	{"disk that stalls under an order for weights", (*world).faultStallOrder},
 	{"writes while a replica is cut off, the others killed after the heal", (*world).faultCutThenKill},
 }
 
--- a/internal/lab/sim/fleet.go
+++ b/internal/lab/sim/fleet.go
@@ -78,6 +78,10 @@
 		return
 	}
 	o.after(o.w.between(4*time.Second, 14*time.Second), o.nameWeights)
+	o.nameWeightsNow()
+}
+
+func (o *fleetOperator) nameWeightsNow() {
 	version := o.w.oracle.fleet.named + 1
 	o.w.oracle.fleet.named = version
 	request := control.Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: fleetModel, Version: version}}}
@@ -336,9 +340,19 @@
 	if leader := w.leader(); leader != nil && w.chance(0.6) {
 		n = leader
 	}
-	length := w.between(time.Second, 5*time.Second)
-	n.stallsTo = w.now() + length
-	w.controlTrouble(length + calmNeeded)
+	n.stallDisk(w.between(time.Second, 5*time.Second))
+}
+
+func (n *controlNode) stallDisk(length time.Duration) {
+	n.w.logf("%s: its disk stalls for %v", n.name, length)
+	n.stallsTo = n.w.now() + length
+	n.w.controlTrouble(length + calmNeeded)
+}
+
+// faultStallOrder stalls the disk of a leader between the decision and the send of an order, once weights are named.
+func (w *world) faultStallOrder() {
+	w.mischief.stallsOrder = true
+	pick(w, w.fleetOperators).nameWeightsNow()
 }
 
 // faultCutThenKill cuts a replica off while changes are made, heals the cut, and kills the others at once: what they
--- a/internal/lab/sim/mischief.go
+++ b/internal/lab/sim/mischief.go
@@ -9,6 +9,7 @@
 
 // mischief is what back ends and the machine list do wrong on purpose, and until when.
 type mischief struct {
+	stallsOrder   bool // the disk stalls under the next order for weights
 	streamsUntil  time.Duration
 	servicesUntil time.Duration
 	freezeClaim   func(*routerNode)                // run at the next claim of a router
