--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -120,7 +120,7 @@
 	if failure {
 		a.grade = gradeBad
 	}
-	if failure && x.route.MayRepeat() && !x.relayed && x.canRepeat() && x.gateway.budget.take(x.service.Name, x.gateway.now()) {
+	if failure && x.route.MayRepeat() && !x.relayed && x.spendRepeat() {
 		x.mayHave = true
 		return result{kind: resultUnreached, cause: answer.Status}
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -260,14 +260,22 @@
 
 // repeat reports whether the request may be sent to another back end; otherwise it gives the request up.
 func (x *exchange) repeat(reason string, retryAfter time.Duration) bool {
-	if x.canRepeat() && x.gateway.budget.take(x.service.Name, x.gateway.now()) {
-		x.gateway.metrics.repeats.Inc()
+	if x.spendRepeat() {
 		return true
 	}
 	x.giveUp(reason, retryAfter)
 	return false
 }
 
+// spendRepeat takes a repeat from the budget where the request may be sent to one more back end.
+func (x *exchange) spendRepeat() bool {
+	if !x.canRepeat() || !x.gateway.budget.take(x.service.Name, x.gateway.now()) {
+		return false
+	}
+	x.gateway.metrics.repeats.Inc()
+	return true
+}
+
 // canRepeat reports whether the route allows one more back end, and the view still counts.
 func (x *exchange) canRepeat() bool {
 	if x.keyed && !x.gateway.trusted(x.gateway.now()) {
