--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -28,9 +28,6 @@
 	failingCost = 400.0
 	// coldCost is what a back end that has just started costs, in milliseconds.
 	coldCost = 40.0
-	// worthSaving is the least number of shared tokens that are kept in the store: its link is narrow, and shorter parts are
-	// read again in a moment.
-	worthSaving = 1000
 	// scoreAllUpTo is the number of a service's back ends up to which all are scored; beyond it at most maximumHolders of
 	// those that hold parts are, and a random sample.
 	scoreAllUpTo   = 64
@@ -287,10 +284,7 @@
 		scored.fetch = wish.store.Store
 		scored.cost += moveTime(wish.service, best-cached, wish.store.Zone != scored.row.entry.Zone)
 	case wish.store != nil:
-		scored.fetch = wish.store.Store
-		if prefix.PartTokens(shared) >= worthSaving {
-			scored.save = wish.store.Store
-		}
+		scored.fetch, scored.save = wish.store.Store, wish.store.Store
 	}
 	return best
 }
