--- a/internal/lab/sim/fleet.go
+++ b/internal/lab/sim/fleet.go
@@ -206,7 +206,10 @@
 			n.w.oracle.tookOrder(call)
 		}
 		respond(func() { report(result) })
-	}, func(bool) { report(control.WeightsResult{Kind: control.WeightsUnknown}) })
+	}, func(bool) {
+		n.w.oracle.answerLost(call)
+		report(control.WeightsResult{Kind: control.WeightsUnknown})
+	})
 }
 
 func (w *world) fleetBackend(address string) *fleetBackend {
