--- a/internal/control/engines.go
+++ b/internal/control/engines.go
@@ -56,15 +56,20 @@
 // Leads reports whether this replica leads, as far as it knows.
 func (s *Server) Leads(ctx context.Context) bool { return ctx.Err() == nil && s.leading() }
 
-// leading asks the decide thread whether this replica leads.
+// leading reports whether this replica leads.
 func (s *Server) leading() bool {
+	return s.holds(func(replica *Replica) bool { return replica.lead != nil })
+}
+
+// holds asks the decide thread whether something holds; without an answer in time it does not.
+func (s *Server) holds(check func(*Replica) bool) bool {
 	answer := make(chan bool, 1)
-	if !s.offer(input{inspect: func(replica *Replica) { answer <- replica.lead != nil }}) {
+	if !s.offer(input{inspect: func(replica *Replica) { answer <- check(replica) }}) {
 		return false
 	}
 	select {
-	case leads := <-answer:
-		return leads
+	case holds := <-answer:
+		return holds
 	case <-time.After(engineTimeout):
 		return false
 	}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -130,20 +130,11 @@
 	}
 }
 
-// outsider asks the decide thread whether this replica has state and hears no leader.
+// outsider reports whether this replica has state and hears no leader.
 func (s *Server) outsider() bool {
-	answer := make(chan bool, 1)
-	if !s.offer(input{inspect: func(replica *Replica) {
-		answer <- replica.Node().LastIndex() > 0 && replica.Node().LeaderSilent(s.now())
-	}}) {
-		return false
-	}
-	select {
-	case lost := <-answer:
-		return lost
-	case <-time.After(engineTimeout):
-		return false
-	}
+	return s.holds(func(replica *Replica) bool {
+		return replica.Node().LastIndex() > 0 && replica.Node().LeaderSilent(s.now())
+	})
 }
 
 // found makes this replica the first voter of a new group.
