--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -135,14 +135,15 @@
 	instances := r.machine.catalog.Instances()
 	ids := r.drainOrder(now)
 	loads := r.countLoads()
+	used := r.totalUsage(now)
 	for _, id := range ids {
 		state := r.member(now, id)
-		r.stepRollout(now, instances[id], state, &loads)
+		r.stepRollout(now, instances[id], state, &loads, used[id])
 		if state.rollout.loading() || state.rollout.phase == phaseReporting {
 			busy++
 		}
 	}
-	r.startRollouts(now, busy)
+	r.startRollouts(now, busy, used)
 }
 
 // loadCount tells how many loads run, and how many may.
@@ -203,7 +204,7 @@
 }
 
 // startRollouts begins with the back ends that lag most, the least used first, a few at a time.
-func (r *Replica) startRollouts(now time.Duration, busy int) {
+func (r *Replica) startRollouts(now time.Duration, busy int, used map[string]int) {
 	var lagging []string
 	engines := 0
 	instances := r.machine.catalog.Instances()
@@ -217,7 +218,6 @@
 			lagging = append(lagging, id)
 		}
 	}
-	used := r.totalUsage(now)
 	slices.SortStableFunc(lagging, func(a, b string) int {
 		return cmp.Or(cmp.Compare(r.oldestVersion(a), r.oldestVersion(b)), cmp.Compare(used[a], used[b]))
 	})
@@ -230,10 +230,10 @@
 	}
 }
 
+// totalUsage returns the running requests of all gateways by instance.
 func (r *Replica) totalUsage(now time.Duration) map[string]int {
-	reply := &WatchReply{Usage: map[string]int{}}
-	r.addUsage(now, "", reply)
-	return reply.Usage
+	used, _ := r.usageBeside(now, "")
+	return used
 }
 
 func (r *Replica) beginRollout(now time.Duration, instance catalog.Instance, state *memberState) {
@@ -284,8 +284,8 @@
 	}
 }
 
-// stepRollout does what is due at one back end.
-func (r *Replica) stepRollout(now time.Duration, instance catalog.Instance, state *memberState, loads *loadCount) {
+// stepRollout does what is due at one back end, on which so many requests still run.
+func (r *Replica) stepRollout(now time.Duration, instance catalog.Instance, state *memberState, loads *loadCount, running int) {
 	if now < state.rollout.due {
 		return
 	}
@@ -296,7 +296,7 @@
 		if loads.running >= loads.limit || !r.turnedAway(now, state.rollout.announced) {
 			return
 		}
-		if r.totalUsage(now)[instance.ID] > 0 && now < state.rollout.drainUntil {
+		if running > 0 && now < state.rollout.drainUntil {
 			return
 		}
 		loads.running++
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -97,7 +97,6 @@
 	document := r.machine.catalog.Document()
 	reply := &WatchReply{
 		Revision: document.Revision, Version: r.lead.rosterVersion(), Wanted: r.wantedVersions(now),
-		Usage: map[string]int{},
 	}
 	if watch.Revision < document.Revision {
 		sent := *document
@@ -107,7 +106,7 @@
 	if watch.Roster != reply.Version {
 		reply.Roster = r.roster(now)
 	}
-	r.addUsage(now, watch.Gateway, reply)
+	reply.Usage, reply.Gateways = r.usageBeside(now, watch.Gateway)
 	reply.Peers = r.peersOf(now, watch.Gateway)
 	for _, member := range r.members() {
 		reply.Replicas = append(reply.Replicas, member.Address)
@@ -153,19 +152,22 @@
 	return peers
 }
 
-func (r *Replica) addUsage(now time.Duration, asking string, reply *WatchReply) {
+// usageBeside returns the running requests of all gateways but one by instance, and how many gateways asked lately.
+func (r *Replica) usageBeside(now time.Duration, asking string) (used map[string]int, gateways int) {
+	used = map[string]int{}
 	for gateway, report := range r.lead.usage {
 		if now-report.at > usageCounts {
 			continue
 		}
-		reply.Gateways++
+		gateways++
 		if gateway == asking {
 			continue
 		}
 		for id, running := range report.running {
-			reply.Usage[id] += running
+			used[id] += running
 		}
 	}
+	return used, gateways
 }
 
 // closeWatchers answers every held question when the leadership ends.
