--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -69,10 +69,12 @@
 	trusted bool // the view is confirmed, so what it says of weights holds
 }
 
+// total is the number of prompt tokens.
+func (w *need) total() int { return max(w.call.PromptTokens, prefix.PartTokens(w.call.Parts)) }
+
 // longest is how many prompt tokens have to be read where nothing but the shared parts is held.
 func (w *need) longest() int {
-	shared := w.call.Parts[:prefix.Shared(w.call.Parts)]
-	return max(w.call.PromptTokens, prefix.PartTokens(w.call.Parts)) - prefix.PartTokens(shared)
+	return w.total() - prefix.PartTokens(prefix.Shared(w.call.Parts))
 }
 
 // choose filters, scores and picks the back end of least cost, or returns nil.
@@ -130,7 +132,7 @@
 // sources returns the back ends that hold leading shared parts of the prompt, each under the salt of its own weights, the
 // deepest first.
 func (g *Gateway) sources(now time.Duration, rows []*endpoint, wish need) []source {
-	shared := wish.call.Parts[:prefix.Shared(wish.call.Parts)]
+	shared := prefix.Shared(wish.call.Parts)
 	if !wish.service.Engine || len(shared) == 0 || !wish.trusted {
 		return nil
 	}
@@ -241,8 +243,7 @@
 	if scored.version == 0 || !wish.trusted {
 		scored.version, scored.salt = 0, uniqueSalt()
 	}
-	shared := wish.call.Parts[:prefix.Shared(wish.call.Parts)]
-	total := max(wish.call.PromptTokens, prefix.PartTokens(wish.call.Parts))
+	shared := prefix.Shared(wish.call.Parts)
 	cached := row.held.cached(scored.salt, shared)
 	sharedTokens := prefix.PartTokens(shared)
 	if cached < sharedTokens && scored.version > 0 {
@@ -250,7 +251,7 @@
 	} else if scored.version > 0 && sharedTokens > 0 && wish.store != nil {
 		scored.fetch = wish.store.Store // the engine may have given up what it is believed to hold; a needless question costs nothing
 	}
-	scored.uncached = total - cached
+	scored.uncached = wish.total() - cached
 	queue := max(0, row.busyTo-now)
 	scored.cost += float64(queue)/float64(time.Millisecond) + float64(scored.uncached)/prefillRate
 	scored.wait = scored.cost
@@ -265,7 +266,7 @@
 // planFetch looks for the deepest copy of the missing shared parts and returns the tokens that need not be read. Where
 // none is known the store is asked: a miss costs next to nothing.
 func (g *Gateway) planFetch(now time.Duration, scored *candidate, wish need, cached int, sources []source) int {
-	shared := wish.call.Parts[:prefix.Shared(wish.call.Parts)]
+	shared := prefix.Shared(wish.call.Parts)
 	best, from := cached, (*endpoint)(nil)
 	for _, other := range sources {
 		if other.row == scored.row || other.version != scored.version || other.tokens < best || other.tokens <= cached {
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -313,7 +313,7 @@
 	}
 	row.held.use(at, made.Salt, made.Parts)
 	if made.Saved {
-		t.stored.note(at, made.Salt, made.Parts[:prefix.Shared(made.Parts)])
+		t.stored.note(at, made.Salt, prefix.Shared(made.Parts))
 	}
 }
 
