One announcer for routers and gateways

internal/gateway/announce.go wrote again what internal/router/announce.go had: ring, batch, period, best effort to each peer. The mechanism stands in internal/transport now, with its bounds as settings; each side keeps its own bounds and message. No behaviour changes; TestAnnouncerTellsEveryPeerOfEveryItem is new.

--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,76 +31,19 @@
 	Age      time.Duration `json:"age_ns"`
 }
 
-// timedSend is a send and when it was made.
-type timedSend struct {
-	send send
-	at   time.Time
-}
-
-// announcer tells the other gateways of sends, so that all see the same queues and holders without asking engines. What
-// cannot be told in time is dropped: it only costs a worse choice.
-type announcer struct {
-	client *transport.Client
-	sends  chan timedSend
-	mutex  sync.Mutex
-	peers  []string
-}
-
-func newAnnouncer(client *transport.Client) *announcer {
-	return &announcer{client: client, sends: make(chan timedSend, announceRing)}
-}
-
-func (a *announcer) setPeers(peers []string) {
-	a.mutex.Lock()
-	a.peers = peers
-	a.mutex.Unlock()
-}
-
-// announce queues a send, or drops it when the ring is full.
-func (a *announcer) announce(made send) {
-	select {
-	case a.sends <- timedSend{send: made, at: time.Now()}:
-	default:
+// newAnnouncer tells the other gateways of sends, so that all see the same queues and holders without asking engines.
+func newAnnouncer(client *transport.Client) *transport.Announcer[send] {
+	settings := transport.AnnouncerSettings{
+		Path: pathSends, Ring: announceRing, Batch: announceBatch, Period: announcePeriod, Timeout: announceTimeout,
 	}
-}
-
-// run is the thread that tells the peers, several sends at a time.
-func (a *announcer) run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case first := <-a.sends:
-			time.Sleep(announcePeriod)
-			a.tell(ctx, a.collect(first))
+	return transport.NewAnnouncer(client, settings, func(batch []transport.Aged[send]) any {
+		sends := make([]send, 0, len(batch))
+		for _, announced := range batch {
+			announced.Item.Age = time.Since(announced.At)
+			sends = append(sends, announced.Item)
 		}
-	}
-}
-
-func (a *announcer) collect(first timedSend) []timedSend {
-	batch := []timedSend{first}
-	for len(batch) < announceBatch && len(a.sends) > 0 {
-		batch = append(batch, <-a.sends)
-	}
-	return batch
-}
-
-func (a *announcer) tell(ctx context.Context, batch []timedSend) {
-	sends := make([]send, 0, len(batch))
-	for _, made := range batch {
-		made.send.Age = time.Since(made.at)
-		sends = append(sends, made.send)
-	}
-	a.mutex.Lock()
-	peers := a.peers
-	a.mutex.Unlock()
-	for _, address := range peers {
-		go func() {
-			attempt, cancel := context.WithTimeout(ctx, announceTimeout)
-			defer cancel()
-			_ = a.client.Post(attempt, address, pathSends, sends, nil) // best effort
-		}()
-	}
+		return sends
+	})
 }
 
 // listenPeers serves the other gateways, when there is an address for it.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -128,7 +128,7 @@
 	x.gateway.table.noteHeld(now, made)
 	x.gateway.metrics.read.Add(float64(a.uncached))
 	x.gateway.metrics.cached.Add(float64(max(0, x.call.PromptTokens-a.uncached)))
-	x.gateway.announcer.announce(made)
+	x.gateway.announcer.Announce(made)
 }
 
 // barred looks again at the last moment: the process may have stood still since the decision.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -77,7 +77,7 @@
 	}
 	g.table.takeNews(asked, reply)
 	g.budget.share(reply.Gateways)
-	g.announcer.setPeers(reply.Peers)
+	g.announcer.SetPeers(reply.Peers)
 	if g.view.Load() != nil {
 		g.confirm.Store(int64(asked))
 		g.log.regained()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,7 +39,7 @@
 	budget    *retryBudget
 	pool      *pool
 	splits    *splits
-	announcer *announcer
+	announcer *transport.Announcer[send]
 	draining  atomic.Bool
 	closing   atomic.Bool // the end of a planned stop: nothing new is taken
 	active    atomic.Int64
@@ -84,7 +84,7 @@
 	threads.Go(func() { g.follow(run) })
 	threads.Go(func() { g.sweep(run) })
 	threads.Go(func() { g.log.run(run) })
-	threads.Go(func() { g.announcer.run(run) })
+	threads.Go(func() { g.announcer.Run(run) })
 	public := &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: nil, DisableGeneralOptionsHandler: true,
--- a/internal/router/announce.go
+++ b/internal/router/announce.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,83 +22,31 @@
 	maximumPeers    = 32 // routers told of sends; those of the own zone come first
 )
 
-// timedSend is a send and when it was made.
-type timedSend struct {
-	send core.Send
-	at   time.Time
-}
-
-// announcer tells the other routers of sends that no load report shows yet, so that two routers do not choose the
-// same idle engine. What cannot be told in time is dropped: it only costs a worse choice.
-type announcer struct {
-	client *transport.Client
-	sends  chan timedSend
-
-	mutex sync.Mutex
-	peers []string
-}
-
-func newAnnouncer(client *transport.Client) *announcer {
-	return &announcer{client: client, sends: make(chan timedSend, announceRing)}
+// newAnnouncer tells the other routers of sends that no load report shows yet, so that two routers do not choose the
+// same idle engine.
+func newAnnouncer(client *transport.Client) *transport.Announcer[core.Send] {
+	settings := transport.AnnouncerSettings{
+		Path: pathSends, Ring: announceRing, Batch: announceBatch, Period: announcePeriod, Timeout: announceTimeout,
+	}
+	return transport.NewAnnouncer(client, settings, func(batch []transport.Aged[core.Send]) any {
+		event := core.EventPeerSends{}
+		for _, announced := range batch {
+			announced.Item.Age = time.Since(announced.At)
+			event.Sends = append(event.Sends, announced.Item)
+		}
+		return event
+	})
 }
 
-func (a *announcer) setPeers(peers []control.Peer) {
+// peerAddresses returns where the other routers are told, as far as they listen and up to the limit.
+func peerAddresses(peers []control.Peer) []string {
 	var addresses []string
 	for _, peer := range peers {
 		if peer.Address != "" && len(addresses) < maximumPeers {
 			addresses = append(addresses, peer.Address)
 		}
 	}
-	a.mutex.Lock()
-	a.peers = addresses
-	a.mutex.Unlock()
-}
-
-// announce queues a send, or drops it when the ring is full.
-func (a *announcer) announce(send core.Send) {
-	select {
-	case a.sends <- timedSend{send: send, at: time.Now()}:
-	default:
-	}
-}
-
-// run is the thread that tells the peers, several sends at a time.
-func (a *announcer) run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case first := <-a.sends:
-			time.Sleep(announcePeriod)
-			a.tell(ctx, a.collect(first))
-		}
-	}
-}
-
-func (a *announcer) collect(first timedSend) []timedSend {
-	batch := []timedSend{first}
-	for len(batch) < announceBatch && len(a.sends) > 0 {
-		batch = append(batch, <-a.sends)
-	}
-	return batch
-}
-
-func (a *announcer) tell(ctx context.Context, batch []timedSend) {
-	event := core.EventPeerSends{}
-	for _, item := range batch {
-		item.send.Age = time.Since(item.at)
-		event.Sends = append(event.Sends, item.send)
-	}
-	a.mutex.Lock()
-	peers := a.peers
-	a.mutex.Unlock()
-	for _, address := range peers {
-		go func() {
-			attempt, cancel := context.WithTimeout(ctx, announceTimeout)
-			defer cancel()
-			_ = a.client.Post(attempt, address, pathSends, event, nil) // best effort
-		}()
-	}
+	return addresses
 }
 
 // listenInternal serves other routers, when the node file gives an address for it.
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -36,7 +36,7 @@
 	if run == nil {
 		return
 	}
-	s.announcer.announce(core.Send{Backend: action.Backend, Tokens: action.PrefillTokens, Lane: action.Lane})
+	s.announcer.Announce(core.Send{Backend: action.Backend, Tokens: action.PrefillTokens, Lane: action.Lane})
 	run.attempts++
 	run.lastAttempt = uint64(action.Attempt)
 	attemptCtx, cancel := context.WithCancel(ctx)
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -98,7 +98,7 @@
 	group     *control.Client
 	metrics   *metrics
 	disk      *diskState
-	announcer *announcer
+	announcer *transport.Announcer[core.Send]
 	session   *session.Machine // owned by the session thread
 	draining  atomic.Bool
 	shed      atomic.Uint64
@@ -175,7 +175,7 @@
 		s.renewSession(renewing)
 	}()
 	threads.Go(func() { s.watchPlatform(run) })
-	threads.Go(func() { s.announcer.run(run) })
+	threads.Go(func() { s.announcer.Run(run) })
 	s.log.Info("router started", zap.String("listen", s.file.Router.Listen), zap.Uint64("incarnation", s.incarnation),
 		zap.Uint64("settings_version", s.disk.saved.Version))
 	select {
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -55,7 +55,7 @@
 	}
 	s.post(step.Lease)
 	if step.Peers != nil {
-		s.announcer.setPeers(step.Peers)
+		s.announcer.SetPeers(peerAddresses(step.Peers))
 	}
 	return step.Pause
 }
--- /dev/null
+++ b/internal/transport/announcer.go
@@ -0,0 +1,88 @@
+package transport
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// AnnouncerSettings bound an announcer.
+type AnnouncerSettings struct {
+	Path    string        // that peers are told on
+	Ring    int           // items that may wait
+	Batch   int           // items told in one message
+	Period  time.Duration // how long an item waits for others to be told with it
+	Timeout time.Duration // of one message
+}
+
+// Aged is an announced item and when that was.
+type Aged[T any] struct {
+	Item T
+	At   time.Time
+}
+
+// Announcer tells peers of items, several in one message, without ever holding up who announces them. What cannot be told
+// in time is dropped: it is for news that only make a choice better.
+type Announcer[T any] struct {
+	client   *Client
+	settings AnnouncerSettings
+	message  func(batch []Aged[T]) any // what peers are sent
+	items    chan Aged[T]
+
+	mutex sync.Mutex
+	peers []string
+}
+
+// NewAnnouncer returns an announcer without peers.
+func NewAnnouncer[T any](client *Client, settings AnnouncerSettings, message func(batch []Aged[T]) any) *Announcer[T] {
+	return &Announcer[T]{client: client, settings: settings, message: message, items: make(chan Aged[T], settings.Ring)}
+}
+
+// SetPeers replaces the addresses that are told.
+func (a *Announcer[T]) SetPeers(peers []string) {
+	a.mutex.Lock()
+	a.peers = peers
+	a.mutex.Unlock()
+}
+
+// Announce queues an item, or drops it when the ring is full.
+func (a *Announcer[T]) Announce(item T) {
+	select {
+	case a.items <- Aged[T]{Item: item, At: time.Now()}:
+	default:
+	}
+}
+
+// Run is the thread that tells the peers until ctx ends.
+func (a *Announcer[T]) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-a.items:
+			time.Sleep(a.settings.Period)
+			a.tell(ctx, a.message(a.collect(first)))
+		}
+	}
+}
+
+func (a *Announcer[T]) collect(first Aged[T]) []Aged[T] {
+	batch := []Aged[T]{first}
+	for len(batch) < a.settings.Batch && len(a.items) > 0 {
+		batch = append(batch, <-a.items)
+	}
+	return batch
+}
+
+func (a *Announcer[T]) tell(ctx context.Context, message any) {
+	a.mutex.Lock()
+	peers := a.peers
+	a.mutex.Unlock()
+	for _, address := range peers {
+		go func() {
+			attempt, cancel := context.WithTimeout(ctx, a.settings.Timeout)
+			defer cancel()
+			_ = a.client.Post(attempt, address, a.settings.Path, message, nil) // best effort
+		}()
+	}
+}
--- /dev/null
+++ b/internal/transport/announcer_test.go
@@ -0,0 +1,55 @@
+package transport
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// TestAnnouncerTellsEveryPeerOfEveryItem: in order, several in one message.
+func TestAnnouncerTellsEveryPeerOfEveryItem(t *testing.T) {
+	const items = 50
+	told := make(chan []int, items)
+	var peers []string
+	for range 2 {
+		address := freeAddress(t)
+		server, err := Listen(address, "", func(request Request, respond Respond) {
+			var batch []int
+			if json.Unmarshal(request.Body, &batch) != nil || request.Path != "/told" {
+				t.Errorf("%s: %s", request.Path, request.Body)
+			}
+			told <- batch
+			respond(http.StatusOK, struct{}{})
+		}, zap.NewNop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = server.Close(context.Background()) })
+		peers = append(peers, address)
+	}
+	settings := AnnouncerSettings{Path: "/told", Ring: items, Batch: items, Period: 5 * time.Millisecond, Timeout: 5 * time.Second}
+	announcer := NewAnnouncer(NewClient("", nil), settings, func(batch []Aged[int]) any {
+		var numbers []int
+		for _, announced := range batch {
+			numbers = append(numbers, announced.Item)
+		}
+		return numbers
+	})
+	announcer.SetPeers(peers)
+	for number := range items + 10 { // nobody takes them yet: what is beyond the ring is dropped
+		announcer.Announce(number)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go announcer.Run(ctx)
+	for range peers {
+		batch := <-told
+		if len(batch) != items || batch[0] != 0 || batch[items-1] != items-1 {
+			t.Fatalf("told %v", batch)
+		}
+	}
+}
