--- a/cmd/kitetiller/main.go
+++ b/cmd/kitetiller/main.go
@@ -248,6 +248,7 @@
 	if err != nil {
 		return err
 	}
+	defer func() { _ = log.Sync() }()
 	ctx, stop := node.StopSignal()
 	defer stop()
 	server, err := router.NewServer(ctx, file, log)
@@ -269,6 +270,7 @@
 	if err != nil {
 		return err
 	}
+	defer func() { _ = log.Sync() }()
 	ctx, stop := node.StopSignal()
 	defer stop()
 	server, err := control.NewServer(ctx, file, log)
