A route's shares hold also over many gateways with few requests each

Cause: every gateway began a route's cycle with the heaviest target, so 78 gateways with four requests each sent nothing to a target of weight 10 of 100. Excluded: weights themselves, which hold to within two requests in one gateway. Before: share of the light target 0 in the new test; after: within 0.06 of 0.1. Conclusion: each gateway starts at a random place of the cycle; the bound on one gateway's shares is unchanged.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -52,7 +53,7 @@
 	made := &Gateway{
 		settings: settings, dialect: dialect, log: newDecisionLog(log), started: time.Now(),
 		group: control.NewClient(client, settings.Control), table: newTable(), budget: newRetryBudget(settings),
-		pool: newPool(), splits: newSplits(), announcer: newAnnouncer(client),
+		pool: newPool(), splits: newSplits(newRand()), announcer: newAnnouncer(client),
 	}
 	made.metrics = newMetrics(made)
 	return made
@@ -172,4 +173,7 @@
 	}
 }
 
+// newRand returns a source of random numbers of this process's own.
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 func formatVersion(version uint64) string { return strconv.FormatUint(version, 10) }
--- a/internal/gateway/split.go
+++ b/internal/gateway/split.go
@@ -1,39 +1,62 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"sync"
 
 	"kitetiller/internal/catalog"
 )
 
+// phaseSteps bounds the random part of a cycle that a split starts after.
+const phaseSteps = 1000
+
 // splits spreads the requests of a route over its targets by weight.
 type splits struct {
-	mutex sync.Mutex
-	sent  map[string]map[string]float64 // by route and service: what it is owed
+	mu   sync.Mutex
+	rng  *rand.Rand                    // guarded by mu
+	owed map[string]map[string]float64 // by route and service; the sum over a route's services is 0
 }
 
-func newSplits() *splits { return &splits{sent: map[string]map[string]float64{}} }
+func newSplits(rng *rand.Rand) *splits {
+	return &splits{rng: rng, owed: map[string]map[string]float64{}}
+}
 
-// next returns the target that is owed most (smooth weighted round robin), so that shares hold over short spans.
+// next returns the target that is owed most (smooth weighted round robin), so that shares hold over short spans. Each
+// gateway starts at a random place of the cycle, so that they also hold over many gateways with few requests each.
 func (s *splits) next(route *catalog.Route) string {
 	if len(route.Targets) == 1 {
 		return route.Targets[0].Service
 	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	owed := s.sent[route.Name]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	owed := s.owed[route.Name]
 	if owed == nil {
 		owed = map[string]float64{}
-		s.sent[route.Name] = owed
+		s.owed[route.Name] = owed
+		for range s.rng.IntN(min(max(1, totalWeight(route)), phaseSteps)) {
+			step(owed, route)
+		}
 	}
-	total, best := 0, ""
-	for _, target := range route.Targets {
-		total += target.Weight
-		owed[target.Service] += float64(target.Weight)
-		if target.Weight > 0 && (best == "" || owed[target.Service] > owed[best]) {
-			best = target.Service
+	return step(owed, route)
+}
+
+// step pays each target its weight, and takes the round's total from the one that is owed most.
+func step(owed map[string]float64, route *catalog.Route) string {
+	best := ""
+	for _, t := range route.Targets {
+		owed[t.Service] += float64(t.Weight)
+		if t.Weight > 0 && (best == "" || owed[t.Service] > owed[best]) {
+			best = t.Service
 		}
 	}
-	owed[best] -= float64(total)
+	owed[best] -= float64(totalWeight(route))
 	return best
 }
+
+func totalWeight(route *catalog.Route) int {
+	total := 0
+	for _, t := range route.Targets {
+		total += t.Weight
+	}
+	return total
+}
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -166,7 +167,7 @@
 		if total == 0 {
 			return
 		}
-		splits, sent := newSplits(), map[string]int{}
+		splits, sent := newSplits(rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))), map[string]int{}
 		for n := 1; n <= 300; n++ {
 			sent[splits.next(route)]++
 			for _, target := range route.Targets {
@@ -179,6 +180,25 @@
 	})
 }
 
+// TestSplitHoldsItsWeightsOverManyGateways: where each of many gateways sees a few requests only, the fleet's shares hold
+// as well; all of them starting with the heaviest target would leave the others without any.
+func TestSplitHoldsItsWeightsOverManyGateways(t *testing.T) {
+	const gateways, each, tolerance = 200, 4, 0.06
+	route := &catalog.Route{Name: "r", Targets: []catalog.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	light := 0
+	for seed := range uint64(gateways) {
+		s := newSplits(rand.New(rand.NewPCG(seed, 1)))
+		for range each {
+			if s.next(route) == "b" {
+				light++
+			}
+		}
+	}
+	if got := float64(light) / (gateways * each); math.Abs(got-0.1) > tolerance {
+		t.Fatalf("share of the light target %.3f, wanted 0.1", got)
+	}
+}
+
 // TestMostSpecificRouteWins: the longest prefix of the host, never another host's.
 func TestMostSpecificRouteWins(t *testing.T) {
 	held := newView(&catalog.Document{Routes: []catalog.Route{
