A stream that has begun stays with an engine that control still hears

Before: TestSlowStreamStaysWhereItRuns fails with a cut answer after 2 sends; after: whole answer, one send. Conclusion: silence alone is no reason to move a begun stream; a silent engine must be silent towards control too, or its connection must break.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"kitetiller/internal/catalog"
@@ -23,7 +24,8 @@
 	patienceShare   = 1.0
 	patienceMinimum = 300 * time.Millisecond
 	// resumePauses and resumeMinimum are how long a resumable stream may pause, as a multiple of the pause that is still in
-	// time and at least, before it goes elsewhere. An engine whose weights are replaced stands still for up to a second.
+	// time and at least, before it may go elsewhere; it does only if the engine is silent towards control as well. An engine
+	// whose weights are replaced stands still for up to a second, one that is short of memory for longer.
 	resumePauses  = 4
 	resumeMinimum = 1800 * time.Millisecond
 	eventStream   = "text/event-stream"
@@ -63,7 +65,8 @@
 	cancel   context.CancelCauseFunc
 	silence  *time.Timer // ends the attempt of a request that may go elsewhere
 	wire     *connection
-	written  chan error // the end of writing the request
+	written  chan error  // the end of writing the request
+	begun    atomic.Bool // an event of the stream has come; it never turns false again
 }
 
 func (x *exchange) newAttempt(chosen *candidate) *attempt {
@@ -166,9 +169,11 @@
 	}
 }
 
-// silent ends the attempt, unless the back end is known to stand still for a reason.
+// silent ends the attempt, unless the back end is known to stand still for a reason, or works on the stream as far as
+// anybody can tell: the next back end may turn the stream away, and the caller's answer would be cut.
 func (a *attempt) silent() {
-	if a.exchange.gateway.table.loads(a.row) {
+	t := a.exchange.gateway.table
+	if t.loads(a.row) || a.begun.Load() && t.heard(a.row) {
 		a.silence.Reset(patienceMinimum)
 		return
 	}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -164,6 +164,13 @@
 	return row.entry.Loading && !row.gone
 }
 
+// heard reports whether control hears a back end's heartbeats.
+func (t *table) heard(row *endpoint) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return !row.gone && !row.entry.Silent
+}
+
 // drains reports whether own requests run on a back end that gets no new ones, since its weights are to be replaced.
 func (t *table) drains() bool {
 	t.mutex.Lock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -76,6 +76,7 @@
 		if stream.id != "" && !later(stream.id, x.lastEvent) {
 			return a.broken("event out of order")
 		}
+		a.begun.Store(true)
 		if a.silence != nil {
 			a.silence.Reset(max(resumeMinimum, resumePauses*x.route.Pause))
 		}
