Slots and memory of engines are part of the decision; ends of requests are told

Mechanism: each message about a send carries what the gateway has running at that engine, and so does one about its end; whole figures, so a lost message is made good. Beyond slots or memory a request counts the time until enough of them end.

--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -29,7 +30,7 @@
 	Version  RosterVersion     `json:"version"`
 	Roster   *RosterNews       `json:"roster,omitempty"` // when it differs from the gateway's
 	Wanted   []WantedVersion   `json:"wanted,omitempty"`
-	Usage    map[string]int    `json:"usage,omitempty"` // running requests of the other gateways by instance
+	Usage    map[string]int    `json:"usage,omitempty"` // running requests of the other gateways by instance, engines apart
 	Gateways int               `json:"gateways"`        // that asked lately
 	Mesh     Mesh              `json:"mesh"`            // other gateways to tell of sends
 	Replicas []string          `json:"replicas"`        // addresses of the control group
@@ -102,6 +103,7 @@
 		reply.Roster = r.rosterNews(now, watch.Roster)
 	}
 	reply.Usage, reply.Gateways = r.usageBeside(now, watch.Gateway)
+	maps.DeleteFunc(reply.Usage, func(id string, _ int) bool { return r.tellsOfSends(id) })
 	reply.Mesh = r.meshOf(now, watch.Gateway)
 	for _, member := range r.members() {
 		reply.Replicas = append(reply.Replicas, member.Address)
@@ -147,6 +149,12 @@
 	return used, gateways
 }
 
+// tellsOfSends reports whether gateways tell each other of their requests at a back end: they do for engines.
+func (r *Replica) tellsOfSends(id string) bool {
+	state := r.lead.fleet[id]
+	return state != nil && len(state.versions) > 0
+}
+
 // closeWatchers answers every held question when the leadership ends.
 func (r *Replica) closeWatchers(lead *leadership) {
 	for _, held := range lead.watchers {
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -31,8 +31,11 @@
 )
 
 // send is a request that a gateway sent to an engine, as the others are told: what the engine now has to read, and which
-// parts it will hold; the last of them is of use to nobody else, but takes its memory.
+// parts it will hold; the last of them is of use to nobody else, but takes its memory. Without a salt it tells of a
+// request that has ended.
 type send struct {
+	Gateway  string
+	Load     load // what the gateway now has running there
 	Instance string
 	Salt     string
 	Parts    []prefix.Part
@@ -43,17 +46,21 @@
 
 // wireSend is a send in a message. Names are short since every send goes to every gateway.
 type wireSend struct {
+	Gateway  string   `json:"g"`
+	Running  int      `json:"n,omitempty"`
+	Held     int      `json:"m,omitempty"` // tokens of the running requests
 	Instance string   `json:"i"`
-	Salt     string   `json:"s"`
+	Salt     string   `json:"s,omitempty"`
 	Parts    []string `json:"p,omitempty"`
 	Tokens   []int    `json:"t,omitempty"` // of each part
-	Uncached int      `json:"u"`
+	Uncached int      `json:"u,omitempty"`
 	Saved    bool     `json:"v,omitempty"`
 	AgeMS    int64    `json:"a"`
 }
 
 func (s send) wire(waited time.Duration) wireSend {
 	w := wireSend{
+		Gateway: s.Gateway, Running: s.Load.running, Held: s.Load.tokens,
 		Instance: s.Instance, Salt: s.Salt, Uncached: s.Uncached, Saved: s.Saved,
 		AgeMS: (s.Age + waited).Milliseconds(),
 	}
@@ -66,6 +73,7 @@
 // send returns what a message tells; parts without a size are left out.
 func (w wireSend) send() send {
 	s := send{
+		Gateway: w.Gateway, Load: load{running: max(0, w.Running), tokens: max(0, w.Held)},
 		Instance: w.Instance, Salt: w.Salt, Uncached: max(0, w.Uncached), Saved: w.Saved,
 		Age: time.Duration(max(0, w.AgeMS)) * time.Millisecond,
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/prefix"
 )
 
 const (
@@ -107,7 +108,7 @@
 	}
 	x.sent++
 	a.begin()
-	defer func() { x.gateway.table.end(x.gateway.now(), a, a.grade) }()
+	defer a.end()
 	a.watchSilence(a.patience())
 	stopLimit := a.watchLimit()
 	defer stopLimit()
@@ -123,17 +124,39 @@
 func (a *attempt) begin() {
 	x := a.exchange
 	now := x.gateway.now()
-	x.gateway.table.begin(now, a)
+	running := x.gateway.table.begin(now, a)
 	if !x.service.Engine {
 		return
 	}
-	made := send{Instance: a.row.entry.ID, Salt: a.plan.salt, Parts: x.call.Parts, Uncached: a.uncached, Saved: a.plan.save != ""}
+	made := send{
+		Gateway: x.gateway.nick, Load: running, Instance: a.row.entry.ID, Salt: a.plan.salt, Parts: x.call.Parts,
+		Uncached: a.uncached, Saved: a.plan.save != "",
+	}
 	x.gateway.table.noteHeld(now, made)
 	x.gateway.metrics.read.Add(float64(a.uncached))
 	x.gateway.metrics.cached.Add(float64(max(0, x.call.PromptTokens-a.uncached)))
 	x.gateway.spread.own(made)
 }
 
+// end notes in the table that the attempt is over, and tells the other gateways.
+func (a *attempt) end() {
+	x := a.exchange
+	running := x.gateway.table.end(x.gateway.now(), a, a.grade)
+	if x.service.Engine {
+		x.gateway.spread.own(send{Gateway: x.gateway.nick, Load: running, Instance: a.row.entry.ID})
+	}
+}
+
+// load is what the attempt takes of its back end while it runs.
+func (a *attempt) load() load { return load{running: 1, tokens: memoryOf(&a.exchange.call)} }
+
+// memoryOf is how many tokens of an engine's memory a call's prompt takes. Shared parts are there once for all requests
+// that run with them; they count half.
+func memoryOf(call *Call) int {
+	shared := prefix.PartTokens(prefix.Shared(call.Parts))
+	return max(call.PromptTokens, prefix.PartTokens(call.Parts)) - shared/2
+}
+
 // barred looks again at the last moment: the process may have stood still since the decision.
 func (a *attempt) barred() string {
 	x := a.exchange
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -87,7 +87,10 @@
 	}
 	owner := g.owner(now, rows, wish)
 	sources := g.sources(now, rows, wish)
-	for _, row := range g.shortlist(rows, owner, sources) {
+	listed := g.shortlist(rows, owner, sources)
+	first := rand.IntN(max(1, len(listed))) // so that gateways which see the same don't all take the same one of equals
+	for i := range listed {
+		row := listed[(first+i)%len(listed)]
 		if !g.eligible(now, row, wish) {
 			continue
 		}
@@ -225,7 +228,7 @@
 	if wish.service.Engine {
 		g.scoreEngine(now, &scored, wish, owner, sources)
 	} else {
-		scored.cost = slotTime * float64(row.running+row.others) / float64(max(1, row.entry.Slots))
+		scored.cost = slotTime * float64(row.occupied.own.running+row.others) / float64(max(1, row.entry.Slots))
 	}
 	if row.entry.Zone != g.settings.Zone {
 		scored.cost += zoneCost
@@ -253,11 +256,13 @@
 	}
 	scored.uncached = wish.total() - cached
 	queue := max(0, row.busyTo-now)
+	held := row.occupied.total()
 	scored.cost += float64(queue)/float64(time.Millisecond) + float64(scored.uncached)/prefillRate
+	scored.cost += crowding(held, row.entry.Slots, wish.service.CacheLimit, memoryOf(wish.call), g.table.stay(wish.service.Name))
 	scored.wait = scored.cost
 	scored.cost += row.astray(scored.uncached)
 	scored.cost += rereadWeight * float64(sharedTokens-cached) / prefillRate
-	scored.cost += runningCost * float64(row.running+row.others)
+	scored.cost += runningCost * float64(held.running)
 	if !owner {
 		scored.cost += strayCost * float64(sharedTokens-cached) / prefillRate
 	}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -29,8 +29,8 @@
 type endpoint struct {
 	entry    control.RosterEntry
 	heardAt  time.Duration // when the entry came
-	running  int           // own requests
-	others   int           // requests of other gateways, as last told
+	occupied occupancy
+	others   int           // requests of other gateways as control last told, where these don't tell of their sends
 	busyTo   time.Duration // when the prompts sent so far, by any gateway, are taken to be read
 	held     *holdings     // cached parts that it is believed to hold
 	hash     uint64        // of its address
@@ -51,6 +51,7 @@
 	named    map[string][]named     // by model, rising
 	stored   *stored                // parts that were sent to a store
 	lanes    map[string]*lanes      // by service
+	stays    map[string]stays       // by service
 	holders  map[string][]*endpoint // that hold a first part, under any salt, by its id
 	changed  chan struct{}          // closed and made anew with each roster
 }
@@ -58,7 +59,7 @@
 func newTable() *table {
 	return &table{
 		rows: map[string]*endpoint{}, services: map[string][]*endpoint{}, named: map[string][]named{},
-		stored: newStored(), lanes: map[string]*lanes{}, holders: map[string][]*endpoint{}, changed: make(chan struct{}),
+		stored: newStored(), lanes: map[string]*lanes{}, stays: map[string]stays{}, holders: map[string][]*endpoint{}, changed: make(chan struct{}),
 	}
 }
 
@@ -169,8 +170,8 @@
 	defer t.mutex.Unlock()
 	counts := map[string]int{}
 	for id, row := range t.rows {
-		if row.running > 0 {
-			counts[id] = row.running
+		if n := row.occupied.own.running; n > 0 {
+			counts[id] = n
 		}
 	}
 	return counts
@@ -195,7 +196,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for _, row := range t.rows {
-		if row.entry.Loading && row.running > 0 {
+		if row.entry.Loading && row.occupied.own.running > 0 {
 			return true
 		}
 	}
@@ -209,13 +210,15 @@
 	return t.changed
 }
 
-// begin notes that an attempt is sent.
-func (t *table) begin(now time.Duration, sent *attempt) {
+// begin notes that an attempt is sent, and returns what this gateway now has running there.
+func (t *table) begin(now time.Duration, sent *attempt) load {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	sent.row.running++
+	own := &sent.row.occupied.own
+	*own = own.plus(sent.load())
 	sent.row.read(now, sent.uncached)
 	sent.row.waiting[sent] = now
+	return *own
 }
 
 // spoke notes bytes of an answer; the first ones end the wait.
@@ -238,13 +241,27 @@
 	delete(sent.row.waiting, sent)
 }
 
-// end notes that an attempt is over, and how it went.
-func (t *table) end(now time.Duration, sent *attempt, good outcomeGrade) {
+// end notes that an attempt is over, and how it went. It returns what this gateway still has running there.
+func (t *table) end(now time.Duration, sent *attempt, good outcomeGrade) load {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.endWait(sent)
-	sent.row.running--
+	own := &sent.row.occupied.own
+	*own = own.minus(sent.load())
 	t.grade(now, sent.row, good)
+	if good == gradeGood {
+		service := sent.row.entry.Service
+		t.stays[service] = t.stay(service).next(now - sent.began)
+	}
+	return *own
+}
+
+// stay returns how long requests stay at the back ends of a service.
+func (t *table) stay(service string) stays {
+	if known, measured := t.stays[service]; measured {
+		return known
+	}
+	return stayFirst
 }
 
 // outcomeGrade tells what an attempt says of its back end.
@@ -295,6 +312,10 @@
 			continue
 		}
 		at := now - min(now, made.Age)
+		row.occupied.note(made.Gateway, at, made.Load)
+		if made.Salt == "" {
+			continue // a request has ended
+		}
 		row.read(at, made.Uncached)
 		t.hold(at, row, made)
 		t.lane(row.entry.Service).note(at, made.Uncached)
@@ -349,6 +370,9 @@
 	defer t.mutex.Unlock()
 	t.stored.sweep(now)
 	t.forgetHolders()
+	for _, row := range t.rows {
+		row.occupied.sweep(now)
+	}
 }
 
 // mute reports whether a back end leaves requests without a word.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,19 +41,23 @@
 	pool     *pool
 	splits   *splits
 	spread   *spread
+	nick     string // short name of this life, under which other gateways are told of sends
 	draining atomic.Bool
 	closing  atomic.Bool // the end of a planned stop: nothing new is taken
 	active   atomic.Int64
 	metrics  *metrics
 }
 
+// nickRange keeps short names short, and apart in any fleet.
+const nickRange = 1 << 40
+
 // New returns a gateway that knows nothing yet.
 func New(settings Settings, dialect Dialect, log *zap.Logger) *Gateway {
 	client := transport.NewClient(settings.Token, nil)
 	made := &Gateway{
 		settings: settings, dialect: dialect, log: newDecisionLog(log), started: time.Now(),
 		group: control.NewClient(client, settings.Control), table: newTable(), budget: newRetryBudget(settings),
-		pool: newPool(), splits: newSplits(newRand()), spread: newSpread(client),
+		pool: newPool(), splits: newSplits(newRand()), spread: newSpread(client), nick: strconv.FormatUint(rand.Uint64N(nickRange), saltBase),
 	}
 	made.metrics = newMetrics(made)
 	return made
