Every store of kept caches is used, each for its own parts

Excluded: the zone of a store (moves between zones take twice as long, which the decision counts). Test: TestStoresShareTheParts fails where one store is kept.

--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -294,3 +294,30 @@
 		t.Fatalf("broken message gives %+v", odd)
 	}
 }
+
+// TestStoresShareTheParts: each part has one store, whatever gateway asks, and a store that leaves moves its own parts only.
+func TestStoresShareTheParts(t *testing.T) {
+	document := &catalog.Document{Services: []catalog.Service{
+		{Name: "a", Store: "10.0.0.1:1"}, {Name: "b", Store: "10.0.0.2:1"}, {Name: "c", Store: "10.0.0.3:1"}, {Name: "d"},
+	}}
+	whole := newView(document)
+	fewer := newView(&catalog.Document{Services: document.Services[1:]})
+	const parts = 300
+	count := map[string]int{}
+	for i := range parts {
+		prompt := []prefix.Part{{ID: "preamble", Tokens: 9}, {ID: fmt.Sprint(i), Tokens: 9}, {ID: "own", Tokens: 1}}
+		before, after := whole.storeOf(prompt).Name, fewer.storeOf(prompt).Name
+		count[before]++
+		if before != "a" && after != before {
+			t.Fatalf("part %d moved from %s to %s", i, before, after)
+		}
+	}
+	for name, n := range count {
+		if n < parts/3-50 || n > parts/3+50 {
+			t.Errorf("store %s has %d of %d parts", name, n, parts)
+		}
+	}
+	if got := newView(&catalog.Document{}).storeOf(nil); got != nil {
+		t.Errorf("store %v where there is none", got)
+	}
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -6,7 +6,10 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/prefix"
 )
 
 // view is a document prepared for look-ups. It never changes once it is published.
@@ -15,7 +18,7 @@
 	routes   map[string][]*catalog.Route // by host, the longest prefix first
 	keys     map[string]*catalog.Tenant
 	services map[string]*catalog.Service
-	store    *catalog.Service // of kept caches, or nil
+	stores   []*catalog.Service // of kept caches, in the order of the document
 }
 
 func newView(document *catalog.Document) *view {
@@ -39,7 +42,7 @@
 		service := &document.Services[i]
 		made.services[service.Name] = service
 		if service.Store != "" {
-			made.store = service
+			made.stores = append(made.stores, service)
 		}
 	}
 	return made
@@ -55,6 +58,20 @@
 	return nil
 }
 
+// storeOf returns the store that keeps a prompt's shared parts, or nil where there is none: the one of the highest random
+// weight, so that every gateway looks in the same place and the stores share the parts.
+func (v *view) storeOf(parts []prefix.Part) *catalog.Service {
+	key := xxhash.Sum64String(prefix.AffinityKey(parts))
+	var best *catalog.Service
+	var highest uint64
+	for _, s := range v.stores {
+		if weight := mix(key ^ xxhash.Sum64String(s.Store)); best == nil || weight > highest {
+			best, highest = s, weight
+		}
+	}
+	return best
+}
+
 // tenant returns the owner of a key. needed is false where no key is asked for.
 func (v *view) tenant(route *catalog.Route, key string) (owner *catalog.Tenant, needed bool) {
 	needed = len(v.document.Tenants) > 0 && !route.Open
