--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -20,9 +20,12 @@
 	// wholeAnswer is the longest answer that is read whole before anything of it is passed on, so that a broken one can
 	// still be replaced.
 	wholeAnswer = 256 << 10
-	// patienceShare of the route's objective, beside the time that reading the prompt takes, is how long a back end may
-	// stay silent before a repeatable request goes elsewhere.
+	// patienceShare of the route's objective is how long a back end may stay silent before a repeatable request goes
+	// elsewhere; an engine gets enginePatience of it, and waitFactor times the wait that the decision predicted: to move a
+	// request from an engine that is merely busy makes two engines read the prompt.
 	patienceShare   = 1.0
+	enginePatience  = 2.0
+	waitFactor      = 2.0
 	patienceMinimum = 300 * time.Millisecond
 	// resumePauses and resumeMinimum are how long a resumable stream may pause, as a multiple of the pause that is still in
 	// time and at least, before it may go elsewhere; it does only if the engine is silent towards control as well. An engine
@@ -181,8 +184,11 @@
 	if !x.route.MayRepeat() || x.sent >= max(1, x.route.Attempts) {
 		return 0
 	}
-	reading := time.Duration(float64(a.uncached)/prefillRate) * time.Millisecond
-	return reading + max(patienceMinimum, time.Duration(patienceShare*float64(x.route.Objective)))
+	if x.service.Engine {
+		predicted := time.Duration(waitFactor * a.plan.wait * float64(time.Millisecond))
+		return predicted + max(patienceMinimum, time.Duration(enginePatience*float64(x.route.Objective)))
+	}
+	return max(patienceMinimum, time.Duration(patienceShare*float64(x.route.Objective)))
 }
 
 // watchSilence ends the attempt when the back end says nothing for so long.
