A changed roster is told at a pace that grows with the fleet

Cause: every change of a back end wakes every held question at once; a roll-out over 90 engines makes some 800 changes in 20 s, each told to 78 gateways, and a leader's share of a core (0.48) would be spent at 300. Mechanism: 1 ms a gateway between two tellings, 250 ms at most; changes in between are told together. Test: TestRosterIsToldAtAPace.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -40,6 +40,8 @@
 	fleetAt      time.Duration
 	rosterCount  uint64 // rises whenever the roster may have changed
 	roster       rosterLog
+	toldCount    uint64 // newest roster that held questions are answered for; at most rosterCount
+	toldAt       time.Duration
 	readyMost    int // engines that were ready lately
 	readyMostAt  time.Duration
 	orderLostAt  time.Duration // when an order for weights last got no answer
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -148,6 +148,26 @@
 	return entries
 }
 
+// tellingPace and longestTelling bound how often a changed roster is told: a telling takes the leader this long for each
+// gateway, so that many changes at once don't cost it more.
+const (
+	tellingPace    = time.Millisecond
+	longestTelling = 250 * time.Millisecond
+)
+
+// pace lets the newest roster be told if the last telling is long enough ago.
+func (l *leadership) pace(now time.Duration) {
+	if l.rosterCount == l.toldCount || now < l.toldAt+min(tellingPace*time.Duration(len(l.usage)), longestTelling) {
+		return
+	}
+	l.toldCount, l.toldAt = l.rosterCount, now
+}
+
+// tellsRoster reports whether a held question is to be answered for the roster's sake.
+func (l *leadership) tellsRoster(held RosterVersion) bool {
+	return held.Term != l.term || held.Count < l.toldCount
+}
+
 func (l *leadership) rosterChanged() { l.rosterCount++ }
 
 func (l *leadership) rosterVersion() RosterVersion {
--- a/internal/control/roster_test.go
+++ b/internal/control/roster_test.go
@@ -127,3 +127,34 @@
 		t.Fatalf("mesh %+v", mesh)
 	}
 }
+
+// TestRosterIsToldAtAPace: changes that follow each other are told together, the sooner the fewer gateways there are.
+func TestRosterIsToldAtAPace(t *testing.T) {
+	l := &leadership{term: 1, usage: map[string]usageReport{}, toldAt: -time.Second}
+	for i := range 100 {
+		l.usage[fmt.Sprint(i)] = usageReport{}
+	}
+	held := RosterVersion{Term: 1}
+	tells := func(now time.Duration) bool {
+		l.rosterChanged()
+		l.pace(now)
+		return l.tellsRoster(held)
+	}
+	if !tells(0) {
+		t.Fatal("the first change is held back")
+	}
+	held.Count = l.rosterCount
+	if tells(50*time.Millisecond) || !tells(110*time.Millisecond) {
+		t.Fatal("a change is told too soon or too late")
+	}
+	held.Count = l.rosterCount
+	for i := range 1000 {
+		l.usage[fmt.Sprint(i)] = usageReport{}
+	}
+	if !tells(110*time.Millisecond + longestTelling) {
+		t.Fatal("a change is held back for longer than the longest telling")
+	}
+	if !l.tellsRoster(RosterVersion{Term: 2, Count: 1 << 40}) {
+		t.Fatal("a gateway with another leader's roster is not told")
+	}
+}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -73,11 +73,12 @@
 
 // answerWatchers answers the questions for which there is news, or whose time has come.
 func (r *Replica) answerWatchers(now time.Duration) {
+	r.lead.pace(now)
 	r.lead.watchers = slices.DeleteFunc(r.lead.watchers, func(held watcher) bool { return r.answerWatch(now, held) })
 }
 
 func (r *Replica) answerWatch(now time.Duration, held watcher) bool {
-	news := held.watch.Revision < r.machine.catalog.Document().Revision || held.watch.Roster != r.lead.rosterVersion()
+	news := held.watch.Revision < r.machine.catalog.Document().Revision || r.lead.tellsRoster(held.watch.Roster)
 	if !news && now < held.due {
 		return false
 	}
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -41,27 +41,30 @@
 	Parts    []prefix.Part
 	Uncached int  // prompt tokens
 	Saved    bool // the parts go to the store as well
-	Age      time.Duration
+	// Unreached says that no connection came up; then nothing was sent, and there is no salt.
+	Unreached bool
+	Age       time.Duration
 }
 
 // wireSend is a send in a message. Names are short since every send goes to every gateway.
 type wireSend struct {
-	Gateway  string   `json:"g"`
-	Running  int      `json:"n,omitempty"`
-	Held     int      `json:"m,omitempty"` // tokens of the running requests
-	Instance string   `json:"i"`
-	Salt     string   `json:"s,omitempty"`
-	Parts    []string `json:"p,omitempty"`
-	Tokens   []int    `json:"t,omitempty"` // of each part
-	Uncached int      `json:"u,omitempty"`
-	Saved    bool     `json:"v,omitempty"`
-	AgeMS    int64    `json:"a"`
+	Gateway   string   `json:"g"`
+	Running   int      `json:"n,omitempty"`
+	Held      int      `json:"m,omitempty"` // tokens of the running requests
+	Instance  string   `json:"i"`
+	Salt      string   `json:"s,omitempty"`
+	Parts     []string `json:"p,omitempty"`
+	Tokens    []int    `json:"t,omitempty"` // of each part
+	Uncached  int      `json:"u,omitempty"`
+	Saved     bool     `json:"v,omitempty"`
+	Unreached bool     `json:"x,omitempty"`
+	AgeMS     int64    `json:"a"`
 }
 
 func (s send) wire(waited time.Duration) wireSend {
 	w := wireSend{
 		Gateway: s.Gateway, Running: s.Load.running, Held: s.Load.tokens,
-		Instance: s.Instance, Salt: s.Salt, Uncached: s.Uncached, Saved: s.Saved,
+		Instance: s.Instance, Salt: s.Salt, Uncached: s.Uncached, Saved: s.Saved, Unreached: s.Unreached,
 		AgeMS: (s.Age + waited).Milliseconds(),
 	}
 	for _, p := range s.Parts {
@@ -74,7 +77,7 @@
 func (w wireSend) send() send {
 	s := send{
 		Gateway: w.Gateway, Load: load{running: max(0, w.Running), tokens: max(0, w.Held)},
-		Instance: w.Instance, Salt: w.Salt, Uncached: max(0, w.Uncached), Saved: w.Saved,
+		Instance: w.Instance, Salt: w.Salt, Uncached: max(0, w.Uncached), Saved: w.Saved, Unreached: w.Unreached,
 		Age: time.Duration(max(0, w.AgeMS)) * time.Millisecond,
 	}
 	for i := range min(len(w.Parts), len(w.Tokens)) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -99,7 +99,7 @@
 	}
 	wire, err := x.gateway.pool.get(a.ctx, a.row.entry.ID, a.row.entry.Address, rest)
 	if err != nil {
-		x.gateway.table.unreachable(x.gateway.now(), a.row)
+		a.unreached()
 		return result{kind: resultUnreached, cause: err.Error()}
 	}
 	a.wire = wire
@@ -150,6 +150,14 @@
 	}
 }
 
+// unreached notes that no connection came up, and warns the other gateways.
+func (a *attempt) unreached() {
+	g := a.exchange.gateway
+	if running, news := g.table.unreachable(g.now(), a.row); news {
+		g.spread.own(send{Gateway: g.nick, Load: running, Instance: a.row.entry.ID, Unreached: true})
+	}
+}
+
 // load is what the attempt takes of its back end while it runs.
 func (a *attempt) load() load { return load{running: 1, tokens: memoryOf(&a.exchange.call)} }
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -46,6 +46,13 @@
 	millisecondsPerSecond = 1e3
 )
 
+const (
+	// outdatedAfter is how long after newer weights were named an answer on older ones is worth less to callers, and
+	// outdatedShare of the route's objective is what that counts.
+	outdatedAfter = 1500 * time.Millisecond
+	outdatedShare = 0.25
+)
+
 // candidate is one back end as the decision sees it.
 type candidate struct {
 	row      *endpoint
@@ -67,6 +74,8 @@
 	call    *Call
 	tried   []*endpoint
 	trusted bool // the view is confirmed, so what it says of weights holds
+	// objective is the time to the first event that callers want; 0 unknown.
+	objective time.Duration
 }
 
 // total is the number of prompt tokens.
@@ -172,22 +181,40 @@
 // beginLimit returns until when requests may begin on a back end's weights, if newer ones were named. The time counts
 // from when the oldest version that it lacks was named, not the newest.
 func (g *Gateway) beginLimit(row *endpoint, model string) (time.Duration, bool) {
+	namedAt, lacks := g.lacksSince(row, model)
+	return namedAt + g.settings.VersionLimit, lacks
+}
+
+// lacksSince returns when the oldest version that a back end lacks was named, if there is one.
+func (g *Gateway) lacksSince(row *endpoint, model string) (time.Duration, bool) {
 	held, holds := row.entry.Versions[model]
 	if !holds {
 		return 0, false
 	}
 	for _, version := range g.table.named[model] {
 		if version.version > held {
-			return version.namedAt + g.settings.VersionLimit, true
+			return version.namedAt, true
 		}
 	}
 	return 0, false
 }
 
+// outdated is what speaks against a back end whose weights are not the newest, in milliseconds.
+func (g *Gateway) outdated(now time.Duration, scored *candidate, wish need) float64 {
+	namedAt, lacks := g.lacksSince(scored.row, wish.call.Model)
+	begins := now + time.Duration(scored.wait*float64(time.Millisecond))
+	if !lacks || begins < namedAt+outdatedAfter {
+		return 0
+	}
+	return outdatedShare * float64(wish.objective) / float64(time.Millisecond)
+}
+
 // beginsTooLate reports whether a request would likely begin after the limit for the back end's weights.
 func (g *Gateway) beginsTooLate(now time.Duration, scored *candidate, model string) bool {
 	limit, limited := g.beginLimit(scored.row, model)
-	scored.beginBy = limit
+	if limited {
+		scored.beginBy = limit
+	}
 	wait := time.Duration(beginFactor * float64(scored.wait) * float64(time.Millisecond))
 	return limited && now+wait >= limit-beginMargin
 }
@@ -227,6 +254,7 @@
 	scored := candidate{row: row}
 	if wish.service.Engine {
 		g.scoreEngine(now, &scored, wish, owner, sources)
+		scored.cost += g.outdated(now, &scored, wish)
 	} else {
 		scored.cost = slotTime * float64(row.occupied.own.running+row.others) / float64(max(1, row.entry.Slots))
 	}
@@ -319,6 +347,9 @@
 	if row.entry.Silent {
 		cost += silentCost
 	}
+	if row.entry.Silent && row.failures > 0 {
+		cost += avoidCost // neither control nor this gateway has heard it since
+	}
 	if now < row.heardAt+row.entry.ColdLeft {
 		cost += coldCost
 	}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -15,14 +15,9 @@
 )
 
 const (
-	// suspectBase and suspectLimit bound how long a back end that failed is avoided; the time doubles with each failure.
-	suspectBase  = 200 * time.Millisecond
-	suspectLimit = 3 * time.Second
 	// muteAfter is how long a back end may leave a request without a word, while it says nothing else either, before it is
 	// avoided.
 	muteAfter = 1200 * time.Millisecond
-	// failureSmoothing weighs the newest outcome in a back end's share of failures.
-	failureSmoothing = 0.1
 )
 
 // endpoint is a row of the back end table.
@@ -40,6 +35,7 @@
 	failures int           // in a row
 	failing  float64       // share of failures, smoothed
 	avoidTo  time.Duration
+	reports  suspicion // of other gateways
 	gone     bool
 }
 
@@ -248,7 +244,7 @@
 	t.endWait(sent)
 	own := &sent.row.occupied.own
 	*own = own.minus(sent.load())
-	t.grade(now, sent.row, good)
+	sent.row.grade(now, good)
 	if good == gradeGood {
 		service := sent.row.entry.Service
 		t.stays[service] = t.stay(service).next(now - sent.began)
@@ -264,39 +260,6 @@
 	return stayFirst
 }
 
-// outcomeGrade tells what an attempt says of its back end.
-type outcomeGrade uint8
-
-const (
-	gradeNone outcomeGrade = iota // says nothing
-	gradeGood
-	gradeFull // it is alive but turned the request away
-	gradeBad
-)
-
-func (t *table) grade(now time.Duration, row *endpoint, good outcomeGrade) {
-	switch good {
-	case gradeGood:
-		row.failures = 0
-		row.failing *= 1 - failureSmoothing
-		row.spokeAt = now
-	case gradeFull:
-		row.avoidTo = max(row.avoidTo, now+suspectBase/2)
-		row.spokeAt = now
-	case gradeBad:
-		row.failures++
-		row.failing += failureSmoothing * (1 - row.failing)
-		row.avoidTo = now + min(suspectBase<<min(row.failures-1, 10), suspectLimit)
-	}
-}
-
-// unreachable notes that no connection came up.
-func (t *table) unreachable(now time.Duration, row *endpoint) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.grade(now, row, gradeBad)
-}
-
 // read notes that an engine has so many more prompt tokens to read.
 func (e *endpoint) read(now time.Duration, tokens int) {
 	e.busyTo = max(now, e.busyTo) + time.Duration(float64(tokens)/prefillRate*float64(time.Millisecond))
@@ -313,8 +276,11 @@
 		}
 		at := now - min(now, made.Age)
 		row.occupied.note(made.Gateway, at, made.Load)
+		if made.Unreached {
+			row.suspect(at, made.Gateway)
+		}
 		if made.Salt == "" {
-			continue // a request has ended
+			continue // it tells of no prompt
 		}
 		row.read(at, made.Uncached)
 		t.hold(at, row, made)
--- /dev/null
+++ b/internal/gateway/suspicion.go
@@ -0,0 +1,76 @@
+package gateway
+
+import "time"
+
+const (
+	// suspectBase and suspectLimit bound how long a back end that failed is avoided; the time doubles with each failure.
+	suspectBase  = 200 * time.Millisecond
+	suspectLimit = 3 * time.Second
+	// unreachedBase is how long one is avoided after the first connection that did not come up: each try costs a request
+	// the time that a connection may take.
+	unreachedBase = 800 * time.Millisecond
+	// failureSmoothing weighs the newest outcome in a back end's share of failures.
+	failureSmoothing = 0.1
+	// reportersNeeded gateways must report a back end within reportWindow, so that one gateway which is cut off by itself
+	// turns nobody away; reported ones are avoided for reportedFor.
+	reportersNeeded = 2
+	reportWindow    = 2 * time.Second
+	reportedFor     = 1200 * time.Millisecond
+)
+
+// outcomeGrade tells what an attempt says of its back end.
+type outcomeGrade uint8
+
+const (
+	gradeNone outcomeGrade = iota // says nothing
+	gradeGood
+	gradeFull // it is alive but turned the request away
+	gradeBad
+)
+
+// grade notes how an attempt at a back end went. The caller holds the table's mutex.
+func (e *endpoint) grade(now time.Duration, good outcomeGrade) {
+	switch good {
+	case gradeGood:
+		e.failures = 0
+		e.failing *= 1 - failureSmoothing
+		e.spokeAt = now
+	case gradeFull:
+		e.avoidTo = max(e.avoidTo, now+suspectBase/2)
+		e.spokeAt = now
+	case gradeBad:
+		e.failed(now, suspectBase)
+	}
+}
+
+func (e *endpoint) failed(now, base time.Duration) {
+	e.failures++
+	e.failing += failureSmoothing * (1 - e.failing)
+	e.avoidTo = max(e.avoidTo, now+min(base<<min(e.failures-1, 10), suspectLimit))
+}
+
+// unreachable notes that no connection came up, and reports whether that is news to the other gateways.
+func (t *table) unreachable(now time.Duration, row *endpoint) (load, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	news := now >= row.avoidTo
+	row.failed(now, unreachedBase)
+	return row.occupied.own, news
+}
+
+// suspicion is who lately reported a back end as unreachable.
+type suspicion struct {
+	from string
+	at   time.Duration
+}
+
+// suspect takes another gateway's report that no connection to a back end came up. It counts with a second gateway's, and
+// unless the back end has spoken to this one since.
+func (e *endpoint) suspect(at time.Duration, from string) {
+	before := e.reports
+	e.reports = suspicion{from: from, at: at}
+	fresh := before.from != "" && before.from != from && at-before.at < reportWindow
+	if (fresh || e.failures > 0) && e.spokeAt < at {
+		e.avoidTo = max(e.avoidTo, at+reportedFor)
+	}
+}
