One ring for log lines, with rank and count

Cause: a gateway had two rings one behind the other; with a reader that is stuck the outer one dropped lines in any order and told nobody. Now the one ring in internal/node drops lines of answered requests first, tells the count once it is read again, and gives it to the metric.

--- a/cmd/kitelab/standins.go
+++ b/cmd/kitelab/standins.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return err
 	}
-	process, err := build(deployment, log)
+	process, err := build(deployment, log.Logger)
 	if err != nil {
 		return err
 	}
--- a/cmd/kitetiller/main.go
+++ b/cmd/kitetiller/main.go
@@ -251,7 +251,7 @@
 	defer func() { _ = log.Sync() }()
 	ctx, stop := node.StopSignal()
 	defer stop()
-	server, err := router.NewServer(ctx, file, log)
+	server, err := router.NewServer(ctx, file, log.Logger)
 	if err != nil {
 		return err
 	}
@@ -273,7 +273,7 @@
 	defer func() { _ = log.Sync() }()
 	ctx, stop := node.StopSignal()
 	defer stop()
-	server, err := control.NewServer(ctx, file, log)
+	server, err := control.NewServer(ctx, file, log.Logger)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,7 @@
 // moment when it asked. A view that is too old serves no request with an API key. What callers and back ends are
 // told beside that is a Dialect's matter.
 //
-// Threads: one follows control; one sweeps idle connections; one writes logs; net/http's goroutines serve callers.
+// Threads: one follows control; one sweeps idle connections; three tell other gateways; net/http's goroutines serve callers.
 package gateway
 
 import (
@@ -23,6 +23,7 @@
 
 	"kitetiller/internal/control"
 	"kitetiller/internal/events"
+	"kitetiller/internal/node"
 	"kitetiller/internal/transport"
 )
 
@@ -52,7 +53,7 @@
 const nickRange = 1 << 40
 
 // New returns a gateway that knows nothing yet.
-func New(settings Settings, dialect Dialect, log *zap.Logger) *Gateway {
+func New(settings Settings, dialect Dialect, log *node.Log) *Gateway {
 	client := transport.NewClient(settings.Token, nil)
 	made := &Gateway{
 		settings: settings, dialect: dialect, log: newDecisionLog(log), started: time.Now(),
@@ -88,7 +89,6 @@
 	var threads sync.WaitGroup
 	threads.Go(func() { g.follow(run) })
 	threads.Go(func() { g.sweep(run) })
-	threads.Go(func() { g.log.run(run) })
 	g.spread.run(run, threads.Go)
 	public := &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -50,7 +50,7 @@
 	made.registry.MustRegister(made.requests, made.attempts, made.first, made.repeats, made.read, made.cached,
 		gauge("view_age_seconds", "Time since control confirmed the view; -1 never.", g.viewAge),
 		gauge("active_requests", "Requests in progress.", func() float64 { return float64(g.active.Load()) }),
-		gauge("log_lines_dropped", "Log lines dropped since the last line about it.", func() float64 { return float64(g.log.dropped.Load()) }),
+		gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(g.log.out.Dropped()) }),
 	)
 	return made
 }
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -8,32 +8,110 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"kitetiller/internal/events"
 )
 
 const (
 	// logRing is how many lines may wait until the reader of the log takes them.
 	logRing = 2048
+	// logReserve is the part of the ring that is kept for lines other than routine ones.
+	logReserve = 512
 	// logFlushWait is how long the end of a process waits for the lines that are left.
 	logFlushWait = 200 * time.Millisecond
+	// droppedEach is how often the log tells how many lines were dropped since, if any were.
+	droppedEach = 5 * time.Second
 )
 
-// lineRing takes log lines without ever waiting: a thread of its own writes them, and what the reader does not take in
-// time is dropped and counted.
+// Log is a process's log of JSON lines. Writing to it never waits for whoever reads it: lines that the reader does not
+// take in time are dropped, routine ones first, and counted.
+type Log struct {
+	*zap.Logger
+	ring *lineRing
+}
+
+// NewLogger returns a log on standard error.
+func NewLogger(level, name string) (*Log, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, eris.Wrapf(err, "log level %q", level)
+	}
+	return newLog(parsed, name, newLineRing(zapcore.Lock(os.Stderr))), nil
+}
+
+// NopLog returns a log that keeps nothing.
+func NopLog() *Log { return &Log{Logger: zap.NewNop(), ring: &lineRing{}} }
+
+// Dropped returns how many lines were dropped since the start.
+func (l *Log) Dropped() uint64 { return l.ring.dropped.Load() }
+
+func newLog(level zapcore.Level, name string, ring *lineRing) *Log {
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	encoder.TimeKey = "time"
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), ring, level)
+	log := &Log{Logger: zap.New(rankedCore{core, ring}).With(zap.String("node", name)), ring: ring}
+	go ring.run(func(count uint64) { log.Warn(events.LinesDropped, zap.Uint64("count", count)) })
+	return log
+}
+
+// rankedCore drops routine lines while the ring is short of room.
+type rankedCore struct {
+	zapcore.Core
+	ring *lineRing
+}
+
+// With returns a core whose lines carry the fields.
+func (c rankedCore) With(fields []zapcore.Field) zapcore.Core {
+	return rankedCore{c.Core.With(fields), c.ring}
+}
+
+// Check adds the core to the entries that are written.
+func (c rankedCore) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(entry.Level) {
+		return checked.AddCore(entry, c)
+	}
+	return checked
+}
+
+// Write passes a line to the ring, or drops it.
+func (c rankedCore) Write(entry zapcore.Entry, fields []zapcore.Field) error {
+	if events.Routine(entry.Message) && len(c.ring.lines) >= logRing-logReserve {
+		c.ring.dropped.Add(1)
+		return nil
+	}
+	return c.Core.Write(entry, fields)
+}
+
+// lineRing takes log lines without ever waiting; a thread of its own writes them.
 type lineRing struct {
 	out     zapcore.WriteSyncer
-	lines   chan []byte
-	dropped atomic.Uint64
+	lines   chan []byte   // closed never
+	dropped atomic.Uint64 // only rises
 }
 
-// newLineRing starts the thread that writes to out.
 func newLineRing(out zapcore.WriteSyncer) *lineRing {
-	ring := &lineRing{out: out, lines: make(chan []byte, logRing)}
-	go func() {
-		for line := range ring.lines {
-			_, _ = out.Write(line) // a reader that is gone cannot be told
+	return &lineRing{out: out, lines: make(chan []byte, logRing)}
+}
+
+// run is the thread that writes, and tells how many lines were dropped.
+func (r *lineRing) run(tell func(count uint64)) { r.runEach(droppedEach, tell) }
+
+func (r *lineRing) runEach(period time.Duration, tell func(count uint64)) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	told := uint64(0)
+	for {
+		select {
+		case line := <-r.lines:
+			_, _ = r.out.Write(line) // a reader that is gone cannot be told
+		case <-ticker.C:
+			if count := r.dropped.Load(); count > told {
+				tell(count - told)
+				told = count
+			}
 		}
-	}()
-	return ring
+	}
 }
 
 // Write takes a line, or drops it when the ring is full.
@@ -53,20 +131,3 @@
 	}
 	return nil
 }
-
-// NewLogger returns a logger of JSON lines on standard error that never waits for whoever reads them.
-func NewLogger(level, name string) (*zap.Logger, error) {
-	parsed, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, eris.Wrapf(err, "log level %q", level)
-	}
-	return newLogger(parsed, name, newLineRing(zapcore.Lock(os.Stderr))), nil
-}
-
-func newLogger(level zapcore.Level, name string, out zapcore.WriteSyncer) *zap.Logger {
-	encoder := zap.NewProductionEncoderConfig()
-	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	encoder.TimeKey = "time"
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), out, level)
-	return zap.New(core).With(zap.String("node", name))
-}
--- a/internal/node/log_test.go
+++ b/internal/node/log_test.go
@@ -1,32 +1,91 @@
 package node
 
 import (
+	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"go.uber.org/zap/zapcore"
+
+	"kitetiller/internal/events"
 )
 
-// stuckReader takes one line and never another.
-type stuckReader struct{ free chan struct{} }
+// stuckReader takes lines only while it is free.
+type stuckReader struct {
+	free chan struct{} // closed once it takes lines
+	mu   sync.Mutex
+	got  []string // guarded by mu
+}
 
-func (s stuckReader) Write(line []byte) (int, error) {
+func (s *stuckReader) Write(line []byte) (int, error) {
 	<-s.free
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.got = append(s.got, string(line))
 	return len(line), nil
 }
 
-func (stuckReader) Sync() error { return nil }
+func (*stuckReader) Sync() error { return nil }
+
+func (s *stuckReader) count(text string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, line := range s.got {
+		if strings.Contains(line, text) {
+			n++
+		}
+	}
+	return n
+}
 
 // TestStuckReaderHoldsNothingUp: whoever logs goes on although nobody reads, and what is dropped is counted.
 func TestStuckReaderHoldsNothingUp(t *testing.T) {
-	reader := stuckReader{free: make(chan struct{})}
+	reader := &stuckReader{free: make(chan struct{})}
 	defer close(reader.free)
-	ring := newLineRing(reader)
-	log := newLogger(zapcore.InfoLevel, "n", ring)
+	log := newLog(zapcore.InfoLevel, "n", newLineRing(reader))
 	const lines = 5 * logRing
 	for range lines {
 		log.Info("line")
 	}
-	if dropped := ring.dropped.Load(); dropped < lines-logRing-1 || dropped >= lines {
+	if dropped := log.Dropped(); dropped < lines-logRing-1 || dropped >= lines {
 		t.Fatalf("%d of %d lines dropped", dropped, lines)
 	}
 }
+
+// TestRoutineLinesAreDroppedFirst: while nobody reads, successes leave room for what else happens; once somebody reads
+// again, all of that comes, and a line tells how many are missing.
+func TestRoutineLinesAreDroppedFirst(t *testing.T) {
+	reader := &stuckReader{free: make(chan struct{})}
+	ring := newLineRing(reader)
+	log := newLog(zapcore.InfoLevel, "n", ring)
+	for range 5 * logRing {
+		log.Info(events.RequestAnswered)
+	}
+	const changes = logReserve - 2
+	for range changes {
+		log.Info(events.InstanceGone)
+	}
+	dropped := log.Dropped()
+	if dropped < 4*logRing || len(ring.lines) > logRing {
+		t.Fatalf("%d lines dropped, %d wait", dropped, len(ring.lines))
+	}
+	close(reader.free)
+	for range 1000 {
+		if reader.count(events.InstanceGone) == changes && len(ring.lines) == 0 {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if got := reader.count(events.InstanceGone); got != changes {
+		t.Fatalf("%d of %d changes of belief were written", got, changes)
+	}
+	tell := make(chan uint64, 1)
+	fresh := newLineRing(reader)
+	fresh.dropped.Store(dropped)
+	go fresh.runEach(time.Millisecond, func(count uint64) { tell <- count })
+	if told := <-tell; told != dropped {
+		t.Fatalf("told of %d dropped lines, wanted %d", told, dropped)
+	}
+}
