Back ends that forget rested connections are learnt

Cause: 'a worker may silently forget an idle connection, and may do so sooner than usual': a request that may run only once and meets the reset is lost, since it may have run. Mechanism: a kept connection that breaks before any answer shortens the rest that others are trusted for, to 0.7 of its own, 100 ms at least, for 10 s.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -16,6 +16,9 @@
 func (a *attempt) receive() result {
 	answer, err := a.readHead()
 	if err != nil {
+		if a.ctx.Err() == nil {
+			a.exchange.gateway.pool.forgotten(a.wire.rested)
+		}
 		return a.failed(err)
 	}
 	x := a.exchange
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -27,6 +27,11 @@
 	// that must run at most once goes over one that was busy a moment ago, since a back end may be closing others.
 	idleRepeatable = 3 * time.Second
 	idleOnce       = 1200 * time.Millisecond
+	// forgottenShare of the rest after which a back end turned out to have forgotten a connection is how long others may
+	// rest for forgottenFor, and forgottenLeast the least that this may come to.
+	forgottenShare = 0.7
+	forgottenFor   = 10 * time.Second
+	forgottenLeast = 100 * time.Millisecond
 	// idleMargin is kept to a back end's own limit for idle connections.
 	idleMargin     = time.Second
 	readBuffer     = 4096
@@ -39,6 +44,7 @@
 	reader *bufio.Reader
 	usedAt time.Time
 	limit  time.Duration // longest rest that the back end announced; 0 unknown
+	rested time.Duration // before the request that it serves; 0 for a new connection
 }
 
 // pool keeps idle connections by instance, so that a connection never outlives the life it was made to.
@@ -46,6 +52,9 @@
 	dialer net.Dialer
 	mutex  sync.Mutex
 	idle   map[string][]*connection
+
+	forgottenRest time.Duration // shortest rest after which a connection was lately found forgotten; guarded by mutex
+	forgottenAt   time.Time     // when; guarded by mutex
 }
 
 func newPool() *pool {
@@ -68,14 +77,37 @@
 	return failed
 }
 
+// forgotten notes that a back end broke a connection off which had rested so long, before it answered anything. Back ends
+// may forget connections sooner than they say, so others are not trusted for as long either for a while.
+func (p *pool) forgotten(rested time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if rested < forgottenLeast || time.Since(p.forgottenAt) < forgottenFor && rested > p.forgottenRest {
+		return
+	}
+	p.forgottenRest, p.forgottenAt = rested, time.Now()
+}
+
+// restLimit returns how long a connection may have rested, where rest is the most that the request allows.
+func (p *pool) restLimit(rest time.Duration) time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.forgottenRest == 0 || time.Since(p.forgottenAt) >= forgottenFor {
+		return rest
+	}
+	return min(rest, max(forgottenLeast, time.Duration(forgottenShare*float64(p.forgottenRest))))
+}
+
 // get returns an idle connection that rested no longer than rest, or a new one. An error proves that nothing was sent.
 func (p *pool) get(ctx context.Context, instance, address string, rest time.Duration) (*connection, error) {
+	rest = p.restLimit(rest)
 	for {
 		kept := p.take(instance)
 		if kept == nil {
 			break
 		}
 		if kept.fresh(rest) && kept.quiet() {
+			kept.rested = time.Since(kept.usedAt)
 			return kept, nil
 		}
 		_ = kept.Close()
