The leader's work is paced and shared: gathered heartbeats, sums and layouts made now and then, whole rosters encoded once

Each heartbeat was a call to the leader of its own (2,500/s); each of 700 answers a second added up what all gateways have running and laid them out anew; each step of the roll-out looked at every back end at every input. Mechanism: a replica answers heartbeats without news itself and passes them on in batches of 100 ms, while batches reach the leader; sums, layouts and steps are made at a pace.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -80,7 +80,9 @@
 // operation ids, claims carry claim ids.
 func (c *Client) Ask(ctx context.Context, request Request) (Response, error) {
 	for {
-		response, err := c.askOnce(ctx, request)
+		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+		response, err := c.askOnce(attempt, request)
+		cancel()
 		if err == nil && response.Kind == ResponseOK {
 			return response, nil
 		}
@@ -94,11 +96,9 @@
 
 // askOnce asks one replica and learns who leads.
 func (c *Client) askOnce(ctx context.Context, request Request) (Response, error) {
-	attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
 	address := c.target()
 	var response Response
-	if err := c.transport.Post(attempt, address, PathRequest, request, &response); err != nil {
+	if err := c.transport.Post(ctx, address, PathRequest, request, &response); err != nil {
 		c.leader.Store(nil)
 		c.failed.Store(&failure{address: address, at: time.Now()})
 		return response, err
@@ -114,7 +114,7 @@
 	return response, nil
 }
 
-// Once asks one replica once, for callers with a rhythm of their own.
+// Once asks one replica once, for callers with a rhythm and a time limit of their own.
 func (c *Client) Once(ctx context.Context, request Request) (Response, error) {
 	return c.askOnce(ctx, request)
 }
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -38,6 +38,9 @@
 	fenceAskedAt time.Duration
 	fleet        map[string]*memberState // by instance
 	fleetAt      time.Duration
+	rolledAt     time.Duration // when the roll-out last went a step
+	totals       usageTotals
+	meshes       meshPlan
 	rosterCount  uint64 // rises whenever the roster may have changed
 	roster       rosterLog
 	toldCount    uint64 // newest roster that held questions are answered for; at most rosterCount
@@ -108,6 +111,8 @@
 		r.propose(now, client, Command{Catalog: request.Catalog})
 	case request.Beat != nil:
 		r.beat(now, client, *request.Beat)
+	case len(request.Beats) > 0:
+		r.takeBeats(now, client, request.Beats)
 	case request.Watch != nil:
 		r.watch(now, client, *request.Watch)
 	case request.Document != nil:
--- a/internal/control/mesh.go
+++ b/internal/control/mesh.go
@@ -14,25 +14,44 @@
 	Abroad []string `json:"abroad,omitempty"` // one address in each other zone: it tells its row and column
 }
 
-// meshOf returns the mesh of a gateway among those that asked lately.
-func (r *Replica) meshOf(now time.Duration, asking string) Mesh {
-	zones := map[string][]string{}
+// meshPlan is the layout that meshes are taken from, made anew now and then.
+type meshPlan struct {
+	at    time.Duration
+	zones map[string][]string // names of gateways, rising; nil before the first layout
+}
+
+// meshEach is how often gateways are laid out anew.
+const meshEach = 250 * time.Millisecond
+
+// layout returns the gateways of each zone that asked lately.
+func (r *Replica) layout(now time.Duration) map[string][]string {
+	plan := &r.lead.meshes
+	if plan.zones != nil && now < plan.at+meshEach {
+		return plan.zones
+	}
+	*plan = meshPlan{at: now, zones: map[string][]string{}}
 	for _, name := range sortedKeys(r.lead.usage) {
 		report := r.lead.usage[name]
 		if report.address != "" && now-report.at <= usageCounts {
-			zones[report.zone] = append(zones[report.zone], name)
+			plan.zones[report.zone] = append(plan.zones[report.zone], name)
 		}
 	}
+	return plan.zones
+}
+
+// meshOf returns the mesh of a gateway among those that asked lately; it is empty until the gateway is laid out.
+func (r *Replica) meshOf(now time.Duration, asking string) Mesh {
+	zones := r.layout(now)
 	own := r.lead.usage[asking].zone
-	at := slices.Index(zones[own], asking)
-	if at < 0 {
+	at, found := slices.BinarySearch(zones[own], asking)
+	if !found {
 		return Mesh{}
 	}
 	row, column := gridPeers(len(zones[own]), at)
 	mesh := Mesh{Row: r.gatewayAddresses(zones[own], row), Column: r.gatewayAddresses(zones[own], column)}
 	for _, zone := range sortedKeys(zones) {
 		if members := zones[zone]; zone != own {
-			mesh.Abroad = append(mesh.Abroad, r.lead.usage[members[at%len(members)]].address)
+			mesh.Abroad = append(mesh.Abroad, r.gatewayAddresses(members, []int{at % len(members)})...)
 		}
 	}
 	return mesh
@@ -41,7 +60,9 @@
 func (r *Replica) gatewayAddresses(names []string, places []int) []string {
 	var found []string
 	for _, at := range places {
-		found = append(found, r.lead.usage[names[at]].address)
+		if address := r.lead.usage[names[at]].address; address != "" { // it may have closed since it was laid out
+			found = append(found, address)
+		}
 	}
 	return found
 }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -9,7 +9,7 @@
 	"kitetiller/internal/settings"
 )
 
-// Request is what a router or operator asks a control replica. Exactly one pointer is set.
+// Request is what a router or operator asks a control replica. Exactly one field is set.
 type Request struct {
 	Heartbeat *Heartbeat        `json:"heartbeat,omitempty"`
 	Claim     *ledger.Claim     `json:"claim,omitempty"`
@@ -20,6 +20,7 @@
 	Join      *consensus.Member `json:"join,omitempty"`
 	Catalog   *catalog.Command  `json:"catalog,omitempty"` // replace the document, or name a version
 	Beat      *Beat             `json:"beat,omitempty"`
+	Beats     []Beat            `json:"beats,omitempty"` // gathered by another replica
 	Watch     *Watch            `json:"watch,omitempty"`
 	Document  *DocumentRequest  `json:"document,omitempty"`
 }
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -26,6 +26,8 @@
 const (
 	// announceLead is how long requests that are on their way have to arrive, before the order is sent.
 	announceLead = 30 * time.Millisecond
+	// stepPace is the time between two steps of the roll-out, for each back end: a step looks at all of them.
+	stepPace = 10 * time.Microsecond
 	// firstCheck is when a load is first looked for after its order was taken, and nextCheck the pause after that.
 	firstCheck = 800 * time.Millisecond
 	nextCheck  = 200 * time.Millisecond
@@ -124,15 +126,16 @@
 
 // rollOut takes the next steps towards the newest weights everywhere.
 func (r *Replica) rollOut(now time.Duration) {
-	if len(r.machine.catalog.Versions()) == 0 {
+	instances := r.machine.catalog.Instances()
+	if len(r.machine.catalog.Versions()) == 0 || now < r.lead.rolledAt+stepPace*time.Duration(len(instances)) {
 		return
 	}
+	r.lead.rolledAt = now
 	r.takeFence(now)
 	if !r.mayOrder(now) {
 		return
 	}
 	busy := 0
-	instances := r.machine.catalog.Instances()
 	ids := r.drainOrder(now)
 	loads := r.countLoads()
 	used := r.totalUsage(now)
@@ -232,8 +235,7 @@
 
 // totalUsage returns the running requests of all gateways by instance.
 func (r *Replica) totalUsage(now time.Duration) map[string]int {
-	used, _ := r.usageBeside(now, "")
-	return used
+	return r.usageSum(now).running
 }
 
 func (r *Replica) beginRollout(now time.Duration, instance catalog.Instance, state *memberState) {
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"encoding/json"
 	"maps"
 	"slices"
 	"time"
@@ -28,6 +29,17 @@
 	Whole   bool          `json:"whole,omitempty"`   // Entries are all there are; else those that are new or changed
 	Entries []RosterEntry `json:"entries,omitempty"` // rising by id
 	Gone    []string      `json:"gone,omitempty"`    // ids that are no longer in the roster; empty with Whole
+
+	encoded json.RawMessage // the same as JSON, where many gateways are told it; or nil
+}
+
+// MarshalJSON encodes the news, once for all gateways where they were prepared for that.
+func (n *RosterNews) MarshalJSON() ([]byte, error) {
+	if n.encoded != nil {
+		return n.encoded, nil
+	}
+	type plain RosterNews
+	return json.Marshal((*plain)(n))
 }
 
 // Merge returns the roster that follows from the one that a gateway held, rising by id.
@@ -71,8 +83,10 @@
 type rosterLog struct {
 	count   uint64                 // of the roster in entries; 0 before the first
 	entries map[string]loggedEntry // since is at most count
+	ids     []string               // of entries, rising
 	gone    []goneEntry            // rising by count
 	floor   uint64                 // gone holds every removal after the roster of this count
+	whole   *RosterNews            // all entries, encoded; nil until somebody asks for them
 }
 
 // update takes the roster of a count. The caller passes rosters in the order of their counts.
@@ -85,7 +99,7 @@
 		}
 		next[e.ID] = logged
 	}
-	for _, id := range sortedKeys(l.entries) {
+	for _, id := range l.ids {
 		if _, stays := next[id]; !stays {
 			l.gone = append(l.gone, goneEntry{id: id, count: count})
 		}
@@ -94,20 +108,36 @@
 		l.floor = l.gone[extra-1].count
 		l.gone = slices.Delete(l.gone, 0, extra)
 	}
-	l.count, l.entries = count, next
+	l.count, l.entries, l.ids, l.whole = count, next, sortedKeys(next), nil
+}
+
+// all returns the whole roster.
+func (l *rosterLog) all() *RosterNews {
+	if l.whole != nil {
+		return l.whole
+	}
+	news := &RosterNews{Whole: true, Entries: make([]RosterEntry, 0, len(l.entries))}
+	for _, id := range l.ids {
+		news.Entries = append(news.Entries, l.entries[id].entry)
+	}
+	if encoded, err := json.Marshal(news); err == nil {
+		news.encoded = encoded
+	}
+	l.whole = news
+	return news
 }
 
 // since returns what changed after the roster of a count; 0 asks for everything.
 func (l *rosterLog) since(count uint64) *RosterNews {
-	news := &RosterNews{Whole: count == 0 || count < l.floor, Entries: []RosterEntry{}}
-	for _, id := range sortedKeys(l.entries) {
-		if logged := l.entries[id]; news.Whole || logged.since > count {
+	if count == 0 || count < l.floor {
+		return l.all()
+	}
+	news := &RosterNews{}
+	for _, id := range l.ids {
+		if logged := l.entries[id]; logged.since > count {
 			news.Entries = append(news.Entries, logged.entry)
 		}
 	}
-	if news.Whole {
-		return news
-	}
 	for _, gone := range l.gone {
 		if _, back := l.entries[gone.id]; gone.count > count && !back {
 			news.Gone = append(news.Gone, gone.id)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -68,6 +68,7 @@
 	group    *Client
 	driver   Driver
 	orders   chan WeightsCall
+	beats    beatCollector
 
 	mutex    sync.Mutex
 	outboxes map[consensus.ID]chan consensus.Message
@@ -94,6 +95,7 @@
 	server := &Server{
 		file: file, log: log.With(zap.String("replica", string(identity.ID))), identity: identity, disk: disk,
 		started: time.Now(), inputs: make(chan input, inputRing), calls: make(chan EngineCall, callRing), orders: make(chan WeightsCall, callRing),
+		beats:   beatCollector{registered: map[string]time.Duration{}},
 		clients: map[uint64]transport.Respond{}, seen: map[consensus.ID]string{}, links: links, outboxes: map[consensus.ID]chan consensus.Message{},
 		client: transport.NewClient(file.ClusterToken, links), failed: make(chan error, 1),
 	}
@@ -134,6 +136,7 @@
 	threads.Go(func() { s.sendCalls(run) })
 	threads.Go(func() { s.watchEngines(run) })
 	threads.Go(func() { s.callBackends(run) })
+	threads.Go(func() { s.passBeats(run) })
 	threads.Go(func() { s.followMembership(run) })
 	threads.Go(func() { s.rejoin(run) })
 	if s.replica.Node().LastIndex() == 0 {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -104,7 +103,6 @@
 		reply.Roster = r.rosterNews(now, watch.Roster)
 	}
 	reply.Usage, reply.Gateways = r.usageBeside(now, watch.Gateway)
-	maps.DeleteFunc(reply.Usage, func(id string, _ int) bool { return r.tellsOfSends(id) })
 	reply.Mesh = r.meshOf(now, watch.Gateway)
 	for _, member := range r.members() {
 		reply.Replicas = append(reply.Replicas, member.Address)
@@ -132,22 +130,47 @@
 	return true
 }
 
-// usageBeside returns the running requests of all gateways but one by instance, and how many gateways asked lately.
-func (r *Replica) usageBeside(now time.Duration, asking string) (used map[string]int, gateways int) {
-	used = map[string]int{}
-	for gateway, report := range r.lead.usage {
+// usageTotals is the work of all gateways, added up now and then: a reply would otherwise cost the more the more there are.
+type usageTotals struct {
+	at       time.Duration
+	gateways int            // that asked lately
+	running  map[string]int // requests by instance; nil before the first sum
+}
+
+// totalsEach is how often the work of all gateways is added up.
+const totalsEach = 50 * time.Millisecond
+
+// usageSum returns the work of all gateways that asked lately.
+func (r *Replica) usageSum(now time.Duration) *usageTotals {
+	sum := &r.lead.totals
+	if sum.running != nil && now < sum.at+totalsEach {
+		return sum
+	}
+	*sum = usageTotals{at: now, running: map[string]int{}}
+	for _, report := range r.lead.usage {
 		if now-report.at > usageCounts {
 			continue
 		}
-		gateways++
-		if gateway == asking {
-			continue
-		}
+		sum.gateways++
 		for id, running := range report.running {
-			used[id] += running
+			sum.running[id] += running
+		}
+	}
+	return sum
+}
+
+// usageBeside returns the running requests of all gateways but one by instance, engines apart, and how many gateways asked
+// lately.
+func (r *Replica) usageBeside(now time.Duration, asking string) (used map[string]int, gateways int) {
+	sum := r.usageSum(now)
+	own := r.lead.usage[asking].running
+	used = map[string]int{}
+	for id, running := range sum.running {
+		if others := running - own[id]; others > 0 && !r.tellsOfSends(id) {
+			used[id] = others
 		}
 	}
-	return used, gateways
+	return used, sum.gateways
 }
 
 // tellsOfSends reports whether gateways tell each other of their requests at a back end: they do for engines.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -13,11 +13,12 @@
 // follow is the thread that asks control for news.
 func (g *Gateway) follow(ctx context.Context) {
 	var roster control.RosterVersion
-	known := 0
+	known, failures := 0, 0
 	for ctx.Err() == nil {
 		asked := g.now()
-		reply := g.ask(ctx, roster)
+		reply := g.ask(ctx, roster, patience(failures))
 		if reply == nil {
+			failures++
 			g.log.lost(g.trusted(g.now()))
 			select {
 			case <-ctx.Done():
@@ -25,6 +26,7 @@
 			}
 			continue
 		}
+		failures = 0
 		roster = reply.Version
 		g.take(asked, reply)
 		if len(reply.Replicas) != known {
@@ -34,7 +36,13 @@
 	}
 }
 
-func (g *Gateway) ask(ctx context.Context, roster control.RosterVersion) *control.WatchReply {
+// patience is how long an answer may take beyond the time that it is held, after so many failures in a row: a whole roster
+// of a large fleet takes longer than news.
+func patience(failures int) time.Duration {
+	return (watchTimeout - watchHold) << min(failures/failuresEach, longestPatience)
+}
+
+func (g *Gateway) ask(ctx context.Context, roster control.RosterVersion, patience time.Duration) *control.WatchReply {
 	question := control.Watch{
 		Gateway: g.settings.Name, Zone: g.settings.Zone, Address: g.settings.Internal, Roster: roster, Hold: g.hold(), Usage: g.table.usage(),
 		Closing: g.draining.Load(),
@@ -42,7 +50,7 @@
 	if held := g.view.Load(); held != nil {
 		question.Revision = held.document.Revision
 	}
-	attempt, cancel := context.WithTimeout(ctx, watchTimeout-watchHold+question.Hold)
+	attempt, cancel := context.WithTimeout(ctx, patience+question.Hold)
 	defer cancel()
 	response, err := g.group.Once(attempt, control.Request{Watch: &question})
 	if err != nil || response.Kind != control.ResponseOK {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -31,6 +31,9 @@
 	drainHold = 80 * time.Millisecond
 	// watchTimeout is how long a question may stay unanswered.
 	watchTimeout = 650 * time.Millisecond
+	// failuresEach failures in a row double the patience with an answer, longestPatience times at most.
+	failuresEach    = 3
+	longestPatience = 3
 	// watchPause is the pause after a question failed.
 	watchPause = 60 * time.Millisecond
 	// idleTimeout is how long callers may keep a connection idle.
