Registrations, drains and leaves travel in batches too

Cause: at 300 machines 3,001 back ends register within a second; each registration was a call to the leader of its own, and those without an answer within a second came again on new connections (1,050/s), so that control never got out of it. Mechanism: one batch at a time a replica, gathered for 10 ms; the leader answers it once its last entry has committed. Tests: TestBatchIsAnsweredOnceAllIsHeld, TestSendersOfNewsWaitForTheBatch. Left: control moves 10 to 16 MB/s a machine at 300, which is not traced; a change is acknowledged in 5 s there.

--- a/internal/control/beats.go
+++ b/internal/control/beats.go
@@ -5,12 +5,16 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"kitetiller/internal/catalog"
 )
 
 const (
-	// beatsEach is how long heartbeats wait for others to be passed to the leader with them, and beatsMost how many may.
+	// beatsEach is how long heartbeats without news wait for others to be passed to the leader with them, newsWait how long
+	// those wait that need its answer, and beatsMost how many of each may.
 	beatsEach = 100 * time.Millisecond
+	newsWait  = 10 * time.Millisecond
 	beatsMost = 8192
 	// registeredFor is how long a back end that the leader has taken needs no answer of the leader to a heartbeat that
 	// changes nothing.
@@ -19,12 +23,20 @@
 	batchTimeout = 800 * time.Millisecond
 )
 
-// beatCollector gathers the heartbeats of a replica's callers that tell nothing new, so that the leader takes thousands of
-// back ends' in a few messages a second. What registers, drains or ends a back end is never gathered: that is answered by
-// the leader once a majority holds it.
+// pendingBeat is a heartbeat whose sender waits for the leader's answer.
+type pendingBeat struct {
+	beat Beat
+	done chan error // has room for the one answer
+}
+
+// beatCollector gathers the heartbeats of a replica's callers, so that the leader takes thousands of back ends' in a few
+// messages a second. What registers, drains or ends a back end is answered once a majority holds the whole batch; what
+// tells nothing new is answered at once.
 type beatCollector struct {
 	mu         sync.Mutex
-	waiting    []Beat                   // at most beatsMost
+	waiting    []Beat                   // without news; at most beatsMost
+	pending    []pendingBeat            // with news; at most beatsMost
+	wake       chan struct{}            // has an item when pending does; room for one
 	registered map[string]time.Duration // by id: when the leader last took it, by the server's clock
 	failing    bool                     // the newest batch did not reach the leader
 }
@@ -55,13 +67,32 @@
 	}
 }
 
-// batch returns the heartbeats that wait.
-func (c *beatCollector) batch() []Beat {
+// wait takes a heartbeat that needs the leader's answer, or returns nil when too many wait.
+func (c *beatCollector) wait(beat Beat) chan error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	batch := c.waiting
-	c.waiting = nil
-	return batch
+	if len(c.pending) >= beatsMost {
+		return nil
+	}
+	done := make(chan error, 1)
+	c.pending = append(c.pending, pendingBeat{beat: beat, done: done})
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	return done
+}
+
+// batch returns the heartbeats that wait; those with news come last, in the order in which they came.
+func (c *beatCollector) batch() (batch []Beat, pending []pendingBeat) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	batch, pending = c.waiting, c.pending
+	c.waiting, c.pending = nil, nil
+	for _, p := range pending {
+		batch = append(batch, p.beat)
+	}
+	return batch, pending
 }
 
 // passed notes whether a batch reached the leader. Those in a batch that did count as registered on.
@@ -81,19 +112,27 @@
 	}
 }
 
+// errBeatsFull says that more heartbeats wait for the leader than this replica takes.
+var errBeatsFull = eris.New("too many heartbeats wait for the leader")
+
 // Beat takes a back end's heartbeat; an error says that it has no clear answer.
 func (s *Server) Beat(ctx context.Context, beat Beat) error {
 	if s.beats.add(s.now(), beat) {
 		return nil
 	}
-	if _, err := s.group.Ask(ctx, Request{Beat: &beat}); err != nil {
+	done := s.beats.wait(beat)
+	if done == nil {
+		return errBeatsFull
+	}
+	select {
+	case err := <-done:
 		return err
+	case <-ctx.Done():
+		return ErrNoAnswer
 	}
-	s.beats.taken(s.now(), beat)
-	return nil
 }
 
-// passBeats is the thread that passes gathered heartbeats to the leader.
+// passBeats is the thread that passes gathered heartbeats to the leader, one batch after the other.
 func (s *Server) passBeats(ctx context.Context) {
 	ticker := time.NewTicker(beatsEach)
 	defer ticker.Stop()
@@ -102,8 +141,10 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-s.beats.wake:
+			time.Sleep(newsWait)
 		}
-		batch := s.beats.batch()
+		batch, pending := s.beats.batch()
 		if len(batch) == 0 {
 			continue
 		}
@@ -111,13 +152,25 @@
 		_, err := s.group.Ask(attempt, Request{Beats: batch})
 		cancel()
 		s.beats.passed(s.now(), batch, err == nil)
+		for _, p := range pending {
+			if err == nil {
+				s.beats.taken(s.now(), p.beat)
+			}
+			p.done <- err
+		}
 	}
 }
 
-// takeBeats takes gathered heartbeats; each counts as if it had come alone.
+// takeBeats takes gathered heartbeats; each counts as if it had come alone. The answer comes once a majority holds all that
+// they changed: entries commit in order, so it waits for the last.
 func (r *Replica) takeBeats(now time.Duration, client uint64, beats []Beat) {
+	before := r.node.LastIndex()
 	for _, beat := range beats {
 		r.beat(now, 0, beat)
 	}
+	if last := r.node.LastIndex(); last > before {
+		r.waiters[last] = waiter{client: client, term: r.node.Term()}
+		return
+	}
 	r.reply(client, Response{Kind: ResponseOK})
 }
--- a/internal/control/beats_test.go
+++ b/internal/control/beats_test.go
@@ -20,7 +20,11 @@
 		t.Fatal("the first heartbeat is gathered")
 	}
 	c.taken(0, ready)
-	if !c.add(time.Second, ready) || len(c.batch()) != 1 || len(c.batch()) != 0 {
+	gathered := func() int {
+		batch, _ := c.batch()
+		return len(batch)
+	}
+	if !c.add(time.Second, ready) || gathered() != 1 || gathered() != 0 {
 		t.Fatal("a heartbeat without news is not gathered once")
 	}
 	for name, news := range map[string]Beat{"draining": draining, "leaving": leaves} {
@@ -59,3 +63,39 @@
 		t.Fatalf("i-2 was heard at %v, now %v", heard, s.now)
 	}
 }
+
+// TestBatchIsAnsweredOnceAllIsHeld: a batch that changes something is answered once its last entry has committed, one that
+// changes nothing at once.
+func TestBatchIsAnsweredOnceAllIsHeld(t *testing.T) {
+	s := openFleet(t)
+	const client = 5000
+	s.replica.Handle(s.now, client, Request{Beats: []Beat{
+		beatOf("i-2", catalog.StateReady, uint64(s.now)), beatOf("i-7", catalog.StateReady, 1), beatOf("i-2", catalog.StateDraining, uint64(s.now)+1),
+		beatOf("i-8", catalog.StateReady, 1),
+	}})
+	if _, answered := s.replies[client]; answered {
+		t.Fatal("answered before anything was written")
+	}
+	s.work()
+	instances := s.replica.Machine().Catalog().Instances()
+	if s.replies[client].Kind != ResponseOK || instances["i-2"].State != catalog.StateDraining || instances["i-7"].ID == "" || instances["i-8"].ID == "" {
+		t.Fatalf("reply %+v, instances %+v", s.replies[client], instances)
+	}
+}
+
+// TestSendersOfNewsWaitForTheBatch: in the order in which they came, and no more than may wait.
+func TestSendersOfNewsWaitForTheBatch(t *testing.T) {
+	c := &beatCollector{registered: map[string]time.Duration{}, wake: make(chan struct{}, 1)}
+	for i := range beatsMost {
+		if c.wait(beatOf("i", catalog.StateReady, uint64(i))) == nil {
+			t.Fatalf("no room for news %d", i)
+		}
+	}
+	if c.wait(beatOf("i", catalog.StateReady, 0)) != nil {
+		t.Fatal("room for more than may wait")
+	}
+	batch, pending := c.batch()
+	if len(batch) != beatsMost || len(pending) != beatsMost || pending[7].beat.Sequence != 7 || len(c.wake) != 1 {
+		t.Fatalf("batch of %d, %d wait", len(batch), len(pending))
+	}
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -95,7 +95,7 @@
 	server := &Server{
 		file: file, log: log.With(zap.String("replica", string(identity.ID))), identity: identity, disk: disk,
 		started: time.Now(), inputs: make(chan input, inputRing), calls: make(chan EngineCall, callRing), orders: make(chan WeightsCall, callRing),
-		beats:   beatCollector{registered: map[string]time.Duration{}},
+		beats:   beatCollector{registered: map[string]time.Duration{}, wake: make(chan struct{}, 1)},
 		clients: map[uint64]transport.Respond{}, seen: map[consensus.ID]string{}, links: links, outboxes: map[consensus.ID]chan consensus.Message{},
 		client: transport.NewClient(file.ClusterToken, links), failed: make(chan error, 1),
 	}
