--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"kitetiller/internal/transport"
 )
 
 // Driver speaks to back ends that take orders for weights, in whatever protocol they have. Its methods may block.
@@ -46,16 +48,9 @@
 
 // followMembership is the thread that keeps the addresses of the group's client current.
 func (s *Server) followMembership(ctx context.Context) {
-	ticker := time.NewTicker(membershipPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.offer(input{inspect: func(replica *Replica) { s.group.Use(replica.addresses()) }})
-		}
-	}
+	transport.Every(ctx, membershipPeriod, func() {
+		s.offer(input{inspect: func(replica *Replica) { s.group.Use(replica.addresses()) }})
+	})
 }
 
 // addresses returns the internal addresses of the group, or none while this replica does not know it.
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -8,6 +8,7 @@
 
 	"kitetiller/internal/consensus"
 	"kitetiller/internal/events"
+	"kitetiller/internal/transport"
 )
 
 // outbox queues a message for a peer. A full outbox drops it: the protocol sends again.
@@ -116,18 +117,11 @@
 // rejoin is the thread that asks to become a learner while no leader is known: the group may have replaced this replica
 // while it was away. For a member it changes nothing.
 func (s *Server) rejoin(ctx context.Context) {
-	ticker := time.NewTicker(rejoinPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	transport.Every(ctx, rejoinPeriod, func() {
 		if s.outsider() {
 			s.tryJoin(ctx)
 		}
-	}
+	})
 }
 
 // outsider reports whether this replica has state and hears no leader.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,19 +36,6 @@
 	// to read them anywhere but at their owner.
 	rereadWeight = 0.5
 	strayCost    = 0.3
-	// moveBase is the least time of a copy, in milliseconds; farFactor is how much longer one between zones takes.
-	moveBase              = 4.0
-	farFactor             = 2.0
-	bitsPerByte           = 8
-	bitsPerMegabit        = 1e6
-	millisecondsPerSecond = 1e3
-)
-
-const (
-	// outdatedAfter is how long after newer weights were named an answer on older ones is worth less to callers, and
-	// outdatedShare of the route's objective is what that counts.
-	outdatedAfter = 1500 * time.Millisecond
-	outdatedShare = 0.25
 )
 
 // candidate is one back end as the decision sees it.
@@ -133,42 +118,6 @@
 	return picked
 }
 
-// source is a back end that is believed to hold leading parts of a prompt.
-type source struct {
-	row     *endpoint
-	salt    string
-	version uint64
-	tokens  int
-}
-
-// sources returns the back ends that hold leading shared parts of the prompt, each under the salt of its own weights, the
-// deepest first.
-func (g *Gateway) sources(now time.Duration, rows []*endpoint, wish need) []source {
-	shared := prefix.Shared(wish.call.Parts)
-	if !wish.service.Engine || len(shared) == 0 || !wish.trusted {
-		return nil
-	}
-	var found []source
-	salts := map[uint64]string{}
-	holders := g.table.holders[shared[0].ID]
-	for _, row := range holders[max(0, len(holders)-holdersSeen):] {
-		version := row.entry.Versions[wish.call.Model]
-		if version == 0 || row.entry.Service != wish.service.Name || now < row.avoidTo || row.entry.Loading {
-			continue
-		}
-		name, made := salts[version]
-		if !made {
-			name = salt(version, wish.tenant)
-			salts[version] = name
-		}
-		if tokens := row.held.cached(name, shared); tokens > 0 {
-			found = append(found, source{row: row, salt: name, version: version, tokens: tokens})
-		}
-	}
-	slices.SortStableFunc(found, func(a, b source) int { return cmp.Compare(b.tokens, a.tokens) })
-	return found
-}
-
 // eligible reports whether a back end may get a new request at all.
 func (g *Gateway) eligible(now time.Duration, row *endpoint, wish need) bool {
 	if row.entry.State != catalog.StateReady || row.entry.Loading || slices.Contains(wish.tried, row) {
@@ -178,47 +127,6 @@
 	return !limited || now < limit-beginMargin
 }
 
-// beginLimit returns until when requests may begin on a back end's weights, if newer ones were named. The time counts
-// from when the oldest version that it lacks was named, not the newest.
-func (g *Gateway) beginLimit(row *endpoint, model string) (time.Duration, bool) {
-	namedAt, lacks := g.lacksSince(row, model)
-	return namedAt + g.settings.VersionLimit, lacks
-}
-
-// lacksSince returns when the oldest version that a back end lacks was named, if there is one.
-func (g *Gateway) lacksSince(row *endpoint, model string) (time.Duration, bool) {
-	held, holds := row.entry.Versions[model]
-	if !holds {
-		return 0, false
-	}
-	for _, version := range g.table.named[model] {
-		if version.version > held {
-			return version.namedAt, true
-		}
-	}
-	return 0, false
-}
-
-// outdated is what speaks against a back end whose weights are not the newest, in milliseconds.
-func (g *Gateway) outdated(now time.Duration, scored *candidate, wish need) float64 {
-	namedAt, lacks := g.lacksSince(scored.row, wish.call.Model)
-	begins := now + time.Duration(scored.wait*float64(time.Millisecond))
-	if !lacks || begins < namedAt+outdatedAfter {
-		return 0
-	}
-	return outdatedShare * float64(wish.objective) / float64(time.Millisecond)
-}
-
-// beginsTooLate reports whether a request would likely begin after the limit for the back end's weights.
-func (g *Gateway) beginsTooLate(now time.Duration, scored *candidate, model string) bool {
-	limit, limited := g.beginLimit(scored.row, model)
-	if limited {
-		scored.beginBy = limit
-	}
-	wait := time.Duration(beginFactor * float64(scored.wait) * float64(time.Millisecond))
-	return limited && now+wait >= limit-beginMargin
-}
-
 // owner returns the back end on which requests with the same shared prompt meet while nobody is believed to hold it: the
 // highest random weight among those that may be used (rendezvous hashing), so that all gateways agree without a word.
 func (g *Gateway) owner(now time.Duration, rows []*endpoint, wish need) *endpoint {
@@ -296,48 +204,6 @@
 	}
 }
 
-// planFetch looks for the deepest copy of the missing shared parts and returns the tokens that need not be read. Where
-// none is known the store is asked: a miss costs next to nothing.
-func (g *Gateway) planFetch(now time.Duration, scored *candidate, wish need, cached int, sources []source) int {
-	shared := prefix.Shared(wish.call.Parts)
-	best, from := cached, (*endpoint)(nil)
-	for _, other := range sources {
-		if other.row == scored.row || other.version != scored.version || other.tokens < best || other.tokens <= cached {
-			continue
-		}
-		nearer := from == nil || (from.entry.Zone != scored.row.entry.Zone && other.row.entry.Zone == scored.row.entry.Zone)
-		if other.tokens > best || nearer {
-			best, from = other.tokens, other.row
-		}
-	}
-	stored := wish.store != nil && g.table.stored.holds(now, scored.salt, shared)
-	switch {
-	case from != nil && (!stored || best == prefix.PartTokens(shared)):
-		scored.fetch = from.entry.Address
-		scored.cost += moveTime(wish.service, best-cached, from.entry.Zone != scored.row.entry.Zone)
-	case stored:
-		best = prefix.PartTokens(shared)
-		scored.fetch = wish.store.Store
-		scored.cost += moveTime(wish.service, best-cached, wish.store.Zone != scored.row.entry.Zone)
-	case wish.store != nil:
-		scored.fetch, scored.save = wish.store.Store, wish.store.Store
-	}
-	return best
-}
-
-// moveTime is how long copying cached tokens takes, in milliseconds.
-func moveTime(service *catalog.Service, tokens int, far bool) float64 {
-	if service.LinkMbps <= 0 {
-		return moveBase
-	}
-	bits := float64(tokens) * service.TokenBytes * bitsPerByte
-	time := bits / (service.LinkMbps * bitsPerMegabit) * millisecondsPerSecond
-	if far {
-		time *= farFactor
-	}
-	return moveBase + time
-}
-
 // doubt is what speaks against a back end, in milliseconds.
 func doubt(now time.Duration, row *endpoint) float64 {
 	cost := failingCost * row.failing
@@ -356,21 +222,6 @@
 	return cost
 }
 
-// salt names the cached parts that a request may share: those of the same weights, and of the same tenant where it
-// shares nothing.
-func salt(version uint64, owner *catalog.Tenant) string {
-	name := "w" + formatVersion(version)
-	if owner != nil && owner.Isolated {
-		name += "/" + owner.Name
-	}
-	return name
-}
-
-// uniqueSalt names cached parts that nobody shares, for where it is not known which weights made them.
-func uniqueSalt() string { return "u" + strconv.FormatUint(rand.Uint64(), saltBase) }
-
-const saltBase = 36
-
 // rank is the priority of a request at an engine: the tenant's comes first.
 func rank(owner *catalog.Tenant, route *catalog.Route) int {
 	tenant := 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,17 +164,10 @@
 
 // sweep is the thread that closes connections which rested too long.
 func (g *Gateway) sweep(ctx context.Context) {
-	ticker := time.NewTicker(idleRepeatable / 2)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			g.pool.sweep()
-			g.table.sweep(g.now())
-		}
-	}
+	transport.Every(ctx, idleRepeatable/2, func() {
+		g.pool.sweep()
+		g.table.sweep(g.now())
+	})
 }
 
 // newRand returns a source of random numbers of this process's own.
--- a/internal/transport/links.go
+++ b/internal/transport/links.go
@@ -42,16 +42,7 @@
 }
 
 func (l *Links) watch(ctx context.Context) {
-	ticker := time.NewTicker(linkFilePoll)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			l.reload()
-		}
-	}
+	Every(ctx, linkFilePoll, l.reload)
 }
 
 func (l *Links) reload() {
