--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -30,7 +30,7 @@
 	// those that hold parts are, and a random sample.
 	scoreAllUpTo   = 64
 	maximumHolders = 24
-	holdersSeen    = 64 // of those that hold a first part, the newest are looked at
+	holdersSeen    = 64 // of those that hold a part, the newest are looked at
 	sampleSize     = 12
 	// rereadWeight is how much more than its time the reading of shared parts counts, and strayCost what it costs besides
 	// to read them anywhere but at their owner.
@@ -109,7 +109,7 @@
 	if owner != nil {
 		picked = append(picked, owner)
 	}
-	for _, held := range sources[:min(len(sources), maximumHolders)] {
+	for _, held := range sources {
 		picked = append(picked, held.row)
 	}
 	for range sampleSize {
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -26,8 +26,8 @@
 	tokens  int
 }
 
-// sources returns the back ends that hold leading shared parts of the prompt, each under the salt of its own weights, the
-// deepest first.
+// sources returns back ends that hold leading shared parts of the prompt, each under the salt of its own weights, the
+// deepest first, at most maximumHolders.
 func (g *Gateway) sources(now time.Duration, rows []*endpoint, wish need) []source {
 	shared := prefix.Shared(wish.call.Parts)
 	if !wish.service.Engine || len(shared) == 0 || !wish.trusted {
@@ -35,25 +35,35 @@
 	}
 	var found []source
 	salts := map[uint64]string{}
-	holders := g.table.holders[shared[0].ID]
-	for _, row := range holders[max(0, len(holders)-holdersSeen):] {
-		version := row.entry.Versions[wish.call.Model]
-		if version == 0 || row.entry.Service != wish.service.Name || now < row.avoidTo || row.entry.Loading {
-			continue
-		}
-		name, made := salts[version]
-		if !made {
-			name = salt(version, wish.tenant)
-			salts[version] = name
-		}
-		if tokens := row.held.cached(name, shared); tokens > 0 {
-			found = append(found, source{row: row, salt: name, version: version, tokens: tokens})
+	seen := map[*endpoint]bool{}
+	for deepest := len(shared) - 1; deepest >= 0 && len(found) < maximumHolders; deepest-- {
+		holders := g.table.holders[shared[deepest].ID]
+		for _, row := range holders[max(0, len(holders)-holdersSeen):] {
+			if held, holds := g.sourceAt(now, row, wish, salts); holds && !seen[row] && len(found) < maximumHolders {
+				found = append(found, held)
+			}
+			seen[row] = true
 		}
 	}
 	slices.SortStableFunc(found, func(a, b source) int { return cmp.Compare(b.tokens, a.tokens) })
 	return found
 }
 
+// sourceAt returns what a back end holds of a prompt's shared parts under its own weights, whose salts are kept in salts.
+func (g *Gateway) sourceAt(now time.Duration, row *endpoint, wish need, salts map[uint64]string) (source, bool) {
+	version := row.entry.Versions[wish.call.Model]
+	if version == 0 || row.entry.Service != wish.service.Name || now < row.avoidTo || row.entry.Loading {
+		return source{}, false
+	}
+	name, made := salts[version]
+	if !made {
+		name = salt(version, wish.tenant)
+		salts[version] = name
+	}
+	tokens := row.held.cached(name, prefix.Shared(wish.call.Parts))
+	return source{row: row, salt: name, version: version, tokens: tokens}, tokens > 0
+}
+
 // planFetch looks for the deepest copy of the missing shared parts and returns the tokens that need not be read. Where
 // none is known the store is asked: a miss costs next to nothing.
 func (g *Gateway) planFetch(now time.Duration, scored *candidate, wish need, cached int, sources []source) int {
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -48,7 +48,7 @@
 	stored   *stored                // parts that were sent to a store
 	lanes    map[string]*lanes      // by service
 	stays    map[string]stays       // by service
-	holders  map[string][]*endpoint // that hold a first part, under any salt, by its id
+	holders  map[string][]*endpoint // that hold a shared part, under any salt, by its id
 	changed  chan struct{}          // closed and made anew with each roster
 }
 
@@ -301,7 +301,7 @@
 // forgetHolders drops back ends that are gone, and parts that nobody holds any more, from the holders.
 func (t *table) forgetHolders() {
 	for id, rows := range t.holders {
-		rows = slices.DeleteFunc(rows, func(row *endpoint) bool { return row.gone || !row.held.holdsFirst(id) })
+		rows = slices.DeleteFunc(rows, func(row *endpoint) bool { return row.gone || !row.held.holds(id) })
 		if len(rows) == 0 {
 			delete(t.holders, id)
 			continue
@@ -321,8 +321,10 @@
 }
 
 func (t *table) hold(at time.Duration, row *endpoint, made send) {
-	if len(made.Parts) > 1 && !slices.Contains(t.holders[made.Parts[0].ID], row) {
-		t.holders[made.Parts[0].ID] = append(t.holders[made.Parts[0].ID], row)
+	for _, part := range prefix.Shared(made.Parts) {
+		if !slices.Contains(t.holders[part.ID], row) {
+			t.holders[part.ID] = append(t.holders[part.ID], row)
+		}
 	}
 	row.held.use(at, made.Salt, made.Parts)
 	if made.Saved {
--- a/internal/gateway/holdings.go
+++ b/internal/gateway/holdings.go
@@ -77,8 +77,8 @@
 	h.total = 0
 }
 
-// holdsFirst reports whether a part is held under any salt.
-func (h *holdings) holdsFirst(id string) bool { return h.salts[id] > 0 }
+// holds reports whether a part is held under any salt.
+func (h *holdings) holds(id string) bool { return h.salts[id] > 0 }
 
 // cached returns the leading tokens that are believed to be held; a part is of use only behind all parts before it.
 func (h *holdings) cached(salt string, parts []prefix.Part) int {
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -347,3 +347,31 @@
 		}
 	}
 }
+
+// TestDeepestHolderIsFound: where every engine holds the first part of a prompt, the one that also holds the next is found,
+// however long ago that was.
+func TestDeepestHolderIsFound(t *testing.T) {
+	const engines = 200
+	g := &Gateway{settings: Settings{Zone: "z", VersionLimit: time.Second}, table: newTable()}
+	news := &control.RosterNews{Whole: true}
+	for i := range engines {
+		news.Entries = append(news.Entries, control.RosterEntry{
+			Instance: catalog.Instance{ID: fmt.Sprint(i), Service: "s", Address: fmt.Sprint(i), State: catalog.StateReady},
+			Versions: map[string]uint64{"m": 1},
+		})
+	}
+	g.table.takeRoster(0, news, nil)
+	preamble, dossier, own := prefix.Part{ID: "p", Tokens: 2500}, prefix.Part{ID: "d", Tokens: 3800}, prefix.Part{ID: "o", Tokens: 10}
+	for i := range engines {
+		parts := []prefix.Part{preamble, {ID: fmt.Sprint("other", i), Tokens: 100}, own}
+		if i == 0 {
+			parts[1] = dossier
+		}
+		g.table.noteHeld(time.Duration(i), send{Instance: fmt.Sprint(i), Salt: "w1", Parts: parts})
+	}
+	wish := need{service: &catalog.Service{Name: "s", Engine: true}, trusted: true, call: &Call{Model: "m", Parts: []prefix.Part{preamble, dossier, own}}}
+	found := g.sources(time.Second, g.table.services["s"], wish)
+	if len(found) == 0 || found[0].row.entry.ID != "0" || found[0].tokens != 6300 || len(found) > maximumHolders {
+		t.Fatalf("%d sources, the first %+v", len(found), found)
+	}
+}
