--- a/internal/lab/sim/fleet.go
+++ b/internal/lab/sim/fleet.go
@@ -133,7 +133,15 @@
 	if b.w.chance(0.05) {
 		late = b.w.between(0, 3*time.Second)
 	}
-	b.w.after(late, func() { b.asker.once(control.Request{Beat: beat}, askTimeout, func(control.Response, bool) {}) })
+	b.w.after(late, func() { b.asker.once(b.request(beat), askTimeout, func(control.Response, bool) {}) })
+}
+
+// request puts a heartbeat into a call: every other one as a replica that gathers heartbeats passes them on.
+func (b *fleetBackend) request(beat *control.Beat) control.Request {
+	if beat.Sequence%2 == 0 {
+		return control.Request{Beats: []control.Beat{*beat}}
+	}
+	return control.Request{Beat: beat}
 }
 
 // drain says that the instance leaves, and ends it after the acknowledgement.
@@ -145,7 +153,7 @@
 	b.sequence++
 	id := b.id
 	beat := &control.Beat{Instance: b.instance(), Sequence: b.sequence}
-	b.asker.ask(control.Request{Beat: beat}, b.w.now()+10*time.Second, func(_ control.Response, decided bool) {
+	b.asker.ask(b.request(beat), b.w.now()+10*time.Second, func(_ control.Response, decided bool) {
 		if decided {
 			b.w.oracle.fleet.leaving[id] = b.w.now()
 		}
