--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -59,8 +59,6 @@
 	call    *Call
 	tried   []*endpoint
 	trusted bool // the view is confirmed, so what it says of weights holds
-	// objective is the time to the first event that callers want; 0 unknown.
-	objective time.Duration
 }
 
 // total is the number of prompt tokens.
@@ -162,7 +160,6 @@
 	scored := candidate{row: row}
 	if wish.service.Engine {
 		g.scoreEngine(now, &scored, wish, owner, sources)
-		scored.cost += g.outdated(now, &scored, wish)
 	} else {
 		scored.cost = slotTime * float64(row.occupied.own.running+row.others) / float64(max(1, row.entry.Slots))
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -211,7 +211,7 @@
 
 // place chooses a back end; while none can be used it waits a moment for a better roster.
 func (x *exchange) place() *candidate {
-	wish := need{service: x.service, store: x.view.storeOf(x.call.Parts), tenant: x.tenant, call: &x.call, tried: x.tried, objective: x.route.Objective}
+	wish := need{service: x.service, store: x.view.storeOf(x.call.Parts), tenant: x.tenant, call: &x.call, tried: x.tried}
 	patience := x.gateway.now() + backendGrace
 	for {
 		wish.trusted = x.gateway.trusted(x.gateway.now())
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -8,13 +8,6 @@
 	"kitetiller/internal/catalog"
 )
 
-const (
-	// outdatedAfter is how long after newer weights were named an answer on older ones is worth less to callers, and
-	// outdatedShare of the route's objective is what that counts.
-	outdatedAfter = 1500 * time.Millisecond
-	outdatedShare = 0.25
-)
-
 // beginLimit returns until when requests may begin on a back end's weights, if newer ones were named. The time counts
 // from when the oldest version that it lacks was named, not the newest.
 func (g *Gateway) beginLimit(row *endpoint, model string) (time.Duration, bool) {
@@ -36,16 +29,6 @@
 	return 0, false
 }
 
-// outdated is what speaks against a back end whose weights are not the newest, in milliseconds.
-func (g *Gateway) outdated(now time.Duration, scored *candidate, wish need) float64 {
-	namedAt, lacks := g.lacksSince(scored.row, wish.call.Model)
-	begins := now + time.Duration(scored.wait*float64(time.Millisecond))
-	if !lacks || begins < namedAt+outdatedAfter {
-		return 0
-	}
-	return outdatedShare * float64(wish.objective) / float64(time.Millisecond)
-}
-
 // beginsTooLate reports whether a request would likely begin after the limit for the back end's weights.
 func (g *Gateway) beginsTooLate(now time.Duration, scored *candidate, model string) bool {
 	limit, limited := g.beginLimit(scored.row, model)
