Repair after reading the change: what stood twice, was dead, or was worked out for every back end

One predicate for a back end that holds weights in place of four; Once and askOnce are one; a constant, a field and a parameter that nothing used are gone; the memory that a prompt takes and the stay of a service's requests are found once a decision, not once a candidate; a switch in place of a map made for each message. Behaviour is as before; no test's assertion changed.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -81,7 +81,7 @@
 func (c *Client) Ask(ctx context.Context, request Request) (Response, error) {
 	for {
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-		response, err := c.askOnce(attempt, request)
+		response, err := c.Once(attempt, request)
 		cancel()
 		if err == nil && response.Kind == ResponseOK {
 			return response, nil
@@ -94,8 +94,8 @@
 	}
 }
 
-// askOnce asks one replica and learns who leads.
-func (c *Client) askOnce(ctx context.Context, request Request) (Response, error) {
+// Once asks one replica once, for callers with a rhythm and a time limit of their own, and learns who leads.
+func (c *Client) Once(ctx context.Context, request Request) (Response, error) {
 	address := c.target()
 	var response Response
 	if err := c.transport.Post(ctx, address, PathRequest, request, &response); err != nil {
@@ -113,8 +113,3 @@
 	}
 	return response, nil
 }
-
-// Once asks one replica once, for callers with a rhythm and a time limit of their own.
-func (c *Client) Once(ctx context.Context, request Request) (Response, error) {
-	return c.askOnce(ctx, request)
-}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -37,6 +37,10 @@
 	rollout   rolloutState
 }
 
+// engine reports whether the back end holds weights; only such a one takes orders, and gateways tell each other of their
+// requests there. It may be called on nil.
+func (s *memberState) engine() bool { return s != nil && len(s.versions) > 0 }
+
 // WantedVersion is a weights version of a model that was named lately. The list rises by version; each one has its own
 // time, since a back end that lacks several is late by the oldest of them.
 type WantedVersion struct {
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -158,7 +158,7 @@
 	engines := 0
 	for id := range r.machine.catalog.Instances() {
 		state := r.lead.fleet[id]
-		if state == nil || len(state.versions) == 0 {
+		if !state.engine() {
 			continue
 		}
 		engines++
@@ -213,7 +213,7 @@
 	instances := r.machine.catalog.Instances()
 	for _, id := range sortedKeys(instances) {
 		state := r.member(now, id)
-		if len(state.versions) > 0 {
+		if state.engine() {
 			engines++
 		}
 		_, _, lags := r.lagging(instances[id], state)
@@ -263,7 +263,7 @@
 	ready := 0
 	for id, instance := range r.machine.catalog.Instances() {
 		state := r.lead.fleet[id]
-		if state != nil && len(state.versions) > 0 && !state.silent && instance.State == catalog.StateReady {
+		if state.engine() && !state.silent && instance.State == catalog.StateReady {
 			ready++
 		}
 	}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -166,19 +166,13 @@
 	own := r.lead.usage[asking].running
 	used = map[string]int{}
 	for id, running := range sum.running {
-		if others := running - own[id]; others > 0 && !r.tellsOfSends(id) {
+		if others := running - own[id]; others > 0 && !r.lead.fleet[id].engine() {
 			used[id] = others
 		}
 	}
 	return used, sum.gateways
 }
 
-// tellsOfSends reports whether gateways tell each other of their requests at a back end: they do for engines.
-func (r *Replica) tellsOfSends(id string) bool {
-	state := r.lead.fleet[id]
-	return state != nil && len(state.versions) > 0
-}
-
 // closeWatchers answers every held question when the leadership ends.
 func (r *Replica) closeWatchers(lead *leadership) {
 	for _, held := range lead.watchers {
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -156,9 +156,15 @@
 }
 
 func (g *Gateway) handlePeer(request transport.Request, respond transport.Respond) {
-	onward := map[string]func(send){pathSends: func(send) {}, pathRow: g.spread.column.Announce, pathImports: g.spread.imported}
-	pass, known := onward[request.Path]
-	if !known {
+	var pass func(send)
+	switch request.Path {
+	case pathSends:
+		pass = func(send) {}
+	case pathRow:
+		pass = g.spread.column.Announce
+	case pathImports:
+		pass = g.spread.imported
+	default:
 		respond(http.StatusNotFound, nil)
 		return
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -58,7 +58,9 @@
 	tenant  *catalog.Tenant
 	call    *Call
 	tried   []*endpoint
-	trusted bool // the view is confirmed, so what it says of weights holds
+	trusted bool  // the view is confirmed, so what it says of weights holds
+	memory  int   // tokens that the prompt takes of an engine's memory; set by choose
+	stay    stays // how long requests stay at the service's back ends; set by choose
 }
 
 // total is the number of prompt tokens.
@@ -76,9 +78,10 @@
 	rows := g.table.services[wish.service.Name]
 	if wish.service.Engine {
 		g.table.lane(wish.service.Name).divide(rows)
+		wish.memory, wish.stay = memoryOf(wish.call), g.table.stay(wish.service.Name)
 	}
 	owner := g.owner(now, rows, wish)
-	sources := g.sources(now, rows, wish)
+	sources := g.sources(now, wish)
 	listed := g.shortlist(rows, owner, sources)
 	first := rand.IntN(max(1, len(listed))) // so that gateways which see the same don't all take the same one of equals
 	for i := range listed {
@@ -191,7 +194,7 @@
 	queue := max(0, row.busyTo-now)
 	held := row.occupied.total()
 	scored.cost += float64(queue)/float64(time.Millisecond) + float64(scored.uncached)/prefillRate
-	scored.cost += crowding(held, row.entry.Slots, wish.service.CacheLimit, memoryOf(wish.call), g.table.stay(wish.service.Name))
+	scored.cost += crowding(held, row.entry.Slots, wish.service.CacheLimit, wish.memory, wish.stay)
 	scored.wait = scored.cost
 	scored.cost += row.astray(scored.uncached)
 	scored.cost += rereadWeight * float64(sharedTokens-cached) / prefillRate
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -21,14 +21,13 @@
 // source is a back end that is believed to hold leading parts of a prompt.
 type source struct {
 	row     *endpoint
-	salt    string
 	version uint64
 	tokens  int
 }
 
 // sources returns back ends that hold leading shared parts of the prompt, each under the salt of its own weights, the
 // deepest first, at most maximumHolders.
-func (g *Gateway) sources(now time.Duration, rows []*endpoint, wish need) []source {
+func (g *Gateway) sources(now time.Duration, wish need) []source {
 	shared := prefix.Shared(wish.call.Parts)
 	if !wish.service.Engine || len(shared) == 0 || !wish.trusted {
 		return nil
@@ -61,7 +60,7 @@
 		salts[version] = name
 	}
 	tokens := row.held.cached(name, prefix.Shared(wish.call.Parts))
-	return source{row: row, salt: name, version: version, tokens: tokens}, tokens > 0
+	return source{row: row, version: version, tokens: tokens}, tokens > 0
 }
 
 // planFetch looks for the deepest copy of the missing shared parts and returns the tokens that need not be read. Where
--- a/internal/gateway/suspicion.go
+++ b/internal/gateway/suspicion.go
@@ -11,11 +11,10 @@
 	unreachedBase = 800 * time.Millisecond
 	// failureSmoothing weighs the newest outcome in a back end's share of failures.
 	failureSmoothing = 0.1
-	// reportersNeeded gateways must report a back end within reportWindow, so that one gateway which is cut off by itself
+	// reportWindow is the time within which two gateways must report a back end, so that one which is cut off by itself
 	// turns nobody away; reported ones are avoided for reportedFor.
-	reportersNeeded = 2
-	reportWindow    = 2 * time.Second
-	reportedFor     = 1200 * time.Millisecond
+	reportWindow = 2 * time.Second
+	reportedFor  = 1200 * time.Millisecond
 )
 
 // outcomeGrade tells what an attempt says of its back end.
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -344,7 +344,7 @@
 		g.table.noteHeld(time.Duration(i), send{Instance: fmt.Sprint(i), Salt: "w1", Parts: parts})
 	}
 	wish := need{service: &catalog.Service{Name: "s", Engine: true}, trusted: true, call: &Call{Model: "m", Parts: []prefix.Part{preamble, dossier, own}}}
-	found := g.sources(time.Second, g.table.services["s"], wish)
+	found := g.sources(time.Second, wish)
 	if len(found) == 0 || found[0].row.entry.ID != "0" || found[0].tokens != 6300 || len(found) > maximumHolders {
 		t.Fatalf("%d sources, the first %+v", len(found), found)
 	}
