A group whose processes all started at once elects a leader at once

Change: a voter that has just started asks the others whether they know a leader. When every one of them has answered this life of it that they know none, no process is left that a lease was promised to, and it may vote and stand at once; the first by log and id stands first. Ruled out: a shorter start block (the lease would not be covered), a quorum of answers in place of all (the one left out may be the leader), answers by term in place of by life (one to a former life may be older than a promise that life made since).

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -130,6 +130,21 @@
 			c.settle(r)
 		}
 	}
+	c.checkLeases()
+}
+
+// checkLeases holds that at most one replica may serve reads.
+func (c *cluster) checkLeases() {
+	var holder *replica
+	for _, r := range c.replicas {
+		if !r.up || !r.node.LeaseValid(c.now) {
+			continue
+		}
+		if holder != nil {
+			c.fail("%s (term %d) and %s (term %d) both hold a lease", holder.id, holder.node.Term(), r.id, r.node.Term())
+		}
+		holder = r
+	}
 }
 
 func (c *cluster) leader() *replica {
--- /dev/null
+++ b/internal/consensus/coldstart.go
@@ -0,0 +1,119 @@
+package consensus
+
+import "time"
+
+// coldStart lets a group whose processes were all ended together elect at once.
+//
+// A replica that has just started refuses votes for a while, since it may have promised a leader a lease in its former
+// life. It need not once every other voter has said, in answer to a question of this life, that it has heard no leader in
+// its own life either: then no process is left that a lease was promised to. The answer must be to this life: one that was
+// given to a former life may be older than a promise which that life made since.
+type coldStart struct {
+	life    uint64             // random name of this life of the replica
+	began   time.Duration      // when this life began
+	over    bool               // this life has heard a leader, or led; it never turns false again
+	quiet   bool               // every other voter knows no leader; only while over is false
+	askedAt time.Duration      // when the others were last asked
+	others  map[ID]logPosition // voters that know no leader, with the end of their logs
+	rank    int                // voters that go ahead of this replica; only while quiet
+}
+
+// logPosition is the end of a replica's log.
+type logPosition struct{ term, index uint64 }
+
+// before reports whether a replica of this position and id goes ahead of another one: the longer log, then the lower id.
+func (p logPosition) before(id ID, other logPosition, otherID ID) bool {
+	switch {
+	case p.term != other.term:
+		return p.term > other.term
+	case p.index != other.index:
+		return p.index > other.index
+	}
+	return id < otherID
+}
+
+// coldStartShare is the part of a heartbeat after which the first of the waiting voters stands for election; each one
+// behind it waits coldStartStep heartbeats longer, so that they don't take each other's votes.
+const (
+	coldStartShare = 4
+	coldStartStep  = 2
+)
+
+// due returns when the other voters are to be asked next, if they are. Later than the longest election timeout the ordinary
+// election has long begun.
+func (c *coldStart) due(timing Timing) (time.Duration, bool) {
+	next := c.askedAt + timing.Heartbeat
+	return next, !c.over && !c.quiet && next < c.began+timing.ElectionMax
+}
+
+// end notes that this life has heard a leader, or leads.
+func (c *coldStart) end() { c.over, c.quiet, c.others = true, false, nil }
+
+// coldDue returns when this replica asks the other voters next, if it does.
+func (n *Node) coldDue() (time.Duration, bool) {
+	next, asks := n.cold.due(n.config.Timing)
+	return next, asks && n.membership.IsVoter(n.config.ID)
+}
+
+// askCold asks the other voters whether they know a leader.
+func (n *Node) askCold(now time.Duration) {
+	n.cold.askedAt = now
+	for _, m := range n.membership.Members {
+		if !m.Learner && m.ID != n.config.ID {
+			n.sendCold(MessageCold, m.ID, n.cold.life)
+		}
+	}
+	n.judgeCold(now) // there may be no other
+}
+
+func (n *Node) sendCold(kind MessageKind, to ID, life uint64) {
+	n.send(Message{Kind: kind, To: to, Term: n.hard.Term, Index: n.log.lastIndex(), LogTerm: n.log.lastTerm(), Life: life})
+}
+
+// handleCold answers a voter that has just started, if this replica knows no leader either, and asks it back at once.
+func (n *Node) handleCold(m Message) {
+	if n.cold.over {
+		return
+	}
+	n.sendCold(MessageColdReply, m.From, m.Life)
+	if _, told := n.cold.others[m.From]; !told && !n.cold.quiet && n.membership.IsVoter(m.From) {
+		n.sendCold(MessageCold, m.From, n.cold.life)
+	}
+}
+
+// handleColdReply counts a voter that knows no leader.
+func (n *Node) handleColdReply(now time.Duration, m Message) {
+	if n.cold.over || n.cold.quiet || m.Life != n.cold.life || !n.membership.IsVoter(n.config.ID) {
+		return
+	}
+	n.cold.others[m.From] = logPosition{term: m.LogTerm, index: m.Index}
+	n.judgeCold(now)
+}
+
+// judgeCold looks whether all other voters have answered. Then the first by log and id stands for election.
+func (n *Node) judgeCold(now time.Duration) {
+	own, rank := logPosition{term: n.log.lastTerm(), index: n.log.lastIndex()}, 0
+	for _, m := range n.membership.Members {
+		if m.Learner || m.ID == n.config.ID {
+			continue
+		}
+		at, told := n.cold.others[m.ID]
+		if !told {
+			return
+		}
+		if at.before(m.ID, own, n.config.ID) {
+			rank++
+		}
+	}
+	n.cold.quiet, n.cold.rank = true, rank
+	n.standSoon(now)
+}
+
+// standSoon lets a voter of a quiet group stand for election soon, the first ones sooner. One that was refused stands again:
+// the others may not all have heard yet that the group is quiet.
+func (n *Node) standSoon(now time.Duration) {
+	if n.cold.quiet {
+		beat := n.config.Timing.Heartbeat
+		n.electionDue = min(n.electionDue, now+beat/coldStartShare+time.Duration(n.cold.rank*coldStartStep)*beat)
+	}
+}
--- /dev/null
+++ b/internal/consensus/coldstart_test.go
@@ -0,0 +1,124 @@
+package consensus
+
+import (
+	"testing"
+	"time"
+)
+
+// restart ends the given replicas at once and starts them again, in their order, one each gap.
+func (c *cluster) restart(gap time.Duration, replicas ...*replica) {
+	for _, r := range replicas {
+		r.up = false
+	}
+	c.mail = nil
+	for i, r := range replicas {
+		if i > 0 {
+			c.calm(gap)
+		}
+		c.start(r)
+	}
+}
+
+// leaderWithin lets time pass until a leader may serve reads, and returns how long that took.
+func (c *cluster) leaderWithin(t *testing.T, most time.Duration) {
+	t.Helper()
+	began := c.now
+	for c.now < began+most {
+		c.calm(10 * time.Millisecond)
+		if leader := c.leader(); leader != nil && leader.node.LeaseValid(c.now) {
+			return
+		}
+	}
+	t.Fatalf("no leader within %v of the last start", most)
+}
+
+// TestWholeGroupElectsAtOnceAfterRestart: nobody is left that a lease was promised to.
+func TestWholeGroupElectsAtOnceAfterRestart(t *testing.T) {
+	for _, gap := range []time.Duration{0, 5 * time.Millisecond, 60 * time.Millisecond, 300 * time.Millisecond} {
+		for seed := range uint64(20) {
+			c := newCluster(3, seed, t.Fatalf)
+			c.calm(3 * time.Second)
+			c.restart(gap, c.replicas...)
+			c.leaderWithin(t, testTiming.ElectionMin/2)
+		}
+	}
+}
+
+// TestRestartedMinorityLeavesTheLeader: those that restart learn that another voter knows a leader, and wait.
+func TestRestartedMinorityLeavesTheLeader(t *testing.T) {
+	c := newCluster(3, 1, t.Fatalf)
+	c.calm(3 * time.Second)
+	leader := c.leader()
+	term := leader.node.Term()
+	for _, r := range c.replicas {
+		if r != leader {
+			c.restart(0, r)
+			c.calm(time.Second)
+		}
+	}
+	if c.leader() != leader || leader.node.Term() != term {
+		t.Fatalf("term %d became %d", term, c.leader().node.Term())
+	}
+}
+
+// TestRestartedMajorityWaitsOutTheLease: the leader is cut off and may still hold a lease, so that the two others, which
+// have just started and see nobody else, wait as long as the lease may run.
+func TestRestartedMajorityWaitsOutTheLease(t *testing.T) {
+	c := newCluster(3, 1, t.Fatalf)
+	c.calm(3 * time.Second)
+	leader := c.leader()
+	c.cut[leader.id] = true
+	var others []*replica
+	for _, r := range c.replicas {
+		if r != leader {
+			others = append(others, r)
+		}
+	}
+	c.restart(0, others...)
+	began := c.now
+	for c.now < began+testTiming.ElectionMin-20*time.Millisecond {
+		c.calm(20 * time.Millisecond)
+		if c.leader() != nil {
+			t.Fatalf("elected after %v, while the old lease may run", c.now-began)
+		}
+	}
+}
+
+// TestRefusedVoterOfAQuietGroupStandsAgain: the first to know that no voter knows a leader asks those that have not heard
+// it yet (ayni-lima trouble-1: 120 ms after a restart of all).
+func TestRefusedVoterOfAQuietGroupStandsAgain(t *testing.T) {
+	c := newCluster(3, 1, t.Fatalf)
+	c.calm(3 * time.Second)
+	c.restart(0, c.replicas...)
+	first := c.replicas[0].node
+	for _, other := range c.replicas[1:] {
+		first.Step(c.now, Message{Kind: MessageColdReply, From: other.id, To: first.config.ID, Term: 1, Life: first.cold.life})
+	}
+	first.Tick(first.electionDue)
+	for _, other := range c.replicas[1:] {
+		first.Step(c.now, Message{Kind: MessagePreVoteReply, From: other.id, To: first.config.ID, Term: first.Term(), Reject: true})
+	}
+	if wait := first.electionDue - c.now; wait > testTiming.Heartbeat {
+		t.Fatalf("stands again after %v", wait)
+	}
+}
+
+// TestAnswerToAFormerLifeDoesNotCount: what was said before this life began may be older than a promise of the last life.
+func TestAnswerToAFormerLifeDoesNotCount(t *testing.T) {
+	c := newCluster(3, 1, t.Fatalf)
+	r := c.replicas[0]
+	c.mail = nil
+	c.start(r)
+	for _, other := range c.replicas[1:] {
+		r.node.Step(c.now, Message{Kind: MessageColdReply, From: other.id, To: r.id, Term: 1, Life: r.node.cold.life + 1})
+	}
+	if r.node.cold.quiet {
+		t.Fatal("answers to another life let it vote at once")
+	}
+	for _, other := range c.replicas[1:] {
+		r.node.Step(c.now, Message{Kind: MessageColdReply, From: other.id, To: r.id, Term: 1, Life: r.node.cold.life})
+	}
+	if !r.node.cold.quiet {
+		t.Fatal("all voters know no leader, and it still waits")
+	}
+}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -72,12 +72,14 @@
 		n.becomeLeader(now)
 	case refused >= quorum:
 		n.becomeFollower(now, n.hard.Term, "")
+		n.standSoon(now)
 	}
 }
 
 func (n *Node) becomeLeader(now time.Duration) {
 	n.role = Leader
 	n.leader = n.config.ID
+	n.cold.end()
 	n.peers = map[ID]*progress{}
 	n.refreshMembership()
 	for _, peer := range n.peers {
@@ -89,14 +91,14 @@
 }
 
 // handleVote answers a vote or pre-vote request. A replica that heard a leader within the shortest
-// election timeout refuses both: leases depend on it.
+// election timeout refuses both: leases depend on it. Its start counts as one, unless no voter knows a leader.
 func (n *Node) handleVote(now time.Duration, message Message) {
 	preVote := message.Kind == MessagePreVote
 	reply := Message{Kind: MessageVoteReply, To: message.From, Term: n.hard.Term, Reject: true}
 	if preVote {
 		reply.Kind = MessagePreVoteReply
 	}
-	leaderAlive := n.role == Leader || now < n.leaderHeardAt+n.config.Timing.ElectionMin
+	leaderAlive := n.role == Leader || (!n.cold.quiet && now < n.leaderHeardAt+n.config.Timing.ElectionMin)
 	if leaderAlive || message.Term < n.hard.Term {
 		n.send(reply)
 		return
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -36,6 +37,7 @@
 	leaderHeardAt  time.Duration // last time a valid leader was heard; start-up counts as heard
 	electionDue    time.Duration
 	termStartIndex uint64 // index of the no-op of the current leadership
+	cold           coldStart
 
 	hardDirty      bool
 	unstableFrom   uint64 // first index to hand out in Ready.Entries; 0 when none
@@ -54,6 +56,9 @@
 		delivered:      restored.Snapshot.Index,
 		leaderHeardAt:  now,
 		snapshotSource: snapshotSource,
+		cold: coldStart{
+			life: uint64(config.Random(math.MaxInt64)), began: now, askedAt: now - config.Timing.Heartbeat, others: map[ID]logPosition{},
+		},
 	}
 	node.persisted = node.log.lastIndex()
 	node.refreshMembership()
@@ -109,6 +114,9 @@
 	if now >= n.electionDue && n.membership.IsVoter(n.config.ID) {
 		n.startPreVote(now)
 	}
+	if due, asks := n.coldDue(); asks && now >= due {
+		n.askCold(now)
+	}
 }
 
 // NextDue returns when Tick has something to do at the latest.
@@ -116,6 +124,9 @@
 	if n.role == Leader {
 		return n.lastHeartbeat + n.config.Timing.Heartbeat
 	}
+	if due, asks := n.coldDue(); asks {
+		return min(n.electionDue, due)
+	}
 	return n.electionDue
 }
 
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -19,6 +19,10 @@
 		n.handleAppend(now, message)
 	case MessageSnapshot:
 		n.handleSnapshot(now, message)
+	case MessageCold:
+		n.handleCold(message)
+	case MessageColdReply:
+		n.handleColdReply(now, message)
 	case MessageAppendReply:
 		n.handleAppendReply(now, message)
 	}
@@ -114,6 +118,7 @@
 	}
 	n.becomeFollower(now, message.Term, message.From)
 	n.leaderHeardAt = now
+	n.cold.end()
 	return true
 }
 
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -141,6 +141,8 @@
 	MessageAppend
 	MessageAppendReply
 	MessageSnapshot
+	MessageCold      // a voter that has just started asks whether a leader is known
+	MessageColdReply // none is; not sent otherwise
 )
 
 // Message is what one replica sends to another.
@@ -157,6 +159,7 @@
 	SentAt   time.Duration `json:"sent_at,omitempty"`  // sender's clock, echoed in the reply to extend the lease
 	Entries  []Entry       `json:"entries,omitempty"`  // entries after Index
 	Snapshot *Snapshot     `json:"snapshot,omitempty"` // MessageSnapshot only
+	Life     uint64        `json:"life,omitempty"`     // MessageCold: of the asking replica; echoed in the reply
 }
 
 // Ready is the work that the caller must do, in the order of the package comment.
