Gateways hear of a new leader at once, and requests wait for one that is expected

Cause: after a restart of all, a gateway's question went to machines that were still coming up and hung for 650 ms; then it asked one replica after the other with pauses.

Change: replicas hold gateways' questions while no leader is known; a gateway without control asks three at once and whom they name; connections between processes that don't come up within a heartbeat (150 ms for gateways) are tried anew; a request waits for control where a replica answers or the gateway has just started, an eighth of the caller's patience and 0.5 s at most, and gets its final answer at once after that; the time to come back follows from how long control was gone before, spread.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -34,7 +34,8 @@
 	addresses atomic.Pointer[[]string]
 	next      atomic.Uint32
 	leader    atomic.Pointer[string]
-	failed    atomic.Pointer[failure] // the newest one
+	failed    atomic.Pointer[failure]   // the newest one
+	heard     atomic.Pointer[time.Time] // when a replica last answered anything; nil never
 }
 
 // failure is an address that gave no answer, and when.
@@ -96,13 +97,22 @@
 
 // Once asks one replica once, for callers with a rhythm and a time limit of their own, and learns who leads.
 func (c *Client) Once(ctx context.Context, request Request) (Response, error) {
-	address := c.target()
+	return c.askAt(ctx, c.target(), request)
+}
+
+// askAt asks the replica at an address once.
+func (c *Client) askAt(ctx context.Context, address string, request Request) (Response, error) {
 	var response Response
 	if err := c.transport.Post(ctx, address, PathRequest, request, &response); err != nil {
+		if ctx.Err() == context.Canceled {
+			return response, err // the caller has its answer from elsewhere
+		}
 		c.leader.Store(nil)
 		c.failed.Store(&failure{address: address, at: time.Now()})
 		return response, err
 	}
+	now := time.Now()
+	c.heard.Store(&now)
 	switch {
 	case response.Kind == ResponseOK:
 		c.leader.Store(&address)
@@ -113,3 +123,51 @@
 	}
 	return response, nil
 }
+
+// HeardWithin reports whether a replica has answered anything so lately.
+func (c *Client) HeardWithin(limit time.Duration) bool {
+	at := c.heard.Load()
+	return at != nil && time.Since(*at) < limit
+}
+
+// Any asks several replicas at once, each once, and whoever they name as leader. The first that leads answers for all. It
+// is for callers without a leader: one address that is silent must not hold them up.
+func (c *Client) Any(ctx context.Context, request Request) (Response, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	asked := map[string]bool{}
+	answers := make(chan Response, anyMost)
+	ask := func(address string) {
+		if asked[address] || len(asked) >= anyMost {
+			return
+		}
+		asked[address] = true
+		go func() {
+			response, err := c.askAt(ctx, address, request)
+			if err != nil {
+				response = Response{Kind: ResponseNoQuorum}
+			}
+			answers <- response
+		}()
+	}
+	for range anyAtOnce {
+		ask(c.target())
+	}
+	for done := 0; done < len(asked); done++ {
+		response := <-answers
+		if response.Kind == ResponseOK {
+			return response, nil
+		}
+		if response.Leader != "" {
+			ask(response.Leader)
+		}
+	}
+	return Response{}, ErrNoAnswer
+}
+
+const (
+	// anyAtOnce is how many replicas are asked at once when no leader is known, and anyMost how many in all, with those
+	// that the first ones name.
+	anyAtOnce = 3
+	anyMost   = 6
+)
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -87,7 +87,7 @@
 		return
 	}
 	if r.lead == nil {
-		r.reply(client, Response{Kind: ResponseNotLeader, Leader: r.leaderAddress()})
+		r.turnAway(now, client, request)
 		return
 	}
 	if !r.current(now) && (request.Watch == nil || !r.confirms(now)) {
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -74,6 +74,7 @@
 	effects     Effects
 	lead        *leadership
 	namings     map[string][]namedVersion // by model: the versions that were applied here, rising
+	leaderless  []watcher                 // gateways' questions that wait for a leader; at most leaderlessMost
 	checkpoint  bool                      // a snapshot must be written with the next Work
 }
 
@@ -129,6 +130,7 @@
 	if r.lead != nil {
 		r.answerWatchers(now)
 	}
+	r.endLeaderless(now)
 }
 
 // Step handles a message of another replica.
@@ -219,6 +221,7 @@
 	r.effects.Messages = append(r.effects.Messages, r.ready.Messages...)
 	r.ready = consensus.Ready{}
 	r.maybeSnapshot()
+	r.endLeaderless(now)
 	effects := r.effects
 	r.effects = Effects{}
 	effects.Weights = r.dropLateCalls(now, effects.Weights)
--- /dev/null
+++ b/internal/control/restart_test.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/transport"
+)
+
+// openStarting opens a group of one that has just started and leads nothing yet.
+func openStarting(t *testing.T, folder string) *solo {
+	t.Helper()
+	s := openSolo(t, folder)
+	if err := s.disk.Close(); err != nil {
+		t.Fatal(err)
+	}
+	disk, identity, restored, err := OpenDisk(folder, "c1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	replica, err := NewReplica(soloConfig(identity.ID), restored, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &solo{t: t, folder: folder, disk: disk, replica: replica, replies: map[uint64]Response{}}
+}
+
+// TestQuestionWaitsForALeader: a gateway's question is held while no leader is known, and answered by the replica itself as
+// soon as it may; one that finds none in its time is told so (ayni-lima trouble-1: gateways heard of the leader 0.6 s late).
+func TestQuestionWaitsForALeader(t *testing.T) {
+	s := openStarting(t, t.TempDir())
+	const patient, hasty = 1000, 1001
+	s.replica.Handle(s.now, patient, Request{Watch: &Watch{Gateway: "g1", Hold: time.Second}})
+	s.replica.Handle(s.now, hasty, Request{Watch: &Watch{Gateway: "g2"}})
+	s.work()
+	if len(s.replies) > 0 {
+		t.Fatalf("answered before there is a leader: %+v", s.replies)
+	}
+	s.replica.endLeaderless(s.now)
+	s.work()
+	if s.replies[hasty].Kind != ResponseNotLeader {
+		t.Fatalf("hasty question: %+v", s.replies[hasty])
+	}
+	s.pass(400 * time.Millisecond)
+	if reply := s.replies[patient]; reply.Kind != ResponseOK && reply.Kind != ResponseNotFormed {
+		t.Fatalf("patient question: %+v", reply)
+	}
+}
+
+// TestHeldQuestionsAreBounded: the rest is turned away at once.
+func TestHeldQuestionsAreBounded(t *testing.T) {
+	s := openStarting(t, t.TempDir())
+	for i := range leaderlessMost + 1 {
+		s.replica.Handle(s.now, uint64(i+1), Request{Watch: &Watch{Gateway: "g", Hold: time.Second}})
+	}
+	s.work()
+	if len(s.replies) != 1 {
+		t.Fatalf("%d of %d questions were turned away", len(s.replies), leaderlessMost+1)
+	}
+}
+
+// TestAnyFindsTheLeaderBesideASilentAddress: one that takes connections and says nothing holds nobody up, and a follower's
+// word is followed at once, also when the leader failed a moment ago.
+func TestAnyFindsTheLeaderBesideASilentAddress(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	serve := func(address string, response Response) {
+		server, err := transport.Listen(address, "", func(_ transport.Request, respond transport.Respond) {
+			respond(http.StatusOK, response)
+		}, zap.NewNop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = server.Close(context.Background()) })
+	}
+	leader, follower := freeLoopback(t), freeLoopback(t)
+	serve(leader, Response{Kind: ResponseOK})
+	serve(follower, Response{Kind: ResponseNotLeader, Leader: leader})
+	client := NewClient(transport.NewClient("", nil), []string{silent.Addr().String(), follower})
+	client.failed.Store(&failure{address: leader, at: time.Now()})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	response, err := client.Any(ctx, Request{Status: &StatusRequest{}})
+	if err != nil || response.Kind != ResponseOK {
+		t.Fatalf("response %+v, error %v", response, err)
+	}
+	if ctx.Err() != nil || client.target() != leader {
+		t.Fatalf("the next question goes to %s", client.target())
+	}
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -97,7 +97,7 @@
 		started: time.Now(), inputs: make(chan input, inputRing), calls: make(chan EngineCall, callRing), orders: make(chan WeightsCall, callRing),
 		beats:   beatCollector{registered: map[string]time.Duration{}, wake: make(chan struct{}, 1)},
 		clients: map[uint64]transport.Respond{}, seen: map[consensus.ID]string{}, links: links, outboxes: map[consensus.ID]chan consensus.Message{},
-		client: transport.NewClient(file.ClusterToken, links), failed: make(chan error, 1),
+		client: transport.NewClientWithin(file.ClusterToken, links, file.Control.Heartbeat), failed: make(chan error, 1),
 	}
 	server.group = NewClient(server.client, file.Control.Founders)
 	server.config = server.replicaConfig()
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -65,6 +65,43 @@
 	}
 }
 
+// turnAway answers a request at a replica that does not lead. A gateway's question is held while no leader is known, so
+// that gateways hear of a new one at once and need not ask again and again.
+func (r *Replica) turnAway(now time.Duration, client uint64, request Request) {
+	if request.Watch != nil && r.leaderAddress() == "" && len(r.leaderless) < leaderlessMost {
+		due := now + min(request.Watch.Hold, maximumHold)
+		r.leaderless = append(r.leaderless, watcher{client: client, watch: *request.Watch, due: due})
+		return
+	}
+	r.reply(client, Response{Kind: ResponseNotLeader, Leader: r.leaderAddress()})
+}
+
+// leaderlessMost bounds the questions that are held while no leader is known.
+const leaderlessMost = 4096
+
+// endLeaderless takes up the held questions when this replica leads, and answers them when it hears of a leader or their
+// time is over.
+func (r *Replica) endLeaderless(now time.Duration) {
+	if len(r.leaderless) == 0 {
+		return
+	}
+	leader := r.leaderAddress()
+	waiting := r.leaderless
+	r.leaderless = nil
+	for _, held := range waiting {
+		switch {
+		case r.lead != nil && !r.current(now) && now < held.due:
+			r.leaderless = append(r.leaderless, held) // it may not confirm anything yet
+		case r.lead != nil:
+			r.Handle(now, held.client, Request{Watch: &held.watch})
+		case leader == "" && now < held.due:
+			r.leaderless = append(r.leaderless, held)
+		default:
+			r.reply(held.client, Response{Kind: ResponseNotLeader, Leader: leader})
+		}
+	}
+}
+
 // confirms reports whether this replica may confirm a gateway's view: it leads, and its lease runs.
 func (r *Replica) confirms(now time.Duration) bool {
 	return r.current(now) || !r.config.Guards.On(guard.ConfirmedView)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -35,8 +35,6 @@
 const (
 	// retrySoon is the advice when another try in a moment may be served.
 	retrySoon = 150 * time.Millisecond
-	// retryLater is the advice when this gateway has lost control for a while.
-	retryLater = 1100 * time.Millisecond
 	// unreachedLimit is how many back ends may be found unreachable for one request.
 	unreachedLimit = 4
 	// backendGrace is how long a request may wait for a back end that can be used.
@@ -100,19 +98,20 @@
 // admit finds route, tenant and service, or answers why not. Only a confirmed view may say that something does not
 // exist; an older one cannot know.
 func (x *exchange) admit() bool {
-	x.view = x.gateway.view.Load()
-	if x.view == nil {
-		x.refuse(http.StatusServiceUnavailable, reasonNoDocument, retryLater)
-		return false
-	}
+	x.resolve()
 	trusted := x.gateway.trusted(x.arrived)
-	x.route = x.view.route(x.request.Host, x.request.URL.Path)
-	if x.route == nil {
+	if !trusted && x.needsTrust() {
+		trusted = x.awaitView()
+		x.resolve()
+	}
+	switch {
+	case x.view == nil:
+		x.refuse(http.StatusServiceUnavailable, reasonNoDocument, x.gateway.comeBack())
+		return false
+	case x.route == nil:
 		x.deny(trusted, http.StatusNotFound, reasonNoRoute)
 		return false
-	}
-	x.tenant, x.keyed = x.view.tenant(x.route, x.call.Key)
-	if x.keyed && (x.tenant == nil || !trusted) {
+	case x.keyed && (x.tenant == nil || !trusted):
 		x.deny(trusted, http.StatusUnauthorized, reasonNoKey)
 		return false
 	}
@@ -121,10 +120,25 @@
 	return true
 }
 
+// resolve finds route and tenant in the newest view.
+func (x *exchange) resolve() {
+	x.view = x.gateway.view.Load()
+	if x.view == nil {
+		return
+	}
+	x.route = x.view.route(x.request.Host, x.request.URL.Path)
+	if x.route != nil {
+		x.tenant, x.keyed = x.view.tenant(x.route, x.call.Key)
+	}
+}
+
+// needsTrust reports whether the request can only be judged by a confirmed view.
+func (x *exchange) needsTrust() bool { return x.view == nil || x.route == nil || x.keyed }
+
 func (x *exchange) deny(trusted bool, status int, reason string) {
 	if !trusted {
 		x.gateway.log.lost(false)
-		x.refuse(http.StatusServiceUnavailable, reasonUntrusted, retryLater)
+		x.refuse(http.StatusServiceUnavailable, reasonUntrusted, x.gateway.comeBack())
 		return
 	}
 	x.refuse(status, reason, 0)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -16,10 +16,13 @@
 	known, failures := 0, 0
 	for ctx.Err() == nil {
 		asked := g.now()
-		reply := g.ask(ctx, roster, patience(failures))
+		reply := g.ask(ctx, roster, patience(failures), failures > 0 || known == 0)
 		if reply == nil {
 			failures++
-			g.log.lost(g.trusted(g.now()))
+			if !g.trusted(g.now()) {
+				g.outage.begin(g.now())
+				g.log.lost(false)
+			}
 			select {
 			case <-ctx.Done():
 			case <-time.After(watchPause):
@@ -42,7 +45,7 @@
 	return (watchTimeout - watchHold) << min(failures/failuresEach, longestPatience)
 }
 
-func (g *Gateway) ask(ctx context.Context, roster control.RosterVersion, patience time.Duration) *control.WatchReply {
+func (g *Gateway) ask(ctx context.Context, roster control.RosterVersion, patience time.Duration, failed bool) *control.WatchReply {
 	question := control.Watch{
 		Gateway: g.settings.Name, Zone: g.settings.Zone, Address: g.settings.Internal, Roster: roster, Hold: g.hold(), Usage: g.table.usage(),
 		Closing: g.draining.Load(),
@@ -52,7 +55,14 @@
 	}
 	attempt, cancel := context.WithTimeout(ctx, patience+question.Hold)
 	defer cancel()
-	response, err := g.group.Once(attempt, control.Request{Watch: &question})
+	ask := g.group.Once
+	if failed {
+		ask = g.group.Any
+		if !g.group.HeardWithin(electionPatience) {
+			question.Hold = 0 // to learn soon whether there is anybody
+		}
+	}
+	response, err := ask(attempt, control.Request{Watch: &question})
 	if err != nil || response.Kind != control.ResponseOK {
 		return nil
 	}
@@ -88,6 +98,8 @@
 	g.spread.use(reply.Mesh)
 	if g.view.Load() != nil {
 		g.confirm.Store(int64(asked))
+		g.outage.end(g.now())
+		g.confirmed.Ring()
 		g.log.regained()
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,19 +34,22 @@
 	log      *decisionLog
 	started  time.Time
 
-	group    *control.Client
-	view     atomic.Pointer[view]
-	confirm  atomic.Int64 // when the newest confirmed view was asked for, in ns of this process's clock; 0 never
-	table    *table
-	budget   *retryBudget
-	pool     *pool
-	splits   *splits
-	spread   *spread
-	nick     string // short name of this life, under which other gateways are told of sends
-	draining atomic.Bool
-	closing  atomic.Bool // the end of a planned stop: nothing new is taken
-	active   atomic.Int64
-	metrics  *metrics
+	group   *control.Client
+	view    atomic.Pointer[view]
+	confirm atomic.Int64 // when the newest confirmed view was asked for, in ns of this process's clock; 0 never
+	table   *table
+	budget  *retryBudget
+	pool    *pool
+	splits  *splits
+	spread  *spread
+	nick    string // short name of this life, under which other gateways are told of sends
+	outage  outage
+	// confirmed rings whenever control has confirmed the view.
+	confirmed *bell
+	draining  atomic.Bool
+	closing   atomic.Bool // the end of a planned stop: nothing new is taken
+	active    atomic.Int64
+	metrics   *metrics
 }
 
 // nickRange keeps short names short, and apart in any fleet.
@@ -54,11 +57,11 @@
 
 // New returns a gateway that knows nothing yet.
 func New(settings Settings, dialect Dialect, log *node.Log) *Gateway {
-	client := transport.NewClient(settings.Token, nil)
+	client := transport.NewClientWithin(settings.Token, nil, peerDial)
 	made := &Gateway{
 		settings: settings, dialect: dialect, log: newDecisionLog(log), started: time.Now(),
 		group: control.NewClient(client, settings.Control), table: newTable(), budget: newRetryBudget(settings),
-		pool: newPool(), splits: newSplits(newRand()), spread: newSpread(client), nick: strconv.FormatUint(rand.Uint64N(nickRange), saltBase),
+		confirmed: newBell(), pool: newPool(), splits: newSplits(newRand()), spread: newSpread(client), nick: strconv.FormatUint(rand.Uint64N(nickRange), saltBase),
 	}
 	made.metrics = newMetrics(made)
 	return made
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -63,6 +63,9 @@
 	m.requests.WithLabelValues(reason).Inc()
 }
 
+// Active returns the requests in progress.
+func (g *Gateway) Active() int64 { return g.active.Load() }
+
 // viewAge returns how long ago the view was confirmed, in seconds.
 func (g *Gateway) viewAge() float64 {
 	confirmed := time.Duration(g.confirm.Load())
--- /dev/null
+++ b/internal/gateway/outage.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// outageFirst is how long a loss of control is taken to last before one has been seen; outageSmoothing weighs the newest.
+	outageFirst     = 500 * time.Millisecond
+	outageSmoothing = 0.3
+	// outageAhead of the time that it has lasted is the least that it is taken to go on: who waited long waits longer.
+	outageAhead = 0.5
+	// adviceLeast and adviceMost bound the time to come back, and adviceSpread is the share by which callers are told
+	// different times, so that they don't come back together.
+	adviceLeast  = 150 * time.Millisecond
+	adviceMost   = 2 * time.Second
+	adviceSpread = 0.4
+	// electionPatience is how lately a control replica must have answered for a leader to be expected soon.
+	electionPatience = 700 * time.Millisecond
+	// startPatience is how long a gateway that has just started is taken to be about to find control.
+	startPatience = 700 * time.Millisecond
+	// viewWaitShare of the caller's patience is how long a request waits for a view that is expected soon, at most as long as
+	// the settings say; callers that don't tell theirs are taken to have defaultPatience.
+	viewWaitShare   = 0.125
+	defaultPatience = 4 * time.Second
+)
+
+// outage tells how long control is likely to be gone, from how long it was before. Its zero value begins with the process:
+// a gateway starts without control.
+type outage struct {
+	mu      sync.Mutex
+	over    bool          // control is there; guarded by mu
+	since   time.Duration // when it was lost; guarded by mu
+	typical time.Duration // smoothed length of former ones; 0 before the first; guarded by mu
+}
+
+// begin notes that control is lost; what it notes later changes nothing.
+func (o *outage) begin(now time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.over {
+		o.over, o.since = false, now
+	}
+}
+
+// end notes that control is back.
+func (o *outage) end(now time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.over {
+		return
+	}
+	lasted := now - o.since
+	if o.typical == 0 {
+		o.typical = lasted
+	}
+	o.typical += time.Duration(outageSmoothing * float64(lasted-o.typical))
+	o.over = true
+}
+
+// left returns how much longer the outage is taken to last.
+func (o *outage) left(now time.Duration) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	typical := o.typical
+	if typical == 0 {
+		typical = outageFirst
+	}
+	lasted := now - o.since
+	return max(typical-lasted, time.Duration(outageAhead*float64(lasted)))
+}
+
+// comeBack returns when a caller should ask again that is turned away for want of control.
+func (g *Gateway) comeBack() time.Duration {
+	left := min(max(g.outage.left(g.now()), adviceLeast), adviceMost)
+	return left + time.Duration(adviceSpread*rand.Float64()*float64(left))
+}
+
+// awaitView waits a moment for control where it is expected, and reports whether the view is confirmed.
+func (x *exchange) awaitView() bool {
+	g := x.gateway
+	for {
+		next := g.confirmed.Next()
+		if g.trusted(g.now()) {
+			return true
+		}
+		left := x.arrived + x.viewWait() - g.now()
+		if left <= 0 || !g.expectsControl() {
+			return false
+		}
+		select {
+		case <-next:
+		case <-time.After(left):
+		case <-x.request.Context().Done():
+			return false
+		}
+	}
+}
+
+// expectsControl reports whether control is likely to confirm the view in a moment: a replica answers, so that there will be
+// a leader, or nobody could have answered yet.
+func (g *Gateway) expectsControl() bool {
+	return g.group.HeardWithin(electionPatience) || g.now() < startPatience
+}
+
+// viewWait is how long the request may wait for a confirmed view.
+func (x *exchange) viewWait() time.Duration {
+	patience := x.call.Patience
+	if patience == 0 {
+		patience = defaultPatience
+	}
+	return min(x.gateway.settings.ViewWait, time.Duration(viewWaitShare*float64(patience)))
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -13,6 +13,7 @@
 	Token    string   // shared secret of the system's own processes
 
 	Trust        time.Duration // how long keys count that no control replica has confirmed
+	ViewWait     time.Duration // longest time that a request waits for control that is expected in a moment
 	VersionLimit time.Duration // how long after newer weights were named a request may still begin on older ones
 	Grace        time.Duration // longest planned stop
 	RetryRatio   float64       // repeats as a share of the requests for a service, over the whole fleet
@@ -34,6 +35,8 @@
 	// failuresEach failures in a row double the patience with an answer, longestPatience times at most.
 	failuresEach    = 3
 	longestPatience = 3
+	// peerDial is how long a connection to control or to another gateway may take to come up.
+	peerDial = 150 * time.Millisecond
 	// watchPause is the pause after a question failed.
 	watchPause = 60 * time.Millisecond
 	// idleTimeout is how long callers may keep a connection idle.
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -31,6 +31,12 @@
 	return &Client{http: &http.Client{Transport: NewRoundTripper(links)}, token: token}
 }
 
+// NewClientWithin returns a client that gives a connection up which does not come up within a time. A machine that has just
+// come back never answers what was sent to it before; a new attempt reaches it at once.
+func NewClientWithin(token string, links *Links, dial time.Duration) *Client {
+	return &Client{http: &http.Client{Transport: newRoundTripper(links, dial)}, token: token}
+}
+
 // NewClientOver returns a client whose connections are made by dial, for runs that count what travels.
 func NewClientOver(token string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
 	over := NewRoundTripper(nil)
@@ -39,8 +45,10 @@
 }
 
 // NewRoundTripper returns the transport used towards processes and back ends.
-func NewRoundTripper(links *Links) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func NewRoundTripper(links *Links) *http.Transport { return newRoundTripper(links, dialTimeout) }
+
+func newRoundTripper(links *Links, dial time.Duration) *http.Transport {
+	dialer := &net.Dialer{Timeout: dial}
 	return &http.Transport{
 		DialContext:         links.wrapDial(dialer.DialContext),
 		MaxIdleConnsPerHost: idlePerHost,
