The log knows which weights engines hold, so that a new leader does too

Cause: a new leader knew no weights until heartbeats came (1.2 s); unknown weights share nothing, and shared prompts were read again. Change: what back ends are seen to hold goes into the log, at most one entry in 0.3 s and none without news. An engine that has newer ones by then turns the request away and says so, as before. Ruled out: an entry for each heartbeat (3,001 engines).

--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -38,6 +38,13 @@
 	Forget   string       `json:"forget,omitempty"`  // instance that fell silent; it may register again
 	Version  *NamedWeight `json:"version,omitempty"` // newest weights of a model
 	Fence    bool         `json:"fence,omitempty"`   // a new holder of the right to give orders
+	Held     []HeldWeight `json:"held,omitempty"`    // weights that instances were seen to hold
+}
+
+// HeldWeight is a version of a model's weights that an instance was seen to hold.
+type HeldWeight struct {
+	Instance string `json:"instance"`
+	NamedWeight
 }
 
 // NamedWeight is a version of a model's weights.
@@ -61,12 +68,15 @@
 	tombstones []string
 	ended      map[string]bool
 	versions   map[string]uint64
+	held       map[string]map[string]uint64 // by instance and model; of registered instances only; versions only rise
 	fence      uint64
 }
 
 // NewMachine returns the empty state.
 func NewMachine() *Machine {
-	return &Machine{instances: map[string]Instance{}, ended: map[string]bool{}, versions: map[string]uint64{}}
+	return &Machine{
+		instances: map[string]Instance{}, ended: map[string]bool{}, versions: map[string]uint64{}, held: map[string]map[string]uint64{},
+	}
 }
 
 // Document returns the document in force; callers only read it.
@@ -81,6 +91,10 @@
 // Versions returns the newest weights version by model; callers only read it.
 func (m *Machine) Versions() map[string]uint64 { return m.versions }
 
+// Held returns the weights that an instance was last seen to hold, by model; callers only read it. It may hold newer ones by
+// now, never older ones.
+func (m *Machine) Held(id string) map[string]uint64 { return m.held[id] }
+
 // Apply applies one committed command.
 func (m *Machine) Apply(command Command) Outcome {
 	switch {
@@ -93,7 +107,9 @@
 	case command.Remove != "":
 		m.remove(command.Remove)
 	case command.Forget != "":
-		delete(m.instances, command.Forget)
+		m.drop(command.Forget)
+	case len(command.Held) > 0:
+		m.hold(command.Held)
 	case command.Version != nil:
 		m.versions[command.Version.Model] = max(m.versions[command.Version.Model], command.Version.Version)
 	case command.Fence:
@@ -120,13 +136,32 @@
 	}
 	for id, other := range m.instances {
 		if other.Address == instance.Address && id != instance.ID {
-			delete(m.instances, id)
+			m.drop(id)
 		}
 	}
 	m.instances[instance.ID] = instance
 	return Outcome{Revision: m.document.Revision}
 }
 
+// drop forgets an instance and what it held.
+func (m *Machine) drop(id string) {
+	delete(m.instances, id)
+	delete(m.held, id)
+}
+
+// hold notes what registered instances hold.
+func (m *Machine) hold(seen []HeldWeight) {
+	for _, w := range seen {
+		if _, known := m.instances[w.Instance]; !known {
+			continue
+		}
+		if m.held[w.Instance] == nil {
+			m.held[w.Instance] = map[string]uint64{}
+		}
+		m.held[w.Instance][w.Model] = max(m.held[w.Instance][w.Model], w.Version)
+	}
+}
+
 func (m *Machine) drain(id string) {
 	instance, known := m.instances[id]
 	if !known {
@@ -137,7 +172,7 @@
 }
 
 func (m *Machine) remove(id string) {
-	delete(m.instances, id)
+	m.drop(id)
 	if m.ended[id] {
 		return
 	}
@@ -156,11 +191,13 @@
 	Tombstones []string            `json:"tombstones"`
 	Versions   map[string]uint64   `json:"versions"`
 	Fence      uint64              `json:"fence"`
+
+	Held map[string]map[string]uint64 `json:"held,omitempty"`
 }
 
 // MarshalJSON writes the whole state.
 func (m *Machine) MarshalJSON() ([]byte, error) {
-	return json.Marshal(machineForm{m.document, m.instances, m.tombstones, m.versions, m.fence})
+	return json.Marshal(machineForm{m.document, m.instances, m.tombstones, m.versions, m.fence, m.held})
 }
 
 // UnmarshalJSON replaces the whole state.
@@ -176,6 +213,9 @@
 	for id, instance := range form.Instances {
 		m.instances[id] = instance
 	}
+	for id, versions := range form.Held {
+		m.held[id] = versions
+	}
 	for model, version := range form.Versions {
 		m.versions[model] = version
 	}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"time"
 
 	"kitetiller/internal/catalog"
@@ -14,6 +15,8 @@
 	forgetAfter = 12 * time.Second
 	// fleetPeriod is how often the roster is looked through.
 	fleetPeriod = 100 * time.Millisecond
+	// heldPeriod is how often the weights that back ends hold are written into the log, all in one entry.
+	heldPeriod = 300 * time.Millisecond
 	// usageCounts is how long a router's figures of its work count.
 	usageCounts = 2 * time.Second
 )
@@ -110,11 +113,36 @@
 	state := r.lead.fleet[id]
 	if state == nil {
 		state = &memberState{heardAt: now, versions: map[string]uint64{}}
+		maps.Copy(state.versions, r.machine.catalog.Held(id)) // until its first heartbeat to this leader
 		r.lead.fleet[id] = state
 	}
 	return state
 }
 
+// noteHeld writes into the log what back ends hold, so that the next leader knows it from the start.
+func (r *Replica) noteHeld(now time.Duration) {
+	if now < r.lead.heldAt+heldPeriod {
+		return
+	}
+	r.lead.heldAt = now
+	var seen []catalog.HeldWeight
+	for _, id := range sortedKeys(r.machine.catalog.Instances()) {
+		state := r.lead.fleet[id]
+		if !state.engine() {
+			continue
+		}
+		logged := r.machine.catalog.Held(id)
+		for _, model := range sortedKeys(state.versions) {
+			if version := state.versions[model]; version > logged[model] {
+				seen = append(seen, catalog.HeldWeight{Instance: id, NamedWeight: catalog.NamedWeight{Model: model, Version: version}})
+			}
+		}
+	}
+	if len(seen) > 0 {
+		r.propose(now, 0, Command{Catalog: &catalog.Command{Held: seen}})
+	}
+}
+
 // watchFleet marks silent back ends and forgets those that stay silent.
 func (r *Replica) watchFleet(now time.Duration) {
 	if now < r.lead.fleetAt+fleetPeriod {
@@ -180,7 +208,7 @@
 	if before {
 		r.noteNaming(now, command.Version.Model, command.Version.Version)
 	}
-	if r.lead != nil {
+	if r.lead != nil && len(command.Held) == 0 {
 		r.lead.rosterChanged()
 	}
 	return &outcome
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -38,6 +38,7 @@
 	fenceAskedAt time.Duration
 	fleet        map[string]*memberState // by instance
 	fleetAt      time.Duration
+	heldAt       time.Duration // when the weights of back ends were last written into the log
 	rolledAt     time.Duration // when the roll-out last went a step
 	totals       usageTotals
 	meshes       meshPlan
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -125,6 +125,7 @@
 		r.reconcile(now)
 		r.repair(now)
 		r.watchFleet(now)
+		r.noteHeld(now)
 		r.rollOut(now)
 	}
 	if r.lead != nil {
--- a/internal/control/restart_test.go
+++ b/internal/control/restart_test.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"kitetiller/internal/catalog"
 	"kitetiller/internal/transport"
 )
 
@@ -64,6 +65,35 @@
 	}
 }
 
+// TestNewLeaderKnowsWhatEnginesHold: from the log, before any heartbeat comes (ayni-lima trouble-1: shared prompts were read
+// again for 1.2 s after a restart of all, since unknown weights share nothing).
+func TestNewLeaderKnowsWhatEnginesHold(t *testing.T) {
+	s := openFleet(t)
+	s.pass(time.Second)
+	if err := s.disk.Close(); err != nil {
+		t.Fatal(err)
+	}
+	again := openSolo(t, s.folder)
+	entries := again.watchNow("g1", RosterVersion{}).Roster.Entries
+	if len(entries) != 2 || entries[0].Versions["m"] != 1 || entries[1].Versions["m"] != 1 {
+		t.Fatalf("roster %+v", entries)
+	}
+}
+
+// TestHeldWeightsGrowNoLog: what is known already is not written again.
+func TestHeldWeightsGrowNoLog(t *testing.T) {
+	s := openFleet(t)
+	s.pass(time.Second)
+	before := s.replica.Node().LastIndex()
+	for range 10 {
+		s.beats("i-1", "i-2")
+		s.pass(time.Second)
+	}
+	if grown := s.replica.Node().LastIndex() - before; grown > 0 {
+		t.Fatalf("the log grew by %d entries", grown)
+	}
+}
+
 // TestAnyFindsTheLeaderBesideASilentAddress: one that takes connections and says nothing holds nobody up, and a follower's
 // word is followed at once, also when the leader failed a moment ago.
 func TestAnyFindsTheLeaderBesideASilentAddress(t *testing.T) {
@@ -96,3 +126,24 @@
 		t.Fatalf("the next question goes to %s", client.target())
 	}
 }
+
+// TestHeldWeightsNeedARegistration: an instance that has ended leaves nothing behind.
+func TestHeldWeightsNeedARegistration(t *testing.T) {
+	machine := catalog.NewMachine()
+	held := catalog.Command{Held: []catalog.HeldWeight{{Instance: "i-1", NamedWeight: catalog.NamedWeight{Model: "m", Version: 3}}}}
+	machine.Apply(held)
+	if machine.Held("i-1") != nil {
+		t.Fatal("an unknown instance holds weights")
+	}
+	machine.Apply(catalog.Command{Register: &catalog.Instance{ID: "i-1", Address: "a"}})
+	machine.Apply(held)
+	held.Held[0].Version = 2
+	machine.Apply(held)
+	if machine.Held("i-1")["m"] != 3 {
+		t.Fatalf("held %v after an older report", machine.Held("i-1"))
+	}
+	machine.Apply(catalog.Command{Remove: "i-1"})
+	if machine.Held("i-1") != nil {
+		t.Fatal("an ended instance holds weights")
+	}
+}
