A failure that a back end answered is logged as failed, not as unreached

The log said "unreached" of a request that ran and got 500, and counted it as a back end that could not be reached.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -124,8 +124,7 @@
 		a.grade = gradeBad
 	}
 	if failure && x.route.MayRepeat() && !x.relayed && x.spendRepeat() {
-		x.mayHave = true
-		return result{kind: resultUnreached, cause: answer.Status}
+		return result{kind: resultFailed, cause: answer.Status}
 	}
 	x.passHead(answer, len(body))
 	_, _ = x.writer.Write(body) // a caller that is gone cannot be told
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -43,11 +43,12 @@
 	resultUnreached                   // nothing was sent
 	resultNotRun                      // the back end says that it did not run the request
 	resultUnknown                     // the request may have run
+	resultFailed                      // the back end ran the request and answered with a failure; a repeat is paid for
 )
 
 // String returns the kind's name in logs.
 func (k resultKind) String() string {
-	return [...]string{"answered", "unreached", "not-run", "unknown"}[k]
+	return [...]string{"answered", "unreached", "not-run", "unknown", "failed"}[k]
 }
 
 // result is how an attempt ended.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -246,7 +246,7 @@
 
 // mayGoOn decides what follows a failed attempt; when the request is not sent again, it has been answered.
 func (x *exchange) mayGoOn(result result) bool {
-	x.mayHave = x.mayHave || result.kind == resultUnknown
+	x.mayHave = x.mayHave || result.kind == resultUnknown || result.kind == resultFailed
 	if x.over() {
 		return false
 	}
@@ -258,6 +258,8 @@
 			return false
 		}
 		return true
+	case resultFailed:
+		return true
 	case resultNotRun:
 		if x.mayHave && !x.route.MayRepeat() {
 			x.giveUp(reasonRunUnknown, 0)
