Loads of weights are noticed sooner, and are made one by one while engines are short of hands

Cause: a load of 0.76 s was first looked for after 0.8 s and then each 0.2 s; a roll-out over nine engines took 4 to 6 s, and each request that began on old weights meanwhile costs. And while 3 of 9 engines had crashed, 3 more were turned away from.

Change: the length of a load is learnt from the loads seen (0.6 s taken first), and looked for every 60 ms from nine tenths of it. While fewer than nine in ten of the engines are there, or orders get lost, one engine is taken out at a time.

--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -28,9 +28,13 @@
 	announceLead = 30 * time.Millisecond
 	// stepPace is the time between two steps of the roll-out, for each back end: a step looks at all of them.
 	stepPace = 10 * time.Microsecond
-	// firstCheck is when a load is first looked for after its order was taken, and nextCheck the pause after that.
-	firstCheck = 800 * time.Millisecond
-	nextCheck  = 200 * time.Millisecond
+	// loadFirst is how long a load is taken to last before one was seen, and loadSmoothing weighs the newest. It is first
+	// looked for after checkShare of that, checkLeast at least, and then each nextCheck.
+	loadFirst     = 600 * time.Millisecond
+	loadSmoothing = 0.3
+	checkShare    = 0.9
+	checkLeast    = 200 * time.Millisecond
+	nextCheck     = 60 * time.Millisecond
 	// loadPatience is how long an order may show no effect before it is given again.
 	loadPatience = 2500 * time.Millisecond
 	// callPatience is how long a call of the driver may stay without a result.
@@ -61,7 +65,8 @@
 	announced     uint64        // count of the roster that told gateways to turn away
 	drainUntil    time.Duration // when the order is sent although requests still run
 	orderedAt     time.Duration
-	revision      uint64 // orders that the back end has taken
+	takenAt       time.Duration // when the order was taken; 0 when that is not known
+	revision      uint64        // orders that the back end has taken
 	revisionKnown bool
 }
 
@@ -137,7 +142,7 @@
 	}
 	busy := 0
 	ids := r.drainOrder(now)
-	loads := r.countLoads()
+	loads := r.countLoads(now)
 	used := r.totalUsage(now)
 	for _, id := range ids {
 		state := r.member(now, id)
@@ -153,7 +158,7 @@
 type loadCount struct{ running, limit int }
 
 // countLoads counts the back ends whose order is on its way or being carried out.
-func (r *Replica) countLoads() loadCount {
+func (r *Replica) countLoads(now time.Duration) loadCount {
 	count := loadCount{}
 	engines := 0
 	for id := range r.machine.catalog.Instances() {
@@ -166,10 +171,19 @@
 			count.running++
 		}
 	}
-	count.limit = max(1, engines/loadShare)
+	count.limit = r.atOnce(now, engines, loadShare)
 	return count
 }
 
+// atOnce returns how many engines may be taken out of service together, one of so many: one by one while they are short of
+// hands.
+func (r *Replica) atOnce(now time.Duration, engines, share int) int {
+	if r.stressed(now) {
+		return 1
+	}
+	return max(1, engines/share)
+}
+
 // drainOrder returns the back ends, those first that have been turned away from for longest.
 func (r *Replica) drainOrder(now time.Duration) []string {
 	ids := sortedKeys(r.machine.catalog.Instances())
@@ -224,8 +238,9 @@
 	slices.SortStableFunc(lagging, func(a, b string) int {
 		return cmp.Or(cmp.Compare(r.oldestVersion(a), r.oldestVersion(b)), cmp.Compare(used[a], used[b]))
 	})
+	most := r.atOnce(now, engines, drainShare)
 	for _, id := range lagging {
-		if busy >= max(1, engines/drainShare) {
+		if busy >= most {
 			return
 		}
 		busy++
@@ -303,7 +318,7 @@
 		}
 		loads.running++
 		state.rollout.version = max(state.rollout.version, r.machine.catalog.Versions()[state.rollout.model])
-		state.rollout.orderedAt = now
+		state.rollout.orderedAt, state.rollout.takenAt = now, 0
 		r.setPhase(state, phaseOrdered, now+callPatience)
 		r.callWeights(instance, state, WeightsOrder)
 	case phaseLoading, phaseUncertain:
@@ -344,7 +359,8 @@
 	switch result.Kind {
 	case WeightsTaken:
 		state.rollout.revision++
-		r.setPhase(state, phaseLoading, now+firstCheck)
+		state.rollout.takenAt = now
+		r.setPhase(state, phaseLoading, now+r.lead.firstCheck())
 	case WeightsHeld:
 		r.finishRollout(now, state)
 	case WeightsUnknown:
@@ -360,6 +376,26 @@
 	}
 }
 
+// firstCheck is how long after its order a load is first looked for.
+func (l *leadership) firstCheck() time.Duration {
+	expected := l.loadTime
+	if expected == 0 {
+		expected = loadFirst
+	}
+	return max(checkLeast, time.Duration(checkShare*float64(expected)))
+}
+
+// noteLoad learns how long a load lasts, from when its order was taken until a report shows the weights.
+func (l *leadership) noteLoad(now, takenAt time.Duration) {
+	switch {
+	case takenAt == 0:
+	case l.loadTime == 0:
+		l.loadTime = now - takenAt
+	default:
+		l.loadTime += time.Duration(loadSmoothing * float64(now-takenAt-l.loadTime))
+	}
+}
+
 func (r *Replica) finishRollout(now time.Duration, state *memberState) {
 	state.versions[state.rollout.model] = max(state.versions[state.rollout.model], state.rollout.version)
 	r.lead.rosterChanged()
@@ -382,6 +418,7 @@
 	case result.Busy:
 		r.setPhase(state, phaseLoading, now+nextCheck)
 	case done:
+		r.lead.noteLoad(now, state.rollout.takenAt)
 		state.rollout.revision, state.rollout.revisionKnown = max(state.rollout.revision, result.Revision), true
 		r.finishRollout(now, state)
 	case uncertain && now < state.rollout.orderedAt+uncertainPatience:
