What engines hold is read from their cache events

Cause: what engines keep was guessed from sends, oldest given up first at three quarters of the memory.

Change: control gives each engine one reader among the gateways, in its zone (highest random weight). Beliefs from sends fill the time until the event; what is never confirmed is given up after 4 s. A broken answer fails that one exchange, is counted, and logged once in a row.

--- a/internal/control/mesh.go
+++ b/internal/control/mesh.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Mesh is whom one gateway tells of sends, so that each send reaches every gateway in a few steps and passes between two
@@ -18,6 +20,7 @@
 type meshPlan struct {
 	at    time.Duration
 	zones map[string][]string // names of gateways, rising; nil before the first layout
+	reads map[string][]string // by gateway: engines whose cache events it reads, rising; each engine has one reader at most
 }
 
 // meshEach is how often gateways are laid out anew.
@@ -36,9 +39,45 @@
 			plan.zones[report.zone] = append(plan.zones[report.zone], name)
 		}
 	}
+	plan.reads = r.readers(plan.zones)
 	return plan.zones
 }
 
+// readers gives each engine a gateway that reads its cache events: the one of the highest random weight in the engine's
+// zone, or anywhere if that zone has none, so that few change when gateways come and go.
+func (r *Replica) readers(zones map[string][]string) map[string][]string {
+	reads := map[string][]string{}
+	var everywhere []string
+	for _, zone := range sortedKeys(zones) {
+		everywhere = append(everywhere, zones[zone]...)
+	}
+	instances := r.machine.catalog.Instances()
+	for _, id := range sortedKeys(instances) {
+		if !r.lead.fleet[id].engine() {
+			continue
+		}
+		near := zones[instances[id].Zone]
+		if len(near) == 0 {
+			near = everywhere
+		}
+		if reader := highestWeight(id, near); reader != "" {
+			reads[reader] = append(reads[reader], id)
+		}
+	}
+	return reads
+}
+
+// highestWeight returns the name of the highest random weight for a key (rendezvous hashing), or "" of none.
+func highestWeight(key string, names []string) string {
+	best, highest := "", uint64(0)
+	for _, name := range names {
+		if weight := xxhash.Sum64String(key + "/" + name); best == "" || weight > highest {
+			best, highest = name, weight
+		}
+	}
+	return best
+}
+
 // meshOf returns the mesh of a gateway among those that asked lately; it is empty until the gateway is laid out.
 func (r *Replica) meshOf(now time.Duration, asking string) Mesh {
 	zones := r.layout(now)
--- a/internal/control/roster_test.go
+++ b/internal/control/roster_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/guard"
 )
 
 // TestRosterNewsLeadToTheWholeRoster: whatever rosters follow each other, and however long a gateway asks for nothing, the
@@ -74,7 +75,7 @@
 // TestMeshReachesEveryGatewayOnce: from any gateway, for zones of any size, with one message into each other zone.
 func TestMeshReachesEveryGatewayOnce(t *testing.T) {
 	for _, sizes := range [][]int{{1}, {2}, {9}, {10}, {3, 2, 2}, {28, 26, 24}, {1, 30}, {17, 5, 40}, {25, 25, 25, 24, 26}} {
-		r := &Replica{lead: &leadership{usage: map[string]usageReport{}}}
+		r := &Replica{machine: NewMachine(guard.Set{}), lead: &leadership{usage: map[string]usageReport{}}}
 		zoneOf := map[string]int{}
 		for zone, size := range sizes {
 			for i := range size {
@@ -117,9 +118,49 @@
 	}
 }
 
+// TestEachEngineHasOneReader: in its own zone where that has a gateway, and few change when a gateway goes.
+func TestEachEngineHasOneReader(t *testing.T) {
+	r := &Replica{machine: NewMachine(guard.Set{}), lead: &leadership{fleet: map[string]*memberState{}}}
+	for i := range 60 {
+		id := fmt.Sprint("i-", i)
+		r.machine.catalog.Apply(catalog.Command{Register: &catalog.Instance{ID: id, Address: id, Zone: fmt.Sprint("z", i%3)}})
+		r.lead.fleet[id] = &memberState{versions: map[string]uint64{"m": 1}}
+	}
+	r.machine.catalog.Apply(catalog.Command{Register: &catalog.Instance{ID: "small", Address: "small", Zone: "z0"}})
+	zones := map[string][]string{"z0": {"g-0-0", "g-0-1", "g-0-2", "g-0-3"}, "z1": {"g-1-0"}}
+	readerOf := func(zones map[string][]string) map[string]string {
+		found := map[string]string{}
+		for name, ids := range r.readers(zones) {
+			for _, id := range ids {
+				if found[id] != "" {
+					t.Fatalf("%s is read by %s and %s", id, found[id], name)
+				}
+				found[id] = name
+			}
+		}
+		return found
+	}
+	before := readerOf(zones)
+	if len(before) != 60 || before["small"] != "" {
+		t.Fatalf("%d readers, of the small service %q", len(before), before["small"])
+	}
+	for id, name := range before {
+		zone := r.machine.catalog.Instances()[id].Zone
+		if zone != "z2" && name[2] != zone[1] {
+			t.Errorf("%s in %s is read by %s", id, zone, name)
+		}
+	}
+	zones["z0"] = zones["z0"][1:]
+	for id, name := range readerOf(zones) {
+		if before[id] != "g-0-0" && name != before[id] {
+			t.Errorf("%s went from %s to %s", id, before[id], name)
+		}
+	}
+}
+
 // TestMeshLeavesSilentGatewaysOut: who has not asked lately is not told, and is not counted on to tell others.
 func TestMeshLeavesSilentGatewaysOut(t *testing.T) {
-	r := &Replica{lead: &leadership{usage: map[string]usageReport{
+	r := &Replica{machine: NewMachine(guard.Set{}), lead: &leadership{usage: map[string]usageReport{
 		"a": {zone: "z", address: "a", at: 10 * time.Second}, "b": {zone: "z", address: "b", at: time.Second},
 		"c": {zone: "z", address: "c", at: 10 * time.Second}, "d": {zone: "y", address: "d", at: time.Second},
 	}}}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -33,6 +33,7 @@
 	Gateways int               `json:"gateways"`        // that asked lately
 	Mesh     Mesh              `json:"mesh"`            // other gateways to tell of sends
 	Replicas []string          `json:"replicas"`        // addresses of the control group
+	Reads    []string          `json:"reads,omitempty"` // engines whose cache events the gateway reads for all
 }
 
 // watcher is a question that is being held.
@@ -141,6 +142,7 @@
 	}
 	reply.Usage, reply.Gateways = r.usageBeside(now, watch.Gateway)
 	reply.Mesh = r.meshOf(now, watch.Gateway)
+	reply.Reads = r.lead.meshes.reads[watch.Gateway]
 	for _, member := range r.members() {
 		reply.Replicas = append(reply.Replicas, member.Address)
 	}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -13,6 +13,7 @@
 	InstanceLeaving = "instance leaving"
 	InstanceGone    = "instance gone"
 	WeightsLearnt   = "weights learnt"
+	CacheUnread     = "cache not read"
 	ControlLost     = "control lost"
 	ControlRegained = "control regained"
 	AttemptFailed   = "attempt failed"
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -43,7 +43,9 @@
 	Saved    bool // the parts go to the store as well
 	// Unreached says that no connection came up; then nothing was sent, and there is no salt.
 	Unreached bool
-	Age       time.Duration
+	// Kept says that parts and their tokens are what the engine itself says that it keeps; nothing was sent then.
+	Kept bool
+	Age  time.Duration
 }
 
 // wireSend is a send in a message. Names are short since every send goes to every gateway.
@@ -58,13 +60,14 @@
 	Uncached  int      `json:"u,omitempty"`
 	Saved     bool     `json:"v,omitempty"`
 	Unreached bool     `json:"x,omitempty"`
+	Kept      bool     `json:"k,omitempty"`
 	AgeMS     int64    `json:"a"`
 }
 
 func (s send) wire(waited time.Duration) wireSend {
 	w := wireSend{
 		Gateway: s.Gateway, Running: s.Load.running, Held: s.Load.tokens,
-		Instance: s.Instance, Salt: s.Salt, Uncached: s.Uncached, Saved: s.Saved, Unreached: s.Unreached,
+		Instance: s.Instance, Salt: s.Salt, Uncached: s.Uncached, Saved: s.Saved, Unreached: s.Unreached, Kept: s.Kept,
 		AgeMS: (s.Age + waited).Milliseconds(),
 	}
 	for _, p := range s.Parts {
@@ -77,7 +80,7 @@
 func (w wireSend) send() send {
 	s := send{
 		Gateway: w.Gateway, Load: load{running: max(0, w.Running), tokens: max(0, w.Held)},
-		Instance: w.Instance, Salt: w.Salt, Uncached: max(0, w.Uncached), Saved: w.Saved, Unreached: w.Unreached,
+		Instance: w.Instance, Salt: w.Salt, Uncached: max(0, w.Uncached), Saved: w.Saved, Unreached: w.Unreached, Kept: w.Kept,
 		Age: time.Duration(max(0, w.AgeMS)) * time.Millisecond,
 	}
 	for i := range min(len(w.Parts), len(w.Tokens)) {
--- /dev/null
+++ b/internal/gateway/cachenews.go
@@ -0,0 +1,30 @@
+package gateway
+
+import (
+	"context"
+
+	"kitetiller/internal/prefix"
+)
+
+// CacheNews is what an engine tells of its cache.
+type CacheNews struct {
+	Life  uint64     // of the engine's process: another one has forgotten everything
+	Next  uint64     // number to ask for next
+	Lost  bool       // some news is missing
+	Parts []KeptPart // in the order in which they changed
+}
+
+// KeptPart is a part of a prompt and how many of its tokens an engine keeps now; 0 says that it is gone.
+type KeptPart struct {
+	Salt string
+	prefix.Part
+}
+
+// CacheReader asks engines what they keep. It is safe for concurrent use. An answer that cannot be read in full is an
+// error of that one exchange.
+type CacheReader interface {
+	// Events returns what changed since a number; it waits until something does, a second or so at most.
+	Events(ctx context.Context, address string, since uint64) (CacheNews, error)
+	// List returns everything that is kept. It holds up the engine's work.
+	List(ctx context.Context, address string) (CacheNews, error)
+}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -275,6 +275,11 @@
 			continue
 		}
 		at := now - min(now, made.Age)
+		if made.Kept {
+			row.held.keep(at, made.Salt, made.Parts)
+			t.index(row, made.Parts)
+			continue
+		}
 		row.occupied.note(made.Gateway, at, made.Load)
 		if made.Unreached {
 			row.suspect(at, made.Gateway)
@@ -320,13 +325,49 @@
 	return held
 }
 
-func (t *table) hold(at time.Duration, row *endpoint, made send) {
-	for _, part := range prefix.Shared(made.Parts) {
-		if !slices.Contains(t.holders[part.ID], row) {
+// index makes a back end be found by parts that it holds.
+func (t *table) index(row *endpoint, parts []prefix.Part) {
+	for _, part := range parts {
+		if row.held.holds(part.ID) && !slices.Contains(t.holders[part.ID], row) {
 			t.holders[part.ID] = append(t.holders[part.ID], row)
 		}
 	}
+}
+
+// address returns where a back end is reached.
+func (t *table) address(id string) (string, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	row := t.rows[id]
+	if row == nil {
+		return "", false
+	}
+	return row.entry.Address, true
+}
+
+// takeKept takes up what a back end tells that it keeps, and returns what was believed otherwise, as sends that say so.
+func (t *table) takeKept(now time.Duration, id string, parts []KeptPart, whole bool) []send {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	row := t.rows[id]
+	if row == nil {
+		return nil
+	}
+	bySalt := map[string][]prefix.Part{}
+	for _, p := range row.held.tell(now, parts, whole) {
+		bySalt[p.Salt] = append(bySalt[p.Salt], p.Part)
+		t.index(row, []prefix.Part{p.Part})
+	}
+	var corrections []send
+	for _, salt := range slices.Sorted(maps.Keys(bySalt)) {
+		corrections = append(corrections, send{Salt: salt, Parts: bySalt[salt]})
+	}
+	return corrections
+}
+
+func (t *table) hold(at time.Duration, row *endpoint, made send) {
 	row.held.use(at, made.Salt, made.Parts)
+	t.index(row, prefix.Shared(made.Parts))
 	if made.Saved {
 		t.stored.note(at, made.Salt, prefix.Shared(made.Parts))
 	}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -31,7 +31,7 @@
 		}
 		failures = 0
 		roster = reply.Version
-		g.take(asked, reply)
+		g.take(ctx, asked, reply)
 		if len(reply.Replicas) != known {
 			known = len(reply.Replicas)
 			g.group.Use(reply.Replicas)
@@ -79,7 +79,7 @@
 }
 
 // take puts news in force. A document is only ever replaced by a newer one.
-func (g *Gateway) take(asked time.Duration, reply *control.WatchReply) {
+func (g *Gateway) take(ctx context.Context, asked time.Duration, reply *control.WatchReply) {
 	held := g.view.Load()
 	if reply.Document != nil && (held == nil || reply.Document.Revision > held.document.Revision) {
 		g.view.Store(newView(reply.Document))
@@ -96,6 +96,7 @@
 	g.table.takeNews(asked, reply)
 	g.budget.share(reply.Gateways)
 	g.spread.use(reply.Mesh)
+	g.readCaches(ctx, reply)
 	if g.view.Load() != nil {
 		g.confirm.Store(int64(asked))
 		g.outage.end(g.now())
--- /dev/null
+++ b/internal/gateway/follower.go
@@ -0,0 +1,148 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/control"
+	"kitetiller/internal/events"
+)
+
+const (
+	// cachePause is the pause between two questions to an engine for its cache events: news of that time come together.
+	cachePause = 80 * time.Millisecond
+	// cacheRetry is the pause after a question that failed, doubled up to cacheRetryMost.
+	cacheRetry     = 200 * time.Millisecond
+	cacheRetryMost = 3 * time.Second
+	// listPause is the least time between two lists of one engine, since they hold up its work.
+	listPause = 2 * time.Second
+	// aliveEach is how often a reader tells the others that an engine's cache is being read.
+	aliveEach = time.Second
+)
+
+// followers are the threads that read engines' cache events, one for each engine that control has given this gateway.
+type followers struct {
+	mu      sync.Mutex
+	running map[string]context.CancelFunc // by instance; guarded by mu
+	threads sync.WaitGroup
+}
+
+func newFollowers() *followers { return &followers{running: map[string]context.CancelFunc{}} }
+
+// use starts and ends threads so that just the given engines are read.
+func (f *followers) use(ctx context.Context, ids []string, read func(ctx context.Context, id string)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, cancel := range f.running {
+		if !slices.Contains(ids, id) {
+			cancel()
+			delete(f.running, id)
+		}
+	}
+	for _, id := range ids {
+		if f.running[id] != nil || ctx.Err() != nil {
+			continue
+		}
+		run, cancel := context.WithCancel(ctx)
+		f.running[id] = cancel
+		f.threads.Go(func() { read(run, id) })
+	}
+}
+
+// readCaches follows the caches that control has given this gateway.
+func (g *Gateway) readCaches(ctx context.Context, reply *control.WatchReply) {
+	if g.reader != nil {
+		g.followers.use(ctx, reply.Reads, g.followCache)
+	}
+}
+
+// cacheCursor is how far an engine's events have been read.
+type cacheCursor struct {
+	life, next uint64
+	known      bool // the list of this life was read
+	listedAt   time.Duration
+	aliveAt    time.Duration
+	failures   int // in a row
+}
+
+// followCache is the thread that reads one engine's cache events.
+func (g *Gateway) followCache(ctx context.Context, id string) {
+	at := cacheCursor{listedAt: -listPause, aliveAt: -aliveEach}
+	for ctx.Err() == nil {
+		pause := cachePause
+		if err := g.readCache(ctx, id, &at); err != nil {
+			pause = min(cacheRetry<<min(at.failures, 10), cacheRetryMost)
+			g.noteUnread(id, &at, err)
+		} else {
+			at.failures = 0
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+// noteUnread counts a question that failed, and logs the first of a row.
+func (g *Gateway) noteUnread(id string, at *cacheCursor, err error) {
+	at.failures++
+	g.metrics.unread.Inc()
+	if at.failures == 1 {
+		g.log.note(events.CacheUnread, zap.String(events.FieldInstance, id), zap.String(events.FieldCause, err.Error()))
+	}
+}
+
+// readCache asks an engine once and takes up what it tells.
+func (g *Gateway) readCache(ctx context.Context, id string, at *cacheCursor) error {
+	address, known := g.table.address(id)
+	if !known {
+		return nil
+	}
+	if !at.known {
+		return g.listCache(ctx, id, address, at)
+	}
+	news, err := g.reader.Events(ctx, address, at.next)
+	if err != nil {
+		return err
+	}
+	if news.Lost || news.Life != at.life || news.Next < at.next {
+		at.known = false // what is missing stands in the list
+		return nil
+	}
+	at.next = news.Next
+	g.takeCache(id, at, news, false)
+	return nil
+}
+
+// listCache reads all that an engine keeps, unless it was asked for that a moment ago.
+func (g *Gateway) listCache(ctx context.Context, id, address string, at *cacheCursor) error {
+	if g.now() < at.listedAt+listPause {
+		return nil
+	}
+	at.listedAt = g.now()
+	news, err := g.reader.List(ctx, address)
+	if err != nil {
+		return err
+	}
+	at.life, at.next, at.known = news.Life, news.Next, true
+	g.takeCache(id, at, news, true)
+	return nil
+}
+
+// takeCache takes up what an engine keeps, and tells the other gateways what they believe otherwise.
+func (g *Gateway) takeCache(id string, at *cacheCursor, news CacheNews, whole bool) {
+	now := g.now()
+	corrections := g.table.takeKept(now, id, news.Parts, whole)
+	if len(corrections) == 0 && now >= at.aliveAt+aliveEach {
+		corrections = []send{{Gateway: g.nick, Instance: id, Kept: true}}
+	}
+	for _, told := range corrections {
+		told.Gateway, told.Instance, told.Kept = g.nick, id, true
+		at.aliveAt = now
+		g.spread.own(told)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,16 +34,18 @@
 	log      *decisionLog
 	started  time.Time
 
-	group   *control.Client
-	view    atomic.Pointer[view]
-	confirm atomic.Int64 // when the newest confirmed view was asked for, in ns of this process's clock; 0 never
-	table   *table
-	budget  *retryBudget
-	pool    *pool
-	splits  *splits
-	spread  *spread
-	nick    string // short name of this life, under which other gateways are told of sends
-	outage  outage
+	group     *control.Client
+	view      atomic.Pointer[view]
+	confirm   atomic.Int64 // when the newest confirmed view was asked for, in ns of this process's clock; 0 never
+	table     *table
+	budget    *retryBudget
+	pool      *pool
+	splits    *splits
+	spread    *spread
+	nick      string // short name of this life, under which other gateways are told of sends
+	outage    outage
+	reader    CacheReader // of engines' caches, or nil
+	followers *followers
 	// confirmed rings whenever control has confirmed the view.
 	confirmed *bell
 	draining  atomic.Bool
@@ -61,7 +63,7 @@
 	made := &Gateway{
 		settings: settings, dialect: dialect, log: newDecisionLog(log), started: time.Now(),
 		group: control.NewClient(client, settings.Control), table: newTable(), budget: newRetryBudget(settings),
-		confirmed: newBell(), pool: newPool(), splits: newSplits(newRand()), spread: newSpread(client), nick: strconv.FormatUint(rand.Uint64N(nickRange), saltBase),
+		confirmed: newBell(), followers: newFollowers(), pool: newPool(), splits: newSplits(newRand()), spread: newSpread(client), nick: strconv.FormatUint(rand.Uint64N(nickRange), saltBase),
 	}
 	made.metrics = newMetrics(made)
 	return made
@@ -70,6 +72,9 @@
 // now is the process's steady clock.
 func (g *Gateway) now() time.Duration { return time.Since(g.started) }
 
+// UseCacheReader makes the gateway read what engines keep. It must be called before Run.
+func (g *Gateway) UseCacheReader(r CacheReader) { g.reader = r }
+
 // UseControl replaces the control replicas to start from.
 func (g *Gateway) UseControl(addresses []string) { g.group.Use(addresses) }
 
@@ -112,6 +117,7 @@
 	g.log.note(events.GatewayStopped, zap.Int64("active", g.active.Load()))
 	cancel()
 	threads.Wait()
+	g.followers.threads.Wait()
 	if ready != nil {
 		_ = ready.Close()
 	}
--- a/internal/gateway/holdings.go
+++ b/internal/gateway/holdings.go
@@ -7,50 +7,85 @@
 )
 
 const (
-	// cacheShare is the part of an engine's memory that is taken to hold cached parts; running requests need the rest.
+	// cacheShare is the part of an engine's memory that is taken to hold cached parts where nobody reads what it keeps;
+	// running requests need the rest.
 	cacheShare = 0.75
+	// toldFor is how long after an engine's own word beliefs about it are given up by that word alone. Until then what it
+	// tells decides, but for parts up to toldLimit times its memory.
+	toldFor   = 4 * time.Second
+	toldLimit = 2.0
+	// unsureFor is how long a part that was only sent is taken to be held while the engine's word is heard, and unsureEach how
+	// often that is looked at.
+	unsureFor  = 4 * time.Second
+	unsureEach = 500 * time.Millisecond
 	// defaultCache is assumed where an engine's memory is not known, in tokens.
 	defaultCache = 100_000
 	// storedFor is how long a part is taken to stay in the store.
 	storedFor = 60 * time.Second
 )
 
-// holding is one belief: an engine holds a part.
+// holding is one belief: an engine holds a part, or the first tokens of it.
 type holding struct {
-	tokens int
+	kept   int // tokens that are held; above 0
 	usedAt time.Duration
+	own    bool // it was the last part of a prompt, which is of use to no other
+	sure   bool // the engine said so; else it follows from a send
 }
 
 // partKey names a part under a salt: parts of other weights or of a tenant that shares nothing never meet.
 type partKey struct{ salt, id string }
 
-// holdings is what one engine is believed to hold, from what was sent there. Like the engine it gives up the parts that
-// were unused longest when its memory is full.
+// holdings is what one engine is believed to hold: what was sent there, put right by what the engine itself tells. While
+// nobody reads that, the parts that were unused longest give way when its memory is full, as at the engine.
 type holdings struct {
-	parts map[partKey]holding
-	salts map[string]int // under which each id is held, counted
-	total int
-	limit int
+	parts    map[partKey]holding
+	salts    map[string]int // under which each id is held, counted
+	total    int            // sum of the kept tokens
+	limit    int
+	memory   int           // of the engine, in tokens
+	told     bool          // the engine's own word was heard
+	toldAt   time.Duration // newest word
+	unsureAt time.Duration // when parts that were only sent were looked through
 }
 
-func newHoldings(limit int) *holdings {
-	if limit <= 0 {
-		limit = defaultCache
+func newHoldings(memory int) *holdings {
+	if memory <= 0 {
+		memory = defaultCache
+	}
+	return &holdings{parts: map[partKey]holding{}, salts: map[string]int{}, limit: int(cacheShare * float64(memory)), memory: memory}
+}
+
+// set notes that so many tokens of a part are held; 0 forgets it.
+func (h *holdings) set(key partKey, next holding) {
+	before, known := h.parts[key]
+	h.total += next.kept - before.kept
+	switch {
+	case next.kept <= 0 && known:
+		delete(h.parts, key)
+		if h.salts[key.id]--; h.salts[key.id] <= 0 {
+			delete(h.salts, key.id)
+		}
+	case next.kept > 0:
+		h.parts[key] = next
+		if !known {
+			h.salts[key.id]++
+		}
 	}
-	return &holdings{parts: map[partKey]holding{}, salts: map[string]int{}, limit: int(cacheShare * float64(limit))}
 }
 
 // use notes that a request with these parts was sent.
 func (h *holdings) use(now time.Duration, salt string, parts []prefix.Part) {
-	for _, part := range parts {
+	for i, part := range parts {
 		key := partKey{salt, part.ID}
-		if _, known := h.parts[key]; !known {
-			h.total += part.Tokens
-			h.salts[part.ID]++
-		}
-		h.parts[key] = holding{tokens: part.Tokens, usedAt: now}
+		before := h.parts[key]
+		sure := before.sure && before.kept >= part.Tokens
+		h.set(key, holding{kept: part.Tokens, usedAt: now, own: i == len(parts)-1, sure: sure})
 	}
-	for h.total > h.limit && len(h.parts) > 0 {
+	limit := h.limit
+	if h.told && now < h.toldAt+toldFor {
+		limit = int(toldLimit * float64(h.memory))
+	}
+	for h.total > limit && len(h.parts) > 0 {
 		h.dropOldest()
 	}
 }
@@ -63,11 +98,68 @@
 			oldest, first = key, false
 		}
 	}
-	h.total -= h.parts[oldest].tokens
-	if h.salts[oldest.id]--; h.salts[oldest.id] <= 0 {
-		delete(h.salts, oldest.id)
+	h.set(oldest, holding{})
+}
+
+// hear notes that the engine's own word was heard.
+func (h *holdings) hear(now time.Duration) {
+	h.told, h.toldAt = true, max(h.toldAt, now)
+}
+
+// keep takes up what another gateway read of the engine's own word.
+func (h *holdings) keep(now time.Duration, salt string, parts []prefix.Part) {
+	h.hear(now)
+	for _, part := range parts {
+		h.learn(now, partKey{salt, part.ID}, part.Tokens)
+	}
+}
+
+// learn notes what the engine says of a part, and reports whether that was believed otherwise and is of use to others.
+func (h *holdings) learn(now time.Duration, key partKey, kept int) bool {
+	before := h.parts[key]
+	next := holding{kept: max(0, kept), usedAt: now, own: before.own, sure: true}
+	if before.kept > 0 {
+		next.usedAt = before.usedAt
+	}
+	h.set(key, next)
+	return before.kept != next.kept && !before.own
+}
+
+// tell takes up what the engine tells that it keeps, all of it or what has changed, and returns the parts of use to others
+// that were believed otherwise.
+func (h *holdings) tell(now time.Duration, parts []KeptPart, whole bool) []KeptPart {
+	h.hear(now)
+	var differ []KeptPart
+	named := map[partKey]bool{}
+	for _, p := range parts {
+		key := partKey{p.Salt, p.ID}
+		named[key] = true
+		if h.learn(now, key, p.Tokens) {
+			differ = append(differ, p)
+		}
+	}
+	return append(differ, h.giveUp(now, named, whole)...)
+}
+
+// giveUp forgets parts that were sent long enough ago for the engine to have told of them, and did not; with a whole list
+// also those that it had told of before.
+func (h *holdings) giveUp(now time.Duration, named map[partKey]bool, whole bool) []KeptPart {
+	if now < h.unsureAt+unsureEach && !whole {
+		return nil
+	}
+	h.unsureAt = now
+	var gone []KeptPart
+	for key, held := range h.parts {
+		stale := !held.sure && now > held.usedAt+unsureFor || whole && held.sure && !named[key]
+		if !stale {
+			continue
+		}
+		h.set(key, holding{})
+		if !held.own {
+			gone = append(gone, KeptPart{Salt: key.salt, Part: prefix.Part{ID: key.id}})
+		}
 	}
-	delete(h.parts, oldest)
+	return gone
 }
 
 // clear forgets everything: the engine's weights were replaced.
@@ -80,14 +172,16 @@
 // holds reports whether a part is held under any salt.
 func (h *holdings) holds(id string) bool { return h.salts[id] > 0 }
 
-// cached returns the leading tokens that are believed to be held; a part is of use only behind all parts before it.
+// cached returns the leading tokens that are believed to be held; a part is of use only behind all parts before it, and
+// what follows one that is held in part is of none.
 func (h *holdings) cached(salt string, parts []prefix.Part) int {
 	tokens := 0
 	for _, part := range parts {
-		if _, held := h.parts[partKey{salt, part.ID}]; !held {
+		kept := min(h.parts[partKey{salt, part.ID}].kept, part.Tokens)
+		tokens += kept
+		if kept < part.Tokens {
 			break
 		}
-		tokens += part.Tokens
 	}
 	return tokens
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,6 +19,7 @@
 	attempts *prometheus.CounterVec // that failed, by result
 	first    prometheus.Histogram
 	repeats  prometheus.Counter
+	unread   prometheus.Counter // questions for engines' cache events that failed
 	read     prometheus.Counter // prompt tokens that engines were sent to read
 	cached   prometheus.Counter // prompt tokens that were taken to be cached or copied
 }
@@ -41,13 +42,14 @@
 			Name: "kitetiller_gateway_first_event_seconds", Help: "Time to the first event of streams.", Buckets: firstBuckets,
 		}),
 		repeats: counter("repeats_total", "Requests sent to a further back end."),
+		unread:  counter("cache_questions_failed_total", "Questions for engines' cache events that failed."),
 		read:    counter("prompt_tokens_read_total", "Prompt tokens that engines were sent to read."),
 		cached:  counter("prompt_tokens_cached_total", "Prompt tokens that were taken to be cached or copied."),
 	}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "kitetiller_gateway_" + name, Help: help}, value)
 	}
-	made.registry.MustRegister(made.requests, made.attempts, made.first, made.repeats, made.read, made.cached,
+	made.registry.MustRegister(made.requests, made.attempts, made.first, made.repeats, made.unread, made.read, made.cached,
 		gauge("view_age_seconds", "Time since control confirmed the view; -1 never.", g.viewAge),
 		gauge("active_requests", "Requests in progress.", func() float64 { return float64(g.active.Load()) }),
 		gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(g.log.out.Dropped()) }),
