--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -343,6 +343,9 @@
 	if x.firstAt > 0 {
 		fields = append(fields, zap.Duration("first", x.firstAt-x.arrived), zap.Duration("pause", x.pause))
 	}
+	if event == events.RequestAnswered && x.late() {
+		fields = append(fields, zap.Bool(events.FieldLate, true))
+	}
 	if reason == reasonUntrusted {
 		fields = append(fields, zap.Duration("unconfirmed", x.gateway.now()-time.Duration(x.gateway.confirm.Load())))
 	}
@@ -353,6 +356,15 @@
 	x.gateway.metrics.ended(event, reason)
 }
 
+// late reports whether the answer, or its first event, came after the route's objective, or with too long a pause.
+func (x *exchange) late() bool {
+	took := x.gateway.now() - x.arrived
+	if x.firstAt > 0 {
+		took = x.firstAt - x.arrived
+	}
+	return x.route.Objective > 0 && took > x.route.Objective || x.route.Pause > 0 && x.pause > x.route.Pause
+}
+
 func (x *exchange) logFailure(sent *attempt, failed result) {
 	x.gateway.metrics.attempts.WithLabelValues(failed.kind.String()).Inc()
 	x.gateway.log.note(events.AttemptFailed, zap.String(events.FieldRequest, x.call.ID), zap.String(events.FieldInstance, sent.row.entry.ID),
--- /dev/null
+++ b/internal/lab/account/account.go
@@ -0,0 +1,140 @@
+// Package account tells what a day of service lost, by cause, by moment and by mechanism: from a report that was made
+// outside, from the product's own log lines, or from both.
+package account
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Day is what one played or lived day lost.
+type Day struct {
+	Name   string
+	Worth  float64 // what was earned of what was owed, less prices; of the reports only
+	Losses []Loss
+	Events []Event
+}
+
+// Loss is worth that was lost to a cause, as a part of what was owed.
+type Loss struct {
+	Cause string
+	Worth float64
+}
+
+// Event is a request that was not served, or served late, or an attempt that failed, as a log line tells it.
+type Event struct {
+	At        time.Duration // since the day's first line, or as the line says
+	Outcome   Outcome
+	Mechanism string // reason or cause, without names of this one request
+	Line      string // as it stands in the log
+}
+
+// Outcome tells what became of a request.
+type Outcome string
+
+// Outcomes of requests and attempts.
+const (
+	Refused  Outcome = "refused"        // the gateway answered itself
+	Failed   Outcome = "failed"         // the back end's answer was a failure
+	Late     Outcome = "late"           // served, not within the objective
+	Repeated Outcome = "attempt failed" // an attempt; the request may have been served by another one
+)
+
+// Row is a line of a table.
+type Row struct {
+	Name  string
+	Value float64
+	Share float64 // of the sum of all rows
+	Line  string  // an example, or ""
+}
+
+// rows returns sums by name as rows, the greatest first.
+func rows(sums map[string]float64, examples map[string]string) []Row {
+	total := 0.0
+	for _, value := range sums {
+		total += value
+	}
+	var made []Row
+	for _, name := range slices.Sorted(maps.Keys(sums)) {
+		row := Row{Name: name, Value: sums[name], Line: examples[name]}
+		if total > 0 {
+			row.Share = row.Value / total
+		}
+		made = append(made, row)
+	}
+	slices.SortStableFunc(made, func(a, b Row) int { return cmp.Compare(b.Value, a.Value) })
+	return made
+}
+
+// ByCause returns the worth lost to each cause, the mean of the days.
+func ByCause(days []Day) []Row {
+	sums := map[string]float64{}
+	for _, d := range days {
+		for _, l := range d.Losses {
+			sums[l.Cause] += l.Worth / float64(len(days))
+		}
+	}
+	return rows(sums, nil)
+}
+
+// ByMechanism returns how many requests a day met each outcome by each mechanism, with the first line that shows it.
+func ByMechanism(days []Day) []Row {
+	sums, examples := map[string]float64{}, map[string]string{}
+	for _, d := range days {
+		for _, e := range d.Events {
+			name := string(e.Outcome) + ": " + e.Mechanism
+			sums[name] += 1 / float64(len(days))
+			if examples[name] == "" {
+				examples[name] = e.Line
+			}
+		}
+	}
+	return rows(sums, examples)
+}
+
+// Moment is a span of a day with the requests that were lost in it.
+type Moment struct {
+	From   time.Duration
+	Counts map[Outcome]float64 // a day
+}
+
+// ByMoment returns the spans of a length, rising, without those where nothing was lost.
+func ByMoment(days []Day, span time.Duration) []Moment {
+	found := map[time.Duration]map[Outcome]float64{}
+	for _, d := range days {
+		for _, e := range d.Events {
+			from := e.At.Truncate(span)
+			if found[from] == nil {
+				found[from] = map[Outcome]float64{}
+			}
+			found[from][e.Outcome] += 1 / float64(len(days))
+		}
+	}
+	var moments []Moment
+	for _, from := range slices.Sorted(maps.Keys(found)) {
+		moments = append(moments, Moment{From: from, Counts: found[from]})
+	}
+	return moments
+}
+
+// Pair is a day that was played twice, by two states of the code.
+type Pair struct {
+	Name          string
+	Before, After float64 // worth
+}
+
+// Pairs returns the days of the same name in two sets.
+func Pairs(before, after []Day) []Pair {
+	var pairs []Pair
+	for _, b := range before {
+		at := slices.IndexFunc(after, func(a Day) bool { return a.Name == b.Name })
+		if at >= 0 {
+			pairs = append(pairs, Pair{Name: b.Name, Before: b.Worth, After: after[at].Worth})
+		}
+	}
+	slices.SortFunc(pairs, func(a, b Pair) int { return strings.Compare(a.Name, b.Name) })
+	return pairs
+}
--- /dev/null
+++ b/internal/lab/account/lines.go
@@ -0,0 +1,91 @@
+package account
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/events"
+)
+
+// maximumLine bounds one line of a log; a longer one ends the reading with an error.
+const maximumLine = 1 << 20
+
+// logLine is what of a log line is looked at.
+type logLine struct {
+	Time    time.Time `json:"time"`
+	Msg     string    `json:"msg"`
+	Reason  string    `json:"reason"`
+	Cause   string    `json:"cause"`
+	Result  string    `json:"result"`
+	Status  int       `json:"status"`
+	Late    bool      `json:"late"`
+	Request string    `json:"request"`
+}
+
+// names are parts of a cause that differ from request to request: addresses and instances.
+var names = regexp.MustCompile(`\d+\.\d+\.\d+\.\d+:\d+|\bi-[0-9a-f]+\b`)
+
+// ReadLines reads the events of a day's log. Each line is an object as the processes write it, behind a time in seconds and
+// a process's name where the log was gathered from several. Other lines are passed over; broken counts objects that cannot
+// be read.
+func ReadLines(from io.Reader) (found []Event, broken int, err error) {
+	scanner := bufio.NewScanner(from)
+	scanner.Buffer(make([]byte, 0, 64<<10), maximumLine)
+	var first time.Time
+	for scanner.Scan() {
+		before, object, has := strings.Cut(scanner.Text(), "{")
+		if !has {
+			continue
+		}
+		var line logLine
+		if json.Unmarshal([]byte("{"+object), &line) != nil {
+			broken++
+			continue
+		}
+		if first.IsZero() {
+			first = line.Time
+		}
+		event, counts := line.event()
+		if !counts {
+			continue
+		}
+		event.At, event.Line = line.Time.Sub(first), scanner.Text()
+		if seconds, told := leadingSeconds(before); told {
+			event.At = seconds
+		}
+		found = append(found, event)
+	}
+	return found, broken, eris.Wrap(scanner.Err(), "read log")
+}
+
+// leadingSeconds reads the time in front of a gathered line.
+func leadingSeconds(before string) (time.Duration, bool) {
+	fields := strings.Fields(before)
+	if len(fields) == 0 {
+		return 0, false
+	}
+	seconds, err := strconv.ParseFloat(fields[0], 64)
+	return time.Duration(seconds * float64(time.Second)), err == nil
+}
+
+// event returns what a line tells of a request that lost something.
+func (l *logLine) event() (Event, bool) {
+	switch {
+	case l.Msg == events.RequestRefused:
+		return Event{Outcome: Refused, Mechanism: l.Reason}, true
+	case l.Msg == events.RequestAnswered && l.Status >= 500:
+		return Event{Outcome: Failed, Mechanism: "status " + strconv.Itoa(l.Status)}, true
+	case l.Msg == events.RequestAnswered && l.Late:
+		return Event{Outcome: Late, Mechanism: "answered after the objective"}, true
+	case l.Msg == events.AttemptFailed:
+		return Event{Outcome: Repeated, Mechanism: l.Result + ", " + names.ReplaceAllString(l.Cause, "*")}, true
+	}
+	return Event{}, false
+}
--- /dev/null
+++ b/internal/lab/account/print.go
@@ -0,0 +1,90 @@
+package account
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 22 * vg.Centimeter
+	plotHeight = 11 * vg.Centimeter
+	longLine   = 160 // of an example in a table
+)
+
+// outcomes in the order of tables and plots.
+var outcomes = []Outcome{Refused, Failed, Late, Repeated}
+
+// Print writes the tables of a set of days.
+func Print(w io.Writer, days []Day, span time.Duration) {
+	if causes := ByCause(days); len(causes) > 0 {
+		fmt.Fprintf(w, "| worth lost to | a day | share |\n|---|---|---|\n")
+		for _, r := range causes {
+			fmt.Fprintf(w, "| %s | %.4f | %.1f%% |\n", r.Name, r.Value, 100*r.Share)
+		}
+	}
+	if mechanisms := ByMechanism(days); len(mechanisms) > 0 {
+		fmt.Fprintf(w, "\n| requests | a day | share | the first line that shows it |\n|---|---|---|---|\n")
+		for _, r := range mechanisms {
+			fmt.Fprintf(w, "| %s | %.1f | %.1f%% | `%.*s` |\n", r.Name, r.Value, 100*r.Share, longLine, strings.TrimSpace(r.Line))
+		}
+	}
+	moments := ByMoment(days, span)
+	if len(moments) == 0 {
+		return
+	}
+	fmt.Fprintf(w, "\n| from second | refused | failed | late | attempts failed |\n|---|---|---|---|---|\n")
+	for _, m := range moments {
+		fmt.Fprintf(w, "| %g |", m.From.Seconds())
+		for _, o := range outcomes {
+			fmt.Fprintf(w, " %.1f |", m.Counts[o])
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+// PrintPairs writes what changed from one state of the code to another, day by day.
+func PrintPairs(w io.Writer, pairs []Pair) {
+	fmt.Fprintf(w, "\n| day | before | after | difference |\n|---|---|---|---|\n")
+	sum := 0.0
+	for _, p := range pairs {
+		sum += p.After - p.Before
+		fmt.Fprintf(w, "| %s | %.4f | %.4f | %+.4f |\n", p.Name, p.Before, p.After, p.After-p.Before)
+	}
+	if len(pairs) > 0 {
+		fmt.Fprintf(w, "| mean of %d | | | %+.4f |\n", len(pairs), sum/float64(len(pairs)))
+	}
+}
+
+// Plot draws the lost requests over the day to a file, whose ending names the format.
+func Plot(file string, days []Day, span time.Duration) error {
+	p := plot.New()
+	p.Title.Text = "requests lost, a day"
+	p.X.Label.Text, p.Y.Label.Text = "second", "requests in "+span.String()
+	p.Legend.Top = true
+	moments := ByMoment(days, span)
+	for i, o := range outcomes {
+		var points plotter.XYs
+		for _, m := range moments {
+			points = append(points, plotter.XY{X: m.From.Seconds(), Y: m.Counts[o]})
+		}
+		if len(points) == 0 {
+			continue
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return eris.Wrapf(err, "draw %s", o)
+		}
+		line.Color, line.Dashes = plotutil.Color(i), plotutil.Dashes(i)
+		p.Add(line)
+		p.Legend.Add(string(o), line)
+	}
+	return eris.Wrapf(p.Save(plotWidth, plotHeight, file), "draw %s", file)
+}
