--- /dev/null
+++ b/internal/lab/account/account_test.go
@@ -0,0 +1,65 @@
+package account
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+// log is gathered from two processes; the second half is as one process writes it.
+const log = `  -0.5000 g1 {"level":"info","time":"2026-01-01T00:00:00Z","msg":"gateway started"}
+   1.2500 g1 {"level":"info","time":"2026-01-01T00:00:01.75Z","msg":"request refused","request":"a","status":503,"reason":"no-backend"}
+   1.9000 g2 {"level":"info","time":"2026-01-01T00:00:02.4Z","msg":"attempt failed","request":"b","result":"unreached","cause":"dial tcp 10.1.0.2:80: i/o timeout"}
+   3.0000 g2 {"level":"info","time":"2026-01-01T00:00:03.5Z","msg":"attempt failed","request":"c","result":"unreached","cause":"dial tcp 10.1.0.9:81: i/o timeout"}
+   3.1000 g2 {"level":"info","time":"2026-01-01T00:00:03.6Z","msg":"request answered","request":"c","status":200,"late":true}
+   3.2000 g2 {"level":"info","time":"2026-01-01T00:00:03.7Z","msg":"request answered","request":"d","status":500}
+   3.3000 g2 {"level":"info","time":"2026-01-01T00:00:03.8Z","msg":"request answered","request":"e","status":200}
+   3.4000 g2 {"level":"info","time":"cut of
+no object at all
+`
+
+// TestLinesBecomeEvents: what was served in time is left out, causes lose their addresses, broken lines are counted.
+func TestLinesBecomeEvents(t *testing.T) {
+	found, broken, err := ReadLines(strings.NewReader(log))
+	if err != nil || broken != 1 {
+		t.Fatalf("%d broken lines, error %v", broken, err)
+	}
+	days := []Day{{Name: "d", Worth: 0.5, Events: found, Losses: []Loss{{"part a", 0.2}, {"price of b", 0.3}}}}
+	var out bytes.Buffer
+	Print(&out, days, 2*time.Second)
+	PrintPairs(&out, Pairs([]Day{{Name: "d", Worth: 0.25}, {Name: "gone", Worth: 1}}, days))
+	goldie.New(t).Assert(t, "tables", out.Bytes())
+}
+
+// TestLinesOfOneProcessCountFromTheFirst: there is no time in front of them.
+func TestLinesOfOneProcessCountFromTheFirst(t *testing.T) {
+	alone := ""
+	for line := range strings.SplitSeq(log, "\n") {
+		if at := strings.Index(line, "{"); at >= 0 {
+			alone += line[at:] + "\n"
+		}
+	}
+	found, _, err := ReadLines(strings.NewReader(alone))
+	if err != nil || len(found) == 0 || found[0].At != 1750*time.Millisecond {
+		t.Fatalf("first event %+v, error %v", found, err)
+	}
+}
+
+// TestPlotIsDrawn: also of a day without events.
+func TestPlotIsDrawn(t *testing.T) {
+	found, _, _ := ReadLines(strings.NewReader(log))
+	for name, days := range map[string][]Day{"some.svg": {{Events: found}}, "none.svg": {{}}} {
+		file := filepath.Join(t.TempDir(), name)
+		if err := Plot(file, days, time.Second); err != nil {
+			t.Fatal(err)
+		}
+		if info, err := os.Stat(file); err != nil || info.Size() == 0 {
+			t.Fatalf("%s: %v", name, err)
+		}
+	}
+}
