A copied prompt costs what it displaces

Of 92,865 shared tokens read again in 8 s, 38,747 were expected by the decision.

Change: each copied token costs one and a half times its reading besides the copy's own time (93 ms for 2,500 tokens).

--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -11,8 +11,10 @@
 
 const (
 	// moveBase is the least time of a copy, in milliseconds; farFactor is how much longer one between zones takes.
-	moveBase              = 4.0
-	farFactor             = 2.0
+	moveBase  = 4.0
+	farFactor = 2.0
+	// displaceWeight is what each copied token costs besides, as a part of the time of reading one.
+	displaceWeight        = 1.5
 	bitsPerByte           = 8
 	bitsPerMegabit        = 1e6
 	millisecondsPerSecond = 1e3
@@ -81,17 +83,23 @@
 	switch {
 	case from != nil && (!stored || best == prefix.PartTokens(shared)):
 		scored.fetch = from.entry.Address
-		scored.cost += moveTime(wish.service, best-cached, from.entry.Zone != scored.row.entry.Zone)
+		scored.cost += moveCost(wish.service, best-cached, from.entry.Zone != scored.row.entry.Zone)
 	case stored:
 		best = prefix.PartTokens(shared)
 		scored.fetch = wish.store.Store
-		scored.cost += moveTime(wish.service, best-cached, wish.store.Zone != scored.row.entry.Zone)
+		scored.cost += moveCost(wish.service, best-cached, wish.store.Zone != scored.row.entry.Zone)
 	case wish.store != nil:
 		scored.fetch, scored.save = wish.store.Store, wish.store.Store
 	}
 	return best
 }
 
+// moveCost is what a copy costs, in milliseconds: its time, and what it displaces at its engine, which somebody will have to
+// read or to copy again.
+func moveCost(service *catalog.Service, tokens int, far bool) float64 {
+	return moveTime(service, tokens, far) + displaceWeight*float64(tokens)/prefillRate
+}
+
 // moveTime is how long copying cached tokens takes, in milliseconds.
 func moveTime(service *catalog.Service, tokens int, far bool) float64 {
 	if service.LinkMbps <= 0 {
