A new leader waits only for engines that were ordered and for gateways that asked

Change: the leader writes into the log which engine it is about to order, before it does, and which gateways ask it, when they change. Ruled out: times in the log (clocks jump); orders without an entry (the next leader could not know). An order still needs the lease, a fence of its own, and gateways that turned away.

--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -39,6 +39,8 @@
 	Version  *NamedWeight `json:"version,omitempty"` // newest weights of a model
 	Fence    bool         `json:"fence,omitempty"`   // a new holder of the right to give orders
 	Held     []HeldWeight `json:"held,omitempty"`    // weights that instances were seen to hold
+	Ordering []string     `json:"order,omitempty"`   // instances that the leader is about to give orders
+	Gateways []string     `json:"gates,omitempty"`   // gateways that ask the leader; it replaces those before
 }
 
 // HeldWeight is a version of a model's weights that an instance was seen to hold.
@@ -69,6 +71,8 @@
 	ended      map[string]bool
 	versions   map[string]uint64
 	held       map[string]map[string]uint64 // by instance and model; of registered instances only; versions only rise
+	ordered    map[string]bool              // registered instances that were ever to be given an order
+	gateways   []string                     // that asked the last leader that wrote them, rising
 	fence      uint64
 }
 
@@ -76,6 +80,7 @@
 func NewMachine() *Machine {
 	return &Machine{
 		instances: map[string]Instance{}, ended: map[string]bool{}, versions: map[string]uint64{}, held: map[string]map[string]uint64{},
+		ordered: map[string]bool{},
 	}
 }
 
@@ -95,6 +100,12 @@
 // now, never older ones.
 func (m *Machine) Held(id string) map[string]uint64 { return m.held[id] }
 
+// Ordered reports whether an instance may ever have been given an order.
+func (m *Machine) Ordered(id string) bool { return m.ordered[id] }
+
+// Gateways returns the gateways that were written last, rising; callers only read it.
+func (m *Machine) Gateways() []string { return m.gateways }
+
 // Apply applies one committed command.
 func (m *Machine) Apply(command Command) Outcome {
 	switch {
@@ -110,6 +121,10 @@
 		m.drop(command.Forget)
 	case len(command.Held) > 0:
 		m.hold(command.Held)
+	case len(command.Ordering) > 0:
+		m.order(command.Ordering)
+	case len(command.Gateways) > 0:
+		m.gateways = command.Gateways
 	case command.Version != nil:
 		m.versions[command.Version.Model] = max(m.versions[command.Version.Model], command.Version.Version)
 	case command.Fence:
@@ -147,6 +162,16 @@
 func (m *Machine) drop(id string) {
 	delete(m.instances, id)
 	delete(m.held, id)
+	delete(m.ordered, id)
+}
+
+// order notes registered instances that are about to be given orders.
+func (m *Machine) order(ids []string) {
+	for _, id := range ids {
+		if _, known := m.instances[id]; known {
+			m.ordered[id] = true
+		}
+	}
 }
 
 // hold notes what registered instances hold.
@@ -192,12 +217,14 @@
 	Versions   map[string]uint64   `json:"versions"`
 	Fence      uint64              `json:"fence"`
 
-	Held map[string]map[string]uint64 `json:"held,omitempty"`
+	Held     map[string]map[string]uint64 `json:"held,omitempty"`
+	Ordered  map[string]bool              `json:"ordered,omitempty"`
+	Gateways []string                     `json:"gateways,omitempty"`
 }
 
 // MarshalJSON writes the whole state.
 func (m *Machine) MarshalJSON() ([]byte, error) {
-	return json.Marshal(machineForm{m.document, m.instances, m.tombstones, m.versions, m.fence, m.held})
+	return json.Marshal(machineForm{m.document, m.instances, m.tombstones, m.versions, m.fence, m.held, m.ordered, m.gateways})
 }
 
 // UnmarshalJSON replaces the whole state.
@@ -213,6 +240,10 @@
 	for id, instance := range form.Instances {
 		m.instances[id] = instance
 	}
+	for id := range form.Ordered {
+		m.ordered[id] = true
+	}
+	m.gateways = form.Gateways
 	for id, versions := range form.Held {
 		m.held[id] = versions
 	}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -208,7 +208,8 @@
 	if before {
 		r.noteNaming(now, command.Version.Model, command.Version.Version)
 	}
-	if r.lead != nil && len(command.Held) == 0 {
+	quiet := len(command.Held)+len(command.Ordering)+len(command.Gateways) > 0 // gateways are told nothing of these
+	if r.lead != nil && !quiet {
 		r.lead.rosterChanged()
 	}
 	return &outcome
--- /dev/null
+++ b/internal/control/handover.go
@@ -0,0 +1,104 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/guard"
+)
+
+// A new leader must not give an order to a back end that the last leader gave one a moment ago, nor one that gateways do
+// not know of which still trust a view of the last leader. Both are written into the log, so that a new leader waits only
+// for what there is to wait for: for the back ends that were ordered, and for the gateways that asked.
+
+// orderMark is when a back end was last about to be given orders, as far as this process knows.
+type orderMark struct {
+	term      uint64        // of the leader that wrote the newest
+	at        time.Duration // when that was applied here
+	foreign   bool          // a leader before that one wrote one too
+	foreignAt time.Duration // when the newest of those was applied here
+}
+
+// noteOrdering remembers that a leader is about to order back ends.
+func (r *Replica) noteOrdering(now time.Duration, term uint64, ids []string) {
+	for _, id := range ids {
+		mark, known := r.orders[id]
+		if known && mark.term != term {
+			mark.foreign, mark.foreignAt = true, mark.at
+		}
+		if !known && r.machine.catalog.Ordered(id) {
+			mark.foreign = true // by an entry that a snapshot covers: it counts from the start of this process
+		}
+		mark.term, mark.at = term, now
+		r.orders[id] = mark
+	}
+}
+
+// orderedElsewhere returns when another leader was last about to order a back end, if one may have been.
+func (r *Replica) orderedElsewhere(id string) (time.Duration, bool) {
+	mark, known := r.orders[id]
+	switch {
+	case !known:
+		return 0, r.machine.catalog.Ordered(id)
+	case mark.term != r.node.Term():
+		return mark.at, true
+	}
+	return mark.foreignAt, mark.foreign
+}
+
+// mayOrderBackend reports whether a back end may be ordered now: this leader's intent is in the log, and the back end was
+// handed over.
+func (r *Replica) mayOrderBackend(now time.Duration, id string) bool {
+	if mark := r.orders[id]; mark.term != r.node.Term() {
+		return false // what is announced is written in the same step; it commits in a moment
+	}
+	return r.handedOver(now, id)
+}
+
+// handedOver reports whether no other leader's order to a back end can be as young as the pause between two holders.
+func (r *Replica) handedOver(now time.Duration, id string) bool {
+	at, ordered := r.orderedElsewhere(id)
+	return !ordered || now >= at+r.config.OrderWait || !r.config.Guards.On(guard.OrderPause)
+}
+
+// writeOrdering writes into the log that a back end is about to be ordered.
+func (r *Replica) writeOrdering(now time.Duration, id string) {
+	r.propose(now, 0, Command{Catalog: &catalog.Command{Ordering: []string{id}}})
+}
+
+// gatewaysPeriod is how often changes of the gateways that ask are written into the log.
+const gatewaysPeriod = time.Second
+
+// noteGateways writes which gateways may trust this leader's views.
+func (r *Replica) noteGateways(now time.Duration) {
+	if now < r.lead.gatewaysAt+gatewaysPeriod {
+		return
+	}
+	r.lead.gatewaysAt = now
+	var names []string
+	for _, name := range sortedKeys(r.lead.usage) {
+		if now-r.lead.usage[name].at <= r.trustEnd() {
+			names = append(names, name)
+		}
+	}
+	known := r.machine.catalog.Gateways()
+	gone := slices.ContainsFunc(known, func(name string) bool { return !slices.Contains(names, name) })
+	if gone && now < r.lead.since+r.trustEnd() {
+		return // they may still trust a view of the last leader
+	}
+	if len(names) > 0 && !slices.Equal(names, known) {
+		r.propose(now, 0, Command{Catalog: &catalog.Command{Gateways: names}})
+	}
+}
+
+// gatewaysFollow reports whether no gateway can trust a view of another leader any more: all that asked the last one have
+// asked this one, or the time for that is over.
+func (r *Replica) gatewaysFollow(now time.Duration) bool {
+	if now >= r.lead.since+r.trustEnd() || !r.config.Guards.On(guard.OrderPause) {
+		return true
+	}
+	known := r.machine.catalog.Gateways()
+	missing := slices.ContainsFunc(known, func(name string) bool { _, asked := r.lead.usage[name]; return !asked })
+	return len(known) > 0 && !missing
+}
--- /dev/null
+++ b/internal/control/handover_test.go
@@ -0,0 +1,103 @@
+package control
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"kitetiller/internal/catalog"
+)
+
+// handOver ends a leader that has begun to order one of two engines, while gateway g1 asked it, and starts the next one.
+func handOver(t *testing.T) (next *solo, ordered, free string) {
+	t.Helper()
+	s := openFleet(t)
+	s.config(func(config *Config) { config.GatewayTrust = 3 * time.Second })
+	version := s.watchNow("g1", RosterVersion{}).Version
+	s.pass(gatewaysPeriod + 100*time.Millisecond)
+	s.watchNow("g1", version)
+	s.ask(Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: "m", Version: 2}}})
+	var orders []WeightsCall
+	for range 20 {
+		s.beats("i-1", "i-2")
+		version = s.watchNow("g1", version).Version
+		if orders = append(orders, s.orders(50*time.Millisecond)...); len(orders) > 0 {
+			break
+		}
+	}
+	if len(orders) != 1 {
+		t.Fatalf("%d orders by the first leader", len(orders))
+	}
+	ordered, free = orders[0].Instance, "i-1"
+	if ordered == free {
+		free = "i-2"
+	}
+	if err := s.disk.Close(); err != nil {
+		t.Fatal(err)
+	}
+	next = openStartingIn(t, s.folder)
+	next.config(func(config *Config) { config.OrderWait, config.GatewayTrust = 5*time.Second, 3*time.Second })
+	next.pass(400 * time.Millisecond)
+	return next, ordered, free
+}
+
+// ordersWhile lets time pass with a gateway that keeps asking, and returns which engines were ordered.
+func (s *solo) ordersWhile(gateway string, length time.Duration) []string {
+	var found []string
+	version := RosterVersion{}
+	for end := s.now + length; s.now < end; {
+		s.beats("i-1", "i-2")
+		if gateway != "" {
+			version = s.watchNow(gateway, version).Version
+		}
+		for _, call := range s.orders(50 * time.Millisecond) {
+			found = append(found, call.Instance)
+		}
+	}
+	return found
+}
+
+// TestNewLeaderWaitsOnlyForWhatWasOrdered: an engine that the last leader gave an order to is left alone for the pause between
+// two holders, one that it did not is ordered as soon as the gateways follow (ayni-lima trouble-3: named at 3.0 s, first
+// ordered at 7.5 s by a leader of 4.07 s).
+func TestNewLeaderWaitsOnlyForWhatWasOrdered(t *testing.T) {
+	s, ordered, free := handOver(t)
+	if early := s.ordersWhile("g1", 2*time.Second); !slices.Contains(early, free) || slices.Contains(early, ordered) {
+		t.Fatalf("ordered %v; the last leader ordered %s, and not %s", early, ordered, free)
+	}
+	s.replica.lead.fleet[free].versions["m"] = 2
+	s.replica.setPhase(s.replica.lead.fleet[free], phaseIdle, s.now)
+	if later := s.ordersWhile("g1", 5*time.Second); !slices.Contains(later, ordered) {
+		t.Fatalf("after the pause ordered %v, not %s", later, ordered)
+	}
+}
+
+// TestNewLeaderWaitsForGatewaysOfTheLast: one that does not ask may still trust what the last leader told.
+func TestNewLeaderWaitsForGatewaysOfTheLast(t *testing.T) {
+	s, _, free := handOver(t)
+	if early := s.ordersWhile("g2", 2*time.Second); len(early) > 0 {
+		t.Fatalf("ordered %v, while g1 may trust a view of the last leader", early)
+	}
+	if later := s.ordersWhile("g2", 3*time.Second); !slices.Contains(later, free) {
+		t.Fatalf("ordered %v after all views of the last leader had ended", later)
+	}
+}
+
+// TestOrderedEnginesAreKnownFromASnapshot: the entries themselves may be gone from the log.
+func TestOrderedEnginesAreKnownFromASnapshot(t *testing.T) {
+	s, ordered, free := handOver(t)
+	snapshot := s.replica.Machine().Snapshot()
+	if err := s.replica.Machine().Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	clear(s.replica.orders)
+	if _, elsewhere := s.replica.orderedElsewhere(ordered); !elsewhere {
+		t.Fatalf("%s was ordered by another leader", ordered)
+	}
+	if _, elsewhere := s.replica.orderedElsewhere(free); elsewhere {
+		t.Fatalf("%s was never ordered", free)
+	}
+	if known := s.replica.Machine().Catalog().Gateways(); !slices.Equal(known, []string{"g1"}) {
+		t.Fatalf("gateways %v", known)
+	}
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -48,6 +48,7 @@
 	toldAt       time.Duration
 	readyMost    int // engines that were ready lately
 	readyMostAt  time.Duration
+	gatewaysAt   time.Duration // when gateways were last looked through for the log
 	loadTime     time.Duration // smoothed length of a load of weights; 0 before the first
 	orderLostAt  time.Duration // when an order for weights last got no answer
 	watchers     []watcher
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -74,6 +74,7 @@
 	effects     Effects
 	lead        *leadership
 	namings     map[string][]namedVersion // by model: the versions that were applied here, rising
+	orders      map[string]orderMark      // by instance: what this process saw in the log
 	leaderless  []watcher                 // gateways' questions that wait for a leader; at most leaderlessMost
 	checkpoint  bool                      // a snapshot must be written with the next Work
 }
@@ -82,7 +83,7 @@
 func NewReplica(config Config, restored Checkpoint, now time.Duration) (*Replica, error) {
 	replica := &Replica{
 		config: config, machine: NewMachine(config.Guards), snapshot: restored.Snapshot,
-		hard: restored.HardState, waiters: map[uint64]waiter{}, namings: map[string][]namedVersion{},
+		hard: restored.HardState, waiters: map[uint64]waiter{}, namings: map[string][]namedVersion{}, orders: map[string]orderMark{},
 	}
 	if len(restored.Snapshot.Data) > 0 {
 		if err := replica.machine.Restore(restored.Snapshot.Data); err != nil {
@@ -126,6 +127,7 @@
 		r.repair(now)
 		r.watchFleet(now)
 		r.noteHeld(now)
+		r.noteGateways(now)
 		r.rollOut(now)
 	}
 	if r.lead != nil {
@@ -254,6 +256,7 @@
 	if entry.Kind == consensus.EntryCommand {
 		command := decodeCommand(entry.Data)
 		if command.Catalog != nil {
+			r.noteOrdering(now, entry.Term, command.Catalog.Ordering)
 			result.Catalog = r.applyCatalog(now, *command.Catalog)
 		} else {
 			result = r.machine.Apply(entry.Index, entry.Term, command)
--- a/internal/control/restart_test.go
+++ b/internal/control/restart_test.go
@@ -20,6 +20,12 @@
 	if err := s.disk.Close(); err != nil {
 		t.Fatal(err)
 	}
+	return openStartingIn(t, folder)
+}
+
+// openStartingIn opens a replica on a folder that another life has left.
+func openStartingIn(t *testing.T, folder string) *solo {
+	t.Helper()
 	disk, identity, restored, err := OpenDisk(folder, "c1")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"kitetiller/internal/catalog"
-	"kitetiller/internal/guard"
 )
 
 // phase tells where a back end stands in the replacement of its weights.
@@ -119,14 +118,10 @@
 	Revision uint64            // with WeightsReported
 }
 
-// mayOrder reports whether this replica may give orders: it holds the lease, has a fence of its own, and has led for
-// so long that no order of an earlier leader is still being given.
+// mayOrder reports whether this replica may give orders at all: it holds the lease, has a fence of its own, and no gateway
+// trusts a view of another leader.
 func (r *Replica) mayOrder(now time.Duration) bool {
-	wait := max(r.config.OrderWait, r.trustEnd())
-	if !r.config.Guards.On(guard.OrderPause) {
-		wait = 0
-	}
-	return r.current(now) && r.lead.fence > 0 && now >= r.lead.since+wait
+	return r.current(now) && r.lead.fence > 0 && r.gatewaysFollow(now)
 }
 
 // rollOut takes the next steps towards the newest weights everywhere.
@@ -231,7 +226,7 @@
 			engines++
 		}
 		_, _, lags := r.lagging(instances[id], state)
-		if lags && state.rollout.phase == phaseIdle && !state.silent {
+		if lags && state.rollout.phase == phaseIdle && !state.silent && r.handedOver(now, id) {
 			lagging = append(lagging, id)
 		}
 	}
@@ -260,11 +255,12 @@
 		r.callWeights(instance, state, WeightsReport)
 		return
 	}
-	r.announce(now, state)
+	r.announce(now, instance.ID, state)
 }
 
 // announce makes gateways turn away from a back end.
-func (r *Replica) announce(now time.Duration, state *memberState) {
+func (r *Replica) announce(now time.Duration, id string, state *memberState) {
+	r.writeOrdering(now, id)
 	state.rollout.drainUntil = now + drainPatience
 	if r.stressed(now) {
 		state.rollout.drainUntil = now
@@ -313,7 +309,7 @@
 		if loads.running >= loads.limit || !r.turnedAway(now, state.rollout.announced) {
 			return
 		}
-		if running > 0 && now < state.rollout.drainUntil {
+		if running > 0 && now < state.rollout.drainUntil || !r.mayOrderBackend(now, instance.ID) {
 			return
 		}
 		loads.running++
@@ -427,6 +423,6 @@
 		r.setPhase(state, phaseLoading, now+nextCheck)
 	default:
 		state.rollout.revision, state.rollout.revisionKnown = result.Revision, true
-		r.announce(now, state)
+		r.announce(now, result.Call.Instance, state)
 	}
 }
