--- a/cmd/kitetiller/main.go
+++ b/cmd/kitetiller/main.go
@@ -27,6 +27,7 @@
 
 // arguments holds every flag and positional value of the command line.
 type arguments struct {
+	without   string // mechanisms that are off
 	options   operator.Options
 	change    operator.ChangeOptions
 	file      string
@@ -91,6 +92,7 @@
 	platformCommand.Description = "run a process on the users' platform, with its settings file"
 	platformCommand.AddPositionalValue(&args.role, "ROLE", 1, true, platform.RoleGateway+" or "+platform.RoleControl)
 	platformCommand.AddPositionalValue(&args.file, "FILE", 2, true, "settings file of this process")
+	platformCommand.String(&args.without, "", "without", "mechanisms of the decision to switch off, with commas, to measure what they are worth")
 	versionCommand := flaggy.NewSubcommand("version")
 	versionCommand.Description = "print the version"
 	parser.AttachSubcommand(routerCommand, 1)
@@ -99,7 +101,7 @@
 	parser.AttachSubcommand(versionCommand, 1)
 	commands := []command{
 		{routerCommand, runRouter}, {controlCommand, runControl},
-		{platformCommand, func(args *arguments) error { return platform.Run(args.role, args.file) }},
+		{platformCommand, func(args *arguments) error { return platform.Run(args.role, args.file, args.without) }},
 		{versionCommand, func(*arguments) error { fmt.Println("kitetiller", version); return nil }},
 	}
 	commands = append(commands, defineViews(parser, args)...)
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -6,6 +6,7 @@
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/guard"
+	"kitetiller/internal/mechanism"
 )
 
 const (
@@ -113,7 +114,9 @@
 	state := r.lead.fleet[id]
 	if state == nil {
 		state = &memberState{heardAt: now, versions: map[string]uint64{}}
-		maps.Copy(state.versions, r.machine.catalog.Held(id)) // until its first heartbeat to this leader
+		if r.config.Mechanisms.On(mechanism.HeldWeights) {
+			maps.Copy(state.versions, r.machine.catalog.Held(id)) // until its first heartbeat to this leader
+		}
 		r.lead.fleet[id] = state
 	}
 	return state
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -6,6 +6,7 @@
 
 	"kitetiller/internal/consensus"
 	"kitetiller/internal/guard"
+	"kitetiller/internal/mechanism"
 )
 
 // Config is what a replica needs to start.
@@ -21,6 +22,7 @@
 	OrderWait     time.Duration // how long a new leader waits before its first order for weights
 	GatewayTrust  time.Duration // how long a gateway may use a view that is not confirmed
 	Guards        guard.Set
+	Mechanisms    mechanism.Set // parts of the decision that are on
 	Random        func(n int64) int64
 }
 
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/mechanism"
 )
 
 // phase tells where a back end stands in the replacement of its weights.
@@ -173,7 +174,7 @@
 // atOnce returns how many engines may be taken out of service together, one of so many: one by one while they are short of
 // hands.
 func (r *Replica) atOnce(now time.Duration, engines, share int) int {
-	if r.stressed(now) {
+	if r.stressed(now) && r.config.Mechanisms.On(mechanism.OneByOne) {
 		return 1
 	}
 	return max(1, engines/share)
@@ -309,7 +310,8 @@
 		if loads.running >= loads.limit || !r.turnedAway(now, state.rollout.announced) {
 			return
 		}
-		if running > 0 && now < state.rollout.drainUntil || !r.mayOrderBackend(now, instance.ID) {
+		waits := running > 0 && now < state.rollout.drainUntil && r.config.Mechanisms.On(mechanism.WeightsDrain)
+		if waits || !r.mayOrderBackend(now, instance.ID) {
 			return
 		}
 		loads.running++
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -114,7 +114,7 @@
 	return Config{
 		ID: s.identity.ID, Name: s.identity.Name, Address: section.Internal, Timing: timing,
 		Replicas: section.Replicas, SettingsLease: section.SettingsLease, RepairAfter: section.RepairAfter,
-		SnapshotEvery: section.SnapshotEvery, OrderWait: section.OrderWait, GatewayTrust: section.GatewayTrust, Random: rand.Int64N,
+		SnapshotEvery: section.SnapshotEvery, OrderWait: section.OrderWait, GatewayTrust: section.GatewayTrust, Mechanisms: section.Mechanisms, Random: rand.Int64N,
 	}
 }
 
@@ -142,7 +142,7 @@
 	if s.replica.Node().LastIndex() == 0 {
 		threads.Go(func() { s.enterGroup(run) })
 	}
-	s.log.Info(events.ReplicaStarted, zap.String("internal", s.file.Control.Internal), zap.String("admin", s.file.Control.Admin))
+	s.log.Info(events.ReplicaStarted, zap.String("internal", s.file.Control.Internal), zap.String("admin", s.file.Control.Admin), zap.Strings(events.FieldWithout, s.config.Mechanisms.Off()))
 	select {
 	case <-ctx.Done():
 	case err = <-s.failed:
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -53,5 +53,6 @@
 	FieldSent     = "sent" // back ends that got the request so far
 	FieldTook     = "took" // seconds since the request arrived
 	FieldCause    = "cause"
-	FieldLate     = "late" // true where the answer missed the route's objective
+	FieldWithout  = "without" // mechanisms that this process was started without
+	FieldLate     = "late"    // true where the answer missed the route's objective
 )
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -93,6 +93,7 @@
 // holders without asking engines. It is safe for concurrent use.
 type spread struct {
 	row, column, abroad *transport.Announcer[send]
+	silent              bool // other gateways are told nothing
 }
 
 func newSpread(c *transport.Client) *spread {
@@ -131,6 +132,9 @@
 
 // own tells of a send of this gateway.
 func (s *spread) own(made send) {
+	if s.silent {
+		return
+	}
 	s.abroad.Announce(made)
 	s.imported(made)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/mechanism"
 	"kitetiller/internal/prefix"
 )
 
@@ -190,7 +191,7 @@
 // patience is how long the back end may stay silent; 0 leaves it all the time there is.
 func (a *attempt) patience() time.Duration {
 	x := a.exchange
-	if !x.route.MayRepeat() || x.sent >= max(1, x.route.Attempts) {
+	if !x.route.MayRepeat() || x.sent >= max(1, x.route.Attempts) || !x.gateway.on(mechanism.Patience) {
 		return 0
 	}
 	if x.service.Engine {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/mechanism"
 	"kitetiller/internal/prefix"
 )
 
@@ -131,7 +132,7 @@
 // owner returns the back end on which requests with the same shared prompt meet while nobody is believed to hold it: the
 // highest random weight among those that may be used (rendezvous hashing), so that all gateways agree without a word.
 func (g *Gateway) owner(now time.Duration, rows []*endpoint, wish need) *endpoint {
-	if !wish.service.Engine || len(wish.call.Parts) == 0 {
+	if !wish.service.Engine || len(wish.call.Parts) == 0 || !g.on(mechanism.Owner) {
 		return nil
 	}
 	key := xxhash.Sum64String(prefix.AffinityKey(wish.call.Parts))
@@ -143,7 +144,7 @@
 		if best != nil && weight <= highest {
 			continue
 		}
-		if !g.eligible(now, row, wish) || now < row.avoidTo || row.astray(longest) > 0 {
+		if !g.eligible(now, row, wish) || now < row.avoidTo || g.astray(row, longest) > 0 {
 			continue
 		}
 		best, highest = row, weight
@@ -166,10 +167,10 @@
 	} else {
 		scored.cost = slotTime * float64(row.occupied.own.running+row.others) / float64(max(1, row.entry.Slots))
 	}
-	if row.entry.Zone != g.settings.Zone {
+	if row.entry.Zone != g.settings.Zone && g.on(mechanism.ZoneCost) {
 		scored.cost += zoneCost
 	}
-	scored.cost += doubt(now, row)
+	scored.cost += g.doubt(now, row)
 	return scored
 }
 
@@ -194,20 +195,24 @@
 	queue := max(0, row.busyTo-now)
 	held := row.occupied.total()
 	scored.cost += float64(queue)/float64(time.Millisecond) + float64(scored.uncached)/prefillRate
-	scored.cost += crowding(held, row.entry.Slots, wish.service.CacheLimit, wish.memory, wish.stay)
+	if g.on(mechanism.Occupancy) {
+		scored.cost += crowding(held, row.entry.Slots, wish.service.CacheLimit, wish.memory, wish.stay)
+	}
 	scored.wait = scored.cost
-	scored.cost += row.astray(scored.uncached)
-	scored.cost += rereadWeight * float64(sharedTokens-cached) / prefillRate
+	scored.cost += g.astray(row, scored.uncached)
+	if g.on(mechanism.RereadWeight) {
+		scored.cost += rereadWeight * float64(sharedTokens-cached) / prefillRate
+	}
 	scored.cost += runningCost * float64(held.running)
-	if !owner {
+	if !owner && g.on(mechanism.StrayCost) {
 		scored.cost += strayCost * float64(sharedTokens-cached) / prefillRate
 	}
 }
 
 // doubt is what speaks against a back end, in milliseconds.
-func doubt(now time.Duration, row *endpoint) float64 {
+func (g *Gateway) doubt(now time.Duration, row *endpoint) float64 {
 	cost := failingCost * row.failing
-	if now < row.avoidTo || row.mute(now) {
+	if g.on(mechanism.Avoidance) && (now < row.avoidTo || row.mute(now)) {
 		cost += avoidCost
 	}
 	if row.entry.Silent {
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/mechanism"
 	"kitetiller/internal/prefix"
 )
 
@@ -71,6 +72,9 @@
 	shared := prefix.Shared(wish.call.Parts)
 	best, from := cached, (*endpoint)(nil)
 	for _, other := range sources {
+		if !g.on(mechanism.Copies) {
+			break
+		}
 		if other.row == scored.row || other.version != scored.version || other.tokens < best || other.tokens <= cached {
 			continue
 		}
@@ -83,11 +87,11 @@
 	switch {
 	case from != nil && (!stored || best == prefix.PartTokens(shared)):
 		scored.fetch = from.entry.Address
-		scored.cost += moveCost(wish.service, best-cached, from.entry.Zone != scored.row.entry.Zone)
+		scored.cost += g.moveCost(wish.service, best-cached, from.entry.Zone != scored.row.entry.Zone)
 	case stored:
 		best = prefix.PartTokens(shared)
 		scored.fetch = wish.store.Store
-		scored.cost += moveCost(wish.service, best-cached, wish.store.Zone != scored.row.entry.Zone)
+		scored.cost += g.moveCost(wish.service, best-cached, wish.store.Zone != scored.row.entry.Zone)
 	case wish.store != nil:
 		scored.fetch, scored.save = wish.store.Store, wish.store.Store
 	}
@@ -96,8 +100,12 @@
 
 // moveCost is what a copy costs, in milliseconds: its time, and what it displaces at its engine, which somebody will have to
 // read or to copy again.
-func moveCost(service *catalog.Service, tokens int, far bool) float64 {
-	return moveTime(service, tokens, far) + displaceWeight*float64(tokens)/prefillRate
+func (g *Gateway) moveCost(service *catalog.Service, tokens int, far bool) float64 {
+	cost := moveTime(service, tokens, far)
+	if g.on(mechanism.Displacement) {
+		cost += displaceWeight * float64(tokens) / prefillRate
+	}
+	return cost
 }
 
 // moveTime is how long copying cached tokens takes, in milliseconds.
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -11,6 +11,7 @@
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
 	"kitetiller/internal/events"
+	"kitetiller/internal/mechanism"
 	"kitetiller/internal/prefix"
 )
 
@@ -41,20 +42,22 @@
 
 // table holds the back ends of the newest roster.
 type table struct {
-	mutex    sync.Mutex
-	rows     map[string]*endpoint
-	services map[string][]*endpoint
-	named    map[string][]named     // by model, rising
-	stored   *stored                // parts that were sent to a store
-	lanes    map[string]*lanes      // by service
-	stays    map[string]stays       // by service
-	holders  map[string][]*endpoint // that hold a shared part, under any salt, by its id
-	changed  chan struct{}          // closed and made anew with each roster
-}
-
-func newTable() *table {
+	mechanisms mechanism.Set // that are on
+	mutex      sync.Mutex
+	rows       map[string]*endpoint
+	services   map[string][]*endpoint
+	named      map[string][]named     // by model, rising
+	stored     *stored                // parts that were sent to a store
+	lanes      map[string]*lanes      // by service
+	stays      map[string]stays       // by service
+	holders    map[string][]*endpoint // that hold a shared part, under any salt, by its id
+	changed    chan struct{}          // closed and made anew with each roster
+}
+
+func newTable(mechanisms mechanism.Set) *table {
 	return &table{
-		rows: map[string]*endpoint{}, services: map[string][]*endpoint{}, named: map[string][]named{},
+		mechanisms: mechanisms,
+		rows:       map[string]*endpoint{}, services: map[string][]*endpoint{}, named: map[string][]named{},
 		stored: newStored(), lanes: map[string]*lanes{}, stays: map[string]stays{}, holders: map[string][]*endpoint{}, changed: make(chan struct{}),
 	}
 }
@@ -281,7 +284,7 @@
 			continue
 		}
 		row.occupied.note(made.Gateway, at, made.Load)
-		if made.Unreached {
+		if made.Unreached && t.mechanisms.On(mechanism.Suspicion) {
 			row.suspect(at, made.Gateway)
 		}
 		if made.Salt == "" {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -12,6 +12,7 @@
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/events"
+	"kitetiller/internal/mechanism"
 )
 
 // Reasons why a request got no back end's answer.
@@ -225,7 +226,10 @@
 
 // place chooses a back end; while none can be used it waits a moment for a better roster.
 func (x *exchange) place() *candidate {
-	wish := need{service: x.service, store: x.view.storeOf(x.call.Parts), tenant: x.tenant, call: &x.call, tried: x.tried}
+	wish := need{service: x.service, tenant: x.tenant, call: &x.call, tried: x.tried}
+	if x.gateway.on(mechanism.Store) {
+		wish.store = x.view.storeOf(x.call.Parts)
+	}
 	patience := x.gateway.now() + backendGrace
 	for {
 		wish.trusted = x.gateway.trusted(x.gateway.now())
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -10,6 +10,7 @@
 
 	"kitetiller/internal/control"
 	"kitetiller/internal/events"
+	"kitetiller/internal/mechanism"
 )
 
 const (
@@ -55,7 +56,7 @@
 
 // readCaches follows the caches that control has given this gateway.
 func (g *Gateway) readCaches(ctx context.Context, reply *control.WatchReply) {
-	if g.reader != nil {
+	if g.reader != nil && g.on(mechanism.CacheEvents) {
 		g.followers.use(ctx, reply.Reads, g.followCache)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 
 	"kitetiller/internal/control"
 	"kitetiller/internal/events"
+	"kitetiller/internal/mechanism"
 	"kitetiller/internal/node"
 	"kitetiller/internal/transport"
 )
@@ -62,13 +63,17 @@
 	client := transport.NewClientWithin(settings.Token, nil, peerDial)
 	made := &Gateway{
 		settings: settings, dialect: dialect, log: newDecisionLog(log), started: time.Now(),
-		group: control.NewClient(client, settings.Control), table: newTable(), budget: newRetryBudget(settings),
+		group: control.NewClient(client, settings.Control), table: newTable(settings.Mechanisms), budget: newRetryBudget(settings),
 		confirmed: newBell(), followers: newFollowers(), pool: newPool(), splits: newSplits(newRand()), spread: newSpread(client), nick: strconv.FormatUint(rand.Uint64N(nickRange), saltBase),
 	}
+	made.spread.silent = !made.on(mechanism.Mesh)
 	made.metrics = newMetrics(made)
 	return made
 }
 
+// on reports whether a part of the decision is on.
+func (g *Gateway) on(name mechanism.Name) bool { return g.settings.Mechanisms.On(name) }
+
 // now is the process's steady clock.
 func (g *Gateway) now() time.Duration { return time.Since(g.started) }
 
@@ -108,7 +113,7 @@
 			failed <- err
 		}
 	}()
-	g.log.note(events.GatewayStarted, zap.String("listen", g.settings.Listen))
+	g.log.note(events.GatewayStarted, zap.String("listen", g.settings.Listen), zap.Strings(events.FieldWithout, g.settings.Mechanisms.Off()))
 	select {
 	case <-ctx.Done():
 		g.drain(public)
--- a/internal/gateway/lanes.go
+++ b/internal/gateway/lanes.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"kitetiller/internal/mechanism"
 )
 
 const (
@@ -82,7 +84,14 @@
 	}
 }
 
-// astray is what a request costs on an engine of the other lane, in milliseconds.
+// astray is what a request costs on an engine of the other lane, in milliseconds, where lanes are on.
+func (g *Gateway) astray(e *endpoint, uncached int) float64 {
+	if !g.on(mechanism.Lanes) {
+		return 0
+	}
+	return e.astray(uncached)
+}
+
 func (e *endpoint) astray(uncached int) float64 {
 	switch {
 	case uncached >= longPrompt && !e.long:
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"kitetiller/internal/mechanism"
+)
 
 // Settings is what a gateway needs to start.
 type Settings struct {
@@ -19,6 +23,8 @@
 	RetryRatio   float64       // repeats as a share of the requests for a service, over the whole fleet
 	RetryWindow  time.Duration // that both are counted in
 	RetrySlack   float64       // repeats of the whole fleet beyond the ratio
+
+	Mechanisms mechanism.Set // parts of the decision that are on
 }
 
 const (
--- a/internal/gateway/suspicion_test.go
+++ b/internal/gateway/suspicion_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"kitetiller/internal/mechanism"
 )
 
 // TestReportsOfTwoGatewaysCount: one gateway that is cut off by itself turns nobody else away; a back end that has spoken
@@ -41,7 +43,7 @@
 
 // TestUnreachableIsToldOnce: while a back end is avoided, further failures are no news.
 func TestUnreachableIsToldOnce(t *testing.T) {
-	tb, e := newTable(), &endpoint{}
+	tb, e := newTable(mechanism.Set{}), &endpoint{}
 	if _, news := tb.unreachable(time.Second, e); !news {
 		t.Fatal("the first failure is no news")
 	}
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -15,6 +15,7 @@
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
+	"kitetiller/internal/mechanism"
 	"kitetiller/internal/prefix"
 )
 
@@ -257,7 +258,7 @@
 func BenchmarkDecision(b *testing.B) {
 	for _, engines := range []int{18, 320, 3100} {
 		b.Run(fmt.Sprint(engines), func(b *testing.B) {
-			g := &Gateway{settings: Settings{Zone: "z0", VersionLimit: time.Second}, table: newTable()}
+			g := &Gateway{settings: Settings{Zone: "z0", VersionLimit: time.Second}, table: newTable(mechanism.Set{})}
 			parts := []prefix.Part{{ID: "aa", Tokens: 2500}, {ID: "bb", Tokens: 3800}, {ID: "cc", Tokens: 2900}}
 			var entries []control.RosterEntry
 			for i := range engines {
@@ -326,7 +327,7 @@
 // however long ago that was.
 func TestDeepestHolderIsFound(t *testing.T) {
 	const engines = 200
-	g := &Gateway{settings: Settings{Zone: "z", VersionLimit: time.Second}, table: newTable()}
+	g := &Gateway{settings: Settings{Zone: "z", VersionLimit: time.Second}, table: newTable(mechanism.Set{})}
 	news := &control.RosterNews{Whole: true}
 	for i := range engines {
 		news.Entries = append(news.Entries, control.RosterEntry{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"kitetiller/internal/mechanism"
 	"kitetiller/internal/prefix"
 )
 
@@ -60,6 +61,8 @@
 	JoinOnly      bool          `yaml:"join_only"`      // never found a group, only join one; default false
 	OrderWait     time.Duration `yaml:"order_wait"`     // how long a new leader waits before its first order for weights; default 3s
 	GatewayTrust  time.Duration `yaml:"gateway_trust"`  // how long a gateway may use a view that is not confirmed; default 3s
+
+	Mechanisms mechanism.Set `yaml:"-"` // parts of the decision that are on; from the command line
 }
 
 // Limits and defaults of node files.
