--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -15,6 +15,7 @@
 
 	"kitetiller/internal/consensus"
 	"kitetiller/internal/events"
+	"kitetiller/internal/mechanism"
 	"kitetiller/internal/node"
 	"kitetiller/internal/transport"
 )
@@ -100,22 +101,29 @@
 		client: transport.NewClientWithin(file.ClusterToken, links, file.Control.Heartbeat), failed: make(chan error, 1),
 	}
 	server.group = NewClient(server.client, file.Control.Founders)
-	server.config = server.replicaConfig()
+	if server.config, err = server.replicaConfig(); err != nil {
+		return nil, err
+	}
 	server.replica, err = NewReplica(server.config, restored, 0)
 	return server, err
 }
 
-func (s *Server) replicaConfig() Config {
+func (s *Server) replicaConfig() (Config, error) {
 	section := s.file.Control
+	mechanisms, err := mechanism.Without(section.Without)
+	if err != nil {
+		return Config{}, err
+	}
 	timing := consensus.Timing{
 		Heartbeat: section.Heartbeat, ElectionMin: 7 * section.Heartbeat,
 		ElectionMax: 14 * section.Heartbeat, Lease: 5 * section.Heartbeat,
 	}
 	return Config{
-		ID: s.identity.ID, Name: s.identity.Name, Address: section.Internal, Timing: timing,
+		Mechanisms: mechanisms,
+		ID:         s.identity.ID, Name: s.identity.Name, Address: section.Internal, Timing: timing,
 		Replicas: section.Replicas, SettingsLease: section.SettingsLease, RepairAfter: section.RepairAfter,
-		SnapshotEvery: section.SnapshotEvery, OrderWait: section.OrderWait, GatewayTrust: section.GatewayTrust, Mechanisms: section.Mechanisms, Random: rand.Int64N,
-	}
+		SnapshotEvery: section.SnapshotEvery, OrderWait: section.OrderWait, GatewayTrust: section.GatewayTrust, Random: rand.Int64N,
+	}, nil
 }
 
 // Run serves until ctx ends.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,8 +61,7 @@
 	JoinOnly      bool          `yaml:"join_only"`      // never found a group, only join one; default false
 	OrderWait     time.Duration `yaml:"order_wait"`     // how long a new leader waits before its first order for weights; default 3s
 	GatewayTrust  time.Duration `yaml:"gateway_trust"`  // how long a gateway may use a view that is not confirmed; default 3s
-
-	Mechanisms mechanism.Set `yaml:"-"` // parts of the decision that are on; from the command line
+	Without       string        `yaml:"without"`        // mechanisms of the decision that are off, with commas; default none
 }
 
 // Limits and defaults of node files.
@@ -226,6 +225,9 @@
 }
 
 func (c *checker) control(r *Control) {
+	if _, err := mechanism.Without(r.Without); err != nil {
+		c.fault("control.without", err.Error())
+	}
 	c.address("control.internal", r.Internal, true)
 	c.address("control.admin", r.Admin, true)
 	c.address("control.platform", r.Platform, true)
