--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -176,9 +176,12 @@
 	return confirmed > 0 && now-confirmed < g.settings.Trust
 }
 
+// sweepPeriod is how often what is long past is forgotten.
+const sweepPeriod = 1500 * time.Millisecond
+
 // sweep is the thread that closes connections which rested too long.
 func (g *Gateway) sweep(ctx context.Context) {
-	transport.Every(ctx, idleRepeatable/2, func() {
+	transport.Every(ctx, sweepPeriod, func() {
 		g.pool.sweep()
 		g.table.sweep(g.now())
 	})
