--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -28,28 +28,15 @@
 	announceLead = 30 * time.Millisecond
 	// stepPace is the time between two steps of the roll-out, for each back end: a step looks at all of them.
 	stepPace = 10 * time.Microsecond
-	// loadFirst is how long a load is taken to last before one was seen, and loadSmoothing weighs the newest. It is first
-	// looked for after checkShare of that, checkLeast at least, and then each nextCheck.
-	loadFirst     = 600 * time.Millisecond
-	loadSmoothing = 0.3
-	checkShare    = 0.9
-	checkLeast    = 200 * time.Millisecond
-	nextCheck     = 60 * time.Millisecond
 	// loadPatience is how long an order may show no effect before it is given again.
 	loadPatience = 2500 * time.Millisecond
 	// callPatience is how long a call of the driver may stay without a result.
 	callPatience = 3 * time.Second
 	// rolloutBackoff is the pause after a failure.
 	rolloutBackoff = 300 * time.Millisecond
-	// loadShare and drainShare: one of so many back ends may load, or be turned away from, at the same time.
-	loadShare  = 4
-	drainShare = 3
 	// drainPatience is how long requests that run on a back end may take to end before its order is sent; a load stops
 	// them for its time.
 	drainPatience = 2000 * time.Millisecond
-	// stressShare of the engines that were ready within stressMemory must still be, for any to be kept idle.
-	stressShare  = 0.9
-	stressMemory = 10 * time.Second
 	// uncertainPatience is how long an unanswered order may show no effect before it is given again, and uncertainCheck
 	// how often that is looked at.
 	uncertainPatience = 1200 * time.Millisecond
@@ -150,36 +137,6 @@
 	r.startRollouts(now, busy, used)
 }
 
-// loadCount tells how many loads run, and how many may.
-type loadCount struct{ running, limit int }
-
-// countLoads counts the back ends whose order is on its way or being carried out.
-func (r *Replica) countLoads(now time.Duration) loadCount {
-	count := loadCount{}
-	engines := 0
-	for id := range r.machine.catalog.Instances() {
-		state := r.lead.fleet[id]
-		if !state.engine() {
-			continue
-		}
-		engines++
-		if state.rollout.phase == phaseOrdered || state.rollout.phase == phaseLoading {
-			count.running++
-		}
-	}
-	count.limit = r.atOnce(now, engines, loadShare)
-	return count
-}
-
-// atOnce returns how many engines may be taken out of service together, one of so many: one by one while they are short of
-// hands.
-func (r *Replica) atOnce(now time.Duration, engines, share int) int {
-	if r.stressed(now) && r.config.Mechanisms.On(mechanism.OneByOne) {
-		return 1
-	}
-	return max(1, engines/share)
-}
-
 // drainOrder returns the back ends, those first that have been turned away from for longest.
 func (r *Replica) drainOrder(now time.Duration) []string {
 	ids := sortedKeys(r.machine.catalog.Instances())
@@ -269,25 +226,6 @@
 	r.setPhase(state, phaseAnnounced, now+announceLead)
 }
 
-// stressed reports whether the engines are short of hands, or orders get lost: then none is kept idle for its requests to
-// end.
-func (r *Replica) stressed(now time.Duration) bool {
-	ready := 0
-	for id, instance := range r.machine.catalog.Instances() {
-		state := r.lead.fleet[id]
-		if state.engine() && !state.silent && instance.State == catalog.StateReady {
-			ready++
-		}
-	}
-	if ready >= r.lead.readyMost {
-		r.lead.readyMost, r.lead.readyMostAt = ready, now
-	}
-	if now > r.lead.readyMostAt+stressMemory {
-		r.lead.readyMost, r.lead.readyMostAt = ready, now
-	}
-	return float64(ready) < stressShare*float64(r.lead.readyMost) || now < r.lead.orderLostAt+stressMemory
-}
-
 // setPhase moves a back end to another phase and tells watchers when that changes what they may send.
 func (r *Replica) setPhase(state *memberState, next phase, due time.Duration) {
 	before := state.rollout.loading()
@@ -374,26 +312,6 @@
 	}
 }
 
-// firstCheck is how long after its order a load is first looked for.
-func (l *leadership) firstCheck() time.Duration {
-	expected := l.loadTime
-	if expected == 0 {
-		expected = loadFirst
-	}
-	return max(checkLeast, time.Duration(checkShare*float64(expected)))
-}
-
-// noteLoad learns how long a load lasts, from when its order was taken until a report shows the weights.
-func (l *leadership) noteLoad(now, takenAt time.Duration) {
-	switch {
-	case takenAt == 0:
-	case l.loadTime == 0:
-		l.loadTime = now - takenAt
-	default:
-		l.loadTime += time.Duration(loadSmoothing * float64(now-takenAt-l.loadTime))
-	}
-}
-
 func (r *Replica) finishRollout(now time.Duration, state *memberState) {
 	state.versions[state.rollout.model] = max(state.versions[state.rollout.model], state.rollout.version)
 	r.lead.rosterChanged()
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -12,7 +12,6 @@
 	"kitetiller/internal/control"
 	"kitetiller/internal/events"
 	"kitetiller/internal/mechanism"
-	"kitetiller/internal/prefix"
 )
 
 const (
@@ -51,14 +50,14 @@
 	lanes      map[string]*lanes      // by service
 	stays      map[string]stays       // by service
 	holders    map[string][]*endpoint // that hold a shared part, under any salt, by its id
-	changed    chan struct{}          // closed and made anew with each roster
+	changed    *bell                  // rings with each roster
 }
 
 func newTable(mechanisms mechanism.Set) *table {
 	return &table{
 		mechanisms: mechanisms,
 		rows:       map[string]*endpoint{}, services: map[string][]*endpoint{}, named: map[string][]named{},
-		stored: newStored(), lanes: map[string]*lanes{}, stays: map[string]stays{}, holders: map[string][]*endpoint{}, changed: make(chan struct{}),
+		stored: newStored(), lanes: map[string]*lanes{}, stays: map[string]stays{}, holders: map[string][]*endpoint{}, changed: newBell(),
 	}
 }
 
@@ -121,8 +120,7 @@
 	}
 	t.rows, t.services = fresh, services
 	t.forgetHolders()
-	close(t.changed)
-	t.changed = make(chan struct{})
+	t.changed.Ring()
 }
 
 // newestVersions merges what was known of a back end's weights with what is told: within one life versions only rise, and
@@ -202,13 +200,6 @@
 	return false
 }
 
-// news returns a channel that is closed with the next roster.
-func (t *table) news() <-chan struct{} {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return t.changed
-}
-
 // begin notes that an attempt is sent, and returns what this gateway now has running there.
 func (t *table) begin(now time.Duration, sent *attempt) load {
 	t.mutex.Lock()
@@ -296,28 +287,6 @@
 	}
 }
 
-// noteHeld notes which parts an own send leaves where.
-func (t *table) noteHeld(now time.Duration, made send) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if row := t.rows[made.Instance]; row != nil {
-		t.lane(row.entry.Service).note(now, made.Uncached)
-		t.hold(now, row, made)
-	}
-}
-
-// forgetHolders drops back ends that are gone, and parts that nobody holds any more, from the holders.
-func (t *table) forgetHolders() {
-	for id, rows := range t.holders {
-		rows = slices.DeleteFunc(rows, func(row *endpoint) bool { return row.gone || !row.held.holds(id) })
-		if len(rows) == 0 {
-			delete(t.holders, id)
-			continue
-		}
-		t.holders[id] = rows
-	}
-}
-
 // lane returns the lanes of a service, made when it is first named.
 func (t *table) lane(service string) *lanes {
 	held := t.lanes[service]
@@ -328,54 +297,6 @@
 	return held
 }
 
-// index makes a back end be found by parts that it holds.
-func (t *table) index(row *endpoint, parts []prefix.Part) {
-	for _, part := range parts {
-		if row.held.holds(part.ID) && !slices.Contains(t.holders[part.ID], row) {
-			t.holders[part.ID] = append(t.holders[part.ID], row)
-		}
-	}
-}
-
-// address returns where a back end is reached.
-func (t *table) address(id string) (string, bool) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	row := t.rows[id]
-	if row == nil {
-		return "", false
-	}
-	return row.entry.Address, true
-}
-
-// takeKept takes up what a back end tells that it keeps, and returns what was believed otherwise, as sends that say so.
-func (t *table) takeKept(now time.Duration, id string, parts []KeptPart, whole bool) []send {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	row := t.rows[id]
-	if row == nil {
-		return nil
-	}
-	bySalt := map[string][]prefix.Part{}
-	for _, p := range row.held.tell(now, parts, whole) {
-		bySalt[p.Salt] = append(bySalt[p.Salt], p.Part)
-		t.index(row, []prefix.Part{p.Part})
-	}
-	var corrections []send
-	for _, salt := range slices.Sorted(maps.Keys(bySalt)) {
-		corrections = append(corrections, send{Salt: salt, Parts: bySalt[salt]})
-	}
-	return corrections
-}
-
-func (t *table) hold(at time.Duration, row *endpoint, made send) {
-	row.held.use(at, made.Salt, made.Parts)
-	t.index(row, prefix.Shared(made.Parts))
-	if made.Saved {
-		t.stored.note(at, made.Salt, prefix.Shared(made.Parts))
-	}
-}
-
 // sweep forgets what is long past.
 func (t *table) sweep(now time.Duration) {
 	t.mutex.Lock()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -233,7 +233,7 @@
 	patience := x.gateway.now() + backendGrace
 	for {
 		wish.trusted = x.gateway.trusted(x.gateway.now())
-		news := x.gateway.table.news()
+		news := x.gateway.table.changed.Next()
 		chosen := x.gateway.choose(x.gateway.now(), wish)
 		left := patience - x.gateway.now()
 		if chosen != nil || left <= 0 || len(x.tried) > 0 {
--- /dev/null
+++ b/internal/gateway/holders.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"kitetiller/internal/prefix"
+)
+
+// index makes a back end be found by parts that it holds.
+func (t *table) index(row *endpoint, parts []prefix.Part) {
+	for _, part := range parts {
+		if row.held.holds(part.ID) && !slices.Contains(t.holders[part.ID], row) {
+			t.holders[part.ID] = append(t.holders[part.ID], row)
+		}
+	}
+}
+
+// address returns where a back end is reached.
+func (t *table) address(id string) (string, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	row := t.rows[id]
+	if row == nil {
+		return "", false
+	}
+	return row.entry.Address, true
+}
+
+// takeKept takes up what a back end tells that it keeps, and returns what was believed otherwise, as sends that say so.
+func (t *table) takeKept(now time.Duration, id string, parts []KeptPart, whole bool) []send {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	row := t.rows[id]
+	if row == nil {
+		return nil
+	}
+	bySalt := map[string][]prefix.Part{}
+	for _, p := range row.held.tell(now, parts, whole) {
+		bySalt[p.Salt] = append(bySalt[p.Salt], p.Part)
+		t.index(row, []prefix.Part{p.Part})
+	}
+	var corrections []send
+	for _, salt := range slices.Sorted(maps.Keys(bySalt)) {
+		corrections = append(corrections, send{Salt: salt, Parts: bySalt[salt]})
+	}
+	return corrections
+}
+
+func (t *table) hold(at time.Duration, row *endpoint, made send) {
+	row.held.use(at, made.Salt, made.Parts)
+	t.index(row, prefix.Shared(made.Parts))
+	if made.Saved {
+		t.stored.note(at, made.Salt, prefix.Shared(made.Parts))
+	}
+}
+
+// noteHeld notes which parts an own send leaves where.
+func (t *table) noteHeld(now time.Duration, made send) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if row := t.rows[made.Instance]; row != nil {
+		t.lane(row.entry.Service).note(now, made.Uncached)
+		t.hold(now, row, made)
+	}
+}
+
+// forgetHolders drops back ends that are gone, and parts that nobody holds any more, from the holders.
+func (t *table) forgetHolders() {
+	for id, rows := range t.holders {
+		rows = slices.DeleteFunc(rows, func(row *endpoint) bool { return row.gone || !row.held.holds(id) })
+		if len(rows) == 0 {
+			delete(t.holders, id)
+			continue
+		}
+		t.holders[id] = rows
+	}
+}
