--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -165,6 +165,11 @@
 			state.heardAt = now
 		}
 	}
+	for id, mark := range r.orders {
+		if _, known := instances[id]; !known && now > mark.at+forgetAfter {
+			delete(r.orders, id)
+		}
+	}
 	for id := range r.lead.fleet {
 		if _, known := instances[id]; !known && now-r.lead.fleet[id].heardAt > silentAfter {
 			delete(r.lead.fleet, id)
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -75,10 +75,12 @@
 	at := cacheCursor{listedAt: -listPause, aliveAt: -aliveEach}
 	for ctx.Err() == nil {
 		pause := cachePause
-		if err := g.readCache(ctx, id, &at); err != nil {
+		asked, err := g.readCache(ctx, id, &at)
+		switch {
+		case err != nil:
 			pause = min(cacheRetry<<min(at.failures, 10), cacheRetryMost)
 			g.noteUnread(id, &at, err)
-		} else {
+		case asked:
 			at.failures = 0
 		}
 		select {
@@ -97,41 +99,41 @@
 	}
 }
 
-// readCache asks an engine once and takes up what it tells.
-func (g *Gateway) readCache(ctx context.Context, id string, at *cacheCursor) error {
+// readCache asks an engine once and takes up what it tells. It may be too early to ask, or the engine may be gone.
+func (g *Gateway) readCache(ctx context.Context, id string, at *cacheCursor) (asked bool, err error) {
 	address, known := g.table.address(id)
 	if !known {
-		return nil
+		return false, nil
 	}
 	if !at.known {
 		return g.listCache(ctx, id, address, at)
 	}
 	news, err := g.reader.Events(ctx, address, at.next)
 	if err != nil {
-		return err
+		return true, err
 	}
 	if news.Lost || news.Life != at.life || news.Next < at.next {
 		at.known = false // what is missing stands in the list
-		return nil
+		return true, nil
 	}
 	at.next = news.Next
 	g.takeCache(id, at, news, false)
-	return nil
+	return true, nil
 }
 
 // listCache reads all that an engine keeps, unless it was asked for that a moment ago.
-func (g *Gateway) listCache(ctx context.Context, id, address string, at *cacheCursor) error {
+func (g *Gateway) listCache(ctx context.Context, id, address string, at *cacheCursor) (asked bool, err error) {
 	if g.now() < at.listedAt+listPause {
-		return nil
+		return false, nil
 	}
 	at.listedAt = g.now()
 	news, err := g.reader.List(ctx, address)
 	if err != nil {
-		return err
+		return true, err
 	}
 	at.life, at.next, at.known = news.Life, news.Next, true
 	g.takeCache(id, at, news, true)
-	return nil
+	return true, nil
 }
 
 // takeCache takes up what an engine keeps, and tells the other gateways what they believe otherwise.
--- a/internal/gateway/holdings_test.go
+++ b/internal/gateway/holdings_test.go
@@ -174,7 +174,7 @@
 func (s *scriptedCache) read(g *Gateway, at *cacheCursor, times int) {
 	for range times {
 		at.listedAt = -listPause // lists may follow each other here
-		_ = g.readCache(context.Background(), "i-1", at)
+		_, _ = g.readCache(context.Background(), "i-1", at)
 	}
 }
 
