--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -138,7 +138,7 @@
 
 func (x *exchange) deny(trusted bool, status int, reason string) {
 	if !trusted {
-		x.gateway.log.lost(false)
+		x.gateway.log.lost()
 		x.refuse(http.StatusServiceUnavailable, reasonUntrusted, x.gateway.comeBack())
 		return
 	}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -21,7 +21,7 @@
 			failures++
 			if !g.trusted(g.now()) {
 				g.outage.begin(g.now())
-				g.log.lost(false)
+				g.log.lost()
 			}
 			select {
 			case <-ctx.Done():
@@ -45,7 +45,8 @@
 	return (watchTimeout - watchHold) << min(failures/failuresEach, longestPatience)
 }
 
-func (g *Gateway) ask(ctx context.Context, roster control.RosterVersion, patience time.Duration, failed bool) *control.WatchReply {
+// ask asks control for news once: the leader, or several replicas while none is known.
+func (g *Gateway) ask(ctx context.Context, roster control.RosterVersion, patience time.Duration, searching bool) *control.WatchReply {
 	question := control.Watch{
 		Gateway: g.settings.Name, Zone: g.settings.Zone, Address: g.settings.Internal, Roster: roster, Hold: g.hold(), Usage: g.table.usage(),
 		Closing: g.draining.Load(),
@@ -56,7 +57,7 @@
 	attempt, cancel := context.WithTimeout(ctx, patience+question.Hold)
 	defer cancel()
 	ask := g.group.Once
-	if failed {
+	if searching {
 		ask = g.group.Any
 		if !g.group.HeardWithin(electionPatience) {
 			question.Hold = 0 // to learn soon whether there is anybody
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -21,8 +21,8 @@
 func (l *decisionLog) note(event string, fields ...zap.Field) { l.out.Info(event, fields...) }
 
 // lost notes once that the view is no longer confirmed.
-func (l *decisionLog) lost(trusted bool) {
-	if !trusted && l.cutOff.CompareAndSwap(false, true) {
+func (l *decisionLog) lost() {
+	if l.cutOff.CompareAndSwap(false, true) {
 		l.note(events.ControlLost)
 	}
 }
