Roll-outs keep their share while engines are short of hands

Change: the mechanism is taken back, whole. Test: TestLargeFleetRollsOutWhileItIsShortOfHands, 2 to 300 engines; it fails with the mechanism.

--- a/internal/control/pace.go
+++ b/internal/control/pace.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"kitetiller/internal/catalog"
-	"kitetiller/internal/mechanism"
 )
 
 // How many engines are taken out of service together for new weights, and how long a load is taken to last.
@@ -28,7 +27,7 @@
 type loadCount struct{ running, limit int }
 
 // countLoads counts the back ends whose order is on its way or being carried out.
-func (r *Replica) countLoads(now time.Duration) loadCount {
+func (r *Replica) countLoads() loadCount {
 	count := loadCount{}
 	engines := 0
 	for id := range r.machine.catalog.Instances() {
@@ -41,18 +40,13 @@
 			count.running++
 		}
 	}
-	count.limit = r.atOnce(now, engines, loadShare)
+	count.limit = atOnce(engines, loadShare)
 	return count
 }
 
-// atOnce returns how many engines may be taken out of service together, one of so many: one by one while they are short of
-// hands.
-func (r *Replica) atOnce(now time.Duration, engines, share int) int {
-	if r.stressed(now) && r.config.Mechanisms.On(mechanism.OneByOne) {
-		return 1
-	}
-	return max(1, engines/share)
-}
+// atOnce returns how many engines may be taken out of service together: one of so many, also while they are short of hands,
+// since those whose weights stay old for too long get no requests at all.
+func atOnce(engines, share int) int { return max(1, engines/share) }
 
 // stressed reports whether the engines are short of hands, or orders get lost: then none is kept idle for its requests to
 // end.
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -125,7 +125,7 @@
 	}
 	busy := 0
 	ids := r.drainOrder(now)
-	loads := r.countLoads(now)
+	loads := r.countLoads()
 	used := r.totalUsage(now)
 	for _, id := range ids {
 		state := r.member(now, id)
@@ -191,7 +191,7 @@
 	slices.SortStableFunc(lagging, func(a, b string) int {
 		return cmp.Or(cmp.Compare(r.oldestVersion(a), r.oldestVersion(b)), cmp.Compare(used[a], used[b]))
 	})
-	most := r.atOnce(now, engines, drainShare)
+	most := atOnce(engines, drainShare)
 	for _, id := range lagging {
 		if busy >= most {
 			return
--- a/internal/control/rollout_test.go
+++ b/internal/control/rollout_test.go
@@ -1,8 +1,11 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"kitetiller/internal/catalog"
 )
 
 // TestLoadTimeIsLearnt: whatever engines take for new weights, they are first looked at shortly before that; an order whose
@@ -28,3 +31,31 @@
 		}
 	}
 }
+
+// TestLargeFleetRollsOutWhileItIsShortOfHands: while a third of the engines has crashed, as many load at once as before (ayni-
+// lima-grown scale-2: one at a time of 90, and those left on old weights got no requests).
+func TestLargeFleetRollsOutWhileItIsShortOfHands(t *testing.T) {
+	for _, engines := range []int{2, 9, 90, 300} {
+		s := openFleet(t)
+		var ids []string
+		for i := range engines {
+			ids = append(ids, fmt.Sprint("e-", i))
+		}
+		for _, id := range []string{"i-1", "i-2"} {
+			s.ask(Request{Beat: &Beat{Instance: catalog.Instance{ID: id}, Leaves: true}})
+		}
+		s.beats(ids...)
+		s.replica.lead.readyMost, s.replica.lead.readyMostAt = 2*engines, s.now // half have crashed
+		if !s.replica.stressed(s.now) {
+			t.Fatal("the fleet is not short of hands")
+		}
+		s.ask(Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: "m", Version: 2}}})
+		s.beats(ids...)
+		s.orders(200 * time.Millisecond) // the reports
+		s.beats(ids...)
+		ordered := len(s.orders(time.Second))
+		if wanted := max(1, engines/loadShare); ordered < wanted || ordered > max(1, engines/drainShare) {
+			t.Errorf("%d of %d engines were ordered at once, wanted %d", ordered, engines, wanted)
+		}
+	}
+}
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -34,7 +34,6 @@
 // Mechanisms of control replicas.
 const (
 	WeightsDrain Name = "weights-drain" // running requests end before weights are replaced
-	OneByOne     Name = "one-by-one"    // one engine at a time loads weights while engines are short of hands
 	HeldWeights  Name = "held-weights"  // a new leader knows from the log which weights engines hold
 )
 
@@ -42,7 +41,7 @@
 func All() []Name {
 	return []Name{
 		Lanes, Mesh, Occupancy, Suspicion, Store, Copies, Displacement, Owner, StrayCost, CacheEvents, Patience, Avoidance,
-		ViewWait, ZoneCost, RereadWeight, WeightsDrain, OneByOne, HeldWeights,
+		ViewWait, ZoneCost, RereadWeight, WeightsDrain, HeldWeights,
 	}
 }
 
