--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -15,7 +15,7 @@
 	moveBase  = 4.0
 	farFactor = 2.0
 	// displaceWeight is what each copied token costs besides, as a part of the time of reading one.
-	displaceWeight        = 1.5
+	displaceWeight        = 0.8
 	bitsPerByte           = 8
 	bitsPerMegabit        = 1e6
 	millisecondsPerSecond = 1e3
