--- a/internal/control/handover.go
+++ b/internal/control/handover.go
@@ -35,6 +35,16 @@
 	}
 }
 
+// noteInstalled takes every order that an installed snapshot covers to be as young as the snapshot's arrival: its entry was
+// never applied here.
+func (r *Replica) noteInstalled(now time.Duration) {
+	for id := range r.machine.catalog.Instances() {
+		if r.machine.catalog.Ordered(id) {
+			r.orders[id] = orderMark{at: now} // of no leadership, so that it is another one's for whoever leads
+		}
+	}
+}
+
 // orderedElsewhere returns when another leader was last about to order a back end, if one may have been.
 func (r *Replica) orderedElsewhere(id string) (time.Duration, bool) {
 	mark, known := r.orders[id]
--- a/internal/control/handover_test.go
+++ b/internal/control/handover_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/consensus"
 )
 
 // handOver ends a leader that has begun to order one of two engines, while gateway g1 asked it, and starts the next one.
@@ -101,3 +102,19 @@
 		t.Fatalf("gateways %v", known)
 	}
 }
+
+// TestOrdersInAnInstalledSnapshotCountAsYoung: a replica that has run for long and is sent a snapshot cannot know how old the
+// orders are that it covers.
+func TestOrdersInAnInstalledSnapshotCountAsYoung(t *testing.T) {
+	s, ordered, _ := handOver(t)
+	clear(s.replica.orders)
+	s.now += time.Hour
+	meta := consensus.SnapshotMeta{Index: s.replica.applied, Term: s.replica.appliedTerm}
+	s.replica.install(s.now, consensus.Snapshot{Meta: meta, Data: s.replica.Machine().Snapshot()})
+	if s.replica.handedOver(s.now+s.replica.config.OrderWait-time.Millisecond, ordered) {
+		t.Fatalf("%s may be ordered before the pause is over", ordered)
+	}
+	if !s.replica.handedOver(s.now+s.replica.config.OrderWait, ordered) {
+		t.Fatalf("%s may not be ordered after the pause", ordered)
+	}
+}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -218,7 +218,7 @@
 		r.node.Persisted(r.ready.Entries[last-1].Index, r.ready.Entries[last-1].Term)
 	}
 	if r.ready.Snapshot != nil {
-		r.install(*r.ready.Snapshot)
+		r.install(now, *r.ready.Snapshot)
 	}
 	for _, entry := range r.ready.Committed {
 		r.apply(now, entry)
@@ -242,11 +242,12 @@
 	return nil
 }
 
-func (r *Replica) install(snapshot consensus.Snapshot) {
+func (r *Replica) install(now time.Duration, snapshot consensus.Snapshot) {
 	if err := r.machine.Restore(snapshot.Data); err != nil {
 		panic("control: snapshot of the leader cannot be read: " + err.Error())
 	}
 	r.applied, r.appliedTerm = snapshot.Meta.Index, snapshot.Meta.Term
+	r.noteInstalled(now)
 }
 
 func (r *Replica) apply(now time.Duration, entry consensus.Entry) {
