Schedulers: a few gateways of each zone place the requests of a large fleet

Ruled out by earlier trials: slower periods (served worse than with no mesh), scoring all engines (no gain).

Control names 12 schedulers, spread evenly over the zones, two at least in each; the others ask one of their zone for a placement (the same one for the same shared parts) and tell it how the request ended. Only schedulers are in the mesh and read cache events. A scheduler that gives no answer within 60 ms is left alone for half a second; the next is asked, then the gateway places by itself and hands what it sent to a scheduler. One gateway's report that an engine is not reached turns nobody away, as before.

TestMeshReachesEveryGatewayOnce becomes TestMeshReachesEverySchedulerOnce: as strict with the mechanism off, and with it on every scheduler and nobody else is reached once from any gateway.

--- a/internal/control/roster_test.go
+++ b/internal/control/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/guard"
+	"kitetiller/internal/mechanism"
 )
 
 // TestRosterNewsLeadToTheWholeRoster: whatever rosters follow each other, and however long a gateway asks for nothing, the
@@ -72,50 +74,115 @@
 	}
 }
 
-// TestMeshReachesEveryGatewayOnce: from any gateway, for zones of any size, with one message into each other zone.
-func TestMeshReachesEveryGatewayOnce(t *testing.T) {
-	for _, sizes := range [][]int{{1}, {2}, {9}, {10}, {3, 2, 2}, {28, 26, 24}, {1, 30}, {17, 5, 40}, {25, 25, 25, 24, 26}} {
-		r := &Replica{machine: NewMachine(guard.Set{}), lead: &leadership{usage: map[string]usageReport{}}}
-		zoneOf := map[string]int{}
-		for zone, size := range sizes {
-			for i := range size {
-				name := fmt.Sprintf("g-%d-%02d", zone, i)
-				r.lead.usage[name] = usageReport{zone: fmt.Sprint(zone), address: name, at: time.Second}
-				zoneOf[name] = zone
-			}
-		}
-		meshes := map[string]Mesh{}
-		for name := range r.lead.usage {
-			meshes[name] = r.meshOf(time.Second, name)
+// fleetOf returns a leader whose gateways have just asked, so many in each zone, and the zone of each.
+func fleetOf(without string, sizes ...int) (r *Replica, zoneOf map[string]int) {
+	set, _ := mechanism.Without(without) // the name stands in this file
+	r = &Replica{config: Config{Mechanisms: set}, machine: NewMachine(guard.Set{}), lead: &leadership{usage: map[string]usageReport{}}}
+	zoneOf = map[string]int{}
+	for zone, size := range sizes {
+		for i := range size {
+			name := fmt.Sprintf("g-%d-%02d", zone, i)
+			r.lead.usage[name] = usageReport{zone: fmt.Sprint(zone), address: name, at: time.Second}
+			zoneOf[name] = zone
 		}
-		for origin := range meshes {
-			told, crossed := map[string]int{origin: 1}, 0
-			tell := func(addresses []string, from string, next func(string)) {
-				for _, a := range addresses {
-					told[a]++
-					if zoneOf[a] != zoneOf[from] {
-						crossed++
-					}
-					next(a)
-				}
+	}
+	return r, zoneOf
+}
+
+// TestMeshReachesEverySchedulerOnce: from any gateway, for zones of any size, with one message into each other zone. Where the
+// mechanism is off every gateway schedules.
+func TestMeshReachesEverySchedulerOnce(t *testing.T) {
+	for _, without := range []string{"", string(mechanism.Schedulers)} {
+		for _, sizes := range [][]int{{1}, {2}, {9}, {10}, {3, 2, 2}, {28, 26, 24}, {1, 30}, {17, 5, 40}, {25, 25, 25, 24, 26}, {58, 54, 61, 60, 62}} {
+			r, zoneOf := fleetOf(without, sizes...)
+			meshes := map[string]Mesh{}
+			for name := range r.lead.usage {
+				meshes[name] = r.meshOf(time.Second, name)
 			}
-			columns := func(name string) { tell(meshes[name].Column, name, func(string) {}) }
-			within := func(name string) {
-				columns(name)
-				tell(meshes[name].Row, name, columns)
+			for origin := range meshes {
+				checkReach(t, origin, meshes, zoneOf, sizes, without == "")
 			}
-			within(origin)
-			tell(meshes[origin].Abroad, origin, within)
-			for name, times := range told {
-				if times != 1 {
-					t.Fatalf("zones %v: a send of %s reaches %s %d times", sizes, origin, name, times)
-				}
+		}
+	}
+}
+
+// checkReach follows a send of one gateway: to a scheduler of its zone where it is none, and from there over the mesh.
+func checkReach(t *testing.T, origin string, meshes map[string]Mesh, zoneOf map[string]int, sizes []int, schedulers bool) {
+	t.Helper()
+	told, crossed := map[string]int{}, 0
+	tell := func(addresses []string, from string, next func(string)) {
+		for _, a := range addresses {
+			told[a]++
+			if zoneOf[a] != zoneOf[from] {
+				crossed++
 			}
-			if len(told) != len(meshes) || crossed != len(sizes)-1 {
-				t.Fatalf("zones %v: a send of %s reaches %d of %d and crosses zones %d times", sizes, origin, len(told), len(meshes), crossed)
+			next(a)
+		}
+	}
+	columns := func(name string) { tell(meshes[name].Column, name, func(string) {}) }
+	within := func(name string) {
+		columns(name)
+		tell(meshes[name].Row, name, columns)
+	}
+	first := origin
+	if asked := meshes[origin].Schedulers; len(asked) > 0 {
+		first = asked[0]
+	}
+	told[first]++
+	within(first)
+	tell(meshes[first].Abroad, first, within)
+	wanted := map[string]bool{}
+	for name, mesh := range meshes {
+		if len(mesh.Schedulers) == 0 {
+			wanted[name] = true
+		}
+		for _, asked := range mesh.Schedulers {
+			if zoneOf[asked] != zoneOf[name] || len(meshes[asked].Schedulers) > 0 {
+				t.Fatalf("zones %v: %s asks %s", sizes, name, asked)
 			}
 		}
 	}
+	for name, times := range told {
+		if times != 1 || !wanted[name] {
+			t.Fatalf("zones %v: a send of %s reaches %s %d times", sizes, origin, name, times)
+		}
+	}
+	if len(told) != len(wanted) || crossed != len(sizes)-1 || !schedulers && len(wanted) != len(meshes) {
+		t.Fatalf("zones %v: a send of %s reaches %d of %d and crosses zones %d times", sizes, origin, len(told), len(wanted), crossed)
+	}
+}
+
+// TestSchedulersAreFewAndStay: a small zone has no others than schedulers, a large one a few; when one goes, the others stay, and
+// the one in its place is asked once it has heard of sends for a while.
+func TestSchedulersAreFewAndStay(t *testing.T) {
+	r, _ := fleetOf("", 58, 54, 61, 60, 62)
+	before := slices.Clone(r.layout(time.Second).schedulers["2"])
+	if want := (schedulersWanted + 4) / 5; len(before) != want {
+		t.Fatalf("%d schedulers of 61 gateways in one of five zones, wanted %d", len(before), want)
+	}
+	delete(r.lead.usage, before[0])
+	asking := "g-2-00"
+	for slices.Contains(before, asking) {
+		asking = "g-2-01"
+	}
+	now := time.Second + schedulerWarmUp
+	after := r.layout(now).schedulers["2"]
+	fresh := slices.DeleteFunc(slices.Clone(after), func(name string) bool { return slices.Contains(before, name) })
+	if len(after) != len(before) || len(fresh) != 1 {
+		t.Fatalf("schedulers %v, then %v", before, after)
+	}
+	if asked := r.layout(now).asked(now, "2"); slices.Contains(asked, fresh[0]) || len(asked) != len(after)-1 {
+		t.Fatalf("asked %v, while %v has just become one", asked, fresh)
+	}
+	if asked := r.layout(now).asked(now+schedulerWarmUp, "2"); !slices.Contains(asked, fresh[0]) {
+		t.Fatalf("asked %v, without %v", asked, fresh)
+	}
+	small, _ := fleetOf("", 3, 2, 2)
+	for name := range small.lead.usage {
+		if mesh := small.meshOf(time.Second, name); len(mesh.Schedulers) > 0 {
+			t.Fatalf("%s of a small fleet asks %v", name, mesh.Schedulers)
+		}
+	}
 }
 
 // TestEachEngineHasOneReader: in its own zone where that has a gateway, and few change when a gateway goes.
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,6 +20,13 @@
 	pathSends   = "/internal/v1/sends"          // nothing
 	pathRow     = "/internal/v1/sends/row"      // it tells its column
 	pathImports = "/internal/v1/sends/imported" // it tells its row and its column
+	pathHanded  = "/internal/v1/sends/handed"   // it tells all others
+)
+
+// Paths on which a scheduler is asked for placements, and told how the requests ended.
+const (
+	pathPlace = "/internal/v1/place"
+	pathEnd   = "/internal/v1/place/end"
 )
 
 const (
@@ -93,7 +102,9 @@
 // holders without asking engines. It is safe for concurrent use.
 type spread struct {
 	row, column, abroad *transport.Announcer[send]
-	silent              bool // other gateways are told nothing
+	handed              *transport.Announcer[send] // to a scheduler that tells the others
+	hands               atomic.Bool                // this gateway is no scheduler
+	silent              bool                       // other gateways are told nothing
 }
 
 func newSpread(c *transport.Client) *spread {
@@ -105,6 +116,7 @@
 	}
 	return &spread{
 		row: announcer(pathRow, ownPeriod), column: announcer(pathSends, columnPeriod), abroad: announcer(pathImports, abroadPeriod),
+		handed: announcer(pathHanded, ownPeriod),
 	}
 }
 
@@ -121,11 +133,15 @@
 	s.row.SetPeers(mesh.Row)
 	s.column.SetPeers(mesh.Column)
 	s.abroad.SetPeers(mesh.Abroad)
+	s.hands.Store(len(mesh.Schedulers) > 0)
+	if n := len(mesh.Schedulers); n > 0 {
+		s.handed.SetPeers([]string{mesh.Schedulers[rand.IntN(n)]})
+	}
 }
 
 // run starts the threads that tell.
 func (s *spread) run(ctx context.Context, start func(func())) {
-	for _, a := range []*transport.Announcer[send]{s.row, s.column, s.abroad} {
+	for _, a := range []*transport.Announcer[send]{s.row, s.column, s.abroad, s.handed} {
 		start(func() { a.Run(ctx) })
 	}
 }
@@ -135,6 +151,10 @@
 	if s.silent {
 		return
 	}
+	if s.hands.Load() {
+		s.handed.Announce(made)
+		return
+	}
 	s.abroad.Announce(made)
 	s.imported(made)
 }
@@ -165,6 +185,14 @@
 func (g *Gateway) handlePeer(request transport.Request, respond transport.Respond) {
 	var pass func(send)
 	switch request.Path {
+	case pathPlace:
+		g.takeQuestion(request, respond)
+		return
+	case pathEnd:
+		g.takeEnd(request, respond)
+		return
+	case pathHanded:
+		pass = g.spread.own
 	case pathSends:
 		pass = func(send) {}
 	case pathRow:
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,6 +67,7 @@
 	uncached int
 	plan     candidate
 	grade    outcomeGrade
+	noWay    bool // no connection came up
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	silence  *time.Timer // ends the attempt of a request that may go elsewhere
@@ -95,6 +96,7 @@
 func (a *attempt) perform() result {
 	x := a.exchange
 	defer a.cancel(nil)
+	defer a.settle()
 	rest := idleOnce
 	if x.route.MayRepeat() {
 		rest = idleRepeatable
@@ -133,13 +135,16 @@
 	if !x.service.Engine {
 		return
 	}
+	x.gateway.metrics.read.Add(float64(a.uncached))
+	x.gateway.metrics.cached.Add(float64(max(0, x.call.PromptTokens-a.uncached)))
+	if a.plan.scheduled != nil {
+		return // its scheduler has told them
+	}
 	made := send{
 		Gateway: x.gateway.nick, Load: running, Instance: a.row.entry.ID, Salt: a.plan.salt, Parts: x.call.Parts,
 		Uncached: a.uncached, Saved: a.plan.save != "",
 	}
 	x.gateway.table.noteHeld(now, made)
-	x.gateway.metrics.read.Add(float64(a.uncached))
-	x.gateway.metrics.cached.Add(float64(max(0, x.call.PromptTokens-a.uncached)))
 	x.gateway.spread.own(made)
 }
 
@@ -147,7 +152,7 @@
 func (a *attempt) end() {
 	x := a.exchange
 	running := x.gateway.table.end(x.gateway.now(), a, a.grade)
-	if x.service.Engine {
+	if x.service.Engine && a.plan.scheduled == nil {
 		x.gateway.spread.own(send{Gateway: x.gateway.nick, Load: running, Instance: a.row.entry.ID})
 	}
 }
@@ -155,13 +160,17 @@
 // unreached notes that no connection came up, and warns the other gateways.
 func (a *attempt) unreached() {
 	g := a.exchange.gateway
-	if running, news := g.table.unreachable(g.now(), a.row); news {
-		g.spread.own(send{Gateway: g.nick, Load: running, Instance: a.row.entry.ID, Unreached: true})
+	a.noWay = true
+	if news := g.table.unreachable(g.now(), a.row); news && a.plan.scheduled == nil {
+		g.spread.own(send{Gateway: g.nick, Instance: a.row.entry.ID, Unreached: true})
 	}
 }
 
 // load is what the attempt takes of its back end while it runs.
-func (a *attempt) load() load { return load{running: 1, tokens: memoryOf(&a.exchange.call)} }
+func (a *attempt) load() load { return loadOf(&a.exchange.call) }
+
+// loadOf is what a call takes of its back end while it runs.
+func loadOf(call *Call) load { return load{running: 1, tokens: memoryOf(call)} }
 
 // memoryOf is how many tokens of an engine's memory a call's prompt takes. Shared parts are there once for all requests
 // that run with them; they count half.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -50,6 +50,8 @@
 	uncached int           // prompt tokens to read
 	fetch    string        // address to take cached parts from, or ""
 	save     string        // address of the store to keep the parts in, or ""
+	// scheduled names the placement where a scheduler made it; else this gateway did.
+	scheduled *scheduled
 }
 
 // need is what a decision depends on.
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -49,6 +49,7 @@
 	stored     *stored                // parts that were sent to a store
 	lanes      map[string]*lanes      // by service
 	stays      map[string]stays       // by service
+	placed     map[string]placement   // for other gateways, by ticket
 	holders    map[string][]*endpoint // that hold a shared part, under any salt, by its id
 	changed    *bell                  // rings with each roster
 }
@@ -57,7 +58,7 @@
 	return &table{
 		mechanisms: mechanisms,
 		rows:       map[string]*endpoint{}, services: map[string][]*endpoint{}, named: map[string][]named{},
-		stored: newStored(), lanes: map[string]*lanes{}, stays: map[string]stays{}, holders: map[string][]*endpoint{}, changed: newBell(),
+		stored: newStored(), lanes: map[string]*lanes{}, stays: map[string]stays{}, placed: map[string]placement{}, holders: map[string][]*endpoint{}, changed: newBell(),
 	}
 }
 
@@ -206,9 +207,11 @@
 	defer t.mutex.Unlock()
 	own := &sent.row.occupied.own
 	*own = own.plus(sent.load())
-	sent.row.read(now, sent.uncached)
+	if sent.plan.scheduled == nil {
+		sent.row.read(now, sent.uncached)
+	}
 	sent.row.waiting[sent] = now
-	return *own
+	return sent.row.occupied.here()
 }
 
 // spoke notes bytes of an answer; the first ones end the wait.
@@ -240,10 +243,15 @@
 	*own = own.minus(sent.load())
 	sent.row.grade(now, good)
 	if good == gradeGood {
-		service := sent.row.entry.Service
-		t.stays[service] = t.stay(service).next(now - sent.began)
+		t.noteStay(sent.row, now-sent.began)
 	}
-	return *own
+	return sent.row.occupied.here()
+}
+
+// noteStay learns how long a request stayed at a back end. The caller holds the mutex.
+func (t *table) noteStay(row *endpoint, length time.Duration) {
+	service := row.entry.Service
+	t.stays[service] = t.stay(service).next(length)
 }
 
 // stay returns how long requests stay at the back ends of a service.
@@ -274,10 +282,11 @@
 			t.index(row, made.Parts)
 			continue
 		}
-		row.occupied.note(made.Gateway, at, made.Load)
-		if made.Unreached && t.mechanisms.On(mechanism.Suspicion) {
-			row.suspect(at, made.Gateway)
+		if made.Unreached {
+			t.suspect(at, row, made.Gateway)
+			continue
 		}
+		row.occupied.note(made.Gateway, at, made.Load)
 		if made.Salt == "" {
 			continue // it tells of no prompt
 		}
@@ -302,6 +311,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.stored.sweep(now)
+	t.sweepPlacements(now)
 	t.forgetHolders()
 	for _, row := range t.rows {
 		row.occupied.sweep(now)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -234,7 +234,10 @@
 	for {
 		wish.trusted = x.gateway.trusted(x.gateway.now())
 		news := x.gateway.table.changed.Next()
-		chosen := x.gateway.choose(x.gateway.now(), wish)
+		chosen := x.askSchedulers(wish)
+		if chosen == nil {
+			chosen = x.gateway.choose(x.gateway.now(), wish)
+		}
 		left := patience - x.gateway.now()
 		if chosen != nil || left <= 0 || len(x.tried) > 0 {
 			return chosen
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -97,6 +97,7 @@
 	g.table.takeNews(asked, reply)
 	g.budget.share(reply.Gateways)
 	g.spread.use(reply.Mesh)
+	g.schedulers.use(reply.Mesh.Schedulers)
 	g.readCaches(ctx, reply)
 	if g.view.Load() != nil {
 		g.confirm.Store(int64(asked))
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -16,6 +16,8 @@
 const (
 	// cachePause is the pause between two questions to an engine for its cache events: news of that time come together.
 	cachePause = 80 * time.Millisecond
+	// cacheEach is the least time between two such questions to any engines: who reads many reads each more seldom.
+	cacheEach = 10 * time.Millisecond
 	// cacheRetry is the pause after a question that failed, doubled up to cacheRetryMost.
 	cacheRetry     = 200 * time.Millisecond
 	cacheRetryMost = 3 * time.Second
@@ -54,6 +56,13 @@
 	}
 }
 
+// count returns the engines that are read.
+func (f *followers) count() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(len(f.running))
+}
+
 // readCaches follows the caches that control has given this gateway.
 func (g *Gateway) readCaches(ctx context.Context, reply *control.WatchReply) {
 	if g.reader != nil && g.on(mechanism.CacheEvents) {
@@ -74,7 +83,7 @@
 func (g *Gateway) followCache(ctx context.Context, id string) {
 	at := cacheCursor{listedAt: -listPause, aliveAt: -aliveEach}
 	for ctx.Err() == nil {
-		pause := cachePause
+		pause := max(cachePause, g.followers.count()*cacheEach)
 		asked, err := g.readCache(ctx, id, &at)
 		switch {
 		case err != nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,18 +35,20 @@
 	log      *decisionLog
 	started  time.Time
 
-	group     *control.Client
-	view      atomic.Pointer[view]
-	confirm   atomic.Int64 // when the newest confirmed view was asked for, in ns of this process's clock; 0 never
-	table     *table
-	budget    *retryBudget
-	pool      *pool
-	splits    *splits
-	spread    *spread
-	nick      string // short name of this life, under which other gateways are told of sends
-	outage    outage
-	reader    CacheReader // of engines' caches, or nil
-	followers *followers
+	group   *control.Client
+	view    atomic.Pointer[view]
+	confirm atomic.Int64 // when the newest confirmed view was asked for, in ns of this process's clock; 0 never
+	table   *table
+	budget  *retryBudget
+	pool    *pool
+	splits  *splits
+	spread  *spread
+	// schedulers place this gateway's requests in a large fleet.
+	schedulers *schedulers
+	nick       string // short name of this life, under which other gateways are told of sends
+	outage     outage
+	reader     CacheReader // of engines' caches, or nil
+	followers  *followers
 	// confirmed rings whenever control has confirmed the view.
 	confirmed *bell
 	draining  atomic.Bool
@@ -64,7 +66,7 @@
 	made := &Gateway{
 		settings: settings, dialect: dialect, log: newDecisionLog(log), started: time.Now(),
 		group: control.NewClient(client, settings.Control), table: newTable(settings.Mechanisms), budget: newRetryBudget(settings),
-		confirmed: newBell(), followers: newFollowers(), pool: newPool(), splits: newSplits(newRand()), spread: newSpread(client), nick: strconv.FormatUint(rand.Uint64N(nickRange), saltBase),
+		confirmed: newBell(), followers: newFollowers(), pool: newPool(), splits: newSplits(newRand()), spread: newSpread(client), schedulers: newSchedulers(client), nick: strconv.FormatUint(rand.Uint64N(nickRange), saltBase),
 	}
 	made.spread.silent = !made.on(mechanism.Mesh)
 	made.metrics = newMetrics(made)
--- a/internal/gateway/occupancy.go
+++ b/internal/gateway/occupancy.go
@@ -28,13 +28,17 @@
 // occupancy adds up what all gateways have running at one back end. Each gateway tells whole figures, not differences, so
 // that a lost message is made good by the next one.
 type occupancy struct {
-	own  load
-	told map[string]toldLoad // by gateway
-	sum  load                // of told
+	own    load                // of this gateway's callers
+	placed load                // that this gateway placed for others
+	told   map[string]toldLoad // by gateway
+	sum    load                // of told
 }
 
 // total is what all gateways have running.
-func (o *occupancy) total() load { return o.own.plus(o.sum) }
+func (o *occupancy) total() load { return o.here().plus(o.sum) }
+
+// here is what this gateway has running or placed, as it tells others.
+func (o *occupancy) here() load { return o.own.plus(o.placed) }
 
 // note takes what a gateway had running at a time; messages may overtake each other, and an older one changes nothing.
 func (o *occupancy) note(from string, at time.Duration, l load) {
--- /dev/null
+++ b/internal/gateway/placements.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/mechanism"
+	"kitetiller/internal/prefix"
+	"kitetiller/internal/transport"
+)
+
+// wireQuestion asks a scheduler for a placement. Names are short since every request of a large fleet asks once.
+type wireQuestion struct {
+	Ticket   string   `json:"i"` // name of the placement, given by who asks; unique in the fleet
+	Gateway  string   `json:"g"` // who asks
+	Service  string   `json:"s"`
+	Wall     string   `json:"w,omitempty"` // tenant whose cached parts nobody else may use, or ""
+	Model    string   `json:"m,omitempty"`
+	Parts    []string `json:"p,omitempty"`
+	Tokens   []int    `json:"t,omitempty"` // of each part
+	Prompt   int      `json:"l,omitempty"` // tokens of the whole prompt
+	Without  []string `json:"x,omitempty"` // back ends that are not wanted
+	WithinMS int64    `json:"d"`           // the request is over by then
+}
+
+// wirePlacement answers a question; without an instance there is no back end to be had.
+type wirePlacement struct {
+	Instance string  `json:"i,omitempty"`
+	Version  uint64  `json:"v,omitempty"` // of its weights; 0 unknown
+	Uncached int     `json:"u,omitempty"` // prompt tokens that it will read
+	WaitMS   float64 `json:"w,omitempty"` // predicted time until the request begins
+	Fetch    string  `json:"f,omitempty"`
+	Save     string  `json:"k,omitempty"`
+}
+
+// wireEnd tells a scheduler how a request ended that it placed.
+type wireEnd struct {
+	Ticket    string       `json:"i"`
+	Gateway   string       `json:"g"`
+	Grade     outcomeGrade `json:"o,omitempty"`
+	Unreached bool         `json:"x,omitempty"` // no connection to the back end came up
+	StayMS    int64        `json:"t,omitempty"` // how long the request was there
+}
+
+// call returns what the question tells of the caller's request; parts without a size are left out.
+func (q *wireQuestion) call() Call {
+	call := Call{Model: q.Model, PromptTokens: max(0, q.Prompt)}
+	for i := range min(len(q.Parts), len(q.Tokens)) {
+		call.Parts = append(call.Parts, prefix.Part{ID: q.Parts[i], Tokens: max(0, q.Tokens[i])})
+	}
+	return call
+}
+
+// placement is a request that this gateway placed for another one, until that one tells of its end.
+type placement struct {
+	row   *endpoint
+	load  load
+	until time.Duration // it counts no longer, whatever was told
+}
+
+// takeQuestion answers another gateway that asks for a placement.
+func (g *Gateway) takeQuestion(request transport.Request, respond transport.Respond) {
+	var asked wireQuestion
+	if json.Unmarshal(request.Body, &asked) != nil {
+		respond(http.StatusBadRequest, nil)
+		return
+	}
+	respond(http.StatusOK, g.placeFor(g.now(), &asked))
+}
+
+// placeFor chooses a back end for another gateway's request and counts it from now on.
+func (g *Gateway) placeFor(now time.Duration, asked *wireQuestion) wirePlacement {
+	held := g.view.Load()
+	if held == nil || held.services[asked.Service] == nil || !g.trusted(now) {
+		return wirePlacement{}
+	}
+	call := asked.call()
+	wish := need{service: held.services[asked.Service], call: &call, tried: g.table.rowsOf(asked.Without), trusted: true}
+	if asked.Wall != "" {
+		wish.tenant = &catalog.Tenant{Name: asked.Wall, Isolated: true}
+	}
+	if g.on(mechanism.Store) {
+		wish.store = held.storeOf(call.Parts)
+	}
+	chosen := g.choose(now, wish)
+	if chosen == nil {
+		return wirePlacement{}
+	}
+	made := send{
+		Gateway: g.nick, Instance: chosen.row.entry.ID, Salt: chosen.salt, Parts: call.Parts, Uncached: chosen.uncached, Saved: chosen.save != "",
+	}
+	within := time.Duration(max(0, asked.WithinMS)) * time.Millisecond
+	made.Load = g.table.place(now, asked.Ticket, placement{row: chosen.row, load: loadOf(&call), until: now + within}, chosen.uncached)
+	g.table.noteHeld(now, made)
+	g.spread.own(made)
+	return wirePlacement{
+		Instance: made.Instance, Version: chosen.version, Uncached: chosen.uncached, WaitMS: chosen.wait, Fetch: chosen.fetch, Save: chosen.save,
+	}
+}
+
+// takeEnd notes how a request ended that this gateway placed for another one.
+func (g *Gateway) takeEnd(request transport.Request, respond transport.Respond) {
+	var end wireEnd
+	if json.Unmarshal(request.Body, &end) != nil {
+		respond(http.StatusBadRequest, nil)
+		return
+	}
+	respond(http.StatusOK, struct{}{})
+	now := g.now()
+	row, left, known := g.table.endPlacement(now, &end)
+	if !known {
+		return
+	}
+	g.spread.own(send{Gateway: g.nick, Load: left, Instance: row.entry.ID})
+	if end.Unreached {
+		g.spread.own(send{Gateway: end.Gateway, Instance: row.entry.ID, Unreached: true})
+	}
+}
+
+// place counts a placement, and returns what now runs at its back end as far as this gateway tells others.
+func (t *table) place(now time.Duration, ticket string, made placement, uncached int) load {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.placed[ticket] = made
+	here := &made.row.occupied
+	here.placed = here.placed.plus(made.load)
+	made.row.read(now, uncached)
+	return here.here()
+}
+
+// endPlacement takes a placement out. That no connection came up is one gateway's report, like one that came over the mesh.
+func (t *table) endPlacement(now time.Duration, end *wireEnd) (row *endpoint, left load, known bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	made, known := t.placed[end.Ticket]
+	if !known {
+		return nil, load{}, false
+	}
+	t.forgetPlacement(end.Ticket, made)
+	row = made.row
+	if end.Unreached {
+		t.suspect(now, row, end.Gateway)
+	} else {
+		row.grade(now, end.Grade)
+	}
+	if end.Grade == gradeGood {
+		t.noteStay(row, time.Duration(max(0, end.StayMS))*time.Millisecond)
+	}
+	return row, row.occupied.here(), true
+}
+
+// forgetPlacement takes a placement out of the sums. The caller holds the mutex.
+func (t *table) forgetPlacement(ticket string, made placement) {
+	delete(t.placed, ticket)
+	made.row.occupied.placed = made.row.occupied.placed.minus(made.load)
+}
+
+// sweepPlacements forgets placements whose end was never told. The caller holds the mutex.
+func (t *table) sweepPlacements(now time.Duration) {
+	for ticket, made := range t.placed {
+		if now > made.until {
+			t.forgetPlacement(ticket, made)
+		}
+	}
+}
+
+// rowsOf returns the back ends of the given ids that are known.
+func (t *table) rowsOf(ids []string) []*endpoint {
+	if len(ids) == 0 {
+		return nil
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var found []*endpoint
+	for _, id := range ids {
+		if row := t.rows[id]; row != nil {
+			found = append(found, row)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/gateway/schedulers.go
@@ -0,0 +1,203 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"kitetiller/internal/prefix"
+	"kitetiller/internal/transport"
+)
+
+const (
+	// askTimeout is how long a scheduler may take to answer: some times what it takes while it is busy, and little beside
+	// what a request may take. askMost schedulers are asked for one request before the gateway places it by itself.
+	askTimeout = 60 * time.Millisecond
+	askMost    = 2
+	// askAgainAfter is how long a scheduler that gave no answer is left alone.
+	askAgainAfter = 500 * time.Millisecond
+	// endTimeout is how long a scheduler may take to take an end, and endsAtOnce bounds how many are being told.
+	endTimeout = 250 * time.Millisecond
+	endsAtOnce = 256
+)
+
+// schedulers are the gateways that place requests for this one. Their zero number means that it places its own. It is safe for
+// concurrent use.
+type schedulers struct {
+	client *transport.Client
+	ends   chan struct{} // a place for each end that is being told
+
+	mu        sync.Mutex
+	addresses []string
+	failed    map[string]time.Duration // when one last gave no answer
+	tickets   uint64
+}
+
+func newSchedulers(client *transport.Client) *schedulers {
+	return &schedulers{client: client, ends: make(chan struct{}, endsAtOnce), failed: map[string]time.Duration{}}
+}
+
+// use replaces the schedulers.
+func (s *schedulers) use(addresses []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addresses = addresses
+	for address := range s.failed {
+		if !slices.Contains(addresses, address) {
+			delete(s.failed, address)
+		}
+	}
+}
+
+// order returns the schedulers to ask for a prompt, best first: the same one for the same shared parts while it answers, so
+// that one sees all of a prompt's requests in a zone.
+func (s *schedulers) order(now time.Duration, parts []prefix.Part) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := xxhash.Sum64String(prefix.AffinityKey(parts))
+	var asked []string
+	for _, address := range s.addresses {
+		if failed, known := s.failed[address]; !known || now > failed+askAgainAfter {
+			asked = append(asked, address)
+		}
+	}
+	slices.SortFunc(asked, func(a, b string) int {
+		return cmp.Compare(mix(key^xxhash.Sum64String(b)), mix(key^xxhash.Sum64String(a)))
+	})
+	return asked[:min(len(asked), askMost)]
+}
+
+// noteFailed notes that a scheduler gave no answer.
+func (s *schedulers) noteFailed(now time.Duration, address string) {
+	s.mu.Lock()
+	s.failed[address] = now
+	s.mu.Unlock()
+}
+
+// ticket returns a new name of a placement.
+func (s *schedulers) ticket(nick string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tickets++
+	return nick + "-" + strconv.FormatUint(s.tickets, saltBase)
+}
+
+// tell tells a scheduler of an end, beside what the caller does. One that cannot be told is forgotten there by its time.
+func (s *schedulers) tell(address string, end wireEnd) {
+	select {
+	case s.ends <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-s.ends }()
+		ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+		defer cancel()
+		_ = s.client.Post(ctx, address, pathEnd, end, nil) // best effort
+	}()
+}
+
+// scheduled is a placement that a scheduler made.
+type scheduled struct {
+	scheduler string // its address
+	ticket    string
+}
+
+// askSchedulers returns where a scheduler places the request, or nil when none is to be asked or none knows a back end.
+func (x *exchange) askSchedulers(wish need) *candidate {
+	g := x.gateway
+	if !wish.service.Engine || !wish.trusted {
+		return nil
+	}
+	asked := g.schedulers.order(g.now(), x.call.Parts)
+	if len(asked) == 0 {
+		return nil
+	}
+	question := x.question(wish)
+	for _, address := range asked {
+		made := scheduled{scheduler: address, ticket: g.schedulers.ticket(g.nick)}
+		question.Ticket = made.ticket
+		var answer wirePlacement
+		ctx, cancel := context.WithTimeout(x.ctx, askTimeout)
+		err := g.schedulers.client.Post(ctx, address, pathPlace, question, &answer)
+		cancel()
+		if err == nil {
+			return g.scheduledCandidate(&answer, made, wish)
+		}
+		if x.ctx.Err() != nil {
+			return nil
+		}
+		g.schedulers.noteFailed(g.now(), address)
+		g.schedulers.tell(address, wireEnd{Ticket: made.ticket, Gateway: g.nick}) // it may have placed the request
+	}
+	return nil
+}
+
+// question returns what schedulers are asked.
+func (x *exchange) question(wish need) wireQuestion {
+	g := x.gateway
+	asked := wireQuestion{
+		Gateway: g.nick, Service: x.service.Name, Model: x.call.Model, Prompt: x.call.PromptTokens,
+		Without: g.table.unwanted(g.now(), x.service.Name, wish.tried), WithinMS: (x.deadline - g.now()).Milliseconds(),
+	}
+	if wish.tenant != nil && wish.tenant.Isolated {
+		asked.Wall = wish.tenant.Name
+	}
+	for _, part := range x.call.Parts {
+		asked.Parts, asked.Tokens = append(asked.Parts, part.ID), append(asked.Tokens, part.Tokens)
+	}
+	return asked
+}
+
+// unwanted returns the back ends that a request was sent to already, and those that this gateway avoids.
+func (t *table) unwanted(now time.Duration, service string, tried []*endpoint) []string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var ids []string
+	for _, row := range t.services[service] {
+		if now < row.avoidTo || slices.Contains(tried, row) {
+			ids = append(ids, row.entry.ID)
+		}
+	}
+	return ids
+}
+
+// scheduledCandidate returns what a scheduler's answer means here, or nil if this gateway may not send there: what it was told
+// itself of a back end and its weights decides.
+func (g *Gateway) scheduledCandidate(answer *wirePlacement, made scheduled, wish need) *candidate {
+	if answer.Instance == "" {
+		return nil
+	}
+	now := g.now()
+	g.table.mutex.Lock()
+	defer g.table.mutex.Unlock()
+	chosen := &candidate{
+		row: g.table.rows[answer.Instance], version: answer.Version, salt: salt(answer.Version, wish.tenant), wait: answer.WaitMS,
+		uncached: max(0, answer.Uncached), fetch: answer.Fetch, save: answer.Save, scheduled: &made,
+	}
+	if answer.Version == 0 {
+		chosen.salt = uniqueSalt()
+	}
+	if chosen.row == nil || !g.eligible(now, chosen.row, wish) || g.beginsTooLate(now, chosen, wish.call.Model) {
+		g.schedulers.tell(made.scheduler, wireEnd{Ticket: made.ticket, Gateway: g.nick})
+		return nil
+	}
+	return chosen
+}
+
+// settle tells the scheduler that placed an attempt how it ended.
+func (a *attempt) settle() {
+	made := a.plan.scheduled
+	if made == nil {
+		return
+	}
+	g := a.exchange.gateway
+	g.schedulers.tell(made.scheduler, wireEnd{
+		Ticket: made.ticket, Gateway: g.nick, Grade: a.grade, Unreached: a.noWay, StayMS: (g.now() - a.began).Milliseconds(),
+	})
+}
--- /dev/null
+++ b/internal/gateway/schedulers_test.go
@@ -0,0 +1,198 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/control"
+	"kitetiller/internal/mechanism"
+	"kitetiller/internal/prefix"
+	"kitetiller/internal/transport"
+)
+
+// scheduler returns a gateway with a confirmed view of so many engines.
+func scheduler(engines int) *Gateway {
+	g := New(Settings{Name: "s", Zone: "z", VersionLimit: time.Minute, Trust: time.Hour}, nil, nil)
+	g.view.Store(newView(&catalog.Document{Services: []catalog.Service{{Name: "s", Engine: true, CacheLimit: 80_000}}}))
+	g.confirm.Store(1)
+	news := &control.RosterNews{Whole: true}
+	for i := range engines {
+		news.Entries = append(news.Entries, control.RosterEntry{
+			Instance: catalog.Instance{ID: fmt.Sprint("i-", i), Service: "s", Address: fmt.Sprint("10.0.0.", i), Zone: "z", Slots: 16, State: catalog.StateReady},
+			Versions: map[string]uint64{"m": 1},
+		})
+	}
+	g.table.takeRoster(0, news, nil)
+	return g
+}
+
+// question returns a question for a prompt of a preamble, one of some subjects and a part of its own.
+func question(ticket string, subject int) *wireQuestion {
+	return &wireQuestion{
+		Ticket: ticket, Gateway: "a", Service: "s", Model: "m", Prompt: 9190, WithinMS: 5000,
+		Parts: []string{"preamble", fmt.Sprint("subject-", subject), ticket}, Tokens: []int{2520, 3780, 2890},
+	}
+}
+
+// TestPlacementsAreCountedUntilTheirEnd: whatever is asked, ended, ended twice or never, the sums are those of an oracle.
+func TestPlacementsAreCountedUntilTheirEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := scheduler(4)
+		type running struct {
+			instance string
+			until    time.Duration
+		}
+		oracle := map[string]running{}
+		now := time.Second
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0, 1:
+				asked := question(fmt.Sprint("t", step), rapid.IntRange(0, 3).Draw(t, "subject"))
+				answer := g.placeFor(now, asked)
+				if answer.Instance == "" {
+					t.Fatal("no back end although all are ready")
+				}
+				oracle[asked.Ticket] = running{answer.Instance, now + 5*time.Second}
+			case 2:
+				ticket := fmt.Sprint("t", rapid.IntRange(0, step).Draw(t, "ended"))
+				_, _, known := g.table.endPlacement(now, &wireEnd{Ticket: ticket, Gateway: "a", Grade: gradeGood})
+				if _, runs := oracle[ticket]; known != runs {
+					t.Fatalf("the end of %s is known: %v, it runs: %v", ticket, known, runs)
+				}
+				delete(oracle, ticket)
+			case 3:
+				g.table.sweep(now)
+				for ticket, r := range oracle {
+					if now > r.until {
+						delete(oracle, ticket)
+					}
+				}
+			}
+			counts := map[string]int{}
+			for _, r := range oracle {
+				counts[r.instance]++
+			}
+			for id, row := range g.table.rows {
+				if row.occupied.total().running != counts[id] || row.occupied.total().tokens != counts[id]*loadOf(&Call{Parts: partsOf("x")}).tokens {
+					t.Fatalf("%s has %+v, wanted %d requests", id, row.occupied.total(), counts[id])
+				}
+			}
+		}
+		if len(g.table.usage()) > 0 {
+			t.Fatal("placements for others are told to control as requests of this gateway")
+		}
+	})
+}
+
+func partsOf(own string) []prefix.Part {
+	return []prefix.Part{{ID: "preamble", Tokens: 2520}, {ID: "subject-0", Tokens: 3780}, {ID: own, Tokens: 2890}}
+}
+
+// TestSchedulerBringsPromptsTogether: many gateways that ask at the same moment for one prompt each do not all get one engine,
+// and prompts of a subject meet where its parts are while there is room.
+func TestSchedulerBringsPromptsTogether(t *testing.T) {
+	g := scheduler(100)
+	first := g.placeFor(time.Second, question("t0", 7))
+	again := g.placeFor(2*time.Second, question("t1", 7))
+	if again.Instance != first.Instance || again.Uncached != 2890 {
+		t.Fatalf("first %+v, then %+v", first, again)
+	}
+	used := map[string]int{}
+	for i := range 40 {
+		used[g.placeFor(3*time.Second, question(fmt.Sprint("u", i), 7)).Instance]++
+	}
+	if len(used) < 4 {
+		t.Fatalf("40 requests at one moment went to %d engines: %v", len(used), used)
+	}
+	if other := g.placeFor(4*time.Second, &wireQuestion{Ticket: "v", Service: "s", Model: "m", Wall: "tenant", Without: []string{first.Instance}, Parts: []string{"preamble", "x"}, Tokens: []int{2520, 10}, Prompt: 2530}); other.Instance == first.Instance || other.Uncached != 2530 {
+		t.Fatalf("a tenant that shares nothing got %+v", other)
+	}
+}
+
+// TestOneGatewaysReportTurnsNobodyAway: one that is cut off from an engine by itself, and asks again and again, changes nothing
+// for the others; a second one's report does.
+func TestOneGatewaysReportTurnsNobodyAway(t *testing.T) {
+	g := scheduler(3)
+	row := g.table.rows["i-0"]
+	report := func(now time.Duration, gateway, ticket string) {
+		g.table.place(now, ticket, placement{row: row, load: load{running: 1}, until: now + time.Second}, 0)
+		g.table.endPlacement(now, &wireEnd{Ticket: ticket, Gateway: gateway, Unreached: true})
+	}
+	for i := range 5 {
+		report(time.Second+time.Duration(i)*10*time.Millisecond, "a", fmt.Sprint("t", i))
+	}
+	if row.avoidTo > 0 {
+		t.Fatal("five reports of one gateway turned everybody away")
+	}
+	report(1100*time.Millisecond, "b", "t9")
+	if row.avoidTo == 0 {
+		t.Fatal("reports of two gateways turned nobody away")
+	}
+}
+
+// TestPlacingGoesOnWithoutAScheduler: one that says nothing is asked once and then left alone; the gateway places by itself.
+func TestPlacingGoesOnWithoutAScheduler(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // it takes connections and says nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	g := scheduler(3)
+	g.schedulers.use([]string{silent.Addr().String()})
+	x := &exchange{gateway: g, ctx: context.Background(), service: g.view.Load().services["s"], view: g.view.Load(), call: Call{Model: "m", Parts: partsOf("own")}, deadline: time.Hour}
+	if chosen := x.place(); chosen == nil || chosen.scheduled != nil {
+		t.Fatalf("chosen %+v", chosen)
+	}
+	if asked := g.schedulers.order(g.now(), x.call.Parts); len(asked) > 0 {
+		t.Fatalf("%v would be asked again at once", asked)
+	}
+}
+
+// TestPlacementOfASchedulerIsUsed: over the wire, with the salt of the asking gateway's own view; what that gateway avoids, or
+// has been to, is not offered, and the scheduler hears of the end.
+func TestPlacementOfASchedulerIsUsed(t *testing.T) {
+	s := scheduler(3)
+	ended := make(chan struct{}, 8)
+	server, err := transport.Listen("127.0.0.1:17391", "", func(request transport.Request, respond transport.Respond) {
+		s.handlePeer(request, respond)
+		if request.Path == pathEnd {
+			ended <- struct{}{}
+		}
+	}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close(context.Background()) }()
+	g := scheduler(3)
+	g.schedulers.use([]string{"127.0.0.1:17391"})
+	g.table.rows["i-0"].avoidTo = time.Hour
+	x := &exchange{
+		gateway: g, ctx: context.Background(), service: g.view.Load().services["s"], view: g.view.Load(), route: &catalog.Route{},
+		request: &http.Request{}, call: Call{Model: "m", Parts: partsOf("own")}, deadline: time.Hour, tried: []*endpoint{g.table.rows["i-1"]},
+	}
+	x.tenant = &catalog.Tenant{Name: "t", Isolated: true}
+	chosen := x.place()
+	if chosen == nil || chosen.scheduled == nil || chosen.row.entry.ID != "i-2" || chosen.salt != "w1/t" {
+		t.Fatalf("chosen %+v", chosen)
+	}
+	if n := s.table.rows["i-2"].occupied.placed.running; n != 1 {
+		t.Fatalf("%d requests counted", n)
+	}
+	x.newAttempt(chosen).settle()
+	<-ended
+	if n := s.table.rows["i-2"].occupied.placed.running; n != 0 {
+		t.Fatalf("%d requests counted after the end", n)
+	}
+	if _, err := mechanism.Without(string(mechanism.Schedulers)); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/gateway/suspicion.go
+++ b/internal/gateway/suspicion.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"kitetiller/internal/mechanism"
+)
 
 const (
 	// suspectBase and suspectLimit bound how long a back end that failed is avoided; the time doubles with each failure.
@@ -49,12 +53,12 @@
 }
 
 // unreachable notes that no connection came up, and reports whether that is news to the other gateways.
-func (t *table) unreachable(now time.Duration, row *endpoint) (load, bool) {
+func (t *table) unreachable(now time.Duration, row *endpoint) (news bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	news := now >= row.avoidTo
+	news = now >= row.avoidTo
 	row.failed(now, unreachedBase)
-	return row.occupied.own, news
+	return news
 }
 
 // suspicion is who lately reported a back end as unreachable.
@@ -63,6 +67,13 @@
 	at   time.Duration
 }
 
+// suspect takes another gateway's report, where such reports count. The caller holds the mutex.
+func (t *table) suspect(at time.Duration, row *endpoint, from string) {
+	if t.mechanisms.On(mechanism.Suspicion) {
+		row.suspect(at, from)
+	}
+}
+
 // suspect takes another gateway's report that no connection to a back end came up. It counts with a second gateway's, and
 // unless the back end has spoken to this one since.
 func (e *endpoint) suspect(at time.Duration, from string) {
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -33,6 +33,7 @@
 
 // Mechanisms of control replicas.
 const (
+	Schedulers   Name = "schedulers"    // a few gateways of each zone of a large fleet place requests for all
 	WeightsDrain Name = "weights-drain" // running requests end before weights are replaced
 	HeldWeights  Name = "held-weights"  // a new leader knows from the log which weights engines hold
 )
@@ -41,7 +42,7 @@
 func All() []Name {
 	return []Name{
 		Lanes, Mesh, Occupancy, Suspicion, Store, Copies, Displacement, Owner, StrayCost, CacheEvents, Patience, Avoidance,
-		ViewWait, ZoneCost, RereadWeight, WeightsDrain, HeldWeights,
+		ViewWait, ZoneCost, RereadWeight, Schedulers, WeightsDrain, HeldWeights,
 	}
 }
 
