A random sample of the holders of a common part, in place of the newest; moves wait for their link; logs of predictions

All of them looked at the same holders, the newest 24 of a preamble that most engines hold.

The line of each request tells what its placement expected: predicted, uncached, from, scheduled.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -54,5 +54,11 @@
 	FieldTook     = "took" // seconds since the request arrived
 	FieldCause    = "cause"
 	FieldWithout  = "without" // mechanisms that this process was started without
-	FieldLate     = "late"    // true where the answer missed the route's objective
+	// FieldPredicted is the time until a request begins that its placement expected, in milliseconds; FieldUncached the prompt tokens
+	// that were to be read, FieldFrom where cached parts were taken from, FieldScheduled whether another gateway placed it.
+	FieldPredicted = "predicted"
+	FieldUncached  = "uncached"
+	FieldFrom      = "from"
+	FieldScheduled = "scheduled"
+	FieldLate      = "late" // true where the answer missed the route's objective
 )
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -50,6 +50,7 @@
 	Parts    []prefix.Part
 	Uncached int  // prompt tokens
 	Saved    bool // the parts go to the store as well
+	Move     move // of cached parts to the engine, or to the store
 	// Unreached says that no connection came up; then nothing was sent, and there is no salt.
 	Unreached bool
 	// Kept says that parts and their tokens are what the engine itself says that it keeps; nothing was sent then.
@@ -68,6 +69,8 @@
 	Tokens    []int    `json:"t,omitempty"` // of each part
 	Uncached  int      `json:"u,omitempty"`
 	Saved     bool     `json:"v,omitempty"`
+	MoveFrom  string   `json:"f,omitempty"`
+	MoveMS    int64    `json:"d,omitempty"`
 	Unreached bool     `json:"x,omitempty"`
 	Kept      bool     `json:"k,omitempty"`
 	AgeMS     int64    `json:"a"`
@@ -77,7 +80,7 @@
 	w := wireSend{
 		Gateway: s.Gateway, Running: s.Load.running, Held: s.Load.tokens,
 		Instance: s.Instance, Salt: s.Salt, Uncached: s.Uncached, Saved: s.Saved, Unreached: s.Unreached, Kept: s.Kept,
-		AgeMS: (s.Age + waited).Milliseconds(),
+		AgeMS: (s.Age + waited).Milliseconds(), MoveFrom: s.Move.from, MoveMS: s.Move.time.Milliseconds(),
 	}
 	for _, p := range s.Parts {
 		w.Parts, w.Tokens = append(w.Parts, p.ID), append(w.Tokens, p.Tokens)
@@ -90,7 +93,8 @@
 	s := send{
 		Gateway: w.Gateway, Load: load{running: max(0, w.Running), tokens: max(0, w.Held)},
 		Instance: w.Instance, Salt: w.Salt, Uncached: max(0, w.Uncached), Saved: w.Saved, Unreached: w.Unreached, Kept: w.Kept,
-		Age: time.Duration(max(0, w.AgeMS)) * time.Millisecond,
+		Age:  time.Duration(max(0, w.AgeMS)) * time.Millisecond,
+		Move: move{from: w.MoveFrom, time: time.Duration(max(0, w.MoveMS)) * time.Millisecond},
 	}
 	for i := range min(len(w.Parts), len(w.Tokens)) {
 		s.Parts = append(s.Parts, prefix.Part{ID: w.Parts[i], Tokens: max(0, w.Tokens[i])})
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -142,7 +142,7 @@
 	}
 	made := send{
 		Gateway: x.gateway.nick, Load: running, Instance: a.row.entry.ID, Salt: a.plan.salt, Parts: x.call.Parts,
-		Uncached: a.uncached, Saved: a.plan.save != "",
+		Uncached: a.uncached, Saved: a.plan.save != "", Move: a.plan.move,
 	}
 	x.gateway.table.noteHeld(now, made)
 	x.gateway.spread.own(made)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -31,7 +31,7 @@
 	// those that hold parts are, and a random sample.
 	scoreAllUpTo   = 64
 	maximumHolders = 24
-	holdersSeen    = 64 // of those that hold a part, the newest are looked at
+	holdersSampled = 24 // of those that hold a part; all of fewer
 	sampleSize     = 12
 	// rereadWeight is how much more than its time the reading of shared parts counts, and strayCost what it costs besides
 	// to read them anywhere but at their owner.
@@ -50,6 +50,7 @@
 	uncached int           // prompt tokens to read
 	fetch    string        // address to take cached parts from, or ""
 	save     string        // address of the store to keep the parts in, or ""
+	move     move          // of cached parts that the placement causes
 	// scheduled names the placement where a scheduler made it; else this gateway did.
 	scheduled *scheduled
 }
@@ -116,10 +117,7 @@
 	for _, held := range sources {
 		picked = append(picked, held.row)
 	}
-	for range sampleSize {
-		picked = append(picked, rows[rand.IntN(len(rows))])
-	}
-	return picked
+	return append(picked, sampled(rows, sampleSize)...)
 }
 
 // eligible reports whether a back end may get a new request at all.
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -29,7 +30,8 @@
 }
 
 // sources returns back ends that hold leading shared parts of the prompt, each under the salt of its own weights, the
-// deepest first, at most maximumHolders.
+// deepest first, at most maximumHolders. Of the many that hold a common part a random sample is looked at, so that deciders
+// which know the same don't all choose among the same few.
 func (g *Gateway) sources(now time.Duration, wish need) []source {
 	shared := prefix.Shared(wish.call.Parts)
 	if !wish.service.Engine || len(shared) == 0 || !wish.trusted {
@@ -39,8 +41,7 @@
 	salts := map[uint64]string{}
 	seen := map[*endpoint]bool{}
 	for deepest := len(shared) - 1; deepest >= 0 && len(found) < maximumHolders; deepest-- {
-		holders := g.table.holders[shared[deepest].ID]
-		for _, row := range holders[max(0, len(holders)-holdersSeen):] {
+		for _, row := range sampled(g.table.holders[shared[deepest].ID], holdersSampled) {
 			if held, holds := g.sourceAt(now, row, wish, salts); holds && !seen[row] && len(found) < maximumHolders {
 				found = append(found, held)
 			}
@@ -51,6 +52,18 @@
 	return found
 }
 
+// sampled returns all of a few rows, and as many at random of more; a row may come twice then.
+func sampled(rows []*endpoint, count int) []*endpoint {
+	if len(rows) <= count {
+		return rows
+	}
+	picked := make([]*endpoint, 0, count)
+	for range count {
+		picked = append(picked, rows[rand.IntN(len(rows))])
+	}
+	return picked
+}
+
 // sourceAt returns what a back end holds of a prompt's shared parts under its own weights, whose salts are kept in salts.
 func (g *Gateway) sourceAt(now time.Duration, row *endpoint, wish need, salts map[uint64]string) (source, bool) {
 	version := row.entry.Versions[wish.call.Model]
@@ -66,55 +79,84 @@
 	return source{row: row, version: version, tokens: tokens}, tokens > 0
 }
 
-// planFetch looks for the deepest copy of the missing shared parts and returns the tokens that need not be read. Where
-// none is known the store is asked: a miss costs next to nothing.
+// copyPlan is one way to have missing shared parts at an engine.
+type copyPlan struct {
+	from   string  // address, or ""
+	tokens int     // held there from the first part on
+	time   float64 // milliseconds that the move takes
+	cost   float64 // milliseconds, with the wait for its turn and what it displaces
+}
+
+// planFetch chooses how the engine gets the missing shared parts, and returns the tokens that need not be read. Reading them
+// again is one of the ways: a copy that waits long for its turn is worth less than that. Where nobody is known to hold more,
+// the store is asked: a miss costs next to nothing.
 func (g *Gateway) planFetch(now time.Duration, scored *candidate, wish need, cached int, sources []source) int {
 	shared := prefix.Shared(wish.call.Parts)
-	best, from := cached, (*endpoint)(nil)
-	for _, other := range sources {
-		if !g.on(mechanism.Copies) {
-			break
-		}
-		if other.row == scored.row || other.version != scored.version || other.tokens < best || other.tokens <= cached {
-			continue
-		}
-		nearer := from == nil || (from.entry.Zone != scored.row.entry.Zone && other.row.entry.Zone == scored.row.entry.Zone)
-		if other.tokens > best || nearer {
-			best, from = other.tokens, other.row
+	whole := prefix.PartTokens(shared)
+	stored := wish.store != nil && g.table.stored.holds(now, scored.salt, shared)
+	best, found := copyPlan{tokens: cached}, false
+	if g.on(mechanism.Copies) {
+		best, found = g.bestEngineCopy(now, scored, wish, cached, sources)
+	}
+	if stored {
+		fromStore := g.copyPlan(now, wish, wish.store.Store, wish.store.LinkMbps, whole, cached, wish.store.Zone != scored.row.entry.Zone)
+		if !found || fromStore.net(cached) < best.net(cached) {
+			best, found = fromStore, true
 		}
 	}
-	stored := wish.store != nil && g.table.stored.holds(now, scored.salt, shared)
 	switch {
-	case from != nil && (!stored || best == prefix.PartTokens(shared)):
-		scored.fetch = from.entry.Address
-		scored.cost += g.moveCost(wish.service, best-cached, from.entry.Zone != scored.row.entry.Zone)
-	case stored:
-		best = prefix.PartTokens(shared)
-		scored.fetch = wish.store.Store
-		scored.cost += g.moveCost(wish.service, best-cached, wish.store.Zone != scored.row.entry.Zone)
-	case wish.store != nil:
+	case found && best.net(cached) < 0:
+		scored.fetch, scored.cost = best.from, scored.cost+best.cost
+		scored.move = move{from: best.from, time: fromMilliseconds(best.time)}
+		return best.tokens
+	case !stored && wish.store != nil:
 		scored.fetch, scored.save = wish.store.Store, wish.store.Store
+		saved := g.copyPlan(now, wish, wish.store.Store, wish.store.LinkMbps, whole, cached, wish.store.Zone != scored.row.entry.Zone)
+		scored.move = move{from: saved.from, time: fromMilliseconds(saved.time)}
 	}
-	return best
+	return cached
+}
+
+// net is what a way costs more than to read the parts, in milliseconds; below 0 it is the better one.
+func (p copyPlan) net(cached int) float64 {
+	return p.cost - (1+rereadWeight)*float64(p.tokens-cached)/prefillRate
 }
 
-// moveCost is what a copy costs, in milliseconds: its time, and what it displaces at its engine, which somebody will have to
-// read or to copy again.
-func (g *Gateway) moveCost(service *catalog.Service, tokens int, far bool) float64 {
-	cost := moveTime(service, tokens, far)
+// bestEngineCopy returns the copy from an engine that costs least against reading.
+func (g *Gateway) bestEngineCopy(now time.Duration, scored *candidate, wish need, cached int, sources []source) (best copyPlan, found bool) {
+	for _, other := range sources {
+		if other.row == scored.row || other.version != scored.version || other.tokens <= cached {
+			continue
+		}
+		far := other.row.entry.Zone != scored.row.entry.Zone
+		plan := g.copyPlan(now, wish, other.row.entry.Address, wish.service.LinkMbps, other.tokens, cached, far)
+		if !found || plan.net(cached) < best.net(cached) {
+			best, found = plan, true
+		}
+	}
+	return best, found
+}
+
+// copyPlan returns what a copy of the tokens beyond the cached ones costs over a link of so many Mbit/s.
+func (g *Gateway) copyPlan(now time.Duration, wish need, from string, linkMbps float64, tokens, cached int, far bool) copyPlan {
+	plan := copyPlan{from: from, tokens: tokens, time: moveTime(wish.service, linkMbps, tokens-cached, far)}
+	plan.cost = plan.time
 	if g.on(mechanism.Displacement) {
-		cost += displaceWeight * float64(tokens) / prefillRate
+		plan.cost += displaceWeight * float64(tokens-cached) / prefillRate
+	}
+	if g.on(mechanism.Links) {
+		plan.cost += milliseconds(g.table.links.wait(now, from))
 	}
-	return cost
+	return plan
 }
 
-// moveTime is how long copying cached tokens takes, in milliseconds.
-func moveTime(service *catalog.Service, tokens int, far bool) float64 {
-	if service.LinkMbps <= 0 {
+// moveTime is how long copying cached tokens takes over the slower of two links, in milliseconds.
+func moveTime(service *catalog.Service, linkMbps float64, tokens int, far bool) float64 {
+	if service.LinkMbps <= 0 || linkMbps <= 0 {
 		return moveBase
 	}
 	bits := float64(tokens) * service.TokenBytes * bitsPerByte
-	time := bits / (service.LinkMbps * bitsPerMegabit) * millisecondsPerSecond
+	time := bits / (min(service.LinkMbps, linkMbps) * bitsPerMegabit) * millisecondsPerSecond
 	if far {
 		time *= farFactor
 	}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -50,6 +50,7 @@
 	lanes      map[string]*lanes      // by service
 	stays      map[string]stays       // by service
 	placed     map[string]placement   // for other gateways, by ticket
+	links      links                  // of engines and stores
 	holders    map[string][]*endpoint // that hold a shared part, under any salt, by its id
 	changed    *bell                  // rings with each roster
 }
@@ -58,7 +59,7 @@
 	return &table{
 		mechanisms: mechanisms,
 		rows:       map[string]*endpoint{}, services: map[string][]*endpoint{}, named: map[string][]named{},
-		stored: newStored(), lanes: map[string]*lanes{}, stays: map[string]stays{}, placed: map[string]placement{}, holders: map[string][]*endpoint{}, changed: newBell(),
+		stored: newStored(), lanes: map[string]*lanes{}, stays: map[string]stays{}, placed: map[string]placement{}, links: links{}, holders: map[string][]*endpoint{}, changed: newBell(),
 	}
 }
 
@@ -312,6 +313,7 @@
 	defer t.mutex.Unlock()
 	t.stored.sweep(now)
 	t.sweepPlacements(now)
+	t.links.sweep(now)
 	t.forgetHolders()
 	for _, row := range t.rows {
 		row.occupied.sweep(now)
--- a/internal/gateway/holders.go
+++ b/internal/gateway/holders.go
@@ -50,6 +50,7 @@
 
 func (t *table) hold(at time.Duration, row *endpoint, made send) {
 	row.held.use(at, made.Salt, made.Parts)
+	t.links.note(at, made.Move)
 	t.index(row, prefix.Shared(made.Parts))
 	if made.Saved {
 		t.stored.note(at, made.Salt, prefix.Shared(made.Parts))
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -90,6 +90,7 @@
 	}
 	made := send{
 		Gateway: g.nick, Instance: chosen.row.entry.ID, Salt: chosen.salt, Parts: call.Parts, Uncached: chosen.uncached, Saved: chosen.save != "",
+		Move: chosen.move,
 	}
 	within := time.Duration(max(0, asked.WithinMS)) * time.Millisecond
 	made.Load = g.table.place(now, asked.Ticket, placement{row: chosen.row, load: loadOf(&call), until: now + within}, chosen.uncached)
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -21,6 +21,7 @@
 	Store        Name = "store"         // shared parts are saved in and taken from stores
 	Copies       Name = "copies"        // shared parts are taken from other engines
 	Displacement Name = "displacement"  // a copy costs what it displaces
+	Links        Name = "links"         // moves from one engine or store wait for each other
 	Owner        Name = "owner"         // requests meet at one engine while nobody holds their prompt
 	StrayCost    Name = "stray-cost"    // shared parts that are read elsewhere than at their owner cost more
 	CacheEvents  Name = "cache-events"  // what engines keep is read from them
@@ -41,7 +42,7 @@
 // All lists every mechanism in a fixed order.
 func All() []Name {
 	return []Name{
-		Lanes, Mesh, Occupancy, Suspicion, Store, Copies, Displacement, Owner, StrayCost, CacheEvents, Patience, Avoidance,
+		Lanes, Mesh, Occupancy, Suspicion, Store, Copies, Displacement, Links, Owner, StrayCost, CacheEvents, Patience, Avoidance,
 		ViewWait, ZoneCost, RereadWeight, Schedulers, WeightsDrain, HeldWeights,
 	}
 }
