--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -31,8 +31,11 @@
 	// those that hold parts are, and a random sample.
 	scoreAllUpTo   = 64
 	maximumHolders = 24
-	holdersSampled = 24 // of those that hold a part; all of fewer
-	sampleSize     = 12
+	// holdersSampled of those that hold a part are looked at, and sampleSize of the others. Several gateways decide at once and
+	// know of each other 20 ms late: the best of many would be the same one for all of them (measured in design/015).
+	holdersSampled = 4
+	sampleSize     = 4
+	sampleTries    = 24 // to find so many that may get the request
 	// rereadWeight is how much more than its time the reading of shared parts counts, and strayCost what it costs besides
 	// to read them anywhere but at their owner.
 	rereadWeight = 0.5
@@ -86,7 +89,7 @@
 	}
 	owner := g.owner(now, rows, wish)
 	sources := g.sources(now, wish)
-	listed := g.shortlist(rows, owner, sources)
+	listed := g.shortlist(now, rows, owner, sources, wish)
 	first := rand.IntN(max(1, len(listed))) // so that gateways which see the same don't all take the same one of equals
 	for i := range listed {
 		row := listed[(first+i)%len(listed)]
@@ -105,8 +108,8 @@
 }
 
 // shortlist returns the back ends worth scoring: all of a small service, else the owner, those that hold parts of the
-// prompt, and a random sample.
-func (g *Gateway) shortlist(rows []*endpoint, owner *endpoint, sources []source) []*endpoint {
+// prompt, and a random sample of those that are meant for requests as long as this one.
+func (g *Gateway) shortlist(now time.Duration, rows []*endpoint, owner *endpoint, sources []source, wish need) []*endpoint {
 	if len(rows) <= scoreAllUpTo {
 		return rows
 	}
@@ -117,7 +120,29 @@
 	for _, held := range sources {
 		picked = append(picked, held.row)
 	}
-	return append(picked, sampled(rows, sampleSize)...)
+	return append(picked, g.sample(now, g.laneOf(rows, wish), wish)...)
+}
+
+// laneOf returns the back ends that serve requests as long as this one, or all where there are no lanes.
+func (g *Gateway) laneOf(rows []*endpoint, wish need) []*endpoint {
+	if !wish.service.Engine || !g.on(mechanism.Lanes) {
+		return rows
+	}
+	if lane := g.table.lane(wish.service.Name).of(wish.longest()); len(lane) > 0 {
+		return lane
+	}
+	return rows
+}
+
+// sample returns a few back ends at random that may get the request.
+func (g *Gateway) sample(now time.Duration, rows []*endpoint, wish need) []*endpoint {
+	var picked []*endpoint
+	for tries := 0; tries < sampleTries && len(picked) < sampleSize; tries++ {
+		if row := rows[rand.IntN(len(rows))]; g.eligible(now, row, wish) && !slices.Contains(picked, row) {
+			picked = append(picked, row)
+		}
+	}
+	return picked
 }
 
 // eligible reports whether a back end may get a new request at all.
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -293,7 +293,7 @@
 		}
 		row.read(at, made.Uncached)
 		t.hold(at, row, made)
-		t.lane(row.entry.Service).note(at, made.Uncached)
+		t.noteDemand(at, row, made.Uncached)
 	}
 }
 
--- a/internal/gateway/holders.go
+++ b/internal/gateway/holders.go
@@ -48,6 +48,12 @@
 	return corrections
 }
 
+// noteDemand notes what an engine was sent to read, for the lanes of its service. The caller holds the mutex.
+func (t *table) noteDemand(now time.Duration, row *endpoint, uncached int) {
+	slotTime := float64(t.stay(row.entry.Service)) / float64(max(1, row.entry.Slots))
+	t.lane(row.entry.Service).note(now, uncached, slotTime)
+}
+
 func (t *table) hold(at time.Duration, row *endpoint, made send) {
 	row.held.use(at, made.Salt, made.Parts)
 	t.links.note(at, made.Move)
@@ -62,7 +68,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if row := t.rows[made.Instance]; row != nil {
-		t.lane(row.entry.Service).note(now, made.Uncached)
+		t.noteDemand(now, row, made.Uncached)
 		t.hold(now, row, made)
 	}
 }
--- a/internal/gateway/lanes.go
+++ b/internal/gateway/lanes.go
@@ -17,7 +17,8 @@
 	laneMemory = 6 * time.Second
 	// laneBase is the demand, in prompt tokens, that both are taken to have from the start.
 	laneBase = 4000.0
-	// shortSurcharge: a short request also keeps a slot while it generates; this many tokens of reading stand for that.
+	// shortSurcharge: a short request also keeps a slot while it generates; this many tokens of reading stand for that at least.
+	// Where slots are few, the time that it keeps one of them counts as reading.
 	shortSurcharge = 250.0
 	// longAstray and shortAstray are what a request costs on an engine of the other lane, in milliseconds.
 	longAstray  = 120.0
@@ -29,18 +30,19 @@
 type lanes struct {
 	long, short float64 // decaying sums of demand, in prompt tokens
 	at          time.Duration
-	share       float64     // of the engines that serve long requests, when they were divided last
-	divided     []*endpoint // as they were then
+	share       float64        // of the engines that serve long requests, when they were divided last
+	divided     []*endpoint    // as they were then
+	sides       [2][]*endpoint // of divided: those for short requests, and those for long ones
 }
 
-// note adds a send's demand.
-func (l *lanes) note(now time.Duration, uncached int) {
+// note adds a send's demand; slotTime is the time that a request keeps a slot, as a part of an engine's time, in milliseconds.
+func (l *lanes) note(now time.Duration, uncached int, slotTime float64) {
 	l.decay(now)
 	if uncached >= longPrompt {
 		l.long += float64(uncached)
 		return
 	}
-	l.short += float64(uncached) + shortSurcharge
+	l.short += float64(uncached) + max(shortSurcharge, slotTime*prefillRate)
 }
 
 func (l *lanes) decay(now time.Duration) {
@@ -72,6 +74,7 @@
 	for _, row := range rows {
 		zones[row.entry.Zone] = append(zones[row.entry.Zone], row)
 	}
+	l.sides = [2][]*endpoint{}
 	for _, members := range zones {
 		slices.SortFunc(members, func(a, b *endpoint) int {
 			return cmp.Compare(a.hash, b.hash)
@@ -80,10 +83,21 @@
 		count = min(max(count, 1), max(1, len(members)-1))
 		for at, member := range members {
 			member.long = at < count
+			l.sides[sideOf(member.long)] = append(l.sides[sideOf(member.long)], member)
 		}
 	}
 }
 
+// of returns the engines for requests that read so many tokens, as they were divided last.
+func (l *lanes) of(uncached int) []*endpoint { return l.sides[sideOf(uncached >= longPrompt)] }
+
+func sideOf(long bool) int {
+	if long {
+		return 1
+	}
+	return 0
+}
+
 // astray is what a request costs on an engine of the other lane, in milliseconds, where lanes are on.
 func (g *Gateway) astray(e *endpoint, uncached int) float64 {
 	if !g.on(mechanism.Lanes) {
