--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -25,6 +25,9 @@
 	avoidCost   = 2000.0
 	silentCost  = 300.0
 	failingCost = 400.0
+	// foreignCost is what an engine costs that another gateway of a large fleet samples, in milliseconds: what that one sends there
+	// in the next moment is not known yet.
+	foreignCost = 15.0
 	// coldCost is what a back end that has just started costs, in milliseconds.
 	coldCost = 40.0
 	// scoreAllUpTo is the number of a service's back ends up to which all are scored; beyond it at most maximumHolders of
@@ -34,7 +37,8 @@
 	// holdersSampled of those that hold a part are looked at, and sampleSize of the others. Several gateways decide at once and
 	// know of each other 20 ms late: the best of many would be the same one for all of them (measured in design/015).
 	holdersSampled = 4
-	sampleSize     = 4
+	homeSample     = 4
+	sampleSize     = 2
 	sampleTries    = 24 // to find so many that may get the request
 	// rereadWeight is how much more than its time the reading of shared parts counts, and strayCost what it costs besides
 	// to read them anywhere but at their owner.
@@ -134,10 +138,22 @@
 	return rows
 }
 
-// sample returns a few back ends at random that may get the request.
+// sample returns a few back ends at random that may get the request: of those that this gateway reads, which are few and which
+// nobody else samples, and of all.
 func (g *Gateway) sample(now time.Duration, rows []*endpoint, wish need) []*endpoint {
-	var picked []*endpoint
-	for tries := 0; tries < sampleTries && len(picked) < sampleSize; tries++ {
+	var home []*endpoint
+	for _, row := range rows {
+		if row.home {
+			home = append(home, row)
+		}
+	}
+	picked := g.pick(now, nil, home, homeSample, wish)
+	return g.pick(now, picked, rows, homeSample+sampleSize, wish)
+}
+
+// pick adds back ends at random that may get the request, until there are so many.
+func (g *Gateway) pick(now time.Duration, picked, rows []*endpoint, count int, wish need) []*endpoint {
+	for tries := 0; tries < sampleTries && len(picked) < count && len(rows) > 0; tries++ {
 		if row := rows[rand.IntN(len(rows))]; g.eligible(now, row, wish) && !slices.Contains(picked, row) {
 			picked = append(picked, row)
 		}
@@ -196,6 +212,9 @@
 		scored.cost += zoneCost
 	}
 	scored.cost += g.doubt(now, row)
+	if len(g.table.services[wish.service.Name]) > scoreAllUpTo && !row.home && g.table.homes > 0 {
+		scored.cost += foreignCost
+	}
 	return scored
 }
 
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -37,6 +37,7 @@
 	avoidTo  time.Duration
 	reports  suspicion // of other gateways
 	gone     bool
+	home     bool // this gateway reads its cache events
 }
 
 // table holds the back ends of the newest roster.
@@ -51,6 +52,7 @@
 	stays      map[string]stays       // by service
 	placed     map[string]placement   // for other gateways, by ticket
 	links      links                  // of engines and stores
+	homes      int                    // rows that are home
 	holders    map[string][]*endpoint // that hold a shared part, under any salt, by its id
 	changed    *bell                  // rings with each roster
 }
@@ -163,6 +165,19 @@
 	}
 }
 
+// setHome notes which back ends this gateway reads.
+func (t *table) setHome(ids []string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.homes = 0
+	for id, row := range t.rows {
+		row.home = slices.Contains(ids, id)
+		if row.home {
+			t.homes++
+		}
+	}
+}
+
 // usage returns the own requests by instance.
 func (t *table) usage() map[string]int {
 	t.mutex.Lock()
