--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -153,6 +153,7 @@
 	x := a.exchange
 	running := x.gateway.table.end(x.gateway.now(), a, a.grade)
 	if x.service.Engine && a.plan.scheduled == nil {
+		x.gateway.table.notePace(a.row, a.plan.alone, a.uncached, a.first())
 		x.gateway.spread.own(send{Gateway: x.gateway.nick, Load: running, Instance: a.row.entry.ID})
 	}
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -55,6 +55,7 @@
 	wait     float64       // predicted time until the request begins, in milliseconds
 	beginBy  time.Duration // when it must have begun, or 0
 	uncached int           // prompt tokens to read
+	alone    bool          // nothing else is taken to be read there
 	fetch    string        // address to take cached parts from, or ""
 	save     string        // address of the store to keep the parts in, or ""
 	move     move          // of cached parts that the placement causes
@@ -242,7 +243,7 @@
 	if g.on(mechanism.Occupancy) {
 		scored.cost += crowding(held, row.entry.Slots, wish.service.CacheLimit, wish.memory, wish.stay)
 	}
-	scored.wait = scored.cost
+	scored.wait, scored.alone = scored.cost, queue == 0
 	scored.cost += g.astray(row, scored.uncached)
 	if g.on(mechanism.RereadWeight) {
 		scored.cost += rereadWeight * float64(sharedTokens-cached) / prefillRate
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -52,6 +52,7 @@
 	stays      map[string]stays       // by service
 	placed     map[string]placement   // for other gateways, by ticket
 	links      links                  // of engines and stores
+	paces      map[string]pace        // by service
 	homes      int                    // rows that are home
 	holders    map[string][]*endpoint // that hold a shared part, under any salt, by its id
 	changed    *bell                  // rings with each roster
@@ -61,7 +62,7 @@
 	return &table{
 		mechanisms: mechanisms,
 		rows:       map[string]*endpoint{}, services: map[string][]*endpoint{}, named: map[string][]named{},
-		stored: newStored(), lanes: map[string]*lanes{}, stays: map[string]stays{}, placed: map[string]placement{}, links: links{}, holders: map[string][]*endpoint{}, changed: newBell(),
+		stored: newStored(), lanes: map[string]*lanes{}, stays: map[string]stays{}, placed: map[string]placement{}, links: links{}, paces: map[string]pace{}, holders: map[string][]*endpoint{}, changed: newBell(),
 	}
 }
 
@@ -224,7 +225,7 @@
 	own := &sent.row.occupied.own
 	*own = own.plus(sent.load())
 	if sent.plan.scheduled == nil {
-		sent.row.read(now, sent.uncached)
+		t.read(now, sent.row, sent.uncached)
 	}
 	sent.row.waiting[sent] = now
 	return sent.row.occupied.here()
@@ -278,11 +279,6 @@
 	return stayFirst
 }
 
-// read notes that an engine has so many more prompt tokens to read.
-func (e *endpoint) read(now time.Duration, tokens int) {
-	e.busyTo = max(now, e.busyTo) + time.Duration(float64(tokens)/prefillRate*float64(time.Millisecond))
-}
-
 // takeSends notes what other gateways sent.
 func (t *table) takeSends(now time.Duration, sends []send) {
 	t.mutex.Lock()
@@ -306,7 +302,7 @@
 		if made.Salt == "" {
 			continue // it tells of no prompt
 		}
-		row.read(at, made.Uncached)
+		t.read(at, row, made.Uncached)
 		t.hold(at, row, made)
 		t.noteDemand(at, row, made.Uncached)
 	}
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -42,6 +42,7 @@
 	Grade     outcomeGrade `json:"o,omitempty"`
 	Unreached bool         `json:"x,omitempty"` // no connection to the back end came up
 	StayMS    int64        `json:"t,omitempty"` // how long the request was there
+	FirstMS   int64        `json:"f,omitempty"` // how long its first event took; 0 none came
 }
 
 // call returns what the question tells of the caller's request; parts without a size are left out.
@@ -55,9 +56,11 @@
 
 // placement is a request that this gateway placed for another one, until that one tells of its end.
 type placement struct {
-	row   *endpoint
-	load  load
-	until time.Duration // it counts no longer, whatever was told
+	row      *endpoint
+	load     load
+	uncached int           // prompt tokens to read
+	alone    bool          // nothing else was to be read there
+	until    time.Duration // it counts no longer, whatever was told
 }
 
 // takeQuestion answers another gateway that asks for a placement.
@@ -93,7 +96,9 @@
 		Move: chosen.move,
 	}
 	within := time.Duration(max(0, asked.WithinMS)) * time.Millisecond
-	made.Load = g.table.place(now, asked.Ticket, placement{row: chosen.row, load: loadOf(&call), until: now + within}, chosen.uncached)
+	made.Load = g.table.place(now, asked.Ticket, placement{
+		row: chosen.row, load: loadOf(&call), uncached: chosen.uncached, alone: chosen.alone, until: now + within,
+	})
 	g.table.noteHeld(now, made)
 	g.spread.own(made)
 	return wirePlacement{
@@ -110,10 +115,12 @@
 	}
 	respond(http.StatusOK, struct{}{})
 	now := g.now()
-	row, left, known := g.table.endPlacement(now, &end)
+	made, left, known := g.table.endPlacement(now, &end)
 	if !known {
 		return
 	}
+	row := made.row
+	g.table.notePace(row, made.alone, made.uncached, time.Duration(max(0, end.FirstMS))*time.Millisecond)
 	g.spread.own(send{Gateway: g.nick, Load: left, Instance: row.entry.ID})
 	if end.Unreached {
 		g.spread.own(send{Gateway: end.Gateway, Instance: row.entry.ID, Unreached: true})
@@ -121,26 +128,26 @@
 }
 
 // place counts a placement, and returns what now runs at its back end as far as this gateway tells others.
-func (t *table) place(now time.Duration, ticket string, made placement, uncached int) load {
+func (t *table) place(now time.Duration, ticket string, made placement) load {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.placed[ticket] = made
 	here := &made.row.occupied
 	here.placed = here.placed.plus(made.load)
-	made.row.read(now, uncached)
+	t.read(now, made.row, made.uncached)
 	return here.here()
 }
 
 // endPlacement takes a placement out. That no connection came up is one gateway's report, like one that came over the mesh.
-func (t *table) endPlacement(now time.Duration, end *wireEnd) (row *endpoint, left load, known bool) {
+func (t *table) endPlacement(now time.Duration, end *wireEnd) (made placement, left load, known bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	made, known := t.placed[end.Ticket]
+	made, known = t.placed[end.Ticket]
 	if !known {
-		return nil, load{}, false
+		return made, load{}, false
 	}
 	t.forgetPlacement(end.Ticket, made)
-	row = made.row
+	row := made.row
 	if end.Unreached {
 		t.suspect(now, row, end.Gateway)
 	} else {
@@ -149,7 +156,7 @@
 	if end.Grade == gradeGood {
 		t.noteStay(row, time.Duration(max(0, end.StayMS))*time.Millisecond)
 	}
-	return row, row.occupied.here(), true
+	return made, row.occupied.here(), true
 }
 
 // forgetPlacement takes a placement out of the sums. The caller holds the mutex.
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -190,6 +190,14 @@
 	return chosen
 }
 
+// first returns how long after the send the first event came, or 0.
+func (a *attempt) first() time.Duration {
+	if !a.begun.Load() {
+		return 0
+	}
+	return max(0, a.exchange.firstAt-a.began)
+}
+
 // settle tells the scheduler that placed an attempt how it ended.
 func (a *attempt) settle() {
 	made := a.plan.scheduled
@@ -198,6 +206,7 @@
 	}
 	g := a.exchange.gateway
 	g.schedulers.tell(made.scheduler, wireEnd{
-		Ticket: made.ticket, Gateway: g.nick, Grade: a.grade, Unreached: a.noWay, StayMS: (g.now() - a.began).Milliseconds(),
+		FirstMS: a.first().Milliseconds(),
+		Ticket:  made.ticket, Gateway: g.nick, Grade: a.grade, Unreached: a.noWay, StayMS: (g.now() - a.began).Milliseconds(),
 	})
 }
--- a/internal/gateway/schedulers_test.go
+++ b/internal/gateway/schedulers_test.go
@@ -124,7 +124,7 @@
 	g := scheduler(3)
 	row := g.table.rows["i-0"]
 	report := func(now time.Duration, gateway, ticket string) {
-		g.table.place(now, ticket, placement{row: row, load: load{running: 1}, until: now + time.Second}, 0)
+		g.table.place(now, ticket, placement{row: row, load: load{running: 1}, until: now + time.Second})
 		g.table.endPlacement(now, &wireEnd{Ticket: ticket, Gateway: gateway, Unreached: true})
 	}
 	for i := range 5 {
