--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -29,7 +29,6 @@
 	Version  RosterVersion     `json:"version"`
 	Roster   *RosterNews       `json:"roster,omitempty"` // when it differs from the gateway's
 	Wanted   []WantedVersion   `json:"wanted,omitempty"`
-	Usage    map[string]int    `json:"usage,omitempty"` // running requests of the other gateways by instance, engines apart
 	Gateways int               `json:"gateways"`        // that asked lately
 	Mesh     Mesh              `json:"mesh"`            // other gateways to tell of sends
 	Replicas []string          `json:"replicas"`        // addresses of the control group
@@ -140,7 +139,7 @@
 	if watch.Roster != reply.Version {
 		reply.Roster = r.rosterNews(now, watch.Roster)
 	}
-	reply.Usage, reply.Gateways = r.usageBeside(now, watch.Gateway)
+	reply.Gateways = r.usageSum(now).gateways
 	reply.Mesh = r.meshOf(now, watch.Gateway)
 	reply.Reads = r.lead.meshes.reads[watch.Gateway]
 	for _, member := range r.members() {
@@ -198,20 +197,6 @@
 	return sum
 }
 
-// usageBeside returns the running requests of all gateways but one by instance, engines apart, and how many gateways asked
-// lately.
-func (r *Replica) usageBeside(now time.Duration, asking string) (used map[string]int, gateways int) {
-	sum := r.usageSum(now)
-	own := r.lead.usage[asking].running
-	used = map[string]int{}
-	for id, running := range sum.running {
-		if others := running - own[id]; others > 0 && !r.lead.fleet[id].engine() {
-			used[id] = others
-		}
-	}
-	return used, sum.gateways
-}
-
 // closeWatchers answers every held question when the leadership ends.
 func (r *Replica) closeWatchers(lead *leadership) {
 	for _, held := range lead.watchers {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -127,18 +127,14 @@
 	return ended
 }
 
-// begin notes the send in the table, and tells the other gateways where prompts are read and kept.
+// begin notes the send in the table, and tells the other gateways what runs where, and where prompts are read and kept.
 func (a *attempt) begin() {
 	x := a.exchange
 	now := x.gateway.now()
 	running := x.gateway.table.begin(now, a)
-	if !x.service.Engine {
-		return
-	}
-	x.gateway.metrics.read.Add(float64(a.uncached))
-	x.gateway.metrics.cached.Add(float64(max(0, x.call.PromptTokens-a.uncached)))
+	x.gateway.metrics.placed(a.uncached, x.call.PromptTokens)
 	if a.plan.scheduled != nil {
-		return // its scheduler has told them
+		return // its scheduler has told the others
 	}
 	made := send{
 		Gateway: x.gateway.nick, Load: running, Instance: a.row.entry.ID, Salt: a.plan.salt, Parts: x.call.Parts,
@@ -152,7 +148,7 @@
 func (a *attempt) end() {
 	x := a.exchange
 	running := x.gateway.table.end(x.gateway.now(), a, a.grade)
-	if x.service.Engine && a.plan.scheduled == nil {
+	if a.plan.scheduled == nil {
 		x.gateway.table.notePace(a.row, a.plan.alone, a.uncached, a.first())
 		x.gateway.spread.own(send{Gateway: x.gateway.nick, Load: running, Instance: a.row.entry.ID})
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -39,6 +39,7 @@
 	holdersSampled = 4
 	homeSample     = 4
 	sampleSize     = 2
+	plainSample    = 3  // of a service without engines, where schedulers place
 	sampleTries    = 24 // to find so many that may get the request
 	// rereadWeight is how much more than its time the reading of shared parts counts, and strayCost what it costs besides
 	// to read them anywhere but at their owner.
@@ -115,7 +116,10 @@
 // shortlist returns the back ends worth scoring: all of a small service, else the owner, those that hold parts of the
 // prompt, and a random sample of those that are meant for requests as long as this one.
 func (g *Gateway) shortlist(now time.Duration, rows []*endpoint, owner *endpoint, sources []source, wish need) []*endpoint {
-	if len(rows) <= scoreAllUpTo {
+	switch {
+	case !wish.service.Engine && g.table.homes > 0:
+		return g.pick(now, nil, rows, plainSample, wish)
+	case len(rows) <= scoreAllUpTo:
 		return rows
 	}
 	var picked []*endpoint
@@ -207,7 +211,7 @@
 	if wish.service.Engine {
 		g.scoreEngine(now, &scored, wish, owner, sources)
 	} else {
-		scored.cost = slotTime * float64(row.occupied.own.running+row.others) / float64(max(1, row.entry.Slots))
+		scored.cost = slotTime * float64(row.occupied.total().running) / float64(max(1, row.entry.Slots))
 	}
 	if row.entry.Zone != g.settings.Zone && g.on(mechanism.ZoneCost) {
 		scored.cost += zoneCost
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -25,7 +25,6 @@
 	entry    control.RosterEntry
 	heardAt  time.Duration // when the entry came
 	occupied occupancy
-	others   int           // requests of other gateways as control last told, where these don't tell of their sends
 	busyTo   time.Duration // when the prompts sent so far, by any gateway, are taken to be read
 	held     *holdings     // cached parts that it is believed to hold
 	hash     uint64        // of its address
@@ -161,9 +160,6 @@
 	for _, wanted := range reply.Wanted {
 		t.named[wanted.Model] = append(t.named[wanted.Model], named{version: wanted.Version, namedAt: asked - wanted.Age})
 	}
-	for id, row := range t.rows {
-		row.others = reply.Usage[id]
-	}
 }
 
 // setHome notes which back ends this gateway reads.
--- a/internal/gateway/holders.go
+++ b/internal/gateway/holders.go
@@ -67,7 +67,7 @@
 func (t *table) noteHeld(now time.Duration, made send) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if row := t.rows[made.Instance]; row != nil {
+	if row := t.rows[made.Instance]; row != nil && made.Salt != "" {
 		t.noteDemand(now, row, made.Uncached)
 		t.hold(now, row, made)
 	}
--- /dev/null
+++ b/internal/gateway/large_test.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/control"
+	"kitetiller/internal/prefix"
+)
+
+// TestDecidersThatKnowTheSameSpread: fifteen schedulers that place a request each at the same moment, of the same preamble, which
+// all engines hold, choose nearly as many engines.
+func TestDecidersThatKnowTheSameSpread(t *testing.T) {
+	const deciders, engines, rounds = 15, 240, 20
+	fleet := make([]*Gateway, deciders)
+	for d := range fleet {
+		fleet[d] = scheduler(engines)
+		var home []string
+		for i := d; i < engines; i += deciders {
+			home = append(home, fmt.Sprint("i-", i))
+		}
+		fleet[d].table.setHome(home)
+		for i := range engines {
+			parts := []prefix.Part{{ID: "preamble", Tokens: 2520}, {ID: fmt.Sprint("other-", i), Tokens: 3780}, {ID: "own", Tokens: 10}}
+			fleet[d].table.noteHeld(time.Duration(i), send{Instance: fmt.Sprint("i-", i), Salt: "w1", Parts: parts, Uncached: 6000})
+			queued := send{Gateway: "other", Instance: fmt.Sprint("i-", i), Salt: "w1", Uncached: 100 * i} // the shortest are the same for all
+			fleet[d].table.takeSends(time.Second, []send{queued})
+		}
+	}
+	met := 0
+	for round := range rounds {
+		used := map[string]bool{}
+		for d, g := range fleet {
+			asked := question(fmt.Sprint("t", round, "-", d), 1000+round*deciders+d)
+			answer := g.placeFor(time.Second, asked)
+			g.table.endPlacement(time.Second, &wireEnd{Ticket: asked.Ticket})
+			used[answer.Instance] = true
+		}
+		met += deciders - len(used)
+	}
+	t.Logf("%d of %d met another", met, rounds*deciders)
+	if met > 5*rounds/2 {
+		t.Fatalf("%d of %d requests met another one of the same moment", met, rounds*deciders)
+	}
+}
+
+// TestMovesOverABusyLinkWait: a copy from a store is taken while its link is free, and not once many others are on their way;
+// the parts are read then.
+func TestMovesOverABusyLinkWait(t *testing.T) {
+	g := scheduler(1)
+	store := &catalog.Service{Name: "k", Store: "10.9.0.1:1", LinkMbps: 550_000, Zone: "z"}
+	engine := &catalog.Service{Name: "s", Engine: true, LinkMbps: 1_100_000, TokenBytes: 163_840}
+	parts := partsOf("own")
+	g.table.stored.note(time.Second, "w1", prefix.Shared(parts))
+	wish := need{service: engine, store: store, trusted: true, call: &Call{Model: "m", Parts: parts, PromptTokens: 9190}}
+	free := g.choose(time.Second, wish)
+	if free == nil || free.fetch != store.Store || free.uncached != 2890 || free.move.time < 15*time.Millisecond {
+		t.Fatalf("over a free link: %+v", free)
+	}
+	for range 40 {
+		g.table.takeSends(time.Second, []send{{Gateway: "other", Instance: "i-0", Salt: "w1", Move: free.move}})
+	}
+	if busy := g.choose(time.Second, wish); busy.fetch != "" || busy.uncached != 9190 {
+		t.Fatalf("over a busy link: %+v", busy)
+	}
+	g.table.sweep(5 * time.Second)
+	if len(g.table.links) > 0 {
+		t.Fatalf("links %v are remembered", g.table.links)
+	}
+}
+
+// TestPaceIsLearnt: from requests of which every fourth was not alone, and within bounds whatever is told.
+func TestPaceIsLearnt(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, rate := range []float64{15, 30, 57, 110} { // tokens a ms
+		p := firstPace
+		for i := range 400 {
+			tokens := 1500 + random.IntN(9000)
+			first := float64(tokens) / rate * (0.95 + 0.1*random.Float64())
+			if i%4 == 0 {
+				first *= 2.5
+			}
+			p = p.next(tokens, fromMilliseconds(first))
+		}
+		if got := 1 / float64(p); got < 0.85*rate || got > 1.15*rate {
+			t.Errorf("%v tokens a ms are learnt as %.1f", rate, got)
+		}
+	}
+	slow, fast := firstPace, firstPace
+	for range 1000 {
+		slow, fast = slow.next(1, time.Hour), fast.next(1<<40, time.Nanosecond)
+	}
+	if slow > firstPace*paceMost || fast < firstPace/paceMost {
+		t.Errorf("%v and %v", slow, fast)
+	}
+}
+
+// TestLearntPaceTellsTheQueue: the same reading keeps an engine busy for longer where engines are slower.
+func TestLearntPaceTellsTheQueue(t *testing.T) {
+	g := scheduler(2)
+	row := g.table.rows["i-0"]
+	for range 200 {
+		g.table.notePace(row, true, 8000, 400*time.Millisecond)   // 20 a ms
+		g.table.notePace(row, false, 8000, 4000*time.Millisecond) // known to have waited: it tells nothing
+	}
+	g.table.takeSends(time.Second, []send{{Gateway: "other", Instance: "i-0", Salt: "w1", Uncached: 8000}})
+	if busy := row.busyTo - time.Second; busy < 340*time.Millisecond || busy > 460*time.Millisecond {
+		t.Fatalf("8000 tokens keep the engine busy for %v", busy)
+	}
+}
+
+// TestLanesLeaveRoomForKeptSlots: where short requests keep slots for long, as many engines are theirs as that needs, although
+// they read little.
+func TestLanesLeaveRoomForKeptSlots(t *testing.T) {
+	share := func(slotTime float64) float64 {
+		l := &lanes{}
+		for i := range 1000 {
+			now := time.Duration(i) * 10 * time.Millisecond
+			l.note(now, 6000, slotTime)
+			l.note(now, 545, slotTime)
+		}
+		return l.longShare()
+	}
+	if tokens, slots := share(0), share(60); tokens < 0.85 || slots > 0.75 {
+		t.Fatalf("shares of long requests: %.2f by tokens, %.2f with slots of 60 ms", tokens, slots)
+	}
+}
+
+// TestPlainServicesAreSpread: requests of a service without engines that a scheduler places count at once, and are told to the others
+// like those of engines; what is told of other gateways counts as well.
+func TestPlainServicesAreSpread(t *testing.T) {
+	g := scheduler(1)
+	g.table.setHome([]string{"i-0"})
+	g.view.Store(newView(&catalog.Document{Services: []catalog.Service{{Name: "s", Engine: true}, {Name: "plain"}}}))
+	news := &control.RosterNews{}
+	for i := range 8 {
+		news.Entries = append(news.Entries, control.RosterEntry{
+			Instance: catalog.Instance{ID: fmt.Sprint("p-", i), Service: "plain", Zone: "z", Slots: 6, State: catalog.StateReady},
+		})
+	}
+	g.table.takeRoster(0, news, nil)
+	g.table.takeSends(time.Second, []send{{Gateway: "other", Instance: "p-0", Load: load{running: 40}}})
+	used := map[string]int{}
+	for i := range 42 {
+		used[g.placeFor(time.Second, &wireQuestion{Ticket: fmt.Sprint("t", i), Service: "plain", WithinMS: 1000}).Instance]++
+	}
+	for id, n := range used {
+		if id == "" || id == "p-0" || n > 9 {
+			t.Errorf("%d of 42 requests at %q: %v", n, id, used)
+		}
+	}
+	if len(g.table.lanes) > 0 && g.table.lanes["plain"] != nil {
+		t.Error("a service without engines has lanes")
+	}
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -65,6 +65,12 @@
 	m.requests.WithLabelValues(reason).Inc()
 }
 
+// placed counts the tokens of a prompt that an engine was sent.
+func (m *metrics) placed(uncached, prompt int) {
+	m.read.Add(float64(uncached))
+	m.cached.Add(float64(max(0, prompt-uncached)))
+}
+
 // Active returns the requests in progress.
 func (g *Gateway) Active() int64 { return g.active.Load() }
 
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -111,7 +111,7 @@
 // askSchedulers returns where a scheduler places the request, or nil when none is to be asked or none knows a back end.
 func (x *exchange) askSchedulers(wish need) *candidate {
 	g := x.gateway
-	if !wish.service.Engine || !wish.trusted {
+	if !wish.trusted {
 		return nil
 	}
 	asked := g.schedulers.order(g.now(), x.call.Parts)
