--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -34,16 +34,18 @@
 	// those that hold parts are, and a random sample.
 	scoreAllUpTo   = 64
 	maximumHolders = 24
-	// holdersSampled of those that hold a part are looked at, and sampleSize of the others. Several gateways decide at once and
-	// know of each other 20 ms late: the best of many would be the same one for all of them (measured in design/015).
-	holdersSampled = 4
+	// holdersSampled of those that hold a part are looked at as sources of copies. Of them some holdersScored are scored, and
+	// homeSample and sampleSize of the others: several gateways decide at once and know of each other 20 ms late, so that the best of
+	// many would be the same one for all of them (measured in design/015).
+	holdersSampled = 24
+	holdersScored  = 4
 	homeSample     = 4
 	sampleSize     = 2
 	plainSample    = 3  // of a service without engines, where schedulers place
 	sampleTries    = 24 // to find so many that may get the request
 	// rereadWeight is how much more than its time the reading of shared parts counts, and strayCost what it costs besides
 	// to read them anywhere but at their owner.
-	rereadWeight = 0.5
+	rereadWeight = 2.0
 	strayCost    = 0.3
 )
 
@@ -126,10 +128,21 @@
 	if owner != nil {
 		picked = append(picked, owner)
 	}
+	picked = append(picked, holders(sources, prefix.PartTokens(prefix.Shared(wish.call.Parts)))...)
+	return append(picked, g.sample(now, g.laneOf(rows, wish), wish)...)
+}
+
+// holders returns a few back ends that hold all shared tokens of the prompt, and a few of those that hold less, at random.
+func holders(sources []source, shared int) []*endpoint {
+	var picked, less []*endpoint
 	for _, held := range sources {
-		picked = append(picked, held.row)
+		if held.tokens == shared && len(picked) < holdersScored {
+			picked = append(picked, held.row)
+		} else {
+			less = append(less, held.row)
+		}
 	}
-	return append(picked, g.sample(now, g.laneOf(rows, wish), wish)...)
+	return append(picked, sampled(less, holdersScored)...)
 }
 
 // laneOf returns the back ends that serve requests as long as this one, or all where there are no lanes.
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -16,7 +16,9 @@
 	moveBase  = 4.0
 	farFactor = 2.0
 	// displaceWeight is what each copied token costs besides, as a part of the time of reading one.
-	displaceWeight        = 0.8
+	displaceWeight = 0.8
+	// saveWait is how long a store's link may be busy for parts to be saved there: copies that requests wait for come first.
+	saveWait              = 60 * time.Millisecond
 	bitsPerByte           = 8
 	bitsPerMegabit        = 1e6
 	millisecondsPerSecond = 1e3
@@ -109,7 +111,7 @@
 		scored.fetch, scored.cost = best.from, scored.cost+best.cost
 		scored.move = move{from: best.from, time: fromMilliseconds(best.time)}
 		return best.tokens
-	case !stored && wish.store != nil:
+	case !stored && wish.store != nil && g.table.links.wait(now, wish.store.Store) < saveWait:
 		scored.fetch, scored.save = wish.store.Store, wish.store.Store
 		saved := g.copyPlan(now, wish, wish.store.Store, wish.store.LinkMbps, whole, cached, wish.store.Zone != scored.row.entry.Zone)
 		scored.move = move{from: saved.from, time: fromMilliseconds(saved.time)}
