--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -14,6 +14,7 @@
 	InstanceGone    = "instance gone"
 	WeightsLearnt   = "weights learnt"
 	CacheUnread     = "cache not read"
+	SchedulerSilent = "scheduler silent" // a scheduler did not answer a question for a placement in time
 	ControlLost     = "control lost"
 	ControlRegained = "control regained"
 	AttemptFailed   = "attempt failed"
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,7 @@
 	first    prometheus.Histogram
 	repeats  prometheus.Counter
 	unread   prometheus.Counter // questions for engines' cache events that failed
+	unasked  prometheus.Counter // questions for a placement that no scheduler answered in time
 	read     prometheus.Counter // prompt tokens that engines were sent to read
 	cached   prometheus.Counter // prompt tokens that were taken to be cached or copied
 }
@@ -43,13 +44,14 @@
 		}),
 		repeats: counter("repeats_total", "Requests sent to a further back end."),
 		unread:  counter("cache_questions_failed_total", "Questions for engines' cache events that failed."),
+		unasked: counter("scheduler_questions_failed_total", "Questions for a placement that a scheduler did not answer in time."),
 		read:    counter("prompt_tokens_read_total", "Prompt tokens that engines were sent to read."),
 		cached:  counter("prompt_tokens_cached_total", "Prompt tokens that were taken to be cached or copied."),
 	}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "kitetiller_gateway_" + name, Help: help}, value)
 	}
-	made.registry.MustRegister(made.requests, made.attempts, made.first, made.repeats, made.unread, made.read, made.cached,
+	made.registry.MustRegister(made.requests, made.attempts, made.first, made.repeats, made.unread, made.unasked, made.read, made.cached,
 		gauge("view_age_seconds", "Time since control confirmed the view; -1 never.", g.viewAge),
 		gauge("active_requests", "Requests in progress.", func() float64 { return float64(g.active.Load()) }),
 		gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(g.log.out.Dropped()) }),
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
+	"kitetiller/internal/events"
 	"kitetiller/internal/prefix"
 	"kitetiller/internal/transport"
 )
@@ -132,12 +134,19 @@
 		if x.ctx.Err() != nil {
 			return nil
 		}
-		g.schedulers.noteFailed(g.now(), address)
+		g.noteSilent(address, err)
 		g.schedulers.tell(address, wireEnd{Ticket: made.ticket, Gateway: g.nick}) // it may have placed the request
 	}
 	return nil
 }
 
+// noteSilent notes and logs that a scheduler gave no answer.
+func (g *Gateway) noteSilent(address string, err error) {
+	g.schedulers.noteFailed(g.now(), address)
+	g.metrics.unasked.Inc()
+	g.log.note(events.SchedulerSilent, zap.String("address", address), zap.String(events.FieldCause, err.Error()))
+}
+
 // question returns what schedulers are asked.
 func (x *exchange) question(wish need) wireQuestion {
 	g := x.gateway
--- a/internal/gateway/schedulers_test.go
+++ b/internal/gateway/schedulers_test.go
@@ -14,13 +14,18 @@
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
 	"kitetiller/internal/mechanism"
+	"kitetiller/internal/node"
 	"kitetiller/internal/prefix"
 	"kitetiller/internal/transport"
 )
 
 // scheduler returns a gateway with a confirmed view of so many engines.
 func scheduler(engines int) *Gateway {
-	g := New(Settings{Name: "s", Zone: "z", VersionLimit: time.Minute, Trust: time.Hour}, nil, nil)
+	log, err := node.NewLogger("error", "s")
+	if err != nil {
+		panic(err)
+	}
+	g := New(Settings{Name: "s", Zone: "z", VersionLimit: time.Minute, Trust: time.Hour}, nil, log)
 	g.view.Store(newView(&catalog.Document{Services: []catalog.Service{{Name: "s", Engine: true, CacheLimit: 80_000}}}))
 	g.confirm.Store(1)
 	news := &control.RosterNews{Whole: true}
