--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -30,21 +30,8 @@
 	foreignCost = 15.0
 	// coldCost is what a back end that has just started costs, in milliseconds.
 	coldCost = 40.0
-	// scoreAllUpTo is the number of a service's back ends up to which all are scored; beyond it at most maximumHolders of
-	// those that hold parts are, and a random sample.
-	scoreAllUpTo   = 64
-	maximumHolders = 24
-	// holdersSampled of those that hold a part are looked at as sources of copies. Of them some holdersScored are scored, and
-	// homeSample and sampleSize of the others: several gateways decide at once and know of each other 20 ms late, so that the best of
-	// many would be the same one for all of them (measured in design/015).
-	holdersSampled = 24
-	holdersScored  = 4
-	homeSample     = 4
-	sampleSize     = 2
-	plainSample    = 3  // of a service without engines, where schedulers place
-	sampleTries    = 24 // to find so many that may get the request
 	// rereadWeight is how much more than its time the reading of shared parts counts, and strayCost what it costs besides
-	// to read them anywhere but at their owner.
+	// to read them anywhere but at their owner. Weights of 0.5, 2 and 5 were played (design/015).
 	rereadWeight = 2.0
 	strayCost    = 0.3
 )
@@ -115,70 +102,6 @@
 	return best
 }
 
-// shortlist returns the back ends worth scoring: all of a small service, else the owner, those that hold parts of the
-// prompt, and a random sample of those that are meant for requests as long as this one.
-func (g *Gateway) shortlist(now time.Duration, rows []*endpoint, owner *endpoint, sources []source, wish need) []*endpoint {
-	switch {
-	case !wish.service.Engine && g.table.homes > 0:
-		return g.pick(now, nil, rows, plainSample, wish)
-	case len(rows) <= scoreAllUpTo:
-		return rows
-	}
-	var picked []*endpoint
-	if owner != nil {
-		picked = append(picked, owner)
-	}
-	picked = append(picked, holders(sources, prefix.PartTokens(prefix.Shared(wish.call.Parts)))...)
-	return append(picked, g.sample(now, g.laneOf(rows, wish), wish)...)
-}
-
-// holders returns a few back ends that hold all shared tokens of the prompt, and a few of those that hold less, at random.
-func holders(sources []source, shared int) []*endpoint {
-	var picked, less []*endpoint
-	for _, held := range sources {
-		if held.tokens == shared && len(picked) < holdersScored {
-			picked = append(picked, held.row)
-		} else {
-			less = append(less, held.row)
-		}
-	}
-	return append(picked, sampled(less, holdersScored)...)
-}
-
-// laneOf returns the back ends that serve requests as long as this one, or all where there are no lanes.
-func (g *Gateway) laneOf(rows []*endpoint, wish need) []*endpoint {
-	if !wish.service.Engine || !g.on(mechanism.Lanes) {
-		return rows
-	}
-	if lane := g.table.lane(wish.service.Name).of(wish.longest()); len(lane) > 0 {
-		return lane
-	}
-	return rows
-}
-
-// sample returns a few back ends at random that may get the request: of those that this gateway reads, which are few and which
-// nobody else samples, and of all.
-func (g *Gateway) sample(now time.Duration, rows []*endpoint, wish need) []*endpoint {
-	var home []*endpoint
-	for _, row := range rows {
-		if row.home {
-			home = append(home, row)
-		}
-	}
-	picked := g.pick(now, nil, home, homeSample, wish)
-	return g.pick(now, picked, rows, homeSample+sampleSize, wish)
-}
-
-// pick adds back ends at random that may get the request, until there are so many.
-func (g *Gateway) pick(now time.Duration, picked, rows []*endpoint, count int, wish need) []*endpoint {
-	for tries := 0; tries < sampleTries && len(picked) < count && len(rows) > 0; tries++ {
-		if row := rows[rand.IntN(len(rows))]; g.eligible(now, row, wish) && !slices.Contains(picked, row) {
-			picked = append(picked, row)
-		}
-	}
-	return picked
-}
-
 // eligible reports whether a back end may get a new request at all.
 func (g *Gateway) eligible(now time.Duration, row *endpoint, wish need) bool {
 	if row.entry.State != catalog.StateReady || row.entry.Loading || slices.Contains(wish.tried, row) {
@@ -230,12 +153,17 @@
 		scored.cost += zoneCost
 	}
 	scored.cost += g.doubt(now, row)
-	if len(g.table.services[wish.service.Name]) > scoreAllUpTo && !row.home && g.table.homes > 0 {
+	if g.foreign(row, wish) {
 		scored.cost += foreignCost
 	}
 	return scored
 }
 
+// foreign reports whether another gateway samples a back end of a large service.
+func (g *Gateway) foreign(row *endpoint, wish need) bool {
+	return !row.home && g.table.homes > 0 && len(g.table.services[wish.service.Name]) > scoreAllUpTo
+}
+
 // scoreEngine adds up the queue of prompts, what is read, and what is copied from elsewhere. Reading shared parts again
 // costs more than its time, since it is work that the fleet has done already.
 func (g *Gateway) scoreEngine(now time.Duration, scored *candidate, wish need, owner bool, sources []source) {
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -101,7 +101,7 @@
 		best, found = g.bestEngineCopy(now, scored, wish, cached, sources)
 	}
 	if stored {
-		fromStore := g.copyPlan(now, wish, wish.store.Store, wish.store.LinkMbps, whole, cached, wish.store.Zone != scored.row.entry.Zone)
+		fromStore := g.storeCopy(now, scored, wish, whole, cached)
 		if !found || fromStore.net(cached) < best.net(cached) {
 			best, found = fromStore, true
 		}
@@ -113,7 +113,7 @@
 		return best.tokens
 	case !stored && wish.store != nil && g.table.links.wait(now, wish.store.Store) < saveWait:
 		scored.fetch, scored.save = wish.store.Store, wish.store.Store
-		saved := g.copyPlan(now, wish, wish.store.Store, wish.store.LinkMbps, whole, cached, wish.store.Zone != scored.row.entry.Zone)
+		saved := g.storeCopy(now, scored, wish, whole, cached) // the way there takes as long as the way back
 		scored.move = move{from: saved.from, time: fromMilliseconds(saved.time)}
 	}
 	return cached
@@ -139,6 +139,12 @@
 	return best, found
 }
 
+// storeCopy returns what a copy between the store and the engine costs.
+func (g *Gateway) storeCopy(now time.Duration, scored *candidate, wish need, tokens, cached int) copyPlan {
+	far := wish.store.Zone != scored.row.entry.Zone
+	return g.copyPlan(now, wish, wish.store.Store, wish.store.LinkMbps, tokens, cached, far)
+}
+
 // copyPlan returns what a copy of the tokens beyond the cached ones costs over a link of so many Mbit/s.
 func (g *Gateway) copyPlan(now time.Duration, wish need, from string, linkMbps float64, tokens, cached int, far bool) copyPlan {
 	plan := copyPlan{from: from, tokens: tokens, time: moveTime(wish.service, linkMbps, tokens-cached, far)}
--- /dev/null
+++ b/internal/gateway/shortlist.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"kitetiller/internal/mechanism"
+	"kitetiller/internal/prefix"
+)
+
+const (
+	// scoreAllUpTo is the number of a service's back ends up to which all are scored; beyond it a shortlist is.
+	scoreAllUpTo = 64
+	// maximumHolders and holdersSampled bound the back ends that are looked at as sources of copies: in all, and of those that hold
+	// the same part.
+	maximumHolders = 24
+	holdersSampled = 24
+	// Of a large service few back ends are scored: several gateways decide at once and know of each other 20 ms late, so that the
+	// best of many would be the same one for all of them. holdersScored of those that hold the whole shared prompt are, as many of
+	// those that hold a part of it, homeSample of those that this gateway reads, and sampleSize of all. Samples of 24 and 12, 8 and
+	// 6, 4 and 4 were played (design/015).
+	holdersScored = 4
+	homeSample    = 4
+	sampleSize    = 2
+	// plainSample back ends of a service without engines are scored where schedulers place: two choices do nearly as well as all,
+	// and three allow for one that is slow.
+	plainSample = 3
+	// sampleTries is how often a random back end is drawn to find some that may get the request; a third of them may be loading.
+	sampleTries = 24
+)
+
+// shortlist returns the back ends worth scoring: all of a small service, else the owner, those that hold parts of the
+// prompt, and a random sample of those that are meant for requests as long as this one.
+func (g *Gateway) shortlist(now time.Duration, rows []*endpoint, owner *endpoint, sources []source, wish need) []*endpoint {
+	switch {
+	case !wish.service.Engine && g.table.homes > 0:
+		return g.pick(now, nil, rows, plainSample, wish)
+	case len(rows) <= scoreAllUpTo:
+		return rows
+	}
+	var picked []*endpoint
+	if owner != nil {
+		picked = append(picked, owner)
+	}
+	picked = append(picked, holders(sources, prefix.PartTokens(prefix.Shared(wish.call.Parts)))...)
+	return append(picked, g.sample(now, g.laneOf(rows, wish), wish)...)
+}
+
+// holders returns a few back ends that hold all shared tokens of the prompt, and a few of those that hold less, at random.
+func holders(sources []source, shared int) []*endpoint {
+	var picked, less []*endpoint
+	for _, held := range sources {
+		if held.tokens == shared && len(picked) < holdersScored {
+			picked = append(picked, held.row)
+		} else {
+			less = append(less, held.row)
+		}
+	}
+	return append(picked, sampled(less, holdersScored)...)
+}
+
+// laneOf returns the back ends that serve requests as long as this one, or all where there are no lanes.
+func (g *Gateway) laneOf(rows []*endpoint, wish need) []*endpoint {
+	if !wish.service.Engine || !g.on(mechanism.Lanes) {
+		return rows
+	}
+	if lane := g.table.lane(wish.service.Name).of(wish.longest()); len(lane) > 0 {
+		return lane
+	}
+	return rows
+}
+
+// sample returns a few back ends at random that may get the request: of those that this gateway reads, which are few and which
+// nobody else samples, and of all.
+func (g *Gateway) sample(now time.Duration, rows []*endpoint, wish need) []*endpoint {
+	var home []*endpoint
+	for _, row := range rows {
+		if row.home {
+			home = append(home, row)
+		}
+	}
+	picked := g.pick(now, nil, home, homeSample, wish)
+	return g.pick(now, picked, rows, homeSample+sampleSize, wish)
+}
+
+// pick adds back ends at random that may get the request, until there are so many.
+func (g *Gateway) pick(now time.Duration, picked, rows []*endpoint, count int, wish need) []*endpoint {
+	for tries := 0; tries < sampleTries && len(picked) < count && len(rows) > 0; tries++ {
+		if row := rows[rand.IntN(len(rows))]; g.eligible(now, row, wish) && !slices.Contains(picked, row) {
+			picked = append(picked, row)
+		}
+	}
+	return picked
+}
