Repair: parts, times and announcements of a placement are written once

Read again as a whole: ids and tokens of parts were put into messages in two places and read in two, milliseconds of messages turned into times in five, and a scheduler built the same announcement as an attempt does. Two tests of control's client made the same little server. The newest placement of a request is pointed to, not copied; a count is an int. The pages said three threads tell other gateways: there are four. No behaviour changes, the tests keep their assertions.

--- a/internal/control/client_test.go
+++ b/internal/control/client_test.go
@@ -64,6 +64,18 @@
 	return listener.Addr().String()
 }
 
+// listenWith gives the same answer to every question at an address until the test ends.
+func listenWith(t *testing.T, address string, response Response) {
+	t.Helper()
+	server, err := transport.Listen(address, "", func(_ transport.Request, respond transport.Respond) {
+		respond(http.StatusOK, response)
+	}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close(context.Background()) })
+}
+
 // TestClientComesBackToAStartedLeader: an address that gave no answer since its process was only starting is asked again
 // soon when it is named as leader (nilewash-ops, inc-8fe3: gateways found the leader 1.9 s after its election).
 func TestClientComesBackToAStartedLeader(t *testing.T) {
@@ -75,17 +87,8 @@
 		t.Fatal("answered before it listened")
 	}
 	follower := freeLoopback(t)
-	serve := func(address string, response Response) {
-		server, err := transport.Listen(address, "", func(_ transport.Request, respond transport.Respond) {
-			respond(http.StatusOK, response)
-		}, zap.NewNop())
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = server.Close(context.Background()) })
-	}
-	serve(leader, Response{Kind: ResponseOK})
-	serve(follower, Response{Kind: ResponseNotLeader, Leader: leader})
+	listenWith(t, leader, Response{Kind: ResponseOK})
+	listenWith(t, follower, Response{Kind: ResponseNotLeader, Leader: leader})
 	client.Use([]string{follower})
 	if _, err := client.Ask(ctx, Request{Status: &StatusRequest{}}); err != nil {
 		t.Fatal(err)
--- a/internal/control/restart_test.go
+++ b/internal/control/restart_test.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/transport"
 )
@@ -108,18 +105,9 @@
 		t.Fatal(err)
 	}
 	defer silent.Close()
-	serve := func(address string, response Response) {
-		server, err := transport.Listen(address, "", func(_ transport.Request, respond transport.Respond) {
-			respond(http.StatusOK, response)
-		}, zap.NewNop())
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = server.Close(context.Background()) })
-	}
 	leader, follower := freeLoopback(t), freeLoopback(t)
-	serve(leader, Response{Kind: ResponseOK})
-	serve(follower, Response{Kind: ResponseNotLeader, Leader: leader})
+	listenWith(t, leader, Response{Kind: ResponseOK})
+	listenWith(t, follower, Response{Kind: ResponseNotLeader, Leader: leader})
 	client := NewClient(transport.NewClient("", nil), []string{silent.Addr().String(), follower})
 	client.failed.Store(&failure{address: leader, at: time.Now()})
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -82,24 +82,37 @@
 		Instance: s.Instance, Salt: s.Salt, Uncached: s.Uncached, Saved: s.Saved, Unreached: s.Unreached, Kept: s.Kept,
 		AgeMS: (s.Age + waited).Milliseconds(), MoveFrom: s.Move.from, MoveMS: s.Move.time.Milliseconds(),
 	}
-	for _, p := range s.Parts {
-		w.Parts, w.Tokens = append(w.Parts, p.ID), append(w.Tokens, p.Tokens)
-	}
+	w.Parts, w.Tokens = wireParts(s.Parts)
 	return w
 }
 
+// wireParts returns parts as messages carry them: their ids, and the tokens of each.
+func wireParts(parts []prefix.Part) (ids []string, tokens []int) {
+	for _, p := range parts {
+		ids, tokens = append(ids, p.ID), append(tokens, p.Tokens)
+	}
+	return ids, tokens
+}
+
+// partsOfWire is the reverse; parts without a size are left out.
+func partsOfWire(ids []string, tokens []int) []prefix.Part {
+	var parts []prefix.Part
+	for i := range min(len(ids), len(tokens)) {
+		parts = append(parts, prefix.Part{ID: ids[i], Tokens: max(0, tokens[i])})
+	}
+	return parts
+}
+
+// wireTime returns a time that a message tells in milliseconds; none is below 0.
+func wireTime(ms int64) time.Duration { return time.Duration(max(0, ms)) * time.Millisecond }
+
 // send returns what a message tells; parts without a size are left out.
 func (w wireSend) send() send {
-	s := send{
+	return send{
 		Gateway: w.Gateway, Load: load{running: max(0, w.Running), tokens: max(0, w.Held)},
 		Instance: w.Instance, Salt: w.Salt, Uncached: max(0, w.Uncached), Saved: w.Saved, Unreached: w.Unreached, Kept: w.Kept,
-		Age:  time.Duration(max(0, w.AgeMS)) * time.Millisecond,
-		Move: move{from: w.MoveFrom, time: time.Duration(max(0, w.MoveMS)) * time.Millisecond},
-	}
-	for i := range min(len(w.Parts), len(w.Tokens)) {
-		s.Parts = append(s.Parts, prefix.Part{ID: w.Parts[i], Tokens: max(0, w.Tokens[i])})
+		Age: wireTime(w.AgeMS), Move: move{from: w.MoveFrom, time: wireTime(w.MoveMS)}, Parts: partsOfWire(w.Parts, w.Tokens),
 	}
-	return s
 }
 
 // spread tells the other gateways of sends over the mesh that control laid out, so that all see the same queues and
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -136,12 +136,17 @@
 	if a.plan.scheduled != nil {
 		return // its scheduler has told the others
 	}
+	x.gateway.announce(now, &a.plan, x.call.Parts, running)
+}
+
+// announce notes which parts a placement leaves where, and tells the other gateways of it and of what now runs there.
+func (g *Gateway) announce(now time.Duration, placed *candidate, parts []prefix.Part, running load) {
 	made := send{
-		Gateway: x.gateway.nick, Load: running, Instance: a.row.entry.ID, Salt: a.plan.salt, Parts: x.call.Parts,
-		Uncached: a.uncached, Saved: a.plan.save != "", Move: a.plan.move,
+		Gateway: g.nick, Load: running, Instance: placed.row.entry.ID, Salt: placed.salt, Parts: parts,
+		Uncached: placed.uncached, Saved: placed.save != "", Move: placed.move,
 	}
-	x.gateway.table.noteHeld(now, made)
-	x.gateway.spread.own(made)
+	g.table.noteHeld(now, made)
+	g.spread.own(made)
 }
 
 // end notes in the table that the attempt is over, and tells the other gateways.
@@ -201,7 +206,7 @@
 		return 0
 	}
 	if x.service.Engine {
-		predicted := time.Duration(waitFactor * a.plan.wait * float64(time.Millisecond))
+		predicted := fromMilliseconds(waitFactor * a.plan.wait)
 		return predicted + max(patienceMinimum, time.Duration(enginePatience*float64(x.route.Objective)))
 	}
 	return max(patienceMinimum, time.Duration(patienceShare*float64(x.route.Objective)))
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -184,7 +184,7 @@
 	scored.uncached = wish.total() - cached
 	queue := max(0, row.busyTo-now)
 	held := row.occupied.total()
-	scored.cost += float64(queue)/float64(time.Millisecond) + float64(scored.uncached)/prefillRate
+	scored.cost += milliseconds(queue) + float64(scored.uncached)/prefillRate
 	if g.on(mechanism.Occupancy) {
 		scored.cost += crowding(held, row.entry.Slots, wish.service.CacheLimit, wish.memory, wish.stay)
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -68,7 +68,7 @@
 	firstAt   time.Duration // when the first event went to the caller, or 0
 	eventAt   time.Duration // when the newest one did
 	pause     time.Duration // longest time between two
-	plan      candidate     // the newest placement
+	plan      *candidate    // the newest placement, or nil
 }
 
 // serve takes a caller's request.
@@ -194,7 +194,7 @@
 			x.giveUp(reasonNoBackend, retrySoon)
 			return
 		}
-		x.plan = *chosen
+		x.plan = chosen
 		sent := x.newAttempt(chosen)
 		result := sent.perform()
 		if result.kind == resultAnswered {
@@ -358,7 +358,7 @@
 	if reason == reasonUntrusted {
 		fields = append(fields, zap.Duration("unconfirmed", x.gateway.now()-time.Duration(x.gateway.confirm.Load())))
 	}
-	if x.service != nil && x.service.Engine && x.plan.row != nil {
+	if x.plan != nil && x.service.Engine {
 		fields = append(fields, zap.Float64(events.FieldPredicted, x.plan.wait), zap.Int(events.FieldUncached, x.plan.uncached), zap.String(events.FieldFrom, x.plan.fetch),
 			zap.Bool(events.FieldScheduled, x.plan.scheduled != nil))
 	}
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -57,10 +57,10 @@
 }
 
 // count returns the engines that are read.
-func (f *followers) count() time.Duration {
+func (f *followers) count() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Duration(len(f.running))
+	return len(f.running)
 }
 
 // readCaches follows the caches that control has given this gateway.
@@ -83,7 +83,7 @@
 func (g *Gateway) followCache(ctx context.Context, id string) {
 	at := cacheCursor{listedAt: -listPause, aliveAt: -aliveEach}
 	for ctx.Err() == nil {
-		pause := max(cachePause, g.followers.count()*cacheEach)
+		pause := max(cachePause, time.Duration(g.followers.count())*cacheEach)
 		asked, err := g.readCache(ctx, id, &at)
 		switch {
 		case err != nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,7 @@
 // moment when it asked. A view that is too old serves no request with an API key. What callers and back ends are
 // told beside that is a Dialect's matter.
 //
-// Threads: one follows control; one sweeps idle connections; three tell other gateways; net/http's goroutines serve callers.
+// Threads: one follows control; one sweeps idle connections; four tell other gateways; net/http's goroutines serve callers.
 package gateway
 
 import (
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -7,7 +7,6 @@
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/mechanism"
-	"kitetiller/internal/prefix"
 	"kitetiller/internal/transport"
 )
 
@@ -47,11 +46,7 @@
 
 // call returns what the question tells of the caller's request; parts without a size are left out.
 func (q *wireQuestion) call() Call {
-	call := Call{Model: q.Model, PromptTokens: max(0, q.Prompt)}
-	for i := range min(len(q.Parts), len(q.Tokens)) {
-		call.Parts = append(call.Parts, prefix.Part{ID: q.Parts[i], Tokens: max(0, q.Tokens[i])})
-	}
-	return call
+	return Call{Model: q.Model, PromptTokens: max(0, q.Prompt), Parts: partsOfWire(q.Parts, q.Tokens)}
 }
 
 // placement is a request that this gateway placed for another one, until that one tells of its end.
@@ -91,18 +86,12 @@
 	if chosen == nil {
 		return wirePlacement{}
 	}
-	made := send{
-		Gateway: g.nick, Instance: chosen.row.entry.ID, Salt: chosen.salt, Parts: call.Parts, Uncached: chosen.uncached, Saved: chosen.save != "",
-		Move: chosen.move,
-	}
-	within := time.Duration(max(0, asked.WithinMS)) * time.Millisecond
-	made.Load = g.table.place(now, asked.Ticket, placement{
-		row: chosen.row, load: loadOf(&call), uncached: chosen.uncached, alone: chosen.alone, until: now + within,
+	running := g.table.place(now, asked.Ticket, placement{
+		row: chosen.row, load: loadOf(&call), uncached: chosen.uncached, alone: chosen.alone, until: now + wireTime(asked.WithinMS),
 	})
-	g.table.noteHeld(now, made)
-	g.spread.own(made)
+	g.announce(now, chosen, call.Parts, running)
 	return wirePlacement{
-		Instance: made.Instance, Version: chosen.version, Uncached: chosen.uncached, WaitMS: chosen.wait, Fetch: chosen.fetch, Save: chosen.save,
+		Instance: chosen.row.entry.ID, Version: chosen.version, Uncached: chosen.uncached, WaitMS: chosen.wait, Fetch: chosen.fetch, Save: chosen.save,
 	}
 }
 
@@ -120,7 +109,7 @@
 		return
 	}
 	row := made.row
-	g.table.notePace(row, made.alone, made.uncached, time.Duration(max(0, end.FirstMS))*time.Millisecond)
+	g.table.notePace(row, made.alone, made.uncached, wireTime(end.FirstMS))
 	g.spread.own(send{Gateway: g.nick, Load: left, Instance: row.entry.ID})
 	if end.Unreached {
 		g.spread.own(send{Gateway: end.Gateway, Instance: row.entry.ID, Unreached: true})
@@ -154,7 +143,7 @@
 		row.grade(now, end.Grade)
 	}
 	if end.Grade == gradeGood {
-		t.noteStay(row, time.Duration(max(0, end.StayMS))*time.Millisecond)
+		t.noteStay(row, wireTime(end.StayMS))
 	}
 	return made, row.occupied.here(), true
 }
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -157,9 +157,7 @@
 	if wish.tenant != nil && wish.tenant.Isolated {
 		asked.Wall = wish.tenant.Name
 	}
-	for _, part := range x.call.Parts {
-		asked.Parts, asked.Tokens = append(asked.Parts, part.ID), append(asked.Tokens, part.Tokens)
-	}
+	asked.Parts, asked.Tokens = wireParts(x.call.Parts)
 	return asked
 }
 
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -35,7 +35,7 @@
 	if limited {
 		scored.beginBy = limit
 	}
-	wait := time.Duration(beginFactor * float64(scored.wait) * float64(time.Millisecond))
+	wait := fromMilliseconds(beginFactor * scored.wait)
 	return limited && now+wait >= limit-beginMargin
 }
 
