--- /dev/null
+++ b/internal/allowance/allowance_test.go
@@ -0,0 +1,197 @@
+package allowance
+
+import (
+	"testing"
+	"time"
+)
+
+var testLimit = Limit{Rate: 1000, Burst: 500, Room: 1000}
+
+func limitsOf(limit Limit) map[string]Limit { return map[string]Limit{resource: limit} }
+
+// fullLender returns a lender whose account is full, and the time.
+func fullLender() (*Lender, time.Duration) {
+	l := NewLender(1)
+	l.Use(0, limitsOf(testLimit))
+	return l, time.Minute
+}
+
+func askOne(l *Lender, now time.Duration, b *Borrower, amount float64) (Hold, time.Duration) {
+	wants := []Want{{Name: resource, Amount: amount}}
+	holds, waits := b.Granted(now, now, wants, l.Take(now, b.Ask(now, wants)))
+	return holds[0], waits[0]
+}
+
+func newTestBorrower() *Borrower {
+	b := NewBorrower("b", testTrust)
+	b.Use(limitsOf(testLimit))
+	return b
+}
+
+// TestNewLenderLendsNothingOfTheLastOne: it begins empty, and only what comes in after it began is lent.
+func TestNewLenderLendsNothingOfTheLastOne(t *testing.T) {
+	l := NewLender(2)
+	l.Use(time.Minute, limitsOf(testLimit))
+	b := newTestBorrower()
+	hold, wait := askOne(l, time.Minute, b, 100)
+	if hold.Amount != 0 || wait != 100*time.Millisecond {
+		t.Fatalf("lent %v, wait %v", hold, wait)
+	}
+	if hold, _ = askOne(l, time.Minute+wait, b, 100); hold.Amount != 100 {
+		t.Fatalf("after the wait: %v", hold)
+	}
+}
+
+// TestAmountsEndWithTheirLease: by the clock of who asked, from the moment when it asked, whatever was waited for.
+func TestAmountsEndWithTheirLease(t *testing.T) {
+	l, now := fullLender()
+	b := newTestBorrower()
+	hold, _ := askOne(l, now, b, 100)
+	if !hold.Valid(now+Lease) || hold.Valid(now+Lease+1) {
+		t.Fatalf("%v", hold)
+	}
+	b.Put(now, hold)
+	if _, ok := b.Take(now+Lease+1, resource, 100); ok {
+		t.Fatal("taken after its time")
+	}
+	wants := []Want{{Name: resource, Amount: 100}}
+	late := l.Take(now, b.Ask(now, wants))
+	if holds, _ := b.Granted(now+Lease+1, now, wants, late); holds[0].Amount != 0 {
+		t.Fatal("a late answer gave something")
+	}
+}
+
+// TestAnswersCountOnce: one that comes twice, or from an older lender, gives nothing.
+func TestAnswersCountOnce(t *testing.T) {
+	l, now := fullLender()
+	b := newTestBorrower()
+	wants := []Want{{Name: resource, Amount: 100}}
+	answer := l.Take(now, b.Ask(now, wants))
+	if holds, _ := b.Granted(now, now, wants, answer); holds[0].Amount != 100 {
+		t.Fatal("nothing lent")
+	}
+	if holds, _ := b.Granted(now, now, wants, answer); holds[0].Amount != 0 {
+		t.Fatal("an answer counted twice")
+	}
+	if _, ok := b.Take(now, resource, 100); ok {
+		t.Fatal("an answer counted twice")
+	}
+	older := NewLender(0)
+	older.Use(0, limitsOf(testLimit))
+	if holds, _ := b.Granted(now, now, wants, older.Take(now, b.Ask(now, wants))); holds[0].Amount != 0 {
+		t.Fatal("an older lender's answer counted")
+	}
+}
+
+// TestIdleAmountsGoBackOnce: what nobody took comes back to the lender, once however often the question arrives.
+func TestIdleAmountsGoBackOnce(t *testing.T) {
+	l, now := fullLender()
+	b := newTestBorrower()
+	hold, _ := askOne(l, now, b, 100)
+	b.Put(now, hold)
+	now += Lease - time.Millisecond
+	before := l.accounts[resource].level
+	question := b.Ask(now, []Want{{Name: resource, Amount: 10}})
+	if len(question.Back) != 1 || question.Back[0].Amount != 100 {
+		t.Fatalf("%v goes back", question.Back)
+	}
+	l.Withhold(now, 1) // nothing else comes in
+	before = l.accounts[resource].level
+	l.Take(now, question)
+	l.Take(now, question)
+	after := l.accounts[resource].level
+	if lent := 2 * 10.0; after > before+100-lent && after > testLimit.capacity()-lent {
+		t.Fatalf("%v before, %v after", before, after)
+	}
+	if l.accounts[resource].lent != 20 {
+		t.Fatalf("%v lent", l.accounts[resource].lent)
+	}
+}
+
+// TestAheadIsLentFromPlentyOnly: it is counted, and half of the capacity stays for others.
+func TestAheadIsLentFromPlentyOnly(t *testing.T) {
+	l, now := fullLender()
+	capacity := testLimit.capacity()
+	answer := l.Take(now, Question{Borrower: "b", Sequence: 1, Asks: []Ask{{Name: resource, Amount: 100, Ahead: 10_000}}})
+	if got := answer.Grants[0].Amount; got != capacity/2 {
+		t.Fatalf("%v lent of %v", got, capacity)
+	}
+	answer = l.Take(now, Question{Borrower: "c", Sequence: 1, Asks: []Ask{{Name: resource, Amount: 100, Ahead: 100}}})
+	if got := answer.Grants[0].Amount; got != 100 {
+		t.Fatalf("%v lent", got)
+	}
+}
+
+// TestAmountAboveTheCapacityIsLentFromAFullAccount, which is in debt then: nobody inside the limit is turned away for ever.
+func TestAmountAboveTheCapacityIsLentFromAFullAccount(t *testing.T) {
+	l, now := fullLender()
+	b := newTestBorrower()
+	if hold, _ := askOne(l, now, b, 900); hold.Amount != 900 {
+		t.Fatalf("%v", hold)
+	}
+	if hold, wait := askOne(l, now, b, 100); hold.Amount != 0 || wait != 300*time.Millisecond {
+		t.Fatalf("%v after %v", hold, wait)
+	}
+}
+
+// TestRefusedAreToldWhenTheirTurnComes: each after those that were refused before it.
+func TestRefusedAreToldWhenTheirTurnComes(t *testing.T) {
+	l := NewLender(1)
+	l.Use(time.Minute, limitsOf(testLimit))
+	b := newTestBorrower()
+	for i := range 3 {
+		if _, wait := askOne(l, time.Minute, b, 100); wait != time.Duration(i+1)*100*time.Millisecond {
+			t.Fatalf("number %d waits %v", i, wait)
+		}
+	}
+}
+
+// TestLowerLimitBindsAtOnce: what had come together under the older one is gone.
+func TestLowerLimitBindsAtOnce(t *testing.T) {
+	l, now := fullLender()
+	lower := Limit{Rate: 10, Burst: 10}
+	l.Use(now, limitsOf(lower))
+	if level := l.accounts[resource].level; level != 10 {
+		t.Fatalf("%v left", level)
+	}
+	l.Use(now, nil)
+	l.Use(now, limitsOf(testLimit))
+	if level := l.accounts[resource].level; level != 0 {
+		t.Fatalf("%v left of a limit that was taken away", level)
+	}
+}
+
+// TestOwnPartEnds: out of touch a borrower uses its equal part of the reserve and of the rate, and nothing once it may trust
+// what it knows no more.
+func TestOwnPartEnds(t *testing.T) {
+	b := newTestBorrower()
+	b.Touch(time.Minute, 10)
+	if _, ok := b.TakeOwn(time.Minute, resource, testLimit.reserve()/10+1); ok {
+		t.Fatal("more than its part of the reserve")
+	}
+	now := time.Minute + time.Second
+	part := testLimit.reserve()/10 + testLimit.Rate/10
+	if hold, ok := b.TakeOwn(now, resource, part); !ok || !hold.Valid(now) {
+		t.Fatal("its part is refused")
+	}
+	if _, ok := b.TakeOwn(now, resource, 1); ok {
+		t.Fatal("more than its part")
+	}
+	if _, ok := b.TakeOwn(time.Minute+testTrust+1, resource, 1); ok {
+		t.Fatal("out of trust")
+	}
+	if _, ok := newTestBorrower().TakeOwn(time.Minute, resource, 1); ok {
+		t.Fatal("never in touch")
+	}
+}
+
+// TestWithheldPartsComeInForNobody until they are lent again.
+func TestWithheldPartsComeInForNobody(t *testing.T) {
+	l := NewLender(1)
+	l.Use(0, limitsOf(testLimit))
+	l.Withhold(0, 0.75)
+	l.Withhold(400*time.Millisecond, 0)
+	if states := l.States(500 * time.Millisecond); states[0].Level < 199 || states[0].Level > 201 {
+		t.Fatalf("%v", states)
+	}
+}
--- /dev/null
+++ b/internal/allowance/borrower.go
@@ -0,0 +1,250 @@
+package allowance
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// demandMemory is how fast measured demand is forgotten.
+	demandMemory = time.Second
+	// demandShare of what the measured demand needs in a lease is asked for ahead, where that is aheadLeast times the amount that
+	// is needed now or more: else it would mostly end unused.
+	demandShare = 0.5
+	aheadLeast  = 2.0
+	// backAfter is how long before its end an amount that lies idle is given back with the next question.
+	backAfter = Lease / 2
+)
+
+// Hold is an amount that may be used once, before its time.
+type Hold struct {
+	Name   string
+	Amount float64
+	Until  time.Duration // by the borrower's clock
+	own    bool          // from the own part, not lent
+}
+
+// Valid reports whether the amount may still be used.
+func (h Hold) Valid(now time.Duration) bool { return h.Amount > 0 && now <= h.Until }
+
+// Borrower keeps what one process was lent.
+type Borrower struct {
+	name     string
+	sequence uint64 // of the newest question
+	answered uint64 // newest question that was answered
+	term     uint64 // newest lender heard of
+	touched  time.Duration
+	parts    float64       // borrowers that share the equal parts, at least 1
+	trust    time.Duration // how long a borrower out of touch may use its part
+	limits   map[string]Limit
+	pockets  map[string]*pocket
+}
+
+// pocket is what is held of one resource.
+type pocket struct {
+	pieces  []Hold        // lent and not used, rising by time
+	used    float64       // of the reserve and the own part, not made good yet
+	usedAt  time.Duration // when used was right
+	demand  float64       // units a second, of the last moments
+	takenAt time.Duration // when some was last taken
+}
+
+// NewBorrower returns a borrower that holds nothing. trust is how long it may use its own part without a lender.
+func NewBorrower(name string, trust time.Duration) *Borrower {
+	return &Borrower{name: name, trust: trust, parts: 1, limits: map[string]Limit{}, pockets: map[string]*pocket{}}
+}
+
+// Use replaces the limits.
+func (b *Borrower) Use(limits map[string]Limit) {
+	b.limits = limits
+	for name := range b.pockets {
+		if _, limited := limits[name]; !limited {
+			delete(b.pockets, name)
+		}
+	}
+}
+
+// Limited reports whether a resource is limited.
+func (b *Borrower) Limited(name string) bool { _, limited := b.limits[name]; return limited }
+
+// Touch notes that what was asked at a time was answered by the lender of a term, and by how many borrowers own parts are
+// shared.
+func (b *Borrower) Touch(asked time.Duration, borrowers int) {
+	b.touched = max(b.touched, asked)
+	b.parts = max(1, float64(borrowers))
+}
+
+func (b *Borrower) pocket(name string) *pocket {
+	p := b.pockets[name]
+	if p == nil {
+		p = &pocket{}
+		b.pockets[name] = p
+	}
+	return p
+}
+
+// Take takes an amount from what was lent.
+func (b *Borrower) Take(now time.Duration, name string, amount float64) (Hold, bool) {
+	p := b.pocket(name)
+	p.note(now, amount)
+	return p.take(now, name, amount)
+}
+
+// TakeAgain takes an amount that was wanted before, so that it is not counted as demand once more.
+func (b *Borrower) TakeAgain(now time.Duration, name string, amount float64) (Hold, bool) {
+	return b.pocket(name).take(now, name, amount)
+}
+
+func (p *pocket) take(now time.Duration, name string, amount float64) (Hold, bool) {
+	p.expire(now)
+	held := 0.0
+	for _, piece := range p.pieces {
+		held += piece.Amount
+	}
+	if held < amount {
+		return Hold{}, false
+	}
+	taken := Hold{Name: name, Amount: amount}
+	for left := amount; left > 0; {
+		piece := &p.pieces[0]
+		if taken.Until == 0 {
+			taken.Until = piece.Until // the first piece ends first
+		}
+		part := min(left, piece.Amount)
+		left -= part
+		piece.Amount -= part
+		if piece.Amount <= 0 {
+			p.pieces = slices.Delete(p.pieces, 0, 1)
+		}
+	}
+	return taken, true
+}
+
+// expire drops what may be used no more.
+func (p *pocket) expire(now time.Duration) {
+	p.pieces = slices.DeleteFunc(p.pieces, func(piece Hold) bool { return !piece.Valid(now) })
+}
+
+// note counts a demand.
+func (p *pocket) note(now time.Duration, amount float64) {
+	p.demand = p.demand*math.Exp(-float64(now-p.takenAt)/float64(demandMemory)) + amount/demandMemory.Seconds()
+	p.takenAt = now
+}
+
+// Put gives back to the pocket what was taken and not used.
+func (b *Borrower) Put(now time.Duration, h Hold) {
+	if !b.Limited(h.Name) || h.Amount <= 0 {
+		return
+	}
+	p := b.pocket(h.Name)
+	if h.own {
+		p.used = max(0, p.used-h.Amount)
+		return
+	}
+	if h.Valid(now) {
+		p.add(h)
+	}
+}
+
+func (p *pocket) add(piece Hold) {
+	at, _ := slices.BinarySearchFunc(p.pieces, piece.Until, func(other Hold, until time.Duration) int { return int(other.Until - until) })
+	p.pieces = slices.Insert(p.pieces, at, piece)
+}
+
+// Want is an amount that is waited for.
+type Want struct {
+	Name   string
+	Amount float64
+}
+
+// Ask returns the question for what is wanted, which is sent once. What lies idle and ends soon goes back with it.
+func (b *Borrower) Ask(now time.Duration, wants []Want) Question {
+	b.sequence++
+	asked := Question{Borrower: b.name, Sequence: b.sequence}
+	for _, want := range wants {
+		p := b.pocket(want.Name)
+		asked.Asks = append(asked.Asks, Ask{Name: want.Name, Amount: want.Amount, Ahead: p.ahead(want.Amount)})
+	}
+	for name, p := range b.pockets {
+		if idle := p.idle(now); idle > 0 {
+			asked.Back = append(asked.Back, Grant{Name: name, Amount: idle})
+		}
+	}
+	return asked
+}
+
+// ahead returns how much more than an amount is worth asking for: so many more of the kind.
+func (p *pocket) ahead(amount float64) float64 {
+	needed := p.demand * Lease.Seconds()
+	if needed < aheadLeast*amount {
+		return 0
+	}
+	return amount * math.Floor(demandShare*needed/amount)
+}
+
+// idle takes out what ends soon and nobody has taken.
+func (p *pocket) idle(now time.Duration) float64 {
+	p.expire(now)
+	amount := 0.0
+	p.pieces = slices.DeleteFunc(p.pieces, func(piece Hold) bool {
+		ends := piece.Until < now+backAfter
+		if ends {
+			amount += piece.Amount
+		}
+		return ends
+	})
+	return amount
+}
+
+// Granted takes the answer to the newest question, which was asked at a time, and returns what can be taken of each want now;
+// a hold that is not valid says how long to wait in its place in waits. An answer that comes twice, or from a lender before
+// the newest one, gives nothing.
+func (b *Borrower) Granted(now, asked time.Duration, wants []Want, answer Answer) (holds []Hold, waits []time.Duration) {
+	holds, waits = make([]Hold, len(wants)), make([]time.Duration, len(wants))
+	if answer.Term < b.term || answer.Sequence != b.sequence || b.answered == b.sequence || len(answer.Grants) != len(wants) {
+		return holds, waits
+	}
+	b.term, b.answered = answer.Term, answer.Sequence
+	b.touched = max(b.touched, asked)
+	for i, want := range wants {
+		granted := answer.Grants[i]
+		waits[i] = granted.Wait
+		piece := Hold{Name: want.Name, Amount: granted.Amount, Until: asked + Lease}
+		if granted.Amount <= 0 || !piece.Valid(now) {
+			continue
+		}
+		p := b.pocket(want.Name)
+		p.add(piece)
+		holds[i], _ = p.take(now, want.Name, want.Amount)
+	}
+	return holds, waits
+}
+
+// TakeOwn takes an amount from the own part, for a borrower that gets no answer: its equal part of the reserve, and of the
+// rate since it was last in touch.
+func (b *Borrower) TakeOwn(now time.Duration, name string, amount float64) (Hold, bool) {
+	limit, limited := b.limits[name]
+	silence := now - b.touched
+	if !limited || silence > b.trust || b.touched == 0 {
+		return Hold{}, false
+	}
+	p := b.pocket(name)
+	p.makeGood(now, limit.reserve()/b.parts)
+	part := limit.reserve()/b.parts + limit.Rate/b.parts*silence.Seconds()
+	if p.used+amount > part {
+		return Hold{}, false
+	}
+	p.used += amount
+	return Hold{Name: name, Amount: amount, Until: now + Lease, own: true}, true
+}
+
+// ownMemory is how long use of the own part counts: the longest window that limits are judged in.
+const ownMemory = 10 * time.Second
+
+// makeGood lets what was used of the own part be forgotten, a whole reserve in ownMemory.
+func (p *pocket) makeGood(now time.Duration, reserve float64) {
+	passed := now - p.usedAt
+	p.usedAt = now
+	p.used = max(0, p.used-reserve*float64(passed)/float64(ownMemory))
+}
--- /dev/null
+++ b/internal/allowance/desk/desk.go
@@ -0,0 +1,278 @@
+// Package desk lets the requests of one process take amounts of limited resources: from what the process holds, else with one
+// question to the lender for all that wait. One thread asks.
+package desk
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"kitetiller/internal/allowance"
+)
+
+const (
+	// askTimeout is how long the lender may take: some times the way to the furthest region and back.
+	askTimeout = 150 * time.Millisecond
+	// askPause is the pause after a question without an answer.
+	askPause = 25 * time.Millisecond
+	// shortWait is how long a request waits for an amount that comes in soon, rather than being turned away: little beside any
+	// objective.
+	shortWait = 40 * time.Millisecond
+	// waitingMost bounds the requests that wait for an answer.
+	waitingMost = 4096
+)
+
+// Outcome tells what became of a wish.
+type Outcome uint8
+
+// Outcomes.
+const (
+	Granted Outcome = iota // the hold may be used once; where the resource is not limited it is empty
+	Over                   // the limit is reached; Wait tells when to come back
+	Unknown                // nobody could be asked, and the own part is used up
+)
+
+// Result is an outcome and what belongs to it.
+type Result struct {
+	Outcome Outcome
+	Hold    allowance.Hold
+	Wait    time.Duration
+}
+
+// Lend asks the lender once.
+type Lend func(ctx context.Context, asked allowance.Question) (allowance.Answer, error)
+
+// Desk is safe for concurrent use.
+type Desk struct {
+	lend Lend
+	now  func() time.Duration // steady
+	wake chan struct{}        // has an item when something waits; room for one
+
+	mu       sync.Mutex
+	borrower *allowance.Borrower // guarded by mu
+	waiting  []*wish             // guarded by mu; at most waitingMost
+	failed   uint64              // questions without an answer; guarded by mu
+	asked    uint64              // questions; guarded by mu
+}
+
+// wish is an amount that a request waits for.
+type wish struct {
+	allowance.Want
+	after time.Duration // not to be asked for before
+	until time.Duration // the request waits no longer
+	done  chan Result   // has room for the one result
+}
+
+// New returns the desk of a process. trust is how long the process may act on what a lender told it last.
+func New(name string, trust time.Duration, now func() time.Duration, lend Lend) *Desk {
+	return &Desk{lend: lend, now: now, wake: make(chan struct{}, 1), borrower: allowance.NewBorrower(name, trust)}
+}
+
+// Use replaces the limits.
+func (d *Desk) Use(limits map[string]allowance.Limit) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.borrower.Use(limits)
+}
+
+// Touch notes that the lender's process answered what was asked at a time, and by how many borrowers own parts are shared.
+func (d *Desk) Touch(asked time.Duration, borrowers int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.borrower.Touch(asked, borrowers)
+}
+
+// Put gives back what was taken and not used.
+func (d *Desk) Put(h allowance.Hold) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.borrower.Put(d.now(), h)
+}
+
+// Questions returns how many questions were asked, and how many of them got no answer.
+func (d *Desk) Questions() (asked, failed uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.asked, d.failed
+}
+
+// Take takes an amount of a resource. It waits for the lender, and no longer than patience where there is none.
+func (d *Desk) Take(ctx context.Context, name string, amount float64, patience time.Duration) Result {
+	wanted, result := d.begin(name, amount, patience)
+	if wanted == nil {
+		return result
+	}
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case result = <-wanted.done:
+	case <-ctx.Done():
+		result = d.leave(wanted)
+	}
+	return result
+}
+
+// begin takes from what is held, or lets a wish wait.
+func (d *Desk) begin(name string, amount float64, patience time.Duration) (*wish, Result) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.borrower.Limited(name) {
+		return nil, Result{}
+	}
+	now := d.now()
+	if hold, ok := d.borrower.Take(now, name, amount); ok {
+		return nil, Result{Hold: hold}
+	}
+	if len(d.waiting) >= waitingMost {
+		return nil, Result{Outcome: Unknown}
+	}
+	wanted := &wish{Want: allowance.Want{Name: name, Amount: amount}, until: now + patience, done: make(chan Result, 1)}
+	d.waiting = append(d.waiting, wanted)
+	return wanted, Result{}
+}
+
+// leave ends a wish whose request is over; what it got meanwhile goes back.
+func (d *Desk) leave(wanted *wish) Result {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.waiting = slices.DeleteFunc(d.waiting, func(other *wish) bool { return other == wanted })
+	select {
+	case result := <-wanted.done:
+		d.borrower.Put(d.now(), result.Hold)
+	default:
+		wanted.until = 0 // a question may be on its way for it; what that brings stays in the pocket
+	}
+	return Result{Outcome: Unknown}
+}
+
+// Run is the thread that asks the lender, until ctx ends.
+func (d *Desk) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.wake:
+		}
+		for pause, more := d.round(ctx); more; pause, more = d.round(ctx) {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(pause):
+			}
+		}
+	}
+}
+
+// round asks once for all that wait. more tells that some still wait, for whom to ask again after a pause.
+func (d *Desk) round(ctx context.Context) (pause time.Duration, more bool) {
+	batch, wants, question := d.batch()
+	if len(batch) > 0 {
+		asked := d.now()
+		attempt, cancel := context.WithTimeout(ctx, askTimeout)
+		answer, err := d.lend(attempt, question)
+		cancel()
+		if err != nil {
+			d.unanswered(batch)
+			pause = askPause
+		} else {
+			d.answered(asked, batch, wants, answer)
+		}
+	}
+	return d.next(pause)
+}
+
+// batch takes the wishes whose time has come and that the pocket does not hold by now.
+func (d *Desk) batch() (batch []*wish, wants []allowance.Want, question allowance.Question) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	d.waiting = slices.DeleteFunc(d.waiting, func(w *wish) bool {
+		if now < w.after {
+			return false
+		}
+		if hold, ok := d.borrower.TakeAgain(now, w.Name, w.Amount); ok {
+			w.done <- Result{Hold: hold}
+			return true
+		}
+		batch = append(batch, w)
+		wants = append(wants, w.Want)
+		return true
+	})
+	if len(batch) == 0 {
+		return nil, nil, question
+	}
+	d.asked++
+	return batch, wants, d.borrower.Ask(now, wants)
+}
+
+// unanswered serves from the own part; the rest waits on, as long as it may.
+func (d *Desk) unanswered(batch []*wish) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failed++
+	now := d.now()
+	for _, w := range batch {
+		if hold, ok := d.borrower.TakeOwn(now, w.Name, w.Amount); ok {
+			d.finish(w, Result{Hold: hold})
+			continue
+		}
+		d.waitOn(now, w, Result{Outcome: Unknown})
+	}
+}
+
+// answered passes on what was lent.
+func (d *Desk) answered(asked time.Duration, batch []*wish, wants []allowance.Want, answer allowance.Answer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	holds, waits := d.borrower.Granted(now, asked, wants, answer)
+	for i, w := range batch {
+		if holds[i].Amount == 0 {
+			holds[i], _ = d.borrower.TakeAgain(now, w.Name, w.Amount) // of what was lent ahead for another
+		}
+		switch {
+		case holds[i].Amount > 0 || w.Amount == 0:
+			d.finish(w, Result{Hold: holds[i]})
+		case waits[i] > shortWait:
+			d.finish(w, Result{Outcome: Over, Wait: waits[i]})
+		default:
+			w.after = now + waits[i]
+			d.waitOn(now, w, Result{Outcome: Over, Wait: shortWait})
+		}
+	}
+}
+
+// waitOn lets a wish wait for the next question, or ends it when its time is over. The caller holds mu.
+func (d *Desk) waitOn(now time.Duration, w *wish, otherwise Result) {
+	if now >= w.until {
+		d.finish(w, otherwise)
+		return
+	}
+	d.waiting = append(d.waiting, w)
+}
+
+// finish gives a wish its result; one that was left gives it back. The caller holds mu.
+func (d *Desk) finish(w *wish, result Result) {
+	if w.until == 0 {
+		d.borrower.Put(d.now(), result.Hold)
+		return
+	}
+	w.done <- result
+}
+
+// next returns how long to wait until somebody has to be asked for again.
+func (d *Desk) next(pause time.Duration) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.waiting) == 0 {
+		return 0, false
+	}
+	soonest := d.waiting[0].after
+	for _, w := range d.waiting[1:] {
+		soonest = min(soonest, w.after)
+	}
+	return max(pause, soonest-d.now(), 0), true
+}
--- /dev/null
+++ b/internal/allowance/desk/desk_test.go
@@ -0,0 +1,146 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"kitetiller/internal/allowance"
+)
+
+const resource = "r"
+
+var (
+	errNobody = errors.New("nobody")
+	started   = time.Now()
+)
+
+// clock is a clock that stands still, so that nothing depends on how fast a test runs.
+func clock() time.Duration { return time.Minute }
+
+// running is a clock that goes.
+func running() time.Duration { return time.Minute + time.Since(started) }
+
+// openDesk runs a desk over a lender whose account is full.
+func openDesk(t *testing.T, limit allowance.Limit, lend func(*allowance.Lender) Lend) *Desk {
+	t.Helper()
+	return openDeskBy(t, clock, limit, lend)
+}
+
+func openDeskBy(t *testing.T, clock func() time.Duration, limit allowance.Limit, lend func(*allowance.Lender) Lend) *Desk {
+	t.Helper()
+	lender := allowance.NewLender(1)
+	filling := limit
+	filling.Rate = 1e6
+	lender.Use(0, map[string]allowance.Limit{resource: filling})
+	lender.Use(clock(), map[string]allowance.Limit{resource: limit})
+	var mu sync.Mutex
+	over := lend(lender)
+	d := New("b", 3*time.Second, clock, func(ctx context.Context, asked allowance.Question) (allowance.Answer, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		return over(ctx, asked)
+	})
+	d.Use(map[string]allowance.Limit{resource: limit})
+	ctx, cancel := context.WithCancel(context.Background())
+	var threads sync.WaitGroup
+	threads.Go(func() { d.Run(ctx) })
+	t.Cleanup(func() { cancel(); threads.Wait() })
+	return d
+}
+
+func direct(l *allowance.Lender) Lend {
+	return func(_ context.Context, asked allowance.Question) (allowance.Answer, error) {
+		return l.Take(clock(), asked), nil
+	}
+}
+
+// TestManyTakeNoMoreThanThereIs: requests that come together get whole amounts, and no more than the account holds.
+func TestManyTakeNoMoreThanThereIs(t *testing.T) {
+	d := openDesk(t, allowance.Limit{Rate: 0.001, Burst: 100}, direct)
+	var granted, over atomic.Int64
+	var callers sync.WaitGroup
+	for range 200 {
+		callers.Go(func() {
+			switch result := d.Take(t.Context(), resource, 2, time.Second); result.Outcome {
+			case Granted:
+				granted.Add(1)
+			case Over:
+				over.Add(1)
+			}
+		})
+	}
+	callers.Wait()
+	if granted.Load() != 50 || over.Load() != 150 {
+		t.Fatalf("%d granted, %d refused", granted.Load(), over.Load())
+	}
+	if asked, failed := d.Questions(); asked > 200 || failed != 0 {
+		t.Fatalf("%d questions, %d failed", asked, failed)
+	}
+}
+
+// TestUnlimitedIsGranted without a question.
+func TestUnlimitedIsGranted(t *testing.T) {
+	d := openDesk(t, allowance.Limit{Rate: 1}, direct)
+	if result := d.Take(t.Context(), "other", 1e9, 0); result.Outcome != Granted || result.Hold.Amount != 0 {
+		t.Fatalf("%v", result)
+	}
+}
+
+// TestSilentLenderLeavesTheOwnPart: without an answer the own part serves, and what it doesn't hold ends as unknown, not as
+// over the limit.
+func TestSilentLenderLeavesTheOwnPart(t *testing.T) {
+	d := openDesk(t, allowance.Limit{Rate: 0.001, Burst: 100, Room: 100}, func(*allowance.Lender) Lend {
+		return func(context.Context, allowance.Question) (allowance.Answer, error) {
+			return allowance.Answer{}, errNobody
+		}
+	})
+	d.Touch(clock(), 1)
+	if result := d.Take(t.Context(), resource, 30, 0); result.Outcome != Granted || result.Hold.Amount != 30 {
+		t.Fatalf("%v", result)
+	}
+	if result := d.Take(t.Context(), resource, 30, 0); result.Outcome != Unknown {
+		t.Fatalf("%v", result)
+	}
+}
+
+// TestRequestThatLeavesTakesNothing: what comes for it afterwards is there for the next one.
+func TestRequestThatLeavesTakesNothing(t *testing.T) {
+	asking, goOn := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	d := openDesk(t, allowance.Limit{Rate: 0.001, Burst: 100}, func(l *allowance.Lender) Lend {
+		return func(_ context.Context, asked allowance.Question) (allowance.Answer, error) {
+			once.Do(func() { close(asking); <-goOn })
+			return l.Take(clock(), asked), nil
+		}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	left := make(chan Result)
+	go func() { left <- d.Take(ctx, resource, 100, time.Second) }()
+	<-asking
+	cancel()
+	if result := <-left; result.Outcome != Unknown {
+		t.Fatalf("%v", result)
+	}
+	close(goOn)
+	if result := d.Take(t.Context(), resource, 100, time.Second); result.Outcome != Granted || result.Hold.Amount != 100 {
+		t.Fatalf("%v", result)
+	}
+}
+
+// TestAmountThatComesInSoonIsWaitedFor rather than refused.
+func TestAmountThatComesInSoonIsWaitedFor(t *testing.T) {
+	d := openDeskBy(t, running, allowance.Limit{Rate: 10_000, Burst: 100}, func(l *allowance.Lender) Lend {
+		return func(_ context.Context, asked allowance.Question) (allowance.Answer, error) {
+			return l.Take(running(), asked), nil
+		}
+	})
+	for range 5 {
+		if result := d.Take(t.Context(), resource, 100, time.Minute); result.Outcome != Granted {
+			t.Fatalf("%v", result)
+		}
+	}
+}
--- /dev/null
+++ b/internal/allowance/doc.go
@@ -0,0 +1,72 @@
+// Package allowance shares limited resources among processes that work apart, so that all of them together stay within each
+// resource's limit. One Lender keeps the whole and lends amounts of it; a Borrower in each process uses what it was lent.
+//
+// What keeps the whole:
+//   - An amount is taken off the whole when it is lent, and is of no use a lease after it was asked for, by the borrower's
+//     own clock. One that never arrives is lost, not doubled.
+//   - A lender begins with nothing. What an earlier one lent is therefore never lent again, and a new lender needs to know
+//     nothing of it.
+//   - A borrower out of touch may use its equal part of the rate, and its equal part of a reserve beyond the limit. The lender
+//     keeps back the parts of the borrowers that it does not hear.
+//
+// Amounts are of any unit. The package has no I/O, no lock and no clock: callers pass the time, which must not run backwards,
+// and serialize their calls.
+package allowance
+
+import "time"
+
+// Lease is how long an amount may be used after it was asked for: some times what a question takes, and short beside the
+// windows that limits are judged in, since what was lent before a window may be used in it.
+const Lease = 300 * time.Millisecond
+
+const (
+	// toleranceShare of a limit's room may be lent at once beside the burst, so that a caller just inside its limit is not
+	// turned away over when requests arrive. reserveShare is for borrowers out of touch, all together. The rest is for amounts
+	// that are lent and not used yet, and for the time until a lender notices a silence.
+	toleranceShare = 0.2
+	reserveShare   = 0.35
+	// longestAdvice bounds how long a borrower is told to wait for an amount: what was refused long ago comes back no more.
+	longestAdvice = 8 * time.Second
+)
+
+// Limit bounds the use of one resource: in any window, the rate times the window, the burst and the room.
+type Limit struct {
+	Rate  float64 `json:"rate"`  // units a second; a limit has one above 0
+	Burst float64 `json:"burst"` // units at once
+	Room  float64 `json:"room"`  // units beyond both that a window may hold, for what cannot be counted exactly
+}
+
+// capacity is the most that may be lent at once.
+func (l Limit) capacity() float64 { return l.Burst + toleranceShare*l.Room }
+
+// reserve is what borrowers out of touch may use beyond their parts of the rate, all together.
+func (l Limit) reserve() float64 { return reserveShare * l.Room }
+
+// Ask is a question for an amount of a resource.
+type Ask struct {
+	Name   string  `json:"n"`
+	Amount float64 `json:"a"`           // that is needed now; it is lent whole or not at all
+	Ahead  float64 `json:"h,omitempty"` // that would be of use within a lease; lent where there is plenty
+}
+
+// Grant answers an Ask.
+type Grant struct {
+	Name   string        `json:"n"`
+	Amount float64       `json:"a"`           // lent; 0 where the limit is reached
+	Wait   time.Duration `json:"w,omitempty"` // until the amount can be had, with what was refused before it; where nothing is lent
+}
+
+// Question is what a borrower asks a lender: it gives amounts back and asks for others.
+type Question struct {
+	Borrower string  `json:"b"`
+	Sequence uint64  `json:"s"` // rises with each question of a borrower's life
+	Back     []Grant `json:"k,omitempty"`
+	Asks     []Ask   `json:"q"`
+}
+
+// Answer is what a lender answers; Grants stand in the order of the asks.
+type Answer struct {
+	Term     uint64  `json:"t"` // rises with each lender
+	Sequence uint64  `json:"s"` // of the question
+	Grants   []Grant `json:"g"`
+}
--- /dev/null
+++ b/internal/allowance/lender.go
@@ -0,0 +1,156 @@
+package allowance
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// aheadShare of the capacity stays in the account when amounts are lent ahead of their need.
+const aheadShare = 0.5
+
+// overFor is how long after its last refusal a resource still counts as over its limit.
+const overFor = time.Second
+
+// Lender keeps the whole of each limited resource.
+type Lender struct {
+	term      uint64
+	accounts  map[string]*account
+	withheld  float64           // part of all rates that is kept back, 0 to 1
+	sequences map[string]uint64 // by borrower: of its newest question
+}
+
+// account is one resource.
+type account struct {
+	limit   Limit
+	level   float64       // may be lent now; at most the capacity; below 0 after an amount above the capacity
+	at      time.Duration // when level and queue were right
+	queue   float64       // refused and not come back yet, as far as that can be known
+	lent    float64       // since the lender began, less what was given back
+	refused float64
+	over    time.Duration // when the newest refusal was; 0 never
+}
+
+// NewLender returns a lender without resources. Each leadership has one of its own; only one may lend at a time.
+func NewLender(term uint64) *Lender {
+	return &Lender{term: term, accounts: map[string]*account{}, sequences: map[string]uint64{}}
+}
+
+// Use replaces the limits. A resource that is new begins with nothing; one whose limit was lowered keeps no more than the
+// new capacity.
+func (l *Lender) Use(now time.Duration, limits map[string]Limit) {
+	for name, limit := range limits {
+		a := l.accounts[name]
+		if a == nil {
+			a = &account{at: now}
+			l.accounts[name] = a
+		}
+		a.refill(now, l.withheld)
+		a.limit = limit
+		a.level = min(a.level, limit.capacity())
+	}
+	maps.DeleteFunc(l.accounts, func(name string, _ *account) bool { _, limited := limits[name]; return !limited })
+}
+
+// Withhold keeps back a part of all rates from now on: that of the borrowers out of touch.
+func (l *Lender) Withhold(now time.Duration, part float64) {
+	if part == l.withheld {
+		return
+	}
+	for _, a := range l.accounts {
+		a.refill(now, l.withheld)
+	}
+	l.withheld = part
+}
+
+// Take answers a question.
+func (l *Lender) Take(now time.Duration, asked Question) Answer {
+	if asked.Sequence > l.sequences[asked.Borrower] {
+		l.sequences[asked.Borrower] = asked.Sequence
+		l.takeBack(now, asked.Back)
+	}
+	answer := Answer{Term: l.term, Sequence: asked.Sequence, Grants: make([]Grant, 0, len(asked.Asks))}
+	for _, ask := range asked.Asks {
+		answer.Grants = append(answer.Grants, l.lend(now, ask))
+	}
+	return answer
+}
+
+// takeBack adds what a borrower gives back.
+func (l *Lender) takeBack(now time.Duration, back []Grant) {
+	for _, returned := range back {
+		a := l.accounts[returned.Name]
+		if a == nil || returned.Amount <= 0 {
+			continue
+		}
+		a.refill(now, l.withheld)
+		amount := min(returned.Amount, a.lent) // a new lender takes nothing back that it never lent
+		a.level = min(a.limit.capacity(), a.level+amount)
+		a.lent -= amount
+	}
+}
+
+// lend lends an amount whole or not at all. One above the capacity is lent from a full account, which is then in debt.
+func (l *Lender) lend(now time.Duration, ask Ask) Grant {
+	a := l.accounts[ask.Name]
+	if a == nil {
+		return Grant{Name: ask.Name, Wait: Lease} // not limited here: the borrower holds another document
+	}
+	a.refill(now, l.withheld)
+	capacity := a.limit.capacity()
+	if ask.Amount > a.level && a.level < capacity {
+		return Grant{Name: ask.Name, Wait: a.refuse(now, ask.Amount)}
+	}
+	amount := ask.Amount + max(0, min(ask.Ahead, a.level-ask.Amount-aheadShare*capacity))
+	a.level -= amount
+	a.lent += amount
+	a.queue = max(0, a.queue-ask.Amount)
+	return Grant{Name: ask.Name, Amount: amount}
+}
+
+// refuse notes a refusal and returns when to come back: after those that were refused before.
+func (a *account) refuse(now time.Duration, amount float64) time.Duration {
+	a.refused += amount
+	a.over = now
+	missing := min(amount, a.limit.capacity()) - a.level + a.queue
+	a.queue += amount
+	wait := time.Duration(missing / a.limit.Rate * float64(time.Second))
+	return min(max(wait, 0), longestAdvice)
+}
+
+// refill adds what has come in since the account was last right.
+func (a *account) refill(now time.Duration, withheld float64) {
+	passed := (now - a.at).Seconds()
+	if passed <= 0 {
+		return
+	}
+	a.at = now
+	a.level = min(a.limit.capacity(), a.level+passed*a.limit.Rate*(1-withheld))
+	a.queue = max(0, min(a.queue-passed*a.limit.Rate, a.limit.Rate*longestAdvice.Seconds()))
+}
+
+// State is what a lender can tell of one resource.
+type State struct {
+	Name     string  `json:"name"`
+	Limit    Limit   `json:"limit"`
+	Level    float64 `json:"level"`    // that may be lent now
+	Lent     float64 `json:"lent"`     // since the lender began
+	Refused  float64 `json:"refused"`  // since the lender began
+	Over     bool    `json:"over"`     // something was refused a moment ago
+	Withheld float64 `json:"withheld"` // part of the rate that is kept back
+}
+
+// States returns all resources, rising by name.
+func (l *Lender) States(now time.Duration) []State {
+	states := make([]State, 0, len(l.accounts))
+	for name, a := range l.accounts {
+		a.refill(now, l.withheld)
+		states = append(states, State{
+			Name: name, Limit: a.limit, Level: a.level, Lent: a.lent, Refused: a.refused, Withheld: l.withheld,
+			Over: a.over > 0 && now < a.over+overFor,
+		})
+	}
+	slices.SortFunc(states, func(x, y State) int { return cmp.Compare(x.Name, y.Name) })
+	return states
+}
--- /dev/null
+++ b/internal/allowance/machine_test.go
@@ -0,0 +1,242 @@
+package allowance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	testTrust  = 3 * time.Second
+	testWindow = 8 * time.Second
+	testSilent = time.Second
+)
+
+// use is an amount that a borrower used at a time.
+type use struct {
+	at     time.Duration
+	amount float64
+}
+
+// letter is an answer on its way.
+type letter struct {
+	to     int
+	asked  time.Duration
+	due    time.Duration
+	wants  []Want
+	answer Answer
+}
+
+// Shares of what goes wrong on a link, drawn for each run.
+type weather struct{ lost, repeated, late float64 }
+
+// fleet is a lender and borrowers over a network that loses, delays and repeats, beside an oracle that counts all use. All its
+// chances come from one seed.
+type fleet struct {
+	chance    *rand.Rand
+	weather   weather
+	now       time.Duration
+	limit     Limit
+	largest   float64
+	lender    *Lender // nil while nobody leads
+	term      uint64
+	since     time.Duration
+	borrowers []*Borrower
+	heard     []time.Duration // when a lender last heard each
+	paused    []time.Duration // until when each stands still
+	cut       []time.Duration // until when each reaches no lender
+	held      [][]Hold        // taken and not used yet
+	letters   []letter
+	uses      []use
+}
+
+const resource = "r"
+
+func newFleet(limit Limit, size int, seed uint64) *fleet {
+	f := &fleet{
+		chance: rand.New(rand.NewPCG(seed, seed)), now: time.Second, limit: limit, heard: make([]time.Duration, size),
+		paused: make([]time.Duration, size), cut: make([]time.Duration, size), held: make([][]Hold, size), borrowers: make([]*Borrower, size),
+	}
+	for i := range size {
+		f.start(i)
+	}
+	f.elect()
+	return f
+}
+
+func (f *fleet) start(i int) {
+	f.borrowers[i], f.held[i] = NewBorrower(fmt.Sprint("b", i, f.now), testTrust), nil
+	f.borrowers[i].Use(map[string]Limit{resource: f.limit})
+}
+
+func (f *fleet) elect() {
+	f.term++
+	f.lender, f.since = NewLender(f.term), f.now
+	f.lender.Use(f.now, map[string]Limit{resource: f.limit})
+	f.withhold()
+}
+
+// withhold keeps back the parts of borrowers that are silent and may still trust what they know.
+func (f *fleet) withhold() {
+	silent := 0
+	for _, at := range f.heard {
+		byThis := at >= f.since
+		if byThis && f.now-at > testSilent && f.now-at < testTrust || !byThis && f.now-f.since < testTrust {
+			silent++
+		}
+	}
+	f.lender.Withhold(f.now, float64(silent)/float64(len(f.heard)))
+}
+
+func (f *fleet) happens(share float64) bool { return f.chance.Float64() < share }
+
+// want makes a borrower want an amount: what it holds, what the lender lends in a moment, or its own part.
+func (f *fleet) want(i int) {
+	b, amount := f.borrowers[i], f.largest*(0.1+0.9*f.chance.Float64())
+	if hold, ok := b.Take(f.now, resource, amount); ok {
+		f.held[i] = append(f.held[i], hold)
+		return
+	}
+	wants := []Want{{Name: resource, Amount: amount}}
+	question := b.Ask(f.now, wants)
+	if f.lender == nil || f.now < f.cut[i] || f.happens(f.weather.lost) {
+		if hold, ok := b.TakeOwn(f.now, resource, amount); ok {
+			f.held[i] = append(f.held[i], hold)
+		}
+		return
+	}
+	f.heard[i] = f.now
+	answer := f.lender.Take(f.now, question)
+	if f.happens(f.weather.repeated) {
+		f.lender.Take(f.now, question)
+	}
+	sent := letter{to: i, asked: f.now, due: f.now + time.Millisecond, wants: wants, answer: answer}
+	if f.happens(f.weather.late) {
+		sent.due += time.Duration(f.chance.Int64N(int64(time.Second)))
+	}
+	if !f.happens(f.weather.lost) {
+		f.letters = append(f.letters, sent)
+	}
+	if f.happens(f.weather.repeated) {
+		f.letters = append(f.letters, sent)
+	}
+}
+
+// deliver brings the letters that are due to those that run.
+func (f *fleet) deliver() {
+	var later []letter
+	for _, l := range f.letters {
+		if f.now < l.due || f.now < f.paused[l.to] {
+			later = append(later, l)
+			continue
+		}
+		b := f.borrowers[l.to]
+		holds, _ := b.Granted(f.now, l.asked, l.wants, l.answer)
+		b.Touch(l.asked, len(f.borrowers))
+		for _, hold := range holds {
+			if hold.Amount > 0 {
+				f.held[l.to] = append(f.held[l.to], hold)
+			}
+		}
+	}
+	f.letters = later
+}
+
+// spend uses what a borrower took, or gives it back to the pocket; the borrower looks at its clock first.
+func (f *fleet) spend(i int) {
+	for _, hold := range f.held[i] {
+		switch {
+		case f.happens(0.05):
+			f.borrowers[i].Put(f.now, hold)
+		case hold.Valid(f.now):
+			f.uses = append(f.uses, use{at: f.now, amount: hold.Amount})
+		}
+	}
+	f.held[i] = nil
+}
+
+// step lets ten milliseconds pass, in which every borrower that runs wants something as often as given.
+func (f *fleet) step(eagerness float64) {
+	f.now += 10 * time.Millisecond
+	if f.lender != nil {
+		f.withhold()
+	}
+	f.deliver()
+	for i := range f.borrowers {
+		if f.now < f.paused[i] {
+			continue
+		}
+		f.spend(i)
+		if f.happens(eagerness) {
+			f.want(i)
+		}
+	}
+}
+
+// trouble makes one thing go wrong.
+func (f *fleet) trouble(kind string, length time.Duration, share float64) {
+	for i := range f.borrowers {
+		if !f.happens(share) {
+			continue
+		}
+		switch kind {
+		case "pause":
+			f.paused[i] = f.now + length
+		case "cut":
+			f.cut[i] = f.now + length
+		case "restart":
+			f.start(i)
+		}
+	}
+	switch kind {
+	case "fall":
+		f.lender = nil
+	case "elect":
+		f.elect()
+	}
+}
+
+// worst returns the most that was used in any window.
+func (f *fleet) worst() float64 {
+	most, sum, first := 0.0, 0.0, 0
+	for _, u := range f.uses {
+		for sum += u.amount; f.uses[first].at < u.at-testWindow; first++ {
+			sum -= f.uses[first].amount
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// TestWindowsStayWithinTheLimit: whatever is lost, late, repeated, paused, cut off or led anew, all borrowers together use no
+// more in any window than the limit allows, however much is wanted.
+func TestWindowsStayWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := 1000.0
+		limit := Limit{Rate: rate, Burst: rate * rapid.Float64Range(0, 2).Draw(t, "burst")}
+		limit.Room = 0.1*(rate*testWindow.Seconds()+limit.Burst) + rate*rapid.Float64Range(0, 0.3).Draw(t, "slack")
+		f := newFleet(limit, rapid.IntRange(1, 12).Draw(t, "borrowers"), rapid.Uint64().Draw(t, "seed"))
+		f.largest = rate * rapid.Float64Range(0.001, 0.2).Draw(t, "largest")
+		f.weather = weather{
+			lost: rapid.Float64Range(0, 0.2).Draw(t, "lost"), repeated: rapid.Float64Range(0, 0.2).Draw(t, "repeated"),
+			late: rapid.Float64Range(0, 0.2).Draw(t, "late"),
+		}
+		eagerness := rapid.Float64Range(0.05, 1).Draw(t, "eagerness")
+		for range rapid.IntRange(1, 8).Draw(t, "troubles") {
+			for range rapid.IntRange(1, 400).Draw(t, "steps") {
+				f.step(eagerness)
+			}
+			kind := rapid.SampledFrom([]string{"pause", "cut", "restart", "fall", "elect"}).Draw(t, "kind")
+			f.trouble(kind, time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms"))*time.Millisecond, rapid.Float64Range(0, 0.34).Draw(t, "share"))
+		}
+		for range 300 {
+			f.step(eagerness)
+		}
+		if used, allowed := f.worst(), limit.Rate*testWindow.Seconds()+limit.Burst+limit.Room; used > allowed*1.000001 {
+			t.Fatalf("%.0f used in a window, %.0f allowed", used, allowed)
+		}
+	})
+}
--- a/internal/catalog/document.go
+++ b/internal/catalog/document.go
@@ -68,6 +68,29 @@
 	Keys     []string `json:"keys"`
 	Priority int      `json:"priority"` // 0 is the most urgent; compared before a route's
 	Isolated bool     `json:"isolated"` // shares no cached prompt with another tenant
+	Quota    Quota    `json:"quota"`
+}
+
+// Quota bounds what all of a tenant's requests may use, over the whole fleet.
+type Quota struct {
+	Rate        float64 `json:"rate"`                   // units a second; 0 is no limit
+	Burst       float64 `json:"burst,omitempty"`        // units at once on top
+	Tokens      bool    `json:"tokens,omitempty"`       // units are prompt and output tokens; else requests
+	PlainTokens float64 `json:"plain_tokens,omitempty"` // of a request that doesn't tell its tokens
+}
+
+// Limited reports whether there is a limit.
+func (q Quota) Limited() bool { return q.Rate > 0 }
+
+// Cost returns how many units a request takes. counted tells whether it told its tokens.
+func (q Quota) Cost(tokens int, counted bool) float64 {
+	switch {
+	case !q.Tokens:
+		return 1
+	case !counted:
+		return q.PlainTokens
+	}
+	return float64(tokens)
 }
 
 // Limits bound what callers may send. Zero values mean the gateway's own defaults.
@@ -169,6 +192,9 @@
 	if tenant.Name == "" {
 		c.fault(where, "has no name")
 	}
+	if quota := tenant.Quota; quota.Rate < 0 || quota.Burst < 0 || quota.PlainTokens < 0 {
+		c.fault(where, "has a limit below 0")
+	}
 	for _, key := range tenant.Keys {
 		if owner, taken := c.keys[key]; taken && owner != tenant.Name {
 			c.fault(where, fmt.Sprintf("shares an API key with tenant %q", owner))
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -1,6 +1,10 @@
 package control
 
-import "time"
+import (
+	"time"
+
+	"kitetiller/internal/allowance"
+)
 
 // routerLease is the leader's view of one session.
 type routerLease struct {
@@ -53,6 +57,7 @@
 	orderLostAt  time.Duration // when an order for weights last got no answer
 	watchers     []watcher
 	usage        map[string]usageReport // by gateway
+	lending      lending
 }
 
 // place names a service in a zone.
@@ -70,6 +75,7 @@
 		term:        term, routers: map[string]*routerLease{},
 		opening: map[string]bool{}, engines: map[string]*engineState{},
 		since: now, orderLostAt: now - stressMemory, fenceAskedAt: now - callPatience, fleet: map[string]*memberState{}, usage: map[string]usageReport{},
+		lending: lending{lender: allowance.NewLender(term)},
 	}
 	for router := range machine.sessions {
 		lead.routers[router] = &routerLease{expires: leaseEnd}
@@ -118,6 +124,8 @@
 		r.takeBeats(now, client, request.Beats)
 	case request.Watch != nil:
 		r.watch(now, client, *request.Watch)
+	case request.Borrow != nil:
+		r.lend(now, client, *request.Borrow)
 	case request.Document != nil:
 		r.reply(client, Response{Kind: ResponseOK, Document: r.machine.catalog.Document()})
 	case request.Read != nil:
--- /dev/null
+++ b/internal/control/lending.go
@@ -0,0 +1,100 @@
+package control
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/allowance"
+	"kitetiller/internal/events"
+	"kitetiller/internal/quota"
+)
+
+// silentGateway is the silence after which a gateway is taken to be out of touch, so that it uses its equal part of what is
+// limited: some times the pause between its questions.
+const silentGateway = time.Second
+
+// lending is what a leader lends of limited resources; each leadership begins it anew.
+type lending struct {
+	lender   *allowance.Lender
+	revision uint64 // of the document that the limits were taken from
+}
+
+// lend answers a gateway's question for amounts. Only a leader with a lease gets here, so that nobody else lends.
+func (r *Replica) lend(now time.Duration, client uint64, asked allowance.Question) {
+	r.tendLimits(now)
+	answer := r.lead.lending.lender.Take(now, asked)
+	r.reply(client, Response{Kind: ResponseOK, Lent: &answer})
+}
+
+// tendLimits follows the document in force, and keeps back the parts of gateways that are out of touch.
+func (r *Replica) tendLimits(now time.Duration) {
+	held := &r.lead.lending
+	if document := r.machine.catalog.Document(); document.Revision != held.revision {
+		held.revision = document.Revision
+		held.lender.Use(now, quota.Limits(document, r.config.Quota))
+	}
+	held.lender.Withhold(now, r.partOutOfTouch(now))
+}
+
+// partOutOfTouch returns the part of the gateways that are silent but may still trust their view: they use their equal parts
+// of what is limited, on their own. Those of an earlier leader's time count until they have asked this one.
+func (r *Replica) partOutOfTouch(now time.Duration) float64 {
+	silent, all := 0, 0
+	for _, report := range r.lead.usage {
+		silence := now - report.at
+		if silence > r.trustEnd() {
+			continue
+		}
+		all++
+		if silence > silentGateway {
+			silent++
+		}
+	}
+	if now < r.lead.since+r.trustEnd() {
+		for _, name := range r.machine.catalog.Gateways() {
+			if _, asked := r.lead.usage[name]; !asked {
+				all++
+				silent++
+			}
+		}
+	}
+	if silent == 0 {
+		return 0
+	}
+	return float64(silent) / float64(all)
+}
+
+// overEach is how often a leader looks for limits that were reached or left, for the log.
+const overEach = 250 * time.Millisecond
+
+// overNotes are the limits that the log says are reached. They are owned by the decide thread.
+type overNotes struct {
+	at      time.Duration
+	reached map[string]bool
+}
+
+// noteOverLimits logs when a limit begins and ends to turn requests away, one line each.
+func (s *Server) noteOverLimits() {
+	now := s.now()
+	if s.replica.lead == nil || now < s.over.at+overEach {
+		return
+	}
+	s.over.at = now
+	reached := map[string]bool{}
+	for _, state := range s.replica.lead.lending.lender.States(now) {
+		if state.Over {
+			reached[state.Name] = true
+		}
+		if state.Over == s.over.reached[state.Name] {
+			continue
+		}
+		event := events.LimitLeft
+		if state.Over {
+			event = events.LimitReached
+		}
+		s.log.Info(event, zap.String(events.FieldResource, state.Name), zap.Float64("rate", state.Limit.Rate), zap.Float64("level", state.Level),
+			zap.Float64("lent", state.Lent), zap.Float64("refused", state.Refused), zap.Float64("withheld", state.Withheld))
+	}
+	s.over.reached = reached
+}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"kitetiller/internal/allowance"
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/consensus"
 	"kitetiller/internal/ledger"
@@ -23,6 +24,8 @@
 	Beats     []Beat            `json:"beats,omitempty"` // gathered by another replica
 	Watch     *Watch            `json:"watch,omitempty"`
 	Document  *DocumentRequest  `json:"document,omitempty"`
+
+	Borrow *allowance.Question `json:"borrow,omitempty"` // a gateway asks for amounts of limited resources
 }
 
 // DocumentRequest asks for the routing document in force.
@@ -97,6 +100,8 @@
 	Members   []MemberStatus `json:"members"`
 	Routers   []RouterStatus `json:"routers,omitempty"`
 	Engines   []EngineStatus `json:"engines,omitempty"`
+
+	Limits []allowance.State `json:"limits,omitempty"` // of what is limited over the fleet; of the leader only
 }
 
 // MemberStatus is one control replica as the answering one sees it.
@@ -143,6 +148,7 @@
 	Catalog   *catalog.Outcome  `json:"catalog,omitempty"`
 	Watch     *WatchReply       `json:"watch,omitempty"`
 	Document  *catalog.Document `json:"document,omitempty"`
+	Lent      *allowance.Answer `json:"lent,omitempty"`
 }
 
 // Reply is a response for one waiting client.
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -7,6 +7,7 @@
 	"kitetiller/internal/consensus"
 	"kitetiller/internal/guard"
 	"kitetiller/internal/mechanism"
+	"kitetiller/internal/quota"
 )
 
 // Config is what a replica needs to start.
@@ -21,6 +22,7 @@
 	SnapshotEvery uint64        // applied entries between snapshots
 	OrderWait     time.Duration // how long a new leader waits before its first order for weights
 	GatewayTrust  time.Duration // how long a gateway may use a view that is not confirmed
+	Quota         quota.Terms   // how limits over the fleet are judged
 	Guards        guard.Set
 	Mechanisms    mechanism.Set // parts of the decision that are on
 	Random        func(n int64) int64
@@ -128,6 +130,7 @@
 		r.reconcile(now)
 		r.repair(now)
 		r.watchFleet(now)
+		r.tendLimits(now)
 		r.noteHeld(now)
 		r.noteGateways(now)
 		r.rollOut(now)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -57,6 +57,7 @@
 	disk     *Disk
 	replica  *Replica
 	led      bool // as of the newest tick; owned by the decide thread
+	over     overNotes
 	config   Config
 	started  time.Time
 	inputs   chan input
@@ -122,7 +123,7 @@
 		Mechanisms: mechanisms,
 		ID:         s.identity.ID, Name: s.identity.Name, Address: section.Internal, Timing: timing,
 		Replicas: section.Replicas, SettingsLease: section.SettingsLease, RepairAfter: section.RepairAfter,
-		SnapshotEvery: section.SnapshotEvery, OrderWait: section.OrderWait, GatewayTrust: section.GatewayTrust, Random: rand.Int64N,
+		SnapshotEvery: section.SnapshotEvery, OrderWait: section.OrderWait, GatewayTrust: section.GatewayTrust, Quota: section.Quota.Terms(), Random: rand.Int64N,
 	}, nil
 }
 
@@ -232,6 +233,7 @@
 			return
 		}
 		s.noteLeadership()
+		s.noteOverLimits()
 		timer.Reset(min(max(s.replica.NextDue()-s.now(), time.Millisecond), maximumLinger))
 	}
 }
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -50,6 +50,7 @@
 		wanted := r.wanted(place{report.Zone, report.Service}).weights
 		status.Engines = append(status.Engines, EngineStatus{EngineReport: report, Wanted: wanted})
 	}
+	status.Limits = r.lead.lending.lender.States(now)
 }
 
 func sortedKeys[V any](m map[string]V) []string {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -35,6 +35,8 @@
 	DocumentRefused  = "document refused"
 	WeightsNamed     = "weights named"
 	WeightsCalled    = "weights call"
+	LimitReached     = "limit reached" // a limit over the fleet turns requests away
+	LimitLeft        = "limit left"    // it has turned none away for a while
 	SettingsReloaded = "settings reloaded"
 	SettingsFaulty   = "settings not reloaded"
 )
@@ -61,5 +63,6 @@
 	FieldUncached  = "uncached"
 	FieldFrom      = "from"
 	FieldScheduled = "scheduled"
-	FieldLate      = "late" // true where the answer missed the route's objective
+	FieldResource  = "resource" // what is limited: "tenant/NAME", or "repeats/SERVICE"
+	FieldLate      = "late"     // true where the answer missed the route's objective
 )
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,7 +67,8 @@
 	uncached int
 	plan     candidate
 	grade    outcomeGrade
-	noWay    bool // no connection came up
+	noWay    bool  // no connection came up
+	cover    cover // what the send took of the tenant's limit
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	silence  *time.Timer // ends the attempt of a request that may go elsewhere
@@ -114,6 +115,7 @@
 		return result{kind: resultUnreached, cause: bar}
 	}
 	x.sent++
+	a.cover, x.cover = x.cover, cover{}
 	a.begin()
 	defer a.end()
 	a.watchSilence(a.patience())
@@ -190,6 +192,8 @@
 		return "over"
 	case x.keyed && !x.gateway.trusted(now):
 		return reasonUntrusted
+	case !x.covered():
+		return reasonUncounted
 	}
 	x.gateway.table.mutex.Lock()
 	defer x.gateway.table.mutex.Unlock()
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// budgetShare is the part of the fleet's allowance that is used, since gateways count by themselves and their windows
-// don't meet exactly.
+// budgetShare is the part of the ratio that is used, since gateways count by themselves and their windows don't meet exactly.
 const budgetShare = 0.7
 
 // budgetSlots divides the window.
@@ -25,30 +24,20 @@
 }
 
 // retryBudget bounds how often requests are sent to another back end, so that a failing service is not buried under
-// repeats. Each gateway spends the ratio of its own requests and an equal part of the fleet's slack.
+// repeats. Each gateway spends the ratio of its own requests by itself; what the fleet may repeat beyond is lent.
 type retryBudget struct {
 	mutex    sync.Mutex
 	window   time.Duration
 	ratio    float64
-	slack    float64
-	gateways int
 	services map[string]*serviceBudget
 }
 
 func newRetryBudget(settings Settings) *retryBudget {
 	return &retryBudget{
-		window: settings.RetryWindow, ratio: settings.RetryRatio, slack: settings.RetrySlack, gateways: 1,
-		services: map[string]*serviceBudget{},
+		window: settings.Quota.RetryWindow, ratio: settings.RetryRatio, services: map[string]*serviceBudget{},
 	}
 }
 
-// share sets by how many gateways the slack is divided.
-func (b *retryBudget) share(gateways int) {
-	b.mutex.Lock()
-	b.gateways = max(1, gateways)
-	b.mutex.Unlock()
-}
-
 // slot returns the current part of a service's window. The caller holds the mutex.
 func (b *retryBudget) slot(service string, now time.Duration) (*serviceBudget, *budgetSlot) {
 	held := b.services[service]
@@ -84,7 +73,7 @@
 			repeats += counted.repeats
 		}
 	}
-	allowed := budgetShare * (b.ratio*float64(requests) + b.slack/float64(b.gateways))
+	allowed := budgetShare * b.ratio * float64(requests)
 	if float64(repeats+1) > allowed {
 		return false
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,13 +5,9 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
-	"go.uber.org/zap"
-
 	"kitetiller/internal/catalog"
-	"kitetiller/internal/events"
 	"kitetiller/internal/mechanism"
 )
 
@@ -31,6 +27,8 @@
 	reasonDeadline   = "deadline"
 	reasonCallerGone = "caller-gone"
 	reasonBroken     = "stream-broken"
+	reasonOverLimit  = "over-limit"
+	reasonUncounted  = "limit-unknown"
 )
 
 const (
@@ -69,6 +67,7 @@
 	eventAt   time.Duration // when the newest one did
 	pause     time.Duration // longest time between two
 	plan      *candidate    // the newest placement, or nil
+	cover     cover         // of the tenant's limit
 }
 
 // serve takes a caller's request.
@@ -83,7 +82,8 @@
 		x.refuse(http.StatusServiceUnavailable, reasonStopping, retrySoon)
 		return
 	}
-	if !x.admit() || !x.readBody() {
+	defer x.uncover()
+	if !x.admit() || !x.withinLimit() || !x.readBody() {
 		return
 	}
 	deadline := x.route.Timeout
@@ -186,7 +186,7 @@
 // run sends the request until it has an answer or must be given up.
 func (x *exchange) run() {
 	for {
-		if x.over() {
+		if x.over() || !x.withinLimit() {
 			return
 		}
 		chosen := x.place()
@@ -200,6 +200,9 @@
 		if result.kind == resultAnswered {
 			return
 		}
+		if result.kind == resultNotRun {
+			x.cover = sent.cover // nothing ran, so nothing was used
+		}
 		x.logFailure(sent, result)
 		if !x.mayGoOn(result) {
 			return
@@ -220,12 +223,6 @@
 	return false
 }
 
-// abandon ends a request whose caller has left.
-func (x *exchange) abandon() {
-	x.logEnd(events.RequestRefused, reasonCallerGone, 0)
-	panic(http.ErrAbortHandler)
-}
-
 // place chooses a back end; while none can be used it waits a moment for a better roster.
 func (x *exchange) place() *candidate {
 	wish := need{service: x.service, tenant: x.tenant, call: &x.call, tried: x.tried}
@@ -294,7 +291,7 @@
 
 // spendRepeat takes a repeat from the budget where the request may be sent to one more back end.
 func (x *exchange) spendRepeat() bool {
-	if !x.canRepeat() || !x.gateway.budget.take(x.service.Name, x.gateway.now()) {
+	if !x.canRepeat() || !x.gateway.takeRepeat(x.ctx, x.service.Name) {
 		return false
 	}
 	x.gateway.metrics.repeats.Inc()
@@ -308,79 +305,3 @@
 	}
 	return x.sent < max(1, x.route.Attempts)
 }
-
-// giveUp gives the final answer at once: 503 with the time to come back when the request has not run, else 502 or 504.
-func (x *exchange) giveUp(reason string, retryAfter time.Duration) {
-	if x.relayed {
-		x.logEnd(events.RequestRefused, reasonBroken, 0)
-		panic(http.ErrAbortHandler) // an answer that has begun must not look complete
-	}
-	switch {
-	case !x.mayHave:
-		x.refuse(http.StatusServiceUnavailable, reason, max(retrySoon, retryAfter))
-	case reason == reasonDeadline:
-		x.refuse(http.StatusGatewayTimeout, reason, 0)
-	default:
-		x.refuse(http.StatusBadGateway, reason, 0)
-	}
-}
-
-// refuse answers a request itself.
-func (x *exchange) refuse(status int, reason string, retryAfter time.Duration) {
-	header := x.writer.Header()
-	header.Set("Content-Type", "application/problem+json")
-	if retryAfter > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
-	}
-	x.logEnd(events.RequestRefused, reason, status)
-	x.writer.WriteHeader(status)
-	_, _ = io.WriteString(x.writer, `{"type":"urn:kitetiller:`+reason+`","status":`+strconv.Itoa(status)+`}`)
-}
-
-// logEnd writes the one line that each request leaves.
-func (x *exchange) logEnd(event, reason string, status int) {
-	fields := []zap.Field{
-		zap.String(events.FieldRequest, x.call.ID), zap.Int(events.FieldStatus, status), zap.Int(events.FieldSent, x.sent),
-		zap.Duration(events.FieldTook, x.gateway.now()-x.arrived),
-	}
-	if reason != "" {
-		fields = append(fields, zap.String(events.FieldReason, reason))
-	}
-	if x.route != nil {
-		fields = append(fields, zap.String(events.FieldRoute, x.route.Name), zap.Uint64(events.FieldRevision, x.view.document.Revision))
-	}
-	if x.firstAt > 0 {
-		fields = append(fields, zap.Duration("first", x.firstAt-x.arrived), zap.Duration("pause", x.pause))
-	}
-	if event == events.RequestAnswered && x.late() {
-		fields = append(fields, zap.Bool(events.FieldLate, true))
-	}
-	if reason == reasonUntrusted {
-		fields = append(fields, zap.Duration("unconfirmed", x.gateway.now()-time.Duration(x.gateway.confirm.Load())))
-	}
-	if x.plan != nil && x.service.Engine {
-		fields = append(fields, zap.Float64(events.FieldPredicted, x.plan.wait), zap.Int(events.FieldUncached, x.plan.uncached), zap.String(events.FieldFrom, x.plan.fetch),
-			zap.Bool(events.FieldScheduled, x.plan.scheduled != nil))
-	}
-	if x.served != "" {
-		fields = append(fields, zap.String(events.FieldInstance, x.served))
-	}
-	x.gateway.log.note(event, fields...)
-	x.gateway.metrics.ended(event, reason)
-}
-
-// late reports whether the answer, or its first event, came after the route's objective, or with too long a pause.
-func (x *exchange) late() bool {
-	took := x.gateway.now() - x.arrived
-	if x.firstAt > 0 {
-		took = x.firstAt - x.arrived
-	}
-	return x.route.Objective > 0 && took > x.route.Objective || x.route.Pause > 0 && x.pause > x.route.Pause
-}
-
-func (x *exchange) logFailure(sent *attempt, failed result) {
-	x.gateway.metrics.attempts.WithLabelValues(failed.kind.String()).Inc()
-	x.gateway.log.note(events.AttemptFailed, zap.String(events.FieldRequest, x.call.ID), zap.String(events.FieldInstance, sent.row.entry.ID),
-		zap.String("result", failed.kind.String()), zap.String(events.FieldCause, failed.cause), zap.Int(events.FieldSent, x.sent),
-		zap.Duration(events.FieldTook, x.gateway.now()-sent.began))
-}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -8,6 +8,7 @@
 
 	"kitetiller/internal/control"
 	"kitetiller/internal/events"
+	"kitetiller/internal/quota"
 )
 
 // follow is the thread that asks control for news.
@@ -84,6 +85,7 @@
 	held := g.view.Load()
 	if reply.Document != nil && (held == nil || reply.Document.Revision > held.document.Revision) {
 		g.view.Store(newView(reply.Document))
+		g.desk.Use(quota.Limits(reply.Document, g.settings.Quota))
 		g.log.note(events.DocumentTaken, zap.Uint64(events.FieldRevision, reply.Document.Revision), zap.Int("routes", len(reply.Document.Routes)))
 	}
 	if reply.Roster != nil {
@@ -95,7 +97,7 @@
 			zap.Bool("whole", reply.Roster.Whole), zap.Int("changed", len(reply.Roster.Entries)), zap.Int("gone", len(reply.Roster.Gone)))
 	}
 	g.table.takeNews(asked, reply)
-	g.budget.share(reply.Gateways)
+	g.desk.Touch(asked, reply.Gateways)
 	g.spread.use(reply.Mesh)
 	g.schedulers.use(reply.Mesh.Schedulers)
 	g.table.setHome(reply.Reads)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,7 @@
 // moment when it asked. A view that is too old serves no request with an API key. What callers and back ends are
 // told beside that is a Dialect's matter.
 //
-// Threads: one follows control; one sweeps idle connections; four tell other gateways; net/http's goroutines serve callers.
+// Threads: one follows control; one asks it for amounts of what is limited; one sweeps idle connections; four tell other gateways; net/http's goroutines serve callers.
 package gateway
 
 import (
@@ -21,6 +21,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"kitetiller/internal/allowance/desk"
 	"kitetiller/internal/control"
 	"kitetiller/internal/events"
 	"kitetiller/internal/mechanism"
@@ -40,6 +41,7 @@
 	confirm atomic.Int64 // when the newest confirmed view was asked for, in ns of this process's clock; 0 never
 	table   *table
 	budget  *retryBudget
+	desk    *desk.Desk // of what is limited over the fleet
 	pool    *pool
 	splits  *splits
 	spread  *spread
@@ -68,6 +70,7 @@
 		group: control.NewClient(client, settings.Control), table: newTable(settings.Mechanisms), budget: newRetryBudget(settings),
 		confirmed: newBell(), followers: newFollowers(), pool: newPool(), splits: newSplits(newRand()), spread: newSpread(client), schedulers: newSchedulers(client), nick: strconv.FormatUint(rand.Uint64N(nickRange), saltBase),
 	}
+	made.desk = desk.New(made.nick, settings.Trust, made.now, made.lend)
 	made.spread.silent = !made.on(mechanism.Mesh)
 	made.metrics = newMetrics(made)
 	return made
@@ -104,6 +107,7 @@
 	var threads sync.WaitGroup
 	threads.Go(func() { g.follow(run) })
 	threads.Go(func() { g.sweep(run) })
+	threads.Go(func() { g.desk.Run(run) })
 	g.spread.run(run, threads.Go)
 	public := &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
--- /dev/null
+++ b/internal/gateway/limit.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/allowance"
+	"kitetiller/internal/allowance/desk"
+	"kitetiller/internal/control"
+	"kitetiller/internal/quota"
+)
+
+// repeatPatience is how long a request that failed waits for the fleet's word whether it may be sent again.
+const repeatPatience = 50 * time.Millisecond
+
+// cover is what a request holds of its tenant's limit. Each send to a back end uses one hold up.
+type cover struct {
+	hold    allowance.Hold
+	covered bool // the next send is covered, by hold or because there is no limit
+}
+
+// withinLimit takes what the next send to a back end counts of the tenant's limit, or answers the request.
+func (x *exchange) withinLimit() bool {
+	if x.covered() {
+		return true
+	}
+	if x.tenant == nil || !x.tenant.Quota.Limited() {
+		x.cover.covered = true
+		return true
+	}
+	cost := x.tenant.Quota.Cost(x.call.PromptTokens+x.call.OutputTokens, x.call.Counted)
+	taken := x.gateway.desk.Take(x.request.Context(), quota.Tenant(x.tenant.Name), cost, x.viewWait())
+	switch taken.Outcome {
+	case desk.Granted:
+		x.cover = cover{hold: taken.Hold, covered: true}
+		return true
+	case desk.Over:
+		x.giveUpLimited(http.StatusTooManyRequests, reasonOverLimit, taken.Wait)
+	default:
+		x.giveUpLimited(http.StatusServiceUnavailable, reasonUncounted, x.gateway.comeBack())
+	}
+	return false
+}
+
+// giveUpLimited answers a request that may not be sent for its tenant's limit.
+func (x *exchange) giveUpLimited(status int, reason string, wait time.Duration) {
+	switch {
+	case x.request.Context().Err() != nil:
+		x.abandon()
+	case x.mayHave || x.relayed:
+		x.giveUp(reason, 0)
+	default:
+		x.refuse(status, reason, max(retrySoon, wait))
+	}
+}
+
+// covered reports whether the next send is covered now: a hold ends while the process stands still, or the body is slow.
+func (x *exchange) covered() bool {
+	return x.cover.covered && (x.cover.hold.Amount == 0 || x.cover.hold.Valid(x.gateway.now()))
+}
+
+// uncover gives back what was not used.
+func (x *exchange) uncover() {
+	if x.cover.covered {
+		x.gateway.desk.Put(x.cover.hold)
+	}
+	x.cover = cover{}
+}
+
+// lend asks the leader for amounts; it is the desk's way to the lender.
+func (g *Gateway) lend(ctx context.Context, asked allowance.Question) (allowance.Answer, error) {
+	ask := g.group.Once
+	if !g.group.HeardWithin(electionPatience) {
+		ask = g.group.Any
+	}
+	response, err := ask(ctx, control.Request{Borrow: &asked})
+	if err != nil {
+		return allowance.Answer{}, err
+	}
+	if response.Kind != control.ResponseOK || response.Lent == nil {
+		return allowance.Answer{}, eris.Errorf("control answers %s", response.Kind)
+	}
+	return *response.Lent, nil
+}
+
+// takeRepeat takes one repeat of a request to a service: from this gateway's own share, else from what the fleet lends.
+func (g *Gateway) takeRepeat(ctx context.Context, service string) bool {
+	if g.budget.take(service, g.now()) {
+		return true
+	}
+	name := quota.Repeats(service)
+	taken := g.desk.Take(ctx, name, 1, repeatPatience)
+	return taken.Outcome == desk.Granted && taken.Hold.Name == name
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"kitetiller/internal/mechanism"
+	"kitetiller/internal/quota"
 )
 
 // Settings is what a gateway needs to start.
@@ -21,8 +22,7 @@
 	VersionLimit time.Duration // how long after newer weights were named a request may still begin on older ones
 	Grace        time.Duration // longest planned stop
 	RetryRatio   float64       // repeats as a share of the requests for a service, over the whole fleet
-	RetryWindow  time.Duration // that both are counted in
-	RetrySlack   float64       // repeats of the whole fleet beyond the ratio
+	Quota        quota.Terms   // of limits over the whole fleet, repeats beyond the ratio among them
 
 	Mechanisms mechanism.Set // parts of the decision that are on
 }
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -13,10 +13,12 @@
 
 	"pgregory.net/rapid"
 
+	"kitetiller/internal/allowance"
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/prefix"
+	"kitetiller/internal/quota"
 )
 
 // TestBudgetNeverExceedsTheRatio: over any run of requests and repeats on several gateways, repeats in every window stay
@@ -26,9 +28,24 @@
 		const window, ratio, slack = 10 * time.Second, 0.2, 54.0
 		gateways := rapid.IntRange(1, 8).Draw(t, "gateways")
 		fleet := make([]*retryBudget, gateways)
+		borrowers := make([]*allowance.Borrower, gateways)
+		terms := quota.Terms{RetryWindow: window, RetrySlack: slack}
+		limits := quota.Limits(&catalog.Document{Services: []catalog.Service{{Name: "s"}}}, terms)
+		lender := allowance.NewLender(1)
+		lender.Use(0, limits)
 		for i := range fleet {
-			fleet[i] = newRetryBudget(Settings{RetryWindow: window, RetryRatio: ratio, RetrySlack: slack})
-			fleet[i].share(gateways)
+			fleet[i] = newRetryBudget(Settings{Quota: terms, RetryRatio: ratio})
+			borrowers[i] = allowance.NewBorrower(fmt.Sprint("g", i), time.Second)
+			borrowers[i].Use(limits)
+		}
+		lent := func(b *allowance.Borrower, now time.Duration) bool {
+			wants := []allowance.Want{{Name: quota.Repeats("s"), Amount: 1}}
+			hold, ok := b.Take(now, wants[0].Name, 1)
+			if !ok {
+				holds, _ := b.Granted(now, now, wants, lender.Take(now, b.Ask(now, wants)))
+				hold = holds[0]
+			}
+			return hold.Valid(now)
 		}
 		type counted struct {
 			at     time.Duration
@@ -38,10 +55,11 @@
 		now := time.Duration(0)
 		for range rapid.IntRange(1, 400).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond
-			budget := fleet[rapid.IntRange(0, gateways-1).Draw(t, "gateway")]
+			at := rapid.IntRange(0, gateways-1).Draw(t, "gateway")
+			budget := fleet[at]
 			budget.request("s", now)
 			seen = append(seen, counted{now, false})
-			if rapid.Bool().Draw(t, "repeat") && budget.take("s", now) {
+			if rapid.Bool().Draw(t, "repeat") && (budget.take("s", now) || lent(borrowers[at], now)) {
 				seen = append(seen, counted{now, true})
 			}
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/prefix"
+	"kitetiller/internal/quota"
 )
 
 // File is a process's settings file.
@@ -62,8 +63,21 @@
 	OrderWait     time.Duration `yaml:"order_wait"`     // how long a new leader waits before its first order for weights; default 3s
 	GatewayTrust  time.Duration `yaml:"gateway_trust"`  // how long a gateway may use a view that is not confirmed; default 3s
 	Without       string        `yaml:"without"`        // mechanisms of the decision that are off, with commas; default none
+	Quota         Quota         `yaml:"quota"`          // how limits over a gateway fleet are judged
 }
 
+// Quota says how limits over a gateway fleet are judged; gateways have the same settings.
+type Quota struct {
+	Window      time.Duration `yaml:"window"`       // that a tenant's use is added up in; default 8s
+	Overage     float64       `yaml:"overage"`      // share by which use in a window may exceed a tenant's limit; default 0.1
+	Slack       float64       `yaml:"slack"`        // units by which it may besides; default 0
+	RetryWindow time.Duration `yaml:"retry_window"` // that repeats are added up in; default 10s
+	RetrySlack  float64       `yaml:"retry_slack"`  // repeats of a service in it beyond a share of its requests; default 0
+}
+
+// Terms returns the settings as the fleet uses them.
+func (q Quota) Terms() quota.Terms { return quota.Terms(q).Filled() }
+
 // Limits and defaults of node files.
 const (
 	defaultBlockTokens    = 64
@@ -240,6 +254,9 @@
 	if r.Replicas < 1 || r.Replicas > 7 {
 		c.fault("control.replicas", fmt.Sprintf("%d is out of range; allowed is 1 to 7", r.Replicas))
 	}
+	if q := r.Quota; q.Window < 0 || q.Overage < 0 || q.Slack < 0 || q.RetryWindow < 0 || q.RetrySlack < 0 {
+		c.fault("control.quota", "must not hold anything below 0")
+	}
 	if r.SettingsLease < 4*r.Heartbeat {
 		c.fault("control.settings_lease", "must be at least four heartbeats")
 	}
--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,89 @@
+// Package quota says which resources of a gateway fleet are limited, and by how much: what tenants may use, and how often
+// requests to a service may be sent again. Control lends these, gateways borrow them.
+package quota
+
+import (
+	"time"
+
+	"kitetiller/internal/allowance"
+	"kitetiller/internal/catalog"
+)
+
+// Terms are how limits are judged. They are settings of the whole fleet.
+type Terms struct {
+	Window      time.Duration // that a tenant's use is added up in
+	Overage     float64       // share by which use in a window may exceed a tenant's limit
+	Slack       float64       // units by which it may besides
+	RetryWindow time.Duration // that repeats are added up in
+	RetrySlack  float64       // repeats of a service in it, beyond a share of its requests
+}
+
+// Defaults of Terms.
+const (
+	DefaultWindow  = 8 * time.Second
+	DefaultOverage = 0.1
+	// DefaultRetryWindow is the window for repeats.
+	DefaultRetryWindow = 10 * time.Second
+)
+
+// Filled returns the terms with defaults where nothing is set.
+func (t Terms) Filled() Terms {
+	if t.Window == 0 {
+		t.Window = DefaultWindow
+	}
+	if t.Overage == 0 {
+		t.Overage = DefaultOverage
+	}
+	if t.RetryWindow == 0 {
+		t.RetryWindow = DefaultRetryWindow
+	}
+	return t
+}
+
+// Shares of the slack for repeats: what comes in over a window, what may be lent at once, and the room for the rest.
+const (
+	retryRateShare  = 0.4
+	retryBurstShare = 0.3
+	retryRoomShare  = 0.3
+)
+
+const (
+	tenantPrefix = "tenant/"
+	retryPrefix  = "repeats/"
+)
+
+// Tenant names the resource of a tenant.
+func Tenant(name string) string { return tenantPrefix + name }
+
+// Repeats names the resource of a service's repeats.
+func Repeats(service string) string { return retryPrefix + service }
+
+// Limits returns the limits that a document and terms set, by resource.
+func Limits(document *catalog.Document, terms Terms) map[string]allowance.Limit {
+	limits := map[string]allowance.Limit{}
+	for _, tenant := range document.Tenants {
+		if tenant.Quota.Limited() {
+			limits[Tenant(tenant.Name)] = terms.tenant(tenant.Quota)
+		}
+	}
+	if terms.RetrySlack <= 0 || terms.RetryWindow <= 0 {
+		return limits
+	}
+	for _, service := range document.Services {
+		if service.Store == "" {
+			limits[Repeats(service.Name)] = terms.repeats()
+		}
+	}
+	return limits
+}
+
+func (t Terms) tenant(quota catalog.Quota) allowance.Limit {
+	room := t.Overage*(quota.Rate*t.Window.Seconds()+quota.Burst) + t.Slack
+	return allowance.Limit{Rate: quota.Rate, Burst: quota.Burst, Room: room}
+}
+
+func (t Terms) repeats() allowance.Limit {
+	return allowance.Limit{
+		Rate: retryRateShare * t.RetrySlack / t.RetryWindow.Seconds(), Burst: retryBurstShare * t.RetrySlack, Room: retryRoomShare * t.RetrySlack,
+	}
+}
