--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -126,10 +126,15 @@
 func TestAmountAboveTheCapacityIsLentFromAFullAccount(t *testing.T) {
 	l, now := fullLender()
 	b := newTestBorrower()
-	if hold, _ := askOne(l, now, b, 900); hold.Amount != 900 {
+	if hold, _ := askOne(l, now, b, testLimit.largest()+1); hold.Amount != 0 {
 		t.Fatalf("%v", hold)
 	}
-	if hold, wait := askOne(l, now, b, 100); hold.Amount != 0 || wait != 300*time.Millisecond {
+	l, now = fullLender()
+	b = newTestBorrower()
+	if hold, _ := askOne(l, now, b, 800); hold.Amount != 800 {
+		t.Fatalf("%v", hold)
+	}
+	if hold, wait := askOne(l, now, b, 100); hold.Amount != 0 || wait != 250*time.Millisecond {
 		t.Fatalf("%v after %v", hold, wait)
 	}
 }
--- a/internal/allowance/doc.go
+++ b/internal/allowance/doc.go
@@ -21,9 +21,11 @@
 
 const (
 	// toleranceShare of a limit's room may be lent at once beside the burst, so that a caller just inside its limit is not
-	// turned away over when requests arrive. reserveShare is for borrowers out of touch, all together. The rest is for amounts
-	// that are lent and not used yet, and for the time until a lender notices a silence.
-	toleranceShare = 0.2
+	// turned away over when requests arrive; debtShare is how far one amount above that may exceed it. reserveShare is for
+	// borrowers out of touch, all together. The rest is for amounts that are lent and not used yet, and for the time until a
+	// lender notices a silence.
+	toleranceShare = 0.15
+	debtShare      = 0.15
 	reserveShare   = 0.35
 	// longestAdvice bounds how long a borrower is told to wait for an amount: what was refused long ago comes back no more.
 	longestAdvice = 8 * time.Second
@@ -39,6 +41,9 @@
 // capacity is the most that may be lent at once.
 func (l Limit) capacity() float64 { return l.Burst + toleranceShare*l.Room }
 
+// largest is the largest amount that is ever lent at once.
+func (l Limit) largest() float64 { return l.capacity() + debtShare*l.Room }
+
 // reserve is what borrowers out of touch may use beyond their parts of the rate, all together.
 func (l Limit) reserve() float64 { return reserveShare * l.Room }
 
--- a/internal/allowance/lender.go
+++ b/internal/allowance/lender.go
@@ -91,7 +91,7 @@
 	}
 }
 
-// lend lends an amount whole or not at all. One above the capacity is lent from a full account, which is then in debt.
+// lend lends an amount whole or not at all. One somewhat above the capacity is lent from a full account, which is then in debt.
 func (l *Lender) lend(now time.Duration, ask Ask) Grant {
 	a := l.accounts[ask.Name]
 	if a == nil {
@@ -99,7 +99,7 @@
 	}
 	a.refill(now, l.withheld)
 	capacity := a.limit.capacity()
-	if ask.Amount > a.level && a.level < capacity {
+	if ask.Amount > a.level && a.level < capacity || ask.Amount > a.limit.largest() {
 		return Grant{Name: ask.Name, Wait: a.refuse(now, ask.Amount)}
 	}
 	amount := ask.Amount + max(0, min(ask.Ahead, a.level-ask.Amount-aheadShare*capacity))
--- /dev/null
+++ b/internal/control/lending_test.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"kitetiller/internal/allowance"
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/quota"
+)
+
+// openLimited is openFleet with a tenant of 100 units a second and a burst of 50.
+func openLimited(t *testing.T) *solo {
+	t.Helper()
+	s := openFleet(t)
+	s.config(func(config *Config) { config.GatewayTrust = 3 * time.Second })
+	s.limit(2, 100)
+	return s
+}
+
+func (s *solo) limit(revision uint64, rate float64) {
+	tenant := catalog.Tenant{Name: "north", Quota: catalog.Quota{Rate: rate, Burst: rate / 2}}
+	s.ask(Request{Catalog: &catalog.Command{Replace: &catalog.Document{Revision: revision, Tenants: []catalog.Tenant{tenant}}}})
+}
+
+// borrow asks for an amount as a gateway does, and returns what was lent.
+func (s *solo) borrow(gateway string, amount float64) float64 {
+	s.t.Helper()
+	asked := allowance.Question{Borrower: gateway, Sequence: uint64(s.now), Asks: []allowance.Ask{{Name: quota.Tenant("north"), Amount: amount}}}
+	response := s.ask(Request{Borrow: &asked})
+	if response.Lent == nil {
+		s.t.Fatalf("%+v", response)
+	}
+	return response.Lent.Grants[0].Amount
+}
+
+// TestLeaderLendsNoMoreThanTheLimit, and begins with nothing: what an earlier leader lent is not lent again.
+func TestLeaderLendsNoMoreThanTheLimit(t *testing.T) {
+	s := openLimited(t)
+	if lent := s.borrow("g1", 40); lent != 0 {
+		t.Fatalf("%v lent of a limit that has just come", lent)
+	}
+	s.pass(10 * time.Second)
+	if lent := s.borrow("g1", 40); lent != 40 {
+		t.Fatalf("%v lent", lent)
+	}
+	if lent := s.borrow("g2", 40); lent != 0 {
+		t.Fatalf("%v lent beyond the burst", lent)
+	}
+	_ = s.disk.Close()
+	next := openStartingIn(t, s.folder)
+	next.config(func(config *Config) { config.GatewayTrust = 3 * time.Second })
+	next.pass(400 * time.Millisecond)
+	if lent := next.borrow("g3", 45); lent != 0 {
+		t.Fatalf("%v lent by a leader that has just begun", lent)
+	}
+	next.pass(time.Second)
+	if lent := next.borrow("g3", 45); lent != 45 {
+		t.Fatalf("%v lent by the next leader", lent)
+	}
+}
+
+// TestLoweredLimitBindsTheLeaderAtOnce.
+func TestLoweredLimitBindsTheLeaderAtOnce(t *testing.T) {
+	s := openLimited(t)
+	s.pass(10 * time.Second)
+	s.limit(3, 10)
+	if lent := s.borrow("g1", 40); lent != 0 {
+		t.Fatalf("%v lent of a limit of 10 a second", lent)
+	}
+	if lent := s.borrow("g1", 5); lent != 5 {
+		t.Fatalf("%v lent", lent)
+	}
+}
+
+// TestSilentGatewaysKeepTheirParts: what gateways out of touch use by themselves is kept back until they may trust their view
+// no more.
+func TestSilentGatewaysKeepTheirParts(t *testing.T) {
+	s := openLimited(t)
+	version := s.watchNow("g1", RosterVersion{}).Version
+	s.watchNow("g2", RosterVersion{})
+	heard := func(length time.Duration) float64 {
+		for end := s.now + length; s.now < end; {
+			version = s.watchNow("g1", version).Version
+			s.pass(200 * time.Millisecond)
+		}
+		return s.replica.partOutOfTouch(s.now)
+	}
+	for _, step := range []struct {
+		after time.Duration
+		part  float64
+	}{{800 * time.Millisecond, 0}, {time.Second, 0.5}, {2 * time.Second, 0}} {
+		if part := heard(step.after); part != step.part {
+			t.Fatalf("at %v the part %v is kept back, wanted %v", s.now, part, step.part)
+		}
+	}
+}
+
+// TestStatusShowsLimits: the leader tells what is limited, lent and refused.
+func TestStatusShowsLimits(t *testing.T) {
+	s := openLimited(t)
+	s.pass(10 * time.Second)
+	s.borrow("g1", 40)
+	s.pass(50 * time.Millisecond)
+	s.borrow("g1", 40)
+	limits := s.ask(Request{Status: &StatusRequest{}}).Status.Limits
+	if len(limits) != 1 || limits[0].Name != quota.Tenant("north") || limits[0].Lent != 40 || limits[0].Refused != 40 || !limits[0].Over {
+		t.Fatalf("%+v", limits)
+	}
+}
