--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 VERSION ?= 0.1.0
 
-.PHONY: build demo test lint clean
+.PHONY: build demo test soak lint clean
 
 build:
 	CGO_ENABLED=1 go build -ldflags "-X main.version=$(VERSION)" -o bin/ ./cmd/kitetiller ./cmd/kitelab
@@ -11,6 +11,12 @@
 test: build
 	CGO_ENABLED=1 go test ./...
 
+MINUTES ?= 5
+SEED ?= 0
+
+soak: build
+	bin/kitelab soak --minutes $(MINUTES) --seed $(SEED)
+
 lint:
 	test -z "$$(gofmt -l cmd internal platform)"
 	go vet ./...
--- /dev/null
+++ b/cmd/kitelab/soak.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/lab/soak"
+	"kitetiller/platform/standin"
+)
+
+// soakFlags are the arguments of "kitelab soak".
+type soakFlags struct {
+	minutes  float64
+	seed     uint64
+	plan     string
+	keep     string
+	program  string
+	guardOff string
+}
+
+func defineSoak() command {
+	flags := &soakFlags{minutes: 5, program: filepath.Join(filepath.Dir(os.Args[0]), "kitetiller")}
+	sub := newSubcommand("soak", "play faults against real processes on loopback, and check promises by what callers and back ends see")
+	sub.Float64(&flags.minutes, "m", "minutes", "length of the traffic")
+	sub.UInt64(&flags.seed, "s", "seed", "seed of the plan; 0 draws one")
+	sub.String(&flags.plan, "p", "plan", "plan to play, instead of drawing one")
+	sub.String(&flags.keep, "k", "keep", "folder to keep plan, settings, data and logs in")
+	sub.String(&flags.program, "", "program", "kitetiller's program file")
+	sub.String(&flags.guardOff, "g", "guard-off", "break one promise on purpose (limit, once or answer), to see that its check fails")
+	return command{sub, flags.run}
+}
+
+func (f *soakFlags) run() error {
+	off := soak.Promise(f.guardOff)
+	if able := []soak.Promise{"", soak.WithinLimit, soak.AtMostOnce, soak.OwnAnswer}; !slices.Contains(able, off) {
+		return eris.Errorf("%q cannot be broken on purpose; limit, once and answer can", f.guardOff)
+	}
+	if f.minutes <= 0 {
+		return eris.New("--minutes must be above 0")
+	}
+	plan, err := f.readPlan()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("seed %d, %.0f s\n", plan.Seed, plan.Length().Seconds())
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	broken, err := standin.Play(ctx, standin.Options{Program: f.program, Plan: plan, Keep: f.keep, GuardOff: off, Out: os.Stdout})
+	if err != nil {
+		return err
+	}
+	if len(broken) > 0 {
+		return errViolation
+	}
+	return nil
+}
+
+// readPlan reads the plan, or draws one.
+func (f *soakFlags) readPlan() (soak.Plan, error) {
+	if f.plan != "" {
+		return soak.Read(f.plan)
+	}
+	if f.seed == 0 {
+		f.seed = rand.Uint64()
+	}
+	return soak.Draw(f.seed, time.Duration(f.minutes*float64(time.Minute))), nil
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -129,7 +130,7 @@
 
 // Run serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
-	listener, err := transport.Listen(s.file.Control.Internal, s.file.ClusterToken, s.handle, s.log)
+	listener, err := transport.Listen(cmp.Or(s.file.Control.Bind, s.file.Control.Internal), s.file.ClusterToken, s.handle, s.log)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -187,7 +188,7 @@
 	if g.settings.Internal == "" {
 		return nil, nil
 	}
-	return transport.Listen(g.settings.Internal, g.settings.Token, g.handlePeer, zap.NewNop())
+	return transport.Listen(cmp.Or(g.settings.Bind, g.settings.Internal), g.settings.Token, g.handlePeer, zap.NewNop())
 }
 
 func closePeers(listener *transport.Server) {
--- /dev/null
+++ b/internal/lab/soak/plan.go
@@ -0,0 +1,125 @@
+package soak
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// The kinds of faults.
+const (
+	KillGateway   Kind = "kill-gateway"
+	PauseGateway  Kind = "pause-gateway"
+	StopGateway   Kind = "stop-gateway" // a planned stop
+	KillControl   Kind = "kill-control"
+	PauseLeader   Kind = "pause-leader"
+	KillAll       Kind = "kill-all"   // gateways and control
+	CutLeader     Kind = "cut-leader" // from everybody
+	CutOneWay     Kind = "cut-one-way"
+	CutGateway    Kind = "cut-gateway" // from control
+	DelayLinks    Kind = "delay-links"
+	ResetLinks    Kind = "reset-links"
+	KillWorker    Kind = "kill-worker"
+	HotTenant     Kind = "hot-tenant"
+	LowerLimit    Kind = "lower-limit"
+	ChangeSetting Kind = "change-setting" // a document that changes nothing that matters
+)
+
+// Kinds lists every kind in a fixed order.
+func Kinds() []Kind {
+	return []Kind{
+		KillGateway, PauseGateway, StopGateway, KillControl, PauseLeader, KillAll, CutLeader, CutOneWay, CutGateway, DelayLinks, ResetLinks,
+		KillWorker, HotTenant, LowerLimit, ChangeSetting,
+	}
+}
+
+// hotShare is how often a drawn fault is a hot tenant, whatever else there is: without one no limit is ever reached.
+const hotShare = 0.2
+
+// Fault is one thing that goes wrong, or that an operator does.
+type Fault struct {
+	AtMS   int64 `json:"at_ms"` // from the start of traffic
+	ForMS  int64 `json:"for_ms"`
+	Kind   Kind  `json:"kind"`
+	Target int   `json:"target"` // number of the process, worker or tenant, modulo how many there are
+}
+
+// At is when the fault begins.
+func (f Fault) At() time.Duration { return time.Duration(f.AtMS) * time.Millisecond }
+
+// End is when it is healed.
+func (f Fault) End() time.Duration { return f.At() + time.Duration(f.ForMS)*time.Millisecond }
+
+// Plan is what goes wrong in a run, in the order of time.
+type Plan struct {
+	Seed     uint64  `json:"seed"`
+	LengthMS int64   `json:"length_ms"` // of traffic
+	Faults   []Fault `json:"faults"`
+}
+
+// Length is how long there is traffic.
+func (p Plan) Length() time.Duration { return time.Duration(p.LengthMS) * time.Millisecond }
+
+const (
+	// calmStart and calmEnd are without new faults: until everything runs, and until service must be back.
+	calmStart = 4 * time.Second
+	calmEnd   = 16 * time.Second
+	// pauseMost is the longest time between two faults; one in three comes while the one before it lasts.
+	pauseMost = 3 * time.Second
+	faultMost = 5 * time.Second
+)
+
+// Draw draws a plan of a length from a seed.
+func Draw(seed uint64, length time.Duration) Plan {
+	random := rand.New(rand.NewPCG(seed, seed))
+	plan := Plan{Seed: seed, LengthMS: length.Milliseconds()}
+	kinds := Kinds()
+	for at := calmStart; at < length-calmEnd; at += time.Duration(random.Int64N(int64(pauseMost))) {
+		lasts := 200*time.Millisecond + time.Duration(random.Int64N(int64(faultMost)))
+		lasts = min(lasts, length-calmEnd-at+time.Second)
+		kind := kinds[random.IntN(len(kinds))]
+		if random.Float64() < hotShare {
+			kind = HotTenant
+		}
+		plan.Faults = append(plan.Faults, Fault{AtMS: at.Milliseconds(), ForMS: lasts.Milliseconds(), Kind: kind, Target: random.IntN(64)})
+	}
+	return plan
+}
+
+// Read reads a plan and checks it.
+func Read(path string) (Plan, error) {
+	var plan Plan
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return plan, eris.Wrap(err, "read the plan")
+	}
+	if err := json.Unmarshal(text, &plan); err != nil {
+		return plan, eris.Wrapf(err, "%s is not a plan", path)
+	}
+	for i, fault := range plan.Faults {
+		if !slices.Contains(Kinds(), fault.Kind) || fault.AtMS < 0 || fault.ForMS < 0 || fault.Target < 0 {
+			return plan, eris.Errorf("%s: fault %d (%s) is not known or has a value below 0", path, i, fault.Kind)
+		}
+	}
+	if plan.LengthMS <= 0 {
+		return plan, eris.Errorf("%s: length_ms must be above 0", path)
+	}
+	slices.SortStableFunc(plan.Faults, func(a, b Fault) int { return int(a.AtMS - b.AtMS) })
+	return plan, nil
+}
+
+// Write writes a plan to a file.
+func (p Plan) Write(path string) error {
+	text, err := json.MarshalIndent(p, "", "  ")
+	if err != nil {
+		return eris.Wrap(err, "encode the plan")
+	}
+	return eris.Wrap(os.WriteFile(path, append(text, '\n'), 0o600), "write the plan")
+}
--- /dev/null
+++ b/internal/lab/soak/promises.go
@@ -0,0 +1,228 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Promise names one thing that must hold.
+type Promise string
+
+// The promises that are checked.
+const (
+	WithinLimit Promise = "limit"   // what runs of a tenant's requests stays within its limit, over all machines
+	AtMostOnce  Promise = "once"    // a request that may not be repeated runs at most once
+	NotRunTrue  Promise = "not-run" // a request that was said not to have run does not run
+	OwnAnswer   Promise = "answer"  // a success is the whole answer to the caller's own request
+	ServiceBack Promise = "back"    // after the last fault healed, requests are served again
+	NoOwnEnd    Promise = "own-end" // no process ends by itself, and each ends when it is told to
+)
+
+// Promises lists every promise in a fixed order.
+func Promises() []Promise {
+	return []Promise{WithinLimit, AtMostOnce, NotRunTrue, OwnAnswer, ServiceBack, NoOwnEnd}
+}
+
+// Broken is a promise that did not hold, with the observation.
+type Broken struct {
+	Promise Promise
+	What    string
+}
+
+// Allowance is what a tenant may use, from a time on.
+type Allowance struct {
+	From  time.Duration
+	Units func(window time.Duration) float64
+}
+
+// run is a request that a back end began.
+type run struct {
+	at    time.Duration
+	units float64
+}
+
+// tried is what is known of one request of a caller.
+type tried struct {
+	once   bool // it may run at most once
+	runs   int
+	notRun bool // its caller was told that it did not run
+}
+
+// Watch gathers what callers and back ends see. It is safe for concurrent use. Times are of one clock, that of the soak.
+type Watch struct {
+	Window time.Duration // that limits are judged in
+	Settle time.Duration // how long after a lower limit was accepted an older one may still count
+
+	mu       sync.Mutex
+	requests map[string]*tried      // by id; guarded by mu
+	runs     map[string][]run       // by tenant, rising by time; guarded by mu
+	limits   map[string][]Allowance // by tenant, rising by time; guarded by mu
+	broken   []Broken               // guarded by mu
+	outcomes map[string]int         // by what callers got; guarded by mu
+	served   []bool                 // of the requests that began after the calm; guarded by mu
+	back     bool                   // the plan leaves time for service to be back; guarded by mu
+}
+
+// NewWatch returns a watch that has seen nothing.
+func NewWatch(window, settle time.Duration) *Watch {
+	return &Watch{
+		Window: window, Settle: settle, requests: map[string]*tried{}, runs: map[string][]run{}, limits: map[string][]Allowance{},
+		outcomes: map[string]int{},
+	}
+}
+
+// Limit notes that a tenant's limit was accepted at a time.
+func (w *Watch) Limit(tenant string, limit Allowance) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limits[tenant] = append(w.limits[tenant], limit)
+}
+
+// ExpectBack tells whether the plan leaves time for service to be back.
+func (w *Watch) ExpectBack(expected bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.back = expected
+}
+
+// Asked notes that a caller is about to send a request.
+func (w *Watch) Asked(id string, once bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.requests[id] = &tried{once: once}
+}
+
+// Ran notes that a back end began a request.
+func (w *Watch) Ran(at time.Duration, id, tenant string, units float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runs[tenant] = append(w.runs[tenant], run{at: at, units: units})
+	request := w.requests[id]
+	if request == nil {
+		w.fail(OwnAnswer, "a back end ran %q, which no caller sent", id)
+		return
+	}
+	request.runs++
+	if request.once && request.runs > 1 {
+		w.fail(AtMostOnce, "%s ran %d times", id, request.runs)
+	}
+	if request.notRun && request.once {
+		w.fail(NotRunTrue, "%s ran after its caller was told that it did not", id)
+	}
+}
+
+// Refused notes that a caller was told that its request did not run and will not.
+func (w *Watch) Refused(id, outcome string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.outcomes[outcome]++
+	request := w.requests[id]
+	request.notRun = true
+	if request.once && request.runs > 0 {
+		w.fail(NotRunTrue, "%s had run when its caller was told that it did not", id)
+	}
+}
+
+// Answered notes a success and whether it was the whole answer to the request; calm tells that service had to be back.
+func (w *Watch) Answered(id string, whole, calm bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.outcomes["answered"]++
+	if !whole {
+		w.fail(OwnAnswer, "%s got an answer that is not its own whole one", id)
+	}
+	if calm {
+		w.served = append(w.served, true)
+	}
+}
+
+// Failed notes any other end.
+func (w *Watch) Failed(outcome string, calm bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.outcomes[outcome]++
+	if calm {
+		w.served = append(w.served, false)
+	}
+}
+
+// Fail notes that a promise was seen broken.
+func (w *Watch) Fail(promise Promise, format string, values ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fail(promise, format, values...)
+}
+
+// brokenKept bounds the observations that are kept.
+const brokenKept = 200
+
+func (w *Watch) fail(promise Promise, format string, values ...any) {
+	if len(w.broken) < brokenKept {
+		w.broken = append(w.broken, Broken{Promise: promise, What: fmt.Sprintf(format, values...)})
+	}
+}
+
+// servedLeast is the share of the requests that must be served once everything has healed.
+const servedLeast = 0.8
+
+// Close makes the checks that need the whole run, and returns all that was broken.
+func (w *Watch) Close() []Broken {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for tenant, runs := range w.runs {
+		w.checkLimit(tenant, runs)
+	}
+	good := 0
+	for _, served := range w.served {
+		if served {
+			good++
+		}
+	}
+	if w.back && (len(w.served) == 0 || float64(good) < servedLeast*float64(len(w.served))) {
+		w.fail(ServiceBack, "%d of %d requests were served after everything had healed", good, len(w.served))
+	}
+	return slices.Clone(w.broken)
+}
+
+// checkLimit looks at every window that ends with a run.
+func (w *Watch) checkLimit(tenant string, runs []run) {
+	slices.SortFunc(runs, func(a, b run) int { return int(a.at - b.at) })
+	sum, first := 0.0, 0
+	for _, r := range runs {
+		for sum += r.units; runs[first].at <= r.at-w.Window; first++ {
+			sum -= runs[first].units
+		}
+		allowed, limited := w.allowed(tenant, runs[first].at)
+		if limited && sum > allowed {
+			w.fail(WithinLimit, "tenant %s used %.0f units in the %v before %v, %.0f allowed", tenant, sum, w.Window, r.at.Round(time.Millisecond), allowed)
+			return
+		}
+	}
+}
+
+// allowed returns the most that any limit allows that may still count in a window from a time on; a later lower limit binds
+// whole windows only.
+func (w *Watch) allowed(tenant string, from time.Duration) (float64, bool) {
+	most, found := 0.0, false
+	limits := w.limits[tenant]
+	for i, limit := range limits {
+		if i+1 < len(limits) && limits[i+1].From+w.Settle < from {
+			continue // replaced before the window
+		}
+		most, found = max(most, limit.Units(w.Window)), true
+	}
+	return most, found
+}
+
+// Outcomes returns what callers got, by kind.
+func (w *Watch) Outcomes() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	copied := map[string]int{}
+	for outcome, count := range w.outcomes {
+		copied[outcome] = count
+	}
+	return copied
+}
--- /dev/null
+++ b/internal/lab/soak/proxy.go
@@ -0,0 +1,196 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// relayChunk is how much is passed on at once.
+	relayChunk = 32 << 10
+	// dialTimeout is how long the far side may take to accept.
+	dialTimeout = 2 * time.Second
+	// heldPoll is how often a held connection looks whether it may go on.
+	heldPoll = 10 * time.Millisecond
+)
+
+// Link names the direction from one process to another.
+type Link struct{ From, To string }
+
+// Proxy carries connections between processes. It is safe for concurrent use.
+type Proxy struct {
+	owner func(net.Addr) string // process that opened the other end of a connection, or ""
+
+	mu        sync.Mutex
+	silent    map[Link]int           // faults that hold what travels; guarded by mu
+	delays    map[Link]time.Duration // guarded by mu
+	open      map[*relay]struct{}    // guarded by mu
+	listeners []net.Listener         // guarded by mu
+	threads   sync.WaitGroup
+	done      chan struct{}
+}
+
+// relay is one connection that is carried.
+type relay struct {
+	from, to  string
+	near, far net.Conn
+}
+
+// NewProxy returns a proxy; owner names the process that opened a connection.
+func NewProxy(owner func(net.Addr) string) *Proxy {
+	return &Proxy{
+		owner: owner, silent: map[Link]int{}, delays: map[Link]time.Duration{}, open: map[*relay]struct{}{}, done: make(chan struct{}),
+	}
+}
+
+// Carry listens at an address and passes connections on to a process's own one.
+func (p *Proxy) Carry(address, to, target string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s for %s", address, to)
+	}
+	p.mu.Lock()
+	p.listeners = append(p.listeners, listener)
+	p.mu.Unlock()
+	p.threads.Go(func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return // closed
+			}
+			p.threads.Go(func() { p.carry(near, to, target) })
+		}
+	})
+	return nil
+}
+
+// carry passes one connection on, in both directions, until one side ends.
+func (p *Proxy) carry(near net.Conn, to, target string) {
+	defer near.Close()
+	from := p.owner(near.RemoteAddr())
+	if !p.mayPass(Link{from, to}) || !p.mayPass(Link{to, from}) {
+		return
+	}
+	far, err := net.DialTimeout("tcp", target, dialTimeout)
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	r := &relay{from: from, to: to, near: near, far: far}
+	p.mu.Lock()
+	p.open[r] = struct{}{}
+	p.mu.Unlock()
+	var ways sync.WaitGroup
+	ways.Go(func() { p.pass(near, far, Link{from, to}) })
+	ways.Go(func() { p.pass(far, near, Link{to, from}) })
+	ways.Wait()
+	p.mu.Lock()
+	delete(p.open, r)
+	p.mu.Unlock()
+}
+
+// pass copies one direction, and ends it at the other side as it ended here.
+func (p *Proxy) pass(from, to net.Conn, link Link) {
+	buffer := make([]byte, relayChunk)
+	for {
+		count, err := from.Read(buffer)
+		if count > 0 && p.mayPass(link) {
+			if _, writeErr := to.Write(buffer[:count]); writeErr != nil {
+				_ = from.Close()
+				return
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if err == io.EOF && p.mayPass(link) {
+			_ = to.(*net.TCPConn).CloseWrite()
+			return
+		}
+		abort(to)
+		return
+	}
+}
+
+// abort ends a connection with a reset.
+func abort(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// mayPass waits for a link's delay, and as long as the link is silent; it is false once the proxy ends.
+func (p *Proxy) mayPass(link Link) bool {
+	p.mu.Lock()
+	delay := p.delays[link]
+	p.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+	for {
+		p.mu.Lock()
+		silent := p.silent[link] > 0
+		p.mu.Unlock()
+		if !silent {
+			return true
+		}
+		select {
+		case <-p.done:
+			return false
+		case <-time.After(heldPoll):
+		}
+	}
+}
+
+// Silence holds what travels on a link, as often as Heal is called for it.
+func (p *Proxy) Silence(link Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent[link]++
+}
+
+// Heal takes one Silence back.
+func (p *Proxy) Heal(link Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent[link]--
+}
+
+// Delay makes everything on a link take so much longer; 0 ends that.
+func (p *Proxy) Delay(link Link, delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delays[link] = delay
+}
+
+// Reset ends the connections between two processes with resets, whoever opened them.
+func (p *Proxy) Reset(a, b string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for r := range p.open {
+		if r.from == a && r.to == b || r.from == b && r.to == a {
+			abort(r.near)
+			abort(r.far)
+		}
+	}
+}
+
+// Close ends all connections.
+func (p *Proxy) Close() {
+	close(p.done)
+	p.mu.Lock()
+	for _, listener := range p.listeners {
+		_ = listener.Close()
+	}
+	for r := range p.open {
+		abort(r.near)
+		abort(r.far)
+	}
+	p.mu.Unlock()
+	p.threads.Wait()
+}
--- /dev/null
+++ b/internal/lab/soak/run.go
@@ -0,0 +1,147 @@
+package soak
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Fleet is what faults strike.
+type Fleet struct {
+	Control  []*Process
+	Gateways []*Process
+	Proxy    *Proxy
+	// Leader returns the number of the control process that seems to lead.
+	Leader func() int
+	// KillWorker ends a worker and starts it again as another life after a time; Heat makes a tenant send many times its usual;
+	// Lower lowers a tenant's limit for a time; Change replaces the document by one that differs in nothing that matters.
+	KillWorker func(ctx context.Context, target int, length time.Duration)
+	Heat       func(ctx context.Context, target int, length time.Duration)
+	Lower      func(ctx context.Context, target int, length time.Duration)
+	Change     func(ctx context.Context)
+}
+
+// delayed is how much longer things take on links that are delayed.
+const delayed = 40 * time.Millisecond
+
+// Play lets a plan's faults strike, and returns once all have healed. When ctx ends, faults heal at once.
+func (f *Fleet) Play(ctx context.Context, plan Plan, began time.Time, told func(Fault)) {
+	var faults sync.WaitGroup
+	for _, fault := range plan.Faults {
+		faults.Go(func() {
+			if !rest(ctx, time.Until(began.Add(fault.At()))) {
+				return
+			}
+			told(fault)
+			f.strike(ctx, fault)
+		})
+	}
+	faults.Wait()
+}
+
+// rest waits, and is false when ctx ended first.
+func rest(ctx context.Context, length time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(length):
+		return true
+	}
+}
+
+// strike makes one fault and heals it.
+func (f *Fleet) strike(ctx context.Context, fault Fault) {
+	length := time.Duration(fault.ForMS) * time.Millisecond
+	gateway := f.Gateways[fault.Target%len(f.Gateways)]
+	switch fault.Kind {
+	case KillGateway:
+		f.down(ctx, length, syscall.SIGKILL, gateway)
+	case StopGateway:
+		f.down(ctx, length, syscall.SIGTERM, gateway)
+	case KillControl:
+		f.down(ctx, length, syscall.SIGKILL, f.Control[fault.Target%len(f.Control)])
+	case KillAll:
+		f.down(ctx, length, syscall.SIGKILL, f.all()...)
+	case PauseGateway:
+		f.pause(ctx, length, gateway)
+	case PauseLeader:
+		f.pause(ctx, length, f.Control[f.Leader()])
+	case CutLeader:
+		f.silence(ctx, length, f.linksOf(f.Control[f.Leader()], f.all(), true))
+	case CutOneWay:
+		f.silence(ctx, length, f.linksOf(f.Control[f.Leader()], f.all(), false))
+	case CutGateway:
+		f.silence(ctx, length, f.linksOf(gateway, f.Control, true))
+	case DelayLinks:
+		f.delay(ctx, length, f.linksOf(gateway, f.all(), true))
+	case ResetLinks:
+		for _, other := range f.all() {
+			f.Proxy.Reset(gateway.Name, other.Name)
+		}
+	case KillWorker:
+		f.KillWorker(ctx, fault.Target, length)
+	case HotTenant:
+		f.Heat(ctx, fault.Target, length)
+	case LowerLimit:
+		f.Lower(ctx, fault.Target, length)
+	case ChangeSetting:
+		f.Change(ctx)
+	}
+}
+
+func (f *Fleet) all() []*Process { return append(append([]*Process{}, f.Control...), f.Gateways...) }
+
+// linksOf returns the links from a process to others, and back where both is set.
+func (f *Fleet) linksOf(p *Process, others []*Process, both bool) []Link {
+	var links []Link
+	for _, other := range others {
+		if other == p {
+			continue
+		}
+		links = append(links, Link{p.Name, other.Name})
+		if both {
+			links = append(links, Link{other.Name, p.Name})
+		}
+	}
+	return links
+}
+
+// down ends processes for a time. One that is down already starts with the first fault that heals.
+func (f *Fleet) down(ctx context.Context, length time.Duration, signal syscall.Signal, processes ...*Process) {
+	var ends sync.WaitGroup
+	for _, p := range processes {
+		ends.Go(func() { p.End(signal) })
+	}
+	ends.Wait()
+	rest(ctx, length)
+	for _, p := range processes {
+		_ = p.Start() // one that cannot start serves nobody, which the promises show
+	}
+}
+
+func (f *Fleet) pause(ctx context.Context, length time.Duration, p *Process) {
+	p.Signal(syscall.SIGSTOP)
+	rest(ctx, length)
+	p.Signal(syscall.SIGCONT)
+}
+
+func (f *Fleet) silence(ctx context.Context, length time.Duration, links []Link) {
+	for _, link := range links {
+		f.Proxy.Silence(link)
+	}
+	rest(ctx, length)
+	for _, link := range links {
+		f.Proxy.Heal(link)
+	}
+}
+
+func (f *Fleet) delay(ctx context.Context, length time.Duration, links []Link) {
+	for _, link := range links {
+		f.Proxy.Delay(link, delayed)
+	}
+	rest(ctx, length)
+	for _, link := range links {
+		f.Proxy.Delay(link, 0)
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/soak_test.go
@@ -0,0 +1,179 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+)
+
+// TestPlansComeFromTheirSeed: the same seed draws the same plan, which is read back as it was written.
+func TestPlansComeFromTheirSeed(t *testing.T) {
+	plan := Draw(7, time.Minute)
+	if !reflect.DeepEqual(plan, Draw(7, time.Minute)) || reflect.DeepEqual(plan.Faults, Draw(8, time.Minute).Faults) {
+		t.Fatal("plans do not follow their seeds")
+	}
+	path := filepath.Join(t.TempDir(), "plan.json")
+	if err := plan.Write(path); err != nil {
+		t.Fatal(err)
+	}
+	if read, err := Read(path); err != nil || !reflect.DeepEqual(read, plan) {
+		t.Fatalf("%v, %v", read, err)
+	}
+	for _, bad := range []string{``, `{}`, `{"length_ms":5,"faults":[{"kind":"unheard-of"}]}`, `{"length_ms":5,"faults":[{"kind":"kill-all","for_ms":-1}]}`} {
+		if err := os.WriteFile(path, []byte(bad), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Read(path); err == nil {
+			t.Errorf("%q is taken as a plan", bad)
+		}
+	}
+}
+
+// TestWatchSeesBrokenPromises, each from the observation that decides it.
+func TestWatchSeesBrokenPromises(t *testing.T) {
+	limit := Allowance{Units: func(window time.Duration) float64 { return 100 * window.Seconds() }}
+	for _, c := range []struct {
+		wanted Promise
+		do     func(*Watch)
+	}{
+		{"", func(w *Watch) { w.Ran(0, "a", "t", 50); w.Ran(time.Second, "a", "t", 60); w.Answered("a", true, false) }},
+		{WithinLimit, func(w *Watch) { w.Ran(0, "a", "t", 50); w.Ran(time.Second-1, "a", "t", 60) }},
+		{AtMostOnce, func(w *Watch) { w.Ran(0, "once", "u", 1); w.Ran(1, "once", "u", 1) }},
+		{NotRunTrue, func(w *Watch) { w.Ran(0, "once", "u", 1); w.Refused("once", "refused") }},
+		{NotRunTrue, func(w *Watch) { w.Refused("once", "refused"); w.Ran(0, "once", "u", 1) }},
+		{OwnAnswer, func(w *Watch) { w.Answered("a", false, false) }},
+		{OwnAnswer, func(w *Watch) { w.Ran(0, "nobody's", "u", 1) }},
+		{ServiceBack, func(w *Watch) { w.ExpectBack(true); w.Answered("a", true, true); w.Failed("502", true) }},
+		{ServiceBack, func(w *Watch) { w.ExpectBack(true) }},
+		{NoOwnEnd, func(w *Watch) { w.Fail(NoOwnEnd, "it ended") }},
+	} {
+		w := NewWatch(time.Second, 0)
+		w.Limit("t", limit)
+		w.Asked("a", false)
+		w.Asked("once", true)
+		c.do(w)
+		broken := w.Close()
+		if c.wanted == "" && len(broken) > 0 || c.wanted != "" && (len(broken) != 1 || broken[0].Promise != c.wanted) {
+			t.Errorf("wanted %q broken, found %v", c.wanted, broken)
+		}
+	}
+}
+
+// TestLowerLimitBindsWholeWindows: a window that began before the older limit ended may still hold what that allowed.
+func TestLowerLimitBindsWholeWindows(t *testing.T) {
+	of := func(units float64) func(time.Duration) float64 { return func(time.Duration) float64 { return units } }
+	for _, c := range []struct {
+		at     time.Duration
+		broken int
+	}{{4 * time.Second, 0}, {7 * time.Second, 1}} {
+		w := NewWatch(time.Second, time.Second)
+		w.Limit("t", Allowance{Units: of(100)})
+		w.Limit("t", Allowance{From: 4 * time.Second, Units: of(10)})
+		w.Asked("a", false)
+		w.Ran(c.at, "a", "t", 50)
+		if broken := w.Close(); len(broken) != c.broken {
+			t.Errorf("at %v: %v", c.at, broken)
+		}
+	}
+}
+
+// proxied returns a connection through a proxy from "a" to "b", its far end, and the proxy.
+func proxied(t *testing.T) (p *Proxy, near, far net.Conn) {
+	t.Helper()
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := free.Addr().String()
+	_ = free.Close()
+	p = NewProxy(func(net.Addr) string { return "a" })
+	t.Cleanup(p.Close)
+	if err := p.Carry(address, "b", target.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if near, err = net.Dial("tcp", address); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = near.Close() })
+	if far, err = target.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = far.Close() })
+	return p, near, far
+}
+
+func send(t *testing.T, from, to net.Conn) {
+	t.Helper()
+	if _, err := io.WriteString(from, "x"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(to, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestProxyCutsOneWay: what travels on a silent link is held, the other way goes on, and all arrives once it is healed.
+func TestProxyCutsOneWay(t *testing.T) {
+	p, near, far := proxied(t)
+	send(t, near, far)
+	p.Silence(Link{"a", "b"})
+	send(t, far, near)
+	if _, err := io.WriteString(near, "y"); err != nil {
+		t.Fatal(err)
+	}
+	_ = far.SetReadDeadline(time.Now().Add(5 * heldPoll))
+	if _, err := far.Read(make([]byte, 1)); err == nil {
+		t.Fatal("it passed a silent link")
+	}
+	_ = far.SetReadDeadline(time.Time{})
+	p.Heal(Link{"a", "b"})
+	if _, err := io.ReadFull(far, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestProxyResets both ends.
+func TestProxyResets(t *testing.T) {
+	p, near, far := proxied(t)
+	send(t, near, far)
+	p.Reset("b", "a")
+	for _, end := range []net.Conn{near, far} {
+		if _, err := end.Read(make([]byte, 1)); err == nil || err == io.EOF {
+			t.Fatalf("an end was not reset: %v", err)
+		}
+	}
+}
+
+// TestOwnerIsTheProcessOfAConnection: told by the kernel.
+func TestOwnerIsTheProcessOfAConnection(t *testing.T) {
+	p := &Process{Name: "child", Args: []string{"/bin/sleep", "30"}, Log: filepath.Join(t.TempDir(), "log")}
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer p.End(9)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	own, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer own.Close()
+	if name := Owner([]*Process{p}, own.LocalAddr()); name != "" {
+		t.Fatalf("a connection of ours is %q's", name)
+	}
+	if inodeOf(own.LocalAddr().(*net.TCPAddr)) == "" || !holds(os.Getpid(), "socket:["+inodeOf(own.LocalAddr().(*net.TCPAddr))+"]") {
+		t.Fatal("a connection of ours is not found")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,6 +51,7 @@
 // Control is the part of the file that a control replica reads.
 type Control struct {
 	Internal      string        `yaml:"internal"`       // address for replicas and routers
+	Bind          string        `yaml:"bind"`           // address to listen on for them, where it is another one; default internal
 	Admin         string        `yaml:"admin"`          // address for operators
 	Founders      []string      `yaml:"founders"`       // internal addresses of the first replicas; the first one founds the group
 	Replicas      int           `yaml:"replicas"`       // voters wanted; default 3
@@ -148,6 +149,7 @@
 		setDefault(&f.Router.MaxConnections, defaultMaxConnections)
 	}
 	if f.Control != nil {
+		setDefault(&f.Control.Bind, f.Control.Internal)
 		setDefault(&f.Control.Replicas, defaultReplicas)
 		setDefault(&f.Control.Heartbeat, defaultHeartbeat)
 		setDefault(&f.Control.SettingsLease, defaultSettingsLease)
@@ -243,6 +245,7 @@
 		c.fault("control.without", err.Error())
 	}
 	c.address("control.internal", r.Internal, true)
+	c.address("control.bind", r.Bind, false)
 	c.address("control.admin", r.Admin, true)
 	c.address("control.platform", r.Platform, true)
 	if len(r.Founders) == 0 {
