--- a/cmd/kitelab/bench.go
+++ b/cmd/kitelab/bench.go
@@ -127,5 +127,22 @@
 	if err := bench.WriteJSON(f.out, "overload.json", all); err != nil {
 		return err
 	}
-	return bench.WriteText(f.out, "overload.md", text.String())
+	if err := bench.WriteText(f.out, "overload.md", text.String()); err != nil {
+		return err
+	}
+	return f.runGoodput()
+}
+
+// runGoodput shows what refusing in time is worth, on a stand-in of an engine fleet.
+func (f *benchFlags) runGoodput() error {
+	points := bench.GoodputCurve(f.firstSeed)
+	text := bench.GoodputMarkdown(points)
+	fmt.Print(text)
+	if err := bench.WriteJSON(f.out, "goodput.json", points); err != nil {
+		return err
+	}
+	if err := bench.WriteText(f.out, "goodput.md", text); err != nil {
+		return err
+	}
+	return bench.PlotGoodput(f.out, points)
 }
--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,146 @@
+// Package admission decides whether a request is sent to a back end or turned away at once, from the wait that its placement
+// predicts. It is a piece of the decision: without I/O, lock, clock or randomness of its own.
+//
+// To send what will come late helps nobody: it keeps memory and slots from requests that could still be in time, and their
+// cached parts are displaced and read again. What is turned away at once can come back in its time. Judged is the wait in the
+// queue alone: a long prompt takes long to read wherever it runs, and would never be let in if that counted.
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// RanksMost is how many ranks of urgency are told apart; the error of predictions is learnt for each, since engines let the
+	// more urgent in first.
+	RanksMost = 10
+	// ratioStep is by how much one request moves what is learnt, and ratioMost how far that may get from 1, either way.
+	ratioStep = 0.03
+	ratioMost = 16.0
+	// learnFrom is the least predicted wait that teaches something: below it the time of a token weighs more.
+	learnFrom = 60 * time.Millisecond
+	// A band of waits, as shares of the objective: below it everything is sent, beyond it nothing is, and between its ends the
+	// more is turned away the longer the wait is, so that deciders which see the same don't all turn away at once. A wait that
+	// passes may use the objective up; one that stands is kept short, since it only makes everybody wait: the band slides from
+	// the late one to the early one as the smoothed wait rises from standsFrom to standsTo.
+	lateFrom, lateTo     = 0.7, 1.0
+	earlyFrom, earlyTo   = 0.1, 0.4
+	standsFrom, standsTo = 0.15, 0.4
+	standsMemory         = 500 * time.Millisecond
+	// returnedBand is how much more wait one that comes back is sent with, so that it goes before new ones; not much more, else
+	// those that come back would make everybody late.
+	returnedBand = 1.25
+	// comeBackLeast and comeBackMost bound the advice when to come back; comeBackSpread is the share by which it differs.
+	comeBackLeast  = 200 * time.Millisecond
+	comeBackMost   = 3 * time.Second
+	comeBackSpread = 0.6
+	// remembered is how long a refusal is known, and rememberedMost how many are.
+	remembered     = 6 * time.Second
+	rememberedMost = 20_000
+)
+
+// Wish is a request whose placement is known.
+type Wish struct {
+	Key       string        // names the request when it comes back; "" nobody knows it again
+	Rank      int           // 0 is the most urgent
+	Queue     time.Duration // predicted wait before it is read
+	Objective time.Duration // 0: it is never turned away
+	Chance    float64       // drawn from 0 to 1
+}
+
+// Judge keeps what is learnt of one service. Its zero value has learnt nothing.
+type Judge struct {
+	ratios  [RanksMost]float64 // of seen to predicted waits, their median; 0 before the first
+	stands  [RanksMost]standing
+	refused map[string]time.Duration
+}
+
+// standing is the smoothed wait of a rank, as a share of the objective.
+type standing struct {
+	load float64
+	at   time.Duration
+}
+
+// note takes the load that one request sees and returns how far the band has slid, from 0 to 1.
+func (s *standing) note(now time.Duration, load float64) float64 {
+	kept := math.Exp(-float64(now-s.at) / float64(standsMemory))
+	s.load, s.at = s.load*kept+load*(1-kept), now
+	return min(max((s.load-standsFrom)/(standsTo-standsFrom), 0), 1)
+}
+
+// Learn takes what a request of a rank waited, against what was predicted for it.
+func (j *Judge) Learn(rank int, predicted, seen time.Duration) {
+	if predicted < learnFrom {
+		return
+	}
+	at := &j.ratios[clampRank(rank)]
+	if *at == 0 {
+		*at = 1
+	}
+	if float64(seen) > *at*float64(predicted) {
+		*at *= 1 + ratioStep
+	} else {
+		*at /= 1 + ratioStep
+	}
+	*at = min(max(*at, 1/ratioMost), ratioMost)
+}
+
+// Expected returns the wait of a rank that a prediction stands for.
+func (j *Judge) Expected(rank int, predicted time.Duration) time.Duration {
+	ratio := j.ratios[clampRank(rank)]
+	if ratio == 0 || predicted < learnFrom {
+		return predicted
+	}
+	return time.Duration(ratio * float64(predicted))
+}
+
+func clampRank(rank int) int { return min(max(rank, 0), RanksMost-1) }
+
+// Refuse reports whether a request is to be turned away, and when it should come back: when the queue will have become as
+// short as is wanted, if nothing else came.
+func (j *Judge) Refuse(now time.Duration, wish Wish) (comeBack time.Duration, refuse bool) {
+	if wish.Objective <= 0 {
+		return 0, false
+	}
+	expected := j.Expected(wish.Rank, wish.Queue)
+	load := float64(expected) / float64(wish.Objective)
+	slid := j.stands[clampRank(wish.Rank)].note(now, load)
+	from, to := lateFrom+slid*(earlyFrom-lateFrom), lateTo+slid*(earlyTo-lateTo)
+	if at, came := j.refused[wish.Key]; came && now < at+remembered {
+		load /= returnedBand
+	}
+	if wish.Chance >= (load-from)/(to-from) {
+		delete(j.refused, wish.Key)
+		return 0, false
+	}
+	j.remember(now, wish.Key)
+	wait := max(comeBackLeast, expected-time.Duration(from*float64(wish.Objective)))
+	wait += time.Duration(comeBackSpread * wish.Chance * float64(wait))
+	return min(wait, comeBackMost), true
+}
+
+// remember notes a refusal, so that the request is known when it comes back.
+func (j *Judge) remember(now time.Duration, key string) {
+	if key == "" {
+		return
+	}
+	if j.refused == nil {
+		j.refused = map[string]time.Duration{}
+	}
+	if len(j.refused) >= rememberedMost {
+		j.Sweep(now)
+	}
+	if len(j.refused) < rememberedMost {
+		j.refused[key] = now
+	}
+}
+
+// Sweep forgets refusals that are long past.
+func (j *Judge) Sweep(now time.Duration) {
+	for key, at := range j.refused {
+		if now >= at+remembered {
+			delete(j.refused, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,133 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const objective = 800 * time.Millisecond
+
+func wishOf(key string, queue time.Duration, chance float64) Wish {
+	return Wish{Key: key, Rank: 1, Queue: queue, Objective: objective, Chance: chance}
+}
+
+// refusals returns how many of 100 requests are refused at a queue, where it has just come or stands for long.
+func refusals(queue time.Duration, stands bool) int {
+	refused := 0
+	for chance := range 100 {
+		j, now := &Judge{}, time.Duration(0)
+		for i := 0; stands && i < 100; i++ {
+			now += standsMemory / 20
+			j.Refuse(now, wishOf("", queue, 1))
+		}
+		if _, refuse := j.Refuse(now, wishOf("", queue, float64(chance)/100)); refuse {
+			refused++
+		}
+	}
+	return refused
+}
+
+// TestRefusalsRiseWithTheQueue: one that has just come may use the objective up, one that stands is kept short, and nothing is
+// refused for want of a queue.
+func TestRefusalsRiseWithTheQueue(t *testing.T) {
+	for _, c := range []struct {
+		stands             bool
+		nothing, everybody time.Duration // shares of the objective up to which nobody, and from which everybody, is refused
+	}{
+		{false, objective * 7 / 10, objective}, {true, objective * 15 / 100, objective * 45 / 100},
+	} {
+		before := 0
+		for percent := range 120 {
+			queue := objective * time.Duration(percent) / 100
+			refused := refusals(queue, c.stands)
+			if queue <= c.nothing && refused > 0 || queue >= c.everybody && refused < 100 || refused < before {
+				t.Fatalf("stands %t: %d of 100 are refused at a queue of %v, %d before", c.stands, refused, queue, before)
+			}
+			before = refused
+		}
+	}
+	if _, refuse := (&Judge{}).Refuse(0, Wish{Queue: time.Hour}); refuse {
+		t.Fatal("refused without an objective")
+	}
+}
+
+// TestErrorOfPredictionsIsLearnt for each rank by itself: what the urgent wait less than was predicted lets them in.
+func TestErrorOfPredictionsIsLearnt(t *testing.T) {
+	j := &Judge{}
+	for range 200 {
+		j.Learn(0, 1500*time.Millisecond, 150*time.Millisecond)
+		j.Learn(1, 400*time.Millisecond, 1200*time.Millisecond)
+		j.Learn(0, learnFrom-1, time.Hour) // teaches nothing
+	}
+	urgent, other := j.Expected(0, 1500*time.Millisecond), j.Expected(1, 400*time.Millisecond)
+	if urgent < 130*time.Millisecond || urgent > 170*time.Millisecond || other < 1100*time.Millisecond || other > 1300*time.Millisecond {
+		t.Fatalf("%v and %v are expected", urgent, other)
+	}
+	if _, refuse := j.Refuse(0, Wish{Rank: 0, Queue: 1500 * time.Millisecond, Objective: objective}); refuse {
+		t.Fatal("an urgent request is refused for others' queue")
+	}
+	for range 10_000 {
+		j.Learn(5, time.Second, 0)
+	}
+	if least := j.Expected(5, time.Second); least < time.Second/(ratioMost+1) {
+		t.Fatalf("%v is expected", least)
+	}
+}
+
+// TestWhoComesBackGoesFirst: at a queue at which new ones are refused, and only for a while.
+func TestWhoComesBackGoesFirst(t *testing.T) {
+	j := &Judge{}
+	if _, refuse := j.Refuse(0, wishOf("a", time.Second, 0.5)); !refuse {
+		t.Fatal("not refused")
+	}
+	queue := 720 * time.Millisecond
+	j.stands[1] = standing{at: time.Second}
+	if _, refuse := j.Refuse(time.Second, wishOf("b", queue, 0.3)); !refuse {
+		t.Fatal("a new one is let in")
+	}
+	if _, refuse := j.Refuse(time.Second, wishOf("a", queue, 0.3)); refuse {
+		t.Fatal("one that comes back is refused")
+	}
+	if _, refuse := j.Refuse(time.Second, wishOf("a", queue, 0.3)); !refuse {
+		t.Fatal("it goes first twice")
+	}
+	if _, refuse := j.Refuse(time.Second+remembered, wishOf("a", queue, 0.3)); !refuse {
+		t.Fatal("it is remembered for ever")
+	}
+}
+
+// TestAdviceFollowsTheQueue and is spread.
+func TestAdviceFollowsTheQueue(t *testing.T) {
+	advice := func(queue time.Duration, chance float64) time.Duration {
+		wait, refuse := (&Judge{}).Refuse(0, wishOf("", queue, chance))
+		if !refuse {
+			t.Fatalf("not refused at %v", queue)
+		}
+		return wait
+	}
+	if short, long := advice(900*time.Millisecond, 0), advice(2*time.Second, 0); short >= long || short < comeBackLeast {
+		t.Fatalf("%v and %v", short, long)
+	}
+	if first, last := advice(2*time.Second, 0), advice(2*time.Second, 0.9); last <= first {
+		t.Fatalf("%v and %v", first, last)
+	}
+	if most := advice(time.Hour, 0.9); most > comeBackMost {
+		t.Fatalf("%v", most)
+	}
+}
+
+// TestRefusalsThatAreRememberedAreBounded.
+func TestRefusalsThatAreRememberedAreBounded(t *testing.T) {
+	j := &Judge{}
+	for i := range rememberedMost + 100 {
+		j.Refuse(time.Duration(i), wishOf(fmt.Sprint(i), time.Hour, 0))
+	}
+	if len(j.refused) > rememberedMost {
+		t.Fatalf("%d are remembered", len(j.refused))
+	}
+	j.Sweep(time.Hour)
+	if len(j.refused) > 0 {
+		t.Fatalf("%d are remembered after an hour", len(j.refused))
+	}
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -43,12 +43,14 @@
 	salt     string
 	version  uint64        // of its weights
 	wait     float64       // predicted time until the request begins, in milliseconds
+	queue    float64       // of it, the time until its prompt is read
 	beginBy  time.Duration // when it must have begun, or 0
 	uncached int           // prompt tokens to read
 	alone    bool          // nothing else is taken to be read there
 	fetch    string        // address to take cached parts from, or ""
 	save     string        // address of the store to keep the parts in, or ""
 	move     move          // of cached parts that the placement causes
+	back     time.Duration // the request is to be turned away, and to come back after this time; else 0
 	// scheduled names the placement where a scheduler made it; else this gateway did.
 	scheduled *scheduled
 }
@@ -60,9 +62,12 @@
 	tenant  *catalog.Tenant
 	call    *Call
 	tried   []*endpoint
-	trusted bool  // the view is confirmed, so what it says of weights holds
-	memory  int   // tokens that the prompt takes of an engine's memory; set by choose
-	stay    stays // how long requests stay at the service's back ends; set by choose
+	trusted bool          // the view is confirmed, so what it says of weights holds
+	memory  int           // tokens that the prompt takes of an engine's memory; set by choose
+	stay    stays         // how long requests stay at the service's back ends; set by choose
+	first   bool          // no back end was sent the request yet
+	rank    int           // of urgency, 0 the most
+	target  time.Duration // the route's objective
 }
 
 // total is the number of prompt tokens.
@@ -189,6 +194,7 @@
 		scored.cost += crowding(held, row.entry.Slots, wish.service.CacheLimit, wish.memory, wish.stay)
 	}
 	scored.wait, scored.alone = scored.cost, queue == 0
+	scored.queue = scored.wait - float64(scored.uncached)/prefillRate
 	scored.cost += g.astray(row, scored.uncached)
 	if g.on(mechanism.RereadWeight) {
 		scored.cost += rereadWeight * float64(sharedTokens-cached) / prefillRate
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"kitetiller/internal/admission"
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
 	"kitetiller/internal/events"
@@ -45,23 +46,24 @@
 	mutex      sync.Mutex
 	rows       map[string]*endpoint
 	services   map[string][]*endpoint
-	named      map[string][]named     // by model, rising
-	stored     *stored                // parts that were sent to a store
-	lanes      map[string]*lanes      // by service
-	stays      map[string]stays       // by service
-	placed     map[string]placement   // for other gateways, by ticket
-	links      links                  // of engines and stores
-	paces      map[string]pace        // by service
-	homes      int                    // rows that are home
-	holders    map[string][]*endpoint // that hold a shared part, under any salt, by its id
-	changed    *bell                  // rings with each roster
+	named      map[string][]named          // by model, rising
+	stored     *stored                     // parts that were sent to a store
+	lanes      map[string]*lanes           // by service
+	stays      map[string]stays            // by service
+	placed     map[string]placement        // for other gateways, by ticket
+	links      links                       // of engines and stores
+	paces      map[string]pace             // by service
+	judges     map[string]*admission.Judge // by service
+	homes      int                         // rows that are home
+	holders    map[string][]*endpoint      // that hold a shared part, under any salt, by its id
+	changed    *bell                       // rings with each roster
 }
 
 func newTable(mechanisms mechanism.Set) *table {
 	return &table{
 		mechanisms: mechanisms,
 		rows:       map[string]*endpoint{}, services: map[string][]*endpoint{}, named: map[string][]named{},
-		stored: newStored(), lanes: map[string]*lanes{}, stays: map[string]stays{}, placed: map[string]placement{}, links: links{}, paces: map[string]pace{}, holders: map[string][]*endpoint{}, changed: newBell(),
+		stored: newStored(), lanes: map[string]*lanes{}, stays: map[string]stays{}, placed: map[string]placement{}, links: links{}, paces: map[string]pace{}, judges: map[string]*admission.Judge{}, holders: map[string][]*endpoint{}, changed: newBell(),
 	}
 }
 
@@ -320,6 +322,9 @@
 	defer t.mutex.Unlock()
 	t.stored.sweep(now)
 	t.sweepPlacements(now)
+	for _, judge := range t.judges {
+		judge.Sweep(now)
+	}
 	t.links.sweep(now)
 	t.forgetHolders()
 	for _, row := range t.rows {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -29,6 +29,7 @@
 	reasonBroken     = "stream-broken"
 	reasonOverLimit  = "over-limit"
 	reasonUncounted  = "limit-unknown"
+	reasonOverload   = "overload"
 )
 
 const (
@@ -195,6 +196,10 @@
 			return
 		}
 		x.plan = chosen
+		if chosen.back > 0 {
+			x.refuse(http.StatusServiceUnavailable, reasonOverload, chosen.back)
+			return
+		}
 		sent := x.newAttempt(chosen)
 		result := sent.perform()
 		if result.kind == resultAnswered {
@@ -225,7 +230,9 @@
 
 // place chooses a back end; while none can be used it waits a moment for a better roster.
 func (x *exchange) place() *candidate {
-	wish := need{service: x.service, tenant: x.tenant, call: &x.call, tried: x.tried}
+	wish := need{
+		service: x.service, tenant: x.tenant, call: &x.call, tried: x.tried, first: len(x.tried) == 0, rank: rank(x.tenant, x.route), target: x.route.Objective,
+	}
 	if x.gateway.on(mechanism.Store) {
 		wish.store = x.view.storeOf(x.call.Parts)
 	}
@@ -236,6 +243,7 @@
 		chosen := x.askSchedulers(wish)
 		if chosen == nil {
 			chosen = x.gateway.choose(x.gateway.now(), wish)
+			x.gateway.turnAway(x.gateway.now(), chosen, wish)
 		}
 		left := patience - x.gateway.now()
 		if chosen != nil || left <= 0 || len(x.tried) > 0 {
--- /dev/null
+++ b/internal/gateway/overload.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"kitetiller/internal/admission"
+	"kitetiller/internal/mechanism"
+)
+
+// turnAway marks a placement of this gateway's own whose request is to be turned away.
+func (g *Gateway) turnAway(now time.Duration, chosen *candidate, wish need) {
+	if chosen == nil {
+		return
+	}
+	if back, refused := g.judge(now, chosen, wish); refused {
+		chosen.back = back
+	}
+}
+
+// judge decides whether a request that was just placed is turned away for the wait that its placement predicts.
+func (g *Gateway) judge(now time.Duration, chosen *candidate, wish need) (back time.Duration, refused bool) {
+	if !wish.first || !wish.service.Engine || !g.on(mechanism.Refusal) {
+		return 0, false
+	}
+	asked := admission.Wish{
+		Rank: wish.rank, Queue: fromMilliseconds(chosen.queue), Objective: wish.target, Chance: rand.Float64(),
+	}
+	if parts := wish.call.Parts; len(parts) > 0 {
+		asked.Key = parts[len(parts)-1].ID // its own: shared parts come before
+	}
+	g.table.mutex.Lock()
+	defer g.table.mutex.Unlock()
+	return g.table.judge(wish.service.Name).Refuse(now, asked)
+}
+
+// judge returns the judge of a service. The caller holds the mutex.
+func (t *table) judge(service string) *admission.Judge {
+	held := t.judges[service]
+	if held == nil {
+		held = &admission.Judge{}
+		t.judges[service] = held
+	}
+	return held
+}
+
+// noteQueue learns how long a request waited before its prompt was read, against the milliseconds that were predicted. One
+// whose first event never came waited at least as long as it stayed.
+func (t *table) noteQueue(service string, rank int, predicted float64, uncached int, first, stayed time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	judge := t.judge(service)
+	queue := fromMilliseconds(predicted)
+	if first > 0 {
+		judge.Learn(rank, queue, max(0, first-t.pace(service).reading(uncached)))
+		return
+	}
+	if stayed > judge.Expected(rank, queue) {
+		judge.Learn(rank, queue, stayed)
+	}
+}
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -22,6 +22,9 @@
 	Prompt   int      `json:"l,omitempty"` // tokens of the whole prompt
 	Without  []string `json:"x,omitempty"` // back ends that are not wanted
 	WithinMS int64    `json:"d"`           // the request is over by then
+	First    bool     `json:"f,omitempty"` // no back end was sent the request yet, so that it may be turned away
+	Rank     int      `json:"r,omitempty"` // of urgency; 0 is the most urgent
+	TargetMS int64    `json:"o,omitempty"` // objective of its route
 }
 
 // wirePlacement answers a question; without an instance there is no back end to be had.
@@ -30,6 +33,7 @@
 	Version  uint64  `json:"v,omitempty"` // of its weights; 0 unknown
 	Uncached int     `json:"u,omitempty"` // prompt tokens that it will read
 	WaitMS   float64 `json:"w,omitempty"` // predicted time until the request begins
+	BackMS   int64   `json:"b,omitempty"` // the request is to be turned away and should come back after this time
 	Fetch    string  `json:"f,omitempty"`
 	Save     string  `json:"k,omitempty"`
 }
@@ -56,6 +60,8 @@
 	uncached int           // prompt tokens to read
 	alone    bool          // nothing else was to be read there
 	until    time.Duration // it counts no longer, whatever was told
+	rank     int
+	queue    float64 // predicted time until its prompt is read, in milliseconds
 }
 
 // takeQuestion answers another gateway that asks for a placement.
@@ -82,12 +88,17 @@
 	if g.on(mechanism.Store) {
 		wish.store = held.storeOf(call.Parts)
 	}
+	wish.first, wish.rank, wish.target = asked.First, asked.Rank, wireTime(asked.TargetMS)
 	chosen := g.choose(now, wish)
 	if chosen == nil {
 		return wirePlacement{}
 	}
+	if back, refused := g.judge(now, chosen, wish); refused {
+		return wirePlacement{Instance: chosen.row.entry.ID, WaitMS: chosen.wait, BackMS: max(1, back.Milliseconds())}
+	}
 	running := g.table.place(now, asked.Ticket, placement{
 		row: chosen.row, load: loadOf(&call), uncached: chosen.uncached, alone: chosen.alone, until: now + wireTime(asked.WithinMS),
+		rank: asked.Rank, queue: chosen.queue,
 	})
 	g.announce(now, chosen, call.Parts, running)
 	return wirePlacement{
@@ -110,6 +121,7 @@
 	}
 	row := made.row
 	g.table.notePace(row, made.alone, made.uncached, wireTime(end.FirstMS))
+	g.table.noteQueue(row.entry.Service, made.rank, made.queue, made.uncached, wireTime(end.FirstMS), wireTime(end.StayMS))
 	g.spread.own(send{Gateway: g.nick, Load: left, Instance: row.entry.ID})
 	if end.Unreached {
 		g.spread.own(send{Gateway: end.Gateway, Instance: row.entry.ID, Unreached: true})
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -154,6 +154,7 @@
 		Gateway: g.nick, Service: x.service.Name, Model: x.call.Model, Prompt: x.call.PromptTokens,
 		Without: g.table.unwanted(g.now(), x.service.Name, wish.tried), WithinMS: (x.deadline - g.now()).Milliseconds(),
 	}
+	asked.First, asked.Rank, asked.TargetMS = wish.first, wish.rank, wish.target.Milliseconds()
 	if wish.tenant != nil && wish.tenant.Isolated {
 		asked.Wall = wish.tenant.Name
 	}
@@ -180,6 +181,9 @@
 	if answer.Instance == "" {
 		return nil
 	}
+	if answer.BackMS > 0 {
+		return &candidate{wait: answer.WaitMS, back: wireTime(answer.BackMS)}
+	}
 	now := g.now()
 	g.table.mutex.Lock()
 	defer g.table.mutex.Unlock()
--- a/internal/gateway/schedulers_test.go
+++ b/internal/gateway/schedulers_test.go
@@ -153,7 +153,7 @@
 	defer silent.Close()
 	g := scheduler(3)
 	g.schedulers.use([]string{silent.Addr().String()})
-	x := &exchange{gateway: g, ctx: context.Background(), service: g.view.Load().services["s"], view: g.view.Load(), call: Call{Model: "m", Parts: partsOf("own")}, deadline: time.Hour}
+	x := &exchange{gateway: g, route: &catalog.Route{}, ctx: context.Background(), service: g.view.Load().services["s"], view: g.view.Load(), call: Call{Model: "m", Parts: partsOf("own")}, deadline: time.Hour}
 	if chosen := x.place(); chosen == nil || chosen.scheduled != nil {
 		t.Fatalf("chosen %+v", chosen)
 	}
--- /dev/null
+++ b/internal/lab/bench/goodput.go
@@ -0,0 +1,198 @@
+package bench
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+
+	"kitetiller/internal/admission"
+)
+
+// A stand-in of an engine fleet under overload: engines that serve one request after the other, deciders that know queues a
+// moment late, callers with an objective and a deadline that come back when they are told to. It shows what refusing in time is
+// worth; how well a router places is measured elsewhere.
+const (
+	goodputEngines   = 30
+	goodputService   = 120 * time.Millisecond // mean, exponential
+	goodputLag       = 40 * time.Millisecond // by which deciders know queues late: twice what gateways take to tell each other
+	goodputObjective = 800 * time.Millisecond
+	goodputDeadline  = 5 * time.Second
+	goodputLength    = 40 * time.Second
+	goodputChoices   = 4 // engines that are looked at for a request
+	goodputReturns   = 2 // times that a caller comes back
+)
+
+// GoodputPoint is what callers got at one load.
+type GoodputPoint struct {
+	Load    float64 `json:"load"` // arrivals against what the engines can serve
+	Refusal bool    `json:"refusal"`
+	InTime  float64 `json:"in_time"` // answers within the objective, from the caller's newest try, as a share of what the engines can serve
+	Late    float64 `json:"late"`
+	Refused float64 `json:"refused"` // callers that ended so
+	Lost    float64 `json:"lost"`    // callers that reached their deadline
+	Word    float64 `json:"word_ms"` // mean time until callers knew how it ended
+}
+
+// GoodputLoads are the loads of the curve.
+var GoodputLoads = []float64{0.5, 0.75, 0.9, 1, 1.25, 1.5, 2, 2.5, 3}
+
+// Goodput plays one load, with or without refusing in time.
+func Goodput(load float64, refusal bool, seed uint64) GoodputPoint {
+	f := &goodputFleet{random: rand.New(rand.NewPCG(seed, seed)), refusal: refusal, freeAt: make([]time.Duration, goodputEngines)}
+	f.known = make([]time.Duration, goodputEngines)
+	f.point = GoodputPoint{Load: load, Refusal: refusal}
+	served := float64(goodputEngines) / goodputService.Seconds() // a second, by all engines
+	for at := time.Duration(0); at < goodputLength; {
+		at += time.Duration(f.random.ExpFloat64() / (load * served) * float64(time.Second))
+		heap.Push(&f.calls, goodputCall{at: at, first: at, key: fmt.Sprint(len(f.calls), at)})
+	}
+	for f.calls.Len() > 0 {
+		f.call(heap.Pop(&f.calls).(goodputCall))
+	}
+	all := served * goodputLength.Seconds()
+	p := f.point
+	return GoodputPoint{
+		Load: load, Refusal: refusal, InTime: p.InTime / all, Late: p.Late / all, Refused: p.Refused / all, Lost: p.Lost / all,
+		Word: float64(f.word.Milliseconds()) / max(1, p.InTime+p.Late+p.Refused+p.Lost),
+	}
+}
+
+// goodputCall is a caller's try.
+type goodputCall struct {
+	at, first time.Duration // of this try, and of the first one
+	key       string
+	returns   int
+}
+
+// goodputCalls is a heap by time.
+type goodputCalls []goodputCall
+
+func (c goodputCalls) Len() int           { return len(c) }
+func (c goodputCalls) Less(i, j int) bool { return c[i].at < c[j].at }
+func (c goodputCalls) Swap(i, j int)      { c[i], c[j] = c[j], c[i] }
+func (c *goodputCalls) Push(x any)        { *c = append(*c, x.(goodputCall)) }
+func (c *goodputCalls) Pop() any {
+	last := (*c)[len(*c)-1]
+	*c = (*c)[:len(*c)-1]
+	return last
+}
+
+type goodputFleet struct {
+	random  *rand.Rand
+	refusal bool
+	freeAt  []time.Duration // by engine
+	known   []time.Duration // freeAt as deciders know it
+	knownAt time.Duration
+	judge   admission.Judge
+	calls   goodputCalls
+	point   GoodputPoint
+	word    time.Duration
+}
+
+// call places one try, or turns it away.
+func (f *goodputFleet) call(c goodputCall) {
+	if c.at >= f.knownAt+goodputLag {
+		copy(f.known, f.freeAt)
+		f.knownAt = c.at
+	}
+	engine := f.random.IntN(goodputEngines)
+	for range goodputChoices - 1 {
+		if other := f.random.IntN(goodputEngines); f.known[other] < f.known[engine] {
+			engine = other
+		}
+	}
+	predicted := max(0, f.known[engine]-c.at)
+	wish := admission.Wish{Key: c.key, Queue: predicted, Objective: goodputObjective, Chance: f.random.Float64()}
+	if back, refused := f.judge.Refuse(c.at, wish); refused && f.refusal {
+		f.turnAway(c, back)
+		return
+	}
+	f.serve(c, engine, predicted)
+}
+
+// turnAway lets a caller come back, unless it has no time left for that.
+func (f *goodputFleet) turnAway(c goodputCall, back time.Duration) {
+	const waitShare = 3 // callers wait for a third of the time that they have left, at most
+	left := c.first + goodputDeadline - c.at
+	if c.returns >= goodputReturns || left <= 0 {
+		f.point.Refused++
+		f.word += c.at - c.first
+		return
+	}
+	heap.Push(&f.calls, goodputCall{at: c.at + min(back, left/waitShare), first: c.first, key: c.key, returns: c.returns + 1})
+}
+
+// serve runs a try on an engine; work on one whose caller leaves meanwhile is lost.
+func (f *goodputFleet) serve(c goodputCall, engine int, predicted time.Duration) {
+	begins := max(f.freeAt[engine], c.at)
+	deadline := c.first + goodputDeadline
+	if begins >= deadline {
+		f.point.Lost++
+		f.word += goodputDeadline
+		return
+	}
+	f.judge.Learn(0, predicted, begins-c.at)
+	work := time.Duration(f.random.ExpFloat64() * float64(goodputService))
+	ends := begins + work
+	f.freeAt[engine] = min(ends, deadline)
+	f.word += min(ends, deadline) - c.first
+	switch {
+	case ends > deadline:
+		f.point.Lost++
+	case ends-c.at > goodputObjective:
+		f.point.Late++
+	default:
+		f.point.InTime++
+	}
+}
+
+// GoodputCurve plays all loads with and without refusing in time.
+func GoodputCurve(seed uint64) []GoodputPoint {
+	var points []GoodputPoint
+	for _, refusal := range []bool{false, true} {
+		for _, load := range GoodputLoads {
+			points = append(points, Goodput(load, refusal, seed))
+		}
+	}
+	return points
+}
+
+// GoodputMarkdown returns the curve as a table.
+func GoodputMarkdown(points []GoodputPoint) string {
+	var text strings.Builder
+	text.WriteString("| load | refusing in time | in time | late | refused | lost | mean time to the final word, ms |\n|---|---|---|---|---|---|---|\n")
+	for _, p := range points {
+		fmt.Fprintf(&text, "| %.2f | %t | %.3f | %.3f | %.3f | %.3f | %.0f |\n", p.Load, p.Refusal, p.InTime, p.Late, p.Refused, p.Lost, p.Word)
+	}
+	return text.String()
+}
+
+// PlotGoodput draws the curve.
+func PlotGoodput(folder string, points []GoodputPoint) error {
+	p := plot.New()
+	p.Title.Text = "answers in time under overload"
+	p.X.Label.Text, p.Y.Label.Text = "load, of what the engines can serve", "answers in time, of what the engines can serve"
+	p.Y.Min = 0
+	p.Legend.Top = true
+	for index, refusal := range []bool{false, true} {
+		var line plotter.XYs
+		for _, point := range points {
+			if point.Refusal == refusal {
+				line = append(line, plotter.XY{X: point.Load, Y: point.InTime})
+			}
+		}
+		name := "everything is sent"
+		if refusal {
+			name = "refusing in time"
+		}
+		if err := addLine(p, index, name, line); err != nil {
+			return err
+		}
+	}
+	return save(p, folder, "goodput.png")
+}
--- /dev/null
+++ b/internal/lab/bench/goodput_test.go
@@ -0,0 +1,24 @@
+package bench
+
+import "testing"
+
+// TestGoodputStaysUnderOverload: refusing in time keeps at least 0.9 of the peak at twice the load; sending everything does not.
+func TestGoodputStaysUnderOverload(t *testing.T) {
+	for seed := range uint64(5) {
+		peak := map[bool]float64{}
+		at := map[bool]map[float64]float64{false: {}, true: {}}
+		for _, p := range GoodputCurve(seed) {
+			peak[p.Refusal] = max(peak[p.Refusal], p.InTime)
+			at[p.Refusal][p.Load] = p.InTime
+		}
+		if with := at[true][2]; with < 0.9*peak[true] {
+			t.Errorf("seed %d: %.3f in time at twice the load, %.3f at the peak", seed, with, peak[true])
+		}
+		if without := at[false][2]; without > 0.5*peak[false] {
+			t.Errorf("seed %d: the stand-in does not collapse: %.3f of %.3f", seed, without, peak[false])
+		}
+		if calm := at[true][0.5]; calm < 0.98*at[false][0.5] {
+			t.Errorf("seed %d: %.3f in time at half the load, %.3f without refusals", seed, calm, at[false][0.5])
+		}
+	}
+}
--- a/internal/operator/golden_test.go
+++ b/internal/operator/golden_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/sebdah/goldie/v2"
 
+	"kitetiller/internal/allowance"
 	"kitetiller/internal/consensus"
 	"kitetiller/internal/control"
 	"kitetiller/internal/core"
@@ -31,6 +32,7 @@
 		Members: []control.MemberStatus{{Member: consensus.Member{ID: "control-1-aa", Name: "control-1", Address: "10.0.0.1:9000"}, Match: 91},
 			{Member: consensus.Member{ID: "control-2-bb", Name: "control-2", Address: "10.0.0.2:9000", Learner: true}, Match: 60, Silent: 1500 * time.Millisecond}},
 		Engines: []control.EngineStatus{{EngineReport: control.EngineReport{Name: "llm-1", Weights: "w1", Loading: true}, Wanted: "w2"}},
+		Limits:  []allowance.State{{Name: "tenant/north", Limit: allowance.Limit{Rate: 1000, Burst: 500}, Level: 12, Lent: 90_000, Refused: 4000, Over: true, Withheld: 0.25}},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+control.PathAdmin, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -75,6 +75,7 @@
 		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%t\t%d\t%d\t%d\t%d\n", reply.Name, reply.Role, reply.Term, orDash(reply.Leader),
 			reply.LeaseHeld, reply.Applied, reply.Version, reply.InForce, reply.Claims)
 	}
+	writeLimits(w, status)
 	for _, reply := range status.Control {
 		for _, engine := range reply.Engines {
 			if engine.Weights != engine.Wanted {
@@ -84,6 +85,20 @@
 	}
 }
 
+// writeLimits shows what is limited over the fleet, as the leader sees it.
+func writeLimits(w *tabwriter.Writer, status SystemStatus) {
+	for _, reply := range status.Control {
+		if !reply.LeaseHeld || len(reply.Limits) == 0 {
+			continue
+		}
+		fmt.Fprintln(w, "LIMIT\tRATE\tBURST\tLEFT\tLENT\tREFUSED\tOVER\tKEPT BACK")
+		for _, l := range reply.Limits {
+			fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%t\t%.2f\n", l.Name, l.Limit.Rate, l.Limit.Burst, l.Level, l.Lent, l.Refused,
+				l.Over, l.Withheld)
+		}
+	}
+}
+
 func writeRouters(w *tabwriter.Writer, status SystemStatus) {
 	fmt.Fprintln(w, "ROUTER\tZONE\tVERSION\tLEASE\tDRAINING\tACTIVE\tBELIEFS\tBACK ENDS READY")
 	for _, reply := range status.Routers {
