A request waits a moment for an account that has just begun, rather than being turned away

A grant now says that its account has just begun; the desk then lets the request wait until the amount has come in, as long as it waits for control otherwise. Ruled out: beginning with a part of the limit (every change of leader within a window adds it again). Test: TestYoungAccountIsWaitedFor fails without (Over in place of Granted).

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -18,8 +18,8 @@
 
 func askOne(l *Lender, now time.Duration, b *Borrower, amount float64) (Hold, time.Duration) {
 	wants := []Want{{Name: resource, Amount: amount}}
-	holds, waits := b.Granted(now, now, wants, l.Take(now, b.Ask(now, wants)))
-	return holds[0], waits[0]
+	got := b.Granted(now, now, wants, l.Take(now, b.Ask(now, wants)))[0]
+	return got.Hold, got.Wait
 }
 
 func newTestBorrower() *Borrower {
@@ -56,7 +56,7 @@
 	}
 	wants := []Want{{Name: resource, Amount: 100}}
 	late := l.Take(now, b.Ask(now, wants))
-	if holds, _ := b.Granted(now+Lease+1, now, wants, late); holds[0].Amount != 0 {
+	if got := b.Granted(now+Lease+1, now, wants, late); got[0].Hold.Amount != 0 {
 		t.Fatal("a late answer gave something")
 	}
 }
@@ -67,10 +67,10 @@
 	b := newTestBorrower()
 	wants := []Want{{Name: resource, Amount: 100}}
 	answer := l.Take(now, b.Ask(now, wants))
-	if holds, _ := b.Granted(now, now, wants, answer); holds[0].Amount != 100 {
+	if got := b.Granted(now, now, wants, answer); got[0].Hold.Amount != 100 {
 		t.Fatal("nothing lent")
 	}
-	if holds, _ := b.Granted(now, now, wants, answer); holds[0].Amount != 0 {
+	if got := b.Granted(now, now, wants, answer); got[0].Hold.Amount != 0 {
 		t.Fatal("an answer counted twice")
 	}
 	if _, ok := b.Take(now, resource, 100); ok {
@@ -78,7 +78,7 @@
 	}
 	older := NewLender(0)
 	older.Use(0, limitsOf(testLimit))
-	if holds, _ := b.Granted(now, now, wants, older.Take(now, b.Ask(now, wants))); holds[0].Amount != 0 {
+	if got := b.Granted(now, now, wants, older.Take(now, b.Ask(now, wants))); got[0].Hold.Amount != 0 {
 		t.Fatal("an older lender's answer counted")
 	}
 }
@@ -151,6 +151,21 @@
 	}
 }
 
+// TestYoungAccountsSaySo: a refusal of an account that has just begun is no sign of a caller beyond its limit.
+func TestYoungAccountsSaySo(t *testing.T) {
+	l := NewLender(1)
+	l.Use(time.Minute, limitsOf(testLimit))
+	asked := Question{Borrower: "b", Sequence: 1, Asks: []Ask{{Name: resource, Amount: 600}}}
+	if got := l.Take(time.Minute, asked).Grants[0]; !got.Young || got.Amount != 0 {
+		t.Fatalf("%+v", got)
+	}
+	now := time.Minute + 2*time.Second
+	l.Take(now, asked)
+	if got := l.Take(now, asked).Grants[0]; got.Young || got.Amount != 0 {
+		t.Fatalf("%+v", got)
+	}
+}
+
 // TestLowerLimitBindsAtOnce: what had come together under the older one is gone.
 func TestLowerLimitBindsAtOnce(t *testing.T) {
 	l, now := fullLender()
--- a/internal/allowance/borrower.go
+++ b/internal/allowance/borrower.go
@@ -197,28 +197,34 @@
 	return amount
 }
 
-// Granted takes the answer to the newest question, which was asked at a time, and returns what can be taken of each want now;
-// a hold that is not valid says how long to wait in its place in waits. An answer that comes twice, or from a lender before
+// Result is what became of a want: a hold, or what the lender said instead.
+type Result struct {
+	Hold  Hold
+	Wait  time.Duration
+	Young bool
+}
+
+// Granted takes the answer to the newest question, which was asked at a time, and returns what became of each want. An answer that comes twice, or from a lender before
 // the newest one, gives nothing.
-func (b *Borrower) Granted(now, asked time.Duration, wants []Want, answer Answer) (holds []Hold, waits []time.Duration) {
-	holds, waits = make([]Hold, len(wants)), make([]time.Duration, len(wants))
+func (b *Borrower) Granted(now, asked time.Duration, wants []Want, answer Answer) []Result {
+	results := make([]Result, len(wants))
 	if answer.Term < b.term || answer.Sequence != b.sequence || b.answered == b.sequence || len(answer.Grants) != len(wants) {
-		return holds, waits
+		return results
 	}
 	b.term, b.answered = answer.Term, answer.Sequence
 	b.touched = max(b.touched, asked)
 	for i, want := range wants {
 		granted := answer.Grants[i]
-		waits[i] = granted.Wait
+		results[i].Wait, results[i].Young = granted.Wait, granted.Young
 		piece := Hold{Name: want.Name, Amount: granted.Amount, Until: asked + Lease}
 		if granted.Amount <= 0 || !piece.Valid(now) {
 			continue
 		}
 		p := b.pocket(want.Name)
 		p.add(piece)
-		holds[i], _ = p.take(now, want.Name, want.Amount)
+		results[i].Hold, _ = p.take(now, want.Name, want.Amount)
 	}
-	return holds, waits
+	return results
 }
 
 // TakeOwn takes an amount from the own part, for a borrower that gets no answer: its equal part of the reserve, and of the
--- a/internal/allowance/desk/desk.go
+++ b/internal/allowance/desk/desk.go
@@ -228,19 +228,19 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
-	holds, waits := d.borrower.Granted(now, asked, wants, answer)
-	for i, w := range batch {
-		if holds[i].Amount == 0 {
-			holds[i], _ = d.borrower.TakeAgain(now, w.Name, w.Amount) // of what was lent ahead for another
+	for i, got := range d.borrower.Granted(now, asked, wants, answer) {
+		w := batch[i]
+		if got.Hold.Amount == 0 {
+			got.Hold, _ = d.borrower.TakeAgain(now, w.Name, w.Amount) // of what was lent ahead for another
 		}
 		switch {
-		case holds[i].Amount > 0 || w.Amount == 0:
-			d.finish(w, Result{Hold: holds[i]})
-		case waits[i] > shortWait:
-			d.finish(w, Result{Outcome: Over, Wait: waits[i]})
+		case got.Hold.Amount > 0 || w.Amount == 0:
+			d.finish(w, Result{Hold: got.Hold})
+		case got.Wait <= shortWait, got.Young && now+got.Wait <= w.until:
+			w.after = now + got.Wait
+			d.waitOn(now, w, Result{Outcome: Over, Wait: max(got.Wait, shortWait)})
 		default:
-			w.after = now + waits[i]
-			d.waitOn(now, w, Result{Outcome: Over, Wait: shortWait})
+			d.finish(w, Result{Outcome: Over, Wait: got.Wait})
 		}
 	}
 }
--- a/internal/allowance/desk/desk_test.go
+++ b/internal/allowance/desk/desk_test.go
@@ -144,3 +144,24 @@
 		}
 	}
 }
+
+// TestYoungAccountIsWaitedFor: after a change of the lender a caller inside its limit waits a moment rather than being turned
+// away.
+func TestYoungAccountIsWaitedFor(t *testing.T) {
+	limit := allowance.Limit{Rate: 1000, Burst: 200}
+	for _, c := range []struct {
+		patience time.Duration
+		wanted   Outcome
+	}{{0, Over}, {time.Minute, Granted}} {
+		young := allowance.NewLender(1)
+		young.Use(running(), map[string]allowance.Limit{resource: limit})
+		d := openDeskBy(t, running, limit, func(*allowance.Lender) Lend {
+			return func(_ context.Context, asked allowance.Question) (allowance.Answer, error) {
+				return young.Take(running(), asked), nil
+			}
+		})
+		if result := d.Take(t.Context(), resource, 150, c.patience); result.Outcome != c.wanted {
+			t.Fatalf("patience %v: %+v", c.patience, result)
+		}
+	}
+}
--- a/internal/allowance/doc.go
+++ b/internal/allowance/doc.go
@@ -59,6 +59,9 @@
 	Name   string        `json:"n"`
 	Amount float64       `json:"a"`           // lent; 0 where the limit is reached
 	Wait   time.Duration `json:"w,omitempty"` // until the amount can be had, with what was refused before it; where nothing is lent
+	// Young tells that nothing is lent since the account began a moment ago, not since the limit is reached: the amount is worth
+	// waiting for.
+	Young bool `json:"y,omitempty"`
 }
 
 // Question is what a borrower asks a lender: it gives amounts back and asks for others.
--- a/internal/allowance/lender.go
+++ b/internal/allowance/lender.go
@@ -10,6 +10,10 @@
 // aheadShare of the capacity stays in the account when amounts are lent ahead of their need.
 const aheadShare = 0.5
 
+// youngFills is how many times an account must have had the time to fill before it counts as one that began long ago: calm callers
+// use about half of a limit.
+const youngFills = 2
+
 // overFor is how long after its last refusal a resource still counts as over its limit.
 const overFor = time.Second
 
@@ -25,6 +29,7 @@
 type account struct {
 	limit   Limit
 	level   float64       // may be lent now; at most the capacity; below 0 after an amount above the capacity
+	began   time.Duration // with nothing
 	at      time.Duration // when level and queue were right
 	queue   float64       // refused and not come back yet, as far as that can be known
 	lent    float64       // since the lender began, less what was given back
@@ -43,7 +48,7 @@
 	for name, limit := range limits {
 		a := l.accounts[name]
 		if a == nil {
-			a = &account{at: now}
+			a = &account{began: now, at: now}
 			l.accounts[name] = a
 		}
 		a.refill(now, l.withheld)
@@ -100,7 +105,7 @@
 	a.refill(now, l.withheld)
 	capacity := a.limit.capacity()
 	if ask.Amount > a.level && a.level < capacity || ask.Amount > a.limit.largest() {
-		return Grant{Name: ask.Name, Wait: a.refuse(now, ask.Amount)}
+		return Grant{Name: ask.Name, Wait: a.refuse(now, ask.Amount), Young: a.young(now)}
 	}
 	amount := ask.Amount + max(0, min(ask.Ahead, a.level-ask.Amount-aheadShare*capacity))
 	a.level -= amount
@@ -109,6 +114,11 @@
 	return Grant{Name: ask.Name, Amount: amount}
 }
 
+// young reports whether the account may lack what it would hold if it had not begun with nothing.
+func (a *account) young(now time.Duration) bool {
+	return (now-a.began).Seconds()*a.limit.Rate < youngFills*a.limit.capacity()
+}
+
 // refuse notes a refusal and returns when to come back: after those that were refused before.
 func (a *account) refuse(now time.Duration, amount float64) time.Duration {
 	a.refused += amount
--- a/internal/allowance/machine_test.go
+++ b/internal/allowance/machine_test.go
@@ -134,11 +134,11 @@
 			continue
 		}
 		b := f.borrowers[l.to]
-		holds, _ := b.Granted(f.now, l.asked, l.wants, l.answer)
+		got := b.Granted(f.now, l.asked, l.wants, l.answer)
 		b.Touch(l.asked, len(f.borrowers))
-		for _, hold := range holds {
-			if hold.Amount > 0 {
-				f.held[l.to] = append(f.held[l.to], hold)
+		for _, result := range got {
+			if result.Hold.Amount > 0 {
+				f.held[l.to] = append(f.held[l.to], result.Hold)
 			}
 		}
 	}
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -42,8 +42,7 @@
 			wants := []allowance.Want{{Name: quota.Repeats("s"), Amount: 1}}
 			hold, ok := b.Take(now, wants[0].Name, 1)
 			if !ok {
-				holds, _ := b.Granted(now, now, wants, lender.Take(now, b.Ask(now, wants)))
-				hold = holds[0]
+				hold = b.Granted(now, now, wants, lender.Take(now, b.Ask(now, wants)))[0].Hold
 			}
 			return hold.Valid(now)
 		}
--- a/internal/lab/bench/goodput.go
+++ b/internal/lab/bench/goodput.go
@@ -19,7 +19,7 @@
 const (
 	goodputEngines   = 30
 	goodputService   = 120 * time.Millisecond // mean, exponential
-	goodputLag       = 40 * time.Millisecond // by which deciders know queues late: twice what gateways take to tell each other
+	goodputLag       = 40 * time.Millisecond  // by which deciders know queues late: twice what gateways take to tell each other
 	goodputObjective = 800 * time.Millisecond
 	goodputDeadline  = 5 * time.Second
 	goodputLength    = 40 * time.Second
