--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -90,13 +90,12 @@
 	hold, _ := askOne(l, now, b, 100)
 	b.Put(now, hold)
 	now += Lease - time.Millisecond
-	before := l.accounts[resource].level
 	question := b.Ask(now, []Want{{Name: resource, Amount: 10}})
 	if len(question.Back) != 1 || question.Back[0].Amount != 100 {
 		t.Fatalf("%v goes back", question.Back)
 	}
 	l.Withhold(now, 1) // nothing else comes in
-	before = l.accounts[resource].level
+	before := l.accounts[resource].level
 	l.Take(now, question)
 	l.Take(now, question)
 	after := l.accounts[resource].level
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"kitetiller/internal/control"
+	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/prefix"
 	"kitetiller/internal/transport"
 )
@@ -45,13 +46,13 @@
 // request that has ended.
 type send struct {
 	Gateway  string
-	Load     load // what the gateway now has running there
+	Load     belief.Load // what the gateway now has running there
 	Instance string
 	Salt     string
 	Parts    []prefix.Part
-	Uncached int  // prompt tokens
-	Saved    bool // the parts go to the store as well
-	Move     move // of cached parts to the engine, or to the store
+	Uncached int         // prompt tokens
+	Saved    bool        // the parts go to the store as well
+	Move     belief.Move // of cached parts to the engine, or to the store
 	// Unreached says that no connection came up; then nothing was sent, and there is no salt.
 	Unreached bool
 	// Kept says that parts and their tokens are what the engine itself says that it keeps; nothing was sent then.
@@ -79,9 +80,9 @@
 
 func (s send) wire(waited time.Duration) wireSend {
 	w := wireSend{
-		Gateway: s.Gateway, Running: s.Load.running, Held: s.Load.tokens,
+		Gateway: s.Gateway, Running: s.Load.Running, Held: s.Load.Tokens,
 		Instance: s.Instance, Salt: s.Salt, Uncached: s.Uncached, Saved: s.Saved, Unreached: s.Unreached, Kept: s.Kept,
-		AgeMS: (s.Age + waited).Milliseconds(), MoveFrom: s.Move.from, MoveMS: s.Move.time.Milliseconds(),
+		AgeMS: (s.Age + waited).Milliseconds(), MoveFrom: s.Move.From, MoveMS: s.Move.Time.Milliseconds(),
 	}
 	w.Parts, w.Tokens = wireParts(s.Parts)
 	return w
@@ -110,9 +111,9 @@
 // send returns what a message tells; parts without a size are left out.
 func (w wireSend) send() send {
 	return send{
-		Gateway: w.Gateway, Load: load{running: max(0, w.Running), tokens: max(0, w.Held)},
+		Gateway: w.Gateway, Load: belief.Load{Running: max(0, w.Running), Tokens: max(0, w.Held)},
 		Instance: w.Instance, Salt: w.Salt, Uncached: max(0, w.Uncached), Saved: w.Saved, Unreached: w.Unreached, Kept: w.Kept,
-		Age: wireTime(w.AgeMS), Move: move{from: w.MoveFrom, time: wireTime(w.MoveMS)}, Parts: partsOfWire(w.Parts, w.Tokens),
+		Age: wireTime(w.AgeMS), Move: belief.Move{From: w.MoveFrom, Time: wireTime(w.MoveMS)}, Parts: partsOfWire(w.Parts, w.Tokens),
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/prefix"
 )
@@ -142,7 +143,7 @@
 }
 
 // announce notes which parts a placement leaves where, and tells the other gateways of it and of what now runs there.
-func (g *Gateway) announce(now time.Duration, placed *candidate, parts []prefix.Part, running load) {
+func (g *Gateway) announce(now time.Duration, placed *candidate, parts []prefix.Part, running belief.Load) {
 	made := send{
 		Gateway: g.nick, Load: running, Instance: placed.row.entry.ID, Salt: placed.salt, Parts: parts,
 		Uncached: placed.uncached, Saved: placed.save != "", Move: placed.move,
@@ -172,10 +173,10 @@
 }
 
 // load is what the attempt takes of its back end while it runs.
-func (a *attempt) load() load { return loadOf(&a.exchange.call) }
+func (a *attempt) load() belief.Load { return loadOf(&a.exchange.call) }
 
 // loadOf is what a call takes of its back end while it runs.
-func loadOf(call *Call) load { return load{running: 1, tokens: memoryOf(call)} }
+func loadOf(call *Call) belief.Load { return belief.Load{Running: 1, Tokens: memoryOf(call)} }
 
 // memoryOf is how many tokens of an engine's memory a call's prompt takes. Shared parts are there once for all requests
 // that run with them; they count half.
@@ -211,7 +212,7 @@
 		return 0
 	}
 	if x.service.Engine {
-		predicted := fromMilliseconds(waitFactor * a.plan.wait)
+		predicted := belief.FromMilliseconds(waitFactor * a.plan.wait)
 		return predicted + max(patienceMinimum, time.Duration(enginePatience*float64(x.route.Objective)))
 	}
 	return max(patienceMinimum, time.Duration(patienceShare*float64(x.route.Objective)))
--- a/internal/gateway/holdings.go
+++ b/internal/gateway/belief/holdings.go
@@ -1,4 +1,4 @@
-package gateway
+package belief
 
 import (
 	"time"
@@ -24,6 +24,12 @@
 	storedFor = 60 * time.Second
 )
 
+// KeptPart is a part of a prompt and how many of its tokens an engine keeps now; 0 says that it is gone.
+type KeptPart struct {
+	Salt string
+	prefix.Part
+}
+
 // holding is one belief: an engine holds a part, or the first tokens of it.
 type holding struct {
 	kept   int // tokens that are held; above 0
@@ -35,9 +41,9 @@
 // partKey names a part under a salt: parts of other weights or of a tenant that shares nothing never meet.
 type partKey struct{ salt, id string }
 
-// holdings is what one engine is believed to hold: what was sent there, put right by what the engine itself tells. While
+// Holdings is what one engine is believed to hold: what was sent there, put right by what the engine itself tells. While
 // nobody reads that, the parts that were unused longest give way when its memory is full, as at the engine.
-type holdings struct {
+type Holdings struct {
 	parts    map[partKey]holding
 	salts    map[string]int // under which each id is held, counted
 	total    int            // sum of the kept tokens
@@ -48,15 +54,16 @@
 	unsureAt time.Duration // when parts that were only sent were looked through
 }
 
-func newHoldings(memory int) *holdings {
+// NewHoldings returns the beliefs about an engine whose memory has room for so many tokens.
+func NewHoldings(memory int) *Holdings {
 	if memory <= 0 {
 		memory = defaultCache
 	}
-	return &holdings{parts: map[partKey]holding{}, salts: map[string]int{}, limit: int(cacheShare * float64(memory)), memory: memory}
+	return &Holdings{parts: map[partKey]holding{}, salts: map[string]int{}, limit: int(cacheShare * float64(memory)), memory: memory}
 }
 
 // set notes that so many tokens of a part are held; 0 forgets it.
-func (h *holdings) set(key partKey, next holding) {
+func (h *Holdings) set(key partKey, next holding) {
 	before, known := h.parts[key]
 	h.total += next.kept - before.kept
 	switch {
@@ -73,8 +80,8 @@
 	}
 }
 
-// use notes that a request with these parts was sent.
-func (h *holdings) use(now time.Duration, salt string, parts []prefix.Part) {
+// Use notes that a request with these parts was sent.
+func (h *Holdings) Use(now time.Duration, salt string, parts []prefix.Part) {
 	for i, part := range parts {
 		key := partKey{salt, part.ID}
 		before := h.parts[key]
@@ -90,7 +97,7 @@
 	}
 }
 
-func (h *holdings) dropOldest() {
+func (h *Holdings) dropOldest() {
 	var oldest partKey
 	first := true
 	for key, held := range h.parts {
@@ -101,21 +108,21 @@
 	h.set(oldest, holding{})
 }
 
-// hear notes that the engine's own word was heard.
-func (h *holdings) hear(now time.Duration) {
+// Hear notes that the engine's own word was heard.
+func (h *Holdings) Hear(now time.Duration) {
 	h.told, h.toldAt = true, max(h.toldAt, now)
 }
 
-// keep takes up what another gateway read of the engine's own word.
-func (h *holdings) keep(now time.Duration, salt string, parts []prefix.Part) {
-	h.hear(now)
+// Keep takes up what another gateway read of the engine's own word.
+func (h *Holdings) Keep(now time.Duration, salt string, parts []prefix.Part) {
+	h.Hear(now)
 	for _, part := range parts {
 		h.learn(now, partKey{salt, part.ID}, part.Tokens)
 	}
 }
 
 // learn notes what the engine says of a part, and reports whether that was believed otherwise and is of use to others.
-func (h *holdings) learn(now time.Duration, key partKey, kept int) bool {
+func (h *Holdings) learn(now time.Duration, key partKey, kept int) bool {
 	before := h.parts[key]
 	next := holding{kept: max(0, kept), usedAt: now, own: before.own, sure: true}
 	if before.kept > 0 {
@@ -125,10 +132,10 @@
 	return before.kept != next.kept && !before.own
 }
 
-// tell takes up what the engine tells that it keeps, all of it or what has changed, and returns the parts of use to others
+// Tell takes up what the engine tells that it keeps, all of it or what has changed, and returns the parts of use to others
 // that were believed otherwise.
-func (h *holdings) tell(now time.Duration, parts []KeptPart, whole bool) []KeptPart {
-	h.hear(now)
+func (h *Holdings) Tell(now time.Duration, parts []KeptPart, whole bool) []KeptPart {
+	h.Hear(now)
 	var differ []KeptPart
 	named := map[partKey]bool{}
 	for _, p := range parts {
@@ -143,7 +150,7 @@
 
 // giveUp forgets parts that were sent long enough ago for the engine to have told of them, and did not; with a whole list
 // also those that it had told of before.
-func (h *holdings) giveUp(now time.Duration, named map[partKey]bool, whole bool) []KeptPart {
+func (h *Holdings) giveUp(now time.Duration, named map[partKey]bool, whole bool) []KeptPart {
 	if now < h.unsureAt+unsureEach && !whole {
 		return nil
 	}
@@ -162,19 +169,19 @@
 	return gone
 }
 
-// clear forgets everything: the engine's weights were replaced.
-func (h *holdings) clear() {
+// Clear forgets everything: the engine's weights were replaced.
+func (h *Holdings) Clear() {
 	clear(h.parts)
 	clear(h.salts)
 	h.total = 0
 }
 
-// holds reports whether a part is held under any salt.
-func (h *holdings) holds(id string) bool { return h.salts[id] > 0 }
+// Holds reports whether a part is held under any salt.
+func (h *Holdings) Holds(id string) bool { return h.salts[id] > 0 }
 
-// cached returns the leading tokens that are believed to be held; a part is of use only behind all parts before it, and
+// Cached returns the leading tokens that are believed to be held; a part is of use only behind all parts before it, and
 // what follows one that is held in part is of none.
-func (h *holdings) cached(salt string, parts []prefix.Part) int {
+func (h *Holdings) Cached(salt string, parts []prefix.Part) int {
 	tokens := 0
 	for _, part := range parts {
 		kept := min(h.parts[partKey{salt, part.ID}].kept, part.Tokens)
@@ -186,22 +193,23 @@
 	return tokens
 }
 
-// stored remembers which parts were sent to a store, and when.
-type stored struct {
+// Stored remembers which parts were sent to a store, and when.
+type Stored struct {
 	parts map[partKey]time.Duration
 }
 
-func newStored() *stored { return &stored{parts: map[partKey]time.Duration{}} }
+// NewStored returns the beliefs about stores.
+func NewStored() *Stored { return &Stored{parts: map[partKey]time.Duration{}} }
 
-// note remembers that parts are being saved.
-func (s *stored) note(now time.Duration, salt string, parts []prefix.Part) {
+// Note remembers that parts are being saved.
+func (s *Stored) Note(now time.Duration, salt string, parts []prefix.Part) {
 	for _, part := range parts {
 		s.parts[partKey{salt, part.ID}] = now
 	}
 }
 
-// holds reports whether all parts were saved lately.
-func (s *stored) holds(now time.Duration, salt string, parts []prefix.Part) bool {
+// Holds reports whether all parts were saved lately.
+func (s *Stored) Holds(now time.Duration, salt string, parts []prefix.Part) bool {
 	for _, part := range parts {
 		at, known := s.parts[partKey{salt, part.ID}]
 		if !known || now-at > storedFor {
@@ -211,8 +219,8 @@
 	return true
 }
 
-// sweep forgets what was saved long ago.
-func (s *stored) sweep(now time.Duration) {
+// Sweep forgets what was saved long ago.
+func (s *Stored) Sweep(now time.Duration) {
 	for key, at := range s.parts {
 		if now-at > storedFor {
 			delete(s.parts, key)
--- /dev/null
+++ b/internal/gateway/belief/holdings_test.go
@@ -0,0 +1,175 @@
+package belief
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kitetiller/internal/prefix"
+)
+
+// kept is a part that an engine says it keeps so many tokens of.
+func kept(id string, tokens int) KeptPart {
+	return KeptPart{Salt: "w1", Part: prefix.Part{ID: id, Tokens: tokens}}
+}
+
+// TestEnginesWordPutsBeliefsRight: parts that gave way are no longer counted on, parts held in part count as far as they go,
+// and what the engine never confirms is given up.
+func TestEnginesWordPutsBeliefsRight(t *testing.T) {
+	h := NewHoldings(100_000)
+	prompt := []prefix.Part{{ID: "a", Tokens: 100}, {ID: "b", Tokens: 200}, {ID: "own", Tokens: 50}}
+	h.Use(time.Second, "w1", prompt)
+	shared := prefix.Shared(prompt)
+	if got := h.Cached("w1", shared); got != 300 {
+		t.Fatalf("after the send %d tokens", got)
+	}
+	if differ := h.Tell(1100*time.Millisecond, []KeptPart{kept("a", 100), kept("b", 200), kept("own", 50)}, false); len(differ) > 0 {
+		t.Fatalf("what all believe is told again: %v", differ)
+	}
+	differ := h.Tell(1200*time.Millisecond, []KeptPart{kept("b", 64), kept("own", 0)}, false)
+	if len(differ) != 1 || differ[0] != kept("b", 64) {
+		t.Fatalf("told: %v", differ)
+	}
+	if got := h.Cached("w1", shared); got != 164 {
+		t.Fatalf("with a part held in part %d tokens", got)
+	}
+	h.Use(2*time.Second, "w1", prompt)
+	h.Tell(3*time.Second, nil, false)
+	if got := h.Cached("w1", shared); got != 300 {
+		t.Fatalf("a moment after another send %d tokens", got)
+	}
+	differ = h.Tell(2*time.Second+unsureFor+time.Millisecond, nil, false)
+	if got := h.Cached("w1", shared); got != 100 || len(differ) != 1 || differ[0] != kept("b", 0) {
+		t.Fatalf("never confirmed: %d tokens, told %v", got, differ)
+	}
+}
+
+// TestListReplacesWhatWasTold: what a list does not name is gone, but for what was sent since.
+func TestListReplacesWhatWasTold(t *testing.T) {
+	h := NewHoldings(100_000)
+	h.Tell(0, []KeptPart{kept("a", 10), kept("b", 10)}, false)
+	h.Use(time.Second, "w1", []prefix.Part{{ID: "c", Tokens: 10}, {ID: "own", Tokens: 1}})
+	h.Tell(1100*time.Millisecond, []KeptPart{kept("b", 10)}, true)
+	for id, wanted := range map[string]int{"a": 0, "b": 10, "c": 10} {
+		if got := h.Cached("w1", []prefix.Part{{ID: id, Tokens: 10}}); got != wanted {
+			t.Errorf("%s: %d tokens, wanted %d", id, got, wanted)
+		}
+	}
+}
+
+// engineCache is an engine's cache as the oracle of the tests below sees it.
+type engineCache map[string]int
+
+// TestBeliefsFollowAnEngine: whatever is sent and gives way, with events lost and lists after a gap, a reader that has heard
+// everything believes what the engine keeps, and so does one that is only told of what the reader believed otherwise.
+func TestBeliefsFollowAnEngine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		engine, pending := engineCache{}, []KeptPart{}
+		reader, other := NewHoldings(1000), NewHoldings(1000)
+		now := time.Duration(0)
+		lost := false
+		tell := func(whole bool) {
+			news := pending
+			if whole {
+				news = nil
+				for id, tokens := range engine {
+					news = append(news, kept(id, tokens))
+				}
+			}
+			pending = nil
+			other.Hear(now) // others are told every second that the engine is read
+			for _, p := range reader.Tell(now, news, whole) {
+				other.Keep(now, p.Salt, []prefix.Part{p.Part})
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"send": func(t *rapid.T) {
+				now += time.Millisecond
+				id := fmt.Sprint("p", rapid.IntRange(0, 9).Draw(t, "part"))
+				parts := []prefix.Part{{ID: id, Tokens: 100}, {ID: fmt.Sprint("own", now), Tokens: 10}}
+				reader.Use(now, "w1", parts)
+				other.Use(now, "w1", parts)
+				engine[id] = 100
+				pending = append(pending, kept(id, 100))
+			},
+			"give way": func(t *rapid.T) {
+				id := fmt.Sprint("p", rapid.IntRange(0, 9).Draw(t, "part"))
+				left := rapid.SampledFrom([]int{0, 16, 64}).Draw(t, "left")
+				if engine[id] <= left {
+					return
+				}
+				engine[id] = left
+				if left == 0 {
+					delete(engine, id)
+				}
+				pending = append(pending, kept(id, left))
+			},
+			"lose": func(*rapid.T) { pending, lost = nil, true },
+			"read": func(*rapid.T) { now += 100 * time.Millisecond; tell(lost); lost = false },
+		})
+		now += unsureFor + time.Second
+		tell(lost)
+		now += unsureFor + time.Second
+		tell(true)
+		for i := range 10 {
+			id := fmt.Sprint("p", i)
+			part := []prefix.Part{{ID: id, Tokens: 100}}
+			if got := reader.Cached("w1", part); got != engine[id] {
+				t.Fatalf("the reader believes %d tokens of %s, the engine keeps %d", got, id, engine[id])
+			}
+			if got := other.Cached("w1", part); got != engine[id] {
+				t.Fatalf("another gateway believes %d tokens of %s, the engine keeps %d", got, id, engine[id])
+			}
+		}
+	})
+}
+
+// TestHoldingsAgreeWithASimpleCache: against an oracle that keeps the order of use, whatever is sent.
+func TestHoldingsAgreeWithASimpleCache(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		held := NewHoldings(1000) // 750 tokens
+		var order []prefix.Part   // oldest first
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "sends") {
+			now += time.Millisecond
+			id := rapid.IntRange(0, 12).Draw(t, "part")
+			part := prefix.Part{ID: fmt.Sprint(id), Tokens: 50 + 20*id}
+			held.Use(now, "w1", []prefix.Part{part})
+			for i, known := range order {
+				if known.ID == part.ID {
+					order = append(order[:i], order[i+1:]...)
+					break
+				}
+			}
+			order = append(order, part)
+			for prefix.PartTokens(order) > held.limit {
+				order = order[1:]
+			}
+			for _, known := range order {
+				if held.Cached("w1", []prefix.Part{known}) != known.Tokens {
+					t.Fatalf("part %s is not held", known.ID)
+				}
+				if held.Cached("w2", []prefix.Part{known}) != 0 {
+					t.Fatalf("part %s is held under another salt", known.ID)
+				}
+			}
+			if held.total != prefix.PartTokens(order) {
+				t.Fatalf("%d tokens held, %d expected", held.total, prefix.PartTokens(order))
+			}
+		}
+	})
+}
+
+// TestPartsCountOnlyBehindAllBeforeThem: a part is of use only after the same parts as before.
+func TestPartsCountOnlyBehindAllBeforeThem(t *testing.T) {
+	held := NewHoldings(10_000)
+	held.Use(0, "w", []prefix.Part{{ID: "b", Tokens: 5}, {ID: "c", Tokens: 7}})
+	if got := held.Cached("w", []prefix.Part{{ID: "a", Tokens: 3}, {ID: "b", Tokens: 5}}); got != 0 {
+		t.Fatalf("%d tokens behind a part that is not held", got)
+	}
+	if got := held.Cached("w", []prefix.Part{{ID: "b", Tokens: 5}, {ID: "x", Tokens: 9}, {ID: "c", Tokens: 7}}); got != 5 {
+		t.Fatalf("%d tokens, 5 expected", got)
+	}
+}
--- a/internal/gateway/occupancy_test.go
+++ b/internal/gateway/belief/occupancy_test.go
@@ -1,4 +1,4 @@
-package gateway
+package belief
 
 import (
 	"fmt"
@@ -12,34 +12,34 @@
 // gateway has come, the sum is right, and what is told no more is forgotten.
 func TestOccupancyFollowsEveryGateway(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var o occupancy
+		var o Occupancy
 		type message struct {
 			from string
 			at   time.Duration
-			load load
+			load Load
 		}
 		var sent []message
 		newest := map[string]message{}
 		for at := range rapid.IntRange(1, 60).Draw(t, "messages") {
 			m := message{
 				from: fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "gateway")), at: time.Duration(at+1) * time.Millisecond,
-				load: load{running: rapid.IntRange(0, 20).Draw(t, "running"), tokens: rapid.IntRange(0, 9000).Draw(t, "tokens")},
+				load: Load{Running: rapid.IntRange(0, 20).Draw(t, "running"), Tokens: rapid.IntRange(0, 9000).Draw(t, "tokens")},
 			}
 			sent, newest[m.from] = append(sent, m), m
 			if back := rapid.IntRange(0, min(5, len(sent)-1)).Draw(t, "overtaken"); rapid.Bool().Draw(t, "arrives") {
 				late := sent[len(sent)-1-back]
-				o.note(late.from, late.at, late.load)
+				o.Note(late.from, late.at, late.load)
 			}
 		}
-		var wanted load
+		var wanted Load
 		for _, m := range newest {
-			o.note(m.from, m.at, m.load)
-			wanted = wanted.plus(m.load)
+			o.Note(m.from, m.at, m.load)
+			wanted = wanted.Plus(m.load)
 		}
-		if o.total() != wanted {
-			t.Fatalf("total %+v, wanted %+v", o.total(), wanted)
+		if o.Total() != wanted {
+			t.Fatalf("total %+v, wanted %+v", o.Total(), wanted)
 		}
-		if o.sweep(time.Second + toldCounts); o.total() != (load{}) || len(o.told) > 0 {
+		if o.Sweep(time.Second + toldCounts); o.Total() != (Load{}) || len(o.told) > 0 {
 			t.Fatalf("after a long silence: %+v", o)
 		}
 	})
@@ -49,18 +49,18 @@
 func TestCrowdingStartsWhereSlotsOrMemoryEnd(t *testing.T) {
 	const slots, memory, stay = 16, 80_000, 2000
 	for _, c := range []struct {
-		held   load
+		held   Load
 		tokens int
 		wanted float64
 	}{
-		{load{15, 70_000}, 10_000, 0}, {load{16, 0}, 10, 125}, {load{23, 0}, 10, 1000}, {load{8, 80_000}, 20_000, 500},
-		{load{0, 0}, 90_000, 0}, {load{31, 80_000}, 20_000, 2000},
+		{Load{15, 70_000}, 10_000, 0}, {Load{16, 0}, 10, 125}, {Load{23, 0}, 10, 1000}, {Load{8, 80_000}, 20_000, 500},
+		{Load{0, 0}, 90_000, 0}, {Load{31, 80_000}, 20_000, 2000},
 	} {
-		if got := crowding(c.held, slots, memory, c.tokens, stay); got != c.wanted {
-			t.Errorf("%+v and %d tokens: %.0f ms, wanted %.0f", c.held, c.tokens, got, c.wanted)
+		if got := Crowding(c.held, slots, memory, c.tokens, stay); got != c.wanted {
+			t.Errorf("%+v and %d Tokens: %.0f ms, wanted %.0f", c.held, c.tokens, got, c.wanted)
 		}
 	}
-	if got := crowding(load{running: 50, tokens: 1e9}, 0, 0, 10, stay); got != 0 {
+	if got := Crowding(Load{Running: 50, Tokens: 1e9}, 0, 0, 10, stay); got != 0 {
 		t.Errorf("unknown limits give %.0f ms", got)
 	}
 }
--- /dev/null
+++ b/internal/gateway/belief/pace_test.go
@@ -0,0 +1,33 @@
+package belief
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestPaceIsLearnt: from requests of which every fourth was not alone, and within bounds whatever is told.
+func TestPaceIsLearnt(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, rate := range []float64{15, 30, 57, 110} { // tokens a ms
+		p := FirstPace
+		for i := range 400 {
+			tokens := 1500 + random.IntN(9000)
+			first := float64(tokens) / rate * (0.95 + 0.1*random.Float64())
+			if i%4 == 0 {
+				first *= 2.5
+			}
+			p = p.Next(tokens, FromMilliseconds(first))
+		}
+		if got := 1 / float64(p); got < 0.85*rate || got > 1.15*rate {
+			t.Errorf("%v tokens a ms are learnt as %.1f", rate, got)
+		}
+	}
+	slow, fast := FirstPace, FirstPace
+	for range 1000 {
+		slow, fast = slow.Next(1, time.Hour), fast.Next(1<<40, time.Nanosecond)
+	}
+	if slow > FirstPace*paceMost || fast < FirstPace/paceMost {
+		t.Errorf("%v and %v", slow, fast)
+	}
+}
--- a/internal/gateway/cachenews.go
+++ b/internal/gateway/cachenews.go
@@ -3,21 +3,15 @@
 import (
 	"context"
 
-	"kitetiller/internal/prefix"
+	"kitetiller/internal/gateway/belief"
 )
 
 // CacheNews is what an engine tells of its cache.
 type CacheNews struct {
-	Life  uint64     // of the engine's process: another one has forgotten everything
-	Next  uint64     // number to ask for next
-	Lost  bool       // some news is missing
-	Parts []KeptPart // in the order in which they changed
-}
-
-// KeptPart is a part of a prompt and how many of its tokens an engine keeps now; 0 says that it is gone.
-type KeptPart struct {
-	Salt string
-	prefix.Part
+	Life  uint64            // of the engine's process: another one has forgotten everything
+	Next  uint64            // number to ask for next
+	Lost  bool              // some news is missing
+	Parts []belief.KeptPart // in the order in which they changed
 }
 
 // CacheReader asks engines what they keep. It is safe for concurrent use. An answer that cannot be read in full is an
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -8,13 +8,12 @@
 	"github.com/cespare/xxhash/v2"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/prefix"
 )
 
 const (
-	// prefillRate is how many prompt tokens an engine is taken to read in a millisecond.
-	prefillRate = 40.0
 	// runningCost is what each running request adds to a request's time at an engine, in milliseconds.
 	runningCost = 0.6
 	// slotTime is the work of a typical request at a service without prompts, in milliseconds.
@@ -49,7 +48,7 @@
 	alone    bool          // nothing else is taken to be read there
 	fetch    string        // address to take cached parts from, or ""
 	save     string        // address of the store to keep the parts in, or ""
-	move     move          // of cached parts that the placement causes
+	move     belief.Move   // of cached parts that the placement causes
 	back     time.Duration // the request is to be turned away, and to come back after this time; else 0
 	// scheduled names the placement where a scheduler made it; else this gateway did.
 	scheduled *scheduled
@@ -64,7 +63,7 @@
 	tried   []*endpoint
 	trusted bool          // the view is confirmed, so what it says of weights holds
 	memory  int           // tokens that the prompt takes of an engine's memory; set by choose
-	stay    stays         // how long requests stay at the service's back ends; set by choose
+	stay    belief.Stays  // how long requests stay at the service's back ends; set by choose
 	first   bool          // no back end was sent the request yet
 	rank    int           // of urgency, 0 the most
 	target  time.Duration // the route's objective
@@ -152,7 +151,7 @@
 	if wish.service.Engine {
 		g.scoreEngine(now, &scored, wish, owner, sources)
 	} else {
-		scored.cost = slotTime * float64(row.occupied.total().running) / float64(max(1, row.entry.Slots))
+		scored.cost = slotTime * float64(row.occupied.Total().Running) / float64(max(1, row.entry.Slots))
 	}
 	if row.entry.Zone != g.settings.Zone && g.on(mechanism.ZoneCost) {
 		scored.cost += zoneCost
@@ -179,7 +178,7 @@
 		scored.version, scored.salt = 0, uniqueSalt()
 	}
 	shared := prefix.Shared(wish.call.Parts)
-	cached := row.held.cached(scored.salt, shared)
+	cached := row.held.Cached(scored.salt, shared)
 	sharedTokens := prefix.PartTokens(shared)
 	if cached < sharedTokens && scored.version > 0 {
 		cached = g.planFetch(now, scored, wish, cached, sources)
@@ -188,20 +187,20 @@
 	}
 	scored.uncached = wish.total() - cached
 	queue := max(0, row.busyTo-now)
-	held := row.occupied.total()
-	scored.cost += milliseconds(queue) + float64(scored.uncached)/prefillRate
+	held := row.occupied.Total()
+	scored.cost += belief.Milliseconds(queue) + float64(scored.uncached)/belief.PrefillRate
 	if g.on(mechanism.Occupancy) {
-		scored.cost += crowding(held, row.entry.Slots, wish.service.CacheLimit, wish.memory, wish.stay)
+		scored.cost += belief.Crowding(held, row.entry.Slots, wish.service.CacheLimit, wish.memory, wish.stay)
 	}
 	scored.wait, scored.alone = scored.cost, queue == 0
-	scored.queue = scored.wait - float64(scored.uncached)/prefillRate
+	scored.queue = scored.wait - float64(scored.uncached)/belief.PrefillRate
 	scored.cost += g.astray(row, scored.uncached)
 	if g.on(mechanism.RereadWeight) {
-		scored.cost += rereadWeight * float64(sharedTokens-cached) / prefillRate
+		scored.cost += rereadWeight * float64(sharedTokens-cached) / belief.PrefillRate
 	}
-	scored.cost += runningCost * float64(held.running)
+	scored.cost += runningCost * float64(held.Running)
 	if !owner && g.on(mechanism.StrayCost) {
-		scored.cost += strayCost * float64(sharedTokens-cached) / prefillRate
+		scored.cost += strayCost * float64(sharedTokens-cached) / belief.PrefillRate
 	}
 }
 
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/prefix"
 )
@@ -77,7 +78,7 @@
 		name = salt(version, wish.tenant)
 		salts[version] = name
 	}
-	tokens := row.held.cached(name, prefix.Shared(wish.call.Parts))
+	tokens := row.held.Cached(name, prefix.Shared(wish.call.Parts))
 	return source{row: row, version: version, tokens: tokens}, tokens > 0
 }
 
@@ -95,7 +96,7 @@
 func (g *Gateway) planFetch(now time.Duration, scored *candidate, wish need, cached int, sources []source) int {
 	shared := prefix.Shared(wish.call.Parts)
 	whole := prefix.PartTokens(shared)
-	stored := wish.store != nil && g.table.stored.holds(now, scored.salt, shared)
+	stored := wish.store != nil && g.table.stored.Holds(now, scored.salt, shared)
 	best, found := copyPlan{tokens: cached}, false
 	if g.on(mechanism.Copies) {
 		best, found = g.bestEngineCopy(now, scored, wish, cached, sources)
@@ -109,19 +110,19 @@
 	switch {
 	case found && best.net(cached) < 0:
 		scored.fetch, scored.cost = best.from, scored.cost+best.cost
-		scored.move = move{from: best.from, time: fromMilliseconds(best.time)}
+		scored.move = belief.Move{From: best.from, Time: belief.FromMilliseconds(best.time)}
 		return best.tokens
-	case !stored && wish.store != nil && g.table.links.wait(now, wish.store.Store) < saveWait:
+	case !stored && wish.store != nil && g.table.links.Wait(now, wish.store.Store) < saveWait:
 		scored.fetch, scored.save = wish.store.Store, wish.store.Store
 		saved := g.storeCopy(now, scored, wish, whole, cached) // the way there takes as long as the way back
-		scored.move = move{from: saved.from, time: fromMilliseconds(saved.time)}
+		scored.move = belief.Move{From: saved.from, Time: belief.FromMilliseconds(saved.time)}
 	}
 	return cached
 }
 
 // net is what a way costs more than to read the parts, in milliseconds; below 0 it is the better one.
 func (p copyPlan) net(cached int) float64 {
-	return p.cost - (1+rereadWeight)*float64(p.tokens-cached)/prefillRate
+	return p.cost - (1+rereadWeight)*float64(p.tokens-cached)/belief.PrefillRate
 }
 
 // bestEngineCopy returns the copy from an engine that costs least against reading.
@@ -150,10 +151,10 @@
 	plan := copyPlan{from: from, tokens: tokens, time: moveTime(wish.service, linkMbps, tokens-cached, far)}
 	plan.cost = plan.time
 	if g.on(mechanism.Displacement) {
-		plan.cost += displaceWeight * float64(tokens-cached) / prefillRate
+		plan.cost += displaceWeight * float64(tokens-cached) / belief.PrefillRate
 	}
 	if g.on(mechanism.Links) {
-		plan.cost += milliseconds(g.table.links.wait(now, from))
+		plan.cost += belief.Milliseconds(g.table.links.Wait(now, from))
 	}
 	return plan
 }
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -12,6 +12,7 @@
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
 	"kitetiller/internal/events"
+	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/mechanism"
 )
 
@@ -25,11 +26,11 @@
 type endpoint struct {
 	entry    control.RosterEntry
 	heardAt  time.Duration // when the entry came
-	occupied occupancy
-	busyTo   time.Duration // when the prompts sent so far, by any gateway, are taken to be read
-	held     *holdings     // cached parts that it is believed to hold
-	hash     uint64        // of its address
-	long     bool          // it serves long requests rather than short ones
+	occupied belief.Occupancy
+	busyTo   time.Duration    // when the prompts sent so far, by any gateway, are taken to be read
+	held     *belief.Holdings // cached parts that it is believed to hold
+	hash     uint64           // of its address
+	long     bool             // it serves long requests rather than short ones
 	waiting  map[*attempt]time.Duration
 	spokeAt  time.Duration // newest bytes of any answer
 	failures int           // in a row
@@ -47,12 +48,12 @@
 	rows       map[string]*endpoint
 	services   map[string][]*endpoint
 	named      map[string][]named          // by model, rising
-	stored     *stored                     // parts that were sent to a store
+	stored     *belief.Stored              // parts that were sent to a store
 	lanes      map[string]*lanes           // by service
-	stays      map[string]stays            // by service
+	stays      map[string]belief.Stays     // by service
 	placed     map[string]placement        // for other gateways, by ticket
-	links      links                       // of engines and stores
-	paces      map[string]pace             // by service
+	links      belief.Links                // of engines and stores
+	paces      map[string]belief.Pace      // by service
 	judges     map[string]*admission.Judge // by service
 	homes      int                         // rows that are home
 	holders    map[string][]*endpoint      // that hold a shared part, under any salt, by its id
@@ -63,7 +64,7 @@
 	return &table{
 		mechanisms: mechanisms,
 		rows:       map[string]*endpoint{}, services: map[string][]*endpoint{}, named: map[string][]named{},
-		stored: newStored(), lanes: map[string]*lanes{}, stays: map[string]stays{}, placed: map[string]placement{}, links: links{}, paces: map[string]pace{}, judges: map[string]*admission.Judge{}, holders: map[string][]*endpoint{}, changed: newBell(),
+		stored: belief.NewStored(), lanes: map[string]*lanes{}, stays: map[string]belief.Stays{}, placed: map[string]placement{}, links: belief.Links{}, paces: map[string]belief.Pace{}, judges: map[string]*admission.Judge{}, holders: map[string][]*endpoint{}, changed: newBell(),
 	}
 }
 
@@ -89,7 +90,7 @@
 		row := t.rows[entry.ID]
 		if row == nil {
 			row = &endpoint{waiting: map[*attempt]time.Duration{}, spokeAt: now, hash: xxhash.Sum64String(entry.Address)}
-			row.held = newHoldings(cacheLimits[entry.Service])
+			row.held = belief.NewHoldings(cacheLimits[entry.Service])
 			changes = append(changes, rosterChange{events.InstanceJoined, entry})
 		}
 		if entry.State == catalog.StateDraining && row.entry.State != entry.State {
@@ -112,7 +113,7 @@
 func (e *endpoint) update(now time.Duration, entry control.RosterEntry) {
 	entry.Versions = newestVersions(e.entry.Versions, entry.Versions)
 	if !maps.Equal(e.entry.Versions, entry.Versions) {
-		e.held.clear()
+		e.held.Clear()
 	}
 	e.entry, e.heardAt = entry, now
 }
@@ -150,7 +151,7 @@
 		return false
 	}
 	row.entry.Versions = newestVersions(row.entry.Versions, map[string]uint64{model: version})
-	row.held.clear()
+	row.held.Clear()
 	return true
 }
 
@@ -183,7 +184,7 @@
 	defer t.mutex.Unlock()
 	counts := map[string]int{}
 	for id, row := range t.rows {
-		if n := row.occupied.own.running; n > 0 {
+		if n := row.occupied.Own.Running; n > 0 {
 			counts[id] = n
 		}
 	}
@@ -209,7 +210,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for _, row := range t.rows {
-		if row.entry.Loading && row.occupied.own.running > 0 {
+		if row.entry.Loading && row.occupied.Own.Running > 0 {
 			return true
 		}
 	}
@@ -217,16 +218,16 @@
 }
 
 // begin notes that an attempt is sent, and returns what this gateway now has running there.
-func (t *table) begin(now time.Duration, sent *attempt) load {
+func (t *table) begin(now time.Duration, sent *attempt) belief.Load {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	own := &sent.row.occupied.own
-	*own = own.plus(sent.load())
+	own := &sent.row.occupied.Own
+	*own = own.Plus(sent.load())
 	if sent.plan.scheduled == nil {
 		t.read(now, sent.row, sent.uncached)
 	}
 	sent.row.waiting[sent] = now
-	return sent.row.occupied.here()
+	return sent.row.occupied.Here()
 }
 
 // spoke notes bytes of an answer; the first ones end the wait.
@@ -250,31 +251,31 @@
 }
 
 // end notes that an attempt is over, and how it went. It returns what this gateway still has running there.
-func (t *table) end(now time.Duration, sent *attempt, good outcomeGrade) load {
+func (t *table) end(now time.Duration, sent *attempt, good outcomeGrade) belief.Load {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.endWait(sent)
-	own := &sent.row.occupied.own
-	*own = own.minus(sent.load())
+	own := &sent.row.occupied.Own
+	*own = own.Minus(sent.load())
 	sent.row.grade(now, good)
 	if good == gradeGood {
 		t.noteStay(sent.row, now-sent.began)
 	}
-	return sent.row.occupied.here()
+	return sent.row.occupied.Here()
 }
 
 // noteStay learns how long a request stayed at a back end. The caller holds the mutex.
 func (t *table) noteStay(row *endpoint, length time.Duration) {
 	service := row.entry.Service
-	t.stays[service] = t.stay(service).next(length)
+	t.stays[service] = t.stay(service).Next(length)
 }
 
 // stay returns how long requests stay at the back ends of a service.
-func (t *table) stay(service string) stays {
+func (t *table) stay(service string) belief.Stays {
 	if known, measured := t.stays[service]; measured {
 		return known
 	}
-	return stayFirst
+	return belief.StayFirst
 }
 
 // takeSends notes what other gateways sent.
@@ -288,7 +289,7 @@
 		}
 		at := now - min(now, made.Age)
 		if made.Kept {
-			row.held.keep(at, made.Salt, made.Parts)
+			row.held.Keep(at, made.Salt, made.Parts)
 			t.index(row, made.Parts)
 			continue
 		}
@@ -296,7 +297,7 @@
 			t.suspect(at, row, made.Gateway)
 			continue
 		}
-		row.occupied.note(made.Gateway, at, made.Load)
+		row.occupied.Note(made.Gateway, at, made.Load)
 		if made.Salt == "" {
 			continue // it tells of no prompt
 		}
@@ -320,15 +321,15 @@
 func (t *table) sweep(now time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.stored.sweep(now)
+	t.stored.Sweep(now)
 	t.sweepPlacements(now)
 	for _, judge := range t.judges {
 		judge.Sweep(now)
 	}
-	t.links.sweep(now)
+	t.links.Sweep(now)
 	t.forgetHolders()
 	for _, row := range t.rows {
-		row.occupied.sweep(now)
+		row.occupied.Sweep(now)
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/follower_test.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/control"
+	"kitetiller/internal/gateway/belief"
+	"kitetiller/internal/node"
+	"kitetiller/internal/prefix"
+)
+
+// kept is a part that an engine says it keeps so many tokens of.
+func kept(id string, tokens int) belief.KeptPart {
+	return belief.KeptPart{Salt: "w1", Part: prefix.Part{ID: id, Tokens: tokens}}
+}
+
+// scriptedCache is a cache reader that gives one answer after the other, and then waits.
+type scriptedCache struct {
+	mu      sync.Mutex
+	answers []any // CacheNews or error; guarded by mu
+	lists   int   // guarded by mu
+	drained chan struct{}
+}
+
+func (s *scriptedCache) next(ctx context.Context) (CacheNews, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.answers) == 0 {
+		select {
+		case <-s.drained:
+		default:
+			close(s.drained)
+		}
+		return CacheNews{}, eris.New("no more answers")
+	}
+	answer := s.answers[0]
+	s.answers = s.answers[1:]
+	if err, failed := answer.(error); failed {
+		return CacheNews{}, err
+	}
+	return answer.(CacheNews), nil
+}
+
+func (s *scriptedCache) Events(ctx context.Context, _ string, _ uint64) (CacheNews, error) {
+	return s.next(ctx)
+}
+
+func (s *scriptedCache) List(ctx context.Context, _ string) (CacheNews, error) {
+	s.mu.Lock()
+	s.lists++
+	s.mu.Unlock()
+	return s.next(ctx)
+}
+
+// read passes one answer after the other to a gateway's cursor.
+func (s *scriptedCache) read(g *Gateway, at *cacheCursor, times int) {
+	for range times {
+		at.listedAt = -listPause // lists may follow each other here
+		_, _ = g.readCache(context.Background(), "i-1", at)
+	}
+}
+
+// TestGapsAndRestartsAreReadAnew: after events were lost, in another life of the engine, or when its numbers go back, the
+// list is read; an exchange that fails changes nothing.
+func TestGapsAndRestartsAreReadAnew(t *testing.T) {
+	for name, gap := range map[string]CacheNews{
+		"lost": {Life: 1, Next: 9, Lost: true}, "another life": {Life: 2, Next: 9}, "numbers go back": {Life: 1, Next: 3},
+	} {
+		script := &scriptedCache{drained: make(chan struct{}), answers: []any{
+			CacheNews{Life: 1, Next: 5, Parts: []belief.KeptPart{kept("a", 10), kept("b", 10)}}, // the first list
+			eris.New("cut off"),
+			CacheNews{Life: 1, Next: 6, Parts: []belief.KeptPart{kept("b", 0)}},
+			gap,
+			CacheNews{Life: gap.Life, Next: 20, Parts: []belief.KeptPart{kept("c", 10)}}, // the list after it
+		}}
+		g := New(Settings{Control: []string{"127.0.0.1:1"}}, nil, node.NopLog())
+		g.UseCacheReader(script)
+		g.table.takeRoster(0, &control.RosterNews{Whole: true, Entries: []control.RosterEntry{{Instance: catalog.Instance{ID: "i-1", Address: "a"}}}}, nil)
+		at := &cacheCursor{}
+		holds := func(wanted string) {
+			t.Helper()
+			held := ""
+			for _, id := range []string{"a", "b", "c"} {
+				if g.table.rows["i-1"].held.Holds(id) {
+					held += id
+				}
+			}
+			if held != wanted {
+				t.Fatalf("%s: holds %q, wanted %q", name, held, wanted)
+			}
+		}
+		script.read(g, at, 2)
+		holds("ab")
+		script.read(g, at, 1)
+		holds("a")
+		script.read(g, at, 2)
+		holds("c")
+		if script.lists != 2 {
+			t.Fatalf("%s: %d lists", name, script.lists)
+		}
+	}
+}
+
+// TestFollowersFollowTheAssignment: one thread an engine, ended when the engine is another gateway's.
+func TestFollowersFollowTheAssignment(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := newFollowers()
+	var mu sync.Mutex
+	reading := map[string]int{}
+	read := func(ctx context.Context, id string) {
+		mu.Lock()
+		reading[id]++
+		mu.Unlock()
+		<-ctx.Done()
+		mu.Lock()
+		reading[id]--
+		mu.Unlock()
+	}
+	settled := func(wanted map[string]int) {
+		t.Helper()
+		for range 2000 {
+			mu.Lock()
+			same := len(wanted) == 0
+			total := 0
+			for id, n := range reading {
+				total += n
+				same = same || n == wanted[id] && wanted[id] > 0
+			}
+			mu.Unlock()
+			if same && total == len(wanted) {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+		t.Fatalf("reading %v, wanted %v", reading, wanted)
+	}
+	f.use(ctx, []string{"i-1", "i-2"}, read)
+	f.use(ctx, []string{"i-1", "i-2"}, read)
+	settled(map[string]int{"i-1": 1, "i-2": 1})
+	f.use(ctx, []string{"i-2", "i-3"}, read)
+	settled(map[string]int{"i-2": 1, "i-3": 1})
+	cancel()
+	f.threads.Wait()
+	settled(nil)
+}
--- a/internal/gateway/holders.go
+++ b/internal/gateway/holders.go
@@ -5,13 +5,14 @@
 	"slices"
 	"time"
 
+	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/prefix"
 )
 
 // index makes a back end be found by parts that it holds.
 func (t *table) index(row *endpoint, parts []prefix.Part) {
 	for _, part := range parts {
-		if row.held.holds(part.ID) && !slices.Contains(t.holders[part.ID], row) {
+		if row.held.Holds(part.ID) && !slices.Contains(t.holders[part.ID], row) {
 			t.holders[part.ID] = append(t.holders[part.ID], row)
 		}
 	}
@@ -29,7 +30,7 @@
 }
 
 // takeKept takes up what a back end tells that it keeps, and returns what was believed otherwise, as sends that say so.
-func (t *table) takeKept(now time.Duration, id string, parts []KeptPart, whole bool) []send {
+func (t *table) takeKept(now time.Duration, id string, parts []belief.KeptPart, whole bool) []send {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	row := t.rows[id]
@@ -37,7 +38,7 @@
 		return nil
 	}
 	bySalt := map[string][]prefix.Part{}
-	for _, p := range row.held.tell(now, parts, whole) {
+	for _, p := range row.held.Tell(now, parts, whole) {
 		bySalt[p.Salt] = append(bySalt[p.Salt], p.Part)
 		t.index(row, []prefix.Part{p.Part})
 	}
@@ -55,11 +56,11 @@
 }
 
 func (t *table) hold(at time.Duration, row *endpoint, made send) {
-	row.held.use(at, made.Salt, made.Parts)
-	t.links.note(at, made.Move)
+	row.held.Use(at, made.Salt, made.Parts)
+	t.links.Note(at, made.Move)
 	t.index(row, prefix.Shared(made.Parts))
 	if made.Saved {
-		t.stored.note(at, made.Salt, prefix.Shared(made.Parts))
+		t.stored.Note(at, made.Salt, prefix.Shared(made.Parts))
 	}
 }
 
@@ -76,7 +77,7 @@
 // forgetHolders drops back ends that are gone, and parts that nobody holds any more, from the holders.
 func (t *table) forgetHolders() {
 	for id, rows := range t.holders {
-		rows = slices.DeleteFunc(rows, func(row *endpoint) bool { return row.gone || !row.held.holds(id) })
+		rows = slices.DeleteFunc(rows, func(row *endpoint) bool { return row.gone || !row.held.Holds(id) })
 		if len(rows) == 0 {
 			delete(t.holders, id)
 			continue
--- a/internal/gateway/lanes.go
+++ b/internal/gateway/lanes.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/mechanism"
 )
 
@@ -42,7 +43,7 @@
 		l.long += float64(uncached)
 		return
 	}
-	l.short += float64(uncached) + max(shortSurcharge, slotTime*prefillRate)
+	l.short += float64(uncached) + max(shortSurcharge, slotTime*belief.PrefillRate)
 }
 
 func (l *lanes) decay(now time.Duration) {
--- a/internal/gateway/large_test.go
+++ b/internal/gateway/large_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
+	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/prefix"
 )
 
@@ -54,10 +54,10 @@
 	store := &catalog.Service{Name: "k", Store: "10.9.0.1:1", LinkMbps: 550_000, Zone: "z"}
 	engine := &catalog.Service{Name: "s", Engine: true, LinkMbps: 1_100_000, TokenBytes: 163_840}
 	parts := partsOf("own")
-	g.table.stored.note(time.Second, "w1", prefix.Shared(parts))
+	g.table.stored.Note(time.Second, "w1", prefix.Shared(parts))
 	wish := need{service: engine, store: store, trusted: true, call: &Call{Model: "m", Parts: parts, PromptTokens: 9190}}
 	free := g.choose(time.Second, wish)
-	if free == nil || free.fetch != store.Store || free.uncached != 2890 || free.move.time < 15*time.Millisecond {
+	if free == nil || free.fetch != store.Store || free.uncached != 2890 || free.move.Time < 15*time.Millisecond {
 		t.Fatalf("over a free link: %+v", free)
 	}
 	for range 40 {
@@ -72,32 +72,6 @@
 	}
 }
 
-// TestPaceIsLearnt: from requests of which every fourth was not alone, and within bounds whatever is told.
-func TestPaceIsLearnt(t *testing.T) {
-	random := rand.New(rand.NewPCG(1, 2))
-	for _, rate := range []float64{15, 30, 57, 110} { // tokens a ms
-		p := firstPace
-		for i := range 400 {
-			tokens := 1500 + random.IntN(9000)
-			first := float64(tokens) / rate * (0.95 + 0.1*random.Float64())
-			if i%4 == 0 {
-				first *= 2.5
-			}
-			p = p.next(tokens, fromMilliseconds(first))
-		}
-		if got := 1 / float64(p); got < 0.85*rate || got > 1.15*rate {
-			t.Errorf("%v tokens a ms are learnt as %.1f", rate, got)
-		}
-	}
-	slow, fast := firstPace, firstPace
-	for range 1000 {
-		slow, fast = slow.next(1, time.Hour), fast.next(1<<40, time.Nanosecond)
-	}
-	if slow > firstPace*paceMost || fast < firstPace/paceMost {
-		t.Errorf("%v and %v", slow, fast)
-	}
-}
-
 // TestLearntPaceTellsTheQueue: the same reading keeps an engine busy for longer where engines are slower.
 func TestLearntPaceTellsTheQueue(t *testing.T) {
 	g := scheduler(2)
@@ -142,7 +116,7 @@
 		})
 	}
 	g.table.takeRoster(0, news, nil)
-	g.table.takeSends(time.Second, []send{{Gateway: "other", Instance: "p-0", Load: load{running: 40}}})
+	g.table.takeSends(time.Second, []send{{Gateway: "other", Instance: "p-0", Load: belief.Load{Running: 40}}})
 	used := map[string]int{}
 	for i := range 42 {
 		used[g.placeFor(time.Second, &wireQuestion{Ticket: fmt.Sprint("t", i), Service: "plain", WithinMS: 1000}).Instance]++
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"kitetiller/internal/admission"
+	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/mechanism"
 )
 
@@ -24,7 +25,7 @@
 		return 0, false
 	}
 	asked := admission.Wish{
-		Rank: wish.rank, Queue: fromMilliseconds(chosen.queue), Objective: wish.target, Chance: rand.Float64(),
+		Rank: wish.rank, Queue: belief.FromMilliseconds(chosen.queue), Objective: wish.target, Chance: rand.Float64(),
 	}
 	if parts := wish.call.Parts; len(parts) > 0 {
 		asked.Key = parts[len(parts)-1].ID // its own: shared parts come before
@@ -50,9 +51,9 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	judge := t.judge(service)
-	queue := fromMilliseconds(predicted)
+	queue := belief.FromMilliseconds(predicted)
 	if first > 0 {
-		judge.Learn(rank, queue, max(0, first-t.pace(service).reading(uncached)))
+		judge.Learn(rank, queue, max(0, first-t.pace(service).Reading(uncached)))
 		return
 	}
 	if stayed > judge.Expected(rank, queue) {
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/transport"
 )
@@ -56,7 +57,7 @@
 // placement is a request that this gateway placed for another one, until that one tells of its end.
 type placement struct {
 	row      *endpoint
-	load     load
+	load     belief.Load
 	uncached int           // prompt tokens to read
 	alone    bool          // nothing else was to be read there
 	until    time.Duration // it counts no longer, whatever was told
@@ -129,23 +130,23 @@
 }
 
 // place counts a placement, and returns what now runs at its back end as far as this gateway tells others.
-func (t *table) place(now time.Duration, ticket string, made placement) load {
+func (t *table) place(now time.Duration, ticket string, made placement) belief.Load {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.placed[ticket] = made
 	here := &made.row.occupied
-	here.placed = here.placed.plus(made.load)
+	here.Placed = here.Placed.Plus(made.load)
 	t.read(now, made.row, made.uncached)
-	return here.here()
+	return here.Here()
 }
 
 // endPlacement takes a placement out. That no connection came up is one gateway's report, like one that came over the mesh.
-func (t *table) endPlacement(now time.Duration, end *wireEnd) (made placement, left load, known bool) {
+func (t *table) endPlacement(now time.Duration, end *wireEnd) (made placement, left belief.Load, known bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	made, known = t.placed[end.Ticket]
 	if !known {
-		return made, load{}, false
+		return made, belief.Load{}, false
 	}
 	t.forgetPlacement(end.Ticket, made)
 	row := made.row
@@ -157,13 +158,13 @@
 	if end.Grade == gradeGood {
 		t.noteStay(row, wireTime(end.StayMS))
 	}
-	return made, row.occupied.here(), true
+	return made, row.occupied.Here(), true
 }
 
 // forgetPlacement takes a placement out of the sums. The caller holds the mutex.
 func (t *table) forgetPlacement(ticket string, made placement) {
 	delete(t.placed, ticket)
-	made.row.occupied.placed = made.row.occupied.placed.minus(made.load)
+	made.row.occupied.Placed = made.row.occupied.Placed.Minus(made.load)
 }
 
 // sweepPlacements forgets placements whose end was never told. The caller holds the mutex.
--- a/internal/gateway/schedulers_test.go
+++ b/internal/gateway/schedulers_test.go
@@ -13,6 +13,7 @@
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
+	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/node"
 	"kitetiller/internal/prefix"
@@ -87,8 +88,8 @@
 				counts[r.instance]++
 			}
 			for id, row := range g.table.rows {
-				if row.occupied.total().running != counts[id] || row.occupied.total().tokens != counts[id]*loadOf(&Call{Parts: partsOf("x")}).tokens {
-					t.Fatalf("%s has %+v, wanted %d requests", id, row.occupied.total(), counts[id])
+				if row.occupied.Total().Running != counts[id] || row.occupied.Total().Tokens != counts[id]*loadOf(&Call{Parts: partsOf("x")}).Tokens {
+					t.Fatalf("%s has %+v, wanted %d requests", id, row.occupied.Total(), counts[id])
 				}
 			}
 		}
@@ -129,7 +130,7 @@
 	g := scheduler(3)
 	row := g.table.rows["i-0"]
 	report := func(now time.Duration, gateway, ticket string) {
-		g.table.place(now, ticket, placement{row: row, load: load{running: 1}, until: now + time.Second})
+		g.table.place(now, ticket, placement{row: row, load: belief.Load{Running: 1}, until: now + time.Second})
 		g.table.endPlacement(now, &wireEnd{Ticket: ticket, Gateway: gateway, Unreached: true})
 	}
 	for i := range 5 {
@@ -189,12 +190,12 @@
 	if chosen == nil || chosen.scheduled == nil || chosen.row.entry.ID != "i-2" || chosen.salt != "w1/t" {
 		t.Fatalf("chosen %+v", chosen)
 	}
-	if n := s.table.rows["i-2"].occupied.placed.running; n != 1 {
+	if n := s.table.rows["i-2"].occupied.Placed.Running; n != 1 {
 		t.Fatalf("%d requests counted", n)
 	}
 	x.newAttempt(chosen).settle()
 	<-ended
-	if n := s.table.rows["i-2"].occupied.placed.running; n != 0 {
+	if n := s.table.rows["i-2"].occupied.Placed.Running; n != 0 {
 		t.Fatalf("%d requests counted after the end", n)
 	}
 	if _, err := mechanism.Without(string(mechanism.Schedulers)); err != nil {
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -87,54 +87,6 @@
 	})
 }
 
-// TestHoldingsAgreeWithASimpleCache: against an oracle that keeps the order of use, whatever is sent.
-func TestHoldingsAgreeWithASimpleCache(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		held := newHoldings(1000) // 750 tokens
-		var order []prefix.Part   // oldest first
-		now := time.Duration(0)
-		for range rapid.IntRange(1, 60).Draw(t, "sends") {
-			now += time.Millisecond
-			id := rapid.IntRange(0, 12).Draw(t, "part")
-			part := prefix.Part{ID: fmt.Sprint(id), Tokens: 50 + 20*id}
-			held.use(now, "w1", []prefix.Part{part})
-			for i, known := range order {
-				if known.ID == part.ID {
-					order = append(order[:i], order[i+1:]...)
-					break
-				}
-			}
-			order = append(order, part)
-			for prefix.PartTokens(order) > held.limit {
-				order = order[1:]
-			}
-			for _, known := range order {
-				if held.cached("w1", []prefix.Part{known}) != known.Tokens {
-					t.Fatalf("part %s is not held", known.ID)
-				}
-				if held.cached("w2", []prefix.Part{known}) != 0 {
-					t.Fatalf("part %s is held under another salt", known.ID)
-				}
-			}
-			if held.total != prefix.PartTokens(order) {
-				t.Fatalf("%d tokens held, %d expected", held.total, prefix.PartTokens(order))
-			}
-		}
-	})
-}
-
-// TestPartsCountOnlyBehindAllBeforeThem: a part is of use only after the same parts as before.
-func TestPartsCountOnlyBehindAllBeforeThem(t *testing.T) {
-	held := newHoldings(10_000)
-	held.use(0, "w", []prefix.Part{{ID: "b", Tokens: 5}, {ID: "c", Tokens: 7}})
-	if got := held.cached("w", []prefix.Part{{ID: "a", Tokens: 3}, {ID: "b", Tokens: 5}}); got != 0 {
-		t.Fatalf("%d tokens behind a part that is not held", got)
-	}
-	if got := held.cached("w", []prefix.Part{{ID: "b", Tokens: 5}, {ID: "x", Tokens: 9}, {ID: "c", Tokens: 7}}); got != 5 {
-		t.Fatalf("%d tokens, 5 expected", got)
-	}
-}
-
 // rowsOf returns engines in zones, all ready.
 func rowsOf(zones ...string) []*endpoint {
 	var rows []*endpoint
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/gateway/belief"
 )
 
 // beginLimit returns until when requests may begin on a back end's weights, if newer ones were named. The time counts
@@ -35,7 +36,7 @@
 	if limited {
 		scored.beginBy = limit
 	}
-	wait := fromMilliseconds(beginFactor * scored.wait)
+	wait := belief.FromMilliseconds(beginFactor * scored.wait)
 	return limited && now+wait >= limit-beginMargin
 }
 
