One gateway's broken attempts turn nobody else away

Now they count in the back end's share of failures, and turn others away with a second gateway's word, as reports that nothing came up do. Test: fails first ("one gateway turned everybody away").

--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -140,7 +140,8 @@
 	return here.Here()
 }
 
-// endPlacement takes a placement out. That no connection came up is one gateway's report, like one that came over the mesh.
+// endPlacement takes a placement out. That no connection came up, or that one broke, is one gateway's report, like one that came
+// over the mesh.
 func (t *table) endPlacement(now time.Duration, end *wireEnd) (made placement, left belief.Load, known bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -150,9 +151,13 @@
 	}
 	t.forgetPlacement(end.Ticket, made)
 	row := made.row
-	if end.Unreached {
+	switch {
+	case end.Unreached:
+		t.suspect(now, row, end.Gateway)
+	case end.Grade == gradeBad:
+		row.blame()
 		t.suspect(now, row, end.Gateway)
-	} else {
+	default:
 		row.grade(now, end.Grade)
 	}
 	if end.Grade == gradeGood {
--- a/internal/gateway/schedulers_test.go
+++ b/internal/gateway/schedulers_test.go
@@ -145,6 +145,32 @@
 	}
 }
 
+// TestOneGatewaysBrokenAttemptsTurnNobodyAway: attempts that broke off at one gateway cost the back end a little with its
+// scheduler; only with another gateway's is it avoided.
+func TestOneGatewaysBrokenAttemptsTurnNobodyAway(t *testing.T) {
+	g := scheduler(3)
+	row := g.table.rows["i-0"]
+	broke := func(now time.Duration, gateway, ticket string) {
+		g.table.place(now, ticket, placement{row: row, load: belief.Load{Running: 1}, until: now + time.Second})
+		if _, _, known := g.table.endPlacement(now, &wireEnd{Ticket: ticket, Gateway: gateway, Grade: gradeBad}); !known {
+			t.Fatal("the placement is not known")
+		}
+	}
+	for i := range 5 {
+		broke(time.Second+time.Duration(i)*10*time.Millisecond, "a", fmt.Sprint("t", i))
+	}
+	if row.avoidTo > 0 || row.failures > 0 {
+		t.Fatal("one gateway turned everybody away")
+	}
+	if row.failing == 0 {
+		t.Fatal("its word costs nothing")
+	}
+	broke(1100*time.Millisecond, "b", "t9")
+	if row.avoidTo == 0 {
+		t.Fatal("two gateways turned nobody away")
+	}
+}
+
 // TestPlacingGoesOnWithoutAScheduler: one that says nothing is asked once and then left alone; the gateway places by itself.
 func TestPlacingGoesOnWithoutAScheduler(t *testing.T) {
 	silent, err := net.Listen("tcp", "127.0.0.1:0") // it takes connections and says nothing
--- a/internal/gateway/suspicion.go
+++ b/internal/gateway/suspicion.go
@@ -46,9 +46,12 @@
 	}
 }
 
+// blame counts a failure in the back end's share of them.
+func (e *endpoint) blame() { e.failing += failureSmoothing * (1 - e.failing) }
+
 func (e *endpoint) failed(now, base time.Duration) {
 	e.failures++
-	e.failing += failureSmoothing * (1 - e.failing)
+	e.blame()
 	e.avoidTo = max(e.avoidTo, now+min(base<<min(e.failures-1, 10), suspectLimit))
 }
 
