--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -78,9 +78,11 @@
 }
 
 // choose filters, scores and picks the back end of least cost, or returns nil.
-func (g *Gateway) choose(now time.Duration, wish need) (best *candidate) {
+func (g *Gateway) choose(now time.Duration, wish need) *candidate {
 	g.table.mutex.Lock()
 	defer g.table.mutex.Unlock()
+	var best candidate // by value: only the winner goes to the heap
+	found := false
 	rows := g.table.services[wish.service.Name]
 	if wish.service.Engine {
 		g.table.lane(wish.service.Name).divide(rows)
@@ -99,11 +101,14 @@
 		if g.beginsTooLate(now, &scored, wish.call.Model) {
 			continue
 		}
-		if best == nil || scored.cost < best.cost {
-			best = &scored
+		if !found || scored.cost < best.cost {
+			best, found = scored, true
 		}
 	}
-	return best
+	if !found {
+		return nil
+	}
+	return &best
 }
 
 // eligible reports whether a back end may get a new request at all.
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -40,15 +40,16 @@
 	if !wish.service.Engine || len(shared) == 0 || !wish.trusted {
 		return nil
 	}
-	var found []source
-	salts := map[uint64]string{}
-	seen := map[*endpoint]bool{}
+	found := make([]source, 0, maximumHolders)
+	var salts knownSalts
 	for deepest := len(shared) - 1; deepest >= 0 && len(found) < maximumHolders; deepest-- {
 		for _, row := range sampled(g.table.holders[shared[deepest].ID], holdersSampled) {
-			if held, holds := g.sourceAt(now, row, wish, salts); holds && !seen[row] && len(found) < maximumHolders {
+			if len(found) == maximumHolders || slices.ContainsFunc(found, func(other source) bool { return other.row == row }) {
+				continue
+			}
+			if held, holds := g.sourceAt(now, row, wish, &salts); holds {
 				found = append(found, held)
 			}
-			seen[row] = true
 		}
 	}
 	slices.SortStableFunc(found, func(a, b source) int { return cmp.Compare(b.tokens, a.tokens) })
@@ -67,18 +68,27 @@
 	return picked
 }
 
-// sourceAt returns what a back end holds of a prompt's shared parts under its own weights, whose salts are kept in salts.
-func (g *Gateway) sourceAt(now time.Duration, row *endpoint, wish need, salts map[uint64]string) (source, bool) {
+// knownSalts keeps the salt of the weights that came last: few versions are about at a time, mostly one.
+type knownSalts struct {
+	version uint64
+	name    string
+}
+
+// of returns the salt of a version for a tenant.
+func (k *knownSalts) of(version uint64, owner *catalog.Tenant) string {
+	if k.name == "" || k.version != version {
+		k.version, k.name = version, salt(version, owner)
+	}
+	return k.name
+}
+
+// sourceAt returns what a back end holds of a prompt's shared parts under its own weights, whose salt is kept in salts.
+func (g *Gateway) sourceAt(now time.Duration, row *endpoint, wish need, salts *knownSalts) (source, bool) {
 	version := row.entry.Versions[wish.call.Model]
 	if version == 0 || row.entry.Service != wish.service.Name || now < row.avoidTo || row.entry.Loading {
 		return source{}, false
 	}
-	name, made := salts[version]
-	if !made {
-		name = salt(version, wish.tenant)
-		salts[version] = name
-	}
-	tokens := row.held.Cached(name, prefix.Shared(wish.call.Parts))
+	tokens := row.held.Cached(salts.of(version, wish.tenant), prefix.Shared(wish.call.Parts))
 	return source{row: row, version: version, tokens: tokens}, tokens > 0
 }
 
