--- /dev/null
+++ b/internal/gateway/overload_test.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"kitetiller/internal/gateway/belief"
+	"kitetiller/internal/mechanism"
+)
+
+// busy lets every engine have so much to read from a time on.
+func busy(g *Gateway, now, length time.Duration) {
+	for _, row := range g.table.rows {
+		row.busyTo = now + length
+	}
+}
+
+// judged is a question of a route with an objective.
+func judged(ticket string, first bool) *wireQuestion {
+	asked := question(ticket, 1)
+	asked.First, asked.Rank, asked.TargetMS = first, 1, 800
+	return asked
+}
+
+// TestWhatWouldWaitTooLongIsTurnedAway: with the time to come back, and without being counted anywhere; what was sent once, what
+// has no objective, and everything while engines are free, is placed.
+func TestWhatWouldWaitTooLongIsTurnedAway(t *testing.T) {
+	g := scheduler(4)
+	now := time.Second
+	if got := g.placeFor(now, judged("free", true)); got.Instance == "" || got.BackMS > 0 {
+		t.Fatalf("engines are free: %+v", got)
+	}
+	busy(g, now, 3*time.Second)
+	got := g.placeFor(now, judged("new", true))
+	if got.BackMS < 1000 {
+		t.Fatalf("three seconds of reading: %+v", got)
+	}
+	for id, row := range g.table.rows {
+		if n := row.occupied.Placed.Running; n > 1 || n == 1 && g.table.placed["free"].row != row {
+			t.Fatalf("%d requests are counted at %s", n, id)
+		}
+	}
+	if got := g.placeFor(now, judged("repeat", false)); got.BackMS > 0 {
+		t.Fatalf("sent before: %+v", got)
+	}
+	if got := g.placeFor(now, question("no objective", 1)); got.BackMS > 0 {
+		t.Fatalf("no objective: %+v", got)
+	}
+	g.settings.Mechanisms, _ = mechanism.Without(string(mechanism.Refusal))
+	if got := g.placeFor(now, judged("off", true)); got.BackMS > 0 {
+		t.Fatalf("without the mechanism: %+v", got)
+	}
+}
+
+// TestLongPromptsAreNotTurnedAwayForTheirReading: only the queue before it counts.
+func TestLongPromptsAreNotTurnedAwayForTheirReading(t *testing.T) {
+	g := scheduler(2)
+	asked := judged("long", true)
+	asked.Tokens[2], asked.Prompt = 60_000, 66_300 // over a second and a half of reading
+	if got := g.placeFor(time.Second, asked); got.BackMS > 0 {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// TestUrgentRequestsAreJudgedByWhatTheyWait: once it is seen that engines let them in first, others' queue is no reason to turn
+// them away; their scheduler learns it from the ends that it is told of.
+func TestUrgentRequestsAreJudgedByWhatTheyWait(t *testing.T) {
+	g := scheduler(4)
+	now := time.Second
+	busy(g, now, time.Hour)
+	for i := range 400 {
+		ticket := fmt.Sprint("t", i)
+		made := placement{row: g.table.rows["i-0"], load: belief.Load{Running: 1}, until: now + time.Second, queue: 1500}
+		g.table.place(now, ticket, made)
+		g.table.noteQueue("s", 0, made.queue, 0, 50*time.Millisecond, 0)
+		g.table.noteQueue("s", 1, made.queue, 0, 1500*time.Millisecond, 0)
+	}
+	busy(g, now, 1500*time.Millisecond)
+	urgent := judged("urgent", true)
+	urgent.Rank = 0
+	if got := g.placeFor(now, urgent); got.BackMS > 0 {
+		t.Fatalf("the urgent one: %+v", got)
+	}
+	if got := g.placeFor(now, judged("other", true)); got.BackMS == 0 {
+		t.Fatalf("the other one: %+v", got)
+	}
+}
+
+// TestRefusalOfASchedulerIsPassedOn by the gateway that asked, which does not place the request by itself then.
+func TestRefusalOfASchedulerIsPassedOn(t *testing.T) {
+	g := scheduler(2)
+	chosen := g.scheduledCandidate(&wirePlacement{Instance: "i-0", WaitMS: 3000, BackMS: 1200}, scheduled{}, need{})
+	if chosen == nil || chosen.back != 1200*time.Millisecond {
+		t.Fatalf("%+v", chosen)
+	}
+}
