Lanes go where slots are scarce

Cause: lanes keep engines for one kind of request; where slots bind, those that a lane keeps free are missing to the other kind. Each decider now measures which share of a service's slots is in use (its own and what the mesh tells); lanes count in full while slots are free, and not at all from half of them on. Test: TestLanesGoWhereSlotsAreScarce.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -85,7 +85,9 @@
 	found := false
 	rows := g.table.services[wish.service.Name]
 	if wish.service.Engine {
-		g.table.lane(wish.service.Name).divide(rows)
+		lanes := g.table.lane(wish.service.Name)
+		lanes.divide(rows)
+		lanes.measure(now, rows)
 		wish.memory, wish.stay = memoryOf(wish.call), g.table.stay(wish.service.Name)
 	}
 	owner := g.owner(now, rows, wish)
--- a/internal/gateway/lanes.go
+++ b/internal/gateway/lanes.go
@@ -21,6 +21,11 @@
 	// shortSurcharge: a short request also keeps a slot while it generates; this many tokens of reading stand for that at least.
 	// Where slots are few, the time that it keeps one of them counts as reading.
 	shortSurcharge = 250.0
+	// lanesGoneAt is the share of a service's slots in use from which on there are no lanes: where slots are scarce, those that a
+	// lane keeps free for one kind are missing to the other. Below it they count the less the more slots are in use, looked at each
+	// roomEach.
+	lanesGoneAt = 0.5
+	roomEach    = 50 * time.Millisecond
 	// longAstray and shortAstray are what a request costs on an engine of the other lane, in milliseconds.
 	longAstray  = 120.0
 	shortAstray = 60.0
@@ -34,8 +39,29 @@
 	share       float64        // of the engines that serve long requests, when they were divided last
 	divided     []*endpoint    // as they were then
 	sides       [2][]*endpoint // of divided: those for short requests, and those for long ones
+	used        float64        // share of the slots that are in use
+	usedAt      time.Duration  // when that was looked at
 }
 
+// measure looks how many of the slots are in use. Where slots are not known, none count as in use.
+func (l *lanes) measure(now time.Duration, rows []*endpoint) {
+	if now < l.usedAt+roomEach && l.usedAt > 0 {
+		return
+	}
+	running, slots := 0, 0
+	for _, row := range rows {
+		running += row.occupied.Total().Running
+		slots += row.entry.Slots
+	}
+	l.used, l.usedAt = 0, now
+	if slots > 0 {
+		l.used = float64(running) / float64(slots)
+	}
+}
+
+// weight is how much lanes count, from 0 to 1.
+func (l *lanes) weight() float64 { return min(max(1-l.used/lanesGoneAt, 0), 1) }
+
 // note adds a send's demand; slotTime is the time that a request keeps a slot, as a part of an engine's time, in milliseconds.
 func (l *lanes) note(now time.Duration, uncached int, slotTime float64) {
 	l.decay(now)
@@ -104,7 +130,7 @@
 	if !g.on(mechanism.Lanes) {
 		return 0
 	}
-	return e.astray(uncached)
+	return g.table.lane(e.entry.Service).weight() * e.astray(uncached)
 }
 
 func (e *endpoint) astray(uncached int) float64 {
--- a/internal/gateway/shortlist.go
+++ b/internal/gateway/shortlist.go
@@ -65,7 +65,8 @@
 	if !wish.service.Engine || !g.on(mechanism.Lanes) {
 		return rows
 	}
-	if lane := g.table.lane(wish.service.Name).of(wish.longest()); len(lane) > 0 {
+	lanes := g.table.lane(wish.service.Name)
+	if lane := lanes.of(wish.longest()); len(lane) > 0 && lanes.weight() > 0 {
 		return lane
 	}
 	return rows
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -223,6 +223,25 @@
 	}
 }
 
+// TestLanesGoWhereSlotsAreScarce: they count in full while slots are free, not at all from half of them on, and as they did where
+// slots are not known.
+func TestLanesGoWhereSlotsAreScarce(t *testing.T) {
+	for _, c := range []struct {
+		slots, running int
+		wanted         float64
+	}{{16, 0, 1}, {16, 4, 0.5}, {16, 8, 0}, {16, 40, 0}, {0, 40, 1}} {
+		rows := rowsOf("a", "b", "c")
+		for _, row := range rows {
+			row.entry.Slots = c.slots
+			row.occupied.Own.Running = c.running
+		}
+		held := &lanes{}
+		if held.measure(time.Second, rows); held.weight() != c.wanted {
+			t.Errorf("%d of %d slots: weight %v, wanted %v", c.running, c.slots, held.weight(), c.wanted)
+		}
+	}
+}
+
 // BenchmarkDecision chooses among engines, half of which hold the prompt's shared parts.
 func BenchmarkDecision(b *testing.B) {
 	for _, engines := range []int{18, 320, 3100} {
