Reading a prompt costs for each request that runs beside it

Cause: between two pieces of a prompt that an engine reads, each request that runs there gets one token; the decision counted that as 0.6 ms a running request whatever was read. Now it costs 0.3 of the reading's time for each (mechanism interference).

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -16,6 +16,9 @@
 const (
 	// runningCost is what each running request adds to a request's time at an engine, in milliseconds.
 	runningCost = 0.6
+	// interferenceWeight is what the reading of a prompt costs for each request that runs there meanwhile, as a part of its time:
+	// between two pieces of it each of them gets one token.
+	interferenceWeight = 0.3
 	// slotTime is the work of a typical request at a service without prompts, in milliseconds.
 	slotTime = 40.0
 	// zoneCost is what a back end in another zone costs, in milliseconds of waiting.
@@ -206,6 +209,9 @@
 		scored.cost += rereadWeight * float64(sharedTokens-cached) / belief.PrefillRate
 	}
 	scored.cost += runningCost * float64(held.Running)
+	if g.on(mechanism.Interference) {
+		scored.cost += interferenceWeight * float64(scored.uncached) / belief.PrefillRate * float64(held.Running)
+	}
 	if !owner && g.on(mechanism.StrayCost) {
 		scored.cost += strayCost * float64(sharedTokens-cached) / belief.PrefillRate
 	}
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -29,6 +29,7 @@
 	Avoidance    Name = "avoidance"     // back ends that failed are avoided for a while
 	ViewWait     Name = "view-wait"     // a request waits for control that is expected
 	ZoneCost     Name = "zone-cost"     // back ends of other zones cost more
+	Interference Name = "interference"  // reading a prompt costs for each request that runs beside it
 	Refusal      Name = "refusal"       // a request that would wait too long is turned away at once
 	RereadWeight Name = "reread-weight" // reading shared parts again costs more than its time
 )
@@ -44,7 +45,7 @@
 func All() []Name {
 	return []Name{
 		Lanes, Mesh, Occupancy, Suspicion, Store, Copies, Displacement, Links, Owner, StrayCost, CacheEvents, Patience, Avoidance,
-		ViewWait, ZoneCost, RereadWeight, Refusal, Schedulers, WeightsDrain, HeldWeights,
+		ViewWait, ZoneCost, RereadWeight, Interference, Refusal, Schedulers, WeightsDrain, HeldWeights,
 	}
 }
 
