Who comes back after a refusal is known to every decider; one queue is no standing one

Refusals now travel over the mesh by the name of the prompt's own part. (2) The smoothed wait of a rank took a single request almost in full where requests are half a second apart, so that one burst counted as a queue that stands, and all of the next were refused. Tests: TestWhoComesBackIsKnownElsewhere, TestOneQueueIsNoStandingOne.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -28,9 +28,12 @@
 	earlyFrom, earlyTo   = 0.1, 0.4
 	standsFrom, standsTo = 0.15, 0.4
 	standsMemory         = 500 * time.Millisecond
+	// standsEach is the most that one request moves the smoothed wait: where few come, one that met a queue is no sign that it
+	// stands.
+	standsEach = 0.15
 	// returnedBand is how much more wait one that comes back is sent with, so that it goes before new ones; not much more, else
 	// those that come back would make everybody late.
-	returnedBand = 1.25
+	returnedBand = 1.6
 	// comeBackLeast and comeBackMost bound the advice when to come back; comeBackSpread is the share by which it differs.
 	comeBackLeast  = 200 * time.Millisecond
 	comeBackMost   = 3 * time.Second
@@ -64,8 +67,8 @@
 
 // note takes the load that one request sees and returns how far the band has slid, from 0 to 1.
 func (s *standing) note(now time.Duration, load float64) float64 {
-	kept := math.Exp(-float64(now-s.at) / float64(standsMemory))
-	s.load, s.at = s.load*kept+load*(1-kept), now
+	weight := min(1-math.Exp(-float64(now-s.at)/float64(standsMemory)), standsEach)
+	s.load, s.at = s.load+weight*(load-s.load), now
 	return min(max((s.load-standsFrom)/(standsTo-standsFrom), 0), 1)
 }
 
@@ -114,14 +117,14 @@
 		delete(j.refused, wish.Key)
 		return 0, false
 	}
-	j.remember(now, wish.Key)
+	j.Remember(now, wish.Key)
 	wait := max(comeBackLeast, expected-time.Duration(from*float64(wish.Objective)))
 	wait += time.Duration(comeBackSpread * wish.Chance * float64(wait))
 	return min(wait, comeBackMost), true
 }
 
-// remember notes a refusal, so that the request is known when it comes back.
-func (j *Judge) remember(now time.Duration, key string) {
+// Remember notes a refusal, of this judge or of another one, so that the request is known when it comes back.
+func (j *Judge) Remember(now time.Duration, key string) {
 	if key == "" {
 		return
 	}
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -52,6 +52,20 @@
 	}
 }
 
+// TestOneQueueIsNoStandingOne: where requests are few, a single one that meets a queue slides nothing.
+func TestOneQueueIsNoStandingOne(t *testing.T) {
+	j := &Judge{}
+	for i := range 20 {
+		queue := time.Duration(0)
+		if i%10 == 9 {
+			queue = objective * 6 / 10
+		}
+		if _, refuse := j.Refuse(time.Duration(i)*time.Second, wishOf("", queue, 0)); refuse {
+			t.Fatalf("number %d is refused", i)
+		}
+	}
+}
+
 // TestErrorOfPredictionsIsLearnt for each rank by itself: what the urgent wait less than was predicted lets them in.
 func TestErrorOfPredictionsIsLearnt(t *testing.T) {
 	j := &Judge{}
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -57,7 +57,9 @@
 	Unreached bool
 	// Kept says that parts and their tokens are what the engine itself says that it keeps; nothing was sent then.
 	Kept bool
-	Age  time.Duration
+	// Refused names a request that was turned away from here for overload; nothing was sent then.
+	Refused string
+	Age     time.Duration
 }
 
 // wireSend is a send in a message. Names are short since every send goes to every gateway.
@@ -75,13 +77,14 @@
 	MoveMS    int64    `json:"d,omitempty"`
 	Unreached bool     `json:"x,omitempty"`
 	Kept      bool     `json:"k,omitempty"`
+	Refused   string   `json:"r,omitempty"`
 	AgeMS     int64    `json:"a"`
 }
 
 func (s send) wire(waited time.Duration) wireSend {
 	w := wireSend{
 		Gateway: s.Gateway, Running: s.Load.Running, Held: s.Load.Tokens,
-		Instance: s.Instance, Salt: s.Salt, Uncached: s.Uncached, Saved: s.Saved, Unreached: s.Unreached, Kept: s.Kept,
+		Instance: s.Instance, Salt: s.Salt, Uncached: s.Uncached, Saved: s.Saved, Unreached: s.Unreached, Kept: s.Kept, Refused: s.Refused,
 		AgeMS: (s.Age + waited).Milliseconds(), MoveFrom: s.Move.From, MoveMS: s.Move.Time.Milliseconds(),
 	}
 	w.Parts, w.Tokens = wireParts(s.Parts)
@@ -112,7 +115,7 @@
 func (w wireSend) send() send {
 	return send{
 		Gateway: w.Gateway, Load: belief.Load{Running: max(0, w.Running), Tokens: max(0, w.Held)},
-		Instance: w.Instance, Salt: w.Salt, Uncached: max(0, w.Uncached), Saved: w.Saved, Unreached: w.Unreached, Kept: w.Kept,
+		Instance: w.Instance, Salt: w.Salt, Uncached: max(0, w.Uncached), Saved: w.Saved, Unreached: w.Unreached, Kept: w.Kept, Refused: w.Refused,
 		Age: wireTime(w.AgeMS), Move: belief.Move{From: w.MoveFrom, Time: wireTime(w.MoveMS)}, Parts: partsOfWire(w.Parts, w.Tokens),
 	}
 }
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -297,6 +297,10 @@
 			t.suspect(at, row, made.Gateway)
 			continue
 		}
+		if made.Refused != "" {
+			t.judge(row.entry.Service).Remember(at, made.Refused)
+			continue
+		}
 		row.occupied.Note(made.Gateway, at, made.Load)
 		if made.Salt == "" {
 			continue // it tells of no prompt
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -31,8 +31,12 @@
 		asked.Key = parts[len(parts)-1].ID // its own: shared parts come before
 	}
 	g.table.mutex.Lock()
-	defer g.table.mutex.Unlock()
-	return g.table.judge(wish.service.Name).Refuse(now, asked)
+	back, refused = g.table.judge(wish.service.Name).Refuse(now, asked)
+	g.table.mutex.Unlock()
+	if refused && asked.Key != "" {
+		g.spread.own(send{Gateway: g.nick, Instance: chosen.row.entry.ID, Refused: asked.Key}) // whoever it comes back to is to know it
+	}
+	return back, refused
 }
 
 // judge returns the judge of a service. The caller holds the mutex.
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -95,3 +95,23 @@
 		t.Fatalf("%+v", chosen)
 	}
 }
+
+// TestWhoComesBackIsKnownElsewhere: a request that another gateway turned away goes before new ones here as well.
+func TestWhoComesBackIsKnownElsewhere(t *testing.T) {
+	let := func(told bool) (in int) {
+		for range 200 {
+			g, now := scheduler(4), time.Second
+			if told {
+				g.table.takeSends(now, []send{send{Gateway: "other", Instance: "i-0", Refused: "back"}.wire(0).send()})
+			}
+			busy(g, now, 720*time.Millisecond) // 0.9 of the objective
+			if got := g.placeFor(now, judged("back", true)); got.BackMS == 0 {
+				in++
+			}
+		}
+		return in
+	}
+	if known, unknown := let(true), let(false); known != 200 || unknown > 190 {
+		t.Fatalf("%d of 200 are let in where the refusal is known, %d where it is not", known, unknown)
+	}
+}
