A limit that was taken away refuses nobody

Cause (by reading): a gateway that had not heard yet that a limit is gone asked the leader, which no longer knows it and told it to wait. The leader's document is the newest; it grants now. Test: TestLowerLimitBindsAtOnce wants the grant and failed before (0 lent).

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -174,6 +174,9 @@
 		t.Fatalf("%v left", level)
 	}
 	l.Use(now, nil)
+	if hold, _ := askOne(l, now, newTestBorrower(), 1e6); hold.Amount != 1e6 {
+		t.Fatalf("%v of a limit that was taken away", hold)
+	}
 	l.Use(now, limitsOf(testLimit))
 	if level := l.accounts[resource].level; level != 0 {
 		t.Fatalf("%v left of a limit that was taken away", level)
--- a/internal/allowance/lender.go
+++ b/internal/allowance/lender.go
@@ -100,7 +100,7 @@
 func (l *Lender) lend(now time.Duration, ask Ask) Grant {
 	a := l.accounts[ask.Name]
 	if a == nil {
-		return Grant{Name: ask.Name, Wait: Lease} // not limited here: the borrower holds another document
+		return Grant{Name: ask.Name, Amount: ask.Amount} // the limit was taken away, which the borrower has not heard yet
 	}
 	a.refill(now, l.withheld)
 	capacity := a.limit.capacity()
