--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -158,6 +158,9 @@
 	if got := l.Take(time.Minute, asked).Grants[0]; !got.Young || got.Amount != 0 {
 		t.Fatalf("%+v", got)
 	}
+	if states := l.States(time.Minute); states[0].Over {
+		t.Fatalf("a young account says that its limit is reached: %+v", states)
+	}
 	now := time.Minute + 2*time.Second
 	l.Take(now, asked)
 	if got := l.Take(now, asked).Grants[0]; got.Young || got.Amount != 0 {
--- a/internal/allowance/lender.go
+++ b/internal/allowance/lender.go
@@ -34,7 +34,7 @@
 	queue   float64       // refused and not come back yet, as far as that can be known
 	lent    float64       // since the lender began, less what was given back
 	refused float64
-	over    time.Duration // when the newest refusal was; 0 never
+	over    time.Duration // when the newest refusal was that the limit itself is the reason of; 0 never
 }
 
 // NewLender returns a lender without resources. Each leadership has one of its own; only one may lend at a time.
@@ -122,7 +122,9 @@
 // refuse notes a refusal and returns when to come back: after those that were refused before.
 func (a *account) refuse(now time.Duration, amount float64) time.Duration {
 	a.refused += amount
-	a.over = now
+	if !a.young(now) {
+		a.over = now
+	}
 	missing := min(amount, a.limit.capacity()) - a.level + a.queue
 	a.queue += amount
 	wait := time.Duration(missing / a.limit.Rate * float64(time.Second))
