Who cannot wait for a young account takes from the reserve

Such a request now takes from its gateway's equal part of the reserve beyond the limit, which is there for times without a lender. The sum stays what it was: the same part, counted in the same place. Test: TestYoungAccountLeavesTheReserve fails without.

--- a/internal/allowance/borrower.go
+++ b/internal/allowance/borrower.go
@@ -230,9 +230,18 @@
 // TakeOwn takes an amount from the own part, for a borrower that gets no answer: its equal part of the reserve, and of the
 // rate since it was last in touch.
 func (b *Borrower) TakeOwn(now time.Duration, name string, amount float64) (Hold, bool) {
+	return b.takePart(now, name, amount, now-b.touched)
+}
+
+// TakeReserve takes an amount from the equal part of the reserve, for a borrower whose lender has just begun with nothing.
+func (b *Borrower) TakeReserve(now time.Duration, name string, amount float64) (Hold, bool) {
+	return b.takePart(now, name, amount, 0)
+}
+
+// takePart takes an amount from the own part of the reserve, and of what the rate brought in so long a silence.
+func (b *Borrower) takePart(now time.Duration, name string, amount float64, silence time.Duration) (Hold, bool) {
 	limit, limited := b.limits[name]
-	silence := now - b.touched
-	if !limited || silence > b.trust || b.touched == 0 {
+	if !limited || now-b.touched > b.trust || b.touched == 0 {
 		return Hold{}, false
 	}
 	p := b.pocket(name)
--- a/internal/allowance/desk/desk.go
+++ b/internal/allowance/desk/desk.go
@@ -233,6 +233,9 @@
 		if got.Hold.Amount == 0 {
 			got.Hold, _ = d.borrower.TakeAgain(now, w.Name, w.Amount) // of what was lent ahead for another
 		}
+		if got.Hold.Amount == 0 && got.Young {
+			got.Hold, _ = d.borrower.TakeReserve(now, w.Name, w.Amount)
+		}
 		switch {
 		case got.Hold.Amount > 0 || w.Amount == 0:
 			d.finish(w, Result{Hold: got.Hold})
--- a/internal/allowance/desk/desk_test.go
+++ b/internal/allowance/desk/desk_test.go
@@ -165,3 +165,22 @@
 		}
 	}
 }
+
+// TestYoungAccountLeavesTheReserve: who cannot wait for an account that has just begun takes from the reserve, as far as that goes.
+func TestYoungAccountLeavesTheReserve(t *testing.T) {
+	limit := allowance.Limit{Rate: 1, Burst: 100, Room: 100}
+	young := allowance.NewLender(1)
+	young.Use(clock(), map[string]allowance.Limit{resource: limit})
+	d := openDesk(t, limit, func(*allowance.Lender) Lend {
+		return func(_ context.Context, asked allowance.Question) (allowance.Answer, error) {
+			return young.Take(clock(), asked), nil
+		}
+	})
+	d.Touch(clock(), 1)
+	if result := d.Take(t.Context(), resource, 30, 0); result.Outcome != Granted || result.Hold.Amount != 30 {
+		t.Fatalf("%+v", result)
+	}
+	if result := d.Take(t.Context(), resource, 30, 0); result.Outcome != Over {
+		t.Fatalf("%+v", result)
+	}
+}
--- a/internal/allowance/doc.go
+++ b/internal/allowance/doc.go
@@ -5,7 +5,7 @@
 //   - An amount is taken off the whole when it is lent, and is of no use a lease after it was asked for, by the borrower's
 //     own clock. One that never arrives is lost, not doubled.
 //   - A lender begins with nothing. What an earlier one lent is therefore never lent again, and a new lender needs to know
-//     nothing of it.
+//     nothing of it. Until its accounts had the time to fill, borrowers may use their equal parts of the reserve.
 //   - A borrower out of touch may use its equal part of the rate, and its equal part of a reserve beyond the limit. The lender
 //     keeps back the parts of the borrowers that it does not hear.
 //
--- a/internal/allowance/machine_test.go
+++ b/internal/allowance/machine_test.go
@@ -137,6 +137,9 @@
 		got := b.Granted(f.now, l.asked, l.wants, l.answer)
 		b.Touch(l.asked, len(f.borrowers))
 		for _, result := range got {
+			if result.Young && result.Hold.Amount == 0 {
+				result.Hold, _ = b.TakeReserve(f.now, resource, l.wants[0].Amount)
+			}
 			if result.Hold.Amount > 0 {
 				f.held[l.to] = append(f.held[l.to], result.Hold)
 			}
