--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -30,7 +30,7 @@
 	var faults sync.WaitGroup
 	for _, fault := range plan.Faults {
 		faults.Go(func() {
-			if !rest(ctx, time.Until(began.Add(fault.At()))) {
+			if !Rest(ctx, time.Until(began.Add(fault.At()))) {
 				return
 			}
 			told(fault)
@@ -40,8 +40,8 @@
 	faults.Wait()
 }
 
-// rest waits, and is false when ctx ended first.
-func rest(ctx context.Context, length time.Duration) bool {
+// Rest waits, and is false when ctx ended first.
+func Rest(ctx context.Context, length time.Duration) bool {
 	select {
 	case <-ctx.Done():
 		return false
@@ -114,7 +114,7 @@
 		ends.Go(func() { p.End(signal) })
 	}
 	ends.Wait()
-	rest(ctx, length)
+	Rest(ctx, length)
 	for _, p := range processes {
 		_ = p.Start() // one that cannot start serves nobody, which the promises show
 	}
@@ -122,7 +122,7 @@
 
 func (f *Fleet) pause(ctx context.Context, length time.Duration, p *Process) {
 	p.Signal(syscall.SIGSTOP)
-	rest(ctx, length)
+	Rest(ctx, length)
 	p.Signal(syscall.SIGCONT)
 }
 
@@ -130,7 +130,7 @@
 	for _, link := range links {
 		f.Proxy.Silence(link)
 	}
-	rest(ctx, length)
+	Rest(ctx, length)
 	for _, link := range links {
 		f.Proxy.Heal(link)
 	}
@@ -140,7 +140,7 @@
 	for _, link := range links {
 		f.Proxy.Delay(link, delayed)
 	}
-	rest(ctx, length)
+	Rest(ctx, length)
 	for _, link := range links {
 		f.Proxy.Delay(link, 0)
 	}
