The room of a limit is not given twice

Cause: at the worst moment (the leader stands still, then a quarter of the gateways is cut off, under a hot tenant) the shares of the room beyond a limit added up to 1.28 of it. Ruled out: amounts used after their time (their lease is looked at again before each send), and two lenders at once (leases of leaders do not overlap). Lowered: tolerance and debt 0.15 -> 0.1 each, reserve 0.35 -> 0.2, the lease 0.3 -> 0.2 s, the silence after which a gateway's part is kept back 1 -> 0.7 s; 0.83 in all. Test: TestRoomIsNotGivenTwice (1.18 before). Tests that name amounts follow the constants (700 in place of 800, 15 in place of 30, 0.6 s in place of 0.8): each asks for the same against its share.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -130,10 +130,10 @@
 	}
 	l, now = fullLender()
 	b = newTestBorrower()
-	if hold, _ := askOne(l, now, b, 800); hold.Amount != 800 {
+	if hold, _ := askOne(l, now, b, 700); hold.Amount != 700 {
 		t.Fatalf("%v", hold)
 	}
-	if hold, wait := askOne(l, now, b, 100); hold.Amount != 0 || wait != 250*time.Millisecond {
+	if hold, wait := askOne(l, now, b, 100); hold.Amount != 0 || wait != 200*time.Millisecond {
 		t.Fatalf("%v after %v", hold, wait)
 	}
 }
@@ -220,3 +220,13 @@
 		t.Fatalf("%v", states)
 	}
 }
+
+// TestRoomIsNotGivenTwice: what may be used beyond a limit at its worst moment, with a third of the borrowers silent and a room of a
+// second of the rate, stays within that room (the soak's kept plan: 120,343 units where 120,000 were allowed).
+func TestRoomIsNotGivenTwice(t *testing.T) {
+	const silence, silent = 0.7, 1.0 / 3 // seconds until a lender notices a silence, and the part that is silent
+	given := toleranceShare + debtShare + reserveShare + Lease.Seconds() + silence*silent
+	if given > 0.9 {
+		t.Fatalf("%.2f of the room is given", given)
+	}
+}
--- a/internal/allowance/desk/desk_test.go
+++ b/internal/allowance/desk/desk_test.go
@@ -99,10 +99,10 @@
 		}
 	})
 	d.Touch(clock(), 1)
-	if result := d.Take(t.Context(), resource, 30, 0); result.Outcome != Granted || result.Hold.Amount != 30 {
+	if result := d.Take(t.Context(), resource, 15, 0); result.Outcome != Granted || result.Hold.Amount != 15 {
 		t.Fatalf("%v", result)
 	}
-	if result := d.Take(t.Context(), resource, 30, 0); result.Outcome != Unknown {
+	if result := d.Take(t.Context(), resource, 15, 0); result.Outcome != Unknown {
 		t.Fatalf("%v", result)
 	}
 }
@@ -177,10 +177,10 @@
 		}
 	})
 	d.Touch(clock(), 1)
-	if result := d.Take(t.Context(), resource, 30, 0); result.Outcome != Granted || result.Hold.Amount != 30 {
+	if result := d.Take(t.Context(), resource, 15, 0); result.Outcome != Granted || result.Hold.Amount != 15 {
 		t.Fatalf("%+v", result)
 	}
-	if result := d.Take(t.Context(), resource, 30, 0); result.Outcome != Over {
+	if result := d.Take(t.Context(), resource, 15, 0); result.Outcome != Over {
 		t.Fatalf("%+v", result)
 	}
 }
--- a/internal/allowance/doc.go
+++ b/internal/allowance/doc.go
@@ -17,16 +17,17 @@
 
 // Lease is how long an amount may be used after it was asked for: some times what a question takes, and short beside the
 // windows that limits are judged in, since what was lent before a window may be used in it.
-const Lease = 300 * time.Millisecond
+const Lease = 200 * time.Millisecond
 
 const (
 	// toleranceShare of a limit's room may be lent at once beside the burst, so that a caller just inside its limit is not
 	// turned away over when requests arrive; debtShare is how far one amount above that may exceed it. reserveShare is for
-	// borrowers out of touch, all together. The rest is for amounts that are lent and not used yet, and for the time until a
-	// lender notices a silence.
-	toleranceShare = 0.15
-	debtShare      = 0.15
-	reserveShare   = 0.35
+	// borrowers out of touch, all together. The rest, 0.6, is for amounts that are lent and not used yet (the rate for a lease),
+	// and for the time until a lender notices a silence (the rate for that time, by the part that is silent): where the room is
+	// a second of the rate, as it mostly is, these are 0.2 and, with a third silent, 0.23.
+	toleranceShare = 0.1
+	debtShare      = 0.1
+	reserveShare   = 0.2
 	// longestAdvice bounds how long a borrower is told to wait for an amount: what was refused long ago comes back no more.
 	longestAdvice = 8 * time.Second
 )
--- a/internal/control/lending.go
+++ b/internal/control/lending.go
@@ -12,7 +12,7 @@
 
 // silentGateway is the silence after which a gateway is taken to be out of touch, so that it uses its equal part of what is
 // limited: some times the pause between its questions.
-const silentGateway = time.Second
+const silentGateway = 700 * time.Millisecond
 
 // lending is what a leader lends of limited resources; each leadership begins it anew.
 type lending struct {
--- a/internal/control/lending_test.go
+++ b/internal/control/lending_test.go
@@ -89,7 +89,7 @@
 	for _, step := range []struct {
 		after time.Duration
 		part  float64
-	}{{800 * time.Millisecond, 0}, {time.Second, 0.5}, {2 * time.Second, 0}} {
+	}{{600 * time.Millisecond, 0}, {time.Second, 0.5}, {2 * time.Second, 0}} {
 		if part := heard(step.after); part != step.part {
 			t.Fatalf("at %v the part %v is kept back, wanted %v", s.now, part, step.part)
 		}
