A new leader tells gateways how many share the equal parts

Cause: a new leader counted the gateways that had asked it, so that the first one to ask was told that it is alone; cut off in that moment, it took the whole rate and the whole reserve for its equal part. The leader now counts all that may trust their view, those of the last leader's time among them, as it does for what it keeps back. Test: TestNewLeaderKnowsHowManyShareTheParts fails first (told of 1).

--- a/internal/control/lending.go
+++ b/internal/control/lending.go
@@ -38,9 +38,18 @@
 }
 
 // partOutOfTouch returns the part of the gateways that are silent but may still trust their view: they use their equal parts
-// of what is limited, on their own. Those of an earlier leader's time count until they have asked this one.
+// of what is limited, on their own.
 func (r *Replica) partOutOfTouch(now time.Duration) float64 {
-	silent, all := 0, 0
+	silent, all := r.gatewaysThatTrust(now)
+	if silent == 0 {
+		return 0
+	}
+	return float64(silent) / float64(all)
+}
+
+// gatewaysThatTrust counts the gateways that may still trust their view, and the silent ones among them. Those of an earlier
+// leader's time count until they have asked this one.
+func (r *Replica) gatewaysThatTrust(now time.Duration) (silent, all int) {
 	for _, report := range r.lead.usage {
 		silence := now - report.at
 		if silence > r.trustEnd() {
@@ -59,10 +68,7 @@
 			}
 		}
 	}
-	if silent == 0 {
-		return 0
-	}
-	return float64(silent) / float64(all)
+	return silent, all
 }
 
 // overEach is how often a leader looks for limits that were reached or left, for the log.
--- a/internal/control/lending_test.go
+++ b/internal/control/lending_test.go
@@ -108,3 +108,23 @@
 		t.Fatalf("%+v", limits)
 	}
 }
+
+// TestNewLeaderKnowsHowManyShareTheParts: the first gateways that ask a new leader are told of all that asked the last one, else each
+// would take the whole for its equal part (soak, kept plan: 121,164 units in 4 s where 120,000 were allowed).
+func TestNewLeaderKnowsHowManyShareTheParts(t *testing.T) {
+	s := openLimited(t)
+	for _, gateway := range []string{"g1", "g2", "g3", "g4"} {
+		s.watchNow(gateway, RosterVersion{})
+	}
+	s.pass(gatewaysPeriod + 200*time.Millisecond)
+	if n := s.watchNow("g1", RosterVersion{}).Gateways; n != 4 {
+		t.Fatalf("%d gateways before", n)
+	}
+	_ = s.disk.Close()
+	next := openStartingIn(t, s.folder)
+	next.config(func(config *Config) { config.GatewayTrust = 3 * time.Second })
+	next.pass(400 * time.Millisecond)
+	if n := next.watchNow("g1", RosterVersion{}).Gateways; n != 4 {
+		t.Fatalf("the first gateway that asks the next leader is told of %d", n)
+	}
+}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -29,7 +29,7 @@
 	Version  RosterVersion     `json:"version"`
 	Roster   *RosterNews       `json:"roster,omitempty"` // when it differs from the gateway's
 	Wanted   []WantedVersion   `json:"wanted,omitempty"`
-	Gateways int               `json:"gateways"`        // that asked lately
+	Gateways int               `json:"gateways"`        // that may trust their view: so many share the equal parts of limits
 	Mesh     Mesh              `json:"mesh"`            // other gateways to tell of sends
 	Replicas []string          `json:"replicas"`        // addresses of the control group
 	Reads    []string          `json:"reads,omitempty"` // engines whose cache events the gateway reads for all
@@ -139,7 +139,7 @@
 	if watch.Roster != reply.Version {
 		reply.Roster = r.rosterNews(now, watch.Roster)
 	}
-	reply.Gateways = r.usageSum(now).gateways
+	_, reply.Gateways = r.gatewaysThatTrust(now)
 	reply.Mesh = r.meshOf(now, watch.Gateway)
 	reply.Reads = r.lead.meshes.reads[watch.Gateway]
 	for _, member := range r.members() {
@@ -170,9 +170,8 @@
 
 // usageTotals is the work of all gateways, added up now and then: a reply would otherwise cost the more the more there are.
 type usageTotals struct {
-	at       time.Duration
-	gateways int            // that asked lately
-	running  map[string]int // requests by instance; nil before the first sum
+	at      time.Duration
+	running map[string]int // requests by instance; nil before the first sum
 }
 
 // totalsEach is how often the work of all gateways is added up.
@@ -189,7 +188,6 @@
 		if now-report.at > usageCounts {
 			continue
 		}
-		sum.gateways++
 		for id, running := range report.running {
 			sum.running[id] += running
 		}
