Pieces that add up to an amount by rounding are no fault

Found by reading the change again: a borrower takes an amount from its pieces when their sum covers it, and then subtracts them one by one; where amounts are fractions (what is lent ahead is cut to what the account has left), rounding can leave a trace when no piece is left, and the next one was looked for: a panic, in the desk's thread the end of the gateway. Test: TestFractionsAreTakenWhole panics before (0.1 and 0.2 for their sum). A comment's line is broken where others are; nothing else changes.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -230,3 +230,18 @@
 		t.Fatalf("%.2f of the room is given", given)
 	}
 }
+
+// TestFractionsAreTakenWhole: pieces whose sum is the amount only by rounding are taken, without a remainder to look for.
+func TestFractionsAreTakenWhole(t *testing.T) {
+	b := newTestBorrower()
+	for _, amount := range []float64{0.1, 0.2} {
+		b.Put(time.Minute, Hold{Name: resource, Amount: amount, Until: time.Minute + Lease})
+	}
+	first, second := 0.1, 0.2
+	if hold, ok := b.Take(time.Minute, resource, first+second); !ok || hold.Amount != first+second {
+		t.Fatalf("%v", hold)
+	}
+	if _, ok := b.Take(time.Minute, resource, 0.01); ok {
+		t.Fatal("something is left")
+	}
+}
--- a/internal/allowance/borrower.go
+++ b/internal/allowance/borrower.go
@@ -106,7 +106,7 @@
 		return Hold{}, false
 	}
 	taken := Hold{Name: name, Amount: amount}
-	for left := amount; left > 0; {
+	for left := amount; left > 0 && len(p.pieces) > 0; { // rounding may leave a trace of what the pieces add up to
 		piece := &p.pieces[0]
 		if taken.Until == 0 {
 			taken.Until = piece.Until // the first piece ends first
@@ -204,8 +204,8 @@
 	Young bool
 }
 
-// Granted takes the answer to the newest question, which was asked at a time, and returns what became of each want. An answer that comes twice, or from a lender before
-// the newest one, gives nothing.
+// Granted takes the answer to the newest question, which was asked at a time, and returns what became of each want. An
+// answer that comes twice, or from a lender before the newest one, gives nothing.
 func (b *Borrower) Granted(now, asked time.Duration, wants []Want, answer Answer) []Result {
 	results := make([]Result, len(wants))
 	if answer.Term < b.term || answer.Sequence != b.sequence || b.answered == b.sequence || len(answer.Grants) != len(wants) {
