--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"kitetiller/internal/guard"
+	"kitetiller/internal/quarantine"
 )
 
 // State tells how far a back end's life has come. States only rise: a late message cannot take one back.
@@ -41,6 +42,8 @@
 	Held     []HeldWeight `json:"held,omitempty"`    // weights that instances were seen to hold
 	Ordering []string     `json:"order,omitempty"`   // instances that the leader is about to give orders
 	Gateways []string     `json:"gates,omitempty"`   // gateways that ask the leader; it replaces those before
+
+	Quarantine *quarantine.Change `json:"quarantine,omitempty"` // requests under which back ends ended
 }
 
 // HeldWeight is a version of a model's weights that an instance was seen to hold.
@@ -74,13 +77,14 @@
 	ordered    map[string]bool              // registered instances that were ever to be given an order
 	gateways   []string                     // that asked the last leader that wrote them, rising
 	fence      uint64
+	quarantine *quarantine.Ledger
 }
 
 // NewMachine returns the empty state.
 func NewMachine() *Machine {
 	return &Machine{
 		instances: map[string]Instance{}, ended: map[string]bool{}, versions: map[string]uint64{}, held: map[string]map[string]uint64{},
-		ordered: map[string]bool{},
+		ordered: map[string]bool{}, quarantine: quarantine.NewLedger(),
 	}
 }
 
@@ -106,6 +110,9 @@
 // Gateways returns the gateways that were written last, rising; callers only read it.
 func (m *Machine) Gateways() []string { return m.gateways }
 
+// Quarantine returns the requests under which back ends ended; callers only read it.
+func (m *Machine) Quarantine() *quarantine.Ledger { return m.quarantine }
+
 // Apply applies one committed command.
 func (m *Machine) Apply(command Command) Outcome {
 	switch {
@@ -125,6 +132,8 @@
 		m.order(command.Ordering)
 	case len(command.Gateways) > 0:
 		m.gateways = command.Gateways
+	case command.Quarantine != nil:
+		m.quarantine.Apply(*command.Quarantine)
 	case command.Version != nil:
 		m.versions[command.Version.Model] = max(m.versions[command.Version.Model], command.Version.Version)
 	case command.Fence:
@@ -220,11 +229,13 @@
 	Held     map[string]map[string]uint64 `json:"held,omitempty"`
 	Ordered  map[string]bool              `json:"ordered,omitempty"`
 	Gateways []string                     `json:"gateways,omitempty"`
+
+	Quarantine *quarantine.Ledger `json:"quarantine,omitempty"`
 }
 
 // MarshalJSON writes the whole state.
 func (m *Machine) MarshalJSON() ([]byte, error) {
-	return json.Marshal(machineForm{m.document, m.instances, m.tombstones, m.versions, m.fence, m.held, m.ordered, m.gateways})
+	return json.Marshal(machineForm{m.document, m.instances, m.tombstones, m.versions, m.fence, m.held, m.ordered, m.gateways, m.quarantine})
 }
 
 // UnmarshalJSON replaces the whole state.
@@ -244,6 +255,9 @@
 		m.ordered[id] = true
 	}
 	m.gateways = form.Gateways
+	if form.Quarantine != nil {
+		m.quarantine = form.Quarantine
+	}
 	for id, versions := range form.Held {
 		m.held[id] = versions
 	}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -213,10 +213,13 @@
 func (r *Replica) applyCatalog(now time.Duration, command catalog.Command) *catalog.Outcome {
 	before := command.Version != nil && r.machine.catalog.Versions()[command.Version.Model] < command.Version.Version
 	outcome := r.machine.catalog.Apply(command)
+	if command.Quarantine != nil {
+		r.noteQuarantined(now, *command.Quarantine)
+	}
 	if before {
 		r.noteNaming(now, command.Version.Model, command.Version.Version)
 	}
-	quiet := len(command.Held)+len(command.Ordering)+len(command.Gateways) > 0 // gateways are told nothing of these
+	quiet := len(command.Held)+len(command.Ordering)+len(command.Gateways) > 0 || command.Quarantine != nil // no roster tells of these
 	if r.lead != nil && !quiet {
 		r.lead.rosterChanged()
 	}
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -110,9 +110,11 @@
 // TestWatchIsHeldUntilThereIsNews: and answered with the document when that changes.
 func TestWatchIsHeldUntilThereIsNews(t *testing.T) {
 	s := openFleet(t)
-	held := s.watchNow("g1", RosterVersion{}).Version
+	first := s.watchNow("g1", RosterVersion{})
 	client := uint64(1000)
-	s.replica.Handle(s.now, client, Request{Watch: &Watch{Gateway: "g1", Revision: 1, Roster: held, Hold: time.Second}})
+	s.replica.Handle(s.now, client, Request{Watch: &Watch{
+		Gateway: "g1", Revision: 1, Roster: first.Version, Hold: time.Second, Quarantine: first.Quarantine.Version,
+	}})
 	s.pass(100 * time.Millisecond)
 	if _, answered := s.replies[client]; answered {
 		t.Fatal("answered without news")
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -116,6 +116,8 @@
 		r.propose(now, client, Command{End: request.End})
 	case request.Change != nil:
 		r.propose(now, client, Command{Change: request.Change})
+	case request.Catalog != nil && request.Catalog.Quarantine != nil:
+		r.quarantine(now, client, *request.Catalog.Quarantine)
 	case request.Catalog != nil:
 		r.propose(now, client, Command{Catalog: request.Catalog})
 	case request.Beat != nil:
--- /dev/null
+++ b/internal/control/quarantine.go
@@ -0,0 +1,145 @@
+package control
+
+import (
+	"encoding/binary"
+	"maps"
+	"math"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/events"
+	"kitetiller/internal/quarantine"
+)
+
+const (
+	// suspectFor is how long a life counts against a request that isn't held back: ordinary losses of an hour rarely add up under one.
+	suspectFor = time.Hour
+	// heldFor is how long a request is held back after the last life that ended under it. Then it may be tried again, and one more life
+	// holds it back again: a day for whatever may have mended it, at the price of one back end if nothing did.
+	heldFor = 24 * time.Hour
+	// quarantineEach is how often old entries are looked for, and how often the log is told what is held back.
+	quarantineEach = time.Second
+)
+
+// quarantined is when lives were last counted against requests, as this process saw it, since the log has no time.
+type quarantined struct {
+	lookedAt time.Duration
+	seen     map[quarantine.Fingerprint]time.Duration
+	why      map[quarantine.Fingerprint]quarantine.Reason // of the newest release; of those in seen
+}
+
+// quarantine takes what a process tells of requests under which back ends ended. What is known already needs no entry of the log.
+func (r *Replica) quarantine(now time.Duration, client uint64, change quarantine.Change) {
+	if !r.machine.catalog.Quarantine().Changes(change) {
+		r.reply(client, Response{Kind: ResponseOK})
+		return
+	}
+	r.propose(now, client, Command{Catalog: &catalog.Command{Quarantine: &change}})
+}
+
+// noteQuarantined remembers when lives were counted.
+func (r *Replica) noteQuarantined(now time.Duration, change quarantine.Change) {
+	if r.quarantined.seen == nil {
+		r.quarantined.seen, r.quarantined.why = map[quarantine.Fingerprint]time.Duration{}, map[quarantine.Fingerprint]quarantine.Reason{}
+	}
+	for _, ended := range change.Ended {
+		for _, f := range ended.Requests {
+			r.quarantined.seen[f] = now
+		}
+	}
+	for _, released := range change.Released {
+		for _, f := range released.Requests {
+			r.quarantined.seen[f], r.quarantined.why[f] = now, released.Why
+		}
+	}
+}
+
+// tendQuarantine plants the seed of fingerprints, and releases requests under which nothing ended for long.
+func (r *Replica) tendQuarantine(now time.Duration) {
+	if r.quarantined.lookedAt > 0 && now < r.quarantined.lookedAt+quarantineEach {
+		return
+	}
+	r.quarantined.lookedAt = now
+	ledger := r.machine.catalog.Quarantine()
+	if !ledger.Planted() {
+		r.propose(now, 0, Command{Catalog: &catalog.Command{Quarantine: &quarantine.Change{Seed: r.newSeed()}}})
+		return
+	}
+	if old := r.oldEntries(now, ledger); len(old) > 0 {
+		r.propose(now, 0, Command{Catalog: &catalog.Command{Quarantine: &quarantine.Change{Released: old}}})
+	}
+}
+
+// oldEntries returns what is to be released for its age. Entries that came with a snapshot count from their first look.
+func (r *Replica) oldEntries(now time.Duration, ledger *quarantine.Ledger) []quarantine.Release {
+	forgotten := quarantine.Release{Why: quarantine.Age}
+	tried := quarantine.Release{Why: quarantine.Age, Keep: quarantine.Held - 1}
+	seen := make(map[quarantine.Fingerprint]time.Duration, len(r.quarantined.seen))
+	for _, f := range ledger.All() {
+		at, known := r.quarantined.seen[f]
+		if !known {
+			at = now
+		}
+		seen[f] = at
+		switch held := ledger.Lives(f) >= quarantine.Held; {
+		case held && now-at > heldFor:
+			tried.Requests = append(tried.Requests, f)
+		case !held && now-at > suspectFor:
+			forgotten.Requests = append(forgotten.Requests, f)
+		}
+	}
+	r.quarantined.seen = seen
+	maps.DeleteFunc(r.quarantined.why, func(f quarantine.Fingerprint, _ quarantine.Reason) bool { return ledger.Lives(f) == 0 })
+	var old []quarantine.Release
+	for _, released := range []quarantine.Release{forgotten, tried} {
+		if len(released.Requests) > 0 {
+			old = append(old, released)
+		}
+	}
+	return old
+}
+
+// newSeed returns a secret for fingerprints.
+func (r *Replica) newSeed() []byte {
+	seed := make([]byte, 0, quarantine.SeedBytes)
+	for len(seed) < quarantine.SeedBytes {
+		seed = binary.LittleEndian.AppendUint64(seed, uint64(r.config.Random(math.MaxInt64)))
+	}
+	return seed
+}
+
+// heldNotes are the requests that the log says are held back. They are owned by the decide thread.
+type heldNotes struct {
+	version uint64
+	since   map[quarantine.Fingerprint]time.Duration
+}
+
+// noteHeldBack logs when a request begins and ends to be held back, one line each, from the leader.
+func (s *Server) noteHeldBack() {
+	ledger := s.replica.machine.catalog.Quarantine()
+	if s.replica.lead == nil || ledger.Version() == s.held.version {
+		return
+	}
+	now := s.now()
+	s.held.version = ledger.Version()
+	since := map[quarantine.Fingerprint]time.Duration{}
+	for _, e := range ledger.News().Entries {
+		if len(e.Lives) < quarantine.Held {
+			continue
+		}
+		at, known := s.held.since[e.Request]
+		if !known {
+			at = now
+			s.log.Info(events.RequestHeldBack, zap.Stringer(events.FieldFingerprint, e.Request), zap.Strings("ended", e.Lives))
+		}
+		since[e.Request] = at
+	}
+	for f, at := range s.held.since {
+		if _, held := since[f]; !held {
+			s.log.Info(events.RequestReleased, zap.Stringer(events.FieldFingerprint, f), zap.String("why", string(s.replica.quarantined.why[f])), zap.Duration("held", now-at), zap.Int(events.FieldLives, ledger.Lives(f)))
+		}
+	}
+	s.held.since = since
+}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -80,6 +80,7 @@
 	namings     map[string][]namedVersion // by model: the versions that were applied here, rising
 	orders      map[string]orderMark      // by instance: what this process saw in the log
 	leaderless  []watcher                 // gateways' questions that wait for a leader; at most leaderlessMost
+	quarantined quarantined               // when what was last counted, as this process saw it
 	checkpoint  bool                      // a snapshot must be written with the next Work
 }
 
@@ -133,6 +134,7 @@
 		r.tendLimits(now)
 		r.noteHeld(now)
 		r.noteGateways(now)
+		r.tendQuarantine(now)
 		r.rollOut(now)
 	}
 	if r.lead != nil {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -59,6 +59,7 @@
 	replica  *Replica
 	led      bool // as of the newest tick; owned by the decide thread
 	over     overNotes
+	held     heldNotes
 	config   Config
 	started  time.Time
 	inputs   chan input
@@ -235,6 +236,7 @@
 		}
 		s.noteLeadership()
 		s.noteOverLimits()
+		s.noteHeldBack()
 		timer.Reset(min(max(s.replica.NextDue()-s.now(), time.Millisecond), maximumLinger))
 	}
 }
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -6,6 +6,7 @@
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/guard"
+	"kitetiller/internal/quarantine"
 )
 
 // Watch is a gateway's question for news. It is answered at once when the gateway lacks something, else when
@@ -19,6 +20,8 @@
 	Hold     time.Duration  `json:"hold_ns"`
 	Usage    map[string]int `json:"usage,omitempty"` // its running requests by instance
 	Closing  bool           `json:"closing,omitempty"`
+
+	Quarantine uint64 `json:"quarantine"` // version of the news that it holds
 }
 
 // WatchReply confirms that a leader with a valid lease held this state after the question had arrived, so a gateway may
@@ -33,6 +36,8 @@
 	Mesh     Mesh              `json:"mesh"`            // other gateways to tell of sends
 	Replicas []string          `json:"replicas"`        // addresses of the control group
 	Reads    []string          `json:"reads,omitempty"` // engines whose cache events the gateway reads for all
+
+	Quarantine *quarantine.News `json:"quarantine,omitempty"` // when they differ from the gateway's
 }
 
 // watcher is a question that is being held.
@@ -114,7 +119,8 @@
 }
 
 func (r *Replica) answerWatch(now time.Duration, held watcher) bool {
-	news := held.watch.Revision < r.machine.catalog.Document().Revision || r.lead.tellsRoster(held.watch.Roster)
+	news := held.watch.Revision < r.machine.catalog.Document().Revision || r.lead.tellsRoster(held.watch.Roster) ||
+		held.watch.Quarantine != r.machine.catalog.Quarantine().Version()
 	if !news && now < held.due {
 		return false
 	}
@@ -139,6 +145,9 @@
 	if watch.Roster != reply.Version {
 		reply.Roster = r.rosterNews(now, watch.Roster)
 	}
+	if ledger := r.machine.catalog.Quarantine(); watch.Quarantine != ledger.Version() {
+		reply.Quarantine = ledger.News()
+	}
 	_, reply.Gateways = r.gatewaysThatTrust(now)
 	reply.Mesh = r.meshOf(now, watch.Gateway)
 	reply.Reads = r.lead.meshes.reads[watch.Gateway]
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -18,6 +18,8 @@
 	ControlLost     = "control lost"
 	ControlRegained = "control regained"
 	AttemptFailed   = "attempt failed"
+	EndedUnder      = "back end ended under requests" // runs broke off there, and its end is proved
+	EndNotTold      = "ended back end not told"       // too many wait for control
 	RequestAnswered = "request answered"
 	RequestRefused  = "request refused"
 	LinesDropped    = "log lines dropped"
@@ -35,8 +37,10 @@
 	DocumentRefused  = "document refused"
 	WeightsNamed     = "weights named"
 	WeightsCalled    = "weights call"
-	LimitReached     = "limit reached" // a limit over the fleet turns requests away
-	LimitLeft        = "limit left"    // it has turned none away for a while
+	LimitReached     = "limit reached"     // a limit over the fleet turns requests away
+	LimitLeft        = "limit left"        // it has turned none away for a while
+	RequestHeldBack  = "request held back" // enough back ends ended under it; no gateway sends it any more
+	RequestReleased  = "request released"  // it is held back no longer
 	SettingsReloaded = "settings reloaded"
 	SettingsFaulty   = "settings not reloaded"
 )
@@ -64,5 +68,8 @@
 	FieldFrom      = "from"
 	FieldScheduled = "scheduled"
 	FieldResource  = "resource" // what is limited: "tenant/NAME", or "repeats/SERVICE"
-	FieldLate      = "late"     // true where the answer missed the route's objective
+	// FieldFingerprint names a request by what stays when it comes again.
+	FieldFingerprint = "fingerprint"
+	FieldLives       = "lives" // of back ends that ended under a request
+	FieldLate        = "late"  // true where the answer missed the route's objective
 )
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -66,6 +66,7 @@
 		cause, a.grade = "silent", gradeBad
 	case a.exchange.ctx.Err() == nil:
 		a.grade = gradeBad
+		a.brokeOff()
 	}
 	return result{kind: resultUnknown, cause: cause}
 }
@@ -142,6 +143,7 @@
 	}
 	if err != nil {
 		_ = a.wire.Close()
+		a.brokeOff()
 		x.giveUp(reasonBroken, 0)
 	}
 	a.grade = gradeGood
@@ -175,6 +177,9 @@
 // finish notes a request that got a back end's answer.
 func (x *exchange) finish(a *attempt, status int) {
 	x.served = a.row.entry.ID
+	if a.grade == gradeGood {
+		x.endedWell()
+	}
 	_ = http.NewResponseController(x.writer).SetWriteDeadline(time.Time{})
 	x.logEnd(events.RequestAnswered, "", status)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,16 +3,20 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/prefix"
+	"kitetiller/internal/quarantine"
+	"kitetiller/internal/quarantine/reporter"
 )
 
 const (
@@ -74,8 +78,9 @@
 	cancel   context.CancelCauseFunc
 	silence  *time.Timer // ends the attempt of a request that may go elsewhere
 	wire     *connection
-	written  chan error  // the end of writing the request
-	begun    atomic.Bool // an event of the stream has come; it never turns false again
+	written  chan error      // the end of writing the request
+	begun    atomic.Bool     // an event of the stream has come; it never turns false again
+	looked   <-chan struct{} // closed when it is known whether the back end has ended, where the run broke off
 }
 
 func (x *exchange) newAttempt(chosen *candidate) *attempt {
@@ -105,7 +110,7 @@
 	}
 	wire, err := x.gateway.pool.get(a.ctx, a.row.entry.ID, a.row.entry.Address, rest)
 	if err != nil {
-		a.unreached()
+		a.unreached(err)
 		return result{kind: resultUnreached, cause: err.Error()}
 	}
 	a.wire = wire
@@ -164,8 +169,11 @@
 }
 
 // unreached notes that no connection came up, and warns the other gateways.
-func (a *attempt) unreached() {
+func (a *attempt) unreached(err error) {
 	g := a.exchange.gateway
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		g.quarantine.Ended(reporter.Refused, a.row.entry.ID)
+	}
 	a.noWay = true
 	if news := g.table.unreachable(g.now(), a.row); news && a.plan.scheduled == nil {
 		g.spread.own(send{Gateway: g.nick, Instance: a.row.entry.ID, Unreached: true})
@@ -196,6 +204,8 @@
 		return reasonUntrusted
 	case !x.covered():
 		return reasonUncounted
+	case x.lives() >= quarantine.Held:
+		return reasonHeldBack
 	}
 	x.gateway.table.mutex.Lock()
 	defer x.gateway.table.mutex.Unlock()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/mechanism"
+	"kitetiller/internal/quarantine"
 )
 
 // Reasons why a request got no back end's answer.
@@ -30,6 +31,7 @@
 	reasonOverLimit  = "over-limit"
 	reasonUncounted  = "limit-unknown"
 	reasonOverload   = "overload"
+	reasonHeldBack   = "held-back"
 )
 
 const (
@@ -60,15 +62,16 @@
 	tried     []*endpoint
 	sent      int // back ends that got the request
 	unreached int
-	mayHave   bool          // an earlier attempt may have run
-	relayed   bool          // the head of an answer has gone to the caller
-	lastEvent string        // newest event passed on
-	served    string        // back end of the answer
-	firstAt   time.Duration // when the first event went to the caller, or 0
-	eventAt   time.Duration // when the newest one did
-	pause     time.Duration // longest time between two
-	plan      *candidate    // the newest placement, or nil
-	cover     cover         // of the tenant's limit
+	mayHave   bool                    // an earlier attempt may have run
+	relayed   bool                    // the head of an answer has gone to the caller
+	lastEvent string                  // newest event passed on
+	served    string                  // back end of the answer
+	firstAt   time.Duration           // when the first event went to the caller, or 0
+	eventAt   time.Duration           // when the newest one did
+	pause     time.Duration           // longest time between two
+	plan      *candidate              // the newest placement, or nil
+	cover     cover                   // of the tenant's limit
+	print     *quarantine.Fingerprint // of the request; nil until somebody asked for it
 }
 
 // serve takes a caller's request.
@@ -187,7 +190,7 @@
 // run sends the request until it has an answer or must be given up.
 func (x *exchange) run() {
 	for {
-		if x.over() || !x.withinLimit() {
+		if x.over() || x.heldBack() || !x.withinLimit() {
 			return
 		}
 		chosen := x.place()
@@ -209,6 +212,9 @@
 			x.cover = sent.cover // nothing ran, so nothing was used
 		}
 		x.logFailure(sent, result)
+		if x.route.MayRepeat() {
+			sent.awaitProof()
+		}
 		if !x.mayGoOn(result) {
 			return
 		}
@@ -281,7 +287,7 @@
 		}
 		return x.repeat(reasonTurnedAway, max(retrySoon, result.retryAfter))
 	}
-	if !x.route.MayRepeat() {
+	if !x.route.MayRepeat() || x.suspected() {
 		x.giveUp(reasonRunUnknown, 0)
 		return false
 	}
--- a/internal/gateway/final.go
+++ b/internal/gateway/final.go
@@ -66,6 +66,9 @@
 	if reason == reasonUntrusted {
 		fields = append(fields, zap.Duration("unconfirmed", x.gateway.now()-time.Duration(x.gateway.confirm.Load())))
 	}
+	if reason == reasonHeldBack {
+		fields = append(fields, zap.Stringer(events.FieldFingerprint, x.print), zap.Int(events.FieldLives, x.lives()))
+	}
 	if x.plan != nil && x.service.Engine {
 		fields = append(fields, zap.Float64(events.FieldPredicted, x.plan.wait), zap.Int(events.FieldUncached, x.plan.uncached), zap.String(events.FieldFrom, x.plan.fetch),
 			zap.Bool(events.FieldScheduled, x.plan.scheduled != nil))
@@ -88,7 +91,13 @@
 
 func (x *exchange) logFailure(sent *attempt, failed result) {
 	x.gateway.metrics.attempts.WithLabelValues(failed.kind.String()).Inc()
-	x.gateway.log.note(events.AttemptFailed, zap.String(events.FieldRequest, x.call.ID), zap.String(events.FieldInstance, sent.row.entry.ID),
+	fields := []zap.Field{
+		zap.String(events.FieldRequest, x.call.ID), zap.String(events.FieldInstance, sent.row.entry.ID),
 		zap.String("result", failed.kind.String()), zap.String(events.FieldCause, failed.cause), zap.Int(events.FieldSent, x.sent),
-		zap.Duration(events.FieldTook, x.gateway.now()-sent.began))
+		zap.Duration(events.FieldTook, x.gateway.now()-sent.began),
+	}
+	if sent.looked != nil {
+		fields = append(fields, zap.Stringer(events.FieldFingerprint, x.print))
+	}
+	x.gateway.log.note(events.AttemptFailed, fields...)
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -8,6 +8,7 @@
 
 	"kitetiller/internal/control"
 	"kitetiller/internal/events"
+	"kitetiller/internal/quarantine/reporter"
 	"kitetiller/internal/quota"
 )
 
@@ -50,7 +51,7 @@
 func (g *Gateway) ask(ctx context.Context, roster control.RosterVersion, patience time.Duration, searching bool) *control.WatchReply {
 	question := control.Watch{
 		Gateway: g.settings.Name, Zone: g.settings.Zone, Address: g.settings.Internal, Roster: roster, Hold: g.hold(), Usage: g.table.usage(),
-		Closing: g.draining.Load(),
+		Closing: g.draining.Load(), Quarantine: g.quarantine.Version(),
 	}
 	if held := g.view.Load(); held != nil {
 		question.Revision = held.document.Revision
@@ -82,6 +83,9 @@
 
 // take puts news in force. A document is only ever replaced by a newer one.
 func (g *Gateway) take(ctx context.Context, asked time.Duration, reply *control.WatchReply) {
+	if reply.Quarantine != nil {
+		g.quarantine.Take(reply.Quarantine)
+	}
 	held := g.view.Load()
 	if reply.Document != nil && (held == nil || reply.Document.Revision > held.document.Revision) {
 		g.view.Store(newView(reply.Document))
@@ -89,7 +93,9 @@
 		g.log.note(events.DocumentTaken, zap.Uint64(events.FieldRevision, reply.Document.Revision), zap.Int("routes", len(reply.Document.Routes)))
 	}
 	if reply.Roster != nil {
-		for _, change := range g.table.takeRoster(g.now(), reply.Roster, g.cacheLimits()) {
+		changes := g.table.takeRoster(g.now(), reply.Roster, g.cacheLimits())
+		g.quarantine.Ended(reporter.Replaced, replaced(changes)...)
+		for _, change := range changes {
 			g.log.note(change.event, zap.String(events.FieldInstance, change.entry.ID), zap.String("service", change.entry.Service),
 				zap.String("address", change.entry.Address), zap.String("zone", change.entry.Zone))
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,8 @@
 // moment when it asked. A view that is too old serves no request with an API key. What callers and back ends are
 // told beside that is a Dialect's matter.
 //
-// Threads: one follows control; one asks it for amounts of what is limited; one sweeps idle connections; four tell other gateways; net/http's goroutines serve callers.
+// Threads: one follows control; one asks it for amounts of what is limited; one tells it of ended
+// back ends; one sweeps idle connections; four tell other gateways; net/http's goroutines serve callers.
 package gateway
 
 import (
@@ -26,6 +27,7 @@
 	"kitetiller/internal/events"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/node"
+	"kitetiller/internal/quarantine/reporter"
 	"kitetiller/internal/transport"
 )
 
@@ -47,6 +49,8 @@
 	spread  *spread
 	// schedulers place this gateway's requests in a large fleet.
 	schedulers *schedulers
+	// quarantine knows which requests end their back ends.
+	quarantine *reporter.Reporter
 	nick       string // short name of this life, under which other gateways are told of sends
 	outage     outage
 	reader     CacheReader // of engines' caches, or nil
@@ -70,6 +74,7 @@
 		group: control.NewClient(client, settings.Control), table: newTable(settings.Mechanisms), budget: newRetryBudget(settings),
 		confirmed: newBell(), followers: newFollowers(), pool: newPool(), splits: newSplits(newRand()), spread: newSpread(client), schedulers: newSchedulers(client), nick: strconv.FormatUint(rand.Uint64N(nickRange), saltBase),
 	}
+	made.quarantine = reporter.New(reporter.Ways{Tell: made.tellEnded, Refuses: made.pool.refuses, Note: made.log.note, Now: made.now})
 	made.desk = desk.New(made.nick, settings.Trust, made.now, made.lend)
 	made.spread.silent = !made.on(mechanism.Mesh)
 	made.metrics = newMetrics(made)
@@ -108,6 +113,7 @@
 	threads.Go(func() { g.follow(run) })
 	threads.Go(func() { g.sweep(run) })
 	threads.Go(func() { g.desk.Run(run) })
+	threads.Go(func() { g.quarantine.Run(run) })
 	g.spread.run(run, threads.Go)
 	public := &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
@@ -190,6 +196,7 @@
 	transport.Every(ctx, sweepPeriod, func() {
 		g.pool.sweep()
 		g.table.sweep(g.now())
+		g.quarantine.Sweep()
 	})
 }
 
--- /dev/null
+++ b/internal/gateway/heldback.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/control"
+	"kitetiller/internal/events"
+	"kitetiller/internal/quarantine"
+)
+
+const (
+	// heldBackAdvice is when a caller may come back whose request is held back. Nothing but an operator, or a day, releases it; the header
+	// keeps callers that repeat at once from doing so.
+	heldBackAdvice = time.Hour
+	// proofPatience is how long a request waits to learn whether the back end under which it broke off has ended, before it is sent to
+	// another: some times the way to another zone and back.
+	proofPatience = 25 * time.Millisecond
+)
+
+// fingerprint returns what stays of the request when it comes again; ok is false before control told the seed.
+func (x *exchange) fingerprint() (f quarantine.Fingerprint, ok bool) {
+	if x.print != nil {
+		return *x.print, true
+	}
+	again := quarantine.Request{Method: x.request.Method, Host: x.request.Host, Path: x.request.RequestURI, Body: x.body}
+	if x.tenant != nil {
+		again.Caller = x.tenant.Name
+	}
+	if f, ok = x.gateway.quarantine.Fingerprint(again); ok {
+		x.print = &f
+	}
+	return f, ok
+}
+
+// lives returns how many lives of back ends ended under the request, as far as this gateway knows.
+func (x *exchange) lives() int {
+	if x.gateway.quarantine.Quiet() {
+		return 0
+	}
+	f, ok := x.fingerprint()
+	if !ok {
+		return 0
+	}
+	return x.gateway.quarantine.Lives(f)
+}
+
+// heldBack answers a request that ends whoever runs it: at once, since no wait mends it.
+func (x *exchange) heldBack() bool {
+	if x.lives() < quarantine.Held {
+		return false
+	}
+	x.giveUp(reasonHeldBack, heldBackAdvice)
+	return true
+}
+
+// suspected reports whether so many lives ended under the request that the gateway doesn't send it to another one by itself: each
+// takes all that runs there along.
+func (x *exchange) suspected() bool { return x.lives() >= quarantine.Suspected }
+
+// endedWell notes that a back end ran the request to a good end.
+func (x *exchange) endedWell() {
+	if f, ok := x.fingerprint(); ok {
+		x.gateway.quarantine.EndedWell(f)
+	}
+}
+
+// brokeOff notes that the run broke off without our doing. One on a back end that leaves ends with it as planned.
+func (a *attempt) brokeOff() {
+	x := a.exchange
+	if !x.gateway.table.remains(a.row) {
+		return
+	}
+	if f, ok := x.fingerprint(); ok {
+		a.looked = x.gateway.quarantine.Broke(a.row.entry.ID, a.row.entry.Address, f)
+	}
+}
+
+// awaitProof waits a moment to learn whether the back end has ended under which the run broke off.
+func (a *attempt) awaitProof() {
+	if a.looked == nil {
+		return
+	}
+	select {
+	case <-a.looked:
+	case <-time.After(proofPatience):
+	case <-a.exchange.ctx.Done():
+	}
+}
+
+// remains reports whether a back end is one that control knows, and isn't leaving.
+func (t *table) remains(row *endpoint) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return !row.gone && row.entry.State == catalog.StateReady
+}
+
+// tellEnded has control make a change of the quarantine.
+func (g *Gateway) tellEnded(ctx context.Context, change quarantine.Change) error {
+	_, err := g.group.Ask(ctx, control.Request{Catalog: &catalog.Command{Quarantine: &change}})
+	return err
+}
+
+// refuses reports whether an address refuses connections. A connection that comes up says that somebody listens there.
+func (p *pool) refuses(ctx context.Context, address string) bool {
+	made, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = made.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// replaced returns the lives that are gone since another one stands at their address.
+func replaced(changes []rosterChange) []string {
+	joined := map[string]bool{}
+	for _, change := range changes {
+		if change.event == events.InstanceJoined {
+			joined[change.entry.Address] = true
+		}
+	}
+	var lives []string
+	for _, change := range changes {
+		if change.event == events.InstanceGone && joined[change.entry.Address] && change.entry.State == catalog.StateReady {
+			lives = append(lives, change.entry.ID)
+		}
+	}
+	return lives
+}
--- a/internal/lab/sim/fleet.go
+++ b/internal/lab/sim/fleet.go
@@ -7,6 +7,7 @@
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
+	"kitetiller/internal/quarantine"
 )
 
 const (
@@ -237,13 +238,14 @@
 	version   control.RosterVersion
 	roster    []control.RosterEntry
 	confirmed time.Duration // by its own clock; 0 never
+	record    *quarantine.Record
 }
 
 func (g *fleetGateway) boot() {
 	g.start()
 	g.startedAt = g.w.now()
 	g.asker = newAsker(g.w, g.process)
-	g.revision, g.version, g.roster, g.confirmed = 0, control.RosterVersion{}, nil, 0
+	g.revision, g.version, g.roster, g.confirmed, g.record = 0, control.RosterVersion{}, nil, 0, quarantine.NewRecord()
 	g.w.oracle.fleet.used[g.process.name] = 0
 	g.follow()
 	g.ticker(fleetSend, g.send)
@@ -254,7 +256,9 @@
 func (g *fleetGateway) follow() {
 	asked := g.clock()
 	told := g.w.oracle.fleetTold()
-	question := &control.Watch{Gateway: g.process.name, Zone: g.zone, Revision: g.revision, Roster: g.version, Hold: fleetHold}
+	question := &control.Watch{
+		Gateway: g.process.name, Zone: g.zone, Revision: g.revision, Roster: g.version, Hold: fleetHold, Quarantine: g.record.Version(),
+	}
 	g.asker.once(control.Request{Watch: question}, askTimeout, func(response control.Response, answered bool) {
 		pause := askPause
 		if answered && response.Kind == control.ResponseOK && response.Watch != nil {
@@ -271,6 +275,9 @@
 		g.revision = reply.Revision
 		g.w.oracle.documentSeen(g.process.name, *reply.Document)
 	}
+	if reply.Quarantine != nil {
+		g.record.Take(g.clock(), reply.Quarantine)
+	}
 	if reply.Roster != nil {
 		g.roster = reply.Roster.Merge(g.roster)
 	}
--- /dev/null
+++ b/internal/quarantine/ledger.go
@@ -0,0 +1,241 @@
+package quarantine
+
+import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"slices"
+)
+
+const (
+	// Suspected is from how many lives on processes are told of a request: ordinary losses rarely hit one request twice.
+	Suspected = 2
+	// Held is from how many lives on a request is held back. Two may be chance where back ends end in numbers; who may repeat beyond a
+	// third is for the users' rules to say, and they allow three more.
+	Held = 3
+	// livesKept bounds the lives that are remembered of one request: enough to count, and to show an operator.
+	livesKept = 8
+	// entriesMost bounds the requests that are remembered, some 90 bytes each in a snapshot. The loss of one back end brings as many as
+	// run there; a request is pushed out only by so many others that took part in as many losses as it, or more.
+	entriesMost = 4096
+)
+
+// Ended says that a life of a back end ended while it ran requests.
+type Ended struct {
+	Life     string        `json:"life"`
+	Requests []Fingerprint `json:"requests"`
+}
+
+// Change is one change of the ledger.
+type Change struct {
+	Seed     []byte    `json:"seed,omitempty"` // taken if there is none
+	Ended    []Ended   `json:"ended,omitempty"`
+	Released []Release `json:"released,omitempty"`
+}
+
+// Release says that requests are no longer held against lives that ended: all, or all but the newest few.
+type Release struct {
+	Requests []Fingerprint `json:"requests"`
+	Keep     int           `json:"keep,omitempty"`
+	Why      Reason        `json:"why"`
+}
+
+// Reason tells why requests are released.
+type Reason string
+
+// Reasons of a release.
+const (
+	EndedWell Reason = "ended-well" // a back end ran one to a good end
+	Operator  Reason = "operator"
+	Age       Reason = "age" // nothing ended under it for long
+)
+
+// Entry is a request and the lives that ended under it, oldest first.
+type Entry struct {
+	Request Fingerprint `json:"request"`
+	Lives   []string    `json:"lives"`
+}
+
+// News is all that a process is told.
+type News struct {
+	Version uint64  `json:"version"`
+	Seed    []byte  `json:"seed"`
+	Entries []Entry `json:"entries,omitempty"` // with Suspected lives or more
+}
+
+// counted is what the ledger holds of one request.
+type counted struct {
+	lives []string // distinct, oldest first; at most livesKept
+	order uint64   // of its newest life among all
+}
+
+// Ledger is the fleet's count, a pure state machine: replicas that apply the same calls in the same order hold the same state.
+type Ledger struct {
+	seed    []byte
+	entries map[Fingerprint]*counted // at most entriesMost
+	order   uint64
+	version uint64 // rises whenever News differ
+}
+
+// NewLedger returns an empty ledger without a seed.
+func NewLedger() *Ledger { return &Ledger{entries: map[Fingerprint]*counted{}} }
+
+// Apply makes one change: first lives are released, then new ones counted.
+func (l *Ledger) Apply(c Change) {
+	l.plant(c.Seed)
+	for _, released := range c.Released {
+		for _, f := range released.Requests {
+			l.drop(f, max(0, released.Keep))
+		}
+	}
+	for _, ended := range c.Ended {
+		l.note(ended)
+	}
+}
+
+// Changes reports whether a change would change anything.
+func (l *Ledger) Changes(c Change) bool {
+	if len(c.Seed) > 0 && !l.Planted() {
+		return true
+	}
+	for _, released := range c.Released {
+		if slices.ContainsFunc(released.Requests, func(f Fingerprint) bool { return l.Lives(f) > released.Keep }) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(c.Ended, func(ended Ended) bool { return !l.knows(ended) })
+}
+
+func (l *Ledger) plant(seed []byte) {
+	if len(l.seed) == 0 && len(seed) == SeedBytes {
+		l.seed = seed
+		l.version++
+	}
+}
+
+// Planted reports whether there is a seed.
+func (l *Ledger) Planted() bool { return len(l.seed) > 0 }
+
+// Version returns the version of the news.
+func (l *Ledger) Version() uint64 { return l.version }
+
+// note counts an ended life for each request that it ran.
+func (l *Ledger) note(ended Ended) {
+	for _, f := range ended.Requests {
+		e := l.entries[f]
+		if e == nil {
+			l.makeRoom()
+			e = &counted{}
+			l.entries[f] = e
+		}
+		if slices.Contains(e.lives, ended.Life) || len(e.lives) >= livesKept {
+			continue
+		}
+		l.order++
+		e.lives, e.order = append(e.lives, ended.Life), l.order
+		if len(e.lives) >= Suspected {
+			l.version++
+		}
+	}
+}
+
+// knows reports whether noting a life would change nothing.
+func (l *Ledger) knows(ended Ended) bool {
+	for _, f := range ended.Requests {
+		e := l.entries[f]
+		if e == nil || !slices.Contains(e.lives, ended.Life) && len(e.lives) < livesKept {
+			return false
+		}
+	}
+	return true
+}
+
+// makeRoom pushes out the request with the fewest lives, of these the one whose newest life is oldest.
+func (l *Ledger) makeRoom() {
+	if len(l.entries) < entriesMost {
+		return
+	}
+	var last Fingerprint
+	var least *counted
+	for f, e := range l.entries {
+		if least == nil || cmp.Or(cmp.Compare(len(e.lives), len(least.lives)), cmp.Compare(e.order, least.order)) < 0 {
+			last, least = f, e
+		}
+	}
+	l.drop(last, 0)
+}
+
+// drop forgets all but the newest lives of a request.
+func (l *Ledger) drop(f Fingerprint, keep int) {
+	e := l.entries[f]
+	if e == nil || len(e.lives) <= keep {
+		return
+	}
+	if len(e.lives) >= Suspected {
+		l.version++
+	}
+	if keep == 0 {
+		delete(l.entries, f)
+		return
+	}
+	e.lives = slices.Clone(e.lives[len(e.lives)-keep:])
+}
+
+// Lives returns how many lives ended under a request, as far as they are kept.
+func (l *Ledger) Lives(f Fingerprint) int {
+	if e := l.entries[f]; e != nil {
+		return len(e.lives)
+	}
+	return 0
+}
+
+// All returns every request in a fixed order.
+func (l *Ledger) All() []Fingerprint {
+	return slices.SortedFunc(maps.Keys(l.entries), func(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) })
+}
+
+// News returns what processes are told.
+func (l *Ledger) News() *News {
+	news := &News{Version: l.version, Seed: l.seed}
+	for _, f := range l.All() {
+		if e := l.entries[f]; len(e.lives) >= Suspected {
+			news.Entries = append(news.Entries, Entry{Request: f, Lives: e.lives})
+		}
+	}
+	return news
+}
+
+// ledgerForm is a ledger in a snapshot.
+type ledgerForm struct {
+	Seed    []byte      `json:"seed,omitempty"`
+	Version uint64      `json:"version"`
+	Order   uint64      `json:"order"`
+	Entries []entryForm `json:"entries,omitempty"`
+}
+
+type entryForm struct {
+	Entry
+	Order uint64 `json:"order"`
+}
+
+// MarshalJSON writes the whole state.
+func (l *Ledger) MarshalJSON() ([]byte, error) {
+	form := ledgerForm{Seed: l.seed, Version: l.version, Order: l.order}
+	for _, f := range l.All() {
+		form.Entries = append(form.Entries, entryForm{Entry: Entry{Request: f, Lives: l.entries[f].lives}, Order: l.entries[f].order})
+	}
+	return json.Marshal(form)
+}
+
+// UnmarshalJSON replaces the whole state.
+func (l *Ledger) UnmarshalJSON(data []byte) error {
+	var form ledgerForm
+	if err := json.Unmarshal(data, &form); err != nil {
+		return err
+	}
+	*l = Ledger{seed: form.Seed, version: form.Version, order: form.Order, entries: make(map[Fingerprint]*counted, len(form.Entries))}
+	for _, e := range form.Entries {
+		l.entries[e.Request] = &counted{lives: e.Lives, order: e.Order}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,345 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// printOf returns a fingerprint for tests.
+func printOf(number int) Fingerprint {
+	return Fingerprint{byte(number), byte(number >> 8), byte(number >> 16)}
+}
+
+func endedOf(life string, numbers ...int) Ended {
+	ended := Ended{Life: life}
+	for _, n := range numbers {
+		ended.Requests = append(ended.Requests, printOf(n))
+	}
+	return ended
+}
+
+// TestLivesAreASet: whatever order lives are told in, how often, and by whom, a request has as many against it as ended under it.
+func TestLivesAreASet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		told := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Ended {
+			return endedOf(fmt.Sprint("life-", rapid.IntRange(0, 5).Draw(t, "life")), rapid.SliceOfN(rapid.IntRange(0, 6), 1, 4).Draw(t, "requests")...)
+		}), 1, 20).Draw(t, "told")
+		wanted := map[Fingerprint]map[string]bool{}
+		for _, ended := range told {
+			for _, f := range ended.Requests {
+				if wanted[f] == nil {
+					wanted[f] = map[string]bool{}
+				}
+				wanted[f][ended.Life] = true
+			}
+		}
+		one, other := NewLedger(), NewLedger()
+		for _, ended := range told {
+			one.Apply(Change{Ended: []Ended{ended}})
+		}
+		shuffled := rapid.Permutation(append(slices.Clone(told), told...)).Draw(t, "shuffled")
+		other.Apply(Change{Ended: shuffled})
+		for f, lives := range wanted {
+			if one.Lives(f) != len(lives) || other.Lives(f) != len(lives) {
+				t.Fatalf("%v has %d and %d lives, wanted %d", f, one.Lives(f), other.Lives(f), len(lives))
+			}
+		}
+		if one.Changes(Change{Ended: told}) {
+			t.Fatal("what is known counts as news")
+		}
+	})
+}
+
+// ledgerModel compares a ledger with the plainest account of what it was told.
+type ledgerModel struct {
+	ledger *Ledger
+	lives  map[Fingerprint][]string
+	seed   []byte
+}
+
+func (m *ledgerModel) Ended(t *rapid.T) {
+	ended := endedOf(fmt.Sprint("life-", rapid.IntRange(0, 30).Draw(t, "life")), rapid.SliceOfN(rapid.IntRange(0, 9), 1, 5).Draw(t, "requests")...)
+	changes := m.ledger.Changes(Change{Ended: []Ended{ended}})
+	before, version := m.told(), m.ledger.Version()
+	m.ledger.Apply(Change{Ended: []Ended{ended}})
+	changed := false
+	for _, f := range ended.Requests {
+		if !slices.Contains(m.lives[f], ended.Life) && len(m.lives[f]) < livesKept {
+			m.lives[f] = append(m.lives[f], ended.Life)
+			changed = true
+		}
+	}
+	if changes != changed {
+		t.Fatalf("told to change: %t, changed: %t", changes, changed)
+	}
+	m.versionMoved(t, before, version)
+}
+
+func (m *ledgerModel) Release(t *rapid.T) {
+	released := Release{Keep: rapid.IntRange(0, Held-1).Draw(t, "keep"), Why: Operator}
+	for _, n := range rapid.SliceOfN(rapid.IntRange(0, 9), 1, 3).Draw(t, "requests") {
+		released.Requests = append(released.Requests, printOf(n))
+	}
+	before, version := m.told(), m.ledger.Version()
+	m.ledger.Apply(Change{Released: []Release{released}})
+	for _, f := range released.Requests {
+		if len(m.lives[f]) > released.Keep {
+			m.lives[f] = m.lives[f][len(m.lives[f])-released.Keep:]
+		}
+		if len(m.lives[f]) == 0 {
+			delete(m.lives, f)
+		}
+	}
+	m.versionMoved(t, before, version)
+}
+
+func (m *ledgerModel) Plant(t *rapid.T) {
+	seed := rapid.SliceOfN(rapid.Byte(), SeedBytes, SeedBytes).Draw(t, "seed")
+	m.ledger.Apply(Change{Seed: seed})
+	if m.seed == nil {
+		m.seed = seed
+	}
+}
+
+func (m *ledgerModel) Restore(t *rapid.T) {
+	data, err := json.Marshal(m.ledger)
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := NewLedger()
+	if err := json.Unmarshal(data, restored); err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(restored.News(), m.ledger.News()) {
+		t.Fatalf("restored %+v from %+v", restored.News(), m.ledger.News())
+	}
+	m.ledger = restored
+}
+
+// told returns what processes are to be told, by the model.
+func (m *ledgerModel) told() map[Fingerprint][]string {
+	told := map[Fingerprint][]string{}
+	for f, lives := range m.lives {
+		if len(lives) >= Suspected {
+			told[f] = slices.Clone(lives)
+		}
+	}
+	return told
+}
+
+// versionMoved checks that processes hear of every difference.
+func (m *ledgerModel) versionMoved(t *rapid.T, before map[Fingerprint][]string, version uint64) {
+	if !maps.EqualFunc(before, m.told(), slices.Equal) && m.ledger.Version() <= version {
+		t.Fatal("news differ under one version")
+	}
+}
+
+func (m *ledgerModel) Check(t *rapid.T) {
+	news := m.ledger.News()
+	told := map[Fingerprint][]string{}
+	for _, e := range news.Entries {
+		told[e.Request] = e.Lives
+	}
+	if !maps.EqualFunc(told, m.told(), slices.Equal) || !slices.Equal(news.Seed, m.seed) {
+		t.Fatalf("news %+v, wanted %v under seed %v", news, m.told(), m.seed)
+	}
+}
+
+// TestLedgerTellsWhatItWasTold: after any changes, and restored from a snapshot between them.
+func TestLedgerTellsWhatItWasTold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &ledgerModel{ledger: NewLedger(), lives: map[Fingerprint][]string{}}
+		t.Repeat(rapid.StateMachineActions(m))
+	})
+}
+
+// TestFloodPushesNoCulpritOut: however many other requests are told of, one with more lives against it stays.
+func TestFloodPushesNoCulpritOut(t *testing.T) {
+	l := NewLedger()
+	for life := range Held {
+		l.Apply(Change{Ended: []Ended{endedOf(fmt.Sprint("life-", life), 1)}})
+	}
+	for n := range 3 * entriesMost {
+		l.Apply(Change{Ended: []Ended{endedOf(fmt.Sprint("other-", n), 2+n)}})
+	}
+	if got := l.Lives(printOf(1)); got != Held {
+		t.Fatalf("%d lives are left", got)
+	}
+	if n := len(l.All()); n != entriesMost {
+		t.Fatalf("%d requests are remembered, %d are the most", n, entriesMost)
+	}
+	if l.Lives(printOf(2)) != 0 || l.Lives(printOf(1+3*entriesMost)) != 1 {
+		t.Fatal("it is not the oldest that makes room")
+	}
+}
+
+// TestSeedStays: the first one is everybody's.
+func TestSeedStays(t *testing.T) {
+	l, first := NewLedger(), make([]byte, SeedBytes)
+	first[0] = 1
+	l.Apply(Change{Seed: first[:5]})
+	if l.Planted() {
+		t.Fatal("a short seed is taken")
+	}
+	l.Apply(Change{Seed: first})
+	l.Apply(Change{Seed: make([]byte, SeedBytes)})
+	if got := l.News(); !slices.Equal(got.Seed, first) || got.Version != 1 {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// TestFingerprints: what stays of a request makes it, and nothing else; no two requests run together into one.
+func TestFingerprints(t *testing.T) {
+	h, err := NewHasher(make([]byte, SeedBytes))
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, _ := NewHasher(append(make([]byte, SeedBytes-1), 1))
+	base := Request{Method: "POST", Host: "h", Path: "/a/b?c", Caller: "north", Body: []byte("text")}
+	same := base
+	same.Body = slices.Clone(base.Body)
+	if h.Of(base) != h.Of(same) || h.Of(base) == other.Of(base) {
+		t.Fatal("a fingerprint depends on something else, or not on the seed")
+	}
+	for _, change := range []func(*Request){
+		func(r *Request) { r.Method = "PUT" }, func(r *Request) { r.Host = "g" }, func(r *Request) { r.Path = "/a/b?d" },
+		func(r *Request) { r.Caller = "south" }, func(r *Request) { r.Body = []byte("texts") }, func(r *Request) { r.Body = nil },
+		func(r *Request) { r.Host, r.Path = "h/a", "/b?c" }, func(r *Request) { r.Caller, r.Body = "nort", []byte("htext") },
+	} {
+		changed := base
+		change(&changed)
+		if h.Of(base) == h.Of(changed) {
+			t.Fatalf("%+v has the fingerprint of %+v", changed, base)
+		}
+	}
+	if _, err := NewHasher([]byte("short")); err == nil {
+		t.Fatal("a short seed is taken")
+	}
+}
+
+// FuzzFingerprintText: what a reader takes is written again as it was.
+func FuzzFingerprintText(f *testing.F) {
+	f.Add(printOf(7).String())
+	f.Add("")
+	f.Add("not a fingerprint at all")
+	f.Fuzz(func(t *testing.T, text string) {
+		var read Fingerprint
+		if read.UnmarshalText([]byte(text)) != nil {
+			return
+		}
+		again := Fingerprint{}
+		if err := again.UnmarshalText([]byte(read.String())); err != nil || again != read {
+			t.Fatalf("%q becomes %v, then %v: %v", text, read, again, err)
+		}
+	})
+}
+
+// TestOnlyAProvedEndCounts: a run that broke off counts once its back end is proved to have ended, in either order and within a while.
+func TestOnlyAProvedEndCounts(t *testing.T) {
+	r, f := NewRecord(), printOf(1)
+	if _, counts := r.Broke(time.Second, "a", f); counts || r.Lives(f) != 0 || !r.Waits("a") {
+		t.Fatal("a broken run counts without proof")
+	}
+	if _, counts := r.End(time.Second, "b"); counts {
+		t.Fatal("a life without broken runs counts")
+	}
+	told, counts := r.End(2*time.Second, "a")
+	if !counts || told.Life != "a" || !slices.Equal(told.Requests, []Fingerprint{f}) || r.Lives(f) != 1 || r.Waits("a") {
+		t.Fatalf("%+v, %t", told, counts)
+	}
+	if told, counts = r.Broke(2*time.Second, "a", printOf(2)); !counts || !slices.Equal(told.Requests, []Fingerprint{printOf(2)}) {
+		t.Fatalf("a run that breaks off after the proof: %+v, %t", told, counts)
+	}
+	if _, counts = r.End(2*time.Second, "a"); counts {
+		t.Fatal("a life counts twice")
+	}
+	r.Broke(3*time.Second, "c", f)
+	if _, counts = r.End(3*time.Second+proofWait+1, "c"); counts {
+		t.Fatal("a proof long after counts")
+	}
+}
+
+// TestGoodEndsSpeakForARequest: what ended well a moment ago isn't counted, nor held back when control tells of it, and what ends well
+// is released.
+func TestGoodEndsSpeakForARequest(t *testing.T) {
+	r, f := NewRecord(), printOf(1)
+	if r.EndedWell(time.Second, f) {
+		t.Fatal("released though nothing is known of it")
+	}
+	r.Broke(2*time.Second, "a", f)
+	if _, counts := r.End(2*time.Second, "a"); counts {
+		t.Fatal("counted right after a good end")
+	}
+	news := &News{Version: 1, Entries: []Entry{{f, []string{"a", "b", "c"}}, {printOf(2), []string{"a", "b", "c"}}}}
+	if innocent := r.Take(3*time.Second, news); !slices.Equal(innocent, []Fingerprint{f}) || r.Lives(f) != 0 || r.Lives(printOf(2)) != Held {
+		t.Fatalf("%v is released", innocent)
+	}
+	if !r.EndedWell(4*time.Second, printOf(2)) || r.Lives(printOf(2)) != 0 {
+		t.Fatal("a good end releases nothing")
+	}
+	later := 4*time.Second + innocenceKept + 1
+	r.Take(later, news)
+	if r.Lives(f) != Held {
+		t.Fatal("an old good end speaks for a request")
+	}
+}
+
+// TestOwnLivesAddToToldOnes: each life counts once, and what control has had time to count is forgotten.
+func TestOwnLivesAddToToldOnes(t *testing.T) {
+	r, f := NewRecord(), printOf(1)
+	for _, life := range []string{"a", "b"} {
+		r.Broke(time.Second, life, f)
+		r.End(time.Second, life)
+	}
+	if r.Empty() || r.Lives(f) != 2 {
+		t.Fatalf("%d lives", r.Lives(f))
+	}
+	r.Take(time.Second, &News{Version: 1, Entries: []Entry{{f, []string{"b", "c"}}}})
+	if told, held := r.Suspects(); r.Lives(f) != 3 || told != 1 || held != 0 {
+		t.Fatalf("%d lives, %d told, %d held", r.Lives(f), told, held)
+	}
+	r.Take(2*time.Second, &News{Version: 2})
+	r.Sweep(time.Second + ownKept + 1)
+	if !r.Empty() || r.Version() != 2 {
+		t.Fatalf("%d lives are left", r.Lives(f))
+	}
+}
+
+// TestRecordIsBounded: whatever breaks off, and however much ends well.
+func TestRecordIsBounded(t *testing.T) {
+	r := NewRecord()
+	for n := range 3 * wellMost {
+		r.Broke(time.Second, fmt.Sprint("life-", n), printOf(n))
+		r.End(time.Second, fmt.Sprint("life-", n))
+		r.Broke(time.Second, "one", printOf(n))
+		r.EndedWell(time.Second, printOf(3*wellMost+n%(wellMost+7)))
+	}
+	if len(r.breaks) > breaksMost || len(r.breaks["one"].runs) > runsMost || len(r.own) > ownMost || len(r.well) > wellMost {
+		t.Fatalf("%d breaks, %d runs, %d own, %d good ends", len(r.breaks), len(r.breaks["one"].runs), len(r.own), len(r.well))
+	}
+	for f, held := range r.well {
+		if r.ring[held.place] != f {
+			t.Fatal("a good end is not where it says")
+		}
+	}
+}
+
+func BenchmarkFingerprint(b *testing.B) {
+	h, _ := NewHasher(make([]byte, SeedBytes))
+	for _, size := range []int{0, 800, 30 << 10, 90 << 10} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			again := Request{Method: "POST", Host: "desk.example", Path: "/long/path/of/a/request", Caller: "north", Body: make([]byte, size)}
+			b.ReportAllocs()
+			for b.Loop() {
+				h.Of(again)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/quarantine/record.go
@@ -0,0 +1,216 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// proofWait is how long a broken run waits for the proof that its back end ended: control names another life at the address some
+	// seconds after the end, or forgets a silent one after twelve.
+	proofWait = 15 * time.Second
+	// innocenceKept is how long a good end speaks for a request: some times what news take through the fleet. One that turns deadly after
+	// it ended well, under other weights, is counted after that.
+	innocenceKept = 5 * time.Second
+	// ownKept is how long a process counts by itself what it told control: some times what news take.
+	ownKept = 15 * time.Second
+	// breaksMost bounds the lives with broken runs, runsMost the runs of each, ownMost the requests under which this process saw lives
+	// end, and wellMost the good ends that are remembered.
+	breaksMost = 256
+	runsMost   = 256
+	ownMost    = 1024
+	wellMost   = 1024
+)
+
+// Record is what one process knows of requests that end their back ends.
+type Record struct {
+	version uint64
+	told    map[Fingerprint][]string // by control: lives; with Suspected or more
+	own     map[Fingerprint]*seen    // what this process proved itself; at most ownMost
+	breaks  map[string]*broken       // by life; at most breaksMost
+	well    map[Fingerprint]goodEnd  // at most wellMost
+	ring    [wellMost]Fingerprint    // the places of well
+	next    int                      // place of the next good end
+}
+
+// seen are lives that this process saw end under a request.
+type seen struct {
+	at    time.Duration // of the newest
+	lives []string      // distinct; at most livesKept
+}
+
+// goodEnd is when a request last ended well, and its place in the ring.
+type goodEnd struct {
+	at    time.Duration
+	place int
+}
+
+// broken is what broke off at one life of a back end.
+type broken struct {
+	at    time.Duration // of the newest
+	ended bool          // the life's end is proved
+	runs  []Fingerprint // not counted yet; distinct; at most runsMost
+}
+
+// NewRecord returns a record that knows nothing.
+func NewRecord() *Record {
+	return &Record{
+		told: map[Fingerprint][]string{}, own: map[Fingerprint]*seen{}, breaks: map[string]*broken{}, well: map[Fingerprint]goodEnd{},
+	}
+}
+
+// Version returns that of the newest news.
+func (r *Record) Version() uint64 { return r.version }
+
+// Take takes news up, and returns the requests among them that ended well here a moment ago: they are to be released.
+func (r *Record) Take(now time.Duration, news *News) (innocent []Fingerprint) {
+	r.version = news.Version
+	clear(r.told)
+	for _, e := range news.Entries {
+		if r.endedWell(now, e.Request) {
+			innocent = append(innocent, e.Request)
+			continue
+		}
+		r.told[e.Request] = e.Lives
+	}
+	return innocent
+}
+
+// Broke notes a run that broke off at a life. It returns what is to be told when that life is known to have ended.
+func (r *Record) Broke(now time.Duration, life string, f Fingerprint) (told Ended, counts bool) {
+	if r.endedWell(now, f) {
+		return Ended{}, false
+	}
+	b := r.breaks[life]
+	if b == nil {
+		r.sweepBreaks(now)
+		if len(r.breaks) >= breaksMost {
+			return Ended{}, false
+		}
+		b = &broken{}
+		r.breaks[life] = b
+	}
+	b.at = now
+	if len(b.runs) < runsMost && !slices.Contains(b.runs, f) {
+		b.runs = append(b.runs, f)
+	}
+	if b.ended {
+		return r.count(now, life, b)
+	}
+	return Ended{}, false
+}
+
+// End notes the proof that a life ended, and returns what is to be told if runs broke off there.
+func (r *Record) End(now time.Duration, life string) (told Ended, counts bool) {
+	b := r.breaks[life]
+	if b == nil || now-b.at > proofWait {
+		return Ended{}, false
+	}
+	b.ended = true
+	return r.count(now, life, b)
+}
+
+// Waits reports whether runs that broke off at a life wait for the proof of its end.
+func (r *Record) Waits(life string) bool {
+	b := r.breaks[life]
+	return b != nil && !b.ended
+}
+
+// count counts an ended life for the requests whose runs broke off there.
+func (r *Record) count(now time.Duration, life string, b *broken) (told Ended, counts bool) {
+	if len(b.runs) == 0 {
+		return Ended{}, false
+	}
+	told = Ended{Life: life, Requests: b.runs}
+	b.runs = nil
+	for _, f := range told.Requests {
+		r.addOwn(now, life, f)
+	}
+	return told, true
+}
+
+// addOwn notes a life of a request. What doesn't fit is counted by control alone.
+func (r *Record) addOwn(now time.Duration, life string, f Fingerprint) {
+	s := r.own[f]
+	if s == nil {
+		if len(r.own) >= ownMost {
+			return
+		}
+		s = &seen{}
+		r.own[f] = s
+	}
+	s.at = now
+	if !slices.Contains(s.lives, life) && len(s.lives) < livesKept {
+		s.lives = append(s.lives, life)
+	}
+}
+
+// EndedWell notes that a back end ran a request to a good end, and reports whether control is to be told so.
+func (r *Record) EndedWell(now time.Duration, f Fingerprint) (release bool) {
+	r.remember(now, f)
+	_, told := r.told[f]
+	_, own := r.own[f]
+	delete(r.told, f)
+	delete(r.own, f)
+	return told || own
+}
+
+// remember keeps a good end, in the place of the oldest.
+func (r *Record) remember(now time.Duration, f Fingerprint) {
+	oldest := r.ring[r.next]
+	if held, known := r.well[oldest]; known && held.place == r.next {
+		delete(r.well, oldest)
+	}
+	r.ring[r.next], r.well[f] = f, goodEnd{at: now, place: r.next}
+	r.next = (r.next + 1) % wellMost
+}
+
+// endedWell reports whether a request ended well here a moment ago.
+func (r *Record) endedWell(now time.Duration, f Fingerprint) bool {
+	held, known := r.well[f]
+	return known && now-held.at <= innocenceKept
+}
+
+// Lives returns how many lives ended under a request, as far as this process knows.
+func (r *Record) Lives(f Fingerprint) int {
+	lives := len(r.told[f])
+	if s := r.own[f]; s != nil {
+		for _, life := range s.lives {
+			if !slices.Contains(r.told[f], life) {
+				lives++
+			}
+		}
+	}
+	return lives
+}
+
+// Empty reports whether no request has any life against it, so that none needs to be looked up.
+func (r *Record) Empty() bool { return len(r.told) == 0 && len(r.own) == 0 }
+
+// Suspects returns how many requests control tells of, and how many of these are held back.
+func (r *Record) Suspects() (told, held int) {
+	for _, lives := range r.told {
+		if len(lives) >= Held {
+			held++
+		}
+	}
+	return len(r.told), held
+}
+
+// Sweep forgets runs that wait for a proof that comes no more, and lives that control counts by now.
+func (r *Record) Sweep(now time.Duration) {
+	r.sweepBreaks(now)
+	for f, s := range r.own {
+		if now-s.at > ownKept {
+			delete(r.own, f)
+		}
+	}
+}
+
+func (r *Record) sweepBreaks(now time.Duration) {
+	for life, b := range r.breaks {
+		if now-b.at > proofWait {
+			delete(r.breaks, life)
+		}
+	}
+}
--- /dev/null
+++ b/internal/quarantine/reporter/reporter.go
@@ -0,0 +1,265 @@
+// Package reporter is what one process does about requests that end their back ends: it looks whether a back end under which a run broke off
+// has ended, tells control, and answers whether a request is held back. One thread tells.
+package reporter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/events"
+	"kitetiller/internal/quarantine"
+)
+
+const (
+	// tellTimeout is how long control may take to hold a change: an election and a write. What was not taken is told again after tellPause.
+	tellTimeout = 2 * time.Second
+	tellPause   = 100 * time.Millisecond
+	// tellWait lets what breaks off with one back end be told in one message.
+	tellWait = 5 * time.Millisecond
+	// endedMost and wellMost bound what waits to be told: the losses of some minutes without control.
+	endedMost = 1024
+	wellMost  = 1024
+	// shownMost bounds the fingerprints of one log line.
+	shownMost = 8
+)
+
+// Proof is how the end of a life was proved.
+type Proof string
+
+// Proofs.
+const (
+	Refused  Proof = "refused"  // its address refuses connections
+	Replaced Proof = "replaced" // control names another life at its address
+)
+
+// Ways are how a reporter reaches the outside.
+type Ways struct {
+	// Tell has control make a change; an error says that it may not have been made.
+	Tell func(ctx context.Context, change quarantine.Change) error
+	// Refuses reports whether an address refuses connections, as it does when nothing listens there. One that stays silent doesn't.
+	Refuses func(ctx context.Context, address string) bool
+	Note    func(event string, fields ...zap.Field)
+	Now     func() time.Duration // counts the time a machine was suspended
+}
+
+// Reporter is safe for concurrent use.
+type Reporter struct {
+	ways Ways
+	wake chan struct{} // has an item when something waits; room for one
+
+	mu     sync.Mutex
+	record *quarantine.Record       // guarded by mu
+	hasher *quarantine.Hasher       // nil before the first news; guarded by mu
+	looks  map[string]*look         // by life: a look whether it has ended; guarded by mu
+	ended  []quarantine.Ended       // to be told; at most endedMost; guarded by mu
+	well   []quarantine.Fingerprint // to be told; at most wellMost; guarded by mu
+}
+
+// look is a look whether a life has ended.
+type look struct{ done chan struct{} }
+
+// New returns a reporter that knows nothing.
+func New(ways Ways) *Reporter {
+	return &Reporter{ways: ways, wake: make(chan struct{}, 1), record: quarantine.NewRecord(), looks: map[string]*look{}}
+}
+
+// Version returns that of the newest news.
+func (r *Reporter) Version() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.record.Version()
+}
+
+// Take takes control's news up.
+func (r *Reporter) Take(news *quarantine.News) {
+	hasher, err := quarantine.NewHasher(news.Seed)
+	if err != nil {
+		hasher = nil // control has planted none yet
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hasher = hasher
+	r.release(r.record.Take(r.ways.Now(), news)...)
+}
+
+// Fingerprint returns a request's fingerprint; ok is false before control told the seed.
+func (r *Reporter) Fingerprint(request quarantine.Request) (f quarantine.Fingerprint, ok bool) {
+	r.mu.Lock()
+	hasher := r.hasher
+	r.mu.Unlock()
+	if hasher == nil {
+		return f, false
+	}
+	return hasher.Of(request), true
+}
+
+// Quiet reports whether no request has anything against it, so that none needs a fingerprint to be judged.
+func (r *Reporter) Quiet() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.record.Empty()
+}
+
+// Lives returns how many lives ended under a request; from quarantine.Held on it must not be sent.
+func (r *Reporter) Lives(f quarantine.Fingerprint) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.record.Lives(f)
+}
+
+// Suspects returns how many requests control tells of, and how many of these are held back.
+func (r *Reporter) Suspects() (told, held int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.record.Suspects()
+}
+
+// Broke notes that a run broke off at a life, and looks whether that life has ended. The channel is closed when that is known, or can't be.
+func (r *Reporter) Broke(life, address string, f quarantine.Fingerprint) (looked <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if told, counts := r.record.Broke(r.ways.Now(), life, f); counts {
+		r.tell(told, Refused)
+	}
+	if running := r.looks[life]; running != nil {
+		return running.done
+	}
+	made := &look{done: make(chan struct{})}
+	if !r.record.Waits(life) {
+		close(made.done)
+		return made.done
+	}
+	r.looks[life] = made
+	go r.look(life, address, made)
+	return made.done
+}
+
+// lookTimeout is how long an address may take to refuse a connection, or to take one: a silent one proves nothing.
+const lookTimeout = 300 * time.Millisecond
+
+// look asks an address whether anything listens there.
+func (r *Reporter) look(life, address string, made *look) {
+	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
+	refuses := r.ways.Refuses(ctx, address)
+	cancel()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if refuses {
+		r.end(life, Refused)
+	}
+	delete(r.looks, life)
+	close(made.done)
+}
+
+// Ended notes the proof that lives ended.
+func (r *Reporter) Ended(proof Proof, lives ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, life := range lives {
+		r.end(life, proof)
+	}
+}
+
+// end counts a life that ended. The caller holds mu.
+func (r *Reporter) end(life string, proof Proof) {
+	if told, counts := r.record.End(r.ways.Now(), life); counts {
+		r.tell(told, proof)
+	}
+}
+
+// tell lets control be told of an ended life. The caller holds mu.
+func (r *Reporter) tell(ended quarantine.Ended, proof Proof) {
+	shown := make([]string, 0, shownMost)
+	for _, f := range ended.Requests[:min(len(ended.Requests), shownMost)] {
+		shown = append(shown, f.String())
+	}
+	r.ways.Note(events.EndedUnder, zap.String(events.FieldInstance, ended.Life), zap.String("proof", string(proof)),
+		zap.Int("requests", len(ended.Requests)), zap.Strings("fingerprints", shown))
+	if len(r.ended) >= endedMost {
+		r.ways.Note(events.EndNotTold, zap.String(events.FieldInstance, ended.Life), zap.Int("waiting", len(r.ended)))
+		return
+	}
+	r.ended = append(r.ended, ended)
+	r.ring()
+}
+
+// EndedWell notes that a back end ran a request to a good end.
+func (r *Reporter) EndedWell(f quarantine.Fingerprint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.record.EndedWell(r.ways.Now(), f) {
+		r.release(f)
+	}
+}
+
+// release lets control be told of requests that ended well. The caller holds mu.
+func (r *Reporter) release(well ...quarantine.Fingerprint) {
+	if room := wellMost - len(r.well); len(well) > room {
+		well = well[:room] // the next good end tells again
+	}
+	if len(well) > 0 {
+		r.well = append(r.well, well...)
+		r.ring()
+	}
+}
+
+func (r *Reporter) ring() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Sweep forgets what is long past.
+func (r *Reporter) Sweep() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.Sweep(r.ways.Now())
+}
+
+// Run is the thread that tells control, until ctx ends.
+func (r *Reporter) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.wake:
+		}
+		rest(ctx, tellWait)
+		for change := r.next(); ctx.Err() == nil && !r.told(ctx, change); {
+			rest(ctx, tellPause)
+		}
+	}
+}
+
+func rest(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
+
+// next takes all that waits.
+func (r *Reporter) next() (change quarantine.Change) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change.Ended = r.ended
+	if len(r.well) > 0 {
+		change.Released = []quarantine.Release{{Requests: r.well, Why: quarantine.EndedWell}}
+	}
+	r.ended, r.well = nil, nil
+	return change
+}
+
+// told tells control once, and reports whether nothing is left to tell of a change.
+func (r *Reporter) told(ctx context.Context, change quarantine.Change) bool {
+	if len(change.Ended)+len(change.Released) == 0 {
+		return true
+	}
+	attempt, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	return r.ways.Tell(attempt, change) == nil
+}
