What expires by another's hand counts the time a machine was suspended

Cause: every clock of ours was Go's steady one, which stands still while the machine is suspended, and so do its timers: a woken gateway took a view for confirmed, an amount for lent, a kept connection for fresh and a caller's deadline for open that had ended meanwhile; a woken leader would have given an order that it had decided before. Now package clock is the one source (CLOCK_BOOTTIME): gateways, control replicas, routers and the control client judge by it at the moment of the act. An order is made within half a second of its decision or not.

--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,53 @@
+package clock
+
+import (
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// TestNowCountsSuspension: it is the kernel's clock that counts the time a machine was suspended, not the steady one.
+func TestNowCountsSuspension(t *testing.T) {
+	reading := func() time.Duration {
+		var at unix.Timespec
+		if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &at); err != nil {
+			t.Fatal(err)
+		}
+		return time.Duration(at.Nano())
+	}
+	before := reading()
+	now := processStart + Now()
+	if after := reading(); now < before || now > after {
+		t.Fatalf("%v is not between %v and %v", now, before, after)
+	}
+}
+
+// TestSourcesBeginWithNothing: and run as the one that they were made from.
+func TestSourcesBeginWithNothing(t *testing.T) {
+	at := 7 * time.Second
+	made := From(func() time.Duration { return at })
+	if made() != 0 {
+		t.Fatalf("it begins at %v", made())
+	}
+	if at += 3 * time.Second; made() != 3*time.Second {
+		t.Fatalf("%v after 3 s", made())
+	}
+	if own := From(nil); own() < 0 || own() > time.Minute {
+		t.Fatalf("the machine's begins at %v", own())
+	}
+}
+
+func BenchmarkNow(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		Now()
+	}
+}
+
+func BenchmarkSteady(b *testing.B) {
+	begun := time.Now()
+	for b.Loop() {
+		_ = time.Since(begun)
+	}
+}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"kitetiller/internal/clock"
 	"kitetiller/internal/transport"
 )
 
@@ -34,20 +35,20 @@
 	addresses atomic.Pointer[[]string]
 	next      atomic.Uint32
 	leader    atomic.Pointer[string]
-	failed    atomic.Pointer[failure]   // the newest one
-	heard     atomic.Pointer[time.Time] // when a replica last answered anything; nil never
+	failed    atomic.Pointer[failure]       // the newest one
+	heard     atomic.Pointer[time.Duration] // when a replica last answered anything; nil never
 }
 
 // failure is an address that gave no answer, and when.
 type failure struct {
 	address string
-	at      time.Time
+	at      time.Duration
 }
 
 // avoids reports whether an address failed so lately that it is asked only when there is no other.
 func (c *Client) avoids(address string) bool {
 	failed := c.failed.Load()
-	return failed != nil && failed.address == address && time.Since(failed.at) < avoidFailed
+	return failed != nil && failed.address == address && clock.Now()-failed.at < avoidFailed
 }
 
 // NewClient returns a client of the replicas at the given internal addresses.
@@ -108,10 +109,10 @@
 			return response, err // the caller has its answer from elsewhere
 		}
 		c.leader.Store(nil)
-		c.failed.Store(&failure{address: address, at: time.Now()})
+		c.failed.Store(&failure{address: address, at: clock.Now()})
 		return response, err
 	}
-	now := time.Now()
+	now := clock.Now()
 	c.heard.Store(&now)
 	switch {
 	case response.Kind == ResponseOK:
@@ -127,7 +128,7 @@
 // HeardWithin reports whether a replica has answered anything so lately.
 func (c *Client) HeardWithin(limit time.Duration) bool {
 	at := c.heard.Load()
-	return at != nil && time.Since(*at) < limit
+	return at != nil && clock.Now()-*at < limit
 }
 
 // Any asks several replicas at once, each once, and whoever they name as leader. The first that leads answers for all. It
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -16,6 +16,9 @@
 const (
 	// weightsTimeout is how long a back end may take to answer a call.
 	weightsTimeout = time.Second
+	// callFresh is how long after its decision a call may still be made, little beside the time that the next leader waits before its first
+	// order: the machine may have been suspended between the two.
+	callFresh = 500 * time.Millisecond
 	// membershipPeriod is how often the addresses of the group are read again.
 	membershipPeriod = time.Second
 )
@@ -23,6 +26,12 @@
 // UseDriver sets the driver of back ends; it must be called before Run.
 func (s *Server) UseDriver(driver Driver) { s.driver = driver }
 
+// decidedCall is a call and when this replica last saw that it may be made.
+type decidedCall struct {
+	call WeightsCall
+	at   time.Duration
+}
+
 // callBackends is the thread that starts the calls of a leader, each on a goroutine of its own.
 func (s *Server) callBackends(ctx context.Context) {
 	for {
@@ -37,11 +46,14 @@
 	}
 }
 
-func (s *Server) callBackend(ctx context.Context, call WeightsCall) {
+func (s *Server) callBackend(ctx context.Context, made decidedCall) {
 	attempt, cancel := context.WithTimeout(ctx, weightsTimeout)
 	defer cancel()
-	result := s.driver.Weights(attempt, call)
-	result.Call = call
+	result := WeightsResult{Kind: WeightsRefused}
+	if s.now()-made.at <= callFresh {
+		result = s.driver.Weights(attempt, made.call)
+	}
+	result.Call = made.call
 	s.logWeights(result)
 	s.offer(input{weights: &result})
 }
--- a/internal/control/restart_test.go
+++ b/internal/control/restart_test.go
@@ -6,7 +6,10 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"kitetiller/internal/catalog"
+
+	"kitetiller/internal/clock"
 	"kitetiller/internal/transport"
 )
 
@@ -109,7 +112,7 @@
 	listenWith(t, leader, Response{Kind: ResponseOK})
 	listenWith(t, follower, Response{Kind: ResponseNotLeader, Leader: leader})
 	client := NewClient(transport.NewClient("", nil), []string{silent.Addr().String(), follower})
-	client.failed.Store(&failure{address: leader, at: time.Now()})
+	client.failed.Store(&failure{address: leader, at: clock.Now()})
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	response, err := client.Any(ctx, Request{Status: &StatusRequest{}})
@@ -141,3 +144,26 @@
 		t.Fatal("an ended instance holds weights")
 	}
 }
+
+// countingDriver counts the calls that reach a back end.
+type countingDriver struct{ calls int }
+
+func (d *countingDriver) Weights(context.Context, WeightsCall) WeightsResult {
+	d.calls++
+	return WeightsResult{Kind: WeightsTaken}
+}
+
+// TestOrderDecidedBeforeASuspensionIsNotGiven: the machine was suspended between the decision and the call, and another replica may
+// lead by now.
+func TestOrderDecidedBeforeASuspensionIsNotGiven(t *testing.T) {
+	driver := &countingDriver{}
+	at := time.Second
+	s := &Server{driver: driver, log: zap.NewNop(), inputs: make(chan input, 2), now: func() time.Duration { return at }}
+	made := decidedCall{call: WeightsCall{Kind: WeightsOrder, Instance: "i-1"}, at: at}
+	s.callBackend(t.Context(), made)
+	at += 2 * time.Second
+	s.callBackend(t.Context(), made)
+	if first, second := *(<-s.inputs).weights, *(<-s.inputs).weights; driver.calls != 1 || first.Kind != WeightsTaken || second.Kind != WeightsRefused {
+		t.Fatalf("%d calls, results %+v and %+v", driver.calls, first, second)
+	}
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"kitetiller/internal/clock"
 	"kitetiller/internal/consensus"
 	"kitetiller/internal/events"
 	"kitetiller/internal/mechanism"
@@ -61,7 +62,7 @@
 	over     overNotes
 	held     heldNotes
 	config   Config
-	started  time.Time
+	now      clock.Source // since it was made
 	inputs   chan input
 	calls    chan EngineCall
 	clients  map[uint64]transport.Respond
@@ -71,7 +72,7 @@
 	client   *transport.Client
 	group    *Client
 	driver   Driver
-	orders   chan WeightsCall
+	orders   chan decidedCall
 	beats    beatCollector
 
 	mutex    sync.Mutex
@@ -98,7 +99,7 @@
 	links := transport.WatchLinks(ctx, file.Links, file.Zone)
 	server := &Server{
 		file: file, log: log.With(zap.String("replica", string(identity.ID))), identity: identity, disk: disk,
-		started: time.Now(), inputs: make(chan input, inputRing), calls: make(chan EngineCall, callRing), orders: make(chan WeightsCall, callRing),
+		now: clock.From(nil), inputs: make(chan input, inputRing), calls: make(chan EngineCall, callRing), orders: make(chan decidedCall, callRing),
 		beats:   beatCollector{registered: map[string]time.Duration{}, wake: make(chan struct{}, 1)},
 		clients: map[uint64]transport.Respond{}, seen: map[consensus.ID]string{}, links: links, outboxes: map[consensus.ID]chan consensus.Message{},
 		client: transport.NewClientWithin(file.ClusterToken, links, file.Control.Heartbeat), failed: make(chan error, 1),
@@ -211,9 +212,6 @@
 	}
 }
 
-// now is the replica's monotonic clock.
-func (s *Server) now() time.Duration { return time.Since(s.started) }
-
 // decide is the thread that owns the replica.
 func (s *Server) decide(ctx context.Context) {
 	runtime.LockOSThread()
@@ -321,7 +319,7 @@
 	}
 	for _, call := range effects.Weights {
 		select {
-		case s.orders <- call:
+		case s.orders <- decidedCall{call: call, at: s.now()}:
 		default:
 			s.log.Warn("ring of weights calls is full, call shed; it is made again", zap.String("instance", call.Instance))
 		}
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"kitetiller/internal/clock"
 	"kitetiller/internal/control"
 	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/prefix"
@@ -145,7 +146,7 @@
 func wireBatch(batch []transport.Aged[send]) any {
 	sends := make([]wireSend, 0, len(batch))
 	for _, told := range batch {
-		sends = append(sends, told.Item.wire(time.Since(told.At)))
+		sends = append(sends, told.Item.wire(clock.Now()-told.At))
 	}
 	return sends
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -198,7 +198,7 @@
 	x := a.exchange
 	now := x.gateway.now()
 	switch {
-	case a.ctx.Err() != nil:
+	case a.ctx.Err() != nil, now >= x.deadline:
 		return "over"
 	case x.keyed && !x.gateway.trusted(now):
 		return reasonUntrusted
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"kitetiller/internal/clock"
 )
 
 const (
@@ -42,7 +44,7 @@
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
-	usedAt time.Time
+	usedAt time.Duration
 	limit  time.Duration // longest rest that the back end announced; 0 unknown
 	rested time.Duration // before the request that it serves; 0 for a new connection
 }
@@ -50,15 +52,16 @@
 // pool keeps idle connections by instance, so that a connection never outlives the life it was made to.
 type pool struct {
 	dialer net.Dialer
+	now    clock.Source
 	mutex  sync.Mutex
 	idle   map[string][]*connection
 
 	forgottenRest time.Duration // shortest rest after which a connection was lately found forgotten; guarded by mutex
-	forgottenAt   time.Time     // when; guarded by mutex
+	forgottenAt   time.Duration // when; guarded by mutex
 }
 
-func newPool() *pool {
-	made := &pool{idle: map[string][]*connection{}}
+func newPool(source clock.Source) *pool {
+	made := &pool{now: clock.From(source), idle: map[string][]*connection{}}
 	made.dialer = net.Dialer{
 		Timeout: dialTimeout, Control: limitUnacked,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
@@ -82,17 +85,17 @@
 func (p *pool) forgotten(rested time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if rested < forgottenLeast || time.Since(p.forgottenAt) < forgottenFor && rested > p.forgottenRest {
+	if rested < forgottenLeast || p.forgottenRest > 0 && p.now()-p.forgottenAt < forgottenFor && rested > p.forgottenRest {
 		return
 	}
-	p.forgottenRest, p.forgottenAt = rested, time.Now()
+	p.forgottenRest, p.forgottenAt = rested, p.now()
 }
 
 // restLimit returns how long a connection may have rested, where rest is the most that the request allows.
 func (p *pool) restLimit(rest time.Duration) time.Duration {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.forgottenRest == 0 || time.Since(p.forgottenAt) >= forgottenFor {
+	if p.forgottenRest == 0 || p.now()-p.forgottenAt >= forgottenFor {
 		return rest
 	}
 	return min(rest, max(forgottenLeast, time.Duration(forgottenShare*float64(p.forgottenRest))))
@@ -106,8 +109,8 @@
 		if kept == nil {
 			break
 		}
-		if kept.fresh(rest) && kept.quiet() {
-			kept.rested = time.Since(kept.usedAt)
+		if kept.fresh(p.now(), rest) && kept.quiet() {
+			kept.rested = p.now() - kept.usedAt
 			return kept, nil
 		}
 		_ = kept.Close()
@@ -134,7 +137,7 @@
 
 // put keeps a connection whose last answer was read whole.
 func (p *pool) put(instance string, used *connection) {
-	used.usedAt = time.Now()
+	used.usedAt = p.now()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if len(p.idle[instance]) >= idlePerBackend {
@@ -151,7 +154,7 @@
 	for instance, kept := range p.idle {
 		var left []*connection
 		for _, held := range kept {
-			if held.fresh(idleRepeatable) {
+			if held.fresh(p.now(), idleRepeatable) {
 				left = append(left, held)
 				continue
 			}
@@ -165,11 +168,11 @@
 	}
 }
 
-func (c *connection) fresh(rest time.Duration) bool {
+func (c *connection) fresh(now, rest time.Duration) bool {
 	if c.limit > 0 {
 		rest = min(rest, c.limit-idleMargin)
 	}
-	return time.Since(c.usedAt) < rest
+	return now-c.usedAt < rest
 }
 
 // quiet reports whether the back end has neither closed the connection nor sent bytes that nobody asked for.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -95,7 +95,7 @@
 		deadline = min(deadline, x.call.Patience)
 	}
 	x.deadline = x.arrived + deadline
-	ctx, cancel := context.WithDeadline(r.Context(), g.started.Add(x.deadline))
+	ctx, cancel := context.WithTimeout(r.Context(), x.deadline-g.now())
 	defer cancel()
 	x.ctx = ctx
 	x.run()
@@ -227,7 +227,7 @@
 	case x.request.Context().Err() != nil:
 		x.abandon()
 		return true
-	case x.ctx.Err() != nil:
+	case x.ctx.Err() != nil, x.gateway.now() >= x.deadline: // a timer stands still while the machine is suspended
 		x.giveUp(reasonDeadline, retrySoon)
 		return true
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"go.uber.org/zap"
 
 	"kitetiller/internal/allowance/desk"
+	"kitetiller/internal/clock"
 	"kitetiller/internal/control"
 	"kitetiller/internal/events"
 	"kitetiller/internal/mechanism"
@@ -36,7 +37,7 @@
 	settings Settings
 	dialect  Dialect
 	log      *decisionLog
-	started  time.Time
+	now      clock.Source // since it was made
 
 	group   *control.Client
 	view    atomic.Pointer[view]
@@ -70,9 +71,9 @@
 func New(settings Settings, dialect Dialect, log *node.Log) *Gateway {
 	client := transport.NewClientWithin(settings.Token, nil, peerDial)
 	made := &Gateway{
-		settings: settings, dialect: dialect, log: newDecisionLog(log), started: time.Now(),
+		settings: settings, dialect: dialect, log: newDecisionLog(log), now: clock.From(settings.Clock),
 		group: control.NewClient(client, settings.Control), table: newTable(settings.Mechanisms), budget: newRetryBudget(settings),
-		confirmed: newBell(), followers: newFollowers(), pool: newPool(), splits: newSplits(newRand()), spread: newSpread(client), schedulers: newSchedulers(client), nick: strconv.FormatUint(rand.Uint64N(nickRange), saltBase),
+		confirmed: newBell(), followers: newFollowers(), pool: newPool(settings.Clock), splits: newSplits(newRand()), spread: newSpread(client), schedulers: newSchedulers(client), nick: strconv.FormatUint(rand.Uint64N(nickRange), saltBase),
 	}
 	made.quarantine = reporter.New(reporter.Ways{Tell: made.tellEnded, Refuses: made.pool.refuses, Note: made.log.note, Now: made.now})
 	made.desk = desk.New(made.nick, settings.Trust, made.now, made.lend)
@@ -84,9 +85,6 @@
 // on reports whether a part of the decision is on.
 func (g *Gateway) on(name mechanism.Name) bool { return g.settings.Mechanisms.On(name) }
 
-// now is the process's steady clock.
-func (g *Gateway) now() time.Duration { return time.Since(g.started) }
-
 // UseCacheReader makes the gateway read what engines keep. It must be called before Run.
 func (g *Gateway) UseCacheReader(r CacheReader) { g.reader = r }
 
--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -33,7 +33,7 @@
 
 // TestComeBackIsSpread: callers who are turned away together are told different times, within bounds.
 func TestComeBackIsSpread(t *testing.T) {
-	g := &Gateway{started: time.Now().Add(-time.Hour)} // an outage of an hour
+	g := &Gateway{now: func() time.Duration { return time.Hour }} // an outage of an hour
 	told := map[time.Duration]bool{}
 	for range 100 {
 		advice := g.comeBack()
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"kitetiller/internal/clock"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/quota"
 )
@@ -26,6 +27,7 @@
 	Quota        quota.Terms   // of limits over the whole fleet, repeats beyond the ratio among them
 
 	Mechanisms mechanism.Set // parts of the decision that are on
+	Clock      clock.Source  // nil is the machine's
 }
 
 const (
--- a/internal/router/announce.go
+++ b/internal/router/announce.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"kitetiller/internal/clock"
 	"kitetiller/internal/control"
 	"kitetiller/internal/core"
 	"kitetiller/internal/transport"
@@ -31,7 +32,7 @@
 	return transport.NewAnnouncer(client, settings, func(batch []transport.Aged[core.Send]) any {
 		event := core.EventPeerSends{}
 		for _, announced := range batch {
-			announced.Item.Age = time.Since(announced.At)
+			announced.Item.Age = clock.Now() - announced.At
 			event.Sends = append(event.Sends, announced.Item)
 		}
 		return event
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -20,6 +20,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"kitetiller/internal/clock"
 	"kitetiller/internal/control"
 	"kitetiller/internal/core"
 	"kitetiller/internal/guard"
@@ -78,7 +79,7 @@
 type Server struct {
 	file        *node.File
 	log         *zap.Logger
-	started     time.Time
+	now         clock.Source // since it was made
 	incarnation uint64
 	hasher      *prefix.Hasher
 
@@ -117,7 +118,7 @@
 	links := transport.WatchLinks(ctx, file.Links, file.Zone)
 	client := transport.NewClient(file.ClusterToken, links)
 	server := &Server{
-		file: file, log: log, started: time.Now(), incarnation: disk.incarnation, disk: disk,
+		file: file, log: log, now: clock.From(nil), incarnation: disk.incarnation, disk: disk,
 		hasher: prefix.NewHasher(key, file.Router.BlockTokens, guard.Set{}),
 		events: make(chan core.Event, eventRing), inspect: make(chan inspection, 64),
 		waiting: map[core.RequestID]*exchange{}, attempts: map[core.AttemptID]*attemptRun{},
@@ -144,8 +145,6 @@
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-func (s *Server) now() time.Duration { return time.Since(s.started) }
-
 // Run serves until ctx ends, then finishes what is in flight.
 func (s *Server) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", s.file.Router.Listen)
--- a/internal/transport/announcer.go
+++ b/internal/transport/announcer.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"sync"
 	"time"
+
+	"kitetiller/internal/clock"
 )
 
 // AnnouncerSettings bound an announcer.
@@ -19,7 +21,7 @@
 // Aged is an announced item and when that was.
 type Aged[T any] struct {
 	Item T
-	At   time.Time
+	At   time.Duration // by clock.Now
 }
 
 // Announcer tells peers of items, several in one message, without ever holding up who announces them. What cannot be told
@@ -49,7 +51,7 @@
 // Announce queues an item, or drops it when the ring is full.
 func (a *Announcer[T]) Announce(item T) {
 	select {
-	case a.items <- Aged[T]{Item: item, At: time.Now()}:
+	case a.items <- Aged[T]{Item: item, At: clock.Now()}:
 	default:
 	}
 }
