Simulator: a request that ends whoever runs it, and suspended machines

Gateways of the simulated fleet keep the product's own record and tell control of ended lives; the oracle counts what reaches back ends after the third, and looks that a request which ends well is never held back. A suspended machine's timers stand still; its clock counts the time or, without the guard suspension-counts, doesn't. Both guards are new.

--- a/cmd/kitelab/sim.go
+++ b/cmd/kitelab/sim.go
@@ -50,7 +50,7 @@
 		}
 		return nil
 	case f.listInvariants:
-		for _, known := range sim.Invariants() {
+		for _, known := range append(sim.Invariants(), sim.FleetRules()...) {
 			fmt.Printf("%-20s %s\n", known.Name, known.Help)
 		}
 		return nil
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -30,6 +30,10 @@
 	why      map[quarantine.Fingerprint]quarantine.Reason // of the newest release; of those in seen
 }
 
+func newQuarantined() quarantined {
+	return quarantined{seen: map[quarantine.Fingerprint]time.Duration{}, why: map[quarantine.Fingerprint]quarantine.Reason{}}
+}
+
 // quarantine takes what a process tells of requests under which back ends ended. What is known already needs no entry of the log.
 func (r *Replica) quarantine(now time.Duration, client uint64, change quarantine.Change) {
 	if !r.machine.catalog.Quarantine().Changes(change) {
@@ -41,9 +45,6 @@
 
 // noteQuarantined remembers when lives were counted.
 func (r *Replica) noteQuarantined(now time.Duration, change quarantine.Change) {
-	if r.quarantined.seen == nil {
-		r.quarantined.seen, r.quarantined.why = map[quarantine.Fingerprint]time.Duration{}, map[quarantine.Fingerprint]quarantine.Reason{}
-	}
 	for _, ended := range change.Ended {
 		for _, f := range ended.Requests {
 			r.quarantined.seen[f] = now
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -34,6 +34,8 @@
 	OrderPause         Guard = "order-pause"           // a new leader waits before its first order for weights
 	LateCalls          Guard = "late-calls-dropped"    // an order decided before a long sync is not given after it
 	HighestRevision    Guard = "highest-revision"      // a document replaces only an older one
+	HeldBack           Guard = "held-back"             // a request that ends whoever runs it is sent no more
+	SuspensionCounts   Guard = "suspension-counts"     // clocks count the time that a machine was suspended
 )
 
 // All lists every guard in a fixed order.
@@ -43,7 +45,7 @@
 		LearnerBeforeVote, LeaseAtDispatch, VersionCheck, OperationCheck, StreamIndexCheck,
 		EndOfStreamCheck, AttemptCheck, NotRunProof, LeavingCheck, DrainBeforeExit,
 		VersionMonotonic, PersistedSettings, LeaseMargin, AmbiguousNotResent,
-		ConfirmedView, DrainCommitted, TurnAwayFirst, OrderPause, LateCalls, HighestRevision,
+		ConfirmedView, DrainCommitted, TurnAwayFirst, OrderPause, LateCalls, HighestRevision, HeldBack, SuspensionCounts,
 	}
 }
 
--- /dev/null
+++ b/internal/lab/sim/deadly.go
@@ -0,0 +1,171 @@
+package sim
+
+import (
+	"time"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/control"
+	"kitetiller/internal/guard"
+	"kitetiller/internal/quarantine"
+)
+
+const (
+	// deadlyLength is how long a request that ends whoever runs it comes again, at most so often.
+	deadlyLength   = 25 * time.Second
+	deadlySoonest  = 30 * time.Millisecond
+	deadlyLatest   = 900 * time.Millisecond
+	deadlyTellTime = 20 * time.Second
+	// deadlyContact is how long control and a gateway must have been well for what the gateway sends to count, and deadlyMore how many
+	// sends beyond the third life may count.
+	deadlyContact = 4 * time.Second
+	deadlyMore    = 3
+	// hotSoonest and hotLatest are the pauses between the ends of a request that many callers send at once, at one gateway.
+	hotSoonest = 500 * time.Millisecond
+	hotLatest  = 4 * time.Second
+)
+
+// hotRequest ends well wherever it isn't cut off by the end of its back end.
+var hotRequest = quarantine.Fingerprint{0, 'h', 'o', 't'}
+
+// faultDeadlyRequest lets a request come again and again that ends each back end that begins to run it.
+func (w *world) faultDeadlyRequest() {
+	w.oracle.deadlies++
+	f := quarantine.Fingerprint{byte(w.oracle.deadlies), 'd'}
+	until := min(w.now()+deadlyLength, activeTime)
+	var come func()
+	come = func() {
+		if w.now() > until {
+			return
+		}
+		g := pick(w, w.gateways)
+		g.run(g.life, func() { g.sendDeadly(f) })
+		w.after(w.between(deadlySoonest, deadlyLatest), come)
+	}
+	come()
+}
+
+// sendDeadly sends a deadly request as a gateway would, to a back end that then ends.
+func (g *fleetGateway) sendDeadly(f quarantine.Fingerprint) {
+	if !g.mayBeSent() || g.w.guards.On(guard.HeldBack) && g.record.Lives(f) >= quarantine.Held {
+		return
+	}
+	entry := pick(g.w, g.roster)
+	target := g.w.fleetBackend(entry.Address)
+	if entry.State != catalog.StateReady || entry.Loading || target == nil || !target.up || target.frozen || target.id != entry.ID {
+		return // nothing listens there, or it doesn't run the request
+	}
+	g.w.oracle.deadlyArrived(g, f, target.id)
+	g.w.killBackend(target, g.w.chance(0.2), f)
+	g.w.restart(target, g.w.between(300*time.Millisecond, 4*time.Second))
+}
+
+// killBackend ends a back end with everything that runs there: the hot request from some gateways, others of their own, and those given.
+func (w *world) killBackend(b *fleetBackend, silent bool, ran ...quarantine.Fingerprint) {
+	life := b.id
+	b.kill(silent)
+	for _, g := range w.gateways {
+		w.killed++
+		runs := append([]quarantine.Fingerprint{{byte(w.killed), byte(w.killed >> 8), 'o'}}, ran...)
+		if w.chance(0.5) {
+			runs = append(runs, hotRequest)
+		}
+		g.after(w.between(time.Millisecond, 5*time.Millisecond), func() { g.brokeOff(b, life, silent, runs) })
+	}
+}
+
+// brokeOff notes runs that broke off, and looks whether their back end has ended: an address of a machine without power says nothing.
+func (g *fleetGateway) brokeOff(b *fleetBackend, life string, silent bool, runs []quarantine.Fingerprint) {
+	for _, f := range runs {
+		if told, counts := g.record.Broke(g.clock(), life, f); counts {
+			g.tellEnded(told)
+		}
+	}
+	if silent || g.w.isCut(g.process, b.process) {
+		return
+	}
+	g.after(g.w.between(time.Millisecond, 6*time.Millisecond), func() {
+		if !b.up {
+			g.proved(life)
+		}
+	})
+}
+
+// proved notes the proof that a life ended.
+func (g *fleetGateway) proved(life string) {
+	if told, counts := g.record.End(g.clock(), life); counts {
+		g.tellEnded(told)
+	}
+}
+
+func (g *fleetGateway) tellEnded(told quarantine.Ended) {
+	g.tell(quarantine.Change{Ended: []quarantine.Ended{told}})
+}
+
+// tell has control make a change, as a gateway's thread does.
+func (g *fleetGateway) tell(change quarantine.Change) {
+	request := control.Request{Catalog: &catalog.Command{Quarantine: &change}}
+	g.asker.ask(request, g.w.now()+deadlyTellTime, func(control.Response, bool) {})
+}
+
+func (g *fleetGateway) release(innocent ...quarantine.Fingerprint) {
+	if len(innocent) > 0 {
+		g.tell(quarantine.Change{Released: []quarantine.Release{{Requests: innocent, Why: quarantine.EndedWell}}})
+	}
+}
+
+// takeQuarantine takes up what control tells of ended back ends.
+func (g *fleetGateway) takeQuarantine(reply *control.WatchReply, before []control.RosterEntry) {
+	if reply.Quarantine != nil {
+		g.release(g.record.Take(g.clock(), reply.Quarantine)...)
+	}
+	now := map[string]string{}
+	for _, e := range g.roster {
+		now[e.Address] = e.ID
+	}
+	for _, e := range before {
+		if other := now[e.Address]; other != "" && other != e.ID && e.State == catalog.StateReady {
+			g.proved(e.ID)
+		}
+	}
+	g.record.Sweep(g.clock())
+}
+
+// endHot ends one run of the hot request well, and looks whether it is held back.
+func (g *fleetGateway) endHot() {
+	g.after(g.w.between(hotSoonest, hotLatest), g.endHot)
+	if !g.mayBeSent() {
+		return
+	}
+	if g.w.guards.On(guard.HeldBack) && g.record.Lives(hotRequest) >= quarantine.Held {
+		g.w.oracle.fail(HeldBackTrue, "%s holds a request back that ends well, for %d lives", g.process.name, g.record.Lives(hotRequest))
+	}
+	if g.record.EndedWell(g.clock(), hotRequest) {
+		g.release(hotRequest)
+	}
+}
+
+// deadlyRequest is what the oracle knows of a request that ends whoever runs it.
+type deadlyRequest struct {
+	ended   int           // lives
+	thirdAt time.Duration // when the last life ended that a request may end before it is held back
+	later   int           // sends that count against it
+}
+
+// deadlyArrived checks a send of a deadly request.
+func (o *oracle) deadlyArrived(g *fleetGateway, f quarantine.Fingerprint, life string) {
+	d := o.deadly[f]
+	if d == nil {
+		d = &deadlyRequest{}
+		o.deadly[f] = d
+	}
+	now := o.w.now()
+	well := now > max(o.controlFault, g.startedAt, g.wokeAt, d.thirdAt)+deadlyContact
+	if d.ended >= quarantine.Held && well {
+		if d.later++; d.later > deadlyMore {
+			o.fail(HeldBackTrue, "%s sent a request to %s under which %d back ends had ended, the third %v ago", g.process.name, life, d.ended, now-d.thirdAt)
+		}
+	}
+	if d.ended++; d.ended == quarantine.Held {
+		d.thirdAt = now
+	}
+}
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -52,6 +52,9 @@
 	{"routers frozen in claims, one after the other", (*world).faultClaimFreezes},
 	{"process of the gateway fleet killed or frozen", (*world).fleetFault},
 	{"process of the gateway fleet killed or frozen, again", (*world).fleetFault},
+	{"request that ends whoever runs it", (*world).faultDeadlyRequest},
+	{"suspended control replica", (*world).faultSuspendControl},
+	{"suspended gateway or router", (*world).faultSuspendGateway},
 	{"stalled disk", (*world).faultStallDisk},
 	{"disk that stalls under an order for weights", (*world).faultStallOrder},
 	{"writes while a replica is cut off, the others killed after the heal", (*world).faultCutThenKill},
@@ -96,10 +99,7 @@
 func (w *world) freezeRouter(r *routerNode, length time.Duration) {
 	r.freeze()
 	r.stopping = false
-	w.after(length, func() {
-		r.thawedAt = w.now()
-		r.thaw()
-	})
+	w.after(length, r.thaw)
 }
 
 func (w *world) faultStopRouter() {
@@ -139,6 +139,43 @@
 	w.after(length, n.thaw)
 }
 
+// faultSuspendControl suspends a replica's machine, mostly the leader's, some right when it acknowledged a change.
+func (w *world) faultSuspendControl() {
+	n := w.leader()
+	if n == nil || w.chance(0.2) {
+		n = pick(w, w.controls)
+	}
+	length := w.between(200*time.Millisecond, 8*time.Second)
+	suspend := func() {
+		n.suspend(length)
+		w.controlTrouble(length)
+	}
+	if w.chance(0.4) {
+		w.onAccept = append(w.onAccept, suspend)
+		return
+	}
+	suspend()
+}
+
+// faultSuspendGateway suspends the machine of a gateway, or of a router, some of these in a claim.
+func (w *world) faultSuspendGateway() {
+	length := w.between(200*time.Millisecond, 8*time.Second)
+	if w.chance(0.5) {
+		pick(w, w.gateways).suspend(length)
+		return
+	}
+	if w.chance(0.5) {
+		w.mischief.freezeClaim = func(r *routerNode) { w.suspendRouter(r, length) }
+		return
+	}
+	w.suspendRouter(pick(w, w.routers), length)
+}
+
+func (w *world) suspendRouter(r *routerNode, length time.Duration) {
+	r.stopping = false
+	r.suspend(length)
+}
+
 // faultPowerLoss ends all control replicas right after an operator was told that a change is accepted.
 func (w *world) faultPowerLoss() {
 	w.onAccept = append(w.onAccept, func() {
--- a/internal/lab/sim/fleet.go
+++ b/internal/lab/sim/fleet.go
@@ -249,6 +249,7 @@
 	g.w.oracle.fleet.used[g.process.name] = 0
 	g.follow()
 	g.ticker(fleetSend, g.send)
+	g.endHot()
 }
 
 func (g *fleetGateway) clock() time.Duration { return g.elapsed(g.startedAt, g.w.now()) }
@@ -275,18 +276,22 @@
 		g.revision = reply.Revision
 		g.w.oracle.documentSeen(g.process.name, *reply.Document)
 	}
-	if reply.Quarantine != nil {
-		g.record.Take(g.clock(), reply.Quarantine)
-	}
+	before := g.roster
 	if reply.Roster != nil {
 		g.roster = reply.Roster.Merge(g.roster)
 	}
+	g.takeQuarantine(reply, before)
 	g.version, g.confirmed = reply.Version, asked
 }
 
+// mayBeSent reports whether the gateway's view counts.
+func (g *fleetGateway) mayBeSent() bool {
+	return g.confirmed > 0 && g.clock()-g.confirmed < fleetTrust && len(g.roster) > 0
+}
+
 // send picks a back end as a gateway would and tells the oracle.
 func (g *fleetGateway) send() {
-	if g.confirmed == 0 || g.clock()-g.confirmed >= fleetTrust || len(g.roster) == 0 {
+	if !g.mayBeSent() {
 		return
 	}
 	entry := pick(g.w, g.roster)
@@ -338,7 +343,7 @@
 	w.faults++
 	if w.chance(0.4) {
 		struck := pick(w, w.backends)
-		struck.kill(w.chance(0.5))
+		w.killBackend(struck, w.chance(0.5))
 		w.restart(struck, w.between(100*time.Millisecond, 4*time.Second))
 		return
 	}
--- a/internal/lab/sim/oracle.go
+++ b/internal/lab/sim/oracle.go
@@ -7,6 +7,7 @@
 	"kitetiller/internal/control"
 	"kitetiller/internal/core"
 	"kitetiller/internal/lab/engine"
+	"kitetiller/internal/quarantine"
 	"kitetiller/internal/settings"
 )
 
@@ -26,6 +27,9 @@
 	SettingsHold   Invariant = "settings-hold"
 )
 
+// HeldBackTrue is a rule of the gateway fleet, beside the brief's lines.
+const HeldBackTrue Invariant = "held-back"
+
 // InvariantHelp describes an invariant and how it is checked.
 type InvariantHelp struct {
 	Name Invariant
@@ -47,6 +51,13 @@
 	}
 }
 
+// FleetRules lists what is checked of the gateway fleet beside the invariants.
+func FleetRules() []InvariantHelp {
+	return []InvariantHelp{
+		{HeldBackTrue, "a request that ends whoever runs it gets three back ends more at the most, once the news of the third had time; one that ends well is never held back"},
+	}
+}
+
 // Violation is a broken invariant.
 type Violation struct {
 	Invariant Invariant
@@ -78,13 +89,15 @@
 	firstAccept  time.Duration               // when the first change was accepted
 	controlFault time.Duration               // end of the newest fault that may have stopped control
 	fleet        fleetOracle
+	deadly       map[quarantine.Fingerprint]*deadlyRequest
+	deadlies     int
 }
 
 func newOracle(w *world) *oracle {
 	return &oracle{
 		w: w, runs: map[string]int{}, notRunSends: map[*exchange]bool{},
 		outcomes: map[string]settings.Outcome{}, versions: map[uint64]string{}, routerUsed: map[string]uint64{},
-		fleet: newFleetOracle(),
+		fleet: newFleetOracle(), deadly: map[quarantine.Fingerprint]*deadlyRequest{},
 	}
 }
 
@@ -166,7 +179,7 @@
 	if servesLast {
 		o.fail(RestartServes, "%s refused %s as %s although it holds settings %d", r.name, run.job.name, final.Reason, r.saved.Version)
 	}
-	calm := o.accepted > 0 && o.w.now() > max(o.controlFault, r.thawedAt, o.firstAccept)+calmNeeded
+	calm := o.accepted > 0 && o.w.now() > max(o.controlFault, r.wokeAt, o.firstAccept)+calmNeeded
 	if calm && r.saved.Version > 0 {
 		o.fail(RestartServes, "%s refused %s as %s while control was well", r.name, run.job.name, final.Reason)
 	}
--- a/internal/lab/sim/process.go
+++ b/internal/lab/sim/process.go
@@ -3,20 +3,25 @@
 import (
 	"slices"
 	"time"
+
+	"kitetiller/internal/guard"
 )
 
 // process is one simulated process: it can be killed, started again, frozen and thawed.
 type process struct {
-	w       *world
-	name    string
-	zone    string
-	life    int // raised at each start and each end
-	up      bool
-	frozen  bool
-	speed   float64       // of its monotonic clock
-	leftAt  time.Duration // when the machine list said that it leaves; 0 when it does not
-	backlog []func()      // what arrived while it was frozen
-	open    []connection  // connections that break when it dies
+	w      *world
+	name   string
+	zone   string
+	life   int // raised at each start and each end
+	up     bool
+	frozen bool
+	speed  float64       // of its monotonic clock
+	leftAt time.Duration // when the machine list said that it leaves; 0 when it does not
+	wokeAt time.Duration // when it last went on after a freeze
+	// suspendedAt is when its machine was suspended, or 0; lost is how long it was in this life. Timers stand still meanwhile.
+	suspendedAt, lost time.Duration
+	backlog           []func()     // what arrived while it was frozen
+	open              []connection // connections that break when it dies
 }
 
 // clockSkew is how much faster or slower than true time a process's monotonic clock may run.
@@ -24,12 +29,20 @@
 
 // elapsed returns what the process's clock shows between two true times.
 func (p *process) elapsed(from, to time.Duration) time.Duration {
-	return time.Duration(float64(to-from) * p.speed)
+	return time.Duration(float64(to-from-p.uncounted()) * p.speed)
+}
+
+// uncounted returns how much of this life the clock doesn't count.
+func (p *process) uncounted() time.Duration {
+	if p.w.guards.On(guard.SuspensionCounts) {
+		return 0
+	}
+	return p.lost
 }
 
 // trueTime returns when the process's clock, started at a true time, shows a reading.
 func (p *process) trueTime(start, reading time.Duration) time.Duration {
-	return start + time.Duration(float64(reading)/p.speed)
+	return start + p.uncounted() + time.Duration(float64(reading)/p.speed)
 }
 
 func newProcess(w *world, name, zone string) *process {
@@ -40,6 +53,7 @@
 func (p *process) start() {
 	p.life++
 	p.up, p.frozen = true, false
+	p.suspendedAt, p.lost = 0, 0
 }
 
 // kill ends the life. A silent death breaks connections late, as when a machine loses its power.
@@ -115,7 +129,11 @@
 	if !p.up || !p.frozen {
 		return
 	}
-	p.frozen = false
+	p.frozen, p.wokeAt = false, p.w.now()
+	if p.suspendedAt > 0 {
+		p.lost += p.w.now() - p.suspendedAt
+		p.suspendedAt = 0
+	}
 	p.w.logf("%s thaws with %d things waiting", p.name, len(p.backlog))
 	waiting := p.backlog
 	p.backlog = nil
@@ -136,10 +154,33 @@
 	}
 }
 
-// after sets a timer of the process's current life.
+// after sets a timer of the process's current life. It stands still while the machine is suspended.
 func (p *process) after(delay time.Duration, do func()) {
+	life, lost := p.life, p.lost
+	p.w.after(delay, func() {
+		p.run(life, func() {
+			if missed := p.lost - lost; missed > 0 {
+				p.after(missed, do)
+				return
+			}
+			do()
+		})
+	})
+}
+
+// suspend suspends the process's machine for a while.
+func (p *process) suspend(length time.Duration) {
+	if !p.up || p.frozen {
+		return
+	}
+	p.freeze()
+	p.suspendedAt = p.w.now()
 	life := p.life
-	p.w.after(delay, func() { p.run(life, do) })
+	p.w.after(length, func() {
+		if p.life == life {
+			p.thaw()
+		}
+	})
 }
 
 // ticker repeats something for the rest of the life.
--- a/internal/lab/sim/router.go
+++ b/internal/lab/sim/router.go
@@ -39,7 +39,6 @@
 	sendings    map[core.AttemptID]*sending
 	nextID      core.RequestID
 	stopping    bool // a planned stop is in progress and no fault has disturbed it
-	thawedAt    time.Duration
 }
 
 func (r *routerNode) clock() time.Duration { return r.elapsed(r.startedAt, r.w.now()) }
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -47,6 +47,7 @@
 	gateways       []*fleetGateway
 	fleetOperators []*fleetOperator
 	faults         int
+	killed         int // runs that back ends of the fleet took along
 	mischief       mischief
 	history        *History // nil: not recorded
 	onAccept       []func() // run once, at the next accepted change
