A gateway's view is confirmed once the log holds the gateway

Cause: the next leader waits, before it orders weights, for the gateways that the log holds. The leader wrote them down once a second, but confirmed views at once: one that came back from a cut was confirmed, the leader's disk stalled before the log held it again, and the next leader ordered weights while that gateway still trusted the last one's view. Ruled out: the turn-away itself, the pause between holders.

Mend: who is not in the log waits for its entry (one write, paced at 20 ms so that a herd shares it); a new leader adds to what its predecessor wrote for as long as views may be trusted, instead of writing nothing. Test first; it fails before.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -220,6 +220,9 @@
 		r.noteNaming(now, command.Version.Model, command.Version.Version)
 	}
 	quiet := len(command.Held)+len(command.Ordering)+len(command.Gateways) > 0 || command.Quarantine != nil // no roster tells of these
+	if r.lead != nil {
+		r.lead.listedNews = r.lead.listedNews || len(command.Gateways) > 0
+	}
 	if r.lead != nil && !quiet {
 		r.lead.rosterChanged()
 	}
--- a/internal/control/handover.go
+++ b/internal/control/handover.go
@@ -77,15 +77,31 @@
 	r.propose(now, 0, Command{Catalog: &catalog.Command{Ordering: []string{id}}})
 }
 
-// gatewaysPeriod is how often changes of the gateways that ask are written into the log.
-const gatewaysPeriod = time.Second
+const (
+	// gatewaysPeriod is how often changes of the gateways that ask are written into the log; one that waits for it is written at once, with
+	// those that come within listPause after the last.
+	gatewaysPeriod = time.Second
+	listPause      = 20 * time.Millisecond
+	// listPatience is how long a question waits, beyond its own time, until the log holds who asks: some times what a write takes.
+	listPatience = 300 * time.Millisecond
+)
+
+// listed reports whether the log holds a gateway, so that the next leader waits for it. Nobody else's view is confirmed.
+func (r *Replica) listed(name string) bool {
+	_, found := slices.BinarySearch(r.machine.catalog.Gateways(), name)
+	return found
+}
 
 // noteGateways writes which gateways may trust this leader's views.
 func (r *Replica) noteGateways(now time.Duration) {
-	if now < r.lead.gatewaysAt+gatewaysPeriod {
+	pause := gatewaysPeriod
+	if r.lead.unlisted {
+		pause = listPause
+	}
+	if now < r.lead.gatewaysAt+pause {
 		return
 	}
-	r.lead.gatewaysAt = now
+	r.lead.gatewaysAt, r.lead.unlisted = now, false
 	var names []string
 	for _, name := range sortedKeys(r.lead.usage) {
 		if now-r.lead.usage[name].at <= r.trustEnd() {
@@ -93,9 +109,8 @@
 		}
 	}
 	known := r.machine.catalog.Gateways()
-	gone := slices.ContainsFunc(known, func(name string) bool { return !slices.Contains(names, name) })
-	if gone && now < r.lead.since+r.trustEnd() {
-		return // they may still trust a view of the last leader
+	if now < r.lead.since+r.trustEnd() {
+		names = slices.Compact(slices.Sorted(slices.Values(append(names, known...)))) // they may still trust a view of the last leader
 	}
 	if len(names) > 0 && !slices.Equal(names, known) {
 		r.propose(now, 0, Command{Catalog: &catalog.Command{Gateways: names}})
--- a/internal/control/handover_test.go
+++ b/internal/control/handover_test.go
@@ -118,3 +118,35 @@
 		t.Fatalf("%s may not be ordered after the pause", ordered)
 	}
 }
+
+// TestViewIsConfirmedOnceTheLogHoldsTheGateway: the next leader waits for the gateways that the log holds before it orders weights; one that
+// trusts a view and isn't among them would send to a back end that loads. A leader confirmed a gateway that came back from a cut, and its disk
+// stalled before the log held it again (simulator, seed 178).
+func TestViewIsConfirmedOnceTheLogHoldsTheGateway(t *testing.T) {
+	s := openFleet(t)
+	s.config(func(config *Config) { config.GatewayTrust = 3 * time.Second })
+	confirmed := func(client uint64) bool { return s.replies[client].Watch != nil }
+	holds := func(name string) bool { return slices.Contains(s.replica.machine.catalog.Gateways(), name) }
+	ask := func(client uint64, name string) {
+		s.pass(2 * listPause)
+		s.replica.Handle(s.now, client, Request{Watch: &Watch{Gateway: name}})
+		if !holds(name) && len(s.replica.effects.Replies) > 0 {
+			t.Fatalf("%s is confirmed before the log holds it", name)
+		}
+		s.work() // no time passes
+		if !confirmed(client) || !holds(name) {
+			t.Fatalf("%s: confirmed %t, held %t", name, confirmed(client), holds(name))
+		}
+	}
+	ask(1001, "g1")
+	ask(1002, "g2")
+	s.pass(s.replica.trustEnd() + 2*gatewaysPeriod)
+	ask(1003, "g3")
+	if holds("g1") {
+		t.Fatal("the log holds a gateway that was silent for long")
+	}
+	ask(1004, "g1")
+	if !holds("g3") {
+		t.Fatal("the log forgot a gateway")
+	}
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -53,6 +53,8 @@
 	readyMost    int // engines that were ready lately
 	readyMostAt  time.Duration
 	gatewaysAt   time.Duration // when gateways were last looked through for the log
+	unlisted     bool          // a gateway waits until the log holds it
+	listedNews   bool          // the log holds others than before: who waits for it can be answered
 	loadTime     time.Duration // smoothed length of a load of weights; 0 before the first
 	orderLostAt  time.Duration // when an order for weights last got no answer
 	watchers     []watcher
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -229,6 +229,10 @@
 	for _, entry := range r.ready.Committed {
 		r.apply(now, entry)
 	}
+	if r.lead != nil && r.lead.listedNews {
+		r.lead.listedNews = false
+		r.answerWatchers(now)
+	}
 	r.effects.Messages = append(r.effects.Messages, r.ready.Messages...)
 	r.ready = consensus.Ready{}
 	r.maybeSnapshot()
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -64,6 +64,10 @@
 	if watch.Closing {
 		delete(r.lead.usage, watch.Gateway)
 	}
+	if !r.listed(watch.Gateway) {
+		r.lead.unlisted = true
+		r.noteGateways(now)
+	}
 	held := watcher{client: client, watch: watch, due: now + min(watch.Hold, maximumHold)}
 	if !r.answerWatch(now, held) {
 		r.lead.watchers = append(r.lead.watchers, held)
@@ -124,7 +128,11 @@
 	if !news && now < held.due {
 		return false
 	}
-	if !r.confirms(now) {
+	if !r.listed(held.watch.Gateway) && now < held.due+listPatience {
+		r.lead.unlisted = true
+		return false
+	}
+	if !r.confirms(now) || !r.listed(held.watch.Gateway) {
 		r.reply(held.client, Response{Kind: ResponseNoQuorum})
 		return true
 	}
