--- /dev/null
+++ b/internal/quarantine/reporter/reporter_test.go
@@ -0,0 +1,165 @@
+package reporter
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/events"
+	"kitetiller/internal/quarantine"
+)
+
+// outside is control and the addresses of back ends, as a test has them.
+type outside struct {
+	mu      sync.Mutex
+	fails   int // questions that control doesn't take
+	told    []quarantine.Change
+	refuses map[string]bool
+	looks   int
+	lines   []string
+	at      time.Duration
+}
+
+func (o *outside) ways() Ways {
+	return Ways{
+		Tell: func(_ context.Context, change quarantine.Change) error {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			if o.fails > 0 {
+				o.fails--
+				return errors.New("no leader")
+			}
+			o.told = append(o.told, change)
+			return nil
+		},
+		Refuses: func(_ context.Context, address string) bool {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			o.looks++
+			return o.refuses[address]
+		},
+		Note: func(event string, _ ...zap.Field) { o.lines = append(o.lines, event) },
+		Now:  func() time.Duration { return o.at },
+	}
+}
+
+// lives returns the lives that control was told of, in order.
+func (o *outside) lives() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var lives []string
+	for _, change := range o.told {
+		for _, ended := range change.Ended {
+			lives = append(lives, ended.Life)
+		}
+	}
+	return lives
+}
+
+func (o *outside) released() (released []quarantine.Fingerprint) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, change := range o.told {
+		for _, r := range change.Released {
+			released = append(released, r.Requests...)
+		}
+	}
+	return released
+}
+
+// run runs a reporter for the rest of a test.
+func run(t *testing.T, o *outside) *Reporter {
+	t.Helper()
+	r := New(o.ways())
+	ctx, cancel := context.WithCancel(context.Background())
+	var thread sync.WaitGroup
+	thread.Go(func() { r.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		thread.Wait()
+	})
+	return r
+}
+
+func waitFor(t *testing.T, holds func() bool) {
+	t.Helper()
+	for range 2000 {
+		if holds() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("did not come to hold")
+}
+
+var one, two = quarantine.Fingerprint{1}, quarantine.Fingerprint{2}
+
+// TestEndedLifeIsToldUntilItIsTaken: only where its address refuses connections, or control says so; one look for all that breaks off there.
+func TestEndedLifeIsToldUntilItIsTaken(t *testing.T) {
+	o := &outside{fails: 2, refuses: map[string]bool{"dead": true}}
+	r := run(t, o)
+	<-r.Broke("life-1", "dead", one)
+	<-r.Broke("life-1", "dead", two)
+	<-r.Broke("life-2", "alive", one)
+	if r.Lives(one) != 1 || r.Lives(two) != 1 || r.Quiet() {
+		t.Fatalf("%d and %d lives", r.Lives(one), r.Lives(two))
+	}
+	waitFor(t, func() bool { return slices.Equal(o.lives(), []string{"life-1", "life-1"}) })
+	if o.looks != 2 {
+		t.Fatalf("%d looks at two addresses", o.looks)
+	}
+	r.Ended(Replaced, "life-2", "life-3")
+	waitFor(t, func() bool { return slices.Contains(o.lives(), "life-2") })
+	if r.Lives(one) != 2 || slices.Contains(o.lives(), "life-3") {
+		t.Fatalf("%d lives, told %v", r.Lives(one), o.lives())
+	}
+}
+
+// TestGoodEndReleases: what control tells of and ends well, or ended well a moment ago, is to be released.
+func TestGoodEndReleases(t *testing.T) {
+	o := &outside{}
+	r := run(t, o)
+	if _, ok := r.Fingerprint(quarantine.Request{}); ok {
+		t.Fatal("a fingerprint without a seed")
+	}
+	r.EndedWell(one)
+	lives := []string{"a", "b", "c"}
+	r.Take(&quarantine.News{Version: 3, Seed: make([]byte, quarantine.SeedBytes), Entries: []quarantine.Entry{{Request: one, Lives: lives}, {Request: two, Lives: lives}}})
+	if told, held := r.Suspects(); r.Version() != 3 || told != 1 || held != 1 || r.Lives(one) != 0 {
+		t.Fatalf("version %d, %d told, %d held back", r.Version(), told, held)
+	}
+	if _, ok := r.Fingerprint(quarantine.Request{}); !ok {
+		t.Fatal("no fingerprint under a seed")
+	}
+	r.EndedWell(two)
+	waitFor(t, func() bool { return slices.Equal(o.released(), []quarantine.Fingerprint{one, two}) })
+	if !r.Quiet() {
+		t.Fatal("something is held against a request that ended well")
+	}
+}
+
+// TestWaitingNewsAreBounded: while control takes nothing; what is lost leaves a line.
+func TestWaitingNewsAreBounded(t *testing.T) {
+	o := &outside{}
+	r := New(o.ways())
+	for n := range endedMost + 5 {
+		o.at += time.Minute // so that earlier lives make room
+		life := time.Duration(n).String()
+		r.mu.Lock()
+		r.record.Broke(o.at, life, one)
+		r.end(life, Replaced)
+		r.mu.Unlock()
+		r.release(quarantine.Fingerprint{byte(n), byte(n >> 8)})
+	}
+	if len(r.ended) != endedMost || len(r.well) != wellMost {
+		t.Fatalf("%d ends and %d good ends wait", len(r.ended), len(r.well))
+	}
+	if !slices.Contains(o.lines, events.EndNotTold) || !slices.Contains(o.lines, events.EndedUnder) {
+		t.Fatalf("lines %v", o.lines[len(o.lines)-3:])
+	}
+}
