Histories: a claim that was sent again may learn that its run is unknown

The checker's model took all sends of a claim for one that takes effect once. An earlier send may be granted, its answer lost and the session ended before the last send is answered: unknown is then the right answer.

--- a/internal/lab/sim/history.go
+++ b/internal/lab/sim/history.go
@@ -15,6 +15,7 @@
 	Called   time.Duration
 	Returned time.Duration
 	Answered bool
+	Sends    int // how often it was sent until its answer came
 	Change   *settings.Change
 	Outcome  *settings.Outcome
 	Read     *control.ReadReply
@@ -47,9 +48,10 @@
 func (h *History) begin(now time.Duration, client string, request control.Request) *Operation {
 	id := identity(client, request)
 	if held := h.open[id]; held != nil && id != "" {
+		held.Sends++
 		return held
 	}
-	operation := &Operation{Client: client, Called: now, Change: request.Change, Claim: request.Claim, End: request.End}
+	operation := &Operation{Client: client, Called: now, Sends: 1, Change: request.Change, Claim: request.Claim, End: request.End}
 	h.Operations = append(h.Operations, operation)
 	h.open[id] = operation
 	return operation
--- a/internal/lab/sim/linear_test.go
+++ b/internal/lab/sim/linear_test.go
@@ -103,6 +103,10 @@
 		return s.end(*asked.End), true
 	}
 	next, kinds := s.claim(asked.Claim.ClaimID)
+	if s.state == "" && got.Answered && got.Sends > 1 && got.Claimed != nil && got.Claimed.Kind == ledger.RunUnknown && kinds == ledger.Granted {
+		next.state = ledger.StateUnknown // an earlier send was granted, its answer lost, and the session ended before the last one
+		return next, true
+	}
 	if !got.Answered || got.Claimed == nil {
 		return next, true
 	}
