Routers hold back what ends its engines, with the same package

The product's own interface had the same hole (retries, limits and the ledger know one request each). Routers are told with their heartbeats, look at the last moment before each attempt, and refuse with 503 held-back, an hour to come back and the reason; once an attempt may have run the answer stays run-unknown. From two lives on an attempt isn't followed by another one. Test: four stand-in engines that end under one prompt: three or four get it, then none.

--- a/internal/api/problem.go
+++ b/internal/api/problem.go
@@ -27,12 +27,12 @@
 
 // NewProblem returns a problem of a reason.
 func NewProblem(reason core.Reason, run core.Run, detail string) Problem {
-	status, title := describe(reason)
+	status, title := Describe(reason)
 	return Problem{Type: "urn:kitetiller:" + string(reason), Title: title, Status: status, Detail: detail, Run: run}
 }
 
-// describe maps a reason to its status and title.
-func describe(reason core.Reason) (int, string) {
+// Describe maps a reason to its status and title.
+func Describe(reason core.Reason) (int, string) {
 	switch reason {
 	case core.ReasonRateLimit:
 		return http.StatusTooManyRequests, "The tenant's request rate is used up"
@@ -60,6 +60,8 @@
 		return http.StatusServiceUnavailable, "This router is stopping; ask another one"
 	case core.ReasonNoLease, core.ReasonNoSettings:
 		return http.StatusServiceUnavailable, "This router has no current settings; ask another one"
+	case core.ReasonHeldBack:
+		return http.StatusServiceUnavailable, "Back ends ended under this request again and again; it is sent to none until an operator releases it"
 	case core.ReasonLedger:
 		return http.StatusServiceUnavailable, "The run ledger did not answer"
 	}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -7,6 +7,7 @@
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/consensus"
 	"kitetiller/internal/ledger"
+	"kitetiller/internal/quarantine"
 	"kitetiller/internal/settings"
 )
 
@@ -42,6 +43,7 @@
 	HasSettings bool   `json:"has_settings"` // false asks for the whole tree
 	Closing     bool   `json:"closing"`      // planned stop: end the session
 	PeersSeen   uint64 `json:"peers_seen"`   // version of the router list that the router holds
+	Quarantine  uint64 `json:"quarantine"`   // version of the news of requests that end their back ends that it holds
 }
 
 // PeerList names the routers with a session.
@@ -66,6 +68,8 @@
 	Edits   []settings.Edit `json:"edits,omitempty"`
 	Tree    *settings.Tree  `json:"tree,omitempty"`  // instead of edits, for a router too far behind
 	Peers   *PeerList       `json:"peers,omitempty"` // when it differs from what the router holds
+
+	Quarantine *quarantine.News `json:"quarantine,omitempty"` // the same
 }
 
 // Read asks for the current tree.
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -43,6 +43,15 @@
 	r.propose(now, client, Command{Catalog: &catalog.Command{Quarantine: &change}})
 }
 
+// quarantineNews returns what a process is told that holds the news of a version; nil when it holds these.
+func (r *Replica) quarantineNews(held uint64) *quarantine.News {
+	ledger := r.machine.catalog.Quarantine()
+	if held == ledger.Version() {
+		return nil
+	}
+	return ledger.News()
+}
+
 // noteQuarantined remembers when lives were counted.
 func (r *Replica) noteQuarantined(now time.Duration, change quarantine.Change) {
 	for _, ended := range change.Ended {
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -88,6 +88,7 @@
 	if beat.PeersSeen != r.machine.peersAt {
 		reply.Peers = r.machine.Peers()
 	}
+	reply.Quarantine = r.quarantineNews(beat.Quarantine)
 	return reply
 }
 
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -153,9 +153,7 @@
 	if watch.Roster != reply.Version {
 		reply.Roster = r.rosterNews(now, watch.Roster)
 	}
-	if ledger := r.machine.catalog.Quarantine(); watch.Quarantine != ledger.Version() {
-		reply.Quarantine = ledger.News()
-	}
+	reply.Quarantine = r.quarantineNews(watch.Quarantine)
 	_, reply.Gateways = r.gatewaysThatTrust(now)
 	reply.Mesh = r.meshOf(now, watch.Gateway)
 	reply.Reads = r.lead.meshes.reads[watch.Gateway]
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -87,6 +87,7 @@
 	ReasonRunUnknown    Reason = "run-unknown"
 	ReasonLedger        Reason = "ledger-unavailable"
 	ReasonCallerGone    Reason = "caller-gone"
+	ReasonHeldBack      Reason = "held-back"
 )
 
 // ActionFinish gives a request its final answer.
--- a/internal/core/observe.go
+++ b/internal/core/observe.go
@@ -19,6 +19,8 @@
 		c.observeRequest(typed.Request)
 	case EventCallerGone:
 		c.observeGone(typed.ID)
+	case EventHeldBack:
+		c.observeHeldBack(typed.ID)
 	case EventClaim:
 		c.observeClaim(typed)
 	case EventAttempt:
@@ -202,3 +204,16 @@
 	c.index.Forget(id)
 	c.index.Add(id, event.Blocks, c.now, prefix.SourceSnapshot)
 }
+
+// observeHeldBack ends a request that is to be sent nowhere more.
+func (c *Core) observeHeldBack(id RequestID) {
+	r, alive := c.requests[id]
+	if !alive || len(r.attempts) > 0 {
+		return
+	}
+	reason := ReasonHeldBack
+	if r.unproven > 0 {
+		reason = ReasonRunUnknown // an earlier attempt may have run
+	}
+	c.refuse(r, reason, 0)
+}
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -36,6 +36,11 @@
 	if run == nil {
 		return
 	}
+	if s.barred(run) {
+		s.offer(core.EventAttempt{ID: action.ID, Attempt: action.Attempt, Echo: action.Attempt, Kind: core.AttemptRefused})
+		s.offer(core.EventHeldBack{ID: action.ID})
+		return
+	}
 	s.announcer.Announce(core.Send{Backend: action.Backend, Tokens: action.PrefillTokens, Lane: action.Lane})
 	run.attempts++
 	run.lastAttempt = uint64(action.Attempt)
@@ -132,6 +137,7 @@
 func (s *Server) begin(ctx context.Context, a *attemptRun, path string, body any) *http.Response {
 	response, err := s.sendOnce(ctx, a.action.Address, path, body)
 	if err != nil {
+		s.noteFailure(ctx, a, err)
 		s.post(a.failure(err))
 		return nil
 	}
@@ -151,6 +157,7 @@
 	}
 	defer response.Body.Close()
 	if !s.readStream(response.Body, a) {
+		s.brokeOff(ctx, a)
 		s.post(a.event(core.AttemptBroken))
 	}
 }
@@ -229,6 +236,7 @@
 	defer response.Body.Close()
 	var reply api.RunResponse
 	if json.NewDecoder(io.LimitReader(response.Body, maximumAnswerBytes)).Decode(&reply) != nil {
+		s.brokeOff(ctx, a)
 		s.post(a.event(core.AttemptBroken))
 		return
 	}
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -73,8 +73,11 @@
 		Type: "urn:kitetiller:" + string(refusal.reason), Title: refusal.title, Status: refusal.status,
 		Detail: refusal.detail, RequestID: name, Run: run,
 	}
-	if refusal.reason == reasonOverload || refusal.reason == core.ReasonDraining {
+	switch refusal.reason {
+	case reasonOverload, core.ReasonDraining:
 		problem = problem.WithRetry(overloadAdvice)
+	case core.ReasonHeldBack:
+		problem = problem.WithRetry(heldBackAdvice)
 	}
 	s.metrics.refusals.WithLabelValues(string(refusal.reason)).Inc()
 	problem.Write(w)
@@ -144,7 +147,7 @@
 // serveCompletion answers chat and plain completions.
 func (s *Server) serveCompletion(w http.ResponseWriter, r *http.Request) {
 	in, refusal := s.receive(w, r, settings.Any)
-	run := &exchange{name: in.name, chat: r.URL.Path == chatPath, writer: w, received: time.Now()}
+	run := &exchange{name: in.name, chat: r.URL.Path == chatPath, writer: w, received: time.Now(), again: again(r, in)}
 	if refusal == nil {
 		run.completion, run.request, refusal = s.readCompletion(r, in.held, in.tenant, in.name, in.body)
 	}
@@ -241,7 +244,7 @@
 func (s *Server) serveService(w http.ResponseWriter, r *http.Request) {
 	service := r.PathValue("name")
 	in, refusal := s.receive(w, r, service)
-	run := &exchange{name: in.name, body: in.body, writer: w, received: time.Now()}
+	run := &exchange{name: in.name, body: in.body, writer: w, received: time.Now(), again: again(r, in)}
 	if refusal == nil {
 		run.request, refusal = s.readService(r, in, service)
 	}
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -11,6 +11,7 @@
 
 	"kitetiller/internal/api"
 	"kitetiller/internal/core"
+	"kitetiller/internal/quarantine"
 )
 
 const (
@@ -43,6 +44,7 @@
 	chat       bool
 	writer     http.ResponseWriter
 	received   time.Time
+	again      quarantine.Request // what stays when it comes again
 
 	tokens      chan token
 	final       chan core.ActionFinish // room for one
@@ -65,6 +67,9 @@
 		s.refuse(run.writer, r, run.name, &callerError{core.ReasonDraining, http.StatusServiceUnavailable, "This router is stopping", ""})
 		return
 	}
+	if s.heldBack(run, r) {
+		return
+	}
 	if !s.register(run) {
 		s.refuse(run.writer, r, run.name, &callerError{reasonOverload, http.StatusServiceUnavailable, "This router has too many requests", ""})
 		return
@@ -142,6 +147,9 @@
 		action.Reason = core.ReasonCallerGone // tokens were dropped: the caller's stream is not whole
 	}
 	s.unregister(action.ID)
+	if action.Reason == core.ReasonComplete {
+		s.endedWell(run)
+	}
 	s.logFinish(run, action)
 	run.final <- action
 	close(run.tokens)
--- /dev/null
+++ b/internal/router/heldback.go
@@ -0,0 +1,120 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/api"
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/control"
+	"kitetiller/internal/core"
+	"kitetiller/internal/events"
+	"kitetiller/internal/quarantine"
+	"kitetiller/internal/quarantine/reporter"
+)
+
+const (
+	// heldBackAdvice is when a caller may come back whose request is held back; nothing but an operator, or a day, releases it.
+	heldBackAdvice = time.Hour
+	// quarantineSweep is how often what is long past is forgotten.
+	quarantineSweep = 5 * time.Second
+)
+
+// newReporter returns what this router does about requests that end their back ends.
+func (s *Server) newReporter() *reporter.Reporter {
+	return reporter.New(reporter.Ways{
+		Tell: func(ctx context.Context, change quarantine.Change) error {
+			_, err := s.group.Ask(ctx, control.Request{Catalog: &catalog.Command{Quarantine: &change}})
+			return err
+		},
+		Refuses: refuses,
+		Note:    func(event string, fields ...zap.Field) { s.log.Info(event, fields...) },
+		Now:     s.now,
+	})
+}
+
+// refuses reports whether an address refuses connections. A connection that comes up says that somebody listens there.
+func refuses(ctx context.Context, address string) bool {
+	var dialer net.Dialer
+	made, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = made.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// again is what stays of a request when it comes again. Callers name each router by an address of its own, so that no host belongs to it.
+func again(r *http.Request, in received) quarantine.Request {
+	return quarantine.Request{Method: r.Method, Path: r.URL.RequestURI(), Caller: in.tenant, Body: in.body}
+}
+
+// lives returns how many lives of back ends ended under a request, as far as this router knows.
+func (s *Server) lives(run *exchange) int {
+	if s.quarantine.Quiet() {
+		return 0
+	}
+	f, ok := s.quarantine.Fingerprint(run.again)
+	if !ok {
+		return 0
+	}
+	return s.quarantine.Lives(f)
+}
+
+// heldBack answers a request that ends whoever runs it.
+func (s *Server) heldBack(run *exchange, r *http.Request) bool {
+	lives := s.lives(run)
+	if lives < quarantine.Held {
+		return false
+	}
+	f, _ := s.quarantine.Fingerprint(run.again) // there is one, or it would have no lives
+	s.log.Info(events.RequestRefused, zap.String(events.FieldRequest, run.name), zap.String(events.FieldReason, string(core.ReasonHeldBack)),
+		zap.Stringer(events.FieldFingerprint, f), zap.Int(events.FieldLives, lives))
+	status, title := api.Describe(core.ReasonHeldBack)
+	s.refuse(run.writer, r, run.name, &callerError{core.ReasonHeldBack, status, title, ""})
+	return true
+}
+
+// barred reports whether a request may not be sent to a back end, or to another one, since too many have ended under it.
+func (s *Server) barred(run *exchange) bool {
+	lives := s.lives(run)
+	return lives >= quarantine.Held || run.attempts > 0 && lives >= quarantine.Suspected
+}
+
+// life names the life of a back end that an attempt was sent to.
+func (a *attemptRun) life() string {
+	return fmt.Sprintf("%s/%d", a.action.Backend, a.action.Incarnation)
+}
+
+// brokeOff notes that an attempt broke off without our doing.
+func (s *Server) brokeOff(ctx context.Context, a *attemptRun) {
+	if ctx.Err() != nil || a.action.Incarnation == 0 {
+		return
+	}
+	if f, ok := s.quarantine.Fingerprint(a.run.again); ok {
+		s.quarantine.Broke(a.life(), a.action.Address, f)
+	}
+}
+
+// noteFailure notes what a failed send says of its back end.
+func (s *Server) noteFailure(ctx context.Context, a *attemptRun, err error) {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		s.quarantine.Ended(reporter.Refused, a.life())
+	case !neverSent(err):
+		s.brokeOff(ctx, a)
+	}
+}
+
+// endedWell notes that a back end ran a request to a good end.
+func (s *Server) endedWell(run *exchange) {
+	if f, ok := s.quarantine.Fingerprint(run.again); ok {
+		s.quarantine.EndedWell(f)
+	}
+}
--- /dev/null
+++ b/internal/router/heldback_test.go
@@ -0,0 +1,159 @@
+package router
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/api"
+	"kitetiller/internal/control"
+	"kitetiller/internal/core"
+	"kitetiller/internal/quarantine"
+	"kitetiller/internal/transport"
+)
+
+const deadlyPrompt = "a prompt that no engine survives"
+
+// mortalEngine ends under a deadly prompt, with its listener and all connections, and comes back as another life.
+type mortalEngine struct {
+	t       *testing.T
+	name    string
+	address string
+	life    atomic.Uint64
+	deadly  *atomic.Int64 // arrivals, over all engines
+
+	mu     sync.Mutex
+	server *http.Server
+}
+
+func (e *mortalEngine) begin() {
+	listener, err := net.Listen("tcp", e.address)
+	if err != nil {
+		e.t.Errorf("%s cannot listen again: %v", e.name, err)
+		return
+	}
+	e.address = listener.Addr().String()
+	e.life.Add(1)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+api.PathState, func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(api.StateReply{Report: core.BackendReport{Incarnation: e.life.Load(), Weights: "w1", Load: core.Load{PrefillRate: 8000}}})
+	})
+	mux.HandleFunc("POST "+api.PathGenerate, e.generate)
+	e.mu.Lock()
+	e.server = &http.Server{Handler: mux}
+	go func(server *http.Server) { _ = server.Serve(listener) }(e.server)
+	e.mu.Unlock()
+}
+
+func (e *mortalEngine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = e.server.Close()
+}
+
+func (e *mortalEngine) generate(w http.ResponseWriter, r *http.Request) {
+	var request api.GenerateRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		return
+	}
+	if strings.Contains(request.Prompt, deadlyPrompt) {
+		e.deadly.Add(1)
+		e.end()
+		time.AfterFunc(50*time.Millisecond, e.begin)
+		return
+	}
+	for _, event := range []api.GenerateEvent{
+		{Kind: api.GenerateStarted, Incarnation: e.life.Load()}, {Kind: api.GenerateToken, Text: "good "}, {Kind: api.GenerateDone, Index: 1},
+	} {
+		event.Attempt = request.Attempt
+		data, _ := json.Marshal(event)
+		fmt.Fprintf(w, "data: %s\n\n", data)
+	}
+}
+
+// startControlStub answers heartbeats and keeps the count, as a leader does.
+func startControlStub(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	var mu sync.Mutex
+	ledger := quarantine.NewLedger()
+	ledger.Apply(quarantine.Change{Seed: make([]byte, quarantine.SeedBytes)})
+	server, err := transport.Listen(address, "", func(request transport.Request, respond transport.Respond) {
+		mu.Lock()
+		defer mu.Unlock()
+		var asked control.Request
+		_ = json.Unmarshal(request.Body, &asked)
+		answer := control.Response{Kind: control.ResponseOK}
+		switch {
+		case asked.Catalog != nil && asked.Catalog.Quarantine != nil:
+			ledger.Apply(*asked.Catalog.Quarantine)
+		case asked.Heartbeat != nil:
+			answer.Heartbeat = &control.HeartbeatReply{Epoch: 1, Version: 7, Lease: time.Minute}
+			if asked.Heartbeat.Quarantine != ledger.Version() {
+				answer.Heartbeat.Quarantine = ledger.News()
+			}
+		}
+		respond(http.StatusOK, answer)
+	}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close(t.Context()) })
+	return address
+}
+
+// TestRequestThatEndsItsEnginesIsHeldBack: over the product's own interface as over gateways. Its callers get the final answer at once,
+// with the reason; others are served.
+func TestRequestThatEndsItsEnginesIsHeldBack(t *testing.T) {
+	var arrived atomic.Int64
+	var machines []core.Machine
+	for number := range 4 {
+		engine := &mortalEngine{t: t, name: fmt.Sprint("e", number), address: "127.0.0.1:0", deadly: &arrived}
+		engine.begin()
+		machines = append(machines, core.Machine{Name: engine.name, Zone: "z", Service: testService, Address: engine.address})
+	}
+	s := &site{t: t, release: make(chan struct{}), stopped: make(chan error, 1), control: startControlStub(t)}
+	s.platform = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(api.MachinesReply{Machines: machines})
+	}))
+	t.Cleanup(s.platform.Close)
+	s.start(s.settingsFolder())
+	ask := func(prompt string) (status int, text string) {
+		response := s.post("/v1/completions", testKey, fmt.Sprintf(`{"model":"llm","prompt":%q,"max_tokens":1}`, prompt))
+		body, _ := io.ReadAll(response.Body)
+		return response.StatusCode, string(body)
+	}
+	s.eventually("an engine serves", func() bool { status, _ := ask("hello"); return status == http.StatusOK })
+	s.eventually("the request is held back", func() bool {
+		status, text := ask(deadlyPrompt)
+		if status == http.StatusOK {
+			t.Fatal("answered")
+		}
+		return status == http.StatusServiceUnavailable && strings.Contains(text, string(core.ReasonHeldBack))
+	})
+	before := arrived.Load()
+	for range 20 {
+		if status, text := ask(deadlyPrompt); status != http.StatusServiceUnavailable || !strings.Contains(text, string(core.ReasonHeldBack)) {
+			t.Fatalf("%d %s", status, text)
+		}
+	}
+	if after := arrived.Load(); after != before || after > quarantine.Held+3 {
+		t.Fatalf("%d engines got it, then %d more", before, after-before)
+	}
+	s.eventually("others are served", func() bool { status, _ := ask("another prompt"); return status == http.StatusOK })
+}
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -1,7 +1,7 @@
 // Package router is the shell around the core: it takes callers' requests over net/http, carries out the
 // core's actions, and keeps the router's synced copy of the settings.
 //
-// Threads: one decides (it owns the core); one renews the session; one reads the platform's list; one for
+// Threads: one decides (it owns the core); one renews the session; one reads the platform's list; one tells control of ended back ends; one for
 // each back end polls its state; net/http's goroutines serve callers; one for each attempt reads a back end's
 // stream. They are joined by bounded rings (buffered channels). A full ring refuses or sheds, it never blocks
 // the deciding thread.
@@ -26,6 +26,7 @@
 	"kitetiller/internal/guard"
 	"kitetiller/internal/node"
 	"kitetiller/internal/prefix"
+	"kitetiller/internal/quarantine/reporter"
 	"kitetiller/internal/session"
 	"kitetiller/internal/settings"
 	"kitetiller/internal/transport"
@@ -80,6 +81,7 @@
 	file        *node.File
 	log         *zap.Logger
 	now         clock.Source // since it was made
+	quarantine  *reporter.Reporter
 	incarnation uint64
 	hasher      *prefix.Hasher
 
@@ -135,6 +137,7 @@
 		Router: file.Name, Incarnation: disk.incarnation, Zone: file.Zone, Address: file.Router.Internal,
 	}, disk.saved, file.Router.HeartbeatEvery, guard.Set{})
 	server.announcer = newAnnouncer(client)
+	server.quarantine = server.newReporter()
 	server.metrics = newMetrics(server)
 	if disk.saved.Version > 0 {
 		server.core.Tick(0, []core.Event{core.EventSettings{Version: disk.saved.Version, Tree: disk.saved.Tree}})
@@ -175,6 +178,8 @@
 	}()
 	threads.Go(func() { s.watchPlatform(run) })
 	threads.Go(func() { s.announcer.Run(run) })
+	threads.Go(func() { s.quarantine.Run(run) })
+	threads.Go(func() { transport.Every(run, quarantineSweep, s.quarantine.Sweep) })
 	s.log.Info("router started", zap.String("listen", s.file.Router.Listen), zap.Uint64("incarnation", s.incarnation),
 		zap.Uint64("settings_version", s.disk.saved.Version))
 	select {
--- a/internal/router/server_test.go
+++ b/internal/router/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -44,6 +45,7 @@
 	release   chan struct{} // closed: the engine's streams go on after their first token
 	cancelled atomic.Int32  // attempts whose connection was closed on the engine
 	address   string
+	control   string // address of the control group, or "" for none
 	stop      context.CancelFunc
 	stopped   chan error
 }
@@ -71,12 +73,18 @@
 		_ = json.NewEncoder(w).Encode(api.MachinesReply{Machines: []core.Machine{machine}})
 	}))
 	t.Cleanup(s.platform.Close)
-	folder := t.TempDir()
+	s.start(s.settingsFolder())
+	return s
+}
+
+// settingsFolder returns a router's folder with settings.
+func (s *site) settingsFolder() string {
+	s.t.Helper()
+	folder := s.t.TempDir()
 	if err := storage.WriteJSON(filepath.Join(folder, settingsFile), session.Settings{Version: 7, Tree: testSettings()}); err != nil {
-		t.Fatal(err)
+		s.t.Fatal(err)
 	}
-	s.start(folder)
-	return s
+	return folder
 }
 
 func (s *site) engineRoutes() http.Handler {
@@ -124,7 +132,7 @@
 	s.address = listener.Addr().String()
 	_ = listener.Close()
 	file := &node.File{Name: "r1", Zone: "z", Data: folder, AdminToken: "admin", Router: &node.Router{
-		Listen: s.address, Control: []string{"127.0.0.1:1"}, Platform: s.platform.Listener.Addr().String(), PrefixKey: strings.Repeat("01", prefix.KeyBytes),
+		Listen: s.address, Control: []string{cmp.Or(s.control, "127.0.0.1:1")}, Platform: s.platform.Listener.Addr().String(), PrefixKey: strings.Repeat("01", prefix.KeyBytes),
 		BlockTokens: 64, IndexBlocks: 1000, PollEvery: 20 * time.Millisecond, HeartbeatEvery: time.Second, DrainLimit: patience, MaxConnections: 100}}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -24,6 +24,7 @@
 		sent := s.now()
 		attempt, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 		beat := s.session.Heartbeat()
+		beat.Quarantine = s.quarantine.Version()
 		response, err := s.group.Once(attempt, control.Request{Heartbeat: &beat})
 		cancel()
 		pause := session.EagerPeriod
@@ -39,6 +40,9 @@
 
 // takeReply syncs new settings, passes settings and lease to the core, and returns when to call again.
 func (s *Server) takeReply(sent time.Duration, reply control.HeartbeatReply) time.Duration {
+	if reply.Quarantine != nil {
+		s.quarantine.Take(reply.Quarantine)
+	}
 	step := s.session.Take(sent, reply)
 	if step.Problem != "" {
 		s.log.Warn("heartbeat reply not used", zap.String("problem", step.Problem))
