--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -106,6 +106,8 @@
 	Engines   []EngineStatus `json:"engines,omitempty"`
 
 	Limits []allowance.State `json:"limits,omitempty"` // of what is limited over the fleet; of the leader only
+	// Suspects are the requests under which more than one back end ended; of the leader only.
+	Suspects []quarantine.Entry `json:"suspects,omitempty"`
 }
 
 // MemberStatus is one control replica as the answering one sees it.
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -51,6 +51,7 @@
 		status.Engines = append(status.Engines, EngineStatus{EngineReport: report, Wanted: wanted})
 	}
 	status.Limits = r.lead.lending.lender.States(now)
+	status.Suspects = r.machine.catalog.Quarantine().News().Entries
 }
 
 func sortedKeys[V any](m map[string]V) []string {
--- /dev/null
+++ b/internal/operator/heldback.go
@@ -0,0 +1,50 @@
+package operator
+
+import (
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/control"
+	"kitetiller/internal/quarantine"
+)
+
+// Held prints the requests under which back ends ended, as the leader sees them.
+func (c *Command) Held() error {
+	for _, reply := range c.collect().Control {
+		if !reply.LeaseHeld {
+			continue
+		}
+		return c.emit(reply.Suspects, func(w *tabwriter.Writer) {
+			fmt.Fprintln(w, "FINGERPRINT\tHELD BACK\tBACK ENDS THAT ENDED")
+			for _, e := range reply.Suspects {
+				fmt.Fprintf(w, "%s\t%t\t%s\n", e.Request, len(e.Lives) >= quarantine.Held, strings.Join(e.Lives, " "))
+			}
+		})
+	}
+	return eris.New("no control replica leads; see kitetiller status")
+}
+
+// Release lets requests be sent again; the list separates their fingerprints by commas.
+func (c *Command) Release(list string) error {
+	var requests []quarantine.Fingerprint
+	for _, text := range splitAddresses(list) {
+		var f quarantine.Fingerprint
+		if err := f.UnmarshalText([]byte(text)); err != nil {
+			return err
+		}
+		requests = append(requests, f)
+	}
+	if len(requests) == 0 {
+		return eris.New("no fingerprint is given; kitetiller held shows them")
+	}
+	change := quarantine.Change{Released: []quarantine.Release{{Requests: requests, Why: quarantine.Operator}}}
+	if _, err := c.ask(control.Request{Catalog: &catalog.Command{Quarantine: &change}}); err != nil {
+		return err
+	}
+	c.print("released: %d; each may end three more back ends before it is held back again\n", len(requests))
+	return nil
+}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -75,6 +75,7 @@
 	entries map[Fingerprint]*counted // at most entriesMost
 	order   uint64
 	version uint64 // rises whenever News differ
+	news    *News  // of that version, or an older one; nil before somebody asked
 }
 
 // NewLedger returns an empty ledger without a seed.
@@ -194,14 +195,18 @@
 	return slices.SortedFunc(maps.Keys(l.entries), func(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) })
 }
 
-// News returns what processes are told.
+// News returns what processes are told; callers only read it.
 func (l *Ledger) News() *News {
+	if l.news != nil && l.news.Version == l.version {
+		return l.news
+	}
 	news := &News{Version: l.version, Seed: l.seed}
 	for _, f := range l.All() {
 		if e := l.entries[f]; len(e.lives) >= Suspected {
-			news.Entries = append(news.Entries, Entry{Request: f, Lives: e.lives})
+			news.Entries = append(news.Entries, Entry{Request: f, Lives: slices.Clip(e.lives)})
 		}
 	}
+	l.news = news
 	return news
 }
 
