--- a/internal/operator/golden_test.go
+++ b/internal/operator/golden_test.go
@@ -14,6 +14,7 @@
 	"kitetiller/internal/consensus"
 	"kitetiller/internal/control"
 	"kitetiller/internal/core"
+	"kitetiller/internal/quarantine"
 	"kitetiller/internal/router"
 	"kitetiller/internal/settings"
 )
@@ -31,8 +32,9 @@
 		ID: "control-1-aa", Name: "control-1", Role: "leader", Term: 3, Leader: "control-1", LeaseHeld: true, Applied: 91, Version: 7, InForce: 6, Claims: 12,
 		Members: []control.MemberStatus{{Member: consensus.Member{ID: "control-1-aa", Name: "control-1", Address: "10.0.0.1:9000"}, Match: 91},
 			{Member: consensus.Member{ID: "control-2-bb", Name: "control-2", Address: "10.0.0.2:9000", Learner: true}, Match: 60, Silent: 1500 * time.Millisecond}},
-		Engines: []control.EngineStatus{{EngineReport: control.EngineReport{Name: "llm-1", Weights: "w1", Loading: true}, Wanted: "w2"}},
-		Limits:  []allowance.State{{Name: "tenant/north", Limit: allowance.Limit{Rate: 1000, Burst: 500}, Level: 12, Lent: 90_000, Refused: 4000, Over: true, Withheld: 0.25}},
+		Engines:  []control.EngineStatus{{EngineReport: control.EngineReport{Name: "llm-1", Weights: "w1", Loading: true}, Wanted: "w2"}},
+		Limits:   []allowance.State{{Name: "tenant/north", Limit: allowance.Limit{Rate: 1000, Burst: 500}, Level: 12, Lent: 90_000, Refused: 4000, Over: true, Withheld: 0.25}},
+		Suspects: []quarantine.Entry{{Request: quarantine.Fingerprint{1}, Lives: []string{"i-1", "i-2", "i-3"}}, {Request: quarantine.Fingerprint{2}, Lives: []string{"i-2", "i-4"}}},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+control.PathAdmin, func(w http.ResponseWriter, r *http.Request) {
@@ -46,6 +48,10 @@
 			response.Status = &status
 		case request.Read != nil:
 			response.Read = &control.ReadReply{Version: 7, InForce: 6, Tree: tree, History: []settings.HistoryEntry{{Version: 7, OperationID: "op", Author: "lea", Edits: []settings.Edit{edit}}}}
+		case request.Catalog != nil:
+			if released := request.Catalog.Quarantine.Released; len(released) != 1 || released[0].Why != quarantine.Operator || len(released[0].Requests) != 2 {
+				t.Errorf("released %+v", released)
+			}
 		case request.Change != nil:
 			response.Change = &settings.Outcome{Kind: settings.OutcomeConflict, Version: 7, Differing: []settings.Difference{{Path: "/z1/llm", Setting: "queue_limit", After: json.RawMessage("64")}}}
 		}
@@ -79,6 +85,11 @@
 		{"explain", func(c *Command) error { return c.Explain("q1") }, false},
 		{"get", func(c *Command) error { return c.Get("/", false) }, false},
 		{"get-effective", func(c *Command) error { return c.Get("/z1/llm/t", true) }, false},
+		{"held", (*Command).Held, false},
+		{"release", func(c *Command) error {
+			return c.Release(quarantine.Fingerprint{1}.String() + "," + quarantine.Fingerprint{2}.String())
+		}, false},
+		{"release-unreadable", func(c *Command) error { return c.Release("not-a-fingerprint") }, true},
 		{"set-conflict", func(c *Command) error {
 			return c.Set("/", "queue_limit", "5", ChangeOptions{Base: 6, OperationID: "x"})
 		}, true},
