Soak: requests that end their workers

A fault of the soak now lets one request come again and again that ends, listener and connections, each stand-in worker that begins to run it; promise held-back: from 4 s after the third on, and while no process or link is struck, three more at the most, and nobody else is refused for it.

--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -30,16 +30,26 @@
 	HotTenant     Kind = "hot-tenant"
 	LowerLimit    Kind = "lower-limit"
 	ChangeSetting Kind = "change-setting" // a document that changes nothing that matters
+	DeadlyRequest Kind = "deadly-request" // one that ends each worker that begins to run it comes again and again
 )
 
 // Kinds lists every kind in a fixed order.
 func Kinds() []Kind {
 	return []Kind{
 		KillGateway, PauseGateway, StopGateway, KillControl, PauseLeader, KillAll, CutLeader, CutOneWay, CutGateway, DelayLinks, ResetLinks,
-		KillWorker, HotTenant, LowerLimit, ChangeSetting,
+		KillWorker, HotTenant, LowerLimit, ChangeSetting, DeadlyRequest,
 	}
 }
 
+// Disturbs reports whether a fault strikes the system's own processes or their links.
+func (k Kind) Disturbs() bool {
+	switch k {
+	case KillWorker, HotTenant, LowerLimit, ChangeSetting, DeadlyRequest:
+		return false
+	}
+	return true
+}
+
 // hotShare is how often a drawn fault is a hot tenant, whatever else there is: without one no limit is ever reached.
 const hotShare = 0.2
 
--- a/internal/lab/soak/promises.go
+++ b/internal/lab/soak/promises.go
@@ -12,17 +12,18 @@
 
 // The promises that are checked.
 const (
-	WithinLimit Promise = "limit"   // what runs of a tenant's requests stays within its limit, over all machines
-	AtMostOnce  Promise = "once"    // a request that may not be repeated runs at most once
-	NotRunTrue  Promise = "not-run" // a request that was said not to have run does not run
-	OwnAnswer   Promise = "answer"  // a success is the whole answer to the caller's own request
-	ServiceBack Promise = "back"    // after the last fault healed, requests are served again
-	NoOwnEnd    Promise = "own-end" // no process ends by itself, and each ends when it is told to
+	WithinLimit Promise = "limit"     // what runs of a tenant's requests stays within its limit, over all machines
+	AtMostOnce  Promise = "once"      // a request that may not be repeated runs at most once
+	NotRunTrue  Promise = "not-run"   // a request that was said not to have run does not run
+	OwnAnswer   Promise = "answer"    // a success is the whole answer to the caller's own request
+	ServiceBack Promise = "back"      // after the last fault healed, requests are served again
+	NoOwnEnd    Promise = "own-end"   // no process ends by itself, and each ends when it is told to
+	HeldBack    Promise = "held-back" // a request that ends its workers gets few more after the third; no other one is refused for it
 )
 
 // Promises lists every promise in a fixed order.
 func Promises() []Promise {
-	return []Promise{WithinLimit, AtMostOnce, NotRunTrue, OwnAnswer, ServiceBack, NoOwnEnd}
+	return []Promise{WithinLimit, AtMostOnce, NotRunTrue, OwnAnswer, ServiceBack, NoOwnEnd, HeldBack}
 }
 
 // Broken is a promise that did not hold, with the observation.
@@ -56,20 +57,25 @@
 	Settle time.Duration // how long after a lower limit was accepted an older one may still count
 
 	mu       sync.Mutex
-	requests map[string]*tried      // by id; guarded by mu
-	runs     map[string][]run       // by tenant, rising by time; guarded by mu
-	limits   map[string][]Allowance // by tenant, rising by time; guarded by mu
-	broken   []Broken               // guarded by mu
-	outcomes map[string]int         // by what callers got; guarded by mu
-	served   []bool                 // of the requests that began after the calm; guarded by mu
-	back     bool                   // the plan leaves time for service to be back; guarded by mu
+	requests map[string]*tried          // by id; guarded by mu
+	runs     map[string][]run           // by tenant, rising by time; guarded by mu
+	limits   map[string][]Allowance     // by tenant, rising by time; guarded by mu
+	broken   []Broken                   // guarded by mu
+	outcomes map[string]int             // by what callers got; guarded by mu
+	served   []bool                     // of the requests that began after the calm; guarded by mu
+	back     bool                       // the plan leaves time for service to be back; guarded by mu
+	deadly   map[string][]time.Duration // when a request that ends its workers came to one, by its name, rising; guarded by mu
+	troubles []span                     // of the system's processes and links; guarded by mu
 }
 
+// span is a stretch of time.
+type span struct{ from, to time.Duration }
+
 // NewWatch returns a watch that has seen nothing.
 func NewWatch(window, settle time.Duration) *Watch {
 	return &Watch{
 		Window: window, Settle: settle, requests: map[string]*tried{}, runs: map[string][]run{}, limits: map[string][]Allowance{},
-		outcomes: map[string]int{},
+		outcomes: map[string]int{}, deadly: map[string][]time.Duration{},
 	}
 }
 
@@ -180,12 +186,56 @@
 			good++
 		}
 	}
+	for name, arrivals := range w.deadly {
+		w.checkDeadly(name, arrivals)
+	}
 	if w.back && (len(w.served) == 0 || float64(good) < servedLeast*float64(len(w.served))) {
 		w.fail(ServiceBack, "%d of %d requests were served after everything had healed", good, len(w.served))
 	}
 	return slices.Clone(w.broken)
 }
 
+const (
+	// deadlyLives is how many workers a request may end before it is held back, deadlyMore how many more may get it, and deadlyContact how
+	// long the news may take, and how long the system's processes and links must have been well for what they send to count.
+	deadlyLives   = 3
+	deadlyMore    = 3
+	deadlyContact = 4 * time.Second
+)
+
+// Trouble notes that the system's processes or links are struck for a time.
+func (w *Watch) Trouble(from, to time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.troubles = append(w.troubles, span{from, to})
+}
+
+// Deadly notes that a request came to a worker that ends under it.
+func (w *Watch) Deadly(at time.Duration, name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.deadly[name] = append(w.deadly[name], at)
+}
+
+// checkDeadly counts what reached workers after the third had ended, while all was well.
+func (w *Watch) checkDeadly(name string, arrivals []time.Duration) {
+	slices.Sort(arrivals)
+	later := 0
+	for i, at := range arrivals {
+		if i >= deadlyLives && at > arrivals[deadlyLives-1]+deadlyContact && !w.troubled(at) {
+			later++
+		}
+	}
+	if later > deadlyMore {
+		w.fail(HeldBack, "%q came to %d workers after it had ended three, %d in all", name, later, len(arrivals))
+	}
+}
+
+// troubled reports whether something was struck a moment before.
+func (w *Watch) troubled(at time.Duration) bool {
+	return slices.ContainsFunc(w.troubles, func(s span) bool { return at >= s.from && at <= s.to+deadlyContact })
+}
+
 // checkLimit looks at every window that ends with a run.
 func (w *Watch) checkLimit(tenant string, runs []run) {
 	slices.SortFunc(runs, func(a, b run) int { return int(a.at - b.at) })
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -15,11 +15,13 @@
 	// Leader returns the number of the control process that seems to lead.
 	Leader func() int
 	// KillWorker ends a worker and starts it again as another life after a time; Heat makes a tenant send many times its usual;
-	// Lower lowers a tenant's limit for a time; Change replaces the document by one that differs in nothing that matters.
+	// Lower lowers a tenant's limit for a time; Change replaces the document by one that differs in nothing that matters; Deadly lets a
+	// request come again and again that ends each worker that begins to run it.
 	KillWorker func(ctx context.Context, target int, length time.Duration)
 	Heat       func(ctx context.Context, target int, length time.Duration)
 	Lower      func(ctx context.Context, target int, length time.Duration)
 	Change     func(ctx context.Context)
+	Deadly     func(ctx context.Context, target int, length time.Duration)
 }
 
 // delayed is how much longer things take on links that are delayed.
@@ -87,6 +89,8 @@
 		f.Lower(ctx, fault.Target, length)
 	case ChangeSetting:
 		f.Change(ctx)
+	case DeadlyRequest:
+		f.Deadly(ctx, fault.Target, length)
 	}
 }
 
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -50,6 +50,9 @@
 		{ServiceBack, func(w *Watch) { w.ExpectBack(true); w.Answered("a", true, true); w.Failed("502", true) }},
 		{ServiceBack, func(w *Watch) { w.ExpectBack(true) }},
 		{NoOwnEnd, func(w *Watch) { w.Fail(NoOwnEnd, "it ended") }},
+		{"", func(w *Watch) { deadlyArrivals(w, 6) }},
+		{HeldBack, func(w *Watch) { deadlyArrivals(w, 7) }},
+		{"", func(w *Watch) { w.Trouble(time.Minute, time.Minute); deadlyArrivals(w, 9) }},
 	} {
 		w := NewWatch(time.Second, 0)
 		w.Limit("t", limit)
@@ -63,6 +66,17 @@
 	}
 }
 
+// deadlyArrivals lets one request come so often, the first three at once, the rest a minute later.
+func deadlyArrivals(w *Watch, count int) {
+	for n := range count {
+		at := time.Duration(n)
+		if n >= deadlyLives {
+			at += time.Minute
+		}
+		w.Deadly(at, "deadly 1")
+	}
+}
+
 // TestLowerLimitBindsWholeWindows: a window that began before the older limit ended may still hold what that allowed.
 func TestLowerLimitBindsWholeWindows(t *testing.T) {
 	of := func(units float64) func(time.Duration) float64 { return func(time.Duration) float64 { return units } }
