Closing gateways are answered on; a refused send of a held-back request blames nobody; one look at addresses

Found by reading the change again: a gateway in its planned stop is written in the log no more, and would have waited for that in vain for each question (TestClosingGatewayIsAnsweredOn fails before). A router that didn't send a held-back request told the core that its back end had refused it. The look whether an address refuses stood in two places.

--- a/internal/control/handover.go
+++ b/internal/control/handover.go
@@ -86,10 +86,11 @@
 	listPatience = 300 * time.Millisecond
 )
 
-// listed reports whether the log holds a gateway, so that the next leader waits for it. Nobody else's view is confirmed.
-func (r *Replica) listed(name string) bool {
-	_, found := slices.BinarySearch(r.machine.catalog.Gateways(), name)
-	return found
+// unlisted reports whether the log doesn't hold a gateway yet, so that the next leader wouldn't wait for it: its view isn't confirmed. One
+// that closes is written no more.
+func (r *Replica) unlisted(watch Watch) bool {
+	_, found := slices.BinarySearch(r.machine.catalog.Gateways(), watch.Gateway)
+	return !found && !watch.Closing
 }
 
 // noteGateways writes which gateways may trust this leader's views.
--- a/internal/control/handover_test.go
+++ b/internal/control/handover_test.go
@@ -150,3 +150,17 @@
 		t.Fatal("the log forgot a gateway")
 	}
 }
+
+// TestClosingGatewayIsAnsweredOn: it serves what it has until its end, though the log holds it no more.
+func TestClosingGatewayIsAnsweredOn(t *testing.T) {
+	s := openFleet(t)
+	s.config(func(config *Config) { config.GatewayTrust = 3 * time.Second })
+	held := s.watchNow("g1", RosterVersion{}).Version
+	for range 5 {
+		s.watchNow("g2", held)
+		if s.ask(Request{Watch: &Watch{Gateway: "g1", Revision: 1, Roster: held, Closing: true}}).Watch == nil {
+			t.Fatal("a closing gateway is confirmed no more")
+		}
+		s.pass(gatewaysPeriod)
+	}
+}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -64,7 +64,7 @@
 	if watch.Closing {
 		delete(r.lead.usage, watch.Gateway)
 	}
-	if !r.listed(watch.Gateway) {
+	if r.unlisted(watch) {
 		r.lead.unlisted = true
 		r.noteGateways(now)
 	}
@@ -128,11 +128,12 @@
 	if !news && now < held.due {
 		return false
 	}
-	if !r.listed(held.watch.Gateway) && now < held.due+listPatience {
+	unlisted := r.unlisted(held.watch)
+	if unlisted && now < held.due+listPatience {
 		r.lead.unlisted = true
 		return false
 	}
-	if !r.confirms(now) || !r.listed(held.watch.Gateway) {
+	if !r.confirms(now) || unlisted {
 		r.reply(held.client, Response{Kind: ResponseNoQuorum})
 		return true
 	}
--- a/internal/gateway/heldback.go
+++ b/internal/gateway/heldback.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"syscall"
 	"time"
 
 	"kitetiller/internal/catalog"
@@ -104,15 +102,6 @@
 	return err
 }
 
-// refuses reports whether an address refuses connections. A connection that comes up says that somebody listens there.
-func (p *pool) refuses(ctx context.Context, address string) bool {
-	made, err := p.dialer.DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = made.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // replaced returns the lives that are gone since another one stands at their address.
 func replaced(changes []rosterChange) []string {
 	joined := map[string]bool{}
--- a/internal/quarantine/reporter/reporter.go
+++ b/internal/quarantine/reporter/reporter.go
@@ -4,7 +4,10 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -45,6 +48,17 @@
 	Now     func() time.Duration // counts the time a machine was suspended
 }
 
+// Refuses asks by connecting. A connection that comes up says that somebody listens there.
+func Refuses(dialer *net.Dialer) func(ctx context.Context, address string) bool {
+	return func(ctx context.Context, address string) bool {
+		made, err := dialer.DialContext(ctx, "tcp", address)
+		if err == nil {
+			_ = made.Close()
+		}
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+}
+
 // Reporter is safe for concurrent use.
 type Reporter struct {
 	ways Ways
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -37,7 +37,9 @@
 		return
 	}
 	if s.barred(run) {
-		s.offer(core.EventAttempt{ID: action.ID, Attempt: action.Attempt, Echo: action.Attempt, Kind: core.AttemptRefused})
+		refused := core.EventAttempt{ID: action.ID, Attempt: action.Attempt, Echo: action.Attempt, Kind: core.AttemptRefused}
+		refused.RetryAfter = time.Millisecond // the back end is well
+		s.offer(refused)
 		s.offer(core.EventHeldBack{ID: action.ID})
 		return
 	}
--- a/internal/router/heldback.go
+++ b/internal/router/heldback.go
@@ -34,22 +34,12 @@
 			_, err := s.group.Ask(ctx, control.Request{Catalog: &catalog.Command{Quarantine: &change}})
 			return err
 		},
-		Refuses: refuses,
+		Refuses: reporter.Refuses(&net.Dialer{}),
 		Note:    func(event string, fields ...zap.Field) { s.log.Info(event, fields...) },
 		Now:     s.now,
 	})
 }
 
-// refuses reports whether an address refuses connections. A connection that comes up says that somebody listens there.
-func refuses(ctx context.Context, address string) bool {
-	var dialer net.Dialer
-	made, err := dialer.DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = made.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // again is what stays of a request when it comes again. Callers name each router by an address of its own, so that no host belongs to it.
 func again(r *http.Request, in received) quarantine.Request {
 	return quarantine.Request{Method: r.Method, Path: r.URL.RequestURI(), Caller: in.tenant, Body: in.body}
