Soak: reloads; kitelab soak breaks held-back on purpose too

Tried and taken back: taking SIGHUP as the first thing of a process. No test could be made to fail before it: what is left is the time until the program's own code begins.

--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -30,6 +30,7 @@
 	HotTenant     Kind = "hot-tenant"
 	LowerLimit    Kind = "lower-limit"
 	ChangeSetting Kind = "change-setting" // a document that changes nothing that matters
+	Reload        Kind = "reload"         // processes are told to read their settings again, also in a planned stop
 	DeadlyRequest Kind = "deadly-request" // one that ends each worker that begins to run it comes again and again
 )
 
@@ -37,14 +38,14 @@
 func Kinds() []Kind {
 	return []Kind{
 		KillGateway, PauseGateway, StopGateway, KillControl, PauseLeader, KillAll, CutLeader, CutOneWay, CutGateway, DelayLinks, ResetLinks,
-		KillWorker, HotTenant, LowerLimit, ChangeSetting, DeadlyRequest,
+		KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, DeadlyRequest,
 	}
 }
 
 // Disturbs reports whether a fault strikes the system's own processes or their links.
 func (k Kind) Disturbs() bool {
 	switch k {
-	case KillWorker, HotTenant, LowerLimit, ChangeSetting, DeadlyRequest:
+	case KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, DeadlyRequest:
 		return false
 	}
 	return true
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -89,6 +89,10 @@
 		f.Lower(ctx, fault.Target, length)
 	case ChangeSetting:
 		f.Change(ctx)
+	case Reload:
+		for _, p := range f.all() {
+			p.Signal(syscall.SIGHUP)
+		}
 	case DeadlyRequest:
 		f.Deadly(ctx, fault.Target, length)
 	}
