What control has taken counts as its news say

Own lives now count until the next news after control has taken them. Ruled out: the release itself, the memory of good ends (the gateway had none within 5 s).

--- a/internal/lab/sim/deadly.go
+++ b/internal/lab/sim/deadly.go
@@ -104,7 +104,12 @@
 // tell has control make a change, as a gateway's thread does.
 func (g *fleetGateway) tell(change quarantine.Change) {
 	request := control.Request{Catalog: &catalog.Command{Quarantine: &change}}
-	g.asker.ask(request, g.w.now()+deadlyTellTime, func(control.Response, bool) {})
+	record := g.record
+	g.asker.ask(request, g.w.now()+deadlyTellTime, func(_ control.Response, taken bool) {
+		if taken {
+			record.Taken(change.Ended)
+		}
+	})
 }
 
 func (g *fleetGateway) release(innocent ...quarantine.Fingerprint) {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -343,3 +343,33 @@
 		})
 	}
 }
+
+// TestReleasesElsewhereCountHere: a process that proved three lives itself follows control once that has taken them: a good end at another
+// process released the request (simulator, seed 500910: one that was frozen while all back ends ended held a hot request back for 15 s).
+func TestReleasesElsewhereCountHere(t *testing.T) {
+	r, f := NewRecord(), printOf(1)
+	var told []Ended
+	for _, life := range []string{"a", "b", "c"} {
+		r.Broke(time.Second, life, f)
+		ended, _ := r.End(time.Second, life)
+		told = append(told, ended)
+	}
+	r.Take(time.Second, &News{Version: 1})
+	if r.Lives(f) != Held {
+		t.Fatalf("%d lives before control has taken them", r.Lives(f))
+	}
+	r.Taken(told)
+	if r.Lives(f) != Held {
+		t.Fatalf("%d lives before the news", r.Lives(f))
+	}
+	r.Take(time.Second, &News{Version: 3})
+	if r.Lives(f) != 0 {
+		t.Fatalf("%d lives of a request that was released", r.Lives(f))
+	}
+	r.Broke(2*time.Second, "d", f)
+	r.End(2*time.Second, "d")
+	r.Take(2*time.Second, &News{Version: 4})
+	if r.Lives(f) != 1 {
+		t.Fatalf("%d lives after one more that control hasn't taken", r.Lives(f))
+	}
+}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -12,7 +13,7 @@
 	// innocenceKept is how long a good end speaks for a request: some times what news take through the fleet. One that turns deadly after
 	// it ended well, under other weights, is counted after that.
 	innocenceKept = 5 * time.Second
-	// ownKept is how long a process counts by itself what it told control: some times what news take.
+	// ownKept is how long a process counts by itself what it proved, where no news of it come: one life is told to nobody.
 	ownKept = 15 * time.Second
 	// breaksMost bounds the lives with broken runs, runsMost the runs of each, ownMost the requests under which this process saw lives
 	// end, and wellMost the good ends that are remembered.
@@ -37,6 +38,7 @@
 type seen struct {
 	at    time.Duration // of the newest
 	lives []string      // distinct; at most livesKept
+	held  bool          // control has taken them all, so that its next news say what counts
 }
 
 // goodEnd is when a request last ended well, and its place in the ring.
@@ -62,10 +64,12 @@
 // Version returns that of the newest news.
 func (r *Record) Version() uint64 { return r.version }
 
-// Take takes news up, and returns the requests among them that ended well here a moment ago: they are to be released.
+// Take takes news up, and returns the requests among them that ended well here a moment ago: they are to be released. What control had taken
+// before counts as the news say, so that what was released elsewhere is released here.
 func (r *Record) Take(now time.Duration, news *News) (innocent []Fingerprint) {
 	r.version = news.Version
 	clear(r.told)
+	maps.DeleteFunc(r.own, func(_ Fingerprint, s *seen) bool { return s.held })
 	for _, e := range news.Entries {
 		if r.endedWell(now, e.Request) {
 			innocent = append(innocent, e.Request)
@@ -139,12 +143,23 @@
 		s = &seen{}
 		r.own[f] = s
 	}
-	s.at = now
+	s.at, s.held = now, false
 	if !slices.Contains(s.lives, life) && len(s.lives) < livesKept {
 		s.lives = append(s.lives, life)
 	}
 }
 
+// Taken notes that control has taken what it was told.
+func (r *Record) Taken(told []Ended) {
+	for _, ended := range told {
+		for _, f := range ended.Requests {
+			if s := r.own[f]; s != nil && s.lives[len(s.lives)-1] == ended.Life {
+				s.held = true
+			}
+		}
+	}
+}
+
 // EndedWell notes that a back end ran a request to a good end, and reports whether control is to be told so.
 func (r *Record) EndedWell(now time.Duration, f Fingerprint) (release bool) {
 	r.remember(now, f)
--- a/internal/quarantine/reporter/reporter.go
+++ b/internal/quarantine/reporter/reporter.go
@@ -275,5 +275,11 @@
 	}
 	attempt, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	return r.ways.Tell(attempt, change) == nil
+	if r.ways.Tell(attempt, change) != nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.Taken(change.Ended)
+	return true
 }
