One advice, one way to tell control, and a field's right name

Read again: the time to come back of a held-back request stood in gateway and router, and so did the call that tells control of ended back ends (now control.Client.Quarantine). A field of the record was called held beside the constant Held and meant that control has taken the lives. A comment told of a use that is gone. Nothing behaves otherwise.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -7,7 +7,9 @@
 
 	"github.com/rotisserie/eris"
 
+	"kitetiller/internal/catalog"
 	"kitetiller/internal/clock"
+	"kitetiller/internal/quarantine"
 	"kitetiller/internal/transport"
 )
 
@@ -96,6 +98,12 @@
 	}
 }
 
+// Quarantine has the leader change what is known of requests that end their back ends. Such changes are safe to repeat.
+func (c *Client) Quarantine(ctx context.Context, change quarantine.Change) error {
+	_, err := c.Ask(ctx, Request{Catalog: &catalog.Command{Quarantine: &change}})
+	return err
+}
+
 // Once asks one replica once, for callers with a rhythm and a time limit of their own, and learns who leads.
 func (c *Client) Once(ctx context.Context, request Request) (Response, error) {
 	return c.askAt(ctx, c.target(), request)
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -19,7 +19,7 @@
 	// heldFor is how long a request is held back after the last life that ended under it. Then it may be tried again, and one more life
 	// holds it back again: a day for whatever may have mended it, at the price of one back end if nothing did.
 	heldFor = 24 * time.Hour
-	// quarantineEach is how often old entries are looked for, and how often the log is told what is held back.
+	// quarantineEach is how often old entries are looked for.
 	quarantineEach = time.Second
 )
 
--- a/internal/gateway/heldback.go
+++ b/internal/gateway/heldback.go
@@ -1,23 +1,16 @@
 package gateway
 
 import (
-	"context"
 	"time"
 
 	"kitetiller/internal/catalog"
-	"kitetiller/internal/control"
 	"kitetiller/internal/events"
 	"kitetiller/internal/quarantine"
 )
 
-const (
-	// heldBackAdvice is when a caller may come back whose request is held back. Nothing but an operator, or a day, releases it; the header
-	// keeps callers that repeat at once from doing so.
-	heldBackAdvice = time.Hour
-	// proofPatience is how long a request waits to learn whether the back end under which it broke off has ended, before it is sent to
-	// another: some times the way to another zone and back.
-	proofPatience = 25 * time.Millisecond
-)
+// proofPatience is how long a request waits to learn whether the back end under which it broke off has ended, before it is sent to
+// another: some times the way to another zone and back.
+const proofPatience = 25 * time.Millisecond
 
 // fingerprint returns what stays of the request when it comes again; ok is false before control told the seed.
 func (x *exchange) fingerprint() (f quarantine.Fingerprint, ok bool) {
@@ -51,7 +44,7 @@
 	if x.lives() < quarantine.Held {
 		return false
 	}
-	x.giveUp(reasonHeldBack, heldBackAdvice)
+	x.giveUp(reasonHeldBack, quarantine.Advice)
 	return true
 }
 
@@ -96,12 +89,6 @@
 	return !row.gone && row.entry.State == catalog.StateReady
 }
 
-// tellEnded has control make a change of the quarantine.
-func (g *Gateway) tellEnded(ctx context.Context, change quarantine.Change) error {
-	_, err := g.group.Ask(ctx, control.Request{Catalog: &catalog.Command{Quarantine: &change}})
-	return err
-}
-
 // replaced returns the lives that are gone since another one stands at their address.
 func replaced(changes []rosterChange) []string {
 	joined := map[string]bool{}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -38,7 +38,7 @@
 type seen struct {
 	at    time.Duration // of the newest
 	lives []string      // distinct; at most livesKept
-	held  bool          // control has taken them all, so that its next news say what counts
+	taken bool          // control has taken them all, so that its next news say what counts
 }
 
 // goodEnd is when a request last ended well, and its place in the ring.
@@ -69,7 +69,7 @@
 func (r *Record) Take(now time.Duration, news *News) (innocent []Fingerprint) {
 	r.version = news.Version
 	clear(r.told)
-	maps.DeleteFunc(r.own, func(_ Fingerprint, s *seen) bool { return s.held })
+	maps.DeleteFunc(r.own, func(_ Fingerprint, s *seen) bool { return s.taken })
 	for _, e := range news.Entries {
 		if r.endedWell(now, e.Request) {
 			innocent = append(innocent, e.Request)
@@ -143,7 +143,7 @@
 		s = &seen{}
 		r.own[f] = s
 	}
-	s.at, s.held = now, false
+	s.at, s.taken = now, false
 	if !slices.Contains(s.lives, life) && len(s.lives) < livesKept {
 		s.lives = append(s.lives, life)
 	}
@@ -154,7 +154,7 @@
 	for _, ended := range told {
 		for _, f := range ended.Requests {
 			if s := r.own[f]; s != nil && s.lives[len(s.lives)-1] == ended.Life {
-				s.held = true
+				s.taken = true
 			}
 		}
 	}
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -20,6 +20,7 @@
 	"kitetiller/internal/core"
 	"kitetiller/internal/ledger"
 	"kitetiller/internal/prefix"
+	"kitetiller/internal/quarantine"
 	"kitetiller/internal/settings"
 )
 
@@ -77,7 +78,7 @@
 	case reasonOverload, core.ReasonDraining:
 		problem = problem.WithRetry(overloadAdvice)
 	case core.ReasonHeldBack:
-		problem = problem.WithRetry(heldBackAdvice)
+		problem = problem.WithRetry(quarantine.Advice)
 	}
 	s.metrics.refusals.WithLabelValues(string(refusal.reason)).Inc()
 	problem.Write(w)
--- a/internal/router/heldback.go
+++ b/internal/router/heldback.go
@@ -12,28 +12,19 @@
 	"go.uber.org/zap"
 
 	"kitetiller/internal/api"
-	"kitetiller/internal/catalog"
-	"kitetiller/internal/control"
 	"kitetiller/internal/core"
 	"kitetiller/internal/events"
 	"kitetiller/internal/quarantine"
 	"kitetiller/internal/quarantine/reporter"
 )
 
-const (
-	// heldBackAdvice is when a caller may come back whose request is held back; nothing but an operator, or a day, releases it.
-	heldBackAdvice = time.Hour
-	// quarantineSweep is how often what is long past is forgotten.
-	quarantineSweep = 5 * time.Second
-)
+// quarantineSweep is how often what is long past is forgotten.
+const quarantineSweep = 5 * time.Second
 
 // newReporter returns what this router does about requests that end their back ends.
 func (s *Server) newReporter() *reporter.Reporter {
 	return reporter.New(reporter.Ways{
-		Tell: func(ctx context.Context, change quarantine.Change) error {
-			_, err := s.group.Ask(ctx, control.Request{Catalog: &catalog.Command{Quarantine: &change}})
-			return err
-		},
+		Tell:    s.group.Quarantine,
 		Refuses: reporter.Refuses(&net.Dialer{}),
 		Note:    func(event string, fields ...zap.Field) { s.log.Info(event, fields...) },
 		Now:     s.now,
