Catalog: a registration finds its address by an index

Cause: each registration looked at all back ends for whoever held its address before, on every replica: E x E steps when a fleet starts. Ruled out: nothing else in Apply looks at all of them. The sorted ids that control's walks need are kept until they change.

--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 
 	"kitetiller/internal/guard"
@@ -34,6 +35,7 @@
 type Command struct {
 	Replace  *Document    `json:"replace,omitempty"`
 	Register *Instance    `json:"register,omitempty"`
+	Joined   []Instance   `json:"joined,omitempty"`  // registered together, in the order in which they came
 	Drain    string       `json:"drain,omitempty"`   // instance
 	Remove   string       `json:"remove,omitempty"`  // instance that said that it leaves
 	Forget   string       `json:"forget,omitempty"`  // instance that fell silent; it may register again
@@ -70,6 +72,8 @@
 	Guards     guard.Set `json:"-"`
 	document   Document
 	instances  map[string]Instance
+	addresses  map[string]string // the one instance at each address
+	ids        []string          // of instances, rising; nil when they have changed
 	tombstones []string
 	ended      map[string]bool
 	versions   map[string]uint64
@@ -83,7 +87,7 @@
 // NewMachine returns the empty state.
 func NewMachine() *Machine {
 	return &Machine{
-		instances: map[string]Instance{}, ended: map[string]bool{}, versions: map[string]uint64{}, held: map[string]map[string]uint64{},
+		instances: map[string]Instance{}, addresses: map[string]string{}, ended: map[string]bool{}, versions: map[string]uint64{}, held: map[string]map[string]uint64{},
 		ordered: map[string]bool{}, quarantine: quarantine.NewLedger(),
 	}
 }
@@ -94,6 +98,14 @@
 // Instances returns the registered back ends by id; callers only read it.
 func (m *Machine) Instances() map[string]Instance { return m.instances }
 
+// IDs returns the ids of the registered back ends, rising; callers only read them.
+func (m *Machine) IDs() []string {
+	if m.ids == nil {
+		m.ids = slices.Sorted(maps.Keys(m.instances))
+	}
+	return m.ids
+}
+
 // Ended reports whether an instance said that it left.
 func (m *Machine) Ended(id string) bool { return m.ended[id] }
 
@@ -120,6 +132,10 @@
 		m.replace(*command.Replace)
 	case command.Register != nil:
 		return m.register(*command.Register)
+	case len(command.Joined) > 0:
+		for _, instance := range command.Joined {
+			m.register(instance)
+		}
 	case command.Drain != "":
 		m.drain(command.Drain)
 	case command.Remove != "":
@@ -155,20 +171,36 @@
 	if m.ended[instance.ID] {
 		return Outcome{Revision: m.document.Revision, Gone: true}
 	}
-	if held, known := m.instances[instance.ID]; known && held.State == StateDraining {
+	held, known := m.instances[instance.ID]
+	if known && held.State == StateDraining {
 		instance.State = StateDraining
 	}
-	for id, other := range m.instances {
-		if other.Address == instance.Address && id != instance.ID {
-			m.drop(id)
-		}
+	if known && held.Address != instance.Address {
+		delete(m.addresses, held.Address)
 	}
-	m.instances[instance.ID] = instance
+	if before, taken := m.addresses[instance.Address]; taken && before != instance.ID {
+		m.drop(before)
+	}
+	m.put(instance)
 	return Outcome{Revision: m.document.Revision}
 }
 
+// put notes an instance, at an address that no other one has.
+func (m *Machine) put(instance Instance) {
+	if _, known := m.instances[instance.ID]; !known {
+		m.ids = nil
+	}
+	m.instances[instance.ID] = instance
+	m.addresses[instance.Address] = instance.ID
+}
+
 // drop forgets an instance and what it held.
 func (m *Machine) drop(id string) {
+	held, known := m.instances[id]
+	if known {
+		delete(m.addresses, held.Address)
+		m.ids = nil
+	}
 	delete(m.instances, id)
 	delete(m.held, id)
 	delete(m.ordered, id)
@@ -248,8 +280,8 @@
 	*m = *NewMachine()
 	m.Guards = guards
 	m.document, m.tombstones, m.fence = form.Document, form.Tombstones, form.Fence
-	for id, instance := range form.Instances {
-		m.instances[id] = instance
+	for _, instance := range form.Instances {
+		m.put(instance)
 	}
 	for id := range form.Ordered {
 		m.ordered[id] = true
