Control: registrations that come within one write are one entry of the log

Cause: an entry each, told to 24 peers one by one, so that the messages of a start grow with back ends times replicas. Ruled out: batching at the replicas alone, since 25 of them still write some 1,500 entries a second. Before: 1,000 entries for 1,000 back ends (TestEntriesOfAStartDontGrowWithTheFleet fails); after: 1. Order is kept: whatever else is proposed comes after what waits.

--- a/internal/control/beats.go
+++ b/internal/control/beats.go
@@ -161,6 +161,38 @@
 	}
 }
 
+// joining are registrations that wait for the next write. All that come within one cycle of the replica become one entry of the
+// log, so that entries grow with time and not with back ends when a whole fleet starts.
+type joining struct {
+	instances []catalog.Instance // in the order in which they came
+	clients   []uint64           // that wait for the entry
+}
+
+// register takes a registration; client 0 waits for nothing.
+func (r *Replica) register(client uint64, instance catalog.Instance) {
+	waiting := &r.lead.joining
+	waiting.instances = append(waiting.instances, instance)
+	waiting.wait(client)
+}
+
+// wait adds a client that is answered with the entry.
+func (j *joining) wait(client uint64) {
+	if client != 0 {
+		j.clients = append(j.clients, client)
+	}
+}
+
+// writeJoining proposes the registrations that wait. Whatever else is proposed comes after them, so that the log holds changes of a
+// back end in the order in which they came.
+func (r *Replica) writeJoining(now time.Duration) {
+	if r.lead == nil || len(r.lead.joining.instances) == 0 {
+		return
+	}
+	waiting := r.lead.joining
+	r.lead.joining = joining{}
+	r.append(now, waiting.clients, Command{Catalog: &catalog.Command{Joined: waiting.instances}})
+}
+
 // takeBeats takes gathered heartbeats; each counts as if it had come alone. The answer comes once a majority holds all that
 // they changed: entries commit in order, so it waits for the last.
 func (r *Replica) takeBeats(now time.Duration, client uint64, beats []Beat) {
@@ -168,9 +200,13 @@
 	for _, beat := range beats {
 		r.beat(now, 0, beat)
 	}
-	if last := r.node.LastIndex(); last > before {
-		r.waiters[last] = waiter{client: client, term: r.node.Term()}
-		return
+	last := r.node.LastIndex()
+	switch {
+	case len(r.lead.joining.instances) > 0:
+		r.lead.joining.wait(client)
+	case last > before:
+		r.waiters[last] = waiter{clients: []uint64{client}, term: r.node.Term()}
+	default:
+		r.reply(client, Response{Kind: ResponseOK})
 	}
-	r.reply(client, Response{Kind: ResponseOK})
 }
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -69,7 +69,7 @@
 		r.reply(client, Response{Kind: ResponseOK})
 	case !known:
 		r.heard(now, beat)
-		r.propose(now, client, Command{Catalog: &catalog.Command{Register: &beat.Instance}})
+		r.register(client, beat.Instance)
 	case beat.Instance.State == catalog.StateDraining && held.State != catalog.StateDraining:
 		r.propose(now, client, Command{Catalog: &catalog.Command{Drain: id}})
 	default:
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -60,6 +60,7 @@
 	watchers     []watcher
 	usage        map[string]usageReport // by gateway
 	lending      lending
+	joining      joining
 }
 
 // place names a service in a zone.
@@ -93,6 +94,7 @@
 
 // Handle answers a client's request, at once or after its entry committed.
 func (r *Replica) Handle(now time.Duration, client uint64, request Request) {
+	r.now = now
 	if request.Status != nil {
 		r.reply(client, Response{Kind: ResponseOK, Status: r.status(now)})
 		return
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -28,10 +28,18 @@
 	Random        func(n int64) int64
 }
 
-// waiter is a client that waits for a log entry.
+// waiter are the clients that wait for a log entry.
 type waiter struct {
-	client uint64
-	term   uint64
+	clients []uint64
+	term    uint64
+}
+
+// first returns the client that waits where one does alone, or 0.
+func (w waiter) first() uint64 {
+	if len(w.clients) == 0 {
+		return 0
+	}
+	return w.clients[0]
 }
 
 // Persist is what the shell must write and sync before it calls Done.
@@ -73,6 +81,7 @@
 	applied     uint64
 	appliedTerm uint64
 	unixMS      int64
+	now         time.Duration // of the newest tick or request
 	waiters     map[uint64]waiter
 	ready       consensus.Ready
 	effects     Effects
@@ -124,7 +133,7 @@
 
 // Tick lets timers run. unixMS is the wall clock, used only for retention and history.
 func (r *Replica) Tick(now time.Duration, unixMS int64) {
-	r.unixMS = unixMS
+	r.unixMS, r.now = unixMS, now
 	r.node.Tick(now)
 	r.checkLeadership(now)
 	if r.lead != nil && r.current(now) {
@@ -160,6 +169,7 @@
 		ended := r.lead
 		r.lead = nil
 		r.closeWatchers(ended)
+		r.replyAll(ended.joining.clients, Response{Kind: ResponseNotLeader, Leader: r.leaderAddress()})
 		r.failWaiters()
 	}
 	if r.lead == nil && leads {
@@ -170,7 +180,7 @@
 // failWaiters answers clients whose entry may or may not commit under another leader.
 func (r *Replica) failWaiters() {
 	for index, waiting := range r.waiters {
-		r.reply(waiting.client, Response{Kind: ResponseUnknown, Leader: r.leaderAddress()})
+		r.replyAll(waiting.clients, Response{Kind: ResponseUnknown, Leader: r.leaderAddress()})
 		delete(r.waiters, index)
 	}
 }
@@ -189,19 +199,32 @@
 	}
 }
 
-// propose appends a command; client 0 waits for nothing.
+func (r *Replica) replyAll(clients []uint64, response Response) {
+	for _, client := range clients {
+		r.reply(client, response)
+	}
+}
+
+// propose appends a command after the registrations that wait; client 0 waits for nothing.
 func (r *Replica) propose(now time.Duration, client uint64, command Command) {
+	r.writeJoining(now)
+	r.append(now, []uint64{client}, command)
+}
+
+// append writes a command into the log; the clients are answered once it has committed.
+func (r *Replica) append(now time.Duration, clients []uint64, command Command) {
 	command.UnixMS = r.unixMS
 	index, term, ok := r.node.Propose(now, encodeCommand(command))
 	if !ok {
-		r.reply(client, Response{Kind: ResponseNotLeader, Leader: r.leaderAddress()})
+		r.replyAll(clients, Response{Kind: ResponseNotLeader, Leader: r.leaderAddress()})
 		return
 	}
-	r.waiters[index] = waiter{client: client, term: term}
+	r.waiters[index] = waiter{clients: clients, term: term}
 }
 
 // Work returns what must be written and synced now.
 func (r *Replica) Work() Persist {
+	r.writeJoining(r.now)
 	r.ready = r.node.Ready()
 	persist := Persist{HardState: r.ready.HardState, Entries: r.ready.Entries}
 	if r.ready.HardState != nil {
@@ -286,7 +309,7 @@
 // "unknown": its change did not commit here, but the client cannot tell and resends.
 func (r *Replica) afterApply(now time.Duration, entry consensus.Entry, result Result, waiting waiter, mine bool) {
 	if !mine {
-		r.reply(waiting.client, Response{Kind: ResponseUnknown, Leader: r.leaderAddress()})
+		r.replyAll(waiting.clients, Response{Kind: ResponseUnknown, Leader: r.leaderAddress()})
 		return
 	}
 	response := Response{Kind: ResponseOK, Claim: result.Claim, Change: result.Change, Catalog: result.Catalog}
@@ -294,12 +317,12 @@
 		r.lead.fence = result.Catalog.Fence
 	}
 	if result.Session != nil {
-		response = r.sessionOpened(now, waiting.client, *result.Session)
+		response = r.sessionOpened(now, waiting.first(), *result.Session)
 	}
 	if result.Order != nil && r.lead != nil && entry.Term == r.node.Term() {
 		r.issueOrder(now, *result.Order)
 	}
-	r.reply(waiting.client, response)
+	r.replyAll(waiting.clients, response)
 }
 
 // maybeSnapshot cuts the log when enough entries were applied since the last snapshot.
@@ -318,7 +341,7 @@
 
 // HasWork reports whether Work and Done should be called.
 func (r *Replica) HasWork() bool {
-	return r.checkpoint || len(r.effects.Replies) > 0 || len(r.effects.Calls) > 0 || len(r.effects.Weights) > 0 || r.node.HasReady()
+	return r.checkpoint || r.lead != nil && len(r.lead.joining.instances) > 0 || len(r.effects.Replies) > 0 || len(r.effects.Calls) > 0 || len(r.effects.Weights) > 0 || r.node.HasReady()
 }
 
 // members returns the membership sorted by name.
--- /dev/null
+++ b/internal/control/start_test.go
@@ -0,0 +1,109 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"kitetiller/internal/catalog"
+)
+
+// joinAll has so many back ends register in one cycle, gathered by several replicas, and returns the entries that it took.
+func joinAll(s *solo, count int) uint64 {
+	before := s.replica.Node().LastIndex()
+	const each = 50
+	for first := 0; first < count; first += each {
+		var batch []Beat
+		for i := first; i < min(first+each, count); i++ {
+			batch = append(batch, beatOf(fmt.Sprintf("b-%05d", i), catalog.StateReady, 1))
+		}
+		s.replica.Handle(s.now, uint64(100_000+first), Request{Beats: batch})
+	}
+	s.work()
+	return s.replica.Node().LastIndex() - before
+}
+
+// TestEntriesOfAStartDontGrowWithTheFleet: what registers together is one entry, and all that wait for it are answered.
+func TestEntriesOfAStartDontGrowWithTheFleet(t *testing.T) {
+	for _, count := range []int{500, 1000} {
+		s := openFleet(t)
+		s.config(func(config *Config) { config.SnapshotEvery = 1 << 20 })
+		if entries := joinAll(s, count); entries != 1 {
+			t.Fatalf("%d back ends took %d entries", count, entries)
+		}
+		if held := len(s.replica.Machine().Catalog().Instances()); held != count+2 {
+			t.Fatalf("%d back ends are registered, wanted %d", held, count+2)
+		}
+		for first := 0; first < count; first += 50 {
+			if reply := s.replies[uint64(100_000+first)]; reply.Kind != ResponseOK {
+				t.Fatalf("batch %d: %+v", first, reply)
+			}
+		}
+	}
+}
+
+// TestRegistrationsKeepTheirPlace: a life that registers and leaves in one cycle stays gone.
+func TestRegistrationsKeepTheirPlace(t *testing.T) {
+	s := openFleet(t)
+	s.replica.Handle(s.now, 7000, Request{Beats: []Beat{
+		beatOf("i-8", catalog.StateReady, 1), {Instance: catalog.Instance{ID: "i-8"}, Leaves: true}, beatOf("i-9", catalog.StateReady, 1),
+		beatOf("i-9", catalog.StateDraining, 2),
+	}})
+	s.work()
+	instances := s.replica.Machine().Catalog().Instances()
+	if _, known := instances["i-8"]; known || instances["i-9"].State != catalog.StateDraining || s.replies[7000].Kind != ResponseOK {
+		t.Fatalf("instances %+v, reply %+v", instances, s.replies[7000])
+	}
+}
+
+// TestRegistrationsOfALostLeadershipAreAnswered: nobody waits for an entry that was never written.
+func TestRegistrationsOfALostLeadershipAreAnswered(t *testing.T) {
+	s := openFleet(t)
+	s.replica.Handle(s.now, 7000, Request{Beats: []Beat{beatOf("i-8", catalog.StateReady, 1)}})
+	s.replica.lead.term = 0 // as if another term had begun
+	s.replica.checkLeadership(s.now)
+	s.work()
+	if reply := s.replies[7000]; reply.Kind != ResponseNotLeader {
+		t.Fatalf("reply %+v", reply)
+	}
+}
+
+// snapshotsOf counts the snapshots that a replica writes while so many back ends register one after the other.
+func snapshotsOf(s *solo, count int) (snapshots, bytes int) {
+	last := s.replica.snapshot.Meta.Index
+	for i := range count {
+		s.replica.Handle(s.now, 0, Request{Beats: []Beat{beatOf(fmt.Sprintf("b-%05d", i), catalog.StateReady, 1)}})
+		s.work()
+		if index := s.replica.snapshot.Meta.Index; index != last {
+			last, snapshots, bytes = index, snapshots+1, bytes+len(s.replica.snapshot.Data)
+		}
+	}
+	return snapshots, bytes
+}
+
+// TestSnapshotsOfAStartDontGrowWithItsSquare: a snapshot is written once the log has as many bytes as the last one, so that twice the
+// back ends write some twice the bytes. One every so many entries wrote four times as many.
+func TestSnapshotsOfAStartDontGrowWithItsSquare(t *testing.T) {
+	written := func(count int) int {
+		_, bytes := snapshotsOf(openFleet(t), count)
+		return bytes
+	}
+	half, whole := written(1000), written(2000)
+	if whole > 3*half {
+		t.Fatalf("%d bytes of snapshots for 1,000 back ends, %d for 2,000", half, whole)
+	}
+}
+
+// TestFollowerThatLagsGetsEntries: a replica that lacks the newest entries only gets these after a snapshot was written, not all of
+// the state.
+func TestFollowerThatLagsGetsEntries(t *testing.T) {
+	s := openFleet(t)
+	snapshots, _ := snapshotsOf(s, 400)
+	if snapshots < 2 {
+		t.Fatalf("%d snapshots", snapshots)
+	}
+	if held := s.replica.node.EntriesAfter(s.replica.snapshot.Meta.Index - 1); len(held) == 0 {
+		t.Fatalf("the log holds nothing before the snapshot at %d", s.replica.snapshot.Meta.Index)
+	}
+	s.pass(time.Second)
+}
