--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -323,3 +323,43 @@
 		t.Fatalf("%d messages answer rejections below the match index", sent)
 	}
 }
+
+// TestSnapshotIsNotSentWithEachHeartbeat: while one is on its way the peer hears heartbeats, and the leader keeps its lease by their
+// answers; once a while without an answer has passed, the snapshot is sent again.
+func TestSnapshotIsNotSentWithEachHeartbeat(t *testing.T) {
+	c := newCluster(3, 1, t.Fatalf)
+	c.calm(3 * time.Second)
+	leader := c.leader()
+	away := leader.node.Peers()[0].ID
+	c.cut[away] = true
+	for i := range 20 {
+		c.propose(fmt.Sprint(i))
+	}
+	c.calm(time.Second)
+	meta := SnapshotMeta{Index: leader.node.Commit(), Term: leader.node.Term(), Membership: leader.node.Membership()}
+	leader.snapshot, leader.entries = Snapshot{Meta: meta}, nil
+	leader.node.Compact(meta)
+	delete(c.cut, away)
+	snapshots := 0
+	for end := c.now + testTiming.ElectionMin - 2*testTiming.Heartbeat; c.now < end; {
+		c.advance(20 * time.Millisecond)
+		for len(c.mail) > 0 {
+			if c.mail[0].Kind == MessageSnapshot {
+				snapshots++
+				c.mail = c.mail[1:] // a large one, still on its way
+				continue
+			}
+			c.deliver(0)
+		}
+		if !leader.node.LeaseValid(c.now) {
+			t.Fatalf("the leader has no lease at %v", c.now)
+		}
+	}
+	if snapshots != 1 {
+		t.Fatalf("%d snapshots were sent", snapshots)
+	}
+	c.calm(2 * time.Second)
+	if behind := c.find(away); behind.node.Commit() < leader.node.Commit() {
+		t.Fatalf("%s rests at %d, the leader at %d", away, behind.node.Commit(), leader.node.Commit())
+	}
+}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -13,6 +13,7 @@
 	ackedSentAt time.Duration // leader's clock when the newest answered message was sent
 	heardAt     time.Duration // leader's clock when the last answer came
 	sentAt      time.Duration // leader's clock of the last append
+	snapshotAt  time.Duration // leader's clock when a snapshot was sent that has no answer; 0 when there is none
 	paused      bool          // a snapshot or probe is on its way; wait for an answer or the next heartbeat
 }
 
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -100,16 +100,33 @@
 	peer.next = upTo + 1
 }
 
+// sendSnapshot sends the whole state, again only after a while: a large one takes longer than a heartbeat to arrive. Meanwhile the
+// peer hears heartbeats, which it rejects for what it lacks; its answers still confirm the leader.
 func (n *Node) sendSnapshot(now time.Duration, id ID) {
 	peer := n.peers[id]
+	if peer.snapshotAt > 0 && now < peer.snapshotAt+n.config.Timing.ElectionMin {
+		n.sendBeat(now, id)
+		return
+	}
 	snapshot, ok := n.snapshotSource()
 	if !ok {
 		return
 	}
-	peer.paused = true
+	peer.paused, peer.snapshotAt, peer.sentAt = true, now, now
 	n.send(Message{Kind: MessageSnapshot, To: id, Term: n.hard.Term, SentAt: now, Snapshot: &snapshot})
 }
 
+// sendBeat sends an append without entries, once a heartbeat.
+func (n *Node) sendBeat(now time.Duration, id ID) {
+	peer := n.peers[id]
+	if now < peer.sentAt+n.config.Timing.Heartbeat {
+		return
+	}
+	peer.sentAt = now
+	base := n.log.base
+	n.send(Message{Kind: MessageAppend, To: id, Term: n.hard.Term, Index: base.Index, LogTerm: base.Term, Commit: n.commit, SentAt: now})
+}
+
 // acceptLeader checks the term of a leader's message and follows it.
 func (n *Node) acceptLeader(now time.Duration, message Message) bool {
 	if message.Term < n.hard.Term {
@@ -205,7 +222,7 @@
 		return
 	}
 	if message.Index > peer.match {
-		peer.match = message.Index
+		peer.match, peer.snapshotAt = message.Index, 0
 		n.advanceCommit()
 	}
 	peer.next = max(peer.next, peer.match+1)
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -80,6 +80,8 @@
 
 	applied     uint64
 	appliedTerm uint64
+	// appliedBytes are the bytes of the entries applied since the newest snapshot.
+	appliedBytes int
 	unixMS      int64
 	now         time.Duration // of the newest tick or request
 	waiters     map[uint64]waiter
@@ -279,7 +281,7 @@
 	if err := r.machine.Restore(snapshot.Data); err != nil {
 		panic("control: snapshot of the leader cannot be read: " + err.Error())
 	}
-	r.applied, r.appliedTerm = snapshot.Meta.Index, snapshot.Meta.Term
+	r.applied, r.appliedTerm, r.appliedBytes = snapshot.Meta.Index, snapshot.Meta.Term, 0
 	r.noteInstalled(now)
 }
 
@@ -288,6 +290,7 @@
 		panic("control: committed entries are not contiguous")
 	}
 	r.applied, r.appliedTerm = entry.Index, entry.Term
+	r.appliedBytes += len(entry.Data)
 	var result Result
 	if entry.Kind == consensus.EntryCommand {
 		command := decodeCommand(entry.Data)
@@ -325,14 +328,18 @@
 	r.replyAll(waiting.clients, response)
 }
 
-// maybeSnapshot cuts the log when enough entries were applied since the last snapshot.
+// maybeSnapshot writes a snapshot when enough entries were applied since the last one, and they have as many bytes as that: what
+// snapshots cost then grows with what was written, however large the state is. The log keeps the entries since the last
+// snapshot, so that a replica which lags a little gets these and not all of the state.
 func (r *Replica) maybeSnapshot() {
-	if r.applied < r.snapshot.Meta.Index+r.config.SnapshotEvery {
+	if r.applied < r.snapshot.Meta.Index+r.config.SnapshotEvery || r.appliedBytes < len(r.snapshot.Data) {
 		return
 	}
+	before := r.snapshot.Meta
 	meta := consensus.SnapshotMeta{Index: r.applied, Term: r.appliedTerm, Membership: r.node.MembershipAt(r.applied)}
 	r.snapshot = consensus.Snapshot{Meta: meta, Data: r.machine.Snapshot()}
-	r.node.Compact(meta)
+	r.appliedBytes = 0
+	r.node.Compact(before)
 	r.checkpoint = true
 }
 
