Transport: long bodies are compressed, unread answers are bounded, a peer's patience follows the bytes

A message to a peer had 240 ms whatever its length. Ruled out: another codec, since the protocol is JSON. After: bodies from 8 KB shrink at least eightfold (TestLongBodiesTravelCompressed); at most 48 MB wait for peers, the rest is turned away with 503 (TestAnswersOwedAreBounded fails without the bound).

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"go.uber.org/zap"
@@ -46,8 +47,18 @@
 	Messages []consensus.Message `json:"messages"`
 }
 
-// peerPatience is how many heartbeats a message to a peer may take; a peer behind a cut must not hold up what follows.
-const peerPatience = 4
+const (
+	// peerPatience is how many heartbeats a message to a peer may take; a peer behind a cut must not hold up what follows.
+	peerPatience = 4
+	// peerRate is what a peer takes at the least, in bytes a second: a snapshot of a large state has so much more time. A replica with
+	// 0.8 of a core decodes some 20 MB of JSON a second.
+	peerRate = 4 << 20
+)
+
+// patienceWith returns how long a message of so many bytes to a peer may take.
+func patienceWith(heartbeat time.Duration, bytes int) time.Duration {
+	return peerPatience*heartbeat + time.Duration(bytes)*time.Second/peerRate
+}
 
 // sendTo is the thread that sends messages to one peer, several in one request.
 func (s *Server) sendTo(address string, queue chan consensus.Message) {
@@ -56,8 +67,13 @@
 		for len(batch.Messages) < drainBatch && len(queue) > 0 {
 			batch.Messages = append(batch.Messages, <-queue)
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), peerPatience*s.file.Control.Heartbeat)
-		if err := s.client.Post(ctx, address, PathRaft, batch, nil); err != nil {
+		body, err := json.Marshal(batch)
+		if err != nil {
+			s.log.Error("messages to a peer cannot be encoded", zap.String("peer", address), zap.Error(err))
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), patienceWith(s.file.Control.Heartbeat, len(body)))
+		if err := s.client.PostBody(ctx, address, PathRaft, body); err != nil {
 			s.log.Debug("peer not reached", zap.String("peer", address), zap.Error(err))
 		}
 		cancel()
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -82,17 +82,17 @@
 	appliedTerm uint64
 	// appliedBytes are the bytes of the entries applied since the newest snapshot.
 	appliedBytes int
-	unixMS      int64
-	now         time.Duration // of the newest tick or request
-	waiters     map[uint64]waiter
-	ready       consensus.Ready
-	effects     Effects
-	lead        *leadership
-	namings     map[string][]namedVersion // by model: the versions that were applied here, rising
-	orders      map[string]orderMark      // by instance: what this process saw in the log
-	leaderless  []watcher                 // gateways' questions that wait for a leader; at most leaderlessMost
-	quarantined quarantined               // when what was last counted, as this process saw it
-	checkpoint  bool                      // a snapshot must be written with the next Work
+	unixMS       int64
+	now          time.Duration // of the newest tick or request
+	waiters      map[uint64]waiter
+	ready        consensus.Ready
+	effects      Effects
+	lead         *leadership
+	namings      map[string][]namedVersion // by model: the versions that were applied here, rising
+	orders       map[string]orderMark      // by instance: what this process saw in the log
+	leaderless   []watcher                 // gateways' questions that wait for a leader; at most leaderlessMost
+	quarantined  quarantined               // when what was last counted, as this process saw it
+	checkpoint   bool                      // a snapshot must be written with the next Work
 }
 
 // NewReplica restores a replica from its durable state.
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -25,8 +24,8 @@
 	token string
 }
 
-// NewClient returns a client whose connections pass through links. Compression is off: bodies are small and
-// local.
+// NewClient returns a client whose connections pass through links. Long bodies are compressed here, both ways; net/http's own
+// compression is off.
 func NewClient(token string, links *Links) *Client {
 	return &Client{http: &http.Client{Transport: NewRoundTripper(links)}, token: token}
 }
@@ -89,10 +88,15 @@
 }
 
 func (c *Client) do(ctx context.Context, method, address, path string, body []byte, reply any) error {
+	body, encoding := compressed(body)
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return eris.Wrap(err, "make request")
 	}
+	request.Header.Set(acceptHeader, encodingGzip)
+	if encoding != "" {
+		request.Header.Set(encodingHeader, encoding)
+	}
 	if c.token != "" {
 		request.Header.Set("Authorization", bearerPrefix+c.token)
 	}
@@ -101,7 +105,7 @@
 		return eris.Wrapf(err, "%s %s", method, path)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	data, err := expanded(response.Body, response.Header.Get(encodingHeader))
 	if err != nil {
 		return eris.Wrapf(err, "read answer of %s", path)
 	}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/rotisserie/eris"
@@ -44,17 +45,24 @@
 	token   string
 	handler Handler
 	log     *zap.Logger
+	owed    atomic.Int64 // bytes of answers that peers have not read yet
+	most    int64        // that owed may reach by long answers
 }
 
 // connection is the state of one accepted connection. It is touched only on its event loop.
 type connection struct {
 	busy bool // a request is being answered; the next one waits in the buffer
 	need int  // bytes that must be buffered before parsing again
+	owed int  // bytes of the newest answer, until the peer has asked again: only then has it read them
 }
 
+// owedMost bounds the bytes of answers that peers have not read yet, over all connections. A process that is asked for more by peers
+// behind slow links turns them away, so that its memory does not end; 48 MB is less than a tenth of a control machine's.
+const owedMost = 48 << 20
+
 // Listen serves on address until Close. Callers must send the cluster token.
 func Listen(address, token string, handler Handler, log *zap.Logger) (*Server, error) {
-	server := &Server{started: make(chan struct{}), token: token, handler: handler, log: log}
+	server := &Server{started: make(chan struct{}), token: token, handler: handler, log: log, most: owedMost}
 	failed := make(chan error, 1)
 	go func() {
 		failed <- gnet.Run(server, "tcp://"+address, gnet.WithNumEventLoop(eventLoops), gnet.WithReuseAddr(true),
@@ -105,8 +113,9 @@
 		s.log.Warn("malformed internal request", zap.Error(err))
 		return gnet.Close
 	}
-	body, err := io.ReadAll(request.Body)
+	body, err := expanded(request.Body, request.Header.Get(encodingHeader))
 	if err != nil {
+		s.log.Warn("malformed internal request", zap.Error(err))
 		return gnet.Close
 	}
 	if _, err := c.Discard(consumed); err != nil {
@@ -114,12 +123,28 @@
 	}
 	state.need = 0
 	state.busy = true
+	s.settle(state)
 	s.dispatch(c, request, body)
 	return gnet.None
 }
 
+// OnClose is called by gnet when a connection has ended.
+func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
+	if state, ok := c.Context().(*connection); ok {
+		s.settle(state)
+	}
+	return gnet.None
+}
+
+// settle notes that a peer waits for no answer any more.
+func (s *Server) settle(state *connection) {
+	s.owed.Add(-int64(state.owed))
+	state.owed = 0
+}
+
 func (s *Server) dispatch(c gnet.Conn, request *http.Request, body []byte) {
-	respond := func(status int, answer any) { s.answer(c, status, answer) }
+	accepts := request.Header.Get(acceptHeader) == encodingGzip
+	respond := func(status int, answer any) { s.answer(c, status, answer, accepts) }
 	if s.token != "" && strings.TrimPrefix(request.Header.Get("Authorization"), bearerPrefix) != s.token {
 		respond(http.StatusUnauthorized, nil)
 		return
@@ -128,30 +153,56 @@
 }
 
 // answer writes a response and lets the connection's next request be parsed.
-func (s *Server) answer(c gnet.Conn, status int, answer any) {
+func (s *Server) answer(c gnet.Conn, status int, answer any, accepts bool) {
 	payload, err := json.Marshal(answer)
 	if err != nil {
 		status, payload = http.StatusInternalServerError, nil
 		s.log.Error("internal answer cannot be encoded", zap.Error(err))
 	}
-	response := http.Response{
-		StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(payload)),
-		Header: http.Header{"Content-Type": {"application/json"}}, Body: io.NopCloser(bytes.NewReader(payload)),
+	encoding := ""
+	if accepts {
+		payload, encoding = compressed(payload)
 	}
-	var wire bytes.Buffer
-	if err := response.Write(&wire); err != nil {
+	if len(payload) >= compressFrom && s.owed.Load()+int64(len(payload)) > s.most {
+		s.log.Warn("too many answers wait for slow peers, one is turned away", zap.Int64("bytes", s.owed.Load()))
+		status, payload, encoding = http.StatusServiceUnavailable, nil, ""
+	}
+	s.owed.Add(int64(len(payload)))
+	wire, err := framed(status, payload, encoding)
+	if err != nil {
 		s.log.Error("internal answer cannot be framed", zap.Error(err))
 		return
 	}
-	_ = c.AsyncWrite(wire.Bytes(), func(c gnet.Conn, _ error) error {
-		if state, ok := c.Context().(*connection); ok {
-			state.busy = false
-			if c.InboundBuffered() > 0 {
-				return c.Wake(nil)
-			}
+	written := func(c gnet.Conn, failed error) error {
+		state, ok := c.Context().(*connection)
+		if !ok || failed != nil {
+			s.owed.Add(-int64(len(payload))) // OnClose has come before
+			return nil
+		}
+		state.busy, state.owed = false, state.owed+len(payload)
+		if c.InboundBuffered() > 0 {
+			return c.Wake(nil)
 		}
 		return nil
-	})
+	}
+	if err := c.AsyncWrite(wire, written); err != nil {
+		s.owed.Add(-int64(len(payload)))
+		s.log.Debug("internal answer cannot be written", zap.Error(err))
+	}
+}
+
+// framed returns a response as it travels.
+func framed(status int, payload []byte, encoding string) ([]byte, error) {
+	response := http.Response{
+		StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(payload)),
+		Header: http.Header{"Content-Type": {"application/json"}}, Body: io.NopCloser(bytes.NewReader(payload)),
+	}
+	if encoding != "" {
+		response.Header.Set(encodingHeader, encoding)
+	}
+	var wire bytes.Buffer
+	err := response.Write(&wire)
+	return wire.Bytes(), eris.Wrap(err, "frame answer")
 }
 
 // errIncomplete says that more bytes are needed.
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -93,6 +95,88 @@
 	}
 }
 
+// TestLongBodiesTravelCompressed: both ways, and only these; JSON that repeats itself shrinks at least eight times.
+func TestLongBodiesTravelCompressed(t *testing.T) {
+	entry := `{"id":"engine-000017-3","address":"10.1.2.3:8000","zone":"a","state":"ready"},`
+	for _, count := range []int{1, 1000, 2000} {
+		long := []byte(strings.Repeat(entry, count))
+		packed, encoding := compressed(long)
+		if count == 1 {
+			if encoding != "" || !bytes.Equal(packed, long) {
+				t.Fatalf("a body of %d bytes is encoded as %q", len(long), encoding)
+			}
+			continue
+		}
+		if encoding != encodingGzip || len(packed)*8 > len(long) {
+			t.Fatalf("%d bytes travel as %d, encoding %q", len(long), len(packed), encoding)
+		}
+		back, err := expanded(bytes.NewReader(packed), encoding)
+		if err != nil || !bytes.Equal(back, long) {
+			t.Fatalf("%d bytes came back as %d: %v", len(long), len(back), err)
+		}
+	}
+	if _, err := expanded(strings.NewReader("nonsense"), encodingGzip); err == nil {
+		t.Fatal("nonsense was expanded")
+	}
+	if _, err := expanded(strings.NewReader("x"), "br"); err == nil {
+		t.Fatal("an encoding that isn't known was taken")
+	}
+	address := startServer(t, echo)
+	var reply message
+	text := strings.Repeat("a long prompt ", 4000)
+	if err := NewClient("token", nil).Post(context.Background(), address, "/echo", message{Text: text}, &reply); err != nil || !strings.Contains(reply.Text, text) {
+		t.Fatalf("%d bytes came back: %v", len(reply.Text), err)
+	}
+}
+
+// TestAnswersOwedAreBounded: peers that ask and don't read hold no more than the bound; the rest is turned away, and once they are
+// gone others are answered again.
+func TestAnswersOwedAreBounded(t *testing.T) {
+	const size, most = 1 << 20, 6 << 20
+	noise := make([]byte, size)
+	random := rand.NewChaCha8([32]byte{1})
+	_, _ = random.Read(noise)
+	var server *Server
+	address := freeAddress(t)
+	server, err := Listen(address, "", func(_ Request, respond Respond) { go respond(http.StatusOK, noise) }, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	server.most = most
+	defer func() { _ = server.Close(context.Background()) }()
+	var idle []net.Conn
+	for range 3 * most / size {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		idle = append(idle, c)
+		if _, err := c.Write([]byte("GET /x HTTP/1.1\r\nHost: x\r\n\r\n")); err != nil {
+			t.Fatal(err)
+		}
+		first := make([]byte, len("HTTP/1.1 200"))
+		if _, err := io.ReadFull(c, first); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if owed := server.owed.Load(); owed == 0 || owed > most {
+		t.Fatalf("%d bytes are owed, at most %d may be", owed, most)
+	}
+	for _, c := range idle {
+		_ = c.Close()
+	}
+	var reply []byte
+	for range 200 {
+		if err = NewClient("", nil).Get(context.Background(), address, "/x", &reply); err == nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if err != nil || len(reply) != size {
+		t.Fatalf("%d bytes after the others had gone: %v", len(reply), err)
+	}
+}
+
 // FuzzParseRequest: no bytes may crash the parser; what it takes must be as long as it says.
 func FuzzParseRequest(f *testing.F) {
 	f.Add([]byte("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi"))
