Control: the roster names the back ends in use, and costs what changes

Cause: gateways were told all back ends (G x E bytes; 1.38 MB of JSON for 10,007), and the roster was made anew for each telling. Now a bound on a weight of the address names who is in use; it follows the work and stands in the log, so that the next leader names the same. Walks over all back ends for each order, and over all gateways for each waiting back end, are made once a step; the log is told of gateways that came and left.

--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"math"
 	"slices"
 
 	"kitetiller/internal/guard"
@@ -33,17 +34,20 @@
 
 // Command is one change of the replicated state. Exactly one field is set.
 type Command struct {
-	Replace  *Document    `json:"replace,omitempty"`
-	Register *Instance    `json:"register,omitempty"`
-	Joined   []Instance   `json:"joined,omitempty"`  // registered together, in the order in which they came
-	Drain    string       `json:"drain,omitempty"`   // instance
-	Remove   string       `json:"remove,omitempty"`  // instance that said that it leaves
-	Forget   string       `json:"forget,omitempty"`  // instance that fell silent; it may register again
-	Version  *NamedWeight `json:"version,omitempty"` // newest weights of a model
-	Fence    bool         `json:"fence,omitempty"`   // a new holder of the right to give orders
-	Held     []HeldWeight `json:"held,omitempty"`    // weights that instances were seen to hold
-	Ordering []string     `json:"order,omitempty"`   // instances that the leader is about to give orders
-	Gateways []string     `json:"gates,omitempty"`   // gateways that ask the leader; it replaces those before
+	Replace  *Document         `json:"replace,omitempty"`
+	Register *Instance         `json:"register,omitempty"`
+	Joined   []Instance        `json:"joined,omitempty"`  // registered together, in the order in which they came
+	Drain    string            `json:"drain,omitempty"`   // instance
+	Remove   string            `json:"remove,omitempty"`  // instance that said that it leaves
+	Forget   string            `json:"forget,omitempty"`  // instance that fell silent; it may register again
+	Version  *NamedWeight      `json:"version,omitempty"` // newest weights of a model
+	Fence    bool              `json:"fence,omitempty"`   // a new holder of the right to give orders
+	Held     []HeldWeight      `json:"held,omitempty"`    // weights that instances were seen to hold
+	Ordering []string          `json:"order,omitempty"`   // instances that the leader is about to give orders
+	Gateways []string          `json:"gates,omitempty"`   // gateways that ask the leader; it replaces those before
+	Bounds   map[string]uint64 `json:"bounds,omitempty"`  // by service: the highest weight of a back end in use
+	Came     []string          `json:"came,omitempty"`    // gateways that ask the leader, beside those before
+	Left     []string          `json:"left,omitempty"`    // gateways that no longer do
 
 	Quarantine *quarantine.Change `json:"quarantine,omitempty"` // requests under which back ends ended
 }
@@ -80,6 +84,9 @@
 	held       map[string]map[string]uint64 // by instance and model; of registered instances only; versions only rise
 	ordered    map[string]bool              // registered instances that were ever to be given an order
 	gateways   []string                     // that asked the last leader that wrote them, rising
+	listed     map[string]bool              // the same
+	bounds     map[string]uint64            // by service; of those that don't use all their back ends
+	touched    map[string]bool              // instances that changed since Touched was last called
 	fence      uint64
 	quarantine *quarantine.Ledger
 }
@@ -88,7 +95,7 @@
 func NewMachine() *Machine {
 	return &Machine{
 		instances: map[string]Instance{}, addresses: map[string]string{}, ended: map[string]bool{}, versions: map[string]uint64{}, held: map[string]map[string]uint64{},
-		ordered: map[string]bool{}, quarantine: quarantine.NewLedger(),
+		ordered: map[string]bool{}, listed: map[string]bool{}, bounds: map[string]uint64{}, touched: map[string]bool{}, quarantine: quarantine.NewLedger(),
 	}
 }
 
@@ -122,6 +129,27 @@
 // Gateways returns the gateways that were written last, rising; callers only read it.
 func (m *Machine) Gateways() []string { return m.gateways }
 
+// Listed reports whether a gateway is among them.
+func (m *Machine) Listed(gateway string) bool { return m.listed[gateway] }
+
+// Bound returns the highest weight of the back ends of a service that are in use.
+func (m *Machine) Bound(service string) uint64 {
+	if bound, known := m.bounds[service]; known {
+		return bound
+	}
+	return math.MaxUint64
+}
+
+// Touched returns the instances that changed since the last call, in no order.
+func (m *Machine) Touched() []string {
+	if len(m.touched) == 0 {
+		return nil
+	}
+	ids := slices.Collect(maps.Keys(m.touched))
+	clear(m.touched)
+	return ids
+}
+
 // Quarantine returns the requests under which back ends ended; callers only read it.
 func (m *Machine) Quarantine() *quarantine.Ledger { return m.quarantine }
 
@@ -147,7 +175,11 @@
 	case len(command.Ordering) > 0:
 		m.order(command.Ordering)
 	case len(command.Gateways) > 0:
-		m.gateways = command.Gateways
+		m.list(command.Gateways)
+	case len(command.Came)+len(command.Left) > 0:
+		m.relist(command.Came, command.Left)
+	case len(command.Bounds) > 0:
+		maps.Copy(m.bounds, command.Bounds)
 	case command.Quarantine != nil:
 		m.quarantine.Apply(*command.Quarantine)
 	case command.Version != nil:
@@ -190,6 +222,7 @@
 	if _, known := m.instances[instance.ID]; !known {
 		m.ids = nil
 	}
+	m.touched[instance.ID] = true
 	m.instances[instance.ID] = instance
 	m.addresses[instance.Address] = instance.ID
 }
@@ -199,7 +232,7 @@
 	held, known := m.instances[id]
 	if known {
 		delete(m.addresses, held.Address)
-		m.ids = nil
+		m.ids, m.touched[id] = nil, true
 	}
 	delete(m.instances, id)
 	delete(m.held, id)
@@ -215,6 +248,26 @@
 	}
 }
 
+// list replaces the gateways; names rise.
+func (m *Machine) list(names []string) {
+	m.gateways = names
+	clear(m.listed)
+	for _, name := range names {
+		m.listed[name] = true
+	}
+}
+
+// relist takes gateways that came and that left up.
+func (m *Machine) relist(came, left []string) {
+	for _, name := range came {
+		m.listed[name] = true
+	}
+	for _, name := range left {
+		delete(m.listed, name)
+	}
+	m.gateways = slices.Sorted(maps.Keys(m.listed))
+}
+
 // hold notes what registered instances hold.
 func (m *Machine) hold(seen []HeldWeight) {
 	for _, w := range seen {
@@ -234,7 +287,7 @@
 		return
 	}
 	instance.State = StateDraining
-	m.instances[id] = instance
+	m.put(instance)
 }
 
 func (m *Machine) remove(id string) {
@@ -261,13 +314,14 @@
 	Held     map[string]map[string]uint64 `json:"held,omitempty"`
 	Ordered  map[string]bool              `json:"ordered,omitempty"`
 	Gateways []string                     `json:"gateways,omitempty"`
+	Bounds   map[string]uint64            `json:"bounds,omitempty"`
 
 	Quarantine *quarantine.Ledger `json:"quarantine,omitempty"`
 }
 
 // MarshalJSON writes the whole state.
 func (m *Machine) MarshalJSON() ([]byte, error) {
-	return json.Marshal(machineForm{m.document, m.instances, m.tombstones, m.versions, m.fence, m.held, m.ordered, m.gateways, m.quarantine})
+	return json.Marshal(machineForm{m.document, m.instances, m.tombstones, m.versions, m.fence, m.held, m.ordered, m.gateways, m.bounds, m.quarantine})
 }
 
 // UnmarshalJSON replaces the whole state.
@@ -286,7 +340,8 @@
 	for id := range form.Ordered {
 		m.ordered[id] = true
 	}
-	m.gateways = form.Gateways
+	m.list(form.Gateways)
+	maps.Copy(m.bounds, form.Bounds)
 	if form.Quarantine != nil {
 		m.quarantine = form.Quarantine
 	}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/control/inuse"
 	"kitetiller/internal/guard"
 	"kitetiller/internal/mechanism"
 )
@@ -33,6 +34,8 @@
 
 // memberState is what the leader keeps of a back end in memory.
 type memberState struct {
+	id        string
+	weight    uint64 // by which it is in use
 	heardAt   time.Duration
 	sequence  uint64
 	coldUntil time.Duration
@@ -85,14 +88,16 @@
 	if beat.Sequence < state.sequence {
 		return
 	}
+	warm := now >= state.coldUntil
 	state.sequence = beat.Sequence
 	state.coldUntil = now + beat.ColdLeft
-	if state.silent {
-		state.silent = false
-		r.lead.rosterChanged()
-	}
+	news := state.silent || warm && beat.ColdLeft > 0
+	state.silent = false
 	if state.rollout.phase == phaseIdle && r.takeVersions(state, beat.Versions) {
-		r.lead.rosterChanged()
+		news = true
+	}
+	if news {
+		r.lead.rosterChanged(state.id)
 	}
 }
 
@@ -103,6 +108,7 @@
 	for model, version := range versions {
 		if state.versions[model] < version {
 			state.versions[model] = version
+			r.lead.unlogged[state.id] = true
 			changed = true
 		}
 	}
@@ -113,7 +119,8 @@
 func (r *Replica) member(now time.Duration, id string) *memberState {
 	state := r.lead.fleet[id]
 	if state == nil {
-		state = &memberState{heardAt: now, versions: map[string]uint64{}}
+		state = &memberState{id: id, heardAt: now, versions: map[string]uint64{}}
+		state.weight = inuse.Weight(r.machine.catalog.Instances()[id].Address)
 		if r.config.Mechanisms.On(mechanism.HeldWeights) {
 			maps.Copy(state.versions, r.machine.catalog.Held(id)) // until its first heartbeat to this leader
 		}
@@ -129,50 +136,72 @@
 	}
 	r.lead.heldAt = now
 	var seen []catalog.HeldWeight
-	for _, id := range sortedKeys(r.machine.catalog.Instances()) {
-		state := r.lead.fleet[id]
-		if !state.engine() {
-			continue
-		}
-		logged := r.machine.catalog.Held(id)
-		for _, model := range sortedKeys(state.versions) {
-			if version := state.versions[model]; version > logged[model] {
-				seen = append(seen, catalog.HeldWeight{Instance: id, NamedWeight: catalog.NamedWeight{Model: model, Version: version}})
-			}
+	for _, id := range sortedKeys(r.lead.unlogged) {
+		fresh := r.unloggedWeights(id)
+		if _, known := r.machine.catalog.Instances()[id]; len(fresh) == 0 && known {
+			delete(r.lead.unlogged, id)
 		}
+		seen = append(seen, fresh...)
 	}
 	if len(seen) > 0 {
 		r.propose(now, 0, Command{Catalog: &catalog.Command{Held: seen}})
 	}
 }
 
+// unloggedWeights returns what a registered back end holds that the log doesn't tell.
+func (r *Replica) unloggedWeights(id string) []catalog.HeldWeight {
+	state := r.lead.fleet[id]
+	if _, known := r.machine.catalog.Instances()[id]; !known || state == nil {
+		return nil
+	}
+	var fresh []catalog.HeldWeight
+	logged := r.machine.catalog.Held(id)
+	for _, model := range sortedKeys(state.versions) {
+		if version := state.versions[model]; version > logged[model] {
+			fresh = append(fresh, catalog.HeldWeight{Instance: id, NamedWeight: catalog.NamedWeight{Model: model, Version: version}})
+		}
+	}
+	return fresh
+}
+
 // watchFleet marks silent back ends and forgets those that stay silent.
 func (r *Replica) watchFleet(now time.Duration) {
 	if now < r.lead.fleetAt+fleetPeriod {
 		return
 	}
 	r.lead.fleetAt = now
-	instances := r.machine.catalog.Instances()
-	for _, id := range sortedKeys(instances) {
+	for _, id := range r.machine.catalog.IDs() {
 		state := r.member(now, id)
 		silence := now - state.heardAt
 		if silence > silentAfter && !state.silent {
 			state.silent = true
-			r.lead.rosterChanged()
+			r.lead.rosterChanged(id)
 		}
 		if silence > forgetAfter {
 			r.propose(now, 0, Command{Catalog: &catalog.Command{Forget: id}})
 			state.heardAt = now
 		}
 	}
-	for id, mark := range r.orders {
-		if _, known := instances[id]; !known && now > mark.at+forgetAfter {
-			delete(r.orders, id)
+	r.forgetStrangers(now)
+}
+
+// forgetStrangers drops what is kept of back ends that are long gone.
+func (r *Replica) forgetStrangers(now time.Duration) {
+	instances := r.machine.catalog.Instances()
+	if len(r.orders) > len(instances) {
+		for id, mark := range r.orders {
+			if _, known := instances[id]; !known && now > mark.at+forgetAfter {
+				delete(r.orders, id)
+			}
 		}
 	}
-	for id := range r.lead.fleet {
-		if _, known := instances[id]; !known && now-r.lead.fleet[id].heardAt > silentAfter {
+	if len(r.lead.fleet) == len(instances) {
+		return
+	}
+	for id, state := range r.lead.fleet {
+		if _, known := instances[id]; !known && now-state.heardAt > silentAfter {
 			delete(r.lead.fleet, id)
+			delete(r.lead.unlogged, id)
 		}
 	}
 }
@@ -212,6 +241,10 @@
 // applyCatalog applies a command of the catalog and tells watchers of it.
 func (r *Replica) applyCatalog(now time.Duration, command catalog.Command) *catalog.Outcome {
 	before := command.Version != nil && r.machine.catalog.Versions()[command.Version.Model] < command.Version.Version
+	bounds := map[string]uint64{}
+	for service := range command.Bounds {
+		bounds[service] = r.machine.catalog.Bound(service)
+	}
 	outcome := r.machine.catalog.Apply(command)
 	if command.Quarantine != nil {
 		r.noteQuarantined(now, *command.Quarantine)
@@ -219,12 +252,18 @@
 	if before {
 		r.noteNaming(now, command.Version.Model, command.Version.Version)
 	}
-	quiet := len(command.Held)+len(command.Ordering)+len(command.Gateways) > 0 || command.Quarantine != nil // no roster tells of these
-	if r.lead != nil {
-		r.lead.listedNews = r.lead.listedNews || len(command.Gateways) > 0
+	touched := r.machine.catalog.Touched()
+	if r.lead == nil {
+		return &outcome
+	}
+	listed := len(command.Gateways)+len(command.Came)+len(command.Left) > 0
+	r.lead.listedNews = r.lead.listedNews || listed
+	if len(command.Bounds) > 0 {
+		r.noteBounds(now, bounds)
 	}
-	if r.lead != nil && !quiet {
-		r.lead.rosterChanged()
+	quiet := len(command.Held)+len(command.Ordering) > 0 || listed || command.Quarantine != nil // no roster tells of these
+	if !quiet {
+		r.lead.rosterChanged(touched...)
 	}
 	return &outcome
 }
--- a/internal/control/handover.go
+++ b/internal/control/handover.go
@@ -72,9 +72,17 @@
 	return !ordered || now >= at+r.config.OrderWait || !r.config.Guards.On(guard.OrderPause)
 }
 
-// writeOrdering writes into the log that a back end is about to be ordered.
-func (r *Replica) writeOrdering(now time.Duration, id string) {
-	r.propose(now, 0, Command{Catalog: &catalog.Command{Ordering: []string{id}}})
+// writeOrdering has the log tell that a back end is about to be ordered. All that are decided in one cycle share an entry.
+func (r *Replica) writeOrdering(id string) { r.lead.ordering = append(r.lead.ordering, id) }
+
+// flushOrdering proposes them.
+func (r *Replica) flushOrdering(now time.Duration) {
+	if r.lead == nil || len(r.lead.ordering) == 0 {
+		return
+	}
+	ids := r.lead.ordering
+	r.lead.ordering = nil
+	r.propose(now, 0, Command{Catalog: &catalog.Command{Ordering: ids}})
 }
 
 const (
@@ -89,8 +97,7 @@
 // unlisted reports whether the log doesn't hold a gateway yet, so that the next leader wouldn't wait for it: its view isn't confirmed. One
 // that closes is written no more.
 func (r *Replica) unlisted(watch Watch) bool {
-	_, found := slices.BinarySearch(r.machine.catalog.Gateways(), watch.Gateway)
-	return !found && !watch.Closing
+	return !r.machine.catalog.Listed(watch.Gateway) && !watch.Closing
 }
 
 // noteGateways writes which gateways may trust this leader's views.
@@ -103,18 +110,25 @@
 		return
 	}
 	r.lead.gatewaysAt, r.lead.unlisted = now, false
-	var names []string
-	for _, name := range sortedKeys(r.lead.usage) {
-		if now-r.lead.usage[name].at <= r.trustEnd() {
-			names = append(names, name)
+	var came, left []string
+	for name, report := range r.lead.usage {
+		if now-report.at <= r.trustEnd() && !r.machine.catalog.Listed(name) {
+			came = append(came, name)
 		}
 	}
-	known := r.machine.catalog.Gateways()
-	if now < r.lead.since+r.trustEnd() {
-		names = slices.Compact(slices.Sorted(slices.Values(append(names, known...)))) // they may still trust a view of the last leader
+	slices.Sort(came)
+	if now >= r.lead.since+r.trustEnd() { // until then they may still trust a view of the last leader
+		for _, name := range r.machine.catalog.Gateways() {
+			if report, asked := r.lead.usage[name]; !asked || now-report.at > r.trustEnd() {
+				left = append(left, name)
+			}
+		}
+	}
+	if len(came) == 0 && len(left) == len(r.machine.catalog.Gateways()) {
+		left = nil // all at once: nobody is left to mislead, and they come back soon
 	}
-	if len(names) > 0 && !slices.Equal(names, known) {
-		r.propose(now, 0, Command{Catalog: &catalog.Command{Gateways: names}})
+	if len(came)+len(left) > 0 {
+		r.propose(now, 0, Command{Catalog: &catalog.Command{Came: came, Left: left}})
 	}
 }
 
--- /dev/null
+++ b/internal/control/inuse/inuse.go
@@ -0,0 +1,82 @@
+// Package inuse decides which back ends of a service are in use, so that what gateways know, read and connect to follows the work and not
+// the size of the fleet. It has no I/O, lock or clock.
+//
+// Each back end has a weight that follows from its address, and a service uses those of up to a bound. Who is in use then follows from the
+// bound alone: every leader names the same ones, a new life at an address takes the place of the one before, and few change with
+// the bound. The bound moves when too few, or clearly too many, of the back ends under it can work.
+package inuse
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// All is the bound under which every back end lies.
+	All = uint64(math.MaxUint64)
+	// Least is how many back ends of a service are used at the least. The knowledge of so many costs a gateway some 2 MB, and they hold
+	// several copies of the shared prompts of a large fleet.
+	Least = 512
+	// perRunning is how many back ends are used for each request that runs: at the most every second one is then at work when nothing
+	// fails, so that half of them may go before requests wait for each other.
+	perRunning = 2
+	// slack is the inverse of the share by which more than wanted may be able to work before the bound falls.
+	slack = 8
+	// growth is the inverse of the share that is taken beyond what is wanted now, so that the bound moves seldom while work grows.
+	growth = 4
+	// peakFor is how long the most work seen counts at the least, and at most twice that: longer than a restart of all, during which
+	// nothing runs.
+	peakFor = 30 * time.Second
+)
+
+// Weight returns the weight of the back end at an address.
+func Weight(address string) uint64 { return xxhash.Sum64String(address) }
+
+// Size is how many back ends of a service are wanted. Its zero value is the least.
+type Size struct {
+	wanted  int
+	peak    int // most requests that ran together since began
+	former  int // the same, in the time before
+	beganAt time.Duration
+}
+
+// Note takes how many requests of the service run now and returns how many back ends that are able to work are wanted.
+func (s *Size) Note(now time.Duration, running int) int {
+	if now >= s.beganAt+peakFor {
+		s.former, s.peak, s.beganAt = s.peak, 0, now
+	}
+	s.peak = max(s.peak, running)
+	needed := max(Least, perRunning*max(s.peak, s.former))
+	s.wanted = max(s.wanted, Least)
+	switch {
+	case needed > s.wanted:
+		s.wanted = needed + needed/growth
+	case needed < s.wanted/2:
+		s.wanted = max(needed, s.wanted/2)
+	}
+	return s.wanted
+}
+
+// Bound returns the bound that follows from the one in force, the weights of all back ends that are able to work, and how many of
+// them are wanted. It orders weights, and reorders the given ones.
+func Bound(inForce uint64, able []uint64, wanted int) uint64 {
+	if len(able) <= wanted+wanted/slack {
+		if len(able) <= wanted || inForce == All {
+			return All
+		}
+	}
+	under := 0
+	for _, weight := range able {
+		if weight <= inForce {
+			under++
+		}
+	}
+	if under >= wanted && under <= wanted+wanted/slack {
+		return inForce
+	}
+	slices.Sort(able)
+	return able[min(len(able), wanted+wanted/slack/2)-1] // the middle, so that it rests there
+}
--- /dev/null
+++ b/internal/control/inuse/inuse_test.go
@@ -0,0 +1,117 @@
+package inuse
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// fleet are the weights of so many back ends, all able to work.
+func fleet(size int) []uint64 {
+	weights := make([]uint64, size)
+	for i := range weights {
+		weights[i] = Weight(fmt.Sprintf("10.%d.%d.%d:8000", i%5, i/200, i%200))
+	}
+	return weights
+}
+
+func under(weights []uint64, bound uint64) int {
+	count := 0
+	for _, w := range weights {
+		if w <= bound {
+			count++
+		}
+	}
+	return count
+}
+
+// TestSmallServicesUseAll: by the same rule, also when they grow a little past the least.
+func TestSmallServicesUseAll(t *testing.T) {
+	for _, size := range []int{0, 1, 12, 240, Least, Least + Least/slack} {
+		if bound := Bound(All, fleet(size), Least); bound != All {
+			t.Fatalf("%d of %d back ends are used", under(fleet(size), bound), size)
+		}
+	}
+}
+
+// TestUseFollowsTheWork: at one load, twice the back ends or four times as many change nothing in how many are used.
+func TestUseFollowsTheWork(t *testing.T) {
+	for _, running := range []int{0, 100, 800} {
+		var size Size
+		wanted := size.Note(0, running)
+		for _, count := range []int{5000, 10000, 20000} {
+			all := fleet(count)
+			bound := Bound(All, slices.Clone(all), wanted)
+			if used := under(all, bound); used < wanted || used > wanted+wanted/slack || used > Least+Least/slack+3*running {
+				t.Fatalf("%d run: %d of %d back ends are used, wanted %d", running, used, count, wanted)
+			}
+		}
+	}
+}
+
+// TestUseIsReadyBeforeQueues replays losses of a fleet of 5,000 with 600 requests running: a zone, a quarter in the dark, a release of
+// 45% in which 89 are away at a time. Those that are in use and able never fall under one for each running request, and the bound
+// replaces what is lost in one step.
+func TestUseIsReadyBeforeQueues(t *testing.T) {
+	const running = 600
+	all := fleet(5000)
+	random := rand.New(rand.NewPCG(1, 2))
+	var size Size
+	wanted := size.Note(0, running)
+	first := Bound(All, slices.Clone(all), wanted)
+	lose := func(share float64) []uint64 {
+		return slices.DeleteFunc(slices.Clone(all), func(uint64) bool { return random.Float64() < share })
+	}
+	for name, able := range map[string][]uint64{"a zone": lose(0.2), "a quarter": lose(0.25), "a release": lose(89.0 / 5000)} {
+		if left := under(able, first); left < running {
+			t.Fatalf("%s: %d are left of %d for %d requests", name, left, wanted, running)
+		}
+		bound := Bound(first, slices.Clone(able), wanted)
+		if used := under(able, bound); used < wanted {
+			t.Fatalf("%s: %d are used after one step, wanted %d", name, used, wanted)
+		}
+		if stay := under(all, min(first, bound)); stay < under(all, first) {
+			t.Fatalf("%s: only %d of those in use before are used on", name, stay)
+		}
+	}
+}
+
+// TestUseGrowsAtOnceAndShrinksSlowly: a restart of all, during which nothing runs, makes nobody forget what is needed.
+func TestUseGrowsAtOnceAndShrinksSlowly(t *testing.T) {
+	var size Size
+	size.Note(0, 10)
+	if wanted := size.Note(time.Second, 2000); wanted < 2000*perRunning {
+		t.Fatalf("%d are wanted for 2,000 running requests", wanted)
+	}
+	before := size.Note(2*time.Second, 2000)
+	if wanted := size.Note(peakFor-time.Second, 0); wanted != before {
+		t.Fatalf("%d are wanted after a pause, %d before", wanted, before)
+	}
+	now := peakFor
+	for range 20 {
+		now += peakFor
+		size.Note(now, 10)
+	}
+	if wanted := size.Note(now, 10); wanted > 2*Least {
+		t.Fatalf("%d are wanted at rest", wanted)
+	}
+}
+
+// TestBoundRests: as long as what is able stays near what is wanted, nobody joins or leaves.
+func TestBoundRests(t *testing.T) {
+	all := fleet(5000)
+	bound := Bound(All, slices.Clone(all), Least)
+	changes := 0
+	random := rand.New(rand.NewPCG(3, 4))
+	for range 200 {
+		able := slices.DeleteFunc(slices.Clone(all), func(uint64) bool { return random.Float64() < 0.02 })
+		if next := Bound(bound, able, Least); next != bound {
+			bound, changes = next, changes+1
+		}
+	}
+	if changes > 4 {
+		t.Fatalf("the bound moved %d times while 2 in 100 were away", changes)
+	}
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"kitetiller/internal/allowance"
+	"kitetiller/internal/control/inuse"
+	"kitetiller/internal/control/roster"
 )
 
 // routerLease is the leader's view of one session.
@@ -44,11 +46,18 @@
 	fleetAt      time.Duration
 	heldAt       time.Duration // when the weights of back ends were last written into the log
 	rolledAt     time.Duration // when the roll-out last went a step
+	taken        uint64        // roster that every gateway which may still send had taken up, as of that step
+	short        bool          // the back ends were short of hands, as of that step
 	totals       usageTotals
 	meshes       meshPlan
 	rosterCount  uint64 // rises whenever the roster may have changed
-	roster       rosterLog
-	toldCount    uint64 // newest roster that held questions are answered for; at most rosterCount
+	roster       roster.Log
+	changed      map[string]bool       // back ends that the roster doesn't show as they are yet
+	unlogged     map[string]bool       // back ends whose weights the log doesn't tell yet
+	ordering     []string              // back ends that are about to be ordered, which the log doesn't tell yet
+	sizes        map[string]inuse.Size // by service
+	boundsAt     time.Duration         // when it was last looked at which back ends are in use
+	toldCount    uint64                // newest roster that held questions are answered for; at most rosterCount
 	toldAt       time.Duration
 	readyMost    int // engines that were ready lately
 	readyMostAt  time.Duration
@@ -77,7 +86,8 @@
 		rosterCount: 1, // 0 is the version of a gateway that holds none
 		term:        term, routers: map[string]*routerLease{},
 		opening: map[string]bool{}, engines: map[string]*engineState{},
-		since: now, orderLostAt: now - stressMemory, fenceAskedAt: now - callPatience, fleet: map[string]*memberState{}, usage: map[string]usageReport{},
+		since: now, orderLostAt: now - stressMemory, fenceAskedAt: now - callPatience, fleet: map[string]*memberState{}, changed: map[string]bool{},
+		unlogged: map[string]bool{}, sizes: map[string]inuse.Size{}, usage: map[string]usageReport{},
 		lending: lending{lender: allowance.NewLender(term)},
 	}
 	for router := range machine.sessions {
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -143,6 +143,7 @@
 		r.reconcile(now)
 		r.repair(now)
 		r.watchFleet(now)
+		r.tendInUse(now)
 		r.tendLimits(now)
 		r.noteHeld(now)
 		r.noteGateways(now)
@@ -227,6 +228,7 @@
 // Work returns what must be written and synced now.
 func (r *Replica) Work() Persist {
 	r.writeJoining(r.now)
+	r.flushOrdering(r.now)
 	r.ready = r.node.Ready()
 	persist := Persist{HardState: r.ready.HardState, Entries: r.ready.Entries}
 	if r.ready.HardState != nil {
@@ -348,7 +350,7 @@
 
 // HasWork reports whether Work and Done should be called.
 func (r *Replica) HasWork() bool {
-	return r.checkpoint || r.lead != nil && len(r.lead.joining.instances) > 0 || len(r.effects.Replies) > 0 || len(r.effects.Calls) > 0 || len(r.effects.Weights) > 0 || r.node.HasReady()
+	return r.checkpoint || r.lead != nil && len(r.lead.joining.instances)+len(r.lead.ordering) > 0 || len(r.effects.Replies) > 0 || len(r.effects.Calls) > 0 || len(r.effects.Weights) > 0 || r.node.HasReady()
 }
 
 // members returns the membership sorted by name.
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -124,9 +124,11 @@
 		return
 	}
 	busy := 0
-	ids := r.drainOrder(now)
+	ids := r.drainOrder()
 	loads := r.countLoads()
 	used := r.totalUsage(now)
+	r.lead.taken = r.rosterTaken(now)
+	r.lead.short = r.stressed(now)
 	for _, id := range ids {
 		state := r.member(now, id)
 		r.stepRollout(now, instances[id], state, &loads, used[id])
@@ -137,11 +139,16 @@
 	r.startRollouts(now, busy, used)
 }
 
-// drainOrder returns the back ends, those first that have been turned away from for longest.
-func (r *Replica) drainOrder(now time.Duration) []string {
-	ids := sortedKeys(r.machine.catalog.Instances())
+// drainOrder returns the back ends whose weights are being replaced, those first that have been turned away from for longest.
+func (r *Replica) drainOrder() []string {
+	var ids []string
+	for _, id := range r.machine.catalog.IDs() {
+		if state := r.lead.fleet[id]; state != nil && state.rollout.phase != phaseIdle {
+			ids = append(ids, id)
+		}
+	}
 	slices.SortStableFunc(ids, func(a, b string) int {
-		return cmp.Compare(r.member(now, a).rollout.drainUntil, r.member(now, b).rollout.drainUntil)
+		return cmp.Compare(r.lead.fleet[a].rollout.drainUntil, r.lead.fleet[b].rollout.drainUntil)
 	})
 	return ids
 }
@@ -178,7 +185,7 @@
 	var lagging []string
 	engines := 0
 	instances := r.machine.catalog.Instances()
-	for _, id := range sortedKeys(instances) {
+	for _, id := range r.machine.catalog.IDs() {
 		state := r.member(now, id)
 		if state.engine() {
 			engines++
@@ -218,9 +225,9 @@
 
 // announce makes gateways turn away from a back end.
 func (r *Replica) announce(now time.Duration, id string, state *memberState) {
-	r.writeOrdering(now, id)
+	r.writeOrdering(id)
 	state.rollout.drainUntil = now + drainPatience
-	if r.stressed(now) {
+	if r.lead.short {
 		state.rollout.drainUntil = now
 	}
 	r.setPhase(state, phaseAnnounced, now+announceLead)
@@ -231,7 +238,7 @@
 	before := state.rollout.loading()
 	state.rollout.phase, state.rollout.due = next, due
 	if state.rollout.loading() != before {
-		r.lead.rosterChanged()
+		r.lead.rosterChanged(state.id)
 		state.rollout.announced = r.lead.rosterCount
 	}
 }
@@ -245,7 +252,7 @@
 	case phaseReporting, phaseOrdered:
 		r.setPhase(state, phaseBackoff, now+rolloutBackoff) // no result came
 	case phaseAnnounced:
-		if loads.running >= loads.limit || !r.turnedAway(now, state.rollout.announced) {
+		if loads.running >= loads.limit || r.lead.taken < state.rollout.announced {
 			return
 		}
 		waits := running > 0 && now < state.rollout.drainUntil && r.config.Mechanisms.On(mechanism.WeightsDrain)
@@ -314,7 +321,8 @@
 
 func (r *Replica) finishRollout(now time.Duration, state *memberState) {
 	state.versions[state.rollout.model] = max(state.versions[state.rollout.model], state.rollout.version)
-	r.lead.rosterChanged()
+	r.lead.unlogged[state.id] = true
+	r.lead.rosterChanged(state.id)
 	r.setPhase(state, phaseIdle, now)
 }
 
--- /dev/null
+++ b/internal/control/roster/roster.go
@@ -0,0 +1,81 @@
+// Package roster is what control tells gateways of back ends: entries, what changed from one roster to the next, and the versions that
+// tell rosters apart. It has no I/O, lock or clock.
+package roster
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"kitetiller/internal/catalog"
+)
+
+// Version tells rosters apart. Versions of one term are ordered by their count; each leader counts anew.
+type Version struct {
+	Term  uint64 `json:"term"`
+	Count uint64 `json:"count"`
+}
+
+// Entry is a back end as gateways see it.
+type Entry struct {
+	catalog.Instance
+	Versions map[string]uint64 `json:"versions,omitempty"` // weights by model
+	Loading  bool              `json:"loading,omitempty"`  // weights are being replaced: nothing new may be sent
+	Silent   bool              `json:"silent,omitempty"`   // no heartbeat came for a while
+	ColdLeft time.Duration     `json:"cold_left_ns,omitempty"`
+}
+
+// same compares what gateways decide by. The time that a back end is still cold passes by itself.
+func (e Entry) same(other Entry) bool {
+	return e.Instance == other.Instance && e.Loading == other.Loading && e.Silent == other.Silent && maps.Equal(e.Versions, other.Versions) &&
+		(e.ColdLeft > 0) == (other.ColdLeft > 0)
+}
+
+// News is what somebody lacks of the roster.
+type News struct {
+	Whole   bool     `json:"whole,omitempty"`   // Entries are all there are; else those that are new or changed
+	Entries []Entry  `json:"entries,omitempty"` // rising by id
+	Gone    []string `json:"gone,omitempty"`    // ids that are no longer in the roster, rising; empty with Whole
+
+	encoded json.RawMessage // the same as JSON, where many are told it; or nil
+}
+
+// MarshalJSON encodes the news, once for all who lack the same.
+func (n *News) MarshalJSON() ([]byte, error) {
+	if n.encoded != nil {
+		return n.encoded, nil
+	}
+	type plain News
+	return json.Marshal((*plain)(n))
+}
+
+// shared encodes the news for many.
+func (n *News) shared() *News {
+	if encoded, err := json.Marshal(n); err == nil {
+		n.encoded = encoded // else whoever tells it meets the error
+	}
+	return n
+}
+
+// Merge returns the roster that follows from the one that was held, rising by id.
+func (n *News) Merge(held []Entry) []Entry {
+	if n.Whole {
+		return n.Entries
+	}
+	merged := map[string]Entry{}
+	for _, e := range held {
+		merged[e.ID] = e
+	}
+	for _, id := range n.Gone {
+		delete(merged, id)
+	}
+	for _, e := range n.Entries {
+		merged[e.ID] = e
+	}
+	entries := make([]Entry, 0, len(merged))
+	for _, id := range slices.Sorted(maps.Keys(merged)) {
+		entries = append(entries, merged[id])
+	}
+	return entries
+}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -169,19 +170,23 @@
 	return r.config.GatewayTrust + r.config.GatewayTrust/leaseMarginShare
 }
 
-// turnedAway reports whether every gateway that may still send has taken up the roster of a count. One that is silent for
+// rosterTaken returns the count of the newest roster that every gateway which may still send has taken up. One that is silent for
 // longer than it may trust its view sends nothing any more; those of an earlier leader's time have had to ask this one.
-func (r *Replica) turnedAway(now time.Duration, count uint64) bool {
+func (r *Replica) rosterTaken(now time.Duration) uint64 {
+	taken := uint64(math.MaxUint64)
 	if !r.config.Guards.On(guard.TurnAwayFirst) {
-		return true
+		return taken
 	}
 	for _, report := range r.lead.usage {
-		behind := report.held.Term != r.lead.term || report.held.Count < count
-		if behind && now-report.at < r.trustEnd() {
-			return false
+		switch {
+		case now-report.at >= r.trustEnd():
+		case report.held.Term != r.lead.term:
+			return 0
+		default:
+			taken = min(taken, report.held.Count)
 		}
 	}
-	return true
+	return taken
 }
 
 // usageTotals is the work of all gateways, added up now and then: a reply would otherwise cost the more the more there are.
