Control: replicas answer gateways, the leader confirms

Cause: one process answered every gateway, 2.5 times a second each. Now a replica gathers the questions of its zone's gateways, has the leader confirm them with one question, and tells each what it lacks: 25 questions a second and replica at most, the same for twice the gateways (TestLeaderIsAskedAsOftenForMoreGateways). Ruled out: leases of replicas' own, longer holds, a tree of gateways (design 018). Up to 128 gateways the leader answers by itself as before.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -109,6 +109,17 @@
 	return c.askAt(ctx, c.target(), request)
 }
 
+// At asks the replica at an address once, whoever leads. It learns nothing of the leader.
+func (c *Client) At(ctx context.Context, address string, request Request) (Response, error) {
+	var response Response
+	err := c.transport.Post(ctx, address, PathRequest, request, &response)
+	if err == nil {
+		now := clock.Now()
+		c.heard.Store(&now)
+	}
+	return response, err
+}
+
 // askAt asks the replica at an address once.
 func (c *Client) askAt(ctx context.Context, address string, request Request) (Response, error) {
 	var response Response
@@ -123,6 +134,8 @@
 	now := clock.Now()
 	c.heard.Store(&now)
 	switch {
+	case response.Kind == ResponseOK && response.Leader != "":
+		c.leader.Store(&response.Leader) // another replica answered for it
 	case response.Kind == ResponseOK:
 		c.leader.Store(&address)
 	case response.Leader != "" && response.Leader != address && !c.avoids(response.Leader):
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -48,14 +48,6 @@
 // requests there. It may be called on nil.
 func (s *memberState) engine() bool { return s != nil && len(s.versions) > 0 }
 
-// WantedVersion is a weights version of a model that was named lately. The list rises by version; each one has its own
-// time, since a back end that lacks several is late by the oldest of them.
-type WantedVersion struct {
-	Model   string        `json:"model"`
-	Version uint64        `json:"version"`
-	Age     time.Duration `json:"age_ns"` // since it was named, as far as this replica knows
-}
-
 // beat takes a heartbeat. What ends or registers a life is answered once a majority holds it, since the back end
 // relies on it; everything else is soft state of the leader.
 func (r *Replica) beat(now time.Duration, client uint64, beat Beat) {
--- /dev/null
+++ b/internal/control/layout.go
@@ -0,0 +1,124 @@
+package control
+
+import (
+	"cmp"
+	"reflect"
+	"slices"
+	"time"
+
+	"kitetiller/internal/control/mesh"
+	"kitetiller/internal/control/relay"
+	"kitetiller/internal/mechanism"
+)
+
+// Mesh is whom one gateway tells of sends.
+type Mesh = mesh.Mesh
+
+const (
+	// layoutEach is how often gateways are laid out anew.
+	layoutEach = 250 * time.Millisecond
+	// nearFor is how long after its last question a replica counts as one that answers gateways.
+	nearFor = 900 * time.Millisecond
+)
+
+// nearReplica is a replica that answers the gateways of its zone.
+type nearReplica struct {
+	zone    string
+	address string
+	at      time.Duration // of its newest question
+}
+
+// layout returns the newest layout of the gateways that asked lately.
+func (r *Replica) layout(now time.Duration) *relay.Layout {
+	lead := r.lead
+	if lead.laidOut != nil && now < lead.laidOutAt+layoutEach {
+		return lead.laidOut
+	}
+	lead.laidOutAt = now
+	var gateways []mesh.Gateway
+	for name, report := range lead.usage {
+		if report.address != "" && now-report.at <= usageCounts {
+			gateways = append(gateways, mesh.Gateway{Place: mesh.Place{Name: name, Address: report.address}, Zone: report.zone})
+		}
+	}
+	slices.SortFunc(gateways, func(a, b mesh.Gateway) int { return cmp.Compare(a.Name, b.Name) })
+	lead.planner.EveryoneSchedules = !r.config.Mechanisms.On(mechanism.Schedulers)
+	lead.planner.Plan(now, gateways)
+	made, count := lead.planner.Layout()
+	near := r.nearReplicas(now)
+	if lead.laidOut == nil || lead.plannedCount != count || !reflect.DeepEqual(near, lead.laidOut.Near) {
+		lead.plannedCount, lead.layoutCount, lead.reads = count, lead.layoutCount+1, nil
+		told := *made
+		lead.laidOut = &relay.Layout{Version: RosterVersion{Term: lead.term, Count: lead.layoutCount}, Mesh: &told, Near: near}
+	}
+	return lead.laidOut
+}
+
+// nearReplicas returns the replicas that answer gateways, by zone; none while the leader answers all by itself.
+func (r *Replica) nearReplicas(now time.Duration) map[string][]string {
+	if !r.manyGateways() {
+		return nil
+	}
+	near := map[string][]string{}
+	for _, replica := range r.lead.replicas {
+		if now-replica.at <= nearFor {
+			near[replica.zone] = append(near[replica.zone], replica.address)
+		}
+	}
+	near[r.config.Zone] = append(near[r.config.Zone], r.config.Address)
+	for _, addresses := range near {
+		slices.Sort(addresses)
+	}
+	return near
+}
+
+// manyGateways reports whether there are more gateways than the leader answers by itself.
+func (r *Replica) manyGateways() bool { return len(r.machine.catalog.Gateways()) > r.config.RelayAbove }
+
+// readsOf returns the engines whose cache events a gateway reads.
+func (r *Replica) readsOf(now time.Duration, gateway string) []string {
+	lead := r.lead
+	layout := r.layout(now)
+	r.refreshRoster(now)
+	if lead.reads == nil || lead.readsCount != lead.roster.Count() {
+		lead.reads, lead.readsCount = relay.Readers(layout.Mesh, &lead.roster), lead.roster.Count()
+	}
+	return lead.reads[gateway]
+}
+
+// takeRelay answers a replica that asks for the gateways that ask it. Each of them counts as if it had asked here now, which is later
+// than it did.
+func (r *Replica) takeRelay(now time.Duration, client uint64, asked relay.Question) {
+	r.lead.replicas[asked.Name] = nearReplica{zone: asked.Zone, address: asked.Address, at: now}
+	var unlisted []string
+	for _, report := range asked.Reports {
+		if !r.noteReport(now, report) {
+			unlisted = append(unlisted, report.Gateway)
+		}
+	}
+	if len(unlisted) > 0 {
+		r.lead.unlisted = true
+		r.noteGateways(now)
+	}
+	answer := &relay.Answer{Number: asked.Number, Applied: r.applied, Version: r.lead.rosterVersion(), Wanted: r.wantedVersions(now), Unlisted: unlisted}
+	if asked.Roster != answer.Version {
+		answer.Roster = r.rosterNews(now, asked.Roster)
+	}
+	if layout := r.layout(now); asked.Layout != layout.Version {
+		answer.Layout = layout
+	}
+	_, answer.Gateways = r.gatewaysThatTrust(now)
+	r.reply(client, Response{Kind: ResponseOK, Relayed: answer})
+}
+
+// noteReport notes what a gateway's question tells of it, and reports whether its view may be confirmed: not until the log holds
+// it, since the next leader wouldn't wait for it.
+func (r *Replica) noteReport(now time.Duration, report relay.Report) bool {
+	if report.Closing {
+		delete(r.lead.usage, report.Gateway)
+		r.lead.laidOutAt = now - layoutEach // others are told of it no longer
+		return true
+	}
+	r.lead.usage[report.Gateway] = usageReport{at: now, zone: report.Zone, address: report.Address, held: report.Held, running: report.Running}
+	return r.machine.catalog.Listed(report.Gateway)
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -5,6 +5,8 @@
 
 	"kitetiller/internal/allowance"
 	"kitetiller/internal/control/inuse"
+	"kitetiller/internal/control/mesh"
+	"kitetiller/internal/control/relay"
 	"kitetiller/internal/control/roster"
 )
 
@@ -49,7 +51,15 @@
 	taken        uint64        // roster that every gateway which may still send had taken up, as of that step
 	short        bool          // the back ends were short of hands, as of that step
 	totals       usageTotals
-	meshes       meshPlan
+	planner      *mesh.Planner
+	plannedCount uint64        // of the planner's layout that laidOut holds
+	laidOut      *relay.Layout // nil before the first
+	laidOutAt    time.Duration
+	layoutCount  uint64
+	replicas     map[string]nearReplica // by name; those that ask for gateways
+	reads        map[string][]string    // by gateway: engines whose cache events it reads; nil when the layout has changed
+	readsCount   uint64                 // of the roster that it follows from
+	trusting     trusting
 	rosterCount  uint64 // rises whenever the roster may have changed
 	roster       roster.Log
 	changed      map[string]bool       // back ends that the roster doesn't show as they are yet
@@ -87,7 +97,7 @@
 		term:        term, routers: map[string]*routerLease{},
 		opening: map[string]bool{}, engines: map[string]*engineState{},
 		since: now, orderLostAt: now - stressMemory, fenceAskedAt: now - callPatience, fleet: map[string]*memberState{}, changed: map[string]bool{},
-		unlogged: map[string]bool{}, sizes: map[string]inuse.Size{}, usage: map[string]usageReport{},
+		unlogged: map[string]bool{}, planner: &mesh.Planner{}, replicas: map[string]nearReplica{}, sizes: map[string]inuse.Size{}, usage: map[string]usageReport{},
 		lending: lending{lender: allowance.NewLender(term)},
 	}
 	for router := range machine.sessions {
@@ -140,6 +150,8 @@
 		r.takeBeats(now, client, request.Beats)
 	case request.Watch != nil:
 		r.watch(now, client, *request.Watch)
+	case request.Relay != nil:
+		r.takeRelay(now, client, *request.Relay)
 	case request.Borrow != nil:
 		r.lend(now, client, *request.Borrow)
 	case request.Document != nil:
--- a/internal/control/lending.go
+++ b/internal/control/lending.go
@@ -47,9 +47,29 @@
 	return float64(silent) / float64(all)
 }
 
-// gatewaysThatTrust counts the gateways that may still trust their view, and the silent ones among them. Those of an earlier
-// leader's time count until they have asked this one.
+// trusting are the gateways that may still trust their view, counted now and then: a tick or a reply would otherwise cost the more the
+// more there are.
+type trusting struct {
+	at          time.Duration
+	counted     bool
+	silent, all int
+}
+
+// trustingEach is how often they are counted; silence is judged by 700 ms.
+const trustingEach = 20 * time.Millisecond
+
+// gatewaysThatTrust returns how many gateways may still trust their view, and how many of them are silent.
 func (r *Replica) gatewaysThatTrust(now time.Duration) (silent, all int) {
+	held := &r.lead.trusting
+	if !held.counted || now >= held.at+trustingEach {
+		held.silent, held.all = r.countTrusting(now)
+		held.counted, held.at = true, now
+	}
+	return held.silent, held.all
+}
+
+// countTrusting counts them. Those of an earlier leader's time count until they have asked this one.
+func (r *Replica) countTrusting(now time.Duration) (silent, all int) {
 	for _, report := range r.lead.usage {
 		silence := now - report.at
 		if silence > r.trustEnd() {
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -6,6 +6,7 @@
 	"kitetiller/internal/allowance"
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/consensus"
+	"kitetiller/internal/control/relay"
 	"kitetiller/internal/ledger"
 	"kitetiller/internal/quarantine"
 	"kitetiller/internal/settings"
@@ -26,6 +27,7 @@
 	Watch     *Watch            `json:"watch,omitempty"`
 	Document  *DocumentRequest  `json:"document,omitempty"`
 
+	Relay  *relay.Question     `json:"relay,omitempty"`  // a replica asks for the gateways that ask it
 	Borrow *allowance.Question `json:"borrow,omitempty"` // a gateway asks for amounts of limited resources
 }
 
@@ -155,6 +157,7 @@
 	Watch     *WatchReply       `json:"watch,omitempty"`
 	Document  *catalog.Document `json:"document,omitempty"`
 	Lent      *allowance.Answer `json:"lent,omitempty"`
+	Relayed   *relay.Answer     `json:"relayed,omitempty"`
 }
 
 // Reply is a response for one waiting client.
--- /dev/null
+++ b/internal/control/relay/readers.go
@@ -0,0 +1,30 @@
+package relay
+
+import (
+	"kitetiller/internal/control/mesh"
+	"kitetiller/internal/control/roster"
+)
+
+// readers are which engines' cache events each gateway reads. They follow from layout and roster, so they are told to nobody else.
+type readers struct {
+	stale  bool // layout or roster have changed since
+	byName map[string][]string
+}
+
+func (r *readers) of(gateway string, layout *mesh.Layout, log *roster.Log) []string {
+	if r.stale || r.byName == nil {
+		r.stale, r.byName = false, Readers(layout, log)
+	}
+	return r.byName[gateway]
+}
+
+// Readers returns which engines of a roster each gateway reads, by name. Back ends without weights keep no prompts.
+func Readers(layout *mesh.Layout, log *roster.Log) map[string][]string {
+	var engines []mesh.Engine
+	for _, id := range log.IDs() {
+		if e, _ := log.Entry(id); len(e.Versions) > 0 {
+			engines = append(engines, mesh.Engine{ID: id, Zone: e.Zone})
+		}
+	}
+	return layout.Readers(engines)
+}
--- /dev/null
+++ b/internal/control/relay/relay.go
@@ -0,0 +1,268 @@
+// Package relay is how a replica answers gateways for the leader. It has no I/O, lock or clock.
+//
+// The leader alone can confirm a view, and there is one of it however many gateways ask. So a replica gathers the questions of the gateways
+// that ask it, has the leader confirm them all with one question, and tells each what it lacks from a copy of what the leader tells. What
+// the leader answers grows with the replicas.
+//
+// Invariants: a gateway is answered only after an answer of the leader to a question that named it and left after the gateway's own had
+// come, so that its view may count from when it asked; what it is told is at least as new as that answer; and the leader counts each
+// gateway that a question names as heard when that question arrives, which is later than the gateway asked.
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"kitetiller/internal/control/mesh"
+	"kitetiller/internal/control/roster"
+)
+
+const (
+	// askEach is the least time between two questions to the leader, so that what it answers doesn't grow with the gateways. It is what a view
+	// may be confirmed later than by the leader itself.
+	askEach = 40 * time.Millisecond
+	// restEach is the pause between two questions while no gateway waits, to go on being known as a replica that answers.
+	restEach = 200 * time.Millisecond
+	// askTimeout is how long an answer may take before the leader is asked again.
+	askTimeout = 400 * time.Millisecond
+	// lostPatience is how long a gateway's question waits, beyond its own time, for the leader.
+	lostPatience = 150 * time.Millisecond
+	// waitingMost bounds the questions that wait.
+	waitingMost = 4096
+)
+
+// Report is what a gateway's question tells of it.
+type Report struct {
+	Gateway string         `json:"gateway"`
+	Zone    string         `json:"zone"`
+	Address string         `json:"address,omitempty"` // for other gateways
+	Held    roster.Version `json:"held"`              // newest roster that it has taken up
+	Running map[string]int `json:"running,omitempty"` // its requests by instance
+	Closing bool           `json:"closing,omitempty"`
+}
+
+// Question is what a replica asks the leader for the gateways that ask it.
+type Question struct {
+	Number  uint64         `json:"number"` // rises with each of a replica's life
+	Name    string         `json:"name"`   // of the replica
+	Zone    string         `json:"zone"`
+	Address string         `json:"address"` // that gateways are to ask it at
+	Roster  roster.Version `json:"roster"`  // that it holds
+	Layout  roster.Version `json:"layout"`  // the same
+	Reports []Report       `json:"reports,omitempty"`
+}
+
+// Answer confirms that the leader held this state, with a valid lease, after the question had arrived.
+type Answer struct {
+	Number   uint64          `json:"number"`  // of the question
+	Applied  uint64          `json:"applied"` // index of the log up to which the leader had applied it
+	Version  roster.Version  `json:"version"`
+	Roster   *roster.News    `json:"roster,omitempty"` // when it differs from the replica's
+	Layout   *Layout         `json:"layout,omitempty"` // the same
+	Wanted   []roster.Wanted `json:"wanted,omitempty"`
+	Gateways int             `json:"gateways"`
+	Unlisted []string        `json:"unlisted,omitempty"` // gateways that the question named and that aren't confirmed yet
+}
+
+// Layout is how gateways are laid out, and which replicas answer those of each zone.
+type Layout struct {
+	Version roster.Version      `json:"version"`
+	Mesh    *mesh.Layout        `json:"mesh"`
+	Near    map[string][]string `json:"near,omitempty"` // addresses by zone, rising
+}
+
+// Waiting is a gateway's question that isn't answered yet.
+type Waiting struct {
+	Client uint64
+	Report Report
+	Due    time.Duration // when it is answered although there are no news
+	Asked  any           // what else the question says; the caller's
+
+	named   uint64 // number of the question to the leader that names it; 0 when none on its way does
+	covered bool   // the leader has confirmed it
+	applied uint64 // index that must be applied here before it is answered
+}
+
+// Relay is a replica that doesn't lead.
+type Relay struct {
+	roster   roster.Log
+	version  roster.Version
+	told     roster.Version // newest one that waiting questions are answered for
+	toldAt   time.Duration
+	layout   *Layout
+	wanted   []roster.Wanted
+	wantedAt time.Duration
+	gateways int
+	waiting  []Waiting // in the order in which they came; at most waitingMost
+	number   uint64    // of the newest question
+	onItsWay bool      // it has no answer yet
+	askedAt  time.Duration
+	readers  readers
+}
+
+// New returns a relay that knows nothing yet.
+func New() *Relay { return &Relay{layout: &Layout{Mesh: &mesh.Layout{}}} }
+
+// Take takes a gateway's question, or returns false when too many wait.
+func (r *Relay) Take(w Waiting) bool {
+	if len(r.waiting) >= waitingMost {
+		return false
+	}
+	w.named, w.covered, w.applied = 0, false, 0
+	r.waiting = append(r.waiting, w)
+	return true
+}
+
+// Drop returns all questions that wait and forgets them.
+func (r *Relay) Drop() []Waiting {
+	dropped := r.waiting
+	r.waiting, r.onItsWay = nil, false
+	return dropped
+}
+
+// Due returns when Ask has something to do at the latest, if nothing comes.
+func (r *Relay) Due() time.Duration {
+	switch {
+	case r.onItsWay:
+		return r.askedAt + askTimeout
+	case r.uncovered():
+		return r.askedAt + askEach
+	}
+	return r.askedAt + restEach
+}
+
+func (r *Relay) uncovered() bool {
+	return slices.ContainsFunc(r.waiting, func(w Waiting) bool { return !w.covered })
+}
+
+// Ask returns the next question to the leader, if one is due. The caller adds who asks.
+func (r *Relay) Ask(now time.Duration) (Question, bool) {
+	if r.number > 0 && now < r.Due() {
+		return Question{}, false
+	}
+	r.number++
+	r.onItsWay, r.askedAt = true, now
+	question := Question{Number: r.number, Roster: r.version, Layout: r.layout.Version}
+	for i := range r.waiting {
+		if w := &r.waiting[i]; !w.covered {
+			w.named = r.number
+			question.Reports = append(question.Reports, w.Report)
+		}
+	}
+	return question, true
+}
+
+// Failed notes that a question got no answer, or none of a leader.
+func (r *Relay) Failed(number uint64) {
+	if number == r.number {
+		r.onItsWay = false
+	}
+}
+
+// Observe takes the leader's answer up.
+func (r *Relay) Observe(now time.Duration, answer *Answer) {
+	if !r.onItsWay || answer.Number != r.number || answer.Version.Term < r.version.Term {
+		return // of a question that was given up, or of a leader before
+	}
+	r.onItsWay = false
+	if answer.Roster != nil {
+		r.roster.Follow(answer.Version.Count, answer.Roster)
+		r.readers.stale = true
+	}
+	r.version = answer.Version
+	if answer.Layout != nil {
+		r.layout, r.readers.stale = answer.Layout, true
+	}
+	r.wanted, r.wantedAt, r.gateways = answer.Wanted, now, answer.Gateways
+	for i := range r.waiting {
+		w := &r.waiting[i]
+		if w.named == r.number && !slices.Contains(answer.Unlisted, w.Report.Gateway) {
+			w.covered, w.applied = true, answer.Applied
+		}
+	}
+}
+
+// Result is what becomes of a question that waits.
+type Result uint8
+
+// Results.
+const (
+	Waits  Result = iota
+	Told          // it is to be answered
+	Failed        // the leader confirmed nothing in its time
+)
+
+// Sort calls visit for each question that is to be answered, or that nobody confirmed, and forgets these. news says whether there
+// is something new for a confirmed one; applied is the index up to which this replica has applied the log.
+func (r *Relay) Sort(now time.Duration, applied uint64, news func(Waiting) bool, visit func(Waiting, Result)) {
+	r.waiting = slices.DeleteFunc(r.waiting, func(w Waiting) bool {
+		result := r.resultOf(now, applied, w, news)
+		if result != Waits {
+			visit(w, result)
+		}
+		return result != Waits
+	})
+}
+
+func (r *Relay) resultOf(now time.Duration, applied uint64, w Waiting, news func(Waiting) bool) Result {
+	confirmed := w.covered && applied >= w.applied && !r.behind(w.Report.Held)
+	switch {
+	case confirmed && (now >= w.Due || news(w)):
+		return Told
+	case !confirmed && now >= w.Due+lostPatience:
+		return Failed
+	}
+	return Waits
+}
+
+// behind reports whether somebody holds a newer roster than this replica.
+func (r *Relay) behind(held roster.Version) bool {
+	return held.Term > r.version.Term || held.Term == r.version.Term && held.Count > r.version.Count
+}
+
+// Version returns the version of the roster that is told.
+func (r *Relay) Version() roster.Version { return r.version }
+
+// Gateways returns how many gateways may trust their view.
+func (r *Relay) Gateways() int { return r.gateways }
+
+// Pace lets the newest roster be told if the last telling is long enough ago.
+func (r *Relay) Pace(now time.Duration) {
+	if r.told == r.version || r.told.Term == r.version.Term && now < r.toldAt+roster.Pause(r.gateways) {
+		return
+	}
+	r.told, r.toldAt = r.version, now
+}
+
+// Tells reports whether a question is to be answered for the roster's sake.
+func (r *Relay) Tells(held roster.Version) bool {
+	return held.Term != r.told.Term || held.Count < r.told.Count
+}
+
+// News returns what a gateway lacks of the roster, or nil.
+func (r *Relay) News(held roster.Version) *roster.News {
+	switch {
+	case held == r.version:
+		return nil
+	case held.Term != r.version.Term:
+		return r.roster.Since(0)
+	}
+	return r.roster.Since(held.Count)
+}
+
+// Wanted returns the weights that were named lately, as of now.
+func (r *Relay) Wanted(now time.Duration) []roster.Wanted {
+	wanted := slices.Clone(r.wanted)
+	for i := range wanted {
+		wanted[i].Age += now - r.wantedAt
+	}
+	return wanted
+}
+
+// Layout returns how gateways are laid out.
+func (r *Relay) Layout() *Layout { return r.layout }
+
+// Reads returns the engines whose cache events a gateway reads, rising.
+func (r *Relay) Reads(gateway string) []string {
+	return r.readers.of(gateway, r.layout.Mesh, &r.roster)
+}
--- /dev/null
+++ b/internal/control/relaying.go
@@ -0,0 +1,79 @@
+package control
+
+import (
+	"time"
+
+	"kitetiller/internal/control/relay"
+)
+
+// RelayCall is a question that the shell passes to the leader. Its answer goes to ObserveRelay, nil if there is none.
+type RelayCall struct {
+	Address  string
+	Question relay.Question
+}
+
+// relays reports whether this replica answers gateways for the leader.
+func (r *Replica) relays() bool {
+	return r.lead == nil && r.manyGateways() && r.leaderAddress() != ""
+}
+
+// takeWaiting takes a gateway's question to be answered for the leader.
+func (r *Replica) takeWaiting(now time.Duration, client uint64, watch Watch) bool {
+	taken := r.relay.Take(relay.Waiting{Client: client, Report: watch.report(), Due: now + min(watch.Hold, maximumHold), Asked: watch})
+	r.tendRelay(now)
+	return taken
+}
+
+// tendRelay asks the leader when that is due, and answers the gateways that can be answered.
+func (r *Replica) tendRelay(now time.Duration) {
+	if r.lead != nil {
+		for _, w := range r.relay.Drop() {
+			r.leaderless = append(r.leaderless, watcher{client: w.Client, watch: w.Asked.(Watch), due: w.Due})
+		}
+		return
+	}
+	if r.relays() {
+		if question, due := r.relay.Ask(now); due {
+			question.Name, question.Zone, question.Address = r.config.Name, r.config.Zone, r.config.Address
+			r.effects.Relays = append(r.effects.Relays, RelayCall{Address: r.leaderAddress(), Question: question})
+		}
+	}
+	r.answerWaiting(now)
+}
+
+// answerWaiting answers the gateways that were confirmed and have news, or whose time has come.
+func (r *Replica) answerWaiting(now time.Duration) {
+	r.relay.Pace(now)
+	news := func(w relay.Waiting) bool {
+		watch := w.Asked.(Watch)
+		return r.relay.Tells(watch.Roster) || watch.Revision < r.machine.catalog.Document().Revision ||
+			watch.Quarantine != r.machine.catalog.Quarantine().Version()
+	}
+	r.relay.Sort(now, r.applied, news, func(w relay.Waiting, result relay.Result) {
+		if result == relay.Failed {
+			r.reply(w.Client, Response{Kind: ResponseNotLeader, Leader: r.leaderAddress()})
+			return
+		}
+		r.reply(w.Client, Response{Kind: ResponseOK, Leader: r.leaderAddress(), Watch: r.relayedReply(now, w.Asked.(Watch))})
+	})
+}
+
+// relayedReply returns the reply to a gateway whose view the leader has confirmed.
+func (r *Replica) relayedReply(now time.Duration, watch Watch) *WatchReply {
+	reply := r.ownReply(&watch)
+	reply.Version, reply.Roster, reply.Wanted = r.relay.Version(), r.relay.News(watch.Roster), r.relay.Wanted(now)
+	reply.Gateways = r.relay.Gateways()
+	reply.placed(r.relay.Layout(), &watch)
+	reply.Reads = r.relay.Reads(watch.Gateway)
+	return reply
+}
+
+// ObserveRelay takes the leader's answer to a relayed question, or nil when there was none of a leader.
+func (r *Replica) ObserveRelay(now time.Duration, number uint64, answer *relay.Answer) {
+	if answer == nil {
+		r.relay.Failed(number)
+		return
+	}
+	r.relay.Observe(now, answer)
+	r.tendRelay(now)
+}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"kitetiller/internal/consensus"
+	"kitetiller/internal/control/relay"
 	"kitetiller/internal/guard"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/quota"
@@ -15,6 +16,8 @@
 	ID            consensus.ID
 	Name          string
 	Address       string
+	Zone          string
+	RelayAbove    int // gateways up to which the leader answers all of them by itself
 	Timing        consensus.Timing
 	Replicas      int           // voters the group should have
 	SettingsLease time.Duration // lease granted to routers
@@ -67,6 +70,7 @@
 	Replies  []Reply
 	Calls    []EngineCall
 	Weights  []WeightsCall
+	Relays   []RelayCall
 }
 
 // Replica is one control replica. It is pure: the shell passes in time, messages and requests, and carries
@@ -90,6 +94,7 @@
 	lead         *leadership
 	namings      map[string][]namedVersion // by model: the versions that were applied here, rising
 	orders       map[string]orderMark      // by instance: what this process saw in the log
+	relay        *relay.Relay              // of gateways' questions while another replica leads
 	leaderless   []watcher                 // gateways' questions that wait for a leader; at most leaderlessMost
 	quarantined  quarantined               // when what was last counted, as this process saw it
 	checkpoint   bool                      // a snapshot must be written with the next Work
@@ -100,7 +105,7 @@
 	replica := &Replica{
 		config: config, machine: NewMachine(config.Guards), snapshot: restored.Snapshot,
 		hard: restored.HardState, waiters: map[uint64]waiter{}, namings: map[string][]namedVersion{}, orders: map[string]orderMark{},
-		quarantined: newQuarantined(),
+		quarantined: newQuarantined(), relay: relay.New(),
 	}
 	if len(restored.Snapshot.Data) > 0 {
 		if err := replica.machine.Restore(restored.Snapshot.Data); err != nil {
@@ -153,6 +158,7 @@
 	if r.lead != nil {
 		r.answerWatchers(now)
 	}
+	r.tendRelay(now)
 	r.endLeaderless(now)
 }
 
@@ -163,7 +169,12 @@
 }
 
 // NextDue returns when Tick must be called at the latest.
-func (r *Replica) NextDue() time.Duration { return r.node.NextDue() }
+func (r *Replica) NextDue() time.Duration {
+	if r.relays() {
+		return min(r.node.NextDue(), r.relay.Due())
+	}
+	return r.node.NextDue()
+}
 
 // checkLeadership notices gained and lost leadership.
 func (r *Replica) checkLeadership(now time.Duration) {
@@ -263,6 +274,7 @@
 	r.effects.Messages = append(r.effects.Messages, r.ready.Messages...)
 	r.ready = consensus.Ready{}
 	r.maybeSnapshot()
+	r.tendRelay(now)
 	r.endLeaderless(now)
 	effects := r.effects
 	r.effects = Effects{}
@@ -350,7 +362,7 @@
 
 // HasWork reports whether Work and Done should be called.
 func (r *Replica) HasWork() bool {
-	return r.checkpoint || r.lead != nil && len(r.lead.joining.instances)+len(r.lead.ordering) > 0 || len(r.effects.Replies) > 0 || len(r.effects.Calls) > 0 || len(r.effects.Weights) > 0 || r.node.HasReady()
+	return r.checkpoint || r.lead != nil && len(r.lead.joining.instances)+len(r.lead.ordering) > 0 || len(r.effects.Replies) > 0 || len(r.effects.Calls) > 0 || len(r.effects.Weights)+len(r.effects.Relays) > 0 || r.node.HasReady()
 }
 
 // members returns the membership sorted by name.
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -14,6 +14,7 @@
 	RosterVersion = roster.Version
 	RosterEntry   = roster.Entry
 	RosterNews    = roster.News
+	WantedVersion = roster.Wanted
 )
 
 // rosterNews returns what a gateway lacks of the current roster.
@@ -63,16 +64,9 @@
 	return r.member(now, instance.ID).weight <= r.machine.catalog.Bound(instance.Service)
 }
 
-// tellingPace and longestTelling bound how often a changed roster is told: a telling takes the leader this long for each
-// gateway, so that many changes at once don't cost it more.
-const (
-	tellingPace    = time.Millisecond
-	longestTelling = 250 * time.Millisecond
-)
-
 // pace lets the newest roster be told if the last telling is long enough ago.
 func (l *leadership) pace(now time.Duration) {
-	if l.rosterCount == l.toldCount || now < l.toldAt+min(tellingPace*time.Duration(len(l.usage)), longestTelling) {
+	if l.rosterCount == l.toldCount || now < l.toldAt+roster.Pause(len(l.usage)) {
 		return
 	}
 	l.toldCount, l.toldAt = l.rosterCount, now
--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -26,6 +26,14 @@
 	ColdLeft time.Duration     `json:"cold_left_ns,omitempty"`
 }
 
+// Wanted is a weights version of a model that was named lately. A list of them rises by version; each one has its own
+// time, since a back end that lacks several is late by the oldest of them.
+type Wanted struct {
+	Model   string        `json:"model"`
+	Version uint64        `json:"version"`
+	Age     time.Duration `json:"age_ns"` // since it was named, as far as whoever tells it knows
+}
+
 // same compares what gateways decide by. The time that a back end is still cold passes by itself.
 func (e Entry) same(other Entry) bool {
 	return e.Instance == other.Instance && e.Loading == other.Loading && e.Silent == other.Silent && maps.Equal(e.Versions, other.Versions) &&
@@ -79,3 +87,15 @@
 	}
 	return entries
 }
+
+const (
+	// tellingPace and longestTelling bound how often a changed roster is told: a telling takes who tells it this long for each gateway, so
+	// that many changes at once don't cost it more.
+	tellingPace    = time.Millisecond
+	longestTelling = 250 * time.Millisecond
+)
+
+// Pause returns the least time between two tellings to so many gateways.
+func Pause(gateways int) time.Duration {
+	return min(tellingPace*time.Duration(gateways), longestTelling)
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -16,6 +16,7 @@
 
 	"kitetiller/internal/clock"
 	"kitetiller/internal/consensus"
+	"kitetiller/internal/control/relay"
 	"kitetiller/internal/events"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/node"
@@ -31,6 +32,9 @@
 	joinPeriod    = 300 * time.Millisecond
 	rejoinPeriod  = 2 * time.Second
 	maximumLinger = 50 * time.Millisecond // longest sleep of the decide thread
+	// relayAbove is how many gateways the leader answers by itself: each asks some three times a second, and 128 of them cost it some 3 in
+	// 100 of a core. Beyond, all replicas answer, and what the leader answers doesn't grow with the gateways.
+	relayAbove = 128
 )
 
 // input is one thing for the decide thread; exactly one field is set.
@@ -43,6 +47,13 @@
 	found   bool
 	inspect func(*Replica)
 	weights *WeightsResult
+	relayed *relayed
+}
+
+// relayed is how a question to the leader on behalf of gateways ended.
+type relayed struct {
+	number uint64
+	answer *relay.Answer // nil when there was none of a leader
 }
 
 // HelloReply tells a replica with an empty folder whether a group exists already.
@@ -124,7 +135,7 @@
 	}
 	return Config{
 		Mechanisms: mechanisms,
-		ID:         s.identity.ID, Name: s.identity.Name, Address: section.Internal, Timing: timing,
+		ID:         s.identity.ID, Name: s.identity.Name, Address: section.Internal, Zone: s.file.Zone, RelayAbove: relayAbove, Timing: timing,
 		Replicas: section.Replicas, SettingsLease: section.SettingsLease, RepairAfter: section.RepairAfter,
 		SnapshotEvery: section.SnapshotEvery, OrderWait: section.OrderWait, GatewayTrust: section.GatewayTrust, Quota: section.Quota.Terms(), Random: rand.Int64N,
 	}, nil
@@ -278,6 +289,8 @@
 		s.replica.Observe(now, *item.report)
 	case item.weights != nil:
 		s.replica.ObserveWeights(now, *item.weights)
+	case item.relayed != nil:
+		s.replica.ObserveRelay(now, item.relayed.number, item.relayed.answer)
 	case item.found:
 		s.found()
 	case item.inspect != nil:
@@ -290,6 +303,24 @@
 	}
 }
 
+// relayTimeout is how long the leader may take to answer for gateways.
+const relayTimeout = 400 * time.Millisecond
+
+// askLeader passes a question for gateways to the leader; one is on its way at a time.
+func (s *Server) askLeader(call RelayCall) {
+	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+	defer cancel()
+	ended := &relayed{number: call.Question.Number}
+	var response Response
+	err := s.client.Post(ctx, call.Address, PathRequest, Request{Relay: &call.Question}, &response)
+	if err == nil && response.Kind == ResponseOK {
+		ended.answer = response.Relayed
+	} else {
+		s.log.Debug("the leader gave no answer for gateways", zap.String("address", call.Address), zap.String("kind", string(response.Kind)), zap.Error(err))
+	}
+	s.offer(input{relayed: ended})
+}
+
 // work persists and sends until the replica has nothing more to do.
 func (s *Server) work() error {
 	for s.replica.HasWork() {
@@ -317,6 +348,9 @@
 			respond(http.StatusOK, reply.Response)
 		}
 	}
+	for _, call := range effects.Relays {
+		go s.askLeader(call)
+	}
 	for _, call := range effects.Weights {
 		select {
 		case s.orders <- decidedCall{call: call, at: s.now()}:
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/control/relay"
 	"kitetiller/internal/guard"
 	"kitetiller/internal/quarantine"
 )
@@ -36,6 +37,7 @@
 	Gateways int               `json:"gateways"`        // that may trust their view: so many share the equal parts of limits
 	Mesh     Mesh              `json:"mesh"`            // other gateways to tell of sends
 	Replicas []string          `json:"replicas"`        // addresses of the control group
+	Near     []string          `json:"near,omitempty"`  // replicas of the gateway's zone that answer for the leader; none where it answers all
 	Reads    []string          `json:"reads,omitempty"` // engines whose cache events the gateway reads for all
 
 	Quarantine *quarantine.News `json:"quarantine,omitempty"` // when they differ from the gateway's
@@ -61,11 +63,7 @@
 const maximumHold = time.Second
 
 func (r *Replica) watch(now time.Duration, client uint64, watch Watch) {
-	r.lead.usage[watch.Gateway] = usageReport{at: now, zone: watch.Zone, address: watch.Address, held: watch.Roster, running: watch.Usage}
-	if watch.Closing {
-		delete(r.lead.usage, watch.Gateway)
-	}
-	if r.unlisted(watch) {
+	if !r.noteReport(now, watch.report()) {
 		r.lead.unlisted = true
 		r.noteGateways(now)
 	}
@@ -75,9 +73,17 @@
 	}
 }
 
-// turnAway answers a request at a replica that does not lead. A gateway's question is held while no leader is known, so
-// that gateways hear of a new one at once and need not ask again and again.
+// report returns what a question tells of its gateway.
+func (w *Watch) report() relay.Report {
+	return relay.Report{Gateway: w.Gateway, Zone: w.Zone, Address: w.Address, Held: w.Roster, Running: w.Usage, Closing: w.Closing}
+}
+
+// turnAway answers a request at a replica that does not lead. In a large fleet it answers gateways for the leader; else a gateway's question is
+// held while no leader is known, so that gateways hear of a new one at once and need not ask again and again.
 func (r *Replica) turnAway(now time.Duration, client uint64, request Request) {
+	if request.Watch != nil && r.relays() && r.takeWaiting(now, client, *request.Watch) {
+		return
+	}
 	if request.Watch != nil && r.leaderAddress() == "" && len(r.leaderless) < leaderlessMost {
 		due := now + min(request.Watch.Hold, maximumHold)
 		r.leaderless = append(r.leaderless, watcher{client: client, watch: *request.Watch, due: due})
@@ -143,28 +149,38 @@
 }
 
 func (r *Replica) watchReply(now time.Duration, watch Watch) *WatchReply {
-	document := r.machine.catalog.Document()
-	reply := &WatchReply{
-		Revision: document.Revision, Version: r.lead.rosterVersion(), Wanted: r.wantedVersions(now),
+	reply := r.ownReply(&watch)
+	reply.Version, reply.Wanted = r.lead.rosterVersion(), r.wantedVersions(now)
+	if watch.Roster != reply.Version {
+		reply.Roster = r.rosterNews(now, watch.Roster)
 	}
+	_, reply.Gateways = r.gatewaysThatTrust(now)
+	reply.placed(r.layout(now), &watch)
+	reply.Reads = r.readsOf(now, watch.Gateway)
+	return reply
+}
+
+// ownReply returns the part of a reply that follows from what this replica has applied.
+func (r *Replica) ownReply(watch *Watch) *WatchReply {
+	document := r.machine.catalog.Document()
+	reply := &WatchReply{Revision: document.Revision}
 	if watch.Revision < document.Revision {
 		sent := *document
 		sent.Source = nil
 		reply.Document = &sent
 	}
-	if watch.Roster != reply.Version {
-		reply.Roster = r.rosterNews(now, watch.Roster)
-	}
 	reply.Quarantine = r.quarantineNews(watch.Quarantine)
-	_, reply.Gateways = r.gatewaysThatTrust(now)
-	reply.Mesh = r.meshOf(now, watch.Gateway)
-	reply.Reads = r.lead.meshes.reads[watch.Gateway]
 	for _, member := range r.members() {
 		reply.Replicas = append(reply.Replicas, member.Address)
 	}
 	return reply
 }
 
+// placed adds where the gateway is laid out.
+func (w *WatchReply) placed(layout *relay.Layout, watch *Watch) {
+	w.Mesh, w.Near = layout.Mesh.Of(watch.Zone, watch.Gateway), layout.Near[watch.Zone]
+}
+
 // trustEnd is how long after its last question a gateway may have trusted its view, by a clock that runs slower than ours.
 func (r *Replica) trustEnd() time.Duration {
 	return r.config.GatewayTrust + r.config.GatewayTrust/leaseMarginShare
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -21,6 +21,7 @@
 		reply := g.ask(ctx, roster, patience(failures), failures > 0 || known == 0)
 		if reply == nil {
 			failures++
+			g.near.failed()
 			if !g.trusted(g.now()) {
 				g.outage.begin(g.now())
 				g.log.lost()
@@ -59,6 +60,11 @@
 	attempt, cancel := context.WithTimeout(ctx, patience+question.Hold)
 	defer cancel()
 	ask := g.group.Once
+	if address, named := g.near.first(); named {
+		ask = func(ctx context.Context, request control.Request) (control.Response, error) {
+			return g.group.At(ctx, address, request)
+		}
+	}
 	if searching {
 		ask = g.group.Any
 		if !g.group.HeardWithin(electionPatience) {
@@ -104,6 +110,7 @@
 	}
 	g.table.takeNews(asked, reply)
 	g.desk.Touch(asked, reply.Gateways)
+	g.near.use(reply.Near)
 	g.spread.use(reply.Mesh)
 	g.schedulers.use(reply.Mesh.Schedulers)
 	g.table.setHome(reply.Reads)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,7 @@
 	now      clock.Source // since it was made
 
 	group   *control.Client
+	near    *near // who answers for the control leader
 	view    atomic.Pointer[view]
 	confirm atomic.Int64 // when the newest confirmed view was asked for, in ns of this process's clock; 0 never
 	table   *table
@@ -72,7 +73,7 @@
 	client := transport.NewClientWithin(settings.Token, nil, peerDial)
 	made := &Gateway{
 		settings: settings, dialect: dialect, log: newDecisionLog(log), now: clock.From(settings.Clock),
-		group: control.NewClient(client, settings.Control), table: newTable(settings.Mechanisms), budget: newRetryBudget(settings),
+		group: control.NewClient(client, settings.Control), near: newNear(settings.Name), table: newTable(settings.Mechanisms), budget: newRetryBudget(settings),
 		confirmed: newBell(), followers: newFollowers(), pool: newPool(settings.Clock), splits: newSplits(newRand()), spread: newSpread(client), schedulers: newSchedulers(client), nick: strconv.FormatUint(rand.Uint64N(nickRange), saltBase),
 	}
 	made.quarantine = reporter.New(reporter.Ways{Tell: made.group.Quarantine, Refuses: reporter.Refuses(&made.pool.dialer), Note: made.log.note, Now: made.now})
