Tests: relays, the back ends in use and gateways that come, at two sizes

They found that a weight was taken before the log told the address, so that all engines weighed the same: 1,502 and 3,002 entries were told of 1,500 and 3,000 engines at no load.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -112,12 +112,14 @@
 	state := r.lead.fleet[id]
 	if state == nil {
 		state = &memberState{id: id, heardAt: now, versions: map[string]uint64{}}
-		state.weight = inuse.Weight(r.machine.catalog.Instances()[id].Address)
 		if r.config.Mechanisms.On(mechanism.HeldWeights) {
 			maps.Copy(state.versions, r.machine.catalog.Held(id)) // until its first heartbeat to this leader
 		}
 		r.lead.fleet[id] = state
 	}
+	if instance, known := r.machine.catalog.Instances()[id]; known && state.weight == 0 {
+		state.weight = inuse.Weight(instance.Address) // its first heartbeat comes before the log tells where it is
+	}
 	return state
 }
 
--- /dev/null
+++ b/internal/control/large_test.go
@@ -0,0 +1,154 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/control/inuse"
+	"kitetiller/internal/control/relay"
+)
+
+// jsonLength returns how long a message is on the wire, before it is compressed.
+func jsonLength(t *testing.T, message any) int {
+	t.Helper()
+	encoded, err := json.Marshal(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(encoded)
+}
+
+// joinEngines registers so many engines of one service and lets it be decided which are in use.
+func joinEngines(s *solo, count int) {
+	for first := 0; first < count; first += 500 {
+		var batch []Beat
+		for i := first; i < min(first+500, count); i++ {
+			beat := beatOf(fmt.Sprintf("e-%05d", i), catalog.StateReady, 1)
+			beat.Versions = map[string]uint64{"m": 1}
+			batch = append(batch, beat)
+		}
+		s.ask(Request{Beats: batch})
+	}
+	s.pass(500 * time.Millisecond)
+}
+
+// TestRosterFollowsTheWorkAndNotTheFleet: what a gateway is told at first is the same for twice the engines at one load, in entries and
+// about in bytes.
+func TestRosterFollowsTheWorkAndNotTheFleet(t *testing.T) {
+	told := func(count int) (entries, bytes int) {
+		s := openFleet(t)
+		joinEngines(s, count)
+		news := s.watchNow("g1", RosterVersion{}).Roster
+		return len(news.Entries), jsonLength(t, news)
+	}
+	entries, bytes := told(1500)
+	more, moreBytes := told(3000)
+	if entries > 2*inuse.Least || more > entries+inuse.Least/8 || moreBytes > bytes+bytes/8 {
+		t.Fatalf("%d entries in %d bytes of 1,500 engines, %d in %d of 3,000", entries, bytes, more, moreBytes)
+	}
+}
+
+// TestNextLeaderNamesTheSameEngines: from the log, before anybody tells it of any work.
+func TestNextLeaderNamesTheSameEngines(t *testing.T) {
+	folder := t.TempDir()
+	s := openSolo(t, folder)
+	s.ask(Request{Catalog: &catalog.Command{Replace: &catalog.Document{Revision: 1}}})
+	joinEngines(s, 1500)
+	ids := func(s *solo) map[string]bool {
+		named := map[string]bool{}
+		for _, e := range s.watchNow("g1", RosterVersion{}).Roster.Entries {
+			named[e.ID] = true
+		}
+		return named
+	}
+	before := ids(s)
+	_ = s.disk.Close()
+	s = openSolo(t, folder)
+	after := ids(s)
+	for id := range before {
+		if !after[id] {
+			t.Fatalf("%d engines were in use, %d are, without %s", len(before), len(after), id)
+		}
+	}
+	if len(after) != len(before) {
+		t.Fatalf("%d engines were in use, %d are", len(before), len(after))
+	}
+}
+
+// TestLostEnginesAreReplaced: when a part of those in use leaves, as many others come into use in the next look.
+func TestLostEnginesAreReplaced(t *testing.T) {
+	s := openFleet(t)
+	joinEngines(s, 1500)
+	reply := s.watchNow("g1", RosterVersion{})
+	var leaving []Beat
+	for _, e := range reply.Roster.Entries[:len(reply.Roster.Entries)/4] {
+		leaving = append(leaving, Beat{Instance: e.Instance, Sequence: 2})
+		leaving[len(leaving)-1].Instance.State = catalog.StateDraining
+	}
+	s.ask(Request{Beats: leaving})
+	s.pass(2 * boundsPeriod)
+	ready := 0
+	for _, e := range s.watchNow("g1", RosterVersion{}).Roster.Entries {
+		if e.State == catalog.StateReady {
+			ready++
+		}
+	}
+	if ready < inuse.Least {
+		t.Fatalf("%d engines are ready after %d began to leave, wanted %d", ready, len(leaving), inuse.Least)
+	}
+}
+
+// TestGatewaysAreListedByWhoCame: what the log tells of gateways that come one after the other grows with their number, not its square.
+func TestGatewaysAreListedByWhoCame(t *testing.T) {
+	written := func(count int) int {
+		s := openFleet(t)
+		s.config(func(config *Config) { config.GatewayTrust = time.Minute })
+		bytes := 0
+		for i := range count {
+			before := s.replica.Node().LastIndex()
+			s.replica.Handle(s.now, 0, Request{Watch: &Watch{Gateway: fmt.Sprintf("gateway-%04d", i), Revision: 1}})
+			s.pass(50 * time.Millisecond)
+			for _, entry := range s.replica.node.EntriesAfter(before) {
+				bytes += len(entry.Data)
+			}
+		}
+		if listed := len(s.replica.Machine().Catalog().Gateways()); listed != count {
+			t.Fatalf("%d of %d gateways are listed", listed, count)
+		}
+		return bytes
+	}
+	if few, many := written(20), written(40); many > 3*few {
+		t.Fatalf("%d bytes for 20 gateways, %d for 40", few, many)
+	}
+}
+
+// TestRelayedGatewaysCount: a gateway that another replica answers holds up an order until it has turned away, as one that asks here does.
+func TestRelayedGatewaysCount(t *testing.T) {
+	s := openFleet(t)
+	s.config(func(config *Config) { config.GatewayTrust, config.RelayAbove = 3*time.Second, 0 })
+	asked := func(held RosterVersion) *relay.Answer {
+		return s.ask(Request{Relay: &relay.Question{Number: 1, Name: "c2", Zone: "z", Address: "c2", Reports: []relay.Report{{Gateway: "g1", Zone: "z", Held: held}}}}).Relayed
+	}
+	if first := asked(RosterVersion{}); len(first.Unlisted) != 1 {
+		t.Fatalf("a gateway that the log doesn't hold is confirmed: %+v", first)
+	}
+	s.pass(layoutEach)
+	answer := asked(RosterVersion{})
+	if len(answer.Unlisted) > 0 || answer.Layout.Near["z"][0] != "c2" {
+		t.Fatalf("answer %+v", answer)
+	}
+	s.ask(Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: "m", Version: 2}}})
+	s.orders(200 * time.Millisecond) // the reports
+	asked(answer.Version)
+	s.beats("i-1", "i-2")
+	if early := s.orders(time.Second); len(early) > 0 {
+		t.Fatalf("ordered although g1 has not turned away: %+v", early)
+	}
+	asked(asked(answer.Version).Version)
+	if orders := s.orders(300 * time.Millisecond); len(orders) == 0 {
+		t.Fatal("no order after g1 had turned away")
+	}
+}
--- a/internal/control/layout.go
+++ b/internal/control/layout.go
@@ -8,6 +8,7 @@
 
 	"kitetiller/internal/control/mesh"
 	"kitetiller/internal/control/relay"
+	"kitetiller/internal/guard"
 	"kitetiller/internal/mechanism"
 )
 
@@ -92,7 +93,7 @@
 	r.lead.replicas[asked.Name] = nearReplica{zone: asked.Zone, address: asked.Address, at: now}
 	var unlisted []string
 	for _, report := range asked.Reports {
-		if !r.noteReport(now, report) {
+		if r.config.Guards.On(guard.RelayReported) && !r.noteReport(now, report) {
 			unlisted = append(unlisted, report.Gateway)
 		}
 	}
--- a/internal/control/relay/relay.go
+++ b/internal/control/relay/relay.go
@@ -15,6 +15,7 @@
 
 	"kitetiller/internal/control/mesh"
 	"kitetiller/internal/control/roster"
+	"kitetiller/internal/guard"
 )
 
 const (
@@ -85,6 +86,7 @@
 
 // Relay is a replica that doesn't lead.
 type Relay struct {
+	guards   guard.Set
 	roster   roster.Log
 	version  roster.Version
 	told     roster.Version // newest one that waiting questions are answered for
@@ -101,7 +103,9 @@
 }
 
 // New returns a relay that knows nothing yet.
-func New() *Relay { return &Relay{layout: &Layout{Mesh: &mesh.Layout{}}} }
+func New(guards guard.Set) *Relay {
+	return &Relay{guards: guards, layout: &Layout{Mesh: &mesh.Layout{}}}
+}
 
 // Take takes a gateway's question, or returns false when too many wait.
 func (r *Relay) Take(w Waiting) bool {
@@ -205,7 +209,9 @@
 }
 
 func (r *Relay) resultOf(now time.Duration, applied uint64, w Waiting, news func(Waiting) bool) Result {
-	confirmed := w.covered && applied >= w.applied && !r.behind(w.Report.Held)
+	covered := w.covered || !r.guards.On(guard.RelayConfirmed) && r.version.Term > 0
+	current := applied >= w.applied || !r.guards.On(guard.RelayApplied)
+	confirmed := covered && current && !r.behind(w.Report.Held)
 	switch {
 	case confirmed && (now >= w.Due || news(w)):
 		return Told
--- /dev/null
+++ b/internal/control/relay/relay_test.go
@@ -0,0 +1,164 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/control/mesh"
+	"kitetiller/internal/control/roster"
+	"kitetiller/internal/guard"
+)
+
+// ask returns a question that must be due.
+func ask(t *testing.T, r *Relay, now time.Duration) Question {
+	t.Helper()
+	question, due := r.Ask(now)
+	if !due {
+		t.Fatalf("no question at %v", now)
+	}
+	return question
+}
+
+// told returns the clients that are answered now, and those that nobody confirmed.
+func told(r *Relay, now time.Duration, applied uint64, news bool) (answered, failed []uint64) {
+	r.Sort(now, applied, func(Waiting) bool { return news }, func(w Waiting, result Result) {
+		if result == Told {
+			answered = append(answered, w.Client)
+		} else {
+			failed = append(failed, w.Client)
+		}
+	})
+	return answered, failed
+}
+
+func waiting(client uint64, due time.Duration, held roster.Version) Waiting {
+	return Waiting{Client: client, Due: due, Report: Report{Gateway: fmt.Sprint("g-", client), Held: held}}
+}
+
+// TestOnlyConfirmedQuestionsAreAnswered: one that comes after the question to the leader has left waits for the next; one that the
+// leader doesn't list yet does too.
+func TestOnlyConfirmedQuestionsAreAnswered(t *testing.T) {
+	r := New(guard.Set{})
+	r.Take(waiting(1, 0, roster.Version{}))
+	r.Take(waiting(2, 0, roster.Version{}))
+	first := ask(t, r, 0)
+	r.Take(waiting(3, 0, roster.Version{}))
+	if answered, _ := told(r, 0, 9, true); len(first.Reports) != 2 || len(answered) > 0 {
+		t.Fatalf("%+v; %v were answered before the leader's answer", first, answered)
+	}
+	r.Observe(time.Millisecond, &Answer{Number: 1, Applied: 5, Version: roster.Version{Term: 1, Count: 1}, Roster: &roster.News{Whole: true}, Unlisted: []string{"g-2"}})
+	if answered, _ := told(r, time.Millisecond, 4, true); len(answered) > 0 {
+		t.Fatalf("%v were answered before this replica had applied what the leader had", answered)
+	}
+	if answered, _ := told(r, time.Millisecond, 5, true); len(answered) != 1 || answered[0] != 1 {
+		t.Fatalf("%v were answered, wanted 1", answered)
+	}
+	if again := ask(t, r, askEach); len(again.Reports) != 2 {
+		t.Fatalf("the next question names %+v", again.Reports)
+	}
+	r.Observe(askEach, &Answer{Number: 2, Version: roster.Version{Term: 1, Count: 1}})
+	if answered, _ := told(r, askEach, 5, true); len(answered) != 2 {
+		t.Fatalf("%v were answered, wanted 2 and 3", answered)
+	}
+}
+
+// TestNobodyIsTakenBack: a gateway that holds a newer roster waits until this replica has caught up; answers of a leader before, or to
+// a question that was given up, change nothing.
+func TestNobodyIsTakenBack(t *testing.T) {
+	r := New(guard.Set{})
+	r.Take(waiting(1, 0, roster.Version{Term: 2, Count: 9}))
+	ask(t, r, 0)
+	r.Observe(0, &Answer{Number: 1, Version: roster.Version{Term: 2, Count: 8}, Roster: &roster.News{Whole: true}})
+	if answered, _ := told(r, 0, 0, true); len(answered) > 0 {
+		t.Fatalf("%v were taken back to roster 8", answered)
+	}
+	ask(t, r, restEach)
+	ask(t, r, restEach+askTimeout)
+	r.Observe(restEach+askTimeout, &Answer{Number: 2, Version: roster.Version{Term: 2, Count: 20}, Roster: &roster.News{}})
+	if r.Version().Count != 8 {
+		t.Fatalf("an answer to a question that was given up made the roster %+v", r.Version())
+	}
+	r.Observe(restEach+askTimeout, &Answer{Number: 3, Version: roster.Version{Term: 1, Count: 30}, Roster: &roster.News{Whole: true}})
+	if r.Version().Term != 2 {
+		t.Fatalf("an answer of a leader before made the roster %+v", r.Version())
+	}
+}
+
+// TestUnconfirmedQuestionsEnd: while the leader is silent, shortly after their time.
+func TestUnconfirmedQuestionsEnd(t *testing.T) {
+	r := New(guard.Set{})
+	r.Take(waiting(1, 100*time.Millisecond, roster.Version{}))
+	ask(t, r, 0)
+	r.Failed(1)
+	if _, failed := told(r, 100*time.Millisecond, 0, false); len(failed) > 0 {
+		t.Fatalf("%v ended in their time", failed)
+	}
+	if _, failed := told(r, 100*time.Millisecond+lostPatience, 0, false); len(failed) != 1 {
+		t.Fatalf("%v ended", failed)
+	}
+}
+
+// TestWaitingQuestionsAreBounded: the rest is turned away at once.
+func TestWaitingQuestionsAreBounded(t *testing.T) {
+	r := New(guard.Set{})
+	for i := range waitingMost {
+		if !r.Take(waiting(uint64(i), 0, roster.Version{})) {
+			t.Fatalf("question %d was turned away", i)
+		}
+	}
+	if r.Take(waiting(1, 0, roster.Version{})) {
+		t.Fatal("one more than may wait was taken")
+	}
+}
+
+// TestLeaderIsAskedAsOftenForMoreGateways: in a second, by a replica whose gateways ask three times each; twice the gateways are the same
+// number of questions, and each gateway is named once for each of its own.
+func TestLeaderIsAskedAsOftenForMoreGateways(t *testing.T) {
+	asked := func(gateways int) (questions, reports int) {
+		r := New(guard.Set{})
+		client := uint64(0)
+		for now := time.Duration(0); now < time.Second; now += time.Millisecond {
+			for range gateways * 3 / 1000 {
+				client++
+				r.Take(waiting(client, now+400*time.Millisecond, roster.Version{}))
+			}
+			if question, due := r.Ask(now); due {
+				questions, reports = questions+1, reports+len(question.Reports)
+				r.Observe(now, &Answer{Number: question.Number, Version: roster.Version{Term: 1, Count: 1}})
+			}
+			told(r, now, 0, false)
+		}
+		return questions, reports
+	}
+	few, fewReports := asked(1000)
+	many, manyReports := asked(2000)
+	if many != few || many > int(time.Second/askEach)+1 {
+		t.Fatalf("%d questions for 1,000 gateways, %d for 2,000", few, many)
+	}
+	if fewReports > 3000 || manyReports > 2*3000 {
+		t.Fatalf("gateways were named %d and %d times", fewReports, manyReports)
+	}
+}
+
+// TestOnlyEnginesAreRead: back ends without weights keep no prompts; what is read follows layout and roster.
+func TestOnlyEnginesAreRead(t *testing.T) {
+	r := New(guard.Set{})
+	entry := func(id string, versions map[string]uint64) roster.Entry {
+		return roster.Entry{Instance: catalog.Instance{ID: id, Zone: "z"}, Versions: versions}
+	}
+	layout := &Layout{Version: roster.Version{Term: 1, Count: 1}, Mesh: &mesh.Layout{Zones: map[string]mesh.Zone{"z": {Schedulers: []mesh.Place{{Name: "s", Address: "s"}}}}}}
+	ask(t, r, 0)
+	r.Observe(0, &Answer{Number: 1, Version: roster.Version{Term: 1, Count: 1}, Layout: layout, Roster: &roster.News{
+		Whole: true, Entries: []roster.Entry{entry("engine", map[string]uint64{"m": 1}), entry("small", nil)},
+	}})
+	if reads := r.Reads("s"); len(reads) != 1 || reads[0] != "engine" || len(r.Reads("other")) > 0 {
+		t.Fatalf("reads %v", reads)
+	}
+	ask(t, r, restEach)
+	r.Observe(restEach, &Answer{Number: 2, Version: roster.Version{Term: 1, Count: 2}, Roster: &roster.News{Gone: []string{"engine"}}})
+	if reads := r.Reads("s"); len(reads) > 0 {
+		t.Fatalf("reads %v after the engine had gone", reads)
+	}
+}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -105,7 +105,7 @@
 	replica := &Replica{
 		config: config, machine: NewMachine(config.Guards), snapshot: restored.Snapshot,
 		hard: restored.HardState, waiters: map[uint64]waiter{}, namings: map[string][]namedVersion{}, orders: map[string]orderMark{},
-		quarantined: newQuarantined(), relay: relay.New(),
+		quarantined: newQuarantined(), relay: relay.New(config.Guards),
 	}
 	if len(restored.Snapshot.Data) > 0 {
 		if err := replica.machine.Restore(restored.Snapshot.Data); err != nil {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -36,6 +36,9 @@
 	HighestRevision    Guard = "highest-revision"      // a document replaces only an older one
 	HeldBack           Guard = "held-back"             // a request that ends whoever runs it is sent no more
 	SuspensionCounts   Guard = "suspension-counts"     // clocks count the time that a machine was suspended
+	RelayConfirmed     Guard = "relay-confirmed"       // a replica answers a gateway once the leader has confirmed its question
+	RelayReported      Guard = "relay-reported"        // the leader counts the gateways that other replicas answer
+	RelayApplied       Guard = "relay-applied"         // a replica answers once it has applied what the leader had
 )
 
 // All lists every guard in a fixed order.
@@ -46,6 +49,7 @@
 		EndOfStreamCheck, AttemptCheck, NotRunProof, LeavingCheck, DrainBeforeExit,
 		VersionMonotonic, PersistedSettings, LeaseMargin, AmbiguousNotResent,
 		ConfirmedView, DrainCommitted, TurnAwayFirst, OrderPause, LateCalls, HighestRevision, HeldBack, SuspensionCounts,
+		RelayConfirmed, RelayReported, RelayApplied,
 	}
 }
 
--- a/internal/lab/sim/control.go
+++ b/internal/lab/sim/control.go
@@ -23,6 +23,7 @@
 	wallStart     = 1_700_000_000_000 // ms
 	lateSyncMin   = 20 * time.Millisecond
 	lateSyncMax   = 400 * time.Millisecond
+	relayTimeout  = 400 * time.Millisecond
 )
 
 var controlTiming = consensus.Timing{
@@ -75,7 +76,7 @@
 	config := control.Config{
 		ID: n.identity.ID, Name: n.name, Address: n.name, Timing: controlTiming, Replicas: groupSize,
 		SettingsLease: settingsLease, RepairAfter: repairAfter, SnapshotEvery: snapshotEvery,
-		OrderWait: fleetOrderWait, GatewayTrust: fleetTrust,
+		OrderWait: fleetOrderWait, GatewayTrust: fleetTrust, Zone: n.zone, RelayAbove: n.w.relayAbove(),
 		Guards: n.w.guards, Random: n.w.random.Int64N,
 	}
 	replica, err := control.NewReplica(config, cloneCheckpoint(n.disk), 0)
@@ -204,6 +205,29 @@
 	for _, call := range effects.Weights {
 		n.callBackend(call)
 	}
+	for _, call := range effects.Relays {
+		n.askLeader(call)
+	}
+}
+
+// askLeader passes a question for gateways on.
+func (n *controlNode) askLeader(call control.RelayCall) {
+	number := call.Question.Number
+	failed := func(bool) { n.input(func() { n.replica.ObserveRelay(n.clock(), number, nil) }) }
+	for _, peer := range n.w.controls {
+		if peer.name != call.Address {
+			continue
+		}
+		n.w.call(n.process, peer.process, relayTimeout, func(respond func(func())) {
+			peer.handle(control.Request{Relay: &call.Question}, func(response control.Response) {
+				respond(func() {
+					n.input(func() { n.replica.ObserveRelay(n.clock(), number, response.Relayed) })
+				})
+			})
+		}, failed)
+		return
+	}
+	failed(true)
 }
 
 func (n *controlNode) sendMessage(message consensus.Message) {
--- a/internal/lab/sim/fleet.go
+++ b/internal/lab/sim/fleet.go
@@ -24,6 +24,8 @@
 	fleetLoad      = 800 * time.Millisecond
 	fleetDrain     = 2 * time.Second
 	fleetLate      = 4 * time.Second // longest delay of an order whose answer was lost
+	fleetMoves     = 0.1             // share of a gateway's questions with which it goes to another replica
+	alone          = 1 << 20         // gateways up to which the leader answers all, where no replica is to answer for it
 	// sendWindow after a back end began to load, while the leader that ordered it goes on leading, no gateway may send there.
 	sendWindow = 300 * time.Millisecond
 	// holderWindow is the least time between orders of two holders to one back end.
@@ -260,6 +262,9 @@
 	question := &control.Watch{
 		Gateway: g.process.name, Zone: g.zone, Revision: g.revision, Roster: g.version, Hold: fleetHold, Quarantine: g.record.Version(),
 	}
+	if g.w.relayed && g.w.chance(fleetMoves) {
+		g.asker.leader = pick(g.w, g.w.controls).name // another replica answers from now on
+	}
 	g.asker.once(control.Request{Watch: question}, askTimeout, func(response control.Response, answered bool) {
 		pause := askPause
 		if answered && response.Kind == control.ResponseOK && response.Watch != nil {
@@ -301,12 +306,20 @@
 	g.w.oracle.fleetSent(g.process.name, entry.ID)
 }
 
+// relayAbove is how many gateways the leader answers by itself: all, or none in every other run.
+func (w *world) relayAbove() int {
+	if w.relayed {
+		return 0
+	}
+	return alone
+}
+
 // makeFleet lays the gateway fleet out over the zones.
 func (w *world) makeFleet() {
 	for i := range fleetBackends {
 		w.backends = append(w.backends, &fleetBackend{process: newProcess(w, fmt.Sprintf("backend-%d", i+1), zones[i%len(zones)])})
 	}
-	for i := range fleetGateways {
+	for i := range w.gatewayCount {
 		w.gateways = append(w.gateways, &fleetGateway{process: newProcess(w, fmt.Sprintf("gateway-%d", i+1), zones[i%len(zones)])})
 	}
 	for i := range fleetOperators {
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -57,7 +57,18 @@
 }
 
 func newWorld(seed uint64, guards guard.Set, trace io.Writer) *world {
-	w := &world{seed: seed, random: rand.New(rand.NewPCG(seed, seedStream)), guards: guards, trace: trace}
+	return newWorldOf(fleetGateways, seed, guards, trace)
+}
+
+// RunLarge runs one seed with so many gateways, which control's replicas answer for the leader.
+func RunLarge(gateways int, seed uint64, guards guard.Set) Result {
+	return newWorldOf(gateways, seed, guards, nil).finish()
+}
+
+// newWorldOf makes a world with so many gateways. In every other one, and with more than usual, replicas answer them for the leader.
+func newWorldOf(gateways int, seed uint64, guards guard.Set, trace io.Writer) *world {
+	w := &world{seed: seed, random: rand.New(rand.NewPCG(seed, seedStream)), guards: guards, trace: trace, gatewayCount: gateways}
+	w.relayed = seed%2 == 0 || gateways > fleetGateways
 	w.network.cut = map[[2]string]int{}
 	w.oracle = newOracle(w)
 	w.hasher = prefix.NewHasher([prefix.KeyBytes]byte{1}, blockToken, guards)
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -76,3 +76,11 @@
 		t.Fatalf("%d invariants, the brief has nine", got)
 	}
 }
+
+// TestManyGatewaysThroughReplicas: 300 gateways, which replicas answer for the leader, under the same faults.
+func TestManyGatewaysThroughReplicas(t *testing.T) {
+	result := RunLarge(300, 1, guard.Set{})
+	if result.Violation != nil {
+		t.Fatalf("%s at %v: %s", result.Violation.Invariant, result.Violation.At, result.Violation.Detail)
+	}
+}
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -45,6 +45,8 @@
 	operators      []*operator
 	backends       []*fleetBackend // of the gateway fleet
 	gateways       []*fleetGateway
+	gatewayCount   int
+	relayed        bool // replicas answer gateways for the leader
 	fleetOperators []*fleetOperator
 	faults         int
 	killed         int // runs that back ends of the fleet took along
