--- a/internal/lab/sim/fleet.go
+++ b/internal/lab/sim/fleet.go
@@ -107,6 +107,7 @@
 	loadsTo  time.Duration
 	revision uint64 // orders taken in this life
 	fence    uint64
+	told     string // what a heartbeat told that the leader has taken
 }
 
 func (b *fleetBackend) boot() {
@@ -114,7 +115,7 @@
 	b.asker = newAsker(b.w, b.process)
 	b.lives++
 	b.id = fmt.Sprintf("%s-%d", b.process.name, b.lives)
-	b.sequence, b.draining, b.loadsTo, b.revision, b.fence = 0, false, 0, 0, 0
+	b.sequence, b.draining, b.loadsTo, b.revision, b.fence, b.told = 0, false, 0, 0, 0, ""
 	b.version = max(b.version, 1)
 	b.ticker(fleetBeat, b.beat)
 	b.after(b.w.between(10*time.Second, 40*time.Second), b.drain)
@@ -136,7 +137,28 @@
 	if b.w.chance(0.05) {
 		late = b.w.between(0, 3*time.Second)
 	}
-	b.w.after(late, func() { b.asker.once(b.request(beat), askTimeout, func(control.Response, bool) {}) })
+	b.w.after(late, func() { b.sendBeat(beat) })
+}
+
+// sendBeat sends a heartbeat, or a sign where the leader has taken a whole one that told the same.
+func (b *fleetBackend) sendBeat(beat *control.Beat) {
+	request := b.request(beat)
+	if b.told == toldOf(beat) && beat.Sequence%3 == 0 {
+		request = control.Request{Signs: []control.Sign{{ID: beat.Instance.ID, Sequence: beat.Sequence}}}
+	}
+	b.asker.once(request, askTimeout, func(response control.Response, answered bool) {
+		switch {
+		case !answered || response.Kind != control.ResponseOK || len(response.Strangers) > 0:
+			b.told = ""
+		case len(request.Signs) == 0:
+			b.told = toldOf(beat)
+		}
+	})
+}
+
+// toldOf names what a heartbeat tells beside its number.
+func toldOf(beat *control.Beat) string {
+	return fmt.Sprint(beat.Instance.ID, beat.Instance.State, beat.Versions[fleetModel])
 }
 
 // request puts a heartbeat into a call: every other one as a replica that gathers heartbeats passes them on.
