Control: a fleet that starts waits for the group instead of asking again and again

Cause: until the group has its size, gateways' questions were refused at once and came back 60 ms later, and replicas sent all the heartbeats that wait for them again each 50 ms. Both load the founder while it adds the others. Now questions are held for their time (TestQuestionsWaitForTheGroup fails without it), and heartbeats wait at the replica.

--- a/internal/control/beats.go
+++ b/internal/control/beats.go
@@ -182,6 +182,7 @@
 func (s *Server) passBeats(ctx context.Context) {
 	ticker := time.NewTicker(beatsEach)
 	defer ticker.Stop()
+	formed := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -190,6 +191,12 @@
 		case <-s.beats.wake:
 			time.Sleep(newsWait)
 		}
+		if !formed {
+			formed = s.holds((*Replica).formed) // until then the leader takes none, however often it is asked
+		}
+		if !formed {
+			continue
+		}
 		batch := s.beats.batch()
 		if batch.empty() {
 			continue
--- a/internal/control/start_test.go
+++ b/internal/control/start_test.go
@@ -107,3 +107,21 @@
 	}
 	s.pass(time.Second)
 }
+
+// TestQuestionsWaitForTheGroup: until it has its size, a gateway that can wait is held for its time and no longer, so that a whole fleet asks
+// once in that time and not as fast as it is refused.
+func TestQuestionsWaitForTheGroup(t *testing.T) {
+	s := openSolo(t, t.TempDir())
+	s.config(func(config *Config) { config.Replicas = 3 })
+	const patient, hasty = 1000, 1001
+	s.replica.Handle(s.now, patient, Request{Watch: &Watch{Gateway: "g1", Hold: 400 * time.Millisecond}})
+	s.replica.Handle(s.now, hasty, Request{Watch: &Watch{Gateway: "g2"}})
+	s.work()
+	if _, answered := s.replies[patient]; answered || s.replies[hasty].Kind != ResponseNotFormed {
+		t.Fatalf("replies %+v", s.replies)
+	}
+	s.pass(500 * time.Millisecond)
+	if reply := s.replies[patient]; reply.Kind != ResponseNotFormed {
+		t.Fatalf("reply %+v", reply)
+	}
+}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -92,6 +92,17 @@
 	r.reply(client, Response{Kind: ResponseNotLeader, Leader: r.leaderAddress()})
 }
 
+// holdUnformed holds a gateway's question until the group has its size, so that a whole fleet that starts doesn't ask again and again
+// meanwhile. One whose time is over is not held.
+func (r *Replica) holdUnformed(now time.Duration, client uint64, watch Watch) bool {
+	due := now + min(watch.Hold, maximumHold)
+	if now >= due || len(r.leaderless) >= leaderlessMost {
+		return false
+	}
+	r.leaderless = append(r.leaderless, watcher{client: client, watch: watch, due: due})
+	return true
+}
+
 // leaderlessMost bounds the questions that are held while no leader is known.
 const leaderlessMost = 4096
 
@@ -106,9 +117,10 @@
 	r.leaderless = nil
 	for _, held := range waiting {
 		switch {
-		case r.lead != nil && !r.current(now) && now < held.due:
+		case r.lead != nil && (!r.current(now) || !r.formed()) && now < held.due:
 			r.leaderless = append(r.leaderless, held) // it may not confirm anything yet
 		case r.lead != nil:
+			held.watch.Hold = max(0, held.due-now)
 			r.Handle(now, held.client, Request{Watch: &held.watch})
 		case leader == "" && now < held.due:
 			r.leaderless = append(r.leaderless, held)
