--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -53,7 +53,9 @@
 // relayed is how a question to the leader on behalf of gateways ended.
 type relayed struct {
 	number uint64
+	leader string        // that was asked
 	answer *relay.Answer // nil when there was none of a leader
+	cause  string        // why there was none
 }
 
 // HelloReply tells a replica with an empty folder whether a group exists already.
@@ -64,27 +66,28 @@
 // Server runs a Replica: one thread decides and persists, others carry messages. Persisting shares the
 // thread that decides because nothing may be sent before the sync; proposals that wait share one sync.
 type Server struct {
-	file     *node.File
-	log      *zap.Logger
-	identity Identity
-	disk     *Disk
-	replica  *Replica
-	led      bool // as of the newest tick; owned by the decide thread
-	over     overNotes
-	held     heldNotes
-	config   Config
-	now      clock.Source // since it was made
-	inputs   chan input
-	calls    chan EngineCall
-	clients  map[uint64]transport.Respond
-	nextID   uint64
-	seen     map[consensus.ID]string // addresses from which replicas wrote; owned by the decide thread
-	links    *transport.Links
-	client   *transport.Client
-	group    *Client
-	driver   Driver
-	orders   chan decidedCall
-	beats    beatCollector
+	file      *node.File
+	log       *zap.Logger
+	identity  Identity
+	disk      *Disk
+	replica   *Replica
+	led       bool // as of the newest tick; owned by the decide thread
+	relayLost bool // the newest question for gateways got no answer; owned by the decide thread
+	over      overNotes
+	held      heldNotes
+	config    Config
+	now       clock.Source // since it was made
+	inputs    chan input
+	calls     chan EngineCall
+	clients   map[uint64]transport.Respond
+	nextID    uint64
+	seen      map[consensus.ID]string // addresses from which replicas wrote; owned by the decide thread
+	links     *transport.Links
+	client    *transport.Client
+	group     *Client
+	driver    Driver
+	orders    chan decidedCall
+	beats     beatCollector
 
 	mutex    sync.Mutex
 	outboxes map[consensus.ID]chan consensus.Message
@@ -290,6 +293,7 @@
 	case item.weights != nil:
 		s.replica.ObserveWeights(now, *item.weights)
 	case item.relayed != nil:
+		s.noteRelayed(item.relayed)
 		s.replica.ObserveRelay(now, item.relayed.number, item.relayed.answer)
 	case item.found:
 		s.found()
@@ -310,17 +314,34 @@
 func (s *Server) askLeader(call RelayCall) {
 	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
 	defer cancel()
-	ended := &relayed{number: call.Question.Number}
+	ended := &relayed{number: call.Question.Number, leader: call.Address}
 	var response Response
 	err := s.client.Post(ctx, call.Address, PathRequest, Request{Relay: &call.Question}, &response)
-	if err == nil && response.Kind == ResponseOK {
+	switch {
+	case err != nil:
+		ended.cause = err.Error()
+	case response.Kind != ResponseOK:
+		ended.cause = string(response.Kind)
+	default:
 		ended.answer = response.Relayed
-	} else {
-		s.log.Debug("the leader gave no answer for gateways", zap.String("address", call.Address), zap.String("kind", string(response.Kind)), zap.Error(err))
 	}
 	s.offer(input{relayed: ended})
 }
 
+// noteRelayed logs when the leader begins and ends to give no answers for gateways.
+func (s *Server) noteRelayed(ended *relayed) {
+	lost := ended.answer == nil
+	if lost == s.relayLost {
+		return
+	}
+	s.relayLost = lost
+	if lost {
+		s.log.Info(events.RelayLost, zap.String("leader", ended.leader), zap.String(events.FieldCause, ended.cause))
+		return
+	}
+	s.log.Info(events.RelayFound, zap.String("leader", ended.leader))
+}
+
 // work persists and sends until the replica has nothing more to do.
 func (s *Server) work() error {
 	for s.replica.HasWork() {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -33,6 +33,8 @@
 	GroupJoined      = "control group joined"
 	LeadershipWon    = "leadership won"
 	LeadershipLost   = "leadership lost"
+	RelayLost        = "leader gives no answers for gateways"
+	RelayFound       = "leader answers for gateways again"
 	DocumentAccepted = "document accepted"
 	DocumentRefused  = "document refused"
 	WeightsNamed     = "weights named"
