Control: silence of most back ends changes nothing in who is in use

Cause: while control hears of less than half, the bound went to all, and every gateway would have been told of the whole fleet in the worst moment. Found by reading; TestSilenceOfMostChangesNothing fails without it.

--- a/internal/control/inuse/inuse.go
+++ b/internal/control/inuse/inuse.go
@@ -60,13 +60,17 @@
 	return s.wanted
 }
 
-// Bound returns the bound that follows from the one in force, the weights of all back ends that are able to work, and how many of
-// them are wanted. It orders weights, and reorders the given ones.
-func Bound(inForce uint64, able []uint64, wanted int) uint64 {
-	if len(able) <= wanted+wanted/slack {
-		if len(able) <= wanted || inForce == All {
-			return All
-		}
+// Bound returns the bound that follows from the one in force, the weights of all back ends that are able to work, how many there are
+// besides that don't leave, and how many are wanted. It orders weights, and reorders the given ones.
+//
+// While more are unable than able, the bound stays: that many at once fall silent where control doesn't hear, and to tell every gateway
+// of the whole fleet would add to what went wrong.
+func Bound(inForce uint64, able []uint64, unable, wanted int) uint64 {
+	if unable > len(able) {
+		return inForce
+	}
+	if len(able) <= wanted || len(able) <= wanted+wanted/slack && inForce == All {
+		return All
 	}
 	under := 0
 	for _, weight := range able {
--- a/internal/control/inuse/inuse_test.go
+++ b/internal/control/inuse/inuse_test.go
@@ -30,7 +30,7 @@
 // TestSmallServicesUseAll: by the same rule, also when they grow a little past the least.
 func TestSmallServicesUseAll(t *testing.T) {
 	for _, size := range []int{0, 1, 12, 240, Least, Least + Least/slack} {
-		if bound := Bound(All, fleet(size), Least); bound != All {
+		if bound := Bound(All, fleet(size), 0, Least); bound != All {
 			t.Fatalf("%d of %d back ends are used", under(fleet(size), bound), size)
 		}
 	}
@@ -43,7 +43,7 @@
 		wanted := size.Note(0, running)
 		for _, count := range []int{5000, 10000, 20000} {
 			all := fleet(count)
-			bound := Bound(All, slices.Clone(all), wanted)
+			bound := Bound(All, slices.Clone(all), 0, wanted)
 			if used := under(all, bound); used < wanted || used > wanted+wanted/slack || used > Least+Least/slack+3*running {
 				t.Fatalf("%d run: %d of %d back ends are used, wanted %d", running, used, count, wanted)
 			}
@@ -60,7 +60,7 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	var size Size
 	wanted := size.Note(0, running)
-	first := Bound(All, slices.Clone(all), wanted)
+	first := Bound(All, slices.Clone(all), 0, wanted)
 	lose := func(share float64) []uint64 {
 		return slices.DeleteFunc(slices.Clone(all), func(uint64) bool { return random.Float64() < share })
 	}
@@ -68,7 +68,7 @@
 		if left := under(able, first); left < running {
 			t.Fatalf("%s: %d are left of %d for %d requests", name, left, wanted, running)
 		}
-		bound := Bound(first, slices.Clone(able), wanted)
+		bound := Bound(first, slices.Clone(able), len(all)-len(able), wanted)
 		if used := under(able, bound); used < wanted {
 			t.Fatalf("%s: %d are used after one step, wanted %d", name, used, wanted)
 		}
@@ -102,12 +102,12 @@
 // TestBoundRests: as long as what is able stays near what is wanted, nobody joins or leaves.
 func TestBoundRests(t *testing.T) {
 	all := fleet(5000)
-	bound := Bound(All, slices.Clone(all), Least)
+	bound := Bound(All, slices.Clone(all), 0, Least)
 	changes := 0
 	random := rand.New(rand.NewPCG(3, 4))
 	for range 200 {
 		able := slices.DeleteFunc(slices.Clone(all), func(uint64) bool { return random.Float64() < 0.02 })
-		if next := Bound(bound, able, Least); next != bound {
+		if next := Bound(bound, able, len(all)-len(able), Least); next != bound {
 			bound, changes = next, changes+1
 		}
 	}
@@ -115,3 +115,14 @@
 		t.Fatalf("the bound moved %d times while 2 in 100 were away", changes)
 	}
 }
+
+// TestSilenceOfMostChangesNothing: when control hears of less than half, or of nobody, who is in use stays.
+func TestSilenceOfMostChangesNothing(t *testing.T) {
+	all := fleet(5000)
+	bound := Bound(All, slices.Clone(all), 0, Least)
+	for _, heard := range []int{0, 100, 2400} {
+		if next := Bound(bound, slices.Clone(all[:heard]), len(all)-heard, Least); next != bound {
+			t.Fatalf("%d are used when %d of %d are heard", under(all, next), heard, len(all))
+		}
+	}
+}
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -99,12 +99,16 @@
 		return
 	}
 	r.lead.boundsAt = now
-	able := map[string][]uint64{}
+	able, unable := map[string][]uint64{}, map[string]int{}
 	running := map[string]int{}
 	used := r.totalUsage(now)
 	for id, instance := range r.machine.catalog.Instances() {
 		state := r.member(now, id)
-		if instance.State == catalog.StateReady && !state.silent {
+		switch {
+		case instance.State != catalog.StateReady:
+		case state.silent:
+			unable[instance.Service]++
+		default:
 			able[instance.Service] = append(able[instance.Service], state.weight)
 		}
 		running[instance.Service] += used[id]
@@ -115,7 +119,7 @@
 		wanted := size.Note(now, running[service])
 		r.lead.sizes[service] = size
 		inForce := r.machine.catalog.Bound(service)
-		if bound := inuse.Bound(inForce, weights, wanted); bound != inForce {
+		if bound := inuse.Bound(inForce, weights, unable[service], wanted); bound != inForce {
 			bounds[service] = bound
 		}
 	}
