--- a/internal/control/start_test.go
+++ b/internal/control/start_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/consensus"
+	"kitetiller/internal/guard"
 )
 
 // joinAll has so many back ends register in one cycle, gathered by several replicas, and returns the entries that it took.
@@ -125,3 +127,28 @@
 		t.Fatalf("reply %+v", reply)
 	}
 }
+
+// TestWaitingQuestionsGoOnThroughTheReplica: those that waited for a leader are answered by the replica that they came to once one leads; they
+// don't all go to the leader at once.
+func TestWaitingQuestionsGoOnThroughTheReplica(t *testing.T) {
+	membership := consensus.Membership{Members: []consensus.Member{{ID: "c1", Name: "c1", Address: "a"}, {ID: "c2", Name: "c2", Address: "b"}}}
+	machine := NewMachine(guard.Set{})
+	machine.catalog.Apply(catalog.Command{Came: []string{"g1"}})
+	meta := consensus.SnapshotMeta{Index: 1, Term: 1, Membership: membership}
+	r, err := NewReplica(soloConfig("c1"), Checkpoint{HardState: consensus.HardState{Term: 1}, Snapshot: consensus.Snapshot{Meta: meta, Data: machine.Snapshot()}}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Handle(0, 7, Request{Watch: &Watch{Gateway: "g1", Hold: time.Second}})
+	if len(r.leaderless) != 1 {
+		t.Fatal("the question doesn't wait for a leader")
+	}
+	r.Step(0, consensus.Message{Kind: consensus.MessageAppend, From: "c2", To: "c1", Term: 2, Index: 1, LogTerm: 1})
+	r.Tick(0, 0)
+	if replies := r.effects.Replies; len(replies) > 0 {
+		t.Fatalf("sent away: %+v", replies)
+	}
+	if calls := r.effects.Relays; len(calls) == 0 || calls[len(calls)-1].Address != "b" {
+		t.Fatalf("asked the leader %+v", calls)
+	}
+}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -157,6 +157,7 @@
 			r.Handle(now, held.client, Request{Watch: &held.watch})
 		case leader == "" && now < held.due:
 			r.leaderless = append(r.leaderless, held)
+		case r.relays() && r.takeWaiting(now, held.client, held.watch):
 		default:
 			r.reply(held.client, Response{Kind: ResponseNotLeader, Leader: leader})
 		}
