--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -115,7 +115,11 @@
 		s.log.Warn("malformed internal request", zap.Error(err))
 		return gnet.Close
 	}
-	body, err := payload.Expand(request.Body, request.Header.Get(encodingHeader), maxMessageBytes)
+	known := s.knows(request)
+	var body []byte
+	if known { // who doesn't show the token has nothing expanded
+		body, err = payload.Expand(request.Body, request.Header.Get(encodingHeader), maxMessageBytes)
+	}
 	if err != nil {
 		s.log.Warn("malformed internal request", zap.Error(err))
 		return gnet.Close
@@ -126,7 +130,7 @@
 	state.need = 0
 	state.busy = true
 	s.settle(state)
-	s.dispatch(c, request, body)
+	s.dispatch(c, request, body, known)
 	return gnet.None
 }
 
@@ -144,10 +148,15 @@
 	state.owed = 0
 }
 
-func (s *Server) dispatch(c gnet.Conn, request *http.Request, body []byte) {
+// knows reports whether a request shows the cluster's token.
+func (s *Server) knows(request *http.Request) bool {
+	return s.token == "" || strings.TrimPrefix(request.Header.Get("Authorization"), bearerPrefix) == s.token
+}
+
+func (s *Server) dispatch(c gnet.Conn, request *http.Request, body []byte, known bool) {
 	accepts := request.Header.Get(acceptHeader) == payload.Gzip
 	respond := func(status int, answer any) { s.answer(c, status, answer, accepts) }
-	if s.token != "" && strings.TrimPrefix(request.Header.Get("Authorization"), bearerPrefix) != s.token {
+	if !known {
 		respond(http.StatusUnauthorized, nil)
 		return
 	}
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -79,6 +79,29 @@
 	}
 }
 
+// TestNothingIsExpandedForStrangers: a body that can't be read closes the connection of a peer; a stranger is told that it is one, whatever it
+// sent.
+func TestNothingIsExpandedForStrangers(t *testing.T) {
+	address := startServer(t, echo)
+	for token, want := range map[string]string{"other": "HTTP/1.1 401", "token": ""} {
+		connection, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer connection.Close()
+		text := "POST /x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + token + "\r\nContent-Encoding: gzip\r\nContent-Length: 8\r\n\r\nnonsense"
+		if _, err := connection.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+		_ = connection.SetReadDeadline(time.Now().Add(10 * time.Second))
+		first := make([]byte, len("HTTP/1.1 401"))
+		n, _ := io.ReadFull(connection, first)
+		if string(first[:n]) != want {
+			t.Fatalf("with token %q the answer begins %q, wanted %q", token, first[:n], want)
+		}
+	}
+}
+
 func TestMalformedRequestDisturbsNobodyElse(t *testing.T) {
 	address := startServer(t, echo)
 	connection, err := net.Dial("tcp", address)
