Gateway: one replica tells everything, the search for it is brief

Cause: a gateway that starts, or has lost control, asked up to four replicas at once for document and roster, some 200 KB of JSON each, and had 250 ms for the answer: a machine with a fifth of a core spends that on reading them, fails, and asks again with slowly growing patience. Now the search leaves both out, and one replica is asked for them with a second of patience. Before: 3 of 3 replicas told everything (TestOneReplicaTellsEverything fails); after: 1. Ruled out as the cause of late service after a kill of all: what whole answers cost at control (shared parts changed nothing).

--- a/internal/control/relaying.go
+++ b/internal/control/relaying.go
@@ -61,7 +61,10 @@
 // relayedReply returns the reply to a gateway whose view the leader has confirmed.
 func (r *Replica) relayedReply(now time.Duration, watch Watch) *WatchReply {
 	reply := r.ownReply(&watch)
-	reply.Version, reply.Roster, reply.Wanted = r.relay.Version(), r.relay.News(watch.Roster), r.relay.Wanted(now)
+	reply.Version, reply.Wanted = r.relay.Version(), r.relay.Wanted(now)
+	if !watch.Brief {
+		reply.Roster = r.relay.News(watch.Roster)
+	}
 	reply.Gateways = r.relay.Gateways()
 	reply.placed(r.relay.Layout(), &watch)
 	reply.Reads = r.relay.Reads(watch.Gateway)
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -25,6 +25,7 @@
 	Hold     time.Duration  `json:"hold_ns"`
 	Usage    map[string]int `json:"usage,omitempty"` // its running requests by instance
 	Closing  bool           `json:"closing,omitempty"`
+	Brief    bool           `json:"brief,omitempty"` // it only looks for who answers: document and roster are left out
 
 	Quarantine uint64 `json:"quarantine"` // version of the news that it holds
 }
@@ -197,7 +198,7 @@
 func (r *Replica) watchReply(now time.Duration, watch Watch) *WatchReply {
 	reply := r.ownReply(&watch)
 	reply.Version, reply.Wanted = r.lead.rosterVersion(), r.wantedVersions(now)
-	if watch.Roster != reply.Version {
+	if watch.Roster != reply.Version && !watch.Brief {
 		reply.Roster = r.rosterNews(now, watch.Roster)
 	}
 	_, reply.Gateways = r.gatewaysThatTrust(now)
@@ -210,7 +211,7 @@
 func (r *Replica) ownReply(watch *Watch) *WatchReply {
 	document := r.machine.catalog.Document()
 	reply := &WatchReply{Revision: document.Revision}
-	if watch.Revision < document.Revision {
+	if watch.Revision < document.Revision && !watch.Brief {
 		reply.Document, reply.shared = r.toldDocument(document)
 	}
 	reply.Quarantine = r.quarantineNews(watch.Quarantine)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -42,13 +42,12 @@
 	}
 }
 
-// patience is how long an answer may take beyond the time that it is held, after so many failures in a row: a whole roster
-// of a large fleet takes longer than news.
+// patience is how long an answer may take beyond the time that it is held, after so many failures in a row.
 func patience(failures int) time.Duration {
 	return (watchTimeout - watchHold) << min(failures/failuresEach, longestPatience)
 }
 
-// ask asks control for news once: the leader, or several replicas while none is known.
+// ask asks control for news once, after it has looked for who answers where that isn't known.
 func (g *Gateway) ask(ctx context.Context, roster control.RosterVersion, patience time.Duration, searching bool) *control.WatchReply {
 	question := control.Watch{
 		Gateway: g.settings.Name, Zone: g.settings.Zone, Address: g.settings.Internal, Roster: roster, Hold: g.hold(), Usage: g.table.usage(),
@@ -57,6 +56,12 @@
 	if held := g.view.Load(); held != nil {
 		question.Revision = held.document.Revision
 	}
+	if searching {
+		if !g.search(ctx, question, patience) {
+			return nil
+		}
+		patience = max(patience, wholePatience)
+	}
 	attempt, cancel := context.WithTimeout(ctx, patience+question.Hold)
 	defer cancel()
 	ask := g.group.Once
@@ -65,12 +70,6 @@
 			return g.group.At(ctx, address, request)
 		}
 	}
-	if searching {
-		ask = g.group.Any
-		if !g.group.HeardWithin(electionPatience) {
-			question.Hold = 0 // to learn soon whether there is anybody
-		}
-	}
 	response, err := ask(attempt, control.Request{Watch: &question})
 	if err != nil || response.Kind != control.ResponseOK {
 		return nil
@@ -78,6 +77,24 @@
 	return response.Watch
 }
 
+// search looks for who answers, by several replicas at once. They leave out document and roster: a small machine would spend the
+// patience for one answer on reading several of them.
+func (g *Gateway) search(ctx context.Context, question control.Watch, patience time.Duration) bool {
+	question.Brief = true
+	if !g.group.HeardWithin(electionPatience) {
+		question.Hold = 0 // to learn soon whether there is anybody
+	}
+	attempt, cancel := context.WithTimeout(ctx, patience+question.Hold)
+	defer cancel()
+	response, err := g.group.Any(attempt, control.Request{Watch: &question})
+	if err != nil || response.Watch == nil {
+		return false
+	}
+	g.near.use(response.Watch.Near)
+	g.group.Use(response.Watch.Replicas)
+	return true
+}
+
 // hold is how long a question may be held. While a back end drains for new weights, control is to see soon that its
 // requests have ended.
 func (g *Gateway) hold() time.Duration {
--- /dev/null
+++ b/internal/gateway/follow_test.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/control"
+	"kitetiller/internal/node"
+	"kitetiller/internal/transport"
+)
+
+// replicasOf starts control replicas that answer for a leader; each tells document and roster to whoever wants them.
+func replicasOf(t *testing.T, count int) (addresses []string, whole *atomic.Int64) {
+	t.Helper()
+	whole = &atomic.Int64{}
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addresses = append(addresses, l.Addr().String())
+		_ = l.Close()
+	}
+	for i, address := range addresses {
+		server, err := transport.Listen(address, "", func(asked transport.Request, respond transport.Respond) {
+			var request control.Request
+			if json.Unmarshal(asked.Body, &request) != nil || request.Watch == nil {
+				respond(http.StatusOK, control.Response{Kind: control.ResponseNotLeader})
+				return
+			}
+			reply := &control.WatchReply{Revision: 1, Replicas: addresses, Near: addresses[i : i+1]}
+			if !request.Watch.Brief {
+				whole.Add(1)
+				reply.Document = &catalog.Document{Revision: 1}
+			}
+			respond(http.StatusOK, control.Response{Kind: control.ResponseOK, Leader: addresses[0], Watch: reply})
+		}, zap.NewNop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = server.Close(context.Background()) })
+	}
+	return addresses, whole
+}
+
+// TestOneReplicaTellsEverything: a gateway that starts, or has lost control, asks several replicas who answers, and one of them for all that it
+// lacks. Before, each of them told it everything, and a machine with a fifth of a core spent its patience on reading that.
+func TestOneReplicaTellsEverything(t *testing.T) {
+	addresses, whole := replicasOf(t, 3)
+	g := New(Settings{Name: "g", Zone: "z", Control: addresses, Trust: time.Hour}, nil, node.NopLog())
+	reply := g.ask(context.Background(), control.RosterVersion{}, 10*time.Second, true)
+	if reply == nil || reply.Document == nil {
+		t.Fatalf("reply %+v", reply)
+	}
+	if got := whole.Load(); got != 1 {
+		t.Fatalf("%d replicas told everything", got)
+	}
+}
