Control: a new leader takes what is in use for work seen

Found by reading; TestNextLeaderKeepsWhatWorkNeeded fails without it. Whatever decides who is in use moved to a file of its own.

--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -140,6 +140,12 @@
 	return math.MaxUint64
 }
 
+// Bounded reports whether it was ever decided which back ends of a service are in use.
+func (m *Machine) Bounded(service string) bool {
+	_, known := m.bounds[service]
+	return known
+}
+
 // Touched returns the instances that changed since the last call, in no order.
 func (m *Machine) Touched() []string {
 	if len(m.touched) == 0 {
--- /dev/null
+++ b/internal/control/bounds.go
@@ -0,0 +1,87 @@
+package control
+
+import (
+	"time"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/control/inuse"
+)
+
+// inUse reports whether gateways are told of a back end.
+func (r *Replica) inUse(now time.Duration, instance catalog.Instance) bool {
+	return r.member(now, instance.ID).weight <= r.machine.catalog.Bound(instance.Service)
+}
+
+// boundsPeriod is how often it is looked at which back ends are in use: often enough that a lost zone is replaced in a moment.
+const boundsPeriod = 100 * time.Millisecond
+
+// tendInUse follows the work with the back ends that are in use, and writes into the log which they are, so that the next leader names
+// the same.
+func (r *Replica) tendInUse(now time.Duration) {
+	if now < r.lead.boundsAt+boundsPeriod {
+		return
+	}
+	r.lead.boundsAt = now
+	used := r.totalUsage(now)
+	services := map[string]*serviceWork{}
+	for id, instance := range r.machine.catalog.Instances() {
+		work := services[instance.Service]
+		if work == nil {
+			work = &serviceWork{bound: r.machine.catalog.Bound(instance.Service)}
+			services[instance.Service] = work
+		}
+		work.running += used[id]
+		work.count(instance, r.member(now, id))
+	}
+	bounds := map[string]uint64{}
+	for service, work := range services {
+		size := r.lead.sizes[service]
+		if !r.machine.catalog.Bounded(service) {
+			work.under = 0
+		}
+		wanted := size.Note(now, work.running, work.under)
+		r.lead.sizes[service] = size
+		if bound := inuse.Bound(work.bound, work.able, work.unable, wanted); bound != work.bound {
+			bounds[service] = bound
+		}
+	}
+	if len(bounds) > 0 {
+		r.propose(now, 0, Command{Catalog: &catalog.Command{Bounds: bounds}})
+	}
+}
+
+// serviceWork is what decides which back ends of a service are in use.
+type serviceWork struct {
+	bound   uint64   // in force
+	able    []uint64 // weights of those that are able to work
+	under   int      // of them, those in use
+	unable  int      // that are silent, and don't leave
+	running int      // requests
+}
+
+func (w *serviceWork) count(instance catalog.Instance, state *memberState) {
+	switch {
+	case instance.State != catalog.StateReady:
+	case state.silent:
+		w.unable++
+	default:
+		w.able = append(w.able, state.weight)
+		if state.weight <= w.bound {
+			w.under++
+		}
+	}
+}
+
+// noteBounds notes for the roster which back ends come into use or go out of it between two sets of bounds.
+func (r *Replica) noteBounds(now time.Duration, before map[string]uint64) {
+	for id, instance := range r.machine.catalog.Instances() {
+		was, known := before[instance.Service]
+		if !known {
+			continue
+		}
+		weight := r.member(now, id).weight
+		if weight <= was != (weight <= r.machine.catalog.Bound(instance.Service)) {
+			r.lead.changed[id] = true
+		}
+	}
+}
--- a/internal/control/inuse/inuse.go
+++ b/internal/control/inuse/inuse.go
@@ -43,14 +43,19 @@
 	beganAt time.Duration
 }
 
-// Note takes how many requests of the service run now and returns how many back ends that are able to work are wanted.
-func (s *Size) Note(now time.Duration, running int) int {
+// Note takes how many requests of the service run now, and how many back ends that are able to work are in use, and returns how many of
+// these are wanted. What is in use at first, as a former leader left it, counts as work seen: this leader has heard of none yet. Where nobody
+// has decided yet it is 0.
+func (s *Size) Note(now time.Duration, running, inUse int) int {
+	if s.wanted == 0 {
+		wanted := inUse - inUse/(2*slack+1) // the bound was put a little beyond
+		s.wanted, s.former, s.beganAt = max(Least, wanted), wanted/perRunning, now
+	}
 	if now >= s.beganAt+peakFor {
 		s.former, s.peak, s.beganAt = s.peak, 0, now
 	}
 	s.peak = max(s.peak, running)
 	needed := max(Least, perRunning*max(s.peak, s.former))
-	s.wanted = max(s.wanted, Least)
 	switch {
 	case needed > s.wanted:
 		s.wanted = needed + needed/growth
--- a/internal/control/inuse/inuse_test.go
+++ b/internal/control/inuse/inuse_test.go
@@ -40,7 +40,7 @@
 func TestUseFollowsTheWork(t *testing.T) {
 	for _, running := range []int{0, 100, 800} {
 		var size Size
-		wanted := size.Note(0, running)
+		wanted := size.Note(0, running, 0)
 		for _, count := range []int{5000, 10000, 20000} {
 			all := fleet(count)
 			bound := Bound(All, slices.Clone(all), 0, wanted)
@@ -59,7 +59,7 @@
 	all := fleet(5000)
 	random := rand.New(rand.NewPCG(1, 2))
 	var size Size
-	wanted := size.Note(0, running)
+	wanted := size.Note(0, running, 0)
 	first := Bound(All, slices.Clone(all), 0, wanted)
 	lose := func(share float64) []uint64 {
 		return slices.DeleteFunc(slices.Clone(all), func(uint64) bool { return random.Float64() < share })
@@ -81,20 +81,20 @@
 // TestUseGrowsAtOnceAndShrinksSlowly: a restart of all, during which nothing runs, makes nobody forget what is needed.
 func TestUseGrowsAtOnceAndShrinksSlowly(t *testing.T) {
 	var size Size
-	size.Note(0, 10)
-	if wanted := size.Note(time.Second, 2000); wanted < 2000*perRunning {
+	size.Note(0, 10, 0)
+	if wanted := size.Note(time.Second, 2000, 0); wanted < 2000*perRunning {
 		t.Fatalf("%d are wanted for 2,000 running requests", wanted)
 	}
-	before := size.Note(2*time.Second, 2000)
-	if wanted := size.Note(peakFor-time.Second, 0); wanted != before {
+	before := size.Note(2*time.Second, 2000, 0)
+	if wanted := size.Note(peakFor-time.Second, 0, 0); wanted != before {
 		t.Fatalf("%d are wanted after a pause, %d before", wanted, before)
 	}
 	now := peakFor
 	for range 20 {
 		now += peakFor
-		size.Note(now, 10)
+		size.Note(now, 10, 0)
 	}
-	if wanted := size.Note(now, 10); wanted > 2*Least {
+	if wanted := size.Note(now, 10, 0); wanted > 2*Least {
 		t.Fatalf("%d are wanted at rest", wanted)
 	}
 }
@@ -126,3 +126,24 @@
 		}
 	}
 }
+
+// TestNextLeaderKeepsWhatWorkNeeded: it has heard of no work yet; what is in use when it begins stays for as long as work seen would count,
+// and shrinks after that.
+func TestNextLeaderKeepsWhatWorkNeeded(t *testing.T) {
+	all := fleet(5000)
+	var before, after Size
+	bound := Bound(All, slices.Clone(all), 0, before.Note(0, 1000, 0))
+	used := under(all, bound)
+	for now := time.Duration(0); now < peakFor; now += time.Second {
+		if next := Bound(bound, slices.Clone(all), 0, after.Note(time.Hour+now, 0, used)); next != bound {
+			t.Fatalf("%d were in use, %d are %v after a change of leader", used, under(all, next), now)
+		}
+	}
+	wanted := 0
+	for now := time.Hour + peakFor; now < time.Hour+10*peakFor; now += peakFor {
+		wanted = after.Note(now, 0, used)
+	}
+	if wanted > 2*Least {
+		t.Fatalf("%d are wanted at rest", wanted)
+	}
+}
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"kitetiller/internal/catalog"
-	"kitetiller/internal/control/inuse"
 	"kitetiller/internal/control/roster"
 )
 
@@ -59,11 +58,6 @@
 	}
 }
 
-// inUse reports whether gateways are told of a back end.
-func (r *Replica) inUse(now time.Duration, instance catalog.Instance) bool {
-	return r.member(now, instance.ID).weight <= r.machine.catalog.Bound(instance.Service)
-}
-
 // pace lets the newest roster be told if the last telling is long enough ago.
 func (l *leadership) pace(now time.Duration) {
 	if l.rosterCount == l.toldCount || now < l.toldAt+roster.Pause(len(l.usage)) {
@@ -88,56 +82,3 @@
 func (l *leadership) rosterVersion() RosterVersion {
 	return RosterVersion{Term: l.term, Count: l.rosterCount}
 }
-
-// boundsPeriod is how often it is looked at which back ends are in use: often enough that a lost zone is replaced in a moment.
-const boundsPeriod = 100 * time.Millisecond
-
-// tendInUse follows the work with the back ends that are in use, and writes into the log which they are, so that the next leader names
-// the same.
-func (r *Replica) tendInUse(now time.Duration) {
-	if now < r.lead.boundsAt+boundsPeriod {
-		return
-	}
-	r.lead.boundsAt = now
-	able, unable := map[string][]uint64{}, map[string]int{}
-	running := map[string]int{}
-	used := r.totalUsage(now)
-	for id, instance := range r.machine.catalog.Instances() {
-		state := r.member(now, id)
-		switch {
-		case instance.State != catalog.StateReady:
-		case state.silent:
-			unable[instance.Service]++
-		default:
-			able[instance.Service] = append(able[instance.Service], state.weight)
-		}
-		running[instance.Service] += used[id]
-	}
-	bounds := map[string]uint64{}
-	for service, weights := range able {
-		size := r.lead.sizes[service]
-		wanted := size.Note(now, running[service])
-		r.lead.sizes[service] = size
-		inForce := r.machine.catalog.Bound(service)
-		if bound := inuse.Bound(inForce, weights, unable[service], wanted); bound != inForce {
-			bounds[service] = bound
-		}
-	}
-	if len(bounds) > 0 {
-		r.propose(now, 0, Command{Catalog: &catalog.Command{Bounds: bounds}})
-	}
-}
-
-// noteBounds notes for the roster which back ends come into use or go out of it between two sets of bounds.
-func (r *Replica) noteBounds(now time.Duration, before map[string]uint64) {
-	for id, instance := range r.machine.catalog.Instances() {
-		was, known := before[instance.Service]
-		if !known {
-			continue
-		}
-		weight := r.member(now, id).weight
-		if weight <= was != (weight <= r.machine.catalog.Bound(instance.Service)) {
-			r.lead.changed[id] = true
-		}
-	}
-}
