--- a/internal/control/relay/relay.go
+++ b/internal/control/relay/relay.go
@@ -24,8 +24,8 @@
 	askEach = 40 * time.Millisecond
 	// restEach is the pause between two questions while no gateway waits, to go on being known as a replica that answers.
 	restEach = 200 * time.Millisecond
-	// askTimeout is how long an answer may take before the leader is asked again.
-	askTimeout = 400 * time.Millisecond
+	// AskTimeout is how long an answer may take before the leader is asked again.
+	AskTimeout = 400 * time.Millisecond
 	// lostPatience is how long a gateway's question waits, beyond its own time, for the leader.
 	lostPatience = 150 * time.Millisecond
 	// waitingMost bounds the questions that wait.
@@ -128,7 +128,7 @@
 func (r *Relay) Due() time.Duration {
 	switch {
 	case r.onItsWay:
-		return r.askedAt + askTimeout
+		return r.askedAt + AskTimeout
 	case r.uncovered():
 		return r.askedAt + askEach
 	}
--- a/internal/control/relay/relay_test.go
+++ b/internal/control/relay/relay_test.go
@@ -75,12 +75,12 @@
 		t.Fatalf("%v were taken back to roster 8", answered)
 	}
 	ask(t, r, restEach)
-	ask(t, r, restEach+askTimeout)
-	r.Observe(restEach+askTimeout, &Answer{Number: 2, Version: roster.Version{Term: 2, Count: 20}, Roster: &roster.News{}})
+	ask(t, r, restEach+AskTimeout)
+	r.Observe(restEach+AskTimeout, &Answer{Number: 2, Version: roster.Version{Term: 2, Count: 20}, Roster: &roster.News{}})
 	if r.Version().Count != 8 {
 		t.Fatalf("an answer to a question that was given up made the roster %+v", r.Version())
 	}
-	r.Observe(restEach+askTimeout, &Answer{Number: 3, Version: roster.Version{Term: 1, Count: 30}, Roster: &roster.News{Whole: true}})
+	r.Observe(restEach+AskTimeout, &Answer{Number: 3, Version: roster.Version{Term: 1, Count: 30}, Roster: &roster.News{Whole: true}})
 	if r.Version().Term != 2 {
 		t.Fatalf("an answer of a leader before made the roster %+v", r.Version())
 	}
--- a/internal/control/roster/log.go
+++ b/internal/control/roster/log.go
@@ -28,9 +28,6 @@
 // Count returns the count of the newest roster.
 func (l *Log) Count() uint64 { return l.count }
 
-// Len returns the number of entries.
-func (l *Log) Len() int { return len(l.entries) }
-
 // IDs returns the ids of the newest roster, rising; callers only read them.
 func (l *Log) IDs() []string {
 	if l.ids == nil {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -307,12 +307,9 @@
 	}
 }
 
-// relayTimeout is how long the leader may take to answer for gateways.
-const relayTimeout = 400 * time.Millisecond
-
 // askLeader passes a question for gateways to the leader; one is on its way at a time.
 func (s *Server) askLeader(call RelayCall) {
-	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), relay.AskTimeout)
 	defer cancel()
 	ended := &relayed{number: call.Question.Number, leader: call.Address}
 	var response Response
