Test: what is known of a back end belongs to one life; weights may fall

Fails: a life that has ended comes back with a late heartbeat, takes its successor's address, a leave without a life ends nobody, the report of another life is believed (TestWhatIsKnownBelongsToALife, 5 of 5 parts); an engine that says that its weights are older than believed gets no order in 20 s, believed map[m:3] (TestWeightsThatFellAreReplaced).

--- /dev/null
+++ b/internal/control/lives_test.go
@@ -0,0 +1,193 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"kitetiller/internal/catalog"
+)
+
+// A back end may start again under its name: it then holds nothing of before, its counts start anew, and an order for its last life
+// that got no answer may still be carried out by the new one. All that was known stood under its name: heartbeats of the new life
+// counted as late ones since their numbers were lower, older weights were never believed after newer ones, and a heartbeat that a cut
+// had delayed brought the last life back. On the code as it was, an engine that held version 2 and believed to hold 3 got no order in
+// 20 s: "0 orders, believed map[m:3]".
+
+// TestWhatIsKnownBelongsToALife: heartbeats, addresses, leaves and reports, each by what goes wrong where a name is taken for a life.
+func TestWhatIsKnownBelongsToALife(t *testing.T) {
+	t.Run("the later life holds", laterLifeHolds)
+	t.Run("a late heartbeat takes no address", lateHeartbeatTakesNoAddress)
+	t.Run("an untold life takes nothing", untoldLifeTakesNothing)
+	t.Run("a leave names the life there is", leaveNamesTheLifeThereIs)
+	t.Run("a report of another life is none", reportOfAnotherLifeIsNone)
+}
+
+// life returns the id of one life of a back end.
+func life(name string, born int64) string { return catalog.Life{Name: name, Born: born}.ID() }
+
+// says sends a heartbeat of an engine at an address.
+func (s *solo) says(id, address string, sequence, version uint64) {
+	s.ask(Request{Beat: &Beat{
+		Instance: catalog.Instance{ID: id, Service: "engine", Address: address, State: catalog.StateReady},
+		Sequence: sequence, Versions: map[string]uint64{"m": version},
+	}})
+}
+
+// registered reports whether an id is registered.
+func (s *solo) registered(id string) bool {
+	_, known := s.replica.Machine().Catalog().Instances()[id]
+	return known
+}
+
+// laterLifeHolds: of two lives of one back end the later is the one there is, whatever comes late and wherever it stands.
+func laterLifeHolds(t *testing.T) {
+	s := openFleet(t)
+	s.says(life("e", 1000), "a1", 90, 1)
+	s.says(life("e", 2000), "a2", 1, 1)
+	if s.registered(life("e", 1000)) || !s.registered(life("e", 2000)) {
+		t.Fatal("the last life is registered beside the new one")
+	}
+	s.says(life("e", 1000), "a1", 91, 1)
+	if s.registered(life("e", 1000)) || !s.registered(life("e", 2000)) {
+		t.Fatal("a late heartbeat brought the last life back")
+	}
+	s.ask(Request{Beat: &Beat{Instance: catalog.Instance{ID: life("e", 1000)}, Leaves: true}})
+	if !s.registered(life("e", 2000)) {
+		t.Fatal("a late leave of the last life ended the new one")
+	}
+}
+
+// lateHeartbeatTakesNoAddress: of two back ends that name one address the one that was started later stands there while it is heard.
+func lateHeartbeatTakesNoAddress(t *testing.T) {
+	s := openFleet(t)
+	s.says(life("before", 1000), "a1", 90, 1)
+	s.says(life("after", 2000), "a1", 1, 1)
+	s.says(life("before", 1000), "a1", 91, 1)
+	if s.registered(life("before", 1000)) || !s.registered(life("after", 2000)) {
+		t.Fatal("a late heartbeat took the address from the back end that stands there")
+	}
+	s.pass(silentAfter + time.Second)
+	s.says(life("other", 1500), "a1", 1, 1)
+	if !s.registered(life("other", 1500)) {
+		t.Fatal("a back end whose clock runs behind never gets the address of one that is silent")
+	}
+}
+
+// untoldLifeTakesNothing: where the back ends of a service tell when they were started, a heartbeat that doesn't is somebody else's.
+func untoldLifeTakesNothing(t *testing.T) {
+	s := openFleet(t)
+	s.says("early", "a9", 1, 1)
+	for _, id := range []string{"i-1", "i-2"} {
+		s.ask(Request{Beat: &Beat{Instance: catalog.Instance{ID: id}, Leaves: true}})
+	}
+	s.says(life("e", 1000), "a1", 1, 1)
+	s.says("e", "a1", 90, 7)
+	s.says("x", "a2", 1, 7)
+	if s.registered("e") || s.registered("x") || !s.registered(life("e", 1000)) {
+		t.Fatal("a heartbeat without a life registered")
+	}
+	if !s.registered("early") {
+		t.Fatal("a back end that was there before was dropped")
+	}
+}
+
+// leaveNamesTheLifeThereIs: a back end that leaves may give its name alone.
+func leaveNamesTheLifeThereIs(t *testing.T) {
+	s := openFleet(t)
+	s.says(life("e", 1000), "a1", 1, 1)
+	s.ask(Request{Beat: &Beat{Instance: catalog.Instance{ID: "e"}, Leaves: true}})
+	if s.registered(life("e", 1000)) {
+		t.Fatal("it is registered after it left")
+	}
+	s.says(life("e", 1000), "a1", 2, 1)
+	if s.registered(life("e", 1000)) {
+		t.Fatal("a late heartbeat brought it back")
+	}
+	s.says(life("e", 2000), "a1", 1, 1)
+	if !s.registered(life("e", 2000)) {
+		t.Fatal("its next life isn't registered")
+	}
+}
+
+// reports answers the calls of a roll-out for so long, as an engine that holds a version and has taken so many orders, and returns the orders.
+func (s *solo) reports(length time.Duration, version, revision uint64) []WeightsCall {
+	var orders []WeightsCall
+	for end := s.now + length; s.now < end; {
+		s.weights = nil
+		s.pass(50 * time.Millisecond)
+		for _, call := range s.weights {
+			if call.Kind == WeightsOrder {
+				orders = append(orders, call)
+				continue
+			}
+			s.replica.ObserveWeights(s.now, WeightsResult{Call: call, Kind: WeightsReported, Versions: map[string]uint64{"m": version}, Revision: revision})
+		}
+		s.work()
+	}
+	return orders
+}
+
+// TestWeightsThatFellAreReplaced: an order for older weights that got no answer may be carried out after one for newer ones. The engine's
+// own word is believed, and it is ordered again.
+func TestWeightsThatFellAreReplaced(t *testing.T) {
+	s := openFleet(t)
+	for _, id := range []string{"i-1", "i-2"} {
+		s.ask(Request{Beat: &Beat{Instance: catalog.Instance{ID: id}, Leaves: true}})
+	}
+	s.ask(Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: "m", Version: 3}}})
+	id := life("e", 1000)
+	s.says(id, "a1", 1, 3)
+	s.reports(2*time.Second, 3, 1)
+	held := s.watchNow("g1", RosterVersion{})
+	for number := range 10 {
+		s.says(id, "a1", uint64(number+2), 2)
+		if orders := s.reports(2*time.Second, 2, 2); len(orders) > 0 {
+			if orders[0].Version != 3 || orders[0].Revision != 2 {
+				t.Fatalf("order %+v", orders[0])
+			}
+			return
+		}
+		held = s.watchNow("g1", held.Version)
+	}
+	t.Fatalf("0 orders, believed %v", s.replica.lead.fleet[id].versions)
+}
+
+// TestLateHeartbeatMakesNoWeightsFall: one that was sent before a load and arrives after it is not believed against the engine's report.
+func TestLateHeartbeatMakesNoWeightsFall(t *testing.T) {
+	s := openFleet(t)
+	for _, id := range []string{"i-1", "i-2"} {
+		s.ask(Request{Beat: &Beat{Instance: catalog.Instance{ID: id}, Leaves: true}})
+	}
+	s.ask(Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: "m", Version: 3}}})
+	id := life("e", 1000)
+	s.says(id, "a1", 1, 3)
+	s.reports(5*time.Second, 3, 1)
+	s.says(id, "a1", 2, 2)
+	if orders := s.reports(5*time.Second, 3, 1); len(orders) > 0 || s.replica.lead.fleet[id].versions["m"] != 3 {
+		t.Fatalf("orders %+v, believed %v", orders, s.replica.lead.fleet[id].versions)
+	}
+}
+
+// reportOfAnotherLifeIsNone: a report says whose it is; one of another life tells nothing of the life that was asked.
+func reportOfAnotherLifeIsNone(t *testing.T) {
+	s := openFleet(t)
+	for _, id := range []string{"i-1", "i-2"} {
+		s.ask(Request{Beat: &Beat{Instance: catalog.Instance{ID: id}, Leaves: true}})
+	}
+	id := life("e", 1000)
+	s.says(id, "a1", 1, 1)
+	s.ask(Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: "m", Version: 2}}})
+	for range 20 {
+		s.weights = nil
+		s.pass(100 * time.Millisecond)
+		for _, call := range s.weights {
+			if call.Kind == WeightsOrder {
+				t.Fatalf("ordered by the report of another life: %+v", call)
+			}
+			s.replica.ObserveWeights(s.now, WeightsResult{Call: call, Kind: WeightsReported, Born: 2000, Versions: map[string]uint64{"m": 2}, Revision: 0})
+		}
+	}
+	if believed := s.replica.lead.fleet[id].versions["m"]; believed != 1 {
+		t.Fatalf("believed %d by the report of another life", believed)
+	}
+}
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -104,6 +104,7 @@
 	Versions map[string]uint64 // with WeightsReported
 	Busy     bool              // with WeightsReported: an order is under way
 	Revision uint64            // with WeightsReported
+	Born     int64             // with WeightsReported: when the life that reports was started, in Unix ms by its clock; 0 not told
 }
 
 // mayOrder reports whether this replica may give orders at all: it holds the lease, has a fence of its own, and no gateway
