Control, gateway: what is known of a back end belongs to one life of it; weights may fall

Cause: an id was taken for a life, and weights were believed to rise only. A back end that starts again under its name was known with the numbers and weights of its last life; a heartbeat that a cut had delayed brought that one back; an order that got no answer may be carried out after one for newer weights, and the engine was then believed newer than it is for good. Ruled out: that catalog.Held has to fall too (a new leader doubts it with the first heartbeat); believing a heartbeat against a report (it may have been sent before the load: TestLateHeartbeatMakesNoWeightsFall). Conclusion: an id names a life (catalog.Life); of two lives of a name the later holds; the engine's own report decides whether its weights fell.

--- a/internal/catalog/life.go
+++ b/internal/catalog/life.go
@@ -38,3 +38,62 @@
 	}
 	return Life{Name: id[:at], Born: born}
 }
+
+// lives tells which life of a back end counts. It holds those that tell their start; the others have a name for each life.
+type lives struct {
+	registered map[string]string // by name: id of the registered life
+	ended      map[string]int64  // by name: start of the newest life that said that it left, while that is remembered
+	telling    map[string]int    // by service: registered lives; none is 0
+}
+
+func newLives() lives {
+	return lives{registered: map[string]string{}, ended: map[string]int64{}, telling: map[string]int{}}
+}
+
+// add notes a registered instance.
+func (l *lives) add(instance Instance) {
+	if life := LifeOf(instance.ID); life.Born > 0 {
+		l.registered[life.Name] = instance.ID
+		l.telling[instance.Service]++
+	}
+}
+
+// drop forgets a registered instance.
+func (l *lives) drop(instance Instance) {
+	life := LifeOf(instance.ID)
+	if life.Born == 0 {
+		return
+	}
+	if l.registered[life.Name] == instance.ID {
+		delete(l.registered, life.Name)
+	}
+	if l.telling[instance.Service]--; l.telling[instance.Service] == 0 {
+		delete(l.telling, instance.Service)
+	}
+}
+
+// end remembers that a life said that it left; forget ends that.
+func (l *lives) end(id string) {
+	if life := LifeOf(id); life.Born > 0 {
+		l.ended[life.Name] = max(l.ended[life.Name], life.Born)
+	}
+}
+
+func (l *lives) forget(id string) {
+	if life := LifeOf(id); l.ended[life.Name] == life.Born {
+		delete(l.ended, life.Name)
+	}
+}
+
+// outlived reports whether a later life is registered, or has left.
+func (l *lives) outlived(life Life) bool {
+	return life.Born < max(LifeOf(l.registered[life.Name]).Born, l.ended[life.Name])
+}
+
+// of returns the id of the registered life that an id means: a name alone means the one there is.
+func (l *lives) of(id string) string {
+	if held, known := l.registered[id]; known {
+		return held
+	}
+	return id
+}
--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -21,7 +21,7 @@
 
 // Instance is one life of a back end that registered itself.
 type Instance struct {
-	ID      string `json:"id"`
+	ID      string `json:"id"` // of the life, as Life.ID makes it
 	Service string `json:"service"`
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
@@ -80,6 +80,7 @@
 	ids        []string          // of instances, rising; nil when they have changed
 	tombstones []string
 	ended      map[string]bool
+	lives      lives // of instances and tombstones
 	versions   map[string]uint64
 	held       map[string]map[string]uint64 // by instance and model; of registered instances only; versions only rise
 	ordered    map[string]bool              // registered instances that were ever to be given an order
@@ -94,7 +95,7 @@
 // NewMachine returns the empty state.
 func NewMachine() *Machine {
 	return &Machine{
-		instances: map[string]Instance{}, addresses: map[string]string{}, ended: map[string]bool{}, versions: map[string]uint64{}, held: map[string]map[string]uint64{},
+		instances: map[string]Instance{}, addresses: map[string]string{}, ended: map[string]bool{}, lives: newLives(), versions: map[string]uint64{}, held: map[string]map[string]uint64{},
 		ordered: map[string]bool{}, listed: map[string]bool{}, bounds: map[string]uint64{}, touched: map[string]bool{}, quarantine: quarantine.NewLedger(),
 	}
 }
@@ -113,14 +114,25 @@
 	return m.ids
 }
 
-// Ended reports whether an instance said that it left.
-func (m *Machine) Ended(id string) bool { return m.ended[id] }
+// Takes reports whether an instance can be registered: it didn't say that it left, there is no later life of its back end, and it tells its
+// life where others of its service do. What doesn't is somebody else's word.
+func (m *Machine) Takes(instance Instance) bool {
+	life := LifeOf(instance.ID)
+	untold := life.Born == 0 && m.lives.telling[instance.Service] > 0
+	return !m.ended[instance.ID] && !m.lives.outlived(life) && !untold
+}
+
+// At returns the instance that is registered at an address, if there is one.
+func (m *Machine) At(address string) (Instance, bool) {
+	instance, known := m.instances[m.addresses[address]]
+	return instance, known
+}
 
 // Versions returns the newest weights version by model; callers only read it.
 func (m *Machine) Versions() map[string]uint64 { return m.versions }
 
-// Held returns the weights that an instance was last seen to hold, by model; callers only read it. It may hold newer ones by
-// now, never older ones.
+// Held returns the newest weights that an instance was seen to hold, by model; callers only read it. It may hold others by now: newer ones,
+// or older ones where a late order was carried out.
 func (m *Machine) Held(id string) map[string]uint64 { return m.held[id] }
 
 // Ordered reports whether an instance may ever have been given an order.
@@ -204,12 +216,20 @@
 	}
 }
 
-// register adds an instance. Whoever held its address before is gone: an address has one owner at a time.
+// register adds an instance. The last life of its back end has ended, and whoever held its address before is gone: an address has one
+// owner at a time. Of two that tell their lives the one that was started later holds it, since a heartbeat may come long after its
+// sender has ended.
 func (m *Machine) register(instance Instance) Outcome {
-	if m.ended[instance.ID] {
+	held, known := m.instances[instance.ID]
+	if !known && !m.Takes(instance) {
 		return Outcome{Revision: m.document.Revision, Gone: true}
 	}
-	held, known := m.instances[instance.ID]
+	if other, taken := m.At(instance.Address); taken && LifeOf(instance.ID).Born > 0 && LifeOf(instance.ID).Born < LifeOf(other.ID).Born {
+		return Outcome{Revision: m.document.Revision, Gone: true}
+	}
+	if last := m.lives.of(LifeOf(instance.ID).Name); last != instance.ID {
+		m.drop(last)
+	}
 	if known && held.State == StateDraining {
 		instance.State = StateDraining
 	}
@@ -225,9 +245,14 @@
 
 // put notes an instance, at an address that no other one has.
 func (m *Machine) put(instance Instance) {
-	if _, known := m.instances[instance.ID]; !known {
+	held, known := m.instances[instance.ID]
+	if !known {
 		m.ids = nil
 	}
+	if known {
+		m.lives.drop(held)
+	}
+	m.lives.add(instance)
 	m.touched[instance.ID] = true
 	m.instances[instance.ID] = instance
 	m.addresses[instance.Address] = instance.ID
@@ -238,6 +263,7 @@
 	held, known := m.instances[id]
 	if known {
 		delete(m.addresses, held.Address)
+		m.lives.drop(held)
 		m.ids, m.touched[id] = nil, true
 	}
 	delete(m.instances, id)
@@ -296,15 +322,19 @@
 	m.put(instance)
 }
 
+// remove ends an instance for good; its name alone means the life that is registered.
 func (m *Machine) remove(id string) {
+	id = m.lives.of(id)
 	m.drop(id)
 	if m.ended[id] {
 		return
 	}
 	m.ended[id] = true
+	m.lives.end(id)
 	m.tombstones = append(m.tombstones, id)
 	if len(m.tombstones) > tombstonesKept {
 		delete(m.ended, m.tombstones[0])
+		m.lives.forget(m.tombstones[0])
 		m.tombstones = slices.Delete(m.tombstones, 0, 1)
 	}
 }
@@ -359,6 +389,7 @@
 	}
 	for _, id := range form.Tombstones {
 		m.ended[id] = true
+		m.lives.end(id)
 	}
 	return nil
 }
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -17,6 +17,9 @@
 	forgetAfter = 12 * time.Second
 	// fleetPeriod is how often the roster is looked through.
 	fleetPeriod = 100 * time.Millisecond
+	// doubtAfter is how long after its weights were seen to rise a heartbeat that tells older ones is taken for one that was sent before:
+	// more than a period of heartbeats, and than most are late.
+	doubtAfter = 2 * time.Second
 	// heldPeriod is how often the weights that back ends hold are written into the log, all in one entry.
 	heldPeriod = 300 * time.Millisecond
 	// usageCounts is how long a router's figures of its work count.
@@ -39,7 +42,9 @@
 	heardAt   time.Duration
 	sequence  uint64
 	coldUntil time.Duration
-	versions  map[string]uint64
+	versions  map[string]uint64 // that it is believed to hold, by model
+	roseAt    time.Duration     // when one of them last rose
+	doubted   bool              // a heartbeat told older ones than are believed; its report decides
 	silent    bool
 	told      bool // a whole heartbeat came to this leader
 	rollout   rolloutState
@@ -61,7 +66,7 @@
 	switch {
 	case beat.Leaves:
 		r.propose(now, client, Command{Catalog: &catalog.Command{Remove: id}})
-	case r.machine.catalog.Ended(id):
+	case !known && !r.admits(now, beat.Instance):
 		r.reply(client, Response{Kind: ResponseOK})
 	case !known:
 		r.heard(now, beat)
@@ -74,6 +79,29 @@
 	}
 }
 
+// admits reports whether a heartbeat may register an instance. Only the catalog's word and what is heard now count: one that was started
+// earlier than who stands at its address, or that is of no service that is routed to, may be anybody's, or long gone.
+func (r *Replica) admits(now time.Duration, instance catalog.Instance) bool {
+	if !r.machine.catalog.Takes(instance) {
+		return false
+	}
+	holder, taken := r.machine.catalog.At(instance.Address)
+	if !taken || catalog.LifeOf(holder.ID).Name == catalog.LifeOf(instance.ID).Name {
+		return true
+	}
+	if now-r.member(now, holder.ID).heardAt > silentAfter {
+		r.propose(now, 0, Command{Catalog: &catalog.Command{Forget: holder.ID}}) // its clock may have run ahead of the other's
+		return true
+	}
+	routed := func(service string) bool {
+		_, named := r.machine.catalog.Document().Service(service)
+		return named
+	}
+	born := catalog.LifeOf(instance.ID).Born
+	earlier := born > 0 && born < catalog.LifeOf(holder.ID).Born
+	return !earlier && (routed(instance.Service) || !routed(holder.Service))
+}
+
 // Sign is a heartbeat that tells nothing new: the back end lives.
 type Sign struct {
 	ID       string `json:"id"`
@@ -108,8 +136,9 @@
 	state.coldUntil = now + beat.ColdLeft
 	news := state.silent || warm && beat.ColdLeft > 0
 	state.silent = false
-	if state.rollout.phase == phaseIdle && r.takeVersions(state, beat.Versions) {
-		news = true
+	if state.rollout.phase == phaseIdle {
+		news = r.takeVersions(now, state, beat.Versions) || news
+		state.doubted = state.doubted || now > state.roseAt+doubtAfter && state.holdsNewer(beat.Versions)
 	}
 	if news {
 		r.lead.rosterChanged(state.id)
@@ -117,12 +146,12 @@
 }
 
 // takeVersions notes the weights that a back end holds and reports whether they are news. A heartbeat may be older
-// than a report, so versions only rise.
-func (r *Replica) takeVersions(state *memberState, versions map[string]uint64) bool {
+// than a report, so that versions only rise by it; whether they fell is asked of the back end.
+func (r *Replica) takeVersions(now time.Duration, state *memberState, versions map[string]uint64) bool {
 	changed := false
 	for model, version := range versions {
 		if state.versions[model] < version {
-			state.versions[model] = version
+			state.versions[model], state.roseAt = version, now
 			r.lead.unlogged[state.id] = true
 			changed = true
 		}
@@ -130,6 +159,16 @@
 	return changed
 }
 
+// holdsNewer reports whether newer weights are believed than these.
+func (s *memberState) holdsNewer(versions map[string]uint64) bool {
+	for model, version := range versions {
+		if s.versions[model] > version {
+			return true
+		}
+	}
+	return false
+}
+
 // member returns the soft state of a back end, made when it is first named.
 func (r *Replica) member(now time.Duration, id string) *memberState {
 	state := r.lead.fleet[id]
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -192,7 +193,7 @@
 			engines++
 		}
 		_, _, lags := r.lagging(instances[id], state)
-		if lags && state.rollout.phase == phaseIdle && !state.silent && r.handedOver(now, id) {
+		if (lags || state.doubted) && state.rollout.phase == phaseIdle && !state.silent && r.handedOver(now, id) {
 			lagging = append(lagging, id)
 		}
 	}
@@ -216,7 +217,7 @@
 
 func (r *Replica) beginRollout(now time.Duration, instance catalog.Instance, state *memberState) {
 	state.rollout.model, state.rollout.version, _ = r.lagging(instance, state)
-	if !state.rollout.revisionKnown {
+	if !state.rollout.revisionKnown || state.doubted {
 		r.setPhase(state, phaseReporting, now+callPatience)
 		r.callWeights(instance, state, WeightsReport)
 		return
@@ -327,17 +328,36 @@
 	r.setPhase(state, phaseIdle, now)
 }
 
+// ofAnotherLife reports whether a back end that started again under its name gave the report.
+func (w *WeightsResult) ofAnotherLife() bool {
+	return w.Born > 0 && w.Born != catalog.LifeOf(w.Call.Instance).Born
+}
+
+// settleDoubt believes a back end's own report of its weights, also where they are older than believed: an order that got no answer may be
+// carried out after one for newer weights. What it lacks is ordered again.
+func (r *Replica) settleDoubt(now time.Duration, state *memberState, result WeightsResult) {
+	state.doubted = false
+	state.rollout.revision, state.rollout.revisionKnown = result.Revision, true
+	maps.Copy(state.versions, result.Versions)
+	r.lead.rosterChanged(state.id)
+	r.setPhase(state, phaseIdle, now)
+}
+
 func (r *Replica) observeReport(now time.Duration, state *memberState, result WeightsResult) {
 	loads := state.rollout.phase == phaseLoading
 	uncertain := state.rollout.phase == phaseUncertain
 	if !loads && !uncertain && state.rollout.phase != phaseReporting {
 		return
 	}
-	if result.Kind != WeightsReported {
+	if result.Kind != WeightsReported || result.ofAnotherLife() {
 		r.setPhase(state, phaseBackoff, now+rolloutBackoff)
 		return
 	}
-	r.takeVersions(state, result.Versions)
+	if state.doubted && !result.Busy {
+		r.settleDoubt(now, state, result)
+		return
+	}
+	r.takeVersions(now, state, result.Versions)
 	done := state.versions[state.rollout.model] >= state.rollout.version
 	switch {
 	case result.Busy:
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -27,7 +27,7 @@
 	case x.call.ID != "" && verdict.ID != x.call.ID && !(verdict.NotRun && verdict.ID == ""):
 		return a.broken("answer of another request")
 	case verdict.NotRun:
-		if x.gateway.table.learnVersion(a.row, x.call.Model, verdict.Version) {
+		if x.gateway.table.learnVersion(x.gateway.now(), a.row, x.call.Model, verdict.Version) {
 			x.gateway.log.note(events.WeightsLearnt, zap.String(events.FieldInstance, a.row.entry.ID), zap.Uint64("version", verdict.Version))
 		}
 		return a.turnedAway(answer)
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -20,12 +20,15 @@
 	// muteAfter is how long a back end may leave a request without a word, while it says nothing else either, before it is
 	// avoided.
 	muteAfter = 1200 * time.Millisecond
+	// olderPause is how long a back end is avoided that holds older weights than believed: about a period of its heartbeats.
+	olderPause = time.Second
 )
 
 // endpoint is a row of the back end table.
 type endpoint struct {
-	entry    control.RosterEntry
-	heardAt  time.Duration // when the entry came
+	entry    control.RosterEntry // with the newest weights that control or the back end itself told of
+	told     map[string]uint64   // weights by model, as control last told them
+	heardAt  time.Duration       // when the entry came
 	occupied belief.Occupancy
 	busyTo   time.Duration    // when the prompts sent so far, by any gateway, are taken to be read
 	held     *belief.Holdings // cached parts that it is believed to hold
@@ -111,7 +114,14 @@
 
 // update takes up what control tells of a back end. What it holds is forgotten when its weights are others.
 func (e *endpoint) update(now time.Duration, entry control.RosterEntry) {
-	entry.Versions = newestVersions(e.entry.Versions, entry.Versions)
+	told := entry.Versions
+	entry.Versions = newestVersions(e.entry.Versions, told)
+	for model, version := range told {
+		if version < e.told[model] {
+			entry.Versions[model] = version // they fell, or a new leader hasn't heard of them yet: a send expects these, so nothing begins on others
+		}
+	}
+	e.told = told
 	if !maps.Equal(e.entry.Versions, entry.Versions) {
 		e.held.Clear()
 	}
@@ -130,8 +140,7 @@
 	t.changed.Ring()
 }
 
-// newestVersions merges what was known of a back end's weights with what is told: within one life versions only rise, and
-// a new leader may not have heard of them yet.
+// newestVersions merges what was known of a back end's weights with what is told: a new leader may not have heard of them yet.
 func newestVersions(known, told map[string]uint64) map[string]uint64 {
 	merged := maps.Clone(told)
 	for model, version := range known {
@@ -143,11 +152,15 @@
 	return merged
 }
 
-// learnVersion notes the weights that a back end itself told of, and reports whether they are news.
-func (t *table) learnVersion(row *endpoint, model string, version uint64) (news bool) {
+// learnVersion notes the weights that a back end itself told of when it turned a request away, and reports whether they are news. Where they are
+// older than believed it is left alone for a while: control hears of it with the next heartbeat.
+func (t *table) learnVersion(now time.Duration, row *endpoint, model string, version uint64) (news bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if version <= row.entry.Versions[model] {
+	if believed := row.entry.Versions[model]; version <= believed {
+		if version > 0 && version < believed {
+			row.avoidTo = max(row.avoidTo, now+olderPause)
+		}
 		return false
 	}
 	row.entry.Versions = newestVersions(row.entry.Versions, map[string]uint64{model: version})
