Gateway: a line for answers on other weights than believed or wanted, with the limits

Cause: whether a request was allowed to begin on its back end's weights could not be told from a gateway's log: neither the weights answered, nor the version believed, nor the naming's age as told, nor the limit at choice and at begin were in it.

Purpose: one line a second for each back end at most, with the count of those held back; `attempt failed` for outdated weights tells the limits.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -13,6 +13,7 @@
 	InstanceLeaving = "instance leaving"
 	InstanceGone    = "instance gone"
 	WeightsLearnt   = "weights learnt"
+	WeightsDiffer   = "other weights answered" // than were expected or believed, or older ones than were named
 	CacheUnread     = "cache not read"
 	SchedulerSilent = "scheduler silent" // a scheduler did not answer a question for a placement in time
 	ControlLost     = "control lost"
@@ -73,5 +74,11 @@
 	// FieldFingerprint names a request by what stays when it comes again.
 	FieldFingerprint = "fingerprint"
 	FieldLives       = "lives" // of back ends that ended under a request
-	FieldLate        = "late"  // true where the answer missed the route's objective
+	// FieldLacked is how long ago the oldest version was named that weights lack, as control told; FieldLimitLeft the seconds left
+	// until nothing may begin on them any more, below 0 once that has passed; FieldLimitChosen the same by the limit that was known
+	// when the place was chosen.
+	FieldLacked      = "lacked"
+	FieldLimitLeft   = "limit_left"
+	FieldLimitChosen = "limit_chosen"
+	FieldLate        = "late" // true where the answer missed the route's objective
 )
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -23,9 +23,11 @@
 	}
 	x := a.exchange
 	verdict := x.gateway.dialect.Judge(answer.StatusCode, answer.Header)
-	switch {
-	case x.call.ID != "" && verdict.ID != x.call.ID && !(verdict.NotRun && verdict.ID == ""):
+	if x.call.ID != "" && verdict.ID != x.call.ID && !(verdict.NotRun && verdict.ID == "") {
 		return a.broken("answer of another request")
+	}
+	a.noteWeights(answer.StatusCode, verdict)
+	switch {
 	case verdict.NotRun:
 		if x.gateway.table.learnVersion(a.row, x.call.Model, verdict.Version) {
 			x.gateway.log.note(events.WeightsLearnt, zap.String(events.FieldInstance, a.row.entry.ID), zap.Uint64("version", verdict.Version))
@@ -61,7 +63,7 @@
 	cause := err.Error()
 	switch {
 	case context.Cause(a.ctx) == errOutdated:
-		cause = "weights outdated"
+		cause = causeOutdated
 	case context.Cause(a.ctx) == errSilent:
 		cause, a.grade = "silent", gradeBad
 	case a.exchange.ctx.Err() == nil:
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,6 +39,8 @@
 	resumePauses  = 4
 	resumeMinimum = 1800 * time.Millisecond
 	eventStream   = "text/event-stream"
+	// causeOutdated is the cause of an attempt that would have begun on weights that are too old.
+	causeOutdated = "weights outdated"
 )
 
 // resultKind tells how an attempt ended.
--- a/internal/gateway/final.go
+++ b/internal/gateway/final.go
@@ -99,5 +99,8 @@
 	if sent.looked != nil {
 		fields = append(fields, zap.Stringer(events.FieldFingerprint, x.print))
 	}
+	if failed.cause == causeOutdated {
+		fields = append(fields, sent.outdated()...)
+	}
 	x.gateway.log.note(events.AttemptFailed, fields...)
 }
--- /dev/null
+++ b/internal/gateway/oldweights.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/events"
+)
+
+// weightsSeen is what an answer tells of a back end's weights, beside what was believed of them.
+type weightsSeen struct {
+	believed uint64        // now
+	answered uint64        // 0 unknown
+	named    time.Duration // when the oldest version was named that the weights lack
+	lacks    bool          // there is such a version
+}
+
+// seeWeights compares the weights of an answer, or the believed ones where it names none, with what was named.
+func (g *Gateway) seeWeights(row *endpoint, model string, answered uint64) weightsSeen {
+	g.table.mutex.Lock()
+	defer g.table.mutex.Unlock()
+	seen := weightsSeen{believed: row.entry.Versions[model], answered: answered}
+	held := answered
+	if held == 0 {
+		held = seen.believed
+	}
+	seen.named, seen.lacks = g.lackedSince(model, held)
+	return seen
+}
+
+// noteWeights logs that an answer names other weights than were expected or believed, or that a request began on weights that
+// lack a named version: whether it was allowed to can't be told later without the limits that held.
+func (a *attempt) noteWeights(status int, verdict Verdict) {
+	x := a.exchange
+	begun := status < http.StatusMultipleChoices && verdict.Signed
+	refused := verdict.NotRun && verdict.Version > 0
+	if !x.service.Engine || !begun && !refused {
+		return
+	}
+	g := x.gateway
+	seen := g.seeWeights(a.row, x.call.Model, verdict.Version)
+	expected := a.plan.version
+	differs := seen.answered > 0 && (expected > 0 && seen.answered != expected || seen.answered != seen.believed)
+	if !differs && !(begun && seen.lacks) {
+		return
+	}
+	now := g.now()
+	held, due := g.oldWeights.due(now, a.row.entry.ID)
+	if !due {
+		return
+	}
+	fields := []zap.Field{
+		zap.String(events.FieldRequest, x.call.ID), zap.String(events.FieldInstance, a.row.entry.ID), zap.String("model", x.call.Model),
+		zap.Int("answer", status), zap.Uint64("expected", expected), zap.Uint64("believed", seen.believed),
+		zap.Uint64("answered", seen.answered), zap.Duration(events.FieldTook, now-a.began), zap.Int("held", held),
+	}
+	g.log.note(events.WeightsDiffer, append(fields, a.limitFields(now, seen.named, seen.lacks)...)...)
+}
+
+// limitFields returns the limits of an attempt that began, or was to, on weights that lack a version: the one known when its
+// place was chosen, and the one that holds now.
+func (a *attempt) limitFields(now, named time.Duration, lacks bool) []zap.Field {
+	var fields []zap.Field
+	if a.plan.beginBy > 0 {
+		fields = append(fields, zap.Duration(events.FieldLimitChosen, a.plan.beginBy-now))
+	}
+	if lacks {
+		left := named + a.exchange.gateway.settings.VersionLimit - now
+		fields = append(fields, zap.Duration(events.FieldLacked, now-named), zap.Duration(events.FieldLimitLeft, left))
+	}
+	return fields
+}
+
+// outdated returns the limits of an attempt that was ended for them.
+func (a *attempt) outdated() []zap.Field {
+	x := a.exchange
+	seen := x.gateway.seeWeights(a.row, x.call.Model, 0)
+	fields := []zap.Field{zap.String("model", x.call.Model), zap.Uint64("expected", a.plan.version), zap.Uint64("believed", seen.believed)}
+	return append(fields, a.limitFields(x.gateway.now(), seen.named, seen.lacks)...)
+}
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -22,6 +22,11 @@
 	if !holds {
 		return 0, false
 	}
+	return g.lackedSince(model, held)
+}
+
+// lackedSince returns when the oldest version after a given one was named, if there is one.
+func (g *Gateway) lackedSince(model string, held uint64) (time.Duration, bool) {
 	for _, version := range g.table.named[model] {
 		if version.version > held {
 			return version.namedAt, true
