--- a/internal/gateway/oldweights_test.go
+++ b/internal/gateway/oldweights_test.go
@@ -63,3 +63,84 @@
 		t.Errorf("refused on newer weights: %v", refused)
 	}
 }
+
+// Between the choice of a place and the send a connection has to come up, and news of versions may come; the last look before the send
+// asked for the back end's state only, so that a request chosen 10 s before a limit was still sent 0.1 s before it, or after a version
+// was named whose time had passed. Back ends whose weights nobody knew had no limit at all. And an attempt was ended at its limit to the
+// millisecond, though it is over only once the close has reached the back end, and a timer may fire late.
+func TestLimitOfOldWeightsHoldsWhenSent(t *testing.T) {
+	// fresh returns a gateway with one engine on version 1, and its clock. Nothing may begin a minute after a newer version was named.
+	fresh := func() (*Gateway, *time.Duration) {
+		now := 10 * time.Minute
+		g := scheduler(1)
+		g.now = func() time.Duration { return now }
+		return g, &now
+	}
+	wish := func(g *Gateway) need {
+		return need{service: g.view.Load().services["s"], call: &Call{Model: "m"}, trusted: true}
+	}
+	t.Run("a version is named after the choice", func(t *testing.T) {
+		g, _ := fresh()
+		chosen := placedAt(g)
+		if bar := chosen.barred(); bar != "" {
+			t.Fatalf("barred before: %s", bar)
+		}
+		name(g, 2, time.Minute)
+		if chosen.barred() == "" {
+			t.Fatal("it is sent")
+		}
+	})
+	t.Run("the limit comes near while the connection comes up", func(t *testing.T) {
+		g, now := fresh()
+		name(g, 2, 50*time.Second)
+		chosen := placedAt(g)
+		*now += 9900 * time.Millisecond
+		if chosen.barred() == "" {
+			t.Fatal("it is sent")
+		}
+	})
+	t.Run("a scheduler has chosen", func(t *testing.T) {
+		g, _ := fresh()
+		chosen := placedAt(g)
+		plan := g.scheduledCandidate(&wirePlacement{Instance: "i-0", Version: 1}, scheduled{}, wish(g))
+		chosen = chosen.exchange.newAttempt(plan)
+		name(g, 2, time.Minute)
+		if chosen.barred() == "" {
+			t.Fatal("it is sent")
+		}
+	})
+	t.Run("the weights are not known", func(t *testing.T) {
+		g, _ := fresh()
+		g.table.rows["i-0"].entry.Versions = nil
+		name(g, 2, 10*time.Second)
+		if g.choose(g.now(), wish(g)) == nil {
+			t.Fatal("nothing is sent although there is time")
+		}
+		name(g, 2, time.Minute)
+		if g.choose(g.now(), wish(g)) != nil {
+			t.Fatal("it is sent")
+		}
+		plain := need{service: &catalog.Service{Name: "s"}, call: &Call{Model: "m"}, trusted: true}
+		if g.choose(g.now(), plain) == nil {
+			t.Fatal("a service without weights gets nothing")
+		}
+	})
+	t.Run("it is taken back in time for the close to arrive", func(t *testing.T) {
+		g, now := fresh()
+		name(g, 2, 50*time.Second)
+		waits, begun := placedAt(g), placedAt(g)
+		for _, sent := range []*attempt{waits, begun} {
+			g.table.begin(g.now(), sent)
+		}
+		g.table.spoke(g.now(), begun)
+		*now += 9900 * time.Millisecond
+		waits.watchLimit()
+		begun.watchLimit()
+		if context.Cause(waits.ctx) != errOutdated {
+			t.Error("it waits on")
+		}
+		if begun.ctx.Err() != nil {
+			t.Error("one that has begun is cut")
+		}
+	})
+}
