Gateway: the limit for old weights is read at the send and for as long as a request waits

Cause: the limit was noted in the candidate when the place was chosen. What came later (a naming, an older naming, a slow connection) changed nothing: barred asked for the state only, watchLimit had a timer for the noted limit, or none.

Now: the last look before a send asks for the limit that holds then, with the same margin and prediction as the choice; attempts that wait stand in one table, and each answer of control sets their timers anew, also at back ends that are gone from the roster; a timer that fires asks again. Engines whose weights are not known count as lacking every named version; plain services have no limit as before. What has begun (the head of its answer came) is not cut. The first of the namings that a back end lacks counts, whichever version tells it: the rapid test found that of two versions the higher may be told as the older.

Ruled out: walking all back ends for each request; the walk is over waiting attempts, once for each answer of control.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -79,6 +79,7 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	silence  *time.Timer // ends the attempt of a request that may go elsewhere
+	limit    *time.Timer // ends it before it begins on weights that are too old; nil before there is a limit; guarded by the table's mutex
 	wire     *connection
 	written  chan error      // the end of writing the request
 	begun    atomic.Bool     // an event of the stream has come; it never turns false again
@@ -127,8 +128,7 @@
 	a.begin()
 	defer a.end()
 	a.watchSilence(a.patience())
-	stopLimit := a.watchLimit()
-	defer stopLimit()
+	a.watchLimit()
 	a.send()
 	ended := a.receive()
 	if a.silence != nil {
@@ -214,6 +214,9 @@
 	if a.row.gone || a.row.entry.State != catalog.StateReady {
 		return "leaving"
 	}
+	if x.gateway.beginsTooLate(now, a.row, x.service, x.call.Model, a.plan.wait) {
+		return causeOutdated
+	}
 	return ""
 }
 
@@ -248,20 +251,6 @@
 	a.cancel(errSilent)
 }
 
-// watchLimit ends the attempt when it has not begun on old weights until it must have. It returns what stops the watch.
-func (a *attempt) watchLimit() func() {
-	if a.plan.beginBy == 0 {
-		return func() {}
-	}
-	x := a.exchange
-	timer := time.AfterFunc(a.plan.beginBy-x.gateway.now(), func() {
-		if x.gateway.table.waits(a) {
-			a.cancel(errOutdated)
-		}
-	})
-	return func() { timer.Stop() }
-}
-
 // send writes the request. A long body is written beside the reading of the answer.
 func (a *attempt) send() {
 	head := a.head()
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -46,7 +46,7 @@
 	version  uint64        // of its weights
 	wait     float64       // predicted time until the request begins, in milliseconds
 	queue    float64       // of it, the time until its prompt is read
-	beginBy  time.Duration // when it must have begun, or 0
+	beginBy  time.Duration // when it must have begun as far as the choice knew, or 0; only the log may rely on it
 	uncached int           // prompt tokens to read
 	alone    bool          // nothing else is taken to be read there
 	fetch    string        // address to take cached parts from, or ""
@@ -103,7 +103,7 @@
 			continue
 		}
 		scored := g.score(now, row, wish, row == owner, sources)
-		if g.beginsTooLate(now, &scored, wish.call.Model) {
+		if g.chosenTooLate(now, &scored, wish) {
 			continue
 		}
 		if !found || scored.cost < best.cost {
@@ -121,7 +121,7 @@
 	if row.entry.State != catalog.StateReady || row.entry.Loading || slices.Contains(wish.tried, row) {
 		return false
 	}
-	limit, limited := g.beginLimit(row, wish.call.Model)
+	limit, limited := g.beginLimit(row, wish.service, wish.call.Model)
 	return !limited || now < limit-beginMargin
 }
 
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -58,13 +58,14 @@
 	homes      int                         // rows that are home
 	holders    map[string][]*endpoint      // that hold a shared part, under any salt, by its id
 	changed    *bell                       // rings with each roster
+	waiting    map[*attempt]struct{}       // all that wait at any row, also at those that are gone
 }
 
 func newTable(mechanisms mechanism.Set) *table {
 	return &table{
 		mechanisms: mechanisms,
 		rows:       map[string]*endpoint{}, services: map[string][]*endpoint{}, named: map[string][]named{},
-		stored: belief.NewStored(), lanes: map[string]*lanes{}, stays: map[string]belief.Stays{}, placed: map[string]placement{}, links: belief.Links{}, paces: map[string]belief.Pace{}, judges: map[string]*admission.Judge{}, holders: map[string][]*endpoint{}, changed: newBell(),
+		stored: belief.NewStored(), lanes: map[string]*lanes{}, stays: map[string]belief.Stays{}, placed: map[string]placement{}, links: belief.Links{}, paces: map[string]belief.Pace{}, judges: map[string]*admission.Judge{}, holders: map[string][]*endpoint{}, changed: newBell(), waiting: map[*attempt]struct{}{},
 	}
 }
 
@@ -227,6 +228,7 @@
 		t.read(now, sent.row, sent.uncached)
 	}
 	sent.row.waiting[sent] = now
+	t.waiting[sent] = struct{}{}
 	return sent.row.occupied.Here()
 }
 
@@ -238,16 +240,13 @@
 	t.endWait(sent)
 }
 
-// waits reports whether an attempt has had no answer yet.
-func (t *table) waits(sent *attempt) bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	_, waits := sent.row.waiting[sent]
-	return waits
-}
-
+// endWait notes that an attempt waits no longer, and ends the watch of its limit. The caller holds the mutex.
 func (t *table) endWait(sent *attempt) {
 	delete(sent.row.waiting, sent)
+	delete(t.waiting, sent)
+	if sent.limit != nil {
+		sent.limit.Stop()
+	}
 }
 
 // end notes that an attempt is over, and how it went. It returns what this gateway still has running there.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -126,6 +126,7 @@
 			zap.Bool("whole", reply.Roster.Whole), zap.Int("changed", len(reply.Roster.Entries)), zap.Int("gone", len(reply.Roster.Gone)))
 	}
 	g.table.takeNews(asked, reply)
+	g.watchLimits()
 	g.desk.Touch(asked, reply.Gateways)
 	g.near.use(reply.Near)
 	g.spread.use(reply.Mesh)
--- a/internal/gateway/oldweights_test.go
+++ b/internal/gateway/oldweights_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
+	"pgregory.net/rapid"
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
@@ -19,16 +22,23 @@
 	g.table.takeNews(g.now(), &control.WatchReply{Wanted: []control.WantedVersion{{Model: "m", Version: version, Age: age}}})
 }
 
-// placedAt returns an attempt of a request for the model m that a gateway has chosen to send to the back end i-0.
-func placedAt(g *Gateway) *attempt {
-	x := &exchange{
+// asking returns a request for the model m.
+func asking(g *Gateway) *exchange {
+	return &exchange{
 		gateway: g, ctx: context.Background(), service: g.view.Load().services["s"], view: g.view.Load(), route: &catalog.Route{},
 		call: Call{ID: "r1", Model: "m"}, deadline: time.Hour, cover: cover{covered: true},
 	}
-	wish := need{service: x.service, call: &x.call, trusted: true}
-	return x.newAttempt(g.choose(g.now(), wish))
 }
 
+// placedAt returns an attempt of a request that a gateway has chosen to send to its one back end.
+func placedAt(g *Gateway) *attempt {
+	x := asking(g)
+	return x.newAttempt(g.choose(g.now(), need{service: x.service, call: &x.call, trusted: true}))
+}
+
+// placedOn returns an attempt at a back end.
+func placedOn(g *Gateway, row *endpoint) *attempt { return asking(g).newAttempt(&candidate{row: row}) }
+
 // TestAnswersOnOtherWeightsAreTold: what was expected, believed and answered, with both limits, once a second for each back
 // end; an answer on the weights that were wanted leaves no line.
 func TestAnswersOnOtherWeightsAreTold(t *testing.T) {
@@ -144,3 +154,100 @@
 		}
 	})
 }
+
+// TestTimerTakesAWaitingRequestBack: without any news after the one that gave the limit; a limit that moved meanwhile counts.
+func TestTimerTakesAWaitingRequestBack(t *testing.T) {
+	var now atomic.Int64
+	now.Store(int64(10 * time.Minute))
+	g := scheduler(1)
+	g.now = func() time.Duration { return time.Duration(now.Load()) }
+	sent := placedAt(g)
+	g.table.begin(g.now(), sent)
+	sent.watchLimit()
+	left := takeBackMargin + time.Millisecond
+	name(g, 2, g.settings.VersionLimit-left)
+	g.watchLimits()
+	if sent.ctx.Err() != nil {
+		t.Fatal("taken back too early")
+	}
+	now.Add(int64(time.Millisecond))
+	<-sent.ctx.Done()
+	if cause := context.Cause(sent.ctx); cause != errOutdated {
+		t.Fatalf("ended for %v", cause)
+	}
+}
+
+// TestWaitingRequestsFollowTheNews: whatever is named, learnt, taken off the roster, begun and ended, just those requests are
+// taken back that waited when the limit of their back end's weights, as it stood then, was near.
+func TestWaitingRequestsFollowTheNews(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const engines = 3
+		var clock atomic.Int64
+		clock.Store(int64(10 * time.Minute))
+		g := scheduler(engines)
+		g.now = func() time.Duration { return time.Duration(clock.Load()) }
+		versions, waits, late := map[string]uint64{}, map[*attempt]bool{}, map[*attempt]bool{}
+		rows := map[string]*endpoint{}
+		for id, row := range g.table.rows {
+			versions[id], rows[id] = 1, row
+		}
+		var sent []*attempt
+		namedAt := map[uint64]time.Duration{}
+		isLate := func(id string) bool {
+			for version, at := range namedAt {
+				if version > versions[id] && g.now() >= at+g.settings.VersionLimit-takeBackMargin {
+					return true
+				}
+			}
+			return false
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := fmt.Sprint("i-", rapid.IntRange(0, engines-1).Draw(t, "engine"))
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0, 1:
+				made := placedOn(g, rows[id])
+				g.table.begin(g.now(), made)
+				sent, waits[made] = append(sent, made), true
+			case 2:
+				if len(sent) > 0 {
+					begun := sent[rapid.IntRange(0, len(sent)-1).Draw(t, "begun")]
+					g.table.spoke(g.now(), begun)
+					delete(waits, begun)
+				}
+			case 3:
+				clock.Add(int64(time.Duration(rapid.IntRange(0, 40).Draw(t, "pause")) * time.Second))
+			case 4:
+				reply := &control.WatchReply{}
+				clear(namedAt)
+				for version := uint64(2); version <= 4; version++ {
+					if rapid.Bool().Draw(t, "named") {
+						age := time.Duration(rapid.IntRange(0, 90).Draw(t, "age")) * time.Second
+						namedAt[version] = g.now() - age
+						reply.Wanted = append(reply.Wanted, control.WantedVersion{Model: "m", Version: version, Age: age})
+					}
+				}
+				g.table.takeNews(g.now(), reply)
+			case 5:
+				version := rapid.Uint64Range(1, 4).Draw(t, "version")
+				g.table.learnVersion(rows[id], "m", version)
+				versions[id] = max(versions[id], version)
+				g.table.takeRoster(g.now(), &control.RosterNews{Gone: []string{id}}, nil)
+			}
+			g.watchLimits()
+			for _, one := range sent {
+				if waits[one] && isLate(one.row.entry.ID) {
+					late[one] = true
+				}
+				if ended := context.Cause(one.ctx) == errOutdated; ended != late[one] {
+					t.Fatalf("at %s, %v named, %v held: taken back %v, wanted %v", one.row.entry.ID, namedAt, versions, ended, late[one])
+				}
+			}
+		}
+		for _, one := range sent {
+			g.table.end(g.now(), one, gradeGood)
+		}
+		if len(g.table.waiting) > 0 {
+			t.Fatalf("%d are kept as waiting", len(g.table.waiting))
+		}
+	})
+}
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -10,39 +10,97 @@
 )
 
 // beginLimit returns until when requests may begin on a back end's weights, if newer ones were named. The time counts
-// from when the oldest version that it lacks was named, not the newest.
-func (g *Gateway) beginLimit(row *endpoint, model string) (time.Duration, bool) {
-	namedAt, lacks := g.lacksSince(row, model)
+// from when the oldest version that it lacks was named, not the newest. The caller holds the table's mutex, and asks again
+// whenever it acts: news move the limit.
+func (g *Gateway) beginLimit(row *endpoint, service *catalog.Service, model string) (time.Duration, bool) {
+	namedAt, lacks := g.lacksSince(row, service, model)
 	return namedAt + g.settings.VersionLimit, lacks
 }
 
-// lacksSince returns when the oldest version that a back end lacks was named, if there is one.
-func (g *Gateway) lacksSince(row *endpoint, model string) (time.Duration, bool) {
+// lacksSince returns when the oldest version that a back end lacks was named, if there is one. An engine whose weights are
+// not known may have any old ones, so it counts as lacking all; a plain service has none to lack.
+func (g *Gateway) lacksSince(row *endpoint, service *catalog.Service, model string) (time.Duration, bool) {
 	held, holds := row.entry.Versions[model]
-	if !holds {
+	if !holds && !service.Engine {
 		return 0, false
 	}
 	return g.lackedSince(model, held)
 }
 
-// lackedSince returns when the oldest version after a given one was named, if there is one.
-func (g *Gateway) lackedSince(model string, held uint64) (time.Duration, bool) {
+// lackedSince returns when the first of the versions after a given one was named, if there is one. Leaders may tell of a
+// version at different ages, so a higher one may seem to be the older.
+func (g *Gateway) lackedSince(model string, held uint64) (first time.Duration, lacks bool) {
 	for _, version := range g.table.named[model] {
-		if version.version > held {
-			return version.namedAt, true
+		if version.version > held && (!lacks || version.namedAt < first) {
+			first, lacks = version.namedAt, true
 		}
 	}
-	return 0, false
+	return first, lacks
 }
 
-// beginsTooLate reports whether a request would likely begin after the limit for the back end's weights.
-func (g *Gateway) beginsTooLate(now time.Duration, scored *candidate, model string) bool {
-	limit, limited := g.beginLimit(scored.row, model)
-	if limited {
+// beginsTooLate reports whether a request would likely begin after the limit for the back end's weights that holds now,
+// where so many milliseconds are predicted until it begins. The caller holds the table's mutex.
+func (g *Gateway) beginsTooLate(now time.Duration, row *endpoint, service *catalog.Service, model string, wait float64) bool {
+	limit, limited := g.beginLimit(row, service, model)
+	return limited && now+belief.FromMilliseconds(beginFactor*wait) >= limit-beginMargin
+}
+
+// chosenTooLate is beginsTooLate for a place that was just scored, and notes the limit with it.
+func (g *Gateway) chosenTooLate(now time.Duration, scored *candidate, wish need) bool {
+	if limit, limited := g.beginLimit(scored.row, wish.service, wish.call.Model); limited {
 		scored.beginBy = limit
 	}
-	wait := belief.FromMilliseconds(beginFactor * scored.wait)
-	return limited && now+wait >= limit-beginMargin
+	return g.beginsTooLate(now, scored.row, wish.service, wish.call.Model, scored.wait)
+}
+
+// watchLimit ends the attempt if it has not begun when the limit for its back end's weights nears, and looks again then.
+func (a *attempt) watchLimit() {
+	g := a.exchange.gateway
+	g.table.mutex.Lock()
+	late := a.armLimit(g.now())
+	g.table.mutex.Unlock()
+	if late {
+		a.cancel(errOutdated)
+	}
+}
+
+// watchLimits sets the watch of all attempts that wait to the limits that hold now: news may have brought one forward, or the
+// first one.
+func (g *Gateway) watchLimits() {
+	var late []*attempt
+	g.table.mutex.Lock()
+	now := g.now()
+	for sent := range g.table.waiting {
+		if sent.armLimit(now) {
+			late = append(late, sent)
+		}
+	}
+	g.table.mutex.Unlock()
+	for _, sent := range late {
+		sent.cancel(errOutdated)
+	}
+}
+
+// armLimit sets the attempt's watch to the limit that holds now, and reports whether it must be taken back at once. A limit
+// that moved later, or is gone, is seen when the timer fires. The caller holds the table's mutex.
+func (a *attempt) armLimit(now time.Duration) (late bool) {
+	x := a.exchange
+	if _, waits := a.row.waiting[a]; !waits {
+		return false
+	}
+	limit, limited := x.gateway.beginLimit(a.row, x.service, x.call.Model)
+	left := limit - takeBackMargin - now
+	switch {
+	case !limited:
+		return false
+	case left <= 0:
+		return true
+	case a.limit == nil:
+		a.limit = time.AfterFunc(left, a.watchLimit)
+	default:
+		a.limit.Reset(left)
+	}
+	return false
 }
 
 // salt names the cached parts that a request may share: those of the same weights, and of the same tenant where it
