Namings: the log tells how old a new leader takes them to be

Cause looked for: the limit of old weights counts from the age that control tells, which is when one replica applied the naming. Nothing told which age a new leader gives, nor that a gateway's limit moves later by it.

Sight only, no decision changes: "leadership won" tells the 8 youngest namings with their ages; a gateway tells once a version when control says that it is younger than it knew (by more than an answer may take, 700 ms). Namings have files of their own: control/namings.go, gateway/belief/namings.go. Tests of control, gateway, events and platform pass.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -223,38 +223,6 @@
 	}
 }
 
-// namedVersion is a version and when it was applied here.
-type namedVersion struct {
-	version uint64
-	at      time.Duration
-}
-
-// namingsKept bounds the versions of a model whose times are remembered.
-const namingsKept = 32
-
-// noteNaming remembers when a version was named.
-func (r *Replica) noteNaming(now time.Duration, model string, version uint64) {
-	namings := append(r.namings[model], namedVersion{version: version, at: now})
-	r.namings[model] = namings[max(0, len(namings)-namingsKept):]
-}
-
-// wantedVersions returns the versions that were named lately, with how long ago that was. A version that came with a
-// snapshot counts from the start of this process.
-func (r *Replica) wantedVersions(now time.Duration) []WantedVersion {
-	var wanted []WantedVersion
-	versions := r.machine.catalog.Versions()
-	for _, model := range sortedKeys(versions) {
-		namings := r.namings[model]
-		if len(namings) == 0 {
-			namings = []namedVersion{{version: versions[model]}}
-		}
-		for _, naming := range namings {
-			wanted = append(wanted, WantedVersion{Model: model, Version: naming.version, Age: now - naming.at})
-		}
-	}
-	return wanted
-}
-
 // applyCatalog applies a command of the catalog and tells watchers of it.
 func (r *Replica) applyCatalog(now time.Duration, command catalog.Command) *catalog.Outcome {
 	before := command.Version != nil && r.machine.catalog.Versions()[command.Version.Model] < command.Version.Version
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -260,11 +260,12 @@
 		return
 	}
 	s.led = leads
-	event := events.LeadershipLost
-	if leads {
-		event = events.LeadershipWon
+	fields := []zap.Field{zap.Uint64("term", s.replica.node.Term()), zap.String("leader", s.replica.leaderAddress())}
+	if !leads {
+		s.log.Info(events.LeadershipLost, fields...)
+		return
 	}
-	s.log.Info(event, zap.Uint64("term", s.replica.node.Term()), zap.String("leader", s.replica.leaderAddress()))
+	s.log.Info(events.LeadershipWon, append(fields, zap.Strings("namings", s.replica.namingsLine(s.now())))...)
 }
 
 // drain takes what else waits, so that many proposals share one sync.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -13,6 +13,7 @@
 	InstanceLeaving = "instance leaving"
 	InstanceGone    = "instance gone"
 	WeightsLearnt   = "weights learnt"
+	NamingYounger   = "naming told younger" // control tells that a version was named later than known
 	CacheUnread     = "cache not read"
 	SchedulerSilent = "scheduler silent" // a scheduler did not answer a question for a placement in time
 	ControlLost     = "control lost"
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -13,6 +13,7 @@
 	"kitetiller/internal/control"
 	"kitetiller/internal/events"
 	"kitetiller/internal/gateway/belief"
+	"kitetiller/internal/guard"
 	"kitetiller/internal/mechanism"
 )
 
@@ -47,7 +48,7 @@
 	mutex      sync.Mutex
 	rows       map[string]*endpoint
 	services   map[string][]*endpoint
-	named      map[string][]named          // by model, rising
+	named      *belief.Namings             // of weights
 	stored     *belief.Stored              // parts that were sent to a store
 	lanes      map[string]*lanes           // by service
 	stays      map[string]belief.Stays     // by service
@@ -63,7 +64,7 @@
 func newTable(mechanisms mechanism.Set) *table {
 	return &table{
 		mechanisms: mechanisms,
-		rows:       map[string]*endpoint{}, services: map[string][]*endpoint{}, named: map[string][]named{},
+		rows:       map[string]*endpoint{}, services: map[string][]*endpoint{}, named: belief.NewNamings(guard.Set{}),
 		stored: belief.NewStored(), lanes: map[string]*lanes{}, stays: map[string]belief.Stays{}, placed: map[string]placement{}, links: belief.Links{}, paces: map[string]belief.Pace{}, judges: map[string]*admission.Judge{}, holders: map[string][]*endpoint{}, changed: newBell(),
 	}
 }
@@ -155,14 +156,11 @@
 	return true
 }
 
-// takeNews notes what every answer of control carries.
-func (t *table) takeNews(asked time.Duration, reply *control.WatchReply) {
+// takeNews notes what every answer of control carries, and returns the versions of weights that it tells to be younger than known.
+func (t *table) takeNews(now, asked time.Duration, reply *control.WatchReply) []belief.Younger {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	clear(t.named)
-	for _, wanted := range reply.Wanted {
-		t.named[wanted.Model] = append(t.named[wanted.Model], named{version: wanted.Version, namedAt: asked - wanted.Age})
-	}
+	return t.named.Take(now, asked, reply.Version.Term, reply.Wanted)
 }
 
 // setHome notes which back ends this gateway reads.
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -87,9 +86,3 @@
 	}
 	return defaultBodyLimit
 }
-
-// named is a version of a model's weights that was named lately.
-type named struct {
-	version uint64
-	namedAt time.Duration // by this process's clock
-}
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -22,12 +22,7 @@
 	if !holds {
 		return 0, false
 	}
-	for _, version := range g.table.named[model] {
-		if version.version > held {
-			return version.namedAt, true
-		}
-	}
-	return 0, false
+	return g.table.named.Since(model, held)
 }
 
 // beginsTooLate reports whether a request would likely begin after the limit for the back end's weights.
