Namings: tests that fail first, for whoever leads, gateways and relays

A gateway took a naming at 6 s of its clock for one at 11 s after a new leader's word. A relay told 1 s for up to 1.3 s.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -23,10 +23,14 @@
 	disk    *Disk
 	replica *Replica
 	now     time.Duration
+	wall    time.Duration // of the time of day, beyond the replica's own clock
 	replies map[uint64]Response
 	weights []WeightsCall
 }
 
+// testWallStart is the time of day at which a test's clock starts, in milliseconds.
+const testWallStart = 1_700_000_000_000
+
 func soloConfig(id consensus.ID) Config {
 	timing := consensus.Timing{Heartbeat: 100 * time.Millisecond, ElectionMin: 700 * time.Millisecond, ElectionMax: 1400 * time.Millisecond, Lease: 500 * time.Millisecond}
 	return Config{ID: id, Name: "c1", Address: "a", Timing: timing, Replicas: 1, SettingsLease: 2 * time.Second, RepairAfter: time.Hour,
@@ -56,7 +60,7 @@
 
 func (s *solo) pass(length time.Duration) {
 	for end := s.now + length; s.now < end; s.now += 50 * time.Millisecond {
-		s.replica.Tick(s.now, 1_700_000_000_000+s.now.Milliseconds())
+		s.replica.Tick(s.now, testWallStart+(s.wall+s.now).Milliseconds())
 		s.work()
 	}
 }
--- a/internal/control/relay/relay_test.go
+++ b/internal/control/relay/relay_test.go
@@ -162,3 +162,16 @@
 		t.Fatalf("reads %v after the engine had gone", reads)
 	}
 }
+
+// TestNamingGrowsNoYounger: an answer of the leader took a while to reach the replica that asked for gateways. The ages in it are of when it
+// left, and the replica told them as of when it came.
+func TestNamingGrowsNoYounger(t *testing.T) {
+	r := New(guard.Set{})
+	r.Take(waiting(1, 0, roster.Version{}))
+	ask(t, r, 0)
+	const way = 300 * time.Millisecond
+	r.Observe(way, &Answer{Number: 1, Version: roster.Version{Term: 1, Count: 1}, Wanted: []roster.Wanted{{Model: "m", Version: 2, Age: time.Second}}})
+	if told := r.Wanted(way)[0].Age; told < time.Second+way {
+		t.Fatalf("told to be %v old, it may be %v", told, time.Second+way)
+	}
+}
--- a/internal/gateway/belief/namings.go
+++ b/internal/gateway/belief/namings.go
@@ -11,6 +11,9 @@
 // date by about as much (650 ms of a gateway's patience with control).
 const youngerMargin = 700 * time.Millisecond
 
+// namingsMost bounds the versions of a model that are known, as control bounds what it tells.
+const namingsMost = 32
+
 // Younger is a naming that control tells to be younger than was known.
 type Younger struct {
 	Model       string
