--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -32,7 +32,7 @@
 // tombstonesKept bounds the ended instances that are remembered, so that a late heartbeat revives none of them.
 const tombstonesKept = 2000
 
-// Command is one change of the replicated state. Exactly one field is set.
+// Command is one change of the replicated state. Exactly one field is set, beside UnixMS.
 type Command struct {
 	Replace  *Document         `json:"replace,omitempty"`
 	Register *Instance         `json:"register,omitempty"`
@@ -50,6 +50,9 @@
 	Left     []string          `json:"left,omitempty"`    // gateways that no longer do
 
 	Quarantine *quarantine.Change `json:"quarantine,omitempty"` // requests under which back ends ended
+
+	// UnixMS is the time of day at which the command was proposed, by the proposer's clock. Whoever applies it takes it from the entry.
+	UnixMS int64 `json:"-"`
 }
 
 // HeldWeight is a version of a model's weights that an instance was seen to hold.
@@ -81,6 +84,7 @@
 	tombstones []string
 	ended      map[string]bool
 	versions   map[string]uint64
+	namings    map[string][]Naming          // by model, rising; the newest is of the version in versions
 	held       map[string]map[string]uint64 // by instance and model; of registered instances only; versions only rise
 	ordered    map[string]bool              // registered instances that were ever to be given an order
 	gateways   []string                     // that asked the last leader that wrote them, rising
@@ -94,7 +98,7 @@
 // NewMachine returns the empty state.
 func NewMachine() *Machine {
 	return &Machine{
-		instances: map[string]Instance{}, addresses: map[string]string{}, ended: map[string]bool{}, versions: map[string]uint64{}, held: map[string]map[string]uint64{},
+		instances: map[string]Instance{}, addresses: map[string]string{}, ended: map[string]bool{}, versions: map[string]uint64{}, namings: map[string][]Naming{}, held: map[string]map[string]uint64{},
 		ordered: map[string]bool{}, listed: map[string]bool{}, bounds: map[string]uint64{}, touched: map[string]bool{}, quarantine: quarantine.NewLedger(),
 	}
 }
@@ -189,7 +193,7 @@
 	case command.Quarantine != nil:
 		m.quarantine.Apply(*command.Quarantine)
 	case command.Version != nil:
-		m.versions[command.Version.Model] = max(m.versions[command.Version.Model], command.Version.Version)
+		m.name(*command.Version, command.UnixMS)
 	case command.Fence:
 		m.fence++
 		return Outcome{Revision: m.document.Revision, Fence: m.fence}
@@ -323,11 +327,13 @@
 	Bounds   map[string]uint64            `json:"bounds,omitempty"`
 
 	Quarantine *quarantine.Ledger `json:"quarantine,omitempty"`
+
+	Namings map[string][]Naming `json:"namings,omitempty"`
 }
 
 // MarshalJSON writes the whole state.
 func (m *Machine) MarshalJSON() ([]byte, error) {
-	return json.Marshal(machineForm{m.document, m.instances, m.tombstones, m.versions, m.fence, m.held, m.ordered, m.gateways, m.bounds, m.quarantine})
+	return json.Marshal(machineForm{m.document, m.instances, m.tombstones, m.versions, m.fence, m.held, m.ordered, m.gateways, m.bounds, m.quarantine, m.namings})
 }
 
 // UnmarshalJSON replaces the whole state.
@@ -356,6 +362,7 @@
 	}
 	for model, version := range form.Versions {
 		m.versions[model] = version
+		m.restoreNamings(model, form.Namings[model])
 	}
 	for _, id := range form.Tombstones {
 		m.ended[id] = true
--- /dev/null
+++ b/internal/catalog/naming_test.go
@@ -0,0 +1,57 @@
+package catalog
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestNamingsAreAgreed: replicas that applied the commands, and ones that got a snapshot at any point between, hold the same namings,
+// rising by version, the newest of them the newest version.
+func TestNamingsAreAgreed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		applied, restored := NewMachine(), NewMachine()
+		for range rapid.IntRange(1, 80).Draw(t, "commands") {
+			command := Command{
+				Version: &NamedWeight{Model: rapid.SampledFrom([]string{"m", "n"}).Draw(t, "model"), Version: rapid.Uint64Range(1, 100).Draw(t, "version")},
+				UnixMS:  rapid.Int64Range(1, 1000).Draw(t, "time"),
+			}
+			before := len(applied.Namings(command.Version.Model))
+			newer := command.Version.Version > applied.Versions()[command.Version.Model]
+			applied.Apply(command)
+			restored.Apply(command)
+			namings := applied.Namings(command.Version.Model)
+			if last := namings[len(namings)-1]; newer && last != (Naming{command.Version.Version, command.UnixMS}) {
+				t.Fatalf("%+v is the last naming after %+v", last, command)
+			}
+			if !newer && len(namings) != before || len(namings) > NamingsKept {
+				t.Fatalf("%d namings after %d", len(namings), before)
+			}
+			if rapid.IntRange(0, 9).Draw(t, "snapshot") == 0 {
+				data, err := json.Marshal(restored)
+				if err != nil {
+					t.Fatal(err)
+				}
+				restored = NewMachine()
+				if err := json.Unmarshal(data, restored); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if !reflect.DeepEqual(applied.namings, restored.namings) {
+			t.Fatalf("namings %+v and, through snapshots, %+v", applied.namings, restored.namings)
+		}
+		for model, namings := range applied.namings {
+			for i := range namings[1:] {
+				if namings[i].Version >= namings[i+1].Version {
+					t.Fatalf("namings of %s: %+v", model, namings)
+				}
+			}
+			if namings[len(namings)-1].Version != applied.versions[model] {
+				t.Fatalf("namings of %s: %+v; the newest is %d", model, namings, applied.versions[model])
+			}
+		}
+	})
+}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -235,7 +235,7 @@
 		r.noteQuarantined(now, *command.Quarantine)
 	}
 	if before {
-		r.noteNaming(now, command.Version.Model, command.Version.Version)
+		r.noteNaming(now, command.Version.Model)
 	}
 	touched := r.machine.catalog.Touched()
 	if r.lead == nil {
--- a/internal/control/namings.go
+++ b/internal/control/namings.go
@@ -4,35 +4,63 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/guard"
 )
 
-// namedVersion is a version and when it was applied here.
-type namedVersion struct {
+// datedNaming is a naming, and when it was by this process's clock.
+type datedNaming struct {
 	version uint64
 	at      time.Duration
 }
 
-// namingsKept bounds the versions of a model whose times are remembered.
-const namingsKept = 32
+// wallMS returns the time of day. The shell tells it with each tick.
+func (r *Replica) wallMS(now time.Duration) int64 {
+	return r.unixMS + (now - r.tickedAt).Milliseconds()
+}
+
+// dateNaming returns when a version was named: as long ago as the times of day of whoever proposed it and of this replica differ, and not
+// after now. An entry may be applied long after it was proposed: by a replica that restarts, was cut off or frozen, or gets a snapshot.
+func (r *Replica) dateNaming(now time.Duration, naming catalog.Naming) datedNaming {
+	dated := datedNaming{version: naming.Version, at: now}
+	if r.unixMS > 0 && r.config.Guards.On(guard.NamingAgreed) {
+		dated.at -= max(0, time.Duration(r.wallMS(now)-naming.UnixMS)*time.Millisecond)
+	}
+	return dated
+}
+
+// noteNaming remembers when a version was named that has just been applied.
+func (r *Replica) noteNaming(now time.Duration, model string) {
+	namings := r.machine.catalog.Namings(model)
+	dated := append(r.namings[model], r.dateNaming(now, namings[len(namings)-1]))
+	r.namings[model] = dated[max(0, len(dated)-catalog.NamingsKept):]
+}
 
-// noteNaming remembers when a version was named.
-func (r *Replica) noteNaming(now time.Duration, model string, version uint64) {
-	namings := append(r.namings[model], namedVersion{version: version, at: now})
-	r.namings[model] = namings[max(0, len(namings)-namingsKept):]
+// dateNamings dates all namings anew, at the start of a leadership and with a snapshot. What is known to be older stays so: of the time
+// since this process saw it and the difference of the times of day the larger counts. Between, no time changes, so that gateways
+// may take the best they heard of one leadership.
+func (r *Replica) dateNamings(now time.Duration) {
+	dated := map[string][]datedNaming{}
+	for model := range r.machine.catalog.Versions() {
+		for _, naming := range r.machine.catalog.Namings(model) {
+			fresh := r.dateNaming(now, naming)
+			at := slices.IndexFunc(r.namings[model], func(d datedNaming) bool { return d.version == naming.Version })
+			if at >= 0 {
+				fresh.at = min(fresh.at, r.namings[model][at].at)
+			}
+			dated[model] = append(dated[model], fresh)
+		}
+	}
+	r.namings = dated
 }
 
-// wantedVersions returns the versions that were named lately, with how long ago that was. A version that came with a
-// snapshot counts from the start of this process.
+// wantedVersions returns the versions that were named lately, with how long ago that was.
 func (r *Replica) wantedVersions(now time.Duration) []WantedVersion {
 	var wanted []WantedVersion
-	versions := r.machine.catalog.Versions()
-	for _, model := range sortedKeys(versions) {
-		namings := r.namings[model]
-		if len(namings) == 0 {
-			namings = []namedVersion{{version: versions[model]}}
-		}
-		for _, naming := range namings {
-			wanted = append(wanted, WantedVersion{Model: model, Version: naming.version, Age: now - naming.at})
+	for _, model := range sortedKeys(r.namings) {
+		for _, naming := range r.namings[model] {
+			wanted = append(wanted, WantedVersion{Model: model, Version: naming.version, Age: max(0, now-naming.at)})
 		}
 	}
 	return wanted
--- a/internal/control/relay/relay.go
+++ b/internal/control/relay/relay.go
@@ -93,7 +93,7 @@
 	toldAt   time.Duration
 	layout   *Layout
 	wanted   []roster.Wanted
-	wantedAt time.Duration
+	wantedAt time.Duration // no later than the ages in wanted are of: when the question left
 	gateways int
 	waiting  []Waiting // in the order in which they came; at most waitingMost
 	number   uint64    // of the newest question
@@ -164,7 +164,7 @@
 }
 
 // Observe takes the leader's answer up.
-func (r *Relay) Observe(now time.Duration, answer *Answer) {
+func (r *Relay) Observe(answer *Answer) {
 	if !r.onItsWay || answer.Number != r.number || answer.Version.Term < r.version.Term {
 		return // of a question that was given up, or of a leader before
 	}
@@ -177,7 +177,7 @@
 	if answer.Layout != nil {
 		r.layout, r.readers.stale = answer.Layout, true
 	}
-	r.wanted, r.wantedAt, r.gateways = answer.Wanted, now, answer.Gateways
+	r.wanted, r.wantedAt, r.gateways = answer.Wanted, r.askedAt, answer.Gateways
 	for i := range r.waiting {
 		w := &r.waiting[i]
 		if w.named == r.number && !slices.Contains(answer.Unlisted, w.Report.Gateway) {
--- a/internal/control/relaying.go
+++ b/internal/control/relaying.go
@@ -77,6 +77,6 @@
 		r.relay.Failed(number)
 		return
 	}
-	r.relay.Observe(now, answer)
+	r.relay.Observe(answer)
 	r.tendRelay(now)
 }
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -94,26 +94,27 @@
 	appliedTerm uint64
 	// appliedBytes are the bytes of the entries applied since the newest snapshot.
 	appliedBytes int
-	unixMS       int64
+	unixMS       int64         // time of day at tickedAt; 0 before the first tick
+	tickedAt     time.Duration // of the newest tick
 	now          time.Duration // of the newest tick or request
 	waiters      map[uint64]waiter
 	ready        consensus.Ready
 	effects      Effects
 	lead         *leadership
-	namings      map[string][]namedVersion // by model: the versions that were applied here, rising
-	orders       map[string]orderMark      // by instance: what this process saw in the log
-	told         toldDocument              // newest document that gateways were told
-	relay        *relay.Relay              // of gateways' questions while another replica leads
-	leaderless   []watcher                 // gateways' questions that wait for a leader; at most leaderlessMost
-	quarantined  quarantined               // when what was last counted, as this process saw it
-	checkpoint   bool                      // a snapshot must be written with the next Work
+	namings      map[string][]datedNaming // by model, rising by version: those of the catalog, since it applied here or was dated
+	orders       map[string]orderMark     // by instance: what this process saw in the log
+	told         toldDocument             // newest document that gateways were told
+	relay        *relay.Relay             // of gateways' questions while another replica leads
+	leaderless   []watcher                // gateways' questions that wait for a leader; at most leaderlessMost
+	quarantined  quarantined              // when what was last counted, as this process saw it
+	checkpoint   bool                     // a snapshot must be written with the next Work
 }
 
 // NewReplica restores a replica from its durable state.
 func NewReplica(config Config, restored Checkpoint, now time.Duration) (*Replica, error) {
 	replica := &Replica{
 		config: config, machine: NewMachine(config.Guards), snapshot: restored.Snapshot,
-		hard: restored.HardState, waiters: map[uint64]waiter{}, namings: map[string][]namedVersion{}, orders: map[string]orderMark{},
+		hard: restored.HardState, waiters: map[uint64]waiter{}, namings: map[string][]datedNaming{}, orders: map[string]orderMark{},
 		quarantined: newQuarantined(), relay: relay.New(config.Guards),
 	}
 	if len(restored.Snapshot.Data) > 0 {
@@ -147,9 +148,9 @@
 // Applied returns the index of the last applied entry.
 func (r *Replica) Applied() uint64 { return r.applied }
 
-// Tick lets timers run. unixMS is the wall clock, used only for retention and history.
+// Tick lets timers run. unixMS is the wall clock, used only for retention, history, and how old namings are.
 func (r *Replica) Tick(now time.Duration, unixMS int64) {
-	r.unixMS, r.now = unixMS, now
+	r.unixMS, r.tickedAt, r.now = unixMS, now, now
 	r.node.Tick(now)
 	r.checkLeadership(now)
 	if r.lead != nil && r.current(now) {
@@ -197,6 +198,7 @@
 	}
 	if r.lead == nil && leads {
 		r.lead = newLeadership(r.node.Term(), now, r.leaseEnd(now), r.machine)
+		r.dateNamings(now)
 	}
 }
 
@@ -306,6 +308,7 @@
 	}
 	r.applied, r.appliedTerm, r.appliedBytes = snapshot.Meta.Index, snapshot.Meta.Term, 0
 	r.noteInstalled(now)
+	r.dateNamings(now)
 }
 
 func (r *Replica) apply(now time.Duration, entry consensus.Entry) {
@@ -319,6 +322,7 @@
 		command := decodeCommand(entry.Data)
 		if command.Catalog != nil {
 			r.noteOrdering(now, entry.Term, command.Catalog.Ordering)
+			command.Catalog.UnixMS = command.UnixMS
 			result.Catalog = r.applyCatalog(now, *command.Catalog)
 		} else {
 			result = r.machine.Apply(entry.Index, entry.Term, command)
--- a/internal/gateway/belief/namings.go
+++ b/internal/gateway/belief/namings.go
@@ -1,6 +1,9 @@
 package belief
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"kitetiller/internal/control/roster"
@@ -21,44 +24,64 @@
 	Known, Told time.Duration // since it was named
 }
 
-// Namings are when versions of models' weights were named, as control told.
+// Namings are when versions of models' weights were named, as control told. A version never grows younger by a new leader's word, and
+// none is forgotten for that one doesn't tell of it.
 type Namings struct {
 	guards guard.Set
-	models map[string][]naming // rising by version
+	models map[string][]naming // rising by version; at most namingsMost
 }
 
-// naming is a version that was named.
+// naming is a version that was named. All times are of this process's clock.
 type naming struct {
 	version uint64
-	at      time.Duration // by this process's clock
+	term    uint64        // of the leader that told of it last
+	at      time.Duration // when it was named at the earliest by that leader's word; each leader tells of one time
+	before  time.Duration // the earliest time by any other leader's word
 	noted   bool          // that it was told younger
 }
 
+// namedAt returns the earliest time that was told.
+func (n *naming) namedAt() time.Duration { return min(n.at, n.before) }
+
 // NewNamings returns none.
 func NewNamings(guards guard.Set) *Namings {
 	return &Namings{guards: guards, models: map[string][]naming{}}
 }
 
 // Take takes up what an answer of control tells, the question for which was asked at a time, and returns what it tells to be younger
-// than was known, once each.
-func (n *Namings) Take(now, asked time.Duration, _ uint64, wanted []roster.Wanted) []Younger {
+// than was known, once each. term is of the leader that confirmed the answer.
+func (n *Namings) Take(now, asked time.Duration, term uint64, wanted []roster.Wanted) []Younger {
+	if !n.guards.On(guard.NamingKeptOlder) {
+		clear(n.models)
+	}
 	var younger []Younger
-	fresh := map[string][]naming{}
 	for _, w := range wanted {
-		at, noted := asked-w.Age, false
-		if known := n.find(w.Model, w.Version); known != nil {
-			noted = known.noted
-			if !noted && at > known.at+youngerMargin {
-				noted = true
-				younger = append(younger, Younger{Model: w.Model, Version: w.Version, Known: now - known.at, Told: now - at})
-			}
+		told := asked - w.Age
+		known := n.find(w.Model, w.Version)
+		if known == nil {
+			n.add(w.Model, naming{version: w.Version, term: term, at: told, before: math.MaxInt64})
+			continue
+		}
+		if known.term == term {
+			known.at = max(known.at, told) // the age may be as much younger than the question as that took
+			continue
+		}
+		known.before, known.at, known.term = known.namedAt(), told, term
+		if !known.noted && told > known.before+youngerMargin {
+			known.noted = true
+			younger = append(younger, Younger{Model: w.Model, Version: w.Version, Known: now - known.before, Told: now - told})
 		}
-		fresh[w.Model] = append(fresh[w.Model], naming{version: w.Version, at: at, noted: noted})
 	}
-	n.models = fresh
 	return younger
 }
 
+// add adds a version that isn't known yet.
+func (n *Namings) add(model string, fresh naming) {
+	known := append(n.models[model], fresh)
+	slices.SortFunc(known, func(a, b naming) int { return cmp.Compare(a.version, b.version) })
+	n.models[model] = slices.Delete(known, 0, max(0, len(known)-namingsMost))
+}
+
 // find returns what is known of a version, or nil.
 func (n *Namings) find(model string, version uint64) *naming {
 	for i := range n.models[model] {
@@ -69,12 +92,17 @@
 	return nil
 }
 
-// Since returns when the oldest version was named that is newer than one that is held, if there is one.
+// Since returns when the oldest version was named that is newer than one that is held, if there is one. A newer version may be told to be
+// older, by another proposer's clock: it was named after all the same.
 func (n *Namings) Since(model string, held uint64) (time.Duration, bool) {
+	oldest := time.Duration(math.MaxInt64)
 	for _, known := range n.models[model] {
 		if known.version > held {
-			return known.at, true
+			oldest = min(oldest, known.namedAt())
 		}
 	}
-	return 0, false
+	if oldest == math.MaxInt64 {
+		return 0, false
+	}
+	return oldest, true
 }
