Simulator: gateways obey the limit for old weights, and the oracle checks it

Gateways of the simulated fleet take ages up as the real ones do (belief.Namings) and begin no request on weights that lack a version for longer than 4 s. New fault: a leader that didn't see a version named, since it started again, was cut off or frozen, some with their time of day set back, some gateways started again.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -51,7 +51,7 @@
 		EndOfStreamCheck, AttemptCheck, NotRunProof, LeavingCheck, DrainBeforeExit,
 		VersionMonotonic, PersistedSettings, LeaseMargin, AmbiguousNotResent,
 		ConfirmedView, DrainCommitted, TurnAwayFirst, OrderPause, LateCalls, HighestRevision, HeldBack, SuspensionCounts,
-		RelayConfirmed, RelayReported, RelayApplied,
+		RelayConfirmed, RelayReported, RelayApplied, NamingAgreed, NamingKeptOlder,
 	}
 }
 
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -58,6 +58,7 @@
 	{"stalled disk", (*world).faultStallDisk},
 	{"disk that stalls under an order for weights", (*world).faultStallOrder},
 	{"writes while a replica is cut off, the others killed after the heal", (*world).faultCutThenKill},
+	{"leader that didn't see weights named", (*world).faultLateLeader},
 }
 
 // planFaults draws the faults of a run.
@@ -369,6 +370,7 @@
 
 func (w *world) faultClockJump() {
 	pick(w, w.controls).wallSkew += w.between(-10*time.Minute, 10*time.Minute)
+	w.oracle.dayMoved()
 }
 
 func (w *world) faultShift() { w.callers.hot += 3 }
--- a/internal/lab/sim/fleet.go
+++ b/internal/lab/sim/fleet.go
@@ -7,6 +7,7 @@
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
+	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/quarantine"
 )
 
@@ -86,11 +87,11 @@
 
 func (o *fleetOperator) nameWeightsNow() {
 	version := o.w.oracle.fleet.named + 1
-	o.w.oracle.fleet.named = version
+	o.w.oracle.nameSent(version)
 	request := control.Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: fleetModel, Version: version}}}
 	o.asker.ask(request, o.w.now()+20*time.Second, func(_ control.Response, decided bool) {
 		if decided {
-			o.w.oracle.fleet.namedAcked = max(o.w.oracle.fleet.namedAcked, version)
+			o.w.oracle.nameAcknowledged(version)
 		}
 	})
 }
@@ -263,6 +264,7 @@
 	roster    []control.RosterEntry
 	confirmed time.Duration // by its own clock; 0 never
 	record    *quarantine.Record
+	namings   *belief.Namings
 }
 
 func (g *fleetGateway) boot() {
@@ -270,6 +272,8 @@
 	g.startedAt = g.w.now()
 	g.asker = newAsker(g.w, g.process)
 	g.revision, g.version, g.roster, g.confirmed, g.record = 0, control.RosterVersion{}, nil, 0, quarantine.NewRecord()
+	g.namings = belief.NewNamings(g.w.guards)
+	g.w.oracle.fleet.told[g.process.name] = map[uint64]time.Duration{}
 	g.w.oracle.fleet.used[g.process.name] = 0
 	g.follow()
 	g.ticker(fleetSend, g.send)
@@ -308,6 +312,8 @@
 		g.roster = reply.Roster.Merge(g.roster)
 	}
 	g.takeQuarantine(reply, before)
+	g.namings.Take(g.clock(), asked, reply.Version.Term, reply.Wanted)
+	g.w.oracle.namingsTold(g.process.name, reply.Wanted)
 	g.version, g.confirmed = reply.Version, asked
 }
 
@@ -325,7 +331,11 @@
 	if entry.State != catalog.StateReady || entry.Loading {
 		return
 	}
+	if g.tooOld(entry) {
+		return
+	}
 	g.w.oracle.fleetSent(g.process.name, entry.ID)
+	g.begin(entry)
 }
 
 // relayAbove is how many gateways the leader answers by itself: all, or none in every other run.
@@ -372,60 +382,3 @@
 		w.restart(b, 0)
 	}
 }
-
-// fleetFault strikes one process of the fleet.
-func (w *world) fleetFault() {
-	w.faults++
-	if w.chance(0.4) {
-		struck := pick(w, w.backends)
-		w.killBackend(struck, w.chance(0.5))
-		w.restart(struck, w.between(100*time.Millisecond, 4*time.Second))
-		return
-	}
-	struck := pick(w, w.gateways)
-	if w.chance(0.5) {
-		struck.freeze()
-		w.after(w.between(500*time.Millisecond, 5*time.Second), struck.thaw)
-		return
-	}
-	struck.kill(w.chance(0.5))
-	w.restart(struck, w.between(100*time.Millisecond, 3*time.Second))
-}
-
-// faultStallDisk makes a replica's disk answer nothing for a while: it must neither acknowledge nor lead meanwhile.
-func (w *world) faultStallDisk() {
-	n := pick(w, w.controls)
-	if leader := w.leader(); leader != nil && w.chance(0.6) {
-		n = leader
-	}
-	n.stallDisk(w.between(time.Second, 5*time.Second))
-}
-
-func (n *controlNode) stallDisk(length time.Duration) {
-	n.w.logf("%s: its disk stalls for %v", n.name, length)
-	n.stallsTo = n.w.now() + length
-	n.w.controlTrouble(length + calmNeeded)
-}
-
-// faultStallOrder stalls the disk of a leader between the decision and the send of an order, once weights are named.
-func (w *world) faultStallOrder() {
-	w.mischief.stallsOrder = true
-	pick(w, w.fleetOperators).nameWeightsNow()
-}
-
-// faultCutThenKill cuts a replica off while changes are made, heals the cut, and kills the others at once: what they
-// acknowledged must survive on their disks, and the one that was behind must not lead without it.
-func (w *world) faultCutThenKill() {
-	behind := pick(w, w.controls)
-	length := w.between(2*time.Second, 6*time.Second)
-	w.after(length, w.cutZone(behind.zone))
-	w.controlTrouble(length + calmNeeded)
-	w.after(length+w.between(0, 50*time.Millisecond), func() {
-		for _, n := range w.controls {
-			if n != behind {
-				n.die(w.chance(0.5))
-				w.restartControl(n, w.between(200*time.Millisecond, 2*time.Second))
-			}
-		}
-	})
-}
--- /dev/null
+++ b/internal/lab/sim/fleet_faults.go
@@ -0,0 +1,60 @@
+package sim
+
+import "time"
+
+// fleetFault strikes one process of the fleet.
+func (w *world) fleetFault() {
+	w.faults++
+	if w.chance(0.4) {
+		struck := pick(w, w.backends)
+		w.killBackend(struck, w.chance(0.5))
+		w.restart(struck, w.between(100*time.Millisecond, 4*time.Second))
+		return
+	}
+	struck := pick(w, w.gateways)
+	if w.chance(0.5) {
+		struck.freeze()
+		w.after(w.between(500*time.Millisecond, 5*time.Second), struck.thaw)
+		return
+	}
+	struck.kill(w.chance(0.5))
+	w.restart(struck, w.between(100*time.Millisecond, 3*time.Second))
+}
+
+// faultStallDisk makes a replica's disk answer nothing for a while: it must neither acknowledge nor lead meanwhile.
+func (w *world) faultStallDisk() {
+	n := pick(w, w.controls)
+	if leader := w.leader(); leader != nil && w.chance(0.6) {
+		n = leader
+	}
+	n.stallDisk(w.between(time.Second, 5*time.Second))
+}
+
+func (n *controlNode) stallDisk(length time.Duration) {
+	n.w.logf("%s: its disk stalls for %v", n.name, length)
+	n.stallsTo = n.w.now() + length
+	n.w.controlTrouble(length + calmNeeded)
+}
+
+// faultStallOrder stalls the disk of a leader between the decision and the send of an order, once weights are named.
+func (w *world) faultStallOrder() {
+	w.mischief.stallsOrder = true
+	pick(w, w.fleetOperators).nameWeightsNow()
+}
+
+// faultCutThenKill cuts a replica off while changes are made, heals the cut, and kills the others at once: what they
+// acknowledged must survive on their disks, and the one that was behind must not lead without it.
+func (w *world) faultCutThenKill() {
+	behind := pick(w, w.controls)
+	length := w.between(2*time.Second, 6*time.Second)
+	w.after(length, w.cutZone(behind.zone))
+	w.controlTrouble(length + calmNeeded)
+	w.after(length+w.between(0, 50*time.Millisecond), func() {
+		for _, n := range w.controls {
+			if n != behind {
+				n.die(w.chance(0.5))
+				w.restartControl(n, w.between(200*time.Millisecond, 2*time.Second))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/sim/namings.go
@@ -0,0 +1,144 @@
+package sim
+
+import (
+	"time"
+
+	"kitetiller/internal/control"
+)
+
+const (
+	// fleetLimit is how long after newer weights were named a request may begin on older ones.
+	fleetLimit = 4 * time.Second
+	// limitSlack is what clocks cost: leader and gateway count the limit by clocks that run up to clockSkew slow.
+	limitSlack = fleetLimit / 19 // 0.05 / 0.95
+	// dayRounding is what times of day in whole milliseconds cost, at the proposer and at the leader.
+	dayRounding = 2 * time.Millisecond
+)
+
+// fleetNaming is a version that an operator names.
+type fleetNaming struct {
+	acked   bool
+	ackedAt time.Duration
+	// highest is how far any replica's time of day was ahead while it may have been proposed, lowest how far behind since. A leader that
+	// didn't see the naming takes it to be younger by as much as its clock is behind the proposer's.
+	highest, lowest time.Duration
+}
+
+// tooOld reports whether no request may begin on a back end's weights any more. It sends none where it doesn't know them.
+func (g *fleetGateway) tooOld(entry control.RosterEntry) bool {
+	held, known := entry.Versions[fleetModel]
+	namedAt, lacks := g.namings.Since(fleetModel, held)
+	return !known || lacks && g.clock() >= namedAt+fleetLimit
+}
+
+// begin begins a request that names the weights it counts on, unless the back end refuses it.
+func (g *fleetGateway) begin(entry control.RosterEntry) {
+	b := g.w.fleetBackend(entry.Address)
+	refused := b == nil || !b.up || b.frozen || b.id != entry.ID || b.version != entry.Versions[fleetModel] || g.w.now() < b.loadsTo
+	if !refused {
+		g.w.oracle.fleetBegan(g.process.name, b)
+	}
+}
+
+// nameSent notes that a version is about to be named.
+func (o *oracle) nameSent(version uint64) {
+	o.fleet.named = version
+	o.fleet.namings[version] = &fleetNaming{highest: o.w.controls[0].wallSkew, lowest: o.w.controls[0].wallSkew}
+	o.dayMoved()
+}
+
+// nameAcknowledged notes that an operator was told that a version is named.
+func (o *oracle) nameAcknowledged(version uint64) {
+	naming := o.fleet.namings[version]
+	naming.acked, naming.ackedAt = true, o.w.now()
+	o.fleet.namedAcked = max(o.fleet.namedAcked, version)
+	waiting := o.w.onNamed
+	o.w.onNamed = nil
+	for _, run := range waiting {
+		run()
+	}
+}
+
+// dayMoved takes up the replicas' times of day.
+func (o *oracle) dayMoved() {
+	for _, naming := range o.fleet.namings {
+		for _, n := range o.w.controls {
+			naming.lowest = min(naming.lowest, n.wallSkew)
+			if !naming.acked {
+				naming.highest = max(naming.highest, n.wallSkew)
+			}
+		}
+	}
+}
+
+// namingsTold notes when a gateway first heard of each naming, in its current life.
+func (o *oracle) namingsTold(gateway string, wanted []control.WantedVersion) {
+	for _, w := range wanted {
+		if _, told := o.fleet.told[gateway][w.Version]; !told {
+			o.fleet.told[gateway][w.Version] = o.w.now()
+		}
+	}
+}
+
+// fleetBegan checks that a request begins in time: within the limit after a newer version was acknowledged, give or take what clocks
+// cost, and, whatever times of day did, within the limit after this gateway first heard of one.
+func (o *oracle) fleetBegan(gateway string, b *fleetBackend) {
+	now := o.w.now()
+	for version, naming := range o.fleet.namings {
+		if version <= b.version {
+			continue
+		}
+		day := naming.highest - naming.lowest + dayRounding
+		if late := now - naming.ackedAt - fleetLimit - limitSlack - day; naming.acked && late > 0 {
+			o.fail(WeightsInTime, "%s begins on weights %d of %s %v after %d was acknowledged", gateway, b.version, b.id, now-naming.ackedAt, version)
+		}
+		heard, told := o.fleet.told[gateway][version]
+		if late := now - heard - fleetLimit - limitSlack; told && late > 0 {
+			o.fail(WeightsInTime, "%s begins on weights %d of %s %v after it heard of %d", gateway, b.version, b.id, now-heard, version)
+		}
+	}
+}
+
+// faultLateLeader lets a replica lead that didn't see a version named as it happened: one that starts again, or was cut off or frozen
+// meanwhile. Some replicas' times of day are set back, and some gateways start again.
+func (w *world) faultLateLeader() {
+	leader, late := w.leader(), pick(w, w.controls)
+	away := w.between(1500*time.Millisecond, 4*time.Second)
+	switch {
+	case leader == nil || late == leader || w.chance(0.4):
+		w.onNamed = append(w.onNamed, func() { w.after(w.between(0, away), w.restartAllControl) })
+	case w.chance(0.5):
+		w.after(away, w.cutZone(late.zone))
+		w.after(away+w.between(50*time.Millisecond, 300*time.Millisecond), func() { w.loseLeader(leader) })
+	default:
+		late.freeze()
+		w.after(away, late.thaw)
+		w.after(away+w.between(50*time.Millisecond, 300*time.Millisecond), func() { w.loseLeader(leader) })
+	}
+	w.controlTrouble(2 * away)
+	w.onNamed = append(w.onNamed, func() {
+		for _, g := range w.gateways {
+			if w.chance(0.4) {
+				w.after(w.between(0, away), func() { g.kill(false) })
+				w.restart(g, away)
+			}
+		}
+	})
+	pick(w, w.fleetOperators).nameWeightsNow()
+}
+
+func (w *world) restartAllControl() {
+	for _, n := range w.controls {
+		w.loseLeader(n)
+	}
+}
+
+// loseLeader ends a replica, which starts again soon, some with their time of day set back.
+func (w *world) loseLeader(n *controlNode) {
+	n.die(w.chance(0.5))
+	if w.chance(0.3) {
+		n.wallSkew -= w.between(time.Second, 20*time.Second)
+		w.oracle.dayMoved()
+	}
+	w.restartControl(n, w.between(200*time.Millisecond, 800*time.Millisecond))
+}
--- a/internal/lab/sim/oracle.go
+++ b/internal/lab/sim/oracle.go
@@ -27,8 +27,11 @@
 	SettingsHold   Invariant = "settings-hold"
 )
 
-// HeldBackTrue is a rule of the gateway fleet, beside the brief's lines.
-const HeldBackTrue Invariant = "held-back"
+// Rules of the gateway fleet, beside the brief's lines.
+const (
+	HeldBackTrue  Invariant = "held-back"
+	WeightsInTime Invariant = "weights-in-time"
+)
 
 // InvariantHelp describes an invariant and how it is checked.
 type InvariantHelp struct {
@@ -55,6 +58,7 @@
 func FleetRules() []InvariantHelp {
 	return []InvariantHelp{
 		{HeldBackTrue, "a request that ends whoever runs it gets three back ends more at the most, once the news of the third had time; one that ends well is never held back"},
+		{WeightsInTime, "no request begins on older weights later than the limit after newer ones were acknowledged, nor after its gateway first heard of them"},
 	}
 }
 
