--- a/internal/control/handover_test.go
+++ b/internal/control/handover_test.go
@@ -164,3 +164,35 @@
 		s.pass(gatewaysPeriod)
 	}
 }
+
+// TestOrderFollowsItsAnnouncementSoon: the next leader waits since the announcement of an order, as it applied it. A leader had announced
+// one and gave it seconds later, when others had ended their loads and requests had drained, then it was lost. The next one, which had applied
+// the announcement as it was written, took the pause between two holders for over and ordered at once.
+func TestOrderFollowsItsAnnouncementSoon(t *testing.T) {
+	s := openFleet(t)
+	s.config(func(config *Config) { config.GatewayTrust = time.Minute })
+	version := s.watchNow("g1", RosterVersion{}).Version
+	s.ask(Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: "m", Version: 2}}})
+	ask := func(held RosterVersion, length time.Duration) (orders []WeightsCall, at time.Duration) {
+		for end := s.now + length; s.now < end && len(orders) == 0; {
+			s.beats("i-1", "i-2")
+			s.watchNow("g1", held)
+			orders = s.orders(50 * time.Millisecond)
+		}
+		return orders, s.now - 50*time.Millisecond
+	}
+	if early, _ := ask(version, 4*time.Second); len(early) > 0 {
+		t.Fatalf("ordered before g1 turned away: %+v", early)
+	}
+	orders, orderedAt := ask(s.watchNow("g1", version).Version, time.Second)
+	if len(orders) == 0 {
+		t.Fatal("no order after g1 turned away")
+	}
+	id := orders[0].Instance
+	mark := s.replica.orders[id]
+	mark.term-- // as whoever leads next sees it, who applied the same entries at the same times
+	s.replica.orders[id] = mark
+	if early := orderedAt + s.replica.config.OrderWait - time.Millisecond; s.replica.handedOver(early, id) {
+		t.Fatalf("%s was ordered at %v, announced at %v, and may be ordered by another leader at %v, the pause is %v", id, orderedAt, mark.at, early, s.replica.config.OrderWait)
+	}
+}
