Control: an order follows its announcement at once, or is announced again

Cause: the pause between two holders runs from the announcement that the log tells, as the new leader applied it. The order follows when gateways have turned away, requests have ended (2 s) and others have loaded, unbounded; a new leader that had applied the announcement early ordered at once.

An order is given within 300 ms of its announcement's apply, or announced again, one entry for all of a step; the pause runs from the end of these 300 ms. Ruled out: the pause from the start of each leadership, for every back end that ever was ordered; the first order after a change of leader would be 3 s later for back ends whose roll-out ended long ago.

--- a/internal/control/handover.go
+++ b/internal/control/handover.go
@@ -12,12 +12,18 @@
 // not know of which still trust a view of the last leader. Both are written into the log, so that a new leader waits only
 // for what there is to wait for: for the back ends that were ordered, and for the gateways that asked.
 
+// orderWithin is how long after its announcement an order may be given; later it is announced again. An order waits until gateways have turned
+// away, requests have ended and others have loaded, for seconds; the next leader knows when it was announced, not when it was given. Far
+// more than a step of the roll-out takes in a large fleet (100 ms), little of the pause between two holders (3 s).
+const orderWithin = 300 * time.Millisecond
+
 // orderMark is when a back end was last about to be given orders, as far as this process knows.
 type orderMark struct {
 	term      uint64        // of the leader that wrote the newest
 	at        time.Duration // when that was applied here
 	foreign   bool          // a leader before that one wrote one too
 	foreignAt time.Duration // when the newest of those was applied here
+	renewTo   time.Duration // until when this leader waits for one that it writes again; 0 when it waits for none
 }
 
 // noteOrdering remembers that a leader is about to order back ends.
@@ -30,7 +36,7 @@
 		if !known && r.machine.catalog.Ordered(id) {
 			mark.foreign = true // by an entry that a snapshot covers: it counts from the start of this process
 		}
-		mark.term, mark.at = term, now
+		mark.term, mark.at, mark.renewTo = term, now, 0
 		r.orders[id] = mark
 	}
 }
@@ -57,19 +63,29 @@
 	return mark.foreignAt, mark.foreign
 }
 
-// mayOrderBackend reports whether a back end may be ordered now: this leader's intent is in the log, and the back end was
-// handed over.
+// mayOrderBackend reports whether a back end may be ordered now: this leader's intent is in the log, has been for a moment only, and the back
+// end was handed over.
 func (r *Replica) mayOrderBackend(now time.Duration, id string) bool {
-	if mark := r.orders[id]; mark.term != r.node.Term() {
+	mark := r.orders[id]
+	if mark.term != r.node.Term() || !r.handedOver(now, id) {
 		return false // what is announced is written in the same step; it commits in a moment
 	}
-	return r.handedOver(now, id)
+	if now <= mark.at+orderWithin || !r.config.Guards.On(guard.OrderPause) {
+		return true
+	}
+	if now >= mark.renewTo {
+		mark.renewTo = now + callPatience
+		r.orders[id] = mark
+		r.writeOrdering(id)
+	}
+	return false
 }
 
-// handedOver reports whether no other leader's order to a back end can be as young as the pause between two holders.
+// handedOver reports whether no other leader's order to a back end can be as young as the pause between two holders. Its order may be
+// younger than its announcement.
 func (r *Replica) handedOver(now time.Duration, id string) bool {
 	at, ordered := r.orderedElsewhere(id)
-	return !ordered || now >= at+r.config.OrderWait || !r.config.Guards.On(guard.OrderPause)
+	return !ordered || now >= at+orderWithin+r.config.OrderWait || !r.config.Guards.On(guard.OrderPause)
 }
 
 // writeOrdering has the log tell that a back end is about to be ordered. All that are decided in one cycle share an entry.
--- a/internal/control/handover_test.go
+++ b/internal/control/handover_test.go
@@ -104,17 +104,17 @@
 }
 
 // TestOrdersInAnInstalledSnapshotCountAsYoung: a replica that has run for long and is sent a snapshot cannot know how old the
-// orders are that it covers.
+// orders are that it covers, nor whether one that was just announced has been given.
 func TestOrdersInAnInstalledSnapshotCountAsYoung(t *testing.T) {
 	s, ordered, _ := handOver(t)
 	clear(s.replica.orders)
 	s.now += time.Hour
 	meta := consensus.SnapshotMeta{Index: s.replica.applied, Term: s.replica.appliedTerm}
 	s.replica.install(s.now, consensus.Snapshot{Meta: meta, Data: s.replica.Machine().Snapshot()})
-	if s.replica.handedOver(s.now+s.replica.config.OrderWait-time.Millisecond, ordered) {
+	if s.replica.handedOver(s.now+orderWithin+s.replica.config.OrderWait-time.Millisecond, ordered) {
 		t.Fatalf("%s may be ordered before the pause is over", ordered)
 	}
-	if !s.replica.handedOver(s.now+s.replica.config.OrderWait, ordered) {
+	if !s.replica.handedOver(s.now+orderWithin+s.replica.config.OrderWait, ordered) {
 		t.Fatalf("%s may not be ordered after the pause", ordered)
 	}
 }
