--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -14,6 +14,7 @@
 	InstanceGone    = "instance gone"
 	WeightsLearnt   = "weights learnt"
 	WeightsDiffer   = "other weights answered" // than were expected or believed, or older ones than were named
+	NamingYounger   = "naming told younger"    // control tells that a version was named later than known
 	CacheUnread     = "cache not read"
 	SchedulerSilent = "scheduler silent" // a scheduler did not answer a question for a placement in time
 	ControlLost     = "control lost"
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -24,18 +24,7 @@
 	if !holds && !service.Engine {
 		return 0, false
 	}
-	return g.lackedSince(model, held)
-}
-
-// lackedSince returns when the first of the versions after a given one was named, if there is one. Leaders may tell of a
-// version at different ages, so a higher one may seem to be the older.
-func (g *Gateway) lackedSince(model string, held uint64) (first time.Duration, lacks bool) {
-	for _, version := range g.table.named[model] {
-		if version.version > held && (!lacks || version.namedAt < first) {
-			first, lacks = version.namedAt, true
-		}
-	}
-	return first, lacks
+	return g.table.named.Since(model, held)
 }
 
 // beginsTooLate reports whether a request would likely begin after the limit for the back end's weights that holds now,
