--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -104,6 +104,7 @@
 	Versions map[string]uint64 // with WeightsReported
 	Busy     bool              // with WeightsReported: an order is under way
 	Revision uint64            // with WeightsReported
+	Born     int64             // with WeightsReported: start of the life that reports, in Unix ms; 0 where it doesn't tell
 }
 
 // mayOrder reports whether this replica may give orders at all: it holds the lease, has a fence of its own, and no gateway
