A worker's life is its id and born, and it is told its id alone

Cause: whatever a worker said was of its id; one that starts again under it was taken for the life before.

--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -73,7 +73,8 @@
 // cacheCursor is how far an engine's events have been read.
 type cacheCursor struct {
 	life, next uint64
-	known      bool // the list of this life was read
+	born       int64 // of that life, in Unix ms
+	known      bool  // the list of this life was read
 	listedAt   time.Duration
 	aliveAt    time.Duration
 	failures   int // in a row
@@ -121,7 +122,7 @@
 	if err != nil {
 		return true, err
 	}
-	if news.Lost || news.Life != at.life || news.Next < at.next {
+	if news.Lost || news.Life != at.life || news.Born != at.born || news.Next < at.next {
 		at.known = false // what is missing stands in the list
 		return true, nil
 	}
@@ -140,7 +141,7 @@
 	if err != nil {
 		return true, err
 	}
-	at.life, at.next, at.known = news.Life, news.Next, true
+	at.life, at.born, at.next, at.known = news.Life, news.Born, news.Next, true
 	g.takeCache(id, at, news, true)
 	return true, nil
 }
--- a/internal/gateway/follower_test.go
+++ b/internal/gateway/follower_test.go
@@ -70,14 +70,14 @@
 // list is read; an exchange that fails changes nothing.
 func TestGapsAndRestartsAreReadAnew(t *testing.T) {
 	for name, gap := range map[string]CacheNews{
-		"lost": {Life: 1, Next: 9, Lost: true}, "another life": {Life: 2, Next: 9}, "numbers go back": {Life: 1, Next: 3},
+		"lost": {Life: 1, Next: 9, Lost: true}, "another life": {Life: 2, Next: 9}, "another start": {Life: 1, Born: 7, Next: 9}, "numbers go back": {Life: 1, Next: 3},
 	} {
 		script := &scriptedCache{drained: make(chan struct{}), answers: []any{
 			CacheNews{Life: 1, Next: 5, Parts: []belief.KeptPart{kept("a", 10), kept("b", 10)}}, // the first list
 			eris.New("cut off"),
 			CacheNews{Life: 1, Next: 6, Parts: []belief.KeptPart{kept("b", 0)}},
 			gap,
-			CacheNews{Life: gap.Life, Next: 20, Parts: []belief.KeptPart{kept("c", 10)}}, // the list after it
+			CacheNews{Life: gap.Life, Born: gap.Born, Next: 20, Parts: []belief.KeptPart{kept("c", 10)}}, // the list after it
 		}}
 		g := New(Settings{Control: []string{"127.0.0.1:1"}}, nil, node.NopLog())
 		g.UseCacheReader(script)
