--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -1,7 +1,6 @@
 package catalog
 
 import (
-	"encoding/json"
 	"maps"
 	"math"
 	"slices"
@@ -342,61 +341,3 @@
 		m.tombstones = slices.Delete(m.tombstones, 0, 1)
 	}
 }
-
-// machineForm is the snapshot form of a machine.
-type machineForm struct {
-	Document   Document            `json:"document"`
-	Instances  map[string]Instance `json:"instances"`
-	Tombstones []string            `json:"tombstones"`
-	Versions   map[string]uint64   `json:"versions"`
-	Fence      uint64              `json:"fence"`
-
-	Held     map[string]map[string]uint64 `json:"held,omitempty"`
-	Ordered  map[string]bool              `json:"ordered,omitempty"`
-	Gateways []string                     `json:"gateways,omitempty"`
-	Bounds   map[string]uint64            `json:"bounds,omitempty"`
-
-	Quarantine *quarantine.Ledger `json:"quarantine,omitempty"`
-
-	Namings map[string][]Naming `json:"namings,omitempty"`
-}
-
-// MarshalJSON writes the whole state.
-func (m *Machine) MarshalJSON() ([]byte, error) {
-	return json.Marshal(machineForm{m.document, m.instances, m.tombstones, m.versions, m.fence, m.held, m.ordered, m.gateways, m.bounds, m.quarantine, m.namings})
-}
-
-// UnmarshalJSON replaces the whole state.
-func (m *Machine) UnmarshalJSON(data []byte) error {
-	var form machineForm
-	if err := json.Unmarshal(data, &form); err != nil {
-		return err
-	}
-	guards := m.Guards
-	*m = *NewMachine()
-	m.Guards = guards
-	m.document, m.tombstones, m.fence = form.Document, form.Tombstones, form.Fence
-	for _, instance := range form.Instances {
-		m.put(instance)
-	}
-	for id := range form.Ordered {
-		m.ordered[id] = true
-	}
-	m.list(form.Gateways)
-	maps.Copy(m.bounds, form.Bounds)
-	if form.Quarantine != nil {
-		m.quarantine = form.Quarantine
-	}
-	for id, versions := range form.Held {
-		m.held[id] = versions
-	}
-	for model, version := range form.Versions {
-		m.versions[model] = version
-		m.restoreNamings(model, form.Namings[model])
-	}
-	for _, id := range form.Tombstones {
-		m.ended[id] = true
-		m.lives.end(id)
-	}
-	return nil
-}
