--- a/internal/control/handover_test.go
+++ b/internal/control/handover_test.go
@@ -196,3 +196,29 @@
 		t.Fatalf("%s was ordered at %v, announced at %v, and may be ordered by another leader at %v, the pause is %v", id, orderedAt, mark.at, early, s.replica.config.OrderWait)
 	}
 }
+
+// TestOrderLeavesSoonAfterItsAnnouncement: the disk was slow between the decision and the send, for less than the lease runs. The order left
+// later after its announcement than the next leader counts on.
+func TestOrderLeavesSoonAfterItsAnnouncement(t *testing.T) {
+	s := openFleet(t)
+	s.ask(Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: "m", Version: 2}}})
+	s.orders(200 * time.Millisecond)
+	s.beats("i-1", "i-2")
+	for range 20 {
+		s.now += 50 * time.Millisecond
+		s.replica.Tick(s.now, 0)
+		if len(s.replica.effects.Weights) > 0 {
+			break
+		}
+		s.work()
+	}
+	if len(s.replica.effects.Weights) == 0 {
+		t.Fatal("nothing was decided")
+	}
+	id := s.replica.effects.Weights[0].Instance
+	s.replica.Work()
+	left := s.replica.orders[id].at + orderWithin + time.Millisecond
+	if late := s.replica.Done(left).Weights; len(late) > 0 || s.replica.lead == nil {
+		t.Fatalf("%+v left %v after its announcement", late, left-s.replica.orders[id].at)
+	}
+}
