Control: an order leaves within 300 ms of its announcement, or is announced again

Cause: the sync after the decision may take as long as the lease runs (0.5 s), and the process passed a call on for 0.5 s more, so that an order left up to a second later than the next leader counted on.

Decided within 150 ms of the apply, left within 300 ms, or dropped and announced again at once; the process passes it on for 300 ms (500 before); the next leader's pause runs from the end of both, 600 ms after the announcement.

TestOrdersInAnInstalledSnapshotCountAsYoung follows, as exactly as before.

--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -16,9 +16,9 @@
 const (
 	// weightsTimeout is how long a back end may take to answer a call.
 	weightsTimeout = time.Second
-	// callFresh is how long after its decision a call may still be made, little beside the time that the next leader waits before its first
-	// order: the machine may have been suspended between the two.
-	callFresh = 500 * time.Millisecond
+	// callFresh is how long after its decision a call may still be made: the machine may have been suspended between the two. The next leader
+	// waits for so much longer before its first order.
+	callFresh = 300 * time.Millisecond
 	// membershipPeriod is how often the addresses of the group are read again.
 	membershipPeriod = time.Second
 )
--- a/internal/control/handover.go
+++ b/internal/control/handover.go
@@ -12,10 +12,17 @@
 // not know of which still trust a view of the last leader. Both are written into the log, so that a new leader waits only
 // for what there is to wait for: for the back ends that were ordered, and for the gateways that asked.
 
-// orderWithin is how long after its announcement an order may be given; later it is announced again. An order waits until gateways have turned
-// away, requests have ended and others have loaded, for seconds; the next leader knows when it was announced, not when it was given. Far
-// more than a step of the roll-out takes in a large fleet (100 ms), little of the pause between two holders (3 s).
-const orderWithin = 300 * time.Millisecond
+// An order waits until gateways have turned away, requests have ended and others have loaded, for seconds; the next leader knows when it was
+// announced, not when it was given.
+const (
+	// orderDecided is how long after its announcement an order may be decided; later it is announced again. More than a step of the roll-out
+	// takes in a large fleet (100 ms).
+	orderDecided = 150 * time.Millisecond
+	// orderWithin is how long after its announcement an order may leave this replica, after the sync that follows its decision.
+	orderWithin = 300 * time.Millisecond
+	// orderLeft is how long after its announcement an order has left the process at the latest, little of the pause between two holders (3 s).
+	orderLeft = orderWithin + callFresh
+)
 
 // orderMark is when a back end was last about to be given orders, as far as this process knows.
 type orderMark struct {
@@ -70,7 +77,7 @@
 	if mark.term != r.node.Term() || !r.handedOver(now, id) {
 		return false // what is announced is written in the same step; it commits in a moment
 	}
-	if now <= mark.at+orderWithin || !r.config.Guards.On(guard.OrderPause) {
+	if r.announcedWithin(now, id, orderDecided) {
 		return true
 	}
 	if now >= mark.renewTo {
@@ -81,11 +88,27 @@
 	return false
 }
 
+// announcedWithin reports whether the announcement of an order is so young.
+func (r *Replica) announcedWithin(now time.Duration, id string, age time.Duration) bool {
+	return now <= r.orders[id].at+age || !r.config.Guards.On(guard.OrderPause)
+}
+
+// dropLateOrders forgets orders that would follow their announcements too late, and has them announced again.
+func (r *Replica) dropLateOrders(now time.Duration, calls []WeightsCall) []WeightsCall {
+	return slices.DeleteFunc(calls, func(call WeightsCall) bool {
+		late := call.Kind == WeightsOrder && !r.announcedWithin(now, call.Instance, orderWithin)
+		if state := r.lead.fleet[call.Instance]; late && state != nil && state.rollout.phase == phaseOrdered {
+			r.setPhase(state, phaseAnnounced, now)
+		}
+		return late
+	})
+}
+
 // handedOver reports whether no other leader's order to a back end can be as young as the pause between two holders. Its order may be
 // younger than its announcement.
 func (r *Replica) handedOver(now time.Duration, id string) bool {
 	at, ordered := r.orderedElsewhere(id)
-	return !ordered || now >= at+orderWithin+r.config.OrderWait || !r.config.Guards.On(guard.OrderPause)
+	return !ordered || now >= at+orderLeft+r.config.OrderWait || !r.config.Guards.On(guard.OrderPause)
 }
 
 // writeOrdering has the log tell that a back end is about to be ordered. All that are decided in one cycle share an entry.
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -293,13 +293,16 @@
 	return effects
 }
 
-// dropLateCalls forgets calls that were decided before a sync which took so long that this replica may lead no more; the
-// roll-out makes them again.
+// dropLateCalls forgets calls that were decided before a sync which took so long that this replica may lead no more, and orders that would
+// follow their announcements too late; the roll-out makes them again.
 func (r *Replica) dropLateCalls(now time.Duration, calls []WeightsCall) []WeightsCall {
-	if len(calls) == 0 || (r.lead != nil && r.mayOrder(now)) || !r.config.Guards.On(guard.LateCalls) {
+	if len(calls) == 0 || !r.config.Guards.On(guard.LateCalls) {
 		return calls
 	}
-	return nil
+	if r.lead == nil || !r.mayOrder(now) {
+		return nil
+	}
+	return r.dropLateOrders(now, calls)
 }
 
 func (r *Replica) install(now time.Duration, snapshot consensus.Snapshot) {
--- a/internal/lab/sim/fleet.go
+++ b/internal/lab/sim/fleet.go
@@ -29,8 +29,8 @@
 	alone          = 1 << 20         // gateways up to which the leader answers all, where no replica is to answer for it
 	// sendWindow after a back end began to load, while the leader that ordered it goes on leading, no gateway may send there.
 	sendWindow = 300 * time.Millisecond
-	// holderWindow is the least time between orders of two holders to one back end.
-	holderWindow = 1200 * time.Millisecond
+	// holderWindow is the least time between orders of two holders to one back end: the pause by a clock that runs fast.
+	holderWindow = fleetOrderWait * 100 / 105
 )
 
 // fleetOperator replaces the routing document and names weights; it resends when an answer is lost, and races the other.
