Control: the mark of an order is of the back end, whatever lives it has

Cause: an order names a back end, so its next life takes it as well; the mark stood under the life. Ruled out: keeping marks of ended lives (a restart under the same name would have two). Before: TestNextLifeWaitsForTheLastHoldersPause fails ("the next life may be ordered within the pause").

--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -125,6 +125,12 @@
 	return !m.ended[instance.ID] && !m.lives.outlived(life) && !untold
 }
 
+// Stands reports whether a life of the back end of a name is registered.
+func (m *Machine) Stands(name string) bool {
+	_, known := m.instances[m.lives.of(name)]
+	return known
+}
+
 // At returns the instance that is registered at an address, if there is one.
 func (m *Machine) At(address string) (Instance, bool) {
 	instance, known := m.instances[m.addresses[address]]
@@ -231,7 +237,11 @@
 		return Outcome{Revision: m.document.Revision, Gone: true}
 	}
 	if last := m.lives.of(LifeOf(instance.ID).Name); last != instance.ID {
+		ordered := m.ordered[last]
 		m.drop(last)
+		if ordered {
+			m.ordered[instance.ID] = true // an order that is on its way names the back end, not its life
+		}
 	}
 	if known && held.State == StateDraining {
 		instance.State = StateDraining
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -245,9 +245,9 @@
 func (r *Replica) forgetStrangers(now time.Duration) {
 	instances := r.machine.catalog.Instances()
 	if len(r.orders) > len(instances) {
-		for id, mark := range r.orders {
-			if _, known := instances[id]; !known && now > mark.at+forgetAfter {
-				delete(r.orders, id)
+		for name, mark := range r.orders {
+			if now > mark.at+forgetAfter && !r.machine.catalog.Stands(name) {
+				delete(r.orders, name)
 			}
 		}
 	}
