--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -32,20 +32,21 @@
 	ChangeSetting Kind = "change-setting" // a document that changes nothing that matters
 	Reload        Kind = "reload"         // processes are told to read their settings again, also in a planned stop
 	DeadlyRequest Kind = "deadly-request" // one that ends each worker that begins to run it comes again and again
+	ForgedBeats   Kind = "forged-beats"   // another writer sends heartbeats that can't be read in full
 )
 
 // Kinds lists every kind in a fixed order.
 func Kinds() []Kind {
 	return []Kind{
 		KillGateway, PauseGateway, StopGateway, KillControl, PauseLeader, KillAll, CutLeader, CutOneWay, CutGateway, DelayLinks, ResetLinks,
-		KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, DeadlyRequest,
+		KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, DeadlyRequest, ForgedBeats,
 	}
 }
 
 // Disturbs reports whether a fault strikes the system's own processes or their links.
 func (k Kind) Disturbs() bool {
 	switch k {
-	case KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, DeadlyRequest:
+	case KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, DeadlyRequest, ForgedBeats:
 		return false
 	}
 	return true
--- a/internal/lab/soak/promises.go
+++ b/internal/lab/soak/promises.go
@@ -12,18 +12,19 @@
 
 // The promises that are checked.
 const (
-	WithinLimit Promise = "limit"     // what runs of a tenant's requests stays within its limit, over all machines
-	AtMostOnce  Promise = "once"      // a request that may not be repeated runs at most once
-	NotRunTrue  Promise = "not-run"   // a request that was said not to have run does not run
-	OwnAnswer   Promise = "answer"    // a success is the whole answer to the caller's own request
-	ServiceBack Promise = "back"      // after the last fault healed, requests are served again
-	NoOwnEnd    Promise = "own-end"   // no process ends by itself, and each ends when it is told to
-	HeldBack    Promise = "held-back" // a request that ends its workers gets few more after the third; no other one is refused for it
+	WithinLimit Promise = "limit"      // what runs of a tenant's requests stays within its limit, over all machines
+	AtMostOnce  Promise = "once"       // a request that may not be repeated runs at most once
+	NotRunTrue  Promise = "not-run"    // a request that was said not to have run does not run
+	OwnAnswer   Promise = "answer"     // a success is the whole answer to the caller's own request
+	ServiceBack Promise = "back"       // after the last fault healed, requests are served again
+	NoOwnEnd    Promise = "own-end"    // no process ends by itself, and each ends when it is told to
+	HeldBack    Promise = "held-back"  // a request that ends its workers gets few more after the third; no other one is refused for it
+	NotForged   Promise = "not-forged" // no request reaches a worker that only forged heartbeats name, and none of these is acknowledged
 )
 
 // Promises lists every promise in a fixed order.
 func Promises() []Promise {
-	return []Promise{WithinLimit, AtMostOnce, NotRunTrue, OwnAnswer, ServiceBack, NoOwnEnd, HeldBack}
+	return []Promise{WithinLimit, AtMostOnce, NotRunTrue, OwnAnswer, ServiceBack, NoOwnEnd, HeldBack, NotForged}
 }
 
 // Broken is a promise that did not hold, with the observation.
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -16,12 +16,14 @@
 	Leader func() int
 	// KillWorker ends a worker and starts it again as another life after a time; Heat makes a tenant send many times its usual;
 	// Lower lowers a tenant's limit for a time; Change replaces the document by one that differs in nothing that matters; Deadly lets a
-	// request come again and again that ends each worker that begins to run it.
+	// request come again and again that ends each worker that begins to run it; Forge lets another writer send heartbeats that can't be read
+	// in full.
 	KillWorker func(ctx context.Context, target int, length time.Duration)
 	Heat       func(ctx context.Context, target int, length time.Duration)
 	Lower      func(ctx context.Context, target int, length time.Duration)
 	Change     func(ctx context.Context)
 	Deadly     func(ctx context.Context, target int, length time.Duration)
+	Forge      func(ctx context.Context, target int, length time.Duration)
 }
 
 // delayed is how much longer things take on links that are delayed.
@@ -95,6 +97,8 @@
 		}
 	case DeadlyRequest:
 		f.Deadly(ctx, fault.Target, length)
+	case ForgedBeats:
+		f.Forge(ctx, fault.Target, length)
 	}
 }
 
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -49,6 +49,7 @@
 		{OwnAnswer, func(w *Watch) { w.Ran(0, "nobody's", "u", 1) }},
 		{ServiceBack, func(w *Watch) { w.ExpectBack(true); w.Answered("a", true, true); w.Failed("502", true) }},
 		{ServiceBack, func(w *Watch) { w.ExpectBack(true) }},
+		{NotForged, func(w *Watch) { w.Fail(NotForged, "a request reached it") }},
 		{NoOwnEnd, func(w *Watch) { w.Fail(NoOwnEnd, "it ended") }},
 		{"", func(w *Watch) { deadlyArrivals(w, 6) }},
 		{HeldBack, func(w *Watch) { deadlyArrivals(w, 7) }},
