Failing test: the soak's proxy reads every socket of the machine for each connection

Seen while tracing TestHeldBackIsSeenBroken. Owner reads and splits the whole of /proc/net/tcp, which lists every socket of the machine, also those that wait out their time, for every connection between the processes under test, the workers' included.

--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -167,6 +167,28 @@
 	}
 }
 
+// TestOwnerIsFoundBesideManySockets: what it costs to find who opened a connection does not grow with the machine's sockets. A proxy
+// that reads them all for each connection starves the processes under test beside whatever holds many.
+func TestOwnerIsFoundBesideManySockets(t *testing.T) {
+	const others, runs = 200, 3
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	for range others {
+		made, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer made.Close()
+	}
+	nobody := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}
+	if made := testing.AllocsPerRun(runs, func() { Owner(nil, nobody) }); made >= others {
+		t.Fatalf("%.0f allocations to find the owner of one connection beside %d others", made, others)
+	}
+}
+
 // TestOwnerIsTheProcessOfAConnection: told by the kernel.
 func TestOwnerIsTheProcessOfAConnection(t *testing.T) {
 	p := &Process{Name: "child", Args: []string{"/bin/sleep", "30"}, Log: filepath.Join(t.TempDir(), "log")}
