The soak's proxy asks the kernel for one socket, not for all of the machine

Cause: to name who opened a connection, Owner read and split the whole of /proc/net/tcp, every socket of the machine, for each connection between processes and workers.

Mend: the kernel is asked for the one socket by its two ends (sock_diag). Proxies name owners by the accepted connection, since both ends are needed. The test's call follows; its bound is the same, 200, and the test of owners now also covers both ends and an ended connection.

--- /dev/null
+++ b/internal/lab/soak/owner.go
@@ -0,0 +1,121 @@
+package soak
+
+import (
+	"encoding/binary"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"golang.org/x/sys/unix"
+)
+
+// Owner returns the name of the process among the given ones that holds the far end of a loopback connection whose near end is ours, or
+// "". The kernel tells: nothing in the processes has to know of the proxy.
+func Owner(processes []*Process, near net.Conn) string {
+	opener, own := endOf(near.RemoteAddr()), endOf(near.LocalAddr())
+	if opener == nil || own == nil {
+		return ""
+	}
+	inode := inodeOf(opener, own)
+	if inode == 0 {
+		return ""
+	}
+	wanted := "socket:[" + strconv.FormatUint(uint64(inode), 10) + "]"
+	for _, p := range processes {
+		if id := p.ID(); id > 0 && holds(id, wanted) {
+			return p.Name
+		}
+	}
+	return ""
+}
+
+// end is one end of a connection as the kernel writes it: the port, then the address, both with the highest byte first.
+type end struct {
+	port    [2]byte
+	address [4]byte
+}
+
+func endOf(address net.Addr) *end {
+	tcp, ok := address.(*net.TCPAddr)
+	if !ok {
+		return nil
+	}
+	ip := tcp.IP.To4()
+	if ip == nil {
+		return nil
+	}
+	made := &end{address: [4]byte(ip)}
+	binary.BigEndian.PutUint16(made.port[:], uint16(tcp.Port))
+	return made
+}
+
+// Layout of a question for one socket and of its answer: linux/inet_diag.h and linux/netlink.h.
+const (
+	askBytes     = unix.NLMSG_HDRLEN + 56
+	askFamily    = unix.NLMSG_HDRLEN
+	askProtocol  = askFamily + 1
+	askFromPort  = askFamily + 8
+	askToPort    = askFromPort + 2
+	askFrom      = askToPort + 2
+	askTo        = askFrom + 16
+	askCookie    = askTo + 16 + 4
+	toldBytes    = unix.NLMSG_HDRLEN + 72
+	toldState    = unix.NLMSG_HDRLEN + 1
+	toldInode    = unix.NLMSG_HDRLEN + 68
+	established  = 1
+	noCookie     = 0xffffffffffffffff
+	toldTimeoutS = 2 // the kernel answers within the call; the bound keeps a lost answer from holding a connection for good
+)
+
+// inodeOf returns the kernel's number of the established socket with these ends, or 0. It asks for just this one: a list of the machine's
+// sockets takes the longer the more others hold, and is asked for with each connection.
+func inodeOf(local, remote *end) uint32 {
+	socket, err := unix.Socket(unix.AF_NETLINK, unix.SOCK_DGRAM|unix.SOCK_CLOEXEC, unix.NETLINK_INET_DIAG)
+	if err != nil {
+		return 0
+	}
+	defer unix.Close(socket)
+	if unix.SetsockoptTimeval(socket, unix.SOL_SOCKET, unix.SO_RCVTIMEO, &unix.Timeval{Sec: toldTimeoutS}) != nil {
+		return 0
+	}
+	if unix.Sendto(socket, question(local, remote), 0, &unix.SockaddrNetlink{Family: unix.AF_NETLINK}) != nil {
+		return 0
+	}
+	told := make([]byte, unix.Getpagesize())
+	count, _, err := unix.Recvfrom(socket, told, 0)
+	if err != nil || count < toldBytes || binary.NativeEndian.Uint16(told[4:]) != unix.SOCK_DIAG_BY_FAMILY || told[toldState] != established {
+		return 0
+	}
+	return binary.NativeEndian.Uint32(told[toldInode:])
+}
+
+// question asks for the socket with these ends.
+func question(local, remote *end) []byte {
+	asked := make([]byte, askBytes)
+	binary.NativeEndian.PutUint32(asked, askBytes)
+	binary.NativeEndian.PutUint16(asked[4:], unix.SOCK_DIAG_BY_FAMILY)
+	binary.NativeEndian.PutUint16(asked[6:], unix.NLM_F_REQUEST)
+	asked[askFamily], asked[askProtocol] = unix.AF_INET, unix.IPPROTO_TCP
+	copy(asked[askFromPort:], local.port[:])
+	copy(asked[askToPort:], remote.port[:])
+	copy(asked[askFrom:], local.address[:])
+	copy(asked[askTo:], remote.address[:])
+	binary.NativeEndian.PutUint64(asked[askCookie:], noCookie)
+	return asked
+}
+
+// holds reports whether a process has a socket open.
+func holds(id int, socket string) bool {
+	folder := filepath.Join("/proc", strconv.Itoa(id), "fd")
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return false // it has ended
+	}
+	for _, entry := range entries {
+		if target, err := os.Readlink(filepath.Join(folder, entry.Name())); err == nil && target == socket {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -1,13 +1,8 @@
 package soak
 
 import (
-	"fmt"
-	"net"
 	"os"
 	"os/exec"
-	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -111,57 +106,3 @@
 	defer p.mu.Unlock()
 	return p.own
 }
-
-// Owner returns the name of the process among the given ones that holds the local end of a loopback connection, or "". The
-// kernel's tables tell: nothing in the processes has to know of the proxy.
-func Owner(processes []*Process, end net.Addr) string {
-	tcp, ok := end.(*net.TCPAddr)
-	if !ok {
-		return ""
-	}
-	inode := inodeOf(tcp)
-	if inode == "" {
-		return ""
-	}
-	wanted := "socket:[" + inode + "]"
-	for _, p := range processes {
-		if id := p.ID(); id > 0 && holds(id, wanted) {
-			return p.Name
-		}
-	}
-	return ""
-}
-
-// inodeOf returns the kernel's number of the socket whose local end is the address.
-func inodeOf(end *net.TCPAddr) string {
-	const localField, stateField, inodeField = 1, 3, 9
-	ip := end.IP.To4()
-	if ip == nil {
-		return ""
-	}
-	local := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], end.Port)
-	table, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return ""
-	}
-	for line := range strings.Lines(string(table)) {
-		if fields := strings.Fields(line); len(fields) > inodeField && fields[localField] == local && fields[stateField] == "01" {
-			return fields[inodeField]
-		}
-	}
-	return ""
-}
-
-func holds(id int, socket string) bool {
-	folder := filepath.Join("/proc", strconv.Itoa(id), "fd")
-	entries, err := os.ReadDir(folder)
-	if err != nil {
-		return false // it has ended
-	}
-	for _, entry := range entries {
-		if target, err := os.Readlink(filepath.Join(folder, entry.Name())); err == nil && target == socket {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -23,7 +23,7 @@
 
 // Proxy carries connections between processes. It is safe for concurrent use.
 type Proxy struct {
-	owner func(net.Addr) string // process that opened the other end of a connection, or ""
+	owner func(net.Conn) string // process that opened a connection that came to us, or ""
 
 	mu        sync.Mutex
 	silent    map[Link]int           // faults that hold what travels; guarded by mu
@@ -41,7 +41,7 @@
 }
 
 // NewProxy returns a proxy; owner names the process that opened a connection.
-func NewProxy(owner func(net.Addr) string) *Proxy {
+func NewProxy(owner func(net.Conn) string) *Proxy {
 	return &Proxy{
 		owner: owner, silent: map[Link]int{}, delays: map[Link]time.Duration{}, open: map[*relay]struct{}{}, done: make(chan struct{}),
 	}
@@ -71,7 +71,7 @@
 // carry passes one connection on, in both directions, until one side ends.
 func (p *Proxy) carry(near net.Conn, to, target string) {
 	defer near.Close()
-	from := p.owner(near.RemoteAddr())
+	from := p.owner(near)
 	if !p.mayPass(Link{from, to}) || !p.mayPass(Link{to, from}) {
 		return
 	}
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -109,7 +110,7 @@
 	}
 	address := free.Addr().String()
 	_ = free.Close()
-	p = NewProxy(func(net.Addr) string { return "a" })
+	p = NewProxy(func(net.Conn) string { return "a" })
 	t.Cleanup(p.Close)
 	if err := p.Carry(address, "b", target.Addr().String()); err != nil {
 		t.Fatal(err)
@@ -167,49 +168,60 @@
 	}
 }
 
-// TestOwnerIsFoundBesideManySockets: what it costs to find who opened a connection does not grow with the machine's sockets. A proxy
-// that reads them all for each connection starves the processes under test beside whatever holds many.
-func TestOwnerIsFoundBesideManySockets(t *testing.T) {
-	const others, runs = 200, 3
+// connected returns both ends of a connection that we opened: the opener's, and that which a listener accepted.
+func connected(t *testing.T) (opener, accepted net.Conn) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer listener.Close()
+	if opener, err = net.Dial("tcp", listener.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = opener.Close() })
+	if accepted, err = listener.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = accepted.Close() })
+	return opener, accepted
+}
+
+// TestOwnerIsFoundBesideManySockets: what it costs to find who opened a connection does not grow with the machine's sockets. A proxy
+// that reads them all for each connection starves the processes under test beside whatever holds many.
+func TestOwnerIsFoundBesideManySockets(t *testing.T) {
+	const others, runs = 200, 3
 	for range others {
-		made, err := net.Dial("tcp", listener.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer made.Close()
+		connected(t)
 	}
-	nobody := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}
-	if made := testing.AllocsPerRun(runs, func() { Owner(nil, nobody) }); made >= others {
+	_, near := connected(t)
+	if made := testing.AllocsPerRun(runs, func() { Owner(nil, near) }); made >= others {
 		t.Fatalf("%.0f allocations to find the owner of one connection beside %d others", made, others)
 	}
 }
 
-// TestOwnerIsTheProcessOfAConnection: told by the kernel.
+// TestOwnerIsTheProcessOfAConnection: told by the kernel, for each end its own opener.
 func TestOwnerIsTheProcessOfAConnection(t *testing.T) {
 	p := &Process{Name: "child", Args: []string{"/bin/sleep", "30"}, Log: filepath.Join(t.TempDir(), "log")}
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
 	defer p.End(9)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	opener, near := connected(t)
+	if name := Owner([]*Process{p}, near); name != "" {
+		t.Fatalf("a connection of ours is %q's", name)
 	}
-	defer listener.Close()
-	own, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
+	inode := inodeOf(endOf(near.RemoteAddr()), endOf(near.LocalAddr()))
+	wanted := fmt.Sprintf("socket:[%d]", inode)
+	if inode == 0 || !holds(os.Getpid(), wanted) || holds(p.ID(), wanted) {
+		t.Fatalf("a connection of ours is not found: %s", wanted)
 	}
-	defer own.Close()
-	if name := Owner([]*Process{p}, own.LocalAddr()); name != "" {
-		t.Fatalf("a connection of ours is %q's", name)
+	if other := inodeOf(endOf(opener.RemoteAddr()), endOf(opener.LocalAddr())); other == 0 || other == inode {
+		t.Fatalf("both ends are socket %d", other)
 	}
-	if inodeOf(own.LocalAddr().(*net.TCPAddr)) == "" || !holds(os.Getpid(), "socket:["+inodeOf(own.LocalAddr().(*net.TCPAddr))+"]") {
-		t.Fatal("a connection of ours is not found")
+	_ = opener.Close()
+	_ = near.Close()
+	if left := inodeOf(endOf(near.RemoteAddr()), endOf(near.LocalAddr())); left != 0 {
+		t.Fatalf("a connection that has ended is socket %d", left)
 	}
 }
