Control: a batch of heartbeats that waits for an entry is answered with its strangers too

Cause: takeBeats gathered the back ends of which the leader wants a whole heartbeat, and named them only in the answer that goes out at once; a client that waits for an entry got the entry's result, which knows nothing of its batch. Class: an answer composed of what the last step knows. Mend: the leadership keeps a batch's strangers by the client that waits, and the answer of the committed entry carries them; what is kept ends with the leadership, whose waiting clients are told so, and ask again.

Ruled out: the union of all strangers in each answer of an entry (one entry answers every replica's batch: each would send others' back ends whole); a field of the entry (the log would hold what only one answer needs).

Before: TestBatchThatChangesNamesItsStrangers fails for a registration and for a change of state.

--- a/internal/control/beats.go
+++ b/internal/control/beats.go
@@ -262,10 +262,32 @@
 	last := r.node.LastIndex()
 	switch {
 	case len(r.lead.joining.instances) > 0:
+		r.lead.oweStrangers(client, strangers)
 		r.lead.joining.wait(client)
 	case last > before:
+		r.lead.oweStrangers(client, strangers)
 		r.waiters[last] = waiter{clients: []uint64{client}, term: r.node.Term()}
 	default:
 		r.reply(client, Response{Kind: ResponseOK, Strangers: strangers})
 	}
 }
+
+// oweStrangers keeps the strangers of a batch for its answer, which waits for an entry. A back end whose heartbeats are only signs would else
+// stay silent to this leader for as long as every batch changes something.
+func (l *leadership) oweStrangers(client uint64, strangers []string) {
+	if client != 0 && len(strangers) > 0 {
+		l.strangers[client] = strangers
+	}
+}
+
+// replyCommitted answers the clients of an entry that has committed; each is told the strangers of its own batch.
+func (r *Replica) replyCommitted(clients []uint64, response Response) {
+	for _, client := range clients {
+		answer := response
+		if r.lead != nil {
+			answer.Strangers = r.lead.strangers[client]
+			delete(r.lead.strangers, client)
+		}
+		r.reply(client, answer)
+	}
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -80,6 +80,7 @@
 	usage        map[string]usageReport // by gateway
 	lending      lending
 	joining      joining
+	strangers    map[uint64][]string // by client that waits for an entry: back ends of which a whole heartbeat is wanted
 }
 
 // place names a service in a zone.
@@ -98,7 +99,7 @@
 		opening: map[string]bool{}, engines: map[string]*engineState{},
 		since: now, orderLostAt: now - stressMemory, fenceAskedAt: now - callPatience, fleet: map[string]*memberState{}, changed: map[string]bool{},
 		unlogged: map[string]bool{}, planner: &mesh.Planner{}, replicas: map[string]nearReplica{}, sizes: map[string]inuse.Size{}, usage: map[string]usageReport{},
-		lending: lending{lender: allowance.NewLender(term)},
+		lending: lending{lender: allowance.NewLender(term)}, strangers: map[uint64][]string{},
 	}
 	for router := range machine.sessions {
 		lead.routers[router] = &routerLease{expires: leaseEnd}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -348,7 +348,7 @@
 	if result.Order != nil && r.lead != nil && entry.Term == r.node.Term() {
 		r.issueOrder(now, *result.Order)
 	}
-	r.replyAll(waiting.clients, response)
+	r.replyCommitted(waiting.clients, response)
 }
 
 // maybeSnapshot writes a snapshot when enough entries were applied since the last one, and they have as many bytes as that: what
