Control: a late leave of the last life ends no young one for good

Cause: a leave names a back end alone; one that was passed on late, when its sender had started again, was taken for the life that stands there, and that one was never registered again. Ruled out: counting heartbeats after a leave as proof of life (a cut may delay them for longer than a leaving back end serves on). Before: TestLateLeaveEndsNoYoungLifeForGood fails ("a late leave of the last life ended the next one for good"). After: passes; it and its mend are one commit. The test of leaves lets the life get older than 3 s first: within that time a leave means either life, and a heartbeat decides.

--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -125,11 +125,8 @@
 	return !m.ended[instance.ID] && !m.lives.outlived(life) && !untold
 }
 
-// Stands reports whether a life of the back end of a name is registered.
-func (m *Machine) Stands(name string) bool {
-	_, known := m.instances[m.lives.of(name)]
-	return known
-}
+// Standing returns the id of the registered life of the back end of a name, or the name itself where there is none that tells its life.
+func (m *Machine) Standing(name string) string { return m.lives.of(name) }
 
 // At returns the instance that is registered at an address, if there is one.
 func (m *Machine) At(address string) (Instance, bool) {
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -15,6 +15,9 @@
 	silentAfter = 3500 * time.Millisecond
 	// forgetAfter is the silence after which a back end is taken off the roster. It may register again.
 	forgetAfter = 12 * time.Second
+	// youngFor is how long after a life was registered a leave that names the back end alone may be of the life before: some times what a
+	// caller waits for one answer (1 s).
+	youngFor = 3 * time.Second
 	// fleetPeriod is how often the roster is looked through.
 	fleetPeriod = 100 * time.Millisecond
 	// doubtAfter is how long after its weights were seen to rise a heartbeat that tells older ones is taken for one that was sent before:
@@ -37,17 +40,19 @@
 
 // memberState is what the leader keeps of a back end in memory.
 type memberState struct {
-	id        string
-	weight    uint64 // by which it is in use
-	heardAt   time.Duration
-	sequence  uint64
-	coldUntil time.Duration
-	versions  map[string]uint64 // that it is believed to hold, by model
-	roseAt    time.Duration     // when one of them last rose
-	doubted   bool              // a heartbeat told older ones than are believed; its report decides
-	silent    bool
-	told      bool // a whole heartbeat came to this leader
-	rollout   rolloutState
+	id      string
+	weight  uint64 // by which it is in use
+	heardAt time.Duration
+	// registeredAt is when this leader took its registration; 0 where an earlier one did.
+	registeredAt time.Duration
+	sequence     uint64
+	coldUntil    time.Duration
+	versions     map[string]uint64 // that it is believed to hold, by model
+	roseAt       time.Duration     // when one of them last rose
+	doubted      bool              // a heartbeat told older ones than are believed; its report decides
+	silent       bool
+	told         bool // a whole heartbeat came to this leader
+	rollout      rolloutState
 }
 
 // engine reports whether the back end holds weights; only such a one takes orders, and gateways tell each other of their
@@ -64,12 +69,15 @@
 	}
 	held, known := r.machine.catalog.Instances()[id]
 	switch {
+	case beat.Leaves && r.mayMeanLastLife(now, id):
+		r.propose(now, client, Command{Catalog: &catalog.Command{Forget: r.machine.catalog.Standing(id)}})
 	case beat.Leaves:
 		r.propose(now, client, Command{Catalog: &catalog.Command{Remove: id}})
 	case !known && !r.admits(now, beat.Instance):
 		r.reply(client, Response{Kind: ResponseOK})
 	case !known:
 		r.heard(now, beat)
+		r.member(now, id).registeredAt = now
 		r.register(client, beat.Instance)
 	case beat.Instance.State == catalog.StateDraining && held.State != catalog.StateDraining:
 		r.propose(now, client, Command{Catalog: &catalog.Command{Drain: id}})
@@ -79,6 +87,14 @@
 	}
 }
 
+// mayMeanLastLife reports whether a leave that names a back end alone may have been passed on late, by the life before the one that stands
+// there: that one is forgotten then, and may register again.
+func (r *Replica) mayMeanLastLife(now time.Duration, name string) bool {
+	id := r.machine.catalog.Standing(name)
+	state := r.lead.fleet[id]
+	return id != name && state != nil && state.registeredAt > 0 && now < state.registeredAt+youngFor
+}
+
 // admits reports whether a heartbeat may register an instance. Only the catalog's word and what is heard now count: one that was started
 // earlier than who stands at its address, or that is of no service that is routed to, may be anybody's, or long gone.
 func (r *Replica) admits(now time.Duration, instance catalog.Instance) bool {
@@ -246,7 +262,7 @@
 	instances := r.machine.catalog.Instances()
 	if len(r.orders) > len(instances) {
 		for name, mark := range r.orders {
-			if now > mark.at+forgetAfter && !r.machine.catalog.Stands(name) {
+			if _, known := instances[r.machine.catalog.Standing(name)]; !known && now > mark.at+forgetAfter {
 				delete(r.orders, name)
 			}
 		}
--- a/internal/control/lives_test.go
+++ b/internal/control/lives_test.go
@@ -95,6 +95,7 @@
 func leaveNamesTheLifeThereIs(t *testing.T) {
 	s := openFleet(t)
 	s.says(life("e", 1000), "a1", 1, 1)
+	s.pass(youngFor)
 	s.ask(Request{Beat: &Beat{Instance: catalog.Instance{ID: "e"}, Leaves: true}})
 	if s.registered(life("e", 1000)) {
 		t.Fatal("it is registered after it left")
@@ -109,6 +110,29 @@
 	}
 }
 
+// A leave may be passed on late, when its sender has started again, and give its name alone: it then meant the last life. Taken for the one
+// that stands there now, that one was never registered again however long it lived.
+
+// TestLateLeaveEndsNoYoungLifeForGood: the next heartbeat registers it again; one that has stood for a while has left.
+func TestLateLeaveEndsNoYoungLifeForGood(t *testing.T) {
+	s := openFleet(t)
+	id := life("e", 2000)
+	leave := Request{Beat: &Beat{Instance: catalog.Instance{ID: "e"}, Leaves: true}}
+	s.says(life("e", 1000), "a1", 1, 1)
+	s.says(id, "a1", 1, 1)
+	s.ask(leave)
+	s.says(id, "a1", 2, 1)
+	if !s.registered(id) {
+		t.Fatal("a late leave of the last life ended the next one for good")
+	}
+	s.pass(youngFor)
+	s.ask(leave)
+	s.says(id, "a1", 3, 1)
+	if s.registered(id) {
+		t.Fatal("a life that has left came back with a late heartbeat")
+	}
+}
+
 // reports answers the calls of a roll-out for so long, as an engine that holds a version and has taken so many orders, and returns the orders.
 func (s *solo) reports(length time.Duration, version, revision uint64) []WeightsCall {
 	var orders []WeightsCall
