--- a/internal/lab/sim/fleet.go
+++ b/internal/lab/sim/fleet.go
@@ -24,6 +24,7 @@
 	fleetSend      = 60 * time.Millisecond
 	fleetLoad      = 800 * time.Millisecond
 	fleetDrain     = 2 * time.Second
+	fleetOlder     = 0.2             // share of lives that begin with older weights than the last one had
 	fleetLate      = 4 * time.Second // longest delay of an order whose answer was lost
 	fleetMoves     = 0.1             // share of a gateway's questions with which it goes to another replica
 	alone          = 1 << 20         // gateways up to which the leader answers all, where no replica is to answer for it
@@ -115,13 +116,29 @@
 	b.start()
 	b.asker = newAsker(b.w, b.process)
 	b.lives++
-	b.id = fmt.Sprintf("%s-%d", b.process.name, b.lives)
+	b.id = b.nextID()
 	b.sequence, b.draining, b.loadsTo, b.revision, b.fence, b.told = 0, false, 0, 0, 0, ""
 	b.version = max(b.version, 1)
+	if b.version > 1 && b.w.chance(fleetOlder) {
+		b.version-- // it kept older weights than it was last seen with
+	}
 	b.ticker(fleetBeat, b.beat)
 	b.after(b.w.between(10*time.Second, 40*time.Second), b.drain)
 }
 
+// nextID returns the id of the life that begins: the back end's own name and its start, or, in every other run, a name of each life.
+func (b *fleetBackend) nextID() string {
+	if b.w.tellsLives {
+		return catalog.Life{Name: b.process.name, Born: 1 + b.w.now().Milliseconds()}.ID()
+	}
+	return fmt.Sprintf("%s-%d", b.process.name, b.lives)
+}
+
+// isMeant reports whether a call that expects a life reaches this one: a back end knows its name alone.
+func (b *fleetBackend) isMeant(id string) bool {
+	return catalog.LifeOf(id).Name == catalog.LifeOf(b.id).Name
+}
+
 func (b *fleetBackend) instance() catalog.Instance {
 	state := catalog.StateReady
 	if b.draining {
@@ -184,7 +201,7 @@
 			b.w.oracle.fleet.leaving[id] = b.w.now()
 		}
 		b.after(fleetDrain, func() {
-			leave := &control.Beat{Instance: catalog.Instance{ID: id}, Leaves: true}
+			leave := &control.Beat{Instance: catalog.Instance{ID: catalog.LifeOf(id).Name}, Leaves: true}
 			b.asker.ask(control.Request{Beat: leave}, b.w.now()+10*time.Second, func(control.Response, bool) {
 				b.kill(false)
 				b.w.restart(b, b.w.between(200*time.Millisecond, 2*time.Second))
@@ -197,7 +214,7 @@
 func (b *fleetBackend) take(call control.WeightsCall) control.WeightsResult {
 	loading := b.w.now() < b.loadsTo
 	switch {
-	case call.Instance != b.id:
+	case !b.isMeant(call.Instance):
 		return control.WeightsResult{Kind: control.WeightsRefused}
 	case call.Kind == control.WeightsReport:
 		return control.WeightsResult{Kind: control.WeightsReported, Versions: map[string]uint64{fleetModel: b.version}, Busy: loading, Revision: b.revision}
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -47,6 +47,7 @@
 	gateways       []*fleetGateway
 	gatewayCount   int
 	relayed        bool // replicas answer gateways for the leader
+	tellsLives     bool // back ends keep their names and tell when they were started
 	fleetOperators []*fleetOperator
 	faults         int
 	killed         int // runs that back ends of the fleet took along
