--- a/internal/gateway/oldweights.go
+++ b/internal/gateway/oldweights.go
@@ -47,7 +47,7 @@
 		return
 	}
 	now := g.now()
-	held, due := g.oldWeights.due(now, a.row.entry.ID)
+	held, due := g.oldWeights.Due(now, a.row.entry.ID)
 	if !due {
 		return
 	}
--- a/internal/gateway/oldweights_test.go
+++ b/internal/gateway/oldweights_test.go
@@ -56,7 +56,7 @@
 	for range 3 {
 		chosen.noteWeights(200, Verdict{Signed: true, Version: 1})
 	}
-	now += sparseEach
+	now += node.SparseEach
 	chosen.noteWeights(421, Verdict{NotRun: true, Version: 3})
 	got := lines.FilterMessage(events.WeightsDiffer).All()
 	if len(got) != 2 || lines.Len() != 2 {
--- /dev/null
+++ b/internal/node/sparse.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// SparseEach is the least time between two lines of one key: a rollout may cause one for each request.
+	SparseEach = time.Second
+	// sparseKept is how long a key is kept after its newest line, for the count of the lines that were held back since.
+	sparseKept = time.Minute
+)
+
+// Sparse bounds how often lines of one key are written, and counts those held back. It is safe for concurrent use.
+type Sparse struct {
+	mu    sync.Mutex
+	lines map[string]sparseLine // guarded by mu
+}
+
+// sparseLine is what is known of the lines of one key.
+type sparseLine struct {
+	at   time.Duration // when one was last written
+	held int           // held back since
+}
+
+// NewSparse returns one that has written no line yet.
+func NewSparse() *Sparse { return &Sparse{lines: map[string]sparseLine{}} }
+
+// Due reports whether a line may be written now, and how many were held back since the last.
+func (s *Sparse) Due(now time.Duration, key string) (held int, due bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last, known := s.lines[key]
+	if known && now-last.at < SparseEach {
+		last.held++
+		s.lines[key] = last
+		return 0, false
+	}
+	s.lines[key] = sparseLine{at: now}
+	return last.held, true
+}
+
+// Sweep forgets keys without a line for long.
+func (s *Sparse) Sweep(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, last := range s.lines {
+		if now-last.at > sparseKept {
+			delete(s.lines, key)
+		}
+	}
+}
