Repair: what a worker says is taken in one way; an id that means a back end is taken apart in one place

A name with the mark in it was taken apart once too often when its back end left without telling its life (test extended: a name with the mark in it means another back end).

--- a/internal/catalog/life.go
+++ b/internal/catalog/life.go
@@ -90,10 +90,8 @@
 	return life.Born < max(LifeOf(l.registered[life.Name]).Born, l.ended[life.Name])
 }
 
-// of returns the id of the registered life that an id means: a name alone means the one there is.
-func (l *lives) of(id string) string {
-	if held, known := l.registered[id]; known {
-		return held
-	}
-	return id
+// standing returns the id of the registered life of the back end of a name, if it has one that tells its start.
+func (l *lives) standing(name string) (string, bool) {
+	id, known := l.registered[name]
+	return id, known
 }
--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -125,8 +125,14 @@
 	return !m.ended[instance.ID] && !m.lives.outlived(life) && !untold
 }
 
-// Standing returns the id of the registered life of the back end of a name, or the name itself where there is none that tells its life.
-func (m *Machine) Standing(name string) string { return m.lives.of(name) }
+// Meant returns the id of the life that an id means: one without a start means the life that is registered, where that tells its start.
+func (m *Machine) Meant(id string) string {
+	life := LifeOf(id)
+	if standing, known := m.lives.standing(life.Name); known && life.Born == 0 {
+		return standing
+	}
+	return id
+}
 
 // At returns the instance that is registered at an address, if there is one.
 func (m *Machine) At(address string) (Instance, bool) {
@@ -233,7 +239,7 @@
 	if other, taken := m.At(instance.Address); taken && LifeOf(instance.ID).Born > 0 && LifeOf(instance.ID).Born < LifeOf(other.ID).Born {
 		return Outcome{Revision: m.document.Revision, Gone: true}
 	}
-	if last := m.lives.of(LifeOf(instance.ID).Name); last != instance.ID {
+	if last, stands := m.lives.standing(LifeOf(instance.ID).Name); stands && last != instance.ID {
 		ordered := m.ordered[last]
 		m.drop(last)
 		if ordered {
@@ -334,7 +340,7 @@
 
 // remove ends an instance for good; its name alone means the life that is registered.
 func (m *Machine) remove(id string) {
-	id = m.lives.of(id)
+	id = m.Meant(id)
 	m.drop(id)
 	if m.ended[id] {
 		return
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -70,7 +70,7 @@
 	held, known := r.machine.catalog.Instances()[id]
 	switch {
 	case beat.Leaves && r.mayMeanLastLife(now, id):
-		r.propose(now, client, Command{Catalog: &catalog.Command{Forget: r.machine.catalog.Standing(id)}})
+		r.propose(now, client, Command{Catalog: &catalog.Command{Forget: r.machine.catalog.Meant(id)}})
 	case beat.Leaves:
 		r.propose(now, client, Command{Catalog: &catalog.Command{Remove: id}})
 	case !known && !r.admits(now, beat.Instance):
@@ -89,10 +89,10 @@
 
 // mayMeanLastLife reports whether a leave that names a back end alone may have been passed on late, by the life before the one that stands
 // there: that one is forgotten then, and may register again.
-func (r *Replica) mayMeanLastLife(now time.Duration, name string) bool {
-	id := r.machine.catalog.Standing(name)
-	state := r.lead.fleet[id]
-	return id != name && state != nil && state.registeredAt > 0 && now < state.registeredAt+youngFor
+func (r *Replica) mayMeanLastLife(now time.Duration, id string) bool {
+	meant := r.machine.catalog.Meant(id)
+	state := r.lead.fleet[meant]
+	return meant != id && state != nil && state.registeredAt > 0 && now < state.registeredAt+youngFor
 }
 
 // admits reports whether a heartbeat may register an instance. Only the catalog's word and what is heard now count: one that was started
@@ -262,7 +262,7 @@
 	instances := r.machine.catalog.Instances()
 	if len(r.orders) > len(instances) {
 		for name, mark := range r.orders {
-			if _, known := instances[r.machine.catalog.Standing(name)]; !known && now > mark.at+forgetAfter {
+			if _, known := instances[r.machine.catalog.Meant(catalog.Life{Name: name}.ID())]; !known && now > mark.at+forgetAfter {
 				delete(r.orders, name)
 			}
 		}
--- a/internal/control/lives_test.go
+++ b/internal/control/lives_test.go
@@ -25,6 +25,16 @@
 // life returns the id of one life of a back end.
 func life(name string, born int64) string { return catalog.Life{Name: name, Born: born}.ID() }
 
+// openAlone is a fleet whose two engines have left, so that the next one stands alone.
+func openAlone(t *testing.T) *solo {
+	t.Helper()
+	s := openFleet(t)
+	for _, id := range []string{"i-1", "i-2"} {
+		s.ask(Request{Beat: &Beat{Instance: catalog.Instance{ID: id}, Leaves: true}})
+	}
+	return s
+}
+
 // says sends a heartbeat of an engine at an address.
 func (s *solo) says(id, address string, sequence, version uint64) {
 	s.ask(Request{Beat: &Beat{
@@ -95,7 +105,12 @@
 func leaveNamesTheLifeThereIs(t *testing.T) {
 	s := openFleet(t)
 	s.says(life("e", 1000), "a1", 1, 1)
+	s.says(life("e@5", 1000), "a2", 1, 1)
 	s.pass(youngFor)
+	s.ask(Request{Beat: &Beat{Instance: catalog.Instance{ID: life("e@5", 0)}, Leaves: true}})
+	if s.registered(life("e@5", 1000)) || !s.registered(life("e", 1000)) {
+		t.Fatal("a name with the mark in it means another back end")
+	}
 	s.ask(Request{Beat: &Beat{Instance: catalog.Instance{ID: "e"}, Leaves: true}})
 	if s.registered(life("e", 1000)) {
 		t.Fatal("it is registered after it left")
@@ -154,10 +169,7 @@
 // TestWeightsThatFellAreReplaced: an order for older weights that got no answer may be carried out after one for newer ones. The engine's
 // own word is believed, and it is ordered again.
 func TestWeightsThatFellAreReplaced(t *testing.T) {
-	s := openFleet(t)
-	for _, id := range []string{"i-1", "i-2"} {
-		s.ask(Request{Beat: &Beat{Instance: catalog.Instance{ID: id}, Leaves: true}})
-	}
+	s := openAlone(t)
 	s.ask(Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: "m", Version: 3}}})
 	id := life("e", 1000)
 	s.says(id, "a1", 1, 3)
@@ -178,10 +190,7 @@
 
 // TestLateHeartbeatMakesNoWeightsFall: one that was sent before a load and arrives after it is not believed against the engine's report.
 func TestLateHeartbeatMakesNoWeightsFall(t *testing.T) {
-	s := openFleet(t)
-	for _, id := range []string{"i-1", "i-2"} {
-		s.ask(Request{Beat: &Beat{Instance: catalog.Instance{ID: id}, Leaves: true}})
-	}
+	s := openAlone(t)
 	s.ask(Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: "m", Version: 3}}})
 	id := life("e", 1000)
 	s.says(id, "a1", 1, 3)
@@ -194,10 +203,7 @@
 
 // reportOfAnotherLifeIsNone: a report says whose it is; one of another life tells nothing of the life that was asked.
 func reportOfAnotherLifeIsNone(t *testing.T) {
-	s := openFleet(t)
-	for _, id := range []string{"i-1", "i-2"} {
-		s.ask(Request{Beat: &Beat{Instance: catalog.Instance{ID: id}, Leaves: true}})
-	}
+	s := openAlone(t)
 	id := life("e", 1000)
 	s.says(id, "a1", 1, 1)
 	s.ask(Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: "m", Version: 2}}})
