--- a/internal/lab/soak/promises.go
+++ b/internal/lab/soak/promises.go
@@ -65,6 +65,7 @@
 	served   []bool                     // of the requests that began after the calm; guarded by mu
 	back     bool                       // the plan leaves time for service to be back; guarded by mu
 	deadly   map[string][]time.Duration // when a request that ends its workers came to one, by its name, rising; guarded by mu
+	held     map[string]int             // how often its callers were told that it is held back, by its name; guarded by mu
 	troubles []span                     // of the system's processes and links; guarded by mu
 }
 
@@ -75,7 +76,7 @@
 func NewWatch(window, settle time.Duration) *Watch {
 	return &Watch{
 		Window: window, Settle: settle, requests: map[string]*tried{}, runs: map[string][]run{}, limits: map[string][]Allowance{},
-		outcomes: map[string]int{}, deadly: map[string][]time.Duration{},
+		outcomes: map[string]int{}, deadly: map[string][]time.Duration{}, held: map[string]int{},
 	}
 }
 
@@ -217,8 +218,30 @@
 	w.deadly[name] = append(w.deadly[name], at)
 }
 
+// DeadlyHeld notes that a caller of such a request was told that it is held back.
+func (w *Watch) DeadlyHeld(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.held[name]++
+}
+
+// Settled reports whether what was seen of such a request tells if it is held back: its callers were told so as often as more workers would
+// break the promise, or it did come to these.
+func (w *Watch) Settled(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.held[name] > deadlyMore || w.laterArrivals(w.deadly[name]) > deadlyMore
+}
+
 // checkDeadly counts what reached workers after the third had ended, while all was well.
 func (w *Watch) checkDeadly(name string, arrivals []time.Duration) {
+	if later := w.laterArrivals(arrivals); later > deadlyMore {
+		w.fail(HeldBack, "%q came to %d workers after it had ended three, %d in all", name, later, len(arrivals))
+	}
+}
+
+// laterArrivals counts those that must not have come. The caller holds the mutex.
+func (w *Watch) laterArrivals(arrivals []time.Duration) int {
 	slices.Sort(arrivals)
 	later := 0
 	for i, at := range arrivals {
@@ -226,9 +249,7 @@
 			later++
 		}
 	}
-	if later > deadlyMore {
-		w.fail(HeldBack, "%q came to %d workers after it had ended three, %d in all", name, later, len(arrivals))
-	}
+	return later
 }
 
 // troubled reports whether something was struck a moment before.
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -78,6 +78,24 @@
 	}
 }
 
+// TestSettledOnceEitherWasSeen: a fatal request can be judged once its callers were told often enough that it is held back, or once it came
+// to more workers than it may; not by what a few saw.
+func TestSettledOnceEitherWasSeen(t *testing.T) {
+	for _, c := range []struct {
+		arrivals, held int
+		settled        bool
+	}{{0, 0, false}, {deadlyLives, deadlyMore, false}, {deadlyLives, deadlyMore + 1, true}, {deadlyLives + deadlyMore, 0, false}, {deadlyLives + deadlyMore + 1, 0, true}} {
+		w := NewWatch(time.Second, 0)
+		deadlyArrivals(w, c.arrivals)
+		for range c.held {
+			w.DeadlyHeld("deadly 1")
+		}
+		if w.Settled("deadly 1") != c.settled || w.Settled("another") {
+			t.Errorf("%d arrivals, %d times held back: settled %v", c.arrivals, c.held, !c.settled)
+		}
+	}
+}
+
 // TestLowerLimitBindsWholeWindows: a window that began before the older limit ended may still hold what that allowed.
 func TestLowerLimitBindsWholeWindows(t *testing.T) {
 	of := func(units float64) func(time.Duration) float64 { return func(time.Duration) float64 { return units } }
@@ -225,3 +243,29 @@
 		t.Fatalf("a connection that has ended is socket %d", left)
 	}
 }
+
+// TestOwnerNamesTheProcessThatOpened a connection to us, among several.
+func TestOwnerNamesTheProcessThatOpened(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	dial := fmt.Sprintf("exec 3<>/dev/tcp/127.0.0.1/%d; exec sleep 30", listener.Addr().(*net.TCPAddr).Port)
+	other := &Process{Name: "other", Args: []string{"/bin/sleep", "30"}, Log: filepath.Join(t.TempDir(), "log")}
+	dialer := &Process{Name: "dialer", Args: []string{"/bin/bash", "-c", dial}, Log: filepath.Join(t.TempDir(), "log")}
+	for _, p := range []*Process{other, dialer} {
+		if err := p.Start(); err != nil {
+			t.Fatal(err)
+		}
+		defer p.End(9)
+	}
+	near, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	if name := Owner([]*Process{other, dialer}, near); name != "dialer" {
+		t.Fatalf("the connection of dialer is %q's", name)
+	}
+}
