--- /dev/null
+++ b/internal/control/forged_test.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"kitetiller/internal/catalog"
+)
+
+// A heartbeat that can be read in full may still be another writer's: of a service that no configuration names. It names no back end to
+// use, and whoever is registered holds.
+
+// TestHeartbeatOfNoServiceChangesNothing: neither where it names a registered life, nor a later life of it, nor the address of one that
+// control hasn't heard for a while.
+func TestHeartbeatOfNoServiceChangesNothing(t *testing.T) {
+	open := func(t *testing.T) *solo {
+		s := openFleet(t)
+		routed := catalog.Document{Revision: 2, Services: []catalog.Service{{Name: "engine", Engine: true}}}
+		s.ask(Request{Catalog: &catalog.Command{Replace: &routed}})
+		s.says(life("e", 1000), "a1", 1, 1)
+		return s
+	}
+	forge := func(s *solo, id, address string, state catalog.State) {
+		s.ask(Request{Beat: &Beat{
+			Instance: catalog.Instance{ID: id, Service: "nobody", Address: address, State: state},
+			Sequence: 1000, Versions: map[string]uint64{"m": 9},
+		}})
+	}
+	holds := func(t *testing.T, s *solo) {
+		t.Helper()
+		held, known := s.replica.Machine().Catalog().Instances()[life("e", 1000)]
+		if !known || held.State != catalog.StateReady || held.Service != "engine" {
+			t.Fatalf("registered %t, %+v", known, held)
+		}
+		s.says(life("e", 1000), "a1", 2, 1)
+		if state := s.replica.lead.fleet[life("e", 1000)]; state.versions["m"] != 1 || state.sequence != 2 {
+			t.Fatalf("believed %v, heartbeat %d", state.versions, state.sequence)
+		}
+	}
+	t.Run("its life", func(t *testing.T) {
+		s := open(t)
+		forge(s, life("e", 1000), "a1", catalog.StateReady)
+		holds(t, s)
+	})
+	t.Run("its life, that leaves", func(t *testing.T) {
+		s := open(t)
+		forge(s, life("e", 1000), "a1", catalog.StateDraining)
+		holds(t, s)
+	})
+	t.Run("a later life of it", func(t *testing.T) {
+		s := open(t)
+		forge(s, life("e", 2000), "a2", catalog.StateReady)
+		holds(t, s)
+	})
+	t.Run("the address of a silent one", func(t *testing.T) {
+		s := open(t)
+		s.pass(silentAfter + time.Second)
+		forge(s, life("x", 2000), "a1", catalog.StateReady)
+		holds(t, s)
+	})
+}
--- a/internal/gateway/lives_test.go
+++ b/internal/gateway/lives_test.go
@@ -51,3 +51,33 @@
 		t.Fatalf("avoided to %v, believed %d", row.avoidTo, row.entry.Versions["m"])
 	}
 }
+
+// TestLimitIsOfTheWeightsExpected: a scheduler and a gateway may believe different weights, where they fell, and belief may change between
+// the choice and the send. The request begins on the weights that it expects or nowhere, so the limit is theirs.
+func TestLimitIsOfTheWeightsExpected(t *testing.T) {
+	// believes returns a gateway that believes version 2, named so long ago; nothing may begin on version 1 a minute after that.
+	believes := func(age time.Duration) (*Gateway, *attempt) {
+		g := scheduler(1)
+		g.now = func() time.Duration { return 10 * time.Minute }
+		chosen := placedAt(g)
+		name(g, 2, age)
+		entry := g.table.rows["i-0"].entry
+		entry.Versions = map[string]uint64{"m": 2}
+		g.table.takeRoster(g.now(), &control.RosterNews{Entries: []control.RosterEntry{entry}}, nil)
+		return g, chosen
+	}
+	for _, age := range []time.Duration{10 * time.Second, 2 * time.Minute} {
+		late := age > time.Minute
+		g, chosen := believes(age)
+		if bar := chosen.barred(); (bar != "") != late {
+			t.Errorf("named %v ago, version 1 expected since the choice: barred %q", age, bar)
+		}
+		wish := need{service: g.view.Load().services["s"], call: &Call{Model: "m"}, trusted: true}
+		if placed := g.scheduledCandidate(&wirePlacement{Instance: "i-0", Version: 1}, scheduled{}, wish); (placed == nil) != late {
+			t.Errorf("named %v ago, version 1 expected by the scheduler: placed %t", age, placed != nil)
+		}
+		if g.scheduledCandidate(&wirePlacement{Instance: "i-0", Version: 2}, scheduled{}, wish) == nil {
+			t.Errorf("named %v ago: no place on version 2", age)
+		}
+	}
+}
