Gateway: the limit for old weights is of those that the request expects, too

Cause: a place has the version that whoever chose it believed, which is the version that the request expects there and so the only one that it can begin on. The limit was read for the version that this gateway believes now. Where weights fell, a scheduler knows of it some 100 ms before a gateway that it places for; that gateway believed the newer version, saw no limit, and sent with the older one expected, which the back end holds. The same after a choice, where a new leader tells the newest version that the log holds, which doesn't fall. Ruled out: reading it so while a request waits. A load turns away what hasn't begun (503), and belief that rises truly would end requests early. Before and after (TestLimitIsOfTheWeightsExpected): barred "" and placed 2 min after the naming, limit 1 min; now barred, and no place. Version 2 is placed as before. No place has fewer choices where the two agree: the second look is skipped then.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -217,7 +217,7 @@
 	if a.row.entry.Loading {
 		return "loading" // its order may come before the request, which control doesn't see yet
 	}
-	if x.gateway.beginsTooLate(now, a.row, x.service, x.call.Model, a.plan.wait) {
+	if x.gateway.beginsTooLate(now, &a.plan, x.service, x.call.Model) {
 		return causeOutdated
 	}
 	return ""
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -27,19 +27,38 @@
 	return g.table.named.Since(model, held)
 }
 
-// beginsTooLate reports whether a request would likely begin after the limit for the back end's weights that holds now,
-// where so many milliseconds are predicted until it begins. The caller holds the table's mutex.
-func (g *Gateway) beginsTooLate(now time.Duration, row *endpoint, service *catalog.Service, model string, wait float64) bool {
-	limit, limited := g.beginLimit(row, service, model)
-	return limited && now+belief.FromMilliseconds(beginFactor*wait) >= limit-beginMargin
+// sendLimit is beginLimit for a place that was chosen. A request begins on the weights that it expects or nowhere, and whoever chose
+// them may believe others than this gateway does now, so the oldest version counts that either lack. The caller holds the
+// table's mutex.
+func (g *Gateway) sendLimit(placed *candidate, service *catalog.Service, model string) (time.Duration, bool) {
+	limit, limited := g.beginLimit(placed.row, service, model)
+	if placed.version >= placed.row.entry.Versions[model] {
+		return limit, limited
+	}
+	namedAt, lacks := g.table.named.Since(model, placed.version)
+	if !lacks {
+		return limit, limited
+	}
+	expected := namedAt + g.settings.VersionLimit
+	if !limited {
+		return expected, true
+	}
+	return min(limit, expected), true
+}
+
+// beginsTooLate reports whether a request would likely begin after the limit that holds now at a place that was chosen. The caller
+// holds the table's mutex.
+func (g *Gateway) beginsTooLate(now time.Duration, placed *candidate, service *catalog.Service, model string) bool {
+	limit, limited := g.sendLimit(placed, service, model)
+	return limited && now+belief.FromMilliseconds(beginFactor*placed.wait) >= limit-beginMargin
 }
 
 // chosenTooLate is beginsTooLate for a place that was just scored, and notes the limit with it.
 func (g *Gateway) chosenTooLate(now time.Duration, scored *candidate, wish need) bool {
-	if limit, limited := g.beginLimit(scored.row, wish.service, wish.call.Model); limited {
+	if limit, limited := g.sendLimit(scored, wish.service, wish.call.Model); limited {
 		scored.beginBy = limit
 	}
-	return g.beginsTooLate(now, scored.row, wish.service, wish.call.Model, scored.wait)
+	return g.beginsTooLate(now, scored, wish.service, wish.call.Model)
 }
 
 // watchLimit ends the attempt if it has not begun when the limit for its back end's weights nears, and looks again then.
