Control: a heartbeat of a service that isn't configured takes nothing from one that is

Cause: the service was compared only where another name claims an address, and not where its holder had been silent for 3.5 s. For a registered life the service wasn't looked at: its state, weights and number were taken, so that a forged one drained a back end for good or, by its number, had all later ones count as late; for a later life it put the registered one out. Ruled out: to refuse all of services that aren't configured. Back ends may register before the configuration that names them comes. A life that was first registered by another writer is put right by the first heartbeat of a service that is configured.

--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -132,6 +132,12 @@
 	return instance, known
 }
 
+// Named returns the registered life of the back end that has a name, if there is one.
+func (m *Machine) Named(name string) (Instance, bool) {
+	instance, known := m.instances[m.lives.of(name)]
+	return instance, known
+}
+
 // Versions returns the newest weights version by model; callers only read it.
 func (m *Machine) Versions() map[string]uint64 { return m.versions }
 
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -68,7 +68,9 @@
 		r.propose(now, client, Command{Catalog: &catalog.Command{Remove: id}})
 	case !known && !r.admits(now, beat.Instance):
 		r.reply(client, Response{Kind: ResponseOK})
-	case !known:
+	case known && !r.mayReplace(held, beat.Instance):
+		r.reply(client, Response{Kind: ResponseOK})
+	case !known || beat.Instance.Service != held.Service:
 		r.heard(now, beat)
 		r.register(client, beat.Instance)
 	case beat.Instance.State == catalog.StateDraining && held.State != catalog.StateDraining:
@@ -85,21 +87,34 @@
 	if !r.machine.catalog.Takes(instance) {
 		return false
 	}
+	last, known := r.machine.catalog.Named(catalog.LifeOf(instance.ID).Name)
+	if known && !r.mayReplace(last, instance) {
+		return false
+	}
 	holder, taken := r.machine.catalog.At(instance.Address)
 	if !taken || catalog.LifeOf(holder.ID).Name == catalog.LifeOf(instance.ID).Name {
 		return true
 	}
+	if !r.mayReplace(holder, instance) {
+		return false
+	}
 	if now-r.member(now, holder.ID).heardAt > silentAfter {
 		r.propose(now, 0, Command{Catalog: &catalog.Command{Forget: holder.ID}}) // its clock may have run ahead of the other's
 		return true
 	}
+	born := catalog.LifeOf(instance.ID).Born
+	earlier := born > 0 && born < catalog.LifeOf(holder.ID).Born
+	return !earlier
+}
+
+// mayReplace reports whether what a heartbeat tells may take the place of a registered instance. One of a service that isn't routed to
+// takes none of a service that is.
+func (r *Replica) mayReplace(held, told catalog.Instance) bool {
 	routed := func(service string) bool {
 		_, named := r.machine.catalog.Document().Service(service)
 		return named
 	}
-	born := catalog.LifeOf(instance.ID).Born
-	earlier := born > 0 && born < catalog.LifeOf(holder.ID).Born
-	return !earlier && (routed(instance.Service) || !routed(holder.Service))
+	return told.Service == held.Service || routed(told.Service) || !routed(held.Service)
 }
 
 // Sign is a heartbeat that tells nothing new: the back end lives.
