--- a/internal/control/handover_test.go
+++ b/internal/control/handover_test.go
@@ -196,3 +196,41 @@
 		t.Fatalf("%s was ordered at %v, announced at %v, and may be ordered by another leader at %v, the pause is %v", id, orderedAt, mark.at, early, s.replica.config.OrderWait)
 	}
 }
+
+// TestOrderPauseOutlivesARestart: the pause between the orders of two holders is a back end's, whichever of its lives they went to. One that
+// starts again under its name is told by no order from whom the last one came.
+func TestOrderPauseOutlivesARestart(t *testing.T) {
+	for what, forget := range map[string]func(*solo){
+		"seen in the log":  func(*solo) {},
+		"from a snapshot":  func(s *solo) { clear(s.replica.orders) },
+		"restored as well": func(s *solo) { clear(s.replica.orders); s.restore(t) },
+	} {
+		t.Run(what, func(t *testing.T) {
+			s := openFleet(t)
+			s.config(func(config *Config) { config.OrderWait = time.Hour })
+			s.says(life("e", 1000), "a1", 1, 1)
+			s.replica.writeOrdering(life("e", 1000))
+			s.pass(100 * time.Millisecond)
+			s.says(life("e", 2000), "a1", 1, 1)
+			forget(s)
+			for key, mark := range s.replica.orders {
+				mark.term-- // another leader's
+				s.replica.orders[key] = mark
+			}
+			if s.replica.handedOver(s.now, life("e", 2000)) {
+				t.Fatal("the next life may be ordered by another holder at once")
+			}
+			if !s.replica.handedOver(s.now, "i-1") {
+				t.Fatal("one that was never ordered has to wait")
+			}
+		})
+	}
+}
+
+// restore replaces the state by its own snapshot.
+func (s *solo) restore(t *testing.T) {
+	t.Helper()
+	if err := s.replica.Machine().Restore(s.replica.Machine().Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+}
