Control: the pause between two holders' orders is a back end's, not a life's

Cause: since an id names a life, the mark of the last order in memory and in the log stood under the life. A back end that starts again under its name is ready and lags at once, since it keeps the version that it had; a leader that came meanwhile found no mark and ordered it, within the time in which two holders that take turns break the rule. Before lives had ids of their own the mark held across the restart. Ruled out: to keep the marks of the log after a leave or 12 s of silence; the pause is 3.3 s, and who saw the entry keeps the mark for 12 s.

--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -87,7 +87,7 @@
 	versions   map[string]uint64
 	namings    map[string][]Naming          // by model, rising; the newest is of the version in versions
 	held       map[string]map[string]uint64 // by instance and model; of registered instances only; versions only rise
-	ordered    map[string]bool              // registered instances that were ever to be given an order
+	ordered    map[string]bool              // registered instances that, or whose last life, were ever to be given an order
 	gateways   []string                     // that asked the last leader that wrote them, rising
 	listed     map[string]bool              // the same
 	bounds     map[string]uint64            // by service; of those that don't use all their back ends
@@ -145,7 +145,7 @@
 // or older ones where a late order was carried out.
 func (m *Machine) Held(id string) map[string]uint64 { return m.held[id] }
 
-// Ordered reports whether an instance may ever have been given an order.
+// Ordered reports whether an instance, or the life that it followed, may ever have been given an order.
 func (m *Machine) Ordered(id string) bool { return m.ordered[id] }
 
 // Gateways returns the gateways that were written last, rising; callers only read it.
@@ -237,7 +237,9 @@
 	if other, taken := m.At(instance.Address); taken && LifeOf(instance.ID).Born > 0 && LifeOf(instance.ID).Born < LifeOf(other.ID).Born {
 		return Outcome{Revision: m.document.Revision, Gone: true}
 	}
-	if last := m.lives.of(LifeOf(instance.ID).Name); last != instance.ID {
+	last := m.lives.of(LifeOf(instance.ID).Name)
+	ordered := m.ordered[last] // of any of its lives
+	if last != instance.ID {
 		m.drop(last)
 	}
 	if known && held.State == StateDraining {
@@ -250,6 +252,9 @@
 		m.drop(before)
 	}
 	m.put(instance)
+	if ordered {
+		m.ordered[instance.ID] = true
+	}
 	return Outcome{Revision: m.document.Revision}
 }
 
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -260,9 +260,9 @@
 func (r *Replica) forgetStrangers(now time.Duration) {
 	instances := r.machine.catalog.Instances()
 	if len(r.orders) > len(instances) {
-		for id, mark := range r.orders {
-			if _, known := instances[id]; !known && now > mark.at+forgetAfter {
-				delete(r.orders, id)
+		for name, mark := range r.orders {
+			if _, known := r.machine.catalog.Named(name); !known && now > mark.at+forgetAfter {
+				delete(r.orders, name)
 			}
 		}
 	}
--- a/internal/control/handover.go
+++ b/internal/control/handover.go
@@ -17,7 +17,8 @@
 // more than a step of the roll-out takes in a large fleet (100 ms), little of the pause between two holders (3 s).
 const orderWithin = 300 * time.Millisecond
 
-// orderMark is when a back end was last about to be given orders, as far as this process knows.
+// orderMark is when a back end was last about to be given orders, as far as this process knows. It is of the back end and not of one life: a holder
+// that orders the next life takes turns with the one before all the same.
 type orderMark struct {
 	term      uint64        // of the leader that wrote the newest
 	at        time.Duration // when that was applied here
@@ -29,7 +30,8 @@
 // noteOrdering remembers that a leader is about to order back ends.
 func (r *Replica) noteOrdering(now time.Duration, term uint64, ids []string) {
 	for _, id := range ids {
-		mark, known := r.orders[id]
+		name := catalog.LifeOf(id).Name
+		mark, known := r.orders[name]
 		if known && mark.term != term {
 			mark.foreign, mark.foreignAt = true, mark.at
 		}
@@ -37,7 +39,7 @@
 			mark.foreign = true // by an entry that a snapshot covers: it counts from the start of this process
 		}
 		mark.term, mark.at, mark.renewTo = term, now, 0
-		r.orders[id] = mark
+		r.orders[name] = mark
 	}
 }
 
@@ -46,14 +48,14 @@
 func (r *Replica) noteInstalled(now time.Duration) {
 	for id := range r.machine.catalog.Instances() {
 		if r.machine.catalog.Ordered(id) {
-			r.orders[id] = orderMark{at: now} // of no leadership, so that it is another one's for whoever leads
+			r.orders[catalog.LifeOf(id).Name] = orderMark{at: now} // of no leadership, so that it is another one's for whoever leads
 		}
 	}
 }
 
 // orderedElsewhere returns when another leader was last about to order a back end, if one may have been.
 func (r *Replica) orderedElsewhere(id string) (time.Duration, bool) {
-	mark, known := r.orders[id]
+	mark, known := r.orders[catalog.LifeOf(id).Name]
 	switch {
 	case !known:
 		return 0, r.machine.catalog.Ordered(id)
@@ -66,7 +68,8 @@
 // mayOrderBackend reports whether a back end may be ordered now: this leader's intent is in the log, has been for a moment only, and the back
 // end was handed over.
 func (r *Replica) mayOrderBackend(now time.Duration, id string) bool {
-	mark := r.orders[id]
+	name := catalog.LifeOf(id).Name
+	mark := r.orders[name]
 	if mark.term != r.node.Term() || !r.handedOver(now, id) {
 		return false // what is announced is written in the same step; it commits in a moment
 	}
@@ -75,7 +78,7 @@
 	}
 	if now >= mark.renewTo {
 		mark.renewTo = now + callPatience
-		r.orders[id] = mark
+		r.orders[name] = mark
 		r.writeOrdering(id)
 	}
 	return false
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -102,7 +102,7 @@
 	effects      Effects
 	lead         *leadership
 	namings      map[string][]datedNaming // by model, rising by version: those of the catalog, since it applied here or was dated
-	orders       map[string]orderMark     // by instance: what this process saw in the log
+	orders       map[string]orderMark     // by name of the back end: what this process saw in the log
 	told         toldDocument             // newest document that gateways were told
 	relay        *relay.Relay             // of gateways' questions while another replica leads
 	leaderless   []watcher                // gateways' questions that wait for a leader; at most leaderlessMost
