--- a/internal/catalog/life_test.go
+++ b/internal/catalog/life_test.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"encoding/json"
+	"strconv"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -21,3 +23,51 @@
 		}
 	})
 }
+
+// TestSnapshotTellsWhichLivesLeft: a replica that was sent a snapshot takes the same lives as the one that wrote it, also where an earlier life
+// said after a later one that it left, and the later one is remembered no more.
+func TestSnapshotTellsWhichLivesLeft(t *testing.T) {
+	m := NewMachine()
+	leave := func(id string) { m.Apply(Command{Remove: id}) }
+	leave(Life{Name: "e", Born: 9}.ID())
+	leave(Life{Name: "e", Born: 5}.ID())
+	for i := range tombstonesKept - 1 {
+		leave(Life{Name: strconv.Itoa(i), Born: 1}.ID())
+	}
+	data, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := NewMachine()
+	if err := json.Unmarshal(data, restored); err != nil {
+		t.Fatal(err)
+	}
+	for born := int64(1); born < 12; born++ {
+		instance := Instance{ID: Life{Name: "e", Born: born}.ID(), Service: "s", Address: "a"}
+		if m.Takes(instance) != restored.Takes(instance) {
+			t.Errorf("a life that began at %d: taken %t, from the snapshot %t", born, m.Takes(instance), restored.Takes(instance))
+		}
+	}
+}
+
+// TestLeaveByNameEndsAForgottenLife: a back end that was silent for so long that it is registered no more may still say that it leaves, by its name
+// alone. A heartbeat that it sent before, and that comes later, doesn't bring it back; its next life is taken.
+func TestLeaveByNameEndsAForgottenLife(t *testing.T) {
+	for _, restored := range []bool{false, true} {
+		m := NewMachine()
+		held := Instance{ID: Life{Name: "e", Born: 5}.ID(), Service: "s", Address: "a"}
+		next := Instance{ID: Life{Name: "e", Born: 6}.ID(), Service: "s", Address: "a"}
+		m.Apply(Command{Register: &held})
+		m.Apply(Command{Forget: held.ID})
+		if !m.Takes(held) {
+			t.Fatal("one that was silent can't register again")
+		}
+		if data, err := json.Marshal(m); restored && (err != nil || json.Unmarshal(data, m) != nil) {
+			t.Fatal("no snapshot")
+		}
+		m.Apply(Command{Remove: "e"})
+		if m.Takes(held) || !m.Takes(next) {
+			t.Fatalf("restored %t: the life that left is taken: %t, its next one: %t", restored, m.Takes(held), m.Takes(next))
+		}
+	}
+}
