Catalog: each life that left is remembered by itself

Two replicas then differ on which life of a back end may register. Ruled out: to look all tombstones through for each that is forgotten (2000 for each leave of a large fleet). Before and after (TestSnapshotTellsWhichLivesLeft): lives 1 to 4 taken by one replica and not by the other; now by neither. A name has one start for each of its lives that left, so the look is as long as a back end starts again.

--- a/internal/catalog/life.go
+++ b/internal/catalog/life.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -41,13 +42,13 @@
 
 // lives tells which life of a back end counts. It holds those that tell their start; the others have a name for each life.
 type lives struct {
-	registered map[string]string // by name: id of the registered life
-	ended      map[string]int64  // by name: start of the newest life that said that it left, while that is remembered
-	telling    map[string]int    // by service: registered lives; none is 0
+	registered map[string]string  // by name: id of the registered life
+	ended      map[string][]int64 // by name: starts of the lives that said that they left, while that is remembered; none is empty
+	telling    map[string]int     // by service: registered lives; none is 0
 }
 
 func newLives() lives {
-	return lives{registered: map[string]string{}, ended: map[string]int64{}, telling: map[string]int{}}
+	return lives{registered: map[string]string{}, ended: map[string][]int64{}, telling: map[string]int{}}
 }
 
 // add notes a registered instance.
@@ -72,22 +73,28 @@
 	}
 }
 
-// end remembers that a life said that it left; forget ends that.
+// end remembers that a life said that it left; forget ends that. Each is noted by itself, so that what is left is the same
+// whether the others were forgotten or never known.
 func (l *lives) end(id string) {
 	if life := LifeOf(id); life.Born > 0 {
-		l.ended[life.Name] = max(l.ended[life.Name], life.Born)
+		l.ended[life.Name] = append(l.ended[life.Name], life.Born)
 	}
 }
 
 func (l *lives) forget(id string) {
-	if life := LifeOf(id); l.ended[life.Name] == life.Born {
+	life := LifeOf(id)
+	left := slices.DeleteFunc(l.ended[life.Name], func(born int64) bool { return born == life.Born })
+	if len(left) == 0 {
 		delete(l.ended, life.Name)
+		return
 	}
+	l.ended[life.Name] = left
 }
 
 // outlived reports whether a later life is registered, or has left.
 func (l *lives) outlived(life Life) bool {
-	return life.Born < max(LifeOf(l.registered[life.Name]).Born, l.ended[life.Name])
+	later := func(born int64) bool { return life.Born < born }
+	return later(LifeOf(l.registered[life.Name]).Born) || slices.ContainsFunc(l.ended[life.Name], later)
 }
 
 // of returns the id of the registered life that an id means: a name alone means the one there is.
