Catalog: a leave by name ends a life that was forgotten for its silence, too

Cause: a leave by name alone means the life that is registered. Where control hadn't heard it for 12 s there is none, so the name alone was remembered, which stands for no life, and a heartbeat that the life had sent before its leave registered it: it gets requests after its leave was acknowledged. While a name was a life it didn't. Ruled out: to end all lives of the name until some time of day, since clocks differ by minutes.

--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -83,7 +83,8 @@
 	ids        []string          // of instances, rising; nil when they have changed
 	tombstones []string
 	ended      map[string]bool
-	lives      lives // of instances and tombstones
+	forgotten  []string // lives that fell silent and may register again, the newest last; at most tombstonesKept
+	lives      lives    // of instances and tombstones
 	versions   map[string]uint64
 	namings    map[string][]Naming          // by model, rising; the newest is of the version in versions
 	held       map[string]map[string]uint64 // by instance and model; of registered instances only; versions only rise
@@ -197,7 +198,7 @@
 	case command.Remove != "":
 		m.remove(command.Remove)
 	case command.Forget != "":
-		m.drop(command.Forget)
+		m.forget(command.Forget)
 	case len(command.Held) > 0:
 		m.hold(command.Held)
 	case len(command.Ordering) > 0:
@@ -337,23 +338,6 @@
 	m.put(instance)
 }
 
-// remove ends an instance for good; its name alone means the life that is registered.
-func (m *Machine) remove(id string) {
-	id = m.lives.of(id)
-	m.drop(id)
-	if m.ended[id] {
-		return
-	}
-	m.ended[id] = true
-	m.lives.end(id)
-	m.tombstones = append(m.tombstones, id)
-	if len(m.tombstones) > tombstonesKept {
-		delete(m.ended, m.tombstones[0])
-		m.lives.forget(m.tombstones[0])
-		m.tombstones = slices.Delete(m.tombstones, 0, 1)
-	}
-}
-
 // machineForm is the snapshot form of a machine.
 type machineForm struct {
 	Document   Document            `json:"document"`
@@ -370,11 +354,13 @@
 	Quarantine *quarantine.Ledger `json:"quarantine,omitempty"`
 
 	Namings map[string][]Naming `json:"namings,omitempty"`
+
+	Forgotten []string `json:"forgotten,omitempty"`
 }
 
 // MarshalJSON writes the whole state.
 func (m *Machine) MarshalJSON() ([]byte, error) {
-	return json.Marshal(machineForm{m.document, m.instances, m.tombstones, m.versions, m.fence, m.held, m.ordered, m.gateways, m.bounds, m.quarantine, m.namings})
+	return json.Marshal(machineForm{m.document, m.instances, m.tombstones, m.versions, m.fence, m.held, m.ordered, m.gateways, m.bounds, m.quarantine, m.namings, m.forgotten})
 }
 
 // UnmarshalJSON replaces the whole state.
@@ -386,7 +372,7 @@
 	guards := m.Guards
 	*m = *NewMachine()
 	m.Guards = guards
-	m.document, m.tombstones, m.fence = form.Document, form.Tombstones, form.Fence
+	m.document, m.tombstones, m.fence, m.forgotten = form.Document, form.Tombstones, form.Fence, form.Forgotten
 	for _, instance := range form.Instances {
 		m.put(instance)
 	}
