--- a/internal/control/lives_test.go
+++ b/internal/control/lives_test.go
@@ -191,3 +191,21 @@
 		t.Fatalf("believed %d by the report of another life", believed)
 	}
 }
+
+// TestUntoldLifeIsOrderedByItsReport: where a back end's heartbeats don't tell its start there is nothing that its report's could differ from.
+func TestUntoldLifeIsOrderedByItsReport(t *testing.T) {
+	s := openFleet(t)
+	s.ask(Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: "m", Version: 2}}})
+	for range 40 {
+		s.weights = nil
+		s.beats("i-1", "i-2")
+		s.pass(100 * time.Millisecond)
+		for _, call := range s.weights {
+			if call.Kind == WeightsOrder {
+				return
+			}
+			s.replica.ObserveWeights(s.now, WeightsResult{Call: call, Kind: WeightsReported, Born: 2000, Versions: map[string]uint64{"m": 1}})
+		}
+	}
+	t.Fatal("0 orders in 4 s")
+}
