Control: a report's start is compared only where heartbeats tell theirs

Cause: a life that doesn't tell its start has 0 there, so a report that tells one counted as another life's, each 300 ms without end, and the back end was never ordered. Before and after (TestUntoldLifeIsOrderedByItsReport): 0 orders in 4 s; now ordered. internal/control passes, among it that a report of another life is none where the start is told.

--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -328,9 +328,11 @@
 	r.setPhase(state, phaseIdle, now)
 }
 
-// ofAnotherLife reports whether a back end that started again under its name gave the report.
+// ofAnotherLife reports whether a back end that started again under its name gave the report. It can be told only where its heartbeats tell
+// their start, too.
 func (w *WeightsResult) ofAnotherLife() bool {
-	return w.Born > 0 && w.Born != catalog.LifeOf(w.Call.Instance).Born
+	asked := catalog.LifeOf(w.Call.Instance).Born
+	return w.Born > 0 && asked > 0 && w.Born != asked
 }
 
 // settleDoubt believes a back end's own report of its weights, also where they are older than believed: an order that got no answer may be
