--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -82,11 +82,12 @@
 	ids        []string          // of instances, rising; nil when they have changed
 	tombstones []string
 	ended      map[string]bool
-	lives      lives // of instances and tombstones
+	forgotten  []string // lives that fell silent and may register again, the newest last; at most tombstonesKept
+	lives      lives    // of instances and tombstones
 	versions   map[string]uint64
 	namings    map[string][]Naming          // by model, rising; the newest is of the version in versions
 	held       map[string]map[string]uint64 // by instance and model; of registered instances only; versions only rise
-	ordered    map[string]bool              // registered instances that were ever to be given an order
+	ordered    map[string]bool              // registered instances that, or whose last life, were ever to be given an order
 	gateways   []string                     // that asked the last leader that wrote them, rising
 	listed     map[string]bool              // the same
 	bounds     map[string]uint64            // by service; of those that don't use all their back ends
@@ -125,21 +126,22 @@
 	return !m.ended[instance.ID] && !m.lives.outlived(life) && !untold
 }
 
-// Meant returns the id of the life that an id means: one without a start means the life that is registered, where that tells its start.
-func (m *Machine) Meant(id string) string {
-	life := LifeOf(id)
-	if standing, known := m.lives.standing(life.Name); known && life.Born == 0 {
-		return standing
-	}
-	return id
-}
-
 // At returns the instance that is registered at an address, if there is one.
 func (m *Machine) At(address string) (Instance, bool) {
 	instance, known := m.instances[m.addresses[address]]
 	return instance, known
 }
 
+// Named returns the registered life of the back end that has a name, if there is one.
+func (m *Machine) Named(name string) (Instance, bool) {
+	id, tells := m.lives.standing(name)
+	if !tells {
+		id = Life{Name: name}.ID()
+	}
+	instance, known := m.instances[id]
+	return instance, known
+}
+
 // Versions returns the newest weights version by model; callers only read it.
 func (m *Machine) Versions() map[string]uint64 { return m.versions }
 
@@ -147,7 +149,7 @@
 // or older ones where a late order was carried out.
 func (m *Machine) Held(id string) map[string]uint64 { return m.held[id] }
 
-// Ordered reports whether an instance may ever have been given an order.
+// Ordered reports whether an instance, or the life that it followed, may ever have been given an order.
 func (m *Machine) Ordered(id string) bool { return m.ordered[id] }
 
 // Gateways returns the gateways that were written last, rising; callers only read it.
@@ -199,7 +201,7 @@
 	case command.Remove != "":
 		m.remove(command.Remove)
 	case command.Forget != "":
-		m.drop(command.Forget)
+		m.forget(command.Forget)
 	case len(command.Held) > 0:
 		m.hold(command.Held)
 	case len(command.Ordering) > 0:
@@ -337,20 +339,3 @@
 	instance.State = StateDraining
 	m.put(instance)
 }
-
-// remove ends an instance for good; its name alone means the life that is registered.
-func (m *Machine) remove(id string) {
-	id = m.Meant(id)
-	m.drop(id)
-	if m.ended[id] {
-		return
-	}
-	m.ended[id] = true
-	m.lives.end(id)
-	m.tombstones = append(m.tombstones, id)
-	if len(m.tombstones) > tombstonesKept {
-		delete(m.ended, m.tombstones[0])
-		m.lives.forget(m.tombstones[0])
-		m.tombstones = slices.Delete(m.tombstones, 0, 1)
-	}
-}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -73,9 +73,11 @@
 		r.propose(now, client, Command{Catalog: &catalog.Command{Forget: r.machine.catalog.Meant(id)}})
 	case beat.Leaves:
 		r.propose(now, client, Command{Catalog: &catalog.Command{Remove: id}})
-	case !known && !r.admits(now, beat.Instance):
+	case !known && (r.lacksWeights(beat) || !r.admits(now, beat.Instance)):
 		r.reply(client, Response{Kind: ResponseOK})
-	case !known:
+	case known && !r.mayReplace(held, beat.Instance):
+		r.reply(client, Response{Kind: ResponseOK})
+	case !known || beat.Instance.Service != held.Service:
 		r.heard(now, beat)
 		r.member(now, id).registeredAt = now
 		r.register(client, beat.Instance)
@@ -87,6 +89,12 @@
 	}
 }
 
+// lacksWeights reports whether a heartbeat names an engine and doesn't tell what it holds: nobody could say whether a request may begin there.
+func (r *Replica) lacksWeights(beat Beat) bool {
+	service, _ := r.machine.catalog.Document().Service(beat.Instance.Service)
+	return service.Engine && len(beat.Versions) == 0
+}
+
 // mayMeanLastLife reports whether a leave that names a back end alone may have been passed on late, by the life before the one that stands
 // there: that one is forgotten then, and may register again.
 func (r *Replica) mayMeanLastLife(now time.Duration, id string) bool {
@@ -101,21 +109,34 @@
 	if !r.machine.catalog.Takes(instance) {
 		return false
 	}
+	last, known := r.machine.catalog.Named(catalog.LifeOf(instance.ID).Name)
+	if known && !r.mayReplace(last, instance) {
+		return false
+	}
 	holder, taken := r.machine.catalog.At(instance.Address)
 	if !taken || catalog.LifeOf(holder.ID).Name == catalog.LifeOf(instance.ID).Name {
 		return true
 	}
+	if !r.mayReplace(holder, instance) {
+		return false
+	}
 	if now-r.member(now, holder.ID).heardAt > silentAfter {
 		r.propose(now, 0, Command{Catalog: &catalog.Command{Forget: holder.ID}}) // its clock may have run ahead of the other's
 		return true
 	}
+	born := catalog.LifeOf(instance.ID).Born
+	earlier := born > 0 && born < catalog.LifeOf(holder.ID).Born
+	return !earlier
+}
+
+// mayReplace reports whether what a heartbeat tells may take the place of a registered instance. One of a service that isn't routed to
+// takes none of a service that is.
+func (r *Replica) mayReplace(held, told catalog.Instance) bool {
 	routed := func(service string) bool {
 		_, named := r.machine.catalog.Document().Service(service)
 		return named
 	}
-	born := catalog.LifeOf(instance.ID).Born
-	earlier := born > 0 && born < catalog.LifeOf(holder.ID).Born
-	return !earlier && (routed(instance.Service) || !routed(holder.Service))
+	return told.Service == held.Service || routed(told.Service) || !routed(held.Service)
 }
 
 // Sign is a heartbeat that tells nothing new: the back end lives.
@@ -262,7 +283,7 @@
 	instances := r.machine.catalog.Instances()
 	if len(r.orders) > len(instances) {
 		for name, mark := range r.orders {
-			if _, known := instances[r.machine.catalog.Meant(catalog.Life{Name: name}.ID())]; !known && now > mark.at+forgetAfter {
+			if _, known := r.machine.catalog.Named(name); !known && now > mark.at+forgetAfter {
 				delete(r.orders, name)
 			}
 		}
--- a/internal/control/lives_test.go
+++ b/internal/control/lives_test.go
@@ -148,6 +148,20 @@
 	}
 }
 
+// TestEngineTellsItsWeights: a heartbeat of a service of engines that tells of no weights names none to use; one of another service does.
+func TestEngineTellsItsWeights(t *testing.T) {
+	s := openFleet(t)
+	s.ask(Request{Catalog: &catalog.Command{Replace: &catalog.Document{Revision: 2, Services: []catalog.Service{{Name: "engine", Engine: true}, {Name: "plain"}}}}})
+	tell := func(id, service string) {
+		s.ask(Request{Beat: &Beat{Instance: catalog.Instance{ID: id, Service: service, Address: id, State: catalog.StateReady}, Sequence: 1}})
+	}
+	tell("e", "engine")
+	tell("p", "plain")
+	if s.registered("e") || !s.registered("p") {
+		t.Fatalf("engine %t, plain %t", s.registered("e"), s.registered("p"))
+	}
+}
+
 // reports answers the calls of a roll-out for so long, as an engine that holds a version and has taken so many orders, and returns the orders.
 func (s *solo) reports(length time.Duration, version, revision uint64) []WeightsCall {
 	var orders []WeightsCall
@@ -221,3 +235,21 @@
 		t.Fatalf("believed %d by the report of another life", believed)
 	}
 }
+
+// TestUntoldLifeIsOrderedByItsReport: where a back end's heartbeats don't tell its start there is nothing that its report's could differ from.
+func TestUntoldLifeIsOrderedByItsReport(t *testing.T) {
+	s := openFleet(t)
+	s.ask(Request{Catalog: &catalog.Command{Version: &catalog.NamedWeight{Model: "m", Version: 2}}})
+	for range 40 {
+		s.weights = nil
+		s.beats("i-1", "i-2")
+		s.pass(100 * time.Millisecond)
+		for _, call := range s.weights {
+			if call.Kind == WeightsOrder {
+				return
+			}
+			s.replica.ObserveWeights(s.now, WeightsResult{Call: call, Kind: WeightsReported, Born: 2000, Versions: map[string]uint64{"m": 1}})
+		}
+	}
+	t.Fatal("0 orders in 4 s")
+}
