Gateway: a request that expects no version is sent on what is believed

A gateway that is cut off from control expects none, which counted as lacking every version that was ever named, so that it had no place for any request. Before and after (TestNoVersionExpectedIsNoOldOne): no place; now placed and sent. No test had covered it: the package passed with the fault.

--- a/internal/gateway/lives_test.go
+++ b/internal/gateway/lives_test.go
@@ -81,3 +81,18 @@
 		}
 	}
 }
+
+// TestNoVersionExpectedIsNoOldOne: a gateway that is cut off from control expects no version, and goes on with what it believes.
+func TestNoVersionExpectedIsNoOldOne(t *testing.T) {
+	g := scheduler(1)
+	g.now = func() time.Duration { return 10 * time.Minute }
+	name(g, 1, 2*time.Minute)
+	x := asking(g)
+	chosen := g.choose(g.now(), need{service: x.service, call: &x.call})
+	if chosen == nil || chosen.version != 0 {
+		t.Fatalf("chosen %+v", chosen)
+	}
+	if bar := x.newAttempt(chosen).barred(); bar != "" {
+		t.Fatalf("barred %q", bar)
+	}
+}
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -29,10 +29,10 @@
 
 // sendLimit is beginLimit for a place that was chosen. A request begins on the weights that it expects or nowhere, and whoever chose
 // them may believe others than this gateway does now, so the oldest version counts that either lack. The caller holds the
-// table's mutex.
+// table's mutex. One that expects none is sent on what is believed here: a gateway that is cut off from control goes on.
 func (g *Gateway) sendLimit(placed *candidate, service *catalog.Service, model string) (time.Duration, bool) {
 	limit, limited := g.beginLimit(placed.row, service, model)
-	if placed.version >= placed.row.entry.Versions[model] {
+	if placed.version == 0 || placed.version >= placed.row.entry.Versions[model] {
 		return limit, limited
 	}
 	namedAt, lacks := g.table.named.Since(model, placed.version)
