--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -241,9 +241,9 @@
 	if other, taken := m.At(instance.Address); taken && LifeOf(instance.ID).Born > 0 && LifeOf(instance.ID).Born < LifeOf(other.ID).Born {
 		return Outcome{Revision: m.document.Revision, Gone: true}
 	}
-	if last, stands := m.lives.standing(LifeOf(instance.ID).Name); stands && last != instance.ID {
-		ordered := m.ordered[last]
-		m.drop(last)
+	if last, stands := m.Named(LifeOf(instance.ID).Name); stands && last.ID != instance.ID {
+		ordered := m.ordered[last.ID]
+		m.drop(last.ID)
 		if ordered {
 			m.ordered[instance.ID] = true // an order that is on its way names the back end, not its life
 		}
