Simulator: a timer stands still for the suspension alone

Cause: a timer that was due while its machine was suspended waited for the whole suspension again. Before: TestTimerStandsStillForTheSuspensionAlone: a timer of 1 s rings at 16.5 s, wanted 9 s. No check is changed.

--- a/internal/lab/sim/process.go
+++ b/internal/lab/sim/process.go
@@ -156,11 +156,11 @@
 
 // after sets a timer of the process's current life. It stands still while the machine is suspended.
 func (p *process) after(delay time.Duration, do func()) {
-	life, lost := p.life, p.lost
+	life, lost, armed := p.life, p.lost, p.w.now()
 	p.w.after(delay, func() {
 		p.run(life, func() {
-			if missed := p.lost - lost; missed > 0 {
-				p.after(missed, do)
+			if left := delay - (p.w.now() - armed - (p.lost - lost)); left > 0 {
+				p.after(left, do)
 				return
 			}
 			do()
