--- /dev/null
+++ b/internal/control/registering.go
@@ -0,0 +1,64 @@
+package control
+
+import (
+	"time"
+
+	"kitetiller/internal/catalog"
+)
+
+// Anybody may send a heartbeat, and one may come long after its sender has ended. What stands here says which of them register, replace or end
+// a back end; the catalog then holds to it for every replica.
+
+// youngFor is how long after a life was registered a leave that names the back end alone may be of the life before: some times what a
+// caller waits for one answer (1 s).
+const youngFor = 3 * time.Second
+
+// lacksWeights reports whether a heartbeat names an engine and doesn't tell what it holds: nobody could say whether a request may begin there.
+func (r *Replica) lacksWeights(beat Beat) bool {
+	service, _ := r.machine.catalog.Document().Service(beat.Instance.Service)
+	return service.Engine && len(beat.Versions) == 0
+}
+
+// mayMeanLastLife reports whether a leave that names a back end alone may have been passed on late, by the life before the one that stands
+// there: that one is forgotten then, and may register again.
+func (r *Replica) mayMeanLastLife(now time.Duration, id string) bool {
+	meant := r.machine.catalog.Meant(id)
+	state := r.lead.fleet[meant]
+	return meant != id && state != nil && state.registeredAt > 0 && now < state.registeredAt+youngFor
+}
+
+// admits reports whether a heartbeat may register an instance. Only the catalog's word and what is heard now count: one that was started
+// earlier than who stands at its address, or that is of no service that is routed to, may be anybody's, or long gone.
+func (r *Replica) admits(now time.Duration, instance catalog.Instance) bool {
+	if !r.machine.catalog.Takes(instance) {
+		return false
+	}
+	last, known := r.machine.catalog.Named(catalog.LifeOf(instance.ID).Name)
+	if known && !r.mayReplace(last, instance) {
+		return false
+	}
+	holder, taken := r.machine.catalog.At(instance.Address)
+	if !taken || catalog.LifeOf(holder.ID).Name == catalog.LifeOf(instance.ID).Name {
+		return true
+	}
+	if !r.mayReplace(holder, instance) {
+		return false
+	}
+	if now-r.member(now, holder.ID).heardAt > silentAfter {
+		r.propose(now, 0, Command{Catalog: &catalog.Command{Forget: holder.ID}}) // its clock may have run ahead of the other's
+		return true
+	}
+	born := catalog.LifeOf(instance.ID).Born
+	earlier := born > 0 && born < catalog.LifeOf(holder.ID).Born
+	return !earlier
+}
+
+// mayReplace reports whether what a heartbeat tells may take the place of a registered instance. One of a service that isn't routed to
+// takes none of a service that is.
+func (r *Replica) mayReplace(held, told catalog.Instance) bool {
+	routed := func(service string) bool {
+		_, named := r.machine.catalog.Document().Service(service)
+		return named
+	}
+	return told.Service == held.Service || routed(told.Service) || !routed(held.Service)
+}
