Repair: the limit is read once for each place; one order of lives, one bound of namings

A place that was just scored had its limit worked out twice; the search for the oldest missing version passed over all known ones, which rise, and now ends at the one that is held. Two tests of a gateway that is cut off shared all that they check; their assertions are unchanged. Behaviour stays.

--- a/internal/catalog/life.go
+++ b/internal/catalog/life.go
@@ -40,6 +40,9 @@
 	return Life{Name: id[:at], Born: born}
 }
 
+// Precedes reports whether both lives tell their start, and this one was started earlier.
+func (l Life) Precedes(other Life) bool { return l.Born > 0 && l.Born < other.Born }
+
 // lives tells which life of a back end counts. It holds those that tell their start; the others have a name for each life.
 type lives struct {
 	registered map[string]string  // by name: id of the registered life
--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -238,7 +238,7 @@
 	if !known && !m.Takes(instance) {
 		return Outcome{Revision: m.document.Revision, Gone: true}
 	}
-	if other, taken := m.At(instance.Address); taken && LifeOf(instance.ID).Born > 0 && LifeOf(instance.ID).Born < LifeOf(other.ID).Born {
+	if other, taken := m.At(instance.Address); taken && LifeOf(instance.ID).Precedes(LifeOf(other.ID)) {
 		return Outcome{Revision: m.document.Revision, Gone: true}
 	}
 	if last, stands := m.Named(LifeOf(instance.ID).Name); stands && last.ID != instance.ID {
--- a/internal/gateway/belief/namings.go
+++ b/internal/gateway/belief/namings.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"kitetiller/internal/catalog"
 	"kitetiller/internal/control/roster"
 	"kitetiller/internal/guard"
 )
@@ -14,9 +15,6 @@
 // date by about as much (650 ms of a gateway's patience with control).
 const youngerMargin = 700 * time.Millisecond
 
-// namingsMost bounds the versions of a model that are known, as control bounds what it tells.
-const namingsMost = 32
-
 // Younger is a naming that control tells to be younger than was known.
 type Younger struct {
 	Model       string
@@ -28,7 +26,7 @@
 // none is forgotten for that one doesn't tell of it.
 type Namings struct {
 	guards guard.Set
-	models map[string][]naming // rising by version; at most namingsMost
+	models map[string][]naming // rising by version; at most catalog.NamingsKept, as control tells
 }
 
 // naming is a version that was named. All times are of this process's clock.
@@ -79,7 +77,7 @@
 func (n *Namings) add(model string, fresh naming) {
 	known := append(n.models[model], fresh)
 	slices.SortFunc(known, func(a, b naming) int { return cmp.Compare(a.version, b.version) })
-	n.models[model] = slices.Delete(known, 0, max(0, len(known)-namingsMost))
+	n.models[model] = slices.Delete(known, 0, max(0, len(known)-catalog.NamingsKept))
 }
 
 // find returns what is known of a version, or nil.
@@ -96,10 +94,11 @@
 // older, by another proposer's clock: it was named after all the same.
 func (n *Namings) Since(model string, held uint64) (time.Duration, bool) {
 	oldest := time.Duration(math.MaxInt64)
-	for _, known := range n.models[model] {
-		if known.version > held {
-			oldest = min(oldest, known.namedAt())
+	for _, known := range slices.Backward(n.models[model]) {
+		if known.version <= held {
+			break
 		}
+		oldest = min(oldest, known.namedAt())
 	}
 	if oldest == math.MaxInt64 {
 		return 0, false
--- a/internal/gateway/lives_test.go
+++ b/internal/gateway/lives_test.go
@@ -82,6 +82,19 @@
 	}
 }
 
+// sendsUnconfirmed checks that a gateway which is cut off from control places and sends a request, and expects no version of it.
+func sendsUnconfirmed(t *testing.T, g *Gateway) {
+	t.Helper()
+	x := asking(g)
+	chosen := g.choose(g.now(), need{service: x.service, call: &x.call})
+	if chosen == nil || chosen.version != 0 {
+		t.Fatalf("placed %+v", chosen)
+	}
+	if bar := x.newAttempt(chosen).barred(); bar != "" {
+		t.Fatalf("barred %q", bar)
+	}
+}
+
 // TestUnconfirmedViewIsPlacedByBelief: while control is gone a request expects no weights, and an engine that is believed to hold the newest is
 // used however long ago these were named.
 func TestUnconfirmedViewIsPlacedByBelief(t *testing.T) {
@@ -91,14 +104,7 @@
 	entry := g.table.rows["i-0"].entry
 	entry.Versions = map[string]uint64{"m": 2}
 	g.table.takeRoster(g.now(), &control.RosterNews{Entries: []control.RosterEntry{entry}}, nil)
-	x := asking(g)
-	chosen := g.choose(g.now(), need{service: x.service, call: &x.call})
-	if chosen == nil || chosen.version != 0 {
-		t.Fatalf("placed %+v", chosen)
-	}
-	if bar := x.newAttempt(chosen).barred(); bar != "" {
-		t.Fatalf("barred %q", bar)
-	}
+	sendsUnconfirmed(t, g)
 }
 
 // TestNoVersionExpectedIsNoOldOne: a gateway that is cut off from control expects no version, and goes on with what it believes.
@@ -106,12 +112,5 @@
 	g := scheduler(1)
 	g.now = func() time.Duration { return 10 * time.Minute }
 	name(g, 1, 2*time.Minute)
-	x := asking(g)
-	chosen := g.choose(g.now(), need{service: x.service, call: &x.call})
-	if chosen == nil || chosen.version != 0 {
-		t.Fatalf("chosen %+v", chosen)
-	}
-	if bar := x.newAttempt(chosen).barred(); bar != "" {
-		t.Fatalf("barred %q", bar)
-	}
+	sendsUnconfirmed(t, g)
 }
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -50,15 +50,22 @@
 // holds the table's mutex.
 func (g *Gateway) beginsTooLate(now time.Duration, placed *candidate, service *catalog.Service, model string) bool {
 	limit, limited := g.sendLimit(placed, service, model)
-	return limited && now+belief.FromMilliseconds(beginFactor*placed.wait) >= limit-beginMargin
+	return limited && placed.beginsAfter(now, limit)
 }
 
 // chosenTooLate is beginsTooLate for a place that was just scored, and notes the limit with it.
 func (g *Gateway) chosenTooLate(now time.Duration, scored *candidate, wish need) bool {
-	if limit, limited := g.sendLimit(scored, wish.service, wish.call.Model); limited {
-		scored.beginBy = limit
+	limit, limited := g.sendLimit(scored, wish.service, wish.call.Model)
+	if !limited {
+		return false
 	}
-	return g.beginsTooLate(now, scored, wish.service, wish.call.Model)
+	scored.beginBy = limit
+	return scored.beginsAfter(now, limit)
+}
+
+// beginsAfter reports whether a request that is sent now would likely begin after a limit.
+func (c *candidate) beginsAfter(now, limit time.Duration) bool {
+	return now+belief.FromMilliseconds(beginFactor*c.wait) >= limit-beginMargin
 }
 
 // watchLimit ends the attempt if it has not begun when the limit for its back end's weights nears, and looks again then.
