Sight: what a back end asks for in its refusals, until when, and what was sent to it all the same

Nothing in the logs told the hypotheses apart: a refusal left its status only. Now every answer is read for what its back end says of itself (a wish for rest with 503, that it leaves with any), before anything else is made of it, and kept in a book by life. Nobody asks the book yet, so no decision changes; one figure does: of several times to come back the longest readable one is handed to the caller.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -12,6 +12,7 @@
 	InstanceJoined  = "instance joined"
 	InstanceLeaving = "instance leaving"
 	InstanceGone    = "instance gone"
+	InstanceRests   = "instance asks for rest" // in an answer
 	WeightsLearnt   = "weights learnt"
 	WeightsDiffer   = "other weights answered" // than were expected or believed, or older ones than were named
 	NamingYounger   = "naming told younger"    // control tells that a version was named later than known
@@ -84,4 +85,10 @@
 	FieldLimitLeft   = "limit_left"
 	FieldLimitChosen = "limit_chosen"
 	FieldLate        = "late" // true where the answer missed the route's objective
+	// FieldRest is how long a back end asked for rest, FieldRestLeft how much of that was left, both in seconds; FieldSentAtRest what was
+	// left when a request was sent there all the same, and FieldUnread such a wish that can't be read, as it came.
+	FieldRest       = "rest"
+	FieldRestLeft   = "rest_left"
+	FieldSentAtRest = "sent_at_rest"
+	FieldUnread     = "unread"
 )
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -23,6 +23,7 @@
 	}
 	x := a.exchange
 	verdict := x.gateway.dialect.Judge(answer.StatusCode, answer.Header)
+	a.hear(answer.StatusCode, verdict)
 	if x.call.ID != "" && verdict.ID != x.call.ID && !(verdict.NotRun && verdict.ID == "") {
 		return a.broken("answer of another request")
 	}
@@ -32,7 +33,7 @@
 		if x.gateway.table.learnVersion(x.gateway.now(), a.row, x.call.Model, verdict.Version) {
 			x.gateway.log.note(events.WeightsLearnt, zap.String(events.FieldInstance, a.row.entry.ID), zap.Uint64("version", verdict.Version))
 		}
-		return a.turnedAway(answer)
+		return a.turnedAway(answer, verdict.RetryAfter)
 	case x.relayed && (!verdict.Signed || answer.StatusCode >= http.StatusMultipleChoices):
 		return a.broken("stream not taken up: " + answer.Status)
 	case answer.StatusCode < http.StatusMultipleChoices && !verdict.Signed:
@@ -81,14 +82,10 @@
 }
 
 // turnedAway ends an attempt that the back end did not run.
-func (a *attempt) turnedAway(answer *http.Response) result {
+func (a *attempt) turnedAway(answer *http.Response, retryAfter time.Duration) result {
 	a.grade = gradeFull
-	seconds, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)
-	refused := result{kind: resultNotRun, cause: answer.Status}
-	if err == nil && seconds > 0 {
-		refused.retryAfter = time.Duration(seconds * float64(time.Second))
-	}
-	_, err = io.Copy(io.Discard, io.LimitReader(answer.Body, wholeAnswer))
+	refused := result{kind: resultNotRun, cause: answer.Status, retryAfter: retryAfter}
+	_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, wholeAnswer))
 	a.release(answer, err)
 	return refused
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -83,6 +83,8 @@
 	wire     *connection
 	written  chan error      // the end of writing the request
 	begun    atomic.Bool     // an event of the stream has come; it never turns false again
+	atRest   time.Duration   // what was left of a rest of the back end when the request was sent
+	asked    time.Duration   // rest that the back end asked for in its answer
 	looked   <-chan struct{} // closed when it is known whether the back end has ended, where the run broke off
 }
 
@@ -142,6 +144,8 @@
 	x := a.exchange
 	now := x.gateway.now()
 	running := x.gateway.table.begin(now, a)
+	a.atRest = x.gateway.table.restLeft(now, a.row)
+	x.atRest = max(x.atRest, a.atRest)
 	x.gateway.metrics.placed(a.uncached, x.call.PromptTokens)
 	if a.plan.scheduled != nil {
 		return // its scheduler has told the others
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"kitetiller/internal/prefix"
+	"kitetiller/internal/pushback"
 )
 
 // Call is what a caller asks, apart from method, path and body, which are passed on as they came.
@@ -40,6 +41,10 @@
 	Signed  bool   // it comes from a back end that ran the request
 	NotRun  bool   // the request did not run and never will
 	Version uint64 // of the back end's weights; 0 unknown
+
+	Said       pushback.Said // what it says of itself, whatever became of the request
+	RetryAfter time.Duration // when it advises the caller to come back; 0 it doesn't
+	Unread     string        // such advice that can't be read, as it came, cut off at some length
 }
 
 // Dialect translates between a platform's headers and the gateway. It is safe for concurrent use.
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -15,6 +15,7 @@
 	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/guard"
 	"kitetiller/internal/mechanism"
+	"kitetiller/internal/pushback"
 )
 
 const (
@@ -27,6 +28,7 @@
 
 // endpoint is a row of the back end table.
 type endpoint struct {
+	life     catalog.Life        // never changes
 	entry    control.RosterEntry // with the newest weights that control or the back end itself told of
 	told     map[string]uint64   // weights by model, as control last told them
 	heardAt  time.Duration       // when the entry came
@@ -61,6 +63,7 @@
 	judges     map[string]*admission.Judge // by service
 	homes      int                         // rows that are home
 	holders    map[string][]*endpoint      // that hold a shared part, under any salt, by its id
+	pushed     *pushback.Book              // what back ends said of themselves
 	changed    *bell                       // rings with each roster
 	waiting    map[*attempt]struct{}       // all that wait at any row, also at those that are gone
 }
@@ -69,7 +72,7 @@
 	return &table{
 		mechanisms: mechanisms,
 		rows:       map[string]*endpoint{}, services: map[string][]*endpoint{}, named: belief.NewNamings(guard.Set{}),
-		stored: belief.NewStored(), lanes: map[string]*lanes{}, stays: map[string]belief.Stays{}, placed: map[string]placement{}, links: belief.Links{}, paces: map[string]belief.Pace{}, judges: map[string]*admission.Judge{}, holders: map[string][]*endpoint{}, changed: newBell(), waiting: map[*attempt]struct{}{},
+		stored: belief.NewStored(), lanes: map[string]*lanes{}, stays: map[string]belief.Stays{}, placed: map[string]placement{}, links: belief.Links{}, paces: map[string]belief.Pace{}, judges: map[string]*admission.Judge{}, holders: map[string][]*endpoint{}, pushed: pushback.NewBook(), changed: newBell(), waiting: map[*attempt]struct{}{},
 	}
 }
 
@@ -94,7 +97,7 @@
 	for _, entry := range news.Entries {
 		row := t.rows[entry.ID]
 		if row == nil {
-			row = &endpoint{waiting: map[*attempt]time.Duration{}, spokeAt: now, hash: xxhash.Sum64String(entry.Address)}
+			row = &endpoint{life: catalog.LifeOf(entry.ID), waiting: map[*attempt]time.Duration{}, spokeAt: now, hash: xxhash.Sum64String(entry.Address)}
 			row.held = belief.NewHoldings(cacheLimits[entry.Service])
 			changes = append(changes, rosterChange{events.InstanceJoined, entry})
 		}
@@ -342,6 +345,7 @@
 	}
 	t.links.Sweep(now)
 	t.forgetHolders()
+	t.pushed.Sweep(now, func(life catalog.Life) bool { return t.rows[life.ID()] != nil })
 	for _, row := range t.rows {
 		row.occupied.Sweep(now)
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -71,6 +71,7 @@
 	pause     time.Duration           // longest time between two
 	plan      *candidate              // the newest placement, or nil
 	cover     cover                   // of the tenant's limit
+	atRest    time.Duration           // the most that was left of a back end's rest when the request was sent there
 	print     *quarantine.Fingerprint // of the request; nil until somebody asked for it
 }
 
--- a/internal/gateway/final.go
+++ b/internal/gateway/final.go
@@ -73,6 +73,9 @@
 		fields = append(fields, zap.Float64(events.FieldPredicted, x.plan.wait), zap.Int(events.FieldUncached, x.plan.uncached), zap.String(events.FieldFrom, x.plan.fetch),
 			zap.Bool(events.FieldScheduled, x.plan.scheduled != nil))
 	}
+	if x.atRest > 0 {
+		fields = append(fields, zap.Duration(events.FieldSentAtRest, x.atRest))
+	}
 	if x.served != "" {
 		fields = append(fields, zap.String(events.FieldInstance, x.served))
 	}
@@ -99,6 +102,12 @@
 	if sent.looked != nil {
 		fields = append(fields, zap.Stringer(events.FieldFingerprint, x.print))
 	}
+	if sent.asked > 0 {
+		fields = append(fields, zap.Duration(events.FieldRest, sent.asked))
+	}
+	if sent.atRest > 0 {
+		fields = append(fields, zap.Duration(events.FieldSentAtRest, sent.atRest))
+	}
 	if failed.cause == causeOutdated {
 		fields = append(fields, sent.outdated()...)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,7 @@
 	reader     CacheReader // of engines' caches, or nil
 	followers  *followers
 	oldWeights *node.Sparse // lines of answers on other weights than believed or wanted, by instance
+	restLines  *node.Sparse // lines of back ends that ask for rest, by instance
 	// confirmed rings whenever control has confirmed the view.
 	confirmed *bell
 	draining  atomic.Bool
@@ -75,7 +76,7 @@
 	made := &Gateway{
 		settings: settings, dialect: dialect, log: newDecisionLog(log), now: clock.From(settings.Clock),
 		group: control.NewClient(client, settings.Control), near: newNear(settings.Name), table: newTable(settings.Mechanisms), budget: newRetryBudget(settings),
-		confirmed: newBell(), followers: newFollowers(), oldWeights: node.NewSparse(), pool: newPool(settings.Clock), splits: newSplits(newRand()), spread: newSpread(client), schedulers: newSchedulers(client), nick: strconv.FormatUint(rand.Uint64N(nickRange), saltBase),
+		confirmed: newBell(), followers: newFollowers(), oldWeights: node.NewSparse(), restLines: node.NewSparse(), pool: newPool(settings.Clock), splits: newSplits(newRand()), spread: newSpread(client), schedulers: newSchedulers(client), nick: strconv.FormatUint(rand.Uint64N(nickRange), saltBase),
 	}
 	made.quarantine = reporter.New(reporter.Ways{Tell: made.group.Quarantine, Refuses: reporter.Refuses(&made.pool.dialer), Note: made.log.note, Now: made.now})
 	made.desk = desk.New(made.nick, settings.Trust, made.now, made.lend)
@@ -198,6 +199,7 @@
 		g.table.sweep(g.now())
 		g.quarantine.Sweep()
 		g.oldWeights.Sweep(g.now())
+		g.restLines.Sweep(g.now())
 	})
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,11 +8,31 @@
 	"kitetiller/internal/events"
 )
 
+// restingGauge tells how many back ends of each service want rest, when it is asked.
+type restingGauge struct {
+	gateway     *Gateway
+	description *prometheus.Desc
+}
+
+func newRestingGauge(g *Gateway) restingGauge {
+	return restingGauge{g, prometheus.NewDesc("kitetiller_gateway_back_ends_resting", "Back ends that want rest from this gateway.", []string{"service"}, nil)}
+}
+
+// Describe implements prometheus.Collector.
+func (r restingGauge) Describe(out chan<- *prometheus.Desc) { out <- r.description }
+
+// Collect implements prometheus.Collector.
+func (r restingGauge) Collect(out chan<- prometheus.Metric) {
+	for service, n := range r.gateway.table.resting(r.gateway.now()) {
+		out <- prometheus.MustNewConstMetric(r.description, prometheus.GaugeValue, float64(n), service)
+	}
+}
+
 // firstBuckets are the bounds of times to the first event, in seconds.
 var firstBuckets = []float64{0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8}
 
-// metrics are a gateway's figures. Labels hold reasons and kinds of results only, so their number does not grow with
-// tenants or back ends.
+// metrics are a gateway's figures. Labels hold reasons, kinds of results and services only, so their number does not
+// grow with tenants or back ends.
 type metrics struct {
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec // by outcome: answered, or the reason of the refusal
@@ -51,7 +71,7 @@
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "kitetiller_gateway_" + name, Help: help}, value)
 	}
-	made.registry.MustRegister(made.requests, made.attempts, made.first, made.repeats, made.unread, made.unasked, made.read, made.cached,
+	made.registry.MustRegister(made.requests, made.attempts, made.first, made.repeats, made.unread, made.unasked, made.read, made.cached, newRestingGauge(g),
 		gauge("limit_questions_total", "Questions to the leader for amounts of what is limited.", func() float64 { asked, _ := g.desk.Questions(); return float64(asked) }),
 		gauge("limit_questions_failed_total", "Such questions that got no answer.", func() float64 { _, failed := g.desk.Questions(); return float64(failed) }),
 		gauge("suspected_requests", "Requests under which more than one back end ended, as control tells.", func() float64 { told, _ := g.quarantine.Suspects(); return float64(told) }),
--- /dev/null
+++ b/internal/pushback/pushback.go
@@ -0,0 +1,123 @@
+// Package pushback keeps what back ends say of themselves in their answers: that they want nothing from this process for a while, or that
+// they leave. Such a word is of one life of a back end and holds whatever control tells: it outlives a roster, a row that left and came
+// back, and an address that changed. It ends with its time, or with the life.
+//
+// Whoever decides asks a Book whether a life may be sent to now, and asks again right before the send. A Book is not safe for concurrent use.
+package pushback
+
+import (
+	"slices"
+	"time"
+
+	"kitetiller/internal/catalog"
+)
+
+const (
+	// LongestRest bounds what is believed of a wish for rest: a figure beyond it is taken for it.
+	LongestRest = time.Hour
+	// spreadShare of a rest, spreadMost at most, is added to it at random, so that processes which were refused together don't come back
+	// together.
+	spreadShare = 0.1
+	spreadMost  = 250 * time.Millisecond
+	// birthSlack is how far the clocks of a back end and of this machine may be apart before a life that began after it was heard that its
+	// name wants rest counts as one that may have said it.
+	birthSlack = time.Second
+	// leavingKept is how long the word of a life that leaves is kept once nobody names that life any more.
+	leavingKept = 10 * time.Minute
+)
+
+// Said is what one answer of a back end says of itself.
+type Said struct {
+	Rest    time.Duration // it wants nothing from this process for so long; 0 says nothing of it
+	Leaving bool          // it ends soon and wants nothing new
+}
+
+// Nothing reports whether an answer says nothing of its back end.
+func (s Said) Nothing() bool { return s.Rest <= 0 && !s.Leaving }
+
+// Bar is what keeps requests from a life.
+type Bar struct {
+	Leaving bool          // until its end
+	Until   time.Duration // end of its rest, by the clock of the book's owner; 0 it asked for none
+}
+
+// Stands reports whether nothing may be sent now.
+func (b Bar) Stands(now time.Duration) bool { return b.Leaving || b.Rests(now) }
+
+// Rests reports whether the life wants rest now.
+func (b Bar) Rests(now time.Duration) bool { return now < b.Until }
+
+// word is what one life said.
+type word struct {
+	life    catalog.Life
+	until   time.Duration // end of the rest
+	heardAt time.Time     // time of day at which it was last heard that it wants rest; zero where lives don't tell their start
+	leaving bool
+	newest  time.Duration // when anything was last heard
+}
+
+// Book holds the words of back ends that still count.
+type Book struct {
+	words map[string][]word // by name, one for each life; none is empty
+}
+
+// NewBook returns a book without a word.
+func NewBook() *Book { return &Book{words: map[string][]word{}} }
+
+// Note takes up what an answer says that came from a life, and returns what now keeps requests from it. day is the time of day, or zero where
+// lives don't tell when they began; chance lies in [0, 1) and spreads the ends of rests.
+func (b *Book) Note(now time.Duration, day time.Time, life catalog.Life, said Said, chance float64) Bar {
+	if said.Nothing() {
+		return b.At(now, life)
+	}
+	words := b.words[life.Name]
+	at := slices.IndexFunc(words, func(w word) bool { return w.life == life })
+	if at < 0 {
+		at, words = len(words), append(words, word{life: life})
+	}
+	w := &words[at]
+	w.newest, w.leaving = now, w.leaving || said.Leaving
+	if said.Rest > 0 {
+		rest := min(said.Rest, LongestRest)
+		spread := min(time.Duration(spreadShare*float64(rest)), spreadMost)
+		w.until, w.heardAt = max(w.until, now+rest+time.Duration(chance*float64(spread))), day
+	}
+	b.words[life.Name] = words
+	return b.At(now, life)
+}
+
+// At returns what keeps requests from a life. A rest binds a later life of that name as well if it may be the one that asked for it: the
+// roster may have named the earlier one still.
+func (b *Book) At(now time.Duration, life catalog.Life) Bar {
+	var bar Bar
+	for _, w := range b.words[life.Name] {
+		if w.life == life {
+			bar.Leaving = bar.Leaving || w.leaving
+		} else if !w.mayBe(life) {
+			continue
+		}
+		if now < w.until {
+			bar.Until = max(bar.Until, w.until)
+		}
+	}
+	return bar
+}
+
+// mayBe reports whether a later life of the name had begun when the word was heard.
+func (w *word) mayBe(later catalog.Life) bool {
+	return !w.heardAt.IsZero() && w.life.Precedes(later) && later.Born <= w.heardAt.Add(birthSlack).UnixMilli()
+}
+
+// Sweep forgets words that count no longer; named reports whether a life is one that may still be chosen.
+func (b *Book) Sweep(now time.Duration, named func(catalog.Life) bool) {
+	for name, words := range b.words {
+		left := slices.DeleteFunc(words, func(w word) bool {
+			return now >= w.until && (!w.leaving || now >= w.newest+leavingKept && !named(w.life))
+		})
+		if len(left) == 0 {
+			delete(b.words, name)
+			continue
+		}
+		b.words[name] = left
+	}
+}
--- /dev/null
+++ b/internal/pushback/pushback_test.go
@@ -0,0 +1,123 @@
+package pushback
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kitetiller/internal/catalog"
+)
+
+// heard is a word as the oracle keeps it: all of them, in a list.
+type heard struct {
+	at   time.Duration
+	life catalog.Life
+	said Said
+}
+
+// TestBookAgreesWithAList: whatever is said, asked and swept, a life is barred while any of its own words counts, and while a rest counts that
+// a life before it was heard to ask for, unless it began clearly later.
+func TestBookAgreesWithAList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		book, now, began := NewBook(), time.Duration(0), time.UnixMilli(1_000_000)
+		var list []heard
+		life := rapid.Custom(func(t *rapid.T) catalog.Life {
+			made := catalog.Life{Name: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name")}
+			if made.Name == "a" {
+				made.Born = began.UnixMilli() + rapid.Int64Range(1, 20).Draw(t, "born")*1000
+			}
+			return made
+		})
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond
+			switch rapid.IntRange(0, 2).Draw(t, "what") {
+			case 0:
+				word := heard{now, life.Draw(t, "speaker"), Said{
+					Rest:    time.Duration(rapid.IntRange(-1, 6).Draw(t, "rest")) * time.Second,
+					Leaving: rapid.IntRange(0, 5).Draw(t, "leaving") == 0,
+				}}
+				list = append(list, word)
+				book.Note(now, began.Add(now), word.life, word.said, 0)
+			case 1:
+				book.Sweep(now, func(catalog.Life) bool { return true })
+			}
+			asked := life.Draw(t, "asked")
+			wanted := Bar{}
+			for _, word := range list {
+				until := word.at + word.said.Rest
+				earlier := word.life.Name == asked.Name && word.life.Born < asked.Born && asked.Born <= began.Add(word.at+birthSlack).UnixMilli()
+				if word.life == asked && word.said.Leaving {
+					wanted.Leaving = true
+				}
+				if (word.life == asked || earlier) && word.said.Rest > 0 && until > now {
+					wanted.Until = max(wanted.Until, until)
+				}
+			}
+			// An earlier life's words are one: the newest rest that was heard tells which lives may have asked for it.
+			got := book.At(now, asked)
+			if got.Leaving != wanted.Leaving || got.Until < wanted.Until {
+				t.Fatalf("%v at %v: %+v, the list says %+v", asked, now, got, wanted)
+			}
+			if asked.Name == "b" && got != wanted {
+				t.Fatalf("%v at %v: %+v, the list says %+v", asked, now, got, wanted)
+			}
+		}
+	})
+}
+
+// TestRestIsOfALife: the next life wants work, unless it may be the one that was heard; a life before it is nobody any more.
+func TestRestIsOfALife(t *testing.T) {
+	day := time.UnixMilli(50_000)
+	book := NewBook()
+	book.Note(0, day, catalog.Life{Name: "a", Born: 10_000}, Said{Rest: 30 * time.Second, Leaving: true}, 0)
+	for what, step := range map[string]struct {
+		life           catalog.Life
+		rests, leaving bool
+	}{
+		"itself":                          {catalog.Life{Name: "a", Born: 10_000}, true, true},
+		"a life that had begun by then":   {catalog.Life{Name: "a", Born: 49_000}, true, false},
+		"one that began as it was heard":  {catalog.Life{Name: "a", Born: 50_500}, true, false},
+		"a life that began clearly later": {catalog.Life{Name: "a", Born: 52_000}, false, false},
+		"another back end":                {catalog.Life{Name: "b", Born: 10_000}, false, false},
+	} {
+		if bar := book.At(time.Second, step.life); bar.Rests(time.Second) != step.rests || bar.Leaving != step.leaving {
+			t.Errorf("%s: %+v", what, bar)
+		}
+	}
+}
+
+// TestRestEnds: with its time and a little at random, never sooner; a shorter wish doesn't shorten a longer one; none is believed for longer
+// than the bound.
+func TestRestEnds(t *testing.T) {
+	a, day := catalog.Life{Name: "a"}, time.UnixMilli(0)
+	book := NewBook()
+	if bar := book.Note(time.Second, day, a, Said{Rest: 3 * time.Second}, 0.999); bar.Until < 4*time.Second || bar.Until > 4*time.Second+spreadMost {
+		t.Fatalf("%+v", bar)
+	}
+	if bar := book.Note(2*time.Second, day, a, Said{Rest: time.Second}, 0); bar.Until < 4*time.Second {
+		t.Fatalf("shortened: %+v", bar)
+	}
+	if bar := book.At(5*time.Second, a); bar.Stands(5 * time.Second) {
+		t.Fatalf("after its end: %+v", bar)
+	}
+	if bar := book.Note(5*time.Second, day, a, Said{Rest: 1000 * time.Hour}, 0); bar.Until > 5*time.Second+LongestRest+spreadMost {
+		t.Fatalf("without a bound: %+v", bar)
+	}
+}
+
+// TestWordsAreForgotten: a rest with its time; that a life leaves once nobody has named it for long.
+func TestWordsAreForgotten(t *testing.T) {
+	leaver, rester, day := catalog.Life{Name: "l"}, catalog.Life{Name: "r"}, time.UnixMilli(0)
+	book := NewBook()
+	book.Note(0, day, leaver, Said{Leaving: true}, 0)
+	book.Note(0, day, rester, Said{Rest: time.Second}, 0)
+	book.Sweep(2*leavingKept, func(catalog.Life) bool { return true })
+	if len(book.words) != 1 || !book.At(2*leavingKept, leaver).Leaving {
+		t.Fatalf("%+v", book.words)
+	}
+	book.Sweep(2*leavingKept, func(catalog.Life) bool { return false })
+	if len(book.words) != 0 {
+		t.Fatalf("%+v", book.words)
+	}
+}
