Failing tests: what back ends say of themselves in answers binds nobody

In the product's own interface an engine that asks for rest, or that leaves, gets all of the next six.

--- /dev/null
+++ b/internal/core/pushback_test.go
@@ -0,0 +1,48 @@
+package core
+
+import (
+	"testing"
+	"time"
+)
+
+// refused is an engine's refusal of an attempt.
+func refused(sent ActionDispatch, rest time.Duration, leaving bool) EventAttempt {
+	return EventAttempt{ID: sent.ID, Attempt: sent.Attempt, Echo: sent.Attempt, Kind: AttemptRefused, RetryAfter: rest, Draining: leaving}
+}
+
+// An engine that refused a request and asked to be left alone for 3 s got the next one at once: the wish only told that the engine hadn't
+// ended. One that said that it leaves got new requests from the next report on, which had been written before.
+func TestWhatEnginesSayInRefusalsHolds(t *testing.T) {
+	for what, step := range map[string]struct {
+		rest    time.Duration
+		leaving bool
+		later   time.Duration // of all requests after the refusal
+		life    uint64        // of the engine by then
+		allowed bool
+	}{
+		"it wants rest":                     {3 * time.Second, false, 2 * time.Second, 1, false},
+		"its rest is over":                  {3 * time.Second, false, 4 * time.Second, 1, true},
+		"another life stands there":         {3 * time.Second, false, time.Second, 2, true},
+		"it leaves":                         {0, true, 4 * time.Second, 1, false},
+		"it left and another life is there": {0, true, 4 * time.Second, 2, true},
+	} {
+		t.Run(what, func(t *testing.T) {
+			h := newHarness(t, 1)
+			sent := need[ActionDispatch](t, h.tick(EventRequest{prompt(1, 4)}))
+			h.tick(refused(sent, step.rest, step.leaving))
+			for end := h.now + step.later; h.now < end; {
+				h.now += 200 * time.Millisecond
+				h.report(sent.Backend, step.life)
+			}
+			again := 0
+			for id := range 6 {
+				if _, found := find[ActionDispatch](h.tick(EventRequest{prompt(10+id, 4)})); found {
+					again++
+				}
+			}
+			if (again > 0) != step.allowed {
+				t.Fatalf("%d of 6 requests came to it", again)
+			}
+		})
+	}
+}
