A back end's word about itself binds the gateway that heard it, until it ends

Cause: what a back end says of itself in an answer was handed to the caller and forgotten. A wish for rest became 100 ms of a higher price; a back end that refuses is empty, so it was the cheapest again right after. That it leaves was read from control alone. Class: what control says is kept as state, what the back end itself says isn't.

Mend: one question to the book of such words, asked by the choice, by a scheduler's answer, by the list of what a scheduler is to leave out, and by the last look after the connection is up. A rest binds the gateway that was asked, a leave all that hear of it. It outlives rosters, rows and addresses, and ends with its time or with the life; a later life of the name is bound only where it may be the one that spoke. While all back ends of a service that could be used want rest, a request is rejected at once (`resting`) with the time at which the first may be asked again; ends of rests and times to come back are spread. A caller that one back end turned away comes back soon while others take requests, whatever that one asked for. Where a sample of a large service holds nobody open, the whole list is looked through. An engine at rest isn't asked what it keeps either, and what its answers to that say counts too.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -33,7 +33,7 @@
 		if x.gateway.table.learnVersion(x.gateway.now(), a.row, x.call.Model, verdict.Version) {
 			x.gateway.log.note(events.WeightsLearnt, zap.String(events.FieldInstance, a.row.entry.ID), zap.Uint64("version", verdict.Version))
 		}
-		return a.turnedAway(answer, verdict.RetryAfter)
+		return a.turnedAway(answer, verdict)
 	case x.relayed && (!verdict.Signed || answer.StatusCode >= http.StatusMultipleChoices):
 		return a.broken("stream not taken up: " + answer.Status)
 	case answer.StatusCode < http.StatusMultipleChoices && !verdict.Signed:
@@ -82,9 +82,9 @@
 }
 
 // turnedAway ends an attempt that the back end did not run.
-func (a *attempt) turnedAway(answer *http.Response, retryAfter time.Duration) result {
+func (a *attempt) turnedAway(answer *http.Response, verdict Verdict) result {
 	a.grade = gradeFull
-	refused := result{kind: resultNotRun, cause: answer.Status, retryAfter: retryAfter}
+	refused := result{kind: resultNotRun, cause: answer.Status, retryAfter: verdict.RetryAfter, rest: verdict.Said.Rest}
 	_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, wholeAnswer))
 	a.release(answer, err)
 	return refused
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -41,6 +41,9 @@
 	eventStream   = "text/event-stream"
 	// causeOutdated is the cause of an attempt that would have begun on weights that are too old.
 	causeOutdated = "weights outdated"
+	// causeLeaving and causeResting are those of one whose back end leaves, or wants rest from this gateway.
+	causeLeaving = "leaving"
+	causeResting = "resting"
 )
 
 // resultKind tells how an attempt ended.
@@ -63,7 +66,8 @@
 type result struct {
 	kind       resultKind
 	cause      string
-	retryAfter time.Duration
+	retryAfter time.Duration // that the back end advises
+	rest       time.Duration // that it asked for
 }
 
 // attempt is one sending of a request to one back end.
@@ -216,7 +220,7 @@
 	x.gateway.table.mutex.Lock()
 	defer x.gateway.table.mutex.Unlock()
 	if a.row.gone || a.row.entry.State != catalog.StateReady {
-		return "leaving"
+		return causeLeaving
 	}
 	if a.row.entry.Loading {
 		return "loading" // its order may come before the request, which control doesn't see yet
@@ -224,7 +228,11 @@
 	if x.gateway.beginsTooLate(now, &a.plan, x.service, x.call.Model) {
 		return causeOutdated
 	}
-	return ""
+	bar := x.gateway.table.bar(now, a.row, false) // the wish may have come while the connection came up
+	if bar != "" {
+		x.gateway.metrics.putOff.WithLabelValues(bar).Inc()
+	}
+	return bar
 }
 
 // patience is how long the back end may stay silent; 0 leaves it all the time there is.
--- a/internal/gateway/cachenews.go
+++ b/internal/gateway/cachenews.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"kitetiller/internal/gateway/belief"
+	"kitetiller/internal/pushback"
 )
 
 // CacheNews is what an engine tells of its cache.
@@ -13,6 +14,7 @@
 	Next  uint64            // number to ask for next
 	Lost  bool              // some news is missing
 	Parts []belief.KeptPart // in the order in which they changed
+	Said  pushback.Said     // of itself; also beside an error
 }
 
 // CacheReader asks engines what they keep. It is safe for concurrent use. An answer that cannot be read in full is an
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -70,6 +70,9 @@
 	first   bool          // no back end was sent the request yet
 	rank    int           // of urgency, 0 the most
 	target  time.Duration // the route's objective
+	// elsewhere says that another gateway sends the request: a rest that a back end asked this one for doesn't bind that one, which names
+	// its own.
+	elsewhere bool
 }
 
 // total is the number of prompt tokens.
@@ -84,8 +87,6 @@
 func (g *Gateway) choose(now time.Duration, wish need) *candidate {
 	g.table.mutex.Lock()
 	defer g.table.mutex.Unlock()
-	var best candidate // by value: only the winner goes to the heap
-	found := false
 	rows := g.table.services[wish.service.Name]
 	if wish.service.Engine {
 		lanes := g.table.lane(wish.service.Name)
@@ -96,6 +97,18 @@
 	owner := g.owner(now, rows, wish)
 	sources := g.sources(now, wish)
 	listed := g.shortlist(now, rows, owner, sources, wish)
+	best, found := g.cheapest(now, listed, owner, sources, wish)
+	if !found && len(listed) < len(rows) {
+		best, found = g.cheapest(now, g.anyOf(now, rows, wish), owner, sources, wish)
+	}
+	if !found {
+		return nil
+	}
+	return &best
+}
+
+// cheapest scores the back ends of a list that may get a request and returns the one of least cost.
+func (g *Gateway) cheapest(now time.Duration, listed []*endpoint, owner *endpoint, sources []source, wish need) (best candidate, found bool) {
 	first := rand.IntN(max(1, len(listed))) // so that gateways which see the same don't all take the same one of equals
 	for i := range listed {
 		row := listed[(first+i)%len(listed)]
@@ -110,15 +123,12 @@
 			best, found = scored, true
 		}
 	}
-	if !found {
-		return nil
-	}
-	return &best
+	return best, found
 }
 
 // eligible reports whether a back end may get a new request at all.
 func (g *Gateway) eligible(now time.Duration, row *endpoint, wish need) bool {
-	if row.entry.State != catalog.StateReady || row.entry.Loading || slices.Contains(wish.tried, row) {
+	if !row.open() || slices.Contains(wish.tried, row) || g.table.bar(now, row, wish.elsewhere) != "" {
 		return false
 	}
 	limit, limited := g.beginLimit(row, wish.service, wish.call.Model)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -32,6 +32,7 @@
 	reasonUncounted  = "limit-unknown"
 	reasonOverload   = "overload"
 	reasonHeldBack   = "held-back"
+	reasonResting    = "resting"
 )
 
 const (
@@ -196,7 +197,7 @@
 		}
 		chosen := x.place()
 		if chosen == nil {
-			x.giveUp(reasonNoBackend, retrySoon)
+			x.giveUp(x.noBackend())
 			return
 		}
 		x.plan = chosen
@@ -256,6 +257,11 @@
 		if chosen != nil || left <= 0 || len(x.tried) > 0 {
 			return chosen
 		}
+		if rest := x.gateway.table.allRest(x.gateway.now(), x.service.Name); rest > left {
+			return nil // to hold the request would not serve it
+		} else if rest > 0 {
+			left = rest
+		}
 		select {
 		case <-news:
 		case <-time.After(left):
@@ -286,7 +292,7 @@
 			x.giveUp(reasonRunUnknown, 0)
 			return false
 		}
-		return x.repeat(reasonTurnedAway, max(retrySoon, result.retryAfter))
+		return x.repeat(reasonTurnedAway, max(retrySoon, x.comeBackAfter(result)))
 	}
 	if !x.route.MayRepeat() || x.suspected() {
 		x.giveUp(reasonRunUnknown, 0)
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -109,16 +109,17 @@
 	}
 }
 
-// readCache asks an engine once and takes up what it tells. It may be too early to ask, or the engine may be gone.
+// readCache asks an engine once and takes up what it tells. It may be too early to ask, the engine may be gone, or it wants rest.
 func (g *Gateway) readCache(ctx context.Context, id string, at *cacheCursor) (asked bool, err error) {
-	address, known := g.table.address(id)
-	if !known {
+	address, open := g.table.address(g.now(), id)
+	if !open {
 		return false, nil
 	}
 	if !at.known {
 		return g.listCache(ctx, id, address, at)
 	}
 	news, err := g.reader.Events(ctx, address, at.next)
+	g.hearAside(id, news)
 	if err != nil {
 		return true, err
 	}
@@ -138,6 +139,7 @@
 	}
 	at.listedAt = g.now()
 	news, err := g.reader.List(ctx, address)
+	g.hearAside(id, news)
 	if err != nil {
 		return true, err
 	}
--- a/internal/gateway/holders.go
+++ b/internal/gateway/holders.go
@@ -18,12 +18,12 @@
 	}
 }
 
-// address returns where a back end is reached.
-func (t *table) address(id string) (string, bool) {
+// address returns where a back end may be asked what it keeps. One that wants rest isn't asked that either.
+func (t *table) address(now time.Duration, id string) (string, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	row := t.rows[id]
-	if row == nil {
+	if row == nil || t.bar(now, row, false) == causeResting {
 		return "", false
 	}
 	return row.entry.Address, true
--- a/internal/gateway/pushback.go
+++ b/internal/gateway/pushback.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"kitetiller/internal/catalog"
 	"kitetiller/internal/events"
 	"kitetiller/internal/pushback"
 )
@@ -16,26 +17,45 @@
 // hear takes up what an answer says of its back end, before anything else is made of the answer: it holds whatever becomes of the request.
 func (a *attempt) hear(status int, verdict Verdict) {
 	a.asked = verdict.Said.Rest
-	if verdict.Said.Nothing() && verdict.Unread == "" {
+	a.exchange.gateway.hear(a.row, heard{request: a.exchange.call.ID, status: status, said: verdict.Said, unread: verdict.Unread})
+}
+
+// hearAside takes up what an engine says of itself beside what it keeps. It may be a later life than the one that control told of.
+func (g *Gateway) hearAside(id string, news CacheNews) {
+	if row := g.table.row(id); row != nil && (news.Born == 0 || news.Born == row.life.Born) {
+		g.hear(row, heard{said: news.Said})
+	}
+}
+
+// heard is what an answer says of its back end, with what the log tells of it.
+type heard struct {
+	request string // "" of an answer to no caller's request
+	status  int
+	said    pushback.Said
+	unread  string
+}
+
+// hear takes up and logs what a back end says of itself.
+func (g *Gateway) hear(row *endpoint, told heard) {
+	if told.said.Nothing() && told.unread == "" {
 		return
 	}
-	g := a.exchange.gateway
 	now := g.now()
-	bar, leaves := g.table.hear(now, a.row, verdict.Said)
+	bar, leaves := g.table.hear(now, row, told.said)
+	fields := []zap.Field{zap.String(events.FieldInstance, row.entry.ID)}
+	if told.request != "" {
+		fields = append(fields, zap.String(events.FieldRequest, told.request), zap.Int("answer", told.status))
+	}
 	if leaves {
-		g.log.note(events.InstanceLeaving, zap.String(events.FieldInstance, a.row.entry.ID), zap.String(events.FieldRequest, a.exchange.call.ID),
-			zap.String("told_by", toldByAnswer))
+		g.log.note(events.InstanceLeaving, append(fields, zap.String("told_by", toldByAnswer))...)
 	}
-	if verdict.Said.Rest <= 0 && verdict.Unread == "" {
+	if told.said.Rest <= 0 && told.unread == "" {
 		return
 	}
-	held, due := g.restLines.Due(now, a.row.entry.ID)
-	if !due {
-		return
+	if held, due := g.restLines.Due(now, row.entry.ID); due {
+		g.log.note(events.InstanceRests, append(fields, zap.Duration(events.FieldRest, told.said.Rest),
+			zap.Duration(events.FieldRestLeft, max(0, bar.Until-now)), zap.String(events.FieldUnread, told.unread), zap.Int("held", held))...)
 	}
-	g.log.note(events.InstanceRests, zap.String(events.FieldInstance, a.row.entry.ID), zap.String(events.FieldRequest, a.exchange.call.ID),
-		zap.Int("answer", status), zap.Duration(events.FieldRest, verdict.Said.Rest), zap.Duration(events.FieldRestLeft, max(0, bar.Until-now)),
-		zap.String(events.FieldUnread, verdict.Unread), zap.Int("held", held))
 }
 
 // hear notes what a back end says of itself, and returns what now keeps requests from it and whether it is news that it leaves.
@@ -47,6 +67,81 @@
 	return bar, bar.Leaving && !before.Leaving
 }
 
+// open reports whether control lets requests go to a back end.
+func (e *endpoint) open() bool { return e.entry.State == catalog.StateReady && !e.entry.Loading }
+
+// bar returns why a back end itself wants no request now, or "". That it leaves binds all gateways, a wish for rest only the one that was asked:
+// elsewhere says that another one sends. The caller holds the mutex.
+func (t *table) bar(now time.Duration, row *endpoint, elsewhere bool) string {
+	bar := t.pushed.At(now, row.life)
+	switch {
+	case bar.Leaving:
+		return causeLeaving
+	case bar.Rests(now) && !elsewhere:
+		return causeResting
+	}
+	return ""
+}
+
+// allRest returns how long it takes until the first back end of a service may be asked again, where all that may be used want rest; else 0.
+func (t *table) allRest(now time.Duration, service string) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	first := time.Duration(0)
+	for _, row := range t.services[service] {
+		if !row.open() {
+			continue
+		}
+		switch bar := t.pushed.At(now, row.life); {
+		case bar.Leaving:
+		case !bar.Rests(now):
+			return 0
+		case first == 0 || bar.Until-now < first:
+			first = bar.Until - now
+		}
+	}
+	return first
+}
+
+// noBackend returns why a request finds no place, and when to come back.
+func (x *exchange) noBackend() (reason string, retryAfter time.Duration) {
+	if rest := x.gateway.table.allRest(x.gateway.now(), x.service.Name); rest > 0 {
+		return reasonResting, apart(rest)
+	}
+	return reasonNoBackend, retrySoon
+}
+
+// comeBackAfter returns when the caller of a request that a back end turned away may come back: at once while another back end takes requests,
+// whatever that one asked for, else when the first does again.
+func (x *exchange) comeBackAfter(refused result) time.Duration {
+	if refused.rest <= 0 {
+		return refused.retryAfter
+	}
+	if rest := x.gateway.table.allRest(x.gateway.now(), x.service.Name); rest > 0 {
+		return apart(rest)
+	}
+	return 0
+}
+
+const (
+	// apartShare of the time until a back end may be asked again, apartMost at most, is added to it at random: callers that were turned away
+	// together would come back as the next wave.
+	apartShare = 0.1
+	apartMost  = 250 * time.Millisecond
+)
+
+// apart returns a time to come back with a little at random on top.
+func apart(after time.Duration) time.Duration {
+	return after + time.Duration(rand.Float64()*float64(min(time.Duration(apartShare*float64(after)), apartMost)))
+}
+
+// row returns the back end of an id, or nil.
+func (t *table) row(id string) *endpoint {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.rows[id]
+}
+
 // restLeft returns how long a back end still wants rest.
 func (t *table) restLeft(now time.Duration, row *endpoint) time.Duration {
 	t.mutex.Lock()
--- a/internal/gateway/pushback_test.go
+++ b/internal/gateway/pushback_test.go
@@ -8,6 +8,8 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/control"
 	"kitetiller/internal/events"
 	"kitetiller/internal/node"
 	"kitetiller/internal/pushback"
@@ -53,3 +55,162 @@
 		t.Errorf("%d gauges of one service", len(gauges))
 	}
 }
+
+// asks lets a back end ask a gateway for rest.
+func asks(g *Gateway, id string, rest time.Duration) {
+	g.hear(g.table.rows[id], heard{said: pushback.Said{Rest: rest}, status: 503})
+}
+
+// leaves lets a back end tell a gateway that it leaves.
+func leaves(g *Gateway, id string) {
+	g.hear(g.table.rows[id], heard{said: pushback.Said{Leaving: true}, status: 200})
+}
+
+// Between the choice and the send lies a connection that may take 300 ms to come up, or a scheduler's answer: what the back end says of itself
+// meanwhile holds for the request that waits as well.
+func TestLastLookSeesWhatTheBackEndSaidSinceTheChoice(t *testing.T) {
+	for cause, say := range map[string]func(*Gateway){
+		causeResting: func(g *Gateway) { asks(g, "i-0", time.Second) },
+		causeLeaving: func(g *Gateway) { leaves(g, "i-0") },
+	} {
+		g := scheduler(1)
+		chosen := placedAt(g)
+		if bar := chosen.barred(); bar != "" {
+			t.Fatalf("barred before: %s", bar)
+		}
+		say(g)
+		if bar := chosen.barred(); bar != cause {
+			t.Fatalf("barred %q, wanted %q", bar, cause)
+		}
+	}
+}
+
+// TestWhatABackEndSaidOutlivesTheRoster: a row that is told anew, that left and came back, or whose address changed is the same life; the next
+// life of that name is another one, unless it may be the one that asked.
+func TestWhatABackEndSaidOutlivesTheRoster(t *testing.T) {
+	born := time.Now().Add(-time.Hour).UnixMilli()
+	first, later := catalog.Life{Name: "e", Born: born}, catalog.Life{Name: "e", Born: time.Now().Add(time.Hour).UnixMilli()}
+	tell := func(g *Gateway, life catalog.Life, address string) {
+		g.table.takeRoster(g.now(), &control.RosterNews{Whole: true, Entries: []control.RosterEntry{{
+			Instance: catalog.Instance{ID: life.ID(), Service: "s", Address: address, State: catalog.StateReady}, Versions: map[string]uint64{"m": 1},
+		}}}, nil)
+	}
+	for what, step := range map[string]struct {
+		meanwhile func(g *Gateway)
+		open      bool
+	}{
+		"told anew": {func(g *Gateway) { tell(g, first, "a") }, false},
+		"left and back": {func(g *Gateway) {
+			g.table.takeRoster(g.now(), &control.RosterNews{Whole: true}, nil)
+			tell(g, first, "a")
+		}, false},
+		"another address": {func(g *Gateway) { tell(g, first, "b") }, false},
+		"another life":    {func(g *Gateway) { tell(g, later, "a") }, true},
+	} {
+		for kind, say := range map[string]func(*Gateway){
+			"rest":    func(g *Gateway) { asks(g, first.ID(), time.Minute) },
+			"leaving": func(g *Gateway) { leaves(g, first.ID()) },
+		} {
+			g := scheduler(0)
+			tell(g, first, "a")
+			say(g)
+			step.meanwhile(g)
+			g.table.sweep(g.now())
+			x := asking(g)
+			if chosen := g.choose(g.now(), need{service: x.service, call: &x.call, trusted: true}); (chosen != nil) != step.open {
+				t.Errorf("%s, %s: chosen %v", kind, what, chosen)
+			}
+		}
+	}
+}
+
+// TestRestIsBetweenTwo: a scheduler that was asked for rest places others' requests there, and not its own; whoever asks it names what wants
+// rest from itself; that a back end leaves binds all.
+func TestRestIsBetweenTwo(t *testing.T) {
+	s := scheduler(1)
+	asks(s, "i-0", time.Minute)
+	if placed := s.placeFor(s.now(), question("t1", 0)); placed.Instance != "i-0" {
+		t.Fatalf("placed %+v", placed)
+	}
+	x := asking(s)
+	if chosen := s.choose(s.now(), need{service: x.service, call: &x.call, trusted: true}); chosen != nil {
+		t.Fatalf("chosen %+v", chosen)
+	}
+	if without := s.table.unwanted(s.now(), "s", nil); len(without) != 1 {
+		t.Fatalf("a scheduler would be told to leave out %v", without)
+	}
+	wish := need{service: x.service, call: &x.call, trusted: true}
+	if chosen := s.scheduledCandidate(&wirePlacement{Instance: "i-0", Version: 1}, scheduled{}, wish); chosen != nil {
+		t.Fatalf("a scheduler that didn't hear of it: %+v", chosen)
+	}
+	leaves(s, "i-0")
+	if placed := s.placeFor(s.now(), question("t2", 0)); placed.Instance != "" {
+		t.Fatalf("placed %+v", placed)
+	}
+}
+
+// TestTheFewThatTakeRequestsAreFound: in a large service most of whose back ends want rest, no request is turned away while one takes it. A
+// sample of 24 among 400 of which 398 rest holds neither of the others in 89 of 100 choices.
+func TestTheFewThatTakeRequestsAreFound(t *testing.T) {
+	g := scheduler(400)
+	for id := range g.table.rows {
+		if id != "i-7" && id != "i-311" {
+			asks(g, id, time.Minute)
+		}
+	}
+	x := asking(g)
+	for range 50 {
+		chosen := g.choose(g.now(), need{service: x.service, call: &x.call, trusted: true})
+		if chosen == nil || chosen.row.entry.ID != "i-7" && chosen.row.entry.ID != "i-311" {
+			t.Fatalf("chosen %+v", chosen)
+		}
+	}
+}
+
+// TestTurnedAwayCallersComeBackWhenItHelps: at once while another back end takes requests, else when the first does again, each a little apart.
+func TestTurnedAwayCallersComeBackWhenItHelps(t *testing.T) {
+	g := scheduler(2)
+	x := asking(g)
+	asks(g, "i-0", 10*time.Second)
+	if back := x.comeBackAfter(result{rest: 10 * time.Second}); back != 0 {
+		t.Fatalf("after %v although one back end takes requests", back)
+	}
+	asks(g, "i-1", 40*time.Second)
+	distinct := map[time.Duration]bool{}
+	for range 20 {
+		back := x.comeBackAfter(result{rest: 40 * time.Second})
+		if back < 9*time.Second || back > 10*time.Second+backSlack {
+			t.Fatalf("after %v", back)
+		}
+		distinct[back.Truncate(time.Millisecond)] = true
+	}
+	if len(distinct) < 10 {
+		t.Fatalf("20 callers come back at %d moments", len(distinct))
+	}
+	if back := x.comeBackAfter(result{retryAfter: 7 * time.Second}); back != 7*time.Second {
+		t.Fatalf("advice beside no wish for rest: %v", back)
+	}
+	if reason, back := x.noBackend(); reason != reasonResting || back < 9*time.Second {
+		t.Fatalf("%s after %v", reason, back)
+	}
+}
+
+// backSlack is how much later than the end of the first rest a caller may be told to come back: what is added to the rest and to the advice.
+const backSlack = 500 * time.Millisecond
+
+// TestEngineAtRestIsNotAskedWhatItKeeps: it wants nothing from this gateway, and its cursor stays.
+func TestEngineAtRestIsNotAskedWhatItKeeps(t *testing.T) {
+	g := scheduler(1)
+	at := cacheCursor{listedAt: -listPause}
+	script := &scriptedCache{drained: make(chan struct{}), answers: []any{CacheNews{Said: pushback.Said{Rest: time.Minute}}}}
+	g.UseCacheReader(script)
+	for step := range 3 {
+		at.listedAt = -listPause
+		if asked, err := g.readCache(t.Context(), "i-0", &at); err != nil || asked != (step == 0) {
+			t.Fatalf("step %d: asked %v, %v", step, asked, err)
+		}
+	}
+	if script.lists != 1 {
+		t.Fatalf("asked %d times", script.lists)
+	}
+}
--- a/internal/gateway/shortlist.go
+++ b/internal/gateway/shortlist.go
@@ -85,6 +85,19 @@
 	return g.pick(now, picked, rows, homeSample+sampleSize, wish)
 }
 
+// anyOf returns a few back ends that may get the request, in order from a random one on: where most of a service want rest or load, a sample may
+// hold none of the others.
+func (g *Gateway) anyOf(now time.Duration, rows []*endpoint, wish need) []*endpoint {
+	var found []*endpoint
+	first := rand.IntN(len(rows))
+	for i := 0; i < len(rows) && len(found) < homeSample+sampleSize; i++ {
+		if row := rows[(first+i)%len(rows)]; g.eligible(now, row, wish) {
+			found = append(found, row)
+		}
+	}
+	return found
+}
+
 // pick adds back ends at random that may get the request, until there are so many.
 func (g *Gateway) pick(now time.Duration, picked, rows []*endpoint, count int, wish need) []*endpoint {
 	for tries := 0; tries < sampleTries && len(picked) < count && len(rows) > 0; tries++ {
