A good end speaks for its request also through a time in which nothing could be sent

Mend: whoever confirms the view anew says for how long it hadn't counted, and good ends speak as much longer. Ruled out: a longer time for all (one that turns deadly under other weights would get more lives). Before: the test counts 3 lives; after: none. The product's own router doesn't call it yet: its lease ends seldom, and it shares the record.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -189,6 +189,15 @@
 	return confirmed > 0 && now-confirmed < g.settings.Trust
 }
 
+// untrustedFor returns for how long the view has not counted, or 0.
+func (g *Gateway) untrustedFor(now time.Duration) time.Duration {
+	confirmed := time.Duration(g.confirm.Load())
+	if confirmed == 0 {
+		return 0
+	}
+	return max(0, now-confirmed-g.settings.Trust)
+}
+
 // sweepPeriod is how often what is long past is forgotten.
 const sweepPeriod = 1500 * time.Millisecond
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -291,6 +291,34 @@
 	}
 }
 
+// Control was away for 6 s, so nothing was sent and nothing could end well. Then three back ends ended within 50 ms under another request, and
+// the one that ran beside it everywhere, and ended well every second before, was held back for 3 lives: a good end spoke for 5 s, and the time
+// in which there could be none counted.
+func TestGoodEndsSpeakWhileNothingIsSent(t *testing.T) {
+	const away = 6 * time.Second
+	r, f := NewRecord(), printOf(1)
+	r.EndedWell(time.Second, f)
+	back := 2*time.Second + away
+	r.Idled(back, away)
+	for _, life := range []string{"a", "b", "c"} {
+		r.Broke(back, life, f)
+		r.End(back, life)
+	}
+	if lives := r.Lives(f); lives != 0 {
+		t.Fatalf("%d lives count", lives)
+	}
+	later := time.Second + away + innocenceKept + 1
+	r.Broke(later, "d", f)
+	if _, counts := r.End(later, "d"); !counts {
+		t.Fatal("a good end speaks longer than by the time in which nothing was sent")
+	}
+	r.EndedWell(later, f)
+	r.Idled(later+time.Second, time.Hour)
+	if r.endedWell(later+time.Second+innocenceKept+1, f) {
+		t.Fatal("a good end lies ahead")
+	}
+}
+
 // TestOwnLivesAddToToldOnes: each life counts once, and what control has had time to count is forgotten.
 func TestOwnLivesAddToToldOnes(t *testing.T) {
 	r, f := NewRecord(), printOf(1)
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -180,6 +180,15 @@
 	r.next = (r.next + 1) % wellMost
 }
 
+// Idled notes that this process could send nothing for so long until now: what ended well before speaks for its request as much longer, since
+// it could not end well again meanwhile.
+func (r *Record) Idled(now, length time.Duration) {
+	for f, held := range r.well {
+		held.at = min(now, held.at+max(0, length))
+		r.well[f] = held
+	}
+}
+
 // endedWell reports whether a request ended well here a moment ago.
 func (r *Record) endedWell(now time.Duration, f Fingerprint) bool {
 	held, known := r.well[f]
--- a/internal/quarantine/reporter/reporter.go
+++ b/internal/quarantine/reporter/reporter.go
@@ -209,6 +209,13 @@
 	}
 }
 
+// Idled notes that this process could send nothing for so long until now.
+func (r *Reporter) Idled(length time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.Idled(r.ways.Now(), length)
+}
+
 // release lets control be told of requests that ended well. The caller holds mu.
 func (r *Reporter) release(well ...quarantine.Fingerprint) {
 	if room := wellMost - len(r.well); len(well) > room {
