What engines say in refusals holds in the product's own interface too; the simulator plays it on both faces

Cause, as at the gateway: a wish for rest in a refusal told only that the engine hadn't ended, and that it leaves was undone by the next report, which had been written before. Mend: the same book. A rest keeps the engine out of every choice; where all ready ones rest, a request is refused at once (`resting`), but waits for a rest that is no longer than it waits for a back end to appear, and a stream in progress for any that ends in its time. A router that doesn't send says so (Unsent) instead of by a rest of 1 ms.

Simulator: back ends of both faces turn requests away and ask for rest, one or all of them; gateways hear in answers that back ends leave. Two guards (rest-check, leaving-heard), each seen to matter; one rule more (rest-given).

--- a/internal/api/problem.go
+++ b/internal/api/problem.go
@@ -60,6 +60,8 @@
 		return http.StatusServiceUnavailable, "This router is stopping; ask another one"
 	case core.ReasonNoLease, core.ReasonNoSettings:
 		return http.StatusServiceUnavailable, "This router has no current settings; ask another one"
+	case core.ReasonResting:
+		return http.StatusServiceUnavailable, "All back ends of the service asked for rest"
 	case core.ReasonHeldBack:
 		return http.StatusServiceUnavailable, "Back ends ended under this request again and again; it is sent to none until an operator releases it"
 	case core.ReasonLedger:
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -88,6 +88,7 @@
 	ReasonLedger        Reason = "ledger-unavailable"
 	ReasonCallerGone    Reason = "caller-gone"
 	ReasonHeldBack      Reason = "held-back"
+	ReasonResting       Reason = "resting" // all back ends that could take it asked for rest
 )
 
 // ActionFinish gives a request its final answer.
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -141,11 +141,10 @@
 		c.finish(r, ActionFinish{Reason: ReasonComplete, Run: RunYes, Tokens: r.emitted, Answer: &ledger.Answer{}})
 		return
 	}
-	row.leaving = row.leaving || event.Draining
-	if !event.Draining && event.RetryAfter == 0 {
+	c.hear(row, sent, event)
+	if !event.Draining && event.RetryAfter == 0 && !event.Unsent {
 		c.noteUnreachable(row)
 	}
-	c.membershipDirty = c.membershipDirty || event.Draining
 	c.failAttempt(r, at, event)
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,6 +13,7 @@
 
 	"kitetiller/internal/guard"
 	"kitetiller/internal/prefix"
+	"kitetiller/internal/pushback"
 	"kitetiller/internal/settings"
 )
 
@@ -69,6 +70,9 @@
 	matches []prefix.Match // scratch
 	scores  []Candidate    // scratch
 
+	pushed        *pushback.Book // what back ends said of themselves in refusals
+	pushedSweptAt time.Duration
+
 	decisions decisionRing
 	counters  Counters
 }
@@ -101,7 +105,7 @@
 		values: map[tenantKey]settings.Values{}, byName: map[string]prefix.EngineID{},
 		services: map[string]*serviceState{}, tenants: map[tenantKey]*tenantState{},
 		requests: map[RequestID]*request{}, index: prefix.NewIndex(config.IndexLimit),
-		hot: prefix.NewHotTable(), vault: map[prefix.Hash]bool{},
+		hot: prefix.NewHotTable(), vault: map[prefix.Hash]bool{}, pushed: pushback.NewBook(),
 		counters: Counters{Refused: map[Reason]uint64{}},
 	}
 }
@@ -120,6 +124,7 @@
 	c.runTimers()
 	c.runPlace()
 	c.runMove()
+	c.sweepPushback()
 	return c.out
 }
 
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -100,8 +100,9 @@
 	Cached      int    // AttemptStarted: prompt tokens that were reused
 	Incarnation uint64 // AttemptStarted and AttemptMismatch
 	Answer      *ledger.Answer
-	RetryAfter  time.Duration // AttemptRefused: when the back end suggests to come back
+	RetryAfter  time.Duration // AttemptRefused: how long the back end wants nothing from this router
 	Draining    bool          // AttemptRefused: the back end is leaving
+	Unsent      bool          // AttemptRefused: the router itself didn't send it; it says nothing of the back end
 }
 
 // Load is what a back end says of its work. Reports lag; Age says by how much.
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -61,7 +61,8 @@
 	if !c.config.Guards.On(guard.LeavingCheck) {
 		return false
 	}
-	return row.leaving || (row.listed && row.machine.Leaving) || (!row.listed && row.incarnation != 0)
+	heard := c.config.Guards.On(guard.LeavingHeard) && c.saysLeaving(row)
+	return row.leaving || heard || (row.listed && row.machine.Leaving) || (!row.listed && row.incarnation != 0)
 }
 
 func (c *Core) enterState(row *backend, next BackendState) {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -91,8 +91,11 @@
 // noCandidate decides what to do when no engine can take the head of the queue: wait if one is only busy,
 // otherwise give up.
 func (c *Core) noCandidate(r *request, service *serviceState) bool {
+	if rest := c.allRest(service); rest > 0 {
+		return c.restFor(r, service, rest)
+	}
 	for _, id := range service.backends {
-		if c.ready(&c.backends[id]) && !slices.Contains(r.failedOn, id) {
+		if row := &c.backends[id]; c.ready(row) && c.rests(row) == 0 && !slices.Contains(r.failedOn, id) {
 			return false
 		}
 	}
@@ -115,7 +118,7 @@
 
 func (c *Core) anyReady(service *serviceState) bool {
 	for _, id := range service.backends {
-		if c.ready(&c.backends[id]) {
+		if row := &c.backends[id]; c.ready(row) && c.rests(row) == 0 {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/core/pushback.go
@@ -0,0 +1,87 @@
+package core
+
+import (
+	"time"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/guard"
+	"kitetiller/internal/pushback"
+)
+
+// lifeOf names the life of a back end that an attempt was sent to. Incarnations tell lives apart and no time.
+func lifeOf(row *backend, incarnation uint64) catalog.Life {
+	return catalog.Life{Name: row.machine.Name, Born: int64(incarnation)}
+}
+
+// hear takes up what a refusal says of the back end.
+func (c *Core) hear(row *backend, sent attempt, event EventAttempt) {
+	said := pushback.Said{Rest: event.RetryAfter, Leaving: event.Draining}
+	c.pushed.Note(c.now, time.Time{}, lifeOf(row, sent.life), said, c.random.Float64())
+	c.membershipDirty = c.membershipDirty || event.Draining
+}
+
+// saysLeaving reports whether the back end itself said in a refusal that its present life leaves. A report that was written before doesn't
+// undo that.
+func (c *Core) saysLeaving(row *backend) bool {
+	return c.pushed.At(c.now, lifeOf(row, row.incarnation)).Leaving
+}
+
+// rests returns how long a back end still wants nothing from this router.
+func (c *Core) rests(row *backend) time.Duration {
+	if !c.config.Guards.On(guard.RestCheck) {
+		return 0
+	}
+	return max(0, c.pushed.At(c.now, lifeOf(row, row.incarnation)).Until-c.now)
+}
+
+// allRest returns how long it takes until the first ready back end of a service may be asked again, where all of them want rest; else 0.
+func (c *Core) allRest(service *serviceState) time.Duration {
+	first := time.Duration(0)
+	for _, id := range service.backends {
+		row := &c.backends[id]
+		if !c.ready(row) {
+			continue
+		}
+		left := c.rests(row)
+		if left == 0 {
+			return 0
+		}
+		if first == 0 || left < first {
+			first = left
+		}
+	}
+	return first
+}
+
+// restFor decides on the head of a queue whose service rests for a while. A rest that is no longer than requests wait for a back end to appear
+// is waited for, and by a stream in progress any that ends while its caller still waits; else the request is refused at once. It returns
+// false when the request must wait.
+func (c *Core) restFor(r *request, service *serviceState, rest time.Duration) bool {
+	if c.now+rest < r.deadline && (rest <= noBackendGrace || r.inStream()) {
+		c.wakeAt(r, c.now+rest)
+		return false
+	}
+	service.remove(r)
+	r.state = stateRunning
+	c.refuse(r, ReasonResting, rest+time.Duration(c.random.Float64()*restApart*float64(rest)))
+	return true
+}
+
+// restApart is the share of the time to come back that is added to it at random, so that callers who were refused together don't return
+// together.
+const restApart = 0.1
+
+// pushbackSweep is how often words of back ends that count no longer are forgotten.
+const pushbackSweep = 10 * time.Second
+
+// sweepPushback forgets words that count no longer.
+func (c *Core) sweepPushback() {
+	if c.now < c.pushedSweptAt+pushbackSweep {
+		return
+	}
+	c.pushedSweptAt = c.now
+	c.pushed.Sweep(c.now, func(life catalog.Life) bool {
+		id, known := c.byName[life.Name]
+		return known && c.backends[id].incarnation == uint64(life.Born)
+	})
+}
--- a/internal/core/tables.go
+++ b/internal/core/tables.go
@@ -36,7 +36,7 @@
 	incarnation uint64
 	weights     string
 	loading     bool
-	leaving     bool // said by the back end itself, or by a refusal
+	leaving     bool // by its newest report
 
 	load       Load
 	reportedAt time.Duration // when the load was true, by our clock
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -23,6 +23,8 @@
 	AttemptCheck       Guard = "attempt-check"         // an answer must carry the current attempt
 	NotRunProof        Guard = "not-run-proof"         // not-run is said only when it can be proved
 	LeavingCheck       Guard = "leaving-check"         // leaving back ends get no new work
+	LeavingHeard       Guard = "leaving-heard"         // a back end that says itself that it leaves does, whatever control tells
+	RestCheck          Guard = "rest-check"            // back ends that asked for rest get none
 	DrainBeforeExit    Guard = "drain-before-exit"     // a planned stop waits for running streams
 	VersionMonotonic   Guard = "settings-never-revert" // a router keeps the newest version it acknowledged
 	PersistedSettings  Guard = "settings-synced-copy"  // a router restarts from its synced settings
@@ -48,7 +50,7 @@
 	return []Guard{
 		FenceCheck, ClaimBeforeRun, TenantInHash, WeightsInHash, IncarnationCheck, SyncBeforeAck,
 		LearnerBeforeVote, LeaseAtDispatch, VersionCheck, OperationCheck, StreamIndexCheck,
-		EndOfStreamCheck, AttemptCheck, NotRunProof, LeavingCheck, DrainBeforeExit,
+		EndOfStreamCheck, AttemptCheck, NotRunProof, LeavingCheck, LeavingHeard, RestCheck, DrainBeforeExit,
 		VersionMonotonic, PersistedSettings, LeaseMargin, AmbiguousNotResent,
 		ConfirmedView, DrainCommitted, TurnAwayFirst, OrderPause, LateCalls, HighestRevision, HeldBack, SuspensionCounts,
 		RelayConfirmed, RelayReported, RelayApplied, NamingAgreed, NamingKeptOlder,
--- a/internal/lab/sim/control.go
+++ b/internal/lab/sim/control.go
@@ -170,11 +170,13 @@
 	})
 }
 
-// syncLate stores after the acknowledgement has left.
+// syncLate stores after the acknowledgement has left. A write that then doesn't fit the disk any more loses what was acknowledged.
 func (n *controlNode) syncLate(persist control.Persist) {
 	n.unsynced = append(n.unsynced, persist)
 	n.after(n.w.between(lateSyncMin, lateSyncMax), func() {
-		n.store(n.unsynced[0])
+		if err := n.disk.Store(n.unsynced[0]); err != nil {
+			n.w.oracle.fail(SettingsHold, "%s acknowledged what it then couldn't store: %v", n.name, err)
+		}
 		n.unsynced = n.unsynced[1:]
 	})
 }
--- a/internal/lab/sim/engines.go
+++ b/internal/lab/sim/engines.go
@@ -43,6 +43,7 @@
 	lives   uint64
 	alarm   vtime.Alarm
 	cached  map[prefix.Hash]content
+	shed    shedding
 	ordered control.Fence // highest order it ever began to carry out, over all lives
 }
 
@@ -71,7 +72,7 @@
 func (e *engineNode) boot() {
 	e.start()
 	e.lives++
-	e.cached = map[prefix.Hash]content{}
+	e.cached, e.shed = map[prefix.Hash]content{}, shedding{}
 	weights := "w1"
 	if e.model != nil {
 		weights = e.model.Weights // they stay on the machine
@@ -94,6 +95,9 @@
 	}
 }
 
+// lifeName names the engine's present life.
+func (e *engineNode) lifeName() string { return fmt.Sprintf("%s/%d", e.name, e.lives) }
+
 // submit takes a job, or returns why not.
 func (e *engineNode) submit(action core.ActionDispatch, s *sending) engine.SubmitResult {
 	job := &engine.Job{
--- a/internal/lab/sim/fleet.go
+++ b/internal/lab/sim/fleet.go
@@ -8,6 +8,7 @@
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
 	"kitetiller/internal/gateway/belief"
+	"kitetiller/internal/pushback"
 	"kitetiller/internal/quarantine"
 )
 
@@ -109,6 +110,7 @@
 	loadsTo  time.Duration
 	revision uint64 // orders taken in this life
 	fence    uint64
+	shed     shedding
 	told     string // what a heartbeat told that the leader has taken
 }
 
@@ -118,6 +120,7 @@
 	b.lives++
 	b.id = b.nextID()
 	b.sequence, b.draining, b.loadsTo, b.revision, b.fence, b.told = 0, false, 0, 0, 0, ""
+	b.shed = shedding{}
 	b.version = max(b.version, 1)
 	if b.version > 1 && b.w.chance(fleetOlder) {
 		b.version-- // it kept older weights than it was last seen with
@@ -129,7 +132,7 @@
 // nextID returns the id of the life that begins: the back end's own name and its start, or, in every other run, a name of each life.
 func (b *fleetBackend) nextID() string {
 	if b.w.tellsLives {
-		return catalog.Life{Name: b.process.name, Born: 1 + b.w.now().Milliseconds()}.ID()
+		return catalog.Life{Name: b.process.name, Born: b.w.today().UnixMilli()}.ID()
 	}
 	return fmt.Sprintf("%s-%d", b.process.name, b.lives)
 }
@@ -282,6 +285,7 @@
 	confirmed time.Duration // by its own clock; 0 never
 	record    *quarantine.Record
 	namings   *belief.Namings
+	pushed    *pushback.Book // what back ends said of themselves
 }
 
 func (g *fleetGateway) boot() {
@@ -289,7 +293,7 @@
 	g.startedAt = g.w.now()
 	g.asker = newAsker(g.w, g.process)
 	g.revision, g.version, g.roster, g.confirmed, g.record = 0, control.RosterVersion{}, nil, 0, quarantine.NewRecord()
-	g.namings = belief.NewNamings(g.w.guards)
+	g.namings, g.pushed = belief.NewNamings(g.w.guards), pushback.NewBook()
 	g.w.oracle.fleet.told[g.process.name] = map[uint64]time.Duration{}
 	g.w.oracle.fleet.used[g.process.name] = 0
 	g.follow()
@@ -328,6 +332,9 @@
 	if reply.Roster != nil {
 		g.roster = reply.Roster.Merge(g.roster)
 	}
+	if g.confirmed > 0 {
+		g.record.Idled(g.clock(), g.clock()-g.confirmed-fleetTrust)
+	}
 	g.takeQuarantine(reply, before)
 	g.namings.Take(g.clock(), asked, reply.Version.Term, reply.Wanted)
 	g.w.oracle.namingsTold(g.process.name, reply.Wanted)
@@ -348,7 +355,7 @@
 	if entry.State != catalog.StateReady || entry.Loading {
 		return
 	}
-	if g.tooOld(entry) {
+	if g.tooOld(entry) || g.barred(entry) {
 		return
 	}
 	g.w.oracle.fleetSent(g.process.name, entry.ID)
--- a/internal/lab/sim/namings.go
+++ b/internal/lab/sim/namings.go
@@ -34,7 +34,14 @@
 // begin begins a request that names the weights it counts on, unless the back end refuses it.
 func (g *fleetGateway) begin(entry control.RosterEntry) {
 	b := g.w.fleetBackend(entry.Address)
-	refused := b == nil || !b.up || b.frozen || !b.isMeant(entry.ID) || b.version != entry.Versions[fleetModel] || g.w.now() < b.loadsTo
+	if b == nil || !b.up || b.frozen {
+		return
+	}
+	g.w.oracle.sends(pairOf(g.process, b.id))
+	if !b.isMeant(entry.ID) {
+		return // it refuses for that alone, and wants no rest for it
+	}
+	refused := g.hear(entry, b) || b.version != entry.Versions[fleetModel] || g.w.now() < b.loadsTo
 	if !refused {
 		g.w.oracle.fleetBegan(g.process.name, b)
 	}
--- a/internal/lab/sim/oracle.go
+++ b/internal/lab/sim/oracle.go
@@ -27,10 +27,11 @@
 	SettingsHold   Invariant = "settings-hold"
 )
 
-// Rules of the gateway fleet, beside the brief's lines.
+// Rules beside the brief's lines.
 const (
 	HeldBackTrue  Invariant = "held-back"
 	WeightsInTime Invariant = "weights-in-time"
+	RestGiven     Invariant = "rest-given"
 )
 
 // InvariantHelp describes an invariant and how it is checked.
@@ -54,11 +55,12 @@
 	}
 }
 
-// FleetRules lists what is checked of the gateway fleet beside the invariants.
+// FleetRules lists what is checked beside the invariants.
 func FleetRules() []InvariantHelp {
 	return []InvariantHelp{
 		{HeldBackTrue, "a request that ends whoever runs it gets three back ends more at the most, once the news of the third had time; one that ends well is never held back"},
 		{WeightsInTime, "no request begins on older weights later than the limit after newer ones were acknowledged, nor after its gateway first heard of them"},
+		{RestGiven, "a back end that asked a gateway or router for rest gets two requests more from it at the most, from half a second later to the end of that time"},
 	}
 }
 
@@ -93,6 +95,7 @@
 	firstAccept  time.Duration               // when the first change was accepted
 	controlFault time.Duration               // end of the newest fault that may have stopped control
 	fleet        fleetOracle
+	said         saidOracle
 	deadly       map[quarantine.Fingerprint]*deadlyRequest
 	deadlies     int
 }
@@ -101,7 +104,7 @@
 	return &oracle{
 		w: w, runs: map[string]int{}, notRunSends: map[*exchange]bool{},
 		outcomes: map[string]settings.Outcome{}, versions: map[uint64]string{}, routerUsed: map[string]uint64{},
-		fleet: newFleetOracle(), deadly: map[quarantine.Fingerprint]*deadlyRequest{},
+		fleet: newFleetOracle(), said: newSaidOracle(), deadly: map[quarantine.Fingerprint]*deadlyRequest{},
 	}
 }
 
--- /dev/null
+++ b/internal/lab/sim/pushback.go
@@ -0,0 +1,121 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/control"
+	"kitetiller/internal/guard"
+	"kitetiller/internal/pushback"
+)
+
+const (
+	// restFree is how long after its wish for rest a back end may get requests that were on their way, and restMost how many more until the
+	// rest ends.
+	restFree = 500 * time.Millisecond
+	restMost = 2
+	// leaveFree is how long after a back end said in an answer that it leaves it may get what was on its way.
+	leaveFree = 500 * time.Millisecond
+	// shedAllShare is the share of faults in which all back ends of a service turn requests away together.
+	shedAllShare = 0.3
+)
+
+// shedding is a back end's refusal of all that comes, with a wish for rest.
+type shedding struct {
+	until time.Duration
+	rest  time.Duration
+}
+
+// faultShed lets back ends turn requests away for a while and ask for rest.
+func (w *world) faultShed() {
+	until, rest := w.now()+w.between(time.Second, 6*time.Second), w.between(time.Second, 5*time.Second)
+	all := w.chance(shedAllShare)
+	struckEngine, struckBackend := pick(w, w.engines), pick(w, w.backends)
+	for _, e := range w.engines {
+		if all || e == struckEngine {
+			e.shed = shedding{until, rest}
+		}
+	}
+	for _, b := range w.backends {
+		if all || b == struckBackend {
+			b.shed = shedding{until, rest}
+		}
+	}
+}
+
+// sheds returns for how long a back end wants rest, or 0 when it takes requests.
+func (s shedding) sheds(now time.Duration) time.Duration {
+	if now < s.until {
+		return s.rest
+	}
+	return 0
+}
+
+// pair is one life of a process that sends and one life of a back end.
+type pair struct{ sender, backend string }
+
+func pairOf(sender *process, backend string) pair {
+	return pair{fmt.Sprintf("%s#%d", sender.name, sender.life), backend}
+}
+
+// restWindow is the part of one rest in which requests count.
+type restWindow struct {
+	from, until time.Duration
+	got         int
+}
+
+// saidOracle is what back ends were heard to say of themselves.
+type saidOracle struct {
+	rests map[pair][]*restWindow
+	left  map[pair]time.Duration // when it was first heard that the back end leaves
+}
+
+func newSaidOracle() saidOracle {
+	return saidOracle{rests: map[pair][]*restWindow{}, left: map[pair]time.Duration{}}
+}
+
+// heard notes that a process has an answer in which a back end speaks of itself. Its clock may run fast.
+func (o *oracle) heard(p pair, said pushback.Said) {
+	now := o.w.now()
+	if said.Rest > 0 {
+		end := now + time.Duration(float64(said.Rest)/(1+clockSkew))
+		o.said.rests[p] = append(o.said.rests[p], &restWindow{from: now + restFree, until: end})
+	}
+	if _, known := o.said.left[p]; said.Leaving && !known {
+		o.said.left[p] = now
+	}
+}
+
+// sends checks a request at the moment it is sent.
+func (o *oracle) sends(p pair) {
+	now := o.w.now()
+	for _, window := range o.said.rests[p] {
+		if now <= window.from || now >= window.until {
+			continue
+		}
+		if window.got++; window.got > restMost {
+			o.fail(RestGiven, "%s sent %s %d requests in a rest that ends in %v", p.sender, p.backend, window.got, window.until-now)
+		}
+	}
+	if at, left := o.said.left[p]; left && now > at+leaveFree {
+		o.fail(LeavingNoWork, "%s sent new work to %s %v after that one had said that it leaves", p.sender, p.backend, now-at)
+	}
+}
+
+// barred reports whether the back end itself wants no request from this gateway.
+func (g *fleetGateway) barred(entry control.RosterEntry) bool {
+	bar, now := g.pushed.At(g.clock(), catalog.LifeOf(entry.ID)), g.clock()
+	return bar.Rests(now) && g.w.guards.On(guard.RestCheck) || bar.Leaving && g.w.guards.On(guard.LeavingHeard)
+}
+
+// hear takes up what a back end says of itself. The gateway knows only whom it meant to ask, not which life answered.
+func (g *fleetGateway) hear(entry control.RosterEntry, b *fleetBackend) (turnedAway bool) {
+	said := pushback.Said{Rest: b.shed.sheds(g.w.now()), Leaving: b.draining}
+	g.w.oracle.heard(pairOf(g.process, b.id), said)
+	g.pushed.Note(g.clock(), g.w.today(), catalog.LifeOf(entry.ID), said, g.w.random.Float64())
+	return said.Rest > 0
+}
+
+// today is the time of day by which back ends tell when they were started.
+func (w *world) today() time.Time { return time.UnixMilli(1 + w.now().Milliseconds()) }
--- a/internal/lab/sim/router.go
+++ b/internal/lab/sim/router.go
@@ -10,6 +10,7 @@
 	"kitetiller/internal/lab/engine"
 	"kitetiller/internal/lab/vtime"
 	"kitetiller/internal/membership"
+	"kitetiller/internal/pushback"
 	"kitetiller/internal/session"
 )
 
@@ -223,7 +224,16 @@
 func (r *routerNode) sendToEngine(e *engineNode, run *exchange, action core.ActionDispatch) {
 	s := &sending{engine: e, request: run, attempt: action.Attempt, router: r, stream: r.w.newStream(e.process, r.process)}
 	r.sendings[action.Attempt] = s
+	r.w.oracle.sends(pairOf(r.process, e.lifeName()))
 	r.w.call(r.process, e.process, serviceLimit, func(respond func(func())) {
+		if rest := e.shed.sheds(e.w.now()); rest > 0 {
+			asker := pairOf(r.process, e.lifeName())
+			respond(func() {
+				r.w.oracle.heard(asker, pushback.Said{Rest: rest})
+				r.attemptEvent(s, core.EventAttempt{Kind: core.AttemptRefused, RetryAfter: rest})
+			})
+			return
+		}
 		result := e.submit(action, s)
 		respond(func() {
 			switch result {
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -38,7 +38,7 @@
 	}
 	if s.barred(run) {
 		refused := core.EventAttempt{ID: action.ID, Attempt: action.Attempt, Echo: action.Attempt, Kind: core.AttemptRefused}
-		refused.RetryAfter = time.Millisecond // the back end is well
+		refused.Unsent = true
 		s.offer(refused)
 		s.offer(core.EventHeldBack{ID: action.ID})
 		return
