Soak: workers turn requests away and ask for rest, and say in their answers alone that they leave

Two promises more, `rest` and `leaving`, decided by what callers sent after a gateway was seen to have heard (it had answered the caller or gone on to another worker), so that a slow machine changes no verdict.

--- a/cmd/kitelab/soak.go
+++ b/cmd/kitelab/soak.go
@@ -35,14 +35,15 @@
 	sub.String(&flags.plan, "p", "plan", "plan to play, instead of drawing one")
 	sub.String(&flags.keep, "k", "keep", "folder to keep plan, settings, data and logs in")
 	sub.String(&flags.program, "", "program", "kitetiller's program file")
-	sub.String(&flags.guardOff, "g", "guard-off", "break one promise on purpose (limit, once, answer or held-back), to see that its check fails")
+	sub.String(&flags.guardOff, "g", "guard-off", "break one promise on purpose (see docs/operations/soak.md), to see that its check fails")
 	return command{sub, flags.run}
 }
 
 func (f *soakFlags) run() error {
 	off := soak.Promise(f.guardOff)
-	if able := []soak.Promise{"", soak.WithinLimit, soak.AtMostOnce, soak.OwnAnswer, soak.HeldBack}; !slices.Contains(able, off) {
-		return eris.Errorf("%q cannot be broken on purpose; limit, once, answer and held-back can", f.guardOff)
+	able := []soak.Promise{soak.WithinLimit, soak.AtMostOnce, soak.OwnAnswer, soak.HeldBack, soak.NotForged, soak.RestGiven, soak.LeaveHeard}
+	if off != "" && !slices.Contains(able, off) {
+		return eris.Errorf("%q cannot be broken on purpose; %v can", f.guardOff, able)
 	}
 	if f.minutes <= 0 {
 		return eris.New("--minutes must be above 0")
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -32,6 +32,8 @@
 	ChangeSetting Kind = "change-setting" // a document that changes nothing that matters
 	Reload        Kind = "reload"         // processes are told to read their settings again, also in a planned stop
 	DeadlyRequest Kind = "deadly-request" // one that ends each worker that begins to run it comes again and again
+	ShedWorkers   Kind = "shed-workers"   // workers turn every request away and ask for rest
+	LeaveWorker   Kind = "leave-worker"   // a worker says in its answers that it leaves, while its heartbeats say that it is ready
 	ForgedBeats   Kind = "forged-beats"   // another writer sends heartbeats that can't be read in full
 )
 
@@ -40,13 +42,14 @@
 	return []Kind{
 		KillGateway, PauseGateway, StopGateway, KillControl, PauseLeader, KillAll, CutLeader, CutOneWay, CutGateway, DelayLinks, ResetLinks,
 		KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, DeadlyRequest, ForgedBeats,
+		ShedWorkers, LeaveWorker,
 	}
 }
 
 // Disturbs reports whether a fault strikes the system's own processes or their links.
 func (k Kind) Disturbs() bool {
 	switch k {
-	case KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, DeadlyRequest, ForgedBeats:
+	case KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, DeadlyRequest, ForgedBeats, ShedWorkers, LeaveWorker:
 		return false
 	}
 	return true
--- a/internal/lab/soak/promises.go
+++ b/internal/lab/soak/promises.go
@@ -19,12 +19,14 @@
 	ServiceBack Promise = "back"       // after the last fault healed, requests are served again
 	NoOwnEnd    Promise = "own-end"    // no process ends by itself, and each ends when it is told to
 	HeldBack    Promise = "held-back"  // a request that ends its workers gets few more after the third; no other one is refused for it
+	RestGiven   Promise = "rest"       // a back end that asked a gateway for rest gets two requests more from it in that time at the most
+	LeaveHeard  Promise = "leaving"    // a back end that said in an answer that it leaves gets nothing new from whoever heard it
 	NotForged   Promise = "not-forged" // no request reaches a worker that only forged heartbeats name, and none of these is acknowledged
 )
 
 // Promises lists every promise in a fixed order.
 func Promises() []Promise {
-	return []Promise{WithinLimit, AtMostOnce, NotRunTrue, OwnAnswer, ServiceBack, NoOwnEnd, HeldBack, NotForged}
+	return []Promise{WithinLimit, AtMostOnce, NotRunTrue, OwnAnswer, ServiceBack, NoOwnEnd, HeldBack, RestGiven, LeaveHeard, NotForged}
 }
 
 // Broken is a promise that did not hold, with the observation.
@@ -68,6 +70,7 @@
 	deadly   map[string][]time.Duration // when a request that ends its workers came to one, by its name, rising; guarded by mu
 	held     map[string]int             // how often its callers were told that it is held back, by its name; guarded by mu
 	troubles []span                     // of the system's processes and links; guarded by mu
+	said     said                       // of themselves, by back ends; guarded by mu
 }
 
 // span is a stretch of time.
@@ -77,7 +80,7 @@
 func NewWatch(window, settle time.Duration) *Watch {
 	return &Watch{
 		Window: window, Settle: settle, requests: map[string]*tried{}, runs: map[string][]run{}, limits: map[string][]Allowance{},
-		outcomes: map[string]int{}, deadly: map[string][]time.Duration{}, held: map[string]int{},
+		said: newSaid(), outcomes: map[string]int{}, deadly: map[string][]time.Duration{}, held: map[string]int{},
 	}
 }
 
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -17,13 +17,15 @@
 	// KillWorker ends a worker and starts it again as another life after a time; Heat makes a tenant send many times its usual;
 	// Lower lowers a tenant's limit for a time; Change replaces the document by one that differs in nothing that matters; Deadly lets a
 	// request come again and again that ends each worker that begins to run it; Forge lets another writer send heartbeats that can't be read
-	// in full.
+	// in full; Shed lets workers turn requests away and ask for rest; Leave lets one say in its answers that it leaves, and another life follow.
 	KillWorker func(ctx context.Context, target int, length time.Duration)
 	Heat       func(ctx context.Context, target int, length time.Duration)
 	Lower      func(ctx context.Context, target int, length time.Duration)
 	Change     func(ctx context.Context)
 	Deadly     func(ctx context.Context, target int, length time.Duration)
 	Forge      func(ctx context.Context, target int, length time.Duration)
+	Shed       func(ctx context.Context, target int, length time.Duration)
+	Leave      func(ctx context.Context, target int, length time.Duration)
 }
 
 // delayed is how much longer things take on links that are delayed.
@@ -99,6 +101,10 @@
 		f.Deadly(ctx, fault.Target, length)
 	case ForgedBeats:
 		f.Forge(ctx, fault.Target, length)
+	case ShedWorkers:
+		f.Shed(ctx, fault.Target, length)
+	case LeaveWorker:
+		f.Leave(ctx, fault.Target, length)
 	}
 }
 
--- /dev/null
+++ b/internal/lab/soak/said.go
@@ -0,0 +1,117 @@
+package soak
+
+import "time"
+
+const (
+	// restMost is how many requests may still reach a back end in its rest from a process that was seen to have heard of it.
+	restMost = 2
+	// leaveFree is how long after it was seen to have heard that a back end leaves a process may still take requests that go there.
+	leaveFree = 500 * time.Millisecond
+)
+
+// Sender is one life of a process that passes requests on.
+type Sender struct {
+	Name    string
+	Process int // its number; another life has another one
+}
+
+// sent is a request that a caller sent to a process.
+type sent struct {
+	by Sender
+	at time.Duration
+}
+
+// word is what one life of a back end said of itself in one answer.
+type word struct {
+	life    string
+	until   time.Duration // end of the rest that it asked for
+	leaving bool
+	shown   time.Duration // when it was seen that the process had heard of it; 0 not yet
+	got     int           // requests that came in the rest although they were sent after that
+}
+
+// said is what back ends said of themselves, and to whom. Times are those of the soak; what a slow machine does to the time between an answer
+// and whoever reads it changes no verdict, since only what a caller sent after the process had shown that it knows counts.
+type said struct {
+	sent  map[string]sent    // by request
+	words map[Sender][]*word // by who heard them
+	open  map[string][]*word // by request: words in its answers that the process hasn't shown yet to have heard
+}
+
+func newSaid() said {
+	return said{sent: map[string]sent{}, words: map[Sender][]*word{}, open: map[string][]*word{}}
+}
+
+// Sent notes that a caller is about to send a request to a process.
+func (w *Watch) Sent(at time.Duration, id string, by Sender) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.said.sent[id] = sent{by, at}
+}
+
+// AskedRest notes that a life of a back end answered a request with the wish for rest.
+func (w *Watch) AskedRest(at time.Duration, id, life string, rest time.Duration) {
+	w.say(id, &word{life: life, until: at + rest})
+}
+
+// SaidLeaving notes that a life of a back end said in its answer to a request that it leaves.
+func (w *Watch) SaidLeaving(id, life string) { w.say(id, &word{life: life, leaving: true}) }
+
+func (w *Watch) say(id string, told *word) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	request, known := w.said.sent[id]
+	if !known {
+		return
+	}
+	w.said.words[request.by] = append(w.said.words[request.by], told)
+	w.said.open[id] = append(w.said.open[id], told)
+}
+
+// Shown notes that a caller has the head of its answer, so that the process has read all answers that it got to the request before.
+func (w *Watch) Shown(at time.Duration, id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.show(at, id, "")
+}
+
+// show ends the time in which a process may not know what it was told in answers to a request by other lives than one. The caller holds mu.
+func (w *Watch) show(at time.Duration, id, except string) {
+	var left []*word
+	for _, told := range w.said.open[id] {
+		if told.life == except {
+			left = append(left, told)
+			continue
+		}
+		told.shown = at
+	}
+	if left == nil {
+		delete(w.said.open, id)
+		return
+	}
+	w.said.open[id] = left
+}
+
+// Reached notes that a request came to a life of a back end.
+func (w *Watch) Reached(at time.Duration, id, life string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	request, known := w.said.sent[id]
+	if !known {
+		return
+	}
+	w.show(at, id, life)
+	for _, told := range w.said.words[request.by] {
+		if told.life != life || told.shown == 0 || request.at <= told.shown {
+			continue
+		}
+		if at < told.until {
+			if told.got++; told.got == restMost+1 {
+				w.fail(RestGiven, "%s got more than %d requests from %s in a rest that ends %v later", life, restMost, request.by.Name, told.until-at)
+			}
+		}
+		if told.leaving && request.at > told.shown+leaveFree {
+			w.fail(LeaveHeard, "%s got a request from %s that a caller had sent %v after that one had heard that it leaves", life, request.by.Name, request.at-told.shown)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/said_test.go
@@ -0,0 +1,37 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+)
+
+var gateway = Sender{Name: "g", Process: 1}
+
+// restArrivals lets a back end ask for rest, the caller have its answer after 3 s, and so many later requests come 2 s after that.
+func restArrivals(w *Watch, later int, rest time.Duration) {
+	w.Sent(time.Second, "refused", gateway)
+	w.Reached(2*time.Second, "refused", "b")
+	w.AskedRest(2*time.Second, "refused", "b", rest)
+	w.Sent(2*time.Second, "on its way", gateway)
+	w.Shown(3*time.Second, "refused")
+	w.Reached(4*time.Second, "on its way", "b")
+	for n := range later {
+		id := fmt.Sprint("later-", n)
+		w.Sent(4*time.Second, id, gateway)
+		w.Reached(5*time.Second, id, "b")
+	}
+	w.Sent(4*time.Second, "elsewhere", Sender{Name: "g", Process: 2}) // the next life hasn't heard of it
+	for range restMost + 1 {
+		w.Reached(5*time.Second, "elsewhere", "b")
+	}
+}
+
+// leaveArrival lets a back end say that it leaves, which its gateway is seen to know after 3 s, and a request come to a life of it that was
+// sent at a time.
+func leaveArrival(w *Watch, at time.Duration, life string) {
+	w.Sent(time.Second, "first", gateway)
+	w.SaidLeaving("first", "b")
+	w.Reached(3*time.Second, "first", "c") // it went on elsewhere
+	w.Sent(at, "later", gateway)
+	w.Reached(at+time.Second, "later", life)
+}
