Gateways tell each other what back ends say of themselves

Cause: a rest binds the gateway that was asked, so each of the others learns of a back end that sheds by a request of its own that is refused.

--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -15,6 +15,7 @@
 	"kitetiller/internal/control"
 	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/prefix"
+	"kitetiller/internal/pushback"
 	"kitetiller/internal/transport"
 )
 
@@ -60,7 +61,9 @@
 	Kept bool
 	// Refused names a request that was turned away from here for overload; nothing was sent then.
 	Refused string
-	Age     time.Duration
+	// Said is what the back end said of itself in an answer to this gateway; nothing else is told then.
+	Said pushback.Said
+	Age  time.Duration
 }
 
 // wireSend is a send in a message. Names are short since every send goes to every gateway.
@@ -79,6 +82,8 @@
 	Unreached bool     `json:"x,omitempty"`
 	Kept      bool     `json:"k,omitempty"`
 	Refused   string   `json:"r,omitempty"`
+	RestMS    int64    `json:"q,omitempty"` // the back end asked the gateway for rest
+	Leaving   bool     `json:"l,omitempty"` // the back end says that it leaves
 	AgeMS     int64    `json:"a"`
 }
 
@@ -86,7 +91,7 @@
 	w := wireSend{
 		Gateway: s.Gateway, Running: s.Load.Running, Held: s.Load.Tokens,
 		Instance: s.Instance, Salt: s.Salt, Uncached: s.Uncached, Saved: s.Saved, Unreached: s.Unreached, Kept: s.Kept, Refused: s.Refused,
-		AgeMS: (s.Age + waited).Milliseconds(), MoveFrom: s.Move.From, MoveMS: s.Move.Time.Milliseconds(),
+		RestMS: s.Said.Rest.Milliseconds(), Leaving: s.Said.Leaving, AgeMS: (s.Age + waited).Milliseconds(), MoveFrom: s.Move.From, MoveMS: s.Move.Time.Milliseconds(),
 	}
 	w.Parts, w.Tokens = wireParts(s.Parts)
 	return w
@@ -117,7 +122,7 @@
 	return send{
 		Gateway: w.Gateway, Load: belief.Load{Running: max(0, w.Running), Tokens: max(0, w.Held)},
 		Instance: w.Instance, Salt: w.Salt, Uncached: max(0, w.Uncached), Saved: w.Saved, Unreached: w.Unreached, Kept: w.Kept, Refused: w.Refused,
-		Age: wireTime(w.AgeMS), Move: belief.Move{From: w.MoveFrom, Time: wireTime(w.MoveMS)}, Parts: partsOfWire(w.Parts, w.Tokens),
+		Said: pushback.Said{Rest: wireTime(min(w.RestMS, pushback.LongestRest.Milliseconds())), Leaving: w.Leaving}, Age: wireTime(w.AgeMS), Move: belief.Move{From: w.MoveFrom, Time: wireTime(w.MoveMS)}, Parts: partsOfWire(w.Parts, w.Tokens),
 	}
 }
 
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -310,6 +310,10 @@
 			t.suspect(at, row, made.Gateway)
 			continue
 		}
+		if !made.Said.Nothing() {
+			t.hearOf(now, at, row, made.Said)
+			continue
+		}
 		if made.Refused != "" {
 			t.judge(row.entry.Service).Remember(at, made.Refused)
 			continue
--- a/internal/gateway/pushback.go
+++ b/internal/gateway/pushback.go
@@ -8,6 +8,7 @@
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/events"
+	"kitetiller/internal/mechanism"
 	"kitetiller/internal/pushback"
 )
 
@@ -42,6 +43,9 @@
 	}
 	now := g.now()
 	bar, leaves := g.table.hear(now, row, told.said)
+	if news := (pushback.Said{Rest: told.said.Rest, Leaving: leaves}); !news.Nothing() {
+		g.spread.own(send{Gateway: g.nick, Instance: row.entry.ID, Said: news})
+	}
 	fields := []zap.Field{zap.String(events.FieldInstance, row.entry.ID)}
 	if told.request != "" {
 		fields = append(fields, zap.String(events.FieldRequest, told.request), zap.Int("answer", told.status))
@@ -67,6 +71,21 @@
 	return bar, bar.Leaving && !before.Leaving
 }
 
+// restHint is the longest time for which a back end is dearer that asked another gateway for rest: as long as one that failed here.
+const restHint = suspectLimit
+
+// hearOf takes up what a back end said of itself to another gateway. That it leaves binds all. A wish for rest is between the two; one that
+// sheds one gateway's requests mostly sheds all, so it costs more here for a while, where that wish would cost a request to learn. The caller
+// holds the mutex.
+func (t *table) hearOf(now, at time.Duration, row *endpoint, said pushback.Said) {
+	if said.Leaving {
+		t.pushed.Note(now, time.Now(), row.life, pushback.Said{Leaving: true}, 0)
+	}
+	if said.Rest > 0 && t.mechanisms.On(mechanism.Avoidance) {
+		row.avoidTo = max(row.avoidTo, at+min(said.Rest, restHint))
+	}
+}
+
 // open reports whether control lets requests go to a back end.
 func (e *endpoint) open() bool { return e.entry.State == catalog.StateReady && !e.entry.Loading }
 
--- a/internal/gateway/pushback_test.go
+++ b/internal/gateway/pushback_test.go
@@ -214,3 +214,33 @@
 		t.Fatalf("asked %d times", script.lists)
 	}
 }
+
+// TestOtherGatewaysHearOfIt: over the wire that a back end leaves binds whoever is told; a wish for rest makes the back end dearer there for a
+// while and bars nobody.
+func TestOtherGatewaysHearOfIt(t *testing.T) {
+	told := func(said pushback.Said) (g *Gateway, chosen map[string]int) {
+		g = scheduler(2)
+		heard := send{Gateway: "other", Instance: "i-0", Said: said}
+		g.table.takeSends(g.now(), []send{heard.wire(0).send()})
+		chosen = map[string]int{}
+		x := asking(g)
+		for range 20 {
+			chosen[g.choose(g.now(), need{service: x.service, call: &x.call, trusted: true}).row.entry.ID]++
+		}
+		return g, chosen
+	}
+	g, chosen := told(pushback.Said{Rest: time.Second})
+	if chosen["i-0"] > 0 || placedOn(g, g.table.rows["i-0"]).barred() != "" {
+		t.Fatalf("asked for rest elsewhere: %v", chosen)
+	}
+	if avoided := g.table.rows["i-0"].avoidTo - g.now(); avoided > time.Second {
+		t.Fatalf("dearer for %v", avoided)
+	}
+	if g, _ := told(pushback.Said{Rest: time.Hour}); g.table.rows["i-0"].avoidTo-g.now() > restHint {
+		t.Fatalf("dearer for %v", g.table.rows["i-0"].avoidTo-g.now())
+	}
+	g, chosen = told(pushback.Said{Leaving: true})
+	if bar := placedOn(g, g.table.rows["i-0"]).barred(); chosen["i-0"] > 0 || bar != causeLeaving {
+		t.Fatalf("leaves: %v, barred %q", chosen, bar)
+	}
+}
