What a back end said counts for others' placements, for its end and in the log as well

Read in the diff: a scheduler that a back end asked for rest placed others' requests there at no higher price, unlike every gateway that was told of it; a back end that said in an answer that it leaves, and control doesn't know, counted as crashed under whatever broke off at its end, against requests that have nothing to do with it; a gateway that was told by another one wrote no line of it.

--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -13,6 +13,7 @@
 
 	"kitetiller/internal/clock"
 	"kitetiller/internal/control"
+	"kitetiller/internal/events"
 	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/prefix"
 	"kitetiller/internal/pushback"
@@ -241,6 +242,8 @@
 		sends = append(sends, w.send())
 		pass(sends[len(sends)-1])
 	}
-	g.table.takeSends(g.now(), sends)
+	for _, id := range g.table.takeSends(g.now(), sends) {
+		g.log.note(events.InstanceLeaving, zap.String(events.FieldInstance, id), zap.String("told_by", toldByGateway))
+	}
 	respond(http.StatusOK, struct{}{})
 }
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -291,8 +291,8 @@
 	return belief.StayFirst
 }
 
-// takeSends notes what other gateways sent.
-func (t *table) takeSends(now time.Duration, sends []send) {
+// takeSends notes what other gateways sent, and returns the back ends of which it is news that they leave.
+func (t *table) takeSends(now time.Duration, sends []send) (leaving []string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for _, made := range sends {
@@ -311,7 +311,9 @@
 			continue
 		}
 		if !made.Said.Nothing() {
-			t.hearOf(now, at, row, made.Said)
+			if t.hearOf(now, at, row, made.Said) {
+				leaving = append(leaving, made.Instance)
+			}
 			continue
 		}
 		if made.Refused != "" {
@@ -326,6 +328,7 @@
 		t.hold(at, row, made)
 		t.noteDemand(at, row, made.Uncached)
 	}
+	return leaving
 }
 
 // lane returns the lanes of a service, made when it is first named.
--- a/internal/gateway/heldback.go
+++ b/internal/gateway/heldback.go
@@ -82,11 +82,11 @@
 	}
 }
 
-// remains reports whether a back end is one that control knows, and isn't leaving.
+// remains reports whether a back end is one that control knows, and isn't leaving, by its own word either.
 func (t *table) remains(row *endpoint) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return !row.gone && row.entry.State == catalog.StateReady
+	return !row.gone && row.entry.State == catalog.StateReady && !t.pushed.At(0, row.life).Leaving
 }
 
 // replaced returns the lives that are gone since another one stands at their address.
--- a/internal/gateway/pushback.go
+++ b/internal/gateway/pushback.go
@@ -8,12 +8,14 @@
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/events"
-	"kitetiller/internal/mechanism"
 	"kitetiller/internal/pushback"
 )
 
-// toldByAnswer tells in the log that a back end itself said that it leaves; else control did.
-const toldByAnswer = "answer"
+// Who told that a back end leaves, in the log: itself, or another gateway that it told so; else control did.
+const (
+	toldByAnswer  = "answer"
+	toldByGateway = "gateway"
+)
 
 // hear takes up what an answer says of its back end, before anything else is made of the answer: it holds whatever becomes of the request.
 func (a *attempt) hear(status int, verdict Verdict) {
@@ -68,22 +70,30 @@
 	defer t.mutex.Unlock()
 	before := t.pushed.At(now, row.life)
 	bar = t.pushed.Note(now, time.Now(), row.life, said, rand.Float64())
+	t.makeDearer(now, row, said.Rest)
 	return bar, bar.Leaving && !before.Leaving
 }
 
-// restHint is the longest time for which a back end is dearer that asked another gateway for rest: as long as one that failed here.
+// restHint is the longest time for which a back end is dearer to the others that asked one gateway for rest: as long as one that failed.
 const restHint = suspectLimit
 
-// hearOf takes up what a back end said of itself to another gateway. That it leaves binds all. A wish for rest is between the two; one that
-// sheds one gateway's requests mostly sheds all, so it costs more here for a while, where that wish would cost a request to learn. The caller
-// holds the mutex.
-func (t *table) hearOf(now, at time.Duration, row *endpoint, said pushback.Said) {
-	if said.Leaving {
-		t.pushed.Note(now, time.Now(), row.life, pushback.Said{Leaving: true}, 0)
+// makeDearer lets a back end that asked one gateway for rest cost more for a while where another one's request is placed: one that sheds one
+// gateway's requests mostly sheds all, and each would have to learn that by a request. The caller holds the mutex.
+func (t *table) makeDearer(at time.Duration, row *endpoint, rest time.Duration) {
+	if rest > 0 {
+		row.avoidTo = max(row.avoidTo, at+min(rest, restHint))
 	}
-	if said.Rest > 0 && t.mechanisms.On(mechanism.Avoidance) {
-		row.avoidTo = max(row.avoidTo, at+min(said.Rest, restHint))
+}
+
+// hearOf takes up what a back end said of itself to another gateway, and reports whether it is news that it leaves. That binds all; a wish for
+// rest is between the two. The caller holds the mutex.
+func (t *table) hearOf(now, at time.Duration, row *endpoint, said pushback.Said) (leaves bool) {
+	t.makeDearer(at, row, said.Rest)
+	if !said.Leaving || t.pushed.At(now, row.life).Leaving {
+		return false
 	}
+	t.pushed.Note(now, time.Now(), row.life, pushback.Said{Leaving: true}, 0)
+	return true
 }
 
 // open reports whether control lets requests go to a back end.
--- a/internal/gateway/pushback_test.go
+++ b/internal/gateway/pushback_test.go
@@ -143,7 +143,16 @@
 	if chosen := s.scheduledCandidate(&wirePlacement{Instance: "i-0", Version: 1}, scheduled{}, wish); chosen != nil {
 		t.Fatalf("a scheduler that didn't hear of it: %+v", chosen)
 	}
+	if avoided := s.table.rows["i-0"].avoidTo - s.now(); avoided < restHint-time.Second || avoided > restHint {
+		t.Fatalf("dearer to others for %v", avoided)
+	}
+	if !s.table.remains(s.table.rows["i-0"]) {
+		t.Fatal("one that rests leaves")
+	}
 	leaves(s, "i-0")
+	if s.table.remains(s.table.rows["i-0"]) {
+		t.Fatal("the end of one that says that it leaves counts as a crash")
+	}
 	if placed := s.placeFor(s.now(), question("t2", 0)); placed.Instance != "" {
 		t.Fatalf("placed %+v", placed)
 	}
