--- a/cmd/kitelab/soak.go
+++ b/cmd/kitelab/soak.go
@@ -24,6 +24,7 @@
 	plan     string
 	keep     string
 	program  string
+	other    string
 	guardOff string
 }
 
@@ -35,6 +36,7 @@
 	sub.String(&flags.plan, "p", "plan", "plan to play, instead of drawing one")
 	sub.String(&flags.keep, "k", "keep", "folder to keep plan, settings, data and logs in")
 	sub.String(&flags.program, "", "program", "kitetiller's program file")
+	sub.String(&flags.other, "o", "other-program", "program file of another build: half of the processes begin with it, and each start changes the build")
 	sub.String(&flags.guardOff, "g", "guard-off", "break one promise on purpose (see docs/operations/soak.md), to see that its check fails")
 	return command{sub, flags.run}
 }
@@ -55,7 +57,7 @@
 	fmt.Printf("seed %d, %.0f s\n", plan.Seed, plan.Length().Seconds())
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	broken, err := standin.Play(ctx, standin.Options{Program: f.program, Plan: plan, Keep: f.keep, GuardOff: off, Out: os.Stdout})
+	broken, err := standin.Play(ctx, standin.Options{Program: f.program, Other: f.other, Plan: plan, Keep: f.keep, GuardOff: off, Out: os.Stdout})
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/pushback_test.go
+++ b/internal/gateway/pushback_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -253,3 +254,23 @@
 		t.Fatalf("leaves: %v, barred %q", chosen, bar)
 	}
 }
+
+// TestOlderGatewaysAreUnderstood: a message of a gateway that doesn't know what back ends say of themselves tells nothing of it, and one to it
+// holds what it knows.
+func TestOlderGatewaysAreUnderstood(t *testing.T) {
+	var from wireSend
+	if err := json.Unmarshal([]byte(`{"g":"older","i":"i-0","n":2,"a":7}`), &from); err != nil {
+		t.Fatal(err)
+	}
+	if got := from.send(); !got.Said.Nothing() || got.Load.Running != 2 {
+		t.Fatalf("%+v", got)
+	}
+	var older struct {
+		Instance string `json:"i"`
+		AgeMS    int64  `json:"a"`
+	}
+	text, err := json.Marshal(send{Gateway: "g", Instance: "i-0", Said: pushback.Said{Rest: time.Second, Leaving: true}}.wire(5 * time.Millisecond))
+	if err != nil || json.Unmarshal(text, &older) != nil || older.Instance != "i-0" || older.AgeMS != 5 {
+		t.Fatalf("%s: %+v, %v", text, older, err)
+	}
+}
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -19,8 +19,11 @@
 	Env  []string // beside the soak's own
 	Args []string // the program comes first
 	Log  string   // file that it writes to
+	// Other is another build of the program, or "". Each start takes the one that the last start didn't take.
+	Other string
 
 	mu      sync.Mutex
+	starts  int           // so far; guarded by mu
 	command *exec.Cmd     // nil while it does not run; guarded by mu
 	ended   chan struct{} // closed once command has ended; guarded by mu
 	wanted  bool          // it was not told to end; guarded by mu
@@ -38,7 +41,8 @@
 	if err != nil {
 		return eris.Wrap(err, "open the log of a process")
 	}
-	command := exec.Command(p.Args[0], p.Args[1:]...)
+	command := exec.Command(p.build(), p.Args[1:]...)
+	p.starts++
 	command.Env = append(os.Environ(), p.Env...)
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
@@ -60,6 +64,14 @@
 	return nil
 }
 
+// build returns the program that the next start takes. The caller holds mu.
+func (p *Process) build() string {
+	if p.Other != "" && p.starts%2 == 1 {
+		return p.Other
+	}
+	return p.Args[0]
+}
+
 // Signal sends a signal to the process, if it runs.
 func (p *Process) Signal(signal syscall.Signal) {
 	p.mu.Lock()
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -34,6 +35,32 @@
 	}
 }
 
+// TestBuildsTakeTurns: a process that has another build changes it with each start; one that has none keeps its own.
+func TestBuildsTakeTurns(t *testing.T) {
+	folder := t.TempDir()
+	build := func(name string) string {
+		path := filepath.Join(folder, name)
+		if err := os.WriteFile(path, []byte("#!/bin/sh\nexec sleep 60\n"), 0o700); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	older, newer := build("older"), build("newer")
+	mixed := &Process{Name: "mixed", Args: []string{older}, Other: newer, Log: filepath.Join(folder, "mixed.log")}
+	plain := &Process{Name: "plain", Args: []string{older}, Log: filepath.Join(folder, "plain.log")}
+	for _, wanted := range []string{older, newer, older} {
+		if mixed.build() != wanted || plain.build() != older {
+			t.Fatalf("%s and %s are next, wanted %s and %s", mixed.build(), plain.build(), wanted, older)
+		}
+		for _, p := range []*Process{mixed, plain} {
+			if err := p.Start(); err != nil {
+				t.Fatal(err)
+			}
+			p.End(syscall.SIGKILL)
+		}
+	}
+}
+
 // TestWatchSeesBrokenPromises, each from the observation that decides it.
 func TestWatchSeesBrokenPromises(t *testing.T) {
 	limit := Allowance{Units: func(window time.Duration) float64 { return 100 * window.Seconds() }}
