--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -6,12 +6,9 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"kitetiller/internal/admission"
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
-	"kitetiller/internal/events"
 	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/guard"
 	"kitetiller/internal/mechanism"
@@ -70,91 +67,11 @@
 
 func newTable(mechanisms mechanism.Set) *table {
 	return &table{
-		mechanisms: mechanisms,
-		rows:       map[string]*endpoint{}, services: map[string][]*endpoint{}, named: belief.NewNamings(guard.Set{}),
-		stored: belief.NewStored(), lanes: map[string]*lanes{}, stays: map[string]belief.Stays{}, placed: map[string]placement{}, links: belief.Links{}, paces: map[string]belief.Pace{}, judges: map[string]*admission.Judge{}, holders: map[string][]*endpoint{}, pushed: pushback.NewBook(), changed: newBell(), waiting: map[*attempt]struct{}{},
-	}
-}
-
-// rosterChange is news about one back end, for the log.
-type rosterChange struct {
-	event string
-	entry control.RosterEntry
-}
-
-// takeRoster takes news of the roster up; rows of back ends that stay keep what was learnt about them.
-func (t *table) takeRoster(now time.Duration, news *control.RosterNews, cacheLimits map[string]int) []rosterChange {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	var changes []rosterChange
-	fresh := map[string]*endpoint{}
-	if !news.Whole {
-		maps.Copy(fresh, t.rows)
-	}
-	for _, id := range news.Gone {
-		delete(fresh, id)
-	}
-	for _, entry := range news.Entries {
-		row := t.rows[entry.ID]
-		if row == nil {
-			row = &endpoint{life: catalog.LifeOf(entry.ID), waiting: map[*attempt]time.Duration{}, spokeAt: now, hash: xxhash.Sum64String(entry.Address)}
-			row.held = belief.NewHoldings(cacheLimits[entry.Service])
-			changes = append(changes, rosterChange{events.InstanceJoined, entry})
-		}
-		if entry.State == catalog.StateDraining && row.entry.State != entry.State {
-			changes = append(changes, rosterChange{events.InstanceLeaving, entry})
-		}
-		row.update(now, entry)
-		fresh[entry.ID] = row
-	}
-	for id, row := range t.rows {
-		row.gone = fresh[id] == nil
-		if row.gone {
-			changes = append(changes, rosterChange{events.InstanceGone, row.entry})
-		}
-	}
-	t.replaceRows(fresh)
-	return changes
-}
-
-// update takes up what control tells of a back end. What it holds is forgotten when its weights are others.
-func (e *endpoint) update(now time.Duration, entry control.RosterEntry) {
-	told := entry.Versions
-	entry.Versions = newestVersions(e.entry.Versions, told)
-	for model, version := range told {
-		if version < e.told[model] {
-			entry.Versions[model] = version // they fell, or a new leader hasn't heard of them yet: a send expects these, so nothing begins on others
-		}
-	}
-	e.told = told
-	if !maps.Equal(e.entry.Versions, entry.Versions) {
-		e.held.Clear()
-	}
-	e.entry, e.heardAt = entry, now
-}
-
-// replaceRows puts the rows of a new roster in force and wakes who waits for one. The caller holds the mutex.
-func (t *table) replaceRows(fresh map[string]*endpoint) {
-	services := map[string][]*endpoint{}
-	for _, id := range slices.Sorted(maps.Keys(fresh)) {
-		row := fresh[id]
-		services[row.entry.Service] = append(services[row.entry.Service], row)
-	}
-	t.rows, t.services = fresh, services
-	t.forgetHolders()
-	t.changed.Ring()
-}
-
-// newestVersions merges what was known of a back end's weights with what is told: a new leader may not have heard of them yet.
-func newestVersions(known, told map[string]uint64) map[string]uint64 {
-	merged := maps.Clone(told)
-	for model, version := range known {
-		if merged == nil {
-			merged = map[string]uint64{}
-		}
-		merged[model] = max(merged[model], version)
+		mechanisms: mechanisms, rows: map[string]*endpoint{}, services: map[string][]*endpoint{},
+		named: belief.NewNamings(guard.Set{}), stored: belief.NewStored(), links: belief.Links{}, pushed: pushback.NewBook(),
+		lanes: map[string]*lanes{}, stays: map[string]belief.Stays{}, paces: map[string]belief.Pace{}, judges: map[string]*admission.Judge{},
+		placed: map[string]placement{}, holders: map[string][]*endpoint{}, waiting: map[*attempt]struct{}{}, changed: newBell(),
 	}
-	return merged
 }
 
 // learnVersion notes the weights that a back end itself told of when it turned a request away, and reports whether they are news. Where they are
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,7 +76,9 @@
 	made := &Gateway{
 		settings: settings, dialect: dialect, log: newDecisionLog(log), now: clock.From(settings.Clock),
 		group: control.NewClient(client, settings.Control), near: newNear(settings.Name), table: newTable(settings.Mechanisms), budget: newRetryBudget(settings),
-		confirmed: newBell(), followers: newFollowers(), oldWeights: node.NewSparse(), restLines: node.NewSparse(), pool: newPool(settings.Clock), splits: newSplits(newRand()), spread: newSpread(client), schedulers: newSchedulers(client), nick: strconv.FormatUint(rand.Uint64N(nickRange), saltBase),
+		confirmed: newBell(), followers: newFollowers(), pool: newPool(settings.Clock), splits: newSplits(newRand()),
+		oldWeights: node.NewSparse(), restLines: node.NewSparse(),
+		spread: newSpread(client), schedulers: newSchedulers(client), nick: strconv.FormatUint(rand.Uint64N(nickRange), saltBase),
 	}
 	made.quarantine = reporter.New(reporter.Ways{Tell: made.group.Quarantine, Refuses: reporter.Refuses(&made.pool.dialer), Note: made.log.note, Now: made.now})
 	made.desk = desk.New(made.nick, settings.Trust, made.now, made.lend)
