Repair: what is left of a rest is read under the lock of the send; one spread of times to come back

Read in the diff: each send took the table's lock a second time for the figure that only the log tells; it is read where the send is noted. The share and the bound by which ends of rests and callers' times to come back are spread stood twice, with the same figures: pushback.Apart serves both. Behaviour is as it was. The router's own advice has the share without the bound and stays as it is.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -148,7 +148,6 @@
 	x := a.exchange
 	now := x.gateway.now()
 	running := x.gateway.table.begin(now, a)
-	a.atRest = x.gateway.table.restLeft(now, a.row)
 	x.atRest = max(x.atRest, a.atRest)
 	x.gateway.metrics.placed(a.uncached, x.call.PromptTokens)
 	if a.plan.scheduled != nil {
--- a/internal/gateway/pushback.go
+++ b/internal/gateway/pushback.go
@@ -152,17 +152,8 @@
 	return 0
 }
 
-const (
-	// apartShare of the time until a back end may be asked again, apartMost at most, is added to it at random: callers that were turned away
-	// together would come back as the next wave.
-	apartShare = 0.1
-	apartMost  = 250 * time.Millisecond
-)
-
-// apart returns a time to come back with a little at random on top.
-func apart(after time.Duration) time.Duration {
-	return after + time.Duration(rand.Float64()*float64(min(time.Duration(apartShare*float64(after)), apartMost)))
-}
+// apart returns a time to come back with a little at random on top: callers that were turned away together would come back as the next wave.
+func apart(after time.Duration) time.Duration { return pushback.Apart(after, rand.Float64()) }
 
 // row returns the back end of an id, or nil.
 func (t *table) row(id string) *endpoint {
@@ -171,13 +162,6 @@
 	return t.rows[id]
 }
 
-// restLeft returns how long a back end still wants rest.
-func (t *table) restLeft(now time.Duration, row *endpoint) time.Duration {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return max(0, t.pushed.At(now, row.life).Until-now)
-}
-
 // resting returns how many back ends want rest now, by service; a service without one is missing.
 func (t *table) resting(now time.Duration) map[string]int {
 	t.mutex.Lock()
--- a/internal/pushback/pushback.go
+++ b/internal/pushback/pushback.go
@@ -15,8 +15,7 @@
 const (
 	// LongestRest bounds what is believed of a wish for rest: a figure beyond it is taken for it.
 	LongestRest = time.Hour
-	// spreadShare of a rest, spreadMost at most, is added to it at random, so that processes which were refused together don't come back
-	// together.
+	// spreadShare of a time, spreadMost at most, is added to it at random, so that those which were refused together don't come back together.
 	spreadShare = 0.1
 	spreadMost  = 250 * time.Millisecond
 	// birthSlack is how far the clocks of a back end and of this machine may be apart before a life that began after it was heard that its
@@ -78,14 +77,18 @@
 	w := &words[at]
 	w.newest, w.leaving = now, w.leaving || said.Leaving
 	if said.Rest > 0 {
-		rest := min(said.Rest, LongestRest)
-		spread := min(time.Duration(spreadShare*float64(rest)), spreadMost)
-		w.until, w.heardAt = max(w.until, now+rest+time.Duration(chance*float64(spread))), day
+		w.until, w.heardAt = max(w.until, now+Apart(min(said.Rest, LongestRest), chance)), day
 	}
 	b.words[life.Name] = words
 	return b.At(now, life)
 }
 
+// Apart returns a time with a part of the spread on top; chance lies in [0, 1).
+func Apart(after time.Duration, chance float64) time.Duration {
+	spread := min(time.Duration(spreadShare*float64(after)), spreadMost)
+	return after + time.Duration(chance*float64(spread))
+}
+
 // At returns what keeps requests from a life. A rest binds a later life of that name as well if it may be the one that asked for it: the
 // roster may have named the earlier one still.
 func (b *Book) At(now time.Duration, life catalog.Life) Bar {
