Sight: what back ends name as their limit, in which answer, and words of theirs that nothing reads

Nothing in the logs told the hypotheses apart: an answer left its status only. Now a limit is read of every answer, kept in the book of what back ends say by life, and told to the other gateways; nobody asks for it yet, so no decision changes.

Told: `instance names limit` once a change (or that it can't be read), `instance names no limit`, `limit` at the end of a request that went to such a back end, gauges of how many name one and of their sum by service.

Decided: a finite number, 0 or more; the lowest of several; what can't be read names none and ends none. It ends with an answer of that life without one, to a request that was sent after the limit was last heard; an older answer says nothing of it. Of what two gateways heard the later counts.

--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -85,6 +85,8 @@
 	Refused   string   `json:"r,omitempty"`
 	RestMS    int64    `json:"q,omitempty"` // the back end asked the gateway for rest
 	Leaving   bool     `json:"l,omitempty"` // the back end says that it leaves
+	Limit     *float64 `json:"b,omitempty"` // requests a second that the back end takes from all
+	Unlimited bool     `json:"e,omitempty"` // the back end names no limit any more
 	AgeMS     int64    `json:"a"`
 }
 
@@ -95,6 +97,7 @@
 		RestMS: s.Said.Rest.Milliseconds(), Leaving: s.Said.Leaving, AgeMS: (s.Age + waited).Milliseconds(), MoveFrom: s.Move.From, MoveMS: s.Move.Time.Milliseconds(),
 	}
 	w.Parts, w.Tokens = wireParts(s.Parts)
+	w.Limit, w.Unlimited = wireLimit(s.Said.Limit)
 	return w
 }
 
@@ -123,10 +126,26 @@
 	return send{
 		Gateway: w.Gateway, Load: belief.Load{Running: max(0, w.Running), Tokens: max(0, w.Held)},
 		Instance: w.Instance, Salt: w.Salt, Uncached: max(0, w.Uncached), Saved: w.Saved, Unreached: w.Unreached, Kept: w.Kept, Refused: w.Refused,
-		Said: pushback.Said{Rest: wireTime(min(w.RestMS, pushback.LongestRest.Milliseconds())), Leaving: w.Leaving}, Age: wireTime(w.AgeMS), Move: belief.Move{From: w.MoveFrom, Time: wireTime(w.MoveMS)}, Parts: partsOfWire(w.Parts, w.Tokens),
+		Said: pushback.Said{Rest: wireTime(min(w.RestMS, pushback.LongestRest.Milliseconds())), Leaving: w.Leaving, Limit: limitOfWire(w.Limit, w.Unlimited)}, Age: wireTime(w.AgeMS), Move: belief.Move{From: w.MoveFrom, Time: wireTime(w.MoveMS)}, Parts: partsOfWire(w.Parts, w.Tokens),
 	}
 }
 
+// wireLimit returns a limit as messages carry it.
+func wireLimit(limit pushback.Limit) (rate *float64, over bool) {
+	if limit.Named {
+		rate = &limit.Rate
+	}
+	return rate, limit.Over
+}
+
+// limitOfWire is the reverse; no rate is below 0.
+func limitOfWire(rate *float64, over bool) pushback.Limit {
+	if rate != nil {
+		return pushback.Limit{Named: true, Rate: max(0, *rate)}
+	}
+	return pushback.Limit{Over: over}
+}
+
 // spread tells the other gateways of sends over the mesh that control laid out, so that all see the same queues and
 // holders without asking engines. It is safe for concurrent use.
 type spread struct {
@@ -242,8 +261,11 @@
 		sends = append(sends, w.send())
 		pass(sends[len(sends)-1])
 	}
-	for _, id := range g.table.takeSends(g.now(), sends) {
-		g.log.note(events.InstanceLeaving, zap.String(events.FieldInstance, id), zap.String("told_by", toldByGateway))
+	for _, told := range g.table.takeSends(g.now(), sends) {
+		if told.news.Leaving {
+			g.log.note(events.InstanceLeaving, zap.String(events.FieldInstance, told.instance), zap.String("told_by", toldByGateway))
+		}
+		g.noteLimit(g.now(), told.instance, told.news.Limit, toldByGateway, "")
 	}
 	respond(http.StatusOK, struct{}{})
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -15,6 +15,7 @@
 	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/prefix"
+	"kitetiller/internal/pushback"
 	"kitetiller/internal/quarantine"
 	"kitetiller/internal/quarantine/reporter"
 )
@@ -89,6 +90,7 @@
 	begun    atomic.Bool     // an event of the stream has come; it never turns false again
 	atRest   time.Duration   // what was left of a rest of the back end when the request was sent
 	asked    time.Duration   // rest that the back end asked for in its answer
+	limited  pushback.Limit  // that the back end had named when the request was sent
 	looked   <-chan struct{} // closed when it is known whether the back end has ended, where the run broke off
 }
 
@@ -148,7 +150,7 @@
 	x := a.exchange
 	now := x.gateway.now()
 	running := x.gateway.table.begin(now, a)
-	x.atRest = max(x.atRest, a.atRest)
+	x.atRest, x.limited = max(x.atRest, a.atRest), a.limited
 	x.gateway.metrics.placed(a.uncached, x.call.PromptTokens)
 	if a.plan.scheduled != nil {
 		return // its scheduler has told the others
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -159,6 +159,7 @@
 		t.read(now, sent.row, sent.uncached)
 	}
 	sent.atRest = max(0, t.pushed.At(now, sent.row.life).Until-now)
+	sent.limited = t.pushed.Limit(sent.row.life)
 	sent.row.waiting[sent] = now
 	t.waiting[sent] = struct{}{}
 	return sent.row.occupied.Here()
@@ -209,8 +210,8 @@
 	return belief.StayFirst
 }
 
-// takeSends notes what other gateways sent, and returns the back ends of which it is news that they leave.
-func (t *table) takeSends(now time.Duration, sends []send) (leaving []string) {
+// takeSends notes what other gateways sent, and returns what is news of what back ends said of themselves.
+func (t *table) takeSends(now time.Duration, sends []send) (told []said) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for _, made := range sends {
@@ -229,8 +230,8 @@
 			continue
 		}
 		if !made.Said.Nothing() {
-			if t.hearOf(now, at, row, made.Said) {
-				leaving = append(leaving, made.Instance)
+			if news := t.hearOf(now, at, row, made.Said); !news.Nothing() {
+				told = append(told, said{made.Instance, news})
 			}
 			continue
 		}
@@ -246,7 +247,7 @@
 		t.hold(at, row, made)
 		t.noteDemand(at, row, made.Uncached)
 	}
-	return leaving
+	return told
 }
 
 // lane returns the lanes of a service, made when it is first named.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/mechanism"
+	"kitetiller/internal/pushback"
 	"kitetiller/internal/quarantine"
 )
 
@@ -73,6 +74,7 @@
 	plan      *candidate              // the newest placement, or nil
 	cover     cover                   // of the tenant's limit
 	atRest    time.Duration           // the most that was left of a back end's rest when the request was sent there
+	limited   pushback.Limit          // that the back end of the newest send had named
 	print     *quarantine.Fingerprint // of the request; nil until somebody asked for it
 }
 
--- a/internal/gateway/final.go
+++ b/internal/gateway/final.go
@@ -76,6 +76,9 @@
 	if x.atRest > 0 {
 		fields = append(fields, zap.Duration(events.FieldSentAtRest, x.atRest))
 	}
+	if x.limited.Named {
+		fields = append(fields, zap.Float64(events.FieldLimit, x.limited.Rate))
+	}
 	if x.served != "" {
 		fields = append(fields, zap.String(events.FieldInstance, x.served))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,8 @@
 	followers  *followers
 	oldWeights *node.Sparse // lines of answers on other weights than believed or wanted, by instance
 	restLines  *node.Sparse // lines of back ends that ask for rest, by instance
+	limitLines *node.Sparse // lines of limits that can't be read, by instance
+	strange    strangeWords
 	// confirmed rings whenever control has confirmed the view.
 	confirmed *bell
 	draining  atomic.Bool
@@ -77,7 +79,7 @@
 		settings: settings, dialect: dialect, log: newDecisionLog(log), now: clock.From(settings.Clock),
 		group: control.NewClient(client, settings.Control), near: newNear(settings.Name), table: newTable(settings.Mechanisms), budget: newRetryBudget(settings),
 		confirmed: newBell(), followers: newFollowers(), pool: newPool(settings.Clock), splits: newSplits(newRand()),
-		oldWeights: node.NewSparse(), restLines: node.NewSparse(),
+		oldWeights: node.NewSparse(), restLines: node.NewSparse(), limitLines: node.NewSparse(),
 		spread: newSpread(client), schedulers: newSchedulers(client), nick: strconv.FormatUint(rand.Uint64N(nickRange), saltBase),
 	}
 	made.quarantine = reporter.New(reporter.Ways{Tell: made.group.Quarantine, Refuses: reporter.Refuses(&made.pool.dialer), Note: made.log.note, Now: made.now})
@@ -211,6 +213,7 @@
 		g.quarantine.Sweep()
 		g.oldWeights.Sweep(g.now())
 		g.restLines.Sweep(g.now())
+		g.limitLines.Sweep(g.now())
 	})
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,6 +28,32 @@
 	}
 }
 
+// limitedGauge tells how many back ends of each service name a limit and what these come to, when it is asked.
+type limitedGauge struct {
+	gateway    *Gateway
+	count, sum *prometheus.Desc
+}
+
+func newLimitedGauge(g *Gateway) limitedGauge {
+	return limitedGauge{
+		g,
+		prometheus.NewDesc("kitetiller_gateway_back_ends_limited", "Back ends that name a limit of requests.", []string{"service"}, nil),
+		prometheus.NewDesc("kitetiller_gateway_back_ends_limit_sum", "Sum of the limits that back ends name, in requests a second.", []string{"service"}, nil),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (l limitedGauge) Describe(out chan<- *prometheus.Desc) { out <- l.count; out <- l.sum }
+
+// Collect implements prometheus.Collector.
+func (l limitedGauge) Collect(out chan<- prometheus.Metric) {
+	counts, sums := l.gateway.table.limited()
+	for service, n := range counts {
+		out <- prometheus.MustNewConstMetric(l.count, prometheus.GaugeValue, float64(n), service)
+		out <- prometheus.MustNewConstMetric(l.sum, prometheus.GaugeValue, sums[service], service)
+	}
+}
+
 // firstBuckets are the bounds of times to the first event, in seconds.
 var firstBuckets = []float64{0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8}
 
@@ -39,6 +65,7 @@
 	attempts *prometheus.CounterVec // that failed, by result
 	first    prometheus.Histogram
 	putOff   *prometheus.CounterVec // sends whose back end turned out at the last look to leave or to want rest, by cause
+	strange  prometheus.Counter     // words of back ends that nothing reads
 	repeats  prometheus.Counter
 	unread   prometheus.Counter // questions for engines' cache events that failed
 	unasked  prometheus.Counter // questions for a placement that no scheduler answered in time
@@ -66,6 +93,7 @@
 		first: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "kitetiller_gateway_first_event_seconds", Help: "Time to the first event of streams.", Buckets: firstBuckets,
 		}),
+		strange: counter("unknown_words_total", "Headers in which back ends speak of themselves and that nothing reads."),
 		repeats: counter("repeats_total", "Requests sent to a further back end."),
 		unread:  counter("cache_questions_failed_total", "Questions for engines' cache events that failed."),
 		unasked: counter("scheduler_questions_failed_total", "Questions for a placement that a scheduler did not answer in time."),
@@ -75,7 +103,7 @@
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "kitetiller_gateway_" + name, Help: help}, value)
 	}
-	made.registry.MustRegister(made.requests, made.attempts, made.putOff, made.first, made.repeats, made.unread, made.unasked, made.read, made.cached, newRestingGauge(g),
+	made.registry.MustRegister(made.requests, made.attempts, made.putOff, made.first, made.strange, made.repeats, made.unread, made.unasked, made.read, made.cached, newRestingGauge(g), newLimitedGauge(g),
 		gauge("limit_questions_total", "Questions to the leader for amounts of what is limited.", func() float64 { asked, _ := g.desk.Questions(); return float64(asked) }),
 		gauge("limit_questions_failed_total", "Such questions that got no answer.", func() float64 { _, failed := g.desk.Questions(); return float64(failed) }),
 		gauge("suspected_requests", "Requests under which more than one back end ended, as control tells.", func() float64 { told, _ := g.quarantine.Suspects(); return float64(told) }),
--- a/internal/gateway/pushback.go
+++ b/internal/gateway/pushback.go
@@ -20,7 +20,12 @@
 // hear takes up what an answer says of its back end, before anything else is made of the answer: it holds whatever becomes of the request.
 func (a *attempt) hear(status int, verdict Verdict) {
 	a.asked = verdict.Said.Rest
-	a.exchange.gateway.hear(a.row, heard{request: a.exchange.call.ID, status: status, said: verdict.Said, unread: verdict.Unread})
+	g := a.exchange.gateway
+	g.hear(a.row, heard{request: a.exchange.call.ID, status: status, said: verdict.Said, unread: verdict.Unread, limitUnread: verdict.LimitUnread})
+	g.noteStrange(a.row, verdict.Strange)
+	if verdict.Unlimited && (a.exchange.call.ID == "" || verdict.ID == a.exchange.call.ID) {
+		g.hearUnlimited(a.row, a.began)
+	}
 }
 
 // hearAside takes up what an engine says of itself beside what it keeps. It may be a later life than the one that control told of.
@@ -36,18 +41,25 @@
 	status  int
 	said    pushback.Said
 	unread  string
+
+	limitUnread string
 }
 
 // hear takes up and logs what a back end says of itself.
 func (g *Gateway) hear(row *endpoint, told heard) {
-	if told.said.Nothing() && told.unread == "" {
+	if told.said.Nothing() && told.unread == "" && told.limitUnread == "" {
 		return
 	}
 	now := g.now()
-	bar, leaves := g.table.hear(now, row, told.said)
-	if news := (pushback.Said{Rest: told.said.Rest, Leaving: leaves}); !news.Nothing() {
+	bar, leaves, limits := g.table.hear(now, row, told.said)
+	news := pushback.Said{Rest: told.said.Rest, Leaving: leaves}
+	if limits {
+		news.Limit = told.said.Limit
+	}
+	if !news.Nothing() {
 		g.spread.own(send{Gateway: g.nick, Instance: row.entry.ID, Said: news})
 	}
+	g.noteLimit(now, row.entry.ID, news.Limit, toldByAnswer, told.limitUnread)
 	fields := []zap.Field{zap.String(events.FieldInstance, row.entry.ID)}
 	if told.request != "" {
 		fields = append(fields, zap.String(events.FieldRequest, told.request), zap.Int("answer", told.status))
@@ -64,14 +76,15 @@
 	}
 }
 
-// hear notes what a back end says of itself, and returns what now keeps requests from it and whether it is news that it leaves.
-func (t *table) hear(now time.Duration, row *endpoint, said pushback.Said) (bar pushback.Bar, leaves bool) {
+// hear notes what a back end says of itself, and returns what now keeps requests from it and whether it is news that it leaves, and that it
+// names such a limit.
+func (t *table) hear(now time.Duration, row *endpoint, said pushback.Said) (bar pushback.Bar, leaves, limits bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	before := t.pushed.At(now, row.life)
+	before, limit := t.pushed.At(now, row.life), t.pushed.Limit(row.life)
 	bar = t.pushed.Note(now, time.Now(), row.life, said, rand.Float64())
 	t.makeDearer(now, row, said.Rest)
-	return bar, bar.Leaving && !before.Leaving
+	return bar, bar.Leaving && !before.Leaving, t.pushed.Limit(row.life) != limit
 }
 
 // restHint is the longest time for which a back end is dearer to the others that asked one gateway for rest: as long as one that failed.
@@ -85,15 +98,18 @@
 	}
 }
 
-// hearOf takes up what a back end said of itself to another gateway, and reports whether it is news that it leaves. That binds all; a wish for
-// rest is between the two. The caller holds the mutex.
-func (t *table) hearOf(now, at time.Duration, row *endpoint, said pushback.Said) (leaves bool) {
+// hearOf takes up what a back end said of itself to another gateway, and returns what of it is news. That it leaves binds all, and so does a
+// limit; a wish for rest is between the two. The caller holds the mutex.
+func (t *table) hearOf(now, at time.Duration, row *endpoint, said pushback.Said) (news pushback.Said) {
 	t.makeDearer(at, row, said.Rest)
-	if !said.Leaving || t.pushed.At(now, row.life).Leaving {
-		return false
+	if t.pushed.NoteLimit(at, row.life, said.Limit) {
+		news.Limit = said.Limit
+	}
+	if said.Leaving && !t.pushed.At(now, row.life).Leaving {
+		news.Leaving = true
+		t.pushed.Note(now, time.Now(), row.life, news, 0)
 	}
-	t.pushed.Note(now, time.Now(), row.life, pushback.Said{Leaving: true}, 0)
-	return true
+	return news
 }
 
 // open reports whether control lets requests go to a back end.
--- /dev/null
+++ b/internal/pushback/limit.go
@@ -0,0 +1,73 @@
+package pushback
+
+import (
+	"slices"
+	"time"
+
+	"kitetiller/internal/catalog"
+)
+
+// Limit is what an answer says of the requests that its back end takes from all machines together, for as long as it names that.
+type Limit struct {
+	Named bool    // it names a limit
+	Over  bool    // it names none any more; never together with Named
+	Rate  float64 // requests a second where it names one; finite, 0 or more
+}
+
+// Nothing reports whether nothing is said of a limit.
+func (l Limit) Nothing() bool { return !l.Named && !l.Over }
+
+// NoteLimit takes up what was heard of a life's limit at a time, which may lie before what is known: then it changes nothing, since what a back
+// end says counts as of when it was said. It reports whether that is news.
+func (b *Book) NoteLimit(at time.Duration, life catalog.Life, limit Limit) (news bool) {
+	if limit.Nothing() {
+		return false
+	}
+	known := b.Limit(life)
+	if limit.Over && !known.Named {
+		return false
+	}
+	w := b.word(life)
+	if w.limitAt > at {
+		return false
+	}
+	w.limit, w.limitAt, w.newest = limit, at, max(w.newest, at)
+	return known.Named != limit.Named || known.Rate != limit.Rate
+}
+
+// Unlimited takes up an answer that names no limit, to a request that was sent at a time: it tells that a limit is over that was heard before,
+// and nothing of one that was heard since, which may have been named after the answer.
+func (b *Book) Unlimited(now, sent time.Duration, life catalog.Life) (over bool) {
+	at := slices.IndexFunc(b.words[life.Name], func(w word) bool { return w.life == life })
+	if at < 0 || b.words[life.Name][at].limitAt >= sent {
+		return false
+	}
+	return b.NoteLimit(now, life, Limit{Over: true})
+}
+
+// Limit returns the limit that a life names. It is of this life alone: the next one says in its first answer what it takes.
+func (b *Book) Limit(life catalog.Life) Limit {
+	limit, _ := b.LimitHeard(life)
+	return limit
+}
+
+// LimitHeard returns the limit that a life names, and when that was last heard.
+func (b *Book) LimitHeard(life catalog.Life) (limit Limit, heard time.Duration) {
+	for _, w := range b.words[life.Name] {
+		if w.life == life && w.limit.Named {
+			return w.limit, w.limitAt
+		}
+	}
+	return Limit{}, 0
+}
+
+// word returns the word of a life, made when it first says something.
+func (b *Book) word(life catalog.Life) *word {
+	words := b.words[life.Name]
+	at := slices.IndexFunc(words, func(w word) bool { return w.life == life })
+	if at < 0 {
+		at, words = len(words), append(words, word{life: life})
+		b.words[life.Name] = words
+	}
+	return &words[at]
+}
--- a/internal/pushback/pushback.go
+++ b/internal/pushback/pushback.go
@@ -1,5 +1,5 @@
-// Package pushback keeps what back ends say of themselves in their answers: that they want nothing from this process for a while, or that
-// they leave. Such a word is of one life of a back end and holds whatever control tells: it outlives a roster, a row that left and came
+// Package pushback keeps what back ends say of themselves in their answers: that they want nothing from this process for a while, that
+// they leave, or how many requests a second they take from all machines together. Such a word is of one life of a back end and holds whatever control tells: it outlives a roster, a row that left and came
 // back, and an address that changed. It ends with its time, or with the life.
 //
 // Whoever decides asks a Book whether a life may be sent to now, and asks again right before the send. A Book is not safe for concurrent use.
@@ -21,7 +21,7 @@
 	// birthSlack is how far the clocks of a back end and of this machine may be apart before a life that began after it was heard that its
 	// name wants rest counts as one that may have said it.
 	birthSlack = time.Second
-	// leavingKept is how long the word of a life that leaves is kept once nobody names that life any more.
+	// leavingKept is how long a word without an end is kept, that a life leaves or its limit, once nobody names that life any more.
 	leavingKept = 10 * time.Minute
 )
 
@@ -29,10 +29,11 @@
 type Said struct {
 	Rest    time.Duration // it wants nothing from this process for so long; 0 says nothing of it
 	Leaving bool          // it ends soon and wants nothing new
+	Limit   Limit         // of the requests that it takes
 }
 
 // Nothing reports whether an answer says nothing of its back end.
-func (s Said) Nothing() bool { return s.Rest <= 0 && !s.Leaving }
+func (s Said) Nothing() bool { return s.Rest <= 0 && !s.Leaving && s.Limit.Nothing() }
 
 // Bar is what keeps requests from a life.
 type Bar struct {
@@ -52,6 +53,8 @@
 	until   time.Duration // end of the rest
 	heardAt time.Time     // time of day at which it was last heard that it wants rest; zero where lives don't tell their start
 	leaving bool
+	limit   Limit
+	limitAt time.Duration // when that was last heard; 0 never
 	newest  time.Duration // when anything was last heard
 }
 
@@ -69,17 +72,12 @@
 	if said.Nothing() {
 		return b.At(now, life)
 	}
-	words := b.words[life.Name]
-	at := slices.IndexFunc(words, func(w word) bool { return w.life == life })
-	if at < 0 {
-		at, words = len(words), append(words, word{life: life})
-	}
-	w := &words[at]
+	w := b.word(life)
 	w.newest, w.leaving = now, w.leaving || said.Leaving
 	if said.Rest > 0 {
 		w.until, w.heardAt = max(w.until, now+Apart(min(said.Rest, LongestRest), chance)), day
 	}
-	b.words[life.Name] = words
+	b.NoteLimit(now, life, said.Limit)
 	return b.At(now, life)
 }
 
@@ -115,7 +113,8 @@
 func (b *Book) Sweep(now time.Duration, named func(catalog.Life) bool) {
 	for name, words := range b.words {
 		left := slices.DeleteFunc(words, func(w word) bool {
-			return now >= w.until && (!w.leaving || now >= w.newest+leavingKept && !named(w.life))
+			lasting := w.leaving || w.limit.Named
+			return now >= w.until && (!lasting || now >= w.newest+leavingKept && !named(w.life))
 		})
 		if len(left) == 0 {
 			delete(b.words, name)
