--- a/internal/allowance/borrower.go
+++ b/internal/allowance/borrower.go
@@ -39,6 +39,9 @@
 	trust    time.Duration // how long a borrower out of touch may use its part
 	limits   map[string]Limit
 	pockets  map[string]*pocket
+
+	named      map[string]heardLimit // of resources that name their limits
+	namedSwept time.Duration         // when those were last looked through that nobody asks for
 }
 
 // pocket is what is held of one resource.
@@ -52,21 +55,21 @@
 
 // NewBorrower returns a borrower that holds nothing. trust is how long it may use its own part without a lender.
 func NewBorrower(name string, trust time.Duration) *Borrower {
-	return &Borrower{name: name, trust: trust, parts: 1, limits: map[string]Limit{}, pockets: map[string]*pocket{}}
+	return &Borrower{name: name, trust: trust, parts: 1, limits: map[string]Limit{}, pockets: map[string]*pocket{}, named: map[string]heardLimit{}}
 }
 
 // Use replaces the limits.
 func (b *Borrower) Use(limits map[string]Limit) {
 	b.limits = limits
 	for name := range b.pockets {
-		if _, limited := limits[name]; !limited {
+		if !b.Limited(name) {
 			delete(b.pockets, name)
 		}
 	}
 }
 
 // Limited reports whether a resource is limited.
-func (b *Borrower) Limited(name string) bool { _, limited := b.limits[name]; return limited }
+func (b *Borrower) Limited(name string) bool { _, limited := b.limit(name); return limited }
 
 // Touch notes that what was asked at a time was answered by the lender of a term, and by how many borrowers own parts are
 // shared.
@@ -156,6 +159,7 @@
 type Want struct {
 	Name   string
 	Amount float64
+	Named  *Named // where the resource names its limit itself, else nil
 }
 
 // Ask returns the question for what is wanted, which is sent once. What lies idle and ends soon goes back with it.
@@ -164,7 +168,7 @@
 	asked := Question{Borrower: b.name, Sequence: b.sequence}
 	for _, want := range wants {
 		p := b.pocket(want.Name)
-		asked.Asks = append(asked.Asks, Ask{Name: want.Name, Amount: want.Amount, Ahead: p.ahead(want.Amount)})
+		asked.Asks = append(asked.Asks, Ask{Name: want.Name, Amount: want.Amount, Ahead: p.ahead(want.Amount), Named: want.Named})
 	}
 	for name, p := range b.pockets {
 		if idle := p.idle(now); idle > 0 {
@@ -199,9 +203,10 @@
 
 // Result is what became of a want: a hold, or what the lender said instead.
 type Result struct {
-	Hold  Hold
-	Wait  time.Duration
-	Young bool
+	Hold      Hold
+	Wait      time.Duration
+	Young     bool
+	Uncounted bool // the lender doesn't count resources that name their limits
 }
 
 // Granted takes the answer to the newest question, which was asked at a time, and returns what became of each want. An
@@ -216,8 +221,9 @@
 	for i, want := range wants {
 		granted := answer.Grants[i]
 		results[i].Wait, results[i].Young = granted.Wait, granted.Young
+		results[i].Uncounted = want.Named != nil && !granted.Counted
 		piece := Hold{Name: want.Name, Amount: granted.Amount, Until: asked + Lease}
-		if granted.Amount <= 0 || !piece.Valid(now) {
+		if granted.Amount <= 0 || !piece.Valid(now) || results[i].Uncounted {
 			continue
 		}
 		p := b.pocket(want.Name)
@@ -240,7 +246,7 @@
 
 // takePart takes an amount from the own part of the reserve, and of what the rate brought in so long a silence.
 func (b *Borrower) takePart(now time.Duration, name string, amount float64, silence time.Duration) (Hold, bool) {
-	limit, limited := b.limits[name]
+	limit, limited := b.limit(name)
 	if !limited || now-b.touched > b.trust || b.touched == 0 {
 		return Hold{}, false
 	}
--- a/internal/allowance/desk/desk.go
+++ b/internal/allowance/desk/desk.go
@@ -99,7 +99,19 @@
 
 // Take takes an amount of a resource. It waits for the lender, and no longer than patience where there is none.
 func (d *Desk) Take(ctx context.Context, name string, amount float64, patience time.Duration) Result {
-	wanted, result := d.begin(name, amount, patience)
+	return d.take(ctx, allowance.Want{Name: name, Amount: amount}, patience)
+}
+
+// TakeNamed takes one unit of a resource that names its limit itself. It waits for the lender's answer, and for nothing that comes in later.
+func (d *Desk) TakeNamed(ctx context.Context, name string, named allowance.Named) Result {
+	d.mu.Lock()
+	d.borrower.Name(d.now(), name, named)
+	d.mu.Unlock()
+	return d.take(ctx, allowance.Want{Name: name, Amount: 1, Named: &named}, 0)
+}
+
+func (d *Desk) take(ctx context.Context, want allowance.Want, patience time.Duration) Result {
+	wanted, result := d.begin(want, patience)
 	if wanted == nil {
 		return result
 	}
@@ -116,20 +128,20 @@
 }
 
 // begin takes from what is held, or lets a wish wait.
-func (d *Desk) begin(name string, amount float64, patience time.Duration) (*wish, Result) {
+func (d *Desk) begin(want allowance.Want, patience time.Duration) (*wish, Result) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.borrower.Limited(name) {
+	if !d.borrower.Limited(want.Name) {
 		return nil, Result{}
 	}
 	now := d.now()
-	if hold, ok := d.borrower.Take(now, name, amount); ok {
+	if hold, ok := d.borrower.Take(now, want.Name, want.Amount); ok {
 		return nil, Result{Hold: hold}
 	}
 	if len(d.waiting) >= waitingMost {
 		return nil, Result{Outcome: Unknown}
 	}
-	wanted := &wish{Want: allowance.Want{Name: name, Amount: amount}, until: now + patience, done: make(chan Result, 1)}
+	wanted := &wish{Want: want, until: now + patience, done: make(chan Result, 1)}
 	d.waiting = append(d.waiting, wanted)
 	return wanted, Result{}
 }
@@ -239,7 +251,9 @@
 		switch {
 		case got.Hold.Amount > 0 || w.Amount == 0:
 			d.finish(w, Result{Hold: got.Hold})
-		case got.Wait <= shortWait, got.Young && now+got.Wait <= w.until:
+		case got.Uncounted:
+			d.finish(w, Result{Outcome: Unknown})
+		case w.Named == nil && (got.Wait <= shortWait || got.Young && now+got.Wait <= w.until):
 			w.after = now + got.Wait
 			d.waitOn(now, w, Result{Outcome: Over, Wait: max(got.Wait, shortWait)})
 		default:
--- a/internal/allowance/doc.go
+++ b/internal/allowance/doc.go
@@ -53,6 +53,7 @@
 	Name   string  `json:"n"`
 	Amount float64 `json:"a"`           // that is needed now; it is lent whole or not at all
 	Ahead  float64 `json:"h,omitempty"` // that would be of use within a lease; lent where there is plenty
+	Named  *Named  `json:"l,omitempty"` // the resource names its limit itself; nil the lender knows it
 }
 
 // Grant answers an Ask.
@@ -63,6 +64,9 @@
 	// Young tells that nothing is lent since the account began a moment ago, not since the limit is reached: the amount is worth
 	// waiting for.
 	Young bool `json:"y,omitempty"`
+	// Counted tells that the lender counts resources that name their limits. One that doesn't know of these lends whatever is asked for, as of a
+	// resource whose limit was taken away; its grants are not used.
+	Counted bool `json:"c,omitempty"`
 }
 
 // Question is what a borrower asks a lender: it gives amounts back and asks for others.
--- a/internal/allowance/lender.go
+++ b/internal/allowance/lender.go
@@ -21,8 +21,9 @@
 type Lender struct {
 	term      uint64
 	accounts  map[string]*account
-	withheld  float64           // part of all rates that is kept back, 0 to 1
-	sequences map[string]uint64 // by borrower: of its newest question
+	named     map[string]*namedAccount // of resources that name their limits
+	withheld  float64                  // part of all rates that is kept back, 0 to 1
+	sequences map[string]uint64        // by borrower: of its newest question
 }
 
 // account is one resource.
@@ -39,7 +40,7 @@
 
 // NewLender returns a lender without resources. Each leadership has one of its own; only one may lend at a time.
 func NewLender(term uint64) *Lender {
-	return &Lender{term: term, accounts: map[string]*account{}, sequences: map[string]uint64{}}
+	return &Lender{term: term, accounts: map[string]*account{}, named: map[string]*namedAccount{}, sequences: map[string]uint64{}}
 }
 
 // Use replaces the limits. A resource that is new begins with nothing; one whose limit was lowered keeps no more than the
@@ -66,6 +67,9 @@
 	for _, a := range l.accounts {
 		a.refill(now, l.withheld)
 	}
+	for _, a := range l.named {
+		a.refill(now, l.withheld)
+	}
 	l.withheld = part
 }
 
@@ -86,6 +90,9 @@
 func (l *Lender) takeBack(now time.Duration, back []Grant) {
 	for _, returned := range back {
 		a := l.accounts[returned.Name]
+		if named := l.named[returned.Name]; named != nil {
+			a = &named.account
+		}
 		if a == nil || returned.Amount <= 0 {
 			continue
 		}
@@ -98,6 +105,9 @@
 
 // lend lends an amount whole or not at all. One somewhat above the capacity is lent from a full account, which is then in debt.
 func (l *Lender) lend(now time.Duration, ask Ask) Grant {
+	if ask.Named != nil {
+		return l.lendNamed(now, ask)
+	}
 	a := l.accounts[ask.Name]
 	if a == nil {
 		return Grant{Name: ask.Name, Amount: ask.Amount} // the limit was taken away, which the borrower has not heard yet
--- a/internal/allowance/machine_test.go
+++ b/internal/allowance/machine_test.go
@@ -51,6 +51,7 @@
 	held      [][]Hold        // taken and not used yet
 	letters   []letter
 	uses      []use
+	words     []word // what each borrower heard of the limit that the resource names; nil where the lender knows it
 }
 
 const resource = "r"
@@ -69,13 +70,17 @@
 
 func (f *fleet) start(i int) {
 	f.borrowers[i], f.held[i] = NewBorrower(fmt.Sprint("b", i, f.now), testTrust), nil
-	f.borrowers[i].Use(map[string]Limit{resource: f.limit})
+	if f.words == nil {
+		f.borrowers[i].Use(map[string]Limit{resource: f.limit})
+	}
 }
 
 func (f *fleet) elect() {
 	f.term++
 	f.lender, f.since = NewLender(f.term), f.now
-	f.lender.Use(f.now, map[string]Limit{resource: f.limit})
+	if f.words == nil {
+		f.lender.Use(f.now, map[string]Limit{resource: f.limit})
+	}
 	f.withhold()
 }
 
@@ -96,11 +101,17 @@
 // want makes a borrower want an amount: what it holds, what the lender lends in a moment, or its own part.
 func (f *fleet) want(i int) {
 	b, amount := f.borrowers[i], f.largest*(0.1+0.9*f.chance.Float64())
+	wants := []Want{{Name: resource, Amount: amount}}
+	if f.words != nil {
+		named := f.words[i].told(f.now)
+		wants[0].Amount, wants[0].Named = 1, &named
+		amount = 1
+		b.Name(f.now, resource, named)
+	}
 	if hold, ok := b.Take(f.now, resource, amount); ok {
 		f.held[i] = append(f.held[i], hold)
 		return
 	}
-	wants := []Want{{Name: resource, Amount: amount}}
 	question := b.Ask(f.now, wants)
 	if f.lender == nil || f.now < f.cut[i] || f.happens(f.weather.lost) {
 		if hold, ok := b.TakeOwn(f.now, resource, amount); ok {
--- /dev/null
+++ b/internal/allowance/named.go
@@ -0,0 +1,143 @@
+package allowance
+
+import (
+	"maps"
+	"math"
+	"time"
+)
+
+const (
+	// namedWindow is the longest window that limits are judged in which resources name themselves. A lower one binds until no window holds
+	// anything of its time any more.
+	namedWindow = 4 * time.Second
+	// namedLeast and namedMost bound the rate, in units a second. Of a resource that takes less, or nothing, one unit in a window is lent all the
+	// same: whoever sends nothing never hears that the limit is over.
+	namedLeast = 0.25
+	namedMost  = 1e6
+	// namedBurst is how much of the rate may be lent at once beside one unit, in seconds: without any, what comes in between two questions would
+	// be lost; with a quarter of a second a window holds 4.45 s of the rate and 1.3 units at the most, lent ahead included.
+	namedBurst = 0.25
+	// namedRoom is how much of the rate, beside one unit, a window may hold beyond that for borrowers out of touch, in seconds.
+	namedRoom = 0.5
+	// namedKept is how long an account is kept that nobody asks for. A new one begins with nothing.
+	namedKept = 10 * time.Second
+)
+
+// Named is a limit that a resource names itself, as a borrower heard it.
+type Named struct {
+	Rate float64       `json:"r"` // units a second
+	Age  time.Duration `json:"g"` // since it was last heard
+}
+
+// limit returns what may be used of a resource that names a rate.
+func (n Named) limit() Limit {
+	rate := min(max(n.Rate, namedLeast), namedMost)
+	return Limit{Rate: rate, Burst: 1 + namedBurst*rate, Room: 1 + namedRoom*rate}
+}
+
+// namedAccount is a resource that names its limit. It begins with nothing when it is first asked for.
+type namedAccount struct {
+	account
+	newest   Limit         // by the word that was heard last
+	newestAt time.Duration // when that was heard
+	raiseAt  time.Duration // when the newest counts although it is higher; 0 it counts
+	askedAt  time.Duration
+}
+
+// lendNamed lends an amount of a resource that names its limit, whole or not at all. What is refused goes elsewhere, so that nothing is kept for
+// it, and the time to wait is that until the next amount.
+func (l *Lender) lendNamed(now time.Duration, ask Ask) Grant {
+	a := l.named[ask.Name]
+	if a == nil {
+		a = &namedAccount{account: account{began: now, at: now, limit: ask.Named.limit()}}
+		a.newest, a.newestAt = a.limit, now-ask.Named.Age
+		l.named[ask.Name] = a
+	}
+	a.refill(now, l.withheld)
+	a.hear(now, *ask.Named)
+	a.askedAt = now
+	if ask.Amount > a.level {
+		a.refused += ask.Amount
+		wait := time.Duration((ask.Amount - a.level) / a.limit.Rate * float64(time.Second))
+		return Grant{Name: ask.Name, Wait: min(wait, longestAdvice), Counted: true}
+	}
+	ahead := math.Floor(max(0, min(ask.Ahead, a.level-ask.Amount-aheadShare*a.limit.capacity()))) // whole units: a part of one is of no use
+	amount := ask.Amount + ahead
+	a.level -= amount
+	a.lent += amount
+	return Grant{Name: ask.Name, Amount: amount, Counted: true}
+}
+
+// hear takes up what a borrower heard. Of two words the later counts; a lower limit counts at once, also an earlier one that a window may still
+// hold something of, and a higher one once none does.
+func (a *namedAccount) hear(now time.Duration, told Named) {
+	heard, limit := now-told.Age, told.limit()
+	if heard >= a.newestAt {
+		a.newest, a.newestAt = limit, heard
+	}
+	switch {
+	case limit.Rate < a.limit.Rate && now-heard < namedWindow:
+		a.use(limit)
+		a.raiseAt = 0
+		if limit.Rate < a.newest.Rate {
+			a.raiseAt = now + namedWindow
+		}
+	case a.newest.Rate <= a.limit.Rate:
+		a.use(a.newest)
+		a.raiseAt = 0
+	case a.raiseAt == 0:
+		a.raiseAt = now + namedWindow
+	case now >= a.raiseAt:
+		a.use(a.newest)
+		a.raiseAt = 0
+	}
+}
+
+// use puts a limit in force.
+func (a *namedAccount) use(limit Limit) {
+	a.limit = limit
+	a.level = min(a.level, limit.capacity())
+}
+
+// Forget drops the accounts of resources that name their limits and that nobody has asked for lately.
+func (l *Lender) Forget(now time.Duration) {
+	maps.DeleteFunc(l.named, func(_ string, a *namedAccount) bool { return now-a.askedAt > namedKept })
+}
+
+// Named returns how many resources that name their limits were asked for lately, and what these limits come to.
+func (l *Lender) Named() (count int, rate float64) {
+	for _, a := range l.named {
+		rate += a.limit.Rate
+	}
+	return len(l.named), rate
+}
+
+// heardLimit is what a borrower knows of a resource that names its limit.
+type heardLimit struct {
+	limit Limit
+	at    time.Duration // when it was last asked for
+}
+
+// Name notes the limit that a resource names, before an amount of it is taken.
+func (b *Borrower) Name(now time.Duration, name string, named Named) {
+	b.named[name] = heardLimit{named.limit(), now}
+	if now < b.namedSwept+namedKept {
+		return
+	}
+	b.namedSwept = now
+	for other, known := range b.named {
+		if now-known.at > namedKept {
+			delete(b.named, other)
+			delete(b.pockets, other)
+		}
+	}
+}
+
+// limit returns the limit of a resource.
+func (b *Borrower) limit(name string) (limit Limit, limited bool) {
+	if limit, limited = b.limits[name]; limited {
+		return limit, true
+	}
+	known, limited := b.named[name]
+	return known.limit, limited
+}
--- /dev/null
+++ b/internal/allowance/named_test.go
@@ -0,0 +1,193 @@
+package allowance
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	// namedFactor and namedSlack are the aim: in any window of four seconds so many times what the limit allows, and so many more.
+	namedFactor = 1.5
+	namedSlack  = 5
+	// namedSettle is how long after a lower limit was heard something of before may still come.
+	namedSettle = 500 * time.Millisecond
+	// namedUsed is the share of a limit that is to be used where more is asked and nothing is wrong.
+	namedUsed = 0.8
+)
+
+// word is what a borrower heard of a resource's limit.
+type word struct {
+	rate float64
+	at   time.Duration
+}
+
+func (w word) told(now time.Duration) Named { return Named{Rate: w.rate, Age: now - w.at} }
+
+// newNamedFleet is a fleet that shares a resource which names its limit.
+func newNamedFleet(rate float64, size int, seed uint64) *fleet {
+	f := newFleet(Limit{}, size, seed)
+	f.words = make([]word, size)
+	f.tell(rate)
+	for i := range size {
+		f.start(i)
+	}
+	f.elect()
+	return f
+}
+
+// tell lets all borrowers hear a limit.
+func (f *fleet) tell(rate float64) {
+	for i := range f.words {
+		f.words[i] = word{rate, f.now}
+	}
+}
+
+// fullest returns the most that was used in any window that begins after a time.
+func (f *fleet) fullest(after time.Duration) (most int) {
+	first := 0
+	for i, u := range f.uses {
+		for f.uses[first].at <= u.at-namedWindow || f.uses[first].at < after {
+			if first++; first > i {
+				break
+			}
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// TestNamedLimitsHold: whatever is lost, late, repeated, paused, cut off or led anew, all borrowers together use no more in any window than the
+// limit allows that the resource names, however much is wanted; a lower limit binds from a moment after it was heard.
+func TestNamedLimitsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0, 30).Draw(t, "rate")
+		f := newNamedFleet(rate, rapid.SampledFrom([]int{1, 2, 7, 30, 100}).Draw(t, "borrowers"), rapid.Uint64().Draw(t, "seed"))
+		f.weather = weather{
+			lost: rapid.Float64Range(0, 0.2).Draw(t, "lost"), repeated: rapid.Float64Range(0, 0.2).Draw(t, "repeated"),
+			late: rapid.Float64Range(0, 0.2).Draw(t, "late"),
+		}
+		eagerness := rapid.Float64Range(0.05, 1).Draw(t, "eagerness")
+		from := f.now
+		for range rapid.IntRange(1, 8).Draw(t, "troubles") {
+			for range rapid.IntRange(1, 400).Draw(t, "steps") {
+				f.step(eagerness)
+			}
+			kind := rapid.SampledFrom([]string{"pause", "cut", "restart", "fall", "elect", "lower"}).Draw(t, "kind")
+			if kind == "lower" {
+				rate *= rapid.Float64Range(0, 1).Draw(t, "by")
+				f.tell(rate)
+				from = f.now + namedSettle
+				continue
+			}
+			f.trouble(kind, time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms"))*time.Millisecond, rapid.Float64Range(0, 0.34).Draw(t, "share"))
+		}
+		for range 500 {
+			f.step(eagerness)
+		}
+		if used, allowed := float64(f.fullest(from)), namedFactor*rate*namedWindow.Seconds()+namedSlack; used > allowed {
+			t.Fatalf("%.0f used in a window, %.0f allowed at %.2f a second", used, allowed, rate)
+		}
+	})
+}
+
+// TestNamedLimitsAreUsed: where more is asked and nothing is wrong, four fifths of a limit are used, by one borrower or by many.
+func TestNamedLimitsAreUsed(t *testing.T) {
+	for _, rate := range []float64{0.5, 1, 3.8, 12, 60} {
+		for _, size := range []int{1, 7, 100} {
+			f := newNamedFleet(rate, size, 1)
+			for range 12000 {
+				for i := range f.heard {
+					f.heard[i] = f.now // all are in touch, also those that ask for nothing
+				}
+				f.step(min(1, 4*rate/float64(size)/100)) // four times the limit, a hundred steps a second
+			}
+			length := 120.0
+			if used := float64(len(f.uses)) / length; used < namedUsed*min(rate, 100*float64(size)) {
+				t.Errorf("%d borrowers: %.2f a second used of %.2f", size, used, rate)
+			}
+		}
+	}
+}
+
+// ask lets a lender answer one question for a unit, by a borrower that heard a limit some time ago.
+func ask(l *Lender, now time.Duration, rate float64, age time.Duration) Grant {
+	return l.Take(now, Question{Borrower: "b", Sequence: uint64(now), Asks: []Ask{{Name: resource, Amount: 1, Named: &Named{Rate: rate, Age: age}}}}).Grants[0]
+}
+
+// TestTheLowestLimitOfAWindowBinds: a higher one counts once no window holds anything of the lower one's time, whoever hears of it first; of two
+// words the later counts.
+func TestTheLowestLimitOfAWindowBinds(t *testing.T) {
+	l := NewLender(1)
+	second := time.Second
+	inForce := func(wanted float64) {
+		t.Helper()
+		if got := l.named[resource].limit.Rate; got != wanted {
+			t.Fatalf("%.1f in force, wanted %.1f", got, wanted)
+		}
+	}
+	ask(l, 10*second, 4, 0)
+	inForce(4)
+	ask(l, 11*second, 2, 0)
+	inForce(2)
+	ask(l, 12*second, 8, 0) // higher, from now on in four seconds
+	ask(l, 13*second, 4, 3*second)
+	inForce(2) // what was heard before the newest word changes nothing
+	ask(l, 15900*time.Millisecond, 8, 0)
+	inForce(2)
+	ask(l, 16*second, 8, 4*second)
+	inForce(8)
+	ask(l, 17*second, 3, 2*second) // heard before the newest word, in a window that may still hold something of that time
+	inForce(3)
+	ask(l, 18*second, 8, second)
+	inForce(3)
+	ask(l, 21*second, 8, 0)
+	inForce(8)
+	ask(l, 22*second, 1, 9*second)
+	inForce(8)
+}
+
+// TestNamedAccountsStandApart: the limits of a document replace each other and leave them as they are; nobody's are forgotten; a lender that
+// doesn't know of them lends nothing that counts.
+func TestNamedAccountsStandApart(t *testing.T) {
+	l := NewLender(1)
+	ask(l, time.Second, 4, 0)
+	l.Use(2*time.Second, map[string]Limit{"tenant/a": {Rate: 1}})
+	if ask(l, 3*time.Second, 4, 0).Amount != 1 || ask(l, 3*time.Second, 4, 0).Amount != 1 || ask(l, 3*time.Second, 4, 0).Amount != 0 {
+		t.Fatal("the account is not as it was")
+	}
+	if count, rate := l.Named(); count != 1 || rate != 4 {
+		t.Fatalf("%d accounts, %.1f a second", count, rate)
+	}
+	l.Forget(3*time.Second + namedKept)
+	if count, _ := l.Named(); count != 1 {
+		t.Fatal("forgotten too soon")
+	}
+	if l.Forget(4*time.Second + namedKept); len(l.named) != 0 {
+		t.Fatal("not forgotten")
+	}
+	b := NewBorrower("b", testTrust)
+	named := Named{Rate: 4}
+	b.Name(time.Second, resource, named)
+	wants := []Want{{Name: resource, Amount: 1, Named: &named}}
+	question := b.Ask(time.Second, wants)
+	older := Answer{Term: 1, Sequence: question.Sequence, Grants: []Grant{{Name: resource, Amount: 1}}}
+	if got := b.Granted(time.Second, time.Second, wants, older)[0]; got.Hold.Amount > 0 || !got.Uncounted {
+		t.Fatalf("of a lender that counts nothing: %+v", got)
+	}
+}
+
+// TestBorrowersForgetNamedLimits: those that nobody asks for, not those of a document.
+func TestBorrowersForgetNamedLimits(t *testing.T) {
+	b := NewBorrower("b", testTrust)
+	b.Name(time.Second, "x", Named{Rate: 1})
+	b.Use(map[string]Limit{"tenant/a": {Rate: 1}})
+	if !b.Limited("x") || !b.Limited("tenant/a") {
+		t.Fatal("a document replaced what a resource named")
+	}
+	b.Name(time.Second+2*namedKept, "y", Named{Rate: 1})
+	if b.Limited("x") || !b.Limited("y") || !b.Limited("tenant/a") {
+		t.Fatal("not forgotten, or too much")
+	}
+}
--- a/internal/control/lending.go
+++ b/internal/control/lending.go
@@ -18,8 +18,12 @@
 type lending struct {
 	lender   *allowance.Lender
 	revision uint64 // of the document that the limits were taken from
+	forgotAt time.Duration
 }
 
+// forgetEach is how often accounts are looked through that nobody asks for any more; there may be one for each back end.
+const forgetEach = time.Second
+
 // lend answers a gateway's question for amounts. Only a leader with a lease gets here, so that nobody else lends.
 func (r *Replica) lend(now time.Duration, client uint64, asked allowance.Question) {
 	r.tendLimits(now)
@@ -35,6 +39,10 @@
 		held.lender.Use(now, quota.Limits(document, r.config.Quota))
 	}
 	held.lender.Withhold(now, r.partOutOfTouch(now))
+	if now >= held.forgotAt+forgetEach {
+		held.forgotAt = now
+		held.lender.Forget(now)
+	}
 }
 
 // partOutOfTouch returns the part of the gateways that are silent but may still trust their view: they use their equal parts
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"kitetiller/internal/allowance"
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/mechanism"
@@ -42,9 +43,10 @@
 	eventStream   = "text/event-stream"
 	// causeOutdated is the cause of an attempt that would have begun on weights that are too old.
 	causeOutdated = "weights outdated"
-	// causeLeaving and causeResting are those of one whose back end leaves, or wants rest from this gateway.
+	// causeLeaving, causeResting and causeLimited are those of one whose back end leaves, wants rest from this gateway, or has reached its limit.
 	causeLeaving = "leaving"
 	causeResting = "resting"
+	causeLimited = "limited"
 )
 
 // resultKind tells how an attempt ended.
@@ -91,6 +93,7 @@
 	atRest   time.Duration   // what was left of a rest of the back end when the request was sent
 	asked    time.Duration   // rest that the back end asked for in its answer
 	limited  pushback.Limit  // that the back end had named when the request was sent
+	hold     allowance.Hold  // of that limit, until the request is sent
 	looked   <-chan struct{} // closed when it is known whether the back end has ended, where the run broke off
 }
 
@@ -119,6 +122,10 @@
 	if x.route.MayRepeat() {
 		rest = idleRepeatable
 	}
+	if !a.permit() {
+		return result{kind: resultUnreached, cause: causeLimited}
+	}
+	defer a.returnPermit()
 	wire, err := x.gateway.pool.get(a.ctx, a.row.entry.ID, a.row.entry.Address, rest)
 	if err != nil {
 		a.unreached(err)
@@ -127,10 +134,11 @@
 	a.wire = wire
 	stop := context.AfterFunc(a.ctx, func() { _ = wire.Close() })
 	defer stop()
-	if bar := a.barred(); bar != "" {
+	if bar := a.lastLook(); bar != "" {
 		_ = wire.Close()
 		return result{kind: resultUnreached, cause: bar}
 	}
+	a.hold = allowance.Hold{} // used up
 	x.sent++
 	a.cover, x.cover = x.cover, cover{}
 	a.begin()
@@ -204,6 +212,15 @@
 	return max(call.PromptTokens, prefix.PartTokens(call.Parts)) - shared/2
 }
 
+// lastLook returns why the request may not be sent after all, or "". What was taken of the back end's limit may have ended while the connection came
+// up, or the limit been named since.
+func (a *attempt) lastLook() string {
+	if !a.permit() {
+		return causeLimited
+	}
+	return a.barred()
+}
+
 // barred looks again at the last moment: the process may have stood still since the decision.
 func (a *attempt) barred() string {
 	x := a.exchange
@@ -230,6 +247,11 @@
 		return causeOutdated
 	}
 	bar := x.gateway.table.bar(now, a.row, false) // the wish may have come while the connection came up
+	if a.hold.Valid(now) && bar == causeLimited {
+		bar = "" // of what can't be had any more this one has its part
+	} else if bar == "" && !a.hold.Valid(now) && x.gateway.table.pushed.Limit(a.row.life).Named {
+		bar = causeLimited
+	}
 	if bar != "" {
 		x.gateway.metrics.putOff.WithLabelValues(bar).Inc()
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -150,8 +150,8 @@
 		if best != nil && weight <= highest {
 			continue
 		}
-		if !g.eligible(now, row, wish) || now < row.avoidTo || g.astray(row, longest) > 0 {
-			continue
+		if !g.eligible(now, row, wish) || now < row.avoidTo || g.astray(row, longest) > 0 || g.table.pushed.Limit(row.life).Named {
+			continue // one with a limit is open and closed in turn: the prompt would be read in two places
 		}
 		best, highest = row, weight
 	}
@@ -242,6 +242,9 @@
 	if now < row.heardAt+row.entry.ColdLeft {
 		cost += coldCost
 	}
+	if g.table.pushed.Limit(row.life).Named {
+		cost += permitCost
+	}
 	return cost
 }
 
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -39,7 +39,9 @@
 	failures int           // in a row
 	failing  float64       // share of failures, smoothed
 	avoidTo  time.Duration
-	reports  suspicion // of other gateways
+	dryTo    time.Duration // nothing of its limit can be had until then, as the lender says
+	pacedTo  time.Duration // no more of its limit is placed for other gateways until then
+	reports  suspicion     // of other gateways
 	gone     bool
 	home     bool // this gateway reads its cache events
 }
@@ -61,6 +63,8 @@
 	homes      int                         // rows that are home
 	holders    map[string][]*endpoint      // that hold a shared part, under any salt, by its id
 	pushed     *pushback.Book              // what back ends said of themselves
+	unlentTo   time.Duration               // until then nobody is asked for a part of a limit: the lender gave no answer
+	turns      map[string]time.Duration    // by service: when the caller that was told last may come back that found all at their limits
 	changed    *bell                       // rings with each roster
 	waiting    map[*attempt]struct{}       // all that wait at any row, also at those that are gone
 }
@@ -70,7 +74,7 @@
 		mechanisms: mechanisms, rows: map[string]*endpoint{}, services: map[string][]*endpoint{},
 		named: belief.NewNamings(guard.Set{}), stored: belief.NewStored(), links: belief.Links{}, pushed: pushback.NewBook(),
 		lanes: map[string]*lanes{}, stays: map[string]belief.Stays{}, paces: map[string]belief.Pace{}, judges: map[string]*admission.Judge{},
-		placed: map[string]placement{}, holders: map[string][]*endpoint{}, waiting: map[*attempt]struct{}{}, changed: newBell(),
+		placed: map[string]placement{}, holders: map[string][]*endpoint{}, waiting: map[*attempt]struct{}{}, changed: newBell(), turns: map[string]time.Duration{},
 	}
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -34,6 +34,7 @@
 	reasonOverload   = "overload"
 	reasonHeldBack   = "held-back"
 	reasonResting    = "resting"
+	reasonLimited    = "limited"
 )
 
 const (
@@ -64,6 +65,7 @@
 	tried     []*endpoint
 	sent      int // back ends that got the request
 	unreached int
+	overLimit int                     // back ends that turned out to have reached their limits
 	mayHave   bool                    // an earlier attempt may have run
 	relayed   bool                    // the head of an answer has gone to the caller
 	lastEvent string                  // newest event passed on
@@ -259,10 +261,10 @@
 		if chosen != nil || left <= 0 || len(x.tried) > 0 {
 			return chosen
 		}
-		if rest := x.gateway.table.allRest(x.gateway.now(), x.service.Name); rest > left {
+		if first, _ := x.gateway.table.allBarred(x.gateway.now(), x.service.Name); first > left {
 			return nil // to hold the request would not serve it
-		} else if rest > 0 {
-			left = rest
+		} else if first > 0 {
+			left = first
 		}
 		select {
 		case <-news:
@@ -281,6 +283,9 @@
 	}
 	switch result.kind {
 	case resultUnreached:
+		if result.cause == causeLimited {
+			return x.goOnFromLimit()
+		}
 		x.unreached++
 		if x.unreached >= unreachedLimit {
 			x.giveUp(reasonUnreached, retrySoon)
@@ -303,6 +308,17 @@
 	return x.repeat(reasonRunUnknown, 0)
 }
 
+// goOnFromLimit lets a request go on that found its back end at its limit. That one may be chosen again once it takes another request.
+func (x *exchange) goOnFromLimit() bool {
+	x.tried = x.tried[:len(x.tried)-1]
+	x.overLimit++
+	if x.overLimit < permitsMost {
+		return true
+	}
+	x.giveUp(reasonLimited, retrySoon)
+	return false
+}
+
 // repeat reports whether the request may be sent to another back end; otherwise it gives the request up.
 func (x *exchange) repeat(reason string, retryAfter time.Duration) bool {
 	if x.spendRepeat() {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -132,6 +132,7 @@
 	}
 	g.watchLimits()
 	g.desk.Touch(asked, reply.Gateways)
+	g.gateways.Store(int64(reply.Gateways))
 	g.near.use(reply.Near)
 	g.spread.use(reply.Mesh)
 	g.schedulers.use(reply.Mesh.Schedulers)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,7 @@
 	strange    strangeWords
 	// confirmed rings whenever control has confirmed the view.
 	confirmed *bell
+	gateways  atomic.Int64 // that share what is limited, as control told last
 	draining  atomic.Bool
 	closing   atomic.Bool // the end of a planned stop: nothing new is taken
 	active    atomic.Int64
--- a/internal/gateway/named.go
+++ b/internal/gateway/named.go
@@ -7,8 +7,11 @@
 
 	"go.uber.org/zap"
 
+	"kitetiller/internal/allowance"
+	"kitetiller/internal/allowance/desk"
 	"kitetiller/internal/events"
 	"kitetiller/internal/pushback"
+	"kitetiller/internal/quota"
 )
 
 // said is what a back end said of itself to another gateway, as far as it is news here.
@@ -30,6 +33,22 @@
 	}
 }
 
+// hearScheduler takes up the limit of a back end that a scheduler chose: in a large fleet only schedulers are told by others, and this gateway's
+// first request there would be sent without a part of it.
+func (g *Gateway) hearScheduler(now time.Duration, answer *wirePlacement) {
+	if answer.Limit == nil {
+		return
+	}
+	limit := limitOfWire(answer.Limit, false)
+	g.table.mutex.Lock()
+	row := g.table.rows[answer.Instance]
+	news := row != nil && g.table.pushed.NoteLimit(now-min(now, wireTime(answer.LimitAgeMS)), row.life, limit)
+	g.table.mutex.Unlock()
+	if news {
+		g.noteLimit(now, answer.Instance, limit, toldByGateway, "")
+	}
+}
+
 // noteLimit logs that a back end names another limit than before, none any more, or one that can't be read.
 func (g *Gateway) noteLimit(now time.Duration, instance string, news pushback.Limit, toldBy, unread string) {
 	fields := []zap.Field{zap.String(events.FieldInstance, instance), zap.String("told_by", toldBy)}
@@ -77,6 +96,128 @@
 	}
 }
 
+const (
+	// permitPause is how long a gateway asks nobody for parts of limits after the lender gave no answer, as long as one leaves a silent scheduler
+	// alone: each question would hold a request up for the time of an answer that doesn't come.
+	permitPause = askAgainAfter
+	// permitsMost is how many back ends a request may find at their limits once it was placed there.
+	permitsMost = 4
+	// permitCost is what a back end costs that names a limit, in milliseconds: the way to the lender and back.
+	permitCost = 10.0
+	// longestTurn bounds the time to come back where all of a service have reached their limits: what was refused long ago comes back no more.
+	// With what spreads callers it stays below the 8 s of other limits.
+	longestTurn = 7500 * time.Millisecond
+)
+
+// Outcomes of questions for a part of a back end's limit, in metrics.
+const (
+	permitGranted = "granted"
+	permitOver    = "over"
+	permitUnknown = "unknown" // nobody could be asked
+	permitUnused  = "unused"  // granted, and nothing was sent
+)
+
+// permit takes what a send to a back end counts of its limit, and reports whether it may be sent. The sum over all gateways is what the limit is
+// of, so that the leader counts it; none is needed where no limit is named.
+func (a *attempt) permit() bool {
+	g := a.exchange.gateway
+	now := g.now()
+	if a.hold.Valid(now) {
+		return true
+	}
+	limit, dry := g.table.limitOf(now, a.row)
+	if limit == nil {
+		return true
+	}
+	if dry {
+		return false
+	}
+	taken := g.desk.TakeNamed(a.ctx, quota.BackEnd(a.row.entry.ID), *limit)
+	outcome := permitGranted
+	switch taken.Outcome {
+	case desk.Granted:
+		a.hold = taken.Hold
+	case desk.Over:
+		outcome = permitOver
+		g.table.setDry(a.row, g.now()+apart(taken.Wait))
+	default:
+		outcome = permitUnknown
+		g.table.setUnlent(g.now() + permitPause)
+	}
+	g.metrics.permits.WithLabelValues(outcome).Inc()
+	return taken.Outcome == desk.Granted
+}
+
+// returnPermit gives back what was taken of a limit and not used.
+func (a *attempt) returnPermit() {
+	if a.hold.Amount > 0 {
+		a.exchange.gateway.desk.Put(a.hold)
+		a.exchange.gateway.metrics.permits.WithLabelValues(permitUnused).Inc()
+		a.hold = allowance.Hold{}
+	}
+}
+
+// limitOf returns the limit that a back end names, or nil, and whether nothing of it can be had now.
+func (t *table) limitOf(now time.Duration, row *endpoint) (limit *allowance.Named, dry bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	named, heard := t.pushed.LimitHeard(row.life)
+	if !named.Named {
+		return nil, false
+	}
+	return &allowance.Named{Rate: named.Rate, Age: max(0, now-heard)}, t.dry(now, row, false) > 0
+}
+
+// dry returns how long nothing can be had of a back end's limit, as far as this gateway knows; elsewhere says that another one sends. The caller
+// holds the mutex.
+func (t *table) dry(now time.Duration, row *endpoint, elsewhere bool) time.Duration {
+	if elsewhere {
+		return max(0, row.pacedTo-now) // that one asks for itself; this only spreads what is placed
+	}
+	return max(0, row.dryTo-now, t.unlentTo-now)
+}
+
+// setDry notes until when nothing can be had of a back end's limit.
+func (t *table) setDry(row *endpoint, until time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	row.dryTo = max(row.dryTo, until)
+}
+
+// setUnlent notes until when nobody is asked for a part of any limit.
+func (t *table) setUnlent(until time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.unlentTo = max(t.unlentTo, until)
+}
+
+// spreadOver spreads what is placed at a back end for other gateways by its limit. The caller holds the mutex.
+func (t *table) spreadOver(now time.Duration, row *endpoint) {
+	if limit := t.pushed.Limit(row.life); limit.Named {
+		row.pacedTo = now + time.Duration(float64(time.Second)/max(limit.Rate, slowestPace))
+	}
+}
+
+// slowestPace is the least rate at which requests are placed for others at a back end with a limit, in requests a second.
+const slowestPace = 0.25
+
+// turn returns when the caller of a request may come back whose service's back ends have all reached their limits: not before the first of them
+// takes another one, and behind those that this gateway told before, of whom it may serve its part of the limits in a second.
+func (t *table) turn(now time.Duration, service string, first time.Duration, gateways int64) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	sum := 0.0
+	for _, row := range t.services[service] {
+		if row.open() {
+			sum += t.pushed.Limit(row.life).Rate
+		}
+	}
+	step := time.Duration(float64(max(1, gateways)) / max(sum, slowestPace) * float64(time.Second))
+	at := min(max(now+first, t.turns[service]+step), now+longestTurn)
+	t.turns[service] = at
+	return at - now
+}
+
 // limited returns how many back ends name a limit, and the sum of these, by service; a service without one is missing.
 func (t *table) limited() (counts map[string]int, sums map[string]float64) {
 	t.mutex.Lock()
--- a/internal/gateway/named_test.go
+++ b/internal/gateway/named_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"kitetiller/internal/allowance"
 	"kitetiller/internal/events"
 	"kitetiller/internal/node"
 	"kitetiller/internal/pushback"
@@ -73,3 +75,210 @@
 		t.Fatalf("%d were logged", logged)
 	}
 }
+
+// ended lets a back end tell that its limit is over, in the answer to a request that was sent now.
+func ended(g *Gateway, id string) { g.hearUnlimited(g.table.rows[id], g.now()) }
+
+// chosenFor returns the back end that a gateway chooses for a request of its own, or "".
+func chosenFor(g *Gateway) string {
+	x := asking(g)
+	if chosen := g.choose(g.now(), need{service: x.service, call: &x.call, trusted: true}); chosen != nil {
+		return chosen.row.entry.ID
+	}
+	return ""
+}
+
+// Between the choice and the send a connection comes up: a limit that was named meanwhile needs its part, one that ended meanwhile none, and a
+// part that was taken ends after a while.
+func TestLastLookNeedsAPartOfTheLimit(t *testing.T) {
+	now := time.Minute
+	g := scheduler(1)
+	g.now = func() time.Duration { return now }
+	chosen := placedAt(g)
+	if bar := chosen.barred(); bar != "" {
+		t.Fatalf("barred before: %s", bar)
+	}
+	names(g, "i-0", 4)
+	if bar := chosen.barred(); bar != causeLimited {
+		t.Fatalf("barred %q without a part", bar)
+	}
+	chosen.hold = allowance.Hold{Name: "x", Amount: 1, Until: now + allowance.Lease}
+	g.table.setDry(chosen.row, now+time.Second)
+	if bar := chosen.barred(); bar != "" {
+		t.Fatalf("barred %q with a part, although others find none", bar)
+	}
+	now += 2 * allowance.Lease
+	if bar := chosen.barred(); bar != causeLimited {
+		t.Fatalf("barred %q with a part that is over", bar)
+	}
+	ended(g, "i-0")
+	if bar := chosen.barred(); bar != "" {
+		t.Fatalf("barred %q after the limit's end", bar)
+	}
+}
+
+// TestBackEndsAtTheirLimitsAreLeftOut: of those of which nothing can be had none is chosen until then, nor named to a scheduler; a scheduler goes
+// on placing there for others, a part of the limit at a time; while the lender is silent none with a limit is chosen.
+func TestBackEndsAtTheirLimitsAreLeftOut(t *testing.T) {
+	now := time.Minute
+	g := scheduler(2)
+	g.now = func() time.Duration { return now }
+	names(g, "i-0", 4)
+	g.table.setDry(g.table.rows["i-0"], now+time.Second)
+	for range 20 {
+		if got := chosenFor(g); got != "i-1" {
+			t.Fatalf("chosen %q", got)
+		}
+	}
+	if without := g.table.unwanted(now, "s", nil); len(without) != 1 || without[0] != "i-0" {
+		t.Fatalf("a scheduler would be told to leave out %v", without)
+	}
+	alone := &wireQuestion{Ticket: "t1", Gateway: "a", Service: "s", Model: "m", WithinMS: 5000, Without: []string{"i-1"}}
+	placed := g.placeFor(now, alone)
+	if placed.Instance != "i-0" || placed.Limit == nil || *placed.Limit != 4 {
+		t.Fatalf("placed for another: %+v", placed)
+	}
+	if again := g.placeFor(now, alone); again.Instance != "" {
+		t.Fatalf("placed at once again: %+v", again)
+	}
+	now += 250 * time.Millisecond
+	if again := g.placeFor(now, alone); again.Instance != "i-0" {
+		t.Fatalf("placed a quarter of a second later: %+v", again)
+	}
+	now += time.Second
+	if first, _ := g.table.allBarred(now, "s"); first != 0 {
+		t.Fatalf("all barred for %v", first)
+	}
+	g.table.setUnlent(now + permitPause)
+	for range 20 {
+		if got := chosenFor(g); got != "i-1" {
+			t.Fatalf("chosen %q while nobody lends", got)
+		}
+	}
+}
+
+// TestBackEndWithALimitOwnsNoPrompt: it is open and closed in turn, so that the prompt would be read in two places.
+func TestBackEndWithALimitOwnsNoPrompt(t *testing.T) {
+	g := scheduler(2)
+	call := (&wireQuestion{Model: "m", Parts: []string{"preamble", "own"}, Tokens: []int{2000, 100}}).call()
+	held := need{service: g.view.Load().services["s"], call: &call, trusted: true}
+	owner := g.owner(0, g.table.services["s"], held)
+	names(g, owner.entry.ID, 4)
+	if next := g.owner(0, g.table.services["s"], held); next == nil || next == owner {
+		t.Fatalf("owner %v", next)
+	}
+}
+
+// TestCallersComeBackInTurn: where all back ends have reached their limits each caller is told a later moment than the one before, as far apart as
+// this gateway's part of the limits; not before the first of them takes another request, and never beyond a bound.
+func TestCallersComeBackInTurn(t *testing.T) {
+	now := time.Minute
+	g := scheduler(2)
+	g.now = func() time.Duration { return now }
+	g.gateways.Store(2)
+	for _, id := range []string{"i-0", "i-1"} {
+		names(g, id, 4)
+		g.table.setDry(g.table.rows[id], now+200*time.Millisecond)
+	}
+	x := asking(g)
+	before := time.Duration(0)
+	for i := range 60 {
+		reason, back := x.noBackend()
+		if reason != reasonLimited || back < 200*time.Millisecond || back > longestTurn+time.Second {
+			t.Fatalf("%s after %v", reason, back)
+		}
+		wanted := min(200*time.Millisecond+time.Duration(i)*250*time.Millisecond, longestTurn)
+		if back < wanted || back > wanted+backSlack/2 {
+			t.Fatalf("caller %d comes back after %v, after %v was its turn", i, back, wanted)
+		}
+		before = back
+	}
+	now += 20 * time.Second
+	g.table.setDry(g.table.rows["i-0"], now+100*time.Millisecond)
+	g.table.setDry(g.table.rows["i-1"], now+100*time.Millisecond)
+	if _, back := x.noBackend(); back >= before {
+		t.Fatalf("after %v although nobody waits any more", back)
+	}
+}
+
+// TestWhatBarsAllIsTold: of back ends at rest and at their limits the first that takes a request again says why.
+func TestWhatBarsAllIsTold(t *testing.T) {
+	now := time.Minute
+	g := scheduler(2)
+	g.now = func() time.Duration { return now }
+	asks(g, "i-0", 10*time.Second)
+	names(g, "i-1", 4)
+	if first, cause := g.table.allBarred(now, "s"); first != 0 || cause != "" {
+		t.Fatalf("%v, %q", first, cause)
+	}
+	g.table.setDry(g.table.rows["i-1"], now+time.Second)
+	if first, cause := g.table.allBarred(now, "s"); first != time.Second || cause != causeLimited {
+		t.Fatalf("%v, %q", first, cause)
+	}
+	g.table.setDry(g.table.rows["i-1"], now+time.Minute)
+	if first, cause := g.table.allBarred(now, "s"); first < 10*time.Second || first > 11*time.Second || cause != causeResting {
+		t.Fatalf("%v, %q", first, cause)
+	}
+}
+
+// TestOtherGatewaysHearOfLimits: over the wire, with their age: of two words the later counts, whoever heard it; a scheduler tells whom it places
+// for as well.
+func TestOtherGatewaysHearOfLimits(t *testing.T) {
+	now := time.Minute
+	g := scheduler(1)
+	g.now = func() time.Duration { return now }
+	told := func(age time.Duration, limit pushback.Limit) {
+		heard := send{Gateway: "other", Instance: "i-0", Age: age, Said: pushback.Said{Limit: limit}}
+		g.table.takeSends(now, []send{heard.wire(0).send()})
+	}
+	rate := func() float64 {
+		limit, _ := g.table.limitOf(now, g.table.rows["i-0"])
+		if limit == nil {
+			return -1
+		}
+		return limit.Rate
+	}
+	for what, step := range []struct {
+		age    time.Duration
+		limit  pushback.Limit
+		wanted float64
+	}{
+		{time.Second, pushback.Limit{Named: true, Rate: 4}, 4},
+		{2 * time.Second, pushback.Limit{Named: true, Rate: 9}, 4},
+		{2 * time.Second, pushback.Limit{Over: true}, 4},
+		{500 * time.Millisecond, pushback.Limit{Named: true, Rate: 0}, 0},
+		{400 * time.Millisecond, pushback.Limit{Over: true}, -1},
+	} {
+		if told(step.age, step.limit); rate() != step.wanted {
+			t.Fatalf("step %d: %.1f, wanted %.1f", what, rate(), step.wanted)
+		}
+	}
+	x := asking(g)
+	limit := 3.5
+	placed := &wirePlacement{Instance: "i-0", Version: 1, Limit: &limit, LimitAgeMS: 20}
+	g.scheduledCandidate(placed, scheduled{}, need{service: x.service, call: &x.call, trusted: true})
+	if rate() != 3.5 {
+		t.Fatalf("a scheduler told %.1f", rate())
+	}
+	names(g, "i-0", 2)
+	if older := (wireSend{Instance: "i-0", Limit: &limit, AgeMS: 1}); older.send().Said.Limit.Rate != 3.5 {
+		t.Fatalf("%+v", older.send())
+	}
+}
+
+// TestRequestGoesOnFromALimit: it may come back to that back end, which is full for a moment only, and gives up after a few.
+func TestRequestGoesOnFromALimit(t *testing.T) {
+	g := scheduler(1)
+	x := asking(g)
+	x.writer = httptest.NewRecorder()
+	for i := range permitsMost {
+		x.newAttempt(&candidate{row: g.table.rows["i-0"]})
+		x.request = httptest.NewRequest("GET", "/", nil)
+		if goes := x.mayGoOn(result{kind: resultUnreached, cause: causeLimited}); goes != (i < permitsMost-1) || len(x.tried) != 0 {
+			t.Fatalf("%d: goes on %v, tried %d", i, goes, len(x.tried))
+		}
+	}
+	if x.sent != 0 || x.unreached != 0 {
+		t.Fatalf("sent %d, unreached %d", x.sent, x.unreached)
+	}
+}
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -37,6 +37,9 @@
 	BackMS   int64   `json:"b,omitempty"` // the request is to be turned away and should come back after this time
 	Fetch    string  `json:"f,omitempty"`
 	Save     string  `json:"k,omitempty"`
+	// Limit is what the instance names as its limit, in requests a second, and LimitAgeMS since when that is known; absent where it names none.
+	Limit      *float64 `json:"n,omitempty"`
+	LimitAgeMS int64    `json:"a,omitempty"`
 }
 
 // wireEnd tells a scheduler how a request ended that it placed.
@@ -102,9 +105,13 @@
 		rank: asked.Rank, queue: chosen.queue,
 	})
 	g.announce(now, chosen, call.Parts, running)
-	return wirePlacement{
+	placed := wirePlacement{
 		Instance: chosen.row.entry.ID, Version: chosen.version, Uncached: chosen.uncached, WaitMS: chosen.wait, Fetch: chosen.fetch, Save: chosen.save,
 	}
+	if limit, _ := g.table.limitOf(now, chosen.row); limit != nil {
+		placed.Limit, placed.LimitAgeMS = &limit.Rate, limit.Age.Milliseconds()
+	}
+	return placed
 }
 
 // takeEnd notes how a request ended that this gateway placed for another one.
@@ -137,6 +144,7 @@
 	here := &made.row.occupied
 	here.Placed = here.Placed.Plus(made.load)
 	t.read(now, made.row, made.uncached)
+	t.spreadOver(now, made.row)
 	return here.Here()
 }
 
--- a/internal/gateway/pushback.go
+++ b/internal/gateway/pushback.go
@@ -115,8 +115,8 @@
 // open reports whether control lets requests go to a back end.
 func (e *endpoint) open() bool { return e.entry.State == catalog.StateReady && !e.entry.Loading }
 
-// bar returns why a back end itself wants no request now, or "". That it leaves binds all gateways, a wish for rest only the one that was asked:
-// elsewhere says that another one sends. The caller holds the mutex.
+// bar returns why a back end itself wants no request now, or "". That it leaves binds all gateways, a wish for rest only the one that was asked,
+// and of its limit each may use what it was lent: elsewhere says that another one sends. The caller holds the mutex.
 func (t *table) bar(now time.Duration, row *endpoint, elsewhere bool) string {
 	bar := t.pushed.At(now, row.life)
 	switch {
@@ -124,34 +124,47 @@
 		return causeLeaving
 	case bar.Rests(now) && !elsewhere:
 		return causeResting
+	case bar.Limit.Named && t.dry(now, row, elsewhere) > 0:
+		return causeLimited
 	}
 	return ""
 }
 
-// allRest returns how long it takes until the first back end of a service may be asked again, where all that may be used want rest; else 0.
-func (t *table) allRest(now time.Duration, service string) time.Duration {
+// allBarred returns how long it takes until the first back end of a service may be asked again, where all that may be used want rest or have
+// reached their limits, and which of the two; else 0.
+func (t *table) allBarred(now time.Duration, service string) (first time.Duration, cause string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	first := time.Duration(0)
 	for _, row := range t.services[service] {
-		if !row.open() {
+		bar := t.pushed.At(now, row.life)
+		if !row.open() || bar.Leaving {
 			continue
 		}
-		switch bar := t.pushed.At(now, row.life); {
-		case bar.Leaving:
-		case !bar.Rests(now):
-			return 0
-		case first == 0 || bar.Until-now < first:
-			first = bar.Until - now
+		left, why := max(0, bar.Until-now), causeResting
+		if bar.Limit.Named {
+			if dry := t.dry(now, row, false); dry > left {
+				left, why = dry, causeLimited
+			}
+		}
+		if left == 0 {
+			return 0, ""
+		}
+		if first == 0 || left < first {
+			first, cause = left, why
 		}
 	}
-	return first
+	return first, cause
 }
 
 // noBackend returns why a request finds no place, and when to come back.
 func (x *exchange) noBackend() (reason string, retryAfter time.Duration) {
-	if rest := x.gateway.table.allRest(x.gateway.now(), x.service.Name); rest > 0 {
-		return reasonResting, apart(rest)
+	g := x.gateway
+	now := g.now()
+	switch first, cause := g.table.allBarred(now, x.service.Name); cause {
+	case causeResting:
+		return reasonResting, apart(first)
+	case causeLimited:
+		return reasonLimited, apart(g.table.turn(now, x.service.Name, first, g.gateways.Load()))
 	}
 	return reasonNoBackend, retrySoon
 }
@@ -162,8 +175,8 @@
 	if refused.rest <= 0 {
 		return refused.retryAfter
 	}
-	if rest := x.gateway.table.allRest(x.gateway.now(), x.service.Name); rest > 0 {
-		return apart(rest)
+	if first, _ := x.gateway.table.allBarred(x.gateway.now(), x.service.Name); first > 0 {
+		return apart(first)
 	}
 	return 0
 }
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -185,6 +185,7 @@
 		return &candidate{wait: answer.WaitMS, back: wireTime(answer.BackMS)}
 	}
 	now := g.now()
+	g.hearScheduler(now, answer)
 	g.table.mutex.Lock()
 	defer g.table.mutex.Unlock()
 	chosen := &candidate{
--- a/internal/pushback/pushback.go
+++ b/internal/pushback/pushback.go
@@ -39,6 +39,7 @@
 type Bar struct {
 	Leaving bool          // until its end
 	Until   time.Duration // end of its rest, by the clock of the book's owner; 0 it asked for none
+	Limit   Limit         // that it names now; it bars what has no part of it
 }
 
 // Stands reports whether nothing may be sent now.
@@ -94,6 +95,9 @@
 	for _, w := range b.words[life.Name] {
 		if w.life == life {
 			bar.Leaving = bar.Leaving || w.leaving
+			if w.limit.Named {
+				bar.Limit = w.limit
+			}
 		} else if !w.mayBe(life) {
 			continue
 		}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -50,6 +50,7 @@
 const (
 	tenantPrefix = "tenant/"
 	retryPrefix  = "repeats/"
+	backPrefix   = "back-end/"
 )
 
 // Tenant names the resource of a tenant.
@@ -58,6 +59,9 @@
 // Repeats names the resource of a service's repeats.
 func Repeats(service string) string { return retryPrefix + service }
 
+// BackEnd names the resource of a life of a back end, which names its limit itself.
+func BackEnd(id string) string { return backPrefix + id }
+
 // Limits returns the limits that a document and terms set, by resource.
 func Limits(document *catalog.Document, terms Terms) map[string]allowance.Limit {
 	limits := map[string]allowance.Limit{}
