A limit that engines name binds the routers too; the simulator plays it on both faces

Cause, as at the gateway: nothing in the product's own interface spoke of a limit. Now refusals, the first event of a stream and a service's answer may name one (limit_per_s). Few routers send to such an engine, as many as the limit has whole requests a second, those of the highest random weights for that life among the routers with a session; each keeps its part, beginning with nothing. So no router asks anybody before a send, and one that is cut off knows its part still. Gateways don't do it so: of 985 few would have a part, and most of their callers would be refused while it lies idle; routers are a few a zone.

The leader really lends, gateways really borrow, through elections, cuts, freezes and suspensions.

Found on the way: nothing.

--- a/internal/api/backend.go
+++ b/internal/api/backend.go
@@ -62,8 +62,9 @@
 	Cached      int               `json:"cached,omitempty"`
 	Imported    int               `json:"imported,omitempty"`
 	Incarnation uint64            `json:"inc,omitempty"`
-	NoReuse     bool              `json:"no_reuse,omitempty"` // another life or other weights than relied on
-	Kept        int               `json:"kept,omitempty"`     // blocks stored in the vault
+	NoReuse     bool              `json:"no_reuse,omitempty"`    // another life or other weights than relied on
+	Kept        int               `json:"kept,omitempty"`        // blocks stored in the vault
+	Limit       *float64          `json:"limit_per_s,omitempty"` // started: requests a second that the engine takes from all routers together
 }
 
 // BackendRefusal is the body of a 503 of a back end that provably did not take the request.
@@ -71,6 +72,7 @@
 	Run          core.Run `json:"run"`
 	Leaving      bool     `json:"leaving,omitempty"`
 	RetryAfterMS int64    `json:"retry_after_ms,omitempty"`
+	Limit        *float64 `json:"limit_per_s,omitempty"` // requests a second that it takes from all routers together; absent names none
 }
 
 // RunRequest is one attempt sent to a small service.
@@ -87,6 +89,7 @@
 type RunResponse struct {
 	Attempt core.AttemptID `json:"attempt"`
 	Answer  ledger.Answer  `json:"answer"`
+	Limit   *float64       `json:"limit_per_s,omitempty"` // requests a second that the service's process takes from all routers together
 }
 
 // RunRecord is what a small service remembers of each run.
--- a/internal/api/problem.go
+++ b/internal/api/problem.go
@@ -62,6 +62,8 @@
 		return http.StatusServiceUnavailable, "This router has no current settings; ask another one"
 	case core.ReasonResting:
 		return http.StatusServiceUnavailable, "All back ends of the service asked for rest"
+	case core.ReasonLimited:
+		return http.StatusServiceUnavailable, "All back ends of the service have reached the limits that they name"
 	case core.ReasonHeldBack:
 		return http.StatusServiceUnavailable, "Back ends ended under this request again and again; it is sent to none until an operator releases it"
 	case core.ReasonLedger:
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -89,6 +89,7 @@
 	ReasonCallerGone    Reason = "caller-gone"
 	ReasonHeldBack      Reason = "held-back"
 	ReasonResting       Reason = "resting" // all back ends that could take it asked for rest
+	ReasonLimited       Reason = "limited" // all of them have reached the limits that they name
 )
 
 // ActionFinish gives a request its final answer.
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -56,6 +56,7 @@
 		return
 	}
 	sent.started = true
+	c.noteUnlimited(sent, event)
 	c.counters.PromptTokens += uint64(r.PromptTokens)
 	c.counters.HitTokens += uint64(event.Cached)
 	row := &c.backends[sent.backend]
@@ -112,6 +113,9 @@
 		c.attemptFailed(r, at, EventAttempt{ID: r.ID, Attempt: r.attempts[at].id, Kind: AttemptBroken})
 		return
 	}
+	if event.Answer != nil {
+		c.noteUnlimited(&r.attempts[at], event)
+	}
 	c.dropAttempt(r, at)
 	c.finish(r, ActionFinish{Reason: ReasonComplete, Run: RunYes, Tokens: r.emitted, Answer: event.Answer})
 }
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -101,6 +101,7 @@
 	Cached      int    // AttemptStarted: prompt tokens that were reused
 	Incarnation uint64 // AttemptStarted and AttemptMismatch
 	Answer      *ledger.Answer
+	Limited     bool // AttemptStarted, and AttemptDone of a small service: the answer names a limit of its back end
 	Well        bool // AttemptRefused: it says nothing against the back end, which answered, or wasn't asked
 }
 
@@ -164,6 +165,9 @@
 	Age     time.Duration `json:"age_ns"` // since it was sent
 }
 
+// EventRouters tells which other routers have a session, in any order.
+type EventRouters struct{ Others []string }
+
 // EventPeerSends reports what other routers sent to back ends lately.
 type EventPeerSends struct{ Sends []Send }
 
@@ -209,6 +213,7 @@
 func (EventClaim) isEvent()         {}
 func (EventAttempt) isEvent()       {}
 func (EventSaid) isEvent()          {}
+func (EventRouters) isEvent()       {}
 func (EventBackend) isEvent()       {}
 func (EventCacheSnapshot) isEvent() {}
 func (EventPlatform) isEvent()      {}
--- /dev/null
+++ b/internal/core/named.go
@@ -0,0 +1,93 @@
+package core
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/guard"
+)
+
+const (
+	// leastShare is the least rate, in requests a second, that all routers together send to a back end which names a lower limit, or 0: whoever
+	// sends nothing never hears that the limit is over.
+	leastShare = 0.25
+	// shareBurst is how much of its share a router may send at once beside one request, in seconds: without any, what comes in between two
+	// requests would be lost.
+	shareBurst = 0.25
+)
+
+// observeRouters takes up which routers share what back ends take from all.
+func (c *Core) observeRouters(event EventRouters) { c.others = event.Others }
+
+// share returns how many requests a second this router may send to a back end that names a limit. Few routers send there, each a part of at least
+// one request a second, so that what each may send at once adds up to no more than the limit in a second; all routers agree who they are without a
+// word (highest random weights), and one that is cut off knows it still.
+func (c *Core) share(life catalog.Life, limit float64) float64 {
+	senders := min(1+len(c.others), max(1, int(min(limit, float64(1+len(c.others))))))
+	own := routerWeight(life, c.config.Router)
+	before := 0
+	for _, other := range c.others {
+		if weight := routerWeight(life, other); weight > own || weight == own && other < c.config.Router {
+			before++
+		}
+	}
+	if before >= senders {
+		return 0
+	}
+	return max(limit, leastShare) / float64(senders)
+}
+
+// routerWeight is a router's weight for a life of a back end.
+func routerWeight(life catalog.Life, router string) uint64 {
+	return xxhash.Sum64String(life.ID() + "/" + router)
+}
+
+// permits is what a router may send to a back end that names a limit.
+type permits struct {
+	life  uint64        // that it is of
+	rate  float64       // requests a second; 0 until the limit was first heard
+	level float64       // requests that may be sent now; at most one and a part of the rate
+	at    time.Duration // when the level was right
+}
+
+// limited returns how long nothing may be sent to a back end for the limit that it names; 0 something may, or it names none.
+func (c *Core) limited(row *backend) time.Duration {
+	if !c.config.Guards.On(guard.LimitCheck) {
+		return 0
+	}
+	life := lifeOf(row.machine.Name, row.incarnation)
+	limit := c.pushed.Limit(life)
+	if !limit.Named {
+		row.permits = permits{}
+		return 0
+	}
+	p := &row.permits
+	rate := c.share(life, limit.Rate)
+	if p.life != row.incarnation || p.rate == 0 {
+		*p = permits{life: row.incarnation, at: c.now} // it begins with nothing: much may have been sent a moment ago
+	}
+	p.level = min(p.level+p.rate*(c.now-p.at).Seconds(), 1+shareBurst*rate)
+	p.rate, p.at = rate, c.now
+	switch {
+	case p.level >= 1:
+		return 0
+	case rate == 0:
+		return othersOnly
+	}
+	return time.Duration((1-p.level)/rate*float64(time.Second)) + time.Nanosecond
+}
+
+// othersOnly is how long a router takes to look again at a back end whose limit others use.
+const othersOnly = time.Second
+
+// usePermit counts a request that is sent to a back end.
+func (c *Core) usePermit(row *backend) { row.permits.level-- }
+
+// noteUnlimited takes up an answer without a limit: one that was heard before the attempt was sent is over.
+func (c *Core) noteUnlimited(sent *attempt, event EventAttempt) {
+	if !event.Limited {
+		c.pushed.Unlimited(c.now, sent.sentAt, lifeOf(c.backends[sent.backend].machine.Name, sent.life))
+	}
+}
--- a/internal/core/named_test.go
+++ b/internal/core/named_test.go
@@ -1,9 +1,12 @@
 package core
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"kitetiller/internal/pushback"
 )
 
@@ -50,8 +53,9 @@
 	return most
 }
 
-// An engine named in its answers how many requests a second it takes, and got all that came: the router reads no such word. The same cause as
-// at the gateways, whose engines got 59 requests in 4 s where 29 are allowed.
+// An engine named in its answers how many requests a second it takes, and got all that came, 80 in 4 s where 17 are allowed: the router read no
+// such word. The same cause as at the gateways, whose engines got 59 where 29 are allowed. It holds now since few routers, which all know without
+// a word who they are, send to such an engine, each its part.
 func TestNamedLimitBindsTheRouter(t *testing.T) {
 	const rate = 2.0
 	h := newHarness(t, 2)
@@ -64,3 +68,79 @@
 		t.Fatalf("%d of 200 were sent although another engine takes all", all)
 	}
 }
+
+// TestRoutersShareANamedLimit: however many routers, whatever limits and however often it changes which of them there are, all together send no more
+// in any window than the limit allows, and where more is asked and nothing changes most of it.
+func TestRoutersShareANamedLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Float64Range(0, 30).Draw(t, "limit")
+		all := rapid.IntRange(1, 40).Draw(t, "routers")
+		var routers []*Core
+		var rows []*backend
+		for i := range all {
+			c := New(Config{Router: fmt.Sprint("r", i), Seed: uint64(i)})
+			c.pushed.NoteLimit(0, lifeOf("e", 1), pushback.Limit{Named: true, Rate: limit})
+			routers = append(routers, c)
+			rows = append(rows, &backend{machine: Machine{Name: "e"}, incarnation: 1})
+		}
+		there := all
+		know := func() {
+			for _, c := range routers[:there] {
+				told := EventRouters{}
+				for _, other := range routers[:there] {
+					if other != c {
+						told.Others = append(told.Others, other.config.Router)
+					}
+				}
+				c.observeRouters(told)
+			}
+		}
+		know()
+		const step, length = 20 * time.Millisecond, 20 * time.Second
+		changes := map[time.Duration]int{}
+		for range rapid.IntRange(0, 10).Draw(t, "changes") {
+			at := time.Duration(rapid.IntRange(1, int(length/step)).Draw(t, "at")) * step
+			changes[at] = rapid.IntRange(1, all).Draw(t, "there")
+		}
+		var sends []time.Duration
+		for now := step; now <= length; now += step {
+			if changed, any := changes[now]; any {
+				there = changed // the others have no session any more, and send nothing
+				know()
+			}
+			for i, c := range routers[:there] {
+				if c.now = now; c.limited(rows[i]) == 0 {
+					c.usePermit(rows[i])
+					sends = append(sends, now)
+				}
+			}
+		}
+		if most, allowed := fullest(sends), namedFactor*limit*namedWindow.Seconds()+namedSlack; float64(most) > allowed {
+			t.Fatalf("%d routers sent %d in %v, %.1f allowed", all, most, namedWindow, allowed)
+		}
+		if used := float64(len(sends)) / length.Seconds(); len(changes) == 0 && used < 0.8*limit-1/length.Seconds() {
+			t.Fatalf("%.2f a second were sent of %.2f", used, limit)
+		}
+	})
+}
+
+// TestNamedLimitEnds: with an answer that names none, to a request that was sent after the limit was heard; until then a service whose engines are
+// all at their limits refuses at once, with a reason of its own.
+func TestNamedLimitEnds(t *testing.T) {
+	h := newHarness(t, 1)
+	sent := need[ActionDispatch](t, h.tick(EventRequest{prompt(1, 4)}))
+	h.after(time.Millisecond, named(engineName(0), 0.5))
+	h.tick(EventAttempt{ID: sent.ID, Attempt: sent.Attempt, Echo: sent.Attempt, Kind: AttemptStarted}) // sent before
+	if final := need[ActionFinish](t, h.tick(EventRequest{prompt(2, 4)})); final.Reason != ReasonLimited || final.Run != RunNot || final.RetryAfter <= 0 {
+		t.Fatalf("%+v", final)
+	}
+	for range 6 {
+		h.after(400 * time.Millisecond)
+		h.report(engineName(0), 1)
+	}
+	sent = need[ActionDispatch](t, h.tick(EventRequest{prompt(3, 4)}))
+	h.after(time.Millisecond, EventAttempt{ID: sent.ID, Attempt: sent.Attempt, Echo: sent.Attempt, Kind: AttemptStarted})
+	for id := range 6 {
+		need[ActionDispatch](t, h.tick(EventRequest{prompt(10+id, 4)}))
+	}
+}
--- a/internal/core/observe.go
+++ b/internal/core/observe.go
@@ -43,6 +43,8 @@
 		c.observeVault(typed)
 	case EventPeerSends:
 		c.observePeerSends(typed)
+	case EventRouters:
+		c.observeRouters(typed)
 	case EventDrain:
 		c.draining = true
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -91,11 +91,11 @@
 // noCandidate decides what to do when no engine can take the head of the queue: wait if one is only busy,
 // otherwise give up.
 func (c *Core) noCandidate(r *request, service *serviceState) bool {
-	if rest := c.allRest(service); rest > 0 {
-		return c.restFor(r, service, rest)
+	if left, reason := c.allBarred(service); left > 0 {
+		return c.restFor(r, service, left, reason)
 	}
 	for _, id := range service.backends {
-		if row := &c.backends[id]; c.ready(row) && c.rests(row) == 0 && !slices.Contains(r.failedOn, id) {
+		if row := &c.backends[id]; c.ready(row) && c.barred(row) == 0 && !slices.Contains(r.failedOn, id) {
 			return false
 		}
 	}
@@ -118,7 +118,7 @@
 
 func (c *Core) anyReady(service *serviceState) bool {
 	for _, id := range service.backends {
-		if row := &c.backends[id]; c.ready(row) && c.rests(row) == 0 {
+		if row := &c.backends[id]; c.ready(row) && c.barred(row) == 0 {
 			return true
 		}
 	}
@@ -156,6 +156,7 @@
 		c.earnRetry(r)
 	}
 	row.running++
+	c.usePermit(row)
 	row.pendingPrefill = append(row.pendingPrefill, pendingPrefill{attempt: sent.id, sentAt: c.now, tokens: chosen.Uncached, lane: r.Lane})
 	action := ActionDispatch{
 		ID: r.ID, Attempt: sent.id, Backend: row.machine.Name, Address: row.machine.Address,
--- a/internal/core/pushback.go
+++ b/internal/core/pushback.go
@@ -32,36 +32,42 @@
 	return max(0, c.pushed.At(c.now, lifeOf(row.machine.Name, row.incarnation)).Until-c.now)
 }
 
-// allRest returns how long it takes until the first ready back end of a service may be asked again, where all of them want rest; else 0.
-func (c *Core) allRest(service *serviceState) time.Duration {
-	first := time.Duration(0)
+// barred returns how long a back end itself wants nothing more from this router: for its rest, or for its limit.
+func (c *Core) barred(row *backend) time.Duration { return max(c.rests(row), c.limited(row)) }
+
+// allBarred returns how long it takes until the first ready back end of a service may be asked again, where all of them want rest or have reached
+// their limits, and which of the two; else 0.
+func (c *Core) allBarred(service *serviceState) (first time.Duration, reason Reason) {
 	for _, id := range service.backends {
 		row := &c.backends[id]
 		if !c.ready(row) {
 			continue
 		}
-		left := c.rests(row)
+		left, why := c.rests(row), ReasonResting
+		if limited := c.limited(row); limited > left {
+			left, why = limited, ReasonLimited
+		}
 		if left == 0 {
-			return 0
+			return 0, ""
 		}
 		if first == 0 || left < first {
-			first = left
+			first, reason = left, why
 		}
 	}
-	return first
+	return first, reason
 }
 
-// restFor decides on the head of a queue whose service rests for a while. A rest that is no longer than requests wait for a back end to appear
-// is waited for, and by a stream in progress any that ends while its caller still waits; else the request is refused at once. It returns
+// restFor decides on the head of a queue whose service takes nothing for a while. A time that is no longer than requests wait for a back end to
+// appear is waited for, and by a stream in progress any that ends while its caller still waits; else the request is refused at once. It returns
 // false when the request must wait.
-func (c *Core) restFor(r *request, service *serviceState, rest time.Duration) bool {
+func (c *Core) restFor(r *request, service *serviceState, rest time.Duration, reason Reason) bool {
 	if c.now+rest < r.deadline && (rest <= noBackendGrace || r.inStream()) {
 		c.wakeAt(r, c.now+rest)
 		return false
 	}
 	service.remove(r)
 	r.state = stateRunning
-	c.refuse(r, ReasonResting, rest+time.Duration(c.random.Float64()*restApart*float64(rest)))
+	c.refuse(r, reason, rest+time.Duration(c.random.Float64()*restApart*float64(rest)))
 	return true
 }
 
--- a/internal/core/tables.go
+++ b/internal/core/tables.go
@@ -51,6 +51,7 @@
 	ceiling        float64          // highest limit that the settings allow
 	bias           float64          // observed over predicted time to first token, smoothed
 	failures       int              // in a row
+	permits        permits          // of the limit that it names
 }
 
 // pendingPrefill is an attempt of ours that has not given its first token yet.
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -25,6 +25,7 @@
 	LeavingCheck       Guard = "leaving-check"         // leaving back ends get no new work
 	LeavingHeard       Guard = "leaving-heard"         // a back end that says itself that it leaves does, whatever control tells
 	RestCheck          Guard = "rest-check"            // back ends that asked for rest get none
+	LimitCheck         Guard = "limit-check"           // back ends that name a limit get no more from all together
 	DrainBeforeExit    Guard = "drain-before-exit"     // a planned stop waits for running streams
 	VersionMonotonic   Guard = "settings-never-revert" // a router keeps the newest version it acknowledged
 	PersistedSettings  Guard = "settings-synced-copy"  // a router restarts from its synced settings
@@ -50,7 +51,7 @@
 	return []Guard{
 		FenceCheck, ClaimBeforeRun, TenantInHash, WeightsInHash, IncarnationCheck, SyncBeforeAck,
 		LearnerBeforeVote, LeaseAtDispatch, VersionCheck, OperationCheck, StreamIndexCheck,
-		EndOfStreamCheck, AttemptCheck, NotRunProof, LeavingCheck, LeavingHeard, RestCheck, DrainBeforeExit,
+		EndOfStreamCheck, AttemptCheck, NotRunProof, LeavingCheck, LeavingHeard, RestCheck, LimitCheck, DrainBeforeExit,
 		VersionMonotonic, PersistedSettings, LeaseMargin, AmbiguousNotResent,
 		ConfirmedView, DrainCommitted, TurnAwayFirst, OrderPause, LateCalls, HighestRevision, HeldBack, SuspensionCounts,
 		RelayConfirmed, RelayReported, RelayApplied, NamingAgreed, NamingKeptOlder,
--- a/internal/lab/sim/engines.go
+++ b/internal/lab/sim/engines.go
@@ -44,6 +44,7 @@
 	alarm   vtime.Alarm
 	cached  map[prefix.Hash]content
 	shed    shedding
+	need    need
 	ordered control.Fence // highest order it ever began to carry out, over all lives
 }
 
@@ -72,7 +73,7 @@
 func (e *engineNode) boot() {
 	e.start()
 	e.lives++
-	e.cached, e.shed = map[prefix.Hash]content{}, shedding{}
+	e.cached, e.shed, e.need = map[prefix.Hash]content{}, shedding{}, need{}
 	weights := "w1"
 	if e.model != nil {
 		weights = e.model.Weights // they stay on the machine
@@ -128,7 +129,7 @@
 	event := core.EventAttempt{Echo: s.attempt, Index: output.Index, Cached: output.Cached}
 	switch output.Kind {
 	case engine.OutputStarted:
-		event.Kind, event.Incarnation = core.AttemptStarted, e.model.Incarnation
+		event.Kind, event.Incarnation, event.Limited = core.AttemptStarted, e.model.Incarnation, e.need.limit(e.w.now()).Named
 	case engine.OutputToken:
 		event.Kind, event.Text = core.AttemptChunk, s.request.job.token(output.Index)
 	case engine.OutputDone:
--- a/internal/lab/sim/fleet.go
+++ b/internal/lab/sim/fleet.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"kitetiller/internal/allowance"
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
 	"kitetiller/internal/gateway/belief"
@@ -111,6 +112,7 @@
 	revision uint64 // orders taken in this life
 	fence    uint64
 	shed     shedding
+	need     need
 	told     string // what a heartbeat told that the leader has taken
 }
 
@@ -120,7 +122,7 @@
 	b.lives++
 	b.id = b.nextID()
 	b.sequence, b.draining, b.loadsTo, b.revision, b.fence, b.told = 0, false, 0, 0, 0, ""
-	b.shed = shedding{}
+	b.shed, b.need = shedding{}, need{}
 	b.version = max(b.version, 1)
 	if b.version > 1 && b.w.chance(fleetOlder) {
 		b.version-- // it kept older weights than it was last seen with
@@ -286,6 +288,9 @@
 	record    *quarantine.Record
 	namings   *belief.Namings
 	pushed    *pushback.Book // what back ends said of themselves
+	borrower  *allowance.Borrower
+	lender    *asker // asks for parts of limits
+	asking    bool
 }
 
 func (g *fleetGateway) boot() {
@@ -294,6 +299,8 @@
 	g.asker = newAsker(g.w, g.process)
 	g.revision, g.version, g.roster, g.confirmed, g.record = 0, control.RosterVersion{}, nil, 0, quarantine.NewRecord()
 	g.namings, g.pushed = belief.NewNamings(g.w.guards), pushback.NewBook()
+	g.borrower, g.asking = allowance.NewBorrower(fmt.Sprint(g.process.name, "#", g.life), fleetTrust), false
+	g.lender = &asker{w: g.w, from: g.process}
 	g.w.oracle.fleet.told[g.process.name] = map[uint64]time.Duration{}
 	g.w.oracle.fleet.used[g.process.name] = 0
 	g.follow()
@@ -339,6 +346,7 @@
 	g.namings.Take(g.clock(), asked, reply.Version.Term, reply.Wanted)
 	g.w.oracle.namingsTold(g.process.name, reply.Wanted)
 	g.version, g.confirmed = reply.Version, asked
+	g.borrower.Touch(asked, reply.Gateways)
 }
 
 // mayBeSent reports whether the gateway's view counts.
@@ -351,13 +359,17 @@
 	if !g.mayBeSent() {
 		return
 	}
-	entry := pick(g.w, g.roster)
-	if entry.State != catalog.StateReady || entry.Loading {
-		return
-	}
-	if g.tooOld(entry) || g.barred(entry) {
-		return
+	if entry := pick(g.w, g.roster); g.maySendTo(entry) && g.permitted(entry) {
+		g.sendTo(entry)
 	}
+}
+
+// maySendTo reports whether a back end may get a request, but for its limit.
+func (g *fleetGateway) maySendTo(entry control.RosterEntry) bool {
+	return g.mayBeSent() && entry.State == catalog.StateReady && !entry.Loading && !g.tooOld(entry) && !g.barred(entry)
+}
+
+func (g *fleetGateway) sendTo(entry control.RosterEntry) {
 	g.w.oracle.fleetSent(g.process.name, entry.ID)
 	g.begin(entry)
 }
--- a/internal/lab/sim/namings.go
+++ b/internal/lab/sim/namings.go
@@ -38,10 +38,12 @@
 		return
 	}
 	g.w.oracle.sends(pairOf(g.process, b.id))
+	g.w.oracle.sendsLimited(pairOf(g.process, b.id), b.need)
+	asked := g.clock()
 	if !b.isMeant(entry.ID) {
 		return // it refuses for that alone, and wants no rest for it
 	}
-	refused := g.hear(entry, b) || b.version != entry.Versions[fleetModel] || g.w.now() < b.loadsTo
+	refused := g.hear(asked, entry, b) || b.version != entry.Versions[fleetModel] || g.w.now() < b.loadsTo
 	if !refused {
 		g.w.oracle.fleetBegan(g.process.name, b)
 	}
--- a/internal/lab/sim/oracle.go
+++ b/internal/lab/sim/oracle.go
@@ -32,6 +32,7 @@
 	HeldBackTrue  Invariant = "held-back"
 	WeightsInTime Invariant = "weights-in-time"
 	RestGiven     Invariant = "rest-given"
+	LimitKept     Invariant = "limit-kept"
 )
 
 // InvariantHelp describes an invariant and how it is checked.
@@ -61,6 +62,7 @@
 		{HeldBackTrue, "a request that ends whoever runs it gets three back ends more at the most, once the news of the third had time; one that ends well is never held back"},
 		{WeightsInTime, "no request begins on older weights later than the limit after newer ones were acknowledged, nor after its gateway first heard of them"},
 		{RestGiven, "a back end that asked a gateway or router for rest gets two requests more from it at the most, from half a second later to the end of that time"},
+		{LimitKept, "from 3 s after a back end first named a limit it gets in any 4 s one and a half times what that allows and 5 more at the most, from all gateways or routers together that had heard of it half a second before"},
 	}
 }
 
@@ -96,6 +98,7 @@
 	controlFault time.Duration               // end of the newest fault that may have stopped control
 	fleet        fleetOracle
 	said         saidOracle
+	limits       limitOracle
 	deadly       map[quarantine.Fingerprint]*deadlyRequest
 	deadlies     int
 }
@@ -104,7 +107,7 @@
 	return &oracle{
 		w: w, runs: map[string]int{}, notRunSends: map[*exchange]bool{},
 		outcomes: map[string]settings.Outcome{}, versions: map[uint64]string{}, routerUsed: map[string]uint64{},
-		fleet: newFleetOracle(), said: newSaidOracle(), deadly: map[quarantine.Fingerprint]*deadlyRequest{},
+		fleet: newFleetOracle(), said: newSaidOracle(), limits: limitOracle{}, deadly: map[quarantine.Fingerprint]*deadlyRequest{},
 	}
 }
 
--- a/internal/lab/sim/pushback.go
+++ b/internal/lab/sim/pushback.go
@@ -109,11 +109,17 @@
 	return bar.Rests(now) && g.w.guards.On(guard.RestCheck) || bar.Leaving && g.w.guards.On(guard.LeavingHeard)
 }
 
-// hear takes up what a back end says of itself. The gateway knows only whom it meant to ask, not which life answered.
-func (g *fleetGateway) hear(entry control.RosterEntry, b *fleetBackend) (turnedAway bool) {
-	said := pushback.Said{Rest: b.shed.sheds(g.w.now()), Leaving: b.draining}
+// hear takes up what a back end says of itself in the answer to a request that was sent at a time. The gateway knows only whom it meant to ask,
+// not which life answered.
+func (g *fleetGateway) hear(sent time.Duration, entry control.RosterEntry, b *fleetBackend) (turnedAway bool) {
+	said := pushback.Said{Rest: b.shed.sheds(g.w.now()), Leaving: b.draining, Limit: b.need.limit(g.w.now())}
 	g.w.oracle.heard(pairOf(g.process, b.id), said)
 	g.pushed.Note(g.clock(), g.w.today(), catalog.LifeOf(entry.ID), said, g.w.random.Float64())
+	if said.Limit.Named {
+		g.w.oracle.heardLimit(pairOf(g.process, b.id), b.need)
+	} else {
+		g.pushed.Unlimited(g.clock(), sent, catalog.LifeOf(entry.ID))
+	}
 	return said.Rest > 0
 }
 
--- a/internal/lab/sim/router.go
+++ b/internal/lab/sim/router.go
@@ -116,7 +116,7 @@
 	step := r.session.Take(sent, reply)
 	if step.Problem != "" || step.Save == nil {
 		if step.Problem == "" {
-			r.post(step.Lease)
+			r.post(r.renewed(step)...)
 		}
 		done(step.Pause)
 		return
@@ -124,11 +124,23 @@
 	r.after(r.w.between(500*time.Microsecond, 4*time.Millisecond), func() {
 		r.saved = *step.Save
 		r.session.Saved(*step.Save)
-		r.post(core.EventSettings{Version: step.Save.Version, Tree: step.Save.Tree}, step.Lease)
+		r.post(append([]core.Event{core.EventSettings{Version: step.Save.Version, Tree: step.Save.Tree}}, r.renewed(step)...)...)
 		done(step.Pause)
 	})
 }
 
+// renewed is what a renewed session tells the core beside settings.
+func (r *routerNode) renewed(step session.Step) []core.Event {
+	if step.Peers == nil {
+		return []core.Event{step.Lease}
+	}
+	told := core.EventRouters{}
+	for _, peer := range step.Peers {
+		told.Others = append(told.Others, peer.Name)
+	}
+	return []core.Event{step.Lease, told}
+}
+
 func (r *routerNode) readList() {
 	asked := r.clock()
 	r.w.call(r.process, r.w.platform.process, time.Second, func(respond func(func())) {
@@ -225,6 +237,7 @@
 	s := &sending{engine: e, request: run, attempt: action.Attempt, router: r, stream: r.w.newStream(e.process, r.process)}
 	r.sendings[action.Attempt] = s
 	r.w.oracle.sends(pairOf(r.process, e.lifeName()))
+	r.w.oracle.sendsLimited(pairOf(r.process, e.lifeName()), e.need)
 	r.w.call(r.process, e.process, serviceLimit, func(respond func(func())) {
 		if rest := e.shed.sheds(e.w.now()); rest > 0 {
 			asker := pairOf(r.process, e.lifeName())
@@ -236,7 +249,12 @@
 			return
 		}
 		result := e.submit(action, s)
+		inNeed, limit, asker := e.need, e.need.limit(e.w.now()), pairOf(r.process, e.lifeName())
 		respond(func() {
+			if limit.Named {
+				r.w.oracle.heardLimit(asker, inNeed)
+				r.post(core.EventSaid{Name: action.Backend, Incarnation: action.Incarnation, Said: pushback.Said{Limit: limit}})
+			}
 			switch result {
 			case engine.Taken:
 			case engine.TakenWithoutReuse:
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -91,6 +91,7 @@
 		o.boot(i == 0)
 	}
 	w.planFaults()
+	w.planNeeds()
 	return w
 }
 
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -85,6 +85,18 @@
 	}
 }
 
+// TestManyGatewaysShareALimit: 300 gateways before four back ends that name limits, under the same faults.
+func TestManyGatewaysShareALimit(t *testing.T) {
+	for _, seed := range []uint64{4, 7} {
+		if result := RunLarge(300, seed, guard.Set{}); result.Violation != nil {
+			t.Errorf("seed %d breaks %s at %v: %s", seed, result.Violation.Invariant, result.Violation.At, result.Violation.Detail)
+		}
+	}
+	if result := RunLarge(300, 4, guard.Without(guard.LimitCheck)); result.Violation == nil || result.Violation.Invariant != LimitKept {
+		t.Errorf("without the check: %+v", result.Violation)
+	}
+}
+
 // TestSeedsThatBrokeSomethingHold: 57 a request held back after a time in which nothing could be sent, 5667 and 6409 requests in a rest that a
 // back end had asked for.
 func TestSeedsThatBrokeSomethingHold(t *testing.T) {
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -50,7 +50,8 @@
 	tellsLives     bool // back ends keep their names and tell when they were started
 	fleetOperators []*fleetOperator
 	faults         int
-	killed         int // runs that back ends of the fleet took along
+	needs          *rand.Rand // chances of back ends that name a limit
+	killed         int        // runs that back ends of the fleet took along
 	mischief       mischief
 	history        *History // nil: not recorded
 	onAccept       []func() // run once, at the next accepted change
--- a/internal/router/announce.go
+++ b/internal/router/announce.go
@@ -50,6 +50,14 @@
 	return addresses
 }
 
+// peerNames returns the names of the other routers.
+func peerNames(peers []control.Peer) (names []string) {
+	for _, peer := range peers {
+		names = append(names, peer.Name)
+	}
+	return names
+}
+
 // listenInternal serves other routers, when the node file gives an address for it.
 func (s *Server) listenInternal() (*transport.Server, error) {
 	if s.file.Router.Internal == "" {
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -135,7 +135,7 @@
 		return said, a.event(core.AttemptBroken)
 	}
 	rest := min(body.RetryAfterMS, pushback.LongestRest.Milliseconds()) // so that no figure is too long for a duration
-	said.Said = pushback.Said{Rest: time.Duration(rest) * time.Millisecond, Leaving: body.Leaving}
+	said.Said = pushback.Said{Rest: time.Duration(rest) * time.Millisecond, Leaving: body.Leaving, Limit: limitOf(body.Limit)}
 	if body.Run != core.RunNot {
 		return said, a.event(core.AttemptBroken)
 	}
@@ -144,6 +144,21 @@
 	return said, event
 }
 
+// limitOf returns the limit that an answer names; one below 0 is none.
+func limitOf(named *float64) pushback.Limit {
+	if named == nil || *named < 0 {
+		return pushback.Limit{}
+	}
+	return pushback.Limit{Named: true, Rate: *named}
+}
+
+// hearLimit passes on the limit that an answer names, and reports whether it names one.
+func (s *Server) hearLimit(a *attemptRun, named *float64) bool {
+	limit := limitOf(named)
+	s.hear(a, core.EventSaid{Name: a.action.Backend, Incarnation: a.action.Incarnation, Said: pushback.Said{Limit: limit}}, http.StatusOK)
+	return named != nil
+}
+
 // begin sends an attempt and returns the answer of a back end that took it; otherwise it reports why not and returns
 // nil.
 func (s *Server) begin(ctx context.Context, a *attemptRun, path string, body any) *http.Response {
@@ -157,21 +172,28 @@
 		return response
 	}
 	said, refused := a.refusal(response)
-	s.hear(a, said)
+	s.hear(a, said, response.StatusCode)
 	s.post(refused)
 	_ = response.Body.Close()
 	return nil
 }
 
 // hear passes on and logs what a back end said of itself.
-func (s *Server) hear(a *attemptRun, told core.EventSaid) {
+func (s *Server) hear(a *attemptRun, told core.EventSaid, status int) {
 	if told.Said.Nothing() {
 		return
 	}
 	s.post(told)
-	if held, due := s.saidLines.Due(s.now(), told.Name); due {
-		s.log.Info(events.InstanceRests, zap.String(events.FieldInstance, a.life()), zap.String(events.FieldRequest, a.run.name),
-			zap.Int("answer", http.StatusServiceUnavailable), zap.Duration(events.FieldRest, told.Said.Rest), zap.Bool("leaving", told.Said.Leaving), zap.Int("held", held))
+	held, due := s.saidLines.Due(s.now(), told.Name)
+	if !due {
+		return
+	}
+	fields := []zap.Field{zap.String(events.FieldInstance, a.life()), zap.String(events.FieldRequest, a.run.name), zap.Int("answer", status), zap.Int("held", held)}
+	if limit := told.Said.Limit; limit.Named {
+		s.log.Info(events.InstanceLimits, append(fields, zap.Float64(events.FieldLimit, limit.Rate))...)
+	}
+	if told.Said.Rest > 0 || told.Said.Leaving {
+		s.log.Info(events.InstanceRests, append(fields, zap.Duration(events.FieldRest, told.Said.Rest), zap.Bool("leaving", told.Said.Leaving))...)
 	}
 }
 
@@ -230,6 +252,7 @@
 
 func (s *Server) passStarted(a *attemptRun, event api.GenerateEvent, out core.EventAttempt) {
 	out.Kind = core.AttemptStarted
+	out.Limited = s.hearLimit(a, event.Limit)
 	s.post(out)
 	s.metrics.started(a, event)
 	if event.NoReuse {
@@ -267,6 +290,7 @@
 		return
 	}
 	done := a.event(core.AttemptDone)
+	done.Limited = s.hearLimit(a, reply.Limit)
 	done.Echo, done.Answer = reply.Attempt, &reply.Answer
 	s.post(done)
 }
