Soak: workers name limits of requests, one or all of a service

One promise more (named), decided by what callers sent half a second after a gateway was seen to have heard, and not in windows in which links or gateways held requests up.

--- /dev/null
+++ b/internal/lab/soak/named.go
@@ -0,0 +1,69 @@
+package soak
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// namedWindow, namedFactor and namedSlack are how a limit is judged that a back end names: in any window so many times what it allows, and so
+	// many more.
+	namedWindow = 4 * time.Second
+	namedFactor = 1.5
+	namedSlack  = 5
+	// namedFrom is how long after it was first named it must hold, and namedFree how long after a process was seen to have heard of it what callers
+	// send there doesn't count.
+	namedFrom = 3 * time.Second
+	namedFree = 500 * time.Millisecond
+)
+
+// inNeed is a time in which one life of a back end names a limit.
+type inNeed struct {
+	from, until time.Duration
+	rate        float64                  // requests a second
+	heard       map[Sender]time.Duration // when each process was seen to have heard of it
+	arrivals    []time.Duration          // that count, of the newest window; rising
+}
+
+// NamedLimit notes that a life of a back end names a limit in its answer to a request, and until when it will.
+func (w *Watch) NamedLimit(at time.Duration, id, life string, rate float64, until time.Duration) {
+	w.mu.Lock()
+	n := w.said.needs[life]
+	if n == nil || at >= n.until {
+		n = &inNeed{from: at, until: until, rate: rate, heard: map[Sender]time.Duration{}}
+		w.said.needs[life] = n
+	}
+	_, heard := n.heard[w.said.sent[id].by]
+	w.mu.Unlock()
+	if !heard {
+		w.say(id, &word{life: life, need: n})
+	}
+}
+
+// reachedInNeed counts a request that came to a life of a back end. The caller holds mu.
+func (w *Watch) reachedInNeed(at time.Duration, request sent, life string) {
+	n := w.said.needs[life]
+	if n == nil || at >= n.until {
+		return
+	}
+	if heard, known := n.heard[request.by]; !known || request.at <= heard+namedFree {
+		return
+	}
+	n.arrivals = append(slices.DeleteFunc(n.arrivals, func(before time.Duration) bool { return before <= at-namedWindow }), at)
+	allowed := namedFactor*n.rate*namedWindow.Seconds() + namedSlack
+	if at >= n.from+namedFrom && float64(len(n.arrivals)) > allowed && !w.bunched(at) {
+		w.fail(LimitNamed, "%s takes %.1f a second and got %d requests in %v from processes that had heard it, %.0f allowed", life, n.rate, len(n.arrivals), namedWindow, allowed)
+	}
+}
+
+// bunched reports whether links or gateways were struck in a window, so that what was sent over a longer time may have come in it.
+func (w *Watch) bunched(at time.Duration) bool {
+	return slices.ContainsFunc(w.bunches, func(s span) bool { return at >= s.from && at-namedWindow <= s.to })
+}
+
+// Bunch notes that requests may be held up between processes for a time and come together at its end.
+func (w *Watch) Bunch(from, to time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.bunches = append(w.bunches, span{from, to})
+}
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -34,6 +34,7 @@
 	DeadlyRequest Kind = "deadly-request" // one that ends each worker that begins to run it comes again and again
 	ShedWorkers   Kind = "shed-workers"   // workers turn every request away and ask for rest
 	LeaveWorker   Kind = "leave-worker"   // a worker says in its answers that it leaves, while its heartbeats say that it is ready
+	NeedWorkers   Kind = "need-workers"   // workers name a limit of requests in their answers
 	ForgedBeats   Kind = "forged-beats"   // another writer sends heartbeats that can't be read in full
 )
 
@@ -42,19 +43,28 @@
 	return []Kind{
 		KillGateway, PauseGateway, StopGateway, KillControl, PauseLeader, KillAll, CutLeader, CutOneWay, CutGateway, DelayLinks, ResetLinks,
 		KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, DeadlyRequest, ForgedBeats,
-		ShedWorkers, LeaveWorker,
+		ShedWorkers, LeaveWorker, NeedWorkers,
 	}
 }
 
 // Disturbs reports whether a fault strikes the system's own processes or their links.
 func (k Kind) Disturbs() bool {
 	switch k {
-	case KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, DeadlyRequest, ForgedBeats, ShedWorkers, LeaveWorker:
+	case KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, DeadlyRequest, ForgedBeats, ShedWorkers, LeaveWorker, NeedWorkers:
 		return false
 	}
 	return true
 }
 
+// Bunches reports whether a fault may hold requests up between processes, or in one, so that they come together at its end.
+func (k Kind) Bunches() bool {
+	switch k {
+	case PauseGateway, CutOneWay, DelayLinks, ResetLinks:
+		return true
+	}
+	return false
+}
+
 // hotShare is how often a drawn fault is a hot tenant, whatever else there is: without one no limit is ever reached.
 const hotShare = 0.2
 
--- a/internal/lab/soak/promises.go
+++ b/internal/lab/soak/promises.go
@@ -21,12 +21,13 @@
 	HeldBack    Promise = "held-back"  // a request that ends its workers gets few more after the third; no other one is refused for it
 	RestGiven   Promise = "rest"       // a back end that asked a gateway for rest gets two requests more from it in that time at the most
 	LeaveHeard  Promise = "leaving"    // a back end that said in an answer that it leaves gets nothing new from whoever heard it
+	LimitNamed  Promise = "named"      // a back end that names a limit gets no more than it allows from all processes together that have heard it
 	NotForged   Promise = "not-forged" // no request reaches a worker that only forged heartbeats name, and none of these is acknowledged
 )
 
 // Promises lists every promise in a fixed order.
 func Promises() []Promise {
-	return []Promise{WithinLimit, AtMostOnce, NotRunTrue, OwnAnswer, ServiceBack, NoOwnEnd, HeldBack, RestGiven, LeaveHeard, NotForged}
+	return []Promise{WithinLimit, AtMostOnce, NotRunTrue, OwnAnswer, ServiceBack, NoOwnEnd, HeldBack, RestGiven, LeaveHeard, LimitNamed, NotForged}
 }
 
 // Broken is a promise that did not hold, with the observation.
@@ -70,6 +71,7 @@
 	deadly   map[string][]time.Duration // when a request that ends its workers came to one, by its name, rising; guarded by mu
 	held     map[string]int             // how often its callers were told that it is held back, by its name; guarded by mu
 	troubles []span                     // of the system's processes and links; guarded by mu
+	bunches  []span                     // in which requests may be held up; guarded by mu
 	said     said                       // of themselves, by back ends; guarded by mu
 }
 
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -17,7 +17,8 @@
 	// KillWorker ends a worker and starts it again as another life after a time; Heat makes a tenant send many times its usual;
 	// Lower lowers a tenant's limit for a time; Change replaces the document by one that differs in nothing that matters; Deadly lets a
 	// request come again and again that ends each worker that begins to run it; Forge lets another writer send heartbeats that can't be read
-	// in full; Shed lets workers turn requests away and ask for rest; Leave lets one say in its answers that it leaves, and another life follow.
+	// in full; Shed lets workers turn requests away and ask for rest; Leave lets one say in its answers that it leaves, and another life follow; Need lets
+	// workers name a limit of requests.
 	KillWorker func(ctx context.Context, target int, length time.Duration)
 	Heat       func(ctx context.Context, target int, length time.Duration)
 	Lower      func(ctx context.Context, target int, length time.Duration)
@@ -26,6 +27,7 @@
 	Forge      func(ctx context.Context, target int, length time.Duration)
 	Shed       func(ctx context.Context, target int, length time.Duration)
 	Leave      func(ctx context.Context, target int, length time.Duration)
+	Need       func(ctx context.Context, target int, length time.Duration)
 }
 
 // delayed is how much longer things take on links that are delayed.
@@ -103,6 +105,8 @@
 		f.Forge(ctx, fault.Target, length)
 	case ShedWorkers:
 		f.Shed(ctx, fault.Target, length)
+	case NeedWorkers:
+		f.Need(ctx, fault.Target, length)
 	case LeaveWorker:
 		f.Leave(ctx, fault.Target, length)
 	}
--- a/internal/lab/soak/said.go
+++ b/internal/lab/soak/said.go
@@ -26,6 +26,7 @@
 	life    string
 	until   time.Duration // end of the rest that it asked for
 	leaving bool
+	need    *inNeed       // in which it names a limit, or nil
 	shown   time.Duration // when it was seen that the process had heard of it; 0 not yet
 	got     int           // requests that came in the rest although they were sent after that
 }
@@ -36,10 +37,11 @@
 	sent  map[string]sent    // by request
 	words map[Sender][]*word // by who heard them
 	open  map[string][]*word // by request: words in its answers that the process hasn't shown yet to have heard
+	needs map[string]*inNeed // by life, the newest
 }
 
 func newSaid() said {
-	return said{sent: map[string]sent{}, words: map[Sender][]*word{}, open: map[string][]*word{}}
+	return said{sent: map[string]sent{}, words: map[Sender][]*word{}, open: map[string][]*word{}, needs: map[string]*inNeed{}}
 }
 
 // Sent notes that a caller is about to send a request to a process.
@@ -64,7 +66,9 @@
 	if !known {
 		return
 	}
-	w.said.words[request.by] = append(w.said.words[request.by], told)
+	if told.need == nil {
+		w.said.words[request.by] = append(w.said.words[request.by], told)
+	}
 	w.said.open[id] = append(w.said.open[id], told)
 }
 
@@ -84,6 +88,12 @@
 			continue
 		}
 		told.shown = at
+		if told.need == nil {
+			continue
+		}
+		if by := w.said.sent[id].by; told.need.heard[by] == 0 {
+			told.need.heard[by] = at
+		}
 	}
 	if left == nil {
 		delete(w.said.open, id)
@@ -101,6 +111,7 @@
 		return
 	}
 	w.show(at, id, life)
+	w.reachedInNeed(at, request, life)
 	for _, told := range w.said.words[request.by] {
 		if told.life != life || told.shown == 0 || request.at <= told.shown {
 			continue
--- a/internal/lab/soak/said_test.go
+++ b/internal/lab/soak/said_test.go
@@ -35,3 +35,17 @@
 	w.Sent(at, "later", gateway)
 	w.Reached(at+time.Second, "later", life)
 }
+
+// limitArrivals lets a back end name a limit of 1.4 requests a second after a second, for 20 s, the gateway be seen to know it after 2 s, and so many
+// requests that a process sent there come together at a time; 13.4 are allowed.
+func limitArrivals(w *Watch, count int, at time.Duration, by Sender) {
+	w.Sent(time.Second, "first", gateway)
+	w.Reached(time.Second, "first", "b")
+	w.NamedLimit(time.Second, "first", "b", 1.4, 21*time.Second)
+	w.Shown(2*time.Second, "first")
+	for n := range count {
+		id := fmt.Sprint("later-", n)
+		w.Sent(at-time.Second/4, id, by)
+		w.Reached(at, id, "b")
+	}
+}
