Failing test: what an engine's new life says in a refusal is noted of its last one

Its trace with the sends: at 28.297 router-1 sends to engine-1/2, meant for 1, and hears of 4.9 s of rest; at 30.753, 31.057 and 31.080 it sends to engine-1/2, meant for 2.

--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -106,3 +106,11 @@
 		}
 	}
 }
+
+// An engine had started again, and a router that didn't know yet sent a request to its last life. The new life turned it away and asked for rest;
+// the router noted that of the last life, learnt of the new one, and sent it three requests more in its rest.
+func TestWordsAreOfTheLifeThatSpoke(t *testing.T) {
+	if found := firstViolation(guard.Set{}, 32146, 1); found != nil {
+		t.Errorf("seed %d breaks %s at %v: %s", found.Seed, found.Violation.Invariant, found.Violation.At, found.Violation.Detail)
+	}
+}
