What a back end says in the product's own interface is of the life that speaks

Cause: a refusal carried no name of the life that gives it, so that the router took it for the one that it meant. Where an engine had started again and the router didn't know yet, the wish for rest (or a limit, or the word that it leaves) was noted of a life that was over, and the next requests, meant for the new life, found nothing. What callers saw: requests that were turned away once more, in a rest.

Mend: refusals and services' answers name the life that speaks, as streams' first events do; words are noted of that one, and of the one that was meant only where none is told. The platform's answers carry no such name; there a rest binds a later life that may be the one that spoke (design 020), and a limit is named again by its next answer.

--- a/internal/api/backend.go
+++ b/internal/api/backend.go
@@ -73,6 +73,7 @@
 	Leaving      bool     `json:"leaving,omitempty"`
 	RetryAfterMS int64    `json:"retry_after_ms,omitempty"`
 	Limit        *float64 `json:"limit_per_s,omitempty"` // requests a second that it takes from all routers together; absent names none
+	Incarnation  uint64   `json:"incarnation,omitempty"` // of the life that speaks; 0 it doesn't tell
 }
 
 // RunRequest is one attempt sent to a small service.
@@ -90,6 +91,8 @@
 	Attempt core.AttemptID `json:"attempt"`
 	Answer  ledger.Answer  `json:"answer"`
 	Limit   *float64       `json:"limit_per_s,omitempty"` // requests a second that the service's process takes from all routers together
+
+	Incarnation uint64 `json:"incarnation,omitempty"` // of the life that speaks; 0 it doesn't tell
 }
 
 // RunRecord is what a small service remembers of each run.
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -108,7 +108,7 @@
 // EventSaid tells what a back end said of itself in an answer, whatever has become of the attempt meanwhile.
 type EventSaid struct {
 	Name        string
-	Incarnation uint64 // that the attempt was meant for
+	Incarnation uint64 // of the life that spoke; the one that the attempt was meant for where it doesn't tell
 	Said        pushback.Said
 }
 
--- a/internal/lab/sim/router.go
+++ b/internal/lab/sim/router.go
@@ -239,12 +239,13 @@
 	r.w.oracle.sends(pairOf(r.process, e.lifeName()))
 	r.w.oracle.sendsLimited(pairOf(r.process, e.lifeName()), e.need)
 	r.w.call(r.process, e.process, serviceLimit, func(respond func(func())) {
+		life := e.lives // that speaks, whichever was meant
 		if rest := e.shed.sheds(e.w.now()); rest > 0 {
 			asker := pairOf(r.process, e.lifeName())
 			respond(func() {
 				said := pushback.Said{Rest: rest}
 				r.w.oracle.heard(asker, said)
-				r.refused(s, action, said)
+				r.refused(s, action, life, said)
 			})
 			return
 		}
@@ -253,14 +254,14 @@
 		respond(func() {
 			if limit.Named {
 				r.w.oracle.heardLimit(asker, inNeed)
-				r.post(core.EventSaid{Name: action.Backend, Incarnation: action.Incarnation, Said: pushback.Said{Limit: limit}})
+				r.post(core.EventSaid{Name: action.Backend, Incarnation: life, Said: pushback.Said{Limit: limit}})
 			}
 			switch result {
 			case engine.Taken:
 			case engine.TakenWithoutReuse:
 				r.attemptEvent(s, core.EventAttempt{Kind: core.AttemptMismatch})
 			default:
-				r.refused(s, action, pushback.Said{Leaving: result == engine.RefusedLeaving, Rest: 100 * time.Millisecond})
+				r.refused(s, action, life, pushback.Said{Leaving: result == engine.RefusedLeaving, Rest: 100 * time.Millisecond})
 			}
 		})
 	}, func(refused bool) { r.attemptEvent(s, core.EventAttempt{Kind: failureKind(refused)}) })
@@ -284,8 +285,8 @@
 
 // attemptEvent passes what a back end answered to the core.
 // refused takes up an engine's refusal, with what it says of itself.
-func (r *routerNode) refused(s *sending, action core.ActionDispatch, said pushback.Said) {
-	r.post(core.EventSaid{Name: action.Backend, Incarnation: action.Incarnation, Said: said})
+func (r *routerNode) refused(s *sending, action core.ActionDispatch, life uint64, said pushback.Said) {
+	r.post(core.EventSaid{Name: action.Backend, Incarnation: life, Said: said})
 	r.attemptEvent(s, core.EventAttempt{Kind: core.AttemptRefused, Well: true})
 }
 
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -108,7 +108,12 @@
 }
 
 // An engine had started again, and a router that didn't know yet sent a request to its last life. The new life turned it away and asked for rest;
-// the router noted that of the last life, learnt of the new one, and sent it three requests more in its rest.
+// the router noted that of the last life, learnt of the new one, and sent it three requests more in its rest. The trace with the sends of that run:
+//
+//	28.297985  router-1 hears rest 4.943614285s of engine-1/2, meant for 1
+//	30.753023  router-1 sends to engine-1/2, meant for 2; so at 31.056608 and 31.079562
+//
+// A refusal tells which life speaks, and its words are noted of that one.
 func TestWordsAreOfTheLifeThatSpoke(t *testing.T) {
 	if found := firstViolation(guard.Set{}, 32146, 1); found != nil {
 		t.Errorf("seed %d breaks %s at %v: %s", found.Seed, found.Violation.Invariant, found.Violation.At, found.Violation.Detail)
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -143,6 +143,7 @@
 	incarnation := e.model.Incarnation
 	e.mutex.Unlock()
 	if refusal, refused := refusalOf(result); refused {
+		refusal.Incarnation = incarnation
 		writeJSON(w, http.StatusServiceUnavailable, refusal)
 		return
 	}
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -134,6 +135,7 @@
 	if err != nil {
 		return said, a.event(core.AttemptBroken)
 	}
+	said.Incarnation = a.speaker(body.Incarnation)
 	rest := min(body.RetryAfterMS, pushback.LongestRest.Milliseconds()) // so that no figure is too long for a duration
 	said.Said = pushback.Said{Rest: time.Duration(rest) * time.Millisecond, Leaving: body.Leaving, Limit: limitOf(body.Limit)}
 	if body.Run != core.RunNot {
@@ -144,6 +146,10 @@
 	return said, event
 }
 
+// speaker returns the life that spoke in an answer. A router may not know yet that another life stands there than the one that it meant, and what
+// that says binds for that one.
+func (a *attemptRun) speaker(told uint64) uint64 { return cmp.Or(told, a.action.Incarnation) }
+
 // limitOf returns the limit that an answer names; one below 0 is none.
 func limitOf(named *float64) pushback.Limit {
 	if named == nil || *named < 0 {
@@ -153,9 +159,9 @@
 }
 
 // hearLimit passes on the limit that an answer names, and reports whether it names one.
-func (s *Server) hearLimit(a *attemptRun, named *float64) bool {
+func (s *Server) hearLimit(a *attemptRun, named *float64, incarnation uint64) bool {
 	limit := limitOf(named)
-	s.hear(a, core.EventSaid{Name: a.action.Backend, Incarnation: a.action.Incarnation, Said: pushback.Said{Limit: limit}}, http.StatusOK)
+	s.hear(a, core.EventSaid{Name: a.action.Backend, Incarnation: a.speaker(incarnation), Said: pushback.Said{Limit: limit}}, http.StatusOK)
 	return named != nil
 }
 
@@ -252,7 +258,7 @@
 
 func (s *Server) passStarted(a *attemptRun, event api.GenerateEvent, out core.EventAttempt) {
 	out.Kind = core.AttemptStarted
-	out.Limited = s.hearLimit(a, event.Limit)
+	out.Limited = s.hearLimit(a, event.Limit, event.Incarnation)
 	s.post(out)
 	s.metrics.started(a, event)
 	if event.NoReuse {
@@ -290,7 +296,7 @@
 		return
 	}
 	done := a.event(core.AttemptDone)
-	done.Limited = s.hearLimit(a, reply.Limit)
+	done.Limited = s.hearLimit(a, reply.Limit, reply.Incarnation)
 	done.Echo, done.Answer = reply.Attempt, &reply.Answer
 	s.post(done)
 }
