Status shows back ends that name limits; benchmark of the choice in need; limits in the book against a list

A caller that leaves while its gateway asks for a part of a limit says nothing of the lender: before, all back ends with limits were left out for half a second then.

--- a/internal/allowance/named.go
+++ b/internal/allowance/named.go
@@ -1,8 +1,10 @@
 package allowance
 
 import (
+	"cmp"
 	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -104,12 +106,17 @@
 	maps.DeleteFunc(l.named, func(_ string, a *namedAccount) bool { return now-a.askedAt > namedKept })
 }
 
-// Named returns how many resources that name their limits were asked for lately, and what these limits come to.
-func (l *Lender) Named() (count int, rate float64) {
-	for _, a := range l.named {
-		rate += a.limit.Rate
+// Named returns the resources that name their limits and were asked for lately: those of which most was refused, rising by name, so many at most.
+func (l *Lender) Named(now time.Duration, most int) []State {
+	states := make([]State, 0, len(l.named))
+	for name, a := range l.named {
+		a.refill(now, l.withheld)
+		states = append(states, State{Name: name, Limit: a.limit, Level: a.level, Lent: a.lent, Refused: a.refused, Withheld: l.withheld})
 	}
-	return len(l.named), rate
+	slices.SortFunc(states, func(x, y State) int { return cmp.Or(cmp.Compare(y.Refused, x.Refused), cmp.Compare(x.Name, y.Name)) })
+	states = states[:min(len(states), most)]
+	slices.SortFunc(states, func(x, y State) int { return cmp.Compare(x.Name, y.Name) })
+	return states
 }
 
 // heardLimit is what a borrower knows of a resource that names its limit.
--- a/internal/allowance/named_test.go
+++ b/internal/allowance/named_test.go
@@ -157,11 +157,14 @@
 	if ask(l, 3*time.Second, 4, 0).Amount != 1 || ask(l, 3*time.Second, 4, 0).Amount != 1 || ask(l, 3*time.Second, 4, 0).Amount != 0 {
 		t.Fatal("the account is not as it was")
 	}
-	if count, rate := l.Named(); count != 1 || rate != 4 {
-		t.Fatalf("%d accounts, %.1f a second", count, rate)
+	if states := l.Named(3*time.Second, 5); len(states) != 1 || states[0].Limit.Rate != 4 || states[0].Lent != 2 || states[0].Refused != 2 {
+		t.Fatalf("%+v", states)
+	}
+	if states := l.Named(3*time.Second, 0); len(states) != 0 {
+		t.Fatalf("%+v", states)
 	}
 	l.Forget(3*time.Second + namedKept)
-	if count, _ := l.Named(); count != 1 {
+	if len(l.named) != 1 {
 		t.Fatal("forgotten too soon")
 	}
 	if l.Forget(4*time.Second + namedKept); len(l.named) != 0 {
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -109,6 +109,7 @@
 	Engines   []EngineStatus `json:"engines,omitempty"`
 
 	Limits []allowance.State `json:"limits,omitempty"` // of what is limited over the fleet; of the leader only
+	Named  []allowance.State `json:"named,omitempty"`  // of back ends that name their limits, those of which most was refused; of the leader only
 	// Suspects are the requests under which more than one back end ended; of the leader only.
 	Suspects []quarantine.Entry `json:"suspects,omitempty"`
 }
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -34,6 +34,9 @@
 	return status
 }
 
+// namedTold is how many back ends that name their limits status shows: a large fleet may have thousands.
+const namedTold = 24
+
 func (r *Replica) addLeaderStatus(now time.Duration, status *StatusReply) {
 	if r.lead == nil {
 		return
@@ -51,6 +54,7 @@
 		status.Engines = append(status.Engines, EngineStatus{EngineReport: report, Wanted: wanted})
 	}
 	status.Limits = r.lead.lending.lender.States(now)
+	status.Named = r.lead.lending.lender.Named(now, namedTold)
 	status.Suspects = r.machine.catalog.Quarantine().News().Entries
 }
 
--- a/internal/gateway/named.go
+++ b/internal/gateway/named.go
@@ -134,12 +134,14 @@
 	}
 	taken := g.desk.TakeNamed(a.ctx, quota.BackEnd(a.row.entry.ID), *limit)
 	outcome := permitGranted
-	switch taken.Outcome {
-	case desk.Granted:
+	switch {
+	case taken.Outcome == desk.Granted:
 		a.hold = taken.Hold
-	case desk.Over:
+	case taken.Outcome == desk.Over:
 		outcome = permitOver
 		g.table.setDry(a.row, g.now()+apart(taken.Wait))
+	case a.ctx.Err() != nil:
+		return false // the caller left, or its time is over: that says nothing of the lender
 	default:
 		outcome = permitUnknown
 		g.table.setUnlent(g.now() + permitPause)
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -18,6 +18,7 @@
 	"kitetiller/internal/control"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/prefix"
+	"kitetiller/internal/pushback"
 	"kitetiller/internal/quota"
 )
 
@@ -243,7 +244,12 @@
 }
 
 // BenchmarkDecision chooses among engines, half of which hold the prompt's shared parts.
-func BenchmarkDecision(b *testing.B) {
+func BenchmarkDecision(b *testing.B) { benchmarkDecision(b, 0) }
+
+// BenchmarkDecisionInNeed does so where half of the engines name a limit, and of half of these nothing can be had.
+func BenchmarkDecisionInNeed(b *testing.B) { benchmarkDecision(b, 0.5) }
+
+func benchmarkDecision(b *testing.B, inNeed float64) {
 	for _, engines := range []int{18, 320, 3100} {
 		b.Run(fmt.Sprint(engines), func(b *testing.B) {
 			g := &Gateway{settings: Settings{Zone: "z0", VersionLimit: time.Second}, table: newTable(mechanism.Set{})}
@@ -260,6 +266,13 @@
 			for i := range engines / 2 {
 				g.table.noteHeld(0, send{Instance: fmt.Sprint(2 * i), Salt: "w1", Parts: parts[:2]})
 			}
+			for i := range int(inNeed * float64(engines)) {
+				row := g.table.rows[fmt.Sprint(i)]
+				g.table.pushed.NoteLimit(0, row.life, pushback.Limit{Named: true, Rate: 4})
+				if i%2 == 0 {
+					row.dryTo = time.Hour
+				}
+			}
 			wish := need{service: &catalog.Service{Name: "engine", Engine: true}, call: &Call{Model: "m", Parts: parts}, trusted: true}
 			b.ReportAllocs()
 			for b.Loop() {
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -88,6 +88,12 @@
 // writeLimits shows what is limited over the fleet, as the leader sees it.
 func writeLimits(w *tabwriter.Writer, status SystemStatus) {
 	for _, reply := range status.Control {
+		if reply.LeaseHeld && len(reply.Named) > 0 {
+			fmt.Fprintln(w, "LIMIT NAMED BY\tA SECOND\tLEFT\tLENT\tREFUSED")
+			for _, l := range reply.Named {
+				fmt.Fprintf(w, "%s\t%.2f\t%.1f\t%.0f\t%.0f\n", l.Name, l.Limit.Rate, l.Level, l.Lent, l.Refused)
+			}
+		}
 		if !reply.LeaseHeld || len(reply.Limits) == 0 {
 			continue
 		}
--- a/internal/pushback/pushback_test.go
+++ b/internal/pushback/pushback_test.go
@@ -66,6 +66,71 @@
 	})
 }
 
+// TestLimitsAgreeWithAList: whatever is heard, in whatever order, told by others with its age, ended or swept, a life's limit is that of the latest
+// word; an answer without one ends only what was heard before its request was sent.
+func TestLimitsAgreeWithAList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type told struct {
+			at    time.Duration
+			limit Limit
+		}
+		book, now := NewBook(), time.Minute
+		latest := map[catalog.Life]told{}
+		lives := []catalog.Life{{Name: "a", Born: 1}, {Name: "a", Born: 2}, {Name: "b"}}
+		hear := func(at time.Duration, life catalog.Life, limit Limit) {
+			before := latest[life]
+			news := book.NoteLimit(at, life, limit)
+			if at < before.at || limit.Over && !before.limit.Named {
+				return
+			}
+			latest[life] = told{at, limit}
+			if changed := before.limit.Named != limit.Named || before.limit.Rate != limit.Rate; news != changed {
+				t.Fatalf("%+v after %+v: news %v", limit, before, news)
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(1, 2000).Draw(t, "pause")) * time.Millisecond
+			life := rapid.SampledFrom(lives).Draw(t, "life")
+			age := time.Duration(rapid.IntRange(0, 3000).Draw(t, "age")) * time.Millisecond
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				said := Said{Limit: Limit{Named: true, Rate: float64(rapid.IntRange(0, 3).Draw(t, "rate"))}}
+				if before := latest[life]; now >= before.at {
+					latest[life] = told{now, said.Limit}
+				}
+				book.Note(now, time.Time{}, life, said, 0)
+			case 1:
+				hear(now-age, life, Limit{Named: true, Rate: float64(rapid.IntRange(0, 3).Draw(t, "rate"))})
+			case 2:
+				hear(now-age, life, Limit{Over: true})
+			case 3:
+				before := latest[life]
+				if over := book.Unlimited(now, now-age, life); over != (before.limit.Named && before.at < now-age) {
+					t.Fatalf("sent %v ago, %+v at %v: over %v", age, before, now, over)
+				} else if over {
+					latest[life] = told{now, Limit{Over: true}}
+				}
+			case 4:
+				book.Sweep(now, func(catalog.Life) bool { return true })
+				for life, last := range latest {
+					if last.limit.Over {
+						delete(latest, life) // nothing is left of it
+					}
+				}
+			}
+			for _, life := range lives {
+				last := latest[life]
+				if got := book.Limit(life); got.Named != last.limit.Named || got.Named && got != last.limit {
+					t.Fatalf("%v at %v: %+v, the list says %+v", life, now, got, last)
+				}
+				if bar := book.At(now, life); bar.Limit != book.Limit(life) {
+					t.Fatalf("%+v bars, %+v is named", bar.Limit, book.Limit(life))
+				}
+			}
+		}
+	})
+}
+
 // TestRestIsOfALife: the next life wants work, unless it may be the one that was heard; a life before it is nobody any more.
 func TestRestIsOfALife(t *testing.T) {
 	day := time.UnixMilli(50_000)
