--- a/internal/control/lending_test.go
+++ b/internal/control/lending_test.go
@@ -128,3 +128,55 @@
 		t.Fatalf("the first gateway that asks the next leader is told of %d", n)
 	}
 }
+
+// borrowNamed asks for a part of a back end's limit as a gateway does that heard of it some time ago, and returns what was lent.
+func (s *solo) borrowNamed(gateway string, rate float64, age time.Duration) float64 {
+	s.t.Helper()
+	ask := allowance.Ask{Name: quota.BackEnd("i-1"), Amount: 1, Named: &allowance.Named{Rate: rate, Age: age}}
+	response := s.ask(Request{Borrow: &allowance.Question{Borrower: gateway, Sequence: uint64(s.now), Asks: []allowance.Ask{ask}}})
+	if response.Lent == nil || !response.Lent.Grants[0].Counted {
+		s.t.Fatalf("%+v", response)
+	}
+	return response.Lent.Grants[0].Amount
+}
+
+// TestLeaderLendsPartsOfNamedLimits: to all gateways together what a back end names, whatever documents say, from nothing on, and a new leader
+// from nothing again; status shows it.
+func TestLeaderLendsPartsOfNamedLimits(t *testing.T) {
+	s := openLimited(t)
+	ask := func(s *solo, length time.Duration) (lent float64) {
+		for i, end := 0, s.now+length; s.now < end; i++ {
+			lent += s.borrowNamed([]string{"g1", "g2", "g3"}[i%3], 4, 0)
+			s.pass(20 * time.Millisecond)
+		}
+		return lent
+	}
+	if lent := ask(s, 200*time.Millisecond); lent != 0 {
+		t.Fatalf("%v lent of a limit that was just heard", lent)
+	}
+	if lent := ask(s, 4*time.Second); lent < 12 || lent > 17 {
+		t.Fatalf("%v lent in 4 s of 4 a second", lent)
+	}
+	s.limit(3, 10)
+	if lent := ask(s, 4*time.Second); lent < 12 || lent > 17 {
+		t.Fatalf("%v lent in 4 s after another document", lent)
+	}
+	if told := s.ask(Request{Status: &StatusRequest{}}).Status.Named; len(told) != 1 || told[0].Limit.Rate != 4 || told[0].Refused == 0 {
+		t.Fatalf("%+v", told)
+	}
+	_ = s.disk.Close()
+	next := openStartingIn(t, s.folder)
+	next.config(func(config *Config) { config.GatewayTrust = 3 * time.Second })
+	next.pass(400 * time.Millisecond)
+	if lent := ask(next, 200*time.Millisecond); lent != 0 {
+		t.Fatalf("%v lent by a leader that has just begun", lent)
+	}
+	if lent := ask(next, 4*time.Second); lent < 12 || lent > 17 {
+		t.Fatalf("%v lent in 4 s by the next leader", lent)
+	}
+	next.pass(20 * time.Second)
+	next.borrow("g1", 1)
+	if told := next.ask(Request{Status: &StatusRequest{}}).Status.Named; len(told) != 0 {
+		t.Fatalf("nobody asks for it any more: %+v", told)
+	}
+}
