--- a/internal/allowance/named_test.go
+++ b/internal/allowance/named_test.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -194,3 +195,19 @@
 		t.Fatal("not forgotten, or too much")
 	}
 }
+
+// BenchmarkLendNamed asks for parts of the limits of a fleet all of whose back ends are in need.
+func BenchmarkLendNamed(b *testing.B) {
+	const backEnds = 9675
+	names := make([]string, backEnds)
+	for i := range names {
+		names[i] = fmt.Sprint("back-end/i-", i)
+	}
+	l, now := NewLender(1), time.Second
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now += 100 * time.Microsecond
+		asks := []Ask{{Name: names[i%backEnds], Amount: 1, Named: &Named{Rate: 4}}}
+		l.Take(now, Question{Borrower: "b", Sequence: uint64(i), Asks: asks})
+	}
+}
