What is held for callers and back ends that take it slowly has a bound

Cause: nothing bounded it but the end of an answer. A write to a caller that takes nothing went on into the kernel's buffers, which grow to megabytes a connection, so that the gateway read the next part from the back end; answers that are read whole and bodies had a bound each and none in all; a body's room was made as soon as its length was told.

Mend: socket buffers of 32 KB on both sides of a request; 12 MB in all for bodies, whole answers and long events; beyond that answers are passed on as they are read and bodies turned away at once (`too-much-held`); room follows what has come. Each 16 KB to a caller may take 5 s, where a whole answer had 5 s: one that takes little by little isn't cut off.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -109,15 +110,21 @@
 // relayWhole reads an answer whole and passes it on. A failure that the back end gave may be tried elsewhere where the
 // request may be repeated.
 func (a *attempt) relayWhole(answer *http.Response) result {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, wholeAnswer+1))
-	if err != nil {
-		return a.failed(err)
+	x := a.exchange
+	if answer.ContentLength > wholeAnswer {
+		return a.relayLong(answer, nil)
 	}
-	if len(body) > wholeAnswer {
+	body, room, err := x.gateway.held.read(io.LimitReader(answer.Body, wholeAnswer+1), answer.ContentLength)
+	defer func() { x.gateway.held.give(room) }()
+	switch {
+	case errors.Is(err, errHeld):
+		return a.relayLong(answer, body) // nothing is lost but another try, should it break off
+	case err != nil:
+		return a.failed(err)
+	case len(body) > wholeAnswer:
 		return a.relayLong(answer, body)
 	}
 	a.release(answer, nil)
-	x := a.exchange
 	failure := answer.StatusCode >= http.StatusInternalServerError
 	a.grade = gradeGood
 	if failure {
@@ -127,18 +134,21 @@
 		return result{kind: resultFailed, cause: answer.Status}
 	}
 	x.passHead(answer, len(body))
-	_, _ = x.writer.Write(body) // a caller that is gone cannot be told
+	if x.write(body) != nil {
+		x.endsAt(a)
+		x.abandon()
+	}
 	x.finish(a, answer.StatusCode)
 	return result{kind: resultAnswered}
 }
 
-// relayLong passes an answer on that is too long to be kept.
+// relayLong passes an answer on that is too long to be kept, or for which there is no room.
 func (a *attempt) relayLong(answer *http.Response, begun []byte) result {
 	x := a.exchange
-	x.passHead(answer, -1)
-	_, err := x.writer.Write(begun)
+	x.passHead(answer, int(answer.ContentLength))
+	err := x.write(begun)
 	if err == nil {
-		_, err = io.Copy(x.writer, answer.Body)
+		err = x.copyOn(answer.Body)
 	}
 	if err != nil {
 		_ = a.wire.Close()
@@ -173,12 +183,17 @@
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// finish notes a request that got a back end's answer.
-func (x *exchange) finish(a *attempt, status int) {
+// endsAt notes whose answer a request got.
+func (x *exchange) endsAt(a *attempt) {
 	x.served = a.row.entry.ID
 	if a.grade == gradeGood {
 		x.endedWell()
 	}
+}
+
+// finish notes a request that got a back end's answer.
+func (x *exchange) finish(a *attempt, status int) {
+	x.endsAt(a)
 	_ = http.NewResponseController(x.writer).SetWriteDeadline(time.Time{})
 	x.logEnd(events.RequestAnswered, "", status)
 }
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -63,21 +64,18 @@
 func newPool(source clock.Source) *pool {
 	made := &pool{now: clock.From(source), idle: map[string][]*connection{}}
 	made.dialer = net.Dialer{
-		Timeout: dialTimeout, Control: limitUnacked,
+		Timeout: dialTimeout, Control: limitConnection,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 	}
 	return made
 }
 
-func limitUnacked(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(descriptor uintptr) {
-		failed = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedLimit/time.Millisecond))
-	})
-	if err != nil {
-		return err
-	}
-	return failed
+// limitConnection bounds how long sent bytes may stay unacknowledged, and how much may come that isn't read.
+func limitConnection(_, _ string, raw syscall.RawConn) error {
+	return errors.Join(
+		setOption(raw, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedLimit/time.Millisecond)),
+		setOption(raw, unix.SOL_SOCKET, unix.SO_RCVBUF, socketBuffer),
+	)
 }
 
 // forgotten notes that a back end broke a connection off which had rested so long, before it answered anything. Back ends
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -35,6 +34,7 @@
 	reasonHeldBack   = "held-back"
 	reasonResting    = "resting"
 	reasonLimited    = "limited"
+	reasonHeld       = "too-much-held"
 )
 
 const (
@@ -61,6 +61,7 @@
 	tenant   *catalog.Tenant
 	keyed    bool
 	body     []byte
+	room     int // that was taken for the body
 
 	tried     []*endpoint
 	sent      int // back ends that got the request
@@ -93,6 +94,7 @@
 		return
 	}
 	defer x.uncover()
+	defer func() { g.held.give(x.room) }()
 	if !x.admit() || !x.withinLimit() || !x.readBody() {
 		return
 	}
@@ -168,10 +170,14 @@
 	}
 	controller := http.NewResponseController(x.writer)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := readAll(http.MaxBytesReader(x.writer, x.request.Body, limit), x.request.ContentLength)
+	body, room, err := x.gateway.held.read(http.MaxBytesReader(x.writer, x.request.Body, limit), x.request.ContentLength)
+	x.room = room
 	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errHeld):
+		x.refuse(http.StatusServiceUnavailable, reasonHeld, retrySoon)
+		return false
 	case errors.As(err, &tooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, reasonTooLarge, 0)
 		return false
@@ -183,16 +189,6 @@
 	return true
 }
 
-// readAll reads a body of known length into one buffer of that length.
-func readAll(from io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(from)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(from, body)
-	return body, err
-}
-
 // run sends the request until it has an answer or must be given up.
 func (x *exchange) run() {
 	for {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,7 @@
 	draining  atomic.Bool
 	closing   atomic.Bool // the end of a planned stop: nothing new is taken
 	active    atomic.Int64
+	held      held // for callers and back ends that take it slowly
 	metrics   *metrics
 }
 
@@ -101,7 +102,7 @@
 
 // Run serves until ctx ends, then finishes what is in flight.
 func (g *Gateway) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", g.settings.Listen)
+	listener, err := listenCallers(g.settings.Listen)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", g.settings.Listen)
 	}
--- /dev/null
+++ b/internal/gateway/held.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// heldMost bounds what the gateway holds in its own memory for all callers and back ends that take it slowly: with the buffers of the sockets
+	// of 200 such requests it comes to some 38 MB, a third of a small machine's memory.
+	heldMost = 12 << 20
+	// socketBuffer bounds what the kernel keeps of a request on its way to the caller, and on its way from the back end, in bytes; it takes twice
+	// that. Left to itself it kept over a megabyte for a stream whose caller takes nothing. At 6 ms there and back 10 MB/s fit through.
+	socketBuffer = 32 << 10
+	// heldStep is how much of a body is made room for at first, of an event without being counted, and passed on at once of an answer, in bytes.
+	heldStep = 16 << 10
+)
+
+// errHeld says that so much is held already that there is no room for more.
+var errHeld = errors.New("too much is held for slow callers")
+
+// held counts what is held for callers and back ends, in bytes. It is safe for concurrent use.
+type held struct{ bytes atomic.Int64 }
+
+// take makes room for so many bytes, or reports that there is none.
+func (h *held) take(n int) bool {
+	if h.bytes.Add(int64(n)) <= heldMost {
+		return true
+	}
+	h.bytes.Add(int64(-n))
+	return false
+}
+
+// give ends what take began.
+func (h *held) give(n int) { h.bytes.Add(int64(-n)) }
+
+// read reads a body of known length, or of any where that is below 0, and returns what came and how much room was taken for it, also beside an
+// error. Room follows what has come: a caller that tells of much and sends nothing takes none from others.
+func (h *held) read(from io.Reader, length int64) (body []byte, room int, err error) {
+	for {
+		if len(body) == cap(body) {
+			wanted := max(heldStep, 2*cap(body))
+			if length >= 0 {
+				wanted = min(wanted, int(length)+1) // one more, so that the end is seen
+			}
+			if !h.take(wanted - room) {
+				return body, room, errHeld
+			}
+			room = wanted
+			body = append(make([]byte, 0, wanted), body...)
+		}
+		n, err := from.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case err == io.EOF && length >= 0 && int64(len(body)) < length:
+			return body, room, io.ErrUnexpectedEOF
+		case err == io.EOF:
+			return body, room, nil
+		case err != nil:
+			return body, room, err
+		}
+	}
+}
+
+// write passes bytes on to the caller, a part after the other. Each may take writeTimeout: a caller that takes nothing is cut off then, and one
+// that takes little isn't.
+func (x *exchange) write(body []byte) error {
+	controller := http.NewResponseController(x.writer)
+	for len(body) > 0 {
+		part := body[:min(len(body), heldStep)]
+		_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := x.writer.Write(part); err != nil {
+			return err
+		}
+		body = body[len(part):]
+	}
+	return nil
+}
+
+// copyOn passes an answer on as it comes, no faster than the caller takes it.
+func (x *exchange) copyOn(from io.Reader) error {
+	part := make([]byte, heldStep)
+	for {
+		n, err := from.Read(part)
+		if failed := x.write(part[:n]); failed != nil {
+			return failed
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// listenCallers opens the listener for callers.
+func listenCallers(address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return setOption(raw, unix.SOL_SOCKET, unix.SO_SNDBUF, socketBuffer) // accepted connections have it too
+	}}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
+// setOption sets an option of a socket.
+func setOption(raw syscall.RawConn, level, option, value int) error {
+	var failed error
+	err := raw.Control(func(descriptor uintptr) { failed = unix.SetsockoptInt(int(descriptor), level, option, value) })
+	return errors.Join(err, failed)
+}
--- /dev/null
+++ b/internal/gateway/held_test.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+	"testing/iotest"
+
+	"pgregory.net/rapid"
+)
+
+func newReader(text []byte) *bufio.Reader {
+	return bufio.NewReaderSize(bytes.NewReader(text), readBuffer)
+}
+
+// TestHeldBodiesAreCounted: a body of any length, known or not, cut off or not, arrives as it was; room is taken for what came, no more than there
+// is, and all of it is given back.
+func TestHeldBodiesAreCounted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h held
+		others := rapid.IntRange(0, heldMost).Draw(t, "others")
+		h.take(others)
+		sent := bytes.Repeat([]byte("x"), rapid.IntRange(0, 3*heldStep).Draw(t, "sent"))
+		told := int64(rapid.SampledFrom([]int{-1, len(sent), len(sent) + 1, heldMost}).Draw(t, "told"))
+		var from io.Reader = bytes.NewReader(sent)
+		if rapid.Bool().Draw(t, "halves") {
+			from = iotest.HalfReader(from)
+		}
+		body, room, err := h.read(from, told)
+		switch {
+		case errors.Is(err, errHeld):
+			if others+2*len(sent)+heldStep < heldMost {
+				t.Fatalf("no room beside %d for %d", others, len(sent))
+			}
+		case told > int64(len(sent)):
+			if err != io.ErrUnexpectedEOF {
+				t.Fatalf("%d of %d came: %v", len(sent), told, err)
+			}
+		case err != nil || !bytes.Equal(body, sent):
+			t.Fatalf("%d came, %d sent, %v", len(body), len(sent), err)
+		}
+		if room > max(heldStep, 2*len(sent)) || int(h.bytes.Load()) != others+room || h.bytes.Load() > heldMost {
+			t.Fatalf("room of %d for %d, %d in all beside %d", room, len(sent), h.bytes.Load(), others)
+		}
+		if h.give(room); int(h.bytes.Load()) != others {
+			t.Fatalf("%d left of %d", h.bytes.Load(), others)
+		}
+	})
+}
+
+// TestLongEventsAreCounted: an event above the usual length takes room until the next one, and is an error where there is none.
+func TestLongEventsAreCounted(t *testing.T) {
+	long := append(append([]byte("id: 1\ndata: "), bytes.Repeat([]byte("x"), 3*heldStep)...), "\n\nid: 2\ndata: y\n\n"...)
+	var h held
+	read := &eventReader{reader: newReader(long), held: &h}
+	if event, err := read.next(); err != nil || len(event) < 3*heldStep || h.bytes.Load() < 3*heldStep {
+		t.Fatalf("%d bytes, %v, room %d", len(event), err, h.bytes.Load())
+	}
+	if event, err := read.next(); err != nil || read.id != "2" || len(event) > heldStep || h.bytes.Load() != 0 {
+		t.Fatalf("%d bytes, %v, room %d", len(event), err, h.bytes.Load())
+	}
+	h.take(heldMost - heldStep)
+	full := &eventReader{reader: newReader(long), held: &h}
+	if _, err := full.next(); !errors.Is(err, errHeld) {
+		t.Fatalf("%v", err)
+	}
+	if full.close(); h.bytes.Load() != heldMost-heldStep {
+		t.Fatalf("%d left", h.bytes.Load())
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -20,16 +20,42 @@
 	reader *bufio.Reader
 	event  []byte
 	id     string
+	held   *held
+	room   int // that was taken for an event above heldStep
+}
+
+// close gives back the room that was taken.
+func (e *eventReader) close() {
+	e.held.give(e.room)
+	e.event, e.room = nil, 0
+}
+
+// count takes room for an event that has grown long, and reports whether there is any.
+func (e *eventReader) count() bool {
+	grown := cap(e.event)
+	if grown <= max(heldStep, e.room) {
+		return true
+	}
+	if !e.held.take(grown - e.room) {
+		return false
+	}
+	e.room = grown
+	return true
 }
 
 // next returns the next event with its empty line, as it came. io.EOF means that the stream ended between two events;
 // any other error that it broke off.
 func (e *eventReader) next() ([]byte, error) {
+	if e.room > 0 {
+		e.close() // the next ones are as short as ever
+	}
 	e.event = e.event[:0]
 	for {
 		part, err := e.reader.ReadSlice('\n')
 		e.event = append(e.event, part...)
 		switch {
+		case !e.count():
+			return nil, errHeld
 		case err == bufio.ErrBufferFull && len(e.event) < maximumEvent:
 			continue
 		case err == io.EOF && len(e.event) > 0:
@@ -62,7 +88,8 @@
 	if !strings.HasPrefix(answer.Header.Get("Content-Type"), eventStream) && !x.relayed {
 		return a.relayWhole(answer)
 	}
-	stream := &eventReader{reader: bufio.NewReaderSize(answer.Body, readBuffer)}
+	stream := &eventReader{reader: bufio.NewReaderSize(answer.Body, readBuffer), held: &x.gateway.held}
+	defer stream.close()
 	controller := http.NewResponseController(x.writer)
 	for {
 		event, err := stream.next()
