A back end whose limit nobody has heard for a while is asked again

Cause: a back end with a limit costs 10 ms more, for the way to the leader, whatever time has passed; beside an idle one it was never chosen, and only an answer tells that the limit is over. What callers saw: nothing while others were idle; once they weren't, a back end that took everything was still held to its old limit until a request came to it.

Mend: 10 ms less for each second since the limit was last heard, 20 s at the most; a gateway that hears a limit that hasn't changed tells the others again once a second, so that one request in a second is enough for all.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -242,8 +242,8 @@
 	if now < row.heardAt+row.entry.ColdLeft {
 		cost += coldCost
 	}
-	if g.table.pushed.Limit(row.life).Named {
-		cost += permitCost
+	if limit, heard := g.table.pushed.LimitHeard(row.life); limit.Named {
+		cost += permitCost - staleGain*min(now-heard, staleMost).Seconds()
 	}
 	return cost
 }
--- a/internal/gateway/named_test.go
+++ b/internal/gateway/named_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"kitetiller/internal/allowance"
+	"kitetiller/internal/catalog"
 	"kitetiller/internal/events"
 	"kitetiller/internal/node"
 	"kitetiller/internal/pushback"
@@ -284,11 +285,13 @@
 }
 
 // A back end had named a limit and then none any more, while another one was idle. It costs 10 ms more for its limit, so that the idle one got every
-// request, and nobody ever heard that the limit was over: of 80 requests 5 s later none came to it.
+// request, and nobody ever heard that the limit was over: of 80 requests 5 s later none came to it. Now it costs less again the longer nobody has
+// heard of its limit.
 func TestLimitIsHeardOfAgain(t *testing.T) {
 	now := time.Minute
 	g := scheduler(2)
 	g.now = func() time.Duration { return now }
+	g.view.Store(newView(&catalog.Document{Services: []catalog.Service{{Name: "s"}}})) // no engines, so that all are as good for any request
 	names(g, "i-0", 4)
 	for range 40 {
 		if now += 100 * time.Millisecond; chosenFor(g) == "i-0" {
--- a/internal/gateway/pushback.go
+++ b/internal/gateway/pushback.go
@@ -51,14 +51,17 @@
 		return
 	}
 	now := g.now()
-	bar, leaves, limits := g.table.hear(now, row, told.said)
+	bar, leaves, limits, retell := g.table.hear(now, row, told.said)
 	news := pushback.Said{Rest: told.said.Rest, Leaving: leaves}
-	if limits {
+	if limits || retell {
 		news.Limit = told.said.Limit
 	}
 	if !news.Nothing() {
 		g.spread.own(send{Gateway: g.nick, Instance: row.entry.ID, Said: news})
 	}
+	if !limits {
+		news.Limit = pushback.Limit{}
+	}
 	g.noteLimit(now, row.entry.ID, news.Limit, toldByAnswer, told.limitUnread)
 	fields := []zap.Field{zap.String(events.FieldInstance, row.entry.ID)}
 	if told.request != "" {
@@ -77,14 +80,15 @@
 }
 
 // hear notes what a back end says of itself, and returns what now keeps requests from it and whether it is news that it leaves, and that it
-// names such a limit.
-func (t *table) hear(now time.Duration, row *endpoint, said pushback.Said) (bar pushback.Bar, leaves, limits bool) {
+// names such a limit; retell says that the others haven't been told lately of a limit that is none.
+func (t *table) hear(now time.Duration, row *endpoint, said pushback.Said) (bar pushback.Bar, leaves, limits, retell bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	before, limit := t.pushed.At(now, row.life), t.pushed.Limit(row.life)
+	before := t.pushed.At(now, row.life)
+	limit, heard := t.pushed.LimitHeard(row.life)
 	bar = t.pushed.Note(now, time.Now(), row.life, said, rand.Float64())
 	t.makeDearer(now, row, said.Rest)
-	return bar, bar.Leaving && !before.Leaving, t.pushed.Limit(row.life) != limit
+	return bar, bar.Leaving && !before.Leaving, t.pushed.Limit(row.life) != limit, said.Limit.Named && now >= heard+retellEach
 }
 
 // restHint is the longest time for which a back end is dearer to the others that asked one gateway for rest: as long as one that failed.
