--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -111,10 +111,14 @@
 // request may be repeated.
 func (a *attempt) relayWhole(answer *http.Response) result {
 	x := a.exchange
-	if answer.ContentLength > wholeAnswer {
+	length := answer.ContentLength
+	if !bodyAllowed(x.request.Method, answer.StatusCode) {
+		length = 0 // the head tells what another request would get
+	}
+	if length > wholeAnswer {
 		return a.relayLong(answer, nil)
 	}
-	body, room, err := x.gateway.held.read(io.LimitReader(answer.Body, wholeAnswer+1), answer.ContentLength)
+	body, room, err := x.gateway.held.read(io.LimitReader(answer.Body, wholeAnswer+1), length)
 	defer func() { x.gateway.held.give(room) }()
 	switch {
 	case errors.Is(err, errHeld):
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -246,18 +246,24 @@
 	if x.gateway.beginsTooLate(now, &a.plan, x.service, x.call.Model) {
 		return causeOutdated
 	}
-	bar := x.gateway.table.bar(now, a.row, false) // the wish may have come while the connection came up
-	if a.hold.Valid(now) && bar == causeLimited {
-		bar = "" // of what can't be had any more this one has its part
-	} else if bar == "" && !a.hold.Valid(now) && x.gateway.table.pushed.Limit(a.row.life).Named {
-		bar = causeLimited
-	}
+	bar := a.withPart(now, x.gateway.table.bar(now, a.row, false)) // the wish may have come while the connection came up
 	if bar != "" {
 		x.gateway.metrics.putOff.WithLabelValues(bar).Inc()
 	}
 	return bar
 }
 
+// withPart returns what bars a back end, given what bars it from an attempt without a part of its limit. The caller holds the table's mutex.
+func (a *attempt) withPart(now time.Duration, bar string) string {
+	switch {
+	case bar != "" && bar != causeLimited, !a.exchange.gateway.table.pushed.Limit(a.row.life).Named:
+		return bar
+	case a.hold.Valid(now):
+		return ""
+	}
+	return causeLimited
+}
+
 // patience is how long the back end may stay silent; 0 leaves it all the time there is.
 func (a *attempt) patience() time.Duration {
 	x := a.exchange
--- a/internal/gateway/named.go
+++ b/internal/gateway/named.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"slices"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -66,40 +64,12 @@
 	}
 }
 
-// strangeMost is how many different words of back ends that nothing reads are logged: their names come from outside.
-const strangeMost = 32
-
-// strangeWords are the words of back ends that nothing reads. It is safe for concurrent use.
-type strangeWords struct {
-	mu    sync.Mutex
-	names []string // at most strangeMost; guarded by mu
-}
-
-// first reports whether a word is to be logged: once, while there is room.
-func (s *strangeWords) first(name string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.names) >= strangeMost || slices.Contains(s.names, name) {
-		return false
-	}
-	s.names = append(s.names, name)
-	return true
-}
-
-// noteStrange counts words of a back end that nothing reads, and logs each name once.
-func (g *Gateway) noteStrange(row *endpoint, names []string) {
-	for _, name := range names {
-		g.metrics.strange.Inc()
-		if g.strange.first(name) {
-			g.log.note(events.WordUnknown, zap.String("word", name), zap.String(events.FieldInstance, row.entry.ID))
-		}
-	}
-}
-
 const (
 	// permitPause is how long a gateway asks nobody for parts of limits after the lender gave no answer, as long as one leaves a silent scheduler
 	// alone: each question would hold a request up for the time of an answer that doesn't come.
 	permitPause = askAgainAfter
+	// permitLeast is how long a back end is left out at the least of whose limit nothing could be had: an answer that came late tells no time.
+	permitLeast = 10 * time.Millisecond
 	// permitsMost is how many back ends a request may find at their limits once it was placed there.
 	permitsMost = 4
 	// permitCost is what a back end costs that names a limit, in milliseconds: the way to the lender and back. For each second that nobody has
@@ -144,7 +114,7 @@
 		a.hold = taken.Hold
 	case taken.Outcome == desk.Over:
 		outcome = permitOver
-		g.table.setDry(a.row, g.now()+apart(taken.Wait))
+		g.table.setDry(a.row, g.now()+apart(max(taken.Wait, permitLeast)))
 	case a.ctx.Err() != nil:
 		return false // the caller left, or its time is over: that says nothing of the lender
 	default:
