--- a/cmd/kitelab/soak.go
+++ b/cmd/kitelab/soak.go
@@ -43,7 +43,7 @@
 
 func (f *soakFlags) run() error {
 	off := soak.Promise(f.guardOff)
-	able := []soak.Promise{soak.WithinLimit, soak.AtMostOnce, soak.OwnAnswer, soak.HeldBack, soak.NotForged, soak.RestGiven, soak.LeaveHeard, soak.LimitNamed}
+	able := []soak.Promise{soak.WithinLimit, soak.AtMostOnce, soak.OwnAnswer, soak.HeldBack, soak.NotForged, soak.RestGiven, soak.LeaveHeard, soak.LimitNamed, soak.ConfigKept}
 	if off != "" && !slices.Contains(able, off) {
 		return eris.Errorf("%q cannot be broken on purpose; %v can", f.guardOff, able)
 	}
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -26,6 +26,7 @@
 	CutGateway    Kind = "cut-gateway" // from control
 	DelayLinks    Kind = "delay-links"
 	ResetLinks    Kind = "reset-links"
+	ResetControl  Kind = "reset-control" // connections between control processes, in series
 	KillWorker    Kind = "kill-worker"
 	HotTenant     Kind = "hot-tenant"
 	LowerLimit    Kind = "lower-limit"
@@ -41,7 +42,7 @@
 // Kinds lists every kind in a fixed order.
 func Kinds() []Kind {
 	return []Kind{
-		KillGateway, PauseGateway, StopGateway, KillControl, PauseLeader, KillAll, CutLeader, CutOneWay, CutGateway, DelayLinks, ResetLinks,
+		KillGateway, PauseGateway, StopGateway, KillControl, PauseLeader, KillAll, CutLeader, CutOneWay, CutGateway, DelayLinks, ResetLinks, ResetControl,
 		KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, DeadlyRequest, ForgedBeats,
 		ShedWorkers, LeaveWorker, NeedWorkers,
 	}
--- a/internal/lab/soak/promises.go
+++ b/internal/lab/soak/promises.go
@@ -22,12 +22,13 @@
 	RestGiven   Promise = "rest"       // a back end that asked a gateway for rest gets two requests more from it in that time at the most
 	LeaveHeard  Promise = "leaving"    // a back end that said in an answer that it leaves gets nothing new from whoever heard it
 	LimitNamed  Promise = "named"      // a back end that names a limit gets no more than it allows from all processes together that have heard it
+	ConfigKept  Promise = "config"     // a configuration that was acknowledged is never lost, and none older is shown after it
 	NotForged   Promise = "not-forged" // no request reaches a worker that only forged heartbeats name, and none of these is acknowledged
 )
 
 // Promises lists every promise in a fixed order.
 func Promises() []Promise {
-	return []Promise{WithinLimit, AtMostOnce, NotRunTrue, OwnAnswer, ServiceBack, NoOwnEnd, HeldBack, RestGiven, LeaveHeard, LimitNamed, NotForged}
+	return []Promise{WithinLimit, AtMostOnce, NotRunTrue, OwnAnswer, ServiceBack, NoOwnEnd, HeldBack, RestGiven, LeaveHeard, LimitNamed, ConfigKept, NotForged}
 }
 
 // Broken is a promise that did not hold, with the observation.
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -87,6 +87,8 @@
 		for _, other := range f.all() {
 			f.Proxy.Reset(gateway.Name, other.Name)
 		}
+	case ResetControl:
+		f.resetControl(ctx, length)
 	case KillWorker:
 		f.KillWorker(ctx, fault.Target, length)
 	case HotTenant:
@@ -112,6 +114,20 @@
 	}
 }
 
+// resetEach is the pause between two resets in a series: shorter than what a change takes to be acknowledged.
+const resetEach = 30 * time.Millisecond
+
+// resetControl resets the connections between control processes again and again.
+func (f *Fleet) resetControl(ctx context.Context, length time.Duration) {
+	for end := time.Now().Add(length); time.Now().Before(end) && Rest(ctx, resetEach); {
+		for i, one := range f.Control {
+			for _, other := range f.Control[:i] {
+				f.Proxy.Reset(one.Name, other.Name)
+			}
+		}
+	}
+}
+
 func (f *Fleet) all() []*Process { return append(append([]*Process{}, f.Control...), f.Gateways...) }
 
 // linksOf returns the links from a process to others, and back where both is set.
