A body that there is no room for is read to its end before its caller is told

Checked so it failed once in eight runs for a fault of ours: the refusal was written and the connection closed while the caller still sent, so that it met a reset.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -170,8 +171,13 @@
 	}
 	controller := http.NewResponseController(x.writer)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, room, err := x.gateway.held.read(http.MaxBytesReader(x.writer, x.request.Body, limit), x.request.ContentLength)
+	from := http.MaxBytesReader(x.writer, x.request.Body, limit)
+	body, room, err := x.gateway.held.read(from, x.request.ContentLength)
 	x.room = room
+	if errors.Is(err, errHeld) {
+		_ = controller.SetReadDeadline(time.Now().Add(discardTimeout))
+		_, _ = io.Copy(io.Discard, from) // a caller that still sends would meet a reset, and not the refusal
+	}
 	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -60,6 +60,8 @@
 	headerTimeout = 10 * time.Second
 	// bodyTimeout is how long a caller may take for a body.
 	bodyTimeout = 15 * time.Second
+	// discardTimeout is how long the rest of a body is read that there is no room for: a few MB on any link but the slowest.
+	discardTimeout = time.Second
 	// defaultBodyLimit bounds bodies while no document says otherwise.
 	defaultBodyLimit = 4 << 20
 	// stopNotice is how long a stopping gateway goes on taking requests, until whoever sends them has noticed.
