Failing test: a request that its back end provably didn't take is held back as if it had run

TestRequestThatEndsItsEnginesIsHeldBack failed once in a run of the checks, and 4, 7 and 2 times in three series of 320 runs, eight at a time: after the first "held back" a later request ran once more (502, run-unknown). Ruled out: news of control that are older than what the router proved itself (none came within the test's 0.1 s).

--- a/internal/router/heldback_test.go
+++ b/internal/router/heldback_test.go
@@ -81,8 +81,14 @@
 	}
 }
 
-// startControlStub answers heartbeats and keeps the count, as a leader does.
-func startControlStub(t *testing.T) string {
+// controlStub answers heartbeats and keeps the count, as a leader does.
+type controlStub struct {
+	address string
+	told    atomic.Bool // the router holds the count's newest news
+}
+
+// startControlStub starts one that knows of lives that ended before.
+func startControlStub(t *testing.T, before ...quarantine.Ended) *controlStub {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -92,7 +98,8 @@
 	_ = listener.Close()
 	var mu sync.Mutex
 	ledger := quarantine.NewLedger()
-	ledger.Apply(quarantine.Change{Seed: make([]byte, quarantine.SeedBytes)})
+	ledger.Apply(quarantine.Change{Seed: stubSeed, Ended: before})
+	stub := &controlStub{address: address}
 	server, err := transport.Listen(address, "", func(request transport.Request, respond transport.Respond) {
 		mu.Lock()
 		defer mu.Unlock()
@@ -104,7 +111,7 @@
 			ledger.Apply(*asked.Catalog.Quarantine)
 		case asked.Heartbeat != nil:
 			answer.Heartbeat = &control.HeartbeatReply{Epoch: 1, Version: 7, Lease: time.Minute}
-			if asked.Heartbeat.Quarantine != ledger.Version() {
+			if stub.told.Store(asked.Heartbeat.Quarantine == ledger.Version()); !stub.told.Load() {
 				answer.Heartbeat.Quarantine = ledger.News()
 			}
 		}
@@ -114,7 +121,22 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = server.Close(t.Context()) })
-	return address
+	return stub
+}
+
+// stubSeed is the secret of fingerprints of a controlStub.
+var stubSeed = make([]byte, quarantine.SeedBytes)
+
+// startSiteOf starts a router under control's stub, with machines of the test's own.
+func startSiteOf(t *testing.T, control string, machines []core.Machine) *site {
+	t.Helper()
+	s := &site{t: t, release: make(chan struct{}), stopped: make(chan error, 1), control: control}
+	s.platform = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(api.MachinesReply{Machines: machines})
+	}))
+	t.Cleanup(s.platform.Close)
+	s.start(s.settingsFolder())
+	return s
 }
 
 // TestRequestThatEndsItsEnginesIsHeldBack: over the product's own interface as over gateways. Its callers get the final answer at once,
@@ -127,12 +149,7 @@
 		engine.begin()
 		machines = append(machines, core.Machine{Name: engine.name, Zone: "z", Service: testService, Address: engine.address})
 	}
-	s := &site{t: t, release: make(chan struct{}), stopped: make(chan error, 1), control: startControlStub(t)}
-	s.platform = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(api.MachinesReply{Machines: machines})
-	}))
-	t.Cleanup(s.platform.Close)
-	s.start(s.settingsFolder())
+	s := startSiteOf(t, startControlStub(t).address, machines)
 	ask := func(prompt string) (status int, text string) {
 		response := s.post("/v1/completions", testKey, fmt.Sprintf(`{"model":"llm","prompt":%q,"max_tokens":1}`, prompt))
 		body, _ := io.ReadAll(response.Body)
@@ -157,3 +174,48 @@
 	}
 	s.eventually("others are served", func() bool { status, _ := ask("another prompt"); return status == http.StatusOK })
 }
+
+// TestSendThatProvablyDidNotRunHoldsNothingBack: two lives ended under a request, so that it is given to one more back end and no further. The first
+// that it is sent to doesn't take it. Its caller is told that the request is held back for an hour, although nothing ran; the next time it is sent.
+func TestSendThatProvablyDidNotRunHoldsNothingBack(t *testing.T) {
+	var asked atomic.Int64
+	engine := http.NewServeMux()
+	engine.HandleFunc("GET "+api.PathState, func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(api.StateReply{Report: core.BackendReport{Incarnation: 1, Weights: "w1", Load: core.Load{PrefillRate: 8000}}})
+	})
+	engine.HandleFunc("POST "+api.PathGenerate, func(w http.ResponseWriter, r *http.Request) {
+		var request api.GenerateRequest
+		if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+			t.Error(err)
+		}
+		if asked.Add(1) == 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_ = json.NewEncoder(w).Encode(api.BackendRefusal{Run: core.RunNot})
+			return
+		}
+		for _, kind := range []api.GenerateEventKind{api.GenerateStarted, api.GenerateDone} {
+			data, _ := json.Marshal(api.GenerateEvent{Attempt: request.Attempt, Kind: kind, Incarnation: 1})
+			fmt.Fprintf(w, "data: %s\n\n", data)
+		}
+	})
+	var machines []core.Machine
+	for number := range 2 {
+		server := httptest.NewServer(engine)
+		t.Cleanup(server.Close)
+		machines = append(machines, core.Machine{Name: fmt.Sprint("e", number), Zone: "z", Service: testService, Address: server.Listener.Addr().String()})
+	}
+	body := `{"model":"llm","prompt":"hello","max_tokens":1}`
+	hasher, err := quarantine.NewHasher(stubSeed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	suspect := hasher.Of(quarantine.Request{Method: http.MethodPost, Path: "/v1/completions", Caller: testTenant, Body: []byte(body)})
+	control := startControlStub(t, quarantine.Ended{Life: "e0/7", Requests: []quarantine.Fingerprint{suspect}}, quarantine.Ended{Life: "e1/7", Requests: []quarantine.Fingerprint{suspect}})
+	s := startSiteOf(t, control.address, machines)
+	s.eventually("the router knows of the lives", control.told.Load)
+	response := s.post("/v1/completions", testKey, body)
+	text, _ := io.ReadAll(response.Body)
+	if response.StatusCode != http.StatusOK || asked.Load() != 2 {
+		t.Fatalf("%d %s after %d sends", response.StatusCode, text, asked.Load())
+	}
+}
