A send that no back end took spends nothing of what a suspected request still has

Cause: the router counted sends, not sends that may have run, when it judged whether a request with two lives against it may go to one more back end. A refused connection or a 503 that says "not-run" took its place, and the caller got the final answer "held back" with an hour to wait; the next same request was sent. The gateway judges by the outcome of each send already (mayGoOn) and is not touched. Ruled out: older news of control, lives counted twice. Callers got that answer too early.

--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -171,7 +171,7 @@
 	response, err := s.sendOnce(ctx, a.action.Address, path, body)
 	if err != nil {
 		s.noteFailure(ctx, a, err)
-		s.post(a.failure(err))
+		s.postFailure(a, a.failure(err))
 		return nil
 	}
 	if response.StatusCode == http.StatusOK {
@@ -179,11 +179,19 @@
 	}
 	said, refused := a.refusal(response)
 	s.hear(a, said, response.StatusCode)
-	s.post(refused)
+	s.postFailure(a, refused)
 	_ = response.Body.Close()
 	return nil
 }
 
+// postFailure reports why a back end didn't answer. Whoever sends the request next must know by then whether it ran.
+func (s *Server) postFailure(a *attemptRun, failed core.EventAttempt) {
+	if failed.Kind == core.AttemptRefused {
+		a.run.notRun.Add(1)
+	}
+	s.post(failed)
+}
+
 // hear passes on and logs what a back end said of itself.
 func (s *Server) hear(a *attemptRun, told core.EventSaid, status int) {
 	if told.Said.Nothing() {
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"kitetiller/internal/api"
@@ -49,6 +50,7 @@
 	tokens      chan token
 	final       chan core.ActionFinish // room for one
 	attempts    int32                  // owned by the decide thread
+	notRun      atomic.Int32           // attempts that provably didn't run; at most attempts
 	lastAttempt uint64                 // owned by the decide thread
 	firstToken  bool                   // owned by the decide thread
 	slow        bool                   // owned by the decide thread: a token was dropped
--- a/internal/router/heldback.go
+++ b/internal/router/heldback.go
@@ -71,9 +71,13 @@
 // barred reports whether a request may not be sent to a back end, or to another one, since too many have ended under it.
 func (s *Server) barred(run *exchange) bool {
 	lives := s.lives(run)
-	return lives >= quarantine.Held || run.attempts > 0 && lives >= quarantine.Suspected
+	return lives >= quarantine.Held || run.mayHaveRun() && lives >= quarantine.Suspected
 }
 
+// mayHaveRun reports whether a back end got the request. A send that none took spends nothing of what a suspected request still has: its caller
+// would be told that it is held back although it isn't yet.
+func (e *exchange) mayHaveRun() bool { return e.attempts > e.notRun.Load() }
+
 // life names the life of a back end that an attempt was sent to.
 func (a *attemptRun) life() string {
 	return fmt.Sprintf("%s/%d", a.action.Backend, a.action.Incarnation)
--- a/internal/router/heldback_test.go
+++ b/internal/router/heldback_test.go
@@ -177,6 +177,11 @@
 
 // TestSendThatProvablyDidNotRunHoldsNothingBack: two lives ended under a request, so that it is given to one more back end and no further. The first
 // that it is sent to doesn't take it. Its caller is told that the request is held back for an hour, although nothing ran; the next time it is sent.
+//
+// Cause: a send that no back end took counted as one that may have run. With two lives against a request ("lives 2"):
+//
+//	FAILED 0a26... e1 dial tcp 127.0.0.1:33175: connect: connection refused
+//	START 0a26... e3 attempts 1 lives 2 barred true
 func TestSendThatProvablyDidNotRunHoldsNothingBack(t *testing.T) {
 	var asked atomic.Int64
 	engine := http.NewServeMux()
