Repair: limits that back ends name are judged in one package of the lab; the least rate stands once

The window, what it may hold and the count of the fullest one stood in five places, the least rate in three. A rapid test compares both counts with a count of each window by itself.

--- a/internal/allowance/named.go
+++ b/internal/allowance/named.go
@@ -6,16 +6,17 @@
 	"math"
 	"slices"
 	"time"
+
+	"kitetiller/internal/pushback"
 )
 
 const (
 	// namedWindow is the longest window that limits are judged in which resources name themselves. A lower one binds until no window holds
 	// anything of its time any more.
 	namedWindow = 4 * time.Second
-	// namedLeast and namedMost bound the rate, in units a second. Of a resource that takes less, or nothing, one unit in a window is lent all the
-	// same: whoever sends nothing never hears that the limit is over.
-	namedLeast = 0.25
-	namedMost  = 1e6
+	// namedMost bounds the rate, in units a second. pushback.LeastRate does from below: of a resource that takes less, or nothing, one unit in a
+	// window is lent all the same.
+	namedMost = 1e6
 	// namedBurst is how much of the rate may be lent at once beside one unit, in seconds: without any, what comes in between two questions would
 	// be lost; with a quarter of a second a window holds 4.45 s of the rate and 1.3 units at the most, lent ahead included.
 	namedBurst = 0.25
@@ -33,7 +34,7 @@
 
 // limit returns what may be used of a resource that names a rate.
 func (n Named) limit() Limit {
-	rate := min(max(n.Rate, namedLeast), namedMost)
+	rate := min(max(n.Rate, pushback.LeastRate), namedMost)
 	return Limit{Rate: rate, Burst: 1 + namedBurst*rate, Room: 1 + namedRoom*rate}
 }
 
--- a/internal/allowance/named_test.go
+++ b/internal/allowance/named_test.go
@@ -6,12 +6,11 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"kitetiller/internal/lab/window"
 )
 
 const (
-	// namedFactor and namedSlack are the aim: in any window of four seconds so many times what the limit allows, and so many more.
-	namedFactor = 1.5
-	namedSlack  = 5
 	// namedSettle is how long after a lower limit was heard something of before may still come.
 	namedSettle = 500 * time.Millisecond
 	// namedUsed is the share of a limit that is to be used where more is asked and nothing is wrong.
@@ -46,17 +45,14 @@
 }
 
 // fullest returns the most that was used in any window that begins after a time.
-func (f *fleet) fullest(after time.Duration) (most int) {
-	first := 0
-	for i, u := range f.uses {
-		for f.uses[first].at <= u.at-namedWindow || f.uses[first].at < after {
-			if first++; first > i {
-				break
-			}
+func (f *fleet) fullest(after time.Duration) int {
+	var used []time.Duration
+	for _, u := range f.uses {
+		if u.at >= after {
+			used = append(used, u.at)
 		}
-		most = max(most, i-first+1)
 	}
-	return most
+	return window.Fullest(used, after)
 }
 
 // TestNamedLimitsHold: whatever is lost, late, repeated, paused, cut off or led anew, all borrowers together use no more in any window than the
@@ -87,7 +83,7 @@
 		for range 500 {
 			f.step(eagerness)
 		}
-		if used, allowed := float64(f.fullest(from)), namedFactor*rate*namedWindow.Seconds()+namedSlack; used > allowed {
+		if used, allowed := float64(f.fullest(from)), window.Allowed(rate); used > allowed {
 			t.Fatalf("%.0f used in a window, %.0f allowed at %.2f a second", used, allowed, rate)
 		}
 	})
--- a/internal/core/named.go
+++ b/internal/core/named.go
@@ -7,12 +7,10 @@
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/guard"
+	"kitetiller/internal/pushback"
 )
 
 const (
-	// leastShare is the least rate, in requests a second, that all routers together send to a back end which names a lower limit, or 0: whoever
-	// sends nothing never hears that the limit is over.
-	leastShare = 0.25
 	// shareBurst is how much of its share a router may send at once beside one request, in seconds: without any, what comes in between two
 	// requests would be lost.
 	shareBurst = 0.25
@@ -36,7 +34,7 @@
 	if before >= senders {
 		return 0
 	}
-	return max(limit, leastShare) / float64(senders)
+	return max(limit, pushback.LeastRate) / float64(senders)
 }
 
 // routerWeight is a router's weight for a life of a back end.
--- a/internal/core/named_test.go
+++ b/internal/core/named_test.go
@@ -7,17 +7,10 @@
 
 	"pgregory.net/rapid"
 
+	"kitetiller/internal/lab/window"
 	"kitetiller/internal/pushback"
 )
 
-const (
-	// namedWindow, namedFactor and namedSlack are how a limit that a back end names is judged: in any window so many times what it allows, and
-	// so many more.
-	namedWindow = 4 * time.Second
-	namedFactor = 1.5
-	namedSlack  = 5
-)
-
 // named is what an engine says of its limit in an answer.
 func named(engine string, rate float64) EventSaid {
 	return EventSaid{Name: engine, Incarnation: 1, Said: pushback.Said{Limit: pushback.Limit{Named: true, Rate: rate}}}
@@ -39,20 +32,6 @@
 	return sends
 }
 
-// fullest returns how many sends the fullest window holds.
-func fullest(sends []time.Duration) (most int) {
-	for i, end := range sends {
-		count := 0
-		for _, at := range sends[:i+1] {
-			if at > end-namedWindow {
-				count++
-			}
-		}
-		most = max(most, count)
-	}
-	return most
-}
-
 // An engine named in its answers how many requests a second it takes, and got all that came, 80 in 4 s where 17 are allowed: the router read no
 // such word. The same cause as at the gateways, whose engines got 59 where 29 are allowed. It holds now since few routers, which all know without
 // a word who they are, send to such an engine, each its part.
@@ -61,8 +40,8 @@
 	h := newHarness(t, 2)
 	h.tick(named(engineName(0), rate))
 	sends := h.askEach(50*time.Millisecond, 10*time.Second, 2)
-	if most, allowed := fullest(sends[engineName(0)]), int(namedFactor*rate*namedWindow.Seconds()+namedSlack); most > allowed {
-		t.Fatalf("%d requests in %v, allowed %d", most, namedWindow, allowed)
+	if most, allowed := window.Fullest(sends[engineName(0)], 0), int(window.Allowed(rate)); most > allowed {
+		t.Fatalf("%d requests in %v, allowed %d", most, window.Length, allowed)
 	}
 	if all := len(sends[engineName(0)]) + len(sends[engineName(1)]); all != 200 {
 		t.Fatalf("%d of 200 were sent although another engine takes all", all)
@@ -115,8 +94,8 @@
 				}
 			}
 		}
-		if most, allowed := fullest(sends), namedFactor*limit*namedWindow.Seconds()+namedSlack; float64(most) > allowed {
-			t.Fatalf("%d routers sent %d in %v, %.1f allowed", all, most, namedWindow, allowed)
+		if most, allowed := window.Fullest(sends, 0), window.Allowed(limit); float64(most) > allowed {
+			t.Fatalf("%d routers sent %d in %v, %.1f allowed", all, most, window.Length, allowed)
 		}
 		if used := float64(len(sends)) / length.Seconds(); len(changes) == 0 && used < 0.8*limit-1/length.Seconds() {
 			t.Fatalf("%.2f a second were sent of %.2f", used, limit)
--- a/internal/gateway/named.go
+++ b/internal/gateway/named.go
@@ -171,13 +171,10 @@
 // spreadOver spreads what is placed at a back end for other gateways by its limit. The caller holds the mutex.
 func (t *table) spreadOver(now time.Duration, row *endpoint) {
 	if limit := t.pushed.Limit(row.life); limit.Named {
-		row.pacedTo = now + time.Duration(float64(time.Second)/max(limit.Rate, slowestPace))
+		row.pacedTo = now + time.Duration(float64(time.Second)/max(limit.Rate, pushback.LeastRate))
 	}
 }
 
-// slowestPace is the least rate at which requests are placed for others at a back end with a limit, in requests a second.
-const slowestPace = 0.25
-
 // turn returns when the caller of a request may come back whose service's back ends have all reached their limits: not before the first of them
 // takes another one, and behind those that this gateway told before, of whom it may serve its part of the limits in a second.
 func (t *table) turn(now time.Duration, service string, first time.Duration, gateways int64) time.Duration {
@@ -189,7 +186,7 @@
 			sum += t.pushed.Limit(row.life).Rate
 		}
 	}
-	step := time.Duration(float64(max(1, gateways)) / max(sum, slowestPace) * float64(time.Second))
+	step := time.Duration(float64(max(1, gateways)) / max(sum, pushback.LeastRate) * float64(time.Second))
 	at := min(max(now+first, t.turns[service]+step), now+longestTurn)
 	t.turns[service] = at
 	return at - now
--- a/internal/lab/sim/named.go
+++ b/internal/lab/sim/named.go
@@ -10,16 +10,12 @@
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
 	"kitetiller/internal/guard"
+	"kitetiller/internal/lab/window"
 	"kitetiller/internal/pushback"
 	"kitetiller/internal/quota"
 )
 
 const (
-	// namedWindow, namedFactor and namedSlack are how a limit is judged that a back end names: in any window so many times what it allows, and so
-	// many more.
-	namedWindow = 4 * time.Second
-	namedFactor = 1.5
-	namedSlack  = 5
 	// namedFrom is how long after it was first named it must hold, and namedHeard how long after a process heard of it what that one sends counts.
 	namedFrom  = 3 * time.Second
 	namedHeard = 500 * time.Millisecond
@@ -132,10 +128,10 @@
 	if heard, known := life.heard[p.sender]; !known || now < heard+namedHeard {
 		return
 	}
-	life.sends = append(slices.DeleteFunc(life.sends, func(at time.Duration) bool { return at <= now-namedWindow }), now)
-	allowed := namedFactor*n.highest(now-namedWindow-namedSettle, now)*namedWindow.Seconds() + namedSlack
+	life.sends = window.Add(life.sends, now)
+	allowed := window.Allowed(n.highest(now-window.Length-namedSettle, now))
 	if now >= n.from+namedFrom && float64(len(life.sends)) > allowed {
-		o.fail(LimitKept, "%s got %d requests in %v from processes that had heard its limit, %.1f allowed, the last from %s", p.backend, len(life.sends), namedWindow, allowed, p.sender)
+		o.fail(LimitKept, "%s got %d requests in %v from processes that had heard its limit, %.1f allowed, the last from %s", p.backend, len(life.sends), window.Length, allowed, p.sender)
 	}
 }
 
--- a/internal/lab/soak/named.go
+++ b/internal/lab/soak/named.go
@@ -3,14 +3,11 @@
 import (
 	"slices"
 	"time"
+
+	"kitetiller/internal/lab/window"
 )
 
 const (
-	// namedWindow, namedFactor and namedSlack are how a limit is judged that a back end names: in any window so many times what it allows, and so
-	// many more.
-	namedWindow = 4 * time.Second
-	namedFactor = 1.5
-	namedSlack  = 5
 	// namedFrom is how long after it was first named it must hold, and namedFree how long after a process was seen to have heard of it what callers
 	// send there doesn't count.
 	namedFrom = 3 * time.Second
@@ -49,16 +46,16 @@
 	if heard, known := n.heard[request.by]; !known || request.at <= heard+namedFree {
 		return
 	}
-	n.arrivals = append(slices.DeleteFunc(n.arrivals, func(before time.Duration) bool { return before <= at-namedWindow }), at)
-	allowed := namedFactor*n.rate*namedWindow.Seconds() + namedSlack
+	n.arrivals = window.Add(n.arrivals, at)
+	allowed := window.Allowed(n.rate)
 	if at >= n.from+namedFrom && float64(len(n.arrivals)) > allowed && !w.bunched(at) {
-		w.fail(LimitNamed, "%s takes %.1f a second and got %d requests in %v from processes that had heard it, %.0f allowed", life, n.rate, len(n.arrivals), namedWindow, allowed)
+		w.fail(LimitNamed, "%s takes %.1f a second and got %d requests in %v from processes that had heard it, %.0f allowed", life, n.rate, len(n.arrivals), window.Length, allowed)
 	}
 }
 
 // bunched reports whether links or gateways were struck in a window, so that what was sent over a longer time may have come in it.
 func (w *Watch) bunched(at time.Duration) bool {
-	return slices.ContainsFunc(w.bunches, func(s span) bool { return at >= s.from && at-namedWindow <= s.to })
+	return slices.ContainsFunc(w.bunches, func(s span) bool { return at >= s.from && at-window.Length <= s.to })
 }
 
 // Bunch notes that requests may be held up between processes for a time and come together at its end.
--- /dev/null
+++ b/internal/lab/window/window_test.go
@@ -0,0 +1,38 @@
+package window
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestFullestCountsEachWindow: against a count of every window by itself, and against windows that are kept as times come in.
+func TestFullestCountsEachWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		times := rapid.SliceOf(rapid.Custom(func(t *rapid.T) time.Duration {
+			return time.Duration(rapid.IntRange(0, 20).Draw(t, "half seconds")) * time.Second / 2
+		})).Draw(t, "times")
+		slices.Sort(times)
+		from := time.Duration(rapid.IntRange(0, 10).Draw(t, "from")) * time.Second
+		counted, kept := 0, 0
+		var held []time.Duration
+		for i, end := range times {
+			held = Add(held, end)
+			if end < from {
+				continue
+			}
+			inside := 0
+			for _, at := range times[:i+1] {
+				if at > end-Length {
+					inside++
+				}
+			}
+			counted, kept = max(counted, inside), max(kept, len(held))
+		}
+		if got := Fullest(times, from); got != counted || kept != counted {
+			t.Fatalf("%d, kept %d, wanted %d of %v from %v", got, kept, counted, times, from)
+		}
+	})
+}
