Repair: what is news of a back end's word is one struct

hear set and took back the limit that it told, and the table's hear returned four values. Behaviour as it was; the tests of gateway and those of limits, rests and leaving in platform pass.

--- a/internal/gateway/pushback.go
+++ b/internal/gateway/pushback.go
@@ -51,23 +51,16 @@
 		return
 	}
 	now := g.now()
-	bar, leaves, limits, retell := g.table.hear(now, row, told.said)
-	news := pushback.Said{Rest: told.said.Rest, Leaving: leaves}
-	if limits || retell {
-		news.Limit = told.said.Limit
+	news := g.table.hear(now, row, told.said)
+	if !news.others.Nothing() {
+		g.spread.own(send{Gateway: g.nick, Instance: row.entry.ID, Said: news.others})
 	}
-	if !news.Nothing() {
-		g.spread.own(send{Gateway: g.nick, Instance: row.entry.ID, Said: news})
-	}
-	if !limits {
-		news.Limit = pushback.Limit{}
-	}
-	g.noteLimit(now, row.entry.ID, news.Limit, toldByAnswer, told.limitUnread)
+	g.noteLimit(now, row.entry.ID, news.limit, toldByAnswer, told.limitUnread)
 	fields := []zap.Field{zap.String(events.FieldInstance, row.entry.ID)}
 	if told.request != "" {
 		fields = append(fields, zap.String(events.FieldRequest, told.request), zap.Int("answer", told.status))
 	}
-	if leaves {
+	if news.others.Leaving {
 		g.log.note(events.InstanceLeaving, append(fields, zap.String("told_by", toldByAnswer))...)
 	}
 	if told.said.Rest <= 0 && told.unread == "" {
@@ -75,20 +68,33 @@
 	}
 	if held, due := g.restLines.Due(now, row.entry.ID); due {
 		g.log.note(events.InstanceRests, append(fields, zap.Duration(events.FieldRest, told.said.Rest),
-			zap.Duration(events.FieldRestLeft, max(0, bar.Until-now)), zap.String(events.FieldUnread, told.unread), zap.Int("held", held))...)
+			zap.Duration(events.FieldRestLeft, max(0, news.bar.Until-now)), zap.String(events.FieldUnread, told.unread), zap.Int("held", held))...)
 	}
 }
 
-// hear notes what a back end says of itself, and returns what now keeps requests from it and whether it is news that it leaves, and that it
-// names such a limit; retell says that the others haven't been told lately of a limit that is none.
-func (t *table) hear(now time.Duration, row *endpoint, said pushback.Said) (bar pushback.Bar, leaves, limits, retell bool) {
+// news is what of a back end's word is to be told.
+type news struct {
+	bar    pushback.Bar   // what now keeps requests from it
+	others pushback.Said  // for the other gateways, of which each rest is news, and a limit also if they haven't been told for a while
+	limit  pushback.Limit // for the log: only if it differs from the one before
+}
+
+// hear notes what a back end says of itself, and returns what of it is news.
+func (t *table) hear(now time.Duration, row *endpoint, said pushback.Said) (made news) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	before := t.pushed.At(now, row.life)
 	limit, heard := t.pushed.LimitHeard(row.life)
-	bar = t.pushed.Note(now, time.Now(), row.life, said, rand.Float64())
+	made.bar = t.pushed.Note(now, time.Now(), row.life, said, rand.Float64())
 	t.makeDearer(now, row, said.Rest)
-	return bar, bar.Leaving && !before.Leaving, t.pushed.Limit(row.life) != limit, said.Limit.Named && now >= heard+retellEach
+	made.others = pushback.Said{Rest: said.Rest, Leaving: made.bar.Leaving && !before.Leaving}
+	if t.pushed.Limit(row.life) != limit {
+		made.limit, made.others.Limit = said.Limit, said.Limit
+	}
+	if said.Limit.Named && now >= heard+retellEach {
+		made.others.Limit = said.Limit
+	}
+	return made
 }
 
 // restHint is the longest time for which a back end is dearer to the others that asked one gateway for rest: as long as one that failed.
