A status that promises no run is passed on only if the back end says that it didn't run

Cause: the gateway's own promise (503, 429, 408) and a back end's status are the same three digits to a caller; what a back end answered without the mark of a request that has not run was passed on as it came. Callers of requests that may run once took it for a promise and sent an order again. Such an answer now ends the attempt as of unknown outcome, and the caller gets 502. Ruled out, each by a part of TestNothingRunsAfterAPromise or its neighbour: sends after the caller's time or after a suspension, repeats after an unknown outcome, connections that come up after the refusal. With a late send or a repeat put in by hand, the tests fail. It holds since every whole answer passes this one place. Requests that may be repeated get the status as before.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -35,6 +35,8 @@
 			x.gateway.log.note(events.WeightsLearnt, zap.String(events.FieldInstance, a.row.entry.ID), zap.Uint64("version", verdict.Version))
 		}
 		return a.turnedAway(answer, verdict)
+	case !x.route.MayRepeat() && promisesNoRun(answer.StatusCode):
+		return a.broken("promise of a back end that doesn't say so: " + answer.Status)
 	case x.relayed && (!verdict.Signed || answer.StatusCode >= http.StatusMultipleChoices):
 		return a.broken("stream not taken up: " + answer.Status)
 	case answer.StatusCode < http.StatusMultipleChoices && !verdict.Signed:
@@ -45,6 +47,16 @@
 	return a.relayWhole(answer)
 }
 
+// promisesNoRun reports whether a status tells a caller that its request has not run and never will. A back end that doesn't say so itself may
+// have run it, and a caller who believes the status runs it twice.
+func promisesNoRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // readHead reads the head of the final answer.
 func (a *attempt) readHead() (*http.Response, error) {
 	for {
