Builds tell their level; what the log may hold rises with it once all members of the control group know it

Two builds side by side share a log that both apply, and nothing said what a build may write that the other reads in part. Each build has a level, told with each message between replicas; the leader raises the level in force by an entry of the log once every member has told a higher one for 5 s. A build that is too old for it refuses to start, and to take a message of the group, with a clear error and its files as they were.

--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -13,7 +13,11 @@
 // replica; replicas never compare clock values, only durations.
 package consensus
 
-import "time"
+import (
+	"time"
+
+	"kitetiller/internal/level"
+)
 
 // ID names one life of a replica's data folder. A wiped folder gets a new ID.
 type ID string
@@ -160,6 +164,10 @@
 	Entries  []Entry       `json:"entries,omitempty"`  // entries after Index
 	Snapshot *Snapshot     `json:"snapshot,omitempty"` // MessageSnapshot only
 	Life     uint64        `json:"life,omitempty"`     // MessageCold: of the asking replica; echoed in the reply
+
+	// Level is that of the sender's build and InForce the one in force as the sender applied the log. Consensus passes both on.
+	Level   level.Level `json:"level,omitempty"`
+	InForce level.Level `json:"in_force,omitempty"`
 }
 
 // Ready is the work that the caller must do, in the order of the package comment.
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"kitetiller/internal/allowance"
+	"kitetiller/internal/consensus"
 	"kitetiller/internal/control/inuse"
 	"kitetiller/internal/control/mesh"
 	"kitetiller/internal/control/relay"
@@ -80,6 +81,7 @@
 	usage        map[string]usageReport // by gateway
 	lending      lending
 	joining      joining
+	levels       levels
 	strangers    map[uint64][]string // by client that waits for an entry: back ends of which a whole heartbeat is wanted
 }
 
@@ -100,6 +102,7 @@
 		since: now, orderLostAt: now - stressMemory, fenceAskedAt: now - callPatience, fleet: map[string]*memberState{}, changed: map[string]bool{},
 		unlogged: map[string]bool{}, planner: &mesh.Planner{}, replicas: map[string]nearReplica{}, sizes: map[string]inuse.Size{}, usage: map[string]usageReport{},
 		lending: lending{lender: allowance.NewLender(term)}, strangers: map[uint64][]string{},
+		levels: levels{told: map[consensus.ID]toldLevel{}},
 	}
 	for router := range machine.sessions {
 		lead.routers[router] = &routerLease{expires: leaseEnd}
@@ -115,6 +118,9 @@
 
 // Handle answers a client's request, at once or after its entry committed.
 func (r *Replica) Handle(now time.Duration, client uint64, request Request) {
+	if r.ended != nil {
+		return
+	}
 	r.now = now
 	if request.Status != nil {
 		r.reply(client, Response{Kind: ResponseOK, Status: r.status(now)})
--- /dev/null
+++ b/internal/control/levels.go
@@ -0,0 +1,105 @@
+package control
+
+import (
+	"time"
+
+	"kitetiller/internal/consensus"
+	"kitetiller/internal/level"
+)
+
+const (
+	// levelCalm is how long all members must have told a level before it comes into force: a member that is replaced by an older build again, as
+	// its start may show, does so sooner.
+	levelCalm = 5 * time.Second
+	// levelFresh is how long a member's word counts: it may have ended, and start as another build.
+	levelFresh = time.Second
+)
+
+// toldLevel is what a member last told of its build.
+type toldLevel struct {
+	level level.Level
+	at    time.Duration
+}
+
+// levels is what a leader knows of the members' builds.
+type levels struct {
+	told     map[consensus.ID]toldLevel
+	common   level.Level   // that all members tell, since a time
+	since    time.Duration // of common
+	proposed level.Level   // the highest that this leader has put into the log
+}
+
+// Ended returns why this replica takes, writes and sends nothing more, or nil while it goes on.
+func (r *Replica) Ended() error { return r.ended }
+
+// knowsLevel notes what a message tells of its sender's build. It is false, and the replica ends, if this build is too old for the group: before
+// anything of the message is taken, so that the replica's files stay as they are.
+func (r *Replica) knowsLevel(now time.Duration, message consensus.Message) bool {
+	r.ended = r.config.Level.Knows(message.InForce)
+	if r.ended != nil {
+		return false
+	}
+	if r.lead != nil {
+		r.lead.levels.told[message.From] = toldLevel{message.Level, now}
+	}
+	return true
+}
+
+// tendLevel raises the level in force once all members have told a higher one for a while.
+func (r *Replica) tendLevel(now time.Duration) {
+	l := &r.lead.levels
+	if common := r.commonLevel(now); common != l.common {
+		l.common, l.since = common, now
+	}
+	if l.common > max(r.machine.level, l.proposed) && now-l.since >= levelCalm {
+		l.proposed = l.common
+		r.propose(now, 0, Command{Level: l.common})
+	}
+}
+
+// commonLevel returns the level that every member knows, as far as they told it lately.
+func (r *Replica) commonLevel(now time.Duration) level.Level {
+	common := r.config.Level
+	for _, member := range r.node.Membership().Members {
+		if member.ID == r.config.ID {
+			continue
+		}
+		told := r.lead.levels.told[member.ID]
+		if now-told.at > levelFresh {
+			return level.Untold
+		}
+		common = min(common, told.level)
+	}
+	return common
+}
+
+// toldLevel returns the level that a member told last, for operators.
+func (r *Replica) toldLevel(id consensus.ID) level.Level {
+	switch {
+	case id == r.config.ID:
+		return r.config.Level
+	case r.lead == nil:
+		return level.Untold
+	}
+	return r.lead.levels.told[id].level
+}
+
+// stamp tells the group of this build, with each message.
+func (r *Replica) stamp(messages []consensus.Message) []consensus.Message {
+	for i := range messages {
+		messages[i].Level, messages[i].InForce = r.config.Level, r.machine.level
+	}
+	return messages
+}
+
+// highestLevel returns the highest level that the state or an entry after it holds. An entry that hasn't committed counts: only a build that knows it
+// can tell what becomes of it.
+func (m *Machine) highestLevel(entries []consensus.Entry) level.Level {
+	highest := m.level
+	for _, entry := range entries {
+		if entry.Kind == consensus.EntryCommand {
+			highest = max(highest, decodeCommand(entry.Data).Level)
+		}
+	}
+	return highest
+}
--- /dev/null
+++ b/internal/control/levels_test.go
@@ -0,0 +1,249 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kitetiller/internal/consensus"
+	"kitetiller/internal/guard"
+	"kitetiller/internal/level"
+)
+
+// build is a member of a group whose members may run different builds.
+type build struct {
+	id      consensus.ID
+	level   level.Level
+	replica *Replica // nil while it doesn't run
+	disk    Checkpoint
+	cut     bool
+}
+
+// mixed is a group in memory.
+type mixed struct {
+	t       rapid.TB
+	now     time.Duration
+	members []*build
+	chances *rand.Rand
+}
+
+func newMixed(t rapid.TB, levels ...level.Level) *mixed {
+	m := &mixed{t: t, chances: rand.New(rand.NewPCG(1, 1))}
+	var membership consensus.Membership
+	for i := range levels {
+		id := consensus.ID(fmt.Sprint("c", i))
+		membership.Members = append(membership.Members, consensus.Member{ID: id, Name: string(id), Address: string(id)})
+	}
+	for i, l := range levels {
+		disk := Checkpoint{HardState: consensus.HardState{Term: 1}}
+		disk.Snapshot = consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: 1, Term: 1, Membership: membership}, Data: NewMachine(guard.Set{}).Snapshot()}
+		b := &build{id: membership.Members[i].ID, level: l, disk: disk}
+		m.members = append(m.members, b)
+		m.start(b)
+	}
+	return m
+}
+
+// start starts a member from its disk; a build that is too old for that doesn't start, and leaves it as it is.
+func (m *mixed) start(b *build) {
+	config := soloConfig(b.id)
+	config.Replicas, config.Level, config.SnapshotEvery, config.Random = len(m.members), b.level, 5, m.chances.Int64N
+	before := b.disk
+	restored := b.disk
+	restored.Entries = slices.Clone(restored.Entries)
+	replica, err := NewReplica(config, restored, m.now)
+	if err != nil {
+		if !errors.Is(err, level.ErrTooOld) || !reflect.DeepEqual(before, b.disk) {
+			m.t.Fatalf("%s at level %d: %v", b.id, b.level, err)
+		}
+		return
+	}
+	b.replica = replica
+}
+
+// pass lets time pass.
+func (m *mixed) pass(length time.Duration) {
+	for end := m.now + length; m.now < end; m.now += 20 * time.Millisecond {
+		var sent []consensus.Message
+		for _, b := range m.members {
+			if b.replica != nil {
+				b.replica.Tick(m.now, m.now.Milliseconds())
+				sent = append(sent, m.work(b)...)
+			}
+		}
+		for len(sent) > 0 {
+			message := sent[0]
+			sent = append(sent[1:], m.deliver(message)...)
+		}
+	}
+}
+
+func (m *mixed) work(b *build) (sent []consensus.Message) {
+	for b.replica.HasWork() {
+		if err := b.disk.Store(b.replica.Work()); err != nil {
+			m.t.Fatal(err)
+		}
+		sent = append(sent, b.replica.Done(m.now).Messages...)
+	}
+	m.check(b)
+	return sent
+}
+
+func (m *mixed) deliver(message consensus.Message) []consensus.Message {
+	from, to := m.member(message.From), m.member(message.To)
+	if to == nil || to.replica == nil || from.cut || to.cut {
+		return nil
+	}
+	entries, snapshot := len(to.disk.Entries), to.disk.Snapshot.Meta.Index
+	to.replica.Step(m.now, message)
+	if to.replica.Ended() != nil && (len(to.disk.Entries) != entries || to.disk.Snapshot.Meta.Index != snapshot) {
+		m.t.Fatalf("%s ended after it took what it doesn't know", to.id)
+	}
+	return m.work(to)
+}
+
+func (m *mixed) member(id consensus.ID) *build {
+	for _, b := range m.members {
+		if b.id == id {
+			return b
+		}
+	}
+	return nil
+}
+
+// check ends a replica that says so, and checks that no other one holds what its build doesn't know.
+func (m *mixed) check(b *build) {
+	if err := b.replica.Ended(); err != nil {
+		if !errors.Is(err, level.ErrTooOld) {
+			m.t.Fatal(err)
+		}
+		b.replica = nil
+		return
+	}
+	if held := b.replica.Machine().Level(); held > b.level {
+		m.t.Fatalf("%s of level %d runs on a state of level %d", b.id, b.level, held)
+	}
+}
+
+// inForce returns the highest level that a running member holds.
+func (m *mixed) inForce() (highest level.Level) {
+	for _, b := range m.members {
+		if b.replica != nil {
+			highest = max(highest, b.replica.Machine().Level())
+		}
+	}
+	return highest
+}
+
+// TestLevelRisesOnceAllMembersKnowIt: not while one runs an older build, nor while one says nothing.
+func TestLevelRisesOnceAllMembersKnowIt(t *testing.T) {
+	m := newMixed(t, 1, 2, 2)
+	m.pass(20 * time.Second)
+	if got := m.inForce(); got != 1 {
+		t.Fatalf("level %d with builds of 1, 2, 2", got)
+	}
+	m.members[0].replica, m.members[0].level = nil, 2
+	m.pass(20 * time.Second)
+	if got := m.inForce(); got != 1 {
+		t.Fatalf("level %d while one of three is silent", got)
+	}
+	m.start(m.members[0])
+	m.pass(levelCalm / 2)
+	m.members[0].replica = nil
+	m.pass(20 * time.Second)
+	if got := m.inForce(); got != 1 {
+		t.Fatalf("level %d after one told 2 for a moment", got)
+	}
+	m.start(m.members[0])
+	m.pass(20 * time.Second)
+	if got := m.inForce(); got != 2 {
+		t.Fatalf("level %d with builds of 2", got)
+	}
+}
+
+// TestBuildEndsAtAnEntryThatItDoesNotKnow: it may have taken the entry before it was known that it is too old, and lead the group since.
+func TestBuildEndsAtAnEntryThatItDoesNotKnow(t *testing.T) {
+	s := openSolo(t, t.TempDir())
+	s.replica.propose(s.now, 0, Command{Level: level.Own + 1})
+	s.work()
+	if err := s.replica.Ended(); !errors.Is(err, level.ErrTooOld) {
+		t.Fatalf("ended: %v", err)
+	}
+	if s.replica.Handle(s.now, 1, Request{Status: &StatusRequest{}}); s.replica.HasWork() {
+		t.Fatal("it goes on")
+	}
+	disk, _, restored, err := OpenDisk(s.folder, "c1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer disk.Close()
+	before := listFolder(t, s.folder)
+	if _, err := NewReplica(soloConfig(s.replica.config.ID), restored, 0); !errors.Is(err, level.ErrTooOld) {
+		t.Fatalf("started again: %v", err)
+	}
+	if after := listFolder(t, s.folder); after != before {
+		t.Fatalf("the folder changed from %s to %s", before, after)
+	}
+}
+
+// TestBuildThatIsTooOldTakesNothing: one that starts on what a newer one wrote, and one that was away when the level rose.
+func TestBuildThatIsTooOldTakesNothing(t *testing.T) {
+	m := newMixed(t, 2, 2, 2)
+	early := m.members[0].disk
+	early.Entries = slices.Clone(early.Entries)
+	m.pass(20 * time.Second)
+	away := m.members[0]
+	for _, disk := range []Checkpoint{away.disk, early} {
+		away.level, away.disk, away.replica = 1, disk, nil
+		m.start(away)
+		m.pass(2 * time.Second)
+		if away.replica != nil || !reflect.DeepEqual(away.disk, disk) {
+			t.Fatalf("runs: %t, on a state of %d entries, %d before", away.replica != nil, len(away.disk.Entries), len(disk.Entries))
+		}
+	}
+	away.level = 2
+	m.start(away)
+	m.pass(2 * time.Second)
+	if away.replica == nil || away.replica.Machine().Level() != 2 {
+		t.Fatal("the newer build doesn't go on from there")
+	}
+}
+
+// TestLevelsHoldWhateverBuildsRun: members are ended, cut off and started as other builds at any time. None runs on what its build doesn't know;
+// before its files hold a higher level than its own it may go back, and once all know a level it comes into force.
+func TestLevelsHoldWhateverBuildsRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMixed(t, 1, 1, 1)
+		for range rapid.IntRange(1, 12).Draw(t, "changes") {
+			b := m.members[rapid.IntRange(0, 2).Draw(t, "member")]
+			switch rapid.SampledFrom([]string{"replace", "cut", "heal", "end"}).Draw(t, "what") {
+			case "replace":
+				b.replica, b.level = nil, rapid.SampledFrom([]level.Level{1, 2, 3}).Draw(t, "build")
+				m.start(b)
+			case "cut":
+				b.cut = true
+			case "heal":
+				b.cut = false
+			case "end":
+				b.replica = nil
+			}
+			m.pass(time.Duration(rapid.IntRange(20, 8000).Draw(t, "ms")) * time.Millisecond)
+		}
+		for _, b := range m.members {
+			b.cut, b.level, b.replica = false, 3, nil
+			m.start(b)
+		}
+		m.pass(20 * time.Second)
+		for _, b := range m.members {
+			if b.replica == nil || b.replica.Machine().Level() != 3 {
+				t.Fatalf("%s isn't at level 3", b.id)
+			}
+		}
+	})
+}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -12,6 +12,7 @@
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/guard"
 	"kitetiller/internal/ledger"
+	"kitetiller/internal/level"
 	"kitetiller/internal/settings"
 )
 
@@ -56,6 +57,7 @@
 	CloseSession *ledger.Holder   `json:"close,omitempty"`
 	Order        *Order           `json:"order,omitempty"`
 	Catalog      *catalog.Command `json:"catalog,omitempty"`
+	Level        level.Level      `json:"level,omitempty"` // raises the level in force
 }
 
 // Result is what applying a command gave.
@@ -76,6 +78,7 @@
 	orders   map[string]Order   // newest order by engine
 	peersAt  uint64             // log index of the newest opened or closed session
 	nowMS    int64
+	level    level.Level // in force; it never falls
 }
 
 // NewMachine returns the empty state.
@@ -110,6 +113,9 @@
 	return list
 }
 
+// Level returns the level in force.
+func (m *Machine) Level() level.Level { return m.level }
+
 // Orders returns the newest order by engine.
 func (m *Machine) Orders() map[string]Order { return m.orders }
 
@@ -141,6 +147,8 @@
 		order.Fence = Fence{Term: term, Sequence: index}
 		m.orders[order.Engine] = order
 		return Result{Order: &order}
+	case command.Level > m.level:
+		m.level = command.Level
 	}
 	return Result{}
 }
@@ -178,11 +186,12 @@
 	NowMS    int64              `json:"now_ms"`
 	PeersAt  uint64             `json:"peers_at"`
 	Catalog  *catalog.Machine   `json:"catalog"`
+	Level    level.Level        `json:"level,omitempty"`
 }
 
 // Snapshot returns the whole state.
 func (m *Machine) Snapshot() []byte {
-	data, err := json.Marshal(machineForm{m.settings, m.ledger, m.sessions, m.orders, m.nowMS, m.peersAt, m.catalog})
+	data, err := json.Marshal(machineForm{m.settings, m.ledger, m.sessions, m.orders, m.nowMS, m.peersAt, m.catalog, m.level})
 	if err != nil {
 		panic(fmt.Sprintf("control: state cannot be written: %v", err))
 	}
@@ -197,7 +206,7 @@
 	}
 	form.Settings.Guards, form.Catalog.Guards = m.settings.Guards, m.catalog.Guards
 	m.settings, m.ledger, m.nowMS = form.Settings, form.Ledger, form.NowMS
-	m.peersAt, m.catalog = form.PeersAt, form.Catalog
+	m.peersAt, m.catalog, m.level = form.PeersAt, form.Catalog, form.Level
 	m.sessions, m.orders = form.Sessions, form.Orders
 	if m.sessions == nil {
 		m.sessions = map[string]Session{}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -8,6 +8,7 @@
 	"kitetiller/internal/consensus"
 	"kitetiller/internal/control/relay"
 	"kitetiller/internal/ledger"
+	"kitetiller/internal/level"
 	"kitetiller/internal/quarantine"
 	"kitetiller/internal/settings"
 )
@@ -104,6 +105,8 @@
 	Version   uint64         `json:"version"`
 	InForce   uint64         `json:"in_force"`
 	Claims    int            `json:"claims"`
+	Level     level.Level    `json:"level"` // in force
+	Build     level.Level    `json:"build"` // level of the answering replica's build
 	Members   []MemberStatus `json:"members"`
 	Routers   []RouterStatus `json:"routers,omitempty"`
 	Engines   []EngineStatus `json:"engines,omitempty"`
@@ -119,6 +122,7 @@
 	consensus.Member
 	Match  uint64        `json:"match"`
 	Silent time.Duration `json:"silent_ns"`
+	Level  level.Level   `json:"level"` // of its build, as the leader heard it last; 0 from other replicas
 }
 
 // RouterStatus is one router session as the leader sees it.
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -8,6 +8,7 @@
 	"kitetiller/internal/consensus"
 	"kitetiller/internal/control/relay"
 	"kitetiller/internal/guard"
+	"kitetiller/internal/level"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/payload"
 	"kitetiller/internal/quota"
@@ -30,6 +31,7 @@
 	Quota         quota.Terms   // how limits over the fleet are judged
 	Guards        guard.Set
 	Mechanisms    mechanism.Set // parts of the decision that are on
+	Level         level.Level   // of this build
 	Random        func(n int64) int64
 }
 
@@ -108,6 +110,7 @@
 	leaderless   []watcher                // gateways' questions that wait for a leader; at most leaderlessMost
 	quarantined  quarantined              // when what was last counted, as this process saw it
 	checkpoint   bool                     // a snapshot must be written with the next Work
+	ended        error                    // the replica takes, writes and sends nothing more; nil while it goes on
 }
 
 // NewReplica restores a replica from its durable state.
@@ -122,6 +125,9 @@
 			return nil, err
 		}
 	}
+	if err := config.Level.Knows(replica.machine.highestLevel(restored.Entries)); err != nil {
+		return nil, err
+	}
 	replica.applied = restored.Snapshot.Meta.Index
 	replica.appliedTerm = restored.Snapshot.Meta.Term
 	replica.node = consensus.New(
@@ -150,6 +156,9 @@
 
 // Tick lets timers run. unixMS is the wall clock, used only for retention, history, and how old namings are.
 func (r *Replica) Tick(now time.Duration, unixMS int64) {
+	if r.ended != nil {
+		return
+	}
 	r.unixMS, r.tickedAt, r.now = unixMS, now, now
 	r.node.Tick(now)
 	r.checkLeadership(now)
@@ -163,6 +172,7 @@
 		r.noteHeld(now)
 		r.noteGateways(now)
 		r.tendQuarantine(now)
+		r.tendLevel(now)
 		r.rollOut(now)
 	}
 	if r.lead != nil {
@@ -174,6 +184,9 @@
 
 // Step handles a message of another replica.
 func (r *Replica) Step(now time.Duration, message consensus.Message) {
+	if r.ended != nil || !r.knowsLevel(now, message) {
+		return
+	}
 	r.node.Step(now, message)
 	r.checkLeadership(now)
 }
@@ -278,11 +291,14 @@
 	for _, entry := range r.ready.Committed {
 		r.apply(now, entry)
 	}
+	if r.ended = r.config.Level.Knows(r.machine.level); r.ended != nil {
+		return Effects{}
+	}
 	if r.lead != nil && r.lead.listedNews {
 		r.lead.listedNews = false
 		r.answerWatchers(now)
 	}
-	r.effects.Messages = append(r.effects.Messages, r.ready.Messages...)
+	r.effects.Messages = append(r.effects.Messages, r.stamp(r.ready.Messages)...)
 	r.ready = consensus.Ready{}
 	r.maybeSnapshot()
 	r.tendRelay(now)
@@ -378,6 +394,9 @@
 
 // HasWork reports whether Work and Done should be called.
 func (r *Replica) HasWork() bool {
+	if r.ended != nil {
+		return false
+	}
 	return r.checkpoint || r.lead != nil && len(r.lead.joining.instances)+len(r.lead.ordering) > 0 || len(r.effects.Replies) > 0 || len(r.effects.Calls) > 0 || len(r.effects.Weights)+len(r.effects.Relays) > 0 || r.node.HasReady()
 }
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -18,6 +18,7 @@
 	"kitetiller/internal/consensus"
 	"kitetiller/internal/control/relay"
 	"kitetiller/internal/events"
+	"kitetiller/internal/level"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/node"
 	"kitetiller/internal/transport"
@@ -71,8 +72,9 @@
 	identity  Identity
 	disk      *Disk
 	replica   *Replica
-	led       bool // as of the newest tick; owned by the decide thread
-	relayLost bool // the newest question for gateways got no answer; owned by the decide thread
+	led       bool        // as of the newest tick; owned by the decide thread
+	level     level.Level // in force as of the newest tick; owned by the decide thread
+	relayLost bool        // the newest question for gateways got no answer; owned by the decide thread
 	over      overNotes
 	held      heldNotes
 	config    Config
@@ -137,8 +139,8 @@
 		ElectionMax: 14 * section.Heartbeat, Lease: 5 * section.Heartbeat,
 	}
 	return Config{
-		Mechanisms: mechanisms,
-		ID:         s.identity.ID, Name: s.identity.Name, Address: section.Internal, Zone: s.file.Zone, RelayAbove: relayAbove, Timing: timing,
+		Mechanisms: mechanisms, Level: level.Own,
+		ID: s.identity.ID, Name: s.identity.Name, Address: section.Internal, Zone: s.file.Zone, RelayAbove: relayAbove, Timing: timing,
 		Replicas: section.Replicas, SettingsLease: section.SettingsLease, RepairAfter: section.RepairAfter,
 		SnapshotEvery: section.SnapshotEvery, OrderWait: section.OrderWait, GatewayTrust: section.GatewayTrust, Quota: section.Quota.Terms(), Random: rand.Int64N,
 	}, nil
@@ -246,7 +248,12 @@
 			s.failed <- eris.Wrap(err, "the data folder can no longer be written")
 			return
 		}
+		if err := s.replica.Ended(); err != nil {
+			s.failed <- err
+			return
+		}
 		s.noteLeadership()
+		s.noteLevel()
 		s.noteOverLimits()
 		s.noteHeldBack()
 		timer.Reset(min(max(s.replica.NextDue()-s.now(), time.Millisecond), maximumLinger))
@@ -268,6 +275,14 @@
 	s.log.Info(events.LeadershipWon, append(fields, zap.Strings("namings", s.replica.namingsLine(s.now())))...)
 }
 
+// noteLevel logs that another level is in force than before.
+func (s *Server) noteLevel() {
+	if held := s.replica.machine.level; held != s.level {
+		s.level = held
+		s.log.Info(events.LevelRaised, zap.Uint64("level", uint64(held)), zap.Uint64("build", uint64(s.config.Level)))
+	}
+}
+
 // drain takes what else waits, so that many proposals share one sync.
 func (s *Server) drain() {
 	for range drainBatch {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -12,6 +12,7 @@
 		ID: r.config.ID, Name: r.config.Name, Role: r.node.Role().String(), Term: r.node.Term(),
 		LeaseHeld: r.node.LeaseValid(now), Applied: r.applied, Snapshot: r.snapshot.Meta.Index,
 		Version: r.machine.settings.Version(), InForce: r.InForce(now), Claims: r.machine.ledger.Len(),
+		Level: r.machine.level, Build: r.config.Level,
 	}
 	if leader, found := r.node.Membership().Find(r.node.Leader()); found {
 		status.Leader = leader.Name
@@ -21,7 +22,7 @@
 		peers[peer.ID] = peer
 	}
 	for _, member := range r.members() {
-		line := MemberStatus{Member: member, Match: peers[member.ID].Match}
+		line := MemberStatus{Member: member, Match: peers[member.ID].Match, Level: r.toldLevel(member.ID)}
 		if peer, found := peers[member.ID]; found {
 			line.Silent = now - peer.HeardAt
 		}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -39,6 +39,7 @@
 	GroupFounded     = "control group founded"
 	GroupJoined      = "control group joined"
 	LeadershipWon    = "leadership won"
+	LevelRaised      = "level raised"
 	LeadershipLost   = "leadership lost"
 	RelayLost        = "leader gives no answers for gateways"
 	RelayFound       = "leader answers for gateways again"
--- a/internal/lab/sim/control.go
+++ b/internal/lab/sim/control.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -9,6 +10,7 @@
 	"kitetiller/internal/control"
 	"kitetiller/internal/guard"
 	"kitetiller/internal/lab/vtime"
+	"kitetiller/internal/level"
 )
 
 const (
@@ -38,6 +40,7 @@
 	folders   int // data folders it has had
 	replica   *control.Replica
 	startedAt time.Duration
+	build     level.Level // that it runs, or that it starts as if keepsBuild is set
 	wallSkew  time.Duration
 
 	stallsTo time.Duration     // no write ends before
@@ -48,6 +51,8 @@
 	clients  map[uint64]func(control.Response)
 	nextID   uint64
 	joining  *asker
+
+	keepsBuild bool // its next start takes this build again
 }
 
 func (n *controlNode) clock() time.Duration { return n.elapsed(n.startedAt, n.w.now()) }
@@ -73,13 +78,22 @@
 	n.clients = map[uint64]func(control.Response){}
 	n.alarm = vtime.Alarm{}
 	n.joining = newAsker(n.w, n.process)
+	if !n.keepsBuild {
+		n.build = n.w.drawBuild()
+	}
+	n.keepsBuild = false
 	config := control.Config{
-		ID: n.identity.ID, Name: n.name, Address: n.name, Timing: controlTiming, Replicas: groupSize,
+		Level: n.build,
+		ID:    n.identity.ID, Name: n.name, Address: n.name, Timing: controlTiming, Replicas: groupSize,
 		SettingsLease: settingsLease, RepairAfter: repairAfter, SnapshotEvery: snapshotEvery,
 		OrderWait: fleetOrderWait, GatewayTrust: fleetTrust, Zone: n.zone, RelayAbove: n.w.relayAbove(),
 		Guards: n.w.guards, Random: n.w.random.Int64N,
 	}
 	replica, err := control.NewReplica(config, cloneCheckpoint(n.disk), 0)
+	if errors.Is(err, level.ErrTooOld) {
+		n.replaceTooOld(err)
+		return
+	}
 	if err != nil {
 		panic("sim: disk of " + n.name + " cannot be read: " + err.Error())
 	}
@@ -144,7 +158,9 @@
 		}
 		n.send(n.replica.Done(n.clock()))
 	}
-	n.setWake()
+	if n.checkBuild(); n.up {
+		n.setWake()
+	}
 }
 
 // beginSync writes; the replica goes on when the write is synced.
--- a/internal/lab/sim/oracle.go
+++ b/internal/lab/sim/oracle.go
@@ -33,6 +33,7 @@
 	WeightsInTime Invariant = "weights-in-time"
 	RestGiven     Invariant = "rest-given"
 	LimitKept     Invariant = "limit-kept"
+	BuildsKnown   Invariant = "builds-known"
 )
 
 // InvariantHelp describes an invariant and how it is checked.
@@ -63,6 +64,7 @@
 		{WeightsInTime, "no request begins on older weights later than the limit after newer ones were acknowledged, nor after its gateway first heard of them"},
 		{RestGiven, "a back end that asked a gateway or router for rest gets two requests more from it at the most, from half a second later to the end of that time"},
 		{LimitKept, "from 3 s after a back end first named a limit it gets in any 4 s one and a half times what that allows and 5 more at the most, from all gateways or routers together that had heard of it half a second before"},
+		{BuildsKnown, "where control processes run two builds, none holds what its build doesn't know, and no level comes into force under one that runs the older"},
 	}
 }
 
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -81,6 +81,7 @@
 	for _, s := range w.services {
 		s.boot()
 	}
+	w.planBuilds()
 	w.found()
 	for _, r := range w.routers {
 		r.boot()
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -51,7 +51,9 @@
 	fleetOperators []*fleetOperator
 	faults         int
 	needs          *rand.Rand // chances of back ends that name a limit
-	killed         int        // runs that back ends of the fleet took along
+	builds         *rand.Rand // chances of control processes that run two builds; nil where all run one
+	raised         raised
+	killed         int // runs that back ends of the fleet took along
 	mischief       mischief
 	history        *History // nil: not recorded
 	onAccept       []func() // run once, at the next accepted change
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -134,10 +134,10 @@
 			continue
 		}
 		return c.emit(reply.Members, func(w *tabwriter.Writer) {
-			fmt.Fprintln(w, "NAME\tID\tADDRESS\tVOTER\tMATCH\tSILENT")
+			fmt.Fprintln(w, "NAME\tID\tADDRESS\tVOTER\tLEVEL\tMATCH\tSILENT")
 			for _, member := range reply.Members {
-				fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%d\t%s\n", member.Name, member.ID, member.Address, !member.Learner,
-					member.Match, member.Silent.Round(time.Millisecond))
+				fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%d\t%d\t%s\n", member.Name, member.ID, member.Address, !member.Learner,
+					member.Level, member.Match, member.Silent.Round(time.Millisecond))
 			}
 		})
 	}
