Lab: a soak beside the builds of earlier commits; the build in production is named

kitelab mix builds commits of this repository's history beside the work tree, plays a plan that replaces every process both ways with each, and names the oldest build from which on all can take part. deploy/system.toml names the build in production.

--- a/cmd/kitelab/main.go
+++ b/cmd/kitelab/main.go
@@ -29,7 +29,7 @@
 	parser.DisableShowVersionWithVersion()
 	var commands []command
 	for _, define := range []func() command{
-		defineEngine, defineBackend, defineVault, defineWeights, definePlatform, defineFleetPlan, defineLoad, defineSim, defineBench, defineScale, defineAccount, defineSoak,
+		defineEngine, defineBackend, defineVault, defineWeights, definePlatform, defineFleetPlan, defineLoad, defineSim, defineBench, defineScale, defineAccount, defineSoak, defineMix,
 	} {
 		commands = append(commands, define())
 	}
--- /dev/null
+++ b/cmd/kitelab/mix.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/lab/earlier"
+	"kitetiller/internal/lab/soak"
+	"kitetiller/platform/standin"
+)
+
+// rollingPlan stops each process twice, one after the other, so that every one runs both builds.
+const rollingPlan = "platform/standin/testdata/upgrade/rolling.json"
+
+// mixFlags are the arguments of "kitelab mix".
+type mixFlags struct {
+	commits  string
+	plan     string
+	seeds    int
+	first    uint64
+	program  string
+	programs string
+}
+
+func defineMix() command {
+	flags := &mixFlags{plan: rollingPlan, seeds: 1, first: 1, program: filepath.Join(filepath.Dir(os.Args[0]), "kitetiller"), programs: filepath.Join(filepath.Dir(os.Args[0]), "earlier")}
+	sub := newSubcommand("mix", "play a soak with the builds of earlier commits beside this one, in the repository's root; tells which can take part")
+	sub.String(&flags.commits, "c", "commits", "earlier commits, oldest first, apart by commas (default: the one in production, by deploy/system.toml)")
+	sub.String(&flags.plan, "p", "plan", "plan to play")
+	sub.Int(&flags.seeds, "n", "seeds", "plays for each commit")
+	sub.UInt64(&flags.first, "s", "first-seed", "seed of the first play")
+	sub.String(&flags.program, "", "program", "this build's program file")
+	sub.String(&flags.programs, "", "programs", "folder to keep earlier programs in")
+	return command{sub, flags.run}
+}
+
+// mixed is how the plays with one earlier build went.
+type mixed struct {
+	commit string
+	plays  int
+	broken map[soak.Promise]int
+	cannot error // why a play could not be judged, or the build not made
+}
+
+func (m mixed) takesPart() bool { return m.cannot == nil && len(m.broken) == 0 }
+
+func (f *mixFlags) run() error {
+	commits, err := f.earlier()
+	if err != nil {
+		return err
+	}
+	if f.seeds <= 0 {
+		return eris.New("--seeds must be above 0")
+	}
+	plan, err := soak.Read(f.plan)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var all []mixed
+	for _, commit := range commits {
+		all = append(all, f.play(ctx, commit, plan))
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return report(all)
+}
+
+// earlier returns the commits whose builds are to be played.
+func (f *mixFlags) earlier() ([]string, error) {
+	if f.commits != "" {
+		return strings.Split(f.commits, ","), nil
+	}
+	commit, err := standin.Production("deploy/system.toml")
+	return []string{commit}, err
+}
+
+// play plays a plan with the build of a commit beside this one, once for each seed.
+func (f *mixFlags) play(ctx context.Context, commit string, plan soak.Plan) mixed {
+	made := mixed{commit: commit, broken: map[soak.Promise]int{}}
+	other, err := earlier.Build(ctx, ".", commit, "cmd/kitetiller", f.programs)
+	if err != nil {
+		made.cannot = err
+		return made
+	}
+	for seed := f.first; seed < f.first+uint64(f.seeds); seed++ {
+		plan.Seed = seed
+		fmt.Printf("== %s beside this build, seed %d\n", commit, seed)
+		broken, err := standin.Play(ctx, standin.Options{Program: f.program, Other: other, Plan: plan, Out: os.Stdout})
+		if err != nil {
+			made.cannot = err
+			return made
+		}
+		made.plays++
+		for _, found := range broken {
+			made.broken[found.Promise]++
+		}
+	}
+	return made
+}
+
+// report prints how each build did, and which is the oldest from which on all can take part.
+func report(all []mixed) error {
+	oldest := ""
+	for _, m := range all {
+		switch {
+		case m.cannot != nil:
+			fmt.Printf("%s: not judged after %d plays: %s\n", m.commit, m.plays, eris.ToString(m.cannot, false))
+		default:
+			fmt.Printf("%s: %d plays, broken %v\n", m.commit, m.plays, m.broken)
+		}
+		if !m.takesPart() {
+			oldest = ""
+		} else if oldest == "" {
+			oldest = m.commit
+		}
+	}
+	if oldest == "" {
+		fmt.Println("the newest of these builds can't take part")
+		return errViolation
+	}
+	fmt.Printf("the oldest build from which on all can take part: %s\n", oldest)
+	return nil
+}
--- /dev/null
+++ b/internal/lab/earlier/earlier.go
@@ -0,0 +1,114 @@
+// Package earlier builds the program of an earlier commit of this repository, to run it beside that of the work tree. Nothing in the work tree or
+// in its history changes.
+package earlier
+
+import (
+	"archive/zip"
+	"bytes"
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrNoHistory says that a repository doesn't hold a commit: its history may have been cut off where it was cloned. A caller can tell it with
+// errors.Is.
+var ErrNoHistory = eris.New("this checkout's history doesn't hold the commit")
+
+const (
+	folderMode  = 0o755
+	programMode = 0o755
+)
+
+// Build builds a package's program at a commit into a folder, and returns its path. A build that is there already is used again: a commit doesn't
+// change.
+func Build(ctx context.Context, repository, commit, pkg, folder string) (program string, err error) {
+	full, err := resolve(ctx, repository, commit)
+	if err != nil {
+		return "", err
+	}
+	program, err = filepath.Abs(filepath.Join(folder, filepath.Base(pkg)+"-"+full))
+	if err != nil {
+		return "", eris.Wrap(err, "name the program")
+	}
+	if _, err := os.Stat(program); err == nil {
+		return program, nil
+	}
+	source, err := os.MkdirTemp("", "kitetiller-earlier-")
+	if err != nil {
+		return "", eris.Wrap(err, "make a folder")
+	}
+	defer os.RemoveAll(source)
+	packed, err := output(ctx, repository, "git", "archive", "--format=zip", full)
+	if err != nil {
+		return "", eris.Wrapf(err, "read the files of %s", commit)
+	}
+	if err := unpack(packed, source); err != nil {
+		return "", err
+	}
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return "", eris.Wrap(err, "make a folder")
+	}
+	made := filepath.Join(source, "program")
+	if _, err := output(ctx, source, "go", "build", "-o", made, "./"+pkg); err != nil {
+		return "", eris.Wrapf(err, "build %s at %s", pkg, commit)
+	}
+	return program, put(made, program)
+}
+
+// resolve returns the whole name of a commit.
+func resolve(ctx context.Context, repository, commit string) (string, error) {
+	if commit == "" || strings.HasPrefix(commit, "-") {
+		return "", eris.Errorf("%q names no commit", commit)
+	}
+	name, err := output(ctx, repository, "git", "rev-parse", "--verify", "--quiet", commit+"^{commit}")
+	if err != nil {
+		return "", eris.Wrapf(ErrNoHistory, "%s (a shallow clone holds the newest ones only)", commit)
+	}
+	return strings.TrimSpace(string(name)), nil
+}
+
+// output runs a program and returns what it wrote, or an error with what it complained of.
+func output(ctx context.Context, folder, name string, arguments ...string) ([]byte, error) {
+	command := exec.CommandContext(ctx, name, arguments...)
+	command.Dir = folder
+	var said bytes.Buffer
+	command.Stderr = &said
+	out, err := command.Output()
+	return out, eris.Wrapf(err, "%s %s: %s", name, strings.Join(arguments, " "), strings.TrimSpace(said.String()))
+}
+
+// unpack writes the files of an archive into a folder.
+func unpack(packed []byte, folder string) error {
+	archive, err := zip.NewReader(bytes.NewReader(packed), int64(len(packed)))
+	if err != nil {
+		return eris.Wrap(err, "read the archive")
+	}
+	return eris.Wrap(os.CopyFS(folder, archive), "unpack the archive")
+}
+
+// put moves a program to its place as a whole, so that nobody meets a part of one.
+func put(made, program string) error {
+	text, err := os.ReadFile(made)
+	if err != nil {
+		return eris.Wrap(err, "read the program")
+	}
+	beside, err := os.CreateTemp(filepath.Dir(program), ".program-")
+	if err != nil {
+		return eris.Wrap(err, "write the program")
+	}
+	defer os.Remove(beside.Name())
+	if _, err := beside.Write(text); err != nil {
+		return eris.Wrap(err, "write the program")
+	}
+	if err := beside.Close(); err != nil {
+		return eris.Wrap(err, "write the program")
+	}
+	if err := os.Chmod(beside.Name(), programMode); err != nil {
+		return eris.Wrap(err, "write the program")
+	}
+	return eris.Wrap(os.Rename(beside.Name(), program), "write the program")
+}
--- /dev/null
+++ b/internal/lab/earlier/earlier_test.go
@@ -0,0 +1,74 @@
+package earlier
+
+import (
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// newRepository returns a repository with two commits of a program that says which one it is of.
+func newRepository(t *testing.T) (folder string) {
+	t.Helper()
+	folder = t.TempDir()
+	git := func(arguments ...string) {
+		t.Helper()
+		command := exec.Command("git", append([]string{"-c", "user.name=t", "-c", "user.email=t@example.org"}, arguments...)...)
+		command.Dir = folder
+		if said, err := command.CombinedOutput(); err != nil {
+			t.Fatalf("git %v: %v\n%s", arguments, err, said)
+		}
+	}
+	write := func(name, text string) {
+		t.Helper()
+		path := filepath.Join(folder, name)
+		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	git("init", "--quiet", "--initial-branch=main")
+	write("go.mod", "module example\n\ngo 1.26\n")
+	for _, which := range []string{"first", "second"} {
+		write("cmd/tell/main.go", "package main\n\nfunc main() { println(\""+which+"\") }\n")
+		git("add", ".")
+		git("commit", "--quiet", "-m", which)
+	}
+	write("cmd/tell/main.go", "not a program any more")
+	return folder
+}
+
+// TestEarlierCommitIsBuilt: as it was, beside a work tree that doesn't build.
+func TestEarlierCommitIsBuilt(t *testing.T) {
+	repository, programs := newRepository(t), t.TempDir()
+	for commit, wanted := range map[string]string{"HEAD~1": "first\n", "HEAD": "second\n"} {
+		for range 2 { // built, and used again
+			program, err := Build(t.Context(), repository, commit, "cmd/tell", programs)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if said, err := exec.Command(program).CombinedOutput(); err != nil || string(said) != wanted {
+				t.Fatalf("%s says %q, %v", commit, said, err)
+			}
+		}
+	}
+}
+
+// TestWhatCannotBeBuiltIsSaid: a commit that isn't there, as in a shallow clone, a name that is none, and a package that isn't there.
+func TestWhatCannotBeBuiltIsSaid(t *testing.T) {
+	repository, programs := newRepository(t), t.TempDir()
+	if _, err := Build(t.Context(), repository, "0123456789abcdef", "cmd/tell", programs); !errors.Is(err, ErrNoHistory) {
+		t.Fatalf("a commit that isn't there: %v", err)
+	}
+	for _, row := range [][2]string{{"", "cmd/tell"}, {"--help", "cmd/tell"}, {"HEAD", "cmd/none"}} {
+		if _, err := Build(t.Context(), repository, row[0], row[1], programs); err == nil || errors.Is(err, ErrNoHistory) {
+			t.Fatalf("%v: %v", row, err)
+		}
+	}
+	if left, err := filepath.Glob(filepath.Join(programs, "*")); err != nil || len(left) > 0 {
+		t.Fatalf("left %v, %v", left, err)
+	}
+}
