--- /dev/null
+++ b/internal/control/forms_test.go
@@ -0,0 +1,76 @@
+package control
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/consensus"
+	"kitetiller/internal/guard"
+	"kitetiller/internal/lab/forms"
+	"kitetiller/internal/ledger"
+	"kitetiller/internal/quarantine"
+	"kitetiller/internal/settings"
+)
+
+// TestFormsStayReadable: all that a replica stores, and all that it is asked and answers.
+func TestFormsStayReadable(t *testing.T) {
+	forms.Check[Request](t, "request")
+	forms.Check[Response](t, "response")
+	forms.Check[raftBatch](t, "raft-batch")
+	forms.Check[HelloReply](t, "hello")
+	forms.Check[Command](t, "command")
+	forms.Check[Identity](t, "identity")
+	forms.Check[consensus.Entry](t, "entry")
+	forms.Check[consensus.HardState](t, "hard-state")
+	forms.Check[consensus.Snapshot](t, "snapshot")
+	forms.Check[consensus.Membership](t, "membership")
+}
+
+// state is the replicated state as a snapshot holds it.
+type state struct{ machine *Machine }
+
+// MarshalJSON writes the state as a snapshot holds it.
+func (s *state) MarshalJSON() ([]byte, error) { return s.machine.Snapshot(), nil }
+
+// UnmarshalJSON takes the state up as from a snapshot.
+func (s *state) UnmarshalJSON(data []byte) error {
+	s.machine = NewMachine(guard.Set{})
+	return s.machine.Restore(data)
+}
+
+// TestStateStaysReadable: a snapshot of a state that holds something of everything.
+func TestStateStaysReadable(t *testing.T) {
+	machine := NewMachine(guard.Set{})
+	holder := ledger.Holder{Router: "r1", Epoch: 1}
+	key := ledger.Key{Tenant: "north", Service: "small", Key: "k1"}
+	instance := func(id string) catalog.Instance {
+		return catalog.Instance{ID: id, Service: "engine", Address: id + ":80", Zone: "z1", Slots: 4, State: catalog.StateReady}
+	}
+	for i, command := range []Command{
+		{OpenSession: &Session{Router: "r1", Incarnation: 1, Zone: "z1", Address: "10.0.0.9:80"}},
+		{Change: &settings.Change{OperationID: "o1", Author: "lea", Edits: []settings.Edit{{Path: "/", Setting: "queue_limit", Value: json.RawMessage("7")}}}},
+		{Claim: &ledger.Claim{Key: key, Digest: 5, ClaimID: "c1", Holder: holder, RetentionMS: time.Hour.Milliseconds()}},
+		{End: &ledger.End{Key: key, ClaimID: "c1", Kind: ledger.EndFinished, Answer: &ledger.Answer{Status: 200, ContentType: "text/plain", Body: []byte("ok")}}},
+		{Order: &Order{Engine: "e1", Incarnation: 2, Weights: "w1"}},
+	} {
+		command.UnixMS = testWallStart
+		machine.Apply(uint64(i+1), 1, command)
+	}
+	for i, command := range []catalog.Command{
+		{Replace: &catalog.Document{Revision: 3, Services: []catalog.Service{{Name: "engine", Engine: true}}, Source: json.RawMessage("{}")}},
+		{Register: ptr(instance("i-1"))}, {Joined: []catalog.Instance{instance("i-2"), instance("i-3")}},
+		{Drain: "i-2"}, {Remove: "i-3"},
+		{Version: &catalog.NamedWeight{Model: "m", Version: 2}}, {Fence: true},
+		{Held: []catalog.HeldWeight{{Instance: "i-1", NamedWeight: catalog.NamedWeight{Model: "m", Version: 1}}}},
+		{Ordering: []string{"i-1"}}, {Gateways: []string{"g1", "g2"}}, {Bounds: map[string]uint64{"engine": 9}},
+		{Quarantine: &quarantine.Change{Seed: make([]byte, quarantine.SeedBytes), Ended: []quarantine.Ended{{Life: "i-1", Requests: []quarantine.Fingerprint{{1}}}}}},
+	} {
+		command.UnixMS = testWallStart + int64(i)
+		machine.catalog.Apply(command)
+	}
+	forms.CheckValue(t, "state", &state{machine})
+}
+
+func ptr[T any](value T) *T { return &value }
--- /dev/null
+++ b/internal/gateway/forms_test.go
@@ -0,0 +1,15 @@
+package gateway
+
+import (
+	"testing"
+
+	"kitetiller/internal/lab/forms"
+)
+
+// TestFormsStayReadable: all that gateways tell and ask each other.
+func TestFormsStayReadable(t *testing.T) {
+	forms.Check[wireSend](t, "send")
+	forms.Check[wireQuestion](t, "question")
+	forms.Check[wirePlacement](t, "placement")
+	forms.Check[wireEnd](t, "end")
+}
--- /dev/null
+++ b/internal/lab/forms/forms.go
@@ -0,0 +1,178 @@
+// Package forms checks that what builds write for each other stays readable.
+//
+// Each form that is stored or sent has a golden file with every field set, which shows a change of any name, and one of the build in production beside
+// it: this build must know each of its fields, and keep it when it writes the form again.
+package forms
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+const (
+	folder = "testdata/forms"
+	// production is where the forms lie that the build in production writes.
+	production = folder + "/production"
+	suffix     = ".golden"
+	// deepest bounds how deep values are filled that hold others of their own type.
+	deepest = 12
+	// smallMost bounds whole numbers, so that they fit every kind of them.
+	smallMost = 99
+)
+
+// Check checks the form of a type under a name. The file of the build in production may be missing: it didn't know the form then.
+func Check[T any](t *testing.T, name string) {
+	t.Helper()
+	var full T
+	(&filler{}).fill(reflect.ValueOf(&full).Elem(), 0)
+	CheckValue(t, name, &full)
+}
+
+// CheckValue is Check of a value that was made otherwise, since its fields can't be set from outside.
+func CheckValue[T any](t *testing.T, name string, full *T) {
+	t.Helper()
+	text := written(t, full)
+	g := goldie.New(t, goldie.WithFixtureDir(folder), goldie.WithNameSuffix(suffix))
+	g.Assert(t, name, text)
+	known(t, name, text, new(T))
+	earlier, err := os.ReadFile(filepath.Join(production, name+suffix))
+	if os.IsNotExist(err) {
+		return
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	known(t, name+" of the build in production", earlier, new(T))
+}
+
+// known reads a form and checks that every field of it is known and written again.
+func known(t *testing.T, name string, text []byte, into any) {
+	t.Helper()
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		t.Errorf("%s: %v", name, err)
+		return
+	}
+	var before, after any
+	if err := json.Unmarshal(text, &before); err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(written(t, into), &after); err != nil {
+		t.Fatal(err)
+	}
+	if lost := missing("", before, after); lost != "" {
+		t.Errorf("%s: %s", name, lost)
+	}
+}
+
+func written(t *testing.T, value any) []byte {
+	t.Helper()
+	text, err := json.MarshalIndent(value, "", " ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return append(text, '\n')
+}
+
+// missing returns what of a JSON value another one lacks, or "".
+func missing(path string, value, other any) string {
+	switch typed := value.(type) {
+	case map[string]any:
+		held, _ := other.(map[string]any)
+		for key, item := range typed {
+			found, there := held[key]
+			if !there {
+				return path + "/" + key + " is lost"
+			}
+			if lost := missing(path+"/"+key, item, found); lost != "" {
+				return lost
+			}
+		}
+		return ""
+	case []any:
+		held, _ := other.([]any)
+		if len(held) != len(typed) {
+			return path + " has another length"
+		}
+		for i, item := range typed {
+			if lost := missing(fmt.Sprint(path, "/", i), item, held[i]); lost != "" {
+				return lost
+			}
+		}
+		return ""
+	}
+	if !reflect.DeepEqual(value, other) {
+		return fmt.Sprintf("%s was %v and is %v", path, value, other)
+	}
+	return ""
+}
+
+// filler sets values, each another one.
+type filler struct{ count int }
+
+var (
+	rawJSON = reflect.TypeFor[json.RawMessage]()
+)
+
+func (f *filler) fill(value reflect.Value, depth int) {
+	if !value.CanSet() || depth > deepest {
+		return
+	}
+	f.count++
+	if value.Type() == rawJSON {
+		value.SetBytes([]byte(fmt.Sprint(f.count)))
+		return
+	}
+	switch value.Kind() {
+	case reflect.Bool:
+		value.SetBool(true)
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
+		value.SetInt(int64(f.count%smallMost) + 1)
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		value.SetUint(uint64(f.count%smallMost) + 1)
+	case reflect.Float32, reflect.Float64:
+		value.SetFloat(float64(f.count) + 0.5)
+	case reflect.String:
+		value.SetString(fmt.Sprint("s", f.count))
+	case reflect.Pointer:
+		value.Set(reflect.New(value.Type().Elem()))
+		f.fill(value.Elem(), depth+1)
+	case reflect.Slice:
+		value.Set(reflect.MakeSlice(value.Type(), 1, 1))
+		f.fill(value.Index(0), depth+1)
+	case reflect.Array:
+		for i := range value.Len() {
+			f.fill(value.Index(i), depth+1)
+		}
+	case reflect.Map:
+		f.fillMap(value, depth)
+	case reflect.Struct:
+		f.fillStruct(value, depth)
+	}
+}
+
+func (f *filler) fillMap(value reflect.Value, depth int) {
+	key, item := reflect.New(value.Type().Key()).Elem(), reflect.New(value.Type().Elem()).Elem()
+	f.fill(key, depth+1)
+	f.fill(item, depth+1)
+	value.Set(reflect.MakeMap(value.Type()))
+	value.SetMapIndex(key, item)
+}
+
+// fillStruct sets the fields that are written. A type that writes itself and has nothing to set from outside stays as it is.
+func (f *filler) fillStruct(value reflect.Value, depth int) {
+	for i := range value.NumField() {
+		field := value.Type().Field(i)
+		if field.IsExported() && field.Tag.Get("json") != "-" {
+			f.fill(value.Field(i), depth+1)
+		}
+	}
+}
