Sight: why shared parts are read although somebody had read them

A placement tells how many tokens of shared parts its engine is expected to read, and why no copy of them serves; answered lines carry it, and kitelab account adds it up by cause, route and moment beside what the reports count. No decision looks at it. Each of the six causes has a case in a table test.

--- a/cmd/kitelab/account.go
+++ b/cmd/kitelab/account.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"os"
 	"path/filepath"
 	"time"
@@ -75,11 +74,8 @@
 		return nil, eris.Wrap(err, "open log")
 	}
 	defer file.Close()
-	events, broken, err := account.ReadLines(file)
-	if broken > 0 {
-		fmt.Fprintf(os.Stderr, "kitelab: %d lines of %s cannot be read\n", broken, f.log)
-	}
-	return append(days, account.Day{Name: f.log, Events: events}), err
+	lines, err := account.ReadLines(file)
+	return append(days, account.Day{Name: f.log, Lines: lines}), err
 }
 
 func reportsIn(folder string) ([]account.Day, error) {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -77,6 +77,9 @@
 	// that were to be read, FieldFrom where cached parts were taken from, FieldScheduled whether another gateway placed it.
 	FieldPredicted = "predicted"
 	FieldUncached  = "uncached"
+	// FieldReread is how many of these tokens are of shared parts, and FieldRereadWhy why nobody's copy of them serves.
+	FieldReread    = "reread"
+	FieldRereadWhy = "reread_why"
 	FieldFrom      = "from"
 	FieldScheduled = "scheduled"
 	FieldResource  = "resource" // what is limited: "tenant/NAME", or "repeats/SERVICE"
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -48,6 +48,9 @@
 	queue    float64       // of it, the time until its prompt is read
 	beginBy  time.Duration // when it must have begun as far as the choice knew, or 0; only the log may rely on it
 	uncached int           // prompt tokens to read
+	reread   int           // of them, tokens of shared parts
+	dearer   bool          // a copy of these is known, and costs more than to read them
+	why      rereadCause   // of reread; "" where that is 0, and before the choice is made
 	alone    bool          // nothing else is taken to be read there
 	fetch    string        // address to take cached parts from, or ""
 	save     string        // address of the store to keep the parts in, or ""
@@ -104,6 +107,9 @@
 	if !found {
 		return nil
 	}
+	if best.reread > 0 {
+		best.why = g.whyReread(now, &best, prefix.Shared(wish.call.Parts), sources)
+	}
 	return &best
 }
 
@@ -205,7 +211,7 @@
 	} else if scored.version > 0 && sharedTokens > 0 && wish.store != nil {
 		scored.fetch = wish.store.Store // the engine may have given up what it is believed to hold; a needless question costs nothing
 	}
-	scored.uncached = wish.total() - cached
+	scored.uncached, scored.reread = wish.total()-cached, max(0, sharedTokens-cached)
 	queue := max(0, row.busyTo-now)
 	held := row.occupied.Total()
 	scored.cost += belief.Milliseconds(queue) + float64(scored.uncached)/belief.PrefillRate
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -59,6 +59,7 @@
 	placed     map[string]placement        // for other gateways, by ticket
 	links      belief.Links                // of engines and stores
 	paces      map[string]belief.Pace      // by service
+	met        map[string]time.Duration    // by shared part, the last of a prompt's: when it was last sent somewhere; at most metMost
 	judges     map[string]*admission.Judge // by service
 	homes      int                         // rows that are home
 	holders    map[string][]*endpoint      // that hold a shared part, under any salt, by its id
@@ -73,7 +74,7 @@
 	return &table{
 		mechanisms: mechanisms, rows: map[string]*endpoint{}, services: map[string][]*endpoint{},
 		named: belief.NewNamings(guard.Set{}), stored: belief.NewStored(), links: belief.Links{}, pushed: pushback.NewBook(),
-		lanes: map[string]*lanes{}, stays: map[string]belief.Stays{}, paces: map[string]belief.Pace{}, judges: map[string]*admission.Judge{},
+		lanes: map[string]*lanes{}, stays: map[string]belief.Stays{}, paces: map[string]belief.Pace{}, met: map[string]time.Duration{}, judges: map[string]*admission.Judge{},
 		placed: map[string]placement{}, holders: map[string][]*endpoint{}, waiting: map[*attempt]struct{}{}, changed: newBell(), turns: map[string]time.Duration{},
 	}
 }
@@ -275,6 +276,7 @@
 	}
 	t.links.Sweep(now)
 	t.forgetHolders()
+	t.forgetMet(now)
 	t.pushed.Sweep(now, func(life catalog.Life) bool { return t.rows[life.ID()] != nil })
 	for _, row := range t.rows {
 		row.occupied.Sweep(now)
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -33,6 +33,8 @@
 	Instance string  `json:"i,omitempty"`
 	Version  uint64  `json:"v,omitempty"` // of its weights; 0 unknown
 	Uncached int     `json:"u,omitempty"` // prompt tokens that it will read
+	Reread   int     `json:"r,omitempty"` // of them, tokens of shared parts
+	Why      string  `json:"c,omitempty"` // of Reread, for logs
 	WaitMS   float64 `json:"w,omitempty"` // predicted time until the request begins
 	BackMS   int64   `json:"b,omitempty"` // the request is to be turned away and should come back after this time
 	Fetch    string  `json:"f,omitempty"`
@@ -106,7 +108,7 @@
 	})
 	g.announce(now, chosen, call.Parts, running)
 	placed := wirePlacement{
-		Instance: chosen.row.entry.ID, Version: chosen.version, Uncached: chosen.uncached, WaitMS: chosen.wait, Fetch: chosen.fetch, Save: chosen.save,
+		Instance: chosen.row.entry.ID, Version: chosen.version, Uncached: chosen.uncached, Reread: chosen.reread, Why: string(chosen.why), WaitMS: chosen.wait, Fetch: chosen.fetch, Save: chosen.save,
 	}
 	if limit, _ := g.table.limitOf(now, chosen.row); limit != nil {
 		placed.Limit, placed.LimitAgeMS = &limit.Rate, limit.Age.Milliseconds()
--- /dev/null
+++ b/internal/gateway/reread.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"time"
+
+	"kitetiller/internal/prefix"
+)
+
+// rereadCause tells why an engine is expected to read shared parts.
+type rereadCause string
+
+const (
+	rereadFirst     rereadCause = "first"           // nobody was known to have read them lately
+	rereadLost      rereadCause = "lost"            // somebody was, and nobody is known to hold them any more: ended, or displaced
+	rereadOther     rereadCause = "other-weights"   // who holds them has made them with other weights
+	rereadBarred    rereadCause = "holder-barred"   // who holds them is in doubt, loads weights, or stands behind another wall
+	rereadDearer    rereadCause = "dearer"          // a copy would cost more
+	rereadUntrusted rereadCause = "weights-unknown" // nothing is shared while the weights of the engine aren't known
+)
+
+const (
+	// metKept is how long a shared part that was sent somewhere counts as read lately, and metMost how many are remembered.
+	metKept = 20 * time.Second
+	metMost = 20_000
+)
+
+// meet notes that shared parts are sent to a back end. The caller holds the mutex.
+func (t *table) meet(at time.Duration, shared []prefix.Part) {
+	if len(shared) == 0 {
+		return
+	}
+	last := shared[len(shared)-1].ID
+	if _, known := t.met[last]; known || len(t.met) < metMost {
+		t.met[last] = at
+	}
+}
+
+// forgetMet forgets what was sent long ago. The caller holds the mutex.
+func (t *table) forgetMet(now time.Duration) {
+	for id, at := range t.met {
+		if now-at > metKept {
+			delete(t.met, id)
+		}
+	}
+}
+
+// whyReread tells why a chosen engine is to read shared parts. The caller holds the table's mutex.
+func (g *Gateway) whyReread(now time.Duration, chosen *candidate, shared []prefix.Part, sources []source) rereadCause {
+	switch {
+	case chosen.version == 0:
+		return rereadUntrusted
+	case chosen.dearer:
+		return rereadDearer
+	}
+	cached := prefix.PartTokens(shared) - chosen.reread
+	for _, other := range sources {
+		if other.version != chosen.version && other.tokens > cached {
+			return rereadOther
+		}
+	}
+	last := shared[len(shared)-1].ID
+	if at, met := g.table.met[last]; !met || now-at > metKept {
+		return rereadFirst
+	}
+	if len(g.table.holders[last]) > 0 {
+		return rereadBarred
+	}
+	return rereadLost
+}
--- /dev/null
+++ b/internal/gateway/reread_test.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"kitetiller/internal/mechanism"
+	"kitetiller/internal/prefix"
+)
+
+// TestWhyPartsAreRead: each way in which nobody's copy of shared parts serves.
+func TestWhyPartsAreRead(t *testing.T) {
+	const version = 3
+	shared := []prefix.Part{{ID: "a", Tokens: 600}, {ID: "b", Tokens: 400}}
+	for _, row := range []struct {
+		name    string
+		chosen  candidate
+		sources []source
+		met     time.Duration // ago; 0 never
+		holders []*endpoint
+		wanted  rereadCause
+	}{
+		{"nobody read them", candidate{version: version, reread: 1000}, nil, 0, nil, rereadFirst},
+		{"long ago", candidate{version: version, reread: 1000}, nil, 2 * metKept, nil, rereadFirst},
+		{"who did is gone", candidate{version: version, reread: 1000}, nil, time.Second, nil, rereadLost},
+		{"who did can't be asked", candidate{version: version, reread: 1000}, nil, time.Second, []*endpoint{{}}, rereadBarred},
+		{"with other weights", candidate{version: version, reread: 1000}, []source{{version: version - 1, tokens: 1000}}, time.Second, nil, rereadOther},
+		{"others hold no more", candidate{version: version, reread: 400}, []source{{version: version - 1, tokens: 600}}, time.Second, nil, rereadLost},
+		{"a copy is dearer", candidate{version: version, reread: 1000, dearer: true}, nil, time.Second, nil, rereadDearer},
+		{"weights unknown", candidate{reread: 1000}, nil, time.Second, nil, rereadUntrusted},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			now := time.Hour
+			g := &Gateway{table: newTable(mechanism.Set{})}
+			if row.met > 0 {
+				g.table.meet(now-row.met, shared)
+			}
+			if row.holders != nil {
+				g.table.holders["b"] = row.holders
+			}
+			if got := g.whyReread(now, &row.chosen, shared, row.sources); got != row.wanted {
+				t.Fatalf("%s, wanted %s", got, row.wanted)
+			}
+			if g.table.forgetMet(now); row.met > metKept && len(g.table.met) > 0 {
+				t.Fatal("what was long ago is remembered")
+			}
+		})
+	}
+}
--- a/internal/lab/account/account.go
+++ b/internal/lab/account/account.go
@@ -15,7 +15,33 @@
 	Name   string
 	Worth  float64 // what was earned of what was owed, less prices; of the reports only
 	Losses []Loss
-	Events []Event
+	Lines
+	// ReadAgain is how many tokens of shared parts were read again, by the report; 0 without one.
+	ReadAgain float64
+}
+
+// Read tells of shared parts that a request's engine was expected to read, by the line of its answer.
+type Read struct {
+	At     time.Duration // as Event tells it
+	Route  string
+	Cause  string
+	Tokens int
+}
+
+// First is the cause of parts that nobody had read before: not again.
+const First = "first"
+
+// ReadsBy returns the tokens a day of shared parts that were expected to be read again, by what a key makes of each.
+func ReadsBy(days []Day, key func(Read) string) []Row {
+	sums := map[string]float64{}
+	for _, d := range days {
+		for _, r := range d.Reads {
+			if r.Cause != First {
+				sums[key(r)] += float64(r.Tokens) / float64(len(days))
+			}
+		}
+	}
+	return rows(sums, nil)
 }
 
 // Loss is worth that was lost to a cause, as a part of what was owed.
--- a/internal/lab/account/account_test.go
+++ b/internal/lab/account/account_test.go
@@ -19,17 +19,20 @@
    3.1000 g2 {"level":"info","time":"2026-01-01T00:00:03.6Z","msg":"request answered","request":"c","status":200,"late":true}
    3.2000 g2 {"level":"info","time":"2026-01-01T00:00:03.7Z","msg":"request answered","request":"d","status":500}
    3.3000 g2 {"level":"info","time":"2026-01-01T00:00:03.8Z","msg":"request answered","request":"e","status":200}
+   3.3500 g2 {"level":"info","time":"2026-01-01T00:00:03.85Z","msg":"request answered","request":"f","status":200,"route":"long","reread":3000,"reread_why":"lost"}
+   3.3600 g2 {"level":"info","time":"2026-01-01T00:00:03.86Z","msg":"request answered","request":"g","status":200,"route":"long","reread":1000,"reread_why":"dearer"}
+   3.3700 g2 {"level":"info","time":"2026-01-01T00:00:03.87Z","msg":"request answered","request":"h","status":200,"route":"long","reread":5000,"reread_why":"first"}
    3.4000 g2 {"level":"info","time":"cut of
 no object at all
 `
 
 // TestLinesBecomeEvents: what was served in time is left out, causes lose their addresses, broken lines are counted.
 func TestLinesBecomeEvents(t *testing.T) {
-	found, broken, err := ReadLines(strings.NewReader(log))
-	if err != nil || broken != 1 {
-		t.Fatalf("%d broken lines, error %v", broken, err)
+	found, err := ReadLines(strings.NewReader(log))
+	if err != nil || found.Broken != 1 {
+		t.Fatalf("%d broken lines, error %v", found.Broken, err)
 	}
-	days := []Day{{Name: "d", Worth: 0.5, Events: found, Losses: []Loss{{"part a", 0.2}, {"price of b", 0.3}}}}
+	days := []Day{{Name: "d", Worth: 0.5, Lines: found, ReadAgain: 8000, Losses: []Loss{{"part a", 0.2}, {"price of b", 0.3}}}}
 	var out bytes.Buffer
 	Print(&out, days, 2*time.Second)
 	PrintPairs(&out, Pairs([]Day{{Name: "d", Worth: 0.25}, {Name: "gone", Worth: 1}}, days))
@@ -44,16 +47,16 @@
 			alone += line[at:] + "\n"
 		}
 	}
-	found, _, err := ReadLines(strings.NewReader(alone))
-	if err != nil || len(found) == 0 || found[0].At != 1750*time.Millisecond {
-		t.Fatalf("first event %+v, error %v", found, err)
+	lines, err := ReadLines(strings.NewReader(alone))
+	if found := lines.Events; err != nil || len(found) == 0 || found[0].At != 1750*time.Millisecond {
+		t.Fatalf("events %+v, error %v", lines.Events, err)
 	}
 }
 
 // TestPlotIsDrawn: also of a day without events.
 func TestPlotIsDrawn(t *testing.T) {
-	found, _, _ := ReadLines(strings.NewReader(log))
-	for name, days := range map[string][]Day{"some.svg": {{Events: found}}, "none.svg": {{}}} {
+	found, _ := ReadLines(strings.NewReader(log))
+	for name, days := range map[string][]Day{"some.svg": {{Lines: found}}, "none.svg": {{}}} {
 		file := filepath.Join(t.TempDir(), name)
 		if err := Plot(file, days, time.Second); err != nil {
 			t.Fatal(err)
--- a/internal/lab/account/lines.go
+++ b/internal/lab/account/lines.go
@@ -27,15 +27,24 @@
 	Status  int       `json:"status"`
 	Late    bool      `json:"late"`
 	Request string    `json:"request"`
+	Route   string    `json:"route"`
+	Reread  int       `json:"reread"`
+	Why     string    `json:"reread_why"`
 }
 
 // names are parts of a cause that differ from request to request: addresses and instances.
 var names = regexp.MustCompile(`\d+\.\d+\.\d+\.\d+:\d+|\bi-[0-9a-f]+\b`)
 
-// ReadLines reads the events of a day's log. Each line is an object as the processes write it, behind a time in seconds and
-// a process's name where the log was gathered from several. Other lines are passed over; broken counts objects that cannot
-// be read.
-func ReadLines(from io.Reader) (found []Event, broken int, err error) {
+// Lines is what the lines of a log tell.
+type Lines struct {
+	Events []Event
+	Reads  []Read
+	Broken int // objects that can't be read: cut short, or of something else
+}
+
+// ReadLines reads a day's log. Each line is an object as the processes write it, behind a time in seconds and
+// a process's name where the log was gathered from several. Other lines are passed over.
+func ReadLines(from io.Reader) (found Lines, err error) {
 	scanner := bufio.NewScanner(from)
 	scanner.Buffer(make([]byte, 0, 64<<10), maximumLine)
 	var first time.Time
@@ -46,23 +55,25 @@
 		}
 		var line logLine
 		if json.Unmarshal([]byte("{"+object), &line) != nil {
-			broken++
+			found.Broken++
 			continue
 		}
 		if first.IsZero() {
 			first = line.Time
 		}
-		event, counts := line.event()
-		if !counts {
-			continue
-		}
-		event.At, event.Line = line.Time.Sub(first), scanner.Text()
+		at := line.Time.Sub(first)
 		if seconds, told := leadingSeconds(before); told {
-			event.At = seconds
+			at = seconds
+		}
+		if line.Reread > 0 && line.Msg == events.RequestAnswered {
+			found.Reads = append(found.Reads, Read{At: at, Route: line.Route, Cause: line.Why, Tokens: line.Reread})
+		}
+		if event, counts := line.event(); counts {
+			event.At, event.Line = at, scanner.Text()
+			found.Events = append(found.Events, event)
 		}
-		found = append(found, event)
 	}
-	return found, broken, eris.Wrap(scanner.Err(), "read log")
+	return found, eris.Wrap(scanner.Err(), "read log")
 }
 
 // leadingSeconds reads the time in front of a gathered line.
--- a/internal/lab/account/print.go
+++ b/internal/lab/account/print.go
@@ -36,6 +36,12 @@
 			fmt.Fprintf(w, "| %s | %.1f | %.1f%% | `%.*s` |\n", r.Name, r.Value, 100*r.Share, longLine, strings.TrimSpace(r.Line))
 		}
 	}
+	printReads(w, days, span)
+	for _, d := range days {
+		if d.Broken > 0 {
+			fmt.Fprintf(w, "\n%d lines of %s can't be read: cut short, or of something else\n", d.Broken, d.Name)
+		}
+	}
 	moments := ByMoment(days, span)
 	if len(moments) == 0 {
 		return
@@ -50,6 +56,42 @@
 	}
 }
 
+// printReads writes the tables of shared parts that were read again.
+func printReads(w io.Writer, days []Day, span time.Duration) {
+	causes := ReadsBy(days, func(r Read) string { return r.Cause })
+	told, known := 0.0, 0.0
+	for _, d := range days {
+		told += d.ReadAgain / float64(len(days))
+	}
+	if len(causes) == 0 {
+		if told > 0 {
+			fmt.Fprintf(w, "\n%.0f tokens a day of shared parts were read again, by the reports; no line tells why: there are none, or of an earlier build\n", told)
+		}
+		return
+	}
+	for _, r := range causes {
+		known += r.Value
+	}
+	fmt.Fprintf(w, "\n%.0f tokens a day of shared parts were expected to be read again", known)
+	if told > 0 {
+		fmt.Fprintf(w, "; %.0f were, by the reports, so that %.0f in 100 have a cause", told, 100*min(1, known/told))
+	}
+	fmt.Fprintln(w)
+	for _, table := range []struct {
+		name string
+		key  func(Read) string
+	}{
+		{"cause", func(r Read) string { return r.Cause }},
+		{"route", func(r Read) string { return r.Route }},
+		{"from second, cause", func(r Read) string { return fmt.Sprintf("%4g, %s", r.At.Truncate(span).Seconds(), r.Cause) }},
+	} {
+		fmt.Fprintf(w, "\n| %s | tokens a day | share |\n|---|---|---|\n", table.name)
+		for _, r := range ReadsBy(days, table.key) {
+			fmt.Fprintf(w, "| %s | %.0f | %.1f%% |\n", r.Name, r.Value, 100*r.Share)
+		}
+	}
+}
+
 // PrintPairs writes what changed from one state of the code to another, day by day.
 func PrintPairs(w io.Writer, pairs []Pair) {
 	fmt.Fprintf(w, "\n| day | before | after | difference |\n|---|---|---|---|\n")
