--- a/cmd/kitelab/mix.go
+++ b/cmd/kitelab/mix.go
@@ -27,6 +27,7 @@
 	first    uint64
 	program  string
 	programs string
+	keep     string
 }
 
 func defineMix() command {
@@ -38,6 +39,7 @@
 	sub.UInt64(&flags.first, "s", "first-seed", "seed of the first play")
 	sub.String(&flags.program, "", "program", "this build's program file")
 	sub.String(&flags.programs, "", "programs", "folder to keep earlier programs in")
+	sub.String(&flags.keep, "k", "keep", "folder to keep plans, settings, data and logs in, by commit and seed")
 	return command{sub, flags.run}
 }
 
@@ -95,7 +97,7 @@
 	for seed := f.first; seed < f.first+uint64(f.seeds); seed++ {
 		plan.Seed = seed
 		fmt.Printf("== %s beside this build, seed %d\n", commit, seed)
-		broken, err := standin.Play(ctx, standin.Options{Program: f.program, Other: other, Plan: plan, Out: os.Stdout})
+		broken, err := standin.Play(ctx, standin.Options{Program: f.program, Other: other, Plan: plan, Keep: f.kept(commit, seed), Out: os.Stdout})
 		if err != nil {
 			made.cannot = err
 			return made
@@ -108,6 +110,14 @@
 	return made
 }
 
+// kept returns the folder that a play is kept in, or "".
+func (f *mixFlags) kept(commit string, seed uint64) string {
+	if f.keep == "" {
+		return ""
+	}
+	return filepath.Join(f.keep, fmt.Sprint(commit, "-", seed))
+}
+
 // report prints how each build did, and which is the oldest from which on all can take part.
 func report(all []mixed) error {
 	oldest := ""
