Failing test: what each request takes besides its prompt counts as reading

Ruled out: engines short of memory (120 of 800 places taken at the peak) or of time to read (29 in 100).

--- a/internal/gateway/belief/pace_test.go
+++ b/internal/gateway/belief/pace_test.go
@@ -31,3 +31,20 @@
 		t.Errorf("%v and %v", slow, fast)
 	}
 }
+
+// TestFixedTimeIsNoReading: each request takes 60 ms besides what it reads, of which the engine reads 110 tokens a ms. A queue of prompts is as
+// long as their reading; the 60 ms of each count too, so that engines with little to do seem crowded.
+func TestFixedTimeIsNoReading(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	for _, rate := range []float64{22, 38, 110} { // tokens a ms
+		p := FirstPace
+		for range 600 {
+			tokens := 1500 + random.IntN(7500)
+			first := 60 + float64(tokens)/rate*(0.95+0.1*random.Float64())
+			p = p.Next(tokens, FromMilliseconds(first))
+		}
+		if got, wanted := Milliseconds(p.Reading(2890)), 2890/rate; got < 0.8*wanted || got > 1.2*wanted {
+			t.Errorf("2,890 tokens are taken to be read in %.0f ms, it takes %.0f", got, wanted)
+		}
+	}
+}
