A placement counts the reading of a prompt by the learnt pace

The time that a prompt takes was counted at 40 tokens a ms whatever the engines read, 112 on one deployment and 38 on others, while the queue before it went by the learnt pace: on fast engines reading weighed too much against waiting. The weights on reading again stay as they were tuned.

--- a/internal/gateway/belief/pace.go
+++ b/internal/gateway/belief/pace.go
@@ -23,7 +23,8 @@
 
 // Pace is how long an engine takes to read a prompt token beside the other work that it has, apart from the time that each request takes whatever it
 // reads: the way there and back, and the first step. Only the reading keeps the next prompt waiting. It is learnt from requests that were taken to
-// be alone there, and tells until when an engine is busy; what reading weighs against waiting is a matter of its own (PrefillRate).
+// be alone there, and tells until when an engine is busy and how long a prompt takes there; what reading again weighs besides is a matter of its own
+// (PrefillRate).
 type Pace struct {
 	token float64 // milliseconds, from 1/paceMost of the first guess to paceMost times as long
 	fixed float64 // milliseconds, from 0 to fixedMost
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -214,12 +214,13 @@
 	scored.uncached, scored.reread = wish.total()-cached, max(0, sharedTokens-cached)
 	queue := max(0, row.busyTo-now)
 	held := row.occupied.Total()
-	scored.cost += belief.Milliseconds(queue) + float64(scored.uncached)/belief.PrefillRate
+	reading := belief.Milliseconds(g.table.pace(wish.service.Name).Reading(scored.uncached))
+	scored.cost += belief.Milliseconds(queue) + reading
 	if g.on(mechanism.Occupancy) {
 		scored.cost += belief.Crowding(held, row.entry.Slots, wish.service.CacheLimit, wish.memory, wish.stay)
 	}
 	scored.wait, scored.alone = scored.cost, queue == 0
-	scored.queue = scored.wait - float64(scored.uncached)/belief.PrefillRate
+	scored.queue = scored.wait - reading
 	scored.cost += g.astray(row, scored.uncached)
 	if g.on(mechanism.RereadWeight) {
 		scored.cost += rereadWeight * float64(sharedTokens-cached) / belief.PrefillRate
