--- a/cmd/kitelab/mix.go
+++ b/cmd/kitelab/mix.go
@@ -74,7 +74,16 @@
 			return ctx.Err()
 		}
 	}
-	return report(all)
+	for _, m := range all {
+		fmt.Println(m)
+	}
+	oldest, found := oldestOf(all)
+	if !found {
+		fmt.Println("the newest of these builds can't take part")
+		return errViolation
+	}
+	fmt.Println("the oldest build from which on all can take part:", oldest)
+	return nil
 }
 
 // earlier returns the commits whose builds are to be played.
@@ -118,26 +127,18 @@
 	return filepath.Join(f.keep, fmt.Sprint(commit, "-", seed))
 }
 
-// report prints how each build did, and which is the oldest from which on all can take part.
-func report(all []mixed) error {
-	oldest := ""
-	for _, m := range all {
-		switch {
-		case m.cannot != nil:
-			fmt.Printf("%s: not judged after %d plays: %s\n", m.commit, m.plays, eris.ToString(m.cannot, false))
-		default:
-			fmt.Printf("%s: %d plays, broken %v\n", m.commit, m.plays, m.broken)
-		}
-		if !m.takesPart() {
-			oldest = ""
-		} else if oldest == "" {
-			oldest = m.commit
-		}
+// String tells how the plays went.
+func (m mixed) String() string {
+	if m.cannot != nil {
+		return fmt.Sprintf("%s: not judged after %d plays: %s", m.commit, m.plays, eris.ToString(m.cannot, false))
 	}
-	if oldest == "" {
-		fmt.Println("the newest of these builds can't take part")
-		return errViolation
+	return fmt.Sprintf("%s: %d plays, broken %v", m.commit, m.plays, m.broken)
+}
+
+// oldestOf returns the oldest build from which on all can take part, of builds that come oldest first.
+func oldestOf(all []mixed) (commit string, found bool) {
+	for i := len(all) - 1; i >= 0 && all[i].takesPart(); i-- {
+		commit, found = all[i].commit, true
 	}
-	fmt.Printf("the oldest build from which on all can take part: %s\n", oldest)
-	return nil
+	return commit, found
 }
