Publish what back ends offer, and define latency-critical services

Cause: gateways don't know that engines keep copies of runs, how many tokens an event carries, or how many cache readers a store answers, and nothing tells which services need an exact prediction of waits. Nothing uses any of it yet.

--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"kitetiller/internal/catalog"
 	"kitetiller/internal/transport"
 )
 
@@ -26,6 +27,12 @@
 // UseDriver sets the driver for calls to back ends. It must be called before Run.
 func (s *Server) UseDriver(driver Driver) { s.driver = driver }
 
+// OfferReader reads the optional features of back ends, by service, from a routing document as the operator sent it.
+type OfferReader func(source []byte) map[string]catalog.Offer
+
+// UseOfferReader sets the reader for offers, which gateways get with the document. It must be called before Run.
+func (s *Server) UseOfferReader(read OfferReader) { s.replica.readOffers = read }
+
 // queuedCall is a weights call and the time at which the replica released it.
 type queuedCall struct {
 	call     WeightsCall
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -38,6 +38,7 @@
 // publishedDocument is the routing document sent to gateways, with an encoding that all replies share.
 type publishedDocument struct {
 	document *catalog.Document
+	offers   map[string]catalog.Offer // optional features of back ends, by service
 	shared   *payload.SharedJSON
 }
 
@@ -106,6 +107,7 @@
 	publications   map[string][]publishedVersion // by model, in ascending order of version, with local times
 	orderMarks     map[string]orderMark          // newest order seen in the log, by back-end name
 	published      publishedDocument             // newest document sent to gateways
+	readOffers     OfferReader                   // nil if the offers of back ends are not known
 	relay          *relay.Relay                  // answers gateways while another replica leads
 	awaitingLeader []heldWatch                   // watches held until a leader is known; at most maxAwaitingLeader
 	crashTimes     crashTimes                    // local times of the replicated crash counts
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -33,16 +33,19 @@
 // WatchReply holds the state of a leader that had a valid lease after the watch arrived. The gateway may count its view
 // as current from when it sent the watch.
 type WatchReply struct {
-	Revision          uint64               `json:"revision"`
-	Document          *catalog.Document    `json:"document,omitempty"` // set if it is newer than the one that the gateway holds
-	Version           RosterVersion        `json:"version"`
-	Roster            *RosterUpdate        `json:"roster,omitempty"` // set if it differs from the version that the gateway holds
-	Publications      []WeightsPublication `json:"wanted,omitempty"`
-	Gateways          int                  `json:"gateways"`        // number that may trust their view; they share limits equally
-	Mesh              Mesh                 `json:"mesh"`            // peers to announce dispatched requests to
-	Replicas          []string             `json:"replicas"`        // addresses of the control replicas
-	NearbyReplicas    []string             `json:"near,omitempty"`  // followers in the gateway's zone that answer gateways; empty if the leader answers all
-	CacheEventSources []string             `json:"reads,omitempty"` // engines whose cache events the gateway reads on behalf of all gateways
+	Revision     uint64               `json:"revision"`
+	Document     *catalog.Document    `json:"document,omitempty"` // set if it is newer than the one that the gateway holds
+	Version      RosterVersion        `json:"version"`
+	Roster       *RosterUpdate        `json:"roster,omitempty"` // set if it differs from the version that the gateway holds
+	Publications []WeightsPublication `json:"wanted,omitempty"`
+	Gateways     int                  `json:"gateways"` // number that may trust their view; they share limits equally
+	// Offers holds the optional features of back ends, by service. It is set along with Document, and derived from its
+	// source when it is sent: stored documents lack it, so that builds of all levels store the same.
+	Offers            map[string]catalog.Offer `json:"offers,omitempty"`
+	Mesh              Mesh                     `json:"mesh"`            // peers to announce dispatched requests to
+	Replicas          []string                 `json:"replicas"`        // addresses of the control replicas
+	NearbyReplicas    []string                 `json:"near,omitempty"`  // followers in the gateway's zone that answer gateways; empty if the leader answers all
+	CacheEventSources []string                 `json:"reads,omitempty"` // engines whose cache events the gateway reads on behalf of all gateways
 
 	Quarantine *quarantine.Update `json:"quarantine,omitempty"` // set if it differs from the list that the gateway holds
 
@@ -217,6 +220,7 @@
 	reply := &WatchReply{Revision: document.Revision}
 	if watch.Revision < document.Revision && !watch.ProbeOnly {
 		reply.Document, reply.sharedDocument = r.publishedDocument(document)
+		reply.Offers = r.published.offers
 	}
 	reply.Quarantine = r.quarantineUpdate(watch.Quarantine)
 	for _, member := range r.members() {
@@ -230,7 +234,10 @@
 	if r.published.document == nil || r.published.document.Revision != document.Revision {
 		sent := *document
 		sent.Source = nil
-		r.published.document, r.published.shared = &sent, nil
+		r.published = publishedDocument{document: &sent}
+		if r.readOffers != nil {
+			r.published.offers = r.readOffers(document.Source)
+		}
 		if shared, err := payload.NewSharedJSON(&sent); err == nil {
 			r.published.shared = shared // on failure, encoding the response reports the error
 		}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -77,6 +77,10 @@
 	// sentByPeer means that another gateway sends the request. A back end that asked only this gateway to back off
 	// remains eligible then.
 	sentByPeer bool
+	// latencyCritical is set if the parts that need a short objective take effect for the service, and offer holds the
+	// optional features of its back ends.
+	latencyCritical bool
+	offer           catalog.Offer
 }
 
 // promptTokens returns the number of prompt tokens.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -248,6 +248,7 @@
 	in := selectionInput{
 		service: x.service, tenant: x.tenant, call: &x.call, tried: x.tried, firstAttempt: len(x.tried) == 0, priority: enginePriority(x.tenant, x.route), latencyTarget: x.route.Objective,
 	}
+	in.latencyCritical, in.offer = x.view.critical[x.service.Name], x.view.offer(x.service.Name)
 	if x.gateway.enabled(mechanism.StoreTransfers) {
 		in.store = x.view.storeOf(x.call.Parts)
 	}
--- a/internal/gateway/large_test.go
+++ b/internal/gateway/large_test.go
@@ -108,7 +108,7 @@
 func TestScheduledPlainRequestsAreSpread(t *testing.T) {
 	g := newScheduler(1)
 	g.table.setAssigned([]string{"i-0"})
-	g.view.Store(newView(&catalog.Document{Services: []catalog.Service{{Name: "s", Engine: true}, {Name: "plain"}}}))
+	g.view.Store(newView(&catalog.Document{Services: []catalog.Service{{Name: "s", Engine: true}, {Name: "plain"}}}, nil))
 	update := &control.RosterUpdate{}
 	for i := range 8 {
 		update.Entries = append(update.Entries, control.RosterEntry{
--- a/internal/gateway/named_test.go
+++ b/internal/gateway/named_test.go
@@ -293,7 +293,7 @@
 	now := time.Minute
 	g := newScheduler(2)
 	g.now = func() time.Duration { return now }
-	g.view.Store(newView(&catalog.Document{Services: []catalog.Service{{Name: "s"}}})) // without engines, only the limit adds cost
+	g.view.Store(newView(&catalog.Document{Services: []catalog.Service{{Name: "s"}}}, nil)) // without engines, only the limit adds cost
 	reportLimit(g, "i-0", 4)
 	for range 40 {
 		if now += 100 * time.Millisecond; chosenFor(g) == "i-0" {
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -93,6 +93,7 @@
 	if req.IsolatedTenant != "" {
 		in.tenant = &catalog.Tenant{Name: req.IsolatedTenant, Isolated: true}
 	}
+	in.latencyCritical, in.offer = current.critical[req.Service], current.offer(req.Service)
 	if g.enabled(mechanism.StoreTransfers) {
 		in.store = current.storeOf(call.Parts)
 	}
--- a/internal/gateway/schedulers_test.go
+++ b/internal/gateway/schedulers_test.go
@@ -27,7 +27,7 @@
 		panic(err)
 	}
 	g := New(Settings{Name: "s", Zone: "z", OldWeightsStartLimit: time.Minute, ViewTTL: time.Hour}, nil, log)
-	g.view.Store(newView(&catalog.Document{Services: []catalog.Service{{Name: "s", Engine: true, CacheTokens: 80_000}}}))
+	g.view.Store(newView(&catalog.Document{Services: []catalog.Service{{Name: "s", Engine: true, CacheTokens: 80_000}}}, nil))
 	g.confirmedAt.Store(1)
 	update := &control.RosterUpdate{Full: true}
 	for i := range engines {
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -175,7 +175,7 @@
 func TestLongestPathPrefixWins(t *testing.T) {
 	view := newView(&catalog.Document{Routes: []catalog.Route{
 		{Name: "short", Host: "h", PathPrefix: "/a/"}, {Name: "long", Host: "h", PathPrefix: "/a/b/"}, {Name: "other", Host: "o", PathPrefix: "/"},
-	}})
+	}}, nil)
 	for path, wanted := range map[string]string{"/a/x": "short", "/a/b/x": "long", "/a/bx": "short", "/x": "", "/a": ""} {
 		name := ""
 		if route := view.route("h", path); route != nil {
@@ -301,8 +301,8 @@
 	document := &catalog.Document{Services: []catalog.Service{
 		{Name: "a", StoreAddress: "10.0.0.1:1"}, {Name: "b", StoreAddress: "10.0.0.2:1"}, {Name: "c", StoreAddress: "10.0.0.3:1"}, {Name: "d"},
 	}}
-	whole := newView(document)
-	fewer := newView(&catalog.Document{Services: document.Services[1:]})
+	whole := newView(document, nil)
+	fewer := newView(&catalog.Document{Services: document.Services[1:]}, nil)
 	const parts = 300
 	count := map[string]int{}
 	for i := range parts {
@@ -318,7 +318,7 @@
 			t.Errorf("store %s has %d of %d parts, want about a third", name, n, parts)
 		}
 	}
-	if got := newView(&catalog.Document{}).storeOf(nil); got != nil {
+	if got := newView(&catalog.Document{}, nil).storeOf(nil); got != nil {
 		t.Errorf("store %v, want none", got)
 	}
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -17,13 +17,15 @@
 	routes   map[string][]*catalog.Route // by host, longest path prefix first
 	keys     map[string]*catalog.Tenant  // by API key
 	services map[string]*catalog.Service
-	stores   []*catalog.Service // cache stores, in document order
+	stores   []*catalog.Service       // cache stores, in document order
+	critical map[string]bool          // names of latency-critical services
+	offers   map[string]catalog.Offer // optional features of back ends, by service
 }
 
-func newView(document *catalog.Document) *view {
+func newView(document *catalog.Document, offers map[string]catalog.Offer) *view {
 	v := &view{
 		document: document, routes: map[string][]*catalog.Route{}, keys: map[string]*catalog.Tenant{},
-		services: map[string]*catalog.Service{},
+		services: map[string]*catalog.Service{}, critical: map[string]bool{}, offers: offers,
 	}
 	for i := range document.Routes {
 		route := &document.Routes[i]
@@ -40,6 +42,7 @@
 	for i := range document.Services {
 		service := &document.Services[i]
 		v.services[service.Name] = service
+		v.critical[service.Name] = document.LatencyCritical(service.Name)
 		if service.StoreAddress != "" {
 			v.stores = append(v.stores, service)
 		}
@@ -47,6 +50,9 @@
 	return v
 }
 
+// offer returns the optional features of a service's back ends.
+func (v *view) offer(service string) catalog.Offer { return v.offers[service] }
+
 // route returns the route for a host and path, or nil.
 func (v *view) route(host, path string) *catalog.Route {
 	for _, route := range v.routes[host] {
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -32,6 +32,14 @@
 	Interference       Name = "interference"  // prefill costs more for each request that runs concurrently
 	EarlyRejection     Name = "refusal"       // a request that would wait too long is rejected immediately
 	RecomputeCost      Name = "reread-weight" // recomputing shared parts is weighted higher than its time
+
+	// The following take effect only for services whose configuration calls for them.
+	EngineQueue  Name = "engine-queue"  // the wait at an engine is predicted by priority and by engine
+	PauseBound   Name = "pause-bound"   // prompts are spread so that running streams don't pause for too long
+	SharedSlots  Name = "shared-slots"  // one scheduler assigns the slots of a small service
+	StreamCopies Name = "stream-copies" // an engine keeps a copy of a stream that can't be repeated elsewhere
+	StoreIndex   Name = "store-index"   // the contents of stores are read from them
+	Reservations Name = "reservations"  // a rejected request gets a reserved time to return
 )
 
 // Mechanisms of control replicas.
@@ -45,7 +53,7 @@
 func All() []Name {
 	return []Name{
 		Lanes, GatewayMesh, Occupancy, PeerFailureReports, StoreTransfers, EngineTransfers, EvictionCost, LinkQueueing, AffinityOwner, AffinityMissCost, CacheEvents, SilenceTimeout, FailureAvoidance,
-		ViewWait, ZoneCost, RecomputeCost, Interference, EarlyRejection, Schedulers, WeightsDrain, LoggedWeights,
+		ViewWait, ZoneCost, RecomputeCost, Interference, EarlyRejection, EngineQueue, PauseBound, SharedSlots, StreamCopies, StoreIndex, Reservations, Schedulers, WeightsDrain, LoggedWeights,
 	}
 }
 
