--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -64,7 +64,8 @@
 	RejectedRequest string
 	// Signals are load and limit signals of the back end. If there are any, only they are announced.
 	Signals pushback.Signals
-	Age     time.Duration // time since the announced event
+	Queue   queueAnnouncement // of services with queues
+	Age     time.Duration     // time since the announced event
 }
 
 // wireAnnouncement is the JSON form of an announcement. Its names are short since each announcement goes to every
@@ -89,6 +90,11 @@
 	Limit           *float64 `json:"b,omitempty"` // advertised by the back end, in requests per second of all gateways
 	LimitWithdrawn  bool     `json:"e,omitempty"` // the back end no longer advertises a limit
 	AgeMS           int64    `json:"a"`
+	QueueNumber     uint64   `json:"qi,omitempty"` // of the request at the announcing gateway, which reports its first event
+	QueuePriority   int      `json:"qp,omitempty"`
+	FirstEvent      bool     `json:"qf,omitempty"` // the request had its first event
+	FirstEventAgeMS int64    `json:"qa,omitempty"` // time from the first event to the announcement
+	Removed         bool     `json:"qx,omitempty"` // the request ended without a first event
 }
 
 func (s announcement) toWire(waited time.Duration) wireAnnouncement {
@@ -99,6 +105,7 @@
 	}
 	w.Parts, w.Tokens = partsToWire(s.Parts)
 	w.Limit, w.LimitWithdrawn = limitToWire(s.Signals.Limit)
+	s.Queue.toWire(&w)
 	return w
 }
 
@@ -128,6 +135,7 @@
 		Gateway: w.Gateway, Load: belief.Load{Running: max(0, w.Running), Tokens: max(0, w.RunningTokens)},
 		Instance: w.Instance, Salt: w.Salt, Uncached: max(0, w.Uncached), SavedToStore: w.SavedToStore, Unreachable: w.Unreachable, CacheReport: w.CacheReport, RejectedRequest: w.RejectedRequest,
 		Signals: pushback.Signals{Backoff: durationFromMS(min(w.BackoffMS, pushback.MaxBackoff.Milliseconds())), Draining: w.Draining, Limit: limitFromWire(w.Limit, w.LimitWithdrawn)}, Age: durationFromMS(w.AgeMS), Transfer: belief.Transfer{From: w.TransferFrom, Time: durationFromMS(w.TransferMS)}, Parts: partsFromWire(w.Parts, w.Tokens),
+		Queue: w.queueAnnouncement(),
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -89,12 +89,19 @@
 	startTimer       *time.Timer // cancels the attempt at its start deadline; nil without one; guarded by the table's mutex
 	conn             *connection
 	writeDone        chan error      // receives the result of writing the request
+	queued           queuedRequest   // in the queue of the back end, if this gateway placed the request itself
+	firstEventAt     time.Duration   // when the first event of this attempt was received; 0 before that
+	latestEventAt    time.Duration   // when the latest event was received
+	longestGap       time.Duration   // longest time between two events of this attempt
+	firstEventTimer  *time.Timer     // reports the first event to schedulers; nil before it, and if none is reported to
 	streamStarted    atomic.Bool     // an event of the stream was received
 	backoffLeft      time.Duration   // backoff of the back end still running when the request was sent
 	requestedBackoff time.Duration   // backoff requested in the response
 	advertisedLimit  pushback.Limit  // limit advertised by the back end when the request was sent
 	limitLease       allowance.Lease // lease on the advertised limit; reset when the request is sent
-	crashChecked     <-chan struct{} // closed once the check whether the back end crashed is done; nil without a check
+	// firstEventAnnounced is set once the first event was announced to other schedulers.
+	firstEventAnnounced atomic.Bool
+	crashChecked        <-chan struct{} // closed once the check whether the back end crashed is done; nil without a check
 }
 
 func (x *exchange) newAttempt(chosen *candidate) *attempt {
@@ -118,6 +125,7 @@
 	x := a.exchange
 	defer a.cancel(nil)
 	defer a.reportEnd()
+	defer a.stopFirstEventTimer()
 	maxIdle := maxIdleOnce
 	if x.route.Retryable() {
 		maxIdle = maxIdleRetryable
@@ -172,6 +180,7 @@
 	announced := announcement{
 		Gateway: g.shortName, Load: load, Instance: placed.row.entry.ID, Salt: placed.salt, Parts: parts,
 		Uncached: placed.uncached, SavedToStore: placed.saveTo != "", Transfer: placed.transfer,
+		Queue: queueAnnouncement{Number: placed.queueNumber, Priority: int(placed.priority)},
 	}
 	g.table.recordOwnSend(now, announced)
 	g.peers.announce(announced)
@@ -182,9 +191,15 @@
 	x := a.exchange
 	load := x.gateway.table.end(x.gateway.now(), a, a.outcome)
 	if a.plan.scheduled == nil {
+		a.stopFirstEventTimer()
+		queue := a.endQueued(x.gateway.now())
 		x.gateway.table.observePrefill(a.row, a.plan.engineIdle, a.uncached, a.timeToFirstEvent())
-		x.gateway.table.observeQueueWait(x.service.Name, enginePriority(x.tenant, x.route), a.plan.queueWait, a.uncached, a.timeToFirstEvent(), x.gateway.now()-a.startedAt)
-		x.gateway.peers.announce(announcement{Gateway: x.gateway.shortName, Load: load, Instance: a.row.entry.ID})
+		if a.queued.number > 0 && x.gateway.enabled(mechanism.EngineQueue) {
+			x.gateway.table.observeForecastWait(x.service.Name, int(a.plan.priority), a.plan.queueWait, a.plan.wait-a.plan.queueWait, a.timeToFirstEvent(), x.gateway.now()-a.startedAt)
+		} else {
+			x.gateway.table.observeQueueWait(x.service.Name, enginePriority(x.tenant, x.route), a.plan.queueWait, a.uncached, a.timeToFirstEvent(), x.gateway.now()-a.startedAt)
+		}
+		x.gateway.peers.announce(announcement{Gateway: x.gateway.shortName, Load: load, Instance: a.row.entry.ID, Queue: queue})
 	}
 }
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -9,6 +9,7 @@
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/gateway/belief"
+	"kitetiller/internal/gateway/enginequeue"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/prefix"
 )
@@ -44,15 +45,20 @@
 	row             *endpoint
 	cost            float64 // milliseconds
 	salt            string
-	version         uint64          // of the weights expected there; 0 if unknown
-	wait            float64         // predicted time until the request starts, in milliseconds
-	queueWait       float64         // part of wait before the prefill starts
-	startDeadline   time.Duration   // time by which the request must start, as known at the decision, or 0; for logs only
-	uncached        int             // prompt tokens to prefill
-	recomputed      int             // tokens of shared parts among uncached
-	copyCostsMore   bool            // a copy of the shared parts exists, but costs more than recomputing them
-	recomputeReason recomputeCause  // set for the chosen candidate if recomputed > 0
-	engineIdle      bool            // no other prefill is estimated to be running or queued there
+	version         uint64         // of the weights expected there; 0 if unknown
+	wait            float64        // predicted time until the request starts, in milliseconds
+	queueWait       float64        // part of wait before the prefill starts
+	startDeadline   time.Duration  // time by which the request must start, as known at the decision, or 0; for logs only
+	uncached        int            // prompt tokens to prefill
+	recomputed      int            // tokens of shared parts among uncached
+	recomputeReason recomputeCause // set for the chosen candidate if recomputed > 0
+	copyCostsMore   bool           // a copy of the shared parts exists, but costs more than recomputing them
+	engineIdle      bool           // no other prefill is estimated to be running or queued there
+	priority        int8           // of the request; set for the chosen candidate if queueNumber is
+	// pause is the predicted longest pause of the streams running there, in milliseconds, and slowness the factor by which
+	// the engine is taken to be slower than its service. Both are 0 if not predicted.
+	pause, slowness float32
+	queueNumber     uint64          // of the request in the engine's queue; 0 without a queue, or if a scheduler chose
 	fetchFrom       string          // address of the engine or store to copy cached parts from, or ""
 	saveTo          string          // address of the store to save the parts in, or ""
 	transfer        belief.Transfer // of cached parts, caused by the placement
@@ -81,6 +87,8 @@
 	// optional features of its back ends.
 	latencyCritical bool
 	offer           catalog.Offer
+	maxEventGap     time.Duration      // shortest of the longest permitted gaps between events of the service's streams, or 0
+	rates           *enginequeue.Rates // of the service's engines, if it has queues; set by choose
 }
 
 // promptTokens returns the number of prompt tokens.
@@ -102,6 +110,7 @@
 		lanes := g.table.lanesOf(in.service.Name)
 		lanes.divide(rows)
 		lanes.measureUtilization(now, rows)
+		in.rates = g.table.queueRates[in.service.Name]
 		in.memory, in.meanDuration = promptMemory(in.call), g.table.meanDuration(in.service.Name)
 	}
 	owner := g.owner(now, rows, in)
@@ -114,6 +123,7 @@
 	if !found {
 		return nil
 	}
+	g.table.assignQueueNumber(&best, in)
 	if best.recomputed > 0 {
 		best.recomputeReason = g.explainRecompute(now, &best, prefix.SharedParts(in.call.Parts), sources)
 	}
@@ -219,14 +229,13 @@
 		scored.fetchFrom = in.store.StoreAddress // the engine may have evicted the parts, and asking the store is cheap
 	}
 	scored.uncached, scored.recomputed = in.promptTokens()-cached, max(0, sharedTokens-cached)
-	queue := max(0, row.prefillBusyUntil-now)
 	load := row.occupancy.Total()
-	prefillTime := belief.Milliseconds(g.table.prefillEstimate(in.service.Name).PrefillTime(scored.uncached))
-	scored.cost += belief.Milliseconds(queue) + prefillTime
+	queueTime, prefillTime := g.predictPrefill(now, scored, &in)
+	scored.cost += queueTime + prefillTime
 	if g.enabled(mechanism.Occupancy) {
 		scored.cost += belief.CapacityWait(load, row.entry.Slots, in.service.CacheTokens, in.memory, in.meanDuration)
 	}
-	scored.wait, scored.engineIdle = scored.cost, queue == 0
+	scored.wait = scored.cost
 	scored.queueWait = scored.wait - prefillTime
 	scored.cost += g.offLaneCost(row, scored.uncached)
 	if g.enabled(mechanism.RecomputeCost) {
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -10,6 +10,7 @@
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
 	"kitetiller/internal/gateway/belief"
+	"kitetiller/internal/gateway/enginequeue"
 	"kitetiller/internal/guard"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/pushback"
@@ -32,6 +33,7 @@
 	entryAt             time.Duration       // when the entry was received
 	occupancy           belief.Occupancy
 	prefillBusyUntil    time.Duration         // estimated end of the prefills of all gateways' requests sent so far
+	queue               *enginequeue.Queue    // nil until needed, and for services without queues
 	cache               *belief.CacheEstimate // estimate of the cached parts
 	hash                uint64                // of the address
 	longLane            bool                  // assigned to long requests rather than short ones
@@ -67,6 +69,8 @@
 	signals          *pushback.Tracker                 // load and limit signals of back ends
 	leaseRetryAt     time.Duration                     // no lease is requested until then, since the allocator did not answer
 	lastRetryAt      map[string]time.Duration          // by service: latest retry time given while all were at their limits
+	queueRates       map[string]*enginequeue.Rates     // by latency-critical service
+	lastQueueNumber  uint64                            // of a placement in a queue
 	rosterChanged    *notifier                         // signals each new roster
 	waiting          map[*attempt]struct{}             // awaiting a response, also at removed back ends
 }
@@ -76,7 +80,7 @@
 		mechanisms: mechanisms, rows: map[string]*endpoint{}, services: map[string][]*endpoint{},
 		published: belief.NewPublishTimes(guard.Set{}), stored: belief.NewStoredParts(), links: belief.Links{}, signals: pushback.NewTracker(),
 		lanes: map[string]*lanes{}, meanDurations: map[string]belief.MeanDuration{}, prefillEstimates: map[string]belief.PrefillEstimate{}, lastSent: map[string]time.Duration{}, admission: map[string]*admission.Controller{},
-		placed: map[string]placement{}, holders: map[string][]*endpoint{}, waiting: map[*attempt]struct{}{}, rosterChanged: newNotifier(), lastRetryAt: map[string]time.Duration{},
+		queueRates: map[string]*enginequeue.Rates{}, placed: map[string]placement{}, holders: map[string][]*endpoint{}, waiting: map[*attempt]struct{}{}, rosterChanged: newNotifier(), lastRetryAt: map[string]time.Duration{},
 	}
 }
 
@@ -166,6 +170,8 @@
 	*own = own.Plus(sent.load())
 	if sent.plan.scheduled == nil {
 		t.addPrefill(now, sent.row, sent.uncached)
+		sent.queued = queuedRequest{number: sent.plan.queueNumber, placedAt: now}
+		t.queueSent(now, sent.row, sent.plan.queueNumber, int(sent.plan.priority), sent.uncached)
 	}
 	sent.backoffLeft = max(0, t.signals.Restriction(now, sent.row.incarnation).BackoffUntil-now)
 	sent.advertisedLimit = t.signals.Limit(sent.row.incarnation)
@@ -250,6 +256,7 @@
 			continue
 		}
 		row.occupancy.RecordPeer(sent.Gateway, at, sent.Load)
+		t.applyQueueAnnouncement(now, at, row, &sent)
 		if sent.Salt == "" {
 			continue // no prompt is described
 		}
@@ -285,6 +292,9 @@
 	t.signals.Sweep(now, func(incarnation catalog.Incarnation) bool { return t.rows[incarnation.ID()] != nil })
 	for _, row := range t.rows {
 		row.occupancy.Sweep(now)
+		if row.queue != nil {
+			row.queue.Sweep(now)
+		}
 	}
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -249,6 +249,7 @@
 		service: x.service, tenant: x.tenant, call: &x.call, tried: x.tried, firstAttempt: len(x.tried) == 0, priority: enginePriority(x.tenant, x.route), latencyTarget: x.route.Objective,
 	}
 	in.latencyCritical, in.offer = x.view.critical[x.service.Name], x.view.offer(x.service.Name)
+	in.maxEventGap = x.view.gaps[x.service.Name]
 	if x.gateway.enabled(mechanism.StoreTransfers) {
 		in.store = x.view.storeOf(x.call.Parts)
 	}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -113,7 +113,7 @@
 	}
 	current := g.view.Load()
 	if reply.Document != nil && (current == nil || reply.Document.Revision > current.document.Revision) {
-		g.view.Store(newView(reply.Document, reply.Offers))
+		g.setView(newView(reply.Document, reply.Offers))
 		g.leases.SetLimits(quota.Limits(reply.Document, g.settings.Quota))
 		g.log.info(events.DocumentApplied, zap.Uint64(events.FieldRevision, reply.Document.Revision), zap.Int("routes", len(reply.Document.Routes)))
 	}
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -44,9 +44,11 @@
 	// was observed. Both are absent if there is none.
 	Limit      *float64 `json:"n,omitempty"`
 	LimitAgeMS int64    `json:"a,omitempty"`
+	// ReportFirstEvent asks for a report of the request's first event.
+	ReportFirstEvent bool `json:"qf,omitempty"`
 }
 
-// wirePlacementEnd reports to a scheduler how a request that it placed ended.
+// wirePlacementEnd reports to a scheduler how a request that it placed ended, or that it had its first event.
 type wirePlacementEnd struct {
 	PlacementID  string         `json:"i"`
 	Gateway      string         `json:"g"`
@@ -54,6 +56,9 @@
 	Unreached    bool           `json:"x,omitempty"` // no connection to the back end was established
 	DurationMS   int64          `json:"t,omitempty"` // since the attempt began
 	FirstEventMS int64          `json:"f,omitempty"` // time until the first event; 0 if there was none
+	// Running means that the request had its first event and goes on. It is sent only if the scheduler asked for it.
+	Running bool  `json:"qr,omitempty"`
+	PauseMS int64 `json:"qm,omitempty"` // longest time between two events of the stream
 }
 
 // call returns the part of the caller's request that the message carries. Parts without a size are left out.
@@ -70,6 +75,9 @@
 	expiresAt  time.Duration // the placement is dropped then, even if no end was reported
 	priority   int
 	queueWait  float64 // predicted time until the prefill starts, in milliseconds
+	ownTime    float64 // predicted time from then until the first event, in milliseconds; for services with queues
+	queued     queuedRequest
+	ended      queueAnnouncement // set at the end
 }
 
 // handlePlacementRequest handles another gateway's request for a placement.
@@ -94,6 +102,7 @@
 		in.tenant = &catalog.Tenant{Name: req.IsolatedTenant, Isolated: true}
 	}
 	in.latencyCritical, in.offer = current.critical[req.Service], current.offer(req.Service)
+	in.maxEventGap = current.gaps[req.Service]
 	if g.enabled(mechanism.StoreTransfers) {
 		in.store = current.storeOf(call.Parts)
 	}
@@ -107,11 +116,12 @@
 	}
 	load := g.table.addPlacement(now, req.PlacementID, placement{
 		row: chosen.row, load: loadOf(&call), uncached: chosen.uncached, engineIdle: chosen.engineIdle, expiresAt: now + durationFromMS(req.TimeoutMS),
-		priority: req.Priority, queueWait: chosen.queueWait,
+		priority: req.Priority, queueWait: chosen.queueWait, ownTime: chosen.wait - chosen.queueWait, queued: queuedRequest{number: chosen.queueNumber, placedAt: now},
 	})
 	g.announcePlacement(now, chosen, call.Parts, load)
 	reply := wirePlacementReply{
 		Instance: chosen.row.entry.ID, Version: chosen.version, Uncached: chosen.uncached, Recomputed: chosen.recomputed, RecomputeReason: string(chosen.recomputeReason), WaitMS: chosen.wait, FetchFrom: chosen.fetchFrom, SaveTo: chosen.saveTo,
+		ReportFirstEvent: chosen.queueNumber > 0,
 	}
 	if limit, _ := g.table.advertisedLimit(now, chosen.row); limit != nil {
 		reply.Limit, reply.LimitAgeMS = &limit.Rate, limit.Age.Milliseconds()
@@ -128,14 +138,22 @@
 	}
 	respond(http.StatusOK, struct{}{})
 	now := g.now()
+	if end.Running {
+		g.handleFirstEvent(now, &end)
+		return
+	}
 	p, load, known := g.table.endPlacement(now, &end)
 	if !known {
 		return
 	}
 	row := p.row
 	g.table.observePrefill(row, p.engineIdle, p.uncached, durationFromMS(end.FirstEventMS))
-	g.table.observeQueueWait(row.entry.Service, p.priority, p.queueWait, p.uncached, durationFromMS(end.FirstEventMS), durationFromMS(end.DurationMS))
-	g.peers.announce(announcement{Gateway: g.shortName, Load: load, Instance: row.entry.ID})
+	if p.queued.number > 0 && g.enabled(mechanism.EngineQueue) {
+		g.table.observeForecastWait(row.entry.Service, p.priority, p.queueWait, p.ownTime, durationFromMS(end.FirstEventMS), durationFromMS(end.DurationMS))
+	} else {
+		g.table.observeQueueWait(row.entry.Service, p.priority, p.queueWait, p.uncached, durationFromMS(end.FirstEventMS), durationFromMS(end.DurationMS))
+	}
+	g.peers.announce(announcement{Gateway: g.shortName, Load: load, Instance: row.entry.ID, Queue: p.ended})
 	if end.Unreached {
 		g.peers.announce(announcement{Gateway: end.Gateway, Instance: row.entry.ID, Unreachable: true})
 	}
@@ -149,6 +167,7 @@
 	here := &p.row.occupancy
 	here.Placed = here.Placed.Plus(p.load)
 	t.addPrefill(now, p.row, p.uncached)
+	t.queueSent(now, p.row, p.queued.number, p.priority, p.uncached)
 	t.pacePeerPlacement(now, p.row)
 	return here.Local()
 }
@@ -164,6 +183,7 @@
 	}
 	t.removePlacement(end.PlacementID, p)
 	row := p.row
+	p.ended = t.endQueued(now, row, &p.queued, firstEventTime(end.FirstEventMS), durationFromMS(end.DurationMS), durationFromMS(end.PauseMS))
 	switch {
 	case end.Unreached:
 		t.recordPeerReport(now, row, end.Gateway)
@@ -190,6 +210,7 @@
 	for id, p := range t.placed {
 		if now > p.expiresAt {
 			t.removePlacement(id, p)
+			t.endQueued(now, p.row, &p.queued, 0, 0, 0)
 		}
 	}
 }
--- /dev/null
+++ b/internal/gateway/queues.go
@@ -0,0 +1,329 @@
+package gateway
+
+import (
+	"math"
+	"time"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/gateway/belief"
+	"kitetiller/internal/gateway/enginequeue"
+	"kitetiller/internal/mechanism"
+)
+
+// firstEventReportDelay is how long a stream must go on after its first event for the event to be reported on its own.
+// The report of the end follows at once otherwise, and carries the time of the first event.
+const firstEventReportDelay = 20 * time.Millisecond
+
+// maxFirstEventTime bounds the time to a first event in messages; a longer one is absurd.
+const maxFirstEventTime = time.Hour
+
+// firstEventTime converts received milliseconds. Negative or absurd ones yield -1, which queues drop and count.
+func firstEventTime(ms int64) time.Duration {
+	if ms < 0 || ms > maxFirstEventTime.Milliseconds() {
+		return -1
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// shortestEventGaps returns, by service, the shortest of the longest permitted gaps between events of the streaming
+// routes to it.
+func shortestEventGaps(document *catalog.Document) map[string]time.Duration {
+	gaps := map[string]time.Duration{}
+	for i := range document.Routes {
+		route := &document.Routes[i]
+		if !route.Streaming || route.MaxEventGap <= 0 {
+			continue
+		}
+		for _, target := range route.Targets {
+			if known, found := gaps[target.Service]; target.Weight > 0 && (!found || route.MaxEventGap < known) {
+				gaps[target.Service] = route.MaxEventGap
+			}
+		}
+	}
+	return gaps
+}
+
+// setView installs a new view, and lets the latency-critical services of the view have queues.
+func (g *Gateway) setView(next *view) {
+	t := g.table
+	t.mutex.Lock()
+	for service := range next.services {
+		if !next.critical[service] || !g.enabled(mechanism.EngineQueue) && !g.enabled(mechanism.PauseBound) {
+			continue
+		}
+		rates := t.queueRates[service]
+		if rates == nil {
+			rates = enginequeue.NewRates()
+			t.queueRates[service] = rates
+		}
+		rates.SetEventTokens(next.offer(service).EventTokens)
+		rates.SetEngines(len(t.services[service]))
+	}
+	for service := range t.queueRates {
+		if !next.critical[service] {
+			delete(t.queueRates, service)
+			for _, row := range t.services[service] {
+				row.queue = nil
+			}
+		}
+	}
+	t.mutex.Unlock()
+	g.view.Store(next)
+}
+
+// queueOf returns the queue of an engine, or nil if its service has none. The caller holds the mutex.
+func (t *table) queueOf(row *endpoint) *enginequeue.Queue {
+	rates := t.queueRates[row.entry.Service]
+	if rates == nil {
+		return nil
+	}
+	return row.queueWith(rates)
+}
+
+// queueWith returns the queue of an engine, creating it on first use.
+func (e *endpoint) queueWith(rates *enginequeue.Rates) *enginequeue.Queue {
+	if e.queue == nil {
+		e.queue = enginequeue.New(rates)
+	}
+	return e.queue
+}
+
+// predictPrefill returns how long the request waits at the engine for its prefill, and how long its prefill takes after
+// that, in milliseconds. For services with queues the latter includes the time until the first event.
+func (g *Gateway) predictPrefill(now time.Duration, scored *candidate, in *selectionInput) (wait, prefillTime float64) {
+	if in.rates != nil {
+		f := scored.row.queueWith(in.rates).Forecast(now, in.priority, scored.uncached)
+		scored.pause, scored.slowness = float32(belief.Milliseconds(f.Pause)), float32(f.Slowness)
+		if g.enabled(mechanism.EngineQueue) {
+			scored.engineIdle = f.Idle
+			return belief.Milliseconds(f.Wait), belief.Milliseconds(f.FirstEvent - f.Wait)
+		}
+	}
+	queue := max(0, scored.row.prefillBusyUntil-now)
+	scored.engineIdle = queue == 0
+	return belief.Milliseconds(queue), belief.Milliseconds(g.table.prefillEstimate(in.service.Name).PrefillTime(scored.uncached))
+}
+
+// assignQueueNumber gives a chosen placement the number under which its first event is reported to other schedulers.
+// The caller holds the mutex.
+func (t *table) assignQueueNumber(chosen *candidate, in selectionInput) {
+	if in.rates != nil {
+		t.lastQueueNumber++
+		chosen.queueNumber, chosen.priority = t.lastQueueNumber, int8(min(max(in.priority, 0), lowestPriority))
+	}
+}
+
+// ownQueueID returns the ID in queues of a placement that this gateway made.
+func ownQueueID(number uint64) enginequeue.ID { return enginequeue.ID{Number: number} }
+
+// queueSent adds a placement of this gateway to the queue of its engine. The caller holds the mutex.
+func (t *table) queueSent(now time.Duration, row *endpoint, number uint64, priority, uncached int) {
+	if number == 0 {
+		return
+	}
+	if queue := t.queueOf(row); queue != nil {
+		queue.Sent(now, enginequeue.Request{ID: ownQueueID(number), Priority: priority, Tokens: uncached})
+	}
+}
+
+// queuedRequest is a placement that this gateway made, as it is known in the queue of its engine.
+type queuedRequest struct {
+	number      uint64        // 0 if the service has no queues
+	placedAt    time.Duration // by the clock of this gateway
+	firstEvent  bool          // the first event was recorded
+	workAtFirst float64       // as of enginequeue.Queue.Work
+}
+
+// recordFirstEvent records the first event of a placement of this gateway, and returns the announcement of it to other
+// schedulers. ok is false if there is nothing new. The caller holds the mutex.
+func (t *table) recordFirstEvent(now, at time.Duration, row *endpoint, request *queuedRequest) (announced queueAnnouncement, ok bool) {
+	queue := t.queueOf(row)
+	if queue == nil || request.number == 0 || request.firstEvent {
+		return queueAnnouncement{}, false
+	}
+	queue.FirstEvent(now, at, ownQueueID(request.number))
+	request.firstEvent, request.workAtFirst = true, queue.Work()
+	return queueAnnouncement{Number: request.number, FirstEvent: true, FirstEventAge: max(0, now-at)}, true
+}
+
+// endQueued records the end of a placement of this gateway. first is the time from its start to the first event, or 0
+// if there was none, lasted the time from its start to its end, and pause the longest one between two events. It
+// returns what other schedulers have to know of it beyond the end. The caller holds the mutex.
+func (t *table) endQueued(now time.Duration, row *endpoint, request *queuedRequest, first, lasted, pause time.Duration) queueAnnouncement {
+	queue := t.queueOf(row)
+	if queue == nil || request.number == 0 {
+		return queueAnnouncement{}
+	}
+	var announced queueAnnouncement
+	switch {
+	case request.firstEvent:
+	case first != 0:
+		announced, _ = t.recordFirstEvent(now, request.placedAt+first, row, request)
+	default:
+		queue.Removed(now, ownQueueID(request.number))
+		announced = queueAnnouncement{Number: request.number, Removed: true}
+	}
+	if request.firstEvent && pause > 0 {
+		t.queueRates[row.entry.Service].ObservePause(pause, lasted-first, queue.Work()-request.workAtFirst, queue.Slowness(now))
+	}
+	return announced
+}
+
+// queueAnnouncement is what an announcement tells about a request in the queue of its engine.
+type queueAnnouncement struct {
+	Number        uint64        // of the request at the announcing gateway; 0 if it will not report a first event
+	Priority      int           // of a new request
+	FirstEvent    bool          // the request had its first event
+	FirstEventAge time.Duration // time from the first event to the announcement
+	Removed       bool          // the request ended without a first event
+}
+
+// applyQueueAnnouncement applies what another scheduler announced. The caller holds the mutex.
+func (t *table) applyQueueAnnouncement(now, at time.Duration, row *endpoint, sent *announcement) {
+	queue := t.queueOf(row)
+	if queue == nil || sent.Gateway == "" {
+		return
+	}
+	id := enginequeue.ID{Scheduler: sent.Gateway, Number: sent.Queue.Number}
+	switch {
+	case sent.Queue.FirstEvent:
+		queue.FirstEvent(now, at-sent.Queue.FirstEventAge, id)
+	case sent.Queue.Removed:
+		queue.Removed(now, id)
+	case sent.Salt != "":
+		queue.Sent(at, enginequeue.Request{ID: id, Priority: sent.Queue.Priority, Tokens: sent.Uncached})
+	}
+}
+
+// onFirstEvent records the first event of an attempt. It is reported to the schedulers if the stream goes on.
+func (a *attempt) onFirstEvent(now time.Duration) {
+	g := a.exchange.gateway
+	a.firstEventAt = now
+	if placed := a.plan.scheduled; placed != nil {
+		if placed.reportFirstEvent {
+			after := now - a.startedAt
+			a.firstEventTimer = time.AfterFunc(firstEventReportDelay, func() {
+				g.schedulers.reportEnd(placed.scheduler, wirePlacementEnd{
+					PlacementID: placed.placementID, Gateway: g.shortName, Running: true, FirstEventMS: max(1, after.Milliseconds()),
+				})
+			})
+		}
+		return
+	}
+	if a.queued.number == 0 {
+		return
+	}
+	g.table.mutex.Lock()
+	announced, ok := g.table.recordFirstEvent(now, now, a.row, &a.queued)
+	g.table.mutex.Unlock()
+	if !ok {
+		return
+	}
+	a.firstEventTimer = time.AfterFunc(firstEventReportDelay, func() {
+		if a.firstEventAnnounced.CompareAndSwap(false, true) {
+			g.announceFirstEvent(g.now(), now, a.row, announced)
+		}
+	})
+}
+
+// announceFirstEvent announces a first event to other schedulers, with the load of this gateway as any announcement.
+func (g *Gateway) announceFirstEvent(now, at time.Duration, row *endpoint, announced queueAnnouncement) {
+	g.table.mutex.Lock()
+	load := row.occupancy.Local()
+	g.table.mutex.Unlock()
+	announced.FirstEventAge = max(0, now-at)
+	g.peers.announce(announcement{Gateway: g.shortName, Load: load, Instance: row.entry.ID, Queue: announced})
+}
+
+// endQueued records the end of an attempt that this gateway placed itself, and returns what is to be announced of its
+// queue with the end.
+func (a *attempt) endQueued(now time.Duration) queueAnnouncement {
+	t := a.exchange.gateway.table
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	first := time.Duration(0)
+	if a.firstEventAt > 0 {
+		first = a.firstEventAt - a.startedAt
+	}
+	announced := t.endQueued(now, a.row, &a.queued, first, now-a.startedAt, a.longestGap)
+	if a.queued.firstEvent && a.firstEventAnnounced.CompareAndSwap(false, true) {
+		announced = queueAnnouncement{Number: a.queued.number, FirstEvent: true, FirstEventAge: max(0, now-a.firstEventAt)}
+	}
+	return announced
+}
+
+// stopFirstEventTimer prevents the report of a first event, as the report of the end follows.
+func (a *attempt) stopFirstEventTimer() {
+	if a.firstEventTimer != nil {
+		a.firstEventTimer.Stop()
+	}
+}
+
+// recordEvent records the arrival of an event of the attempt's stream.
+func (a *attempt) recordEvent(now time.Duration) {
+	if a.firstEventAt == 0 {
+		a.latestEventAt = now
+		a.onFirstEvent(now)
+	}
+	a.longestGap = max(a.longestGap, now-a.latestEventAt)
+	a.latestEventAt = now
+}
+
+// handleFirstEvent handles another gateway's report that a request which this gateway placed had its first event.
+func (g *Gateway) handleFirstEvent(now time.Duration, report *wirePlacementEnd) {
+	t := g.table
+	t.mutex.Lock()
+	p, known := t.placed[report.PlacementID]
+	if !known {
+		t.mutex.Unlock()
+		return
+	}
+	after := firstEventTime(report.FirstEventMS)
+	if after == 0 {
+		after = -1 // a report without a time is absurd
+	}
+	at := p.queued.placedAt + after
+	announced, ok := t.recordFirstEvent(now, at, p.row, &p.queued)
+	t.placed[report.PlacementID] = p
+	load := p.row.occupancy.Local()
+	t.mutex.Unlock()
+	if ok {
+		announced.FirstEventAge = clampAge(announced.FirstEventAge)
+		g.peers.announce(announcement{Gateway: g.shortName, Load: load, Instance: p.row.entry.ID, Queue: announced})
+	}
+}
+
+// clampAge bounds an age that is announced.
+func clampAge(age time.Duration) time.Duration { return min(max(age, 0), maxFirstEventTime) }
+
+// observeForecastWait records how long a request waited before its prefill started, compared with the predicted
+// milliseconds, given the predicted time from the start of its prefill to its first event.
+func (t *table) observeForecastWait(service string, priority int, predicted, own float64, first, stayed time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	controller := t.admissionController(service)
+	predictedWait := belief.FromMilliseconds(predicted)
+	if first > 0 {
+		controller.ObserveWait(priority, predictedWait, max(0, first-belief.FromMilliseconds(own)))
+		return
+	}
+	if stayed > controller.ExpectedWait(priority, predictedWait) {
+		controller.ObserveWait(priority, predictedWait, stayed)
+	}
+}
+
+// toWire sets the fields of a message.
+func (q queueAnnouncement) toWire(w *wireAnnouncement) {
+	w.QueueNumber, w.QueuePriority, w.FirstEvent, w.Removed = q.Number, q.Priority, q.FirstEvent, q.Removed
+	w.FirstEventAgeMS = q.FirstEventAge.Milliseconds()
+}
+
+// queueAnnouncement returns what a message tells about the queue of an engine. Absurd numbers are passed on to the
+// queue, which drops and counts them.
+func (w *wireAnnouncement) queueAnnouncement() queueAnnouncement {
+	age := time.Duration(math.MinInt64 / 4) // in the future
+	if t := firstEventTime(w.FirstEventAgeMS); t >= 0 {
+		age = t
+	}
+	return queueAnnouncement{Number: w.QueueNumber, Priority: w.QueuePriority, FirstEvent: w.FirstEvent, FirstEventAge: age, Removed: w.Removed}
+}
--- /dev/null
+++ b/internal/gateway/queues_test.go
@@ -0,0 +1,392 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/gateway/belief"
+	"kitetiller/internal/mechanism"
+	"kitetiller/internal/transport"
+)
+
+// queueDocument returns a document with a service of engines whose streaming route has an objective.
+func queueDocument(objective time.Duration) *catalog.Document {
+	return &catalog.Document{
+		Services: []catalog.Service{{Name: "s", Engine: true, CacheTokens: 80_000}},
+		Routes: []catalog.Route{{
+			Name: "r", Host: "h", PathPrefix: "/", Streaming: true, Objective: objective, MaxEventGap: 300 * time.Millisecond, Targets: []catalog.Target{{Service: "s", Weight: 1}},
+		}},
+	}
+}
+
+// newQueueScheduler returns a scheduler whose service has an objective, and a clock that the test sets.
+func newQueueScheduler(engines int, objective time.Duration, without ...mechanism.Name) (*Gateway, *time.Duration) {
+	g := newScheduler(engines)
+	var names []string
+	for _, name := range without {
+		names = append(names, string(name))
+	}
+	g.settings.Mechanisms, _ = mechanism.Without(strings.Join(names, ","))
+	now := time.Second
+	g.now = func() time.Duration { return now }
+	g.setView(newView(queueDocument(objective), map[string]catalog.Offer{"s": {EventTokens: 8}}))
+	return g, &now
+}
+
+// shortPrompt returns a placement request for a short prompt of one part.
+func shortPrompt(placementID string, priority int) *wirePlacementRequest {
+	return &wirePlacementRequest{
+		PlacementID: placementID, Gateway: "a", Service: "s", Model: "m", PromptTokens: 600, TimeoutMS: 5000, Parts: []string{placementID}, PartTokens: []int{600}, Priority: priority,
+	}
+}
+
+// inputOf returns the selection input of a placement request.
+func inputOf(g *Gateway, req *wirePlacementRequest) selectionInput {
+	current := g.view.Load()
+	call := req.call()
+	return selectionInput{
+		service: current.services["s"], call: &call, trusted: true, sentByPeer: true, priority: req.Priority, latencyTarget: durationFromMS(req.LatencyTargetMS),
+		latencyCritical: current.critical["s"], offer: current.offer("s"), maxEventGap: current.gaps["s"], rates: g.table.queueRates["s"],
+	}
+}
+
+// TestOtherServicesDecideAsBefore guards against effects of the queue on services that are not latency-critical: with
+// the mechanisms enabled, every back end gets the same score, wait and state, and messages have no new fields.
+func TestOtherServicesDecideAsBefore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		on, onNow := newQueueScheduler(6, 800*time.Millisecond)
+		off, offNow := newQueueScheduler(6, 800*time.Millisecond, mechanism.EngineQueue, mechanism.PauseBound)
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			*onNow += time.Duration(rapid.IntRange(0, 90).Draw(t, "pause")) * time.Millisecond
+			*offNow = *onNow
+			now, row := *onNow, fmt.Sprint("i-", rapid.IntRange(0, 5).Draw(t, "row"))
+			priority, tokens := rapid.IntRange(0, 3).Draw(t, "priority"), rapid.IntRange(0, 9000).Draw(t, "tokens")
+			end := &wirePlacementEnd{
+				PlacementID: fmt.Sprint(rapid.IntRange(0, step).Draw(t, "id")), Gateway: "a", FirstEventMS: int64(rapid.IntRange(0, 90).Draw(t, "first")), DurationMS: 100, PauseMS: 40,
+				Outcome: outcomeSuccess, Running: rapid.Bool().Draw(t, "running"),
+			}
+			sent := announcement{Gateway: "b", Load: belief.Load{Running: 1}, Instance: row, Salt: "w1", Uncached: tokens, Queue: queueAnnouncement{Number: uint64(step + 1), Priority: priority}}
+			first := announcement{Gateway: "b", Load: belief.Load{Running: 1}, Instance: row, Queue: queueAnnouncement{Number: uint64(step), FirstEvent: true}}
+			what := rapid.IntRange(0, 3).Draw(t, "what")
+			for _, g := range []*Gateway{on, off} {
+				switch what {
+				case 0:
+					g.table.addPlacement(now, fmt.Sprint(step), placement{row: g.table.rows[row], load: belief.Load{Running: 1}, uncached: tokens, expiresAt: now + time.Second, priority: priority})
+				case 1:
+					g.table.applySends(now, []announcement{sent})
+				case 2:
+					g.table.applySends(now, []announcement{first})
+				case 3:
+					if end.Running {
+						g.handleFirstEvent(now, end)
+					} else {
+						g.table.endPlacement(now, end)
+					}
+				}
+			}
+			req := newPlacementRequest("x", 1)
+			req.Priority = priority
+			for id, row := range on.table.rows {
+				inOn, inOff := inputOf(on, req), inputOf(off, req)
+				a, b := on.score(now, row, inOn, false, nil), off.score(now, off.table.rows[id], inOff, false, nil)
+				if a.cost != b.cost || a.wait != b.wait || a.queueWait != b.queueWait || a.engineIdle != b.engineIdle || a.pause != 0 || row.queue != nil {
+					t.Fatalf("%s: %+v with the mechanisms, %+v without", id, a, b)
+				}
+			}
+		}
+		reply := on.placeForPeer(*onNow, shortPrompt("new", 0))
+		text, _ := json.Marshal(reply)
+		if strings.Contains(string(text), `"q`) {
+			t.Fatalf("reply %s", text)
+		}
+	})
+}
+
+// TestUrgentRequestIsNotHeldUp guards against a wait that counts less urgent requests as ahead.
+func TestUrgentRequestIsNotHeldUp(t *testing.T) {
+	g, now := newQueueScheduler(1, 400*time.Millisecond)
+	for i := range 5 {
+		asked := newPlacementRequest(fmt.Sprint("long", i), i)
+		asked.Priority = 1
+		g.placeForPeer(*now, asked)
+	}
+	row := g.table.rows["i-0"]
+	urgent := g.score(*now, row, inputOf(g, shortPrompt("x", 0)), false, nil)
+	other := g.score(*now, row, inputOf(g, shortPrompt("x", 1)), false, nil)
+	if urgent.queueWait > 60 || other.queueWait < 400 {
+		t.Fatalf("predicted wait %.0f ms of an urgent request, %.0f ms of another; want under 60 and over 400", urgent.queueWait, other.queueWait)
+	}
+	g.settings.Mechanisms, _ = mechanism.Without(string(mechanism.EngineQueue))
+	if without := g.score(*now, row, inputOf(g, shortPrompt("x", 0)), false, nil); without.queueWait < 400 {
+		t.Fatalf("mechanism disabled: predicted wait %.0f ms, want that of the horizon", without.queueWait)
+	}
+}
+
+// TestFirstEventsCorrectQueue guards against a queue that keeps what was prefilled: a report of an own placement's first
+// event, and an announcement of another scheduler's, remove the requests and what was ahead of them.
+func TestFirstEventsCorrectQueue(t *testing.T) {
+	g, now := newQueueScheduler(1, 400*time.Millisecond)
+	row := g.table.rows["i-0"]
+	g.placeForPeer(*now, newPlacementRequest("t0", 0))
+	g.table.applySends(*now, []announcement{{Gateway: "b", Instance: "i-0", Salt: "w1", Uncached: 9000, Queue: queueAnnouncement{Number: 4}}})
+	*now += time.Millisecond
+	g.placeForPeer(*now, newPlacementRequest("t1", 0))
+	if n := row.queue.Outstanding(); n != 3 {
+		t.Fatalf("%d requests outstanding, want 3", n)
+	}
+	*now += 100 * time.Millisecond
+	peer := announcement{Gateway: "b", Load: belief.Load{Running: 1}, Instance: "i-0", Queue: queueAnnouncement{Number: 4, FirstEvent: true, FirstEventAge: 20 * time.Millisecond}}
+	g.table.applySends(*now, []announcement{peer.toWire(0).announcement()})
+	if n := row.queue.Outstanding(); n != 1 {
+		t.Fatalf("%d requests outstanding after another scheduler's first event, want the one sent later", n)
+	}
+	g.handleFirstEvent(*now, &wirePlacementEnd{PlacementID: "t1", Running: true, FirstEventMS: 95})
+	if n := row.queue.Outstanding(); n != 0 {
+		t.Fatalf("%d requests outstanding, want none", n)
+	}
+	if row.occupancy.Placed.Running != 2 {
+		t.Fatalf("load %+v: the report of a first event ended a request", row.occupancy.Placed)
+	}
+}
+
+// TestEndReportCorrectsQueue guards against requests that stay in the queue when only their end is reported, with or
+// without a first event, and when the end is never reported.
+func TestEndReportCorrectsQueue(t *testing.T) {
+	for what, end := range map[string]*wirePlacementEnd{
+		"with a first event": {PlacementID: "t0", FirstEventMS: 50, DurationMS: 60, Outcome: outcomeSuccess},
+		"rejected":           {PlacementID: "t0", DurationMS: 5, Outcome: outcomeRejected},
+		"never reported":     nil,
+	} {
+		g, now := newQueueScheduler(1, 400*time.Millisecond)
+		g.placeForPeer(*now, newPlacementRequest("t0", 0))
+		*now += 70 * time.Millisecond
+		if end != nil {
+			p, _, known := g.table.endPlacement(*now, end)
+			if !known || p.ended.Number == 0 || p.ended.FirstEvent != (end.FirstEventMS > 0) || p.ended.Removed == p.ended.FirstEvent {
+				t.Errorf("%s: announced %+v", what, p.ended)
+			}
+		} else {
+			g.table.sweep(*now + 6*time.Second)
+		}
+		if n := g.table.rows["i-0"].queue.Outstanding(); n != 0 {
+			t.Errorf("%s: %d requests outstanding, want none", what, n)
+		}
+	}
+}
+
+// TestSchedulerWithoutReports guards against engines that a scheduler takes for slow because it is cut off, or because
+// other gateways are of an older build: the queue runs down with time.
+func TestSchedulerWithoutReports(t *testing.T) {
+	g, now := newQueueScheduler(1, 400*time.Millisecond)
+	g.placeForPeer(*now, newPlacementRequest("t0", 0))
+	g.table.applySends(*now, []announcement{{Gateway: "older", Instance: "i-0", Salt: "w1", Uncached: 9000}})
+	in := inputOf(g, shortPrompt("x", 1))
+	before := g.score(*now, g.table.rows["i-0"], in, false, nil)
+	*now += 200 * time.Millisecond
+	later := g.score(*now, g.table.rows["i-0"], in, false, nil)
+	*now += 800 * time.Millisecond
+	last := g.score(*now, g.table.rows["i-0"], in, false, nil)
+	if before.queueWait < 400 || later.queueWait > before.queueWait-150 || !last.engineIdle || last.slowness != 1 {
+		t.Fatalf("predicted wait %.0f ms, after 200 ms %.0f ms, after 1 s %.0f ms; slowness %v", before.queueWait, later.queueWait, last.queueWait, last.slowness)
+	}
+}
+
+// TestQueueMessagesTwiceLateOrUnknown guards against messages that change the queue a second time, after the end, or
+// for requests that nobody knows.
+func TestQueueMessagesTwiceLateOrUnknown(t *testing.T) {
+	g, now := newQueueScheduler(1, 400*time.Millisecond)
+	row := g.table.rows["i-0"]
+	sent := announcement{Gateway: "b", Instance: "i-0", Salt: "w1", Uncached: 9000, Queue: queueAnnouncement{Number: 4, Priority: 1}}
+	first := announcement{Gateway: "b", Instance: "i-0", Queue: queueAnnouncement{Number: 4, FirstEvent: true}}
+	report := &wirePlacementEnd{PlacementID: "t0", Running: true, FirstEventMS: 60}
+	g.placeForPeer(*now, newPlacementRequest("t0", 0))
+	g.table.applySends(*now, []announcement{sent, sent})
+	if n := row.queue.Outstanding(); n != 2 {
+		t.Fatalf("%d requests outstanding after an announcement that came twice, want 2", n)
+	}
+	*now += 100 * time.Millisecond
+	g.handleFirstEvent(*now, report)
+	g.table.applySends(*now, []announcement{first})
+	g.placeForPeer(*now, newPlacementRequest("t1", 0))
+	in := inputOf(g, shortPrompt("x", 1))
+	want := g.score(*now, row, in, false, nil)
+	for range 2 {
+		g.handleFirstEvent(*now, report)
+		g.handleFirstEvent(*now, &wirePlacementEnd{PlacementID: "unknown", Running: true, FirstEventMS: 60})
+		g.table.applySends(*now, []announcement{first, {Gateway: "c", Instance: "i-0", Queue: queueAnnouncement{Number: 4, Removed: true}}, {Gateway: "b", Instance: "gone", Queue: first.Queue}})
+	}
+	if got := g.score(*now, row, in, false, nil); got.cost != want.cost || row.queue.Outstanding() != 1 || g.table.queueRates["s"].Dropped() != 0 {
+		t.Fatalf("cost %v, want %v; %d requests outstanding", got.cost, want.cost, row.queue.Outstanding())
+	}
+	if _, _, known := g.table.endPlacement(*now, &wirePlacementEnd{PlacementID: "t0", Outcome: outcomeSuccess, FirstEventMS: 60, DurationMS: 100}); !known {
+		t.Fatal("placement ended by the report of its first event")
+	}
+	g.handleFirstEvent(*now, report)
+	if row.queue.Outstanding() != 1 {
+		t.Fatal("a late report changed the queue")
+	}
+}
+
+// TestAbsurdQueueMessages guards against numbers that make predictions infinite or negative: they are clamped or
+// dropped, and counted.
+func TestAbsurdQueueMessages(t *testing.T) {
+	g, now := newQueueScheduler(1, 400*time.Millisecond)
+	row, rates := g.table.rows["i-0"], g.table.queueRates["s"]
+	dropped := uint64(0)
+	for i, w := range []wireAnnouncement{
+		{QueuePriority: -5, Uncached: 100, Salt: "w1"}, {QueuePriority: math.MaxInt, Uncached: 100, Salt: "w1"}, {Uncached: math.MaxInt, Salt: "w1"},
+		{FirstEvent: true, FirstEventAgeMS: -5}, {FirstEvent: true, FirstEventAgeMS: math.MaxInt64}, {FirstEvent: true, FirstEventAgeMS: math.MinInt64},
+	} {
+		w.Gateway, w.Instance, w.QueueNumber = "b", "i-0", uint64(i%3+1)
+		g.table.applySends(*now, []announcement{w.announcement()})
+		if rates.Dropped() <= dropped {
+			t.Errorf("message %d was not counted", i)
+		}
+		dropped = rates.Dropped()
+	}
+	for i, first := range []int64{-5, 0, math.MaxInt64} {
+		id := fmt.Sprint("t", i)
+		g.placeForPeer(*now, shortPrompt(id, 0))
+		g.handleFirstEvent(*now, &wirePlacementEnd{PlacementID: id, Running: true, FirstEventMS: first})
+		if rates.Dropped() <= dropped {
+			t.Errorf("report of a first event after %d ms was not counted", first)
+		}
+		dropped = rates.Dropped()
+		g.table.endPlacement(*now, &wirePlacementEnd{PlacementID: id, FirstEventMS: first, DurationMS: math.MaxInt64, PauseMS: math.MaxInt64})
+	}
+	scored := g.score(*now, row, inputOf(g, shortPrompt("x", 0)), false, nil)
+	if !(scored.cost >= 0 && scored.cost < 60_000 && scored.queueWait >= 0) {
+		t.Fatalf("score %+v", scored)
+	}
+}
+
+// plainDialect forwards requests without additional headers, and takes every response for a signed one.
+type plainDialect struct{}
+
+func (plainDialect) ReadCall(http.Header) Call               { return Call{} }
+func (plainDialect) WriteForwarding(http.Header, Forwarding) {}
+func (plainDialect) ReadResponse(int, http.Header) ResponseInfo {
+	return ResponseInfo{ID: "r1", Signed: true}
+}
+
+// streamingEngine serves a stream of two events with a pause between them, and then ends.
+func streamingEngine(t *testing.T, pause time.Duration) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", eventStream)
+		time.Sleep(5 * time.Millisecond) // messages state the time in whole milliseconds
+		for id := 1; id <= 2; id++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", id)
+			_ = http.NewResponseController(w).Flush()
+			if id == 1 {
+				time.Sleep(pause)
+			}
+		}
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// freeAddress returns a local address on which nothing listens.
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// TestFirstEventReports tests over the network that a scheduler hears of a first event while the stream goes on, and
+// only by the report of the end if the stream ends at once; and that a gateway which places its requests itself feeds
+// its own queue.
+func TestFirstEventReports(t *testing.T) {
+	for what, c := range map[string]struct {
+		pause     time.Duration
+		scheduled bool
+		reports   int // of first events
+	}{
+		"stream goes on":             {120 * time.Millisecond, true, 1},
+		"stream ends at once":        {0, true, 0},
+		"placed by itself, goes on":  {120 * time.Millisecond, false, 0},
+		"placed by itself, at once ": {0, false, 0},
+	} {
+		t.Run(what, func(t *testing.T) {
+			s, _ := newQueueScheduler(1, 400*time.Millisecond)
+			s.now = newScheduler(1).now
+			var mu sync.Mutex
+			var reports []wirePlacementEnd
+			ended := make(chan struct{}, 8)
+			address := freeAddress(t)
+			server, err := transport.Listen(address, "", func(request transport.Request, respond transport.Respond) {
+				s.handlePeer(request, respond)
+				if request.Path == pathEnd {
+					var end wirePlacementEnd
+					_ = json.Unmarshal(request.Body, &end)
+					mu.Lock()
+					reports = append(reports, end)
+					mu.Unlock()
+					if !end.Running {
+						ended <- struct{}{}
+					}
+				}
+			}, zap.NewNop())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = server.Close(context.Background()) }()
+			g, _ := newQueueScheduler(1, 400*time.Millisecond)
+			g.now, g.dialect = newScheduler(1).now, plainDialect{}
+			row := g.table.rows["i-0"]
+			row.entry.Address = streamingEngine(t, c.pause)
+			if c.scheduled {
+				g.schedulers.setAddresses([]string{address})
+			}
+			x := newModelRequest(g)
+			x.route = &g.view.Load().document.Routes[0]
+			x.call.Parts, x.call.PromptTokens = promptParts("own"), 9190
+			x.request, x.writer = httptest.NewRequest(http.MethodPost, "/x", nil), httptest.NewRecorder()
+			chosen := x.place()
+			if chosen == nil || (chosen.scheduled != nil) != c.scheduled {
+				t.Fatalf("chosen %+v", chosen)
+			}
+			if got := x.newAttempt(chosen).perform(); got.kind != resultAnswered {
+				t.Fatalf("result %+v", got)
+			}
+			if !c.scheduled {
+				if row.queue.Outstanding() != 0 || row.queue.Work() == 0 {
+					t.Fatalf("own queue: %d requests outstanding, work %v", row.queue.Outstanding(), row.queue.Work())
+				}
+				return
+			}
+			<-ended
+			mu.Lock()
+			defer mu.Unlock()
+			running := 0
+			for _, report := range reports {
+				if report.Running {
+					running++
+				}
+			}
+			last := reports[len(reports)-1]
+			if running != c.reports || len(reports) != c.reports+1 || last.FirstEventMS == 0 || c.pause > 0 && last.PauseMS < 100 {
+				t.Fatalf("reports %+v", reports)
+			}
+			if queue := s.table.rows["i-0"].queue; queue.Outstanding() != 0 {
+				t.Fatalf("%d requests outstanding at the scheduler", queue.Outstanding())
+			}
+		})
+	}
+}
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -78,6 +78,9 @@
 		services[row.entry.Service] = append(services[row.entry.Service], row)
 	}
 	t.rows, t.services = rows, services
+	for service, rates := range t.queueRates {
+		rates.SetEngines(len(services[service]))
+	}
 	t.sweepHolders()
 	t.rosterChanged.Notify()
 }
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -110,6 +110,8 @@
 type schedulerPlacement struct {
 	scheduler   string // address
 	placementID string
+	// reportFirstEvent is set if the scheduler asked for a report of the first event.
+	reportFirstEvent bool
 }
 
 // requestPlacement returns the candidate that a scheduler chose, or nil if there is no scheduler to ask or none has a
@@ -188,6 +190,7 @@
 	if reply.RetryAfterMS > 0 {
 		return &candidate{wait: reply.WaitMS, retryAfter: durationFromMS(reply.RetryAfterMS)}
 	}
+	placed.reportFirstEvent = reply.ReportFirstEvent
 	now := g.now()
 	g.observeSchedulerLimit(now, reply)
 	g.table.mutex.Lock()
@@ -221,8 +224,12 @@
 		return
 	}
 	g := a.exchange.gateway
-	g.schedulers.reportEnd(placed.scheduler, wirePlacementEnd{
+	end := wirePlacementEnd{
 		FirstEventMS: a.timeToFirstEvent().Milliseconds(),
 		PlacementID:  placed.placementID, Gateway: g.shortName, Outcome: a.outcome, Unreached: a.unreachable, DurationMS: (g.now() - a.startedAt).Milliseconds(),
-	})
+	}
+	if placed.reportFirstEvent {
+		end.PauseMS = a.longestGap.Milliseconds()
+	}
+	g.schedulers.reportEnd(placed.scheduler, end)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -100,10 +100,12 @@
 		if err != nil {
 			return a.connectionFailed(err)
 		}
-		x.gateway.table.recordBytes(x.gateway.now(), a)
+		now := x.gateway.now()
+		x.gateway.table.recordBytes(now, a)
 		if stream.id != "" && !followsEvent(stream.id, x.lastEvent) {
 			return a.invalidResponse("event out of order")
 		}
+		a.recordEvent(now)
 		a.streamStarted.Store(true)
 		if a.silenceTimer != nil {
 			a.silenceTimer.Reset(max(minResumeTimeout, resumeGapFactor*x.route.MaxEventGap))
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -20,12 +21,13 @@
 	stores   []*catalog.Service       // cache stores, in document order
 	critical map[string]bool          // names of latency-critical services
 	offers   map[string]catalog.Offer // optional features of back ends, by service
+	gaps     map[string]time.Duration // as of shortestEventGaps
 }
 
 func newView(document *catalog.Document, offers map[string]catalog.Offer) *view {
 	v := &view{
 		document: document, routes: map[string][]*catalog.Route{}, keys: map[string]*catalog.Tenant{},
-		services: map[string]*catalog.Service{}, critical: map[string]bool{}, offers: offers,
+		services: map[string]*catalog.Service{}, critical: map[string]bool{}, offers: offers, gaps: shortestEventGaps(document),
 	}
 	for i := range document.Routes {
 		route := &document.Routes[i]
