Log and measure the predictions of engine queues

Cause: a late or refused request could not be traced to the wait, pause and slowness that its placement expected. Change: the scheduler's reply carries them (optional fields), the line of a request states them as queued, pause_predicted and slowness; metrics by service of outstanding requests, slowness, dropped values and the ratio of first event to prediction.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -79,6 +79,12 @@
 	// loaded from, and FieldScheduled reports whether another gateway placed the request.
 	FieldPredictedWait  = "predicted"
 	FieldUncachedTokens = "uncached"
+	// FieldQueueWait is the part of FieldPredictedWait before the prefill starts and FieldPredictedPause the longest pause
+	// of the streams at the engine, both in milliseconds; FieldSlowness is the factor by which the engine is taken to be
+	// slower than its service. All are set for latency-critical services only.
+	FieldQueueWait      = "queued"
+	FieldPredictedPause = "pause_predicted"
+	FieldSlowness       = "slowness"
 	// FieldRecomputedTokens is how many of the uncached tokens belong to shared parts, and FieldRecomputeReason why
 	// no cached copy of these is used.
 	FieldRecomputedTokens = "reread"
--- a/internal/gateway/final.go
+++ b/internal/gateway/final.go
@@ -73,6 +73,9 @@
 	if x.placement != nil && x.service.Engine {
 		fields = append(fields, zap.Float64(events.FieldPredictedWait, x.placement.wait), zap.Int(events.FieldUncachedTokens, x.placement.uncached), zap.String(events.FieldCacheSource, x.placement.fetchFrom),
 			zap.Bool(events.FieldScheduled, x.placement.scheduled != nil))
+		if x.placement.slowness > 0 {
+			fields = append(fields, zap.Float64(events.FieldQueueWait, x.placement.queueWait), zap.Float32(events.FieldPredictedPause, x.placement.pause), zap.Float32(events.FieldSlowness, x.placement.slowness))
+		}
 		if x.placement.recomputed > 0 {
 			fields = append(fields, zap.Int(events.FieldRecomputedTokens, x.placement.recomputed), zap.String(events.FieldRecomputeReason, string(x.placement.recomputeReason)))
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -54,6 +54,42 @@
 	}
 }
 
+// queueGauge collects the state of the engines' queues of each latency-critical service.
+type queueGauge struct {
+	gateway                        *Gateway
+	outstanding, slowness, dropped *prometheus.Desc
+}
+
+func newQueueGauge(g *Gateway) queueGauge {
+	describe := func(name, help string) *prometheus.Desc {
+		return prometheus.NewDesc("kitetiller_gateway_queue_"+name, help, []string{"service"}, nil)
+	}
+	return queueGauge{
+		g, describe("outstanding", "Requests known to be at engines without a first event."),
+		describe("slowness", "Factor of the predicted time within which 9 of 10 recent first events stayed."),
+		describe("dropped_total", "Implausible values in reports of first events and pauses that were clamped or dropped."),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (q queueGauge) Describe(out chan<- *prometheus.Desc) {
+	out <- q.outstanding
+	out <- q.slowness
+	out <- q.dropped
+}
+
+// Collect implements prometheus.Collector.
+func (q queueGauge) Collect(out chan<- prometheus.Metric) {
+	for service, stats := range q.gateway.table.queueStats() {
+		out <- prometheus.MustNewConstMetric(q.outstanding, prometheus.GaugeValue, float64(stats.outstanding), service)
+		out <- prometheus.MustNewConstMetric(q.slowness, prometheus.GaugeValue, stats.slowness, service)
+		out <- prometheus.MustNewConstMetric(q.dropped, prometheus.CounterValue, float64(stats.dropped), service)
+	}
+}
+
+// firstEventRatioBuckets are the histogram buckets of the ratio of the time to the first event to the predicted one.
+var firstEventRatioBuckets = []float64{0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.4, 2, 4}
+
 // firstEventBuckets are the histogram buckets of the time to the first event, in seconds.
 var firstEventBuckets = []float64{0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8}
 
@@ -64,9 +100,10 @@
 	requests          *prometheus.CounterVec // by outcome: answered, or the reason of the rejection
 	attempts          *prometheus.CounterVec // failed attempts, by result
 	firstEvent        prometheus.Histogram
-	recheckFailures   *prometheus.CounterVec // attempts not sent since the back end became unavailable after placement, by cause
-	limitLeases       *prometheus.CounterVec // lease requests for advertised limits of back ends, by outcome
-	unknownHeaders    prometheus.Counter     // unknown headers in back ends' responses
+	firstEventRatio   *prometheus.HistogramVec // to the predicted time, by latency-critical service
+	recheckFailures   *prometheus.CounterVec   // attempts not sent since the back end became unavailable after placement, by cause
+	limitLeases       *prometheus.CounterVec   // lease requests for advertised limits of back ends, by outcome
+	unknownHeaders    prometheus.Counter       // unknown headers in back ends' responses
 	retries           prometheus.Counter
 	cacheReadFailures prometheus.Counter // failed requests for engines' cache events
 	schedulerFailures prometheus.Counter // placement requests that no scheduler answered in time
@@ -97,6 +134,9 @@
 		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "kitetiller_gateway_first_event_seconds", Help: "Time to the first event of streams.", Buckets: firstEventBuckets,
 		}),
+		firstEventRatio: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "kitetiller_gateway_first_event_ratio", Help: "Time to the first event, as a ratio to the predicted one.", Buckets: firstEventRatioBuckets,
+		}, []string{"service"}),
 		unknownHeaders:    counter("unknown_words_total", "Headers in which back ends speak of themselves and that nothing reads."),
 		retries:           counter("repeats_total", "Requests sent to a further back end."),
 		cacheReadFailures: counter("cache_questions_failed_total", "Questions for engines' cache events that failed."),
@@ -107,7 +147,7 @@
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "kitetiller_gateway_" + name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.recheckFailures, m.limitLeases, m.firstEvent, m.unknownHeaders, m.retries, m.cacheReadFailures, m.schedulerFailures, m.uncachedTokens, m.cachedTokens, newBackoffGauge(g), newAdvertisedLimitGauge(g),
+	m.registry.MustRegister(m.requests, m.attempts, m.recheckFailures, m.limitLeases, m.firstEvent, m.firstEventRatio, newQueueGauge(g), m.unknownHeaders, m.retries, m.cacheReadFailures, m.schedulerFailures, m.uncachedTokens, m.cachedTokens, newBackoffGauge(g), newAdvertisedLimitGauge(g),
 		gauge("limit_questions_total", "Questions to the leader for amounts of what is limited.", func() float64 { sent, _ := g.leases.RequestCounts(); return float64(sent) }),
 		gauge("limit_questions_failed_total", "Such questions that got no answer.", func() float64 { _, failed := g.leases.RequestCounts(); return float64(failed) }),
 		gauge("suspected_requests", "Requests under which more than one back end ended, as control tells.", func() float64 { suspected, _ := g.quarantine.SuspectCounts(); return float64(suspected) }),
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -46,6 +46,11 @@
 	LimitAgeMS int64    `json:"a,omitempty"`
 	// ReportFirstEvent asks for a report of the request's first event.
 	ReportFirstEvent bool `json:"qf,omitempty"`
+	// The prediction by the engine's queue, for logs: the wait before the prefill starts, the longest pause of streams,
+	// and the factor by which the engine is taken to be slower than its service.
+	QueueMS  float64 `json:"qw,omitempty"`
+	PauseMS  float32 `json:"qm,omitempty"`
+	Slowness float32 `json:"qs,omitempty"`
 }
 
 // wirePlacementEnd reports to a scheduler how a request that it placed ended, or that it had its first event.
@@ -112,7 +117,9 @@
 		return wirePlacementReply{}
 	}
 	if retryAfter, rejected := g.checkAdmission(now, chosen, in); rejected {
-		return wirePlacementReply{Instance: chosen.row.entry.ID, WaitMS: chosen.wait, RetryAfterMS: max(1, retryAfter.Milliseconds())}
+		rejection := wirePlacementReply{Instance: chosen.row.entry.ID, WaitMS: chosen.wait, RetryAfterMS: max(1, retryAfter.Milliseconds())}
+		rejection.setForecast(chosen)
+		return rejection
 	}
 	load := g.table.addPlacement(now, req.PlacementID, placement{
 		row: chosen.row, load: loadOf(&call), uncached: chosen.uncached, engineIdle: chosen.engineIdle, expiresAt: now + durationFromMS(req.TimeoutMS),
@@ -123,6 +130,7 @@
 		Instance: chosen.row.entry.ID, Version: chosen.version, Uncached: chosen.uncached, Recomputed: chosen.recomputed, RecomputeReason: string(chosen.recomputeReason), WaitMS: chosen.wait, FetchFrom: chosen.fetchFrom, SaveTo: chosen.saveTo,
 		ReportFirstEvent: chosen.queueNumber > 0,
 	}
+	reply.setForecast(chosen)
 	if limit, _ := g.table.advertisedLimit(now, chosen.row); limit != nil {
 		reply.Limit, reply.LimitAgeMS = &limit.Rate, limit.Age.Milliseconds()
 	}
--- a/internal/gateway/queues.go
+++ b/internal/gateway/queues.go
@@ -104,6 +104,30 @@
 	return belief.Milliseconds(queue), belief.Milliseconds(g.table.prefillEstimate(in.service.Name).PrefillTime(scored.uncached))
 }
 
+// queueStats describes the queues of one service.
+type queueStats struct {
+	outstanding int     // requests without a first event
+	slowness    float64 // within which 9 of 10 recent first events stayed
+	dropped     uint64  // implausible values
+}
+
+// queueStats returns the state of the queues by service.
+func (t *table) queueStats() map[string]queueStats {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	all := map[string]queueStats{}
+	for service, rates := range t.queueRates {
+		stats := queueStats{slowness: rates.Slowness(), dropped: rates.Dropped()}
+		for _, row := range t.services[service] {
+			if row.queue != nil {
+				stats.outstanding += row.queue.Outstanding()
+			}
+		}
+		all[service] = stats
+	}
+	return all
+}
+
 // assignQueueNumber gives a chosen placement the number under which its first event is reported to other schedulers.
 // The caller holds the mutex.
 func (t *table) assignQueueNumber(chosen *candidate, in selectionInput) {
@@ -199,6 +223,9 @@
 func (a *attempt) onFirstEvent(now time.Duration) {
 	g := a.exchange.gateway
 	a.firstEventAt = now
+	if a.plan.slowness > 0 && a.plan.wait > 0 && g.enabled(mechanism.EngineQueue) {
+		g.metrics.firstEventRatio.WithLabelValues(a.exchange.service.Name).Observe(belief.Milliseconds(now-a.startedAt) / a.plan.wait)
+	}
 	if placed := a.plan.scheduled; placed != nil {
 		if placed.reportFirstEvent {
 			after := now - a.startedAt
@@ -324,6 +351,13 @@
 	return enginequeue.PauseCost(belief.FromMilliseconds(float64(scored.pause)) - in.maxEventGap)
 }
 
+// setForecast sets the fields that the requesting gateway logs.
+func (r *wirePlacementReply) setForecast(chosen *candidate) {
+	if chosen.slowness > 0 {
+		r.QueueMS, r.PauseMS, r.Slowness = chosen.queueWait, chosen.pause, chosen.slowness
+	}
+}
+
 // toWire sets the fields of a message.
 func (q queueAnnouncement) toWire(w *wireAnnouncement) {
 	w.QueueNumber, w.QueuePriority, w.FirstEvent, w.Removed = q.Number, q.Priority, q.FirstEvent, q.Removed
--- a/internal/gateway/queues_test.go
+++ b/internal/gateway/queues_test.go
@@ -460,3 +460,37 @@
 		t.Fatalf("gaps %v", gaps)
 	}
 }
+
+// TestQueueMetricsAndLogFields guards against metrics by engine, and against predictions that are not passed on to the
+// gateway that logs them, also for rejections.
+func TestQueueMetricsAndLogFields(t *testing.T) {
+	g, now := newQueueScheduler(3, 400*time.Millisecond)
+	for i := range 60 {
+		asked := newPlacementRequest(fmt.Sprint("t", i), 1)
+		asked.Priority, asked.FirstAttempt, asked.LatencyTargetMS = 1, true, 400
+		reply := g.placeForPeer(*now, asked)
+		placed := g.candidateFromReply(&reply, schedulerPlacement{}, inputOf(g, asked))
+		if reply.Slowness <= 0 || placed.slowness != reply.Slowness || placed.queueWait != reply.QueueMS || placed.queueWait > placed.wait {
+			t.Fatalf("placement %d: reply %+v, candidate %+v", i, reply, placed)
+		}
+		if reply.RetryAfterMS > 0 {
+			break
+		}
+		if i == 59 {
+			t.Fatal("no request was rejected")
+		}
+	}
+	families, err := g.Metrics().Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := map[string]int{}
+	for _, family := range families {
+		if strings.Contains(family.GetName(), "_queue_") {
+			found[family.GetName()] = len(family.GetMetric())
+		}
+	}
+	if len(found) != 3 || found["kitetiller_gateway_queue_outstanding"] != 1 {
+		t.Fatalf("metrics %v, want 3 with one series", found)
+	}
+}
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -188,7 +188,7 @@
 		return nil
 	}
 	if reply.RetryAfterMS > 0 {
-		return &candidate{wait: reply.WaitMS, retryAfter: durationFromMS(reply.RetryAfterMS)}
+		return &candidate{wait: reply.WaitMS, queueWait: reply.QueueMS, pause: reply.PauseMS, slowness: reply.Slowness, retryAfter: durationFromMS(reply.RetryAfterMS)}
 	}
 	placed.reportFirstEvent = reply.ReportFirstEvent
 	now := g.now()
@@ -198,6 +198,7 @@
 	chosen := &candidate{
 		row: g.table.rows[reply.Instance], version: reply.Version, salt: cacheSalt(reply.Version, in.tenant), wait: reply.WaitMS,
 		uncached: max(0, reply.Uncached), recomputed: max(0, reply.Recomputed), recomputeReason: recomputeCause(reply.RecomputeReason), fetchFrom: reply.FetchFrom, saveTo: reply.SaveTo, scheduled: &placed,
+		queueWait: reply.QueueMS, pause: reply.PauseMS, slowness: reply.Slowness,
 	}
 	if reply.Version == 0 {
 		chosen.salt = uniqueSalt()
