Benchmark the decision with queues at 90 and 3,100 engines, and keep the work of a queue as one sum

Change: BenchmarkDecisionWithQueues beside BenchmarkDecision, which gains 90 engines. Forecasts use derived rates and one pass over the priorities.

--- a/internal/gateway/enginequeue/queue.go
+++ b/internal/gateway/enginequeue/queue.go
@@ -35,6 +35,8 @@
 	// sampleInterval is the time between two first events of an engine that count for the slowness of the service: slow
 	// engines get fewer requests, but their streams go on.
 	sampleInterval = 200 * time.Millisecond
+	// negligible is the work that a rounding error of a sum may leave, in milliseconds.
+	negligible = 1e-6
 	// overdueMargin is the factor over the predicted time from which a first event is overdue.
 	overdueMargin = 1.2
 )
@@ -103,6 +105,7 @@
 	levels [levels]level
 	filled uint16 // bit i is set if level i is not empty
 	count  int
+	work   float64 // of all outstanding requests
 	// doneUntil is the time until which the engine worked on requests that are removed: the prefill of the outstanding
 	// ones did not begin earlier.
 	doneUntil       time.Duration
@@ -160,6 +163,7 @@
 	}
 	l.entries = slices.Insert(l.entries, i, e)
 	l.work += e.work
+	q.work += e.work
 	q.filled |= 1 << priority
 	q.count++
 }
@@ -185,6 +189,7 @@
 	l := &q.levels[priority]
 	for i := from; i < to; i++ {
 		l.work -= l.entries[i].work
+		q.work -= l.entries[i].work
 	}
 	l.entries = slices.Delete(l.entries, from, to)
 	q.count -= to - from
@@ -192,6 +197,9 @@
 		l.work = 0 // clears rounding errors
 		q.filled &^= 1 << priority
 	}
+	if q.count == 0 {
+		q.work = 0
+	}
 }
 
 // FirstEvent records that a request had its first event at a time. A request that is not outstanding changes nothing.
@@ -248,7 +256,7 @@
 	}
 	q.completed += work
 	start := max(q.doneUntil, oldest)
-	afterPrefill := q.rates.decodeTime(q.total(), q.rates.load.shares(at, priority).total)
+	afterPrefill := q.rates.decodeTime(q.work, q.rates.load.shares(at, priority).total)
 	if elapsed := belief.Milliseconds(at - start); elapsed > 0 {
 		q.observeSlowness(at, elapsed/(work+afterPrefill))
 		if alone {
@@ -260,15 +268,6 @@
 	q.doneUntil = max(start, at-lag)
 }
 
-// total returns the work of all outstanding requests.
-func (q *Queue) total() float64 {
-	sum := 0.0
-	for filled := q.filled; filled != 0; filled &= filled - 1 {
-		sum += q.levels[bits.TrailingZeros16(filled)].work
-	}
-	return sum
-}
-
 func (q *Queue) observeSlowness(at time.Duration, slowness float64) {
 	slowness = clamp(slowness, 1/maxSlowness, maxSlowness)
 	if at >= q.sampledAt+sampleInterval {
@@ -339,7 +338,7 @@
 	prediction := func(ahead, total float64) Forecast {
 		wait := (ahead + unseen) / (1 - load.moreUrgent) // more urgent requests that arrive meanwhile go first
 		if ahead == 0 && total > 0 {
-			wait += min(total, r.chunkStep()/2) // the rest of the chunk that is being prefilled
+			wait += min(total, r.chunkStep/2) // the rest of the chunk that is being prefilled
 		}
 		first := wait + workOfThis + r.decodeTime(total-ahead, load.total)
 		return Forecast{
@@ -352,34 +351,48 @@
 	}
 	head := bits.TrailingZeros16(q.filled)
 	next := &q.levels[head].entries[0]
-	dueAfter := next.work + r.decodeTime(q.total()-next.work, load.total) // the first event of the next request
+	dueAfter := next.work + r.decodeTime(q.work-next.work, load.total) // the first event of the next request
 	maxDone := dueAfter
 	delay := r.delays[next.id.origin()].milliseconds
 	if next.id.Number != 0 && r.hears(now, next.id.origin()) {
 		taken := belief.Milliseconds(now-max(q.doneUntil, next.sentAt)) - delay
 		if ratio := taken / dueAfter; ratio > slowness*overdueMargin {
 			slowness = min(ratio, maxSlowness)
-			maxDone = max(0, next.work-r.chunkStep()) // its last chunk at least is not done
+			maxDone = max(0, next.work-r.chunkStep) // its last chunk at least is not done
 		} else {
 			maxDone += delay / slowness
 		}
 	}
-	begun := max(q.doneUntil, next.sentAt)
-	ahead, total, doneAbove := 0.0, 0.0, 0.0
+	begun, speed := max(q.doneUntil, next.sentAt), 1/slowness
+	ahead, doneAbove, above := 0.0, 0.0, 0.0
 	for filled := q.filled; filled != 0; filled &= filled - 1 {
 		p := bits.TrailingZeros16(filled)
 		l := &q.levels[p]
 		// What the engine has done since the first request of this priority was sent, without more urgent work. Some of it
 		// may have been done before the next request of all came in.
 		since := max(q.doneUntil, l.entries[0].sentAt)
-		done := min(belief.Milliseconds(now-since)/slowness, maxDone+max(0, belief.Milliseconds(begun-since)/slowness)) - doneAbove
-		done = clamp(done, 0, max(0, l.work))
-		doneAbove += done
-		total += max(0, l.work-done)
+		done, limit := belief.Milliseconds(now-since)*speed, maxDone
+		if since < begun {
+			limit += belief.Milliseconds(begun-since) * speed
+		}
+		if done > limit {
+			done = limit
+		}
+		if done -= doneAbove; done > l.work {
+			done = l.work
+		}
+		if done > 0 {
+			doneAbove += done
+		}
+		above += l.work
 		if p <= priority {
-			ahead = total
+			ahead = above - doneAbove
 		}
 	}
+	total := above - doneAbove
+	if ahead < negligible {
+		ahead = 0
+	}
 	return prediction(ahead, total)
 }
 
--- a/internal/gateway/enginequeue/queue_test.go
+++ b/internal/gateway/enginequeue/queue_test.go
@@ -15,7 +15,7 @@
 func newKnown() *Queue {
 	r := NewRates()
 	r.tokenTime, r.overhead, r.step, r.chunkTokens = 0.01, 30, 4, 2000
-	r.SetEventTokens(8)
+	r.SetEventTokens(8) // derives the other fields as well
 	r.delays = [2]reportDelay{{lastAt: time.Second}, {lastAt: time.Second}}
 	return New(r)
 }
@@ -302,7 +302,7 @@
 				if f.Wait < 0 || f.FirstEvent <= f.Wait || f.Pause <= 0 || f.FirstEvent > time.Hour || f.Slowness < 1/maxSlowness || f.Slowness > maxSlowness {
 					t.Fatalf("forecast %+v", f)
 				}
-				if f.Wait < last-time.Duration(maxSlowness*r.chunkStep()*float64(ms)) {
+				if f.Wait < last-time.Duration(maxSlowness*r.chunkStep*float64(ms)) {
 					t.Fatalf("priority %d waits %v, the one above it %v", p, f.Wait, last)
 				}
 				last = f.Wait
--- a/internal/gateway/enginequeue/rates.go
+++ b/internal/gateway/enginequeue/rates.go
@@ -53,6 +53,11 @@
 	delays      [2]reportDelay
 	load        serviceLoad
 	dropped     uint64
+
+	// Derived from the above by derive, since forecasts need them often.
+	chunkStep    float64 // decode step together with a chunk
+	perChunkStep float64 // its reciprocal
+	decodeSteps  float64 // steps from the end of a prefill to the first event
 }
 
 // reportDelay is the delay of reports of first events of own or of peers' placements.
@@ -63,10 +68,19 @@
 
 // NewRates returns the rates of a service before anything was learnt.
 func NewRates() *Rates {
-	return &Rates{
+	r := &Rates{
 		tokenTime: 1 / belief.PrefillRate, overhead: initialOverhead, step: initialStep, chunkTokens: initialChunk, eventTokens: 1, slowness: 1,
 		delays: [2]reportDelay{{milliseconds: initialOwnDelay}, {milliseconds: initialPeerDelay}},
 	}
+	r.derive()
+	return r
+}
+
+// derive updates the derived fields.
+func (r *Rates) derive() {
+	r.chunkStep = max(r.chunkTokens*r.tokenTime, r.step)
+	r.perChunkStep = 1 / r.chunkStep
+	r.decodeSteps = min(r.eventTokens, r.overhead/r.step) // an engine may send the first event after fewer steps
 }
 
 // maxEventTokens bounds the configured tokens per stream event.
@@ -75,6 +89,7 @@
 // SetEventTokens sets the number of tokens per stream event; 0 means unknown, and counts as 1.
 func (r *Rates) SetEventTokens(tokens int) {
 	r.eventTokens = float64(min(max(tokens, 1), maxEventTokens))
+	r.derive()
 }
 
 // SetEngines sets the number of engines of the service.
@@ -90,30 +105,25 @@
 // of a prompt is not full, so each request takes one more step.
 func (r *Rates) work(tokens int) float64 { return float64(tokens)*r.tokenTime + r.step }
 
-// chunkStep returns the time of a decode step together with a chunk.
-func (r *Rates) chunkStep() float64 { return max(r.chunkTokens*r.tokenTime, r.step) }
-
 // decodeTime returns the time from the end of a request's prefill to its first event while the given work of others is
 // to be prefilled and further requests take a share of the engine's time: each step before the event takes longer by
 // a chunk, as long as there is one.
 func (r *Rates) decodeTime(behind, share float64) float64 {
-	steps := min(r.eventTokens, r.overhead/r.step) // an engine may send the first event after fewer steps
-	extra := 0.0
-	for range 2 { // further requests arrive during the longer time, too
-		chunks := (behind + share*(r.overhead+extra)) / r.chunkStep()
-		extra = min(steps, chunks) * (r.chunkStep() - r.step)
-	}
+	perStep := r.chunkStep - r.step
+	extra := min(r.decodeSteps, (behind+share*r.overhead)*r.perChunkStep) * perStep
+	extra = min(r.decodeSteps, (behind+share*(r.overhead+extra))*r.perChunkStep) * perStep // further requests arrive meanwhile
 	return r.overhead + extra
 }
 
 // pause returns the longest pause of a stream at an engine of the service's speed that has the given work to prefill.
 func (r *Rates) pause(work float64) float64 {
-	return r.eventTokens*r.step + min(r.eventTokens, work/r.chunkStep())*(r.chunkStep()-r.step)
+	return r.eventTokens*r.step + min(r.eventTokens, work*r.perChunkStep)*(r.chunkStep-r.step)
 }
 
 // observeAlone learns from a request that was alone at its engine. Requests of less than the mean size change the
 // overhead, larger ones the time per token.
 func (r *Rates) observeAlone(tokens int, elapsed float64) {
+	defer r.derive()
 	size := float64(tokens)
 	if r.meanTokens == 0 {
 		r.meanTokens = size
@@ -162,6 +172,7 @@
 		return
 	}
 	perStep := belief.Milliseconds(pause) / r.eventTokens / clamp(slowness, 1/maxSlowness, maxSlowness)
+	defer r.derive()
 	switch share := work * slowness / belief.Milliseconds(lasted); {
 	case share <= idleShare:
 		r.step = clamp(stepTowards(r.step, perStep), minStep, maxStep)
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -243,13 +243,16 @@
 }
 
 // BenchmarkDecision chooses among engines, half of which have the prompt's shared parts cached.
-func BenchmarkDecision(b *testing.B) { benchmarkDecision(b, 0) }
+func BenchmarkDecision(b *testing.B) { benchmarkDecision(b, 0, false) }
 
 // BenchmarkDecisionWithLimits does so with half of the engines advertising a limit, half of them exhausted.
-func BenchmarkDecisionWithLimits(b *testing.B) { benchmarkDecision(b, 0.5) }
+func BenchmarkDecisionWithLimits(b *testing.B) { benchmarkDecision(b, 0.5, false) }
 
-func benchmarkDecision(b *testing.B, limitedFraction float64) {
-	for _, engines := range []int{18, 320, 3100} {
+// BenchmarkDecisionWithQueues does so for a latency-critical service, with three requests outstanding at each engine.
+func BenchmarkDecisionWithQueues(b *testing.B) { benchmarkDecision(b, 0, true) }
+
+func benchmarkDecision(b *testing.B, limitedFraction float64, queues bool) {
+	for _, engines := range []int{18, 90, 320, 3100} {
 		b.Run(fmt.Sprint(engines), func(b *testing.B) {
 			g := &Gateway{settings: Settings{Zone: "z0", OldWeightsStartLimit: time.Second}, table: newTable(mechanism.Set{})}
 			parts := []prefix.Part{{ID: "aa", Tokens: 2500}, {ID: "bb", Tokens: 3800}, {ID: "cc", Tokens: 2900}}
@@ -273,6 +276,19 @@
 				}
 			}
 			in := selectionInput{service: &catalog.Service{Name: "engine", Engine: true}, call: &Call{Model: "m", Parts: parts}, trusted: true}
+			if queues {
+				g.setView(newView(queueDocument(400*time.Millisecond), nil))
+				in.service.Name = "s"
+				in.latencyCritical, in.offer, in.maxEventGap = true, catalog.Offer{EventTokens: 8}, 300*time.Millisecond
+				for _, row := range g.table.rows {
+					row.entry.Service = "s"
+					row.occupancy.Placed.Running = 5
+					for i := range 3 {
+						g.table.queueSent(0, row, uint64(i+1), i, 2890)
+					}
+				}
+				g.table.services["s"] = g.table.services["engine"]
+			}
 			b.ReportAllocs()
 			for b.Loop() {
 				if g.choose(time.Millisecond, in) == nil {
