Add reservations: places in time for rejected requests

Cause: admission judges a request by a probability that depends on the smoothed load, and tells a rejected request a random time.

Change: package reservation compares the forecast wait, corrected by the observed ratio of its priority, with what the objective leaves, gives rejected requests places at the rate at which engines read, and keeps fair shares of tenants. It is not used yet.

Result: unit and property tests pass. They showed a fault during development: when nobody returned, places kept engines idle, which lowered the measured rate and so the number of places. Idle engines are now never kept free, the rate decays slowly, and places count by the part that is taken.

--- /dev/null
+++ b/internal/admission/reservation/reservation.go
@@ -0,0 +1,538 @@
+// Package reservation decides which requests of a latency-critical service are rejected, and when a rejected request is
+// to come back. It uses no I/O, locks, clock or randomness of its own.
+//
+// A request is rejected if the wait forecast at its own priority, corrected by how long such requests really waited, very
+// probably exceeds what its objective leaves. It then gets a place: a time at which the engines have room for it, at the
+// rate at which they work off the queue. A request that returns at its time is admitted without being judged again.
+// Outstanding places count as load for later requests of the same and of lower priority.
+package reservation
+
+import (
+	"maps"
+	"math"
+	"time"
+)
+
+const (
+	// Levels is the number of priorities, 0 being the most urgent.
+	Levels = 10
+	// Window is how long a place is kept from its time on. earlyTolerance admits a return that is early by rounding.
+	Window         = time.Second
+	earlyTolerance = 10 * time.Millisecond
+	// MaxLead is the longest time until a place.
+	MaxLead = slotWidth * (slotCount - time.Duration(pastSlots) - 2)
+	// Callers wait for a third of their time left at most. returnMargin is for the way of the response and of the
+	// request that returns.
+	leadDivisor  = 3
+	returnMargin = 20 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound the time told to a request without a place, and retryAfterJitter is the
+	// largest fraction added to it, so that such requests don't return together. A place has none of these.
+	minRetryAfter    = 200 * time.Millisecond
+	maxRetryAfter    = 5 * time.Second
+	retryAfterJitter = 0.6
+	minPlaceDelay    = 20 * time.Millisecond
+	// A place is at the time at which the wait is targetWait of the limit: the rest absorbs errors of the forecast and
+	// of the rate. placeLoad is the part of the outstanding places that counts as a wait of later requests. With every
+	// place taken, those are admitted up to the wait that the places were planned for.
+	targetWait = 0.35
+	placeLoad  = 1 - targetWait
+	// Up to idleLoad of the limit places don't count: an engine is not kept idle for requests that return later.
+	idleLoad = 0.1
+	// Places count by the part of them that is taken, which changes by takenStep with each place and is at least
+	// minTakenPart.
+	takenStep, minTakenPart = 0.05, 0.2
+	// minLimit is the smallest limit of the wait as a fraction of the objective. A prompt that takes longer to read
+	// than the objective would otherwise never be admitted.
+	minLimit = 0.25
+	// bookedPart is the part of the rate at which places are given out: returning requests would otherwise be late
+	// whenever some engines are slower than usual.
+	bookedPart = 0.8
+	// standingMargin lowers the limit while a queue is standing: at the limit, half of the requests would be late. The
+	// queue counts as standing as the smoothed load rises from standingLow to standingHigh.
+	standingMargin            = 0.5
+	standingLow, standingHigh = 0.2, 0.5
+	loadTimeConstant          = 500 * time.Millisecond
+	// maxLoadWeight bounds the weight of one request in the smoothed load, so that at a low rate a single queued
+	// request does not count as a standing queue.
+	maxLoadWeight, maxLoad = 0.15, 2
+	// randomSpread varies the limit by request, so that schedulers with the same view don't all reject at once.
+	randomSpread = 0.1
+	// From pressureLimit of the limit on, and for pressureTime after, a tenant above its fair share is rejected from
+	// overShareLimit of the limit on, so that it is rejected before others are.
+	pressureLimit  = 0.8
+	overShareLimit = 0.5
+	pressureTime   = time.Second
+	// maxPlaceRejections is how often in a row a request may be rejected because of others' places.
+	maxPlaceRejections = 2
+	// maxUrgentLoad bounds the part of the rate that more urgent requests are taken to use.
+	maxUrgentLoad = 0.75
+	// rateWindow is the time over which the rate is measured, and minRate its minimum, in tokens per second. The highest
+	// rate decays with rateTimeConstant only: engines that have little to read would otherwise seem to be slow.
+	rateWindow       = time.Second
+	rateTimeConstant = 8 * time.Second
+	minRate          = 1000.0
+	// recordTTL is how long a record is kept after its last change or its place. maxRecords bounds their number.
+	recordTTL  = 6 * time.Second
+	maxRecords = 20_000
+	// Values beyond these are clamped.
+	maxDuration  = time.Hour
+	maxTokens    = 4_000_000
+	maxKeyLength = 256
+)
+
+// Request is a request with a chosen placement.
+type Request struct {
+	Key       string        // identifies the request when it returns; "" if it cannot be recognized
+	Tenant    string        // "" if unknown
+	Priority  int           // 0 is the most urgent
+	Wait      time.Duration // forecast wait at its priority until its prompt is read
+	Reading   time.Duration // forecast time to read its prompt; 0 if unknown
+	Objective time.Duration // for the first event; 0 never rejects the request
+	TimeLeft  time.Duration // until its deadline; 0 if unknown
+	Tokens    int           // to prefill
+	Random    float64       // uniform in [0, 1)
+	// RejectedBefore is set if the request was rejected before, here or by another scheduler.
+	RejectedBefore bool
+}
+
+// Reason is why a request was rejected.
+type Reason string
+
+// Reasons of rejections.
+const (
+	ReasonQueue    Reason = "queue"    // the forecast wait
+	ReasonPlaces   Reason = "places"   // the places of others, in addition to the wait
+	ReasonShare    Reason = "share"    // its tenant has more than its fair share
+	ReasonEarly    Reason = "early"    // it returned before its time
+	ReasonDeadline Reason = "deadline" // it has a place, but no engine can start it before its deadline
+)
+
+// Return is what a request that was rejected before has when it returns.
+type Return string
+
+// Kinds of returning requests.
+const (
+	ReturnNone    Return = ""         // not known to have been rejected before
+	ReturnInTime  Return = "place"    // within the window of its place
+	ReturnEarly   Return = "early"    // before its place
+	ReturnLate    Return = "lapsed"   // after the window of its place
+	ReturnUnknown Return = "no-place" // rejected before without a place, or by another scheduler
+)
+
+// Decision is the decision on a request.
+type Decision struct {
+	Rejected   bool
+	RetryAfter time.Duration // if rejected
+	Reason     Reason        // if rejected
+	HasPlace   bool          // if rejected: RetryAfter is the time of a place
+	Return     Return
+}
+
+// Counts are totals since the start.
+type Counts struct {
+	Admitted, Rejected       uint64 // decisions on requests with an objective
+	ByReason                 map[Reason]uint64
+	ByReturn                 map[Return]uint64 // returning requests
+	Placed, Taken, Lapsed    uint64            // places
+	Invalid                  uint64            // values that were clamped or dropped
+	RecordsFull, Outstanding int               // rejections without a record; current places
+}
+
+// Controller holds the state of one service. The zero value is ready to use.
+type Controller struct {
+	now       time.Duration
+	startedAt time.Duration
+	levels    [Levels]level
+	calendar  calendar
+	records   map[string]*record
+	finished  meter   // tokens prefilled
+	admitted  meter   // tokens of admitted requests
+	peakRate  float64 // highest rate, decayed, in tokens per second
+	peakAt    time.Duration
+	unused    float64 // smoothed part of the places that nobody took
+	counts    Counts
+}
+
+// level is the state of one priority.
+type level struct {
+	ratios     ratios
+	load       float64 // smoothed, as a fraction of the limit
+	loadAt     time.Duration
+	pressureAt time.Duration // when the load last exceeded pressureLimit; 0 before the first time
+	shares     shares
+}
+
+// record is what is kept of a rejected request.
+type record struct {
+	priority   int
+	use        *tenantUse
+	tokens     float64
+	at         time.Duration // of the place
+	spans      []span        // of the place; nil if it has none
+	lapsed     bool
+	rejections int // in a row for others' places
+	keptUntil  time.Duration
+}
+
+// hasPlace reports whether the place is outstanding.
+func (r *record) hasPlace() bool { return r.spans != nil }
+
+// ObserveWait records how long a request of the given priority waited and which wait was forecast for it.
+func (c *Controller) ObserveWait(now time.Duration, priority int, forecast, actual time.Duration) {
+	now = c.advance(now)
+	if forecast < minObservedWait {
+		c.countInvalid(forecast < 0)
+		return
+	}
+	if c.countInvalid(actual < 0 || forecast > maxDuration || priority < 0 || priority >= Levels) {
+		return
+	}
+	c.levels[priority].ratios.observe(now, float64(actual)/(c.stretch(now, priority)*float64(forecast)))
+}
+
+// ObserveStay records that a request had no first event in the time that it stayed.
+func (c *Controller) ObserveStay(now time.Duration, priority int, forecast, stayed time.Duration) {
+	if priority >= 0 && priority < Levels && float64(stayed) > float64(forecast)*c.stretch(max(now, c.now), priority)*c.levels[priority].ratios.medianAt(max(now, c.now)) {
+		c.ObserveWait(now, priority, forecast, stayed)
+	}
+}
+
+// ObserveRead records that engines have read the prompt tokens of a request of this scheduler. Places are given out at
+// the rate of these.
+func (c *Controller) ObserveRead(now time.Duration, tokens int) {
+	now = c.advance(now)
+	if c.countInvalid(tokens < 0 || tokens > maxTokens) {
+		return
+	}
+	c.finished.add(now, rateWindow, float64(tokens))
+	c.peakRate, c.peakAt = c.rate(now), now
+}
+
+// stretch returns by how much the wait of a priority grows because more urgent requests keep arriving and are served
+// first. The forecast knows of those only that have arrived already.
+func (c *Controller) stretch(now time.Duration, priority int) float64 {
+	urgent := 0.0
+	for i := range priority {
+		urgent += c.levels[i].shares.admitted.sum(now, shareWindow)
+	}
+	if urgent == 0 {
+		return 1
+	}
+	return 1 / (1 - min(urgent/shareWindow.Seconds()/c.rate(now), maxUrgentLoad))
+}
+
+// rate returns the rate at which the engines read prompts of this scheduler, in tokens per second.
+func (c *Controller) rate(now time.Duration) float64 {
+	tokens := c.finished.sum(now, rateWindow)
+	if tokens == 0 && c.peakRate == 0 {
+		tokens = c.admitted.sum(now, rateWindow) // just started: what is sent is taken to be read
+	}
+	elapsed := min(rateWindow, max(rateWindow/meterCount, now-c.startedAt))
+	decayed := c.peakRate * math.Exp(-float64(now-c.peakAt)/float64(rateTimeConstant))
+	return max(minRate, decayed, tokens/elapsed.Seconds())
+}
+
+// Decide reports whether a request is rejected, and when it is to return.
+func (c *Controller) Decide(now time.Duration, r Request) Decision {
+	if r.Objective <= 0 {
+		c.countInvalid(r.Objective < 0)
+		return Decision{}
+	}
+	now = c.advance(now)
+	r = c.sanitize(r)
+	r.Wait = time.Duration(c.stretch(now, r.Priority) * float64(r.Wait))
+	lvl := &c.levels[r.Priority]
+	use := lvl.shares.tenant(now, r.Tenant)
+	known := c.records[r.Key]
+	d := Decision{Return: returnKind(now, known, r.RejectedBefore)}
+	if d.Return != ReturnNone {
+		c.countReturn(d.Return)
+	} else {
+		use.offered.add(now, shareWindow, float64(r.Tokens))
+	}
+	if d.Return == ReturnLate && known.hasPlace() {
+		c.lapse(known)
+	}
+	if d.Return == ReturnInTime {
+		c.endPlace(known)
+		if c.earliestWait(now, lvl, r) <= r.TimeLeft {
+			c.counts.Taken++
+			c.unused -= takenStep * c.unused
+			c.admit(now, r, lvl, use)
+			return d
+		}
+		d.Rejected, d.Reason, d.RetryAfter = true, ReasonDeadline, c.queueTime(now, lvl, r)
+		c.reject(d.Reason)
+		return d
+	}
+	d.Reason, d.Rejected = c.judge(now, r, lvl, use, known)
+	switch {
+	case !d.Rejected:
+		if known != nil && known.hasPlace() {
+			c.endPlace(known) // it returned early, and there is room already
+		}
+		c.admit(now, r, lvl, use)
+		return d
+	case d.Return == ReturnEarly:
+		d.Reason, d.RetryAfter, d.HasPlace = ReasonEarly, known.at-now, true
+	default:
+		d.RetryAfter, d.HasPlace = c.reserve(now, r, lvl, use, d.Reason)
+	}
+	c.reject(d.Reason)
+	return d
+}
+
+// returnKind returns what a request has that may have been rejected before.
+func returnKind(now time.Duration, known *record, rejectedBefore bool) Return {
+	switch {
+	case known == nil && rejectedBefore:
+		return ReturnUnknown
+	case known == nil:
+		return ReturnNone
+	case known.hasPlace() && now < known.at-earlyTolerance:
+		return ReturnEarly
+	case known.hasPlace() && now < known.at+Window:
+		return ReturnInTime
+	case known.hasPlace() || known.lapsed:
+		return ReturnLate
+	}
+	return ReturnUnknown
+}
+
+// limit returns the longest wait with which the request is on time.
+func (r *Request) limit() time.Duration {
+	return max(r.Objective-r.Reading, time.Duration(minLimit*float64(r.Objective)))
+}
+
+// earliestWait returns the wait that few requests with this forecast stay below.
+func (c *Controller) earliestWait(now time.Duration, lvl *level, r Request) time.Duration {
+	return time.Duration(lvl.ratios.at(now, 0) * float64(r.Wait))
+}
+
+// judge reports whether the request is to be rejected, and why.
+func (c *Controller) judge(now time.Duration, r Request, lvl *level, use *tenantUse, known *record) (reason Reason, reject bool) {
+	limit := float64(r.limit())
+	standing := lvl.observeLoad(now, lvl.ratios.medianAt(now)*float64(r.Wait)/limit)
+	load := lvl.ratios.at(now, standing) * float64(r.Wait) / limit
+	threshold := (1 - standingMargin*standing) * (1 + randomSpread*(2*r.Random-1))
+	withPlaces := load + c.placesAhead(now, r, known)/limit
+	if withPlaces > pressureLimit*threshold {
+		lvl.pressureAt = now
+	}
+	pressure := lvl.pressureAt > 0 && now < lvl.pressureAt+pressureTime
+	if pressure && load > overShareLimit*threshold && lvl.shares.above(now, use, c.servedPart(now)) {
+		return ReasonShare, true
+	}
+	switch {
+	case load > threshold:
+		return ReasonQueue, true
+	case withPlaces <= threshold, load <= idleLoad, known != nil && known.rejections >= maxPlaceRejections:
+		return "", false
+	}
+	return ReasonPlaces, true
+}
+
+// placesAhead returns how much the places of others that are due soon add to the wait, in nanoseconds. A request that
+// another scheduler rejected is not made to wait for places, since its own may have been lost with that scheduler.
+func (c *Controller) placesAhead(now time.Duration, r Request, known *record) float64 {
+	if known == nil && r.RejectedBefore || c.counts.Outstanding == 0 {
+		return 0
+	}
+	rate := c.rate(now)
+	due := c.calendar.due(now, now+r.limit(), r.Priority, bookedPart*rate*slotWidth.Seconds())
+	if known != nil && known.hasPlace() {
+		due = max(0, due-known.tokens) // its own place
+	}
+	return placeLoad * max(minTakenPart, 1-c.unused) * due / rate * float64(time.Second)
+}
+
+// servedPart returns the part of what was admitted lately that engines have read, at most 1.
+func (c *Controller) servedPart(now time.Duration) float64 {
+	admitted := c.admitted.sum(now, rateWindow)
+	if admitted <= 0 {
+		return 1
+	}
+	return min(1, c.rate(now)*rateWindow.Seconds()/admitted)
+}
+
+// observeLoad adds the load seen by one request and returns how far the queue is standing, from 0 to 1.
+func (l *level) observeLoad(now time.Duration, load float64) float64 {
+	weight := min(float64(now-l.loadAt)/float64(loadTimeConstant), maxLoadWeight)
+	l.load, l.loadAt = l.load+weight*(min(load, maxLoad)-l.load), now
+	return min(max((l.load-standingLow)/(standingHigh-standingLow), 0), 1)
+}
+
+// reserve gives a rejected request a place, if there is one within the time that the caller waits. If not, retryAfter is
+// the time at which the queue will be short.
+func (c *Controller) reserve(now time.Duration, r Request, lvl *level, use *tenantUse, reason Reason) (retryAfter time.Duration, hasPlace bool) {
+	expected := time.Duration(lvl.ratios.medianAt(now) * float64(r.Wait))
+	delay := max(minPlaceDelay, expected-time.Duration(targetWait*float64(r.limit())))
+	delay = max(delay, lvl.shares.delay(now, use, c.servedPart(now)))
+	record := c.recordOf(now, r, use)
+	if record != nil {
+		if record.hasPlace() {
+			c.endPlace(record)
+		}
+		if reason == ReasonPlaces {
+			record.rejections++
+		}
+		capacity := bookedPart * c.rate(now) * slotWidth.Seconds()
+		latest := now + min(MaxLead, r.TimeLeft/leadDivisor-returnMargin)
+		at, spans, booked := c.calendar.book(r.Key, now+delay, latest, r.Priority, float64(r.Tokens), capacity)
+		if booked {
+			record.at, record.spans, record.lapsed, record.keptUntil = at, spans, false, at+recordTTL
+			record.tokens, record.priority, record.use = float64(r.Tokens), r.Priority, use
+			use.reserved += record.tokens
+			c.counts.Placed++
+			c.counts.Outstanding++
+			return at - now, true
+		}
+	}
+	delay = max(delay, minRetryAfter)
+	return min(delay+time.Duration(retryAfterJitter*r.Random*float64(delay)), maxRetryAfter), false
+}
+
+// queueTime returns the time until the queue of a request is short, without a place.
+func (c *Controller) queueTime(now time.Duration, lvl *level, r Request) time.Duration {
+	expected := time.Duration(lvl.ratios.medianAt(now)*float64(r.Wait)) - time.Duration(targetWait*float64(r.limit()))
+	return min(max(expected, minRetryAfter), maxRetryAfter)
+}
+
+// recordOf returns the record of a rejected request, or nil if it cannot be recognized or there are too many.
+func (c *Controller) recordOf(now time.Duration, r Request, use *tenantUse) *record {
+	if r.Key == "" {
+		return nil
+	}
+	found := c.records[r.Key]
+	if found == nil {
+		if len(c.records) >= maxRecords {
+			c.counts.RecordsFull++
+			return nil
+		}
+		if c.records == nil {
+			c.records = map[string]*record{}
+		}
+		found = &record{use: use}
+		c.records[r.Key] = found
+	}
+	found.keptUntil = now + recordTTL
+	return found
+}
+
+// admit records an admitted request.
+func (c *Controller) admit(now time.Duration, r Request, lvl *level, use *tenantUse) {
+	c.counts.Admitted++
+	c.admitted.add(now, rateWindow, float64(r.Tokens))
+	lvl.shares.admitted.add(now, shareWindow, float64(r.Tokens))
+	use.admitted.add(now, shareWindow, float64(r.Tokens))
+	delete(c.records, r.Key)
+}
+
+func (c *Controller) reject(reason Reason) {
+	c.counts.Rejected++
+	if c.counts.ByReason == nil {
+		c.counts.ByReason = map[Reason]uint64{}
+	}
+	c.counts.ByReason[reason]++
+}
+
+func (c *Controller) countReturn(kind Return) {
+	if c.counts.ByReturn == nil {
+		c.counts.ByReturn = map[Return]uint64{}
+	}
+	c.counts.ByReturn[kind]++
+}
+
+// countInvalid counts an invalid value and returns its argument.
+func (c *Controller) countInvalid(invalid bool) bool {
+	if invalid {
+		c.counts.Invalid++
+	}
+	return invalid
+}
+
+// lapse ends a place that nobody took.
+func (c *Controller) lapse(r *record) {
+	c.endPlace(r)
+	r.lapsed = true
+	c.counts.Lapsed++
+	c.unused += takenStep * (1 - c.unused)
+}
+
+// endPlace frees the place of a record.
+func (c *Controller) endPlace(r *record) {
+	c.calendar.release(r.spans, r.priority)
+	r.spans = nil
+	r.use.reserved = max(0, r.use.reserved-r.tokens)
+	c.counts.Outstanding--
+}
+
+// advance moves the state to a time and returns it. Time that runs backwards is counted and ignored.
+func (c *Controller) advance(now time.Duration) time.Duration {
+	c.countInvalid(now < c.now)
+	now = max(now, c.now)
+	if c.startedAt == 0 {
+		c.startedAt = now
+	}
+	c.now = now
+	c.calendar.advance(now, func(key string) {
+		// A record may have got a later place since.
+		if r := c.records[key]; r != nil && r.hasPlace() && now >= r.at+Window {
+			c.lapse(r)
+		}
+	})
+	return now
+}
+
+// Sweep removes expired state. It is to be called every few seconds.
+func (c *Controller) Sweep(now time.Duration) {
+	now = c.advance(now)
+	for key, r := range c.records {
+		if now >= r.keptUntil && !r.hasPlace() {
+			delete(c.records, key)
+		}
+	}
+	for i := range c.levels {
+		c.levels[i].shares.sweep(now)
+	}
+}
+
+// Counts returns the totals. Its maps are copies.
+func (c *Controller) Counts() Counts {
+	counts := c.counts
+	counts.ByReason, counts.ByReturn = maps.Clone(counts.ByReason), maps.Clone(counts.ByReturn)
+	return counts
+}
+
+// sanitize clamps values that are out of range, and counts them.
+func (c *Controller) sanitize(r Request) Request {
+	clampTime := func(value *time.Duration) {
+		if c.countInvalid(*value < 0 || *value > maxDuration) {
+			*value = min(max(*value, 0), maxDuration)
+		}
+	}
+	clampTime(&r.Wait)
+	clampTime(&r.Reading)
+	clampTime(&r.Objective)
+	clampTime(&r.TimeLeft)
+	if r.TimeLeft == 0 {
+		r.TimeLeft = maxDuration // unknown
+	}
+	if c.countInvalid(r.Priority < 0 || r.Priority >= Levels) {
+		r.Priority = min(max(r.Priority, 0), Levels-1)
+	}
+	if c.countInvalid(r.Tokens < 0 || r.Tokens > maxTokens) {
+		r.Tokens = min(max(r.Tokens, 0), maxTokens)
+	}
+	r.Tokens = max(r.Tokens, 1)
+	if c.countInvalid(len(r.Key) > maxKeyLength) {
+		r.Key = ""
+	}
+	if c.countInvalid(len(r.Tenant) > maxKeyLength) {
+		r.Tenant = ""
+	}
+	if c.countInvalid(!(r.Random >= 0 && r.Random < 1)) { // also true for NaN
+		r.Random = 0
+	}
+	return r
+}
