Use reservations for latency-critical services

Cause: schedulers decided with the same admission control for every service, and a rejected request that came back was judged anew.

Change: checkAdmission asks the reservations of a latency-critical service while the mechanism is on. Placement requests name the tenant, and replies say why a request was rejected, and whether it has or had a place; all are optional fields. Rejections are still announced, so that a retry is recognized after its scheduler has changed.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -145,6 +145,15 @@
 	}
 }
 
+// RejectedBefore reports whether a rejection of the request is remembered.
+func (c *Controller) RejectedBefore(now time.Duration, key string) bool {
+	at, known := c.rejectedAt[key]
+	return known && now < at+rejectionTTL
+}
+
+// ForgetRejection removes the rejection of a request that was admitted.
+func (c *Controller) ForgetRejection(key string) { delete(c.rejectedAt, key) }
+
 // Sweep removes expired rejections.
 func (c *Controller) Sweep(now time.Duration) {
 	for key, at := range c.rejectedAt {
--- a/internal/admission/reservation/reservation.go
+++ b/internal/admission/reservation/reservation.go
@@ -71,6 +71,10 @@
 	rateWindow       = time.Second
 	rateTimeConstant = 8 * time.Second
 	minRate          = 1000.0
+	// The rate is taken to be at least that of one engine, as known from prompts of minRateSample tokens or more. A
+	// scheduler that has just started has measured nothing yet.
+	minRateSample = 256
+	maxEngineRate = 1e6
 	// recordTTL is how long a record is kept after its last change or its place. maxRecords bounds their number.
 	recordTTL  = 6 * time.Second
 	maxRecords = 20_000
@@ -107,6 +111,11 @@
 	ReasonDeadline Reason = "deadline" // it has a place, but no engine can start it before its deadline
 )
 
+// Known reports whether the reason is one of those above.
+func (r Reason) Known() bool {
+	return r == ReasonQueue || r == ReasonPlaces || r == ReasonShare || r == ReasonEarly || r == ReasonDeadline
+}
+
 // Return is what a request that was rejected before has when it returns.
 type Return string
 
@@ -119,6 +128,11 @@
 	ReturnUnknown Return = "no-place" // rejected before without a place, or by another scheduler
 )
 
+// Known reports whether the kind is one of those above.
+func (r Return) Known() bool {
+	return r == ReturnNone || r == ReturnInTime || r == ReturnEarly || r == ReturnLate || r == ReturnUnknown
+}
+
 // Decision is the decision on a request.
 type Decision struct {
 	Rejected   bool
@@ -130,12 +144,13 @@
 
 // Counts are totals since the start.
 type Counts struct {
-	Admitted, Rejected       uint64 // decisions on requests with an objective
-	ByReason                 map[Reason]uint64
-	ByReturn                 map[Return]uint64 // returning requests
-	Placed, Taken, Lapsed    uint64            // places
-	Invalid                  uint64            // values that were clamped or dropped
-	RecordsFull, Outstanding int               // rejections without a record; current places
+	Admitted, Rejected    uint64 // decisions on requests with an objective
+	ByReason              map[Reason]uint64
+	ByReturn              map[Return]uint64 // returning requests
+	Placed, Taken, Lapsed uint64            // places
+	Invalid               uint64            // values that were clamped or dropped
+	RecordsFull           uint64            // rejections without a record
+	Outstanding           int               // current places
 }
 
 // Controller holds the state of one service. The zero value is ready to use.
@@ -149,6 +164,7 @@
 	admitted  meter   // tokens of admitted requests
 	peakRate  float64 // highest rate, decayed, in tokens per second
 	peakAt    time.Duration
+	engine    float64 // rate of one engine, in tokens per second; 0 if unknown
 	unused    float64 // smoothed part of the places that nobody took
 	counts    Counts
 }
@@ -229,7 +245,7 @@
 	}
 	elapsed := min(rateWindow, max(rateWindow/meterCount, now-c.startedAt))
 	decayed := c.peakRate * math.Exp(-float64(now-c.peakAt)/float64(rateTimeConstant))
-	return max(minRate, decayed, tokens/elapsed.Seconds())
+	return max(minRate, c.engine, decayed, tokens/elapsed.Seconds())
 }
 
 // Decide reports whether a request is rejected, and when it is to return.
@@ -240,6 +256,9 @@
 	}
 	now = c.advance(now)
 	r = c.sanitize(r)
+	if r.Reading > 0 && r.Tokens >= minRateSample {
+		c.engine = min(float64(r.Tokens)/r.Reading.Seconds(), maxEngineRate)
+	}
 	r.Wait = time.Duration(c.stretch(now, r.Priority) * float64(r.Wait))
 	lvl := &c.levels[r.Priority]
 	use := lvl.shares.tenant(now, r.Tenant)
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -85,7 +85,12 @@
 	FieldRecomputeReason  = "reread_why"
 	FieldCacheSource      = "from"
 	FieldScheduled        = "scheduled"
-	FieldResource         = "resource" // limited resource: "tenant/NAME" or "repeats/SERVICE"
+	// FieldRejectionCause is why admission rejected a request to a latency-critical service, FieldReturn what a
+	// returning request had, and FieldHasPlace whether its retry time is that of a place.
+	FieldRejectionCause = "refused_for"
+	FieldReturn         = "returned"
+	FieldHasPlace       = "place"
+	FieldResource       = "resource" // limited resource: "tenant/NAME" or "repeats/SERVICE"
 	// FieldFingerprint identifies a request across retries.
 	FieldFingerprint  = "fingerprint"
 	FieldIncarnations = "lives" // of backends that crashed during a request
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -184,6 +184,7 @@
 	if a.plan.scheduled == nil {
 		x.gateway.table.observePrefill(a.row, a.plan.engineIdle, a.uncached, a.timeToFirstEvent())
 		x.gateway.table.observeQueueWait(x.service.Name, enginePriority(x.tenant, x.route), a.plan.queueWait, a.uncached, a.timeToFirstEvent(), x.gateway.now()-a.startedAt)
+		x.gateway.table.observeRead(x.gateway.now(), x.service.Name, enginePriority(x.tenant, x.route), a.plan.queueWait, a.uncached, a.timeToFirstEvent(), x.gateway.now()-a.startedAt)
 		x.gateway.peers.announce(announcement{Gateway: x.gateway.shortName, Load: load, Instance: a.row.entry.ID})
 	}
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"kitetiller/internal/admission/reservation"
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/mechanism"
@@ -59,6 +60,8 @@
 	retryAfter      time.Duration   // if not 0, the request is to be rejected, and retried after this time
 	// scheduled is set if a scheduler made the placement, and nil if this gateway did.
 	scheduled *schedulerPlacement
+	// reserved is the decision on the request's reservation, for logs. It is set for latency-critical services.
+	reserved reservation.Decision
 }
 
 // selectionInput describes the request for which a back end is selected.
@@ -81,6 +84,9 @@
 	// optional features of its back ends.
 	latencyCritical bool
 	offer           catalog.Offer
+	// tenantName is "" if the tenant is unknown, and timeLeft is the time until the request's deadline.
+	tenantName string
+	timeLeft   time.Duration
 }
 
 // promptTokens returns the number of prompt tokens.
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"kitetiller/internal/admission"
+	"kitetiller/internal/admission/reservation"
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
 	"kitetiller/internal/gateway/belief"
@@ -69,6 +70,8 @@
 	lastRetryAt      map[string]time.Duration          // by service: latest retry time given while all were at their limits
 	rosterChanged    *notifier                         // signals each new roster
 	waiting          map[*attempt]struct{}             // awaiting a response, also at removed back ends
+	// reservations are those of latency-critical services.
+	reservations map[string]*reservation.Controller
 }
 
 func newTable(mechanisms mechanism.Set) *table {
@@ -76,7 +79,7 @@
 		mechanisms: mechanisms, rows: map[string]*endpoint{}, services: map[string][]*endpoint{},
 		published: belief.NewPublishTimes(guard.Set{}), stored: belief.NewStoredParts(), links: belief.Links{}, signals: pushback.NewTracker(),
 		lanes: map[string]*lanes{}, meanDurations: map[string]belief.MeanDuration{}, prefillEstimates: map[string]belief.PrefillEstimate{}, lastSent: map[string]time.Duration{}, admission: map[string]*admission.Controller{},
-		placed: map[string]placement{}, holders: map[string][]*endpoint{}, waiting: map[*attempt]struct{}{}, rosterChanged: newNotifier(), lastRetryAt: map[string]time.Duration{},
+		placed: map[string]placement{}, holders: map[string][]*endpoint{}, waiting: map[*attempt]struct{}{}, rosterChanged: newNotifier(), lastRetryAt: map[string]time.Duration{}, reservations: map[string]*reservation.Controller{},
 	}
 }
 
@@ -279,6 +282,9 @@
 	for _, controller := range t.admission {
 		controller.Sweep(now)
 	}
+	for _, controller := range t.reservations {
+		controller.Sweep(now)
+	}
 	t.links.Sweep(now)
 	t.sweepHolders()
 	t.sweepLastSent(now)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -249,12 +249,15 @@
 		service: x.service, tenant: x.tenant, call: &x.call, tried: x.tried, firstAttempt: len(x.tried) == 0, priority: enginePriority(x.tenant, x.route), latencyTarget: x.route.Objective,
 	}
 	in.latencyCritical, in.offer = x.view.critical[x.service.Name], x.view.offer(x.service.Name)
+	if x.tenant != nil {
+		in.tenantName = x.tenant.Name
+	}
 	if x.gateway.enabled(mechanism.StoreTransfers) {
 		in.store = x.view.storeOf(x.call.Parts)
 	}
 	waitUntil := x.gateway.now() + backendWait
 	for {
-		in.trusted = x.gateway.trusted(x.gateway.now())
+		in.trusted, in.timeLeft = x.gateway.trusted(x.gateway.now()), x.deadline-x.gateway.now()
 		changed := x.gateway.table.rosterChanged.Next()
 		chosen := x.requestPlacement(in)
 		if chosen == nil {
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -31,9 +31,13 @@
 	if parts := in.call.Parts; len(parts) > 0 {
 		req.Key = parts[len(parts)-1].ID // the request's own part; shared parts come before it
 	}
-	g.table.mutex.Lock()
-	retryAfter, rejected = g.table.admissionController(in.service.Name).Decide(now, req)
-	g.table.mutex.Unlock()
+	if in.latencyCritical && g.enabled(mechanism.Reservations) {
+		retryAfter, rejected = g.table.decideReservation(now, chosen, in, req)
+	} else {
+		g.table.mutex.Lock()
+		retryAfter, rejected = g.table.admissionController(in.service.Name).Decide(now, req)
+		g.table.mutex.Unlock()
+	}
 	if rejected && req.Key != "" {
 		g.peers.announce(announcement{Gateway: g.shortName, Instance: chosen.row.entry.ID, RejectedRequest: req.Key}) // so that any gateway recognizes the retry
 	}
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -27,6 +27,7 @@
 	FirstAttempt    bool     `json:"f,omitempty"` // no back end was sent the request yet, so it may be rejected
 	Priority        int      `json:"r,omitempty"` // 0 is the most urgent
 	LatencyTargetMS int64    `json:"o,omitempty"` // the route's objective
+	Tenant          string   `json:"n,omitempty"` // "" from builds without reservations
 }
 
 // wirePlacementReply answers a wirePlacementRequest. Instance is empty if no back end is available.
@@ -44,6 +45,10 @@
 	// was observed. Both are absent if there is none.
 	Limit      *float64 `json:"n,omitempty"`
 	LimitAgeMS int64    `json:"a,omitempty"`
+	// What was decided on the reservation of the request, for logs; see reservation.Decision.
+	Rejection string `json:"y,omitempty"`
+	Return    string `json:"z,omitempty"`
+	HasPlace  bool   `json:"p,omitempty"`
 }
 
 // wirePlacementEnd reports to a scheduler how a request that it placed ended.
@@ -98,12 +103,15 @@
 		in.store = current.storeOf(call.Parts)
 	}
 	in.firstAttempt, in.priority, in.latencyTarget = req.FirstAttempt, req.Priority, durationFromMS(req.LatencyTargetMS)
+	in.tenantName, in.timeLeft = req.Tenant, durationFromMS(req.TimeoutMS)
 	chosen := g.choose(now, in)
 	if chosen == nil {
 		return wirePlacementReply{}
 	}
 	if retryAfter, rejected := g.checkAdmission(now, chosen, in); rejected {
-		return wirePlacementReply{Instance: chosen.row.entry.ID, WaitMS: chosen.wait, RetryAfterMS: max(1, retryAfter.Milliseconds())}
+		reply := wirePlacementReply{Instance: chosen.row.entry.ID, WaitMS: chosen.wait, RetryAfterMS: max(1, retryAfter.Milliseconds())}
+		reply.setReserved(chosen.reserved)
+		return reply
 	}
 	load := g.table.addPlacement(now, req.PlacementID, placement{
 		row: chosen.row, load: loadOf(&call), uncached: chosen.uncached, engineIdle: chosen.engineIdle, expiresAt: now + durationFromMS(req.TimeoutMS),
@@ -113,6 +121,7 @@
 	reply := wirePlacementReply{
 		Instance: chosen.row.entry.ID, Version: chosen.version, Uncached: chosen.uncached, Recomputed: chosen.recomputed, RecomputeReason: string(chosen.recomputeReason), WaitMS: chosen.wait, FetchFrom: chosen.fetchFrom, SaveTo: chosen.saveTo,
 	}
+	reply.setReserved(chosen.reserved)
 	if limit, _ := g.table.advertisedLimit(now, chosen.row); limit != nil {
 		reply.Limit, reply.LimitAgeMS = &limit.Rate, limit.Age.Milliseconds()
 	}
@@ -135,6 +144,7 @@
 	row := p.row
 	g.table.observePrefill(row, p.engineIdle, p.uncached, durationFromMS(end.FirstEventMS))
 	g.table.observeQueueWait(row.entry.Service, p.priority, p.queueWait, p.uncached, durationFromMS(end.FirstEventMS), durationFromMS(end.DurationMS))
+	g.table.observeRead(now, row.entry.Service, p.priority, p.queueWait, p.uncached, durationFromMS(end.FirstEventMS), durationFromMS(end.DurationMS))
 	g.peers.announce(announcement{Gateway: g.shortName, Load: load, Instance: row.entry.ID})
 	if end.Unreached {
 		g.peers.announce(announcement{Gateway: end.Gateway, Instance: row.entry.ID, Unreachable: true})
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -158,6 +158,7 @@
 		Excluded: g.table.excluded(g.now(), x.service.Name, in.tried), TimeoutMS: (x.deadline - g.now()).Milliseconds(),
 	}
 	req.FirstAttempt, req.Priority, req.LatencyTargetMS = in.firstAttempt, in.priority, in.latencyTarget.Milliseconds()
+	req.Tenant = in.tenantName
 	if in.tenant != nil && in.tenant.Isolated {
 		req.IsolatedTenant = in.tenant.Name
 	}
@@ -186,7 +187,7 @@
 		return nil
 	}
 	if reply.RetryAfterMS > 0 {
-		return &candidate{wait: reply.WaitMS, retryAfter: durationFromMS(reply.RetryAfterMS)}
+		return &candidate{wait: reply.WaitMS, retryAfter: durationFromMS(reply.RetryAfterMS), reserved: reply.reserved()}
 	}
 	now := g.now()
 	g.observeSchedulerLimit(now, reply)
@@ -194,7 +195,7 @@
 	defer g.table.mutex.Unlock()
 	chosen := &candidate{
 		row: g.table.rows[reply.Instance], version: reply.Version, salt: cacheSalt(reply.Version, in.tenant), wait: reply.WaitMS,
-		uncached: max(0, reply.Uncached), recomputed: max(0, reply.Recomputed), recomputeReason: recomputeCause(reply.RecomputeReason), fetchFrom: reply.FetchFrom, saveTo: reply.SaveTo, scheduled: &placed,
+		uncached: max(0, reply.Uncached), recomputed: max(0, reply.Recomputed), recomputeReason: recomputeCause(reply.RecomputeReason), fetchFrom: reply.FetchFrom, saveTo: reply.SaveTo, reserved: reply.reserved(), scheduled: &placed,
 	}
 	if reply.Version == 0 {
 		chosen.salt = uniqueSalt()
