Reservations: plan places for the rate that more urgent requests leave

Cause: places of a less urgent priority were given at the whole rate, although more urgent requests that arrive in the meantime are read first.

Change: the capacity for places is divided by the same factor as the wait is stretched. The rate is computed once for a point in time.

--- a/internal/admission/reservation/estimate.go
+++ b/internal/admission/reservation/estimate.go
@@ -49,16 +49,27 @@
 
 // weight returns how far the quantiles still apply, from 0 to 1.
 func (r *ratios) weight(now time.Duration) float64 {
-	return math.Exp(-float64(max(0, now-r.observedAt-ratioValidity)) / float64(ratioTimeConstant))
+	if now <= r.observedAt+ratioValidity {
+		return 1
+	}
+	return math.Exp(-float64(now-r.observedAt-ratioValidity) / float64(ratioTimeConstant))
 }
 
 // at returns the ratio between the lower quantile, for 0, and the upper quantile, for 1.
 func (r *ratios) at(now time.Duration, position float64) float64 {
+	if r.observedAt == 0 {
+		return 1
+	}
 	return math.Exp(r.weight(now) * (r.lower + position*(r.upper-r.lower)))
 }
 
 // medianAt returns the median.
-func (r *ratios) medianAt(now time.Duration) float64 { return math.Exp(r.weight(now) * r.median) }
+func (r *ratios) medianAt(now time.Duration) float64 {
+	if r.observedAt == 0 {
+		return 1
+	}
+	return math.Exp(r.weight(now) * r.median)
+}
 
 // meterCount is the number of parts into which a meter's window is divided.
 const meterCount = 10
--- a/internal/admission/reservation/reservation.go
+++ b/internal/admission/reservation/reservation.go
@@ -95,7 +95,7 @@
 	TimeLeft  time.Duration // until its deadline; 0 if unknown
 	Tokens    int           // to prefill
 	Random    float64       // uniform in [0, 1)
-	// RejectedBefore is set if the request was rejected before, here or by another scheduler.
+	// RejectedBefore is set if another scheduler rejected the request before.
 	RejectedBefore bool
 }
 
@@ -164,6 +164,8 @@
 	admitted  meter   // tokens of admitted requests
 	peakRate  float64 // highest rate, decayed, in tokens per second
 	peakAt    time.Duration
+	rateKnown float64 // result of rate at rateAt; 0 if it has to be computed
+	rateAt    time.Duration
 	engine    float64 // rate of one engine, in tokens per second; 0 if unknown
 	unused    float64 // smoothed part of the places that nobody took
 	counts    Counts
@@ -221,6 +223,7 @@
 		return
 	}
 	c.finished.add(now, rateWindow, float64(tokens))
+	c.rateKnown = 0
 	c.peakRate, c.peakAt = c.rate(now), now
 }
 
@@ -239,6 +242,13 @@
 
 // rate returns the rate at which the engines read prompts of this scheduler, in tokens per second.
 func (c *Controller) rate(now time.Duration) float64 {
+	if c.rateKnown == 0 || c.rateAt != now {
+		c.rateKnown, c.rateAt = c.computeRate(now), now
+	}
+	return c.rateKnown
+}
+
+func (c *Controller) computeRate(now time.Duration) float64 {
 	tokens := c.finished.sum(now, rateWindow)
 	if tokens == 0 && c.peakRate == 0 {
 		tokens = c.admitted.sum(now, rateWindow) // just started: what is sent is taken to be read
@@ -257,6 +267,7 @@
 	now = c.advance(now)
 	r = c.sanitize(r)
 	if r.Reading > 0 && r.Tokens >= minRateSample {
+		c.rateKnown = 0
 		c.engine = min(float64(r.Tokens)/r.Reading.Seconds(), maxEngineRate)
 	}
 	r.Wait = time.Duration(c.stretch(now, r.Priority) * float64(r.Wait))
@@ -395,7 +406,8 @@
 		if reason == ReasonPlaces {
 			record.rejections++
 		}
-		capacity := bookedPart * c.rate(now) * slotWidth.Seconds()
+		// More urgent requests that arrive in the meantime leave the rest of the rate.
+		capacity := bookedPart * c.rate(now) / c.stretch(now, r.Priority) * slotWidth.Seconds()
 		latest := now + min(MaxLead, r.TimeLeft/leadDivisor-returnMargin)
 		at, spans, booked := c.calendar.book(r.Key, now+delay, latest, r.Priority, float64(r.Tokens), capacity)
 		if booked {
--- a/internal/admission/reservation/reservation_test.go
+++ b/internal/admission/reservation/reservation_test.go
@@ -516,3 +516,29 @@
 		}
 	})
 }
+
+// BenchmarkDecide decides on requests of 82 tenants, admitted ones and ones that are mostly rejected.
+func BenchmarkDecide(b *testing.B) {
+	for _, wait := range []time.Duration{0, testObjective * 3 / 2} {
+		b.Run(fmt.Sprint("wait=", wait), func(b *testing.B) {
+			now := time.Minute
+			c := newBusy(now)
+			keys := make([]string, 4096)
+			for i := range keys {
+				keys[i] = fmt.Sprint(i)
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				now += time.Millisecond
+				r := newRequest(keys[i%len(keys)], wait)
+				r.Tenant = keys[i%82]
+				c.Decide(now, r)
+				if i%2 == 0 {
+					c.ObserveRead(now, testTokens)
+				}
+				i++
+			}
+		})
+	}
+}
