Test log fields and metrics of reservations, and benchmark the decision

Cause: a rejected request has to be traced to its cause, and the decision may not become much slower.

Change: a test of the log fields and of the metrics by service, and a benchmark of the placement with admission at 90 and 3,100 engines, beside today's admission. Rejections with a record are no longer recorded a second time for announcements.

--- a/internal/gateway/reservations.go
+++ b/internal/gateway/reservations.go
@@ -27,18 +27,19 @@
 func (t *table) decideReservation(now time.Duration, chosen *candidate, in selectionInput, req admission.Request) (retryAfter time.Duration, rejected bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	// Rejections are recorded here too, as other schedulers announce them.
-	rejections := t.admissionController(in.service.Name)
+	rejections := t.admissionController(in.service.Name) // those that other schedulers announced
+	rejectedBefore := rejections.RejectedBefore(now, req.Key)
 	chosen.reserved = t.reservationController(in.service.Name).Decide(now, reservation.Request{
 		Key: req.Key, Tenant: in.tenantName, Priority: req.Priority, Wait: req.PredictedWait, Objective: req.Objective, TimeLeft: in.timeLeft,
 		Reading: t.prefillEstimate(in.service.Name).TimeToFirstEvent(chosen.uncached), Tokens: chosen.uncached, Random: req.Random,
-		RejectedBefore: rejections.RejectedBefore(now, req.Key),
+		RejectedBefore: rejectedBefore,
 	})
 	if !chosen.reserved.Rejected {
-		rejections.ForgetRejection(req.Key)
+		if rejectedBefore {
+			rejections.ForgetRejection(req.Key)
+		}
 		return 0, false
 	}
-	rejections.RecordRejection(now, req.Key)
 	return roundUpToMS(chosen.reserved.RetryAfter), true
 }
 
--- a/internal/gateway/reservations_test.go
+++ b/internal/gateway/reservations_test.go
@@ -4,9 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"strings"
 	"testing"
 	"time"
 
+	"go.uber.org/zap/zapcore"
+
 	"kitetiller/internal/admission"
 	"kitetiller/internal/admission/reservation"
 	"kitetiller/internal/catalog"
@@ -232,3 +236,91 @@
 		t.Fatalf("unknown causes of a reply were taken: %+v", d)
 	}
 }
+
+// TestReservationLogFieldsAndMetrics tests that a refused or returning request can be traced to its decision, and that the
+// metrics are by service.
+func TestReservationLogFieldsAndMetrics(t *testing.T) {
+	g := newCriticalScheduler(4)
+	x := &exchange{gateway: g}
+	if fields := x.reservationFields(); len(fields) > 0 {
+		t.Fatalf("fields %v before a placement", fields)
+	}
+	at := rejectWithPlace(t, g, time.Second, "a")
+	early := g.placeForPeer(at-200*time.Millisecond, newCriticalRequest("a"))
+	x.placement = g.candidateFromReply(&early, schedulerPlacement{}, selectionInput{})
+	logged := zapcore.NewMapObjectEncoder()
+	for _, field := range x.reservationFields() {
+		field.AddTo(logged)
+	}
+	if want := map[string]any{"refused_for": "early", "place": true, "returned": "early"}; !maps.Equal(logged.Fields, want) {
+		t.Fatalf("fields %v, want %v", logged.Fields, want)
+	}
+	g.placeForPeer(at, newCriticalRequest("a"))
+	g.placeForPeer(at, newCriticalRequest("b"))
+	families, err := g.Metrics().Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := map[string]float64{}
+	for _, family := range families {
+		name, isReservation := strings.CutPrefix(family.GetName(), "kitetiller_gateway_reservation_")
+		for _, metric := range family.GetMetric() {
+			if !isReservation {
+				continue
+			}
+			for _, label := range metric.GetLabel() {
+				name += " " + label.GetValue()
+			}
+			got[name] = metric.GetCounter().GetValue() + metric.GetGauge().GetValue()
+			name, _, _ = strings.Cut(name, " ")
+		}
+	}
+	want := map[string]float64{
+		"decisions_total admitted s": 1, "decisions_total early s": 1, "decisions_total queue s": 2, "returns_total early s": 1, "returns_total place s": 1,
+		"places_total s given": 2, "places_total s taken": 1, "places_total s lapsed": 0, "places s": 1, "faults_total invalid s": 0, "faults_total records-full s": 0,
+	}
+	if !maps.Equal(got, want) {
+		t.Fatalf("metrics %v, want %v", got, want)
+	}
+}
+
+// BenchmarkAdmittedPlacement chooses a back end and decides on admission, as a scheduler does for each request, with today's
+// admission control and with reservations. Queues are short, or so long that most requests are rejected.
+func BenchmarkAdmittedPlacement(b *testing.B) {
+	for _, engines := range []int{90, 3100} {
+		for _, queue := range []time.Duration{0, 600 * time.Millisecond} {
+			for _, kind := range []string{"today", "reservations"} {
+				b.Run(fmt.Sprint(engines, "/queue=", queue, "/", kind), func(b *testing.B) {
+					g := newCriticalScheduler(engines)
+					g.peers.disabled = true
+					if kind == "today" {
+						g.settings.Mechanisms, _ = mechanism.Without(string(mechanism.Reservations))
+					}
+					keys := make([]string, 4096)
+					for i := range keys {
+						keys[i] = fmt.Sprint("own-", i)
+					}
+					call := Call{Model: "m", Parts: promptParts("own")}
+					in := selectionInput{
+						service: g.view.Load().services["s"], call: &call, trusted: true, sentByPeer: true, latencyCritical: true, firstAttempt: true,
+						priority: 1, latencyTarget: criticalObjective, timeLeft: 4 * time.Second,
+					}
+					now := time.Second
+					b.ReportAllocs()
+					i := 0
+					for b.Loop() {
+						now += 2 * time.Millisecond
+						if i%128 == 0 { // queues shrink by 256 ms in between
+							setPrefillBusy(g, now, queue)
+						}
+						call.Parts[2].ID, in.tenantName = keys[i%len(keys)], keys[i%82]
+						if chosen := g.choose(now, in); chosen != nil {
+							g.checkAdmission(now, chosen, in)
+						}
+						i++
+					}
+				})
+			}
+		}
+	}
+}
