Reservations: don't hold a share against requests without a tenant

Cause: builds that don't name the tenant send the requests of many as those of one, which would be above its share during an upgrade.

Change: such requests are not rejected for a share, and their places are not delayed. A test shows that idle engines are used however many places are given.

--- a/internal/admission/reservation/reservation.go
+++ b/internal/admission/reservation/reservation.go
@@ -87,7 +87,7 @@
 // Request is a request with a chosen placement.
 type Request struct {
 	Key       string        // identifies the request when it returns; "" if it cannot be recognized
-	Tenant    string        // "" if unknown
+	Tenant    string        // "" if unknown: requests of all tenants from builds that don't name them
 	Priority  int           // 0 is the most urgent
 	Wait      time.Duration // forecast wait at its priority until its prompt is read
 	Reading   time.Duration // forecast time to read its prompt; 0 if unknown
@@ -350,7 +350,7 @@
 		lvl.pressureAt = now
 	}
 	pressure := lvl.pressureAt > 0 && now < lvl.pressureAt+pressureTime
-	if pressure && load > overShareLimit*threshold && lvl.shares.above(now, use, c.servedPart(now)) {
+	if pressure && r.Tenant != "" && load > overShareLimit*threshold && lvl.shares.above(now, use, c.servedPart(now)) {
 		return ReasonShare, true
 	}
 	switch {
@@ -397,7 +397,9 @@
 func (c *Controller) reserve(now time.Duration, r Request, lvl *level, use *tenantUse, reason Reason) (retryAfter time.Duration, hasPlace bool) {
 	expected := time.Duration(lvl.ratios.medianAt(now) * float64(r.Wait))
 	delay := max(minPlaceDelay, expected-time.Duration(targetWait*float64(r.limit())))
-	delay = max(delay, lvl.shares.delay(now, use, c.servedPart(now)))
+	if r.Tenant != "" {
+		delay = max(delay, lvl.shares.delay(now, use, c.servedPart(now)))
+	}
 	record := c.recordOf(now, r, use)
 	if record != nil {
 		if record.hasPlace() {
--- a/internal/admission/reservation/reservation_test.go
+++ b/internal/admission/reservation/reservation_test.go
@@ -253,6 +253,24 @@
 	}
 }
 
+// An idle engine is not kept free for requests that return later, however many places are given.
+func TestIdleEngineIsUsed(t *testing.T) {
+	now := time.Minute
+	c := newBusy(now)
+	fill(c, now, 4)
+	readAt(c, now, now+600*time.Millisecond)
+	now += 600 * time.Millisecond
+	c.levels[4].load, c.levels[4].loadAt = 1, now // the queue was standing until now
+	r := newRequest("new", 0)
+	r.Priority, r.Tenant = 4, "new"
+	if ahead := c.placesAhead(now, r, nil); ahead < standingMargin*float64(testObjective) {
+		t.Fatalf("places ahead add %v to the wait, too little for this test", time.Duration(ahead))
+	}
+	if d := c.Decide(now, r); d.Rejected {
+		t.Fatalf("no queue: %+v", d)
+	}
+}
+
 // The least urgent requests get places beside those of more urgent ones, and one is not rejected for the places of
 // others more than twice in a row.
 func TestLeastUrgentIsNotStarved(t *testing.T) {
@@ -316,6 +334,31 @@
 	}
 }
 
+// Builds that name no tenant send the requests of many: these are not rejected for a share.
+func TestUnnamedTenantHasNoShare(t *testing.T) {
+	c, now, queued := newBusy(time.Minute), time.Minute, 0.0
+	for i := range 3000 { // a load of twice the capacity, of which 8 of 10 parts name no tenant
+		step := time.Second * testTokens / testRate / 2
+		now += step
+		queued = max(0, queued-testRate*step.Seconds())
+		c.ObserveRead(now, testTokens/2)
+		r := newRequest(fmt.Sprint(i), time.Duration(queued/testRate*float64(time.Second)))
+		if r.Tenant = ""; i%10 >= 8 {
+			r.Tenant = fmt.Sprint(i % 10)
+		}
+		d := c.Decide(now, r)
+		if !d.Rejected {
+			queued += testTokens
+		}
+		if d.Reason == ReasonShare && r.Tenant == "" {
+			t.Fatalf("request %d: %+v", i, d)
+		}
+	}
+	if c.Counts().Rejected == 0 {
+		t.Fatal("nothing was rejected")
+	}
+}
+
 // The fair share is the max-min one: what some don't ask for goes to the others.
 func TestFairShareIsMaxMin(t *testing.T) {
 	now := time.Minute
