--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"kitetiller/internal/admission"
+	"kitetiller/internal/admission/reservation"
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
 	"kitetiller/internal/gateway/belief"
@@ -73,6 +74,8 @@
 	lastQueueNumber  uint64                            // of a placement in a queue
 	rosterChanged    *notifier                         // signals each new roster
 	waiting          map[*attempt]struct{}             // awaiting a response, also at removed back ends
+	// reservations are those of latency-critical services.
+	reservations map[string]*reservation.Controller
 }
 
 func newTable(mechanisms mechanism.Set) *table {
@@ -80,7 +83,7 @@
 		mechanisms: mechanisms, rows: map[string]*endpoint{}, services: map[string][]*endpoint{},
 		published: belief.NewPublishTimes(guard.Set{}), stored: belief.NewStoredParts(), links: belief.Links{}, signals: pushback.NewTracker(),
 		lanes: map[string]*lanes{}, meanDurations: map[string]belief.MeanDuration{}, prefillEstimates: map[string]belief.PrefillEstimate{}, lastSent: map[string]time.Duration{}, admission: map[string]*admission.Controller{},
-		queueRates: map[string]*enginequeue.Rates{}, placed: map[string]placement{}, holders: map[string][]*endpoint{}, waiting: map[*attempt]struct{}{}, rosterChanged: newNotifier(), lastRetryAt: map[string]time.Duration{},
+		queueRates: map[string]*enginequeue.Rates{}, placed: map[string]placement{}, holders: map[string][]*endpoint{}, waiting: map[*attempt]struct{}{}, rosterChanged: newNotifier(), lastRetryAt: map[string]time.Duration{}, reservations: map[string]*reservation.Controller{},
 	}
 }
 
@@ -286,6 +289,9 @@
 	for _, controller := range t.admission {
 		controller.Sweep(now)
 	}
+	for _, controller := range t.reservations {
+		controller.Sweep(now)
+	}
 	t.links.Sweep(now)
 	t.sweepHolders()
 	t.sweepLastSent(now)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -250,12 +250,15 @@
 	}
 	in.latencyCritical, in.offer = x.view.critical[x.service.Name], x.view.offer(x.service.Name)
 	in.maxEventGap = x.view.gaps[x.service.Name]
+	if x.tenant != nil {
+		in.tenantName = x.tenant.Name
+	}
 	if x.gateway.enabled(mechanism.StoreTransfers) {
 		in.store = x.view.storeOf(x.call.Parts)
 	}
 	waitUntil := x.gateway.now() + backendWait
 	for {
-		in.trusted = x.gateway.trusted(x.gateway.now())
+		in.trusted, in.timeLeft = x.gateway.trusted(x.gateway.now()), x.deadline-x.gateway.now()
 		changed := x.gateway.table.rosterChanged.Next()
 		chosen := x.requestPlacement(in)
 		if chosen == nil {
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -27,6 +27,7 @@
 	FirstAttempt    bool     `json:"f,omitempty"` // no back end was sent the request yet, so it may be rejected
 	Priority        int      `json:"r,omitempty"` // 0 is the most urgent
 	LatencyTargetMS int64    `json:"o,omitempty"` // the route's objective
+	Tenant          string   `json:"n,omitempty"` // "" from builds without reservations
 }
 
 // wirePlacementReply answers a wirePlacementRequest. Instance is empty if no back end is available.
@@ -51,6 +52,10 @@
 	QueueMS  float64 `json:"qw,omitempty"`
 	PauseMS  float32 `json:"qm,omitempty"`
 	Slowness float32 `json:"qs,omitempty"`
+	// What was decided on the reservation of the request, for logs; see reservation.Decision.
+	Rejection string `json:"y,omitempty"`
+	Return    string `json:"z,omitempty"`
+	HasPlace  bool   `json:"p,omitempty"`
 }
 
 // wirePlacementEnd reports to a scheduler how a request that it placed ended, or that it had its first event.
@@ -112,6 +117,7 @@
 		in.store = current.storeOf(call.Parts)
 	}
 	in.firstAttempt, in.priority, in.latencyTarget = req.FirstAttempt, req.Priority, durationFromMS(req.LatencyTargetMS)
+	in.tenantName, in.timeLeft = req.Tenant, durationFromMS(req.TimeoutMS)
 	chosen := g.choose(now, in)
 	if chosen == nil {
 		return wirePlacementReply{}
@@ -119,11 +125,12 @@
 	if retryAfter, rejected := g.checkAdmission(now, chosen, in); rejected {
 		rejection := wirePlacementReply{Instance: chosen.row.entry.ID, WaitMS: chosen.wait, RetryAfterMS: max(1, retryAfter.Milliseconds())}
 		rejection.setForecast(chosen)
+		rejection.setReserved(chosen.reserved)
 		return rejection
 	}
 	load := g.table.addPlacement(now, req.PlacementID, placement{
 		row: chosen.row, load: loadOf(&call), uncached: chosen.uncached, engineIdle: chosen.engineIdle, expiresAt: now + durationFromMS(req.TimeoutMS),
-		priority: req.Priority, queueWait: chosen.queueWait, ownTime: chosen.wait - chosen.queueWait, queued: queuedRequest{number: chosen.queueNumber, placedAt: now},
+		priority: req.Priority, queueWait: chosen.queueWait, ownTime: chosen.ownTime(), queued: queuedRequest{number: chosen.queueNumber, placedAt: now},
 	})
 	g.announcePlacement(now, chosen, call.Parts, load)
 	reply := wirePlacementReply{
@@ -131,6 +138,7 @@
 		ReportFirstEvent: chosen.queueNumber > 0,
 	}
 	reply.setForecast(chosen)
+	reply.setReserved(chosen.reserved)
 	if limit, _ := g.table.advertisedLimit(now, chosen.row); limit != nil {
 		reply.Limit, reply.LimitAgeMS = &limit.Rate, limit.Age.Milliseconds()
 	}
@@ -161,6 +169,7 @@
 	} else {
 		g.table.observeQueueWait(row.entry.Service, p.priority, p.queueWait, p.uncached, durationFromMS(end.FirstEventMS), durationFromMS(end.DurationMS))
 	}
+	g.table.observeRead(now, row.entry.Service, p.priority, p.queueWait, p.ownTime, p.uncached, durationFromMS(end.FirstEventMS), durationFromMS(end.DurationMS))
 	g.peers.announce(announcement{Gateway: g.shortName, Load: load, Instance: row.entry.ID, Queue: p.ended})
 	if end.Unreached {
 		g.peers.announce(announcement{Gateway: end.Gateway, Instance: row.entry.ID, Unreachable: true})
--- a/internal/gateway/queues.go
+++ b/internal/gateway/queues.go
@@ -93,9 +93,9 @@
 func (g *Gateway) predictPrefill(now time.Duration, scored *candidate, in *selectionInput) (wait, prefillTime float64) {
 	if in.rates != nil {
 		f := scored.row.queueWith(in.rates).Forecast(now, in.priority, scored.uncached)
-		scored.pause, scored.slowness = float32(belief.Milliseconds(f.Pause)), float32(f.Slowness)
+		scored.pause = float32(belief.Milliseconds(f.Pause))
 		if g.enabled(mechanism.EngineQueue) {
-			scored.engineIdle = f.Idle
+			scored.engineIdle, scored.slowness = f.Idle, float32(f.Slowness)
 			return belief.Milliseconds(f.Wait), belief.Milliseconds(f.FirstEvent - f.Wait)
 		}
 	}
@@ -104,6 +104,15 @@
 	return belief.Milliseconds(queue), belief.Milliseconds(g.table.prefillEstimate(in.service.Name).PrefillTime(scored.uncached))
 }
 
+// ownTime returns the predicted time from the start of the prefill to the first event, in milliseconds, or 0 if no
+// engine queue forecast it.
+func (c *candidate) ownTime() float64 {
+	if c.slowness == 0 {
+		return 0
+	}
+	return c.wait - c.queueWait
+}
+
 // queueStats describes the queues of one service.
 type queueStats struct {
 	outstanding int     // requests without a first event
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -160,6 +160,7 @@
 		Excluded: g.table.excluded(g.now(), x.service.Name, in.tried), TimeoutMS: (x.deadline - g.now()).Milliseconds(),
 	}
 	req.FirstAttempt, req.Priority, req.LatencyTargetMS = in.firstAttempt, in.priority, in.latencyTarget.Milliseconds()
+	req.Tenant = in.tenantName
 	if in.tenant != nil && in.tenant.Isolated {
 		req.IsolatedTenant = in.tenant.Name
 	}
@@ -188,7 +189,7 @@
 		return nil
 	}
 	if reply.RetryAfterMS > 0 {
-		return &candidate{wait: reply.WaitMS, queueWait: reply.QueueMS, pause: reply.PauseMS, slowness: reply.Slowness, retryAfter: durationFromMS(reply.RetryAfterMS)}
+		return &candidate{wait: reply.WaitMS, queueWait: reply.QueueMS, pause: reply.PauseMS, slowness: reply.Slowness, retryAfter: durationFromMS(reply.RetryAfterMS), reserved: reply.reserved()}
 	}
 	placed.reportFirstEvent = reply.ReportFirstEvent
 	now := g.now()
@@ -197,7 +198,7 @@
 	defer g.table.mutex.Unlock()
 	chosen := &candidate{
 		row: g.table.rows[reply.Instance], version: reply.Version, salt: cacheSalt(reply.Version, in.tenant), wait: reply.WaitMS,
-		uncached: max(0, reply.Uncached), recomputed: max(0, reply.Recomputed), recomputeReason: recomputeCause(reply.RecomputeReason), fetchFrom: reply.FetchFrom, saveTo: reply.SaveTo, scheduled: &placed,
+		uncached: max(0, reply.Uncached), recomputed: max(0, reply.Recomputed), recomputeReason: recomputeCause(reply.RecomputeReason), fetchFrom: reply.FetchFrom, saveTo: reply.SaveTo, reserved: reply.reserved(), scheduled: &placed,
 		queueWait: reply.QueueMS, pause: reply.PauseMS, slowness: reply.Slowness,
 	}
 	if reply.Version == 0 {
