Keep short and long prompts of latency-critical services in separate lanes

What is queued when a stream is placed says little of it: it is what arrives during the stream. Change: for latency-critical services, with the mechanism pause-bound, lanes go by the size of the prompt rather than by what is uncached, and a request at an engine of the other lane costs as much as missing its objective. A long prompt of which little is uncached may stay where it is cached.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -116,7 +116,7 @@
 		lanes := g.table.lanesOf(in.service.Name)
 		lanes.divide(rows)
 		lanes.measureUtilization(now, rows)
-		lanes.keepWeight = in.latencyCritical && g.enabled(mechanism.PauseBound)
+		lanes.strict = in.latencyCritical && g.enabled(mechanism.PauseBound)
 		in.rates = g.table.queueRates[in.service.Name]
 		in.memory, in.meanDuration = promptMemory(in.call), g.table.meanDuration(in.service.Name)
 	}
@@ -180,7 +180,7 @@
 		if best != nil && weight <= highest {
 			continue
 		}
-		if !g.eligible(now, row, in) || now < row.avoidUntil || g.offLaneCost(row, uncached) > 0 || g.table.signals.Limit(row.incarnation).Advertised {
+		if !g.eligible(now, row, in) || now < row.avoidUntil || g.offLaneCost(row, &in, uncached) > 0 || g.table.signals.Limit(row.incarnation).Advertised {
 			continue // one with an advertised limit is eligible only at times, so the prompt would be computed in two places
 		}
 		best, highest = row, weight
@@ -245,7 +245,7 @@
 	scored.wait = scored.cost
 	scored.queueWait = scored.wait - prefillTime
 	scored.cost += g.pauseCost(scored, &in, load.Running)
-	scored.cost += g.offLaneCost(row, scored.uncached)
+	scored.cost += g.offLaneCost(row, &in, scored.uncached)
 	if g.enabled(mechanism.RecomputeCost) {
 		scored.cost += recomputeWeight * float64(sharedTokens-cached) / belief.PrefillRate
 	}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -265,7 +265,7 @@
 		}
 		t.addPrefill(at, row, sent.Uncached)
 		t.recordCached(at, row, sent)
-		t.recordDemand(at, row, sent.Uncached)
+		t.recordDemand(at, row, &sent)
 	}
 	return updates
 }
--- a/internal/gateway/holders.go
+++ b/internal/gateway/holders.go
@@ -53,9 +53,9 @@
 
 // recordDemand records the demand of a request sent to an engine, for the lanes of its service. The caller holds
 // the mutex.
-func (t *table) recordDemand(now time.Duration, row *endpoint, uncached int) {
+func (t *table) recordDemand(now time.Duration, row *endpoint, sent *announcement) {
 	slotTime := float64(t.meanDuration(row.entry.Service)) / float64(max(1, row.entry.Slots))
-	t.lanesOf(row.entry.Service).recordDemand(now, uncached, slotTime)
+	t.lanesOf(row.entry.Service).recordDemand(now, prefix.PartTokens(sent.Parts), sent.Uncached, slotTime)
 }
 
 // recordCached records the parts that a request leaves in the caches of its engine and of the store. The caller
@@ -75,7 +75,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if row := t.rows[sent.Instance]; row != nil && sent.Salt != "" {
-		t.recordDemand(now, row, sent.Uncached)
+		t.recordDemand(now, row, &sent)
 		t.recordCached(now, row, sent)
 	}
 }
--- a/internal/gateway/lanes.go
+++ b/internal/gateway/lanes.go
@@ -42,7 +42,18 @@
 	members       [2][]*endpoint // engines of the short lane and of the long lane
 	utilization   float64        // fraction of slots in use
 	utilizationAt time.Duration  // when utilization was computed
-	keepWeight    bool           // the weight does not depend on the utilization
+	// strict lanes, of latency-critical services, keep apart prompts by their size rather than by what is uncached, and
+	// have the full weight at every utilization.
+	strict bool
+}
+
+// isLong reports whether a request with a prompt of the given size, of which some tokens are uncached, belongs to the long
+// lane.
+func (l *lanes) isLong(promptTokens, uncached int) bool {
+	if l.strict {
+		return promptTokens >= longPromptTokens
+	}
+	return uncached >= longPromptTokens
 }
 
 // measureUtilization computes the slot utilization; it is 0 if the slots are not known.
@@ -64,17 +75,17 @@
 // weight returns the factor applied to off-lane costs, from 0 to 1. Streams of latency-critical services pause during
 // the prefills of long requests also while slots are scarce, so their lanes keep the full weight.
 func (l *lanes) weight() float64 {
-	if l.keepWeight {
+	if l.strict {
 		return 1
 	}
 	return min(max(1-l.utilization/lanesOffUtilization, 0), 1)
 }
 
-// recordDemand adds the demand of a request. slotTime is how long it occupies a slot, divided by the engine's
+// recordDemand adds the demand of a request with a prompt of the given size. slotTime is how long it occupies a slot, divided by the engine's
 // slots, in milliseconds.
-func (l *lanes) recordDemand(now time.Duration, uncached int, slotTime float64) {
+func (l *lanes) recordDemand(now time.Duration, promptTokens, uncached int, slotTime float64) {
 	l.decay(now)
-	if uncached >= longPromptTokens {
+	if l.isLong(promptTokens, uncached) {
 		l.long += float64(uncached)
 		return
 	}
@@ -124,10 +135,8 @@
 	}
 }
 
-// of returns the engines for requests with the given tokens to prefill.
-func (l *lanes) of(uncached int) []*endpoint {
-	return l.members[laneIndex(uncached >= longPromptTokens)]
-}
+// of returns the engines for requests of a lane.
+func (l *lanes) of(long bool) []*endpoint { return l.members[laneIndex(long)] }
 
 func laneIndex(long bool) int {
 	if long {
@@ -138,11 +147,30 @@
 
 // offLaneCost returns the cost of a request at an engine of the other lane, in milliseconds, scaled by the weight
 // of the service's lanes, or 0 if lanes are disabled.
-func (g *Gateway) offLaneCost(e *endpoint, uncached int) float64 {
+func (g *Gateway) offLaneCost(e *endpoint, in *selectionInput, uncached int) float64 {
 	if !g.enabled(mechanism.Lanes) {
 		return 0
 	}
-	return g.table.lanesOf(e.entry.Service).weight() * e.fullOffLaneCost(uncached)
+	lanes := g.table.lanesOf(e.entry.Service)
+	if lanes.strict {
+		return strictLaneCost(e.longLane, in.promptTokens(), uncached, in.latencyTarget)
+	}
+	return lanes.weight() * e.fullOffLaneCost(uncached)
+}
+
+// strictLaneCost returns the cost of a request at an engine of the other lane of a latency-critical service. Beside the
+// prefills of long prompts, every fourth short stream pauses for longer than permitted, however little is queued when it
+// is placed, and a long prefill delays all streams of a short lane. Either costs as much as missing the objective. A long
+// prompt of which little is uncached delays nobody, and goes where its cached parts are.
+func strictLaneCost(longLane bool, promptTokens, uncached int, objective time.Duration) float64 {
+	long := promptTokens >= longPromptTokens
+	switch {
+	case long == longLane:
+		return 0
+	case long && uncached < longPromptTokens:
+		return shortOffLaneCost
+	}
+	return max(longOffLaneCost, belief.Milliseconds(objective))
 }
 
 func (e *endpoint) fullOffLaneCost(uncached int) float64 {
--- a/internal/gateway/queues_test.go
+++ b/internal/gateway/queues_test.go
@@ -494,3 +494,30 @@
 		t.Fatalf("metrics %v, want 3 with one series", found)
 	}
 }
+
+// Guards against streams of a latency-critical service that pause beside long prefills: a short request is placed in the
+// long lane, or a long one in the short lane, only where all else would miss the objective as well. Long prompts of
+// which little is uncached may stay where their parts are cached.
+func TestStrictLanesKeepPromptsApartBySize(t *testing.T) {
+	const objective = 300 * time.Millisecond
+	for _, c := range []struct {
+		longLane         bool
+		prompt, uncached int
+		want             float64
+	}{
+		{true, 800, 500, 300}, {false, 800, 800, 0},
+		{true, 9000, 2900, 0}, {false, 9000, 2900, 300}, {false, 9000, 400, shortOffLaneCost}, {true, 9000, 400, 0},
+	} {
+		if got := strictLaneCost(c.longLane, c.prompt, c.uncached, objective); got != c.want {
+			t.Errorf("%+v: cost %v ms", c, got)
+		}
+	}
+	if got := strictLaneCost(true, 800, 500, 10*time.Millisecond); got != longOffLaneCost {
+		t.Errorf("with a tiny objective: cost %v ms, want %v", got, longOffLaneCost)
+	}
+	l := &lanes{strict: true}
+	l.recordDemand(time.Second, 9000, 700, 0)
+	if l.long != 700 || l.short != 0 {
+		t.Errorf("a long prompt counts as short demand: %v and %v", l.long, l.short)
+	}
+}
--- a/internal/gateway/shortlist.go
+++ b/internal/gateway/shortlist.go
@@ -66,7 +66,7 @@
 		return rows
 	}
 	lanes := g.table.lanesOf(in.service.Name)
-	if lane := lanes.of(in.maxUncached()); len(lane) > 0 && lanes.weight() > 0 {
+	if lane := lanes.of(lanes.isLong(in.promptTokens(), in.maxUncached())); len(lane) > 0 && lanes.weight() > 0 {
 		return lane
 	}
 	return rows
