Write the headers of copies, and read version changes in events

Cause: the gateway could neither ask an engine to keep a copy of a run elsewhere nor to continue one, and passed on events that name other weights without reading that. Nothing sets the fields yet.

--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -26,13 +26,17 @@
 	Instance       string        // ID of the incarnation that the request is for; any other must reject it
 	TimeLeft       time.Duration // time until the request's deadline
 	Tenant         string        // owner of the API key, or ""
-	Engine         bool          // the back end is an engine, so that the fields from Salt to SaveTo apply
+	Engine         bool          // the back end is an engine, so that the fields from Salt to SaveTo, BackupTo and ContinueFrom apply
 	Salt           string        // namespace of cached parts
 	Priority       int           // 0 is the most urgent
 	WeightsVersion uint64        // expected version of the weights; 0 if unknown
 	FetchFrom      string        // address of an engine or store that may have parts of the prompt cached, or ""
 	SaveTo         string        // address of a store to save the prompt's parts to, or ""
 	LastEvent      string        // ID of the last event of the stream that the caller has
+	BackupTo       string        // address of an engine that keeps a copy of the run's memory, or ""
+	// ContinueFrom is the address of the engine itself if it is to continue a run from the copy that it keeps, else "".
+	// The run is named by the ID of the caller's request.
+	ContinueFrom string
 }
 
 // ResponseInfo holds the properties that a Dialect reads from the headers of a back end's response.
@@ -59,4 +63,7 @@
 	WriteForwarding(header http.Header, forwarding Forwarding)
 	// ReadResponse reads status and headers of a back end's response.
 	ReadResponse(status int, header http.Header) ResponseInfo
+	// ReadEventVersion returns the version of the weights that a stream event names, and whether it names one. An event
+	// that is cut off names one, 0 if unreadable, unless it certainly does not.
+	ReadEventVersion(event []byte) (version uint64, named bool)
 }
