Continue broken streams at the engine that keeps a copy of their run

Cause: a stream that may not be resumed is cut when its engine ends, though engines can keep a copy of the run and go on with it. Change: for latency-critical services whose engines offer copies, the gateway that sends a stream of a non-resumable route names an engine for the copy. If the engine's side ended the connection after a signed head, the next attempt continues there: same version, salt and head, no new lease of the tenant's limit, one retry of the fleet's budget. All else breaks as before: continueAfter now gives up any request that may have run and may not be repeated, also if the continuation was not sent. Log events, fields and metrics by outcome.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -28,6 +28,8 @@
 	AttemptFailed            = "attempt failed"
 	BackendCrashed           = "back end ended under requests" // requests were aborted; the end of their backend is verified
 	CrashNotReported         = "ended back end not told"       // the queue of reports to control is full
+	StreamContinued          = "stream continued"              // at the engine that keeps a copy of its run
+	StreamNotContinued       = "stream not continued"
 	RequestAnswered          = "request answered"
 	RequestRejected          = "request refused"
 	LogLinesDropped          = "log lines dropped"
@@ -103,6 +105,11 @@
 	FieldBackoffLeft       = "rest_left"
 	FieldBackoffLeftAtSend = "sent_at_rest"
 	FieldUnparsedValue     = "unread"
+	// FieldCopyAt is the engine that was asked to keep a copy of the run, FieldContinued how often the stream went on
+	// from its copy, and FieldNotContinued why it did not.
+	FieldCopyAt       = "copy_at"
+	FieldContinued    = "continued"
+	FieldNotContinued = "not_continued"
 	// FieldAdvertisedLimit is the limit that a backend advertises, in requests per second.
 	FieldAdvertisedLimit = "limit"
 )
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -37,11 +37,14 @@
 		return a.rejected(response, info)
 	case !x.route.Retryable() && statusImpliesNotRun(response.StatusCode):
 		return a.invalidResponse("not-run status without confirmation by the back end: " + response.Status)
-	case x.headRelayed && (!info.Signed || response.StatusCode >= http.StatusMultipleChoices):
+	case (x.headRelayed || a.continues) && (!info.Signed || response.StatusCode >= http.StatusMultipleChoices):
 		return a.invalidResponse("stream not resumed: " + response.Status)
 	case response.StatusCode < http.StatusMultipleChoices && !info.Signed:
 		return a.invalidResponse("successful response without signature")
 	case response.StatusCode < http.StatusMultipleChoices && x.route.Streaming:
+		if problem := a.recordStreamHead(response, info); problem != "" {
+			return a.invalidResponse(problem)
+		}
 		return a.relayStream(response)
 	}
 	return a.relayBuffered(response)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -95,14 +95,18 @@
 	advertisedLimit  pushback.Limit  // limit advertised by the back end when the request was sent
 	limitLease       allowance.Lease // lease on the advertised limit; reset when the request is sent
 	crashChecked     <-chan struct{} // closed once the check whether the back end crashed is done; nil without a check
+	continues        bool            // it continues the run of an earlier attempt from the copy that the back end keeps
+	copyAt           *endpoint       // asked to keep a copy of the run; nil without one
+	endedByEngine    bool            // the back end's side ended the connection in the middle of the response
 }
 
 func (x *exchange) newAttempt(chosen *candidate) *attempt {
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	a := &attempt{
 		exchange: x, row: chosen.row, startedAt: x.gateway.now(), uncached: chosen.uncached, ctx: ctx, cancel: cancel,
-		plan: *chosen, writeDone: make(chan error, 1),
+		plan: *chosen, writeDone: make(chan error, 1), continues: chosen == x.continuation,
 	}
+	x.continuation = nil
 	x.tried = append(x.tried, chosen.row)
 	return a
 }
@@ -138,6 +142,8 @@
 		_ = conn.Close()
 		return result{kind: resultUnreachable, cause: cause}
 	}
+	a.arrangeCopy()
+	defer a.releaseCopy()
 	a.limitLease = allowance.Lease{} // used up
 	x.sentCount++
 	a.quotaLease, x.quotaLease = x.quotaLease, quotaLease{}
@@ -159,6 +165,10 @@
 	now := x.gateway.now()
 	load := x.gateway.table.begin(now, a)
 	x.backoffLeft, x.advertisedLimit = max(x.backoffLeft, a.backoffLeft), a.advertisedLimit
+	if a.continues { // no prompt is placed, only the load moves
+		x.gateway.peers.announce(announcement{Gateway: x.gateway.shortName, Load: load, Instance: a.row.entry.ID})
+		return
+	}
 	x.gateway.metrics.recordPrompt(a.uncached, x.call.PromptTokens)
 	if a.plan.scheduled != nil {
 		return // the scheduler has announced it
@@ -181,6 +191,10 @@
 func (a *attempt) end() {
 	x := a.exchange
 	load := x.gateway.table.end(x.gateway.now(), a, a.outcome)
+	if a.continues {
+		x.gateway.peers.announce(announcement{Gateway: x.gateway.shortName, Load: load, Instance: a.row.entry.ID})
+		return
+	}
 	if a.plan.scheduled == nil {
 		x.gateway.table.observePrefill(a.row, a.plan.engineIdle, a.uncached, a.timeToFirstEvent())
 		x.gateway.table.observeQueueWait(x.service.Name, enginePriority(x.tenant, x.route), a.plan.queueWait, a.uncached, a.timeToFirstEvent(), x.gateway.now()-a.startedAt)
@@ -233,7 +247,7 @@
 		return "over"
 	case x.keyRequired && !x.gateway.trusted(now):
 		return reasonViewUnconfirmed
-	case !x.hasQuota():
+	case !a.continues && !x.hasQuota(): // a continuation counts as the same run
 		return reasonLimitUnknown
 	case x.crashCount() >= quarantine.QuarantineThreshold:
 		return reasonQuarantined
@@ -243,6 +257,9 @@
 	if a.row.gone || a.row.entry.State != catalog.StateReady {
 		return causeDraining
 	}
+	if a.continues && a.row.entry.Versions[x.call.Model] != a.plan.version {
+		return "other weights"
+	}
 	if a.row.entry.Loading {
 		return "loading" // the weights order may reach the engine first, as control doesn't know of the request yet
 	}
@@ -333,6 +350,12 @@
 		forwarding.Salt, forwarding.WeightsVersion, forwarding.Priority = a.plan.salt, a.plan.version, enginePriority(x.tenant, x.route)
 		forwarding.FetchFrom, forwarding.SaveTo = a.plan.fetchFrom, a.plan.saveTo
 	}
+	if a.copyAt != nil {
+		forwarding.BackupTo = x.copied.copyAddress
+	}
+	if a.continues {
+		forwarding.ContinueFrom = x.copied.continuedAt
+	}
 	x.gateway.dialect.WriteForwarding(header, forwarding)
 	if len(x.body) > 0 || x.request.ContentLength != 0 || x.request.Method == http.MethodPost {
 		header.Set("Content-Length", strconv.Itoa(len(x.body)))
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -44,7 +44,8 @@
 	limitPacedUntil     time.Duration // no more requests of other gateways are placed under its limit until then
 	reports             peerReport    // by other gateways that it is unreachable
 	gone                bool
-	assigned            bool // this gateway reads its cache events
+	copies              keptCopies // of this gateway's runs
+	assigned            bool       // this gateway reads its cache events
 }
 
 // table holds the back ends of the current roster, and state shared by requests.
@@ -285,6 +286,7 @@
 	t.signals.Sweep(now, func(incarnation catalog.Incarnation) bool { return t.rows[incarnation.ID()] != nil })
 	for _, row := range t.rows {
 		row.occupancy.Sweep(now)
+		row.copies.sweep(now)
 	}
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -77,6 +77,8 @@
 	longestGap        time.Duration           // longest time between two events
 	placement         *candidate              // latest placement; nil before the first
 	quotaLease        quotaLease              // lease on the tenant's limit for the next attempt
+	copied            *copiedRun              // nil unless another engine may keep a copy of the stream's run
+	continuation      *candidate              // set if the next attempt continues the stream's run from its copy
 	backoffLeft       time.Duration           // longest backoff of a back end still running when the request was sent to it
 	advertisedLimit   pushback.Limit          // limit advertised by the back end of the latest attempt
 	cachedFingerprint *quarantine.Fingerprint // of the request; nil until first needed
@@ -199,15 +201,18 @@
 // run makes attempts until the caller has a response.
 func (x *exchange) run() {
 	for {
-		if x.endIfExpired() || x.rejectIfQuarantined() || !x.acquireQuota() {
+		if x.endIfExpired() || x.rejectIfQuarantined() || x.continuation == nil && !x.acquireQuota() {
 			return
 		}
-		chosen := x.place()
+		chosen := x.continuation
 		if chosen == nil {
-			x.giveUp(x.noBackendReason())
-			return
+			chosen = x.place()
+			if chosen == nil {
+				x.giveUp(x.noBackendReason())
+				return
+			}
+			x.placement = chosen
 		}
-		x.placement = chosen
 		if chosen.retryAfter > 0 {
 			x.reject(http.StatusServiceUnavailable, reasonOverload, chosen.retryAfter)
 			return
@@ -215,12 +220,17 @@
 		a := x.newAttempt(chosen)
 		result := a.perform()
 		if result.kind == resultAnswered {
+			x.recordContinuation(a, result)
 			return
 		}
 		if result.kind == resultNotRun {
 			x.quotaLease = a.quotaLease // the request did not run, so the lease is still unused
 		}
 		x.logFailure(a, result)
+		x.recordContinuation(a, result)
+		if x.prepareContinuation(a, result) {
+			continue
+		}
 		if x.route.Retryable() {
 			a.awaitCrashCheck()
 		}
@@ -285,6 +295,10 @@
 	if x.endIfExpired() {
 		return false
 	}
+	if x.mayHaveRun && !x.route.Retryable() { // also if a continuation was not sent
+		x.giveUp(reasonRunUnknown, 0)
+		return false
+	}
 	switch result.kind {
 	case resultUnreachable:
 		if result.cause == causeLimitReached {
@@ -299,10 +313,6 @@
 	case resultFailed:
 		return true
 	case resultNotRun:
-		if x.mayHaveRun && !x.route.Retryable() {
-			x.giveUp(reasonRunUnknown, 0)
-			return false
-		}
 		return x.retryOrGiveUp(reasonRejected, max(minRetryAfter, x.rejectionRetryAfter(result)))
 	}
 	if !x.route.Retryable() || x.isSuspect() {
--- a/internal/gateway/final.go
+++ b/internal/gateway/final.go
@@ -86,6 +86,7 @@
 	if x.servedBy != "" {
 		fields = append(fields, zap.String(events.FieldInstance, x.servedBy))
 	}
+	fields = append(fields, x.copyFields()...)
 	x.gateway.log.info(event, fields...)
 	x.gateway.metrics.recordOutcome(event, reason)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -68,12 +68,20 @@
 	limitLeases       *prometheus.CounterVec // lease requests for advertised limits of back ends, by outcome
 	unknownHeaders    prometheus.Counter     // unknown headers in back ends' responses
 	retries           prometheus.Counter
-	cacheReadFailures prometheus.Counter // failed requests for engines' cache events
-	schedulerFailures prometheus.Counter // placement requests that no scheduler answered in time
-	uncachedTokens    prometheus.Counter // prompt tokens sent to engines that they have to prefill
-	cachedTokens      prometheus.Counter // prompt tokens sent to engines that are expected to be cached or copied there
+	cacheReadFailures prometheus.Counter     // failed requests for engines' cache events
+	schedulerFailures prometheus.Counter     // placement requests that no scheduler answered in time
+	uncachedTokens    prometheus.Counter     // prompt tokens sent to engines that they have to prefill
+	cachedTokens      prometheus.Counter     // prompt tokens sent to engines that are expected to be cached or copied there
+	streamCopies      *prometheus.CounterVec // streams to be copied, by whether an engine was asked to keep the copy
+	continuations     *prometheus.CounterVec // such streams that broke off, by outcome: the result of the continuation, or why there was none
 }
 
+// Outcomes of the choice of an engine for a copy, as metric labels.
+const (
+	copyAsked = "asked"
+	copyNone  = "none" // no engine qualified, or the stream is too short
+)
+
 const outcomeAnswered = "answered"
 
 func newMetrics(g *Gateway) *metrics {
@@ -88,6 +96,12 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kitetiller_gateway_attempts_failed_total", Help: "Attempts that failed, by result.",
 		}, []string{"result"}),
+		streamCopies: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kitetiller_gateway_stream_copies_total", Help: "Streams that can't be resumed elsewhere, by whether another engine was asked to keep a copy of the run.",
+		}, []string{"outcome"}),
+		continuations: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kitetiller_gateway_streams_continued_total", Help: "Such streams that broke off, by the result of the continuation or why there was none.",
+		}, []string{"outcome"}),
 		recheckFailures: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kitetiller_gateway_sends_put_off_total", Help: "Sends whose back end turned out to leave, to want rest or to be at its limit after it was chosen, by cause.",
 		}, []string{"cause"}),
@@ -107,7 +121,7 @@
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "kitetiller_gateway_" + name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.recheckFailures, m.limitLeases, m.firstEvent, m.unknownHeaders, m.retries, m.cacheReadFailures, m.schedulerFailures, m.uncachedTokens, m.cachedTokens, newBackoffGauge(g), newAdvertisedLimitGauge(g),
+	m.registry.MustRegister(m.requests, m.attempts, m.recheckFailures, m.limitLeases, m.firstEvent, m.unknownHeaders, m.retries, m.cacheReadFailures, m.schedulerFailures, m.uncachedTokens, m.cachedTokens, m.streamCopies, m.continuations, newBackoffGauge(g), newAdvertisedLimitGauge(g),
 		gauge("limit_questions_total", "Questions to the leader for amounts of what is limited.", func() float64 { sent, _ := g.leases.RequestCounts(); return float64(sent) }),
 		gauge("limit_questions_failed_total", "Such questions that got no answer.", func() float64 { _, failed := g.leases.RequestCounts(); return float64(failed) }),
 		gauge("suspected_requests", "Requests under which more than one back end ended, as control tells.", func() float64 { suspected, _ := g.quarantine.SuspectCounts(); return float64(suspected) }),
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -86,9 +86,17 @@
 // permits it; otherwise the caller's connection is closed, so that the response does not look complete.
 func (a *attempt) relayStream(response *http.Response) result {
 	x := a.exchange
-	if !strings.HasPrefix(response.Header.Get("Content-Type"), eventStream) && !x.headRelayed {
+	isStream := strings.HasPrefix(response.Header.Get("Content-Type"), eventStream)
+	if a.continues && !isStream {
+		return a.invalidResponse("continuation is no stream")
+	}
+	if !isStream && !x.headRelayed {
 		return a.relayBuffered(response)
 	}
+	head := response
+	if a.continues {
+		head = x.copied.head // the caller gets the head and signature of the engine that began the run
+	}
 	stream := &eventReader{reader: bufio.NewReaderSize(response.Body, readBufferSize), buffered: &x.gateway.buffered}
 	defer stream.close()
 	controller := http.NewResponseController(x.writer)
@@ -98,17 +106,21 @@
 			return a.finishStream(response)
 		}
 		if err != nil {
+			a.recordStreamBreak(err, stream.event)
 			return a.connectionFailed(err)
 		}
 		x.gateway.table.recordBytes(x.gateway.now(), a)
 		if stream.id != "" && !followsEvent(stream.id, x.lastEvent) {
 			return a.invalidResponse("event out of order")
 		}
+		if problem := a.recordStreamEvent(stream.id, event); problem != "" {
+			return a.invalidResponse(problem)
+		}
 		a.streamStarted.Store(true)
 		if a.silenceTimer != nil {
 			a.silenceTimer.Reset(max(minResumeTimeout, resumeGapFactor*x.route.MaxEventGap))
 		}
-		if !x.relayEvent(controller, response, event) {
+		if !x.relayEvent(controller, head, event) {
 			a.cancel(nil)
 			x.abandon()
 		}
@@ -143,6 +155,9 @@
 // finishStream ends a request whose stream the back end completed.
 func (a *attempt) finishStream(response *http.Response) result {
 	x := a.exchange
+	if a.continues && !x.headRelayed {
+		return a.invalidResponse("continuation without events")
+	}
 	if !x.headRelayed {
 		x.relayHead(response, -1) // a stream without any event
 	}
--- a/internal/gateway/streamcopy/choose.go
+++ b/internal/gateway/streamcopy/choose.go
@@ -25,7 +25,7 @@
 	Zone              string        // of its engine
 	Version           uint64        // of the weights that it runs on; 0 if unknown
 	Tokens            int           // of memory that the run needs at most
-	OutputTokens      int           // at most; 0 if unknown
+	OutputTokens      int           // that are left, at most; 0 if unknown
 	EventTokens       int           // that one event carries; 0 if unknown
 	Transfer          time.Duration // of the prompt to an engine of the same zone
 	CrossZoneTransfer time.Duration // to one of another zone
