--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -44,8 +44,9 @@
 	limitPacedUntil     time.Duration // no more requests of other gateways are placed under its limit until then
 	reports             peerReport    // by other gateways that it is unreachable
 	gone                bool
-	copies              keptCopies // of this gateway's runs
-	assigned            bool       // this gateway reads its cache events
+	copies              keptCopies    // of this gateway's runs
+	joinedAt            time.Duration // when this incarnation was first in the roster
+	assigned            bool          // this gateway reads its cache events
 }
 
 // table holds the back ends of the current roster, and state shared by requests.
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -34,7 +34,7 @@
 	for _, entry := range update.Entries {
 		row := t.rows[entry.ID]
 		if row == nil {
-			row = &endpoint{incarnation: catalog.ParseInstanceID(entry.ID), waiting: map[*attempt]time.Duration{}, lastByteAt: now, hash: xxhash.Sum64String(entry.Address)}
+			row = &endpoint{incarnation: catalog.ParseInstanceID(entry.ID), waiting: map[*attempt]time.Duration{}, lastByteAt: now, joinedAt: now, hash: xxhash.Sum64String(entry.Address)}
 			row.cache = belief.NewCacheEstimate(cacheLimits[entry.Service])
 			changes = append(changes, rosterChange{events.InstanceJoined, entry})
 		}
--- a/internal/gateway/streamcopies.go
+++ b/internal/gateway/streamcopies.go
@@ -19,6 +19,10 @@
 	"kitetiller/internal/prefix"
 )
 
+// startCaution is how long after its start an engine gets copies only if no other one qualifies. Engines that crash
+// repeatedly do so every few seconds.
+const startCaution = 12 * time.Second
+
 // defaultCopyTTL is how long a copy is taken to last after its run broke off, if the document does not say.
 const defaultCopyTTL = 5 * time.Second
 
@@ -127,8 +131,9 @@
 	load := row.occupancy.Total()
 	return streamcopy.Engine{
 		Hash: row.hash, Zone: row.entry.Zone, Version: row.entry.Versions[x.call.Model], Running: load.Running, Slots: row.entry.Slots,
-		Usable:     g.mayKeepCopies(now, row) && !slices.Contains(x.tried, row),
-		UsedTokens: load.Tokens, MemoryTokens: x.service.CacheTokens, Copies: row.copies.count, CopyTokens: row.copies.tokens,
+		Usable:      g.mayKeepCopies(now, row) && !slices.Contains(x.tried, row),
+		JustStarted: now-row.joinedAt < startCaution,
+		UsedTokens:  load.Tokens, MemoryTokens: x.service.CacheTokens, Copies: row.copies.count, CopyTokens: row.copies.tokens,
 	}
 }
 
--- a/internal/gateway/streamcopy/choose.go
+++ b/internal/gateway/streamcopy/choose.go
@@ -7,8 +7,10 @@
 
 const (
 	// sampleSize is how many engines are considered for a copy. The sample differs from run to run, so that gateways
-	// with equal knowledge spread their copies. All engines are considered only if none of the sample qualifies.
+	// with equal knowledge spread their copies. If none of the sample qualifies, up to maxScan more are considered; a
+	// scan of some 3,000 would take longer than the placement of the request.
 	sampleSize = 16
+	maxScan    = 128
 	// maxMemoryShare is the share of an engine's memory up to which copies are sent there. The rest is left to cached
 	// prompts, and to copies of other gateways, which are not known.
 	maxMemoryShare = 0.7
@@ -45,6 +47,7 @@
 	Slots        int    // 0 if unknown
 	UsedTokens   int    // memory of the running requests
 	MemoryTokens int    // 0 if unknown
+	JustStarted  bool   // an engine that has crashed often does so again
 	Copies       int    // that it keeps for this gateway
 	CopyTokens   int    // memory of these
 }
@@ -71,13 +74,16 @@
 
 // rank orders qualifying engines; the lowest is chosen.
 type rank struct {
-	otherZone bool // not in the preferred zones
-	copies    int
-	weight    uint64 // differs from run to run
+	justStarted bool
+	otherZone   bool // not in the preferred zones
+	copies      int
+	weight      uint64 // differs from run to run
 }
 
 func (a rank) less(b rank) bool {
 	switch {
+	case a.justStarted != b.justStarted:
+		return b.justStarted
 	case a.otherZone != b.otherZone:
 		return b.otherZone
 	case a.copies != b.copies:
@@ -88,12 +94,12 @@
 
 func (r *Run) rank(e *Engine) rank {
 	leaveZone := r.CrossZoneTransfer <= maxCrossZoneFactor*r.Transfer
-	return rank{otherZone: (e.Zone != r.Zone) != leaveZone, copies: e.Copies, weight: mix(r.Seed ^ e.Hash)}
+	return rank{justStarted: e.JustStarted, otherZone: (e.Zone != r.Zone) != leaveZone, copies: e.Copies, weight: mix(r.Seed ^ e.Hash)}
 }
 
-// Choose returns the index of the engine that keeps the run's copy, of count engines, or -1 if none qualifies. An engine
-// in another zone is preferred where the transfer there takes at most twice as long, else one in the same zone; then one
-// with few copies. Among equals the choice depends on the seed only.
+// Choose returns the index of the engine that keeps the run's copy, of count engines, or -1 if none is found. Engines that
+// have just started come last. An engine in another zone is preferred where the transfer there takes at most twice as
+// long, else one in the same zone; then one with few copies. Among equals the choice depends on the seed only.
 func Choose(run Run, count int, engine func(i int) Engine) int {
 	if !run.WantsCopy() {
 		return -1
@@ -116,8 +122,11 @@
 			return best
 		}
 	}
-	for i := range count {
-		consider(i)
+	for n := range min(count, maxScan) {
+		if count > maxScan {
+			n = int(mix(run.Seed+uint64(sampleSize+n)) % uint64(count))
+		}
+		consider(n)
 	}
 	return best
 }
--- a/internal/gateway/streamcopy/streamcopy_test.go
+++ b/internal/gateway/streamcopy/streamcopy_test.go
@@ -89,6 +89,25 @@
 	}
 }
 
+// TestCopyAvoidsEnginesThatJustStarted guards against copies at engines that are likely to crash again, while others
+// qualify.
+func TestCopyAvoidsEnginesThatJustStarted(t *testing.T) {
+	engines := testEngines(60)
+	for i := range engines {
+		engines[i].JustStarted = i != 3 // in the run's zone, and with copies
+	}
+	engines[3].Copies = 5
+	for seed := range uint64(50) {
+		if at := choose(testRun(seed), engines[:10]); at != 3 {
+			t.Fatalf("seed %d: engine %d, want 3", seed, at)
+		}
+	}
+	engines[3].Usable = false
+	if choose(testRun(1), engines) < 0 {
+		t.Fatal("no engine chosen where all have just started")
+	}
+}
+
 // TestNoCopyWithoutUse guards against the cost of copies of runs that could not be continued, or end with one event.
 func TestNoCopyWithoutUse(t *testing.T) {
 	for name, change := range map[string]func(*Run){
