Keep the reader of offers when a replica creates its group

Cause: createGroup replaces the replica, and the new one had no reader of offers. The first leader of a new group told gateways that back ends offer nothing, so no part that builds on an offer took effect. Found by a soak in which no stream got a copy. Change: the new replica takes over the reader. Result: TestGatewaysGetOffersFromANewGroup fails without the change and passes with it.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -164,6 +164,7 @@
 		s.fatal <- err
 		return
 	}
+	replica.readOffers = s.replica.readOffers
 	s.replica = replica
 	s.log.Info(events.GroupCreated)
 }
