Name a missing response head as the reason why a stream did not continue

Cause: a stream that broke before its head was logged as not-ended, as if its engine had still been connected. Change: the head is checked first, and for each engine by itself: a continuation that broke before its own head counts as without one.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -97,6 +97,7 @@
 	crashChecked     <-chan struct{} // closed once the check whether the back end crashed is done; nil without a check
 	continues        bool            // it continues the run of an earlier attempt from the copy that the back end keeps
 	copyAt           *endpoint       // asked to keep a copy of the run; nil without one
+	sentHead         bool            // of a stream to be copied: the back end has sent a signed response head
 	endedByEngine    bool            // the back end's side ended the connection in the middle of the response
 }
 
--- a/internal/gateway/streamcopies.go
+++ b/internal/gateway/streamcopies.go
@@ -175,6 +175,7 @@
 	if c == nil {
 		return ""
 	}
+	a.sentHead = true
 	otherVersion := info.WeightsVersion > 0 && info.WeightsVersion != c.version
 	if a.continues {
 		if otherVersion {
@@ -294,7 +295,7 @@
 	g, c := x.gateway, x.copied
 	now := g.now()
 	b := streamcopy.Break{
-		HasCopy: a.copyAt != nil, SignedHead: c.head != nil, EndedByEngine: a.endedByEngine, Canceled: x.ctx.Err() != nil, CallerGone: x.request.Context().Err() != nil,
+		HasCopy: a.copyAt != nil, SignedHead: a.sentHead, EndedByEngine: a.endedByEngine, Canceled: x.ctx.Err() != nil, CallerGone: x.request.Context().Err() != nil,
 		EventIDs: c.order.Numbered(), Version: c.version, VersionChanged: c.versionChanged, SinceLastEvent: now - c.latestAt, CopyTTL: x.copyTTL(),
 		TimeLeft: x.deadline - now, MaxPause: x.route.MaxEventGap, Continuations: c.continuations,
 		Suspect: x.isSuspect(), KeyUnconfirmed: x.keyRequired && !g.trusted(now),
--- a/internal/gateway/streamcopy/resume.go
+++ b/internal/gateway/streamcopy/resume.go
@@ -50,7 +50,7 @@
 // Break describes a stream that broke off.
 type Break struct {
 	HasCopy       bool
-	SignedHead    bool // a signed response head was received
+	SignedHead    bool // the engine that broke off had sent a signed response head
 	EndedByEngine bool // the engine's side closed or reset the connection in the middle of the response
 	Canceled      bool // the gateway had canceled the attempt, for a time-out or since the caller left
 	CallerGone    bool
@@ -78,10 +78,10 @@
 	switch {
 	case !b.HasCopy:
 		return NoCopy
-	case !b.EndedByEngine, b.Canceled, b.CallerGone:
-		return NotEnded
 	case !b.SignedHead:
 		return NoHead
+	case !b.EndedByEngine, b.Canceled, b.CallerGone:
+		return NotEnded
 	case !b.EventIDs:
 		return NoEventIDs
 	case b.VersionChanged, b.EngineLoading, b.Version == 0, b.EngineVersion > 0 && b.EngineVersion != b.Version:
