--- a/internal/gateway/queues_test.go
+++ b/internal/gateway/queues_test.go
@@ -276,6 +276,8 @@
 // plainDialect forwards requests without additional headers, and takes every response for a signed one.
 type plainDialect struct{}
 
+func (plainDialect) ReadEventVersion([]byte) (uint64, bool) { return 0, false }
+
 func (plainDialect) ReadCall(http.Header) Call               { return Call{} }
 func (plainDialect) WriteForwarding(http.Header, Forwarding) {}
 func (plainDialect) ReadResponse(int, http.Header) ResponseInfo {
