Tell gateways the serving schedulers of all zones

Cause: one scheduler of the whole fleet has to place the requests of a small service, and a gateway knows only the schedulers of its own zone. Change: the mesh of a watch reply carries them in an optional field, for every gateway alike. It is empty while every gateway is a scheduler, and so with the schedulers mechanism off. The layout that followers hold already has them.

--- a/internal/control/mesh/mesh.go
+++ b/internal/control/mesh/mesh.go
@@ -16,6 +16,9 @@
 	Column     []string `json:"column,omitempty"`     // addresses of the peers in the same column; they forward nothing
 	OtherZones []string `json:"abroad,omitempty"`     // one address per other zone; that peer forwards to its row and column
 	Schedulers []string `json:"schedulers,omitempty"` // addresses for placement requests; empty for a scheduler
+	// FleetSchedulers are the addresses of the schedulers of all zones that accept placement requests. It is empty while
+	// every gateway is a scheduler. Control replicas of earlier builds don't send it.
+	FleetSchedulers []string `json:"fleet,omitempty"`
 }
 
 // Peer is a gateway's name and its address for other gateways.
@@ -36,9 +39,31 @@
 	Zones map[string]Zone `json:"zones,omitempty"`
 }
 
-// MeshOf returns the mesh of a gateway. It is empty if the gateway is not part of the layout yet and all gateways of
+// MeshOf returns the mesh of a gateway. It has no peers if the gateway is not part of the layout yet and all gateways of
 // its zone are schedulers.
 func (l *Layout) MeshOf(zone, name string) Mesh {
+	mesh := l.peersOf(zone, name)
+	mesh.FleetSchedulers = l.fleetSchedulers()
+	return mesh
+}
+
+// fleetSchedulers returns the addresses of the schedulers of all zones that accept placement requests, or nil while every
+// gateway is a scheduler.
+func (l *Layout) fleetSchedulers() []string {
+	var addresses []string
+	chosen := false
+	for _, name := range l.sortedZones() {
+		chosen = chosen || !l.Zones[name].AllSchedule
+		addresses = append(addresses, l.Zones[name].Serving...)
+	}
+	if !chosen {
+		return nil
+	}
+	return addresses
+}
+
+// peersOf returns the mesh of a gateway without the schedulers of the fleet.
+func (l *Layout) peersOf(zone, name string) Mesh {
 	zoneLayout := l.Zones[zone]
 	index, schedules := zoneLayout.schedulerIndex(name)
 	switch {
--- a/internal/control/mesh/mesh_test.go
+++ b/internal/control/mesh/mesh_test.go
@@ -131,6 +131,43 @@
 	}
 }
 
+// TestFleetSchedulersAreTheSameForAllGateways guards against gateways that choose different schedulers for one service:
+// each is told the serving schedulers of all zones, also one that is not in the layout yet. While every gateway is a
+// scheduler, none is told any.
+func TestFleetSchedulersAreTheSameForAllGateways(t *testing.T) {
+	gateways, _ := gatewaysInZones(26, 27, 26, 2)
+	var planner Planner
+	planner.Plan(time.Second, gateways)
+	layout, _ := planner.Layout()
+	var want []string
+	for _, zone := range []string{"0", "1", "2", "3"} {
+		want = append(want, layout.Zones[zone].Serving...)
+	}
+	if len(want) != 3+3+3+2 {
+		t.Fatalf("%d schedulers, want 3 of each large zone and both gateways of the small one", len(want))
+	}
+	for _, g := range append(gateways, Gateway{Peer: Peer{Name: "newcomer"}, Zone: "3"}) {
+		if got := layout.MeshOf(g.Zone, g.Name).FleetSchedulers; !slices.Equal(got, want) {
+			t.Fatalf("%s is told %v, want %v", g.Name, got, want)
+		}
+	}
+	for _, sizes := range [][]int{{3, 2, 2}, {1}} {
+		few, _ := gatewaysInZones(sizes...)
+		var small Planner
+		small.Plan(time.Second, few)
+		layout, _ := small.Layout()
+		if got := layout.MeshOf("0", few[0].Name).FleetSchedulers; len(got) > 0 {
+			t.Fatalf("a fleet of %v is told %v, want none", sizes, got)
+		}
+	}
+	all := Planner{AllSchedule: true}
+	all.Plan(time.Second, gateways)
+	layout, _ = all.Layout()
+	if got := layout.MeshOf("0", gateways[0].Name).FleetSchedulers; len(got) > 0 {
+		t.Fatalf("told %v although the schedulers mechanism is off", got)
+	}
+}
+
 // TestLayoutCountRisesOnlyOnChange: planning the same gateways again keeps the layout.
 func TestLayoutCountRisesOnlyOnChange(t *testing.T) {
 	gateways, _ := gatewaysInZones(30, 30)
