Let one scheduler of the fleet assign the slots of a small service

Cause: on deployment S each zone has a scheduler of its own for the small service. It learns of the others' placements 40 to 65 ms late, while a request takes 60 ms, and sends to back ends whose slots are taken: 2,344 of 9,953 arrivals were rejected. Change: for a service without engines whose ready back ends have fewer slots than there are gateways, a gateway asks the first serving scheduler by rendezvous hash of the service's name. The call is held open until a slot is free or the bound passes. A scheduler that is silent is replaced by the next and probed in the background; without any, the gateway uses its equal part of the slots. A grant is not used 200 ms after the question, without the time in the queue. Reports of ends are repeated once. Schedulers and gateways of earlier builds work as before; what these run is counted. All other services decide as before, and a test of each condition compares.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -237,6 +237,9 @@
 		return reasonLimitUnknown
 	case x.crashCount() >= quarantine.QuarantineThreshold:
 		return reasonQuarantined
+	case a.plan.slot.expired(now):
+		x.gateway.metrics.recheckFailures.WithLabelValues(causeGrantExpired).Inc()
+		return causeGrantExpired
 	}
 	x.gateway.table.mutex.Lock()
 	defer x.gateway.table.mutex.Unlock()
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -59,6 +59,7 @@
 	retryAfter      time.Duration   // if not 0, the request is to be rejected, and retried after this time
 	// scheduled is set if a scheduler made the placement, and nil if this gateway did.
 	scheduled *schedulerPlacement
+	slot      *slotGrant // set if the request goes to a slot of a small service
 }
 
 // selectionInput describes the request for which a back end is selected.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -80,6 +80,7 @@
 	backoffLeft       time.Duration           // longest backoff of a back end still running when the request was sent to it
 	advertisedLimit   pushback.Limit          // limit advertised by the back end of the latest attempt
 	cachedFingerprint *quarantine.Fingerprint // of the request; nil until first needed
+	slot              slotTrace               // how the latest slot of a small service was obtained
 }
 
 // serve handles a caller's request.
@@ -204,6 +205,9 @@
 		}
 		chosen := x.place()
 		if chosen == nil {
+			if x.slot.source != "" && x.endIfExpired() {
+				return // the caller left, or the deadline passed, while the request waited for a slot
+			}
 			x.giveUp(x.noBackendReason())
 			return
 		}
@@ -252,6 +256,9 @@
 	if x.gateway.enabled(mechanism.StoreTransfers) {
 		in.store = x.view.storeOf(x.call.Parts)
 	}
+	if chosen, decided := x.placeInSlot(in); decided {
+		return chosen
+	}
 	waitUntil := x.gateway.now() + backendWait
 	for {
 		in.trusted = x.gateway.trusted(x.gateway.now())
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -137,6 +137,7 @@
 	g.nearby.update(reply.NearbyReplicas)
 	g.peers.setMesh(reply.Mesh)
 	g.schedulers.setAddresses(reply.Mesh.Schedulers)
+	g.slots.setSchedulers(reply.Mesh.FleetSchedulers)
 	g.table.setAssigned(reply.CacheEventSources)
 	g.assignCaches(ctx, reply)
 	if g.view.Load() != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,8 @@
 	peers       *peerAnnouncer
 	// schedulers place this gateway's requests if the fleet is large.
 	schedulers *schedulers
+	slots      *slotClient // asks for slots of small services
+	slotDesk   *slotDesk   // assigns slots of small services
 	// quarantine tracks which requests crash their back ends.
 	quarantine        *reporter.Reporter
 	shortName         string // identifies this process in announcements to other gateways
@@ -89,6 +91,7 @@
 	g.quarantine = reporter.New(reporter.Config{Submit: g.group.Quarantine, RefusesConnections: reporter.RefusesTCP(&g.pool.dialer), Log: g.log.info, Now: g.now})
 	g.leases = desk.New(g.shortName, settings.ViewTTL, g.now, g.requestLeases)
 	g.peers.disabled = !g.enabled(mechanism.GatewayMesh)
+	g.slots, g.slotDesk = newSlotClient(client), newSlotDesk(g)
 	g.metrics = newMetrics(g)
 	return g
 }
@@ -215,6 +218,7 @@
 	transport.Every(ctx, sweepPeriod, func() {
 		g.pool.sweep()
 		g.table.sweep(g.now())
+		g.slotDesk.sweep(g.now())
 		g.quarantine.Sweep()
 		g.weightsLogLimiter.Sweep(g.now())
 		g.backoffLogLimiter.Sweep(g.now())
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -70,6 +70,7 @@
 	retries           prometheus.Counter
 	cacheReadFailures prometheus.Counter // failed requests for engines' cache events
 	schedulerFailures prometheus.Counter // placement requests that no scheduler answered in time
+	slotInvalid       prometheus.Counter // absurd values in messages about slots of small services
 	uncachedTokens    prometheus.Counter // prompt tokens sent to engines that they have to prefill
 	cachedTokens      prometheus.Counter // prompt tokens sent to engines that are expected to be cached or copied there
 }
@@ -101,13 +102,14 @@
 		retries:           counter("repeats_total", "Requests sent to a further back end."),
 		cacheReadFailures: counter("cache_questions_failed_total", "Questions for engines' cache events that failed."),
 		schedulerFailures: counter("scheduler_questions_failed_total", "Questions for a placement that a scheduler did not answer in time."),
+		slotInvalid:       counter("slot_values_invalid_total", "Absurd slots, waits and times in messages about small services; they change nothing."),
 		uncachedTokens:    counter("prompt_tokens_read_total", "Prompt tokens that engines were sent to read."),
 		cachedTokens:      counter("prompt_tokens_cached_total", "Prompt tokens that were taken to be cached or copied."),
 	}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "kitetiller_gateway_" + name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.recheckFailures, m.limitLeases, m.firstEvent, m.unknownHeaders, m.retries, m.cacheReadFailures, m.schedulerFailures, m.uncachedTokens, m.cachedTokens, newBackoffGauge(g), newAdvertisedLimitGauge(g),
+	m.registry.MustRegister(m.requests, m.attempts, m.recheckFailures, m.limitLeases, m.firstEvent, m.unknownHeaders, m.retries, m.cacheReadFailures, m.schedulerFailures, m.slotInvalid, m.uncachedTokens, m.cachedTokens, newBackoffGauge(g), newAdvertisedLimitGauge(g),
 		gauge("limit_questions_total", "Questions to the leader for amounts of what is limited.", func() float64 { sent, _ := g.leases.RequestCounts(); return float64(sent) }),
 		gauge("limit_questions_failed_total", "Such questions that got no answer.", func() float64 { _, failed := g.leases.RequestCounts(); return float64(failed) }),
 		gauge("suspected_requests", "Requests under which more than one back end ended, as control tells.", func() float64 { suspected, _ := g.quarantine.SuspectCounts(); return float64(suspected) }),
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -27,6 +27,10 @@
 	FirstAttempt    bool     `json:"f,omitempty"` // no back end was sent the request yet, so it may be rejected
 	Priority        int      `json:"r,omitempty"` // 0 is the most urgent
 	LatencyTargetMS int64    `json:"o,omitempty"` // the route's objective
+	// WaitMS is how long the call may be held open until a slot of a small service is free; nil asks for a placement at
+	// once. Zone is that of the requesting gateway.
+	WaitMS *int64 `json:"wait,omitempty"`
+	Zone   string `json:"zone,omitempty"`
 }
 
 // wirePlacementReply answers a wirePlacementRequest. Instance is empty if no back end is available.
@@ -44,6 +48,9 @@
 	// was observed. Both are absent if there is none.
 	Limit      *float64 `json:"n,omitempty"`
 	LimitAgeMS int64    `json:"a,omitempty"`
+	// Slot means that the reply comes from the queue of a small service, and WaitedMS is how long the call was held.
+	Slot     bool  `json:"slot,omitempty"`
+	WaitedMS int64 `json:"waited,omitempty"`
 }
 
 // wirePlacementEnd reports to a scheduler how a request that it placed ended.
@@ -54,6 +61,7 @@
 	Unreached    bool           `json:"x,omitempty"` // no connection to the back end was established
 	DurationMS   int64          `json:"t,omitempty"` // since the attempt began
 	FirstEventMS int64          `json:"f,omitempty"` // time until the first event; 0 if there was none
+	Service      string         `json:"s,omitempty"` // set if the request asked for a slot of a small service
 }
 
 // call returns the part of the caller's request that the message carries. Parts without a size are left out.
@@ -70,6 +78,7 @@
 	expiresAt  time.Duration // the placement is dropped then, even if no end was reported
 	priority   int
 	queueWait  float64 // predicted time until the prefill starts, in milliseconds
+	slot       bool    // placed by the queue of a small service
 }
 
 // handlePlacementRequest handles another gateway's request for a placement.
@@ -79,6 +88,10 @@
 		respond(http.StatusBadRequest, nil)
 		return
 	}
+	if g.servesSlots(&req) {
+		g.handleSlotRequest(&req, respond)
+		return
+	}
 	respond(http.StatusOK, g.placeForPeer(g.now(), &req))
 }
 
@@ -110,6 +123,7 @@
 		priority: req.Priority, queueWait: chosen.queueWait,
 	})
 	g.announcePlacement(now, chosen, call.Parts, load)
+	g.slotDesk.count(now, req, chosen.row.entry.ID)
 	reply := wirePlacementReply{
 		Instance: chosen.row.entry.ID, Version: chosen.version, Uncached: chosen.uncached, Recomputed: chosen.recomputed, RecomputeReason: string(chosen.recomputeReason), WaitMS: chosen.wait, FetchFrom: chosen.fetchFrom, SaveTo: chosen.saveTo,
 	}
@@ -128,9 +142,15 @@
 	}
 	respond(http.StatusOK, struct{}{})
 	now := g.now()
-	p, load, known := g.table.endPlacement(now, &end)
+	g.slotDesk.end(now, g.applyPlacementEnd(now, &end), &end)
+}
+
+// applyPlacementEnd applies the report that a request ended which this gateway placed, and returns its service, or "" if
+// it is not known.
+func (g *Gateway) applyPlacementEnd(now time.Duration, end *wirePlacementEnd) (service string) {
+	p, load, known := g.table.endPlacement(now, end)
 	if !known {
-		return
+		return end.Service
 	}
 	row := p.row
 	g.table.observePrefill(row, p.engineIdle, p.uncached, durationFromMS(end.FirstEventMS))
@@ -139,6 +159,7 @@
 	if end.Unreached {
 		g.peers.announce(announcement{Gateway: end.Gateway, Instance: row.entry.ID, Unreachable: true})
 	}
+	return row.entry.Service
 }
 
 // addPlacement adds a placement and returns the back end's load as this gateway reports it to others.
@@ -170,6 +191,8 @@
 	case end.Outcome == outcomeFailure:
 		row.raiseFailureRate()
 		t.recordPeerReport(now, row, end.Gateway)
+	case p.slot && end.Outcome == outcomeRejected:
+		row.lastByteAt = now // the queue counts its slots as taken, so it need not be avoided
 	default:
 		row.recordOutcome(now, end.Outcome)
 	}
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -216,6 +216,10 @@
 
 // reportEnd reports the outcome of the attempt to the scheduler that placed it.
 func (a *attempt) reportEnd() {
+	if a.plan.slot != nil {
+		a.endSlot()
+		return
+	}
 	placed := a.plan.scheduled
 	if placed == nil {
 		return
--- /dev/null
+++ b/internal/gateway/slots_test.go
@@ -0,0 +1,678 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/control"
+	"kitetiller/internal/gateway/slotqueue"
+	"kitetiller/internal/mechanism"
+	"kitetiller/internal/node"
+	"kitetiller/internal/quota"
+	"kitetiller/internal/transport"
+)
+
+// slotDialect is a Dialect with a header for each property that the tests need.
+type slotDialect struct{}
+
+func (slotDialect) ReadCall(header http.Header) Call                          { return Call{ID: header.Get("X-Id")} }
+func (slotDialect) WriteForwarding(header http.Header, forwarding Forwarding) {}
+func (slotDialect) ReadResponse(status int, header http.Header) ResponseInfo {
+	return ResponseInfo{ID: header.Get("X-Id"), Signed: header.Get("X-Signed") != "", NotRun: header.Get("X-Not-Run") != ""}
+}
+
+// newSmallGateway returns a gateway of a fleet of 79 with a confirmed view and a small service "small", whose back ends
+// b0, b1 and so on have the given slots and are in the zones z0, z1 and so on.
+func newSmallGateway(name string, slots ...int) *Gateway {
+	log, err := node.NewLogger("error", name)
+	if err != nil {
+		panic(err)
+	}
+	g := New(Settings{Name: name, Zone: "z0", OldWeightsStartLimit: time.Minute, ViewTTL: time.Hour, Quota: quota.Policy{RetryWindow: time.Second}}, slotDialect{}, log)
+	g.view.Store(newView(&catalog.Document{
+		Services: []catalog.Service{{Name: "small"}},
+		Routes:   []catalog.Route{{Name: "r", Host: "h", PathPrefix: "/", Targets: []catalog.Target{{Service: "small", Weight: 1}}, Objective: 300 * time.Millisecond, Timeout: 2 * time.Second, MaxAttempts: 1}},
+	}, nil))
+	g.confirmedAt.Store(1)
+	g.gatewayCount.Store(79)
+	g.table.applyRoster(0, smallRoster(slots...), nil)
+	return g
+}
+
+func smallRoster(slots ...int) *control.RosterUpdate {
+	update := &control.RosterUpdate{Full: true}
+	for i, n := range slots {
+		update.Entries = append(update.Entries, control.RosterEntry{
+			Instance: catalog.Instance{ID: fmt.Sprint("b", i), Service: "small", Address: fmt.Sprint("10.0.0.", i), Zone: fmt.Sprint("z", i), Slots: n, State: catalog.StateReady},
+		})
+	}
+	return update
+}
+
+// settleQueue makes the queue of the small service old enough that no slots count as taken by an earlier scheduler.
+func settleQueue(g *Gateway) {
+	early := g.now() - 500*time.Millisecond
+	waitMS := int64(0)
+	g.slotDesk.ask(early, &wirePlacementRequest{PlacementID: "settle", Gateway: "x", Service: "small", WaitMS: &waitMS, TimeoutMS: 1}, func(wirePlacementReply) {})
+	end := &wirePlacementEnd{PlacementID: "settle"}
+	g.slotDesk.end(early, g.applyPlacementEnd(early, end), end)
+}
+
+// smallExchange returns a request to the small service.
+func smallExchange(g *Gateway) *exchange {
+	current := g.view.Load()
+	return &exchange{
+		gateway: g, ctx: context.Background(), request: httptest.NewRequest(http.MethodPost, "http://h/", nil), service: current.services["small"], view: current, route: &current.document.Routes[0],
+		arrived: g.now(), deadline: g.now() + 2*time.Second,
+	}
+}
+
+// freeAddress returns an address that nothing listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// serveScheduler serves a scheduler on an address. intercept may answer a request in its place by returning true.
+func serveScheduler(t *testing.T, address string, g *Gateway, intercept func(transport.Request, transport.Respond) bool) {
+	t.Helper()
+	server, err := transport.Listen(address, "", func(request transport.Request, respond transport.Respond) {
+		if intercept == nil || !intercept(request, respond) {
+			g.handlePeer(request, respond)
+		}
+	}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close(context.Background()) })
+}
+
+// schedulerPair returns two free addresses, the one that the small service's requests go to first.
+func schedulerPair(t *testing.T) (first, second string) {
+	t.Helper()
+	c := newSlotClient(nil)
+	c.setSchedulers([]string{freeAddress(t), freeAddress(t)})
+	usable, _ := c.forService(0, "small")
+	return usable[0], usable[1]
+}
+
+// runningAt returns the requests that a scheduler counts at its back ends.
+func runningAt(g *Gateway) int {
+	g.table.mutex.Lock()
+	defer g.table.mutex.Unlock()
+	return len(g.table.placed)
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(3 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal(what)
+		}
+	}
+}
+
+// TestSharedSlotsTakeEffectForFewSlotsOnly guards against changes of the decisions for all other services: those with
+// as many slots as gateways, with engines, with unknown slots, in small fleets, and with the mechanism off.
+func TestSharedSlotsTakeEffectForFewSlotsOnly(t *testing.T) {
+	for name, c := range map[string]struct {
+		slots  []int
+		change func(*Gateway)
+		shared bool
+	}{
+		"few slots":                {slots: []int{6, 6, 6}, shared: true},
+		"one slot less":            {slots: []int{39, 39}, shared: true},
+		"as many slots":            {slots: []int{39, 40}},
+		"many slots":               {slots: []int{600}},
+		"slots unknown":            {slots: []int{6, 0}},
+		"slots negative":           {slots: []int{6, -1}},
+		"no back ends":             {},
+		"fleet of unknown size":    {slots: []int{6}, change: func(g *Gateway) { g.gatewayCount.Store(0) }},
+		"every gateway schedules":  {slots: []int{6}, change: func(g *Gateway) { g.slots.setSchedulers(nil) }},
+		"engines":                  {slots: []int{6}, change: func(g *Gateway) { g.view.Load().services["small"].Engine = true }},
+		"only draining are enough": {slots: []int{6, 90}, change: func(g *Gateway) { g.table.rows["b1"].entry.State = catalog.StateDraining }, shared: true},
+		"mechanism off": {slots: []int{6}, change: func(g *Gateway) {
+			g.settings.Mechanisms, _ = mechanism.Without(string(mechanism.SharedSlots))
+		}},
+	} {
+		g := newSmallGateway("g", c.slots...)
+		g.slots.setSchedulers([]string{freeAddress(t)})
+		if c.change != nil {
+			c.change(g)
+		}
+		if _, shared := g.sharedSlots(g.view.Load().services["small"]); shared != c.shared {
+			t.Errorf("%s: takes effect %v, want %v", name, shared, c.shared)
+		}
+		if c.shared || len(c.slots) == 0 {
+			continue
+		}
+		for id, row := range g.table.rows {
+			if id != "b0" {
+				row.occupancy.Own.Running = 1000 // so that one back end costs least
+			}
+		}
+		x := smallExchange(g)
+		if chosen := x.place(); chosen == nil || chosen.slot != nil || chosen.row.entry.ID != "b0" || x.slot.source != "" {
+			t.Errorf("%s: chosen %+v, want b0 as before", name, chosen)
+		}
+	}
+	g := newSmallGateway("g", 6, -1)
+	g.slots.setSchedulers([]string{"a"})
+	before := metricValue(t, g, "kitetiller_gateway_slot_values_invalid_total")
+	g.sharedSlots(g.view.Load().services["small"])
+	if got := metricValue(t, g, "kitetiller_gateway_slot_values_invalid_total"); got != before+1 {
+		t.Errorf("negative slots counted %v times, want once", got-before)
+	}
+}
+
+// metricValue returns the sum of a metric's values.
+func metricValue(t *testing.T, g *Gateway, name string) (sum float64) {
+	t.Helper()
+	families, err := g.Metrics().Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, family := range families {
+		if family.GetName() == name {
+			for _, m := range family.GetMetric() {
+				sum += m.GetCounter().GetValue() + m.GetGauge().GetValue()
+			}
+		}
+	}
+	return sum
+}
+
+// TestSlotsAreNeverExceeded guards against schedulers that send to back ends whose slots are taken: with requests of
+// many gateways at once, some of which are the scheduler itself, no more than the slots run, and all are served.
+func TestSlotsAreNeverExceeded(t *testing.T) {
+	address := freeAddress(t)
+	s := newSmallGateway("s", 2, 2)
+	s.settings.PeerAddress = address
+	settleQueue(s)
+	serveScheduler(t, address, s, nil)
+	gateways := []*Gateway{s, newSmallGateway("g1", 2, 2), newSmallGateway("g2", 2, 2)}
+	var mu sync.Mutex
+	running, most, served := map[string]int{}, 0, 0
+	var wg sync.WaitGroup
+	for i := range 30 {
+		g := gateways[i%len(gateways)]
+		g.slots.setSchedulers([]string{address})
+		wg.Go(func() {
+			x := smallExchange(g)
+			x.deadline = g.now() + 10*time.Second
+			x.route = &catalog.Route{}
+			chosen := x.place()
+			if chosen == nil || chosen.slot == nil {
+				t.Errorf("request %d got %+v", i, chosen)
+				return
+			}
+			mu.Lock()
+			running[chosen.row.entry.ID]++
+			most = max(most, running[chosen.row.entry.ID])
+			served++
+			mu.Unlock()
+			time.Sleep(10 * time.Millisecond)
+			mu.Lock()
+			running[chosen.row.entry.ID]--
+			mu.Unlock()
+			a := x.newAttempt(chosen)
+			a.outcome = outcomeSuccess
+			a.reportEnd()
+		})
+	}
+	wg.Wait()
+	if most != 2 || served != 30 {
+		t.Fatalf("%d requests at once at a back end of 2 slots, %d of 30 served", most, served)
+	}
+	eventually(t, "placements are left at the scheduler", func() bool { return runningAt(s) == 0 })
+}
+
+// TestSilentSchedulerIsReplaced guards against requests that wait for a scheduler which is cut off: the next by hash is
+// asked, later requests don't wait for the first, and it is asked again once it replies.
+func TestSilentSchedulerIsReplaced(t *testing.T) {
+	first, second := schedulerPair(t)
+	s := newSmallGateway("s", 6)
+	var silent atomic.Bool
+	silent.Store(true)
+	serveScheduler(t, first, s, func(transport.Request, transport.Respond) bool { return silent.Load() })
+	other := newSmallGateway("s2", 6)
+	serveScheduler(t, second, other, nil)
+	g := newSmallGateway("g", 6)
+	g.slots.setSchedulers([]string{first, second})
+	startedAt := g.now()
+	chosen := smallExchange(g).place()
+	if chosen == nil || chosen.slot == nil || chosen.slot.scheduler != second {
+		t.Fatalf("chosen %+v, want a slot of the second scheduler", chosen)
+	}
+	if took := g.now() - startedAt; took > slotProbeDelay+slotProbeTimeout+100*time.Millisecond {
+		t.Fatalf("the silence of the first scheduler was noticed after %v", took)
+	}
+	startedAt = g.now()
+	if again := smallExchange(g).place(); again == nil || again.slot.scheduler != second || g.now()-startedAt > 50*time.Millisecond {
+		t.Fatalf("chosen %+v after %v", again, g.now()-startedAt)
+	}
+	silent.Store(false)
+	eventually(t, "the first scheduler is not asked again", func() bool {
+		x := smallExchange(g)
+		chosen := x.place()
+		return chosen != nil && chosen.slot != nil && chosen.slot.scheduler == first
+	})
+}
+
+// TestWithoutSchedulersTheEqualPartIsUsed guards against gateways that overload the service when they are cut off from
+// all schedulers: one request at a time runs, the rest is rejected, and gateways spread over the back ends.
+func TestWithoutSchedulersTheEqualPartIsUsed(t *testing.T) {
+	used := map[string]int{}
+	for i := range 40 {
+		g := newSmallGateway(fmt.Sprint("g", i), 6, 6, 6)
+		g.slots.setSchedulers([]string{"127.0.0.1:1"}) // refuses connections
+		x := smallExchange(g)
+		chosen := x.place()
+		if chosen == nil || chosen.slot == nil || !chosen.slot.share {
+			t.Fatalf("chosen %+v, want a slot of the equal part", chosen)
+		}
+		used[chosen.row.entry.ID]++
+		if second := smallExchange(g).place(); second == nil || second.retryAfter < minRetryAfter || second.row != nil {
+			t.Fatalf("second request got %+v, want a rejection", second)
+		}
+		x.newAttempt(chosen).reportEnd()
+		if third := smallExchange(g).place(); third == nil || third.row != chosen.row {
+			t.Fatalf("after the end got %+v, want %s again", third, chosen.row.entry.ID)
+		}
+	}
+	if len(used) != 3 {
+		t.Fatalf("40 gateways use %v, want all three back ends", used)
+	}
+}
+
+// TestExpiredGrantIsNotUsed guards against a send on a slot that the scheduler may have given to another request. The
+// time in the queue does not count, since the scheduler states it.
+func TestExpiredGrantIsNotUsed(t *testing.T) {
+	address := freeAddress(t)
+	s := newSmallGateway("s", 6)
+	settleQueue(s)
+	serveScheduler(t, address, s, nil)
+	g := newSmallGateway("g", 6)
+	now := time.Minute
+	g.now = func() time.Duration { return now }
+	x := smallExchange(g)
+	grant := slotGrant{scheduler: address, placementID: "p"}
+	in := selectionInput{service: x.service, call: &x.call}
+	waitMS := int64(300)
+	s.slotDesk.ask(s.now(), &wirePlacementRequest{PlacementID: "p", Gateway: "g", Service: "small", WaitMS: &waitMS, TimeoutMS: 60_000}, func(wirePlacementReply) {})
+	if n := runningAt(s); n != 1 {
+		t.Fatalf("%d placements at the scheduler, want 1", n)
+	}
+	reply := &wirePlacementReply{Slot: true, Instance: "b0", WaitedMS: 250}
+	if _, outcome := x.applySlotReply(reply, grant, now-449*time.Millisecond, in); outcome != slotGranted {
+		t.Fatalf("outcome %d of a grant that is 199 ms old, want %d", outcome, slotGranted)
+	}
+	if _, outcome := x.applySlotReply(reply, grant, now-450*time.Millisecond, in); outcome != slotLate {
+		t.Fatalf("outcome %d of a grant that is 200 ms old, want %d", outcome, slotLate)
+	}
+	eventually(t, "the end of the late grant is not reported", func() bool { return runningAt(s) == 0 })
+	for _, absurd := range []int64{-1, 451, 1 << 62} {
+		before := metricValue(t, g, "kitetiller_gateway_slot_values_invalid_total")
+		_, outcome := x.applySlotReply(&wirePlacementReply{Slot: true, Instance: "b0", WaitedMS: absurd}, grant, now-450*time.Millisecond, in)
+		if counted := metricValue(t, g, "kitetiller_gateway_slot_values_invalid_total") - before; outcome != slotLate || counted != 1 {
+			t.Errorf("wait of %d ms: outcome %d, counted %v times", absurd, outcome, counted)
+		}
+	}
+	granted, _ := x.applySlotReply(reply, grant, now-400*time.Millisecond, in)
+	a := x.newAttempt(granted.candidate)
+	x.quotaLease.acquired = true
+	if cause := a.recheckConditions(); cause != "" {
+		t.Fatalf("not sent: %s", cause)
+	}
+	now += 50 * time.Millisecond // while the connection was established
+	if cause := a.recheckConditions(); cause != causeGrantExpired {
+		t.Fatalf("cause %q right before the send, want %q", cause, causeGrantExpired)
+	}
+}
+
+// TestCanceledCallLeavesTheQueue guards against slots granted to callers that have gone.
+func TestCanceledCallLeavesTheQueue(t *testing.T) {
+	for _, direct := range []bool{false, true} {
+		address := freeAddress(t)
+		s := newSmallGateway("s", 1)
+		settleQueue(s)
+		serveScheduler(t, address, s, nil)
+		g := newSmallGateway("g", 1)
+		if direct {
+			g = s
+			s.settings.PeerAddress = address
+		}
+		g.slots.setSchedulers([]string{address})
+		holder := smallExchange(g).place()
+		if holder == nil || holder.slot == nil {
+			t.Fatalf("got %+v, want a slot", holder)
+		}
+		x := smallExchange(g)
+		ctx, cancel := context.WithCancel(context.Background())
+		x.ctx = ctx
+		done := make(chan *candidate, 1)
+		go func() { done <- x.place() }()
+		waiting := func() int {
+			s.slotDesk.mu.Lock()
+			defer s.slotDesk.mu.Unlock()
+			return len(s.slotDesk.services["small"].pending)
+		}
+		eventually(t, "the second request does not wait", func() bool { return waiting() == 1 })
+		cancel()
+		if chosen := <-done; chosen != nil {
+			t.Fatalf("got %+v after the cancellation", chosen)
+		}
+		eventually(t, "the canceled request still waits", func() bool { return waiting() == 0 })
+	}
+}
+
+// TestLostEndReportIsRepeated guards against a slot that stays blocked because one report was lost.
+func TestLostEndReportIsRepeated(t *testing.T) {
+	address := freeAddress(t)
+	s := newSmallGateway("s", 1)
+	settleQueue(s)
+	var reports atomic.Int64
+	serveScheduler(t, address, s, func(request transport.Request, respond transport.Respond) bool {
+		if request.Path != pathEnd || reports.Add(1) > 1 {
+			return false
+		}
+		respond(http.StatusInternalServerError, nil)
+		return true
+	})
+	g := newSmallGateway("g", 1)
+	g.slots.setSchedulers([]string{address})
+	x := smallExchange(g)
+	x.newAttempt(x.place()).reportEnd()
+	eventually(t, "the slot is still blocked", func() bool { return runningAt(s) == 0 })
+	if reports.Load() != 2 {
+		t.Fatalf("%d reports, want 2", reports.Load())
+	}
+}
+
+// TestUnreportedEndFreesSlotAfterTimeout guards against slots that a gateway which ended holds for ever.
+func TestUnreportedEndFreesSlotAfterTimeout(t *testing.T) {
+	s := newSmallGateway("s", 1)
+	settleQueue(s)
+	waitMS := int64(1000)
+	replies := make(chan wirePlacementReply, 2)
+	for _, id := range []string{"lost", "next"} {
+		s.slotDesk.ask(s.now(), &wirePlacementRequest{PlacementID: id, Gateway: "g", Service: "small", WaitMS: &waitMS, TimeoutMS: 100}, func(reply wirePlacementReply) { replies <- reply })
+	}
+	<-replies
+	startedAt := s.now()
+	if reply := <-replies; reply.Instance != "b0" || s.now()-startedAt > 250*time.Millisecond {
+		t.Fatalf("second request got %+v after %v, want the slot after 100 ms", reply, s.now()-startedAt)
+	}
+}
+
+// backEndServer is a back end that counts the requests it runs and rejects those beyond its slots.
+type backEndServer struct {
+	running, ran, rejected atomic.Int64
+	slots                  int64
+	work                   time.Duration
+}
+
+func (b *backEndServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Id", r.Header.Get("X-Id"))
+	defer b.running.Add(-1)
+	if b.running.Add(1) > b.slots {
+		b.rejected.Add(1)
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	b.ran.Add(1)
+	time.Sleep(b.work)
+	w.Header().Set("X-Signed", "1")
+	_, _ = w.Write([]byte("ok"))
+}
+
+// serveSmall sends a caller's request to a gateway.
+func serveSmall(g *Gateway, id string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(http.MethodPost, "http://h/", nil)
+	request.Header.Set("X-Id", id)
+	recorder := httptest.NewRecorder()
+	g.serve(recorder, request)
+	return recorder
+}
+
+// TestRejectedRequestIsNeverSent guards against a request that runs although its caller was told to come back, and so
+// twice. Each request that may run only once runs at most once.
+func TestRejectedRequestIsNeverSent(t *testing.T) {
+	b := &backEndServer{slots: 2, work: 150 * time.Millisecond}
+	back := httptest.NewServer(b)
+	defer back.Close()
+	address := freeAddress(t)
+	roster := smallRoster(2)
+	roster.Entries[0].Address = back.Listener.Addr().String()
+	s := newSmallGateway("s")
+	s.table.applyRoster(0, roster, nil)
+	settleQueue(s)
+	serveScheduler(t, address, s, nil)
+	var gateways []*Gateway
+	for i := range 3 {
+		g := newSmallGateway(fmt.Sprint("g", i))
+		g.table.applyRoster(0, roster, nil)
+		g.slots.setSchedulers([]string{address})
+		gateways = append(gateways, g)
+	}
+	var answered, rejected atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 24 {
+		wg.Go(func() {
+			response := serveSmall(gateways[i%3], fmt.Sprint("r", i))
+			switch {
+			case response.Code == http.StatusOK:
+				answered.Add(1)
+			case response.Code == http.StatusServiceUnavailable && response.Header().Get("Retry-After") != "":
+				rejected.Add(1)
+			default:
+				t.Errorf("status %d, %v", response.Code, response.Header())
+			}
+		})
+	}
+	wg.Wait()
+	if b.ran.Load() != answered.Load() || b.rejected.Load() != 0 || answered.Load() < 4 || rejected.Load() < 4 {
+		t.Fatalf("%d answered, %d rejected; the back end ran %d and rejected %d", answered.Load(), rejected.Load(), b.ran.Load(), b.rejected.Load())
+	}
+	x := smallExchange(gateways[0])
+	x.mayHaveRun = true
+	if chosen := x.slotRejection(time.Second); chosen != nil {
+		t.Fatalf("a request that may have run got %+v: 503 would promise that it has not", chosen)
+	}
+}
+
+// TestBackEndRejectionCountsSlotsAsTaken guards against sending on to a back end that is full although the scheduler
+// knows of nothing that runs there, and against avoiding it for longer than its requests take.
+func TestBackEndRejectionCountsSlotsAsTaken(t *testing.T) {
+	for name, end := range map[string]wirePlacementEnd{"rejected": {Outcome: outcomeRejected}, "unreached": {Unreached: true}} {
+		s := newSmallGateway("s", 6, 6)
+		settleQueue(s)
+		waitMS := int64(0)
+		ask := func(id string) (got wirePlacementReply) {
+			s.slotDesk.ask(s.now(), &wirePlacementRequest{PlacementID: id, Gateway: "g", Service: "small", WaitMS: &waitMS, TimeoutMS: 2000}, func(reply wirePlacementReply) { got = reply })
+			return got
+		}
+		full := ask("p").Instance
+		end.PlacementID, end.Gateway, end.Service = "p", "g", "small"
+		s.slotDesk.end(s.now(), s.applyPlacementEnd(s.now(), &end), &end)
+		for i := range 3 {
+			if got := ask(fmt.Sprint("q", i)); got.Instance == full || got.Instance == "" {
+				t.Fatalf("%s: request %d got %+v, want the back end other than %s", name, i, got, full)
+			}
+		}
+		if row := s.table.rows[full]; end.Outcome == outcomeRejected && row.avoidUntil > 0 {
+			t.Fatalf("%s avoided after a rejection", full)
+		}
+		time.Sleep(slotqueue.InitialWork + 10*time.Millisecond)
+		if got := ask("later"); got.Instance != full {
+			t.Fatalf("%s: got %+v after the mean work time, want %s", name, got, full)
+		}
+	}
+}
+
+// TestBackEndsThatMayNotBeUsedAreLeftOut guards against slots at back ends that drain, load, or were excluded by the
+// gateway, and against a grant that the gateway may not use.
+func TestBackEndsThatMayNotBeUsedAreLeftOut(t *testing.T) {
+	address := freeAddress(t)
+	s := newSmallGateway("s", 6, 6, 6)
+	settleQueue(s)
+	serveScheduler(t, address, s, nil)
+	place := func(g *Gateway) string {
+		g.slots.setSchedulers([]string{address})
+		chosen := smallExchange(g).place()
+		if chosen == nil || chosen.row == nil {
+			t.Fatalf("chosen %+v", chosen)
+		}
+		return chosen.row.entry.ID
+	}
+	s.table.rows["b0"].entry.State = catalog.StateDraining
+	s.table.rows["b1"].entry.Loading = true
+	if got := place(newSmallGateway("g", 6, 6, 6)); got != "b2" {
+		t.Errorf("chosen %s, want b2: the others drain and load", got)
+	}
+	s.table.rows["b1"].entry.Loading = false
+	g := newSmallGateway("g", 6, 6, 6)
+	reportBackoff(g, "b1", time.Second)
+	if got := place(g); got != "b2" {
+		t.Errorf("chosen %s, want b2: b1 asked this gateway for a backoff", got)
+	}
+	g = newSmallGateway("g", 6, 6, 6)
+	g.table.rows["b2"].entry.State = catalog.StateDraining // the scheduler does not know yet
+	if got := place(g); got != "b1" {
+		t.Errorf("chosen %s, want b1 after the grant of b2 was returned", got)
+	}
+	g = newSmallGateway("g", 6, 6, 6)
+	for _, row := range g.table.rows {
+		row.avoidUntil = time.Hour
+	}
+	if got := place(g); got != "b1" && got != "b2" {
+		t.Errorf("chosen %s, want a slot although the gateway avoids all back ends", got)
+	}
+}
+
+// TestOlderScheduler guards against requests that fail while schedulers of an earlier build, which ignore the new
+// fields, answer at once and without them.
+func TestOlderScheduler(t *testing.T) {
+	address := freeAddress(t)
+	s := newSmallGateway("s", 6)
+	s.settings.Mechanisms, _ = mechanism.Without(string(mechanism.SharedSlots))
+	serveScheduler(t, address, s, nil)
+	g := newSmallGateway("g", 6)
+	g.slots.setSchedulers([]string{address})
+	x := smallExchange(g)
+	chosen := x.place()
+	if chosen == nil || chosen.scheduled == nil || chosen.slot != nil || chosen.row.entry.ID != "b0" {
+		t.Fatalf("chosen %+v, want the older scheduler's placement", chosen)
+	}
+	x.newAttempt(chosen).reportEnd()
+	eventually(t, "the end is not reported", func() bool { return runningAt(s) == 0 })
+}
+
+// TestOlderGateway guards against a scheduler that grants slots which gateways of an earlier build use: these are
+// answered as before, and what they run is counted.
+func TestOlderGateway(t *testing.T) {
+	s := newSmallGateway("s", 2)
+	settleQueue(s)
+	for i := range 3 {
+		request, _ := json.Marshal(wirePlacementRequest{PlacementID: fmt.Sprint("old", i), Gateway: "g", Service: "small", TimeoutMS: 2000})
+		s.handlePeer(transport.Request{Path: pathPlace, Body: request}, func(status int, body any) {
+			if reply := body.(wirePlacementReply); status != http.StatusOK || reply.Instance != "b0" || reply.Slot {
+				t.Fatalf("status %d, reply %+v, want b0 as before", status, reply)
+			}
+		})
+	}
+	waitMS := int64(1000)
+	replies := make(chan wirePlacementReply, 1)
+	s.slotDesk.ask(s.now(), &wirePlacementRequest{PlacementID: "new", Gateway: "g", Service: "small", WaitMS: &waitMS, TimeoutMS: 2000}, func(reply wirePlacementReply) { replies <- reply })
+	for i := range 2 {
+		if len(replies) > 0 {
+			t.Fatalf("slot granted while %d requests run in 2 slots", 3-i)
+		}
+		end, _ := json.Marshal(wirePlacementEnd{PlacementID: fmt.Sprint("old", i), Gateway: "g", Outcome: outcomeSuccess})
+		s.handlePeer(transport.Request{Path: pathEnd, Body: end}, func(int, any) {})
+	}
+	if reply := <-replies; reply.Instance != "b0" || !reply.Slot {
+		t.Fatalf("got %+v after the ends of the older gateway's requests", reply)
+	}
+}
+
+// TestInvalidSlotRequestChangesNothing guards against state corrupted by absurd waits and priorities; they are counted,
+// and the gateway is answered at once.
+func TestInvalidSlotRequestChangesNothing(t *testing.T) {
+	s := newSmallGateway("s", 2)
+	settleQueue(s)
+	absurd := []func(*wirePlacementRequest){
+		func(r *wirePlacementRequest) { *r.WaitMS = -5 }, func(r *wirePlacementRequest) { *r.WaitMS = 1 << 62 },
+		func(r *wirePlacementRequest) { r.Priority = -1 }, func(r *wirePlacementRequest) { r.Priority = 1 << 40 },
+		func(r *wirePlacementRequest) { r.TimeoutMS = -1 }, func(r *wirePlacementRequest) { r.TimeoutMS = 1 << 62 },
+	}
+	for i, change := range absurd {
+		waitMS := int64(100)
+		request := &wirePlacementRequest{PlacementID: fmt.Sprint("p", i), Gateway: "g", Service: "small", WaitMS: &waitMS, TimeoutMS: 1000}
+		change(request)
+		body, _ := json.Marshal(request)
+		answered := false
+		s.handlePeer(transport.Request{Path: pathPlace, Body: body}, func(status int, body any) {
+			answered = true
+			if reply := body.(wirePlacementReply); reply != (wirePlacementReply{}) {
+				t.Errorf("case %d: got %+v", i, reply)
+			}
+		})
+		if !answered || runningAt(s) != 0 {
+			t.Errorf("case %d: answered %v, %d running", i, answered, runningAt(s))
+		}
+	}
+	if got := s.slotDesk.services["small"].queue.Stats().Invalid; got != len(absurd) {
+		t.Errorf("%d counted, want %d", got, len(absurd))
+	}
+	unknown, _ := json.Marshal(wirePlacementEnd{PlacementID: "unknown", Service: "none", DurationMS: -1})
+	s.handlePeer(transport.Request{Path: pathEnd, Body: unknown}, func(int, any) {})
+	if len(s.slotDesk.services) != 1 {
+		t.Errorf("%d queues after an end for an unknown service", len(s.slotDesk.services))
+	}
+}
+
+// TestSchedulersAreOrderedAlikeEverywhere guards against gateways that ask different schedulers for one service.
+func TestSchedulersAreOrderedAlikeEverywhere(t *testing.T) {
+	addresses := []string{"a", "b", "c", "d", "e"}
+	first := map[string]int{}
+	for i := range 50 {
+		service := fmt.Sprint("s", i)
+		c := newSlotClient(nil)
+		c.setSchedulers(addresses)
+		want, _ := c.forService(0, service)
+		other := newSlotClient(nil)
+		reversed := slices.Clone(addresses)
+		slices.Reverse(reversed)
+		other.setSchedulers(reversed)
+		if got, _ := other.forService(0, service); !slices.Equal(got, want) {
+			t.Fatalf("%s: order %v, and %v at another gateway", service, want, got)
+		}
+		other.setSchedulers(slices.DeleteFunc(reversed, func(a string) bool { return a == want[0] }))
+		if got, _ := other.forService(0, service); got[0] != want[1] {
+			t.Fatalf("%s: without %s the first is %s, want %s", service, want[0], got[0], want[1])
+		}
+		first[want[0]]++
+	}
+	if len(first) != len(addresses) {
+		t.Fatalf("first schedulers %v, want all used", first)
+	}
+}
