Show by service how requests wait for slots

Cause: a request of a small service that is refused or late can't be traced to the scheduler that assigns the slots. Change: the line of each such request tells where its slot was asked for and how long it waited.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -103,6 +103,10 @@
 	FieldBackoffLeft       = "rest_left"
 	FieldBackoffLeftAtSend = "sent_at_rest"
 	FieldUnparsedValue     = "unread"
+	// FieldSlotSource is where the latest slot of a small service was asked for: a scheduler's address, "self" for the
+	// gateway's own queue, or "share" for its equal part of the slots. FieldSlotWait is how long the request waited there.
+	FieldSlotSource = "slot_from"
+	FieldSlotWait   = "slot_wait"
 	// FieldAdvertisedLimit is the limit that a backend advertises, in requests per second.
 	FieldAdvertisedLimit = "limit"
 )
--- a/internal/gateway/final.go
+++ b/internal/gateway/final.go
@@ -77,6 +77,7 @@
 			fields = append(fields, zap.Int(events.FieldRecomputedTokens, x.placement.recomputed), zap.String(events.FieldRecomputeReason, string(x.placement.recomputeReason)))
 		}
 	}
+	fields = append(fields, x.slot.fields()...)
 	if x.backoffLeft > 0 {
 		fields = append(fields, zap.Duration(events.FieldBackoffLeftAtSend, x.backoffLeft))
 	}
