Benchmark the assignment of slots, and make it cheaper

Cause: the scheduler looked through all running requests at each step and built its list of back ends anew. The queue looks for time-outs only when one can be due, and back ends are updated in place.

--- a/internal/gateway/slotdesk.go
+++ b/internal/gateway/slotdesk.go
@@ -37,6 +37,8 @@
 	queue   *slotqueue.Queue
 	pending map[string]pendingSlot // waiting requests by placement ID
 	timer   *time.Timer            // runs the next tick; nil before the first
+	// backEnds is the list last given to the queue; its memory is used again.
+	backEnds []slotqueue.BackEnd
 	// longestWaits are the longest waits of the current and the previous window.
 	longestWaits  [2]time.Duration
 	windowStarted time.Duration
@@ -80,8 +82,7 @@
 
 // ask adds a request to its service's queue. respond is called once, when a slot is granted or the request is rejected.
 func (d *slotDesk) ask(now time.Duration, req *wirePlacementRequest, respond func(wirePlacementReply)) {
-	service := d.gateway.smallService(req.Service)
-	if service == nil {
+	if d.gateway.smallService(req.Service) == nil {
 		respond(wirePlacementReply{})
 		return
 	}
@@ -91,7 +92,7 @@
 		s = &slotService{queue: slotqueue.New(), pending: map[string]pendingSlot{}}
 		d.services[req.Service] = s
 	}
-	answers := s.queue.SetBackEnds(now, d.gateway.slotBackEnds(now, service))
+	answers := d.refresh(now, req.Service, s)
 	if _, repeated := s.pending[req.PlacementID]; repeated {
 		replies := d.settle(now, s, answers)
 		d.mu.Unlock()
@@ -169,11 +170,11 @@
 
 // refresh updates the back ends of a queue. The caller holds the mutex.
 func (d *slotDesk) refresh(now time.Duration, name string, s *slotService) []slotqueue.Answer {
-	var backEnds []slotqueue.BackEnd
+	s.backEnds = s.backEnds[:0]
 	if service := d.gateway.smallService(name); service != nil {
-		backEnds = d.gateway.slotBackEnds(now, service)
+		s.backEnds = d.gateway.slotBackEnds(now, service, s.backEnds)
 	}
-	return s.queue.SetBackEnds(now, backEnds)
+	return s.queue.SetBackEnds(now, s.backEnds)
 }
 
 // schedule sets the timer of the next tick. The caller holds the mutex.
@@ -247,14 +248,15 @@
 	return &candidate{row: row}, load
 }
 
-// slotBackEnds returns the back ends of a service as the queue sees them.
-func (g *Gateway) slotBackEnds(now time.Duration, service *catalog.Service) []slotqueue.BackEnd {
+// anyCall is a call without properties, for the eligibility of back ends for any request. It is not modified.
+var anyCall Call
+
+// slotBackEnds appends the back ends of a service as the queue sees them.
+func (g *Gateway) slotBackEnds(now time.Duration, service *catalog.Service, backEnds []slotqueue.BackEnd) []slotqueue.BackEnd {
 	g.table.mutex.Lock()
 	defer g.table.mutex.Unlock()
-	rows := g.table.services[service.Name]
-	backEnds := make([]slotqueue.BackEnd, 0, len(rows))
-	in := selectionInput{service: service, call: &Call{}, sentByPeer: true}
-	for _, row := range rows {
+	in := selectionInput{service: service, call: &anyCall, sentByPeer: true}
+	for _, row := range g.table.services[service.Name] {
 		backEnds = append(backEnds, slotqueue.BackEnd{ID: row.entry.ID, Zone: row.entry.Zone, Slots: row.entry.Slots, Eligible: g.eligible(now, row, in), Avoided: g.avoided(now, row)})
 	}
 	return backEnds
--- a/internal/gateway/slotqueue/slotqueue.go
+++ b/internal/gateway/slotqueue/slotqueue.go
@@ -135,6 +135,7 @@
 	waiting   []*waiting // in serving order
 	running   map[string]running
 	counted   int                      // entries of running not granted by this queue
+	expiryAt  time.Duration            // no running request expires before
 	earlyEnds map[string]time.Duration // when the end of an unknown request arrived, by ID
 	sequence  uint64
 	startedAt time.Duration
@@ -153,6 +154,9 @@
 // SetBackEnds replaces the back ends. The requests running at one that is gone stay counted until they end. One with
 // absurd slots is left as it was.
 func (q *Queue) SetBackEnds(now time.Duration, current []BackEnd) []Answer {
+	if q.updateBackEnds(current) {
+		return q.Tick(now)
+	}
 	next := make([]*backEnd, 0, len(current))
 	for _, b := range current {
 		known := q.backEnd(b.ID)
@@ -180,6 +184,23 @@
 	return q.Tick(now)
 }
 
+// updateBackEnds updates the back ends in place. It returns false, having changed nothing, if they are not the same ones
+// in the same order or have invalid slots.
+func (q *Queue) updateBackEnds(current []BackEnd) bool {
+	if len(current) != len(q.backEnds) {
+		return false
+	}
+	for i, b := range current {
+		if b.ID != q.backEnds[i].ID || b.Slots < 0 || b.Slots > MaxSlots {
+			return false
+		}
+	}
+	for i, b := range current {
+		q.backEnds[i].BackEnd = b
+	}
+	return true
+}
+
 // Ask adds a request. It returns the requests that are answered now, which may include this one.
 func (q *Queue) Ask(now time.Duration, r Request) []Answer {
 	if !r.valid() {
@@ -259,9 +280,14 @@
 // Tick frees the slots of requests that have timed out, grants free slots, and rejects the requests whose bound has
 // passed.
 func (q *Queue) Tick(now time.Duration) []Answer {
-	for id, r := range q.running {
-		if now >= r.expiresAt {
-			q.remove(id, r)
+	if len(q.running) > 0 && now >= q.expiryAt {
+		q.expiryAt = now + maxDuration
+		for id, r := range q.running {
+			if now >= r.expiresAt {
+				q.remove(id, r)
+				continue
+			}
+			q.expiryAt = min(q.expiryAt, r.expiresAt)
 		}
 	}
 	for id, at := range q.earlyEnds {
@@ -289,8 +315,8 @@
 	for _, w := range q.waiting {
 		next = min(next, w.until)
 	}
-	for _, r := range q.running {
-		next = min(next, r.expiresAt)
+	if len(q.running) > 0 {
+		next = min(next, max(now, q.expiryAt))
 	}
 	if takeoverEnd := q.startedAt + takeoverTime; takeoverEnd > now {
 		next = min(next, takeoverEnd)
@@ -432,6 +458,9 @@
 }
 
 func (q *Queue) add(id string, r running) {
+	if len(q.running) == 0 || r.expiresAt < q.expiryAt {
+		q.expiryAt = r.expiresAt
+	}
 	q.running[id] = r
 	if b := q.backEnd(r.backEnd); b != nil {
 		b.running++
--- a/internal/gateway/slots_test.go
+++ b/internal/gateway/slots_test.go
@@ -717,3 +717,36 @@
 		}
 	}
 }
+
+// BenchmarkSlotDecision compares the scheduler's decision for a small service by the queue with the one without shared
+// slots, each with the end of the request.
+func BenchmarkSlotDecision(b *testing.B) {
+	for _, backEnds := range []int{3, 6} {
+		slots := slices.Repeat([]int{6}, backEnds)
+		for name, shared := range map[string]bool{"queue": true, "as-before": false} {
+			b.Run(fmt.Sprintf("%s-%d", name, backEnds), func(b *testing.B) {
+				s := newSmallGateway("s", slots...)
+				s.peers.disabled = true
+				settleQueue(s)
+				waitMS := int64(300)
+				req := wirePlacementRequest{Gateway: "g", Service: "small", TimeoutMS: 2000, FirstAttempt: true, Zone: "z1"}
+				end := wirePlacementEnd{Gateway: "g", Outcome: outcomeSuccess, DurationMS: 60, Service: "small"}
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					now := s.now()
+					asked := req
+					asked.PlacementID = fmt.Sprint(i)
+					end.PlacementID = asked.PlacementID
+					if shared {
+						asked.WaitMS = &waitMS
+						s.slotDesk.ask(now, &asked, func(wirePlacementReply) {})
+						s.slotDesk.end(now, s.applyPlacementEnd(now, &end), &end)
+						continue
+					}
+					s.placeForPeer(now, &asked)
+					s.applyPlacementEnd(now, &end)
+				}
+			})
+		}
+	}
+}
