Soak: a small service with few slots that rejects beyond them

Cause: the stand-in's small service took any number of requests, so that no play showed schedulers that send to back ends whose slots are taken. Change: a plan may set the number of gateways and the slots of each small service worker. Plans without the fields play as before.

--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -90,6 +90,10 @@
 	Seed     uint64  `json:"seed"`
 	LengthMS int64   `json:"length_ms"` // of traffic
 	Faults   []Fault `json:"faults"`
+	// Gateways is the number of gateways, and SmallSlots the slots of each back end of the small service, which rejects
+	// requests beyond them. 0 means the usual number of gateways, and back ends that reject none.
+	Gateways   int `json:"gateways,omitempty"`
+	SmallSlots int `json:"small_slots,omitempty"`
 }
 
 // Length returns how long traffic is sent.
@@ -138,6 +142,9 @@
 			return plan, eris.Errorf("%s: fault %d (%s) has an unknown kind or a negative value", path, i, fault.Kind)
 		}
 	}
+	if plan.Gateways < 0 || plan.SmallSlots < 0 {
+		return plan, eris.Errorf("%s: gateways and small_slots must not be negative", path)
+	}
 	if plan.LengthMS <= 0 {
 		return plan, eris.Errorf("%s: length_ms must be positive", path)
 	}
--- a/internal/lab/soak/promises.go
+++ b/internal/lab/soak/promises.go
@@ -32,6 +32,8 @@
 	DrainRespected Guarantee = "leaving"
 	// A back end that advertises a rate limit gets no more than that from all processes that received it together.
 	AdvertisedLimitRespected Guarantee = "named"
+	// Back ends with few slots reject few requests for lack of them while all schedulers run.
+	SlotsRespected Guarantee = "slots"
 	// An acknowledged configuration is never lost, and no older one is served after it.
 	ConfigDurable Guarantee = "config"
 	// No request reaches a worker known only from forged heartbeats, and no forged heartbeat is acknowledged.
@@ -40,7 +42,7 @@
 
 // Guarantees lists all guarantees in a fixed order.
 func Guarantees() []Guarantee {
-	return []Guarantee{WithinLimit, AtMostOnce, NotRunHonored, CorrectResponse, ServiceRecovers, NoUnexpectedExit, QuarantineEnforced, BackoffRespected, DrainRespected, AdvertisedLimitRespected, ConfigDurable, ForgedHeartbeatsIgnored}
+	return []Guarantee{WithinLimit, AtMostOnce, NotRunHonored, CorrectResponse, ServiceRecovers, NoUnexpectedExit, QuarantineEnforced, BackoffRespected, DrainRespected, AdvertisedLimitRespected, SlotsRespected, ConfigDurable, ForgedHeartbeatsIgnored}
 }
 
 // Violation is an observation that contradicts a guarantee.
@@ -89,8 +91,9 @@
 	quarantineReplies map[string]int
 	// Periods of faults in the system's processes and links; guarded by mu.
 	disturbances []interval
-	burstWindows []interval // periods in which requests may be delayed; guarded by mu
-	signals      signalLog  // guarded by mu
+	burstWindows []interval    // periods in which requests may be delayed; guarded by mu
+	signals      signalLog     // guarded by mu
+	slotArrivals []slotArrival // guarded by mu
 }
 
 // interval is a closed time interval.
@@ -216,6 +219,7 @@
 	for name, arrivals := range w.fatalArrivals {
 		w.checkQuarantine(name, arrivals)
 	}
+	w.checkSlots()
 	if w.expectRecovery && (len(w.served) == 0 || float64(servedCount) < minServedFraction*float64(len(w.served))) {
 		w.addViolation(ServiceRecovers, "%d of %d requests were served after all faults had healed", servedCount, len(w.served))
 	}
