Learn of all schedulers that can't be reached at once

Cause: a gateway that is cut off from zones with eight schedulers would wait up to 210 ms for each of them in turn, two a request. Change: when a scheduler fails to reply, the others are probed in the background, and those that don't reply are skipped. Result: a test with five silent schedulers: the second request uses the equal part without waiting.

--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -151,6 +151,23 @@
 	}
 }
 
+// probeOthers probes the schedulers that count as replying, other than the given ones, after one has failed: a gateway
+// that is cut off from a zone would otherwise wait for each scheduler of that zone in turn.
+func (c *slotClient) probeOthers(now time.Duration, except ...string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, address := range c.schedulers {
+		if _, down := c.down[address]; down || slices.Contains(except, address) {
+			continue
+		}
+		go func() {
+			if !c.probe(context.Background(), address) {
+				c.setDown(now, address)
+			}
+		}()
+	}
+}
+
 // reportEnd reports the end of a request in the background, and again if there is no reply: until the request's
 // time-out a lost report blocks one of few slots.
 func (c *slotClient) reportEnd(address string, end wirePlacementEnd) {
@@ -446,7 +463,9 @@
 
 // recordSlotTimeout records and logs that a scheduler did not answer.
 func (g *Gateway) recordSlotTimeout(address string, err error) {
-	g.slots.setDown(g.now(), address)
+	now := g.now()
+	g.slots.setDown(now, address)
+	g.slots.probeOthers(now, address, g.settings.PeerAddress)
 	g.metrics.schedulerFailures.Inc()
 	g.log.info(events.SchedulerTimeout, zap.String("address", address), zap.String(events.FieldCause, err.Error()))
 }
--- a/internal/gateway/slots_test.go
+++ b/internal/gateway/slots_test.go
@@ -280,6 +280,36 @@
 	})
 }
 
+// TestCutOffGatewayLearnsOfAllSchedulersAtOnce guards against a gateway that waits for each scheduler in turn when it is
+// cut off from all of them: after the first request, others use the equal part without waiting.
+func TestCutOffGatewayLearnsOfAllSchedulersAtOnce(t *testing.T) {
+	g := newSmallGateway("g", 6)
+	var silent []string
+	for range 5 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0") // accepts connections and never replies
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		silent = append(silent, listener.Addr().String())
+	}
+	g.slots.setSchedulers(silent)
+	x := smallExchange(g)
+	chosen := x.place()
+	if chosen == nil || chosen.slot == nil || !chosen.slot.share {
+		t.Fatalf("chosen %+v, want a slot of the equal part", chosen)
+	}
+	x.newAttempt(chosen).reportEnd()
+	eventually(t, "a scheduler counts as replying", func() bool {
+		usable, _ := g.slots.forService(0, "small")
+		return len(usable) == 0
+	})
+	startedAt := g.now()
+	if second := smallExchange(g).place(); second == nil || second.slot == nil || !second.slot.share || g.now()-startedAt > slotProbeTimeout {
+		t.Fatalf("chosen %+v after %v, want the equal part at once", second, g.now()-startedAt)
+	}
+}
+
 // TestWithoutSchedulersTheEqualPartIsUsed guards against gateways that overload the service when they are cut off from
 // all schedulers: one request at a time runs, the rest is rejected, and gateways spread over the back ends.
 func TestWithoutSchedulersTheEqualPartIsUsed(t *testing.T) {
