Tests of slots: see a time-out that is missed, and a canceled call that stays in the queue

Cause: twelve faults put into the code on a scratch copy; two were not found: a later time-out that is never looked for, and a canceled call whose end isn't reported. Change: the property compares the running requests with its model, and in the test of cancellations nothing else ends the wait. Result: both faults are found; tests of the gateway passed.

--- a/internal/gateway/slotqueue/slotqueue_test.go
+++ b/internal/gateway/slotqueue/slotqueue_test.go
@@ -387,6 +387,9 @@
 			for _, b := range current {
 				total += b.Slots
 			}
+			if len(q.running) != len(runs) {
+				t.Fatalf("%d requests counted as running, want %d: the others have ended or timed out", len(q.running), len(runs))
+			}
 			if len(q.waiting) != len(waits) || len(q.waiting) > maxWaiting || len(q.running) > total || len(q.earlyEnds) > maxEarlyEnds {
 				t.Fatalf("state: %d waiting, want %d; %d running of %d slots; %d early ends", len(q.waiting), len(waits), len(q.running), total, len(q.earlyEnds))
 			}
--- a/internal/gateway/slots_test.go
+++ b/internal/gateway/slots_test.go
@@ -394,11 +394,14 @@
 			s.settings.PeerAddress = address
 		}
 		g.slots.setSchedulers([]string{address})
-		holder := smallExchange(g).place()
+		held := smallExchange(g)
+		held.deadline = held.arrived + time.Minute
+		holder := held.place()
 		if holder == nil || holder.slot == nil {
 			t.Fatalf("got %+v, want a slot", holder)
 		}
 		x := smallExchange(g)
+		x.route, x.deadline = &catalog.Route{}, x.arrived+time.Minute // only the cancellation ends the wait
 		ctx, cancel := context.WithCancel(context.Background())
 		x.ctx = ctx
 		done := make(chan *candidate, 1)
