--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -68,6 +68,7 @@
 	scheduled *schedulerPlacement
 	// reserved is the decision on the request's reservation, for logs. It is set for latency-critical services.
 	reserved reservation.Decision
+	slot     *slotGrant // set if the request goes to a slot of a small service
 }
 
 // selectionInput describes the request for which a back end is selected.
--- a/internal/gateway/final.go
+++ b/internal/gateway/final.go
@@ -81,6 +81,7 @@
 		}
 	}
 	fields = append(fields, x.reservationFields()...)
+	fields = append(fields, x.slot.fields()...)
 	if x.backoffLeft > 0 {
 		fields = append(fields, zap.Duration(events.FieldBackoffLeftAtSend, x.backoffLeft))
 	}
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -28,6 +28,10 @@
 	Priority        int      `json:"r,omitempty"` // 0 is the most urgent
 	LatencyTargetMS int64    `json:"o,omitempty"` // the route's objective
 	Tenant          string   `json:"n,omitempty"` // "" from builds without reservations
+	// WaitMS is how long the call may be held open until a slot of a small service is free; nil asks for a placement at
+	// once. Zone is that of the requesting gateway.
+	WaitMS *int64 `json:"wait,omitempty"`
+	Zone   string `json:"zone,omitempty"`
 }
 
 // wirePlacementReply answers a wirePlacementRequest. Instance is empty if no back end is available.
@@ -56,6 +60,9 @@
 	Rejection string `json:"y,omitempty"`
 	Return    string `json:"z,omitempty"`
 	HasPlace  bool   `json:"p,omitempty"`
+	// Slot means that the reply comes from the queue of a small service, and WaitedMS is how long the call was held.
+	Slot     bool  `json:"slot,omitempty"`
+	WaitedMS int64 `json:"waited,omitempty"`
 }
 
 // wirePlacementEnd reports to a scheduler how a request that it placed ended, or that it had its first event.
@@ -67,8 +74,9 @@
 	DurationMS   int64          `json:"t,omitempty"` // since the attempt began
 	FirstEventMS int64          `json:"f,omitempty"` // time until the first event; 0 if there was none
 	// Running means that the request had its first event and goes on. It is sent only if the scheduler asked for it.
-	Running bool  `json:"qr,omitempty"`
-	PauseMS int64 `json:"qm,omitempty"` // longest time between two events of the stream
+	Running bool   `json:"qr,omitempty"`
+	PauseMS int64  `json:"qm,omitempty"` // longest time between two events of the stream
+	Service string `json:"s,omitempty"`  // set if the request asked for a slot of a small service
 }
 
 // call returns the part of the caller's request that the message carries. Parts without a size are left out.
@@ -88,6 +96,7 @@
 	ownTime    float64 // predicted time from then until the first event, in milliseconds; for services with queues
 	queued     queuedRequest
 	ended      queueAnnouncement // set at the end
+	slot       bool              // placed by the queue of a small service
 }
 
 // handlePlacementRequest handles another gateway's request for a placement.
@@ -97,6 +106,10 @@
 		respond(http.StatusBadRequest, nil)
 		return
 	}
+	if g.servesSlots(&req) {
+		g.handleSlotRequest(&req, respond)
+		return
+	}
 	respond(http.StatusOK, g.placeForPeer(g.now(), &req))
 }
 
@@ -133,6 +146,7 @@
 		priority: req.Priority, queueWait: chosen.queueWait, ownTime: chosen.ownTime(), queued: queuedRequest{number: chosen.queueNumber, placedAt: now},
 	})
 	g.announcePlacement(now, chosen, call.Parts, load)
+	g.slotDesk.count(now, req, chosen.row.entry.ID)
 	reply := wirePlacementReply{
 		Instance: chosen.row.entry.ID, Version: chosen.version, Uncached: chosen.uncached, Recomputed: chosen.recomputed, RecomputeReason: string(chosen.recomputeReason), WaitMS: chosen.wait, FetchFrom: chosen.fetchFrom, SaveTo: chosen.saveTo,
 		ReportFirstEvent: chosen.queueNumber > 0,
@@ -158,9 +172,15 @@
 		g.handleFirstEvent(now, &end)
 		return
 	}
-	p, load, known := g.table.endPlacement(now, &end)
+	g.slotDesk.end(now, g.applyPlacementEnd(now, &end), &end)
+}
+
+// applyPlacementEnd applies the report that a request ended which this gateway placed, and returns its service, or "" if
+// it is not known.
+func (g *Gateway) applyPlacementEnd(now time.Duration, end *wirePlacementEnd) (service string) {
+	p, load, known := g.table.endPlacement(now, end)
 	if !known {
-		return
+		return end.Service
 	}
 	row := p.row
 	g.table.observePrefill(row, p.engineIdle, p.uncached, durationFromMS(end.FirstEventMS))
@@ -174,6 +194,7 @@
 	if end.Unreached {
 		g.peers.announce(announcement{Gateway: end.Gateway, Instance: row.entry.ID, Unreachable: true})
 	}
+	return row.entry.Service
 }
 
 // addPlacement adds a placement and returns the back end's load as this gateway reports it to others.
@@ -207,6 +228,8 @@
 	case end.Outcome == outcomeFailure:
 		row.raiseFailureRate()
 		t.recordPeerReport(now, row, end.Gateway)
+	case p.slot && end.Outcome == outcomeRejected:
+		row.lastByteAt = now // the queue counts its slots as taken, so it need not be avoided
 	default:
 		row.recordOutcome(now, end.Outcome)
 	}
