Choose copies by request ID and time of arrival

Cause: a caller's retry has the ID of the first try, so its copy went to the engine that may still keep the copy of the first run under that ID. Change: the time of arrival is part of the seed. Result: tests of internal/gateway and the copy tests of platform passed.

--- a/internal/gateway/streamcopies.go
+++ b/internal/gateway/streamcopies.go
@@ -114,7 +114,9 @@
 	}
 	eventTokens := x.view.offer(x.service.Name).EventTokens
 	run := streamcopy.Run{
-		Seed: xxhash.Sum64String(x.call.ID), Zone: a.row.entry.Zone, Version: a.plan.version, Tokens: tokens,
+		// With the time of arrival, a caller's retry under the same ID mostly has its copy elsewhere than the first try,
+		// whose copy the engine may still keep.
+		Seed: xxhash.Sum64String(x.call.ID) ^ uint64(x.arrived), Zone: a.row.entry.Zone, Version: a.plan.version, Tokens: tokens,
 		OutputTokens: x.call.OutputTokens - x.copied.relayed*max(1, eventTokens), EventTokens: eventTokens,
 		Transfer: transfer(false), CrossZoneTransfer: transfer(true),
 	}
