Divide the lanes of latency-critical services by engine time

Cause: in a trial of strict lanes the short lane had 10 of 90 engines, since slots counted by the service's mean duration at 40 prompt tokens a ms. Its streams last 2 s each and took all of its slots: 4,175 short requests were rejected and 25% of the others were late. Change: a request's demand is the time of its prefill or of its slot, whichever is more, with mean durations by lane.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -242,7 +242,7 @@
 // requests that run with them use the same copy.
 func promptMemory(call *Call) int {
 	shared := prefix.PartTokens(prefix.SharedParts(call.Parts))
-	return max(call.PromptTokens, prefix.PartTokens(call.Parts)) - shared/2
+	return call.promptTokens() - shared/2
 }
 
 // recheck returns why the request must not be sent after all, or "". While the connection was established, the lease on
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -99,9 +99,7 @@
 }
 
 // promptTokens returns the number of prompt tokens.
-func (w *selectionInput) promptTokens() int {
-	return max(w.call.PromptTokens, prefix.PartTokens(w.call.Parts))
-}
+func (w *selectionInput) promptTokens() int { return w.call.promptTokens() }
 
 // maxUncached returns the prompt tokens to prefill at an engine that has all the shared parts cached.
 func (w *selectionInput) maxUncached() int {
@@ -120,6 +118,9 @@
 		lanes.strict = in.latencyCritical && g.enabled(mechanism.PauseBound)
 		in.rates = g.table.queueRates[in.service.Name]
 		in.memory, in.meanDuration = promptMemory(in.call), g.table.meanDuration(in.service.Name)
+		if lanes.strict {
+			in.meanDuration = lanes.duration(in.promptTokens() >= longPromptTokens)
+		}
 	}
 	owner := g.owner(now, rows, in)
 	sources := g.sources(now, in)
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -21,6 +21,9 @@
 	LastEvent      string        // ID of the last event of the stream that the caller has
 }
 
+// promptTokens returns the number of prompt tokens.
+func (c *Call) promptTokens() int { return max(c.PromptTokens, prefix.PartTokens(c.Parts)) }
+
 // Forwarding holds the properties that a Dialect adds to a request for a back end.
 type Forwarding struct {
 	Instance       string        // ID of the incarnation that the request is for; any other must reject it
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -212,13 +212,17 @@
 	*own = own.Minus(sent.load())
 	sent.row.recordOutcome(now, outcome)
 	if outcome == outcomeSuccess {
-		t.recordDuration(sent.row, now-sent.startedAt)
+		t.recordDuration(sent.row, sent.exchange.call.promptTokens(), now-sent.startedAt)
 	}
 	return sent.row.occupancy.Local()
 }
 
-// recordDuration updates the mean request duration of a back end's service. The caller holds the mutex.
-func (t *table) recordDuration(row *endpoint, length time.Duration) {
+// recordDuration updates the mean request duration of a back end's service, and that of the request's lane. The caller
+// holds the mutex.
+func (t *table) recordDuration(row *endpoint, promptTokens int, length time.Duration) {
+	if lanes := t.lanes[row.entry.Service]; lanes != nil {
+		lanes.observeDuration(promptTokens, length)
+	}
 	service := row.entry.Service
 	t.meanDurations[service] = t.meanDuration(service).Observe(length)
 }
--- a/internal/gateway/holders.go
+++ b/internal/gateway/holders.go
@@ -54,8 +54,15 @@
 // recordDemand records the demand of a request sent to an engine, for the lanes of its service. The caller holds
 // the mutex.
 func (t *table) recordDemand(now time.Duration, row *endpoint, sent *announcement) {
-	slotTime := float64(t.meanDuration(row.entry.Service)) / float64(max(1, row.entry.Slots))
-	t.lanesOf(row.entry.Service).recordDemand(now, prefix.PartTokens(sent.Parts), sent.Uncached, slotTime)
+	service, slots := row.entry.Service, float64(max(1, row.entry.Slots))
+	lanes := t.lanesOf(service)
+	if !lanes.strict {
+		lanes.recordDemand(now, sent.Uncached, float64(t.meanDuration(service))/slots)
+		return
+	}
+	long := lanes.isLong(prefix.PartTokens(sent.Parts), sent.Uncached)
+	prefillTime := belief.Milliseconds(t.prefillEstimate(service).PrefillTime(sent.Uncached))
+	lanes.recordEngineTime(now, long, prefillTime, float64(lanes.duration(long))/slots)
 }
 
 // recordCached records the parts that a request leaves in the caches of its engine and of the store. The caller
--- a/internal/gateway/lanes.go
+++ b/internal/gateway/lanes.go
@@ -43,8 +43,24 @@
 	utilization   float64        // fraction of slots in use
 	utilizationAt time.Duration  // when utilization was computed
 	// strict lanes, of latency-critical services, keep apart prompts by their size rather than by what is uncached, and
-	// have the full weight at every utilization.
-	strict bool
+	// have the full weight at every utilization. They are divided by the time that requests take of an engine: short
+	// prompts may generate for seconds, so that slots run out long before prefills do.
+	strict    bool
+	durations [2]belief.MeanDuration // of requests of the short lane and of the long lane; 0 before one has ended
+}
+
+// duration returns the mean duration of requests of a lane.
+func (l *lanes) duration(long bool) belief.MeanDuration {
+	if known := l.durations[laneIndex(long)]; known > 0 {
+		return known
+	}
+	return belief.InitialMeanDuration
+}
+
+// observeDuration records the duration of a request with a prompt of the given size.
+func (l *lanes) observeDuration(promptTokens int, length time.Duration) {
+	long := promptTokens >= longPromptTokens
+	l.durations[laneIndex(long)] = l.duration(long).Observe(length)
 }
 
 // isLong reports whether a request with a prompt of the given size, of which some tokens are uncached, belongs to the long
@@ -81,11 +97,23 @@
 	return min(max(1-l.utilization/lanesOffUtilization, 0), 1)
 }
 
-// recordDemand adds the demand of a request with a prompt of the given size. slotTime is how long it occupies a slot, divided by the engine's
-// slots, in milliseconds.
-func (l *lanes) recordDemand(now time.Duration, promptTokens, uncached int, slotTime float64) {
+// recordEngineTime adds the demand of a request of strict lanes: the time of its prefill, or of its slot divided by the
+// engine's slots if that is more, in milliseconds.
+func (l *lanes) recordEngineTime(now time.Duration, long bool, prefillTime, slotTime float64) {
+	l.decay(now)
+	demand := max(prefillTime, slotTime) * belief.PrefillRate
+	if long {
+		l.long += demand
+		return
+	}
+	l.short += demand
+}
+
+// recordDemand adds the demand of a request. slotTime is how long it occupies a slot, divided by the engine's slots, in
+// milliseconds.
+func (l *lanes) recordDemand(now time.Duration, uncached int, slotTime float64) {
 	l.decay(now)
-	if l.isLong(promptTokens, uncached) {
+	if uncached >= longPromptTokens {
 		l.long += float64(uncached)
 		return
 	}
--- a/internal/gateway/large_test.go
+++ b/internal/gateway/large_test.go
@@ -93,8 +93,8 @@
 		l := &lanes{}
 		for i := range 1000 {
 			now := time.Duration(i) * 10 * time.Millisecond
-			l.recordDemand(now, 6000, 6000, slotTime)
-			l.recordDemand(now, 545, 545, slotTime)
+			l.recordDemand(now, 6000, slotTime)
+			l.recordDemand(now, 545, slotTime)
 		}
 		return l.longDemandFraction()
 	}
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -86,17 +86,18 @@
 
 // placement is a request that this gateway placed for another one and whose end has not been reported yet.
 type placement struct {
-	row        *endpoint
-	load       belief.Load
-	uncached   int           // prompt tokens to prefill
-	engineIdle bool          // no other prefill was running or queued there
-	expiresAt  time.Duration // the placement is dropped then, even if no end was reported
-	priority   int
-	queueWait  float64 // predicted time until the prefill starts, in milliseconds
-	ownTime    float64 // predicted time from then until the first event, in milliseconds; for services with queues
-	queued     queuedRequest
-	ended      queueAnnouncement // set at the end
-	slot       bool              // placed by the queue of a small service
+	row          *endpoint
+	load         belief.Load
+	uncached     int           // prompt tokens to prefill
+	promptTokens int           // of the whole prompt
+	engineIdle   bool          // no other prefill was running or queued there
+	expiresAt    time.Duration // the placement is dropped then, even if no end was reported
+	priority     int
+	queueWait    float64 // predicted time until the prefill starts, in milliseconds
+	ownTime      float64 // predicted time from then until the first event, in milliseconds; for services with queues
+	queued       queuedRequest
+	ended        queueAnnouncement // set at the end
+	slot         bool              // placed by the queue of a small service
 }
 
 // handlePlacementRequest handles another gateway's request for a placement.
@@ -142,7 +143,7 @@
 		return rejection
 	}
 	load := g.table.addPlacement(now, req.PlacementID, placement{
-		row: chosen.row, load: loadOf(&call), uncached: chosen.uncached, engineIdle: chosen.engineIdle, expiresAt: now + durationFromMS(req.TimeoutMS),
+		row: chosen.row, load: loadOf(&call), uncached: chosen.uncached, promptTokens: call.promptTokens(), engineIdle: chosen.engineIdle, expiresAt: now + durationFromMS(req.TimeoutMS),
 		priority: req.Priority, queueWait: chosen.queueWait, ownTime: chosen.ownTime(), queued: queuedRequest{number: chosen.queueNumber, placedAt: now},
 	})
 	g.announcePlacement(now, chosen, call.Parts, load)
@@ -234,7 +235,7 @@
 		row.recordOutcome(now, end.Outcome)
 	}
 	if end.Outcome == outcomeSuccess {
-		t.recordDuration(row, durationFromMS(end.DurationMS))
+		t.recordDuration(row, p.promptTokens, durationFromMS(end.DurationMS))
 	}
 	return p, row.occupancy.Local(), true
 }
--- a/internal/gateway/queues_test.go
+++ b/internal/gateway/queues_test.go
@@ -517,9 +517,25 @@
 	if got := strictLaneCost(true, 800, 500, 10*time.Millisecond); got != longOffLaneCost {
 		t.Errorf("with a tiny objective: cost %v ms, want %v", got, longOffLaneCost)
 	}
+}
+
+// Guards against a short lane whose slots are taken while its prefills use a tenth of its time: 200 short requests a
+// second that hold a slot for 2 s, and 500 long ones that are prefilled in 30 ms and end 300 ms later.
+func TestStrictLanesAreDividedByEngineTime(t *testing.T) {
 	l := &lanes{strict: true}
-	l.recordDemand(time.Second, 9000, 700, 0)
-	if l.long != 700 || l.short != 0 {
-		t.Errorf("a long prompt counts as short demand: %v and %v", l.long, l.short)
+	for range 200 {
+		l.observeDuration(800, 2*time.Second)
+		l.observeDuration(9000, 330*time.Millisecond)
+	}
+	for i := range 10_000 {
+		now := time.Duration(i) * 2 * time.Millisecond
+		l.recordEngineTime(now, true, 30, float64(l.duration(true))/32)
+		if i%5 < 2 {
+			l.recordEngineTime(now, false, 5, float64(l.duration(false))/32)
+		}
+	}
+	// 200 x 2 s / 32 slots = 12.5 engines of slots against 500 x 30 ms = 15 of prefills.
+	if got := l.longDemandFraction(); got < 0.52 || got > 0.57 {
+		t.Errorf("%.2f of the engines are for long requests", got)
 	}
 }
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -107,7 +107,7 @@
 		now := time.Duration(0)
 		for range rapid.IntRange(0, 100).Draw(t, "sends") {
 			now += time.Duration(rapid.IntRange(0, 500).Draw(t, "pause")) * time.Millisecond
-			l.recordDemand(now, 0, rapid.IntRange(0, 60_000).Draw(t, "tokens"), 0)
+			l.recordDemand(now, rapid.IntRange(0, 60_000).Draw(t, "tokens"), 0)
 		}
 		l.divide(rows)
 		long, short := map[string]int{}, map[string]int{}
