Plan copies from and to stores by their contents, for latency-critical services

Cause: a gateway knows of a store only which saves were planned. The parts of half of the requests that asked a store were there without being expected, saves were left out while a link seemed busy, and were planned only when the chosen engine lacked something. Change: control assigns each store to one scheduler (WatchReply.stores), which reads its events, lists it after a gap at most every 2 s and sends the others what requests share (announcement field h). For latency-critical services planFetch counts leading parts that the store is known to hold if the transfer is shorter than prefilling, asks for others without counting them, and the chosen candidate saves what the store lacks, also if its engine has all. Only the bytes of a transfer occupy the store's link. A store that has been silent for 4 s isn't asked; one that nobody has read is used as before.

--- a/internal/control/relaying.go
+++ b/internal/control/relaying.go
@@ -71,6 +71,7 @@
 	reply.Gateways = r.relay.Gateways()
 	reply.setLayout(r.relay.Layout(), &watch)
 	reply.CacheEventSources = r.relay.CacheEventSources(watch.Gateway)
+	reply.StoreSources = r.storeSourcesOf(r.relay.Layout().Mesh, watch.Gateway)
 	return reply
 }
 
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -107,6 +107,7 @@
 	publications   map[string][]publishedVersion // by model, in ascending order of version, with local times
 	orderMarks     map[string]orderMark          // newest order seen in the log, by back-end name
 	published      publishedDocument             // newest document sent to gateways
+	storeList      storeList                     // stores of the newest document
 	readOffers     OfferReader                   // nil if the offers of back ends are not known
 	relay          *relay.Relay                  // answers gateways while another replica leads
 	awaitingLeader []heldWatch                   // watches held until a leader is known; at most maxAwaitingLeader
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -47,6 +47,9 @@
 	NearbyReplicas    []string                 `json:"near,omitempty"`  // followers in the gateway's zone that answer gateways; empty if the leader answers all
 	CacheEventSources []string                 `json:"reads,omitempty"` // engines whose cache events the gateway reads on behalf of all gateways
 
+	// StoreSources holds the addresses of the stores whose cache events the gateway reads on behalf of all gateways.
+	StoreSources []string `json:"stores,omitempty"`
+
 	Quarantine *quarantine.Update `json:"quarantine,omitempty"` // set if it differs from the list that the gateway holds
 
 	sharedDocument *payload.SharedJSON // Document encoded as JSON, or nil
@@ -211,6 +214,7 @@
 	_, reply.Gateways = r.trustingGateways(now)
 	reply.setLayout(r.layout(now), &watch)
 	reply.CacheEventSources = r.cacheEventSourcesOf(now, watch.Gateway)
+	reply.StoreSources = r.storeSourcesOf(r.layout(now).Mesh, watch.Gateway)
 	return reply
 }
 
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -22,6 +22,8 @@
 	WeightsMismatch          = "other weights answered" // other weights than expected, or outdated ones
 	PublicationAgeRegression = "naming told younger"    // control reports a later publication time than before
 	CacheReadFailed          = "cache not read"
+	StoreReadFailed          = "store not read"
+	StoreListed              = "store listed"
 	SchedulerTimeout         = "scheduler silent" // a scheduler did not answer a placement request in time
 	ControlDisconnected      = "control lost"
 	ControlReconnected       = "control regained"
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -15,6 +15,7 @@
 	"kitetiller/internal/control"
 	"kitetiller/internal/events"
 	"kitetiller/internal/gateway/belief"
+	"kitetiller/internal/gateway/storeindex"
 	"kitetiller/internal/prefix"
 	"kitetiller/internal/pushback"
 	"kitetiller/internal/transport"
@@ -64,7 +65,9 @@
 	RejectedRequest string
 	// Signals are load and limit signals of the back end. If there are any, only they are announced.
 	Signals pushback.Signals
-	Age     time.Duration // time since the announced event
+	// StoreReport is what was read from a store. If there is one, only it is announced.
+	StoreReport *storeindex.Report
+	Age         time.Duration // time since the announced event
 }
 
 // wireAnnouncement is the JSON form of an announcement. Its names are short since each announcement goes to every
@@ -89,6 +92,8 @@
 	Limit           *float64 `json:"b,omitempty"` // advertised by the back end, in requests per second of all gateways
 	LimitWithdrawn  bool     `json:"e,omitempty"` // the back end no longer advertises a limit
 	AgeMS           int64    `json:"a"`
+
+	StoreReport *wireStoreReport `json:"h,omitempty"`
 }
 
 func (s announcement) toWire(waited time.Duration) wireAnnouncement {
@@ -99,6 +104,7 @@
 	}
 	w.Parts, w.Tokens = partsToWire(s.Parts)
 	w.Limit, w.LimitWithdrawn = limitToWire(s.Signals.Limit)
+	w.StoreReport = storeReportToWire(s.StoreReport)
 	return w
 }
 
@@ -128,6 +134,7 @@
 		Gateway: w.Gateway, Load: belief.Load{Running: max(0, w.Running), Tokens: max(0, w.RunningTokens)},
 		Instance: w.Instance, Salt: w.Salt, Uncached: max(0, w.Uncached), SavedToStore: w.SavedToStore, Unreachable: w.Unreachable, CacheReport: w.CacheReport, RejectedRequest: w.RejectedRequest,
 		Signals: pushback.Signals{Backoff: durationFromMS(min(w.BackoffMS, pushback.MaxBackoff.Milliseconds())), Draining: w.Draining, Limit: limitFromWire(w.Limit, w.LimitWithdrawn)}, Age: durationFromMS(w.AgeMS), Transfer: belief.Transfer{From: w.TransferFrom, Time: durationFromMS(w.TransferMS)}, Parts: partsFromWire(w.Parts, w.Tokens),
+		StoreReport: storeReportFromWire(w.StoreReport),
 	}
 }
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -9,6 +9,7 @@
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/gateway/belief"
+	"kitetiller/internal/gateway/storeindex"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/prefix"
 )
@@ -44,13 +45,16 @@
 	row             *endpoint
 	cost            float64 // milliseconds
 	salt            string
-	version         uint64          // of the weights expected there; 0 if unknown
-	wait            float64         // predicted time until the request starts, in milliseconds
-	queueWait       float64         // part of wait before the prefill starts
-	startDeadline   time.Duration   // time by which the request must start, as known at the decision, or 0; for logs only
-	uncached        int             // prompt tokens to prefill
-	recomputed      int             // tokens of shared parts among uncached
-	copyCostsMore   bool            // a copy of the shared parts exists, but costs more than recomputing them
+	version         uint64        // of the weights expected there; 0 if unknown
+	wait            float64       // predicted time until the request starts, in milliseconds
+	queueWait       float64       // part of wait before the prefill starts
+	startDeadline   time.Duration // time by which the request must start, as known at the decision, or 0; for logs only
+	uncached        int           // prompt tokens to prefill
+	recomputed      int           // tokens of shared parts among uncached
+	copyCostsMore   bool          // a copy of the shared parts exists, but costs more than recomputing them
+	copySource      copySource    // set like storeGap and storeSave if the store index plans copies and saves
+	storeGap        storeGap
+	storeSave       storeindex.Save
 	recomputeReason recomputeCause  // set for the chosen candidate if recomputed > 0
 	engineIdle      bool            // no other prefill is estimated to be running or queued there
 	fetchFrom       string          // address of the engine or store to copy cached parts from, or ""
@@ -81,6 +85,7 @@
 	// optional features of its back ends.
 	latencyCritical bool
 	offer           catalog.Offer
+	storeIndexed    bool // the store index plans copies from and to the store; set by choose
 }
 
 // promptTokens returns the number of prompt tokens.
@@ -104,6 +109,7 @@
 		lanes.measureUtilization(now, rows)
 		in.memory, in.meanDuration = promptMemory(in.call), g.table.meanDuration(in.service.Name)
 	}
+	in.storeIndexed = g.usesStoreIndex(now, &in)
 	owner := g.owner(now, rows, in)
 	sources := g.sources(now, in)
 	listed := g.shortlist(now, rows, owner, sources, in)
@@ -114,6 +120,9 @@
 	if !found {
 		return nil
 	}
+	if in.storeIndexed {
+		g.planStoreSave(now, &best, in)
+	}
 	if best.recomputed > 0 {
 		best.recomputeReason = g.explainRecompute(now, &best, prefix.SharedParts(in.call.Parts), sources)
 	}
@@ -215,7 +224,7 @@
 	sharedTokens := prefix.PartTokens(shared)
 	if cached < sharedTokens && scored.version > 0 {
 		cached = g.planFetch(now, scored, in, cached, sources)
-	} else if scored.version > 0 && sharedTokens > 0 && in.store != nil {
+	} else if scored.version > 0 && sharedTokens > 0 && in.store != nil && !(in.storeIndexed && g.table.stores.State(now, in.store.StoreAddress) == storeindex.Silent) {
 		scored.fetchFrom = in.store.StoreAddress // the engine may have evicted the parts, and asking the store is cheap
 	}
 	scored.uncached, scored.recomputed = in.promptTokens()-cached, max(0, sharedTokens-cached)
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -108,6 +108,9 @@
 // known to have them and its link is free, it is asked anyway, since a miss costs little, and they are saved
 // there.
 func (g *Gateway) planFetch(now time.Duration, scored *candidate, in selectionInput, cached int, sources []source) int {
+	if in.storeIndexed {
+		return g.planIndexedFetch(now, scored, in, cached, sources)
+	}
 	shared := prefix.SharedParts(in.call.Parts)
 	sharedTokens := prefix.PartTokens(shared)
 	stored := in.store != nil && g.table.stored.Holds(now, scored.salt, shared)
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -10,6 +10,7 @@
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
 	"kitetiller/internal/gateway/belief"
+	"kitetiller/internal/gateway/storeindex"
 	"kitetiller/internal/guard"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/pushback"
@@ -55,6 +56,8 @@
 	services         map[string][]*endpoint
 	published        *belief.PublishTimes              // versions of weights
 	stored           *belief.StoredParts               // parts that were sent to a store
+	stores           *storeindex.Index                 // what stores are known to hold
+	currentView      func() *view                      // nil or returning nil if there is none
 	lanes            map[string]*lanes                 // by service
 	meanDurations    map[string]belief.MeanDuration    // by service
 	placed           map[string]placement              // placements for other gateways, by ticket
@@ -74,7 +77,7 @@
 func newTable(mechanisms mechanism.Set) *table {
 	return &table{
 		mechanisms: mechanisms, rows: map[string]*endpoint{}, services: map[string][]*endpoint{},
-		published: belief.NewPublishTimes(guard.Set{}), stored: belief.NewStoredParts(), links: belief.Links{}, signals: pushback.NewTracker(),
+		published: belief.NewPublishTimes(guard.Set{}), stored: belief.NewStoredParts(), stores: storeindex.New(), links: belief.Links{}, signals: pushback.NewTracker(),
 		lanes: map[string]*lanes{}, meanDurations: map[string]belief.MeanDuration{}, prefillEstimates: map[string]belief.PrefillEstimate{}, lastSent: map[string]time.Duration{}, admission: map[string]*admission.Controller{},
 		placed: map[string]placement{}, holders: map[string][]*endpoint{}, waiting: map[*attempt]struct{}{}, rosterChanged: newNotifier(), lastRetryAt: map[string]time.Duration{},
 	}
@@ -225,11 +228,15 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for _, sent := range sends {
+		at := now - min(now, sent.Age)
+		if sent.StoreReport != nil {
+			t.stores.ApplyPeer(at, *sent.StoreReport)
+			continue
+		}
 		row := t.rows[sent.Instance]
 		if row == nil {
 			continue
 		}
-		at := now - min(now, sent.Age)
 		if sent.CacheReport {
 			row.cache.ApplyPeerReport(at, sent.Salt, sent.Parts)
 			t.indexHolder(row, sent.Parts)
@@ -275,6 +282,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.stored.Sweep(now)
+	t.stores.Sweep(now)
 	t.expirePlacements(now)
 	for _, controller := range t.admission {
 		controller.Sweep(now)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -139,6 +139,7 @@
 	g.schedulers.setAddresses(reply.Mesh.Schedulers)
 	g.table.setAssigned(reply.CacheEventSources)
 	g.assignCaches(ctx, reply)
+	g.assignStores(ctx, reply)
 	if g.view.Load() != nil {
 		g.confirmedAt.Store(int64(askedAt))
 		g.outage.end(g.now())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,8 +7,8 @@
 // than Settings.ViewTTL. Headers exchanged with callers and back ends are defined by a Dialect.
 //
 // Goroutines: one watches control, one leases shares of fleet-wide limits from it, one reports crashed back ends to
-// it, one removes expired state, four send announcements to other gateways, and one per assigned engine reads cache
-// events. Callers are served on the goroutines of net/http.
+// it, one removes expired state, four send announcements to other gateways, and one per assigned engine or store
+// reads cache events. Callers are served on the goroutines of net/http.
 package gateway
 
 import (
@@ -59,6 +59,7 @@
 	outage            outage
 	cacheReader       CacheReader // nil if engines' caches are not read
 	followers         *cacheFollowers
+	storeFollowers    *cacheFollowers  // by address of the store
 	weightsLogLimiter *node.LogLimiter // for weight version mismatches, by instance
 	backoffLogLimiter *node.LogLimiter // for backoff requests of back ends, by instance
 	limitLogLimiter   *node.LogLimiter // for unparsable advertised limits, by instance
@@ -82,12 +83,13 @@
 	g := &Gateway{
 		settings: settings, dialect: dialect, log: newDecisionLog(log), now: clock.NewSource(settings.Clock),
 		group: control.NewClient(client, settings.Control), nearby: newNearbyReplicas(settings.Name), table: newTable(settings.Mechanisms), budget: newRetryBudget(settings),
-		viewConfirmed: newNotifier(), followers: newCacheFollowers(), pool: newPool(settings.Clock), splits: newSplits(newRand()),
+		viewConfirmed: newNotifier(), followers: newCacheFollowers(), storeFollowers: newCacheFollowers(), pool: newPool(settings.Clock), splits: newSplits(newRand()),
 		weightsLogLimiter: node.NewLogLimiter(), backoffLogLimiter: node.NewLogLimiter(), limitLogLimiter: node.NewLogLimiter(),
 		peers: newPeerAnnouncer(client), schedulers: newSchedulers(client), shortName: strconv.FormatUint(rand.Uint64N(shortNameRange), saltBase),
 	}
 	g.quarantine = reporter.New(reporter.Config{Submit: g.group.Quarantine, RefusesConnections: reporter.RefusesTCP(&g.pool.dialer), Log: g.log.info, Now: g.now})
 	g.leases = desk.New(g.shortName, settings.ViewTTL, g.now, g.requestLeases)
+	g.table.currentView = g.view.Load
 	g.peers.disabled = !g.enabled(mechanism.GatewayMesh)
 	g.metrics = newMetrics(g)
 	return g
@@ -144,6 +146,7 @@
 	cancel()
 	wg.Wait()
 	g.followers.threads.Wait()
+	g.storeFollowers.threads.Wait()
 	if ready != nil {
 		_ = ready.Close()
 	}
--- a/internal/gateway/holders.go
+++ b/internal/gateway/holders.go
@@ -68,6 +68,7 @@
 	if sent.SavedToStore {
 		t.stored.Record(at, sent.Salt, prefix.SharedParts(sent.Parts))
 	}
+	t.recordStoreUse(at, row, &sent)
 }
 
 // recordOwnSend records the demand and the cached parts of a request that this gateway placed.
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -44,6 +44,9 @@
 	// was observed. Both are absent if there is none.
 	Limit      *float64 `json:"n,omitempty"`
 	LimitAgeMS int64    `json:"a,omitempty"`
+
+	CopySource string `json:"y,omitempty"` // where shared parts are copied from, for logs
+	StoreGap   string `json:"z,omitempty"` // why they are not fetched from the store, for logs
 }
 
 // wirePlacementEnd reports to a scheduler how a request that it placed ended.
@@ -113,6 +116,7 @@
 	reply := wirePlacementReply{
 		Instance: chosen.row.entry.ID, Version: chosen.version, Uncached: chosen.uncached, Recomputed: chosen.recomputed, RecomputeReason: string(chosen.recomputeReason), WaitMS: chosen.wait, FetchFrom: chosen.fetchFrom, SaveTo: chosen.saveTo,
 	}
+	reply.CopySource, reply.StoreGap = chosen.copySource.String(), chosen.storeGap.String()
 	if limit, _ := g.table.advertisedLimit(now, chosen.row); limit != nil {
 		reply.Limit, reply.LimitAgeMS = &limit.Rate, limit.Age.Milliseconds()
 	}
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -196,6 +196,7 @@
 		row: g.table.rows[reply.Instance], version: reply.Version, salt: cacheSalt(reply.Version, in.tenant), wait: reply.WaitMS,
 		uncached: max(0, reply.Uncached), recomputed: max(0, reply.Recomputed), recomputeReason: recomputeCause(reply.RecomputeReason), fetchFrom: reply.FetchFrom, saveTo: reply.SaveTo, scheduled: &placed,
 	}
+	chosen.copySource, chosen.storeGap = copySourceFromWire(reply.CopySource), storeGapFromWire(reply.StoreGap)
 	if reply.Version == 0 {
 		chosen.salt = uniqueSalt()
 	}
--- a/internal/gateway/storeindex/index.go
+++ b/internal/gateway/storeindex/index.go
@@ -15,8 +15,12 @@
 const (
 	// SilenceTTL is how long after the last sign of a store its known contents count. After that it is not asked.
 	SilenceTTL = 4 * time.Second
-	// saveTimeout is how long a save of a part may take to show up before another one may be started.
-	saveTimeout = 2 * time.Second
+	// saveTimeout is how long a save of a part may take to show up before another one may be started. It doubles with
+	// each consecutive save that did not, up to maxSaveDoublings times, since saves that never succeed occupy the link
+	// in the estimates of all schedulers. Failures are forgotten after saveMemory.
+	saveTimeout      = 2 * time.Second
+	maxSaveDoublings = 3
+	saveMemory       = 20 * time.Second
 	// unreadTTL is how long what another scheduler reported of a part counts. The reader repeats each part every
 	// refreshCycle, so this allows for two lost messages.
 	unreadTTL    = 30 * time.Second
@@ -71,7 +75,13 @@
 	tokens int // 0 if it was removed
 	event  uint64
 	seenAt time.Duration // of the newest report about it
-	told   bool          // other schedulers were sent that it is held
+	told   bool          // other schedulers were sent, or have reported, that it is held
+}
+
+// save is a save of a part.
+type save struct {
+	at       time.Duration
+	failures int // earlier consecutive saves that did not show up
 }
 
 // store is what is known of one store.
@@ -81,7 +91,7 @@
 	heardAt time.Duration // last sign of the store
 	event   uint64        // highest event number reported
 	parts   map[partKey]entry
-	saving  map[partKey]time.Duration // when a save of each part began
+	saving  map[partKey]save // the last save of each part that has not shown up
 	waiting waitingParts
 
 	reading     bool                 // this process reads it
@@ -113,7 +123,7 @@
 func (x *Index) storeAt(address string) *store {
 	s := x.stores[address]
 	if s == nil && len(x.stores) < maxStores {
-		s = &store{parts: map[partKey]entry{}, saving: map[partKey]time.Duration{}, waiting: waitingParts{parts: map[partKey]waitingPart{}}, untold: map[partKey]struct{}{}}
+		s = &store{parts: map[partKey]entry{}, saving: map[partKey]save{}, waiting: waitingParts{parts: map[partKey]waitingPart{}}, untold: map[partKey]struct{}{}}
 		x.stores[address] = s
 	}
 	return s
@@ -182,8 +192,8 @@
 }
 
 func (s *store) isSaving(now time.Duration, key partKey) bool {
-	startedAt, saving := s.saving[key]
-	return saving && now < startedAt+saveTimeout
+	last, saving := s.saving[key]
+	return saving && now < last.at+saveTimeout<<min(last.failures, maxSaveDoublings)
 }
 
 // RecordRequest records that a request with these shared parts was sent to an engine; its prompt belongs to the given
@@ -216,7 +226,14 @@
 		key := partKey{salt, part.ID}
 		if lacking := part.Tokens - min(part.Tokens, s.holds(now, key)); lacking > 0 && len(s.saving) < maxParts {
 			missing += lacking
-			s.saving[key] = now
+			next := save{at: now}
+			if last, failed := s.saving[key]; failed {
+				next.failures = last.failures
+				if !s.isSaving(now, key) {
+					next.failures++
+				}
+			}
+			s.saving[key] = next
 			delete(s.waiting.parts, key)
 		}
 	}
@@ -245,8 +262,8 @@
 			delete(s.parts, key)
 		}
 	}
-	for key, startedAt := range s.saving {
-		if now >= startedAt+saveTimeout {
+	for key, last := range s.saving {
+		if now >= last.at+saveMemory {
 			delete(s.saving, key)
 		}
 	}
--- a/internal/gateway/storeindex/index_test.go
+++ b/internal/gateway/storeindex/index_test.go
@@ -89,6 +89,14 @@
 	if got := plan(saveTimeout, "w1", "a", "b"); got != SaveStart {
 		t.Fatalf("plan after the save did not show up: %s", got)
 	}
+	x.RecordSave(saveTimeout, testStore, "w1", prompt("a", "b"))
+	if got := plan(2*saveTimeout, "w1", "a", "b"); got != SaveActive {
+		t.Fatalf("plan one timeout after the second save, which has two: %s", got)
+	}
+	x.ApplyRead(2*saveTimeout, reportOf(1, 5), false)
+	if got := plan(3*saveTimeout, "w1", "a", "b"); got != SaveStart {
+		t.Fatalf("plan two timeouts after the second save: %s", got)
+	}
 	x.ApplyRead(time.Second, reportOf(1, 6, part("w1", "b", 100)), false)
 	if got := plan(time.Second, "w1", "a", "b"); got != SaveHeld {
 		t.Fatalf("plan after the save showed up: %s", got)
@@ -105,7 +113,7 @@
 	x := New()
 	x.ApplyRead(0, reportOf(1, 5), true)
 	perToken := 200 * time.Microsecond // a prompt of 100 tokens takes 20 ms
-	busy, free, full := Link{Wait: 45 * time.Millisecond, TimePerToken: perToken}, Link{Wait: freeLinkWait - 1, TimePerToken: perToken}, Link{Wait: maxLinkWait, TimePerToken: perToken}
+	busy, free, full := Link{Wait: maxLinkWait - 35*time.Millisecond, TimePerToken: perToken}, Link{Wait: freeLinkWait - 1, TimePerToken: perToken}, Link{Wait: maxLinkWait, TimePerToken: perToken}
 	for i := range 8 {
 		for range i + 1 {
 			x.RecordRequest(time.Second, testStore, "w1", prompt(fmt.Sprint("p", i)))
--- a/internal/gateway/storeindex/report.go
+++ b/internal/gateway/storeindex/report.go
@@ -148,7 +148,7 @@
 	if s.reading && tokens != before.tokens && (before.told || tokens > 0 && x.demand.isShared(at, key.id)) {
 		s.untold[key] = struct{}{}
 	}
-	s.parts[key] = entry{tokens: tokens, event: event, seenAt: max(at, before.seenAt), told: before.told}
+	s.parts[key] = entry{tokens: tokens, event: event, seenAt: max(at, before.seenAt), told: before.told || !s.reading}
 	if tokens > 0 {
 		delete(s.saving, key)
 	}
--- a/internal/gateway/storeindex/save.go
+++ b/internal/gateway/storeindex/save.go
@@ -9,9 +9,10 @@
 const (
 	// A store's link that is busy for less than freeLinkWait takes any save, one that is busy for maxLinkWait takes
 	// none, since requests wait for what they fetch over it. In between, a save is started if those of parts that are
-	// requested more often would still fit.
-	freeLinkWait = 30 * time.Millisecond
-	maxLinkWait  = 80 * time.Millisecond
+	// requested more often would still fit. Of the pairs (10, 40), (15, 60), (30, 80), (60, 120) and (60, 240) the replay in
+	// internal/gateway prefills least again with the last two, by a tenth; the shorter one delays fetches less.
+	freeLinkWait = 60 * time.Millisecond
+	maxLinkWait  = 120 * time.Millisecond
 	// waitingTTL is how long after their last request missing parts count as waiting to be saved. It is short, so that
 	// parts under the salt of replaced weights stop counting soon.
 	waitingTTL = 2 * time.Second
@@ -22,16 +23,22 @@
 )
 
 // Save is whether the parts of a request are to be saved, or why not.
-type Save string
+type Save uint8
 
 const (
-	SaveStart  Save = "save"
-	SaveHeld   Save = "held"      // the store holds them all
-	SaveActive Save = "under-way" // a save of one of them is under way
-	SaveBusy   Save = "busy"      // the link is busy; a later request may save them
-	SaveSilent Save = "silent"    // the store is silent, or its contents were never read
+	SaveUnplanned Save = iota
+	SaveStart
+	SaveHeld   // the store holds them all
+	SaveActive // a save of one of them is under way
+	SaveBusy   // the link is busy; a later request may save them
+	SaveSilent // the store is silent, or its contents were never read
 )
 
+// String returns the name in logs and metrics.
+func (s Save) String() string {
+	return [...]string{"", "started", "held", "under-way", "busy", "silent"}[s]
+}
+
 // Link is the state of a store's link.
 type Link struct {
 	Wait         time.Duration // until it is free
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -249,7 +249,7 @@
 func BenchmarkDecisionWithLimits(b *testing.B) { benchmarkDecision(b, 0.5) }
 
 func benchmarkDecision(b *testing.B, limitedFraction float64) {
-	for _, engines := range []int{18, 320, 3100} {
+	for _, engines := range []int{18, 90, 320, 3100} {
 		b.Run(fmt.Sprint(engines), func(b *testing.B) {
 			g := &Gateway{settings: Settings{Zone: "z0", OldWeightsStartLimit: time.Second}, table: newTable(mechanism.Set{})}
 			parts := []prefix.Part{{ID: "aa", Tokens: 2500}, {ID: "bb", Tokens: 3800}, {ID: "cc", Tokens: 2900}}
