--- a/internal/gateway/storecopies.go
+++ b/internal/gateway/storecopies.go
@@ -110,7 +110,7 @@
 		return
 	}
 	link := storeindex.Link{Wait: g.table.links.Wait(now, in.store.StoreAddress), TimePerToken: storeLinkTime(in.service, in.store, 1)}
-	chosen.storeSave = g.table.stores.PlanSave(now, in.store.StoreAddress, chosen.salt, shared, link)
+	chosen.storeSave = g.table.stores.PlanSave(now, in.store.StoreAddress, chosen.salt, shared, prefix.PartTokens(shared)-chosen.recomputed, link)
 	if chosen.storeSave == storeindex.SaveStart {
 		chosen.saveTo = in.store.StoreAddress
 	}
@@ -144,7 +144,8 @@
 	if !sent.SavedToStore {
 		return
 	}
-	tokens := t.stores.RecordSave(at, store.StoreAddress, sent.Salt, shared)
+	cached := max(0, prefix.PartTokens(sent.Parts)-sent.Uncached)
+	tokens := t.stores.RecordSave(at, store.StoreAddress, sent.Salt, shared, cached)
 	if t.stores.State(at, store.StoreAddress) != storeindex.Unread { // otherwise the announced transfer includes the save
 		t.links.Record(at, belief.Transfer{From: store.StoreAddress, Time: storeLinkTime(current.services[row.entry.Service], store, tokens)})
 	}
--- a/internal/gateway/storeindex/index.go
+++ b/internal/gateway/storeindex/index.go
@@ -15,12 +15,6 @@
 const (
 	// SilenceTTL is how long after the last sign of a store its known contents count. After that it is not asked.
 	SilenceTTL = 4 * time.Second
-	// saveTimeout is how long a save of a part may take to show up before another one may be started. It doubles with
-	// each consecutive save that did not, up to maxSaveDoublings times, since saves that never succeed occupy the link
-	// in the estimates of all schedulers. Failures are forgotten after saveMemory.
-	saveTimeout      = 2 * time.Second
-	maxSaveDoublings = 3
-	saveMemory       = 20 * time.Second
 	// unreadTTL is how long what another scheduler reported of a part counts. The reader repeats each part every
 	// refreshCycle, so this allows for two lost messages.
 	unreadTTL    = 30 * time.Second
@@ -78,12 +72,6 @@
 	told   bool          // other schedulers were sent, or have reported, that it is held
 }
 
-// save is a save of a part.
-type save struct {
-	at       time.Duration
-	failures int // earlier consecutive saves that did not show up
-}
-
 // store is what is known of one store.
 type store struct {
 	epoch   Epoch
@@ -93,6 +81,7 @@
 	parts   map[partKey]entry
 	saving  map[partKey]save // the last save of each part that has not shown up
 	waiting waitingParts
+	cached  cachedSaves
 
 	reading     bool                 // this process reads it
 	readAt      time.Duration        // last successful read
@@ -123,7 +112,7 @@
 func (x *Index) storeAt(address string) *store {
 	s := x.stores[address]
 	if s == nil && len(x.stores) < maxStores {
-		s = &store{parts: map[partKey]entry{}, saving: map[partKey]save{}, waiting: waitingParts{parts: map[partKey]waitingPart{}}, untold: map[partKey]struct{}{}}
+		s = &store{parts: map[partKey]entry{}, saving: map[partKey]save{}, cached: cachedSaves{ratio: initialCachedSaves}, waiting: waitingParts{parts: map[partKey]waitingPart{}}, untold: map[partKey]struct{}{}}
 		x.stores[address] = s
 	}
 	return s
@@ -176,26 +165,6 @@
 	return tokens
 }
 
-// Saving reports whether a save of one of the parts is under way, as far as is known.
-func (x *Index) Saving(now time.Duration, address, salt string, shared []prefix.Part) bool {
-	s := x.stores[address]
-	if s == nil {
-		return false
-	}
-	for _, part := range shared {
-		key := partKey{salt, part.ID}
-		if s.holds(now, key) < part.Tokens && s.isSaving(now, key) {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *store) isSaving(now time.Duration, key partKey) bool {
-	last, saving := s.saving[key]
-	return saving && now < last.at+saveTimeout<<min(last.failures, maxSaveDoublings)
-}
-
 // RecordRequest records that a request with these shared parts was sent to an engine; its prompt belongs to the given
 // store.
 func (x *Index) RecordRequest(now time.Duration, address, salt string, shared []prefix.Part) {
@@ -216,30 +185,6 @@
 	}
 }
 
-// RecordSave records that a request began to save its shared parts, and returns the tokens that the store lacks.
-func (x *Index) RecordSave(now time.Duration, address, salt string, shared []prefix.Part) (missing int) {
-	s := x.storeAt(address)
-	if s == nil {
-		return 0
-	}
-	for _, part := range shared {
-		key := partKey{salt, part.ID}
-		if lacking := part.Tokens - min(part.Tokens, s.holds(now, key)); lacking > 0 && len(s.saving) < maxParts {
-			missing += lacking
-			next := save{at: now}
-			if last, failed := s.saving[key]; failed {
-				next.failures = last.failures
-				if !s.isSaving(now, key) {
-					next.failures++
-				}
-			}
-			s.saving[key] = next
-			delete(s.waiting.parts, key)
-		}
-	}
-	return missing
-}
-
 // Sweep removes what has expired.
 func (x *Index) Sweep(now time.Duration) {
 	x.demand.sweep(now)
@@ -262,10 +207,6 @@
 			delete(s.parts, key)
 		}
 	}
-	for key, last := range s.saving {
-		if now >= last.at+saveMemory {
-			delete(s.saving, key)
-		}
-	}
+	s.sweepSaves(now)
 	s.waiting.sweep(now)
 }
--- a/internal/gateway/storeindex/index_test.go
+++ b/internal/gateway/storeindex/index_test.go
@@ -58,7 +58,7 @@
 	if x.Held(SilenceTTL, testStore, "w1", prompt("a")) != 100 {
 		t.Error("the contents don't count until SilenceTTL has passed")
 	}
-	if x.Held(SilenceTTL+1, testStore, "w1", prompt("a")) != 0 || x.State(SilenceTTL+1, testStore) != Silent || x.PlanSave(SilenceTTL+1, testStore, "w1", prompt("b"), Link{}) != SaveSilent {
+	if x.Held(SilenceTTL+1, testStore, "w1", prompt("a")) != 0 || x.State(SilenceTTL+1, testStore) != Silent || x.PlanSave(SilenceTTL+1, testStore, "w1", prompt("b"), 0, Link{}) != SaveSilent {
 		t.Error("a silent store is used")
 	}
 	x.ApplyRead(SilenceTTL+2, reportOf(1, 5), false)
@@ -72,12 +72,12 @@
 	x := New()
 	x.ApplyRead(0, reportOf(1, 5, part("w1", "a", 100)), true)
 	plan := func(now time.Duration, salt string, ids ...string) Save {
-		return x.PlanSave(now, testStore, salt, prompt(ids...), Link{})
+		return x.PlanSave(now, testStore, salt, prompt(ids...), 0, Link{})
 	}
 	if got := plan(0, "w1", "a", "b"); got != SaveStart {
 		t.Fatalf("plan for a missing part: %s", got)
 	}
-	if missing := x.RecordSave(0, testStore, "w1", prompt("a", "b")); missing != 100 {
+	if missing := x.RecordSave(0, testStore, "w1", prompt("a", "b"), 0); missing != 100 {
 		t.Fatalf("%d tokens to save, want the 100 that are missing", missing)
 	}
 	if got := plan(time.Second, "w1", "a", "b", "c"); got != SaveActive {
@@ -89,7 +89,7 @@
 	if got := plan(saveTimeout, "w1", "a", "b"); got != SaveStart {
 		t.Fatalf("plan after the save did not show up: %s", got)
 	}
-	x.RecordSave(saveTimeout, testStore, "w1", prompt("a", "b"))
+	x.RecordSave(saveTimeout, testStore, "w1", prompt("a", "b"), 0)
 	if got := plan(2*saveTimeout, "w1", "a", "b"); got != SaveActive {
 		t.Fatalf("plan one timeout after the second save, which has two: %s", got)
 	}
@@ -120,7 +120,7 @@
 		}
 	}
 	now := time.Second
-	plan := func(link Link, id string) Save { return x.PlanSave(now, testStore, "w1", prompt(id), link) }
+	plan := func(link Link, id string) Save { return x.PlanSave(now, testStore, "w1", prompt(id), 0, link) }
 	if plan(busy, "p7") != SaveStart || plan(busy, "p6") != SaveStart || plan(busy, "p5") != SaveBusy || plan(busy, "p0") != SaveBusy {
 		t.Errorf("busy link: p7 %s, p6 %s, p5 %s, p0 %s", plan(busy, "p7"), plan(busy, "p6"), plan(busy, "p5"), plan(busy, "p0"))
 	}
@@ -128,20 +128,20 @@
 		t.Errorf("free link: p0 %s; full link: p7 %s", plan(free, "p0"), plan(full, "p7"))
 	}
 	for _, id := range []string{"p7", "p6", "p5", "p4"} {
-		x.RecordSave(now, testStore, "w1", prompt(id))
+		x.RecordSave(now, testStore, "w1", prompt(id), 0)
 	}
 	now += hotterInterval
 	if plan(busy, "p3") != SaveStart {
 		t.Errorf("p3 %s after all parts requested more often were saved", plan(busy, "p3"))
 	}
 	now += waitingTTL // the parts of replaced weights stop counting, their demand does not
-	if got := x.PlanSave(now, testStore, "w2", prompt("p0"), busy); got != SaveStart {
+	if got := x.PlanSave(now, testStore, "w2", prompt("p0"), 0, busy); got != SaveStart {
 		t.Errorf("under a new salt, with none waiting: %s", got)
 	}
 	x.RecordRequest(now, testStore, "w2", prompt("p7"))
 	x.RecordRequest(now, testStore, "w2", prompt("p6"))
 	now += hotterInterval
-	if x.PlanSave(now, testStore, "w2", prompt("p0"), busy) != SaveBusy || x.PlanSave(now, testStore, "w2", prompt("p7"), busy) != SaveStart {
+	if x.PlanSave(now, testStore, "w2", prompt("p0"), 0, busy) != SaveBusy || x.PlanSave(now, testStore, "w2", prompt("p7"), 0, busy) != SaveStart {
 		t.Error("under a new salt, the parts requested most before are not first")
 	}
 }
@@ -248,7 +248,7 @@
 	}
 	for i := range 2 * maxShared {
 		x.RecordRequest(0, testStore, "w1", prompt(fmt.Sprint("s", i)))
-		x.RecordSave(0, testStore, "w1", prompt(fmt.Sprint("s", i)))
+		x.RecordSave(0, testStore, "w1", prompt(fmt.Sprint("s", i)), 0)
 		x.ApplyPeer(0, Report{Store: fmt.Sprint("other", i), Event: 1})
 	}
 	s := x.stores[testStore]
@@ -451,3 +451,50 @@
 		}
 	}
 }
+
+// Engines may save only what they have prefilled. Once that is seen, what an engine has cached does not count as being
+// saved, so that engines that prefill it save it, and it is tried again at times.
+func TestCachedPartsAreNotTakenToBeSaved(t *testing.T) {
+	x := New()
+	now, event := time.Duration(0), uint64(5)
+	read := func(parts ...belief.CachedPart) {
+		event++
+		x.ApplyRead(now, reportOf(1, event, parts...), false)
+	}
+	read()
+	if x.PlanSave(now, testStore, "w1", prompt("a", "b"), 200, Link{}) != SaveStart {
+		t.Fatal("cached parts are not tried first")
+	}
+	for i := range 20 {
+		x.RecordSave(now, testStore, "w1", prompt(fmt.Sprint("x", i)), 100)
+	}
+	now += saveTimeout
+	x.Sweep(now)
+	read()
+	x.RecordSave(now, testStore, "w1", prompt("a", "b"), 200)
+	if got := x.PlanSave(now, testStore, "w1", prompt("a", "c"), 200, Link{}); got != SaveCached {
+		t.Errorf("plan for parts that the engine has: %s", got)
+	}
+	if got := x.PlanSave(now, testStore, "w1", prompt("a", "b"), 100, Link{}); got != SaveStart {
+		t.Errorf("plan for a part that the engine prefills: %s", got)
+	}
+	if tokens := x.RecordSave(now, testStore, "w1", prompt("a", "b"), 100); tokens != 100 {
+		t.Errorf("%d tokens are taken to be saved, want those that are prefilled", tokens)
+	}
+	if got := x.PlanSave(now, testStore, "w1", prompt("a", "b"), 100, Link{}); got != SaveActive {
+		t.Errorf("second plan for a part that an engine prefills: %s", got)
+	}
+	now += cachedSaveInterval
+	read()
+	if got := x.PlanSave(now, testStore, "w1", prompt("a", "d"), 200, Link{}); got != SaveStart {
+		t.Errorf("cached parts are not tried again: %s", got)
+	}
+	for i := range 20 {
+		id := fmt.Sprint("y", i)
+		x.RecordSave(now, testStore, "w1", prompt(id), 100)
+		read(part("w1", id, 100))
+	}
+	if got := x.PlanSave(now, testStore, "w1", prompt("e"), 100, Link{}); got != SaveStart {
+		t.Errorf("plan once such saves have shown up: %s", got)
+	}
+}
--- a/internal/gateway/storeindex/report.go
+++ b/internal/gateway/storeindex/report.go
@@ -150,7 +150,7 @@
 	}
 	s.parts[key] = entry{tokens: tokens, event: event, seenAt: max(at, before.seenAt), told: before.told || !s.reading}
 	if tokens > 0 {
-		delete(s.saving, key)
+		s.recordSaved(key)
 	}
 }
 
