Log and count where shared parts come from, and why not from the store

Cause: a request's line doesn't tell whether the store was counted on or only asked, nor why it was not counted on; nothing shows what is known of the stores.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -86,8 +86,13 @@
 	FieldRecomputedTokens = "reread"
 	FieldRecomputeReason  = "reread_why"
 	FieldCacheSource      = "from"
-	FieldScheduled        = "scheduled"
-	FieldResource         = "resource" // limited resource: "tenant/NAME" or "repeats/SERVICE"
+	// FieldCopySource is the kind of that source, and FieldStoreGap why the store is not it, for services that use the
+	// store index.
+	FieldCopySource = "copied"
+	FieldStoreGap   = "store_gap"
+
+	FieldScheduled = "scheduled"
+	FieldResource  = "resource" // limited resource: "tenant/NAME" or "repeats/SERVICE"
 	// FieldFingerprint identifies a request across retries.
 	FieldFingerprint  = "fingerprint"
 	FieldIncarnations = "lives" // of backends that crashed during a request
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -174,6 +174,7 @@
 		Uncached: placed.uncached, SavedToStore: placed.saveTo != "", Transfer: placed.transfer,
 	}
 	g.table.recordOwnSend(now, announced)
+	g.metrics.stores.record(placed)
 	g.peers.announce(announced)
 }
 
--- a/internal/gateway/final.go
+++ b/internal/gateway/final.go
@@ -73,6 +73,12 @@
 	if x.placement != nil && x.service.Engine {
 		fields = append(fields, zap.Float64(events.FieldPredictedWait, x.placement.wait), zap.Int(events.FieldUncachedTokens, x.placement.uncached), zap.String(events.FieldCacheSource, x.placement.fetchFrom),
 			zap.Bool(events.FieldScheduled, x.placement.scheduled != nil))
+		if x.placement.copySource != copyUnplanned {
+			fields = append(fields, zap.Stringer(events.FieldCopySource, x.placement.copySource))
+		}
+		if x.placement.storeGap != storeGapNone {
+			fields = append(fields, zap.Stringer(events.FieldStoreGap, x.placement.storeGap))
+		}
 		if x.placement.recomputed > 0 {
 			fields = append(fields, zap.Int(events.FieldRecomputedTokens, x.placement.recomputed), zap.String(events.FieldRecomputeReason, string(x.placement.recomputeReason)))
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -72,6 +72,7 @@
 	schedulerFailures prometheus.Counter // placement requests that no scheduler answered in time
 	uncachedTokens    prometheus.Counter // prompt tokens sent to engines that they have to prefill
 	cachedTokens      prometheus.Counter // prompt tokens sent to engines that are expected to be cached or copied there
+	stores            *storeMetrics
 }
 
 const outcomeAnswered = "answered"
@@ -117,6 +118,7 @@
 		gauge("active_requests", "Requests in progress.", func() float64 { return float64(g.active.Load()) }),
 		gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(g.log.out.Dropped()) }),
 	)
+	m.stores = newStoreMetrics(m.registry, g)
 	return m
 }
 
--- a/internal/gateway/storeindex/index.go
+++ b/internal/gateway/storeindex/index.go
@@ -108,6 +108,19 @@
 // Counts returns the numbers of ignored reports.
 func (x *Index) Counts() Counts { return x.counts }
 
+// Parts returns the number of parts that a store is known to hold.
+func (x *Index) Parts(address string) int {
+	held := 0
+	if s := x.stores[address]; s != nil {
+		for _, e := range s.parts {
+			if e.tokens > 0 {
+				held++
+			}
+		}
+	}
+	return held
+}
+
 // storeAt returns the record of a store and creates it on first use, or returns nil if there are too many.
 func (x *Index) storeAt(address string) *store {
 	s := x.stores[address]
--- a/internal/gateway/storeindex/report.go
+++ b/internal/gateway/storeindex/report.go
@@ -44,8 +44,14 @@
 // ApplyPeer applies what another scheduler reported at a time on this process' clock. It is ignored for a store that
 // this process reads itself.
 func (x *Index) ApplyPeer(at time.Duration, r Report) {
-	if known := x.stores[r.Store]; known != nil && known.reading {
+	known := x.stores[r.Store]
+	if !r.plausible(known) {
+		x.counts.Invalid++
+		return
+	}
+	if known != nil && known.reading {
 		if at <= known.readAt+SilenceTTL {
+			x.counts.Stale++
 			return
 		}
 		x.Release(at, r.Store) // the other scheduler reaches the store and this one does not
