Don't save or ask for shared parts that are prefilled faster than any transfer

Cause: short prompts of 198 shared tokens take 5 ms to prefill at most, and a transfer takes 4 ms and the bytes. They were saved and asked for all the same, and would fill the stores' events. Change: for services that use the store index, parts are saved and asked for only if copying them is shorter than prefilling them. The replay states the size of the readers' reports.

--- a/internal/gateway/storecopies.go
+++ b/internal/gateway/storecopies.go
@@ -97,20 +97,29 @@
 		return best.tokens
 	}
 	scored.copySource = copyNone
-	if scored.storeGap != storeGapSilent && scored.storeGap != storeGapSlow && linkWait < maxSaveWait {
+	missing := prefix.PartTokens(shared) - cached
+	if scored.storeGap == storeGapSilent || scored.storeGap == storeGapSlow || linkWait >= maxSaveWait {
+		return cached
+	}
+	if g.planStoreCopy(now, scored, in, cached+missing, cached).time < belief.Milliseconds(g.table.prefillEstimate(in.service.Name).PrefillTime(missing)) {
 		scored.copySource, scored.fetchFrom = copyStoreAsked, address
 	}
 	return cached
 }
 
-// planStoreSave decides whether the request saves its shared parts in the store, also if the engine has them all.
+// planStoreSave decides whether the request saves its shared parts in the store, also if the engine has them all. Few
+// tokens are not saved, since prefilling them is faster than any transfer.
 func (g *Gateway) planStoreSave(now time.Duration, chosen *candidate, in selectionInput) {
 	shared := prefix.SharedParts(in.call.Parts)
 	if len(shared) == 0 || chosen.version == 0 {
 		return
 	}
+	tokens := prefix.PartTokens(shared)
+	if transferTime(in.service, in.store.LinkMbps, tokens, false) >= belief.Milliseconds(g.table.prefillEstimate(in.service.Name).PrefillTime(tokens)) {
+		return // they would never be fetched
+	}
 	link := storeindex.Link{Wait: g.table.links.Wait(now, in.store.StoreAddress), TimePerToken: storeLinkTime(in.service, in.store, 1)}
-	chosen.storeSave = g.table.stores.PlanSave(now, in.store.StoreAddress, chosen.salt, shared, prefix.PartTokens(shared)-chosen.recomputed, link)
+	chosen.storeSave = g.table.stores.PlanSave(now, in.store.StoreAddress, chosen.salt, shared, tokens-chosen.recomputed, link)
 	if chosen.storeSave == storeindex.SaveStart {
 		chosen.saveTo = in.store.StoreAddress
 	}
--- a/internal/gateway/storecopies_test.go
+++ b/internal/gateway/storecopies_test.go
@@ -113,6 +113,20 @@
 	}
 }
 
+// Shared parts that are prefilled faster than any transfer are neither saved nor asked for.
+func TestFewSharedTokensAreNotSaved(t *testing.T) {
+	for tokens, saved := range map[int]bool{100: false, 1000: true} {
+		g := newStoreScheduler(1, 400*time.Millisecond)
+		g.table.applyStoreRead(time.Second, storeRead(5, "w1"), true)
+		in := storeInput(g, "subject", nil)
+		in.call = &Call{Model: "m", Parts: []prefix.Part{{ID: "short", Tokens: tokens}, {ID: "own", Tokens: 600}}}
+		chosen := g.choose(time.Second, in)
+		if (chosen.saveTo != "") != saved || (chosen.fetchFrom != "") != saved {
+			t.Errorf("%d tokens: saved to %q, fetched from %q", tokens, chosen.saveTo, chosen.fetchFrom)
+		}
+	}
+}
+
 // If another engine holds a leading part and the store all of them, the one is used that costs less.
 func TestEngineAndStoreAreComparedByCost(t *testing.T) {
 	g := newStoreScheduler(2, 400*time.Millisecond)
--- a/internal/gateway/storereplay_test.go
+++ b/internal/gateway/storereplay_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"container/list"
+	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -179,6 +180,7 @@
 	prefilledAgain, firstTime, predicted  int
 	fetched, fetchedUnknown, saved, twice int
 	missedFetches, asked                  int
+	reportBytes                           int // of reports of the stores' contents, by all readers to one scheduler
 	leading                               int // tokens prefilled again of leading parts that saves were planned of, with others missing
 	firstEvents                           []time.Duration
 	causes                                map[string]int // tokens prefilled again, by what was known of the store
@@ -314,7 +316,10 @@
 		report := storeindex.Report{Store: store.address, Epoch: storeindex.Epoch{Boot: 1}, Event: event, Parts: store.changes}
 		store.changes = nil
 		for _, update := range reader.table.applyStoreRead(r.now, report, event == 0) {
-			r.tell(reader, announcement{Gateway: reader.shortName, StoreReport: &update})
+			item := announcement{Gateway: reader.shortName, StoreReport: &update}
+			text, _ := json.Marshal(item.toWire(0)) // cannot fail for these types
+			r.total.reportBytes += len(text)
+			r.tell(reader, item)
 		}
 	}
 	r.after(0, read)
@@ -558,8 +563,8 @@
 	quantile := func(q float64) time.Duration {
 		return t.firstEvents[int(q*float64(len(t.firstEvents)-1))].Round(time.Millisecond)
 	}
-	test.Logf("%s: %d requests, %d rejected; tokens: %d prefilled again, %d for the first time, %d predicted; store: %d fetched (%d not counted on), %d saved (%d twice); asked %d times, %d misses; first event %v median, %v 90%%, %v 99%%; prefilled again though the store held them: %d; leading parts with a planned save, with others missing: %d",
-		name, t.requests, t.rejected, t.prefilledAgain, t.firstTime, t.predicted, t.fetched, t.fetchedUnknown, t.saved, t.twice, t.asked, t.missedFetches, quantile(0.5), quantile(0.9), quantile(0.99), t.unknownButHeld, t.leading)
+	test.Logf("%s: %d requests, %d rejected; tokens: %d prefilled again, %d for the first time, %d predicted; store: %d fetched (%d not counted on), %d saved (%d twice); asked %d times, %d misses; first event %v median, %v 90%%, %v 99%%; prefilled again though the store held them: %d; leading parts with a planned save, with others missing: %d; %d kB of reports",
+		name, t.requests, t.rejected, t.prefilledAgain, t.firstTime, t.predicted, t.fetched, t.fetchedUnknown, t.saved, t.twice, t.asked, t.missedFetches, quantile(0.5), quantile(0.9), quantile(0.99), t.unknownButHeld, t.leading, t.reportBytes/1000)
 	causes := []string{}
 	for cause := range t.causes {
 		causes = append(causes, cause)
