Export the count of ignored reports only once there are any

Cause: every gateway exported two samples of it, also without stores, which TestMetricsCountRequests rejects. Change: the samples appear with the first ignored report.

--- a/internal/gateway/storemetrics.go
+++ b/internal/gateway/storemetrics.go
@@ -82,6 +82,9 @@
 		}
 	}
 	counts := t.stores.Counts()
-	out <- prometheus.MustNewConstMetric(s.ignored, prometheus.CounterValue, float64(counts.Stale), "stale")
-	out <- prometheus.MustNewConstMetric(s.ignored, prometheus.CounterValue, float64(counts.Invalid), "invalid")
+	for cause, count := range map[string]uint64{"stale": counts.Stale, "invalid": counts.Invalid} {
+		if count > 0 { // deployments without stores have no such metric
+			out <- prometheus.MustNewConstMetric(s.ignored, prometheus.CounterValue, float64(count), cause)
+		}
+	}
 }
