--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -22,6 +22,8 @@
 	WeightsMismatch          = "other weights answered" // other weights than expected, or outdated ones
 	PublicationAgeRegression = "naming told younger"    // control reports a later publication time than before
 	CacheReadFailed          = "cache not read"
+	StoreReadFailed          = "store not read"
+	StoreListed              = "store listed"
 	SchedulerTimeout         = "scheduler silent" // a scheduler did not answer a placement request in time
 	ControlDisconnected      = "control lost"
 	ControlReconnected       = "control regained"
@@ -92,7 +94,11 @@
 	FieldRecomputedTokens = "reread"
 	FieldRecomputeReason  = "reread_why"
 	FieldCacheSource      = "from"
-	FieldScheduled        = "scheduled"
+	// FieldCopySource is the kind of that source, and FieldStoreGap why the store is not it, for services that use the
+	// store index.
+	FieldCopySource = "copied"
+	FieldStoreGap   = "store_gap"
+	FieldScheduled  = "scheduled"
 	// FieldRejectionCause is why admission rejected a request to a latency-critical service, FieldReturn what a
 	// returning request had, and FieldHasPlace whether its retry time is that of a place.
 	FieldRejectionCause = "refused_for"
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -15,6 +15,7 @@
 	"kitetiller/internal/control"
 	"kitetiller/internal/events"
 	"kitetiller/internal/gateway/belief"
+	"kitetiller/internal/gateway/storeindex"
 	"kitetiller/internal/prefix"
 	"kitetiller/internal/pushback"
 	"kitetiller/internal/transport"
@@ -65,7 +66,9 @@
 	// Signals are load and limit signals of the back end. If there are any, only they are announced.
 	Signals pushback.Signals
 	Queue   queueAnnouncement // of services with queues
-	Age     time.Duration     // time since the announced event
+	// StoreReport is what was read from a store. If there is one, only it is announced.
+	StoreReport *storeindex.Report
+	Age         time.Duration // time since the announced event
 }
 
 // wireAnnouncement is the JSON form of an announcement. Its names are short since each announcement goes to every
@@ -95,6 +98,8 @@
 	FirstEvent      bool     `json:"qf,omitempty"` // the request had its first event
 	FirstEventAgeMS int64    `json:"qa,omitempty"` // time from the first event to the announcement
 	Removed         bool     `json:"qx,omitempty"` // the request ended without a first event
+
+	StoreReport *wireStoreReport `json:"h,omitempty"`
 }
 
 func (s announcement) toWire(waited time.Duration) wireAnnouncement {
@@ -106,6 +111,7 @@
 	w.Parts, w.Tokens = partsToWire(s.Parts)
 	w.Limit, w.LimitWithdrawn = limitToWire(s.Signals.Limit)
 	s.Queue.toWire(&w)
+	w.StoreReport = storeReportToWire(s.StoreReport)
 	return w
 }
 
@@ -135,7 +141,8 @@
 		Gateway: w.Gateway, Load: belief.Load{Running: max(0, w.Running), Tokens: max(0, w.RunningTokens)},
 		Instance: w.Instance, Salt: w.Salt, Uncached: max(0, w.Uncached), SavedToStore: w.SavedToStore, Unreachable: w.Unreachable, CacheReport: w.CacheReport, RejectedRequest: w.RejectedRequest,
 		Signals: pushback.Signals{Backoff: durationFromMS(min(w.BackoffMS, pushback.MaxBackoff.Milliseconds())), Draining: w.Draining, Limit: limitFromWire(w.Limit, w.LimitWithdrawn)}, Age: durationFromMS(w.AgeMS), Transfer: belief.Transfer{From: w.TransferFrom, Time: durationFromMS(w.TransferMS)}, Parts: partsFromWire(w.Parts, w.Tokens),
-		Queue: w.queueAnnouncement(),
+		Queue:       w.queueAnnouncement(),
+		StoreReport: storeReportFromWire(w.StoreReport),
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -194,6 +194,7 @@
 		Queue: queueAnnouncement{Number: placed.queueNumber, Priority: int(placed.priority)},
 	}
 	g.table.recordOwnSend(now, announced)
+	g.metrics.stores.record(placed)
 	g.peers.announce(announced)
 }
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -11,6 +11,7 @@
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/gateway/enginequeue"
+	"kitetiller/internal/gateway/storeindex"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/prefix"
 )
@@ -59,7 +60,10 @@
 	// pause is the predicted longest pause of the streams running there, in milliseconds, and slowness the factor by which
 	// the engine is taken to be slower than its service. Both are 0 if not predicted.
 	pause, slowness float32
-	queueNumber     uint64          // of the request in the engine's queue; 0 without a queue, or if a scheduler chose
+	queueNumber     uint64     // of the request in the engine's queue; 0 without a queue, or if a scheduler chose
+	copySource      copySource // set like storeGap and storeSave if the store index plans copies and saves
+	storeGap        storeGap
+	storeSave       storeindex.Save
 	fetchFrom       string          // address of the engine or store to copy cached parts from, or ""
 	saveTo          string          // address of the store to save the parts in, or ""
 	transfer        belief.Transfer // of cached parts, caused by the placement
@@ -94,8 +98,9 @@
 	maxEventGap     time.Duration      // shortest of the longest permitted gaps between events of the service's streams, or 0
 	rates           *enginequeue.Rates // of the service's engines, if it has queues; set by choose
 	// tenantName is "" if the tenant is unknown, and timeLeft is the time until the request's deadline.
-	tenantName string
-	timeLeft   time.Duration
+	tenantName   string
+	timeLeft     time.Duration
+	storeIndexed bool // the store index plans copies from and to the store; set by choose
 }
 
 // promptTokens returns the number of prompt tokens.
@@ -122,6 +127,7 @@
 			in.meanDuration = lanes.duration(in.promptTokens() >= longPromptTokens)
 		}
 	}
+	in.storeIndexed = g.usesStoreIndex(now, &in)
 	owner := g.owner(now, rows, in)
 	sources := g.sources(now, in)
 	listed := g.shortlist(now, rows, owner, sources, in)
@@ -132,6 +138,9 @@
 	if !found {
 		return nil
 	}
+	if in.storeIndexed {
+		g.planStoreSave(now, &best, in)
+	}
 	g.table.assignQueueNumber(&best, in)
 	if best.recomputed > 0 {
 		best.recomputeReason = g.explainRecompute(now, &best, prefix.SharedParts(in.call.Parts), sources)
@@ -234,7 +243,7 @@
 	sharedTokens := prefix.PartTokens(shared)
 	if cached < sharedTokens && scored.version > 0 {
 		cached = g.planFetch(now, scored, in, cached, sources)
-	} else if scored.version > 0 && sharedTokens > 0 && in.store != nil {
+	} else if scored.version > 0 && sharedTokens > 0 && in.store != nil && !(in.storeIndexed && g.table.stores.State(now, in.store.StoreAddress) == storeindex.Silent) {
 		scored.fetchFrom = in.store.StoreAddress // the engine may have evicted the parts, and asking the store is cheap
 	}
 	scored.uncached, scored.recomputed = in.promptTokens()-cached, max(0, sharedTokens-cached)
--- a/internal/gateway/final.go
+++ b/internal/gateway/final.go
@@ -76,6 +76,12 @@
 		if x.placement.slowness > 0 {
 			fields = append(fields, zap.Float64(events.FieldQueueWait, x.placement.queueWait), zap.Float32(events.FieldPredictedPause, x.placement.pause), zap.Float32(events.FieldSlowness, x.placement.slowness))
 		}
+		if x.placement.copySource != copyUnplanned {
+			fields = append(fields, zap.Stringer(events.FieldCopySource, x.placement.copySource))
+		}
+		if x.placement.storeGap != storeGapNone {
+			fields = append(fields, zap.Stringer(events.FieldStoreGap, x.placement.storeGap))
+		}
 		if x.placement.recomputed > 0 {
 			fields = append(fields, zap.Int(events.FieldRecomputedTokens, x.placement.recomputed), zap.String(events.FieldRecomputeReason, string(x.placement.recomputeReason)))
 		}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -140,6 +140,7 @@
 	g.slots.setSchedulers(reply.Mesh.FleetSchedulers)
 	g.table.setAssigned(reply.CacheEventSources)
 	g.assignCaches(ctx, reply)
+	g.assignStores(ctx, reply)
 	if g.view.Load() != nil {
 		g.confirmedAt.Store(int64(askedAt))
 		g.outage.end(g.now())
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -112,12 +112,13 @@
 	cachedTokens      prometheus.Counter     // prompt tokens sent to engines that are expected to be cached or copied there
 	streamCopies      *prometheus.CounterVec // streams to be copied, by whether an engine was asked to keep the copy
 	continuations     *prometheus.CounterVec // such streams that broke off, by outcome: the result of the continuation, or why there was none
+	stores            *storeMetrics
 }
 
 // Outcomes of the choice of an engine for a copy, as metric labels.
 const (
-	copyAsked = "asked"
-	copyNone  = "none" // no engine qualified, or the stream is too short
+	streamCopyAsked = "asked"
+	streamCopyNone  = "none" // no engine qualified, or the stream is too short
 )
 
 const outcomeAnswered = "answered"
@@ -173,6 +174,7 @@
 		gauge("active_requests", "Requests in progress.", func() float64 { return float64(g.active.Load()) }),
 		gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(g.log.out.Dropped()) }),
 	)
+	m.stores = newStoreMetrics(m.registry, g)
 	return m
 }
 
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -61,8 +61,10 @@
 	Return    string `json:"z,omitempty"`
 	HasPlace  bool   `json:"p,omitempty"`
 	// Slot means that the reply comes from the queue of a small service, and WaitedMS is how long the call was held.
-	Slot     bool  `json:"slot,omitempty"`
-	WaitedMS int64 `json:"waited,omitempty"`
+	Slot       bool   `json:"slot,omitempty"`
+	WaitedMS   int64  `json:"waited,omitempty"`
+	CopySource string `json:"ys,omitempty"` // where shared parts are copied from, for logs
+	StoreGap   string `json:"yg,omitempty"` // why they are not fetched from the store, for logs
 }
 
 // wirePlacementEnd reports to a scheduler how a request that it placed ended, or that it had its first event.
@@ -154,6 +156,7 @@
 	}
 	reply.setForecast(chosen)
 	reply.setReserved(chosen.reserved)
+	reply.CopySource, reply.StoreGap = chosen.copySource.String(), chosen.storeGap.String()
 	if limit, _ := g.table.advertisedLimit(now, chosen.row); limit != nil {
 		reply.Limit, reply.LimitAgeMS = &limit.Rate, limit.Age.Milliseconds()
 	}
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -201,6 +201,7 @@
 		uncached: max(0, reply.Uncached), recomputed: max(0, reply.Recomputed), recomputeReason: recomputeCause(reply.RecomputeReason), fetchFrom: reply.FetchFrom, saveTo: reply.SaveTo, reserved: reply.reserved(), scheduled: &placed,
 		queueWait: reply.QueueMS, pause: reply.PauseMS, slowness: reply.Slowness,
 	}
+	chosen.copySource, chosen.storeGap = copySourceFromWire(reply.CopySource), storeGapFromWire(reply.StoreGap)
 	if reply.Version == 0 {
 		chosen.salt = uniqueSalt()
 	}
--- a/internal/gateway/streamcopies.go
+++ b/internal/gateway/streamcopies.go
@@ -88,11 +88,11 @@
 	x.copied.copyAt = ""
 	a.copyAt, x.copied.copyAddress = x.gateway.chooseCopy(x.gateway.now(), a)
 	if a.copyAt == nil {
-		x.gateway.metrics.streamCopies.WithLabelValues(copyNone).Inc()
+		x.gateway.metrics.streamCopies.WithLabelValues(streamCopyNone).Inc()
 		return
 	}
 	x.copied.copyAt = a.copyAt.incarnation.ID()
-	x.gateway.metrics.streamCopies.WithLabelValues(copyAsked).Inc()
+	x.gateway.metrics.streamCopies.WithLabelValues(streamCopyAsked).Inc()
 }
 
 // copyTokens returns how many tokens of memory a copy of the run takes at most.
