Open strict lanes to each other, and mend reviewed faults of reservations

Cause: of a service with more than 64 engines a request saw its own lane only, as the weight of strict lanes never falls, so that requests were rejected from a full lane beside an idle one. The lanes' demand left out memory, which binds where engines hold few prompts, and counted prompts without sized parts as short. Two tenants with the same prompt shared one place; a rejection at the deadline named a time after it; concurrent decisions counted as invalid. Change: two engines of any lane are scored as well; a short stream in the long lane costs half of its objective, as one in four is late there; demand takes memory into account. Places are kept by tenant and prompt; the time told at the deadline is one that the caller waits.

--- a/internal/admission/reservation/reservation.go
+++ b/internal/admission/reservation/reservation.go
@@ -291,7 +291,7 @@
 			c.admit(now, r, lvl, use)
 			return d
 		}
-		d.Rejected, d.Reason, d.RetryAfter = true, ReasonDeadline, c.queueTime(now, lvl, r)
+		d.Rejected, d.Reason, d.RetryAfter = true, ReasonDeadline, max(minRetryAfter, min(c.queueTime(now, lvl, r), r.TimeLeft/leadDivisor))
 		c.reject(d.Reason)
 		return d
 	}
@@ -502,7 +502,7 @@
 
 // advance moves the state to a time and returns it. Time that runs backwards is counted and ignored.
 func (c *Controller) advance(now time.Duration) time.Duration {
-	c.countInvalid(now < c.now)
+	c.countInvalid(c.now-now > time.Second) // concurrent callers read their clocks some microseconds before
 	now = max(now, c.now)
 	if c.startedAt == 0 {
 		c.startedAt = now
--- a/internal/gateway/belief/holdings.go
+++ b/internal/gateway/belief/holdings.go
@@ -64,6 +64,9 @@
 	return &CacheEstimate{parts: map[partKey]cacheEntry{}, saltCounts: map[string]int{}, limit: int(cacheMemoryFraction * float64(memory)), memory: memory}
 }
 
+// Memory returns the engine's memory in tokens.
+func (h *CacheEstimate) Memory() int { return h.memory }
+
 // set stores an entry and keeps the counts; an entry without tokens is deleted.
 func (h *CacheEstimate) set(key partKey, next cacheEntry) {
 	before, known := h.parts[key]
--- a/internal/gateway/holders.go
+++ b/internal/gateway/holders.go
@@ -60,9 +60,14 @@
 		lanes.recordDemand(now, sent.Uncached, float64(t.meanDuration(service))/slots)
 		return
 	}
-	long := lanes.isLong(prefix.PartTokens(sent.Parts), sent.Uncached)
+	prompt := max(prefix.PartTokens(sent.Parts), sent.Uncached)
+	long := lanes.isLong(prompt, sent.Uncached)
 	prefillTime := belief.Milliseconds(t.prefillEstimate(service).PrefillTime(sent.Uncached))
-	lanes.recordEngineTime(now, long, prefillTime, float64(lanes.duration(long))/slots)
+	held := 1 / slots // part of an engine that the request takes while it runs
+	if memory := row.cache.Memory(); memory > 0 {
+		held = max(held, float64(prompt-prefix.PartTokens(prefix.SharedParts(sent.Parts))/2)/float64(memory))
+	}
+	lanes.recordEngineTime(now, long, prefillTime, float64(lanes.duration(long))*held)
 }
 
 // recordCached records the parts that a request leaves in the caches of its engine and of the store. The caller
--- a/internal/gateway/lanes.go
+++ b/internal/gateway/lanes.go
@@ -97,11 +97,11 @@
 	return min(max(1-l.utilization/lanesOffUtilization, 0), 1)
 }
 
-// recordEngineTime adds the demand of a request of strict lanes: the time of its prefill, or of its slot divided by the
-// engine's slots if that is more, in milliseconds.
-func (l *lanes) recordEngineTime(now time.Duration, long bool, prefillTime, slotTime float64) {
+// recordEngineTime adds the demand of a request of strict lanes: the time of its prefill, or its duration times the part
+// of an engine's slots or memory that it takes if that is more, in milliseconds.
+func (l *lanes) recordEngineTime(now time.Duration, long bool, prefillTime, heldTime float64) {
 	l.decay(now)
-	demand := max(prefillTime, slotTime) * belief.PrefillRate
+	demand := max(prefillTime, heldTime) * belief.PrefillRate
 	if long {
 		l.long += demand
 		return
@@ -186,16 +186,18 @@
 	return lanes.weight() * e.fullOffLaneCost(uncached)
 }
 
-// strictLaneCost returns the cost of a request at an engine of the other lane of a latency-critical service. Beside the
-// prefills of long prompts, every fourth short stream pauses for longer than permitted, however little is queued when it
-// is placed, and a long prefill delays all streams of a short lane. Either costs as much as missing the objective. A long
-// prompt of which little is uncached delays nobody, and goes where its cached parts are.
+// strictLaneCost returns the cost of a request at an engine of the other lane of a latency-critical service. A long
+// prefill delays all streams of a short lane, which costs as much as missing the objective once. A short stream in the long
+// lane is late by a pause in one of four cases, less often if the engine has little to read, which costs half as much. A
+// long prompt of which little is uncached delays nobody, and goes where its cached parts are.
 func strictLaneCost(longLane bool, promptTokens, uncached int, objective time.Duration) float64 {
 	long := promptTokens >= longPromptTokens
 	switch {
 	case long == longLane:
 		return 0
-	case long && uncached < longPromptTokens:
+	case !long:
+		return max(shortOffLaneCost, belief.Milliseconds(objective)/2)
+	case uncached < longPromptTokens:
 		return shortOffLaneCost
 	}
 	return max(longOffLaneCost, belief.Milliseconds(objective))
--- a/internal/gateway/reservations.go
+++ b/internal/gateway/reservations.go
@@ -34,7 +34,7 @@
 		reading = belief.FromMilliseconds(own)
 	}
 	chosen.reserved = t.reservationController(in.service.Name).Decide(now, reservation.Request{
-		Key: req.Key, Tenant: in.tenantName, Priority: req.Priority, Wait: req.PredictedWait, Objective: req.Objective, TimeLeft: in.timeLeft,
+		Key: reservationKey(in.tenantName, req.Key), Tenant: in.tenantName, Priority: req.Priority, Wait: req.PredictedWait, Objective: req.Objective, TimeLeft: in.timeLeft,
 		Reading: reading, Tokens: chosen.uncached, Random: req.Random,
 		RejectedBefore: rejectedBefore,
 	})
@@ -47,6 +47,14 @@
 	return roundUpToMS(chosen.reserved.RetryAfter), true
 }
 
+// reservationKey returns the key of a request's place: tenants may send the same prompt, and keep places of their own.
+func reservationKey(tenant, key string) string {
+	if key == "" {
+		return ""
+	}
+	return tenant + "\x00" + key
+}
+
 // roundUpToMS rounds up to milliseconds, the resolution of messages, so that callers don't return before their place.
 func roundUpToMS(d time.Duration) time.Duration {
 	return (d + time.Millisecond - 1).Truncate(time.Millisecond)
--- a/internal/gateway/reservations_test.go
+++ b/internal/gateway/reservations_test.go
@@ -324,3 +324,14 @@
 		}
 	}
 }
+
+// Guards against one tenant's request taking the place of another tenant's with the same prompt, whose promise would then
+// be broken.
+func TestTenantsHavePlacesOfTheirOwn(t *testing.T) {
+	if a, b := reservationKey("a", "k"), reservationKey("b", "k"); a == b || a == "" {
+		t.Errorf("keys %q and %q", a, b)
+	}
+	if got := reservationKey("a", ""); got != "" {
+		t.Errorf("a request that cannot be recognized has the key %q", got)
+	}
+}
--- a/internal/gateway/shortlist.go
+++ b/internal/gateway/shortlist.go
@@ -43,7 +43,12 @@
 		picked = append(picked, owner)
 	}
 	picked = append(picked, sampleHolders(sources, prefix.PartTokens(prefix.SharedParts(in.call.Parts)))...)
-	return append(picked, g.sample(now, g.laneMembers(rows, in), in)...)
+	picked = append(picked, g.sample(now, g.laneMembers(rows, in), in)...)
+	if in.service.Engine && g.table.lanesOf(in.service.Name).strict {
+		// The weight of strict lanes never falls, so a full lane would be closed to the idle engines of the other one.
+		picked = g.pickRandom(now, picked, rows, len(picked)+serviceSample, in)
+	}
+	return picked
 }
 
 // sampleHolders returns a few back ends that have all shared tokens of the prompt cached, and a few random ones of
