Test the metrics of reservations with a second request while the queue is long

The second request came when the queue was nearly over, where a standing queue is no longer judged by its slowest engines. It comes 200 ms earlier now, and has to be rejected as before.

--- a/internal/gateway/reservations_test.go
+++ b/internal/gateway/reservations_test.go
@@ -255,8 +255,8 @@
 	if want := map[string]any{"refused_for": "early", "place": true, "returned": "early"}; !maps.Equal(logged.Fields, want) {
 		t.Fatalf("fields %v, want %v", logged.Fields, want)
 	}
+	g.placeForPeer(at-200*time.Millisecond, newCriticalRequest("b"))
 	g.placeForPeer(at, newCriticalRequest("a"))
-	g.placeForPeer(at, newCriticalRequest("b"))
 	families, err := g.Metrics().Gather()
 	if err != nil {
 		t.Fatal(err)
