Keep the valid parts of a store read that has an invalid one

Cause: a part with an empty salt or ID, or with a token count out of range, made the index reject the whole report. The cursor had advanced by then, so the other events of the read were lost for as long as the store kept running; a rejected listing left cursor.listed set and was logged as StoreListed.

Change: ApplyRead drops and counts invalid parts one by one, and returns whether the read was accepted. If not, the store is listed again and the listing is neither logged nor announced. Reports of other schedulers are still ignored as a whole if a part is invalid, since a reader sends none.

Result: TestInvalidPartsOfAReadAreDropped failed with 0 of 100 tokens held of both valid parts, TestStoreIsListedAgainAfterAnIgnoredRead with 2 listings where 3 are wanted and 2 logged where 1 is. Both pass now, as do all tests of internal/gateway and storeindex. Two test callers take the added return value.

--- a/internal/gateway/storeindex/index.go
+++ b/internal/gateway/storeindex/index.go
@@ -58,7 +58,7 @@
 // Counts are the numbers of reports that changed nothing.
 type Counts struct {
 	Stale   uint64 // parts or whole reports older than what is known
-	Invalid uint64 // with numbers that make no sense
+	Invalid uint64 // parts or whole reports with values that make no sense
 }
 
 // partKey identifies a part under a salt.
--- a/internal/gateway/storeindex/index_test.go
+++ b/internal/gateway/storeindex/index_test.go
@@ -182,6 +182,29 @@
 	}
 }
 
+// Guards against the loss of a whole read, whose events are not sent again, by a single part that makes no sense.
+func TestInvalidPartsOfAReadAreDropped(t *testing.T) {
+	invalid := []belief.CachedPart{part("w1", "", 5), part("", "x", 5), part("w1", "x", -1), part("w1", "x", maxPartTokens+1)}
+	for i, bad := range invalid {
+		x := New()
+		if !x.ApplyRead(0, reportOf(1, 5, part("w1", "a", 100), bad, part("w1", "b", 100)), true) || !x.ApplyRead(0, reportOf(1, 8, part("w1", "a", 0), bad, part("w1", "c", 100)), false) {
+			t.Errorf("%d: a read with an invalid part was not accepted", i)
+		}
+		for id, want := range map[string]int{"a": 0, "b": 100, "c": 100, "x": 0} {
+			if got := x.Held(0, testStore, "w1", prompt(id)); got != want {
+				t.Errorf("%d: %d tokens of %s held, want %d", i, got, id, want)
+			}
+		}
+		if x.Counts().Invalid != 2 || x.Parts(testStore) != 2 {
+			t.Errorf("%d: %d invalid parts counted, %d parts held", i, x.Counts().Invalid, x.Parts(testStore))
+		}
+	}
+	x := New()
+	if x.ApplyRead(0, reportOf(1, maxEvent+1, part("w1", "a", 100)), true) || x.State(0, testStore) != Unread {
+		t.Error("a read with an event number out of range was accepted")
+	}
+}
+
 // A report of an earlier run of the store does not replace the known one, whether start times or only the times of the
 // reports tell.
 func TestReportsOfAnEarlierRunAreIgnored(t *testing.T) {
--- a/internal/gateway/storeindex/report.go
+++ b/internal/gateway/storeindex/report.go
@@ -10,11 +10,12 @@
 )
 
 // ApplyRead applies what this process has read from a store: its complete contents, or changes. Reads arrive in order
-// and come from the store itself, so they replace whatever other schedulers reported.
-func (x *Index) ApplyRead(now time.Duration, r Report, full bool) {
+// and come from the store itself, so they replace whatever other schedulers reported. It returns whether the read was
+// accepted; if not, the store has to be listed again.
+func (x *Index) ApplyRead(now time.Duration, r Report, full bool) (accepted bool) {
 	s := x.accept(now, r, true)
 	if s == nil {
-		return
+		return false
 	}
 	if !s.reading {
 		s.reading, s.refresh, s.refreshedAt = true, nil, now
@@ -25,6 +26,10 @@
 		listed = make(map[partKey]struct{}, len(r.Parts))
 	}
 	for _, p := range r.Parts {
+		if isInvalid(p) { // the others count, since the store does not send them again
+			x.counts.Invalid++
+			continue
+		}
 		key := partKey{p.Salt, p.ID}
 		if full {
 			listed[key] = struct{}{}
@@ -32,20 +37,21 @@
 		x.set(now, s, key, p.Tokens, r.Event)
 	}
 	if !full {
-		return
+		return true
 	}
 	for key, e := range s.parts {
 		if _, held := listed[key]; !held && e.tokens > 0 {
 			x.set(now, s, key, 0, r.Event)
 		}
 	}
+	return true
 }
 
 // ApplyPeer applies what another scheduler reported at a time on this process' clock. It is ignored for a store that
-// this process reads itself.
+// this process reads itself, and if one of its parts is invalid, since a reader sends none.
 func (x *Index) ApplyPeer(at time.Duration, r Report) {
 	known := x.stores[r.Store]
-	if !r.plausible(known) {
+	if !r.plausible(known) || slices.ContainsFunc(r.Parts, isInvalid) {
 		x.counts.Invalid++
 		return
 	}
@@ -108,7 +114,7 @@
 	return s
 }
 
-// plausible reports whether the numbers of a report make sense.
+// plausible reports whether the store, run and event number of a report make sense.
 func (r *Report) plausible(known *store) bool {
 	if r.Store == "" || r.Epoch.StartedMS < 0 {
 		return false
@@ -119,9 +125,12 @@
 	if known != nil && known.heard && r.Epoch == known.epoch && r.Event > known.event && r.Event-known.event > maxEventStep {
 		return false
 	}
-	return !slices.ContainsFunc(r.Parts, func(p belief.CachedPart) bool {
-		return p.ID == "" || p.Salt == "" || p.Tokens < 0 || p.Tokens > maxPartTokens
-	})
+	return true
+}
+
+// isInvalid reports whether the values of a part make no sense.
+func isInvalid(p belief.CachedPart) bool {
+	return p.ID == "" || p.Salt == "" || p.Tokens < 0 || p.Tokens > maxPartTokens
 }
 
 // replacedBy reports whether a run of the store with another epoch is newer than the known one. What was read from the
--- a/internal/gateway/storereader.go
+++ b/internal/gateway/storereader.go
@@ -111,8 +111,9 @@
 		return report.Pushback.Backoff, err
 	}
 	cursor.epoch, cursor.listed, cursor.answeredAt = epochOf(report), true, g.now()
-	g.applyStoreRead(address, cursor, report, true)
-	g.log.info(events.StoreListed, zap.String("address", address), zap.Uint64("epoch", report.Incarnation), zap.Int("parts", len(report.Parts)))
+	if g.applyStoreRead(address, cursor, report, true) {
+		g.log.info(events.StoreListed, zap.String("address", address), zap.Uint64("epoch", report.Incarnation), zap.Int("parts", len(report.Parts)))
+	}
 	return 0, nil
 }
 
@@ -120,20 +121,30 @@
 	return storeindex.Epoch{StartedMS: report.StartedMS, Boot: report.Incarnation}
 }
 
-func (g *Gateway) applyStoreRead(address string, cursor *storeCursor, report CacheReport, full bool) {
+// applyStoreRead applies what was read from a store, announces what has changed, and returns whether the read was
+// accepted. If not, the store is listed again, since its events up to the cursor are not sent again.
+func (g *Gateway) applyStoreRead(address string, cursor *storeCursor, report CacheReport, full bool) (accepted bool) {
 	cursor.next, cursor.failures = report.NextEvent, 0
 	read := storeindex.Report{Store: address, Epoch: cursor.epoch, Event: report.NextEvent, Parts: report.Parts}
-	for _, update := range g.table.applyStoreRead(g.now(), read, full) {
+	updates, accepted := g.table.applyStoreRead(g.now(), read, full)
+	if !accepted {
+		cursor.listed = false
+	}
+	for _, update := range updates {
 		g.peers.announce(announcement{Gateway: g.shortName, StoreReport: &update})
 	}
+	return accepted
 }
 
-// applyStoreRead applies what was read from a store, and returns the reports to send to the other schedulers.
-func (t *table) applyStoreRead(now time.Duration, read storeindex.Report, full bool) []storeindex.Report {
+// applyStoreRead applies what was read from a store, and returns the reports to send to the other schedulers and
+// whether the read was accepted.
+func (t *table) applyStoreRead(now time.Duration, read storeindex.Report, full bool) (updates []storeindex.Report, accepted bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.stores.ApplyRead(now, read, full)
-	return t.stores.Updates(now, read.Store)
+	if !t.stores.ApplyRead(now, read, full) {
+		return nil, false
+	}
+	return t.stores.Updates(now, read.Store), true
 }
 
 // releaseStore records that this gateway no longer reads a store.
--- a/internal/gateway/storereader_test.go
+++ b/internal/gateway/storereader_test.go
@@ -7,10 +7,14 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/events"
 	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/gateway/storeindex"
+	"kitetiller/internal/node"
 	"kitetiller/internal/prefix"
 	"kitetiller/internal/pushback"
 )
@@ -78,6 +82,29 @@
 	}
 }
 
+// Guards against a reader that goes on with changes to contents that the index did not accept: the store is listed
+// again, and the listing is not logged.
+func TestStoreIsListedAgainAfterAnIgnoredRead(t *testing.T) {
+	valid := CacheReport{Incarnation: 1, NextEvent: 5, Parts: []belief.CachedPart{cachedPart("a", 10)}}
+	absurd := CacheReport{Incarnation: 1, NextEvent: 1 << 63, Parts: []belief.CachedPart{cachedPart("b", 10)}}
+	f := newStoreFixture(absurd, valid, absurd, valid)
+	core, logged := observer.New(zap.InfoLevel)
+	f.log = newDecisionLog(&node.Log{Logger: zap.New(core)})
+	for step, want := range []struct {
+		lists, logged int
+		listed        bool
+	}{{1, 0, false}, {2, 1, true}, {2, 1, false}, {3, 2, true}} {
+		f.at += cacheListInterval
+		_ = f.read(1)
+		if got := logged.FilterMessage(events.StoreListed).Len(); f.script.lists != want.lists || got != want.logged || f.cursor.listed != want.listed {
+			t.Errorf("read %d: %d listings, %d logged, listed %v; want %+v", step, f.script.lists, got, f.cursor.listed, want)
+		}
+	}
+	if f.held("a") != 10 || f.held("b") != 0 {
+		t.Errorf("a %d, b %d tokens held", f.held("a"), f.held("b"))
+	}
+}
+
 // A store that does not answer counts for 4 s more, is not asked then, and is listed once it answers again.
 func TestSilentStoreIsListedWhenItAnswers(t *testing.T) {
 	cut := eris.New("cut off")
@@ -114,7 +141,8 @@
 	reports := func(f *storeFixture, report CacheReport) []announcement {
 		f.at += 100 * time.Millisecond
 		var sent []announcement
-		for _, r := range f.table.applyStoreRead(f.at, storeindex.Report{Store: testStoreAddress, Epoch: epochOf(report), Event: report.NextEvent, Parts: report.Parts}, true) {
+		updates, _ := f.table.applyStoreRead(f.at, storeindex.Report{Store: testStoreAddress, Epoch: epochOf(report), Event: report.NextEvent, Parts: report.Parts}, true)
+		for _, r := range updates {
 			sent = append(sent, announcement{StoreReport: &r}.toWire(0).announcement())
 		}
 		return sent
--- a/internal/gateway/storereplay_test.go
+++ b/internal/gateway/storereplay_test.go
@@ -315,7 +315,8 @@
 		event += uint64(len(store.changes))
 		report := storeindex.Report{Store: store.address, Epoch: storeindex.Epoch{Boot: 1}, Event: event, Parts: store.changes}
 		store.changes = nil
-		for _, update := range reader.table.applyStoreRead(r.now, report, event == 0) {
+		updates, _ := reader.table.applyStoreRead(r.now, report, event == 0)
+		for _, update := range updates {
 			item := announcement{Gateway: reader.shortName, StoreReport: &update}
 			text, _ := json.Marshal(item.toWire(0)) // cannot fail for these types
 			r.total.reportBytes += len(text)
