Plan as without the index once nobody reads a store

Its contents were neither fetched nor saved, for example after the assigned gateway heard a control replica of an earlier build, whose reply assigns no stores.

Change: State returns Unread once nothing was heard for sharedTTL, 60 s, and this process does not read the store. A reader whose store does not answer keeps it Silent, so that kitetiller_gateway_store_silent stays at 1 there.

Result: TestStoreWithoutReaderIsUnread failed with Silent at another scheduler and at the former reader; it passes, as do all tests of internal/gateway and storeindex.

--- a/internal/gateway/storeindex/index.go
+++ b/internal/gateway/storeindex/index.go
@@ -135,7 +135,7 @@
 type State uint8
 
 const (
-	Unread State = iota // no report of it has arrived yet
+	Unread State = iota // no report of it has arrived yet, or for sharedTTL, and this process does not read it
 	Known               // a recent report has arrived
 	Silent              // none has arrived for SilenceTTL
 )
@@ -146,6 +146,8 @@
 	switch {
 	case s == nil || !s.heard:
 		return Unread
+	case !s.reading && now > s.heardAt+sharedTTL:
+		return Unread // nobody reads it; Sweep keeps the record while there are requests
 	case now > s.heardAt+SilenceTTL:
 		return Silent
 	}
--- a/internal/gateway/storeindex/index_test.go
+++ b/internal/gateway/storeindex/index_test.go
@@ -67,6 +67,41 @@
 	}
 }
 
+// Guards against a store that stays silent, and so unused, for as long as there are requests after its last reader has
+// stopped, as when control's reply comes from a build that assigns no stores.
+func TestStoreWithoutReaderIsUnread(t *testing.T) {
+	reader, peer := New(), New()
+	reader.ApplyRead(0, reportOf(1, 5, part("w1", "a", 100)), true)
+	peer.ApplyPeer(0, reportOf(1, 5, part("w1", "a", 100)))
+	request := func(until time.Duration) {
+		for now := until - sharedTTL; now <= until; now += time.Second {
+			for _, x := range []*Index{reader, peer} {
+				x.RecordRequest(now, testStore, "w1", prompt("a"))
+				x.Sweep(now)
+			}
+		}
+	}
+	request(sharedTTL)
+	if reader.State(sharedTTL, testStore) != Silent || peer.State(sharedTTL, testStore) != Silent {
+		t.Errorf("after sharedTTL: state %d at the reader, %d at the other", reader.State(sharedTTL, testStore), peer.State(sharedTTL, testStore))
+	}
+	if got := reader.State(sharedTTL+1, testStore); got != Silent {
+		t.Errorf("state %d of a store that this process still reads", got)
+	}
+	if got := peer.State(sharedTTL+1, testStore); got != Unread {
+		t.Errorf("state %d after sharedTTL at a scheduler that does not read it", got)
+	}
+	reader.Release(sharedTTL, testStore)
+	request(2 * sharedTTL)
+	if got := reader.State(2*sharedTTL, testStore); got != Unread {
+		t.Errorf("state %d at the former reader", got)
+	}
+	reader.ApplyPeer(2*sharedTTL, reportOf(1, 5, part("w1", "a", 100)))
+	if got := reader.State(2*sharedTTL, testStore); got != Known {
+		t.Errorf("state %d after another scheduler reported it", got)
+	}
+}
+
 // A save is not started twice while it may still show up, and may be after saveTimeout or once the part was evicted.
 func TestOneSaveOfAPartAtATime(t *testing.T) {
 	x := New()
