End the read of a sole reader before its successor begins

Cause: for a store that answers one reader at a time (max_in_flight 1) the reader checked only before a read that its last confirmation was less than 1.5 s old. A read takes up to 2 s, so it could go on while the reader that control assigns after 2 s began.

Change: such a read has a context that ends 2 s after the confirmation.

--- a/internal/gateway/storereader.go
+++ b/internal/gateway/storereader.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
 	"kitetiller/internal/events"
 	"kitetiller/internal/gateway/belief"
@@ -18,8 +20,10 @@
 	// maxStoreRetryInterval bounds the pause after failed reads of a store, so that it is used soon after it answers
 	// again.
 	maxStoreRetryInterval = time.Second
-	// soleReaderTTL is how long after the last reply from control a store that answers one reader at a time is read.
-	// Control assigns another reader 2 s after the last request from this gateway.
+	// successorDelay is how long after the last request from this gateway control assigns its stores to another one.
+	successorDelay = 2 * time.Second
+	// soleReaderTTL is how long after the last request that control answered a read of a store that answers one reader
+	// at a time may begin. It ends at successorDelay, since its successor may read then.
 	soleReaderTTL = 1500 * time.Millisecond
 )
 
@@ -63,16 +67,19 @@
 
 // mayReadStore reports whether this gateway is still the reader of a store, as far as it knows.
 func (g *Gateway) mayReadStore(address string) bool {
-	now, current := g.now(), g.view.Load()
-	if current == nil || !g.trusted(now) {
+	now := g.now()
+	if g.view.Load() == nil || !g.trusted(now) {
 		return false
 	}
-	for _, store := range current.stores {
-		if store.StoreAddress == address && current.offer(store.Name).CacheReaders == 1 {
-			return now-time.Duration(g.confirmedAt.Load()) < soleReaderTTL
-		}
-	}
-	return true
+	return !g.hasSoleReader(address) || now-time.Duration(g.confirmedAt.Load()) < soleReaderTTL
+}
+
+// hasSoleReader reports whether a store answers one reader at a time.
+func (g *Gateway) hasSoleReader(address string) bool {
+	current := g.view.Load()
+	return current != nil && slices.ContainsFunc(current.stores, func(store *catalog.Service) bool {
+		return store.StoreAddress == address && current.offer(store.Name).CacheReaders == 1
+	})
 }
 
 // readStore queries a store once, applies its report and sends the others what has changed. On an error it returns the
@@ -81,6 +88,11 @@
 	if !g.mayReadStore(address) {
 		return 0, nil
 	}
+	if g.hasSoleReader(address) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(g.confirmedAt.Load())+successorDelay-g.now())
+		defer cancel()
+	}
 	if cursor.listed && g.now() > cursor.answeredAt+storeindex.SilenceTTL {
 		cursor.listed = false // other schedulers, and the index itself, may have dropped parts meanwhile
 	}
--- a/internal/gateway/storereader_test.go
+++ b/internal/gateway/storereader_test.go
@@ -191,6 +191,49 @@
 	}
 }
 
+// unresponsiveStore answers no call before its context ends, or for 3 s.
+type unresponsiveStore struct {
+	bounded  bool          // the context of the last call had a deadline
+	timeLeft time.Duration // until that deadline, when the call began
+	canceled bool          // the context ended within 3 s
+}
+
+func (u *unresponsiveStore) call(ctx context.Context) (CacheReport, error) {
+	deadline, bounded := ctx.Deadline()
+	u.bounded, u.timeLeft = bounded, time.Until(deadline)
+	select {
+	case <-ctx.Done():
+		u.canceled = true
+	case <-time.After(3 * time.Second):
+	}
+	return CacheReport{Incarnation: 1, NextEvent: 5}, ctx.Err()
+}
+
+func (u *unresponsiveStore) Events(ctx context.Context, _ string, _ uint64) (CacheReport, error) {
+	return u.call(ctx)
+}
+func (u *unresponsiveStore) List(ctx context.Context, _ string) (CacheReport, error) {
+	return u.call(ctx)
+}
+
+// Guards against a read of a store that answers one reader at a time that goes on when control has assigned the next
+// reader: it ends successorDelay after the last confirmation, whenever it began.
+func TestSoleReadEndsBeforeSuccessorStarts(t *testing.T) {
+	sole := map[string]catalog.Offer{"k": {CacheReaders: 1}}
+	for _, listed := range []bool{false, true} {
+		f, store := newStoreFixture(), &unresponsiveStore{}
+		f.UseCacheReader(store)
+		f.view.Store(newView(storeDocument(400*time.Millisecond), sole))
+		f.confirmedAt.Store(int64(f.at))
+		f.at += soleReaderTTL - time.Millisecond
+		f.cursor.listed, f.cursor.answeredAt = listed, f.at
+		_, err := f.readStore(context.Background(), testStoreAddress, &f.cursor)
+		if want := successorDelay - soleReaderTTL + time.Millisecond; !store.bounded || !store.canceled || store.timeLeft > want || err == nil {
+			t.Errorf("listed %v: bounded %v, canceled %v with %v left, want at most %v; error %v", listed, store.bounded, store.canceled, store.timeLeft, want, err)
+		}
+	}
+}
+
 // countingStore counts the calls in progress.
 type countingStore struct {
 	mu             sync.Mutex
