Don't report a back end as unreachable when the caller left

Cause: a connection that is not made because the caller left, or its deadline passed, counted as a failed one. The healthy back end was avoided and reported as unreachable to the other gateways or the scheduler.

Change: the failure is recorded only if the attempt's context has not ended. The result stays resultUnreachable, as nothing was sent.

Result: TestCanceledConnectDoesNotAvoidBackEnd failed, with the back end avoided after "operation was canceled"; it passes, also for a refused connection, after which the back end is avoided as before. All tests of internal/gateway pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -141,7 +141,9 @@
 	defer a.releaseLease()
 	conn, err := x.gateway.pool.get(a.ctx, a.row.entry.ID, a.row.entry.Address, maxIdle)
 	if err != nil {
-		a.recordUnreachable(err)
+		if a.ctx.Err() == nil { // otherwise the caller left, which tells nothing about the back end
+			a.recordUnreachable(err)
+		}
 		return result{kind: resultUnreachable, cause: err.Error()}
 	}
 	a.conn = conn
--- a/internal/gateway/suspicion_test.go
+++ b/internal/gateway/suspicion_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -55,3 +57,30 @@
 		t.Fatal("a failure after the avoidance is not reported")
 	}
 }
+
+// Guards against avoiding a healthy back end because the caller left while the connection to it was made. A back end
+// that refuses the connection is avoided.
+func TestCanceledConnectDoesNotAvoidBackEnd(t *testing.T) {
+	for name, c := range map[string]struct{ canceled, avoided bool }{"caller left": {true, false}, "refused": {false, true}} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		g := newScheduler(1)
+		row := g.table.rows["i-0"]
+		row.entry.Address = listener.Addr().String()
+		a := attemptAt(g, row)
+		if c.canceled {
+			a.cancel(context.Canceled)
+		} else {
+			_ = listener.Close()
+		}
+		if got := a.perform(); got.kind != resultUnreachable || a.unreachable != c.avoided {
+			t.Errorf("%s: result %+v, reported as unreachable: %v", name, got, a.unreachable)
+		}
+		if newlyAvoided := g.table.recordUnreachable(g.now(), row); newlyAvoided == c.avoided {
+			t.Errorf("%s: back end avoided: %v", name, !newlyAvoided)
+		}
+		_ = listener.Close()
+	}
+}
