Name the store index by the usual terms

Cause: hotter, told, untold and "sign of a store" are figures of speech.

Change: moreRequestedTokens, recountInterval, announced and unannounced; the help of kitetiller_gateway_store_silent and the comments say what is measured. No behavior changes.

Result: all tests of internal/gateway and storeindex pass.

--- a/internal/gateway/storecopies.go
+++ b/internal/gateway/storecopies.go
@@ -33,7 +33,7 @@
 
 const (
 	storeGapNone   storeGap = iota
-	storeGapSilent          // the store gives no sign
+	storeGapSilent          // the store has not been heard from for storeindex.SilenceTTL
 	storeGapAbsent          // the store does not hold them
 	storeGapSaving          // a save of them is under way
 	storeGapSlow            // prefilling them is faster, or costs less
--- a/internal/gateway/storeindex/index.go
+++ b/internal/gateway/storeindex/index.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	// SilenceTTL is how long after the last sign of a store its known contents count. After that it is not asked.
+	// SilenceTTL is how long the known contents of a store count after the last report or successful read. After
+	// that it is not asked.
 	SilenceTTL = 4 * time.Second
 	// unreadTTL is how long what another scheduler reported of a part counts. The reader repeats each part every
 	// refreshCycle, so this allows for two lost messages.
@@ -66,17 +67,17 @@
 
 // entry is what is known of a part at a store.
 type entry struct {
-	tokens int // 0 if it was removed
-	event  uint64
-	seenAt time.Duration // of the newest report about it
-	told   bool          // other schedulers were sent, or have reported, that it is held
+	tokens    int // 0 if it was removed
+	event     uint64
+	seenAt    time.Duration // of the newest report about it
+	announced bool          // other schedulers were sent, or have reported, that it is held
 }
 
 // store is what is known of one store.
 type store struct {
 	epoch   Epoch
 	heard   bool          // a report has been accepted
-	heardAt time.Duration // last sign of the store
+	heardAt time.Duration // last report or successful read
 	event   uint64        // highest event number reported
 	parts   map[partKey]entry
 	saving  map[partKey]save // the last save of each part that has not shown up
@@ -86,7 +87,7 @@
 	reading     bool                 // this process reads it
 	readAt      time.Duration        // last successful read
 	readEvent   uint64               // event number up to which this process has read
-	untold      map[partKey]struct{} // parts whose state is to be sent to other schedulers
+	unannounced map[partKey]struct{} // parts whose state is to be sent to other schedulers
 	refresh     []partKey            // parts still to be repeated in this cycle
 	refreshStep int                  // parts repeated per refreshInterval
 	refreshedAt time.Duration
@@ -125,7 +126,7 @@
 func (x *Index) storeAt(address string) *store {
 	s := x.stores[address]
 	if s == nil && len(x.stores) < maxStores {
-		s = &store{parts: map[partKey]entry{}, saving: map[partKey]save{}, cached: cachedSaves{ratio: initialCachedSaves}, waiting: waitingParts{parts: map[partKey]waitingPart{}}, untold: map[partKey]struct{}{}}
+		s = &store{parts: map[partKey]entry{}, saving: map[partKey]save{}, cached: cachedSaves{ratio: initialCachedSaves}, waiting: waitingParts{parts: map[partKey]waitingPart{}}, unannounced: map[partKey]struct{}{}}
 		x.stores[address] = s
 	}
 	return s
@@ -192,8 +193,8 @@
 		x.demand.record(now, part.ID)
 		key := partKey{salt, part.ID}
 		switch e := s.parts[key]; {
-		case e.tokens > 0 && s.reading && !e.told:
-			s.untold[key] = struct{}{}
+		case e.tokens > 0 && s.reading && !e.announced:
+			s.unannounced[key] = struct{}{}
 		case s.holds(now, key) < part.Tokens:
 			s.waiting.add(now, key, part.Tokens)
 		}
--- a/internal/gateway/storeindex/index_test.go
+++ b/internal/gateway/storeindex/index_test.go
@@ -165,7 +165,7 @@
 	for _, id := range []string{"p7", "p6", "p5", "p4"} {
 		x.RecordSave(now, testStore, "w1", prompt(id), 0)
 	}
-	now += hotterInterval
+	now += recountInterval
 	if plan(busy, "p3") != SaveStart {
 		t.Errorf("p3 %s after all parts requested more often were saved", plan(busy, "p3"))
 	}
@@ -175,7 +175,7 @@
 	}
 	x.RecordRequest(now, testStore, "w2", prompt("p7"))
 	x.RecordRequest(now, testStore, "w2", prompt("p6"))
-	now += hotterInterval
+	now += recountInterval
 	if x.PlanSave(now, testStore, "w2", prompt("p0"), 0, busy) != SaveBusy || x.PlanSave(now, testStore, "w2", prompt("p7"), 0, busy) != SaveStart {
 		t.Error("under a new salt, the parts requested most before are not first")
 	}
--- a/internal/gateway/storeindex/report.go
+++ b/internal/gateway/storeindex/report.go
@@ -84,7 +84,7 @@
 		return
 	}
 	s.reading, s.refresh = false, nil
-	clear(s.untold)
+	clear(s.unannounced)
 	for key, e := range s.parts {
 		e.seenAt = max(e.seenAt, now)
 		s.parts[key] = e
@@ -150,7 +150,7 @@
 func (s *store) forget(epoch Epoch) {
 	s.epoch, s.event, s.readEvent, s.refresh = epoch, 0, 0, nil
 	clear(s.parts)
-	clear(s.untold)
+	clear(s.unannounced)
 	clear(s.saving)
 }
 
@@ -160,10 +160,10 @@
 	if !known && (tokens == 0 && s.reading || !x.makeRoom(at, s, key.id)) {
 		return
 	}
-	if s.reading && tokens != before.tokens && (before.told || tokens > 0 && x.demand.isShared(at, key.id)) {
-		s.untold[key] = struct{}{}
+	if s.reading && tokens != before.tokens && (before.announced || tokens > 0 && x.demand.isShared(at, key.id)) {
+		s.unannounced[key] = struct{}{}
 	}
-	s.parts[key] = entry{tokens: tokens, event: event, seenAt: max(at, before.seenAt), told: before.told || !s.reading}
+	s.parts[key] = entry{tokens: tokens, event: event, seenAt: max(at, before.seenAt), announced: before.announced || !s.reading}
 	if tokens > 0 {
 		s.recordSaved(key)
 	}
@@ -194,12 +194,12 @@
 		return nil
 	}
 	var keys []partKey
-	for key := range s.untold {
+	for key := range s.unannounced {
 		if len(keys) == maxUpdates*maxUpdateParts {
 			break
 		}
 		keys = append(keys, key)
-		delete(s.untold, key)
+		delete(s.unannounced, key)
 	}
 	alive := false
 	if now >= s.refreshedAt+refreshInterval {
@@ -239,7 +239,7 @@
 		if !known || e.event > s.readEvent {
 			continue
 		}
-		e.told = e.tokens > 0
+		e.announced = e.tokens > 0
 		s.parts[key] = e
 		part := belief.CachedPart{Salt: key.salt}
 		part.ID, part.Tokens = key.id, e.tokens
--- a/internal/gateway/storeindex/save.go
+++ b/internal/gateway/storeindex/save.go
@@ -30,8 +30,8 @@
 	// waitingTTL is how long after their last request missing parts count as waiting to be saved. It is short, so that
 	// parts under the salt of replaced weights stop counting soon.
 	waitingTTL = 2 * time.Second
-	// hotterInterval is the minimum time between two counts of the waiting parts by demand.
-	hotterInterval = 50 * time.Millisecond
+	// recountInterval is the minimum time between two counts of the waiting parts by demand.
+	recountInterval = 50 * time.Millisecond
 	// maxDemand is the demand from which on parts count as equally often requested.
 	maxDemand = 63
 )
@@ -116,7 +116,7 @@
 		return SaveCached
 	case link.Wait < freeLinkWait:
 		return SaveStart
-	case link.Wait < maxLinkWait && link.Wait+time.Duration(s.waiting.hotter(now, lowest, s, x.demand))*link.TimePerToken < maxLinkWait:
+	case link.Wait < maxLinkWait && link.Wait+time.Duration(s.waiting.moreRequestedTokens(now, lowest, s, x.demand))*link.TimePerToken < maxLinkWait:
 		return SaveStart
 	}
 	return SaveBusy
@@ -228,12 +228,12 @@
 	}
 }
 
-// hotter returns the tokens of the waiting parts that are requested more often.
-func (w *waitingParts) hotter(now time.Duration, than int, s *store, demands demandTable) int {
-	if !w.counted || now >= w.countedAt+hotterInterval {
+// moreRequestedTokens returns the tokens of the waiting parts whose demand is higher.
+func (w *waitingParts) moreRequestedTokens(now time.Duration, demand int, s *store, demands demandTable) int {
+	if !w.counted || now >= w.countedAt+recountInterval {
 		w.count(now, s, demands)
 	}
-	return w.above[min(than, maxDemand)]
+	return w.above[min(demand, maxDemand)]
 }
 
 func (w *waitingParts) count(now time.Duration, s *store, demands demandTable) {
--- a/internal/gateway/storemetrics.go
+++ b/internal/gateway/storemetrics.go
@@ -50,7 +50,7 @@
 	return storeCollector{
 		g,
 		prometheus.NewDesc("kitetiller_gateway_store_parts", "Parts that a store is known to hold.", []string{"service"}, nil),
-		prometheus.NewDesc("kitetiller_gateway_store_silent", "1 if a store whose contents were read gives no sign.", []string{"service"}, nil),
+		prometheus.NewDesc("kitetiller_gateway_store_silent", "1 if a store whose contents were read has not been heard from for 4 s.", []string{"service"}, nil),
 		prometheus.NewDesc("kitetiller_gateway_store_reports_ignored_total", "Reports of stores' contents that changed nothing, by cause.", []string{"cause"}, nil),
 	}
 }
