--- a/internal/gateway/storeindex/index_test.go
+++ b/internal/gateway/storeindex/index_test.go
@@ -67,6 +67,41 @@
 	}
 }
 
+// Guards against a store that stays silent, and so unused, for as long as there are requests after its last reader has
+// stopped, as when control's reply comes from a build that assigns no stores.
+func TestStoreWithoutReaderIsUnread(t *testing.T) {
+	reader, peer := New(), New()
+	reader.ApplyRead(0, reportOf(1, 5, part("w1", "a", 100)), true)
+	peer.ApplyPeer(0, reportOf(1, 5, part("w1", "a", 100)))
+	request := func(until time.Duration) {
+		for now := until - sharedTTL; now <= until; now += time.Second {
+			for _, x := range []*Index{reader, peer} {
+				x.RecordRequest(now, testStore, "w1", prompt("a"))
+				x.Sweep(now)
+			}
+		}
+	}
+	request(sharedTTL)
+	if reader.State(sharedTTL, testStore) != Silent || peer.State(sharedTTL, testStore) != Silent {
+		t.Errorf("after sharedTTL: state %d at the reader, %d at the other", reader.State(sharedTTL, testStore), peer.State(sharedTTL, testStore))
+	}
+	if got := reader.State(sharedTTL+1, testStore); got != Silent {
+		t.Errorf("state %d of a store that this process still reads", got)
+	}
+	if got := peer.State(sharedTTL+1, testStore); got != Unread {
+		t.Errorf("state %d after sharedTTL at a scheduler that does not read it", got)
+	}
+	reader.Release(sharedTTL, testStore)
+	request(2 * sharedTTL)
+	if got := reader.State(2*sharedTTL, testStore); got != Unread {
+		t.Errorf("state %d at the former reader", got)
+	}
+	reader.ApplyPeer(2*sharedTTL, reportOf(1, 5, part("w1", "a", 100)))
+	if got := reader.State(2*sharedTTL, testStore); got != Known {
+		t.Errorf("state %d after another scheduler reported it", got)
+	}
+}
+
 // A save is not started twice while it may still show up, and may be after saveTimeout or once the part was evicted.
 func TestOneSaveOfAPartAtATime(t *testing.T) {
 	x := New()
@@ -130,7 +165,7 @@
 	for _, id := range []string{"p7", "p6", "p5", "p4"} {
 		x.RecordSave(now, testStore, "w1", prompt(id), 0)
 	}
-	now += hotterInterval
+	now += recountInterval
 	if plan(busy, "p3") != SaveStart {
 		t.Errorf("p3 %s after all parts requested more often were saved", plan(busy, "p3"))
 	}
@@ -140,7 +175,7 @@
 	}
 	x.RecordRequest(now, testStore, "w2", prompt("p7"))
 	x.RecordRequest(now, testStore, "w2", prompt("p6"))
-	now += hotterInterval
+	now += recountInterval
 	if x.PlanSave(now, testStore, "w2", prompt("p0"), 0, busy) != SaveBusy || x.PlanSave(now, testStore, "w2", prompt("p7"), 0, busy) != SaveStart {
 		t.Error("under a new salt, the parts requested most before are not first")
 	}
@@ -182,6 +217,29 @@
 	}
 }
 
+// Guards against the loss of a whole read, whose events are not sent again, by a single part that makes no sense.
+func TestInvalidPartsOfAReadAreDropped(t *testing.T) {
+	invalid := []belief.CachedPart{part("w1", "", 5), part("", "x", 5), part("w1", "x", -1), part("w1", "x", maxPartTokens+1)}
+	for i, bad := range invalid {
+		x := New()
+		if !x.ApplyRead(0, reportOf(1, 5, part("w1", "a", 100), bad, part("w1", "b", 100)), true) || !x.ApplyRead(0, reportOf(1, 8, part("w1", "a", 0), bad, part("w1", "c", 100)), false) {
+			t.Errorf("%d: a read with an invalid part was not accepted", i)
+		}
+		for id, want := range map[string]int{"a": 0, "b": 100, "c": 100, "x": 0} {
+			if got := x.Held(0, testStore, "w1", prompt(id)); got != want {
+				t.Errorf("%d: %d tokens of %s held, want %d", i, got, id, want)
+			}
+		}
+		if x.Counts().Invalid != 2 || x.Parts(testStore) != 2 {
+			t.Errorf("%d: %d invalid parts counted, %d parts held", i, x.Counts().Invalid, x.Parts(testStore))
+		}
+	}
+	x := New()
+	if x.ApplyRead(0, reportOf(1, maxEvent+1, part("w1", "a", 100)), true) || x.State(0, testStore) != Unread {
+		t.Error("a read with an event number out of range was accepted")
+	}
+}
+
 // A report of an earlier run of the store does not replace the known one, whether start times or only the times of the
 // reports tell.
 func TestReportsOfAnEarlierRunAreIgnored(t *testing.T) {
--- a/internal/gateway/storereader.go
+++ b/internal/gateway/storereader.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
 	"kitetiller/internal/events"
 	"kitetiller/internal/gateway/belief"
@@ -18,8 +20,10 @@
 	// maxStoreRetryInterval bounds the pause after failed reads of a store, so that it is used soon after it answers
 	// again.
 	maxStoreRetryInterval = time.Second
-	// soleReaderTTL is how long after the last reply from control a store that answers one reader at a time is read.
-	// Control assigns another reader 2 s after the last request from this gateway.
+	// successorDelay is how long after the last request from this gateway control assigns its stores to another one.
+	successorDelay = 2 * time.Second
+	// soleReaderTTL is how long after the last request that control answered a read of a store that answers one reader
+	// at a time may begin. It ends at successorDelay, since its successor may read then.
 	soleReaderTTL = 1500 * time.Millisecond
 )
 
@@ -63,16 +67,19 @@
 
 // mayReadStore reports whether this gateway is still the reader of a store, as far as it knows.
 func (g *Gateway) mayReadStore(address string) bool {
-	now, current := g.now(), g.view.Load()
-	if current == nil || !g.trusted(now) {
+	now := g.now()
+	if g.view.Load() == nil || !g.trusted(now) {
 		return false
 	}
-	for _, store := range current.stores {
-		if store.StoreAddress == address && current.offer(store.Name).CacheReaders == 1 {
-			return now-time.Duration(g.confirmedAt.Load()) < soleReaderTTL
-		}
-	}
-	return true
+	return !g.hasSoleReader(address) || now-time.Duration(g.confirmedAt.Load()) < soleReaderTTL
+}
+
+// hasSoleReader reports whether a store answers one reader at a time.
+func (g *Gateway) hasSoleReader(address string) bool {
+	current := g.view.Load()
+	return current != nil && slices.ContainsFunc(current.stores, func(store *catalog.Service) bool {
+		return store.StoreAddress == address && current.offer(store.Name).CacheReaders == 1
+	})
 }
 
 // readStore queries a store once, applies its report and sends the others what has changed. On an error it returns the
@@ -81,6 +88,11 @@
 	if !g.mayReadStore(address) {
 		return 0, nil
 	}
+	if g.hasSoleReader(address) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(g.confirmedAt.Load())+successorDelay-g.now())
+		defer cancel()
+	}
 	if cursor.listed && g.now() > cursor.answeredAt+storeindex.SilenceTTL {
 		cursor.listed = false // other schedulers, and the index itself, may have dropped parts meanwhile
 	}
@@ -111,8 +123,9 @@
 		return report.Pushback.Backoff, err
 	}
 	cursor.epoch, cursor.listed, cursor.answeredAt = epochOf(report), true, g.now()
-	g.applyStoreRead(address, cursor, report, true)
-	g.log.info(events.StoreListed, zap.String("address", address), zap.Uint64("epoch", report.Incarnation), zap.Int("parts", len(report.Parts)))
+	if g.applyStoreRead(address, cursor, report, true) {
+		g.log.info(events.StoreListed, zap.String("address", address), zap.Uint64("epoch", report.Incarnation), zap.Int("parts", len(report.Parts)))
+	}
 	return 0, nil
 }
 
@@ -120,20 +133,30 @@
 	return storeindex.Epoch{StartedMS: report.StartedMS, Boot: report.Incarnation}
 }
 
-func (g *Gateway) applyStoreRead(address string, cursor *storeCursor, report CacheReport, full bool) {
+// applyStoreRead applies what was read from a store, announces what has changed, and returns whether the read was
+// accepted. If not, the store is listed again, since its events up to the cursor are not sent again.
+func (g *Gateway) applyStoreRead(address string, cursor *storeCursor, report CacheReport, full bool) (accepted bool) {
 	cursor.next, cursor.failures = report.NextEvent, 0
 	read := storeindex.Report{Store: address, Epoch: cursor.epoch, Event: report.NextEvent, Parts: report.Parts}
-	for _, update := range g.table.applyStoreRead(g.now(), read, full) {
+	updates, accepted := g.table.applyStoreRead(g.now(), read, full)
+	if !accepted {
+		cursor.listed = false
+	}
+	for _, update := range updates {
 		g.peers.announce(announcement{Gateway: g.shortName, StoreReport: &update})
 	}
+	return accepted
 }
 
-// applyStoreRead applies what was read from a store, and returns the reports to send to the other schedulers.
-func (t *table) applyStoreRead(now time.Duration, read storeindex.Report, full bool) []storeindex.Report {
+// applyStoreRead applies what was read from a store, and returns the reports to send to the other schedulers and
+// whether the read was accepted.
+func (t *table) applyStoreRead(now time.Duration, read storeindex.Report, full bool) (updates []storeindex.Report, accepted bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.stores.ApplyRead(now, read, full)
-	return t.stores.Updates(now, read.Store)
+	if !t.stores.ApplyRead(now, read, full) {
+		return nil, false
+	}
+	return t.stores.Updates(now, read.Store), true
 }
 
 // releaseStore records that this gateway no longer reads a store.
