Queue placements without first-event reports by time only

Gateways of older builds ignore the request to report a first event, and a buffered response has none. The queue took such placements for overdue while other first events were reported, and the engine for up to 4 times slower for 2 s.

Placement requests state with rf whether the first event will be reported, and own placements take it from the route. Without it the request has number 0 in all queues and leaves them once its predicted time has passed. Forecast waits are told by the forecast, not by the number.

The placement requests of other tests set rf, as new builds do.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -210,7 +210,7 @@
 		a.stopFirstEventTimer()
 		queue := a.endQueued(x.gateway.now())
 		x.gateway.table.observePrefill(a.row, a.plan.engineIdle, a.uncached, a.timeToFirstEvent())
-		if a.queued.number > 0 && x.gateway.enabled(mechanism.EngineQueue) {
+		if a.plan.ownTime() > 0 {
 			x.gateway.table.observeForecastWait(x.service.Name, int(a.plan.priority), a.plan.queueWait, a.plan.ownTime(), a.timeToFirstEvent(), x.gateway.now()-a.startedAt)
 		} else {
 			x.gateway.table.observeQueueWait(x.service.Name, enginePriority(x.tenant, x.route), a.plan.queueWait, a.uncached, a.timeToFirstEvent(), x.gateway.now()-a.startedAt)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -56,11 +56,11 @@
 	recomputeReason recomputeCause // set for the chosen candidate if recomputed > 0
 	copyCostsMore   bool           // a copy of the shared parts exists, but costs more than recomputing them
 	engineIdle      bool           // no other prefill is estimated to be running or queued there
-	priority        int8           // of the request; set for the chosen candidate if queueNumber is
+	priority        int8           // of the request; set for the chosen candidate of a service with queues
 	// pause is the predicted longest pause of the streams running there, in milliseconds, and slowness the factor by which
 	// the engine is taken to be slower than its service. Both are 0 if not predicted.
 	pause, slowness float32
-	queueNumber     uint64     // of the request in the engine's queue; 0 without a queue, or if a scheduler chose
+	queueNumber     uint64     // of the request in the engine's queue; 0 without a queue or reports of first events, or if a scheduler chose
 	copySource      copySource // set like storeGap and storeSave if the store index plans copies and saves
 	storeGap        storeGap
 	storeSave       storeindex.Save
@@ -98,9 +98,11 @@
 	maxEventGap     time.Duration      // shortest of the longest permitted gaps between events of the service's streams, or 0
 	rates           *enginequeue.Rates // of the service's engines, if it has queues; set by choose
 	// tenantName is "" if the tenant is unknown, and timeLeft is the time until the request's deadline.
-	tenantName   string
-	timeLeft     time.Duration
-	storeIndexed bool // the store index plans copies from and to the store; set by choose
+	tenantName string
+	timeLeft   time.Duration
+	// reportsFirstEvent means that the sender learns and reports when the first event comes.
+	reportsFirstEvent bool
+	storeIndexed      bool // the store index plans copies from and to the store; set by choose
 }
 
 // promptTokens returns the number of prompt tokens.
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -179,7 +179,9 @@
 	if sent.plan.scheduled == nil {
 		t.addPrefill(now, sent.row, sent.uncached)
 		sent.queued = queuedRequest{number: sent.plan.queueNumber, placedAt: now}
-		t.queueSent(now, sent.row, sent.plan.queueNumber, int(sent.plan.priority), sent.uncached)
+		if !sent.continues && sent.plan.slot == nil {
+			t.queueSent(now, sent.row, sent.plan.queueNumber, int(sent.plan.priority), sent.uncached)
+		}
 	}
 	sent.backoffLeft = max(0, t.signals.Restriction(now, sent.row.incarnation).BackoffUntil-now)
 	sent.advertisedLimit = t.signals.Limit(sent.row.incarnation)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -263,7 +263,7 @@
 		service: x.service, tenant: x.tenant, call: &x.call, tried: x.tried, firstAttempt: len(x.tried) == 0, priority: enginePriority(x.tenant, x.route), latencyTarget: x.route.Objective,
 	}
 	in.latencyCritical, in.offer = x.view.critical[x.service.Name], x.view.offer(x.service.Name)
-	in.maxEventGap = x.view.gaps[x.service.Name]
+	in.maxEventGap, in.reportsFirstEvent = x.view.gaps[x.service.Name], x.route.Streaming
 	if x.tenant != nil {
 		in.tenantName = x.tenant.Name
 	}
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -32,6 +32,9 @@
 	// once. Zone is that of the requesting gateway.
 	WaitMS *int64 `json:"wait,omitempty"`
 	Zone   string `json:"zone,omitempty"`
+	// ReportsFirstEvent means that the requesting gateway reports the first event if the reply asks for it. Older builds
+	// don't, and a buffered response has none.
+	ReportsFirstEvent bool `json:"rf,omitempty"`
 }
 
 // wirePlacementReply answers a wirePlacementRequest. Instance is empty if no back end is available.
@@ -133,7 +136,7 @@
 		in.store = current.storeOf(call.Parts)
 	}
 	in.firstAttempt, in.priority, in.latencyTarget = req.FirstAttempt, req.Priority, durationFromMS(req.LatencyTargetMS)
-	in.tenantName, in.timeLeft = req.Tenant, durationFromMS(req.TimeoutMS)
+	in.tenantName, in.timeLeft, in.reportsFirstEvent = req.Tenant, durationFromMS(req.TimeoutMS), req.ReportsFirstEvent
 	chosen := g.choose(now, in)
 	if chosen == nil {
 		return wirePlacementReply{}
@@ -188,7 +191,7 @@
 	}
 	row := p.row
 	g.table.observePrefill(row, p.engineIdle, p.uncached, durationFromMS(end.FirstEventMS))
-	if p.queued.number > 0 && g.enabled(mechanism.EngineQueue) {
+	if p.ownTime > 0 {
 		g.table.observeForecastWait(row.entry.Service, p.priority, p.queueWait, p.ownTime, durationFromMS(end.FirstEventMS), durationFromMS(end.DurationMS))
 	} else {
 		g.table.observeQueueWait(row.entry.Service, p.priority, p.queueWait, p.uncached, durationFromMS(end.FirstEventMS), durationFromMS(end.DurationMS))
@@ -209,7 +212,9 @@
 	here := &p.row.occupancy
 	here.Placed = here.Placed.Plus(p.load)
 	t.addPrefill(now, p.row, p.uncached)
-	t.queueSent(now, p.row, p.queued.number, p.priority, p.uncached)
+	if !p.slot {
+		t.queueSent(now, p.row, p.queued.number, p.priority, p.uncached)
+	}
 	t.pacePeerPlacement(now, p.row)
 	return here.Local()
 }
--- a/internal/gateway/queues.go
+++ b/internal/gateway/queues.go
@@ -137,12 +137,16 @@
 	return all
 }
 
-// assignQueueNumber gives a chosen placement the number under which its first event is reported to other schedulers.
+// assignQueueNumber gives a chosen placement the number under which its first event is reported to other schedulers. If
+// nobody will report it, the number stays 0, and queues run the request down by time: it would count as overdue otherwise.
 // The caller holds the mutex.
 func (t *table) assignQueueNumber(chosen *candidate, in selectionInput) {
 	if in.rates != nil {
-		t.lastQueueNumber++
-		chosen.queueNumber, chosen.priority = t.lastQueueNumber, int8(min(max(in.priority, 0), lowestPriority))
+		chosen.priority = int8(min(max(in.priority, 0), lowestPriority))
+		if in.reportsFirstEvent {
+			t.lastQueueNumber++
+			chosen.queueNumber = t.lastQueueNumber
+		}
 	}
 }
 
@@ -151,9 +155,6 @@
 
 // queueSent adds a placement of this gateway to the queue of its engine. The caller holds the mutex.
 func (t *table) queueSent(now time.Duration, row *endpoint, number uint64, priority, uncached int) {
-	if number == 0 {
-		return
-	}
 	if queue := t.queueOf(row); queue != nil {
 		queue.Sent(now, enginequeue.Request{ID: ownQueueID(number), Priority: priority, Tokens: uncached})
 	}
@@ -161,7 +162,7 @@
 
 // queuedRequest is a placement that this gateway made, as it is known in the queue of its engine.
 type queuedRequest struct {
-	number      uint64        // 0 if the service has no queues
+	number      uint64        // 0 if the service has no queues, or nobody reports the first event
 	placedAt    time.Duration // by the clock of this gateway
 	firstEvent  bool          // the first event was recorded
 	workAtFirst float64       // as of enginequeue.Queue.Work
--- a/internal/gateway/queues_test.go
+++ b/internal/gateway/queues_test.go
@@ -49,7 +49,7 @@
 // shortPrompt returns a placement request for a short prompt of one part.
 func shortPrompt(placementID string, priority int) *wirePlacementRequest {
 	return &wirePlacementRequest{
-		PlacementID: placementID, Gateway: "a", Service: "s", Model: "m", PromptTokens: 600, TimeoutMS: 5000, Parts: []string{placementID}, PartTokens: []int{600}, Priority: priority,
+		PlacementID: placementID, Gateway: "a", Service: "s", Model: "m", PromptTokens: 600, TimeoutMS: 5000, Parts: []string{placementID}, PartTokens: []int{600}, Priority: priority, ReportsFirstEvent: true,
 	}
 }
 
@@ -60,6 +60,7 @@
 	return selectionInput{
 		service: current.services["s"], call: &call, trusted: true, sentByPeer: true, priority: req.Priority, latencyTarget: durationFromMS(req.LatencyTargetMS),
 		latencyCritical: current.critical["s"], offer: current.offer("s"), maxEventGap: current.gaps["s"], rates: g.table.queueRates["s"],
+		reportsFirstEvent: req.ReportsFirstEvent,
 	}
 }
 
@@ -204,6 +205,42 @@
 	}
 }
 
+// TestUnreportedFirstEventsAreNotOverdue guards against an engine that counts as up to 4 times slower because nobody
+// reports the first event of a request sent there: the requesting gateway is of an older build, or the route is buffered.
+func TestUnreportedFirstEventsAreNotOverdue(t *testing.T) {
+	for what, send := range map[string]func(*Gateway, time.Duration){
+		"placed for an older gateway": func(g *Gateway, now time.Duration) {
+			asked := shortPrompt("old", 0)
+			asked.PromptTokens, asked.PartTokens, asked.ReportsFirstEvent = 800, []int{800}, false
+			if reply := g.placeForPeer(now, asked); reply.ReportFirstEvent {
+				t.Error("asked an older gateway for a report")
+			}
+		},
+		"buffered, placed by itself": func(g *Gateway, now time.Duration) {
+			x := newModelRequest(g)
+			x.route = &catalog.Route{Name: "buffered"}
+			x.call.Parts, x.call.PromptTokens = nil, 800
+			a := x.newAttempt(x.place())
+			g.table.begin(now, a)
+		},
+	} {
+		g, now := newQueueScheduler(1, 400*time.Millisecond)
+		row := g.table.rows["i-0"]
+		g.placeForPeer(*now, shortPrompt("reported", 0))
+		*now += 50 * time.Millisecond
+		g.handleFirstEvent(*now, &wirePlacementEnd{PlacementID: "reported", Running: true, FirstEventMS: 40})
+		send(g, *now)
+		if n := row.queue.Outstanding(); n != 1 {
+			t.Errorf("%s: %d requests outstanding, want 1", what, n)
+		}
+		*now += 190 * time.Millisecond
+		scored := g.score(*now, row, inputOf(g, shortPrompt("x", 0)), false, nil)
+		if scored.slowness != 1 || !scored.engineIdle {
+			t.Errorf("%s: slowness %v after 190 ms, idle %v; want 1 and an idle engine", what, scored.slowness, scored.engineIdle)
+		}
+	}
+}
+
 // TestQueueMessagesTwiceLateOrUnknown guards against messages that change the queue a second time, after the end, or
 // for requests that nobody knows.
 func TestQueueMessagesTwiceLateOrUnknown(t *testing.T) {
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -160,7 +160,7 @@
 		Excluded: g.table.excluded(g.now(), x.service.Name, in.tried), TimeoutMS: (x.deadline - g.now()).Milliseconds(),
 	}
 	req.FirstAttempt, req.Priority, req.LatencyTargetMS = in.firstAttempt, in.priority, in.latencyTarget.Milliseconds()
-	req.Tenant = in.tenantName
+	req.Tenant, req.ReportsFirstEvent = in.tenantName, in.reportsFirstEvent
 	if in.tenant != nil && in.tenant.Isolated {
 		req.IsolatedTenant = in.tenant.Name
 	}
--- a/internal/gateway/schedulers_test.go
+++ b/internal/gateway/schedulers_test.go
@@ -43,7 +43,7 @@
 // newPlacementRequest returns a placement request for a prompt of a preamble, a subject part and a part of its own.
 func newPlacementRequest(placementID string, subject int) *wirePlacementRequest {
 	return &wirePlacementRequest{
-		PlacementID: placementID, Gateway: "a", Service: "s", Model: "m", PromptTokens: 9190, TimeoutMS: 5000,
+		PlacementID: placementID, Gateway: "a", Service: "s", Model: "m", PromptTokens: 9190, TimeoutMS: 5000, ReportsFirstEvent: true,
 		Parts: []string{"preamble", fmt.Sprint("subject-", subject), placementID}, PartTokens: []int{2520, 3780, 2890},
 	}
 }
