Take first events for overdue only while their scheduler reports

The time of the latest report was kept for own and for peers' placements, not by scheduler. All engines at which an ended scheduler had placed requests looked up to 4 times slower at all others for 2 s.

The time is kept by scheduler, bounded and swept. A request is overdue only if its scheduler reported another first event since it was due; without one it is kept for 200 ms and then runs down with time.

TestEndedSchedulerMakesNoEngineSlow: slowness up to 4 with the report of another scheduler in place of its own, 1 now.

TestOverdueEngineIsSlowAtOnce lets its scheduler report another first event after the request was due, as this is now what shows it.

--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -308,6 +308,9 @@
 	for _, controller := range t.reservations {
 		controller.Sweep(now)
 	}
+	for _, rates := range t.queueRates {
+		rates.Sweep(now)
+	}
 	t.links.Sweep(now)
 	t.sweepHolders()
 	t.sweepLastSent(now)
--- a/internal/gateway/enginequeue/queue.go
+++ b/internal/gateway/enginequeue/queue.go
@@ -212,7 +212,7 @@
 		q.rates.dropped++
 		at = max(sentAt, min(at, now))
 	}
-	q.rates.observeDelay(now, at, id.origin())
+	q.rates.observeReport(now, at, id)
 	q.complete(at, priority, index)
 }
 
@@ -304,9 +304,44 @@
 	}
 }
 
+// expectation tells what is known of a first event that has not been reported.
+type expectation uint8
+
+const (
+	unreported expectation = iota // no report is expected
+	awaited                       // not overdue, or not known to be
+	overdue
+)
+
+// dueAfter returns the work from the start of the prefill of the next request to its first event, given the load of
+// the engine.
+func (q *Queue) dueAfter(next *entry, load float64) float64 {
+	return next.work + q.rates.decodeTime(q.work-next.work, load)
+}
+
+// expectation returns what is known of the first event of the next request. It is overdue only if its scheduler has
+// reported another one since it was due: one that ended or is cut off says nothing about the engine.
+func (q *Queue) expectation(now time.Duration, next *entry, load float64) expectation {
+	last, expected := q.rates.reportsExpected(now, next.id)
+	if !expected {
+		return unreported
+	}
+	due := q.dueAfter(next, load)*q.Slowness(now)*overdueMargin + q.rates.delays[next.id.origin()]
+	overdueAt := max(q.doneUntil, next.sentAt) + belief.FromMilliseconds(due)
+	switch {
+	case now <= overdueAt:
+		return awaited
+	case last >= overdueAt:
+		return overdue
+	case now < overdueAt+overdueGrace:
+		return awaited
+	}
+	return unreported
+}
+
 // runDown removes the next requests that are expired, and those whose first events nobody reports once their predicted
-// time has passed.
-func (q *Queue) runDown(now time.Duration) {
+// time has passed. It returns what is known of the first event of the request that is next then.
+func (q *Queue) runDown(now time.Duration, load float64) expectation {
 	for q.filled != 0 {
 		priority := bits.TrailingZeros16(q.filled)
 		e := &q.levels[priority].entries[0]
@@ -314,27 +349,28 @@
 			q.removeAt(now, priority, 0)
 			continue
 		}
-		if e.id.Number != 0 && q.rates.hears(now, e.id.origin()) {
-			return
+		if expected := q.expectation(now, e, load); expected != unreported {
+			return expected
 		}
 		end := max(q.doneUntil, e.sentAt) + belief.FromMilliseconds(e.work*q.Slowness(now))
 		if end > now {
-			return
+			break
 		}
 		q.remove(priority, 0, 1)
 		q.doneUntil = end
 	}
+	return unreported
 }
 
 // Forecast predicts what happens to a request with the given priority and tokens to prefill, if it is sent now.
 func (q *Queue) Forecast(now time.Duration, priority, tokens int) Forecast {
-	q.runDown(now)
 	priority, tokens = min(max(priority, 0), levels-1), min(max(tokens, 0), maxTokens)
 	r := q.rates
 	workOfThis := r.work(tokens)
-	slowness := q.Slowness(now)
 	load := r.load.shares(now, priority)
-	unseen := load.peers * r.delays[peer].milliseconds
+	expected := q.runDown(now, load.total)
+	slowness := q.Slowness(now)
+	unseen := load.peers * r.delays[peer]
 	prediction := func(ahead, total float64) Forecast {
 		wait := (ahead + unseen) / (1 - load.moreUrgent) // more urgent requests that arrive meanwhile go first
 		if ahead == 0 && total > 0 {
@@ -351,17 +387,17 @@
 	}
 	head := bits.TrailingZeros16(q.filled)
 	next := &q.levels[head].entries[0]
-	dueAfter := next.work + r.decodeTime(q.work-next.work, load.total) // the first event of the next request
+	dueAfter := q.dueAfter(next, load.total)
 	maxDone := dueAfter
-	delay := r.delays[next.id.origin()].milliseconds
-	if next.id.Number != 0 && r.hears(now, next.id.origin()) {
+	delay := r.delays[next.id.origin()]
+	switch expected {
+	case overdue:
 		taken := belief.Milliseconds(now-max(q.doneUntil, next.sentAt)) - delay
-		if ratio := taken / dueAfter; ratio > slowness*overdueMargin {
-			slowness = min(ratio, maxSlowness)
-			maxDone = max(0, next.work-r.chunkStep) // its last chunk at least is not done
-		} else {
-			maxDone += delay / slowness
-		}
+		slowness = min(taken/dueAfter, maxSlowness)
+		maxDone = max(0, next.work-r.chunkStep) // its last chunk at least is not done
+	case awaited:
+		maxDone += delay / slowness
+	case unreported:
 	}
 	begun, speed := max(q.doneUntil, next.sentAt), 1/slowness
 	ahead, doneAbove, above := 0.0, 0.0, 0.0
--- a/internal/gateway/enginequeue/rates.go
+++ b/internal/gateway/enginequeue/rates.go
@@ -30,9 +30,14 @@
 	delaySmoothing                    = 0.05
 	initialOwnDelay, initialPeerDelay = 40.0, 80.0
 	maxReportDelay                    = 500.0
-	// reportTimeout is how long after the last report of first events none is expected any more, so that outstanding
-	// requests are not taken for overdue.
+	// reportTimeout is how long after the last report of a scheduler's first events none is expected any more, so that
+	// its outstanding requests are not taken for overdue.
 	reportTimeout = 2 * time.Second
+	// overdueGrace is how long an overdue request is kept until its scheduler has reported another first event. Reports
+	// come in batches of up to 40 ms; a request of a scheduler that reports nothing in this time runs down with time.
+	overdueGrace = 200 * time.Millisecond
+	// maxReporters bounds the schedulers whose latest report is known.
+	maxReporters = 1024
 	// A stream shows the time of a step without a chunk if its engine spent less than idleShare of its time on prefills.
 	// It shows that of a step with a chunk if its longest pause is chunkSampleFactor times that without chunks. Few
 	// streams meet a chunk in each step of an event, so the chunk size is learnt as a high quantile of what they show.
@@ -43,14 +48,15 @@
 
 // Rates holds what has been learnt about the engines of one service. It is shared by their queues.
 type Rates struct {
-	tokenTime   float64 // milliseconds per token, with the decode steps between chunks
-	overhead    float64 // time to the first event of a request that is alone at an engine, beside its prefill
-	step        float64 // decode step without a chunk, in milliseconds
-	chunkTokens float64 // tokens prefilled between two decode steps
-	eventTokens float64 // tokens per stream event
-	meanTokens  float64 // mean size of prefills
-	slowness    float64 // slownessQuantile of the observed slowness
-	delays      [2]reportDelay
+	tokenTime   float64                  // milliseconds per token, with the decode steps between chunks
+	overhead    float64                  // time to the first event of a request that is alone at an engine, beside its prefill
+	step        float64                  // decode step without a chunk, in milliseconds
+	chunkTokens float64                  // tokens prefilled between two decode steps
+	eventTokens float64                  // tokens per stream event
+	meanTokens  float64                  // mean size of prefills
+	slowness    float64                  // slownessQuantile of the observed slowness
+	delays      [2]float64               // of reports of first events of own or of peers' placements, in milliseconds
+	reportedAt  map[string]time.Duration // of the latest report by scheduler, "" for this one
 	load        serviceLoad
 	dropped     uint64
 
@@ -60,17 +66,11 @@
 	decodeSteps  float64 // steps from the end of a prefill to the first event
 }
 
-// reportDelay is the delay of reports of first events of own or of peers' placements.
-type reportDelay struct {
-	milliseconds float64
-	lastAt       time.Duration // of the latest report; 0 if none
-}
-
 // NewRates returns the rates of a service before anything was learnt.
 func NewRates() *Rates {
 	r := &Rates{
 		tokenTime: 1 / belief.PrefillRate, overhead: initialOverhead, step: initialStep, chunkTokens: initialChunk, eventTokens: 1, slowness: 1,
-		delays: [2]reportDelay{{milliseconds: initialOwnDelay}, {milliseconds: initialPeerDelay}},
+		delays: [2]float64{initialOwnDelay, initialPeerDelay}, reportedAt: map[string]time.Duration{},
 	}
 	r.derive()
 	return r
@@ -148,17 +148,37 @@
 	r.slowness = clamp(r.slowness, 1, maxSlowness)
 }
 
-// observeDelay records the delay of a report.
-func (r *Rates) observeDelay(now, at time.Duration, kind origin) {
-	d := &r.delays[kind]
-	d.milliseconds += delaySmoothing * (clamp(belief.Milliseconds(now-at), 0, maxReportDelay) - d.milliseconds)
-	d.lastAt = max(d.lastAt, now)
+// observeReport records the delay of a report of a first event, and when its scheduler sent one.
+func (r *Rates) observeReport(now, at time.Duration, id ID) {
+	d := &r.delays[id.origin()]
+	*d += delaySmoothing * (clamp(belief.Milliseconds(now-at), 0, maxReportDelay) - *d)
+	if _, known := r.reportedAt[id.Scheduler]; !known && len(r.reportedAt) >= maxReporters {
+		r.Sweep(now)
+		if len(r.reportedAt) >= maxReporters {
+			r.dropped++
+			return
+		}
+	}
+	r.reportedAt[id.Scheduler] = max(r.reportedAt[id.Scheduler], now)
 }
 
-// hears reports whether first events are being reported.
-func (r *Rates) hears(now time.Duration, kind origin) bool {
-	last := r.delays[kind].lastAt
-	return last > 0 && now-last < reportTimeout
+// reportsExpected reports whether the first event of a request is expected to be reported, and returns when its
+// scheduler last reported one.
+func (r *Rates) reportsExpected(now time.Duration, id ID) (last time.Duration, expected bool) {
+	if id.Number == 0 {
+		return 0, false
+	}
+	last, known := r.reportedAt[id.Scheduler]
+	return last, known && now-last < reportTimeout
+}
+
+// Sweep forgets schedulers that reported no first event lately.
+func (r *Rates) Sweep(now time.Duration) {
+	for scheduler, last := range r.reportedAt {
+		if now-last >= reportTimeout {
+			delete(r.reportedAt, scheduler)
+		}
+	}
 }
 
 // ObservePause learns from the longest pause of a stream that lasted for a time after its first event, during which
