Count the first event of a resumed attempt

The time to the first event was that of the request's first attempt, which lies before a resumed one. It was 0, so the whole stream counted as a wait and the prompt not as read, and the scheduler got no first event at the end.

Waits, prompts read and reports that a scheduler asked for use the first event of the attempt itself.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -211,11 +211,11 @@
 		queue := a.endQueued(x.gateway.now())
 		x.gateway.table.observePrefill(a.row, a.plan.engineIdle, a.uncached, a.timeToFirstEvent())
 		if a.plan.ownTime() > 0 {
-			x.gateway.table.observeForecastWait(x.service.Name, int(a.plan.priority), a.plan.queueWait, a.plan.ownTime(), a.timeToFirstEvent(), x.gateway.now()-a.startedAt)
+			x.gateway.table.observeForecastWait(x.service.Name, int(a.plan.priority), a.plan.queueWait, a.plan.ownTime(), a.timeToOwnFirstEvent(), x.gateway.now()-a.startedAt)
 		} else {
 			x.gateway.table.observeQueueWait(x.service.Name, enginePriority(x.tenant, x.route), a.plan.queueWait, a.uncached, a.timeToFirstEvent(), x.gateway.now()-a.startedAt)
 		}
-		x.gateway.table.observeRead(x.gateway.now(), x.service.Name, enginePriority(x.tenant, x.route), a.plan.queueWait, a.plan.ownTime(), a.uncached, a.timeToFirstEvent(), x.gateway.now()-a.startedAt)
+		x.gateway.table.observeRead(x.gateway.now(), x.service.Name, enginePriority(x.tenant, x.route), a.plan.queueWait, a.plan.ownTime(), a.uncached, a.timeToOwnFirstEvent(), x.gateway.now()-a.startedAt)
 		x.gateway.peers.announce(announcement{Gateway: x.gateway.shortName, Load: load, Instance: a.row.entry.ID, Queue: queue})
 	}
 }
--- a/internal/gateway/queues.go
+++ b/internal/gateway/queues.go
@@ -278,11 +278,7 @@
 	t := a.exchange.gateway.table
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	first := time.Duration(0)
-	if a.firstEventAt > 0 {
-		first = a.firstEventAt - a.startedAt
-	}
-	announced := t.endQueued(now, a.row, &a.queued, first, now-a.startedAt, a.longestGap)
+	announced := t.endQueued(now, a.row, &a.queued, a.timeToOwnFirstEvent(), now-a.startedAt, a.longestGap)
 	if a.queued.firstEvent && a.firstEventAnnounced.CompareAndSwap(false, true) {
 		announced = queueAnnouncement{Number: a.queued.number, FirstEvent: true, FirstEventAge: max(0, now-a.firstEventAt)}
 	}
--- a/internal/gateway/queues_test.go
+++ b/internal/gateway/queues_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"strings"
 	"sync"
 	"testing"
@@ -350,17 +351,22 @@
 
 // TestFirstEventReports tests over the network that a scheduler hears of a first event while the stream goes on, and
 // only by the report of the end if the stream ends at once; and that a gateway which places its requests itself feeds
-// its own queue.
+// its own queue and its reservations. It guards against a resumed attempt whose whole stream counts as a wait, since the
+// first event of the request came before the attempt.
 func TestFirstEventReports(t *testing.T) {
 	for what, c := range map[string]struct {
 		pause     time.Duration
 		scheduled bool
 		reports   int // of first events
+		resumed   bool
 	}{
-		"stream goes on":             {120 * time.Millisecond, true, 1},
-		"stream ends at once":        {0, true, 0},
-		"placed by itself, goes on":  {120 * time.Millisecond, false, 0},
-		"placed by itself, at once ": {0, false, 0},
+		"stream goes on":             {120 * time.Millisecond, true, 1, false},
+		"stream ends at once":        {0, true, 0, false},
+		"resumed, goes on":           {120 * time.Millisecond, true, 1, true},
+		"resumed, ends at once":      {0, true, 0, true},
+		"placed by itself, goes on":  {120 * time.Millisecond, false, 0, false},
+		"placed by itself, at once ": {0, false, 0, false},
+		"placed by itself, resumed":  {120 * time.Millisecond, false, 0, true},
 	} {
 		t.Run(what, func(t *testing.T) {
 			s, _ := newQueueScheduler(1, 400*time.Millisecond)
@@ -401,6 +407,10 @@
 			if chosen == nil || (chosen.scheduled != nil) != c.scheduled {
 				t.Fatalf("chosen %+v", chosen)
 			}
+			reservations := g.table.reservationController("s")
+			if c.resumed {
+				x.firstEventAt = g.now()
+			}
 			if got := x.newAttempt(chosen).perform(); got.kind != resultAnswered {
 				t.Fatalf("result %+v", got)
 			}
@@ -408,6 +418,9 @@
 				if row.queue.Outstanding() != 0 || row.queue.Work() == 0 {
 					t.Fatalf("own queue: %d requests outstanding, work %v", row.queue.Outstanding(), row.queue.Work())
 				}
+				if reflect.ValueOf(reservations).Elem().FieldByName("peakRate").Float() == 0 {
+					t.Fatal("reservations: the prompt does not count as read")
+				}
 				return
 			}
 			<-ended
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -220,6 +220,15 @@
 	return max(0, a.exchange.firstEventAt-a.startedAt)
 }
 
+// timeToOwnFirstEvent returns the time from the start of the attempt to its own first event, or 0 if there was none.
+// Unlike timeToFirstEvent it takes effect for resumed streams, whose first event came in an earlier attempt.
+func (a *attempt) timeToOwnFirstEvent() time.Duration {
+	if a.firstEventAt == 0 {
+		return 0
+	}
+	return a.firstEventAt - a.startedAt
+}
+
 // reportEnd reports the outcome of the attempt to the scheduler that placed it.
 func (a *attempt) reportEnd() {
 	if a.plan.slot != nil {
@@ -236,7 +245,7 @@
 		PlacementID:  placed.placementID, Gateway: g.shortName, Outcome: a.outcome, Unreached: a.unreachable, DurationMS: (g.now() - a.startedAt).Milliseconds(),
 	}
 	if placed.reportFirstEvent {
-		end.PauseMS = a.longestGap.Milliseconds()
+		end.FirstEventMS, end.PauseMS = a.timeToOwnFirstEvent().Milliseconds(), a.longestGap.Milliseconds()
 	}
 	g.schedulers.reportEnd(placed.scheduler, end)
 }
