Bound ages in announcements to engine queues

durationFromMS overflowed for large values: 1e13 ms became negative, and the time of sending lay in the future. The queue then removed all its requests as done, and the load of the service was dated ahead for good.

TestAbsurdAgesLeaveQueuesAsTheyAre: 1 of 4 requests left and a wait of 13 ms for 5,000 ms before; passes now.

--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -132,8 +132,11 @@
 	return parts
 }
 
-// durationFromMS converts received milliseconds to a duration; negative ones yield 0.
-func durationFromMS(ms int64) time.Duration { return time.Duration(max(0, ms)) * time.Millisecond }
+// durationFromMS converts received milliseconds to a duration. Negative ones yield 0, and those above maxWireMS are
+// reduced to it, since larger ones may overflow.
+func durationFromMS(ms int64) time.Duration {
+	return time.Duration(min(max(0, ms), maxWireMS)) * time.Millisecond
+}
 
 // announcement converts a received announcement, and replaces negative numbers with 0.
 func (w wireAnnouncement) announcement() announcement {
--- a/internal/gateway/enginequeue/rates.go
+++ b/internal/gateway/enginequeue/rates.go
@@ -98,6 +98,9 @@
 // Dropped returns the number of implausible values that were clamped or dropped.
 func (r *Rates) Dropped() uint64 { return r.dropped }
 
+// RecordDropped counts an implausible value that the caller dropped.
+func (r *Rates) RecordDropped() { r.dropped++ }
+
 // Slowness returns the slowness within which 9 of 10 recent first events stayed.
 func (r *Rates) Slowness() float64 { return r.slowness }
 
--- a/internal/gateway/queues.go
+++ b/internal/gateway/queues.go
@@ -14,7 +14,7 @@
 // The report of the end follows at once otherwise, and carries the time of the first event.
 const firstEventReportDelay = 20 * time.Millisecond
 
-// maxFirstEventTime bounds the time to a first event in messages; a longer one is absurd.
+// maxFirstEventTime bounds the time to a first event and the age of announcements in messages; a longer one is absurd.
 const maxFirstEventTime = time.Hour
 
 // firstEventTime converts received milliseconds. Negative or absurd ones yield -1, which queues drop and count.
@@ -212,12 +212,18 @@
 	Removed       bool          // the request ended without a first event
 }
 
-// applyQueueAnnouncement applies what another scheduler announced. The caller holds the mutex.
+// applyQueueAnnouncement applies what another scheduler announced of an event at a time. The age of an announcement must
+// not put it in the future, which would count as the present from then on. The caller holds the mutex.
 func (t *table) applyQueueAnnouncement(now, at time.Duration, row *endpoint, sent *announcement) {
 	queue := t.queueOf(row)
 	if queue == nil || sent.Gateway == "" {
 		return
 	}
+	if sent.Age > maxFirstEventTime {
+		t.queueRates[row.entry.Service].RecordDropped()
+		return
+	}
+	at = min(at, now)
 	id := enginequeue.ID{Scheduler: sent.Gateway, Number: sent.Queue.Number}
 	switch {
 	case sent.Queue.FirstEvent:
--- a/internal/gateway/queues_test.go
+++ b/internal/gateway/queues_test.go
@@ -311,6 +311,40 @@
 	}
 }
 
+// TestAbsurdAgesLeaveQueuesAsTheyAre guards against an announcement whose age overflows or is negative: the time of sending
+// would lie in the future, and the queues of the whole service would take that for the present.
+func TestAbsurdAgesLeaveQueuesAsTheyAre(t *testing.T) {
+	for _, ms := range []int64{1e13, math.MaxInt64, math.MaxInt64 / 1_000_000, 2 * time.Hour.Milliseconds(), math.MinInt64, -1e12} {
+		if d := durationFromMS(ms); d < 0 || d+d < 0 {
+			t.Errorf("%d ms is converted to %v", ms, d)
+		}
+		g, now := newQueueScheduler(1, 400*time.Millisecond)
+		row, rates := g.table.rows["i-0"], g.table.queueRates["s"]
+		for i := range 4 {
+			g.placeForPeer(*now, newPlacementRequest(fmt.Sprint("t", i), i))
+		}
+		want := g.score(*now, row, inputOf(g, shortPrompt("x", 1)), false, nil)
+		sent := announcement{Gateway: "b", Instance: "i-0", Salt: "w1", Uncached: 100, Queue: queueAnnouncement{Number: 7, Priority: 9}}
+		sent.Age = wireAnnouncement{AgeMS: ms}.announcement().Age
+		g.table.applySends(*now, []announcement{sent})
+		if ms > 0 && (rates.Dropped() != 1 || row.queue.Outstanding() != 4) {
+			t.Errorf("%d ms: %d dropped, %d requests outstanding; want 1 and 4", ms, rates.Dropped(), row.queue.Outstanding())
+		}
+		sent.Age = -time.Hour // the sum of an age and its wait may overflow
+		sent.Queue.Number++
+		g.table.applySends(*now, []announcement{sent})
+		*now += time.Millisecond
+		got := g.score(*now, row, inputOf(g, shortPrompt("x", 1)), false, nil)
+		if row.queue.Outstanding() < 4 || got.queueWait < want.queueWait-20 {
+			t.Errorf("%d ms: %d requests outstanding, predicted wait %.0f ms; want that of the placed requests, %.0f ms", ms, row.queue.Outstanding(), got.queueWait, want.queueWait)
+		}
+		*now += time.Minute
+		if row.queue.Sweep(*now); row.queue.Outstanding() != 0 {
+			t.Errorf("%d ms: %d requests outstanding after a minute", ms, row.queue.Outstanding())
+		}
+	}
+}
+
 // plainDialect forwards requests without additional headers, and takes every response for a signed one.
 type plainDialect struct{}
 
