Ignore first events at absurd times

A time before the sending, as from a report of -1 ms, was clamped to the time of sending. It completed the request and all before it, and one in the future did as well.

The queue counts and ignores a first event before the sending or after the present, beyond the millisecond that messages resolve. A report without a valid time is counted and ignored, and an end with one counts as an end without a first event.

TestAbsurdFirstEventsCompleteNothing: 0 of 3 requests were left after such a report, all 3 now. TestAbsurdNumbersAreCounted wants such requests to stay outstanding.

--- a/internal/gateway/enginequeue/queue.go
+++ b/internal/gateway/enginequeue/queue.go
@@ -37,6 +37,8 @@
 	sampleInterval = 200 * time.Millisecond
 	// negligible is the work that a rounding error of a sum may leave, in milliseconds.
 	negligible = 1e-6
+	// timeResolution is the resolution of times in messages.
+	timeResolution = time.Millisecond
 	// overdueMargin is the factor over the predicted time from which a first event is overdue.
 	overdueMargin = 1.2
 )
@@ -202,18 +204,22 @@
 	}
 }
 
-// FirstEvent records that a request had its first event at a time. A request that is not outstanding changes nothing.
-func (q *Queue) FirstEvent(now, at time.Duration, id ID) {
+// FirstEvent records that a request had its first event at a time. A request that is not outstanding changes nothing. A
+// time before the sending or after the present is counted and changes nothing; FirstEvent returns false then.
+func (q *Queue) FirstEvent(now, at time.Duration, id ID) (plausible bool) {
 	priority, index, known := q.find(id)
 	if !known {
-		return
+		return true
 	}
-	if sentAt := q.levels[priority].entries[index].sentAt; at < sentAt || at > now {
+	sentAt := q.levels[priority].entries[index].sentAt
+	if at < sentAt-timeResolution || at > now+timeResolution {
 		q.rates.dropped++
-		at = max(sentAt, min(at, now))
+		return false
 	}
+	at = max(sentAt, min(at, now))
 	q.rates.observeReport(now, at, id)
 	q.complete(at, priority, index)
+	return true
 }
 
 // Removed records that a request ended without a first event.
--- a/internal/gateway/queues.go
+++ b/internal/gateway/queues.go
@@ -17,7 +17,7 @@
 // maxFirstEventTime bounds the time to a first event and the age of announcements in messages; a longer one is absurd.
 const maxFirstEventTime = time.Hour
 
-// firstEventTime converts received milliseconds. Negative or absurd ones yield -1, which queues drop and count.
+// firstEventTime converts received milliseconds. Negative or absurd ones yield -1.
 func firstEventTime(ms int64) time.Duration {
 	if ms < 0 || ms > maxFirstEventTime.Milliseconds() {
 		return -1
@@ -169,33 +169,40 @@
 }
 
 // recordFirstEvent records the first event of a placement of this gateway, and returns the announcement of it to other
-// schedulers. ok is false if there is nothing new. The caller holds the mutex.
+// schedulers. ok is false if there is nothing new or the time is absurd. The caller holds the mutex.
 func (t *table) recordFirstEvent(now, at time.Duration, row *endpoint, request *queuedRequest) (announced queueAnnouncement, ok bool) {
 	queue := t.queueOf(row)
 	if queue == nil || request.number == 0 || request.firstEvent {
 		return queueAnnouncement{}, false
 	}
-	queue.FirstEvent(now, at, ownQueueID(request.number))
+	if !queue.FirstEvent(now, at, ownQueueID(request.number)) {
+		return queueAnnouncement{}, false
+	}
 	request.firstEvent, request.workAtFirst = true, queue.Work()
 	return queueAnnouncement{Number: request.number, FirstEvent: true, FirstEventAge: max(0, now-at)}, true
 }
 
 // endQueued records the end of a placement of this gateway. first is the time from its start to the first event, or 0
-// if there was none, lasted the time from its start to its end, and pause the longest one between two events. It
-// returns what other schedulers have to know of it beyond the end. The caller holds the mutex.
+// if there was none; an absurd one counts as none. lasted is the time from its start to its end, and pause the longest
+// one between two events. endQueued returns what other schedulers have to know of it beyond the end. The caller holds the
+// mutex.
 func (t *table) endQueued(now time.Duration, row *endpoint, request *queuedRequest, first, lasted, pause time.Duration) queueAnnouncement {
 	queue := t.queueOf(row)
 	if queue == nil || request.number == 0 {
 		return queueAnnouncement{}
 	}
 	var announced queueAnnouncement
-	switch {
-	case request.firstEvent:
-	case first != 0:
-		announced, _ = t.recordFirstEvent(now, request.placedAt+first, row, request)
-	default:
-		queue.Removed(now, ownQueueID(request.number))
-		announced = queueAnnouncement{Number: request.number, Removed: true}
+	if !request.firstEvent {
+		switch {
+		case first > 0:
+			announced, _ = t.recordFirstEvent(now, request.placedAt+first, row, request)
+		case first < 0:
+			t.queueRates[row.entry.Service].RecordDropped()
+		}
+		if !request.firstEvent {
+			queue.Removed(now, ownQueueID(request.number))
+			announced = queueAnnouncement{Number: request.number, Removed: true}
+		}
 	}
 	if request.firstEvent && pause > 0 {
 		t.queueRates[row.entry.Service].ObservePause(pause, lasted-first, queue.Work()-request.workAtFirst, queue.Slowness(now))
@@ -318,11 +325,14 @@
 		return
 	}
 	after := firstEventTime(report.FirstEventMS)
-	if after == 0 {
-		after = -1 // a report without a time is absurd
+	if after <= 0 { // a report without a time is absurd as well
+		if rates := t.queueRates[p.row.entry.Service]; rates != nil {
+			rates.RecordDropped()
+		}
+		t.mutex.Unlock()
+		return
 	}
-	at := p.queued.placedAt + after
-	announced, ok := t.recordFirstEvent(now, at, p.row, &p.queued)
+	announced, ok := t.recordFirstEvent(now, p.queued.placedAt+after, p.row, &p.queued)
 	t.placed[report.PlacementID] = p
 	load := p.row.occupancy.Local()
 	t.mutex.Unlock()
