Keep report slots free for ends of placements

Reports of first events took the same 256 slots as those of ends. A dropped end keeps its load at the scheduler until the placement expires. Reports of first events are skipped while more than half of the slots are in use.

TestFirstEventReportsLeaveRoomForEnds: first events held all 256 slots before, 129 now.

--- a/internal/gateway/queues_test.go
+++ b/internal/gateway/queues_test.go
@@ -340,6 +340,28 @@
 	}
 }
 
+// TestFirstEventReportsLeaveRoomForEnds guards against reports of first events that displace reports of ends: the load of
+// a request whose end is dropped counts at its scheduler until the placement expires.
+func TestFirstEventReportsLeaveRoomForEnds(t *testing.T) {
+	unanswered := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	s := newSchedulers(transport.NewClientWithDialer("", unanswered))
+	for range 2 * maxPendingEnds {
+		s.reportEnd("scheduler", wirePlacementEnd{Running: true})
+	}
+	if n := len(s.endSlots); n < maxPendingEnds/2 || n > maxPendingEnds/2+1 {
+		t.Errorf("%d reports of first events in flight, want about half of %d", n, maxPendingEnds)
+	}
+	for range 2 * maxPendingEnds {
+		s.reportEnd("scheduler", wirePlacementEnd{})
+	}
+	if n := len(s.endSlots); n != maxPendingEnds {
+		t.Errorf("%d reports in flight, want %d", n, maxPendingEnds)
+	}
+}
+
 // TestAbsurdAgesLeaveQueuesAsTheyAre guards against an announcement whose age overflows or is negative: the time of sending
 // would lie in the future, and the queues of the whole service would take that for the present.
 func TestAbsurdAgesLeaveQueuesAsTheyAre(t *testing.T) {
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -91,8 +91,12 @@
 }
 
 // reportEnd reports the end of a placement to a scheduler in the background. A report that fails or exceeds
-// maxPendingEnds is dropped; the placement then expires at the scheduler.
+// maxPendingEnds is dropped; the placement then expires at the scheduler. That of a first event is dropped if more than
+// half of maxPendingEnds are in flight, since its loss costs less than that of an end.
 func (s *schedulers) reportEnd(address string, end wirePlacementEnd) {
+	if end.Running && len(s.endSlots) > maxPendingEnds/2 {
+		return
+	}
 	select {
 	case s.endSlots <- struct{}{}:
 	default:
