Read instance IDs of first events under the mutex

Two announcements of first events read the entry of an endpoint after the mutex was released, one of them on a timer goroutine, while a roster update may replace the entry.

TestFirstEventsDuringRosterUpdates with -race: a data race in handleFirstEvent before, none now. announceFirstEvent had the same order.

--- a/internal/gateway/queues.go
+++ b/internal/gateway/queues.go
@@ -279,10 +279,10 @@
 // announceFirstEvent announces a first event to other schedulers, with the load of this gateway as any announcement.
 func (g *Gateway) announceFirstEvent(now, at time.Duration, row *endpoint, announced queueAnnouncement) {
 	g.table.mutex.Lock()
-	load := row.occupancy.Local()
+	load, instance := row.occupancy.Local(), row.entry.ID
 	g.table.mutex.Unlock()
 	announced.FirstEventAge = max(0, now-at)
-	g.peers.announce(announcement{Gateway: g.shortName, Load: load, Instance: row.entry.ID, Queue: announced})
+	g.peers.announce(announcement{Gateway: g.shortName, Load: load, Instance: instance, Queue: announced})
 }
 
 // endQueued records the end of an attempt that this gateway placed itself, and returns what is to be announced of its
@@ -334,11 +334,11 @@
 	}
 	announced, ok := t.recordFirstEvent(now, p.queued.placedAt+after, p.row, &p.queued)
 	t.placed[report.PlacementID] = p
-	load := p.row.occupancy.Local()
+	load, instance := p.row.occupancy.Local(), p.row.entry.ID
 	t.mutex.Unlock()
 	if ok {
 		announced.FirstEventAge = clampAge(announced.FirstEventAge)
-		g.peers.announce(announcement{Gateway: g.shortName, Load: load, Instance: p.row.entry.ID, Queue: announced})
+		g.peers.announce(announcement{Gateway: g.shortName, Load: load, Instance: instance, Queue: announced})
 	}
 }
 
--- a/internal/gateway/queues_test.go
+++ b/internal/gateway/queues_test.go
@@ -18,6 +18,7 @@
 	"pgregory.net/rapid"
 
 	"kitetiller/internal/catalog"
+	"kitetiller/internal/control"
 	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/transport"
@@ -362,6 +363,32 @@
 	}
 }
 
+// TestFirstEventsDuringRosterUpdates guards, under the race detector, against entries that are read without the mutex while
+// a roster update replaces them.
+func TestFirstEventsDuringRosterUpdates(t *testing.T) {
+	g, now := newQueueScheduler(1, 400*time.Millisecond)
+	row := g.table.rows["i-0"]
+	update := &control.RosterUpdate{Full: true, Entries: []control.RosterEntry{row.entry}}
+	for i := range 50 {
+		g.placeForPeer(*now, shortPrompt(fmt.Sprint("t", i), 0))
+	}
+	at := *now + 50*time.Millisecond
+	var updates sync.WaitGroup
+	updates.Go(func() {
+		for range 500 {
+			g.table.applyRoster(at, update, nil)
+		}
+	})
+	for i := range 50 {
+		g.handleFirstEvent(at, &wirePlacementEnd{PlacementID: fmt.Sprint("t", i), Running: true, FirstEventMS: 40})
+		g.announceFirstEvent(at, at, row, queueAnnouncement{Number: uint64(i + 1), FirstEvent: true})
+	}
+	updates.Wait()
+	if n := row.queue.Outstanding(); n != 0 {
+		t.Errorf("%d requests outstanding", n)
+	}
+}
+
 // TestAbsurdAgesLeaveQueuesAsTheyAre guards against an announcement whose age overflows or is negative: the time of sending
 // would lie in the future, and the queues of the whole service would take that for the present.
 func TestAbsurdAgesLeaveQueuesAsTheyAre(t *testing.T) {
