--- a/internal/gateway/queues.go
+++ b/internal/gateway/queues.go
@@ -14,10 +14,10 @@
 // The report of the end follows at once otherwise, and carries the time of the first event.
 const firstEventReportDelay = 20 * time.Millisecond
 
-// maxFirstEventTime bounds the time to a first event in messages; a longer one is absurd.
+// maxFirstEventTime bounds the time to a first event and the age of announcements in messages; a longer one is absurd.
 const maxFirstEventTime = time.Hour
 
-// firstEventTime converts received milliseconds. Negative or absurd ones yield -1, which queues drop and count.
+// firstEventTime converts received milliseconds. Negative or absurd ones yield -1.
 func firstEventTime(ms int64) time.Duration {
 	if ms < 0 || ms > maxFirstEventTime.Milliseconds() {
 		return -1
@@ -137,12 +137,16 @@
 	return all
 }
 
-// assignQueueNumber gives a chosen placement the number under which its first event is reported to other schedulers.
+// assignQueueNumber gives a chosen placement the number under which its first event is reported to other schedulers. If
+// nobody will report it, the number stays 0, and queues run the request down by time: it would count as overdue otherwise.
 // The caller holds the mutex.
 func (t *table) assignQueueNumber(chosen *candidate, in selectionInput) {
 	if in.rates != nil {
-		t.lastQueueNumber++
-		chosen.queueNumber, chosen.priority = t.lastQueueNumber, int8(min(max(in.priority, 0), lowestPriority))
+		chosen.priority = int8(min(max(in.priority, 0), lowestPriority))
+		if in.reportsFirstEvent {
+			t.lastQueueNumber++
+			chosen.queueNumber = t.lastQueueNumber
+		}
 	}
 }
 
@@ -151,9 +155,6 @@
 
 // queueSent adds a placement of this gateway to the queue of its engine. The caller holds the mutex.
 func (t *table) queueSent(now time.Duration, row *endpoint, number uint64, priority, uncached int) {
-	if number == 0 {
-		return
-	}
 	if queue := t.queueOf(row); queue != nil {
 		queue.Sent(now, enginequeue.Request{ID: ownQueueID(number), Priority: priority, Tokens: uncached})
 	}
@@ -161,40 +162,47 @@
 
 // queuedRequest is a placement that this gateway made, as it is known in the queue of its engine.
 type queuedRequest struct {
-	number      uint64        // 0 if the service has no queues
+	number      uint64        // 0 if the service has no queues, or nobody reports the first event
 	placedAt    time.Duration // by the clock of this gateway
 	firstEvent  bool          // the first event was recorded
 	workAtFirst float64       // as of enginequeue.Queue.Work
 }
 
 // recordFirstEvent records the first event of a placement of this gateway, and returns the announcement of it to other
-// schedulers. ok is false if there is nothing new. The caller holds the mutex.
+// schedulers. ok is false if there is nothing new or the time is absurd. The caller holds the mutex.
 func (t *table) recordFirstEvent(now, at time.Duration, row *endpoint, request *queuedRequest) (announced queueAnnouncement, ok bool) {
 	queue := t.queueOf(row)
 	if queue == nil || request.number == 0 || request.firstEvent {
 		return queueAnnouncement{}, false
 	}
-	queue.FirstEvent(now, at, ownQueueID(request.number))
+	if !queue.FirstEvent(now, at, ownQueueID(request.number)) {
+		return queueAnnouncement{}, false
+	}
 	request.firstEvent, request.workAtFirst = true, queue.Work()
 	return queueAnnouncement{Number: request.number, FirstEvent: true, FirstEventAge: max(0, now-at)}, true
 }
 
 // endQueued records the end of a placement of this gateway. first is the time from its start to the first event, or 0
-// if there was none, lasted the time from its start to its end, and pause the longest one between two events. It
-// returns what other schedulers have to know of it beyond the end. The caller holds the mutex.
+// if there was none; an absurd one counts as none. lasted is the time from its start to its end, and pause the longest
+// one between two events. endQueued returns what other schedulers have to know of it beyond the end. The caller holds the
+// mutex.
 func (t *table) endQueued(now time.Duration, row *endpoint, request *queuedRequest, first, lasted, pause time.Duration) queueAnnouncement {
 	queue := t.queueOf(row)
 	if queue == nil || request.number == 0 {
 		return queueAnnouncement{}
 	}
 	var announced queueAnnouncement
-	switch {
-	case request.firstEvent:
-	case first != 0:
-		announced, _ = t.recordFirstEvent(now, request.placedAt+first, row, request)
-	default:
-		queue.Removed(now, ownQueueID(request.number))
-		announced = queueAnnouncement{Number: request.number, Removed: true}
+	if !request.firstEvent {
+		switch {
+		case first > 0:
+			announced, _ = t.recordFirstEvent(now, request.placedAt+first, row, request)
+		case first < 0:
+			t.queueRates[row.entry.Service].RecordDropped()
+		}
+		if !request.firstEvent {
+			queue.Removed(now, ownQueueID(request.number))
+			announced = queueAnnouncement{Number: request.number, Removed: true}
+		}
 	}
 	if request.firstEvent && pause > 0 {
 		t.queueRates[row.entry.Service].ObservePause(pause, lasted-first, queue.Work()-request.workAtFirst, queue.Slowness(now))
@@ -211,12 +219,18 @@
 	Removed       bool          // the request ended without a first event
 }
 
-// applyQueueAnnouncement applies what another scheduler announced. The caller holds the mutex.
+// applyQueueAnnouncement applies what another scheduler announced of an event at a time. The age of an announcement must
+// not put it in the future, which would count as the present from then on. The caller holds the mutex.
 func (t *table) applyQueueAnnouncement(now, at time.Duration, row *endpoint, sent *announcement) {
 	queue := t.queueOf(row)
 	if queue == nil || sent.Gateway == "" {
 		return
 	}
+	if sent.Age > maxFirstEventTime {
+		t.queueRates[row.entry.Service].RecordDropped()
+		return
+	}
+	at = min(at, now)
 	id := enginequeue.ID{Scheduler: sent.Gateway, Number: sent.Queue.Number}
 	switch {
 	case sent.Queue.FirstEvent:
@@ -265,10 +279,10 @@
 // announceFirstEvent announces a first event to other schedulers, with the load of this gateway as any announcement.
 func (g *Gateway) announceFirstEvent(now, at time.Duration, row *endpoint, announced queueAnnouncement) {
 	g.table.mutex.Lock()
-	load := row.occupancy.Local()
+	load, instance := row.occupancy.Local(), row.entry.ID
 	g.table.mutex.Unlock()
 	announced.FirstEventAge = max(0, now-at)
-	g.peers.announce(announcement{Gateway: g.shortName, Load: load, Instance: row.entry.ID, Queue: announced})
+	g.peers.announce(announcement{Gateway: g.shortName, Load: load, Instance: instance, Queue: announced})
 }
 
 // endQueued records the end of an attempt that this gateway placed itself, and returns what is to be announced of its
@@ -277,11 +291,7 @@
 	t := a.exchange.gateway.table
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	first := time.Duration(0)
-	if a.firstEventAt > 0 {
-		first = a.firstEventAt - a.startedAt
-	}
-	announced := t.endQueued(now, a.row, &a.queued, first, now-a.startedAt, a.longestGap)
+	announced := t.endQueued(now, a.row, &a.queued, a.timeToOwnFirstEvent(), now-a.startedAt, a.longestGap)
 	if a.queued.firstEvent && a.firstEventAnnounced.CompareAndSwap(false, true) {
 		announced = queueAnnouncement{Number: a.queued.number, FirstEvent: true, FirstEventAge: max(0, now-a.firstEventAt)}
 	}
@@ -315,17 +325,20 @@
 		return
 	}
 	after := firstEventTime(report.FirstEventMS)
-	if after == 0 {
-		after = -1 // a report without a time is absurd
+	if after <= 0 { // a report without a time is absurd as well
+		if rates := t.queueRates[p.row.entry.Service]; rates != nil {
+			rates.RecordDropped()
+		}
+		t.mutex.Unlock()
+		return
 	}
-	at := p.queued.placedAt + after
-	announced, ok := t.recordFirstEvent(now, at, p.row, &p.queued)
+	announced, ok := t.recordFirstEvent(now, p.queued.placedAt+after, p.row, &p.queued)
 	t.placed[report.PlacementID] = p
-	load := p.row.occupancy.Local()
+	load, instance := p.row.occupancy.Local(), p.row.entry.ID
 	t.mutex.Unlock()
 	if ok {
 		announced.FirstEventAge = clampAge(announced.FirstEventAge)
-		g.peers.announce(announcement{Gateway: g.shortName, Load: load, Instance: p.row.entry.ID, Queue: announced})
+		g.peers.announce(announcement{Gateway: g.shortName, Load: load, Instance: instance, Queue: announced})
 	}
 }
 
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -91,8 +91,12 @@
 }
 
 // reportEnd reports the end of a placement to a scheduler in the background. A report that fails or exceeds
-// maxPendingEnds is dropped; the placement then expires at the scheduler.
+// maxPendingEnds is dropped; the placement then expires at the scheduler. That of a first event is dropped if more than
+// half of maxPendingEnds are in flight, since its loss costs less than that of an end.
 func (s *schedulers) reportEnd(address string, end wirePlacementEnd) {
+	if end.Running && len(s.endSlots) > maxPendingEnds/2 {
+		return
+	}
 	select {
 	case s.endSlots <- struct{}{}:
 	default:
@@ -160,7 +164,7 @@
 		Excluded: g.table.excluded(g.now(), x.service.Name, in.tried), TimeoutMS: (x.deadline - g.now()).Milliseconds(),
 	}
 	req.FirstAttempt, req.Priority, req.LatencyTargetMS = in.firstAttempt, in.priority, in.latencyTarget.Milliseconds()
-	req.Tenant = in.tenantName
+	req.Tenant, req.ReportsFirstEvent = in.tenantName, in.reportsFirstEvent
 	if in.tenant != nil && in.tenant.Isolated {
 		req.IsolatedTenant = in.tenant.Name
 	}
@@ -220,6 +224,15 @@
 	return max(0, a.exchange.firstEventAt-a.startedAt)
 }
 
+// timeToOwnFirstEvent returns the time from the start of the attempt to its own first event, or 0 if there was none.
+// Unlike timeToFirstEvent it takes effect for resumed streams, whose first event came in an earlier attempt.
+func (a *attempt) timeToOwnFirstEvent() time.Duration {
+	if a.firstEventAt == 0 {
+		return 0
+	}
+	return a.firstEventAt - a.startedAt
+}
+
 // reportEnd reports the outcome of the attempt to the scheduler that placed it.
 func (a *attempt) reportEnd() {
 	if a.plan.slot != nil {
@@ -236,7 +249,7 @@
 		PlacementID:  placed.placementID, Gateway: g.shortName, Outcome: a.outcome, Unreached: a.unreachable, DurationMS: (g.now() - a.startedAt).Milliseconds(),
 	}
 	if placed.reportFirstEvent {
-		end.PauseMS = a.longestGap.Milliseconds()
+		end.FirstEventMS, end.PauseMS = a.timeToOwnFirstEvent().Milliseconds(), a.longestGap.Milliseconds()
 	}
 	g.schedulers.reportEnd(placed.scheduler, end)
 }
