Allow first events of other schedulers' requests to be shifted by 100 ms

Cause: the times of announcements are shifted where a gateway has used up its share of a processor, by up to 100 ms. A first event that seemed to come more than 1 ms before its request was sent was ignored, and the request stayed outstanding. Change: the tolerance is 100 ms for requests that another scheduler placed, 1 ms for own ones as before.

--- a/internal/gateway/enginequeue/queue.go
+++ b/internal/gateway/enginequeue/queue.go
@@ -39,6 +39,9 @@
 	negligible = 1e-6
 	// timeResolution is the resolution of times in messages.
 	timeResolution = time.Millisecond
+	// peerTimeTolerance is the same for requests that other schedulers placed: a gateway that has used up its share of a
+	// processor sends or reads announcements up to 100 ms late, which shifts either time.
+	peerTimeTolerance = 100 * time.Millisecond
 	// overdueMargin is the factor over the predicted time from which a first event is overdue.
 	overdueMargin = 1.2
 )
@@ -211,8 +214,11 @@
 	if !known {
 		return true
 	}
-	sentAt := q.levels[priority].entries[index].sentAt
-	if at < sentAt-timeResolution || at > now+timeResolution {
+	sentAt, tolerance := q.levels[priority].entries[index].sentAt, timeResolution
+	if id.origin() == peer {
+		tolerance = peerTimeTolerance
+	}
+	if at < sentAt-tolerance || at > now+tolerance {
 		q.rates.dropped++
 		return false
 	}
--- a/internal/gateway/enginequeue/queue_test.go
+++ b/internal/gateway/enginequeue/queue_test.go
@@ -242,6 +242,11 @@
 	if q.Outstanding() != 0 || q.rates.Dropped() != 10 {
 		t.Errorf("within 1 ms: %d outstanding, %d dropped; want 0 and 10", q.Outstanding(), q.rates.Dropped())
 	}
+	late := ID{Scheduler: "s", Number: 9}
+	q.Sent(now, Request{ID: late, Tokens: 800})
+	if q.FirstEvent(now+ms, now-150*ms, late) || q.Outstanding() != 1 || !q.FirstEvent(now+ms, now-50*ms, late) || q.Outstanding() != 0 {
+		t.Errorf("a request of another scheduler: %d outstanding after first events 150 ms and 50 ms before its sending", q.Outstanding())
+	}
 }
 
 // The list is bounded, and what exceeds it is counted.
