Assign the slots of each back end at a scheduler of its own

Cause: one scheduler of the fleet placed all requests of a small service.

A message refreshes one back end instead of all. After two rejections by a back end within 300 ms its scheduler counts half of the slots as taken for 300 ms, since another scheduler grants them, too. A gateway of a build with one scheduler names no back end and is answered as without shared slots.

--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -29,9 +29,11 @@
 	LatencyTargetMS int64    `json:"o,omitempty"` // the route's objective
 	Tenant          string   `json:"n,omitempty"` // "" from builds without reservations
 	// WaitMS is how long the call may be held open until a slot of a small service is free; nil asks for a placement at
-	// once. Zone is that of the requesting gateway.
-	WaitMS *int64 `json:"wait,omitempty"`
-	Zone   string `json:"zone,omitempty"`
+	// once. Zone is that of the requesting gateway, and BackEnd the back end whose slot is asked for; "" from builds with
+	// one scheduler for all back ends of a service.
+	WaitMS  *int64 `json:"wait,omitempty"`
+	Zone    string `json:"zone,omitempty"`
+	BackEnd string `json:"be,omitempty"`
 }
 
 // wirePlacementReply answers a wirePlacementRequest. Instance is empty if no back end is available.
@@ -60,9 +62,11 @@
 	Rejection string `json:"y,omitempty"`
 	Return    string `json:"z,omitempty"`
 	HasPlace  bool   `json:"p,omitempty"`
-	// Slot means that the reply comes from the queue of a small service, and WaitedMS is how long the call was held.
+	// Slot means that the reply comes from the queue of a back end of a small service, WaitedMS is how long the call was
+	// held, and NextWaitMS how long a new request is predicted to wait there.
 	Slot       bool   `json:"slot,omitempty"`
 	WaitedMS   int64  `json:"waited,omitempty"`
+	NextWaitMS int64  `json:"next,omitempty"`
 	CopySource string `json:"ys,omitempty"` // where shared parts are copied from, for logs
 	StoreGap   string `json:"yg,omitempty"` // why they are not fetched from the store, for logs
 }
@@ -76,9 +80,11 @@
 	DurationMS   int64          `json:"t,omitempty"` // since the attempt began
 	FirstEventMS int64          `json:"f,omitempty"` // time until the first event; 0 if there was none
 	// Running means that the request had its first event and goes on. It is sent only if the scheduler asked for it.
-	Running bool   `json:"qr,omitempty"`
-	PauseMS int64  `json:"qm,omitempty"` // longest time between two events of the stream
-	Service string `json:"s,omitempty"`  // set if the request asked for a slot of a small service
+	Running bool  `json:"qr,omitempty"`
+	PauseMS int64 `json:"qm,omitempty"` // longest time between two events of the stream
+	// Service and BackEnd are set if the request asked for a slot of a small service.
+	Service string `json:"s,omitempty"`
+	BackEnd string `json:"be,omitempty"`
 }
 
 // call returns the part of the caller's request that the message carries. Parts without a size are left out.
@@ -179,12 +185,12 @@
 	g.slotDesk.end(now, g.applyPlacementEnd(now, &end), &end)
 }
 
-// applyPlacementEnd applies the report that a request ended which this gateway placed, and returns its service, or "" if
-// it is not known.
-func (g *Gateway) applyPlacementEnd(now time.Duration, end *wirePlacementEnd) (service string) {
+// applyPlacementEnd applies the report that a request ended which this gateway placed, and returns its back end's ID, or
+// "" if it is not known.
+func (g *Gateway) applyPlacementEnd(now time.Duration, end *wirePlacementEnd) (backEnd string) {
 	p, load, known := g.table.endPlacement(now, end)
 	if !known {
-		return end.Service
+		return end.BackEnd
 	}
 	row := p.row
 	g.table.observePrefill(row, p.engineIdle, p.uncached, durationFromMS(end.FirstEventMS))
@@ -198,7 +204,7 @@
 	if end.Unreached {
 		g.peers.announce(announcement{Gateway: end.Gateway, Instance: row.entry.ID, Unreachable: true})
 	}
-	return row.entry.Service
+	return row.entry.ID
 }
 
 // addPlacement adds a placement and returns the back end's load as this gateway reports it to others.
--- a/internal/gateway/slotdesk.go
+++ b/internal/gateway/slotdesk.go
@@ -23,27 +23,32 @@
 	slotWaitWindow = 10 * time.Second
 )
 
-// slotDesk assigns the slots of small services, at the gateway that is the scheduler of these services. It is safe for
-// concurrent use. Its mutex is acquired before the table's.
+// slotDesk assigns the slots of back ends of small services, at the gateway that is the scheduler of these back ends. It
+// is safe for concurrent use. Its mutex is acquired before the table's.
 type slotDesk struct {
 	gateway *Gateway
 
 	mu       sync.Mutex
-	services map[string]*slotService
+	backEnds map[string]*slotBackEnd    // by ID
+	removed  map[string]slotqueue.Stats // counts of the queues that were removed, by service
 }
 
-// slotService is the state of one service.
-type slotService struct {
+// slotBackEnd is the state of one back end.
+type slotBackEnd struct {
+	service string
 	queue   *slotqueue.Queue
 	pending map[string]pendingSlot // waiting requests by placement ID
 	timer   *time.Timer            // runs the next tick; nil before the first
-	// backEnds is the list last given to the queue; its memory is used again.
-	backEnds []slotqueue.BackEnd
+	// current is the list last given to the queue, of one element or none.
+	current []slotqueue.BackEnd
 	// longestWaits are the longest waits of the current and the previous window.
 	longestWaits  [2]time.Duration
 	windowStarted time.Duration
 }
 
+// eligible reports whether the back end may get requests.
+func (s *slotBackEnd) eligible() bool { return len(s.current) > 0 && s.current[0].Eligible }
+
 // pendingSlot is a request that waits for a slot.
 type pendingSlot struct {
 	req     *wirePlacementRequest
@@ -59,12 +64,13 @@
 }
 
 func newSlotDesk(g *Gateway) *slotDesk {
-	return &slotDesk{gateway: g, services: map[string]*slotService{}}
+	return &slotDesk{gateway: g, backEnds: map[string]*slotBackEnd{}, removed: map[string]slotqueue.Stats{}}
 }
 
-// servesSlots reports whether this gateway answers a placement request from the service's queue.
+// servesSlots reports whether this gateway answers a placement request from the back end's queue. A request that names no
+// back end is answered as without shared slots.
 func (g *Gateway) servesSlots(req *wirePlacementRequest) bool {
-	if req.WaitMS == nil || !g.enabled(mechanism.SharedSlots) {
+	if req.WaitMS == nil || req.BackEnd == "" || !g.enabled(mechanism.SharedSlots) {
 		return false
 	}
 	service := g.smallService(req.Service)
@@ -80,29 +86,36 @@
 	return current.services[name]
 }
 
-// ask adds a request to its service's queue. respond is called once, when a slot is granted or the request is rejected.
+// ask adds a request to the queue of the back end that it names. respond is called once, when a slot is granted or the
+// request is rejected, and at once, without a back end, if that may get no requests.
 func (d *slotDesk) ask(now time.Duration, req *wirePlacementRequest, respond func(wirePlacementReply)) {
-	if d.gateway.smallService(req.Service) == nil {
+	if !d.gateway.hasBackEnd(req.Service, req.BackEnd) {
 		respond(wirePlacementReply{})
 		return
 	}
 	d.mu.Lock()
-	s := d.services[req.Service]
+	s := d.backEnds[req.BackEnd]
 	if s == nil {
-		s = &slotService{queue: slotqueue.New(), pending: map[string]pendingSlot{}}
-		d.services[req.Service] = s
+		s = &slotBackEnd{service: req.Service, queue: slotqueue.New(), pending: map[string]pendingSlot{}}
+		d.backEnds[req.BackEnd] = s
+	}
+	answers := d.refresh(now, req.BackEnd, s)
+	undecided := wirePlacementReply{}
+	_, repeated := s.pending[req.PlacementID]
+	if !s.eligible() {
+		undecided = wirePlacementReply{Slot: true, NextWaitMS: s.queue.NextWait(now).Milliseconds()}
 	}
-	answers := d.refresh(now, req.Service, s)
-	if _, repeated := s.pending[req.PlacementID]; repeated {
+	if repeated || !s.eligible() {
 		replies := d.settle(now, s, answers)
+		d.schedule(now, req.BackEnd, s)
 		d.mu.Unlock()
 		d.send(now, replies)
-		respond(wirePlacementReply{})
+		respond(undecided)
 		return
 	}
 	s.pending[req.PlacementID] = pendingSlot{req: req, respond: respond}
 	replies := d.settle(now, s, append(answers, s.queue.Ask(now, req.slotRequest())...))
-	d.schedule(now, req.Service, s)
+	d.schedule(now, req.BackEnd, s)
 	d.mu.Unlock()
 	d.send(now, replies)
 }
@@ -121,10 +134,10 @@
 	}
 }
 
-// end records the end of a request. outcome and took are as reported by the gateway that sent it.
-func (d *slotDesk) end(now time.Duration, service string, end *wirePlacementEnd) {
+// end records the end of a request at a back end, or in its queue.
+func (d *slotDesk) end(now time.Duration, backEnd string, end *wirePlacementEnd) {
 	d.mu.Lock()
-	s := d.services[service]
+	s := d.backEnds[backEnd]
 	if s == nil {
 		d.mu.Unlock()
 		return
@@ -137,55 +150,57 @@
 		outcome = slotqueue.Success
 	}
 	took := time.Duration(max(-1, min(end.DurationMS, maxWireMS))) * time.Millisecond
-	answers := d.refresh(now, service, s)
+	answers := d.refresh(now, backEnd, s)
 	replies := d.settle(now, s, append(answers, s.queue.End(now, end.PlacementID, outcome, took)...))
-	d.schedule(now, service, s)
+	d.schedule(now, backEnd, s)
 	d.mu.Unlock()
 	d.send(now, replies)
 }
 
-// count counts a request of a gateway that does not know of the queue, if this gateway has one for the service.
+// count counts a request of a gateway that does not know of the queue, if this gateway has one for the back end.
 func (d *slotDesk) count(now time.Duration, req *wirePlacementRequest, instance string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if s := d.services[req.Service]; s != nil {
+	if s := d.backEnds[instance]; s != nil {
 		s.queue.Count(now, req.PlacementID, instance, durationFromMS(min(req.TimeoutMS, maxWireMS)))
 	}
 }
 
 // tick grants and rejects what is due.
-func (d *slotDesk) tick(service string) {
+func (d *slotDesk) tick(backEnd string) {
 	now := d.gateway.now()
 	d.mu.Lock()
-	s := d.services[service]
+	s := d.backEnds[backEnd]
 	if s == nil {
 		d.mu.Unlock()
 		return
 	}
-	replies := d.settle(now, s, d.refresh(now, service, s))
-	d.schedule(now, service, s)
+	replies := d.settle(now, s, d.refresh(now, backEnd, s))
+	d.schedule(now, backEnd, s)
 	d.mu.Unlock()
 	d.send(now, replies)
 }
 
-// refresh updates the back ends of a queue. The caller holds the mutex.
-func (d *slotDesk) refresh(now time.Duration, name string, s *slotService) []slotqueue.Answer {
-	s.backEnds = s.backEnds[:0]
-	if service := d.gateway.smallService(name); service != nil {
-		s.backEnds = d.gateway.slotBackEnds(now, service, s.backEnds)
+// refresh updates the back end of a queue. The caller holds the mutex.
+func (d *slotDesk) refresh(now time.Duration, id string, s *slotBackEnd) []slotqueue.Answer {
+	s.current = s.current[:0]
+	if service := d.gateway.smallService(s.service); service != nil {
+		if current, known := d.gateway.currentSlots(now, service, id); known {
+			s.current = append(s.current, current)
+		}
 	}
-	return s.queue.SetBackEnds(now, s.backEnds)
+	return s.queue.SetBackEnds(now, s.current)
 }
 
 // schedule sets the timer of the next tick. The caller holds the mutex.
-func (d *slotDesk) schedule(now time.Duration, name string, s *slotService) {
+func (d *slotDesk) schedule(now time.Duration, id string, s *slotBackEnd) {
 	due, waits := s.queue.NextAt(now)
 	if !waits {
 		return
 	}
 	delay := max(minSlotPoll, min(due-now, slotPollInterval))
 	if s.timer == nil {
-		s.timer = time.AfterFunc(delay, func() { d.tick(name) })
+		s.timer = time.AfterFunc(delay, func() { d.tick(id) })
 		return
 	}
 	s.timer.Reset(delay)
@@ -193,8 +208,12 @@
 
 // settle turns the queue's answers into replies and counts the granted requests at their back ends. The caller holds the
 // mutex and calls send after releasing it.
-func (d *slotDesk) settle(now time.Duration, s *slotService, answers []slotqueue.Answer) []slotReply {
-	var replies []slotReply
+func (d *slotDesk) settle(now time.Duration, s *slotBackEnd, answers []slotqueue.Answer) []slotReply {
+	if len(answers) == 0 {
+		return nil
+	}
+	nextWait := s.queue.NextWait(now).Milliseconds()
+	replies := make([]slotReply, 0, len(answers))
 	for _, answer := range answers {
 		asked, known := s.pending[answer.ID]
 		if !known {
@@ -205,9 +224,9 @@
 		settled := slotReply{respond: asked.respond}
 		switch {
 		case answer.RetryAfter > 0:
-			settled.reply = wirePlacementReply{Slot: true, RetryAfterMS: max(1, answer.RetryAfter.Milliseconds()), WaitedMS: answer.Waited.Milliseconds()}
+			settled.reply = wirePlacementReply{Slot: true, RetryAfterMS: max(1, answer.RetryAfter.Milliseconds()), WaitedMS: answer.Waited.Milliseconds(), NextWaitMS: nextWait}
 		case answer.BackEnd != "":
-			settled.reply = wirePlacementReply{Slot: true, Instance: answer.BackEnd, WaitedMS: answer.Waited.Milliseconds()}
+			settled.reply = wirePlacementReply{Slot: true, Instance: answer.BackEnd, WaitedMS: answer.Waited.Milliseconds(), NextWaitMS: nextWait}
 			settled.placed, settled.load = d.gateway.countGrant(now, asked.req, answer.BackEnd)
 			if settled.placed == nil {
 				break
@@ -251,15 +270,27 @@
 // anyCall is a call without properties, for the eligibility of back ends for any request. It is not modified.
 var anyCall Call
 
-// slotBackEnds appends the back ends of a service as the queue sees them.
-func (g *Gateway) slotBackEnds(now time.Duration, service *catalog.Service, backEnds []slotqueue.BackEnd) []slotqueue.BackEnd {
+// hasBackEnd reports whether a small service has a back end.
+func (g *Gateway) hasBackEnd(service, id string) bool {
+	if g.smallService(service) == nil {
+		return false
+	}
+	g.table.mutex.Lock()
+	defer g.table.mutex.Unlock()
+	row := g.table.rows[id]
+	return row != nil && row.entry.Service == service
+}
+
+// currentSlots returns a back end of a service as its queue sees it.
+func (g *Gateway) currentSlots(now time.Duration, service *catalog.Service, id string) (current slotqueue.BackEnd, known bool) {
 	g.table.mutex.Lock()
 	defer g.table.mutex.Unlock()
-	in := selectionInput{service: service, call: &anyCall, sentByPeer: true}
-	for _, row := range g.table.services[service.Name] {
-		backEnds = append(backEnds, slotqueue.BackEnd{ID: row.entry.ID, Zone: row.entry.Zone, Slots: row.entry.Slots, Eligible: g.eligible(now, row, in), Avoided: g.avoided(now, row)})
+	row := g.table.rows[id]
+	if row == nil || row.entry.Service != service.Name {
+		return current, false
 	}
-	return backEnds
+	in := selectionInput{service: service, call: &anyCall, sentByPeer: true}
+	return slotqueue.BackEnd{ID: id, Zone: row.entry.Zone, Slots: row.entry.Slots, Eligible: g.eligible(now, row, in), Avoided: g.avoided(now, row)}, true
 }
 
 // avoided reports whether a back end gets requests of a small service only if there is no other. The caller holds the
@@ -269,7 +300,7 @@
 }
 
 // recordWait records the wait of an answered request.
-func (s *slotService) recordWait(now, waited time.Duration) {
+func (s *slotBackEnd) recordWait(now, waited time.Duration) {
 	if now >= s.windowStarted+slotWaitWindow {
 		s.longestWaits[1] = 0
 		if now < s.windowStarted+2*slotWaitWindow {
@@ -280,23 +311,29 @@
 	s.longestWaits[0] = max(s.longestWaits[0], waited)
 }
 
-// sweep removes the queues that are no longer asked.
+// sweep removes the queues of back ends that have left the roster, once nothing waits or runs there.
 func (d *slotDesk) sweep(now time.Duration) {
 	d.mu.Lock()
-	names := slices.Collect(maps.Keys(d.services))
+	ids := slices.Collect(maps.Keys(d.backEnds))
 	d.mu.Unlock()
-	for _, name := range names {
-		d.tick(name)
+	for _, id := range ids {
+		d.tick(id)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for name, s := range d.services {
-		if s.queue.Idle(now) && d.gateway.smallService(name) == nil {
-			delete(d.services, name)
+	for id, s := range d.backEnds {
+		if s.queue.Idle(now) && !d.gateway.hasBackEnd(s.service, id) {
+			d.removed[s.service] = addStats(d.removed[s.service], s.queue.Stats())
+			delete(d.backEnds, id)
 		}
 	}
 }
 
+// addStats returns the sums of counts.
+func addStats(a, b slotqueue.Stats) slotqueue.Stats {
+	return slotqueue.Stats{Granted: a.Granted + b.Granted, Rejected: a.Rejected + b.Rejected, Invalid: a.Invalid + b.Invalid}
+}
+
 // handleSlotRequest handles another gateway's request for a slot. The call is held open until it is answered.
 func (g *Gateway) handleSlotRequest(req *wirePlacementRequest, respond transport.Respond) {
 	g.slotDesk.ask(g.now(), req, func(reply wirePlacementReply) { respond(http.StatusOK, reply) })
--- a/internal/gateway/slotmetrics.go
+++ b/internal/gateway/slotmetrics.go
@@ -10,7 +10,7 @@
 	"kitetiller/internal/gateway/slotqueue"
 )
 
-// slotCounts is the state of a service's queue.
+// slotCounts is the state of the queues of a service's back ends.
 type slotCounts struct {
 	slotqueue.Stats
 	waiting int
@@ -22,10 +22,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	byService := map[string]slotCounts{}
-	for name, s := range d.services {
+	for service, stats := range d.removed {
+		byService[service] = slotCounts{Stats: stats}
+	}
+	for _, s := range d.backEnds {
 		s.recordWait(now, 0)
 		waiting, longest := s.queue.Waiting(now)
-		byService[name] = slotCounts{Stats: s.queue.Stats(), waiting: waiting, longest: max(longest, s.longestWaits[0], s.longestWaits[1])}
+		sum := byService[s.service]
+		byService[s.service] = slotCounts{
+			Stats: addStats(sum.Stats, s.queue.Stats()), waiting: sum.waiting + waiting, longest: max(sum.longest, longest, s.longestWaits[0], s.longestWaits[1]),
+		}
 	}
 	return byService
 }
--- a/internal/gateway/slotqueue/slotqueue.go
+++ b/internal/gateway/slotqueue/slotqueue.go
@@ -127,6 +127,9 @@
 	assumed   int
 	assumedAt time.Duration
 	lastGrant uint64 // sequence number of the latest grant
+	// rejectedAt is when the back end last rejected a granted request, and halvedUntil until when half of its slots count
+	// as taken by another scheduler.
+	rejectedAt, halvedUntil time.Duration
 }
 
 // Queue is the state of one service. The zero value is not usable; see New.
@@ -269,6 +272,10 @@
 	switch {
 	case outcome == Rejected && b != nil:
 		b.assumed, b.assumedAt = max(0, b.Slots-b.running), now
+		if b.rejectedAt > 0 && now-b.rejectedAt < takeoverTime {
+			b.halvedUntil = now + takeoverTime
+		}
+		b.rejectedAt = now
 	case outcome == Success && took > 0 && took <= maxDuration:
 		q.work = max(minWork, q.work+time.Duration(workSmoothing*float64(took-q.work)))
 	case took < 0 || took > maxDuration:
@@ -322,6 +329,9 @@
 		next = min(next, takeoverEnd)
 	}
 	for _, b := range q.backEnds {
+		if b.halvedUntil > now {
+			next = min(next, b.halvedUntil)
+		}
 		if assumed := b.assumedNow(now, q.work); assumed > 0 {
 			next = min(next, now+max(minWork, q.work/time.Duration(b.assumed)))
 		}
@@ -337,6 +347,24 @@
 	return len(q.waiting), longest
 }
 
+// NextWait predicts how long a new request of the least urgency would wait.
+func (q *Queue) NextWait(now time.Duration) time.Duration {
+	free, slots := 0, 0
+	for _, b := range q.backEnds {
+		if b.Eligible {
+			free += max(0, b.Slots-q.taken(now, b))
+			slots += b.Slots
+		}
+	}
+	switch {
+	case slots == 0:
+		return noBackEndWait
+	case len(q.waiting) < free:
+		return 0
+	}
+	return q.waitFor(len(q.waiting)+1-free, slots)
+}
+
 // Stats returns the counts of decisions.
 func (q *Queue) Stats() Stats { return q.stats }
 
@@ -433,7 +461,7 @@
 // taken returns the slots of a back end that count as taken.
 func (q *Queue) taken(now time.Duration, b *backEnd) int {
 	taken := b.running + b.assumedNow(now, q.work)
-	if now < q.startedAt+takeoverTime {
+	if now < max(q.startedAt+takeoverTime, b.halvedUntil) {
 		taken += b.Slots / 2
 	}
 	return min(taken, max(b.Slots, b.running))
--- a/internal/gateway/slotqueue/slotqueue_test.go
+++ b/internal/gateway/slotqueue/slotqueue_test.go
@@ -222,6 +222,51 @@
 	}
 }
 
+// TestRepeatedRejectionsHalveSlots guards against two schedulers that each go on granting all slots of a back end: after
+// two rejections within 300 ms half of the slots count as taken for 300 ms, and a waiting request gets a slot then.
+func TestRepeatedRejectionsHalveSlots(t *testing.T) {
+	q := newQueue(6)
+	for i := range 2 {
+		id := fmt.Sprint("rejected", i)
+		at := settled + time.Duration(i)*200*time.Millisecond
+		if len(grants(q.Ask(at, request(id)))) != 1 {
+			t.Fatalf("%s is not granted", id)
+		}
+		q.End(at, id, Rejected, 0)
+	}
+	now := settled + 200*time.Millisecond + InitialWork // the slots no longer count as taken for the rejection itself
+	for i := range 3 {
+		if id := fmt.Sprint("half", i); len(grants(q.Ask(now, request(id)))) != 1 {
+			t.Fatalf("%s is not granted", id)
+		}
+	}
+	if got := q.Ask(now, request("fourth")); len(grants(got)) != 0 {
+		t.Fatalf("a fourth request got %+v while half of the slots count as taken", got)
+	}
+	end := settled + 500*time.Millisecond
+	if next, waits := q.NextAt(now); !waits || next > end {
+		t.Fatalf("the next tick is at %v (%v), want by %v", next, waits, end)
+	}
+	if got := grants(q.Tick(end)); got["fourth"] == "" {
+		t.Fatalf("got %v after 300 ms, want the fourth request granted", got)
+	}
+}
+
+// TestNextWait guards against gateways that are told no wait while requests wait, or one while a slot is free.
+func TestNextWait(t *testing.T) {
+	q := newQueue(2)
+	for i, want := range []time.Duration{0, 0, InitialWork / 2, InitialWork, 3 * InitialWork / 2} {
+		if got := q.NextWait(settled); got != want {
+			t.Errorf("%d requests before: wait %v, want %v", i, got, want)
+		}
+		q.Ask(settled, request(fmt.Sprint("r", i)))
+	}
+	q.SetBackEnds(settled, nil)
+	if got := q.NextWait(settled); got != noBackEndWait {
+		t.Errorf("without a back end: wait %v, want %v", got, noBackEndWait)
+	}
+}
+
 // TestNewSchedulerCountsHalfAsTaken guards against overloading back ends that still run what the previous scheduler
 // granted.
 func TestNewSchedulerCountsHalfAsTaken(t *testing.T) {
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -36,7 +36,7 @@
 	// The following take effect only for services whose configuration calls for them.
 	EngineQueue  Name = "engine-queue"  // the wait at an engine is predicted by priority and by engine
 	PauseBound   Name = "pause-bound"   // prompts are spread so that running streams don't pause for too long
-	SharedSlots  Name = "shared-slots"  // one scheduler assigns the slots of a small service
+	SharedSlots  Name = "shared-slots"  // one scheduler a back end assigns the slots of a small service
 	StreamCopies Name = "stream-copies" // an engine keeps a copy of a stream that can't be repeated elsewhere
 	StoreIndex   Name = "store-index"   // the contents of stores are read from them
 	Reservations Name = "reservations"  // a rejected request gets a reserved time to return
