--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -72,8 +72,8 @@
 
 // slotTrace describes how the latest slot of a request was obtained, for logs.
 type slotTrace struct {
-	source string // scheduler's address, slotSourceSelf or slotSourceShare; "" if none was asked for
-	waited time.Duration
+	source string        // scheduler's address, slotSourceSelf or slotSourceShare; "" if none was asked for
+	waited time.Duration // in queues, and for replies that did not come in time
 }
 
 // slotClient asks for slots of small services. It is safe for concurrent use.
@@ -363,6 +363,7 @@
 		return nil, false
 	}
 	in.trusted = g.trusted(g.now())
+	x.slot = slotTrace{}
 	options := x.awaitSlotOptions(in)
 	if len(options) == 0 {
 		return nil, true
@@ -484,7 +485,7 @@
 // alternative means that another back end can be asked for afterwards.
 func (x *exchange) askForSlot(address, backEnd string, alternative bool, in selectionInput) (*candidate, slotOutcome) {
 	g := x.gateway
-	x.slot = slotTrace{source: address}
+	x.slot.source = address
 	askedAt := g.now()
 	wait := x.slotBound(askedAt, alternative)
 	req := x.slotRequest(in, backEnd, wait)
@@ -506,6 +507,7 @@
 	case x.ctx.Err() != nil:
 	case errors.Is(err, errSlotLate):
 		now := g.now()
+		x.slot.waited += now - askedAt
 		g.slots.recordWait(now, backEnd, now-askedAt)
 		g.recordSlotLate(now, address)
 		return nil, slotNoReply
@@ -534,7 +536,7 @@
 	source := cmp.Or(grant.scheduler, slotSourceSelf)
 	switch {
 	case reply.RetryAfterMS > 0 && reply.RetryAfterMS <= maxWireMS:
-		x.slot = slotTrace{source: source, waited: waited}
+		x.slot = slotTrace{source: source, waited: x.slot.waited + waited}
 		return &candidate{retryAfter: max(minRetryAfter, durationFromMS(reply.RetryAfterMS))}, slotRejected
 	case reply.Instance == "" && reply.Slot:
 		return nil, slotUnusable // the back end may get no requests
@@ -547,7 +549,7 @@
 		}
 		return chosen, slotGranted
 	}
-	x.slot = slotTrace{source: source, waited: waited}
+	x.slot = slotTrace{source: source, waited: x.slot.waited + waited}
 	g.observeSchedulerLimit(now, reply)
 	grant.sendBy = askedAt + waited + maxGrantAge
 	g.table.mutex.Lock()
@@ -682,7 +684,7 @@
 // back end is chosen by the gateway's own hash, so that gateways spread over all of them without communicating.
 func (x *exchange) placeInShare(slots int, in selectionInput) *candidate {
 	g := x.gateway
-	x.slot = slotTrace{source: slotSourceShare}
+	x.slot.source = slotSourceShare
 	limit := max(1, slots/max(1, int(g.gatewayCount.Load())))
 	if !g.slots.acquireShare(x.service.Name, limit) {
 		return x.slotRejection(g.slots.meanWork(x.service.Name))
