--- a/internal/admission/reservation/estimate.go
+++ b/internal/admission/reservation/estimate.go
@@ -18,7 +18,7 @@
 	ratioValidity     = 2 * time.Second
 	ratioTimeConstant = 5 * time.Second
 	lowerQuantile     = 0.25
-	upperQuantile     = 0.5
+	upperQuantile     = 0.85
 )
 
 // ratios estimates quantiles of the ratio of actual to predicted wait of one priority.
--- a/internal/admission/reservation/reservation.go
+++ b/internal/admission/reservation/reservation.go
@@ -50,7 +50,7 @@
 	// standingMargin lowers the limit while a queue is standing: at the limit, half of the requests would be late. The
 	// queue counts as standing as the smoothed load rises from standingLow to standingHigh.
 	standingMargin            = 0.5
-	standingLow, standingHigh = 0.3, 0.7
+	standingLow, standingHigh = 0.2, 0.5
 	loadTimeConstant          = 500 * time.Millisecond
 	// maxLoadWeight bounds the weight of one request in the smoothed load, so that at a low rate a single queued
 	// request does not count as a standing queue.
