--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -22,12 +22,16 @@
 	WeightsMismatch          = "other weights answered" // other weights than expected, or outdated ones
 	PublicationAgeRegression = "naming told younger"    // control reports a later publication time than before
 	CacheReadFailed          = "cache not read"
+	StoreReadFailed          = "store not read"
+	StoreListed              = "store listed"
 	SchedulerTimeout         = "scheduler silent" // a scheduler did not answer a placement request in time
 	ControlDisconnected      = "control lost"
 	ControlReconnected       = "control regained"
 	AttemptFailed            = "attempt failed"
 	BackendCrashed           = "back end ended under requests" // requests were aborted; the end of their backend is verified
 	CrashNotReported         = "ended back end not told"       // the queue of reports to control is full
+	StreamContinued          = "stream continued"              // at the engine that keeps a copy of its run
+	StreamNotContinued       = "stream not continued"
 	RequestAnswered          = "request answered"
 	RequestRejected          = "request refused"
 	LogLinesDropped          = "log lines dropped"
@@ -79,13 +83,28 @@
 	// loaded from, and FieldScheduled reports whether another gateway placed the request.
 	FieldPredictedWait  = "predicted"
 	FieldUncachedTokens = "uncached"
+	// FieldQueueWait is the part of FieldPredictedWait before the prefill starts and FieldPredictedPause the longest pause
+	// of the streams at the engine, both in milliseconds; FieldSlowness is the factor by which the engine is taken to be
+	// slower than its service. All are set for latency-critical services only.
+	FieldQueueWait      = "queued"
+	FieldPredictedPause = "pause_predicted"
+	FieldSlowness       = "slowness"
 	// FieldRecomputedTokens is how many of the uncached tokens belong to shared parts, and FieldRecomputeReason why
 	// no cached copy of these is used.
 	FieldRecomputedTokens = "reread"
 	FieldRecomputeReason  = "reread_why"
 	FieldCacheSource      = "from"
-	FieldScheduled        = "scheduled"
-	FieldResource         = "resource" // limited resource: "tenant/NAME" or "repeats/SERVICE"
+	// FieldCopySource is the kind of that source, and FieldStoreGap why the store is not it, for services that use the
+	// store index.
+	FieldCopySource = "copied"
+	FieldStoreGap   = "store_gap"
+	FieldScheduled  = "scheduled"
+	// FieldRejectionCause is why admission rejected a request to a latency-critical service, FieldReturn what a
+	// returning request had, and FieldHasPlace whether its retry time is that of a place.
+	FieldRejectionCause = "refused_for"
+	FieldReturn         = "returned"
+	FieldHasPlace       = "place"
+	FieldResource       = "resource" // limited resource: "tenant/NAME" or "repeats/SERVICE"
 	// FieldFingerprint identifies a request across retries.
 	FieldFingerprint  = "fingerprint"
 	FieldIncarnations = "lives" // of backends that crashed during a request
@@ -103,6 +122,15 @@
 	FieldBackoffLeft       = "rest_left"
 	FieldBackoffLeftAtSend = "sent_at_rest"
 	FieldUnparsedValue     = "unread"
+	// FieldCopyAt is the engine that was asked to keep a copy of the run, FieldContinued how often the stream went on
+	// from its copy, and FieldNotContinued why it did not.
+	FieldCopyAt       = "copy_at"
+	FieldContinued    = "continued"
+	FieldNotContinued = "not_continued"
+	// FieldSlotSource is where the latest slot of a small service was asked for: a scheduler's address, "self" for the
+	// gateway's own queue, or "share" for its equal part of the slots. FieldSlotWait is how long the request waited there.
+	FieldSlotSource = "slot_from"
+	FieldSlotWait   = "slot_wait"
 	// FieldAdvertisedLimit is the limit that a backend advertises, in requests per second.
 	FieldAdvertisedLimit = "limit"
 )
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -89,20 +89,32 @@
 	startTimer       *time.Timer // cancels the attempt at its start deadline; nil without one; guarded by the table's mutex
 	conn             *connection
 	writeDone        chan error      // receives the result of writing the request
+	queued           queuedRequest   // in the queue of the back end, if this gateway placed the request itself
+	firstEventAt     time.Duration   // when the first event of this attempt was received; 0 before that
+	latestEventAt    time.Duration   // when the latest event was received
+	longestGap       time.Duration   // longest time between two events of this attempt
+	firstEventTimer  *time.Timer     // reports the first event to schedulers; nil before it, and if none is reported to
 	streamStarted    atomic.Bool     // an event of the stream was received
 	backoffLeft      time.Duration   // backoff of the back end still running when the request was sent
 	requestedBackoff time.Duration   // backoff requested in the response
 	advertisedLimit  pushback.Limit  // limit advertised by the back end when the request was sent
 	limitLease       allowance.Lease // lease on the advertised limit; reset when the request is sent
-	crashChecked     <-chan struct{} // closed once the check whether the back end crashed is done; nil without a check
+	// firstEventAnnounced is set once the first event was announced to other schedulers.
+	firstEventAnnounced atomic.Bool
+	crashChecked        <-chan struct{} // closed once the check whether the back end crashed is done; nil without a check
+	continues           bool            // it continues the run of an earlier attempt from the copy that the back end keeps
+	copyAt              *endpoint       // asked to keep a copy of the run; nil without one
+	sentHead            bool            // of a stream to be copied: the back end has sent a signed response head
+	endedByEngine       bool            // the back end's side ended the connection in the middle of the response
 }
 
 func (x *exchange) newAttempt(chosen *candidate) *attempt {
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	a := &attempt{
 		exchange: x, row: chosen.row, startedAt: x.gateway.now(), uncached: chosen.uncached, ctx: ctx, cancel: cancel,
-		plan: *chosen, writeDone: make(chan error, 1),
+		plan: *chosen, writeDone: make(chan error, 1), continues: chosen == x.continuation,
 	}
+	x.continuation = nil
 	x.tried = append(x.tried, chosen.row)
 	return a
 }
@@ -118,6 +130,7 @@
 	x := a.exchange
 	defer a.cancel(nil)
 	defer a.reportEnd()
+	defer a.stopFirstEventTimer()
 	maxIdle := maxIdleOnce
 	if x.route.Retryable() {
 		maxIdle = maxIdleRetryable
@@ -128,7 +141,9 @@
 	defer a.releaseLease()
 	conn, err := x.gateway.pool.get(a.ctx, a.row.entry.ID, a.row.entry.Address, maxIdle)
 	if err != nil {
-		a.recordUnreachable(err)
+		if a.ctx.Err() == nil { // otherwise the caller left, which tells nothing about the back end
+			a.recordUnreachable(err)
+		}
 		return result{kind: resultUnreachable, cause: err.Error()}
 	}
 	a.conn = conn
@@ -138,6 +153,8 @@
 		_ = conn.Close()
 		return result{kind: resultUnreachable, cause: cause}
 	}
+	a.arrangeCopy()
+	defer a.releaseCopy()
 	a.limitLease = allowance.Lease{} // used up
 	x.sentCount++
 	a.quotaLease, x.quotaLease = x.quotaLease, quotaLease{}
@@ -159,6 +176,10 @@
 	now := x.gateway.now()
 	load := x.gateway.table.begin(now, a)
 	x.backoffLeft, x.advertisedLimit = max(x.backoffLeft, a.backoffLeft), a.advertisedLimit
+	if a.continues { // no prompt is placed, only the load moves
+		x.gateway.peers.announce(announcement{Gateway: x.gateway.shortName, Load: load, Instance: a.row.entry.ID})
+		return
+	}
 	x.gateway.metrics.recordPrompt(a.uncached, x.call.PromptTokens)
 	if a.plan.scheduled != nil {
 		return // the scheduler has announced it
@@ -172,8 +193,10 @@
 	announced := announcement{
 		Gateway: g.shortName, Load: load, Instance: placed.row.entry.ID, Salt: placed.salt, Parts: parts,
 		Uncached: placed.uncached, SavedToStore: placed.saveTo != "", Transfer: placed.transfer,
+		Queue: queueAnnouncement{Number: placed.queueNumber, Priority: int(placed.priority)},
 	}
 	g.table.recordOwnSend(now, announced)
+	g.metrics.stores.record(placed)
 	g.peers.announce(announced)
 }
 
@@ -181,10 +204,21 @@
 func (a *attempt) end() {
 	x := a.exchange
 	load := x.gateway.table.end(x.gateway.now(), a, a.outcome)
+	if a.continues {
+		x.gateway.peers.announce(announcement{Gateway: x.gateway.shortName, Load: load, Instance: a.row.entry.ID})
+		return
+	}
 	if a.plan.scheduled == nil {
+		a.stopFirstEventTimer()
+		queue := a.endQueued(x.gateway.now())
 		x.gateway.table.observePrefill(a.row, a.plan.engineIdle, a.uncached, a.timeToFirstEvent())
-		x.gateway.table.observeQueueWait(x.service.Name, enginePriority(x.tenant, x.route), a.plan.queueWait, a.uncached, a.timeToFirstEvent(), x.gateway.now()-a.startedAt)
-		x.gateway.peers.announce(announcement{Gateway: x.gateway.shortName, Load: load, Instance: a.row.entry.ID})
+		if a.plan.ownTime() > 0 {
+			x.gateway.table.observeForecastWait(x.service.Name, int(a.plan.priority), a.plan.queueWait, a.plan.ownTime(), a.timeToOwnFirstEvent(), x.gateway.now()-a.startedAt)
+		} else {
+			x.gateway.table.observeQueueWait(x.service.Name, enginePriority(x.tenant, x.route), a.plan.queueWait, a.uncached, a.timeToFirstEvent(), x.gateway.now()-a.startedAt)
+		}
+		x.gateway.table.observeRead(x.gateway.now(), x.service.Name, enginePriority(x.tenant, x.route), a.plan.queueWait, a.plan.ownTime(), a.uncached, a.timeToOwnFirstEvent(), x.gateway.now()-a.startedAt)
+		x.gateway.peers.announce(announcement{Gateway: x.gateway.shortName, Load: load, Instance: a.row.entry.ID, Queue: queue})
 	}
 }
 
@@ -211,7 +245,7 @@
 // requests that run with them use the same copy.
 func promptMemory(call *Call) int {
 	shared := prefix.PartTokens(prefix.SharedParts(call.Parts))
-	return max(call.PromptTokens, prefix.PartTokens(call.Parts)) - shared/2
+	return call.promptTokens() - shared/2
 }
 
 // recheck returns why the request must not be sent after all, or "". While the connection was established, the lease on
@@ -233,16 +267,22 @@
 		return "over"
 	case x.keyRequired && !x.gateway.trusted(now):
 		return reasonViewUnconfirmed
-	case !x.hasQuota():
+	case !a.continues && !x.hasQuota(): // a continuation counts as the same run
 		return reasonLimitUnknown
 	case x.crashCount() >= quarantine.QuarantineThreshold:
 		return reasonQuarantined
+	case a.plan.slot.expired(now):
+		x.gateway.metrics.recheckFailures.WithLabelValues(causeGrantExpired).Inc()
+		return causeGrantExpired
 	}
 	x.gateway.table.mutex.Lock()
 	defer x.gateway.table.mutex.Unlock()
 	if a.row.gone || a.row.entry.State != catalog.StateReady {
 		return causeDraining
 	}
+	if a.continues && a.row.entry.Versions[x.call.Model] != a.plan.version {
+		return "other weights"
+	}
 	if a.row.entry.Loading {
 		return "loading" // the weights order may reach the engine first, as control doesn't know of the request yet
 	}
@@ -333,6 +373,12 @@
 		forwarding.Salt, forwarding.WeightsVersion, forwarding.Priority = a.plan.salt, a.plan.version, enginePriority(x.tenant, x.route)
 		forwarding.FetchFrom, forwarding.SaveTo = a.plan.fetchFrom, a.plan.saveTo
 	}
+	if a.copyAt != nil {
+		forwarding.BackupTo = x.copied.copyAddress
+	}
+	if a.continues {
+		forwarding.ContinueFrom = x.copied.continuedAt
+	}
 	x.gateway.dialect.WriteForwarding(header, forwarding)
 	if len(x.body) > 0 || x.request.ContentLength != 0 || x.request.Method == http.MethodPost {
 		header.Set("Content-Length", strconv.Itoa(len(x.body)))
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -7,8 +7,11 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"kitetiller/internal/admission/reservation"
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/gateway/belief"
+	"kitetiller/internal/gateway/enginequeue"
+	"kitetiller/internal/gateway/storeindex"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/prefix"
 )
@@ -44,21 +47,32 @@
 	row             *endpoint
 	cost            float64 // milliseconds
 	salt            string
-	version         uint64          // of the weights expected there; 0 if unknown
-	wait            float64         // predicted time until the request starts, in milliseconds
-	queueWait       float64         // part of wait before the prefill starts
-	startDeadline   time.Duration   // time by which the request must start, as known at the decision, or 0; for logs only
-	uncached        int             // prompt tokens to prefill
-	recomputed      int             // tokens of shared parts among uncached
-	copyCostsMore   bool            // a copy of the shared parts exists, but costs more than recomputing them
-	recomputeReason recomputeCause  // set for the chosen candidate if recomputed > 0
-	engineIdle      bool            // no other prefill is estimated to be running or queued there
+	version         uint64         // of the weights expected there; 0 if unknown
+	wait            float64        // predicted time until the request starts, in milliseconds
+	queueWait       float64        // part of wait before the prefill starts
+	startDeadline   time.Duration  // time by which the request must start, as known at the decision, or 0; for logs only
+	uncached        int            // prompt tokens to prefill
+	recomputed      int            // tokens of shared parts among uncached
+	recomputeReason recomputeCause // set for the chosen candidate if recomputed > 0
+	copyCostsMore   bool           // a copy of the shared parts exists, but costs more than recomputing them
+	engineIdle      bool           // no other prefill is estimated to be running or queued there
+	priority        int8           // of the request; set for the chosen candidate of a service with queues
+	// pause is the predicted longest pause of the streams running there, in milliseconds, and slowness the factor by which
+	// the engine is taken to be slower than its service. Both are 0 if not predicted.
+	pause, slowness float32
+	queueNumber     uint64     // of the request in the engine's queue; 0 without a queue or reports of first events, or if a scheduler chose
+	copySource      copySource // set like storeGap and storeSave if the store index plans copies and saves
+	storeGap        storeGap
+	storeSave       storeindex.Save
 	fetchFrom       string          // address of the engine or store to copy cached parts from, or ""
 	saveTo          string          // address of the store to save the parts in, or ""
 	transfer        belief.Transfer // of cached parts, caused by the placement
 	retryAfter      time.Duration   // if not 0, the request is to be rejected, and retried after this time
 	// scheduled is set if a scheduler made the placement, and nil if this gateway did.
 	scheduled *schedulerPlacement
+	// reserved is the decision on the request's reservation, for logs. It is set for latency-critical services.
+	reserved reservation.Decision
+	slot     *slotGrant // set if the request goes to a slot of a small service
 }
 
 // selectionInput describes the request for which a back end is selected.
@@ -81,12 +95,18 @@
 	// optional features of its back ends.
 	latencyCritical bool
 	offer           catalog.Offer
+	maxEventGap     time.Duration      // shortest of the longest permitted gaps between events of the service's streams, or 0
+	rates           *enginequeue.Rates // of the service's engines, if it has queues; set by choose
+	// tenantName is "" if the tenant is unknown, and timeLeft is the time until the request's deadline.
+	tenantName string
+	timeLeft   time.Duration
+	// reportsFirstEvent means that the sender learns and reports when the first event comes.
+	reportsFirstEvent bool
+	storeIndexed      bool // the store index plans copies from and to the store; set by choose
 }
 
 // promptTokens returns the number of prompt tokens.
-func (w *selectionInput) promptTokens() int {
-	return max(w.call.PromptTokens, prefix.PartTokens(w.call.Parts))
-}
+func (w *selectionInput) promptTokens() int { return w.call.promptTokens() }
 
 // maxUncached returns the prompt tokens to prefill at an engine that has all the shared parts cached.
 func (w *selectionInput) maxUncached() int {
@@ -102,8 +122,14 @@
 		lanes := g.table.lanesOf(in.service.Name)
 		lanes.divide(rows)
 		lanes.measureUtilization(now, rows)
+		lanes.strict = in.latencyCritical && g.enabled(mechanism.PauseBound)
+		in.rates = g.table.queueRates[in.service.Name]
 		in.memory, in.meanDuration = promptMemory(in.call), g.table.meanDuration(in.service.Name)
+		if lanes.strict {
+			in.meanDuration = lanes.duration(in.promptTokens() >= longPromptTokens)
+		}
 	}
+	in.storeIndexed = g.usesStoreIndex(now, &in)
 	owner := g.owner(now, rows, in)
 	sources := g.sources(now, in)
 	listed := g.shortlist(now, rows, owner, sources, in)
@@ -114,6 +140,10 @@
 	if !found {
 		return nil
 	}
+	if in.storeIndexed {
+		g.planStoreSave(now, &best, in)
+	}
+	g.table.assignQueueNumber(&best, in)
 	if best.recomputed > 0 {
 		best.recomputeReason = g.explainRecompute(now, &best, prefix.SharedParts(in.call.Parts), sources)
 	}
@@ -163,7 +193,7 @@
 		if best != nil && weight <= highest {
 			continue
 		}
-		if !g.eligible(now, row, in) || now < row.avoidUntil || g.offLaneCost(row, uncached) > 0 || g.table.signals.Limit(row.incarnation).Advertised {
+		if !g.eligible(now, row, in) || now < row.avoidUntil || g.offLaneCost(row, &in, uncached) > 0 || g.table.signals.Limit(row.incarnation).Advertised {
 			continue // one with an advertised limit is eligible only at times, so the prompt would be computed in two places
 		}
 		best, highest = row, weight
@@ -215,20 +245,20 @@
 	sharedTokens := prefix.PartTokens(shared)
 	if cached < sharedTokens && scored.version > 0 {
 		cached = g.planFetch(now, scored, in, cached, sources)
-	} else if scored.version > 0 && sharedTokens > 0 && in.store != nil {
+	} else if scored.version > 0 && sharedTokens > 0 && in.store != nil && !(in.storeIndexed && g.table.stores.State(now, in.store.StoreAddress) == storeindex.Silent) {
 		scored.fetchFrom = in.store.StoreAddress // the engine may have evicted the parts, and asking the store is cheap
 	}
 	scored.uncached, scored.recomputed = in.promptTokens()-cached, max(0, sharedTokens-cached)
-	queue := max(0, row.prefillBusyUntil-now)
 	load := row.occupancy.Total()
-	prefillTime := belief.Milliseconds(g.table.prefillEstimate(in.service.Name).PrefillTime(scored.uncached))
-	scored.cost += belief.Milliseconds(queue) + prefillTime
+	queueTime, prefillTime := g.predictPrefill(now, scored, &in)
+	scored.cost += queueTime + prefillTime
 	if g.enabled(mechanism.Occupancy) {
 		scored.cost += belief.CapacityWait(load, row.entry.Slots, in.service.CacheTokens, in.memory, in.meanDuration)
 	}
-	scored.wait, scored.engineIdle = scored.cost, queue == 0
+	scored.wait = scored.cost
 	scored.queueWait = scored.wait - prefillTime
-	scored.cost += g.offLaneCost(row, scored.uncached)
+	scored.cost += g.pauseCost(scored, &in, load.Running)
+	scored.cost += g.offLaneCost(row, &in, scored.uncached)
 	if g.enabled(mechanism.RecomputeCost) {
 		scored.cost += recomputeWeight * float64(sharedTokens-cached) / belief.PrefillRate
 	}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -7,9 +7,12 @@
 	"time"
 
 	"kitetiller/internal/admission"
+	"kitetiller/internal/admission/reservation"
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/control"
 	"kitetiller/internal/gateway/belief"
+	"kitetiller/internal/gateway/enginequeue"
+	"kitetiller/internal/gateway/storeindex"
 	"kitetiller/internal/guard"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/pushback"
@@ -32,6 +35,7 @@
 	entryAt             time.Duration       // when the entry was received
 	occupancy           belief.Occupancy
 	prefillBusyUntil    time.Duration         // estimated end of the prefills of all gateways' requests sent so far
+	queue               *enginequeue.Queue    // nil until needed, and for services without queues
 	cache               *belief.CacheEstimate // estimate of the cached parts
 	hash                uint64                // of the address
 	longLane            bool                  // assigned to long requests rather than short ones
@@ -44,7 +48,9 @@
 	limitPacedUntil     time.Duration // no more requests of other gateways are placed under its limit until then
 	reports             peerReport    // by other gateways that it is unreachable
 	gone                bool
-	assigned            bool // this gateway reads its cache events
+	copies              keptCopies    // of this gateway's runs
+	joinedAt            time.Duration // when this incarnation was first in the roster
+	assigned            bool          // this gateway reads its cache events
 }
 
 // table holds the back ends of the current roster, and state shared by requests.
@@ -55,6 +61,8 @@
 	services         map[string][]*endpoint
 	published        *belief.PublishTimes              // versions of weights
 	stored           *belief.StoredParts               // parts that were sent to a store
+	stores           *storeindex.Index                 // what stores are known to hold
+	currentView      func() *view                      // nil or returning nil if there is none
 	lanes            map[string]*lanes                 // by service
 	meanDurations    map[string]belief.MeanDuration    // by service
 	placed           map[string]placement              // placements for other gateways, by ticket
@@ -67,16 +75,20 @@
 	signals          *pushback.Tracker                 // load and limit signals of back ends
 	leaseRetryAt     time.Duration                     // no lease is requested until then, since the allocator did not answer
 	lastRetryAt      map[string]time.Duration          // by service: latest retry time given while all were at their limits
+	queueRates       map[string]*enginequeue.Rates     // by latency-critical service
+	lastQueueNumber  uint64                            // of a placement in a queue
 	rosterChanged    *notifier                         // signals each new roster
 	waiting          map[*attempt]struct{}             // awaiting a response, also at removed back ends
+	// reservations are those of latency-critical services.
+	reservations map[string]*reservation.Controller
 }
 
 func newTable(mechanisms mechanism.Set) *table {
 	return &table{
 		mechanisms: mechanisms, rows: map[string]*endpoint{}, services: map[string][]*endpoint{},
-		published: belief.NewPublishTimes(guard.Set{}), stored: belief.NewStoredParts(), links: belief.Links{}, signals: pushback.NewTracker(),
+		published: belief.NewPublishTimes(guard.Set{}), stored: belief.NewStoredParts(), stores: storeindex.New(), links: belief.Links{}, signals: pushback.NewTracker(),
 		lanes: map[string]*lanes{}, meanDurations: map[string]belief.MeanDuration{}, prefillEstimates: map[string]belief.PrefillEstimate{}, lastSent: map[string]time.Duration{}, admission: map[string]*admission.Controller{},
-		placed: map[string]placement{}, holders: map[string][]*endpoint{}, waiting: map[*attempt]struct{}{}, rosterChanged: newNotifier(), lastRetryAt: map[string]time.Duration{},
+		queueRates: map[string]*enginequeue.Rates{}, placed: map[string]placement{}, holders: map[string][]*endpoint{}, waiting: map[*attempt]struct{}{}, rosterChanged: newNotifier(), lastRetryAt: map[string]time.Duration{}, reservations: map[string]*reservation.Controller{},
 	}
 }
 
@@ -166,6 +178,10 @@
 	*own = own.Plus(sent.load())
 	if sent.plan.scheduled == nil {
 		t.addPrefill(now, sent.row, sent.uncached)
+		sent.queued = queuedRequest{number: sent.plan.queueNumber, placedAt: now}
+		if !sent.continues && sent.plan.slot == nil {
+			t.queueSent(now, sent.row, sent.plan.queueNumber, int(sent.plan.priority), sent.uncached)
+		}
 	}
 	sent.backoffLeft = max(0, t.signals.Restriction(now, sent.row.incarnation).BackoffUntil-now)
 	sent.advertisedLimit = t.signals.Limit(sent.row.incarnation)
@@ -201,13 +217,17 @@
 	*own = own.Minus(sent.load())
 	sent.row.recordOutcome(now, outcome)
 	if outcome == outcomeSuccess {
-		t.recordDuration(sent.row, now-sent.startedAt)
+		t.recordDuration(sent.row, sent.exchange.call.promptTokens(), now-sent.startedAt)
 	}
 	return sent.row.occupancy.Local()
 }
 
-// recordDuration updates the mean request duration of a back end's service. The caller holds the mutex.
-func (t *table) recordDuration(row *endpoint, length time.Duration) {
+// recordDuration updates the mean request duration of a back end's service, and that of the request's lane. The caller
+// holds the mutex.
+func (t *table) recordDuration(row *endpoint, promptTokens int, length time.Duration) {
+	if lanes := t.lanes[row.entry.Service]; lanes != nil {
+		lanes.observeDuration(promptTokens, length)
+	}
 	service := row.entry.Service
 	t.meanDurations[service] = t.meanDuration(service).Observe(length)
 }
@@ -225,11 +245,15 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for _, sent := range sends {
+		at := now - min(now, sent.Age)
+		if sent.StoreReport != nil {
+			t.stores.ApplyPeer(at, *sent.StoreReport)
+			continue
+		}
 		row := t.rows[sent.Instance]
 		if row == nil {
 			continue
 		}
-		at := now - min(now, sent.Age)
 		if sent.CacheReport {
 			row.cache.ApplyPeerReport(at, sent.Salt, sent.Parts)
 			t.indexHolder(row, sent.Parts)
@@ -250,12 +274,13 @@
 			continue
 		}
 		row.occupancy.RecordPeer(sent.Gateway, at, sent.Load)
+		t.applyQueueAnnouncement(now, at, row, &sent)
 		if sent.Salt == "" {
 			continue // no prompt is described
 		}
 		t.addPrefill(at, row, sent.Uncached)
 		t.recordCached(at, row, sent)
-		t.recordDemand(at, row, sent.Uncached)
+		t.recordDemand(at, row, &sent)
 	}
 	return updates
 }
@@ -275,16 +300,27 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.stored.Sweep(now)
+	t.stores.Sweep(now)
 	t.expirePlacements(now)
 	for _, controller := range t.admission {
 		controller.Sweep(now)
 	}
+	for _, controller := range t.reservations {
+		controller.Sweep(now)
+	}
+	for _, rates := range t.queueRates {
+		rates.Sweep(now)
+	}
 	t.links.Sweep(now)
 	t.sweepHolders()
 	t.sweepLastSent(now)
 	t.signals.Sweep(now, func(incarnation catalog.Incarnation) bool { return t.rows[incarnation.ID()] != nil })
 	for _, row := range t.rows {
 		row.occupancy.Sweep(now)
+		if row.queue != nil {
+			row.queue.Sweep(now)
+		}
+		row.copies.sweep(now)
 	}
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -77,9 +77,12 @@
 	longestGap        time.Duration           // longest time between two events
 	placement         *candidate              // latest placement; nil before the first
 	quotaLease        quotaLease              // lease on the tenant's limit for the next attempt
+	copied            *copiedRun              // nil unless another engine may keep a copy of the stream's run
+	continuation      *candidate              // set if the next attempt continues the stream's run from its copy
 	backoffLeft       time.Duration           // longest backoff of a back end still running when the request was sent to it
 	advertisedLimit   pushback.Limit          // limit advertised by the back end of the latest attempt
 	cachedFingerprint *quarantine.Fingerprint // of the request; nil until first needed
+	slot              slotTrace               // how the latest slot of a small service was obtained
 }
 
 // serve handles a caller's request.
@@ -199,15 +202,21 @@
 // run makes attempts until the caller has a response.
 func (x *exchange) run() {
 	for {
-		if x.endIfExpired() || x.rejectIfQuarantined() || !x.acquireQuota() {
+		if x.endIfExpired() || x.rejectIfQuarantined() || x.continuation == nil && !x.acquireQuota() {
 			return
 		}
-		chosen := x.place()
+		chosen := x.continuation
 		if chosen == nil {
-			x.giveUp(x.noBackendReason())
-			return
+			chosen = x.place()
+			if chosen == nil {
+				if x.slot.source != "" && x.endIfExpired() {
+					return // the caller left, or the deadline passed, while the request waited for a slot
+				}
+				x.giveUp(x.noBackendReason())
+				return
+			}
+			x.placement = chosen
 		}
-		x.placement = chosen
 		if chosen.retryAfter > 0 {
 			x.reject(http.StatusServiceUnavailable, reasonOverload, chosen.retryAfter)
 			return
@@ -215,12 +224,17 @@
 		a := x.newAttempt(chosen)
 		result := a.perform()
 		if result.kind == resultAnswered {
+			x.recordContinuation(a, result)
 			return
 		}
 		if result.kind == resultNotRun {
 			x.quotaLease = a.quotaLease // the request did not run, so the lease is still unused
 		}
 		x.logFailure(a, result)
+		x.recordContinuation(a, result)
+		if x.prepareContinuation(a, result) {
+			continue
+		}
 		if x.route.Retryable() {
 			a.awaitCrashCheck()
 		}
@@ -249,12 +263,19 @@
 		service: x.service, tenant: x.tenant, call: &x.call, tried: x.tried, firstAttempt: len(x.tried) == 0, priority: enginePriority(x.tenant, x.route), latencyTarget: x.route.Objective,
 	}
 	in.latencyCritical, in.offer = x.view.critical[x.service.Name], x.view.offer(x.service.Name)
+	in.maxEventGap, in.reportsFirstEvent = x.view.gaps[x.service.Name], x.route.Streaming
+	if x.tenant != nil {
+		in.tenantName = x.tenant.Name
+	}
 	if x.gateway.enabled(mechanism.StoreTransfers) {
 		in.store = x.view.storeOf(x.call.Parts)
 	}
+	if chosen, decided := x.placeInSlot(in); decided {
+		return chosen
+	}
 	waitUntil := x.gateway.now() + backendWait
 	for {
-		in.trusted = x.gateway.trusted(x.gateway.now())
+		in.trusted, in.timeLeft = x.gateway.trusted(x.gateway.now()), x.deadline-x.gateway.now()
 		changed := x.gateway.table.rosterChanged.Next()
 		chosen := x.requestPlacement(in)
 		if chosen == nil {
@@ -285,6 +306,10 @@
 	if x.endIfExpired() {
 		return false
 	}
+	if x.mayHaveRun && !x.route.Retryable() { // also if a continuation was not sent
+		x.giveUp(reasonRunUnknown, 0)
+		return false
+	}
 	switch result.kind {
 	case resultUnreachable:
 		if result.cause == causeLimitReached {
@@ -299,10 +324,6 @@
 	case resultFailed:
 		return true
 	case resultNotRun:
-		if x.mayHaveRun && !x.route.Retryable() {
-			x.giveUp(reasonRunUnknown, 0)
-			return false
-		}
 		return x.retryOrGiveUp(reasonRejected, max(minRetryAfter, x.rejectionRetryAfter(result)))
 	}
 	if !x.route.Retryable() || x.isSuspect() {
--- a/internal/gateway/final.go
+++ b/internal/gateway/final.go
@@ -73,10 +73,21 @@
 	if x.placement != nil && x.service.Engine {
 		fields = append(fields, zap.Float64(events.FieldPredictedWait, x.placement.wait), zap.Int(events.FieldUncachedTokens, x.placement.uncached), zap.String(events.FieldCacheSource, x.placement.fetchFrom),
 			zap.Bool(events.FieldScheduled, x.placement.scheduled != nil))
+		if x.placement.slowness > 0 {
+			fields = append(fields, zap.Float64(events.FieldQueueWait, x.placement.queueWait), zap.Float32(events.FieldPredictedPause, x.placement.pause), zap.Float32(events.FieldSlowness, x.placement.slowness))
+		}
+		if x.placement.copySource != copyUnplanned {
+			fields = append(fields, zap.Stringer(events.FieldCopySource, x.placement.copySource))
+		}
+		if x.placement.storeGap != storeGapNone {
+			fields = append(fields, zap.Stringer(events.FieldStoreGap, x.placement.storeGap))
+		}
 		if x.placement.recomputed > 0 {
 			fields = append(fields, zap.Int(events.FieldRecomputedTokens, x.placement.recomputed), zap.String(events.FieldRecomputeReason, string(x.placement.recomputeReason)))
 		}
 	}
+	fields = append(fields, x.reservationFields()...)
+	fields = append(fields, x.slot.fields()...)
 	if x.backoffLeft > 0 {
 		fields = append(fields, zap.Duration(events.FieldBackoffLeftAtSend, x.backoffLeft))
 	}
@@ -86,6 +97,7 @@
 	if x.servedBy != "" {
 		fields = append(fields, zap.String(events.FieldInstance, x.servedBy))
 	}
+	fields = append(fields, x.copyFields()...)
 	x.gateway.log.info(event, fields...)
 	x.gateway.metrics.recordOutcome(event, reason)
 }
--- a/internal/gateway/holders.go
+++ b/internal/gateway/holders.go
@@ -53,9 +53,21 @@
 
 // recordDemand records the demand of a request sent to an engine, for the lanes of its service. The caller holds
 // the mutex.
-func (t *table) recordDemand(now time.Duration, row *endpoint, uncached int) {
-	slotTime := float64(t.meanDuration(row.entry.Service)) / float64(max(1, row.entry.Slots))
-	t.lanesOf(row.entry.Service).recordDemand(now, uncached, slotTime)
+func (t *table) recordDemand(now time.Duration, row *endpoint, sent *announcement) {
+	service, slots := row.entry.Service, float64(max(1, row.entry.Slots))
+	lanes := t.lanesOf(service)
+	if !lanes.strict {
+		lanes.recordDemand(now, sent.Uncached, float64(t.meanDuration(service))/slots)
+		return
+	}
+	prompt := max(prefix.PartTokens(sent.Parts), sent.Uncached)
+	long := lanes.isLong(prompt, sent.Uncached)
+	prefillTime := belief.Milliseconds(t.prefillEstimate(service).PrefillTime(sent.Uncached))
+	held := 1 / slots // part of an engine that the request takes while it runs
+	if memory := row.cache.Memory(); memory > 0 {
+		held = max(held, float64(prompt-prefix.PartTokens(prefix.SharedParts(sent.Parts))/2)/float64(memory))
+	}
+	lanes.recordEngineTime(now, long, prefillTime, float64(lanes.duration(long))*held)
 }
 
 // recordCached records the parts that a request leaves in the caches of its engine and of the store. The caller
@@ -68,6 +80,7 @@
 	if sent.SavedToStore {
 		t.stored.Record(at, sent.Salt, prefix.SharedParts(sent.Parts))
 	}
+	t.recordStoreUse(at, row, &sent)
 }
 
 // recordOwnSend records the demand and the cached parts of a request that this gateway placed.
@@ -75,7 +88,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if row := t.rows[sent.Instance]; row != nil && sent.Salt != "" {
-		t.recordDemand(now, row, sent.Uncached)
+		t.recordDemand(now, row, &sent)
 		t.recordCached(now, row, sent)
 	}
 }
--- a/internal/gateway/lanes.go
+++ b/internal/gateway/lanes.go
@@ -42,6 +42,34 @@
 	members       [2][]*endpoint // engines of the short lane and of the long lane
 	utilization   float64        // fraction of slots in use
 	utilizationAt time.Duration  // when utilization was computed
+	// strict lanes, of latency-critical services, keep apart prompts by their size rather than by what is uncached, and
+	// have the full weight at every utilization. They are divided by the time that requests take of an engine: short
+	// prompts may generate for seconds, so that slots run out long before prefills do.
+	strict    bool
+	durations [2]belief.MeanDuration // of requests of the short lane and of the long lane; 0 before one has ended
+}
+
+// duration returns the mean duration of requests of a lane.
+func (l *lanes) duration(long bool) belief.MeanDuration {
+	if known := l.durations[laneIndex(long)]; known > 0 {
+		return known
+	}
+	return belief.InitialMeanDuration
+}
+
+// observeDuration records the duration of a request with a prompt of the given size.
+func (l *lanes) observeDuration(promptTokens int, length time.Duration) {
+	long := promptTokens >= longPromptTokens
+	l.durations[laneIndex(long)] = l.duration(long).Observe(length)
+}
+
+// isLong reports whether a request with a prompt of the given size, of which some tokens are uncached, belongs to the long
+// lane.
+func (l *lanes) isLong(promptTokens, uncached int) bool {
+	if l.strict {
+		return promptTokens >= longPromptTokens
+	}
+	return uncached >= longPromptTokens
 }
 
 // measureUtilization computes the slot utilization; it is 0 if the slots are not known.
@@ -60,11 +88,29 @@
 	}
 }
 
-// weight returns the factor applied to off-lane costs, from 0 to 1.
-func (l *lanes) weight() float64 { return min(max(1-l.utilization/lanesOffUtilization, 0), 1) }
+// weight returns the factor applied to off-lane costs, from 0 to 1. Streams of latency-critical services pause during
+// the prefills of long requests also while slots are scarce, so their lanes keep the full weight.
+func (l *lanes) weight() float64 {
+	if l.strict {
+		return 1
+	}
+	return min(max(1-l.utilization/lanesOffUtilization, 0), 1)
+}
 
-// recordDemand adds the demand of a request. slotTime is how long it occupies a slot, divided by the engine's
-// slots, in milliseconds.
+// recordEngineTime adds the demand of a request of strict lanes: the time of its prefill, or its duration times the part
+// of an engine's slots or memory that it takes if that is more, in milliseconds.
+func (l *lanes) recordEngineTime(now time.Duration, long bool, prefillTime, heldTime float64) {
+	l.decay(now)
+	demand := max(prefillTime, heldTime) * belief.PrefillRate
+	if long {
+		l.long += demand
+		return
+	}
+	l.short += demand
+}
+
+// recordDemand adds the demand of a request. slotTime is how long it occupies a slot, divided by the engine's slots, in
+// milliseconds.
 func (l *lanes) recordDemand(now time.Duration, uncached int, slotTime float64) {
 	l.decay(now)
 	if uncached >= longPromptTokens {
@@ -117,10 +163,8 @@
 	}
 }
 
-// of returns the engines for requests with the given tokens to prefill.
-func (l *lanes) of(uncached int) []*endpoint {
-	return l.members[laneIndex(uncached >= longPromptTokens)]
-}
+// of returns the engines for requests of a lane.
+func (l *lanes) of(long bool) []*endpoint { return l.members[laneIndex(long)] }
 
 func laneIndex(long bool) int {
 	if long {
@@ -131,11 +175,32 @@
 
 // offLaneCost returns the cost of a request at an engine of the other lane, in milliseconds, scaled by the weight
 // of the service's lanes, or 0 if lanes are disabled.
-func (g *Gateway) offLaneCost(e *endpoint, uncached int) float64 {
+func (g *Gateway) offLaneCost(e *endpoint, in *selectionInput, uncached int) float64 {
 	if !g.enabled(mechanism.Lanes) {
 		return 0
 	}
-	return g.table.lanesOf(e.entry.Service).weight() * e.fullOffLaneCost(uncached)
+	lanes := g.table.lanesOf(e.entry.Service)
+	if lanes.strict {
+		return strictLaneCost(e.longLane, in.promptTokens(), uncached, in.latencyTarget)
+	}
+	return lanes.weight() * e.fullOffLaneCost(uncached)
+}
+
+// strictLaneCost returns the cost of a request at an engine of the other lane of a latency-critical service. A long
+// prefill delays all streams of a short lane, which costs as much as missing the objective once. A short stream in the long
+// lane is late by a pause in one of four cases, less often if the engine has little to read, which costs half as much. A
+// long prompt of which little is uncached delays nobody, and goes where its cached parts are.
+func strictLaneCost(longLane bool, promptTokens, uncached int, objective time.Duration) float64 {
+	long := promptTokens >= longPromptTokens
+	switch {
+	case long == longLane:
+		return 0
+	case !long:
+		return max(shortOffLaneCost, belief.Milliseconds(objective)/2)
+	case uncached < longPromptTokens:
+		return shortOffLaneCost
+	}
+	return max(longOffLaneCost, belief.Milliseconds(objective))
 }
 
 func (e *endpoint) fullOffLaneCost(uncached int) float64 {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -54,6 +54,42 @@
 	}
 }
 
+// queueGauge collects the state of the engines' queues of each latency-critical service.
+type queueGauge struct {
+	gateway                        *Gateway
+	outstanding, slowness, dropped *prometheus.Desc
+}
+
+func newQueueGauge(g *Gateway) queueGauge {
+	describe := func(name, help string) *prometheus.Desc {
+		return prometheus.NewDesc("kitetiller_gateway_queue_"+name, help, []string{"service"}, nil)
+	}
+	return queueGauge{
+		g, describe("outstanding", "Requests known to be at engines without a first event."),
+		describe("slowness", "Factor of the predicted time within which 9 of 10 recent first events stayed."),
+		describe("dropped_total", "Implausible values in reports of first events and pauses that were clamped or dropped."),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (q queueGauge) Describe(out chan<- *prometheus.Desc) {
+	out <- q.outstanding
+	out <- q.slowness
+	out <- q.dropped
+}
+
+// Collect implements prometheus.Collector.
+func (q queueGauge) Collect(out chan<- prometheus.Metric) {
+	for service, stats := range q.gateway.table.queueStats() {
+		out <- prometheus.MustNewConstMetric(q.outstanding, prometheus.GaugeValue, float64(stats.outstanding), service)
+		out <- prometheus.MustNewConstMetric(q.slowness, prometheus.GaugeValue, stats.slowness, service)
+		out <- prometheus.MustNewConstMetric(q.dropped, prometheus.CounterValue, float64(stats.dropped), service)
+	}
+}
+
+// firstEventRatioBuckets are the histogram buckets of the ratio of the time to the first event to the predicted one.
+var firstEventRatioBuckets = []float64{0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.4, 2, 4}
+
 // firstEventBuckets are the histogram buckets of the time to the first event, in seconds.
 var firstEventBuckets = []float64{0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8}
 
@@ -64,16 +100,27 @@
 	requests          *prometheus.CounterVec // by outcome: answered, or the reason of the rejection
 	attempts          *prometheus.CounterVec // failed attempts, by result
 	firstEvent        prometheus.Histogram
-	recheckFailures   *prometheus.CounterVec // attempts not sent since the back end became unavailable after placement, by cause
-	limitLeases       *prometheus.CounterVec // lease requests for advertised limits of back ends, by outcome
-	unknownHeaders    prometheus.Counter     // unknown headers in back ends' responses
+	firstEventRatio   *prometheus.HistogramVec // to the predicted time, by latency-critical service
+	recheckFailures   *prometheus.CounterVec   // attempts not sent since the back end became unavailable after placement, by cause
+	limitLeases       *prometheus.CounterVec   // lease requests for advertised limits of back ends, by outcome
+	unknownHeaders    prometheus.Counter       // unknown headers in back ends' responses
 	retries           prometheus.Counter
-	cacheReadFailures prometheus.Counter // failed requests for engines' cache events
-	schedulerFailures prometheus.Counter // placement requests that no scheduler answered in time
-	uncachedTokens    prometheus.Counter // prompt tokens sent to engines that they have to prefill
-	cachedTokens      prometheus.Counter // prompt tokens sent to engines that are expected to be cached or copied there
+	cacheReadFailures prometheus.Counter     // failed requests for engines' cache events
+	schedulerFailures prometheus.Counter     // placement requests that no scheduler answered in time
+	slotInvalid       prometheus.Counter     // absurd values in messages about slots of small services
+	uncachedTokens    prometheus.Counter     // prompt tokens sent to engines that they have to prefill
+	cachedTokens      prometheus.Counter     // prompt tokens sent to engines that are expected to be cached or copied there
+	streamCopies      *prometheus.CounterVec // streams to be copied, by whether an engine was asked to keep the copy
+	continuations     *prometheus.CounterVec // such streams that broke off, by outcome: the result of the continuation, or why there was none
+	stores            *storeMetrics
 }
 
+// Outcomes of the choice of an engine for a copy, as metric labels.
+const (
+	streamCopyAsked = "asked"
+	streamCopyNone  = "none" // no engine qualified, or the stream is too short
+)
+
 const outcomeAnswered = "answered"
 
 func newMetrics(g *Gateway) *metrics {
@@ -88,6 +135,12 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kitetiller_gateway_attempts_failed_total", Help: "Attempts that failed, by result.",
 		}, []string{"result"}),
+		streamCopies: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kitetiller_gateway_stream_copies_total", Help: "Streams that can't be resumed elsewhere, by whether another engine was asked to keep a copy of the run.",
+		}, []string{"outcome"}),
+		continuations: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kitetiller_gateway_streams_continued_total", Help: "Such streams that broke off, by the result of the continuation or why there was none.",
+		}, []string{"outcome"}),
 		recheckFailures: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kitetiller_gateway_sends_put_off_total", Help: "Sends whose back end turned out to leave, to want rest or to be at its limit after it was chosen, by cause.",
 		}, []string{"cause"}),
@@ -97,17 +150,21 @@
 		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "kitetiller_gateway_first_event_seconds", Help: "Time to the first event of streams.", Buckets: firstEventBuckets,
 		}),
+		firstEventRatio: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "kitetiller_gateway_first_event_ratio", Help: "Time to the first event, as a ratio to the predicted one.", Buckets: firstEventRatioBuckets,
+		}, []string{"service"}),
 		unknownHeaders:    counter("unknown_words_total", "Headers in which back ends speak of themselves and that nothing reads."),
 		retries:           counter("repeats_total", "Requests sent to a further back end."),
 		cacheReadFailures: counter("cache_questions_failed_total", "Questions for engines' cache events that failed."),
 		schedulerFailures: counter("scheduler_questions_failed_total", "Questions for a placement that a scheduler did not answer in time."),
+		slotInvalid:       counter("slot_values_invalid_total", "Absurd slots, waits and times in messages about small services; they change nothing."),
 		uncachedTokens:    counter("prompt_tokens_read_total", "Prompt tokens that engines were sent to read."),
 		cachedTokens:      counter("prompt_tokens_cached_total", "Prompt tokens that were taken to be cached or copied."),
 	}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "kitetiller_gateway_" + name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.recheckFailures, m.limitLeases, m.firstEvent, m.unknownHeaders, m.retries, m.cacheReadFailures, m.schedulerFailures, m.uncachedTokens, m.cachedTokens, newBackoffGauge(g), newAdvertisedLimitGauge(g),
+	m.registry.MustRegister(m.requests, m.attempts, m.recheckFailures, m.limitLeases, m.firstEvent, m.firstEventRatio, newQueueGauge(g), m.unknownHeaders, m.retries, m.cacheReadFailures, m.schedulerFailures, m.slotInvalid, m.uncachedTokens, m.cachedTokens, m.streamCopies, m.continuations, newBackoffGauge(g), newAdvertisedLimitGauge(g), newReservationMetrics(g), newSlotCollector(g),
 		gauge("limit_questions_total", "Questions to the leader for amounts of what is limited.", func() float64 { sent, _ := g.leases.RequestCounts(); return float64(sent) }),
 		gauge("limit_questions_failed_total", "Such questions that got no answer.", func() float64 { _, failed := g.leases.RequestCounts(); return float64(failed) }),
 		gauge("suspected_requests", "Requests under which more than one back end ended, as control tells.", func() float64 { suspected, _ := g.quarantine.SuspectCounts(); return float64(suspected) }),
@@ -117,6 +174,7 @@
 		gauge("active_requests", "Requests in progress.", func() float64 { return float64(g.active.Load()) }),
 		gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(g.log.out.Dropped()) }),
 	)
+	m.stores = newStoreMetrics(m.registry, g)
 	return m
 }
 
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -27,6 +27,16 @@
 	FirstAttempt    bool     `json:"f,omitempty"` // no back end was sent the request yet, so it may be rejected
 	Priority        int      `json:"r,omitempty"` // 0 is the most urgent
 	LatencyTargetMS int64    `json:"o,omitempty"` // the route's objective
+	Tenant          string   `json:"n,omitempty"` // "" from builds without reservations
+	// WaitMS is how long the call may be held open until a slot of a small service is free; nil asks for a placement at
+	// once. Zone is that of the requesting gateway, and BackEnd the back end whose slot is asked for; "" from builds with
+	// one scheduler for all back ends of a service.
+	WaitMS  *int64 `json:"wait,omitempty"`
+	Zone    string `json:"zone,omitempty"`
+	BackEnd string `json:"be,omitempty"`
+	// ReportsFirstEvent means that the requesting gateway reports the first event if the reply asks for it. Older builds
+	// don't, and a buffered response has none.
+	ReportsFirstEvent bool `json:"rf,omitempty"`
 }
 
 // wirePlacementReply answers a wirePlacementRequest. Instance is empty if no back end is available.
@@ -44,9 +54,27 @@
 	// was observed. Both are absent if there is none.
 	Limit      *float64 `json:"n,omitempty"`
 	LimitAgeMS int64    `json:"a,omitempty"`
+	// ReportFirstEvent asks for a report of the request's first event.
+	ReportFirstEvent bool `json:"qf,omitempty"`
+	// The prediction by the engine's queue, for logs: the wait before the prefill starts, the longest pause of streams,
+	// and the factor by which the engine is taken to be slower than its service.
+	QueueMS  float64 `json:"qw,omitempty"`
+	PauseMS  float32 `json:"qm,omitempty"`
+	Slowness float32 `json:"qs,omitempty"`
+	// What was decided on the reservation of the request, for logs; see reservation.Decision.
+	Rejection string `json:"y,omitempty"`
+	Return    string `json:"z,omitempty"`
+	HasPlace  bool   `json:"p,omitempty"`
+	// Slot means that the reply comes from the queue of a back end of a small service, WaitedMS is how long the call was
+	// held, and NextWaitMS how long a new request is predicted to wait there.
+	Slot       bool   `json:"slot,omitempty"`
+	WaitedMS   int64  `json:"waited,omitempty"`
+	NextWaitMS int64  `json:"next,omitempty"`
+	CopySource string `json:"ys,omitempty"` // where shared parts are copied from, for logs
+	StoreGap   string `json:"yg,omitempty"` // why they are not fetched from the store, for logs
 }
 
-// wirePlacementEnd reports to a scheduler how a request that it placed ended.
+// wirePlacementEnd reports to a scheduler how a request that it placed ended, or that it had its first event.
 type wirePlacementEnd struct {
 	PlacementID  string         `json:"i"`
 	Gateway      string         `json:"g"`
@@ -54,6 +82,12 @@
 	Unreached    bool           `json:"x,omitempty"` // no connection to the back end was established
 	DurationMS   int64          `json:"t,omitempty"` // since the attempt began
 	FirstEventMS int64          `json:"f,omitempty"` // time until the first event; 0 if there was none
+	// Running means that the request had its first event and goes on. It is sent only if the scheduler asked for it.
+	Running bool  `json:"qr,omitempty"`
+	PauseMS int64 `json:"qm,omitempty"` // longest time between two events of the stream
+	// Service and BackEnd are set if the request asked for a slot of a small service.
+	Service string `json:"s,omitempty"`
+	BackEnd string `json:"be,omitempty"`
 }
 
 // call returns the part of the caller's request that the message carries. Parts without a size are left out.
@@ -63,13 +97,18 @@
 
 // placement is a request that this gateway placed for another one and whose end has not been reported yet.
 type placement struct {
-	row        *endpoint
-	load       belief.Load
-	uncached   int           // prompt tokens to prefill
-	engineIdle bool          // no other prefill was running or queued there
-	expiresAt  time.Duration // the placement is dropped then, even if no end was reported
-	priority   int
-	queueWait  float64 // predicted time until the prefill starts, in milliseconds
+	row          *endpoint
+	load         belief.Load
+	uncached     int           // prompt tokens to prefill
+	promptTokens int           // of the whole prompt
+	engineIdle   bool          // no other prefill was running or queued there
+	expiresAt    time.Duration // the placement is dropped then, even if no end was reported
+	priority     int
+	queueWait    float64 // predicted time until the prefill starts, in milliseconds
+	ownTime      float64 // predicted time from then until the first event, in milliseconds; for services with queues
+	queued       queuedRequest
+	ended        queueAnnouncement // set at the end
+	slot         bool              // placed by the queue of a small service
 }
 
 // handlePlacementRequest handles another gateway's request for a placement.
@@ -79,6 +118,10 @@
 		respond(http.StatusBadRequest, nil)
 		return
 	}
+	if g.servesSlots(&req) {
+		g.handleSlotRequest(&req, respond)
+		return
+	}
 	respond(http.StatusOK, g.placeForPeer(g.now(), &req))
 }
 
@@ -94,25 +137,35 @@
 		in.tenant = &catalog.Tenant{Name: req.IsolatedTenant, Isolated: true}
 	}
 	in.latencyCritical, in.offer = current.critical[req.Service], current.offer(req.Service)
+	in.maxEventGap = current.gaps[req.Service]
 	if g.enabled(mechanism.StoreTransfers) {
 		in.store = current.storeOf(call.Parts)
 	}
 	in.firstAttempt, in.priority, in.latencyTarget = req.FirstAttempt, req.Priority, durationFromMS(req.LatencyTargetMS)
+	in.tenantName, in.timeLeft, in.reportsFirstEvent = req.Tenant, durationFromMS(req.TimeoutMS), req.ReportsFirstEvent
 	chosen := g.choose(now, in)
 	if chosen == nil {
 		return wirePlacementReply{}
 	}
 	if retryAfter, rejected := g.checkAdmission(now, chosen, in); rejected {
-		return wirePlacementReply{Instance: chosen.row.entry.ID, WaitMS: chosen.wait, RetryAfterMS: max(1, retryAfter.Milliseconds())}
+		rejection := wirePlacementReply{Instance: chosen.row.entry.ID, WaitMS: chosen.wait, RetryAfterMS: max(1, retryAfter.Milliseconds())}
+		rejection.setForecast(chosen)
+		rejection.setReserved(chosen.reserved)
+		return rejection
 	}
 	load := g.table.addPlacement(now, req.PlacementID, placement{
-		row: chosen.row, load: loadOf(&call), uncached: chosen.uncached, engineIdle: chosen.engineIdle, expiresAt: now + durationFromMS(req.TimeoutMS),
-		priority: req.Priority, queueWait: chosen.queueWait,
+		row: chosen.row, load: loadOf(&call), uncached: chosen.uncached, promptTokens: call.promptTokens(), engineIdle: chosen.engineIdle, expiresAt: now + durationFromMS(req.TimeoutMS),
+		priority: req.Priority, queueWait: chosen.queueWait, ownTime: chosen.ownTime(), queued: queuedRequest{number: chosen.queueNumber, placedAt: now},
 	})
 	g.announcePlacement(now, chosen, call.Parts, load)
+	g.slotDesk.count(now, req, chosen.row.entry.ID)
 	reply := wirePlacementReply{
 		Instance: chosen.row.entry.ID, Version: chosen.version, Uncached: chosen.uncached, Recomputed: chosen.recomputed, RecomputeReason: string(chosen.recomputeReason), WaitMS: chosen.wait, FetchFrom: chosen.fetchFrom, SaveTo: chosen.saveTo,
+		ReportFirstEvent: chosen.queueNumber > 0,
 	}
+	reply.setForecast(chosen)
+	reply.setReserved(chosen.reserved)
+	reply.CopySource, reply.StoreGap = chosen.copySource.String(), chosen.storeGap.String()
 	if limit, _ := g.table.advertisedLimit(now, chosen.row); limit != nil {
 		reply.Limit, reply.LimitAgeMS = &limit.Rate, limit.Age.Milliseconds()
 	}
@@ -128,17 +181,33 @@
 	}
 	respond(http.StatusOK, struct{}{})
 	now := g.now()
-	p, load, known := g.table.endPlacement(now, &end)
-	if !known {
+	if end.Running {
+		g.handleFirstEvent(now, &end)
 		return
 	}
+	g.slotDesk.end(now, g.applyPlacementEnd(now, &end), &end)
+}
+
+// applyPlacementEnd applies the report that a request ended which this gateway placed, and returns its back end's ID, or
+// "" if it is not known.
+func (g *Gateway) applyPlacementEnd(now time.Duration, end *wirePlacementEnd) (backEnd string) {
+	p, load, known := g.table.endPlacement(now, end)
+	if !known {
+		return end.BackEnd
+	}
 	row := p.row
 	g.table.observePrefill(row, p.engineIdle, p.uncached, durationFromMS(end.FirstEventMS))
-	g.table.observeQueueWait(row.entry.Service, p.priority, p.queueWait, p.uncached, durationFromMS(end.FirstEventMS), durationFromMS(end.DurationMS))
-	g.peers.announce(announcement{Gateway: g.shortName, Load: load, Instance: row.entry.ID})
+	if p.ownTime > 0 {
+		g.table.observeForecastWait(row.entry.Service, p.priority, p.queueWait, p.ownTime, durationFromMS(end.FirstEventMS), durationFromMS(end.DurationMS))
+	} else {
+		g.table.observeQueueWait(row.entry.Service, p.priority, p.queueWait, p.uncached, durationFromMS(end.FirstEventMS), durationFromMS(end.DurationMS))
+	}
+	g.table.observeRead(now, row.entry.Service, p.priority, p.queueWait, p.ownTime, p.uncached, durationFromMS(end.FirstEventMS), durationFromMS(end.DurationMS))
+	g.peers.announce(announcement{Gateway: g.shortName, Load: load, Instance: row.entry.ID, Queue: p.ended})
 	if end.Unreached {
 		g.peers.announce(announcement{Gateway: end.Gateway, Instance: row.entry.ID, Unreachable: true})
 	}
+	return row.entry.ID
 }
 
 // addPlacement adds a placement and returns the back end's load as this gateway reports it to others.
@@ -149,6 +218,9 @@
 	here := &p.row.occupancy
 	here.Placed = here.Placed.Plus(p.load)
 	t.addPrefill(now, p.row, p.uncached)
+	if !p.slot {
+		t.queueSent(now, p.row, p.queued.number, p.priority, p.uncached)
+	}
 	t.pacePeerPlacement(now, p.row)
 	return here.Local()
 }
@@ -164,17 +236,20 @@
 	}
 	t.removePlacement(end.PlacementID, p)
 	row := p.row
+	p.ended = t.endQueued(now, row, &p.queued, firstEventTime(end.FirstEventMS), durationFromMS(end.DurationMS), durationFromMS(end.PauseMS))
 	switch {
 	case end.Unreached:
 		t.recordPeerReport(now, row, end.Gateway)
 	case end.Outcome == outcomeFailure:
 		row.raiseFailureRate()
 		t.recordPeerReport(now, row, end.Gateway)
+	case p.slot && end.Outcome == outcomeRejected:
+		row.lastByteAt = now // the queue counts its slots as taken, so it need not be avoided
 	default:
 		row.recordOutcome(now, end.Outcome)
 	}
 	if end.Outcome == outcomeSuccess {
-		t.recordDuration(row, durationFromMS(end.DurationMS))
+		t.recordDuration(row, p.promptTokens, durationFromMS(end.DurationMS))
 	}
 	return p, row.occupancy.Local(), true
 }
@@ -190,6 +265,7 @@
 	for id, p := range t.placed {
 		if now > p.expiresAt {
 			t.removePlacement(id, p)
+			t.endQueued(now, p.row, &p.queued, 0, 0, 0)
 		}
 	}
 }
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -91,8 +91,12 @@
 }
 
 // reportEnd reports the end of a placement to a scheduler in the background. A report that fails or exceeds
-// maxPendingEnds is dropped; the placement then expires at the scheduler.
+// maxPendingEnds is dropped; the placement then expires at the scheduler. That of a first event is dropped if more than
+// half of maxPendingEnds are in flight, since its loss costs less than that of an end.
 func (s *schedulers) reportEnd(address string, end wirePlacementEnd) {
+	if end.Running && len(s.endSlots) > maxPendingEnds/2 {
+		return
+	}
 	select {
 	case s.endSlots <- struct{}{}:
 	default:
@@ -110,6 +114,8 @@
 type schedulerPlacement struct {
 	scheduler   string // address
 	placementID string
+	// reportFirstEvent is set if the scheduler asked for a report of the first event.
+	reportFirstEvent bool
 }
 
 // requestPlacement returns the candidate that a scheduler chose, or nil if there is no scheduler to ask or none has a
@@ -158,6 +164,7 @@
 		Excluded: g.table.excluded(g.now(), x.service.Name, in.tried), TimeoutMS: (x.deadline - g.now()).Milliseconds(),
 	}
 	req.FirstAttempt, req.Priority, req.LatencyTargetMS = in.firstAttempt, in.priority, in.latencyTarget.Milliseconds()
+	req.Tenant, req.ReportsFirstEvent = in.tenantName, in.reportsFirstEvent
 	if in.tenant != nil && in.tenant.Isolated {
 		req.IsolatedTenant = in.tenant.Name
 	}
@@ -186,16 +193,19 @@
 		return nil
 	}
 	if reply.RetryAfterMS > 0 {
-		return &candidate{wait: reply.WaitMS, retryAfter: durationFromMS(reply.RetryAfterMS)}
+		return &candidate{wait: reply.WaitMS, queueWait: reply.QueueMS, pause: reply.PauseMS, slowness: reply.Slowness, retryAfter: durationFromMS(reply.RetryAfterMS), reserved: reply.reserved()}
 	}
+	placed.reportFirstEvent = reply.ReportFirstEvent
 	now := g.now()
 	g.observeSchedulerLimit(now, reply)
 	g.table.mutex.Lock()
 	defer g.table.mutex.Unlock()
 	chosen := &candidate{
 		row: g.table.rows[reply.Instance], version: reply.Version, salt: cacheSalt(reply.Version, in.tenant), wait: reply.WaitMS,
-		uncached: max(0, reply.Uncached), recomputed: max(0, reply.Recomputed), recomputeReason: recomputeCause(reply.RecomputeReason), fetchFrom: reply.FetchFrom, saveTo: reply.SaveTo, scheduled: &placed,
+		uncached: max(0, reply.Uncached), recomputed: max(0, reply.Recomputed), recomputeReason: recomputeCause(reply.RecomputeReason), fetchFrom: reply.FetchFrom, saveTo: reply.SaveTo, reserved: reply.reserved(), scheduled: &placed,
+		queueWait: reply.QueueMS, pause: reply.PauseMS, slowness: reply.Slowness,
 	}
+	chosen.copySource, chosen.storeGap = copySourceFromWire(reply.CopySource), storeGapFromWire(reply.StoreGap)
 	if reply.Version == 0 {
 		chosen.salt = uniqueSalt()
 	}
@@ -214,15 +224,32 @@
 	return max(0, a.exchange.firstEventAt-a.startedAt)
 }
 
+// timeToOwnFirstEvent returns the time from the start of the attempt to its own first event, or 0 if there was none.
+// Unlike timeToFirstEvent it takes effect for resumed streams, whose first event came in an earlier attempt.
+func (a *attempt) timeToOwnFirstEvent() time.Duration {
+	if a.firstEventAt == 0 {
+		return 0
+	}
+	return a.firstEventAt - a.startedAt
+}
+
 // reportEnd reports the outcome of the attempt to the scheduler that placed it.
 func (a *attempt) reportEnd() {
+	if a.plan.slot != nil {
+		a.endSlot()
+		return
+	}
 	placed := a.plan.scheduled
 	if placed == nil {
 		return
 	}
 	g := a.exchange.gateway
-	g.schedulers.reportEnd(placed.scheduler, wirePlacementEnd{
+	end := wirePlacementEnd{
 		FirstEventMS: a.timeToFirstEvent().Milliseconds(),
 		PlacementID:  placed.placementID, Gateway: g.shortName, Outcome: a.outcome, Unreached: a.unreachable, DurationMS: (g.now() - a.startedAt).Milliseconds(),
-	})
+	}
+	if placed.reportFirstEvent {
+		end.FirstEventMS, end.PauseMS = a.timeToOwnFirstEvent().Milliseconds(), a.longestGap.Milliseconds()
+	}
+	g.schedulers.reportEnd(placed.scheduler, end)
 }
