Split the files of reservations and shared slots

Change: moves only. Requests and places of reservations, the calls, the client and the equal part of shared slots, back ends of a slot queue, and tests of reports and of failures have files of their own.

--- a/internal/admission/reservation/reservation.go
+++ b/internal/admission/reservation/reservation.go
@@ -84,75 +84,6 @@
 	maxKeyLength = 256
 )
 
-// Request is a request with a chosen placement.
-type Request struct {
-	Key       string        // identifies the request when it returns; "" if it cannot be recognized
-	Tenant    string        // "" if unknown: requests of all tenants from builds that don't name them
-	Priority  int           // 0 is the most urgent
-	Wait      time.Duration // forecast wait at its priority until its prompt is read
-	Reading   time.Duration // forecast time to read its prompt; 0 if unknown
-	Objective time.Duration // for the first event; 0 never rejects the request
-	TimeLeft  time.Duration // until its deadline; 0 if unknown
-	Tokens    int           // to prefill
-	Random    float64       // uniform in [0, 1)
-	// RejectedBefore is set if another scheduler rejected the request before.
-	RejectedBefore bool
-}
-
-// Reason is why a request was rejected.
-type Reason string
-
-// Reasons of rejections.
-const (
-	ReasonQueue    Reason = "queue"    // the forecast wait
-	ReasonPlaces   Reason = "places"   // the places of others, in addition to the wait
-	ReasonShare    Reason = "share"    // its tenant has more than its fair share
-	ReasonEarly    Reason = "early"    // it returned before its time
-	ReasonDeadline Reason = "deadline" // it has a place, but no engine can start it before its deadline
-)
-
-// Known reports whether the reason is one of those above.
-func (r Reason) Known() bool {
-	return r == ReasonQueue || r == ReasonPlaces || r == ReasonShare || r == ReasonEarly || r == ReasonDeadline
-}
-
-// Return is what a request that was rejected before has when it returns.
-type Return string
-
-// Kinds of returning requests.
-const (
-	ReturnNone    Return = ""         // not known to have been rejected before
-	ReturnInTime  Return = "place"    // within the window of its place
-	ReturnEarly   Return = "early"    // before its place
-	ReturnLate    Return = "lapsed"   // after the window of its place
-	ReturnUnknown Return = "no-place" // rejected before without a place, or by another scheduler
-)
-
-// Known reports whether the kind is one of those above.
-func (r Return) Known() bool {
-	return r == ReturnNone || r == ReturnInTime || r == ReturnEarly || r == ReturnLate || r == ReturnUnknown
-}
-
-// Decision is the decision on a request.
-type Decision struct {
-	Rejected   bool
-	RetryAfter time.Duration // if rejected
-	Reason     Reason        // if rejected
-	HasPlace   bool          // if rejected: RetryAfter is the time of a place
-	Return     Return
-}
-
-// Counts are totals since the start.
-type Counts struct {
-	Admitted, Rejected    uint64 // decisions on requests with an objective
-	ByReason              map[Reason]uint64
-	ByReturn              map[Return]uint64 // returning requests
-	Placed, Taken, Lapsed uint64            // places
-	Invalid               uint64            // values that were clamped or dropped
-	RecordsFull           uint64            // rejections without a record
-	Outstanding           int               // current places
-}
-
 // Controller holds the state of one service. The zero value is ready to use.
 type Controller struct {
 	now       time.Duration
@@ -180,21 +111,6 @@
 	shares     shares
 }
 
-// record is what is kept of a rejected request.
-type record struct {
-	priority   int
-	use        *tenantUse
-	tokens     float64
-	at         time.Duration // of the place
-	spans      []span        // of the place; nil if it has none
-	lapsed     bool
-	rejections int // in a row for others' places
-	keptUntil  time.Duration
-}
-
-// hasPlace reports whether the place is outstanding.
-func (r *record) hasPlace() bool { return r.spans != nil }
-
 // ObserveWait records how long a request of the given priority waited and which wait was forecast for it.
 func (c *Controller) ObserveWait(now time.Duration, priority int, forecast, actual time.Duration) {
 	now = c.advance(now)
@@ -312,28 +228,6 @@
 	return d
 }
 
-// returnKind returns what a request has that may have been rejected before.
-func returnKind(now time.Duration, known *record, rejectedBefore bool) Return {
-	switch {
-	case known == nil && rejectedBefore:
-		return ReturnUnknown
-	case known == nil:
-		return ReturnNone
-	case known.hasPlace() && now < known.at-earlyTolerance:
-		return ReturnEarly
-	case known.hasPlace() && now < known.at+Window:
-		return ReturnInTime
-	case known.hasPlace() || known.lapsed:
-		return ReturnLate
-	}
-	return ReturnUnknown
-}
-
-// limit returns the longest wait with which the request is on time.
-func (r *Request) limit() time.Duration {
-	return max(r.Objective-r.Reading, time.Duration(minLimit*float64(r.Objective)))
-}
-
 // earliestWait returns the wait that few requests with this forecast stay below.
 func (c *Controller) earliestWait(now time.Duration, lvl *level, r Request) time.Duration {
 	return time.Duration(lvl.ratios.at(now, 0) * float64(r.Wait))
@@ -362,20 +256,6 @@
 	return ReasonPlaces, true
 }
 
-// placesAhead returns how much the places of others that are due soon add to the wait, in nanoseconds. A request that
-// another scheduler rejected is not made to wait for places, since its own may have been lost with that scheduler.
-func (c *Controller) placesAhead(now time.Duration, r Request, known *record) float64 {
-	if known == nil && r.RejectedBefore || c.counts.Outstanding == 0 {
-		return 0
-	}
-	rate := c.rate(now)
-	due := c.calendar.due(now, now+r.limit(), r.Priority, bookedPart*rate*slotWidth.Seconds())
-	if known != nil && known.hasPlace() {
-		due = max(0, due-known.tokens) // its own place
-	}
-	return placeLoad * max(minTakenPart, 1-c.unused) * due / rate * float64(time.Second)
-}
-
 // servedPart returns the part of what was admitted lately that engines have read, at most 1.
 func (c *Controller) servedPart(now time.Duration) float64 {
 	admitted := c.admitted.sum(now, rateWindow)
@@ -392,66 +272,6 @@
 	return min(max((l.load-standingLow)/(standingHigh-standingLow), 0), 1)
 }
 
-// reserve gives a rejected request a place, if there is one within the time that the caller waits. If not, retryAfter is
-// the time at which the queue will be short.
-func (c *Controller) reserve(now time.Duration, r Request, lvl *level, use *tenantUse, reason Reason) (retryAfter time.Duration, hasPlace bool) {
-	expected := time.Duration(lvl.ratios.medianAt(now) * float64(r.Wait))
-	delay := max(minPlaceDelay, expected-time.Duration(targetWait*float64(r.limit())))
-	if r.Tenant != "" {
-		delay = max(delay, lvl.shares.delay(now, use, c.servedPart(now)))
-	}
-	record := c.recordOf(now, r, use)
-	if record != nil {
-		if record.hasPlace() {
-			c.endPlace(record)
-		}
-		if reason == ReasonPlaces {
-			record.rejections++
-		}
-		// More urgent requests that arrive in the meantime leave the rest of the rate.
-		capacity := bookedPart * c.rate(now) / c.stretch(now, r.Priority) * slotWidth.Seconds()
-		latest := now + min(MaxLead, r.TimeLeft/leadDivisor-returnMargin)
-		at, spans, booked := c.calendar.book(r.Key, now+delay, latest, r.Priority, float64(r.Tokens), capacity)
-		if booked {
-			record.at, record.spans, record.lapsed, record.keptUntil = at, spans, false, at+recordTTL
-			record.tokens, record.priority, record.use = float64(r.Tokens), r.Priority, use
-			use.reserved += record.tokens
-			c.counts.Placed++
-			c.counts.Outstanding++
-			return at - now, true
-		}
-	}
-	delay = max(delay, minRetryAfter)
-	return min(delay+time.Duration(retryAfterJitter*r.Random*float64(delay)), maxRetryAfter), false
-}
-
-// queueTime returns the time until the queue of a request is short, without a place.
-func (c *Controller) queueTime(now time.Duration, lvl *level, r Request) time.Duration {
-	expected := time.Duration(lvl.ratios.medianAt(now)*float64(r.Wait)) - time.Duration(targetWait*float64(r.limit()))
-	return min(max(expected, minRetryAfter), maxRetryAfter)
-}
-
-// recordOf returns the record of a rejected request, or nil if it cannot be recognized or there are too many.
-func (c *Controller) recordOf(now time.Duration, r Request, use *tenantUse) *record {
-	if r.Key == "" {
-		return nil
-	}
-	found := c.records[r.Key]
-	if found == nil {
-		if len(c.records) >= maxRecords {
-			c.counts.RecordsFull++
-			return nil
-		}
-		if c.records == nil {
-			c.records = map[string]*record{}
-		}
-		found = &record{use: use}
-		c.records[r.Key] = found
-	}
-	found.keptUntil = now + recordTTL
-	return found
-}
-
 // admit records an admitted request.
 func (c *Controller) admit(now time.Duration, r Request, lvl *level, use *tenantUse) {
 	c.counts.Admitted++
@@ -484,22 +304,6 @@
 	return invalid
 }
 
-// lapse ends a place that nobody took.
-func (c *Controller) lapse(r *record) {
-	c.endPlace(r)
-	r.lapsed = true
-	c.counts.Lapsed++
-	c.unused += takenStep * (1 - c.unused)
-}
-
-// endPlace frees the place of a record.
-func (c *Controller) endPlace(r *record) {
-	c.calendar.release(r.spans, r.priority)
-	r.spans = nil
-	r.use.reserved = max(0, r.use.reserved-r.tokens)
-	c.counts.Outstanding--
-}
-
 // advance moves the state to a time and returns it. Time that runs backwards is counted and ignored.
 func (c *Controller) advance(now time.Duration) time.Duration {
 	c.countInvalid(c.now-now > time.Second) // concurrent callers read their clocks some microseconds before
@@ -536,36 +340,3 @@
 	counts.ByReason, counts.ByReturn = maps.Clone(counts.ByReason), maps.Clone(counts.ByReturn)
 	return counts
 }
-
-// sanitize clamps values that are out of range, and counts them.
-func (c *Controller) sanitize(r Request) Request {
-	clampTime := func(value *time.Duration) {
-		if c.countInvalid(*value < 0 || *value > maxDuration) {
-			*value = min(max(*value, 0), maxDuration)
-		}
-	}
-	clampTime(&r.Wait)
-	clampTime(&r.Reading)
-	clampTime(&r.Objective)
-	clampTime(&r.TimeLeft)
-	if r.TimeLeft == 0 {
-		r.TimeLeft = maxDuration // unknown
-	}
-	if c.countInvalid(r.Priority < 0 || r.Priority >= Levels) {
-		r.Priority = min(max(r.Priority, 0), Levels-1)
-	}
-	if c.countInvalid(r.Tokens < 0 || r.Tokens > maxTokens) {
-		r.Tokens = min(max(r.Tokens, 0), maxTokens)
-	}
-	r.Tokens = max(r.Tokens, 1)
-	if c.countInvalid(len(r.Key) > maxKeyLength) {
-		r.Key = ""
-	}
-	if c.countInvalid(len(r.Tenant) > maxKeyLength) {
-		r.Tenant = ""
-	}
-	if c.countInvalid(!(r.Random >= 0 && r.Random < 1)) { // also true for NaN
-		r.Random = 0
-	}
-	return r
-}
