Use one comparison of flags for shared slots

Cause: the queue and the equal part compared flags by functions of their own. Change: slotqueue.CompareBool for both.

--- a/internal/gateway/slotclient.go
+++ b/internal/gateway/slotclient.go
@@ -163,7 +163,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	slices.SortStableFunc(picked, func(a, b slotOption) int {
-		return cmp.Or(cmp.Compare(c.expectedWait(now, a.id), c.expectedWait(now, b.id)), compareFlags(a.zone != zone, b.zone != zone))
+		return cmp.Or(cmp.Compare(c.expectedWait(now, a.id), c.expectedWait(now, b.id)), slotqueue.CompareBool(a.zone != zone, b.zone != zone))
 	})
 	return options
 }
--- a/internal/gateway/slotqueue/slotqueue.go
+++ b/internal/gateway/slotqueue/slotqueue.go
@@ -98,10 +98,11 @@
 
 // compare orders requests by which is served first.
 func (w *waiting) compare(other *waiting) int {
-	return cmp.Or(cmp.Compare(w.Priority, other.Priority), compareBool(w.Repeat, other.Repeat), cmp.Compare(w.sequence, other.sequence))
+	return cmp.Or(cmp.Compare(w.Priority, other.Priority), CompareBool(w.Repeat, other.Repeat), cmp.Compare(w.sequence, other.sequence))
 }
 
-func compareBool(a, b bool) int {
+// CompareBool orders false before true.
+func CompareBool(a, b bool) int {
 	switch {
 	case a == b:
 		return 0
@@ -345,7 +346,7 @@
 		if taken >= b.Slots {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(taken, bestTaken), compareBool(b.Zone != w.Zone, best.Zone != w.Zone), cmp.Compare(b.lastGrant, best.lastGrant)) < 0 {
+		if best == nil || cmp.Or(cmp.Compare(taken, bestTaken), CompareBool(b.Zone != w.Zone, best.Zone != w.Zone), cmp.Compare(b.lastGrant, best.lastGrant)) < 0 {
 			best, bestTaken = b, taken
 		}
 	}
--- a/internal/gateway/slotshare.go
+++ b/internal/gateway/slotshare.go
@@ -4,6 +4,8 @@
 	"cmp"
 
 	"github.com/cespare/xxhash/v2"
+
+	"kitetiller/internal/gateway/slotqueue"
 )
 
 // acquireShare takes a slot of the equal part if fewer than limit are taken.
@@ -55,20 +57,9 @@
 		if !g.eligible(now, row, in) {
 			continue
 		}
-		if best == nil || cmp.Or(compareFlags(g.avoided(now, row), g.avoided(now, best)), cmp.Compare(mix(key^best.hash), mix(key^row.hash))) < 0 {
+		if best == nil || cmp.Or(slotqueue.CompareBool(g.avoided(now, row), g.avoided(now, best)), cmp.Compare(mix(key^best.hash), mix(key^row.hash))) < 0 {
 			best = row
 		}
 	}
 	return best
 }
-
-// compareFlags orders false before true.
-func compareFlags(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
