--- a/internal/admission/reservation/calendar.go
+++ b/internal/admission/reservation/calendar.go
@@ -71,7 +71,7 @@
 }
 
 // due returns the tokens of the places that are due until a time, as the given priority sees them. A place whose time
-// has passed counts in proportion to the rest of its window: most who come back do so at once.
+// has passed counts in proportion to the rest of its window: most return near the start of the window.
 func (c *calendar) due(now, until time.Duration, priority int, capacity float64) float64 {
 	sum := 0.0
 	current, last := slotAt(now), slotAt(until)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -212,12 +212,12 @@
 		a.stopFirstEventTimer()
 		queue := a.endQueued(x.gateway.now())
 		x.gateway.table.observePrefill(a.row, a.plan.engineIdle, a.uncached, a.timeToFirstEvent())
-		if a.plan.ownTime() > 0 {
-			x.gateway.table.observeForecastWait(x.service.Name, int(a.plan.priority), a.plan.queueWait, a.plan.ownTime(), a.timeToOwnFirstEvent(), x.gateway.now()-a.startedAt)
+		if a.plan.prefillToFirstEvent() > 0 {
+			x.gateway.table.observeForecastWait(x.service.Name, int(a.plan.priority), a.plan.queueWait, a.plan.prefillToFirstEvent(), a.timeToOwnFirstEvent(), x.gateway.now()-a.startedAt)
 		} else {
 			x.gateway.table.observeQueueWait(x.service.Name, enginePriority(x.tenant, x.route), a.plan.queueWait, a.uncached, a.timeToFirstEvent(), x.gateway.now()-a.startedAt)
 		}
-		x.gateway.table.observeRead(x.gateway.now(), x.service.Name, enginePriority(x.tenant, x.route), a.plan.queueWait, a.plan.ownTime(), a.uncached, a.timeToOwnFirstEvent(), x.gateway.now()-a.startedAt)
+		x.gateway.table.observeRead(x.gateway.now(), x.service.Name, enginePriority(x.tenant, x.route), a.plan.queueWait, a.plan.prefillToFirstEvent(), a.uncached, a.timeToOwnFirstEvent(), x.gateway.now()-a.startedAt)
 		x.gateway.peers.announce(announcement{Gateway: x.gateway.shortName, Load: load, Instance: a.row.entry.ID, Queue: queue})
 	}
 }
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -97,18 +97,18 @@
 
 // placement is a request that this gateway placed for another one and whose end has not been reported yet.
 type placement struct {
-	row          *endpoint
-	load         belief.Load
-	uncached     int           // prompt tokens to prefill
-	promptTokens int           // of the whole prompt
-	engineIdle   bool          // no other prefill was running or queued there
-	expiresAt    time.Duration // the placement is dropped then, even if no end was reported
-	priority     int
-	queueWait    float64 // predicted time until the prefill starts, in milliseconds
-	ownTime      float64 // predicted time from then until the first event, in milliseconds; for services with queues
-	queued       queuedRequest
-	ended        queueAnnouncement // set at the end
-	slot         bool              // placed by the queue of a small service
+	row                 *endpoint
+	load                belief.Load
+	uncached            int           // prompt tokens to prefill
+	promptTokens        int           // of the whole prompt
+	engineIdle          bool          // no other prefill was running or queued there
+	expiresAt           time.Duration // the placement is dropped then, even if no end was reported
+	priority            int
+	queueWait           float64 // predicted time until the prefill starts, in milliseconds
+	prefillToFirstEvent float64 // predicted time from then until the first event, in milliseconds; for services with queues
+	queued              queuedRequest
+	ended               queueAnnouncement // set at the end
+	slot                bool              // placed by the queue of a small service
 }
 
 // handlePlacementRequest handles another gateway's request for a placement.
@@ -155,7 +155,7 @@
 	}
 	load := g.table.addPlacement(now, req.PlacementID, placement{
 		row: chosen.row, load: loadOf(&call), uncached: chosen.uncached, promptTokens: call.promptTokens(), engineIdle: chosen.engineIdle, expiresAt: now + durationFromMS(req.TimeoutMS),
-		priority: req.Priority, queueWait: chosen.queueWait, ownTime: chosen.ownTime(), queued: queuedRequest{number: chosen.queueNumber, placedAt: now},
+		priority: req.Priority, queueWait: chosen.queueWait, prefillToFirstEvent: chosen.prefillToFirstEvent(), queued: queuedRequest{number: chosen.queueNumber, placedAt: now},
 	})
 	g.announcePlacement(now, chosen, call.Parts, load)
 	g.slotDesk.count(now, req, chosen.row.entry.ID)
@@ -197,12 +197,12 @@
 	}
 	row := p.row
 	g.table.observePrefill(row, p.engineIdle, p.uncached, durationFromMS(end.FirstEventMS))
-	if p.ownTime > 0 {
-		g.table.observeForecastWait(row.entry.Service, p.priority, p.queueWait, p.ownTime, durationFromMS(end.FirstEventMS), durationFromMS(end.DurationMS))
+	if p.prefillToFirstEvent > 0 {
+		g.table.observeForecastWait(row.entry.Service, p.priority, p.queueWait, p.prefillToFirstEvent, durationFromMS(end.FirstEventMS), durationFromMS(end.DurationMS))
 	} else {
 		g.table.observeQueueWait(row.entry.Service, p.priority, p.queueWait, p.uncached, durationFromMS(end.FirstEventMS), durationFromMS(end.DurationMS))
 	}
-	g.table.observeRead(now, row.entry.Service, p.priority, p.queueWait, p.ownTime, p.uncached, durationFromMS(end.FirstEventMS), durationFromMS(end.DurationMS))
+	g.table.observeRead(now, row.entry.Service, p.priority, p.queueWait, p.prefillToFirstEvent, p.uncached, durationFromMS(end.FirstEventMS), durationFromMS(end.DurationMS))
 	g.peers.announce(announcement{Gateway: g.shortName, Load: load, Instance: row.entry.ID, Queue: p.ended})
 	if end.Unreached {
 		g.peers.announce(announcement{Gateway: end.Gateway, Instance: row.entry.ID, Unreachable: true})
--- a/internal/gateway/queues.go
+++ b/internal/gateway/queues.go
@@ -104,9 +104,9 @@
 	return belief.Milliseconds(queue), belief.Milliseconds(g.table.prefillEstimate(in.service.Name).PrefillTime(scored.uncached))
 }
 
-// ownTime returns the predicted time from the start of the prefill to the first event, in milliseconds, or 0 if no
+// prefillToFirstEvent returns the predicted time from the start of the prefill to the first event, in milliseconds, or 0 if no
 // engine queue forecast it.
-func (c *candidate) ownTime() float64 {
+func (c *candidate) prefillToFirstEvent() float64 {
 	if c.slowness == 0 {
 		return 0
 	}
--- a/internal/gateway/reservations.go
+++ b/internal/gateway/reservations.go
@@ -30,7 +30,7 @@
 	rejections := t.admissionController(in.service.Name) // those that other schedulers announced
 	rejectedBefore := rejections.RejectedBefore(now, req.Key)
 	reading := t.prefillEstimate(in.service.Name).TimeToFirstEvent(chosen.uncached)
-	if own := chosen.ownTime(); own > 0 {
+	if own := chosen.prefillToFirstEvent(); own > 0 {
 		reading = belief.FromMilliseconds(own)
 	}
 	chosen.reserved = t.reservationController(in.service.Name).Decide(now, reservation.Request{
