Convert milliseconds of messages and estimate prompt memory in one place each

Cause: three places converted signed milliseconds of messages by expressions of their own, one bounded a value that durationFromMS bounds itself, and the lanes' demand repeated the formula of promptMemory. Change: signedDurationFromMS beside durationFromMS and their common bound; memoryOf for both uses of the formula. The same values result.

--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -132,6 +132,15 @@
 	return parts
 }
 
+// maxWireMS bounds the milliseconds that are converted to a duration; larger ones could overflow it.
+const maxWireMS = int64(24 * time.Hour / time.Millisecond)
+
+// signedDurationFromMS converts received milliseconds to a duration. Negative ones yield -1 ms, for receivers that count
+// them, and those above maxWireMS are clamped.
+func signedDurationFromMS(ms int64) time.Duration {
+	return time.Duration(min(max(-1, ms), maxWireMS)) * time.Millisecond
+}
+
 // durationFromMS converts received milliseconds to a duration. Negative ones yield 0, and those above maxWireMS are
 // reduced to it, since larger ones may overflow.
 func durationFromMS(ms int64) time.Duration {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -243,9 +243,11 @@
 
 // promptMemory estimates how many tokens of cache memory a call's prompt takes. Shared parts count half, since all
 // requests that run with them use the same copy.
-func promptMemory(call *Call) int {
-	shared := prefix.PartTokens(prefix.SharedParts(call.Parts))
-	return call.promptTokens() - shared/2
+func promptMemory(call *Call) int { return memoryOf(call.promptTokens(), call.Parts) }
+
+// memoryOf is promptMemory for a prompt of the given tokens and parts.
+func memoryOf(promptTokens int, parts []prefix.Part) int {
+	return promptTokens - prefix.PartTokens(prefix.SharedParts(parts))/2
 }
 
 // recheck returns why the request must not be sent after all, or "". While the connection was established, the lease on
--- a/internal/gateway/holders.go
+++ b/internal/gateway/holders.go
@@ -65,7 +65,7 @@
 	prefillTime := belief.Milliseconds(t.prefillEstimate(service).PrefillTime(sent.Uncached))
 	held := 1 / slots // part of an engine that the request takes while it runs
 	if memory := row.cache.Memory(); memory > 0 {
-		held = max(held, float64(prompt-prefix.PartTokens(prefix.SharedParts(sent.Parts))/2)/float64(memory))
+		held = max(held, float64(memoryOf(prompt, sent.Parts))/float64(memory))
 	}
 	lanes.recordEngineTime(now, long, prefillTime, float64(lanes.duration(long))*held)
 }
--- a/internal/gateway/slotcalls.go
+++ b/internal/gateway/slotcalls.go
@@ -81,7 +81,7 @@
 	g := x.gateway
 	now := g.now()
 	elapsed := now - askedAt
-	waited := time.Duration(max(-1, min(reply.WaitedMS, maxWireMS))) * time.Millisecond
+	waited := signedDurationFromMS(reply.WaitedMS)
 	if waited < 0 || waited > elapsed || reply.RetryAfterMS < 0 || reply.RetryAfterMS > maxWireMS {
 		g.metrics.slotInvalid.Inc()
 		waited = 0
--- a/internal/gateway/slotdesk.go
+++ b/internal/gateway/slotdesk.go
@@ -120,17 +120,11 @@
 	d.send(now, replies)
 }
 
-// maxWireMS bounds the milliseconds that are converted to a duration. The queue rejects smaller values that are absurd.
-const maxWireMS = int64(24 * time.Hour / time.Millisecond)
-
 // slotRequest returns the request as the queue sees it. Negative numbers are kept, so that the queue counts them.
 func (q *wirePlacementRequest) slotRequest() slotqueue.Request {
-	duration := func(ms int64) time.Duration {
-		return time.Duration(max(-1, min(ms, maxWireMS))) * time.Millisecond
-	}
 	return slotqueue.Request{
 		ID: q.PlacementID, Zone: q.Zone, Priority: q.Priority, Repeat: !q.FirstAttempt, Rejectable: q.FirstAttempt, Excluded: q.Excluded,
-		Bound: duration(*q.WaitMS), Timeout: duration(q.TimeoutMS),
+		Bound: signedDurationFromMS(*q.WaitMS), Timeout: signedDurationFromMS(q.TimeoutMS),
 	}
 }
 
@@ -149,7 +143,7 @@
 	case end.Outcome == outcomeSuccess:
 		outcome = slotqueue.Success
 	}
-	took := time.Duration(max(-1, min(end.DurationMS, maxWireMS))) * time.Millisecond
+	took := signedDurationFromMS(end.DurationMS)
 	answers := d.refresh(now, backEnd, s)
 	replies := d.settle(now, s, append(answers, s.queue.End(now, end.PlacementID, outcome, took)...))
 	d.schedule(now, backEnd, s)
@@ -162,7 +156,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if s := d.backEnds[instance]; s != nil {
-		s.queue.Count(now, req.PlacementID, instance, durationFromMS(min(req.TimeoutMS, maxWireMS)))
+		s.queue.Count(now, req.PlacementID, instance, durationFromMS(req.TimeoutMS))
 	}
 }
 
