Soak: cut gateways off from all workers, and judge first tries there

What callers saw: first tries at gateways that had lost their links to the back ends were served 9 of 266 and 0 of 292 times, at the others 843 of 855 and 759 of 767. Nothing of ours cut these links: the soak's faults cut gateways from control only.

Four faults on half of the gateways (links hang both ways, one way, reset with new connections reset, new connections reset while open ones live on) and the guarantee that such gateways serve two thirds as often as the others.

--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -37,6 +37,10 @@
 	DrainWorker      Kind = "leave-worker"   // a worker's responses announce its shutdown, its heartbeats do not
 	AdvertiseLimits  Kind = "need-workers"   // workers advertise a request rate limit in their responses
 	ForgedHeartbeats Kind = "forged-beats"   // an unknown sender sends heartbeats that can be decoded only in part
+	CutWorkers       Kind = "cut-workers"    // half of the gateways from all workers; connections hang
+	CutWorkersOneWay Kind = "cut-workers-one-way"
+	ResetWorkers     Kind = "reset-workers"  // the same; connections are reset, also new ones
+	RefuseWorkers    Kind = "refuse-workers" // the same; new connections are reset, open ones live on
 )
 
 // Kinds lists all kinds in a fixed order, which the choice from a seed depends on.
@@ -45,23 +49,34 @@
 		KillGateway, PauseGateway, StopGateway, KillControl, PauseLeader, KillAll, CutLeader, CutOneWay, CutGateway, DelayLinks, ResetLinks, ResetControl,
 		KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, FatalRequest, ForgedHeartbeats,
 		RejectRequests, DrainWorker, AdvertiseLimits,
+		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers,
 	}
 }
 
 // Disturbs reports whether a fault affects the system's own processes or the links between them.
 func (k Kind) Disturbs() bool {
 	switch k {
-	case KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, FatalRequest, ForgedHeartbeats, RejectRequests, DrainWorker, AdvertiseLimits:
+	case KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, FatalRequest, ForgedHeartbeats, RejectRequests, DrainWorker, AdvertiseLimits,
+		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers:
 		return false
 	}
 	return true
 }
 
+// Partitions reports whether a fault separates gateways from all workers.
+func (k Kind) Partitions() bool {
+	switch k {
+	case CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers:
+		return true
+	}
+	return false
+}
+
 // CausesBursts reports whether a fault may delay requests between or within processes, so that they arrive together
 // afterwards.
 func (k Kind) CausesBursts() bool {
 	switch k {
-	case PauseGateway, CutOneWay, DelayLinks, ResetLinks:
+	case PauseGateway, CutOneWay, DelayLinks, ResetLinks, CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers:
 		return true
 	}
 	return false
--- a/internal/lab/soak/promises.go
+++ b/internal/lab/soak/promises.go
@@ -36,13 +36,15 @@
 	SlotsRespected Guarantee = "slots"
 	// An acknowledged configuration is never lost, and no older one is served after it.
 	ConfigDurable Guarantee = "config"
+	// Gateways that lose their links to all workers serve about as many requests as the others.
+	PartitionedGatewaysServe Guarantee = "reach"
 	// No request reaches a worker known only from forged heartbeats, and no forged heartbeat is acknowledged.
 	ForgedHeartbeatsIgnored Guarantee = "not-forged"
 )
 
 // Guarantees lists all guarantees in a fixed order.
 func Guarantees() []Guarantee {
-	return []Guarantee{WithinLimit, AtMostOnce, NotRunHonored, CorrectResponse, ServiceRecovers, NoUnexpectedExit, QuarantineEnforced, BackoffRespected, DrainRespected, AdvertisedLimitRespected, SlotsRespected, ConfigDurable, ForgedHeartbeatsIgnored}
+	return []Guarantee{WithinLimit, AtMostOnce, NotRunHonored, CorrectResponse, ServiceRecovers, NoUnexpectedExit, QuarantineEnforced, BackoffRespected, DrainRespected, AdvertisedLimitRespected, SlotsRespected, ConfigDurable, ForgedHeartbeatsIgnored, PartitionedGatewaysServe}
 }
 
 // Violation is an observation that contradicts a guarantee.
@@ -91,9 +93,11 @@
 	quarantineReplies map[string]int
 	// Periods of faults in the system's processes and links; guarded by mu.
 	disturbances []interval
-	burstWindows []interval    // periods in which requests may be delayed; guarded by mu
-	signals      signalLog     // guarded by mu
-	slotArrivals []slotArrival // guarded by mu
+	burstWindows []interval           // periods in which requests may be delayed; guarded by mu
+	signals      signalLog            // guarded by mu
+	slotArrivals []slotArrival        // guarded by mu
+	partitions   []partition          // guarded by mu
+	tries        map[string]*firstTry // by request ID; guarded by mu
 }
 
 // interval is a closed time interval.
@@ -103,7 +107,7 @@
 func NewWatcher(window, limitSettleTime time.Duration) *Watcher {
 	return &Watcher{
 		Window: window, LimitSettleTime: limitSettleTime, requests: map[string]*requestState{}, executions: map[string][]execution{}, limits: map[string][]TenantLimit{},
-		signals: newSignalLog(), outcomes: map[string]int{}, fatalArrivals: map[string][]time.Duration{}, quarantineReplies: map[string]int{},
+		signals: newSignalLog(), outcomes: map[string]int{}, fatalArrivals: map[string][]time.Duration{}, quarantineReplies: map[string]int{}, tries: map[string]*firstTry{},
 	}
 }
 
@@ -165,6 +169,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.outcomes["answered"]++
+	w.recordServed(id)
 	if !complete {
 		w.addViolation(CorrectResponse, "%s received a response that is incomplete or belongs to another request", id)
 	}
@@ -220,6 +225,7 @@
 		w.checkQuarantine(name, arrivals)
 	}
 	w.checkSlots()
+	w.checkPartitions()
 	if w.expectRecovery && (len(w.served) == 0 || float64(servedCount) < minServedFraction*float64(len(w.served))) {
 		w.addViolation(ServiceRecovers, "%d of %d requests were served after all faults had healed", servedCount, len(w.served))
 	}
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -27,6 +27,7 @@
 
 	mu         sync.Mutex
 	blocked    map[Link]int              // number of active Block calls; guarded by mu
+	refused    map[Link]int              // number of active Refuse calls; guarded by mu
 	delays     map[Link]time.Duration    // guarded by mu
 	conns      map[*proxiedConn]struct{} // guarded by mu
 	listeners  []net.Listener            // guarded by mu
@@ -43,7 +44,7 @@
 // NewProxy returns a proxy; owner returns the name of the process that opened an accepted connection, or "".
 func NewProxy(owner func(net.Conn) string) *Proxy {
 	return &Proxy{
-		owner: owner, blocked: map[Link]int{}, delays: map[Link]time.Duration{}, conns: map[*proxiedConn]struct{}{}, done: make(chan struct{}),
+		owner: owner, blocked: map[Link]int{}, refused: map[Link]int{}, delays: map[Link]time.Duration{}, conns: map[*proxiedConn]struct{}{}, done: make(chan struct{}),
 	}
 }
 
@@ -72,6 +73,10 @@
 func (p *Proxy) handle(near net.Conn, to, target string) {
 	defer near.Close()
 	from := p.owner(near)
+	if p.refuses(Link{from, to}) {
+		abort(near)
+		return
+	}
 	if !p.waitForLink(Link{from, to}) || !p.waitForLink(Link{to, from}) {
 		return
 	}
@@ -163,6 +168,26 @@
 	p.blocked[link]--
 }
 
+// Refuse makes the proxy reset new connections on a link until Accept has been called as often as Refuse.
+func (p *Proxy) Refuse(link Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refused[link]++
+}
+
+// Accept reverts one call of Refuse.
+func (p *Proxy) Accept(link Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refused[link]--
+}
+
+func (p *Proxy) refuses(link Link) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refused[link] > 0
+}
+
 // Delay sets the delay added to each chunk of data on a link; 0 removes it.
 func (p *Proxy) Delay(link Link, delay time.Duration) {
 	p.mu.Lock()
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -11,6 +11,7 @@
 type Fleet struct {
 	Control  []*Process
 	Gateways []*Process
+	Workers  []string // names of the workers, as known to Proxy
 	Proxy    *Proxy
 	// Leader returns the index in Control of the presumed leader.
 	Leader func() int
@@ -112,6 +113,8 @@
 		f.AdvertiseLimits(ctx, fault.Target, duration)
 	case DrainWorker:
 		f.DrainWorker(ctx, fault.Target, duration)
+	case CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers:
+		f.partition(ctx, fault, duration)
 	}
 }
 
--- a/internal/lab/soak/said.go
+++ b/internal/lab/soak/said.go
@@ -52,6 +52,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.signals.sent[id] = sentRequest{sender, at}
+	w.recordTry(at, id, sender)
 }
 
 // RecordBackoff records that an incarnation of a back end asked for a backoff in its response to a request.
