Reach back ends through another gateway when the direct path is lost

What callers saw: gateways that had lost their links to all back ends served 9 of 266 and 0 of 292 first tries, the others 843 of 855 and 759 of 767. Each dialed up to four back ends for 300 ms and then answered 503; readiness and the view were in order all the time.

Cause: a gateway had one way to a back end, its own, and nothing compared its failures with what the others reach.

Change: package tunnel. A connection to a back end that does not come up within 75 ms, or fails, is requested from a peer, which carries its bytes; placement, limits and retries stay with the gateway that received the request. A path counts as lost once a peer reached an address that this process did not, by address, and is probed by a health check until the back end answers directly. Where connections come up and nothing arrives on them, several silent back ends lead to a peer as well. A refused connection counts as proof that a back end ended only if peers are refused too: a partition refuses connections as well, and runs that it broke counted as crashes. Control gives each gateway peers of its own and of other zones; builds without tunnels announce no address and are given to none.

Ruled out: sending callers elsewhere (each refused first try counts as one not served); passing whole requests on (limits, budgets and at-most-once would be decided twice).

--- a/internal/control/layout.go
+++ b/internal/control/layout.go
@@ -39,7 +39,7 @@
 	var gateways []mesh.Gateway
 	for name, report := range state.usage {
 		if report.address != "" && now-report.receivedAt <= usageTTL {
-			gateways = append(gateways, mesh.Gateway{Peer: mesh.Peer{Name: name, Address: report.address}, Zone: report.zone})
+			gateways = append(gateways, mesh.Gateway{Peer: mesh.Peer{Name: name, Address: report.address}, Zone: report.zone, Tunnel: report.tunnel})
 		}
 	}
 	slices.SortFunc(gateways, func(a, b mesh.Gateway) int { return cmp.Compare(a.Name, b.Name) })
@@ -123,6 +123,6 @@
 		r.leader.lastLayoutAt = now - layoutInterval // replan at once without this gateway
 		return true
 	}
-	r.leader.usage[report.Gateway] = usageReport{receivedAt: now, zone: report.Zone, address: report.Address, roster: report.Roster, running: report.Running}
+	r.leader.usage[report.Gateway] = usageReport{receivedAt: now, zone: report.Zone, address: report.Address, tunnel: report.Tunnel, roster: report.Roster, running: report.Running}
 	return r.machine.catalog.HasGateway(report.Gateway)
 }
--- a/internal/control/mesh/mesh.go
+++ b/internal/control/mesh/mesh.go
@@ -19,6 +19,10 @@
 	// FleetSchedulers are the addresses of the schedulers of all zones that accept placement requests. It is empty while
 	// every gateway is a scheduler. Control replicas of earlier builds don't send it.
 	FleetSchedulers []string `json:"fleet,omitempty"`
+	// Tunnels and OtherTunnels are the addresses at which peers of the own and of other zones open tunnels to back ends.
+	// Gateways and control replicas of earlier builds announce none.
+	Tunnels      []string `json:"tunnels,omitempty"`
+	OtherTunnels []string `json:"tunnels_abroad,omitempty"`
 }
 
 // Peer is a gateway's name and its address for other gateways.
@@ -32,6 +36,7 @@
 	Schedulers  []Peer   `json:"schedulers,omitempty"` // in ascending order of name
 	Serving     []string `json:"asked,omitempty"`      // addresses of the schedulers that accept placement requests
 	AllSchedule bool     `json:"all,omitempty"`        // every gateway is a scheduler
+	Tunnels     []Peer   `json:"tunnels,omitempty"`    // gateways that open tunnels, by their addresses for that; at most maxTunnelPeersOfZone
 }
 
 // Layout is the layout of all gateways. It is immutable once published.
@@ -44,6 +49,7 @@
 func (l *Layout) MeshOf(zone, name string) Mesh {
 	mesh := l.peersOf(zone, name)
 	mesh.FleetSchedulers = l.fleetSchedulers()
+	mesh.Tunnels, mesh.OtherTunnels = l.tunnelsOf(zone, name)
 	return mesh
 }
 
--- a/internal/control/mesh/plan.go
+++ b/internal/control/mesh/plan.go
@@ -23,7 +23,8 @@
 // Gateway is a gateway that was seen recently and that other gateways can reach.
 type Gateway struct {
 	Peer
-	Zone string
+	Zone   string
+	Tunnel string // address at which it opens tunnels to back ends, or ""
 }
 
 // Planner computes layouts. The zero value has an empty layout.
@@ -41,9 +42,12 @@
 
 // Plan computes the layout of the given gateways.
 func (p *Planner) Plan(now time.Duration, gateways []Gateway) {
-	zones := map[string][]Peer{}
+	zones, tunnels := map[string][]Peer{}, map[string][]Peer{}
 	for _, g := range gateways {
 		zones[g.Zone] = append(zones[g.Zone], g.Peer)
+		if g.Tunnel != "" {
+			tunnels[g.Zone] = append(tunnels[g.Zone], Peer{Name: g.Name, Address: g.Tunnel})
+		}
 	}
 	previous := p.schedulerSince
 	p.schedulerSince = map[string]time.Duration{}
@@ -57,7 +61,7 @@
 			}
 			p.schedulerSince[peer.Name] = since
 		}
-		next.Zones[name] = Zone{Schedulers: schedulers, Serving: p.serving(now, schedulers), AllSchedule: all}
+		next.Zones[name] = Zone{Schedulers: schedulers, Serving: p.serving(now, schedulers), AllSchedule: all, Tunnels: topByHash(tunnels[name], name, maxTunnelPeersOfZone)}
 	}
 	if p.count == 0 || !reflect.DeepEqual(next, p.layout) {
 		p.layout = next
--- a/internal/control/relay/relay.go
+++ b/internal/control/relay/relay.go
@@ -40,6 +40,7 @@
 	Gateway string         `json:"gateway"`
 	Zone    string         `json:"zone"`
 	Address string         `json:"address,omitempty"` // for other gateways; may be empty
+	Tunnel  string         `json:"tunnel,omitempty"`  // address at which the gateway opens tunnels; may be empty
 	Roster  roster.Version `json:"held"`              // newest roster that the gateway uses
 	Running map[string]int `json:"running,omitempty"` // running requests by instance
 	Closing bool           `json:"closing,omitempty"`
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -19,9 +19,10 @@
 type Watch struct {
 	Gateway   string         `json:"gateway"`
 	Zone      string         `json:"zone"`
-	Address   string         `json:"address"`  // for other gateways, or ""
-	Revision  uint64         `json:"revision"` // of the document that the gateway holds
-	Roster    RosterVersion  `json:"roster"`   // version that the gateway holds
+	Address   string         `json:"address"`          // for other gateways, or ""
+	Tunnel    string         `json:"tunnel,omitempty"` // address at which the gateway opens tunnels to back ends; "" if it opens none
+	Revision  uint64         `json:"revision"`         // of the document that the gateway holds
+	Roster    RosterVersion  `json:"roster"`           // version that the gateway holds
 	Hold      time.Duration  `json:"hold_ns"`
 	Usage     map[string]int `json:"usage,omitempty"` // running requests by instance
 	Closing   bool           `json:"closing,omitempty"`
@@ -95,6 +96,7 @@
 	receivedAt time.Duration
 	zone       string
 	address    string         // for other gateways, or ""
+	tunnel     string         // address at which it opens tunnels, or ""
 	roster     RosterVersion  // newest roster that the gateway uses
 	running    map[string]int // requests by instance
 }
@@ -115,7 +117,7 @@
 
 // report returns the state of the gateway as stated in its watch.
 func (w *Watch) report() relay.Report {
-	return relay.Report{Gateway: w.Gateway, Zone: w.Zone, Address: w.Address, Roster: w.Roster, Running: w.Usage, Closing: w.Closing}
+	return relay.Report{Gateway: w.Gateway, Zone: w.Zone, Address: w.Address, Tunnel: w.Tunnel, Roster: w.Roster, Running: w.Usage, Closing: w.Closing}
 }
 
 // handleAsFollower handles a request at a replica that does not lead. In a large fleet it answers watches on behalf of
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -28,6 +28,8 @@
 	ControlDisconnected      = "control lost"
 	ControlReconnected       = "control regained"
 	AttemptFailed            = "attempt failed"
+	PathLost                 = "path lost"                     // a back end is reached through another gateway only
+	PathRestored             = "path regained"                 // it is reached directly again
 	BackendCrashed           = "back end ended under requests" // requests were aborted; the end of their backend is verified
 	CrashNotReported         = "ended back end not told"       // the queue of reports to control is full
 	StreamContinued          = "stream continued"              // at the engine that keeps a copy of its run
@@ -74,8 +76,10 @@
 	FieldRevision           = "revision" // of the routing document that applied
 	FieldRoute              = "route"
 	FieldStatus             = "status"
-	FieldAttempts           = "sent" // number of backends that the request was sent to so far
-	FieldElapsed            = "took" // time since the request arrived
+	FieldAddress            = "address" // of a backend
+	FieldPeer               = "peer"    // gateway that carries connections to a backend
+	FieldAttempts           = "sent"    // number of backends that the request was sent to so far
+	FieldElapsed            = "took"    // time since the request arrived
 	FieldCause              = "cause"
 	FieldDisabledMechanisms = "without" // mechanisms that are disabled in this process
 	// FieldPredictedWait is the predicted time until the request starts, in milliseconds, and FieldUncachedTokens the
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -20,6 +20,9 @@
 		if a.ctx.Err() == nil {
 			a.exchange.gateway.pool.recordStale(a.conn.idleFor)
 		}
+		if a.exchange.ctx.Err() == nil {
+			a.exchange.gateway.table.recordUnanswered(a.exchange.gateway.now(), a)
+		}
 		return a.connectionFailed(err)
 	}
 	x := a.exchange
@@ -116,7 +119,7 @@
 	default:
 	}
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	if readErr != nil || !written || !framed || a.ctx.Err() != nil || !a.conn.readKeepAlive(response) {
+	if readErr != nil || !written || !framed || a.conn.peer != "" || a.ctx.Err() != nil || !a.conn.readKeepAlive(response) {
 		_ = a.conn.Close()
 		return
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,12 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"kitetiller/internal/allowance"
@@ -19,6 +17,7 @@
 	"kitetiller/internal/pushback"
 	"kitetiller/internal/quarantine"
 	"kitetiller/internal/quarantine/reporter"
+	"kitetiller/internal/tunnel"
 )
 
 const (
@@ -139,14 +138,15 @@
 		return result{kind: resultUnreachable, cause: causeLimitReached}
 	}
 	defer a.releaseLease()
-	conn, err := x.gateway.pool.get(a.ctx, a.row.entry.ID, a.row.entry.Address, maxIdle)
+	suspected := x.gateway.table.pathSuspected(x.gateway.now(), a.row.entry.Address)
+	conn, err := x.gateway.pool.get(a.ctx, a.row.entry.ID, a.row.entry.Address, maxIdle, suspected)
 	if err != nil {
 		if a.ctx.Err() == nil { // otherwise the caller left, which tells nothing about the back end
 			a.recordUnreachable(err)
 		}
 		return result{kind: resultUnreachable, cause: err.Error()}
 	}
-	a.conn = conn
+	a.conn, x.peer = conn, conn.peer
 	stop := context.AfterFunc(a.ctx, func() { _ = conn.Close() })
 	defer stop()
 	if cause := a.recheck(); cause != "" {
@@ -226,7 +226,7 @@
 // already.
 func (a *attempt) recordUnreachable(err error) {
 	g := a.exchange.gateway
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	if tunnel.IsRefused(err) {
 		g.quarantine.ConfirmEnds(reporter.ConnectionRefused, a.row.entry.ID)
 	}
 	a.unreachable = true
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"kitetiller/internal/clock"
+	"kitetiller/internal/tunnel"
 )
 
 const (
@@ -48,15 +49,17 @@
 	lastUsedAt       time.Duration
 	keepAliveTimeout time.Duration // announced by the back end; 0 if unknown
 	idleFor          time.Duration // idle time before the current request; 0 for a new connection
+	peer             string        // that carries the tunnel, or "" for a direct connection
 }
 
 // pool keeps idle connections by instance ID, so that none is reused for another incarnation at the same address. It is
 // safe for concurrent use.
 type pool struct {
-	dialer net.Dialer
-	now    clock.Source
-	mutex  sync.Mutex
-	idle   map[string][]*connection
+	dialer  net.Dialer // of direct connections
+	tunnels *tunnel.Dialer
+	now     clock.Source
+	mutex   sync.Mutex
+	idle    map[string][]*connection
 
 	staleIdle   time.Duration // shortest idle time after which a reused connection recently failed; guarded by mutex
 	staleIdleAt time.Duration // when staleIdle was recorded; guarded by mutex
@@ -68,6 +71,12 @@
 		Timeout: dialTimeout, Control: setSocketOptions,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 	}
+	p.tunnels = tunnel.NewDialer(tunnel.Config{
+		Direct: func(ctx context.Context, address string) (net.Conn, error) {
+			return p.dialer.DialContext(ctx, "tcp", address)
+		},
+		Peers: func() [][]string { return nil }, Now: p.now,
+	})
 	return p
 }
 
@@ -100,10 +109,11 @@
 	return min(maxIdle, max(minStaleIdle, time.Duration(staleIdleFactor*float64(p.staleIdle))))
 }
 
-// get returns a connection idle for less than maxIdle, or a new one. On an error nothing was sent.
-func (p *pool) get(ctx context.Context, instance, address string, maxIdle time.Duration) (*connection, error) {
+// get returns a connection idle for less than maxIdle, or a new one. On an error nothing was sent. Idle connections are
+// direct, so none is used while the path is lost or suspected to be.
+func (p *pool) get(ctx context.Context, instance, address string, maxIdle time.Duration, suspected bool) (*connection, error) {
 	maxIdle = p.idleLimit(maxIdle)
-	for {
+	for !suspected && !p.tunnels.IsLost(address) {
 		idle := p.takeIdle(instance)
 		if idle == nil {
 			break
@@ -114,11 +124,11 @@
 		}
 		_ = idle.Close()
 	}
-	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	dialed, err := p.tunnels.Dial(ctx, address, suspected)
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize)}, nil
+	return &connection{Conn: dialed.Conn, reader: bufio.NewReaderSize(dialed.Conn, readBufferSize), peer: dialed.Peer}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection of an instance, or nil.
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -81,6 +81,7 @@
 	waiting          map[*attempt]struct{}             // awaiting a response, also at removed back ends
 	// reservations are those of latency-critical services.
 	reservations map[string]*reservation.Controller
+	direct       directPaths
 }
 
 func newTable(mechanisms mechanism.Set) *table {
@@ -89,6 +90,7 @@
 		published: belief.NewPublishTimes(guard.Set{}), stored: belief.NewStoredParts(), stores: storeindex.New(), links: belief.Links{}, signals: pushback.NewTracker(),
 		lanes: map[string]*lanes{}, meanDurations: map[string]belief.MeanDuration{}, prefillEstimates: map[string]belief.PrefillEstimate{}, lastSent: map[string]time.Duration{}, admission: map[string]*admission.Controller{},
 		queueRates: map[string]*enginequeue.Rates{}, placed: map[string]placement{}, holders: map[string][]*endpoint{}, waiting: map[*attempt]struct{}{}, rosterChanged: newNotifier(), lastRetryAt: map[string]time.Duration{}, reservations: map[string]*reservation.Controller{},
+		direct: directPaths{unanswered: map[string]unansweredRuns{}},
 	}
 }
 
@@ -195,6 +197,9 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	sent.row.lastByteAt = now
+	if sent.conn != nil && sent.conn.peer == "" {
+		t.direct.recordByte(now, sent.row.entry.Address)
+	}
 	t.endWait(sent)
 }
 
@@ -302,6 +307,7 @@
 	t.stored.Sweep(now)
 	t.stores.Sweep(now)
 	t.expirePlacements(now)
+	t.sweepDirectPaths(now)
 	for _, controller := range t.admission {
 		controller.Sweep(now)
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -72,6 +72,7 @@
 	headRelayed       bool                    // the response head was sent to the caller
 	lastEvent         string                  // ID of the last event sent to the caller
 	servedBy          string                  // instance whose response the caller got
+	peer              string                  // that carried the latest attempt, or "" if that was sent directly
 	firstEventAt      time.Duration           // when the first event was sent to the caller; 0 before that
 	latestEventAt     time.Duration           // when the latest event was sent to the caller
 	longestGap        time.Duration           // longest time between two events
--- a/internal/gateway/final.go
+++ b/internal/gateway/final.go
@@ -97,6 +97,9 @@
 	if x.servedBy != "" {
 		fields = append(fields, zap.String(events.FieldInstance, x.servedBy))
 	}
+	if x.peer != "" {
+		fields = append(fields, zap.String(events.FieldPeer, x.peer))
+	}
 	fields = append(fields, x.copyFields()...)
 	x.gateway.log.info(event, fields...)
 	x.gateway.metrics.recordOutcome(event, reason)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -54,6 +54,9 @@
 		Gateway: g.settings.Name, Zone: g.settings.Zone, Address: g.settings.PeerAddress, Roster: roster, Hold: g.watchHoldTime(), Usage: g.table.usage(),
 		Closing: g.draining.Load(), Quarantine: g.quarantine.Version(),
 	}
+	if g.opensTunnels() {
+		watch.Tunnel = g.settings.TunnelAddress
+	}
 	if current := g.view.Load(); current != nil {
 		watch.Revision = current.document.Revision
 	}
@@ -136,6 +139,7 @@
 	g.gatewayCount.Store(int64(reply.Gateways))
 	g.nearby.update(reply.NearbyReplicas)
 	g.peers.setMesh(reply.Mesh)
+	g.tunnelAddresses.Store(&[][]string{reply.Mesh.Tunnels, reply.Mesh.OtherTunnels})
 	g.schedulers.setAddresses(reply.Mesh.Schedulers)
 	g.slots.setSchedulers(reply.Mesh.FleetSchedulers)
 	g.table.setAssigned(reply.CacheEventSources)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"kitetiller/internal/node"
 	"kitetiller/internal/quarantine/reporter"
 	"kitetiller/internal/transport"
+	"kitetiller/internal/tunnel"
 )
 
 // Gateway is one data plane process.
@@ -49,8 +50,13 @@
 	budget      *retryBudget
 	leases      *desk.LeasePool // of fleet-wide limits
 	pool        *pool
-	splits      *splits
-	peers       *peerAnnouncer
+	dialer      *tunnel.Dialer // of connections to back ends
+	tunnels     *tunnel.Server // opens tunnels for other gateways
+	// tunnelAddresses are those of gateways that open tunnels: of the own zone, and of others. It is nil before the first
+	// reply of control.
+	tunnelAddresses atomic.Pointer[[][]string]
+	splits          *splits
+	peers           *peerAnnouncer
 	// schedulers place this gateway's requests if the fleet is large.
 	schedulers *schedulers
 	slots      *slotClient // asks for slots of small services
@@ -89,7 +95,9 @@
 		weightsLogLimiter: node.NewLogLimiter(), backoffLogLimiter: node.NewLogLimiter(), limitLogLimiter: node.NewLogLimiter(),
 		peers: newPeerAnnouncer(client), schedulers: newSchedulers(client), shortName: strconv.FormatUint(rand.Uint64N(shortNameRange), saltBase),
 	}
-	g.quarantine = reporter.New(reporter.Config{Submit: g.group.Quarantine, RefusesConnections: reporter.RefusesTCP(&g.pool.dialer), Log: g.log.info, Now: g.now})
+	g.dialer = g.newTunnelDialer()
+	g.pool.tunnels, g.tunnels = g.dialer, g.newTunnelServer()
+	g.quarantine = reporter.New(reporter.Config{Submit: g.group.Quarantine, RefusesConnections: g.dialer.Refuses, Log: g.log.info, Now: g.now})
 	g.leases = desk.New(g.shortName, settings.ViewTTL, g.now, g.requestLeases)
 	g.table.currentView = g.view.Load
 	g.peers.disabled = !g.enabled(mechanism.GatewayMesh)
@@ -122,6 +130,13 @@
 		return err
 	}
 	defer closePeers(peers)
+	tunnels, err := g.serveTunnels()
+	if err != nil {
+		return err
+	}
+	if tunnels != nil {
+		defer tunnels.Close()
+	}
 	runCtx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { g.watchControl(runCtx) })
@@ -168,6 +183,7 @@
 	shutdownCtx, cancel := context.WithDeadline(context.Background(), startedAt.Add(g.settings.ShutdownTimeout-shutdownMargin))
 	defer cancel()
 	_ = public.Shutdown(shutdownCtx) // requests still running then are cut off when the process exits
+	g.awaitTunnels(shutdownCtx)
 }
 
 // serveReadiness starts the server of the readiness check, if an address is configured.
@@ -220,6 +236,7 @@
 func (g *Gateway) sweep(ctx context.Context) {
 	transport.Every(ctx, sweepPeriod, func() {
 		g.pool.sweep()
+		g.dialer.Sweep(g.isBackend)
 		g.table.sweep(g.now())
 		g.slotDesk.sweep(g.now())
 		g.quarantine.Sweep()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -112,6 +112,8 @@
 	cachedTokens      prometheus.Counter     // prompt tokens sent to engines that are expected to be cached or copied there
 	streamCopies      *prometheus.CounterVec // streams to be copied, by whether an engine was asked to keep the copy
 	continuations     *prometheus.CounterVec // such streams that broke off, by outcome: the result of the continuation, or why there was none
+	tunnelRequests    *prometheus.CounterVec // requests to peers to open tunnels, by peer and outcome
+	tunnelsServed     *prometheus.CounterVec // requests of peers to open tunnels, by outcome
 	stores            *storeMetrics
 }
 
@@ -138,6 +140,12 @@
 		streamCopies: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kitetiller_gateway_stream_copies_total", Help: "Streams that can't be resumed elsewhere, by whether another engine was asked to keep a copy of the run.",
 		}, []string{"outcome"}),
+		tunnelRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kitetiller_gateway_tunnel_requests_total", Help: "Tunnels to back ends requested from other gateways, by gateway and outcome.",
+		}, []string{"peer", "outcome"}),
+		tunnelsServed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kitetiller_gateway_tunnels_served_total", Help: "Tunnels that other gateways requested here, by outcome.",
+		}, []string{"outcome"}),
 		continuations: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kitetiller_gateway_streams_continued_total", Help: "Such streams that broke off, by the result of the continuation or why there was none.",
 		}, []string{"outcome"}),
@@ -172,6 +180,9 @@
 		gauge("view_age_seconds", "Time since control confirmed the view; -1 never.", g.viewAge),
 		gauge("held_bytes", "Bodies and answers held for callers and back ends.", func() float64 { return float64(g.buffered.used.Load()) }),
 		gauge("active_requests", "Requests in progress.", func() float64 { return float64(g.active.Load()) }),
+		m.tunnelRequests, m.tunnelsServed,
+		gauge("paths_lost", "Back ends that are reached through other gateways only.", func() float64 { return float64(g.dialer.LostCount()) }),
+		gauge("tunnels_carried", "Tunnels that are open for other gateways.", func() float64 { return float64(g.tunnels.Carried()) }),
 		gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(g.log.out.Dropped()) }),
 	)
 	m.stores = newStoreMetrics(m.registry, g)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -12,12 +12,16 @@
 type Settings struct {
 	Name         string
 	Zone         string
-	Listen       string   // listen address for callers
-	ReadyAddress string   // listen address of the readiness check; empty disables it
-	PeerAddress  string   // address at which other gateways reach this one; empty if they don't
-	PeerListen   string   // listen address for other gateways, if not PeerAddress
-	Control      []string // internal addresses of control replicas
-	Token        string   // secret shared by gateways and control replicas
+	Listen       string // listen address for callers
+	ReadyAddress string // listen address of the readiness check; empty disables it
+	PeerAddress  string // address at which other gateways reach this one; empty if they don't
+	PeerListen   string // listen address for other gateways, if not PeerAddress
+	// TunnelAddress is where other gateways ask this one to open tunnels to back ends, or "", and TunnelListen the listen
+	// address for that, if it differs.
+	TunnelAddress string
+	TunnelListen  string
+	Control       []string // internal addresses of control replicas
+	Token         string   // secret shared by gateways and control replicas
 
 	ViewTTL              time.Duration // how long API keys are accepted without a confirmation by control
 	MaxViewWait          time.Duration // maximum time that a request waits for control to confirm the view
--- /dev/null
+++ b/internal/gateway/tunnels.go
@@ -0,0 +1,166 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"kitetiller/internal/events"
+	"kitetiller/internal/mechanism"
+	"kitetiller/internal/transport"
+	"kitetiller/internal/tunnel"
+)
+
+// tunnelDrainInterval is how often a stopping gateway checks whether the tunnels that it carries have ended.
+const tunnelDrainInterval = 50 * time.Millisecond
+
+// newTunnelDialer returns the dialer of connections to back ends.
+func (g *Gateway) newTunnelDialer() *tunnel.Dialer {
+	peerDialer := g.pool.dialer
+	peerDialer.Timeout = peerDialTimeout
+	return tunnel.NewDialer(tunnel.Config{
+		Token: g.settings.Token, Direct: g.dialDirect, Probe: g.probeBackend, Peers: g.tunnelPeers, Now: g.now,
+		DialPeer: func(ctx context.Context, address string) (net.Conn, error) {
+			return peerDialer.DialContext(ctx, "tcp", address)
+		},
+		OnLost: func(address, peer string, cause tunnel.Cause) {
+			g.log.info(events.PathLost, zap.String(events.FieldAddress, address), zap.String(events.FieldPeer, peer), zap.String(events.FieldCause, string(cause)))
+		},
+		OnRestored: func(address string, lostFor time.Duration) {
+			g.table.recordPathRestored(g.now(), address)
+			g.log.info(events.PathRestored, zap.String(events.FieldAddress, address), zap.Duration("lost_for", lostFor))
+		},
+		Observe: func(peer string, outcome tunnel.Outcome) {
+			g.metrics.tunnelRequests.WithLabelValues(peer, string(outcome)).Inc()
+		},
+	})
+}
+
+// newTunnelServer returns the handler that opens tunnels for peers.
+func (g *Gateway) newTunnelServer() *tunnel.Server {
+	return tunnel.NewServer(tunnel.ServerConfig{
+		Token: g.settings.Token, Dial: g.dialDirect, IsBackend: g.isBackend, IsLost: g.dialer.IsLost, IsStopping: g.draining.Load,
+		Observe: func(outcome tunnel.Outcome) { g.metrics.tunnelsServed.WithLabelValues(string(outcome)).Inc() },
+	})
+}
+
+// opensTunnels reports whether the gateway opens tunnels for others.
+func (g *Gateway) opensTunnels() bool {
+	return g.settings.TunnelAddress != "" && g.enabled(mechanism.Tunnels)
+}
+
+// serveTunnels starts the server that opens tunnels, if it is enabled.
+func (g *Gateway) serveTunnels() (*http.Server, error) {
+	if !g.opensTunnels() {
+		return nil, nil
+	}
+	address := g.settings.TunnelListen
+	if address == "" {
+		address = g.settings.TunnelAddress
+	}
+	config := net.ListenConfig{Control: setSocketOptions, KeepAliveConfig: g.pool.dialer.KeepAliveConfig}
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", address)
+	}
+	server := &http.Server{Handler: g.tunnels, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = server.Serve(listener) }()
+	return server, nil
+}
+
+// awaitTunnels waits until no tunnels are carried for others, or until ctx is done.
+func (g *Gateway) awaitTunnels(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if g.tunnels.Carried() == 0 {
+		return
+	}
+	transport.Every(ctx, tunnelDrainInterval, func() {
+		if g.tunnels.Carried() == 0 {
+			cancel()
+		}
+	})
+}
+
+// tunnelPeers returns the addresses of gateways that open tunnels, those of the own zone first.
+func (g *Gateway) tunnelPeers() [][]string {
+	peers := g.tunnelAddresses.Load()
+	if peers == nil || !g.enabled(mechanism.Tunnels) {
+		return nil
+	}
+	return *peers
+}
+
+// DialBackend connects to a back end, through another gateway if there is no direct path.
+func (g *Gateway) DialBackend(ctx context.Context, _, address string) (net.Conn, error) {
+	dialed, err := g.dialer.Dial(ctx, address, false)
+	if err != nil {
+		return nil, err
+	}
+	return dialed.Conn, nil
+}
+
+func (g *Gateway) dialDirect(ctx context.Context, address string) (net.Conn, error) {
+	return g.pool.dialer.DialContext(ctx, "tcp", address)
+}
+
+// isBackend reports whether an address is that of a back end or store.
+func (g *Gateway) isBackend(address string) bool {
+	if _, known := g.table.serviceAt(address); known {
+		return true
+	}
+	current := g.view.Load()
+	if current == nil {
+		return false
+	}
+	for _, store := range current.stores {
+		if store.StoreAddress == address {
+			return true
+		}
+	}
+	return false
+}
+
+// probeBackend checks whether a back end answers on a direct connection. A back end without a health check only has to
+// accept the connection.
+func (g *Gateway) probeBackend(ctx context.Context, address string) error {
+	conn, err := g.dialDirect(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	path := g.healthPath(address)
+	if path == "" {
+		return nil
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return eris.Wrap(err, "create health check")
+	}
+	request.Close = true
+	if err := request.Write(conn); err != nil {
+		return err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// healthPath returns the path of a back end's health check, or "".
+func (g *Gateway) healthPath(address string) string {
+	name, known := g.table.serviceAt(address)
+	current := g.view.Load()
+	if !known || current == nil || current.services[name] == nil {
+		return ""
+	}
+	return current.services[name].HealthPath
+}
--- a/internal/lab/soak/partition.go
+++ b/internal/lab/soak/partition.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 )
@@ -50,33 +51,67 @@
 	}
 }
 
-// checkPartitions reports a violation for each partition during which the gateways without links served too few
-// requests, compared with the others. The caller holds mu.
-func (w *Watcher) checkPartitions() {
+// PartitionResult holds how many requests were sent to and served by the gateways without links, and by the others.
+type PartitionResult struct {
+	Gateways                     []string
+	Sent, Served                 int
+	SentToOthers, ServedByOthers int
+	from, to                     time.Duration
+}
+
+// String returns the counts.
+func (r PartitionResult) String() string {
+	return fmt.Sprintf("%v, without links to the workers from %v to %v, served %d of %d requests, the others %d of %d",
+		r.Gateways, r.from.Round(time.Millisecond), r.to.Round(time.Millisecond), r.Served, r.Sent, r.ServedByOthers, r.SentToOthers)
+}
+
+// tooFew reports whether the gateways without links served too few requests, compared with the others.
+func (r PartitionResult) tooFew() bool {
+	if r.Sent == 0 || r.SentToOthers == 0 {
+		return false
+	}
+	allowed := maxUnservedCount + maxUnservedFraction*float64(r.Sent+r.SentToOthers)
+	return float64(r.Served)*float64(r.SentToOthers) < minServedRatio*float64(r.ServedByOthers)*float64(r.Sent) && float64(r.Sent-r.Served) > allowed
+}
+
+// PartitionResults returns the result of each partition.
+func (w *Watcher) PartitionResults() []PartitionResult {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var results []PartitionResult
 	for _, p := range w.partitions {
-		var cut, others, servedCut, servedOthers int
-		for _, try := range w.tries {
-			if try.at < p.from+rerouteDelay || try.at >= p.to || w.disturbed(try.at) {
-				continue
-			}
-			total, served := &others, &servedOthers
-			if slices.Contains(p.gateways, try.to.Name) {
-				total, served = &cut, &servedCut
-			} else if w.partitioned(try) {
-				continue
-			}
-			*total++
-			if try.served {
-				*served++
-			}
+		results = append(results, w.partitionResult(p))
+	}
+	return results
+}
+
+// partitionResult counts the requests of a partition, from rerouteDelay after its start and outside disturbances. The
+// caller holds mu.
+func (w *Watcher) partitionResult(p partition) PartitionResult {
+	result := PartitionResult{Gateways: p.gateways, from: p.from, to: p.to}
+	for _, try := range w.tries {
+		if try.at < p.from+rerouteDelay || try.at >= p.to || w.disturbed(try.at) {
+			continue
 		}
-		if cut == 0 || others == 0 {
+		sent, served := &result.SentToOthers, &result.ServedByOthers
+		if slices.Contains(p.gateways, try.to.Name) {
+			sent, served = &result.Sent, &result.Served
+		} else if w.partitioned(try) {
 			continue
 		}
-		allowed := maxUnservedCount + maxUnservedFraction*float64(cut+others)
-		if float64(servedCut)*float64(others) < minServedRatio*float64(servedOthers)*float64(cut) && float64(cut-servedCut) > allowed {
-			w.addViolation(PartitionedGatewaysServe, "%v, without links to the workers from %v to %v, served %d of %d requests, the others %d of %d",
-				p.gateways, p.from.Round(time.Millisecond), p.to.Round(time.Millisecond), servedCut, cut, servedOthers, others)
+		*sent++
+		if try.served {
+			*served++
+		}
+	}
+	return result
+}
+
+// checkPartitions reports a violation for each partition in which too few requests were served. The caller holds mu.
+func (w *Watcher) checkPartitions() {
+	for _, p := range w.partitions {
+		if result := w.partitionResult(p); result.tooFew() {
+			w.addViolation(PartitionedGatewaysServe, "%v", result)
 		}
 	}
 }
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -320,3 +320,31 @@
 		t.Fatalf("owner is %q, want dialer", name)
 	}
 }
+
+// Gateways without links must serve two thirds as often as the others, from some time after the start of the partition.
+func TestWatcherComparesPartitionedGateways(t *testing.T) {
+	record := func(servedOfCut int, from time.Duration) []Violation {
+		w := NewWatcher(time.Second, time.Second)
+		w.RecordPartition(0, 10*time.Second, []string{"cut"})
+		for number := range 60 {
+			for _, gateway := range []string{"cut", "other"} {
+				id := fmt.Sprint(gateway, number)
+				w.RecordRequest(id, false)
+				w.RecordSent(from+time.Duration(number)*time.Millisecond, id, Sender{Name: gateway})
+				if gateway == "other" || number < servedOfCut {
+					w.RecordSuccess(id, true, false)
+				}
+			}
+		}
+		return w.Close()
+	}
+	if got := record(39, 5*time.Second); len(got) != 1 || got[0].Guarantee != PartitionedGatewaysServe {
+		t.Errorf("39 of 60 served: %v", got)
+	}
+	if got := record(40, 5*time.Second); len(got) > 0 {
+		t.Errorf("40 of 60 served: %v", got)
+	}
+	if got := record(0, time.Second); len(got) > 0 {
+		t.Errorf("right after the start: %v", got)
+	}
+}
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -31,6 +31,7 @@
 	ZoneCost           Name = "zone-cost"     // backends in other zones cost more
 	Interference       Name = "interference"  // prefill costs more for each request that runs concurrently
 	EarlyRejection     Name = "refusal"       // a request that would wait too long is rejected immediately
+	Tunnels            Name = "tunnels"       // a gateway without a path to a backend reaches it through another gateway
 	RecomputeCost      Name = "reread-weight" // recomputing shared parts is weighted higher than its time
 
 	// The following take effect only for services whose configuration calls for them.
@@ -53,7 +54,7 @@
 func All() []Name {
 	return []Name{
 		Lanes, GatewayMesh, Occupancy, PeerFailureReports, StoreTransfers, EngineTransfers, EvictionCost, LinkQueueing, AffinityOwner, AffinityMissCost, CacheEvents, SilenceTimeout, FailureAvoidance,
-		ViewWait, ZoneCost, RecomputeCost, Interference, EarlyRejection, EngineQueue, PauseBound, SharedSlots, StreamCopies, StoreIndex, Reservations, Schedulers, WeightsDrain, LoggedWeights,
+		ViewWait, ZoneCost, Tunnels, RecomputeCost, Interference, EarlyRejection, EngineQueue, PauseBound, SharedSlots, StreamCopies, StoreIndex, Reservations, Schedulers, WeightsDrain, LoggedWeights,
 	}
 }
 
--- /dev/null
+++ b/internal/tunnel/dialer.go
@@ -0,0 +1,415 @@
+package tunnel
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// directHeadStart is how long a direct connection may take before a peer is asked as well, and peerHeadStart how long
+	// a peer may take before the next one is asked. They are multiples of the round trip to another zone.
+	directHeadStart = 75 * time.Millisecond
+	peerHeadStart   = 100 * time.Millisecond
+	// maxPeersAsked bounds the peers asked for one connection.
+	maxPeersAsked = 3
+	// openTimeout bounds the time until a peer has opened a tunnel.
+	openTimeout = 450 * time.Millisecond
+	// probeTimeout bounds a probe of a lost path.
+	probeTimeout = time.Second
+)
+
+// Config connects a Dialer to its process.
+type Config struct {
+	Token string
+	// Direct connects to a back end.
+	Direct func(ctx context.Context, address string) (net.Conn, error)
+	// Probe checks whether a back end answers on a direct connection.
+	Probe func(ctx context.Context, address string) error
+	// Peers returns the addresses at which other processes open tunnels, the preferred ones first in each group. Groups
+	// are asked in order.
+	Peers func() [][]string
+	// DialPeer connects to a peer.
+	DialPeer func(ctx context.Context, address string) (net.Conn, error)
+	Now      func() time.Duration
+	// OnLost and OnRestored are called when a path is lost or restored.
+	OnLost     func(address, peer string, cause Cause)
+	OnRestored func(address string, lostFor time.Duration)
+	// Observe is called with the result of each request to a peer.
+	Observe func(peer string, outcome Outcome)
+}
+
+// Dialer connects to back ends, directly or through peers. It is safe for concurrent use.
+type Dialer struct {
+	config Config
+
+	mu    sync.Mutex
+	table *Table // guarded by mu
+}
+
+// NewDialer returns a dialer without lost paths.
+func NewDialer(config Config) *Dialer { return &Dialer{config: config, table: NewTable()} }
+
+// Dialed is an established connection.
+type Dialed struct {
+	net.Conn
+	Peer string // that carries the tunnel, or "" for a direct connection
+}
+
+// RefusedError is returned if a back end refuses connections from this process and from the peers that were asked.
+type RefusedError struct{ cause error }
+
+// Error returns the direct connection's error.
+func (e *RefusedError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the direct connection's error.
+func (e *RefusedError) Unwrap() error { return e.cause }
+
+// IsRefused reports whether an error of Dial proves that nothing listens at the address. A direct connection alone
+// proves it only if there are no peers, since a partition may refuse connections as well.
+func IsRefused(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused)
+}
+
+// IsLost reports whether the direct path to an address is lost.
+func (d *Dialer) IsLost(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.IsLost(address)
+}
+
+// LostCount returns the number of lost paths.
+func (d *Dialer) LostCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.Len()
+}
+
+// Sweep removes state of addresses that are no longer known.
+func (d *Dialer) Sweep(known func(address string) bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.Sweep(d.config.Now(), known)
+}
+
+// Dial connects to an address. suspected means that the process received nothing on its direct connections lately, so
+// that peers are asked first.
+func (d *Dialer) Dial(ctx context.Context, address string, suspected bool) (Dialed, error) {
+	lost := d.IsLost(address)
+	if lost || suspected {
+		d.probeIfDue(address)
+		dialed, err := d.dialPeers(ctx, address, peerHeadStart)
+		if err == nil && !lost { // else a probe may have succeeded meanwhile
+			d.recordLost(address, dialed.Peer, CauseSilent)
+		}
+		if err == nil {
+			return dialed, nil
+		}
+	}
+	return d.dialDirect(ctx, address)
+}
+
+// Refuses reports whether nothing listens at an address.
+func (d *Dialer) Refuses(ctx context.Context, address string) bool {
+	conn, err := d.config.Direct(ctx, address)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	dialed, err := d.confirmRefusal(ctx, address, err)
+	if dialed.Conn != nil {
+		_ = dialed.Close()
+	}
+	return IsRefused(err)
+}
+
+// attemptResult is the result of one way to connect.
+type attemptResult struct {
+	dialed Dialed
+	err    error
+}
+
+// dialDirect connects directly, and through a peer if that fails or takes longer than directHeadStart.
+func (d *Dialer) dialDirect(ctx context.Context, address string) (Dialed, error) {
+	direct := make(chan attemptResult, 1)
+	go func() {
+		// Its result counts even if a peer connects first and the request is over soon.
+		conn, err := d.config.Direct(context.WithoutCancel(ctx), address)
+		direct <- attemptResult{Dialed{Conn: conn}, err}
+	}()
+	select {
+	case result := <-direct:
+		return d.afterDirect(ctx, address, result)
+	case <-ctx.Done():
+		go closeLate(direct)
+		return Dialed{}, ctx.Err()
+	case <-time.After(directHeadStart):
+	}
+	if !d.beginHedge(address) {
+		return d.afterDirect(ctx, address, await(ctx, direct))
+	}
+	defer d.endHedge(address)
+	return d.hedge(ctx, address, direct)
+}
+
+// hedge connects through a peer while a direct connection is pending, and returns the connection that is established
+// first.
+func (d *Dialer) hedge(ctx context.Context, address string, direct <-chan attemptResult) (Dialed, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	peers := make(chan attemptResult, 1)
+	go func() {
+		dialed, err := d.dialPeers(ctx, address, peerHeadStart)
+		peers <- attemptResult{dialed, err}
+	}()
+	select {
+	case result := <-direct:
+		if result.err == nil {
+			go closeLate(peers)
+			return result.dialed, nil
+		}
+		other := await(ctx, peers)
+		if other.err != nil {
+			return Dialed{}, result.err
+		}
+		d.recordLost(address, other.dialed.Peer, CauseDial)
+		return other.dialed, nil
+	case result := <-peers:
+		if result.err != nil {
+			late := await(ctx, direct)
+			return late.dialed, late.err
+		}
+		go d.judgeDirect(direct, address, result.dialed.Peer)
+		return result.dialed, nil
+	case <-ctx.Done():
+		go closeLate(direct)
+		go closeLate(peers)
+		return Dialed{}, ctx.Err()
+	}
+}
+
+// await returns the next result, or closes it when it comes if ctx is done before.
+func await(ctx context.Context, results <-chan attemptResult) attemptResult {
+	select {
+	case result := <-results:
+		return result
+	case <-ctx.Done():
+		go closeLate(results)
+		return attemptResult{err: ctx.Err()}
+	}
+}
+
+func (d *Dialer) beginHedge(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.BeginHedge(address)
+}
+
+func (d *Dialer) endHedge(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.EndHedge(address)
+}
+
+// judgeDirect records a path as lost if the direct connection fails after a peer has connected.
+func (d *Dialer) judgeDirect(direct <-chan attemptResult, address, peer string) {
+	result := <-direct
+	if result.err != nil {
+		d.recordLost(address, peer, CauseDial)
+		return
+	}
+	_ = result.dialed.Close()
+}
+
+func closeLate(results <-chan attemptResult) {
+	if result := <-results; result.err == nil {
+		_ = result.dialed.Close()
+	}
+}
+
+// afterDirect returns a direct connection or, if that failed, one through a peer.
+func (d *Dialer) afterDirect(ctx context.Context, address string, result attemptResult) (Dialed, error) {
+	if result.err == nil || ctx.Err() != nil {
+		return result.dialed, result.err
+	}
+	if errors.Is(result.err, syscall.ECONNREFUSED) {
+		return d.confirmRefusal(ctx, address, result.err)
+	}
+	dialed, err := d.dialPeers(ctx, address, peerHeadStart)
+	if err != nil {
+		return Dialed{}, result.err
+	}
+	d.recordLost(address, dialed.Peer, CauseDial)
+	return dialed, nil
+}
+
+// confirmRefusal asks peers for an address that refuses direct connections. It returns a RefusedError if all that were
+// asked report the same, or if there are none.
+func (d *Dialer) confirmRefusal(ctx context.Context, address string, refusal error) (Dialed, error) {
+	dialed, err := d.dialPeers(ctx, address, 0)
+	var outcomes *peersError
+	switch {
+	case err == nil:
+		d.recordLost(address, dialed.Peer, CauseDial)
+		return dialed, nil
+	case errors.Is(err, errNoPeers), errors.As(err, &outcomes) && outcomes.allRefused:
+		return Dialed{}, &RefusedError{refusal}
+	}
+	return Dialed{}, refusal
+}
+
+// errNoPeers is returned if no peer is known that may be asked.
+var errNoPeers = eris.New("no peers")
+
+// peersError is returned if none of the peers asked opened a tunnel.
+type peersError struct {
+	allRefused bool // each peer found that the address refuses connections
+	last       error
+}
+
+// Error returns the last peer's error.
+func (e *peersError) Error() string { return e.last.Error() }
+
+// dialPeers asks peers one after the other, each one headStart after the one before or when that failed, and returns the
+// first tunnel that is opened.
+func (d *Dialer) dialPeers(ctx context.Context, address string, headStart time.Duration) (Dialed, error) {
+	candidates, anyKnown := d.candidates(address)
+	if !anyKnown {
+		return Dialed{}, errNoPeers
+	}
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	results := make(chan attemptResult, len(candidates))
+	failure := &peersError{allRefused: len(candidates) > 0, last: errNoPeers}
+	running := 0
+	for next := 0; next < len(candidates) || running > 0; {
+		var nextDue <-chan time.Time
+		if next < len(candidates) {
+			peer := candidates[next]
+			go func() {
+				dialed, err := d.openTunnel(ctx, peer, address)
+				results <- attemptResult{dialed, err}
+			}()
+			next, running = next+1, running+1
+			nextDue = time.After(headStart)
+		}
+		select {
+		case result := <-results:
+			running--
+			if result.err == nil {
+				cancel()
+				go closeRemaining(results, running)
+				return result.dialed, nil
+			}
+			var outcome *OutcomeError
+			failure.allRefused = failure.allRefused && errors.As(result.err, &outcome) && outcome.Outcome == Refused
+			failure.last = result.err
+		case <-nextDue:
+		}
+	}
+	cancel()
+	return Dialed{}, failure
+}
+
+func closeRemaining(results <-chan attemptResult, running int) {
+	for range running {
+		closeLate(results)
+	}
+}
+
+// candidates returns the peers to ask for an address, and whether any peer is known.
+func (d *Dialer) candidates(address string) (chosen []string, anyKnown bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.config.Now()
+	for _, group := range d.config.Peers() {
+		anyKnown = anyKnown || len(group) > 0
+		for _, i := range rand.Perm(len(group)) {
+			if !d.table.Refused(now, group[i], address) && len(chosen) < maxPeersAsked {
+				chosen = append(chosen, group[i])
+			}
+		}
+	}
+	return chosen, anyKnown
+}
+
+// openTunnel asks one peer to open a tunnel.
+func (d *Dialer) openTunnel(ctx context.Context, peer, address string) (Dialed, error) {
+	conn, err := d.config.DialPeer(ctx, peer)
+	if err != nil {
+		d.recordRefusal(ctx, peer, address, err)
+		return Dialed{}, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	deadline, _ := ctx.Deadline()
+	opened, err := open(conn.(*net.TCPConn), d.config.Token, address, deadline)
+	if !stop() && err == nil {
+		err = context.Cause(ctx) // the connection is being closed
+	}
+	if err != nil {
+		_ = conn.Close()
+		d.recordRefusal(ctx, peer, address, err)
+		return Dialed{}, err
+	}
+	d.config.Observe(peer, Opened)
+	return Dialed{Conn: opened, Peer: peer}, nil
+}
+
+// recordRefusal records that a peer did not open a tunnel, unless the request was canceled.
+func (d *Dialer) recordRefusal(ctx context.Context, peer, address string, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	outcome := Unreachable
+	var reported *OutcomeError
+	if errors.As(err, &reported) {
+		outcome = reported.Outcome
+	}
+	d.config.Observe(peer, outcome)
+	if outcome == Refused {
+		return // the back end may be back at any moment
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.RecordRefusal(d.config.Now(), peer, address)
+}
+
+func (d *Dialer) recordLost(address, peer string, cause Cause) {
+	d.mu.Lock()
+	isNew := d.table.RecordLost(d.config.Now(), address)
+	d.mu.Unlock()
+	if isNew {
+		d.config.OnLost(address, peer, cause)
+	}
+}
+
+// probeIfDue starts a probe of a lost path if one is due.
+func (d *Dialer) probeIfDue(address string) {
+	d.mu.Lock()
+	due := d.table.BeginProbe(d.config.Now(), address)
+	d.mu.Unlock()
+	if due {
+		go d.probe(address)
+	}
+}
+
+func (d *Dialer) probe(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	err := d.config.Probe(ctx, address)
+	d.mu.Lock()
+	lostFor := d.table.EndProbe(d.config.Now(), address, err == nil)
+	d.mu.Unlock()
+	if lostFor > 0 {
+		d.config.OnRestored(address, lostFor)
+	}
+}
--- /dev/null
+++ b/internal/tunnel/server.go
@@ -0,0 +1,123 @@
+package tunnel
+
+import (
+	"context"
+	"crypto/subtle"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	// maxCarried bounds the tunnels that a process carries for others. Each takes two connections and two buffers.
+	maxCarried = 256
+	bufferSize = 8 << 10
+	// dialTimeout bounds the time to connect to a back end for a peer.
+	dialTimeout = 250 * time.Millisecond
+)
+
+// ServerConfig connects a Server to its process.
+type ServerConfig struct {
+	Token string // of requests from peers; "" accepts all
+	Dial  func(ctx context.Context, address string) (net.Conn, error)
+	// IsBackend reports whether an address is that of a known back end. Tunnels to others are not opened.
+	IsBackend func(address string) bool
+	// IsLost reports whether this process has no direct path to an address.
+	IsLost     func(address string) bool
+	IsStopping func() bool
+	// Observe is called with the outcome of each request.
+	Observe func(Outcome)
+}
+
+// Server opens tunnels for peers. It is an http.Handler and safe for concurrent use.
+type Server struct {
+	config  ServerConfig
+	carried atomic.Int64
+}
+
+// NewServer returns a server that carries no tunnels.
+func NewServer(config ServerConfig) *Server { return &Server{config: config} }
+
+// Carried returns the number of open tunnels.
+func (s *Server) Carried() int { return int(s.carried.Load()) }
+
+// ServeHTTP opens a tunnel and carries it until either end closes it.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != Path || !s.isAuthorized(r) {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	defer s.carried.Add(-1)
+	backend, outcome := s.connect(r.Context(), r.URL.Query().Get(queryAddress), s.carried.Add(1))
+	s.config.Observe(outcome)
+	w.Header().Set(outcomeHeader, string(outcome))
+	if outcome != Opened {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer backend.Close()
+	w.Header().Set("Connection", "Upgrade")
+	w.Header().Set("Upgrade", protocol)
+	w.WriteHeader(http.StatusSwitchingProtocols)
+	peer, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the peer has disconnected
+	}
+	defer peer.Close()
+	carry(peer, buffered.Reader, backend)
+}
+
+// isAuthorized reports whether a request carries the token, if one is configured.
+func (s *Server) isAuthorized(r *http.Request) bool {
+	token := strings.TrimPrefix(r.Header.Get("Authorization"), bearerPrefix)
+	return s.config.Token == "" || subtle.ConstantTimeCompare([]byte(token), []byte(s.config.Token)) == 1
+}
+
+// connect connects to a back end for a peer.
+func (s *Server) connect(ctx context.Context, address string, carried int64) (net.Conn, Outcome) {
+	switch {
+	case s.config.IsStopping():
+		return nil, Stopping
+	case carried > maxCarried:
+		return nil, Full
+	case !s.config.IsBackend(address):
+		return nil, Unknown
+	case s.config.IsLost(address):
+		return nil, PathLost
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := s.config.Dial(dialCtx, address)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, Refused
+	case err != nil:
+		return nil, Unreachable
+	}
+	return conn, Opened
+}
+
+// carry copies bytes in both directions until either end closes its connection.
+func carry(peer net.Conn, fromPeer io.Reader, backend net.Conn) {
+	go func() {
+		_, _ = io.CopyBuffer(plainWriter{backend}, plainReader{fromPeer}, make([]byte, bufferSize))
+		_ = backend.Close() // the peer's request is over or was abandoned
+	}()
+	chunks := httputil.NewChunkedWriter(peer)
+	if _, err := io.CopyBuffer(plainWriter{chunks}, plainReader{backend}, make([]byte, bufferSize)); err == nil {
+		_ = chunks.Close()
+		_, _ = io.WriteString(peer, "\r\n") // ends the empty trailer section
+	}
+}
+
+// plainReader and plainWriter hide methods with which io.CopyBuffer would not use the given buffer.
+type (
+	plainReader struct{ io.Reader }
+	plainWriter struct{ io.Writer }
+)
