Routers reach back ends through each other, too

The product's own interface had the cause that gateways had: a router whose links to the back ends were lost had no other way to them, stopped polling them and rejected; and it took any refused connection for the end of a back end.

The setting router.tunnel is where a router opens tunnels; heartbeats announce it and replies name up to eight other routers. Two polls without an answer lead to a peer.

TestRouterWithoutLinksReachesBackendsThroughPeer fails without peers (connection refused).

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -17,6 +17,7 @@
 	sentVersion   uint64        // newest settings version sent to the router
 	expires       time.Duration // latest time at which the router stops serving
 	closeProposed bool          // a CloseSession command was proposed
+	tunnel        string        // address at which the router opens tunnels, or ""
 }
 
 // engineState is the leader's view of one engine.
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -43,12 +43,13 @@
 	Incarnation uint64 `json:"incarnation"`
 	Zone        string `json:"zone"`
 	Address     string `json:"address"`
-	Epoch       uint64 `json:"epoch"`        // 0 without a session
-	Acked       uint64 `json:"acked"`        // settings version that the router has synced and uses
-	HasSettings bool   `json:"has_settings"` // if false, the reply holds the whole tree
-	Closing     bool   `json:"closing"`      // ends the session, on a planned stop
-	PeersSeen   uint64 `json:"peers_seen"`   // version of the peer list that the router holds
-	Quarantine  uint64 `json:"quarantine"`   // version of the quarantine list that the router holds
+	Epoch       uint64 `json:"epoch"`            // 0 without a session
+	Acked       uint64 `json:"acked"`            // settings version that the router has synced and uses
+	HasSettings bool   `json:"has_settings"`     // if false, the reply holds the whole tree
+	Closing     bool   `json:"closing"`          // ends the session, on a planned stop
+	PeersSeen   uint64 `json:"peers_seen"`       // version of the peer list that the router holds
+	Quarantine  uint64 `json:"quarantine"`       // version of the quarantine list that the router holds
+	Tunnel      string `json:"tunnel,omitempty"` // address at which the router opens tunnels to back ends; "" if it opens none
 }
 
 // PeerList lists the routers with an open session.
@@ -75,6 +76,7 @@
 	Peers   *PeerList       `json:"peers,omitempty"` // set if it differs from the list that the router holds
 
 	Quarantine *quarantine.Update `json:"quarantine,omitempty"` // set if it differs from the list that the router holds
+	Tunnels    []Peer             `json:"tunnels,omitempty"`    // other routers, by their addresses for tunnels
 }
 
 // Read requests the current settings tree.
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -90,9 +90,34 @@
 		reply.Peers = r.machine.Peers()
 	}
 	reply.Quarantine = r.quarantineUpdate(beat.Quarantine)
+	lease.tunnel = beat.Tunnel
+	reply.Tunnels = r.tunnelPeers(now, beat.Router)
 	return reply
 }
 
+// maxTunnelPeers bounds the routers named in a reply.
+const maxTunnelPeers = 8
+
+// tunnelPeers returns the other routers that open tunnels to back ends, those that follow the router by name first, so
+// that each router is named to as many others.
+func (r *Replica) tunnelPeers(now time.Duration, router string) []Peer {
+	var before, after []Peer
+	for _, name := range sortedKeys(r.leader.routers) {
+		lease, session := r.leader.routers[name], r.machine.sessions[name]
+		if name == router || lease.tunnel == "" || now >= lease.expires {
+			continue
+		}
+		peer := Peer{Name: name, Zone: session.Zone, Address: lease.tunnel}
+		if name < router {
+			before = append(before, peer)
+			continue
+		}
+		after = append(after, peer)
+	}
+	peers := append(after, before...)
+	return peers[:min(maxTunnelPeers, len(peers))]
+}
+
 // expireSessions closes the sessions whose lease has expired, which sets their running claims to unknown.
 func (r *Replica) expireSessions(now time.Duration) {
 	for router := range r.machine.sessions {
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -12,7 +12,6 @@
 
 	"kitetiller/internal/events"
 	"kitetiller/internal/mechanism"
-	"kitetiller/internal/transport"
 	"kitetiller/internal/tunnel"
 )
 
@@ -73,20 +72,6 @@
 	return server, nil
 }
 
-// awaitTunnels waits until no tunnels are carried for others, or until ctx is done.
-func (g *Gateway) awaitTunnels(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	if g.tunnels.Carried() == 0 {
-		return
-	}
-	transport.Every(ctx, tunnelDrainInterval, func() {
-		if g.tunnels.Carried() == 0 {
-			cancel()
-		}
-	})
-}
-
 // tunnelPeers returns the addresses of gateways that open tunnels, those of the own zone first.
 func (g *Gateway) tunnelPeers() [][]string {
 	peers := g.tunnelAddresses.Load()
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -196,8 +196,8 @@
 	for i, zone := range l.deployment.Zones {
 		name, listen := fmt.Sprintf("router-%d", i+1), l.allocateAddress(zone)
 		l.Routers = append(l.Routers, listen)
-		text := l.commonNodeSettings(name, zone) + fmt.Sprintf("router:\n  listen: %s\n  internal: %s\n  control: [%s]\n  platform: %s\n  vault: %s\n  prefix_key: %s\n  import_tokens_per_s: %.0f\n  zone_latency:\n",
-			listen, l.allocateAddress(zone), strings.Join(l.controlInternal[:controlCount], ", "), l.Platform, l.vaultAddress, l.prefixKey, l.deployment.Rates().ImportTokensPerSecond)
+		text := l.commonNodeSettings(name, zone) + fmt.Sprintf("router:\n  listen: %s\n  internal: %s\n  tunnel: %s\n  control: [%s]\n  platform: %s\n  vault: %s\n  prefix_key: %s\n  import_tokens_per_s: %.0f\n  zone_latency:\n",
+			listen, l.allocateAddress(zone), l.allocateAddress(zone), strings.Join(l.controlInternal[:controlCount], ", "), l.Platform, l.vaultAddress, l.prefixKey, l.deployment.Rates().ImportTokensPerSecond)
 		for _, other := range l.deployment.Zones {
 			if other != zone {
 				text += fmt.Sprintf("    %s: %s\n", other, l.deployment.ZoneLatency)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 type Router struct {
 	Listen                string                   `yaml:"listen"`              // address to listen on for callers
 	PeerAddress           string                   `yaml:"internal"`            // address for other routers, or empty
+	TunnelAddress         string                   `yaml:"tunnel"`              // address at which other routers ask for tunnels to back ends, or empty
 	Control               []string                 `yaml:"control"`             // internal addresses of the control replicas
 	Platform              string                   `yaml:"platform"`            // address of the platform's machine list
 	Vault                 string                   `yaml:"vault"`               // address of the KV store, or empty
@@ -219,6 +220,7 @@
 func (c *checker) checkRouter(r *Router) {
 	c.checkAddress("router.listen", r.Listen, true)
 	c.checkAddress("router.internal", r.PeerAddress, false)
+	c.checkAddress("router.tunnel", r.TunnelAddress, false)
 	c.checkAddress("router.platform", r.Platform, true)
 	c.checkAddress("router.vault", r.Vault, false)
 	if len(r.Control) == 0 {
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -43,16 +43,19 @@
 		return
 	}
 	s.post(core.EventMachineList{RequestedAt: requestedAt, Machines: reply.Machines})
-	listed := map[string]bool{}
+	listed, addresses := map[string]bool{}, map[string]struct{}{}
 	for _, machine := range reply.Machines {
 		key := machine.Name + "@" + machine.Address
 		listed[key] = true
+		addresses[machine.Address] = struct{}{}
 		if s.pollers[key] == nil {
 			pollCtx, stop := context.WithCancel(ctx)
 			s.pollers[key] = stop
 			go s.pollBackend(pollCtx, machine)
 		}
 	}
+	s.listedAddresses.Store(&addresses)
+	s.paths.dialer.Sweep(s.isListed)
 	for key, stop := range s.pollers {
 		if !listed[key] {
 			stop()
@@ -70,8 +73,10 @@
 		event := core.EventBackendPoll{Name: machine.Name, RequestedAt: s.now()}
 		report, ok := s.readState(ctx, machine, cursor.Next())
 		if ctx.Err() != nil {
+			s.paths.forget(machine.Address)
 			return
 		}
+		s.paths.recordPoll(machine.Address, ok)
 		if ok {
 			cursor.Advance(report)
 			event.Report = report
@@ -90,7 +95,7 @@
 	defer cancel()
 	var reply api.StateReply
 	path := fmt.Sprintf("%s?after=%d", api.PathState, after)
-	if err := s.client.Get(requestCtx, machine.Address, path, &reply); err != nil {
+	if err := s.pollClient.Get(requestCtx, machine.Address, path, &reply); err != nil {
 		return nil, false
 	}
 	return &reply.Report, true
@@ -101,7 +106,7 @@
 	requestCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	var reply api.CacheReply
-	if err := s.client.Get(requestCtx, action.Address, api.PathCache, &reply); err != nil {
+	if err := s.pollClient.Get(requestCtx, action.Address, api.PathCache, &reply); err != nil {
 		s.log.Debug("failed to read the cache snapshot", zap.String("backend", action.Backend), zap.Error(err))
 		return // the core requests it again
 	}
--- a/internal/router/heldback.go
+++ b/internal/router/heldback.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,6 +13,7 @@
 	"kitetiller/internal/events"
 	"kitetiller/internal/quarantine"
 	"kitetiller/internal/quarantine/reporter"
+	"kitetiller/internal/tunnel"
 )
 
 const sweepInterval = 5 * time.Second
@@ -30,7 +28,7 @@
 func (s *Server) newReporter() *reporter.Reporter {
 	return reporter.New(reporter.Config{
 		Submit:             s.control.Quarantine,
-		RefusesConnections: reporter.RefusesTCP(&net.Dialer{}),
+		RefusesConnections: s.paths.dialer.Refuses,
 		Log:                func(event string, fields ...zap.Field) { s.log.Info(event, fields...) },
 		Now:                s.now,
 	})
@@ -98,7 +96,7 @@
 // incarnation has ended, and a failure after connecting may mean a crash.
 func (s *Server) recordSendFailure(ctx context.Context, a *activeAttempt, err error) {
 	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
+	case tunnel.IsRefused(err):
 		s.quarantine.ConfirmEnds(reporter.ConnectionRefused, a.incarnationID())
 	case !neverSent(err):
 		s.recordBrokenAttempt(ctx, a)
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -30,6 +30,7 @@
 	"kitetiller/internal/session"
 	"kitetiller/internal/settings"
 	"kitetiller/internal/transport"
+	"kitetiller/internal/tunnel"
 )
 
 const (
@@ -99,13 +100,18 @@
 	pollers       map[string]context.CancelFunc // by name@address of the back end; owned by watchPlatform
 	client        *transport.Client
 	backendClient *http.Client
-	control       *control.Client
-	metrics       *metrics
-	disk          *diskState
-	announcer     *transport.Announcer[core.PeerDispatch]
-	session       *session.Machine // owned by renewSession
-	draining      atomic.Bool
-	droppedEvents atomic.Uint64
+	pollClient    *transport.Client // for the state of back ends
+	paths         *backendPaths
+	tunnels       *tunnel.Server // opens tunnels for other routers
+	// listedAddresses are those of the back ends that the platform lists; nil before the first list.
+	listedAddresses atomic.Pointer[map[string]struct{}]
+	control         *control.Client
+	metrics         *metrics
+	disk            *diskState
+	announcer       *transport.Announcer[core.PeerDispatch]
+	session         *session.Machine // owned by renewSession
+	draining        atomic.Bool
+	droppedEvents   atomic.Uint64
 }
 
 // NewServer opens the data folder and restores the newest stored settings.
@@ -120,14 +126,16 @@
 	}
 	links := transport.WatchLinkFile(ctx, file.LinkFile, file.Zone)
 	client := transport.NewClient(file.ClusterToken, links)
+	now := clock.NewSource(nil)
+	paths := newBackendPaths(file.ClusterToken, links, now, log)
 	server := &Server{
-		file: file, log: log, now: clock.NewSource(nil), incarnation: disk.incarnation, disk: disk,
+		file: file, log: log, now: now, incarnation: disk.incarnation, disk: disk,
 		hasher: prefix.NewHasher(key, file.Router.BlockTokens, guard.Set{}),
 		events: make(chan core.Event, eventBufferSize), inspections: make(chan inspection, 64),
 		exchanges: map[core.RequestID]*exchange{}, attempts: map[core.AttemptID]*activeAttempt{},
 		pollers: map[string]context.CancelFunc{}, client: client,
-		backendClient: &http.Client{Transport: transport.NewRoundTripper(links), CheckRedirect: noRedirect},
-		control:       control.NewClient(client, file.Router.Control), pushbackLogs: node.NewLogLimiter(),
+		backendClient: &http.Client{Transport: paths, CheckRedirect: noRedirect}, pollClient: transport.NewClientWithRoundTripper(file.ClusterToken, paths), paths: paths,
+		control: control.NewClient(client, file.Router.Control), pushbackLogs: node.NewLogLimiter(),
 	}
 	server.core = core.New(core.Config{
 		Router: file.Name, Zone: file.Zone, Seed: disk.incarnation, BlockTokens: file.Router.BlockTokens,
@@ -139,6 +147,7 @@
 	}, disk.saved, file.Router.HeartbeatInterval, guard.Set{})
 	server.announcer = newAnnouncer(client)
 	server.quarantine = server.newReporter()
+	server.tunnels = server.newTunnelServer(links)
 	server.metrics = newMetrics(server)
 	if disk.saved.Version > 0 {
 		server.core.Tick(0, []core.Event{core.EventSettings{Version: disk.saved.Version, Tree: disk.saved.Tree}})
@@ -159,6 +168,10 @@
 	if err != nil {
 		return err
 	}
+	tunnels, err := s.listenTunnels()
+	if err != nil {
+		return err
+	}
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	publicServer := &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout}
@@ -190,6 +203,7 @@
 	}
 	cancel()
 	goroutines.Wait()
+	s.closeTunnels(tunnels)
 	s.closeInternal(internalServer)
 	s.log.Info("router stopped")
 	return err
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -24,7 +24,7 @@
 		sentAt := s.now()
 		requestCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 		heartbeat := s.session.Heartbeat()
-		heartbeat.Quarantine = s.quarantine.Version()
+		heartbeat.Quarantine, heartbeat.Tunnel = s.quarantine.Version(), s.file.Router.TunnelAddress
 		response, err := s.control.AskOnce(requestCtx, control.Request{Heartbeat: &heartbeat})
 		cancel()
 		delay := session.FastHeartbeatInterval
@@ -44,6 +44,7 @@
 	if reply.Quarantine != nil {
 		s.quarantine.ApplyUpdate(reply.Quarantine)
 	}
+	s.paths.setPeers(s.file.Zone, reply.Tunnels)
 	actions := s.session.HandleReply(sentAt, reply)
 	if actions.RejectReason != "" {
 		s.log.Warn("ignoring heartbeat reply", zap.String("problem", actions.RejectReason))
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -47,6 +47,11 @@
 	return &Client{http: &http.Client{Transport: roundTripper}, token: token}
 }
 
+// NewClientWithRoundTripper returns a client that sends requests with a given round tripper.
+func NewClientWithRoundTripper(token string, roundTripper http.RoundTripper) *Client {
+	return &Client{http: &http.Client{Transport: roundTripper}, token: token}
+}
+
 // NewRoundTripper returns the HTTP transport for requests to other processes and to back ends.
 func NewRoundTripper(links *LinkFilter) *http.Transport { return newRoundTripper(links, dialTimeout) }
 
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -44,18 +44,15 @@
 
 // Conn is the client's end of a tunnel.
 type Conn struct {
-	*net.TCPConn
+	net.Conn
 	received io.Reader // decodes chunks
 }
 
 // Read reads bytes of the back end. It returns io.EOF only if the back end ended its stream in order.
 func (c *Conn) Read(p []byte) (int, error) { return c.received.Read(p) }
 
-// WriteTo hides the method of TCPConn, which would bypass the decoding.
-func (c *Conn) WriteTo(w io.Writer) (int64, error) { return io.Copy(w, struct{ io.Reader }{c}) }
-
 // open asks the peer at the other end of a connection to open a tunnel to an address.
-func open(conn *net.TCPConn, token, address string, deadline time.Time) (*Conn, error) {
+func open(conn net.Conn, token, address string, deadline time.Time) (*Conn, error) {
 	_ = conn.SetDeadline(deadline)
 	request, err := http.NewRequest(http.MethodGet, "http://"+conn.RemoteAddr().String()+Path+"?"+url.Values{queryAddress: {address}}.Encode(), nil)
 	if err != nil {
@@ -78,5 +75,5 @@
 		return nil, &OutcomeError{Outcome(response.Header.Get(outcomeHeader))}
 	}
 	_ = conn.SetDeadline(time.Time{})
-	return &Conn{TCPConn: conn, received: httputil.NewChunkedReader(reader)}, nil
+	return &Conn{Conn: conn, received: httputil.NewChunkedReader(reader)}, nil
 }
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -351,7 +351,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	deadline, _ := ctx.Deadline()
-	opened, err := open(conn.(*net.TCPConn), d.config.Token, address, deadline)
+	opened, err := open(conn, d.config.Token, address, deadline)
 	if !stop() && err == nil {
 		err = context.Cause(ctx) // the connection is being closed
 	}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -47,6 +47,18 @@
 // Carried returns the number of open tunnels.
 func (s *Server) Carried() int { return int(s.carried.Load()) }
 
+// Wait waits until no tunnels are open, or until ctx is done.
+func (s *Server) Wait(ctx context.Context, interval time.Duration) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for s.Carried() > 0 && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
 // ServeHTTP opens a tunnel and carries it until either end closes it.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != Path || !s.isAuthorized(r) {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -138,7 +138,8 @@
 			return [][]string{nil, addresses}
 		},
 		DialPeer: func(ctx context.Context, address string) (net.Conn, error) {
-			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			return struct{ net.Conn }{conn}, err // as if wrapped by a link filter
 		},
 		OnLost:     func(_, _ string, cause Cause) { c.note("lost " + string(cause)) },
 		OnRestored: func(string, time.Duration) { c.note("restored") },
@@ -330,7 +331,7 @@
 				t.Fatal(err)
 			}
 			defer conn.Close()
-			_, err = open(conn.(*net.TCPConn), test.token, test.address, time.Now().Add(5*time.Second))
+			_, err = open(conn, test.token, test.address, time.Now().Add(5*time.Second))
 			var refused *OutcomeError
 			if !errors.As(err, &refused) || refused.Outcome != test.want {
 				t.Fatalf("got %v, want outcome %q", err, test.want)
@@ -348,7 +349,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	opened, err := open(conn.(*net.TCPConn), "", address, time.Now().Add(5*time.Second))
+	opened, err := open(conn, "", address, time.Now().Add(5*time.Second))
 	if err != nil {
 		t.Fatal(err)
 	}
