Simulator: gateways lose their links to the back ends

Nothing simulated cut a gateway from the back ends alone, nor a connection that a partition refuses. New invariant reach-kept: from 3 s on a gateway reaches what another one reaches, and directly again within 6 s of use. A back end that lives is never taken for ended.

--- a/internal/lab/sim/deadly.go
+++ b/internal/lab/sim/deadly.go
@@ -86,9 +86,13 @@
 		return
 	}
 	g.after(g.w.between(time.Millisecond, 6*time.Millisecond), func() {
-		if !b.up {
-			g.confirmEnd(incarnation)
+		if !g.appearsEnded(b) {
+			return
+		}
+		if b.up && b.id == incarnation {
+			g.w.oracle.fail(QuarantineEnforced, "%s takes %s for ended, which lives", g.process.name, incarnation)
 		}
+		g.confirmEnd(incarnation)
 	})
 }
 
--- a/internal/lab/sim/fleet.go
+++ b/internal/lab/sim/fleet.go
@@ -11,6 +11,7 @@
 	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/pushback"
 	"kitetiller/internal/quarantine"
+	"kitetiller/internal/tunnel"
 )
 
 const (
@@ -295,6 +296,8 @@
 	leases          *allowance.Client
 	leaseAsker      *controlClient // requests leases on advertised limits
 	requestingLease bool
+	paths           *tunnel.Table
+	links           backendPartition // newest
 }
 
 func (g *fleetGateway) boot() {
@@ -304,6 +307,7 @@
 	g.revision, g.version, g.roster, g.confirmed, g.crashes = 0, control.RosterVersion{}, nil, 0, quarantine.NewTracker()
 	g.publishTimes, g.signals = belief.NewPublishTimes(g.w.guards), pushback.NewTracker()
 	g.leases, g.requestingLease = allowance.NewClient(fmt.Sprint(g.process.name, "#", g.generation), fleetViewTTL), false
+	g.paths = tunnel.NewTable()
 	g.leaseAsker = &controlClient{w: g.w, from: g.process}
 	g.w.oracle.fleet.publicationSeenAt[g.process.name] = map[uint64]time.Duration{}
 	g.w.oracle.fleet.usedRevision[g.process.name] = 0
@@ -374,6 +378,11 @@
 }
 
 func (g *fleetGateway) sendTo(entry control.RosterEntry) {
+	reached := g.reach(entry)
+	g.w.oracle.checkReach(g, entry, reached)
+	if !reached {
+		return
+	}
 	g.w.oracle.checkFleetSend(g.process.name, entry.ID)
 	g.startRequest(entry)
 }
--- a/internal/lab/sim/oracle.go
+++ b/internal/lab/sim/oracle.go
@@ -34,6 +34,7 @@
 	BackoffRespected         Invariant = "rest-given"
 	AdvertisedLimitRespected Invariant = "limit-kept"
 	BuildsCompatible         Invariant = "builds-known"
+	PartitionedGatewaysServe Invariant = "reach-kept"
 )
 
 // InvariantHelp is the description of an invariant and its check.
@@ -64,6 +65,7 @@
 		{OldWeightsLimitRespected, "no request begins on older weights later than the limit after newer ones were acknowledged, nor after its gateway first heard of them"},
 		{BackoffRespected, "a back end that asked a gateway or router for rest gets two requests more from it at the most, from half a second later to the end of that time"},
 		{AdvertisedLimitRespected, "from 3 s after a back end first named a limit it gets in any 4 s one and a half times what that allows and 5 more at the most, from all gateways or routers together that had heard of it half a second before"},
+		{PartitionedGatewaysServe, "a gateway that loses its links to all back ends reaches, from 3 s on, each one that another gateway reaches, and reaches it directly within 6 s of use after the links are back"},
 		{BuildsCompatible, "where control processes run two builds, none holds what its build doesn't know, and no level comes into force under one that runs the older"},
 	}
 }
