Soak: requests that share a part of their prompts which crashes each worker

What callers saw: requests of one kind crashed back ends one after the other; after five crashes 18 and 12 more were sent (26 and 20 crashes in all), none was rejected. The quarantine's soak repeated one and the same request.

The fault sends requests with one fatal part, no two alike, beside others with the same tenant, root and other parts. The new one says that the others are served half as often as before, from twice that time on.

--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -40,6 +40,7 @@
 	CutWorkers       Kind = "cut-workers"    // half of the gateways from all workers; connections hang
 	CutWorkersOneWay Kind = "cut-workers-one-way"
 	ResetWorkers     Kind = "reset-workers"  // the same; connections are reset, also new ones
+	FatalPart        Kind = "deadly-part"    // requests that share a part of their prompts which crashes each worker
 	RefuseWorkers    Kind = "refuse-workers" // the same; new connections are reset, open ones live on
 )
 
@@ -49,7 +50,7 @@
 		KillGateway, PauseGateway, StopGateway, KillControl, PauseLeader, KillAll, CutLeader, CutOneWay, CutGateway, DelayLinks, ResetLinks, ResetControl,
 		KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, FatalRequest, ForgedHeartbeats,
 		RejectRequests, DrainWorker, AdvertiseLimits,
-		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers,
+		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart,
 	}
 }
 
@@ -57,7 +58,7 @@
 func (k Kind) Disturbs() bool {
 	switch k {
 	case KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, FatalRequest, ForgedHeartbeats, RejectRequests, DrainWorker, AdvertiseLimits,
-		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers:
+		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart:
 		return false
 	}
 	return true
--- a/internal/lab/soak/promises.go
+++ b/internal/lab/soak/promises.go
@@ -38,13 +38,15 @@
 	ConfigDurable Guarantee = "config"
 	// Gateways that lose their links to all workers serve about as many requests as the others.
 	PartitionedGatewaysServe Guarantee = "reach"
+	// Requests are served although others, with which they share parts of their prompts, crash workers.
+	BystandersServed Guarantee = "bystanders"
 	// No request reaches a worker known only from forged heartbeats, and no forged heartbeat is acknowledged.
 	ForgedHeartbeatsIgnored Guarantee = "not-forged"
 )
 
 // Guarantees lists all guarantees in a fixed order.
 func Guarantees() []Guarantee {
-	return []Guarantee{WithinLimit, AtMostOnce, NotRunHonored, CorrectResponse, ServiceRecovers, NoUnexpectedExit, QuarantineEnforced, BackoffRespected, DrainRespected, AdvertisedLimitRespected, SlotsRespected, ConfigDurable, ForgedHeartbeatsIgnored, PartitionedGatewaysServe}
+	return []Guarantee{WithinLimit, AtMostOnce, NotRunHonored, CorrectResponse, ServiceRecovers, NoUnexpectedExit, QuarantineEnforced, BackoffRespected, DrainRespected, AdvertisedLimitRespected, SlotsRespected, ConfigDurable, ForgedHeartbeatsIgnored, PartitionedGatewaysServe, BystandersServed}
 }
 
 // Violation is an observation that contradicts a guarantee.
@@ -91,6 +93,7 @@
 	fatalArrivals map[string][]time.Duration
 	// Number of responses that reported a fatal request as quarantined, by its name; guarded by mu.
 	quarantineReplies map[string]int
+	fatalParts        map[string]*fatalPart // by part; guarded by mu
 	// Periods of faults in the system's processes and links; guarded by mu.
 	disturbances []interval
 	burstWindows []interval           // periods in which requests may be delayed; guarded by mu
@@ -107,7 +110,7 @@
 func NewWatcher(window, limitSettleTime time.Duration) *Watcher {
 	return &Watcher{
 		Window: window, LimitSettleTime: limitSettleTime, requests: map[string]*requestState{}, executions: map[string][]execution{}, limits: map[string][]TenantLimit{},
-		signals: newSignalLog(), outcomes: map[string]int{}, fatalArrivals: map[string][]time.Duration{}, quarantineReplies: map[string]int{}, tries: map[string]*firstTry{},
+		signals: newSignalLog(), outcomes: map[string]int{}, fatalArrivals: map[string][]time.Duration{}, quarantineReplies: map[string]int{}, tries: map[string]*firstTry{}, fatalParts: map[string]*fatalPart{},
 	}
 }
 
@@ -226,6 +229,7 @@
 	}
 	w.checkSlots()
 	w.checkPartitions()
+	w.checkFatalParts()
 	if w.expectRecovery && (len(w.served) == 0 || float64(servedCount) < minServedFraction*float64(len(w.served))) {
 		w.addViolation(ServiceRecovers, "%d of %d requests were served after all faults had healed", servedCount, len(w.served))
 	}
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -30,6 +30,8 @@
 	RejectRequests    func(ctx context.Context, target int, duration time.Duration)
 	DrainWorker       func(ctx context.Context, target int, duration time.Duration)
 	AdvertiseLimits   func(ctx context.Context, target int, duration time.Duration)
+	// SendFatalPart sends requests that share a part of their prompts which crashes each worker.
+	SendFatalPart func(ctx context.Context, target int, duration time.Duration)
 }
 
 // linkDelay is the delay that DelayLinks adds to each link.
@@ -105,6 +107,8 @@
 		}
 	case FatalRequest:
 		f.SendFatalRequests(ctx, fault.Target, duration)
+	case FatalPart:
+		f.SendFatalPart(ctx, fault.Target, duration)
 	case ForgedHeartbeats:
 		f.ForgeHeartbeats(ctx, fault.Target, duration)
 	case RejectRequests:
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -348,3 +348,34 @@
 		t.Errorf("right after the start: %v", got)
 	}
 }
+
+// After five crashes under a part, three more requests with it may reach workers, and half as many of the requests that
+// share its other parts as before must be served.
+func TestWatcherChecksFatalParts(t *testing.T) {
+	record := func(lateArrivals, servedAfter int) []Violation {
+		w := NewWatcher(time.Second, time.Second)
+		for number := range 40 {
+			w.RecordBystander(time.Duration(number)*time.Millisecond, "dead", true)
+		}
+		w.RecordFatalPartSent(time.Second, "dead")
+		for range partThreshold {
+			w.RecordFatalPartArrival(2*time.Second, "dead")
+		}
+		for range lateArrivals {
+			w.RecordFatalPartArrival(2*time.Second+quarantinePropagationDelay+1, "dead")
+		}
+		for number := range 40 {
+			w.RecordBystander(2*time.Second+bystanderDelay, "dead", number < servedAfter)
+		}
+		return w.Close()
+	}
+	if got := record(maxExtraPartArrivals, 20); len(got) > 0 {
+		t.Errorf("3 late arrivals, 20 of 40 served: %v", got)
+	}
+	if got := record(maxExtraPartArrivals+1, 20); len(got) != 1 || got[0].Guarantee != QuarantineEnforced {
+		t.Errorf("4 late arrivals: %v", got)
+	}
+	if got := record(0, 19); len(got) != 1 || got[0].Guarantee != BystandersServed {
+		t.Errorf("19 of 40 served: %v", got)
+	}
+}
