Quarantine parts of prompts that crash back ends, not only whole requests

What callers saw: requests with one part in their prompts, no two alike, crashed 26 and 20 back ends; 18 and 12 of them were sent after the fifth crash. None was rejected.

Cause: the fingerprint of a quarantined request covers its method, host, path, caller and body. Requests that share a part and nothing else began from nothing each time: of 73 fingerprints in the logs none came twice.

Change: a crash counts against the request and against each shared part of its prompt, by the part alone, whoever sent it on whatever route. Evidence has two sides: a completion, at any gateway within 15 s, clears the parts of its request, so that a root which all requests share stays free; and of the parts that remain, only those count whose crashes no other part has all and more of. Parts with the same crashes are held back together, in requests with all of them, until the next crash tells them apart. A part is quarantined from four crashes on and tried again after an hour without one. Routers count the messages of a conversation but the last in the same way.

--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -20,6 +20,9 @@
 	// quarantineTTL is how long a request stays quarantined after its last crash. Then it may run again, and a single
 	// further crash quarantines it again: a day for whatever may have fixed it, at the price of one back end if nothing did.
 	quarantineTTL = 24 * time.Hour
+	// partQuarantineTTL is quarantineTTL of parts of prompts. It is shorter, as a part affects all requests that share it,
+	// and these can't clear it while they are rejected.
+	partQuarantineTTL = time.Hour
 	// quarantineSweepInterval is the interval between sweeps of expired entries.
 	quarantineSweepInterval = time.Second
 )
@@ -90,6 +93,7 @@
 func (r *Replica) expiredEntries(now time.Duration, registry *quarantine.Registry) []quarantine.Release {
 	expiredSuspects := quarantine.Release{Reason: quarantine.ReasonExpired}
 	expiredQuarantines := quarantine.Release{Reason: quarantine.ReasonExpired, Keep: quarantine.QuarantineThreshold - 1}
+	expiredParts := quarantine.Release{Reason: quarantine.ReasonExpired, Keep: quarantine.PartQuarantineThreshold - 1}
 	changedAt := make(map[quarantine.Fingerprint]time.Duration, len(r.crashTimes.changedAt))
 	for _, f := range registry.Fingerprints() {
 		at, known := r.crashTimes.changedAt[f]
@@ -97,7 +101,10 @@
 			at = now
 		}
 		changedAt[f] = at
-		switch quarantined := registry.CrashCount(f) >= quarantine.QuarantineThreshold; {
+		switch quarantined := registry.CrashCount(f) >= f.QuarantineThreshold(); {
+		case quarantined && f.IsPart() && now-at > partQuarantineTTL:
+			expiredParts.Requests = append(expiredParts.Requests, f)
+		case quarantined && f.IsPart():
 		case quarantined && now-at > quarantineTTL:
 			expiredQuarantines.Requests = append(expiredQuarantines.Requests, f)
 		case !quarantined && now-at > suspectTTL:
@@ -107,7 +114,7 @@
 	r.crashTimes.changedAt = changedAt
 	maps.DeleteFunc(r.crashTimes.releaseReasons, func(f quarantine.Fingerprint, _ quarantine.Reason) bool { return registry.CrashCount(f) == 0 })
 	var expired []quarantine.Release
-	for _, release := range []quarantine.Release{expiredSuspects, expiredQuarantines} {
+	for _, release := range []quarantine.Release{expiredSuspects, expiredQuarantines, expiredParts} {
 		if len(release.Requests) > 0 {
 			expired = append(expired, release)
 		}
@@ -139,14 +146,11 @@
 	now := s.now()
 	s.quarantineLog.version = registry.Version()
 	since := map[quarantine.Fingerprint]time.Duration{}
-	for _, entry := range registry.Update().Entries {
-		if len(entry.Incarnations) < quarantine.QuarantineThreshold {
-			continue
-		}
+	for _, entry := range quarantine.QuarantinedEntries(registry.Update().Entries) {
 		at, known := s.quarantineLog.since[entry.Request]
 		if !known {
 			at = now
-			s.log.Info(events.RequestQuarantined, zap.Stringer(events.FieldFingerprint, entry.Request), zap.Strings("ended", entry.Incarnations))
+			s.log.Info(events.RequestQuarantined, zap.Stringer(events.FieldFingerprint, entry.Request), zap.Bool(events.FieldPart, entry.Request.IsPart()), zap.Strings("ended", entry.Incarnations))
 		}
 		since[entry.Request] = at
 	}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -111,6 +111,7 @@
 	FieldResource       = "resource" // limited resource: "tenant/NAME" or "repeats/SERVICE"
 	// FieldFingerprint identifies a request across retries.
 	FieldFingerprint  = "fingerprint"
+	FieldPart         = "part"  // true if it identifies a part of prompts
 	FieldIncarnations = "lives" // of backends that crashed during a request
 	// FieldOutdatedFor is the age of the oldest publication that the weights lack, as reported by control.
 	// FieldStartDeadline is the time left until no request may start on these weights, negative after that, and
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -15,7 +15,6 @@
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/prefix"
 	"kitetiller/internal/pushback"
-	"kitetiller/internal/quarantine"
 	"kitetiller/internal/quarantine/reporter"
 	"kitetiller/internal/tunnel"
 )
@@ -271,7 +270,7 @@
 		return reasonViewUnconfirmed
 	case !a.continues && !x.hasQuota(): // a continuation counts as the same run
 		return reasonLimitUnknown
-	case x.crashCount() >= quarantine.QuarantineThreshold:
+	case x.isQuarantined():
 		return reasonQuarantined
 	case a.plan.slot.expired(now):
 		x.gateway.metrics.recheckFailures.WithLabelValues(causeGrantExpired).Inc()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -65,25 +65,25 @@
 	bodyReserved int // buffer bytes reserved for the body
 
 	tried             []*endpoint
-	sentCount         int                     // attempts that were sent
-	unreachableCount  int                     // attempts that ended unsent for any other reason
-	limitReachedCount int                     // attempts that ended unsent because the back end had reached its limit
-	mayHaveRun        bool                    // an earlier attempt may have run
-	headRelayed       bool                    // the response head was sent to the caller
-	lastEvent         string                  // ID of the last event sent to the caller
-	servedBy          string                  // instance whose response the caller got
-	peer              string                  // that carried the latest attempt, or "" if that was sent directly
-	firstEventAt      time.Duration           // when the first event was sent to the caller; 0 before that
-	latestEventAt     time.Duration           // when the latest event was sent to the caller
-	longestGap        time.Duration           // longest time between two events
-	placement         *candidate              // latest placement; nil before the first
-	quotaLease        quotaLease              // lease on the tenant's limit for the next attempt
-	copied            *copiedRun              // nil unless another engine may keep a copy of the stream's run
-	continuation      *candidate              // set if the next attempt continues the stream's run from its copy
-	backoffLeft       time.Duration           // longest backoff of a back end still running when the request was sent to it
-	advertisedLimit   pushback.Limit          // limit advertised by the back end of the latest attempt
-	cachedFingerprint *quarantine.Fingerprint // of the request; nil until first needed
-	slot              slotTrace               // how the latest slot of a small service was obtained
+	sentCount         int                 // attempts that were sent
+	unreachableCount  int                 // attempts that ended unsent for any other reason
+	limitReachedCount int                 // attempts that ended unsent because the back end had reached its limit
+	mayHaveRun        bool                // an earlier attempt may have run
+	headRelayed       bool                // the response head was sent to the caller
+	lastEvent         string              // ID of the last event sent to the caller
+	servedBy          string              // instance whose response the caller got
+	peer              string              // that carried the latest attempt, or "" if that was sent directly
+	firstEventAt      time.Duration       // when the first event was sent to the caller; 0 before that
+	latestEventAt     time.Duration       // when the latest event was sent to the caller
+	longestGap        time.Duration       // longest time between two events
+	placement         *candidate          // latest placement; nil before the first
+	quotaLease        quotaLease          // lease on the tenant's limit for the next attempt
+	copied            *copiedRun          // nil unless another engine may keep a copy of the stream's run
+	continuation      *candidate          // set if the next attempt continues the stream's run from its copy
+	backoffLeft       time.Duration       // longest backoff of a back end still running when the request was sent to it
+	advertisedLimit   pushback.Limit      // limit advertised by the back end of the latest attempt
+	cachedSubject     *quarantine.Subject // the request's fingerprints; nil until first needed
+	slot              slotTrace           // how the latest slot of a small service was obtained
 }
 
 // serve handles a caller's request.
--- a/internal/gateway/final.go
+++ b/internal/gateway/final.go
@@ -68,7 +68,7 @@
 		fields = append(fields, zap.Duration("unconfirmed", x.gateway.now()-time.Duration(x.gateway.confirmedAt.Load())))
 	}
 	if reason == reasonQuarantined {
-		fields = append(fields, zap.Stringer(events.FieldFingerprint, x.cachedFingerprint), zap.Int(events.FieldIncarnations, x.crashCount()))
+		fields = append(fields, x.quarantineFields()...)
 	}
 	if x.placement != nil && x.service.Engine {
 		fields = append(fields, zap.Float64(events.FieldPredictedWait, x.placement.wait), zap.Int(events.FieldUncachedTokens, x.placement.uncached), zap.String(events.FieldCacheSource, x.placement.fetchFrom),
@@ -124,7 +124,7 @@
 		zap.Duration(events.FieldElapsed, x.gateway.now()-a.startedAt),
 	}
 	if a.crashChecked != nil {
-		fields = append(fields, zap.Stringer(events.FieldFingerprint, x.cachedFingerprint))
+		fields = append(fields, zap.Stringer(events.FieldFingerprint, x.cachedSubject.Request))
 	}
 	if a.requestedBackoff > 0 {
 		fields = append(fields, zap.Duration(events.FieldBackoff, a.requestedBackoff))
--- a/internal/gateway/heldback.go
+++ b/internal/gateway/heldback.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/events"
+	"kitetiller/internal/prefix"
 	"kitetiller/internal/quarantine"
 )
 
@@ -12,52 +15,71 @@
 // is sent to another one. It is a multiple of the round trip to another zone.
 const crashCheckTimeout = 25 * time.Millisecond
 
-// fingerprint returns the request's fingerprint, which is the same for each retry by the caller. ok is false while the
-// seed is unknown.
-func (x *exchange) fingerprint() (f quarantine.Fingerprint, ok bool) {
-	if x.cachedFingerprint != nil {
-		return *x.cachedFingerprint, true
+// subject returns the fingerprints of the request and of the parts of its prompt that other requests may share. They are
+// the same for each retry by the caller. ok is false while the seed is unknown.
+func (x *exchange) subject() (s quarantine.Subject, ok bool) {
+	if x.cachedSubject != nil {
+		return *x.cachedSubject, true
 	}
 	request := quarantine.Request{Method: x.request.Method, Host: x.request.Host, Path: x.request.RequestURI, Body: x.body}
 	if x.tenant != nil {
 		request.Caller = x.tenant.Name
 	}
-	if f, ok = x.gateway.quarantine.Fingerprint(request); ok {
-		x.cachedFingerprint = &f
+	if s.Request, ok = x.gateway.quarantine.Fingerprint(request); !ok {
+		return s, false
+	}
+	for _, part := range prefix.SharedParts(x.call.Parts) {
+		if f, known := x.gateway.quarantine.Part(part.ID); known {
+			s.Parts = append(s.Parts, f)
+		}
 	}
-	return f, ok
+	x.cachedSubject = &s
+	return s, true
 }
 
-// crashCount returns the known number of back ends that crashed while they ran the request.
-func (x *exchange) crashCount() int {
+// isQuarantined reports whether the request or parts of it crashed so many back ends that it must not be sent.
+func (x *exchange) isQuarantined() bool {
 	if x.gateway.quarantine.IsEmpty() {
-		return 0
-	}
-	f, ok := x.fingerprint()
-	if !ok {
-		return 0
+		return false
 	}
-	return x.gateway.quarantine.CrashCount(f)
+	s, ok := x.subject()
+	return ok && x.gateway.quarantine.IsQuarantined(s)
 }
 
 // rejectIfQuarantined answers the request and returns true if it is quarantined. It does not wait first, since no back
 // end could run the request.
 func (x *exchange) rejectIfQuarantined() bool {
-	if x.crashCount() < quarantine.QuarantineThreshold {
+	if !x.isQuarantined() {
 		return false
 	}
 	x.giveUp(reasonQuarantined, quarantine.RetryAfter)
 	return true
 }
 
-// isSuspect reports whether the request crashed so many back ends that the gateway does not retry it: a crash also
-// fails all other requests that run there.
-func (x *exchange) isSuspect() bool { return x.crashCount() >= quarantine.SuspectThreshold }
+// isSuspect reports whether the request or parts of it crashed so many back ends that the gateway does not retry it: a
+// crash also fails all other requests that run there.
+func (x *exchange) isSuspect() bool {
+	if x.gateway.quarantine.IsEmpty() {
+		return false
+	}
+	s, ok := x.subject()
+	return ok && x.gateway.quarantine.IsSuspect(s)
+}
+
+// quarantineFields returns the log fields that tell why the request is quarantined.
+func (x *exchange) quarantineFields() []zap.Field {
+	s, ok := x.subject()
+	if !ok {
+		return nil
+	}
+	f, crashes := x.gateway.quarantine.Explain(s)
+	return []zap.Field{zap.Stringer(events.FieldFingerprint, f), zap.Bool(events.FieldPart, f.IsPart()), zap.Int(events.FieldIncarnations, crashes)}
+}
 
 // recordCompletion records that a back end completed the request.
 func (x *exchange) recordCompletion() {
-	if f, ok := x.fingerprint(); ok {
-		x.gateway.quarantine.RecordCompletion(f)
+	if s, ok := x.subject(); ok {
+		x.gateway.quarantine.RecordCompletion(s)
 	}
 }
 
@@ -68,8 +90,8 @@
 	if !x.gateway.table.isReady(a.row) {
 		return
 	}
-	if f, ok := x.fingerprint(); ok {
-		a.crashChecked = x.gateway.quarantine.RecordFailure(a.row.entry.ID, a.row.entry.Address, f)
+	if s, ok := x.subject(); ok {
+		a.crashChecked = x.gateway.quarantine.RecordFailure(a.row.entry.ID, a.row.entry.Address, s)
 	}
 }
 
--- a/internal/lab/sim/deadly.go
+++ b/internal/lab/sim/deadly.go
@@ -78,7 +78,7 @@
 // the machine lost power or is partitioned.
 func (g *fleetGateway) recordBrokenRuns(b *fleetBackend, incarnation string, silent bool, runs []quarantine.Fingerprint) {
 	for _, f := range runs {
-		if crash, counts := g.crashes.RecordFailure(g.clock(), incarnation, f); counts {
+		if crash, counts := g.crashes.RecordFailure(g.clock(), incarnation, quarantine.Subject{Request: f}); counts {
 			g.reportCrash(crash)
 		}
 	}
@@ -150,9 +150,7 @@
 	if g.w.guards.On(guard.QuarantineCheck) && g.crashes.CrashCount(hotRequest) >= quarantine.QuarantineThreshold {
 		g.w.oracle.fail(QuarantineEnforced, "%s quarantines a request that completes, for %d crashes", g.process.name, g.crashes.CrashCount(hotRequest))
 	}
-	if g.crashes.RecordCompletion(g.clock(), hotRequest) {
-		g.release(hotRequest)
-	}
+	g.release(g.crashes.RecordCompletion(g.clock(), quarantine.Subject{Request: hotRequest})...)
 }
 
 // fatalRequest is the oracle's record of a fatal request.
--- a/internal/operator/heldback.go
+++ b/internal/operator/heldback.go
@@ -12,17 +12,25 @@
 	"kitetiller/internal/quarantine"
 )
 
-// ListQuarantined prints the requests under which back ends crashed, and whether each is quarantined, as the leader
-// sees them.
+// ListQuarantined prints the requests and parts of prompts under which back ends crashed, and whether each is quarantined,
+// as the leader sees them.
 func (c *Command) ListQuarantined() error {
 	for _, reply := range c.collectStatus().Control {
 		if !reply.LeaseHeld {
 			continue
 		}
 		return c.emit(reply.Suspects, func(w *tabwriter.Writer) {
-			fmt.Fprintln(w, "FINGERPRINT\tHELD BACK\tBACK ENDS THAT ENDED")
+			held := map[quarantine.Fingerprint]bool{}
+			for _, entry := range quarantine.QuarantinedEntries(reply.Suspects) {
+				held[entry.Request] = true
+			}
+			fmt.Fprintln(w, "FINGERPRINT\tKIND\tHELD BACK\tBACK ENDS THAT ENDED")
 			for _, entry := range reply.Suspects {
-				fmt.Fprintf(w, "%s\t%t\t%s\n", entry.Request, len(entry.Incarnations) >= quarantine.QuarantineThreshold, strings.Join(entry.Incarnations, " "))
+				kind := "request"
+				if entry.Request.IsPart() {
+					kind = "part"
+				}
+				fmt.Fprintf(w, "%s\t%s\t%t\t%s\n", entry.Request, kind, held[entry.Request], strings.Join(entry.Incarnations, " "))
 			}
 		})
 	}
@@ -46,6 +54,6 @@
 	if _, err := c.send(control.Request{Catalog: &catalog.Command{Quarantine: &change}}); err != nil {
 		return err
 	}
-	c.printf("released: %d; each may end three more back ends before it is held back again\n", len(requests))
+	c.printf("released: %d; each may end some more back ends before it is held back again\n", len(requests))
 	return nil
 }
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -16,8 +16,8 @@
 	SeedBytes = 32
 )
 
-// Fingerprint identifies a request by what does not change when it is sent again. Without the seed it reveals nothing
-// about the request.
+// Fingerprint identifies a request by what does not change when it is sent again, or a part of a prompt. Without the seed
+// it reveals nothing about either.
 type Fingerprint [fingerprintBytes]byte
 
 // textEncoding encodes fingerprints in messages and logs.
@@ -46,9 +46,11 @@
 	Body         []byte
 }
 
+type blake3Hasher = blake3.Hasher
+
 // Hasher computes fingerprints with one seed. It is safe for concurrent use.
 type Hasher struct {
-	idle sync.Pool // of *blake3.Hasher, which takes about 10 KB each
+	idle sync.Pool // of *blake3Hasher, which takes about 10 KB each
 }
 
 // NewHasher returns a hasher with the given seed.
@@ -62,7 +64,7 @@
 
 // Fingerprint returns the fingerprint of a request.
 func (h *Hasher) Fingerprint(r Request) Fingerprint {
-	hasher := h.idle.Get().(*blake3.Hasher)
+	hasher := h.idle.Get().(*blake3Hasher)
 	defer h.idle.Put(hasher)
 	hasher.Reset()
 	for _, field := range [...]string{r.Method, r.Host, r.Path, r.Caller} {
@@ -72,8 +74,12 @@
 		_, _ = hasher.WriteString(field)
 	}
 	_, _ = hasher.Write(r.Body)
+	return sum(hasher)
+}
+
+// sum returns the fingerprint of what was written to a hasher.
+func sum(hasher *blake3Hasher) (f Fingerprint) {
 	var full [32]byte
-	var fingerprint Fingerprint
-	copy(fingerprint[:], hasher.Sum(full[:0]))
-	return fingerprint
+	copy(f[:], hasher.Sum(full[:0]))
+	return f
 }
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -15,6 +15,9 @@
 	// QuarantineThreshold is the number of crashes from which a request is quarantined. Two may be a coincidence when
 	// many back ends crash.
 	QuarantineThreshold = 3
+	// PartQuarantineThreshold is the number of crashes from which requests with a part of a prompt are quarantined. It is
+	// higher than that of requests, since a part that many share is more often hit by unrelated crashes.
+	PartQuarantineThreshold = 4
 	// RetryAfter is the retry delay sent to callers of quarantined requests. Only an operator, or a day without
 	// crashes, releases them; the delay discourages immediate retries.
 	RetryAfter = time.Hour
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -16,6 +16,9 @@
 	return Fingerprint{byte(number), byte(number >> 8), byte(number >> 16)}
 }
 
+// requestOnly is a request without parts that others may share.
+func requestOnly(f Fingerprint) Subject { return Subject{Request: f} }
+
 func crashOf(incarnation string, numbers ...int) Crash {
 	crash := Crash{Incarnation: incarnation}
 	for _, n := range numbers {
@@ -245,7 +248,7 @@
 // confirmationTimeout.
 func TestOnlyConfirmedCrashCounts(t *testing.T) {
 	tracker, f := NewTracker(), fingerprintOf(1)
-	if _, ok := tracker.RecordFailure(time.Second, "a", f); ok || tracker.CrashCount(f) != 0 || !tracker.AwaitsConfirmation("a") {
+	if _, ok := tracker.RecordFailure(time.Second, "a", requestOnly(f)); ok || tracker.CrashCount(f) != 0 || !tracker.AwaitsConfirmation("a") {
 		t.Fatal("a failed run counts without confirmation")
 	}
 	if _, ok := tracker.ConfirmEnd(time.Second, "b"); ok {
@@ -256,13 +259,13 @@
 		tracker.CrashCount(f) != 1 || tracker.AwaitsConfirmation("a") {
 		t.Fatalf("crash after confirmation: got %+v, %t", crash, ok)
 	}
-	if crash, ok = tracker.RecordFailure(2*time.Second, "a", fingerprintOf(2)); !ok || !slices.Equal(crash.Requests, []Fingerprint{fingerprintOf(2)}) {
+	if crash, ok = tracker.RecordFailure(2*time.Second, "a", requestOnly(fingerprintOf(2))); !ok || !slices.Equal(crash.Requests, []Fingerprint{fingerprintOf(2)}) {
 		t.Fatalf("run that failed after the confirmation: got %+v, %t", crash, ok)
 	}
 	if _, ok = tracker.ConfirmEnd(2*time.Second, "a"); ok {
 		t.Fatal("a confirmed end was reported twice")
 	}
-	tracker.RecordFailure(3*time.Second, "c", f)
+	tracker.RecordFailure(3*time.Second, "c", requestOnly(f))
 	if _, ok = tracker.ConfirmEnd(3*time.Second+confirmationTimeout+1, "c"); ok {
 		t.Fatal("a confirmation after confirmationTimeout counts")
 	}
@@ -271,10 +274,10 @@
 // Crashes right after a completion don't count, locally or if reported, and a completion releases the request.
 func TestCompletionClearsRequest(t *testing.T) {
 	tracker, f := NewTracker(), fingerprintOf(1)
-	if tracker.RecordCompletion(time.Second, f) {
+	if len(tracker.RecordCompletion(time.Second, requestOnly(f))) > 0 {
 		t.Fatal("completion of a request without crashes requests a release")
 	}
-	tracker.RecordFailure(2*time.Second, "a", f)
+	tracker.RecordFailure(2*time.Second, "a", requestOnly(f))
 	if _, ok := tracker.ConfirmEnd(2*time.Second, "a"); ok {
 		t.Fatal("crash right after a completion counts")
 	}
@@ -283,7 +286,7 @@
 		tracker.CrashCount(f) != 0 || tracker.CrashCount(fingerprintOf(2)) != QuarantineThreshold {
 		t.Fatalf("requests to release: got %v", completed)
 	}
-	if !tracker.RecordCompletion(4*time.Second, fingerprintOf(2)) || tracker.CrashCount(fingerprintOf(2)) != 0 {
+	if len(tracker.RecordCompletion(4*time.Second, requestOnly(fingerprintOf(2)))) == 0 || tracker.CrashCount(fingerprintOf(2)) != 0 {
 		t.Fatal("completion did not release the request")
 	}
 	later := 4*time.Second + completionTTL + 1
@@ -298,22 +301,22 @@
 func TestCompletionOutlastsIdleTime(t *testing.T) {
 	const idle = 6 * time.Second
 	tracker, f := NewTracker(), fingerprintOf(1)
-	tracker.RecordCompletion(time.Second, f)
+	tracker.RecordCompletion(time.Second, requestOnly(f))
 	resumed := 2*time.Second + idle
 	tracker.RecordIdle(resumed, idle)
 	for _, incarnation := range []string{"a", "b", "c"} {
-		tracker.RecordFailure(resumed, incarnation, f)
+		tracker.RecordFailure(resumed, incarnation, requestOnly(f))
 		tracker.ConfirmEnd(resumed, incarnation)
 	}
 	if crashes := tracker.CrashCount(f); crashes != 0 {
 		t.Fatalf("%d crashes count after idle time", crashes)
 	}
 	later := time.Second + idle + completionTTL + 1
-	tracker.RecordFailure(later, "d", f)
+	tracker.RecordFailure(later, "d", requestOnly(f))
 	if _, ok := tracker.ConfirmEnd(later, "d"); !ok {
 		t.Fatal("completion was extended by more than the idle time")
 	}
-	tracker.RecordCompletion(later, f)
+	tracker.RecordCompletion(later, requestOnly(f))
 	tracker.RecordIdle(later+time.Second, time.Hour)
 	if tracker.recentlyCompleted(later+time.Second+completionTTL+1, f) {
 		t.Fatal("completion was extended into the future")
@@ -324,7 +327,7 @@
 func TestLocalCrashesAddToReportedOnes(t *testing.T) {
 	tracker, f := NewTracker(), fingerprintOf(1)
 	for _, incarnation := range []string{"a", "b"} {
-		tracker.RecordFailure(time.Second, incarnation, f)
+		tracker.RecordFailure(time.Second, incarnation, requestOnly(f))
 		tracker.ConfirmEnd(time.Second, incarnation)
 	}
 	if tracker.IsEmpty() || tracker.CrashCount(f) != 2 {
@@ -345,18 +348,18 @@
 func TestTrackerIsBounded(t *testing.T) {
 	tracker := NewTracker()
 	for n := range 3 * maxCompletions {
-		tracker.RecordFailure(time.Second, fmt.Sprint("life-", n), fingerprintOf(n))
+		tracker.RecordFailure(time.Second, fmt.Sprint("life-", n), requestOnly(fingerprintOf(n)))
 		tracker.ConfirmEnd(time.Second, fmt.Sprint("life-", n))
-		tracker.RecordFailure(time.Second, "one", fingerprintOf(n))
-		tracker.RecordCompletion(time.Second, fingerprintOf(3*maxCompletions+n%(maxCompletions+7)))
+		tracker.RecordFailure(time.Second, "one", requestOnly(fingerprintOf(n)))
+		tracker.RecordCompletion(time.Second, requestOnly(fingerprintOf(3*maxCompletions+n%(maxCompletions+7))))
 	}
 	if len(tracker.failures) > maxFailedIncarnations || len(tracker.failures["one"].runs) > maxFailedRuns ||
-		len(tracker.local) > maxLocal || len(tracker.completions) > maxCompletions {
+		len(tracker.local) > maxLocal || len(tracker.completed.at) > maxCompletions {
 		t.Fatalf("state exceeds its bounds: %d failed incarnations, %d failed runs, %d local, %d completions",
-			len(tracker.failures), len(tracker.failures["one"].runs), len(tracker.local), len(tracker.completions))
+			len(tracker.failures), len(tracker.failures["one"].runs), len(tracker.local), len(tracker.completed.at))
 	}
-	for f, c := range tracker.completions {
-		if tracker.ring[c.slot] != f {
+	for f, c := range tracker.completed.at {
+		if tracker.completed.ring[c.slot] != f {
 			t.Fatal("completion is not in its slot of the ring")
 		}
 	}
@@ -380,7 +383,7 @@
 	tracker, f := NewTracker(), fingerprintOf(1)
 	var crashes []Crash
 	for _, incarnation := range []string{"a", "b", "c"} {
-		tracker.RecordFailure(time.Second, incarnation, f)
+		tracker.RecordFailure(time.Second, incarnation, requestOnly(f))
 		crash, _ := tracker.ConfirmEnd(time.Second, incarnation)
 		crashes = append(crashes, crash)
 	}
@@ -396,7 +399,7 @@
 	if tracker.CrashCount(f) != 0 {
 		t.Fatalf("%d crashes after the release", tracker.CrashCount(f))
 	}
-	tracker.RecordFailure(2*time.Second, "d", f)
+	tracker.RecordFailure(2*time.Second, "d", requestOnly(f))
 	tracker.ConfirmEnd(2*time.Second, "d")
 	tracker.ApplyUpdate(2*time.Second, &Update{Version: 4})
 	if tracker.CrashCount(f) != 1 {
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -13,6 +13,12 @@
 	// completionTTL is how long a completion protects a request: several times the delay with which updates spread.
 	// If the request crashes back ends only later, for example under other weights, those crashes count.
 	completionTTL = 5 * time.Second
+	// partCompletionTTL is completionTTL of parts. It is longer, since a request with a part may take long where others
+	// with it have just been cut off.
+	partCompletionTTL = 15 * time.Second
+	// partRefreshInterval is how long a completion of a part is not stored again, so that parts shared by many requests
+	// don't displace others.
+	partRefreshInterval = time.Second
 	// localTTL is how long crashes seen by this process count without an update from the control plane, which does
 	// not send requests with a single crash.
 	localTTL = 15 * time.Second
@@ -22,17 +28,19 @@
 	maxFailedRuns         = 256
 	maxLocal              = 1024
 	maxCompletions        = 1024
+	maxPartCompletions    = 4096
 )
 
 // Tracker is one process's view of requests under which back ends crashed.
 type Tracker struct {
-	version     uint64
-	reported    map[Fingerprint][]string      // incarnations, as sent by the control plane
-	local       map[Fingerprint]*localCrashes // seen by this process; at most maxLocal
-	failures    map[string]*failedRuns        // by incarnation; at most maxFailedIncarnations
-	completions map[Fingerprint]completion    // at most maxCompletions
-	ring        [maxCompletions]Fingerprint   // completions by slot
-	nextSlot    int                           // of the next completion
+	version   uint64
+	reported  map[Fingerprint][]string      // incarnations, as sent by the control plane
+	local     map[Fingerprint]*localCrashes // seen by this process; at most maxLocal
+	failures  map[string]*failedRuns        // by incarnation; at most maxFailedIncarnations
+	completed *completions                  // of requests
+	parts     *completions                  // of parts
+	groups    []partGroup                   // as of judgeParts, if judged is set
+	judged    bool                          // groups is current
 }
 
 // localCrashes are crashes under one request seen by this process.
@@ -42,24 +50,19 @@
 	acknowledged bool          // the control plane recorded all of them, so its next update supersedes them
 }
 
-// completion is the last completion of a request and its slot in the ring.
-type completion struct {
-	at   time.Duration
-	slot int
-}
-
 // failedRuns are the runs that failed on one incarnation.
 type failedRuns struct {
 	lastAt    time.Duration // newest failure
 	confirmed bool          // the incarnation has ended
-	runs      []Fingerprint // not counted yet; distinct; at most maxFailedRuns
+	runs      []Fingerprint // of requests and parts, not counted yet; distinct; at most maxFailedRuns
 }
 
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
 	return &Tracker{
 		reported: map[Fingerprint][]string{}, local: map[Fingerprint]*localCrashes{},
-		failures: map[string]*failedRuns{}, completions: map[Fingerprint]completion{},
+		failures:  map[string]*failedRuns{},
+		completed: newCompletions(completionTTL, 0, maxCompletions), parts: newCompletions(partCompletionTTL, partRefreshInterval, maxPartCompletions),
 	}
 }
 
@@ -70,7 +73,7 @@
 // are to be released. Acknowledged local crashes are dropped, so that a release requested elsewhere takes effect
 // here.
 func (t *Tracker) ApplyUpdate(now time.Duration, update *Update) (completed []Fingerprint) {
-	t.version = update.Version
+	t.version, t.judged = update.Version, false
 	clear(t.reported)
 	maps.DeleteFunc(t.local, func(_ Fingerprint, local *localCrashes) bool { return local.acknowledged })
 	for _, e := range update.Entries {
@@ -83,10 +86,11 @@
 	return completed
 }
 
-// RecordFailure records a failed run on an incarnation. If the incarnation is known to have ended, it returns the
-// crash to report.
-func (t *Tracker) RecordFailure(now time.Duration, incarnation string, f Fingerprint) (crash Crash, ok bool) {
-	if t.recentlyCompleted(now, f) {
+// RecordFailure records a failed run on an incarnation, of a request and with its parts. If the incarnation is known to
+// have ended, it returns the crash to report.
+func (t *Tracker) RecordFailure(now time.Duration, incarnation string, subject Subject) (crash Crash, ok bool) {
+	counted := slices.DeleteFunc(subject.fingerprints(), func(f Fingerprint) bool { return t.recentlyCompleted(now, f) })
+	if len(counted) == 0 {
 		return Crash{}, false
 	}
 	failed := t.failures[incarnation]
@@ -99,8 +103,10 @@
 		t.failures[incarnation] = failed
 	}
 	failed.lastAt = now
-	if len(failed.runs) < maxFailedRuns && !slices.Contains(failed.runs, f) {
-		failed.runs = append(failed.runs, f)
+	for _, f := range counted {
+		if len(failed.runs) < maxFailedRuns && !slices.Contains(failed.runs, f) {
+			failed.runs = append(failed.runs, f)
+		}
 	}
 	if failed.confirmed {
 		return t.countCrash(now, incarnation, failed)
@@ -139,6 +145,7 @@
 
 // addLocal adds a crash to a request. Beyond the bounds, only the control plane counts it.
 func (t *Tracker) addLocal(now time.Duration, incarnation string, f Fingerprint) {
+	t.judged = false
 	local := t.local[f]
 	if local == nil {
 		if len(t.local) >= maxLocal {
@@ -164,66 +171,115 @@
 	}
 }
 
-// RecordCompletion records that a back end completed a request, and reports whether the request has crashes to be
+// RecordCompletion records that a back end completed a request, and returns which of its fingerprints have crashes to be
 // released.
-func (t *Tracker) RecordCompletion(now time.Duration, f Fingerprint) (release bool) {
-	t.addCompletion(now, f)
-	_, reported := t.reported[f]
-	_, local := t.local[f]
-	delete(t.reported, f)
-	delete(t.local, f)
-	return reported || local
-}
-
-// addCompletion stores a completion in place of the oldest.
-func (t *Tracker) addCompletion(now time.Duration, f Fingerprint) {
-	oldest := t.ring[t.nextSlot]
-	if last, known := t.completions[oldest]; known && last.slot == t.nextSlot {
-		delete(t.completions, oldest)
+func (t *Tracker) RecordCompletion(now time.Duration, subject Subject) (release []Fingerprint) {
+	for _, f := range subject.fingerprints() {
+		t.completionsOf(f).add(now, f)
+		_, reported := t.reported[f]
+		_, local := t.local[f]
+		if reported || local {
+			delete(t.reported, f)
+			delete(t.local, f)
+			t.judged = false
+			release = append(release, f)
+		}
 	}
-	t.ring[t.nextSlot], t.completions[f] = f, completion{at: now, slot: t.nextSlot}
-	t.nextSlot = (t.nextSlot + 1) % maxCompletions
+	return release
 }
 
 // RecordIdle records that this process could send nothing for a duration until now. Completions remain valid for as
 // much longer, since no request could complete in that time.
 func (t *Tracker) RecordIdle(now, idle time.Duration) {
-	for f, last := range t.completions {
-		last.at = min(now, last.at+max(0, idle))
-		t.completions[f] = last
+	t.completed.extend(now, idle)
+	t.parts.extend(now, idle)
+}
+
+// completionsOf returns the completions of requests or of parts, whichever the fingerprint is of.
+func (t *Tracker) completionsOf(f Fingerprint) *completions {
+	if f.IsPart() {
+		return t.parts
 	}
+	return t.completed
 }
 
-// recentlyCompleted reports whether a request completed here within completionTTL.
+// recentlyCompleted reports whether a request, or one with a part, completed here recently.
 func (t *Tracker) recentlyCompleted(now time.Duration, f Fingerprint) bool {
-	last, known := t.completions[f]
-	return known && now-last.at <= completionTTL
+	return t.completionsOf(f).isRecent(now, f)
+}
+
+// IsQuarantined reports whether a request must not be sent, since it or parts of it crashed too many back ends.
+func (t *Tracker) IsQuarantined(subject Subject) bool {
+	if t.CrashCount(subject.Request) >= QuarantineThreshold {
+		return true
+	}
+	return slices.ContainsFunc(t.partGroups(), func(g partGroup) bool { return g.isQuarantined() && g.matches(subject.Parts) })
+}
+
+// IsSuspect reports whether a request, or parts of it, crashed so many back ends that it is not retried by itself.
+func (t *Tracker) IsSuspect(subject Subject) bool {
+	if t.CrashCount(subject.Request) >= SuspectThreshold {
+		return true
+	}
+	return slices.ContainsFunc(t.partGroups(), func(g partGroup) bool { return g.matches(subject.Parts) })
+}
+
+// Explain returns the fingerprint for which a request is quarantined and its number of crashes.
+func (t *Tracker) Explain(subject Subject) (f Fingerprint, crashes int) {
+	for _, g := range t.partGroups() {
+		if g.isQuarantined() && g.matches(subject.Parts) {
+			return g.parts[0], len(g.incarnations)
+		}
+	}
+	return subject.Request, t.CrashCount(subject.Request)
+}
+
+// partGroups returns the parts that explain crashes best.
+func (t *Tracker) partGroups() []partGroup {
+	if t.judged {
+		return t.groups
+	}
+	evidence := make(map[Fingerprint][]string, len(t.reported)+len(t.local))
+	for f, incarnations := range t.reported {
+		evidence[f] = incarnations
+	}
+	for f, local := range t.local {
+		evidence[f] = union(t.reported[f], local.incarnations)
+	}
+	t.groups, t.judged = judgeParts(evidence), true
+	return t.groups
+}
+
+// union returns the distinct elements of two lists without duplicates.
+func union(a, b []string) []string {
+	both := slices.Clone(a)
+	for _, s := range b {
+		if !slices.Contains(a, s) {
+			both = append(both, s)
+		}
+	}
+	return both
 }
 
 // CrashCount returns the number of crashes under a request known to this process.
 func (t *Tracker) CrashCount(f Fingerprint) int {
-	crashes := len(t.reported[f])
-	if local := t.local[f]; local != nil {
-		for _, incarnation := range local.incarnations {
-			if !slices.Contains(t.reported[f], incarnation) {
-				crashes++
-			}
-		}
+	local := t.local[f]
+	if local == nil {
+		return len(t.reported[f])
 	}
-	return crashes
+	return len(union(t.reported[f], local.incarnations))
 }
 
-// IsEmpty reports whether no request has any crashes, so that fingerprints need not be computed.
+// IsEmpty reports whether no request or part has any crashes, so that fingerprints need not be computed.
 func (t *Tracker) IsEmpty() bool { return len(t.reported) == 0 && len(t.local) == 0 }
 
-// SuspectCounts returns the number of requests reported by the control plane, and how many of them are quarantined.
+// SuspectCounts returns the number of requests and parts reported by the control plane, and how many are quarantined.
 func (t *Tracker) SuspectCounts() (suspects, quarantined int) {
-	for _, incarnations := range t.reported {
-		if len(incarnations) >= QuarantineThreshold {
-			quarantined++
-		}
+	entries := make([]Entry, 0, len(t.reported))
+	for f, incarnations := range t.reported {
+		entries = append(entries, Entry{Request: f, Incarnations: incarnations})
 	}
-	return len(t.reported), quarantined
+	return len(entries), len(QuarantinedEntries(entries))
 }
 
 // Sweep removes failures that were not confirmed in time and local crashes that expired.
@@ -231,6 +287,7 @@
 	t.sweepFailures(now)
 	for f, local := range t.local {
 		if now-local.lastAt > localTTL {
+			t.judged = false
 			delete(t.local, f)
 		}
 	}
--- a/internal/quarantine/reporter/reporter.go
+++ b/internal/quarantine/reporter/reporter.go
@@ -5,10 +5,7 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -52,17 +49,6 @@
 	Now                func() time.Duration // must include the time that the machine was suspended
 }
 
-// RefusesTCP returns a check that connects to the address over TCP.
-func RefusesTCP(dialer *net.Dialer) func(ctx context.Context, address string) bool {
-	return func(ctx context.Context, address string) bool {
-		conn, err := dialer.DialContext(ctx, "tcp", address)
-		if err == nil {
-			_ = conn.Close()
-		}
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-}
-
 // Reporter is safe for concurrent use.
 type Reporter struct {
 	config Config
@@ -121,15 +107,46 @@
 	return r.tracker.IsEmpty()
 }
 
-// CrashCount returns the number of crashes under a request. From quarantine.QuarantineThreshold on, it must not be
-// sent.
+// Part returns the fingerprint of a part of a prompt; ok is false while the seed is unknown.
+func (r *Reporter) Part(id string) (f quarantine.Fingerprint, ok bool) {
+	r.mu.Lock()
+	hasher := r.hasher
+	r.mu.Unlock()
+	if hasher == nil {
+		return f, false
+	}
+	return hasher.Part(id), true
+}
+
+// CrashCount returns the number of crashes under a request.
 func (r *Reporter) CrashCount(f quarantine.Fingerprint) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.tracker.CrashCount(f)
 }
 
-// SuspectCounts returns the number of requests reported by the control plane, and how many of them are quarantined.
+// IsQuarantined reports whether a request must not be sent.
+func (r *Reporter) IsQuarantined(subject quarantine.Subject) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tracker.IsQuarantined(subject)
+}
+
+// IsSuspect reports whether a request must not be retried by this process.
+func (r *Reporter) IsSuspect(subject quarantine.Subject) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tracker.IsSuspect(subject)
+}
+
+// Explain returns the fingerprint for which a request is quarantined and its number of crashes.
+func (r *Reporter) Explain(subject quarantine.Subject) (f quarantine.Fingerprint, crashes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tracker.Explain(subject)
+}
+
+// SuspectCounts returns the number of requests and parts reported by the control plane, and how many of them are quarantined.
 func (r *Reporter) SuspectCounts() (suspects, quarantined int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -138,10 +155,10 @@
 
 // RecordFailure records a failed run on an incarnation and probes whether that has ended. The returned channel is
 // closed when the probe is done or none is needed.
-func (r *Reporter) RecordFailure(incarnation, address string, f quarantine.Fingerprint) (probed <-chan struct{}) {
+func (r *Reporter) RecordFailure(incarnation, address string, subject quarantine.Subject) (probed <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if crash, ok := r.tracker.RecordFailure(r.config.Now(), incarnation, f); ok {
+	if crash, ok := r.tracker.RecordFailure(r.config.Now(), incarnation, subject); ok {
 		r.enqueueCrash(crash, ConnectionRefused)
 	}
 	if running := r.probes[incarnation]; running != nil {
@@ -207,12 +224,10 @@
 }
 
 // RecordCompletion records that a back end completed a request.
-func (r *Reporter) RecordCompletion(f quarantine.Fingerprint) {
+func (r *Reporter) RecordCompletion(subject quarantine.Subject) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.tracker.RecordCompletion(r.config.Now(), f) {
-		r.enqueueCompletions(f)
-	}
+	r.enqueueCompletions(r.tracker.RecordCompletion(r.config.Now(), subject)...)
 }
 
 // RecordIdle records that this process could send nothing for a duration until now.
--- a/internal/quarantine/reporter/reporter_test.go
+++ b/internal/quarantine/reporter/reporter_test.go
@@ -104,9 +104,9 @@
 func TestConfirmedCrashIsSubmittedUntilAccepted(t *testing.T) {
 	env := &fakeEnvironment{submitFailures: 2, refuses: map[string]bool{"dead": true}}
 	r := startReporter(t, env)
-	<-r.RecordFailure("life-1", "dead", one)
-	<-r.RecordFailure("life-1", "dead", two)
-	<-r.RecordFailure("life-2", "alive", one)
+	<-r.RecordFailure("life-1", "dead", quarantine.Subject{Request: one})
+	<-r.RecordFailure("life-1", "dead", quarantine.Subject{Request: two})
+	<-r.RecordFailure("life-2", "alive", quarantine.Subject{Request: one})
 	if r.CrashCount(one) != 1 || r.CrashCount(two) != 1 || r.IsEmpty() {
 		t.Fatalf("crash counts are %d and %d", r.CrashCount(one), r.CrashCount(two))
 	}
@@ -128,7 +128,7 @@
 	if _, ok := r.Fingerprint(quarantine.Request{}); ok {
 		t.Fatal("got a fingerprint without a seed")
 	}
-	r.RecordCompletion(one)
+	r.RecordCompletion(quarantine.Subject{Request: one})
 	incarnations := []string{"a", "b", "c"}
 	r.ApplyUpdate(&quarantine.Update{Version: 3, Seed: make([]byte, quarantine.SeedBytes), Entries: []quarantine.Entry{
 		{Request: one, Incarnations: incarnations}, {Request: two, Incarnations: incarnations},
@@ -139,7 +139,7 @@
 	if _, ok := r.Fingerprint(quarantine.Request{}); !ok {
 		t.Fatal("got no fingerprint although the seed is set")
 	}
-	r.RecordCompletion(two)
+	r.RecordCompletion(quarantine.Subject{Request: two})
 	waitFor(t, func() bool { return slices.Equal(env.released(), []quarantine.Fingerprint{one, two}) })
 	if !r.IsEmpty() {
 		t.Fatal("completed requests still have crashes")
@@ -154,7 +154,7 @@
 		env.at += time.Minute // so that earlier failures expire
 		incarnation := time.Duration(n).String()
 		r.mu.Lock()
-		r.tracker.RecordFailure(env.at, incarnation, one)
+		r.tracker.RecordFailure(env.at, incarnation, quarantine.Subject{Request: one})
 		r.confirmEnd(incarnation, Replaced)
 		r.mu.Unlock()
 		r.enqueueCompletions(quarantine.Fingerprint{byte(n), byte(n >> 8)})
--- a/internal/router/heldback.go
+++ b/internal/router/heldback.go
@@ -40,37 +40,46 @@
 	return quarantine.Request{Method: r.Method, Path: r.URL.RequestURI(), Caller: in.tenant, Body: in.body}
 }
 
-// crashCount returns the number of back-end crashes attributed to a request, as far as this router knows.
-func (s *Server) crashCount(ex *exchange) int {
-	if s.quarantine.IsEmpty() {
-		return 0
+// quarantineSubject returns the fingerprints of a request and of the messages of its conversation that other requests may
+// share: all but the last. ok is false while the seed is unknown.
+func (s *Server) quarantineSubject(ex *exchange) (subject quarantine.Subject, ok bool) {
+	if subject.Request, ok = s.quarantine.Fingerprint(ex.quarantineRequest); !ok || ex.completion == nil {
+		return subject, ok
 	}
-	fingerprint, ok := s.quarantine.Fingerprint(ex.quarantineRequest)
-	if !ok {
-		return 0
+	messages := ex.completion.Messages
+	for _, message := range messages[:max(0, len(messages)-1)] {
+		if f, known := s.quarantine.Part(message.Role + "\n" + message.Content); known {
+			subject.Parts = append(subject.Parts, f)
+		}
 	}
-	return s.quarantine.CrashCount(fingerprint)
+	return subject, true
 }
 
 // rejectIfQuarantined rejects a quarantined request and reports whether it did.
 func (s *Server) rejectIfQuarantined(ex *exchange, r *http.Request) bool {
-	crashes := s.crashCount(ex)
-	if crashes < quarantine.QuarantineThreshold {
+	if s.quarantine.IsEmpty() {
+		return false
+	}
+	subject, ok := s.quarantineSubject(ex)
+	if !ok || !s.quarantine.IsQuarantined(subject) {
 		return false
 	}
-	fingerprint, _ := s.quarantine.Fingerprint(ex.quarantineRequest) // exists, because the crash count is not 0
+	fingerprint, crashes := s.quarantine.Explain(subject)
 	s.log.Info(events.RequestRejected, zap.String(events.FieldRequest, ex.name), zap.String(events.FieldReason, string(core.ReasonQuarantined)),
-		zap.Stringer(events.FieldFingerprint, fingerprint), zap.Int(events.FieldIncarnations, crashes))
+		zap.Stringer(events.FieldFingerprint, fingerprint), zap.Bool(events.FieldPart, fingerprint.IsPart()), zap.Int(events.FieldIncarnations, crashes))
 	status, title := api.DescribeReason(core.ReasonQuarantined)
 	s.reject(ex.writer, r, ex.name, &requestError{core.ReasonQuarantined, status, title, ""})
 	return true
 }
 
-// tooManyCrashes reports whether a request may not be dispatched because of the crashes attributed to it. A suspected
-// request gets no further attempt once a back end may have run it.
+// tooManyCrashes reports whether a request may not be dispatched because of the crashes attributed to it or to its parts.
+// A suspected request gets no further attempt once a back end may have run it.
 func (s *Server) tooManyCrashes(ex *exchange) bool {
-	crashes := s.crashCount(ex)
-	return crashes >= quarantine.QuarantineThreshold || ex.mayHaveRun() && crashes >= quarantine.SuspectThreshold
+	if s.quarantine.IsEmpty() {
+		return false
+	}
+	subject, ok := s.quarantineSubject(ex)
+	return ok && (s.quarantine.IsQuarantined(subject) || ex.mayHaveRun() && s.quarantine.IsSuspect(subject))
 }
 
 // mayHaveRun reports whether a back end may have run the request. Attempts that provably did not run are left out, or a
@@ -87,8 +96,8 @@
 	if ctx.Err() != nil || a.action.Incarnation == 0 {
 		return
 	}
-	if fingerprint, ok := s.quarantine.Fingerprint(a.exchange.quarantineRequest); ok {
-		s.quarantine.RecordFailure(a.incarnationID(), a.action.Address, fingerprint)
+	if subject, ok := s.quarantineSubject(a.exchange); ok {
+		s.quarantine.RecordFailure(a.incarnationID(), a.action.Address, subject)
 	}
 }
 
@@ -105,7 +114,7 @@
 
 // recordCompletion records that a back end completed a request.
 func (s *Server) recordCompletion(ex *exchange) {
-	if fingerprint, ok := s.quarantine.Fingerprint(ex.quarantineRequest); ok {
-		s.quarantine.RecordCompletion(fingerprint)
+	if subject, ok := s.quarantineSubject(ex); ok {
+		s.quarantine.RecordCompletion(subject)
 	}
 }
--- a/internal/router/tunnels_test.go
+++ b/internal/router/tunnels_test.go
@@ -66,7 +66,7 @@
 	})
 	quarantined.ApplyUpdate(&quarantine.Update{Version: 1, Seed: make([]byte, quarantine.SeedBytes)})
 	fingerprint, _ := quarantined.Fingerprint(quarantine.Request{Path: "/"})
-	<-quarantined.RecordFailure("life", address, fingerprint)
+	<-quarantined.RecordFailure("life", address, quarantine.Subject{Request: fingerprint})
 	if count := quarantined.CrashCount(fingerprint); count != 0 {
 		t.Errorf("a refused connection counts as %d crashes", count)
 	}
