Simulator: parts of prompts that crash each back end

Checked: once five crashes are known for the time to contact, three more are sent at the most, and none that shares the root only is rejected.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -37,6 +37,7 @@
 	DropLateOrders           Guard = "late-calls-dropped"    // orders decided before a long sync are dropped
 	HighestRevision          Guard = "highest-revision"      // a document replaces only one of a lower revision
 	QuarantineCheck          Guard = "held-back"             // quarantined requests are not dispatched
+	PartQuarantine           Guard = "part-held-back"        // requests with quarantined parts of prompts are not dispatched
 	RefusalConfirmed         Guard = "refusal-confirmed"     // a refused connection proves an end only if peers are refused too
 	TunnelForLostPath        Guard = "path-through-peer"     // back ends without a direct path are reached through peers
 	SuspendAwareClock        Guard = "suspension-counts"     // clocks include the time that the machine was suspended
@@ -54,7 +55,7 @@
 		LearnerBeforeVote, LeaseAtDispatch, VersionCheck, OperationCheck, StreamIndexCheck,
 		EndOfStreamCheck, AttemptCheck, NotRunProof, LeavingCheck, LeavingSelfReported, BackoffCheck, AdvertisedLimitCheck, DrainBeforeExit,
 		SettingsMonotonic, PersistedSettings, LeaseMargin, AmbiguousNotResent,
-		ConfirmedView, DrainCommitted, DrainBeforeWeightsChange, WeightsOrderDelay, DropLateOrders, HighestRevision, QuarantineCheck, RefusalConfirmed, TunnelForLostPath, SuspendAwareClock,
+		ConfirmedView, DrainCommitted, DrainBeforeWeightsChange, WeightsOrderDelay, DropLateOrders, HighestRevision, QuarantineCheck, PartQuarantine, RefusalConfirmed, TunnelForLostPath, SuspendAwareClock,
 		RelayConfirmed, RelayReported, RelayApplied, PublicationTimeFromLog, PublicationAgeMonotonic,
 	}
 }
--- a/internal/lab/sim/oracle.go
+++ b/internal/lab/sim/oracle.go
@@ -61,7 +61,7 @@
 // FleetRules returns the additional invariants with their descriptions.
 func FleetRules() []InvariantHelp {
 	return []InvariantHelp{
-		{QuarantineEnforced, "a request that ends whoever runs it gets three back ends more at the most, once the news of the third had time; one that ends well is never held back"},
+		{QuarantineEnforced, "a request that ends whoever runs it gets three back ends more at the most, once the news of the third had time; one with a part that does, once the news of the fifth had time; one that ends well is never held back, nor one that shares other parts"},
 		{OldWeightsLimitRespected, "no request begins on older weights later than the limit after newer ones were acknowledged, nor after its gateway first heard of them"},
 		{BackoffRespected, "a back end that asked a gateway or router for rest gets two requests more from it at the most, from half a second later to the end of that time"},
 		{AdvertisedLimitRespected, "from 3 s after a back end first named a limit it gets in any 4 s one and a half times what that allows and 5 more at the most, from all gateways or routers together that had heard of it half a second before"},
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -85,6 +85,7 @@
 	}
 	w.planBuilds()
 	w.planPartitions()
+	w.planFatalParts()
 	w.createGroup()
 	for _, r := range w.routers {
 		r.boot()
