--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -20,7 +20,7 @@
 		if a.ctx.Err() == nil {
 			a.exchange.gateway.pool.recordStale(a.conn.idleFor)
 		}
-		if a.exchange.ctx.Err() == nil {
+		if a.exchange.ctx.Err() == nil && context.Cause(a.ctx) != errWeightsOutdated {
 			a.exchange.gateway.table.recordUnanswered(a.exchange.gateway.now(), a)
 		}
 		return a.connectionFailed(err)
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -81,13 +81,9 @@
 	return *peers
 }
 
-// DialBackend connects to a back end, through another gateway if there is no direct path.
-func (g *Gateway) DialBackend(ctx context.Context, _, address string) (net.Conn, error) {
-	dialed, err := g.dialer.Dial(ctx, address, false)
-	if err != nil {
-		return nil, err
-	}
-	return dialed.Conn, nil
+// BackendTransport returns a transport for requests to back ends other than those of callers, on top of base.
+func (g *Gateway) BackendTransport(base *http.Transport) http.RoundTripper {
+	return tunnel.NewTransport(g.dialer, base, func(address string) bool { return g.table.pathSuspected(g.now(), address) })
 }
 
 func (g *Gateway) dialDirect(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -134,7 +134,7 @@
 		events: make(chan core.Event, eventBufferSize), inspections: make(chan inspection, 64),
 		exchanges: map[core.RequestID]*exchange{}, attempts: map[core.AttemptID]*activeAttempt{},
 		pollers: map[string]context.CancelFunc{}, client: client,
-		backendClient: &http.Client{Transport: paths, CheckRedirect: noRedirect}, pollClient: transport.NewClientWithRoundTripper(file.ClusterToken, paths), paths: paths,
+		backendClient: &http.Client{Transport: paths.transport, CheckRedirect: noRedirect}, pollClient: transport.NewClientWithRoundTripper(file.ClusterToken, paths.transport), paths: paths,
 		control: control.NewClient(client, file.Router.Control), pushbackLogs: node.NewLogLimiter(),
 	}
 	server.core = core.New(core.Config{
--- a/internal/router/tunnels.go
+++ b/internal/router/tunnels.go
@@ -31,7 +31,7 @@
 // use.
 type backendPaths struct {
 	dialer    *tunnel.Dialer
-	transport *http.Transport
+	transport *tunnel.Transport
 	direct    func(ctx context.Context, network, address string) (net.Conn, error)
 	peers     atomic.Pointer[[][]string] // nil before the first reply of control
 
@@ -40,8 +40,8 @@
 }
 
 func newBackendPaths(token string, links *transport.LinkFilter, now clock.Source, log *zap.Logger) *backendPaths {
-	p := &backendPaths{transport: transport.NewRoundTripper(links), failedPolls: map[string]int{}}
-	p.direct = p.transport.DialContext
+	base := transport.NewRoundTripper(links)
+	p := &backendPaths{direct: base.DialContext, failedPolls: map[string]int{}}
 	peerTransport := transport.NewRoundTripper(links)
 	p.dialer = tunnel.NewDialer(tunnel.Config{
 		Token: token, Now: now, Peers: p.tunnelPeers, Probe: p.probe,
@@ -63,28 +63,10 @@
 		},
 		Observe: func(string, tunnel.Outcome) {},
 	})
-	p.transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
-		dialed, err := p.dialer.Dial(ctx, address, p.isSuspected(address))
-		if err != nil {
-			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err} // nothing was sent
-		}
-		return dialed.Conn, nil
-	}
+	p.transport = tunnel.NewTransport(p.dialer, base, p.isSuspected)
 	return p
 }
 
-// RoundTrip implements http.RoundTripper. A tunnel serves one request, so that the router that carries it can shut down.
-func (p *backendPaths) RoundTrip(request *http.Request) (*http.Response, error) {
-	if p.dialer.IsLost(request.URL.Host) {
-		request = request.Clone(request.Context())
-		request.Close = true
-	}
-	return p.transport.RoundTrip(request)
-}
-
-// CloseIdleConnections closes the connections that no request uses.
-func (p *backendPaths) CloseIdleConnections() { p.transport.CloseIdleConnections() }
-
 func (p *backendPaths) tunnelPeers() [][]string {
 	if peers := p.peers.Load(); peers != nil {
 		return *peers
--- a/internal/router/tunnels_test.go
+++ b/internal/router/tunnels_test.go
@@ -45,7 +45,7 @@
 		return (&net.Dialer{}).DialContext(ctx, network, address)
 	}
 	s := newSendingServer()
-	s.backendClient.Transport, s.paths = paths, paths
+	s.backendClient.Transport, s.paths = paths.transport, paths
 	if _, err := s.sendOnce(t.Context(), address, "/", "a"); err == nil || !neverSent(err) || !tunnel.IsRefused(err) {
 		t.Fatalf("without peers: %v", err)
 	}
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -65,7 +65,7 @@
 // RefusedError is returned if a back end refuses connections from this process and from the peers that were asked.
 type RefusedError struct{ cause error }
 
-// Error returns the direct connection's error.
+// Error returns the error of the direct connection or of the peers.
 func (e *RefusedError) Error() string { return e.cause.Error() }
 
 // Unwrap returns the direct connection's error.
@@ -106,11 +106,14 @@
 	if lost || suspected {
 		d.probeIfDue(address)
 		dialed, err := d.dialPeers(ctx, address, peerHeadStart)
-		if err == nil && !lost { // else a probe may have succeeded meanwhile
-			d.recordLost(address, dialed.Peer, CauseSilent)
-		}
-		if err == nil {
+		switch {
+		case err == nil:
+			if !lost { // else a probe may have succeeded meanwhile
+				d.recordLost(address, dialed.Peer, CauseSilent)
+			}
 			return dialed, nil
+		case lost && allRefused(err):
+			return Dialed{}, &RefusedError{syscall.ECONNREFUSED}
 		}
 	}
 	return d.dialDirect(ctx, address)
@@ -257,12 +260,11 @@
 // asked report the same, or if there are none.
 func (d *Dialer) confirmRefusal(ctx context.Context, address string, refusal error) (Dialed, error) {
 	dialed, err := d.dialPeers(ctx, address, 0)
-	var outcomes *peersError
 	switch {
 	case err == nil:
 		d.recordLost(address, dialed.Peer, CauseDial)
 		return dialed, nil
-	case errors.Is(err, errNoPeers), errors.As(err, &outcomes) && outcomes.allRefused:
+	case errors.Is(err, errNoPeers), allRefused(err):
 		return Dialed{}, &RefusedError{refusal}
 	}
 	return Dialed{}, refusal
@@ -280,6 +282,12 @@
 // Error returns the last peer's error.
 func (e *peersError) Error() string { return e.last.Error() }
 
+// allRefused reports whether an error of dialPeers means that the address refuses connections from each peer.
+func allRefused(err error) bool {
+	var failure *peersError
+	return errors.As(err, &failure) && failure.allRefused
+}
+
 // dialPeers asks peers one after the other, each one headStart after the one before or when that failed, and returns the
 // first tunnel that is opened.
 func (d *Dialer) dialPeers(ctx context.Context, address string, headStart time.Duration) (Dialed, error) {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -425,3 +425,68 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// A back end that is down is reported at once although the direct path is lost.
+func TestBackendThatEndsBehindLostPathIsRefused(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	client := newTestClient(newTestPeer(t))
+	client.set(directHangs)
+	dialed, err := client.Dial(t.Context(), address, true)
+	if err != nil || !client.IsLost(address) {
+		t.Fatal(err)
+	}
+	_ = dialed.Close()
+	_ = listener.Close()
+	if _, err := client.Dial(t.Context(), address, false); !IsRefused(err) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// Requests over HTTP reuse direct connections, and no tunnel.
+func TestTransportReusesNoTunnel(t *testing.T) {
+	var connections atomic.Int32
+	backend := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "answer") }))
+	backend.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	backend.Start()
+	defer backend.Close()
+	for _, test := range []struct {
+		name      string
+		suspected bool
+		want      int32
+	}{{"direct", false, 1}, {"tunnel", true, 3}} {
+		t.Run(test.name, func(t *testing.T) {
+			connections.Store(0)
+			peer := newTestPeer(t)
+			client := newTestClient(peer)
+			if test.suspected {
+				client.set(directRefused)
+			}
+			transport := NewTransport(client.Dialer, &http.Transport{}, func(string) bool { return test.suspected })
+			for range 3 {
+				request, _ := http.NewRequestWithContext(t.Context(), http.MethodGet, backend.URL, nil)
+				response, err := transport.RoundTrip(request)
+				if err != nil {
+					t.Fatal(err)
+				}
+				body, err := io.ReadAll(response.Body)
+				_ = response.Body.Close()
+				if string(body) != "answer" || err != nil {
+					t.Fatalf("received %q, %v", body, err)
+				}
+			}
+			transport.CloseIdleConnections()
+			if got := connections.Load(); got != test.want {
+				t.Errorf("%d connections, want %d", got, test.want)
+			}
+			waitFor(t, func() bool { return peer.server.Carried() == 0 })
+		})
+	}
+}
