Tell processes of parts of prompts from three crashes on

When many back ends crash at once, many parts that requests share are hit twice, and each change of what processes are told is sent to all of them at once. Parts are listed from three crashes on, and the version that processes compare changes only with what they are told. The version that replicas store counts as before, so that builds without parts hold the same state.

--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -15,6 +15,9 @@
 	// QuarantineThreshold is the number of crashes from which a request is quarantined. Two may be a coincidence when
 	// many back ends crash.
 	QuarantineThreshold = 3
+	// PartSuspectThreshold is SuspectThreshold of parts of prompts. When many back ends crash at once, many parts that
+	// requests share are hit twice.
+	PartSuspectThreshold = 3
 	// PartQuarantineThreshold is the number of crashes from which requests with a part of a prompt are quarantined. It is
 	// higher than that of requests, since a part that many share is more often hit by unrelated crashes.
 	PartQuarantineThreshold = 4
@@ -68,7 +71,7 @@
 type Update struct {
 	Version uint64  `json:"version"`
 	Seed    []byte  `json:"seed"`
-	Entries []Entry `json:"entries,omitempty"` // with SuspectThreshold crashes or more
+	Entries []Entry `json:"entries,omitempty"` // requests and parts with enough crashes to be suspects
 }
 
 // entry is the registry's state of one request.
@@ -83,8 +86,10 @@
 	seed    []byte
 	entries map[Fingerprint]*entry // at most maxEntries
 	order   uint64
-	version uint64  // increases whenever Update changes
-	update  *Update // cached; may be of an older version, or nil
+	version uint64 // increases whenever an entry with SuspectThreshold crashes or more changes
+	// listed is the version at which Update last changed. It is not part of the replicated state.
+	listed uint64
+	update *Update // cached; may be of an older version, or nil
 }
 
 // NewRegistry returns an empty registry without a seed.
@@ -120,6 +125,7 @@
 	if len(r.seed) == 0 && len(seed) == SeedBytes {
 		r.seed = seed
 		r.version++
+		r.listed = r.version
 	}
 }
 
@@ -127,7 +133,17 @@
 func (r *Registry) HasSeed() bool { return len(r.seed) > 0 }
 
 // Version returns the version of the current Update.
-func (r *Registry) Version() uint64 { return r.version }
+func (r *Registry) Version() uint64 { return r.listed }
+
+// recordChange records that an entry with a number of crashes, before or after the change, has changed.
+func (r *Registry) recordChange(f Fingerprint, crashes int) {
+	if crashes >= SuspectThreshold {
+		r.version++
+	}
+	if crashes >= f.suspectThreshold() {
+		r.listed = r.version
+	}
+}
 
 // recordCrash adds an incarnation to each request that it ran.
 func (r *Registry) recordCrash(crash Crash) {
@@ -143,9 +159,7 @@
 		}
 		r.order++
 		e.incarnations, e.order = append(e.incarnations, crash.Incarnation), r.order
-		if len(e.incarnations) >= SuspectThreshold {
-			r.version++
-		}
+		r.recordChange(f, len(e.incarnations))
 	}
 }
 
@@ -182,9 +196,7 @@
 	if e == nil || len(e.incarnations) <= keep {
 		return
 	}
-	if len(e.incarnations) >= SuspectThreshold {
-		r.version++
-	}
+	r.recordChange(f, len(e.incarnations))
 	if keep == 0 {
 		delete(r.entries, f)
 		return
@@ -207,12 +219,12 @@
 
 // Update returns the state to send to processes. Callers must not modify it.
 func (r *Registry) Update() *Update {
-	if r.update != nil && r.update.Version == r.version {
+	if r.update != nil && r.update.Version == r.listed {
 		return r.update
 	}
-	update := &Update{Version: r.version, Seed: r.seed}
+	update := &Update{Version: r.listed, Seed: r.seed}
 	for _, f := range r.Fingerprints() {
-		if e := r.entries[f]; len(e.incarnations) >= SuspectThreshold {
+		if e := r.entries[f]; len(e.incarnations) >= f.suspectThreshold() {
 			update.Entries = append(update.Entries, Entry{Request: f, Incarnations: slices.Clip(e.incarnations)})
 		}
 	}
@@ -248,7 +260,7 @@
 	if err := json.Unmarshal(data, &state); err != nil {
 		return err
 	}
-	*r = Registry{seed: state.Seed, version: state.Version, order: state.Order, entries: make(map[Fingerprint]*entry, len(state.Entries))}
+	*r = Registry{seed: state.Seed, version: state.Version, listed: state.Version, order: state.Order, entries: make(map[Fingerprint]*entry, len(state.Entries))}
 	for _, e := range state.Entries {
 		r.entries[e.Request] = &entry{incarnations: e.Incarnations, order: e.Order}
 	}
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -34,6 +34,14 @@
 	return QuarantineThreshold
 }
 
+// suspectThreshold returns the number of crashes from which a fingerprint is listed to processes.
+func (f Fingerprint) suspectThreshold() int {
+	if f.IsPart() {
+		return PartSuspectThreshold
+	}
+	return SuspectThreshold
+}
+
 // Subject is a request with what it shares with others, as far as crashes count against it.
 type Subject struct {
 	Request Fingerprint
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -16,7 +16,7 @@
 	incarnations []string
 }
 
-// judgeParts returns the groups of parts that explain crashes best: SuspectThreshold of them or more, and no other part
+// judgeParts returns the groups of parts that explain crashes best: PartSuspectThreshold of them or more, and no other part
 // has all of these and more. evidence holds the distinct incarnations that crashed under each part and request.
 //
 // The parts of requests that merely ran beside the cause share some of its crashes. The parts that the cause shares with
@@ -41,11 +41,11 @@
 	return groups
 }
 
-// mostCrashed returns the parts with SuspectThreshold crashes or more, the most first, maxJudgedParts at most.
+// mostCrashed returns the parts with PartSuspectThreshold crashes or more, the most first, maxJudgedParts at most.
 func mostCrashed(evidence map[Fingerprint][]string) []Fingerprint {
 	var parts []Fingerprint
 	for f, incarnations := range evidence {
-		if f.IsPart() && len(incarnations) >= SuspectThreshold {
+		if f.IsPart() && len(incarnations) >= PartSuspectThreshold {
 			parts = append(parts, f)
 		}
 	}
