--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -107,33 +106,9 @@
 	return false
 }
 
-// probeBackend checks whether a back end answers on a direct connection. A back end without a health check only has to
-// accept the connection.
+// probeBackend checks whether a back end answers on a direct connection, by its health check if it has one.
 func (g *Gateway) probeBackend(ctx context.Context, address string) error {
-	conn, err := g.dialDirect(ctx, address)
-	if err != nil {
-		return err
-	}
-	defer conn.Close()
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
-	path := g.healthPath(address)
-	if path == "" {
-		return nil
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
-	if err != nil {
-		return eris.Wrap(err, "create health check")
-	}
-	request.Close = true
-	if err := request.Write(conn); err != nil {
-		return err
-	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), request)
-	if err != nil {
-		return err
-	}
-	return response.Body.Close()
+	return tunnel.Probe(ctx, g.dialDirect, address, g.healthPath(address))
 }
 
 // healthPath returns the path of a back end's health check, or "".
--- a/internal/router/tunnels.go
+++ b/internal/router/tunnels.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -44,11 +43,9 @@
 	p := &backendPaths{direct: base.DialContext, failedPolls: map[string]int{}}
 	peerTransport := transport.NewRoundTripper(links)
 	p.dialer = tunnel.NewDialer(tunnel.Config{
-		Token: token, Now: now, Peers: p.tunnelPeers, Probe: p.probe,
-		Direct: func(ctx context.Context, address string) (net.Conn, error) {
-			bounded, cancel := context.WithTimeout(ctx, backendDialTimeout)
-			defer cancel()
-			return p.direct(bounded, "tcp", address)
+		Token: token, Now: now, Peers: p.tunnelPeers, Direct: p.dialDirect,
+		Probe: func(ctx context.Context, address string) error {
+			return tunnel.Probe(ctx, p.dialDirect, address, api.PathState)
 		},
 		DialPeer: func(ctx context.Context, address string) (net.Conn, error) {
 			return peerTransport.DialContext(ctx, "tcp", address)
@@ -67,6 +64,12 @@
 	return p
 }
 
+func (p *backendPaths) dialDirect(ctx context.Context, address string) (net.Conn, error) {
+	bounded, cancel := context.WithTimeout(ctx, backendDialTimeout)
+	defer cancel()
+	return p.direct(bounded, "tcp", address)
+}
+
 func (p *backendPaths) tunnelPeers() [][]string {
 	if peers := p.peers.Load(); peers != nil {
 		return *peers
@@ -107,30 +110,6 @@
 // forget removes the state of a back end that is no longer listed.
 func (p *backendPaths) forget(address string) { p.recordPoll(address, true) }
 
-// probe checks whether a back end answers on a direct connection.
-func (p *backendPaths) probe(ctx context.Context, address string) error {
-	conn, err := p.direct(ctx, "tcp", address)
-	if err != nil {
-		return err
-	}
-	defer conn.Close()
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+api.PathState, nil)
-	if err != nil {
-		return eris.Wrap(err, "create probe")
-	}
-	request.Close = true
-	if err := request.Write(conn); err != nil {
-		return err
-	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), request)
-	if err != nil {
-		return err
-	}
-	return response.Body.Close()
-}
-
 // newTunnelServer returns the handler that opens tunnels for other routers.
 func (s *Server) newTunnelServer(links *transport.LinkFilter) *tunnel.Server {
 	direct := transport.NewRoundTripper(links).DialContext
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -32,8 +32,8 @@
 	Direct func(ctx context.Context, address string) (net.Conn, error)
 	// Probe checks whether a back end answers on a direct connection.
 	Probe func(ctx context.Context, address string) error
-	// Peers returns the addresses at which other processes open tunnels, the preferred ones first in each group. Groups
-	// are asked in order.
+	// Peers returns the addresses at which other processes open tunnels, in groups: those of a group are asked in random
+	// order, before those of the next one.
 	Peers func() [][]string
 	// DialPeer connects to a peer.
 	DialPeer func(ctx context.Context, address string) (net.Conn, error)
@@ -68,7 +68,7 @@
 // Error returns the error of the direct connection or of the peers.
 func (e *RefusedError) Error() string { return e.cause.Error() }
 
-// Unwrap returns the direct connection's error.
+// Unwrap returns the same error.
 func (e *RefusedError) Unwrap() error { return e.cause }
 
 // IsRefused reports whether an error of Dial proves that nothing listens at the address. A direct connection alone
@@ -136,19 +136,19 @@
 	return IsRefused(err)
 }
 
-// attemptResult is the result of one way to connect.
-type attemptResult struct {
+// dialResult is the result of one way to connect.
+type dialResult struct {
 	dialed Dialed
 	err    error
 }
 
 // dialDirect connects directly, and through a peer if that fails or takes longer than directHeadStart.
 func (d *Dialer) dialDirect(ctx context.Context, address string) (Dialed, error) {
-	direct := make(chan attemptResult, 1)
+	direct := make(chan dialResult, 1)
 	go func() {
 		// Its result counts even if a peer connects first and the request is over soon.
 		conn, err := d.config.Direct(context.WithoutCancel(ctx), address)
-		direct <- attemptResult{Dialed{Conn: conn}, err}
+		direct <- dialResult{Dialed{Conn: conn}, err}
 	}()
 	select {
 	case result := <-direct:
@@ -167,13 +167,13 @@
 
 // hedge connects through a peer while a direct connection is pending, and returns the connection that is established
 // first.
-func (d *Dialer) hedge(ctx context.Context, address string, direct <-chan attemptResult) (Dialed, error) {
+func (d *Dialer) hedge(ctx context.Context, address string, direct <-chan dialResult) (Dialed, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	peers := make(chan attemptResult, 1)
+	peers := make(chan dialResult, 1)
 	go func() {
 		dialed, err := d.dialPeers(ctx, address, peerHeadStart)
-		peers <- attemptResult{dialed, err}
+		peers <- dialResult{dialed, err}
 	}()
 	select {
 	case result := <-direct:
@@ -202,13 +202,13 @@
 }
 
 // await returns the next result, or closes it when it comes if ctx is done before.
-func await(ctx context.Context, results <-chan attemptResult) attemptResult {
+func await(ctx context.Context, results <-chan dialResult) dialResult {
 	select {
 	case result := <-results:
 		return result
 	case <-ctx.Done():
 		go closeLate(results)
-		return attemptResult{err: ctx.Err()}
+		return dialResult{err: ctx.Err()}
 	}
 }
 
@@ -225,7 +225,7 @@
 }
 
 // judgeDirect records a path as lost if the direct connection fails after a peer has connected.
-func (d *Dialer) judgeDirect(direct <-chan attemptResult, address, peer string) {
+func (d *Dialer) judgeDirect(direct <-chan dialResult, address, peer string) {
 	result := <-direct
 	if result.err != nil {
 		d.recordLost(address, peer, CauseDial)
@@ -234,14 +234,14 @@
 	_ = result.dialed.Close()
 }
 
-func closeLate(results <-chan attemptResult) {
+func closeLate(results <-chan dialResult) {
 	if result := <-results; result.err == nil {
 		_ = result.dialed.Close()
 	}
 }
 
 // afterDirect returns a direct connection or, if that failed, one through a peer.
-func (d *Dialer) afterDirect(ctx context.Context, address string, result attemptResult) (Dialed, error) {
+func (d *Dialer) afterDirect(ctx context.Context, address string, result dialResult) (Dialed, error) {
 	if result.err == nil || ctx.Err() != nil {
 		return result.dialed, result.err
 	}
@@ -291,12 +291,12 @@
 // dialPeers asks peers one after the other, each one headStart after the one before or when that failed, and returns the
 // first tunnel that is opened.
 func (d *Dialer) dialPeers(ctx context.Context, address string, headStart time.Duration) (Dialed, error) {
-	candidates, anyKnown := d.candidates(address)
-	if !anyKnown {
+	candidates, known := d.candidates(address)
+	if !known {
 		return Dialed{}, errNoPeers
 	}
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
-	results := make(chan attemptResult, len(candidates))
+	results := make(chan dialResult, len(candidates))
 	failure := &peersError{allRefused: len(candidates) > 0, last: errNoPeers}
 	running := 0
 	for next := 0; next < len(candidates) || running > 0; {
@@ -305,7 +305,7 @@
 			peer := candidates[next]
 			go func() {
 				dialed, err := d.openTunnel(ctx, peer, address)
-				results <- attemptResult{dialed, err}
+				results <- dialResult{dialed, err}
 			}()
 			next, running = next+1, running+1
 			nextDue = time.After(headStart)
@@ -328,26 +328,26 @@
 	return Dialed{}, failure
 }
 
-func closeRemaining(results <-chan attemptResult, running int) {
+func closeRemaining(results <-chan dialResult, running int) {
 	for range running {
 		closeLate(results)
 	}
 }
 
 // candidates returns the peers to ask for an address, and whether any peer is known.
-func (d *Dialer) candidates(address string) (chosen []string, anyKnown bool) {
+func (d *Dialer) candidates(address string) (chosen []string, known bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.config.Now()
 	for _, group := range d.config.Peers() {
-		anyKnown = anyKnown || len(group) > 0
+		known = known || len(group) > 0
 		for _, i := range rand.Perm(len(group)) {
 			if !d.table.Refused(now, group[i], address) && len(chosen) < maxPeersAsked {
 				chosen = append(chosen, group[i])
 			}
 		}
 	}
-	return chosen, anyKnown
+	return chosen, known
 }
 
 // openTunnel asks one peer to open a tunnel.
