--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -61,7 +61,7 @@
 	ReasonExpired   Reason = "age" // no crash for a long time
 )
 
-// Entry is a request with the incarnations that crashed under it, oldest first.
+// Entry is a request, or a part of prompts, with the incarnations that crashed under it, oldest first.
 type Entry struct {
 	Request      Fingerprint `json:"request"`
 	Incarnations []string    `json:"lives"`
@@ -80,7 +80,7 @@
 	order        uint64   // of the newest crash among all requests
 }
 
-// Registry counts crashes for the whole fleet. It is a deterministic state machine: replicas that apply the same
+// Registry counts crashes for the whole fleet, under requests and under parts of prompts. It is a deterministic state machine: replicas that apply the same
 // changes in the same order hold the same state.
 type Registry struct {
 	seed    []byte
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -13,8 +13,8 @@
 	// completionTTL is how long a completion protects a request: several times the delay with which updates spread.
 	// If the request crashes back ends only later, for example under other weights, those crashes count.
 	completionTTL = 5 * time.Second
-	// partCompletionTTL is completionTTL of parts. It is longer, since a request with a part may take long where others
-	// with it have just been cut off.
+	// partCompletionTTL is completionTTL of parts. It is longer, since a part counts for many requests, of which a series
+	// of crashes may cut off most for some time.
 	partCompletionTTL = 15 * time.Second
 	// partRefreshInterval is how long a completion of a part is not stored again, so that parts shared by many requests
 	// don't displace others.
@@ -31,7 +31,7 @@
 	maxPartCompletions    = 4096
 )
 
-// Tracker is one process's view of requests under which back ends crashed.
+// Tracker is one process's view of requests and parts of prompts under which back ends crashed.
 type Tracker struct {
 	version   uint64
 	reported  map[Fingerprint][]string      // incarnations, as sent by the control plane
