--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -101,14 +101,15 @@
 			at = now
 		}
 		changedAt[f] = at
+		expired, ttl := &expiredSuspects, suspectTTL
 		switch quarantined := registry.CrashCount(f) >= f.QuarantineThreshold(); {
-		case quarantined && f.IsPart() && now-at > partQuarantineTTL:
-			expiredParts.Requests = append(expiredParts.Requests, f)
 		case quarantined && f.IsPart():
-		case quarantined && now-at > quarantineTTL:
-			expiredQuarantines.Requests = append(expiredQuarantines.Requests, f)
-		case !quarantined && now-at > suspectTTL:
-			expiredSuspects.Requests = append(expiredSuspects.Requests, f)
+			expired, ttl = &expiredParts, partQuarantineTTL
+		case quarantined:
+			expired, ttl = &expiredQuarantines, quarantineTTL
+		}
+		if now-at > ttl {
+			expired.Requests = append(expired.Requests, f)
 		}
 	}
 	r.crashTimes.changedAt = changedAt
--- a/internal/control/quarantine_test.go
+++ b/internal/control/quarantine_test.go
@@ -105,3 +105,31 @@
 		t.Fatalf("%d crashes after one more", got)
 	}
 }
+
+// TestQuarantinedPartExpires: requests with a quarantined part of a prompt may run again after partQuarantineTTL, until
+// one further crash.
+func TestQuarantinedPartExpires(t *testing.T) {
+	s := openSingleReplica(t, t.TempDir())
+	hasher, err := quarantine.NewHasher(s.quarantineRegistry().Update().Seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	part := hasher.Part("fatal")
+	for _, incarnation := range []string{"i-1", "i-2", "i-3", "i-4"} {
+		s.reportCrash(incarnation, part)
+	}
+	s.now += partQuarantineTTL - 10*time.Second
+	s.advance(3 * time.Second)
+	if got := quarantine.QuarantinedEntries(s.quarantineRegistry().Update().Entries); len(got) != 1 || got[0].Request != part {
+		t.Fatalf("quarantined before the TTL has passed: %+v", got)
+	}
+	s.now += 20 * time.Second
+	s.advance(3 * time.Second)
+	if got := s.quarantineRegistry().CrashCount(part); got != quarantine.PartQuarantineThreshold-1 {
+		t.Fatalf("%d crashes after the TTL", got)
+	}
+	s.reportCrash("i-5", part)
+	if got := quarantine.QuarantinedEntries(s.quarantineRegistry().Update().Entries); len(got) != 1 {
+		t.Fatalf("quarantined after one more crash: %+v", got)
+	}
+}
