Soak: don't judge bystanders while workers reject or callers exceed their limits by themselves

Requests sent during faults that make workers reject or callers exceed their limits, and 2 s after, are left out, before the fatal part as well as after; the bounds stay, and late arrivals are judged as before. The report shows the outcomes that were counted.

--- a/internal/lab/soak/fatalpart.go
+++ b/internal/lab/soak/fatalpart.go
@@ -1,6 +1,9 @@
 package soak
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// partThreshold is how many workers a part of a prompt may crash before requests with it must be quarantined, and
@@ -25,10 +28,13 @@
 
 // bystander is a request that shares all parts but the fatal one with the fatal requests.
 type bystander struct {
-	at     time.Duration
-	served bool
+	at      time.Duration
+	outcome string // Served, or any other
 }
 
+// Served is the outcome of a bystander that got its whole answer.
+const Served = "answered"
+
 // fatalPartOf returns the record of a part. The caller holds mu.
 func (w *Watcher) fatalPartOf(name string) *fatalPart {
 	part := w.fatalParts[name]
@@ -39,6 +45,22 @@
 	return part
 }
 
+// serviceLimitDelay is how long after the end of a fault its effect on workers and callers' limits may last.
+const serviceLimitDelay = 2 * time.Second
+
+// RecordServiceLimit records a period in which a fault makes workers reject requests or callers exceed their limits.
+// Requests sent then tell nothing about the quarantine.
+func (w *Watcher) RecordServiceLimit(from, to time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.serviceLimits = append(w.serviceLimits, interval{from, to})
+}
+
+// serviceLimited reports whether such a fault may affect a request sent at a time. The caller holds mu.
+func (w *Watcher) serviceLimited(at time.Duration) bool {
+	return slices.ContainsFunc(w.serviceLimits, func(s interval) bool { return at >= s.from && at <= s.to+serviceLimitDelay })
+}
+
 // RecordFatalPartSent records that requests with a fatal part are sent from now on.
 func (w *Watcher) RecordFatalPartSent(at time.Duration, name string) {
 	w.mu.Lock()
@@ -61,20 +83,21 @@
 	w.fatalPartOf(name).refused++
 }
 
-// RecordBystander records whether a request was served that shares its other parts with the requests with a fatal one.
-func (w *Watcher) RecordBystander(sentAt time.Duration, name string, served bool) {
+// RecordBystander records the outcome of a request that shares its other parts with the requests with a fatal one.
+func (w *Watcher) RecordBystander(sentAt time.Duration, name, outcome string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	part := w.fatalPartOf(name)
-	part.bystanders = append(part.bystanders, bystander{sentAt, served})
+	part.bystanders = append(part.bystanders, bystander{sentAt, outcome})
 }
 
 // FatalPartResult holds what was observed of one fatal part.
 type FatalPartResult struct {
 	Name                      string
 	Arrivals, Excess, Refused int
-	SentBefore, ServedBefore  int // bystanders before the first fatal request
-	SentAfter, ServedAfter    int // bystanders from bystanderDelay after the threshold on
+	SentBefore, ServedBefore  int            // bystanders before the first fatal request
+	SentAfter, ServedAfter    int            // bystanders from bystanderDelay after the threshold on
+	OutcomesAfter             map[string]int // of these bystanders
 }
 
 // FatalPartResults returns what was observed of each fatal part.
@@ -91,7 +114,7 @@
 // fatalPartResult evaluates the observations of a part. The caller holds mu.
 func (w *Watcher) fatalPartResult(name string) FatalPartResult {
 	part := w.fatalParts[name]
-	result := FatalPartResult{Name: name, Arrivals: len(part.arrivals), Refused: part.refused}
+	result := FatalPartResult{Name: name, Arrivals: len(part.arrivals), Refused: part.refused, OutcomesAfter: map[string]int{}}
 	if len(part.arrivals) == 0 {
 		return result
 	}
@@ -104,13 +127,17 @@
 	for _, b := range part.bystanders {
 		sent, served := &result.SentAfter, &result.ServedAfter
 		switch {
+		case w.serviceLimited(b.at):
+			continue
 		case b.at < part.sentFrom:
 			sent, served = &result.SentBefore, &result.ServedBefore
 		case b.at < decisive+bystanderDelay || w.disturbed(b.at):
 			continue
+		default:
+			result.OutcomesAfter[b.outcome]++
 		}
 		*sent++
-		if b.served {
+		if b.outcome == Served {
 			*served++
 		}
 	}
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -64,6 +64,15 @@
 	return true
 }
 
+// LimitsService reports whether workers reject requests, or callers exceed their limits, because of the fault itself.
+func (k Kind) LimitsService() bool {
+	switch k {
+	case HotTenant, LowerLimit, RejectRequests, AdvertiseLimits:
+		return true
+	}
+	return false
+}
+
 // Partitions reports whether a fault separates gateways from all workers.
 func (k Kind) Partitions() bool {
 	switch k {
--- a/internal/lab/soak/promises.go
+++ b/internal/lab/soak/promises.go
@@ -94,6 +94,7 @@
 	// Number of responses that reported a fatal request as quarantined, by its name; guarded by mu.
 	quarantineReplies map[string]int
 	fatalParts        map[string]*fatalPart // by part; guarded by mu
+	serviceLimits     []interval            // guarded by mu
 	// Periods of faults in the system's processes and links; guarded by mu.
 	disturbances []interval
 	burstWindows []interval           // periods in which requests may be delayed; guarded by mu
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -352,10 +352,13 @@
 // After five crashes under a part, three more requests with it may reach workers, and half as many of the requests that
 // share its other parts as before must be served.
 func TestWatcherChecksFatalParts(t *testing.T) {
-	record := func(lateArrivals, servedAfter int) []Violation {
+	record := func(lateArrivals, servedAfter int, prepare ...func(*Watcher)) []Violation {
 		w := NewWatcher(time.Second, time.Second)
+		for _, apply := range prepare {
+			apply(w)
+		}
 		for number := range 40 {
-			w.RecordBystander(time.Duration(number)*time.Millisecond, "dead", true)
+			w.RecordBystander(time.Duration(number)*time.Millisecond, "dead", Served)
 		}
 		w.RecordFatalPartSent(time.Second, "dead")
 		for range partThreshold {
@@ -365,7 +368,11 @@
 			w.RecordFatalPartArrival(2*time.Second+quarantinePropagationDelay+1, "dead")
 		}
 		for number := range 40 {
-			w.RecordBystander(2*time.Second+bystanderDelay, "dead", number < servedAfter)
+			outcome := "503"
+			if number < servedAfter {
+				outcome = Served
+			}
+			w.RecordBystander(2*time.Second+bystanderDelay, "dead", outcome)
 		}
 		return w.Close()
 	}
@@ -375,6 +382,13 @@
 	if got := record(maxExtraPartArrivals+1, 20); len(got) != 1 || got[0].Guarantee != QuarantineEnforced {
 		t.Errorf("4 late arrivals: %v", got)
 	}
+	limited := func(w *Watcher) { w.RecordServiceLimit(2*time.Second, 3*bystanderDelay) }
+	if got := record(0, 0, limited); len(got) > 0 {
+		t.Errorf("workers reject all by themselves: %v", got)
+	}
+	if got := record(maxExtraPartArrivals+1, 0, limited); len(got) != 1 {
+		t.Errorf("4 late arrivals while workers reject by themselves: %v", got)
+	}
 	if got := record(0, 19); len(got) != 1 || got[0].Guarantee != BystandersServed {
 		t.Errorf("19 of 40 served: %v", got)
 	}
