One source for the fingerprints of a request and of its parts

Cause: gateways and routers each assembled the fingerprints of a request and of its parts, with a lock for each part, and both named the interval at which a stopping process looks for open tunnels.

Change: Reporter.Subject serves both, under one lock, so that all fingerprints of a request have the same seed. The interval is that of tunnel.Server. The address of the gateway's listener for tunnels is chosen as that for peers is. An alias of a type is gone; comments are reflowed. Tests call Subject where they called Fingerprint; assertions are the same.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -183,7 +183,7 @@
 	shutdownCtx, cancel := context.WithDeadline(context.Background(), startedAt.Add(g.settings.ShutdownTimeout-shutdownMargin))
 	defer cancel()
 	_ = public.Shutdown(shutdownCtx) // requests still running then are cut off when the process exits
-	g.tunnels.Wait(shutdownCtx, tunnelDrainInterval)
+	g.tunnels.Wait(shutdownCtx)
 }
 
 // serveReadiness starts the server of the readiness check, if an address is configured.
--- a/internal/gateway/heldback.go
+++ b/internal/gateway/heldback.go
@@ -25,16 +25,15 @@
 	if x.tenant != nil {
 		request.Caller = x.tenant.Name
 	}
-	if s.Request, ok = x.gateway.quarantine.Fingerprint(request); !ok {
-		return s, false
+	shared := prefix.SharedParts(x.call.Parts)
+	partIDs := make([]string, len(shared))
+	for i, part := range shared {
+		partIDs[i] = part.ID
 	}
-	for _, part := range prefix.SharedParts(x.call.Parts) {
-		if f, known := x.gateway.quarantine.Part(part.ID); known {
-			s.Parts = append(s.Parts, f)
-		}
+	if s, ok = x.gateway.quarantine.Subject(request, partIDs...); ok {
+		x.cachedSubject = &s
 	}
-	x.cachedSubject = &s
-	return s, true
+	return s, ok
 }
 
 // isQuarantined reports whether the request or parts of it crashed so many back ends that it must not be sent.
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -14,9 +15,6 @@
 	"kitetiller/internal/tunnel"
 )
 
-// tunnelDrainInterval is how often a stopping gateway checks whether the tunnels that it carries have ended.
-const tunnelDrainInterval = 50 * time.Millisecond
-
 // newTunnelDialer returns the dialer of connections to back ends.
 func (g *Gateway) newTunnelDialer() *tunnel.Dialer {
 	peerDialer := g.pool.dialer
@@ -57,10 +55,7 @@
 	if !g.opensTunnels() {
 		return nil, nil
 	}
-	address := g.settings.TunnelListen
-	if address == "" {
-		address = g.settings.TunnelAddress
-	}
+	address := cmp.Or(g.settings.TunnelListen, g.settings.TunnelAddress)
 	config := net.ListenConfig{Control: setSocketOptions, KeepAliveConfig: g.pool.dialer.KeepAliveConfig}
 	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -3,8 +3,8 @@
 //
 // What counts: an incarnation of a back end that ended while it ran the request. A process that sees a run fail
 // records it until the end of the incarnation is confirmed: its address refuses connections, from peers too, or the
-// control plane lists another incarnation there. A dropped or reset connection, a failure of a back end that stays up, a planned
-// stop and a timeout on our side confirm nothing and don't count.
+// control plane lists another incarnation there. A dropped or reset connection, a failure of a back end that stays up,
+// a planned stop and a timeout on our side confirm nothing and don't count.
 //
 // Who counts: the control plane's Registry, which is replicated, so that the count covers the whole fleet and
 // survives every process. Incarnations form a set: reporting one twice changes nothing, and the order is irrelevant.
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -46,11 +46,9 @@
 	Body         []byte
 }
 
-type blake3Hasher = blake3.Hasher
-
 // Hasher computes fingerprints with one seed. It is safe for concurrent use.
 type Hasher struct {
-	idle sync.Pool // of *blake3Hasher, which takes about 10 KB each
+	idle sync.Pool // of *blake3.Hasher, which takes about 10 KB each
 }
 
 // NewHasher returns a hasher with the given seed.
@@ -64,7 +62,7 @@
 
 // Fingerprint returns the fingerprint of a request.
 func (h *Hasher) Fingerprint(r Request) Fingerprint {
-	hasher := h.idle.Get().(*blake3Hasher)
+	hasher := h.idle.Get().(*blake3.Hasher)
 	defer h.idle.Put(hasher)
 	hasher.Reset()
 	for _, field := range [...]string{r.Method, r.Host, r.Path, r.Caller} {
@@ -78,7 +76,7 @@
 }
 
 // sum returns the fingerprint of what was written to a hasher.
-func sum(hasher *blake3Hasher) (f Fingerprint) {
+func sum(hasher *blake3.Hasher) (f Fingerprint) {
 	var full [32]byte
 	copy(f[:], hasher.Sum(full[:0]))
 	return f
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -80,8 +80,8 @@
 	order        uint64   // of the newest crash among all requests
 }
 
-// Registry counts crashes for the whole fleet, under requests and under parts of prompts. It is a deterministic state machine: replicas that apply the same
-// changes in the same order hold the same state.
+// Registry counts crashes for the whole fleet, under requests and under parts of prompts. It is a deterministic state
+// machine: replicas that apply the same changes in the same order hold the same state.
 type Registry struct {
 	seed    []byte
 	entries map[Fingerprint]*entry // at most maxEntries
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -1,9 +1,13 @@
 package quarantine
 
-import "encoding/binary"
+import (
+	"encoding/binary"
 
-// partMark ends the fingerprints of parts. It tells them from those of requests, which differ from it with a probability
-// of all but 2^-32.
+	"github.com/zeebo/blake3"
+)
+
+// partMark ends the fingerprints of parts and tells them from those of requests: one of 2^32 requests ends with it by
+// chance.
 const partMark = "part"
 
 // partDomain precedes the ID of a part in the hash. No request begins with it, as it exceeds any length of a field.
@@ -11,7 +15,7 @@
 
 // Part returns the fingerprint of a part of a prompt, which is the same in all requests that share it.
 func (h *Hasher) Part(id string) Fingerprint {
-	hasher := h.idle.Get().(*blake3Hasher)
+	hasher := h.idle.Get().(*blake3.Hasher)
 	defer h.idle.Put(hasher)
 	hasher.Reset()
 	var domain [8]byte
--- a/internal/quarantine/reporter/reporter.go
+++ b/internal/quarantine/reporter/reporter.go
@@ -89,15 +89,20 @@
 	r.enqueueCompletions(r.tracker.ApplyUpdate(r.config.Now(), update)...)
 }
 
-// Fingerprint returns the fingerprint of a request; ok is false while the seed is unknown.
-func (r *Reporter) Fingerprint(request quarantine.Request) (f quarantine.Fingerprint, ok bool) {
+// Subject returns the fingerprints of a request and of the parts of its prompt that other requests may share; ok is
+// false while the seed is unknown.
+func (r *Reporter) Subject(request quarantine.Request, partIDs ...string) (subject quarantine.Subject, ok bool) {
 	r.mu.Lock()
 	hasher := r.hasher
 	r.mu.Unlock()
 	if hasher == nil {
-		return f, false
+		return subject, false
 	}
-	return hasher.Fingerprint(request), true
+	subject.Request = hasher.Fingerprint(request)
+	for _, id := range partIDs {
+		subject.Parts = append(subject.Parts, hasher.Part(id))
+	}
+	return subject, true
 }
 
 // IsEmpty reports whether no request has any crashes, so that fingerprints need not be computed.
@@ -107,17 +112,6 @@
 	return r.tracker.IsEmpty()
 }
 
-// Part returns the fingerprint of a part of a prompt; ok is false while the seed is unknown.
-func (r *Reporter) Part(id string) (f quarantine.Fingerprint, ok bool) {
-	r.mu.Lock()
-	hasher := r.hasher
-	r.mu.Unlock()
-	if hasher == nil {
-		return f, false
-	}
-	return hasher.Part(id), true
-}
-
 // CrashCount returns the number of crashes under a request.
 func (r *Reporter) CrashCount(f quarantine.Fingerprint) int {
 	r.mu.Lock()
--- a/internal/quarantine/reporter/reporter_test.go
+++ b/internal/quarantine/reporter/reporter_test.go
@@ -125,7 +125,7 @@
 func TestCompletionReleasesRequest(t *testing.T) {
 	env := &fakeEnvironment{}
 	r := startReporter(t, env)
-	if _, ok := r.Fingerprint(quarantine.Request{}); ok {
+	if _, ok := r.Subject(quarantine.Request{}); ok {
 		t.Fatal("got a fingerprint without a seed")
 	}
 	r.RecordCompletion(quarantine.Subject{Request: one})
@@ -136,7 +136,7 @@
 	if suspects, quarantined := r.SuspectCounts(); r.Version() != 3 || suspects != 1 || quarantined != 1 || r.CrashCount(one) != 0 {
 		t.Fatalf("version %d, %d suspects, %d quarantined", r.Version(), suspects, quarantined)
 	}
-	if _, ok := r.Fingerprint(quarantine.Request{}); !ok {
+	if _, ok := r.Subject(quarantine.Request{}); !ok {
 		t.Fatal("got no fingerprint although the seed is set")
 	}
 	r.RecordCompletion(quarantine.Subject{Request: two})
--- a/internal/router/heldback.go
+++ b/internal/router/heldback.go
@@ -43,16 +43,14 @@
 // quarantineSubject returns the fingerprints of a request and of the messages of its conversation that other requests may
 // share: all but the last. ok is false while the seed is unknown.
 func (s *Server) quarantineSubject(ex *exchange) (subject quarantine.Subject, ok bool) {
-	if subject.Request, ok = s.quarantine.Fingerprint(ex.quarantineRequest); !ok || ex.completion == nil {
-		return subject, ok
-	}
-	messages := ex.completion.Messages
-	for _, message := range messages[:max(0, len(messages)-1)] {
-		if f, known := s.quarantine.Part(message.Role + "\n" + message.Content); known {
-			subject.Parts = append(subject.Parts, f)
+	var partIDs []string
+	if ex.completion != nil {
+		messages := ex.completion.Messages
+		for _, message := range messages[:max(0, len(messages)-1)] {
+			partIDs = append(partIDs, message.Role+"\n"+message.Content)
 		}
 	}
-	return subject, true
+	return s.quarantine.Subject(ex.quarantineRequest, partIDs...)
 }
 
 // rejectIfQuarantined rejects a quarantined request and reports whether it did.
--- a/internal/router/tunnels.go
+++ b/internal/router/tunnels.go
@@ -21,9 +21,8 @@
 
 const (
 	// maxFailedPolls is the number of consecutive failed polls from which peers are asked for a path to a back end.
-	maxFailedPolls      = 2
-	tunnelDrainInterval = 50 * time.Millisecond
-	backendDialTimeout  = 2 * time.Second
+	maxFailedPolls     = 2
+	backendDialTimeout = 2 * time.Second
 )
 
 // backendPaths connects to back ends, through other routers while there is no direct path. It is safe for concurrent
@@ -152,6 +151,6 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
-	s.tunnels.Wait(ctx, tunnelDrainInterval)
+	s.tunnels.Wait(ctx)
 	_ = listener.Close()
 }
--- a/internal/router/tunnels_test.go
+++ b/internal/router/tunnels_test.go
@@ -65,9 +65,9 @@
 		Submit: func(context.Context, quarantine.Change) error { return nil }, RefusesConnections: paths.dialer.Refuses, Log: func(string, ...zap.Field) {}, Now: clock.NewSource(nil),
 	})
 	quarantined.ApplyUpdate(&quarantine.Update{Version: 1, Seed: make([]byte, quarantine.SeedBytes)})
-	fingerprint, _ := quarantined.Fingerprint(quarantine.Request{Path: "/"})
-	<-quarantined.RecordFailure("life", address, quarantine.Subject{Request: fingerprint})
-	if count := quarantined.CrashCount(fingerprint); count != 0 {
+	subject, _ := quarantined.Subject(quarantine.Request{Path: "/"})
+	<-quarantined.RecordFailure("life", address, subject)
+	if count := quarantined.CrashCount(subject.Request); count != 0 {
 		t.Errorf("a refused connection counts as %d crashes", count)
 	}
 	cut.Store(false)
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -20,6 +20,8 @@
 	bufferSize = 8 << 10
 	// dialTimeout bounds the time to connect to a back end for a peer.
 	dialTimeout = 250 * time.Millisecond
+	// drainInterval is how often a stopping process checks whether the tunnels that it carries have ended.
+	drainInterval = 50 * time.Millisecond
 )
 
 // ServerConfig connects a Server to its process.
@@ -48,8 +50,8 @@
 func (s *Server) Carried() int { return int(s.carried.Load()) }
 
 // Wait waits until no tunnels are open, or until ctx is done.
-func (s *Server) Wait(ctx context.Context, interval time.Duration) {
-	ticker := time.NewTicker(interval)
+func (s *Server) Wait(ctx context.Context) {
+	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
 	for s.Carried() > 0 && ctx.Err() == nil {
 		select {
