--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -21,6 +21,7 @@
 	program      = "target/kitetiller"
 	withoutParts = "pause-bound,stream-copies,shared-slots" // as in deploy/system.toml
 	startTimeout = 20 * time.Second
+	leaseTime    = 3 * time.Second // bounds.lease_ms
 )
 
 // Offsets of the ports of a process from the first port of the run.
@@ -40,7 +41,7 @@
 	groupWorkerBehind // where workers listen behind their link
 )
 
-// bounds are the figures of the settings files. They are those of a small deployment (further/ayni-lima.toml).
+// bounds are the figures of the settings files in which the cases differ. The others are those of a small deployment.
 type bounds struct {
 	requireFence bool
 }
--- a/review/harness/holders.go
+++ b/review/harness/holders.go
@@ -24,10 +24,7 @@
 // playHolders makes the link from the machine of the leader to the workers slow, for good, and kills the leader while its
 // first order is on its way. The next leader then has a newer version of the weights to order.
 func playHolders(c *cluster, r *record, trouble bool) error {
-	workers, err := c.newWorkers(r, 3, groupWorkerBehind)
-	if err != nil {
-		return err
-	}
+	workers := c.newWorkers(r, 3, groupWorkerBehind)
 	slow := c.control[0] // the first seed, which leads from the start
 	killed := make(chan struct{})
 	var once sync.Once
--- a/review/harness/wall.go
+++ b/review/harness/wall.go
@@ -11,7 +11,6 @@
 )
 
 const (
-	leaseTime       = 3 * time.Second
 	configApplyTime = 2 * time.Second // bounds.config_apply_ms
 	wallRequests    = 6
 )
@@ -54,8 +53,8 @@
 	return fmt.Errorf("no service")
 }
 
-// newWorkers starts engine workers.
-func (c *cluster) newWorkers(r *record, count int, listenGroup int) ([]*worker, error) {
+// newWorkers returns engine workers that are not started yet. They listen on addresses of the given group.
+func (c *cluster) newWorkers(r *record, count, listenGroup int) []*worker {
 	var control []string
 	for i := range controlCount {
 		control = append(control, c.address(groupControl, i, portControl))
@@ -68,16 +67,13 @@
 		}
 		workers = append(workers, w)
 	}
-	return workers, nil
+	return workers
 }
 
 // playWall lets a tenant fill the cache, makes it no_sharing by a change of the configuration, and then lets another
 // tenant send requests with the same leading parts.
 func playWall(c *cluster, r *record, trouble bool) error {
-	workers, err := c.newWorkers(r, 2, groupWorker)
-	if err != nil {
-		return err
-	}
+	workers := c.newWorkers(r, 2, groupWorker)
 	var mu sync.Mutex
 	var walledSince time.Time // when the wall has been acknowledged for configApplyTime; guarded by mu
 	sentAt := map[string]time.Time{}
