--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 )
 
 // maxAppendEntries is the maximum number of entries in one append message.
@@ -10,10 +11,25 @@
 
 // raftLog is the part of the log after the last snapshot.
 //
-// Invariant: entries[i].Index == base.Index+1+i, and terms never decrease.
+// Invariant: entries[i].Index == base.Index+1+i, terms never decrease, and bytes is the total size of entries.
 type raftLog struct {
 	base    SnapshotMeta
 	entries []Entry
+	bytes   int
+}
+
+// append adds entries at the end.
+func (l *raftLog) append(entries ...Entry) {
+	l.entries = append(l.entries, entries...)
+	l.bytes += totalSize(entries)
+}
+
+func totalSize(entries []Entry) int {
+	total := 0
+	for i := range entries {
+		total += entries[i].Size()
+	}
+	return total
 }
 
 func (l *raftLog) lastIndex() uint64 {
@@ -50,13 +66,13 @@
 		panic(fmt.Sprintf("consensus: cannot truncate from index %d: the snapshot covers entries up to index %d", index, l.base.Index))
 	}
 	kept := l.entries[:index-l.base.Index-1]
-	l.entries = append([]Entry(nil), kept...)
+	l.entries, l.bytes = slices.Clone(kept), totalSize(kept)
 }
 
 // compact removes the entries that the snapshot covers.
 func (l *raftLog) compact(meta SnapshotMeta) {
 	kept := l.slice(meta.Index, l.lastIndex())
-	l.entries = append([]Entry(nil), kept...)
+	l.entries, l.bytes = slices.Clone(kept), totalSize(kept)
 	l.base = meta
 }
 
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -53,7 +53,7 @@
 	node := &Node{
 		config:            config,
 		hard:              restored.HardState,
-		log:               raftLog{base: restored.Snapshot, entries: slices.Clone(restored.Entries)},
+		log:               raftLog{base: restored.Snapshot, entries: slices.Clone(restored.Entries), bytes: totalSize(restored.Entries)},
 		commit:            restored.Snapshot.Index,
 		delivered:         restored.Snapshot.Index,
 		lastLeaderContact: now,
@@ -86,6 +86,9 @@
 // LastIndex returns the index of the newest entry, committed or not.
 func (n *Node) LastIndex() uint64 { return n.log.lastIndex() }
 
+// LogBytes returns the total size of the entries held in memory.
+func (n *Node) LogBytes() int { return n.log.bytes }
+
 // Membership returns the newest membership in the log.
 func (n *Node) Membership() Membership { return n.membership }
 
@@ -266,7 +269,7 @@
 
 func (n *Node) appendLocal(kind EntryKind, data []byte) uint64 {
 	entry := Entry{Index: n.log.lastIndex() + 1, Term: n.hard.Term, Kind: kind, Data: data}
-	n.log.entries = append(n.log.entries, entry)
+	n.log.append(entry)
 	n.markUnstable(entry.Index)
 	return entry.Index
 }
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -175,7 +175,7 @@
 		if found {
 			n.log.truncateFrom(entry.Index)
 		}
-		n.log.entries = append(n.log.entries, entries[i:]...)
+		n.log.append(entries[i:]...)
 		n.markUnstable(entry.Index)
 		n.refreshMembership()
 		return
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -53,6 +53,12 @@
 	Data  []byte    `json:"d,omitempty"`
 }
 
+// entryOverhead is the approximate size of an entry's fields besides Data, in bytes.
+const entryOverhead = 32
+
+// Size returns the approximate size of the entry in memory and in messages, in bytes.
+func (e *Entry) Size() int { return len(e.Data) + entryOverhead }
+
 // Member is one replica of the group.
 type Member struct {
 	ID      ID     `json:"id"`
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -19,6 +19,10 @@
 		}),
 		gauge("syncs_total", "Writes that were synced.", func() float64 { return float64(s.syncs.Count.Load()) }),
 		gauge("sync_seconds_total", "Time spent in them.", func() float64 { return float64(s.syncs.Nanoseconds.Load()) / 1e9 }),
+		gauge("log_disk_bytes", "Size of the newest log segment on disk.", func() float64 { return float64(s.usage.segment.Load()) }),
+		gauge("log_memory_bytes", "Size of the log entries held in memory.", func() float64 { return float64(s.usage.entries.Load()) }),
+		gauge("snapshot_bytes", "Size of the newest snapshot of the replicated state.", func() float64 { return float64(s.usage.snapshot.Load()) }),
+		gauge("checkpoints_total", "Checkpoints that replaced the log on disk.", func() float64 { return float64(s.usage.checkpoints.Load()) }),
 		gauge("input_ring", "Inputs that wait for the deciding thread.", func() float64 { return float64(len(s.inputs)) }),
 	)
 	return registry
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -96,6 +96,7 @@
 	outboxes map[consensus.ID]chan consensus.Message
 	fatal    chan error
 	syncs    SyncStats
+	usage    usageGauges
 }
 
 // SyncStats counts the synced writes of a replica. It is safe for concurrent use.
@@ -365,8 +366,10 @@
 			if err := s.disk.Write(persist); err != nil {
 				return err
 			}
+			took := time.Since(started)
 			s.syncs.Count.Add(1)
-			s.syncs.Nanoseconds.Add(uint64(time.Since(started)))
+			s.syncs.Nanoseconds.Add(uint64(took))
+			s.recordUsage(persist, took)
 		}
 		s.send(s.replica.Advance(s.now()))
 	}
--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -196,4 +196,7 @@
 	return records, nil
 }
 
+// Size returns the size of the newest log segment in bytes.
+func (d *Disk) Size() int64 { return d.log.Size() }
+
 func (d *Disk) Close() error { return d.log.Close() }
--- /dev/null
+++ b/internal/control/usage.go
@@ -0,0 +1,32 @@
+package control
+
+import (
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/events"
+)
+
+// usageGauges holds the sizes of a replica's log in bytes, as of the last write. It is safe for concurrent use.
+type usageGauges struct {
+	segment     atomic.Int64 // newest segment on disk
+	entries     atomic.Int64 // entries in memory
+	snapshot    atomic.Int64 // newest snapshot
+	checkpoints atomic.Uint64
+}
+
+// recordUsage updates the gauges after a write, and logs a checkpoint.
+func (s *Server) recordUsage(persist Persist, took time.Duration) {
+	s.usage.segment.Store(s.disk.Size())
+	s.usage.entries.Store(int64(s.replica.node.LogBytes()))
+	s.usage.snapshot.Store(int64(len(s.replica.snapshot.Data)))
+	if persist.Checkpoint == nil {
+		return
+	}
+	s.usage.checkpoints.Add(1)
+	s.log.Info(events.CheckpointWritten, zap.Uint64("index", persist.Checkpoint.Snapshot.Meta.Index), zap.Int("entries", len(persist.Checkpoint.Entries)),
+		zap.Int("snapshot_bytes", len(persist.Checkpoint.Snapshot.Data)), zap.Int64("segment_bytes", s.disk.Size()),
+		zap.Int("entry_bytes", s.replica.node.LogBytes()), zap.Duration(events.FieldElapsed, took))
+}
