--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -25,7 +25,8 @@
 	Replicas          int           // number of voters in a complete group
 	SettingsLease     time.Duration // duration of the settings lease of a router
 	RepairAfter       time.Duration // how long a voter may be unreachable before a learner replaces it
-	SnapshotEvery     uint64        // minimum number of applied entries between snapshots
+	SnapshotEvery     uint64        // applied entries after which a snapshot is taken, once their size reaches that of the last snapshot
+	DiskLimit         int64         // bytes that the data folder may hold; 0 if unknown
 	WeightsOrderDelay time.Duration // how long a new leader waits before its first weights order
 	GatewayViewTTL    time.Duration // how long a gateway may use a view without a new confirmation
 	Quota             quota.Policy  // terms of the fleet-wide limits
@@ -378,11 +379,10 @@
 	r.replyCommitted(proposal.clients, response)
 }
 
-// maybeSnapshot takes a snapshot once SnapshotEvery entries have been applied since the last one and their total size
-// has reached that of the last snapshot, which keeps the cost of snapshots proportional to the size of the log. The log
-// keeps the entries between the last two snapshots, so that a follower that lags slightly does not need a snapshot.
+// maybeSnapshot takes a snapshot if one is due. The log keeps the entries between the last two snapshots, so that a
+// follower that lags slightly does not need a snapshot.
 func (r *Replica) maybeSnapshot() {
-	if r.applied < r.snapshot.Meta.Index+r.config.SnapshotEvery || r.appliedBytes < len(r.snapshot.Data) {
+	if !r.snapshotDue() {
 		return
 	}
 	before := r.snapshot.Meta
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -37,6 +37,7 @@
 	// that the load of the leader does not grow with their number. Each sends some three requests per second, and 128 of
 	// them cost the leader some 3% of a core.
 	maxDirectGateways = 128
+	bytesPerMB        = 1 << 20
 )
 
 // input is an event for the replica goroutine. Exactly one of its fields is set, besides respond.
@@ -144,7 +145,7 @@
 		Mechanisms: mechanisms, Level: level.Current,
 		ID: s.identity.ID, Name: s.identity.Name, Address: section.InternalAddress, Zone: s.file.Zone, MaxDirectGateways: maxDirectGateways, Timing: timing,
 		Replicas: section.Replicas, SettingsLease: section.SettingsLease, RepairAfter: section.RepairAfter,
-		SnapshotEvery: section.SnapshotEvery, WeightsOrderDelay: section.WeightsOrderDelay, GatewayViewTTL: section.GatewayViewTTL, Quota: section.Quota.Policy(), Random: rand.Int64N,
+		SnapshotEvery: section.SnapshotEvery, DiskLimit: int64(section.DiskLimitMB) * bytesPerMB, WeightsOrderDelay: section.WeightsOrderDelay, GatewayViewTTL: section.GatewayViewTTL, Quota: section.Quota.Policy(), Random: rand.Int64N,
 	}, nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,6 +61,7 @@
 	SettingsLease      time.Duration `yaml:"settings_lease"` // how long a router may serve without contact to control; default 3s
 	RepairAfter        time.Duration `yaml:"repair_after"`   // silence after which a spare replaces a replica; default 10s
 	SnapshotEvery      uint64        `yaml:"snapshot_every"` // log entries between snapshots; default 5,000
+	DiskLimitMB        int           `yaml:"disk_limit_mb"`  // megabytes that the data folder may hold; 0, the default, is unknown
 	JoinOnly           bool          `yaml:"join_only"`      // never bootstrap a group, only join one; default false
 	WeightsOrderDelay  time.Duration `yaml:"order_wait"`     // how long a new leader waits before its first weights order; default 3s
 	GatewayViewTTL     time.Duration `yaml:"gateway_trust"`  // how long a gateway may use an unconfirmed view; default 3s
@@ -260,6 +261,9 @@
 	if r.Replicas < 1 || r.Replicas > 7 {
 		c.addProblem("control.replicas", fmt.Sprintf("%d is out of range; allowed is 1 to 7", r.Replicas))
 	}
+	if r.DiskLimitMB < 0 {
+		c.addProblem("control.disk_limit_mb", "must not be negative")
+	}
 	if q := r.Quota; q.Window < 0 || q.Overage < 0 || q.Slack < 0 || q.RetryWindow < 0 || q.RetrySlack < 0 {
 		c.addProblem("control.quota", "must not contain negative values")
 	}
