Consensus: messages, bytes in flight and what is applied at once are bounded in bytes

Cause: an append message held up to 256 entries whatever their size, the leader sent the next without waiting, and a Ready held everything committed. With 1,400 routes 256 entries are over 200 MB. Change: Limits bounds the entries of a message (1 MB), those sent to a peer and not acknowledged (2 MB) and those of one Ready (1 MB, by the cost of applying them); one entry always passes. Ruled out: nothing else bounds them; the outbox counts messages. Measured: the new tests fail without the limits (100,000 bytes applied at once, the limit is 10,000; more than two messages in flight). The property test of the log draws limits down to 1 byte and passes.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -33,11 +33,16 @@
 	partitioned map[ID]bool
 	leaders     map[uint64]ID
 	committed   map[uint64]Entry // first committed entry seen for each index
+	limits      Limits
 	fail        func(format string, arguments ...any)
 }
 
 func newCluster(size int, seed uint64, fail func(string, ...any)) *cluster {
-	c := &cluster{random: rand.New(rand.NewPCG(seed, 1)), partitioned: map[ID]bool{}, leaders: map[uint64]ID{}, committed: map[uint64]Entry{}, fail: fail}
+	return newClusterWithLimits(size, seed, Limits{}, fail)
+}
+
+func newClusterWithLimits(size int, seed uint64, limits Limits, fail func(string, ...any)) *cluster {
+	c := &cluster{limits: limits, random: rand.New(rand.NewPCG(seed, 1)), partitioned: map[ID]bool{}, leaders: map[uint64]ID{}, committed: map[uint64]Entry{}, fail: fail}
 	var members []Member
 	for i := range size {
 		members = append(members, Member{ID: ID(fmt.Sprintf("n%d", i)), Name: fmt.Sprintf("n%d", i)})
@@ -53,7 +58,7 @@
 func (c *cluster) start(r *replica) {
 	r.running = true
 	r.applied = nil
-	r.node = New(Config{ID: r.id, Timing: testTiming, Random: c.random.Int64N},
+	r.node = New(Config{ID: r.id, Timing: testTiming, Limits: c.limits, Random: c.random.Int64N},
 		Restored{HardState: r.hard, Snapshot: r.snapshot.Meta, Entries: slices.Clone(r.entries)}, c.now,
 		func() (Snapshot, bool) { return r.snapshot, true })
 }
@@ -72,6 +77,7 @@
 		if count := len(ready.Entries); count > 0 {
 			r.node.MarkPersisted(ready.Entries[count-1].Index, ready.Entries[count-1].Term)
 		}
+		c.checkLimits(r, ready)
 		c.inFlight = append(c.inFlight, ready.Messages...)
 		for _, entry := range ready.Committed {
 			c.apply(r, entry)
@@ -231,7 +237,8 @@
 // TestLogsAgreeUnderFaults drops, duplicates and reorders messages, and kills, restarts and partitions replicas.
 func TestLogsAgreeUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := newCluster(rapid.SampledFrom([]int{3, 5}).Draw(t, "size"), rapid.Uint64().Draw(t, "seed"), t.Fatalf)
+		limits := Limits{MessageBytes: rapid.SampledFrom([]int{0, 1, 80}).Draw(t, "message limit"), InflightBytes: rapid.SampledFrom([]int{0, 1, 160}).Draw(t, "in-flight limit"), DeliverBytes: rapid.SampledFrom([]int{0, 1, 80}).Draw(t, "deliver limit")}
+		c := newClusterWithLimits(rapid.SampledFrom([]int{3, 5}).Draw(t, "size"), rapid.Uint64().Draw(t, "seed"), limits, t.Fatalf)
 		c.runFor(3 * time.Second)
 		proposals := 0
 		replicaIndex := rapid.IntRange(0, len(c.replicas)-1)
--- /dev/null
+++ b/internal/consensus/limits_test.go
@@ -0,0 +1,73 @@
+package consensus
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// checkLimits fails if a message or the committed entries exceed a limit by more than one entry that must pass.
+func (c *cluster) checkLimits(r *replica, ready Ready) {
+	limits := r.node.config.Limits
+	for _, message := range ready.Messages {
+		if size := totalSize(message.Entries); size > limits.MessageBytes && len(message.Entries) > 1 {
+			c.fail("%s sends %d bytes of entries in one message, the limit is %d", r.id, size, limits.MessageBytes)
+		}
+	}
+	if size := totalSize(ready.Committed); size > limits.DeliverBytes && len(ready.Committed) > 1 {
+		c.fail("%s applies %d bytes of entries at once, the limit is %d", r.id, size, limits.DeliverBytes)
+	}
+}
+
+// largeEntryCluster returns a cluster in which each entry has a tenth of the message limit, its leader, and a follower.
+func largeEntryCluster(t *testing.T) (c *cluster, leader *replica, follower ID, entry string) {
+	c = newClusterWithLimits(3, 1, Limits{MessageBytes: 10_000, InflightBytes: 20_000, DeliverBytes: 10_000}, t.Fatalf)
+	c.runFor(3 * time.Second)
+	leader = c.leader()
+	return c, leader, leader.node.Peers()[0].ID, strings.Repeat("x", 1000-entryOverhead)
+}
+
+// TestBytesInFlightToAPeerAreBounded guards against a leader that sends everything a follower lacks without waiting for
+// acknowledgements, so that sender and receiver run out of memory.
+func TestBytesInFlightToAPeerAreBounded(t *testing.T) {
+	c, leader, follower, entry := largeEntryCluster(t)
+	c.partitioned[follower] = true
+	for range 100 {
+		c.propose(entry)
+	}
+	c.runFor(time.Second)
+	delete(c.partitioned, follower)
+	limit := c.limits.InflightBytes + c.limits.MessageBytes
+	for end := c.now + 10*time.Second; c.now < end && c.find(follower).node.Commit() < leader.node.Commit(); {
+		c.advance(20 * time.Millisecond)
+		held := 0
+		for _, message := range c.inFlight {
+			if message.To == follower {
+				held += totalSize(message.Entries)
+			}
+		}
+		if held > limit {
+			t.Fatalf("%d bytes of entries in flight to %s, the limit is %d", held, follower, limit)
+		}
+		for range len(c.inFlight) / 2 {
+			c.deliver(0)
+		}
+	}
+	if commit := c.find(follower).node.Commit(); commit < leader.node.Commit() {
+		t.Fatalf("%s committed up to index %d within 10 s, the leader up to %d", follower, commit, leader.node.Commit())
+	}
+}
+
+// TestCommittedEntriesAreDeliveredInSteps guards against a replica that applies a long log at once and sends no heartbeats
+// meanwhile.
+func TestCommittedEntriesAreDeliveredInSteps(t *testing.T) {
+	c, leader, _, entry := largeEntryCluster(t)
+	for range 50 {
+		leader.node.Propose(c.now, []byte(entry))
+	}
+	c.processReady(leader)
+	c.runFor(time.Second)
+	if applied := leader.applied[len(leader.applied)-1]; applied.Index != leader.node.Commit() {
+		t.Fatalf("applied up to index %d, committed up to %d", applied.Index, leader.node.Commit())
+	}
+}
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -6,9 +6,6 @@
 	"slices"
 )
 
-// maxAppendEntries is the maximum number of entries in one append message.
-const maxAppendEntries = 256
-
 // raftLog is the part of the log after the last snapshot.
 //
 // Invariant: entries[i].Index == base.Index+1+i, terms never decrease, and bytes is the total size of entries.
@@ -60,6 +57,17 @@
 	return l.entries[after-l.base.Index : upTo-l.base.Index]
 }
 
+// limitSize returns the first entries whose total size is within a limit, and at least one if there are any.
+func limitSize(entries []Entry, limit int, size func(Entry) int) []Entry {
+	total := 0
+	for i, entry := range entries {
+		if total += size(entry); total > limit && i > 0 {
+			return entries[:i]
+		}
+	}
+	return entries
+}
+
 // truncateFrom removes the entry at index and all after it.
 func (l *raftLog) truncateFrom(index uint64) {
 	if index <= l.base.Index {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -15,6 +15,8 @@
 	lastAppendAt   time.Duration // time of the last append or snapshot, by the leader's clock
 	snapshotSentAt time.Duration // send time of an unacknowledged snapshot, by the leader's clock; 0 if none
 	paused         bool          // no appends until the next reply or heartbeat
+	probeSentAt    time.Duration // send time of large entries to a peer that has acknowledged none, by the leader's clock; 0 if none
+	inflight       inflight
 }
 
 // Node is the consensus state machine of one replica. It is not safe for concurrent use.
@@ -50,6 +52,10 @@
 // New returns a node restored from stable storage. snapshotSource returns the newest snapshot, for followers that need
 // compacted entries.
 func New(config Config, restored Restored, now time.Duration, snapshotSource func() (Snapshot, bool)) *Node {
+	config.Limits = config.Limits.withDefaults()
+	if config.ApplySize == nil {
+		config.ApplySize = func(entry Entry) int { return entry.Size() }
+	}
 	node := &Node{
 		config:            config,
 		hard:              restored.HardState,
@@ -240,8 +246,8 @@
 	ready.Messages = n.messages
 	n.messages = nil
 	if n.delivered < n.commit {
-		ready.Committed = slices.Clone(n.log.slice(n.delivered, n.commit))
-		n.delivered = n.commit
+		ready.Committed = slices.Clone(limitSize(n.log.slice(n.delivered, n.commit), n.config.Limits.DeliverBytes, n.config.ApplySize))
+		n.delivered += uint64(len(ready.Committed))
 	}
 	return ready
 }
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -71,14 +71,27 @@
 }
 
 func (n *Node) broadcastAppend(now time.Duration) {
-	n.forEachPeer(func(id ID) {
-		if !n.peers[id].paused {
-			n.sendAppend(now, id)
+	n.forEachPeer(func(id ID) { n.sendEntries(now, id) })
+}
+
+// sendEntries sends the entries that a peer lacks, as far as its in-flight limit allows.
+func (n *Node) sendEntries(now time.Duration, id ID) {
+	peer := n.peers[id]
+	for !peer.paused && peer.next <= n.log.lastIndex() && n.hasInflightRoom(peer) {
+		next := peer.next
+		n.sendAppend(now, id)
+		if peer.next == next {
+			return // a snapshot or a probe is on its way
 		}
-	})
+	}
+}
+
+func (n *Node) hasInflightRoom(peer *progress) bool {
+	return peer.inflight.bytes < n.config.Limits.InflightBytes
 }
 
-// sendAppend sends the entries from the peer's next index on, or a snapshot if they are compacted.
+// sendAppend sends the entries from the peer's next index on, within the limits, or a snapshot if they are compacted. It
+// sends a heartbeat without entries if the in-flight limit is reached.
 func (n *Node) sendAppend(now time.Duration, id ID) {
 	peer := n.peers[id]
 	previous := peer.next - 1
@@ -87,20 +100,40 @@
 		n.sendSnapshot(now, id)
 		return
 	}
-	upTo := min(n.log.lastIndex(), previous+maxAppendEntries)
-	entries := slices.Clone(n.log.slice(previous, upTo))
+	var entries []Entry
+	if n.hasInflightRoom(peer) {
+		entries = slices.Clone(limitSize(n.log.slice(previous, n.log.lastIndex()), n.config.Limits.MessageBytes, entrySize))
+	}
+	probes := peer.match == 0 && len(entries) > 0
+	if probes && totalSize(entries) > maxRepeatedProbeBytes {
+		if peer.probeSentAt > 0 && now < peer.probeSentAt+n.config.Timing.ElectionMin {
+			peer.paused = true
+			n.sendHeartbeat(now, id)
+			return
+		}
+		peer.probeSentAt = now
+	}
 	n.send(Message{
 		Kind: MessageAppend, To: id, Term: n.hard.Term, Index: previous, LogTerm: term,
 		Commit: n.commit, SentAt: now, Entries: entries,
 	})
 	peer.lastAppendAt = now
-	if peer.match == 0 && len(entries) > 0 {
+	if probes {
 		peer.paused = true // probe: wait for the first reply
 		return
 	}
-	peer.next = upTo + 1
+	if len(entries) > 0 {
+		peer.inflight.add(entries)
+		peer.next += uint64(len(entries))
+	}
 }
 
+// maxRepeatedProbeBytes is the size of the entries up to which a probe is repeated with every heartbeat. Larger ones, like
+// snapshots, take longer than a heartbeat to arrive and are repeated after ElectionMin.
+const maxRepeatedProbeBytes = 64 << 10
+
+func entrySize(entry Entry) int { return entry.Size() }
+
 // sendSnapshot sends the newest snapshot. It is resent only after ElectionMin without an acknowledgement, since a large
 // one takes longer than a heartbeat to arrive. Until then the peer gets heartbeats; even its rejections extend the
 // leader's lease.
@@ -219,18 +252,18 @@
 			peer.paused = true // the peer lost acknowledged entries; probe only once per heartbeat
 			return
 		}
-		peer.next = max(peer.match, message.Hint) + 1
+		peer.next, peer.probeSentAt = max(peer.match, message.Hint)+1, 0
+		peer.inflight.reset()
 		n.sendAppend(now, message.From)
 		return
 	}
 	if message.Index > peer.match {
-		peer.match, peer.snapshotSentAt = message.Index, 0
+		peer.match, peer.snapshotSentAt, peer.probeSentAt = message.Index, 0, 0
+		peer.inflight.acknowledge(message.Index)
 		n.advanceCommit()
 	}
 	peer.next = max(peer.next, peer.match+1)
-	if peer.next <= n.log.lastIndex() {
-		n.sendAppend(now, message.From)
-	}
+	n.sendEntries(now, message.From)
 }
 
 // advanceCommit raises the commit index to the last entry that a quorum of voters has synced, if that entry is of the
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -14,6 +14,7 @@
 package consensus
 
 import (
+	"cmp"
 	"time"
 
 	"kitetiller/internal/level"
@@ -173,6 +174,14 @@
 	InForce level.Level `json:"in_force,omitempty"`
 }
 
+// Size returns the approximate size of the entries or the snapshot of the message, in bytes.
+func (m *Message) Size() int {
+	if m.Snapshot != nil {
+		return len(m.Snapshot.Data)
+	}
+	return totalSize(m.Entries)
+}
+
 // Ready is the work that the caller must do, in the order given in the package comment.
 type Ready struct {
 	HardState *HardState // nil when unchanged
@@ -195,11 +204,37 @@
 	Lease       time.Duration // how long a quorum's acknowledgements let a leader serve reads; below ElectionMin
 }
 
+// Limits bounds what a node sends and delivers at once, in bytes. A single entry may exceed a limit, as it must pass.
+// Zero fields select the defaults.
+type Limits struct {
+	MessageBytes  int // entries in one append message
+	InflightBytes int // entries sent to a peer that it has not acknowledged; exceeded by one message at most
+	DeliverBytes  int // committed entries in one Ready, by Config.ApplySize
+}
+
+// Defaults of Limits. A replica with half a core decodes some 10 MB of JSON per second, and a message must not delay the
+// heartbeats behind it for long.
+const (
+	defaultMessageBytes  = 1 << 20
+	defaultInflightBytes = 2 << 20
+	defaultDeliverBytes  = 1 << 20
+)
+
+func (l Limits) withDefaults() Limits {
+	return Limits{
+		MessageBytes:  cmp.Or(l.MessageBytes, defaultMessageBytes),
+		InflightBytes: cmp.Or(l.InflightBytes, defaultInflightBytes),
+		DeliverBytes:  cmp.Or(l.DeliverBytes, defaultDeliverBytes),
+	}
+}
+
 // Config holds the parameters of a node.
 type Config struct {
-	ID     ID
-	Timing Timing
-	Random func(n int64) int64 // uniform in [0, n); seeded by the caller
+	ID        ID
+	Timing    Timing
+	Limits    Limits
+	ApplySize func(Entry) int     // cost of applying an entry, in bytes; nil selects Entry.Size
+	Random    func(n int64) int64 // uniform in [0, n); seeded by the caller
 }
 
 // Restored is the state read from stable storage. The zero value stands for an empty folder.
