Control: a long log is applied in steps, with heartbeats and messages in between

Cause: the loop wrote, applied and sent until nothing was left before it looked at its timers, so that a leader with a long log sent no heartbeats, and a follower's election timer ran before the heartbeats that waited in its queue. Change: the loop ticks when a timer is due although work is left, and handles what has arrived before the timers. A batch to a peer ends at 1 MB of entries.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -65,8 +65,10 @@
 func (s *Server) sendTo(address string, queue chan consensus.Message) {
 	for message := range queue {
 		batch := raftBatch{Address: s.file.Control.InternalAddress, Messages: []consensus.Message{message}}
-		for len(batch.Messages) < maxBatch && len(queue) > 0 {
-			batch.Messages = append(batch.Messages, <-queue)
+		for size := message.Size(); size < maxBatchBytes && len(batch.Messages) < maxBatch && len(queue) > 0; {
+			next := <-queue
+			size += next.Size()
+			batch.Messages = append(batch.Messages, next)
 		}
 		body, err := json.Marshal(batch)
 		if err != nil {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -25,10 +25,12 @@
 )
 
 const (
-	inputCapacity   = 8192
-	outboxCapacity  = 1024
-	callCapacity    = 1024
-	maxBatch        = 512
+	inputCapacity  = 8192
+	outboxCapacity = 1024
+	callCapacity   = 1024
+	maxBatch       = 512
+	// maxBatchBytes is the size of entries above which no further messages to a peer join a batch.
+	maxBatchBytes   = 1 << 20
 	sendTimeout     = 2 * time.Second
 	joinInterval    = 300 * time.Millisecond
 	rejoinInterval  = 2 * time.Second
@@ -245,6 +247,7 @@
 			s.handleInput(item)
 			s.handleQueued()
 		case <-timer.C:
+			s.handleQueued() // messages that waited for a long step count before the timers
 		}
 		s.replica.Tick(s.now(), time.Now().UnixMilli())
 		if err := s.persistAndSend(); err != nil {
@@ -259,10 +262,18 @@
 		s.logLevelChange()
 		s.logLimitChanges()
 		s.logQuarantineChanges()
-		timer.Reset(min(max(s.replica.NextDue()-s.now(), time.Millisecond), maxTickInterval))
+		timer.Reset(s.nextWakeup())
 	}
 }
 
+// nextWakeup returns how long the loop may wait for an input.
+func (s *Server) nextWakeup() time.Duration {
+	if s.replica.HasWork() {
+		return 0
+	}
+	return min(max(s.replica.NextDue()-s.now(), time.Millisecond), maxTickInterval)
+}
+
 // logLeadershipChange logs when leadership was won or lost.
 func (s *Server) logLeadershipChange() {
 	isLeader := s.replica.leader != nil
@@ -358,9 +369,10 @@
 	s.log.Info(events.RelayAvailable, zap.String("leader", result.leader))
 }
 
-// persistAndSend writes, syncs and sends until the replica has no more work.
+// persistAndSend writes, syncs and sends until the replica has no more work or must tick: a long log is applied in many
+// steps, with heartbeats in between.
 func (s *Server) persistAndSend() error {
-	for s.replica.HasWork() {
+	for due := s.replica.NextDue(); s.replica.HasWork(); {
 		persist := s.replica.Prepare()
 		if !persist.Empty() {
 			started := time.Now()
@@ -373,6 +385,9 @@
 			s.recordUsage(persist, took)
 		}
 		s.send(s.replica.Advance(s.now()))
+		if s.now() >= due {
+			return nil
+		}
 	}
 	return nil
 }
