--- a/internal/control/levels.go
+++ b/internal/control/levels.go
@@ -99,9 +99,7 @@
 func (m *Machine) highestLevel(entries []consensus.Entry) level.Level {
 	highest := m.level
 	for _, entry := range entries {
-		if entry.Kind == consensus.EntryCommand {
-			highest = max(highest, decodeCommand(entry.Data).Level)
-		}
+		highest = max(highest, levelOf(entry))
 	}
 	return highest
 }
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -13,6 +13,7 @@
 	"kitetiller/internal/guard"
 	"kitetiller/internal/ledger"
 	"kitetiller/internal/level"
+	"kitetiller/internal/payload"
 	"kitetiller/internal/settings"
 )
 
@@ -190,19 +191,23 @@
 	Level    level.Level        `json:"level,omitempty"`
 }
 
-// Snapshot returns the encoded state.
+// Snapshot returns the encoded state, compressed if the level in force allows it.
 func (m *Machine) Snapshot() []byte {
 	data, err := json.Marshal(machineSnapshot{m.settings, m.ledger, m.sessions, m.orders, m.nowMS, m.peersVersion, m.catalog, m.level})
 	if err != nil {
 		panic(fmt.Sprintf("control: failed to encode the replicated state: %v", err))
 	}
-	return data
+	return compressAt(m.level, data)
 }
 
 // Restore replaces the state with a snapshot.
 func (m *Machine) Restore(data []byte) error {
 	form := machineSnapshot{Settings: settings.NewMachine(), Ledger: ledger.New(), Catalog: catalog.NewMachine()}
-	if err := json.Unmarshal(data, &form); err != nil {
+	data, err := payload.Expand(data, maxExpandedBytes)
+	if err == nil {
+		err = json.Unmarshal(data, &form)
+	}
+	if err != nil {
 		return err
 	}
 	form.Settings.Guards, form.Catalog.Guards = m.settings.Guards, m.catalog.Guards
@@ -217,19 +222,3 @@
 	}
 	return nil
 }
-
-func encodeCommand(command Command) []byte {
-	data, err := json.Marshal(command)
-	if err != nil {
-		panic(fmt.Sprintf("control: failed to encode a command: %v", err))
-	}
-	return data
-}
-
-func decodeCommand(data []byte) Command {
-	var command Command
-	if err := json.Unmarshal(data, &command); err != nil {
-		panic(fmt.Sprintf("control: failed to decode a command from the log: %v", err))
-	}
-	return command
-}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -136,7 +136,7 @@
 	replica.applied = restored.Snapshot.Meta.Index
 	replica.appliedTerm = restored.Snapshot.Meta.Term
 	replica.node = consensus.New(
-		consensus.Config{ID: config.ID, Timing: config.Timing, Random: config.Random},
+		consensus.Config{ID: config.ID, Timing: config.Timing, ApplySize: applySize, Random: config.Random},
 		consensus.Restored{HardState: restored.HardState, Snapshot: restored.Snapshot.Meta, Entries: restored.Entries},
 		now, func() (consensus.Snapshot, bool) { return replica.snapshot, replica.snapshot.Meta.Index > 0 })
 	return replica, nil
@@ -257,7 +257,7 @@
 // appendCommand appends a command to the log; the clients are answered once it has committed.
 func (r *Replica) appendCommand(now time.Duration, clients []uint64, command Command) {
 	command.UnixMS = r.unixMS
-	index, term, ok := r.node.Propose(now, encodeCommand(command))
+	index, term, ok := r.node.Propose(now, encodeCommand(r.machine.level, command))
 	if !ok {
 		r.replyAll(clients, Response{Kind: ResponseNotLeader, Leader: r.leaderAddress()})
 		return
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -21,8 +21,10 @@
 	Unannounced Level = 0
 	// Announced is the level of the first builds that announce theirs and reject records of higher levels.
 	Announced Level = 1
+	// Compressed is the level from which on long log entries and snapshots are compressed.
+	Compressed Level = 2
 	// Current is the level of this build.
-	Current = Announced
+	Current = Compressed
 )
 
 // ErrTooOld is returned if records have a higher level than this build supports. Check for it with errors.Is.
