Storage: a checkpoint that doesn't fit leaves the log usable, and nothing of it stays on the disk

Cause: a failed checkpoint left the log in an unknown state although the old segment is whole, and its temporary file on the disk, which no start removed. A checkpoint and a start held whole segments in a buffer, a start twice. Change: Checkpoint returns ErrNotReplaced as long as nothing has changed and removes its temporary file; Open removes temporary files and replaced segments, and writes nothing on a full disk unless a record is incomplete. Segments are read and written through small buffers.

--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -2,15 +2,18 @@
 // replace, and small files that are replaced atomically.
 //
 // A record is durable once Sync has returned. Open truncates an incomplete record that a crash left at the
-// end of the newest segment. On any other corruption it fails without changing files, since durable data
-// is lost.
+// end of the newest segment, and removes files that an interrupted checkpoint left. On any other corruption it fails
+// without changing files, since durable data is lost.
 package storage
 
 import (
+	"bufio"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"hash/crc32"
+	"io"
+	"iter"
 	"os"
 	"path/filepath"
 	"sort"
@@ -35,6 +38,8 @@
 	temporarySuffix   = ".tmp"
 	folderPermissions = 0o755
 	filePermissions   = 0o644
+	bufferBytes       = 64 << 10 // of a segment that is read or written
+	maxKeptBuffer     = 1 << 20  // capacity up to which the buffer of pending records is kept
 )
 
 // Errors that callers match with errors.Is.
@@ -42,6 +47,9 @@
 	ErrDamaged     = eris.New("data folder is damaged")
 	ErrForeign     = eris.New("data folder belongs to another program or replica")
 	ErrNewerFormat = eris.New("data folder was written by a newer version")
+	// ErrNotReplaced is returned by Checkpoint if the new segment can't be written, for example for lack of space. The log
+	// is unchanged and may be used further.
+	ErrNotReplaced = eris.New("checkpoint not written; the log is unchanged")
 )
 
 // Record is one entry of the log.
@@ -62,9 +70,10 @@
 
 // Log is an open log. It is not safe for concurrent use.
 type Log struct {
+	files    FileSystem
 	folder   string
 	owner    string
-	file     *os.File
+	file     File
 	sequence uint64
 	size     int64
 	pending  []byte
@@ -74,18 +83,24 @@
 
 // Open opens or creates the log of an owner in a folder and returns the records from the last checkpoint on.
 func Open(folder, owner string) (*Log, []Record, error) {
-	if err := os.MkdirAll(folder, folderPermissions); err != nil {
+	return OpenOn(OperatingSystem, folder, owner)
+}
+
+// OpenOn is like Open, for a folder in the given file system.
+func OpenOn(files FileSystem, folder, owner string) (*Log, []Record, error) {
+	if err := files.MkdirAll(folder); err != nil {
 		return nil, nil, eris.Wrapf(err, "create %s", folder)
 	}
-	sequences, err := listSegments(folder)
+	log := &Log{files: files, folder: folder, owner: owner}
+	sequences, err := log.listSegments()
 	if err != nil {
 		return nil, nil, err
 	}
-	log := &Log{folder: folder, owner: owner}
 	if len(sequences) == 0 {
 		return log, nil, log.createFirstSegment()
 	}
 	var records []Record
+	var replaced []uint64
 	for i, sequence := range sequences {
 		newest := i == len(sequences)-1
 		segment, length, err := log.readSegment(sequence, newest)
@@ -93,32 +108,39 @@
 			return nil, nil, err
 		}
 		if i > 0 && startsWithCheckpoint(segment) {
-			records = nil
+			records, replaced = nil, sequences[:i]
 		}
 		records = append(records, segment...)
 		log.sequence, log.size = sequence, length
 	}
-	return log, records, log.reopenNewest()
+	if err := log.reopenNewest(); err != nil {
+		return nil, nil, err
+	}
+	for _, sequence := range replaced {
+		_ = files.Remove(log.segmentPath(sequence)) // a later start removes what stays
+	}
+	return log, records, nil
 }
 
 // startsWithCheckpoint reports whether a segment after the first replaces the earlier ones. Checkpoint creates all of
 // these, so that any with records starts with a checkpoint.
 func startsWithCheckpoint(segment []Record) bool { return len(segment) > 0 }
 
-func listSegments(folder string) ([]uint64, error) {
-	entries, err := os.ReadDir(folder)
+// listSegments returns the sequence numbers of the segments in ascending order. It removes temporary files.
+func (l *Log) listSegments() ([]uint64, error) {
+	names, err := l.files.ReadDir(l.folder)
 	if err != nil {
-		return nil, eris.Wrapf(err, "read %s", folder)
+		return nil, eris.Wrapf(err, "read %s", l.folder)
 	}
 	var sequences []uint64
-	for _, entry := range entries {
-		name := entry.Name()
+	for _, name := range names {
 		if strings.HasSuffix(name, temporarySuffix) {
+			_ = l.files.Remove(filepath.Join(l.folder, name)) // it takes space, but does no other harm
 			continue
 		}
 		var sequence uint64
 		if _, err := fmt.Sscanf(name, "%016d"+segmentSuffix, &sequence); err != nil {
-			return nil, eris.Wrapf(ErrForeign, "%s holds the unknown file %s; move it away or choose another folder", folder, name)
+			return nil, eris.Wrapf(ErrForeign, "%s holds the unknown file %s; move it away or choose another folder", l.folder, name)
 		}
 		sequences = append(sequences, sequence)
 	}
@@ -132,17 +154,21 @@
 
 func (l *Log) createFirstSegment() error {
 	l.sequence = 1
-	return l.writeSegment(nil)
+	return l.writeSegment(l.sequence, func(func(Record) bool) {})
 }
 
 // readSegment returns the records after the header and the length of the valid data in bytes.
 func (l *Log) readSegment(sequence uint64, newest bool) ([]Record, int64, error) {
 	path := l.segmentPath(sequence)
-	data, err := os.ReadFile(path)
+	file, err := l.files.Open(path, os.O_RDONLY)
+	if err != nil {
+		return nil, 0, eris.Wrapf(err, "open %s", path)
+	}
+	defer file.Close()
+	records, length, tail, err := readRecords(file)
 	if err != nil {
 		return nil, 0, eris.Wrapf(err, "read %s", path)
 	}
-	records, length, tail := DecodeRecords(data)
 	if len(records) == 0 || records[0].Kind != KindHeader {
 		return nil, 0, eris.Wrapf(ErrDamaged, "%s has no valid segment header", path)
 	}
@@ -170,20 +196,36 @@
 	return nil
 }
 
+// reopenNewest opens the newest segment for appending. It writes nothing if the segment has no incomplete record, so that
+// a log can be opened on a full disk.
 func (l *Log) reopenNewest() error {
 	path := l.segmentPath(l.sequence)
-	file, err := os.OpenFile(path, os.O_RDWR, filePermissions)
+	file, err := l.files.Open(path, os.O_RDWR)
 	if err != nil {
 		return eris.Wrapf(err, "open %s", path)
 	}
-	if err := file.Truncate(l.size); err != nil {
-		return eris.Wrapf(err, "truncate the incomplete record at the end of %s", path)
-	}
-	if _, err := file.Seek(l.size, 0); err != nil {
-		return eris.Wrapf(err, "seek in %s", path)
+	if err := prepareAppend(file, l.size); err != nil {
+		_ = file.Close()
+		return eris.Wrapf(err, "prepare %s", path)
 	}
 	l.file = file
-	return eris.Wrapf(file.Sync(), "sync %s", path)
+	return nil
+}
+
+// prepareAppend truncates what follows the valid records, moves to their end and syncs them: a process that ended may have
+// written them without a sync.
+func prepareAppend(file File, size int64) error {
+	end, err := file.Seek(0, io.SeekEnd)
+	if err == nil && end > size {
+		err = file.Truncate(size)
+	}
+	if err == nil {
+		_, err = file.Seek(size, io.SeekStart)
+	}
+	if err == nil {
+		err = file.Sync()
+	}
+	return err
 }
 
 // Append adds a record to the buffer that the next Sync writes.
@@ -191,80 +233,144 @@
 	l.pending = AppendRecord(l.pending, record)
 }
 
-// Sync writes and syncs the buffered records. After an error the content on disk is unknown and the log must
-// not be used any more.
+// Sync writes and syncs the buffered records. After an error the content on disk is unknown: the log must be closed and
+// opened again.
 func (l *Log) Sync() error {
 	if len(l.pending) == 0 {
 		return nil
 	}
 	written, err := l.file.Write(l.pending)
 	if err != nil {
-		return eris.Wrapf(err, "append to %s", l.file.Name())
+		return eris.Wrapf(err, "append to %s", l.segmentPath(l.sequence))
 	}
 	l.size += int64(written)
 	l.pending = l.pending[:0]
-	return eris.Wrapf(l.file.Sync(), "sync %s", l.file.Name())
+	if cap(l.pending) > maxKeptBuffer {
+		l.pending = nil
+	}
+	return eris.Wrapf(l.file.Sync(), "sync %s", l.segmentPath(l.sequence))
 }
 
 // Checkpoint starts a new segment with the given records, which replace all earlier ones, and deletes the
-// older segments once the new one is durable.
-func (l *Log) Checkpoint(records []Record) error {
+// older segments once the new one is durable. Until then both take space.
+func (l *Log) Checkpoint(records iter.Seq[Record]) error {
 	if err := l.Sync(); err != nil {
 		return err
 	}
-	previous := l.sequence
-	oldFile := l.file
-	l.sequence++
-	if err := l.writeSegment(records); err != nil {
+	previous, oldFile := l.sequence, l.file
+	if err := l.writeSegment(previous+1, records); err != nil {
 		return err
 	}
 	if err := oldFile.Close(); err != nil {
 		return eris.Wrap(err, "close previous segment")
 	}
 	for sequence := previous; sequence > 0; sequence-- {
-		if err := os.Remove(l.segmentPath(sequence)); err != nil {
+		if err := l.files.Remove(l.segmentPath(sequence)); err != nil {
 			break // the older ones are already deleted
 		}
 	}
-	return syncFolder(l.folder)
+	return eris.Wrapf(l.files.SyncDir(l.folder), "sync %s", l.folder)
 }
 
-func (l *Log) writeSegment(records []Record) error {
-	encodedHeader, err := json.Marshal(header{Magic: magic, Format: FormatVersion, Owner: l.owner, Sequence: l.sequence})
-	if err != nil {
-		return eris.Wrap(err, "encode segment header")
+// writeSegment writes a segment and opens it for appending. It fails with ErrNotReplaced if nothing has changed.
+func (l *Log) writeSegment(sequence uint64, records iter.Seq[Record]) error {
+	path := l.segmentPath(sequence)
+	temporary := path + temporarySuffix
+	size, err := l.writeTemporary(temporary, sequence, records)
+	if err == nil {
+		err = eris.Wrapf(l.files.Rename(temporary, path), "rename %s", temporary)
 	}
-	data := AppendRecord(nil, Record{Kind: KindHeader, Data: encodedHeader})
-	for _, record := range records {
-		data = AppendRecord(data, record)
+	if err != nil {
+		_ = l.files.Remove(temporary) // the next start removes it otherwise
+		return eris.Wrapf(ErrNotReplaced, "%v", err)
 	}
-	path := l.segmentPath(l.sequence)
-	if err := ReplaceFile(path, data); err != nil {
-		return err
+	if err := l.files.SyncDir(l.folder); err != nil {
+		return eris.Wrapf(err, "sync %s", l.folder)
 	}
-	l.size = int64(len(data))
+	l.sequence, l.size = sequence, size
 	return l.reopenNewest()
 }
 
+// writeTemporary writes and syncs the content of a segment and returns its size. It buffers little of it.
+func (l *Log) writeTemporary(path string, sequence uint64, records iter.Seq[Record]) (size int64, err error) {
+	encodedHeader, err := json.Marshal(header{Magic: magic, Format: FormatVersion, Owner: l.owner, Sequence: sequence})
+	if err != nil {
+		return 0, eris.Wrap(err, "encode segment header")
+	}
+	file, err := l.files.Open(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
+	if err != nil {
+		return 0, eris.Wrapf(err, "create %s", path)
+	}
+	defer func() {
+		if closeErr := file.Close(); err == nil {
+			err = eris.Wrapf(closeErr, "close %s", path)
+		}
+	}()
+	w := bufio.NewWriterSize(file, bufferBytes)
+	size, err = writeRecord(w, Record{Kind: KindHeader, Data: encodedHeader})
+	for record := range records {
+		if err != nil {
+			break
+		}
+		var written int64
+		written, err = writeRecord(w, record)
+		size += written
+	}
+	if err == nil {
+		err = w.Flush()
+	}
+	if err == nil {
+		err = file.Sync()
+	}
+	return size, eris.Wrapf(err, "write %s", path)
+}
+
 // Size returns the size of the newest segment in bytes.
 func (l *Log) Size() int64 { return l.size }
 
-// Close closes the log and discards buffered records.
-func (l *Log) Close() error { return eris.Wrap(l.file.Close(), "close log") }
+// Close closes the log and discards buffered records. Closing it again has no effect.
+func (l *Log) Close() error {
+	if l.file == nil {
+		return nil
+	}
+	file := l.file
+	l.file = nil
+	return eris.Wrap(file.Close(), "close log")
+}
 
-// AppendRecord appends the encoding of a record to a buffer.
-func AppendRecord(buffer []byte, record Record) []byte {
+// frameHeader returns the encoding of a record's header.
+func frameHeader(record Record) [frameHeaderBytes]byte {
 	var frame [frameHeaderBytes]byte
 	binary.LittleEndian.PutUint32(frame[0:], uint32(len(record.Data)))
 	frame[8] = byte(record.Kind)
+	binary.LittleEndian.PutUint32(frame[4:], frameChecksum(frame[:], record.Data))
+	return frame
+}
+
+// frameChecksum returns the checksum of a record's length, kind and data.
+func frameChecksum(frame, data []byte) uint32 {
 	sum := crc32.Update(0, checksumTable, frame[0:4])
-	sum = crc32.Update(sum, checksumTable, frame[8:])
-	sum = crc32.Update(sum, checksumTable, record.Data)
-	binary.LittleEndian.PutUint32(frame[4:], sum)
+	sum = crc32.Update(sum, checksumTable, frame[8:9])
+	return crc32.Update(sum, checksumTable, data)
+}
+
+// AppendRecord appends the encoding of a record to a buffer.
+func AppendRecord(buffer []byte, record Record) []byte {
+	frame := frameHeader(record)
 	buffer = append(buffer, frame[:]...)
 	return append(buffer, record.Data...)
 }
 
+// writeRecord writes the encoding of a record and returns its length.
+func writeRecord(w io.Writer, record Record) (int64, error) {
+	frame := frameHeader(record)
+	if _, err := w.Write(frame[:]); err != nil {
+		return 0, err
+	}
+	_, err := w.Write(record.Data)
+	return int64(frameHeaderBytes + len(record.Data)), err
+}
+
 // TailState is the kind of data that follows the last valid record.
 type TailState uint8
 
@@ -290,6 +396,63 @@
 	return records, int64(offset), TailClean
 }
 
+// readRecords is like DecodeRecords for a file, of which it holds one record at a time besides the decoded ones.
+func readRecords(file File) (records []Record, length int64, tail TailState, err error) {
+	end, err := file.Seek(0, io.SeekEnd)
+	if err == nil {
+		_, err = file.Seek(0, io.SeekStart)
+	}
+	if err != nil {
+		return nil, 0, TailClean, err
+	}
+	r := bufio.NewReaderSize(file, bufferBytes)
+	for length < end {
+		record, size, ok, err := readRecord(r, end-length)
+		if err != nil {
+			return nil, 0, TailClean, err
+		}
+		if !ok {
+			tail, err := readTail(file, length)
+			return records, length, tail, err
+		}
+		records = append(records, record)
+		length += size
+	}
+	return records, length, TailClean, nil
+}
+
+// readRecord reads a record of which at most the given number of bytes remain. It returns false if it is invalid.
+func readRecord(r io.Reader, remaining int64) (Record, int64, bool, error) {
+	if remaining < frameHeaderBytes {
+		return Record{}, 0, false, nil
+	}
+	var frame [frameHeaderBytes]byte
+	if _, err := io.ReadFull(r, frame[:]); err != nil {
+		return Record{}, 0, false, err
+	}
+	length := int64(binary.LittleEndian.Uint32(frame[0:]))
+	if length > maxRecordBytes || frameHeaderBytes+length > remaining {
+		return Record{}, 0, false, nil
+	}
+	data := make([]byte, length)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return Record{}, 0, false, err
+	}
+	if frameChecksum(frame[:], data) != binary.LittleEndian.Uint32(frame[4:]) {
+		return Record{}, 0, false, nil
+	}
+	return Record{Kind: Kind(frame[8]), Data: data}, frameHeaderBytes + length, true, nil
+}
+
+// readTail returns the state of the data from an offset on.
+func readTail(file File, offset int64) (TailState, error) {
+	if _, err := file.Seek(offset, io.SeekStart); err != nil {
+		return TailClean, err
+	}
+	rest, err := io.ReadAll(file)
+	return classifyTail(rest), err
+}
+
 func decodeRecord(data []byte) (Record, int, bool) {
 	if len(data) < frameHeaderBytes {
 		return Record{}, 0, false
@@ -299,10 +462,7 @@
 		return Record{}, 0, false
 	}
 	body := data[frameHeaderBytes : frameHeaderBytes+length]
-	sum := crc32.Update(0, checksumTable, data[0:4])
-	sum = crc32.Update(sum, checksumTable, data[8:9])
-	sum = crc32.Update(sum, checksumTable, body)
-	if sum != binary.LittleEndian.Uint32(data[4:]) {
+	if frameChecksum(data, body) != binary.LittleEndian.Uint32(data[4:]) {
 		return Record{}, 0, false
 	}
 	return Record{Kind: Kind(data[8]), Data: append([]byte(nil), body...)}, frameHeaderBytes + length, true
--- a/internal/storage/log_test.go
+++ b/internal/storage/log_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -143,7 +144,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := log.Checkpoint([]Record{record("state")}); err != nil {
+	if err := log.Checkpoint(slices.Values([]Record{record("state")})); err != nil {
 		t.Fatal(err)
 	}
 	log.Append(record("after"))
@@ -185,7 +186,7 @@
 				if len(pending) > 0 {
 					t.Skip("a checkpoint follows a sync")
 				}
-				if err := log.Checkpoint([]Record{record("state")}); err != nil {
+				if err := log.Checkpoint(slices.Values([]Record{record("state")})); err != nil {
 					t.Fatal(err)
 				}
 				durable = []string{"state"}
