Control: a failed write restores the replica from its folder in place of ending the process

Cause: any failed write was fatal, and so was a folder that can't be opened at the start. Change: after a failed write nothing in memory is trusted. The replica is abandoned, waiting clients get 'unknown', and the folder is opened again after a pause that doubles to a second while writes fail; until then requests are rejected at once and messages dropped. Ages that counted from the start of the process count from that of the replica. A checkpoint that doesn't fit is postponed for a second while the log goes on. Damaged, foreign or newer folders still end the process. Ruled out: writing again in place, since after a failed sync the content of the file is unknown.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -46,7 +46,7 @@
 	}
 	if restored.Snapshot.Meta.Index == 0 {
 		restored = BootstrapState(consensus.Member{ID: identity.ID, Name: "c1", Address: "a"})
-		if err := disk.Write(Persist{Checkpoint: &restored}); err != nil {
+		if _, err := disk.Write(Persist{Checkpoint: &restored}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -69,7 +69,7 @@
 func (s *singleReplica) work() {
 	for s.replica.HasWork() {
 		if persist := s.replica.Prepare(); !persist.Empty() {
-			if err := s.disk.Write(persist); err != nil {
+			if _, err := s.disk.Write(persist); err != nil {
 				s.t.Fatal(err)
 			}
 		}
--- a/internal/control/handover.go
+++ b/internal/control/handover.go
@@ -46,7 +46,7 @@
 			mark.foreign, mark.foreignAppliedAt = true, mark.appliedAt
 		}
 		if !known && r.machine.catalog.MayHaveWeightsOrder(id) {
-			mark.foreign = true // its entry is part of a snapshot, so its age counts from the start of this process
+			mark.foreign, mark.foreignAppliedAt = true, r.startedAt // its entry is part of a snapshot, so its age counts from the start of this replica
 		}
 		mark.term, mark.appliedAt, mark.renewalDeadline = term, now, 0
 		r.orderMarks[name] = mark
@@ -64,12 +64,12 @@
 }
 
 // lastForeignOrder returns when another leader's last announcement of an order to a back end was applied here, and
-// whether there may have been one. The time is 0 if it is unknown.
+// whether there may have been one. It is the start of this replica if the time is unknown.
 func (r *Replica) lastForeignOrder(id string) (time.Duration, bool) {
 	mark, known := r.orderMarks[catalog.ParseInstanceID(id).Name]
 	switch {
 	case !known:
-		return 0, r.machine.catalog.MayHaveWeightsOrder(id)
+		return r.startedAt, r.machine.catalog.MayHaveWeightsOrder(id)
 	case mark.term != r.node.Term():
 		return mark.appliedAt, true
 	}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -23,6 +23,7 @@
 		gauge("log_memory_bytes", "Size of the log entries held in memory.", func() float64 { return float64(s.usage.entries.Load()) }),
 		gauge("snapshot_bytes", "Size of the newest snapshot of the replicated state.", func() float64 { return float64(s.usage.snapshot.Load()) }),
 		gauge("checkpoints_total", "Checkpoints that replaced the log on disk.", func() float64 { return float64(s.usage.checkpoints.Load()) }),
+		gauge("storage_failures_total", "Failed writes to the data folder, after which it was opened again.", func() float64 { return float64(s.usage.storageFailures.Load()) }),
 		gauge("input_ring", "Inputs that wait for the deciding thread.", func() float64 { return float64(len(s.inputs)) }),
 	)
 	return registry
--- a/internal/control/namings_test.go
+++ b/internal/control/namings_test.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	if err := disk.Write(Persist{Checkpoint: &restored}); err != nil {
+	if _, err := disk.Write(Persist{Checkpoint: &restored}); err != nil {
 		s.t.Fatal(err)
 	}
 	return &singleReplica{t: s.t, disk: disk, replica: replica, replies: map[uint64]Response{}, wallOffset: wallOffset}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -124,7 +124,7 @@
 func (s *Server) tryJoin(ctx context.Context) bool {
 	attempt, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	self := consensus.Member{ID: s.identity.ID, Name: s.identity.Name, Address: s.file.Control.InternalAddress}
+	self := consensus.Member{ID: s.identity.Load().ID, Name: s.identity.Load().Name, Address: s.file.Control.InternalAddress}
 	_, err := s.group.Ask(attempt, Request{Join: &self})
 	if err != nil {
 		s.log.Info("failed to join the control group, retrying", zap.Error(err))
@@ -156,10 +156,11 @@
 	if s.replica.Node().LastIndex() > 0 {
 		return
 	}
-	self := consensus.Member{ID: s.identity.ID, Name: s.identity.Name, Address: s.file.Control.InternalAddress}
+	self := consensus.Member{ID: s.identity.Load().ID, Name: s.identity.Load().Name, Address: s.file.Control.InternalAddress}
 	state := BootstrapState(self)
-	if err := s.disk.Write(Persist{Checkpoint: &state}); err != nil {
-		s.fatal <- err
+	if _, err := s.disk.Write(Persist{Checkpoint: &state}); err != nil {
+		s.log.Error(events.StorageFailed, zap.Error(err))
+		time.AfterFunc(rejoinInterval, func() { s.submit(input{createGroup: true}) }) // the folder is still empty
 		return
 	}
 	replica, err := NewReplica(s.config, state, s.now())
--- /dev/null
+++ b/internal/control/reopen_test.go
@@ -0,0 +1,102 @@
+package control
+
+import (
+	"context"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/catalog"
+	"kitetiller/internal/node"
+	"kitetiller/internal/storage/faulty"
+)
+
+// startSingleServer starts a control process that is a group of its own, on the given file system.
+func startSingleServer(t *testing.T, files *faulty.FileSystem) *Server {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	server, err := newServerOn(ctx, files, &node.File{
+		Name: "c1", Zone: "z", DataDir: filepath.Join(t.TempDir(), "data"),
+		Control: &node.Control{InternalAddress: address, Admin: "127.0.0.1:0", Founders: []string{address}, Replicas: 1, Heartbeat: 20 * time.Millisecond,
+			SettingsLease: time.Second, RepairAfter: time.Hour, SnapshotEvery: 5000, GatewayViewTTL: time.Second},
+	}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Run(ctx) }()
+	t.Cleanup(func() {
+		select {
+		case err := <-ended:
+			t.Errorf("the process ended by itself: %v", err)
+		default:
+			cancel()
+			<-ended
+		}
+	})
+	return server
+}
+
+// TestFullDiskEndsNoProcess guards against control processes that end on a full disk and start again on the same one.
+// Once there is room again, everything that was acknowledged is read back and changes are accepted.
+func TestFullDiskEndsNoProcess(t *testing.T) {
+	files := faulty.New(3 << 20)
+	server := startSingleServer(t, files)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	replace := func(timeout time.Duration, revision uint64) bool {
+		attempt, done := context.WithTimeout(ctx, timeout)
+		defer done()
+		_, err := server.Ask(attempt, Request{Catalog: &catalog.Command{Replace: largeDocument(revision, 700)}})
+		return err == nil
+	}
+	revision := uint64(1)
+	for !replace(time.Second, revision) { // until the group has formed
+		if ctx.Err() != nil {
+			t.Fatal("the group did not form")
+		}
+	}
+	for replace(300*time.Millisecond, revision+1) {
+		revision++
+	}
+	if server.usage.storageFailures.Load() == 0 {
+		t.Fatal("the disk never was full")
+	}
+	files.SetLimit(0)
+	for !replace(time.Second, revision+2) {
+		if ctx.Err() != nil {
+			t.Fatal("no change is accepted after there is room again")
+		}
+	}
+	response, err := server.Ask(ctx, Request{Document: &DocumentRequest{}})
+	if err != nil || response.Document.Revision != revision+2 {
+		t.Fatalf("read back %+v, %v, want revision %d", response.Document, err, revision+2)
+	}
+}
+
+// TestFailedWriteLosesNothingAcknowledged lets writes fail one after the other, at any of their steps.
+func TestFailedWriteLosesNothingAcknowledged(t *testing.T) {
+	files := faulty.New(0)
+	server := startSingleServer(t, files)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for revision := uint64(1); revision <= 40; revision++ {
+		if _, err := server.Ask(ctx, Request{Catalog: &catalog.Command{Replace: largeDocument(revision, 10)}}); err != nil {
+			t.Fatalf("revision %d: %v", revision, err)
+		}
+		files.FailOperation(int(revision) % 5)
+		response, err := server.Ask(ctx, Request{Document: &DocumentRequest{}})
+		if err != nil || response.Document.Revision != revision {
+			t.Fatalf("read back %+v, %v, want revision %d", response.Document, err, revision)
+		}
+	}
+}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -62,6 +62,8 @@
 	HardState  *consensus.HardState
 	Entries    []consensus.Entry
 	Checkpoint *Checkpoint // replaces everything on disk; includes HardState and Entries
+	// MayPostpone means that the log on disk, with HardState and Entries appended, is equivalent to Checkpoint.
+	MayPostpone bool
 }
 
 // Empty reports whether there is nothing to write.
@@ -114,6 +116,8 @@
 	awaitingLeader []heldWatch                   // watches held until a leader is known; at most maxAwaitingLeader
 	crashTimes     crashTimes                    // local times of the replicated crash counts
 	checkpointDue  bool                          // the next Prepare must write a checkpoint
+	checkpointAt   time.Duration                 // when a postponed checkpoint is tried again; 0 if none is
+	startedAt      time.Duration                 // when the replica was restored
 	stopErr        error                         // why the replica has stopped, or nil
 }
 
@@ -123,7 +127,7 @@
 	replica := &Replica{
 		config: config, machine: NewMachine(config.Guards), snapshot: restored.Snapshot,
 		hardState: restored.HardState, pending: map[uint64]pendingProposal{}, publications: map[string][]publishedVersion{}, orderMarks: map[string]orderMark{},
-		crashTimes: newCrashTimes(), relay: relay.New(config.Guards),
+		crashTimes: newCrashTimes(), relay: relay.New(config.Guards), startedAt: now,
 	}
 	if len(restored.Snapshot.Data) > 0 {
 		if err := replica.machine.Restore(restored.Snapshot.Data); err != nil {
@@ -165,6 +169,9 @@
 		return
 	}
 	r.unixMS, r.tickedAt, r.now = unixMS, now, now
+	if r.checkpointAt > 0 && now >= r.checkpointAt {
+		r.checkpointAt, r.checkpointDue = 0, true
+	}
 	r.node.Tick(now)
 	r.checkLeadership(now)
 	if r.leader != nil && r.hasCurrentState(now) {
@@ -280,6 +287,7 @@
 	}
 	if r.checkpointDue {
 		r.checkpointDue = false
+		persist.MayPostpone = r.ready.Snapshot == nil
 		persist.Checkpoint = &Checkpoint{HardState: r.hardState, Snapshot: r.snapshot, Entries: r.node.EntriesAfter(r.snapshot.Meta.Index)}
 	}
 	return persist
@@ -393,6 +401,14 @@
 	r.checkpointDue = true
 }
 
+// checkpointRetryInterval is the time after which a checkpoint that didn't fit on the disk is tried again.
+const checkpointRetryInterval = time.Second
+
+// PostponeCheckpoint tells the replica that the checkpoint of the last Prepare was not written, while the rest was.
+func (r *Replica) PostponeCheckpoint(now time.Duration) {
+	r.checkpointAt = now + checkpointRetryInterval
+}
+
 // PendingWeightsCalls returns the number of calls to back ends that wait for the next sync.
 func (r *Replica) PendingWeightsCalls() int { return len(r.effects.WeightsCalls) }
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"kitetiller/internal/clock"
@@ -21,6 +20,7 @@
 	"kitetiller/internal/level"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/node"
+	"kitetiller/internal/storage"
 	"kitetiller/internal/transport"
 )
 
@@ -60,6 +60,7 @@
 	number uint64
 	leader string       // address of the leader that was asked
 	reply  *relay.Reply // nil if the request failed
+	asker  *Replica     // that sent the request
 	cause  string       // why the request failed
 }
 
@@ -73,7 +74,7 @@
 type Server struct {
 	file            *node.File
 	log             *zap.Logger
-	identity        Identity
+	identity        atomic.Pointer[Identity]
 	disk            *Disk
 	replica         *Replica
 	wasLeader       bool        // last logged leadership; owned by runReplica
@@ -100,6 +101,9 @@
 	fatal    chan error
 	syncs    SyncStats
 	usage    usageGauges
+
+	files       storage.FileSystem // of the data folder
+	reopenDelay time.Duration      // pause before the data folder is opened again; owned by runReplica
 }
 
 // SyncStats counts the synced writes of a replica. It is safe for concurrent use.
@@ -113,24 +117,25 @@
 
 // NewServer opens the data folder and restores the replica.
 func NewServer(ctx context.Context, file *node.File, log *zap.Logger) (*Server, error) {
-	disk, identity, restored, err := OpenDisk(file.DataDir, file.Name)
-	if err != nil {
-		return nil, err
-	}
+	return newServerOn(ctx, storage.OperatingSystem, file, log)
+}
+
+// newServerOn is like NewServer, with the log in the given file system.
+func newServerOn(ctx context.Context, files storage.FileSystem, file *node.File, log *zap.Logger) (*Server, error) {
 	links := transport.WatchLinkFile(ctx, file.LinkFile, file.Zone)
 	server := &Server{
-		file: file, log: log.With(zap.String("replica", string(identity.ID))), identity: identity, disk: disk,
+		file: file, log: log, files: files, reopenDelay: minReopenDelay,
 		now: clock.NewSource(nil), inputs: make(chan input, inputCapacity), engineCalls: make(chan EngineCall, callCapacity), weightsCalls: make(chan queuedCall, callCapacity),
 		heartbeats: heartbeatBatcher{acked: map[string]ackedHeartbeat{}, wake: make(chan struct{}, 1)},
 		clients:    map[uint64]transport.Respond{}, senderAddresses: map[consensus.ID]string{}, links: links, outboxes: map[consensus.ID]chan consensus.Message{},
 		client: transport.NewClientWithDialTimeout(file.ClusterToken, links, file.Control.Heartbeat), fatal: make(chan error, 1),
 	}
 	server.group = NewClient(server.client, file.Control.Founders)
-	if server.config, err = server.replicaConfig(); err != nil {
+	if err := server.restoreWhenPossible(ctx); err != nil {
 		return nil, err
 	}
-	server.replica, err = NewReplica(server.config, restored, 0)
-	return server, err
+	server.log = log.With(zap.String("replica", string(server.identity.Load().ID)))
+	return server, nil
 }
 
 func (s *Server) replicaConfig() (Config, error) {
@@ -145,7 +150,7 @@
 	}
 	return Config{
 		Mechanisms: mechanisms, Level: level.Current,
-		ID: s.identity.ID, Name: s.identity.Name, Address: section.InternalAddress, Zone: s.file.Zone, MaxDirectGateways: maxDirectGateways, Timing: timing,
+		ID: s.identity.Load().ID, Name: s.identity.Load().Name, Address: section.InternalAddress, Zone: s.file.Zone, MaxDirectGateways: maxDirectGateways, Timing: timing,
 		Replicas: section.Replicas, SettingsLease: section.SettingsLease, RepairAfter: section.RepairAfter,
 		SnapshotEvery: section.SnapshotEvery, DiskLimit: int64(section.DiskLimitMB) * bytesPerMB, WeightsOrderDelay: section.WeightsOrderDelay, GatewayViewTTL: section.GatewayViewTTL, Quota: section.Quota.Policy(), Random: rand.Int64N,
 	}, nil
@@ -164,6 +169,7 @@
 	defer s.closeAdmin(admin)
 	run, cancel := context.WithCancel(ctx)
 	defer cancel()
+	hasState, disabled := s.replica.Node().LastIndex() > 0, s.config.Mechanisms.Off()
 	var workers sync.WaitGroup
 	workers.Go(func() { s.runReplica(run) })
 	workers.Go(func() { s.sendEngineCalls(run) })
@@ -172,10 +178,10 @@
 	workers.Go(func() { s.forwardHeartbeats(run) })
 	workers.Go(func() { s.refreshMembership(run) })
 	workers.Go(func() { s.rejoinWhileLeaderless(run) })
-	if s.replica.Node().LastIndex() == 0 {
+	if !hasState {
 		workers.Go(func() { s.joinOrCreateGroup(run) })
 	}
-	s.log.Info(events.ReplicaStarted, zap.String("internal", s.file.Control.InternalAddress), zap.String("admin", s.file.Control.Admin), zap.Strings(events.FieldDisabledMechanisms, s.config.Mechanisms.Off()))
+	s.log.Info(events.ReplicaStarted, zap.String("internal", s.file.Control.InternalAddress), zap.String("admin", s.file.Control.Admin), zap.Strings(events.FieldDisabledMechanisms, disabled))
 	select {
 	case <-ctx.Done():
 	case err = <-s.fatal:
@@ -250,8 +256,7 @@
 			s.handleQueued() // messages that waited for a long step count before the timers
 		}
 		s.replica.Tick(s.now(), time.Now().UnixMilli())
-		if err := s.persistAndSend(); err != nil {
-			s.fatal <- eris.Wrap(err, "failed to write to the data folder")
+		if err := s.persistAndSend(); err != nil && !s.reopenStorage(ctx, err) {
 			return
 		}
 		if err := s.replica.Err(); err != nil {
@@ -323,8 +328,10 @@
 	case item.weights != nil:
 		s.replica.ObserveWeightsResult(now, *item.weights)
 	case item.relayResult != nil:
-		s.logRelayChange(item.relayResult)
-		s.replica.ObserveRelay(now, item.relayResult.number, item.relayResult.reply)
+		if item.relayResult.asker == s.replica { // not one that was abandoned since
+			s.logRelayChange(item.relayResult)
+			s.replica.ObserveRelay(now, item.relayResult.number, item.relayResult.reply)
+		}
 	case item.createGroup:
 		s.createGroup()
 	case item.inspect != nil:
@@ -338,10 +345,10 @@
 }
 
 // relayToLeader sends a relay request to the leader and submits the result.
-func (s *Server) relayToLeader(call RelayCall) {
+func (s *Server) relayToLeader(asker *Replica, call RelayCall) {
 	ctx, cancel := context.WithTimeout(context.Background(), relay.RequestTimeout)
 	defer cancel()
-	result := &relayResult{number: call.Request.Number, leader: call.Address}
+	result := &relayResult{number: call.Request.Number, leader: call.Address, asker: asker}
 	var response Response
 	err := s.client.Post(ctx, call.Address, PathRequest, Request{Relay: &call.Request}, &response)
 	switch {
@@ -376,9 +383,15 @@
 		persist := s.replica.Prepare()
 		if !persist.Empty() {
 			started := time.Now()
-			if err := s.disk.Write(persist); err != nil {
+			checkpointed, err := s.disk.Write(persist)
+			if err != nil {
 				return err
 			}
+			if !checkpointed && persist.Checkpoint != nil {
+				s.replica.PostponeCheckpoint(s.now())
+				s.log.Warn(events.CheckpointPostponed, zap.Int64("segment_bytes", s.disk.Size()))
+			}
+			s.reopenDelay = minReopenDelay
 			took := time.Since(started)
 			s.syncs.Count.Add(1)
 			s.syncs.Nanoseconds.Add(uint64(took))
@@ -403,7 +416,7 @@
 		}
 	}
 	for _, call := range effects.RelayCalls {
-		go s.relayToLeader(call)
+		go s.relayToLeader(s.replica, call)
 	}
 	for _, call := range effects.WeightsCalls {
 		select {
--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -4,6 +4,8 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
+	"iter"
 	"path/filepath"
 
 	"github.com/rotisserie/eris"
@@ -70,11 +72,16 @@
 
 // OpenDisk opens a replica's data folder and returns its identity and state.
 func OpenDisk(folder, name string) (*Disk, Identity, Checkpoint, error) {
+	return openDiskOn(storage.OperatingSystem, folder, name)
+}
+
+// openDiskOn is like OpenDisk, with the log in the given file system.
+func openDiskOn(files storage.FileSystem, folder, name string) (*Disk, Identity, Checkpoint, error) {
 	identity, err := loadIdentity(folder, name)
 	if err != nil {
 		return nil, identity, Checkpoint{}, err
 	}
-	log, records, err := storage.Open(filepath.Join(folder, logFolder), string(identity.ID))
+	log, records, err := storage.OpenOn(files, filepath.Join(folder, logFolder), string(identity.ID))
 	if err != nil {
 		return nil, identity, Checkpoint{}, err
 	}
@@ -88,10 +95,11 @@
 // replayRecords rebuilds the durable state from the records of the log.
 func replayRecords(records []storage.Record) (Checkpoint, error) {
 	var state Checkpoint
-	for _, record := range records {
-		if err := replayRecord(&state, record); err != nil {
+	for i := range records {
+		if err := replayRecord(&state, records[i]); err != nil {
 			return state, err
 		}
+		records[i].Data = nil // a decoded record needs no memory
 	}
 	return state, nil
 }
@@ -141,59 +149,45 @@
 	return nil
 }
 
-// Write writes a Persist and syncs it to disk.
-func (d *Disk) Write(persist Persist) error {
+// Write writes a Persist and syncs it to disk. It returns false if a checkpoint that can be postponed didn't fit; the rest
+// of the Persist was written then. After an error the content on disk is unknown.
+func (d *Disk) Write(persist Persist) (checkpointed bool, err error) {
 	if persist.Checkpoint != nil {
-		records, err := checkpointRecords(*persist.Checkpoint)
-		if err != nil {
-			return err
+		err := d.log.Checkpoint(checkpointRecords(*persist.Checkpoint))
+		if err == nil || !persist.MayPostpone || !errors.Is(err, storage.ErrNotReplaced) {
+			return err == nil, err
 		}
-		return d.log.Checkpoint(records)
 	}
 	if persist.HardState != nil {
-		if err := d.append(recordHardState, persist.HardState); err != nil {
-			return err
-		}
+		d.log.Append(encodeRecord(recordHardState, persist.HardState))
 	}
 	for _, entry := range persist.Entries {
-		if err := d.append(recordEntry, entry); err != nil {
-			return err
-		}
+		d.log.Append(encodeRecord(recordEntry, entry))
 	}
-	return d.log.Sync()
+	return persist.Checkpoint == nil, d.log.Sync()
 }
 
-func (d *Disk) append(kind storage.Kind, value any) error {
-	data, err := json.Marshal(value)
-	if err != nil {
-		return eris.Wrap(err, "encode record")
+// checkpointRecords returns the log records of a checkpoint. They are encoded one at a time.
+func checkpointRecords(state Checkpoint) iter.Seq[storage.Record] {
+	return func(yield func(storage.Record) bool) {
+		if !yield(encodeRecord(recordSnapshot, state.Snapshot)) || !yield(encodeRecord(recordHardState, state.HardState)) {
+			return
+		}
+		for _, entry := range state.Entries {
+			if !yield(encodeRecord(recordEntry, entry)) {
+				return
+			}
+		}
 	}
-	d.log.Append(storage.Record{Kind: kind, Data: data})
-	return nil
 }
 
-// checkpointRecords encodes a checkpoint as log records.
-func checkpointRecords(state Checkpoint) ([]storage.Record, error) {
-	values := []struct {
-		kind  storage.Kind
-		value any
-	}{{recordSnapshot, state.Snapshot}, {recordHardState, state.HardState}}
-	var records []storage.Record
-	for _, item := range values {
-		data, err := json.Marshal(item.value)
-		if err != nil {
-			return nil, eris.Wrap(err, "encode checkpoint")
-		}
-		records = append(records, storage.Record{Kind: item.kind, Data: data})
-	}
-	for _, entry := range state.Entries {
-		data, err := json.Marshal(entry)
-		if err != nil {
-			return nil, eris.Wrap(err, "encode checkpoint entry")
-		}
-		records = append(records, storage.Record{Kind: recordEntry, Data: data})
+// encodeRecord returns a record of a value that always has an encoding.
+func encodeRecord(kind storage.Kind, value any) storage.Record {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic("control: failed to encode a record: " + err.Error())
 	}
-	return records, nil
+	return storage.Record{Kind: kind, Data: data}
 }
 
 // Size returns the size of the newest log segment in bytes.
--- a/internal/control/usage.go
+++ b/internal/control/usage.go
@@ -11,10 +11,11 @@
 
 // usageGauges holds the sizes of a replica's log in bytes, as of the last write. It is safe for concurrent use.
 type usageGauges struct {
-	segment     atomic.Int64 // newest segment on disk
-	entries     atomic.Int64 // entries in memory
-	snapshot    atomic.Int64 // newest snapshot
-	checkpoints atomic.Uint64
+	segment         atomic.Int64 // newest segment on disk
+	entries         atomic.Int64 // entries in memory
+	snapshot        atomic.Int64 // newest snapshot
+	checkpoints     atomic.Uint64
+	storageFailures atomic.Uint64 // writes that failed
 }
 
 // recordUsage updates the gauges after a write, and logs a checkpoint.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -43,18 +43,21 @@
 
 // Events of control replicas.
 const (
-	ReplicaStarted    = "control replica started"
-	ReplicaStopped    = "control replica stopped"
-	GroupCreated      = "control group founded"
-	GroupJoined       = "control group joined"
-	LeadershipWon     = "leadership won"
-	LevelRaised       = "level raised"
-	LeadershipLost    = "leadership lost"
-	CheckpointWritten = "checkpoint written" // a snapshot and the entries after it replaced the log on disk
-	RelayUnavailable  = "leader gives no answers for gateways"
-	RelayAvailable    = "leader answers for gateways again"
-	DocumentAccepted  = "document accepted"
-	DocumentRejected  = "document refused"
+	ReplicaStarted      = "control replica started"
+	ReplicaStopped      = "control replica stopped"
+	GroupCreated        = "control group founded"
+	GroupJoined         = "control group joined"
+	LeadershipWon       = "leadership won"
+	LevelRaised         = "level raised"
+	LeadershipLost      = "leadership lost"
+	CheckpointPostponed = "checkpoint postponed" // it did not fit on the disk; the log goes on
+	StorageFailed       = "data folder failed"   // it is opened again after a pause
+	StorageRecovered    = "data folder usable again"
+	CheckpointWritten   = "checkpoint written" // a snapshot and the entries after it replaced the log on disk
+	RelayUnavailable    = "leader gives no answers for gateways"
+	RelayAvailable      = "leader answers for gateways again"
+	DocumentAccepted    = "document accepted"
+	DocumentRejected    = "document refused"
 	// RegistrationRejected reports a heartbeat that can't be parsed completely and is not used.
 	RegistrationRejected = "registration refused"
 	WeightsPublished     = "weights named"
