Consensus: after a rejection a peer gets one append at a time

Cause: when one of several appends in flight is lost, the follower rejects all after it and the heartbeats among them, and the leader answered each rejection with the missing entries again, up to a message of them each. Change: as in other implementations of Raft, a rejection starts a probe: one append, and no other until it is acknowledged; rejections of appends that were sent before it are ignored. Messages hold 256 KB and 1 MB are in flight, so that heartbeats behind them are not late. Measured: TestRejectionsOfEarlierAppendsAreIgnored failed before.

--- a/internal/consensus/limits_test.go
+++ b/internal/consensus/limits_test.go
@@ -71,3 +71,28 @@
 		t.Fatalf("applied up to index %d, committed up to %d", applied.Index, leader.node.Commit())
 	}
 }
+
+// TestRejectionsOfEarlierAppendsAreIgnored guards against a leader that sends the same entries again for every append that
+// was on its way when one was lost, so that it has no time for its other followers.
+func TestRejectionsOfEarlierAppendsAreIgnored(t *testing.T) {
+	c, leader, follower, entry := largeEntryCluster(t)
+	for range 30 {
+		leader.node.Propose(c.now, []byte(entry))
+	}
+	lost := leader.node.Ready().Messages
+	match := leader.node.Peers()[0].Match
+	rejection := Message{Kind: MessageAppendReply, From: follower, To: leader.id, Term: leader.node.Term(), Reject: true, Hint: match}
+	sent := 0
+	for _, message := range lost[1:] {
+		if message.To == follower && message.Index > match {
+			rejection.Index = message.Index
+			leader.node.Step(c.now, rejection)
+			for _, again := range leader.node.Ready().Messages {
+				sent += totalSize(again.Entries)
+			}
+		}
+	}
+	if sent == 0 || sent > c.limits.MessageBytes {
+		t.Fatalf("%d bytes sent again, want those of one message, at most %d", sent, c.limits.MessageBytes)
+	}
+}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -15,7 +15,8 @@
 	lastAppendAt   time.Duration // time of the last append or snapshot, by the leader's clock
 	snapshotSentAt time.Duration // send time of an unacknowledged snapshot, by the leader's clock; 0 if none
 	paused         bool          // no appends until the next reply or heartbeat
-	probeSentAt    time.Duration // send time of large entries to a peer that has acknowledged none, by the leader's clock; 0 if none
+	probing        bool          // the peer rejected an append; it gets one at a time until it acknowledges one
+	probeSentAt    time.Duration // send time of an unacknowledged probe with large entries, by the leader's clock; 0 if none
 	inflight       inflight
 }
 
@@ -95,6 +96,14 @@
 // LogBytes returns the total size of the entries held in memory.
 func (n *Node) LogBytes() int { return n.log.bytes }
 
+// BytesAfter returns the total size of the entries after an index that the log covers.
+func (n *Node) BytesAfter(index uint64) int {
+	return totalSize(n.log.slice(max(index, n.log.base.Index), n.log.lastIndex()))
+}
+
+// UncommittedBytes returns the total size of the entries that are not committed.
+func (n *Node) UncommittedBytes() int { return n.BytesAfter(n.commit) }
+
 // Membership returns the newest membership in the log.
 func (n *Node) Membership() Membership { return n.membership }
 
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -104,7 +104,7 @@
 	if n.hasInflightRoom(peer) {
 		entries = slices.Clone(limitSize(n.log.slice(previous, n.log.lastIndex()), n.config.Limits.MessageBytes, entrySize))
 	}
-	probes := peer.match == 0 && len(entries) > 0
+	probes := (peer.match == 0 || peer.probing) && len(entries) > 0
 	if probes && totalSize(entries) > maxRepeatedProbeBytes {
 		if peer.probeSentAt > 0 && now < peer.probeSentAt+n.config.Timing.ElectionMin {
 			peer.paused = true
@@ -246,22 +246,29 @@
 	}
 	peer.lastReplyAt = now
 	peer.ackedSentAt = max(peer.ackedSentAt, message.SentAt)
-	peer.paused = false
 	if message.Reject {
 		if message.Index <= peer.match {
 			peer.paused = true // the peer lost acknowledged entries; probe only once per heartbeat
 			return
 		}
+		if peer.probing && message.Index != peer.next-1 {
+			return // of an append that was sent before the probe
+		}
 		peer.next, peer.probeSentAt = max(peer.match, message.Hint)+1, 0
+		peer.probing, peer.paused = true, false
 		peer.inflight.reset()
 		n.sendAppend(now, message.From)
 		return
 	}
+	peer.paused = false
 	if message.Index > peer.match {
 		peer.match, peer.snapshotSentAt, peer.probeSentAt = message.Index, 0, 0
 		peer.inflight.acknowledge(message.Index)
 		n.advanceCommit()
 	}
+	if message.Index+1 >= peer.next {
+		peer.probing = false
+	}
 	peer.next = max(peer.next, peer.match+1)
 	n.sendEntries(now, message.From)
 }
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -215,8 +215,8 @@
 // Defaults of Limits. A replica with half a core decodes some 10 MB of JSON per second, and a message must not delay the
 // heartbeats behind it for long.
 const (
-	defaultMessageBytes  = 1 << 20
-	defaultInflightBytes = 2 << 20
+	defaultMessageBytes  = 256 << 10
+	defaultInflightBytes = 1 << 20
 	defaultDeliverBytes  = 1 << 20
 )
 
