Processes tell the Go runtime their memory limit

Cause: the garbage collector let the heap grow to twice what is in use whatever the process may take, so that a replica that used half of its limit for a moment was killed.

--- a/cmd/kitetiller/main.go
+++ b/cmd/kitetiller/main.go
@@ -254,6 +254,7 @@
 	if err != nil {
 		return err
 	}
+	node.LimitMemory(file.MemoryMB)
 	if file.Router == nil {
 		return eris.Errorf("%s has no router section", args.file)
 	}
@@ -276,6 +277,7 @@
 	if err != nil {
 		return err
 	}
+	node.LimitMemory(file.MemoryMB)
 	if file.Control == nil {
 		return eris.Errorf("%s has no control section", args.file)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	ClusterToken string   `yaml:"cluster_token"` // shared secret of routers and control replicas
 	AdminToken   string   `yaml:"admin_token"`   // bearer token of operators
 	LinkFile     string   `yaml:"links"`         // file that describes partitioned zones; tests only
+	MemoryMB     float64  `yaml:"memory_mb"`     // memory that the process may take in megabytes; 0, the default, is unlimited
 	Router       *Router  `yaml:"router"`
 	Control      *Control `yaml:"control"`
 }
@@ -202,6 +203,9 @@
 	c.checkRequired("name", f.Name)
 	c.checkRequired("zone", f.Zone)
 	c.checkRequired("data", f.DataDir)
+	if f.MemoryMB < 0 {
+		c.addProblem("memory_mb", "must not be negative")
+	}
 	switch f.LogLevel {
 	case "debug", "info", "warn", "error":
 	default:
