Control: changes that don't fit are rejected at once, and a restart applies a bounded log

A document that is not newer than the one in force is acknowledged without a log entry, under the leader's lease. Ruled out: rejecting the leader's own commands, which are small and are not repeated.

--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -65,7 +66,8 @@
 		return
 	}
 	response, err := s.answerAdmin(r.Context(), request)
-	if err != nil {
+	var rejected *RejectedError
+	if err != nil && !errors.As(err, &rejected) {
 		response = Response{Kind: ResponseUnknown}
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -31,6 +31,15 @@
 // ErrNoAnswer is returned if no leader answered in time; the change may or may not have been made.
 var ErrNoAnswer = eris.New("no control leader answered in time")
 
+// RejectedError is returned if the leader has no room for a change. Nothing was done.
+type RejectedError struct {
+	Reason     string
+	RetryAfter time.Duration // 0 if the change will never fit
+}
+
+// Error returns the reason.
+func (e *RejectedError) Error() string { return e.Reason }
+
 // Client sends requests to the leader of the control group, which it discovers by itself. It is safe for concurrent
 // use.
 type Client struct {
@@ -82,7 +91,7 @@
 }
 
 // Ask retries a request until a leader has answered it or ctx is done. Requests are idempotent: changes carry operation
-// IDs, and claims carry claim IDs.
+// IDs, and claims carry claim IDs. It returns a RejectedError at once if the leader has no room for a change.
 func (c *Client) Ask(ctx context.Context, request Request) (Response, error) {
 	for {
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
@@ -91,6 +100,9 @@
 		if err == nil && response.Kind == ResponseOK {
 			return response, nil
 		}
+		if err == nil && (response.Kind == ResponseBusy || response.Kind == ResponseTooLarge) {
+			return response, &RejectedError{Reason: response.Detail, RetryAfter: response.RetryAfter}
+		}
 		select {
 		case <-ctx.Done():
 			return Response{}, ErrNoAnswer
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -78,6 +78,7 @@
 			s.replies[reply.Client] = reply.Response
 		}
 		s.weightsCalls = append(s.weightsCalls, effects.WeightsCalls...)
+		s.replica.ObserveStorage(s.disk.Size())
 	}
 }
 
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -4,11 +4,13 @@
 	"time"
 
 	"kitetiller/internal/allowance"
+	"kitetiller/internal/catalog"
 	"kitetiller/internal/consensus"
 	"kitetiller/internal/control/inuse"
 	"kitetiller/internal/control/mesh"
 	"kitetiller/internal/control/relay"
 	"kitetiller/internal/control/roster"
+	"kitetiller/internal/guard"
 )
 
 // routerLease is the leader's view of a router's settings lease.
@@ -144,15 +146,17 @@
 	case request.Heartbeat != nil:
 		r.handleHeartbeat(now, client, *request.Heartbeat)
 	case request.Claim != nil:
-		r.propose(now, client, Command{Claim: request.Claim})
+		r.proposeChange(now, client, Command{Claim: request.Claim})
 	case request.End != nil:
 		r.propose(now, client, Command{End: request.End})
 	case request.Change != nil:
-		r.propose(now, client, Command{Change: request.Change})
+		r.proposeChange(now, client, Command{Change: request.Change})
 	case request.Catalog != nil && request.Catalog.Quarantine != nil:
 		r.handleQuarantineChange(now, client, *request.Catalog.Quarantine)
+	case request.Catalog != nil && r.isSuperseded(request.Catalog.Replace):
+		r.reply(client, Response{Kind: ResponseOK, Catalog: &catalog.Outcome{Revision: r.machine.catalog.Document().Revision}})
 	case request.Catalog != nil:
-		r.propose(now, client, Command{Catalog: request.Catalog})
+		r.proposeChange(now, client, Command{Catalog: request.Catalog})
 	case request.BackendHeartbeat != nil:
 		r.handleBackendHeartbeat(now, client, *request.BackendHeartbeat)
 	case len(request.BackendHeartbeats)+len(request.Keepalives) > 0:
@@ -170,6 +174,12 @@
 	}
 }
 
+// isSuperseded reports whether a document would have no effect, since one of its revision or a later one is in force. Such a
+// document, as an operator sends again after a lost answer, needs no log entry.
+func (r *Replica) isSuperseded(document *catalog.Document) bool {
+	return document != nil && document.Revision <= r.machine.catalog.Document().Revision && r.config.Guards.On(guard.HighestRevision)
+}
+
 // formed reports whether the group has ever reached its configured size. Before that it accepts no changes, since they
 // would be lost with the only member.
 func (r *Replica) formed() bool {
--- a/internal/control/logsize.go
+++ b/internal/control/logsize.go
@@ -1,14 +1,19 @@
 package control
 
+import (
+	"kitetiller/internal/guard"
+	"kitetiller/internal/payload"
+)
+
 const (
-	// minLogBytes is the size of the entries since the last snapshot below which only their number makes a snapshot due.
-	minLogBytes = 4 << 20
-	// logSnapshotRatio is the size of the entries since the last snapshot, relative to the snapshot, at which the next
-	// one is due. It keeps the cost of snapshots proportional to that of the log.
-	logSnapshotRatio = 2
-	// logDiskFraction is the fraction of the disk limit that the entries since the last snapshot may take, whatever the
-	// size of the snapshot. While a checkpoint is written, the folder holds up to three times these entries and two
-	// snapshots.
+	// minLogCost is the cost of applying the entries since the last snapshot below which only their number or their size
+	// on disk makes a snapshot due.
+	minLogCost = 8 << 20
+	// logSnapshotRatio is that cost, relative to the size of the snapshot, at which the next one is due. It keeps the
+	// cost of snapshots proportional to that of the log, and a restart to that of a few snapshots.
+	logSnapshotRatio = 8
+	// logDiskFraction is the fraction of the disk limit that the entries since the last snapshot may take. While a
+	// checkpoint is written, the folder holds these entries and two snapshots.
 	logDiskFraction = 1.0 / 8
 )
 
@@ -18,17 +23,17 @@
 	if r.applied <= r.snapshot.Meta.Index {
 		return false
 	}
-	if r.appliedBytes >= r.maxLogBytes() {
+	if r.snapshotWanted || r.logTooLong() && r.config.Guards.On(guard.LogByteLimits) {
 		return true
 	}
 	return r.applied >= r.snapshot.Meta.Index+r.config.SnapshotEvery && r.appliedBytes >= len(r.snapshot.Data)
 }
 
-// maxLogBytes returns the size of the entries since the last snapshot at which the next one is due.
-func (r *Replica) maxLogBytes() int {
-	limit := max(minLogBytes, logSnapshotRatio*len(r.snapshot.Data))
-	if r.config.DiskLimit > 0 {
-		limit = min(limit, int(logDiskFraction*float64(r.config.DiskLimit)))
+// logTooLong reports whether the entries since the last snapshot cost too much to apply again, or take too much of the
+// disk.
+func (r *Replica) logTooLong() bool {
+	if r.appliedCost >= max(minLogCost, logSnapshotRatio*payload.ExpandedSize(r.snapshot.Data)) {
+		return true
 	}
-	return limit
+	return r.config.DiskLimit > 0 && storedSize(r.appliedBytes) >= int64(logDiskFraction*float64(r.config.DiskLimit))
 }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -162,6 +162,8 @@
 	ResponseNoQuorum  ResponseKind = "unavailable" // the replica could not confirm its leadership; nothing was done
 	ResponseUnknown   ResponseKind = "unknown"     // the change may or may not commit; resend it with the same ID
 	ResponseNotFormed ResponseKind = "not-formed"  // the group has yet to reach its configured size
+	ResponseBusy      ResponseKind = "busy"        // there is no room for the change now; nothing was done, retry after RetryAfter
+	ResponseTooLarge  ResponseKind = "too-large"   // the change will never fit; nothing was done
 )
 
 // Response answers a Request.
@@ -179,6 +181,9 @@
 	AllowanceReply  *allowance.Reply  `json:"lent,omitempty"`
 	Relayed         *relay.Reply      `json:"relayed,omitempty"`
 	UnknownBackends []string          `json:"strangers,omitempty"` // back ends whose next heartbeat must be a full one
+
+	Detail     string        `json:"detail,omitempty"`         // why a change was rejected, for the operator
+	RetryAfter time.Duration `json:"retry_after_ns,omitempty"` // with ResponseBusy
 }
 
 // Reply is a Response to a waiting client.
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -98,8 +98,10 @@
 
 	applied     uint64
 	appliedTerm uint64
-	// appliedBytes is the total size of the entries applied since the newest snapshot.
+	// appliedBytes is the total size of the entries applied since the newest snapshot, and appliedCost the total of their
+	// applySize.
 	appliedBytes   int
+	appliedCost    int
 	unixMS         int64         // wall clock at tickedAt; 0 before the first tick
 	tickedAt       time.Duration // time of the newest tick
 	now            time.Duration // time of the newest tick or request
@@ -118,6 +120,8 @@
 	checkpointDue  bool                          // the next Prepare must write a checkpoint
 	checkpointAt   time.Duration                 // when a postponed checkpoint is tried again; 0 if none is
 	startedAt      time.Duration                 // when the replica was restored
+	segmentBytes   int64                         // size of the log on disk after the last write
+	snapshotWanted bool                          // a change was rejected until the log is shorter
 	stopErr        error                         // why the replica has stopped, or nil
 }
 
@@ -263,8 +267,17 @@
 
 // appendCommand appends a command to the log; the clients are answered once it has committed.
 func (r *Replica) appendCommand(now time.Duration, clients []uint64, command Command) {
+	r.appendEncoded(now, clients, r.encode(command))
+}
+
+// encode encodes a command for the log.
+func (r *Replica) encode(command Command) []byte {
 	command.UnixMS = r.unixMS
-	index, term, ok := r.node.Propose(now, encodeCommand(r.machine.level, command))
+	return encodeCommand(r.machine.level, command)
+}
+
+func (r *Replica) appendEncoded(now time.Duration, clients []uint64, data []byte) {
+	index, term, ok := r.node.Propose(now, data)
 	if !ok {
 		r.replyAll(clients, Response{Kind: ResponseNotLeader, Leader: r.leaderAddress()})
 		return
@@ -338,7 +351,8 @@
 	if err := r.machine.Restore(snapshot.Data); err != nil {
 		panic("control: failed to decode the snapshot received from the leader: " + err.Error())
 	}
-	r.applied, r.appliedTerm, r.appliedBytes = snapshot.Meta.Index, snapshot.Meta.Term, 0
+	r.applied, r.appliedTerm = snapshot.Meta.Index, snapshot.Meta.Term
+	r.appliedBytes, r.appliedCost, r.snapshotWanted = 0, 0, false
 	r.recordSnapshotOrders(now)
 	r.refreshPublicationTimes(now)
 }
@@ -349,6 +363,7 @@
 	}
 	r.applied, r.appliedTerm = entry.Index, entry.Term
 	r.appliedBytes += len(entry.Data)
+	r.appliedCost += applySize(entry)
 	var result Result
 	if entry.Kind == consensus.EntryCommand {
 		command := decodeCommand(entry.Data)
@@ -396,7 +411,7 @@
 	before := r.snapshot.Meta
 	meta := consensus.SnapshotMeta{Index: r.applied, Term: r.appliedTerm, Membership: r.node.MembershipAt(r.applied)}
 	r.snapshot = consensus.Snapshot{Meta: meta, Data: r.machine.Snapshot()}
-	r.appliedBytes = 0
+	r.appliedBytes, r.appliedCost, r.snapshotWanted = 0, 0, false
 	r.node.Compact(before)
 	r.checkpointDue = true
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -395,6 +395,7 @@
 			took := time.Since(started)
 			s.syncs.Count.Add(1)
 			s.syncs.Nanoseconds.Add(uint64(took))
+			s.replica.ObserveStorage(s.disk.Size())
 			s.recordUsage(persist, took)
 		}
 		s.send(s.replica.Advance(s.now()))
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -56,6 +56,7 @@
 	CheckpointWritten   = "checkpoint written" // a snapshot and the entries after it replaced the log on disk
 	RelayUnavailable    = "leader gives no answers for gateways"
 	RelayAvailable      = "leader answers for gateways again"
+	ChangeRejected      = "change refused" // there is no room for it, now or ever
 	DocumentAccepted    = "document accepted"
 	DocumentRejected    = "document refused"
 	// RegistrationRejected reports a heartbeat that can't be parsed completely and is not used.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -70,8 +70,11 @@
 			if err == nil && response.Kind == control.ResponseOK {
 				return response, nil
 			}
+			if err == nil && response.Kind == control.ResponseTooLarge {
+				return response, eris.Errorf("nothing was changed: %s", response.Detail)
+			}
 			if lastErr = err; err == nil {
-				lastErr = eris.Errorf("%s responded with %s", address, response.Kind)
+				lastErr = eris.Errorf("%s responded with %s %s", address, response.Kind, response.Detail)
 			}
 		}
 		time.Sleep(retryInterval)
