--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -119,3 +119,34 @@
 		t.Fatalf("%d of 40 changes were rejected", accepted)
 	}
 }
+
+// TestLearnerFarBehindInBytesIsNotPromoted guards against commits that wait for a new voter that lacks few, but large
+// entries.
+func TestLearnerFarBehindInBytesIsNotPromoted(t *testing.T) {
+	s := openSingleReplica(t, t.TempDir())
+	s.changeConfig(func(config *Config) { config.SnapshotEvery = 1 << 20 })
+	s.ask(Request{Catalog: &catalog.Command{Replace: incompressibleDocument(1, 10)}})
+	match := s.replica.Node().LastIndex()
+	s.ask(Request{Catalog: &catalog.Command{Replace: incompressibleDocument(2, 10)}})
+	if !s.replica.hasCaughtUp(match) {
+		t.Fatal("a learner that lacks one small entry is not promoted")
+	}
+	s.ask(Request{Catalog: &catalog.Command{Replace: incompressibleDocument(3, maxLearnerLagBytes)}})
+	if s.replica.hasCaughtUp(match) {
+		t.Fatal("a learner that lacks a large entry is promoted")
+	}
+}
+
+// TestJoiningReplicaGetsANewSnapshot guards against a replica that has lost its disk and has to apply a long log before it
+// can replace its predecessor.
+func TestJoiningReplicaGetsANewSnapshot(t *testing.T) {
+	s := openSingleReplica(t, t.TempDir())
+	s.changeConfig(func(config *Config) { config.SnapshotEvery = 1 << 20 })
+	for revision := uint64(1); revision <= 4; revision++ {
+		s.ask(Request{Catalog: &catalog.Command{Replace: incompressibleDocument(revision, joinSnapshotCost/3)}})
+	}
+	s.ask(Request{Join: &consensus.Member{ID: "c2", Name: "c2", Address: "b"}})
+	if behind := s.replica.Applied() - s.replica.snapshot.Meta.Index; behind > 1 {
+		t.Fatalf("the snapshot lacks %d of %d entries after a replica has joined", behind, s.replica.Applied())
+	}
+}
--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -5,11 +5,16 @@
 	"time"
 
 	"kitetiller/internal/consensus"
+	"kitetiller/internal/guard"
 )
 
 const (
-	// maxLearnerLag is the number of entries that a learner may lack and still be promoted.
-	maxLearnerLag = 64
+	// maxLearnerLag and maxLearnerLagBytes are the number and size of the entries that a learner may lack and still be
+	// promoted. From then on, commits may have to wait for it.
+	maxLearnerLag      = 64
+	maxLearnerLagBytes = 256 << 10
+	// joinSnapshotCost is the cost of applying the log above which a replica that joins gets a new snapshot in its place.
+	joinSnapshotCost = 1 << 20
 	// learnerTimeout is how long a learner may be silent before it is removed.
 	learnerTimeout = 60 * time.Second
 	// presenceTimeout is how long a replica counts as present after its last message.
@@ -28,6 +33,7 @@
 		r.reply(client, Response{Kind: ResponseNoQuorum})
 		return
 	}
+	r.snapshotWanted = r.snapshotWanted || r.appliedCost >= joinSnapshotCost && r.config.Guards.On(guard.LogByteLimits)
 	r.reply(client, Response{Kind: ResponseOK})
 }
 
@@ -56,7 +62,7 @@
 		member, _ := membership.Find(peer.ID)
 		silent := now - peer.LastReplyAt
 		if member.Learner {
-			caughtUp := peer.Match+maxLearnerLag >= r.node.Commit() && peer.Match > 0 && silent < presenceTimeout
+			caughtUp := r.hasCaughtUp(peer.Match) && silent < presenceTimeout
 			if caughtUp && (learner == nil || nameTaken(membership, member)) {
 				learner = &member
 			}
@@ -70,6 +76,14 @@
 	return lost, learner
 }
 
+// hasCaughtUp reports whether a learner that has the log up to an index lacks little of it.
+func (r *Replica) hasCaughtUp(match uint64) bool {
+	if match == 0 || match+maxLearnerLag < r.node.Commit() {
+		return false
+	}
+	return r.node.BytesAfter(match) <= maxLearnerLagBytes || !r.config.Guards.On(guard.LogByteLimits)
+}
+
 // nameTaken reports whether another replica has the member's name.
 func nameTaken(membership consensus.Membership, member consensus.Member) bool {
 	return slices.ContainsFunc(membership.Members, func(other consensus.Member) bool {
