--- a/internal/control/capacity.go
+++ b/internal/control/capacity.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
+	"kitetiller/internal/consensus"
 	"kitetiller/internal/guard"
 )
 
@@ -64,3 +66,11 @@
 func busyResponse(detail string) *Response {
 	return &Response{Kind: ResponseBusy, Detail: detail, RetryAfter: busyRetryAfter}
 }
+
+// consensusLimits returns the limits of messages and steps.
+func (c *Config) consensusLimits() consensus.Limits {
+	if c.Guards.On(guard.MessageByteLimits) {
+		return c.Limits
+	}
+	return consensus.Limits{MessageBytes: math.MaxInt, InflightBytes: math.MaxInt, DeliverBytes: math.MaxInt}
+}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -22,14 +22,15 @@
 	Zone              string
 	MaxDirectGateways int // number of gateways above which followers answer gateways for the leader
 	Timing            consensus.Timing
-	Replicas          int           // number of voters in a complete group
-	SettingsLease     time.Duration // duration of the settings lease of a router
-	RepairAfter       time.Duration // how long a voter may be unreachable before a learner replaces it
-	SnapshotEvery     uint64        // applied entries after which a snapshot is taken, once their size reaches that of the last snapshot
-	DiskLimit         int64         // bytes that the data folder may hold; 0 if unknown
-	WeightsOrderDelay time.Duration // how long a new leader waits before its first weights order
-	GatewayViewTTL    time.Duration // how long a gateway may use a view without a new confirmation
-	Quota             quota.Policy  // terms of the fleet-wide limits
+	Replicas          int              // number of voters in a complete group
+	SettingsLease     time.Duration    // duration of the settings lease of a router
+	RepairAfter       time.Duration    // how long a voter may be unreachable before a learner replaces it
+	SnapshotEvery     uint64           // applied entries after which a snapshot is taken, once their size reaches that of the last snapshot
+	Limits            consensus.Limits // zero fields select the defaults
+	DiskLimit         int64            // bytes that the data folder may hold; 0 if unknown
+	WeightsOrderDelay time.Duration    // how long a new leader waits before its first weights order
+	GatewayViewTTL    time.Duration    // how long a gateway may use a view without a new confirmation
+	Quota             quota.Policy     // terms of the fleet-wide limits
 	Guards            guard.Set
 	Mechanisms        mechanism.Set // enabled mechanisms
 	Level             level.Level   // highest record level that this build supports
@@ -66,6 +67,18 @@
 	MayPostpone bool
 }
 
+// StoredSize returns the size on disk of what is written: of the checkpoint, or else of the appended records.
+func (p *Persist) StoredSize() int64 {
+	entries, size := p.Entries, int64(0)
+	if p.Checkpoint != nil {
+		entries, size = p.Checkpoint.Entries, storedSize(len(p.Checkpoint.Snapshot.Data))
+	}
+	for i := range entries {
+		size += storedSize(len(entries[i].Data))
+	}
+	return size
+}
+
 // Empty reports whether there is nothing to write.
 func (p Persist) Empty() bool {
 	return p.HardState == nil && len(p.Entries) == 0 && p.Checkpoint == nil
@@ -144,7 +157,7 @@
 	replica.applied = restored.Snapshot.Meta.Index
 	replica.appliedTerm = restored.Snapshot.Meta.Term
 	replica.node = consensus.New(
-		consensus.Config{ID: config.ID, Timing: config.Timing, ApplySize: applySize, Random: config.Random},
+		consensus.Config{ID: config.ID, Timing: config.Timing, Limits: config.consensusLimits(), ApplySize: applySize, Random: config.Random},
 		consensus.Restored{HardState: restored.HardState, Snapshot: restored.Snapshot.Meta, Entries: restored.Entries},
 		now, func() (consensus.Snapshot, bool) { return replica.snapshot, replica.snapshot.Meta.Index > 0 })
 	return replica, nil
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -48,6 +48,7 @@
 	RelayApplied             Guard = "relay-applied"         // relayed answers include what the leader had applied
 	PublicationTimeFromLog   Guard = "naming-agreed"         // the age of weights is computed from the log
 	PublicationAgeMonotonic  Guard = "naming-kept-older"     // publications never become younger for a gateway
+	MessageByteLimits        Guard = "message-byte-limits"   // messages and bytes in flight between replicas are bounded
 	LogByteLimits            Guard = "log-byte-limits"       // the log is bounded in bytes, not only in entries
 )
 
@@ -59,7 +60,7 @@
 		EndOfStreamCheck, AttemptCheck, NotRunProof, LeavingCheck, LeavingSelfReported, BackoffCheck, AdvertisedLimitCheck, DrainBeforeExit,
 		SettingsMonotonic, PersistedSettings, LeaseMargin, AmbiguousNotResent,
 		ConfirmedView, DrainCommitted, DrainBeforeWeightsChange, WeightsOrderDelay, DropLateOrders, HighestRevision, QuarantineCheck, PartQuarantine, RefusalConfirmed, TunnelForLostPath, SameSoftware, OriginKnown, SuspendAwareClock,
-		RelayConfirmed, RelayReported, RelayApplied, PublicationTimeFromLog, PublicationAgeMonotonic, LogByteLimits,
+		RelayConfirmed, RelayReported, RelayApplied, PublicationTimeFromLog, PublicationAgeMonotonic, LogByteLimits, MessageByteLimits,
 	}
 }
 
--- a/internal/lab/sim/control.go
+++ b/internal/lab/sim/control.go
@@ -43,7 +43,10 @@
 	build     level.Level // current build; the next start uses it if keepBuild is set
 	wallSkew  time.Duration
 
-	diskStalledUntil time.Duration     // no write completes before this time
+	diskStalledUntil time.Duration // no write completes before this time
+	diskFullUntil    time.Duration // every write fails before this time
+	segmentBytes     int64         // size of the log on disk
+	sent             map[consensus.ID]sentBytes
 	syncing          *control.Persist  // write in progress
 	unsynced         []control.Persist // acknowledged before they were synced; only with SyncBeforeAck off
 	deferredInputs   []func()          // inputs that arrived during a sync
@@ -62,7 +65,7 @@
 // newDataDir replaces the data directory by an empty one and gives the replica a new identity.
 func (n *controlNode) newDataDir() {
 	n.dataDirs++
-	n.disk = control.Checkpoint{}
+	n.disk, n.segmentBytes = control.Checkpoint{}, 0
 	n.identity = control.NewIdentity(n.name, fmt.Sprint(n.dataDirs), n.w.guards)
 }
 
@@ -75,7 +78,7 @@
 	n.start()
 	n.startedAt = n.w.now()
 	n.syncing, n.unsynced, n.deferredInputs = nil, nil, nil
-	n.clients = map[uint64]func(control.Response){}
+	n.clients, n.sent = map[uint64]func(control.Response){}, map[consensus.ID]sentBytes{}
 	n.wakeup = vtime.Alarm{}
 	n.joinClient = newControlClient(n.w, n.process)
 	if !n.keepBuild {
@@ -85,7 +88,7 @@
 	config := control.Config{
 		Level: n.build,
 		ID:    n.identity.ID, Name: n.name, Address: n.name, Timing: controlTiming, Replicas: groupSize,
-		SettingsLease: settingsLease, RepairAfter: repairAfter, SnapshotEvery: snapshotEvery,
+		SettingsLease: settingsLease, RepairAfter: repairAfter, SnapshotEvery: snapshotEvery, DiskLimit: n.w.diskLimit(), Limits: n.w.limits(),
 		WeightsOrderDelay: fleetOrderDelay, GatewayViewTTL: fleetViewTTL, Zone: n.zone, MaxDirectGateways: n.w.maxDirectGateways(),
 		Guards: n.w.guards, Random: n.w.random.Int64N,
 	}
@@ -98,6 +101,7 @@
 		panic("sim: cannot restore " + n.name + " from its disk: " + err.Error())
 	}
 	n.replica = replica
+	n.replica.ObserveStorage(n.segmentBytes)
 	n.w.logf("%s starts as %s at entry %d", n.name, n.identity.ID, replica.Node().LastIndex())
 	n.ticker(enginePollInterval, n.pollEngines)
 	n.ticker(joinInterval, n.joinGroup)
@@ -129,6 +133,7 @@
 }
 
 func (n *controlNode) store(persist control.Persist) {
+	n.recordStored(persist)
 	if err := n.disk.Apply(persist); err != nil {
 		panic("sim: cannot apply a write to the disk of " + n.name + ": " + err.Error())
 	}
@@ -158,6 +163,7 @@
 		}
 		n.send(n.replica.Advance(n.clock()))
 	}
+	n.checkHeld()
 	if n.checkBuild(); n.up {
 		n.scheduleWakeup()
 	}
@@ -172,6 +178,10 @@
 	}
 	delay := max(n.w.between(500*time.Microsecond, 6*time.Millisecond), n.diskStalledUntil-n.w.now())
 	n.after(delay, func() {
+		if n.isFull() {
+			n.failWrite(persist)
+			return
+		}
 		n.store(persist)
 		n.syncing = nil
 		n.send(n.replica.Advance(n.clock()))
@@ -251,10 +261,12 @@
 
 func (n *controlNode) sendMessage(message consensus.Message) {
 	message.Entries = slices.Clone(message.Entries)
+	n.checkSent(&message)
 	for _, peer := range n.w.controls {
 		if peer.identity.ID == message.To {
-			n.w.message(n.process, peer.process, func() {
+			n.w.delayedMessage(n.w.transferTime(&message), n.process, peer.process, func() {
 				if peer.identity.ID == message.To {
+					delete(peer.sent, message.From)
 					peer.handleInput(func() { peer.replica.Step(peer.clock(), message) })
 				}
 			})
--- a/internal/lab/sim/network.go
+++ b/internal/lab/sim/network.go
@@ -45,6 +45,11 @@
 
 // message sends a message that may be lost, duplicated or reordered.
 func (w *world) message(from, to *process, deliver func()) {
+	w.delayedMessage(0, from, to, deliver)
+}
+
+// delayedMessage is like message, with a delay in addition to the latency.
+func (w *world) delayedMessage(delay time.Duration, from, to *process, deliver func()) {
 	copies := 1
 	if w.isDegraded() && w.chance(0.1) {
 		copies = 2
@@ -54,7 +59,7 @@
 			continue
 		}
 		generation := to.generation
-		w.after(w.latency(from, to), func() { to.run(generation, deliver) })
+		w.after(delay+w.latency(from, to), func() { to.run(generation, deliver) })
 	}
 }
 
--- a/internal/lab/sim/oracle.go
+++ b/internal/lab/sim/oracle.go
@@ -36,6 +36,9 @@
 	BuildsCompatible         Invariant = "builds-known"
 	PartitionedGatewaysServe Invariant = "reach-kept"
 	SoftwareKept             Invariant = "one-software"
+	StorageBounded           Invariant = "bytes-on-disk"
+	MessagesBounded          Invariant = "bytes-in-flight"
+	MemoryBounded            Invariant = "bytes-held"
 )
 
 // InvariantHelp is the description of an invariant and its check.
@@ -68,6 +71,9 @@
 		{AdvertisedLimitRespected, "from 3 s after a back end first named a limit it gets in any 4 s one and a half times what that allows and 5 more at the most, from all gateways or routers together that had heard of it half a second before"},
 		{PartitionedGatewaysServe, "a gateway that loses its links to all back ends reaches, from 3 s on, each one that another gateway reaches, and reaches it directly within 6 s of use after the links are back"},
 		{SoftwareKept, "the tokens of an answer come from engines of one software version"},
+		{StorageBounded, "the log of a control replica and a checkpoint beside it fit on its disk, however large the documents are"},
+		{MessagesBounded, "a message between control replicas holds a bounded size of log entries, and so do all that one has sent to another without a reply"},
+		{MemoryBounded, "the log entries that a control replica holds in memory have a bounded size"},
 		{BuildsCompatible, "where control processes run two builds, none holds what its build doesn't know, and no level comes into force under one that runs the older"},
 	}
 }
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -84,6 +84,7 @@
 		s.boot()
 	}
 	w.planBuilds()
+	w.planLargeDocuments()
 	w.planPartitions()
 	w.planFatalParts()
 	w.createGroup()
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -52,6 +52,7 @@
 	faults           int
 	limitRandom      *rand.Rand // random source of advertised limits
 	buildRandom      *rand.Rand // random source of mixed builds; nil: all control processes run the same build
+	documentRandom   *rand.Rand // random source of large documents; nil: documents are small
 	raised           raisedLevel
 	killedRuns       int // requests that were running on killed back ends of the fleet
 	pending          pendingFaults
