--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -44,6 +44,8 @@
 	RefuseWorkers    Kind = "refuse-workers"  // the same; new connections are reset, open ones live on
 	MixVersions      Kind = "mix-versions"    // half of the engines are replaced, one after the other, by a new software version
 	IsolateGateway   Kind = "isolate-gateway" // from all control processes and gateways; workers and callers reach it
+	LargeDocuments   Kind = "large-documents" // the settings document grows by many routes and changes in quick succession
+	WipeControl      Kind = "wipe-control"    // a control process is killed and loses its data folder; once a run
 )
 
 // Kinds lists all kinds in a fixed order, which the choice from a seed depends on.
@@ -52,14 +54,14 @@
 		KillGateway, PauseGateway, StopGateway, KillControl, PauseLeader, KillAll, CutLeader, CutOneWay, CutGateway, DelayLinks, ResetLinks, ResetControl,
 		KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, FatalRequest, ForgedHeartbeats,
 		RejectRequests, DrainWorker, AdvertiseLimits,
-		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions, IsolateGateway,
+		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions, IsolateGateway, LargeDocuments, WipeControl,
 	}
 }
 
 // Disturbs reports whether a fault affects the system's own processes or the links between them.
 func (k Kind) Disturbs() bool {
 	switch k {
-	case KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, FatalRequest, ForgedHeartbeats, RejectRequests, DrainWorker, AdvertiseLimits,
+	case KillWorker, HotTenant, LowerLimit, ChangeSetting, LargeDocuments, Reload, FatalRequest, ForgedHeartbeats, RejectRequests, DrainWorker, AdvertiseLimits,
 		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions:
 		return false
 	}
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -19,6 +19,8 @@
 	Env  []string // in addition to the environment of this process
 	Args []string // program and its arguments
 	Log  string   // file that standard output and standard error are appended to
+	// DataDir is the folder of the process's lasting data, or "".
+	DataDir string
 	// AlternateBuild is another build of the program, or "". If set, starts alternate between Args[0] and it.
 	AlternateBuild string
 
--- a/internal/lab/soak/promises.go
+++ b/internal/lab/soak/promises.go
@@ -46,6 +46,9 @@
 	OneVersionPerStream Guarantee = "one-version"
 	// Streams that callers take up go on at least half as often as new ones begin.
 	TakenUpStreamsContinue Guarantee = "taken-up"
+	// Control processes keep their data folders and their memory within their limits.
+	StorageBounded Guarantee = "disk-bound"
+	MemoryBounded  Guarantee = "memory-bound"
 	// No request reaches a worker known only from forged heartbeats, and no forged heartbeat is acknowledged.
 	ForgedHeartbeatsIgnored Guarantee = "not-forged"
 )
@@ -53,7 +56,7 @@
 // Guarantees lists all guarantees in a fixed order.
 func Guarantees() []Guarantee {
 	return []Guarantee{WithinLimit, AtMostOnce, NotRunHonored, CorrectResponse, ServiceRecovers, NoUnexpectedExit, QuarantineEnforced, BackoffRespected, DrainRespected, AdvertisedLimitRespected, SlotsRespected, ConfigDurable, ForgedHeartbeatsIgnored, PartitionedGatewaysServe, BystandersServed,
-		OneVersionPerAnswer, OneVersionPerStream, TakenUpStreamsContinue}
+		OneVersionPerAnswer, OneVersionPerStream, TakenUpStreamsContinue, StorageBounded, MemoryBounded}
 }
 
 // Violation is an observation that contradicts a guarantee.
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -32,8 +34,12 @@
 	AdvertiseLimits   func(ctx context.Context, target int, duration time.Duration)
 	// MixVersions replaces half of the engines, one after the other, by a new software version.
 	MixVersions func(ctx context.Context, target int, duration time.Duration)
+	// SendLargeDocuments makes the settings document longer and changes it in quick succession.
+	SendLargeDocuments func(ctx context.Context, target int, duration time.Duration)
 	// SendFatalPart sends requests that share a part of their prompts which crashes each worker.
 	SendFatalPart func(ctx context.Context, target int, duration time.Duration)
+
+	wiped atomic.Bool // a data folder was lost in this run
 }
 
 // linkDelay is the delay that DelayLinks adds to each link.
@@ -107,6 +113,10 @@
 		f.LowerLimit(ctx, fault.Target, duration)
 	case ChangeSetting:
 		f.ChangeSetting(ctx)
+	case LargeDocuments:
+		f.SendLargeDocuments(ctx, fault.Target, duration)
+	case WipeControl:
+		f.wipe(ctx, duration, f.Control[fault.Target%len(f.Control)])
 	case Reload:
 		for _, p := range f.allProcesses() {
 			p.Signal(syscall.SIGHUP)
@@ -187,6 +197,18 @@
 	}
 }
 
+// wipe kills a process and removes its data folder before it restarts. Only the first call in a run has an effect: the group
+// need not bear that a second folder is lost before the first one is replaced, which other faults may delay.
+func (f *Fleet) wipe(ctx context.Context, duration time.Duration, p *Process) {
+	if p.DataDir == "" || !f.wiped.CompareAndSwap(false, true) {
+		return
+	}
+	p.Stop(syscall.SIGKILL)
+	_ = os.RemoveAll(p.DataDir) // the process keeps its data then, which breaks no guarantee
+	Sleep(ctx, duration)
+	_ = p.Start()
+}
+
 func (f *Fleet) pause(ctx context.Context, duration time.Duration, p *Process) {
 	p.Signal(syscall.SIGSTOP)
 	Sleep(ctx, duration)
