Control: requests that wait for the replica are bounded in bytes, and a read returns the source only

Cause: the input queue counts 8,192 requests whatever their size, and a reader of the configuration was sent the decoded document as well as its source, of which only the source is used. Change: requests of 16 MB together wait; beyond that they are dropped as when the queue is full, one of any size always is taken.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -168,12 +168,18 @@
 	case request.AllowanceRequest != nil:
 		r.allocateShares(now, client, *request.AllowanceRequest)
 	case request.Document != nil:
-		r.reply(client, Response{Kind: ResponseOK, Document: r.machine.catalog.Document()})
+		r.reply(client, Response{Kind: ResponseOK, Document: r.sourceOnly()})
 	case request.Read != nil:
 		r.reply(client, Response{Kind: ResponseOK, Read: r.read(now, *request.Read)})
 	}
 }
 
+// sourceOnly returns the document as the operator sent it, without its decoded form, which is as large.
+func (r *Replica) sourceOnly() *catalog.Document {
+	document := r.machine.catalog.Document()
+	return &catalog.Document{Revision: document.Revision, Source: document.Source}
+}
+
 // isSuperseded reports whether a document would have no effect, since one of its revision or a later one is in force. Such a
 // document, as an operator sends again after a lost answer, needs no log entry.
 func (r *Replica) isSuperseded(document *catalog.Document) bool {
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -34,7 +34,7 @@
 	AllowanceRequest *allowance.Request `json:"borrow,omitempty"` // from a gateway: requests shares of fleet-wide limits
 }
 
-// DocumentRequest asks for the routing document in force.
+// DocumentRequest asks for the revision and the source of the routing document in force.
 type DocumentRequest struct{}
 
 // Heartbeat renews a router's session and settings lease.
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -24,6 +24,7 @@
 		gauge("snapshot_bytes", "Size of the newest snapshot of the replicated state.", func() float64 { return float64(s.usage.snapshot.Load()) }),
 		gauge("checkpoints_total", "Checkpoints that replaced the log on disk.", func() float64 { return float64(s.usage.checkpoints.Load()) }),
 		gauge("storage_failures_total", "Failed writes to the data folder, after which it was opened again.", func() float64 { return float64(s.usage.storageFailures.Load()) }),
+		gauge("input_bytes", "Size of the requests that wait for the deciding thread.", func() float64 { return float64(s.queuedBytes.Load()) }),
 		gauge("input_ring", "Inputs that wait for the deciding thread.", func() float64 { return float64(len(s.inputs)) }),
 	)
 	return registry
--- a/internal/control/reopen.go
+++ b/internal/control/reopen.go
@@ -115,6 +115,7 @@
 
 // rejectInput rejects an input while there is no replica. Messages of other replicas are dropped; they are repeated.
 func (s *Server) rejectInput(item input) {
+	s.queuedBytes.Add(-int64(item.bytes))
 	switch {
 	case item.request != nil:
 		item.respond(http.StatusOK, Response{Kind: ResponseNoQuorum})
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -26,6 +26,7 @@
 
 const (
 	inputCapacity  = 8192
+	maxQueuedBytes = 16 << 20 // of the requests behind the queued inputs
 	outboxCapacity = 1024
 	callCapacity   = 1024
 	maxBatch       = 512
@@ -42,7 +43,7 @@
 	bytesPerMB        = 1 << 20
 )
 
-// input is an event for the replica goroutine. Exactly one of its fields is set, besides respond.
+// input is an event for the replica goroutine. Exactly one of its fields is set, besides respond and bytes.
 type input struct {
 	batch       *raftBatch
 	request     *Request
@@ -53,6 +54,7 @@
 	inspect     func(*Replica)
 	weights     *WeightsResult
 	relayResult *relayResult
+	bytes       int // size of the request that the input came in
 }
 
 // relayResult is the result of a relay request to the leader.
@@ -104,6 +106,7 @@
 
 	files       storage.FileSystem // of the data folder
 	reopenDelay time.Duration      // pause before the data folder is opened again; owned by runReplica
+	queuedBytes atomic.Int64       // size of the requests that wait in inputs
 }
 
 // SyncStats counts the synced writes of a replica. It is safe for concurrent use.
@@ -200,7 +203,7 @@
 
 // handle decodes an internal request and queues it for the replica goroutine.
 func (s *Server) handle(request transport.Request, respond transport.Respond) {
-	item := input{}
+	item := input{bytes: len(request.Body)}
 	var err error
 	switch request.Path {
 	case PathRaft:
@@ -228,12 +231,19 @@
 	}
 }
 
-// submit queues an input for the replica goroutine. It drops the input and returns false if the queue is full.
+// submit queues an input for the replica goroutine. It drops the input and returns false if the queue is full, by number or by
+// size. A single input of any size is queued.
 func (s *Server) submit(item input) bool {
+	if held := s.queuedBytes.Add(int64(item.bytes)); held > maxQueuedBytes && held > int64(item.bytes) {
+		s.queuedBytes.Add(-int64(item.bytes))
+		s.log.Warn("input queue holds too many bytes, input dropped", zap.Int64("bytes", held))
+		return false
+	}
 	select {
 	case s.inputs <- item:
 		return true
 	default:
+		s.queuedBytes.Add(-int64(item.bytes))
 		s.log.Warn("input queue is full, input dropped")
 		return false
 	}
@@ -315,6 +325,7 @@
 }
 
 func (s *Server) handleInput(item input) {
+	s.queuedBytes.Add(-int64(item.bytes))
 	now := s.now()
 	switch {
 	case item.request != nil:
