Storage: records are read one at a time, so that a folder an earlier build has filled can be opened

Cause: a start held all records of a segment and all decoded entries at once, twice what the log takes, so that a replica with a log of 126 MB passed its memory limit at each start. Change: Open passes each record from the last checkpoint on to its caller, which keeps the decoded entry only. Replaced segments are no longer read. Measured: TestFullFolderOfAnEarlierBuildIsLeft: a folder filled to its limit by entries without compression is opened, elects, applies and is checkpointed to under a quarter of it, and takes changes again.

--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -92,6 +92,53 @@
 	}
 }
 
+// TestFullFolderOfAnEarlierBuildIsLeft guards against a folder that an earlier build has filled up to the limit and that no
+// later one can use: it has room for small records only, until a checkpoint replaces the log.
+func TestFullFolderOfAnEarlierBuildIsLeft(t *testing.T) {
+	const limit = 8 << 20
+	files, folder := faulty.New(0), t.TempDir()
+	disk, identity, _, err := openDiskOn(files, folder, "c1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := BootstrapState(consensus.Member{ID: identity.ID, Name: "c1", Address: "a"})
+	if _, err := disk.Write(Persist{Checkpoint: &state}); err != nil {
+		t.Fatal(err)
+	}
+	revision := uint64(0)
+	for disk.Size() < limit-200<<10 {
+		revision++
+		data := encodeCommand(level.Announced, Command{Catalog: &catalog.Command{Replace: largeDocument(revision, 100)}})
+		if _, err := disk.Write(Persist{Entries: []consensus.Entry{{Index: 1 + revision, Term: 1, Data: data}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = disk.Close()
+	files.SetLimit(limit)
+	disk, _, restored, err := openDiskOn(files, folder, "c1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := singleReplicaConfig(identity.ID)
+	config.DiskLimit = limit
+	replica, err := NewReplica(config, restored, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	replica.ObserveStorage(disk.Size())
+	s := &singleReplica{t: t, folder: folder, disk: disk, replica: replica, replies: map[uint64]Response{}}
+	s.advance(3 * time.Second)
+	if held := s.replica.Machine().Catalog().Document().Revision; held != revision {
+		t.Fatalf("revision %d is in force, %d was stored", held, revision)
+	}
+	if reply := s.ask(Request{Catalog: &catalog.Command{Replace: largeDocument(revision+1, 100)}}); reply.Kind != ResponseOK {
+		t.Fatalf("reply %+v, want ok", reply)
+	}
+	if held := disk.Size(); held > limit/4 {
+		t.Fatalf("the log still takes %d bytes", held)
+	}
+}
+
 // TestUncommittedChangesAreBounded guards against a leader whose memory fills up with changes that no follower
 // acknowledges.
 func TestUncommittedChangesAreBounded(t *testing.T) {
--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -81,29 +81,17 @@
 	if err != nil {
 		return nil, identity, Checkpoint{}, err
 	}
-	log, records, err := storage.OpenOn(files, filepath.Join(folder, logFolder), string(identity.ID))
-	if err != nil {
-		return nil, identity, Checkpoint{}, err
-	}
-	restored, err := replayRecords(records)
+	var restored Checkpoint
+	log, err := storage.OpenOn(files, filepath.Join(folder, logFolder), string(identity.ID), func(record storage.Record) error {
+		return replayRecord(&restored, record)
+	})
 	if err != nil {
 		return nil, identity, Checkpoint{}, err
 	}
 	return &Disk{log: log}, identity, restored, nil
 }
 
-// replayRecords rebuilds the durable state from the records of the log.
-func replayRecords(records []storage.Record) (Checkpoint, error) {
-	var state Checkpoint
-	for i := range records {
-		if err := replayRecord(&state, records[i]); err != nil {
-			return state, err
-		}
-		records[i].Data = nil // a decoded record needs no memory
-	}
-	return state, nil
-}
-
+// replayRecord applies a record of the log to the durable state.
 func replayRecord(state *Checkpoint, record storage.Record) error {
 	switch record.Kind {
 	case recordHardState:
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -83,48 +83,87 @@
 
 // Open opens or creates the log of an owner in a folder and returns the records from the last checkpoint on.
 func Open(folder, owner string) (*Log, []Record, error) {
-	return OpenOn(OperatingSystem, folder, owner)
+	var records []Record
+	log, err := OpenOn(OperatingSystem, folder, owner, func(record Record) error {
+		records = append(records, record)
+		return nil
+	})
+	return log, records, err
 }
 
-// OpenOn is like Open, for a folder in the given file system.
-func OpenOn(files FileSystem, folder, owner string) (*Log, []Record, error) {
+// OpenOn opens or creates the log of an owner in a folder of the given file system. It passes the records from the last
+// checkpoint on to visit, one at a time, and fails if visit does.
+func OpenOn(files FileSystem, folder, owner string, visit func(Record) error) (*Log, error) {
 	if err := files.MkdirAll(folder); err != nil {
-		return nil, nil, eris.Wrapf(err, "create %s", folder)
+		return nil, eris.Wrapf(err, "create %s", folder)
 	}
 	log := &Log{files: files, folder: folder, owner: owner}
 	sequences, err := log.listSegments()
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	if len(sequences) == 0 {
-		return log, nil, log.createFirstSegment()
+		return log, log.createFirstSegment()
 	}
-	var records []Record
-	var replaced []uint64
-	for i, sequence := range sequences {
-		newest := i == len(sequences)-1
-		segment, length, err := log.readSegment(sequence, newest)
+	first, err := log.lastCheckpoint(sequences)
+	if err != nil {
+		return nil, err
+	}
+	for i, sequence := range sequences[first:] {
+		newest := first+i == len(sequences)-1
+		length, err := log.readSegment(sequence, newest, visit)
 		if err != nil {
-			return nil, nil, err
-		}
-		if i > 0 && startsWithCheckpoint(segment) {
-			records, replaced = nil, sequences[:i]
+			return nil, err
 		}
-		records = append(records, segment...)
 		log.sequence, log.size = sequence, length
 	}
 	if err := log.reopenNewest(); err != nil {
-		return nil, nil, err
+		return nil, err
 	}
-	for _, sequence := range replaced {
+	for _, sequence := range sequences[:first] {
 		_ = files.Remove(log.segmentPath(sequence)) // a later start removes what stays
 	}
-	return log, records, nil
+	return log, nil
+}
+
+// lastCheckpoint returns the position of the newest segment that replaces the earlier ones. Checkpoint creates all segments
+// after the first, so that any of these with records starts with a checkpoint.
+func (l *Log) lastCheckpoint(sequences []uint64) (int, error) {
+	for i := len(sequences) - 1; i > 0; i-- {
+		hasRecords, err := l.hasRecords(sequences[i])
+		if err != nil {
+			return 0, err
+		}
+		if hasRecords {
+			return i, nil
+		}
+	}
+	return 0, nil
+}
+
+// hasRecords reports whether a segment has a valid record after its header.
+func (l *Log) hasRecords(sequence uint64) (bool, error) {
+	path := l.segmentPath(sequence)
+	file, err := l.files.Open(path, os.O_RDONLY)
+	if err != nil {
+		return false, eris.Wrapf(err, "open %s", path)
+	}
+	defer file.Close()
+	count := 0
+	_, _, err = readRecords(file, func(Record) error {
+		if count++; count > 1 {
+			return errStop
+		}
+		return nil
+	})
+	if err == errStop {
+		return true, nil
+	}
+	return false, eris.Wrapf(err, "read %s", path)
 }
 
-// startsWithCheckpoint reports whether a segment after the first replaces the earlier ones. Checkpoint creates all of
-// these, so that any with records starts with a checkpoint.
-func startsWithCheckpoint(segment []Record) bool { return len(segment) > 0 }
+// errStop ends the reading of a segment early.
+var errStop = eris.New("enough records read")
 
 // listSegments returns the sequence numbers of the segments in ascending order. It removes temporary files.
 func (l *Log) listSegments() ([]uint64, error) {
@@ -157,29 +196,36 @@
 	return l.writeSegment(l.sequence, func(func(Record) bool) {})
 }
 
-// readSegment returns the records after the header and the length of the valid data in bytes.
-func (l *Log) readSegment(sequence uint64, newest bool) ([]Record, int64, error) {
+// readSegment passes the records after the header to visit and returns the length of the valid data in bytes.
+func (l *Log) readSegment(sequence uint64, newest bool, visit func(Record) error) (int64, error) {
 	path := l.segmentPath(sequence)
 	file, err := l.files.Open(path, os.O_RDONLY)
 	if err != nil {
-		return nil, 0, eris.Wrapf(err, "open %s", path)
+		return 0, eris.Wrapf(err, "open %s", path)
 	}
 	defer file.Close()
-	records, length, tail, err := readRecords(file)
+	headerRead := false
+	length, tail, err := readRecords(file, func(record Record) error {
+		if headerRead {
+			return visit(record)
+		}
+		headerRead = true
+		if record.Kind != KindHeader {
+			return eris.Wrapf(ErrDamaged, "%s has no valid segment header", path)
+		}
+		return l.checkHeader(path, record.Data)
+	})
 	if err != nil {
-		return nil, 0, eris.Wrapf(err, "read %s", path)
+		return 0, eris.Wrapf(err, "read %s", path)
 	}
-	if len(records) == 0 || records[0].Kind != KindHeader {
-		return nil, 0, eris.Wrapf(ErrDamaged, "%s has no valid segment header", path)
-	}
-	if err := l.checkHeader(path, records[0].Data); err != nil {
-		return nil, 0, err
+	if !headerRead {
+		return 0, eris.Wrapf(ErrDamaged, "%s has no valid segment header", path)
 	}
 	if tail != TailClean && (!newest || tail == TailCorrupt) {
-		return nil, 0, eris.Wrapf(ErrDamaged,
+		return 0, eris.Wrapf(ErrDamaged,
 			"%s: record at byte %d fails its checksum and is not the last one; restore the folder from a backup or wipe it to rejoin as a new replica", path, length)
 	}
-	return records[1:], length, nil
+	return length, nil
 }
 
 func (l *Log) checkHeader(path string, data []byte) error {
@@ -396,29 +442,32 @@
 	return records, int64(offset), TailClean
 }
 
-// readRecords is like DecodeRecords for a file, of which it holds one record at a time besides the decoded ones.
-func readRecords(file File) (records []Record, length int64, tail TailState, err error) {
+// readRecords passes the records of a file up to the first invalid one to visit, one at a time. It returns their length in
+// bytes and the state of the rest.
+func readRecords(file File, visit func(Record) error) (length int64, tail TailState, err error) {
 	end, err := file.Seek(0, io.SeekEnd)
 	if err == nil {
 		_, err = file.Seek(0, io.SeekStart)
 	}
 	if err != nil {
-		return nil, 0, TailClean, err
+		return 0, TailClean, err
 	}
 	r := bufio.NewReaderSize(file, bufferBytes)
 	for length < end {
 		record, size, ok, err := readRecord(r, end-length)
 		if err != nil {
-			return nil, 0, TailClean, err
+			return 0, TailClean, err
 		}
 		if !ok {
 			tail, err := readTail(file, length)
-			return records, length, tail, err
+			return length, tail, err
+		}
+		if err := visit(record); err != nil {
+			return 0, TailClean, err
 		}
-		records = append(records, record)
 		length += size
 	}
-	return records, length, TailClean, nil
+	return length, TailClean, nil
 }
 
 // readRecord reads a record of which at most the given number of bytes remain. It returns false if it is invalid.
--- a/internal/storage/nospace_test.go
+++ b/internal/storage/nospace_test.go
@@ -20,13 +20,13 @@
 
 func open(t rapid.TB, files storage.FileSystem, folder string) (*storage.Log, []string) {
 	t.Helper()
-	log, records, err := storage.OpenOn(files, folder, owner)
-	if err != nil {
-		t.Fatal(err)
-	}
 	var texts []string
-	for _, r := range records {
+	log, err := storage.OpenOn(files, folder, owner, func(r storage.Record) error {
 		texts = append(texts, string(r.Data))
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
 	}
 	return log, texts
 }
