--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -182,6 +182,9 @@
 	if s.replica.hasCaughtUp(match) {
 		t.Fatal("a learner that lacks a large entry is promoted")
 	}
+	if !s.replica.hasCaughtUp(s.replica.Node().Commit()) {
+		t.Fatal("a learner that has all committed entries is not promoted")
+	}
 }
 
 // TestJoiningReplicaGetsANewSnapshot guards against a replica that has lost its disk and has to apply a long log before it
--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -76,10 +76,14 @@
 	return lost, learner
 }
 
-// hasCaughtUp reports whether a learner that has the log up to an index lacks little of it.
+// hasCaughtUp reports whether a learner that has the log up to an index lacks little of it. One that has all committed
+// entries does, whatever the size of those that follow.
 func (r *Replica) hasCaughtUp(match uint64) bool {
-	if match == 0 || match+maxLearnerLag < r.node.Commit() {
+	switch {
+	case match == 0 || match+maxLearnerLag < r.node.Commit():
 		return false
+	case match >= r.node.Commit():
+		return true
 	}
 	return r.node.BytesAfter(match) <= maxLearnerLagBytes || !r.config.Guards.On(guard.LogByteLimits)
 }
