--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -26,15 +26,16 @@
 
 // cluster drives nodes over a simulated network.
 type cluster struct {
-	now         time.Duration
-	random      *rand.Rand
-	replicas    []*replica
-	inFlight    []Message
-	partitioned map[ID]bool
-	leaders     map[uint64]ID
-	committed   map[uint64]Entry // first committed entry seen for each index
-	limits      Limits
-	fail        func(format string, arguments ...any)
+	now           time.Duration
+	random        *rand.Rand
+	replicas      []*replica
+	inFlight      []Message
+	partitioned   map[ID]bool
+	leaders       map[uint64]ID
+	committed     map[uint64]Entry // first committed entry seen for each index
+	limits        Limits
+	snapshotBytes int // minimum length of a snapshot's data
+	fail          func(format string, arguments ...any)
 }
 
 func newCluster(size int, seed uint64, fail func(string, ...any)) *cluster {
@@ -42,7 +43,7 @@
 }
 
 func newClusterWithLimits(size int, seed uint64, limits Limits, fail func(string, ...any)) *cluster {
-	c := &cluster{limits: limits, random: rand.New(rand.NewPCG(seed, 1)), partitioned: map[ID]bool{}, leaders: map[uint64]ID{}, committed: map[uint64]Entry{}, fail: fail}
+	c := &cluster{limits: limits, snapshotBytes: 160, random: rand.New(rand.NewPCG(seed, 1)), partitioned: map[ID]bool{}, leaders: map[uint64]ID{}, committed: map[uint64]Entry{}, fail: fail}
 	var members []Member
 	for i := range size {
 		members = append(members, Member{ID: ID(fmt.Sprintf("n%d", i)), Name: fmt.Sprintf("n%d", i)})
@@ -72,6 +73,9 @@
 		}
 		if ready.Snapshot != nil {
 			r.snapshot, r.entries, r.applied = *ready.Snapshot, nil, nil
+			if want := c.snapshotData(ready.Snapshot.Meta.Index); len(ready.Snapshot.Data) > 0 && !bytes.Equal(ready.Snapshot.Data, want) {
+				c.fail("%s installs a snapshot at index %d with other data: %d bytes, want %d", r.id, ready.Snapshot.Meta.Index, len(ready.Snapshot.Data), len(want))
+			}
 		}
 		c.persist(r, ready.Entries)
 		if count := len(ready.Entries); count > 0 {
@@ -261,9 +265,10 @@
 					c.inFlight = append(c.inFlight, c.inFlight[rapid.IntRange(0, len(c.inFlight)-1).Draw(t, "position")])
 				}
 			},
-			"cut":  func(t *rapid.T) { c.partitioned[c.replicas[replicaIndex.Draw(t, "replica")].id] = true },
-			"heal": func(*rapid.T) { clear(c.partitioned) },
-			"kill": func(t *rapid.T) { c.replicas[replicaIndex.Draw(t, "replica")].running = false },
+			"cut":     func(t *rapid.T) { c.partitioned[c.replicas[replicaIndex.Draw(t, "replica")].id] = true },
+			"heal":    func(*rapid.T) { clear(c.partitioned) },
+			"kill":    func(t *rapid.T) { c.replicas[replicaIndex.Draw(t, "replica")].running = false },
+			"compact": func(t *rapid.T) { c.compact(c.replicas[replicaIndex.Draw(t, "replica")]) },
 			"start": func(t *rapid.T) {
 				if r := c.replicas[replicaIndex.Draw(t, "replica")]; !r.running {
 					c.start(r)
--- a/internal/consensus/limits_test.go
+++ b/internal/consensus/limits_test.go
@@ -1,6 +1,9 @@
 package consensus
 
 import (
+	"bytes"
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -96,3 +99,63 @@
 		t.Fatalf("%d bytes sent again, want those of one message, at most %d", sent, c.limits.MessageBytes)
 	}
 }
+
+// snapshotData returns the data of the snapshots that replicas take at an index.
+func (c *cluster) snapshotData(index uint64) []byte {
+	text := fmt.Appendf(nil, "%d;", index)
+	return bytes.Repeat(text, c.snapshotBytes/len(text)+1)
+}
+
+// compact takes a snapshot at the last applied entry of a running replica and removes the entries that it covers.
+func (c *cluster) compact(r *replica) {
+	if !r.running || len(r.applied) == 0 {
+		return
+	}
+	last := r.applied[len(r.applied)-1]
+	covered := last.Index - r.snapshot.Meta.Index
+	meta := SnapshotMeta{Index: last.Index, Term: last.Term, Membership: r.node.MembershipAt(last.Index)}
+	r.snapshot, r.entries = Snapshot{Meta: meta, Data: c.snapshotData(last.Index)}, slices.Clone(r.entries[covered:])
+	r.node.Compact(meta)
+	r.applied = nil
+}
+
+// TestLongSnapshotArrivesInParts guards against a snapshot that holds up the heartbeats behind it. Parts that are lost are sent
+// again, and a receiver that restarts midway gets it from the start.
+func TestLongSnapshotArrivesInParts(t *testing.T) {
+	c, leader, follower, entry := largeEntryCluster(t)
+	c.partitioned[follower] = true
+	for range 20 {
+		c.propose(entry)
+	}
+	c.runFor(time.Second)
+	c.compact(leader)
+	index := leader.snapshot.Meta.Index
+	c.snapshotBytes = 10*c.limits.MessageBytes + 1
+	leader.snapshot.Data = c.snapshotData(index)
+	clear(c.partitioned)
+	receiver, parts := c.find(follower), 0
+	for end := c.now + 30*time.Second; c.now < end && receiver.node.Commit() < leader.node.Commit(); {
+		c.advance(20 * time.Millisecond)
+		for len(c.inFlight) > 0 {
+			if message := c.inFlight[0]; message.Kind == MessageSnapshot {
+				if parts++; len(message.Snapshot.Data) > c.limits.MessageBytes {
+					t.Fatalf("a message holds %d bytes of a snapshot, the limit is %d", len(message.Snapshot.Data), c.limits.MessageBytes)
+				}
+				if parts == 7 {
+					c.start(receiver)
+				}
+				if parts%4 == 0 {
+					c.inFlight = c.inFlight[1:] // lost
+					continue
+				}
+			}
+			c.deliver(0)
+		}
+	}
+	if receiver.snapshot.Meta.Index != index || receiver.node.Commit() < leader.node.Commit() {
+		t.Fatalf("%s holds a snapshot at index %d and is at index %d after %d parts, want %d and %d", follower, receiver.snapshot.Meta.Index, receiver.node.Commit(), parts, index, leader.node.Commit())
+	}
+	if parts < 11 {
+		t.Fatalf("%d parts, want at least 11", parts)
+	}
+}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -18,6 +18,7 @@
 	probing        bool          // the peer rejected an append; it gets one at a time until it acknowledges one
 	probeSentAt    time.Duration // send time of an unacknowledged probe with large entries, by the leader's clock; 0 if none
 	inflight       inflight
+	transfer       *snapshotTransfer // nil if no snapshot is on its way
 }
 
 // Node is the consensus state machine of one replica. It is not safe for concurrent use.
@@ -46,6 +47,7 @@
 	hardStateChanged bool
 	unstableFrom     uint64 // first index to return in Ready.Entries; 0 if none
 	pendingInstall   *Snapshot
+	incoming         *incomingSnapshot // nil if no snapshot is being received in parts
 	messages         []Message
 	snapshotSource   func() (Snapshot, bool)
 }
@@ -54,6 +56,9 @@
 // compacted entries.
 func New(config Config, restored Restored, now time.Duration, snapshotSource func() (Snapshot, bool)) *Node {
 	config.Limits = config.Limits.withDefaults()
+	if config.PartSnapshots == nil {
+		config.PartSnapshots = func() bool { return true }
+	}
 	if config.ApplySize == nil {
 		config.ApplySize = func(entry Entry) int { return entry.Size() }
 	}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -143,12 +143,14 @@
 		n.sendHeartbeat(now, id)
 		return
 	}
-	snapshot, ok := n.snapshotSource()
-	if !ok {
-		return
+	if peer.transfer == nil || peer.transfer.snapshot.Meta.Index < n.log.base.Index {
+		snapshot, ok := n.snapshotSource()
+		if !ok {
+			return
+		}
+		peer.transfer = &snapshotTransfer{snapshot: snapshot}
 	}
-	peer.paused, peer.snapshotSentAt, peer.lastAppendAt = true, now, now
-	n.send(Message{Kind: MessageSnapshot, To: id, Term: n.hard.Term, SentAt: now, Snapshot: &snapshot})
+	n.sendSnapshotPart(now, id)
 }
 
 // sendHeartbeat sends an append without entries, at most once per heartbeat interval.
@@ -225,6 +227,12 @@
 		// The log matches the snapshot; installing it would drop acknowledged entries after it.
 		n.commit = max(n.commit, meta.Index)
 	} else if meta.Index > n.commit {
+		if message.Part != nil {
+			message.Snapshot = n.collectPart(message)
+		}
+		if message.Snapshot == nil {
+			return
+		}
 		n.log = raftLog{base: meta}
 		n.commit, n.delivered, n.persisted = meta.Index, meta.Index, meta.Index
 		n.unstableFrom = 0
@@ -246,6 +254,10 @@
 	}
 	peer.lastReplyAt = now
 	peer.ackedSentAt = max(peer.ackedSentAt, message.SentAt)
+	if message.Part != nil {
+		n.handlePartReply(now, message.From, *message.Part)
+		return
+	}
 	if message.Reject {
 		if message.Index <= peer.match {
 			peer.paused = true // the peer lost acknowledged entries; probe only once per heartbeat
@@ -261,6 +273,9 @@
 		return
 	}
 	peer.paused = false
+	if peer.transfer != nil && message.Index >= peer.transfer.snapshot.Meta.Index {
+		peer.transfer = nil
+	}
 	if message.Index > peer.match {
 		peer.match, peer.snapshotSentAt, peer.probeSentAt = message.Index, 0, 0
 		peer.inflight.acknowledge(message.Index)
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -172,6 +172,9 @@
 	// Both are set and read by the caller.
 	Level   level.Level `json:"level,omitempty"`
 	InForce level.Level `json:"in_force,omitempty"`
+
+	// Part is set if Snapshot holds a part of the data only, and in the reply to that.
+	Part *SnapshotPart `json:"part,omitempty"`
 }
 
 // Size returns the approximate size of the entries or the snapshot of the message, in bytes.
@@ -233,8 +236,10 @@
 	ID        ID
 	Timing    Timing
 	Limits    Limits
-	ApplySize func(Entry) int     // cost of applying an entry, in bytes; nil selects Entry.Size
-	Random    func(n int64) int64 // uniform in [0, n); seeded by the caller
+	ApplySize func(Entry) int // cost of applying an entry, in bytes; nil selects Entry.Size
+	// PartSnapshots reports whether long snapshots may be sent in parts, which all replicas must know; nil is yes.
+	PartSnapshots func() bool
+	Random        func(n int64) int64 // uniform in [0, n); seeded by the caller
 }
 
 // Restored is the state read from stable storage. The zero value stands for an empty folder.
--- a/internal/control/encoding.go
+++ b/internal/control/encoding.go
@@ -56,5 +56,8 @@
 	return decodeCommand(entry.Data).Level
 }
 
+// knowsParts reports whether all replicas know snapshots in parts.
+func (r *Replica) knowsParts() bool { return r.machine.level >= level.Compressed }
+
 // applySize returns the cost of applying an entry, in bytes: the size of its decoded form.
 func applySize(entry consensus.Entry) int { return payload.ExpandedSize(entry.Data) }
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -21,7 +21,7 @@
 	Unannounced Level = 0
 	// Announced is the level of the first builds that announce theirs and reject records of higher levels.
 	Announced Level = 1
-	// Compressed is the level from which on long log entries and snapshots are compressed.
+	// Compressed is the level from which on long log entries and snapshots are compressed, and snapshots are sent in parts.
 	Compressed Level = 2
 	// Current is the level of this build.
 	Current = Compressed
