Control: messages are handled between the steps of applying a long log

Cause: between two steps the loop looked at its timers only, and a follower's election timer is due late. Change: it also returns to its inputs when some wait and committed entries are left.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -325,6 +325,9 @@
 	return slices.Clone(n.log.slice(index, n.log.lastIndex()))
 }
 
+// HasUndelivered reports whether committed entries are left for further calls of Ready.
+func (n *Node) HasUndelivered() bool { return n.delivered < n.commit }
+
 // HasReady reports whether Ready would return any work.
 func (n *Node) HasReady() bool {
 	return n.hardStateChanged || n.pendingInstall != nil || n.unstableFrom != 0 || len(n.messages) > 0 || n.delivered < n.commit
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -387,8 +387,8 @@
 	s.log.Info(events.RelayAvailable, zap.String("leader", result.leader))
 }
 
-// persistAndSend writes, syncs and sends until the replica has no more work or must tick: a long log is applied in many
-// steps, with heartbeats in between.
+// persistAndSend writes, syncs and sends until the replica has no more work. A long log is applied in many steps, and it
+// returns between them when a timer is due or inputs wait, so that heartbeats are sent and answered in time.
 func (s *Server) persistAndSend() error {
 	for due := s.replica.NextDue(); s.replica.HasWork(); {
 		persist := s.replica.Prepare()
@@ -410,7 +410,7 @@
 			s.recordUsage(persist, took)
 		}
 		s.send(s.replica.Advance(s.now()))
-		if s.now() >= due {
+		if s.now() >= due || len(s.inputs) > 0 && s.replica.Node().HasUndelivered() {
 			return nil
 		}
 	}
