--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -134,9 +134,9 @@
 
 func entrySize(entry Entry) int { return entry.Size() }
 
-// sendSnapshot sends the newest snapshot. It is resent only after ElectionMin without an acknowledgement, since a large
-// one takes longer than a heartbeat to arrive. Until then the peer gets heartbeats; even its rejections extend the
-// leader's lease.
+// sendSnapshot sends the newest snapshot, or goes on with the one on its way. It is resent only after ElectionMin without
+// an acknowledgement, since a large one takes longer than a heartbeat to arrive. Until then the peer gets heartbeats; even
+// its rejections extend the leader's lease.
 func (n *Node) sendSnapshot(now time.Duration, id ID) {
 	peer := n.peers[id]
 	if peer.snapshotSentAt > 0 && now < peer.snapshotSentAt+n.config.Timing.ElectionMin {
--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -17,14 +17,7 @@
 func openOnLimitedDisk(t *testing.T, limit int64) (*singleReplica, *faulty.FileSystem) {
 	t.Helper()
 	files, folder := faulty.New(limit), t.TempDir()
-	disk, identity, _, err := openDiskOn(files, folder, "c1")
-	if err != nil {
-		t.Fatal(err)
-	}
-	state := BootstrapState(consensus.Member{ID: identity.ID, Name: "c1", Address: "a"})
-	if _, err := disk.Write(Persist{Checkpoint: &state}); err != nil {
-		t.Fatal(err)
-	}
+	disk, identity, state := foundGroup(t, files, folder)
 	config := singleReplicaConfig(identity.ID)
 	config.DiskLimit = limit
 	replica, err := NewReplica(config, state, 0)
@@ -36,6 +29,20 @@
 	return s, files
 }
 
+// foundGroup writes the state of a group of one to an empty folder.
+func foundGroup(t *testing.T, files *faulty.FileSystem, folder string) (*Disk, Identity, Checkpoint) {
+	t.Helper()
+	disk, identity, _, err := openDiskOn(files, folder, "c1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := BootstrapState(consensus.Member{ID: identity.ID, Name: "c1", Address: "a"})
+	if _, err := disk.Write(Persist{Checkpoint: &state}); err != nil {
+		t.Fatal(err)
+	}
+	return disk, identity, state
+}
+
 // incompressibleDocument returns a document whose source has the given size in the log.
 func incompressibleDocument(revision uint64, bytes int) *catalog.Document {
 	random := rand.New(rand.NewPCG(revision, 1))
@@ -97,14 +104,7 @@
 func TestFullFolderOfAnEarlierBuildIsLeft(t *testing.T) {
 	const limit = 8 << 20
 	files, folder := faulty.New(0), t.TempDir()
-	disk, identity, _, err := openDiskOn(files, folder, "c1")
-	if err != nil {
-		t.Fatal(err)
-	}
-	state := BootstrapState(consensus.Member{ID: identity.ID, Name: "c1", Address: "a"})
-	if _, err := disk.Write(Persist{Checkpoint: &state}); err != nil {
-		t.Fatal(err)
-	}
+	disk, identity, _ := foundGroup(t, files, folder)
 	revision := uint64(0)
 	for disk.Size() < limit-200<<10 {
 		revision++
--- a/internal/control/logsize.go
+++ b/internal/control/logsize.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"time"
+
+	"kitetiller/internal/consensus"
 	"kitetiller/internal/guard"
 	"kitetiller/internal/payload"
 )
@@ -17,6 +20,28 @@
 	logDiskFraction = 1.0 / 8
 )
 
+// maybeSnapshot takes a snapshot if one is due. The log keeps the entries between the last two snapshots, so that a
+// follower that lags slightly does not need a snapshot.
+func (r *Replica) maybeSnapshot() {
+	if !r.snapshotDue() {
+		return
+	}
+	before := r.snapshot.Meta
+	meta := consensus.SnapshotMeta{Index: r.applied, Term: r.appliedTerm, Membership: r.node.MembershipAt(r.applied)}
+	r.snapshot = consensus.Snapshot{Meta: meta, Data: r.machine.Snapshot()}
+	r.appliedBytes, r.appliedCost, r.snapshotWanted = 0, 0, false
+	r.node.Compact(before)
+	r.checkpointDue = true
+}
+
+// checkpointRetryInterval is the time after which a checkpoint that didn't fit on the disk is tried again.
+const checkpointRetryInterval = time.Second
+
+// PostponeCheckpoint tells the replica that the checkpoint of the last Prepare was not written, while the rest was.
+func (r *Replica) PostponeCheckpoint(now time.Duration) {
+	r.checkpointAt = now + checkpointRetryInterval
+}
+
 // snapshotDue reports whether a snapshot is due: by the number of entries applied since the last one, once their size
 // has reached that of the snapshot, or by their size alone, since the size of an entry varies.
 func (r *Replica) snapshotDue() bool {
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -58,39 +58,6 @@
 	return p.clients[0]
 }
 
-// Persist holds what the caller must write and sync before it calls Advance.
-type Persist struct {
-	HardState  *consensus.HardState
-	Entries    []consensus.Entry
-	Checkpoint *Checkpoint // replaces everything on disk; includes HardState and Entries
-	// MayPostpone means that the log on disk, with HardState and Entries appended, is equivalent to Checkpoint.
-	MayPostpone bool
-}
-
-// StoredSize returns the size on disk of what is written: of the checkpoint, or else of the appended records.
-func (p *Persist) StoredSize() int64 {
-	entries, size := p.Entries, int64(0)
-	if p.Checkpoint != nil {
-		entries, size = p.Checkpoint.Entries, storedSize(len(p.Checkpoint.Snapshot.Data))
-	}
-	for i := range entries {
-		size += storedSize(len(entries[i].Data))
-	}
-	return size
-}
-
-// Empty reports whether there is nothing to write.
-func (p Persist) Empty() bool {
-	return p.HardState == nil && len(p.Entries) == 0 && p.Checkpoint == nil
-}
-
-// Checkpoint is the complete durable state of a replica.
-type Checkpoint struct {
-	HardState consensus.HardState
-	Snapshot  consensus.Snapshot
-	Entries   []consensus.Entry
-}
-
 // Effects holds what the caller must send after the sync.
 type Effects struct {
 	Messages     []consensus.Message
@@ -415,28 +382,6 @@
 	r.replyCommitted(proposal.clients, response)
 }
 
-// maybeSnapshot takes a snapshot if one is due. The log keeps the entries between the last two snapshots, so that a
-// follower that lags slightly does not need a snapshot.
-func (r *Replica) maybeSnapshot() {
-	if !r.snapshotDue() {
-		return
-	}
-	before := r.snapshot.Meta
-	meta := consensus.SnapshotMeta{Index: r.applied, Term: r.appliedTerm, Membership: r.node.MembershipAt(r.applied)}
-	r.snapshot = consensus.Snapshot{Meta: meta, Data: r.machine.Snapshot()}
-	r.appliedBytes, r.appliedCost, r.snapshotWanted = 0, 0, false
-	r.node.Compact(before)
-	r.checkpointDue = true
-}
-
-// checkpointRetryInterval is the time after which a checkpoint that didn't fit on the disk is tried again.
-const checkpointRetryInterval = time.Second
-
-// PostponeCheckpoint tells the replica that the checkpoint of the last Prepare was not written, while the rest was.
-func (r *Replica) PostponeCheckpoint(now time.Duration) {
-	r.checkpointAt = now + checkpointRetryInterval
-}
-
 // PendingWeightsCalls returns the number of calls to back ends that wait for the next sync.
 func (r *Replica) PendingWeightsCalls() int { return len(r.effects.WeightsCalls) }
 
--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -109,34 +109,6 @@
 	return eris.Wrapf(storage.ErrNewerFormat, "unknown record kind %d", record.Kind)
 }
 
-// appendEntry appends an entry. It replaces an entry with the same index and all that follow.
-func (c *Checkpoint) appendEntry(entry consensus.Entry) error {
-	snapshotIndex := c.Snapshot.Meta.Index
-	position := int64(entry.Index) - int64(snapshotIndex) - 1
-	if position < 0 || position > int64(len(c.Entries)) {
-		return eris.Wrapf(storage.ErrDamaged, "gap in the log: entry %d after entry %d", entry.Index, snapshotIndex+uint64(len(c.Entries)))
-	}
-	c.Entries = append(c.Entries[:position:position], entry)
-	return nil
-}
-
-// Apply applies a Persist, with the same result as Disk.Write.
-func (c *Checkpoint) Apply(persist Persist) error {
-	if persist.Checkpoint != nil {
-		*c = *persist.Checkpoint
-		return nil
-	}
-	if persist.HardState != nil {
-		c.HardState = *persist.HardState
-	}
-	for _, entry := range persist.Entries {
-		if err := c.appendEntry(entry); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // Write writes a Persist and syncs it to disk. It returns false if a checkpoint that can be postponed didn't fit; the rest
 // of the Persist was written then. After an error the content on disk is unknown.
 func (d *Disk) Write(persist Persist) (checkpointed bool, err error) {
