Control: with level 2 the log takes format 2, which builds without levels refuse

Cause: builds before levels pass over the entry that raises the level, and would fail on compressed entries with a message that names no remedy. The design of levels asks for a new format of the log with the first change that takes level 2.

--- a/internal/control/encoding.go
+++ b/internal/control/encoding.go
@@ -7,6 +7,7 @@
 	"kitetiller/internal/consensus"
 	"kitetiller/internal/level"
 	"kitetiller/internal/payload"
+	"kitetiller/internal/storage"
 )
 
 // The log holds commands and snapshots as JSON. From level Compressed on, long ones are compressed once, when they are
@@ -59,5 +60,13 @@
 // knowsParts reports whether all replicas know snapshots in parts.
 func (r *Replica) knowsParts() bool { return r.machine.level >= level.Compressed }
 
+// logFormat returns the format of the log on disk. Builds that don't know levels refuse a newer one.
+func (m *Machine) logFormat() int {
+	if m.level >= level.Compressed {
+		return storage.LatestFormat
+	}
+	return storage.FirstFormat
+}
+
 // applySize returns the cost of applying an entry, in bytes: the size of its decoded form.
 func applySize(entry consensus.Entry) int { return payload.ExpandedSize(entry.Data) }
--- a/internal/control/encoding_test.go
+++ b/internal/control/encoding_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"reflect"
 	"testing"
+	"time"
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/consensus"
 	"kitetiller/internal/guard"
 	"kitetiller/internal/level"
+	"kitetiller/internal/storage"
 )
 
 // TestCompressedCommandsDecodeToTheSame guards against entries and snapshots that a level leaves unreadable, and against
@@ -42,3 +44,30 @@
 		t.Fatalf("highest level %d, want 3", highest)
 	}
 }
+
+// TestRaisedLevelRaisesTheLogFormat guards against builds without levels that start on a folder with records that they can't
+// read. The format rises with the level, also if the process ended in between.
+func TestRaisedLevelRaisesTheLogFormat(t *testing.T) {
+	s := openSingleReplica(t, t.TempDir())
+	if format := s.disk.log.Format(); format != storage.FirstFormat {
+		t.Fatalf("format %d before the level is raised, want %d", format, storage.FirstFormat)
+	}
+	s.advance(4 * time.Second)
+	if format := s.disk.log.Format(); s.replica.machine.level != level.Compressed || format != storage.LatestFormat {
+		t.Fatalf("format %d at level %d, want %d", format, s.replica.machine.level, storage.LatestFormat)
+	}
+	joining := openSingleReplica(t, t.TempDir())
+	joining.replica.installSnapshot(joining.now, consensus.Snapshot{Meta: s.replica.snapshot.Meta, Data: s.replica.machine.Snapshot()})
+	if joining.work(); joining.disk.log.Format() != storage.LatestFormat {
+		t.Fatalf("format %d after a snapshot of level %d, want %d", joining.disk.log.Format(), level.Compressed, storage.LatestFormat)
+	}
+	replica, err := NewReplica(s.replica.config, Checkpoint{
+		HardState: s.replica.hardState, Snapshot: consensus.Snapshot{Meta: s.replica.snapshot.Meta, Data: s.replica.machine.Snapshot()}, Format: storage.FirstFormat,
+	}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if persist := replica.Prepare(); persist.Checkpoint == nil || persist.Checkpoint.Format != storage.LatestFormat {
+		t.Fatalf("a replica of level %d on an older format writes %+v, want a checkpoint of the new format", level.Compressed, persist)
+	}
+}
--- a/internal/control/persist.go
+++ b/internal/control/persist.go
@@ -38,6 +38,7 @@
 	HardState consensus.HardState
 	Snapshot  consensus.Snapshot
 	Entries   []consensus.Entry
+	Format    int // of the log on disk
 }
 
 // appendEntry appends an entry. It replaces an entry with the same index and all that follow.
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -12,6 +12,7 @@
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/payload"
 	"kitetiller/internal/quota"
+	"kitetiller/internal/storage"
 )
 
 // Config holds the settings of a replica.
@@ -121,6 +122,7 @@
 	if err := config.Level.CheckSupports(replica.machine.highestLevel(restored.Entries)); err != nil {
 		return nil, err
 	}
+	replica.checkpointDue = replica.machine.logFormat() > max(restored.Format, storage.FirstFormat)
 	replica.applied = restored.Snapshot.Meta.Index
 	replica.appliedTerm = restored.Snapshot.Meta.Term
 	replica.node = consensus.New(
@@ -281,7 +283,7 @@
 	if r.checkpointDue {
 		r.checkpointDue = false
 		persist.MayPostpone = r.ready.Snapshot == nil
-		persist.Checkpoint = &Checkpoint{HardState: r.hardState, Snapshot: r.snapshot, Entries: r.node.EntriesAfter(r.snapshot.Meta.Index)}
+		persist.Checkpoint = &Checkpoint{HardState: r.hardState, Snapshot: r.snapshot, Entries: r.node.EntriesAfter(r.snapshot.Meta.Index), Format: r.machine.logFormat()}
 	}
 	return persist
 }
@@ -328,9 +330,11 @@
 }
 
 func (r *Replica) installSnapshot(now time.Duration, snapshot consensus.Snapshot) {
+	format := r.machine.logFormat()
 	if err := r.machine.Restore(snapshot.Data); err != nil {
 		panic("control: failed to decode the snapshot received from the leader: " + err.Error())
 	}
+	r.checkpointDue = r.checkpointDue || r.machine.logFormat() != format
 	r.applied, r.appliedTerm = snapshot.Meta.Index, snapshot.Meta.Term
 	r.appliedBytes, r.appliedCost, r.snapshotWanted = 0, 0, false
 	r.recordSnapshotOrders(now)
@@ -352,7 +356,9 @@
 			command.Catalog.UnixMS = command.UnixMS
 			result.Catalog = r.applyCatalog(now, *command.Catalog)
 		} else {
+			format := r.machine.logFormat()
 			result = r.machine.Apply(entry.Index, entry.Term, command)
+			r.checkpointDue = r.checkpointDue || r.machine.logFormat() != format // before the first entry of the new format
 		}
 	}
 	proposal, found := r.pending[entry.Index]
--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -88,6 +88,7 @@
 	if err != nil {
 		return nil, identity, Checkpoint{}, err
 	}
+	restored.Format = log.Format()
 	return &Disk{log: log}, identity, restored, nil
 }
 
@@ -113,7 +114,7 @@
 // of the Persist was written then. After an error the content on disk is unknown.
 func (d *Disk) Write(persist Persist) (checkpointed bool, err error) {
 	if persist.Checkpoint != nil {
-		err := d.log.Checkpoint(checkpointRecords(*persist.Checkpoint))
+		err := d.log.Checkpoint(max(persist.Checkpoint.Format, storage.FirstFormat), checkpointRecords(*persist.Checkpoint))
 		if err == nil || !persist.MayPostpone || !errors.Is(err, storage.ErrNotReplaced) {
 			return err == nil, err
 		}
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -20,8 +20,12 @@
 	"github.com/rotisserie/eris"
 )
 
-// FormatVersion is the version of the segment format that this code writes. Open rejects segments of a newer version.
-const FormatVersion = 1
+// Versions of the format of a segment's records. The storage format is the same in all; the callers' records differ. Open
+// rejects segments of a version above LatestFormat.
+const (
+	FirstFormat  = 1
+	LatestFormat = 2
+)
 
 // Kind is the type of a record. All values except KindHeader are defined by the caller.
 type Kind uint8
@@ -74,6 +78,7 @@
 	file     File
 	sequence uint64
 	size     int64
+	format   int // of the newest segment
 	pending  []byte
 }
 
@@ -189,7 +194,7 @@
 
 func (l *Log) createFirstSegment() error {
 	l.sequence = 1
-	return l.writeSegment(l.sequence, func(func(Record) bool) {})
+	return l.writeSegment(l.sequence, FirstFormat, func(func(Record) bool) {})
 }
 
 // readSegment passes the records after the header to visit and returns the length of the valid data in bytes.
@@ -229,9 +234,10 @@
 	if err := json.Unmarshal(data, &decoded); err != nil || decoded.Magic != magic {
 		return eris.Wrapf(ErrForeign, "%s was not written by this program", path)
 	}
-	if decoded.Format > FormatVersion {
-		return eris.Wrapf(ErrNewerFormat, "%s has format %d, this program reads up to %d; start the newer program", path, decoded.Format, FormatVersion)
+	if decoded.Format > LatestFormat {
+		return eris.Wrapf(ErrNewerFormat, "%s has format %d, this program reads up to %d; start the newer program", path, decoded.Format, LatestFormat)
 	}
+	l.format = decoded.Format
 	if decoded.Owner != l.owner {
 		return eris.Wrapf(ErrForeign, "%s belongs to %q, not to %q", path, decoded.Owner, l.owner)
 	}
@@ -293,14 +299,14 @@
 	return eris.Wrapf(l.file.Sync(), "sync %s", l.segmentPath(l.sequence))
 }
 
-// Checkpoint starts a new segment with the given records, which replace all earlier ones, and deletes the
+// Checkpoint starts a new segment of a format with the given records, which replace all earlier ones, and deletes the
 // older segments once the new one is durable. Until then both take space.
-func (l *Log) Checkpoint(records iter.Seq[Record]) error {
+func (l *Log) Checkpoint(format int, records iter.Seq[Record]) error {
 	if err := l.Sync(); err != nil {
 		return err
 	}
 	previous, oldFile := l.sequence, l.file
-	if err := l.writeSegment(previous+1, records); err != nil {
+	if err := l.writeSegment(previous+1, format, records); err != nil {
 		return err
 	}
 	if err := oldFile.Close(); err != nil {
@@ -315,10 +321,10 @@
 }
 
 // writeSegment writes a segment and opens it for appending. It fails with ErrNotReplaced if nothing has changed.
-func (l *Log) writeSegment(sequence uint64, records iter.Seq[Record]) error {
+func (l *Log) writeSegment(sequence uint64, format int, records iter.Seq[Record]) error {
 	path := l.segmentPath(sequence)
 	temporary := path + temporarySuffix
-	size, err := l.writeTemporary(temporary, sequence, records)
+	size, err := l.writeTemporary(temporary, header{Magic: magic, Format: format, Owner: l.owner, Sequence: sequence}, records)
 	if err == nil {
 		err = eris.Wrapf(l.files.Rename(temporary, path), "rename %s", temporary)
 	}
@@ -329,13 +335,13 @@
 	if err := l.files.SyncDir(l.folder); err != nil {
 		return eris.Wrapf(err, "sync %s", l.folder)
 	}
-	l.sequence, l.size = sequence, size
+	l.sequence, l.size, l.format = sequence, size, format
 	return l.reopenNewest()
 }
 
 // writeTemporary writes and syncs the content of a segment and returns its size. It buffers little of it.
-func (l *Log) writeTemporary(path string, sequence uint64, records iter.Seq[Record]) (size int64, err error) {
-	encodedHeader, err := json.Marshal(header{Magic: magic, Format: FormatVersion, Owner: l.owner, Sequence: sequence})
+func (l *Log) writeTemporary(path string, first header, records iter.Seq[Record]) (size int64, err error) {
+	encodedHeader, err := json.Marshal(first)
 	if err != nil {
 		return 0, eris.Wrap(err, "encode segment header")
 	}
@@ -367,6 +373,9 @@
 	return size, eris.Wrapf(err, "write %s", path)
 }
 
+// Format returns the format of the newest segment.
+func (l *Log) Format() int { return l.format }
+
 // Size returns the size of the newest segment in bytes.
 func (l *Log) Size() int64 { return l.size }
 
--- a/internal/storage/log_test.go
+++ b/internal/storage/log_test.go
@@ -144,7 +144,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := log.Checkpoint(slices.Values([]Record{record("state")})); err != nil {
+	if err := log.Checkpoint(FirstFormat, slices.Values([]Record{record("state")})); err != nil {
 		t.Fatal(err)
 	}
 	log.Append(record("after"))
@@ -186,7 +186,7 @@
 				if len(pending) > 0 {
 					t.Skip("a checkpoint follows a sync")
 				}
-				if err := log.Checkpoint(slices.Values([]Record{record("state")})); err != nil {
+				if err := log.Checkpoint(FirstFormat, slices.Values([]Record{record("state")})); err != nil {
 					t.Fatal(err)
 				}
 				durable = []string{"state"}
--- a/internal/storage/nospace_test.go
+++ b/internal/storage/nospace_test.go
@@ -70,7 +70,7 @@
 				files.FailOperation(rapid.IntRange(-1, 7).Draw(t, "operations"))
 				count++
 				state := "state" + string(rune('a'+count%26))
-				err := log.Checkpoint(slices.Values([]storage.Record{record(state)}))
+				err := log.Checkpoint(storage.FirstFormat, slices.Values([]storage.Record{record(state)}))
 				switch {
 				case err == nil:
 					durable = []string{state}
@@ -103,13 +103,13 @@
 		t.Fatalf("%d records read back, %d were synced", len(held), len(synced))
 	}
 	state := strings.Repeat("s", limit)
-	if err := log.Checkpoint(slices.Values([]storage.Record{record(state)})); !errors.Is(err, storage.ErrNotReplaced) {
+	if err := log.Checkpoint(storage.FirstFormat, slices.Values([]storage.Record{record(state)})); !errors.Is(err, storage.ErrNotReplaced) {
 		t.Fatalf("a checkpoint without room: error %v, want ErrNotReplaced", err)
 	}
 	if left, _ := filepath.Glob(filepath.Join(folder, "*.tmp")); len(left) > 0 {
 		t.Fatalf("%v was left on a full disk", left)
 	}
-	if err := log.Checkpoint(slices.Values([]storage.Record{record("small")})); err != nil {
+	if err := log.Checkpoint(storage.FirstFormat, slices.Values([]storage.Record{record("small")})); err != nil {
 		t.Fatalf("a checkpoint that fits: %v", err)
 	}
 	log.Append(record("after"))
