--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -398,7 +398,8 @@
 			if err != nil {
 				return err
 			}
-			if !checkpointed && persist.Checkpoint != nil {
+			if persist.Checkpoint != nil && !checkpointed {
+				persist.Checkpoint = nil
 				s.replica.PostponeCheckpoint(s.now())
 				s.log.Warn(events.CheckpointPostponed, zap.Int64("segment_bytes", s.disk.Size()))
 			}
@@ -407,7 +408,7 @@
 			s.syncs.Count.Add(1)
 			s.syncs.Nanoseconds.Add(uint64(took))
 			s.replica.ObserveStorage(s.disk.Size())
-			s.recordUsage(persist, took)
+			s.recordUsage(persist.Checkpoint, took)
 		}
 		s.send(s.replica.Advance(s.now()))
 		if s.now() >= due || len(s.inputs) > 0 && s.replica.Node().HasUndelivered() {
--- a/internal/control/usage.go
+++ b/internal/control/usage.go
@@ -18,16 +18,16 @@
 	storageFailures atomic.Uint64 // writes that failed
 }
 
-// recordUsage updates the gauges after a write, and logs a checkpoint.
-func (s *Server) recordUsage(persist Persist, took time.Duration) {
+// recordUsage updates the gauges after a write, and logs a checkpoint that was written.
+func (s *Server) recordUsage(checkpoint *Checkpoint, took time.Duration) {
 	s.usage.segment.Store(s.disk.Size())
 	s.usage.entries.Store(int64(s.replica.node.LogBytes()))
 	s.usage.snapshot.Store(int64(len(s.replica.snapshot.Data)))
-	if persist.Checkpoint == nil {
+	if checkpoint == nil {
 		return
 	}
 	s.usage.checkpoints.Add(1)
-	s.log.Info(events.CheckpointWritten, zap.Uint64("index", persist.Checkpoint.Snapshot.Meta.Index), zap.Int("entries", len(persist.Checkpoint.Entries)),
-		zap.Int("snapshot_bytes", len(persist.Checkpoint.Snapshot.Data)), zap.Int64("segment_bytes", s.disk.Size()),
+	s.log.Info(events.CheckpointWritten, zap.Uint64("index", checkpoint.Snapshot.Meta.Index), zap.Int("entries", len(checkpoint.Entries)),
+		zap.Int("snapshot_bytes", len(checkpoint.Snapshot.Data)), zap.Int64("segment_bytes", s.disk.Size()),
 		zap.Int("entry_bytes", s.replica.node.LogBytes()), zap.Duration(events.FieldElapsed, took))
 }
