--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -102,7 +102,7 @@
 	checkpointAt   time.Duration                 // when a postponed checkpoint is tried again; 0 if none is
 	startedAt      time.Duration                 // when the replica was restored
 	segmentBytes   int64                         // size of the log on disk after the last write
-	snapshotWanted bool                          // a change was rejected until the log is shorter
+	snapshotWanted bool                          // a snapshot is due whatever the size of the log
 	stopErr        error                         // why the replica has stopped, or nil
 }
 
--- a/internal/lab/sim/control.go
+++ b/internal/lab/sim/control.go
@@ -179,7 +179,7 @@
 	delay := max(n.w.between(500*time.Microsecond, 6*time.Millisecond), n.diskStalledUntil-n.w.now())
 	n.after(delay, func() {
 		if n.isFull() {
-			n.failWrite(persist)
+			n.failWrite()
 			return
 		}
 		n.store(persist)
--- a/internal/lab/sim/storage.go
+++ b/internal/lab/sim/storage.go
@@ -82,10 +82,8 @@
 	n.diskFullUntil = max(n.diskFullUntil, w.now()+length)
 }
 
-// failWrite fails a write on a full disk. The replica is restored from the disk after a pause, as control does.
-func (n *controlNode) failWrite(persist control.Persist) {
-	n.storePartially(persist)
-	n.syncing = nil
+// failWrite fails the write in progress on a full disk. The replica is restored from the disk after a pause, as control does.
+func (n *controlNode) failWrite() {
 	n.crash(false)
 	n.keepBuild = true
 	n.w.restartControl(n, storageRetryDelay)
