Soak: deployments of other shapes, loss of power of all machines, several lost data folders, and times to restoration

The soak had three control processes, one lost data folder a run and killed processes only. A plan now states a shape (control processes, votes, zones, workers with limits of connections, rate, bound of the restoration, links without the proxy), and has the kinds power-off, roll-control, cut-zone and replace-control. Lost folders are bounded by what the shape tolerates, and chosen by lot, leader, last acknowledgement or age.

The proxy looks at the descriptors of all processes once for all connections opened before, not once for each.

--- /dev/null
+++ b/internal/lab/soak/outage.go
@@ -0,0 +1,251 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Aim is how the control processes that lose their data folders are chosen.
+type Aim string
+
+// Aims. All but AimAny prefer processes with a vote, which the loss of the folder takes from the group.
+const (
+	AimTarget Aim = ""       // those from the fault's target on
+	AimAny    Aim = "any"    // at random
+	AimLeader Aim = "leader" // the leader first
+	AimAcked  Aim = "acked"  // first the one that acknowledged the newest configuration
+	AimOldest Aim = "oldest" // those that have kept their folders for longest
+)
+
+// Aims lists all aims.
+func Aims() []Aim { return []Aim{AimTarget, AimAny, AimLeader, AimAcked, AimOldest} }
+
+// Disks bounds how many data folders are lost at once. It is safe for concurrent use; a nil *Disks permits no loss.
+type Disks struct {
+	tolerated int
+	catchUp   time.Duration
+
+	mu      sync.Mutex
+	lost    map[*Process]time.Time // when the loss is made up for; far in the future while the process is down; guarded by mu
+	created map[*Process]time.Time // when the process got its folder; zero at the start of the run; guarded by mu
+}
+
+// NewDisks returns a Disks that permits the loss of some data folders at once. A loss counts until catchUp after the
+// process is back.
+func NewDisks(tolerated int, catchUp time.Duration) *Disks {
+	return &Disks{tolerated: tolerated, catchUp: catchUp, lost: map[*Process]time.Time{}, created: map[*Process]time.Time{}}
+}
+
+// farFuture is later than the end of any run.
+const farFuture = 24 * time.Hour
+
+// take returns the first of the candidates whose folders may be lost now, at most count, and records their loss.
+func (d *Disks) take(candidates []*Process, count int) []*Process {
+	if d == nil {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	free := d.tolerated
+	for _, until := range d.lost {
+		if until.After(now) {
+			free--
+		}
+	}
+	var taken []*Process
+	for _, p := range candidates {
+		if len(taken) >= min(count, free) {
+			break
+		}
+		if p.DataDir != "" && !d.lost[p].After(now) {
+			taken = append(taken, p)
+			d.lost[p] = now.Add(farFuture)
+		}
+	}
+	return taken
+}
+
+// recordReturn records that processes are back with empty folders.
+func (d *Disks) recordReturn(processes []*Process) {
+	if d == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range processes {
+		d.lost[p], d.created[p] = time.Now().Add(d.catchUp), time.Now()
+	}
+}
+
+// delayRepairs records the end of a fault that kept lost folders from being made up for: their time begins again.
+func (d *Disks) delayRepairs() {
+	if d == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for p, until := range d.lost {
+		if until.After(now) && until.Before(now.Add(farFuture/2)) {
+			d.lost[p] = now.Add(d.catchUp)
+		}
+	}
+}
+
+// byAge sorts processes by how long they have kept their folders, longest first.
+func (d *Disks) byAge(processes []*Process) {
+	if d == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	slices.SortStableFunc(processes, func(a, b *Process) int { return d.created[a].Compare(d.created[b]) })
+}
+
+// candidates returns the control processes in the order in which a fault takes their folders.
+func (f *Fleet) candidates(fault Fault) []*Process {
+	order := slices.Clone(f.Control)
+	first := fault.Target % len(order)
+	switch fault.Aim {
+	case AimTarget:
+		return append(order[first:], f.Control[:first]...)
+	case AimLeader:
+		first = f.Leader()
+	case AimAcked:
+		first = f.LastAcknowledged()
+	}
+	random := rand.New(rand.NewPCG(uint64(fault.Target), uint64(fault.AtMS)))
+	random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	if fault.Aim == AimAny {
+		return order
+	}
+	voters := f.voters()
+	slices.SortStableFunc(order, func(a, b *Process) int { return boolOrder(voters[a.Name], voters[b.Name]) })
+	if fault.Aim == AimOldest {
+		f.Disks.byAge(order)
+		return order
+	}
+	slices.SortStableFunc(order, func(a, b *Process) int { return boolOrder(a == f.Control[first], b == f.Control[first]) })
+	return order
+}
+
+// boolOrder compares for an order in which true comes first.
+func boolOrder(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
+// voters returns the names of the control processes with a vote; none if they aren't known.
+func (f *Fleet) voters() map[string]bool {
+	if f.Voters == nil {
+		return nil
+	}
+	return f.Voters()
+}
+
+// wipe kills control processes and removes their data folders before they restart.
+func (f *Fleet) wipe(ctx context.Context, fault Fault, duration time.Duration) {
+	struck := f.Disks.take(f.candidates(fault), max(1, fault.Disks))
+	f.removeFolders(struck)
+	Sleep(ctx, duration)
+	startAll(struck)
+	f.Disks.recordReturn(struck)
+}
+
+// replace takes the machine of a control process away for good. The process starts again on another one without data, and
+// the addresses that processes are configured with stay as they are.
+func (f *Fleet) replace(ctx context.Context, fault Fault, duration time.Duration) {
+	struck := f.Disks.take(f.candidates(fault), 1)
+	stopAll(syscall.SIGKILL, struck)
+	for _, p := range struck {
+		f.Replace(p)
+	}
+	Sleep(ctx, duration)
+	startAll(struck)
+	f.Disks.recordReturn(struck)
+}
+
+// powerOff makes all machines lose power at once. Some control processes come back without their data folders.
+func (f *Fleet) powerOff(ctx context.Context, fault Fault, duration time.Duration) {
+	struck := f.Disks.take(f.candidates(fault), fault.Disks)
+	all := f.allProcesses()
+	names := make([]string, len(all))
+	for i, p := range all {
+		names[i] = p.Name
+	}
+	f.Proxy.CutPower(names...)
+	stopAll(syscall.SIGKILL, all)
+	f.removeFolders(struck)
+	Sleep(ctx, duration)
+	f.Proxy.RestorePower(names...)
+	startAll(all)
+	f.Disks.recordReturn(struck)
+	f.OnReturn(fault)
+}
+
+// removeFolders kills processes and removes their data folders. A process whose folder can't be removed keeps its data,
+// which breaks no guarantee.
+func (f *Fleet) removeFolders(processes []*Process) {
+	stopAll(syscall.SIGKILL, processes)
+	for _, p := range processes {
+		_ = os.RemoveAll(p.DataDir)
+		if f.OnWipe != nil {
+			f.OnWipe(p)
+		}
+	}
+}
+
+func stopAll(signal syscall.Signal, processes []*Process) {
+	var stops sync.WaitGroup
+	for _, p := range processes {
+		stops.Go(func() { p.Stop(signal) })
+	}
+	stops.Wait()
+}
+
+// startAll starts processes. A failed start shows up as violations.
+func startAll(processes []*Process) {
+	for _, p := range processes {
+		_ = p.Start()
+	}
+}
+
+// roll stops and starts the control processes one after the other within a duration.
+func (f *Fleet) roll(ctx context.Context, duration time.Duration) {
+	pause := duration / time.Duration(len(f.Control))
+	for _, p := range f.Control {
+		p.Stop(syscall.SIGTERM)
+		_ = p.Start()
+		if !Sleep(ctx, pause) {
+			return
+		}
+	}
+}
+
+// linksOfZone returns the links between the processes of a zone and all others, in both directions.
+func (f *Fleet) linksOfZone(target int) []Link {
+	zone := f.Zone(f.Control[target%len(f.Control)].Name)
+	var links []Link
+	for _, inside := range f.allProcesses() {
+		if f.Zone(inside.Name) != zone {
+			continue
+		}
+		for _, outside := range f.allProcesses() {
+			if f.Zone(outside.Name) != zone {
+				links = append(links, Link{inside.Name, outside.Name}, Link{outside.Name, inside.Name})
+			}
+		}
+	}
+	return links
+}
--- /dev/null
+++ b/internal/lab/soak/outageplan.go
@@ -0,0 +1,77 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// firstOutage is when the first fault of an outage plan begins. Faults begin up to maxOutageGap after each other, so that
+	// some strike while others last or are being repaired.
+	firstOutage      = 6 * time.Second
+	maxOutageGap     = 5 * time.Second
+	maxOutage        = 3 * time.Second
+	minOutageFaults  = 2
+	maxOutageFaults  = 6
+	maxDark          = 3 * time.Second
+	minDark          = 500 * time.Millisecond
+	largeOutageRatio = 0.3 // share of plans with large documents
+	// restoredTime is how long traffic goes on after service must be back.
+	restoredTime = 4 * time.Second
+)
+
+// GenerateOutages returns a random plan for a shape: faults of control processes in a row, then a loss of power of all
+// machines, in which data folders may be lost. The same seed yields the same plan.
+func GenerateOutages(seed uint64, gateways int, shape Shape) Plan {
+	random := rand.New(rand.NewPCG(seed, seed))
+	plan := Plan{Seed: seed, Gateways: gateways, Shape: shape, NewIDs: random.IntN(2) == 0}
+	between := func(low, high time.Duration) time.Duration {
+		return low + time.Duration(random.Int64N(int64(high-low)))
+	}
+	add := func(at, length time.Duration, kind Kind, disks int) {
+		plan.Faults = append(plan.Faults, Fault{
+			AtMS: at.Milliseconds(), ForMS: length.Milliseconds(), Kind: kind, Target: random.IntN(64), Disks: disks, Aim: Aims()[random.IntN(len(Aims()))],
+		})
+	}
+	disks := func() int { return random.IntN(max(1, shape.Tolerated) + 1) }
+	kinds := outageKinds(shape)
+	at := firstOutage
+	if random.Float64() < largeOutageRatio {
+		add(firstOutage/2, maxOutageGap, LargeDocuments, 0)
+	}
+	for range minOutageFaults + random.IntN(maxOutageFaults-minOutageFaults+1) {
+		kind := kinds[random.IntN(len(kinds))]
+		length := between(minDark, maxOutage)
+		if kind.StopsAll() {
+			length = between(minDark, maxDark)
+		}
+		lost := 0
+		if kind == PowerOff || kind == WipeControl {
+			lost = disks()
+		}
+		add(at, length, kind, lost)
+		at += between(0, maxOutageGap)
+	}
+	last := at + between(0, maxOutageGap)
+	add(last, between(minDark, maxDark), PowerOff, disks())
+	plan.LengthMS = (lastEnd(plan.Faults) + shape.Recover() + restoredTime).Milliseconds()
+	return plan
+}
+
+// outageKinds lists the kinds that GenerateOutages draws from, those that lose data most often.
+func outageKinds(shape Shape) []Kind {
+	kinds := []Kind{WipeControl, WipeControl, WipeControl, ReplaceControl, ReplaceControl, KillControl, PauseLeader, RollControl, KillAll, PowerOff}
+	if !shape.Direct {
+		kinds = append(kinds, CutZone, CutLeader, ResetControl)
+	}
+	return kinds
+}
+
+// lastEnd returns when the last of the faults has healed.
+func lastEnd(faults []Fault) time.Duration {
+	last := time.Duration(0)
+	for _, fault := range faults {
+		last = max(last, fault.End())
+	}
+	return last
+}
--- a/internal/lab/soak/owner.go
+++ b/internal/lab/soak/owner.go
@@ -6,13 +6,31 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
+	"sync"
 
 	"golang.org/x/sys/unix"
 )
 
+// Owners finds out which process opened a connection. It asks the kernel, so the processes need no knowledge of the
+// proxy. It is safe for concurrent use.
+type Owners struct {
+	processes []*Process
+
+	mu      sync.Mutex
+	sockets map[string]string // names of processes, by socket as in /proc/PID/fd; guarded by mu
+}
+
+// NewOwners returns the owners of connections of the given processes.
+func NewOwners(processes []*Process) *Owners { return &Owners{processes: processes} }
+
+// Owner is the same for a single connection.
+func Owner(processes []*Process, conn net.Conn) string { return NewOwners(processes).Owner(conn) }
+
 // Owner returns the name of the process that owns the remote end of a loopback connection accepted by this process, or
-// "" if none of the given processes does. It asks the kernel, so the processes need no knowledge of the proxy.
-func Owner(processes []*Process, conn net.Conn) string {
+// "" if none does. One look at the descriptors of all processes serves all connections that were opened before it, since
+// a fleet that starts opens thousands at once.
+func (o *Owners) Owner(conn net.Conn) string {
 	remote, local := endpointOf(conn.RemoteAddr()), endpointOf(conn.LocalAddr())
 	if remote == nil || local == nil {
 		return ""
@@ -22,12 +40,18 @@
 		return ""
 	}
 	socket := "socket:[" + strconv.FormatUint(uint64(inode), 10) + "]"
-	for _, p := range processes {
-		if pid := p.PID(); pid > 0 && hasSocketOpen(pid, socket) {
-			return p.Name
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if owner, known := o.sockets[socket]; known {
+		return owner
+	}
+	o.sockets = map[string]string{}
+	for _, p := range o.processes {
+		if pid := p.PID(); pid > 0 {
+			addSockets(o.sockets, pid, p.Name)
 		}
 	}
-	return ""
+	return o.sockets[socket]
 }
 
 // endpoint is an IPv4 address and port of a socket in network byte order, as used by the kernel.
@@ -106,17 +130,16 @@
 	return request
 }
 
-// hasSocketOpen reports whether a process has a socket open, given as in its /proc/PID/fd links ("socket:[inode]").
-func hasSocketOpen(pid int, socket string) bool {
+// addSockets adds the open sockets of a process to owners, as in its /proc/PID/fd links ("socket:[inode]").
+func addSockets(owners map[string]string, pid int, name string) {
 	dir := filepath.Join("/proc", strconv.Itoa(pid), "fd")
 	entries, err := os.ReadDir(dir)
 	if err != nil {
-		return false // the process has exited
+		return // the process has exited
 	}
 	for _, entry := range entries {
-		if target, err := os.Readlink(filepath.Join(dir, entry.Name())); err == nil && target == socket {
-			return true
+		if target, err := os.Readlink(filepath.Join(dir, entry.Name())); err == nil && strings.HasPrefix(target, "socket:") {
+			owners[target] = name
 		}
 	}
-	return false
 }
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -45,11 +45,18 @@
 	MixVersions      Kind = "mix-versions"    // half of the engines are replaced, one after the other, by a new software version
 	IsolateGateway   Kind = "isolate-gateway" // from all control processes and gateways; workers and callers reach it
 	LargeDocuments   Kind = "large-documents" // the settings document grows by many routes and changes in quick succession
-	WipeControl      Kind = "wipe-control"    // a control process is killed and loses its data folder; once a run
+	WipeControl      Kind = "wipe-control"    // control processes are killed and lose their data folders, as many as the plan tolerates
+	PowerOff         Kind = "power-off"       // all machines lose power, and some control processes their data folders
+	RollControl      Kind = "roll-control"    // control processes are stopped and started, one after the other
+	CutZone          Kind = "cut-zone"        // the control processes and gateways of a zone from all others
+	ReplaceControl   Kind = "replace-control" // a control process is gone for good, another one starts at a new address without data
 )
 
-// Kinds lists all kinds in a fixed order, which the choice from a seed depends on.
-func Kinds() []Kind {
+// Kinds lists all kinds.
+func Kinds() []Kind { return append(drawnKinds(), PowerOff, RollControl, CutZone, ReplaceControl) }
+
+// drawnKinds lists the kinds that Generate draws, in a fixed order, which the choice from a seed depends on.
+func drawnKinds() []Kind {
 	return []Kind{
 		KillGateway, PauseGateway, StopGateway, KillControl, PauseLeader, KillAll, CutLeader, CutOneWay, CutGateway, DelayLinks, ResetLinks, ResetControl,
 		KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, FatalRequest, ForgedHeartbeats,
@@ -77,6 +84,18 @@
 	return false
 }
 
+// strikesControl reports whether a fault keeps control processes from replacing a lost data folder.
+func (k Kind) strikesControl() bool {
+	switch k {
+	case KillControl, PauseLeader, KillAll, CutLeader, CutOneWay, ResetControl, PowerOff, RollControl, CutZone:
+		return true
+	}
+	return false
+}
+
+// StopsAll reports whether a fault ends all processes of the system at once.
+func (k Kind) StopsAll() bool { return k == KillAll || k == PowerOff }
+
 // Partitions reports whether a fault separates gateways from all workers.
 func (k Kind) Partitions() bool {
 	switch k {
@@ -106,6 +125,10 @@
 	ForMS  int64 `json:"for_ms"`
 	Kind   Kind  `json:"kind"`
 	Target int   `json:"target"` // index of the process, worker or tenant, modulo their number
+	// Disks is the number of control processes that lose their data folders, and Aim how they are chosen. WipeControl
+	// without it strikes the process at Target.
+	Disks int `json:"disks,omitempty"`
+	Aim   Aim `json:"aim,omitempty"`
 }
 
 // At returns when the fault begins, from the start of traffic.
@@ -127,6 +150,8 @@
 	// gateways; 0 means the usual number. NewIDs means that engines have a new instance ID after each start.
 	LongStreams int  `json:"long_streams,omitempty"`
 	NewIDs      bool `json:"new_ids,omitempty"`
+	// Shape is the deployment that the plan is played on.
+	Shape Shape `json:"shape,omitzero"`
 }
 
 // Length returns how long traffic is sent.
@@ -147,7 +172,7 @@
 func Generate(seed uint64, length time.Duration) Plan {
 	random := rand.New(rand.NewPCG(seed, seed))
 	plan := Plan{Seed: seed, LengthMS: length.Milliseconds()}
-	kinds := Kinds()
+	kinds := drawnKinds()
 	for at := warmUp; at < length-recoveryPeriod; at += time.Duration(random.Int64N(int64(maxGap))) {
 		duration := 200*time.Millisecond + time.Duration(random.Int64N(int64(maxFaultDuration)))
 		duration = min(duration, length-recoveryPeriod-at+time.Second)
@@ -172,10 +197,13 @@
 		return plan, eris.Wrapf(err, "decode plan %s", path)
 	}
 	for i, fault := range plan.Faults {
-		if !slices.Contains(Kinds(), fault.Kind) || fault.AtMS < 0 || fault.ForMS < 0 || fault.Target < 0 {
-			return plan, eris.Errorf("%s: fault %d (%s) has an unknown kind or a negative value", path, i, fault.Kind)
+		if !slices.Contains(Kinds(), fault.Kind) || !slices.Contains(Aims(), fault.Aim) || fault.AtMS < 0 || fault.ForMS < 0 || fault.Target < 0 || fault.Disks < 0 {
+			return plan, eris.Errorf("%s: fault %d (%s) has an unknown kind or aim, or a negative value", path, i, fault.Kind)
 		}
 	}
+	if err := plan.Shape.validate(); err != nil {
+		return plan, eris.Wrap(err, path)
+	}
 	if plan.Gateways < 0 || plan.SmallSlots < 0 || plan.LongStreams < 0 {
 		return plan, eris.Errorf("%s: gateways, small_slots and long_streams must not be negative", path)
 	}
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -32,6 +32,15 @@
 	unexpectedExits int           // exits while shouldRun was set; guarded by mu
 }
 
+// Move makes the next start use other arguments, apart from the program, and another folder of lasting data. It must be
+// called while the process is stopped.
+func (p *Process) Move(args []string, dataDir string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Args = append([]string{p.Args[0]}, args...)
+	p.DataDir = dataDir
+}
+
 // Start starts the process unless it is running.
 func (p *Process) Start() error {
 	p.mu.Lock()
--- a/internal/lab/soak/promises.go
+++ b/internal/lab/soak/promises.go
@@ -89,6 +89,7 @@
 type Watcher struct {
 	Window          time.Duration // length of the windows in which tenant limits are checked
 	LimitSettleTime time.Duration // how long after a new limit was accepted the previous one may still apply
+	RecoverTime     time.Duration // how long after all processes have returned requests must be served again
 
 	mu         sync.Mutex
 	requests   map[string]*requestState // by request ID; guarded by mu
@@ -113,6 +114,9 @@
 	partitions   []partition          // guarded by mu
 	tries        map[string]*firstTry // by request ID; guarded by mu
 	versions     versionLog           // guarded by mu
+	stops        []stop               // guarded by mu
+	// How each request of a caller ended; guarded by mu.
+	requestOutcomes []Outcome
 }
 
 // interval is a closed time interval.
@@ -243,6 +247,7 @@
 	w.checkPartitions()
 	w.checkFatalParts()
 	w.checkTakeUps()
+	w.checkRestorations()
 	if w.expectRecovery && (len(w.served) == 0 || float64(servedCount) < minServedFraction*float64(len(w.served))) {
 		w.addViolation(ServiceRecovers, "%d of %d requests were served after all faults had healed", servedCount, len(w.served))
 	}
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -29,6 +29,7 @@
 	blocked    map[Link]int              // number of active Block calls; guarded by mu
 	refused    map[Link]int              // number of active Refuse calls; guarded by mu
 	delays     map[Link]time.Duration    // guarded by mu
+	dark       map[string]bool           // processes whose machines have no power; guarded by mu
 	conns      map[*proxiedConn]struct{} // guarded by mu
 	listeners  []net.Listener            // guarded by mu
 	goroutines sync.WaitGroup
@@ -39,12 +40,13 @@
 type proxiedConn struct {
 	from, to  string
 	near, far net.Conn
+	orphaned  bool // a machine at one end lost power, so the other end hears nothing; guarded by the proxy's mu
 }
 
 // NewProxy returns a proxy; owner returns the name of the process that opened an accepted connection, or "".
 func NewProxy(owner func(net.Conn) string) *Proxy {
 	return &Proxy{
-		owner: owner, blocked: map[Link]int{}, refused: map[Link]int{}, delays: map[Link]time.Duration{}, conns: map[*proxiedConn]struct{}{}, done: make(chan struct{}),
+		owner: owner, blocked: map[Link]int{}, refused: map[Link]int{}, delays: map[Link]time.Duration{}, dark: map[string]bool{}, conns: map[*proxiedConn]struct{}{}, done: make(chan struct{}),
 	}
 }
 
@@ -77,7 +79,7 @@
 		abort(near)
 		return
 	}
-	if !p.waitForLink(Link{from, to}) || !p.waitForLink(Link{to, from}) {
+	if !p.waitForLink(Link{from, to}) || !p.waitForLink(Link{to, from}) || !p.waitForPower(to) {
 		return
 	}
 	far, err := net.DialTimeout("tcp", target, dialTimeout)
@@ -90,8 +92,8 @@
 	p.conns[c] = struct{}{}
 	p.mu.Unlock()
 	var directions sync.WaitGroup
-	directions.Go(func() { p.copyDirection(near, far, Link{from, to}) })
-	directions.Go(func() { p.copyDirection(far, near, Link{to, from}) })
+	directions.Go(func() { p.copyDirection(c, near, far, Link{from, to}) })
+	directions.Go(func() { p.copyDirection(c, far, near, Link{to, from}) })
 	directions.Wait()
 	p.mu.Lock()
 	delete(p.conns, c)
@@ -100,10 +102,20 @@
 
 // copyDirection copies data from one connection to the other and propagates how it ends: EOF as a half-close, errors as
 // a reset.
-func (p *Proxy) copyDirection(from, to net.Conn, link Link) {
+func (p *Proxy) copyDirection(c *proxiedConn, from, to net.Conn, link Link) {
 	buffer := make([]byte, copyBufferSize)
 	for {
 		count, err := from.Read(buffer)
+		if p.isOrphaned(c) {
+			if err != nil {
+				return // the other end is not told
+			}
+			if !p.isDark(link.From) && !p.isDark(link.To) {
+				abort(from) // the receiver doesn't know the connection any more
+				return
+			}
+			continue
+		}
 		if count > 0 && p.waitForLink(link) {
 			if _, writeErr := to.Write(buffer[:count]); writeErr != nil {
 				_ = from.Close()
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"os"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -39,7 +37,20 @@
 	// SendFatalPart sends requests that share a part of their prompts which crashes each worker.
 	SendFatalPart func(ctx context.Context, target int, duration time.Duration)
 
-	wiped atomic.Bool // a data folder was lost in this run
+	// Disks tracks the data folders that control processes have lost. A nil Disks tolerates one loss a run.
+	Disks *Disks
+	// LastAcknowledged returns the index in Control of the process that acknowledged the newest configuration.
+	LastAcknowledged func() int
+	// Voters returns the names of the control processes with a vote; none if no leader answers.
+	Voters func() map[string]bool
+	// Replace moves a control process to another machine with a new address.
+	Replace func(p *Process)
+	// OnWipe is called when a process has lost its data folder, before it starts again.
+	OnWipe func(p *Process)
+	// OnReturn is called when all processes have been started again after a fault that stopped all.
+	OnReturn func(Fault)
+	// Zone returns the zone of a process.
+	Zone func(name string) string
 }
 
 // linkDelay is the delay that DelayLinks adds to each link.
@@ -73,6 +84,9 @@
 // inject applies a fault, waits for its duration and reverts it.
 func (f *Fleet) inject(ctx context.Context, fault Fault) {
 	duration := time.Duration(fault.ForMS) * time.Millisecond
+	if fault.Kind.strikesControl() {
+		defer f.Disks.delayRepairs()
+	}
 	gateway := f.Gateways[fault.Target%len(f.Gateways)]
 	switch fault.Kind {
 	case KillGateway:
@@ -83,6 +97,15 @@
 		f.stopFor(ctx, duration, syscall.SIGKILL, f.Control[fault.Target%len(f.Control)])
 	case KillAll:
 		f.stopFor(ctx, duration, syscall.SIGKILL, f.allProcesses()...)
+		f.OnReturn(fault)
+	case PowerOff:
+		f.powerOff(ctx, fault, duration)
+	case ReplaceControl:
+		f.replace(ctx, fault, duration)
+	case RollControl:
+		f.roll(ctx, duration)
+	case CutZone:
+		f.block(ctx, duration, f.linksOfZone(fault.Target))
 	case PauseGateway:
 		f.pause(ctx, duration, gateway)
 	case PauseLeader:
@@ -116,7 +139,7 @@
 	case LargeDocuments:
 		f.SendLargeDocuments(ctx, fault.Target, duration)
 	case WipeControl:
-		f.wipe(ctx, duration, f.Control[fault.Target%len(f.Control)])
+		f.wipe(ctx, fault, duration)
 	case Reload:
 		for _, p := range f.allProcesses() {
 			p.Signal(syscall.SIGHUP)
@@ -186,27 +209,9 @@
 
 // stopFor stops processes for a time. With overlapping faults, a process restarts when the first of them heals.
 func (f *Fleet) stopFor(ctx context.Context, duration time.Duration, signal syscall.Signal, processes ...*Process) {
-	var stops sync.WaitGroup
-	for _, p := range processes {
-		stops.Go(func() { p.Stop(signal) })
-	}
-	stops.Wait()
-	Sleep(ctx, duration)
-	for _, p := range processes {
-		_ = p.Start() // a failed start shows up as violations
-	}
-}
-
-// wipe kills a process and removes its data folder before it restarts. Only the first call in a run has an effect: the group
-// need not bear that a second folder is lost before the first one is replaced, which other faults may delay.
-func (f *Fleet) wipe(ctx context.Context, duration time.Duration, p *Process) {
-	if p.DataDir == "" || !f.wiped.CompareAndSwap(false, true) {
-		return
-	}
-	p.Stop(syscall.SIGKILL)
-	_ = os.RemoveAll(p.DataDir) // the process keeps its data then, which breaks no guarantee
+	stopAll(signal, processes)
 	Sleep(ctx, duration)
-	_ = p.Start()
+	startAll(processes)
 }
 
 func (f *Fleet) pause(ctx context.Context, duration time.Duration, p *Process) {
--- /dev/null
+++ b/internal/lab/soak/shape.go
@@ -0,0 +1,69 @@
+package soak
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Shape is the deployment that a plan is played on. Zero fields select the usual fleet.
+type Shape struct {
+	Control      int     `json:"control,omitempty"`       // control processes
+	Tolerated    int     `json:"tolerated,omitempty"`     // data folders that may be lost at once; the group has 2*Tolerated+1 voters
+	Zones        int     `json:"zones,omitempty"`         // over which all processes are spread
+	Engines      int     `json:"engines,omitempty"`       // workers of the engines' service
+	SmallWorkers int     `json:"small_workers,omitempty"` // workers of the small service
+	Connections  int     `json:"connections,omitempty"`   // that a worker accepts; it resets those beyond. 0: any number
+	Rate         float64 `json:"rate,omitempty"`          // requests per second of each tenant
+	// RecoverMS is how long after the end of the last fault requests must be served again.
+	RecoverMS int64 `json:"recover_ms,omitempty"`
+	// CatchUpMS is how long after its return a control process that lost its data folder counts as lost.
+	CatchUpMS int64 `json:"catch_up_ms,omitempty"`
+	// Direct makes processes connect to each other without the proxy. Faults of links have no effect then.
+	Direct bool `json:"direct,omitempty"`
+	// LoseUnsynced makes control processes lose what they have not synced when they are killed.
+	LoseUnsynced bool `json:"lose_unsynced,omitempty"`
+}
+
+// usualRecoverTime is how long after the last fault requests must be served again in shapes that don't say.
+const usualRecoverTime = 10 * time.Second
+
+// ReadShape reads a shape from a file, or returns the usual one for plans of outages if path is "".
+func ReadShape(path string) (Shape, error) {
+	shape := Shape{Control: 3, Tolerated: 1, Zones: 3, RecoverMS: usualRecoverTime.Milliseconds(), CatchUpMS: 4000}
+	if path == "" {
+		return shape, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Shape{}, eris.Wrap(err, "read shape")
+	}
+	shape = Shape{}
+	if err := json.Unmarshal(text, &shape); err != nil {
+		return Shape{}, eris.Wrapf(err, "decode shape %s", path)
+	}
+	return shape, eris.Wrap(shape.validate(), path)
+}
+
+// Recover returns how long after the end of the last fault requests must be served again, or 0 for the usual time.
+func (s Shape) Recover() time.Duration { return time.Duration(s.RecoverMS) * time.Millisecond }
+
+// CatchUp returns how long after its return a control process that lost its data folder counts as lost.
+func (s Shape) CatchUp() time.Duration { return time.Duration(s.CatchUpMS) * time.Millisecond }
+
+func (s Shape) validate() error {
+	for _, count := range []int{s.Control, s.Tolerated, s.Zones, s.Engines, s.SmallWorkers, s.Connections, int(s.RecoverMS), int(s.CatchUpMS)} {
+		if count < 0 {
+			return eris.New("the shape has a negative number")
+		}
+	}
+	if s.Rate < 0 {
+		return eris.New("rate must not be negative")
+	}
+	if s.Control > 0 && s.Control < 2*s.Tolerated+1 {
+		return eris.Errorf("%d control processes cannot tolerate the loss of %d data folders", s.Control, s.Tolerated)
+	}
+	return nil
+}
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -282,7 +282,10 @@
 	}
 	inode := socketInode(endpointOf(accepted.RemoteAddr()), endpointOf(accepted.LocalAddr()))
 	socket := fmt.Sprintf("socket:[%d]", inode)
-	if inode == 0 || !hasSocketOpen(os.Getpid(), socket) || hasSocketOpen(p.PID(), socket) {
+	own, others := map[string]string{}, map[string]string{}
+	addSockets(own, os.Getpid(), "test")
+	addSockets(others, p.PID(), "child")
+	if inode == 0 || own[socket] != "test" || others[socket] != "" {
 		t.Fatalf("%s is not found, or not open in the test process only", socket)
 	}
 	if other := socketInode(endpointOf(dialed.RemoteAddr()), endpointOf(dialed.LocalAddr())); other == 0 || other == inode {
