Control: the leader announces the group to seeds that it doesn't hear from

What callers saw: after a loss of power, 503 no-document at every gateway, for good, although a leader was elected 0.5 s after the machines were back (real processes, 8 control processes, 5 votes; two lost disks, all other machines dark).

Cause: a process without data finds the group only by asking its seeds whether they have state. If one of the three seeds has moved to another address and the two others lose their disks, which is what the group has to bear, no seed has state, so the empty replicas never join and gateways that start learn of nobody. The group itself is complete enough: 3 of 5 votes.

Change: the leader sends the addresses of the group with a hello to each configured seed at which no member replies, every 250 ms; a replica without state joins there, and never creates a group then. Why it holds: the seeds are the places where lost processes look and are looked for, and the members know the same seeds. Seeds that arrive by SIGHUP are now used for joining too, not only for requests. Discovery has a file of its own.

--- /dev/null
+++ b/internal/control/discovery.go
@@ -0,0 +1,179 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/consensus"
+	"kitetiller/internal/events"
+	"kitetiller/internal/transport"
+)
+
+// A replica with an empty data folder finds its group in two ways: it asks the configured seeds whether they have state, and
+// the leader announces the group to seeds that it doesn't hear from. Without the announcements, a group whose seeds have
+// all lost their data or moved could not be found by anyone, since only the seeds' addresses are configured.
+
+// announceInterval is the interval at which the leader announces the group to seeds that it doesn't hear from.
+const announceInterval = 250 * time.Millisecond
+
+// Hello asks a replica whether it has state. From a leader, it also states where the group is.
+type Hello struct {
+	Members []string `json:"members,omitempty"` // internal addresses of the group
+}
+
+// HelloReply tells whether the answering replica has state.
+type HelloReply struct {
+	HasState bool `json:"has_state"`
+}
+
+// seeds returns the configured internal addresses of replicas.
+func (s *Server) seeds() []string { return *s.seedAddresses.Load() }
+
+// UseSeeds replaces the configured addresses of replicas.
+func (s *Server) UseSeeds(addresses []string) {
+	s.seedAddresses.Store(&addresses)
+	s.group.SetAddresses(addresses)
+}
+
+// handleHello answers a hello. A replica without state uses the addresses in it to join.
+func (s *Server) handleHello(hello Hello, respond transport.Respond) {
+	hasState := s.replica.Node().LastIndex() > 0
+	if !hasState && len(hello.Members) > 0 {
+		s.announced.Store(&hello.Members)
+	}
+	respond(http.StatusOK, HelloReply{HasState: hasState})
+}
+
+// announceGroup announces the group to the seeds that the leader doesn't hear from, while this replica leads.
+func (s *Server) announceGroup(ctx context.Context) {
+	transport.Every(ctx, announceInterval, func() {
+		var silent []string
+		var hello Hello
+		s.queryReplica(func(replica *Replica) bool {
+			silent, hello = replica.silentSeeds(s.now(), s.seeds()), Hello{Members: replica.addresses()}
+			return true
+		})
+		for _, address := range silent {
+			attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+			err := s.client.Post(attempt, address, PathHello, hello, nil)
+			cancel()
+			if err != nil {
+				s.log.Debug("failed to announce the group to a seed", zap.String("seed", address), zap.Error(err))
+			}
+		}
+	})
+}
+
+// silentSeeds returns the seeds at which no member of the group replies to this leader, or none if this replica doesn't lead.
+func (r *Replica) silentSeeds(now time.Duration, seeds []string) []string {
+	if r.leader == nil {
+		return nil
+	}
+	heard := map[string]bool{r.config.Address: true}
+	for _, peer := range r.node.Peers() {
+		if member, found := r.node.Membership().Find(peer.ID); found && now-peer.LastReplyAt <= presenceTimeout {
+			heard[member.Address] = true
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(seeds), func(address string) bool { return heard[address] })
+}
+
+// joinOrCreateGroup joins a replica with an empty data folder to an existing group, as a learner. If there is none, it
+// creates a group, provided that this replica is the first initial member and all others have answered that they have
+// no state.
+func (s *Server) joinOrCreateGroup(ctx context.Context) {
+	for {
+		groupExists, othersEmpty := s.findGroup(ctx)
+		switch {
+		case groupExists && s.tryJoin(ctx):
+			return
+		case !groupExists && othersEmpty && !s.file.Control.JoinOnly && s.file.Control.Founders[0] == s.file.Control.InternalAddress:
+			s.inputs <- input{createGroup: true}
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(joinInterval):
+		}
+	}
+}
+
+// findGroup asks the seeds whether a group exists. othersEmpty reports whether all of them have answered that they have no
+// state. A group that was announced exists, whatever the seeds would answer.
+func (s *Server) findGroup(ctx context.Context) (groupExists, othersEmpty bool) {
+	if members := s.announced.Load(); members != nil {
+		s.group.SetAddresses(*members)
+		return true, false
+	}
+	othersEmpty = true
+	for _, address := range s.seeds() {
+		if address == s.file.Control.InternalAddress {
+			continue
+		}
+		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+		var reply HelloReply
+		err := s.client.Post(attempt, address, PathHello, Hello{}, &reply)
+		cancel()
+		groupExists = groupExists || (err == nil && reply.HasState)
+		othersEmpty = othersEmpty && err == nil && !reply.HasState
+	}
+	return groupExists, othersEmpty
+}
+
+// tryJoin asks the leader to add this replica as a learner and reports whether it succeeded.
+func (s *Server) tryJoin(ctx context.Context) bool {
+	attempt, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	self := consensus.Member{ID: s.identity.Load().ID, Name: s.identity.Load().Name, Address: s.file.Control.InternalAddress}
+	_, err := s.group.Ask(attempt, Request{Join: &self})
+	if err != nil {
+		s.log.Info("failed to join the control group, retrying", zap.Error(err))
+		return false
+	}
+	s.log.Info(events.GroupJoined)
+	return true
+}
+
+// rejoinWhileLeaderless asks to join as a learner while this replica knows no leader, since the group may have replaced
+// it during an outage. The request has no effect for a member.
+func (s *Server) rejoinWhileLeaderless(ctx context.Context) {
+	transport.Every(ctx, rejoinInterval, func() {
+		if s.hasStateWithoutLeader() {
+			s.tryJoin(ctx)
+		}
+	})
+}
+
+// hasStateWithoutLeader reports whether this replica has state but knows no leader.
+func (s *Server) hasStateWithoutLeader() bool {
+	return s.queryReplica(func(replica *Replica) bool {
+		return replica.Node().LastIndex() > 0 && replica.Node().LeaderSilent(s.now())
+	})
+}
+
+// createGroup makes this replica the first voter of a new group.
+func (s *Server) createGroup() {
+	if s.replica.Node().LastIndex() > 0 {
+		return
+	}
+	self := consensus.Member{ID: s.identity.Load().ID, Name: s.identity.Load().Name, Address: s.file.Control.InternalAddress}
+	state := BootstrapState(self)
+	if _, err := s.disk.Write(Persist{Checkpoint: &state}); err != nil {
+		s.log.Error(events.StorageFailed, zap.Error(err))
+		time.AfterFunc(rejoinInterval, func() { s.submit(input{createGroup: true}) }) // the folder is still empty
+		return
+	}
+	replica, err := NewReplica(s.config, state, s.now())
+	if err != nil {
+		s.fatal <- err
+		return
+	}
+	replica.readOffers = s.replica.readOffers
+	s.replica = replica
+	s.log.Info(events.GroupCreated)
+}
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -81,9 +81,6 @@
 	return found
 }
 
-// UseSeeds replaces the addresses used until the members of the group are known.
-func (s *Server) UseSeeds(addresses []string) { s.group.SetAddresses(addresses) }
-
 // Ask sends a request to the leader and retries until it is answered or ctx ends.
 func (s *Server) Ask(ctx context.Context, request Request) (Response, error) {
 	return s.group.Ask(ctx, request)
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -8,8 +8,6 @@
 	"go.uber.org/zap"
 
 	"kitetiller/internal/consensus"
-	"kitetiller/internal/events"
-	"kitetiller/internal/transport"
 )
 
 // enqueue queues a message for a peer. It drops the message if the queue is full; the protocol retransmits it.
@@ -82,93 +80,3 @@
 		cancel()
 	}
 }
-
-// joinOrCreateGroup joins a replica with an empty data folder to an existing group, as a learner. If there is none, it
-// creates a group, provided that this replica is the first initial member and all others have answered that they have
-// no state.
-func (s *Server) joinOrCreateGroup(ctx context.Context) {
-	for {
-		groupExists, othersEmpty := s.probeInitialMembers(ctx)
-		switch {
-		case groupExists && s.tryJoin(ctx):
-			return
-		case !groupExists && othersEmpty && !s.file.Control.JoinOnly && s.file.Control.Founders[0] == s.file.Control.InternalAddress:
-			s.inputs <- input{createGroup: true}
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(joinInterval):
-		}
-	}
-}
-
-func (s *Server) probeInitialMembers(ctx context.Context) (groupExists, othersEmpty bool) {
-	othersEmpty = true
-	for _, address := range s.file.Control.Founders {
-		if address == s.file.Control.InternalAddress {
-			continue
-		}
-		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-		var reply HelloReply
-		err := s.client.Post(attempt, address, PathHello, struct{}{}, &reply)
-		cancel()
-		groupExists = groupExists || (err == nil && reply.HasState)
-		othersEmpty = othersEmpty && err == nil && !reply.HasState
-	}
-	return groupExists, othersEmpty
-}
-
-// tryJoin asks the leader to add this replica as a learner and reports whether it succeeded.
-func (s *Server) tryJoin(ctx context.Context) bool {
-	attempt, cancel := context.WithTimeout(ctx, sendTimeout)
-	defer cancel()
-	self := consensus.Member{ID: s.identity.Load().ID, Name: s.identity.Load().Name, Address: s.file.Control.InternalAddress}
-	_, err := s.group.Ask(attempt, Request{Join: &self})
-	if err != nil {
-		s.log.Info("failed to join the control group, retrying", zap.Error(err))
-		return false
-	}
-	s.log.Info(events.GroupJoined)
-	return true
-}
-
-// rejoinWhileLeaderless asks to join as a learner while this replica knows no leader, since the group may have replaced
-// it during an outage. The request has no effect for a member.
-func (s *Server) rejoinWhileLeaderless(ctx context.Context) {
-	transport.Every(ctx, rejoinInterval, func() {
-		if s.hasStateWithoutLeader() {
-			s.tryJoin(ctx)
-		}
-	})
-}
-
-// hasStateWithoutLeader reports whether this replica has state but knows no leader.
-func (s *Server) hasStateWithoutLeader() bool {
-	return s.queryReplica(func(replica *Replica) bool {
-		return replica.Node().LastIndex() > 0 && replica.Node().LeaderSilent(s.now())
-	})
-}
-
-// createGroup makes this replica the first voter of a new group.
-func (s *Server) createGroup() {
-	if s.replica.Node().LastIndex() > 0 {
-		return
-	}
-	self := consensus.Member{ID: s.identity.Load().ID, Name: s.identity.Load().Name, Address: s.file.Control.InternalAddress}
-	state := BootstrapState(self)
-	if _, err := s.disk.Write(Persist{Checkpoint: &state}); err != nil {
-		s.log.Error(events.StorageFailed, zap.Error(err))
-		time.AfterFunc(rejoinInterval, func() { s.submit(input{createGroup: true}) }) // the folder is still empty
-		return
-	}
-	replica, err := NewReplica(s.config, state, s.now())
-	if err != nil {
-		s.fatal <- err
-		return
-	}
-	replica.readOffers = s.replica.readOffers
-	s.replica = replica
-	s.log.Info(events.GroupCreated)
-}
--- a/internal/control/reopen.go
+++ b/internal/control/reopen.go
@@ -120,6 +120,6 @@
 	case item.request != nil:
 		item.respond(http.StatusOK, Response{Kind: ResponseNoQuorum})
 	case item.hello != nil:
-		item.hello(http.StatusOK, HelloReply{HasState: true})
+		item.hello.respond(http.StatusOK, HelloReply{HasState: true})
 	}
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -49,7 +49,7 @@
 	request     *Request
 	respond     transport.Respond
 	report      *EngineReport
-	hello       transport.Respond
+	hello       *helloInput
 	createGroup bool
 	inspect     func(*Replica)
 	weights     *WeightsResult
@@ -66,9 +66,10 @@
 	cause  string       // why the request failed
 }
 
-// HelloReply tells a replica with an empty data folder whether the answering replica already has state.
-type HelloReply struct {
-	HasState bool `json:"has_state"`
+// helloInput is a hello from another replica.
+type helloInput struct {
+	hello   Hello
+	respond transport.Respond
 }
 
 // Server runs a Replica. One goroutine owns the replica and its disk, since nothing may be sent before it is synced;
@@ -95,6 +96,8 @@
 	client          *transport.Client
 	group           *Client
 	driver          Driver
+	seedAddresses   atomic.Pointer[[]string] // configured internal addresses of replicas
+	announced       atomic.Pointer[[]string] // addresses of the group that a leader announced; nil if none has, or this replica had state
 	weightsCalls    chan queuedCall
 	heartbeats      heartbeatBatcher
 
@@ -133,6 +136,7 @@
 		clients:    map[uint64]transport.Respond{}, senderAddresses: map[consensus.ID]string{}, links: links, outboxes: map[consensus.ID]chan consensus.Message{},
 		client: transport.NewClientWithDialTimeout(file.ClusterToken, links, file.Control.Heartbeat), fatal: make(chan error, 1),
 	}
+	server.seedAddresses.Store(&file.Control.Founders)
 	server.group = NewClient(server.client, file.Control.Founders)
 	if err := server.restoreWhenPossible(ctx); err != nil {
 		return nil, err
@@ -181,6 +185,7 @@
 	workers.Go(func() { s.forwardHeartbeats(run) })
 	workers.Go(func() { s.refreshMembership(run) })
 	workers.Go(func() { s.rejoinWhileLeaderless(run) })
+	workers.Go(func() { s.announceGroup(run) })
 	if !hasState {
 		workers.Go(func() { s.joinOrCreateGroup(run) })
 	}
@@ -214,7 +219,8 @@
 		item.request, item.respond = &Request{}, respond
 		err = json.Unmarshal(request.Body, item.request)
 	case PathHello:
-		item.hello = respond
+		item.hello = &helloInput{respond: respond}
+		err = json.Unmarshal(request.Body, &item.hello.hello)
 	default:
 		respond(http.StatusNotFound, nil)
 		return
@@ -333,7 +339,7 @@
 		s.clients[s.nextID] = item.respond
 		s.replica.Handle(now, s.nextID, *item.request)
 	case item.hello != nil:
-		item.hello(http.StatusOK, HelloReply{HasState: s.replica.Node().LastIndex() > 0})
+		s.handleHello(item.hello.hello, item.hello.respond)
 	case item.report != nil:
 		s.replica.ObserveEngineReport(now, *item.report)
 	case item.weights != nil:
