Transport: a late reply is read and dropped, and keeps its connection

What callers saw: 503 limit-unknown at all gateways for good after a loss of power, although control led and confirmed the views, where messages to control take 50 ms each way.

Cause: giving up on a request of HTTP/1.1 closes its connection. A peer that replies late, because of load or a long path, then gets a new connection for each late reply, the next reply is later by the time to connect, and the state never ends: 150 ms for a lease are enough on an open connection and not on a new one. Class: a time limit whose expiry makes the next attempt slower.

Change: a request goes on for up to 2 s after its caller has stopped waiting, 32 of them a client at the most, and its reply is dropped. Why it holds: the number of connections no longer depends on how late replies are.

Ceasing to wait is not a cancellation at the peer, before or after: it runs what it has read. TestLateRepliesKeepTheirConnections fails before (2 connections for 2 requests).

--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -20,12 +21,19 @@
 	maxErrorExcerpt = 200
 	encodingHeader  = "Content-Encoding"
 	acceptHeader    = "Accept-Encoding"
+	// lateReplyTimeout is how long a request goes on after its caller has stopped waiting, and maxLateReplies how many of a
+	// client do.
+	lateReplyTimeout = 2 * time.Second
+	maxLateReplies   = 32
 )
 
-// Client sends JSON requests to other processes.
+// Client sends JSON requests to other processes. It reads a reply that comes after the caller has stopped waiting, and drops
+// it: giving up on a request of HTTP/1.1 closes its connection, and a peer that replies late because of load would get
+// the load of new connections in addition.
 type Client struct {
 	http  *http.Client
 	token string
+	late  atomic.Int64 // requests whose callers have stopped waiting
 }
 
 // NewClient returns a client whose connections pass through links. Client itself compresses long request bodies and
@@ -98,8 +106,10 @@
 
 func (c *Client) do(ctx context.Context, method, address, path string, body []byte, reply any) error {
 	body, encoding := payload.Compress(body)
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	exchange, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	request, err := http.NewRequestWithContext(exchange, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
+		cancel()
 		return eris.Wrap(err, "create request")
 	}
 	request.Header.Set(acceptHeader, payload.Gzip)
@@ -109,20 +119,59 @@
 	if c.token != "" {
 		request.Header.Set("Authorization", bearerPrefix+c.token)
 	}
+	done := make(chan received, 1)
+	go func() {
+		defer cancel()
+		done <- c.exchange(request)
+	}()
+	select {
+	case r := <-done:
+		if r.err != nil || reply == nil {
+			return r.err
+		}
+		return eris.Wrapf(json.Unmarshal(r.data, reply), "decode response of %s", path)
+	case <-ctx.Done():
+		c.awaitLateReply(done, cancel)
+		return eris.Wrapf(ctx.Err(), "%s %s", method, path)
+	}
+}
+
+// received is the body of a response with status 200, or an error.
+type received struct {
+	data []byte
+	err  error
+}
+
+// exchange sends a request and reads the whole response.
+func (c *Client) exchange(request *http.Request) received {
 	response, err := c.http.Do(request)
 	if err != nil {
-		return eris.Wrapf(err, "%s %s", method, path)
+		return received{err: eris.Wrapf(err, "%s %s", request.Method, request.URL.Path)}
 	}
 	defer response.Body.Close()
 	data, err := payload.Decompress(response.Body, response.Header.Get(encodingHeader), maxMessageBytes)
 	if err != nil {
-		return eris.Wrapf(err, "read response of %s", path)
+		return received{err: eris.Wrapf(err, "read response of %s", request.URL.Path)}
 	}
 	if response.StatusCode != http.StatusOK {
-		return &StatusError{Status: response.StatusCode, Body: data}
+		return received{err: &StatusError{Status: response.StatusCode, Body: data}}
 	}
-	if reply == nil {
-		return nil
+	return received{data: data}
+}
+
+// awaitLateReply lets a request whose caller has stopped waiting go on for a while, and then cancels it.
+func (c *Client) awaitLateReply(done <-chan received, cancel context.CancelFunc) {
+	if c.late.Add(1) > maxLateReplies {
+		c.late.Add(-1)
+		cancel()
+		return
 	}
-	return eris.Wrapf(json.Unmarshal(data, reply), "decode response of %s", path)
+	go func() {
+		defer c.late.Add(-1)
+		defer cancel()
+		select {
+		case <-done:
+		case <-time.After(lateReplyTimeout):
+		}
+	}()
 }
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -209,3 +210,51 @@
 		}
 	}
 }
+
+// TestLateRepliesKeepTheirConnections guards against a new connection for each reply that comes after its caller has stopped
+// waiting, which keeps a peer that is slow because of load from ever replying in time.
+func TestLateRepliesKeepTheirConnections(t *testing.T) {
+	release := make(chan struct{})
+	address := startServer(t, func(request Request, respond Respond) {
+		go func() {
+			<-release
+			respond(http.StatusOK, message{})
+		}()
+	})
+	var dialed atomic.Int64
+	client := NewClientWithDialer("token", func(ctx context.Context, network, address string) (net.Conn, error) {
+		dialed.Add(1)
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	if err := client.Post(ctx, address, "/late", message{}, nil); !errors.Is(err, context.Canceled) {
+		t.Fatalf("request whose caller stopped waiting: %v, want its context's error", err)
+	}
+	close(release)
+	for client.late.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := client.Post(t.Context(), address, "/next", message{}, nil); err != nil {
+		t.Fatal(err)
+	}
+	if count := dialed.Load(); count != 1 {
+		t.Fatalf("%d connections for two requests one after the other, want 1", count)
+	}
+}
+
+// TestLateRepliesAreBounded checks that a client doesn't await any number of late replies.
+func TestLateRepliesAreBounded(t *testing.T) {
+	address := startServer(t, func(Request, Respond) {}) // never replies
+	client := NewClient("token", nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	var calls sync.WaitGroup
+	for range 2 * maxLateReplies {
+		calls.Go(func() { _ = client.Post(ctx, address, "/never", message{}, nil) })
+	}
+	time.AfterFunc(50*time.Millisecond, cancel)
+	calls.Wait()
+	if late := client.late.Load(); late > maxLateReplies {
+		t.Fatalf("%d requests go on, want %d at the most", late, maxLateReplies)
+	}
+}
