--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -29,6 +29,7 @@
 	blocked    map[Link]int              // number of active Block calls; guarded by mu
 	refused    map[Link]int              // number of active Refuse calls; guarded by mu
 	delays     map[Link]time.Duration    // guarded by mu
+	slow       map[string]time.Duration  // delays of all links of a process; guarded by mu
 	dark       map[string]bool           // processes whose machines have no power; guarded by mu
 	conns      map[*proxiedConn]struct{} // guarded by mu
 	listeners  []net.Listener            // guarded by mu
@@ -46,7 +47,7 @@
 // NewProxy returns a proxy; owner returns the name of the process that opened an accepted connection, or "".
 func NewProxy(owner func(net.Conn) string) *Proxy {
 	return &Proxy{
-		owner: owner, blocked: map[Link]int{}, refused: map[Link]int{}, delays: map[Link]time.Duration{}, dark: map[string]bool{}, conns: map[*proxiedConn]struct{}{}, done: make(chan struct{}),
+		owner: owner, blocked: map[Link]int{}, refused: map[Link]int{}, delays: map[Link]time.Duration{}, slow: map[string]time.Duration{}, dark: map[string]bool{}, conns: map[*proxiedConn]struct{}{}, done: make(chan struct{}),
 	}
 }
 
@@ -146,7 +147,7 @@
 // it is blocked.
 func (p *Proxy) waitForLink(link Link) bool {
 	p.mu.Lock()
-	delay := p.delays[link]
+	delay := max(p.delays[link], p.slow[link.From], p.slow[link.To])
 	p.mu.Unlock()
 	if delay > 0 {
 		time.Sleep(delay)
@@ -207,6 +208,13 @@
 	p.delays[link] = delay
 }
 
+// DelayProcess sets the delay added to each chunk of data from and to a process; 0 removes it.
+func (p *Proxy) DelayProcess(name string, delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.slow[name] = delay
+}
+
 // Reset resets all connections between two processes, whichever opened them.
 func (p *Proxy) Reset(a, b string) {
 	p.mu.Lock()
--- a/internal/lab/soak/shape.go
+++ b/internal/lab/soak/shape.go
@@ -23,6 +23,8 @@
 	CatchUpMS int64 `json:"catch_up_ms,omitempty"`
 	// Direct makes processes connect to each other without the proxy. Faults of links have no effect then.
 	Direct bool `json:"direct,omitempty"`
+	// ControlDelayMS is the delay of each message from and to a control process.
+	ControlDelayMS int64 `json:"control_delay_ms,omitempty"`
 	// LoseUnsynced makes control processes lose what they have not synced when they are killed.
 	LoseUnsynced bool `json:"lose_unsynced,omitempty"`
 }
@@ -50,11 +52,16 @@
 // Recover returns how long after the end of the last fault requests must be served again, or 0 for the usual time.
 func (s Shape) Recover() time.Duration { return time.Duration(s.RecoverMS) * time.Millisecond }
 
+// ControlDelay returns the delay of each message from and to a control process.
+func (s Shape) ControlDelay() time.Duration {
+	return time.Duration(s.ControlDelayMS) * time.Millisecond
+}
+
 // CatchUp returns how long after its return a control process that lost its data folder counts as lost.
 func (s Shape) CatchUp() time.Duration { return time.Duration(s.CatchUpMS) * time.Millisecond }
 
 func (s Shape) validate() error {
-	for _, count := range []int{s.Control, s.Tolerated, s.Zones, s.Engines, s.SmallWorkers, s.Connections, int(s.RecoverMS), int(s.CatchUpMS)} {
+	for _, count := range []int{s.Control, s.Tolerated, s.Zones, s.Engines, s.SmallWorkers, s.Connections, int(s.RecoverMS), int(s.CatchUpMS), int(s.ControlDelayMS)} {
 		if count < 0 {
 			return eris.New("the shape has a negative number")
 		}
