Gateways and control: time from the start to each stage of service, as metrics and one log line

Nothing told what a fleet was waiting for after a restart: refusals are counted by reason since the start of the process, without the moment of the first reply of control, of the first confirmed view, lease and answer, or of a leader. These are now kitetiller_gateway_startup_seconds and kitetiller_control_startup_seconds by stage, and the lines 'gateway serving' and 'leader known'.

--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -11,6 +11,7 @@
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "kitetiller_control_" + name, Help: help}, value)
 	}
 	registry.MustRegister(
+		s.startup,
 		gauge("leads", "1 while this replica leads.", func() float64 {
 			if s.leading() {
 				return 1
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -80,6 +80,7 @@
 	identity        atomic.Pointer[Identity]
 	disk            *Disk
 	replica         *Replica
+	startup         *node.Startup
 	wasLeader       bool        // last logged leadership; owned by runReplica
 	loggedLevel     level.Level // last logged level in force; owned by runReplica
 	relayFailing    bool        // the last relay request failed; owned by runReplica
@@ -130,7 +131,7 @@
 func newServerOn(ctx context.Context, files storage.FileSystem, file *node.File, log *zap.Logger) (*Server, error) {
 	links := transport.WatchLinkFile(ctx, file.LinkFile, file.Zone)
 	server := &Server{
-		file: file, log: log, files: files, reopenDelay: minReopenDelay,
+		file: file, log: log, files: files, startup: newStartup(), reopenDelay: minReopenDelay,
 		now: clock.NewSource(nil), inputs: make(chan input, inputCapacity), engineCalls: make(chan EngineCall, callCapacity), weightsCalls: make(chan queuedCall, callCapacity),
 		heartbeats: heartbeatBatcher{acked: map[string]ackedHeartbeat{}, wake: make(chan struct{}, 1)},
 		clients:    map[uint64]transport.Respond{}, senderAddresses: map[consensus.ID]string{}, links: links, outboxes: map[consensus.ID]chan consensus.Message{},
@@ -141,6 +142,7 @@
 	if err := server.restoreWhenPossible(ctx); err != nil {
 		return nil, err
 	}
+	server.startup.Record(stageRestored, server.now())
 	server.log = log.With(zap.String("replica", string(server.identity.Load().ID)))
 	return server, nil
 }
@@ -279,6 +281,7 @@
 			s.fatal <- err
 			return
 		}
+		s.recordStartup()
 		s.logLeadershipChange()
 		s.logLevelChange()
 		s.logLimitChanges()
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -5,6 +5,7 @@
 // Events of gateways.
 const (
 	GatewayStarted           = "gateway started"
+	GatewayServing           = "gateway serving" // the first request was answered
 	GatewayStopping          = "gateway stopping"
 	GatewayStopped           = "gateway stopped"
 	DocumentApplied          = "document taken"
@@ -49,6 +50,7 @@
 	GroupJoined         = "control group joined"
 	LeadershipWon       = "leadership won"
 	LevelRaised         = "level raised"
+	LeaderKnown         = "leader known" // this replica follows a leader, or leads, for the first time since its start
 	LeadershipLost      = "leadership lost"
 	CheckpointPostponed = "checkpoint postponed" // it did not fit on the disk; the log goes on
 	StorageFailed       = "data folder failed"   // it is opened again after a pause
--- a/internal/gateway/final.go
+++ b/internal/gateway/final.go
@@ -107,6 +107,9 @@
 	fields = append(fields, x.copyFields()...)
 	x.gateway.log.info(event, fields...)
 	x.gateway.metrics.recordOutcome(event, reason)
+	if event == events.RequestAnswered {
+		x.gateway.recordStage(stageAnswer)
+	}
 }
 
 // missedObjective reports whether the response, or the first event of a stream, took longer than the route's objective,
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -33,6 +33,7 @@
 			continue
 		}
 		failures = 0
+		g.recordStage(stageControl)
 		roster = reply.Version
 		g.applyWatchReply(ctx, askedAt, reply)
 		if len(reply.Replicas) != replicas {
@@ -166,6 +167,7 @@
 	if g.view.Load() != nil {
 		g.confirmedAt.Store(int64(askedAt))
 		g.outage.end(g.now())
+		g.recordStage(stageView)
 		g.viewConfirmed.Notify()
 		g.log.recordReconnect()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,7 @@
 	streams       *registry.Registry // at which software versions streams began
 	viewProbe     viewProbe
 	rosterVersion atomic.Pointer[control.RosterVersion] // of the roster in use; nil before the first
+	startup       *node.Startup
 	relayAddress  atomic.Pointer[string]                // of the replica that answers watches for the leader; nil or "" if the leader does
 	metrics       *metrics
 }
@@ -115,6 +116,7 @@
 			return g.table.soleSoftware(g.now(), service)
 		},
 	})
+	g.startup = newStartup()
 	g.viewProbe = viewProbe{ask: g.askRosterVersion, reached: g.reachedRoster}
 	g.metrics = newMetrics(g)
 	return g
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -36,6 +36,7 @@
 	result := x.gateway.leases.Acquire(x.request.Context(), quota.Tenant(x.tenant.Name), cost, x.viewWait())
 	switch result.Outcome {
 	case desk.Granted:
+		x.gateway.recordStage(stageLease)
 		x.quotaLease = quotaLease{lease: result.Lease, acquired: true}
 		return true
 	case desk.LimitReached:
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -176,7 +176,7 @@
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "kitetiller_gateway_" + name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.recheckFailures, m.limitLeases, m.firstEvent, m.firstEventRatio, newQueueGauge(g), m.unknownHeaders, m.retries, m.cacheReadFailures, m.schedulerFailures, m.slotInvalid, m.uncachedTokens, m.cachedTokens, m.streamCopies, m.continuations, newBackoffGauge(g), newAdvertisedLimitGauge(g), newReservationMetrics(g), newSlotCollector(g),
+	m.registry.MustRegister(m.requests, m.attempts, m.recheckFailures, m.limitLeases, m.firstEvent, m.firstEventRatio, newQueueGauge(g), m.unknownHeaders, m.retries, m.cacheReadFailures, m.schedulerFailures, m.slotInvalid, m.uncachedTokens, m.cachedTokens, m.streamCopies, m.continuations, g.startup, newBackoffGauge(g), newAdvertisedLimitGauge(g), newReservationMetrics(g), newSlotCollector(g),
 		gauge("limit_questions_total", "Questions to the leader for amounts of what is limited.", func() float64 { sent, _ := g.leases.RequestCounts(); return float64(sent) }),
 		gauge("limit_questions_failed_total", "Such questions that got no answer.", func() float64 { _, failed := g.leases.RequestCounts(); return float64(failed) }),
 		gauge("suspected_requests", "Requests under which more than one back end ended, as control tells.", func() float64 { suspected, _ := g.quarantine.SuspectCounts(); return float64(suspected) }),
