--- a/cmd/kitelab/main.go
+++ b/cmd/kitelab/main.go
@@ -30,7 +30,7 @@
 	parser.DisableShowVersionWithVersion()
 	var commands []command
 	for _, define := range []func() command{
-		defineEngine, defineBackend, defineVault, defineWeights, definePlatform, defineFleetPlan, defineLoad, defineSim, defineBench, defineScale, defineAccount, defineSoak, defineMix,
+		defineEngine, defineBackend, defineVault, defineWeights, definePlatform, defineFleetPlan, defineLoad, defineSim, defineBench, defineScale, defineAccount, defineSoak, defineMix, defineUnsynced,
 	} {
 		commands = append(commands, define())
 	}
--- a/internal/control/discovery_test.go
+++ b/internal/control/discovery_test.go
@@ -28,7 +28,7 @@
 func (p *groupProcess) start(t *testing.T) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	server, err := newServerOn(ctx, storage.OperatingSystem, p.file, zap.NewNop())
+	server, err := NewServerOn(ctx, storage.OperatingSystem, p.file, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/control/reopen_test.go
+++ b/internal/control/reopen_test.go
@@ -27,7 +27,7 @@
 	address := listener.Addr().String()
 	_ = listener.Close()
 	ctx, cancel := context.WithCancel(context.Background())
-	server, err := newServerOn(ctx, files, &node.File{
+	server, err := NewServerOn(ctx, files, &node.File{
 		Name: "c1", Zone: "z", DataDir: filepath.Join(t.TempDir(), "data"),
 		Control: &node.Control{InternalAddress: address, Admin: "127.0.0.1:0", Founders: []string{address}, Replicas: 1, Heartbeat: 20 * time.Millisecond,
 			SettingsLease: time.Second, RepairAfter: time.Hour, SnapshotEvery: 5000, GatewayViewTTL: time.Second},
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -124,11 +124,11 @@
 
 // NewServer opens the data folder and restores the replica.
 func NewServer(ctx context.Context, file *node.File, log *zap.Logger) (*Server, error) {
-	return newServerOn(ctx, storage.OperatingSystem, file, log)
+	return NewServerOn(ctx, storage.OperatingSystem, file, log)
 }
 
-// newServerOn is like NewServer, with the log in the given file system.
-func newServerOn(ctx context.Context, files storage.FileSystem, file *node.File, log *zap.Logger) (*Server, error) {
+// NewServerOn is like NewServer, with the log in the given file system.
+func NewServerOn(ctx context.Context, files storage.FileSystem, file *node.File, log *zap.Logger) (*Server, error) {
 	links := transport.WatchLinkFile(ctx, file.LinkFile, file.Zone)
 	server := &Server{
 		file: file, log: log, files: files, startup: newStartup(), reopenDelay: minReopenDelay,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,7 +86,7 @@
 	viewProbe     viewProbe
 	rosterVersion atomic.Pointer[control.RosterVersion] // of the roster in use; nil before the first
 	startup       *node.Startup
-	relayAddress  atomic.Pointer[string]                // of the replica that answers watches for the leader; nil or "" if the leader does
+	relayAddress  atomic.Pointer[string] // of the replica that answers watches for the leader; nil or "" if the leader does
 	metrics       *metrics
 }
 
--- a/internal/lab/soak/shape.go
+++ b/internal/lab/soak/shape.go
@@ -21,6 +21,8 @@
 	RecoverMS int64 `json:"recover_ms,omitempty"`
 	// CatchUpMS is how long after its return a control process that lost its data folder counts as lost.
 	CatchUpMS int64 `json:"catch_up_ms,omitempty"`
+	// Unlimited means that tenants have no limits.
+	Unlimited bool `json:"unlimited,omitempty"`
 	// Direct makes processes connect to each other without the proxy. Faults of links have no effect then.
 	Direct bool `json:"direct,omitempty"`
 	// ControlDelayMS is the delay of each message from and to a control process.
