Gateways: answers without an end are cut in the head, an event and a body

What callers saw: the memory of a gateway grows, and other requests get 503 for lack of buffers, while a back end sends a status line, a header line, an event or the body of a failure without an end.

Cause: http.ReadResponse has no limit of its own; an event of short lines had none but the buffers that all requests share; a failure beyond the buffer was passed on to its caller without an end; and the connection of a rejection with a long body was used again with the rest of that body unread.

Change: 64 KiB for a head with the informational responses before it (gateways, tunnels, probes, and every HTTP transport to peers, control, stores and reports), 1 MiB for an event, the buffer for an unsigned failure and a rejection. Past it the connection is closed, the request goes on as after any broken answer, and the back end is avoided until it has restarted.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -27,6 +27,7 @@
 	}
 	x := a.exchange
 	info := x.gateway.dialect.ReadResponse(response.StatusCode, response.Header)
+	a.signed = info.Signed
 	a.handlePushback(response.StatusCode, info)
 	if x.call.ID != "" && info.ID != x.call.ID && !(info.NotRun && info.ID == "") {
 		return a.invalidResponse("response to another request")
@@ -65,16 +66,12 @@
 
 // readHead reads the head of the response, skipping informational ones.
 func (a *attempt) readHead() (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(a.conn.reader, &http.Request{Method: a.exchange.request.Method})
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			a.exchange.gateway.table.recordBytes(a.exchange.gateway.now(), a)
-			return response, nil
-		}
+	response, err := a.conn.readResponse(a.exchange.request.Method)
+	if err != nil {
+		return nil, err
 	}
+	a.exchange.gateway.table.recordBytes(a.exchange.gateway.now(), a)
+	return response, nil
 }
 
 // connectionFailed ends an attempt whose connection failed or was closed by its cancellation. It counts against the
@@ -82,6 +79,9 @@
 func (a *attempt) connectionFailed(err error) result {
 	_ = a.conn.Close()
 	cause := err.Error()
+	if isEndless(err) {
+		a.exchange.gateway.table.recordEndless(a.row)
+	}
 	switch {
 	case context.Cause(a.ctx) == errWeightsOutdated:
 		cause = causeWeightsOutdated
@@ -105,7 +105,11 @@
 func (a *attempt) rejected(response *http.Response, info ResponseInfo) result {
 	a.outcome = outcomeRejected
 	rejection := result{kind: resultNotRun, cause: response.Status, retryAfter: info.RetryAfter, backoff: info.Signals.Backoff}
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedResponse))
+	size, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedResponse+1))
+	if size > maxBufferedResponse {
+		a.exchange.gateway.table.recordEndless(a.row)
+		err = errEndlessBody // the rest of the body would be taken for the next response
+	}
 	a.releaseConnection(response, err)
 	return rejection
 }
@@ -131,15 +135,18 @@
 func (a *attempt) relayBuffered(response *http.Response) result {
 	x := a.exchange
 	length := response.ContentLength
+	unsignedFailure := !a.signed && response.StatusCode >= http.StatusMultipleChoices
 	if !bodyAllowed(x.request.Method, response.StatusCode) {
 		length = 0 // Content-Length describes a body that is not sent
 	}
-	if length > maxBufferedResponse {
+	if length > maxBufferedResponse && !unsignedFailure {
 		return a.relayUnbuffered(response, nil)
 	}
 	body, reserved, err := x.gateway.buffered.readBody(io.LimitReader(response.Body, maxBufferedResponse+1), length)
 	defer func() { x.gateway.buffered.release(reserved) }()
 	switch {
+	case unsignedFailure && len(body) > maxBufferedResponse:
+		return a.connectionFailed(errEndlessBody)
 	case errors.Is(err, errBufferLimit):
 		return a.relayUnbuffered(response, body) // only gives up the retry if the response breaks off
 	case err != nil:
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -88,6 +88,7 @@
 	silenceTimer     *time.Timer // cancels the attempt if the back end sends nothing; nil without a timeout
 	startTimer       *time.Timer // cancels the attempt at its start deadline; nil without one; guarded by the table's mutex
 	conn             *connection
+	signed           bool            // the response is signed by the back end
 	writeDone        chan error      // receives the result of writing the request
 	queued           queuedRequest   // in the queue of the back end, if this gateway placed the request itself
 	firstEventAt     time.Duration   // when the first event of this attempt was received; 0 before that
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"kitetiller/internal/clock"
+	"kitetiller/internal/transport"
 	"kitetiller/internal/tunnel"
 )
 
@@ -45,7 +46,8 @@
 // connection is a connection to a back end. It carries one request at a time.
 type connection struct {
 	net.Conn
-	reader           *bufio.Reader
+	head             *transport.HeadReader // limits the heads of responses
+	reader           *bufio.Reader         // on top of head
 	lastUsedAt       time.Duration
 	keepAliveTimeout time.Duration // announced by the back end; 0 if unknown
 	idleFor          time.Duration // idle time before the current request; 0 for a new connection
@@ -129,7 +131,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: dialed.Conn, reader: bufio.NewReaderSize(dialed.Conn, readBufferSize), peer: dialed.Peer}, nil
+	head := transport.NewHeadReader(dialed.Conn)
+	return &connection{Conn: dialed.Conn, head: head, reader: bufio.NewReaderSize(head, readBufferSize), peer: dialed.Peer}, nil
+}
+
+// readResponse reads the head of a response to a request with the given method, skipping informational ones.
+func (c *connection) readResponse(method string) (*http.Response, error) {
+	c.head.BeginHead()
+	defer c.head.EndHead()
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
 }
 
 // takeIdle removes and returns the most recently used idle connection of an instance, or nil.
--- /dev/null
+++ b/internal/gateway/endless.go
@@ -0,0 +1,29 @@
+package gateway
+
+import (
+	"errors"
+	"math"
+	"net/http"
+
+	"kitetiller/internal/transport"
+)
+
+var (
+	errEndlessBody  = errors.New("the response has a body that is too long for what it reports")
+	errEndlessEvent = errors.New("an event of the stream is too long")
+)
+
+// isEndless reports whether a back end sent more than any response of its kind has, which no end may follow.
+func isEndless(err error) bool {
+	return errors.Is(err, transport.ErrHeadTooLong) || errors.Is(err, http.ErrLineTooLong) || errors.Is(err, errEndlessBody) || errors.Is(err, errEndlessEvent)
+}
+
+// avoidedForLife is the end of the avoidance of a back end that is avoided until it has restarted.
+const avoidedForLife = math.MaxInt64
+
+// recordEndless records that a back end sends bytes without an end. Only its restart makes it usable like others.
+func (t *table) recordEndless(row *endpoint) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	row.avoidUntil = avoidedForLife
+}
--- a/internal/gateway/lifecheck.go
+++ b/internal/gateway/lifecheck.go
@@ -57,7 +57,7 @@
 	if _, err := io.WriteString(a.conn, question); err != nil {
 		return 0, eris.Wrap(err, "ask for the incarnation")
 	}
-	response, err := http.ReadResponse(a.conn.reader, nil)
+	response, err := a.conn.readResponse(http.MethodGet)
 	if err != nil {
 		return 0, eris.Wrap(err, "ask for the incarnation")
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,8 +11,10 @@
 
 const (
 	eventIDField = "id:"
-	// maxEventSize is the event size beyond which lines longer than the read buffer are rejected.
+	// maxEventSize is the event size beyond which lines longer than the read buffer are rejected, and maxLinesSize the size
+	// of an event of any lines.
 	maxEventSize = 256 << 10
+	maxLinesSize = 1 << 20
 )
 
 // eventReader splits a stream of server-sent events into complete events.
@@ -54,10 +56,14 @@
 		part, err := e.reader.ReadSlice('\n')
 		e.event = append(e.event, part...)
 		switch {
+		case len(e.event) > maxLinesSize:
+			return nil, errEndlessEvent
 		case !e.reserve():
 			return nil, errBufferLimit
 		case err == bufio.ErrBufferFull && len(e.event) < maxEventSize:
 			continue
+		case err == bufio.ErrBufferFull:
+			return nil, errEndlessEvent
 		case err == io.EOF && len(e.event) > 0:
 			return nil, io.ErrUnexpectedEOF
 		case err != nil:
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -66,10 +66,11 @@
 func newRoundTripper(links *LinkFilter, timeout time.Duration) *http.Transport {
 	dialer := &net.Dialer{Timeout: timeout}
 	return &http.Transport{
-		DialContext:         links.wrapDial(dialer.DialContext),
-		MaxIdleConnsPerHost: idlePerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DialContext:            links.wrapDial(dialer.DialContext),
+		MaxIdleConnsPerHost:    idlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: MaxHeadBytes,
 	}
 }
 
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/transport"
 )
 
 const (
@@ -66,11 +68,14 @@
 	if err := request.Write(conn); err != nil {
 		return nil, err
 	}
-	reader := bufio.NewReader(conn)
+	head := transport.NewHeadReader(conn)
+	head.BeginHead()
+	reader := bufio.NewReader(head)
 	response, err := http.ReadResponse(reader, request)
 	if err != nil {
 		return nil, err
 	}
+	head.EndHead()
 	if response.StatusCode != http.StatusSwitchingProtocols {
 		return nil, &OutcomeError{Outcome(response.Header.Get(outcomeHeader))}
 	}
--- a/internal/tunnel/probe.go
+++ b/internal/tunnel/probe.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/transport"
 )
 
 // Probe checks whether a back end answers a GET request on a connection of its own. Any answer will do, also a rejection.
@@ -30,7 +32,9 @@
 	if err := request.Write(conn); err != nil {
 		return err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	head := transport.NewHeadReader(conn)
+	head.BeginHead()
+	response, err := http.ReadResponse(bufio.NewReader(head), request)
 	if err != nil {
 		return err
 	}
