--- a/internal/control/startup.go
+++ b/internal/control/startup.go
@@ -15,7 +15,7 @@
 )
 
 func newStartup() *node.Startup {
-	return node.NewStartup("kitetiller_control_startup_seconds", "restored", "leader", "current")
+	return node.NewStartup("kitetiller_control_startup", "restored", "leader", "current")
 }
 
 // recordStartup records the stages that the replica has reached. It runs in the goroutine that owns the replica.
--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -16,7 +16,7 @@
 )
 
 func newStartup() *node.Startup {
-	return node.NewStartup("kitetiller_gateway_startup_seconds", "control", "view", "lease", "answer")
+	return node.NewStartup("kitetiller_gateway_startup", "control", "view", "lease", "answer")
 }
 
 // recordStage records that a stage of the start is reached. The first answer is logged with the times of all stages.
--- a/internal/node/startup.go
+++ b/internal/node/startup.go
@@ -10,17 +10,18 @@
 // Startup records when a process first reached each stage on the way to service. It is a prometheus.Collector and safe for
 // concurrent use.
 type Startup struct {
-	description *prometheus.Desc
-	names       []string
-	reached     []atomic.Int64 // nanoseconds since the start of the process; 0 until the stage is reached
+	descriptions []*prometheus.Desc
+	reached      []atomic.Int64 // nanoseconds since the start of the process; 0 until the stage is reached
 }
 
-// NewStartup returns a Startup whose metric has the given name and a label "stage". Stages are known by their indexes in names.
-func NewStartup(metric string, names ...string) *Startup {
-	return &Startup{
-		description: prometheus.NewDesc(metric, "Time from the start of the process until it first reached a stage; -1 before.", []string{"stage"}, nil),
-		names:       names, reached: make([]atomic.Int64, len(names)),
+// NewStartup returns a Startup with a metric PREFIX_NAME_seconds for each stage. Stages are known by their indexes in names.
+func NewStartup(prefix string, names ...string) *Startup {
+	s := &Startup{reached: make([]atomic.Int64, len(names))}
+	for _, name := range names {
+		help := "Time from the start of the process until it first reached the stage " + name + "; -1 before."
+		s.descriptions = append(s.descriptions, prometheus.NewDesc(prefix+"_"+name+"_seconds", help, nil, nil))
 	}
+	return s
 }
 
 // Record records that a stage is reached, and reports whether it is the first time.
@@ -35,15 +36,19 @@
 func (s *Startup) At(stage int) time.Duration { return time.Duration(s.reached[stage].Load()) }
 
 // Describe implements prometheus.Collector.
-func (s *Startup) Describe(out chan<- *prometheus.Desc) { out <- s.description }
+func (s *Startup) Describe(out chan<- *prometheus.Desc) {
+	for _, description := range s.descriptions {
+		out <- description
+	}
+}
 
 // Collect implements prometheus.Collector.
 func (s *Startup) Collect(out chan<- prometheus.Metric) {
-	for stage, name := range s.names {
+	for stage, description := range s.descriptions {
 		value := -1.0
 		if at := s.At(stage); at > 0 {
 			value = at.Seconds()
 		}
-		out <- prometheus.MustNewConstMetric(s.description, prometheus.GaugeValue, value, name)
+		out <- prometheus.MustNewConstMetric(description, prometheus.GaugeValue, value)
 	}
 }
