--- a/internal/control/discovery.go
+++ b/internal/control/discovery.go
@@ -53,10 +53,13 @@
 	transport.Every(ctx, announceInterval, func() {
 		var silent []string
 		var hello Hello
-		s.queryReplica(func(replica *Replica) bool {
+		queried := s.queryReplica(func(replica *Replica) bool {
 			silent, hello = replica.silentSeeds(s.now(), s.seeds()), Hello{Members: replica.addresses()}
 			return true
 		})
+		if !queried {
+			return // the replica may set the variables later
+		}
 		for _, address := range silent {
 			attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
 			err := s.client.Post(attempt, address, PathHello, hello, nil)
