--- a/cmd/kitelab/sim.go
+++ b/cmd/kitelab/sim.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"os"
 	"runtime"
 	"strings"
@@ -27,6 +28,7 @@
 	listInvariants bool
 	trace          string
 	workers        int
+	outages        bool
 }
 
 func defineSim() command {
@@ -38,6 +40,7 @@
 	sub.Bool(&flags.listGuards, "", "list-guards", "list the protections")
 	sub.Bool(&flags.listInvariants, "", "list-invariants", "list what is checked")
 	sub.String(&flags.trace, "t", "trace", "file for the whole trace of the first seed")
+	sub.Bool(&flags.outages, "", "outages", "a group of 5 voters among 8 replicas that loses several disks at once, with power lost everywhere else")
 	sub.Int(&flags.workers, "w", "workers", "seeds run at once")
 	return command{sub, flags.run}
 }
@@ -84,7 +87,7 @@
 	if err != nil {
 		return eris.Wrap(err, "create trace file")
 	}
-	sim.Run(f.firstSeed, guards, file)
+	f.play(f.firstSeed, guards, file)
 	return eris.Wrap(file.Close(), "close trace file")
 }
 
@@ -115,6 +118,14 @@
 	return nil
 }
 
+// play runs one seed.
+func (f *simFlags) play(seed uint64, guards guard.Set, trace io.Writer) sim.Result {
+	if f.outages {
+		return sim.RunOutages(seed, guards, trace)
+	}
+	return sim.Run(seed, guards, trace)
+}
+
 // collect returns the results in order of seeds. Once a violation is found, later seeds are not started.
 func (f *simFlags) collect(guards guard.Set) []sim.Result {
 	results := make([]sim.Result, f.seeds)
@@ -132,7 +143,7 @@
 				if done {
 					return
 				}
-				result := sim.Run(f.firstSeed+uint64(index), guards, nil)
+				result := f.play(f.firstSeed+uint64(index), guards, nil)
 				mutex.Lock()
 				results[index] = result
 				if result.Violation != nil {
@@ -149,7 +160,7 @@
 // printViolation replays the seed with tracing and prints the end of the trace.
 func (f *simFlags) printViolation(guards guard.Set, result sim.Result) {
 	var trace bytes.Buffer
-	sim.Run(result.Seed, guards, &trace)
+	f.play(result.Seed, guards, &trace)
 	lines := strings.Split(strings.TrimRight(trace.String(), "\n"), "\n")
 	for _, line := range lines[max(0, len(lines)-traceLines):] {
 		fmt.Println(line)
--- a/internal/lab/sim/control.go
+++ b/internal/lab/sim/control.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	groupSize          = 3
+	usualVoters        = 3
 	raftHeartbeat      = 100 * time.Millisecond
 	repairAfter        = 4 * time.Second
 	settingsLease      = 2 * time.Second
@@ -87,7 +87,7 @@
 	n.keepBuild = false
 	config := control.Config{
 		Level: n.build,
-		ID:    n.identity.ID, Name: n.name, Address: n.name, Timing: controlTiming, Replicas: groupSize,
+		ID:    n.identity.ID, Name: n.name, Address: n.name, Timing: controlTiming, Replicas: n.w.voters,
 		SettingsLease: settingsLease, RepairAfter: repairAfter, SnapshotEvery: snapshotEvery, DiskLimit: n.w.diskLimit(), Limits: n.w.limits(),
 		WeightsOrderDelay: fleetOrderDelay, GatewayViewTTL: fleetViewTTL, Zone: n.zone, MaxDirectGateways: n.w.maxDirectGateways(),
 		Guards: n.w.guards, Random: n.w.random.Int64N,
@@ -120,6 +120,7 @@
 		n.storePartially(*n.syncing)
 	}
 	n.syncing, n.unsynced = nil, nil
+	n.w.outages.last = max(n.w.outages.last, n.w.now())
 	n.kill(silent)
 }
 
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -212,7 +212,7 @@
 			return false
 		}
 	}
-	return voters == groupSize
+	return voters == w.voters
 }
 
 func (w *world) control(name string) *controlNode {
@@ -348,7 +348,7 @@
 // faultBlackout kills a majority of the control replicas while all routers restart.
 func (w *world) faultBlackout() {
 	length := w.between(3*time.Second, 8*time.Second)
-	for _, n := range w.controls[:groupSize-1] {
+	for _, n := range w.controls[:w.voters-1] {
 		n.crash(true)
 		w.restartControl(n, length)
 	}
--- a/internal/lab/sim/oracle.go
+++ b/internal/lab/sim/oracle.go
@@ -39,6 +39,7 @@
 	StorageBounded           Invariant = "bytes-on-disk"
 	MessagesBounded          Invariant = "bytes-in-flight"
 	MemoryBounded            Invariant = "bytes-held"
+	LeaderElected            Invariant = "leader-elected"
 )
 
 // InvariantHelp is the description of an invariant and its check.
@@ -74,6 +75,7 @@
 		{StorageBounded, "the log of a control replica and a checkpoint beside it fit on its disk, however large the documents are"},
 		{MessagesBounded, "a message between control replicas holds a bounded size of log entries, and so do all that one has sent to another without a reply"},
 		{MemoryBounded, "the log entries that a control replica holds in memory have a bounded size"},
+		{LeaderElected, "a control group whose voters have a majority of their disks has a leader that answers within 5 s of the end of an outage, however many disks were lost at once with power lost everywhere else"},
 		{BuildsCompatible, "where control processes run two builds, none holds what its build doesn't know, and no level comes into force under one that runs the older"},
 	}
 }
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -69,7 +69,12 @@
 // newWorldWithGateways creates a world with the given number of gateways. For even seeds, and with more gateways
 // than the default, control replicas answer gateways on behalf of the leader.
 func newWorldWithGateways(gateways int, seed uint64, guards guard.Set, trace io.Writer) *world {
-	w := &world{seed: seed, random: rand.New(rand.NewPCG(seed, seedStream)), guards: guards, trace: trace, gatewayCount: gateways}
+	return startWorld(&world{seed: seed, random: rand.New(rand.NewPCG(seed, seedStream)), guards: guards, trace: trace, gatewayCount: gateways, voters: usualVoters})
+}
+
+// startWorld creates the processes of a world and plans its faults.
+func startWorld(w *world) *world {
+	seed, gateways, guards := w.seed, w.gatewayCount, w.guards
 	w.relaysWatches = seed%2 == 0 || gateways > fleetGateways
 	w.reportsStartTime = seed/2%2 == 0
 	w.network.partitioned = map[[2]string]int{}
@@ -96,6 +101,10 @@
 	for i, o := range w.operators {
 		o.boot(i == 0)
 	}
+	if w.outages.random != nil {
+		w.planOutages()
+		return w
+	}
 	w.planFaults()
 	w.planAdvertisedLimits()
 	return w
@@ -103,8 +112,10 @@
 
 // createNodes creates the processes and distributes them over the zones.
 func (w *world) createNodes() {
-	controls := groupSize
-	if w.chance(spareReplicaRatio) {
+	controls := w.voters
+	if w.outages.random != nil {
+		controls = outageReplicas
+	} else if w.chance(spareReplicaRatio) {
 		controls++
 	}
 	for i := range controls {
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"runtime"
 	"sync"
 	"testing"
@@ -16,6 +17,11 @@
 
 // firstViolation runs seeds in parallel until one violates an invariant, and returns its result, or nil.
 func firstViolation(guards guard.Set, firstSeed uint64, seeds int) *Result {
+	return firstViolationOf(Run, guards, firstSeed, seeds)
+}
+
+// firstViolationOf is firstViolation for another kind of run.
+func firstViolationOf(run func(uint64, guard.Set, io.Writer) Result, guards guard.Set, firstSeed uint64, seeds int) *Result {
 	var mutex sync.Mutex
 	var found *Result
 	next := 0
@@ -31,7 +37,7 @@
 				if stop {
 					return
 				}
-				result := Run(firstSeed+uint64(at), guards, nil)
+				result := run(firstSeed+uint64(at), guards, nil)
 				mutex.Lock()
 				if result.Violation != nil && (found == nil || result.Seed < found.Seed) {
 					found = &result
--- a/internal/lab/sim/storage.go
+++ b/internal/lab/sim/storage.go
@@ -77,6 +77,9 @@
 
 // fillDisk makes all writes of a replica fail for a time.
 func (w *world) fillDisk(n *controlNode, length time.Duration) {
+	if w.outages.random != nil && w.bearableLosses() == 0 {
+		return // a majority of the voters can't do without this disk
+	}
 	w.logf("disk of %s is full for %v", n.name, length)
 	w.recordControlDisturbance(length)
 	n.diskFullUntil = max(n.diskFullUntil, w.now()+length)
