--- a/internal/lab/soak/outageplan.go
+++ b/internal/lab/soak/outageplan.go
@@ -54,7 +54,7 @@
 	}
 	last := at + between(0, maxOutageGap)
 	add(last, between(minDark, maxDark), PowerOff, disks())
-	plan.LengthMS = (lastEnd(plan.Faults) + shape.Recover() + restoredTime).Milliseconds()
+	plan.LengthMS = (plan.LastEnd() + shape.Recover() + restoredTime).Milliseconds()
 	return plan
 }
 
@@ -66,12 +66,3 @@
 	}
 	return kinds
 }
-
-// lastEnd returns when the last of the faults has healed.
-func lastEnd(faults []Fault) time.Duration {
-	last := time.Duration(0)
-	for _, fault := range faults {
-		last = max(last, fault.End())
-	}
-	return last
-}
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -154,6 +154,15 @@
 	Shape Shape `json:"shape,omitzero"`
 }
 
+// LastEnd returns when the last of the faults has healed.
+func (p Plan) LastEnd() time.Duration {
+	last := time.Duration(0)
+	for _, fault := range p.Faults {
+		last = max(last, fault.End())
+	}
+	return last
+}
+
 // Length returns how long traffic is sent.
 func (p Plan) Length() time.Duration { return time.Duration(p.LengthMS) * time.Millisecond }
 
--- a/internal/lab/soak/shape.go
+++ b/internal/lab/soak/shape.go
@@ -31,20 +31,13 @@
 	LoseUnsynced bool `json:"lose_unsynced,omitempty"`
 }
 
-// usualRecoverTime is how long after the last fault requests must be served again in shapes that don't say.
-const usualRecoverTime = 10 * time.Second
-
-// ReadShape reads a shape from a file, or returns the usual one for plans of outages if path is "".
+// ReadShape reads a shape from a file.
 func ReadShape(path string) (Shape, error) {
-	shape := Shape{Control: 3, Tolerated: 1, Zones: 3, RecoverMS: usualRecoverTime.Milliseconds(), CatchUpMS: 4000}
-	if path == "" {
-		return shape, nil
-	}
+	var shape Shape
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return Shape{}, eris.Wrap(err, "read shape")
 	}
-	shape = Shape{}
 	if err := json.Unmarshal(text, &shape); err != nil {
 		return Shape{}, eris.Wrapf(err, "decode shape %s", path)
 	}
