--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -37,7 +37,7 @@
 	// SendFatalPart sends requests that share a part of their prompts which crashes each worker.
 	SendFatalPart func(ctx context.Context, target int, duration time.Duration)
 
-	// Disks tracks the data folders that control processes have lost. A nil Disks tolerates one loss a run.
+	// Disks tracks the data folders that control processes have lost, and bounds how many are.
 	Disks *Disks
 	// LastAcknowledged returns the index in Control of the process that acknowledged the newest configuration.
 	LastAcknowledged func() int
