Startup times: nothing is computed once a stage is reached

Each answered request read the clock, and each turn of the control loop looked the leader's address up, for stages that had been reached long before. The values and lines are the same.

--- a/internal/control/startup.go
+++ b/internal/control/startup.go
@@ -20,12 +20,20 @@
 
 // recordStartup records the stages that the replica has reached. It runs in the goroutine that owns the replica.
 func (s *Server) recordStartup() {
-	now := s.now()
-	if leader := s.replica.leaderAddress(); s.startup.At(stageLeader) == 0 && leader != "" {
-		s.startup.Record(stageLeader, now)
-		s.log.Info(events.LeaderKnown, zap.String("leader", leader), zap.Duration(events.FieldElapsed, now), zap.Duration("restored", s.startup.At(stageRestored)))
+	if s.startup.At(stageLeader) == 0 {
+		s.recordFirstLeader()
 	}
-	if s.startup.At(stageCurrent) == 0 && s.replica.leader != nil && s.replica.hasCurrentState(now) {
-		s.startup.Record(stageCurrent, now)
+	if s.startup.At(stageCurrent) == 0 && s.replica.leader != nil && s.replica.hasCurrentState(s.now()) {
+		s.startup.Record(stageCurrent, s.now())
 	}
 }
+
+// recordFirstLeader records and logs the first leader that the replica knows.
+func (s *Server) recordFirstLeader() {
+	leader := s.replica.leaderAddress()
+	if leader == "" {
+		return
+	}
+	s.startup.Record(stageLeader, s.now())
+	s.log.Info(events.LeaderKnown, zap.String("leader", leader), zap.Duration(events.FieldElapsed, s.startup.At(stageLeader)), zap.Duration("restored", s.startup.At(stageRestored)))
+}
--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -21,7 +21,7 @@
 
 // recordStage records that a stage of the start is reached. The first answer is logged with the times of all stages.
 func (g *Gateway) recordStage(stage int) {
-	if !g.startup.Record(stage, g.now()) || stage != stageAnswer {
+	if g.startup.At(stage) > 0 || !g.startup.Record(stage, g.now()) || stage != stageAnswer {
 		return
 	}
 	g.log.info(events.GatewayServing, zap.Duration("control", g.startup.At(stageControl)), zap.Duration("view", g.startup.At(stageView)),
