--- a/internal/lab/soak/outage.go
+++ b/internal/lab/soak/outage.go
@@ -125,7 +125,7 @@
 	if fault.Aim == AimAny {
 		return order
 	}
-	voters := f.voters()
+	voters := f.Voters()
 	slices.SortStableFunc(order, func(a, b *Process) int { return boolOrder(voters[a.Name], voters[b.Name]) })
 	if fault.Aim == AimOldest {
 		f.Disks.byAge(order)
@@ -146,14 +146,6 @@
 	return 1
 }
 
-// voters returns the names of the control processes with a vote; none if they aren't known.
-func (f *Fleet) voters() map[string]bool {
-	if f.Voters == nil {
-		return nil
-	}
-	return f.Voters()
-}
-
 // wipe kills control processes and removes their data folders before they restart.
 func (f *Fleet) wipe(ctx context.Context, fault Fault, duration time.Duration) {
 	struck := f.Disks.take(f.candidates(fault), max(1, fault.Disks))
@@ -200,9 +192,7 @@
 	stopAll(syscall.SIGKILL, processes)
 	for _, p := range processes {
 		_ = os.RemoveAll(p.DataDir)
-		if f.OnWipe != nil {
-			f.OnWipe(p)
-		}
+		f.OnWipe(p)
 	}
 }
 
