--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -17,13 +17,14 @@
 	"pooled": playPooled,
 	"wall":   playWall,
 	"leave":  playLeave,
+	"keys":   playKeys,
 }
 
 func main() { os.Exit(run()) }
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: harness-2 pooled|wall|leave RECORD")
+		fmt.Fprintln(os.Stderr, "usage: harness-2 pooled|wall|leave|keys RECORD")
 		return 2
 	}
 	r := newRecord()
