--- a/review/harness-2/cluster.go
+++ b/review/harness-2/cluster.go
@@ -84,7 +84,14 @@
 	for range 50 {
 		network := 1 + rand.IntN(250)
 		free := true
-		for _, ip := range []string{controlIP(network, 0), gatewayIP(network, 0), workerIP(network, 0)} {
+		ips := []string{workerIP(network, 0), workerIP(network, 1)}
+		for i := range controlCount {
+			ips = append(ips, controlIP(network, i))
+		}
+		for i := range gatewayCount {
+			ips = append(ips, gatewayIP(network, i))
+		}
+		for _, ip := range ips {
 			for _, port := range []int{internalPort, internalPort + 1, frontPort, readyPort, controlPort, workerPort} {
 				listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
 				if err != nil {
