--- a/review/harness-2/cluster.go
+++ b/review/harness-2/cluster.go
@@ -84,7 +84,10 @@
 	for range 50 {
 		network := 1 + rand.IntN(250)
 		free := true
-		ips := []string{workerIP(network, 0), workerIP(network, 1)}
+		var ips []string
+		for i := range staying + 1 {
+			ips = append(ips, workerIP(network, i))
+		}
 		for i := range controlCount {
 			ips = append(ips, controlIP(network, i))
 		}
--- a/review/harness-2/leave.go
+++ b/review/harness-2/leave.go
@@ -15,8 +15,9 @@
 	servesOn     = 6 * time.Second // from the acknowledgement that the worker leaves to its end
 	afterEnd     = time.Second
 	requestPause = 50 * time.Millisecond
+	staying      = 7 // workers beside the one that leaves: one of eight is within scale_in's share of 0.13
 	workTime     = 250 * time.Millisecond
-	clients      = 6
+	clients      = 18
 	maxRequests  = 300 // of a client
 )
 
@@ -30,11 +31,15 @@
 			time.Sleep(workTime)
 			_, _ = io.WriteString(out, "receipt of "+in.Header.Get("X-Request-Id"))
 		}
-		stays, err := startWorker(c, 0, "i-bbbc44f2", service, answer)
-		if err != nil {
-			return false, err
+		var stay []*worker
+		for i := range staying {
+			w, err := startWorker(c, i, fmt.Sprintf("i-bbbc44f%d", i), service, answer)
+			if err != nil {
+				return false, err
+			}
+			stay = append(stay, w)
 		}
-		leaves, err := startWorker(c, 1, "i-5733c9a2", service, answer)
+		leaves, err := startWorker(c, staying, "i-5733c9a2", service, answer)
 		if err != nil {
 			return false, err
 		}
@@ -42,9 +47,11 @@
 		if err := c.put(configuration(1, routes, []map[string]any{plainService()}, []map[string]any{tenant("sese880", clientKey, false)})); err != nil {
 			return false, err
 		}
-		stays.born = time.Now().UnixMilli()
-		if err := stays.register(ctx); err != nil {
-			return false, err
+		for _, w := range stay {
+			w.born = time.Now().UnixMilli()
+			if err := w.register(ctx); err != nil {
+				return false, err
+			}
 		}
 		if err := c.awaitReady(); err != nil {
 			return false, err
