Control: a late heartbeat doesn't register a back end again that left soon after its start

Cause: a deregistration names the back end and not its incarnation. Within 3 s of a registration it was taken for a late one of the incarnation before, whether there had been one or not, and only expired the registered one; the next heartbeat, also one that was sent before, registered it again.

Change: such a deregistration is contested only if the incarnation has a predecessor and registered within 12 s, as each replica sees it applied. A leader logs and counts both.

--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -33,7 +33,7 @@
 const maxDepartedIDs = 2000
 
 // Command is a change of the replicated state. Exactly one field is set besides UnixMS; AddGateways and RemoveGateways
-// may be set together.
+// may be set together, and Contested only together with Deregister.
 type Command struct {
 	Replace             *Document         `json:"replace,omitempty"`
 	Register            *Instance         `json:"register,omitempty"`
@@ -52,6 +52,9 @@
 
 	Quarantine *quarantine.Change `json:"quarantine,omitempty"` // requests during which backends crashed
 
+	Contested bool      `json:"contested,omitempty"` // an earlier incarnation may have sent the deregistration; see Reinstate
+	Reinstate *Instance `json:"reinstate,omitempty"` // registers an instance whose deregistration was contested
+
 	// UnixMS is the wall-clock time of the proposal by the proposer's clock, set from the log entry when it is applied.
 	UnixMS int64 `json:"-"`
 }
@@ -84,6 +87,7 @@
 	ids            []string          // sorted ids of instances; nil when outdated
 	departedIDs    []string          // instances that deregistered, oldest first; at most maxDepartedIDs
 	departed       map[string]bool   // set of departedIDs
+	contested      map[string]bool   // departed instances that may be reinstated; a subset of departed
 	expiredIDs     []string          // may register again, oldest first; at most maxDepartedIDs
 	incarnations   incarnations      // of instances and departedIDs
 	latestVersions map[string]uint64
@@ -101,7 +105,7 @@
 // NewMachine returns an empty state.
 func NewMachine() *Machine {
 	return &Machine{
-		instances: map[string]Instance{}, addresses: map[string]string{}, departed: map[string]bool{}, incarnations: newIncarnations(), latestVersions: map[string]uint64{}, publications: map[string][]Publication{}, loaded: map[string]map[string]uint64{},
+		instances: map[string]Instance{}, addresses: map[string]string{}, departed: map[string]bool{}, contested: map[string]bool{}, incarnations: newIncarnations(), latestVersions: map[string]uint64{}, publications: map[string][]Publication{}, loaded: map[string]map[string]uint64{},
 		ordered: map[string]bool{}, gatewaySet: map[string]bool{}, maxHashWeights: map[string]uint64{}, changed: map[string]bool{}, quarantine: quarantine.NewRegistry(),
 	}
 }
@@ -201,7 +205,9 @@
 	case command.Drain != "":
 		m.drain(command.Drain)
 	case command.Deregister != "":
-		m.deregister(command.Deregister)
+		m.deregister(command.Deregister, command.Contested)
+	case command.Reinstate != nil:
+		return m.reinstate(*command.Reinstate)
 	case command.Expire != "":
 		m.expire(command.Expire)
 	case len(command.Loaded) > 0:
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -25,11 +25,13 @@
 	Publications map[string][]Publication `json:"namings,omitempty"`
 
 	ExpiredIDs []string `json:"forgotten,omitempty"`
+
+	Contested map[string]bool `json:"contested,omitempty"`
 }
 
 // MarshalJSON encodes the whole state as a snapshot.
 func (m *Machine) MarshalJSON() ([]byte, error) {
-	return json.Marshal(machineSnapshot{m.document, m.instances, m.departedIDs, m.latestVersions, m.fence, m.loaded, m.ordered, m.gateways, m.maxHashWeights, m.quarantine, m.publications, m.expiredIDs})
+	return json.Marshal(machineSnapshot{m.document, m.instances, m.departedIDs, m.latestVersions, m.fence, m.loaded, m.ordered, m.gateways, m.maxHashWeights, m.quarantine, m.publications, m.expiredIDs, m.contested})
 }
 
 // UnmarshalJSON replaces the whole state by a snapshot.
@@ -64,5 +66,8 @@
 		m.departed[id] = true
 		m.incarnations.recordDeparted(id)
 	}
+	for id := range snapshot.Contested {
+		m.contested[id] = true
+	}
 	return nil
 }
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -41,11 +41,9 @@
 
 // backendState is the leader's in-memory state of a back end.
 type backendState struct {
-	id         string
-	hashWeight uint64        // in use if at most the bound of its service
-	heardAt    time.Duration // time of the last heartbeat or keepalive
-	// registeredAt is when this leader handled its registration; 0 if an earlier leader did.
-	registeredAt      time.Duration
+	id                string
+	hashWeight        uint64        // in use if at most the bound of its service
+	heardAt           time.Duration // time of the last heartbeat or keepalive
 	sequence          uint64
 	coldUntil         time.Duration
 	versions          map[string]uint64 // weights versions that it is assumed to hold, by model
@@ -71,17 +69,17 @@
 	}
 	registered, known := r.machine.catalog.Instances()[id]
 	switch {
-	case heartbeat.Leaving && r.mayMeanPreviousIncarnation(now, id):
-		r.propose(now, client, Command{Catalog: &catalog.Command{Expire: r.machine.catalog.ResolveInstanceID(id)}})
 	case heartbeat.Leaving:
-		r.propose(now, client, Command{Catalog: &catalog.Command{Deregister: id}})
+		r.deregister(now, client, id)
+	case !known && r.machine.catalog.IsContested(id):
+		r.handleContestedHeartbeat(now, client, heartbeat)
 	case !known && (r.lacksWeights(heartbeat) || !r.mayRegister(now, heartbeat.Instance)):
 		r.reply(client, Response{Kind: ResponseOK})
 	case known && !r.mayReplace(registered, heartbeat.Instance):
 		r.reply(client, Response{Kind: ResponseOK})
 	case !known || heartbeat.Instance.Service != registered.Service:
 		r.recordHeartbeat(now, heartbeat)
-		r.ensureBackend(now, id).registeredAt = now
+		r.recordRegistration(now, heartbeat.Instance)
 		r.queueRegistration(client, heartbeat.Instance)
 	case heartbeat.Instance.State == catalog.StateDraining && registered.State != catalog.StateDraining:
 		r.propose(now, client, Command{Catalog: &catalog.Command{Drain: id}})
@@ -261,7 +259,17 @@
 	for service := range command.MaxHashWeights {
 		oldBounds[service] = r.machine.catalog.MaxHashWeight(service)
 	}
+	for _, instance := range command.RegisterBatch {
+		r.recordRegistration(now, instance)
+	}
+	deregistered := r.machine.catalog.ResolveInstanceID(command.Deregister)
 	outcome := r.machine.catalog.Apply(command)
+	if command.Contested {
+		r.recordContested(now, deregistered)
+	}
+	if command.Reinstate != nil {
+		r.recordReinstatement(command.Reinstate.ID)
+	}
 	if command.Quarantine != nil {
 		r.recordQuarantineChange(now, *command.Quarantine)
 	}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -25,6 +25,8 @@
 		gauge("snapshot_bytes", "Size of the newest snapshot of the replicated state.", func() float64 { return float64(s.usage.snapshot.Load()) }),
 		gauge("checkpoints_total", "Checkpoints that replaced the log on disk.", func() float64 { return float64(s.usage.checkpoints.Load()) }),
 		gauge("storage_failures_total", "Failed writes to the data folder, after which it was opened again.", func() float64 { return float64(s.usage.storageFailures.Load()) }),
+		gauge("contested_deregistrations_total", "Deregistrations by name, while this replica led, that may have come from an earlier incarnation.", func() float64 { return float64(s.usage.contested.Load()) }),
+		gauge("reinstated_instances_total", "Instances that such a deregistration had removed and whose heartbeats proved that they are alive.", func() float64 { return float64(s.usage.reinstated.Load()) }),
 		gauge("input_bytes", "Size of the requests that wait for the deciding thread.", func() float64 { return float64(s.queuedBytes.Load()) }),
 		gauge("input_ring", "Inputs that wait for the deciding thread.", func() float64 { return float64(len(s.inputs)) }),
 	)
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -94,6 +94,9 @@
 	orderMarks     map[string]orderMark          // newest order seen in the log, by back-end name
 	published      publishedDocument             // newest document sent to gateways
 	storeList      storeList                     // stores of the newest document
+	registrations  recentRegistrations
+	evidence       map[string]*heartbeatEvidence // by instance ID, of contested deregistrations
+	departures     []departure                   // changes of contested deregistrations, to be logged; see TakeDepartures
 	readOffers     OfferReader                   // nil if the offers of back ends are not known
 	relay          *relay.Relay                  // answers gateways while another replica leads
 	awaitingLeader []heldWatch                   // watches held until a leader is known; at most maxAwaitingLeader
@@ -112,7 +115,7 @@
 	replica := &Replica{
 		config: config, machine: NewMachine(config.Guards), snapshot: restored.Snapshot,
 		hardState: restored.HardState, pending: map[uint64]pendingProposal{}, publications: map[string][]publishedVersion{}, orderMarks: map[string]orderMark{},
-		crashTimes: newCrashTimes(), relay: relay.New(config.Guards), startedAt: now,
+		registrations: recentRegistrations{byName: map[string]time.Duration{}}, evidence: map[string]*heartbeatEvidence{}, crashTimes: newCrashTimes(), relay: relay.New(config.Guards), startedAt: now,
 	}
 	if len(restored.Snapshot.Data) > 0 {
 		if err := replica.machine.Restore(restored.Snapshot.Data); err != nil {
@@ -122,6 +125,9 @@
 	if err := config.Level.CheckSupports(replica.machine.highestLevel(restored.Entries)); err != nil {
 		return nil, err
 	}
+	if len(replica.machine.catalog.Instances())+len(restored.Entries) > 0 {
+		replica.registrations.recordRestored(now)
+	}
 	replica.checkpointDue = replica.machine.logFormat() > max(restored.Format, storage.FirstFormat)
 	replica.applied = restored.Snapshot.Meta.Index
 	replica.appliedTerm = restored.Snapshot.Meta.Term
@@ -338,6 +344,7 @@
 	r.applied, r.appliedTerm = snapshot.Meta.Index, snapshot.Meta.Term
 	r.appliedBytes, r.appliedCost, r.snapshotWanted = 0, 0, false
 	r.recordSnapshotOrders(now)
+	r.registrations.recordRestored(now)
 	r.refreshPublicationTimes(now)
 }
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -284,6 +284,7 @@
 		s.recordStartup()
 		s.logLeadershipChange()
 		s.logLevelChange()
+		s.logDepartures()
 		s.logLimitChanges()
 		s.logQuarantineChanges()
 		timer.Reset(s.nextWakeup())
--- a/internal/control/usage.go
+++ b/internal/control/usage.go
@@ -16,6 +16,8 @@
 	snapshot        atomic.Int64 // newest snapshot
 	checkpoints     atomic.Uint64
 	storageFailures atomic.Uint64 // writes that failed
+	contested       atomic.Uint64 // deregistrations
+	reinstated      atomic.Uint64 // instances whose deregistration was contested
 }
 
 // recordUsage updates the gauges after a write, and logs a checkpoint that was written.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -63,14 +63,18 @@
 	DocumentRejected    = "document refused"
 	// RegistrationRejected reports a heartbeat that can't be parsed completely and is not used.
 	RegistrationRejected = "registration refused"
-	WeightsPublished     = "weights named"
-	WeightsCallFinished  = "weights call"
-	LimitReached         = "limit reached"     // a fleet-wide limit rejects requests
-	LimitCleared         = "limit left"        // the limit has rejected no requests for some time
-	RequestQuarantined   = "request held back" // it crashed too many backends; gateways no longer send it
-	RequestReleased      = "request released"  // its quarantine ended
-	SettingsReloaded     = "settings reloaded"
-	SettingsReloadFailed = "settings not reloaded"
+	// DeregistrationContested and InstanceReinstated report a deregistration that may have come from an earlier
+	// incarnation, and that it did.
+	DeregistrationContested = "deregistration contested"
+	InstanceReinstated      = "instance reinstated"
+	WeightsPublished        = "weights named"
+	WeightsCallFinished     = "weights call"
+	LimitReached            = "limit reached"     // a fleet-wide limit rejects requests
+	LimitCleared            = "limit left"        // the limit has rejected no requests for some time
+	RequestQuarantined      = "request held back" // it crashed too many backends; gateways no longer send it
+	RequestReleased         = "request released"  // its quarantine ended
+	SettingsReloaded        = "settings reloaded"
+	SettingsReloadFailed    = "settings not reloaded"
 )
 
 // IsRoutine reports whether an event is logged for every successful request. Routine events are dropped first when
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -32,6 +32,7 @@
 	AmbiguousNotResent       Guard = "ambiguous-not-resent"  // non-repeatable attempts of unknown result are not retried
 	ConfirmedView            Guard = "confirmed-view"        // gateways are answered only under the leader lease
 	DrainCommitted           Guard = "drain-committed"       // draining is acknowledged only after a majority stored it
+	DeregistrationKept       Guard = "deregistration-kept"   // a delayed heartbeat does not register a deregistered backend
 	DrainBeforeWeightsChange Guard = "turn-away-first"       // weights change only after dispatching stopped
 	WeightsOrderDelay        Guard = "order-pause"           // a new leader waits before its first weights order
 	DropLateOrders           Guard = "late-calls-dropped"    // orders decided before a long sync are dropped
@@ -59,7 +60,7 @@
 		LearnerBeforeVote, LeaseAtDispatch, VersionCheck, OperationCheck, StreamIndexCheck,
 		EndOfStreamCheck, AttemptCheck, NotRunProof, LeavingCheck, LeavingSelfReported, BackoffCheck, AdvertisedLimitCheck, DrainBeforeExit,
 		SettingsMonotonic, PersistedSettings, LeaseMargin, AmbiguousNotResent,
-		ConfirmedView, DrainCommitted, DrainBeforeWeightsChange, WeightsOrderDelay, DropLateOrders, HighestRevision, QuarantineCheck, PartQuarantine, RefusalConfirmed, TunnelForLostPath, SameSoftware, OriginKnown, SuspendAwareClock,
+		ConfirmedView, DrainCommitted, DeregistrationKept, DrainBeforeWeightsChange, WeightsOrderDelay, DropLateOrders, HighestRevision, QuarantineCheck, PartQuarantine, RefusalConfirmed, TunnelForLostPath, SameSoftware, OriginKnown, SuspendAwareClock,
 		RelayConfirmed, RelayReported, RelayApplied, PublicationTimeFromLog, PublicationAgeMonotonic, LogByteLimits, MessageByteLimits,
 	}
 }
--- a/internal/lab/sim/builds.go
+++ b/internal/lab/sim/builds.go
@@ -56,6 +56,8 @@
 // drawBuild returns the random build with which a control process starts.
 func (w *world) drawBuild() level.Level {
 	switch {
+	case w.buildRandom == nil && w.departures.random != nil:
+		return level.Current
 	case w.buildRandom == nil:
 		return level.Unannounced
 	case w.buildRandom.Float64() < newBuildRatio:
--- a/internal/lab/sim/fleet_oracle.go
+++ b/internal/lab/sim/fleet_oracle.go
@@ -118,6 +118,7 @@
 
 // checkFleetSettled checks that every acknowledged change is in force everywhere once the faults have ended.
 func (o *oracle) checkFleetSettled() {
+	o.checkRegistered()
 	for _, g := range o.w.gateways {
 		if g.revision < o.fleet.acknowledged {
 			o.fail(SettingsDurable, "%s ended at revision %d although %d was acknowledged", g.process.name, g.revision, o.fleet.acknowledged)
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -88,6 +88,7 @@
 	for _, s := range w.services {
 		s.boot()
 	}
+	w.planDepartures()
 	w.planBuilds()
 	w.planLargeDocuments()
 	w.planPartitions()
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -49,7 +49,8 @@
 	voters           int     // of a complete control group
 	outages          outages // of runs with a larger control group
 	relaysWatches    bool    // followers answer gateways for the leader
-	reportsStartTime bool    // back ends keep their names and report their start time
+	departures       departures
+	reportsStartTime bool // back ends keep their names and report their start time
 	fleetOperators   []*fleetOperator
 	faults           int
 	limitRandom      *rand.Rand // random source of advertised limits
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -30,14 +30,15 @@
 	KillWorker       Kind = "kill-worker"
 	HotTenant        Kind = "hot-tenant"
 	LowerLimit       Kind = "lower-limit"
-	ChangeSetting    Kind = "change-setting" // a change of the settings document without effect
-	Reload           Kind = "reload"         // SIGHUP to all processes, possibly during a graceful shutdown
-	FatalRequest     Kind = "deadly-request" // a repeated request that crashes each worker that runs it
-	RejectRequests   Kind = "shed-workers"   // workers reject all requests and ask callers to back off
-	DrainWorker      Kind = "leave-worker"   // a worker's responses announce its shutdown, its heartbeats do not
-	AdvertiseLimits  Kind = "need-workers"   // workers advertise a request rate limit in their responses
-	ForgedHeartbeats Kind = "forged-beats"   // an unknown sender sends heartbeats that can be decoded only in part
-	CutWorkers       Kind = "cut-workers"    // half of the gateways from all workers; connections hang
+	ChangeSetting    Kind = "change-setting"    // a change of the settings document without effect
+	Reload           Kind = "reload"            // SIGHUP to all processes, possibly during a graceful shutdown
+	FatalRequest     Kind = "deadly-request"    // a repeated request that crashes each worker that runs it
+	RejectRequests   Kind = "shed-workers"      // workers reject all requests and ask callers to back off
+	DrainWorker      Kind = "leave-worker"      // a worker's responses announce its shutdown, its heartbeats do not
+	DeregisterWorker Kind = "deregister-worker" // a worker leaves without announcing it, mostly soon after its start; heartbeats arrive late
+	AdvertiseLimits  Kind = "need-workers"      // workers advertise a request rate limit in their responses
+	ForgedHeartbeats Kind = "forged-beats"      // an unknown sender sends heartbeats that can be decoded only in part
+	CutWorkers       Kind = "cut-workers"       // half of the gateways from all workers; connections hang
 	CutWorkersOneWay Kind = "cut-workers-one-way"
 	ResetWorkers     Kind = "reset-workers"   // the same; connections are reset, also new ones
 	FatalPart        Kind = "deadly-part"     // requests that share a part of their prompts which crashes each worker
@@ -61,14 +62,14 @@
 		KillGateway, PauseGateway, StopGateway, KillControl, PauseLeader, KillAll, CutLeader, CutOneWay, CutGateway, DelayLinks, ResetLinks, ResetControl,
 		KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, FatalRequest, ForgedHeartbeats,
 		RejectRequests, DrainWorker, AdvertiseLimits,
-		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions, IsolateGateway, LargeDocuments, WipeControl,
+		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions, IsolateGateway, LargeDocuments, WipeControl, DeregisterWorker,
 	}
 }
 
 // Disturbs reports whether a fault affects the system's own processes or the links between them.
 func (k Kind) Disturbs() bool {
 	switch k {
-	case KillWorker, HotTenant, LowerLimit, ChangeSetting, LargeDocuments, Reload, FatalRequest, ForgedHeartbeats, RejectRequests, DrainWorker, AdvertiseLimits,
+	case KillWorker, HotTenant, LowerLimit, ChangeSetting, LargeDocuments, Reload, FatalRequest, ForgedHeartbeats, RejectRequests, DrainWorker, DeregisterWorker, AdvertiseLimits,
 		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions:
 		return false
 	}
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -29,7 +29,9 @@
 	ForgeHeartbeats   func(ctx context.Context, target int, duration time.Duration)
 	RejectRequests    func(ctx context.Context, target int, duration time.Duration)
 	DrainWorker       func(ctx context.Context, target int, duration time.Duration)
-	AdvertiseLimits   func(ctx context.Context, target int, duration time.Duration)
+	// DeregisterWorker makes a worker leave by a deregistration alone while heartbeats of it are under way.
+	DeregisterWorker func(ctx context.Context, target int, duration time.Duration)
+	AdvertiseLimits  func(ctx context.Context, target int, duration time.Duration)
 	// MixVersions replaces half of the engines, one after the other, by a new software version.
 	MixVersions func(ctx context.Context, target int, duration time.Duration)
 	// SendLargeDocuments makes the settings document longer and changes it in quick succession.
@@ -154,6 +156,8 @@
 		f.RejectRequests(ctx, fault.Target, duration)
 	case AdvertiseLimits:
 		f.AdvertiseLimits(ctx, fault.Target, duration)
+	case DeregisterWorker:
+		f.DeregisterWorker(ctx, fault.Target, duration)
 	case DrainWorker:
 		f.DrainWorker(ctx, fault.Target, duration)
 	case CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers:
--- a/internal/lab/soak/said.go
+++ b/internal/lab/soak/said.go
@@ -116,6 +116,7 @@
 func (w *Watcher) RecordArrival(at time.Duration, id, incarnation string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.checkDeregistered(at, id, incarnation)
 	request, known := w.signals.sent[id]
 	if !known {
 		return
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -23,8 +23,10 @@
 	Announced Level = 1
 	// Compressed is the level from which on long log entries and snapshots are compressed, and snapshots are sent in parts.
 	Compressed Level = 2
+	// Contested is the level from which on a deregistration may be contested and its instance reinstated.
+	Contested Level = 3
 	// Current is the level of this build.
-	Current = Compressed
+	Current = Contested
 )
 
 // ErrTooOld is returned if records have a higher level than this build supports. Check for it with errors.Is.
