Control: a back end that is silent while it drains isn't registered again as ready

Cause: the state of a drain stands in the entry of the back end, which is expired with it; an expired one may register with any heartbeat.

Change: a draining back end that stays silent is deregistered instead of expired, an entry that every build knows.

Evidence: TestSilentDrainingInstanceStaysOut failed before. Not played: the same behind a cut between real processes.

--- a/internal/control/contested_test.go
+++ b/internal/control/contested_test.go
@@ -182,3 +182,21 @@
 		t.Fatal("a contested deregistration was logged below its level")
 	}
 }
+
+// TestSilentDrainingInstanceStaysOut guards against a back end that was draining when it was deregistered for its silence,
+// and was registered as ready by a heartbeat from before.
+func TestSilentDrainingInstanceStaysOut(t *testing.T) {
+	for _, id := range []string{"e", incarnationID("e", 2000)} {
+		s := openWithoutEngines(t)
+		s.sendHeartbeat(id, "a1", 1, 1)
+		s.ask(Request{BackendHeartbeat: &BackendHeartbeat{Instance: catalog.Instance{ID: id, Service: "engine", Address: "a1", State: catalog.StateDraining}, Sequence: 3}})
+		s.advance(expiryTimeout + time.Second)
+		if s.isRegistered(id) {
+			t.Fatalf("%s is registered after %v of silence", id, expiryTimeout)
+		}
+		s.sendHeartbeat(id, "a1", 2, 1)
+		if s.isRegistered(id) {
+			t.Fatalf("%s is registered again by a heartbeat that it sent before it was draining", id)
+		}
+	}
+}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -224,13 +224,23 @@
 			r.leader.markRosterChanged(id)
 		}
 		if silence > expiryTimeout {
-			r.propose(now, 0, Command{Catalog: &catalog.Command{Expire: id}})
+			r.proposeExpiry(now, id)
 			state.heardAt = now
 		}
 	}
 	r.pruneUnregistered(now)
 }
 
+// proposeExpiry proposes to deregister a silent back end. One that was draining has left for good, since a delayed
+// heartbeat could register it as ready.
+func (r *Replica) proposeExpiry(now time.Duration, id string) {
+	command := &catalog.Command{Expire: id}
+	if r.machine.catalog.Instances()[id].State == catalog.StateDraining && r.config.Guards.On(guard.DeregistrationKept) {
+		command = &catalog.Command{Deregister: id}
+	}
+	r.propose(now, 0, Command{Catalog: command})
+}
+
 // pruneUnregistered deletes in-memory state of back ends that have been deregistered for a while.
 func (r *Replica) pruneUnregistered(now time.Duration) {
 	instances := r.machine.catalog.Instances()
--- a/internal/control/registering.go
+++ b/internal/control/registering.go
@@ -36,7 +36,7 @@
 		return false
 	}
 	if now-r.ensureBackend(now, holder.ID).heardAt > silenceTimeout {
-		r.propose(now, 0, Command{Catalog: &catalog.Command{Expire: holder.ID}}) // its start time may be from a fast clock
+		r.proposeExpiry(now, holder.ID) // its start time may be from a fast clock
 		return true
 	}
 	return !catalog.ParseInstanceID(instance.ID).StartedBefore(catalog.ParseInstanceID(holder.ID))
--- a/internal/lab/sim/departures.go
+++ b/internal/lab/sim/departures.go
@@ -19,6 +19,10 @@
 	maxHeartbeatDelay    = 8 * time.Second // of the heartbeats that are under way when a back end leaves
 	maxHeartbeatsLate    = 3
 	leavingServeTime     = 5 * time.Second // from the reply to its deregistration to its end
+	// A heartbeat of a draining back end arrives this long after its drain, around the time at which control deregisters
+	// silent back ends.
+	minDrainSilence = 10 * time.Second
+	maxDrainSilence = 18 * time.Second
 	// departureGrace is how long after the reply to a deregistration views may contain the back end.
 	departureGrace = 2 * time.Second
 )
@@ -53,9 +57,13 @@
 	if !b.up || b.left {
 		return
 	}
-	if d.random.IntN(2) == 0 {
+	switch d.random.IntN(8) {
+	case 0, 1, 2:
 		b.leaveAtOnce()
 		return
+	case 3:
+		b.drainSilently()
+		return
 	}
 	former := b.id
 	w.killBackend(b, false)
@@ -118,6 +126,31 @@
 	})
 }
 
+// drainSilently announces a drain and sends no heartbeats after that, as if cut off from control, for longer than control
+// remembers a silent back end. A heartbeat from before arrives then.
+func (b *fleetBackend) drainSilently() {
+	if b.left || b.draining || !strings.HasPrefix(b.ackedState, b.id) {
+		return
+	}
+	d := &b.w.departures
+	b.sequence++
+	late := &control.BackendHeartbeat{Instance: b.instance(), Sequence: b.sequence, Versions: map[string]uint64{fleetModel: b.version}}
+	b.w.after(d.between(minDrainSilence, maxDrainSilence), func() { b.sendHeartbeat(late) })
+	b.draining, b.left = true, true
+	b.sequence++
+	id := b.id
+	drain := &control.BackendHeartbeat{Instance: b.instance(), Sequence: b.sequence}
+	b.asker.askUntil(b.request(drain), b.w.now()+10*time.Second, func(_ control.Response, decided bool) {
+		if decided {
+			b.w.oracle.fleet.draining[id] = b.w.now()
+		}
+		b.after(maxDrainSilence+time.Second, func() {
+			b.kill(false)
+			b.w.restart(b, d.between(200*time.Millisecond, 2*time.Second))
+		})
+	})
+}
+
 // checkDepartures checks that a gateway's view contains no back end whose deregistration had been acknowledged when the
 // gateway asked for it.
 func (o *oracle) checkDepartures(g *fleetGateway, floor watchFloor) {
