Cached prompts of a tenant that is isolated later are out of others' reach, and a request's namespace is that of the newest document

Cause: the salt of those who share held the weights version alone, so that withdrawing a tenant left it as it was with all that lay under it; and tenant and document were looked up once, at the head of a request.

Change: the document carries a sharing epoch, which the catalog sets to the revision that isolates a tenant which has shared since the last one, those removed meanwhile included. It is part of the common salt. A request's namespace is taken from the newest document at its placement and again right before the send; a stream isn't continued from a copy in another namespace. Gateways log and count a new epoch.

--- a/cmd/kitelab/soak.go
+++ b/cmd/kitelab/soak.go
@@ -49,7 +49,7 @@
 
 func (f *soakFlags) run() error {
 	breakPromise := soak.Guarantee(f.guardOff)
-	breakable := []soak.Guarantee{soak.WithinLimit, soak.AtMostOnce, soak.CorrectResponse, soak.QuarantineEnforced, soak.ForgedHeartbeatsIgnored, soak.BackoffRespected, soak.DrainRespected, soak.DeregistrationRespected, soak.AdvertisedLimitRespected, soak.ConfigDurable, soak.SlotsRespected, soak.PartitionedGatewaysServe, soak.BystandersServed,
+	breakable := []soak.Guarantee{soak.WithinLimit, soak.AtMostOnce, soak.CorrectResponse, soak.QuarantineEnforced, soak.ForgedHeartbeatsIgnored, soak.BackoffRespected, soak.DrainRespected, soak.DeregistrationRespected, soak.IsolationRespected, soak.AdvertisedLimitRespected, soak.ConfigDurable, soak.SlotsRespected, soak.PartitionedGatewaysServe, soak.BystandersServed,
 		soak.OneVersionPerAnswer, soak.OneVersionPerStream, soak.TakenUpStreamsContinue, soak.StorageBounded, soak.MemoryBounded}
 	if breakPromise != "" && !slices.Contains(breakable, breakPromise) {
 		return eris.Errorf("promise %q cannot be broken on purpose; supported: %v", f.guardOff, breakable)
--- a/internal/catalog/document.go
+++ b/internal/catalog/document.go
@@ -21,6 +21,9 @@
 	Tenants  []Tenant        `json:"tenants,omitempty"`
 	Limits   Limits          `json:"limits"`
 	Source   json.RawMessage `json:"source,omitempty"` // as the operator sent it, returned unchanged on reads
+	// SharingEpoch is the revision that last withdrew a tenant from sharing cached prompts, or 0. Cached prompts are
+	// shared within an epoch only. Machine sets it when the document is put in force.
+	SharingEpoch uint64 `json:"sharing_epoch,omitempty"`
 }
 
 // Route maps the requests of a host and path prefix to services.
--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -82,6 +82,7 @@
 type Machine struct {
 	Guards         guard.Set `json:"-"`
 	document       Document
+	sharing        sharing
 	instances      map[string]Instance
 	addresses      map[string]string // id of the instance at each address
 	ids            []string          // sorted ids of instances; nil when outdated
@@ -110,6 +111,14 @@
 	}
 }
 
+// Blank returns an empty state to restore a snapshot into. It knows the sharing epoch of m, which a snapshot of an older
+// build lacks.
+func (m *Machine) Blank() *Machine {
+	blank := NewMachine()
+	blank.Guards, blank.sharing.epoch = m.Guards, m.sharing.epoch
+	return blank
+}
+
 // Document returns the document in force. Callers must not modify it.
 func (m *Machine) Document() *Document { return &m.document }
 
@@ -234,6 +243,8 @@
 // replace puts a document in force if its revision is higher than the current one.
 func (m *Machine) replace(document Document) {
 	if document.Revision > m.document.Revision || !m.Guards.On(guard.HighestRevision) {
+		m.sharing = m.sharing.advance(&document)
+		document.SharingEpoch = m.sharing.epoch
 		m.document = document
 	}
 }
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -27,11 +27,13 @@
 	ExpiredIDs []string `json:"forgotten,omitempty"`
 
 	Contested map[string]bool `json:"contested,omitempty"`
+
+	Sharing *sharingSnapshot `json:"sharing,omitempty"`
 }
 
 // MarshalJSON encodes the whole state as a snapshot.
 func (m *Machine) MarshalJSON() ([]byte, error) {
-	return json.Marshal(machineSnapshot{m.document, m.instances, m.departedIDs, m.latestVersions, m.fence, m.loaded, m.ordered, m.gateways, m.maxHashWeights, m.quarantine, m.publications, m.expiredIDs, m.contested})
+	return json.Marshal(machineSnapshot{m.document, m.instances, m.departedIDs, m.latestVersions, m.fence, m.loaded, m.ordered, m.gateways, m.maxHashWeights, m.quarantine, m.publications, m.expiredIDs, m.contested, m.sharing.snapshot()})
 }
 
 // UnmarshalJSON replaces the whole state by a snapshot.
@@ -40,10 +42,12 @@
 	if err := json.Unmarshal(data, &snapshot); err != nil {
 		return err
 	}
-	guards := m.Guards
+	guards, known := m.Guards, m.sharing
 	*m = *NewMachine()
 	m.Guards = guards
 	m.document, m.departedIDs, m.fence, m.expiredIDs = snapshot.Document, snapshot.DepartedIDs, snapshot.Fence, snapshot.ExpiredIDs
+	m.sharing = restoreSharing(&m.document, snapshot.Sharing, known)
+	m.document.SharingEpoch = m.sharing.epoch
 	for _, instance := range snapshot.Instances {
 		m.upsert(instance)
 	}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -202,7 +202,7 @@
 
 // Restore replaces the state with a snapshot.
 func (m *Machine) Restore(data []byte) error {
-	form := machineSnapshot{Settings: settings.NewMachine(), Ledger: ledger.New(), Catalog: catalog.NewMachine()}
+	form := machineSnapshot{Settings: settings.NewMachine(), Ledger: ledger.New(), Catalog: m.catalog.Blank()}
 	data, err := payload.Expand(data, maxExpandedBytes)
 	if err == nil {
 		err = json.Unmarshal(data, &form)
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -9,6 +9,7 @@
 	GatewayStopping          = "gateway stopping"
 	GatewayStopped           = "gateway stopped"
 	DocumentApplied          = "document taken"
+	SharingEpochBegan        = "shared prompts withdrawn" // a tenant became isolated: nothing cached before is shared any more
 	RosterApplied            = "roster taken"
 	InstanceJoined           = "instance joined"
 	InstanceLeaving          = "instance leaving"
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -43,6 +43,8 @@
 	causeWeightsOutdated = "weights outdated"
 	// causeOtherSoftware: the back end is no longer known to have the software version at which the stream began.
 	causeOtherSoftware = "other software"
+	// causeSharingWithdrawn: the copy of the run is in a namespace that the request may no longer use.
+	causeSharingWithdrawn = "sharing withdrawn"
 	// Causes why a back end gets no request: it drains, it asked this gateway for a backoff, its limit is reached.
 	causeDraining     = "leaving"
 	causeBackingOff   = "resting"
@@ -142,7 +144,11 @@
 	conn := a.conn
 	stop := context.AfterFunc(a.ctx, func() { _ = conn.Close() })
 	defer stop()
-	if cause := a.recheck(); cause != "" {
+	cause := a.recheck()
+	if cause == "" && !a.updateNamespace() {
+		cause = causeSharingWithdrawn
+	}
+	if cause != "" {
 		_ = conn.Close()
 		return result{kind: resultUnreachable, cause: cause}
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -47,7 +47,8 @@
 type candidate struct {
 	row             *endpoint
 	cost            float64 // milliseconds
-	salt            string
+	namespace       namespace
+	salt            string         // of the namespace, or a unique one if version is 0
 	version         uint64         // of the weights expected there; 0 if unknown
 	wait            float64        // predicted time until the request starts, in milliseconds
 	queueWait       float64        // part of wait before the prefill starts
@@ -80,7 +81,7 @@
 type selectionInput struct {
 	service       *catalog.Service
 	store         *catalog.Service // cache store of the prompt, or nil
-	tenant        *catalog.Tenant
+	namespace     namespace
 	call          *Call
 	tried         []*endpoint         // back ends that the request was sent to already
 	trusted       bool                // the view was confirmed recently, so its weight versions are valid
@@ -238,7 +239,7 @@
 func (g *Gateway) scoreEngine(now time.Duration, scored *candidate, in selectionInput, owner bool, sources []source) {
 	row := scored.row
 	scored.version = row.entry.Versions[in.call.Model]
-	scored.salt = cacheSalt(scored.version, in.tenant)
+	scored.namespace, scored.salt = in.namespace, in.namespace.salt(scored.version)
 	if scored.version == 0 || !in.trusted {
 		scored.version, scored.salt = 0, uniqueSalt()
 	}
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -44,7 +44,7 @@
 		return nil
 	}
 	found := make([]source, 0, maxSources)
-	var salts saltCache
+	salts := saltCache{namespace: in.namespace}
 	for deepest := len(shared) - 1; deepest >= 0 && len(found) < maxSources; deepest-- {
 		for _, row := range sampled(g.table.holders[shared[deepest].ID], holderSample) {
 			if len(found) == maxSources || slices.ContainsFunc(found, func(other source) bool { return other.row == row }) {
@@ -73,14 +73,15 @@
 
 // saltCache caches the last computed salt; most back ends have the same version.
 type saltCache struct {
-	version uint64
-	name    string
+	namespace namespace
+	version   uint64
+	name      string
 }
 
-// of returns the salt of a version for a tenant.
-func (k *saltCache) of(version uint64, tenant *catalog.Tenant) string {
+// of returns the salt of a version.
+func (k *saltCache) of(version uint64) string {
 	if k.name == "" || k.version != version {
-		k.version, k.name = version, cacheSalt(version, tenant)
+		k.version, k.name = version, k.namespace.salt(version)
 	}
 	return k.name
 }
@@ -91,7 +92,7 @@
 	if version == 0 || row.entry.Service != in.service.Name || now < row.avoidUntil || row.entry.Loading {
 		return source{}, false
 	}
-	tokens := row.cache.Cached(salts.of(version, in.tenant), prefix.SharedParts(in.call.Parts))
+	tokens := row.cache.Cached(salts.of(version), prefix.SharedParts(in.call.Parts))
 	return source{row: row, version: version, tokens: tokens}, tokens > 0
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -282,7 +282,7 @@
 		return nil
 	}
 	in := selectionInput{
-		service: x.service, tenant: x.tenant, call: &x.call, tried: x.tried, firstAttempt: len(x.tried) == 0 && !x.origin.takesUp, priority: enginePriority(x.tenant, x.route), latencyTarget: x.route.Objective,
+		service: x.service, namespace: x.namespace(), call: &x.call, tried: x.tried, firstAttempt: len(x.tried) == 0 && !x.origin.takesUp, priority: enginePriority(x.tenant, x.route), latencyTarget: x.route.Objective,
 	}
 	if required.Binds() {
 		in.software = &required
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -106,6 +106,7 @@
 	unknownHeaders    prometheus.Counter       // unknown headers in back ends' responses
 	retries           prometheus.Counter
 	cacheReadFailures prometheus.Counter     // failed requests for engines' cache events
+	sharingEpochs     prometheus.Counter     // changes after which nothing cached before is shared
 	schedulerFailures prometheus.Counter     // placement requests that no scheduler answered in time
 	slotInvalid       prometheus.Counter     // absurd values in messages about slots of small services
 	uncachedTokens    prometheus.Counter     // prompt tokens sent to engines that they have to prefill
@@ -168,6 +169,7 @@
 		unknownHeaders:    counter("unknown_words_total", "Headers in which back ends speak of themselves and that nothing reads."),
 		retries:           counter("repeats_total", "Requests sent to a further back end."),
 		cacheReadFailures: counter("cache_questions_failed_total", "Questions for engines' cache events that failed."),
+		sharingEpochs:     counter("shared_prompts_withdrawn_total", "Changes of the document after which no prompt that was cached before is shared."),
 		schedulerFailures: counter("scheduler_questions_failed_total", "Questions for a placement that a scheduler did not answer in time."),
 		slotInvalid:       counter("slot_values_invalid_total", "Absurd slots, waits and times in messages about small services; they change nothing."),
 		uncachedTokens:    counter("prompt_tokens_read_total", "Prompt tokens that engines were sent to read."),
@@ -176,7 +178,7 @@
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "kitetiller_gateway_" + name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.recheckFailures, m.limitLeases, m.firstEvent, m.firstEventRatio, newQueueGauge(g), m.unknownHeaders, m.retries, m.cacheReadFailures, m.schedulerFailures, m.slotInvalid, m.uncachedTokens, m.cachedTokens, m.streamCopies, m.continuations, g.startup, newBackoffGauge(g), newAdvertisedLimitGauge(g), newReservationMetrics(g), newSlotCollector(g),
+	m.registry.MustRegister(m.requests, m.attempts, m.recheckFailures, m.limitLeases, m.firstEvent, m.firstEventRatio, newQueueGauge(g), m.unknownHeaders, m.retries, m.cacheReadFailures, m.schedulerFailures, m.sharingEpochs, m.slotInvalid, m.uncachedTokens, m.cachedTokens, m.streamCopies, m.continuations, g.startup, newBackoffGauge(g), newAdvertisedLimitGauge(g), newReservationMetrics(g), newSlotCollector(g),
 		gauge("limit_questions_total", "Questions to the leader for amounts of what is limited.", func() float64 { sent, _ := g.leases.RequestCounts(); return float64(sent) }),
 		gauge("limit_questions_failed_total", "Such questions that got no answer.", func() float64 { _, failed := g.leases.RequestCounts(); return float64(failed) }),
 		gauge("suspected_requests", "Requests under which more than one back end ended, as control tells.", func() float64 { suspected, _ := g.quarantine.SuspectCounts(); return float64(suspected) }),
--- a/internal/gateway/placements.go
+++ b/internal/gateway/placements.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"kitetiller/internal/catalog"
 	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/streamorigin"
@@ -41,6 +40,8 @@
 	// Software is the software version that the back end must have; "" for any. Older builds ignore it, so the requesting
 	// gateway checks the reply.
 	Software string `json:"sw,omitempty"`
+	// SharingEpoch is that of the requesting gateway's document, if the tenant is not isolated.
+	SharingEpoch uint64 `json:"se,omitempty"`
 }
 
 // wirePlacementReply answers a wirePlacementRequest. Instance is empty if no back end is available.
@@ -137,9 +138,7 @@
 	}
 	call := req.call()
 	in := selectionInput{service: current.services[req.Service], call: &call, tried: g.table.rowsByID(req.Excluded), trusted: true, sentByPeer: true}
-	if req.IsolatedTenant != "" {
-		in.tenant = &catalog.Tenant{Name: req.IsolatedTenant, Isolated: true}
-	}
+	in.namespace = namespace{isolated: req.IsolatedTenant, epoch: req.SharingEpoch}
 	in.latencyCritical, in.offer = current.critical[req.Service], current.offer(req.Service)
 	in.maxEventGap = current.gaps[req.Service]
 	if g.enabled(mechanism.StoreTransfers) {
--- a/internal/gateway/queues.go
+++ b/internal/gateway/queues.go
@@ -68,6 +68,10 @@
 		}
 	}
 	t.mutex.Unlock()
+	if previous := g.view.Load(); previous != nil {
+		next.sharingEpoch = max(next.sharingEpoch, previous.sharingEpoch)
+		g.recordSharingEpoch(previous, next)
+	}
 	g.view.Store(next)
 }
 
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -168,9 +168,7 @@
 		req.Software = in.software.Version().Name()
 	}
 	req.Tenant, req.ReportsFirstEvent = in.tenantName, in.reportsFirstEvent
-	if in.tenant != nil && in.tenant.Isolated {
-		req.IsolatedTenant = in.tenant.Name
-	}
+	req.IsolatedTenant, req.SharingEpoch = in.namespace.isolated, in.namespace.epoch
 	req.Parts, req.PartTokens = partsToWire(x.call.Parts)
 	return req
 }
@@ -204,7 +202,7 @@
 	g.table.mutex.Lock()
 	defer g.table.mutex.Unlock()
 	chosen := &candidate{
-		row: g.table.rows[reply.Instance], version: reply.Version, salt: cacheSalt(reply.Version, in.tenant), wait: reply.WaitMS,
+		row: g.table.rows[reply.Instance], version: reply.Version, namespace: in.namespace, salt: in.namespace.salt(reply.Version), wait: reply.WaitMS,
 		uncached: max(0, reply.Uncached), recomputed: max(0, reply.Recomputed), recomputeReason: recomputeCause(reply.RecomputeReason), fetchFrom: reply.FetchFrom, saveTo: reply.SaveTo, reserved: reply.reserved(), scheduled: &placed,
 		queueWait: reply.QueueMS, pause: reply.PauseMS, slowness: reply.Slowness,
 	}
--- a/internal/gateway/storecopies_test.go
+++ b/internal/gateway/storecopies_test.go
@@ -42,7 +42,7 @@
 	current := g.view.Load()
 	parts := []prefix.Part{{ID: "preamble", Tokens: 2520}, {ID: subject, Tokens: 3780}, {ID: "own", Tokens: 2890}}
 	return selectionInput{
-		service: current.services["s"], store: current.storeOf(parts), call: &Call{Model: "m", Parts: parts, PromptTokens: 9190}, tenant: tenant, trusted: true,
+		service: current.services["s"], store: current.storeOf(parts), call: &Call{Model: "m", Parts: parts, PromptTokens: 9190}, namespace: current.namespaceOf(tenant), trusted: true,
 		latencyCritical: current.critical["s"],
 	}
 }
--- a/internal/gateway/streamcopies.go
+++ b/internal/gateway/streamcopies.go
@@ -29,6 +29,7 @@
 // copiedRun is the state of a stream's run of which another engine may keep a copy.
 type copiedRun struct {
 	version        uint64 // of the weights that the run began with
+	namespace      namespace
 	salt           string
 	order          streamcopy.Order
 	relayed        int            // events
@@ -83,7 +84,7 @@
 	}
 	if !a.continues {
 		eventTokens := x.view.offer(x.service.Name).EventTokens
-		x.copied = &copiedRun{version: a.plan.version, salt: a.plan.salt, order: streamcopy.NewOrder(eventTokens, x.call.LastEvent)}
+		x.copied = &copiedRun{version: a.plan.version, namespace: a.plan.namespace, salt: a.plan.salt, order: streamcopy.NewOrder(eventTokens, x.call.LastEvent)}
 	}
 	x.copied.copyAt = ""
 	a.copyAt, x.copied.copyAddress = x.gateway.chooseCopy(x.gateway.now(), a)
@@ -286,7 +287,7 @@
 	}
 	x.gateway.metrics.retries.Inc()
 	c.continuations, c.continuedAt = c.continuations+1, c.copyAddress
-	x.continuation = &candidate{row: a.copyAt, version: c.version, salt: c.salt}
+	x.continuation = &candidate{row: a.copyAt, version: c.version, namespace: c.namespace, salt: c.salt}
 	x.gateway.log.info(events.StreamContinued, zap.String(events.FieldRequest, x.call.ID), zap.String(events.FieldInstance, a.row.entry.ID),
 		zap.String(events.FieldCopyAt, c.copyAt), zap.String("event", x.lastEvent), zap.Duration("pause", x.gateway.now()-c.latestAt))
 	return true
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -17,6 +17,7 @@
 	document *catalog.Document
 	routes   map[string][]*catalog.Route // by host, longest path prefix first
 	keys     map[string]*catalog.Tenant  // by API key
+	tenants  map[string]*catalog.Tenant  // by name
 	services map[string]*catalog.Service
 	stores   []*catalog.Service       // cache stores, in document order
 	critical map[string]bool          // names of latency-critical services
@@ -24,13 +25,16 @@
 	gaps     map[string]time.Duration // as of shortestEventGaps
 	// streamTimeouts holds the longest timeout of the routes whose streams go to each service.
 	streamTimeouts map[string]time.Duration
+	// sharingEpoch is that of the document or of an earlier one, whichever is later: one that passed through an older build
+	// has lost it.
+	sharingEpoch uint64
 }
 
 func newView(document *catalog.Document, offers map[string]catalog.Offer) *view {
 	v := &view{
-		document: document, routes: map[string][]*catalog.Route{}, keys: map[string]*catalog.Tenant{},
+		document: document, routes: map[string][]*catalog.Route{}, keys: map[string]*catalog.Tenant{}, tenants: map[string]*catalog.Tenant{},
 		services: map[string]*catalog.Service{}, critical: map[string]bool{}, offers: offers, gaps: shortestEventGaps(document),
-		streamTimeouts: map[string]time.Duration{},
+		streamTimeouts: map[string]time.Duration{}, sharingEpoch: document.SharingEpoch,
 	}
 	for i := range document.Routes {
 		route := &document.Routes[i]
@@ -45,6 +49,7 @@
 		slices.SortFunc(routes, func(a, b *catalog.Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
 	}
 	for i := range document.Tenants {
+		v.tenants[document.Tenants[i].Name] = &document.Tenants[i]
 		for _, key := range document.Tenants[i].Keys {
 			v.keys[key] = &document.Tenants[i]
 		}
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"kitetiller/internal/catalog"
@@ -120,22 +118,3 @@
 	}
 	return false
 }
-
-// cacheSalt returns the namespace of cached parts that a request may share: those of the same weights, and of the
-// same tenant if it is isolated.
-func cacheSalt(version uint64, tenant *catalog.Tenant) string {
-	name := sharedSaltPrefix + formatVersion(version)
-	if tenant != nil && tenant.Isolated {
-		name += "/" + tenant.Name
-	}
-	return name
-}
-
-// uniqueSalt returns a namespace that no other request shares, for use when the weights are unknown.
-func uniqueSalt() string { return "u" + strconv.FormatUint(rand.Uint64(), saltBase) }
-
-const (
-	saltBase = 36
-	// sharedSaltPrefix begins the salts of known weights, and no others.
-	sharedSaltPrefix = "w"
-)
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -36,6 +36,7 @@
 	RejectRequests   Kind = "shed-workers"      // workers reject all requests and ask callers to back off
 	DrainWorker      Kind = "leave-worker"      // a worker's responses announce its shutdown, its heartbeats do not
 	DeregisterWorker Kind = "deregister-worker" // a worker leaves without announcing it, mostly soon after its start; heartbeats arrive late
+	IsolateTenant    Kind = "isolate-tenant"    // a tenant shares no cached parts of prompts for a time
 	AdvertiseLimits  Kind = "need-workers"      // workers advertise a request rate limit in their responses
 	ForgedHeartbeats Kind = "forged-beats"      // an unknown sender sends heartbeats that can be decoded only in part
 	CutWorkers       Kind = "cut-workers"       // half of the gateways from all workers; connections hang
@@ -62,14 +63,14 @@
 		KillGateway, PauseGateway, StopGateway, KillControl, PauseLeader, KillAll, CutLeader, CutOneWay, CutGateway, DelayLinks, ResetLinks, ResetControl,
 		KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, FatalRequest, ForgedHeartbeats,
 		RejectRequests, DrainWorker, AdvertiseLimits,
-		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions, IsolateGateway, LargeDocuments, WipeControl, DeregisterWorker,
+		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions, IsolateGateway, LargeDocuments, WipeControl, DeregisterWorker, IsolateTenant,
 	}
 }
 
 // Disturbs reports whether a fault affects the system's own processes or the links between them.
 func (k Kind) Disturbs() bool {
 	switch k {
-	case KillWorker, HotTenant, LowerLimit, ChangeSetting, LargeDocuments, Reload, FatalRequest, ForgedHeartbeats, RejectRequests, DrainWorker, DeregisterWorker, AdvertiseLimits,
+	case KillWorker, HotTenant, LowerLimit, ChangeSetting, LargeDocuments, Reload, FatalRequest, ForgedHeartbeats, RejectRequests, DrainWorker, DeregisterWorker, IsolateTenant, AdvertiseLimits,
 		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions:
 		return false
 	}
--- a/internal/lab/soak/promises.go
+++ b/internal/lab/soak/promises.go
@@ -51,6 +51,8 @@
 	// Control processes keep their data folders and their memory within their limits.
 	StorageBounded Guarantee = "disk-bound"
 	MemoryBounded  Guarantee = "memory-bound"
+	// A request uses no cached part of a prompt that another tenant's request made, if one of the two shares none.
+	IsolationRespected Guarantee = "wall"
 	// No request reaches a worker known only from forged heartbeats, and no forged heartbeat is acknowledged.
 	ForgedHeartbeatsIgnored Guarantee = "not-forged"
 )
@@ -58,7 +60,7 @@
 // Guarantees lists all guarantees in a fixed order.
 func Guarantees() []Guarantee {
 	return []Guarantee{WithinLimit, AtMostOnce, NotRunHonored, CorrectResponse, ServiceRecovers, NoUnexpectedExit, QuarantineEnforced, BackoffRespected, DrainRespected, DeregistrationRespected, AdvertisedLimitRespected, SlotsRespected, ConfigDurable, ForgedHeartbeatsIgnored, PartitionedGatewaysServe, BystandersServed,
-		OneVersionPerAnswer, OneVersionPerStream, TakenUpStreamsContinue, StorageBounded, MemoryBounded}
+		OneVersionPerAnswer, OneVersionPerStream, TakenUpStreamsContinue, StorageBounded, MemoryBounded, IsolationRespected}
 }
 
 // Violation is an observation that contradicts a guarantee.
@@ -109,6 +111,7 @@
 	fatalParts        map[string]*fatalPart   // by part; guarded by mu
 	serviceLimits     []interval              // guarded by mu
 	deregistered      map[string]deregistered // by incarnation; guarded by mu
+	isolations        []isolation             // guarded by mu
 	// Periods of faults in the system's processes and links; guarded by mu.
 	disturbances []interval
 	burstWindows []interval           // periods in which requests may be delayed; guarded by mu
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -29,6 +29,8 @@
 	ForgeHeartbeats   func(ctx context.Context, target int, duration time.Duration)
 	RejectRequests    func(ctx context.Context, target int, duration time.Duration)
 	DrainWorker       func(ctx context.Context, target int, duration time.Duration)
+	// IsolateTenant makes a tenant share no cached parts of prompts.
+	IsolateTenant func(ctx context.Context, target int, duration time.Duration)
 	// DeregisterWorker makes a worker leave by a deregistration alone while heartbeats of it are under way.
 	DeregisterWorker func(ctx context.Context, target int, duration time.Duration)
 	AdvertiseLimits  func(ctx context.Context, target int, duration time.Duration)
@@ -156,6 +158,8 @@
 		f.RejectRequests(ctx, fault.Target, duration)
 	case AdvertiseLimits:
 		f.AdvertiseLimits(ctx, fault.Target, duration)
+	case IsolateTenant:
+		f.IsolateTenant(ctx, fault.Target, duration)
 	case DeregisterWorker:
 		f.DeregisterWorker(ctx, fault.Target, duration)
 	case DrainWorker:
