Control: a draining back end that another one replaced at its address isn't registered again as ready

Cause: the state of a drain stands in the entry, which the registration of another instance at its address deletes.

Change: the leader deregisters a draining holder of an address before it registers another instance there.

--- a/internal/control/contested_test.go
+++ b/internal/control/contested_test.go
@@ -200,3 +200,16 @@
 		}
 	}
 }
+
+// TestReplacedDrainingInstanceStaysOut guards against a draining back end that another one replaced at its address, and
+// that a heartbeat from before registered as ready.
+func TestReplacedDrainingInstanceStaysOut(t *testing.T) {
+	s := openWithoutEngines(t)
+	s.sendHeartbeat("e-1", "a1", 1, 1)
+	s.ask(Request{BackendHeartbeat: &BackendHeartbeat{Instance: catalog.Instance{ID: "e-1", Service: "engine", Address: "a1", State: catalog.StateDraining}, Sequence: 3}})
+	s.sendHeartbeat("e-2", "a1", 1, 1)
+	s.sendHeartbeat("e-1", "a1", 2, 1)
+	if s.isRegistered("e-1") || !s.isRegistered("e-2") {
+		t.Fatalf("draining back end registered again: %t; the one that replaced it: %t", s.isRegistered("e-1"), s.isRegistered("e-2"))
+	}
+}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -80,6 +80,7 @@
 	case !known || heartbeat.Instance.Service != registered.Service:
 		r.recordHeartbeat(now, heartbeat)
 		r.recordRegistration(now, heartbeat.Instance)
+		r.retireDrainingHolder(now, heartbeat.Instance)
 		r.queueRegistration(client, heartbeat.Instance)
 	case heartbeat.Instance.State == catalog.StateDraining && registered.State != catalog.StateDraining:
 		r.propose(now, client, Command{Catalog: &catalog.Command{Drain: id}})
@@ -241,6 +242,15 @@
 	r.propose(now, 0, Command{Catalog: command})
 }
 
+// retireDrainingHolder deregisters a draining instance whose address another one takes, since a delayed heartbeat could
+// register it as ready.
+func (r *Replica) retireDrainingHolder(now time.Duration, instance catalog.Instance) {
+	holder, taken := r.machine.catalog.InstanceAt(instance.Address)
+	if taken && holder.ID != instance.ID && holder.State == catalog.StateDraining {
+		r.proposeExpiry(now, holder.ID)
+	}
+}
+
 // pruneUnregistered deletes in-memory state of back ends that have been deregistered for a while.
 func (r *Replica) pruneUnregistered(now time.Duration) {
 	instances := r.machine.catalog.Instances()
