--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -22,6 +22,10 @@
 	snapshot Snapshot
 	applied  []Entry
 	running  bool
+
+	write              *Write // in progress, or nil
+	beganAt, writtenAt time.Duration
+	syncTime           time.Duration
 }
 
 // cluster drives nodes over a simulated network.
@@ -58,33 +62,33 @@
 
 func (c *cluster) start(r *replica) {
 	r.running = true
-	r.applied = nil
+	r.applied, r.write = nil, nil
 	r.node = New(Config{ID: r.id, Timing: testTiming, Limits: c.limits, Random: c.random.Int64N},
 		Restored{HardState: r.hard, Snapshot: r.snapshot.Meta, Entries: slices.Clone(r.entries)}, c.now,
 		func() (Snapshot, bool) { return r.snapshot, true })
 }
 
-// processReady stores, sends and applies a replica's pending work in the order that the package comment prescribes.
-func (c *cluster) processReady(r *replica) {
-	for r.running && r.node.HasReady() {
-		ready := r.node.Ready()
-		if ready.HardState != nil {
-			r.hard = *ready.HardState
+// process sends, applies and stores a replica's pending work as the package comment prescribes. A write takes the
+// replica's sync time.
+func (c *cluster) process(r *replica) {
+	for r.running {
+		messages, committed := r.node.Messages(), r.node.Committed()
+		c.checkLimits(r, messages, committed)
+		c.inFlight = append(c.inFlight, messages...)
+		for _, entry := range committed {
+			c.apply(r, entry)
 		}
-		if ready.Snapshot != nil {
-			r.snapshot, r.entries, r.applied = *ready.Snapshot, nil, nil
-			if want := c.snapshotData(ready.Snapshot.Meta.Index); len(ready.Snapshot.Data) > 0 && !bytes.Equal(ready.Snapshot.Data, want) {
-				c.fail("%s installs a snapshot at index %d with other data: %d bytes, want %d", r.id, ready.Snapshot.Meta.Index, len(ready.Snapshot.Data), len(want))
-			}
+		if r.write != nil && c.now >= r.writtenAt {
+			c.endWrite(r)
+			continue
 		}
-		c.persist(r, ready.Entries)
-		if count := len(ready.Entries); count > 0 {
-			r.node.MarkPersisted(ready.Entries[count-1].Index, ready.Entries[count-1].Term)
+		if r.write == nil && r.node.NeedsWrite() {
+			write := r.node.BeginWrite()
+			r.write, r.beganAt, r.writtenAt = &write, c.now, c.now+r.syncTime
+			continue
 		}
-		c.checkLimits(r, ready)
-		c.inFlight = append(c.inFlight, ready.Messages...)
-		for _, entry := range ready.Committed {
-			c.apply(r, entry)
+		if len(messages)+len(committed) == 0 {
+			break
 		}
 	}
 	if r.running && r.node.Role() == Leader {
@@ -95,6 +99,40 @@
 	}
 }
 
+// endWrite makes the write in progress durable and tells the replica.
+func (c *cluster) endWrite(r *replica) {
+	write := *r.write
+	r.write = nil
+	if write.Snapshot != nil {
+		r.applied = nil
+		if want := c.snapshotData(write.Snapshot.Meta.Index); len(write.Snapshot.Data) > 0 && !bytes.Equal(write.Snapshot.Data, want) {
+			c.fail("%s installs a snapshot at index %d with other data: %d bytes, want %d", r.id, write.Snapshot.Meta.Index, len(write.Snapshot.Data), len(want))
+		}
+	}
+	c.store(r, write)
+	r.node.ObserveSync(c.now - r.beganAt)
+	r.node.EndWrite(c.now)
+}
+
+// store writes to a replica's stable storage.
+func (c *cluster) store(r *replica, write Write) {
+	if write.HardState != nil {
+		r.hard = *write.HardState
+	}
+	if write.Snapshot != nil {
+		r.snapshot, r.entries = *write.Snapshot, nil
+	}
+	c.persist(r, write.Entries)
+}
+
+// kill ends a replica. The first records of a write in progress may have become durable.
+func (c *cluster) kill(r *replica) {
+	if write := r.write; write != nil && write.Snapshot == nil && c.random.IntN(2) == 0 {
+		c.store(r, Write{HardState: write.HardState, Entries: write.Entries[:c.random.IntN(len(write.Entries)+1)]})
+	}
+	r.running, r.write = false, nil
+}
+
 func (c *cluster) persist(r *replica, entries []Entry) {
 	for _, entry := range entries {
 		at := int(entry.Index - r.snapshot.Meta.Index - 1)
@@ -129,7 +167,7 @@
 		return
 	}
 	to.node.Step(c.now, message)
-	c.processReady(to)
+	c.process(to)
 }
 
 func (c *cluster) advance(d time.Duration) {
@@ -137,7 +175,7 @@
 	for _, r := range c.replicas {
 		if r.running {
 			r.node.Tick(c.now)
-			c.processReady(r)
+			c.process(r)
 		}
 	}
 	c.checkLeases()
@@ -173,7 +211,7 @@
 		return false
 	}
 	_, _, ok := leader.node.Propose(c.now, []byte(data))
-	c.processReady(leader)
+	c.process(leader)
 	return ok
 }
 
@@ -265,9 +303,12 @@
 					c.inFlight = append(c.inFlight, c.inFlight[rapid.IntRange(0, len(c.inFlight)-1).Draw(t, "position")])
 				}
 			},
-			"cut":     func(t *rapid.T) { c.partitioned[c.replicas[replicaIndex.Draw(t, "replica")].id] = true },
-			"heal":    func(*rapid.T) { clear(c.partitioned) },
-			"kill":    func(t *rapid.T) { c.replicas[replicaIndex.Draw(t, "replica")].running = false },
+			"cut":  func(t *rapid.T) { c.partitioned[c.replicas[replicaIndex.Draw(t, "replica")].id] = true },
+			"heal": func(*rapid.T) { clear(c.partitioned) },
+			"kill": func(t *rapid.T) { c.kill(c.replicas[replicaIndex.Draw(t, "replica")]) },
+			"slow": func(t *rapid.T) {
+				c.replicas[replicaIndex.Draw(t, "replica")].syncTime = time.Duration(rapid.IntRange(0, 2000).Draw(t, "sync ms")) * time.Millisecond
+			},
 			"compact": func(t *rapid.T) { c.compact(c.replicas[replicaIndex.Draw(t, "replica")]) },
 			"start": func(t *rapid.T) {
 				if r := c.replicas[replicaIndex.Draw(t, "replica")]; !r.running {
@@ -284,10 +325,12 @@
 	clear(c.partitioned)
 	c.inFlight = nil
 	for _, r := range c.replicas {
+		r.syncTime = 0
 		if !r.running {
 			c.start(r)
 		}
 	}
+	c.runFor(2 * time.Second) // until the slow writes have ended
 	c.runFor(8 * time.Second)
 	if !c.propose("last") {
 		t.Fatal("no leader accepted a proposal after recovery")
@@ -329,7 +372,7 @@
 	for range 5 {
 		leader.node.Step(c.now, Message{Kind: MessageAppendReply, From: peer.ID, To: leader.id, Term: leader.node.Term(), Reject: true, Index: peer.Match})
 	}
-	if sent := len(leader.node.Ready().Messages); sent != 0 {
+	if sent := len(leader.node.Messages()); sent != 0 {
 		t.Fatalf("%d messages sent in response to rejections at the match index, want 0", sent)
 	}
 }
--- a/internal/consensus/coldstart.go
+++ b/internal/consensus/coldstart.go
@@ -22,16 +22,18 @@
 // logPosition is the term and index of a replica's last log entry.
 type logPosition struct{ term, index uint64 }
 
+// newerThan reports whether a log that ends at this position is more up-to-date than one that ends at another.
+func (p logPosition) newerThan(other logPosition) bool {
+	return p.term > other.term || p.term == other.term && p.index > other.index
+}
+
 // precedes reports whether the replica with this position and id stands for election before the other one: the more
 // up-to-date log first, then the lower id.
 func (p logPosition) precedes(id ID, other logPosition, otherID ID) bool {
-	switch {
-	case p.term != other.term:
-		return p.term > other.term
-	case p.index != other.index:
-		return p.index > other.index
+	if p == other {
+		return id < otherID
 	}
-	return id < otherID
+	return p.newerThan(other)
 }
 
 // The voter of rank 0 stands for election after Heartbeat/coldStartDelayDivisor; each further rank adds
@@ -95,7 +97,7 @@
 
 // checkColdStart schedules an early election, staggered by rank, once all other voters have replied.
 func (n *Node) checkColdStart(now time.Duration) {
-	own, rank := logPosition{term: n.log.lastTerm(), index: n.log.lastIndex()}, 0
+	own, rank := n.logPosition(), 0
 	for _, m := range n.membership.Members {
 		if m.Learner || m.ID == n.config.ID {
 			continue
@@ -117,6 +119,6 @@
 func (n *Node) shortenElectionTimeout(now time.Duration) {
 	if n.coldStart.leaderless {
 		heartbeat := n.config.Timing.Heartbeat
-		n.electionDue = min(n.electionDue, now+heartbeat/coldStartDelayDivisor+time.Duration(n.coldStart.rank*coldStartRankDelay)*heartbeat)
+		n.electionDue = min(n.electionDue, now+n.syncTime+heartbeat/coldStartDelayDivisor+time.Duration(n.coldStart.rank*coldStartRankDelay)*heartbeat)
 	}
 }
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -1,11 +1,87 @@
 package consensus
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
+// An election takes a sync of the candidate and one of the voters. Timeouts therefore follow the duration of syncs, which
+// each replica measures and tells in its replies to pre-votes, and are longer after an election that ended undecided,
+// which all replicas see from their terms. Leases don't depend on them: replicas reject votes for a fixed time after a
+// leader's message.
+
+const (
+	// electionSyncs is how many times the duration of a sync a replica waits for an election beyond the usual timeout: two
+	// syncs in a row, and a reserve.
+	electionSyncs = 3
+	// undecidedElectionScale is the factor of election timeouts after an election that ended without a leader.
+	undecidedElectionScale = 2
+)
+
+// reservation keeps a replica from supporting another candidate while an election that it supports may be under way.
+// Otherwise candidates whose vote requests wait for a sync would not learn of each other in time, and split the votes.
+type reservation struct {
+	candidate ID
+	position  logPosition // end of the candidate's log
+	until     time.Duration
+}
+
+// electionScale returns the factor of election timeouts.
+func (n *Node) electionScale() time.Duration {
+	if n.hard.Term > n.leaderTerm+1 {
+		return undecidedElectionScale
+	}
+	return 1
+}
+
+// resetElectionTimer makes the replica stand for election after the election timeout. One with slow syncs stands later,
+// so that others lead.
 func (n *Node) resetElectionTimer(now time.Duration) {
 	timing := n.config.Timing
 	jitter := int64(timing.ElectionMax - timing.ElectionMin)
-	n.electionDue = now + timing.ElectionMin + time.Duration(n.config.Random(jitter))
+	n.electionDue = now + (timing.ElectionMin+time.Duration(n.config.Random(jitter)))*n.electionScale() + n.syncTime
+}
+
+// awaitElection is resetElectionTimer for a replica that waits for the outcome of an election.
+func (n *Node) awaitElection(now time.Duration) {
+	n.resetElectionTimer(now)
+	n.electionDue += electionSyncs * max(n.syncTime, n.voterSyncTime())
+}
+
+// voterSyncTime returns how long a sync of the fastest voters takes that make a quorum with this candidate. It is 0 for
+// other roles.
+func (n *Node) voterSyncTime() time.Duration {
+	others := n.membership.Voters() / 2
+	if n.role != Candidate || len(n.voterSyncTimes) < others || others == 0 {
+		return 0
+	}
+	return slices.Sorted(maps.Values(n.voterSyncTimes))[others-1]
+}
+
+// reserve supports a candidate for as long as the syncs of its election take.
+func (n *Node) reserve(now time.Duration, candidate ID, position logPosition) {
+	until := now + electionSyncs*max(n.syncTime, n.voterSyncTime())
+	n.reservation = reservation{candidate, position, until}
+	if candidate != n.config.ID && n.electionDue < until {
+		n.resetElectionTimer(until - n.config.Timing.ElectionMin)
+	}
+}
+
+// supportsOther reports whether the replica supports another candidate than the sender of a pre-vote, maybe itself. It
+// changes to one that precedes that, so that all replicas come to support the same one. The most up-to-date log comes
+// first, since a candidate with an older one may be unable to win.
+func (n *Node) supportsOther(now time.Duration, request Message) bool {
+	supported := n.reservation
+	return now < supported.until && supported.candidate != request.From && !request.logPosition().precedes(request.From, supported.position, supported.candidate)
+}
+
+// logPosition returns the end of the candidate's log in a request for votes.
+func (m *Message) logPosition() logPosition { return logPosition{term: m.LogTerm, index: m.Index} }
+
+// logPosition returns the end of the log.
+func (n *Node) logPosition() logPosition {
+	return logPosition{term: n.log.lastTerm(), index: n.log.lastIndex()}
 }
 
 // becomeFollower enters a term as follower of leader, or of no known leader if it is empty. The vote is kept when the
@@ -26,8 +102,9 @@
 func (n *Node) startPreVote(now time.Duration) {
 	n.role = PreCandidate
 	n.leader = ""
-	n.votes = map[ID]bool{n.config.ID: true}
+	n.votes, n.voterSyncTimes = map[ID]bool{n.config.ID: true}, map[ID]time.Duration{}
 	n.resetElectionTimer(now)
+	n.reserve(now, n.config.ID, n.logPosition())
 	n.requestVotes(MessagePreVote, n.hard.Term+1)
 	n.countVotes(now)
 }
@@ -37,11 +114,16 @@
 	n.hard = HardState{Term: n.hard.Term + 1, Vote: n.config.ID}
 	n.hardStateChanged = true
 	n.votes = map[ID]bool{n.config.ID: true}
-	n.resetElectionTimer(now)
+	n.awaitElection(now)
+	n.reserve(now, n.config.ID, n.logPosition())
 	n.requestVotes(MessageVote, n.hard.Term)
 	n.countVotes(now)
 }
 
+// UndecidedElections returns how many elections ended without a leader although a quorum had supported this replica's
+// candidacy.
+func (n *Node) UndecidedElections() uint64 { return n.undecided }
+
 func (n *Node) requestVotes(kind MessageKind, term uint64) {
 	for _, member := range n.membership.Members {
 		if member.Learner || member.ID == n.config.ID {
@@ -79,7 +161,7 @@
 
 func (n *Node) becomeLeader(now time.Duration) {
 	n.role = Leader
-	n.leader = n.config.ID
+	n.leader, n.leaderTerm = n.config.ID, n.hard.Term
 	n.coldStart.finish()
 	n.peers = map[ID]*progress{}
 	n.refreshMembership()
@@ -109,15 +191,25 @@
 	}
 	upToDate := message.LogTerm > n.log.lastTerm() ||
 		(message.LogTerm == n.log.lastTerm() && message.Index >= n.log.lastIndex())
-	canVote := preVote || n.hard.Vote == "" || n.hard.Vote == message.From
+	canVote := n.hard.Vote == "" || n.hard.Vote == message.From
+	if preVote {
+		canVote = !n.supportsOther(now, message)
+	}
 	reply.Term = message.Term
-	if upToDate && canVote {
-		reply.Reject = false
-		if !preVote {
-			n.hard.Vote = message.From
-			n.hardStateChanged = true
-			n.resetElectionTimer(now)
+	switch {
+	case !upToDate || !canVote:
+	case preVote:
+		reply.Reject, reply.SyncTime = false, n.syncTime
+		if n.role == PreCandidate {
+			n.becomeFollower(now, n.hard.Term, "")
 		}
+		n.reserve(now, message.From, message.logPosition())
+	default:
+		reply.Reject = false
+		n.hard.Vote = message.From
+		n.hardStateChanged = true
+		n.awaitElection(now)
+		n.reserve(now, message.From, message.logPosition())
 	}
 	n.send(reply)
 }
@@ -138,5 +230,8 @@
 		return
 	}
 	n.votes[message.From] = !message.Reject
+	if message.Kind == MessagePreVoteReply && !message.Reject {
+		n.voterSyncTimes[message.From] = message.SyncTime
+	}
 	n.countVotes(now)
 }
--- a/internal/consensus/limits_test.go
+++ b/internal/consensus/limits_test.go
@@ -10,14 +10,14 @@
 )
 
 // checkLimits fails if a message or the committed entries exceed a limit by more than one entry that must pass.
-func (c *cluster) checkLimits(r *replica, ready Ready) {
+func (c *cluster) checkLimits(r *replica, messages []Message, committed []Entry) {
 	limits := r.node.config.Limits
-	for _, message := range ready.Messages {
+	for _, message := range messages {
 		if size := totalSize(message.Entries); size > limits.MessageBytes && len(message.Entries) > 1 {
 			c.fail("%s sends %d bytes of entries in one message, the limit is %d", r.id, size, limits.MessageBytes)
 		}
 	}
-	if size := totalSize(ready.Committed); size > limits.DeliverBytes && len(ready.Committed) > 1 {
+	if size := totalSize(committed); size > limits.DeliverBytes && len(committed) > 1 {
 		c.fail("%s applies %d bytes of entries at once, the limit is %d", r.id, size, limits.DeliverBytes)
 	}
 }
@@ -68,7 +68,7 @@
 	for range 50 {
 		leader.node.Propose(c.now, []byte(entry))
 	}
-	c.processReady(leader)
+	c.process(leader)
 	c.runFor(time.Second)
 	if applied := leader.applied[len(leader.applied)-1]; applied.Index != leader.node.Commit() {
 		t.Fatalf("applied up to index %d, committed up to %d", applied.Index, leader.node.Commit())
@@ -82,7 +82,7 @@
 	for range 30 {
 		leader.node.Propose(c.now, []byte(entry))
 	}
-	lost := leader.node.Ready().Messages
+	lost := leader.node.Messages()
 	match := leader.node.Peers()[0].Match
 	rejection := Message{Kind: MessageAppendReply, From: follower, To: leader.id, Term: leader.node.Term(), Reject: true, Hint: match}
 	sent := 0
@@ -90,7 +90,7 @@
 		if message.To == follower && message.Index > match {
 			rejection.Index = message.Index
 			leader.node.Step(c.now, rejection)
-			for _, again := range leader.node.Ready().Messages {
+			for _, again := range leader.node.Messages() {
 				sent += totalSize(again.Entries)
 			}
 		}
@@ -112,6 +112,9 @@
 		return
 	}
 	last := r.applied[len(r.applied)-1]
+	if r.write != nil || r.node.NeedsWrite() || last.Index > r.node.Persisted() {
+		return // its entries are not durable yet
+	}
 	covered := last.Index - r.snapshot.Meta.Index
 	meta := SnapshotMeta{Index: last.Index, Term: last.Term, Membership: r.node.MembershipAt(last.Index)}
 	r.snapshot, r.entries = Snapshot{Meta: meta, Data: c.snapshotData(last.Index)}, slices.Clone(r.entries[covered:])
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -33,19 +33,26 @@
 	membershipIndex uint64
 
 	commit    uint64
-	delivered uint64 // last index returned in Ready.Committed or covered by a snapshot
+	delivered uint64 // last index returned by Committed or covered by a snapshot
 	persisted uint64 // last index synced to local storage
 
 	votes             map[ID]bool
+	voterSyncTimes    map[ID]time.Duration // told in replies to this replica's pre-votes
 	peers             map[ID]*progress
 	lastHeartbeat     time.Duration
 	lastLeaderContact time.Duration // last message from a valid leader, initially the start
 	electionDue       time.Duration
 	termStartIndex    uint64 // index of the no-op entry that began this leadership
 	coldStart         coldStartState
+	leaderTerm        uint64        // highest term with a known leader, initially the restored term
+	syncTime          time.Duration // estimated duration of a sync of this replica
+	latestSync        time.Duration // duration of the latest sync
+	reservation       reservation
+	undecided         uint64 // elections in which this replica stood and nobody won in time
 
 	hardStateChanged bool
-	unstableFrom     uint64 // first index to return in Ready.Entries; 0 if none
+	unstableFrom     uint64 // first index to return in Write.Entries; 0 if none
+	writing          *Write // nil if no write is in progress
 	pendingInstall   *Snapshot
 	incoming         *incomingSnapshot // nil if no snapshot is being received in parts
 	messages         []Message
@@ -69,6 +76,7 @@
 		commit:            restored.Snapshot.Index,
 		delivered:         restored.Snapshot.Index,
 		lastLeaderContact: now,
+		leaderTerm:        restored.HardState.Term,
 		snapshotSource:    snapshotSource,
 		coldStart: coldStartState{
 			incarnation: uint64(config.Random(math.MaxInt64)), startedAt: now, queriedAt: now - config.Timing.Heartbeat, replies: map[ID]logPosition{},
@@ -109,6 +117,9 @@
 // UncommittedBytes returns the total size of the entries that are not committed.
 func (n *Node) UncommittedBytes() int { return n.BytesAfter(n.commit) }
 
+// UnsyncedBytes returns the total size of the entries that this replica has not synced.
+func (n *Node) UnsyncedBytes() int { return n.BytesAfter(n.persisted) }
+
 // Membership returns the newest membership in the log.
 func (n *Node) Membership() Membership { return n.membership }
 
@@ -134,6 +145,9 @@
 		return
 	}
 	if now >= n.electionDue && n.membership.IsVoter(n.config.ID) {
+		if n.role == Candidate {
+			n.undecided++
+		}
 		n.startPreVote(now)
 	}
 	if due, pending := n.nextColdStartQuery(); pending && now >= due {
@@ -153,7 +167,7 @@
 }
 
 // Propose appends a command to the log if this replica leads. The command is committed only once its entry is returned
-// in Ready.Committed with the same term. Until then its outcome is unknown: it may still commit later.
+// by Committed with the same term. Until then its outcome is unknown: it may still commit later.
 func (n *Node) Propose(now time.Duration, data []byte) (index, term uint64, ok bool) {
 	if n.role != Leader {
 		return 0, 0, false
@@ -243,45 +257,9 @@
 	return statuses
 }
 
-// Ready returns and clears the work that accumulated since the last call.
-func (n *Node) Ready() Ready {
-	var ready Ready
-	if n.hardStateChanged {
-		hard := n.hard
-		ready.HardState = &hard
-		n.hardStateChanged = false
-	}
-	ready.Snapshot = n.pendingInstall
-	n.pendingInstall = nil
-	if n.unstableFrom != 0 {
-		ready.Entries = slices.Clone(n.log.slice(n.unstableFrom-1, n.log.lastIndex()))
-		n.unstableFrom = 0
-	}
-	ready.Messages = n.messages
-	n.messages = nil
-	if n.delivered < n.commit {
-		ready.Committed = slices.Clone(limitSize(n.log.slice(n.delivered, n.commit), n.config.Limits.DeliverBytes, n.config.ApplySize))
-		n.delivered += uint64(len(ready.Committed))
-	}
-	return ready
-}
-
-// MarkPersisted tells the node that the entries returned by Ready up to index are synced. It has no effect if the entry
-// at index no longer has this term.
-func (n *Node) MarkPersisted(index, term uint64) {
-	storedTerm, ok := n.log.term(index)
-	if !ok || storedTerm != term || index <= n.persisted {
-		return
-	}
-	n.persisted = index
-	if n.role == Leader {
-		n.advanceCommit()
-	}
-}
-
 // Compact removes the log entries covered by a snapshot that the caller has synced.
 func (n *Node) Compact(meta SnapshotMeta) {
-	if meta.Index <= n.log.base.Index || meta.Index > n.delivered {
+	if meta.Index <= n.log.base.Index || meta.Index > min(n.delivered, n.persisted) {
 		return
 	}
 	n.log.compact(meta)
@@ -325,13 +303,8 @@
 	return slices.Clone(n.log.slice(index, n.log.lastIndex()))
 }
 
-// HasUndelivered reports whether committed entries are left for further calls of Ready.
-func (n *Node) HasUndelivered() bool { return n.delivered < n.commit }
-
-// HasReady reports whether Ready would return any work.
-func (n *Node) HasReady() bool {
-	return n.hardStateChanged || n.pendingInstall != nil || n.unstableFrom != 0 || len(n.messages) > 0 || n.delivered < n.commit
-}
+// HasUndelivered reports whether committed entries are left for further calls of Committed.
+func (n *Node) HasUndelivered() bool { return n.delivered < n.commit && !n.installing() }
 
 // TermStart returns the index of the first entry of this replica's latest leadership. A leader's applied state includes
 // all earlier commits once it has reached this index.
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -171,7 +171,7 @@
 		return false
 	}
 	n.becomeFollower(now, message.Term, message.From)
-	n.lastLeaderContact = now
+	n.lastLeaderContact, n.leaderTerm = now, message.Term
 	n.coldStart.finish()
 	return true
 }
@@ -193,15 +193,19 @@
 		n.send(reply)
 		return
 	}
-	n.appendFromLeader(message.Entries)
+	appended := n.appendFromLeader(message.Entries)
 	matched := message.Index + uint64(len(message.Entries))
 	n.commit = max(n.commit, min(message.Commit, matched))
 	reply.Index = matched
+	if !appended {
+		reply.Index = min(matched, n.persisted) // the reply to the append that brought the entries acknowledges the rest
+	}
 	n.send(reply)
 }
 
-// appendFromLeader skips entries that the log already has and replaces its tail from the first conflicting entry on.
-func (n *Node) appendFromLeader(entries []Entry) {
+// appendFromLeader skips entries that the log already has and replaces its tail from the first conflicting entry on. It
+// reports whether the log has changed.
+func (n *Node) appendFromLeader(entries []Entry) bool {
 	for i, entry := range entries {
 		term, found := n.log.term(entry.Index)
 		if found && term == entry.Term {
@@ -213,8 +217,9 @@
 		n.log.append(entries[i:]...)
 		n.markUnstable(entry.Index)
 		n.refreshMembership()
-		return
+		return true
 	}
+	return false
 }
 
 func (n *Node) handleSnapshot(now time.Duration, message Message) {
@@ -272,7 +277,9 @@
 		n.sendAppend(now, message.From)
 		return
 	}
-	peer.paused = false
+	if message.Index > peer.match || message.Index+1 >= peer.next {
+		peer.paused = false // otherwise the peer is still syncing what it was sent
+	}
 	if peer.transfer != nil && message.Index >= peer.transfer.snapshot.Meta.Index {
 		peer.transfer = nil
 	}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -2,15 +2,17 @@
 // log replication, snapshots, learners and single-server membership changes.
 //
 // Node is a deterministic state machine. It does no I/O, reads no clock and takes random numbers from Config.Random.
-// The caller drives it in this order:
+// The caller drives it in these steps:
 //
 //  1. call Tick, Step or Propose with the current time;
-//  2. call Ready and write HardState, Snapshot and Entries to stable storage, and sync them;
-//  3. only after the sync, send Messages and call Persisted;
-//  4. apply Snapshot and Committed to the replicated state, in that order.
+//  2. send what Messages returns, and apply what Committed returns to the replicated state;
+//  3. if NeedsWrite, call BeginWrite, write what it returns to stable storage and sync it, and call EndWrite. A snapshot in
+//     it replaces the replicated state before any entry of Committed is applied.
 //
-// Syncing in step 2 before sending in step 3 makes acknowledged entries durable. Time is monotonic and local to the
-// replica; clock values of different replicas are never compared.
+// One write is in progress at a time. Steps 1 and 2 may be repeated meanwhile, so that heartbeats and their replies don't
+// wait for a slow sync: Messages holds back each message that depends on state which is not synced yet. That makes votes
+// and acknowledged entries durable. Time is monotonic and local to the replica; clock values of different replicas are
+// never compared.
 package consensus
 
 import (
@@ -173,6 +175,9 @@
 	Level   level.Level `json:"level,omitempty"`
 	InForce level.Level `json:"in_force,omitempty"`
 
+	// SyncTime is how long a sync of the sender takes, in a reply to a pre-vote; 0 if it is not known.
+	SyncTime time.Duration `json:"sync,omitempty"`
+
 	// Part is set if Snapshot holds a part of the data only, and in the reply to that.
 	Part *SnapshotPart `json:"part,omitempty"`
 }
@@ -185,19 +190,15 @@
 	return totalSize(m.Entries)
 }
 
-// Ready is the work that the caller must do, in the order given in the package comment.
-type Ready struct {
+// Write is what the caller must write to stable storage and sync.
+type Write struct {
 	HardState *HardState // nil when unchanged
 	Snapshot  *Snapshot  // received snapshot that replaces log and state
 	Entries   []Entry    // to append; an index at or below the last one truncates the log there first
-	Messages  []Message  // to send after the sync
-	Committed []Entry    // to apply
 }
 
-// Empty reports whether there is no work to do.
-func (r Ready) Empty() bool {
-	return r.HardState == nil && r.Snapshot == nil && len(r.Entries) == 0 && len(r.Messages) == 0 && len(r.Committed) == 0
-}
+// Empty reports whether there is nothing to write.
+func (w Write) Empty() bool { return w.HardState == nil && w.Snapshot == nil && len(w.Entries) == 0 }
 
 // Timing holds the intervals and timeouts of the protocol.
 type Timing struct {
--- a/internal/control/capacity.go
+++ b/internal/control/capacity.go
@@ -47,6 +47,9 @@
 	if waiting := r.node.UncommittedBytes(); waiting > 0 && waiting+size > maxUncommittedBytes {
 		return busyResponse(fmt.Sprintf("%d bytes of earlier changes wait for a majority of the control replicas", waiting))
 	}
+	if waiting := r.node.UnsyncedBytes(); waiting > 0 && waiting+size > r.maxUnsyncedBytes() {
+		return busyResponse(fmt.Sprintf("%d bytes of earlier changes wait for the disk of the leader", waiting))
+	}
 	available := int64((1 - diskReserveRatio) * float64(r.config.DiskLimit))
 	if available == 0 {
 		return nil
@@ -56,13 +59,22 @@
 	if needed := storedSize(len(r.snapshot.Data)) + storedSize(size) + checkpoint; needed > available {
 		return &Response{Kind: ResponseTooLarge, Detail: fmt.Sprintf("the change needs %d bytes on the disks of the control replicas, which leave %d", needed, available)}
 	}
-	if r.segmentBytes+storedSize(size)+checkpoint > available {
+	if r.segmentBytes+storedSize(r.node.UnsyncedBytes()+size)+checkpoint > available {
 		r.snapshotWanted = true
 		return busyResponse(fmt.Sprintf("the log takes %d of %d bytes on disk until its next checkpoint", r.segmentBytes, available))
 	}
 	return nil
 }
 
+// maxUnsyncedBytes bounds the entries that wait for the leader's own disk: others may commit them while it stalls. A single
+// entry may exceed it.
+func (r *Replica) maxUnsyncedBytes() int {
+	if r.config.DiskLimit == 0 {
+		return maxUncommittedBytes
+	}
+	return min(maxUncommittedBytes, int(logDiskFraction*float64(r.config.DiskLimit)))
+}
+
 func busyResponse(detail string) *Response {
 	return &Response{Kind: ResponseBusy, Detail: detail, RetryAfter: busyRetryAfter}
 }
--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -139,6 +139,25 @@
 	}
 }
 
+// TestUnsyncedChangesAreBounded guards against a leader whose memory fills up with changes that a majority has committed
+// while its own disk stalls.
+func TestUnsyncedChangesAreBounded(t *testing.T) {
+	s := openSingleReplica(t, t.TempDir())
+	const limit = 4 << 20
+	s.changeConfig(func(config *Config) { config.DiskLimit = limit })
+	s.replica.Handle(s.now, 1, Request{Catalog: &catalog.Command{Replace: largeDocument(1, 400)}})
+	s.replica.Prepare() // the write does not end
+	for revision := uint64(2); revision <= 40; revision++ {
+		s.replica.Handle(s.now, revision, Request{Catalog: &catalog.Command{Replace: largeDocument(revision, 400)}})
+		if held := s.replica.Node().UnsyncedBytes(); held > limit/4 {
+			t.Fatalf("%d bytes wait for the disk, whose limit is %d", held, limit)
+		}
+	}
+	if replies := s.replica.Release(s.now).Replies; len(replies) == 0 || replies[0].Response.Kind != ResponseBusy {
+		t.Fatalf("replies %+v, want busy", replies)
+	}
+}
+
 // TestUncommittedChangesAreBounded guards against a leader whose memory fills up with changes that no follower
 // acknowledges.
 func TestUncommittedChangesAreBounded(t *testing.T) {
--- a/internal/control/discovery.go
+++ b/internal/control/discovery.go
@@ -164,6 +164,10 @@
 	if s.replica.Node().LastIndex() > 0 {
 		return
 	}
+	if s.writing {
+		time.AfterFunc(announceInterval, func() { s.submit(input{createGroup: true}) })
+		return
+	}
 	self := consensus.Member{ID: s.identity.Load().ID, Name: s.identity.Load().Name, Address: s.file.Control.InternalAddress}
 	state := BootstrapState(self)
 	if _, err := s.disk.Write(Persist{Checkpoint: &state}); err != nil {
--- a/internal/control/reopen.go
+++ b/internal/control/reopen.go
@@ -42,7 +42,8 @@
 		_ = disk.Close()
 		return err
 	}
-	s.disk, s.replica = disk, replica
+	replica.StartSyncTime(disk.OpenSyncTime())
+	s.disk, s.replica, s.undecidedElections = disk, replica, 0
 	return nil
 }
 
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -59,7 +59,7 @@
 	return p.clients[0]
 }
 
-// Effects holds what the caller must send after the sync.
+// Effects holds what the caller must send.
 type Effects struct {
 	Messages     []consensus.Message
 	Replies      []Reply
@@ -69,7 +69,8 @@
 }
 
 // Replica is one control replica. It does no I/O: the caller passes in the time, messages and requests, and carries
-// out Persist and Effects. The order of calls is: inputs, Prepare, write and sync, Advance, send.
+// out Persist and Effects. The order of calls is: inputs, Release and send, and if NeedsWrite, Prepare, write and sync,
+// Advance and send. Inputs and Release may come while a write is in progress; Prepare may not.
 type Replica struct {
 	config    Config
 	node      *consensus.Node
@@ -87,7 +88,7 @@
 	tickedAt       time.Duration // time of the newest tick
 	now            time.Duration // time of the newest tick or request
 	pending        map[uint64]pendingProposal
-	ready          consensus.Ready
+	write          consensus.Write // in progress
 	effects        Effects
 	leader         *leaderState
 	publications   map[string][]publishedVersion // by model, in ascending order of version, with local times
@@ -273,36 +274,61 @@
 	r.pending[index] = pendingProposal{clients: clients, term: term}
 }
 
+// NeedsWrite reports whether Prepare would return anything to write.
+func (r *Replica) NeedsWrite() bool {
+	return r.stopErr == nil && (r.checkpointDue || r.node.NeedsWrite())
+}
+
 // Prepare returns what the caller must write and sync before Advance.
 func (r *Replica) Prepare() Persist {
-	r.proposeRegistrations(r.now)
-	r.proposeOrderAnnouncements(r.now)
-	r.ready = r.node.Ready()
-	persist := Persist{HardState: r.ready.HardState, Entries: r.ready.Entries}
-	if r.ready.HardState != nil {
-		r.hardState = *r.ready.HardState
-	}
-	if r.ready.Snapshot != nil {
-		r.snapshot = *r.ready.Snapshot
+	r.proposeQueued(r.now)
+	r.write = r.node.BeginWrite()
+	persist := Persist{HardState: r.write.HardState, Entries: r.write.Entries}
+	if r.write.HardState != nil {
+		r.hardState = *r.write.HardState
+	}
+	if r.write.Snapshot != nil {
+		r.snapshot = *r.write.Snapshot
 		r.checkpointDue = true
 	}
 	if r.checkpointDue {
 		r.checkpointDue = false
-		persist.MayPostpone = r.ready.Snapshot == nil
+		persist.MayPostpone = r.write.Snapshot == nil
 		persist.Checkpoint = &Checkpoint{HardState: r.hardState, Snapshot: r.snapshot, Entries: r.node.EntriesAfter(r.snapshot.Meta.Index), Format: r.machine.logFormat()}
 	}
 	return persist
 }
 
-// Advance continues after the writes of Prepare were synced: it applies committed entries and returns what to send.
+// proposeQueued proposes what was queued to share log entries.
+func (r *Replica) proposeQueued(now time.Duration) {
+	r.proposeRegistrations(now)
+	r.proposeOrderAnnouncements(now)
+}
+
+// ObserveSync tells the replica how long a sync took.
+func (r *Replica) ObserveSync(took time.Duration) { r.node.ObserveSync(took) }
+
+// StartSyncTime tells the replica how long the sync took with which its log was opened.
+func (r *Replica) StartSyncTime(took time.Duration) { r.node.StartSyncTime(took) }
+
+// Advance continues after the writes of Prepare were synced. It returns what may be sent from then on.
 func (r *Replica) Advance(now time.Duration) Effects {
-	if last := len(r.ready.Entries); last > 0 {
-		r.node.MarkPersisted(r.ready.Entries[last-1].Index, r.ready.Entries[last-1].Term)
+	r.node.EndWrite(now)
+	if r.write.Snapshot != nil {
+		r.installSnapshot(now, *r.write.Snapshot)
 	}
-	if r.ready.Snapshot != nil {
-		r.installSnapshot(now, *r.ready.Snapshot)
+	r.write = consensus.Write{}
+	return r.Release(now)
+}
+
+// Release applies committed entries and returns what may be sent, also while a write is in progress. Nothing in it depends
+// on what is not synced yet.
+func (r *Replica) Release(now time.Duration) Effects {
+	if r.stopErr != nil {
+		return Effects{}
 	}
-	for _, entry := range r.ready.Committed {
+	r.proposeQueued(now)
+	for _, entry := range r.node.Committed() {
 		r.apply(now, entry)
 	}
 	if r.stopErr = r.config.Level.CheckSupports(r.machine.level); r.stopErr != nil {
@@ -312,8 +338,7 @@
 		r.leader.gatewayListChanged = false
 		r.answerWatches(now)
 	}
-	r.effects.Messages = append(r.effects.Messages, r.stampLevel(r.ready.Messages)...)
-	r.ready = consensus.Ready{}
+	r.effects.Messages = append(r.effects.Messages, r.stampLevel(r.node.Messages())...)
 	r.maybeSnapshot()
 	r.advanceRelay(now)
 	r.resolveAwaitingLeader(now)
@@ -398,12 +423,18 @@
 // PendingWeightsCalls returns the number of calls to back ends that wait for the next sync.
 func (r *Replica) PendingWeightsCalls() int { return len(r.effects.WeightsCalls) }
 
-// HasWork reports whether the caller should call Prepare and Advance.
+// HasWork reports whether the caller should call Release, or Prepare and Advance if no write is in progress.
 func (r *Replica) HasWork() bool {
+	return r.NeedsWrite() && !r.node.Writing() || r.HasReleasable()
+}
+
+// HasReleasable reports whether the caller should call Release.
+func (r *Replica) HasReleasable() bool {
 	if r.stopErr != nil {
 		return false
 	}
-	return r.checkpointDue || r.leader != nil && len(r.leader.pendingRegistrations.instances)+len(r.leader.pendingOrderAnnouncements) > 0 || len(r.effects.Replies) > 0 || len(r.effects.EngineCalls) > 0 || len(r.effects.WeightsCalls)+len(r.effects.RelayCalls) > 0 || r.node.HasReady()
+	queued := r.leader != nil && len(r.leader.pendingRegistrations.instances)+len(r.leader.pendingOrderAnnouncements) > 0
+	return queued || len(r.effects.Replies)+len(r.effects.EngineCalls)+len(r.effects.WeightsCalls)+len(r.effects.RelayCalls) > 0 || r.node.HasMessages() || r.node.HasUndelivered()
 }
 
 // members returns the membership sorted by name.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -72,8 +72,8 @@
 	respond transport.Respond
 }
 
-// Server runs a Replica. One goroutine owns the replica and its disk, since nothing may be sent before it is synced;
-// others do network I/O. Inputs that are queued together share one sync.
+// Server runs a Replica. One goroutine owns the replica, another writes to its disk, and others do network I/O. Inputs that
+// arrive during a write share the next one.
 type Server struct {
 	file            *node.File
 	log             *zap.Logger
@@ -110,7 +110,14 @@
 
 	files       storage.FileSystem // of the data folder
 	reopenDelay time.Duration      // pause before the data folder is opened again; owned by runReplica
-	queuedBytes atomic.Int64       // size of the requests that wait in inputs
+	writes      chan writeRequest  // holds the write in progress; see writing
+	written     chan writeResult   // buffer of one
+	writing     bool               // a write is in progress; owned by runReplica
+	slowSyncLog intervalLimiter    // owned by runReplica, like electionLog and undecidedElections
+	electionLog intervalLimiter
+	// undecidedElections is how many elections of the replica had ended without a leader when that was last logged.
+	undecidedElections uint64
+	queuedBytes        atomic.Int64 // size of the requests that wait in inputs
 }
 
 // SyncStats counts the synced writes of a replica. It is safe for concurrent use.
@@ -134,7 +141,8 @@
 		file: file, log: log, files: files, startup: newStartup(), reopenDelay: minReopenDelay,
 		now: clock.NewSource(nil), inputs: make(chan input, inputCapacity), engineCalls: make(chan EngineCall, callCapacity), weightsCalls: make(chan queuedCall, callCapacity),
 		heartbeats: heartbeatBatcher{acked: map[string]ackedHeartbeat{}, wake: make(chan struct{}, 1)},
-		clients:    map[uint64]transport.Respond{}, senderAddresses: map[consensus.ID]string{}, links: links, outboxes: map[consensus.ID]chan consensus.Message{},
+		writes:     make(chan writeRequest, 1), written: make(chan writeResult, 1),
+		clients: map[uint64]transport.Respond{}, senderAddresses: map[consensus.ID]string{}, links: links, outboxes: map[consensus.ID]chan consensus.Message{},
 		client: transport.NewClientWithDialTimeout(file.ClusterToken, links, file.Control.Heartbeat), fatal: make(chan error, 1),
 	}
 	server.seedAddresses.Store(&file.Control.Founders)
@@ -181,6 +189,7 @@
 	hasState, disabled := s.replica.Node().LastIndex() > 0, s.config.Mechanisms.Off()
 	var workers sync.WaitGroup
 	workers.Go(func() { s.runReplica(run) })
+	workers.Go(func() { s.runWrites(run) })
 	workers.Go(func() { s.sendEngineCalls(run) })
 	workers.Go(func() { s.watchEngines(run) })
 	workers.Go(func() { s.callBackends(run) })
@@ -270,13 +279,16 @@
 		case item := <-s.inputs:
 			s.handleInput(item)
 			s.handleQueued()
+		case result := <-s.written:
+			if err := s.endWrite(result); err != nil && !s.reopenStorage(ctx, err) {
+				return
+			}
+			s.handleQueued()
 		case <-timer.C:
 			s.handleQueued() // messages that waited for a long step count before the timers
 		}
 		s.replica.Tick(s.now(), time.Now().UnixMilli())
-		if err := s.persistAndSend(); err != nil && !s.reopenStorage(ctx, err) {
-			return
-		}
+		s.work()
 		if err := s.replica.Err(); err != nil {
 			s.fatal <- err
 			return
@@ -285,6 +297,7 @@
 		s.logLeadershipChange()
 		s.logLevelChange()
 		s.logDepartures()
+		s.logElections()
 		s.logLimitChanges()
 		s.logQuarantineChanges()
 		timer.Reset(s.nextWakeup())
@@ -293,7 +306,7 @@
 
 // nextWakeup returns how long the loop may wait for an input.
 func (s *Server) nextWakeup() time.Duration {
-	if s.replica.HasWork() {
+	if s.canWork() {
 		return 0
 	}
 	return min(max(s.replica.NextDue()-s.now(), time.Millisecond), maxTickInterval)
@@ -397,37 +410,6 @@
 	s.log.Info(events.RelayAvailable, zap.String("leader", result.leader))
 }
 
-// persistAndSend writes, syncs and sends until the replica has no more work. A long log is applied in many steps, and it
-// returns between them when a timer is due or inputs wait, so that heartbeats are sent and answered in time.
-func (s *Server) persistAndSend() error {
-	for due := s.replica.NextDue(); s.replica.HasWork(); {
-		persist := s.replica.Prepare()
-		if !persist.Empty() {
-			started := time.Now()
-			checkpointed, err := s.disk.Write(persist)
-			if err != nil {
-				return err
-			}
-			if persist.Checkpoint != nil && !checkpointed {
-				persist.Checkpoint = nil
-				s.replica.PostponeCheckpoint(s.now())
-				s.log.Warn(events.CheckpointPostponed, zap.Int64("segment_bytes", s.disk.Size()))
-			}
-			s.reopenDelay = minReopenDelay
-			took := time.Since(started)
-			s.syncs.Count.Add(1)
-			s.syncs.Nanoseconds.Add(uint64(took))
-			s.replica.ObserveStorage(s.disk.Size())
-			s.recordUsage(persist.Checkpoint, took)
-		}
-		s.send(s.replica.Advance(s.now()))
-		if s.now() >= due || len(s.inputs) > 0 && s.replica.Node().HasUndelivered() {
-			return nil
-		}
-	}
-	return nil
-}
-
 func (s *Server) send(effects Effects) {
 	for _, message := range effects.Messages {
 		s.enqueue(message)
--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -7,6 +7,7 @@
 	"errors"
 	"iter"
 	"path/filepath"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -151,6 +152,9 @@
 	return storage.Record{Kind: kind, Data: data}
 }
 
+// OpenSyncTime returns how long the sync took with which the log was opened.
+func (d *Disk) OpenSyncTime() time.Duration { return d.log.OpenSyncTime() }
+
 // Size returns the size of the newest log segment in bytes.
 func (d *Disk) Size() int64 { return d.log.Size() }
 
--- a/internal/control/usage.go
+++ b/internal/control/usage.go
@@ -16,8 +16,11 @@
 	snapshot        atomic.Int64 // newest snapshot
 	checkpoints     atomic.Uint64
 	storageFailures atomic.Uint64 // writes that failed
-	contested       atomic.Uint64 // deregistrations
-	reinstated      atomic.Uint64 // instances whose deregistration was contested
+	slowSyncs       atomic.Uint64 // that took slowSyncTime or longer
+	// undecidedElections counts those of this replica that ended without a leader.
+	undecidedElections atomic.Uint64
+	contested          atomic.Uint64 // deregistrations
+	reinstated         atomic.Uint64 // instances whose deregistration was contested
 }
 
 // recordUsage updates the gauges after a write, and logs a checkpoint that was written.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -54,6 +54,8 @@
 	LeaderKnown         = "leader known" // this replica follows a leader, or leads, for the first time since its start
 	LeadershipLost      = "leadership lost"
 	CheckpointPostponed = "checkpoint postponed" // it did not fit on the disk; the log goes on
+	StorageSlow         = "data folder slow"     // a sync took long; elections wait longer
+	ElectionUndecided   = "election undecided"   // this replica stood for election, and nobody won in time
 	StorageFailed       = "data folder failed"   // it is opened again after a pause
 	StorageRecovered    = "data folder usable again"
 	CheckpointWritten   = "checkpoint written" // a snapshot and the entries after it replaced the log on disk
--- a/internal/lab/sim/control.go
+++ b/internal/lab/sim/control.go
@@ -45,11 +45,12 @@
 
 	diskStalledUntil time.Duration // no write completes before this time
 	diskFullUntil    time.Duration // every write fails before this time
-	segmentBytes     int64         // size of the log on disk
+	slowUntil        time.Duration // each write takes longer by slowSync before this time
+	slowSync         time.Duration
+	segmentBytes     int64 // size of the log on disk
 	sent             map[consensus.ID]sentBytes
 	syncing          *control.Persist  // write in progress
 	unsynced         []control.Persist // acknowledged before they were synced; only with SyncBeforeAck off
-	deferredInputs   []func()          // inputs that arrived during a sync
 	wakeup           vtime.Alarm
 	clients          map[uint64]func(control.Response)
 	nextID           uint64
@@ -77,7 +78,7 @@
 func (n *controlNode) boot() {
 	n.start()
 	n.startedAt = n.w.now()
-	n.syncing, n.unsynced, n.deferredInputs = nil, nil, nil
+	n.syncing, n.unsynced = nil, nil
 	n.clients, n.sent = map[uint64]func(control.Response){}, map[consensus.ID]sentBytes{}
 	n.wakeup = vtime.Alarm{}
 	n.joinClient = newControlClient(n.w, n.process)
@@ -102,6 +103,7 @@
 	}
 	n.replica = replica
 	n.replica.ObserveStorage(n.segmentBytes)
+	n.replica.StartSyncTime(n.syncDelay())
 	n.w.logf("%s starts as %s at entry %d", n.name, n.identity.ID, replica.Node().LastIndex())
 	n.ticker(enginePollInterval, n.pollEngines)
 	n.ticker(joinInterval, n.joinGroup)
@@ -140,29 +142,26 @@
 	}
 }
 
-// handleInput runs do on the replica, deferred until a sync in progress has completed.
+// handleInput runs do on the replica.
 func (n *controlNode) handleInput(do func()) {
-	if n.syncing != nil {
-		n.deferredInputs = append(n.deferredInputs, do)
-		return
-	}
 	do()
 	n.advance()
 }
 
-// advance runs the replica until it waits for a sync or a timer.
+// advance runs the replica until it waits for inputs or a timer. A sync may be in progress meanwhile.
 func (n *controlNode) advance() {
 	n.replica.Tick(n.clock(), n.unixMS())
-	for n.replica.HasWork() {
-		persist := n.replica.Prepare()
-		if !persist.Empty() && n.w.guards.On(guard.SyncBeforeAck) {
-			n.beginSync(persist)
-			return
+	for {
+		if n.replica.HasReleasable() {
+			n.send(n.replica.Release(n.clock()))
 		}
-		if !persist.Empty() {
-			n.storeAfterAck(persist)
+		if n.syncing != nil || !n.replica.NeedsWrite() {
+			if n.replica.HasReleasable() {
+				continue
+			}
+			break
 		}
-		n.send(n.replica.Advance(n.clock()))
+		n.write(n.replica.Prepare())
 	}
 	n.checkHeld()
 	if n.checkBuild(); n.up {
@@ -170,14 +169,27 @@
 	}
 }
 
-// beginSync starts a write; the replica resumes when it is synced.
+// write begins a write, or acknowledges it at once if nothing is to be written or SyncBeforeAck is off.
+func (n *controlNode) write(persist control.Persist) {
+	if persist.Empty() || !n.w.guards.On(guard.SyncBeforeAck) {
+		if !persist.Empty() {
+			n.storeAfterAck(persist)
+		}
+		n.send(n.replica.Advance(n.clock()))
+		return
+	}
+	n.beginSync(persist)
+}
+
+// beginSync begins a write.
 func (n *controlNode) beginSync(persist control.Persist) {
 	n.syncing = &persist
 	if n.w.pending.stallDiskOnOrder && n.replica.PendingWeightsCalls() > 0 {
 		n.w.pending.stallDiskOnOrder = false
 		n.stallDisk(n.w.between(3*time.Second, 6*time.Second))
 	}
-	delay := max(n.w.between(500*time.Microsecond, 6*time.Millisecond), n.diskStalledUntil-n.w.now())
+	began := n.w.now()
+	delay := max(n.w.between(500*time.Microsecond, 6*time.Millisecond)+n.syncDelay(), n.diskStalledUntil-n.w.now())
 	n.after(delay, func() {
 		if n.isFull() {
 			n.failWrite()
@@ -185,15 +197,9 @@
 		}
 		n.store(persist)
 		n.syncing = nil
+		n.replica.ObserveSync(n.w.now() - began)
 		n.send(n.replica.Advance(n.clock()))
-		inputs := n.deferredInputs
-		n.deferredInputs = nil
-		for _, do := range inputs {
-			n.handleInput(do)
-		}
-		if n.syncing == nil {
-			n.advance()
-		}
+		n.advance()
 	})
 }
 
@@ -211,11 +217,7 @@
 
 func (n *controlNode) scheduleWakeup() {
 	due := n.trueTime(n.startedAt, n.replica.NextDue())
-	n.wakeup.Set(n.w.now(), due, time.Millisecond, n.after, func() {
-		if n.syncing == nil {
-			n.advance()
-		}
-	})
+	n.wakeup.Set(n.w.now(), due, time.Millisecond, n.after, n.advance)
 }
 
 func (n *controlNode) send(effects control.Effects) {
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -319,6 +319,9 @@
 			}
 		}
 		w.logf("partition healed")
+		if w.outages.random != nil {
+			w.expectLeader(0) // a partition that had to end first is part of the outage
+		}
 	}
 }
 
--- a/internal/lab/sim/outages.go
+++ b/internal/lab/sim/outages.go
@@ -19,6 +19,8 @@
 	maxOutages     = 14
 	// leaderTimeout bounds the time from the end of an outage until a leader answers.
 	leaderTimeout = 5 * time.Second
+	// slowSyncLeaderTime is how many times the duration of the slowest sync a leader may take longer.
+	slowSyncLeaderTime = 8
 )
 
 // outages is the state of a run with outages.
@@ -40,6 +42,8 @@
 	{"freeze leader", (*world).faultFreezeLeader},
 	{"cut zone", (*world).faultCutZone},
 	{"stalled disk", (*world).faultStallDisk},
+	{"slow syncs", (*world).outageSlowSync},
+	{"slow syncs, again", (*world).outageSlowSync},
 }
 
 // RunOutages runs one seed with a larger control group that loses disks and power.
@@ -156,7 +160,7 @@
 	end := w.now() + length
 	w.outages.last = max(w.outages.last, end)
 	faults := w.faults
-	w.after(length+leaderTimeout, func() {
+	w.after(length+leaderTimeout+slowSyncLeaderTime*w.slowestSync(w.now()), func() {
 		if w.faults != faults || w.outages.last > end || len(w.network.partitioned) > 0 {
 			return // another one has struck since
 		}
--- /dev/null
+++ b/internal/lab/sim/slowsync.go
@@ -0,0 +1,51 @@
+package sim
+
+import "time"
+
+const (
+	minSlowSync   = 50 * time.Millisecond
+	maxSlowSync   = 1500 * time.Millisecond
+	minSlowLength = 4 * time.Second
+	maxSlowLength = 15 * time.Second
+)
+
+// syncDelay returns by how much a write that begins now takes longer than usual.
+func (n *controlNode) syncDelay() time.Duration {
+	if n.w.now() >= n.slowUntil {
+		return 0
+	}
+	return n.slowSync
+}
+
+// slowDown makes the syncs of a replica slow for a time, also across restarts.
+func (n *controlNode) slowDown(sync, length time.Duration) {
+	n.w.logf("%s: its syncs take %v for %v", n.name, sync, length)
+	n.slowSync, n.slowUntil = sync, n.w.now()+length
+	n.w.recordControlDisturbance(length + recoveryTime)
+}
+
+// outageSlowSync makes the syncs of one replica, of a minority or of all slow. In half of the cases all lose power first.
+func (w *world) outageSlowSync() {
+	draw := func(low, high time.Duration) time.Duration {
+		return low + time.Duration(w.outages.random.Int64N(int64(high-low)))
+	}
+	sync, length := draw(minSlowSync, maxSlowSync), draw(minSlowLength, maxSlowLength)
+	counts := []int{1, outageVoters / 2, len(w.controls)}
+	for _, i := range w.outages.random.Perm(len(w.controls))[:counts[w.outages.random.IntN(len(counts))]] {
+		w.controls[i].slowDown(sync, length)
+	}
+	if w.outages.random.IntN(2) == 0 {
+		w.outagePowerLoss()
+	}
+}
+
+// slowestSync returns the duration of the slowest syncs of any replica that are slow now or were since a time.
+func (w *world) slowestSync(since time.Duration) time.Duration {
+	slowest := time.Duration(0)
+	for _, n := range w.controls {
+		if n.slowUntil > since {
+			slowest = max(slowest, n.slowSync)
+		}
+	}
+	return slowest
+}
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -51,11 +51,14 @@
 	PowerOff         Kind = "power-off"       // all machines lose power, and some control processes their data folders
 	RollControl      Kind = "roll-control"    // control processes are stopped and started, one after the other
 	CutZone          Kind = "cut-zone"        // the control processes and gateways of a zone from all others
+	SlowSync         Kind = "slow-sync"       // each sync of control processes takes longer; of shapes that lose unsynced writes
 	ReplaceControl   Kind = "replace-control" // a control process is gone for good, another one starts at a new address without data
 )
 
 // Kinds lists all kinds.
-func Kinds() []Kind { return append(drawnKinds(), PowerOff, RollControl, CutZone, ReplaceControl) }
+func Kinds() []Kind {
+	return append(drawnKinds(), PowerOff, RollControl, CutZone, ReplaceControl, SlowSync)
+}
 
 // drawnKinds lists the kinds that Generate draws, in a fixed order, which the choice from a seed depends on.
 func drawnKinds() []Kind {
@@ -71,7 +74,7 @@
 func (k Kind) Disturbs() bool {
 	switch k {
 	case KillWorker, HotTenant, LowerLimit, ChangeSetting, LargeDocuments, Reload, FatalRequest, ForgedHeartbeats, RejectRequests, DrainWorker, DeregisterWorker, IsolateTenant, AdvertiseLimits,
-		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions:
+		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions, SlowSync:
 		return false
 	}
 	return true
@@ -131,6 +134,8 @@
 	// without it strikes the process at Target.
 	Disks int `json:"disks,omitempty"`
 	Aim   Aim `json:"aim,omitempty"`
+	// SyncMS is by how much SlowSync delays each sync of Disks control processes from Target on, or of all without Disks.
+	SyncMS int64 `json:"sync_ms,omitempty"`
 }
 
 // At returns when the fault begins, from the start of traffic.
@@ -208,7 +213,7 @@
 		return plan, eris.Wrapf(err, "decode plan %s", path)
 	}
 	for i, fault := range plan.Faults {
-		if !slices.Contains(Kinds(), fault.Kind) || !slices.Contains(Aims(), fault.Aim) || fault.AtMS < 0 || fault.ForMS < 0 || fault.Target < 0 || fault.Disks < 0 {
+		if !slices.Contains(Kinds(), fault.Kind) || !slices.Contains(Aims(), fault.Aim) || fault.AtMS < 0 || fault.ForMS < 0 || fault.Target < 0 || fault.Disks < 0 || fault.SyncMS < 0 {
 			return plan, eris.Errorf("%s: fault %d (%s) has an unknown kind or aim, or a negative value", path, i, fault.Kind)
 		}
 	}
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -160,6 +160,8 @@
 		f.AdvertiseLimits(ctx, fault.Target, duration)
 	case IsolateTenant:
 		f.IsolateTenant(ctx, fault.Target, duration)
+	case SlowSync:
+		f.slowSyncs(ctx, fault, duration)
 	case DeregisterWorker:
 		f.DeregisterWorker(ctx, fault.Target, duration)
 	case DrainWorker:
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -80,6 +81,7 @@
 	size     int64
 	format   int // of the newest segment
 	pending  []byte
+	openSync time.Duration // see OpenSyncTime
 }
 
 // Open opens or creates the log of an owner in a folder and returns the records from the last checkpoint on.
@@ -252,17 +254,23 @@
 	if err != nil {
 		return eris.Wrapf(err, "open %s", path)
 	}
-	if err := prepareAppend(file, l.size); err != nil {
+	if err := truncateTail(file, l.size); err != nil {
 		_ = file.Close()
 		return eris.Wrapf(err, "prepare %s", path)
 	}
+	started := time.Now()
+	if err := file.Sync(); err != nil {
+		_ = file.Close()
+		return eris.Wrapf(err, "sync %s", path)
+	}
+	l.openSync = time.Since(started)
 	l.file = file
 	return nil
 }
 
-// prepareAppend truncates what follows the valid records, moves to their end and syncs them: a process that ended may have
-// written them without a sync.
-func prepareAppend(file File, size int64) error {
+// truncateTail truncates what follows the valid records and moves to their end. The caller syncs them: a process that
+// ended may have written them without a sync.
+func truncateTail(file File, size int64) error {
 	end, err := file.Seek(0, io.SeekEnd)
 	if err == nil && end > size {
 		err = file.Truncate(size)
@@ -270,12 +278,12 @@
 	if err == nil {
 		_, err = file.Seek(size, io.SeekStart)
 	}
-	if err == nil {
-		err = file.Sync()
-	}
 	return err
 }
 
+// OpenSyncTime returns how long the sync took with which the newest segment was opened.
+func (l *Log) OpenSyncTime() time.Duration { return l.openSync }
+
 // Append adds a record to the buffer that the next Sync writes.
 func (l *Log) Append(record Record) {
 	l.pending = AppendRecord(l.pending, record)
