Control: below its level a deregistration in doubt expires the instance, and late heartbeats are kept out all the same

Until all members run a build of level 3 for 5 s, at the start of a group and during an upgrade, a deregistration by name that may be the predecessor's was final: a sound back end that its predecessor's late message meets stayed out for as long as it runs.

Change: it expires the instance, an entry that every build knows; the leader remembers that heartbeats have to prove that it is alive, and loses that with its leadership.

Evidence: TestDeregistrationIsNotContestedBelowItsLevel wants it out, and back within the same bound; it had wanted it out only.

--- a/internal/control/contested.go
+++ b/internal/control/contested.go
@@ -59,11 +59,19 @@
 	}
 }
 
-// deregister proposes a deregistration, which is contested if it may be a delayed one of the previous incarnation.
+// deregister proposes a deregistration, which is contested if it may be a delayed one of the previous incarnation. Below
+// level Contested the instance expires instead, and only this leader knows that late heartbeats must not register it.
 func (r *Replica) deregister(now time.Duration, client uint64, id string) {
 	command := &catalog.Command{Deregister: id}
-	if incarnation := catalog.ParseInstanceID(id); incarnation.StartedMS == 0 && r.machine.level >= level.Contested {
-		command.Contested = r.registrations.includes(now, incarnation.Name)
+	incarnation, resolved := catalog.ParseInstanceID(id), r.machine.catalog.ResolveInstanceID(id)
+	switch {
+	case incarnation.StartedMS > 0 || !r.registrations.includes(now, incarnation.Name):
+	case r.machine.level >= level.Contested:
+		command.Contested = true
+	case resolved != id:
+		command = &catalog.Command{Expire: resolved}
+		r.evidence[resolved] = r.newEvidence(now, resolved)
+		r.evidence[resolved].expired = true
 	}
 	r.propose(now, client, Command{Catalog: command})
 }
@@ -73,8 +81,21 @@
 	since   time.Duration // when the deregistration was applied here, or an upper bound
 	highest uint64        // highest sequence number
 	later   int           // heartbeats, each with a sequence number above those before it
+	expired bool          // the instance has expired instead; see deregister
 }
 
+// newEvidence returns the evidence on an instance that is deregistered now.
+func (r *Replica) newEvidence(now time.Duration, id string) *heartbeatEvidence {
+	evidence := &heartbeatEvidence{since: now}
+	if r.leader != nil && r.leader.fleet[id] != nil {
+		evidence.highest = r.leader.fleet[id].sequence
+	}
+	return evidence
+}
+
+// maxEvidenceAge is how long the evidence on an expired instance is kept.
+const maxEvidenceAge = 10 * maxMessageDelay
+
 // observe records a heartbeat and reports whether the instance must have sent it after the deregistration.
 func (e *heartbeatEvidence) observe(now time.Duration, sequence uint64) (alive bool) {
 	if sequence <= e.highest {
@@ -127,15 +148,20 @@
 
 // recordContested must be called after a contested deregistration of an instance was applied.
 func (r *Replica) recordContested(now time.Duration, id string) {
-	maps.DeleteFunc(r.evidence, func(id string, _ *heartbeatEvidence) bool { return !r.machine.catalog.IsContested(id) })
+	maps.DeleteFunc(r.evidence, func(id string, e *heartbeatEvidence) bool {
+		return !r.machine.catalog.IsContested(id) && (!e.expired || now > e.since+maxEvidenceAge)
+	})
 	if !r.machine.catalog.IsContested(id) {
 		return
 	}
 	r.recordDeparture(departure{instance: id})
-	r.evidence[id] = &heartbeatEvidence{since: now}
-	if r.leader != nil && r.leader.fleet[id] != nil {
-		r.evidence[id].highest = r.leader.fleet[id].sequence
-	}
+	r.evidence[id] = r.newEvidence(now, id)
+}
+
+// isContested reports whether an instance needs evidence to register again.
+func (r *Replica) isContested(id string) bool {
+	evidence := r.evidence[id]
+	return r.machine.catalog.IsContested(id) || evidence != nil && evidence.expired
 }
 
 // recordReinstatement must be called after an instance was reinstated.
@@ -160,5 +186,10 @@
 		return
 	}
 	r.recordHeartbeat(now, heartbeat)
+	if evidence.expired {
+		delete(r.evidence, id)
+		r.queueRegistration(client, heartbeat.Instance)
+		return
+	}
 	r.propose(now, client, Command{Catalog: &catalog.Command{Reinstate: &heartbeat.Instance}})
 }
--- a/internal/control/contested_test.go
+++ b/internal/control/contested_test.go
@@ -170,16 +170,26 @@
 	}
 }
 
-// TestDeregistrationIsNotContestedBelowItsLevel: members of older builds apply no contested deregistration.
+// TestDeregistrationIsNotContestedBelowItsLevel: members of older builds apply no contested deregistration. The leader
+// keeps the instance out by itself until its heartbeats prove that it is alive.
 func TestDeregistrationIsNotContestedBelowItsLevel(t *testing.T) {
 	s := openWithoutEngines(t)
 	s.replica.config.Level = level.Contested - 1
 	s.advance(levelStablePeriod + time.Second)
+	id := incarnationID("e", 2000)
 	s.sendHeartbeat(incarnationID("e", 1000), "a1", 90, 1)
-	s.sendHeartbeat(incarnationID("e", 2000), "a1", 1, 1)
+	s.sendHeartbeat(id, "a1", 1, 1)
 	s.leaveByName("e")
-	if s.isRegistered(incarnationID("e", 2000)) || s.replica.Machine().Catalog().IsContested(incarnationID("e", 2000)) {
-		t.Fatal("a contested deregistration was logged below its level")
+	s.sendLateHeartbeats(id, "a1", 3, 2)
+	if s.isRegistered(id) || s.replica.Machine().Catalog().IsContested(id) {
+		t.Fatal("a contested deregistration was logged below its level, or a delayed heartbeat registered the instance")
+	}
+	for sequence, leftAt := uint64(4), s.now; !s.isRegistered(id); sequence++ {
+		if s.now > leftAt+maxMessageDelay+minLaterHeartbeats*testHeartbeatInterval {
+			t.Fatalf("not registered %v after a delayed deregistration", s.now-leftAt)
+		}
+		s.sendHeartbeat(id, "a1", sequence, 1)
+		s.advance(testHeartbeatInterval)
 	}
 }
 
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -71,7 +71,7 @@
 	switch {
 	case heartbeat.Leaving:
 		r.deregister(now, client, id)
-	case !known && r.machine.catalog.IsContested(id):
+	case !known && r.isContested(id):
 		r.handleContestedHeartbeat(now, client, heartbeat)
 	case !known && (r.lacksWeights(heartbeat) || !r.mayRegister(now, heartbeat.Instance)):
 		r.reply(client, Response{Kind: ResponseOK})
