Sim: an order is held up by a leader that freezes, not by its disk

Cause: the fault that the guard answers stalled the disk between the decision of an order and its sending. Orders don't wait for a write any more, so the fault brought nothing about.

Change: the fault freezes the leader at that moment for 3 to 6 s, which is the delay that is left.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -35,7 +35,7 @@
 	DeregistrationKept       Guard = "deregistration-kept"   // a delayed heartbeat does not register a deregistered backend
 	DrainBeforeWeightsChange Guard = "turn-away-first"       // weights change only after dispatching stopped
 	WeightsOrderDelay        Guard = "order-pause"           // a new leader waits before its first weights order
-	DropLateOrders           Guard = "late-calls-dropped"    // orders decided before a long sync are dropped
+	DropLateOrders           Guard = "late-calls-dropped"    // orders decided before a long pause are dropped
 	HighestRevision          Guard = "highest-revision"      // a document replaces only one of a lower revision
 	QuarantineCheck          Guard = "held-back"             // quarantined requests are not dispatched
 	PartQuarantine           Guard = "part-held-back"        // requests with quarantined parts of prompts are not dispatched
--- a/internal/lab/sim/control.go
+++ b/internal/lab/sim/control.go
@@ -151,6 +151,10 @@
 // advance runs the replica until it waits for inputs or a timer. A sync may be in progress meanwhile.
 func (n *controlNode) advance() {
 	n.replica.Tick(n.clock(), n.unixMS())
+	if n.w.pending.freezeOnOrder && n.replica.PendingWeightsCalls() > 0 {
+		n.freezeOnOrder()
+		return
+	}
 	for {
 		if n.replica.HasReleasable() {
 			n.send(n.replica.Release(n.clock()))
@@ -184,10 +188,6 @@
 // beginSync begins a write.
 func (n *controlNode) beginSync(persist control.Persist) {
 	n.syncing = &persist
-	if n.w.pending.stallDiskOnOrder && n.replica.PendingWeightsCalls() > 0 {
-		n.w.pending.stallDiskOnOrder = false
-		n.stallDisk(n.w.between(3*time.Second, 6*time.Second))
-	}
 	began := n.w.now()
 	delay := max(n.w.between(500*time.Microsecond, 6*time.Millisecond)+n.syncDelay(), n.diskStalledUntil-n.w.now())
 	n.after(delay, func() {
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -56,7 +56,7 @@
 	{"suspended control replica", (*world).faultSuspendControl},
 	{"suspended gateway or router", (*world).faultSuspendGateway},
 	{"stalled disk", (*world).faultStallDisk},
-	{"disk that stalls under an order for weights", (*world).faultStallOrder},
+	{"leader frozen between deciding and sending an order for weights", (*world).faultFreezeOrder},
 	{"writes while a replica is cut off, the others killed after the heal", (*world).faultCutThenKill},
 	{"leader that didn't see weights named", (*world).faultLateLeader},
 	{"back ends that turn requests away and ask for rest", (*world).faultRejectRequests},
--- a/internal/lab/sim/fleet_faults.go
+++ b/internal/lab/sim/fleet_faults.go
@@ -36,12 +36,27 @@
 	n.w.recordControlDisturbance(length + recoveryTime)
 }
 
-// faultStallOrder blocks the leader's disk between the decision to send a weights order and its sending.
-func (w *world) faultStallOrder() {
-	w.pending.stallDiskOnOrder = true
+// faultFreezeOrder freezes the leader between the decision to send a weights order and its sending.
+func (w *world) faultFreezeOrder() {
+	w.pending.freezeOnOrder = true
 	pick(w, w.fleetOperators).publishWeights()
 }
 
+// freezeOnOrder freezes the replica for a while.
+func (n *controlNode) freezeOnOrder() {
+	n.w.pending.freezeOnOrder = false
+	n.freeze()
+	length := n.w.between(3*time.Second, 6*time.Second)
+	n.w.recordControlDisturbance(length + recoveryTime)
+	generation := n.generation
+	n.w.after(length, func() {
+		if n.generation == generation && n.frozen {
+			n.resume()
+			n.advance()
+		}
+	})
+}
+
 // faultCutThenKill partitions a replica while changes are made, heals the partition and kills the others at once.
 // Acknowledged changes must survive on their disks, and the outdated replica must not lead without them.
 func (w *world) faultCutThenKill() {
--- a/internal/lab/sim/mischief.go
+++ b/internal/lab/sim/mischief.go
@@ -9,11 +9,11 @@
 
 // pendingFaults are faults that last for a while or wait for an event.
 type pendingFaults struct {
-	stallDiskOnOrder bool // the leader's disk stalls at the next weights order
-	streamsUntil     time.Duration
-	servicesUntil    time.Duration
-	onNextClaim      func(*routerNode)                // run at the next claim of a router
-	onNextOrder      func(*controlNode) time.Duration // run at the next order to an engine
+	freezeOnOrder bool // the leader freezes between deciding and sending the next weights order
+	streamsUntil  time.Duration
+	servicesUntil time.Duration
+	onNextClaim   func(*routerNode)                // run at the next claim of a router
+	onNextOrder   func(*controlNode) time.Duration // run at the next order to an engine
 }
 
 // delayOrder runs the fault that waits for an order, if any, and returns the order's delay.
