Control: log lines and a gauge that tell when a loss can be borne

Cause: after the incident "no leader after a control machine was replaced and another lost its disk" no log told whether a folder was empty at the start, when a replica first had durable state, when the leader changed the members, or from when on the group bore another loss.

Change: "control replica started" tells whether the folder was empty and its newest index; "first state on disk"; "control member added/promoted/removed" once committed, with the reason, silence and lag; "losses borne changed", one line a second at most; the gauge kitetiller_control_losses_borne on the leader. A simulated group of replicas with disks in virtual time (simgroup_test.go) tests them.

Test: TestLossesBorneFollowVotersThatArePresent is new, as is what it tests.

--- a/internal/consensus/write.go
+++ b/internal/consensus/write.go
@@ -76,6 +76,9 @@
 // Persisted returns the highest index up to which the log is synced, or covered by a received snapshot.
 func (n *Node) Persisted() uint64 { return n.persisted }
 
+// HasDurableState reports whether stable storage holds a log.
+func (n *Node) HasDurableState() bool { return n.persisted > 0 && !n.installing() }
+
 // Writing reports whether a write is in progress.
 func (n *Node) Writing() bool { return n.writing != nil }
 
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -86,6 +86,7 @@
 	pendingRegistrations      registrationBatch
 	levels                    levelTracker
 	unknownBackends           map[uint64][]string // back ends asked for a full heartbeat, by client that waits for an entry
+	memberChange              *memberChange       // nil if no change of the members waits to commit
 }
 
 // zoneService identifies a service in a zone.
--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -29,7 +29,7 @@
 		return
 	}
 	member.Learner = true
-	if _, _, ok := r.node.ProposeMembership(now, membership.With(member)); !ok {
+	if !r.changeMember(now, membership.With(member), memberChange{kind: memberAdded, member: member, reason: reasonJoined}) {
 		r.reply(client, Response{Kind: ResponseNoQuorum})
 		return
 	}
@@ -44,13 +44,13 @@
 	lost, learner := r.classifyPeers(now)
 	switch {
 	case membership.Voters() > r.config.Replicas && lost != nil:
-		r.node.ProposeMembership(now, membership.Without(lost.ID))
+		r.changeMember(now, membership.Without(lost.ID), memberChange{kind: memberRemoved, member: *lost, reason: lossReason(membership, *lost)})
 	case learner == nil:
 		r.dropSilentLearner(now, membership)
 	case membership.Voters() < r.config.Replicas || lost != nil:
 		promoted := *learner
 		promoted.Learner = false
-		r.node.ProposeMembership(now, membership.With(promoted))
+		r.changeMember(now, membership.With(promoted), memberChange{kind: memberPromoted, member: promoted, reason: reasonCaughtUp})
 	}
 }
 
@@ -100,7 +100,7 @@
 	for _, peer := range r.node.Peers() {
 		member, _ := membership.Find(peer.ID)
 		if member.Learner && now-peer.LastReplyAt > learnerTimeout {
-			r.node.ProposeMembership(now, membership.Without(peer.ID))
+			r.changeMember(now, membership.Without(peer.ID), memberChange{kind: memberRemoved, member: member, reason: reasonSilent})
 			return
 		}
 	}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -97,6 +97,7 @@
 	storeList      storeList                     // stores of the newest document
 	registrations  recentRegistrations
 	evidence       map[string]*heartbeatEvidence // by instance ID, of contested deregistrations
+	memberChanges  []memberChange                // that have committed, to be logged; see takeMemberChanges
 	departures     []departure                   // changes of contested deregistrations, to be logged; see TakeDepartures
 	readOffers     OfferReader                   // nil if the offers of back ends are not known
 	relay          *relay.Relay                  // answers gateways while another replica leads
@@ -170,6 +171,7 @@
 	if r.leader != nil && r.hasCurrentState(now) {
 		r.expireSessions(now)
 		r.reconcile(now)
+		r.recordMemberChange(now)
 		r.repair(now)
 		r.checkFleet(now)
 		r.updateInUse(now)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -115,6 +115,7 @@
 	writing     bool               // a write is in progress; owned by runReplica
 	slowSyncLog intervalLimiter    // owned by runReplica, like electionLog and undecidedElections
 	electionLog intervalLimiter
+	membersLog  membersLogState
 	// undecidedElections is how many elections of the replica had ended without a leader when that was last logged.
 	undecidedElections uint64
 	queuedBytes        atomic.Int64 // size of the requests that wait in inputs
@@ -147,6 +148,7 @@
 	}
 	server.seedAddresses.Store(&file.Control.Founders)
 	server.group = NewClient(server.client, file.Control.Founders)
+	server.usage.lossesBorne.Store(unknownLosses)
 	if err := server.restoreWhenPossible(ctx); err != nil {
 		return nil, err
 	}
@@ -186,7 +188,9 @@
 	defer s.closeAdmin(admin)
 	run, cancel := context.WithCancel(ctx)
 	defer cancel()
-	hasState, disabled := s.replica.Node().LastIndex() > 0, s.config.Mechanisms.Off()
+	restored, disabled := s.replica.Node().LastIndex(), s.config.Mechanisms.Off()
+	hasState := restored > 0
+	s.membersLog.awaitsState = !hasState
 	var workers sync.WaitGroup
 	workers.Go(func() { s.runReplica(run) })
 	workers.Go(func() { s.runWrites(run) })
@@ -200,7 +204,8 @@
 	if !hasState {
 		workers.Go(func() { s.joinOrCreateGroup(run) })
 	}
-	s.log.Info(events.ReplicaStarted, zap.String("internal", s.file.Control.InternalAddress), zap.String("admin", s.file.Control.Admin), zap.Strings(events.FieldDisabledMechanisms, disabled))
+	s.log.Info(events.ReplicaStarted, zap.String("internal", s.file.Control.InternalAddress), zap.String("admin", s.file.Control.Admin),
+		zap.Bool("empty", !hasState), zap.Uint64("index", restored), zap.Strings(events.FieldDisabledMechanisms, disabled))
 	select {
 	case <-ctx.Done():
 	case err = <-s.fatal:
@@ -298,6 +303,7 @@
 		s.logLevelChange()
 		s.logDepartures()
 		s.logElections()
+		s.logMembers()
 		s.logLimitChanges()
 		s.logQuarantineChanges()
 		timer.Reset(s.nextWakeup())
--- a/internal/control/usage.go
+++ b/internal/control/usage.go
@@ -19,6 +19,7 @@
 	slowSyncs       atomic.Uint64 // that took slowSyncTime or longer
 	// undecidedElections counts those of this replica that ended without a leader.
 	undecidedElections atomic.Uint64
+	lossesBorne        atomic.Int64  // see Replica.lossesBorne
 	contested          atomic.Uint64 // deregistrations
 	reinstated         atomic.Uint64 // instances whose deregistration was contested
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -45,14 +45,20 @@
 
 // Events of control replicas.
 const (
-	ReplicaStarted      = "control replica started"
-	ReplicaStopped      = "control replica stopped"
-	GroupCreated        = "control group founded"
-	GroupJoined         = "control group joined"
-	LeadershipWon       = "leadership won"
-	LevelRaised         = "level raised"
-	LeaderKnown         = "leader known" // this replica follows a leader, or leads, for the first time since its start
-	LeadershipLost      = "leadership lost"
+	ReplicaStarted    = "control replica started"
+	ReplicaStopped    = "control replica stopped"
+	GroupCreated      = "control group founded"
+	GroupJoined       = "control group joined"
+	LeadershipWon     = "leadership won"
+	LevelRaised       = "level raised"
+	LeaderKnown       = "leader known" // this replica follows a leader, or leads, for the first time since its start
+	LeadershipLost    = "leadership lost"
+	FirstStateDurable = "first state on disk" // of a replica whose data folder was empty at its start
+	// MemberAdded, MemberPromoted and MemberRemoved report changes of the group's members that have committed.
+	MemberAdded         = "control member added"
+	MemberPromoted      = "control member promoted"
+	MemberRemoved       = "control member removed"
+	LossesBorneChanged  = "losses borne changed" // how many voters may lose their disks now
 	CheckpointPostponed = "checkpoint postponed" // it did not fit on the disk; the log goes on
 	StorageSlow         = "data folder slow"     // a sync took long; elections wait longer
 	ElectionUndecided   = "election undecided"   // this replica stood for election, and nobody won in time
