Control: a lost voter is removed before its replacement votes

Cause: repair promoted the learner first and removed the lost voter after. Until then the group had an even number of voters, one of them lost: with four of which one is gone, the loss of any disk, also of the successor's, left two of four and no leader for good. The promotion also needed a sync of the successor to commit.

Change: with a learner there to take the place, the lost voter is removed first; the promotion follows once the learner has caught up. {A,B,C} to {A,B} needs the same A and B as before, and 5 to 4 voters the same three, so the group bears no fewer losses meanwhile, and needs no sync of the successor. A join that finds a lost voter removes it with the same entry: adding a learner changes no quorum, so the entry still changes one vote, and consensus checks that as before. A second voter is not removed before the number of voters is complete; without a learner that joined or replied within the time that a voter may be silent, none is. The leader forgets a removed peer's state, and a peer that joins counts as heard then.

Ruled out: one entry that swaps learner and voter changes two votes; old and new majorities then need not share a replica.

Test: TestDeadVoterIsRemovedBeforeItsReplacementVotes failed before ("c0 has 4 voters in its membership, want at most 3"), as did TestLearnerThatDiesDuringReplacementIsReplaced ("the lost voter was not removed within 10 s"). Those of a silent voter without a learner, of a voter that was only cut off and of two replaced at once held before too.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -188,6 +188,11 @@
 	}
 	index = n.appendLocal(EntryMembership, EncodeMembership(membership))
 	n.refreshMembership()
+	for _, peer := range n.peers {
+		if peer.lastReplyAt == 0 {
+			peer.lastReplyAt = now // it has just asked to join
+		}
+	}
 	n.broadcastAppend(now)
 	return index, n.hard.Term, true
 }
@@ -291,6 +296,11 @@
 			n.peers[member.ID] = &progress{next: n.log.lastIndex() + 1}
 		}
 	}
+	for id := range n.peers {
+		if _, kept := n.membership.Find(id); !kept {
+			delete(n.peers, id)
+		}
+	}
 }
 
 func (n *Node) send(message Message) {
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -73,6 +73,8 @@
 // Membership is the set of replicas in the group, voters and learners.
 type Membership struct {
 	Members []Member `json:"members"`
+	// Formed means that the group had its configured number of voters before one was removed. It is kept by With and Without.
+	Formed bool `json:"formed,omitempty"`
 }
 
 // Find returns the member with the given ID.
@@ -111,7 +113,7 @@
 
 // Without returns a copy in which the member with the given ID is removed.
 func (m Membership) Without(id ID) Membership {
-	next := Membership{Members: make([]Member, 0, len(m.Members)+1)}
+	next := Membership{Members: make([]Member, 0, len(m.Members)+1), Formed: m.Formed}
 	for _, member := range m.Members {
 		if member.ID != id {
 			next.Members = append(next.Members, member)
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -86,7 +86,7 @@
 	pendingRegistrations      registrationBatch
 	levels                    levelTracker
 	unknownBackends           map[uint64][]string // back ends asked for a full heartbeat, by client that waits for an entry
-	memberChange              *memberChange       // nil if no change of the members waits to commit
+	proposedMembership        *proposedMembership // nil if none waits to commit
 }
 
 // zoneService identifies a service in a zone.
@@ -191,5 +191,5 @@
 // would be lost with the only member.
 func (r *Replica) formed() bool {
 	return r.machine.settings.Version() > 0 || r.machine.catalog.Document().Revision > 0 || len(r.machine.sessions) > 0 ||
-		r.node.Membership().Voters() >= r.config.Replicas
+		r.node.Membership().Formed || r.node.Membership().Voters() >= r.config.Replicas
 }
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -33,38 +33,45 @@
 	reason string
 	silent time.Duration // time since the member's last message, at the proposal
 	lag    uint64        // committed entries that the member was not known to have, at the proposal
+	took   time.Duration // until it committed
+	voters int           // from then on
+}
 
+// proposedMembership is a membership that this leader proposed.
+type proposedMembership struct {
+	changes    []memberChange
 	index      uint64 // of the entry
 	proposedAt time.Duration
-	took       time.Duration // until it committed
-	voters     int           // from then on
 }
 
-// changeMember proposes a membership in which one member differs. It reports whether the change was proposed.
-func (r *Replica) changeMember(now time.Duration, membership consensus.Membership, change memberChange) bool {
-	for _, peer := range r.node.Peers() {
-		if peer.ID == change.member.ID {
-			change.silent, change.lag = now-peer.LastReplyAt, max(peer.Match, r.node.Commit())-peer.Match
+// changeMembers proposes a membership that differs by the given changes. It reports whether it was proposed.
+func (r *Replica) changeMembers(now time.Duration, membership consensus.Membership, changes ...memberChange) bool {
+	for i := range changes {
+		changes[i].voters = membership.Voters()
+		for _, peer := range r.node.Peers() {
+			if peer.ID == changes[i].member.ID {
+				changes[i].silent, changes[i].lag = now-peer.LastReplyAt, max(peer.Match, r.node.Commit())-peer.Match
+			}
 		}
 	}
 	index, _, ok := r.node.ProposeMembership(now, membership)
-	if !ok {
-		return false
+	if ok {
+		r.leader.proposedMembership = &proposedMembership{changes, index, now}
 	}
-	change.index, change.proposedAt, change.voters = index, now, membership.Voters()
-	r.leader.memberChange = &change
-	return true
+	return ok
 }
 
-// recordMemberChange records the proposed change once it has committed.
+// recordMemberChange records the proposed changes once they have committed.
 func (r *Replica) recordMemberChange(now time.Duration) {
-	change := r.leader.memberChange
-	if change == nil || r.node.Commit() < change.index {
+	proposed := r.leader.proposedMembership
+	if proposed == nil || r.node.Commit() < proposed.index {
 		return
 	}
-	change.took = now - change.proposedAt
-	r.memberChanges = append(r.memberChanges, *change)
-	r.leader.memberChange = nil
+	for _, change := range proposed.changes {
+		change.took = now - proposed.proposedAt
+		r.memberChanges = append(r.memberChanges, change)
+	}
+	r.leader.proposedMembership = nil
 }
 
 // takeMemberChanges returns the changes that have committed since the last call.
--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -21,7 +21,7 @@
 	presenceTimeout = time.Second
 )
 
-// join adds a replica that has no durable state as a learner.
+// join adds a replica that has no durable state as a learner. If it replaces a lost voter, the same change removes that one.
 func (r *Replica) join(now time.Duration, client uint64, member consensus.Member) {
 	membership := r.node.Membership()
 	if _, known := membership.Find(member.ID); known {
@@ -29,7 +29,12 @@
 		return
 	}
 	member.Learner = true
-	if !r.changeMember(now, membership.With(member), memberChange{kind: memberAdded, member: member, reason: reasonJoined}) {
+	next, changes := membership.With(member), []memberChange{{kind: memberAdded, member: member, reason: reasonJoined}}
+	if lost := r.lostVoter(now, next); lost != nil && next.Voters() >= r.config.Replicas {
+		changes = append(changes, memberChange{kind: memberRemoved, member: *lost, reason: lossReason(next, *lost)})
+		next = withoutVoter(next, *lost)
+	}
+	if !r.changeMembers(now, next, changes...) {
 		r.reply(client, Response{Kind: ResponseNoQuorum})
 		return
 	}
@@ -37,43 +42,72 @@
 	r.reply(client, Response{Kind: ResponseOK})
 }
 
-// repair takes one step towards the configured number of live voters: it promotes a learner that has caught up, then
-// removes the voter that the learner replaces.
+// repair takes one step towards the configured number of live voters: it removes a lost voter if a learner is there to replace
+// it, then promotes a learner that has caught up. The removal comes first, since it needs no sync of the learner, and a group of
+// an even number of voters with a lost one among them bears no more losses than one that is smaller by that voter. No second
+// voter is removed before the number of voters is complete again.
 func (r *Replica) repair(now time.Duration) {
 	membership := r.node.Membership()
-	lost, learner := r.classifyPeers(now)
+	lost, learner := r.lostVoter(now, membership), r.learnerToPromote(now, membership)
+	surplus := membership.Voters() - r.config.Replicas
 	switch {
-	case membership.Voters() > r.config.Replicas && lost != nil:
-		r.changeMember(now, membership.Without(lost.ID), memberChange{kind: memberRemoved, member: *lost, reason: lossReason(membership, *lost)})
+	case lost != nil && (surplus > 0 || surplus == 0 && r.hasLiveLearner(now, membership)):
+		r.changeMembers(now, withoutVoter(membership, *lost), memberChange{kind: memberRemoved, member: *lost, reason: lossReason(membership, *lost)})
 	case learner == nil:
 		r.dropSilentLearner(now, membership)
-	case membership.Voters() < r.config.Replicas || lost != nil:
+	case surplus < 0:
 		promoted := *learner
 		promoted.Learner = false
-		r.changeMember(now, membership.With(promoted), memberChange{kind: memberPromoted, member: promoted, reason: reasonCaughtUp})
+		r.changeMembers(now, membership.With(promoted), memberChange{kind: memberPromoted, member: promoted, reason: reasonCaughtUp})
 	}
 }
 
-// classifyPeers returns the voter to replace and the learner to promote, if any. A voter whose name another replica has
-// taken lost its disk and is replaced after presenceTimeout instead of RepairAfter.
-func (r *Replica) classifyPeers(now time.Duration) (lost, learner *consensus.Member) {
-	membership := r.node.Membership()
+// withoutVoter returns the membership without a voter, and records that the group was complete.
+func withoutVoter(membership consensus.Membership, voter consensus.Member) consensus.Membership {
+	next := membership.Without(voter.ID)
+	next.Formed = true
+	return next
+}
+
+// lostVoter returns a voter to replace, or nil. One whose name another replica has taken lost its disk and is replaced after
+// presenceTimeout instead of RepairAfter.
+func (r *Replica) lostVoter(now time.Duration, membership consensus.Membership) *consensus.Member {
+	var lost *consensus.Member
 	for _, peer := range r.node.Peers() {
-		member, _ := membership.Find(peer.ID)
-		silent := now - peer.LastReplyAt
-		if member.Learner {
-			caughtUp := r.hasCaughtUp(peer.Match) && silent < presenceTimeout
-			if caughtUp && (learner == nil || nameTaken(membership, member)) {
-				learner = &member
-			}
+		member, found := membership.Find(peer.ID)
+		if !found || member.Learner {
 			continue
 		}
-		replaced := nameTaken(membership, member) && silent > presenceTimeout
-		if silent > r.config.RepairAfter || replaced {
+		silent := now - peer.LastReplyAt
+		if silent > r.config.RepairAfter || silent > presenceTimeout && nameTaken(membership, member) {
 			lost = &member
 		}
 	}
-	return lost, learner
+	return lost
+}
+
+// learnerToPromote returns a learner that is present and has caught up, or nil. One that has the name of a voter goes first.
+func (r *Replica) learnerToPromote(now time.Duration, membership consensus.Membership) *consensus.Member {
+	var learner *consensus.Member
+	for _, peer := range r.node.Peers() {
+		member, found := membership.Find(peer.ID)
+		if !found || !member.Learner || now-peer.LastReplyAt >= presenceTimeout || !r.hasCaughtUp(peer.Match) {
+			continue
+		}
+		if learner == nil || nameTaken(membership, member) {
+			learner = &member
+		}
+	}
+	return learner
+}
+
+// hasLiveLearner reports whether a learner has joined or replied within the time that a voter may be silent. One that syncs
+// its first snapshot doesn't reply meanwhile.
+func (r *Replica) hasLiveLearner(now time.Duration, membership consensus.Membership) bool {
+	return slices.ContainsFunc(r.node.Peers(), func(peer consensus.PeerStatus) bool {
+		member, found := membership.Find(peer.ID)
+		return found && member.Learner && now-peer.LastReplyAt <= r.config.RepairAfter
+	})
 }
 
 // hasCaughtUp reports whether a learner that has the log up to an index lacks little of it. One that has all committed
@@ -100,7 +134,7 @@
 	for _, peer := range r.node.Peers() {
 		member, _ := membership.Find(peer.ID)
 		if member.Learner && now-peer.LastReplyAt > learnerTimeout {
-			r.changeMember(now, membership.Without(peer.ID), memberChange{kind: memberRemoved, member: member, reason: reasonSilent})
+			r.changeMembers(now, membership.Without(peer.ID), memberChange{kind: memberRemoved, member: member, reason: reasonSilent})
 			return
 		}
 	}
--- /dev/null
+++ b/internal/control/repair_test.go
@@ -0,0 +1,109 @@
+package control
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// Guards against a group of an even number of voters with a dead one among them, where the loss of any disk costs the majority.
+func TestDeadVoterIsRemovedBeforeItsReplacementVotes(t *testing.T) {
+	for _, syncTime := range []time.Duration{0, 100, 400, 1000} {
+		for _, c := range replacements(syncTime * time.Millisecond) {
+			g := c.begin(t)
+			complete := g.runUntil(30*time.Second, func() bool {
+				for _, r := range g.replicas {
+					if voters := r.replica.Node().Membership().Voters(); voters > c.voters {
+						t.Fatalf("%v: %s has %d voters in its membership, want at most %d: %s", c, r.id, voters, c.voters, g.describe())
+					}
+				}
+				leader := g.leader()
+				return leader != nil && len(g.log) >= 3 && leader.replica.lossesBorne(g.now) == c.voters/2
+			})
+			if !complete {
+				t.Fatalf("%v: the replacement is not complete after 30 s: %s", c, g.describe())
+			}
+		}
+	}
+}
+
+// otherThan returns a replica of the group that is none of the given ones.
+func (g *simGroup) otherThan(replicas ...*simReplica) *simReplica {
+	for _, r := range g.replicas {
+		if !slices.Contains(replicas, r) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Guards against a group that shrinks although nothing can take the place of the lost voter.
+func TestSilentVoterStaysWhileNoLearnerIsLive(t *testing.T) {
+	g := newSimGroup(t, 3, 0, 1)
+	lost := g.otherThan(g.leader())
+	g.remove(lost)
+	g.runFor(10 * simRepairAfter)
+	if voters := g.leader().replica.Node().Membership().Voters(); voters != 3 {
+		t.Fatalf("%d voters with no learner to replace the silent one, want 3", voters)
+	}
+}
+
+// Guards against a group that stays incomplete when the learner dies after the voter that it replaces was removed, or that
+// accepts no changes meanwhile.
+func TestLearnerThatDiesDuringReplacementIsReplaced(t *testing.T) {
+	g := newSimGroup(t, 3, 0, 1)
+	g.syncTime = 100 * time.Millisecond
+	g.remove(g.otherThan(g.leader()))
+	first := g.add()
+	g.start(first)
+	removed := func() bool { return g.leader().replica.Node().Membership().Voters() == 2 }
+	if !g.runUntil(10*time.Second, removed) {
+		t.Fatalf("the lost voter was not removed within 10 s: %s", g.describe())
+	}
+	g.remove(first)
+	if !g.leader().replica.formed() {
+		t.Fatal("a group that was complete counts as not formed")
+	}
+	g.start(g.add())
+	if !g.runUntil(10*time.Second, func() bool { return g.lossesBorne() == 1 }) {
+		t.Fatalf("%d losses borne 10 s after the second successor's start, want 1: %s", g.lossesBorne(), g.describe())
+	}
+}
+
+// Guards against a voter that was only cut off, and removed meanwhile, staying out of the group, and against repeated changes of
+// the members after it has returned.
+func TestRemovedVoterReturnsAsLearner(t *testing.T) {
+	g := newSimGroup(t, 3, 1, 1)
+	cut := g.otherThan(g.leader())
+	cut.cut = true
+	if !g.runUntil(10*time.Second, func() bool { return !g.leader().replica.Node().Membership().IsVoter(cut.id) && g.lossesBorne() == 1 }) {
+		t.Fatalf("the voter was not replaced within 10 s: %s", g.describe())
+	}
+	cut.cut = false
+	g.runFor(20 * time.Second)
+	member, found := g.leader().replica.Node().Membership().Find(cut.id)
+	if !found || !member.Learner {
+		t.Fatalf("the replica that was removed is member %v, learner %v, want a learner: %s", found, member.Learner, g.describe())
+	}
+	if len(g.log) != 3 || g.lossesBorne() != 1 {
+		t.Fatalf("%d changes of the members, want 3; %d losses borne, want 1: %s", len(g.log), g.lossesBorne(), g.describe())
+	}
+}
+
+// Guards against a group that ends when two voters are replaced at once.
+func TestTwoVotersAreReplacedAtOnce(t *testing.T) {
+	for _, syncTime := range []time.Duration{0, 100, 400} {
+		g := newSimGroup(t, 5, 3, 1)
+		g.syncTime = syncTime * time.Millisecond
+		first := g.leader()
+		second := g.otherThan(first)
+		g.remove(first)
+		g.remove(second)
+		g.runFor(successorDelay)
+		g.start(g.add())
+		g.start(g.add())
+		if !g.runUntil(20*time.Second, func() bool { return g.lossesBorne() == 2 && g.leader().replica.Node().Membership().Voters() == 5 }) {
+			t.Fatalf("sync %v: %d losses borne after 20 s, want 2: %s", g.syncTime, g.lossesBorne(), g.describe())
+		}
+	}
+}
