Consensus: the silence of the previous leader counts from its last message

Cause: a new leader took all voters as heard at its election, so a lost voter that had led was replaced RepairAfter after the election instead of after its loss: 0.5 to 0.7 s later with fast syncs, three syncs and more later with slow ones.

Change: a replica remembers whose leadership it last heard of. Once it leads, that peer's last reply is that message, unless it answered this election. Check-quorum is as before: the others count as heard at the election, and a quorum of them has just voted.

Test: TestSilenceOfPreviousLeaderCountsFromItsLastMessage failed before ("last reply of n0 at 3.68s; the previous leader n0 was lost at 3s").

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -416,3 +416,21 @@
 		t.Fatalf("replica %s committed up to index %d, the leader up to %d", isolated, follower.node.Commit(), leader.node.Commit())
 	}
 }
+
+// Guards against a lost voter that led before being replaced later than another: its silence began before the election.
+func TestSilenceOfPreviousLeaderCountsFromItsLastMessage(t *testing.T) {
+	c := newCluster(3, 1, t.Fatalf)
+	c.runFor(3 * time.Second)
+	previous, lostAt := c.leader(), c.now
+	c.partitioned[previous.id] = true
+	var next *replica
+	for next == nil {
+		c.runFor(20 * time.Millisecond)
+		next = c.leader()
+	}
+	for _, peer := range next.node.Peers() {
+		if heard := peer.ID != previous.id; heard != (peer.LastReplyAt > lostAt+testTiming.Heartbeat) {
+			t.Fatalf("last reply of %s at %v; the previous leader %s was lost at %v", peer.ID, peer.LastReplyAt, previous.id, lostAt)
+		}
+	}
+}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -165,9 +165,13 @@
 	n.coldStart.finish()
 	n.peers = map[ID]*progress{}
 	n.refreshMembership()
-	for _, peer := range n.peers {
+	for id, peer := range n.peers {
 		peer.lastReplyAt = now
+		if _, voted := n.votes[id]; id == n.lastLeader && !voted {
+			peer.lastReplyAt = n.lastLeaderContact // silent since then, which is why there was an election
+		}
 	}
+	n.lastLeader = ""
 	n.termStartIndex = n.appendLocal(EntryNoop, nil)
 	n.lastHeartbeat = now
 	n.broadcastAppend(now)
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -41,6 +41,7 @@
 	peers             map[ID]*progress
 	lastHeartbeat     time.Duration
 	lastLeaderContact time.Duration // last message from a valid leader, initially the start
+	lastLeader        ID            // sender of that message; empty initially and once this replica leads
 	electionDue       time.Duration
 	termStartIndex    uint64 // index of the no-op entry that began this leadership
 	coldStart         coldStartState
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -171,7 +171,7 @@
 		return false
 	}
 	n.becomeFollower(now, message.Term, message.From)
-	n.lastLeaderContact, n.leaderTerm = now, message.Term
+	n.lastLeaderContact, n.lastLeader, n.leaderTerm = now, message.From, message.Term
 	n.coldStart.finish()
 	return true
 }
