--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -24,6 +24,7 @@
 	running  bool
 
 	write              *Write // in progress, or nil
+	writes             int    // begun since the start of the test
 	beganAt, writtenAt time.Duration
 	syncTime           time.Duration
 }
@@ -84,6 +85,7 @@
 		}
 		if r.write == nil && r.node.NeedsWrite() {
 			write := r.node.BeginWrite()
+			r.writes++
 			r.write, r.beganAt, r.writtenAt = &write, c.now, c.now+r.syncTime
 			continue
 		}
@@ -434,3 +436,37 @@
 		}
 	}
 }
+
+// Guards against syncs and rounds before the first snapshot of a replica that joins: until it is on disk, the group can't use
+// the replica.
+func TestJoiningReplicaSyncsItsFirstSnapshotWithTheTerm(t *testing.T) {
+	for _, limit := range []int{0, 64} { // with the snapshot in one message, and in parts
+		c := newClusterWithLimits(3, 1, Limits{MessageBytes: limit}, t.Fatalf)
+		c.runFor(3 * time.Second)
+		leader := c.leader()
+		c.propose("x")
+		c.runFor(time.Second)
+		c.compact(leader)
+		joining := &replica{id: "n3", syncTime: 200 * time.Millisecond}
+		c.replicas = append(c.replicas, joining)
+		c.start(joining)
+		if _, _, ok := leader.node.ProposeMembership(c.now, leader.node.Membership().With(Member{ID: joining.id, Learner: true})); !ok {
+			t.Fatal("adding a learner was rejected")
+		}
+		c.process(leader)
+		if len(c.inFlight) == 0 || !slices.ContainsFunc(c.inFlight, func(m Message) bool { return m.To == joining.id && m.Kind == MessageSnapshot }) {
+			t.Fatal("the leader doesn't send the snapshot at once")
+		}
+		for began := c.now; joining.snapshot.Meta.Index == 0; c.runFor(20 * time.Millisecond) {
+			if c.now > began+time.Second {
+				t.Fatal("no snapshot on disk 1 s after the join")
+			}
+		}
+		if joining.write != nil {
+			joining.writes-- // of the entries that follow
+		}
+		if joining.writes != 1 || joining.hard.Term != leader.node.Term() {
+			t.Fatalf("message limit %d: %d writes until the snapshot was on disk, want 1; term %d there, want %d", limit, joining.writes, joining.hard.Term, leader.node.Term())
+		}
+	}
+}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -188,10 +189,12 @@
 		return 0, 0, false
 	}
 	index = n.appendLocal(EntryMembership, EncodeMembership(membership))
+	known := maps.Clone(n.peers)
 	n.refreshMembership()
-	for _, peer := range n.peers {
-		if peer.lastReplyAt == 0 {
-			peer.lastReplyAt = now // it has just asked to join
+	for id, peer := range n.peers {
+		if known[id] == nil {
+			peer.lastReplyAt, peer.next = now, 1 // it has just asked to join, most likely with an empty log
+			n.sendAppend(now, id)
 		}
 	}
 	n.broadcastAppend(now)
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -11,7 +11,8 @@
 //
 // One write is in progress at a time. Steps 1 and 2 may be repeated meanwhile, so that heartbeats and their replies don't
 // wait for a slow sync: Messages holds back each message that depends on state which is not synced yet. That makes votes
-// and acknowledged entries durable. Time is monotonic and local to the replica; clock values of different replicas are
+// and acknowledged entries durable. The term of a replica that has neither a log nor a vote is written with its first snapshot,
+// since no message of such a replica depends on it: it acknowledges no entry before that write, and a vote is written. Time is monotonic and local to the replica; clock values of different replicas are
 // never compared.
 package consensus
 
--- a/internal/consensus/write.go
+++ b/internal/consensus/write.go
@@ -7,9 +7,14 @@
 
 // NeedsWrite reports whether BeginWrite would return anything.
 func (n *Node) NeedsWrite() bool {
-	return n.hardStateChanged || n.pendingInstall != nil || n.unstableFrom != 0
+	return n.hardStateChanged && !n.termMayWait() || n.pendingInstall != nil || n.unstableFrom != 0
 }
 
+// termMayWait reports whether the term may be written together with the first log. A replica without a log or a vote has
+// promised nothing: after a restart it may support any term that it has not voted in, and it hasn't acknowledged an entry of a
+// later one.
+func (n *Node) termMayWait() bool { return n.log.lastIndex() == 0 && n.hard.Vote == "" }
+
 // BeginWrite returns what is not on stable storage yet. No other write may be in progress.
 func (n *Node) BeginWrite() Write {
 	var write Write
@@ -107,13 +112,16 @@
 }
 
 // maySend reports whether everything that a message depends on is synced. Pre-votes and cold start messages promise
-// nothing. A leader may replicate entries that it has not synced itself, since it counts itself towards a quorum only
+// nothing, nor do a rejection and the receipt of a part of a snapshot by a replica whose term may wait. A leader may replicate entries that it has not synced itself, since it counts itself towards a quorum only
 // once it has.
 func (n *Node) maySend(message *Message) bool {
 	switch message.Kind {
 	case MessagePreVote, MessagePreVoteReply, MessageColdStartQuery, MessageColdStartReply:
 		return true
 	}
+	if message.Kind == MessageAppendReply && (message.Reject || message.Part != nil) && n.termMayWait() {
+		return true // it acknowledges no entry
+	}
 	if n.hardStateChanged || n.writing != nil && n.writing.HardState != nil {
 		return false // the term or a vote
 	}
--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -28,6 +28,10 @@
 		r.reply(client, Response{Kind: ResponseOK})
 		return
 	}
+	if r.appliedCost >= joinSnapshotCost && r.config.Guards.On(guard.LogByteLimits) {
+		r.snapshotWanted = true
+		r.maybeSnapshot() // it is sent with the proposal
+	}
 	member.Learner = true
 	next, changes := membership.With(member), []memberChange{{kind: memberAdded, member: member, reason: reasonJoined}}
 	if lost := r.lostVoter(now, next); lost != nil && next.Voters() >= r.config.Replicas {
@@ -38,7 +42,6 @@
 		r.reply(client, Response{Kind: ResponseNoQuorum})
 		return
 	}
-	r.snapshotWanted = r.snapshotWanted || r.appliedCost >= joinSnapshotCost && r.config.Guards.On(guard.LogByteLimits)
 	r.reply(client, Response{Kind: ResponseOK})
 }
 
