--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -22,6 +22,7 @@
 const (
 	reasonJoined    = "joined"
 	reasonCaughtUp  = "caught-up"
+	reasonVoterLost = "voter-lost" // a voter was removed; the learner has not caught up yet
 	reasonSilent    = "silent"
 	reasonNameTaken = "name-taken" // another replica has the member's name, so that the member has lost its disk
 )
--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -46,7 +46,7 @@
 }
 
 // repair takes one step towards the configured number of live voters: it removes a lost voter if a learner is there to replace
-// it, then promotes a learner that has caught up. The removal comes first, since it needs no sync of the learner, and a group of
+// it, then promotes a learner. The removal comes first, since it needs no sync of the learner, and a group of
 // an even number of voters with a lost one among them bears no more losses than one that is smaller by that voter. No second
 // voter is removed before the number of voters is complete again.
 func (r *Replica) repair(now time.Duration) {
@@ -59,12 +59,20 @@
 	case learner == nil:
 		r.dropSilentLearner(now, membership)
 	case surplus < 0:
-		promoted := *learner
-		promoted.Learner = false
-		r.changeMembers(now, membership.With(promoted), memberChange{kind: memberPromoted, member: promoted, reason: reasonCaughtUp})
+		r.promote(now, membership, *learner)
 	}
 }
 
+// promote makes a learner a voter.
+func (r *Replica) promote(now time.Duration, membership consensus.Membership, learner consensus.Member) {
+	reason := reasonVoterLost
+	if slices.ContainsFunc(r.node.Peers(), func(peer consensus.PeerStatus) bool { return peer.ID == learner.ID && r.hasCaughtUp(peer.Match) }) {
+		reason = reasonCaughtUp
+	}
+	learner.Learner = false
+	r.changeMembers(now, membership.With(learner), memberChange{kind: memberPromoted, member: learner, reason: reason})
+}
+
 // withoutVoter returns the membership without a voter, and records that the group was complete.
 func withoutVoter(membership consensus.Membership, voter consensus.Member) consensus.Membership {
 	next := membership.Without(voter.ID)
@@ -89,19 +97,27 @@
 	return lost
 }
 
-// learnerToPromote returns a learner that is present and has caught up, or nil. One that has the name of a voter goes first.
+// learnerToPromote returns a learner that is present and has caught up, or else a live one if a further voter doesn't raise the
+// number of acknowledgements that a commit needs, or nil. One that has the name of a voter goes first among equals.
 func (r *Replica) learnerToPromote(now time.Duration, membership consensus.Membership) *consensus.Member {
-	var learner *consensus.Member
+	var caughtUp, live *consensus.Member
 	for _, peer := range r.node.Peers() {
 		member, found := membership.Find(peer.ID)
-		if !found || !member.Learner || now-peer.LastReplyAt >= presenceTimeout || !r.hasCaughtUp(peer.Match) {
+		if !found || !member.Learner {
 			continue
 		}
-		if learner == nil || nameTaken(membership, member) {
-			learner = &member
+		silent := now - peer.LastReplyAt
+		if silent < presenceTimeout && r.hasCaughtUp(peer.Match) && (caughtUp == nil || nameTaken(membership, member)) {
+			caughtUp = &member
+		}
+		if silent <= r.config.RepairAfter && (live == nil || nameTaken(membership, member)) {
+			live = &member
 		}
 	}
-	return learner
+	if caughtUp == nil && membership.Formed && membership.Voters()%2 == 0 {
+		return live
+	}
+	return caughtUp
 }
 
 // hasLiveLearner reports whether a learner has joined or replied within the time that a voter may be silent. One that syncs
--- a/internal/control/repair_test.go
+++ b/internal/control/repair_test.go
@@ -107,3 +107,27 @@
 		}
 	}
 }
+
+// Guards against syncs in a row between the removal of a lost voter and the vote of the learner that takes its place: a group
+// of two voters bears no loss, and a third doesn't raise the number of acknowledgements that a commit needs.
+func TestLearnerVotesBeforeItsSnapshotIsOnDisk(t *testing.T) {
+	g := newSimGroup(t, 3, 0, 1)
+	g.remove(g.otherThan(g.leader()))
+	g.runFor(simRepairAfter + 2*simHeartbeat)
+	g.syncTime = 100 * time.Millisecond
+	successor := g.add()
+	g.start(successor)
+	successor.readyAt = g.now // the disk was opened before
+	g.runUntil(time.Second, func() bool { return len(g.log) == 2 })
+	successor.cut = true // joins, and is not heard of again
+	if !g.runUntil(time.Second, func() bool { return g.leader().replica.Node().Membership().IsVoter(successor.id) }) {
+		t.Fatalf("the learner is no voter 1 s after the lost voter was removed: %s", g.describe())
+	}
+	if losses := g.lossesBorne(); losses != 0 {
+		t.Fatalf("%d losses borne while the successor has nothing on disk, want 0", losses)
+	}
+	successor.cut = false
+	if !g.runUntil(5*time.Second, func() bool { return g.lossesBorne() == 1 }) {
+		t.Fatalf("%d losses borne once the successor is heard again, want 1: %s", g.lossesBorne(), g.describe())
+	}
+}
