Control: a replica that joins asks all seeds and members at once

Cause: a replica with an empty folder asked one seed after the other whether a group exists, and one member after the other to join, 0.9 s each. One dark address of three, as that of the replaced machine, cost up to 0.9 s for each of the two.

Change: findGroup asks all seeds at once and returns with the first that has state; that a group may be founded still takes an answer of every one. Joining asks all known members and the leaders that they name, each on its own every 50 ms, until one adds the replica (Client.AskUntilOK); a leader that can't propose yet, or an address that doesn't answer, holds up none of the others.

Test: TestReplicaThatJoinsAsksAllSeedsAtOnce failed before ("no group found, since one seed was asked after the other").

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -201,7 +201,60 @@
 	return Response{}, ErrNoAnswer
 }
 
+// AskUntilOK asks all known replicas and the leaders that they name, each again and again on its own, until one answers
+// ResponseOK or ctx is done. Requests must be idempotent. It is for callers whose request must not wait for an unresponsive address.
+func (c *Client) AskUntilOK(ctx context.Context, request Request) (Response, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	asked := map[string]bool{}
+	responses := make(chan Response)
+	start := func(address string) {
+		if !asked[address] && len(asked) < maxAskedAtOnce {
+			asked[address] = true
+			go c.askRepeatedly(ctx, address, request, responses)
+		}
+	}
+	for _, address := range *c.addresses.Load() {
+		start(address)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return Response{}, ErrNoAnswer
+		case response := <-responses:
+			if response.Kind == ResponseOK {
+				return response, nil
+			}
+			if response.Leader != "" {
+				start(response.Leader)
+			}
+		}
+	}
+}
+
+// askRepeatedly asks one replica until ctx is done.
+func (c *Client) askRepeatedly(ctx context.Context, address string, request Request, responses chan<- Response) {
+	for {
+		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+		response, err := c.AskReplica(attempt, address, request)
+		cancel()
+		if err == nil {
+			select {
+			case responses <- response:
+			case <-ctx.Done():
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(retryDelay):
+		}
+	}
+}
+
 const (
+	// maxAskedAtOnce is the number of replicas that AskUntilOK asks at most, more than a group has.
+	maxAskedAtOnce = 16
 	// initialAttempts is the number of replicas that AskAny asks at first, and maxAttempts the total, including the
 	// leaders named in responses.
 	initialAttempts = 3
--- a/internal/control/client_test.go
+++ b/internal/control/client_test.go
@@ -5,11 +5,14 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
+	"kitetiller/internal/consensus"
+	"kitetiller/internal/node"
 	"kitetiller/internal/transport"
 )
 
@@ -94,3 +97,48 @@
 		t.Fatal(err)
 	}
 }
+
+// serveBesideSilent serves an address that answers once the other one that it returns has been asked, which never answers.
+func serveBesideSilent(t *testing.T, answer any) []string {
+	t.Helper()
+	asked, once := make(chan struct{}), sync.Once{}
+	addresses := []string{freeLoopbackAddress(t), freeLoopbackAddress(t)}
+	handlers := []transport.Handler{
+		func(_ transport.Request, respond transport.Respond) {
+			go func() {
+				<-asked
+				respond(http.StatusOK, answer)
+			}()
+		},
+		func(transport.Request, transport.Respond) { once.Do(func() { close(asked) }) },
+	}
+	for i, address := range addresses {
+		server, err := transport.Listen(address, "", handlers[i], zap.NewNop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() {
+			ended, cancel := context.WithCancel(context.Background())
+			cancel()
+			_ = server.Close(ended)
+		})
+	}
+	return addresses
+}
+
+// Guards against a replica that joins late because it asks one address after another and one of them doesn't answer.
+func TestReplicaThatJoinsAsksAllSeedsAtOnce(t *testing.T) {
+	client := transport.NewClient("", nil)
+	seeds := serveBesideSilent(t, HelloReply{HasState: true})
+	server := &Server{file: &node.File{Control: &node.Control{}}, client: client, group: NewClient(client, seeds)}
+	server.seedAddresses.Store(&seeds)
+	if groupExists, _ := server.findGroup(context.Background()); !groupExists {
+		t.Fatal("no group found, since one seed was asked after the other")
+	}
+	members := serveBesideSilent(t, Response{Kind: ResponseOK})
+	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout) // that of a request to one address
+	defer cancel()
+	if _, err := NewClient(client, members).AskUntilOK(ctx, Request{Join: &consensus.Member{}}); err != nil {
+		t.Fatalf("no answer, since one member was asked after the other: %v", err)
+	}
+}
--- a/internal/control/discovery.go
+++ b/internal/control/discovery.go
@@ -106,26 +106,36 @@
 	}
 }
 
-// findGroup asks the seeds whether a group exists. othersEmpty reports whether all of them have answered that they have no
-// state. A group that was announced exists, whatever the seeds would answer.
+// findGroup asks the seeds whether a group exists, all at once. othersEmpty reports whether all of them have answered that they
+// have no state. A group that was announced exists, whatever the seeds would answer.
 func (s *Server) findGroup(ctx context.Context) (groupExists, othersEmpty bool) {
 	if members := s.announced.Load(); members != nil {
 		s.group.SetAddresses(*members)
 		return true, false
 	}
+	attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	others := slices.DeleteFunc(slices.Clone(s.seeds()), func(address string) bool { return address == s.file.Control.InternalAddress })
+	answers := make(chan *HelloReply, len(others)) // nil if a seed didn't answer
+	for _, address := range others {
+		go func() {
+			var reply HelloReply
+			if err := s.client.Post(attempt, address, PathHello, Hello{}, &reply); err != nil {
+				answers <- nil
+				return
+			}
+			answers <- &reply
+		}()
+	}
 	othersEmpty = true
-	for _, address := range s.seeds() {
-		if address == s.file.Control.InternalAddress {
-			continue
+	for range others {
+		reply := <-answers
+		if reply != nil && reply.HasState {
+			return true, false
 		}
-		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-		var reply HelloReply
-		err := s.client.Post(attempt, address, PathHello, Hello{}, &reply)
-		cancel()
-		groupExists = groupExists || (err == nil && reply.HasState)
-		othersEmpty = othersEmpty && err == nil && !reply.HasState
+		othersEmpty = othersEmpty && reply != nil
 	}
-	return groupExists, othersEmpty
+	return false, othersEmpty
 }
 
 // tryJoin asks the leader to add this replica as a learner and reports whether it succeeded.
@@ -133,7 +143,7 @@
 	attempt, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	self := consensus.Member{ID: s.identity.Load().ID, Name: s.identity.Load().Name, Address: s.file.Control.InternalAddress}
-	_, err := s.group.Ask(attempt, Request{Join: &self})
+	_, err := s.group.AskUntilOK(attempt, Request{Join: &self})
 	if err != nil {
 		s.log.Info("failed to join the control group, retrying", zap.Error(err))
 		return false
