Control: tests of a wiped replica that returns, and of a replacement beside a change of the leader

Change: both paths of the replacement of a voter had no test in virtual time: a replica that lost its disk and returns under its name, as a follower or the leader; and a leader that is cut off for a second at any of twelve moments of a replacement.

--- a/internal/control/repair_test.go
+++ b/internal/control/repair_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -131,3 +132,46 @@
 		t.Fatalf("%d losses borne once the successor is heard again, want 1: %s", g.lossesBorne(), g.describe())
 	}
 }
+
+// Guards against a wiped replica that returns under its name being kept waiting as long as one that may only be cut off.
+func TestWipedReplicaTakesItsOwnPlace(t *testing.T) {
+	for _, leader := range []bool{false, true} {
+		g := newSimGroup(t, 3, 0, 1)
+		wiped := g.leader()
+		if !leader {
+			wiped = g.otherThan(wiped)
+		}
+		g.remove(wiped)
+		successor := g.add()
+		successor.name = wiped.name
+		g.start(successor)
+		g.runUntil(simRepairAfter, func() bool { return g.leader() != nil && g.leader().replica.Node().Membership().IsVoter(successor.id) })
+		if len(g.log) == 0 || !strings.Contains(strings.Join(g.log, " "), reasonNameTaken) {
+			t.Fatalf("leader wiped %v: not replaced within %v because its name was taken: %s", leader, simRepairAfter, g.describe())
+		}
+		g.runFor(5 * time.Second)
+		if voters := g.leader().replica.Node().Membership().Voters(); g.lossesBorne() != 1 || voters != 3 {
+			t.Fatalf("leader wiped %v: %d losses borne by %d voters, want 1 by 3: %s", leader, g.lossesBorne(), voters, g.describe())
+		}
+	}
+}
+
+// Guards against a replacement that a change of the leader interrupts, at any of its steps.
+func TestReplacementGoesOnUnderAnotherLeader(t *testing.T) {
+	for _, size := range [][2]int{{3, 0}, {5, 3}} {
+		for step := range 12 {
+			c := replacement{voters: size[0], learners: size[1], syncTime: 100 * time.Millisecond, seed: 1}
+			g := c.begin(t)
+			g.runFor(simRepairAfter - successorDelay - 100*time.Millisecond + time.Duration(step)*50*time.Millisecond)
+			leader := g.leader()
+			leader.cut = true
+			g.runFor(time.Second)
+			leader.cut = false
+			if !g.runUntil(20*time.Second, func() bool {
+				return g.lossesBorne() == c.voters/2 && g.leader().replica.Node().Membership().Voters() == c.voters
+			}) {
+				t.Fatalf("%v, leader cut off at step %d: %d losses borne after 20 s, want %d: %s", c, step, g.lossesBorne(), c.voters/2, g.describe())
+			}
+		}
+	}
+}
--- a/internal/control/replacement_test.go
+++ b/internal/control/replacement_test.go
@@ -80,7 +80,7 @@
 			after.add()
 			continue
 		}
-		after.replicas = append(after.replicas, &simReplica{id: r.id, disk: r.disk})
+		after.replicas = append(after.replicas, &simReplica{id: r.id, name: r.name, disk: r.disk})
 	}
 	for _, r := range after.replicas {
 		after.start(r)
--- a/internal/control/simgroup_test.go
+++ b/internal/control/simgroup_test.go
@@ -47,6 +47,7 @@
 // simReplica is a replica of a simulated group with its disk.
 type simReplica struct {
 	id        consensus.ID
+	name      string
 	disk      Checkpoint
 	replica   *Replica // nil while the process doesn't run
 	readyAt   time.Duration
@@ -89,14 +90,15 @@
 
 // add adds a replica with an empty disk, which doesn't run yet.
 func (g *simGroup) add() *simReplica {
-	r := &simReplica{id: consensus.ID(fmt.Sprintf("c%d", g.created))}
+	id := fmt.Sprintf("c%d", g.created)
+	r := &simReplica{id: consensus.ID(id), name: id}
 	g.created++
 	g.replicas = append(g.replicas, r)
 	return r
 }
 
 func (r *simReplica) member() consensus.Member {
-	return consensus.Member{ID: r.id, Name: string(r.id), Address: string(r.id)}
+	return consensus.Member{ID: r.id, Name: r.name, Address: r.name}
 }
 
 // start starts the process of a replica, which first opens its disk.
@@ -109,7 +111,7 @@
 
 func (g *simGroup) newReplica(r *simReplica) *Replica {
 	timing := consensus.Timing{Heartbeat: simHeartbeat, ElectionMin: 7 * simHeartbeat, ElectionMax: 14 * simHeartbeat, Lease: 5 * simHeartbeat}
-	config := Config{ID: r.id, Name: string(r.id), Address: string(r.id), Timing: timing, Replicas: g.voters, SettingsLease: 2 * time.Second,
+	config := Config{ID: r.id, Name: r.name, Address: r.name, Timing: timing, Replicas: g.voters, SettingsLease: 2 * time.Second,
 		RepairAfter: simRepairAfter, SnapshotEvery: 400, Level: level.Current, Random: g.random.Int64N}
 	disk := r.disk
 	disk.Entries = slices.Clone(disk.Entries)
