Sim: the wait for a leader begins anew when a control replica starts

Trace: of the five voters control-1 and control-7 had lost their disks, and control-4, killed 0.4 s before, came back at 49.06, 0.58 s before the check at 49.64. Until then two of five ran with data, so nobody could lead; the end of the killed replica counted, its start didn't.

--- a/internal/lab/sim/outages.go
+++ b/internal/lab/sim/outages.go
@@ -164,11 +164,24 @@
 		if w.faults != faults || w.outages.last > end || len(w.network.partitioned) > 0 {
 			return // another one has struck since
 		}
+		if started := w.latestControlStart(); started > end {
+			w.expectLeader(started - w.now()) // there may have been no majority before
+			return
+		}
 		w.outages.leaderChecks++
 		w.oracle.checkLeader(end)
 	})
 }
 
+// latestControlStart returns when a control replica last started.
+func (w *world) latestControlStart() time.Duration {
+	latest := time.Duration(0)
+	for _, n := range w.controls {
+		latest = max(latest, n.startedAt)
+	}
+	return latest
+}
+
 // checkLeader checks that a replica leads and may answer, since all of them run.
 func (o *oracle) checkLeader(since time.Duration) {
 	for _, n := range o.w.controls {
