Consensus: a candidate requests votes while its own is being synced

An election took two syncs in a row: the candidate's term and vote, and then the voters'. With 1 s a sync, and an election after a control machine was replaced, the group had not repaired itself 5 s later.

The requests promise nothing of the candidate, as long as the log that they name is synced: after a crash it could stand in the same term with a shorter log, and late votes would count for it. Its own vote counts once it is synced, and it doesn't lead before.

A replica may now become leader at the end of a write, so Advance checks for it; TestWatchWaitsForLeaderElection found that.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// An election takes a sync of the candidate and one of the voters. Timeouts therefore follow the duration of syncs, which
+// An election takes a sync of the candidate and one of the voters, beside each other. Timeouts therefore follow the duration of syncs, which
 // each replica measures and tells in its replies to pre-votes, and are longer after an election that ended undecided,
 // which all replicas see from their terms. Leases don't depend on them: replicas reject votes for a fixed time after a
 // leader's message.
@@ -113,11 +113,10 @@
 	n.role = Candidate
 	n.hard = HardState{Term: n.hard.Term + 1, Vote: n.config.ID}
 	n.hardStateChanged = true
-	n.votes = map[ID]bool{n.config.ID: true}
+	n.votes = map[ID]bool{} // its own counts once it is synced; see EndWrite
 	n.awaitElection(now)
 	n.reserve(now, n.config.ID, n.logPosition())
 	n.requestVotes(MessageVote, n.hard.Term)
-	n.countVotes(now)
 }
 
 // UndecidedElections returns how many elections ended without a leader although a quorum had supported this replica's
@@ -151,7 +150,7 @@
 	switch {
 	case granted >= quorum && n.role == PreCandidate:
 		n.startElection(now)
-	case granted >= quorum && n.role == Candidate:
+	case granted >= quorum && n.role == Candidate && n.votes[n.config.ID]:
 		n.becomeLeader(now)
 	case rejected >= quorum:
 		n.becomeFollower(now, n.hard.Term, "")
--- a/internal/consensus/slowsync_test.go
+++ b/internal/consensus/slowsync_test.go
@@ -151,3 +151,49 @@
 		t.Fatalf("after the sync %+v was sent, want the vote", sent)
 	}
 }
+
+// TestCandidateAndVotersSyncBesideEachOther guards against elections that take two syncs in a row, and against a leader whose
+// own vote a loss of power would undo.
+func TestCandidateAndVotersSyncBesideEachOther(t *testing.T) {
+	c := newCluster(3, 1, t.Fatalf)
+	c.runFor(3 * time.Second)
+	candidate := c.leader().node
+	later := c.now + time.Minute
+	candidate.becomeFollower(later, candidate.Term(), "")
+	candidate.startElection(later)
+	requests := candidate.Messages()
+	if len(requests) != 2 || requests[0].Kind != MessageVote {
+		t.Fatalf("%+v was sent while the vote of the candidate is not synced, want two requests", requests)
+	}
+	candidate.BeginWrite()
+	for _, request := range requests {
+		candidate.Step(later, Message{Kind: MessageVoteReply, From: request.To, To: candidate.config.ID, Term: candidate.Term()})
+	}
+	if candidate.Role() != Candidate {
+		t.Fatalf("the candidate is %v before its vote is synced", candidate.Role())
+	}
+	candidate.EndWrite(later)
+	if candidate.Role() != Leader {
+		t.Fatalf("the candidate is %v after the sync, want leader", candidate.Role())
+	}
+}
+
+// TestVotesAreRequestedWithSyncedEntries guards against a candidate that is elected for entries that a crash took from it.
+func TestVotesAreRequestedWithSyncedEntries(t *testing.T) {
+	c := newCluster(3, 1, t.Fatalf)
+	c.runFor(3 * time.Second)
+	candidate := c.leader().node
+	later := c.now + time.Minute
+	candidate.Propose(later, []byte("x"))
+	candidate.Messages()
+	candidate.becomeFollower(later, candidate.Term(), "")
+	candidate.startElection(later)
+	if sent := candidate.Messages(); len(sent) > 0 {
+		t.Fatalf("%+v was sent although the last entry is not synced", sent)
+	}
+	candidate.BeginWrite()
+	candidate.EndWrite(later)
+	if sent := candidate.Messages(); len(sent) != 2 {
+		t.Fatalf("%d vote requests were sent after the sync, want two", len(sent))
+	}
+}
--- a/internal/consensus/write.go
+++ b/internal/consensus/write.go
@@ -39,8 +39,10 @@
 		n.markPersisted(write.Entries[last-1])
 	}
 	if n.role == Candidate && write.HardState != nil && *write.HardState == n.hard {
-		n.awaitElection(now) // the vote requests are sent only now
+		n.awaitElection(now) // the vote requests may be sent only now
 		n.reserve(now, n.config.ID, n.logPosition())
+		n.votes[n.config.ID] = true
+		n.countVotes(now)
 	}
 }
 
@@ -105,11 +107,16 @@
 
 // maySend reports whether everything that a message depends on is synced. Pre-votes and cold start messages promise
 // nothing. A leader may replicate entries that it has not synced itself, since it counts itself towards a quorum only
-// once it has.
+// once it has, and likewise a candidate may request votes while its own vote is being synced. The log that it requests them
+// with must be synced: after a crash it could stand in the same term with a shorter one, and late votes would count.
 func (n *Node) maySend(message *Message) bool {
 	switch message.Kind {
 	case MessagePreVote, MessagePreVoteReply, MessageColdStartQuery, MessageColdStartReply:
 		return true
+	case MessageVote:
+		if message.Index <= n.persisted && !n.installing() {
+			return true
+		}
 	}
 	if n.hardStateChanged || n.writing != nil && n.writing.HardState != nil {
 		return false // the term or a vote
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -314,6 +314,7 @@
 // Advance continues after the writes of Prepare were synced. It returns what may be sent from then on.
 func (r *Replica) Advance(now time.Duration) Effects {
 	r.node.EndWrite(now)
+	r.checkLeadership(now) // the replica's own vote may have been the one that was missing
 	if r.write.Snapshot != nil {
 		r.installSnapshot(now, *r.write.Snapshot)
 	}
