Storage: a rig whose names are lost unless their folder is synced

The rig unsynced passed the names of files to the operating system at once, so no test could show that a name whose folder isn't synced is gone after a loss of power, nor that a removed one comes back.

NewLosingNames keeps a created, renamed or removed name to itself until its folder is synced, or passes it on at once, as its caller draws for each. A folder that is lost takes along what it holds.

--- a/internal/storage/unsynced/unsynced.go
+++ b/internal/storage/unsynced/unsynced.go
@@ -1,5 +1,5 @@
-// Package unsynced provides a file system for tests that keeps what is not synced in memory, so that a process that is killed
-// loses it, as in a loss of power.
+// Package unsynced provides a file system for tests that keeps what is not synced to itself, so that a process that is killed
+// loses it, as in a loss of power: contents, and names whose folder was not synced.
 package unsynced
 
 import (
@@ -11,20 +11,13 @@
 	"kitetiller/internal/storage"
 )
 
-// FileSystem is the file system of the operating system, with files whose contents reach it when they are synced or closed.
-// Names reach it at once.
-type FileSystem struct{ storage.FileSystem }
-
-// New returns a file system.
-func New() FileSystem { return FileSystem{storage.OperatingSystem} }
-
 // Open opens a file and reads its contents into memory.
-func (f FileSystem) Open(path string, flag int) (storage.File, error) {
+func (f *FileSystem) Open(path string, flag int) (storage.File, error) {
 	if flag&(os.O_WRONLY|os.O_RDWR) == os.O_WRONLY {
 		flag = flag&^os.O_WRONLY | os.O_RDWR // contents must be read before some of them are replaced
 	}
 	appends := flag&os.O_APPEND != 0
-	opened, err := f.FileSystem.Open(path, flag&^os.O_APPEND)
+	opened, err := f.openReal(path, flag&^os.O_APPEND)
 	if err != nil {
 		return nil, err
 	}
