--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -134,7 +134,7 @@
 	return NewServerOn(ctx, storage.OperatingSystem, file, log)
 }
 
-// NewServerOn is like NewServer, with the log in the given file system.
+// NewServerOn is like NewServer, with the data folder in the given file system.
 func NewServerOn(ctx context.Context, files storage.FileSystem, file *node.File, log *zap.Logger) (*Server, error) {
 	links := transport.WatchLinkFile(ctx, file.LinkFile, file.Zone)
 	server := &Server{
--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -45,10 +45,10 @@
 }
 
 // loadIdentity reads the identity from a data folder, or creates one if the folder is empty.
-func loadIdentity(folder, name string) (Identity, error) {
+func loadIdentity(files storage.FileSystem, folder, name string) (Identity, error) {
 	path := filepath.Join(folder, identityFile)
 	var identity Identity
-	found, err := storage.ReadJSON(path, &identity)
+	found, err := storage.ReadJSON(files, path, &identity)
 	if err != nil {
 		return identity, err
 	}
@@ -63,7 +63,7 @@
 		return identity, eris.Wrap(err, "generate replica ID")
 	}
 	identity = NewIdentity(name, hex.EncodeToString(nonce), guard.Set{})
-	return identity, storage.WriteJSON(path, identity)
+	return identity, storage.WriteJSON(files, path, identity)
 }
 
 // Disk stores the durable state of a replica.
@@ -76,9 +76,9 @@
 	return openDiskOn(storage.OperatingSystem, folder, name)
 }
 
-// openDiskOn is like OpenDisk, with the log in the given file system.
+// openDiskOn is like OpenDisk, in the given file system.
 func openDiskOn(files storage.FileSystem, folder, name string) (*Disk, Identity, Checkpoint, error) {
-	identity, err := loadIdentity(folder, name)
+	identity, err := loadIdentity(files, folder, name)
 	if err != nil {
 		return nil, identity, Checkpoint{}, err
 	}
--- a/internal/router/disk.go
+++ b/internal/router/disk.go
@@ -29,12 +29,12 @@
 // openDiskState reads the folder and increments the stored incarnation number.
 func openDiskState(folder, name string) (*diskState, error) {
 	state := &diskState{folder: folder}
-	if _, err := storage.ReadJSON(filepath.Join(folder, settingsFile), &state.saved); err != nil {
+	if _, err := storage.ReadJSON(storage.OperatingSystem, filepath.Join(folder, settingsFile), &state.saved); err != nil {
 		return nil, err
 	}
 	var last savedIncarnation
 	path := filepath.Join(folder, incarnationFile)
-	found, err := storage.ReadJSON(path, &last)
+	found, err := storage.ReadJSON(storage.OperatingSystem, path, &last)
 	if err != nil {
 		return nil, err
 	}
@@ -42,10 +42,10 @@
 		return nil, eris.Wrapf(storage.ErrForeign, "%s belongs to router %q, not to %q", folder, last.Name, name)
 	}
 	state.incarnation = last.Number + 1
-	return state, storage.WriteJSON(path, savedIncarnation{Name: name, Number: state.incarnation})
+	return state, storage.WriteJSON(storage.OperatingSystem, path, savedIncarnation{Name: name, Number: state.incarnation})
 }
 
 // save writes settings durably. A version may be acknowledged to control only after that.
 func (d *diskState) save(next session.Settings) error {
-	return storage.WriteJSON(filepath.Join(d.folder, settingsFile), next)
+	return storage.WriteJSON(storage.OperatingSystem, filepath.Join(d.folder, settingsFile), next)
 }
--- a/internal/router/server_test.go
+++ b/internal/router/server_test.go
@@ -81,7 +81,7 @@
 func (s *testRouter) settingsFolder() string {
 	s.t.Helper()
 	folder := s.t.TempDir()
-	if err := storage.WriteJSON(filepath.Join(folder, settingsFile), session.Settings{Version: 7, Tree: testSettings()}); err != nil {
+	if err := storage.WriteJSON(storage.OperatingSystem, filepath.Join(folder, settingsFile), session.Settings{Version: 7, Tree: testSettings()}); err != nil {
 		s.t.Fatal(err)
 	}
 	return folder
--- a/internal/storage/file.go
+++ b/internal/storage/file.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -11,9 +12,9 @@
 )
 
 // ReplaceFile replaces a file atomically: after a crash it has either its old or its new content.
-func ReplaceFile(path string, data []byte) error {
+func ReplaceFile(files FileSystem, path string, data []byte) error {
 	temporary := path + temporarySuffix
-	file, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePermissions)
+	file, err := files.Open(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
 	if err != nil {
 		return eris.Wrapf(err, "create %s", temporary)
 	}
@@ -27,39 +28,27 @@
 	if err != nil {
 		return eris.Wrapf(err, "write %s", temporary)
 	}
-	if err := os.Rename(temporary, path); err != nil {
+	if err := files.Rename(temporary, path); err != nil {
 		return eris.Wrapf(err, "rename %s", temporary)
 	}
-	return syncFolder(filepath.Dir(path))
-}
-
-func syncFolder(folder string) error {
-	handle, err := os.Open(folder)
-	if err != nil {
-		return eris.Wrapf(err, "open %s", folder)
-	}
-	err = handle.Sync()
-	if closeErr := handle.Close(); err == nil {
-		err = closeErr
-	}
-	return eris.Wrapf(err, "sync %s", folder)
+	return eris.Wrapf(files.SyncDir(filepath.Dir(path)), "sync %s", filepath.Dir(path))
 }
 
 // WriteJSON atomically replaces a file with the JSON encoding of a value in a checksummed record.
-func WriteJSON(path string, value any) error {
+func WriteJSON(files FileSystem, path string, value any) error {
 	data, err := json.Marshal(value)
 	if err != nil {
 		return eris.Wrapf(err, "encode %s", path)
 	}
-	if err := os.MkdirAll(filepath.Dir(path), folderPermissions); err != nil {
+	if err := files.MkdirAll(filepath.Dir(path)); err != nil {
 		return eris.Wrapf(err, "create folder of %s", path)
 	}
-	return ReplaceFile(path, AppendRecord(nil, Record{Data: data}))
+	return ReplaceFile(files, path, AppendRecord(nil, Record{Data: data}))
 }
 
 // ReadJSON decodes a file written by WriteJSON into value. It returns false if the file does not exist.
-func ReadJSON(path string, value any) (bool, error) {
-	data, err := os.ReadFile(path)
+func ReadJSON(files FileSystem, path string, value any) (bool, error) {
+	data, err := readFile(files, path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return false, nil
 	}
@@ -72,3 +61,12 @@
 	}
 	return true, eris.Wrapf(json.Unmarshal(records[0].Data, value), "decode %s", path)
 }
+
+func readFile(files FileSystem, path string) ([]byte, error) {
+	file, err := files.Open(path, os.O_RDONLY)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return io.ReadAll(file)
+}
--- a/internal/storage/filesystem.go
+++ b/internal/storage/filesystem.go
@@ -5,7 +5,7 @@
 	"os"
 )
 
-// FileSystem is the part of a file system that a log uses.
+// FileSystem is the part of a file system that a log and the files beside it use.
 type FileSystem interface {
 	MkdirAll(path string) error
 	ReadDir(path string) (names []string, err error)
@@ -51,4 +51,14 @@
 
 func (operatingSystem) Remove(path string) error { return os.Remove(path) }
 
-func (operatingSystem) SyncDir(path string) error { return syncFolder(path) }
+func (operatingSystem) SyncDir(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	err = folder.Sync()
+	if closeErr := folder.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
