Storage: hidden names of the rig differ within a process

Two file systems of one process on one folder used the same hidden names, so that what the first had lost came back under the second.

--- a/internal/storage/unsynced/names.go
+++ b/internal/storage/unsynced/names.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 
@@ -29,9 +30,11 @@
 
 	mu    sync.Mutex
 	names map[string]string // base names in the operating system of paths whose names have not reached it
-	count int               // hidden names so far
 }
 
+// hiddenNames counts the hidden names of this process.
+var hiddenNames atomic.Uint64
+
 // New returns a file system whose names reach the operating system at once.
 func New() *FileSystem { return NewLosingNames(func() bool { return false }) }
 
@@ -75,8 +78,7 @@
 // create chooses the name in the operating system of a path that is created. The caller holds mu.
 func (f *FileSystem) create(path string) {
 	if isThere(f.plain(path)) || f.loses() {
-		f.count++
-		f.names[filepath.Clean(path)] = fmt.Sprint(hiddenPrefix, os.Getpid(), "-", f.count)
+		f.names[filepath.Clean(path)] = fmt.Sprint(hiddenPrefix, os.Getpid(), "-", hiddenNames.Add(1))
 	}
 }
 
