Storage: a folder that is created lasts with what it holds

Cause: the log's folder was created after the data folder was synced for the last time, and the data folder without a sync of its parent, so a loss of power could take the whole log, however old, or the data folder.

Change: what writes a file syncs the parents of the folders that it created, beside the folder of the file. The first segment syncs the data folder in any case: a process that was killed may have created the log's folder.

Left: the parent of a data folder that exists already isn't synced. A process that creates it and is killed before it synced the parent leaves that to the operating system; where the folder is there before the first start, it doesn't matter.

--- a/internal/storage/file.go
+++ b/internal/storage/file.go
@@ -1,37 +1,105 @@
 package storage
 
 import (
+	"bufio"
 	"encoding/json"
 	"errors"
 	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 )
 
-// ReplaceFile replaces a file atomically: after a crash it has either its old or its new content.
-func ReplaceFile(files FileSystem, path string, data []byte) error {
-	temporary := path + temporarySuffix
+// newFile is a file that is written whole.
+type newFile struct {
+	path  string
+	write func(io.Writer) error
+}
+
+// putFiles writes and syncs files under temporary names, beside each other, and then renames them in their order. It creates
+// their folders. It returns the folders to sync for all the names to last. If it fails, the last file has not been replaced.
+func putFiles(files FileSystem, created ...newFile) (unsynced []string, err error) {
+	var staging errgroup.Group
+	for _, file := range created {
+		folder := filepath.Dir(file.path)
+		parents, err := makeFolder(files, folder)
+		if err != nil {
+			return nil, err
+		}
+		unsynced = append(append(unsynced, folder), parents...)
+	}
+	for _, file := range created {
+		staging.Go(func() error { return stageFile(files, file) })
+	}
+	err = staging.Wait()
+	for _, file := range created {
+		if err == nil {
+			err = eris.Wrapf(files.Rename(file.path+temporarySuffix, file.path), "rename %s", file.path+temporarySuffix)
+		}
+		if err != nil {
+			_ = files.Remove(file.path + temporarySuffix) // it is replaced or removed later otherwise
+		}
+	}
+	return unsynced, err
+}
+
+// stageFile writes and syncs a file under its temporary name.
+func stageFile(files FileSystem, created newFile) error {
+	temporary := created.path + temporarySuffix
 	file, err := files.Open(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
 	if err != nil {
 		return eris.Wrapf(err, "create %s", temporary)
 	}
-	_, err = file.Write(data)
+	w := bufio.NewWriterSize(file, bufferBytes)
+	err = created.write(w)
+	if err == nil {
+		err = w.Flush()
+	}
 	if err == nil {
 		err = file.Sync()
 	}
 	if closeErr := file.Close(); err == nil {
 		err = closeErr
 	}
-	if err != nil {
-		return eris.Wrapf(err, "write %s", temporary)
+	return eris.Wrapf(err, "write %s", temporary)
+}
+
+// makeFolder creates a folder with its parents. It returns the folders to sync for those that did not exist to last.
+func makeFolder(files FileSystem, path string) (unsynced []string, err error) {
+	for folder := path; ; folder = filepath.Dir(folder) {
+		_, err := files.ReadDir(folder)
+		if !errors.Is(err, fs.ErrNotExist) || folder == filepath.Dir(folder) {
+			break
+		}
+		unsynced = append(unsynced, filepath.Dir(folder))
+	}
+	return unsynced, eris.Wrapf(files.MkdirAll(path), "create %s", path)
+}
+
+// syncFolders syncs folders beside each other.
+func syncFolders(files FileSystem, folders ...string) error {
+	slices.Sort(folders)
+	var syncing errgroup.Group
+	for _, folder := range slices.Compact(folders) {
+		syncing.Go(func() error { return eris.Wrapf(files.SyncDir(folder), "sync %s", folder) })
 	}
-	if err := files.Rename(temporary, path); err != nil {
-		return eris.Wrapf(err, "rename %s", temporary)
+	return syncing.Wait()
+}
+
+// ReplaceFile replaces a file atomically: after a crash it has either its old or its new content. It creates its folder.
+func ReplaceFile(files FileSystem, path string, data []byte) error {
+	unsynced, err := putFiles(files, newFile{path, func(w io.Writer) error {
+		_, err := w.Write(data)
+		return err
+	}})
+	if err != nil {
+		return err
 	}
-	return eris.Wrapf(files.SyncDir(filepath.Dir(path)), "sync %s", filepath.Dir(path))
+	return syncFolders(files, unsynced...)
 }
 
 // WriteJSON atomically replaces a file with the JSON encoding of a value in a checksummed record.
@@ -40,9 +108,6 @@
 	if err != nil {
 		return eris.Wrapf(err, "encode %s", path)
 	}
-	if err := files.MkdirAll(filepath.Dir(path)); err != nil {
-		return eris.Wrapf(err, "create folder of %s", path)
-	}
 	return ReplaceFile(files, path, AppendRecord(nil, Record{Data: data}))
 }
 
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -7,10 +7,11 @@
 package storage
 
 import (
-	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"iter"
 	"os"
 	"path/filepath"
@@ -97,9 +98,6 @@
 // OpenOn opens or creates the log of an owner in a folder of the given file system. It passes the records from the last
 // checkpoint on to visit, one at a time, and fails if visit does.
 func OpenOn(files FileSystem, folder, owner string, visit func(Record) error) (*Log, error) {
-	if err := files.MkdirAll(folder); err != nil {
-		return nil, eris.Wrapf(err, "create %s", folder)
-	}
 	log := &Log{files: files, folder: folder, owner: owner}
 	sequences, err := log.listSegments()
 	if err != nil {
@@ -171,6 +169,9 @@
 // listSegments returns the sequence numbers of the segments in ascending order. It removes temporary files.
 func (l *Log) listSegments() ([]uint64, error) {
 	names, err := l.files.ReadDir(l.folder)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
 	if err != nil {
 		return nil, eris.Wrapf(err, "read %s", l.folder)
 	}
@@ -330,39 +331,30 @@
 
 // writeSegment writes a segment and opens it for appending. It fails with ErrNotReplaced if nothing has changed.
 func (l *Log) writeSegment(sequence uint64, format int, records iter.Seq[Record]) error {
-	path := l.segmentPath(sequence)
-	temporary := path + temporarySuffix
-	size, err := l.writeTemporary(temporary, header{Magic: magic, Format: format, Owner: l.owner, Sequence: sequence}, records)
-	if err == nil {
-		err = eris.Wrapf(l.files.Rename(temporary, path), "rename %s", temporary)
-	}
+	size := int64(0)
+	unsynced, err := putFiles(l.files, newFile{l.segmentPath(sequence), func(w io.Writer) (err error) {
+		size, err = writeSegmentRecords(w, header{Magic: magic, Format: format, Owner: l.owner, Sequence: sequence}, records)
+		return err
+	}})
 	if err != nil {
-		_ = l.files.Remove(temporary) // the next start removes it otherwise
 		return eris.Wrapf(ErrNotReplaced, "%v", err)
 	}
-	if err := l.files.SyncDir(l.folder); err != nil {
-		return eris.Wrapf(err, "sync %s", l.folder)
+	if sequence == 1 {
+		unsynced = append(unsynced, filepath.Dir(l.folder)) // a process that was killed may have created the folder
+	}
+	if err := syncFolders(l.files, unsynced...); err != nil {
+		return err
 	}
 	l.sequence, l.size, l.format = sequence, size, format
 	return l.reopenNewest()
 }
 
-// writeTemporary writes and syncs the content of a segment and returns its size. It buffers little of it.
-func (l *Log) writeTemporary(path string, first header, records iter.Seq[Record]) (size int64, err error) {
-	encodedHeader, err := json.Marshal(first)
+// writeSegmentRecords writes the content of a segment and returns its size.
+func writeSegmentRecords(w io.Writer, head header, records iter.Seq[Record]) (size int64, err error) {
+	encodedHeader, err := json.Marshal(head)
 	if err != nil {
 		return 0, eris.Wrap(err, "encode segment header")
 	}
-	file, err := l.files.Open(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
-	if err != nil {
-		return 0, eris.Wrapf(err, "create %s", path)
-	}
-	defer func() {
-		if closeErr := file.Close(); err == nil {
-			err = eris.Wrapf(closeErr, "close %s", path)
-		}
-	}()
-	w := bufio.NewWriterSize(file, bufferBytes)
 	size, err = writeRecord(w, Record{Kind: KindHeader, Data: encodedHeader})
 	for record := range records {
 		if err != nil {
@@ -372,13 +364,7 @@
 		written, err = writeRecord(w, record)
 		size += written
 	}
-	if err == nil {
-		err = w.Flush()
-	}
-	if err == nil {
-		err = file.Sync()
-	}
-	return size, eris.Wrapf(err, "write %s", path)
+	return size, err
 }
 
 // Format returns the format of the newest segment.
