Storage: a log that is opened syncs the names that it relies on

Cause: a checkpoint renames its segment and then syncs the folder. A process that is killed in between, or whose sync failed, opened the log again with the new segment, removed the older ones and acknowledged what it appended, while the new segment's name had never been synced. A loss of power then brings the older segment back, or nothing.

Change: opening a log syncs its folder and the folder above (the identity's) beside the newest segment, before older ones are removed. No sync in a row is added; the duration that the replica takes over is still that of the segment's sync alone.

--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 )
 
 // Versions of the format of a segment's records. The storage format is the same in all; the callers' records differ. Open
@@ -248,7 +249,8 @@
 }
 
 // reopenNewest opens the newest segment for appending. It writes nothing if the segment has no incomplete record, so that
-// a log can be opened on a full disk.
+// a log can be opened on a full disk. It syncs the names of the log as well: the process that created them may have been killed
+// before it did.
 func (l *Log) reopenNewest() error {
 	path := l.segmentPath(l.sequence)
 	file, err := l.files.Open(path, os.O_RDWR)
@@ -259,12 +261,18 @@
 		_ = file.Close()
 		return eris.Wrapf(err, "prepare %s", path)
 	}
+	var syncing errgroup.Group
+	syncing.Go(func() error { return syncFolders(l.files, l.folder, filepath.Dir(l.folder)) })
 	started := time.Now()
-	if err := file.Sync(); err != nil {
+	err = eris.Wrapf(file.Sync(), "sync %s", path)
+	l.openSync = time.Since(started)
+	if folderErr := syncing.Wait(); err == nil {
+		err = folderErr
+	}
+	if err != nil {
 		_ = file.Close()
-		return eris.Wrapf(err, "sync %s", path)
+		return err
 	}
-	l.openSync = time.Since(started)
 	l.file = file
 	return nil
 }
