Storage: a checkpoint waits for two syncs in a row

A segment that had just been written and synced was synced again when it was opened for appending, and the removal of the older segments was synced before the checkpoint counted: four syncs in a row, in which an empty replica that joins has nothing durable.

Change: the new segment is opened without a sync; a restart syncs and measures as before. The removals aren't synced. Why that holds: a segment other than the first begins with a checkpoint and is named only once its content is synced, and older ones are removed only once its name is, so the newest segment with records is always the state. An older one that a loss of power brings back, alone, with others, or without those between, lies before it: Open reads from the newest on and removes the rest.

--- a/internal/control/syncs_test.go
+++ b/internal/control/syncs_test.go
@@ -62,6 +62,9 @@
 		term := syncsInARow(func() { written(t, disk, firstTerm()) })
 		snapshot := syncsInARow(func() { written(t, disk, firstSnapshot(identity)) })
 		checkpoint := syncsInARow(func() { written(t, disk, firstSnapshot(identity)) })
+		if checkpoint > 2 {
+			t.Errorf("a checkpoint waits for %d syncs in a row, want 2: its file, then the folder", checkpoint)
+		}
 		t.Logf("opening an empty folder %d, a term %d, a snapshot %d, a later checkpoint %d", opened, term, snapshot, checkpoint)
 	})
 }
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -248,23 +248,32 @@
 	return nil
 }
 
-// reopenNewest opens the newest segment for appending. It writes nothing if the segment has no incomplete record, so that
-// a log can be opened on a full disk. It syncs the names of the log as well: the process that created them may have been killed
-// before it did.
-func (l *Log) reopenNewest() error {
+// openNewest opens the newest segment for appending. It writes nothing if the segment has no incomplete record, so that a log
+// can be opened on a full disk.
+func (l *Log) openNewest() (File, error) {
 	path := l.segmentPath(l.sequence)
 	file, err := l.files.Open(path, os.O_RDWR)
 	if err != nil {
-		return eris.Wrapf(err, "open %s", path)
+		return nil, eris.Wrapf(err, "open %s", path)
 	}
 	if err := truncateTail(file, l.size); err != nil {
 		_ = file.Close()
-		return eris.Wrapf(err, "prepare %s", path)
+		return nil, eris.Wrapf(err, "prepare %s", path)
+	}
+	return file, nil
+}
+
+// reopenNewest opens the newest segment that a process left, and syncs it. It syncs the names of the log as well: the process
+// that created them may have been killed before it did.
+func (l *Log) reopenNewest() error {
+	file, err := l.openNewest()
+	if err != nil {
+		return err
 	}
 	var syncing errgroup.Group
 	syncing.Go(func() error { return syncFolders(l.files, l.folder, filepath.Dir(l.folder)) })
 	started := time.Now()
-	err = eris.Wrapf(file.Sync(), "sync %s", path)
+	err = eris.Wrapf(file.Sync(), "sync %s", l.segmentPath(l.sequence))
 	l.openSync = time.Since(started)
 	if folderErr := syncing.Wait(); err == nil {
 		err = folderErr
@@ -317,7 +326,8 @@
 }
 
 // Checkpoint starts a new segment of a format with the given records, which replace all earlier ones, and deletes the
-// older segments once the new one is durable. Until then both take space.
+// older segments once the new one is durable. Until then both take space. It waits for two syncs in a row, of the segment and of
+// the folder. The deletions are not synced: Open passes over older segments, whichever of them a loss of power brings back.
 func (l *Log) Checkpoint(format int, records iter.Seq[Record]) error {
 	if err := l.Sync(); err != nil {
 		return err
@@ -331,10 +341,10 @@
 	}
 	for sequence := previous; sequence > 0; sequence-- {
 		if err := l.files.Remove(l.segmentPath(sequence)); err != nil {
-			break // the older ones are already deleted
+			break // the older ones are already deleted, or are when the log is opened again
 		}
 	}
-	return eris.Wrapf(l.files.SyncDir(l.folder), "sync %s", l.folder)
+	return nil
 }
 
 // writeSegment writes a segment and opens it for appending. It fails with ErrNotReplaced if nothing has changed.
@@ -354,7 +364,11 @@
 		return err
 	}
 	l.sequence, l.size, l.format = sequence, size, format
-	return l.reopenNewest()
+	file, err := l.openNewest()
+	if err == nil {
+		l.file = file
+	}
+	return err
 }
 
 // writeSegmentRecords writes the content of a segment and returns its size.
--- a/internal/storage/unsynced/names.go
+++ b/internal/storage/unsynced/names.go
@@ -38,8 +38,9 @@
 // New returns a file system whose names reach the operating system at once.
 func New() *FileSystem { return NewLosingNames(func() bool { return false }) }
 
-// NewLosingNames returns a file system that calls loses at each creation, renaming and removal. If it returns true, the change
-// of the name is lost with the process unless the folder is synced before. A folder that is lost takes along all it holds.
+// NewLosingNames returns a file system that calls loses, one call at a time, at each creation, renaming and removal. If it returns
+// true, the change of the name is lost with the process unless the folder is synced before. A folder that is lost takes along all
+// it holds.
 func NewLosingNames(loses func() bool) *FileSystem {
 	return &FileSystem{FileSystem: storage.OperatingSystem, loses: loses, names: map[string]string{}}
 }
