Control: a replica votes under the ID of its log alone

Two faults of a folder of which a loss of power kept one of identity file and log:

- The identity file alone: the replica went on under its ID with an empty log.
Now it takes a new identity and joins as a new replica, like one with an empty folder; nothing acknowledged can rest on a log that isn't there.
- The log alone: the replica didn't start (ErrForeign), since the new identity didn't fit the log.
Each segment names its owner, so the identity is taken from there if its name fits, and the file is written again once the log has been read.
A log of another name is rejected and nothing is changed.

--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -7,6 +7,7 @@
 	"errors"
 	"iter"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -44,26 +45,43 @@
 	return Identity{ID: consensus.ID(name + "-" + nonce), Name: name}
 }
 
-// loadIdentity reads the identity from a data folder, or creates one if the folder is empty.
-func loadIdentity(files storage.FileSystem, folder, name string) (Identity, error) {
-	path := filepath.Join(folder, identityFile)
-	var identity Identity
-	found, err := storage.ReadJSON(files, path, &identity)
+// hasIDOf reports whether a log's owner is a replica of the given name.
+func hasIDOf(owner, name string) bool {
+	nonce, found := strings.CutPrefix(owner, name+"-")
+	_, err := hex.DecodeString(nonce)
+	return found && err == nil && len(nonce) == 2*nonceBytes
+}
+
+// loadIdentity returns the identity of a data folder, or a new one if the folder holds no log. stored is whether the folder
+// holds it.
+//
+// The identity file and the first segment are written beside each other, and nothing is acknowledged before both last. A loss of
+// power in between may leave one of them. A log without the file names its replica itself. A file without a log is of no use:
+// whatever its replica may have promised is gone, so it must not vote under that ID again.
+func loadIdentity(files storage.FileSystem, folder, name string) (identity Identity, stored bool, err error) {
+	stored, err = storage.ReadJSON(files, filepath.Join(folder, identityFile), &identity)
 	if err != nil {
-		return identity, err
+		return identity, false, err
 	}
-	if found {
-		if identity.Name != name {
-			return identity, eris.Wrapf(storage.ErrForeign, "data folder %s belongs to replica %q, not to %q", folder, identity.Name, name)
-		}
-		return identity, nil
+	if stored && identity.Name != name {
+		return identity, false, eris.Wrapf(storage.ErrForeign, "data folder %s belongs to replica %q, not to %q", folder, identity.Name, name)
+	}
+	owner, hasLog, err := storage.Owner(files, filepath.Join(folder, logFolder))
+	switch {
+	case err != nil:
+		return identity, false, err
+	case hasLog && stored:
+		return identity, true, nil
+	case hasLog && !hasIDOf(owner, name):
+		return identity, false, eris.Wrapf(storage.ErrForeign, "the log in data folder %s belongs to %q, not to a replica %q", folder, owner, name)
+	case hasLog:
+		return Identity{ID: consensus.ID(owner), Name: name}, false, nil
 	}
 	nonce := make([]byte, nonceBytes)
 	if _, err := rand.Read(nonce); err != nil {
-		return identity, eris.Wrap(err, "generate replica ID")
+		return identity, false, eris.Wrap(err, "generate replica ID")
 	}
-	identity = NewIdentity(name, hex.EncodeToString(nonce), guard.Set{})
-	return identity, storage.WriteJSON(files, path, identity)
+	return NewIdentity(name, hex.EncodeToString(nonce), guard.Set{}), false, nil
 }
 
 // Disk stores the durable state of a replica.
@@ -78,7 +96,7 @@
 
 // openDiskOn is like OpenDisk, in the given file system.
 func openDiskOn(files storage.FileSystem, folder, name string) (*Disk, Identity, Checkpoint, error) {
-	identity, err := loadIdentity(files, folder, name)
+	identity, stored, err := loadIdentity(files, folder, name)
 	if err != nil {
 		return nil, identity, Checkpoint{}, err
 	}
@@ -89,6 +107,12 @@
 	if err != nil {
 		return nil, identity, Checkpoint{}, err
 	}
+	if !stored {
+		if err := storage.WriteJSON(files, filepath.Join(folder, identityFile), identity); err != nil {
+			_ = log.Close()
+			return nil, identity, Checkpoint{}, err
+		}
+	}
 	restored.Format = log.Format()
 	return &Disk{log: log}, identity, restored, nil
 }
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -7,6 +7,7 @@
 package storage
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -128,6 +129,45 @@
 	return log, nil
 }
 
+// Owner returns the owner of the log in a folder, as its newest segment names it. It returns false if there is no segment.
+func Owner(files FileSystem, folder string) (owner string, found bool, err error) {
+	log := &Log{files: files, folder: folder}
+	sequences, err := log.listSegments()
+	if err != nil || len(sequences) == 0 {
+		return "", false, err
+	}
+	path := log.segmentPath(sequences[len(sequences)-1])
+	file, err := files.Open(path, os.O_RDONLY)
+	if err != nil {
+		return "", false, eris.Wrapf(err, "open %s", path)
+	}
+	defer file.Close()
+	var decoded header
+	_, _, err = readRecords(file, func(record Record) error {
+		decoded, err = decodeHeader(path, record)
+		return cmp.Or(err, errStop)
+	})
+	switch {
+	case err == nil:
+		return "", false, eris.Wrapf(ErrDamaged, "%s has no valid segment header", path)
+	case err != errStop:
+		return "", false, eris.Wrapf(err, "read %s", path)
+	}
+	return decoded.Owner, true, nil
+}
+
+// decodeHeader decodes the first record of a segment.
+func decodeHeader(path string, record Record) (header, error) {
+	var decoded header
+	if record.Kind != KindHeader {
+		return decoded, eris.Wrapf(ErrDamaged, "%s has no valid segment header", path)
+	}
+	if err := json.Unmarshal(record.Data, &decoded); err != nil || decoded.Magic != magic {
+		return decoded, eris.Wrapf(ErrForeign, "%s was not written by this program", path)
+	}
+	return decoded, nil
+}
+
 // lastCheckpoint returns the position of the newest segment that replaces the earlier ones. Checkpoint creates all segments
 // after the first, so that any of these with records starts with a checkpoint.
 func (l *Log) lastCheckpoint(sequences []uint64) (int, error) {
@@ -215,10 +255,7 @@
 			return visit(record)
 		}
 		headerRead = true
-		if record.Kind != KindHeader {
-			return eris.Wrapf(ErrDamaged, "%s has no valid segment header", path)
-		}
-		return l.checkHeader(path, record.Data)
+		return l.checkHeader(path, record)
 	})
 	if err != nil {
 		return 0, eris.Wrapf(err, "read %s", path)
@@ -233,10 +270,10 @@
 	return length, nil
 }
 
-func (l *Log) checkHeader(path string, data []byte) error {
-	var decoded header
-	if err := json.Unmarshal(data, &decoded); err != nil || decoded.Magic != magic {
-		return eris.Wrapf(ErrForeign, "%s was not written by this program", path)
+func (l *Log) checkHeader(path string, first Record) error {
+	decoded, err := decodeHeader(path, first)
+	if err != nil {
+		return err
 	}
 	if decoded.Format > LatestFormat {
 		return eris.Wrapf(ErrNewerFormat, "%s has format %d, this program reads up to %d; start the newer program", path, decoded.Format, LatestFormat)
