Control: an empty replica writes nothing before its first state

A replica with an empty folder wrote its identity and then an empty segment, four syncs in a row, before it even asked to join.

Change: opening an empty folder writes nothing. The first write creates the folders, the identity file and the first segment, which begins with what is written; identity and segment are staged beside each other, then their folders are synced beside each other: two syncs in a row. A replica whose first write failed keeps its identity for the next attempt as long as nothing of it is on disk, so a failing disk doesn't add a member to the group each time.

The folder above the data folder is synced too; if this process created the data folder an error there counts, otherwise it doesn't, since it may be closed to the program. The election's estimate starts with the duration of the sync of the folders.

The bound of 0 failed before.

--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -32,7 +32,7 @@
 // foundGroup writes the state of a group of one to an empty folder.
 func foundGroup(t *testing.T, files *faulty.FileSystem, folder string) (*Disk, Identity, Checkpoint) {
 	t.Helper()
-	disk, identity, _, err := openDiskOn(files, folder, "c1")
+	disk, identity, _, err := openDiskOn(files, folder, "c1", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -115,7 +115,7 @@
 	}
 	_ = disk.Close()
 	files.SetLimit(limit)
-	disk, _, restored, err := openDiskOn(files, folder, "c1")
+	disk, _, restored, err := openDiskOn(files, folder, "c1", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/control/discovery.go
+++ b/internal/control/discovery.go
@@ -181,6 +181,7 @@
 		return
 	}
 	replica.readOffers = s.replica.readOffers
+	replica.StartSyncTime(s.disk.OpenSyncTime())
 	s.replica = replica
 	s.log.Info(events.GroupCreated)
 }
--- a/internal/control/reopen.go
+++ b/internal/control/reopen.go
@@ -26,9 +26,14 @@
 	return errors.Is(err, storage.ErrDamaged) || errors.Is(err, storage.ErrForeign) || errors.Is(err, storage.ErrNewerFormat) || errors.Is(err, level.ErrTooOld)
 }
 
-// restore opens the data folder and restores the replica from it.
+// restore opens the data folder and restores the replica from it. A replica that never had anything durable keeps its identity, so
+// that a disk that fails again and again doesn't add a member to the group each time.
 func (s *Server) restore() error {
-	disk, identity, restored, err := openDiskOn(s.files, s.file.DataDir, s.file.Name)
+	var unused *Identity
+	if s.disk != nil && s.disk.IsEmpty() {
+		unused = s.identity.Load()
+	}
+	disk, identity, restored, err := openDiskOn(s.files, s.file.DataDir, s.file.Name, unused)
 	if err != nil {
 		return err
 	}
--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -52,13 +52,13 @@
 	return found && err == nil && len(nonce) == 2*nonceBytes
 }
 
-// loadIdentity returns the identity of a data folder, or a new one if the folder holds no log. stored is whether the folder
-// holds it.
+// loadIdentity returns the identity of a data folder, or unused, or else a new one, if the folder holds no log. stored is whether the
+// folder holds it.
 //
 // The identity file and the first segment are written beside each other, and nothing is acknowledged before both last. A loss of
-// power in between may leave one of them. A log without the file names its replica itself. A file without a log is of no use:
-// whatever its replica may have promised is gone, so it must not vote under that ID again.
-func loadIdentity(files storage.FileSystem, folder, name string) (identity Identity, stored bool, err error) {
+// power in between may leave one of them, or the file of an earlier attempt. The log names its replica itself, so it decides. A file
+// without a log is of no use: whatever its replica may have promised is gone, so it must not vote under that ID again.
+func loadIdentity(files storage.FileSystem, folder, name string, unused *Identity) (identity Identity, stored bool, err error) {
 	stored, err = storage.ReadJSON(files, filepath.Join(folder, identityFile), &identity)
 	if err != nil {
 		return identity, false, err
@@ -70,12 +70,14 @@
 	switch {
 	case err != nil:
 		return identity, false, err
-	case hasLog && stored:
+	case hasLog && stored && owner == string(identity.ID):
 		return identity, true, nil
 	case hasLog && !hasIDOf(owner, name):
 		return identity, false, eris.Wrapf(storage.ErrForeign, "the log in data folder %s belongs to %q, not to a replica %q", folder, owner, name)
 	case hasLog:
 		return Identity{ID: consensus.ID(owner), Name: name}, false, nil
+	case unused != nil:
+		return *unused, false, nil
 	}
 	nonce := make([]byte, nonceBytes)
 	if _, err := rand.Read(nonce); err != nil {
@@ -89,14 +91,16 @@
 	log *storage.Log
 }
 
-// OpenDisk opens a replica's data folder and returns its identity and state.
+// OpenDisk opens a replica's data folder and returns its identity and state. It writes nothing to an empty one: the identity gets
+// there with the first state.
 func OpenDisk(folder, name string) (*Disk, Identity, Checkpoint, error) {
-	return openDiskOn(storage.OperatingSystem, folder, name)
+	return openDiskOn(storage.OperatingSystem, folder, name, nil)
 }
 
-// openDiskOn is like OpenDisk, in the given file system.
-func openDiskOn(files storage.FileSystem, folder, name string) (*Disk, Identity, Checkpoint, error) {
-	identity, stored, err := loadIdentity(files, folder, name)
+// openDiskOn is like OpenDisk, in the given file system. An empty folder gets the unused identity, if there is one: that of a replica
+// of this process that has never had anything durable.
+func openDiskOn(files storage.FileSystem, folder, name string, unused *Identity) (*Disk, Identity, Checkpoint, error) {
+	identity, stored, err := loadIdentity(files, folder, name, unused)
 	if err != nil {
 		return nil, identity, Checkpoint{}, err
 	}
@@ -107,11 +111,15 @@
 	if err != nil {
 		return nil, identity, Checkpoint{}, err
 	}
-	if !stored {
-		if err := storage.WriteJSON(files, filepath.Join(folder, identityFile), identity); err != nil {
-			_ = log.Close()
-			return nil, identity, Checkpoint{}, err
-		}
+	switch path := filepath.Join(folder, identityFile); {
+	case log.IsEmpty():
+		err = log.CreateBeside(path, identity)
+	case !stored:
+		err = storage.WriteJSON(files, path, identity)
+	}
+	if err != nil {
+		_ = log.Close()
+		return nil, identity, Checkpoint{}, err
 	}
 	restored.Format = log.Format()
 	return &Disk{log: log}, identity, restored, nil
@@ -176,7 +184,10 @@
 	return storage.Record{Kind: kind, Data: data}
 }
 
-// OpenSyncTime returns how long the sync took with which the log was opened.
+// IsEmpty reports whether nothing is durable yet.
+func (d *Disk) IsEmpty() bool { return d.log.IsEmpty() }
+
+// OpenSyncTime returns how long the sync took with which the log was opened or created. It is 0 before.
 func (d *Disk) OpenSyncTime() time.Duration { return d.log.OpenSyncTime() }
 
 // Size returns the size of the newest log segment in bytes.
--- a/internal/control/syncs_test.go
+++ b/internal/control/syncs_test.go
@@ -26,7 +26,7 @@
 // openedOn opens a data folder in a file system.
 func openedOn(t *testing.T, files storage.FileSystem, folder string) (*Disk, Identity, Checkpoint) {
 	t.Helper()
-	disk, identity, restored, err := openDiskOn(files, folder, "c1")
+	disk, identity, restored, err := openDiskOn(files, folder, "c1", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -62,6 +62,9 @@
 		term := syncsInARow(func() { written(t, disk, firstTerm()) })
 		snapshot := syncsInARow(func() { written(t, disk, firstSnapshot(identity)) })
 		checkpoint := syncsInARow(func() { written(t, disk, firstSnapshot(identity)) })
+		if opened > 0 {
+			t.Errorf("a replica with an empty folder waits for %d syncs in a row before it can join", opened)
+		}
 		if checkpoint > 2 {
 			t.Errorf("a checkpoint waits for %d syncs in a row, want 2: its file, then the folder", checkpoint)
 		}
--- a/internal/control/writer.go
+++ b/internal/control/writer.go
@@ -23,6 +23,7 @@
 type writeResult struct {
 	persist      Persist
 	checkpointed bool // false if the checkpoint didn't fit and the rest was written
+	first        bool // of a data folder that was empty
 	err          error
 	took         time.Duration
 }
@@ -36,9 +37,9 @@
 		case <-ctx.Done():
 			return
 		case request := <-s.writes:
-			started := time.Now()
+			started, first := time.Now(), request.disk.IsEmpty()
 			checkpointed, err := request.disk.Write(request.persist)
-			s.written <- writeResult{request.persist, checkpointed, err, time.Since(started)}
+			s.written <- writeResult{request.persist, checkpointed, first, err, time.Since(started)}
 		}
 	}
 }
@@ -118,10 +119,14 @@
 	return held, true
 }
 
-// recordSync counts a write, and logs it if it was slow. Checkpoints are longer than other writes.
+// recordSync counts a write, and logs it if it was slow. Checkpoints and the first write are longer than other writes.
 func (s *Server) recordSync(result writeResult) {
 	s.syncs.Count.Add(1)
 	s.syncs.Nanoseconds.Add(uint64(result.took))
+	if result.first {
+		s.replica.StartSyncTime(s.disk.OpenSyncTime())
+		return
+	}
 	if result.persist.Checkpoint != nil {
 		return
 	}
--- a/internal/storage/file.go
+++ b/internal/storage/file.go
@@ -90,25 +90,27 @@
 	return syncing.Wait()
 }
 
-// ReplaceFile replaces a file atomically: after a crash it has either its old or its new content. It creates its folder.
-func ReplaceFile(files FileSystem, path string, data []byte) error {
-	unsynced, err := putFiles(files, newFile{path, func(w io.Writer) error {
-		_, err := w.Write(data)
+// WriteJSON atomically replaces a file with the JSON encoding of a value in a checksummed record: after a crash it has either its old
+// or its new content. It creates the file's folder.
+func WriteJSON(files FileSystem, path string, value any) error {
+	file, err := jsonFile(path, value)
+	if err != nil {
 		return err
-	}})
+	}
+	unsynced, err := putFiles(files, file)
 	if err != nil {
 		return err
 	}
 	return syncFolders(files, unsynced...)
 }
 
-// WriteJSON atomically replaces a file with the JSON encoding of a value in a checksummed record.
-func WriteJSON(files FileSystem, path string, value any) error {
+// jsonFile returns a file with the JSON encoding of a value.
+func jsonFile(path string, value any) (newFile, error) {
 	data, err := json.Marshal(value)
-	if err != nil {
-		return eris.Wrapf(err, "encode %s", path)
-	}
-	return ReplaceFile(files, path, AppendRecord(nil, Record{Data: data}))
+	return newFile{path, func(w io.Writer) error {
+		_, err := writeRecord(w, Record{Data: data})
+		return err
+	}}, eris.Wrapf(err, "encode %s", path)
 }
 
 // ReadJSON decodes a file written by WriteJSON into value. It returns false if the file does not exist.
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -16,6 +16,7 @@
 	"iter"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -80,14 +81,16 @@
 	folder   string
 	owner    string
 	file     File
-	sequence uint64
+	sequence uint64 // of the newest segment; 0 if there is none
 	size     int64
-	format   int // of the newest segment
+	format   int // of the newest segment; 0 if there is none
 	pending  []byte
+	beside   []newFile     // see CreateBeside
+	unsynced []string      // folders to sync before the first segment lasts
 	openSync time.Duration // see OpenSyncTime
 }
 
-// Open opens or creates the log of an owner in a folder and returns the records from the last checkpoint on.
+// Open opens the log of an owner in a folder, which may be empty or missing, and returns the records from the last checkpoint on.
 func Open(folder, owner string) (*Log, []Record, error) {
 	var records []Record
 	log, err := OpenOn(OperatingSystem, folder, owner, func(record Record) error {
@@ -97,8 +100,9 @@
 	return log, records, err
 }
 
-// OpenOn opens or creates the log of an owner in a folder of the given file system. It passes the records from the last
-// checkpoint on to visit, one at a time, and fails if visit does.
+// OpenOn opens the log of an owner in a folder of the given file system. It passes the records from the last checkpoint on to
+// visit, one at a time, and fails if visit does. If there is no log, the first Sync or Checkpoint creates the folder and the first
+// segment.
 func OpenOn(files FileSystem, folder, owner string, visit func(Record) error) (*Log, error) {
 	log := &Log{files: files, folder: folder, owner: owner}
 	sequences, err := log.listSegments()
@@ -106,7 +110,7 @@
 		return nil, err
 	}
 	if len(sequences) == 0 {
-		return log, log.createFirstSegment()
+		return log, nil
 	}
 	first, err := log.lastCheckpoint(sequences)
 	if err != nil {
@@ -236,11 +240,6 @@
 	return filepath.Join(l.folder, fmt.Sprintf("%016d%s", sequence, segmentSuffix))
 }
 
-func (l *Log) createFirstSegment() error {
-	l.sequence = 1
-	return l.writeSegment(l.sequence, FirstFormat, func(func(Record) bool) {})
-}
-
 // readSegment passes the records after the header to visit and returns the length of the valid data in bytes.
 func (l *Log) readSegment(sequence uint64, newest bool, visit func(Record) error) (int64, error) {
 	path := l.segmentPath(sequence)
@@ -308,7 +307,7 @@
 		return err
 	}
 	var syncing errgroup.Group
-	syncing.Go(func() error { return syncFolders(l.files, l.folder, filepath.Dir(l.folder)) })
+	syncing.Go(func() error { return l.syncNames() })
 	started := time.Now()
 	err = eris.Wrapf(file.Sync(), "sync %s", l.segmentPath(l.sequence))
 	l.openSync = time.Since(started)
@@ -323,6 +322,22 @@
 	return nil
 }
 
+// syncNames syncs all folders that hold names of the log, beside each other: its own, that of the data folder around it, and the
+// given ones. A process that was killed, or whose sync failed, may have created any of them. The folder that holds the data folder may be
+// closed to this program or not support syncs; where a process creates the data folder, it is among the given ones and has to be synced.
+func (l *Log) syncNames(created ...string) error {
+	data := filepath.Dir(l.folder)
+	var syncing errgroup.Group
+	syncing.Go(func() error { return syncFolders(l.files, slices.Concat(created, []string{l.folder, data})...) })
+	if above := filepath.Dir(data); !slices.Contains(created, above) {
+		syncing.Go(func() error {
+			_ = l.files.SyncDir(above)
+			return nil
+		})
+	}
+	return syncing.Wait()
+}
+
 // truncateTail truncates what follows the valid records and moves to their end. The caller syncs them: a process that
 // ended may have written them without a sync.
 func truncateTail(file File, size int64) error {
@@ -336,9 +351,21 @@
 	return err
 }
 
-// OpenSyncTime returns how long the sync took with which the newest segment was opened.
+// OpenSyncTime returns how long the sync took with which the newest segment was opened, or those of the folders when the first
+// one was created. It is 0 before.
 func (l *Log) OpenSyncTime() time.Duration { return l.openSync }
 
+// IsEmpty reports whether the log has no segment yet, so that nothing in it is durable.
+func (l *Log) IsEmpty() bool { return l.sequence == 0 }
+
+// CreateBeside makes the first Sync or Checkpoint of an empty log write another file as well, beside the first segment, so that
+// both take no more syncs in a row than one. Both are durable when it has returned; after a crash before, either may be there.
+func (l *Log) CreateBeside(path string, value any) error {
+	file, err := jsonFile(path, value)
+	l.beside = append(l.beside, file)
+	return err
+}
+
 // Append adds a record to the buffer that the next Sync writes.
 func (l *Log) Append(record Record) {
 	l.pending = AppendRecord(l.pending, record)
@@ -350,16 +377,25 @@
 	if len(l.pending) == 0 {
 		return nil
 	}
+	if l.IsEmpty() {
+		records, _, _ := DecodeRecords(l.pending)
+		l.clearPending()
+		return l.writeSegment(1, FirstFormat, slices.Values(records))
+	}
 	written, err := l.file.Write(l.pending)
 	if err != nil {
 		return eris.Wrapf(err, "append to %s", l.segmentPath(l.sequence))
 	}
 	l.size += int64(written)
+	l.clearPending()
+	return eris.Wrapf(l.file.Sync(), "sync %s", l.segmentPath(l.sequence))
+}
+
+func (l *Log) clearPending() {
 	l.pending = l.pending[:0]
 	if cap(l.pending) > maxKeptBuffer {
 		l.pending = nil
 	}
-	return eris.Wrapf(l.file.Sync(), "sync %s", l.segmentPath(l.sequence))
 }
 
 // Checkpoint starts a new segment of a format with the given records, which replace all earlier ones, and deletes the
@@ -373,6 +409,9 @@
 	if err := l.writeSegment(previous+1, format, records); err != nil {
 		return err
 	}
+	if previous == 0 {
+		return nil
+	}
 	if err := oldFile.Close(); err != nil {
 		return eris.Wrap(err, "close previous segment")
 	}
@@ -387,17 +426,27 @@
 // writeSegment writes a segment and opens it for appending. It fails with ErrNotReplaced if nothing has changed.
 func (l *Log) writeSegment(sequence uint64, format int, records iter.Seq[Record]) error {
 	size := int64(0)
-	unsynced, err := putFiles(l.files, newFile{l.segmentPath(sequence), func(w io.Writer) (err error) {
+	segment := newFile{l.segmentPath(sequence), func(w io.Writer) (err error) {
 		size, err = writeSegmentRecords(w, header{Magic: magic, Format: format, Owner: l.owner, Sequence: sequence}, records)
 		return err
-	}})
+	}}
+	created := []newFile{segment}
+	if l.IsEmpty() {
+		created = append(slices.Clone(l.beside), segment)
+	}
+	unsynced, err := putFiles(l.files, created...)
 	if err != nil {
 		return eris.Wrapf(ErrNotReplaced, "%v", err)
 	}
-	if sequence == 1 {
-		unsynced = append(unsynced, filepath.Dir(l.folder)) // a process that was killed may have created the folder
+	if !l.IsEmpty() {
+		err = syncFolders(l.files, unsynced...)
+	} else {
+		l.unsynced = append(l.unsynced, unsynced...) // an attempt that failed may have created folders
+		started := time.Now()
+		err = l.syncNames(l.unsynced...)
+		l.openSync = time.Since(started)
 	}
-	if err := syncFolders(l.files, unsynced...); err != nil {
+	if err != nil {
 		return err
 	}
 	l.sequence, l.size, l.format = sequence, size, format
