--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -7,6 +7,7 @@
 	"errors"
 	"iter"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -44,41 +45,63 @@
 	return Identity{ID: consensus.ID(name + "-" + nonce), Name: name}
 }
 
-// loadIdentity reads the identity from a data folder, or creates one if the folder is empty.
-func loadIdentity(folder, name string) (Identity, error) {
-	path := filepath.Join(folder, identityFile)
-	var identity Identity
-	found, err := storage.ReadJSON(path, &identity)
+// hasIDOf reports whether a log's owner is a replica of the given name.
+func hasIDOf(owner, name string) bool {
+	nonce, found := strings.CutPrefix(owner, name+"-")
+	_, err := hex.DecodeString(nonce)
+	return found && err == nil && len(nonce) == 2*nonceBytes
+}
+
+// loadIdentity returns the identity of a data folder, or unused, or else a new one, if the folder holds no log. stored is whether the
+// folder holds it.
+//
+// The identity file and the first segment are written beside each other, and nothing is acknowledged before both last. A loss of
+// power in between may leave one of them, or the file of an earlier attempt. The log names its replica itself, so it decides. A file
+// without a log is of no use: whatever its replica may have promised is gone, so it must not vote under that ID again.
+func loadIdentity(files storage.FileSystem, folder, name string, unused *Identity) (identity Identity, stored bool, err error) {
+	stored, err = storage.ReadJSON(files, filepath.Join(folder, identityFile), &identity)
 	if err != nil {
-		return identity, err
+		return identity, false, err
 	}
-	if found {
-		if identity.Name != name {
-			return identity, eris.Wrapf(storage.ErrForeign, "data folder %s belongs to replica %q, not to %q", folder, identity.Name, name)
-		}
-		return identity, nil
+	if stored && identity.Name != name {
+		return identity, false, eris.Wrapf(storage.ErrForeign, "data folder %s belongs to replica %q, not to %q", folder, identity.Name, name)
+	}
+	owner, hasLog, err := storage.Owner(files, filepath.Join(folder, logFolder))
+	switch {
+	case err != nil:
+		return identity, false, err
+	case hasLog && stored && owner == string(identity.ID):
+		return identity, true, nil
+	case hasLog && !hasIDOf(owner, name):
+		return identity, false, eris.Wrapf(storage.ErrForeign, "the log in data folder %s belongs to %q, not to a replica %q", folder, owner, name)
+	case hasLog:
+		return Identity{ID: consensus.ID(owner), Name: name}, false, nil
+	case unused != nil:
+		return *unused, false, nil
 	}
 	nonce := make([]byte, nonceBytes)
 	if _, err := rand.Read(nonce); err != nil {
-		return identity, eris.Wrap(err, "generate replica ID")
+		return identity, false, eris.Wrap(err, "generate replica ID")
 	}
-	identity = NewIdentity(name, hex.EncodeToString(nonce), guard.Set{})
-	return identity, storage.WriteJSON(path, identity)
+	return NewIdentity(name, hex.EncodeToString(nonce), guard.Set{}), false, nil
 }
 
 // Disk stores the durable state of a replica.
 type Disk struct {
-	log *storage.Log
+	log      *storage.Log
+	deferred *consensus.HardState // see Defer
 }
 
-// OpenDisk opens a replica's data folder and returns its identity and state.
+// OpenDisk opens a replica's data folder and returns its identity and state. It writes nothing to an empty one: the identity gets
+// there with the first state.
 func OpenDisk(folder, name string) (*Disk, Identity, Checkpoint, error) {
-	return openDiskOn(storage.OperatingSystem, folder, name)
+	return openDiskOn(storage.OperatingSystem, folder, name, nil)
 }
 
-// openDiskOn is like OpenDisk, with the log in the given file system.
-func openDiskOn(files storage.FileSystem, folder, name string) (*Disk, Identity, Checkpoint, error) {
-	identity, err := loadIdentity(folder, name)
+// openDiskOn is like OpenDisk, in the given file system. An empty folder gets the unused identity, if there is one: that of a replica
+// of this process that has never had anything durable.
+func openDiskOn(files storage.FileSystem, folder, name string, unused *Identity) (*Disk, Identity, Checkpoint, error) {
+	identity, stored, err := loadIdentity(files, folder, name, unused)
 	if err != nil {
 		return nil, identity, Checkpoint{}, err
 	}
@@ -89,6 +112,16 @@
 	if err != nil {
 		return nil, identity, Checkpoint{}, err
 	}
+	switch path := filepath.Join(folder, identityFile); {
+	case log.IsEmpty():
+		err = log.CreateBeside(path, identity)
+	case !stored:
+		err = storage.WriteJSON(files, path, identity)
+	}
+	if err != nil {
+		_ = log.Close()
+		return nil, identity, Checkpoint{}, err
+	}
 	restored.Format = log.Format()
 	return &Disk{log: log}, identity, restored, nil
 }
@@ -111,6 +144,17 @@
 	return eris.Wrapf(storage.ErrNewerFormat, "unknown record kind %d", record.Kind)
 }
 
+// Defer reports whether a Persist needs no write of its own, and keeps it for the next Write. That is so for a term in which no vote was
+// given, while the folder is empty: what a loss of power takes then is the replica with its ID, and a replica with a new ID has heard
+// of no term.
+func (d *Disk) Defer(persist Persist) bool {
+	if !d.IsEmpty() || persist.HardState == nil || persist.HardState.Vote != "" || len(persist.Entries) > 0 || persist.Checkpoint != nil {
+		return false
+	}
+	d.deferred = persist.HardState
+	return true
+}
+
 // Write writes a Persist and syncs it to disk. It returns false if a checkpoint that can be postponed didn't fit; the rest
 // of the Persist was written then. After an error the content on disk is unknown.
 func (d *Disk) Write(persist Persist) (checkpointed bool, err error) {
@@ -120,6 +164,9 @@
 			return err == nil, err
 		}
 	}
+	if persist.HardState == nil && d.IsEmpty() {
+		persist.HardState = d.deferred
+	}
 	if persist.HardState != nil {
 		d.log.Append(encodeRecord(recordHardState, persist.HardState))
 	}
@@ -152,7 +199,10 @@
 	return storage.Record{Kind: kind, Data: data}
 }
 
-// OpenSyncTime returns how long the sync took with which the log was opened.
+// IsEmpty reports whether nothing is durable yet.
+func (d *Disk) IsEmpty() bool { return d.log.IsEmpty() }
+
+// OpenSyncTime returns how long the sync took with which the log was opened or created. It is 0 before.
 func (d *Disk) OpenSyncTime() time.Duration { return d.log.OpenSyncTime() }
 
 // Size returns the size of the newest log segment in bytes.
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -7,18 +7,22 @@
 package storage
 
 import (
-	"bufio"
+	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"iter"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 )
 
 // Versions of the format of a segment's records. The storage format is the same in all; the callers' records differ. Open
@@ -77,14 +81,16 @@
 	folder   string
 	owner    string
 	file     File
-	sequence uint64
+	sequence uint64 // of the newest segment; 0 if there is none
 	size     int64
-	format   int // of the newest segment
+	format   int // of the newest segment; 0 if there is none
 	pending  []byte
+	beside   []newFile     // see CreateBeside
+	unsynced []string      // folders to sync before the first segment lasts
 	openSync time.Duration // see OpenSyncTime
 }
 
-// Open opens or creates the log of an owner in a folder and returns the records from the last checkpoint on.
+// Open opens the log of an owner in a folder, which may be empty or missing, and returns the records from the last checkpoint on.
 func Open(folder, owner string) (*Log, []Record, error) {
 	var records []Record
 	log, err := OpenOn(OperatingSystem, folder, owner, func(record Record) error {
@@ -94,19 +100,17 @@
 	return log, records, err
 }
 
-// OpenOn opens or creates the log of an owner in a folder of the given file system. It passes the records from the last
-// checkpoint on to visit, one at a time, and fails if visit does.
+// OpenOn opens the log of an owner in a folder of the given file system. It passes the records from the last checkpoint on to
+// visit, one at a time, and fails if visit does. If there is no log, the first Sync or Checkpoint creates the folder and the first
+// segment.
 func OpenOn(files FileSystem, folder, owner string, visit func(Record) error) (*Log, error) {
-	if err := files.MkdirAll(folder); err != nil {
-		return nil, eris.Wrapf(err, "create %s", folder)
-	}
 	log := &Log{files: files, folder: folder, owner: owner}
 	sequences, err := log.listSegments()
 	if err != nil {
 		return nil, err
 	}
 	if len(sequences) == 0 {
-		return log, log.createFirstSegment()
+		return log, nil
 	}
 	first, err := log.lastCheckpoint(sequences)
 	if err != nil {
@@ -129,6 +133,45 @@
 	return log, nil
 }
 
+// Owner returns the owner of the log in a folder, as its newest segment names it. It returns false if there is no segment.
+func Owner(files FileSystem, folder string) (owner string, found bool, err error) {
+	log := &Log{files: files, folder: folder}
+	sequences, err := log.listSegments()
+	if err != nil || len(sequences) == 0 {
+		return "", false, err
+	}
+	path := log.segmentPath(sequences[len(sequences)-1])
+	file, err := files.Open(path, os.O_RDONLY)
+	if err != nil {
+		return "", false, eris.Wrapf(err, "open %s", path)
+	}
+	defer file.Close()
+	var decoded header
+	_, _, err = readRecords(file, func(record Record) error {
+		decoded, err = decodeHeader(path, record)
+		return cmp.Or(err, errStop)
+	})
+	switch {
+	case err == nil:
+		return "", false, eris.Wrapf(ErrDamaged, "%s has no valid segment header", path)
+	case err != errStop:
+		return "", false, eris.Wrapf(err, "read %s", path)
+	}
+	return decoded.Owner, true, nil
+}
+
+// decodeHeader decodes the first record of a segment.
+func decodeHeader(path string, record Record) (header, error) {
+	var decoded header
+	if record.Kind != KindHeader {
+		return decoded, eris.Wrapf(ErrDamaged, "%s has no valid segment header", path)
+	}
+	if err := json.Unmarshal(record.Data, &decoded); err != nil || decoded.Magic != magic {
+		return decoded, eris.Wrapf(ErrForeign, "%s was not written by this program", path)
+	}
+	return decoded, nil
+}
+
 // lastCheckpoint returns the position of the newest segment that replaces the earlier ones. Checkpoint creates all segments
 // after the first, so that any of these with records starts with a checkpoint.
 func (l *Log) lastCheckpoint(sequences []uint64) (int, error) {
@@ -171,6 +214,9 @@
 // listSegments returns the sequence numbers of the segments in ascending order. It removes temporary files.
 func (l *Log) listSegments() ([]uint64, error) {
 	names, err := l.files.ReadDir(l.folder)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
 	if err != nil {
 		return nil, eris.Wrapf(err, "read %s", l.folder)
 	}
@@ -194,11 +240,6 @@
 	return filepath.Join(l.folder, fmt.Sprintf("%016d%s", sequence, segmentSuffix))
 }
 
-func (l *Log) createFirstSegment() error {
-	l.sequence = 1
-	return l.writeSegment(l.sequence, FirstFormat, func(func(Record) bool) {})
-}
-
 // readSegment passes the records after the header to visit and returns the length of the valid data in bytes.
 func (l *Log) readSegment(sequence uint64, newest bool, visit func(Record) error) (int64, error) {
 	path := l.segmentPath(sequence)
@@ -213,10 +254,7 @@
 			return visit(record)
 		}
 		headerRead = true
-		if record.Kind != KindHeader {
-			return eris.Wrapf(ErrDamaged, "%s has no valid segment header", path)
-		}
-		return l.checkHeader(path, record.Data)
+		return l.checkHeader(path, record)
 	})
 	if err != nil {
 		return 0, eris.Wrapf(err, "read %s", path)
@@ -231,10 +269,10 @@
 	return length, nil
 }
 
-func (l *Log) checkHeader(path string, data []byte) error {
-	var decoded header
-	if err := json.Unmarshal(data, &decoded); err != nil || decoded.Magic != magic {
-		return eris.Wrapf(ErrForeign, "%s was not written by this program", path)
+func (l *Log) checkHeader(path string, first Record) error {
+	decoded, err := decodeHeader(path, first)
+	if err != nil {
+		return err
 	}
 	if decoded.Format > LatestFormat {
 		return eris.Wrapf(ErrNewerFormat, "%s has format %d, this program reads up to %d; start the newer program", path, decoded.Format, LatestFormat)
@@ -246,28 +284,60 @@
 	return nil
 }
 
-// reopenNewest opens the newest segment for appending. It writes nothing if the segment has no incomplete record, so that
-// a log can be opened on a full disk.
-func (l *Log) reopenNewest() error {
+// openNewest opens the newest segment for appending. It writes nothing if the segment has no incomplete record, so that a log
+// can be opened on a full disk.
+func (l *Log) openNewest() (File, error) {
 	path := l.segmentPath(l.sequence)
 	file, err := l.files.Open(path, os.O_RDWR)
 	if err != nil {
-		return eris.Wrapf(err, "open %s", path)
+		return nil, eris.Wrapf(err, "open %s", path)
 	}
 	if err := truncateTail(file, l.size); err != nil {
 		_ = file.Close()
-		return eris.Wrapf(err, "prepare %s", path)
+		return nil, eris.Wrapf(err, "prepare %s", path)
+	}
+	return file, nil
+}
+
+// reopenNewest opens the newest segment that a process left, and syncs it. It syncs the names of the log as well: the process
+// that created them may have been killed before it did.
+func (l *Log) reopenNewest() error {
+	file, err := l.openNewest()
+	if err != nil {
+		return err
 	}
+	var syncing errgroup.Group
+	syncing.Go(func() error { return l.syncNames() })
 	started := time.Now()
-	if err := file.Sync(); err != nil {
+	err = eris.Wrapf(file.Sync(), "sync %s", l.segmentPath(l.sequence))
+	l.openSync = time.Since(started)
+	if folderErr := syncing.Wait(); err == nil {
+		err = folderErr
+	}
+	if err != nil {
 		_ = file.Close()
-		return eris.Wrapf(err, "sync %s", path)
+		return err
 	}
-	l.openSync = time.Since(started)
 	l.file = file
 	return nil
 }
 
+// syncNames syncs all folders that hold names of the log, beside each other: its own, that of the data folder around it, and the
+// given ones. A process that was killed, or whose sync failed, may have created any of them. The folder that holds the data folder may be
+// closed to this program or not support syncs; where a process creates the data folder, it is among the given ones and has to be synced.
+func (l *Log) syncNames(created ...string) error {
+	data := filepath.Dir(l.folder)
+	var syncing errgroup.Group
+	syncing.Go(func() error { return syncFolders(l.files, slices.Concat(created, []string{l.folder, data})...) })
+	if above := filepath.Dir(data); !slices.Contains(created, above) {
+		syncing.Go(func() error {
+			_ = l.files.SyncDir(above)
+			return nil
+		})
+	}
+	return syncing.Wait()
+}
+
 // truncateTail truncates what follows the valid records and moves to their end. The caller syncs them: a process that
 // ended may have written them without a sync.
 func truncateTail(file File, size int64) error {
@@ -281,9 +351,21 @@
 	return err
 }
 
-// OpenSyncTime returns how long the sync took with which the newest segment was opened.
+// OpenSyncTime returns how long the sync took with which the newest segment was opened, or those of the folders when the first
+// one was created. It is 0 before.
 func (l *Log) OpenSyncTime() time.Duration { return l.openSync }
 
+// IsEmpty reports whether the log has no segment yet, so that nothing in it is durable.
+func (l *Log) IsEmpty() bool { return l.sequence == 0 }
+
+// CreateBeside makes the first Sync or Checkpoint of an empty log write another file as well, beside the first segment, so that
+// both take no more syncs in a row than one. Both are durable when it has returned; after a crash before, either may be there.
+func (l *Log) CreateBeside(path string, value any) error {
+	file, err := jsonFile(path, value)
+	l.beside = append(l.beside, file)
+	return err
+}
+
 // Append adds a record to the buffer that the next Sync writes.
 func (l *Log) Append(record Record) {
 	l.pending = AppendRecord(l.pending, record)
@@ -295,20 +377,30 @@
 	if len(l.pending) == 0 {
 		return nil
 	}
+	if l.IsEmpty() {
+		records, _, _ := DecodeRecords(l.pending)
+		l.clearPending()
+		return l.writeSegment(1, FirstFormat, slices.Values(records))
+	}
 	written, err := l.file.Write(l.pending)
 	if err != nil {
 		return eris.Wrapf(err, "append to %s", l.segmentPath(l.sequence))
 	}
 	l.size += int64(written)
+	l.clearPending()
+	return eris.Wrapf(l.file.Sync(), "sync %s", l.segmentPath(l.sequence))
+}
+
+func (l *Log) clearPending() {
 	l.pending = l.pending[:0]
 	if cap(l.pending) > maxKeptBuffer {
 		l.pending = nil
 	}
-	return eris.Wrapf(l.file.Sync(), "sync %s", l.segmentPath(l.sequence))
 }
 
 // Checkpoint starts a new segment of a format with the given records, which replace all earlier ones, and deletes the
-// older segments once the new one is durable. Until then both take space.
+// older segments once the new one is durable. Until then both take space. It waits for two syncs in a row, of the segment and of
+// the folder. The deletions are not synced: Open passes over older segments, whichever of them a loss of power brings back.
 func (l *Log) Checkpoint(format int, records iter.Seq[Record]) error {
 	if err := l.Sync(); err != nil {
 		return err
@@ -317,52 +409,60 @@
 	if err := l.writeSegment(previous+1, format, records); err != nil {
 		return err
 	}
+	if previous == 0 {
+		return nil
+	}
 	if err := oldFile.Close(); err != nil {
 		return eris.Wrap(err, "close previous segment")
 	}
 	for sequence := previous; sequence > 0; sequence-- {
 		if err := l.files.Remove(l.segmentPath(sequence)); err != nil {
-			break // the older ones are already deleted
+			break // the older ones are already deleted, or are when the log is opened again
 		}
 	}
-	return eris.Wrapf(l.files.SyncDir(l.folder), "sync %s", l.folder)
+	return nil
 }
 
 // writeSegment writes a segment and opens it for appending. It fails with ErrNotReplaced if nothing has changed.
 func (l *Log) writeSegment(sequence uint64, format int, records iter.Seq[Record]) error {
-	path := l.segmentPath(sequence)
-	temporary := path + temporarySuffix
-	size, err := l.writeTemporary(temporary, header{Magic: magic, Format: format, Owner: l.owner, Sequence: sequence}, records)
-	if err == nil {
-		err = eris.Wrapf(l.files.Rename(temporary, path), "rename %s", temporary)
+	size := int64(0)
+	segment := newFile{l.segmentPath(sequence), func(w io.Writer) (err error) {
+		size, err = writeSegmentRecords(w, header{Magic: magic, Format: format, Owner: l.owner, Sequence: sequence}, records)
+		return err
+	}}
+	created := []newFile{segment}
+	if l.IsEmpty() {
+		created = append(slices.Clone(l.beside), segment)
 	}
+	unsynced, err := putFiles(l.files, created...)
 	if err != nil {
-		_ = l.files.Remove(temporary) // the next start removes it otherwise
 		return eris.Wrapf(ErrNotReplaced, "%v", err)
 	}
-	if err := l.files.SyncDir(l.folder); err != nil {
-		return eris.Wrapf(err, "sync %s", l.folder)
+	if !l.IsEmpty() {
+		err = syncFolders(l.files, unsynced...)
+	} else {
+		l.unsynced = append(l.unsynced, unsynced...) // an attempt that failed may have created folders
+		started := time.Now()
+		err = l.syncNames(l.unsynced...)
+		l.openSync = time.Since(started)
+	}
+	if err != nil {
+		return err
 	}
 	l.sequence, l.size, l.format = sequence, size, format
-	return l.reopenNewest()
+	file, err := l.openNewest()
+	if err == nil {
+		l.file = file
+	}
+	return err
 }
 
-// writeTemporary writes and syncs the content of a segment and returns its size. It buffers little of it.
-func (l *Log) writeTemporary(path string, first header, records iter.Seq[Record]) (size int64, err error) {
-	encodedHeader, err := json.Marshal(first)
+// writeSegmentRecords writes the content of a segment and returns its size.
+func writeSegmentRecords(w io.Writer, head header, records iter.Seq[Record]) (size int64, err error) {
+	encodedHeader, err := json.Marshal(head)
 	if err != nil {
 		return 0, eris.Wrap(err, "encode segment header")
 	}
-	file, err := l.files.Open(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
-	if err != nil {
-		return 0, eris.Wrapf(err, "create %s", path)
-	}
-	defer func() {
-		if closeErr := file.Close(); err == nil {
-			err = eris.Wrapf(closeErr, "close %s", path)
-		}
-	}()
-	w := bufio.NewWriterSize(file, bufferBytes)
 	size, err = writeRecord(w, Record{Kind: KindHeader, Data: encodedHeader})
 	for record := range records {
 		if err != nil {
@@ -372,13 +472,7 @@
 		written, err = writeRecord(w, record)
 		size += written
 	}
-	if err == nil {
-		err = w.Flush()
-	}
-	if err == nil {
-		err = file.Sync()
-	}
-	return size, eris.Wrapf(err, "write %s", path)
+	return size, err
 }
 
 // Format returns the format of the newest segment.
