Control: only consensus keeps the term of an empty replica back

Two branches had it: consensus, which writes the term of a replica without a log and a vote with its first log, and the disk.

--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -88,8 +88,7 @@
 
 // Disk stores the durable state of a replica.
 type Disk struct {
-	log      *storage.Log
-	deferred *consensus.HardState // see Defer
+	log *storage.Log
 }
 
 // OpenDisk opens a replica's data folder and returns its identity and state. It writes nothing to an empty one: the identity gets
@@ -144,17 +143,6 @@
 	return eris.Wrapf(storage.ErrNewerFormat, "unknown record kind %d", record.Kind)
 }
 
-// Defer reports whether a Persist needs no write of its own, and keeps it for the next Write. That is so for a term in which no vote was
-// given, while the folder is empty: what a loss of power takes then is the replica with its ID, and a replica with a new ID has heard
-// of no term.
-func (d *Disk) Defer(persist Persist) bool {
-	if !d.IsEmpty() || persist.HardState == nil || persist.HardState.Vote != "" || len(persist.Entries) > 0 || persist.Checkpoint != nil {
-		return false
-	}
-	d.deferred = persist.HardState
-	return true
-}
-
 // Write writes a Persist and syncs it to disk. It returns false if a checkpoint that can be postponed didn't fit; the rest
 // of the Persist was written then. After an error the content on disk is unknown.
 func (d *Disk) Write(persist Persist) (checkpointed bool, err error) {
@@ -164,9 +152,6 @@
 			return err == nil, err
 		}
 	}
-	if persist.HardState == nil && d.IsEmpty() {
-		persist.HardState = d.deferred
-	}
 	if persist.HardState != nil {
 		d.log.Append(encodeRecord(recordHardState, persist.HardState))
 	}
--- a/internal/control/writer.go
+++ b/internal/control/writer.go
@@ -68,7 +68,7 @@
 
 func (s *Server) beginWrite() {
 	persist := s.replica.Prepare()
-	if persist.Empty() || s.disk.Defer(persist) {
+	if persist.Empty() {
 		s.send(s.replica.Advance(s.now()))
 		return
 	}
