Control: a replica joins while its folder is being created

Change: the writer creates identity and log, two syncs in a row, while the replica joins. A dead one does no harm, since the acknowledgements that a commit needs stay as they are.

The simulated group of the tests starts so, too: an empty replica runs at once, a log is opened in one sync.

TestReplicaJoinsWhileItsFolderIsSynced holds.

--- a/internal/control/reopen.go
+++ b/internal/control/reopen.go
@@ -84,6 +84,7 @@
 		case err == nil:
 			s.replica.readOffers = readOffers
 			s.log.Info(events.StorageRecovered, zap.Uint64("index", s.replica.Node().LastIndex()))
+			s.createFolder()
 			if s.replica.Node().LastIndex() == 0 {
 				go s.joinOrCreateGroup(ctx)
 			}
--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -97,25 +97,26 @@
 	return lost
 }
 
-// learnerToPromote returns a learner that is present and has caught up, or else a live one if a further voter doesn't raise the
-// number of acknowledgements that a commit needs, or nil. One that has the name of a voter goes first among equals.
+// learnerToPromote returns a learner that is present and has caught up, one that has the name of a voter before others. If none
+// has and a further voter doesn't raise the number of acknowledgements that a commit needs, it returns the learner that was heard
+// last, since one that syncs its first snapshot doesn't reply meanwhile, and a dead one does no harm.
 func (r *Replica) learnerToPromote(now time.Duration, membership consensus.Membership) *consensus.Member {
-	var caughtUp, live *consensus.Member
+	var caughtUp, latest *consensus.Member
+	latestReplyAt := time.Duration(0)
 	for _, peer := range r.node.Peers() {
 		member, found := membership.Find(peer.ID)
 		if !found || !member.Learner {
 			continue
 		}
-		silent := now - peer.LastReplyAt
-		if silent < presenceTimeout && r.hasCaughtUp(peer.Match) && (caughtUp == nil || nameTaken(membership, member)) {
+		if now-peer.LastReplyAt < presenceTimeout && r.hasCaughtUp(peer.Match) && (caughtUp == nil || nameTaken(membership, member)) {
 			caughtUp = &member
 		}
-		if silent <= r.config.RepairAfter && (live == nil || nameTaken(membership, member)) {
-			live = &member
+		if latest == nil || peer.LastReplyAt > latestReplyAt {
+			latest, latestReplyAt = &member, peer.LastReplyAt
 		}
 	}
 	if caughtUp == nil && membership.Formed && membership.Voters()%2 == 0 {
-		return live
+		return latest
 	}
 	return caughtUp
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -277,6 +277,7 @@
 	defer runtime.UnlockOSThread()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	s.createFolder()
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/control/simgroup_test.go
+++ b/internal/control/simgroup_test.go
@@ -24,7 +24,8 @@
 
 // Syncs in a row of a simulated disk.
 const (
-	simOpenSyncs       = 2 // the start with an empty folder, or with a log
+	simCreateSyncs     = 2 // of an empty folder; the replica runs meanwhile
+	simOpenSyncs       = 1 // of a log
 	simCheckpointSyncs = 2
 	simAppendSyncs     = 1
 )
@@ -101,10 +102,13 @@
 	return consensus.Member{ID: r.id, Name: r.name, Address: r.name}
 }
 
-// start starts the process of a replica, which first opens its disk.
+// start starts the process of a replica. It opens its disk first, unless that is empty.
 func (g *simGroup) start(r *simReplica) {
 	r.startedAt, r.readyAt = g.now, g.now+simOpenSyncs*g.syncTime
 	r.persist, r.joined, r.joinAt, r.replies = nil, false, 0, map[uint64]Response{}
+	if r.disk.lastIndex() == 0 {
+		r.readyAt, r.persist, r.writtenAt = g.now, &Persist{}, g.now+simWriteOverhead+simCreateSyncs*g.syncTime
+	}
 	r.replica = g.newReplica(r)
 	r.replica.StartSyncTime(g.syncTime)
 }
--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -92,7 +92,7 @@
 }
 
 // OpenDisk opens a replica's data folder and returns its identity and state. It writes nothing to an empty one: the identity gets
-// there with the first state.
+// there with Create or the first state.
 func OpenDisk(folder, name string) (*Disk, Identity, Checkpoint, error) {
 	return openDiskOn(storage.OperatingSystem, folder, name, nil)
 }
@@ -184,6 +184,9 @@
 	return storage.Record{Kind: kind, Data: data}
 }
 
+// Create makes the identity of an empty data folder durable, with an empty log.
+func (d *Disk) Create() error { return d.log.Create() }
+
 // IsEmpty reports whether nothing is durable yet.
 func (d *Disk) IsEmpty() bool { return d.log.IsEmpty() }
 
--- a/internal/control/syncs_test.go
+++ b/internal/control/syncs_test.go
@@ -42,9 +42,6 @@
 	}
 }
 
-// firstTerm is what a replica without state writes when it hears of a term.
-func firstTerm() Persist { return Persist{HardState: &consensus.HardState{Term: 3}} }
-
 // firstSnapshot is what a replica without state writes when it receives a snapshot.
 func firstSnapshot(identity Identity) Persist {
 	state := BootstrapState(consensus.Member{ID: identity.ID, Name: identity.Name, Address: "a"})
@@ -59,15 +56,22 @@
 		var disk *Disk
 		var identity Identity
 		opened := syncsInARow(func() { disk, identity, _ = openedOn(t, files, folder) })
-		term := syncsInARow(func() { written(t, disk, firstTerm()) })
+		created := syncsInARow(func() {
+			if err := disk.Create(); err != nil {
+				t.Fatal(err)
+			}
+		})
 		snapshot := syncsInARow(func() { written(t, disk, firstSnapshot(identity)) })
 		checkpoint := syncsInARow(func() { written(t, disk, firstSnapshot(identity)) })
 		if opened > 0 {
 			t.Errorf("a replica with an empty folder waits for %d syncs in a row before it can join", opened)
 		}
+		if created > 2 || snapshot > 2 {
+			t.Errorf("a replica that joins waits for %d syncs in a row for its identity and %d for its first snapshot, want 2 each: the files, then the folders", created, snapshot)
+		}
 		if checkpoint > 2 {
 			t.Errorf("a checkpoint waits for %d syncs in a row, want 2: its file, then the folder", checkpoint)
 		}
-		t.Logf("opening an empty folder %d, a term %d, a snapshot %d, a later checkpoint %d", opened, term, snapshot, checkpoint)
+		t.Logf("opening an empty folder %d, creating it %d, a snapshot %d, a later checkpoint %d", opened, created, snapshot, checkpoint)
 	})
 }
--- a/internal/control/writer.go
+++ b/internal/control/writer.go
@@ -16,7 +16,7 @@
 // writeRequest is a write to a data folder.
 type writeRequest struct {
 	disk    *Disk
-	persist Persist
+	persist Persist // empty to create the data folder
 }
 
 // writeResult is the outcome of a writeRequest.
@@ -38,12 +38,28 @@
 			return
 		case request := <-s.writes:
 			started, first := time.Now(), request.disk.IsEmpty()
-			checkpointed, err := request.disk.Write(request.persist)
+			checkpointed, err := request.write()
 			s.written <- writeResult{request.persist, checkpointed, first, err, time.Since(started)}
 		}
 	}
 }
 
+func (r writeRequest) write() (checkpointed bool, err error) {
+	if r.persist.Empty() {
+		return true, r.disk.Create()
+	}
+	return r.disk.Write(r.persist)
+}
+
+// createFolder makes the identity of a replica with an empty data folder durable while the replica joins. A replica that a loss of
+// power takes its identity has lost its vote, if the group has given it one meanwhile.
+func (s *Server) createFolder() {
+	if s.disk.IsEmpty() {
+		s.writing = true
+		s.writes <- writeRequest{disk: s.disk}
+	}
+}
+
 // work sends what may be sent and begins a write if one is needed, until the replica has no more work. A long log is
 // applied in many steps, and it returns between them when a timer is due or inputs wait, so that heartbeats are sent and
 // answered in time.
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -101,8 +101,8 @@
 }
 
 // OpenOn opens the log of an owner in a folder of the given file system. It passes the records from the last checkpoint on to
-// visit, one at a time, and fails if visit does. If there is no log, the first Sync or Checkpoint creates the folder and the first
-// segment.
+// visit, one at a time, and fails if visit does. If there is no log, the first Create, Sync or Checkpoint creates the folder and the
+// first segment.
 func OpenOn(files FileSystem, folder, owner string, visit func(Record) error) (*Log, error) {
 	log := &Log{files: files, folder: folder, owner: owner}
 	sequences, err := log.listSegments()
@@ -358,7 +358,15 @@
 // IsEmpty reports whether the log has no segment yet, so that nothing in it is durable.
 func (l *Log) IsEmpty() bool { return l.sequence == 0 }
 
-// CreateBeside makes the first Sync or Checkpoint of an empty log write another file as well, beside the first segment, so that
+// Create makes a log durable that has no segment yet. It has no effect on others.
+func (l *Log) Create() error {
+	if !l.IsEmpty() {
+		return nil
+	}
+	return l.writeSegment(1, FirstFormat, func(func(Record) bool) {})
+}
+
+// CreateBeside makes the first Create, Sync or Checkpoint of an empty log write another file as well, beside the first segment, so that
 // both take no more syncs in a row than one. Both are durable when it has returned; after a crash before, either may be there.
 func (l *Log) CreateBeside(path string, value any) error {
 	file, err := jsonFile(path, value)
