Control: a test that a joining replica with a full disk adds one member

A replica that joins writes only after it has joined, so a disk that fails then is opened again and again while the group knows the replica. TestFullDiskOfAJoiningReplicaAddsOneMember guards what keeps that from growing the group: the unused identity is used again.

--- a/internal/control/reopen_test.go
+++ b/internal/control/reopen_test.go
@@ -26,10 +26,16 @@
 	}
 	address := listener.Addr().String()
 	_ = listener.Close()
+	return startServer(t, files, "c1", address, address)
+}
+
+// startServer starts a control process of a group of one voter, on the given file system.
+func startServer(t *testing.T, files *faulty.FileSystem, name, address, founder string) *Server {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	server, err := NewServerOn(ctx, files, &node.File{
-		Name: "c1", Zone: "z", DataDir: filepath.Join(t.TempDir(), "data"),
-		Control: &node.Control{InternalAddress: address, Admin: "127.0.0.1:0", Founders: []string{address}, Replicas: 1, Heartbeat: 20 * time.Millisecond,
+		Name: name, Zone: "z", DataDir: filepath.Join(t.TempDir(), "data"),
+		Control: &node.Control{InternalAddress: address, Admin: "127.0.0.1:0", Founders: []string{founder}, Replicas: 1, Heartbeat: 20 * time.Millisecond,
 			SettingsLease: time.Second, RepairAfter: time.Hour, SnapshotEvery: 5000, GatewayViewTTL: time.Second},
 	}, zap.NewNop())
 	if err != nil {
@@ -102,3 +108,30 @@
 		}
 	}
 }
+
+// TestFullDiskOfAJoiningReplicaAddsOneMember guards against a replica that joins under a new ID each time its first write fails.
+func TestFullDiskOfAJoiningReplicaAddsOneMember(t *testing.T) {
+	const failures = 3
+	leader := startSingleServer(t, faulty.New(0))
+	files := faulty.New(1)
+	joining := startServer(t, files, "c2", freeLoopbackAddress(t), leader.file.Control.InternalAddress)
+	ctx, cancel := context.WithTimeout(context.Background(), hangTimeout)
+	defer cancel()
+	wait := func(what string, done func() bool) {
+		t.Helper()
+		for !done() {
+			if ctx.Err() != nil {
+				t.Fatal(what)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	wait("no write failed on a full disk", func() bool { return joining.usage.storageFailures.Load() >= failures })
+	files.SetLimit(0)
+	wait("the replica has no state after there is room again", func() bool {
+		return joining.queryReplica(func(replica *Replica) bool { return replica.Node().LastIndex() > 0 })
+	})
+	if !leader.queryReplica(func(replica *Replica) bool { return len(replica.Node().Membership().Members) == 2 }) {
+		t.Fatalf("the group has other members than its voter and the replica that joined, after %d failures", failures)
+	}
+}
