--- a/internal/control/discovery.go
+++ b/internal/control/discovery.go
@@ -87,11 +87,16 @@
 
 // joinOrCreateGroup joins a replica with an empty data folder to an existing group, as a learner. If there is none, it
 // creates a group, provided that this replica is the first initial member and all others have answered that they have
-// no state.
+// no state. It does neither while the data folder can't be created, and returns at once if it already runs.
 func (s *Server) joinOrCreateGroup(ctx context.Context) {
+	if !s.joining.CompareAndSwap(false, true) {
+		return
+	}
+	defer s.joining.Store(false)
 	for {
 		groupExists, othersEmpty := s.findGroup(ctx)
 		switch {
+		case s.notCreated.Load():
 		case groupExists && s.tryJoin(ctx):
 			return
 		case !groupExists && othersEmpty && !s.file.Control.JoinOnly && s.file.Control.Founders[0] == s.file.Control.InternalAddress:
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -113,6 +113,8 @@
 	writes      chan writeRequest  // holds the write in progress; see writing
 	written     chan writeResult   // buffer of one
 	writing     bool               // a write is in progress; owned by runReplica
+	joining     atomic.Bool        // joinOrCreateGroup runs
+	notCreated  atomic.Bool        // the data folder is empty and couldn't be created
 	slowSyncLog intervalLimiter    // owned by runReplica, like electionLog and undecidedElections
 	electionLog intervalLimiter
 	membersLog  membersLogState
