A gateway that is cut off from control does not vouch for the software version of streams in the time since

After a restart a gateway takes streams without a record to have begun at the version that another gateway vouches for, if the one registered now is the same. The word said nothing of when it held: a gateway that was cut off from control, or had been frozen, vouched by its last roster. If a version came, served and left between that roster and the first one of the gateway that asked, a stream of it went on at the other version.

Change: the reply tells how long ago the roster was last confirmed, and counts only if the asking gateway's own observation began before that. A reply without that age, of a build before, proves nothing; such streams are refused while both builds run. A field of a message between gateways only.

--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -89,6 +89,8 @@
 	software      map[string]*streamorigin.History
 	softwareSince time.Duration
 	minStreamAge  time.Duration
+	// rosterConfirmedAt is when the latest watch was sent whose reply confirmed the roster.
+	rosterConfirmedAt time.Duration
 }
 
 func newTable(mechanisms mechanism.Set) *table {
@@ -124,6 +126,7 @@
 func (t *table) applyWatchReply(now, sentAt time.Duration, reply *control.WatchReply) []belief.AgeRegression {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.rosterConfirmedAt = sentAt
 	return t.published.Update(now, sentAt, reply.Version.Term, reply.Publications)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,9 +112,7 @@
 	g.slots, g.slotDesk = newSlotClient(client), newSlotDesk(g)
 	g.streams = registry.New(registry.Config{
 		Client: client, Address: settings.PeerAddress, Zone: settings.Zone, Now: g.now,
-		Sole: func(service string) (streamorigin.SoftwareVersion, bool) {
-			return g.table.soleSoftware(g.now(), service)
-		},
+		Vouch: func(service string) (streamorigin.Vouch, bool) { return g.table.vouchSoftware(g.now(), service) },
 	})
 	g.startup = newStartup()
 	g.viewProbe = viewProbe{ask: g.askRosterVersion, reached: g.reachedRoster}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -104,12 +103,12 @@
 		return registry.Found{Source: registry.SourceNone}
 	}
 	g := x.gateway
+	askedAt := g.now()
 	found := g.streams.Find(x.ctx, streamorigin.FindRequest{Key: x.origin.key, Service: x.service.Name})
-	if !certain || len(found.Vouched) == 0 || !g.confirmView(x.ctx) {
+	if !certain || found.Software.IsKnown() || len(found.Vouched) == 0 || !g.confirmView(x.ctx) {
 		return found
 	}
-	version, sole := g.table.currentSoftware(g.now(), x.service.Name)
-	if sole && !slices.ContainsFunc(found.Vouched, func(v streamorigin.SoftwareVersion) bool { return v != version }) {
+	if version, sole := g.table.vouchedSoftware(g.now(), askedAt, x.service.Name, found.Vouched); sole {
 		return registry.Found{Software: version, Source: registry.SourceSole}
 	}
 	return found
--- a/internal/gateway/softwarehistory.go
+++ b/internal/gateway/softwarehistory.go
@@ -41,11 +41,28 @@
 	return t.software[service].Sole(now, t.streamAge(service))
 }
 
-// currentSoftware returns the software version that all back ends of a service have, and had since this gateway knows them.
-func (t *table) currentSoftware(now time.Duration, service string) (streamorigin.SoftwareVersion, bool) {
+// vouchSoftware returns the software version that all back ends of a service have had for as long as any stream may be old,
+// up to the latest confirmation of the roster.
+func (t *table) vouchSoftware(now time.Duration, service string) (streamorigin.Vouch, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.software[service].Current(now, t.streamAge(service))
+	version, sole := t.software[service].Sole(now, t.streamAge(service))
+	return streamorigin.Vouch{Software: version, Age: now - t.rosterConfirmedAt}, sole
+}
+
+// vouchedSoftware returns the software version that all back ends of a service have had for as long as any stream may be
+// old, by what this gateway has observed and what others, asked at a time, vouch for before. One of them must have had
+// its roster confirmed since this gateway's observation began, or back ends in between were seen by neither.
+func (t *table) vouchedSoftware(now, askedAt time.Duration, service string, vouched []streamorigin.Vouch) (streamorigin.SoftwareVersion, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	history := t.software[service]
+	version, sole := history.Current(now, t.streamAge(service))
+	if !sole || slices.ContainsFunc(vouched, func(v streamorigin.Vouch) bool { return v.Software != version }) {
+		return streamorigin.SoftwareVersion{}, false
+	}
+	seamless := slices.ContainsFunc(vouched, func(v streamorigin.Vouch) bool { return history.ObservedSince(askedAt - v.Age) })
+	return version, seamless
 }
 
 // needsRecords reports whether other gateways need records of a service's streams.
--- a/internal/gateway/softwarehistory_test.go
+++ b/internal/gateway/softwarehistory_test.go
@@ -106,11 +106,20 @@
 	f.begin()
 }
 
-// proof returns the version at which a gateway takes every stream to have begun, by itself. Like confirmView, it
-// brings the gateway's roster up to date first.
+// proof returns the version at which a gateway takes every stream to have begun, by itself or by the word of others. Like
+// confirmView, it brings the gateway's roster up to date first.
 func (f *historyFleet) proof(i int) (streamorigin.SoftwareVersion, bool) {
+	var vouched []streamorigin.Vouch
+	for j, other := range f.gateways {
+		if vouch, ok := other.vouchSoftware(f.now, historyService); ok && j != i {
+			vouched = append(vouched, vouch)
+		}
+	}
 	f.update(i)
-	return f.gateways[i].soleSoftware(f.now, historyService)
+	if version, sole := f.gateways[i].soleSoftware(f.now, historyService); sole {
+		return version, true
+	}
+	return f.gateways[i].vouchedSoftware(f.now, f.now, historyService, vouched)
 }
 
 // assertProofsHold fails if a gateway takes streams to have begun at one version, and one that may still be taken up began
@@ -167,6 +176,30 @@
 	}
 }
 
+// A gateway that has been cut off from control can't vouch for the time in which another version came and went.
+func TestWordOfAGatewayThatIsCutOffProvesNothing(t *testing.T) {
+	f := newHistoryFleet(2)
+	f.register("v1")
+	f.updateAllBut(-1)
+	f.wait(2 * historyPeriod)
+	f.updateAllBut(-1)
+	f.restart(1)
+	f.update(1)
+	if version, proved := f.proof(1); !proved || version.Name() != "v1" {
+		t.Fatalf("a gateway that has just started relies on %q, %t while the other one is in touch", version.Name(), proved)
+	}
+	f.register("v2")
+	f.updateAllBut(0)
+	f.wait(time.Second)
+	f.deregister("i-2")
+	f.restart(1)
+	f.wait(time.Second)
+	f.update(1)
+	if version, proved := f.proof(1); proved {
+		t.Fatalf("all streams are taken to have begun at %s, and one began at v2", version.Name())
+	}
+}
+
 // A back end that registers, serves and leaves between two rosters of a gateway was never known to it. A stream that began
 // there at another gateway must not be taken to have begun at the version that all known ones have.
 func TestBackendBetweenTwoRostersEndsTheProof(t *testing.T) {
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -29,7 +29,7 @@
 func newStreams(client *transport.Client, now clock.Source, zone, address string) *registry.Registry {
 	return registry.New(registry.Config{
 		Client: client, Zone: zone, Address: address, Now: now,
-		Sole: func(string) (streamorigin.SoftwareVersion, bool) { return streamorigin.SoftwareVersion{}, false }, // the core knows for itself
+		Vouch: func(string) (streamorigin.Vouch, bool) { return streamorigin.Vouch{}, false }, // the core knows for itself
 	})
 }
 
--- a/internal/streamorigin/history.go
+++ b/internal/streamorigin/history.go
@@ -28,6 +28,9 @@
 // Interrupt records that changes up to now may have been missed.
 func (h *History) Interrupt(now time.Duration) { h.since = now }
 
+// ObservedSince reports whether the observation has not been interrupted since a time.
+func (h *History) ObservedSince(at time.Duration) bool { return h != nil && h.since <= at }
+
 // Sole returns the version that all back ends have had for a period; ok is false if there were others, if one is not
 // known, or if the observation is shorter.
 func (h *History) Sole(now, period time.Duration) (version SoftwareVersion, ok bool) {
--- a/internal/streamorigin/messages.go
+++ b/internal/streamorigin/messages.go
@@ -8,6 +8,9 @@
 	PathFind = "/internal/v1/streams/find"
 )
 
+// maxVouchAge bounds the age of another process's word on the back ends of a service.
+const maxVouchAge = time.Hour
+
 // MaxSoftwareBytes bounds the name of a software version in messages.
 const MaxSoftwareBytes = 128
 
@@ -45,4 +48,28 @@
 	Disputed     bool   `json:"disputed,omitempty"`
 	Sole         bool   `json:"sole,omitempty"`
 	SoleSoftware string `json:"sole_software,omitempty"`
+	// SoleAgeMS is how long ago the back ends that Sole rests on were confirmed to be all. Without it Sole proves nothing: the
+	// replying process may be cut off, or be of a build that doesn't say.
+	SoleAgeMS *int64 `json:"sole_age_ms,omitempty"`
+}
+
+// Vouch is another process's word that all back ends of a service had one software version for as long as any stream may
+// be old, up to Age before the question was asked or later.
+type Vouch struct {
+	Software SoftwareVersion
+	Age      time.Duration
+}
+
+// SetVouch sets the reply's word on the service.
+func (r *FindReply) SetVouch(v Vouch) {
+	ms := (v.Age + time.Millisecond - 1).Milliseconds()
+	r.Sole, r.SoleSoftware, r.SoleAgeMS = true, v.Software.Name(), &ms
+}
+
+// Vouch returns the received word on the service; ok is false if there is none, or none that proves anything.
+func (r *FindReply) Vouch() (v Vouch, ok bool) {
+	if !r.Sole || r.SoleAgeMS == nil || *r.SoleAgeMS < 0 || *r.SoleAgeMS > maxVouchAge.Milliseconds() || len(r.SoleSoftware) > MaxSoftwareBytes {
+		return Vouch{}, false
+	}
+	return Vouch{Software: Known(r.SoleSoftware), Age: time.Duration(*r.SoleAgeMS) * time.Millisecond}, true
 }
--- a/internal/streamorigin/registry/registry.go
+++ b/internal/streamorigin/registry/registry.go
@@ -32,8 +32,8 @@
 	Address string // of this process, for its peers
 	Zone    string
 	Now     func() time.Duration
-	// Sole returns the software version that all back ends of a service have had for long enough, if there is one.
-	Sole func(service string) (streamorigin.SoftwareVersion, bool)
+	// Vouch returns the software version that all back ends of a service have had for long enough, if there is one.
+	Vouch func(service string) (streamorigin.Vouch, bool)
 }
 
 // Registry holds a process's records. It is safe for concurrent use.
@@ -206,8 +206,8 @@
 func (r *Registry) reply(question streamorigin.FindRequest) streamorigin.FindReply {
 	found := r.own(question.Key)
 	reply := streamorigin.FindReply{Known: found.IsKnown(), Software: found.Name(), Disputed: found.Disputed()}
-	if sole, ok := r.config.Sole(question.Service); ok {
-		reply.Sole, reply.SoleSoftware = true, sole.Name()
+	if vouch, ok := r.config.Vouch(question.Service); ok {
+		reply.SetVouch(vouch)
 	}
 	return reply
 }
@@ -236,8 +236,7 @@
 type Found struct {
 	Software streamorigin.SoftwareVersion // unknown if it was not found
 	Source   Source
-	// Vouched holds the versions that answering processes know to be the only one for long enough.
-	Vouched []streamorigin.SoftwareVersion
+	Vouched  []streamorigin.Vouch // of the processes that answered
 }
 
 // FindOwn returns what this process's records say of a stream.
@@ -276,8 +275,8 @@
 		case reply.Known && len(reply.Software) <= streamorigin.MaxSoftwareBytes:
 			return Found{Software: streamorigin.Known(reply.Software), Source: SourcePeer}
 		}
-		if reply.Sole {
-			result.Vouched = append(result.Vouched, streamorigin.Known(reply.SoleSoftware))
+		if vouch, ok := reply.Vouch(); ok {
+			result.Vouched = append(result.Vouched, vouch)
 		}
 	}
 	return result
--- a/internal/streamorigin/registry/registry_test.go
+++ b/internal/streamorigin/registry/registry_test.go
@@ -39,7 +39,9 @@
 		_ = listener.Close()
 		n.Registry = New(Config{
 			Client: transport.NewClient("", nil), Address: n.address, Zone: zones[i%2].Name, Now: func() time.Duration { return time.Since(started) },
-			Sole: func(string) (streamorigin.SoftwareVersion, bool) { return streamorigin.Known(sole), sole != "" },
+			Vouch: func(string) (streamorigin.Vouch, bool) {
+				return streamorigin.Vouch{Software: streamorigin.Known(sole), Age: 1500 * time.Microsecond}, sole != ""
+			},
 		})
 		server, err := transport.Listen(n.address, "", func(request transport.Request, respond transport.Respond) {
 			if !n.Handle(request, respond) {
@@ -122,7 +124,9 @@
 	nodes := startNodes(t, 4, "v7")
 	key := recordOf("never", "v1").Key
 	found := nodes[0].find(key)
-	if found.Software.IsKnown() || found.Source != SourceNone || len(found.Vouched) == 0 || slices.ContainsFunc(found.Vouched, func(v streamorigin.SoftwareVersion) bool { return v.Name() != "v7" }) {
+	if found.Software.IsKnown() || found.Source != SourceNone || len(found.Vouched) == 0 || slices.ContainsFunc(found.Vouched, func(v streamorigin.Vouch) bool {
+		return v != streamorigin.Vouch{Software: streamorigin.Known("v7"), Age: 2 * time.Millisecond} // ages are rounded up
+	}) {
 		t.Fatalf("%+v", found)
 	}
 	for _, n := range nodes[1:] {
