--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -45,6 +45,7 @@
 	FatalPart        Kind = "deadly-part"     // requests that share a part of their prompts which crashes each worker
 	RefuseWorkers    Kind = "refuse-workers"  // the same; new connections are reset, open ones live on
 	MixVersions      Kind = "mix-versions"    // half of the engines are replaced, one after the other, by a new software version
+	ReleaseVersion   Kind = "release-version" // all engines are replaced, one after the other, by a new software version
 	IsolateGateway   Kind = "isolate-gateway" // from all control processes and gateways; workers and callers reach it
 	LargeDocuments   Kind = "large-documents" // the settings document grows by many routes and changes in quick succession
 	WipeControl      Kind = "wipe-control"    // control processes are killed and lose their data folders, as many as the plan tolerates
@@ -57,7 +58,7 @@
 
 // Kinds lists all kinds.
 func Kinds() []Kind {
-	return append(drawnKinds(), PowerOff, RollControl, CutZone, ReplaceControl, SlowSync)
+	return append(drawnKinds(), PowerOff, RollControl, CutZone, ReplaceControl, SlowSync, ReleaseVersion)
 }
 
 // drawnKinds lists the kinds that Generate draws, in a fixed order, which the choice from a seed depends on.
@@ -74,7 +75,7 @@
 func (k Kind) Disturbs() bool {
 	switch k {
 	case KillWorker, HotTenant, LowerLimit, ChangeSetting, LargeDocuments, Reload, FatalRequest, ForgedHeartbeats, RejectRequests, DrainWorker, DeregisterWorker, IsolateTenant, AdvertiseLimits,
-		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions, SlowSync:
+		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions, ReleaseVersion, SlowSync:
 		return false
 	}
 	return true
@@ -157,6 +158,9 @@
 	// gateways; 0 means the usual number. NewIDs means that engines have a new instance ID after each start.
 	LongStreams int  `json:"long_streams,omitempty"`
 	NewIDs      bool `json:"new_ids,omitempty"`
+	// LateTakeUps means that half of the callers whose long streams break off wait for 25 to 38 s before they take them up,
+	// at a route whose timeout allows for it.
+	LateTakeUps bool `json:"late_take_ups,omitempty"`
 	// Shape is the deployment that the plan is played on.
 	Shape Shape `json:"shape,omitzero"`
 }
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -36,6 +36,8 @@
 	AdvertiseLimits  func(ctx context.Context, target int, duration time.Duration)
 	// MixVersions replaces half of the engines, one after the other, by a new software version.
 	MixVersions func(ctx context.Context, target int, duration time.Duration)
+	// ReleaseVersion replaces all of them.
+	ReleaseVersion func(ctx context.Context, target int, duration time.Duration)
 	// SendLargeDocuments makes the settings document longer and changes it in quick succession.
 	SendLargeDocuments func(ctx context.Context, target int, duration time.Duration)
 	// SendFatalPart sends requests that share a part of their prompts which crashes each worker.
@@ -124,6 +126,8 @@
 		f.block(ctx, duration, f.linksOf(gateway, f.allProcesses(), true))
 	case MixVersions:
 		f.MixVersions(ctx, fault.Target, duration)
+	case ReleaseVersion:
+		f.ReleaseVersion(ctx, fault.Target, duration)
 	case DelayLinks:
 		f.delay(ctx, duration, f.linksOf(gateway, f.allProcesses(), true))
 	case ResetLinks:
