A configuration that shortens a route's timeout does not shorten how old the streams may become that began before

A gateway takes streams without a record to have begun at the only version of the last twice the longest timeout of the service's routes. The timeouts were those of the newest configuration: one that shortened them let it rely on one version while streams from before could still be taken up, so their rest came from another version.

Change: the timeouts of a replaced configuration count for twice their length after it. A gateway that starts after the change doesn't know them.

Before (the call left out): TestStreamsOutliveTheTimeoutTheyBeganUnder failed, proof 13 s after a version had left whose streams last for up to 40 s. After: it passes.

--- a/internal/gateway/queues.go
+++ b/internal/gateway/queues.go
@@ -67,8 +67,12 @@
 			}
 		}
 	}
+	previous := g.view.Load()
+	if previous != nil {
+		t.keepTimeouts(g.now(), previous)
+	}
 	t.mutex.Unlock()
-	if previous := g.view.Load(); previous != nil {
+	if previous != nil {
 		next.sharingEpoch = max(next.sharingEpoch, previous.sharingEpoch)
 		g.recordSharingEpoch(previous, next)
 	}
--- a/internal/gateway/softwarehistory.go
+++ b/internal/gateway/softwarehistory.go
@@ -19,14 +19,36 @@
 )
 
 // streamAge returns how old a stream of a service may become. The caller holds the mutex.
-func (t *table) streamAge(service string) time.Duration {
+func (t *table) streamAge(now time.Duration, service string) time.Duration {
 	age := t.minStreamAge
 	if current := t.currentViewOrNil(); current != nil {
 		age = max(age, streamAgeFactor*current.streamTimeouts[service])
 	}
+	if earlier := t.earlierTimeouts[service]; now < earlier.until {
+		age = max(age, streamAgeFactor*earlier.timeout)
+	}
 	return age
 }
 
+// earlierTimeout is the longest timeout of a service's streams in earlier views, for as long as streams that began under it may
+// be taken up.
+type earlierTimeout struct {
+	timeout, until time.Duration
+}
+
+// keepTimeouts keeps the timeouts of a view that is replaced. The caller holds the mutex.
+func (t *table) keepTimeouts(now time.Duration, replaced *view) {
+	for service, timeout := range replaced.streamTimeouts {
+		earlier := t.earlierTimeouts[service]
+		if now >= earlier.until {
+			earlier = earlierTimeout{}
+		}
+		earlier.timeout = max(earlier.timeout, timeout)
+		earlier.until = max(earlier.until, now+streamAgeFactor*timeout)
+		t.earlierTimeouts[service] = earlier
+	}
+}
+
 func (t *table) currentViewOrNil() *view {
 	if t.currentView == nil {
 		return nil
@@ -38,7 +60,7 @@
 func (t *table) soleSoftware(now time.Duration, service string) (streamorigin.SoftwareVersion, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.software[service].Sole(now, t.streamAge(service))
+	return t.software[service].Sole(now, t.streamAge(now, service))
 }
 
 // vouchSoftware returns the software version that all back ends of a service have had for as long as any stream may be old,
@@ -46,7 +68,7 @@
 func (t *table) vouchSoftware(now time.Duration, service string) (streamorigin.Vouch, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	version, sole := t.software[service].Sole(now, t.streamAge(service))
+	version, sole := t.software[service].Sole(now, t.streamAge(now, service))
 	return streamorigin.Vouch{Software: version, Age: now - t.rosterConfirmedAt}, sole
 }
 
@@ -57,7 +79,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	history := t.software[service]
-	version, sole := history.Current(now, t.streamAge(service))
+	version, sole := history.Current(now, t.streamAge(now, service))
 	if !sole || slices.ContainsFunc(vouched, func(v streamorigin.Vouch) bool { return v.Software != version }) {
 		return streamorigin.SoftwareVersion{}, false
 	}
@@ -69,7 +91,7 @@
 func (t *table) needsRecords(now time.Duration, service string) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	_, sole := t.software[service].Sole(now, t.streamAge(service)+recordMargin)
+	_, sole := t.software[service].Sole(now, t.streamAge(now, service)+recordMargin)
 	return !sole
 }
 
@@ -114,7 +136,7 @@
 	defer t.mutex.Unlock()
 	needed := map[string]bool{}
 	for service, history := range t.software {
-		if _, sole := history.Sole(now, t.streamAge(service)+recordMargin); !sole {
+		if _, sole := history.Sole(now, t.streamAge(now, service)+recordMargin); !sole {
 			needed[service] = true
 		}
 	}
--- a/internal/gateway/softwarehistory_test.go
+++ b/internal/gateway/softwarehistory_test.go
@@ -12,6 +12,7 @@
 	"kitetiller/internal/control"
 	"kitetiller/internal/control/roster"
 	"kitetiller/internal/mechanism"
+	"kitetiller/internal/node"
 	"kitetiller/internal/streamorigin"
 )
 
@@ -255,3 +256,40 @@
 		f.deregister(fmt.Sprint("i-", f.started))
 	}
 }
+
+// A configuration that shortens the timeout of a route doesn't shorten how old the streams may become that began before.
+func TestStreamsOutliveTheTimeoutTheyBeganUnder(t *testing.T) {
+	const timeout, shorter = 20 * time.Second, time.Second
+	viewOf := func(revision uint64, timeout time.Duration) *view {
+		return newView(&catalog.Document{Revision: revision, Services: []catalog.Service{{Name: historyService}}, Routes: []catalog.Route{{
+			Host: "h", PathPrefix: "/", Streaming: true, Resumable: true, Timeout: timeout, Targets: []catalog.Target{{Service: historyService, Weight: 1}},
+		}}}, nil)
+	}
+	f := newHistoryFleet(1)
+	g := New(Settings{Name: "g", Zone: "z"}, nil, node.NopLog())
+	g.now = func() time.Duration { return f.now }
+	g.table.minStreamAge, f.gateways[0] = historyPeriod, g.table
+	f.register("v1")
+	g.setView(viewOf(1, timeout))
+	f.update(0)
+	f.wait(streamAgeFactor * timeout)
+	if version, proved := f.proof(0); !proved || version.Name() != "v1" {
+		t.Fatalf("before: %q, %t", version.Name(), proved)
+	}
+	f.register("v2")
+	f.deregister("i-1")
+	f.update(0)
+	left := f.now
+	f.wait(2 * time.Second)
+	g.setView(viewOf(2, 2*shorter))
+	f.wait(time.Second)
+	g.setView(viewOf(3, shorter))
+	f.wait(historyPeriod)
+	if version, proved := f.proof(0); proved {
+		t.Fatalf("%v after v1 left, all streams are taken to have begun at %s, and they last for up to %v", f.now-left, version.Name(), streamAgeFactor*timeout)
+	}
+	f.wait(streamAgeFactor * timeout)
+	if version, proved := f.proof(0); !proved || version.Name() != "v2" {
+		t.Fatalf("after the longest life of a stream: %q, %t", version.Name(), proved)
+	}
+}
