Records of streams are sent for the whole margin after a software version has gone

Records are sent for 5 s longer than the proof by one version needs, since other gateways may see the version go later. A question for the shorter period made the history forget the version, so records were sent no longer; a stream that was taken up at such a gateway in those seconds, after the one that began it had died, was refused.

Change: a version that left is kept for the longest period asked for.

Before: TestShorterPeriodForgetsNothing failed. After: it passes.

--- a/internal/streamorigin/history.go
+++ b/internal/streamorigin/history.go
@@ -8,6 +8,7 @@
 	since    time.Duration            // start of the uninterrupted observation
 	present  map[SoftwareVersion]bool // of the registered back ends
 	departed map[SoftwareVersion]time.Duration
+	longest  time.Duration // period asked for; departed holds at least the versions that left in it
 }
 
 // NewHistory returns a history that begins now.
@@ -48,11 +49,12 @@
 	for sole := range h.present {
 		version = sole
 	}
+	h.longest = max(h.longest, period)
 	for other, at := range h.departed {
 		switch {
-		case at <= now-period:
+		case at <= now-h.longest:
 			delete(h.departed, other)
-		case other != version:
+		case at > now-period && other != version:
 			return SoftwareVersion{}, false
 		}
 	}
--- a/internal/streamorigin/history_test.go
+++ b/internal/streamorigin/history_test.go
@@ -78,3 +78,24 @@
 		t.Fatal("a service without back ends has a sole version")
 	}
 }
+
+// A question for a short period must not make the history forget what matters for a longer one: records of streams are
+// sent for longer than the proof that one version serves needs.
+func TestShorterPeriodForgetsNothing(t *testing.T) {
+	const short, long = 10 * time.Second, 15 * time.Second
+	h := NewHistory(0)
+	h.Observe(0, present("v1"))
+	h.Observe(time.Minute, present("v2"))
+	if _, ok := h.Sole(time.Minute, long); ok {
+		t.Fatal("v1 has just left")
+	}
+	if _, ok := h.Sole(time.Minute+short, short); !ok {
+		t.Fatal("v2 is the only version of the short period")
+	}
+	if _, ok := h.Sole(time.Minute+short, long); ok {
+		t.Fatal("v1 was present in the long period")
+	}
+	if _, ok := h.Sole(time.Minute+long, long); !ok {
+		t.Fatal("v2 is the only version of the long period")
+	}
+}
