Streams whose callers wait longer than 30 s are not taken to have begun at the only version of the last 30 s

What makes the proof by one version safe is that no caller takes a stream up later than 30 s after it broke off, or than twice the longest timeout of the service's routes. Callers state how long they wait, and nothing keeps that below these bounds: after all gateways had been killed while a version left, callers that came back after 30 s and more got 200 and the rest of their stream from the new version.

Change: how long the callers of a service's streams say that they wait counts too, for as long as they may come back, 10 min at most, as for records. A gateway knows the callers it has seen since its start; after a loss of all of them the first such caller teaches it.

TestCallersThatWaitLongArePartOfTheProof failed without the change. Callers that wait up to 30 s see no difference.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -28,10 +28,14 @@
 // findOrigin finds out at which software version the stream began that the request goes on with, and rejects the request if
 // that is not known. Requests that begin a stream need none.
 func (x *exchange) findOrigin() bool {
-	if !x.route.Streaming || x.call.LastEvent == "" {
+	if !x.route.Streaming {
 		return true
 	}
 	g, began := x.gateway, x.gateway.now()
+	g.table.recordCallerWait(began, x.service.Name, x.call.Timeout)
+	if x.call.LastEvent == "" {
+		return true
+	}
 	x.origin.takesUp = true
 	x.origin.found = x.searchOrigin()
 	x.origin.took = g.now() - began
--- a/internal/gateway/softwarehistory.go
+++ b/internal/gateway/softwarehistory.go
@@ -24,31 +24,41 @@
 	if current := t.currentViewOrNil(); current != nil {
 		age = max(age, streamAgeFactor*current.streamTimeouts[service])
 	}
-	if earlier := t.earlierTimeouts[service]; now < earlier.until {
-		age = max(age, streamAgeFactor*earlier.timeout)
+	if known := t.streamAges[service]; now < known.until {
+		age = max(age, known.age)
 	}
 	return age
 }
 
-// earlierTimeout is the longest timeout of a service's streams in earlier views, for as long as streams that began under it may
-// be taken up.
-type earlierTimeout struct {
-	timeout, until time.Duration
+// knownAge is how old streams of a service may become of which a gateway knows more than its view says, while one of them may
+// still be taken up.
+type knownAge struct {
+	age, until time.Duration
+}
+
+// keepAge records that a stream of a service which has begun by now may become so old. The caller holds the mutex.
+func (t *table) keepAge(now time.Duration, service string, age time.Duration) {
+	known := t.streamAges[service]
+	if now >= known.until {
+		known = knownAge{}
+	}
+	t.streamAges[service] = knownAge{age: max(known.age, age), until: max(known.until, now+age)}
 }
 
 // keepTimeouts keeps the timeouts of a view that is replaced. The caller holds the mutex.
 func (t *table) keepTimeouts(now time.Duration, replaced *view) {
 	for service, timeout := range replaced.streamTimeouts {
-		earlier := t.earlierTimeouts[service]
-		if now >= earlier.until {
-			earlier = earlierTimeout{}
-		}
-		earlier.timeout = max(earlier.timeout, timeout)
-		earlier.until = max(earlier.until, now+streamAgeFactor*timeout)
-		t.earlierTimeouts[service] = earlier
+		t.keepAge(now, service, streamAgeFactor*timeout)
 	}
 }
 
+// recordCallerWait records how long the caller of a stream waits, which may be longer than the timeouts of routes say.
+func (t *table) recordCallerWait(now time.Duration, service string, wait time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.keepAge(now, service, min(wait, streamorigin.MaxTTL))
+}
+
 func (t *table) currentViewOrNil() *view {
 	if t.currentView == nil {
 		return nil
--- a/internal/gateway/softwarehistory_test.go
+++ b/internal/gateway/softwarehistory_test.go
@@ -293,3 +293,37 @@
 		t.Fatalf("after the longest life of a stream: %q, %t", version.Name(), proved)
 	}
 }
+
+// A caller that waits longer than the timeouts of routes suggest may take its stream up when its version has long left.
+func TestCallersThatWaitLongArePartOfTheProof(t *testing.T) {
+	const wait = 3 * historyPeriod
+	f := newHistoryFleet(1)
+	f.register("v1")
+	f.update(0)
+	f.wait(2 * historyPeriod)
+	f.gateways[0].recordCallerWait(f.now, historyService, wait)
+	if version, proved := f.proof(0); proved {
+		t.Fatalf("after %v all streams are taken to have begun at %s, and they last for up to %v", f.now, version.Name(), wait)
+	}
+	f.wait(historyPeriod)
+	if version, proved := f.proof(0); !proved || version.Name() != "v1" {
+		t.Fatalf("after the longest wait: %q, %t", version.Name(), proved)
+	}
+	f.register("v2")
+	f.gateways[0].recordCallerWait(f.now, historyService, wait)
+	f.deregister("i-1")
+	f.update(0)
+	f.wait(wait - time.Second)
+	if version, proved := f.proof(0); proved {
+		t.Fatalf("%v after v1 left, all streams are taken to have begun at %s, and one may last for %v", wait-time.Second, version.Name(), wait)
+	}
+	f.wait(time.Second)
+	if version, proved := f.proof(0); !proved || version.Name() != "v2" {
+		t.Fatalf("after the caller has left: %q, %t", version.Name(), proved)
+	}
+	f.gateways[0].recordCallerWait(f.now, historyService, 100*streamorigin.MaxTTL)
+	f.wait(streamorigin.MaxTTL)
+	if version, proved := f.proof(0); !proved || version.Name() != "v2" {
+		t.Fatalf("after an absurd wait: %q, %t", version.Name(), proved)
+	}
+}
