Streams of a route that moved to another service are not taken to have begun at the only version of the new one

A caller that takes a stream up names its request, not its service: that follows from the route. After a configuration had moved the route, a gateway without a record relied on the only version of the new service, though the stream had begun at the other service, whose version may be another one.

Change: a service to which requests go that went to others before has no proof by one version for as long as a stream of either may be old; its gateways send records meanwhile and vouch for nothing. That covers routes that move, lose a part of a split, begin at a longer prefix, or are removed in favour of a shorter one; a route that is removed and comes back later with another service is not covered.

Before (the call left out): TestStreamsOfAMovedRouteAreNotTheNewServices failed in its five cases of routes that moved. After: it passes, and what did not move keeps its proof.

--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -90,6 +90,8 @@
 	softwareSince time.Duration
 	minStreamAge  time.Duration
 	streamAges    map[string]knownAge // by service
+	// movedAt is when requests that went to other services before began to go to a service.
+	movedAt map[string]time.Duration
 	// rosterConfirmedAt is when the latest watch was sent whose reply confirmed the roster.
 	rosterConfirmedAt time.Duration
 }
@@ -100,7 +102,7 @@
 		published: belief.NewPublishTimes(guard.Set{}), stored: belief.NewStoredParts(), stores: storeindex.New(), links: belief.Links{}, signals: pushback.NewTracker(),
 		lanes: map[string]*lanes{}, meanDurations: map[string]belief.MeanDuration{}, prefillEstimates: map[string]belief.PrefillEstimate{}, lastSent: map[string]time.Duration{}, admission: map[string]*admission.Controller{},
 		queueRates: map[string]*enginequeue.Rates{}, placed: map[string]placement{}, holders: map[string][]*endpoint{}, waiting: map[*attempt]struct{}{}, rosterChanged: newNotifier(), lastRetryAt: map[string]time.Duration{}, reservations: map[string]*reservation.Controller{},
-		software: map[string]*streamorigin.History{}, streamAges: map[string]knownAge{}, minStreamAge: defaultMinStreamAge,
+		software: map[string]*streamorigin.History{}, streamAges: map[string]knownAge{}, movedAt: map[string]time.Duration{}, minStreamAge: defaultMinStreamAge,
 		direct: directPaths{unanswered: map[string]unansweredRuns{}},
 	}
 }
--- a/internal/gateway/queues.go
+++ b/internal/gateway/queues.go
@@ -70,6 +70,7 @@
 	previous := g.view.Load()
 	if previous != nil {
 		t.keepTimeouts(g.now(), previous)
+		t.recordMoves(g.now(), next.movedStreams(previous))
 	}
 	t.mutex.Unlock()
 	if previous != nil {
--- a/internal/gateway/softwarehistory.go
+++ b/internal/gateway/softwarehistory.go
@@ -66,11 +66,36 @@
 	return t.currentView()
 }
 
+// recordMoves records that requests go to services that went to others before: streams that began at those may be taken up
+// here. The caller holds the mutex.
+func (t *table) recordMoves(now time.Duration, moved map[string][]string) {
+	for service, earlier := range moved {
+		t.movedAt[service] = now
+		for _, from := range earlier {
+			t.keepAge(now, service, t.streamAge(now, from))
+		}
+	}
+}
+
+// movedWithin reports whether requests of other services began to go to a service within a period. The caller holds the
+// mutex.
+func (t *table) movedWithin(now time.Duration, service string, period time.Duration) bool {
+	at, moved := t.movedAt[service]
+	return moved && at > now-period
+}
+
+// sole returns the software version at which all streams of a period began that may be taken up at a service, if there is
+// one. The caller holds the mutex.
+func (t *table) sole(now time.Duration, service string, period time.Duration) (streamorigin.SoftwareVersion, bool) {
+	version, sole := t.software[service].Sole(now, period)
+	return version, sole && !t.movedWithin(now, service, period)
+}
+
 // soleSoftware returns the software version that all back ends of a service have had for as long as any stream may be old.
 func (t *table) soleSoftware(now time.Duration, service string) (streamorigin.SoftwareVersion, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.software[service].Sole(now, t.streamAge(now, service))
+	return t.sole(now, service, t.streamAge(now, service))
 }
 
 // vouchSoftware returns the software version that all back ends of a service have had for as long as any stream may be old,
@@ -78,7 +103,7 @@
 func (t *table) vouchSoftware(now time.Duration, service string) (streamorigin.Vouch, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	version, sole := t.software[service].Sole(now, t.streamAge(now, service))
+	version, sole := t.sole(now, service, t.streamAge(now, service))
 	return streamorigin.Vouch{Software: version, Age: now - t.rosterConfirmedAt}, sole
 }
 
@@ -90,7 +115,7 @@
 	defer t.mutex.Unlock()
 	history := t.software[service]
 	version, sole := history.Current(now, t.streamAge(now, service))
-	if !sole || slices.ContainsFunc(vouched, func(v streamorigin.Vouch) bool { return v.Software != version }) {
+	if !sole || t.movedWithin(now, service, t.streamAge(now, service)) || slices.ContainsFunc(vouched, func(v streamorigin.Vouch) bool { return v.Software != version }) {
 		return streamorigin.SoftwareVersion{}, false
 	}
 	seamless := slices.ContainsFunc(vouched, func(v streamorigin.Vouch) bool { return history.ObservedSince(askedAt - v.Age) })
@@ -101,7 +126,7 @@
 func (t *table) needsRecords(now time.Duration, service string) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	_, sole := t.software[service].Sole(now, t.streamAge(now, service)+recordMargin)
+	_, sole := t.sole(now, service, t.streamAge(now, service)+recordMargin)
 	return !sole
 }
 
@@ -145,8 +170,8 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	needed := map[string]bool{}
-	for service, history := range t.software {
-		if _, sole := history.Sole(now, t.streamAge(now, service)+recordMargin); !sole {
+	for service := range t.software {
+		if _, sole := t.sole(now, service, t.streamAge(now, service)+recordMargin); !sole {
 			needed[service] = true
 		}
 	}
--- a/internal/gateway/softwarehistory_test.go
+++ b/internal/gateway/softwarehistory_test.go
@@ -327,3 +327,55 @@
 		t.Fatalf("after an absurd wait: %q, %t", version.Name(), proved)
 	}
 }
+
+// Streams that began at another service, to which their requests went before a change of the configuration, are not taken to
+// have begun at the only version of the service that gets the requests now.
+func TestStreamsOfAMovedRouteAreNotTheNewServices(t *testing.T) {
+	routeTo := func(prefix string, targets ...catalog.Target) catalog.Route {
+		return catalog.Route{Host: "h", PathPrefix: prefix, Streaming: true, Resumable: true, Timeout: time.Second, Targets: targets}
+	}
+	here, there, nothing := catalog.Target{Service: historyService, Weight: 1}, catalog.Target{Service: "other", Weight: 1}, catalog.Target{Service: "other"}
+	for name, test := range map[string]struct {
+		before, after []catalog.Route
+		moved         bool
+	}{
+		"moved":            {[]catalog.Route{routeTo("/a/", there)}, []catalog.Route{routeTo("/a/", here)}, true},
+		"no longer split":  {[]catalog.Route{routeTo("/a/", here, there)}, []catalog.Route{routeTo("/a/", here)}, true},
+		"weight 0":         {[]catalog.Route{routeTo("/a/", here, there)}, []catalog.Route{routeTo("/a/", here, nothing)}, true},
+		"longer prefix":    {[]catalog.Route{routeTo("/a/", there)}, []catalog.Route{routeTo("/a/", there), routeTo("/a/b/", here)}, true},
+		"removed":          {[]catalog.Route{routeTo("/a/", here), routeTo("/a/b/", there)}, []catalog.Route{routeTo("/a/", here)}, true},
+		"unchanged":        {[]catalog.Route{routeTo("/a/", here), routeTo("/a/b/", there)}, []catalog.Route{routeTo("/a/", here), routeTo("/a/b/", there)}, false},
+		"new route":        {[]catalog.Route{routeTo("/a/", here), routeTo("/b/", there)}, []catalog.Route{routeTo("/a/", here), routeTo("/c/", here)}, false},
+		"moved elsewhere":  {[]catalog.Route{routeTo("/a/", here)}, []catalog.Route{routeTo("/a/", there)}, false},
+		"never had weight": {[]catalog.Route{routeTo("/a/", here, nothing)}, []catalog.Route{routeTo("/a/", here)}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			viewOf := func(revision uint64, routes []catalog.Route) *view {
+				return newView(&catalog.Document{Revision: revision, Services: []catalog.Service{{Name: historyService}, {Name: "other"}}, Routes: routes}, nil)
+			}
+			f := newHistoryFleet(2)
+			g := New(Settings{Name: "g", Zone: "z"}, nil, node.NopLog())
+			g.now = func() time.Duration { return f.now }
+			g.table.minStreamAge, f.gateways[0] = historyPeriod, g.table
+			f.register("v1")
+			g.setView(viewOf(1, test.before))
+			f.updateAllBut(-1)
+			f.wait(2 * historyPeriod)
+			f.updateAllBut(-1)
+			g.setView(viewOf(2, test.after))
+			f.wait(historyPeriod - time.Second)
+			_, proved := f.gateways[0].soleSoftware(f.now, historyService)
+			_, vouches := f.gateways[0].vouchSoftware(f.now, historyService)
+			if proved == test.moved || vouches == test.moved || f.gateways[0].needsRecords(f.now, historyService) != test.moved {
+				t.Fatalf("proved %t, vouches %t, moved %t", proved, vouches, test.moved)
+			}
+			if _, proved := f.proof(0); proved == test.moved {
+				t.Fatalf("proved by the word of others %t, moved %t", proved, test.moved)
+			}
+			f.wait(time.Second)
+			if version, proved := f.gateways[0].soleSoftware(f.now, historyService); !proved || version.Name() != "v1" {
+				t.Fatalf("after the longest life of a stream: %q, %t", version.Name(), proved)
+			}
+		})
+	}
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -78,6 +78,52 @@
 	return nil
 }
 
+// movedStreams returns, by service, the services to which requests that now go there went in a previous view, if they can't go
+// to those any more. Its cost grows with the product of the routes and those that were added or removed.
+func (v *view) movedStreams(previous *view) map[string][]string {
+	moved := map[string][]string{}
+	for host, routes := range v.routes {
+		earlier := routesByPrefix(previous.routes[host])
+		for _, route := range routes {
+			before := earlier[route.PathPrefix]
+			delete(earlier, route.PathPrefix)
+			if before == nil && route.Streaming {
+				before = previous.route(host, route.PathPrefix)
+			}
+			addMoved(moved, before, route)
+		}
+		for prefix, removed := range earlier {
+			addMoved(moved, removed, v.route(host, prefix))
+		}
+	}
+	return moved
+}
+
+func routesByPrefix(routes []*catalog.Route) map[string]*catalog.Route {
+	byPrefix := make(map[string]*catalog.Route, len(routes))
+	for _, route := range routes {
+		byPrefix[route.PathPrefix] = route
+	}
+	return byPrefix
+}
+
+// addMoved adds the services that got requests before and don't any more to those of the services that get them now. The
+// routes may be nil.
+func addMoved(moved map[string][]string, before, now *catalog.Route) {
+	if before == nil || now == nil || !now.Streaming {
+		return
+	}
+	for _, from := range before.Targets {
+		gets := func(t catalog.Target) bool { return t.Service == from.Service && t.Weight > 0 }
+		if from.Weight == 0 || slices.ContainsFunc(now.Targets, gets) {
+			continue
+		}
+		for _, to := range now.Targets {
+			moved[to.Service] = append(moved[to.Service], from.Service)
+		}
+	}
+}
+
 // storeOf returns the cache store for a prompt's shared parts, or nil if there are no stores. It uses rendezvous
 // hashing, so that all gateways choose the same store and the parts are spread over all stores.
 func (v *view) storeOf(parts []prefix.Part) *catalog.Service {
