Routers: the proof that one software version serves takes as long as records of streams last

A router without a record took a stream to have begun at the only version of the last minute, though clients may come back within 5 min, for which records last. After a restart of all routers while an engine's software was replaced, a client that came back after more than a minute got the rest of its stream from the new version.

Change: one constant for both. A client that comes back later than 5 min after its stream broke off is not covered; none states how long it waits.

Before: TestStreamOfUnknownOriginWaitsForNoShorterProofThanItsRecord failed with the minute (the rest was dispatched 4 min 59 s after the start).

--- a/internal/core/software.go
+++ b/internal/core/software.go
@@ -37,16 +37,17 @@
 	}
 	if r.emitted == r.ResumeFrom {
 		service := c.service(r.Service)
-		_, sole := service.software.Sole(c.now, maxStreamAge+recordMargin)
+		_, sole := service.software.Sole(c.now, MaxStreamAge+recordMargin)
 		c.emit(ActionRecordOrigin{ID: r.ID, Software: r.software.Version(), Replicate: !sole})
 	}
 	return true
 }
 
 const (
-	// maxStreamAge is how old a stream may become over all its client's requests, and recordMargin how much longer other
-	// routers may notice that a software version has gone.
-	maxStreamAge = time.Minute
+	// MaxStreamAge is for how long a client may go on with a stream that broke off. Clients don't state it. Within it a record
+	// of the stream, or the proof that there was one software version only, tells where it began.
+	MaxStreamAge = 5 * time.Minute
+	// recordMargin is how much longer other routers may notice that a software version has gone.
 	recordMargin = 15 * time.Second
 )
 
@@ -58,7 +59,7 @@
 	}
 	origin := r.Origin
 	if !origin.IsKnown() && !origin.Disputed() {
-		origin, _ = c.service(r.Service).software.Sole(c.now, maxStreamAge)
+		origin, _ = c.service(r.Service).software.Sole(c.now, MaxStreamAge)
 	}
 	r.software = streamorigin.SameAs(origin)
 	return origin.IsKnown()
--- a/internal/core/software_test.go
+++ b/internal/core/software_test.go
@@ -1,6 +1,9 @@
 package core
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // reportSoftware reports an engine as running a software version.
 func (h *harness) reportSoftware(name string, incarnation uint64, software string) []Action {
@@ -77,3 +80,28 @@
 		t.Fatalf("passed on %+v", chunk)
 	}
 }
+
+// After a restart of all routers a client that comes back within the time for which records last must not get the rest of
+// its stream from another software version than the one that had left by then.
+func TestStreamOfUnknownOriginWaitsForNoShorterProofThanItsRecord(t *testing.T) {
+	h := newHarness(t, 2)
+	serve := func(d time.Duration) {
+		for until := h.now + d; h.now < until; h.advance(time.Second) {
+			h.reportSoftware(engineName(0), 2, "b2")
+			h.reportSoftware(engineName(1), 2, "b2")
+		}
+	}
+	takeUp := func(id int) []Action {
+		r := promptRequest(id, 4)
+		r.ResumeFrom = 1
+		return h.tick(EventRequest{r})
+	}
+	serve(MaxStreamAge - time.Second)
+	if final := requireAction[ActionFinish](t, takeUp(1)); final.Reason != ReasonOriginUnknown {
+		t.Fatalf("%+v", final)
+	}
+	serve(5 * time.Second)
+	if sent := requireAction[ActionDispatch](t, takeUp(2)); sent.ResumeFrom != 1 {
+		t.Fatalf("%+v", sent)
+	}
+}
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -18,9 +17,8 @@
 )
 
 const (
-	// streamRecordTTL is how long the record of a stream lasts after the stream began or went on here. Clients don't state
-	// for how long they may come back.
-	streamRecordTTL = 5 * time.Minute
+	// streamRecordTTL is how long the record of a stream lasts after the stream began or went on here.
+	streamRecordTTL = core.MaxStreamAge
 	// maxRecordHolders bounds the routers of a zone that keep records for others.
 	maxRecordHolders = 4
 )
