--- a/internal/gateway/queues.go
+++ b/internal/gateway/queues.go
@@ -45,7 +45,11 @@
 
 // setView installs a new view, and lets the latency-critical services of the view have queues.
 func (g *Gateway) setView(next *view) {
-	t := g.table
+	t, previous := g.table, g.view.Load()
+	var moved map[string][]string
+	if previous != nil {
+		moved = next.movedStreams(previous)
+	}
 	t.mutex.Lock()
 	for service := range next.services {
 		if !next.critical[service] || !g.enabled(mechanism.EngineQueue) && !g.enabled(mechanism.PauseBound) {
@@ -67,10 +71,9 @@
 			}
 		}
 	}
-	previous := g.view.Load()
 	if previous != nil {
 		t.keepTimeouts(g.now(), previous)
-		t.recordMoves(g.now(), next.movedStreams(previous))
+		t.recordMoves(g.now(), moved)
 	}
 	t.mutex.Unlock()
 	if previous != nil {
