--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,10 +28,14 @@
 // findOrigin finds out at which software version the stream began that the request goes on with, and rejects the request if
 // that is not known. Requests that begin a stream need none.
 func (x *exchange) findOrigin() bool {
-	if !x.route.Streaming || x.call.LastEvent == "" {
+	if !x.route.Streaming {
 		return true
 	}
 	g, began := x.gateway, x.gateway.now()
+	g.table.recordCallerWait(began, x.service.Name, x.call.Timeout)
+	if x.call.LastEvent == "" {
+		return true
+	}
 	x.origin.takesUp = true
 	x.origin.found = x.searchOrigin()
 	x.origin.took = g.now() - began
@@ -104,12 +107,12 @@
 		return registry.Found{Source: registry.SourceNone}
 	}
 	g := x.gateway
+	askedAt := g.now()
 	found := g.streams.Find(x.ctx, streamorigin.FindRequest{Key: x.origin.key, Service: x.service.Name})
-	if !certain || len(found.Vouched) == 0 || !g.confirmView(x.ctx) {
+	if !certain || found.Software.IsKnown() || len(found.Vouched) == 0 || !g.confirmView(x.ctx) {
 		return found
 	}
-	version, sole := g.table.currentSoftware(g.now(), x.service.Name)
-	if sole && !slices.ContainsFunc(found.Vouched, func(v streamorigin.SoftwareVersion) bool { return v != version }) {
+	if version, sole := g.table.vouchedSoftware(g.now(), askedAt, x.service.Name, found.Vouched); sole {
 		return registry.Found{Software: version, Source: registry.SourceSole}
 	}
 	return found
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -18,9 +17,8 @@
 )
 
 const (
-	// streamRecordTTL is how long the record of a stream lasts after the stream began or went on here. Clients don't state
-	// for how long they may come back.
-	streamRecordTTL = 5 * time.Minute
+	// streamRecordTTL is how long the record of a stream lasts after the stream began or went on here.
+	streamRecordTTL = core.MaxStreamAge
 	// maxRecordHolders bounds the routers of a zone that keep records for others.
 	maxRecordHolders = 4
 )
@@ -29,7 +27,7 @@
 func newStreams(client *transport.Client, now clock.Source, zone, address string) *registry.Registry {
 	return registry.New(registry.Config{
 		Client: client, Zone: zone, Address: address, Now: now,
-		Sole: func(string) (streamorigin.SoftwareVersion, bool) { return streamorigin.SoftwareVersion{}, false }, // the core knows for itself
+		Vouch: func(string) (streamorigin.Vouch, bool) { return streamorigin.Vouch{}, false }, // the core knows for itself
 	})
 }
 
--- a/internal/streamorigin/history.go
+++ b/internal/streamorigin/history.go
@@ -8,6 +8,7 @@
 	since    time.Duration            // start of the uninterrupted observation
 	present  map[SoftwareVersion]bool // of the registered back ends
 	departed map[SoftwareVersion]time.Duration
+	longest  time.Duration // period asked for; departed holds at least the versions that left in it
 }
 
 // NewHistory returns a history that begins now.
@@ -28,6 +29,9 @@
 // Interrupt records that changes up to now may have been missed.
 func (h *History) Interrupt(now time.Duration) { h.since = now }
 
+// ObservedSince reports whether the observation has not been interrupted since a time.
+func (h *History) ObservedSince(at time.Duration) bool { return h != nil && h.since <= at }
+
 // Sole returns the version that all back ends have had for a period; ok is false if there were others, if one is not
 // known, or if the observation is shorter.
 func (h *History) Sole(now, period time.Duration) (version SoftwareVersion, ok bool) {
@@ -45,11 +49,12 @@
 	for sole := range h.present {
 		version = sole
 	}
+	h.longest = max(h.longest, period)
 	for other, at := range h.departed {
 		switch {
-		case at <= now-period:
+		case at <= now-h.longest:
 			delete(h.departed, other)
-		case other != version:
+		case at > now-period && other != version:
 			return SoftwareVersion{}, false
 		}
 	}
