Soak: a machine that replaces another syncs slowly while all do

A slow-sync fault of all control processes wrote the delays of the data folders that existed when it began. A replace-control during it moved a process to a folder without one, so its successor synced fast.

Cause seen in kept folders of a replacement beside slow syncs: the successor's folder has no delay.

A folder is read under the process's lock, as a replacement changes it.

--- a/internal/lab/soak/outage.go
+++ b/internal/lab/soak/outage.go
@@ -63,7 +63,7 @@
 		if len(taken) >= min(count, free) {
 			break
 		}
-		if p.DataDir != "" && !d.lost[p].After(now) {
+		if p.Folder() != "" && !d.lost[p].After(now) {
 			taken = append(taken, p)
 			d.lost[p] = now.Add(farFuture)
 		}
@@ -162,6 +162,7 @@
 	stopAll(syscall.SIGKILL, struck)
 	for _, p := range struck {
 		f.Replace(p)
+		f.inheritSlowSyncs(p)
 	}
 	Sleep(ctx, duration)
 	startAll(struck)
@@ -191,7 +192,7 @@
 func (f *Fleet) removeFolders(processes []*Process) {
 	stopAll(syscall.SIGKILL, processes)
 	for _, p := range processes {
-		_ = os.RemoveAll(p.DataDir)
+		_ = os.RemoveAll(p.Folder())
 		f.OnWipe(p)
 	}
 }
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -19,7 +19,7 @@
 	Env  []string // in addition to the environment of this process
 	Args []string // program and its arguments
 	Log  string   // file that standard output and standard error are appended to
-	// DataDir is the folder of the process's lasting data, or "".
+	// DataDir is the folder of the process's lasting data, or "". Folder returns it once Move may change it.
 	DataDir string
 	// AlternateBuild is another build of the program, or "". If set, starts alternate between Args[0] and it.
 	AlternateBuild string
@@ -41,6 +41,13 @@
 	p.DataDir = dataDir
 }
 
+// Folder returns the folder of the process's lasting data, or "".
+func (p *Process) Folder() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.DataDir
+}
+
 // Start starts the process unless it is running.
 func (p *Process) Start() error {
 	p.mu.Lock()
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -55,6 +56,8 @@
 	OnReturn func(Fault)
 	// Zone returns the zone of a process.
 	Zone func(name string) string
+
+	allSyncsMS atomic.Int64 // by how much the syncs of all control processes are delayed now, in milliseconds
 }
 
 // linkDelay is the delay that DelayLinks adds to each link.
--- a/internal/lab/soak/usage.go
+++ b/internal/lab/soak/usage.go
@@ -12,7 +12,7 @@
 // DataBytes returns the size of the files in the data folder of the process. Files that vanish meanwhile don't count.
 func (p *Process) DataBytes() int64 {
 	total := int64(0)
-	_ = filepath.WalkDir(p.DataDir, func(_ string, entry fs.DirEntry, err error) error {
+	_ = filepath.WalkDir(p.Folder(), func(_ string, entry fs.DirEntry, err error) error {
 		if err != nil || entry.IsDir() {
 			return nil
 		}
