Sim: slow writes take as long as their syncs in a row

A write took one sync however many the storage log carries out for it, and a start none, so that what takes several syncs in a row, as the start and the first state of an empty replica do, was too fast beside slow syncs.

An append is one sync, a checkpoint four (its file, its name, the opening for appends, the removal of the segment before), the first segment of an empty folder three, the opening of a log one, as storage.Log carries them out. The files of an identity are not counted. Syncs of checkpoints are no longer reported as the duration of a sync, as in the server.

--- a/internal/lab/sim/control.go
+++ b/internal/lab/sim/control.go
@@ -56,7 +56,9 @@
 	nextID           uint64
 	joinClient       *controlClient
 
-	keepBuild bool // the next start uses the same build
+	openings   int  // number of starts, and of ends of the process
+	hasSegment bool // the data directory has the log's first segment
+	keepBuild  bool // the next start uses the same build
 }
 
 func (n *controlNode) clock() time.Duration { return n.elapsed(n.startedAt, n.w.now()) }
@@ -66,7 +68,7 @@
 // newDataDir replaces the data directory by an empty one and gives the replica a new identity.
 func (n *controlNode) newDataDir() {
 	n.dataDirs++
-	n.disk, n.segmentBytes = control.Checkpoint{}, 0
+	n.disk, n.segmentBytes, n.hasSegment = control.Checkpoint{}, 0, false
 	n.identity = control.NewIdentity(n.name, fmt.Sprint(n.dataDirs), n.w.guards)
 }
 
@@ -74,9 +76,26 @@
 	return consensus.Member{ID: n.identity.ID, Name: n.name, Address: n.name}
 }
 
-// boot starts the process from the state on its disk.
+// boot opens the log and then starts the process from the state on its disk.
 func (n *controlNode) boot() {
+	n.openings++
+	opening := n.openings
+	if delay := n.openTime(); delay > 0 {
+		n.w.recordControlDisturbance(delay)
+		n.w.after(delay, func() {
+			if n.openings == opening {
+				n.startReplica()
+			}
+		})
+		return
+	}
+	n.startReplica()
+}
+
+// startReplica starts the process from the state on its disk.
+func (n *controlNode) startReplica() {
 	n.start()
+	n.hasSegment = true
 	n.startedAt = n.w.now()
 	n.syncing, n.unsynced = nil, nil
 	n.clients, n.sent = map[uint64]func(control.Response){}, map[consensus.ID]sentBytes{}
@@ -122,6 +141,7 @@
 		n.storePartially(*n.syncing)
 	}
 	n.syncing, n.unsynced = nil, nil
+	n.openings++ // a start that is under way ends
 	n.w.outages.last = max(n.w.outages.last, n.w.now())
 	n.kill(silent)
 }
@@ -189,7 +209,7 @@
 func (n *controlNode) beginSync(persist control.Persist) {
 	n.syncing = &persist
 	began := n.w.now()
-	delay := max(n.w.between(500*time.Microsecond, 6*time.Millisecond)+n.syncDelay(), n.diskStalledUntil-n.w.now())
+	delay := max(n.w.between(500*time.Microsecond, 6*time.Millisecond)+syncsOf(persist)*n.syncDelay(), n.diskStalledUntil-n.w.now())
 	n.after(delay, func() {
 		if n.isFull() {
 			n.failWrite()
@@ -197,7 +217,9 @@
 		}
 		n.store(persist)
 		n.syncing = nil
-		n.replica.ObserveSync(n.w.now() - began)
+		if persist.Checkpoint == nil { // as the server does
+			n.replica.ObserveSync(n.w.now() - began)
+		}
 		n.send(n.replica.Advance(n.clock()))
 		n.advance()
 	})
--- a/internal/lab/sim/slowsync.go
+++ b/internal/lab/sim/slowsync.go
@@ -1,6 +1,10 @@
 package sim
 
-import "time"
+import (
+	"time"
+
+	"kitetiller/internal/control"
+)
 
 const (
 	minSlowSync   = 50 * time.Millisecond
@@ -9,6 +13,35 @@
 	maxSlowLength = 15 * time.Second
 )
 
+// Numbers of syncs in a row of the writes of a replica, as storage.Log carries them out. A checkpoint syncs its file and its
+// name, opens it again, and syncs the removal of the segment before; the first segment of an empty folder does the same but
+// for the last; opening a log syncs its newest segment.
+const (
+	appendSyncs     = 1
+	checkpointSyncs = 4
+	firstStateSyncs = 3
+	openSyncs       = 1
+)
+
+// syncsOf returns the number of syncs in a row of a write.
+func syncsOf(persist control.Persist) time.Duration {
+	if persist.Checkpoint != nil {
+		return checkpointSyncs
+	}
+	return appendSyncs
+}
+
+// openTime returns how long the syncs of a start take that are slower than usual.
+func (n *controlNode) openTime() time.Duration {
+	if n.hasSegment {
+		return openSyncs * n.syncDelay()
+	}
+	return firstStateSyncs * n.syncDelay()
+}
+
+// endSlowSyncs ends what slowDown began.
+func (n *controlNode) endSlowSyncs() { n.slowUntil = min(n.slowUntil, n.w.now()) }
+
 // syncDelay returns by how much a write that begins now takes longer than usual.
 func (n *controlNode) syncDelay() time.Duration {
 	if n.w.now() >= n.slowUntil {
