Sim: replaced machines, then a loss of power with lost disks

New machines, and others if one more loss is tolerated, freeze or are cut off before; links take 50 ms; several pairs in a run.

--- a/cmd/kitelab/sim.go
+++ b/cmd/kitelab/sim.go
@@ -29,6 +29,7 @@
 	trace          string
 	workers        int
 	outages        bool
+	replacements   bool
 }
 
 func defineSim() command {
@@ -41,12 +42,15 @@
 	sub.Bool(&flags.listInvariants, "", "list-invariants", "list what is checked")
 	sub.String(&flags.trace, "t", "trace", "file for the whole trace of the first seed")
 	sub.Bool(&flags.outages, "", "outages", "a group of 5 voters among 8 replicas that loses several disks at once, with power lost everywhere else")
+	sub.Bool(&flags.replacements, "", "replacements", "replaced machines and lost disks of control, and once they are made up for, a loss of power with as many lost disks as are tolerated")
 	sub.Int(&flags.workers, "w", "workers", "seeds run at once")
 	return command{sub, flags.run}
 }
 
 func (f *simFlags) run() error {
 	switch {
+	case f.outages && f.replacements:
+		return eris.New("--outages and --replacements exclude each other")
 	case f.listGuards:
 		for _, known := range guard.All() {
 			fmt.Println(known)
@@ -120,7 +124,10 @@
 
 // play runs one seed.
 func (f *simFlags) play(seed uint64, guards guard.Set, trace io.Writer) sim.Result {
-	if f.outages {
+	switch {
+	case f.replacements:
+		return sim.RunReplacements(seed, guards, trace)
+	case f.outages:
 		return sim.RunOutages(seed, guards, trace)
 	}
 	return sim.Run(seed, guards, trace)
--- a/internal/lab/sim/callers.go
+++ b/internal/lab/sim/callers.go
@@ -88,6 +88,9 @@
 func (c *callers) newJob() *job {
 	c.jobCount++
 	created := &job{w: c.w, name: fmt.Sprintf("q%d", c.jobCount), tenant: pick(c.w, tenants), toService: c.w.chance(serviceRequestRatio)}
+	if c.w.outages.replacements.slow {
+		created.toService = false // requests with keys repeat the ends of their claims, which fills the log while syncs are slow
+	}
 	if created.toService {
 		return created
 	}
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -221,6 +221,9 @@
 			return n
 		}
 	}
+	if n := w.outages.replacements.former[name]; n != nil {
+		return n
+	}
 	panic("sim: no control replica " + name)
 }
 
