--- a/internal/lab/sim/outages.go
+++ b/internal/lab/sim/outages.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"kitetiller/internal/guard"
+	"kitetiller/internal/lab/syncs"
 )
 
 // Runs with outages have a larger control group, spread over the zones, and lose disks, several at once, while the other
@@ -179,7 +180,7 @@
 // startSyncs returns the number of syncs in a row of the slowest start of a replica in runs with replacements.
 func (w *world) startSyncs() time.Duration {
 	if w.outages.replacements.on {
-		return firstStateSyncs
+		return syncs.FirstState
 	}
 	return 0
 }
--- a/internal/lab/sim/replacements.go
+++ b/internal/lab/sim/replacements.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"kitetiller/internal/guard"
+	"kitetiller/internal/lab/syncs"
 )
 
 // Runs with replacements lose control machines in pairs of faults: replicas are replaced, or lose their disks, and once that
@@ -53,11 +54,6 @@
 	newestAimRatio  = 0.4
 )
 
-// repairSyncs is the number of syncs in a row that the replacement of a lost leader needs: a vote, the first
-// entry of a term, the files of an empty replica, the entry with which it joins, its first state, and the entries that
-// promote it and remove its predecessor.
-const repairSyncs = firstStateSyncs + checkpointSyncs + 5*appendSyncs
-
 // replacements is the state of a run with replacements.
 type replacements struct {
 	on         bool
@@ -114,13 +110,12 @@
 	links  time.Duration // delay of all links
 }
 
-// repairTime returns how long a replacement may take: catchUp, or as long as that many syncs in a row take beside the
-// timeouts of a repair, if disks are slow.
+// repairTime returns how long a replacement may take.
 func (p pair) repairTime() time.Duration {
 	if p.sync <= maxUsualSync {
 		return catchUp
 	}
-	return max(catchUp, replacementRepairAfter+repairSyncs*p.sync)
+	return syncs.RepairTime(catchUp, replacementRepairAfter, p.sync)
 }
 
 // beginPair draws a pair of faults and begins it.
--- a/internal/lab/sim/slowsync.go
+++ b/internal/lab/sim/slowsync.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"kitetiller/internal/control"
+	"kitetiller/internal/lab/syncs"
 )
 
 const (
@@ -13,30 +14,20 @@
 	maxSlowLength = 15 * time.Second
 )
 
-// Numbers of syncs in a row of the writes of a replica, as storage.Log carries them out. A checkpoint syncs its file and its
-// name, opens it again, and syncs the removal of the segment before; the first segment of an empty folder does the same but
-// for the last; opening a log syncs its newest segment.
-const (
-	appendSyncs     = 1
-	checkpointSyncs = 4
-	firstStateSyncs = 3
-	openSyncs       = 1
-)
-
 // syncsOf returns the number of syncs in a row of a write.
 func syncsOf(persist control.Persist) time.Duration {
 	if persist.Checkpoint != nil {
-		return checkpointSyncs
+		return syncs.Checkpoint
 	}
-	return appendSyncs
+	return syncs.Append
 }
 
 // openTime returns how long the syncs of a start take that are slower than usual.
 func (n *controlNode) openTime() time.Duration {
 	if n.hasSegment {
-		return openSyncs * n.syncDelay()
+		return syncs.Open * n.syncDelay()
 	}
-	return firstStateSyncs * n.syncDelay()
+	return syncs.FirstState * n.syncDelay()
 }
 
 // endSlowSyncs ends what slowDown began.
--- a/internal/lab/soak/outage.go
+++ b/internal/lab/soak/outage.go
@@ -31,14 +31,16 @@
 	catchUp   time.Duration
 
 	mu      sync.Mutex
-	lost    map[*Process]time.Time // when the loss is made up for; far in the future while the process is down; guarded by mu
+	lost    map[*Process]time.Time // when the loss is made up for; far in the future while the process is down or held; guarded by mu
+	held    map[*Process]bool      // back, but the time until its loss is made up for has not begun again; guarded by mu
+	holds   int                    // faults that last and keep losses from being made up for; guarded by mu
 	created map[*Process]time.Time // when the process got its folder; zero at the start of the run; guarded by mu
 }
 
 // NewDisks returns a Disks that permits the loss of some data folders at once. A loss counts until catchUp after the
 // process is back.
 func NewDisks(tolerated int, catchUp time.Duration) *Disks {
-	return &Disks{tolerated: tolerated, catchUp: catchUp, lost: map[*Process]time.Time{}, created: map[*Process]time.Time{}}
+	return &Disks{tolerated: tolerated, catchUp: catchUp, lost: map[*Process]time.Time{}, held: map[*Process]bool{}, created: map[*Process]time.Time{}}
 }
 
 // farFuture is later than the end of any run.
@@ -79,21 +81,48 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range processes {
-		d.lost[p], d.created[p] = time.Now().Add(d.catchUp), time.Now()
+		d.created[p] = time.Now()
+		d.await(p)
 	}
 }
 
-// delayRepairs records the end of a fault that kept lost folders from being made up for: their time begins again.
-func (d *Disks) delayRepairs() {
+// await begins the time after which the loss of a process that is back is made up for. The caller holds mu.
+func (d *Disks) await(p *Process) {
+	d.held[p] = d.holds > 0
+	if d.lost[p] = time.Now().Add(d.catchUp); d.held[p] {
+		d.lost[p] = time.Now().Add(farFuture)
+	}
+}
+
+// holdRepairs records the start of a fault that keeps lost folders from being made up for.
+func (d *Disks) holdRepairs() {
 	if d == nil {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.holds++
 	now := time.Now()
 	for p, until := range d.lost {
 		if until.After(now) && until.Before(now.Add(farFuture/2)) {
-			d.lost[p] = now.Add(d.catchUp)
+			d.await(p)
+		}
+	}
+}
+
+// resumeRepairs records the end of a fault that holdRepairs recorded. After the last one the time of losses begins again.
+func (d *Disks) resumeRepairs() {
+	if d == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.holds--; d.holds > 0 {
+		return
+	}
+	for p, held := range d.held {
+		if held {
+			d.await(p)
 		}
 	}
 }
--- a/internal/lab/soak/outage_test.go
+++ b/internal/lab/soak/outage_test.go
@@ -40,7 +40,7 @@
 }
 
 // No more data folders are lost at once than tolerated: one counts until some time after its process is back, and that
-// time begins again after a fault that delays the repair.
+// time doesn't pass during a fault that delays the repair, and begins again after it.
 func TestLostFoldersAreBounded(t *testing.T) {
 	const catchUp = 50 * time.Millisecond
 	var processes []*Process
@@ -53,7 +53,12 @@
 		t.Fatalf("lost %v and %v, want one and another one", first, again)
 	}
 	disks.recordReturn(first)
-	disks.delayRepairs()
+	disks.holdRepairs()
+	time.Sleep(catchUp)
+	if more := disks.take(processes, 1); len(more) != 0 {
+		t.Fatalf("lost %v while a fault delays the repair of an earlier loss", more)
+	}
+	disks.resumeRepairs()
 	if more := disks.take(processes, 1); len(more) != 0 {
 		t.Fatalf("lost %v before an earlier loss was made up for", more)
 	}
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -92,7 +92,8 @@
 func (f *Fleet) inject(ctx context.Context, fault Fault) {
 	duration := time.Duration(fault.ForMS) * time.Millisecond
 	if fault.Kind.strikesControl() {
-		defer f.Disks.delayRepairs()
+		f.Disks.holdRepairs()
+		defer f.Disks.resumeRepairs()
 	}
 	gateway := f.Gateways[fault.Target%len(f.Gateways)]
 	switch fault.Kind {
