--- a/internal/lab/sim/slowsync.go
+++ b/internal/lab/sim/slowsync.go
@@ -1,14 +1,48 @@
 package sim
 
-import "time"
+import (
+	"time"
+
+	"kitetiller/internal/control"
+	"kitetiller/internal/lab/syncs"
+)
 
 const (
 	minSlowSync   = 50 * time.Millisecond
 	maxSlowSync   = 1500 * time.Millisecond
 	minSlowLength = 4 * time.Second
 	maxSlowLength = 15 * time.Second
+	usualSync     = time.Millisecond
 )
 
+// syncsOf returns the number of syncs in a row of a write.
+func syncsOf(persist control.Persist) time.Duration {
+	if persist.Checkpoint != nil {
+		return syncs.Checkpoint
+	}
+	return syncs.Append
+}
+
+// openTime returns how long the syncs of a start take that are slower than usual.
+func (n *controlNode) openTime() time.Duration {
+	if n.hasSegment {
+		return syncs.Open * n.syncDelay()
+	}
+	return 0
+}
+
+// createFolder makes the identity of a replica with an empty data directory durable while the replica runs.
+func (n *controlNode) createFolder() {
+	n.syncing = &control.Persist{}
+	n.after(syncs.Create*(usualSync+n.syncDelay()), func() {
+		n.hasSegment, n.syncing = true, nil
+		n.advance()
+	})
+}
+
+// endSlowSyncs ends what slowDown began.
+func (n *controlNode) endSlowSyncs() { n.slowUntil = min(n.slowUntil, n.w.now()) }
+
 // syncDelay returns by how much a write that begins now takes longer than usual.
 func (n *controlNode) syncDelay() time.Duration {
 	if n.w.now() >= n.slowUntil {
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -57,6 +58,8 @@
 	OnReturn func(Fault)
 	// Zone returns the zone of a process.
 	Zone func(name string) string
+
+	allSyncsMS atomic.Int64 // by how much the syncs of all control processes are delayed now, in milliseconds
 }
 
 // linkDelay is the delay that DelayLinks adds to each link.
@@ -91,7 +94,8 @@
 func (f *Fleet) inject(ctx context.Context, fault Fault) {
 	duration := time.Duration(fault.ForMS) * time.Millisecond
 	if fault.Kind.strikesControl() {
-		defer f.Disks.delayRepairs()
+		f.Disks.holdRepairs()
+		defer f.Disks.resumeRepairs()
 	}
 	gateway := f.Gateways[fault.Target%len(f.Gateways)]
 	switch fault.Kind {
