Storage: the rig keeps names of other processes that run

Several control processes have their data folders in one. Only names of processes that have ended go.

--- a/internal/storage/unsynced/names.go
+++ b/internal/storage/unsynced/names.go
@@ -1,6 +1,7 @@
 package unsynced
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"os"
@@ -9,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 
@@ -16,7 +18,7 @@
 )
 
 const (
-	// hiddenPrefix marks files and folders whose names a loss of power undoes. ReadDir removes those of earlier processes.
+	// hiddenPrefix marks files and folders whose names a loss of power undoes. ReadDir removes those of processes that have ended.
 	hiddenPrefix = ".unsynced-"
 	// removed is the base name of a path that has been removed or renamed and that a loss of power brings back.
 	removed = ""
@@ -127,7 +129,7 @@
 		switch {
 		case !strings.HasPrefix(name, hiddenPrefix) && !mapped:
 			names = append(names, name)
-		case strings.HasPrefix(name, hiddenPrefix) && !slices.Contains(slices.Collect(maps.Values(pending)), name):
+		case strings.HasPrefix(name, hiddenPrefix) && !slices.Contains(slices.Collect(maps.Values(pending)), name) && !ownerRuns(name):
 			_ = os.RemoveAll(filepath.Join(f.real(path), name)) // lost with an earlier process
 		}
 	}
@@ -140,6 +142,15 @@
 	return names, nil
 }
 
+// ownerRuns reports whether a hidden name is one of another process that runs. Data folders of several processes may lie in one.
+func ownerRuns(hidden string) bool {
+	owner := 0
+	if _, err := fmt.Sscanf(hidden, hiddenPrefix+"%d-", &owner); err != nil || owner == os.Getpid() {
+		return false
+	}
+	return !errors.Is(syscall.Kill(owner, 0), syscall.ESRCH)
+}
+
 // pending returns the part of names that lies in a folder. The caller holds mu.
 func (f *FileSystem) pending(folder string) map[string]string {
 	pending := map[string]string{}
--- a/internal/storage/unsynced/names_test.go
+++ b/internal/storage/unsynced/names_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"io/fs"
 	"maps"
@@ -174,3 +175,24 @@
 		}
 	}
 }
+
+// TestNamesOfARunningProcessStay guards against a process that removes the data folder of another one, whose name isn't synced
+// yet, from the folder that holds both.
+func TestNamesOfARunningProcessStay(t *testing.T) {
+	folder := t.TempDir()
+	running, ended := filepath.Join(folder, fmt.Sprint(hiddenPrefix, os.Getppid(), "-1")), filepath.Join(folder, fmt.Sprint(hiddenPrefix, endedProcess, "-1"))
+	for _, hidden := range []string{running, ended} {
+		if err := os.Mkdir(hidden, 0o755); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if names, err := New().ReadDir(folder); err != nil || len(names) > 0 {
+		t.Fatalf("names %v, %v, want none", names, err)
+	}
+	if !isThere(running) || isThere(ended) {
+		t.Fatalf("the folder of a running process is there: %t, that of one that has ended: %t, want true and false", isThere(running), isThere(ended))
+	}
+}
+
+// endedProcess is a process ID that no process has: it is above the largest possible one.
+const endedProcess = 1 << 30
