--- a/internal/lab/sim/replacements_test.go
+++ b/internal/lab/sim/replacements_test.go
@@ -15,6 +15,11 @@
 	runReplacements(t, false)
 }
 
+// The same with slow syncs, where the time leaves room for the syncs in a row that a replacement needs.
+func TestGroupBearsALossOnceAMachineIsReplacedWithSlowSyncs(t *testing.T) {
+	runReplacements(t, true)
+}
+
 func runReplacements(t *testing.T, slow bool) {
 	t.Helper()
 	for seed := uint64(1); seed <= replacementSeeds; seed++ {
