--- a/internal/lab/sim/outages.go
+++ b/internal/lab/sim/outages.go
@@ -177,12 +177,13 @@
 	})
 }
 
-// startSyncs returns the number of syncs in a row of the slowest start of a replica in runs with replacements.
+// startSyncs returns the number of syncs in a row before a majority of the replicas run again: in runs with replacements it may
+// need one without a disk.
 func (w *world) startSyncs() time.Duration {
 	if w.outages.replacements.on {
 		return syncs.FirstState
 	}
-	return 0
+	return syncs.Open
 }
 
 // checkLeader checks that a replica leads and may answer, since all of them run.
