--- a/internal/lab/sim/outages.go
+++ b/internal/lab/sim/outages.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"kitetiller/internal/guard"
-	"kitetiller/internal/lab/syncs"
 )
 
 // Runs with outages have a larger control group, spread over the zones, and lose disks, several at once, while the other
@@ -168,7 +167,7 @@
 	end := w.now() + length
 	w.outages.last = max(w.outages.last, end)
 	faults := w.faults
-	w.after(length+leaderTimeout+(slowSyncLeaderTime+w.startSyncs())*w.slowestSync(w.now()), func() {
+	w.after(length+leaderTimeout+slowSyncLeaderTime*w.slowestSync(w.now()), func() {
 		if w.faults != faults || w.outages.last > end || len(w.network.partitioned) > 0 {
 			return // another one has struck since
 		}
@@ -190,14 +189,6 @@
 	return latest
 }
 
-// startSyncs returns the number of syncs in a row of the start of a replica with state in runs with replacements.
-func (w *world) startSyncs() time.Duration {
-	if w.outages.replacements.on {
-		return syncs.Open
-	}
-	return 0
-}
-
 // checkLeader checks that a replica leads and may answer, since all of them run.
 func (o *oracle) checkLeader(since time.Duration) {
 	for _, n := range o.w.controls {
