Limits: callers wait for a lease as long as its round trip takes, and late replies are used

Where replies of control took over 150 ms (links of 80 ms each way), every request for a lease was given up, its reply dropped, and the next one sent: tenants with limits got limit-unknown for good. Each request that was given up also made the gateway forget the leader, and avoid it for 600 ms, although it had only been late.

Callers now wait twice the observed round trip, at least 150 ms as before, at most the lifetime of a lease (200 ms). A request goes on for 400 ms, so that its round trip is observed although it is longer. What a late reply grants is used for the lifetime from its own request on; replies may arrive in any order, since each grant was deducted. The lifetime itself is unchanged, so that the slack of limits covers as much as before.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -83,6 +83,28 @@
 	}
 }
 
+// Replies that arrive in another order than their requests were made must yield what was granted, each once and for
+// the lifetime from its own request on.
+func TestLateReplyIsValidByItsOwnRequest(t *testing.T) {
+	a, now := fullAllocator()
+	c := newTestClient()
+	demands := []Demand{{Name: resource, Amount: 100}}
+	first := a.Allocate(now, c.NewRequest(now, demands))
+	later := now + LeaseTTL/2
+	second := a.Allocate(later, c.NewRequest(later, demands))
+	if got := c.ApplyReply(later, later, demands, second); got[0].Lease.ExpiresAt != later+LeaseTTL {
+		t.Fatalf("reply to the second request yielded %v", got)
+	}
+	if got := c.ApplyReply(later, now, demands, first); got[0].Lease.ExpiresAt != now+LeaseTTL {
+		t.Fatalf("late reply to the first request yielded %v", got)
+	}
+	for _, reply := range []Reply{first, second} {
+		if got := c.ApplyReply(later, now, demands, reply); got[0].Lease.Amount != 0 {
+			t.Fatal("duplicate reply yielded a lease")
+		}
+	}
+}
+
 // Returned amounts are added once, also if the request arrives twice.
 func TestUnusedLeasesAreReturnedOnce(t *testing.T) {
 	a, now := fullAllocator()
--- a/internal/allowance/borrower.go
+++ b/internal/allowance/borrower.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -30,15 +31,15 @@
 
 // Client tracks the amounts leased to one process.
 type Client struct {
-	name            string
-	sequence        uint64 // of the newest request
-	repliedSequence uint64 // of the newest request that was answered
-	term            uint64 // highest term seen in a reply
-	lastContact     time.Duration
-	clients         float64       // number of clients that share the reserve and the rate equally, at least 1
-	fallbackPeriod  time.Duration // how long the fallback share may be used without contact to the allocator
-	limits          map[string]Limit
-	balances        map[string]*balance
+	name           string
+	sequence       uint64                   // of the newest request
+	unanswered     map[uint64]time.Duration // when each request was made that was not answered yet and may still yield leases, by sequence
+	term           uint64                   // highest term seen in a reply
+	lastContact    time.Duration
+	clients        float64       // number of clients that share the reserve and the rate equally, at least 1
+	fallbackPeriod time.Duration // how long the fallback share may be used without contact to the allocator
+	limits         map[string]Limit
+	balances       map[string]*balance
 
 	advertised        map[string]knownLimit // resources that advertise their limits
 	advertisedSweptAt time.Duration         // when unused advertised limits were last removed
@@ -58,7 +59,7 @@
 func NewClient(name string, fallbackPeriod time.Duration) *Client {
 	return &Client{
 		name: name, fallbackPeriod: fallbackPeriod, clients: 1,
-		limits: map[string]Limit{}, balances: map[string]*balance{}, advertised: map[string]knownLimit{},
+		limits: map[string]Limit{}, balances: map[string]*balance{}, advertised: map[string]knownLimit{}, unanswered: map[uint64]time.Duration{},
 	}
 }
 
@@ -172,6 +173,8 @@
 // soon.
 func (c *Client) NewRequest(now time.Duration, demands []Demand) Request {
 	c.sequence++
+	maps.DeleteFunc(c.unanswered, func(_ uint64, requestedAt time.Duration) bool { return now > requestedAt+LeaseTTL })
+	c.unanswered[c.sequence] = now
 	request := Request{Client: c.name, Sequence: c.sequence}
 	for _, demand := range demands {
 		b := c.balance(demand.Name)
@@ -218,14 +221,16 @@
 	Unenforced bool // the allocator does not enforce advertised limits
 }
 
-// ApplyReply applies the reply to the newest request, which was made at requestedAt, and returns the outcome of each
-// demand. Duplicate replies and replies of earlier allocators yield nothing.
+// ApplyReply applies the reply to a request that was made at requestedAt, and returns the outcome of each demand. The
+// replies to several requests may arrive in any order, since each grant was deducted by itself. Duplicate replies and
+// replies of earlier allocators yield nothing.
 func (c *Client) ApplyReply(now, requestedAt time.Duration, demands []Demand, reply Reply) []Result {
 	results := make([]Result, len(demands))
-	if reply.Term < c.term || reply.Sequence != c.sequence || c.repliedSequence == c.sequence || len(reply.Grants) != len(demands) {
+	if _, unanswered := c.unanswered[reply.Sequence]; reply.Term < c.term || !unanswered || len(reply.Grants) != len(demands) {
 		return results
 	}
-	c.term, c.repliedSequence = reply.Term, reply.Sequence
+	delete(c.unanswered, reply.Sequence)
+	c.term = reply.Term
 	c.lastContact = max(c.lastContact, requestedAt)
 	for i, demand := range demands {
 		grant := reply.Grants[i]
--- a/internal/allowance/desk/desk.go
+++ b/internal/allowance/desk/desk.go
@@ -12,8 +12,16 @@
 )
 
 const (
-	// requestTimeout bounds one request to the allocator: several round trips to the furthest region.
-	requestTimeout = 150 * time.Millisecond
+	// minPatience is how long callers wait for the reply to one request at least: several round trips to the furthest
+	// region. patienceRoundTrips is how many times the observed round trip they wait, at most allowance.LeaseTTL, after
+	// which nothing that is granted can be used.
+	minPatience        = 150 * time.Millisecond
+	patienceRoundTrips = 2
+	// requestTimeout bounds one request. It is longer than callers wait, so that the round trip is observed although
+	// it is longer than that, and a leader whose replies are late is not taken for one that does not answer.
+	requestTimeout = 400 * time.Millisecond
+	// roundTripDecay is the weight of a new observation that is below the observed round trip.
+	roundTripDecay = 0.1
 	// retryInterval is the delay after a failed request.
 	retryInterval = 25 * time.Millisecond
 	// maxShortWait is how long a caller waits for an amount that is available soon, instead of being refused.
@@ -39,7 +47,7 @@
 	RetryAfter time.Duration
 }
 
-// RequestFunc sends one request to the allocator.
+// RequestFunc sends one request to the allocator. Calls may overlap.
 type RequestFunc func(ctx context.Context, request allowance.Request) (allowance.Reply, error)
 
 // LeasePool holds the leases of one process. It is safe for concurrent use.
@@ -47,12 +55,14 @@
 	request RequestFunc
 	now     func() time.Duration // monotonic
 	wake    chan struct{}        // buffered; signals that callers are waiting
+	late    sync.WaitGroup       // requests whose callers have stopped waiting
 
-	mu       sync.Mutex
-	client   *allowance.Client // guarded by mu
-	waiting  []*waiter         // guarded by mu; at most maxWaiting
-	failed   uint64            // requests without a reply; guarded by mu
-	requests uint64            // guarded by mu
+	mu        sync.Mutex
+	client    *allowance.Client // guarded by mu
+	waiting   []*waiter         // guarded by mu; at most maxWaiting
+	failed    uint64            // requests without a reply while callers waited for it; guarded by mu
+	requests  uint64            // guarded by mu
+	roundTrip time.Duration     // observed, rising at once and falling slowly; 0 before the first reply; guarded by mu
 }
 
 // waiter is a caller that waits for an amount.
@@ -165,6 +175,7 @@
 
 // Run sends requests to the allocator until ctx ends.
 func (p *LeasePool) Run(ctx context.Context) {
+	defer p.late.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -181,30 +192,81 @@
 	}
 }
 
+// reply is the outcome of one request to the allocator.
+type reply struct {
+	reply allowance.Reply
+	err   error
+}
+
 // requestOnce sends one request for all waiters that are due. waiting reports whether some are left, to be served
 // after delay.
 func (p *LeasePool) requestOnce(ctx context.Context) (delay time.Duration, waiting bool) {
-	batch, demands, request := p.nextBatch()
-	if len(batch) > 0 {
-		requestedAt := p.now()
-		requestCtx, cancel := context.WithTimeout(ctx, requestTimeout)
-		reply, err := p.request(requestCtx, request)
-		cancel()
-		if err != nil {
-			p.handleFailure(batch)
-			delay = retryInterval
-		} else {
-			p.handleReply(requestedAt, batch, demands, reply)
+	requestedAt, batch, demands, request := p.nextBatch()
+	if len(batch) == 0 {
+		return p.nextDelay(0)
+	}
+	replies := p.send(ctx, request)
+	patience := time.NewTimer(p.patience())
+	defer patience.Stop()
+	select {
+	case r := <-replies:
+		if r.err == nil {
+			p.handleReply(requestedAt, batch, demands, r.reply)
+			return p.nextDelay(0)
 		}
+	case <-patience.C:
+		p.late.Go(func() { p.awaitLateReply(requestedAt, demands, replies) })
 	}
-	return p.nextDelay(delay)
+	p.handleFailure(batch)
+	return p.nextDelay(retryInterval)
+}
+
+// send sends a request, which goes on for requestTimeout.
+func (p *LeasePool) send(ctx context.Context, request allowance.Request) <-chan reply {
+	replies := make(chan reply, 1)
+	go func() {
+		requestCtx, cancel := context.WithTimeout(ctx, requestTimeout)
+		defer cancel()
+		r, err := p.request(requestCtx, request)
+		replies <- reply{r, err}
+	}()
+	return replies
+}
+
+// patience returns how long callers wait for the reply to a request.
+func (p *LeasePool) patience() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return min(max(minPatience, patienceRoundTrips*p.roundTrip), allowance.LeaseTTL)
 }
 
-// nextBatch removes the waiters that are due and returns those that cannot be served from the leases held by now.
-func (p *LeasePool) nextBatch() (batch []*waiter, demands []allowance.Demand, request allowance.Request) {
+// awaitLateReply adds what is granted by a reply that comes after its callers stopped waiting, as far as it is still
+// valid by the time of its request.
+func (p *LeasePool) awaitLateReply(requestedAt time.Duration, demands []allowance.Demand, replies <-chan reply) {
+	r := <-replies
+	if r.err != nil {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
+	p.observeRoundTrip(now - requestedAt)
+	for _, result := range p.client.ApplyReply(now, requestedAt, demands, r.reply) {
+		p.client.Release(now, result.Lease)
+	}
+}
+
+// observeRoundTrip updates the observed round trip. The caller holds mu.
+func (p *LeasePool) observeRoundTrip(observed time.Duration) {
+	p.roundTrip = max(observed, p.roundTrip-time.Duration(roundTripDecay*float64(p.roundTrip-observed)))
+}
+
+// nextBatch removes the waiters that are due and returns those that cannot be served from the leases held by now, and
+// the request for them with the time at which it was made.
+func (p *LeasePool) nextBatch() (now time.Duration, batch []*waiter, demands []allowance.Demand, request allowance.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now = p.now()
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool {
 		if now < w.notBefore {
 			return false
@@ -218,10 +280,10 @@
 		return true
 	})
 	if len(batch) == 0 {
-		return nil, nil, request
+		return now, nil, nil, request
 	}
 	p.requests++
-	return batch, demands, p.client.NewRequest(now, demands)
+	return now, batch, demands, p.client.NewRequest(now, demands)
 }
 
 // handleFailure serves waiters from the fallback share and requeues the others until their deadlines.
@@ -244,6 +306,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
+	p.observeRoundTrip(now - requestedAt)
 	for i, result := range p.client.ApplyReply(now, requestedAt, demands, reply) {
 		w := batch[i]
 		if result.Lease.Amount == 0 {
--- a/internal/allowance/desk/desk_test.go
+++ b/internal/allowance/desk/desk_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"kitetiller/internal/allowance"
@@ -182,3 +183,104 @@
 		t.Fatalf("unexpected result %+v", result)
 	}
 }
+
+// delayedPool returns a pool, with virtual time, whose replies arrive a round trip after their requests, and a function
+// that returns what the allocator granted.
+func delayedPool(t *testing.T, roundTrip func() time.Duration) (p *LeasePool, granted func() float64) {
+	t.Helper()
+	start := time.Now()
+	clock := func() time.Duration { return time.Minute + time.Since(start) }
+	limit := allowance.Limit{Rate: 10, Burst: 600}
+	allocator := allowance.NewAllocator(1)
+	allocator.SetLimits(0, map[string]allowance.Limit{resource: limit})
+	var mu sync.Mutex
+	p = New("b", 3*time.Second, clock, func(ctx context.Context, request allowance.Request) (allowance.Reply, error) {
+		oneWay := roundTrip() / 2
+		time.Sleep(oneWay)
+		mu.Lock()
+		reply := allocator.Allocate(clock(), request)
+		mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return allowance.Reply{}, ctx.Err()
+		case <-time.After(oneWay):
+			return reply, nil
+		}
+	})
+	p.SetLimits(map[string]allowance.Limit{resource: limit})
+	ctx, cancel := context.WithCancel(t.Context())
+	var threads sync.WaitGroup
+	threads.Go(func() { p.Run(ctx) })
+	t.Cleanup(func() { cancel(); threads.Wait() })
+	return p, func() float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return allocator.States(clock())[0].Granted
+	}
+}
+
+// acquireSteadily acquires one unit every 20 ms for some time and returns how many attempts had an outcome other than
+// Granted.
+func acquireSteadily(t *testing.T, p *LeasePool, length time.Duration) int64 {
+	t.Helper()
+	var refused atomic.Int64
+	var callers sync.WaitGroup
+	for range length / (20 * time.Millisecond) {
+		callers.Go(func() {
+			if p.Acquire(t.Context(), resource, 1, 500*time.Millisecond).Outcome != Granted {
+				refused.Add(1)
+			}
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	callers.Wait()
+	return refused.Load()
+}
+
+// Replies that take longer than callers wait at first, but come while leases are valid, must not leave every caller
+// without a lease, nor be requested again and again.
+func TestRoundTripBeyondPatienceGrantsLeases(t *testing.T) {
+	for _, roundTrip := range []time.Duration{155 * time.Millisecond, 165 * time.Millisecond, 190 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			p, _ := delayedPool(t, func() time.Duration { return roundTrip })
+			if refused := acquireSteadily(t, p, 5*time.Second); refused != 0 {
+				t.Errorf("round trip %v: %d of 250 attempts refused", roundTrip, refused)
+			}
+			if requests, failed := p.RequestCounts(); failed > 2 { // those sent before the first reply came
+				t.Errorf("round trip %v: %d of %d requests were given up", roundTrip, failed, requests)
+			}
+		})
+	}
+}
+
+// A lease must not be used after its lifetime, which begins with the request, however long callers would wait. Only the
+// fallback share is left, here less than 10 units.
+func TestRoundTripBeyondLifetimeGrantsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, granted := delayedPool(t, func() time.Duration { return allowance.LeaseTTL + 10*time.Millisecond })
+		if refused := acquireSteadily(t, p, 2*time.Second); refused < 90 {
+			t.Errorf("%d of 100 attempts refused", refused)
+		}
+		if granted() == 0 {
+			t.Error("the allocator granted nothing: the test shows nothing")
+		}
+	})
+}
+
+// The wait for a reply must fall again when replies are fast again, so that a leader that is gone is noticed soon.
+func TestPatienceFallsWithRoundTrip(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var roundTrip atomic.Int64
+		roundTrip.Store(int64(180 * time.Millisecond))
+		p, _ := delayedPool(t, func() time.Duration { return time.Duration(roundTrip.Load()) })
+		acquireSteadily(t, p, time.Second)
+		if got := p.patience(); got != allowance.LeaseTTL {
+			t.Errorf("after round trips of 180 ms: waits %v", got)
+		}
+		roundTrip.Store(int64(4 * time.Millisecond))
+		acquireSteadily(t, p, 2*time.Second)
+		if got := p.patience(); got != minPatience {
+			t.Errorf("after round trips of 4 ms: waits %v", got)
+		}
+	})
+}
