Control client: a late failure does not make it forget another leader, and a reply ends the avoidance of its address

Requests of one client overlap: for leases, watches and reports. One to a former leader that failed after another had found the new one removed the new one, and an address that had answered meanwhile stayed avoided for 600 ms, though followers named it as leader. Requests for leases go to the leader alone, so that each of them failed until then.

TestLateFailureKeepsNewLeader and TestReplyEndsAvoidance fail before.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -134,19 +134,25 @@
 	return response, err
 }
 
-// askAndTrackLeader makes one attempt at the given address and records who leads.
+// askAndTrackLeader makes one attempt at the given address and records who leads. Attempts may overlap: one that fails
+// tells nothing about other addresses, and a reply ends the avoidance of its address.
 func (c *Client) askAndTrackLeader(ctx context.Context, address string, request Request) (Response, error) {
 	var response Response
 	if err := c.transport.Post(ctx, address, PathRequest, request, &response); err != nil {
 		if ctx.Err() == context.Canceled {
 			return response, err // the caller got an answer from another replica
 		}
-		c.leader.Store(nil)
+		if leader := c.leader.Load(); leader != nil && *leader == address {
+			c.leader.CompareAndSwap(leader, nil)
+		}
 		c.lastFailure.Store(&failure{address: address, at: clock.Now()})
 		return response, err
 	}
 	now := clock.Now()
 	c.answeredAt.Store(&now)
+	if failed := c.lastFailure.Load(); failed != nil && failed.address == address {
+		c.lastFailure.CompareAndSwap(failed, nil)
+	}
 	switch {
 	case response.Kind == ResponseOK && response.Leader != "":
 		c.leader.Store(&response.Leader) // a follower answered for the leader
--- a/internal/control/client_test.go
+++ b/internal/control/client_test.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"kitetiller/internal/clock"
 	"kitetiller/internal/transport"
 )
 
@@ -94,3 +95,79 @@
 		t.Fatal(err)
 	}
 }
+
+// silentAddress returns an address that accepts connections and never answers, and a channel that receives for each
+// connection.
+func silentAddress(t *testing.T) (address string, asked <-chan struct{}) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	connections := make(chan struct{}, 100)
+	var open []net.Conn
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			open = append(open, connection)
+			connections <- struct{}{}
+		}
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		<-done
+		for _, connection := range open {
+			_ = connection.Close()
+		}
+	})
+	return listener.Addr().String(), connections
+}
+
+// TestLateFailureKeepsNewLeader checks that a request to a former leader that fails after another request has found the
+// new one does not make the client forget the new one.
+func TestLateFailureKeepsNewLeader(t *testing.T) {
+	former, asked := silentAddress(t)
+	leader := freeLoopbackAddress(t)
+	serveResponse(t, leader, Response{Kind: ResponseOK})
+	client := NewClient(transport.NewClient("", nil), []string{former, leader})
+	client.leader.Store(&former)
+	ctx, giveUp := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer giveUp()
+	failed := make(chan struct{})
+	go func() {
+		defer close(failed)
+		_, _ = client.AskOnce(ctx, Request{Status: &StatusRequest{}})
+	}()
+	<-asked
+	client.leader.Store(nil)
+	client.lastFailure.Store(&failure{address: former, at: clock.Now()})
+	if _, err := client.AskOnce(t.Context(), Request{Status: &StatusRequest{}}); err != nil {
+		t.Fatal(err)
+	}
+	<-failed
+	if got := client.leader.Load(); got == nil || *got != leader {
+		t.Fatalf("the client takes %v for the leader, want %s", got, leader)
+	}
+}
+
+// TestReplyEndsAvoidance checks that a leader that has answered after a failed request is not avoided any longer.
+func TestReplyEndsAvoidance(t *testing.T) {
+	leader, follower := freeLoopbackAddress(t), freeLoopbackAddress(t)
+	serveResponse(t, leader, Response{Kind: ResponseOK})
+	serveResponse(t, follower, Response{Kind: ResponseNotLeader, Leader: leader})
+	client := NewClient(transport.NewClient("", nil), []string{leader})
+	client.lastFailure.Store(&failure{address: leader, at: clock.Now()})
+	if _, err := client.AskOnce(t.Context(), Request{Status: &StatusRequest{}}); err != nil {
+		t.Fatal(err)
+	}
+	client.leader.Store(&follower)
+	_, _ = client.AskOnce(t.Context(), Request{Status: &StatusRequest{}})
+	if got := client.leader.Load(); got == nil || *got != leader {
+		t.Fatalf("the client takes %v for the leader, want %s", got, leader)
+	}
+}
