Limits: leases last longer where round trips take most of their lifetime, within the slack

A lease is valid for 200 ms from its request on, so that of round trips of 160 to 200 ms little or nothing was left. It now lasts 80 ms longer than the observed round trip, 240 ms at most. That is what the slack of the smallest limits (0.8 s of the rate, limits without a burst) leaves with a third of the gateways silent; TestSlackIsNotOvercommitted checks both, and the random runs of the allocator have clients with such round trips.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -83,6 +83,29 @@
 	}
 }
 
+// Leases of a client whose round trips take most of LeaseTTL must last longer, but not beyond MaxLeaseTTL, and no longer
+// once its round trips are short again.
+func TestLifetimeFollowsRoundTrip(t *testing.T) {
+	a, now := fullAllocator()
+	c := newTestClient()
+	lifetime := func() time.Duration {
+		lease, _ := requestOne(a, now, c, 1)
+		return lease.ExpiresAt - now
+	}
+	for _, step := range []struct {
+		roundTrip    time.Duration
+		observations int
+		want         time.Duration
+	}{{10 * time.Millisecond, 1, LeaseTTL}, {150 * time.Millisecond, 1, 230 * time.Millisecond}, {time.Second, 1, MaxLeaseTTL}, {10 * time.Millisecond, 40, LeaseTTL}} {
+		for range step.observations {
+			c.RecordRoundTrip(step.roundTrip)
+		}
+		if got := lifetime(); got != step.want {
+			t.Fatalf("after %d round trips of %v: leases last %v, want %v", step.observations, step.roundTrip, got, step.want)
+		}
+	}
+}
+
 // Replies that arrive in another order than their requests were made must yield what was granted, each once and for
 // the lifetime from its own request on.
 func TestLateReplyIsValidByItsOwnRequest(t *testing.T) {
@@ -244,15 +267,20 @@
 	}
 }
 
-// The worst case of use beyond a limit, with a third of the clients silent and a slack of one second of the rate,
-// must stay within the slack.
+// The worst case of use beyond a limit, with a third of the clients silent and a slack of one second of the rate, or of
+// 0.8 for limits without a burst, must stay within the slack.
 func TestSlackIsNotOvercommitted(t *testing.T) {
 	// Seconds until a silent client is noticed, and the fraction of silent clients.
 	const detectionDelay, silentFraction = 0.7, 1.0 / 3
-	committed := burstSlackFraction + debtSlackFraction + reserveSlackFraction + LeaseTTL.Seconds() + detectionDelay*silentFraction
-	if committed > 0.9 {
+	fractions := burstSlackFraction + debtSlackFraction + reserveSlackFraction
+	late := MaxLeaseTTL.Seconds() + detectionDelay*silentFraction
+	if committed := fractions + late; committed > 0.9 {
 		t.Fatalf("%.2f of the slack is committed, at most 0.90 is allowed", committed)
 	}
+	const smallestSlack = 0.8
+	if committed := fractions*smallestSlack + late; committed > smallestSlack {
+		t.Fatalf("%.3f s of the rate are committed without a burst, at most %v are allowed", committed, smallestSlack)
+	}
 }
 
 // Leases whose sum equals an amount only up to rounding can be taken in full.
--- a/internal/allowance/borrower.go
+++ b/internal/allowance/borrower.go
@@ -35,6 +35,7 @@
 	sequence       uint64                   // of the newest request
 	unanswered     map[uint64]time.Duration // when each request was made that was not answered yet and may still yield leases, by sequence
 	term           uint64                   // highest term seen in a reply
+	roundTrip      time.Duration            // of requests; rises at once and falls slowly; 0 before the first reply
 	lastContact    time.Duration
 	clients        float64       // number of clients that share the reserve and the rate equally, at least 1
 	fallbackPeriod time.Duration // how long the fallback share may be used without contact to the allocator
@@ -173,7 +174,7 @@
 // soon.
 func (c *Client) NewRequest(now time.Duration, demands []Demand) Request {
 	c.sequence++
-	maps.DeleteFunc(c.unanswered, func(_ uint64, requestedAt time.Duration) bool { return now > requestedAt+LeaseTTL })
+	maps.DeleteFunc(c.unanswered, func(_ uint64, requestedAt time.Duration) bool { return now > requestedAt+MaxLeaseTTL })
 	c.unanswered[c.sequence] = now
 	request := Request{Client: c.name, Sequence: c.sequence}
 	for _, demand := range demands {
@@ -213,6 +214,19 @@
 	return amount
 }
 
+// RecordRoundTrip records how long a request took, also one whose reply came too late to be of use.
+func (c *Client) RecordRoundTrip(observed time.Duration) {
+	c.roundTrip = max(observed, c.roundTrip-time.Duration(roundTripDecay*float64(c.roundTrip-observed)))
+}
+
+// RoundTrip returns how long requests take, and 0 before the first reply.
+func (c *Client) RoundTrip() time.Duration { return c.roundTrip }
+
+// lifetime returns how long a leased amount may be used after it was requested.
+func (c *Client) lifetime() time.Duration {
+	return min(max(LeaseTTL, c.roundTrip+usableLeaseTime), MaxLeaseTTL)
+}
+
 // Result is the outcome of a demand: a lease, or the reason why there is none.
 type Result struct {
 	Lease      Lease
@@ -236,7 +250,7 @@
 		grant := reply.Grants[i]
 		results[i].RetryAfter, results[i].WarmingUp = grant.RetryAfter, grant.WarmingUp
 		results[i].Unenforced = demand.Advertised != nil && !grant.Enforced
-		lease := Lease{Name: demand.Name, Amount: grant.Amount, ExpiresAt: requestedAt + LeaseTTL}
+		lease := Lease{Name: demand.Name, Amount: grant.Amount, ExpiresAt: requestedAt + c.lifetime()}
 		if grant.Amount <= 0 || !lease.Valid(now) || results[i].Unenforced {
 			continue
 		}
--- a/internal/allowance/desk/desk.go
+++ b/internal/allowance/desk/desk.go
@@ -13,15 +13,13 @@
 
 const (
 	// minPatience is how long callers wait for the reply to one request at least: several round trips to the furthest
-	// region. patienceRoundTrips is how many times the observed round trip they wait, at most allowance.LeaseTTL, after
-	// which nothing that is granted can be used.
+	// region. patienceRoundTrips is how many times the observed round trip they wait, at most allowance.MaxLeaseTTL,
+	// after which nothing that is granted can be used.
 	minPatience        = 150 * time.Millisecond
 	patienceRoundTrips = 2
 	// requestTimeout bounds one request. It is longer than callers wait, so that the round trip is observed although
 	// it is longer than that, and a leader whose replies are late is not taken for one that does not answer.
 	requestTimeout = 400 * time.Millisecond
-	// roundTripDecay is the weight of a new observation that is below the observed round trip.
-	roundTripDecay = 0.1
 	// retryInterval is the delay after a failed request.
 	retryInterval = 25 * time.Millisecond
 	// maxShortWait is how long a caller waits for an amount that is available soon, instead of being refused.
@@ -57,12 +55,11 @@
 	wake    chan struct{}        // buffered; signals that callers are waiting
 	late    sync.WaitGroup       // requests whose callers have stopped waiting
 
-	mu        sync.Mutex
-	client    *allowance.Client // guarded by mu
-	waiting   []*waiter         // guarded by mu; at most maxWaiting
-	failed    uint64            // requests without a reply while callers waited for it; guarded by mu
-	requests  uint64            // guarded by mu
-	roundTrip time.Duration     // observed, rising at once and falling slowly; 0 before the first reply; guarded by mu
+	mu       sync.Mutex
+	client   *allowance.Client // guarded by mu
+	waiting  []*waiter         // guarded by mu; at most maxWaiting
+	failed   uint64            // requests without a reply while callers waited for it; guarded by mu
+	requests uint64            // guarded by mu
 }
 
 // waiter is a caller that waits for an amount.
@@ -237,7 +234,7 @@
 func (p *LeasePool) patience() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return min(max(minPatience, patienceRoundTrips*p.roundTrip), allowance.LeaseTTL)
+	return min(max(minPatience, patienceRoundTrips*p.client.RoundTrip()), allowance.MaxLeaseTTL)
 }
 
 // awaitLateReply adds what is granted by a reply that comes after its callers stopped waiting, as far as it is still
@@ -250,17 +247,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	p.observeRoundTrip(now - requestedAt)
+	p.client.RecordRoundTrip(now - requestedAt)
 	for _, result := range p.client.ApplyReply(now, requestedAt, demands, r.reply) {
 		p.client.Release(now, result.Lease)
 	}
 }
 
-// observeRoundTrip updates the observed round trip. The caller holds mu.
-func (p *LeasePool) observeRoundTrip(observed time.Duration) {
-	p.roundTrip = max(observed, p.roundTrip-time.Duration(roundTripDecay*float64(p.roundTrip-observed)))
-}
-
 // nextBatch removes the waiters that are due and returns those that cannot be served from the leases held by now, and
 // the request for them with the time at which it was made.
 func (p *LeasePool) nextBatch() (now time.Duration, batch []*waiter, demands []allowance.Demand, request allowance.Request) {
@@ -306,7 +298,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	p.observeRoundTrip(now - requestedAt)
+	p.client.RecordRoundTrip(now - requestedAt)
 	for i, result := range p.client.ApplyReply(now, requestedAt, demands, reply) {
 		w := batch[i]
 		if result.Lease.Amount == 0 {
--- a/internal/allowance/desk/desk_test.go
+++ b/internal/allowance/desk/desk_test.go
@@ -240,7 +240,7 @@
 // Replies that take longer than callers wait at first, but come while leases are valid, must not leave every caller
 // without a lease, nor be requested again and again.
 func TestRoundTripBeyondPatienceGrantsLeases(t *testing.T) {
-	for _, roundTrip := range []time.Duration{155 * time.Millisecond, 165 * time.Millisecond, 190 * time.Millisecond} {
+	for _, roundTrip := range []time.Duration{155 * time.Millisecond, 165 * time.Millisecond, 190 * time.Millisecond, 225 * time.Millisecond} {
 		synctest.Test(t, func(t *testing.T) {
 			p, _ := delayedPool(t, func() time.Duration { return roundTrip })
 			if refused := acquireSteadily(t, p, 5*time.Second); refused != 0 {
@@ -257,7 +257,7 @@
 // fallback share is left, here less than 10 units.
 func TestRoundTripBeyondLifetimeGrantsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p, granted := delayedPool(t, func() time.Duration { return allowance.LeaseTTL + 10*time.Millisecond })
+		p, granted := delayedPool(t, func() time.Duration { return allowance.MaxLeaseTTL + 10*time.Millisecond })
 		if refused := acquireSteadily(t, p, 2*time.Second); refused < 90 {
 			t.Errorf("%d of 100 attempts refused", refused)
 		}
@@ -274,7 +274,7 @@
 		roundTrip.Store(int64(180 * time.Millisecond))
 		p, _ := delayedPool(t, func() time.Duration { return time.Duration(roundTrip.Load()) })
 		acquireSteadily(t, p, time.Second)
-		if got := p.patience(); got != allowance.LeaseTTL {
+		if got := p.patience(); got != allowance.MaxLeaseTTL {
 			t.Errorf("after round trips of 180 ms: waits %v", got)
 		}
 		roundTrip.Store(int64(4 * time.Millisecond))
--- a/internal/allowance/doc.go
+++ b/internal/allowance/doc.go
@@ -3,8 +3,9 @@
 // each process spends what was leased to it.
 //
 // The limit holds because:
-//   - An amount is deducted when it is granted, and expires at the client LeaseTTL after the client requested it,
-//     by the client's own clock. A grant that is lost in transit is lost, not duplicated.
+//   - An amount is deducted when it is granted, and expires at the client LeaseTTL after the client requested it, or
+//     later by what its round trips take, at most MaxLeaseTTL, by the client's own clock. A grant that is lost in
+//     transit is lost, not duplicated.
 //   - An Allocator starts with empty buckets, so it needs to know nothing of its predecessor's grants. Until the
 //     buckets had time to fill, clients may use their equal shares of the reserve.
 //   - A client that cannot reach the allocator may use its equal share of the rate and of a reserve on top of the
@@ -21,13 +22,22 @@
 // it.
 const LeaseTTL = 200 * time.Millisecond
 
+// MaxLeaseTTL is the longest lifetime of a lease, for clients whose round trips leave too little of LeaseTTL. It is
+// bounded by the slack of the smallest limits, 0.8 seconds of the rate.
+const MaxLeaseTTL = 240 * time.Millisecond
+
 const (
+	// usableLeaseTime is how much of a lease's lifetime is meant to be left when it arrives.
+	usableLeaseTime = 80 * time.Millisecond
+	// roundTripDecay is the weight of a new observation that is below the observed round trip.
+	roundTripDecay = 0.1
+
 	// burstSlackFraction of a limit's slack may be granted at once on top of the burst, so that a caller just within
 	// its limit is not refused because of arrival jitter. A single amount may exceed that by debtSlackFraction.
 	// reserveSlackFraction is for all clients that cannot reach the allocator. The remaining 0.6 covers amounts
-	// granted but not used yet (the rate during LeaseTTL) and the time until the allocator notices that a client is
+	// granted but not used yet (the rate during MaxLeaseTTL) and the time until the allocator notices that a client is
 	// silent (the silent clients' share of the rate during that time). With a slack of one second of the rate, these
-	// take 0.2 and, with a third of the clients silent, 0.23.
+	// take 0.24 and, with a third of the clients silent, 0.23.
 	burstSlackFraction   = 0.1
 	debtSlackFraction    = 0.1
 	reserveSlackFraction = 0.2
--- a/internal/allowance/machine_test.go
+++ b/internal/allowance/machine_test.go
@@ -146,6 +146,7 @@
 			continue
 		}
 		c := f.clients[m.to]
+		c.RecordRoundTrip(f.now - m.requestedAt)
 		results := c.ApplyReply(f.now, m.requestedAt, m.demands, m.reply)
 		c.RecordContact(m.requestedAt, len(f.clients))
 		for _, result := range results {
--- a/internal/allowance/named.go
+++ b/internal/allowance/named.go
@@ -18,7 +18,7 @@
 	// that accepts less, or nothing, still gets one unit per window.
 	maxAdvertisedRate = 1e6
 	// advertisedBurst is how much of the rate, in seconds, may be granted at once in addition to one unit. Without
-	// it, tokens that accumulate between two requests would be lost; with it, a window holds at most 4.45 s of the
+	// it, tokens that accumulate between two requests would be lost; with it, a window holds at most 4.49 s of the
 	// rate and 1.3 units, including prefetched amounts.
 	advertisedBurst = 0.25
 	// advertisedSlack is how much of the rate, in seconds, a window may further hold, in addition to one unit, for
