Control: messages to a distant peer don't wait for the replies to those before them

Messages to a peer were sent one request at a time, each after the reply to the one before. Over a round trip of 160 ms a heartbeat thus waited up to 160 ms before it left, its reply as long at the other side, and the two took up to 480 ms: the leader's lease of 300 ms expired again and again, and it answered unavailable, although no message was late. Seen in the soak at 80 ms each way: half of the requests for leases got unavailable or not-leader in 162 ms.

The next request now leaves half a heartbeat after the one before, also without its reply; at most four at a time, and none beside one of over 64 KB. A peer that replies sooner gets one at a time, in order, as before.

TestHeartbeatsDoNotWaitForRoundTrips fails before (80 ms at a round trip of 100 ms). At 120 ms each way no configuration is acknowledged, as before: the round trip of 240 ms and the heartbeat of 60 ms take up the lease of 300 ms.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -59,24 +59,60 @@
 	return peerTimeoutHeartbeats*heartbeat + time.Duration(bytes)*time.Second/minPeerBytesPerSecond
 }
 
-// sendTo sends the queued messages to one peer, in batches.
+const (
+	// maxPeerRequests is the number of requests to one peer at a time. It is what peerTimeoutHeartbeats allow for if one
+	// is sent each heartbeat.
+	maxPeerRequests = 4
+	// maxOverlappingBytes is the size of a request up to which the next one may be sent before its reply. After larger
+	// ones, messages would arrive before those that they follow.
+	maxOverlappingBytes = 64 << 10
+)
+
+// sendTo sends the queued messages to one peer, in batches. It waits for the reply to each, so that they arrive in order,
+// but not longer than half a heartbeat: over a long round trip, messages and their replies would otherwise wait for
+// those before them, and a leader's lease would expire although no message was late.
 func (s *Server) sendTo(address string, queue chan consensus.Message) {
+	slots := make(chan struct{}, maxPeerRequests)
 	for message := range queue {
-		batch := raftBatch{Address: s.file.Control.InternalAddress, Messages: []consensus.Message{message}}
-		for size := message.Size(); size < maxBatchBytes && len(batch.Messages) < maxBatch && len(queue) > 0; {
-			next := <-queue
-			size += next.Size()
-			batch.Messages = append(batch.Messages, next)
-		}
-		body, err := json.Marshal(batch)
+		body, err := json.Marshal(s.nextBatch(message, queue))
 		if err != nil {
 			s.log.Error("failed to encode messages to a peer", zap.String("peer", address), zap.Error(err))
 			continue
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout(s.file.Control.Heartbeat, len(body)))
-		if err := s.client.PostBody(ctx, address, PathRaft, body); err != nil {
-			s.log.Debug("failed to send messages to a peer", zap.String("peer", address), zap.Error(err))
+		slots <- struct{}{}
+		sent := make(chan struct{})
+		go func() {
+			defer close(sent)
+			s.post(address, body)
+			<-slots
+		}()
+		if len(body) > maxOverlappingBytes {
+			<-sent
+			continue
+		}
+		select {
+		case <-sent:
+		case <-time.After(s.file.Control.Heartbeat / 2):
 		}
-		cancel()
+	}
+}
+
+// nextBatch returns a batch of a message and of those that wait in the queue.
+func (s *Server) nextBatch(first consensus.Message, queue chan consensus.Message) raftBatch {
+	batch := raftBatch{Address: s.file.Control.InternalAddress, Messages: []consensus.Message{first}}
+	for size := first.Size(); size < maxBatchBytes && len(batch.Messages) < maxBatch && len(queue) > 0; {
+		next := <-queue
+		size += next.Size()
+		batch.Messages = append(batch.Messages, next)
+	}
+	return batch
+}
+
+// post sends a batch to a peer.
+func (s *Server) post(address string, body []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout(s.file.Control.Heartbeat, len(body)))
+	defer cancel()
+	if err := s.client.PostBody(ctx, address, PathRaft, body); err != nil {
+		s.log.Debug("failed to send messages to a peer", zap.String("peer", address), zap.Error(err))
 	}
 }
