--- a/internal/control/peers_test.go
+++ b/internal/control/peers_test.go
@@ -67,7 +67,8 @@
 	}
 	close(queue)
 	<-done
-	time.Sleep(10 * time.Second)
+	time.Sleep(10 * time.Second) // until the last request has ended
+	synctest.Wait()
 }
 
 // TestHeartbeatsDoNotWaitForRoundTrips guards against messages to a distant peer that wait until it has replied to those
