--- a/internal/control/replacement_test.go
+++ b/internal/control/replacement_test.go
@@ -160,7 +160,7 @@
 	checkReplacements(t, 0, 10, 50, 100, 200, 400, 600, 800)
 }
 
-// The same with the slowest syncs.
+// Guards against the same with syncs so slow that a few in a row take the whole stated time.
 func TestGroupElectsLeaderAfterReplacementWithSlowestSyncs(t *testing.T) {
 	checkReplacements(t, 1000)
 }
