--- a/internal/consensus/write.go
+++ b/internal/consensus/write.go
@@ -114,7 +114,7 @@
 }
 
 // maySend reports whether everything that a message depends on is synced. Pre-votes and cold start messages promise
-// nothing, nor do a rejection and the receipt of a part of a snapshot by a replica whose term may wait. A leader may replicate
+// nothing, nor do a rejection and the acknowledgement of a part of a snapshot by a replica whose term may wait. A leader may replicate
 // entries that it has not synced itself, since it counts itself towards a quorum only once it has, and likewise a candidate may
 // request votes while its own vote is being synced. The log that it requests them with must be synced: after a crash it could
 // stand in the same term with a shorter one, and late votes would count.
