Soak: callers that come back late do so at a route with the usual timeout of 2 s

The plan late-take-ups gave its route a timeout of 20 s, so that the proof by one version took as long as its callers wait, and the code before held it.

--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -158,8 +158,7 @@
 	// gateways; 0 means the usual number. NewIDs means that engines have a new instance ID after each start.
 	LongStreams int  `json:"long_streams,omitempty"`
 	NewIDs      bool `json:"new_ids,omitempty"`
-	// LateTakeUps means that half of the callers whose long streams break off wait for 25 to 38 s before they take them up,
-	// at a route whose timeout allows for it.
+	// LateTakeUps means that half of the callers whose long streams break off wait for 25 to 38 s before they take them up.
 	LateTakeUps bool `json:"late_take_ups,omitempty"`
 	// Shape is the deployment that the plan is played on.
 	Shape Shape `json:"shape,omitzero"`
