--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -182,7 +182,9 @@
 	}
 	reply := Message{Kind: MessageAppendReply, To: message.From, Term: n.hard.Term, SentAt: message.SentAt}
 	if message.Index < n.log.base.Index {
-		reply.Index = n.log.base.Index // covered by the local snapshot, hence committed
+		if !n.installing() {
+			reply.Index = n.log.base.Index // covered by the local snapshot, hence committed
+		}
 		n.send(reply)
 		return
 	}
@@ -200,6 +202,9 @@
 	if !appended {
 		reply.Index = min(matched, n.persisted) // the reply to the append that brought the entries acknowledges the rest
 	}
+	if !appended && n.installing() {
+		reply.Index = 0 // the reply to the snapshot acknowledges it
+	}
 	n.send(reply)
 }
 
--- a/internal/consensus/write.go
+++ b/internal/consensus/write.go
@@ -114,7 +114,7 @@
 }
 
 // maySend reports whether everything that a message depends on is synced. Pre-votes and cold start messages promise
-// nothing, nor do a rejection and the acknowledgement of a part of a snapshot by a replica whose term may wait. A leader may replicate
+// nothing, nor do replies that acknowledge nothing. A leader may replicate
 // entries that it has not synced itself, since it counts itself towards a quorum only once it has, and likewise a candidate may
 // request votes while its own vote is being synced. The log that it requests them with must be synced: after a crash it could
 // stand in the same term with a shorter one, and late votes would count.
@@ -127,8 +127,8 @@
 			return true
 		}
 	}
-	if message.Kind == MessageAppendReply && (message.Reject || message.Part != nil) && n.termMayWait() {
-		return true // it acknowledges no entry
+	if message.Kind == MessageAppendReply && n.acknowledgesNothing(message) {
+		return true
 	}
 	if n.hardStateChanged || n.writing != nil && n.writing.HardState != nil {
 		return false // the term or a vote
@@ -139,6 +139,16 @@
 	return message.Index <= n.persisted && !n.installing()
 }
 
+// acknowledgesNothing reports whether a reply to a leader only says that this replica hears it, so that one that joins, or syncs a
+// snapshot, doesn't count as lost. It extends the leader's lease, which holds after a restart as well, since a start counts as
+// contact with a leader.
+func (n *Node) acknowledgesNothing(reply *Message) bool {
+	if n.termMayWait() {
+		return reply.Reject || reply.Part != nil
+	}
+	return reply.Index == 0 && !reply.Reject && reply.Part == nil && n.installing() && n.hard.Vote == ""
+}
+
 // Committed returns the next committed entries, within the limit on their size.
 func (n *Node) Committed() []Entry {
 	if !n.HasUndelivered() {
--- a/internal/control/repair_test.go
+++ b/internal/control/repair_test.go
@@ -175,3 +175,49 @@
 		}
 	}
 }
+
+// Guards against a voter that is removed while it syncs its first snapshot, which takes longer than RepairAfter, and then again
+// and again: each replica that joins takes the place of the one before.
+func TestVoterThatSyncsItsFirstSnapshotIsNotReplaced(t *testing.T) {
+	for _, ms := range []time.Duration{1000, 1500, 2000, 2500} {
+		c := replacement{voters: 3, syncTime: ms * time.Millisecond, seed: 1}
+		g := c.begin(t)
+		second := g.add()
+		g.runFor(500 * time.Millisecond)
+		g.start(second) // another replica, to stand by
+		g.runFor(30 * time.Second)
+		removed := 0
+		for _, line := range g.log {
+			if strings.Contains(line, "removed") {
+				removed++
+			}
+		}
+		if removed > 1 {
+			t.Errorf("sync %v: %d voters removed, want the lost one alone: %s", c.syncTime, removed, g.describe())
+		}
+	}
+}
+
+// Guards against a loss that was borne, and then isn't, without a further fault: with two learners that sync their first snapshots, the
+// one that joined last is promoted and then removed as silent.
+func TestLossesBorneLastOnceTheReplacementVotes(t *testing.T) {
+	for _, ms := range []time.Duration{600, 800, 1000, 1500} {
+		c := replacement{voters: 3, syncTime: ms * time.Millisecond, seed: 1}
+		g := c.begin(t)
+		second := g.add()
+		g.runFor(500 * time.Millisecond)
+		g.start(second)
+		began, bornAt := g.now, time.Duration(-1)
+		for g.now < began+20*time.Second {
+			g.runFor(50 * time.Millisecond)
+			borne := g.durablyBears(1)
+			if borne && bornAt < 0 {
+				bornAt = g.now
+			}
+			if !borne && bornAt >= 0 && g.now > bornAt {
+				t.Errorf("sync %v: borne from %v on, no longer at %v: %s", c.syncTime, bornAt, g.now, g.describe())
+				break
+			}
+		}
+	}
+}
