Control: only a learner that this leader has heard lately takes the place of a voter

What could be seen: no leader although three voters were back with all their data and one disk was lost. A new leader counted a learner that had been dead for 20 s as live for RepairAfter, removed the previous leader, which was cut off for 2.05 to 2.4 s, and promoted the dead learner. A dead learner was also never dropped from a group with an even number of voters.

Found by review. TestDeadLearnerDoesNotTakeThePlaceOfAVoterThatReturns and TestSilentLearnerIsRemovedFromAGroupOfAnEvenNumberOfVoters failed before.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -13,6 +13,7 @@
 	next           uint64        // next index to send
 	ackedSentAt    time.Duration // send time of the newest acknowledged message, by the leader's clock
 	lastReplyAt    time.Duration // time of the last reply, by the leader's clock
+	heard          bool          // it has replied to this leader, or asked it to join
 	lastAppendAt   time.Duration // time of the last append or snapshot, by the leader's clock
 	snapshotSentAt time.Duration // send time of an unacknowledged snapshot, by the leader's clock; 0 if none
 	paused         bool          // no appends until the next reply or heartbeat
@@ -193,7 +194,7 @@
 	n.refreshMembership()
 	for id, peer := range n.peers {
 		if known[id] == nil {
-			peer.lastReplyAt, peer.next = now, 1 // it has just asked to join, most likely with an empty log
+			peer.lastReplyAt, peer.heard, peer.next = now, true, 1 // it has just asked to join, most likely with an empty log
 			n.sendAppend(now, id)
 		}
 	}
@@ -249,7 +250,8 @@
 type PeerStatus struct {
 	ID          ID
 	Match       uint64
-	LastReplyAt time.Duration
+	LastReplyAt time.Duration // or the start of the leadership, if it has not been heard
+	Heard       bool          // by this leader
 }
 
 // Peers returns the leader's view of the other replicas in the order of the membership. It is nil on other replicas.
@@ -260,7 +262,7 @@
 	}
 	for _, member := range n.membership.Members {
 		if peer := n.peers[member.ID]; peer != nil {
-			statuses = append(statuses, PeerStatus{ID: member.ID, Match: peer.match, LastReplyAt: peer.lastReplyAt})
+			statuses = append(statuses, PeerStatus{ID: member.ID, Match: peer.match, LastReplyAt: peer.lastReplyAt, Heard: peer.heard})
 		}
 	}
 	return statuses
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -262,7 +262,7 @@
 	if n.role != Leader || message.Term < n.hard.Term || peer == nil {
 		return
 	}
-	peer.lastReplyAt = now
+	peer.lastReplyAt, peer.heard = now, true
 	peer.ackedSentAt = max(peer.ackedSentAt, message.SentAt)
 	if message.Part != nil {
 		n.handlePartReply(now, message.From, *message.Part)
--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -54,7 +54,7 @@
 	lost, learner := r.lostVoter(now, membership), r.learnerToPromote(now, membership)
 	surplus := membership.Voters() - r.config.Replicas
 	switch {
-	case lost != nil && (surplus > 0 || surplus == 0 && r.hasLiveLearner(now, membership)):
+	case lost != nil && (surplus > 0 || surplus == 0 && r.hasPresentLearner(now, membership)):
 		r.changeMembers(now, withoutVoter(membership, *lost), memberChange{kind: memberRemoved, member: *lost, reason: lossReason(membership, *lost)})
 	case learner == nil:
 		r.dropSilentLearner(now, membership)
@@ -98,35 +98,37 @@
 }
 
 // learnerToPromote returns a learner that is present and has caught up, one that has the name of a voter before others. If none
-// has and a further voter doesn't raise the number of acknowledgements that a commit needs, it returns the learner that was heard
-// last, since one that syncs its first snapshot doesn't reply meanwhile, and a dead one does no harm.
+// has and a further voter doesn't raise the number of acknowledgements that a commit needs, it returns one that is present.
 func (r *Replica) learnerToPromote(now time.Duration, membership consensus.Membership) *consensus.Member {
-	var caughtUp, latest *consensus.Member
-	latestReplyAt := time.Duration(0)
+	var caughtUp, present *consensus.Member
 	for _, peer := range r.node.Peers() {
 		member, found := membership.Find(peer.ID)
-		if !found || !member.Learner {
+		if !found || !member.Learner || !isPresent(now, peer) {
 			continue
 		}
-		if now-peer.LastReplyAt < presenceTimeout && r.hasCaughtUp(peer.Match) && (caughtUp == nil || nameTaken(membership, member)) {
+		if r.hasCaughtUp(peer.Match) && (caughtUp == nil || nameTaken(membership, member)) {
 			caughtUp = &member
 		}
-		if latest == nil || peer.LastReplyAt > latestReplyAt {
-			latest, latestReplyAt = &member, peer.LastReplyAt
+		if present == nil || nameTaken(membership, member) {
+			present = &member
 		}
 	}
 	if caughtUp == nil && membership.Formed && membership.Voters()%2 == 0 {
-		return latest
+		return present
 	}
 	return caughtUp
 }
 
-// hasLiveLearner reports whether a learner has joined or replied within the time that a voter may be silent. One that syncs
-// its first snapshot doesn't reply meanwhile.
-func (r *Replica) hasLiveLearner(now time.Duration, membership consensus.Membership) bool {
+// isPresent reports whether this leader has heard a peer lately.
+func isPresent(now time.Duration, peer consensus.PeerStatus) bool {
+	return peer.Heard && now-peer.LastReplyAt < presenceTimeout
+}
+
+// hasPresentLearner reports whether a learner is present.
+func (r *Replica) hasPresentLearner(now time.Duration, membership consensus.Membership) bool {
 	return slices.ContainsFunc(r.node.Peers(), func(peer consensus.PeerStatus) bool {
 		member, found := membership.Find(peer.ID)
-		return found && member.Learner && now-peer.LastReplyAt <= r.config.RepairAfter
+		return found && member.Learner && isPresent(now, peer)
 	})
 }
 
--- a/internal/control/repair_test.go
+++ b/internal/control/repair_test.go
@@ -176,6 +176,51 @@
 	}
 }
 
+// Guards against a group that can't elect a leader although three voters are back with all data and only one disk is lost: a new
+// leader took a learner that had died long ago for alive, and gave it the vote of the previous leader, which was cut off.
+func TestDeadLearnerDoesNotTakeThePlaceOfAVoterThatReturns(t *testing.T) {
+	for _, cut := range []time.Duration{2050, 2200, 2400, 2700, 3000} {
+		cut *= time.Millisecond
+		for seed := range uint64(3) {
+			g := newSimGroup(t, 3, 1, seed+1)
+			g.remove(g.replicas[3]) // the learner
+			g.runFor(20 * time.Second)
+			previous := g.leader()
+			previous.cut = true
+			g.runFor(cut)
+			previous.cut = false
+			for _, after := range []time.Duration{100, 1000, 2000, 4000} {
+				g.runFor(after * time.Millisecond)
+				(replacement{voters: 3, learners: 1, seed: seed + 1}).checkLosses(t, g, after*time.Millisecond)
+			}
+		}
+	}
+}
+
+// Guards against a learner that is dead for good staying in a group with an even number of voters after a replacement.
+func TestSilentLearnerIsRemovedFromAGroupOfAnEvenNumberOfVoters(t *testing.T) {
+	g := newSimGroup(t, 4, 1, 1)
+	leader := g.leader()
+	for _, r := range g.replicas[:4] {
+		if r != leader {
+			g.remove(r)
+			break
+		}
+	}
+	g.runFor(10 * time.Second) // the learner takes its place
+	standby := g.add()
+	g.start(standby)
+	g.runFor(5 * time.Second)
+	if leader := g.leader(); leader == nil || leader.replica.Node().Membership().Voters() != 4 {
+		t.Fatalf("not complete: %s", g.describe())
+	}
+	g.remove(standby)
+	g.runFor(learnerTimeout + 10*time.Second)
+	if _, found := g.leader().replica.Node().Membership().Find(standby.id); found {
+		t.Fatalf("learner %s is a member %v after it died", standby.id, learnerTimeout+10*time.Second)
+	}
+}
+
 // Guards against a voter that is removed while it syncs its first snapshot, which takes longer than RepairAfter, and then again
 // and again: each replica that joins takes the place of the one before.
 func TestVoterThatSyncsItsFirstSnapshotIsNotReplaced(t *testing.T) {
