Control: a replica without state asks again to join if it hears no leader

A leader answers a request to join before the entry is committed.

Found by review. TestReplicaWithoutStateJoinsAgainIfItHearsNoLeader failed before: no second request in 8 s.

--- a/internal/control/create_test.go
+++ b/internal/control/create_test.go
@@ -82,3 +82,35 @@
 		t.Fatalf("the replica that joined as %s comes back as %s", id, identity.ID)
 	}
 }
+
+// Guards against a replica that never gets into the group: the leader that accepted it ended before the entry was committed, or the
+// group removed it before it had its first snapshot.
+func TestReplicaWithoutStateJoinsAgainIfItHearsNoLeader(t *testing.T) {
+	seed, own := freeLoopbackAddress(t), freeLoopbackAddress(t)
+	joined := serveGroup(t, seed)
+	ctx, cancel := context.WithCancel(context.Background())
+	server, err := NewServerOn(ctx, storage.OperatingSystem, &node.File{
+		Name: "c1", Zone: "z", DataDir: filepath.Join(t.TempDir(), "data"),
+		Control: &node.Control{InternalAddress: own, Admin: "127.0.0.1:0", Founders: []string{seed}, JoinOnly: true, Replicas: 3, Heartbeat: 20 * time.Millisecond,
+			SettingsLease: time.Second, RepairAfter: time.Hour, SnapshotEvery: 5000, GatewayViewTTL: time.Second},
+	}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Run(ctx) }()
+	<-joined
+	again := false
+	select {
+	case <-joined:
+		again = true
+	case <-time.After(4 * rejoinInterval):
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	if !again {
+		t.Fatalf("no second request to join within %v although no leader was heard", 4*rejoinInterval)
+	}
+}
--- a/internal/control/discovery.go
+++ b/internal/control/discovery.go
@@ -158,19 +158,19 @@
 }
 
 // rejoinWhileLeaderless asks to join as a learner while this replica knows no leader, since the group may have replaced
-// it during an outage. The request has no effect for a member.
+// it during an outage, or not added it although a leader had accepted it. The request has no effect for a member.
 func (s *Server) rejoinWhileLeaderless(ctx context.Context) {
 	transport.Every(ctx, rejoinInterval, func() {
-		if s.hasStateWithoutLeader() {
+		if s.isMemberWithoutLeader() {
 			s.tryJoin(ctx)
 		}
 	})
 }
 
-// hasStateWithoutLeader reports whether this replica has state but knows no leader.
-func (s *Server) hasStateWithoutLeader() bool {
+// isMemberWithoutLeader reports whether this replica has state, or has joined, but knows no leader.
+func (s *Server) isMemberWithoutLeader() bool {
 	return s.queryReplica(func(replica *Replica) bool {
-		return replica.Node().LastIndex() > 0 && replica.Node().LeaderSilent(s.now())
+		return (replica.Node().LastIndex() > 0 || !s.joining.Load()) && replica.Node().LeaderSilent(s.now())
 	})
 }
 
