--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// An election takes a sync of the candidate and one of the voters, beside each other. Timeouts therefore follow the duration of syncs, which
+// An election takes a sync of the candidate and one of the voters, in parallel. Timeouts therefore follow the duration of syncs, which
 // each replica measures and tells in its replies to pre-votes, and are longer after an election that ended undecided,
 // which all replicas see from their terms. Leases don't depend on them: replicas reject votes for a fixed time after a
 // leader's message.
--- a/internal/consensus/write.go
+++ b/internal/consensus/write.go
@@ -7,13 +7,13 @@
 
 // NeedsWrite reports whether BeginWrite would return anything.
 func (n *Node) NeedsWrite() bool {
-	return n.hardStateChanged && !n.termMayWait() || n.pendingInstall != nil || n.unstableFrom != 0
+	return n.hardStateChanged && !n.canDeferTerm() || n.pendingInstall != nil || n.unstableFrom != 0
 }
 
-// termMayWait reports whether the term may be written together with the first log. A replica without a log or a vote has
+// canDeferTerm reports whether the term may be written together with the first log. A replica without a log or a vote has
 // promised nothing: after a restart it may support any term that it has not voted in, and it hasn't acknowledged an entry of a
 // later one.
-func (n *Node) termMayWait() bool { return n.log.lastIndex() == 0 && n.hard.Vote == "" }
+func (n *Node) canDeferTerm() bool { return n.log.lastIndex() == 0 && n.hard.Vote == "" }
 
 // BeginWrite returns what is not on stable storage yet. No other write may be in progress.
 func (n *Node) BeginWrite() Write {
@@ -143,7 +143,7 @@
 // snapshot, doesn't count as lost. It extends the leader's lease, which holds after a restart as well, since a start counts as
 // contact with a leader.
 func (n *Node) acknowledgesNothing(reply *Message) bool {
-	if n.termMayWait() {
+	if n.canDeferTerm() {
 		return reply.Reject || reply.Part != nil
 	}
 	return reply.Index == 0 && !reply.Reject && reply.Part == nil && n.installing() && n.hard.Vote == ""
--- a/internal/control/discovery.go
+++ b/internal/control/discovery.go
@@ -96,7 +96,7 @@
 	for {
 		groupExists, othersEmpty := s.findGroup(ctx)
 		switch {
-		case s.notCreated.Load():
+		case s.folderFailed.Load():
 		case groupExists && s.tryJoin(ctx):
 			return
 		case !groupExists && othersEmpty && !s.file.Control.JoinOnly && s.file.Control.Founders[0] == s.file.Control.InternalAddress:
@@ -187,7 +187,7 @@
 	state := BootstrapState(self)
 	if _, err := s.disk.Write(Persist{Checkpoint: &state}); err != nil {
 		s.log.Error(events.StorageFailed, zap.Error(err))
-		time.AfterFunc(rejoinInterval, func() { s.submit(input{createGroup: true}) }) // the folder is still empty
+		time.AfterFunc(rejoinInterval, func() { s.submit(input{createGroup: true}) })
 		return
 	}
 	replica, err := NewReplica(s.config, state, s.now())
--- a/internal/control/reopen.go
+++ b/internal/control/reopen.go
@@ -75,7 +75,7 @@
 	s.log.Error(events.StorageFailed, zap.Error(cause))
 	s.usage.storageFailures.Add(1)
 	readOffers := s.replica.readOffers
-	s.notCreated.Store(s.disk.IsEmpty())
+	s.folderFailed.Store(s.disk.IsEmpty())
 	s.abandonClients()
 	_ = s.disk.Close() // the write has failed already
 	for s.rejectInputs(ctx, s.reopenDelay) {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -108,16 +108,16 @@
 	syncs    SyncStats
 	usage    usageGauges
 
-	files       storage.FileSystem // of the data folder
-	reopenDelay time.Duration      // pause before the data folder is opened again; owned by runReplica
-	writes      chan writeRequest  // holds the write in progress; see writing
-	written     chan writeResult   // buffer of one
-	writing     bool               // a write is in progress; owned by runReplica
-	joining     atomic.Bool        // joinOrCreateGroup runs
-	notCreated  atomic.Bool        // the data folder is empty and couldn't be created
-	slowSyncLog intervalLimiter    // owned by runReplica, like electionLog and undecidedElections
-	electionLog intervalLimiter
-	membersLog  membersLogState
+	files        storage.FileSystem // of the data folder
+	reopenDelay  time.Duration      // pause before the data folder is opened again; owned by runReplica
+	writes       chan writeRequest  // holds the write in progress; see writing
+	written      chan writeResult   // buffer of one
+	writing      bool               // a write is in progress; owned by runReplica
+	joining      atomic.Bool        // joinOrCreateGroup runs
+	folderFailed atomic.Bool        // the data folder is empty and couldn't be created
+	slowSyncLog  intervalLimiter    // owned by runReplica, like electionLog and undecidedElections
+	electionLog  intervalLimiter
+	membersLog   membersLogState
 	// undecidedElections is how many elections of the replica had ended without a leader when that was last logged.
 	undecidedElections uint64
 	queuedBytes        atomic.Int64 // size of the requests that wait in inputs
--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -55,7 +55,7 @@
 // loadIdentity returns the identity of a data folder, or unused, or else a new one, if the folder holds no log. stored is whether the
 // folder holds it.
 //
-// The identity file and the first segment are written beside each other, and nothing is acknowledged before both last. A loss of
+// The identity file and the first segment are written in parallel, and nothing is acknowledged before both are durable. A loss of
 // power in between may leave one of them, or the file of an earlier attempt. The log names its replica itself, so it decides. A file
 // without a log is of no use: whatever its replica may have promised is gone, so it must not vote under that ID again.
 func loadIdentity(files storage.FileSystem, folder, name string, unused *Identity) (identity Identity, stored bool, err error) {
--- a/internal/control/writer.go
+++ b/internal/control/writer.go
@@ -105,7 +105,7 @@
 		s.log.Warn(events.CheckpointPostponed, zap.Int64("segment_bytes", s.disk.Size()))
 	}
 	s.reopenDelay = minReopenDelay
-	s.notCreated.Store(false)
+	s.folderFailed.Store(false)
 	s.recordSync(result)
 	s.replica.ObserveStorage(s.disk.Size())
 	s.recordUsage(checkpoint, result.took)
--- a/internal/lab/syncs/syncs.go
+++ b/internal/lab/syncs/syncs.go
@@ -12,10 +12,13 @@
 	Open       = 1
 )
 
-// Repair is the number of syncs in a row that the replacement of a lost leader needs: the votes, the first entry of a term, the
-// entry that removes the predecessor, and the one that promotes the successor. Each may wait for a write in progress, one of them
-// for a checkpoint.
-const Repair = 2*4*Append + Checkpoint - Append
+// repairWrites is the number of writes in a row that the replacement of a lost leader needs: the votes, the first entry of a
+// term, the entry that removes the predecessor, and the one that promotes the successor.
+const repairWrites = 4
+
+// Repair is the number of syncs in a row that the replacement of a lost leader needs. Each of its writes may wait for another
+// one, one of them for a checkpoint.
+const Repair = repairWrites*Append + (repairWrites-1)*Append + Checkpoint
 
 // RepairTime returns how long the replacement of a lost machine may take: the time to catch up, or as long as its syncs in a
 // row take after the time in which its loss is noticed, if that is longer because each takes long.
--- a/internal/storage/file.go
+++ b/internal/storage/file.go
@@ -20,7 +20,7 @@
 	write func(io.Writer) error
 }
 
-// putFiles writes and syncs files under temporary names, beside each other, and then renames them in their order. It creates
+// putFiles writes and syncs files under temporary names, in parallel, and then renames them in their order. It creates
 // their folders. It returns the folders to sync for all the names to last. If it fails, the last file has not been replaced.
 func putFiles(files FileSystem, created ...newFile) (unsynced []string, err error) {
 	var staging errgroup.Group
@@ -80,7 +80,7 @@
 	return unsynced, eris.Wrapf(files.MkdirAll(path), "create %s", path)
 }
 
-// syncFolders syncs folders beside each other.
+// syncFolders syncs folders in parallel.
 func syncFolders(files FileSystem, folders ...string) error {
 	slices.Sort(folders)
 	var syncing errgroup.Group
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -322,7 +322,7 @@
 	return nil
 }
 
-// syncNames syncs all folders that hold names of the log, beside each other: its own, that of the data folder around it, and the
+// syncNames syncs all folders that hold names of the log, in parallel: its own, that of the data folder around it, and the
 // given ones. A process that was killed, or whose sync failed, may have created any of them. The folder that holds the data folder may be
 // closed to this program or not support syncs; where a process creates the data folder, it is among the given ones and has to be synced.
 func (l *Log) syncNames(created ...string) error {
