Control, sim: one check of presence and one draw of durations; two comments wrapped

The gauge of losses borne repeated the check of isPresent but for having been heard, which a log that has caught up implies: a peer that this leader hasn't heard has match 0. The simulator's slow syncs repeated drawOutage.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// An election takes a sync of the candidate and one of the voters, in parallel. Timeouts therefore follow the duration of syncs, which
-// each replica measures and tells in its replies to pre-votes, and are longer after an election that ended undecided,
-// which all replicas see from their terms. Leases don't depend on them: replicas reject votes for a fixed time after a
-// leader's message.
+// An election takes a sync of the candidate and one of the voters, in parallel. Timeouts therefore follow the duration of
+// syncs, which each replica measures and tells in its replies to pre-votes, and are longer after an election that ended
+// undecided, which all replicas see from their terms. Leases don't depend on them: replicas reject votes for a fixed time
+// after a leader's message.
 
 const (
 	// electionSyncs is how many times the duration of a sync a replica waits for an election beyond the usual timeout: two
--- a/internal/consensus/write.go
+++ b/internal/consensus/write.go
@@ -114,10 +114,10 @@
 }
 
 // maySend reports whether everything that a message depends on is synced. Pre-votes and cold start messages promise
-// nothing, nor do replies that acknowledge nothing. A leader may replicate
-// entries that it has not synced itself, since it counts itself towards a quorum only once it has, and likewise a candidate may
-// request votes while its own vote is being synced. The log that it requests them with must be synced: after a crash it could
-// stand in the same term with a shorter one, and late votes would count.
+// nothing, nor do replies that acknowledge nothing. A leader may replicate entries that it has not synced itself, since it counts
+// itself towards a quorum only once it has, and likewise a candidate may request votes while its own vote is being synced. The
+// log that it requests them with must be synced: after a crash it could stand in the same term with a shorter one, and late
+// votes would count.
 func (n *Node) maySend(message *Message) bool {
 	switch message.Kind {
 	case MessagePreVote, MessagePreVoteReply, MessageColdStartQuery, MessageColdStartReply:
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -114,7 +114,7 @@
 		present++
 	}
 	for _, peer := range r.node.Peers() {
-		if membership.IsVoter(peer.ID) && now-peer.LastReplyAt < presenceTimeout && r.hasCaughtUp(peer.Match) {
+		if membership.IsVoter(peer.ID) && isPresent(now, peer) && r.hasCaughtUp(peer.Match) {
 			present++
 		}
 	}
--- a/internal/lab/sim/slowsync.go
+++ b/internal/lab/sim/slowsync.go
@@ -60,10 +60,7 @@
 
 // outageSlowSync makes the syncs of one replica, of a minority or of all slow. In half of the cases all lose power first.
 func (w *world) outageSlowSync() {
-	draw := func(low, high time.Duration) time.Duration {
-		return low + time.Duration(w.outages.random.Int64N(int64(high-low)))
-	}
-	sync, length := draw(minSlowSync, maxSlowSync), draw(minSlowLength, maxSlowLength)
+	sync, length := w.drawOutage(minSlowSync, maxSlowSync), w.drawOutage(minSlowLength, maxSlowLength)
 	counts := []int{1, outageVoters / 2, len(w.controls)}
 	for _, i := range w.outages.random.Perm(len(w.controls))[:counts[w.outages.random.IntN(len(counts))]] {
 		w.controls[i].slowDown(sync, length)
