Transport: a head that another response cut off is no response

Callers got a success with the body of a failure, an empty one or another request's, framed as whole: a back end had stopped within a header value or the reason of its response, and sent another response in the same connection. http.ReadResponse reads both heads as one, with the first status and the second body.

One function now checks each head, for both data planes and for all clients: no status line within a line, no two values of a field that stands once.

Ruled out: heads that are cut off by the end of the connection, which have always been errors. In a body, the bytes of another response can't be told from the body's own.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -66,7 +66,7 @@
 
 // readHead reads the head of the response, skipping informational ones.
 func (a *attempt) readHead() (*http.Response, error) {
-	response, err := a.conn.readResponse(a.exchange.request.Method)
+	response, err := a.conn.readResponse(a.exchange.request.Method, a.exchange.gateway.dialect.SingleHeaders())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -135,12 +135,16 @@
 	return &connection{Conn: dialed.Conn, head: head, reader: bufio.NewReaderSize(head, readBufferSize), peer: dialed.Peer}, nil
 }
 
-// readResponse reads the head of a response to a request with the given method, skipping informational ones.
-func (c *connection) readResponse(method string) (*http.Response, error) {
+// readResponse reads the head of a response to a request with the given method, skipping informational ones. single are the
+// names of fields that stand once in a head.
+func (c *connection) readResponse(method string, single []string) (*http.Response, error) {
 	c.head.BeginHead()
 	defer c.head.EndHead()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err == nil {
+			err = transport.CheckHead(response, single...)
+		}
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
 		}
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -67,6 +67,9 @@
 	WriteForwarding(header http.Header, forwarding Forwarding)
 	// ReadResponse reads status and headers of a back end's response.
 	ReadResponse(status int, header http.Header) ResponseInfo
+	// SingleHeaders returns the names of the headers of a response that stand once in it. A response with different values of one
+	// is none.
+	SingleHeaders() []string
 	// ReadEventVersion returns the version of the weights that a stream event names, and whether it names one. An event
 	// that is cut off names one, 0 if unreadable, unless it certainly does not.
 	ReadEventVersion(event []byte) (version uint64, named bool)
--- a/internal/gateway/lifecheck.go
+++ b/internal/gateway/lifecheck.go
@@ -57,7 +57,7 @@
 	if _, err := io.WriteString(a.conn, question); err != nil {
 		return 0, eris.Wrap(err, "ask for the incarnation")
 	}
-	response, err := a.conn.readResponse(http.MethodGet)
+	response, err := a.conn.readResponse(http.MethodGet, d.SingleHeaders())
 	if err != nil {
 		return 0, eris.Wrap(err, "ask for the incarnation")
 	}
--- a/internal/gateway/queues_test.go
+++ b/internal/gateway/queues_test.go
@@ -204,6 +204,7 @@
 type plainDialect struct{}
 
 func (plainDialect) ReadEventVersion([]byte) (uint64, bool) { return 0, false }
+func (plainDialect) SingleHeaders() []string                { return nil }
 func (plainDialect) StatePath() string                      { return "/" }
 func (plainDialect) ReadStartTime([]byte) (int64, error)    { return 0, nil }
 
--- a/internal/gateway/slots_test.go
+++ b/internal/gateway/slots_test.go
@@ -29,6 +29,7 @@
 type slotDialect struct{}
 
 func (slotDialect) ReadEventVersion([]byte) (uint64, bool) { return 0, false }
+func (slotDialect) SingleHeaders() []string                { return nil }
 func (slotDialect) StatePath() string                      { return "/" }
 func (slotDialect) ReadStartTime([]byte) (int64, error)    { return 0, nil }
 
--- a/internal/router/send_test.go
+++ b/internal/router/send_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -15,7 +16,7 @@
 )
 
 func newSendingServer() *Server {
-	return &Server{backendClient: &http.Client{Transport: transport.NewRoundTripper(nil), CheckRedirect: noRedirect}}
+	return &Server{backendClient: newBackendClient(transport.NewRoundTripper(nil))}
 }
 
 // net/http retries a request on its own if a reused connection fails and it considers the retry safe. The first request
@@ -102,3 +103,28 @@
 		t.Fatalf("2 of 3 tokens were dropped, but the stream finished with reason %s", final.Reason)
 	}
 }
+
+// TestHeadCutByAnotherResponseFailsTheAttempt guards against the body of a response behind a head that was cut off.
+func TestHeadCutByAnotherResponseFailsTheAttempt(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer connection.Close()
+		_, _ = connection.Read(make([]byte, 4096))
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nX-Trace: 3eHTTP/1.1 503 Busy\r\nContent-Length: 17\r\n\r\n{\"run\":\"not-run\"}")
+	}()
+	response, err := newSendingServer().sendOnce(context.Background(), listener.Addr().String(), "/", "a")
+	if err == nil {
+		t.Fatalf("got status %s, want an error", response.Status)
+	}
+	if neverSent(err) {
+		t.Fatalf("neverSent(%v) = true, but the back end read the request", err)
+	}
+}
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -136,7 +136,7 @@
 		events: make(chan core.Event, eventBufferSize), inspections: make(chan inspection, 64),
 		exchanges: map[core.RequestID]*exchange{}, attempts: map[core.AttemptID]*activeAttempt{},
 		pollers: map[string]context.CancelFunc{}, client: client,
-		backendClient: &http.Client{Transport: paths.transport, CheckRedirect: noRedirect}, pollClient: transport.NewClientWithRoundTripper(file.ClusterToken, paths.transport), paths: paths,
+		backendClient: newBackendClient(paths.transport), pollClient: transport.NewClientWithRoundTripper(file.ClusterToken, paths.transport), paths: paths,
 		control: control.NewClient(client, file.Router.Control), pushbackLogs: node.NewLogLimiter(),
 	}
 	server.core = core.New(core.Config{
@@ -159,6 +159,11 @@
 	return server, nil
 }
 
+// newBackendClient returns the client for requests to back ends. It follows no redirects.
+func newBackendClient(roundTripper http.RoundTripper) *http.Client {
+	return &http.Client{Transport: transport.CheckHeads(roundTripper), CheckRedirect: noRedirect}
+}
+
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // Run serves until ctx is cancelled and then drains the router.
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -39,25 +39,25 @@
 // NewClient returns a client whose connections pass through links. Client itself compresses long request bodies and
 // decompresses responses; net/http's own compression is off.
 func NewClient(token string, links *LinkFilter) *Client {
-	return &Client{http: &http.Client{Transport: NewRoundTripper(links)}, token: token}
+	return NewClientWithRoundTripper(token, NewRoundTripper(links))
 }
 
 // NewClientWithDialTimeout returns a client that abandons an attempt to connect after timeout. A machine that has just
 // become reachable again does not answer earlier attempts, but answers a new one at once.
 func NewClientWithDialTimeout(token string, links *LinkFilter, timeout time.Duration) *Client {
-	return &Client{http: &http.Client{Transport: newRoundTripper(links, timeout)}, token: token}
+	return NewClientWithRoundTripper(token, newRoundTripper(links, timeout))
 }
 
 // NewClientWithDialer returns a client whose connections are made by dial, for example to count the bytes sent.
 func NewClientWithDialer(token string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
 	roundTripper := NewRoundTripper(nil)
 	roundTripper.DialContext = dial
-	return &Client{http: &http.Client{Transport: roundTripper}, token: token}
+	return NewClientWithRoundTripper(token, roundTripper)
 }
 
 // NewClientWithRoundTripper returns a client that sends requests with a given round tripper.
 func NewClientWithRoundTripper(token string, roundTripper http.RoundTripper) *Client {
-	return &Client{http: &http.Client{Transport: roundTripper}, token: token}
+	return &Client{http: &http.Client{Transport: CheckHeads(roundTripper)}, token: token}
 }
 
 // NewRoundTripper returns the HTTP transport for requests to other processes and to back ends.
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -76,6 +76,9 @@
 		return nil, err
 	}
 	head.EndHead()
+	if err := transport.CheckHead(response, outcomeHeader); err != nil {
+		return nil, err
+	}
 	if response.StatusCode != http.StatusSwitchingProtocols {
 		return nil, &OutcomeError{Outcome(response.Header.Get(outcomeHeader))}
 	}
