Gateway: a response cut off for a caller of HTTP/1.0 ends with a reset

A caller of HTTP/1.0 got a stream that had broken off as one that ended in order: it has no chunks, so that only the end of the connection ends it, and net/http closes the connection of an aborted handler. Such connections are now reset. TestBrokenStreamDoesNotEndInOrderForOlderCallers failed before: the response of three of four events ended without an error.

The product's own face is not affected: its streams have an event that ends them, and its other responses a length.

--- a/internal/gateway/final.go
+++ b/internal/gateway/final.go
@@ -16,7 +16,7 @@
 func (x *exchange) giveUp(reason string, retryAfter time.Duration) {
 	if x.headRelayed {
 		x.logEnd(events.RequestRejected, reasonStreamBroken, 0)
-		panic(http.ErrAbortHandler) // a response that has begun must not look complete
+		x.abort()
 	}
 	switch {
 	case !x.mayHaveRun:
@@ -31,7 +31,7 @@
 // abandon ends a request whose caller has disconnected.
 func (x *exchange) abandon() {
 	x.logEnd(events.RequestRejected, reasonCallerGone, 0)
-	panic(http.ErrAbortHandler)
+	x.abort()
 }
 
 // reject responds with a status and reason of the gateway's own. retryAfter of 0 gives no retry time.
