Gateway: the end of a killed back end's connections does not end its responses

A response may state neither a length nor chunks and end with its connection. A process that is killed ends its connections in order as well, so callers got the part of a body or stream that had arrived as a success, and the gateway framed it as whole (Content-Length, or a last chunk). Also an empty one.

Such a success now counts only if it has a byte of its body (a stream: an event) and the address of the back end does not refuse connections afterwards; a body is passed on without a length, and the caller's connection ends with it. A request that may be repeated is served elsewhere, a stream that may be resumed goes on there.

Not covered: a back end that lives on after its handler has failed, and one that listens again before the check.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"kitetiller/internal/events"
+	"kitetiller/internal/transport"
 )
 
 // receive reads the response and relays it, unless it is invalid or reports that the request did not run.
@@ -122,8 +123,7 @@
 		written = err == nil
 	default:
 	}
-	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	if readErr != nil || !written || !framed || a.conn.peer != "" || a.ctx.Err() != nil || !a.conn.readKeepAlive(response) {
+	if readErr != nil || !written || !transport.HasFraming(response) || a.conn.peer != "" || a.ctx.Err() != nil || !a.conn.readKeepAlive(response) {
 		_ = a.conn.Close()
 		return
 	}
@@ -154,6 +154,9 @@
 	case len(body) > maxBufferedResponse:
 		return a.relayUnbuffered(response, body)
 	}
+	if err := a.checkUnframedEnd(response, len(body) > 0); err != nil {
+		return a.connectionFailed(err)
+	}
 	a.releaseConnection(response, nil)
 	isFailure := response.StatusCode >= http.StatusInternalServerError
 	a.outcome = outcomeSuccess
@@ -163,6 +166,7 @@
 	if isFailure && x.route.Retryable() && !x.headRelayed && x.takeRetry() {
 		return result{kind: resultFailed, cause: response.Status}
 	}
+	x.relayUnframed(response)
 	x.relayHead(response, len(body))
 	if x.write(body) != nil {
 		x.recordServedBy(a)
@@ -176,11 +180,15 @@
 // part of its body that was read already.
 func (a *attempt) relayUnbuffered(response *http.Response, received []byte) result {
 	x := a.exchange
+	x.relayUnframed(response)
 	x.relayHead(response, int(response.ContentLength))
 	err := x.write(received)
 	if err == nil {
 		err = x.relayBody(response.Body)
 	}
+	if err == nil {
+		err = a.checkUnframedEnd(response, true)
+	}
 	if err != nil {
 		_ = a.conn.Close()
 		a.recordFailure()
@@ -199,7 +207,7 @@
 	for name, values := range response.Header {
 		header[name] = values
 	}
-	if length >= 0 && bodyAllowed(x.request.Method, response.StatusCode) {
+	if length >= 0 && !x.unframed && bodyAllowed(x.request.Method, response.StatusCode) {
 		header.Set("Content-Length", strconv.Itoa(length))
 	}
 	if x.gateway.draining.Load() {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -72,6 +72,7 @@
 	limitReachedCount int                 // attempts that ended unsent because the back end had reached its limit
 	mayHaveRun        bool                // an earlier attempt may have run
 	headRelayed       bool                // the response head was sent to the caller
+	unframed          bool                // only the end of the connection ends the response for the caller
 	lastEvent         string              // ID of the last event sent to the caller
 	begunAt           *endpoint           // that sent the stream's first event; nil before that
 	origin            origin              // of a stream that was begun by an earlier request
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -109,7 +109,9 @@
 	for {
 		event, err := stream.next()
 		if err == io.EOF {
-			return a.finishStream(response)
+			if err = a.checkUnframedEnd(response, a.streamStarted.Load()); err == nil {
+				return a.finishStream(response)
+			}
 		}
 		if err != nil {
 			a.recordStreamBreak(err, stream.event)
--- /dev/null
+++ b/internal/gateway/unframed.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/transport"
+)
+
+// endCheckTimeout bounds the check whether the process of a back end has ended. A timeout proves nothing.
+const endCheckTimeout = 300 * time.Millisecond
+
+var (
+	errEmptyUnframed = eris.New("the connection ended before the response that its head promises")
+	errProcessEnded  = eris.New("the response ended with the process of the back end")
+)
+
+// checkUnframedEnd returns an error if the end of the connection is not taken for the end of a successful response that states
+// neither a length nor chunks: if nothing was received, or if the back end's process has ended, which closes its connections
+// in order as well.
+func (a *attempt) checkUnframedEnd(response *http.Response, received bool) error {
+	if transport.HasFraming(response) || response.StatusCode >= http.StatusMultipleChoices || !bodyAllowed(a.exchange.request.Method, response.StatusCode) {
+		return nil
+	}
+	if !received {
+		return errEmptyUnframed
+	}
+	ctx, cancel := context.WithTimeout(a.ctx, endCheckTimeout)
+	defer cancel()
+	if a.exchange.gateway.dialer.Refuses(ctx, a.row.entry.Address) {
+		return errProcessEnded
+	}
+	return nil
+}
+
+// relayUnframed keeps a response without length or chunks so for the caller: only its back end could tell that it is whole.
+func (x *exchange) relayUnframed(response *http.Response) {
+	if !transport.HasFraming(response) && bodyAllowed(x.request.Method, response.StatusCode) {
+		x.writer.Header().Set("Transfer-Encoding", "identity") // makes net/http end the response with the connection
+		x.unframed = true
+	}
+}
--- a/internal/transport/response.go
+++ b/internal/transport/response.go
@@ -54,6 +54,12 @@
 	return false
 }
 
+// HasFraming reports whether a response states where its body ends. Otherwise the end of the connection ends it, which a
+// process that is killed brings about as well.
+func HasFraming(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
 // CheckHeads returns a round tripper that fails on responses that CheckHead rejects.
 func CheckHeads(next http.RoundTripper) http.RoundTripper { return headChecker{next} }
 
