Soak: workers that stop within their answers

A worker cuts a third of its answers at a drawn byte of head or body, in each framing, and closes or resets the connection, goes silent or sends another answer in it.

A back end whose address is held by a balancer can't be told from one that lives; that is said in the postmortem.

--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -52,6 +52,7 @@
 	PowerOff         Kind = "power-off"       // all machines lose power, and some control processes their data folders
 	RollControl      Kind = "roll-control"    // control processes are stopped and started, one after the other
 	CutZone          Kind = "cut-zone"        // the control processes and gateways of a zone from all others
+	CutAnswers       Kind = "cut-answers"     // workers stop within answers, and end the connection, go silent or send another answer
 	SlowSync         Kind = "slow-sync"       // each sync of control processes takes longer; of shapes that lose unsynced writes
 	ReplaceControl   Kind = "replace-control" // a control process is gone for good, another one starts at a new address without data
 )
@@ -67,14 +68,14 @@
 		KillGateway, PauseGateway, StopGateway, KillControl, PauseLeader, KillAll, CutLeader, CutOneWay, CutGateway, DelayLinks, ResetLinks, ResetControl,
 		KillWorker, HotTenant, LowerLimit, ChangeSetting, Reload, FatalRequest, ForgedHeartbeats,
 		RejectRequests, DrainWorker, AdvertiseLimits,
-		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions, IsolateGateway, LargeDocuments, WipeControl, DeregisterWorker, IsolateTenant,
+		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions, IsolateGateway, LargeDocuments, WipeControl, DeregisterWorker, IsolateTenant, CutAnswers,
 	}
 }
 
 // Disturbs reports whether a fault affects the system's own processes or the links between them.
 func (k Kind) Disturbs() bool {
 	switch k {
-	case KillWorker, HotTenant, LowerLimit, ChangeSetting, LargeDocuments, Reload, FatalRequest, ForgedHeartbeats, RejectRequests, DrainWorker, DeregisterWorker, IsolateTenant, AdvertiseLimits,
+	case KillWorker, HotTenant, LowerLimit, ChangeSetting, LargeDocuments, Reload, FatalRequest, ForgedHeartbeats, RejectRequests, DrainWorker, DeregisterWorker, IsolateTenant, AdvertiseLimits, CutAnswers,
 		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions, ReleaseVersion, SlowSync:
 		return false
 	}
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -34,7 +34,9 @@
 	IsolateTenant func(ctx context.Context, target int, duration time.Duration)
 	// DeregisterWorker makes a worker leave by a deregistration alone while heartbeats of it are under way.
 	DeregisterWorker func(ctx context.Context, target int, duration time.Duration)
-	AdvertiseLimits  func(ctx context.Context, target int, duration time.Duration)
+	// CutAnswers makes workers stop within answers.
+	CutAnswers      func(ctx context.Context, target int, duration time.Duration)
+	AdvertiseLimits func(ctx context.Context, target int, duration time.Duration)
 	// MixVersions replaces half of the engines, one after the other, by a new software version.
 	MixVersions func(ctx context.Context, target int, duration time.Duration)
 	// ReleaseVersion replaces all of them.
@@ -166,6 +168,8 @@
 		f.RejectRequests(ctx, fault.Target, duration)
 	case AdvertiseLimits:
 		f.AdvertiseLimits(ctx, fault.Target, duration)
+	case CutAnswers:
+		f.CutAnswers(ctx, fault.Target, duration)
 	case IsolateTenant:
 		f.IsolateTenant(ctx, fault.Target, duration)
 	case SlowSync:
