--- a/internal/lab/soak/outage.go
+++ b/internal/lab/soak/outage.go
@@ -206,16 +206,26 @@
 	for i, p := range all {
 		names[i] = p.Name
 	}
+	f.dark.Store(true)
 	f.Proxy.CutPower(names...)
 	stopAll(syscall.SIGKILL, all)
+	if fault.Workers {
+		f.StopWorkers()
+	}
 	f.removeFolders(struck)
 	Sleep(ctx, duration)
-	f.Proxy.RestorePower(names...)
-	startAll(all)
+	f.dark.Store(false)
+	if fault.Workers {
+		f.StartWorkers()
+	}
+	f.startOver(ctx, fault, all)
 	f.Disks.recordReturn(struck)
 	f.OnReturn(fault)
 }
 
+// IsDark reports whether all machines are without power.
+func (f *Fleet) IsDark() bool { return f.dark.Load() }
+
 // removeFolders kills processes and removes their data folders. A process whose folder can't be removed keeps its data,
 // which breaks no guarantee.
 func (f *Fleet) removeFolders(processes []*Process) {
@@ -241,6 +251,27 @@
 	}
 }
 
+// startOver gives the machines of processes power again and starts the processes, over the time that a fault gives.
+func (f *Fleet) startOver(ctx context.Context, fault Fault, processes []*Process) {
+	order := slices.Clone(processes)
+	random := rand.New(rand.NewPCG(uint64(fault.Target), uint64(fault.AtMS)))
+	random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	if fault.SeedsLast {
+		seeds := f.Control[:min(f.Seeds, len(f.Control))]
+		slices.SortStableFunc(order, func(a, b *Process) int {
+			return boolOrder(!slices.Contains(seeds, a), !slices.Contains(seeds, b))
+		})
+	}
+	pause := time.Duration(fault.SpreadMS) * time.Millisecond / time.Duration(len(order))
+	for _, p := range order {
+		f.Proxy.RestorePower(p.Name)
+		startAll([]*Process{p})
+		if pause > 0 {
+			Sleep(ctx, pause) // on the end of the run, the rest starts at once
+		}
+	}
+}
+
 // roll stops and starts the control processes one after the other within a duration.
 func (f *Fleet) roll(ctx context.Context, duration time.Duration) {
 	pause := duration / time.Duration(len(f.Control))
--- a/internal/lab/soak/outageplan.go
+++ b/internal/lab/soak/outageplan.go
@@ -16,6 +16,8 @@
 	maxDark          = 3 * time.Second
 	minDark          = 500 * time.Millisecond
 	largeOutageRatio = 0.3 // share of plans with large documents
+	// maxSpread is the longest time over which machines return.
+	maxSpread = 6 * time.Second
 	// restoredTime is how long traffic goes on after service must be back.
 	restoredTime = 4 * time.Second
 )
@@ -58,10 +60,19 @@
 	}
 	last := at + between(0, maxOutageGap)
 	add(last, between(minDark, maxDark), PowerOff, disks())
+	drawReturn(random, &plan.Faults[len(plan.Faults)-1])
 	plan.LengthMS = (plan.LastEnd() + shape.Recover() + restoredTime).Milliseconds()
 	return plan
 }
 
+// drawReturn draws whether workers lose power as well, and over which time and in which order processes start again.
+func drawReturn(random *rand.Rand, outage *Fault) {
+	outage.Workers = random.IntN(3) == 0
+	if random.IntN(2) == 0 {
+		outage.SpreadMS, outage.SeedsLast = random.Int64N(maxSpread.Milliseconds()), random.IntN(2) == 0
+	}
+}
+
 // outageKinds lists the kinds that GenerateOutages draws from, those that lose data most often.
 func outageKinds(shape Shape) []Kind {
 	kinds := []Kind{WipeControl, WipeControl, WipeControl, ReplaceControl, ReplaceControl, KillControl, PauseLeader, RollControl, KillAll, PowerOff}
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -136,6 +136,12 @@
 	// without it strikes the process at Target.
 	Disks int `json:"disks,omitempty"`
 	Aim   Aim `json:"aim,omitempty"`
+	// Workers means that PowerOff strikes the machines of workers as well.
+	Workers bool `json:"workers,omitempty"`
+	// SpreadMS is over which time PowerOff starts processes, in random order, and SeedsLast whether those that others are told of
+	// start after all others.
+	SpreadMS  int64 `json:"spread_ms,omitempty"`
+	SeedsLast bool  `json:"seeds_last,omitempty"`
 	// SyncMS is by how much SlowSync delays each sync of Disks control processes from Target on, or of all without Disks.
 	SyncMS int64 `json:"sync_ms,omitempty"`
 }
@@ -144,7 +150,9 @@
 func (f Fault) At() time.Duration { return time.Duration(f.AtMS) * time.Millisecond }
 
 // End returns when the fault is healed, from the start of traffic.
-func (f Fault) End() time.Duration { return f.At() + time.Duration(f.ForMS)*time.Millisecond }
+func (f Fault) End() time.Duration {
+	return f.At() + time.Duration(f.ForMS+f.SpreadMS)*time.Millisecond
+}
 
 // Plan is the schedule of faults of a run, ordered by start time.
 type Plan struct {
@@ -217,7 +225,7 @@
 		return plan, eris.Wrapf(err, "decode plan %s", path)
 	}
 	for i, fault := range plan.Faults {
-		if !slices.Contains(Kinds(), fault.Kind) || !slices.Contains(Aims(), fault.Aim) || fault.AtMS < 0 || fault.ForMS < 0 || fault.Target < 0 || fault.Disks < 0 || fault.SyncMS < 0 {
+		if !slices.Contains(Kinds(), fault.Kind) || !slices.Contains(Aims(), fault.Aim) || fault.AtMS < 0 || fault.ForMS < 0 || fault.Target < 0 || fault.Disks < 0 || fault.SyncMS < 0 || fault.SpreadMS < 0 {
 			return plan, eris.Errorf("%s: fault %d (%s) has an unknown kind or aim, or a negative value", path, i, fault.Kind)
 		}
 	}
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -29,6 +29,7 @@
 	command         *exec.Cmd     // nil while the process is not running; guarded by mu
 	ended           chan struct{} // closed when command has exited; guarded by mu
 	shouldRun       bool          // Stop was not called since the last start; guarded by mu
+	holds           int           // calls of Hold that were not released; guarded by mu
 	unexpectedExits int           // exits while shouldRun was set; guarded by mu
 }
 
@@ -67,7 +68,7 @@
 		return eris.Wrapf(err, "start %s", p.Name)
 	}
 	ended := make(chan struct{})
-	p.command, p.ended, p.shouldRun = command, ended, true
+	p.command, p.ended, p.shouldRun, p.holds = command, ended, true, 0
 	go func() {
 		_ = command.Wait() // exit status is ignored: any exit while shouldRun is set counts as unexpected
 		_ = log.Close()
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -58,9 +58,14 @@
 	OnWipe func(p *Process)
 	// OnReturn is called when all processes have been started again after a fault that stopped all.
 	OnReturn func(Fault)
+	// StopWorkers ends all workers at once, and StartWorkers starts them again.
+	StopWorkers, StartWorkers func()
+	// Seeds is the number of control processes, from the first on, that all processes are told of.
+	Seeds int
 	// Zone returns the zone of a process.
 	Zone func(name string) string
 
+	dark       atomic.Bool  // all machines are without power
 	allSyncsMS atomic.Int64 // by how much the syncs of all control processes are delayed now, in milliseconds
 }
 
@@ -237,9 +242,9 @@
 }
 
 func (f *Fleet) pause(ctx context.Context, duration time.Duration, p *Process) {
-	p.Signal(syscall.SIGSTOP)
+	p.Hold()
 	Sleep(ctx, duration)
-	p.Signal(syscall.SIGCONT)
+	p.Release()
 }
 
 func (f *Fleet) block(ctx context.Context, duration time.Duration, links []Link) {
--- a/internal/lab/soak/shape.go
+++ b/internal/lab/soak/shape.go
@@ -25,6 +25,20 @@
 	Unlimited bool `json:"unlimited,omitempty"`
 	// Direct makes processes connect to each other without the proxy. Faults of links have no effect then.
 	Direct bool `json:"direct,omitempty"`
+	// GatewayShare and ControlShare are the processor time that a gateway and a control process may use in each period, as a
+	// share of a core. 0: any.
+	GatewayShare float64 `json:"gateway_share,omitempty"`
+	ControlShare float64 `json:"control_share,omitempty"`
+	// GatewayMemoryMB is the memory limit of a gateway; 0: that of a control process, which isn't checked.
+	GatewayMemoryMB int `json:"gateway_memory_mb,omitempty"`
+	// Threads is how many threads of a process run at once; 0 means as many as there are cores.
+	Threads int `json:"threads,omitempty"`
+	// DeadMS is how long workers of Direct shapes count the connections of machines that have lost power.
+	DeadMS int64 `json:"dead_ms,omitempty"`
+	// Repeats is how often callers repeat a request that was not served, at once and on a new connection.
+	Repeats int `json:"repeats,omitempty"`
+	// Routes is the number of routes of the configuration that no request uses.
+	Routes int `json:"routes,omitempty"`
 	// ControlDelayMS is the delay of each message from and to a control process.
 	ControlDelayMS int64 `json:"control_delay_ms,omitempty"`
 	// LoseUnsynced makes control processes lose what they have not synced when they are killed.
@@ -56,13 +70,13 @@
 func (s Shape) CatchUp() time.Duration { return time.Duration(s.CatchUpMS) * time.Millisecond }
 
 func (s Shape) validate() error {
-	for _, count := range []int{s.Control, s.Tolerated, s.Zones, s.Engines, s.SmallWorkers, s.Connections, int(s.RecoverMS), int(s.CatchUpMS), int(s.ControlDelayMS)} {
+	for _, count := range []int{s.Control, s.Tolerated, s.Zones, s.Engines, s.SmallWorkers, s.Connections, int(s.RecoverMS), int(s.CatchUpMS), int(s.ControlDelayMS), s.Threads, s.GatewayMemoryMB, int(s.DeadMS), s.Repeats, s.Routes} {
 		if count < 0 {
 			return eris.New("the shape has a negative number")
 		}
 	}
-	if s.Rate < 0 {
-		return eris.New("rate must not be negative")
+	if s.Rate < 0 || s.GatewayShare < 0 || s.ControlShare < 0 {
+		return eris.New("rate and shares must not be negative")
 	}
 	if s.Control > 0 && s.Control < 2*s.Tolerated+1 {
 		return eris.Errorf("%d control processes cannot tolerate the loss of %d data folders", s.Control, s.Tolerated)
