Node: a process outlives the reader of its log

A process that wrote a log line to a pipe whose reader was gone ended with SIGPIPE, and did so again at each start: Go's default for descriptors 1 and 2. After a loss of power that takes the reader of the logs, nothing was served until somebody read them again, on every run, and no log told why. Such writes now fail, and the lines count as dropped.

An output that is open but not read has never held a process up. Commands still end when their output is closed.

The soak draws it for losses of power, and gains losses that spare gateways, and weights that are loaded while power is lost.

--- a/internal/lab/soak/outage.go
+++ b/internal/lab/soak/outage.go
@@ -202,11 +202,14 @@
 func (f *Fleet) powerOff(ctx context.Context, fault Fault, duration time.Duration) {
 	struck := f.Disks.take(f.candidates(fault), fault.Disks)
 	all := f.allProcesses()
+	if fault.ControlOnly {
+		all = f.Control
+	}
 	names := make([]string, len(all))
 	for i, p := range all {
 		names[i] = p.Name
 	}
-	f.dark.Store(true)
+	f.dark.Store(!fault.ControlOnly)
 	f.Proxy.CutPower(names...)
 	stopAll(syscall.SIGKILL, all)
 	if fault.Workers {
@@ -265,6 +268,9 @@
 	pause := time.Duration(fault.SpreadMS) * time.Millisecond / time.Duration(len(order))
 	for _, p := range order {
 		f.Proxy.RestorePower(p.Name)
+		if fault.LoseLogs {
+			p.LoseLog()
+		}
 		startAll([]*Process{p})
 		if pause > 0 {
 			Sleep(ctx, pause) // on the end of the run, the rest starts at once
--- a/internal/lab/soak/outageplan.go
+++ b/internal/lab/soak/outageplan.go
@@ -65,9 +65,11 @@
 	return plan
 }
 
-// drawReturn draws whether workers lose power as well, and over which time and in which order processes start again.
+// drawReturn draws whether gateways are spared, whether workers lose power as well, whether the output of processes is read
+// afterwards, and over which time and in which order processes start again.
 func drawReturn(random *rand.Rand, outage *Fault) {
-	outage.Workers = random.IntN(3) == 0
+	outage.ControlOnly, outage.LoseLogs = random.IntN(3) == 0, random.IntN(6) == 0
+	outage.Workers = random.IntN(3) == 0 && !outage.ControlOnly
 	if random.IntN(2) == 0 {
 		outage.SpreadMS, outage.SeedsLast = random.Int64N(maxSpread.Milliseconds()), random.IntN(2) == 0
 	}
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -136,6 +136,10 @@
 	// without it strikes the process at Target.
 	Disks int `json:"disks,omitempty"`
 	Aim   Aim `json:"aim,omitempty"`
+	// LoseLogs means that nobody reads the output of processes that start after PowerOff.
+	LoseLogs bool `json:"lose_logs,omitempty"`
+	// ControlOnly means that PowerOff spares gateways.
+	ControlOnly bool `json:"control_only,omitempty"`
 	// Workers means that PowerOff strikes the machines of workers as well.
 	Workers bool `json:"workers,omitempty"`
 	// SpreadMS is over which time PowerOff starts processes, in random order, and SeedsLast whether those that others are told of
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -29,6 +29,7 @@
 	command         *exec.Cmd     // nil while the process is not running; guarded by mu
 	ended           chan struct{} // closed when command has exited; guarded by mu
 	shouldRun       bool          // Stop was not called since the last start; guarded by mu
+	logLost         bool          // nobody reads the output of later starts; guarded by mu
 	holds           int           // calls of Hold that were not released; guarded by mu
 	unexpectedExits int           // exits while shouldRun was set; guarded by mu
 }
@@ -56,9 +57,9 @@
 	if p.command != nil {
 		return nil
 	}
-	log, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := p.openLog()
 	if err != nil {
-		return eris.Wrap(err, "open process log")
+		return err
 	}
 	command := exec.Command(p.nextBuild(), p.Args[1:]...)
 	p.starts++
@@ -83,6 +84,26 @@
 	return nil
 }
 
+// LoseLog makes the next starts write their output to a pipe that nobody reads.
+func (p *Process) LoseLog() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.logLost = true
+}
+
+// openLog opens what the process writes its output to. The caller holds mu.
+func (p *Process) openLog() (*os.File, error) {
+	if !p.logLost {
+		log, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		return log, eris.Wrap(err, "open process log")
+	}
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		return nil, eris.Wrap(err, "open pipe")
+	}
+	return writer, eris.Wrap(reader.Close(), "close pipe")
+}
+
 // nextBuild returns the program for the next start. The caller holds mu.
 func (p *Process) nextBuild() string {
 	if p.AlternateBuild != "" && p.starts%2 == 1 {
--- a/internal/lab/soak/shape.go
+++ b/internal/lab/soak/shape.go
@@ -39,6 +39,10 @@
 	Repeats int `json:"repeats,omitempty"`
 	// Routes is the number of routes of the configuration that no request uses.
 	Routes int `json:"routes,omitempty"`
+	// WeightsEveryMS is the time between new weights that the operator names, and LoadMS how long an engine loads them. 0: none
+	// are named.
+	WeightsEveryMS int64 `json:"weights_every_ms,omitempty"`
+	LoadMS         int64 `json:"load_ms,omitempty"`
 	// ControlDelayMS is the delay of each message from and to a control process.
 	ControlDelayMS int64 `json:"control_delay_ms,omitempty"`
 	// LoseUnsynced makes control processes lose what they have not synced when they are killed.
@@ -70,7 +74,7 @@
 func (s Shape) CatchUp() time.Duration { return time.Duration(s.CatchUpMS) * time.Millisecond }
 
 func (s Shape) validate() error {
-	for _, count := range []int{s.Control, s.Tolerated, s.Zones, s.Engines, s.SmallWorkers, s.Connections, int(s.RecoverMS), int(s.CatchUpMS), int(s.ControlDelayMS), s.Threads, s.GatewayMemoryMB, int(s.DeadMS), s.Repeats, s.Routes} {
+	for _, count := range []int{s.Control, s.Tolerated, s.Zones, s.Engines, s.SmallWorkers, s.Connections, int(s.RecoverMS), int(s.CatchUpMS), int(s.ControlDelayMS), s.Threads, s.GatewayMemoryMB, int(s.DeadMS), int(s.WeightsEveryMS), int(s.LoadMS), s.Repeats, s.Routes} {
 		if count < 0 {
 			return eris.New("the shape has a negative number")
 		}
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -2,7 +2,9 @@
 
 import (
 	"os"
+	"os/signal"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -30,12 +32,14 @@
 	writer *asyncWriter
 }
 
-// NewLogger returns a log that writes to standard error.
+// NewLogger returns a log that writes to standard error. From then on the process outlives the reader of its output: without
+// one, lines are dropped.
 func NewLogger(level, name string) (*Log, error) {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, eris.Wrapf(err, "log level %q", level)
 	}
+	signal.Ignore(syscall.SIGPIPE) // by default, a write to standard output or error ends the process if nobody reads it
 	return newLog(parsed, name, newAsyncWriter(zapcore.Lock(os.Stderr))), nil
 }
 
@@ -106,7 +110,9 @@
 	for {
 		select {
 		case line := <-w.lines:
-			_, _ = w.out.Write(line) // there is nowhere to report a failed write
+			if _, err := w.out.Write(line); err != nil {
+				w.dropped.Add(1)
+			}
 		case <-ticker.C:
 			if count := w.dropped.Load(); count > reported {
 				reportDropped(count - reported)
