Platform: SIGHUP does not end a process that has just started

The platform sends SIGHUP when it changes a settings file, as it may while machines return.

The signal is ignored before the Go runtime starts, and handled before the settings are read, so that no change of them is missed.

Commands, routers and control replicas of the product's own face end with SIGHUP as before.

--- a/cmd/kitetiller/main.go
+++ b/cmd/kitetiller/main.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"kitetiller/internal/control"
+	"kitetiller/internal/hangup"
 	"kitetiller/internal/node"
 	"kitetiller/internal/operator"
 	"kitetiller/internal/router"
@@ -23,6 +24,8 @@
 const (
 	exitFailure = 1
 	exitUsage   = 2
+	// platformCommandName is the name of the command that runs a process on the users' platform.
+	platformCommandName = "platform"
 )
 
 // arguments holds every flag and positional value of the command line.
@@ -67,6 +70,9 @@
 	}
 	for _, candidate := range commands {
 		if candidate.parser.Used {
+			if candidate.parser.Name != platformCommandName { // the others have no use for SIGHUP
+				hangup.Default()
+			}
 			finish(candidate.run(args))
 		}
 	}
@@ -89,7 +95,7 @@
 	controlCommand := flaggy.NewSubcommand("control")
 	controlCommand.Description = "run a control replica"
 	nodeFlags(controlCommand, args)
-	platformCommand := flaggy.NewSubcommand("platform")
+	platformCommand := flaggy.NewSubcommand(platformCommandName)
 	platformCommand.Description = "run a process on the users' platform, with its settings file"
 	platformCommand.AddPositionalValue(&args.role, "ROLE", 1, true, platform.RoleGateway+" or "+platform.RoleControl)
 	platformCommand.AddPositionalValue(&args.file, "FILE", 2, true, "settings file of this process")
