Control: the leader tells gateways and members that it doesn't hear where the group is

Gateways answered every request with no-document for good, though a leader was elected within a second: they keep nothing across a restart and know three seeds, and the machines of all three had been replaced by others before all lost power. A control process that had lost its disk and whose seeds were gone didn't find the group either. The leader announced the group to its own seeds only.

The addresses of gateways that poll are recorded in the log, from level 4 on. The leader announces the group to those that it hasn't heard for a second, 64 at a time, and to silent members. A gateway takes the addresses if no replica has answered it lately.

--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -49,6 +49,8 @@
 	MaxHashWeights      map[string]uint64 `json:"bounds,omitempty"`  // by service: highest hash weight in use
 	AddGateways         []string          `json:"came,omitempty"`    // gateways that started to poll the leader
 	RemoveGateways      []string          `json:"left,omitempty"`    // gateways that stopped polling the leader
+	// GatewayAddresses holds the internal addresses of AddGateways, from level Addressed on.
+	GatewayAddresses map[string]string `json:"came_at,omitempty"`
 
 	Quarantine *quarantine.Change `json:"quarantine,omitempty"` // requests during which backends crashed
 
@@ -97,17 +99,19 @@
 	ordered        map[string]bool              // see MayHaveWeightsOrder; only registered instances
 	gateways       []string                     // gateways that poll the leader, sorted
 	gatewaySet     map[string]bool              // set of gateways
-	maxHashWeights map[string]uint64            // by service; no entry if all backends are in use
-	changed        map[string]bool              // ids of instances that changed since the last TakeChanged
-	fence          uint64
-	quarantine     *quarantine.Registry
+	// gatewayAddresses holds internal addresses by name, at most maxGatewayAddresses besides those of gateways that poll the leader
+	gatewayAddresses map[string]string
+	maxHashWeights   map[string]uint64 // by service; no entry if all backends are in use
+	changed          map[string]bool   // ids of instances that changed since the last TakeChanged
+	fence            uint64
+	quarantine       *quarantine.Registry
 }
 
 // NewMachine returns an empty state.
 func NewMachine() *Machine {
 	return &Machine{
 		instances: map[string]Instance{}, addresses: map[string]string{}, departed: map[string]bool{}, contested: map[string]bool{}, incarnations: newIncarnations(), latestVersions: map[string]uint64{}, publications: map[string][]Publication{}, loaded: map[string]map[string]uint64{},
-		ordered: map[string]bool{}, gatewaySet: map[string]bool{}, maxHashWeights: map[string]uint64{}, changed: map[string]bool{}, quarantine: quarantine.NewRegistry(),
+		ordered: map[string]bool{}, gatewaySet: map[string]bool{}, gatewayAddresses: map[string]string{}, maxHashWeights: map[string]uint64{}, changed: map[string]bool{}, quarantine: quarantine.NewRegistry(),
 	}
 }
 
@@ -167,12 +171,6 @@
 // MayHaveWeightsOrder reports whether an instance or its predecessor may have been sent a weights order.
 func (m *Machine) MayHaveWeightsOrder(id string) bool { return m.ordered[id] }
 
-// Gateways returns the sorted names of the gateways that poll the leader. Callers must not modify the slice.
-func (m *Machine) Gateways() []string { return m.gateways }
-
-// HasGateway reports whether Gateways contains a gateway.
-func (m *Machine) HasGateway(gateway string) bool { return m.gatewaySet[gateway] }
-
 // MaxHashWeight returns the highest hash weight of the backends of a service that are in use.
 func (m *Machine) MaxHashWeight(service string) uint64 {
 	if highest, known := m.maxHashWeights[service]; known {
@@ -226,7 +224,7 @@
 	case len(command.ReplaceGateways) > 0:
 		m.setGateways(command.ReplaceGateways)
 	case len(command.AddGateways)+len(command.RemoveGateways) > 0:
-		m.updateGateways(command.AddGateways, command.RemoveGateways)
+		m.updateGateways(command.AddGateways, command.RemoveGateways, command.GatewayAddresses)
 	case len(command.MaxHashWeights) > 0:
 		maps.Copy(m.maxHashWeights, command.MaxHashWeights)
 	case command.Quarantine != nil:
@@ -317,26 +315,6 @@
 	}
 }
 
-// setGateways replaces the list of gateways with sorted names.
-func (m *Machine) setGateways(names []string) {
-	m.gateways = names
-	clear(m.gatewaySet)
-	for _, name := range names {
-		m.gatewaySet[name] = true
-	}
-}
-
-// updateGateways adds and removes gateways.
-func (m *Machine) updateGateways(added, removed []string) {
-	for _, name := range added {
-		m.gatewaySet[name] = true
-	}
-	for _, name := range removed {
-		delete(m.gatewaySet, name)
-	}
-	m.gateways = slices.Sorted(maps.Keys(m.gatewaySet))
-}
-
 // recordLoaded records the weights that registered instances have loaded.
 func (m *Machine) recordLoaded(reports []LoadedWeights) {
 	for _, report := range reports {
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -29,11 +29,13 @@
 	Contested map[string]bool `json:"contested,omitempty"`
 
 	Sharing *sharingSnapshot `json:"sharing,omitempty"`
+
+	GatewayAddresses map[string]string `json:"gateway_addresses,omitempty"`
 }
 
 // MarshalJSON encodes the whole state as a snapshot.
 func (m *Machine) MarshalJSON() ([]byte, error) {
-	return json.Marshal(machineSnapshot{m.document, m.instances, m.departedIDs, m.latestVersions, m.fence, m.loaded, m.ordered, m.gateways, m.maxHashWeights, m.quarantine, m.publications, m.expiredIDs, m.contested, m.sharing.snapshot()})
+	return json.Marshal(machineSnapshot{m.document, m.instances, m.departedIDs, m.latestVersions, m.fence, m.loaded, m.ordered, m.gateways, m.maxHashWeights, m.quarantine, m.publications, m.expiredIDs, m.contested, m.sharing.snapshot(), m.gatewayAddresses})
 }
 
 // UnmarshalJSON replaces the whole state by a snapshot.
@@ -55,6 +57,7 @@
 		m.ordered[id] = true
 	}
 	m.setGateways(snapshot.Gateways)
+	maps.Copy(m.gatewayAddresses, snapshot.GatewayAddresses)
 	maps.Copy(m.maxHashWeights, snapshot.MaxHashWeights)
 	if snapshot.Quarantine != nil {
 		m.quarantine = snapshot.Quarantine
--- a/internal/control/discovery.go
+++ b/internal/control/discovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,11 +15,18 @@
 )
 
 // A replica with an empty data folder finds its group in two ways: it asks the configured seeds whether they have state, and
-// the leader announces the group to seeds that it doesn't hear from. Without the announcements, a group whose seeds have
-// all lost their data or moved could not be found by anyone, since only the seeds' addresses are configured.
-
-// announceInterval is the interval at which the leader announces the group to seeds that it doesn't hear from.
-const announceInterval = 250 * time.Millisecond
+// the leader announces the group to seeds and members that it doesn't hear from. Without the announcements, a group whose seeds
+// have all lost their data or moved could not be found by anyone, since only the seeds' addresses are configured. Gateways keep
+// nothing across a restart, so the leader announces the group to those that it doesn't hear from either.
+
+const (
+	// announceInterval is the time between two announcements of the group.
+	announceInterval = 250 * time.Millisecond
+	// gatewaySilence is how long the leader may not hear a gateway before it announces the group to it. Gateways poll more often.
+	gatewaySilence = time.Second
+	// maxAnnouncedGateways bounds the gateways of one announcement.
+	maxAnnouncedGateways = 64
+)
 
 // Hello asks a replica whether it has state. From a leader, it also states where the group is.
 type Hello struct {
@@ -48,31 +56,55 @@
 	respond(http.StatusOK, HelloReply{HasState: hasState})
 }
 
-// announceGroup announces the group to the seeds that the leader doesn't hear from, while this replica leads.
+// announceGroup announces the group to the processes that the leader doesn't hear from, while this replica leads.
 func (s *Server) announceGroup(ctx context.Context) {
-	transport.Every(ctx, announceInterval, func() {
-		var silent []string
+	for round := 0; ctx.Err() == nil; round++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(announceInterval):
+		}
+		var replicas, gateways []string
 		var hello Hello
 		queried := s.queryReplica(func(replica *Replica) bool {
-			silent, hello = replica.silentSeeds(s.now(), s.seeds()), Hello{Members: replica.addresses()}
+			replicas, gateways = replica.silentReplicas(s.now(), s.seeds()), replica.silentGateways(s.now())
+			hello = Hello{Members: replica.addresses()}
 			return true
 		})
-		if !queried {
-			return // the replica may set the variables later
+		if queried { // otherwise the replica may set the variables later
+			s.announce(ctx, hello, append(replicas, batchOf(gateways, maxAnnouncedGateways, round)...))
 		}
-		for _, address := range silent {
-			attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-			err := s.client.Post(attempt, address, PathHello, hello, nil)
-			cancel()
-			if err != nil {
-				s.log.Debug("failed to announce the group to a seed", zap.String("seed", address), zap.Error(err))
+	}
+}
+
+// batchOf returns at most size of the names, others in each round until all have had their turn.
+func batchOf(names []string, size, round int) []string {
+	if len(names) <= size {
+		return names
+	}
+	batches := (len(names) + size - 1) / size
+	first := round % batches * size
+	return names[first:min(first+size, len(names))]
+}
+
+// announce sends a hello to addresses, all at once.
+func (s *Server) announce(ctx context.Context, hello Hello, addresses []string) {
+	attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	var sent sync.WaitGroup
+	for _, address := range addresses {
+		sent.Go(func() {
+			if err := s.client.Post(attempt, address, PathHello, hello, nil); err != nil {
+				s.log.Debug("failed to announce the group", zap.String("address", address), zap.Error(err))
 			}
-		}
-	})
+		})
+	}
+	sent.Wait()
 }
 
-// silentSeeds returns the seeds at which no member of the group replies to this leader, or none if this replica doesn't lead.
-func (r *Replica) silentSeeds(now time.Duration, seeds []string) []string {
+// silentReplicas returns the addresses of seeds and members from which this leader gets no replies, or none if this replica
+// doesn't lead.
+func (r *Replica) silentReplicas(now time.Duration, seeds []string) []string {
 	if r.leader == nil {
 		return nil
 	}
@@ -82,7 +114,25 @@
 			heard[member.Address] = true
 		}
 	}
-	return slices.DeleteFunc(slices.Clone(seeds), func(address string) bool { return heard[address] })
+	candidates := slices.Concat(seeds, r.addresses())
+	slices.Sort(candidates)
+	return slices.DeleteFunc(slices.Compact(candidates), func(address string) bool { return heard[address] })
+}
+
+// silentGateways returns the addresses of the gateways that this leader has not heard for gatewaySilence, sorted by name, or none
+// if this replica doesn't lead.
+func (r *Replica) silentGateways(now time.Duration) []string {
+	if r.leader == nil || now < r.leader.startedAt+gatewaySilence {
+		return nil
+	}
+	addresses := r.machine.catalog.GatewayAddresses()
+	var silent []string
+	for _, name := range sortedKeys(addresses) {
+		if report, reported := r.leader.usage[name]; !reported || now-report.receivedAt >= gatewaySilence {
+			silent = append(silent, addresses[name])
+		}
+	}
+	return silent
 }
 
 // joinOrCreateGroup joins a replica with an empty data folder to an existing group, as a learner. If there is none, it
--- a/internal/control/handover.go
+++ b/internal/control/handover.go
@@ -6,6 +6,7 @@
 
 	"kitetiller/internal/catalog"
 	"kitetiller/internal/guard"
+	"kitetiller/internal/level"
 )
 
 // A new leader must not send an order to a back end that an earlier leader has just ordered, nor one that is unknown to
@@ -163,7 +164,7 @@
 	r.leader.gatewaysCheckedAt, r.leader.gatewayUnlisted = now, false
 	var added, removed []string
 	for name, report := range r.leader.usage {
-		if now-report.receivedAt <= r.viewExpiry() && !r.machine.catalog.HasGateway(name) {
+		if now-report.receivedAt <= r.viewExpiry() && (!r.machine.catalog.HasGateway(name) || r.lacksAddress(name, report.address)) {
 			added = append(added, name)
 		}
 	}
@@ -179,10 +180,26 @@
 		removed = nil // keep the list if all gateways are silent at once: they are likely to return soon
 	}
 	if len(added)+len(removed) > 0 {
-		r.propose(now, 0, Command{Catalog: &catalog.Command{AddGateways: added, RemoveGateways: removed}})
+		r.propose(now, 0, Command{Catalog: &catalog.Command{AddGateways: added, RemoveGateways: removed, GatewayAddresses: r.addressesOf(added)}})
 	}
 }
 
+// lacksAddress reports whether a gateway's address is to be recorded.
+func (r *Replica) lacksAddress(gateway, address string) bool {
+	return r.machine.level >= level.Addressed && address != "" && r.machine.catalog.GatewayAddresses()[gateway] != address
+}
+
+// addressesOf returns the addresses of gateways that are to be recorded.
+func (r *Replica) addressesOf(gateways []string) map[string]string {
+	addresses := map[string]string{}
+	for _, name := range gateways {
+		if address := r.leader.usage[name].address; r.lacksAddress(name, address) {
+			addresses[name] = address
+		}
+	}
+	return addresses
+}
+
 // allGatewaysFollow reports whether no gateway can still use a view of another leader: every gateway in the log has
 // sent a watch to this one, or all views of earlier leaders have expired.
 func (r *Replica) allGatewaysFollow(now time.Duration) bool {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -11,6 +11,7 @@
 	DocumentApplied          = "document taken"
 	SharingEpochBegan        = "shared prompts withdrawn" // a tenant became isolated: nothing cached before is shared any more
 	RosterApplied            = "roster taken"
+	ControlAnnounced         = "control group announced"
 	InstanceJoined           = "instance joined"
 	InstanceLeaving          = "instance leaving"
 	InstanceGone             = "instance gone"
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -271,6 +271,9 @@
 	case pathEnd:
 		g.handlePlacementEnd(request, respond)
 		return
+	case control.PathHello:
+		g.handleHello(request, respond)
+		return
 	case pathViaScheduler:
 		forward = g.peers.announce
 	case pathSends:
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,6 +12,7 @@
 	"kitetiller/internal/events"
 	"kitetiller/internal/quarantine/reporter"
 	"kitetiller/internal/quota"
+	"kitetiller/internal/transport"
 )
 
 // watchControl polls control for updates until ctx ends.
@@ -111,6 +114,21 @@
 	return true
 }
 
+// handleHello takes the addresses of the control group from its leader, unless a replica has answered lately. The configured
+// addresses may all be of machines that are gone.
+func (g *Gateway) handleHello(request transport.Request, respond transport.Respond) {
+	var hello control.Hello
+	if json.Unmarshal(request.Body, &hello) != nil {
+		respond(http.StatusBadRequest, nil)
+		return
+	}
+	if len(hello.Members) > 0 && !g.group.AnsweredWithin(controlContactWindow) {
+		g.group.SetAddresses(hello.Members)
+		g.log.info(events.ControlAnnounced, zap.Strings("members", hello.Members))
+	}
+	respond(http.StatusOK, control.HelloReply{})
+}
+
 // watchHoldTime returns how long control may hold a watch request. It is short while a back end drains for new weights,
 // so that control learns soon that its requests have ended.
 func (g *Gateway) watchHoldTime() time.Duration {
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -25,8 +25,10 @@
 	Compressed Level = 2
 	// Contested is the level from which on a deregistration may be contested and its instance reinstated.
 	Contested Level = 3
+	// Addressed is the level from which on the addresses of gateways are recorded.
+	Addressed Level = 4
 	// Current is the level of this build.
-	Current = Contested
+	Current = Addressed
 )
 
 // ErrTooOld is returned if records have a higher level than this build supports. Check for it with errors.Is.
