Catalog: the addresses of gateways that are gone are dropped after an hour

Machines that are replaced leave their addresses behind, and the leader would announce the group to each of them for ever, 64 in a round of 0.9 s. Found in reading the change, not seen. A gateway that is back in the list counts as there again; when all fall silent at once, none leaves it.

--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -82,27 +82,26 @@
 
 // Machine is the replicated state. It is not safe for concurrent use.
 type Machine struct {
-	Guards         guard.Set `json:"-"`
-	document       Document
-	sharing        sharing
-	instances      map[string]Instance
-	addresses      map[string]string // id of the instance at each address
-	ids            []string          // sorted ids of instances; nil when outdated
-	departedIDs    []string          // instances that deregistered, oldest first; at most maxDepartedIDs
-	departed       map[string]bool   // set of departedIDs
-	contested      map[string]bool   // departed instances that may be reinstated; a subset of departed
-	expiredIDs     []string          // may register again, oldest first; at most maxDepartedIDs
-	incarnations   incarnations      // of instances and departedIDs
-	latestVersions map[string]uint64
-	publications   map[string][]Publication     // by model, ascending by version; the last one is the latest version
-	loaded         map[string]map[string]uint64 // by registered instance and model; versions never decrease
-	ordered        map[string]bool              // see MayHaveWeightsOrder; only registered instances
-	gateways       []string                     // gateways that poll the leader, sorted
-	gatewaySet     map[string]bool              // set of gateways
-	// gatewayAddresses holds internal addresses by name, at most maxGatewayAddresses besides those of gateways that poll the leader
-	gatewayAddresses map[string]string
-	maxHashWeights   map[string]uint64 // by service; no entry if all backends are in use
-	changed          map[string]bool   // ids of instances that changed since the last TakeChanged
+	Guards           guard.Set `json:"-"`
+	document         Document
+	sharing          sharing
+	instances        map[string]Instance
+	addresses        map[string]string // id of the instance at each address
+	ids              []string          // sorted ids of instances; nil when outdated
+	departedIDs      []string          // instances that deregistered, oldest first; at most maxDepartedIDs
+	departed         map[string]bool   // set of departedIDs
+	contested        map[string]bool   // departed instances that may be reinstated; a subset of departed
+	expiredIDs       []string          // may register again, oldest first; at most maxDepartedIDs
+	incarnations     incarnations      // of instances and departedIDs
+	latestVersions   map[string]uint64
+	publications     map[string][]Publication     // by model, ascending by version; the last one is the latest version
+	loaded           map[string]map[string]uint64 // by registered instance and model; versions never decrease
+	ordered          map[string]bool              // see MayHaveWeightsOrder; only registered instances
+	gateways         []string                     // gateways that poll the leader, sorted
+	gatewaySet       map[string]bool              // set of gateways
+	gatewayAddresses map[string]gatewayAddress    // by name
+	maxHashWeights   map[string]uint64            // by service; no entry if all backends are in use
+	changed          map[string]bool              // ids of instances that changed since the last TakeChanged
 	fence            uint64
 	quarantine       *quarantine.Registry
 }
@@ -111,7 +110,7 @@
 func NewMachine() *Machine {
 	return &Machine{
 		instances: map[string]Instance{}, addresses: map[string]string{}, departed: map[string]bool{}, contested: map[string]bool{}, incarnations: newIncarnations(), latestVersions: map[string]uint64{}, publications: map[string][]Publication{}, loaded: map[string]map[string]uint64{},
-		ordered: map[string]bool{}, gatewaySet: map[string]bool{}, gatewayAddresses: map[string]string{}, maxHashWeights: map[string]uint64{}, changed: map[string]bool{}, quarantine: quarantine.NewRegistry(),
+		ordered: map[string]bool{}, gatewaySet: map[string]bool{}, gatewayAddresses: map[string]gatewayAddress{}, maxHashWeights: map[string]uint64{}, changed: map[string]bool{}, quarantine: quarantine.NewRegistry(),
 	}
 }
 
@@ -224,7 +223,7 @@
 	case len(command.ReplaceGateways) > 0:
 		m.setGateways(command.ReplaceGateways)
 	case len(command.AddGateways)+len(command.RemoveGateways) > 0:
-		m.updateGateways(command.AddGateways, command.RemoveGateways, command.GatewayAddresses)
+		m.updateGateways(command)
 	case len(command.MaxHashWeights) > 0:
 		maps.Copy(m.maxHashWeights, command.MaxHashWeights)
 	case command.Quarantine != nil:
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -30,7 +30,7 @@
 
 	Sharing *sharingSnapshot `json:"sharing,omitempty"`
 
-	GatewayAddresses map[string]string `json:"gateway_addresses,omitempty"`
+	GatewayAddresses map[string]gatewayAddress `json:"gateway_addresses,omitempty"`
 }
 
 // MarshalJSON encodes the whole state as a snapshot.
--- a/internal/control/discovery.go
+++ b/internal/control/discovery.go
@@ -125,11 +125,10 @@
 	if r.leader == nil || now < r.leader.startedAt+gatewaySilence {
 		return nil
 	}
-	addresses := r.machine.catalog.GatewayAddresses()
 	var silent []string
-	for _, name := range sortedKeys(addresses) {
+	for _, name := range r.machine.catalog.AddressedGateways() {
 		if report, reported := r.leader.usage[name]; !reported || now-report.receivedAt >= gatewaySilence {
-			silent = append(silent, addresses[name])
+			silent = append(silent, r.machine.catalog.GatewayAddress(name))
 		}
 	}
 	return silent
--- a/internal/control/handover.go
+++ b/internal/control/handover.go
@@ -186,7 +186,7 @@
 
 // lacksAddress reports whether a gateway's address is to be recorded.
 func (r *Replica) lacksAddress(gateway, address string) bool {
-	return r.machine.level >= level.Addressed && address != "" && r.machine.catalog.GatewayAddresses()[gateway] != address
+	return r.machine.level >= level.Addressed && address != "" && r.machine.catalog.GatewayAddress(gateway) != address
 }
 
 // addressesOf returns the addresses of gateways that are to be recorded.
