--- a/internal/control/discovery.go
+++ b/internal/control/discovery.go
@@ -94,7 +94,7 @@
 	var sent sync.WaitGroup
 	for _, address := range addresses {
 		sent.Go(func() {
-			if err := s.client.Post(attempt, address, PathHello, hello, nil); err != nil {
+			if err := s.announcer.Post(attempt, address, PathHello, hello, nil); err != nil {
 				s.log.Debug("failed to announce the group", zap.String("address", address), zap.Error(err))
 			}
 		})
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -95,6 +95,7 @@
 	senderAddresses map[consensus.ID]string // last known address of each replica that sent a message; owned by runReplica
 	links           *transport.LinkFilter
 	client          *transport.Client
+	announcer       *transport.Client // of the group, to addresses that may be silent
 	group           *Client
 	driver          Driver
 	seedAddresses   atomic.Pointer[[]string] // configured internal addresses of replicas
@@ -146,7 +147,7 @@
 		heartbeats: heartbeatBatcher{acked: map[string]ackedHeartbeat{}, wake: make(chan struct{}, 1)},
 		writes:     make(chan writeRequest, 1), written: make(chan writeResult, 1),
 		clients: map[uint64]transport.Respond{}, senderAddresses: map[consensus.ID]string{}, links: links, outboxes: map[consensus.ID]chan consensus.Message{},
-		client: transport.NewClientWithDialTimeout(file.ClusterToken, links, file.Control.Heartbeat), fatal: make(chan error, 1),
+		client: transport.NewClientWithDialTimeout(file.ClusterToken, links, file.Control.Heartbeat), announcer: transport.NewClient(file.ClusterToken, links), fatal: make(chan error, 1),
 	}
 	server.seedAddresses.Store(&file.Control.Founders)
 	server.group = NewClient(server.client, file.Control.Founders)
