Gateway: after a direct answer, a direct refusal shows that its process has ended

Not traced, its logs are gone. Where the answer came over a direct connection, a refusal to this process is enough.

--- a/internal/gateway/unframed.go
+++ b/internal/gateway/unframed.go
@@ -30,7 +30,11 @@
 	}
 	ctx, cancel := context.WithTimeout(a.ctx, endCheckTimeout)
 	defer cancel()
-	if a.exchange.gateway.dialer.Refuses(ctx, a.row.entry.Address) {
+	refuses := a.exchange.gateway.dialer.RefusesDirectly
+	if a.conn.peer != "" {
+		refuses = a.exchange.gateway.dialer.Refuses
+	}
+	if refuses(ctx, a.row.entry.Address) {
 		return errProcessEnded
 	}
 	return nil
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -121,21 +121,36 @@
 
 // Refuses reports whether nothing listens at an address.
 func (d *Dialer) Refuses(ctx context.Context, address string) bool {
-	conn, err := d.config.Direct(ctx, address)
-	if err == nil {
-		_ = conn.Close()
-		return false
-	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	refusal := d.refusesDirectly(ctx, address)
+	if refusal == nil {
 		return false
 	}
-	dialed, err := d.confirmRefusal(ctx, address, err)
+	dialed, err := d.confirmRefusal(ctx, address, refusal)
 	if dialed.Conn != nil {
 		_ = dialed.Close()
 	}
 	return IsRefused(err)
 }
 
+// RefusesDirectly reports whether an address refuses connections from this process. To one that had a direct connection there
+// until now, it means the same as Refuses, whatever peers would say.
+func (d *Dialer) RefusesDirectly(ctx context.Context, address string) bool {
+	return d.refusesDirectly(ctx, address) != nil
+}
+
+// refusesDirectly returns the refusal of a direct connection, or nil.
+func (d *Dialer) refusesDirectly(ctx context.Context, address string) error {
+	conn, err := d.config.Direct(ctx, address)
+	if err == nil {
+		_ = conn.Close()
+		return nil
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return nil
+	}
+	return err
+}
+
 // dialResult is the result of one way to connect.
 type dialResult struct {
 	dialed Dialed
