Soak: replies of workers and messages of control that arrive late

New faults late-states, late-answers and late-control delay the replies of workers to questions for their state, the beginning of their answers, and each message from and to control processes.

--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -54,12 +54,15 @@
 	CutZone          Kind = "cut-zone"        // the control processes and gateways of a zone from all others
 	CutAnswers       Kind = "cut-answers"     // workers stop within answers, and end the connection, go silent or send another answer
 	SlowSync         Kind = "slow-sync"       // each sync of control processes takes longer; of shapes that lose unsynced writes
+	LateStates       Kind = "late-states"     // workers reply late to questions for their state; requests take as long as usual
+	LateAnswers      Kind = "late-answers"    // workers begin their answers to requests late
+	LateControl      Kind = "late-control"    // each message from and to control processes arrives late; through the proxy only
 	ReplaceControl   Kind = "replace-control" // a control process is gone for good, another one starts at a new address without data
 )
 
 // Kinds lists all kinds.
 func Kinds() []Kind {
-	return append(drawnKinds(), PowerOff, RollControl, CutZone, ReplaceControl, SlowSync, ReleaseVersion)
+	return append(drawnKinds(), PowerOff, RollControl, CutZone, ReplaceControl, SlowSync, ReleaseVersion, LateStates, LateAnswers, LateControl)
 }
 
 // drawnKinds lists the kinds that Generate draws, in a fixed order, which the choice from a seed depends on.
@@ -76,7 +79,7 @@
 func (k Kind) Disturbs() bool {
 	switch k {
 	case KillWorker, HotTenant, LowerLimit, ChangeSetting, LargeDocuments, Reload, FatalRequest, ForgedHeartbeats, RejectRequests, DrainWorker, DeregisterWorker, IsolateTenant, AdvertiseLimits, CutAnswers,
-		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions, ReleaseVersion, SlowSync:
+		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions, ReleaseVersion, SlowSync, LateStates, LateAnswers, LateControl:
 		return false
 	}
 	return true
@@ -148,6 +151,8 @@
 	SeedsLast bool  `json:"seeds_last,omitempty"`
 	// SyncMS is by how much SlowSync delays each sync of Disks control processes from Target on, or of all without Disks.
 	SyncMS int64 `json:"sync_ms,omitempty"`
+	// DelayMS is by how much LateStates, LateAnswers and LateControl delay each reply or message.
+	DelayMS int64 `json:"delay_ms,omitempty"`
 }
 
 // At returns when the fault begins, from the start of traffic.
@@ -229,7 +234,7 @@
 		return plan, eris.Wrapf(err, "decode plan %s", path)
 	}
 	for i, fault := range plan.Faults {
-		if !slices.Contains(Kinds(), fault.Kind) || !slices.Contains(Aims(), fault.Aim) || fault.AtMS < 0 || fault.ForMS < 0 || fault.Target < 0 || fault.Disks < 0 || fault.SyncMS < 0 || fault.SpreadMS < 0 {
+		if !slices.Contains(Kinds(), fault.Kind) || !slices.Contains(Aims(), fault.Aim) || fault.AtMS < 0 || fault.ForMS < 0 || fault.Target < 0 || fault.Disks < 0 || fault.SyncMS < 0 || fault.SpreadMS < 0 || fault.DelayMS < 0 {
 			return plan, eris.Errorf("%s: fault %d (%s) has an unknown kind or aim, or a negative value", path, i, fault.Kind)
 		}
 	}
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -34,6 +34,8 @@
 	IsolateTenant func(ctx context.Context, target int, duration time.Duration)
 	// DeregisterWorker makes a worker leave by a deregistration alone while heartbeats of it are under way.
 	DeregisterWorker func(ctx context.Context, target int, duration time.Duration)
+	// DelayStates makes all workers reply late to questions for their state, and DelayAnswers begin their answers late.
+	DelayStates, DelayAnswers func(delay time.Duration)
 	// CutAnswers makes workers stop within answers.
 	CutAnswers      func(ctx context.Context, target int, duration time.Duration)
 	AdvertiseLimits func(ctx context.Context, target int, duration time.Duration)
@@ -183,6 +185,12 @@
 		f.DeregisterWorker(ctx, fault.Target, duration)
 	case DrainWorker:
 		f.DrainWorker(ctx, fault.Target, duration)
+	case LateStates:
+		f.delayFor(ctx, duration, fault.DelayMS, f.DelayStates)
+	case LateAnswers:
+		f.delayFor(ctx, duration, fault.DelayMS, f.DelayAnswers)
+	case LateControl:
+		f.delayFor(ctx, duration, fault.DelayMS, f.delayControl)
 	case CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers:
 		f.partition(ctx, fault, duration)
 	}
@@ -266,3 +274,17 @@
 		f.Proxy.Delay(link, 0)
 	}
 }
+
+// delayFor sets a delay for a time.
+func (f *Fleet) delayFor(ctx context.Context, duration time.Duration, delayMS int64, set func(delay time.Duration)) {
+	set(time.Duration(delayMS) * time.Millisecond)
+	Sleep(ctx, duration)
+	set(0)
+}
+
+// delayControl sets the delay of each message from and to control processes.
+func (f *Fleet) delayControl(delay time.Duration) {
+	for _, p := range f.Control {
+		f.Proxy.DelayProcess(p.Name, delay)
+	}
+}
