Consensus: a leader asks for a longer lease where round trips are long

Cause: a lease lasts 300 ms from when the acknowledged message was sent. Where a round trip between control processes takes longer, it has ended before it can be renewed: a leader is elected and never holds a lease, confirms no view, and every gateway refuses every request with no-document for as long as messages take that long.

Change: the leader measures the round trip to the fastest quorum and asks voters in its messages to reject votes for longer, in steps of ElectionMin and at most five. A voter grants what it has on stable storage, and stays silent for that long after a restart, so that two leaders never hold leases. It grants less again once nothing longer is promised. Longer leases need level 5, since an earlier build would forget the promise. Without long round trips nothing changes.

Round trips over some 0.8 s still elect nobody.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -40,7 +40,8 @@
 func (n *Node) resetElectionTimer(now time.Duration) {
 	timing := n.config.Timing
 	jitter := int64(timing.ElectionMax - timing.ElectionMin)
-	n.electionDue = now + (timing.ElectionMin+time.Duration(n.config.Random(jitter)))*n.electionScale() + n.slowSyncDelay()
+	usual := now + (timing.ElectionMin+time.Duration(n.config.Random(jitter)))*n.electionScale() + n.slowSyncDelay()
+	n.electionDue = usual + max(0, n.silentUntil-now-timing.ElectionMin)
 }
 
 // slowSyncDelay returns how much later a replica stands for election because of its syncs. More than the difference of the
@@ -94,7 +95,7 @@
 // term does not change.
 func (n *Node) becomeFollower(now time.Duration, term uint64, leader ID) {
 	if term > n.hard.Term {
-		n.hard = HardState{Term: term}
+		n.hard = HardState{Term: term, Silence: n.hard.Silence}
 		n.hardStateChanged = true
 	}
 	n.role = Follower
@@ -117,7 +118,7 @@
 
 func (n *Node) startElection(now time.Duration) {
 	n.role = Candidate
-	n.hard = HardState{Term: n.hard.Term + 1, Vote: n.config.ID}
+	n.hard = HardState{Term: n.hard.Term + 1, Vote: n.config.ID, Silence: n.hard.Silence}
 	n.hardStateChanged = true
 	n.votes = map[ID]bool{} // its own counts once it is synced; see EndWrite
 	n.awaitElection(now)
@@ -168,7 +169,7 @@
 	n.role = Leader
 	n.leader, n.leaderTerm = n.config.ID, n.hard.Term
 	n.coldStart.finish()
-	n.peers = map[ID]*progress{}
+	n.peers, n.silence = map[ID]*progress{}, 0
 	n.refreshMembership()
 	for id, peer := range n.peers {
 		peer.lastReplyAt = now
@@ -182,15 +183,15 @@
 	n.broadcastAppend(now)
 }
 
-// handleVote answers a vote or pre-vote request. A replica that heard from a leader within ElectionMin rejects both;
-// leases depend on it. Its start counts as such contact, unless the whole group is known to be leaderless.
+// handleVote answers a vote or pre-vote request. A replica that has promised silence to a leader rejects both; leases depend
+// on it. Its start counts as such a promise, unless the whole group is known to be leaderless.
 func (n *Node) handleVote(now time.Duration, message Message) {
 	preVote := message.Kind == MessagePreVote
 	reply := Message{Kind: MessageVoteReply, To: message.From, Term: n.hard.Term, Reject: true}
 	if preVote {
 		reply.Kind = MessagePreVoteReply
 	}
-	leaderAlive := n.role == Leader || (!n.coldStart.leaderless && now < n.lastLeaderContact+n.config.Timing.ElectionMin)
+	leaderAlive := n.role == Leader || (!n.coldStart.leaderless && now < n.silentUntil)
 	if leaderAlive || message.Term < n.hard.Term {
 		n.send(reply)
 		return
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -11,7 +11,8 @@
 type progress struct {
 	match          uint64        // highest index known to be synced there
 	next           uint64        // next index to send
-	ackedSentAt    time.Duration // send time of the newest acknowledged message, by the leader's clock
+	leaseUntil     time.Duration // until when the peer is known to reject votes, less a reserve for clocks; by the leader's clock
+	roundTrips     roundTrips
 	lastReplyAt    time.Duration // time of the last reply, by the leader's clock
 	heard          bool          // it has replied to this leader, or asked it to join
 	lastAppendAt   time.Duration // time of the last append or snapshot, by the leader's clock
@@ -43,6 +44,9 @@
 	peers             map[ID]*progress
 	lastHeartbeat     time.Duration
 	lastLeaderContact time.Duration // last message from a valid leader, initially the start
+	silentUntil       time.Duration // until when votes are rejected, unless the group is known to be leaderless
+	storedSilence     time.Duration // the least HardState.Silence that may be on stable storage
+	silence           time.Duration // that this leader asks for; 0 is ElectionMin
 	lastLeader        ID            // sender of that message; empty initially and once this replica leads
 	electionDue       time.Duration
 	termStartIndex    uint64 // index of the no-op entry that began this leadership
@@ -69,6 +73,9 @@
 	if config.PartSnapshots == nil {
 		config.PartSnapshots = func() bool { return true }
 	}
+	if config.LongLeases == nil {
+		config.LongLeases = func() bool { return true }
+	}
 	if config.ApplySize == nil {
 		config.ApplySize = func(entry Entry) int { return entry.Size() }
 	}
@@ -79,6 +86,8 @@
 		commit:            restored.Snapshot.Index,
 		delivered:         restored.Snapshot.Index,
 		lastLeaderContact: now,
+		silentUntil:       now + max(config.Timing.ElectionMin, restored.HardState.Silence),
+		storedSilence:     restored.HardState.Silence,
 		leaderTerm:        restored.HardState.Term,
 		snapshotSource:    snapshotSource,
 		coldStart: coldStartState{
@@ -218,34 +227,6 @@
 	return changed
 }
 
-// LeaseValid reports whether this replica leads and a quorum acknowledged it recently enough that no other replica can
-// have been elected. While it is valid, the leader may serve reads of committed state.
-func (n *Node) LeaseValid(now time.Duration) bool {
-	if n.role != Leader || n.commit < n.termStartIndex {
-		return false
-	}
-	return now < n.quorumAckedAt(now)+n.config.Timing.Lease
-}
-
-// quorumAckedAt returns the latest time such that a quorum of voters acknowledged messages sent at or after it.
-func (n *Node) quorumAckedAt(now time.Duration) time.Duration {
-	times := make([]time.Duration, 0, len(n.membership.Members))
-	for _, member := range n.membership.Members {
-		switch {
-		case member.Learner:
-		case member.ID == n.config.ID:
-			times = append(times, now)
-		default:
-			times = append(times, n.peers[member.ID].ackedSentAt)
-		}
-	}
-	if len(times) == 0 {
-		return 0
-	}
-	slices.SortFunc(times, func(a, b time.Duration) int { return int(b - a) })
-	return times[len(times)/2]
-}
-
 // PeerStatus is a leader's view of one other replica.
 type PeerStatus struct {
 	ID          ID
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -28,13 +28,14 @@
 	}
 }
 
-// tickLeader sends heartbeats. It steps down if no quorum has replied within ElectionMax (check-quorum), or if the
-// committed membership no longer lists this replica as a voter.
+// tickLeader sends heartbeats. It steps down if no quorum has replied within ElectionMax (check-quorum) or the silence that it
+// asks for, or if the committed membership no longer lists this replica as a voter.
 func (n *Node) tickLeader(now time.Duration) {
 	if now < n.lastHeartbeat+n.config.Timing.Heartbeat {
 		return
 	}
 	n.lastHeartbeat = now
+	n.updateSilence()
 	if n.membership.Voters() > 1 && n.quorumSilent(now) {
 		n.becomeFollower(now, n.hard.Term, "")
 		return
@@ -55,7 +56,7 @@
 		if member.Learner {
 			continue
 		}
-		if member.ID == n.config.ID || now < n.peers[member.ID].lastReplyAt+n.config.Timing.ElectionMax {
+		if member.ID == n.config.ID || now < n.peers[member.ID].lastReplyAt+max(n.config.Timing.ElectionMax, n.silence) {
 			responsive++
 		}
 	}
@@ -115,7 +116,7 @@
 	}
 	n.send(Message{
 		Kind: MessageAppend, To: id, Term: n.hard.Term, Index: previous, LogTerm: term,
-		Commit: n.commit, SentAt: now, Entries: entries,
+		Commit: n.commit, SentAt: now, Silence: n.silence, Entries: entries,
 	})
 	peer.lastAppendAt = now
 	if probes {
@@ -161,26 +162,28 @@
 	}
 	peer.lastAppendAt = now
 	base := n.log.base
-	n.send(Message{Kind: MessageAppend, To: id, Term: n.hard.Term, Index: base.Index, LogTerm: base.Term, Commit: n.commit, SentAt: now})
+	n.send(Message{Kind: MessageAppend, To: id, Term: n.hard.Term, Index: base.Index, LogTerm: base.Term, Commit: n.commit, SentAt: now, Silence: n.silence})
 }
 
-// acceptLeader follows the sender of a leader's message, or rejects the message if its term is old.
-func (n *Node) acceptLeader(now time.Duration, message Message) bool {
+// acceptLeader follows the sender of a leader's message and returns a reply to it that extends the leader's lease, or rejects
+// the message if its term is old.
+func (n *Node) acceptLeader(now time.Duration, message Message) (reply Message, accepted bool) {
 	if message.Term < n.hard.Term {
 		n.send(Message{Kind: MessageAppendReply, To: message.From, Term: n.hard.Term, Reject: true})
-		return false
+		return Message{}, false
 	}
+	granted := n.promiseSilence(now, message.Silence)
 	n.becomeFollower(now, message.Term, message.From)
 	n.lastLeaderContact, n.lastLeader, n.leaderTerm = now, message.From, message.Term
 	n.coldStart.finish()
-	return true
+	return Message{Kind: MessageAppendReply, To: message.From, Term: n.hard.Term, SentAt: message.SentAt, Silence: granted}, true
 }
 
 func (n *Node) handleAppend(now time.Duration, message Message) {
-	if !n.acceptLeader(now, message) {
+	reply, accepted := n.acceptLeader(now, message)
+	if !accepted {
 		return
 	}
-	reply := Message{Kind: MessageAppendReply, To: message.From, Term: n.hard.Term, SentAt: message.SentAt}
 	if message.Index < n.log.base.Index {
 		if !n.installing() {
 			reply.Index = n.log.base.Index // covered by the local snapshot, hence committed
@@ -228,17 +231,20 @@
 }
 
 func (n *Node) handleSnapshot(now time.Duration, message Message) {
-	if message.Snapshot == nil || !n.acceptLeader(now, message) {
+	if message.Snapshot == nil {
+		return
+	}
+	reply, accepted := n.acceptLeader(now, message)
+	if !accepted {
 		return
 	}
-	reply := Message{Kind: MessageAppendReply, To: message.From, Term: n.hard.Term, SentAt: message.SentAt}
 	meta := message.Snapshot.Meta
 	if term, found := n.log.term(meta.Index); found && term == meta.Term {
 		// The log matches the snapshot; installing it would drop acknowledged entries after it.
 		n.commit = max(n.commit, meta.Index)
 	} else if meta.Index > n.commit {
 		if message.Part != nil {
-			message.Snapshot = n.collectPart(message)
+			message.Snapshot = n.collectPart(message, reply)
 		}
 		if message.Snapshot == nil {
 			return
@@ -263,7 +269,7 @@
 		return
 	}
 	peer.lastReplyAt, peer.heard = now, true
-	peer.ackedSentAt = max(peer.ackedSentAt, message.SentAt)
+	n.recordGrant(now, peer, &message)
 	if message.Part != nil {
 		n.handlePartReply(now, message.From, *message.Part)
 		return
--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -28,7 +28,7 @@
 	peer := n.peers[id]
 	peer.paused, peer.snapshotSentAt, peer.lastAppendAt = true, now, now
 	transfer := peer.transfer
-	message := Message{Kind: MessageSnapshot, To: id, Term: n.hard.Term, SentAt: now, Snapshot: &transfer.snapshot}
+	message := Message{Kind: MessageSnapshot, To: id, Term: n.hard.Term, SentAt: now, Silence: n.silence, Snapshot: &transfer.snapshot}
 	if data, limit := transfer.snapshot.Data, n.config.Limits.MessageBytes; len(data) > limit && n.config.PartSnapshots() {
 		end := min(transfer.offset+limit, len(data))
 		message.Snapshot = &Snapshot{Meta: transfer.snapshot.Meta, Data: data[transfer.offset:end]}
@@ -53,8 +53,8 @@
 }
 
 // collectPart adds a part to the snapshot that is being received. It returns the whole snapshot once it is complete, or else
-// acknowledges what it holds and returns nil.
-func (n *Node) collectPart(message Message) *Snapshot {
+// acknowledges what it holds with the reply and returns nil.
+func (n *Node) collectPart(message, reply Message) *Snapshot {
 	part, meta := message.Part, message.Snapshot.Meta
 	if incoming := n.incoming; incoming == nil || incoming.from != message.From || incoming.meta.Index != meta.Index || incoming.meta.Term != meta.Term {
 		n.incoming = &incomingSnapshot{from: message.From, meta: meta}
@@ -63,7 +63,8 @@
 		n.incoming.data = append(n.incoming.data, message.Snapshot.Data...)
 	}
 	if held := n.incoming.data; len(held) < part.Total {
-		n.send(Message{Kind: MessageAppendReply, To: message.From, Term: n.hard.Term, SentAt: message.SentAt, Part: &SnapshotPart{Index: meta.Index, Offset: len(held)}})
+		reply.Part = &SnapshotPart{Index: meta.Index, Offset: len(held)}
+		n.send(reply)
 		return nil
 	}
 	whole := &Snapshot{Meta: meta, Data: n.incoming.data}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -127,6 +127,8 @@
 type HardState struct {
 	Term uint64 `json:"term"`
 	Vote ID     `json:"vote,omitempty"`
+	// Silence is for how long the replica rejects votes after a leader's message, and after its start; 0 is ElectionMin.
+	Silence time.Duration `json:"silence,omitempty"`
 }
 
 // SnapshotMeta is the log position of a snapshot and the membership there.
@@ -181,6 +183,10 @@
 	// SyncTime is how long a sync of the sender takes, in a reply to a pre-vote; 0 if it is not known.
 	SyncTime time.Duration `json:"sync,omitempty"`
 
+	// Silence is for how long after a leader's message the receiver is to reject votes, and in the reply what it grants; 0 is
+	// ElectionMin.
+	Silence time.Duration `json:"silence,omitempty"`
+
 	// Part is set if Snapshot holds a part of the data only, and in the reply to that.
 	Part *SnapshotPart `json:"part,omitempty"`
 }
@@ -208,7 +214,7 @@
 	Heartbeat   time.Duration // interval of the leader's appends to idle followers
 	ElectionMin time.Duration // minimum election timeout; vote requests are rejected this long after leader contact
 	ElectionMax time.Duration // maximum election timeout
-	Lease       time.Duration // how long a quorum's acknowledgements let a leader serve reads; below ElectionMin
+	Lease       time.Duration // how long a quorum's acknowledgements let a leader serve reads, if they grant no more than ElectionMin; below that
 }
 
 // Limits bounds what a node sends and delivers at once, in bytes. A single entry may exceed a limit, as it must pass.
@@ -243,7 +249,10 @@
 	ApplySize func(Entry) int // cost of applying an entry, in bytes; nil selects Entry.Size
 	// PartSnapshots reports whether long snapshots may be sent in parts, which all replicas must know; nil is yes.
 	PartSnapshots func() bool
-	Random        func(n int64) int64 // uniform in [0, n); seeded by the caller
+	// LongLeases reports whether the leader may ask for a longer silence than ElectionMin, which all replicas must know; nil is
+	// yes.
+	LongLeases func() bool
+	Random     func(n int64) int64 // uniform in [0, n); seeded by the caller
 }
 
 // Restored is the state read from stable storage. The zero value stands for an empty folder.
--- a/internal/consensus/write.go
+++ b/internal/consensus/write.go
@@ -22,6 +22,7 @@
 		hard := n.hard
 		write.HardState = &hard
 		n.hardStateChanged = false
+		n.storedSilence = min(n.storedSilence, hard.Silence)
 	}
 	write.Snapshot = n.pendingInstall
 	n.pendingInstall = nil
@@ -40,6 +41,9 @@
 	if write == nil {
 		return
 	}
+	if write.HardState != nil {
+		n.storedSilence = write.HardState.Silence
+	}
 	if last := len(write.Entries); last > 0 {
 		n.markPersisted(write.Entries[last-1])
 	}
--- a/internal/control/encoding.go
+++ b/internal/control/encoding.go
@@ -60,6 +60,9 @@
 // knowsParts reports whether all replicas know snapshots in parts.
 func (r *Replica) knowsParts() bool { return r.machine.level >= level.Compressed }
 
+// knowsLongLeases reports whether all replicas keep their silence after a restart.
+func (r *Replica) knowsLongLeases() bool { return r.machine.level >= level.LongLeases }
+
 // logFormat returns the format of the log on disk. Builds that don't know levels refuse a newer one.
 func (m *Machine) logFormat() int {
 	if m.level >= level.Compressed {
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -22,6 +24,8 @@
 		gauge("sync_seconds_total", "Time spent in them.", func() float64 { return float64(s.syncs.Nanoseconds.Load()) / 1e9 }),
 		gauge("slow_syncs_total", "Writes without a checkpoint that took 100 ms or longer.", func() float64 { return float64(s.usage.slowSyncs.Load()) }),
 		gauge("undecided_elections_total", "Elections in which this replica stood and nobody won.", func() float64 { return float64(s.usage.undecidedElections.Load()) }),
+		gauge("quorum_round_trip_seconds", "Round trip from this leader to the voters that make a quorum with it first; 0 on other replicas.", func() float64 { return time.Duration(s.usage.roundTrip.Load()).Seconds() }),
+		gauge("vote_silence_seconds", "For how long this leader asks voters to reject votes after its messages, if round trips need more than usual; 0 otherwise.", func() float64 { return time.Duration(s.usage.silence.Load()).Seconds() }),
 		gauge("losses_borne", "How many voters may lose their disks now without the group losing its majority; -1 on a replica that doesn't lead with a valid lease.", func() float64 { return float64(s.usage.lossesBorne.Load()) }),
 		gauge("log_disk_bytes", "Size of the newest log segment on disk.", func() float64 { return float64(s.usage.segment.Load()) }),
 		gauge("log_memory_bytes", "Size of the log entries held in memory.", func() float64 { return float64(s.usage.entries.Load()) }),
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -134,7 +134,7 @@
 	replica.applied = restored.Snapshot.Meta.Index
 	replica.appliedTerm = restored.Snapshot.Meta.Term
 	replica.node = consensus.New(
-		consensus.Config{ID: config.ID, Timing: config.Timing, Limits: config.consensusLimits(), ApplySize: applySize, PartSnapshots: replica.knowsParts, Random: config.Random},
+		consensus.Config{ID: config.ID, Timing: config.Timing, Limits: config.consensusLimits(), ApplySize: applySize, PartSnapshots: replica.knowsParts, LongLeases: replica.knowsLongLeases, Random: config.Random},
 		consensus.Restored{HardState: restored.HardState, Snapshot: restored.Snapshot.Meta, Entries: restored.Entries},
 		now, func() (consensus.Snapshot, bool) { return replica.snapshot, replica.snapshot.Meta.Index > 0 })
 	return replica, nil
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -307,6 +307,7 @@
 		s.logLevelChange()
 		s.logDepartures()
 		s.logElections()
+		s.logLease()
 		s.logMembers()
 		s.logLimitChanges()
 		s.logQuarantineChanges()
--- a/internal/control/usage.go
+++ b/internal/control/usage.go
@@ -19,6 +19,8 @@
 	slowSyncs       atomic.Uint64 // that took slowSyncTime or longer
 	// undecidedElections counts those of this replica that ended without a leader.
 	undecidedElections atomic.Uint64
+	silence            atomic.Int64  // that this leader asks of voters, in ns; 0 for the usual one and on other replicas
+	roundTrip          atomic.Int64  // to the quorum that answers this leader first, in ns; 0 if it is not known
 	lossesBorne        atomic.Int64  // see Replica.lossesBorne
 	contested          atomic.Uint64 // deregistrations
 	reinstated         atomic.Uint64 // instances whose deregistration was contested
--- a/internal/control/writer.go
+++ b/internal/control/writer.go
@@ -157,6 +157,16 @@
 	}
 }
 
+// logLease logs when this leader asks for a longer or shorter lease, since round trips have changed.
+func (s *Server) logLease() {
+	roundTrip, silence := s.replica.node.Lease()
+	s.usage.roundTrip.Store(int64(roundTrip))
+	if before := s.usage.silence.Swap(int64(silence)); before == int64(silence) {
+		return
+	}
+	s.log.Info(events.LeaseChanged, zap.Duration("round_trip", roundTrip), zap.Duration("silence", silence), zap.Uint64("term", s.replica.node.Term()))
+}
+
 // logElections logs elections of this replica that ended without a leader.
 func (s *Server) logElections() {
 	undecided := s.replica.node.UndecidedElections()
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -62,6 +62,7 @@
 	LossesBorneChanged  = "losses borne changed" // how many voters may lose their disks now
 	CheckpointPostponed = "checkpoint postponed" // it did not fit on the disk; the log goes on
 	StorageSlow         = "data folder slow"     // a sync took long; elections wait longer
+	LeaseChanged        = "lease length changed" // this leader asks voters for another time in which they reject votes
 	ElectionUndecided   = "election undecided"   // this replica stood for election, and nobody won in time
 	StorageFailed       = "data folder failed"   // it is opened again after a pause
 	StorageRecovered    = "data folder usable again"
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -27,8 +27,10 @@
 	Contested Level = 3
 	// Addressed is the level from which on the addresses of gateways are recorded.
 	Addressed Level = 4
+	// LongLeases is the level from which on a leader may ask voters to reject votes for longer than usual.
+	LongLeases Level = 5
 	// Current is the level of this build.
-	Current = Addressed
+	Current = LongLeases
 )
 
 // ErrTooOld is returned if records have a higher level than this build supports. Check for it with errors.Is.
