Control: the leader's reply to a relay counts however late it comes

Cause: a replica that answers gateways for the leader asks again after 400 ms and drops the reply to the request before, and a watch expires 150 ms after it is due. Where the leader's replies always take longer, no view of the zone's gateways is ever confirmed.

Change: a reply confirms the watches that its request names, also after later requests, for two seconds; an older one changes no roster; and a watch waits for one and a half times what the latest reply took.

Result: TestLateReplyConfirmsWatches, replies after 600 ms: 40 of 50 watches and more are confirmed; with the code before none can be, since each reply belongs to a request that was given up.

Test changed: TestRosterNeverGoesBack held that a reply to a request before the latest is ignored, which is the fault. It now holds that an older roster that comes later, a reply of a previous leader and one that comes twice change nothing.

--- a/internal/control/relay/relay.go
+++ b/internal/control/relay/relay.go
@@ -11,6 +11,7 @@
 package relay
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -27,10 +28,16 @@
 	// idleRequestInterval is the interval between two requests while no watch is pending. They keep the leader informed
 	// that this follower answers gateways.
 	idleRequestInterval = 200 * time.Millisecond
-	// RequestTimeout is how long a reply may take before the next request is sent.
-	RequestTimeout = 400 * time.Millisecond
-	// leaderGracePeriod is how long beyond its due time a watch waits for confirmation by the leader.
-	leaderGracePeriod = 150 * time.Millisecond
+	// requestRepeatInterval is how long a reply may take before the next request is sent. A reply that comes later counts all
+	// the same, until LateReplyTimeout.
+	requestRepeatInterval = 400 * time.Millisecond
+	// LateReplyTimeout is how long a reply is awaited, and maxAwaitedReplies how many are.
+	LateReplyTimeout  = 2 * time.Second
+	maxAwaitedReplies = 8
+	// minLeaderGrace is how long beyond its due time a watch waits for confirmation by the leader at least. Where the leader's
+	// replies take longer, it waits leaderGraceFactor times as long as the latest one took.
+	minLeaderGrace    = 150 * time.Millisecond
+	leaderGraceFactor = 1.5
 	// maxPendingWatches limits the number of pending watches.
 	maxPendingWatches = 4096
 )
@@ -83,11 +90,17 @@
 	Due    time.Duration // when it is answered even if nothing has changed
 	Watch  any           // the watch itself; opaque to this package
 
-	requestNumber uint64 // number of the latest request that names it, or 0
+	requestNumber uint64 // number of the first request that names it, or 0
 	confirmed     bool   // the leader has confirmed the gateway's view
 	minApplied    uint64 // log index that must be applied here before it is answered
 }
 
+// awaitedReply is a request whose reply may still come.
+type awaitedReply struct {
+	number uint64
+	at     time.Duration // when the request was sent
+}
+
 // Relay holds the pending watches of a follower and its copy of the leader's state.
 type Relay struct {
 	guards           guard.Set
@@ -103,6 +116,8 @@
 	requestNumber    uint64         // of the latest request
 	inFlight         bool           // the latest request has no reply yet
 	requestedAt      time.Duration
+	awaited          []awaitedReply // in order of sending; at most maxAwaitedReplies
+	replyTime        time.Duration  // that the latest reply took
 	readers          cacheEventReaders
 }
 
@@ -124,7 +139,7 @@
 // Drain removes and returns all pending watches.
 func (r *Relay) Drain() []PendingWatch {
 	drained := r.pending
-	r.pending, r.inFlight = nil, false
+	r.pending, r.inFlight, r.awaited = nil, false, nil
 	return drained
 }
 
@@ -132,7 +147,7 @@
 func (r *Relay) NextRequestAt() time.Duration {
 	switch {
 	case r.inFlight:
-		return r.requestedAt + RequestTimeout
+		return r.requestedAt + requestRepeatInterval
 	case r.hasUnconfirmed():
 		return r.requestedAt + minRequestInterval
 	}
@@ -150,10 +165,12 @@
 	}
 	r.requestNumber++
 	r.inFlight, r.requestedAt = true, now
+	r.awaited = append(r.awaited, awaitedReply{number: r.requestNumber, at: now})
+	r.awaited = r.awaited[max(0, len(r.awaited)-maxAwaitedReplies):]
 	request := Request{Number: r.requestNumber, Roster: r.version, Layout: r.layout.Version}
 	for i := range r.pending {
 		if w := &r.pending[i]; !w.confirmed {
-			w.requestNumber = r.requestNumber
+			w.requestNumber = cmp.Or(w.requestNumber, r.requestNumber)
 			request.Reports = append(request.Reports, w.Report)
 		}
 	}
@@ -167,29 +184,50 @@
 	}
 }
 
-// Observe applies a reply of the leader.
-func (r *Relay) Observe(reply *Reply) {
-	if !r.inFlight || reply.Number != r.requestNumber || reply.Version.Term < r.version.Term {
-		return // reply to an abandoned request, or from a previous leader
+// Observe applies a reply of the leader. One that comes after later requests were sent still confirms the watches that its
+// request names.
+func (r *Relay) Observe(now time.Duration, reply *Reply) {
+	at := slices.IndexFunc(r.awaited, func(a awaitedReply) bool { return a.number == reply.Number })
+	if at < 0 {
+		return
 	}
-	r.inFlight = false
-	if reply.Roster != nil {
-		r.roster.Apply(reply.Version.Count, reply.Roster)
-		r.readers.stale = true
+	asked := r.awaited[at]
+	r.awaited = slices.Delete(r.awaited, at, at+1)
+	if reply.Number == r.requestNumber {
+		r.inFlight = false
 	}
-	r.version = reply.Version
-	if reply.Layout != nil {
+	r.replyTime = now - asked.at
+	if !r.applyRoster(reply) {
+		return
+	}
+	if reply.Layout != nil && !reply.Layout.Version.Precedes(r.layout.Version) {
 		r.layout, r.readers.stale = reply.Layout, true
 	}
-	r.publications, r.publicationsAsOf, r.gateways = reply.Publications, r.requestedAt, reply.Gateways
+	if asked.at >= r.publicationsAsOf {
+		r.publications, r.publicationsAsOf, r.gateways = reply.Publications, asked.at, reply.Gateways
+	}
 	for i := range r.pending {
 		w := &r.pending[i]
-		if w.requestNumber == r.requestNumber && !slices.Contains(reply.Unlisted, w.Report.Gateway) {
-			w.confirmed, w.minApplied = true, reply.Applied
+		if w.requestNumber > 0 && w.requestNumber <= reply.Number && !slices.Contains(reply.Unlisted, w.Report.Gateway) {
+			w.confirmed, w.minApplied = true, max(w.minApplied, reply.Applied)
 		}
 	}
 }
 
+// applyRoster applies the roster of a reply, and reports whether the one held is at least as new then. An update that was asked
+// for with an older roster holds all later changes as well.
+func (r *Relay) applyRoster(reply *Reply) bool {
+	if reply.Version.Precedes(r.version) {
+		return reply.Version.Term == r.version.Term // of a previous leader otherwise
+	}
+	if reply.Roster != nil {
+		r.roster.Apply(reply.Version.Count, reply.Roster)
+		r.readers.stale = true
+	}
+	r.version = reply.Version
+	return true
+}
+
 // Result is the state of a pending watch.
 type Result uint8
 
@@ -219,15 +257,20 @@
 	switch {
 	case answerable && (now >= w.Due || changed(w)):
 		return Ready
-	case !answerable && now >= w.Due+leaderGracePeriod:
+	case !answerable && now >= w.Due+r.leaderGrace():
 		return Expired
 	}
 	return Waiting
 }
 
+// leaderGrace returns how long beyond its due time a watch waits for confirmation by the leader.
+func (r *Relay) leaderGrace() time.Duration {
+	return min(max(minLeaderGrace, time.Duration(leaderGraceFactor*float64(r.replyTime))), LateReplyTimeout)
+}
+
 // isBehind reports whether a gateway holds a newer roster than this replica.
 func (r *Relay) isBehind(held roster.Version) bool {
-	return held.Term > r.version.Term || held.Term == r.version.Term && held.Count > r.version.Count
+	return r.version.Precedes(held)
 }
 
 // Version returns the version of the roster that gateways get.
--- a/internal/control/relay/relay_test.go
+++ b/internal/control/relay/relay_test.go
@@ -48,7 +48,7 @@
 	if answered, _ := resolve(r, 0, 9, true); len(first.Reports) != 2 || len(answered) > 0 {
 		t.Fatalf("request %+v; watches %v were answered before the leader's reply", first, answered)
 	}
-	r.Observe(&Reply{Number: 1, Applied: 5, Version: roster.Version{Term: 1, Count: 1}, Roster: &roster.Update{Full: true}, Unlisted: []string{"g-2"}})
+	r.Observe(0, &Reply{Number: 1, Applied: 5, Version: roster.Version{Term: 1, Count: 1}, Roster: &roster.Update{Full: true}, Unlisted: []string{"g-2"}})
 	if answered, _ := resolve(r, time.Millisecond, 4, true); len(answered) > 0 {
 		t.Fatalf("watches %v were answered before this replica had applied the leader's log index", answered)
 	}
@@ -58,31 +58,60 @@
 	if next := nextRequest(t, r, minRequestInterval); len(next.Reports) != 2 {
 		t.Fatalf("the next request has reports %+v, want 2", next.Reports)
 	}
-	r.Observe(&Reply{Number: 2, Version: roster.Version{Term: 1, Count: 1}})
+	r.Observe(0, &Reply{Number: 2, Version: roster.Version{Term: 1, Count: 1}})
 	if answered, _ := resolve(r, minRequestInterval, 5, true); len(answered) != 2 {
 		t.Fatalf("watches %v were answered, want 2 and 3", answered)
 	}
 }
 
-// TestRosterNeverGoesBack: a gateway with a newer roster waits until this replica has caught up. Replies from a
-// previous leader or to an abandoned request are ignored.
+// TestRosterNeverGoesBack: a gateway with a newer roster waits until this replica has caught up. Replies that are older than what
+// is held, or from a previous leader, change nothing.
 func TestRosterNeverGoesBack(t *testing.T) {
 	r := New(guard.Set{})
 	r.Add(pendingWatch(1, 0, roster.Version{Term: 2, Count: 9}))
 	nextRequest(t, r, 0)
-	r.Observe(&Reply{Number: 1, Version: roster.Version{Term: 2, Count: 8}, Roster: &roster.Update{Full: true}})
+	r.Observe(0, &Reply{Number: 1, Version: roster.Version{Term: 2, Count: 8}, Roster: &roster.Update{Full: true}})
 	if answered, _ := resolve(r, 0, 0, true); len(answered) > 0 {
 		t.Fatalf("watches %v were answered with the older roster 8", answered)
 	}
 	nextRequest(t, r, idleRequestInterval)
-	nextRequest(t, r, idleRequestInterval+RequestTimeout)
-	r.Observe(&Reply{Number: 2, Version: roster.Version{Term: 2, Count: 20}, Roster: &roster.Update{}})
-	if r.Version().Count != 8 {
-		t.Fatalf("roster %+v after a reply to an abandoned request", r.Version())
+	nextRequest(t, r, idleRequestInterval+requestRepeatInterval)
+	r.Observe(0, &Reply{Number: 3, Version: roster.Version{Term: 2, Count: 20}, Roster: &roster.Update{}})
+	r.Observe(0, &Reply{Number: 2, Version: roster.Version{Term: 2, Count: 12}, Roster: &roster.Update{Removed: []string{"engine"}}})
+	if r.Version().Count != 20 {
+		t.Fatalf("roster %+v after an older reply that came later", r.Version())
+	}
+	nextRequest(t, r, 2*idleRequestInterval+requestRepeatInterval)
+	r.Observe(0, &Reply{Number: 4, Version: roster.Version{Term: 1, Count: 30}, Roster: &roster.Update{Full: true}})
+	r.Observe(0, &Reply{Number: 3, Version: roster.Version{Term: 3, Count: 1}, Roster: &roster.Update{Full: true}})
+	if r.Version() != (roster.Version{Term: 2, Count: 20}) {
+		t.Fatalf("roster %+v after a reply from a previous leader, and a reply that came twice", r.Version())
 	}
-	r.Observe(&Reply{Number: 3, Version: roster.Version{Term: 1, Count: 30}, Roster: &roster.Update{Full: true}})
-	if r.Version().Term != 2 {
-		t.Fatalf("roster %+v after a reply from a previous leader", r.Version())
+}
+
+// TestLateReplyConfirmsWatches guards against gateways without a view for as long as the leader's replies take longer than until
+// the next request is sent.
+func TestLateReplyConfirmsWatches(t *testing.T) {
+	const replyTime = 3 * requestRepeatInterval / 2
+	r := New(guard.Set{})
+	replies := map[time.Duration]uint64{}
+	confirmed := 0
+	for now, client := time.Duration(0), uint64(0); now < 20*time.Second; now += 10 * time.Millisecond {
+		if now%(400*time.Millisecond) == 0 {
+			client++
+			r.Add(pendingWatch(client, now+400*time.Millisecond, roster.Version{}))
+		}
+		if request, due := r.NextRequest(now); due {
+			replies[now+replyTime] = request.Number
+		}
+		if number, arrives := replies[now]; arrives {
+			r.Observe(now, &Reply{Number: number, Version: roster.Version{Term: 1, Count: 1}})
+		}
+		answered, _ := resolve(r, now, 0, false)
+		confirmed += len(answered)
+	}
+	if confirmed < 40 {
+		t.Fatalf("%d of 50 watches were confirmed, want 40 at least", confirmed)
 	}
 }
 
@@ -95,7 +124,7 @@
 	if _, expired := resolve(r, 100*time.Millisecond, 0, false); len(expired) > 0 {
 		t.Fatalf("watches %v expired before the grace period", expired)
 	}
-	if _, expired := resolve(r, 100*time.Millisecond+leaderGracePeriod, 0, false); len(expired) != 1 {
+	if _, expired := resolve(r, 100*time.Millisecond+minLeaderGrace, 0, false); len(expired) != 1 {
 		t.Fatalf("watches %v expired, want 1", expired)
 	}
 }
@@ -126,7 +155,7 @@
 			}
 			if request, due := r.NextRequest(now); due {
 				requests, reports = requests+1, reports+len(request.Reports)
-				r.Observe(&Reply{Number: request.Number, Version: roster.Version{Term: 1, Count: 1}})
+				r.Observe(0, &Reply{Number: request.Number, Version: roster.Version{Term: 1, Count: 1}})
 			}
 			resolve(r, now, 0, false)
 		}
@@ -150,14 +179,14 @@
 	}
 	layout := &Layout{Version: roster.Version{Term: 1, Count: 1}, Mesh: &mesh.Layout{Zones: map[string]mesh.Zone{"z": {Schedulers: []mesh.Peer{{Name: "s", Address: "s"}}}}}}
 	nextRequest(t, r, 0)
-	r.Observe(&Reply{Number: 1, Version: roster.Version{Term: 1, Count: 1}, Layout: layout, Roster: &roster.Update{
+	r.Observe(0, &Reply{Number: 1, Version: roster.Version{Term: 1, Count: 1}, Layout: layout, Roster: &roster.Update{
 		Full: true, Entries: []roster.Entry{entry("engine", map[string]uint64{"m": 1}), entry("small", nil)},
 	}})
 	if sources := r.CacheEventSources("s"); len(sources) != 1 || sources[0] != "engine" || len(r.CacheEventSources("other")) > 0 {
 		t.Fatalf("sources %v", sources)
 	}
 	nextRequest(t, r, idleRequestInterval)
-	r.Observe(&Reply{Number: 2, Version: roster.Version{Term: 1, Count: 2}, Roster: &roster.Update{Removed: []string{"engine"}}})
+	r.Observe(0, &Reply{Number: 2, Version: roster.Version{Term: 1, Count: 2}, Roster: &roster.Update{Removed: []string{"engine"}}})
 	if sources := r.CacheEventSources("s"); len(sources) > 0 {
 		t.Fatalf("sources %v after the engine was removed", sources)
 	}
@@ -170,7 +199,7 @@
 	r.Add(pendingWatch(1, 0, roster.Version{}))
 	nextRequest(t, r, 0)
 	const delay = 300 * time.Millisecond
-	r.Observe(&Reply{Number: 1, Version: roster.Version{Term: 1, Count: 1}, Publications: []roster.Publication{{Model: "m", Version: 2, Age: time.Second}}})
+	r.Observe(0, &Reply{Number: 1, Version: roster.Version{Term: 1, Count: 1}, Publications: []roster.Publication{{Model: "m", Version: 2, Age: time.Second}}})
 	if age := r.Publications(delay)[0].Age; age < time.Second+delay {
 		t.Fatalf("age %v, want at least %v", age, time.Second+delay)
 	}
--- a/internal/control/relaying.go
+++ b/internal/control/relaying.go
@@ -81,6 +81,6 @@
 		r.relay.RecordFailure(number)
 		return
 	}
-	r.relay.Observe(reply)
+	r.relay.Observe(now, reply)
 	r.advanceRelay(now)
 }
--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -18,6 +18,11 @@
 	Count uint64 `json:"count"`
 }
 
+// Precedes reports whether a version is older than another.
+func (v Version) Precedes(other Version) bool {
+	return v.Term < other.Term || v.Term == other.Term && v.Count < other.Count
+}
+
 // Entry is the state of a back end as sent to gateways.
 type Entry struct {
 	catalog.Instance
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -389,9 +389,9 @@
 	}
 }
 
-// relayToLeader sends a relay request to the leader and submits the result.
+// relayToLeader sends a relay request to the leader and submits the result, however late.
 func (s *Server) relayToLeader(asker *Replica, call RelayCall) {
-	ctx, cancel := context.WithTimeout(context.Background(), relay.RequestTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), relay.LateReplyTimeout)
 	defer cancel()
 	result := &relayResult{number: call.Request.Number, leader: call.Address, asker: asker}
 	var response Response
