Gateway: a late reply to the question for the incarnation keeps its connection

Cause: an attempt whose stream may be resumed asks on a new connection which incarnation answers, and after 250 ms drops the reply with the connection. Where back ends always take longer, no such stream is served on a new connection, for ever; kept ones were checked before, so nothing shows until connections are lost. Callers get unreached after up to four back ends.

Change: the reply is awaited for five seconds, and its connection then kept for other requests. An attempt waits for twice as long as replies of the back end or its service took lately, at most half of the time that its request has left.

Metric: kitetiller_gateway_late_incarnation_replies_total.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -189,6 +189,9 @@
 		if err = a.checkLife(); err == nil {
 			return nil
 		}
+		if err == errLifeReplyLate {
+			return err
+		}
 		_ = conn.Close()
 		if err != errConnectionEnds || tries == maxLifeChecks {
 			return err
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -43,6 +43,7 @@
 	longLane            bool                  // assigned to long requests rather than short ones
 	waiting             map[*attempt]time.Duration
 	lastByteAt          time.Duration // when the last bytes of any response arrived
+	lifeReplyTime       time.Duration // that its last reply to the question for its incarnation took
 	failures            int           // consecutive
 	failureRate         float64       // smoothed
 	avoidUntil          time.Duration
@@ -94,6 +95,8 @@
 	movedAt map[string]time.Duration
 	// rosterConfirmedAt is when the latest watch was sent whose reply confirmed the roster.
 	rosterConfirmedAt time.Duration
+	// lifeReplyTimes are the mean times of replies to the question for the incarnation, by service.
+	lifeReplyTimes map[string]time.Duration
 }
 
 func newTable(mechanisms mechanism.Set) *table {
@@ -103,7 +106,7 @@
 		lanes: map[string]*lanes{}, meanDurations: map[string]belief.MeanDuration{}, prefillEstimates: map[string]belief.PrefillEstimate{}, lastSent: map[string]time.Duration{}, admission: map[string]*admission.Controller{},
 		queueRates: map[string]*enginequeue.Rates{}, placed: map[string]placement{}, holders: map[string][]*endpoint{}, waiting: map[*attempt]struct{}{}, rosterChanged: newNotifier(), lastRetryAt: map[string]time.Duration{}, reservations: map[string]*reservation.Controller{},
 		software: map[string]*streamorigin.History{}, streamAges: map[string]knownAge{}, movedAt: map[string]time.Duration{}, minStreamAge: defaultMinStreamAge,
-		direct: directPaths{unanswered: map[string]unansweredRuns{}},
+		direct: directPaths{unanswered: map[string]unansweredRuns{}}, lifeReplyTimes: map[string]time.Duration{},
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,13 +81,15 @@
 	draining      atomic.Bool
 	rejecting     atomic.Bool // final phase of a planned stop, in which new requests are rejected
 	active        atomic.Int64
-	buffered      bufferBudget       // bytes buffered for slow callers and back ends
-	streams       *registry.Registry // at which software versions streams began
-	viewProbe     viewProbe
-	rosterVersion atomic.Pointer[control.RosterVersion] // of the roster in use; nil before the first
-	startup       *node.Startup
-	relayAddress  atomic.Pointer[string] // of the replica that answers watches for the leader; nil or "" if the leader does
-	metrics       *metrics
+	// lateLifeChecks counts the replies to the question for the incarnation that no attempt waits for any more.
+	lateLifeChecks atomic.Int64
+	buffered       bufferBudget       // bytes buffered for slow callers and back ends
+	streams        *registry.Registry // at which software versions streams began
+	viewProbe      viewProbe
+	rosterVersion  atomic.Pointer[control.RosterVersion] // of the roster in use; nil before the first
+	startup        *node.Startup
+	relayAddress   atomic.Pointer[string] // of the replica that answers watches for the leader; nil or "" if the leader does
+	metrics        *metrics
 }
 
 // shortNameRange bounds short names: few characters, but large enough that random ones do not collide in a fleet.
--- a/internal/gateway/lifecheck.go
+++ b/internal/gateway/lifecheck.go
@@ -9,11 +9,23 @@
 )
 
 const (
-	// lifeCheckTimeout bounds the question which incarnation answers on a connection, and maxLifeReply its reply.
-	lifeCheckTimeout = 250 * time.Millisecond
-	maxLifeReply     = 64 << 10
+	// minLifeCheckWait is how long an attempt waits at least for the reply to the question which incarnation answers on a
+	// connection. Where replies take longer, it waits lifeCheckFactor times as long as they took, for at most
+	// maxLifeCheckShare of the time that its request has left.
+	minLifeCheckWait  = 250 * time.Millisecond
+	lifeCheckFactor   = 2
+	maxLifeCheckShare = 0.5
+	// lateLifeCheckTimeout bounds the question itself. A reply that no attempt waits for any more still tells which
+	// incarnation the connection belongs to, so that another request may use it.
+	lateLifeCheckTimeout = 5 * time.Second
+	// maxLateLifeChecks is how many such replies are awaited at once.
+	maxLateLifeChecks = 64
+	// maxLifeReply bounds the size of a reply.
+	maxLifeReply = 64 << 10
 	// maxLifeChecks is how many connections are tried if the back end ends each with its reply.
 	maxLifeChecks = 3
+	// lifeReplySmoothing is the weight of the newest reply in the mean time of a service's replies.
+	lifeReplySmoothing = 0.2
 )
 
 var (
@@ -21,8 +33,17 @@
 	errOtherIncarnation = eris.New("other incarnation")
 	// errConnectionEnds: the back end ends the connection with its reply.
 	errConnectionEnds = eris.New("the connection ends with the question for the incarnation")
+	// errLifeReplyLate: the back end has not told yet which incarnation it is.
+	errLifeReplyLate = eris.New("no reply in time to the question for the incarnation")
 )
 
+// lifeReply is the reply to the question which incarnation answers on a connection.
+type lifeReply struct {
+	startedMS int64
+	took      time.Duration
+	err       error // errConnectionEnds if the reply is valid, but the last one on the connection
+}
+
 // needsLifeCheck reports whether it matters which incarnation gets the request, although the back end itself can't tell: one
 // that restarts under its earlier name may have another software version. Only engines state when they started.
 func (a *attempt) needsLifeCheck() bool {
@@ -31,46 +52,108 @@
 }
 
 // checkLife makes sure that the connection is one to the chosen incarnation. A connection never changes its incarnation, so
-// each is checked once.
+// each is checked once. With errLifeReplyLate the connection is no longer the attempt's.
 func (a *attempt) checkLife() error {
 	if a.conn.lifeChecked || !a.needsLifeCheck() {
 		return nil
 	}
-	startedMS, err := a.askStartTime()
-	if err != nil && err != errConnectionEnds {
-		return err
+	x := a.exchange
+	replies := make(chan lifeReply, 1)
+	go func() { replies <- x.gateway.askStartTime(a.conn, a.row) }()
+	wait := time.NewTimer(a.lifeCheckWait())
+	defer wait.Stop()
+	select {
+	case reply := <-replies:
+		return x.gateway.applyLifeReply(a.conn, a.row, reply)
+	case <-wait.C:
+	case <-a.ctx.Done():
+	}
+	x.gateway.awaitLateLifeReply(a.conn, a.row, replies)
+	return errLifeReplyLate
+}
+
+// lifeCheckWait returns how long the attempt waits for the reply.
+func (a *attempt) lifeCheckWait() time.Duration {
+	x := a.exchange
+	expected := lifeCheckFactor * x.gateway.table.lifeReplyTime(a.row)
+	left := time.Duration(maxLifeCheckShare * float64(x.deadline-x.gateway.now()))
+	return max(minLifeCheckWait, min(expected, left))
+}
+
+// applyLifeReply evaluates a reply for a connection to a back end.
+func (g *Gateway) applyLifeReply(conn *connection, row *endpoint, reply lifeReply) error {
+	if reply.err != nil && reply.err != errConnectionEnds {
+		return reply.err
 	}
-	if startedMS != a.row.incarnation.StartedMS {
-		a.exchange.gateway.table.recordUnreachable(a.exchange.gateway.now(), a.row) // until control names the new one
+	g.table.recordLifeReply(row, reply.took)
+	if reply.startedMS != row.incarnation.StartedMS {
+		g.table.recordUnreachable(g.now(), row) // until control names the new one
 		return errOtherIncarnation
 	}
-	a.conn.lifeChecked = true
-	return err
+	conn.lifeChecked = true
+	return reply.err
+}
+
+// awaitLateLifeReply keeps a connection for other requests once a reply comes that no attempt waits for any more.
+func (g *Gateway) awaitLateLifeReply(conn *connection, row *endpoint, replies <-chan lifeReply) {
+	if g.lateLifeChecks.Add(1) > maxLateLifeChecks {
+		g.lateLifeChecks.Add(-1)
+		_ = conn.Close()
+		return
+	}
+	go func() {
+		defer g.lateLifeChecks.Add(-1)
+		if err := g.applyLifeReply(conn, row, <-replies); err != nil || conn.peer != "" {
+			_ = conn.Close()
+			return
+		}
+		g.metrics.lateLifeReplies.Inc()
+		g.pool.put(row.entry.ID, conn)
+	}()
 }
 
-// askStartTime asks on the attempt's connection when the back end started. With errConnectionEnds the reply is valid.
-func (a *attempt) askStartTime() (startedMS int64, err error) {
-	d := a.exchange.gateway.dialect
-	_ = a.conn.SetDeadline(time.Now().Add(lifeCheckTimeout))
-	defer func() { _ = a.conn.SetDeadline(time.Time{}) }()
-	question := "GET " + d.StatePath() + " HTTP/1.1\r\nHost: " + a.row.entry.Address + "\r\n\r\n"
-	if _, err := io.WriteString(a.conn, question); err != nil {
-		return 0, eris.Wrap(err, "ask for the incarnation")
+// askStartTime asks on a connection when the back end started.
+func (g *Gateway) askStartTime(conn *connection, row *endpoint) (reply lifeReply) {
+	askedAt := g.now()
+	defer func() { reply.took = g.now() - askedAt }()
+	_ = conn.SetDeadline(time.Now().Add(lateLifeCheckTimeout))
+	defer func() { _ = conn.SetDeadline(time.Time{}) }()
+	question := "GET " + g.dialect.StatePath() + " HTTP/1.1\r\nHost: " + row.entry.Address + "\r\n\r\n"
+	if _, err := io.WriteString(conn, question); err != nil {
+		return lifeReply{err: eris.Wrap(err, "ask for the incarnation")}
 	}
-	response, err := a.conn.readResponse(http.MethodGet, d.SingleHeaders())
+	response, err := conn.readResponse(http.MethodGet, g.dialect.SingleHeaders())
 	if err != nil {
-		return 0, eris.Wrap(err, "ask for the incarnation")
+		return lifeReply{err: eris.Wrap(err, "ask for the incarnation")}
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxLifeReply))
 	_ = response.Body.Close()
 	if err != nil || response.StatusCode != http.StatusOK {
-		return 0, eris.Errorf("ask for the incarnation: %s, %v", response.Status, err)
+		return lifeReply{err: eris.Errorf("ask for the incarnation: %s, %v", response.Status, err)}
 	}
-	if startedMS, err = d.ReadStartTime(body); err != nil {
-		return 0, err
+	startedMS, err := g.dialect.ReadStartTime(body)
+	if err == nil && !conn.readKeepAlive(response) {
+		err = errConnectionEnds
 	}
-	if !a.conn.readKeepAlive(response) {
-		return startedMS, errConnectionEnds
+	return lifeReply{startedMS: startedMS, err: err}
+}
+
+// lifeReplyTime returns how long replies to the question for the incarnation are expected to take: as long as the last one of
+// the back end, or the mean of its service if that is longer.
+func (t *table) lifeReplyTime(row *endpoint) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return max(row.lifeReplyTime, t.lifeReplyTimes[row.entry.Service])
+}
+
+// recordLifeReply records how long a reply took.
+func (t *table) recordLifeReply(row *endpoint, took time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	row.lifeReplyTime = took
+	mean, known := t.lifeReplyTimes[row.entry.Service]
+	if !known {
+		mean = took
 	}
-	return startedMS, nil
+	t.lifeReplyTimes[row.entry.Service] = mean + time.Duration(lifeReplySmoothing*float64(took-mean))
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -115,6 +115,7 @@
 	continuations     *prometheus.CounterVec // such streams that broke off, by outcome: the result of the continuation, or why there was none
 	tunnelRequests    *prometheus.CounterVec // requests to peers to open tunnels, by peer and outcome
 	tunnelsServed     *prometheus.CounterVec // requests of peers to open tunnels, by outcome
+	lateLifeReplies   prometheus.Counter     // replies to the question for the incarnation that came after the attempt had ended
 	takeUps           *prometheus.CounterVec // streams that callers took up, by who knew at which software version they began
 	stores            *storeMetrics
 }
@@ -166,6 +167,7 @@
 		firstEventRatio: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "kitetiller_gateway_first_event_ratio", Help: "Time to the first event, as a ratio to the predicted one.", Buckets: firstEventRatioBuckets,
 		}, []string{"service"}),
+		lateLifeReplies:   counter("late_incarnation_replies_total", "Replies of back ends to the question for their incarnation that came after the attempt had ended."),
 		unknownHeaders:    counter("unknown_words_total", "Headers in which back ends speak of themselves and that nothing reads."),
 		retries:           counter("repeats_total", "Requests sent to a further back end."),
 		cacheReadFailures: counter("cache_questions_failed_total", "Questions for engines' cache events that failed."),
@@ -178,7 +180,7 @@
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "kitetiller_gateway_" + name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.recheckFailures, m.limitLeases, m.firstEvent, m.firstEventRatio, newQueueGauge(g), m.unknownHeaders, m.retries, m.cacheReadFailures, m.schedulerFailures, m.sharingEpochs, m.slotInvalid, m.uncachedTokens, m.cachedTokens, m.streamCopies, m.continuations, g.startup, newBackoffGauge(g), newAdvertisedLimitGauge(g), newReservationMetrics(g), newSlotCollector(g),
+	m.registry.MustRegister(m.requests, m.lateLifeReplies, m.attempts, m.recheckFailures, m.limitLeases, m.firstEvent, m.firstEventRatio, newQueueGauge(g), m.unknownHeaders, m.retries, m.cacheReadFailures, m.schedulerFailures, m.sharingEpochs, m.slotInvalid, m.uncachedTokens, m.cachedTokens, m.streamCopies, m.continuations, g.startup, newBackoffGauge(g), newAdvertisedLimitGauge(g), newReservationMetrics(g), newSlotCollector(g),
 		gauge("limit_questions_total", "Questions to the leader for amounts of what is limited.", func() float64 { sent, _ := g.leases.RequestCounts(); return float64(sent) }),
 		gauge("limit_questions_failed_total", "Such questions that got no answer.", func() float64 { _, failed := g.leases.RequestCounts(); return float64(failed) }),
 		gauge("suspected_requests", "Requests under which more than one back end ended, as control tells.", func() float64 { suspected, _ := g.quarantine.SuspectCounts(); return float64(suspected) }),
