Gateway: an attempt is given up as silent only if another one may follow

Cause: an attempt that gets no byte for 0.3 s, or one or two objectives, is cancelled, and only then is a retry taken from the budget. Where all back ends take longer, the budget is used up at once, and callers get run-unknown while most of their time is left; and each retry starts the same work at another back end, which makes all of them later still.

Change: the retry is taken before the attempt is cancelled. Without one, with a request that may not be retried, or with no back end left to try, the attempt goes on. The time that is waited follows the mean time until the first byte of the service's responses, beyond what was predicted; attempts that were cancelled count, if control still hears the back end, as what they waited.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -72,6 +72,7 @@
 		return nil, err
 	}
 	a.exchange.gateway.table.recordBytes(a.exchange.gateway.now(), a)
+	a.recordFirstByte()
 	return response, nil
 }
 
@@ -88,6 +89,9 @@
 		cause = causeWeightsOutdated
 	case context.Cause(a.ctx) == errSilent:
 		cause, a.outcome = "silent", outcomeFailure
+		if !a.streamStarted.Load() && a.exchange.gateway.table.hasHeartbeat(a.row) {
+			a.recordFirstByte() // it takes longer than that
+		}
 	case a.exchange.ctx.Err() == nil:
 		a.outcome = outcomeFailure
 		a.recordFailure()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -33,6 +33,8 @@
 	engineSilenceFactor = 2.0
 	predictedWaitFactor = 2.0
 	minSilenceTimeout   = 300 * time.Millisecond
+	// Where back ends take longer than that, the timeout is observedSilenceFactor times the mean time until their first byte.
+	observedSilenceFactor = 2
 	// A started stream is canceled, to be resumed at another back end, if it pauses for resumeGapFactor times the
 	// route's maximum event gap, minResumeTimeout at least, and control gets no heartbeats of the back end either.
 	// Engines pause for up to a second while weights are replaced, and for longer when short of memory.
@@ -80,6 +82,7 @@
 	exchange         *exchange
 	row              *endpoint
 	startedAt        time.Duration
+	sentAt           time.Duration
 	uncached         int
 	plan             candidate
 	outcome          attemptOutcome
@@ -156,6 +159,7 @@
 	defer a.releaseCopy()
 	a.limitLease = allowance.Lease{} // used up
 	x.sentCount++
+	a.sentAt = x.gateway.now()
 	a.quotaLease, x.quotaLease = x.quotaLease, quotaLease{}
 	a.begin()
 	defer a.end()
@@ -346,14 +350,19 @@
 // maxSilence returns how long the back end may send nothing before the attempt is canceled; 0 means until the deadline.
 func (a *attempt) maxSilence() time.Duration {
 	x := a.exchange
-	if !x.route.Retryable() || x.sentCount >= max(1, x.route.MaxAttempts) || !x.gateway.enabled(mechanism.SilenceTimeout) {
+	if !x.route.Retryable() || x.sentCount >= max(1, x.route.MaxAttempts) || x.isSuspect() || !x.gateway.enabled(mechanism.SilenceTimeout) {
 		return 0
 	}
+	observed := observedSilenceFactor * x.gateway.table.firstByteTime(x.service.Name)
 	if x.service.Engine {
-		predicted := belief.FromMilliseconds(predictedWaitFactor * a.plan.wait)
-		return predicted + max(minSilenceTimeout, time.Duration(engineSilenceFactor*float64(x.route.Objective)))
+		return a.predictedSilence() + max(minSilenceTimeout, observed, time.Duration(engineSilenceFactor*float64(x.route.Objective)))
 	}
-	return max(minSilenceTimeout, time.Duration(silenceFactor*float64(x.route.Objective)))
+	return max(minSilenceTimeout, observed, time.Duration(silenceFactor*float64(x.route.Objective)))
+}
+
+// predictedSilence returns how long the back end is predicted to send nothing, with a reserve; 0 without a prediction.
+func (a *attempt) predictedSilence() time.Duration {
+	return belief.FromMilliseconds(predictedWaitFactor * a.plan.wait)
 }
 
 // startSilenceTimer cancels the attempt if the back end sends nothing within the limit. A limit of 0 starts no timer.
@@ -363,11 +372,15 @@
 	}
 }
 
-// onSilence cancels the attempt, unless the back end loads weights, or the stream has started and control still
-// receives the back end's heartbeats: another back end might reject the stream, and the response would be cut off.
+// onSilence cancels the attempt if another one may follow, unless the back end loads weights, or the stream has started and
+// control still receives the back end's heartbeats: another back end might reject the stream, and the response would be cut
+// off.
 func (a *attempt) onSilence() {
+	if a.ctx.Err() != nil {
+		return // it has ended meanwhile
+	}
 	t := a.exchange.gateway.table
-	if t.weightsLoading(a.row) || a.streamStarted.Load() && t.hasHeartbeat(a.row) {
+	if t.weightsLoading(a.row) || a.streamStarted.Load() && t.hasHeartbeat(a.row) || !a.exchange.reserveRetry(a.ctx) {
 		a.silenceTimer.Reset(minSilenceTimeout)
 		return
 	}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -97,6 +97,8 @@
 	rosterConfirmedAt time.Duration
 	// lifeReplyTimes are the mean times of replies to the question for the incarnation, by service.
 	lifeReplyTimes map[string]time.Duration
+	// firstByteTimes are the mean times until the first byte of a response, beyond what was predicted, by service.
+	firstByteTimes map[string]time.Duration
 }
 
 func newTable(mechanisms mechanism.Set) *table {
@@ -106,7 +108,7 @@
 		lanes: map[string]*lanes{}, meanDurations: map[string]belief.MeanDuration{}, prefillEstimates: map[string]belief.PrefillEstimate{}, lastSent: map[string]time.Duration{}, admission: map[string]*admission.Controller{},
 		queueRates: map[string]*enginequeue.Rates{}, placed: map[string]placement{}, holders: map[string][]*endpoint{}, waiting: map[*attempt]struct{}{}, rosterChanged: newNotifier(), lastRetryAt: map[string]time.Duration{}, reservations: map[string]*reservation.Controller{},
 		software: map[string]*streamorigin.History{}, streamAges: map[string]knownAge{}, movedAt: map[string]time.Duration{}, minStreamAge: defaultMinStreamAge,
-		direct: directPaths{unanswered: map[string]unansweredRuns{}}, lifeReplyTimes: map[string]time.Duration{},
+		direct: directPaths{unanswered: map[string]unansweredRuns{}}, lifeReplyTimes: map[string]time.Duration{}, firstByteTimes: map[string]time.Duration{},
 	}
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"kitetiller/internal/catalog"
@@ -71,6 +72,7 @@
 	unreachableCount  int                 // attempts that ended unsent for any other reason
 	limitReachedCount int                 // attempts that ended unsent because the back end had reached its limit
 	mayHaveRun        bool                // an earlier attempt may have run
+	retryReserved     atomic.Bool         // a retry was taken from the budget and not used yet
 	headRelayed       bool                // the response head was sent to the caller
 	unframed          bool                // only the end of the connection ends the response for the caller
 	lastEvent         string              // ID of the last event sent to the caller
@@ -380,9 +382,21 @@
 	return false
 }
 
+// reserveRetry takes a retry from the budget for the attempt in progress, and reports whether the request may be retried.
+func (x *exchange) reserveRetry(ctx context.Context) bool {
+	if x.retryReserved.Load() {
+		return true
+	}
+	if !x.canRetry() || !x.gateway.table.hasUntried(x.service.Name, x.tried) || !x.gateway.acquireRetry(ctx, x.service.Name) {
+		return false
+	}
+	x.retryReserved.Store(true)
+	return true
+}
+
 // takeRetry reports whether the request may be retried, and if so takes a retry from the budget.
 func (x *exchange) takeRetry() bool {
-	if !x.canRetry() || !x.gateway.acquireRetry(x.ctx, x.service.Name) {
+	if !x.canRetry() || !x.retryReserved.Swap(false) && !x.gateway.acquireRetry(x.ctx, x.service.Name) {
 		return false
 	}
 	x.gateway.metrics.retries.Inc()
