Gateway: a stopping process sends only what can be completed, and answers what can't

Cause: whether the process rejects requests was asked once, as the head arrived. A request whose body came later in the grace was sent to a back end although its answer could only come after the end of the process, once-only ones too; and what was still running then was cut off without an answer.

Change: right before anything is sent, and at each retry, the gateway asks whether the process has time left for the request: until its deadline if it may not be repeated, otherwise for what a back end may take to begin. The product's own router decides when the body is complete, and waits for what it accepted.

Result: TestStoppingGatewayDoesNotSendLateBodies and TestStoppingGatewayAnswersWhatItCannotFinish fail before.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -214,10 +214,11 @@
 	if length >= 0 && !x.unframed && bodyAllowed(x.request.Method, response.StatusCode) {
 		header.Set("Content-Length", strconv.Itoa(length))
 	}
-	if x.gateway.draining.Load() {
+	if x.gateway.shutdown.draining.Load() {
 		header.Set("Connection", "close")
 	}
 	x.headRelayed = true
+	x.answering.Store(true)
 	_ = http.NewResponseController(x.writer).SetWriteDeadline(time.Now().Add(writeTimeout))
 	x.writer.WriteHeader(response.StatusCode)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -300,6 +300,8 @@
 	switch {
 	case a.ctx.Err() != nil, now >= x.deadline:
 		return "over"
+	case !x.canFinish():
+		return reasonStopping
 	case x.keyRequired && !x.gateway.trusted(now):
 		return reasonViewUnconfirmed
 	case !a.continues && !x.hasQuota(): // a continuation counts as the same run
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -74,6 +74,7 @@
 	mayHaveRun        bool                // an earlier attempt may have run
 	retryReserved     atomic.Bool         // a retry was taken from the budget and not used yet
 	headRelayed       bool                // the response head was sent to the caller
+	answering         atomic.Bool         // the same, for other goroutines
 	unframed          bool                // only the end of the connection ends the response for the caller
 	lastEvent         string              // ID of the last event sent to the caller
 	begunAt           *endpoint           // that sent the stream's first event; nil before that
@@ -97,11 +98,11 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	if g.draining.Load() {
+	if g.shutdown.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{gateway: g, writer: w, request: r, arrived: g.now(), call: g.dialect.ReadCall(r.Header)}
-	if g.rejecting.Load() {
+	if g.shutdown.isRejecting() {
 		x.reject(http.StatusServiceUnavailable, reasonStopping, minRetryAfter)
 		return
 	}
@@ -110,13 +111,9 @@
 	if !x.admit() || !x.acquireQuota() || !x.readBody() {
 		return
 	}
-	deadline := x.route.Timeout
-	if x.call.Timeout > 0 {
-		deadline = min(deadline, x.call.Timeout)
-	}
-	x.deadline = x.arrived + deadline
 	ctx, cancel := context.WithTimeout(r.Context(), x.deadline-g.now())
 	defer cancel()
+	defer x.cancelAtEnd(cancel)()
 	x.ctx = ctx
 	if x.findOrigin() {
 		x.run()
@@ -143,6 +140,11 @@
 		x.deny(trusted, http.StatusUnauthorized, reasonUnknownKey)
 		return false
 	}
+	timeout := x.route.Timeout
+	if x.call.Timeout > 0 {
+		timeout = min(timeout, x.call.Timeout)
+	}
+	x.deadline = x.arrived + timeout
 	x.service = x.view.services[x.gateway.splits.next(x.route)]
 	x.gateway.budget.recordRequest(x.service.Name, x.arrived)
 	return true
@@ -186,15 +188,20 @@
 	controller := http.NewResponseController(x.writer)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
 	from := http.MaxBytesReader(x.writer, x.request.Body, limit)
+	stopInterrupt := x.interruptBody(controller)
 	body, reserved, err := x.gateway.buffered.readBody(from, x.request.ContentLength)
+	interrupted := !stopInterrupt() && !x.canFinish()
 	x.bodyReserved = reserved
-	if errors.Is(err, errBufferLimit) {
+	if errors.Is(err, errBufferLimit) || interrupted {
 		_ = controller.SetReadDeadline(time.Now().Add(discardTimeout))
 		_, _ = io.Copy(io.Discard, from) // a caller that is still sending would get a reset instead of the response
 	}
 	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case interrupted:
+		x.reject(http.StatusServiceUnavailable, reasonStopping, minRetryAfter)
+		return false
 	case errors.Is(err, errBufferLimit):
 		x.reject(http.StatusServiceUnavailable, reasonBuffersFull, minRetryAfter)
 		return false
@@ -265,12 +272,16 @@
 	x.giveUp(x.noBackendReason())
 }
 
-// endIfExpired ends a request whose deadline has passed or whose caller has disconnected, and reports whether it did.
+// endIfExpired ends a request whose deadline has passed, whose caller has disconnected or which can't be completed before the
+// process ends, and reports whether it did.
 func (x *exchange) endIfExpired() bool {
 	switch {
 	case x.request.Context().Err() != nil:
 		x.abandon()
 		return true
+	case x.gateway.now() < x.deadline && (x.gateway.shutdown.isEnding() || !x.canFinish()):
+		x.giveUp(reasonStopping, minRetryAfter)
+		return true
 	case x.ctx.Err() != nil, x.gateway.now() >= x.deadline: // the timer of ctx stops while the machine is suspended
 		x.giveUp(reasonDeadline, minRetryAfter)
 		return true
--- a/internal/gateway/final.go
+++ b/internal/gateway/final.go
@@ -41,6 +41,9 @@
 	if retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
+	if x.gateway.shutdown.draining.Load() {
+		header.Set("Connection", "close")
+	}
 	x.logEnd(events.RequestRejected, reason, status)
 	x.writer.WriteHeader(status)
 	_, _ = io.WriteString(x.writer, `{"type":"urn:kitetiller:`+reason+`","status":`+strconv.Itoa(status)+`}`)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -76,7 +76,7 @@
 func (g *Gateway) newWatch(roster control.RosterVersion) control.Watch {
 	watch := control.Watch{
 		Gateway: g.settings.Name, Zone: g.settings.Zone, Address: g.settings.PeerAddress, Roster: roster, Hold: g.watchHoldTime(), Usage: g.table.usage(),
-		Closing: g.draining.Load(), Quarantine: g.quarantine.Version(),
+		Closing: g.shutdown.draining.Load(), Quarantine: g.quarantine.Version(),
 	}
 	if g.opensTunnels() {
 		watch.Tunnel = g.settings.TunnelAddress
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,8 +78,7 @@
 	// viewConfirmed is notified whenever control confirms the view.
 	viewConfirmed *notifier
 	gatewayCount  atomic.Int64 // gateways sharing the fleet-wide limits, as last reported by control
-	draining      atomic.Bool
-	rejecting     atomic.Bool // final phase of a planned stop, in which new requests are rejected
+	shutdown      *shutdown
 	active        atomic.Int64
 	// lateLifeChecks counts the replies to the question for the incarnation that no attempt waits for any more.
 	lateLifeChecks atomic.Int64
@@ -105,6 +104,7 @@
 		weightsLogLimiter: node.NewLogLimiter(), backoffLogLimiter: node.NewLogLimiter(), limitLogLimiter: node.NewLogLimiter(),
 		peers: newPeerAnnouncer(client), schedulers: newSchedulers(client), shortName: strconv.FormatUint(rand.Uint64N(shortNameRange), saltBase),
 	}
+	g.shutdown = newShutdown()
 	g.dialer = g.newTunnelDialer()
 	g.pool.tunnels, g.tunnels = g.dialer, g.newTunnelServer()
 	g.quarantine = reporter.New(reporter.Config{Submit: g.group.Quarantine, RefusesConnections: g.dialer.Refuses, Log: g.log.info, Now: g.now})
@@ -188,21 +188,6 @@
 	return err
 }
 
-// drain performs a planned stop. The readiness check fails at once, new requests are still served until load balancers
-// have noticed, then rejected, and requests in flight are completed.
-func (g *Gateway) drain(public *http.Server) {
-	startedAt := time.Now()
-	g.draining.Store(true)
-	g.log.info(events.GatewayStopping, zap.Int64("active", g.active.Load()))
-	time.Sleep(min(drainPeriod, g.settings.ShutdownTimeout/2))
-	g.rejecting.Store(true)
-	time.Sleep(min(rejectPeriod, g.settings.ShutdownTimeout/8))
-	shutdownCtx, cancel := context.WithDeadline(context.Background(), startedAt.Add(g.settings.ShutdownTimeout-shutdownMargin))
-	defer cancel()
-	_ = public.Shutdown(shutdownCtx) // requests still running then are cut off when the process exits
-	g.tunnels.Wait(shutdownCtx)
-}
-
 // serveReadiness starts the server of the readiness check, if an address is configured.
 func (g *Gateway) serveReadiness() (*http.Server, error) {
 	if g.settings.ReadyAddress == "" {
@@ -219,7 +204,7 @@
 
 // Ready reports whether the gateway accepts new connections.
 func (g *Gateway) Ready() bool {
-	return !g.draining.Load() && g.view.Load() != nil && g.trusted(g.now())
+	return !g.shutdown.draining.Load() && g.view.Load() != nil && g.trusted(g.now())
 }
 
 func (g *Gateway) handleReadiness(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -71,12 +71,6 @@
 	discardTimeout = time.Second
 	// defaultBodyLimit is the maximum size of a request body if the document sets none.
 	defaultBodyLimit = 4 << 20
-	// drainPeriod is how long a stopping gateway accepts requests while its readiness check already fails.
-	drainPeriod = 2700 * time.Millisecond
-	// rejectPeriod is how long it then rejects requests before it closes connections.
-	rejectPeriod = 500 * time.Millisecond
-	// shutdownMargin is the part of Settings.ShutdownTimeout reserved for the exit of the process.
-	shutdownMargin = 150 * time.Millisecond
 	// writeTimeout bounds one write to a caller.
 	writeTimeout = 5 * time.Second
 )
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -40,7 +40,7 @@
 // newTunnelServer returns the handler that opens tunnels for peers.
 func (g *Gateway) newTunnelServer() *tunnel.Server {
 	return tunnel.NewServer(tunnel.ServerConfig{
-		Token: g.settings.Token, Dial: g.dialDirect, IsBackend: g.isBackend, IsLost: g.dialer.IsLost, IsStopping: g.draining.Load,
+		Token: g.settings.Token, Dial: g.dialDirect, IsBackend: g.isBackend, IsLost: g.dialer.IsLost, IsStopping: g.shutdown.draining.Load,
 		Observe: func(outcome tunnel.Outcome) { g.metrics.tunnelsServed.WithLabelValues(string(outcome)).Inc() },
 	})
 }
--- a/internal/lab/soak/promises.go
+++ b/internal/lab/soak/promises.go
@@ -53,6 +53,8 @@
 	MemoryBounded  Guarantee = "memory-bound"
 	// A request uses no cached part of a prompt that another tenant's request made, if one of the two shares none.
 	IsolationRespected Guarantee = "wall"
+	// A request that a gateway has read whole gets an answer although the gateway is told to stop.
+	StopsAnswer Guarantee = "stops"
 	// No request reaches a worker known only from forged heartbeats, and no forged heartbeat is acknowledged.
 	ForgedHeartbeatsIgnored Guarantee = "not-forged"
 )
@@ -60,7 +62,7 @@
 // Guarantees lists all guarantees in a fixed order.
 func Guarantees() []Guarantee {
 	return []Guarantee{WithinLimit, AtMostOnce, NotRunHonored, CorrectResponse, ServiceRecovers, NoUnexpectedExit, QuarantineEnforced, BackoffRespected, DrainRespected, DeregistrationRespected, AdvertisedLimitRespected, SlotsRespected, ConfigDurable, ForgedHeartbeatsIgnored, PartitionedGatewaysServe, BystandersServed,
-		OneVersionPerAnswer, OneVersionPerStream, TakenUpStreamsContinue, StorageBounded, MemoryBounded, IsolationRespected}
+		OneVersionPerAnswer, OneVersionPerStream, TakenUpStreamsContinue, StorageBounded, MemoryBounded, IsolationRespected, StopsAnswer}
 }
 
 // Violation is an observation that contradicts a guarantee.
@@ -121,6 +123,8 @@
 	tries        map[string]*firstTry // by request ID; guarded by mu
 	versions     versionLog           // guarded by mu
 	stops        []stop               // guarded by mu
+	plannedStops []plannedStop        // guarded by mu
+	unanswered   []unanswered         // guarded by mu
 	// How each request of a caller ended; guarded by mu.
 	requestOutcomes []Outcome
 }
@@ -254,6 +258,7 @@
 	w.checkFatalParts()
 	w.checkTakeUps()
 	w.checkRestorations()
+	w.checkStops()
 	if w.expectRecovery && (len(w.served) == 0 || float64(servedCount) < minServedFraction*float64(len(w.served))) {
 		w.addViolation(ServiceRecovers, "%d of %d requests were served after all faults had healed", servedCount, len(w.served))
 	}
--- a/internal/lab/soak/shape.go
+++ b/internal/lab/soak/shape.go
@@ -45,6 +45,8 @@
 	LoadMS         int64 `json:"load_ms,omitempty"`
 	// ControlDelayMS is the delay of each message from and to a control process.
 	ControlDelayMS int64 `json:"control_delay_ms,omitempty"`
+	// GraceS is how long a process may take to stop, in seconds; 0 is the usual time.
+	GraceS int `json:"grace_s,omitempty"`
 	// LoseUnsynced makes control processes lose what they have not synced when they are killed.
 	LoseUnsynced bool `json:"lose_unsynced,omitempty"`
 }
@@ -74,7 +76,7 @@
 func (s Shape) CatchUp() time.Duration { return time.Duration(s.CatchUpMS) * time.Millisecond }
 
 func (s Shape) validate() error {
-	for _, count := range []int{s.Control, s.Tolerated, s.Zones, s.Engines, s.SmallWorkers, s.Connections, int(s.RecoverMS), int(s.CatchUpMS), int(s.ControlDelayMS), s.Threads, s.GatewayMemoryMB, int(s.DeadMS), int(s.WeightsEveryMS), int(s.LoadMS), s.Repeats, s.Routes} {
+	for _, count := range []int{s.Control, s.Tolerated, s.Zones, s.Engines, s.SmallWorkers, s.Connections, int(s.RecoverMS), int(s.CatchUpMS), int(s.ControlDelayMS), s.Threads, s.GatewayMemoryMB, int(s.DeadMS), int(s.WeightsEveryMS), int(s.LoadMS), s.Repeats, s.Routes, s.GraceS} {
 		if count < 0 {
 			return eris.New("the shape has a negative number")
 		}
