Gateway: what is held for back ends' responses comes out of one account

Cause: a head was bounded by its bytes only, and each head by itself. 64 KB of short header lines take 1.2 MB once parsed; 128 requests at one faulty worker took 121 MB (short names) and 50 MB (one name), more than a gateway has. Besides, answers that were being buffered took what there is for requests' bodies: one faulty worker with 128 long answers made the gateway refuse every sound request that has a body, with too-much-held.

Change: a head has 256 lines at most. Long heads, and bodies and events of responses, are reserved in accounts of their own, a quarter and a half of the total for buffered data, so that bodies of requests always find room. A head that doesn't fit fails its attempt. http.Transport, which can't count lines, gets 16 KB a head in place of 64 KB (caches, stores, control's calls, the product's router).

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -119,8 +119,17 @@
 	return rejection
 }
 
+// releaseHead returns what the head of the response took, once.
+func (a *attempt) releaseHead() {
+	if !a.headReleased {
+		a.headReleased = true
+		a.conn.head.ReleaseHead()
+	}
+}
+
 // releaseConnection returns the connection to the pool if request and response were transferred completely.
 func (a *attempt) releaseConnection(response *http.Response, readErr error) {
+	a.releaseHead()
 	written := false
 	select {
 	case err := <-a.writeDone:
@@ -146,8 +155,8 @@
 	if length > maxBufferedResponse && !unsignedFailure {
 		return a.relayUnbuffered(response, nil)
 	}
-	body, reserved, err := x.gateway.buffered.readBody(io.LimitReader(response.Body, maxBufferedResponse+1), length)
-	defer func() { x.gateway.buffered.release(reserved) }()
+	body, reserved, err := x.gateway.held.responses.readBody(io.LimitReader(response.Body, maxBufferedResponse+1), length)
+	defer func() { x.gateway.held.responses.Release(reserved) }()
 	switch {
 	case unsignedFailure && len(body) > maxBufferedResponse:
 		return a.connectionFailed(errEndlessBody)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -83,6 +83,7 @@
 	row              *endpoint
 	startedAt        time.Duration
 	sentAt           time.Duration
+	headReleased     bool // the connection may be another request's
 	uncached         int
 	plan             candidate
 	outcome          attemptOutcome
@@ -144,6 +145,7 @@
 	if err := a.connect(); err != nil {
 		return result{kind: resultUnreachable, cause: err.Error()}
 	}
+	defer a.releaseHead()
 	conn := a.conn
 	stop := context.AfterFunc(a.ctx, func() { _ = conn.Close() })
 	defer stop()
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -64,6 +64,8 @@
 	mutex   sync.Mutex
 	idle    map[string][]*connection
 
+	heads transport.Account // of long heads of responses; nil without a limit on all together
+
 	staleIdle   time.Duration // shortest idle time after which a reused connection recently failed; guarded by mutex
 	staleIdleAt time.Duration // when staleIdle was recorded; guarded by mutex
 }
@@ -131,7 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	head := transport.NewHeadReader(dialed.Conn)
+	head := transport.NewAccountedHeadReader(dialed.Conn, p.heads)
 	return &connection{Conn: dialed.Conn, head: head, reader: bufio.NewReaderSize(head, readBufferSize), peer: dialed.Peer}, nil
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -107,7 +107,7 @@
 		return
 	}
 	defer x.releaseQuota()
-	defer func() { g.buffered.release(x.bodyReserved) }()
+	defer func() { g.held.total.Release(x.bodyReserved) }()
 	if !x.admit() || !x.acquireQuota() || !x.readBody() {
 		return
 	}
@@ -189,7 +189,7 @@
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
 	from := http.MaxBytesReader(x.writer, x.request.Body, limit)
 	stopInterrupt := x.interruptBody(controller)
-	body, reserved, err := x.gateway.buffered.readBody(from, x.request.ContentLength)
+	body, reserved, err := x.gateway.held.total.readBody(from, x.request.ContentLength)
 	interrupted := !stopInterrupt() && !x.canFinish()
 	x.bodyReserved = reserved
 	if errors.Is(err, errBufferLimit) || interrupted {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,7 +82,7 @@
 	active        atomic.Int64
 	// lateLifeChecks counts the replies to the question for the incarnation that no attempt waits for any more.
 	lateLifeChecks atomic.Int64
-	buffered       bufferBudget       // bytes buffered for slow callers and back ends
+	held           *heldBytes         // for slow callers and back ends
 	streams        *registry.Registry // at which software versions streams began
 	viewProbe      viewProbe
 	rosterVersion  atomic.Pointer[control.RosterVersion] // of the roster in use; nil before the first
@@ -104,7 +104,8 @@
 		weightsLogLimiter: node.NewLogLimiter(), backoffLogLimiter: node.NewLogLimiter(), limitLogLimiter: node.NewLogLimiter(),
 		peers: newPeerAnnouncer(client), schedulers: newSchedulers(client), shortName: strconv.FormatUint(rand.Uint64N(shortNameRange), saltBase),
 	}
-	g.shutdown = newShutdown()
+	g.shutdown, g.held = newShutdown(), newHeldBytes()
+	g.pool.heads = &g.held.heads
 	g.dialer = g.newTunnelDialer()
 	g.pool.tunnels, g.tunnels = g.dialer, g.newTunnelServer()
 	g.quarantine = reporter.New(reporter.Config{Submit: g.group.Quarantine, RefusesConnections: g.dialer.Refuses, Log: g.log.info, Now: g.now})
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -29,20 +29,44 @@
 // errBufferLimit is returned when maxBufferedBytes is reached.
 var errBufferLimit = errors.New("buffer limit reached: too much data buffered for slow callers and back ends")
 
-// bufferBudget counts the buffered bytes of all callers and back ends. It is safe for concurrent use.
-type bufferBudget struct{ used atomic.Int64 }
+// bufferBudget counts buffered bytes. It is safe for concurrent use.
+type bufferBudget struct {
+	used   atomic.Int64
+	limit  int64
+	parent *bufferBudget // counts them as well; nil for the total
+}
 
-// reserve reserves n bytes, or returns false if they would exceed the limit.
-func (h *bufferBudget) reserve(n int) bool {
-	if h.used.Add(int64(n)) <= maxBufferedBytes {
+// Reserve reserves n bytes, or returns false if they would exceed a limit.
+func (h *bufferBudget) Reserve(n int) bool {
+	if h.used.Add(int64(n)) <= h.limit && (h.parent == nil || h.parent.Reserve(n)) {
 		return true
 	}
 	h.used.Add(int64(-n))
 	return false
 }
 
-// release returns n reserved bytes.
-func (h *bufferBudget) release(n int) { h.used.Add(int64(-n)) }
+// Release returns n reserved bytes.
+func (h *bufferBudget) Release(n int) {
+	h.used.Add(int64(-n))
+	if h.parent != nil {
+		h.parent.Release(n)
+	}
+}
+
+// heldBytes counts what is buffered for all callers and back ends. Back ends' responses take a part of it at most, so that faulty
+// ones don't keep requests from being accepted.
+type heldBytes struct {
+	total     bufferBudget
+	responses bufferBudget // bodies and events of responses
+	heads     bufferBudget // long heads of responses
+}
+
+func newHeldBytes() *heldBytes {
+	h := &heldBytes{total: bufferBudget{limit: maxBufferedBytes}}
+	h.responses = bufferBudget{limit: maxBufferedBytes / 2, parent: &h.total}
+	h.heads = bufferBudget{limit: maxBufferedBytes / 4, parent: &h.total}
+	return h
+}
 
 // readBody reads a body of the given length, or until EOF if the length is negative. It returns the bytes read and the
 // number of bytes reserved for them, also with an error. The reservation grows with the data received, so that a caller
@@ -54,7 +78,7 @@
 			if length >= 0 {
 				newCapacity = min(newCapacity, int(length)+1) // one byte more, so that EOF is read
 			}
-			if !h.reserve(newCapacity - reserved) {
+			if !h.Reserve(newCapacity - reserved) {
 				return body, reserved, errBufferLimit
 			}
 			reserved = newCapacity
--- a/internal/gateway/held_test.go
+++ b/internal/gateway/held_test.go
@@ -19,9 +19,9 @@
 // reservations follow the data received, stay within the limit and can be released in full.
 func TestReadBody(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var h bufferBudget
+		h := bufferBudget{limit: maxBufferedBytes}
 		others := rapid.IntRange(0, maxBufferedBytes).Draw(t, "others")
-		h.reserve(others)
+		h.Reserve(others)
 		sent := bytes.Repeat([]byte("x"), rapid.IntRange(0, 3*bufferStep).Draw(t, "sent"))
 		length := int64(rapid.SampledFrom([]int{-1, len(sent), len(sent) + 1, maxBufferedBytes}).Draw(t, "told"))
 		var from io.Reader = bytes.NewReader(sent)
@@ -44,7 +44,7 @@
 		if reserved > max(bufferStep, 2*len(sent)) || int(h.used.Load()) != others+reserved || h.used.Load() > maxBufferedBytes {
 			t.Fatalf("reserved %d bytes for a body of %d, %d in total with %d for others", reserved, len(sent), h.used.Load(), others)
 		}
-		if h.release(reserved); int(h.used.Load()) != others {
+		if h.Release(reserved); int(h.used.Load()) != others {
 			t.Fatalf("%d bytes reserved after release, want %d", h.used.Load(), others)
 		}
 	})
@@ -54,7 +54,7 @@
 // reached.
 func TestLongEvents(t *testing.T) {
 	long := append(append([]byte("id: 1\ndata: "), bytes.Repeat([]byte("x"), 3*bufferStep)...), "\n\nid: 2\ndata: y\n\n"...)
-	var h bufferBudget
+	h := bufferBudget{limit: maxBufferedBytes}
 	read := &eventReader{reader: newReader(long), buffered: &h}
 	if event, err := read.next(); err != nil || len(event) < 3*bufferStep || h.used.Load() < 3*bufferStep {
 		t.Fatalf("event of %d bytes, error %v, %d bytes reserved", len(event), err, h.used.Load())
@@ -62,7 +62,7 @@
 	if event, err := read.next(); err != nil || read.id != "2" || len(event) > bufferStep || h.used.Load() != 0 {
 		t.Fatalf("event of %d bytes, error %v, %d bytes reserved", len(event), err, h.used.Load())
 	}
-	h.reserve(maxBufferedBytes - bufferStep)
+	h.Reserve(maxBufferedBytes - bufferStep)
 	full := &eventReader{reader: newReader(long), buffered: &h}
 	if _, err := full.next(); !errors.Is(err, errBufferLimit) {
 		t.Fatalf("error %v, want errBufferLimit", err)
--- a/internal/gateway/lifecheck.go
+++ b/internal/gateway/lifecheck.go
@@ -118,6 +118,7 @@
 	defer func() { reply.took = g.now() - askedAt }()
 	_ = conn.SetDeadline(time.Now().Add(lateLifeCheckTimeout))
 	defer func() { _ = conn.SetDeadline(time.Time{}) }()
+	defer conn.head.ReleaseHead()
 	question := "GET " + g.dialect.StatePath() + " HTTP/1.1\r\nHost: " + row.entry.Address + "\r\n\r\n"
 	if _, err := io.WriteString(conn, question); err != nil {
 		return lifeReply{err: eris.Wrap(err, "ask for the incarnation")}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -186,7 +186,7 @@
 		gauge("suspected_requests", "Requests under which more than one back end ended, as control tells.", func() float64 { suspected, _ := g.quarantine.SuspectCounts(); return float64(suspected) }),
 		gauge("held_back_requests", "Those of them that are held back.", func() float64 { _, quarantined := g.quarantine.SuspectCounts(); return float64(quarantined) }),
 		gauge("view_age_seconds", "Time since control confirmed the view; -1 never.", g.viewAge),
-		gauge("held_bytes", "Bodies and answers held for callers and back ends.", func() float64 { return float64(g.buffered.used.Load()) }),
+		gauge("held_bytes", "Bodies and answers held for callers and back ends.", func() float64 { return float64(g.held.total.used.Load()) }),
 		gauge("active_requests", "Requests in progress.", func() float64 { return float64(g.active.Load()) }),
 		m.tunnelRequests, m.tunnelsServed, m.takeUps,
 		gauge("stream_records", "Records of streams held, of own streams and of others'.", func() float64 { return float64(g.streams.Stats().Records) }),
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,7 +28,7 @@
 
 // close releases the event buffer and its reservation.
 func (e *eventReader) close() {
-	e.buffered.release(e.reserved)
+	e.buffered.Release(e.reserved)
 	e.event, e.reserved = nil, 0
 }
 
@@ -38,7 +38,7 @@
 	if size <= max(bufferStep, e.reserved) {
 		return true
 	}
-	if !e.buffered.reserve(size - e.reserved) {
+	if !e.buffered.Reserve(size - e.reserved) {
 		return false
 	}
 	e.reserved = size
@@ -103,7 +103,7 @@
 	if a.continues {
 		head = x.copied.head // the caller gets the head and signature of the engine that began the run
 	}
-	stream := &eventReader{reader: bufio.NewReaderSize(response.Body, readBufferSize), buffered: &x.gateway.buffered}
+	stream := &eventReader{reader: bufio.NewReaderSize(response.Body, readBufferSize), buffered: &x.gateway.held.responses}
 	defer stream.close()
 	controller := http.NewResponseController(x.writer)
 	for {
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -57,12 +57,13 @@
 	LateStates       Kind = "late-states"     // workers reply late to questions for their state; requests take as long as usual
 	LateAnswers      Kind = "late-answers"    // workers begin their answers to requests late
 	LateControl      Kind = "late-control"    // each message from and to control processes arrives late; through the proxy only
+	EndlessAnswers   Kind = "endless-answers" // a third of the workers send bytes without end, or heads that take much memory, for each answer
 	ReplaceControl   Kind = "replace-control" // a control process is gone for good, another one starts at a new address without data
 )
 
 // Kinds lists all kinds.
 func Kinds() []Kind {
-	return append(drawnKinds(), PowerOff, RollControl, CutZone, ReplaceControl, SlowSync, ReleaseVersion, LateStates, LateAnswers, LateControl)
+	return append(drawnKinds(), PowerOff, RollControl, CutZone, ReplaceControl, SlowSync, ReleaseVersion, LateStates, LateAnswers, LateControl, EndlessAnswers)
 }
 
 // drawnKinds lists the kinds that Generate draws, in a fixed order, which the choice from a seed depends on.
@@ -79,7 +80,7 @@
 func (k Kind) Disturbs() bool {
 	switch k {
 	case KillWorker, HotTenant, LowerLimit, ChangeSetting, LargeDocuments, Reload, FatalRequest, ForgedHeartbeats, RejectRequests, DrainWorker, DeregisterWorker, IsolateTenant, AdvertiseLimits, CutAnswers,
-		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions, ReleaseVersion, SlowSync, LateStates, LateAnswers, LateControl:
+		CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers, FatalPart, MixVersions, ReleaseVersion, SlowSync, LateStates, LateAnswers, LateControl, EndlessAnswers:
 		return false
 	}
 	return true
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -36,6 +36,8 @@
 	DeregisterWorker func(ctx context.Context, target int, duration time.Duration)
 	// DelayStates makes all workers reply late to questions for their state, and DelayAnswers begin their answers late.
 	DelayStates, DelayAnswers func(delay time.Duration)
+	// SendEndless makes some workers send answers without end.
+	SendEndless func(ctx context.Context, target int, duration time.Duration)
 	// CutAnswers makes workers stop within answers.
 	CutAnswers      func(ctx context.Context, target int, duration time.Duration)
 	AdvertiseLimits func(ctx context.Context, target int, duration time.Duration)
@@ -185,6 +187,8 @@
 		f.DeregisterWorker(ctx, fault.Target, duration)
 	case DrainWorker:
 		f.DrainWorker(ctx, fault.Target, duration)
+	case EndlessAnswers:
+		f.SendEndless(ctx, fault.Target, duration)
 	case LateStates:
 		f.delayFor(ctx, duration, fault.DelayMS, f.DelayStates)
 	case LateAnswers:
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -70,7 +70,7 @@
 		MaxIdleConnsPerHost:    idlePerHost,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: MaxHeadBytes,
+		MaxResponseHeaderBytes: MaxTransportHeadBytes,
 	}
 }
 
