Processes wait for an address that is still in use when they start

Cause: a process that starts while the one before still holds its port ended at once, and stayed down unless something starts it again.

A control replica waits before it opens its data folder, which the process before may still write to.

Not played on a whole fleet.

--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -5,12 +5,12 @@
 	"crypto/subtle"
 	"encoding/json"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
+
+	"kitetiller/internal/listen"
 )
 
 const (
@@ -21,13 +21,13 @@
 )
 
 // listenAdmin starts the admin API, if configured. Every replica serves it and forwards changes and reads to the leader.
-func (s *Server) listenAdmin() (*http.Server, error) {
+func (s *Server) listenAdmin(ctx context.Context) (*http.Server, error) {
 	if s.file.Control.Admin == "" {
 		return nil, nil
 	}
-	listener, err := net.Listen("tcp", s.file.Control.Admin)
+	listener, err := listen.TCP(ctx, s.file.Control.Admin)
 	if err != nil {
-		return nil, eris.Wrapf(err, "listen on %s", s.file.Control.Admin)
+		return nil, err
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+PathAdmin, s.serveAdmin)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -18,6 +18,7 @@
 	"kitetiller/internal/control/relay"
 	"kitetiller/internal/events"
 	"kitetiller/internal/level"
+	"kitetiller/internal/listen"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/node"
 	"kitetiller/internal/storage"
@@ -152,6 +153,9 @@
 	server.seedAddresses.Store(&file.Control.Founders)
 	server.group = NewClient(server.client, file.Control.Founders)
 	server.usage.lossesBorne.Store(unknownLosses)
+	if err := listen.Await(ctx, server.internalListen(), file.Control.Admin); err != nil {
+		return nil, err
+	}
 	if err := server.restoreWhenPossible(ctx); err != nil {
 		return nil, err
 	}
@@ -178,13 +182,20 @@
 	}, nil
 }
 
+// internalListen returns the address at which the replica listens for other processes of the cluster.
+func (s *Server) internalListen() string {
+	return cmp.Or(s.file.Control.InternalListen, s.file.Control.InternalAddress)
+}
+
 // Run serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
-	listener, err := transport.Listen(cmp.Or(s.file.Control.InternalListen, s.file.Control.InternalAddress), s.file.ClusterToken, s.handle, s.log)
+	listener, err := listen.Retry(ctx, func() (*transport.Server, error) {
+		return transport.Listen(s.internalListen(), s.file.ClusterToken, s.handle, s.log)
+	})
 	if err != nil {
 		return err
 	}
-	admin, err := s.listenAdmin()
+	admin, err := s.listenAdmin(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -16,6 +16,7 @@
 	"kitetiller/internal/events"
 	"kitetiller/internal/gateway/belief"
 	"kitetiller/internal/gateway/storeindex"
+	"kitetiller/internal/listen"
 	"kitetiller/internal/prefix"
 	"kitetiller/internal/pushback"
 	"kitetiller/internal/transport"
@@ -243,11 +244,13 @@
 }
 
 // servePeers starts the server for other gateways, if an address is configured.
-func (g *Gateway) servePeers() (*transport.Server, error) {
+func (g *Gateway) servePeers(ctx context.Context) (*transport.Server, error) {
 	if g.settings.PeerAddress == "" {
 		return nil, nil
 	}
-	return transport.Listen(cmp.Or(g.settings.PeerListen, g.settings.PeerAddress), g.settings.Token, g.handlePeer, zap.NewNop())
+	return listen.Retry(ctx, func() (*transport.Server, error) {
+		return transport.Listen(cmp.Or(g.settings.PeerListen, g.settings.PeerAddress), g.settings.Token, g.handlePeer, zap.NewNop())
+	})
 }
 
 func closePeers(server *transport.Server) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"kitetiller/internal/clock"
 	"kitetiller/internal/control"
 	"kitetiller/internal/events"
+	"kitetiller/internal/listen"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/node"
 	"kitetiller/internal/quarantine/reporter"
@@ -134,20 +135,20 @@
 
 // Run serves requests until ctx is done, then shuts down gracefully.
 func (g *Gateway) Run(ctx context.Context) error {
-	listener, err := listenCallers(g.settings.Listen)
+	listener, err := listen.Retry(ctx, func() (net.Listener, error) { return listenCallers(g.settings.Listen) })
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", g.settings.Listen)
 	}
-	ready, err := g.serveReadiness()
+	ready, err := g.serveReadiness(ctx)
 	if err != nil {
 		return err
 	}
-	peers, err := g.servePeers()
+	peers, err := g.servePeers(ctx)
 	if err != nil {
 		return err
 	}
 	defer closePeers(peers)
-	tunnels, err := g.serveTunnels()
+	tunnels, err := g.serveTunnels(ctx)
 	if err != nil {
 		return err
 	}
@@ -190,13 +191,13 @@
 }
 
 // serveReadiness starts the server of the readiness check, if an address is configured.
-func (g *Gateway) serveReadiness() (*http.Server, error) {
+func (g *Gateway) serveReadiness(ctx context.Context) (*http.Server, error) {
 	if g.settings.ReadyAddress == "" {
 		return nil, nil
 	}
-	listener, err := net.Listen("tcp", g.settings.ReadyAddress)
+	listener, err := listen.TCP(ctx, g.settings.ReadyAddress)
 	if err != nil {
-		return nil, eris.Wrapf(err, "listen on %s", g.settings.ReadyAddress)
+		return nil, err
 	}
 	server := &http.Server{Handler: http.HandlerFunc(g.handleReadiness), ReadHeaderTimeout: headerTimeout}
 	go func() { _ = server.Serve(listener) }()
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"kitetiller/internal/events"
+	"kitetiller/internal/listen"
 	"kitetiller/internal/mechanism"
 	"kitetiller/internal/tunnel"
 )
@@ -51,13 +52,13 @@
 }
 
 // serveTunnels starts the server that opens tunnels, if it is enabled.
-func (g *Gateway) serveTunnels() (*http.Server, error) {
+func (g *Gateway) serveTunnels(ctx context.Context) (*http.Server, error) {
 	if !g.opensTunnels() {
 		return nil, nil
 	}
 	address := cmp.Or(g.settings.TunnelListen, g.settings.TunnelAddress)
 	config := net.ListenConfig{Control: setSocketOptions, KeepAliveConfig: g.pool.dialer.KeepAliveConfig}
-	listener, err := config.Listen(context.Background(), "tcp", address)
+	listener, err := listen.Retry(ctx, func() (net.Listener, error) { return config.Listen(ctx, "tcp", address) })
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", address)
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -1,22 +1,24 @@
 package node
 
 import (
-	"net"
+	"context"
 	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
-	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/listen"
 )
 
 const metricsHeaderTimeout = 5 * time.Second
 
-// ServeMetrics serves the metrics of a registry by HTTP at the given address and path until stop is called.
-func ServeMetrics(address, path string, registry *prometheus.Registry) (stop func(), err error) {
-	listener, err := net.Listen("tcp", address)
+// ServeMetrics serves the metrics of a registry by HTTP at the given address and path until stop is called. It waits for an
+// address that is in use until ctx is done.
+func ServeMetrics(ctx context.Context, address, path string, registry *prometheus.Registry) (stop func(), err error) {
+	listener, err := listen.TCP(ctx, address)
 	if err != nil {
-		return nil, eris.Wrapf(err, "listen on %s", address)
+		return nil, err
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+path, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
--- a/internal/router/announce.go
+++ b/internal/router/announce.go
@@ -11,6 +11,7 @@
 	"kitetiller/internal/clock"
 	"kitetiller/internal/control"
 	"kitetiller/internal/core"
+	"kitetiller/internal/listen"
 	"kitetiller/internal/transport"
 )
 
@@ -58,11 +59,13 @@
 }
 
 // listenInternal starts the listener for other routers. It returns nil if the node file sets no address for it.
-func (s *Server) listenInternal() (*transport.Server, error) {
+func (s *Server) listenInternal(ctx context.Context) (*transport.Server, error) {
 	if s.file.Router.PeerAddress == "" {
 		return nil, nil
 	}
-	return transport.Listen(s.file.Router.PeerAddress, s.file.ClusterToken, s.handleInternal, s.log)
+	return listen.Retry(ctx, func() (*transport.Server, error) {
+		return transport.Listen(s.file.Router.PeerAddress, s.file.ClusterToken, s.handleInternal, s.log)
+	})
 }
 
 func (s *Server) closeInternal(listener *transport.Server) {
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"runtime"
 	"slices"
@@ -17,13 +16,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"kitetiller/internal/clock"
 	"kitetiller/internal/control"
 	"kitetiller/internal/core"
 	"kitetiller/internal/guard"
+	"kitetiller/internal/listen"
 	"kitetiller/internal/node"
 	"kitetiller/internal/prefix"
 	"kitetiller/internal/quarantine/reporter"
@@ -168,15 +167,15 @@
 
 // Run serves until ctx is cancelled and then drains the router.
 func (s *Server) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", s.file.Router.Listen)
+	listener, err := listen.TCP(ctx, s.file.Router.Listen)
 	if err != nil {
-		return eris.Wrapf(err, "listen on %s", s.file.Router.Listen)
+		return err
 	}
-	internalServer, err := s.listenInternal()
+	internalServer, err := s.listenInternal(ctx)
 	if err != nil {
 		return err
 	}
-	tunnels, err := s.listenTunnels()
+	tunnels, err := s.listenTunnels(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/router/tunnels.go
+++ b/internal/router/tunnels.go
@@ -8,13 +8,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"kitetiller/internal/api"
 	"kitetiller/internal/clock"
 	"kitetiller/internal/control"
 	"kitetiller/internal/events"
+	"kitetiller/internal/listen"
 	"kitetiller/internal/transport"
 	"kitetiller/internal/tunnel"
 )
@@ -130,14 +130,14 @@
 }
 
 // listenTunnels starts the listener for tunnels. It returns nil if the node file sets no address for it.
-func (s *Server) listenTunnels() (*http.Server, error) {
+func (s *Server) listenTunnels(ctx context.Context) (*http.Server, error) {
 	address := s.file.Router.TunnelAddress
 	if address == "" {
 		return nil, nil
 	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := listen.TCP(ctx, address)
 	if err != nil {
-		return nil, eris.Wrapf(err, "listen on %s", address)
+		return nil, err
 	}
 	server := &http.Server{Handler: s.tunnels, ReadHeaderTimeout: headerTimeout}
 	go func() { _ = server.Serve(listener) }()
