Gateway: a request may go once more to a back end that closed a reused connection

Cause: a back end may close a kept connection at the moment at which it is used again. A request that may be repeated was then never sent there again, and ended with 502 no-backend if there was no other one left, as TestStreamIsSentThoughRepliesEndConnections did now and then.

Change: a back end that ends a reused connection without a byte of a response may be tried again, once a request and within the same attempts and retry budget; others are preferred, since it is avoided for a while. Requests that may run once are not repeated, as before.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -20,6 +20,7 @@
 	if err != nil {
 		if a.ctx.Err() == nil {
 			a.exchange.gateway.pool.recordStale(a.conn.idleFor)
+			a.staleConnection = a.conn.reused && endsConnection(err)
 		}
 		if a.exchange.ctx.Err() == nil && context.Cause(a.ctx) != errWeightsOutdated {
 			a.exchange.gateway.table.recordUnanswered(a.exchange.gateway.now(), a)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -83,6 +83,7 @@
 	row              *endpoint
 	startedAt        time.Duration
 	sentAt           time.Duration
+	staleConnection  bool // the connection had been used before, and ended without any byte of a response
 	headReleased     bool // the connection may be another request's
 	uncached         int
 	plan             candidate
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -51,6 +51,7 @@
 	lastUsedAt       time.Duration
 	keepAliveTimeout time.Duration // announced by the back end; 0 if unknown
 	idleFor          time.Duration // idle time before the current request; 0 for a new connection
+	reused           bool          // it has carried a request before the current one
 	peer             string        // that carries the tunnel, or "" for a direct connection
 	lifeChecked      bool          // the back end has stated on it that it is the incarnation of the pool's key
 }
@@ -124,7 +125,7 @@
 			break
 		}
 		if idle.isFresh(p.now(), maxIdle) && idle.isUsable() {
-			idle.idleFor = p.now() - idle.lastUsedAt
+			idle.idleFor, idle.reused = p.now()-idle.lastUsedAt, true
 			return idle, nil
 		}
 		_ = idle.Close()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -68,30 +69,32 @@
 	bodyReserved int // buffer bytes reserved for the body
 
 	tried             []*endpoint
-	sentCount         int                 // attempts that were sent
-	unreachableCount  int                 // attempts that ended unsent for any other reason
-	limitReachedCount int                 // attempts that ended unsent because the back end had reached its limit
-	mayHaveRun        bool                // an earlier attempt may have run
-	retryReserved     atomic.Bool         // a retry was taken from the budget and not used yet
-	headRelayed       bool                // the response head was sent to the caller
-	answering         atomic.Bool         // the same, for other goroutines
-	unframed          bool                // only the end of the connection ends the response for the caller
-	lastEvent         string              // ID of the last event sent to the caller
-	begunAt           *endpoint           // that sent the stream's first event; nil before that
-	origin            origin              // of a stream that was begun by an earlier request
-	servedBy          string              // instance whose response the caller got
-	peer              string              // that carried the latest attempt, or "" if that was sent directly
-	firstEventAt      time.Duration       // when the first event was sent to the caller; 0 before that
-	latestEventAt     time.Duration       // when the latest event was sent to the caller
-	longestGap        time.Duration       // longest time between two events
-	placement         *candidate          // latest placement; nil before the first
-	quotaLease        quotaLease          // lease on the tenant's limit for the next attempt
-	copied            *copiedRun          // nil unless another engine may keep a copy of the stream's run
-	continuation      *candidate          // set if the next attempt continues the stream's run from its copy
-	backoffLeft       time.Duration       // longest backoff of a back end still running when the request was sent to it
-	advertisedLimit   pushback.Limit      // limit advertised by the back end of the latest attempt
-	cachedSubject     *quarantine.Subject // the request's fingerprints; nil until first needed
-	slot              slotTrace           // how the latest slot of a small service was obtained
+	sentCount         int  // attempts that were sent
+	unreachableCount  int  // attempts that ended unsent for any other reason
+	limitReachedCount int  // attempts that ended unsent because the back end had reached its limit
+	mayHaveRun        bool // an earlier attempt may have run
+	// staleConnectionSeen is set once a reused connection ended without a response.
+	staleConnectionSeen bool
+	retryReserved       atomic.Bool         // a retry was taken from the budget and not used yet
+	headRelayed         bool                // the response head was sent to the caller
+	answering           atomic.Bool         // the same, for other goroutines
+	unframed            bool                // only the end of the connection ends the response for the caller
+	lastEvent           string              // ID of the last event sent to the caller
+	begunAt             *endpoint           // that sent the stream's first event; nil before that
+	origin              origin              // of a stream that was begun by an earlier request
+	servedBy            string              // instance whose response the caller got
+	peer                string              // that carried the latest attempt, or "" if that was sent directly
+	firstEventAt        time.Duration       // when the first event was sent to the caller; 0 before that
+	latestEventAt       time.Duration       // when the latest event was sent to the caller
+	longestGap          time.Duration       // longest time between two events
+	placement           *candidate          // latest placement; nil before the first
+	quotaLease          quotaLease          // lease on the tenant's limit for the next attempt
+	copied              *copiedRun          // nil unless another engine may keep a copy of the stream's run
+	continuation        *candidate          // set if the next attempt continues the stream's run from its copy
+	backoffLeft         time.Duration       // longest backoff of a back end still running when the request was sent to it
+	advertisedLimit     pushback.Limit      // limit advertised by the back end of the latest attempt
+	cachedSubject       *quarantine.Subject // the request's fingerprints; nil until first needed
+	slot                slotTrace           // how the latest slot of a small service was obtained
 }
 
 // serve handles a caller's request.
@@ -255,12 +258,22 @@
 		if x.route.Retryable() {
 			a.awaitCrashCheck()
 		}
+		x.allowAgain(a)
 		if !x.continueAfter(result) {
 			return
 		}
 	}
 }
 
+// allowAgain lets a request be sent to a back end once more that ended a reused connection without a response: it may have
+// closed the connection because it was idle, which says nothing about a new one.
+func (x *exchange) allowAgain(a *attempt) {
+	if a.staleConnection && !x.staleConnectionSeen {
+		x.staleConnectionSeen = true
+		x.tried = slices.DeleteFunc(x.tried, func(row *endpoint) bool { return row == a.row })
+	}
+}
+
 // giveUpUnplaced ends a request for which there is no back end. A stream whose software version is gone can't go on later
 // either, so its caller gets no retry time.
 func (x *exchange) giveUpUnplaced() {
