Consensus: elections follow long round trips, and the simulator draws them

Cause: a replica supports a candidate for as long as syncs take, and waits for an election by its usual timeout. Where messages take long, replicas stand beside each other while the votes of the first are on their way, and give each other up.

Change: replicas measure the round trip by replies to pre-votes and cold start queries. Where that takes longer than a heartbeat, they support a candidate for two round trips and wait as much longer for its outcome.

Test changed: TestRestartedVoterStaysSilent waits for the long lease in place of a fixed time; it still fails if the start ignores the promise.

--- a/internal/consensus/coldstart.go
+++ b/internal/consensus/coldstart.go
@@ -64,14 +64,14 @@
 	n.coldStart.queriedAt = now
 	for _, m := range n.membership.Members {
 		if !m.Learner && m.ID != n.config.ID {
-			n.sendColdStartMessage(MessageColdStartQuery, m.ID, n.coldStart.incarnation)
+			n.sendColdStartMessage(MessageColdStartQuery, m.ID, n.coldStart.incarnation, now)
 		}
 	}
 	n.checkColdStart(now) // a sole voter gets no reply
 }
 
-func (n *Node) sendColdStartMessage(kind MessageKind, to ID, incarnation uint64) {
-	n.send(Message{Kind: kind, To: to, Term: n.hard.Term, Index: n.log.lastIndex(), LogTerm: n.log.lastTerm(), Incarnation: incarnation})
+func (n *Node) sendColdStartMessage(kind MessageKind, to ID, incarnation uint64, sentAt time.Duration) {
+	n.send(Message{Kind: kind, To: to, Term: n.hard.Term, Index: n.log.lastIndex(), LogTerm: n.log.lastTerm(), Incarnation: incarnation, SentAt: sentAt})
 }
 
 // handleColdStartQuery replies to a voter that has just started if this replica has seen no leader either, and queries
@@ -80,9 +80,9 @@
 	if n.coldStart.leaderSeen {
 		return
 	}
-	n.sendColdStartMessage(MessageColdStartReply, m.From, m.Incarnation)
+	n.sendColdStartMessage(MessageColdStartReply, m.From, m.Incarnation, m.SentAt)
 	if _, replied := n.coldStart.replies[m.From]; !replied && !n.coldStart.leaderless && n.membership.IsVoter(m.From) {
-		n.sendColdStartMessage(MessageColdStartQuery, m.From, n.coldStart.incarnation)
+		n.sendColdStartMessage(MessageColdStartQuery, m.From, n.coldStart.incarnation, 0)
 	}
 }
 
@@ -91,6 +91,7 @@
 	if n.coldStart.leaderSeen || n.coldStart.leaderless || m.Incarnation != n.coldStart.incarnation || !n.membership.IsVoter(n.config.ID) {
 		return
 	}
+	n.recordVoterRoundTrip(now, &m)
 	n.coldStart.replies[m.From] = logPosition{term: m.LogTerm, index: m.Index}
 	n.checkColdStart(now)
 }
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -15,6 +15,9 @@
 	// electionSyncs is how many times the duration of a sync a replica waits for an election beyond the usual timeout: two
 	// syncs in a row, and a reserve.
 	electionSyncs = 3
+	// electionRoundTrips is how many round trips it waits in addition where they are long, and how long replicas support a
+	// candidate: those of its pre-votes and its votes.
+	electionRoundTrips = 2
 	// undecidedElectionScale is the factor of election timeouts after an election that ended without a leader.
 	undecidedElectionScale = 2
 )
@@ -53,7 +56,39 @@
 // awaitElection is resetElectionTimer for a replica that waits for the outcome of an election.
 func (n *Node) awaitElection(now time.Duration) {
 	n.resetElectionTimer(now)
-	n.electionDue += electionSyncs * max(n.syncTime, n.voterSyncTime())
+	n.electionDue += n.electionTime()
+}
+
+// electionTime returns how long an election takes beyond the usual timeout, because of syncs and of long round trips.
+func (n *Node) electionTime() time.Duration {
+	return electionSyncs*max(n.syncTime, n.voterSyncTime()) + electionRoundTrips*n.electionRoundTrip()
+}
+
+// recordVoterRoundTrip records the round trip to another voter from a reply to a pre-vote or a cold start query.
+func (n *Node) recordVoterRoundTrip(now time.Duration, reply *Message) {
+	if reply.SentAt > 0 {
+		n.voterRoundTrips[reply.From] = now - reply.SentAt
+	}
+}
+
+// electionRoundTrip returns the longest round trip of the fastest voters that make a quorum with this replica. It is 0 unless
+// that takes longer than a heartbeat.
+func (n *Node) electionRoundTrip() time.Duration {
+	var times []time.Duration
+	for _, member := range n.membership.Members {
+		if took, known := n.voterRoundTrips[member.ID]; known && !member.Learner {
+			times = append(times, took)
+		}
+	}
+	others := n.membership.Voters() / 2
+	if others == 0 || len(times) < others {
+		return 0
+	}
+	slices.Sort(times)
+	if slowest := times[others-1]; slowest > n.config.Timing.Heartbeat {
+		return slowest
+	}
+	return 0
 }
 
 // voterSyncTime returns how long a sync of the fastest voters takes that make a quorum with this candidate. It is 0 for
@@ -68,7 +103,7 @@
 
 // reserve supports a candidate for as long as the syncs of its election take.
 func (n *Node) reserve(now time.Duration, candidate ID, position logPosition) {
-	until := now + electionSyncs*max(n.syncTime, n.voterSyncTime())
+	until := now + n.electionTime()
 	n.reservation = reservation{candidate, position, until}
 	if candidate != n.config.ID && n.electionDue < until {
 		n.resetElectionTimer(until - n.config.Timing.ElectionMin)
@@ -111,8 +146,9 @@
 	n.leader = ""
 	n.votes, n.voterSyncTimes = map[ID]bool{n.config.ID: true}, map[ID]time.Duration{}
 	n.resetElectionTimer(now)
+	n.electionDue += n.electionRoundTrip()
 	n.reserve(now, n.config.ID, n.logPosition())
-	n.requestVotes(MessagePreVote, n.hard.Term+1)
+	n.requestVotes(now, MessagePreVote, n.hard.Term+1)
 	n.countVotes(now)
 }
 
@@ -123,19 +159,19 @@
 	n.votes = map[ID]bool{} // its own counts once it is synced; see EndWrite
 	n.awaitElection(now)
 	n.reserve(now, n.config.ID, n.logPosition())
-	n.requestVotes(MessageVote, n.hard.Term)
+	n.requestVotes(now, MessageVote, n.hard.Term)
 }
 
 // UndecidedElections returns how many elections ended without a leader although a quorum had supported this replica's
 // candidacy.
 func (n *Node) UndecidedElections() uint64 { return n.undecided }
 
-func (n *Node) requestVotes(kind MessageKind, term uint64) {
+func (n *Node) requestVotes(now time.Duration, kind MessageKind, term uint64) {
 	for _, member := range n.membership.Members {
 		if member.Learner || member.ID == n.config.ID {
 			continue
 		}
-		n.send(Message{Kind: kind, To: member.ID, Term: term, Index: n.log.lastIndex(), LogTerm: n.log.lastTerm()})
+		n.send(Message{Kind: kind, To: member.ID, Term: term, Index: n.log.lastIndex(), LogTerm: n.log.lastTerm(), SentAt: now})
 	}
 }
 
@@ -187,7 +223,7 @@
 // on it. Its start counts as such a promise, unless the whole group is known to be leaderless.
 func (n *Node) handleVote(now time.Duration, message Message) {
 	preVote := message.Kind == MessagePreVote
-	reply := Message{Kind: MessageVoteReply, To: message.From, Term: n.hard.Term, Reject: true}
+	reply := Message{Kind: MessageVoteReply, To: message.From, Term: n.hard.Term, Reject: true, SentAt: message.SentAt}
 	if preVote {
 		reply.Kind = MessagePreVoteReply
 	}
@@ -227,6 +263,7 @@
 func (n *Node) handleVoteReply(now time.Duration, message Message) {
 	expectedRole, expectedTerm := Candidate, n.hard.Term
 	if message.Kind == MessagePreVoteReply {
+		n.recordVoterRoundTrip(now, &message)
 		expectedRole, expectedTerm = PreCandidate, n.hard.Term+1
 	}
 	if n.role != expectedRole {
--- a/internal/consensus/lease_test.go
+++ b/internal/consensus/lease_test.go
@@ -85,9 +85,10 @@
 	s.run(20 * time.Second)
 	old := s.leader()
 	s.delay = 0
-	s.run(200 * time.Millisecond)
-	if !old.node.LeaseValid(s.now + 2*testTiming.Lease) {
-		t.Fatal("the leader has no long lease after replies to its latest messages")
+	for began := s.now; !old.node.LeaseValid(s.now + 2*testTiming.Lease); s.run(10 * time.Millisecond) {
+		if s.now > began+time.Second {
+			t.Fatal("the leader has no long lease after replies to its latest messages")
+		}
 	}
 	s.partitioned[old.id] = true
 	for _, r := range s.replicas {
@@ -101,3 +102,26 @@
 		t.Fatal("no other leader after 10 s")
 	}
 }
+
+// Guards against elections that nobody wins for a long time, since replicas give up candidates whose votes are on their way.
+func TestLeaderIsElectedOverLongRoundTrips(t *testing.T) {
+	for _, delay := range []time.Duration{0, 100, 250, 350, 450} {
+		for seed := range uint64(20) {
+			s := &slowNetwork{cluster: newCluster(5, seed, t.Fatalf), delay: delay * time.Millisecond}
+			s.run(20 * time.Second)
+			for _, r := range s.replicas {
+				s.kill(r)
+				s.start(r)
+			}
+			s.inFlight, s.onWay = nil, nil
+			began, bound := s.now, 5*time.Second+12*s.delay
+			for leader := s.leader(); leader == nil || !leader.node.LeaseValid(s.now); leader = s.leader() {
+				if s.now > began+bound {
+					t.Errorf("messages of %v, seed %d: no leader with a lease within %v of a restart of all", s.delay, seed, bound)
+					break
+				}
+				s.run(10 * time.Millisecond)
+			}
+		}
+	}
+}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -40,6 +40,7 @@
 	persisted uint64 // last index synced to local storage
 
 	votes             map[ID]bool
+	voterRoundTrips   map[ID]time.Duration // of the latest replies to pre-votes and cold start queries
 	voterSyncTimes    map[ID]time.Duration // told in replies to this replica's pre-votes
 	peers             map[ID]*progress
 	lastHeartbeat     time.Duration
@@ -88,6 +89,7 @@
 		lastLeaderContact: now,
 		silentUntil:       now + max(config.Timing.ElectionMin, restored.HardState.Silence),
 		storedSilence:     restored.HardState.Silence,
+		voterRoundTrips:   map[ID]time.Duration{},
 		leaderTerm:        restored.HardState.Term,
 		snapshotSource:    snapshotSource,
 		coldStart: coldStartState{
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -170,7 +170,7 @@
 	Commit      uint64        `json:"commit,omitempty"`   // leader's commit index
 	Reject      bool          `json:"reject,omitempty"`   // the reply is a rejection
 	Hint        uint64        `json:"hint,omitempty"`     // in a rejection: highest index that may match the leader's log
-	SentAt      time.Duration `json:"sent_at,omitempty"`  // leader's clock, echoed in the reply to extend the lease
+	SentAt      time.Duration `json:"sent_at,omitempty"`  // sender's clock, echoed in the reply: to extend a lease, and to measure round trips
 	Entries     []Entry       `json:"entries,omitempty"`  // entries after Index
 	Snapshot    *Snapshot     `json:"snapshot,omitempty"` // MessageSnapshot only
 	Incarnation uint64        `json:"life,omitempty"`     // of a cold start query; echoed in the reply
--- a/internal/lab/sim/network.go
+++ b/internal/lab/sim/network.go
@@ -19,6 +19,7 @@
 	lossRatio     float64
 	isolated      map[*process]bool // cut off from all others
 	linkDelay     time.Duration     // of each message, in addition
+	controlLinks  controlLinks
 }
 
 func (w *world) isPartitioned(from, to *process) bool {
@@ -34,6 +35,9 @@
 		base = zoneLatency
 	}
 	delay := base + w.between(0, base) + w.network.linkDelay
+	if slow := w.network.controlLinks.delayNow(w.now()); slow > 0 && w.isControl(from) && w.isControl(to) {
+		delay += slow
+	}
 	if w.isDegraded() && w.chance(0.3) {
 		delay += w.between(0, 150*time.Millisecond)
 	}
--- a/internal/lab/sim/oracle.go
+++ b/internal/lab/sim/oracle.go
@@ -40,6 +40,7 @@
 	MessagesBounded          Invariant = "bytes-in-flight"
 	MemoryBounded            Invariant = "bytes-held"
 	LeaderElected            Invariant = "leader-elected"
+	OneLease                 Invariant = "one-lease"
 	DeregistrationRespected  Invariant = "left-stays-out"
 )
 
@@ -77,6 +78,7 @@
 		{MessagesBounded, "a message between control replicas holds a bounded size of log entries, and so do all that one has sent to another without a reply"},
 		{MemoryBounded, "the log entries that a control replica holds in memory have a bounded size"},
 		{LeaderElected, "a control group whose voters have a majority of their disks has a leader that answers within 5 s of the end of an outage, however many disks were lost at once with power lost everywhere else"},
+		{OneLease, "at most one control replica leads with a valid lease at a time, in runs with outages"},
 		{DeregistrationRespected, "a back end is in no gateway's view 2 s after its deregistration was acknowledged, whatever arrives late; at the end every one that runs is registered"},
 		{BuildsCompatible, "where control processes run two builds, none holds what its build doesn't know, and no level comes into force under one that runs the older"},
 	}
--- a/internal/lab/sim/outages.go
+++ b/internal/lab/sim/outages.go
@@ -46,6 +46,8 @@
 	{"stalled disk", (*world).faultStallDisk},
 	{"slow syncs", (*world).outageSlowSync},
 	{"slow syncs, again", (*world).outageSlowSync},
+	{"slow links between control replicas", (*world).outageSlowLinks},
+	{"slow links between control replicas, again", (*world).outageSlowLinks},
 }
 
 // RunOutages runs one seed with a larger control group that loses disks and power.
@@ -62,6 +64,7 @@
 
 // planOutages schedules the faults of a run with outages.
 func (w *world) planOutages() {
+	w.checkLeases()
 	for range minOutages + w.outages.random.IntN(maxOutages-minOutages+1) {
 		kind := outageKinds[w.outages.random.IntN(len(outageKinds))]
 		w.after(w.between(firstFault, lastFault), func() {
@@ -164,10 +167,11 @@
 
 // expectLeader checks some time after the end of an outage that a leader answers, unless there were further faults.
 func (w *world) expectLeader(length time.Duration) {
+	length = max(length, w.unboundedSlowLinks())
 	end := w.now() + length
 	w.outages.last = max(w.outages.last, end)
 	faults := w.faults
-	w.after(length+leaderTimeout+slowSyncLeaderTime*w.slowestSync(w.now()), func() {
+	w.after(length+leaderTimeout+slowSyncLeaderTime*w.slowestSync(w.now())+slowLinkLeaderTime*w.network.controlLinks.delayNow(w.now()), func() {
 		if w.faults != faults || w.outages.last > end || len(w.network.partitioned) > 0 {
 			return // another one has struck since
 		}
