Gateway: a body that is cut short by a stop gets its answer at once

The rest of a body was read for up to a second before the 503, as for bodies that find no room. net/http sends a response with Connection: close first and lingers then.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -195,7 +195,7 @@
 	body, reserved, err := x.gateway.held.total.readBody(from, x.request.ContentLength)
 	interrupted := !stopInterrupt() && !x.canFinish()
 	x.bodyReserved = reserved
-	if errors.Is(err, errBufferLimit) || interrupted {
+	if errors.Is(err, errBufferLimit) {
 		_ = controller.SetReadDeadline(time.Now().Add(discardTimeout))
 		_, _ = io.Copy(io.Discard, from) // a caller that is still sending would get a reset instead of the response
 	}
