Consensus: one piece of code picks the time of the fastest quorum

Round trips of leases, of elections and the syncs of voters each sorted and picked it by themselves. Two comments said that leases are fixed. No behaviour changes; tests of consensus and control pass.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -8,8 +8,8 @@
 
 // An election takes a sync of the candidate and one of the voters, in parallel. Timeouts therefore follow the duration of
 // syncs, which each replica measures and tells in its replies to pre-votes, and are longer after an election that ended
-// undecided, which all replicas see from their terms. Leases don't depend on them: replicas reject votes for a fixed time
-// after a leader's message.
+// undecided, which all replicas see from their terms, or over long round trips. Leases don't depend on them: replicas reject
+// votes for as long as they have promised to a leader.
 
 const (
 	// electionSyncs is how many times the duration of a sync a replica waits for an election beyond the usual timeout: two
@@ -80,28 +80,34 @@
 			times = append(times, took)
 		}
 	}
+	if slowest, known := n.quorumTime(times); known && slowest > n.config.Timing.Heartbeat {
+		return slowest
+	}
+	return 0
+}
+
+// quorumTime returns the longest of the shortest times of other voters that make a quorum with this replica; known is false if
+// there are too few.
+func (n *Node) quorumTime(times []time.Duration) (longest time.Duration, known bool) {
 	others := n.membership.Voters() / 2
 	if others == 0 || len(times) < others {
-		return 0
+		return 0, false
 	}
 	slices.Sort(times)
-	if slowest := times[others-1]; slowest > n.config.Timing.Heartbeat {
-		return slowest
-	}
-	return 0
+	return times[others-1], true
 }
 
 // voterSyncTime returns how long a sync of the fastest voters takes that make a quorum with this candidate. It is 0 for
 // other roles.
 func (n *Node) voterSyncTime() time.Duration {
-	others := n.membership.Voters() / 2
-	if n.role != Candidate || len(n.voterSyncTimes) < others || others == 0 {
+	if n.role != Candidate {
 		return 0
 	}
-	return slices.Sorted(maps.Values(n.voterSyncTimes))[others-1]
+	longest, _ := n.quorumTime(slices.Collect(maps.Values(n.voterSyncTimes)))
+	return longest
 }
 
-// reserve supports a candidate for as long as the syncs of its election take.
+// reserve supports a candidate for as long as its election takes.
 func (n *Node) reserve(now time.Duration, candidate ID, position logPosition) {
 	until := now + n.electionTime()
 	n.reservation = reservation{candidate, position, until}
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -134,12 +134,7 @@
 			times = append(times, shortest)
 		}
 	}
-	others := n.membership.Voters() / 2
-	if others == 0 || len(times) < others {
-		return 0, false
-	}
-	slices.Sort(times)
-	return times[others-1], true
+	return n.quorumTime(times)
 }
 
 // promiseSilence makes this replica reject votes for as long as a leader's message asks, and returns what it grants.
