Gateway: whether a response has begun is kept once

headRelayed and answering said the same, for one goroutine and for others. Connection: close while stopping was set in three places. No behaviour changes; tests of gateway and platform pass.

--- a/internal/gateway/abort.go
+++ b/internal/gateway/abort.go
@@ -15,7 +15,7 @@
 
 // endsWithConnection reports whether nothing but the end of the connection ends the response for the caller.
 func (x *exchange) endsWithConnection() bool {
-	return x.headRelayed && (x.unframed || !x.request.ProtoAtLeast(1, 1) && x.writer.Header().Get("Content-Length") == "")
+	return x.headRelayed.Load() && (x.unframed || !x.request.ProtoAtLeast(1, 1) && x.writer.Header().Get("Content-Length") == "")
 }
 
 // reset resets the caller's connection.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -43,7 +43,7 @@
 		return a.rejected(response, info)
 	case !x.route.Retryable() && statusImpliesNotRun(response.StatusCode):
 		return a.invalidResponse("not-run status without confirmation by the back end: " + response.Status)
-	case (x.headRelayed || a.continues) && (!info.Signed || response.StatusCode >= http.StatusMultipleChoices):
+	case (x.headRelayed.Load() || a.continues) && (!info.Signed || response.StatusCode >= http.StatusMultipleChoices):
 		return a.invalidResponse("stream not resumed: " + response.Status)
 	case response.StatusCode < http.StatusMultipleChoices && !info.Signed:
 		return a.invalidResponse("successful response without signature")
@@ -177,7 +177,7 @@
 	if isFailure {
 		a.outcome = outcomeFailure
 	}
-	if isFailure && x.route.Retryable() && !x.headRelayed && x.takeRetry() {
+	if isFailure && x.route.Retryable() && !x.headRelayed.Load() && x.takeRetry() {
 		return result{kind: resultFailed, cause: response.Status}
 	}
 	x.relayUnframed(response)
@@ -224,11 +224,8 @@
 	if length >= 0 && !x.unframed && bodyAllowed(x.request.Method, response.StatusCode) {
 		header.Set("Content-Length", strconv.Itoa(length))
 	}
-	if x.gateway.shutdown.draining.Load() {
-		header.Set("Connection", "close")
-	}
-	x.headRelayed = true
-	x.answering.Store(true)
+	x.gateway.shutdown.closeConnection(header)
+	x.headRelayed.Store(true)
 	_ = http.NewResponseController(x.writer).SetWriteDeadline(time.Now().Add(writeTimeout))
 	x.writer.WriteHeader(response.StatusCode)
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -76,8 +76,7 @@
 	// staleConnectionSeen is set once a reused connection ended without a response.
 	staleConnectionSeen bool
 	retryReserved       atomic.Bool         // a retry was taken from the budget and not used yet
-	headRelayed         bool                // the response head was sent to the caller
-	answering           atomic.Bool         // the same, for other goroutines
+	headRelayed         atomic.Bool         // the response head was sent to the caller; read by other goroutines too
 	unframed            bool                // only the end of the connection ends the response for the caller
 	lastEvent           string              // ID of the last event sent to the caller
 	begunAt             *endpoint           // that sent the stream's first event; nil before that
@@ -101,9 +100,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	if g.shutdown.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	g.shutdown.closeConnection(w.Header())
 	x := &exchange{gateway: g, writer: w, request: r, arrived: g.now(), call: g.dialect.ReadCall(r.Header)}
 	if g.shutdown.isRejecting() {
 		x.reject(http.StatusServiceUnavailable, reasonStopping, minRetryAfter)
@@ -278,7 +275,7 @@
 // either, so its caller gets no retry time.
 func (x *exchange) giveUpUnplaced() {
 	required := x.requiredSoftware()
-	if x.origin.takesUp && !x.mayHaveRun && !x.headRelayed && !x.gateway.table.servesSoftware(x.service.Name, required) {
+	if x.origin.takesUp && !x.mayHaveRun && !x.headRelayed.Load() && !x.gateway.table.servesSoftware(x.service.Name, required) {
 		x.reject(http.StatusServiceUnavailable, reasonOtherSoftware, 0)
 		return
 	}
--- a/internal/gateway/final.go
+++ b/internal/gateway/final.go
@@ -14,7 +14,7 @@
 // giveUp ends a request without a back end's response: with 503 and a retry time if it certainly has not run, else with
 // 504 after the deadline and 502 otherwise. A response already begun is cut off.
 func (x *exchange) giveUp(reason string, retryAfter time.Duration) {
-	if x.headRelayed {
+	if x.headRelayed.Load() {
 		x.logEnd(events.RequestRejected, reasonStreamBroken, 0)
 		x.abort()
 	}
@@ -41,9 +41,7 @@
 	if retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
-	if x.gateway.shutdown.draining.Load() {
-		header.Set("Connection", "close")
-	}
+	x.gateway.shutdown.closeConnection(header)
 	x.logEnd(events.RequestRejected, reason, status)
 	x.writer.WriteHeader(status)
 	_, _ = io.WriteString(x.writer, `{"type":"urn:kitetiller:`+reason+`","status":`+strconv.Itoa(status)+`}`)
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -52,7 +52,7 @@
 	switch {
 	case x.request.Context().Err() != nil:
 		x.abandon()
-	case x.mayHaveRun || x.headRelayed:
+	case x.mayHaveRun || x.headRelayed.Load():
 		x.giveUp(reason, 0)
 	default:
 		x.reject(status, reason, max(minRetryAfter, retryAfter))
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -46,6 +46,13 @@
 // isEnding reports whether requests that are not answered yet must be now.
 func (s *shutdown) isEnding() bool { return s.ending.Err() != nil }
 
+// closeConnection makes a response end its caller's connection while the process stops.
+func (s *shutdown) closeConnection(header http.Header) {
+	if s.draining.Load() {
+		header.Set("Connection", "close")
+	}
+}
+
 // timeLeft returns how long a request that is sent to a back end now may take.
 func (s *shutdown) timeLeft(now time.Duration) time.Duration {
 	return time.Duration(s.endsAt.Load()) - now
@@ -97,7 +104,7 @@
 // cancelAtEnd cancels the request at the end of a planned stop, unless its response has begun, until stop is called.
 func (x *exchange) cancelAtEnd(cancel context.CancelFunc) (stop func() bool) {
 	return context.AfterFunc(x.gateway.shutdown.ending, func() {
-		if !x.answering.Load() {
+		if !x.headRelayed.Load() {
 			cancel()
 		}
 	})
--- a/internal/gateway/slotcalls.go
+++ b/internal/gateway/slotcalls.go
@@ -165,7 +165,7 @@
 // slotRejection returns the candidate that rejects a request with a retry time, or nil if the request may have run: it
 // then ends like any other that finds no back end.
 func (x *exchange) slotRejection(retryAfter time.Duration) *candidate {
-	if x.mayHaveRun || x.headRelayed {
+	if x.mayHaveRun || x.headRelayed.Load() {
 		return nil
 	}
 	return &candidate{retryAfter: max(minRetryAfter, retryAfter)}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -96,7 +96,7 @@
 	if a.continues && !isStream {
 		return a.invalidResponse("continuation is no stream")
 	}
-	if !isStream && !x.headRelayed {
+	if !isStream && !x.headRelayed.Load() {
 		return a.relayBuffered(response)
 	}
 	head := response
@@ -144,7 +144,7 @@
 
 // relayEvent sends an event to the caller, the first one after the response head, and reports whether that succeeded.
 func (x *exchange) relayEvent(controller *http.ResponseController, response *http.Response, event []byte) bool {
-	if !x.headRelayed {
+	if !x.headRelayed.Load() {
 		x.relayHead(response, -1)
 	}
 	_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -169,10 +169,10 @@
 // finishStream ends a request whose stream the back end completed.
 func (a *attempt) finishStream(response *http.Response) result {
 	x := a.exchange
-	if a.continues && !x.headRelayed {
+	if a.continues && !x.headRelayed.Load() {
 		return a.invalidResponse("continuation without events")
 	}
-	if !x.headRelayed {
+	if !x.headRelayed.Load() {
 		x.relayHead(response, -1) // a stream without any event
 	}
 	a.outcome = outcomeSuccess
