--- a/internal/control/relay/relay.go
+++ b/internal/control/relay/relay.go
@@ -114,7 +114,6 @@
 	gateways         int
 	pending          []PendingWatch // in order of arrival; at most maxPendingWatches
 	requestNumber    uint64         // of the latest request
-	inFlight         bool           // the latest request has no reply yet
 	requestedAt      time.Duration
 	awaited          []awaitedReply // in order of sending; at most maxAwaitedReplies
 	replyTime        time.Duration  // that the latest reply took
@@ -139,14 +138,14 @@
 // Drain removes and returns all pending watches.
 func (r *Relay) Drain() []PendingWatch {
 	drained := r.pending
-	r.pending, r.inFlight, r.awaited = nil, false, nil
+	r.pending, r.awaited = nil, nil
 	return drained
 }
 
 // NextRequestAt returns when the next request is due if no watch is added until then.
 func (r *Relay) NextRequestAt() time.Duration {
 	switch {
-	case r.inFlight:
+	case r.awaits(r.requestNumber):
 		return r.requestedAt + requestRepeatInterval
 	case r.hasUnconfirmed():
 		return r.requestedAt + minRequestInterval
@@ -164,7 +163,7 @@
 		return Request{}, false
 	}
 	r.requestNumber++
-	r.inFlight, r.requestedAt = true, now
+	r.requestedAt = now
 	r.awaited = append(r.awaited, awaitedReply{number: r.requestNumber, at: now})
 	r.awaited = r.awaited[max(0, len(r.awaited)-maxAwaitedReplies):]
 	request := Request{Number: r.requestNumber, Roster: r.version, Layout: r.layout.Version}
@@ -179,9 +178,12 @@
 
 // RecordFailure records that a request got no reply from a leader.
 func (r *Relay) RecordFailure(number uint64) {
-	if number == r.requestNumber {
-		r.inFlight = false
-	}
+	r.awaited = slices.DeleteFunc(r.awaited, func(a awaitedReply) bool { return a.number == number })
+}
+
+// awaits reports whether the reply to a request may still come.
+func (r *Relay) awaits(number uint64) bool {
+	return slices.ContainsFunc(r.awaited, func(a awaitedReply) bool { return a.number == number })
 }
 
 // Observe applies a reply of the leader. One that comes after later requests were sent still confirms the watches that its
@@ -193,9 +195,6 @@
 	}
 	asked := r.awaited[at]
 	r.awaited = slices.Delete(r.awaited, at, at+1)
-	if reply.Number == r.requestNumber {
-		r.inFlight = false
-	}
 	r.replyTime = now - asked.at
 	if !r.applyRoster(reply) {
 		return
