--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -194,7 +194,7 @@
 	case LateAnswers:
 		f.delayFor(ctx, duration, fault.DelayMS, f.DelayAnswers)
 	case LateControl:
-		f.delayFor(ctx, duration, fault.DelayMS, f.delayControl)
+		f.delayFor(ctx, duration, fault.DelayMS, f.DelayControl)
 	case CutWorkers, CutWorkersOneWay, ResetWorkers, RefuseWorkers:
 		f.partition(ctx, fault, duration)
 	}
@@ -286,8 +286,8 @@
 	set(0)
 }
 
-// delayControl sets the delay of each message from and to control processes.
-func (f *Fleet) delayControl(delay time.Duration) {
+// DelayControl sets the delay of each message from and to control processes.
+func (f *Fleet) DelayControl(delay time.Duration) {
 	for _, p := range f.Control {
 		f.Proxy.DelayProcess(p.Name, delay)
 	}
--- a/internal/transport/head.go
+++ b/internal/transport/head.go
@@ -49,7 +49,7 @@
 }
 
 // NewHeadReader returns a reader without a limit in force.
-func NewHeadReader(from io.Reader) *HeadReader { return &HeadReader{from: from} }
+func NewHeadReader(from io.Reader) *HeadReader { return NewAccountedHeadReader(from, nil) }
 
 // NewAccountedHeadReader is NewHeadReader for many connections, whose long heads are taken from an account.
 func NewAccountedHeadReader(from io.Reader, account Account) *HeadReader {
