Gateway, soak: one way to keep connections, to lift a limit and to hold calls for events

Cause: the connection of a response was kept or closed in three places, a limit was lifted in three, and the stand-ins read the time for which a call is held in two; a list without some processes was made in two. Change: each is one function now; no change of behaviour. Measured: gofmt, vet and the tests of gateway, congestion and soak pass.

--- a/internal/admission/congestion/limiter.go
+++ b/internal/admission/congestion/limiter.go
@@ -17,14 +17,13 @@
 
 const (
 	// patienceFraction is the fraction of the time a request has within which a back end has to begin its response. Before a limit
-	// is in force it may take slowFactor times the shortest wait of the last waitWindow or two as well, or unknownFactor times as long
+	// is in force it may take slowFactor times the shortest wait of the last waitWindow or two as well, or maxSlowFactor times as long
 	// while there was no response.
 	patienceFraction = 0.5
 	slowFactor       = 1.5
-	unknownFactor    = 1.9
+	maxSlowFactor    = 1.9
 	// limitedSlowFactor takes the place of slowFactor under a limit, up to maxSlowFactor times the patience.
 	limitedSlowFactor = 1.2
-	maxSlowFactor     = 1.9
 	waitWindow        = 30 * time.Second
 	// verdictTTL is how long the verdict on a back end counts, in multiples of the patience of the request that is judged now, and
 	// minVerdictTTL at least. It is kept for knownTTL.
@@ -137,11 +136,6 @@
 	}
 }
 
-// isRerouted reports whether requests were answered promptly in another way lately, so that late ones tell of the direct one.
-func (l *Limiter) isRerouted(now time.Duration) bool {
-	return l.reroutedAt > 0 && now-l.reroutedAt < rerouteTTL
-}
-
 // GiveUp records that a request is given up before its time is over. That tells nothing about its back end, unless the request
 // waited for abandonedLate and longer than the service takes by itself. It still counts until a time at which its back end will have
 // stopped, or until End.
@@ -162,7 +156,7 @@
 // Reroute records that a request was answered in another way than those before, whose responses didn't arrive. If it was answered
 // promptly, late ones tell of the way that they took, and are dropped with the limit.
 func (l *Limiter) Reroute(now time.Duration, r *Request) {
-	if now-r.sentAt >= time.Duration(promptFraction*float64(r.patience)) {
+	if !r.isPrompt(now) {
 		return
 	}
 	maps.DeleteFunc(l.verdicts, func(_ string, v verdict) bool { return v.late > 0 })
@@ -170,7 +164,13 @@
 		other.ended = other.ended || other.late || other.gaveUp
 		return other.ended
 	})
-	l.limited, l.nextAt, l.reroutedAt = false, 0, now
+	l.reroutedAt = now
+	l.lift()
+}
+
+// isRerouted reports whether requests were answered promptly in another way lately, so that late ones tell of the direct one.
+func (l *Limiter) isRerouted(now time.Duration) bool {
+	return l.reroutedAt > 0 && now-l.reroutedAt < rerouteTTL
 }
 
 // Broken ends the wait of a request whose connection the back end has ended. One that had waited for long has most likely come to an
@@ -186,9 +186,12 @@
 			return
 		}
 	}
-	l.limited, l.nextAt = false, 0
+	l.lift()
 }
 
+// lift ends the limit.
+func (l *Limiter) lift() { l.limited, l.nextAt = false, 0 }
+
 // End ends the wait of a request without a response. It has no effect after Answered.
 func (l *Limiter) End(now time.Duration, r *Request) {
 	l.update(now)
@@ -259,7 +262,7 @@
 		l.check(now)
 	}
 	if l.limited && now-max(l.decreasedAt, l.keptBackAt) > releaseTime {
-		l.limited, l.nextAt = false, 0
+		l.lift()
 	}
 }
 
@@ -294,7 +297,7 @@
 	if !l.limited || r.sentAt < l.decreasedAt || float64(len(l.waiting))+1 < l.limit/2 {
 		return // the limit had no part in it
 	}
-	prompt := now-r.sentAt < time.Duration(promptFraction*float64(r.patience))
+	prompt := r.isPrompt(now)
 	switch {
 	case l.limit < 1 && prompt:
 		l.limit = min(1, 2*l.limit)
@@ -363,10 +366,10 @@
 
 // lateAt returns from when on a request without a response is late. A service that always takes as long is not congested.
 func (l *Limiter) lateAt(r *Request) time.Duration {
-	own, slow := float64(l.shortestWait()), unknownFactor*float64(r.patience)
+	own, slow := float64(l.shortestWait()), maxSlowFactor*float64(r.patience)
 	switch {
 	case l.limited:
-		slow = min(maxSlowFactor*float64(r.patience), limitedSlowFactor*own)
+		slow = min(slow, limitedSlowFactor*own)
 	case own > 0:
 		slow = slowFactor * own
 	}
@@ -377,6 +380,11 @@
 	return at
 }
 
+// isPrompt reports whether a response that begins now is prompt.
+func (r *Request) isPrompt(now time.Duration) bool {
+	return now-r.sentAt < time.Duration(promptFraction*float64(r.patience))
+}
+
 // nextAfter returns when the request after r may be sent under a limit below one.
 func (r *Request) nextAfter(limit float64) time.Duration {
 	return r.sentAt + min(maxSpacing, time.Duration(float64(r.patience)/limit))
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -11,14 +11,13 @@
 	"go.uber.org/zap"
 
 	"kitetiller/internal/events"
-	"kitetiller/internal/transport"
 )
 
 // receive reads the response and relays it, unless it is invalid or reports that the request did not run.
 func (a *attempt) receive() result {
 	response, err := a.readHead()
 	if err != nil && a.leaveToLate(err) {
-		return result{kind: resultUnknown, cause: causeDeadline}
+		return result{kind: resultUnknown, cause: reasonDeadline}
 	}
 	if err != nil {
 		if a.ctx.Err() == nil {
@@ -116,10 +115,9 @@
 func (a *attempt) rejected(response *http.Response, info ResponseInfo) result {
 	a.outcome = outcomeRejected
 	rejection := result{kind: resultNotRun, cause: response.Status, retryAfter: info.RetryAfter, backoff: info.Signals.Backoff}
-	size, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedResponse+1))
-	if size > maxBufferedResponse {
+	err := discardBody(response)
+	if err == errEndlessBody {
 		a.exchange.gateway.table.recordEndless(a.row)
-		err = errEndlessBody // the rest of the body would be taken for the next response
 	}
 	a.releaseConnection(response, err)
 	return rejection
@@ -136,17 +134,8 @@
 // releaseConnection returns the connection to the pool if request and response were transferred completely.
 func (a *attempt) releaseConnection(response *http.Response, readErr error) {
 	a.releaseHead()
-	written := false
-	select {
-	case err := <-a.writeDone:
-		written = err == nil
-	default:
-	}
-	if readErr != nil || !written || !transport.HasFraming(response) || a.conn.peer != "" || a.ctx.Err() != nil || !a.conn.readKeepAlive(response) {
-		_ = a.conn.Close()
-		return
-	}
-	a.exchange.gateway.pool.put(a.row.entry.ID, a.conn)
+	whole := readErr == nil && a.requestWritten() && a.ctx.Err() == nil
+	a.exchange.gateway.pool.keep(a.row.entry.ID, a.conn, response, whole)
 }
 
 // relayBuffered reads the complete response before it relays it. If it reports a failure of the back end, a retryable
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -120,11 +120,10 @@
 
 // choose returns the eligible back end of least cost, or nil if there is none.
 func (g *Gateway) choose(now time.Duration, in selectionInput) *candidate {
-	connectionCost := g.congestion.connectionCost(in.service.Name)
 	g.table.mutex.Lock()
 	defer g.table.mutex.Unlock()
 	if !in.sentByPeer { // which has other connections than this gateway
-		in.newConnectionCost = max(connectionCost, g.table.lifeReplyTimes[in.service.Name]).Seconds() * 1000
+		in.newConnectionCost = max(g.congestion.connectionCost(in.service.Name), g.table.lifeReplyTimes[in.service.Name]).Seconds() * 1000
 	}
 	rows := g.table.services[in.service.Name]
 	if in.service.Engine {
--- a/internal/gateway/congestion.go
+++ b/internal/gateway/congestion.go
@@ -91,10 +91,14 @@
 // connectionCost returns how long a new connection to a back end of a service delays a request: while the back ends are
 // congested, they take as long for it as for a response.
 func (c *congestionControl) connectionCost(service string) (cost time.Duration) {
-	if !c.isLimited(service) {
+	if !c.gateway.enabled(mechanism.CongestionLimit) {
 		return 0
 	}
-	c.with(service, func(_ time.Duration, l *congestion.Limiter) { cost = max(l.MeanWait(), minConnectionCost) })
+	c.with(service, func(now time.Duration, l *congestion.Limiter) {
+		if l.Limited(now) {
+			cost = max(l.MeanWait(), minConnectionCost)
+		}
+	})
 	return cost
 }
 
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -180,6 +180,17 @@
 	return len(idle) > 0 && idle[len(idle)-1].isFresh(p.now(), maxIdleOnce)
 }
 
+// keep returns a connection to the pool after a response if request and response were transferred completely and it may carry
+// another request, and closes it otherwise. It reports whether it was kept.
+func (p *pool) keep(instance string, used *connection, response *http.Response, whole bool) (kept bool) {
+	if !whole || !transport.HasFraming(response) || used.peer != "" || !used.readKeepAlive(response) {
+		_ = used.Close()
+		return false
+	}
+	p.put(instance, used)
+	return true
+}
+
 // put keeps a connection whose last response was read completely.
 func (p *pool) put(instance string, used *connection) {
 	used.lastUsedAt = p.now()
--- a/internal/gateway/endless.go
+++ b/internal/gateway/endless.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"math"
 	"net/http"
 
@@ -18,6 +19,16 @@
 	return errors.Is(err, transport.ErrHeadTooLong) || errors.Is(err, http.ErrLineTooLong) || errors.Is(err, errEndlessBody) || errors.Is(err, errEndlessEvent)
 }
 
+// discardBody reads the rest of a response. It returns errEndlessBody for one longer than maxBufferedResponse, whose end would be
+// taken for the next response.
+func discardBody(response *http.Response) error {
+	size, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedResponse+1))
+	if size > maxBufferedResponse {
+		return errEndlessBody
+	}
+	return err
+}
+
 // avoidedForLife is the end of the avoidance of a back end that is avoided until it has restarted.
 const avoidedForLife = math.MaxInt64
 
--- a/internal/gateway/lateresponse.go
+++ b/internal/gateway/lateresponse.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"os"
 	"time"
-
-	"kitetiller/internal/transport"
 )
 
 const (
@@ -16,8 +13,6 @@
 	lateResponseTimeout = 5 * time.Second
 	// maxLateResponses is how many are awaited at once.
 	maxLateResponses = 256
-	// causeDeadline: the request's deadline passed before the response began.
-	causeDeadline = "deadline"
 )
 
 // interrupt ends what the attempt waits for when its context is done. If the deadline has passed, the connection is only taken
@@ -38,17 +33,9 @@
 // leaveToLate awaits the response in the background if the deadline has passed before any byte of it came, and reports whether
 // it does.
 func (a *attempt) leaveToLate(readErr error) bool {
-	if !a.passedDeadline() || !errors.Is(readErr, os.ErrDeadlineExceeded) || a.conn.head.HasBegun() || a.conn.peer != "" {
+	if !a.passedDeadline() || !errors.Is(readErr, os.ErrDeadlineExceeded) || a.conn.head.HasBegun() || a.conn.peer != "" || !a.requestWritten() {
 		return false
 	}
-	select {
-	case err := <-a.writeDone:
-		if err != nil {
-			return false
-		}
-	default:
-		return false // the body is still being written
-	}
 	g := a.exchange.gateway
 	if g.lateResponses.Add(1) > maxLateResponses {
 		g.lateResponses.Add(-1)
@@ -72,12 +59,9 @@
 		return
 	}
 	wait.answered(false)
-	size, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedResponse+1))
-	if err != nil || size > maxBufferedResponse || !transport.HasFraming(response) || !conn.readKeepAlive(response) {
-		_ = conn.Close()
-		return
-	}
-	g.metrics.lateResponses.Inc()
+	whole := discardBody(response) == nil
 	_ = conn.SetDeadline(time.Time{})
-	g.pool.put(instance, conn)
+	if g.pool.keep(instance, conn, response, whole) {
+		g.metrics.lateResponses.Inc()
+	}
 }
--- a/internal/lab/soak/outage.go
+++ b/internal/lab/soak/outage.go
@@ -202,7 +202,8 @@
 func (f *Fleet) powerOff(ctx context.Context, fault Fault, duration time.Duration) {
 	candidates := f.candidates(fault)
 	struck := f.Disks.take(candidates, fault.Disks)
-	absent := absentFrom(candidates, struck, fault.Absent)
+	absent := without(candidates, struck)
+	absent = absent[:min(fault.Absent, len(absent))]
 	all := f.allProcesses()
 	if fault.ControlOnly {
 		all = f.Control
@@ -223,15 +224,14 @@
 	if fault.Workers {
 		f.StartWorkers()
 	}
-	f.startOver(ctx, fault, slices.DeleteFunc(slices.Clone(all), func(p *Process) bool { return slices.Contains(absent, p) }))
+	f.startOver(ctx, fault, without(all, absent))
 	f.Disks.recordReturn(struck)
 	f.OnReturn(fault)
 }
 
-// absentFrom returns the first of the candidates that were not struck, count at most.
-func absentFrom(candidates, struck []*Process, count int) []*Process {
-	rest := slices.DeleteFunc(slices.Clone(candidates), func(p *Process) bool { return slices.Contains(struck, p) })
-	return rest[:min(count, len(rest))]
+// without returns the processes that aren't among others, in their order.
+func without(processes, others []*Process) []*Process {
+	return slices.DeleteFunc(slices.Clone(processes), func(p *Process) bool { return slices.Contains(others, p) })
 }
 
 // IsDark reports whether all machines are without power.
--- a/internal/lab/soak/outageplan.go
+++ b/internal/lab/soak/outageplan.go
@@ -23,8 +23,9 @@
 )
 
 // GenerateOutages returns a random plan for a shape: faults of control processes in a row, then a loss of power of all
-// machines, in which data folders may be lost. In a part of the plans workers share a capacity. On shapes with a time to catch up, half of the seeds draw replacements that are
-// followed by such a loss of power once they must be made up for. The same seed yields the same plan.
+// machines, in which data folders may be lost. In a part of the plans workers share a capacity. On shapes with a time to catch up,
+// half of the seeds draw replacements that are followed by such a loss of power once they must be made up for. The same seed yields
+// the same plan.
 func GenerateOutages(seed uint64, gateways int, shape Shape) Plan {
 	if plan, drawn := generateReplacements(seed, gateways, shape); drawn {
 		return plan
