Gateway: connections are opened as fast as they prove useful

Callers saw: 76 gateways before 90 engines that share a capacity serve nothing, without any fault, though the capacity bears all requests; after a loss of power a fleet stays down where connections are costly. Cause: nothing that opens a connection knew what one costs. With 6,840 pairs for 100 requests a second each request needs one; where its first reply is late, it is given up after 0.25 s, paid for, and the next one is opened, up to four for a request. 200 connections a second of 5 ms are all of the capacity. Change: a window bounds the connections of a service that are being opened (slow start). It begins with the gateway's part of 32 for the fleet, grows with prompt first responses and halves with late ones; failed ones space it, until a question that takes a back end no time is answered promptly. Requests go where a connection is idle, wait for one, or are refused; late replies are awaited for 15 s, silent attempts are given up only if another can be reached, gateways with a closed window open no tunnels. What a connection costs is measured at services without engines too.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -16,10 +16,10 @@
 // receive reads the response and relays it, unless it is invalid or reports that the request did not run.
 func (a *attempt) receive() result {
 	response, err := a.readHead()
-	if err != nil && a.leaveToLate(err) {
-		return result{kind: resultUnknown, cause: reasonDeadline}
-	}
 	if err != nil {
+		if a.leaveToLate(err) && a.passedDeadline() {
+			return result{kind: resultUnknown, cause: reasonDeadline}
+		}
 		if a.ctx.Err() == nil {
 			a.exchange.gateway.pool.recordStale(a.conn.idleFor)
 			a.staleConnection = a.conn.reused && endsConnection(err)
@@ -78,13 +78,16 @@
 	a.wait.answered(a.conn.peer != "")
 	a.exchange.gateway.table.recordBytes(a.exchange.gateway.now(), a)
 	a.recordFirstByte()
+	a.recordConnection()
 	return response, nil
 }
 
 // connectionFailed ends an attempt whose connection failed or was closed by its cancellation. It counts against the
 // back end, unless the cause was the start deadline or the end of the request.
 func (a *attempt) connectionFailed(err error) result {
-	_ = a.conn.Close()
+	if !a.waitHandedOver {
+		_ = a.conn.Close()
+	}
 	cause := err.Error()
 	if isEndless(err) {
 		a.exchange.gateway.table.recordEndless(a.row)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -89,6 +89,7 @@
 	plan             candidate
 	outcome          attemptOutcome
 	unreachable      bool       // the connection could not be established
+	connectErr       error      // why there is no connection to the chosen incarnation
 	quotaLease       quotaLease // lease on the tenant's limit that the attempt used
 	ctx              context.Context
 	cancel           context.CancelCauseFunc
@@ -149,6 +150,7 @@
 	}
 	defer a.releaseLease()
 	if err := a.connect(); err != nil {
+		a.connectErr = err
 		return result{kind: resultUnreachable, cause: err.Error()}
 	}
 	defer a.releaseHead()
@@ -185,22 +187,20 @@
 // connect establishes the attempt's connection: to the chosen incarnation, where that matters.
 func (a *attempt) connect() error {
 	x := a.exchange
-	maxIdle := maxIdleOnce
-	if x.route.Retryable() {
-		maxIdle = maxIdleRetryable
-	}
 	for tries := 1; ; tries++ {
-		suspected := x.gateway.table.pathSuspected(x.gateway.now(), a.row.entry.Address)
-		conn, err := x.gateway.pool.get(a.ctx, a.row.entry.ID, a.row.entry.Address, maxIdle, suspected)
+		conn, err := x.gateway.pool.get(a.ctx, connectionRequest{
+			instance: a.row.entry.ID, address: a.row.entry.Address, maxIdle: maxIdleTime(x.route),
+			pathSuspected: x.gateway.table.pathSuspected(x.gateway.now(), a.row.entry.Address), open: a.openConnection,
+		})
 		if err != nil {
-			if a.ctx.Err() == nil { // otherwise the caller left, which tells nothing about the back end
+			if a.ctx.Err() == nil && err != errNoConnection { // otherwise it tells nothing about the back end
 				a.recordUnreachable(err)
 			}
 			return err
 		}
 		a.conn, x.peer = conn, conn.peer
 		x.gateway.metrics.recordConnection(x.service.Name, conn.reused)
-		if err = a.checkLife(); err == nil {
+		if err = a.checkConnection(); err == nil {
 			return nil
 		}
 		if err == errLifeReplyLate {
@@ -384,7 +384,7 @@
 	}
 }
 
-// onSilence cancels the attempt if another one may follow, unless all back ends answer late, the back end loads weights, or the
+// onSilence cancels the attempt if another one may follow and has a connection, unless all back ends answer late, the back end loads weights, or the
 // stream has started and control still receives the back end's heartbeats: another back end might reject the stream, and the
 // response would be cut off.
 func (a *attempt) onSilence() {
@@ -392,7 +392,8 @@
 		return // it has ended meanwhile
 	}
 	t := a.exchange.gateway.table
-	if a.exchange.gateway.congestion.isLimited(a.exchange.service.Name) || t.weightsLoading(a.row) || a.streamStarted.Load() && t.hasHeartbeat(a.row) || !a.exchange.reserveRetry(a.ctx) {
+	if a.exchange.gateway.congestion.isLimited(a.exchange.service.Name) || t.weightsLoading(a.row) || a.streamStarted.Load() && t.hasHeartbeat(a.row) ||
+		!a.exchange.canReachAnother() || !a.exchange.reserveRetry(a.ctx) {
 		a.silenceTimer.Reset(minSilenceTimeout)
 		return
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -37,6 +38,8 @@
 	assignedElsewhereCost = 15.0
 	// coldCost is the cost of a back end that has just started, in milliseconds.
 	coldCost = 40.0
+	// minPlacementCost is the least cost of a new connection for which a request goes where one is idle.
+	minPlacementCost = 5 * time.Millisecond
 	// recomputeWeight is the extra cost of recomputing shared parts, relative to their prefill time. nonOwnerWeight
 	// is the extra cost of doing so at an engine that is not their owner.
 	recomputeWeight = 2.0
@@ -107,7 +110,9 @@
 	software          *streamorigin.Requirement // of a stream that goes on, else nil
 	// newConnectionCost is the cost of a back end to which no connection is idle, in milliseconds; set by choose.
 	newConnectionCost float64
-	storeIndexed      bool // the store index plans copies from and to the store; set by choose
+	maxIdle           time.Duration // of connections that the request may use
+	onlyConnected     bool          // no connection may be opened, so that only back ends to which one is idle are eligible
+	storeIndexed      bool          // the store index plans copies from and to the store; set by choose
 }
 
 // promptTokens returns the number of prompt tokens.
@@ -122,8 +127,9 @@
 func (g *Gateway) choose(now time.Duration, in selectionInput) *candidate {
 	g.table.mutex.Lock()
 	defer g.table.mutex.Unlock()
+	in.maxIdle = cmp.Or(in.maxIdle, maxIdleOnce)
 	if !in.sentByPeer { // which has other connections than this gateway
-		in.newConnectionCost = max(g.congestion.connectionCost(in.service.Name), g.table.lifeReplyTimes[in.service.Name]).Seconds() * 1000
+		in.newConnectionCost = g.placementCost(in.service).Seconds() * 1000
 	}
 	rows := g.table.services[in.service.Name]
 	if in.service.Engine {
@@ -158,6 +164,20 @@
 	return &best
 }
 
+// placementCost returns how much longer a request takes at a back end to which no connection is idle. At engines first responses tell
+// more of prompts than of connections, so only the replies to the question for the incarnation count there. The caller holds the
+// table's mutex.
+func (g *Gateway) placementCost(service *catalog.Service) time.Duration {
+	cost := g.table.lifeReplyTimes[service.Name]
+	if !service.Engine {
+		cost = g.congestion.responseCost(service.Name)
+	}
+	if cost < minPlacementCost {
+		cost = 0
+	}
+	return max(cost, g.congestion.connectionCost(service.Name))
+}
+
 // cheapest returns the eligible back end of a list that has the least cost.
 func (g *Gateway) cheapest(now time.Duration, listed []*endpoint, owner *endpoint, sources []source, in selectionInput) (best candidate, found bool) {
 	first := rand.IntN(max(1, len(listed))) // so that gateways with equal knowledge pick different ones of equals
@@ -182,6 +202,9 @@
 	if !row.acceptsRequests() || slices.Contains(in.tried, row) || !in.software.Admits(row.software) || g.table.restrictionCause(now, row, in.sentByPeer) != "" {
 		return false
 	}
+	if in.onlyConnected && !g.pool.hasIdle(row.entry.ID, in.maxIdle) {
+		return false
+	}
 	deadline, hasDeadline := g.startDeadline(row, in.service, in.call.Model)
 	return !hasDeadline || now < deadline-startMargin
 }
@@ -228,7 +251,7 @@
 		scored.cost += crossZoneCost
 	}
 	scored.cost += g.healthPenalty(now, row)
-	if in.newConnectionCost > 0 && !g.pool.hasIdle(row.entry.ID) {
+	if in.newConnectionCost > 0 && !g.pool.hasIdle(row.entry.ID, in.maxIdle) {
 		scored.cost += in.newConnectionCost
 	}
 	if g.assignedElsewhere(row, in) {
--- a/internal/gateway/congestion.go
+++ b/internal/gateway/congestion.go
@@ -30,12 +30,16 @@
 type congestionControl struct {
 	gateway *Gateway
 
-	mu       sync.Mutex
-	services map[string]*congestion.Limiter // guarded by mu, with the limiters
+	mu          sync.Mutex
+	services    map[string]*congestion.Limiter // guarded by mu, with the limiters
+	connections map[string]*connectionState    // guarded by mu, with the states
+	changed     *notifier                      // notified when a connection becomes idle, gets its first response or ends
 }
 
 func newCongestionControl(g *Gateway) *congestionControl {
-	return &congestionControl{gateway: g, services: map[string]*congestion.Limiter{}}
+	return &congestionControl{
+		gateway: g, services: map[string]*congestion.Limiter{}, connections: map[string]*connectionState{}, changed: newNotifier(),
+	}
 }
 
 // with calls a function with the limiter of a service.
@@ -75,7 +79,23 @@
 		return 0, true
 	}
 	c.with(service, func(now time.Duration, l *congestion.Limiter) { retryAfter, admitted = l.Admit(now) })
-	return time.Duration((minRetrySpread + (maxRetrySpread-minRetrySpread)*rand.Float64()) * float64(retryAfter)), admitted
+	return spreadRetry(retryAfter), admitted
+}
+
+// meanWait returns the mean time until responses of a service begin.
+func (c *congestionControl) meanWait(service string) (wait time.Duration) {
+	c.with(service, func(_ time.Duration, l *congestion.Limiter) { wait = l.MeanWait() })
+	return wait
+}
+
+// retryAfter returns the retry time for callers of requests that get no connection in time.
+func (c *congestionControl) retryAfter(service string) time.Duration {
+	return spreadRetry(c.meanWait(service))
+}
+
+// spreadRetry draws a retry time around the given one.
+func spreadRetry(after time.Duration) time.Duration {
+	return time.Duration((minRetrySpread + (maxRetrySpread-minRetrySpread)*rand.Float64()) * float64(after))
 }
 
 // sweep removes the limiters of services that get no requests.
@@ -159,6 +179,10 @@
 	}
 }
 
+// waitedFraction is the fraction of its time after which a request that wasn't sent yet is rejected if a response would most likely
+// come too late.
+const waitedFraction = 0.25
+
 // rejectIfCongested rejects a request that would wait too long at congested back ends, and reports whether it did. One that a
 // back end has worked on goes on, within the retry budget.
 func (x *exchange) rejectIfCongested() bool {
@@ -166,16 +190,27 @@
 		return false
 	}
 	retryAfter, admitted := x.gateway.congestion.admit(x.service.Name)
-	if !admitted {
-		x.giveUp(reasonCongested, max(minRetryAfter, retryAfter))
+	if admitted && !x.isTooLate() {
+		return false
+	}
+	x.giveUp(reasonCongested, max(minRetryAfter, retryAfter))
+	return true
+}
+
+// isTooLate reports whether a request has waited at a congested service until it has less time left than responses take.
+func (x *exchange) isTooLate() bool {
+	now := x.gateway.now()
+	if float64(now-x.arrived) < waitedFraction*float64(x.deadline-x.arrived) || !x.gateway.congestion.isLimited(x.service.Name) {
+		return false
 	}
-	return !admitted
+	return x.deadline-now < x.gateway.congestion.meanWait(x.service.Name)
 }
 
-// congestionGauge collects how many requests wait for the back ends of each service, and the limit on them.
+// congestionGauge collects how many requests wait for the back ends of each service and for connections to them, and the bounds.
 type congestionGauge struct {
-	gateway        *Gateway
-	waiting, limit *prometheus.Desc
+	gateway                          *Gateway
+	waiting, limit                   *prometheus.Desc
+	window, opening, connectionWaits *prometheus.Desc
 }
 
 func newCongestionGauge(g *Gateway) congestionGauge {
@@ -185,11 +220,18 @@
 	return congestionGauge{
 		g, describe("waiting", "Requests that wait for a response to begin, or were given up and may still be worked on."),
 		describe("limit", "Limit on these while the service is congested; 0 otherwise."),
+		describe("connection_window", "Connections to back ends that may be opened at once."),
+		describe("connections_opening", "Connections without a first response."),
+		describe("connection_waits", "Requests that wait for a connection."),
 	}
 }
 
 // Describe implements prometheus.Collector.
-func (c congestionGauge) Describe(out chan<- *prometheus.Desc) { out <- c.waiting; out <- c.limit }
+func (c congestionGauge) Describe(out chan<- *prometheus.Desc) {
+	for _, description := range []*prometheus.Desc{c.waiting, c.limit, c.window, c.opening, c.connectionWaits} {
+		out <- description
+	}
+}
 
 // Collect implements prometheus.Collector.
 func (c congestionGauge) Collect(out chan<- prometheus.Metric) {
@@ -200,4 +242,9 @@
 		out <- prometheus.MustNewConstMetric(c.waiting, prometheus.GaugeValue, float64(l.Waiting()), service)
 		out <- prometheus.MustNewConstMetric(c.limit, prometheus.GaugeValue, l.Limit(), service)
 	}
+	for service, s := range control.connections {
+		out <- prometheus.MustNewConstMetric(c.window, prometheus.GaugeValue, s.window.Size(), service)
+		out <- prometheus.MustNewConstMetric(c.opening, prometheus.GaugeValue, float64(s.window.Pending()), service)
+		out <- prometheus.MustNewConstMetric(c.connectionWaits, prometheus.GaugeValue, float64(s.waiting), service)
+	}
 }
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -54,6 +54,18 @@
 	reused           bool          // it has carried a request before the current one
 	peer             string        // that carries the tunnel, or "" for a direct connection
 	lifeChecked      bool          // the back end has stated on it that it is the incarnation of the pool's key
+	opening          *opening      // nil for a connection that wasn't opened by an attempt
+}
+
+// isUnchecked reports whether a question is to be asked on the connection first.
+func (c *connection) isUnchecked() bool {
+	return c.opening != nil && c.opening.needsCheck && !c.opening.done.Load()
+}
+
+// Close closes the connection.
+func (c *connection) Close() error {
+	c.opening.fail()
+	return c.Conn.Close()
 }
 
 // pool keeps idle connections by instance ID, so that none is reused for another incarnation at the same address. It is
@@ -65,14 +77,15 @@
 	mutex   sync.Mutex
 	idle    map[string][]*connection
 
-	heads transport.Account // of long heads of responses; nil without a limit on all together
+	heads  transport.Account // of long heads of responses; nil without a limit on all together
+	onIdle func()            // called when a connection becomes idle
 
 	staleIdle   time.Duration // shortest idle time after which a reused connection recently failed; guarded by mutex
 	staleIdleAt time.Duration // when staleIdle was recorded; guarded by mutex
 }
 
 func newPool(source clock.Source) *pool {
-	p := &pool{now: clock.NewSource(source), idle: map[string][]*connection{}}
+	p := &pool{now: clock.NewSource(source), idle: map[string][]*connection{}, onIdle: func() {}}
 	p.dialer = net.Dialer{
 		Timeout: dialTimeout, Control: setSocketOptions,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
@@ -115,32 +128,71 @@
 	return min(maxIdle, max(minStaleIdle, time.Duration(staleIdleFactor*float64(p.staleIdle))))
 }
 
-// get returns a connection idle for less than maxIdle, or a new one. On an error nothing was sent. Idle connections are
-// direct, so peers are asked before one is used while the path is lost or suspected to be.
-func (p *pool) get(ctx context.Context, instance, address string, maxIdle time.Duration, suspected bool) (*connection, error) {
-	if p.tunnels.MayBypass(address, suspected) {
-		if dialed, err := p.tunnels.Bypass(ctx, address); err == nil || tunnel.IsRefused(err) {
-			return p.newConnection(dialed, err)
+// connectionRequest describes the connection that an attempt needs.
+type connectionRequest struct {
+	instance, address string
+	maxIdle           time.Duration // of an idle connection
+	pathSuspected     bool          // the direct path may be lost
+	// open is called before a new connection is established, and returns an error if none may be.
+	open func() (*opening, error)
+}
+
+// get returns an idle connection or a new one. On an error nothing was sent. Idle connections are direct, so peers are asked
+// before one is used while the path is lost or suspected to be.
+func (p *pool) get(ctx context.Context, r connectionRequest) (*connection, error) {
+	if !p.tunnels.MayBypass(r.address, r.pathSuspected) {
+		if idle := p.reuse(r); idle != nil {
+			return idle, nil
+		}
+		opened, err := r.open()
+		if err != nil {
+			return nil, err
 		}
+		return p.dialDirect(ctx, r.address, opened)
 	}
-	maxIdle = p.idleLimit(maxIdle)
-	for idle := p.takeIdle(instance); idle != nil; idle = p.takeIdle(instance) {
+	opened, err := r.open()
+	if err != nil {
+		if idle := p.reuse(r); idle != nil {
+			return idle, nil
+		}
+		return nil, err
+	}
+	if dialed, err := p.tunnels.Bypass(ctx, r.address); err == nil || tunnel.IsRefused(err) {
+		return p.newConnection(dialed, err, opened)
+	}
+	if idle := p.reuse(r); idle != nil {
+		opened.withdraw()
+		return idle, nil
+	}
+	return p.dialDirect(ctx, r.address, opened)
+}
+
+// reuse takes an idle connection that the request may use, or returns nil.
+func (p *pool) reuse(r connectionRequest) *connection {
+	maxIdle := p.idleLimit(r.maxIdle)
+	for idle := p.takeIdle(r.instance); idle != nil; idle = p.takeIdle(r.instance) {
 		if idle.isFresh(p.now(), maxIdle) && idle.isUsable() {
 			idle.idleFor, idle.reused = p.now()-idle.lastUsedAt, true
-			return idle, nil
+			return idle
 		}
 		_ = idle.Close()
 	}
-	return p.newConnection(p.tunnels.DialDirect(ctx, address))
+	return nil
+}
+
+func (p *pool) dialDirect(ctx context.Context, address string, opened *opening) (*connection, error) {
+	dialed, err := p.tunnels.DialDirect(ctx, address)
+	return p.newConnection(dialed, err, opened)
 }
 
 // newConnection returns the connection for the result of a dial.
-func (p *pool) newConnection(dialed tunnel.Dialed, err error) (*connection, error) {
+func (p *pool) newConnection(dialed tunnel.Dialed, err error, opened *opening) (*connection, error) {
 	if err != nil {
+		opened.withdraw()
 		return nil, err
 	}
 	head := transport.NewAccountedHeadReader(dialed.Conn, p.heads)
-	return &connection{Conn: dialed.Conn, head: head, reader: bufio.NewReaderSize(head, readBufferSize), peer: dialed.Peer}, nil
+	return &connection{Conn: dialed.Conn, head: head, reader: bufio.NewReaderSize(head, readBufferSize), peer: dialed.Peer, opening: opened}, nil
 }
 
 // readResponse reads the head of a response to a request with the given method, skipping informational ones. single are the
@@ -172,12 +224,13 @@
 	return last
 }
 
-// hasIdle reports whether a connection to an instance is idle that may be reused.
-func (p *pool) hasIdle(instance string) bool {
+// hasIdle reports whether a connection to an instance has been idle for less than maxIdle, so that it may be reused.
+func (p *pool) hasIdle(instance string, maxIdle time.Duration) bool {
+	maxIdle = p.idleLimit(maxIdle)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	idle := p.idle[instance]
-	return len(idle) > 0 && idle[len(idle)-1].isFresh(p.now(), maxIdleOnce)
+	return len(idle) > 0 && idle[len(idle)-1].isFresh(p.now(), maxIdle)
 }
 
 // keep returns a connection to the pool after a response if request and response were transferred completely and it may carry
@@ -195,12 +248,16 @@
 func (p *pool) put(instance string, used *connection) {
 	used.lastUsedAt = p.now()
 	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if len(p.idle[instance]) >= maxIdlePerBackend {
+	full := len(p.idle[instance]) >= maxIdlePerBackend
+	if !full {
+		p.idle[instance] = append(p.idle[instance], used)
+	}
+	p.mutex.Unlock()
+	if full {
 		_ = used.Close()
 		return
 	}
-	p.idle[instance] = append(p.idle[instance], used)
+	p.onIdle()
 }
 
 // sweep closes connections that have been idle for too long to be reused.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -69,10 +69,12 @@
 	bodyReserved int // buffer bytes reserved for the body
 
 	tried             []*endpoint
-	sentCount         int  // attempts that were sent
-	unreachableCount  int  // attempts that ended unsent for any other reason
-	limitReachedCount int  // attempts that ended unsent because the back end had reached its limit
-	mayHaveRun        bool // an earlier attempt may have run
+	awaited           []*endpoint // tried ones whose connections may become usable later
+	onlyConnected     bool        // no further connection may be opened
+	sentCount         int         // attempts that were sent
+	unreachableCount  int         // attempts that ended unsent for any other reason
+	limitReachedCount int         // attempts that ended unsent because the back end had reached its limit
+	mayHaveRun        bool        // an earlier attempt may have run
 	// staleConnectionSeen is set once a reused connection ended without a response.
 	staleConnectionSeen bool
 	retryReserved       atomic.Bool         // a retry was taken from the budget and not used yet
@@ -224,10 +226,15 @@
 		}
 		chosen := x.continuation
 		if chosen == nil {
-			if x.rejectIfCongested() {
+			x.allowConnected()
+			if x.rejectIfCongested() || !x.awaitConnection() {
 				return
 			}
 			chosen = x.place()
+			if chosen == nil && x.onlyConnected {
+				x.awaitChange(x.gateway.congestion.changed.Next())
+				continue
+			}
 			if chosen == nil {
 				if x.slot.source != "" && x.endIfExpired() {
 					return // the caller left, or the deadline passed, while the request waited for a slot
@@ -250,6 +257,9 @@
 		if result.kind == resultNotRun {
 			x.quotaLease = a.quotaLease // the request did not run, so the lease is still unused
 		}
+		if x.hasNoConnection(a) {
+			continue
+		}
 		x.logFailure(a, result)
 		x.recordContinuation(a, result)
 		if x.prepareContinuation(a, result) {
@@ -314,6 +324,7 @@
 	if required.Binds() {
 		in.software = &required
 	}
+	in.maxIdle, in.onlyConnected = maxIdleTime(x.route), x.onlyConnected
 	in.latencyCritical, in.offer = x.view.critical[x.service.Name], x.view.offer(x.service.Name)
 	in.maxEventGap, in.reportsFirstEvent = x.view.gaps[x.service.Name], x.route.Streaming
 	if x.tenant != nil {
@@ -329,13 +340,16 @@
 	for {
 		in.trusted, in.timeLeft = x.gateway.trusted(x.gateway.now()), x.deadline-x.gateway.now()
 		changed := x.gateway.table.rosterChanged.Next()
-		chosen := x.requestPlacement(in)
+		var chosen *candidate
+		if !x.onlyConnected { // schedulers don't know which connections this gateway has
+			chosen = x.requestPlacement(in)
+		}
 		if chosen == nil {
 			chosen = x.gateway.choose(x.gateway.now(), in)
 			x.gateway.rejectIfOverloaded(x.gateway.now(), chosen, in)
 		}
 		remaining := waitUntil - x.gateway.now()
-		if chosen != nil || remaining <= 0 || len(x.tried) > 0 {
+		if chosen != nil || remaining <= 0 || len(x.tried) > 0 || x.onlyConnected {
 			return chosen
 		}
 		if retryIn, _ := x.gateway.table.allRestricted(x.gateway.now(), x.service.Name); retryIn > remaining {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -146,6 +146,7 @@
 	}
 	recorded := g.table.servicesWithRecords(g.now())
 	current := g.view.Load()
+	g.gatewayCount.Store(int64(reply.Gateways)) // before requests are served
 	if reply.Document != nil && (current == nil || reply.Document.Revision > current.document.Revision) {
 		g.setView(newView(reply.Document, reply.Offers))
 		g.leases.SetLimits(quota.Limits(reply.Document, g.settings.Quota))
@@ -170,7 +171,6 @@
 	}
 	g.watchStartDeadlines()
 	g.leases.RecordContact(askedAt, reply.Gateways)
-	g.gatewayCount.Store(int64(reply.Gateways))
 	g.nearby.update(reply.NearbyReplicas)
 	g.peers.setMesh(reply.Mesh)
 	g.tunnelAddresses.Store(&[][]string{reply.Mesh.Tunnels, reply.Mesh.OtherTunnels})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,7 +108,7 @@
 		peers: newPeerAnnouncer(client), schedulers: newSchedulers(client), shortName: strconv.FormatUint(rand.Uint64N(shortNameRange), saltBase),
 	}
 	g.shutdown, g.held, g.congestion = newShutdown(), newHeldBytes(), newCongestionControl(g)
-	g.pool.heads = &g.held.heads
+	g.pool.heads, g.pool.onIdle = &g.held.heads, g.congestion.changed.Notify
 	g.dialer = g.newTunnelDialer()
 	g.pool.tunnels, g.tunnels = g.dialer, g.newTunnelServer()
 	g.quarantine = reporter.New(reporter.Config{Submit: g.group.Quarantine, RefusesConnections: g.dialer.Refuses, Log: g.log.info, Now: g.now})
--- a/internal/gateway/lateresponse.go
+++ b/internal/gateway/lateresponse.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// lateResponseTimeout bounds how long a response is awaited after the deadline of its request. It tells when the back end is
+	// lateResponseTimeout bounds how long a response is awaited after its request was given up. It tells when the back end is
 	// done with the request, and spares both sides a new connection.
-	lateResponseTimeout = 5 * time.Second
+	lateResponseTimeout = 15 * time.Second
 	// maxLateResponses is how many are awaited at once.
 	maxLateResponses = 256
 )
@@ -18,7 +18,7 @@
 // interrupt ends what the attempt waits for when its context is done. If the deadline has passed, the connection is only taken
 // from the attempt.
 func (a *attempt) interrupt() {
-	if a.passedDeadline() && a.awaitsHead.Load() {
+	if a.mayRespondLate() && a.awaitsHead.Load() {
 		_ = a.conn.SetDeadline(time.Now())
 		return
 	}
@@ -30,10 +30,16 @@
 	return context.Cause(a.ctx) == context.DeadlineExceeded && a.exchange.request.Context().Err() == nil
 }
 
-// leaveToLate awaits the response in the background if the deadline has passed before any byte of it came, and reports whether
-// it does.
+// mayRespondLate reports whether the attempt was given up only because its back end takes long. The work of an engine on an attempt
+// that is followed by another is stopped by closing the connection.
+func (a *attempt) mayRespondLate() bool {
+	return a.passedDeadline() || context.Cause(a.ctx) == errSilent && !a.exchange.service.Engine
+}
+
+// leaveToLate awaits the response in the background if the attempt was given up before any byte of it came, and reports whether it
+// does.
 func (a *attempt) leaveToLate(readErr error) bool {
-	if !a.passedDeadline() || !errors.Is(readErr, os.ErrDeadlineExceeded) || a.conn.head.HasBegun() || a.conn.peer != "" || !a.requestWritten() {
+	if !a.mayRespondLate() || !errors.Is(readErr, os.ErrDeadlineExceeded) || a.conn.head.HasBegun() || a.conn.peer != "" || !a.requestWritten() {
 		return false
 	}
 	g := a.exchange.gateway
@@ -59,6 +65,7 @@
 		return
 	}
 	wait.answered(false)
+	conn.opening.responded()
 	whole := discardBody(response) == nil
 	_ = conn.SetDeadline(time.Time{})
 	if g.pool.keep(instance, conn, response, whole) {
--- a/internal/gateway/lifecheck.go
+++ b/internal/gateway/lifecheck.go
@@ -17,7 +17,7 @@
 	maxLifeCheckShare = 0.5
 	// lateLifeCheckTimeout bounds the question itself. A reply that no attempt waits for any more still tells which
 	// incarnation the connection belongs to, so that another request may use it.
-	lateLifeCheckTimeout = 5 * time.Second
+	lateLifeCheckTimeout = 15 * time.Second
 	// maxLateLifeChecks is how many such replies are awaited at once.
 	maxLateLifeChecks = 64
 	// maxLifeReply bounds the size of a reply.
@@ -39,7 +39,8 @@
 
 // lifeReply is the reply to the question which incarnation answers on a connection.
 type lifeReply struct {
-	startedMS int64
+	startedMS int64 // if hasStart
+	hasStart  bool
 	took      time.Duration
 	err       error // errConnectionEnds if the reply is valid, but the last one on the connection
 }
@@ -51,15 +52,23 @@
 	return a.row.incarnation.StartedMS > 0 && x.service.Engine && x.route.Streaming && (x.route.Resumable || x.origin.takesUp)
 }
 
-// checkLife makes sure that the connection is one to the chosen incarnation. A connection never changes its incarnation, so
-// each is checked once. With errLifeReplyLate the connection is no longer the attempt's.
-func (a *attempt) checkLife() error {
-	if a.conn.lifeChecked || !a.needsLifeCheck() {
+// checkConnection makes sure that the connection is one to the chosen incarnation, where that matters, and asks a question on a new
+// one that is to tell whether the back ends are out of capacity. A connection never changes its incarnation, so each is checked once.
+// With errLifeReplyLate the connection is no longer the attempt's.
+func (a *attempt) checkConnection() error {
+	x := a.exchange
+	checksLife := a.needsLifeCheck() && !a.conn.lifeChecked
+	if !checksLife && !a.conn.isUnchecked() {
 		return nil
 	}
-	x := a.exchange
 	replies := make(chan lifeReply, 1)
-	go func() { replies <- x.gateway.askStartTime(a.conn, a.row) }()
+	go func() {
+		if checksLife {
+			replies <- x.gateway.askStartTime(a.conn, a.row)
+			return
+		}
+		replies <- x.gateway.askForReply(a.conn, a.row, x.gateway.checkPath(x.service))
+	}()
 	wait := time.NewTimer(a.lifeCheckWait())
 	defer wait.Stop()
 	select {
@@ -93,6 +102,9 @@
 	if reply.err != nil && reply.err != errConnectionEnds {
 		return reply.err
 	}
+	if !reply.hasStart {
+		return reply.err
+	}
 	g.table.recordLifeReply(row, reply.took)
 	if reply.startedMS != row.incarnation.StartedMS {
 		g.table.recordUnreachable(g.now(), row) // until control names the new one
@@ -126,27 +138,56 @@
 func (g *Gateway) askStartTime(conn *connection, row *endpoint) (reply lifeReply) {
 	askedAt := g.now()
 	defer func() { reply.took = g.now() - askedAt }()
+	response, body, err := g.ask(conn, row, g.dialect.StatePath())
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = eris.New(response.Status)
+	}
+	if err != nil {
+		return lifeReply{err: eris.Wrap(err, "ask for the incarnation")}
+	}
+	startedMS, err := g.dialect.ReadStartTime(body)
+	if err == nil && !conn.readKeepAlive(response) {
+		err = errConnectionEnds
+	}
+	return lifeReply{startedMS: startedMS, hasStart: true, err: err}
+}
+
+// askForReply asks a question on a connection, whatever the reply.
+func (g *Gateway) askForReply(conn *connection, row *endpoint, path string) lifeReply {
+	response, _, err := g.ask(conn, row, path)
+	if err == nil && !conn.readKeepAlive(response) {
+		err = errConnectionEnds
+	}
+	return lifeReply{err: err}
+}
+
+// ask sends a question on a connection and reads the whole reply.
+func (g *Gateway) ask(conn *connection, row *endpoint, path string) (*http.Response, []byte, error) {
 	_ = conn.SetDeadline(time.Now().Add(lateLifeCheckTimeout))
 	defer func() { _ = conn.SetDeadline(time.Time{}) }()
 	defer conn.head.ReleaseHead()
-	question := "GET " + g.dialect.StatePath() + " HTTP/1.1\r\nHost: " + row.entry.Address + "\r\n\r\n"
+	question := "GET " + path + " HTTP/1.1\r\nHost: " + row.entry.Address + "\r\n\r\n"
 	if _, err := io.WriteString(conn, question); err != nil {
-		return lifeReply{err: eris.Wrap(err, "ask for the incarnation")}
+		return nil, nil, err
 	}
 	response, err := conn.readResponse(http.MethodGet, g.dialect.SingleHeaders())
 	if err != nil {
-		return lifeReply{err: eris.Wrap(err, "ask for the incarnation")}
+		return nil, nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxLifeReply))
+	conn.opening.checked()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxLifeReply+1))
 	_ = response.Body.Close()
-	if err != nil || response.StatusCode != http.StatusOK {
-		return lifeReply{err: eris.Errorf("ask for the incarnation: %s, %v", response.Status, err)}
+	if err == nil && len(body) > maxLifeReply {
+		err = errEndlessBody
 	}
-	startedMS, err := g.dialect.ReadStartTime(body)
-	if err == nil && !conn.readKeepAlive(response) {
-		err = errConnectionEnds
-	}
-	return lifeReply{startedMS: startedMS, err: err}
+	return response, body, err
+}
+
+// lifeReplyMean returns the mean time of a service's replies to the question for the incarnation, or 0.
+func (t *table) lifeReplyMean(service string) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.lifeReplyTimes[service]
 }
 
 // lifeReplyTime returns how long replies to the question for the incarnation are expected to take: as long as the last one of
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"kitetiller/internal/catalog"
 	"kitetiller/internal/events"
 	"kitetiller/internal/listen"
 	"kitetiller/internal/mechanism"
@@ -52,8 +53,12 @@
 	if g.dialer.IsLost(address) || g.table.pathSuspected(g.now(), address) {
 		return true
 	}
-	service, known := g.table.serviceAt(address)
-	return known && g.congestion.isLimited(service)
+	name, known := g.table.serviceAt(address)
+	if !known {
+		return false
+	}
+	service := g.service(name)
+	return g.congestion.isLimited(name) || service != nil && !g.congestion.allowsConnection(service)
 }
 
 // opensTunnels reports whether the gateway opens tunnels for others.
@@ -120,9 +125,18 @@
 // healthPath returns the path of a back end's health check, or "".
 func (g *Gateway) healthPath(address string) string {
 	name, known := g.table.serviceAt(address)
-	current := g.view.Load()
-	if !known || current == nil || current.services[name] == nil {
+	service := g.service(name)
+	if !known || service == nil {
 		return ""
 	}
-	return current.services[name].HealthPath
+	return service.HealthPath
+}
+
+// service returns a service of the current view, or nil.
+func (g *Gateway) service(name string) *catalog.Service {
+	current := g.view.Load()
+	if current == nil {
+		return nil
+	}
+	return current.services[name]
 }
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -14,26 +14,27 @@
 
 // Mechanisms of gateways.
 const (
-	Lanes              Name = "lanes"         // long and short requests use separate engines
-	GatewayMesh        Name = "mesh"          // gateways exchange information about their requests
-	Occupancy          Name = "occupancy"     // occupied slots and cache memory are taken into account
-	PeerFailureReports Name = "suspicion"     // reports of other gateways about unreachable backends are taken into account
-	StoreTransfers     Name = "store"         // shared parts are saved to and loaded from stores
-	EngineTransfers    Name = "copies"        // shared parts are copied from other engines
-	EvictionCost       Name = "displacement"  // a copy is charged for the cache entries that it evicts
-	LinkQueueing       Name = "links"         // concurrent transfers from one engine or store queue up
-	AffinityOwner      Name = "owner"         // requests go to one engine while no engine has cached their prompt
-	AffinityMissCost   Name = "stray-cost"    // prefilling shared parts elsewhere than at their owner costs more
-	CacheEvents        Name = "cache-events"  // cache contents are read from the engines
-	SilenceTimeout     Name = "patience"      // a repeatable request is retried elsewhere if its backend does not respond
-	FailureAvoidance   Name = "avoidance"     // backends are avoided for some time after a failure
-	ViewWait           Name = "view-wait"     // a request waits for an expected update from control
-	ZoneCost           Name = "zone-cost"     // backends in other zones cost more
-	Interference       Name = "interference"  // prefill costs more for each request that runs concurrently
-	EarlyRejection     Name = "refusal"       // a request that would wait too long is rejected immediately
-	CongestionLimit    Name = "congestion"    // requests are limited while most backends of a service respond late
-	Tunnels            Name = "tunnels"       // a gateway without a path to a backend reaches it through another gateway
-	RecomputeCost      Name = "reread-weight" // recomputing shared parts is weighted higher than its time
+	Lanes              Name = "lanes"             // long and short requests use separate engines
+	GatewayMesh        Name = "mesh"              // gateways exchange information about their requests
+	Occupancy          Name = "occupancy"         // occupied slots and cache memory are taken into account
+	PeerFailureReports Name = "suspicion"         // reports of other gateways about unreachable backends are taken into account
+	StoreTransfers     Name = "store"             // shared parts are saved to and loaded from stores
+	EngineTransfers    Name = "copies"            // shared parts are copied from other engines
+	EvictionCost       Name = "displacement"      // a copy is charged for the cache entries that it evicts
+	LinkQueueing       Name = "links"             // concurrent transfers from one engine or store queue up
+	AffinityOwner      Name = "owner"             // requests go to one engine while no engine has cached their prompt
+	AffinityMissCost   Name = "stray-cost"        // prefilling shared parts elsewhere than at their owner costs more
+	CacheEvents        Name = "cache-events"      // cache contents are read from the engines
+	SilenceTimeout     Name = "patience"          // a repeatable request is retried elsewhere if its backend does not respond
+	FailureAvoidance   Name = "avoidance"         // backends are avoided for some time after a failure
+	ViewWait           Name = "view-wait"         // a request waits for an expected update from control
+	ZoneCost           Name = "zone-cost"         // backends in other zones cost more
+	Interference       Name = "interference"      // prefill costs more for each request that runs concurrently
+	EarlyRejection     Name = "refusal"           // a request that would wait too long is rejected immediately
+	ConnectionWindow   Name = "connection-window" // connections are opened as fast as they prove useful
+	CongestionLimit    Name = "congestion"        // requests are limited while most backends of a service respond late
+	Tunnels            Name = "tunnels"           // a gateway without a path to a backend reaches it through another gateway
+	RecomputeCost      Name = "reread-weight"     // recomputing shared parts is weighted higher than its time
 
 	// The following take effect only for services whose configuration calls for them.
 	EngineQueue  Name = "engine-queue"  // the wait at an engine is predicted by priority and by engine
@@ -55,7 +56,7 @@
 func All() []Name {
 	return []Name{
 		Lanes, GatewayMesh, Occupancy, PeerFailureReports, StoreTransfers, EngineTransfers, EvictionCost, LinkQueueing, AffinityOwner, AffinityMissCost, CacheEvents, SilenceTimeout, FailureAvoidance,
-		ViewWait, ZoneCost, CongestionLimit, Tunnels, RecomputeCost, Interference, EarlyRejection, EngineQueue, PauseBound, SharedSlots, StreamCopies, StoreIndex, Reservations, Schedulers, WeightsDrain, LoggedWeights,
+		ViewWait, ZoneCost, ConnectionWindow, CongestionLimit, Tunnels, RecomputeCost, Interference, EarlyRejection, EngineQueue, PauseBound, SharedSlots, StreamCopies, StoreIndex, Reservations, Schedulers, WeightsDrain, LoggedWeights,
 	}
 }
 
