--- a/internal/admission/congestion/limiter.go
+++ b/internal/admission/congestion/limiter.go
@@ -40,8 +40,8 @@
 	// soon enough when the back ends are there again.
 	stallTimeout = 8 * time.Second
 	// A response within promptFraction of the patience raises the limit by one, or doubles one below that. Any other one in time
-	// raises it by slowIncrease, or by one for as many responses as the limit if that is less or no wait is short. A late one that
-	// is answered raises a limit of one by lateIncrease.
+	// raises it by slowIncrease, or by one for as many responses as the limit if that is less. A late one that is answered raises a
+	// limit of one by lateIncrease.
 	promptFraction = 0.25
 	slowIncrease   = 0.1
 	lateIncrease   = 0.03
@@ -338,8 +338,6 @@
 	}
 	prompt := r.isPrompt(now)
 	switch {
-	case l.limit >= 1 && !prompt && l.shortest.value() >= r.promptTime():
-		l.limit += 1 / l.limit // fewer requests don't make the wait short
 	case l.limit < 1 && prompt:
 		l.limit = min(1, 2*l.limit)
 	case l.limit < 1:
@@ -423,12 +421,7 @@
 
 // isPrompt reports whether a response that begins now is prompt.
 func (r *Request) isPrompt(now time.Duration) bool {
-	return now-r.sentAt < r.promptTime()
-}
-
-// promptTime is the longest wait of a prompt response.
-func (r *Request) promptTime() time.Duration {
-	return time.Duration(promptFraction * float64(r.patience))
+	return now-r.sentAt < time.Duration(promptFraction*float64(r.patience))
 }
 
 // nextAfter returns when the request after r may be sent under a limit below one.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -164,18 +164,13 @@
 	return &best
 }
 
-// placementCost returns how much longer a request takes at a back end to which no connection is idle. At engines first responses tell
-// more of prompts than of connections, so only the replies to the question for the incarnation count there. The caller holds the
-// table's mutex.
+// placementCost returns the cost of a back end to which no connection is idle. The caller holds the table's mutex.
 func (g *Gateway) placementCost(service *catalog.Service) time.Duration {
-	cost := g.table.lifeReplyTimes[service.Name]
-	if !service.Engine {
-		cost = g.congestion.responseCost(service.Name)
-	}
+	cost := g.congestion.connectionCost(service, g.table.lifeReplyTimes[service.Name])
 	if cost < minPlacementCost {
 		cost = 0
 	}
-	return max(cost, g.congestion.connectionCost(service.Name))
+	return max(cost, g.congestion.limitedConnectionCost(service.Name))
 }
 
 // cheapest returns the eligible back end of a list that has the least cost.
--- a/internal/gateway/congestion.go
+++ b/internal/gateway/congestion.go
@@ -108,9 +108,9 @@
 	})
 }
 
-// connectionCost returns how long a new connection to a back end of a service delays a request: while the back ends are
-// congested, they take as long for it as for a response.
-func (c *congestionControl) connectionCost(service string) (cost time.Duration) {
+// limitedConnectionCost returns how long a new connection to a back end of a service delays a request under a limit: congested back
+// ends take as long for it as for a response.
+func (c *congestionControl) limitedConnectionCost(service string) (cost time.Duration) {
 	if !c.gateway.enabled(mechanism.CongestionLimit) {
 		return 0
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -257,7 +257,7 @@
 		if result.kind == resultNotRun {
 			x.quotaLease = a.quotaLease // the request did not run, so the lease is still unused
 		}
-		if x.hasNoConnection(a) {
+		if x.keepsWaiting(a) {
 			continue
 		}
 		x.logFailure(a, result)
--- a/internal/gateway/opening.go
+++ b/internal/gateway/opening.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -37,7 +36,7 @@
 // connectionState is what is known of the connections to a service's back ends.
 type connectionState struct {
 	window *congestion.ConnectionWindow
-	cost   congestion.ConnectionCost // as responses tell it; at engines these tell more of prompts than of connections
+	cost   congestion.ConnectionCost
 	// waiting is the number of requests that wait for a connection.
 	waiting int
 }
@@ -100,9 +99,15 @@
 	return allowed
 }
 
-// responseCost returns how much longer responses of a service take on a new connection.
-func (c *congestionControl) responseCost(service string) (cost time.Duration) {
-	c.withConnections(service, func(_ time.Duration, s *connectionState) { cost = s.cost.Value() })
+// connectionCost returns how much longer a request of a service takes on a new connection. At engines responses tell more of prompts
+// than of connections, so it is the mean time of replies to the question for the incarnation.
+func (c *congestionControl) connectionCost(service *catalog.Service, lifeReplies time.Duration) (cost time.Duration) {
+	if service.Engine {
+		return lifeReplies
+	}
+	if c.gateway.enabled(mechanism.ConnectionWindow) {
+		c.withConnections(service.Name, func(_ time.Duration, s *connectionState) { cost = s.cost.Value() })
+	}
 	return cost
 }
 
@@ -194,11 +199,10 @@
 	c := x.gateway.congestion
 	until := x.connectionWaitEnd()
 	openFrom := x.gateway.now()
-	if cost := x.gateway.connectionCost(x.service); cost >= minWaitedCost {
+	if cost := c.connectionCost(x.service, x.gateway.table.lifeReplyMean(x.service.Name)); cost >= minWaitedCost {
 		openFrom = min(openFrom+cost, until)
 	}
-	waits := false
-	for {
+	for queued := false; ; {
 		changed := c.changed.Next()
 		x.onlyConnected = !c.allowsConnection(x.service)
 		now := x.gateway.now()
@@ -208,43 +212,35 @@
 		if x.endIfExpired() {
 			return false
 		}
-		if !waits {
-			waits = true
-			defer c.recordWaiting(x.service.Name, -1)
-			until = min(until, now+c.recordWaiting(x.service.Name, 1))
-		}
-		if now >= until {
+		if now >= until || !queued && !c.enqueue(x.service.Name) {
 			x.giveUp(reasonNoConnection, max(minRetryAfter, c.retryAfter(x.service.Name)))
 			return false
 		}
+		if !queued {
+			queued = true
+			defer c.dequeue(x.service.Name)
+		}
 		x.awaitChange(changed)
 	}
 }
 
-// recordWaiting adds to the requests of a service that wait for a connection, and returns how long the last of them may wait: 0 if
-// those before it are too many for the connections in use to be served within maxQueueWait.
-func (c *congestionControl) recordWaiting(service string, change int) (maxWait time.Duration) {
+// enqueue adds to the requests of a service that wait for a connection, and reports whether it did: not if those that wait take all
+// connections in use for longer than maxQueueWait.
+func (c *congestionControl) enqueue(service string) (queued bool) {
 	response, inUse := time.Duration(0), 0
 	c.with(service, func(_ time.Duration, l *congestion.Limiter) { response, inUse = l.MeanWait(), l.Waiting() })
 	c.withConnections(service, func(_ time.Duration, s *connectionState) {
-		if time.Duration(s.waiting)*response <= maxQueueWait*time.Duration(max(1, inUse)) {
-			maxWait = math.MaxInt64 / 2
+		queued = time.Duration(s.waiting)*response <= maxQueueWait*time.Duration(max(1, inUse))
+		if queued {
+			s.waiting++
 		}
-		s.waiting += change
 	})
-	return maxWait
+	return queued
 }
 
-// connectionCost returns how much longer a request of a service takes on a new connection: at engines by the replies to the question
-// for the incarnation, elsewhere by responses.
-func (g *Gateway) connectionCost(service *catalog.Service) time.Duration {
-	switch {
-	case !g.enabled(mechanism.ConnectionWindow):
-		return 0
-	case service.Engine:
-		return g.table.lifeReplyMean(service.Name)
-	}
-	return g.congestion.responseCost(service.Name)
+// dequeue removes a request from those that wait for a connection.
+func (c *congestionControl) dequeue(service string) {
+	c.withConnections(service, func(_ time.Duration, s *connectionState) { s.waiting-- })
 }
 
 // hasIdleConnection reports whether a connection is idle to a back end that the request was not sent to.
@@ -276,9 +272,9 @@
 	})
 }
 
-// hasNoConnection reports whether an attempt ended because no connection was idle or could be opened. Its back end may be chosen
-// again.
-func (x *exchange) hasNoConnection(a *attempt) bool {
+// keepsWaiting reports whether an attempt ended because no connection was idle or could be opened, so that the request waits for one
+// again. Its back end may be chosen again.
+func (x *exchange) keepsWaiting(a *attempt) bool {
 	switch {
 	case errors.Is(a.connectErr, errNoConnection) && !a.isBound():
 		x.tried = slices.DeleteFunc(x.tried, func(row *endpoint) bool { return row == a.row })
