Gateway: a request waits for an idle connection only if some are in use

Cause: a request without a connection waited as long as a new one costs, also where no connection was in use that could become idle. Change: it waits only beside requests of the service; the test whether an attempt continues a run stands where it is used.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -384,9 +384,9 @@
 	}
 }
 
-// onSilence cancels the attempt if another one may follow and has a connection, unless all back ends answer late, the back end loads weights, or the
-// stream has started and control still receives the back end's heartbeats: another back end might reject the stream, and the
-// response would be cut off.
+// onSilence cancels the attempt if another one may follow and has a connection, unless all back ends answer late, the back end loads
+// weights, or the stream has started and control still receives the back end's heartbeats: another back end might reject the stream,
+// and the response would be cut off.
 func (a *attempt) onSilence() {
 	if a.ctx.Err() != nil {
 		return // it has ended meanwhile
--- a/internal/gateway/congestion.go
+++ b/internal/gateway/congestion.go
@@ -88,6 +88,12 @@
 	return wait
 }
 
+// inUse returns the number of requests that wait for a response of a service.
+func (c *congestionControl) inUse(service string) (count int) {
+	c.with(service, func(_ time.Duration, l *congestion.Limiter) { count = l.Waiting() })
+	return count
+}
+
 // retryAfter returns the retry time for callers of requests that get no connection in time.
 func (c *congestionControl) retryAfter(service string) time.Duration {
 	return spreadRetry(c.meanWait(service))
--- a/internal/gateway/opening.go
+++ b/internal/gateway/opening.go
@@ -111,7 +111,8 @@
 	return cost
 }
 
-// openConnection begins a new connection for the attempt. If it is bound to its back end, it waits until one may be opened.
+// openConnection begins a new connection for the attempt. If it continues a run, which no other
+// back end can, it waits until one may be opened.
 func (a *attempt) openConnection() (*opening, error) {
 	x := a.exchange
 	c := x.gateway.congestion
@@ -121,7 +122,7 @@
 		if c.allowsConnection(x.service) {
 			return a.beginOpening(), nil
 		}
-		if !a.isBound() || x.gateway.now() >= until || a.ctx.Err() != nil {
+		if !a.continues || x.gateway.now() >= until || a.ctx.Err() != nil {
 			return nil, errNoConnection
 		}
 		x.awaitChange(changed)
@@ -166,9 +167,6 @@
 	})
 }
 
-// isBound reports whether the attempt can't be sent to another back end instead, since this one has a copy of the run.
-func (a *attempt) isBound() bool { return a.continues }
-
 // canReachAnother reports whether a request could be sent again without waiting for a connection.
 func (x *exchange) canReachAnother() bool {
 	return x.gateway.congestion.allowsConnection(x.service) || x.gateway.hasIdleConnection(x)
@@ -198,10 +196,7 @@
 func (x *exchange) awaitConnection() bool {
 	c := x.gateway.congestion
 	until := x.connectionWaitEnd()
-	openFrom := x.gateway.now()
-	if cost := c.connectionCost(x.service, x.gateway.table.lifeReplyMean(x.service.Name)); cost >= minWaitedCost {
-		openFrom = min(openFrom+cost, until)
-	}
+	openFrom := min(x.gateway.now()+x.worthWaiting(), until)
 	for queued := false; ; {
 		changed := c.changed.Next()
 		x.onlyConnected = !c.allowsConnection(x.service)
@@ -224,11 +219,21 @@
 	}
 }
 
+// worthWaiting returns for how long the request waits for an idle connection rather than open one: as long as a new one costs, if
+// there are connections in use that may become idle.
+func (x *exchange) worthWaiting() time.Duration {
+	c := x.gateway.congestion
+	cost := c.connectionCost(x.service, x.gateway.table.lifeReplyMean(x.service.Name))
+	if cost < minWaitedCost || c.inUse(x.service.Name) == 0 {
+		return 0
+	}
+	return cost
+}
+
 // enqueue adds to the requests of a service that wait for a connection, and reports whether it did: not if those that wait take all
 // connections in use for longer than maxQueueWait.
 func (c *congestionControl) enqueue(service string) (queued bool) {
-	response, inUse := time.Duration(0), 0
-	c.with(service, func(_ time.Duration, l *congestion.Limiter) { response, inUse = l.MeanWait(), l.Waiting() })
+	response, inUse := c.meanWait(service), c.inUse(service)
 	c.withConnections(service, func(_ time.Duration, s *connectionState) {
 		queued = time.Duration(s.waiting)*response <= maxQueueWait*time.Duration(max(1, inUse))
 		if queued {
@@ -276,7 +281,7 @@
 // again. Its back end may be chosen again.
 func (x *exchange) keepsWaiting(a *attempt) bool {
 	switch {
-	case errors.Is(a.connectErr, errNoConnection) && !a.isBound():
+	case errors.Is(a.connectErr, errNoConnection) && !a.continues:
 		x.tried = slices.DeleteFunc(x.tried, func(row *endpoint) bool { return row == a.row })
 		return true
 	case errors.Is(a.connectErr, errLifeReplyLate):
