Gateway: requests on lost paths neither close the window nor fill the limit

Cause: late responses are awaited for 15 s since the window, and counted for as long as requests that back ends work on; on a lost path none comes, so the limit was used up by them. Tunnels took a place in the window, and connections on lost paths closed it. Change: such a request counts for 5 s, as before; the window bounds nothing while a path is lost, and tunnels take no place in it.

--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -141,30 +141,25 @@
 // before one is used while the path is lost or suspected to be.
 func (p *pool) get(ctx context.Context, r connectionRequest) (*connection, error) {
 	if !p.tunnels.MayBypass(r.address, r.pathSuspected) {
-		if idle := p.reuse(r); idle != nil {
-			return idle, nil
-		}
-		opened, err := r.open()
-		if err != nil {
-			return nil, err
-		}
-		return p.dialDirect(ctx, r.address, opened)
-	}
-	opened, err := r.open()
-	if err != nil {
-		if idle := p.reuse(r); idle != nil {
-			return idle, nil
-		}
-		return nil, err
+		return p.getDirect(ctx, r)
 	}
 	if dialed, err := p.tunnels.Bypass(ctx, r.address); err == nil || tunnel.IsRefused(err) {
-		return p.newConnection(dialed, err, opened)
+		return p.newConnection(dialed, err, nil)
 	}
+	return p.getDirect(ctx, r)
+}
+
+// getDirect is get on the direct path.
+func (p *pool) getDirect(ctx context.Context, r connectionRequest) (*connection, error) {
 	if idle := p.reuse(r); idle != nil {
-		opened.withdraw()
 		return idle, nil
 	}
-	return p.dialDirect(ctx, r.address, opened)
+	opened, err := r.open()
+	if err != nil {
+		return nil, err
+	}
+	dialed, err := p.tunnels.DialDirect(ctx, r.address)
+	return p.newConnection(dialed, err, opened)
 }
 
 // reuse takes an idle connection that the request may use, or returns nil.
@@ -180,11 +175,6 @@
 	return nil
 }
 
-func (p *pool) dialDirect(ctx context.Context, address string, opened *opening) (*connection, error) {
-	dialed, err := p.tunnels.DialDirect(ctx, address)
-	return p.newConnection(dialed, err, opened)
-}
-
 // newConnection returns the connection for the result of a dial.
 func (p *pool) newConnection(dialed tunnel.Dialed, err error, opened *opening) (*connection, error) {
 	if err != nil {
--- a/internal/gateway/lateresponse.go
+++ b/internal/gateway/lateresponse.go
@@ -11,6 +11,8 @@
 	// lateResponseTimeout bounds how long a response is awaited after its request was given up. It tells when the back end is
 	// done with the request, and spares both sides a new connection.
 	lateResponseTimeout = 15 * time.Second
+	// countedLateTime is how long of that the request counts as one that its back end works on. On a lost path nothing comes.
+	countedLateTime = 5 * time.Second
 	// maxLateResponses is how many are awaited at once.
 	maxLateResponses = 256
 )
@@ -57,6 +59,7 @@
 func (g *Gateway) awaitLateResponse(conn *connection, instance, method string, wait *serviceWait) {
 	defer g.lateResponses.Add(-1)
 	defer wait.end()
+	defer time.AfterFunc(countedLateTime, wait.end).Stop()
 	defer conn.head.ReleaseHead()
 	_ = conn.SetDeadline(time.Now().Add(lateResponseTimeout))
 	response, err := conn.readResponse(method, g.dialect.SingleHeaders())
--- a/internal/gateway/lifecheck.go
+++ b/internal/gateway/lifecheck.go
@@ -125,6 +125,7 @@
 	go func() {
 		defer g.lateLifeChecks.Add(-1)
 		defer wait.end()
+		defer time.AfterFunc(countedLateTime, wait.end).Stop()
 		if err := g.applyLifeReply(conn, row, <-replies); err != nil || conn.peer != "" {
 			_ = conn.Close()
 			return
