Congestion, gateway: one way to forget a tried back end, no second mark of ended openings

Cause: three places removed a back end from those that a request was sent to; an opening carried a mark for what its window's list tells; a comment still named the deadline only. Change: forgetTried serves all three, the mark is gone, the comment says when the connection is taken. No change of behaviour. Measured: vet, staticcheck and the tests of gateway and congestion pass.

--- a/internal/admission/congestion/window.go
+++ b/internal/admission/congestion/window.go
@@ -42,7 +42,6 @@
 	startedAt time.Duration
 	expected  time.Duration // time that its request is expected to wait for a response by itself
 	failed    bool          // it no longer counts, though a response may come
-	ended     bool
 }
 
 // NewConnectionWindow returns the window of one of a number of routers.
@@ -114,11 +113,11 @@
 
 // end reports whether the connection had not ended before.
 func (w *ConnectionWindow) end(o *Opening) bool {
-	if o.ended {
+	i := slices.Index(w.pending, o)
+	if i < 0 {
 		return false
 	}
-	o.ended = true
-	w.pending = slices.DeleteFunc(w.pending, func(other *Opening) bool { return other == o })
+	w.pending = slices.Delete(w.pending, i, i+1)
 	return true
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -280,10 +280,15 @@
 func (x *exchange) allowAgain(a *attempt) {
 	if a.staleConnection && !x.staleConnectionSeen {
 		x.staleConnectionSeen = true
-		x.tried = slices.DeleteFunc(x.tried, func(row *endpoint) bool { return row == a.row })
+		x.forgetTried(a.row)
 	}
 }
 
+// forgetTried lets the request be sent to a back end again.
+func (x *exchange) forgetTried(row *endpoint) {
+	x.tried = slices.DeleteFunc(x.tried, func(other *endpoint) bool { return other == row })
+}
+
 // giveUpUnplaced ends a request for which there is no back end. A stream whose software version is gone can't go on later
 // either, so its caller gets no retry time.
 func (x *exchange) giveUpUnplaced() {
--- a/internal/gateway/lateresponse.go
+++ b/internal/gateway/lateresponse.go
@@ -17,7 +17,7 @@
 	maxLateResponses = 256
 )
 
-// interrupt ends what the attempt waits for when its context is done. If the deadline has passed, the connection is only taken
+// interrupt ends what the attempt waits for when its context is done. If its back end may still respond, the connection is only taken
 // from the attempt.
 func (a *attempt) interrupt() {
 	if a.mayRespondLate() && a.awaitsHead.Load() {
--- a/internal/gateway/opening.go
+++ b/internal/gateway/opening.go
@@ -22,7 +22,7 @@
 	responseMargin = 1.5
 	// idleCheckInterval is how often a request that waits for a connection looks for one without being told of a change.
 	idleCheckInterval = 50 * time.Millisecond
-	// minWaitedCost is the least cost of a new connection that is worth waiting for an idle one.
+	// minWaitedCost is the least cost of a new connection for which a request waits for an idle one.
 	minWaitedCost = 20 * time.Millisecond
 	// maxQueueWait is how long requests may be expected to wait for those that wait for a connection already.
 	maxQueueWait = time.Second
@@ -199,7 +199,7 @@
 func (x *exchange) awaitConnection() bool {
 	c := x.gateway.congestion
 	until := x.connectionWaitEnd()
-	openFrom := min(x.gateway.now()+x.worthWaiting(), until)
+	openFrom := min(x.gateway.now()+x.idleWait(), until)
 	for queued := false; ; {
 		changed := c.changed.Next()
 		x.onlyConnected = !c.allowsConnection(x.service)
@@ -222,9 +222,9 @@
 	}
 }
 
-// worthWaiting returns for how long the request waits for an idle connection rather than open one: as long as a new one costs, if
+// idleWait returns for how long the request waits for an idle connection rather than open one: as long as a new one costs, if
 // there are connections in use that may become idle.
-func (x *exchange) worthWaiting() time.Duration {
+func (x *exchange) idleWait() time.Duration {
 	c := x.gateway.congestion
 	cost := c.connectionCost(x.service, x.gateway.table.lifeReplyMean(x.service.Name))
 	if cost < minWaitedCost || c.inUse(x.service.Name) == 0 {
@@ -274,7 +274,7 @@
 	x.awaited = slices.DeleteFunc(x.awaited, func(row *endpoint) bool {
 		idle := x.gateway.pool.hasIdle(row.entry.ID, maxIdleTime(x.route))
 		if idle {
-			x.tried = slices.DeleteFunc(x.tried, func(other *endpoint) bool { return other == row })
+			x.forgetTried(row)
 		}
 		return idle
 	})
@@ -285,7 +285,7 @@
 func (x *exchange) keepsWaiting(a *attempt) bool {
 	switch {
 	case errors.Is(a.connectErr, errNoConnection) && !a.continues:
-		x.tried = slices.DeleteFunc(x.tried, func(row *endpoint) bool { return row == a.row })
+		x.forgetTried(a.row)
 		return true
 	case errors.Is(a.connectErr, errLifeReplyLate):
 		x.awaited = append(x.awaited, a.row)
