--- a/internal/lab/soak/partition.go
+++ b/internal/lab/soak/partition.go
@@ -56,18 +56,33 @@
 	Gateways                     []string
 	Sent, Served                 int
 	SentToOthers, ServedByOthers int
-	from, to                     time.Duration
+	// BySecond counts the requests to the gateways without links, from the beginning on, by the second in which they were sent.
+	BySecond []SecondCount
+	from, to time.Duration
 }
 
+// SecondCount holds how many requests were sent within a second and served.
+type SecondCount struct{ Sent, Served int }
+
+// String returns the counts.
+func (c SecondCount) String() string { return fmt.Sprintf("%d/%d", c.Served, c.Sent) }
+
 // String returns the counts.
 func (r PartitionResult) String() string {
-	return fmt.Sprintf("%v, without links to the workers from %v to %v, served %d of %d requests, the others %d of %d",
-		r.Gateways, r.from.Round(time.Millisecond), r.to.Round(time.Millisecond), r.Served, r.Sent, r.ServedByOthers, r.SentToOthers)
+	if !r.IsJudged() {
+		return fmt.Sprintf("%v, without links to the workers from %v to %v, not judged: %d requests there and %d at the others outside other disturbances",
+			r.Gateways, r.from.Round(time.Millisecond), r.to.Round(time.Millisecond), r.Sent, r.SentToOthers)
+	}
+	return fmt.Sprintf("%v, without links to the workers from %v to %v, served %d of %d requests, the others %d of %d; by second %v",
+		r.Gateways, r.from.Round(time.Millisecond), r.to.Round(time.Millisecond), r.Served, r.Sent, r.ServedByOthers, r.SentToOthers, r.BySecond)
 }
 
+// IsJudged reports whether both the gateways without links and the others got requests that count.
+func (r PartitionResult) IsJudged() bool { return r.Sent > 0 && r.SentToOthers > 0 }
+
 // tooFew reports whether the gateways without links served too few requests, compared with the others.
 func (r PartitionResult) tooFew() bool {
-	if r.Sent == 0 || r.SentToOthers == 0 {
+	if !r.IsJudged() {
 		return false
 	}
 	allowed := maxUnservedCount + maxUnservedFraction*float64(r.Sent+r.SentToOthers)
@@ -90,6 +105,7 @@
 func (w *Watcher) partitionResult(p partition) PartitionResult {
 	result := PartitionResult{Gateways: p.gateways, from: p.from, to: p.to}
 	for _, try := range w.tries {
+		result.countSecond(try)
 		if try.at < p.from+rerouteDelay || try.at >= p.to || w.disturbed(try.at) {
 			continue
 		}
@@ -107,6 +123,21 @@
 	return result
 }
 
+// countSecond counts a request to a gateway without links in the second in which it was sent.
+func (r *PartitionResult) countSecond(try *firstTry) {
+	if try.at < r.from || try.at >= r.to || !slices.Contains(r.Gateways, try.to.Name) {
+		return
+	}
+	second := int((try.at - r.from) / time.Second)
+	for len(r.BySecond) <= second {
+		r.BySecond = append(r.BySecond, SecondCount{})
+	}
+	r.BySecond[second].Sent++
+	if try.served {
+		r.BySecond[second].Served++
+	}
+}
+
 // checkPartitions reports a violation for each partition in which too few requests were served. The caller holds mu.
 func (w *Watcher) checkPartitions() {
 	for _, p := range w.partitions {
@@ -123,15 +154,39 @@
 	})
 }
 
-// PartitionedGateways returns the gateways that a fault separates from the workers: half of them, from its target on.
+// PartitionedGateways returns the gateways that a fault separates from the workers.
 func (f *Fleet) PartitionedGateways(fault Fault) []string {
+	if fault.Zones > 0 {
+		return f.gatewaysOfZones(fault.Target, fault.Zones)
+	}
+	count := fault.Gateways
+	if count == 0 {
+		count = len(f.Gateways) / 2
+	}
 	var names []string
-	for i := range max(1, len(f.Gateways)/2) {
+	for i := range min(max(1, count), len(f.Gateways)) {
 		names = append(names, f.Gateways[(fault.Target+i)%len(f.Gateways)].Name)
 	}
 	return names
 }
 
+// gatewaysOfZones returns the gateways of a number of zones, from the one with an index on.
+func (f *Fleet) gatewaysOfZones(first, count int) []string {
+	var zones, names []string
+	for _, gateway := range f.Gateways {
+		if zone := f.Zone(gateway.Name); !slices.Contains(zones, zone) {
+			zones = append(zones, zone)
+		}
+	}
+	for _, gateway := range f.Gateways {
+		position := (slices.Index(zones, f.Zone(gateway.Name)) - first%len(zones) + len(zones)) % len(zones)
+		if position < count {
+			names = append(names, gateway.Name)
+		}
+	}
+	return names
+}
+
 // partition applies a fault that separates gateways from all workers, and reverts it.
 func (f *Fleet) partition(ctx context.Context, fault Fault, duration time.Duration) {
 	var toWorkers, links []Link
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -116,6 +116,15 @@
 	return false
 }
 
+// StrikesLinks reports whether a fault acts on links between processes, which only the proxy can bring about.
+func (k Kind) StrikesLinks() bool {
+	switch k {
+	case CutLeader, CutOneWay, CutGateway, DelayLinks, ResetLinks, ResetControl, IsolateGateway, CutZone, LateControl:
+		return true
+	}
+	return k.Partitions()
+}
+
 // CausesBursts reports whether a fault may delay requests between or within processes, so that they arrive together
 // afterwards.
 func (k Kind) CausesBursts() bool {
@@ -157,6 +166,10 @@
 	SyncMS int64 `json:"sync_ms,omitempty"`
 	// DelayMS is by how much LateStates, LateAnswers and LateControl delay each reply or message.
 	DelayMS int64 `json:"delay_ms,omitempty"`
+	// Gateways is how many gateways, from Target on, a fault separates from all workers. Zones is over how many zones' gateways,
+	// from the zone of Target on, it extends instead. With neither it is half of the gateways.
+	Gateways int `json:"gateways,omitempty"`
+	Zones    int `json:"zones,omitempty"`
 }
 
 // At returns when the fault begins, from the start of traffic.
@@ -238,9 +251,12 @@
 		return plan, eris.Wrapf(err, "decode plan %s", path)
 	}
 	for i, fault := range plan.Faults {
-		if !slices.Contains(Kinds(), fault.Kind) || !slices.Contains(Aims(), fault.Aim) || fault.AtMS < 0 || fault.ForMS < 0 || fault.Target < 0 || fault.Disks < 0 || fault.Absent < 0 || fault.SyncMS < 0 || fault.SpreadMS < 0 || fault.DelayMS < 0 {
+		if !slices.Contains(Kinds(), fault.Kind) || !slices.Contains(Aims(), fault.Aim) || fault.AtMS < 0 || fault.ForMS < 0 || fault.Target < 0 || fault.Disks < 0 || fault.Absent < 0 || fault.SyncMS < 0 || fault.SpreadMS < 0 || fault.DelayMS < 0 || fault.Gateways < 0 || fault.Zones < 0 {
 			return plan, eris.Errorf("%s: fault %d (%s) has an unknown kind or aim, or a negative value", path, i, fault.Kind)
 		}
+		if plan.Shape.Direct && fault.Kind.StrikesLinks() {
+			return plan, eris.Errorf("%s: fault %d (%s) acts on links, and those of a direct shape are out of reach", path, i, fault.Kind)
+		}
 	}
 	if err := plan.Shape.validate(); err != nil {
 		return plan, eris.Wrap(err, path)
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -25,7 +26,8 @@
 	if read, err := Read(path); err != nil || !reflect.DeepEqual(read, plan) {
 		t.Fatalf("read back plan %v, error %v", read, err)
 	}
-	for _, invalid := range []string{``, `{}`, `{"length_ms":5,"faults":[{"kind":"unheard-of"}]}`, `{"length_ms":5,"faults":[{"kind":"kill-all","for_ms":-1}]}`} {
+	for _, invalid := range []string{``, `{}`, `{"length_ms":5,"faults":[{"kind":"unheard-of"}]}`, `{"length_ms":5,"faults":[{"kind":"kill-all","for_ms":-1}]}`,
+		`{"length_ms":5,"shape":{"direct":true},"faults":[{"kind":"cut-workers"}]}`} {
 		if err := os.WriteFile(path, []byte(invalid), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -352,6 +354,39 @@
 	}
 }
 
+// A partition strikes the gateways that its fault names: a number of them, those of whole zones, or half.
+func TestPartitionedGateways(t *testing.T) {
+	fleet := &Fleet{Zone: func(name string) string { return string(name[0]) }}
+	for _, name := range []string{"a0", "b1", "c2", "a3", "b4", "c5"} {
+		fleet.Gateways = append(fleet.Gateways, &Process{Name: name})
+	}
+	for _, c := range []struct {
+		fault Fault
+		want  []string
+	}{
+		{Fault{Target: 5}, []string{"c5", "a0", "b1"}},
+		{Fault{Target: 2, Gateways: 1}, []string{"c2"}},
+		{Fault{Gateways: 9}, []string{"a0", "b1", "c2", "a3", "b4", "c5"}},
+		{Fault{Target: 1, Zones: 1}, []string{"b1", "b4"}},
+		{Fault{Target: 5, Zones: 2}, []string{"a0", "c2", "a3", "c5"}},
+	} {
+		if got := fleet.PartitionedGateways(c.fault); !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%+v: %v, want %v", c.fault, got, c.want)
+		}
+	}
+}
+
+// A partition during which only one side got requests is reported as not judged.
+func TestPartitionWithoutRequestsIsNotJudged(t *testing.T) {
+	w := NewWatcher(time.Second, time.Second)
+	w.RecordPartition(0, 10*time.Second, []string{"cut"})
+	w.RecordRequest("r", false)
+	w.RecordSent(5*time.Second, "r", Sender{Name: "other"})
+	if result := w.PartitionResults()[0]; result.IsJudged() || !strings.Contains(result.String(), "not judged") {
+		t.Errorf("result is %v", result)
+	}
+}
+
 // After five crashes under a part, three more requests with it may reach workers, and half as many of the requests that
 // share its other parts as before must be served.
 func TestWatcherChecksFatalParts(t *testing.T) {
