Soak: connections that are given up don't make all others wait for their owners

The proxy finds out who opened a connection by a look at the descriptors of all processes, one connection after the other. One look now serves all that were opened before it, and closed ones cost none.

Blocked connections asked 100 times a second whether their link was free again; they are told now.

--- a/internal/lab/soak/outage_test.go
+++ b/internal/lab/soak/outage_test.go
@@ -19,7 +19,7 @@
 	send(t, near, far)
 	p.CutPower("b")
 	_ = far.Close() // the process is killed
-	_ = near.SetReadDeadline(time.Now().Add(10 * blockedPollInterval))
+	_ = near.SetReadDeadline(time.Now().Add(10 * powerPollInterval))
 	if _, err := near.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Fatalf("read from a machine without power: %v, want no answer", err)
 	}
@@ -32,7 +32,7 @@
 		if _, err := io.WriteString(near, "x"); err != nil {
 			break
 		}
-		_ = near.SetReadDeadline(time.Now().Add(blockedPollInterval))
+		_ = near.SetReadDeadline(time.Now().Add(powerPollInterval))
 		if _, err := near.Read(make([]byte, 1)); errors.Is(err, syscall.ECONNRESET) {
 			break
 		}
--- a/internal/lab/soak/owner.go
+++ b/internal/lab/soak/owner.go
@@ -17,19 +17,24 @@
 type Owners struct {
 	processes []*Process
 
+	looking sync.Mutex // held while the descriptors of all processes are read
 	mu      sync.Mutex
 	sockets map[string]string // names of processes, by socket as in /proc/PID/fd; guarded by mu
+	begun   uint64            // looks that have begun; guarded by mu
 }
 
+// ClosedOwner is the owner of a connection that the process which opened it has closed.
+const ClosedOwner = "(closed)"
+
 // NewOwners returns the owners of connections of the given processes.
 func NewOwners(processes []*Process) *Owners { return &Owners{processes: processes} }
 
 // Owner is the same for a single connection.
 func Owner(processes []*Process, conn net.Conn) string { return NewOwners(processes).Owner(conn) }
 
-// Owner returns the name of the process that owns the remote end of a loopback connection accepted by this process, or
-// "" if none does. One look at the descriptors of all processes serves all connections that were opened before it, since
-// a fleet that starts opens thousands at once.
+// Owner returns the name of the process that owns the remote end of a loopback connection accepted by this process,
+// ClosedOwner, or "" if none of the processes does. One look at the descriptors of all processes serves all connections that
+// were opened before it, since a fleet opens thousands at once when it starts or when links fail.
 func (o *Owners) Owner(conn net.Conn) string {
 	remote, local := endpointOf(conn.RemoteAddr()), endpointOf(conn.LocalAddr())
 	if remote == nil || local == nil {
@@ -37,21 +42,48 @@
 	}
 	inode := socketInode(remote, local)
 	if inode == 0 {
-		return ""
+		return ClosedOwner
 	}
 	socket := "socket:[" + strconv.FormatUint(uint64(inode), 10) + "]"
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if owner, known := o.sockets[socket]; known {
+	owner, known, next := o.find(socket)
+	if known {
 		return owner
 	}
-	o.sockets = map[string]string{}
+	o.looking.Lock()
+	defer o.looking.Unlock()
+	if owner, known, begins := o.find(socket); known || begins > next {
+		return owner // another look has begun and ended since
+	}
+	if socketInode(remote, local) != inode {
+		return ClosedOwner
+	}
+	o.look()
+	owner, _, _ = o.find(socket)
+	return owner
+}
+
+// find returns the owner of a socket as of the last look, whether it was found, and the number of the next look.
+func (o *Owners) find(socket string) (owner string, known bool, next uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	owner, known = o.sockets[socket]
+	return owner, known, o.begun + 1
+}
+
+// look reads the descriptors of all processes. The caller holds looking.
+func (o *Owners) look() {
+	o.mu.Lock()
+	o.begun++
+	o.mu.Unlock()
+	sockets := map[string]string{}
 	for _, p := range o.processes {
 		if pid := p.PID(); pid > 0 {
-			addSockets(o.sockets, pid, p.Name)
+			addSockets(sockets, pid, p.Name)
 		}
 	}
-	return o.sockets[socket]
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sockets = sockets
 }
 
 // endpoint is an IPv4 address and port of a socket in network byte order, as used by the kernel.
--- a/internal/lab/soak/power.go
+++ b/internal/lab/soak/power.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// powerPollInterval is how often a connection to a machine without power checks whether that has returned.
+const powerPollInterval = 10 * time.Millisecond
+
 // CutPower makes machines lose power: from now on their connections carry nothing, and the other ends are not told. New
 // connections to them hang. The caller kills the processes afterwards.
 func (p *Proxy) CutPower(names ...string) {
@@ -44,7 +47,7 @@
 		select {
 		case <-p.done:
 			return false
-		case <-time.After(blockedPollInterval):
+		case <-time.After(powerPollInterval):
 		}
 	}
 	return true
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -14,8 +14,6 @@
 	copyBufferSize = 32 << 10
 	// dialTimeout bounds the time to connect to a target.
 	dialTimeout = 2 * time.Second
-	// blockedPollInterval is how often a blocked connection checks whether its link has been unblocked.
-	blockedPollInterval = 10 * time.Millisecond
 )
 
 // Link is the direction from one process to another, by name.
@@ -26,7 +24,7 @@
 	owner func(net.Conn) string // returns the name of the process that opened an accepted connection, or ""
 
 	mu         sync.Mutex
-	blocked    map[Link]int              // number of active Block calls; guarded by mu
+	blocked    map[Link]*block           // guarded by mu
 	refused    map[Link]int              // number of active Refuse calls; guarded by mu
 	delays     map[Link]time.Duration    // guarded by mu
 	slow       map[string]time.Duration  // delays of all links of a process; guarded by mu
@@ -37,6 +35,12 @@
 	done       chan struct{}
 }
 
+// block holds back data on a link.
+type block struct {
+	calls int           // of Block without one of Unblock
+	ended chan struct{} // closed by the last call of Unblock
+}
+
 // proxiedConn is a forwarded connection: near was accepted from the opener, far is the connection to the target.
 type proxiedConn struct {
 	from, to  string
@@ -47,7 +51,7 @@
 // NewProxy returns a proxy; owner returns the name of the process that opened an accepted connection, or "".
 func NewProxy(owner func(net.Conn) string) *Proxy {
 	return &Proxy{
-		owner: owner, blocked: map[Link]int{}, refused: map[Link]int{}, delays: map[Link]time.Duration{}, slow: map[string]time.Duration{}, dark: map[string]bool{}, conns: map[*proxiedConn]struct{}{}, done: make(chan struct{}),
+		owner: owner, blocked: map[Link]*block{}, refused: map[Link]int{}, delays: map[Link]time.Duration{}, slow: map[string]time.Duration{}, dark: map[string]bool{}, conns: map[*proxiedConn]struct{}{}, done: make(chan struct{}),
 	}
 }
 
@@ -76,6 +80,9 @@
 func (p *Proxy) handle(near net.Conn, to, target string) {
 	defer near.Close()
 	from := p.owner(near)
+	if from == ClosedOwner {
+		return
+	}
 	if p.refuses(Link{from, to}) {
 		abort(near)
 		return
@@ -154,15 +161,15 @@
 	}
 	for {
 		p.mu.Lock()
-		blocked := p.blocked[link] > 0
+		active := p.blocked[link]
 		p.mu.Unlock()
-		if !blocked {
+		if active == nil {
 			return true
 		}
 		select {
 		case <-p.done:
 			return false
-		case <-time.After(blockedPollInterval):
+		case <-active.ended:
 		}
 	}
 }
@@ -171,14 +178,22 @@
 func (p *Proxy) Block(link Link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.blocked[link]++
+	if p.blocked[link] == nil {
+		p.blocked[link] = &block{ended: make(chan struct{})}
+	}
+	p.blocked[link].calls++
 }
 
 // Unblock reverts one call of Block.
 func (p *Proxy) Unblock(link Link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.blocked[link]--
+	active := p.blocked[link]
+	active.calls--
+	if active.calls == 0 {
+		close(active.ended)
+		delete(p.blocked, link)
+	}
 }
 
 // Refuse makes the proxy reset new connections on a link until Accept has been called as often as Refuse.
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -216,7 +216,7 @@
 	if _, err := io.WriteString(near, "y"); err != nil {
 		t.Fatal(err)
 	}
-	_ = far.SetReadDeadline(time.Now().Add(5 * blockedPollInterval))
+	_ = far.SetReadDeadline(time.Now().Add(5 * powerPollInterval))
 	if _, err := far.Read(make([]byte, 1)); err == nil {
 		t.Fatal("data passed a blocked link")
 	}
@@ -300,6 +300,21 @@
 	}
 }
 
+// A connection whose opener has closed it costs no look at the descriptors of all processes, and belongs to none of them. Such looks
+// made all new connections wait for each other for seconds while half of a fleet opened ones that it gave up.
+func TestClosedConnectionsCostNoLook(t *testing.T) {
+	owners := NewOwners(nil)
+	dialed, accepted := openConnection(t)
+	if name := owners.Owner(accepted); name != "" || owners.begun != 1 {
+		t.Fatalf("owner %q after %d looks, want none after 1", name, owners.begun)
+	}
+	_ = dialed.(*net.TCPConn).SetLinger(0)
+	_ = dialed.Close()
+	if name := owners.Owner(accepted); name != ClosedOwner || owners.begun != 1 {
+		t.Errorf("owner %q after %d looks, want %q after 1", name, owners.begun, ClosedOwner)
+	}
+}
+
 // Owner returns the process that dialed, among several.
 func TestOwnerReturnsDialingProcess(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
