--- a/internal/admission/congestion/limiter.go
+++ b/internal/admission/congestion/limiter.go
@@ -197,7 +197,7 @@
 	if !r.isPrompt(now) {
 		return
 	}
-	maps.DeleteFunc(l.verdicts, func(_ string, v verdict) bool { return v.late > 0 })
+	l.dropVerdicts()
 	l.waiting = slices.DeleteFunc(l.waiting, func(other *Request) bool {
 		other.ended = other.ended || other.late || other.gaveUp
 		return other.ended
@@ -206,6 +206,22 @@
 	l.lift()
 }
 
+// Forget drops all requests that wait and what late ones have shown, since the way to the back ends is lost that they took.
+func (l *Limiter) Forget(now time.Duration) {
+	l.dropVerdicts()
+	for _, r := range l.waiting {
+		r.ended = true
+	}
+	l.waiting = nil
+	l.reroutedAt = now
+	l.lift()
+}
+
+// dropVerdicts drops the verdicts on late back ends.
+func (l *Limiter) dropVerdicts() {
+	maps.DeleteFunc(l.verdicts, func(_ string, v verdict) bool { return v.late > 0 })
+}
+
 // isRerouted reports whether requests were answered promptly in another way lately, so that late ones tell of the direct one.
 func (l *Limiter) isRerouted(now time.Duration) bool {
 	return l.reroutedAt > 0 && now-l.reroutedAt < rerouteTTL
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -32,8 +32,10 @@
 	ControlDisconnected      = "control lost"
 	ControlReconnected       = "control regained"
 	AttemptFailed            = "attempt failed"
-	PathLost                 = "path lost"                     // a back end is reached through another gateway only
-	PathRestored             = "path regained"                 // it is reached directly again
+	PathLost                 = "path lost"      // a back end is reached through another gateway only
+	PathRestored             = "path regained"  // it is reached directly again
+	PathsLost                = "all paths lost" // no back end answers directly, but other gateways get answers
+	PathsRestored            = "all paths regained"
 	BackendCrashed           = "back end ended under requests" // requests were aborted; the end of their backend is verified
 	CrashNotReported         = "ended back end not told"       // the queue of reports to control is full
 	StreamContinued          = "stream continued"              // at the engine that keeps a copy of its run
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -25,7 +25,7 @@
 			a.staleConnection = a.conn.reused && endsConnection(err)
 		}
 		if a.exchange.ctx.Err() == nil && context.Cause(a.ctx) != errWeightsOutdated {
-			a.exchange.gateway.table.recordUnanswered(a.exchange.gateway.now(), a)
+			a.recordUnanswered()
 		}
 		return a.connectionFailed(err)
 	}
@@ -77,6 +77,11 @@
 	a.awaitsHead.Store(false)
 	a.wait.answered(a.conn.peer != "")
 	a.exchange.gateway.table.recordBytes(a.exchange.gateway.now(), a)
+	if a.conn.peer != "" {
+		a.exchange.gateway.dialer.RecordAnswer(a.conn.peer)
+	} else {
+		a.exchange.gateway.paths.RecordAnswer(a.row.entry.Address, a.sentAt, !a.conn.reused)
+	}
 	a.recordFirstByte()
 	a.recordConnection()
 	return response, nil
@@ -95,6 +100,8 @@
 	switch {
 	case context.Cause(a.ctx) == errWeightsOutdated:
 		cause = causeWeightsOutdated
+	case context.Cause(a.ctx) == errPathLost:
+		cause = errPathLost.Error()
 	case context.Cause(a.ctx) == errSilent:
 		cause, a.outcome = "silent", outcomeFailure
 		if !a.streamStarted.Load() && a.exchange.gateway.table.hasHeartbeat(a.row) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -16,6 +16,7 @@
 	"kitetiller/internal/prefix"
 	"kitetiller/internal/pushback"
 	"kitetiller/internal/quarantine/reporter"
+	"kitetiller/internal/reachability"
 	"kitetiller/internal/tunnel"
 )
 
@@ -176,43 +177,74 @@
 	a.startSilenceTimer(a.maxSilence())
 	a.watchStartDeadline()
 	a.awaitsHead.Store(true)
+	suspicion := x.gateway.paths.suspectLater(a)
 	a.writeRequest()
 	outcome := a.receive()
+	if suspicion != nil {
+		suspicion.Stop()
+	}
 	if a.silenceTimer != nil {
 		a.silenceTimer.Stop()
 	}
 	return outcome
 }
 
-// connect establishes the attempt's connection: to the chosen incarnation, where that matters.
+// connect establishes the attempt's connection: to the chosen incarnation, where that matters, on a path that works.
 func (a *attempt) connect() error {
-	x := a.exchange
+	var unanswered error // why the direct connection before wasn't answered
+	var unansweredAt time.Duration
 	for tries := 1; ; tries++ {
-		conn, err := x.gateway.pool.get(a.ctx, connectionRequest{
-			instance: a.row.entry.ID, address: a.row.entry.Address, maxIdle: maxIdleTime(x.route),
-			pathSuspected: x.gateway.table.pathSuspected(x.gateway.now(), a.row.entry.Address), open: a.openConnection,
-		})
-		if err != nil {
+		startedAt := a.exchange.gateway.now()
+		conn, err := a.obtainConnection(unanswered != nil)
+		switch {
+		case err != nil && unanswered != nil:
+			return unanswered
+		case err != nil:
 			if a.ctx.Err() == nil && err != errNoConnection { // otherwise it tells nothing about the back end
 				a.recordUnreachable(err)
 			}
 			return err
 		}
-		a.conn, x.peer = conn, conn.peer
-		x.gateway.metrics.recordConnection(x.service.Name, conn.reused)
-		if err = a.checkConnection(); err == nil {
+		a.conn, a.exchange.peer = conn, conn.peer
+		a.exchange.gateway.metrics.recordConnection(a.exchange.service.Name, conn.reused)
+		err = a.checkConnection()
+		switch {
+		case err == nil && unanswered != nil:
+			a.exchange.gateway.paths.RecordUnreached(a.row.entry.Address, unansweredAt)
 			return nil
-		}
-		if err == errLifeReplyLate {
+		case err == nil, err == errLifeReplyLate:
 			return err
+		case err != errPathLost: // else the reply is awaited
+			_ = conn.Close()
 		}
-		_ = conn.Close()
-		if err != errConnectionEnds || tries == maxLifeChecks {
+		if tries == maxConnections || !a.connectsAgain(err) {
 			return err
 		}
+		unanswered = nil
+		if err != errPathLost && err != errConnectionEnds && !conn.reused {
+			unanswered, unansweredAt = err, startedAt // the connection may be one that a partition resets
+		}
 	}
 }
 
+// connectsAgain reports whether another connection to the same back end may be answered, after one that wasn't.
+func (a *attempt) connectsAgain(err error) bool {
+	return err != errOtherIncarnation && a.ctx.Err() == nil && (err == errPathLost || err == errConnectionEnds || a.conn.peer == "")
+}
+
+// obtainConnection returns a connection to the attempt's back end, through a peer if that is wanted.
+func (a *attempt) obtainConnection(throughPeer bool) (*connection, error) {
+	x := a.exchange
+	if throughPeer {
+		return x.gateway.pool.getThroughPeer(a.ctx, a.row.entry.Address)
+	}
+	return x.gateway.pool.get(a.ctx, connectionRequest{
+		instance: a.row.entry.ID, address: a.row.entry.Address, maxIdle: maxIdleTime(x.route),
+		pathSuspected: x.gateway.table.pathSuspected(x.gateway.now(), a.row.entry.Address),
+		newPathsLost:  x.gateway.paths.State() == reachability.NewConnectionsLost, open: a.openConnection,
+	})
+}
+
 // begin records the start of the attempt in the table, and announces the placement to the other gateways.
 func (a *attempt) begin() {
 	x := a.exchange
--- a/internal/gateway/congestion.go
+++ b/internal/gateway/congestion.go
@@ -128,6 +128,19 @@
 	return cost
 }
 
+// forgetDirect drops what requests on direct connections have shown, since nothing arrives on them: neither those that wait nor their
+// connections tell of the capacity of back ends.
+func (c *congestionControl) forgetDirect() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for service, l := range c.services {
+		c.apply(service, l, func(now time.Duration, l *congestion.Limiter) { l.Forget(now) })
+	}
+	for _, s := range c.connections {
+		s.window.Reset()
+	}
+}
+
 // serviceWait is the wait of an attempt for the beginning of its response.
 type serviceWait struct {
 	control *congestionControl
@@ -154,8 +167,11 @@
 	})
 }
 
-// end ends the wait without a response.
+// end ends the wait without a response. It has no effect on nil.
 func (w *serviceWait) end() {
+	if w == nil {
+		return
+	}
 	w.control.with(w.service, func(now time.Duration, l *congestion.Limiter) { l.End(now, w.request) })
 }
 
@@ -175,6 +191,8 @@
 	x := a.exchange
 	switch {
 	case a.waitHandedOver:
+	case context.Cause(a.ctx) == errPathLost:
+		a.wait.end()
 	case a.awaitsHead.Load() && (x.ctx.Err() != nil || context.Cause(a.ctx) == errSilent):
 		x.gateway.metrics.givenUp.WithLabelValues(a.wait.service).Inc()
 		a.wait.giveUp(x.deadline)
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -133,6 +133,7 @@
 	instance, address string
 	maxIdle           time.Duration // of an idle connection
 	pathSuspected     bool          // the direct path may be lost
+	newPathsLost      bool          // new direct connections carry nothing, open ones may
 	// open is called before a new connection is established, and returns an error if none may be.
 	open func() (*opening, error)
 }
@@ -140,15 +141,27 @@
 // get returns an idle connection or a new one. On an error nothing was sent. Idle connections are direct, so peers are asked
 // before one is used while the path is lost or suspected to be.
 func (p *pool) get(ctx context.Context, r connectionRequest) (*connection, error) {
-	if !p.tunnels.MayBypass(r.address, r.pathSuspected) {
+	if r.newPathsLost {
+		if idle := p.reuse(r); idle != nil {
+			return idle, nil
+		}
+	}
+	if !p.tunnels.MayBypass(r.address, r.pathSuspected || r.newPathsLost) {
 		return p.getDirect(ctx, r)
 	}
-	if dialed, err := p.tunnels.Bypass(ctx, r.address); err == nil || tunnel.IsRefused(err) {
-		return p.newConnection(dialed, err, nil)
+	conn, err := p.getThroughPeer(ctx, r.address)
+	if err == nil || tunnel.IsRefused(err) {
+		return conn, err
 	}
 	return p.getDirect(ctx, r)
 }
 
+// getThroughPeer returns a connection through a peer.
+func (p *pool) getThroughPeer(ctx context.Context, address string) (*connection, error) {
+	dialed, err := p.tunnels.Bypass(ctx, address)
+	return p.newConnection(dialed, err, nil)
+}
+
 // getDirect is get on the direct path.
 func (p *pool) getDirect(ctx context.Context, r connectionRequest) (*connection, error) {
 	if idle := p.reuse(r); idle != nil {
@@ -181,8 +194,13 @@
 		opened.withdraw()
 		return nil, err
 	}
-	head := transport.NewAccountedHeadReader(dialed.Conn, p.heads)
-	return &connection{Conn: dialed.Conn, head: head, reader: bufio.NewReaderSize(head, readBufferSize), peer: dialed.Peer, opening: opened}, nil
+	return p.wrap(dialed.Conn, dialed.Peer, opened), nil
+}
+
+// wrap returns the connection on an established one.
+func (p *pool) wrap(conn net.Conn, peer string, opened *opening) *connection {
+	head := transport.NewAccountedHeadReader(conn, p.heads)
+	return &connection{Conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferSize), peer: peer, opening: opened}
 }
 
 // readResponse reads the head of a response to a request with the given method, skipping informational ones. single are the
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -84,8 +84,8 @@
 	waiting          map[*attempt]struct{}             // awaiting a response, also at removed back ends
 	// reservations are those of latency-critical services.
 	reservations map[string]*reservation.Controller
-	direct       directPaths
-	rosterHeld   bool // a roster was applied
+	unanswered   map[string]unansweredRuns // by address
+	rosterHeld   bool                      // a roster was applied
 	// software holds the software versions of each service's back ends, observed since softwareSince without a break.
 	software      map[string]*streamorigin.History
 	softwareSince time.Duration
@@ -108,7 +108,7 @@
 		lanes: map[string]*lanes{}, meanDurations: map[string]belief.MeanDuration{}, prefillEstimates: map[string]belief.PrefillEstimate{}, lastSent: map[string]time.Duration{}, admission: map[string]*admission.Controller{},
 		queueRates: map[string]*enginequeue.Rates{}, placed: map[string]placement{}, holders: map[string][]*endpoint{}, waiting: map[*attempt]struct{}{}, rosterChanged: newNotifier(), lastRetryAt: map[string]time.Duration{}, reservations: map[string]*reservation.Controller{},
 		software: map[string]*streamorigin.History{}, streamAges: map[string]knownAge{}, movedAt: map[string]time.Duration{}, minStreamAge: defaultMinStreamAge,
-		direct: directPaths{unanswered: map[string]unansweredRuns{}}, lifeReplyTimes: map[string]time.Duration{}, firstByteTimes: map[string]time.Duration{},
+		unanswered: map[string]unansweredRuns{}, lifeReplyTimes: map[string]time.Duration{}, firstByteTimes: map[string]time.Duration{},
 	}
 }
 
@@ -217,7 +217,7 @@
 	defer t.mutex.Unlock()
 	sent.row.lastByteAt = now
 	if sent.conn != nil && sent.conn.peer == "" {
-		t.direct.recordByte(now, sent.row.entry.Address)
+		delete(t.unanswered, sent.row.entry.Address)
 	}
 	t.endWait(sent)
 }
@@ -326,7 +326,7 @@
 	t.stored.Sweep(now)
 	t.stores.Sweep(now)
 	t.expirePlacements(now)
-	t.sweepDirectPaths(now)
+	t.sweepUnanswered(now)
 	for _, controller := range t.admission {
 		controller.Sweep(now)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,7 @@
 	lateLifeChecks atomic.Int64
 	lateResponses  atomic.Int64 // responses awaited after the deadlines of their requests
 	congestion     *congestionControl
+	paths          *paths
 	held           *heldBytes         // for slow callers and back ends
 	streams        *registry.Registry // at which software versions streams began
 	viewProbe      viewProbe
@@ -110,6 +111,7 @@
 	g.shutdown, g.held, g.congestion = newShutdown(), newHeldBytes(), newCongestionControl(g)
 	g.pool.heads, g.pool.onIdle = &g.held.heads, g.congestion.changed.Notify
 	g.dialer = g.newTunnelDialer()
+	g.paths = newPaths(g)
 	g.pool.tunnels, g.tunnels = g.dialer, g.newTunnelServer()
 	g.quarantine = reporter.New(reporter.Config{Submit: g.group.Quarantine, RefusesConnections: g.dialer.Refuses, Log: g.log.info, Now: g.now})
 	g.leases = desk.New(g.shortName, settings.ViewTTL, g.now, g.requestLeases)
@@ -183,6 +185,7 @@
 	}
 	g.log.info(events.GatewayStopped, zap.Int64("active", g.active.Load()))
 	cancel()
+	g.paths.Close()
 	wg.Wait()
 	g.followers.threads.Wait()
 	g.storeFollowers.threads.Wait()
@@ -245,6 +248,7 @@
 		g.dialer.Sweep(g.isBackend)
 		g.table.sweep(g.now())
 		g.congestion.sweep()
+		g.paths.Sweep()
 		g.slotDesk.sweep(g.now())
 		g.quarantine.Sweep()
 		g.streams.Sweep()
--- a/internal/gateway/lastlook_test.go
+++ b/internal/gateway/lastlook_test.go
@@ -46,6 +46,7 @@
 	g := newScheduler(1)
 	g.table.rows["i-0"].entry.Address = listener.Addr().String()
 	chosen := chosenAttempt(g)
+	g.paths.RecordAnswer("10.0.0.9", g.now(), true) // otherwise the back end would be asked a question first
 	publishVersion(g, 2, g.settings.OldWeightsStartLimit)
 	got := chosen.perform()
 	if got.kind != resultUnreachable || got.cause != causeWeightsOutdated || chosen.exchange.sentCount != 0 || len(g.table.waiting) > 0 {
--- a/internal/gateway/lifecheck.go
+++ b/internal/gateway/lifecheck.go
@@ -22,25 +22,29 @@
 	maxLateLifeChecks = 64
 	// maxLifeReply bounds the size of a reply.
 	maxLifeReply = 64 << 10
-	// maxLifeChecks is how many connections are tried if the back end ends each with its reply.
-	maxLifeChecks = 3
+	// maxConnections is how many connections an attempt tries if the back end ends them, or paths are lost.
+	maxConnections = 4
 	// lifeReplySmoothing is the weight of the newest reply in the mean time of a service's replies.
 	lifeReplySmoothing = 0.2
 )
 
 var (
 	// errOtherIncarnation: another incarnation of the back end answers than the one that was chosen.
+	errNoQuestion       = eris.New("the back end can't be asked a question")
 	errOtherIncarnation = eris.New("other incarnation")
 	// errConnectionEnds: the back end ends the connection with its reply.
 	errConnectionEnds = eris.New("the connection ends with the question for the incarnation")
 	// errLifeReplyLate: the back end has not told yet which incarnation it is.
 	errLifeReplyLate = eris.New("no reply in time to the question for the incarnation")
+	// errPathLost: the back end is reached through peers only. It is also the cancellation cause of attempts on such a path.
+	errPathLost = eris.New("the direct path to the back end is lost")
 )
 
 // lifeReply is the reply to the question which incarnation answers on a connection.
 type lifeReply struct {
 	startedMS int64 // if hasStart
 	hasStart  bool
+	askedAt   time.Duration
 	took      time.Duration
 	err       error // errConnectionEnds if the reply is valid, but the last one on the connection
 }
@@ -58,28 +62,80 @@
 func (a *attempt) checkConnection() error {
 	x := a.exchange
 	checksLife := a.needsLifeCheck() && !a.conn.lifeChecked
-	if !checksLife && !a.conn.isUnchecked() {
+	if !checksLife && !a.conn.isUnchecked() && !a.isPathUnproven() {
 		return nil
 	}
+	askedAt := x.gateway.now()
 	replies := make(chan lifeReply, 1)
+	conn := a.conn
 	go func() {
+		var reply lifeReply
 		if checksLife {
-			replies <- x.gateway.askStartTime(a.conn, a.row)
-			return
+			reply = x.gateway.askStartTime(conn, a.row)
+		} else {
+			reply = x.gateway.askForReply(conn, a.row, x.gateway.checkPath(x.service))
 		}
-		replies <- x.gateway.askForReply(a.conn, a.row, x.gateway.checkPath(x.service))
+		reply.askedAt = askedAt
+		x.gateway.recordReply(conn, a.row, reply)
+		replies <- reply
 	}()
+	reply, err := a.awaitLifeReply(replies)
+	switch {
+	case err == errPathLost:
+		x.gateway.awaitLateLifeReply(conn, a.row, replies, nil)
+		return err
+	case err != nil:
+		a.waitHandedOver = true
+		x.gateway.awaitLateLifeReply(conn, a.row, replies, a.wait)
+		return err
+	}
+	return x.gateway.applyLifeReply(conn, a.row, reply)
+}
+
+// isPathUnproven reports whether nothing shows that a request which is sent on the attempt's connection will arrive.
+func (a *attempt) isPathUnproven() bool {
+	p := a.exchange.gateway.paths
+	return a.conn.peer == "" && p.compares() && !p.IsProven() && p.gateway.questionPath(a.row) != ""
+}
+
+// awaitLifeReply waits for the reply to a question. It returns errPathLost once the path that the question took is known to be lost,
+// and errLifeReplyLate if the reply doesn't come in time.
+func (a *attempt) awaitLifeReply(replies <-chan lifeReply) (lifeReply, error) {
+	x := a.exchange
 	wait := time.NewTimer(a.lifeCheckWait())
 	defer wait.Stop()
-	select {
-	case reply := <-replies:
-		return x.gateway.applyLifeReply(a.conn, a.row, reply)
-	case <-wait.C:
-	case <-a.ctx.Done():
-	}
-	a.waitHandedOver = true
-	x.gateway.awaitLateLifeReply(a.conn, a.row, replies, a.wait)
-	return errLifeReplyLate
+	suspicion := time.NewTimer(x.gateway.paths.patience(x.service.Name))
+	defer suspicion.Stop()
+	for {
+		changed := x.gateway.paths.changed.Next()
+		if a.conn.peer == "" && x.gateway.dialer.MayBypass(a.row.entry.Address, false) {
+			return lifeReply{}, errPathLost
+		}
+		select {
+		case reply := <-replies:
+			return reply, nil
+		case <-changed:
+		case <-suspicion.C:
+			if a.conn.peer == "" {
+				x.gateway.paths.suspect(a.row.entry.Address, false)
+			}
+		case <-wait.C:
+			return lifeReply{}, errLifeReplyLate
+		case <-a.ctx.Done():
+			return lifeReply{}, errLifeReplyLate
+		}
+	}
+}
+
+// recordReply records what the reply to a question, or its lack, shows about the path that the question took.
+func (g *Gateway) recordReply(conn *connection, row *endpoint, reply lifeReply) {
+	switch {
+	case reply.err != nil && reply.err != errConnectionEnds:
+	case conn.peer != "":
+		g.dialer.RecordAnswer(conn.peer)
+	default:
+		g.paths.RecordAnswer(row.entry.Address, reply.askedAt, !conn.reused)
+	}
 }
 
 // lifeCheckWait returns how long the attempt waits for the reply. Where all back ends answer late, another one would not reply
@@ -156,7 +212,7 @@
 // askForReply asks a question on a connection, whatever the reply.
 func (g *Gateway) askForReply(conn *connection, row *endpoint, path string) lifeReply {
 	response, _, err := g.ask(conn, row, path)
-	if err == nil && !conn.readKeepAlive(response) {
+	if response != nil && (err != nil || !conn.readKeepAlive(response)) {
 		err = errConnectionEnds
 	}
 	return lifeReply{err: err}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -118,6 +118,7 @@
 	lateLifeReplies   prometheus.Counter     // replies to the question for the incarnation that came after the attempt had ended
 	lateResponses     prometheus.Counter     // responses that came after the deadline, and whose connections were kept
 	congestions       *prometheus.CounterVec // times that a service became congested
+	disconnections    *prometheus.CounterVec // times that the direct paths to all back ends were lost
 	givenUp           *prometheus.CounterVec // attempts given up after they were sent, by service
 	connections       *prometheus.CounterVec // connections that attempts got, by service and whether they were new
 	takeUps           *prometheus.CounterVec // streams that callers took up, by who knew at which software version they began
@@ -145,6 +146,9 @@
 			Name: "kitetiller_gateway_attempts_failed_total", Help: "Attempts that failed, by result.",
 		}, []string{"result"}),
 		lateResponses: counter("late_responses_total", "Responses of back ends that came after the deadlines of their requests, and whose connections were kept."),
+		disconnections: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kitetiller_gateway_paths_all_lost_total", Help: "Times that no back end answered directly any more, or none on new connections, while it answered other gateways.",
+		}, []string{"state"}),
 		congestions: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kitetiller_gateway_congestions_total", Help: "Times that most back ends of a service answered late, so that requests were limited.",
 		}, []string{"service"}),
@@ -194,7 +198,7 @@
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "kitetiller_gateway_" + name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.requests, m.lateResponses, m.congestions, m.givenUp, m.connections, newCongestionGauge(g), m.lateLifeReplies, m.attempts, m.recheckFailures, m.limitLeases, m.firstEvent, m.firstEventRatio, newQueueGauge(g), m.unknownHeaders, m.retries, m.cacheReadFailures, m.schedulerFailures, m.sharingEpochs, m.slotInvalid, m.uncachedTokens, m.cachedTokens, m.streamCopies, m.continuations, g.startup, newBackoffGauge(g), newAdvertisedLimitGauge(g), newReservationMetrics(g), newSlotCollector(g),
+	m.registry.MustRegister(m.requests, m.lateResponses, m.congestions, m.disconnections, m.givenUp, m.connections, newCongestionGauge(g), m.lateLifeReplies, m.attempts, m.recheckFailures, m.limitLeases, m.firstEvent, m.firstEventRatio, newQueueGauge(g), m.unknownHeaders, m.retries, m.cacheReadFailures, m.schedulerFailures, m.sharingEpochs, m.slotInvalid, m.uncachedTokens, m.cachedTokens, m.streamCopies, m.continuations, g.startup, newBackoffGauge(g), newAdvertisedLimitGauge(g), newReservationMetrics(g), newSlotCollector(g),
 		gauge("limit_questions_total", "Questions to the leader for amounts of what is limited.", func() float64 { sent, _ := g.leases.RequestCounts(); return float64(sent) }),
 		gauge("limit_questions_failed_total", "Such questions that got no answer.", func() float64 { _, failed := g.leases.RequestCounts(); return float64(failed) }),
 		gauge("suspected_requests", "Requests under which more than one back end ended, as control tells.", func() float64 { suspected, _ := g.quarantine.SuspectCounts(); return float64(suspected) }),
--- /dev/null
+++ b/internal/gateway/paths.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kitetiller/internal/events"
+	"kitetiller/internal/mechanism"
+	"kitetiller/internal/reachability"
+	"kitetiller/internal/tunnel"
+)
+
+const (
+	// minQuestionPatience is how long a question that takes a back end no time may stay without a reply before the path is compared
+	// with those of peers. Where replies take longer, it is patienceFactor times their mean time.
+	minQuestionPatience = 75 * time.Millisecond
+	patienceFactor      = 3
+	// headPatience is how long a request may wait for the head of its response before a question is asked, if nothing else was answered
+	// that was sent as late.
+	headPatience = 250 * time.Millisecond
+)
+
+// paths tells whether the gateway has lost its direct paths to all back ends, and makes requests go through peers meanwhile.
+type paths struct {
+	*tunnel.Paths
+	gateway *Gateway
+	changed *notifier // notified when paths are lost or restored
+}
+
+func newPaths(g *Gateway) *paths {
+	p := &paths{gateway: g, changed: newNotifier()}
+	p.Paths = tunnel.NewPaths(tunnel.PathsConfig{
+		Dialer: g.dialer, Now: g.now, AskDirectly: p.askDirectly, Pick: p.pick, BackEnds: func() int { return len(p.pick("", math.MaxInt)) },
+		Patience:    func(address string) time.Duration { name, _ := g.table.serviceAt(address); return p.patience(name) },
+		IsCongested: g.isCongestedAt, OnLost: p.onLost, OnRestored: p.onRestored,
+	})
+	return p
+}
+
+// compares reports whether the gateway compares its paths with those of peers, if there are any.
+func (p *paths) compares() bool {
+	hasPeers := slices.ContainsFunc(p.gateway.tunnelPeers(), func(group []string) bool { return len(group) > 0 })
+	return hasPeers && p.gateway.enabled(mechanism.PathComparison)
+}
+
+// suspect begins a comparison of paths, unless one runs or is not due yet.
+func (p *paths) suspect(address string, asksFirst bool) {
+	if p.compares() {
+		p.Suspect(address, asksFirst)
+	}
+}
+
+// suspectLater suspects the path to an attempt's back end if no head comes for headPatience.
+func (p *paths) suspectLater(a *attempt) *time.Timer {
+	if a.conn.peer != "" || !p.compares() {
+		return nil
+	}
+	return time.AfterFunc(headPatience, func() {
+		if a.awaitsHead.Load() && !p.IsProvenSince(a.sentAt) {
+			p.suspect(a.row.entry.Address, true)
+		}
+	})
+}
+
+// patience returns how long a reply to a question to a back end of a service may take before its path is compared with peers'.
+func (p *paths) patience(service string) time.Duration {
+	return max(minQuestionPatience, patienceFactor*p.gateway.table.lifeReplyMean(service))
+}
+
+// onLost makes requests go through peers. What waited on direct connections tells nothing of the back ends' capacity.
+func (p *paths) onLost(state reachability.State, unansweredFor time.Duration) {
+	g := p.gateway
+	g.log.info(events.PathsLost, zap.Stringer("state", state), zap.Duration("unanswered_for", unansweredFor))
+	g.metrics.disconnections.WithLabelValues(state.String()).Inc()
+	if state == reachability.Disconnected {
+		g.congestion.forgetDirect()
+		for _, sent := range g.table.waitingDirectly() {
+			go sent.abandonPath()
+		}
+	}
+	p.notify()
+}
+
+func (p *paths) onRestored() {
+	p.gateway.log.info(events.PathsRestored)
+	p.notify()
+}
+
+// notify wakes the requests that wait for a path or for a connection.
+func (p *paths) notify() {
+	p.changed.Notify()
+	p.gateway.congestion.changed.Notify()
+}
+
+// askDirectly asks a back end a question on a direct connection, which is kept for requests.
+func (p *paths) askDirectly(ctx context.Context, address string, mayReuse bool) error {
+	g := p.gateway
+	row := g.table.rowAt(address)
+	if row == nil || g.questionPath(row) == "" {
+		return errNoQuestion
+	}
+	conn, err := p.questionConnection(ctx, row, mayReuse)
+	if err != nil {
+		return err
+	}
+	askedAt := g.now()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	reply := g.askForReply(conn, row, g.questionPath(row))
+	if !stop() {
+		return context.Cause(ctx)
+	}
+	reply.askedAt = askedAt
+	g.recordReply(conn, row, reply)
+	if reply.err != nil {
+		_ = conn.Close()
+	} else {
+		g.pool.put(row.entry.ID, conn)
+	}
+	if errors.Is(reply.err, errConnectionEnds) {
+		return nil
+	}
+	return reply.err
+}
+
+// questionConnection returns a direct connection, an idle one if there is any and it may be used.
+func (p *paths) questionConnection(ctx context.Context, row *endpoint, mayReuse bool) (*connection, error) {
+	pool := p.gateway.pool
+	if mayReuse {
+		if idle := pool.reuse(connectionRequest{instance: row.entry.ID, maxIdle: maxIdleRetryable}); idle != nil {
+			return idle, nil
+		}
+	}
+	dialed, err := p.gateway.dialDirect(ctx, row.entry.Address)
+	if err != nil {
+		return nil, err
+	}
+	return pool.wrap(dialed, "", nil), nil
+}
+
+// pick returns back ends that can be asked a question, the one at the given address among them.
+func (p *paths) pick(first string, count int) (picked []string) {
+	rows := p.gateway.table.readyRows()
+	rand.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
+	for _, row := range rows {
+		switch {
+		case p.gateway.questionPath(row) == "":
+		case row.entry.Address == first:
+			picked = append([]string{first}, picked...)
+		default:
+			picked = append(picked, row.entry.Address)
+		}
+	}
+	return picked[:min(count, len(picked))]
+}
+
+// questionPath returns the path of a question that takes a back end no time, or "".
+func (g *Gateway) questionPath(row *endpoint) string {
+	service := g.service(row.entry.Service)
+	if service == nil {
+		return ""
+	}
+	return g.checkPath(service)
+}
+
+// abandonPath ends an attempt that waits for its response on a lost path, if another one may follow.
+func (a *attempt) abandonPath() {
+	if a.awaitsHead.Load() && a.exchange.route.Retryable() && !a.exchange.isSuspect() && a.exchange.reserveRetry(a.ctx) {
+		a.cancel(errPathLost)
+	}
+}
+
+// waitingDirectly returns the attempts that wait for a response on direct connections.
+func (t *table) waitingDirectly() (attempts []*attempt) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for sent := range t.waiting {
+		if sent.conn != nil && sent.conn.peer == "" {
+			attempts = append(attempts, sent)
+		}
+	}
+	return attempts
+}
+
+// readyRows returns the back ends that take requests.
+func (t *table) readyRows() (rows []*endpoint) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, row := range t.rows {
+		if !row.gone && row.acceptsRequests() {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -26,11 +26,15 @@
 		DialPeer: func(ctx context.Context, address string) (net.Conn, error) {
 			return peerDialer.DialContext(ctx, "tcp", address)
 		},
-		OnLost: func(address, peer string, cause tunnel.Cause) {
+		Verify: g.verifyTunnel, Disconnected: func() bool { return g.paths.IsDisconnected() },
+		OnLost: func(address, peer string, cause tunnel.Cause, triedAt time.Duration) {
+			if cause == tunnel.CauseDial {
+				g.paths.RecordUnreached(address, triedAt)
+			}
 			g.log.info(events.PathLost, zap.String(events.FieldAddress, address), zap.String(events.FieldPeer, peer), zap.String(events.FieldCause, string(cause)))
 		},
 		OnRestored: func(address string, lostFor time.Duration) {
-			g.table.recordPathRestored(g.now(), address)
+			g.table.recordPathRestored(address)
 			g.log.info(events.PathRestored, zap.String(events.FieldAddress, address), zap.Duration("lost_for", lostFor))
 		},
 		Observe: func(peer string, outcome tunnel.Outcome) {
@@ -42,17 +46,34 @@
 // newTunnelServer returns the handler that opens tunnels for peers.
 func (g *Gateway) newTunnelServer() *tunnel.Server {
 	return tunnel.NewServer(tunnel.ServerConfig{
-		Token: g.settings.Token, Dial: g.dialDirect, IsBackend: g.isBackend, IsLost: g.lacksPath, IsStopping: g.shutdown.draining.Load,
-		Observe: func(outcome tunnel.Outcome) { g.metrics.tunnelsServed.WithLabelValues(string(outcome)).Inc() },
+		Token: g.settings.Token, Dial: g.dialDirect, IsBackend: g.isBackend, Refusal: g.tunnelRefusal, IsStopping: g.shutdown.draining.Load,
+		Alternatives: func() []string { return g.dialer.ProvenPeers(maxAlternatives) },
+		Observe:      func(outcome tunnel.Outcome) { g.metrics.tunnelsServed.WithLabelValues(string(outcome)).Inc() },
 	})
 }
 
-// lacksPath reports whether this gateway gets no answers from a back end itself, so that a tunnel would only ask more of one that is
-// slow to answer everybody.
-func (g *Gateway) lacksPath(address string) bool {
-	if g.dialer.IsLost(address) || g.table.pathSuspected(g.now(), address) {
-		return true
+// maxAlternatives is how many other peers are named to a gateway that asks for a tunnel, by one without paths.
+const maxAlternatives = 4
+
+// tunnelRefusal returns why this gateway opens no tunnel to an address, or "": it gets no answers from the back end itself. A gateway
+// whose own path may only be slow is also refused where a tunnel would ask more of back ends that are slow to answer everybody.
+func (g *Gateway) tunnelRefusal(address string, isLost bool) tunnel.Outcome {
+	switch {
+	case g.paths.IsDisconnected():
+		return tunnel.Disconnected
+	case g.dialer.IsLost(address), g.table.pathSuspected(g.now(), address):
+		return tunnel.PathLost
+	case !isLost && g.isCongestedAt(address):
+		return tunnel.PathLost
+	}
+	if !g.paths.IsProven() {
+		g.paths.suspect(address, true) // this gateway may be cut off as well
 	}
+	return ""
+}
+
+// isCongestedAt reports whether requests or connections to the service of a back end are limited.
+func (g *Gateway) isCongestedAt(address string) bool {
 	name, known := g.table.serviceAt(address)
 	if !known {
 		return false
@@ -61,6 +82,19 @@
 	return g.congestion.isLimited(name) || service != nil && !g.congestion.allowsConnection(service)
 }
 
+// verifyTunnel makes sure that a back end answers through a peer, where it can be asked something.
+func (g *Gateway) verifyTunnel(ctx context.Context, conn net.Conn, address string) error {
+	row := g.table.rowAt(address)
+	if row == nil {
+		return nil // a store
+	}
+	path := g.questionPath(row)
+	if path == "" {
+		return nil
+	}
+	return tunnel.Ask(ctx, conn, address, path)
+}
+
 // opensTunnels reports whether the gateway opens tunnels for others.
 func (g *Gateway) opensTunnels() bool {
 	return g.settings.TunnelAddress != "" && g.enabled(mechanism.Tunnels)
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -34,6 +34,7 @@
 	ConnectionWindow   Name = "connection-window" // connections are opened as fast as they prove useful
 	CongestionLimit    Name = "congestion"        // requests are limited while most backends of a service respond late
 	Tunnels            Name = "tunnels"           // a gateway without a path to a backend reaches it through another gateway
+	PathComparison     Name = "path-comparison"   // paths to back ends are compared with those of other gateways
 	RecomputeCost      Name = "reread-weight"     // recomputing shared parts is weighted higher than its time
 
 	// The following take effect only for services whose configuration calls for them.
@@ -56,7 +57,7 @@
 func All() []Name {
 	return []Name{
 		Lanes, GatewayMesh, Occupancy, PeerFailureReports, StoreTransfers, EngineTransfers, EvictionCost, LinkQueueing, AffinityOwner, AffinityMissCost, CacheEvents, SilenceTimeout, FailureAvoidance,
-		ViewWait, ZoneCost, ConnectionWindow, CongestionLimit, Tunnels, RecomputeCost, Interference, EarlyRejection, EngineQueue, PauseBound, SharedSlots, StreamCopies, StoreIndex, Reservations, Schedulers, WeightsDrain, LoggedWeights,
+		ViewWait, ZoneCost, ConnectionWindow, CongestionLimit, Tunnels, PathComparison, RecomputeCost, Interference, EarlyRejection, EngineQueue, PauseBound, SharedSlots, StreamCopies, StoreIndex, Reservations, Schedulers, WeightsDrain, LoggedWeights,
 	}
 }
 
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -55,6 +57,7 @@
 		}
 	}
 	s.listedAddresses.Store(&addresses)
+	s.paths.setBackEnds(slices.Collect(maps.Keys(addresses)))
 	s.paths.dialer.Sweep(s.isListed)
 	for key, stop := range s.pollers {
 		if !listed[key] {
@@ -71,12 +74,16 @@
 	defer ticker.Stop()
 	for {
 		event := core.EventBackendPoll{Name: machine.Name, RequestedAt: s.now()}
-		report, ok := s.readState(ctx, machine, cursor.Next())
+		var report *core.BackendReport
+		ok := false
+		s.paths.poll(ctx, machine.Address, func(ctx context.Context) bool {
+			report, ok = s.readState(ctx, machine, cursor.Next())
+			return ok
+		})
 		if ctx.Err() != nil {
 			s.paths.forget(machine.Address)
 			return
 		}
-		s.paths.recordPoll(machine.Address, ok)
 		if ok {
 			cursor.Advance(report)
 			event.Report = report
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -212,6 +212,7 @@
 	cancel()
 	goroutines.Wait()
 	s.closeTunnels(tunnels)
+	s.paths.Close()
 	s.closeInternal(internalServer)
 	s.log.Info("router stopped")
 	return err
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httputil"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,6 +19,7 @@
 	// Path is the path of requests that open a tunnel. Their query holds the address.
 	Path         = "/internal/v1/tunnel"
 	queryAddress = "address"
+	queryLost    = "lost" // "1" if the path of the process that asks is known to be lost
 	protocol     = "kitetiller-tunnel"
 	bearerPrefix = "Bearer "
 )
@@ -34,12 +36,22 @@
 	Unknown     Outcome = "unknown"     // the address is no back end that the peer knows
 	Full        Outcome = "full"        // the peer carries as many tunnels as it may
 	Stopping    Outcome = "stopping"    // the peer is shutting down
+	// Disconnected: the peer has no direct path to any back end.
+	Disconnected Outcome = "disconnected"
+	// Silent is the outcome of a tunnel that was opened, through which the back end answers nothing. It is never sent.
+	Silent Outcome = "silent"
 )
 
-const outcomeHeader = "Tunnel-Outcome"
+const (
+	outcomeHeader      = "Tunnel-Outcome"
+	alternativesHeader = "Tunnel-Alternatives" // addresses of peers that have paths, separated by commas
+)
 
 // OutcomeError is returned if a peer did not open a tunnel.
-type OutcomeError struct{ Outcome Outcome }
+type OutcomeError struct {
+	Outcome      Outcome
+	Alternatives []string // peers to ask instead
+}
 
 // Error returns the outcome.
 func (e *OutcomeError) Error() string { return "tunnel not opened: " + string(e.Outcome) }
@@ -53,17 +65,27 @@
 // Read reads bytes of the back end. It returns io.EOF only if the back end ended its stream in order.
 func (c *Conn) Read(p []byte) (int, error) { return c.received.Read(p) }
 
-// open asks the peer at the other end of a connection to open a tunnel to an address.
-func open(conn net.Conn, token, address string, deadline time.Time) (*Conn, error) {
+// openRequest is a request to open a tunnel.
+type openRequest struct {
+	token, address string
+	isLost         bool // the path of the process that asks is known to be lost
+}
+
+// open asks the peer at the other end of a connection to open a tunnel.
+func open(conn net.Conn, asked openRequest, deadline time.Time) (*Conn, error) {
 	_ = conn.SetDeadline(deadline)
-	request, err := http.NewRequest(http.MethodGet, "http://"+conn.RemoteAddr().String()+Path+"?"+url.Values{queryAddress: {address}}.Encode(), nil)
+	query := url.Values{queryAddress: {asked.address}}
+	if asked.isLost {
+		query.Set(queryLost, "1")
+	}
+	request, err := http.NewRequest(http.MethodGet, "http://"+conn.RemoteAddr().String()+Path+"?"+query.Encode(), nil)
 	if err != nil {
 		return nil, eris.Wrap(err, "create tunnel request")
 	}
 	request.Header.Set("Connection", "Upgrade")
 	request.Header.Set("Upgrade", protocol)
-	if token != "" {
-		request.Header.Set("Authorization", bearerPrefix+token)
+	if asked.token != "" {
+		request.Header.Set("Authorization", bearerPrefix+asked.token)
 	}
 	if err := request.Write(conn); err != nil {
 		return nil, err
@@ -80,8 +102,18 @@
 		return nil, err
 	}
 	if response.StatusCode != http.StatusSwitchingProtocols {
-		return nil, &OutcomeError{Outcome(response.Header.Get(outcomeHeader))}
+		return nil, &OutcomeError{Outcome(response.Header.Get(outcomeHeader)), splitAddresses(response.Header.Get(alternativesHeader))}
 	}
 	_ = conn.SetDeadline(time.Time{})
 	return &Conn{Conn: conn, received: httputil.NewChunkedReader(reader)}, nil
 }
+
+// splitAddresses returns the addresses of a header that lists them.
+func splitAddresses(list string) (addresses []string) {
+	for address := range strings.SplitSeq(list, ",") {
+		if address = strings.TrimSpace(address); address != "" && len(addresses) < maxAlternatives {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -17,8 +17,12 @@
 	// a peer may take before the next one is asked. They are multiples of the round trip to another zone.
 	directHeadStart = 75 * time.Millisecond
 	peerHeadStart   = 100 * time.Millisecond
-	// maxPeersAsked bounds the peers asked for one connection.
+	// comparisonHeadStart is peerHeadStart for the question whether an address is reached at all.
+	comparisonHeadStart = 30 * time.Millisecond
+	// maxPeersAsked bounds the peers asked for one connection, besides those that lack a path themselves.
 	maxPeersAsked = 3
+	// maxPeersDialed bounds them together with those.
+	maxPeersDialed = 24
 	// openTimeout bounds the time until a peer has opened a tunnel.
 	openTimeout = 450 * time.Millisecond
 	// probeTimeout bounds a probe of a lost path, and maxProbes how many run at once: each takes a connection of a back end that
@@ -34,14 +38,19 @@
 	Direct func(ctx context.Context, address string) (net.Conn, error)
 	// Probe checks whether a back end answers on a direct connection.
 	Probe func(ctx context.Context, address string) error
-	// Peers returns the addresses at which other processes open tunnels, in groups: those of a group are asked in random
-	// order, before those of the next one.
+	// Verify asks a back end a question on a connection that carries nothing else, and waits for the whole reply, or returns
+	// ErrConnectionEnds if that ended the connection. It is called for the first connection through a peer which isn't known to have
+	// paths. A peer that is cut off connects as well, if something between accepts connections. nil: peers aren't checked.
+	Verify func(ctx context.Context, conn net.Conn, address string) error
+	// Disconnected reports whether the direct paths to all back ends are lost. nil: they never are.
+	Disconnected func() bool
+	// Peers returns the addresses at which other processes open tunnels, in groups, nearest first.
 	Peers func() [][]string
 	// DialPeer connects to a peer.
 	DialPeer func(ctx context.Context, address string) (net.Conn, error)
 	Now      func() time.Duration
-	// OnLost and OnRestored are called when a path is lost or restored.
-	OnLost     func(address, peer string, cause Cause)
+	// OnLost is called when a path is lost, of which a direct connection was tried from a time on, and OnRestored when it is restored.
+	OnLost     func(address, peer string, cause Cause, triedAt time.Duration)
 	OnRestored func(address string, lostFor time.Duration)
 	// Observe is called with the result of each request to a peer.
 	Observe func(peer string, outcome Outcome)
@@ -91,11 +100,45 @@
 // MayBypass reports whether peers are to be asked for an address whose direct path is lost or suspected to be. They are not while
 // none of them could help.
 func (d *Dialer) MayBypass(address string, suspected bool) bool {
+	suspected = suspected || d.isDisconnected()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return (suspected || d.table.IsLost(address)) && !d.table.Failed(d.config.Now(), address)
 }
 
+// isDisconnected reports whether the direct paths to all back ends are lost.
+func (d *Dialer) isDisconnected() bool {
+	return d.config.Disconnected != nil && d.config.Disconnected()
+}
+
+// RestoreAll makes no path count as lost any more.
+func (d *Dialer) RestoreAll() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.RestoreAll()
+}
+
+// RecordAnswer records that a back end answered through a peer.
+func (d *Dialer) RecordAnswer(peer string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.RecordAnswer(d.config.Now(), peer)
+}
+
+// RecordSilent records that a back end that a peer had connected to didn't answer through it.
+func (d *Dialer) RecordSilent(peer, address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.RecordSilent(d.config.Now(), peer, address)
+}
+
+// ProvenPeers returns up to a number of peers through which back ends answered lately.
+func (d *Dialer) ProvenPeers(most int) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.Proven(d.config.Now(), most)
+}
+
 // LostCount returns the number of lost paths.
 func (d *Dialer) LostCount() int {
 	d.mu.Lock()
@@ -124,15 +167,16 @@
 // Bypass connects through a peer. It returns a RefusedError if the direct path is lost and the address refuses the connections of
 // peers.
 func (d *Dialer) Bypass(ctx context.Context, address string) (Dialed, error) {
-	lost := d.IsLost(address)
-	if lost {
+	triedAt := d.config.Now()
+	disconnected, lost := d.isDisconnected(), d.IsLost(address)
+	if lost && !disconnected {
 		d.probeIfDue(address)
 	}
-	dialed, err := d.dialPeers(ctx, address, peerHeadStart)
+	dialed, err := d.dialPeers(ctx, address, peerDial{headStart: peerHeadStart, verifies: !lost && !disconnected})
 	switch {
-	case err == nil && !lost: // else a probe may have succeeded meanwhile
-		d.recordLost(address, dialed.Peer, CauseSilent)
-	case err != nil && lost && allRefused(err):
+	case err == nil && !lost && !disconnected: // else a probe may have succeeded meanwhile
+		d.recordLost(address, dialed.Peer, CauseSilent, triedAt)
+	case err != nil && (lost || disconnected) && allRefused(err):
 		return Dialed{}, &RefusedError{syscall.ECONNREFUSED}
 	case err != nil && ctx.Err() == nil:
 		d.recordFailed(address)
@@ -140,13 +184,29 @@
 	return dialed, err
 }
 
+// AskPeers reports whether a back end answers through a peer, and which one.
+func (d *Dialer) AskPeers(ctx context.Context, address string) (peer string, err error) {
+	dialed, err := d.dialPeers(ctx, address, peerDial{headStart: comparisonHeadStart, verifies: true})
+	if err != nil {
+		return "", err
+	}
+	_ = dialed.Close()
+	return dialed.Peer, nil
+}
+
+// RecordLost records that an address, to which a direct connection was tried from a time on, is reached through a peer only.
+func (d *Dialer) RecordLost(address, peer string, triedAt time.Duration) {
+	d.recordLost(address, peer, CauseSilent, triedAt)
+}
+
 // Refuses reports whether nothing listens at an address.
 func (d *Dialer) Refuses(ctx context.Context, address string) bool {
+	triedAt := d.config.Now()
 	refusal := d.refusesDirectly(ctx, address)
 	if refusal == nil {
 		return false
 	}
-	dialed, err := d.confirmRefusal(ctx, address, refusal)
+	dialed, err := d.confirmRefusal(ctx, address, triedAt, refusal)
 	if dialed.Conn != nil {
 		_ = dialed.Close()
 	}
@@ -180,6 +240,7 @@
 
 // DialDirect connects directly, and through a peer if that fails or takes longer than directHeadStart.
 func (d *Dialer) DialDirect(ctx context.Context, address string) (Dialed, error) {
+	triedAt := d.config.Now()
 	direct := make(chan dialResult, 1)
 	go func() {
 		// Its result counts even if a peer connects first and the request is over soon.
@@ -188,27 +249,27 @@
 	}()
 	select {
 	case result := <-direct:
-		return d.afterDirect(ctx, address, result)
+		return d.afterDirect(ctx, address, triedAt, result)
 	case <-ctx.Done():
 		go closeLate(direct)
 		return Dialed{}, ctx.Err()
 	case <-time.After(directHeadStart):
 	}
 	if !d.beginHedge(address) {
-		return d.afterDirect(ctx, address, await(ctx, direct))
+		return d.afterDirect(ctx, address, triedAt, await(ctx, direct))
 	}
 	defer d.endHedge(address)
-	return d.hedge(ctx, address, direct)
+	return d.hedge(ctx, address, triedAt, direct)
 }
 
 // hedge connects through a peer while a direct connection is pending, and returns the connection that is established
 // first.
-func (d *Dialer) hedge(ctx context.Context, address string, direct <-chan dialResult) (Dialed, error) {
+func (d *Dialer) hedge(ctx context.Context, address string, triedAt time.Duration, direct <-chan dialResult) (Dialed, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	peers := make(chan dialResult, 1)
 	go func() {
-		dialed, err := d.dialPeers(ctx, address, peerHeadStart)
+		dialed, err := d.dialPeers(ctx, address, peerDial{headStart: peerHeadStart})
 		peers <- dialResult{dialed, err}
 	}()
 	select {
@@ -221,14 +282,14 @@
 		if other.err != nil {
 			return Dialed{}, result.err
 		}
-		d.recordLost(address, other.dialed.Peer, CauseDial)
+		d.recordLost(address, other.dialed.Peer, CauseDial, triedAt)
 		return other.dialed, nil
 	case result := <-peers:
 		if result.err != nil {
 			late := await(ctx, direct)
 			return late.dialed, late.err
 		}
-		go d.judgeDirect(direct, address, result.dialed.Peer)
+		go d.judgeDirect(direct, address, result.dialed.Peer, triedAt)
 		return result.dialed, nil
 	case <-ctx.Done():
 		go closeLate(direct)
@@ -261,10 +322,10 @@
 }
 
 // judgeDirect records a path as lost if the direct connection fails after a peer has connected.
-func (d *Dialer) judgeDirect(direct <-chan dialResult, address, peer string) {
+func (d *Dialer) judgeDirect(direct <-chan dialResult, address, peer string, triedAt time.Duration) {
 	result := <-direct
 	if result.err != nil {
-		d.recordLost(address, peer, CauseDial)
+		d.recordLost(address, peer, CauseDial, triedAt)
 		return
 	}
 	_ = result.dialed.Close()
@@ -277,28 +338,28 @@
 }
 
 // afterDirect returns a direct connection or, if that failed, one through a peer.
-func (d *Dialer) afterDirect(ctx context.Context, address string, result dialResult) (Dialed, error) {
+func (d *Dialer) afterDirect(ctx context.Context, address string, triedAt time.Duration, result dialResult) (Dialed, error) {
 	if result.err == nil || ctx.Err() != nil {
 		return result.dialed, result.err
 	}
 	if errors.Is(result.err, syscall.ECONNREFUSED) {
-		return d.confirmRefusal(ctx, address, result.err)
+		return d.confirmRefusal(ctx, address, triedAt, result.err)
 	}
-	dialed, err := d.dialPeers(ctx, address, peerHeadStart)
+	dialed, err := d.dialPeers(ctx, address, peerDial{headStart: peerHeadStart})
 	if err != nil {
 		return Dialed{}, result.err
 	}
-	d.recordLost(address, dialed.Peer, CauseDial)
+	d.recordLost(address, dialed.Peer, CauseDial, triedAt)
 	return dialed, nil
 }
 
 // confirmRefusal asks peers for an address that refuses direct connections. It returns a RefusedError if all that were
 // asked report the same, or if there are none.
-func (d *Dialer) confirmRefusal(ctx context.Context, address string, refusal error) (Dialed, error) {
-	dialed, err := d.dialPeers(ctx, address, 0)
+func (d *Dialer) confirmRefusal(ctx context.Context, address string, triedAt time.Duration, refusal error) (Dialed, error) {
+	dialed, err := d.dialPeers(ctx, address, peerDial{})
 	switch {
 	case err == nil:
-		d.recordLost(address, dialed.Peer, CauseDial)
+		d.recordLost(address, dialed.Peer, CauseDial, triedAt)
 		return dialed, nil
 	case errors.Is(err, errNoPeers), allRefused(err):
 		return Dialed{}, &RefusedError{refusal}
@@ -324,27 +385,36 @@
 	return errors.As(err, &failure) && failure.allRefused
 }
 
+// peerDial says how peers are asked for an address.
+type peerDial struct {
+	headStart time.Duration // of a peer before the next one
+	verifies  bool          // the back end must answer, also through a peer that is proven
+}
+
 // dialPeers asks peers one after the other, each one headStart after the one before or when that failed, and returns the
-// first tunnel that is opened.
-func (d *Dialer) dialPeers(ctx context.Context, address string, headStart time.Duration) (Dialed, error) {
+// first tunnel that is opened. Peers that lack a path themselves say so at once and don't count as asked.
+func (d *Dialer) dialPeers(ctx context.Context, address string, how peerDial) (Dialed, error) {
 	candidates, known := d.candidates(address)
 	if !known {
 		return Dialed{}, errNoPeers
 	}
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
-	results := make(chan dialResult, len(candidates))
+	results := make(chan dialResult, maxPeersDialed)
 	failure := &peersError{allRefused: len(candidates) > 0, last: errNoPeers}
-	running := 0
-	for next := 0; next < len(candidates) || running > 0; {
+	running, asked, next := 0, 0, 0
+	for {
 		var nextDue <-chan time.Time
-		if next < len(candidates) {
+		if next < len(candidates) && asked < maxPeersAsked && next < maxPeersDialed {
 			peer := candidates[next]
 			go func() {
-				dialed, err := d.openTunnel(ctx, peer, address)
+				dialed, err := d.openTunnel(ctx, peer, address, how.verifies)
 				results <- dialResult{dialed, err}
 			}()
-			next, running = next+1, running+1
-			nextDue = time.After(headStart)
+			next, asked, running = next+1, asked+1, running+1
+			nextDue = time.After(how.headStart)
+		}
+		if running == 0 {
+			break
 		}
 		select {
 		case result := <-results:
@@ -354,9 +424,11 @@
 				go closeRemaining(results, running)
 				return result.dialed, nil
 			}
-			var outcome *OutcomeError
-			failure.allRefused = failure.allRefused && errors.As(result.err, &outcome) && outcome.Outcome == Refused
-			failure.last = result.err
+			failure.add(result.err)
+			if lacksPath(result.err) {
+				asked--
+				candidates = d.addReferred(candidates, address)
+			}
 		case <-nextDue:
 		}
 	}
@@ -364,6 +436,30 @@
 	return Dialed{}, failure
 }
 
+// addReferred adds the peers that others have named to the candidates for an address.
+func (d *Dialer) addReferred(candidates []string, address string) []string {
+	more, _ := d.candidates(address)
+	for _, peer := range more {
+		if !slices.Contains(candidates, peer) {
+			candidates = append(candidates, peer)
+		}
+	}
+	return candidates
+}
+
+// add adds the error of a peer.
+func (e *peersError) add(err error) {
+	var outcome *OutcomeError
+	e.allRefused = e.allRefused && errors.As(err, &outcome) && outcome.Outcome == Refused
+	e.last = err
+}
+
+// lacksPath reports whether an error is that of a peer without a path of its own.
+func lacksPath(err error) bool {
+	var outcome *OutcomeError
+	return errors.As(err, &outcome) && (outcome.Outcome == PathLost || outcome.Outcome == Disconnected)
+}
+
 func closeRemaining(results <-chan dialResult, running int) {
 	for range running {
 		closeLate(results)
@@ -372,22 +468,50 @@
 
 // candidates returns the peers to ask for an address, and whether any peer is known.
 func (d *Dialer) candidates(address string) (chosen []string, known bool) {
+	groups := d.config.Peers()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.config.Now()
-	for _, group := range d.config.Peers() {
-		known = known || len(group) > 0
-		for _, i := range rand.Perm(len(group)) {
-			if !d.table.Refused(now, group[i], address) && len(chosen) < maxPeersAsked {
-				chosen = append(chosen, group[i])
-			}
-		}
+	known = slices.ContainsFunc(groups, func(group []string) bool { return len(group) > 0 })
+	return d.table.Candidates(d.config.Now(), address, groups), known
+}
+
+// openTunnel asks one peer to open a tunnel, and makes sure that the back end answers through it if that is wanted or the peer isn't
+// proven.
+func (d *Dialer) openTunnel(ctx context.Context, peer, address string, verifies bool) (Dialed, error) {
+	dialed, err := d.openUnverified(ctx, peer, address)
+	if err != nil || d.config.Verify == nil || !verifies && d.isProven(peer) {
+		return dialed, err
 	}
-	return chosen, known
+	stop := context.AfterFunc(ctx, func() { _ = dialed.Close() })
+	err = d.config.Verify(ctx, dialed.Conn, address)
+	if !stop() && err == nil {
+		err = context.Cause(ctx)
+	}
+	switch {
+	case err == nil:
+		d.RecordAnswer(peer)
+		return dialed, nil
+	case errors.Is(err, ErrConnectionEnds):
+		_ = dialed.Close()
+		d.RecordAnswer(peer)
+		return d.openUnverified(ctx, peer, address)
+	}
+	_ = dialed.Close()
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		d.config.Observe(peer, Silent)
+		d.RecordSilent(peer, address)
+	}
+	return Dialed{}, &OutcomeError{Outcome: Silent}
 }
 
-// openTunnel asks one peer to open a tunnel.
-func (d *Dialer) openTunnel(ctx context.Context, peer, address string) (Dialed, error) {
+func (d *Dialer) isProven(peer string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.IsProven(d.config.Now(), peer)
+}
+
+// openUnverified asks one peer to open a tunnel.
+func (d *Dialer) openUnverified(ctx context.Context, peer, address string) (Dialed, error) {
 	conn, err := d.config.DialPeer(ctx, peer)
 	if err != nil {
 		d.recordRefusal(ctx, peer, address, err)
@@ -395,7 +519,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	deadline, _ := ctx.Deadline()
-	opened, err := open(conn, d.config.Token, address, deadline)
+	opened, err := open(conn, openRequest{token: d.config.Token, address: address, isLost: d.isDisconnected() || d.IsLost(address)}, deadline)
 	if !stop() && err == nil {
 		err = context.Cause(ctx) // the connection is being closed
 	}
@@ -424,15 +548,19 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if outcome == Disconnected {
+		d.table.RecordDisconnected(d.config.Now(), peer, reported.Alternatives)
+		return
+	}
 	d.table.RecordRefusal(d.config.Now(), peer, address)
 }
 
-func (d *Dialer) recordLost(address, peer string, cause Cause) {
+func (d *Dialer) recordLost(address, peer string, cause Cause, triedAt time.Duration) {
 	d.mu.Lock()
 	isNew := d.table.RecordLost(d.config.Now(), address)
 	d.mu.Unlock()
 	if isNew {
-		d.config.OnLost(address, peer, cause)
+		d.config.OnLost(address, peer, cause, triedAt)
 	}
 }
 
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -20,6 +20,8 @@
 	bufferSize = 8 << 10
 	// dialTimeout bounds the time to connect to a back end for a peer.
 	dialTimeout = 250 * time.Millisecond
+	// maxAlternatives bounds the peers that a refusal names.
+	maxAlternatives = 4
 	// drainInterval is how often a stopping process checks whether the tunnels that it carries have ended.
 	drainInterval = 50 * time.Millisecond
 )
@@ -30,9 +32,12 @@
 	Dial  func(ctx context.Context, address string) (net.Conn, error)
 	// IsBackend reports whether an address is that of a known back end. Tunnels to others are not opened.
 	IsBackend func(address string) bool
-	// IsLost reports whether this process has no direct path to an address, or gets no answers on it either.
-	IsLost     func(address string) bool
-	IsStopping func() bool
+	// Refusal returns why this process doesn't open a tunnel to an address to a process whose own path is known to be lost or may only
+	// be slow, or "".
+	Refusal func(address string, isLost bool) Outcome
+	// Alternatives returns peers that have paths, for processes that are refused because this one has none. nil: none.
+	Alternatives func() []string
+	IsStopping   func() bool
 	// Observe is called with the outcome of each request.
 	Observe func(Outcome)
 }
@@ -68,9 +73,13 @@
 		return
 	}
 	defer s.carried.Add(-1)
-	backend, outcome := s.connect(r.Context(), r.URL.Query().Get(queryAddress), s.carried.Add(1))
+	query := r.URL.Query()
+	backend, outcome := s.connect(r.Context(), query.Get(queryAddress), query.Get(queryLost) != "", s.carried.Add(1))
 	s.config.Observe(outcome)
 	w.Header().Set(outcomeHeader, string(outcome))
+	if outcome == Disconnected && s.config.Alternatives != nil {
+		w.Header().Set(alternativesHeader, strings.Join(s.config.Alternatives(), ","))
+	}
 	if outcome != Opened {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -94,7 +103,7 @@
 }
 
 // connect connects to a back end for a peer.
-func (s *Server) connect(ctx context.Context, address string, carried int64) (net.Conn, Outcome) {
+func (s *Server) connect(ctx context.Context, address string, isLost bool, carried int64) (net.Conn, Outcome) {
 	switch {
 	case s.config.IsStopping():
 		return nil, Stopping
@@ -102,8 +111,9 @@
 		return nil, Full
 	case !s.config.IsBackend(address):
 		return nil, Unknown
-	case s.config.IsLost(address):
-		return nil, PathLost
+	}
+	if refusal := s.config.Refusal(address, isLost); refusal != "" {
+		return nil, refusal
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
--- a/internal/tunnel/table.go
+++ b/internal/tunnel/table.go
@@ -36,20 +36,23 @@
 
 // Table holds which addresses are reached through peers only, and which peers can't reach them either.
 type Table struct {
-	lost     map[string]*lostPath
-	refusals map[peerAddress]time.Duration // end of refusalTTL
-	failed   map[string]time.Duration      // end of refusalTTL, by address that no peer opened a tunnel to
-	hedged   map[string]struct{}           // addresses for which peers are asked while a direct connection is pending
+	peerRecords
+	lost   map[string]*lostPath
+	failed map[string]time.Duration // end of refusalTTL, by address that no peer opened a tunnel to
+	hedged map[string]struct{}      // addresses for which peers are asked while a direct connection is pending
 }
 
 // NewTable returns a table without lost paths.
 func NewTable() *Table {
-	return &Table{lost: map[string]*lostPath{}, refusals: map[peerAddress]time.Duration{}, failed: map[string]time.Duration{}, hedged: map[string]struct{}{}}
+	return &Table{peerRecords: newPeerRecords(), lost: map[string]*lostPath{}, failed: map[string]time.Duration{}, hedged: map[string]struct{}{}}
 }
 
 // IsLost reports whether the direct path to an address is lost.
 func (t *Table) IsLost(address string) bool { return t.lost[address] != nil }
 
+// RestoreAll makes no path count as lost.
+func (t *Table) RestoreAll() { clear(t.lost) }
+
 // Len returns the number of lost paths.
 func (t *Table) Len() int { return len(t.lost) }
 
@@ -103,16 +106,6 @@
 // EndHedge records that the peers were asked.
 func (t *Table) EndHedge(address string) { delete(t.hedged, address) }
 
-// RecordRefusal records that a peer could not reach an address.
-func (t *Table) RecordRefusal(now time.Duration, peer, address string) {
-	t.refusals[peerAddress{peer, address}] = now + refusalTTL
-}
-
-// Refused reports whether a peer recently could not reach an address.
-func (t *Table) Refused(now time.Duration, peer, address string) bool {
-	return now < t.refusals[peerAddress{peer, address}]
-}
-
 // RecordFailed records that no peer opened a tunnel to an address.
 func (t *Table) RecordFailed(now time.Duration, address string) {
 	t.failed[address] = now + refusalTTL
@@ -123,7 +116,7 @@
 
 // Sweep removes expired refusals, and the paths to addresses that are no longer known.
 func (t *Table) Sweep(now time.Duration, known func(address string) bool) {
-	maps.DeleteFunc(t.refusals, func(_ peerAddress, until time.Duration) bool { return now >= until })
+	t.peerRecords.Sweep(now)
 	maps.DeleteFunc(t.failed, func(_ string, until time.Duration) bool { return now >= until })
 	maps.DeleteFunc(t.lost, func(address string, _ *lostPath) bool { return !known(address) })
 }
