Transport: heads that RFC 9112 doesn't allow are no answers

What callers got: a back end's answer whose head held a blank in a field's name or before its colon was passed on, without that line: a length or chunks so written were dropped, and the body ran to the end of the connection. Lines that began with a blank continued the one before, signature and ID included. Status 600 and 999 were passed on as they were; a status below 100 counted as informational, so that a second answer behind it, with the request's own ID, was the response, and the product's own face passed status 0 on.

Cause: net/http takes more than HTTP allows, and nothing else looked at the bytes of a head.

Now the reader of heads, which gateways, tunnels, probes and questions to back ends use, checks them as they arrive: status line, status 100 to 599, tokens as names, no blank before a colon, no folded line, no control byte, informational ones without content and no unasked switch of protocols. CheckHead rejects what can still be told after net/http has parsed a head (status, blanks in names), for the clients that use its transport: routers, caches, orders, control. Those still join folded lines, which RFC 9112 allows a user agent to do. A rejected head is a failed attempt whose log line names the reason: 502, or another back end where the route allows it.

An error that bufio meets while it looks ahead is forgotten by it, so the reader keeps it.

--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -214,7 +214,7 @@
 			err = transport.CheckHead(response, single...)
 		}
 		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
+			return response, c.head.Explain(err)
 		}
 	}
 }
--- a/internal/transport/head.go
+++ b/internal/transport/head.go
@@ -37,8 +37,8 @@
 	Release(bytes int)
 }
 
-// HeadReader reads from a connection, and fails when a head is longer than MaxHeadBytes or MaxHeadLines. http.ReadResponse has no
-// limit of its own.
+// HeadReader reads from a connection, and fails when a head is longer than MaxHeadBytes or MaxHeadLines, or is none by RFC 9112.
+// http.ReadResponse has no limit of its own, and takes more.
 type HeadReader struct {
 	from      io.Reader
 	account   Account // nil if heads are few
@@ -46,6 +46,9 @@
 	lines     int     // line ends of the present head
 	accounted int     // bytes of the head that are reserved, without headCost
 	limited   bool    // a head is being read
+	switches  bool    // the request asked for a switch of protocols
+	syntax    headSyntax
+	malformed error // why the present head is none, or nil
 }
 
 // NewHeadReader returns a reader without a limit in force.
@@ -56,15 +59,27 @@
 	return &HeadReader{from: from, account: account}
 }
 
-// BeginHead limits what is read until EndHead.
+// BeginHead limits what is read until EndHead. Nothing that was read before may be left.
 func (r *HeadReader) BeginHead() {
 	r.ReleaseHead()
-	r.read, r.lines, r.limited = 0, 0, true
+	r.read, r.lines, r.limited, r.malformed = 0, 0, true, nil
+	r.syntax = headSyntax{switches: r.switches}
 }
 
+// ExpectSwitch makes a switch of protocols a head that ends. It is called before BeginHead.
+func (r *HeadReader) ExpectSwitch() { r.switches = true }
+
 // HasBegun reports whether any byte of the present head was read.
 func (r *HeadReader) HasBegun() bool { return r.read > 0 }
 
+// Explain returns why the head that was read is none, if that is known, or else the given error of reading it.
+func (r *HeadReader) Explain(err error) error {
+	if err != nil && r.malformed != nil {
+		return r.malformed
+	}
+	return err
+}
+
 // EndHead ends the limit. The head stays in the account.
 func (r *HeadReader) EndHead() { r.limited = false }
 
@@ -81,6 +96,9 @@
 	if !r.limited {
 		return r.from.Read(p)
 	}
+	if r.malformed != nil {
+		return 0, r.malformed // bufio forgets an error that it met while it looked ahead
+	}
 	if r.read >= MaxHeadBytes || r.lines > MaxHeadLines {
 		return 0, ErrHeadTooLong
 	}
@@ -90,6 +108,9 @@
 	count, err := r.from.Read(p[:min(len(p), MaxHeadBytes-r.read)])
 	r.read += count
 	r.lines += bytes.Count(p[:count], []byte{'\n'})
+	if r.malformed = r.syntax.check(p[:count]); r.malformed != nil {
+		return 0, r.malformed
+	}
 	return count, err
 }
 
--- a/internal/transport/response.go
+++ b/internal/transport/response.go
@@ -24,12 +24,19 @@
 
 // CheckHead returns an error unless the head of a response can be that of a single response. A back end that stops within a
 // head may send another response in the same connection, and http.ReadResponse reads both heads as one. single are the names
-// of fields that stand once, besides those that HTTP defines.
+// of fields that stand once, besides those that HTTP defines. It rejects what http.ReadResponse takes although it is no head; a
+// HeadReader also sees what that doesn't show.
 func CheckHead(response *http.Response, single ...string) error {
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+		return ErrStatusCode
+	}
 	if hasStatusLine(response.Status) {
 		return ErrJoinedHeads
 	}
-	for _, values := range response.Header {
+	for name, values := range response.Header {
+		if strings.ContainsAny(name, " \t") {
+			return ErrFieldName
+		}
 		if slices.ContainsFunc(values, hasStatusLine) {
 			return ErrJoinedHeads
 		}
--- a/internal/transport/response_test.go
+++ b/internal/transport/response_test.go
@@ -55,7 +55,7 @@
 }
 
 func TestCheckHeadTakesListsAndProtocolNames(t *testing.T) {
-	response := &http.Response{Status: "200 OK", Header: http.Header{"Via": {"HTTP/1.1 a", "HTTP/1.1 b"}, "Vary": {"A", "B"}, "Content-Type": {"text/plain", "text/plain"}}}
+	response := &http.Response{Status: "200 OK", StatusCode: http.StatusOK, Header: http.Header{"Via": {"HTTP/1.1 a", "HTTP/1.1 b"}, "Vary": {"A", "B"}, "Content-Type": {"text/plain", "text/plain"}}}
 	if err := CheckHead(response); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -91,11 +91,12 @@
 		return nil, err
 	}
 	head := transport.NewHeadReader(conn)
+	head.ExpectSwitch()
 	head.BeginHead()
 	reader := bufio.NewReader(head)
 	response, err := http.ReadResponse(reader, request)
 	if err != nil {
-		return nil, err
+		return nil, head.Explain(err)
 	}
 	head.EndHead()
 	if err := transport.CheckHead(response, outcomeHeader); err != nil {
--- a/internal/tunnel/probe.go
+++ b/internal/tunnel/probe.go
@@ -71,5 +71,8 @@
 	reader := bufio.NewReader(head)
 	response, err := http.ReadResponse(reader, request)
 	head.EndHead()
-	return response, reader, err
+	if err == nil {
+		err = transport.CheckHead(response)
+	}
+	return response, reader, head.Explain(err)
 }
