Gateway: an answer without a length isn't whole if its connection was reset

What callers got: a back end answered a long upload at once, without a length, sent a part and reset the connection while the upload was still being written; the part was passed on as a whole 200, for 1 MB in up to half of the tries.

Cause: Linux reports a reset once, to whoever asks first. The write in the background got it, reading then saw an end of the stream, and nothing asked what had become of the write.

Now the end of a connection ends an answer without length or chunks only if the request was written without an error, the socket is half closed in order (not closed by a reset) and nothing that was written is unacknowledged; the socket is asked once more after the check whether the process lives. That holds for failures as well. A peer that carries a tunnel asks the same before it states the end of the stream. Routers read bodies that end by themselves (JSON, a last event), so a part of one never was a whole.

Not told apart: a back end that ends its stream in order after its kernel, but not it, has taken the whole request.

--- a/internal/gateway/unframed.go
+++ b/internal/gateway/unframed.go
@@ -16,13 +16,20 @@
 var (
 	errEmptyUnframed = eris.New("the connection ended before the response that its head promises")
 	errProcessEnded  = eris.New("the response ended with the process of the back end")
+	errResetUnframed = eris.New("the connection was reset, or ended before the back end had received the request")
 )
 
-// checkUnframedEnd returns an error if the end of the connection is not taken for the end of a successful response that states
-// neither a length nor chunks: if nothing was received, or if the back end's process has ended, which closes its connections
-// in order as well.
+// checkUnframedEnd returns an error if the end of the connection is not taken for the end of a response that states neither a length
+// nor chunks: if the connection was reset or the request wasn't received, and for a success also if nothing was received, or if the
+// back end's process has ended, which closes its connections in order as well.
 func (a *attempt) checkUnframedEnd(response *http.Response, received bool) error {
-	if transport.HasFraming(response) || response.StatusCode >= http.StatusMultipleChoices || !bodyAllowed(a.exchange.request.Method, response.StatusCode) {
+	if transport.HasFraming(response) || !bodyAllowed(a.exchange.request.Method, response.StatusCode) {
+		return nil
+	}
+	if !a.endedInOrder() {
+		return errResetUnframed
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
 		return nil
 	}
 	if !received {
@@ -37,9 +44,18 @@
 	if refuses(ctx, a.row.entry.Address) {
 		return errProcessEnded
 	}
+	if !a.endedInOrder() { // it was reset meanwhile
+		return errResetUnframed
+	}
 	return nil
 }
 
+// endedInOrder reports whether the back end has received the whole request and ended its side of the connection in order. A peer
+// states the end of a back end's stream only if that was so.
+func (a *attempt) endedInOrder() bool {
+	return a.requestWritten() && (a.conn.peer != "" || transport.EndedInOrder(a.conn.Conn))
+}
+
 // relayUnframed keeps a response without length or chunks so for the caller: only its back end could tell that it is whole.
 func (x *exchange) relayUnframed(response *http.Response) {
 	if !transport.HasFraming(response) && bodyAllowed(x.request.Method, response.StatusCode) {
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"kitetiller/internal/transport"
 )
 
 const (
@@ -134,7 +136,7 @@
 		_ = backend.Close() // the peer's request is over or was abandoned
 	}()
 	chunks := httputil.NewChunkedWriter(peer)
-	if _, err := io.CopyBuffer(plainWriter{chunks}, plainReader{backend}, make([]byte, bufferSize)); err == nil {
+	if _, err := io.CopyBuffer(plainWriter{chunks}, plainReader{backend}, make([]byte, bufferSize)); err == nil && transport.EndedInOrder(backend) {
 		_ = chunks.Close()
 		_, _ = io.WriteString(peer, "\r\n") // ends the empty trailer section
 	}
