--- a/cmd/kitelab/soak.go
+++ b/cmd/kitelab/soak.go
@@ -27,6 +27,7 @@
 	otherProgram string
 	guardOff     string
 	outages      bool
+	cuts         bool
 	shape        string
 	gateways     int
 }
@@ -41,7 +42,8 @@
 	sub.String(&flags.program, "", "program", "kitetiller's program file")
 	sub.String(&flags.otherProgram, "o", "other-program", "program file of another build: half of the processes begin with it, and each start changes the build")
 	sub.Bool(&flags.outages, "", "outages", "draw losses of power and of data folders, instead of faults of all kinds")
-	sub.String(&flags.shape, "", "shape", "JSON file with the deployment to draw outages for (see docs/operations/soak.md)")
+	sub.Bool(&flags.cuts, "", "cuts", "draw cuts between gateways and all workers, instead of faults of all kinds")
+	sub.String(&flags.shape, "", "shape", "JSON file with the deployment to draw outages or cuts for (see docs/operations/soak.md)")
 	sub.Int(&flags.gateways, "", "gateways", "gateways of that deployment")
 	sub.String(&flags.guardOff, "g", "guard-off", "break one promise on purpose (see docs/operations/soak.md), to see that its check fails")
 	return command{sub, flags.run}
@@ -82,8 +84,11 @@
 	if f.seed == 0 {
 		f.seed = rand.Uint64()
 	}
-	if f.outages {
+	if f.outages || f.cuts {
 		shape, err := soak.ReadShape(f.shape)
+		if f.cuts {
+			return soak.GenerateCuts(f.seed, f.gateways, shape), err
+		}
 		return soak.GenerateOutages(f.seed, f.gateways, shape), err
 	}
 	return soak.Generate(f.seed, time.Duration(f.minutes*float64(time.Minute))), nil
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -267,10 +267,15 @@
 	if plan.LengthMS <= 0 {
 		return plan, eris.Errorf("%s: length_ms must be positive", path)
 	}
-	slices.SortStableFunc(plan.Faults, func(a, b Fault) int { return int(a.AtMS - b.AtMS) })
+	sortFaults(plan.Faults)
 	return plan, nil
 }
 
+// sortFaults orders faults by when they begin.
+func sortFaults(faults []Fault) {
+	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.AtMS - b.AtMS) })
+}
+
 // Write writes the plan to a file as JSON.
 func (p Plan) Write(path string) error {
 	text, err := json.MarshalIndent(p, "", "  ")
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -391,6 +391,45 @@
 	}
 }
 
+// Drawn cuts are reproducible and strike one gateway, parts of the fleet and whole zones, alone and beside other faults.
+func TestGeneratedCutsVary(t *testing.T) {
+	const seeds, gateways = 200, 16
+	shape := Shape{Zones: 4, Direct: true}
+	seen := map[string]int{}
+	for seed := range uint64(seeds) {
+		plan := GenerateCuts(seed, gateways, shape)
+		if !reflect.DeepEqual(plan, GenerateCuts(seed, gateways, shape)) {
+			t.Fatalf("seed %d yields two plans", seed)
+		}
+		path := filepath.Join(t.TempDir(), "plan.json")
+		if err := plan.Write(path); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Read(path); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		for _, fault := range plan.Faults {
+			switch {
+			case !fault.Kind.Partitions():
+				seen["beside"]++
+			case fault.Zones > 0:
+				seen["zones"]++
+			case fault.Gateways == 1:
+				seen["one"]++
+			case fault.Gateways > gateways/2:
+				seen["most"]++
+			default:
+				seen["half"]++
+			}
+		}
+	}
+	for _, what := range []string{"beside", "zones", "one", "most", "half"} {
+		if seen[what] < seeds/10 {
+			t.Errorf("%d of %d plans strike %s", seen[what], seeds, what)
+		}
+	}
+}
+
 // A partition during which only one side got requests is reported as not judged.
 func TestPartitionWithoutRequestsIsNotJudged(t *testing.T) {
 	w := NewWatcher(time.Second, time.Second)
