Gateway: a request for which no path is left is rejected at once

A gateway that knows that nothing it sends directly is answered, and whose peers open no tunnel, asked the back end directly all the same, and the request waited for the reply that couldn't come.

While paths are lost at most four back ends are asked one after the other, once one has replied.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -16,7 +16,6 @@
 	"kitetiller/internal/prefix"
 	"kitetiller/internal/pushback"
 	"kitetiller/internal/quarantine/reporter"
-	"kitetiller/internal/reachability"
 	"kitetiller/internal/tunnel"
 )
 
@@ -200,7 +199,7 @@
 		case err != nil && unanswered != nil:
 			return unanswered
 		case err != nil:
-			if a.ctx.Err() == nil && err != errNoConnection { // otherwise it tells nothing about the back end
+			if a.ctx.Err() == nil && err != errNoConnection && err != errNoPath { // otherwise it tells nothing about the back end
 				a.recordUnreachable(err)
 			}
 			return err
@@ -241,7 +240,7 @@
 	return x.gateway.pool.get(a.ctx, connectionRequest{
 		instance: a.row.entry.ID, address: a.row.entry.Address, maxIdle: maxIdleTime(x.route),
 		pathSuspected: x.gateway.table.pathSuspected(x.gateway.now(), a.row.entry.Address),
-		newPathsLost:  x.gateway.paths.State() == reachability.NewConnectionsLost, open: a.openConnection,
+		paths:         x.gateway.paths.State(), open: a.openConnection,
 	})
 }
 
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -12,9 +12,11 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 
 	"kitetiller/internal/clock"
+	"kitetiller/internal/reachability"
 	"kitetiller/internal/transport"
 	"kitetiller/internal/tunnel"
 )
@@ -43,6 +45,9 @@
 	maxIdlePerBackend = 16
 )
 
+// errNoPath: no back end answers directly, and no peer reaches this one.
+var errNoPath = eris.New("neither a direct path nor one through another gateway")
+
 // connection is a connection to a back end. It carries one request at a time.
 type connection struct {
 	net.Conn
@@ -133,7 +138,7 @@
 	instance, address string
 	maxIdle           time.Duration // of an idle connection
 	pathSuspected     bool          // the direct path may be lost
-	newPathsLost      bool          // new direct connections carry nothing, open ones may
+	paths             reachability.State
 	// open is called before a new connection is established, and returns an error if none may be.
 	open func() (*opening, error)
 }
@@ -141,18 +146,26 @@
 // get returns an idle connection or a new one. On an error nothing was sent. Idle connections are direct, so peers are asked
 // before one is used while the path is lost or suspected to be.
 func (p *pool) get(ctx context.Context, r connectionRequest) (*connection, error) {
-	if r.newPathsLost {
+	if r.paths == reachability.NewConnectionsLost {
 		if idle := p.reuse(r); idle != nil {
 			return idle, nil
 		}
 	}
-	if !p.tunnels.MayBypass(r.address, r.pathSuspected || r.newPathsLost) {
-		return p.getDirect(ctx, r)
+	if !p.tunnels.MayBypass(r.address, r.pathSuspected || r.paths != reachability.Connected) {
+		return p.getOffPeers(ctx, r)
 	}
 	conn, err := p.getThroughPeer(ctx, r.address)
 	if err == nil || tunnel.IsRefused(err) {
 		return conn, err
 	}
+	return p.getOffPeers(ctx, r)
+}
+
+// getOffPeers is get if no peer opens a tunnel, which leaves no way if nothing that is sent directly is answered.
+func (p *pool) getOffPeers(ctx context.Context, r connectionRequest) (*connection, error) {
+	if r.paths == reachability.Disconnected {
+		return nil, errNoPath
+	}
 	return p.getDirect(ctx, r)
 }
 
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -36,7 +35,7 @@
 func newPaths(g *Gateway) *paths {
 	p := &paths{gateway: g, changed: newNotifier()}
 	p.Paths = tunnel.NewPaths(tunnel.PathsConfig{
-		Dialer: g.dialer, Now: g.now, AskDirectly: p.askDirectly, Pick: p.pick, BackEnds: func() int { return len(p.pick("", math.MaxInt)) },
+		Dialer: g.dialer, Now: g.now, AskDirectly: p.askDirectly, Pick: p.pick, BackEnds: p.askableCount,
 		Patience:    func(address string) time.Duration { name, _ := g.table.serviceAt(address); return p.patience(name) },
 		IsCongested: g.isCongestedAt, OnLost: p.onLost, OnRestored: p.onRestored,
 	})
@@ -159,6 +158,16 @@
 	return picked[:min(count, len(picked))]
 }
 
+// askableCount returns the number of back ends that can be asked a question.
+func (p *paths) askableCount() (count int) {
+	for _, row := range p.gateway.table.readyRows() {
+		if p.gateway.questionPath(row) != "" {
+			count++
+		}
+	}
+	return count
+}
+
 // questionPath returns the path of a question that takes a back end no time, or "".
 func (g *Gateway) questionPath(row *endpoint) string {
 	service := g.service(row.entry.Service)
--- a/internal/tunnel/paths.go
+++ b/internal/tunnel/paths.go
@@ -14,6 +14,8 @@
 	// restoreInterval is how often a back end is asked directly while paths are lost, and restoreTimeout bounds each question.
 	restoreInterval = time.Second
 	restoreTimeout  = 3 * time.Second
+	// maxRestoreQuestions is how many are asked one after the other once one has replied.
+	maxRestoreQuestions = 4
 	// comparisonTimeout bounds a direct question of a comparison.
 	comparisonTimeout = 15 * time.Second
 )
@@ -148,11 +150,9 @@
 func (p *Paths) askUntilRestored() {
 	ctx, cancel := context.WithTimeout(p.ctx, restoreTimeout)
 	defer cancel()
-	for p.State() != reachability.Connected && ctx.Err() == nil {
-		for _, address := range p.config.Pick("", 1) {
-			if p.config.AskDirectly(ctx, address, false) != nil {
-				return
-			}
+	for _, address := range p.config.Pick("", maxRestoreQuestions) {
+		if p.State() == reachability.Connected || p.config.AskDirectly(ctx, address, false) != nil {
+			return
 		}
 	}
 }
