--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -234,14 +234,15 @@
 // obtainConnection returns a connection to the attempt's back end, through a peer if that is wanted.
 func (a *attempt) obtainConnection(throughPeer bool) (*connection, error) {
 	x := a.exchange
-	if throughPeer {
-		return x.gateway.pool.getThroughPeer(a.ctx, a.row.entry.Address)
-	}
-	return x.gateway.pool.get(a.ctx, connectionRequest{
+	r := connectionRequest{
 		instance: a.row.entry.ID, address: a.row.entry.Address, maxIdle: maxIdleTime(x.route),
 		pathSuspected: x.gateway.table.pathSuspected(x.gateway.now(), a.row.entry.Address),
 		paths:         x.gateway.paths.State(), open: a.openConnection,
-	})
+	}
+	if throughPeer {
+		return x.gateway.pool.getThroughPeer(a.ctx, r)
+	}
+	return x.gateway.pool.get(a.ctx, r)
 }
 
 // begin records the start of the attempt in the table, and announces the placement to the other gateways.
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -43,8 +43,17 @@
 	idleMargin        = time.Second
 	readBufferSize    = 4096
 	maxIdlePerBackend = 16
+	// maxIdleTunnel is how long a connection through a peer may be idle to be reused. It is short, as a peer that stops waits until the
+	// tunnels that it carries are closed.
+	maxIdleTunnel = 2 * time.Second
 )
 
+// idleKey says which connections may carry a request: those to an instance, directly or through peers.
+type idleKey struct {
+	instance    string
+	throughPeer bool
+}
+
 // errNoPath: no back end answers directly, and no peer reaches this one.
 var errNoPath = eris.New("neither a direct path nor one through another gateway")
 
@@ -73,14 +82,14 @@
 	return c.Conn.Close()
 }
 
-// pool keeps idle connections by instance ID, so that none is reused for another incarnation at the same address. It is
-// safe for concurrent use.
+// pool keeps idle connections by instance ID, so that none is reused for another incarnation at the same address. Those through
+// peers are used while a direct path is lost. It is safe for concurrent use.
 type pool struct {
 	dialer  net.Dialer // of direct connections
 	tunnels *tunnel.Dialer
 	now     clock.Source
 	mutex   sync.Mutex
-	idle    map[string][]*connection
+	idle    map[idleKey][]*connection
 
 	heads  transport.Account // of long heads of responses; nil without a limit on all together
 	onIdle func()            // called when a connection becomes idle
@@ -90,7 +99,7 @@
 }
 
 func newPool(source clock.Source) *pool {
-	p := &pool{now: clock.NewSource(source), idle: map[string][]*connection{}, onIdle: func() {}}
+	p := &pool{now: clock.NewSource(source), idle: map[idleKey][]*connection{}, onIdle: func() {}}
 	p.dialer = net.Dialer{
 		Timeout: dialTimeout, Control: setSocketOptions,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
@@ -147,15 +156,15 @@
 // before one is used while the path is lost or suspected to be.
 func (p *pool) get(ctx context.Context, r connectionRequest) (*connection, error) {
 	if r.paths == reachability.NewConnectionsLost {
-		if idle := p.reuse(r); idle != nil {
+		if idle := p.reuse(r, false); idle != nil {
 			return idle, nil
 		}
 	}
 	if !p.tunnels.MayBypass(r.address, r.pathSuspected || r.paths != reachability.Connected) {
 		return p.getOffPeers(ctx, r)
 	}
-	conn, err := p.getThroughPeer(ctx, r.address)
-	if err == nil || tunnel.IsRefused(err) {
+	conn, err := p.getThroughPeer(ctx, r)
+	if err == nil || tunnel.IsRefused(err) || errors.Is(err, errNoConnection) {
 		return conn, err
 	}
 	return p.getOffPeers(ctx, r)
@@ -169,15 +178,22 @@
 	return p.getDirect(ctx, r)
 }
 
-// getThroughPeer returns a connection through a peer.
-func (p *pool) getThroughPeer(ctx context.Context, address string) (*connection, error) {
-	dialed, err := p.tunnels.Bypass(ctx, address)
-	return p.newConnection(dialed, err, nil)
+// getThroughPeer is get through a peer.
+func (p *pool) getThroughPeer(ctx context.Context, r connectionRequest) (*connection, error) {
+	if idle := p.reuse(r, true); idle != nil {
+		return idle, nil
+	}
+	opened, err := r.open()
+	if err != nil {
+		return nil, err
+	}
+	dialed, err := p.tunnels.Bypass(ctx, r.address)
+	return p.newConnection(dialed, err, opened)
 }
 
 // getDirect is get on the direct path.
 func (p *pool) getDirect(ctx context.Context, r connectionRequest) (*connection, error) {
-	if idle := p.reuse(r); idle != nil {
+	if idle := p.reuse(r, false); idle != nil {
 		return idle, nil
 	}
 	opened, err := r.open()
@@ -188,11 +204,12 @@
 	return p.newConnection(dialed, err, opened)
 }
 
-// reuse takes an idle connection that the request may use, or returns nil.
-func (p *pool) reuse(r connectionRequest) *connection {
+// reuse takes an idle connection, directly or through a peer, that the request may use, or returns nil.
+func (p *pool) reuse(r connectionRequest, throughPeer bool) *connection {
 	maxIdle := p.idleLimit(r.maxIdle)
-	for idle := p.takeIdle(r.instance); idle != nil; idle = p.takeIdle(r.instance) {
-		if idle.isFresh(p.now(), maxIdle) && idle.isUsable() {
+	key := idleKey{r.instance, throughPeer}
+	for idle := p.takeIdle(key); idle != nil; idle = p.takeIdle(key) {
+		if idle.isFresh(p.now(), maxIdle) && idle.isUsable() && (!throughPeer || p.tunnels.IsProven(idle.peer)) {
 			idle.idleFor, idle.reused = p.now()-idle.lastUsedAt, true
 			return idle
 		}
@@ -232,32 +249,33 @@
 	}
 }
 
-// takeIdle removes and returns the most recently used idle connection of an instance, or nil.
-func (p *pool) takeIdle(instance string) *connection {
+// takeIdle removes and returns the most recently used idle connection, or nil.
+func (p *pool) takeIdle(key idleKey) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	idle := p.idle[instance]
+	idle := p.idle[key]
 	if len(idle) == 0 {
 		return nil
 	}
 	last := idle[len(idle)-1]
-	p.idle[instance] = idle[:len(idle)-1]
+	p.idle[key] = idle[:len(idle)-1]
 	return last
 }
 
 // hasIdle reports whether a connection to an instance has been idle for less than maxIdle, so that it may be reused.
 func (p *pool) hasIdle(instance string, maxIdle time.Duration) bool {
+	key := idleKey{instance, p.tunnels.IsDisconnected()}
 	maxIdle = p.idleLimit(maxIdle)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	idle := p.idle[instance]
+	idle := p.idle[key]
 	return len(idle) > 0 && idle[len(idle)-1].isFresh(p.now(), maxIdle)
 }
 
 // keep returns a connection to the pool after a response if request and response were transferred completely and it may carry
 // another request, and closes it otherwise. It reports whether it was kept.
 func (p *pool) keep(instance string, used *connection, response *http.Response, whole bool) (kept bool) {
-	if !whole || !transport.HasFraming(response) || used.peer != "" || !used.readKeepAlive(response) {
+	if !whole || !transport.HasFraming(response) || !used.readKeepAlive(response) {
 		_ = used.Close()
 		return false
 	}
@@ -268,10 +286,11 @@
 // put keeps a connection whose last response was read completely.
 func (p *pool) put(instance string, used *connection) {
 	used.lastUsedAt = p.now()
+	key := idleKey{instance, used.peer != ""}
 	p.mutex.Lock()
-	full := len(p.idle[instance]) >= maxIdlePerBackend
+	full := len(p.idle[key]) >= maxIdlePerBackend
 	if !full {
-		p.idle[instance] = append(p.idle[instance], used)
+		p.idle[key] = append(p.idle[key], used)
 	}
 	p.mutex.Unlock()
 	if full {
@@ -285,7 +304,7 @@
 func (p *pool) sweep() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for instance, idle := range p.idle {
+	for key, idle := range p.idle {
 		var remaining []*connection
 		for _, conn := range idle {
 			if conn.isFresh(p.now(), maxIdleRetryable) {
@@ -295,10 +314,25 @@
 			_ = conn.Close()
 		}
 		if len(remaining) == 0 {
-			delete(p.idle, instance)
+			delete(p.idle, key)
 			continue
 		}
-		p.idle[instance] = remaining
+		p.idle[key] = remaining
+	}
+}
+
+// closeTunnels closes the idle connections through peers.
+func (p *pool) closeTunnels() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for key, idle := range p.idle {
+		if !key.throughPeer {
+			continue
+		}
+		for _, conn := range idle {
+			_ = conn.Close()
+		}
+		delete(p.idle, key)
 	}
 }
 
@@ -307,6 +341,9 @@
 	if c.keepAliveTimeout > 0 {
 		maxIdle = min(maxIdle, c.keepAliveTimeout-idleMargin)
 	}
+	if c.peer != "" {
+		maxIdle = min(maxIdle, maxIdleTunnel)
+	}
 	return now-c.lastUsedAt < maxIdle
 }
 
@@ -315,6 +352,9 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	if tunneled, ok := c.Conn.(*tunnel.Conn); ok {
+		return tunneled.IsIdle()
+	}
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return false
--- a/internal/gateway/directpaths.go
+++ b/internal/gateway/directpaths.go
@@ -23,7 +23,9 @@
 		return
 	}
 	g.table.recordUnanswered(g.now(), a.row.entry.Address)
-	g.paths.suspect(a.row.entry.Address, true)
+	if g.paths.compares() {
+		g.paths.SuspectSilence(a.row.entry.Address, a.sentAt)
+	}
 }
 
 // recordUnanswered records that something which was sent to an address directly got no answer.
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -97,6 +97,8 @@
 	rosterConfirmedAt time.Duration
 	// lifeReplyTimes are the mean times of replies to the question for the incarnation, by service.
 	lifeReplyTimes map[string]time.Duration
+	// replyTimes are the mean times of replies to any question that takes a back end no time, by service.
+	replyTimes map[string]time.Duration
 	// firstByteTimes are the mean times until the first byte of a response, beyond what was predicted, by service.
 	firstByteTimes map[string]time.Duration
 }
@@ -108,7 +110,7 @@
 		lanes: map[string]*lanes{}, meanDurations: map[string]belief.MeanDuration{}, prefillEstimates: map[string]belief.PrefillEstimate{}, lastSent: map[string]time.Duration{}, admission: map[string]*admission.Controller{},
 		queueRates: map[string]*enginequeue.Rates{}, placed: map[string]placement{}, holders: map[string][]*endpoint{}, waiting: map[*attempt]struct{}{}, rosterChanged: newNotifier(), lastRetryAt: map[string]time.Duration{}, reservations: map[string]*reservation.Controller{},
 		software: map[string]*streamorigin.History{}, streamAges: map[string]knownAge{}, movedAt: map[string]time.Duration{}, minStreamAge: defaultMinStreamAge,
-		unanswered: map[string]unansweredRuns{}, lifeReplyTimes: map[string]time.Duration{}, firstByteTimes: map[string]time.Duration{},
+		unanswered: map[string]unansweredRuns{}, lifeReplyTimes: map[string]time.Duration{}, replyTimes: map[string]time.Duration{}, firstByteTimes: map[string]time.Duration{},
 	}
 }
 
--- a/internal/gateway/lifecheck.go
+++ b/internal/gateway/lifecheck.go
@@ -79,12 +79,15 @@
 		x.gateway.recordReply(conn, a.row, reply)
 		replies <- reply
 	}()
-	reply, err := a.awaitLifeReply(replies)
+	reply, err := a.awaitLifeReply(askedAt, replies)
 	switch {
 	case err == errPathLost:
 		x.gateway.awaitLateLifeReply(conn, a.row, replies, nil)
 		return err
 	case err != nil:
+		if conn.peer == "" && x.gateway.paths.IsProvenSince(askedAt) {
+			x.gateway.table.recordUnanswered(x.gateway.now(), a.row.entry.Address) // others have answered meanwhile
+		}
 		a.waitHandedOver = true
 		x.gateway.awaitLateLifeReply(conn, a.row, replies, a.wait)
 		return err
@@ -92,15 +95,17 @@
 	return x.gateway.applyLifeReply(conn, a.row, reply)
 }
 
-// isPathUnproven reports whether nothing shows that a request which is sent on the attempt's connection will arrive.
+// isPathUnproven reports whether a request that may run once only could be lost on the attempt's connection: back ends have answered
+// before, but not lately. Where requests are limited that is no sign.
 func (a *attempt) isPathUnproven() bool {
-	p := a.exchange.gateway.paths
-	return a.conn.peer == "" && p.compares() && !p.IsProven() && p.gateway.questionPath(a.row) != ""
+	x := a.exchange
+	g := x.gateway
+	return !x.route.Retryable() && a.conn.peer == "" && g.paths.compares() && g.paths.IsStale() && g.questionPath(a.row) != "" && !g.congestion.isLimited(x.service.Name)
 }
 
 // awaitLifeReply waits for the reply to a question. It returns errPathLost once the path that the question took is known to be lost,
 // and errLifeReplyLate if the reply doesn't come in time.
-func (a *attempt) awaitLifeReply(replies <-chan lifeReply) (lifeReply, error) {
+func (a *attempt) awaitLifeReply(askedAt time.Duration, replies <-chan lifeReply) (lifeReply, error) {
 	x := a.exchange
 	wait := time.NewTimer(a.lifeCheckWait())
 	defer wait.Stop()
@@ -116,8 +121,9 @@
 			return reply, nil
 		case <-changed:
 		case <-suspicion.C:
-			if a.conn.peer == "" {
-				x.gateway.paths.suspect(a.row.entry.Address, false)
+			suspicion.Reset(x.gateway.paths.patience(x.service.Name))
+			if a.conn.peer == "" && x.gateway.paths.compares() {
+				x.gateway.paths.Suspect(a.row.entry.Address, askedAt)
 			}
 		case <-wait.C:
 			return lifeReply{}, errLifeReplyLate
@@ -129,8 +135,11 @@
 
 // recordReply records what the reply to a question, or its lack, shows about the path that the question took.
 func (g *Gateway) recordReply(conn *connection, row *endpoint, reply lifeReply) {
+	if reply.err != nil && reply.err != errConnectionEnds {
+		return
+	}
+	g.table.recordReplyTime(row.entry.Service, g.now()-reply.askedAt)
 	switch {
-	case reply.err != nil && reply.err != errConnectionEnds:
 	case conn.peer != "":
 		g.dialer.RecordAnswer(conn.peer)
 	default:
@@ -145,6 +154,9 @@
 	if x.gateway.congestion.isLimited(x.service.Name) {
 		return x.deadline - x.gateway.now()
 	}
+	if !a.needsLifeCheck() && !a.conn.isUnchecked() { // only the path is unproven, and that of another back end isn't any better
+		return time.Duration(maxLifeCheckShare * float64(x.deadline-x.gateway.now()))
+	}
 	expected := lifeCheckFactor * x.gateway.table.lifeReplyTime(a.row)
 	left := time.Duration(maxLifeCheckShare * float64(x.deadline-x.gateway.now()))
 	if x.unreachableCount > 0 {
@@ -182,7 +194,7 @@
 		defer g.lateLifeChecks.Add(-1)
 		defer wait.end()
 		defer time.AfterFunc(countedLateTime, wait.end).Stop()
-		if err := g.applyLifeReply(conn, row, <-replies); err != nil || conn.peer != "" {
+		if err := g.applyLifeReply(conn, row, <-replies); err != nil {
 			_ = conn.Close()
 			return
 		}
@@ -247,6 +259,20 @@
 	return t.lifeReplyTimes[service]
 }
 
+// replyMean returns the mean time of a service's replies to questions that take no time by themselves, or 0.
+func (t *table) replyMean(service string) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.replyTimes[service]
+}
+
+// recordReplyTime records how long such a reply took.
+func (t *table) recordReplyTime(service string, took time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.replyTimes[service] += time.Duration(lifeReplySmoothing * float64(took-t.replyTimes[service]))
+}
+
 // lifeReplyTime returns how long replies to the question for the incarnation are expected to take: as long as the last one of
 // the back end, or the mean of its service if that is longer.
 func (t *table) lifeReplyTime(row *endpoint) time.Duration {
--- a/internal/gateway/opening.go
+++ b/internal/gateway/opening.go
@@ -96,7 +96,7 @@
 	if !c.gateway.enabled(mechanism.ConnectionWindow) || !service.Engine && service.HealthPath == "" {
 		return true
 	}
-	if c.gateway.dialer.LostCount() > 0 || c.gateway.paths.State() != reachability.Connected {
+	if state := c.gateway.paths.State(); state == reachability.NewConnectionsLost || state == reachability.Connected && c.gateway.dialer.LostCount() > 0 {
 		return true // connections without a response are those of lost paths
 	}
 	c.withConnections(service.Name, func(now time.Duration, s *connectionState) { allowed = s.window.Allows(now) })
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -20,9 +20,11 @@
 	// with those of peers. Where replies take longer, it is patienceFactor times their mean time.
 	minQuestionPatience = 75 * time.Millisecond
 	patienceFactor      = 3
-	// headPatience is how long a request may wait for the head of its response before a question is asked, if nothing else was answered
-	// that was sent as late.
-	headPatience = 250 * time.Millisecond
+	// minHeadPatience is how long a request may wait for the head of its response before a question is asked, if nothing else was
+	// answered that was sent as late. Where responses take longer, it is headPatienceFactor times their mean time. It is also the
+	// patience for questions before any was answered.
+	minHeadPatience    = 250 * time.Millisecond
+	headPatienceFactor = 1.5
 )
 
 // paths tells whether the gateway has lost its direct paths to all back ends, and makes requests go through peers meanwhile.
@@ -35,9 +37,9 @@
 func newPaths(g *Gateway) *paths {
 	p := &paths{gateway: g, changed: newNotifier()}
 	p.Paths = tunnel.NewPaths(tunnel.PathsConfig{
-		Dialer: g.dialer, Now: g.now, AskDirectly: p.askDirectly, Pick: p.pick, BackEnds: p.askableCount,
-		Patience:    func(address string) time.Duration { name, _ := g.table.serviceAt(address); return p.patience(name) },
-		IsCongested: g.isCongestedAt, OnLost: p.onLost, OnRestored: p.onRestored,
+		Dialer: g.dialer, Now: g.now, AskDirectly: p.askDirectly, AskAny: p.askAny, Pick: p.pick, BackEnds: p.askableCount,
+		Patience: p.patienceAt,
+		OnLost:   p.onLost, OnRestored: p.onRestored,
 	})
 	return p
 }
@@ -48,28 +50,32 @@
 	return hasPeers && p.gateway.enabled(mechanism.PathComparison)
 }
 
-// suspect begins a comparison of paths, unless one runs or is not due yet.
-func (p *paths) suspect(address string, asksFirst bool) {
-	if p.compares() {
-		p.Suspect(address, asksFirst)
-	}
-}
-
-// suspectLater suspects the path to an attempt's back end if no head comes for headPatience.
+// suspectLater suspects the path to an attempt's back end if no head comes for long.
 func (p *paths) suspectLater(a *attempt) *time.Timer {
 	if a.conn.peer != "" || !p.compares() {
 		return nil
 	}
-	return time.AfterFunc(headPatience, func() {
+	patience := time.Duration(headPatienceFactor * float64(p.gateway.congestion.meanWait(a.exchange.service.Name)))
+	return time.AfterFunc(max(minHeadPatience, patience), func() {
 		if a.awaitsHead.Load() && !p.IsProvenSince(a.sentAt) {
-			p.suspect(a.row.entry.Address, true)
+			p.SuspectSilence(a.row.entry.Address, a.sentAt)
 		}
 	})
 }
 
+// patienceAt is patience for the service of the back end at an address.
+func (p *paths) patienceAt(address string) time.Duration {
+	name, _ := p.gateway.table.serviceAt(address)
+	return p.patience(name)
+}
+
 // patience returns how long a reply to a question to a back end of a service may take before its path is compared with peers'.
 func (p *paths) patience(service string) time.Duration {
-	return max(minQuestionPatience, patienceFactor*p.gateway.table.lifeReplyMean(service))
+	mean := p.gateway.table.replyMean(service)
+	if mean == 0 {
+		return minHeadPatience
+	}
+	return max(minQuestionPatience, patienceFactor*mean)
 }
 
 // onLost makes requests go through peers. What waited on direct connections tells nothing of the back ends' capacity.
@@ -87,6 +93,7 @@
 }
 
 func (p *paths) onRestored() {
+	p.gateway.pool.closeTunnels()
 	p.gateway.log.info(events.PathsRestored)
 	p.notify()
 }
@@ -97,20 +104,42 @@
 	p.gateway.congestion.changed.Notify()
 }
 
-// askDirectly asks a back end a question on a direct connection, which is kept for requests.
-func (p *paths) askDirectly(ctx context.Context, address string, mayReuse bool) error {
-	g := p.gateway
-	row := g.table.rowAt(address)
-	if row == nil || g.questionPath(row) == "" {
+// askDirectly asks a back end a question on a new direct connection, which is kept for requests.
+func (p *paths) askDirectly(ctx context.Context, address string) error {
+	row := p.gateway.table.rowAt(address)
+	if row == nil {
 		return errNoQuestion
 	}
-	conn, err := p.questionConnection(ctx, row, mayReuse)
+	dialed, err := p.gateway.dialDirect(ctx, address)
 	if err != nil {
 		return err
 	}
-	askedAt := g.now()
+	return p.askOn(ctx, p.gateway.pool.wrap(dialed, "", nil), row)
+}
+
+// askAny asks a back end a question on an idle direct connection, if its service isn't short of capacity.
+func (p *paths) askAny(ctx context.Context) error {
+	for _, row := range p.gateway.table.readyRows() {
+		if p.gateway.questionPath(row) == "" || p.gateway.congestion.isLimited(row.entry.Service) {
+			continue
+		}
+		if idle := p.gateway.pool.reuse(connectionRequest{instance: row.entry.ID, maxIdle: maxIdleRetryable}, false); idle != nil {
+			return p.askOn(ctx, idle, row)
+		}
+	}
+	return errNoQuestion
+}
+
+// askOn asks a back end a question on a connection, which is kept for requests.
+func (p *paths) askOn(ctx context.Context, conn *connection, row *endpoint) error {
+	g := p.gateway
+	path, askedAt := g.questionPath(row), g.now()
+	if path == "" {
+		_ = conn.Close()
+		return errNoQuestion
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	reply := g.askForReply(conn, row, g.questionPath(row))
+	reply := g.askForReply(conn, row, path)
 	if !stop() {
 		return context.Cause(ctx)
 	}
@@ -127,35 +156,15 @@
 	return reply.err
 }
 
-// questionConnection returns a direct connection, an idle one if there is any and it may be used.
-func (p *paths) questionConnection(ctx context.Context, row *endpoint, mayReuse bool) (*connection, error) {
-	pool := p.gateway.pool
-	if mayReuse {
-		if idle := pool.reuse(connectionRequest{instance: row.entry.ID, maxIdle: maxIdleRetryable}); idle != nil {
-			return idle, nil
-		}
-	}
-	dialed, err := p.gateway.dialDirect(ctx, row.entry.Address)
-	if err != nil {
-		return nil, err
-	}
-	return pool.wrap(dialed, "", nil), nil
-}
-
-// pick returns back ends that can be asked a question, the one at the given address among them.
-func (p *paths) pick(first string, count int) (picked []string) {
+// pick returns up to a number of back ends that can be asked a question, in random order.
+func (p *paths) pick(count int) (picked []string) {
 	rows := p.gateway.table.readyRows()
-	rand.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
-	for _, row := range rows {
-		switch {
-		case p.gateway.questionPath(row) == "":
-		case row.entry.Address == first:
-			picked = append([]string{first}, picked...)
-		default:
-			picked = append(picked, row.entry.Address)
+	for _, i := range rand.Perm(len(rows)) {
+		if len(picked) < count && p.gateway.questionPath(rows[i]) != "" {
+			picked = append(picked, rows[i].entry.Address)
 		}
 	}
-	return picked[:min(count, len(picked))]
+	return picked
 }
 
 // askableCount returns the number of back ends that can be asked a question.
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -26,7 +26,7 @@
 		DialPeer: func(ctx context.Context, address string) (net.Conn, error) {
 			return peerDialer.DialContext(ctx, "tcp", address)
 		},
-		Verify: g.verifyTunnel, Disconnected: func() bool { return g.paths.IsDisconnected() },
+		Verify: g.verifyTunnel, Patience: func(address string) time.Duration { return g.paths.patienceAt(address) }, Disconnected: func() bool { return g.paths.IsDisconnected() },
 		OnLost: func(address, peer string, cause tunnel.Cause, triedAt time.Duration) {
 			if cause == tunnel.CauseDial {
 				g.paths.RecordUnreached(address, triedAt)
@@ -47,8 +47,8 @@
 func (g *Gateway) newTunnelServer() *tunnel.Server {
 	return tunnel.NewServer(tunnel.ServerConfig{
 		Token: g.settings.Token, Dial: g.dialDirect, IsBackend: g.isBackend, Refusal: g.tunnelRefusal, IsStopping: g.shutdown.draining.Load,
-		Alternatives: func() []string { return g.dialer.ProvenPeers(maxAlternatives) },
-		Observe:      func(outcome tunnel.Outcome) { g.metrics.tunnelsServed.WithLabelValues(string(outcome)).Inc() },
+		Proof: g.paths.Prove, Alternatives: func() []string { return g.dialer.ProvenPeers(maxAlternatives) },
+		Observe: func(outcome tunnel.Outcome) { g.metrics.tunnelsServed.WithLabelValues(string(outcome)).Inc() },
 	})
 }
 
@@ -66,9 +66,6 @@
 	case !isLost && g.isCongestedAt(address):
 		return tunnel.PathLost
 	}
-	if !g.paths.IsProven() {
-		g.paths.suspect(address, true) // this gateway may be cut off as well
-	}
 	return ""
 }
 
@@ -92,7 +89,12 @@
 	if path == "" {
 		return nil
 	}
-	return tunnel.Ask(ctx, conn, address, path)
+	askedAt := g.now()
+	err := tunnel.Ask(ctx, conn, address, path)
+	if err == nil {
+		g.table.recordReplyTime(row.entry.Service, g.now()-askedAt)
+	}
+	return err
 }
 
 // opensTunnels reports whether the gateway opens tunnels for others.
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -18,12 +18,13 @@
 	minUnreached = 2
 	// unreachedTTL is how long the result of a comparison counts.
 	unreachedTTL = 5 * time.Second
-	// provenTTL is how long an answer proves that the paths work.
-	provenTTL = time.Second
-	// minComparisonInterval and maxComparisonInterval bound the time between comparisons. It doubles with each that tells nothing,
-	// so that back ends out of capacity aren't asked by all processes over and over.
+	// staleAfter is after how long without an answer it isn't sure any more that the paths work.
+	staleAfter = 2 * time.Second
+	// minComparisonInterval and maxComparisonInterval bound the time between comparisons. It doubles with each false alarm, so that back
+	// ends out of capacity aren't asked by all processes over and over, and is short again after calmTime without any.
 	minComparisonInterval = 300 * time.Millisecond
-	maxComparisonInterval = 4 * time.Second
+	maxComparisonInterval = 2 * time.Second
+	calmTime              = 10 * time.Second
 )
 
 // State is which direct paths a process has.
@@ -46,9 +47,9 @@
 
 // Results of a comparison.
 const (
-	Unknown   Result = iota // neither the process nor its peers got a reply
-	Reached                 // the process got a reply
-	Unreached               // only a peer got a reply
+	Reached    Result = iota // a back end replied promptly, before peers were asked
+	FalseAlarm               // peers got no reply either, or the process got one after they were asked
+	Unreached                // only peers got replies
 )
 
 // Answered describes something that a back end answered directly.
@@ -66,6 +67,7 @@
 
 // Tracker holds what one process knows of its paths. It is not safe for concurrent use. All times are durations on one clock.
 type Tracker struct {
+	heardAt      time.Duration // when an answer last arrived
 	provenAt     time.Duration // when the latest thing was sent that was answered
 	provenNewAt  time.Duration // the same, of new connections
 	unreached    map[string]unreached
@@ -99,9 +101,9 @@
 	return Connected
 }
 
-// IsProven reports whether a back end answered something that was sent lately.
-func (t *Tracker) IsProven(now time.Duration) bool {
-	return t.provenAt > 0 && now-t.provenAt < provenTTL
+// IsStale reports whether answers have arrived, but none lately.
+func (t *Tracker) IsStale(now time.Duration) bool {
+	return t.heardAt > 0 && now-t.heardAt >= staleAfter
 }
 
 // IsProvenSince reports whether a back end answered something that was sent at a time or later.
@@ -110,8 +112,13 @@
 // UnansweredFor returns for how long nothing that was sent has been answered.
 func (t *Tracker) UnansweredFor(now time.Duration) time.Duration { return now - t.provenAt }
 
+// HasHeardSince reports whether any answer has arrived since a time. In a partition none does, while back ends that are out of capacity
+// go on with earlier requests.
+func (t *Tracker) HasHeardSince(at time.Duration) bool { return t.heardAt > 0 && t.heardAt >= at }
+
 // RecordAnswer records that one of a number of back ends began to answer directly.
-func (t *Tracker) RecordAnswer(a Answered, backEnds int) {
+func (t *Tracker) RecordAnswer(now time.Duration, a Answered, backEnds int) {
+	t.heardAt = max(t.heardAt, now)
 	t.provenAt = max(t.provenAt, a.SentAt)
 	if a.New {
 		t.provenNewAt = max(t.provenNewAt, a.SentAt)
@@ -171,6 +178,9 @@
 	if t.comparing || now < t.nextAt {
 		return false
 	}
+	if now-t.nextAt >= calmTime {
+		t.interval = minComparisonInterval
+	}
 	t.comparing = true
 	return true
 }
@@ -179,11 +189,11 @@
 func (t *Tracker) EndComparison(now time.Duration, result Result) {
 	t.comparing = false
 	switch result {
-	case Unknown:
+	case Reached:
+		t.nextAt = now + minComparisonInterval
+	case FalseAlarm:
 		t.nextAt = now + t.interval
 		t.interval = min(2*t.interval, maxComparisonInterval)
-	case Reached:
-		t.nextAt, t.interval = now+minComparisonInterval, minComparisonInterval
 	case Unreached:
 		t.nextAt, t.interval = now, minComparisonInterval
 	}
--- a/internal/reachability/tracker_test.go
+++ b/internal/reachability/tracker_test.go
@@ -35,7 +35,7 @@
 	o := m.draw(t)
 	o.isNew = rapid.Bool().Draw(t, "new")
 	m.observed = append(m.observed, o)
-	m.tracker.RecordAnswer(Answered{Address: o.address, SentAt: o.sentAt, New: o.isNew}, testBackEnds)
+	m.tracker.RecordAnswer(m.now, Answered{Address: o.address, SentAt: o.sentAt, New: o.isNew}, testBackEnds)
 	for _, state := range []State{NewConnectionsLost, Disconnected} {
 		if m.lostSince[state] > 0 && m.answeredSince(state) >= minUnreached {
 			m.lostSince[state] = 0
@@ -137,10 +137,10 @@
 		tracker.RecordUnreached(now, address, now-time.Second, testBackEnds)
 	}
 	for _, address := range []string{"a", "b", "c"} {
-		tracker.RecordAnswer(Answered{Address: address, SentAt: now - 2*time.Second, New: true}, testBackEnds)
+		tracker.RecordAnswer(now, Answered{Address: address, SentAt: now - 2*time.Second, New: true}, testBackEnds)
 	}
-	if tracker.State() != Disconnected || tracker.IsProven(now) {
-		t.Errorf("state %v, proven %t", tracker.State(), tracker.IsProven(now))
+	if tracker.State() != Disconnected || tracker.IsProvenSince(now-time.Second) {
+		t.Errorf("state %v, proven %t", tracker.State(), tracker.IsProvenSince(now-time.Second))
 	}
 }
 
@@ -151,7 +151,7 @@
 	if tracker.State() != Disconnected {
 		t.Fatalf("state %v", tracker.State())
 	}
-	tracker.RecordAnswer(Answered{Address: "a", SentAt: time.Minute + 1, New: true}, 1)
+	tracker.RecordAnswer(time.Minute+2, Answered{Address: "a", SentAt: time.Minute + 1, New: true}, 1)
 	if tracker.State() != Connected {
 		t.Fatalf("state %v", tracker.State())
 	}
@@ -165,7 +165,7 @@
 	for now := time.Minute; now < (1+minutes)*time.Minute; now += 10 * time.Millisecond {
 		if tracker.BeginComparison(now) {
 			count++
-			tracker.EndComparison(now, Unknown)
+			tracker.EndComparison(now, FalseAlarm)
 		}
 	}
 	if most := minutes*60/int(maxComparisonInterval.Seconds()) + 8; count > most {
--- a/internal/router/tunnels.go
+++ b/internal/router/tunnels.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,7 +79,7 @@
 	p.transport = tunnel.NewTransport(p.dialer, base, p.isSuspected)
 	p.Paths = tunnel.NewPaths(tunnel.PathsConfig{
 		Dialer: p.dialer, Now: now, AskDirectly: p.askDirectly, Pick: p.pick, BackEnds: p.backEndCount,
-		Patience: func(string) time.Duration { return pollPatience }, IsCongested: func(string) bool { return false },
+		Patience: func(string) time.Duration { return pollPatience },
 		OnLost: func(state reachability.State, unansweredFor time.Duration) {
 			p.transport.CloseIdleConnections()
 			log.Info(events.PathsLost, zap.Stringer("state", state), zap.Duration("unanswered_for", unansweredFor))
@@ -91,7 +90,7 @@
 }
 
 // askDirectly asks a back end for its state on a new direct connection.
-func (p *backendPaths) askDirectly(ctx context.Context, address string, _ bool) error {
+func (p *backendPaths) askDirectly(ctx context.Context, address string) error {
 	askedAt := p.now()
 	if err := tunnel.Probe(ctx, p.dialDirect, address, api.PathState); err != nil {
 		return err
@@ -100,17 +99,14 @@
 	return nil
 }
 
-// pick returns polled back ends, first among them if it is one.
-func (p *backendPaths) pick(first string, count int) (picked []string) {
+// pick returns up to a number of polled back ends, in random order.
+func (p *backendPaths) pick(count int) (picked []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, i := range rand.Perm(len(p.addresses)) {
+	for _, i := range rand.Perm(len(p.addresses))[:min(count, len(p.addresses))] {
 		picked = append(picked, p.addresses[i])
 	}
-	if i := slices.Index(picked, first); i >= 0 {
-		picked[0], picked[i] = picked[i], picked[0]
-	}
-	return picked[:min(count, len(picked))]
+	return picked
 }
 
 // setBackEnds replaces the addresses of the back ends.
@@ -133,7 +129,7 @@
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used = info }})
 	suspicion := time.AfterFunc(pollPatience, func() {
 		if !p.IsProvenSince(sentAt) {
-			p.Suspect(address, true)
+			p.Suspect(address, sentAt)
 		}
 	})
 	defer suspicion.Stop()
@@ -207,7 +203,7 @@
 func (s *Server) newTunnelServer(links *transport.LinkFilter) *tunnel.Server {
 	direct := transport.NewRoundTripper(links).DialContext
 	return tunnel.NewServer(tunnel.ServerConfig{
-		Token: s.file.ClusterToken, Alternatives: func() []string { return s.paths.dialer.ProvenPeers(maxAlternatives) }, IsBackend: s.isListed, Refusal: s.paths.refusal, IsStopping: s.draining.Load,
+		Token: s.file.ClusterToken, Proof: s.paths.Prove, Alternatives: func() []string { return s.paths.dialer.ProvenPeers(maxAlternatives) }, IsBackend: s.isListed, Refusal: s.paths.refusal, IsStopping: s.draining.Load,
 		Dial:    func(ctx context.Context, address string) (net.Conn, error) { return direct(ctx, "tcp", address) },
 		Observe: func(tunnel.Outcome) {},
 	})
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -7,17 +7,24 @@
 	"net/http"
 	"net/http/httputil"
 	"net/url"
+	"slices"
+	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 
 	"kitetiller/internal/transport"
 )
 
 const (
 	// Path is the path of requests that open a tunnel. Their query holds the address.
-	Path         = "/internal/v1/tunnel"
+	Path = "/internal/v1/tunnel"
+	// PathProof is the path of the question whether back ends answer a peer what was sent within a time, in the query in milliseconds.
+	PathProof    = "/internal/v1/tunnel/proof"
+	queryWithin  = "within"
 	queryAddress = "address"
 	queryLost    = "lost" // "1" if the path of the process that asks is known to be lost
 	protocol     = "kitetiller-tunnel"
@@ -38,6 +45,8 @@
 	Stopping    Outcome = "stopping"    // the peer is shutting down
 	// Disconnected: the peer has no direct path to any back end.
 	Disconnected Outcome = "disconnected"
+	// Proven is the outcome of the question whether back ends answer the peer, if they do. Unknown and Disconnected are others.
+	Proven Outcome = "proven"
 	// Silent is the outcome of a tunnel that was opened, through which the back end answers nothing. It is never sent.
 	Silent Outcome = "silent"
 )
@@ -59,7 +68,37 @@
 // Conn is the client's end of a tunnel.
 type Conn struct {
 	net.Conn
-	received io.Reader // decodes chunks
+	reader   *bufio.Reader // of what the peer sends
+	received io.Reader     // decodes chunks
+}
+
+// IsIdle reports whether the tunnel is open and has nothing left to read but the end of a chunk, so that another request may be sent
+// through it.
+func (c *Conn) IsIdle() bool {
+	left, _ := c.reader.Peek(c.reader.Buffered())
+	pending, open := peek(c.Conn)
+	left = append(slices.Clone(left), pending...)
+	return open && strings.HasSuffix("\r\n", string(left))
+}
+
+// peek returns the first bytes that a connection has received and that are not read yet, and whether it is open.
+func peek(conn net.Conn) (pending []byte, open bool) {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil, false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return nil, false
+	}
+	buffer := make([]byte, len("\r\n")+1)
+	err = raw.Read(func(descriptor uintptr) bool {
+		count, _, errno := unix.Recvfrom(int(descriptor), buffer, unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		open = errno == unix.EAGAIN || errno == nil && count > 0
+		pending = buffer[:max(0, count)]
+		return true
+	})
+	return pending, err == nil && open
 }
 
 // Read reads bytes of the back end. It returns io.EOF only if the back end ended its stream in order.
@@ -78,35 +117,68 @@
 	if asked.isLost {
 		query.Set(queryLost, "1")
 	}
-	request, err := http.NewRequest(http.MethodGet, "http://"+conn.RemoteAddr().String()+Path+"?"+query.Encode(), nil)
+	request, err := newRequest(conn, Path, query, asked.token)
 	if err != nil {
-		return nil, eris.Wrap(err, "create tunnel request")
+		return nil, err
 	}
 	request.Header.Set("Connection", "Upgrade")
 	request.Header.Set("Upgrade", protocol)
-	if asked.token != "" {
-		request.Header.Set("Authorization", bearerPrefix+asked.token)
+	response, reader, err := exchange(conn, request)
+	if err != nil {
+		return nil, err
 	}
-	if err := request.Write(conn); err != nil {
+	if response.StatusCode != http.StatusSwitchingProtocols {
+		return nil, outcomeOf(response)
+	}
+	_ = conn.SetDeadline(time.Time{})
+	return &Conn{Conn: conn, reader: reader, received: httputil.NewChunkedReader(reader)}, nil
+}
+
+// askProof asks the peer at the other end of a connection whether back ends answer it what was sent within a time.
+func askProof(conn net.Conn, token string, within time.Duration) (*OutcomeError, error) {
+	request, err := newRequest(conn, PathProof, url.Values{queryWithin: {strconv.FormatInt(within.Milliseconds(), 10)}}, token)
+	if err != nil {
+		return nil, err
+	}
+	response, _, err := exchange(conn, request)
+	if err != nil {
 		return nil, err
 	}
+	return outcomeOf(response), nil
+}
+
+// newRequest returns a request to the peer at the other end of a connection.
+func newRequest(conn net.Conn, path string, query url.Values, token string) (*http.Request, error) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+conn.RemoteAddr().String()+path+"?"+query.Encode(), nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "create request to a peer")
+	}
+	if token != "" {
+		request.Header.Set("Authorization", bearerPrefix+token)
+	}
+	return request, nil
+}
+
+// exchange sends a request to a peer and reads the head of the response.
+func exchange(conn net.Conn, request *http.Request) (*http.Response, *bufio.Reader, error) {
+	if err := request.Write(conn); err != nil {
+		return nil, nil, err
+	}
 	head := transport.NewHeadReader(conn)
 	head.ExpectSwitch()
 	head.BeginHead()
 	reader := bufio.NewReader(head)
 	response, err := http.ReadResponse(reader, request)
 	if err != nil {
-		return nil, head.Explain(err)
+		return nil, nil, head.Explain(err)
 	}
 	head.EndHead()
-	if err := transport.CheckHead(response, outcomeHeader); err != nil {
-		return nil, err
-	}
-	if response.StatusCode != http.StatusSwitchingProtocols {
-		return nil, &OutcomeError{Outcome(response.Header.Get(outcomeHeader)), splitAddresses(response.Header.Get(alternativesHeader))}
-	}
-	_ = conn.SetDeadline(time.Time{})
-	return &Conn{Conn: conn, received: httputil.NewChunkedReader(reader)}, nil
+	return response, reader, transport.CheckHead(response, outcomeHeader)
+}
+
+// outcomeOf returns the outcome that a response states.
+func outcomeOf(response *http.Response) *OutcomeError {
+	return &OutcomeError{Outcome(response.Header.Get(outcomeHeader)), splitAddresses(response.Header.Get(alternativesHeader))}
 }
 
 // splitAddresses returns the addresses of a header that lists them.
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -17,8 +17,8 @@
 	// a peer may take before the next one is asked. They are multiples of the round trip to another zone.
 	directHeadStart = 75 * time.Millisecond
 	peerHeadStart   = 100 * time.Millisecond
-	// comparisonHeadStart is peerHeadStart for the question whether an address is reached at all.
-	comparisonHeadStart = 30 * time.Millisecond
+	// maxProofPeers is how many peers are asked at once whether back ends answer them.
+	maxProofPeers = 8
 	// maxPeersAsked bounds the peers asked for one connection, besides those that lack a path themselves.
 	maxPeersAsked = 3
 	// maxPeersDialed bounds them together with those.
@@ -42,6 +42,8 @@
 	// ErrConnectionEnds if that ended the connection. It is called for the first connection through a peer which isn't known to have
 	// paths. A peer that is cut off connects as well, if something between accepts connections. nil: peers aren't checked.
 	Verify func(ctx context.Context, conn net.Conn, address string) error
+	// Patience returns how long the reply to such a question may take before another peer is asked as well. nil: peerHeadStart.
+	Patience func(address string) time.Duration
 	// Disconnected reports whether the direct paths to all back ends are lost. nil: they never are.
 	Disconnected func() bool
 	// Peers returns the addresses at which other processes open tunnels, in groups, nearest first.
@@ -100,14 +102,14 @@
 // MayBypass reports whether peers are to be asked for an address whose direct path is lost or suspected to be. They are not while
 // none of them could help.
 func (d *Dialer) MayBypass(address string, suspected bool) bool {
-	suspected = suspected || d.isDisconnected()
+	suspected = suspected || d.IsDisconnected()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return (suspected || d.table.IsLost(address)) && !d.table.Failed(d.config.Now(), address)
 }
 
-// isDisconnected reports whether the direct paths to all back ends are lost.
-func (d *Dialer) isDisconnected() bool {
+// IsDisconnected reports whether the direct paths to all back ends are lost.
+func (d *Dialer) IsDisconnected() bool {
 	return d.config.Disconnected != nil && d.config.Disconnected()
 }
 
@@ -168,7 +170,7 @@
 // peers.
 func (d *Dialer) Bypass(ctx context.Context, address string) (Dialed, error) {
 	triedAt := d.config.Now()
-	disconnected, lost := d.isDisconnected(), d.IsLost(address)
+	disconnected, lost := d.IsDisconnected(), d.IsLost(address)
 	if lost && !disconnected {
 		d.probeIfDue(address)
 	}
@@ -184,19 +186,49 @@
 	return dialed, err
 }
 
-// AskPeers reports whether a back end answers through a peer, and which one.
-func (d *Dialer) AskPeers(ctx context.Context, address string) (peer string, err error) {
-	dialed, err := d.dialPeers(ctx, address, peerDial{headStart: comparisonHeadStart, verifies: true})
-	if err != nil {
-		return "", err
+// anyAddress stands for all addresses in what is recorded of peers.
+const anyAddress = ""
+
+// AskProof asks some peers at once whether back ends answer them what was sent within a time, and reports whether they do for any.
+func (d *Dialer) AskProof(ctx context.Context, within time.Duration) bool {
+	candidates, _ := d.candidates(anyAddress)
+	candidates = candidates[:min(len(candidates), maxProofPeers)]
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	proofs := make(chan bool, len(candidates))
+	for _, peer := range candidates {
+		go func() { proofs <- d.askProof(ctx, peer, within) }()
 	}
-	_ = dialed.Close()
-	return dialed.Peer, nil
+	for range candidates {
+		if <-proofs {
+			return true
+		}
+	}
+	return false
 }
 
-// RecordLost records that an address, to which a direct connection was tried from a time on, is reached through a peer only.
-func (d *Dialer) RecordLost(address, peer string, triedAt time.Duration) {
-	d.recordLost(address, peer, CauseSilent, triedAt)
+// askProof asks one peer whether back ends answer it.
+func (d *Dialer) askProof(ctx context.Context, peer string, within time.Duration) bool {
+	conn, err := d.config.DialPeer(ctx, peer)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	outcome, err := askProof(conn, d.config.Token, within)
+	if err != nil {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch outcome.Outcome {
+	case Disconnected:
+		d.table.RecordDisconnected(d.config.Now(), peer, outcome.Alternatives)
+	case Unknown:
+		d.table.RecordRefusal(d.config.Now(), peer, anyAddress) // others are asked first next time
+	}
+	return outcome.Outcome == Proven
 }
 
 // Refuses reports whether nothing listens at an address.
@@ -401,6 +433,9 @@
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	results := make(chan dialResult, maxPeersDialed)
 	failure := &peersError{allRefused: len(candidates) > 0, last: errNoPeers}
+	if d.config.Patience != nil && how.headStart > 0 {
+		how.headStart = max(how.headStart, d.config.Patience(address))
+	}
 	running, asked, next := 0, 0, 0
 	for {
 		var nextDue <-chan time.Time
@@ -479,7 +514,7 @@
 // proven.
 func (d *Dialer) openTunnel(ctx context.Context, peer, address string, verifies bool) (Dialed, error) {
 	dialed, err := d.openUnverified(ctx, peer, address)
-	if err != nil || d.config.Verify == nil || !verifies && d.isProven(peer) {
+	if err != nil || d.config.Verify == nil || !verifies && d.IsProven(peer) {
 		return dialed, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = dialed.Close() })
@@ -504,7 +539,8 @@
 	return Dialed{}, &OutcomeError{Outcome: Silent}
 }
 
-func (d *Dialer) isProven(peer string) bool {
+// IsProven reports whether a back end answered through a peer lately.
+func (d *Dialer) IsProven(peer string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.table.IsProven(d.config.Now(), peer)
@@ -519,7 +555,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	deadline, _ := ctx.Deadline()
-	opened, err := open(conn, openRequest{token: d.config.Token, address: address, isLost: d.isDisconnected() || d.IsLost(address)}, deadline)
+	opened, err := open(conn, openRequest{token: d.config.Token, address: address, isLost: d.IsDisconnected() || d.IsLost(address)}, deadline)
 	if !stop() && err == nil {
 		err = context.Cause(ctx) // the connection is being closed
 	}
--- a/internal/tunnel/helpers_test.go
+++ b/internal/tunnel/helpers_test.go
@@ -51,6 +51,7 @@
 	// disconnected peers lack all paths, and name another peer.
 	disconnected atomic.Bool
 	alternative  string
+	paths        *Paths      // of the peer itself; nil: back ends always answer it, unless silent is set
 	silent       atomic.Bool // it connects to back ends, but nothing gets through
 	stopping     atomic.Bool
 	refuses      atomic.Bool // its direct connections are refused
@@ -61,7 +62,7 @@
 	p := &testPeer{}
 	p.server = NewServer(ServerConfig{
 		Token: testToken, IsBackend: func(address string) bool { return address != "" }, Refusal: p.refusal,
-		IsStopping: p.stopping.Load, Observe: func(Outcome) {}, Alternatives: func() []string { return []string{p.alternative} },
+		IsStopping: p.stopping.Load, Observe: func(Outcome) {}, Proof: p.proof, Alternatives: func() []string { return []string{p.alternative} },
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			if p.refuses.Load() {
 				return nil, syscall.ECONNREFUSED
@@ -80,6 +81,19 @@
 	return p
 }
 
+// proof returns what the peer says of its own paths.
+func (p *testPeer) proof(ctx context.Context, within time.Duration) Outcome {
+	switch {
+	case p.disconnected.Load():
+		return Disconnected
+	case p.paths != nil:
+		return p.paths.Prove(ctx, within)
+	case p.silent.Load():
+		return Unknown
+	}
+	return Proven
+}
+
 // refusal returns why the peer opens no tunnel, or "".
 func (p *testPeer) refusal(string, bool) Outcome {
 	switch {
--- a/internal/tunnel/paths.go
+++ b/internal/tunnel/paths.go
@@ -9,30 +9,33 @@
 )
 
 const (
-	// comparedBackEnds is how many back ends a comparison asks at once.
-	comparedBackEnds = 2
 	// restoreInterval is how often a back end is asked directly while paths are lost, and restoreTimeout bounds each question.
 	restoreInterval = time.Second
 	restoreTimeout  = 3 * time.Second
 	// maxRestoreQuestions is how many are asked one after the other once one has replied.
 	maxRestoreQuestions = 4
-	// comparisonTimeout bounds a direct question of a comparison.
-	comparisonTimeout = 15 * time.Second
+	// questionTimeout bounds a direct question whose reply nobody waits for any more.
+	questionTimeout = 15 * time.Second
+	// minProofInterval is the least time between questions that are asked because peers want to know whether back ends answer.
+	// proofTimeout is how long a peer waits for that at most, and proofPolls how often it is looked for.
+	minProofInterval = 500 * time.Millisecond
+	proofTimeout     = 200 * time.Millisecond
+	proofPolls       = 20
 )
 
 // PathsConfig connects Paths to its process.
 type PathsConfig struct {
 	Dialer *Dialer
 	Now    func() time.Duration
-	// AskDirectly asks a back end a question that takes it no time on a direct connection, and returns once it has replied. It reports
-	// the reply to RecordAnswer. If mayReuse is set, the connection may be one that is open.
-	AskDirectly func(ctx context.Context, address string, mayReuse bool) error
-	// Pick returns up to a number of back ends that can be asked, first among them if it can.
-	Pick func(first string, count int) []string
+	// AskDirectly asks a back end a question that takes it no time on a new direct connection, and returns once it has replied. It
+	// reports the reply to RecordAnswer.
+	AskDirectly func(ctx context.Context, address string) error
+	// AskAny does the same for any back end to which a direct connection is open and idle. It fails if there is none. nil: there never is.
+	AskAny func(ctx context.Context) error
+	// Pick returns up to a number of back ends that can be asked, in random order.
+	Pick func(count int) []string
 	// Patience returns how long a direct reply of a back end may take before peers are asked as well.
 	Patience func(address string) time.Duration
-	// IsCongested reports whether a back end's service is short of capacity, so that comparisons take as little of it as they can.
-	IsCongested func(address string) bool
 	// BackEnds returns the number of back ends that can be asked.
 	BackEnds func() int
 	// OnLost and OnRestored are called when the paths to all back ends are lost or restored.
@@ -41,7 +44,7 @@
 }
 
 // Paths finds out whether a process has lost its direct paths to all back ends, by comparing what it hears of them with what peers
-// hear. It is safe for concurrent use.
+// hear. Back ends get few questions for that: most peers know without asking. It is safe for concurrent use.
 type Paths struct {
 	config PathsConfig
 	ctx    context.Context
@@ -49,6 +52,8 @@
 
 	mu      sync.Mutex
 	tracker *reachability.Tracker // guarded by mu
+	// nextProof is when a back end may be asked again because a peer wants to know whether any answers. It is guarded by mu.
+	nextProof time.Duration
 }
 
 // NewPaths returns the Paths of a process that has lost none. Close ends what runs in the background.
@@ -71,11 +76,18 @@
 // IsDisconnected reports whether nothing that is sent directly is answered.
 func (p *Paths) IsDisconnected() bool { return p.State() == reachability.Disconnected }
 
-// IsProven reports whether a back end answered directly lately.
-func (p *Paths) IsProven() bool {
+// IsStale reports whether direct answers have arrived, but none lately.
+func (p *Paths) IsStale() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.tracker.IsProven(p.config.Now())
+	return p.tracker.IsStale(p.config.Now())
+}
+
+// HasHeardSince reports whether any direct answer has arrived since a time.
+func (p *Paths) HasHeardSince(at time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tracker.HasHeardSince(at)
 }
 
 // IsProvenSince reports whether a back end answered something that was sent directly at a time or later.
@@ -92,8 +104,8 @@
 	if p.State() != reachability.Connected {
 		backEnds = p.config.BackEnds()
 	}
-	p.record(func(_ time.Duration, t *reachability.Tracker) {
-		t.RecordAnswer(reachability.Answered{Address: address, SentAt: sentAt, New: isNew}, backEnds)
+	p.record(func(now time.Duration, t *reachability.Tracker) {
+		t.RecordAnswer(now, reachability.Answered{Address: address, SentAt: sentAt, New: isNew}, backEnds)
 	})
 }
 
@@ -150,95 +162,138 @@
 func (p *Paths) askUntilRestored() {
 	ctx, cancel := context.WithTimeout(p.ctx, restoreTimeout)
 	defer cancel()
-	for _, address := range p.config.Pick("", maxRestoreQuestions) {
-		if p.State() == reachability.Connected || p.config.AskDirectly(ctx, address, false) != nil {
+	for _, address := range p.config.Pick(maxRestoreQuestions) {
+		if p.State() == reachability.Connected || p.config.AskDirectly(ctx, address) != nil {
 			return
 		}
 	}
 }
 
-// Suspect compares the path to a back end, which has left something without an answer, with those of peers. If asksFirst is set, it is
-// asked directly before that, since what it left without an answer may take it long.
-func (p *Paths) Suspect(address string, asksFirst bool) {
+// Suspect finds out whether the process has lost its paths, since a question that was sent directly to a back end at sentAt, on a new
+// connection, got no prompt reply.
+func (p *Paths) Suspect(address string, sentAt time.Duration) {
+	p.begin(sentAt, func() reachability.Result { return p.compare(address, sentAt) })
+}
+
+// SuspectSilence is Suspect for a request without an answer, which may take the back end long. So another one is asked a question
+// first, if that takes no new connection.
+func (p *Paths) SuspectSilence(address string, sentAt time.Duration) {
+	p.begin(sentAt, func() reachability.Result {
+		if p.answersInTime(address, p.config.AskAny) {
+			return reachability.Reached
+		}
+		return p.compare(address, sentAt)
+	})
+}
+
+// begin runs a comparison in the background, unless an answer has arrived since something was sent, one runs, none is due yet, or the
+// paths are known to be lost.
+func (p *Paths) begin(sentAt time.Duration, compare func() reachability.Result) {
 	p.mu.Lock()
-	begins := p.tracker.State() != reachability.Disconnected && p.tracker.BeginComparison(p.config.Now())
+	begins := p.tracker.State() != reachability.Disconnected && !p.tracker.HasHeardSince(sentAt) && p.tracker.BeginComparison(p.config.Now())
 	p.mu.Unlock()
 	if !begins {
 		return
 	}
 	go func() {
-		result := p.compare(address, asksFirst)
+		result := compare()
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.tracker.EndComparison(p.config.Now(), result)
 	}()
 }
 
-// compare asks a back end, and mostly a second one, directly and through peers, and records what that shows.
-func (p *Paths) compare(first string, asksFirst bool) reachability.Result {
-	if asksFirst && p.answersInTime(first) {
-		return reachability.Reached
+// compare asks peers whether back ends answer them, and if so a second back end directly.
+func (p *Paths) compare(first string, sentAt time.Duration) reachability.Result {
+	if !p.config.Dialer.AskProof(p.ctx, p.config.Now()-sentAt) {
+		return reachability.FalseAlarm
 	}
-	count := comparedBackEnds
-	if p.config.IsCongested(first) {
-		count = 1
+	second, secondAt := p.other(first), p.config.Now()
+	// The second question gets as much time as the first one had, and the patience for a new connection besides.
+	if second != "" && p.answersWithin(secondAt-sentAt+p.config.Patience(second), p.question(second)) || p.HasHeardSince(sentAt) {
+		return reachability.FalseAlarm
 	}
-	picked := p.config.Pick(first, count)
-	results := make(chan reachability.Result, len(picked))
-	for _, address := range picked {
-		go func() { results <- p.compareAt(address) }()
+	p.RecordUnreached(first, sentAt)
+	if second != "" {
+		p.RecordUnreached(second, secondAt)
 	}
-	best := reachability.Unknown
-	for range picked {
-		best = max(best, <-results)
+	return reachability.Unreached
+}
+
+// other returns a back end that can be asked, other than the given one, or "".
+func (p *Paths) other(first string) string {
+	for _, address := range p.config.Pick(2) {
+		if address != first {
+			return address
+		}
 	}
-	return best
+	return ""
+}
+
+// question returns a function that asks a back end on a new connection.
+func (p *Paths) question(address string) func(ctx context.Context) error {
+	return func(ctx context.Context) error { return p.config.AskDirectly(ctx, address) }
 }
 
-// ask asks a back end directly. The question goes on if nobody waits for the reply any more.
-func (p *Paths) ask(address string, mayReuse bool) <-chan error {
+// answersInTime reports whether a question is answered within the patience for a back end. A nil question isn't.
+func (p *Paths) answersInTime(address string, ask func(ctx context.Context) error) bool {
+	return ask != nil && p.answersWithin(p.config.Patience(address), ask)
+}
+
+// answersWithin reports whether a question is answered within a time. The question goes on after that.
+func (p *Paths) answersWithin(patience time.Duration, ask func(ctx context.Context) error) bool {
 	replied := make(chan error, 1)
 	go func() {
-		ctx, cancel := context.WithTimeout(p.ctx, comparisonTimeout)
+		ctx, cancel := context.WithTimeout(p.ctx, questionTimeout)
 		defer cancel()
-		replied <- p.config.AskDirectly(ctx, address, mayReuse)
+		replied <- ask(ctx)
 	}()
-	return replied
-}
-
-// answersInTime reports whether a back end replies directly within the patience for it.
-func (p *Paths) answersInTime(address string) bool {
 	select {
-	case err := <-p.ask(address, true):
+	case err := <-replied:
 		return err == nil
-	case <-time.After(p.config.Patience(address)):
+	case <-time.After(patience):
 		return false
 	}
 }
 
-// compareAt asks one back end directly and through peers.
-func (p *Paths) compareAt(address string) reachability.Result {
-	askedAt := p.config.Now()
-	direct := p.ask(address, false)
-	peer, err := p.config.Dialer.AskPeers(p.ctx, address)
-	if err != nil {
-		return reachability.Unknown
+// Prove reports for a peer whether back ends answer this process: something that was sent directly within the given time was answered,
+// or a question is that is asked now on an idle connection. It asks few.
+func (p *Paths) Prove(ctx context.Context, within time.Duration) Outcome {
+	now := p.config.Now()
+	p.mu.Lock()
+	state, isProven := p.tracker.State(), p.tracker.IsProvenSince(now-within)
+	asks := !isProven && p.config.AskAny != nil && now >= p.nextProof
+	if asks {
+		p.nextProof = now + minProofInterval
 	}
-	// The direct reply may take as long as the peer's, and the usual time besides.
-	patience := p.config.Patience(address)
-	select {
-	case err := <-direct:
-		if err == nil && p.config.Now()-askedAt <= patience {
-			return reachability.Reached
+	p.mu.Unlock()
+	switch {
+	case state == reachability.Disconnected:
+		return Disconnected
+	case isProven:
+		return Proven
+	}
+	if asks {
+		go p.prove()
+	}
+	for range proofPolls {
+		select {
+		case <-ctx.Done():
+			return Unknown
+		case <-time.After(proofTimeout / proofPolls):
 		}
-		if err == nil {
-			return reachability.Unknown // it is late for everybody
+		if p.IsProvenSince(now - within) {
+			return Proven
 		}
-	case <-time.After(patience + p.config.Now() - askedAt):
 	}
-	p.config.Dialer.RecordLost(address, peer, askedAt)
-	p.RecordUnreached(address, askedAt)
-	return reachability.Unreached
+	return Unknown
+}
+
+// prove asks a back end on an idle connection, so that the reply shows whether any answers.
+func (p *Paths) prove() {
+	ctx, cancel := context.WithTimeout(p.ctx, questionTimeout)
+	defer cancel()
+	_ = p.config.AskAny(ctx)
 }
 
 // Sweep removes expired results of comparisons.
--- a/internal/tunnel/paths_test.go
+++ b/internal/tunnel/paths_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -43,7 +44,7 @@
 	c.config.Disconnected = func() bool { return c.paths.IsDisconnected() }
 	c.paths = NewPaths(PathsConfig{
 		Dialer: c.Dialer, Now: c.config.Now, BackEnds: func() int { return len(c.backends) },
-		AskDirectly: func(ctx context.Context, address string, _ bool) error {
+		AskDirectly: func(ctx context.Context, address string) error {
 			askedAt := c.config.Now()
 			err := Probe(ctx, c.dial, address, "/state")
 			if err == nil {
@@ -51,19 +52,13 @@
 			}
 			return err
 		},
-		Pick: func(first string, count int) []string {
-			picked := []string{first}
-			for _, i := range rand.Perm(len(c.backends)) {
-				if c.backends[i] != first {
-					picked = append(picked, c.backends[i])
-				}
+		Pick: func(count int) (picked []string) {
+			for _, i := range rand.Perm(len(c.backends))[:count] {
+				picked = append(picked, c.backends[i])
 			}
-			if first == "" {
-				picked = picked[1:]
-			}
-			return picked[:count]
+			return picked
 		},
-		Patience: func(string) time.Duration { return 100 * time.Millisecond }, IsCongested: func(string) bool { return false },
+		Patience:   func(string) time.Duration { return 100 * time.Millisecond },
 		OnLost:     func(state reachability.State, _ time.Duration) { c.note(state.String()) },
 		OnRestored: func() { c.note("connected") },
 	})
@@ -91,7 +86,7 @@
 	client := newPathClient(t, cutOff[0], newTestPeer(t), cutOff[1], newTestPeer(t))
 	client.cut.Store(true)
 	waitFor(t, func() bool {
-		client.paths.Suspect(client.backends[0], true)
+		client.paths.Suspect(client.backends[0], client.config.Now()-100*time.Millisecond)
 		return client.paths.IsDisconnected()
 	})
 	for _, address := range client.backends {
@@ -116,21 +111,49 @@
 
 // Back ends that reply late to everybody aren't taken for lost paths, and aren't asked over and over.
 func TestLateBackEndsAreNoLostPaths(t *testing.T) {
-	client := newPathClient(t, newTestPeer(t), newTestPeer(t))
-	client.delay.Store(int64(300 * time.Millisecond))
+	peer := newTestPeer(t)
+	other := newPathClient(t)
+	peer.paths = other.paths
+	client := newPathClient(t, peer)
+	for _, c := range []*pathClient{client, other} {
+		c.delay.Store(int64(300 * time.Millisecond))
+		if err := c.paths.config.AskDirectly(t.Context(), c.backends[1]); err != nil {
+			t.Fatal(err)
+		}
+	}
 	const tries = 40
 	for range tries {
-		client.paths.Suspect(client.backends[0], true)
+		client.paths.Suspect(client.backends[0], client.config.Now()-100*time.Millisecond)
 		time.Sleep(50 * time.Millisecond)
 	}
 	if state := client.paths.State(); state != reachability.Connected || client.LostCount() > 0 {
 		t.Errorf("state %v, %d paths lost", state, client.LostCount())
 	}
-	if connections := client.direct.Load(); connections > tries/2 {
+	if connections := client.direct.Load() + other.direct.Load(); connections > tries/2 {
 		t.Errorf("%d direct connections", connections)
 	}
 }
 
+// A process proves for a peer that back ends answer it, by what it sent itself or by a question, and can't once it is cut off.
+func TestProofFollowsAnswers(t *testing.T) {
+	client := newPathClient(t, newTestPeer(t))
+	client.paths.config.AskAny = func(ctx context.Context) error { return client.paths.config.AskDirectly(ctx, client.backends[1]) }
+	if outcome := client.paths.Prove(t.Context(), 0); outcome != Proven {
+		t.Fatalf("got %q, want %q", outcome, Proven)
+	}
+	client.cut.Store(true)
+	if outcome := client.paths.Prove(t.Context(), time.Minute); outcome != Proven {
+		t.Errorf("got %q of what was answered before, want %q", outcome, Proven)
+	}
+	if outcome := client.paths.Prove(t.Context(), 0); outcome != Unknown {
+		t.Errorf("got %q, want %q", outcome, Unknown)
+	}
+	waitFor(t, func() bool {
+		client.paths.Suspect(client.backends[0], client.config.Now()-100*time.Millisecond)
+		return client.paths.Prove(t.Context(), 0) == Disconnected
+	})
+}
+
 // A process of which seven of eight peers are cut off is led by them to the one that has paths, even if it wasn't told of it.
 func TestDisconnectedPeersNameOthers(t *testing.T) {
 	sound := newTestPeer(t)
@@ -143,10 +166,45 @@
 	peers[3].alternative = sound.address
 	client := newPathClient(t, peers...)
 	client.cut.Store(true)
-	peer, err := client.AskPeers(t.Context(), client.backends[0])
-	if err != nil || peer != sound.address {
-		t.Fatalf("asked %q, %v, want %q", peer, err, sound.address)
+	dialed, err := client.Bypass(t.Context(), client.backends[0])
+	if err != nil || dialed.Peer != sound.address {
+		t.Fatalf("dialed %q, %v, want %q", dialed.Peer, err, sound.address)
+	}
+	_ = dialed.Close()
+}
+
+// A tunnel carries several requests, and is idle after each, until the back end or the peer ends it.
+func TestTunnelIsUsedAgain(t *testing.T) {
+	client := newPathClient(t, newTestPeer(t))
+	client.config.DialPeer = func(ctx context.Context, address string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/last" {
+			w.Header().Set("Connection", "close")
+		}
+		_, _ = io.WriteString(w, strings.Repeat("x", 3*bufferSize))
+	}))
+	defer backend.Close()
+	address := strings.TrimPrefix(backend.URL, "http://")
+	dialed, err := client.Bypass(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dialed.Close()
+	tunneled := dialed.Conn.(*Conn)
+	for range 50 {
+		if !tunneled.IsIdle() {
+			t.Fatal("not idle after a whole answer")
+		}
+		if err := Ask(t.Context(), tunneled, address, "/"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := Ask(t.Context(), tunneled, address, "/last"); !errors.Is(err, ErrConnectionEnds) {
+		t.Fatalf("got %v, want ErrConnectionEnds", err)
 	}
+	waitFor(t, func() bool { return !tunneled.IsIdle() })
 }
 
 // Peers of all zones are asked from the first, as a whole zone may be cut off.
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -1,6 +1,7 @@
 package tunnel
 
 import (
+	"bufio"
 	"context"
 	"crypto/subtle"
 	"errors"
@@ -8,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -37,7 +39,9 @@
 	// Refusal returns why this process doesn't open a tunnel to an address to a process whose own path is known to be lost or may only
 	// be slow, or "".
 	Refusal func(address string, isLost bool) Outcome
-	// Alternatives returns peers that have paths, for processes that are refused because this one has none. nil: none.
+	// Proof reports whether back ends answer this process what was sent within a time: Proven, Unknown or Disconnected.
+	Proof func(ctx context.Context, within time.Duration) Outcome
+	// Alternatives returns peers that have paths, for processes that are refused because this one has none.
 	Alternatives func() []string
 	IsStopping   func() bool
 	// Observe is called with the outcome of each request.
@@ -70,18 +74,19 @@
 
 // ServeHTTP opens a tunnel and carries it until either end closes it.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != Path || !s.isAuthorized(r) {
+	switch {
+	case !s.isAuthorized(r), r.URL.Path != Path && r.URL.Path != PathProof:
 		w.WriteHeader(http.StatusNotFound)
 		return
+	case r.URL.Path == PathProof:
+		s.serveProof(w, r)
+		return
 	}
 	defer s.carried.Add(-1)
 	query := r.URL.Query()
 	backend, outcome := s.connect(r.Context(), query.Get(queryAddress), query.Get(queryLost) != "", s.carried.Add(1))
 	s.config.Observe(outcome)
-	w.Header().Set(outcomeHeader, string(outcome))
-	if outcome == Disconnected && s.config.Alternatives != nil {
-		w.Header().Set(alternativesHeader, strings.Join(s.config.Alternatives(), ","))
-	}
+	s.writeOutcome(w, outcome)
 	if outcome != Opened {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -98,6 +103,25 @@
 	carry(peer, buffered.Reader, backend)
 }
 
+// writeOutcome writes the headers that state an outcome.
+func (s *Server) writeOutcome(w http.ResponseWriter, outcome Outcome) {
+	w.Header().Set(outcomeHeader, string(outcome))
+	if outcome == Disconnected {
+		w.Header().Set(alternativesHeader, strings.Join(s.config.Alternatives(), ","))
+	}
+}
+
+// serveProof answers whether back ends answer this process.
+func (s *Server) serveProof(w http.ResponseWriter, r *http.Request) {
+	milliseconds, err := strconv.ParseInt(r.URL.Query().Get(queryWithin), 10, 32)
+	if err != nil || milliseconds < 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.writeOutcome(w, s.config.Proof(r.Context(), time.Duration(milliseconds)*time.Millisecond))
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // isAuthorized reports whether a request carries the token, if one is configured.
 func (s *Server) isAuthorized(r *http.Request) bool {
 	token := strings.TrimPrefix(r.Header.Get("Authorization"), bearerPrefix)
@@ -135,11 +159,31 @@
 		_, _ = io.CopyBuffer(plainWriter{backend}, plainReader{fromPeer}, make([]byte, bufferSize))
 		_ = backend.Close() // the peer's request is over or was abandoned
 	}()
-	chunks := httputil.NewChunkedWriter(peer)
+	buffered := bufio.NewWriterSize(peer, bufferSize+maxChunkOverhead)
+	chunks := flushingWriter{httputil.NewChunkedWriter(buffered), buffered}
 	if _, err := io.CopyBuffer(plainWriter{chunks}, plainReader{backend}, make([]byte, bufferSize)); err == nil && transport.EndedInOrder(backend) {
-		_ = chunks.Close()
-		_, _ = io.WriteString(peer, "\r\n") // ends the empty trailer section
+		_ = chunks.chunks.Close()
+		_, _ = buffered.WriteString("\r\n") // ends the empty trailer section
+		_ = buffered.Flush()
+	}
+}
+
+// maxChunkOverhead is how many bytes a chunk takes besides its content.
+const maxChunkOverhead = 16
+
+// flushingWriter sends each chunk at once, and in one piece.
+type flushingWriter struct {
+	chunks   io.WriteCloser
+	buffered *bufio.Writer
+}
+
+// Write sends p as a chunk.
+func (w flushingWriter) Write(p []byte) (int, error) {
+	count, err := w.chunks.Write(p)
+	if err == nil {
+		err = w.buffered.Flush()
 	}
+	return count, err
 }
 
 // plainReader and plainWriter hide methods with which io.CopyBuffer would not use the given buffer.
--- a/internal/tunnel/server_test.go
+++ b/internal/tunnel/server_test.go
@@ -47,6 +47,24 @@
 	}
 }
 
+// The question whether back ends answer a peer is answered on the wire, also by a peer that is cut off.
+func TestProofOnTheWire(t *testing.T) {
+	for _, want := range []Outcome{Proven, Disconnected} {
+		peer := newTestPeer(t)
+		peer.disconnected.Store(want == Disconnected)
+		peer.alternative = "10.0.0.9:1"
+		conn, err := net.Dial("tcp", peer.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		got, err := askProof(conn, testToken, time.Second)
+		if err != nil || got.Outcome != want || (len(got.Alternatives) > 0) != (want == Disconnected) {
+			t.Errorf("got %+v, %v, want %q", got, err, want)
+		}
+	}
+}
+
 // Without a token, all requests are accepted, as between the other processes of a fleet.
 func TestServerWithoutToken(t *testing.T) {
 	address := testBackend(t, echoLine)
