--- a/internal/router/tunnels_test.go
+++ b/internal/router/tunnels_test.go
@@ -80,3 +80,74 @@
 		}
 	}
 }
+
+// TestRouterWithSilentLinksGoesThroughPeer guards against a router whose connections are established but carry nothing learning of each
+// back end by itself, by requests that fail.
+func TestRouterWithSilentLinksGoesThroughPeer(t *testing.T) {
+	var addresses []string
+	for range 6 {
+		backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "{}") }))
+		defer backend.Close()
+		addresses = append(addresses, strings.TrimPrefix(backend.URL, "http://"))
+	}
+	peer := httptest.NewServer(tunnel.NewServer(tunnel.ServerConfig{
+		Token: "t", IsBackend: func(string) bool { return true }, Refusal: func(string, bool) tunnel.Outcome { return "" }, IsStopping: func() bool { return false }, Observe: func(tunnel.Outcome) {},
+		Proof: func(context.Context, time.Duration) tunnel.Outcome { return tunnel.Proven },
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		},
+	}))
+	defer peer.Close()
+	paths := newBackendPaths("t", nil, clock.NewSource(nil), zap.NewNop())
+	defer paths.Close()
+	var cut atomic.Bool
+	cut.Store(true)
+	paths.direct = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if !cut.Load() {
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		}
+		near, far := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		return near, nil
+	}
+	paths.setBackEnds(addresses)
+	paths.setPeers("z1", []control.Peer{{Name: "other", Zone: "z2", Address: strings.TrimPrefix(peer.URL, "http://")}})
+	s := newSendingServer()
+	s.backendClient.Transport, s.paths = paths.transport, paths
+	poll := func(address string) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		paths.poll(t.Context(), address, func(traced context.Context) bool {
+			request, err := http.NewRequestWithContext(traced, http.MethodGet, "http://"+address+"/", nil)
+			if err != nil {
+				t.Error(err)
+				return false
+			}
+			response, err := paths.transport.RoundTrip(request.WithContext(ctx))
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			return err == nil
+		})
+	}
+	go poll(addresses[0])
+	awaitPaths(t, func() bool { return paths.IsDisconnected() })
+	for _, address := range addresses {
+		response, err := s.sendOnce(t.Context(), address, "/", "a")
+		if err != nil {
+			t.Fatalf("%s: %v", address, err)
+		}
+		_ = response.Body.Close()
+	}
+	cut.Store(false)
+	awaitPaths(t, func() bool { return !paths.IsDisconnected() })
+}
+
+func awaitPaths(t *testing.T, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !condition(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("timed out waiting for paths")
+		}
+	}
+}
