Gateway: a whole answer isn't rejected because its request's write hasn't returned yet

The back end had read all of 1 MB, answered and closed, and the end was seen before the goroutine that writes the request had told that its write had succeeded.

--- a/internal/gateway/unframed.go
+++ b/internal/gateway/unframed.go
@@ -53,7 +53,19 @@
 // endedInOrder reports whether the back end has received the whole request and ended its side of the connection in order. A peer
 // states the end of a back end's stream only if that was so.
 func (a *attempt) endedInOrder() bool {
-	return a.requestWritten() && (a.conn.peer != "" || transport.EndedInOrder(a.conn.Conn))
+	return a.awaitRequestWritten() && (a.conn.peer != "" || transport.EndedInOrder(a.conn.Conn))
+}
+
+// awaitRequestWritten is requestWritten for a connection that the back end has ended: a write in the background that has succeeded or
+// can't any more returns soon.
+func (a *attempt) awaitRequestWritten() bool {
+	select {
+	case err := <-a.writeDone:
+		a.writeDone <- err
+		return err == nil
+	case <-time.After(endCheckTimeout):
+		return false
+	}
 }
 
 // relayUnframed keeps a response without length or chunks so for the caller: only its back end could tell that it is whole.
