--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"kitetiller/internal/transport"
 )
 
 const (
@@ -90,6 +92,9 @@
 	if !p.waitForLink(Link{from, to}) || !p.waitForLink(Link{to, from}) || !p.waitForPower(to) {
 		return
 	}
+	if transport.EndedInOrder(near) {
+		return // the opener has given it up while its link was blocked
+	}
 	far, err := net.DialTimeout("tcp", target, dialTimeout)
 	if err != nil {
 		return
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -207,6 +207,58 @@
 	}
 }
 
+// A connection that its opener has closed while the link was blocked reaches the target as little as on a real network, where its packets
+// are lost. Targets would get all that was given up in a partition at once otherwise.
+func TestConnectionsGivenUpWhileBlockedAreNotForwarded(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	accepted := make(chan struct{}, 2)
+	go func() {
+		for {
+			conn, err := target.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			accepted <- struct{}{}
+		}
+	}()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := free.Addr().String()
+	_ = free.Close()
+	p := NewProxy(func(net.Conn) string { return "a" })
+	defer p.Close()
+	if err := p.Forward(address, "b", target.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	p.Block(Link{"a", "b"})
+	givenUp, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(givenUp, "x")
+	_ = givenUp.Close()
+	waiting, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer waiting.Close()
+	time.Sleep(50 * time.Millisecond)
+	p.Unblock(Link{"a", "b"})
+	<-accepted
+	select {
+	case <-accepted:
+		t.Error("the connection that was given up reached the target")
+	case <-time.After(200 * time.Millisecond):
+	}
+}
+
 // A blocked link holds data back while the other direction works, and delivers it after it is unblocked.
 func TestProxyBlocksOneDirection(t *testing.T) {
 	p, near, far := openProxiedConnection(t)
