Reachability: peers prove that they have paths by themselves, and partitions are found beside late services

Where back ends reply late, 38 of 76 gateways took 3.5 to 10 s to find out that they were cut off, as peers could prove nothing that had been sent after the question, 75 ms before; and each tunnel was checked by a question that timed out, so that peers counted as silent and requests found no way (440 failed attempts in 14 s).

Now peers are asked again for up to some 2 s, as long as nothing is heard, so that what they sent since gets its answers. A peer that opens a tunnel in place of a lost path proves by what it sent itself within 0.5 s, or by a question on an idle connection, that it has paths; nothing is asked through the tunnel.

--- a/internal/router/tunnels_test.go
+++ b/internal/router/tunnels_test.go
@@ -30,6 +30,7 @@
 	address := strings.TrimPrefix(backend.URL, "http://")
 	peer := httptest.NewServer(tunnel.NewServer(tunnel.ServerConfig{
 		Token: "t", IsBackend: func(a string) bool { return a == address }, Refusal: func(string, bool) tunnel.Outcome { return "" }, IsStopping: func() bool { return false }, Observe: func(tunnel.Outcome) {},
+		Proof: func(context.Context, time.Duration) tunnel.Outcome { return tunnel.Proven },
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 		},
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -26,7 +26,8 @@
 	PathProof    = "/internal/v1/tunnel/proof"
 	queryWithin  = "within"
 	queryAddress = "address"
-	queryLost    = "lost" // "1" if the path of the process that asks is known to be lost
+	queryLost    = "lost"  // "1" if the path of the process that asks is known to be lost
+	queryProof   = "proof" // "1" if the peer is to prove that back ends answer it
 	protocol     = "kitetiller-tunnel"
 	bearerPrefix = "Bearer "
 )
@@ -45,8 +46,9 @@
 	Stopping    Outcome = "stopping"    // the peer is shutting down
 	// Disconnected: the peer has no direct path to any back end.
 	Disconnected Outcome = "disconnected"
-	// Proven is the outcome of the question whether back ends answer the peer, if they do. Unknown and Disconnected are others.
-	Proven Outcome = "proven"
+	// Proven, Unproven and Disconnected are the outcomes of the question whether back ends answer the peer.
+	Proven   Outcome = "proven"
+	Unproven Outcome = "unproven"
 	// Silent is the outcome of a tunnel that was opened, through which the back end answers nothing. It is never sent.
 	Silent Outcome = "silent"
 )
@@ -108,6 +110,7 @@
 type openRequest struct {
 	token, address string
 	isLost         bool // the path of the process that asks is known to be lost
+	needsProof     bool // the peer is to prove that back ends answer it
 }
 
 // open asks the peer at the other end of a connection to open a tunnel.
@@ -117,6 +120,9 @@
 	if asked.isLost {
 		query.Set(queryLost, "1")
 	}
+	if asked.needsProof {
+		query.Set(queryProof, "1")
+	}
 	request, err := newRequest(conn, Path, query, asked.token)
 	if err != nil {
 		return nil, err
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -39,8 +39,8 @@
 	// Probe checks whether a back end answers on a direct connection.
 	Probe func(ctx context.Context, address string) error
 	// Verify asks a back end a question on a connection that carries nothing else, and waits for the whole reply, or returns
-	// ErrConnectionEnds if that ended the connection. It is called for the first connection through a peer which isn't known to have
-	// paths. A peer that is cut off connects as well, if something between accepts connections. nil: peers aren't checked.
+	// ErrConnectionEnds if that ended the connection. It is called where a reply through a peer is to show that a direct path is lost.
+	// nil: a connection shows it.
 	Verify func(ctx context.Context, conn net.Conn, address string) error
 	// Patience returns how long the reply to such a question may take before another peer is asked as well. nil: peerHeadStart.
 	Patience func(address string) time.Duration
@@ -225,8 +225,10 @@
 	switch outcome.Outcome {
 	case Disconnected:
 		d.table.RecordDisconnected(d.config.Now(), peer, outcome.Alternatives)
-	case Unknown:
+	case Unproven:
 		d.table.RecordRefusal(d.config.Now(), peer, anyAddress) // others are asked first next time
+	case Proven:
+		d.table.RecordAnswer(d.config.Now(), peer)
 	}
 	return outcome.Outcome == Proven
 }
@@ -492,7 +494,7 @@
 // lacksPath reports whether an error is that of a peer without a path of its own.
 func lacksPath(err error) bool {
 	var outcome *OutcomeError
-	return errors.As(err, &outcome) && (outcome.Outcome == PathLost || outcome.Outcome == Disconnected)
+	return errors.As(err, &outcome) && (outcome.Outcome == PathLost || outcome.Outcome == Disconnected || outcome.Outcome == Unproven)
 }
 
 func closeRemaining(results <-chan dialResult, running int) {
@@ -510,11 +512,10 @@
 	return d.table.Candidates(d.config.Now(), address, groups), known
 }
 
-// openTunnel asks one peer to open a tunnel, and makes sure that the back end answers through it if that is wanted or the peer isn't
-// proven.
+// openTunnel asks one peer to open a tunnel, and makes sure that the back end answers through it if that is wanted.
 func (d *Dialer) openTunnel(ctx context.Context, peer, address string, verifies bool) (Dialed, error) {
 	dialed, err := d.openUnverified(ctx, peer, address)
-	if err != nil || d.config.Verify == nil || !verifies && d.IsProven(peer) {
+	if err != nil || d.config.Verify == nil || !verifies {
 		return dialed, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = dialed.Close() })
@@ -546,7 +547,8 @@
 	return d.table.IsProven(d.config.Now(), peer)
 }
 
-// openUnverified asks one peer to open a tunnel.
+// openUnverified asks one peer to open a tunnel. In place of a lost path one that isn't proven has to prove that back ends answer it, as
+// a peer that is cut off connects as well if something between accepts connections.
 func (d *Dialer) openUnverified(ctx context.Context, peer, address string) (Dialed, error) {
 	conn, err := d.config.DialPeer(ctx, peer)
 	if err != nil {
@@ -555,7 +557,8 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	deadline, _ := ctx.Deadline()
-	opened, err := open(conn, openRequest{token: d.config.Token, address: address, isLost: d.IsDisconnected() || d.IsLost(address)}, deadline)
+	isLost := d.IsDisconnected() || d.IsLost(address)
+	opened, err := open(conn, openRequest{token: d.config.Token, address: address, isLost: isLost, needsProof: isLost && !d.IsProven(peer)}, deadline)
 	if !stop() && err == nil {
 		err = context.Cause(ctx) // the connection is being closed
 	}
@@ -584,11 +587,14 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if outcome == Disconnected {
+	switch outcome {
+	case Disconnected:
 		d.table.RecordDisconnected(d.config.Now(), peer, reported.Alternatives)
-		return
+	case Unproven:
+		d.table.RecordRefusal(d.config.Now(), peer, anyAddress)
+	default:
+		d.table.RecordRefusal(d.config.Now(), peer, address)
 	}
-	d.table.RecordRefusal(d.config.Now(), peer, address)
 }
 
 func (d *Dialer) recordLost(address, peer string, cause Cause, triedAt time.Duration) {
--- a/internal/tunnel/helpers_test.go
+++ b/internal/tunnel/helpers_test.go
@@ -89,7 +89,7 @@
 	case p.paths != nil:
 		return p.paths.Prove(ctx, within)
 	case p.silent.Load():
-		return Unknown
+		return Unproven
 	}
 	return Proven
 }
--- a/internal/tunnel/paths.go
+++ b/internal/tunnel/paths.go
@@ -16,6 +16,11 @@
 	maxRestoreQuestions = 4
 	// questionTimeout bounds a direct question whose reply nobody waits for any more.
 	questionTimeout = 15 * time.Second
+	// proofRounds is how often peers are asked for a proof, proofRoundInterval after the last answer each, and maxSecondPatience
+	// bounds how much of the time that the first question had a second one gets.
+	proofRounds        = 8
+	proofRoundInterval = 150 * time.Millisecond
+	maxSecondPatience  = 1500 * time.Millisecond
 	// minProofInterval is the least time between questions that are asked because peers want to know whether back ends answer.
 	// proofTimeout is how long a peer waits for that at most, and proofPolls how often it is looked for.
 	minProofInterval = 500 * time.Millisecond
@@ -205,12 +210,13 @@
 
 // compare asks peers whether back ends answer them, and if so a second back end directly.
 func (p *Paths) compare(first string, sentAt time.Duration) reachability.Result {
-	if !p.config.Dialer.AskProof(p.ctx, p.config.Now()-sentAt) {
+	if !p.awaitProof(sentAt) {
 		return reachability.FalseAlarm
 	}
 	second, secondAt := p.other(first), p.config.Now()
 	// The second question gets as much time as the first one had, and the patience for a new connection besides.
-	if second != "" && p.answersWithin(secondAt-sentAt+p.config.Patience(second), p.question(second)) || p.HasHeardSince(sentAt) {
+	patience := min(secondAt-sentAt, maxSecondPatience) + p.config.Patience(second)
+	if second != "" && p.answersWithin(patience, p.question(second)) || p.HasHeardSince(sentAt) {
 		return reachability.FalseAlarm
 	}
 	p.RecordUnreached(first, sentAt)
@@ -220,6 +226,25 @@
 	return reachability.Unreached
 }
 
+// awaitProof asks peers whether back ends answer them what was sent since a time, until one is answered or this process is. Where back
+// ends take long to reply, what peers have sent is answered after that time only.
+func (p *Paths) awaitProof(since time.Duration) bool {
+	for range proofRounds {
+		if p.HasHeardSince(since) {
+			return false
+		}
+		if p.config.Dialer.AskProof(p.ctx, p.config.Now()-since) {
+			return true
+		}
+		select {
+		case <-p.ctx.Done():
+			return false
+		case <-time.After(proofRoundInterval):
+		}
+	}
+	return false
+}
+
 // other returns a back end that can be asked, other than the given one, or "".
 func (p *Paths) other(first string) string {
 	for _, address := range p.config.Pick(2) {
@@ -279,14 +304,14 @@
 	for range proofPolls {
 		select {
 		case <-ctx.Done():
-			return Unknown
+			return Unproven
 		case <-time.After(proofTimeout / proofPolls):
 		}
 		if p.IsProvenSince(now - within) {
 			return Proven
 		}
 	}
-	return Unknown
+	return Unproven
 }
 
 // prove asks a back end on an idle connection, so that the reply shows whether any answers.
--- a/internal/tunnel/paths_test.go
+++ b/internal/tunnel/paths_test.go
@@ -145,8 +145,8 @@
 	if outcome := client.paths.Prove(t.Context(), time.Minute); outcome != Proven {
 		t.Errorf("got %q of what was answered before, want %q", outcome, Proven)
 	}
-	if outcome := client.paths.Prove(t.Context(), 0); outcome != Unknown {
-		t.Errorf("got %q, want %q", outcome, Unknown)
+	if outcome := client.paths.Prove(t.Context(), 0); outcome != Unproven {
+		t.Errorf("got %q, want %q", outcome, Unproven)
 	}
 	waitFor(t, func() bool {
 		client.paths.Suspect(client.backends[0], client.config.Now()-100*time.Millisecond)
--- a/internal/tunnel/peers.go
+++ b/internal/tunnel/peers.go
@@ -9,7 +9,7 @@
 
 const (
 	// peerProvenTTL is how long an answer of any back end through a peer shows that it has paths.
-	peerProvenTTL = 2 * time.Second
+	peerProvenTTL = 5 * time.Second
 	// maxSilentAddresses is the number of back ends of which nothing may come through a peer before it isn't asked for others either.
 	maxSilentAddresses = 2
 	// referralTTL is how long a peer that another one named is asked, and maxReferrals how many such peers are held.
@@ -99,7 +99,7 @@
 	var proven, others []string
 	add := func(peer string) {
 		switch {
-		case p.isExcluded(now, peer) || p.Refused(now, peer, address) || slices.Contains(proven, peer) || slices.Contains(others, peer):
+		case p.isExcluded(now, peer) || p.Refused(now, peer, address) || p.Refused(now, peer, anyAddress) || slices.Contains(proven, peer) || slices.Contains(others, peer):
 		case p.IsProven(now, peer):
 			proven = append(proven, peer)
 		default:
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -26,6 +26,8 @@
 	dialTimeout = 250 * time.Millisecond
 	// maxAlternatives bounds the peers that a refusal names.
 	maxAlternatives = 4
+	// proofAge is how long ago that may have been sent at most by whose answer a process proves that it has paths, to open a tunnel.
+	proofAge = 500 * time.Millisecond
 	// drainInterval is how often a stopping process checks whether the tunnels that it carries have ended.
 	drainInterval = 50 * time.Millisecond
 )
@@ -39,7 +41,7 @@
 	// Refusal returns why this process doesn't open a tunnel to an address to a process whose own path is known to be lost or may only
 	// be slow, or "".
 	Refusal func(address string, isLost bool) Outcome
-	// Proof reports whether back ends answer this process what was sent within a time: Proven, Unknown or Disconnected.
+	// Proof reports whether back ends answer this process what was sent within a time: Proven, Unproven or Disconnected.
 	Proof func(ctx context.Context, within time.Duration) Outcome
 	// Alternatives returns peers that have paths, for processes that are refused because this one has none.
 	Alternatives func() []string
@@ -84,7 +86,8 @@
 	}
 	defer s.carried.Add(-1)
 	query := r.URL.Query()
-	backend, outcome := s.connect(r.Context(), query.Get(queryAddress), query.Get(queryLost) != "", s.carried.Add(1))
+	asked := openRequest{address: query.Get(queryAddress), isLost: query.Get(queryLost) != "", needsProof: query.Get(queryProof) != ""}
+	backend, outcome := s.connect(r.Context(), asked, s.carried.Add(1))
 	s.config.Observe(outcome)
 	s.writeOutcome(w, outcome)
 	if outcome != Opened {
@@ -129,21 +132,26 @@
 }
 
 // connect connects to a back end for a peer.
-func (s *Server) connect(ctx context.Context, address string, isLost bool, carried int64) (net.Conn, Outcome) {
+func (s *Server) connect(ctx context.Context, asked openRequest, carried int64) (net.Conn, Outcome) {
 	switch {
 	case s.config.IsStopping():
 		return nil, Stopping
 	case carried > maxCarried:
 		return nil, Full
-	case !s.config.IsBackend(address):
+	case !s.config.IsBackend(asked.address):
 		return nil, Unknown
 	}
-	if refusal := s.config.Refusal(address, isLost); refusal != "" {
+	if refusal := s.config.Refusal(asked.address, asked.isLost); refusal != "" {
 		return nil, refusal
 	}
+	if asked.needsProof {
+		if outcome := s.config.Proof(ctx, proofAge); outcome != Proven {
+			return nil, outcome
+		}
+	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := s.config.Dial(dialCtx, address)
+	conn, err := s.config.Dial(dialCtx, asked.address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return nil, Refused
