Gateway: connections are bounded as at the start when requests change between direct paths and peers

A window of connections had grown until it bounded nothing; when 38 of 76 gateways lost their paths, or got them back, all opened connections at once on the way that had none open yet: with a shared capacity of 5 ms a connection 278 a second at the end of a cut, and requests at the other gateways failed as well. The window begins anew now in both cases.

--- a/internal/admission/congestion/window.go
+++ b/internal/admission/congestion/window.go
@@ -97,10 +97,8 @@
 	return true
 }
 
-// Reset drops the connections that are being opened and what failed ones have shown.
-func (w *ConnectionWindow) Reset() {
-	w.size, w.pending, w.failures, w.nextAt = max(1, w.size), nil, 0, 0
-}
+// Reset makes the window that of a router without connections, as those that it had can't be used any more.
+func (w *ConnectionWindow) Reset(routers int) { *w = *NewConnectionWindow(routers) }
 
 // Withdraw removes a connection that could not be established, which tells nothing about the capacity of back ends.
 func (w *ConnectionWindow) Withdraw(o *Opening) { w.end(o) }
--- a/internal/gateway/congestion.go
+++ b/internal/gateway/congestion.go
@@ -128,16 +128,22 @@
 	return cost
 }
 
-// forgetDirect drops what requests on direct connections have shown, since nothing arrives on them: neither those that wait nor their
-// connections tell of the capacity of back ends.
+// forgetDirect drops what requests on direct connections have shown, since nothing arrives on them: those that wait tell nothing of the
+// capacity of back ends.
 func (c *congestionControl) forgetDirect() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for service, l := range c.services {
 		c.apply(service, l, func(now time.Duration, l *congestion.Limiter) { l.Forget(now) })
 	}
+}
+
+// restartConnections bounds connections as at the start, since requests go another way from now on, on which none is open yet.
+func (c *congestionControl) restartConnections() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, s := range c.connections {
-		s.window.Reset()
+		s.window.Reset(int(c.gateway.gatewayCount.Load()))
 	}
 }
 
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -85,6 +85,7 @@
 	g.metrics.disconnections.WithLabelValues(state.String()).Inc()
 	if state == reachability.Disconnected {
 		g.congestion.forgetDirect()
+		g.congestion.restartConnections()
 		for _, sent := range g.table.waitingDirectly() {
 			go sent.abandonPath()
 		}
@@ -94,6 +95,7 @@
 
 func (p *paths) onRestored() {
 	p.gateway.pool.closeTunnels()
+	p.gateway.congestion.restartConnections()
 	p.gateway.log.info(events.PathsRestored)
 	p.notify()
 }
