--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -122,7 +122,7 @@
 // askAny asks a back end a question on an idle direct connection, if its service isn't short of capacity.
 func (p *paths) askAny(ctx context.Context) error {
 	for _, row := range p.gateway.table.readyRows() {
-		if p.gateway.questionPath(row) == "" || p.gateway.congestion.isLimited(row.entry.Service) {
+		if p.gateway.questionPath(row) == "" || p.gateway.isCongested(row.entry.Service) {
 			continue
 		}
 		if idle := p.gateway.pool.reuse(connectionRequest{instance: row.entry.ID, maxIdle: maxIdleRetryable}, false); idle != nil {
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -72,9 +72,11 @@
 // isCongestedAt reports whether requests or connections to the service of a back end are limited.
 func (g *Gateway) isCongestedAt(address string) bool {
 	name, known := g.table.serviceAt(address)
-	if !known {
-		return false
-	}
+	return known && g.isCongested(name)
+}
+
+// isCongested reports whether requests or connections to a service are limited.
+func (g *Gateway) isCongested(name string) bool {
 	service := g.service(name)
 	return g.congestion.isLimited(name) || service != nil && !g.congestion.allowsConnection(service)
 }
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -25,6 +25,8 @@
 	minComparisonInterval = 300 * time.Millisecond
 	maxComparisonInterval = 2 * time.Second
 	calmTime              = 10 * time.Second
+	// reachedInterval is the time until the next comparison after one that a prompt reply ended.
+	reachedInterval = 600 * time.Millisecond
 )
 
 // State is which direct paths a process has.
@@ -190,7 +192,7 @@
 	t.comparing = false
 	switch result {
 	case Reached:
-		t.nextAt = now + minComparisonInterval
+		t.nextAt = now + reachedInterval
 	case FalseAlarm:
 		t.nextAt = now + t.interval
 		t.interval = min(2*t.interval, maxComparisonInterval)
--- a/internal/tunnel/paths.go
+++ b/internal/tunnel/paths.go
@@ -23,7 +23,7 @@
 	maxSecondPatience  = 1500 * time.Millisecond
 	// minProofInterval is the least time between questions that are asked because peers want to know whether back ends answer.
 	// proofTimeout is how long a peer waits for that at most, and proofPolls how often it is looked for.
-	minProofInterval = 500 * time.Millisecond
+	minProofInterval = 2 * time.Second
 	proofTimeout     = 200 * time.Millisecond
 	proofPolls       = 20
 )
