Transport, gateway, tunnel: one way to look at unread bytes, to record an answer and to name other peers

No change of behaviour. Whether an idle connection has unread bytes was asked by the same system call in the pool and in tunnels; an answer was recorded for its path in two places; and three constants said how many peers are named.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -77,11 +77,7 @@
 	a.awaitsHead.Store(false)
 	a.wait.answered(a.conn.peer != "")
 	a.exchange.gateway.table.recordBytes(a.exchange.gateway.now(), a)
-	if a.conn.peer != "" {
-		a.exchange.gateway.dialer.RecordAnswer(a.conn.peer)
-	} else {
-		a.exchange.gateway.paths.RecordAnswer(a.row.entry.Address, a.sentAt, !a.conn.reused)
-	}
+	a.exchange.gateway.recordAnswer(a.conn, a.row, a.sentAt)
 	a.recordFirstByte()
 	a.recordConnection()
 	return response, nil
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -355,18 +355,8 @@
 	if tunneled, ok := c.Conn.(*tunnel.Conn); ok {
 		return tunneled.IsIdle()
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	noData := false
-	err = raw.Read(func(descriptor uintptr) bool {
-		var probe [1]byte
-		_, _, errno := unix.Recvfrom(int(descriptor), probe[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		noData = errno == unix.EAGAIN
-		return true
-	})
-	return err == nil && noData
+	pending, open := transport.Peek(c.Conn, 1)
+	return open && len(pending) == 0
 }
 
 // readKeepAlive reads the keep-alive timeout from a response, and reports whether the connection may be reused.
--- a/internal/gateway/lifecheck.go
+++ b/internal/gateway/lifecheck.go
@@ -139,12 +139,16 @@
 		return
 	}
 	g.table.recordReplyTime(row.entry.Service, g.now()-reply.askedAt)
-	switch {
-	case conn.peer != "":
+	g.recordAnswer(conn, row, reply.askedAt)
+}
+
+// recordAnswer records that a back end began to answer what was sent to it at sentAt, for the path that the connection takes.
+func (g *Gateway) recordAnswer(conn *connection, row *endpoint, sentAt time.Duration) {
+	if conn.peer != "" {
 		g.dialer.RecordAnswer(conn.peer)
-	default:
-		g.paths.RecordAnswer(row.entry.Address, reply.askedAt, !conn.reused)
+		return
 	}
+	g.paths.RecordAnswer(row.entry.Address, sentAt, !conn.reused)
 }
 
 // lifeCheckWait returns how long the attempt waits for the reply. Where all back ends answer late, another one would not reply
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -47,14 +47,11 @@
 func (g *Gateway) newTunnelServer() *tunnel.Server {
 	return tunnel.NewServer(tunnel.ServerConfig{
 		Token: g.settings.Token, Dial: g.dialDirect, IsBackend: g.isBackend, Refusal: g.tunnelRefusal, IsStopping: g.shutdown.draining.Load,
-		Proof: g.paths.Prove, Alternatives: func() []string { return g.dialer.ProvenPeers(maxAlternatives) },
+		Proof: g.paths.Prove, Alternatives: g.dialer.ProvenPeers,
 		Observe: func(outcome tunnel.Outcome) { g.metrics.tunnelsServed.WithLabelValues(string(outcome)).Inc() },
 	})
 }
 
-// maxAlternatives is how many other peers are named to a gateway that asks for a tunnel, by one without paths.
-const maxAlternatives = 4
-
 // tunnelRefusal returns why this gateway opens no tunnel to an address, or "": it gets no answers from the back end itself. A gateway
 // whose own path may only be slow is also refused where a tunnel would ask more of back ends that are slow to answer everybody.
 func (g *Gateway) tunnelRefusal(address string, isLost bool) tunnel.Outcome {
--- a/internal/router/tunnels.go
+++ b/internal/router/tunnels.go
@@ -28,8 +28,6 @@
 	// pollPatience is how long a poll may take before the path to its back end is compared with those of peers.
 	pollPatience       = 250 * time.Millisecond
 	backendDialTimeout = 2 * time.Second
-	// maxAlternatives is how many other peers are named to a router that asks for a tunnel, by one without paths.
-	maxAlternatives = 4
 )
 
 // backendPaths connects to back ends, through other routers while there is no direct path. It is safe for concurrent
@@ -203,7 +201,7 @@
 func (s *Server) newTunnelServer(links *transport.LinkFilter) *tunnel.Server {
 	direct := transport.NewRoundTripper(links).DialContext
 	return tunnel.NewServer(tunnel.ServerConfig{
-		Token: s.file.ClusterToken, Proof: s.paths.Prove, Alternatives: func() []string { return s.paths.dialer.ProvenPeers(maxAlternatives) }, IsBackend: s.isListed, Refusal: s.paths.refusal, IsStopping: s.draining.Load,
+		Token: s.file.ClusterToken, Proof: s.paths.Prove, Alternatives: s.paths.dialer.ProvenPeers, IsBackend: s.isListed, Refusal: s.paths.refusal, IsStopping: s.draining.Load,
 		Dial:    func(ctx context.Context, address string) (net.Conn, error) { return direct(ctx, "tcp", address) },
 		Observe: func(tunnel.Outcome) {},
 	})
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -10,11 +10,9 @@
 	"slices"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
 
 	"kitetiller/internal/transport"
 )
@@ -78,31 +76,11 @@
 // through it.
 func (c *Conn) IsIdle() bool {
 	left, _ := c.reader.Peek(c.reader.Buffered())
-	pending, open := peek(c.Conn)
+	pending, open := transport.Peek(c.Conn, len("\r\n")+1)
 	left = append(slices.Clone(left), pending...)
 	return open && strings.HasSuffix("\r\n", string(left))
 }
 
-// peek returns the first bytes that a connection has received and that are not read yet, and whether it is open.
-func peek(conn net.Conn) (pending []byte, open bool) {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return nil, false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return nil, false
-	}
-	buffer := make([]byte, len("\r\n")+1)
-	err = raw.Read(func(descriptor uintptr) bool {
-		count, _, errno := unix.Recvfrom(int(descriptor), buffer, unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = errno == unix.EAGAIN || errno == nil && count > 0
-		pending = buffer[:max(0, count)]
-		return true
-	})
-	return pending, err == nil && open
-}
-
 // Read reads bytes of the back end. It returns io.EOF only if the back end ended its stream in order.
 func (c *Conn) Read(p []byte) (int, error) { return c.received.Read(p) }
 
--- a/internal/tunnel/helpers_test.go
+++ b/internal/tunnel/helpers_test.go
@@ -62,7 +62,7 @@
 	p := &testPeer{}
 	p.server = NewServer(ServerConfig{
 		Token: testToken, IsBackend: func(address string) bool { return address != "" }, Refusal: p.refusal,
-		IsStopping: p.stopping.Load, Observe: func(Outcome) {}, Proof: p.proof, Alternatives: func() []string { return []string{p.alternative} },
+		IsStopping: p.stopping.Load, Observe: func(Outcome) {}, Proof: p.proof, Alternatives: func(int) []string { return []string{p.alternative} },
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			if p.refuses.Load() {
 				return nil, syscall.ECONNREFUSED
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -43,8 +43,8 @@
 	Refusal func(address string, isLost bool) Outcome
 	// Proof reports whether back ends answer this process what was sent within a time: Proven, Unproven or Disconnected.
 	Proof func(ctx context.Context, within time.Duration) Outcome
-	// Alternatives returns peers that have paths, for processes that are refused because this one has none.
-	Alternatives func() []string
+	// Alternatives returns up to a number of peers that have paths, for processes that are refused because this one has none.
+	Alternatives func(most int) []string
 	IsStopping   func() bool
 	// Observe is called with the outcome of each request.
 	Observe func(Outcome)
@@ -110,7 +110,7 @@
 func (s *Server) writeOutcome(w http.ResponseWriter, outcome Outcome) {
 	w.Header().Set(outcomeHeader, string(outcome))
 	if outcome == Disconnected {
-		w.Header().Set(alternativesHeader, strings.Join(s.config.Alternatives(), ","))
+		w.Header().Set(alternativesHeader, strings.Join(s.config.Alternatives(maxAlternatives), ","))
 	}
 }
 
